--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+PYTHON ?= python3.11
+BIN := .venv/bin
+SEEDS ?= 200
+
+.PHONY: setup demo test check format soak lock proto
+
+setup: .venv/.installed
+
+.venv/.installed: requirements.lock pyproject.toml
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install -q -r requirements.lock
+	$(BIN)/pip install -q --no-deps -e .
+	touch $@
+
+demo: setup
+	$(BIN)/jujubewharf demo
+
+check: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+test: check
+	$(BIN)/pytest
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+soak: setup
+	$(BIN)/python -m tests.soak --seeds $(SEEDS)
+
+lock:
+	$(BIN)/pip freeze --exclude-editable > requirements.lock
--- /dev/null
+++ b/src/jujubewharf/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The caller edge: model requests and plain services over HTTP."""
--- /dev/null
+++ b/src/jujubewharf/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/jujubewharf/commands/main.py
@@ -0,0 +1,67 @@
+"""The ``jujubewharf`` command."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import sys
+from typing import Annotated
+
+import mode
+import typer
+
+from jujubewharf import clock as clocks
+from jujubewharf import entry as entries
+from jujubewharf.commands import standin
+from jujubewharf.settings import models
+from jujubewharf.settings import reader
+from jujubewharf.telemetry import logs
+
+_EXIT_BAD_SETTINGS = 2
+
+app = typer.Typer(no_args_is_help=True, help=__doc__)
+settings_app = typer.Typer(no_args_is_help=True, help="Check settings files.")
+app.add_typer(settings_app, name="settings")
+app.add_typer(standin.app, name="standin")
+
+SettingsPath = Annotated[pathlib.Path, typer.Option("--settings")]
+
+
+def _read_or_exit(path: pathlib.Path) -> models.EntrySettings:
+    read = reader.read(path)
+    if read.is_err():
+        for line in read.unwrap_err():
+            print(line, file=sys.stderr)
+        raise typer.Exit(_EXIT_BAD_SETTINGS)
+    return read.unwrap()
+
+
+@app.command()
+def entry(settings: SettingsPath) -> None:
+    """Run one entry instance until SIGTERM."""
+    checked = _read_or_exit(settings)
+    logs.configure(checked.telemetry.log_level, instance=checked.instance)
+    service = entries.Entry(checked, clocks.Clock())
+    loop = asyncio.new_event_loop()
+    worker = mode.Worker(service, loop=loop, override_logging=False)
+    worker.execute_from_commandline()
+
+
+@settings_app.command("check")
+def settings_check(path: pathlib.Path) -> None:
+    """Check a settings file; every error is named with its path."""
+    _read_or_exit(path)
+    print("ok")
+
+
+@settings_app.command("schema")
+def settings_schema() -> None:
+    """Print the JSON Schema of the settings file."""
+    schema = models.EntrySettings.model_json_schema()
+    print(json.dumps(schema, indent=2))
+
+
+def main() -> None:
+    """Runs the command line."""
+    app()
--- /dev/null
+++ b/src/jujubewharf/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""What operators declared, folded from the platform's log."""
--- /dev/null
+++ b/src/jujubewharf/engines/__init__.py
@@ -0,0 +1,1 @@
+"""What the system says to engines, behind one small typed interface."""
--- /dev/null
+++ b/src/jujubewharf/engines/http.py
@@ -0,0 +1,160 @@
+"""The engine interface over HTTP: JSON calls, one JSON line a chunk."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+import dataclasses
+import json
+from typing import Any
+
+import aiohttp
+
+from jujubewharf import clock as clocks
+from jujubewharf.engines import client
+
+_CALL_TIMEOUT_MS = 5_000.0
+_PREFILL_TIMEOUT_MS = 60_000.0
+_CHUNK_TIMEOUT_MS = 10_000.0
+_OK = 200
+
+_CONNECT_ERRORS = (aiohttp.ClientConnectorError,)
+_STREAM_ERRORS = (aiohttp.ClientError, TimeoutError, ValueError)
+
+
+class HttpEngineClient:
+    """Speaks to one engine.
+
+    Args:
+        name: The engine's name, for errors.
+        address: ``IP:PORT`` of the engine.
+        session: Shared client session.
+        clock: Times out slow answers.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        session: aiohttp.ClientSession,
+        clock: clocks.Clock,
+    ) -> None:
+        self._name = name
+        self._url = f"http://{address}"
+        self._session = session
+        self._clock = clock
+
+    def __repr__(self) -> str:
+        return f"HttpEngineClient({self._name!r})"
+
+    async def reserve(self, attempt: client.Attempt) -> None:
+        """Takes a decode slot; see ``client.EngineClient``."""
+        await self._call("reserve", _attempt(attempt))
+
+    async def prefill(
+        self, attempt: client.Attempt, job: client.PrefillJob
+    ) -> client.PrefillDone:
+        """Reads a prompt; see ``client.EngineClient``."""
+        body = _attempt(attempt) | dataclasses.asdict(job)
+        done = await self._call("prefill", body, _PREFILL_TIMEOUT_MS)
+        return client.PrefillDone(**done)
+
+    async def import_kv(
+        self, attempt: client.Attempt, source_address: str
+    ) -> int:
+        """Pulls a prefill result; see ``client.EngineClient``."""
+        body = _attempt(attempt) | {"source_address": source_address}
+        done = await self._call("import_kv", body)
+        return int(done["kv_bytes"])
+
+    async def decode(
+        self, attempt: client.Attempt, job: client.DecodeJob
+    ) -> AsyncIterator[client.TokenChunk]:
+        """Writes the answer; see ``client.EngineClient``."""
+        body = _attempt(attempt) | dataclasses.asdict(job)
+        try:
+            async with self._session.post(
+                f"{self._url}/decode", json=body
+            ) as response:
+                await self._raise_for_fault(response)
+                while True:
+                    async with self._clock.timeout_ms(_CHUNK_TIMEOUT_MS):
+                        line = await response.content.readline()
+                    if not line:
+                        break
+                    yield _chunk(json.loads(line))
+        except _CONNECT_ERRORS as error:
+            raise self._error(client.EngineFault.UNREACHABLE) from error
+        except _STREAM_ERRORS as error:
+            raise self._error(client.EngineFault.LOST) from error
+
+    async def release(self, attempt_id: str) -> None:
+        """Cancels and frees an attempt; see ``client.EngineClient``."""
+        await self._call("release", {"attempt_id": attempt_id})
+
+    async def load(self) -> client.LoadReport:
+        """The latest load report; see ``client.EngineClient``."""
+        body = await self._call("load", {})
+        body["adapters"] = tuple(body["adapters"])
+        return client.LoadReport(**body)
+
+    async def held(self) -> tuple[client.HeldAttempt, ...]:
+        """Everything held; see ``client.EngineClient``."""
+        items = await self._call("held", {})
+        return tuple(
+            client.HeldAttempt(
+                client.Attempt(item["attempt_id"], item["owner"]),
+                item["age_ms"],
+            )
+            for item in items
+        )
+
+    async def cache_events(
+        self, after_sequence: int
+    ) -> tuple[client.CacheEvent, ...]:
+        """Cache events; see ``client.EngineClient``."""
+        items = await self._call("events", {"after_sequence": after_sequence})
+        return tuple(client.CacheEvent(**item) for item in items)
+
+    async def order(self, order: client.Order) -> None:
+        """Gives an order; see ``client.EngineClient``."""
+        body = dataclasses.asdict(order) | {"kind": order.kind.value}
+        await self._call("order", body)
+
+    async def _call(
+        self,
+        verb: str,
+        body: dict[str, Any],
+        timeout_ms: float = _CALL_TIMEOUT_MS,
+    ) -> Any:
+        try:
+            async with self._clock.timeout_ms(timeout_ms):
+                async with self._session.post(
+                    f"{self._url}/{verb}", json=body
+                ) as response:
+                    await self._raise_for_fault(response)
+                    return await response.json()
+        except _CONNECT_ERRORS as error:
+            raise self._error(client.EngineFault.UNREACHABLE) from error
+        except _STREAM_ERRORS as error:
+            raise self._error(client.EngineFault.LOST) from error
+
+    async def _raise_for_fault(self, response: aiohttp.ClientResponse) -> None:
+        if response.status == _OK:
+            return
+        body = await response.json()
+        raise self._error(client.EngineFault(body["fault"]))
+
+    def _error(self, fault: client.EngineFault) -> client.EngineError:
+        return client.EngineError(fault, self._name)
+
+
+def _attempt(attempt: client.Attempt) -> dict[str, Any]:
+    return {"attempt_id": attempt.attempt_id, "owner": attempt.owner}
+
+
+def _chunk(item: dict[str, Any]) -> client.TokenChunk:
+    return client.TokenChunk(
+        first_index=item["first_index"],
+        tokens=tuple(item["tokens"]),
+        is_last=item["is_last"],
+    )
--- /dev/null
+++ b/src/jujubewharf/errors.py
@@ -0,0 +1,223 @@
+"""The closed list of error kinds and the one table from kind to answer.
+
+Everything a caller or an operator can be told is here. ``ran`` is a promise:
+``Ran.NO`` may be said only when it is certain that no engine or endpoint was
+given the request; when that can't be known the kind says ``Ran.UNKNOWN``.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+
+class Ran(enum.Enum):
+    """Whether the refused request ran."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(enum.Enum):
+    """Every kind of failure; the value is the counter's reason."""
+
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    SLOW_BODY = "slow_body"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_RESOURCE = "unknown_resource"
+    RATE_LIMITED = "rate_limited"
+    TOO_MANY_IN_FLIGHT = "too_many_in_flight"
+    QUEUE_FULL = "queue_full"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    NO_FITTING_ENGINE = "no_fitting_engine"
+    SHUTTING_DOWN = "shutting_down"
+    KEY_CONFLICT = "key_conflict"
+    KEY_EXPIRED = "key_expired"
+    CLAIM_UNAVAILABLE = "claim_unavailable"
+    CLAIM_LOST = "claim_lost"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    ENGINE_FAILED = "engine_failed"
+    ENDPOINT_FAILED = "endpoint_failed"
+    ANSWER_BROKEN = "answer_broken"
+    CANCELLED = "cancelled"
+    CONFIG_INVALID = "config_invalid"
+    CONFIG_CONFLICT = "config_conflict"
+    CONFIG_UNSAFE = "config_unsafe"
+    LOG_UNAVAILABLE = "log_unavailable"
+    OPERATION_UNKNOWN = "operation_unknown"
+    INTERNAL = "internal"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """What the outside is told for one error kind.
+
+    Attributes:
+        http_status: Status on the caller edge.
+        grpc_code: Name of the ``grpc.StatusCode`` on the operator edge.
+        ran: Whether the request ran.
+        retryable: Whether the same request may help when sent again.
+        message: One sentence for a person.
+    """
+
+    http_status: int
+    grpc_code: str
+    ran: Ran
+    retryable: bool
+    message: str
+
+
+_NO, _YES, _UNKNOWN = Ran.NO, Ran.YES, Ran.UNKNOWN
+
+TABLE: dict[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: Answer(
+        400, "INVALID_ARGUMENT", _NO, False, "The request is malformed."
+    ),
+    ErrorKind.BODY_TOO_LARGE: Answer(
+        413, "INVALID_ARGUMENT", _NO, False, "The body is over the limit."
+    ),
+    ErrorKind.SLOW_BODY: Answer(
+        408, "DEADLINE_EXCEEDED", _NO, True, "The body came too slowly."
+    ),
+    ErrorKind.UNAUTHENTICATED: Answer(
+        401, "UNAUTHENTICATED", _NO, False, "The token is missing or unknown."
+    ),
+    ErrorKind.FORBIDDEN: Answer(
+        403, "PERMISSION_DENIED", _NO, False, "The identity may not do this."
+    ),
+    ErrorKind.UNKNOWN_SERVICE: Answer(
+        404, "NOT_FOUND", _NO, False, "No such service is configured."
+    ),
+    ErrorKind.UNKNOWN_RESOURCE: Answer(
+        404, "NOT_FOUND", _NO, False, "No such resource is configured."
+    ),
+    ErrorKind.RATE_LIMITED: Answer(
+        429, "RESOURCE_EXHAUSTED", _NO, True, "The account's rate is used up."
+    ),
+    ErrorKind.TOO_MANY_IN_FLIGHT: Answer(
+        429, "RESOURCE_EXHAUSTED", _NO, True, "Too many requests in flight."
+    ),
+    ErrorKind.QUEUE_FULL: Answer(
+        503, "RESOURCE_EXHAUSTED", _NO, True, "The service's queue is full."
+    ),
+    ErrorKind.DEADLINE_UNREACHABLE: Answer(
+        503, "RESOURCE_EXHAUSTED", _NO, True, "The targets can't be met now."
+    ),
+    ErrorKind.NO_FITTING_ENGINE: Answer(
+        503, "UNAVAILABLE", _NO, True, "No engine fits the request now."
+    ),
+    ErrorKind.SHUTTING_DOWN: Answer(
+        503, "UNAVAILABLE", _NO, True, "This instance is shutting down."
+    ),
+    ErrorKind.KEY_CONFLICT: Answer(
+        422,
+        "ALREADY_EXISTS",
+        _NO,
+        False,
+        "The idempotency key was used with another body.",
+    ),
+    ErrorKind.KEY_EXPIRED: Answer(
+        409,
+        "FAILED_PRECONDITION",
+        _UNKNOWN,
+        False,
+        "The key's earlier answer is no longer kept.",
+    ),
+    ErrorKind.CLAIM_UNAVAILABLE: Answer(
+        503,
+        "UNAVAILABLE",
+        _NO,
+        True,
+        "A request that may not be repeated can't be claimed now.",
+    ),
+    ErrorKind.CLAIM_LOST: Answer(
+        409,
+        "ABORTED",
+        _UNKNOWN,
+        False,
+        "Another instance claimed this key and can't be reached.",
+    ),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(
+        504,
+        "UNKNOWN",
+        _UNKNOWN,
+        False,
+        "The request was handed over and its outcome is unknown.",
+    ),
+    ErrorKind.DEADLINE_EXCEEDED: Answer(
+        504, "DEADLINE_EXCEEDED", _YES, True, "The deadline passed."
+    ),
+    ErrorKind.ENGINE_FAILED: Answer(
+        502, "UNAVAILABLE", _YES, True, "Every attempt failed on its engine."
+    ),
+    ErrorKind.ENDPOINT_FAILED: Answer(
+        502, "UNAVAILABLE", _UNKNOWN, True, "The endpoint failed."
+    ),
+    ErrorKind.ANSWER_BROKEN: Answer(
+        502, "DATA_LOSS", _YES, True, "The answer's digest did not match."
+    ),
+    ErrorKind.CANCELLED: Answer(
+        499, "CANCELLED", _UNKNOWN, False, "The caller cancelled."
+    ),
+    ErrorKind.CONFIG_INVALID: Answer(
+        400, "INVALID_ARGUMENT", _NO, False, "The resource is not valid."
+    ),
+    ErrorKind.CONFIG_CONFLICT: Answer(
+        409, "ABORTED", _NO, True, "Another change came first."
+    ),
+    ErrorKind.CONFIG_UNSAFE: Answer(
+        409,
+        "FAILED_PRECONDITION",
+        _NO,
+        False,
+        "The change would empty a pool in use; force it to go on.",
+    ),
+    ErrorKind.LOG_UNAVAILABLE: Answer(
+        503, "UNAVAILABLE", _NO, True, "The platform's log can't be reached."
+    ),
+    ErrorKind.OPERATION_UNKNOWN: Answer(
+        504,
+        "UNKNOWN",
+        _UNKNOWN,
+        False,
+        "The change's outcome is unknown; look its operation up later.",
+    ),
+    ErrorKind.INTERNAL: Answer(
+        500, "INTERNAL", _UNKNOWN, False, "An internal error occurred."
+    ),
+}
+
+
+class WharfError(Exception):
+    """The one exception that crosses package borders.
+
+    Args:
+        kind: Row of the table that answers this failure.
+        detail: What was wrong this time; never a token or a prompt.
+        retry_after_ms: When the caller should come back, if known.
+        ran: Overrides the table's word when the raiser knows more.
+    """
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        detail: str = "",
+        *,
+        retry_after_ms: float | None = None,
+        ran: Ran | None = None,
+    ) -> None:
+        super().__init__(f"{kind.value}: {detail}" if detail else kind.value)
+        self.kind = kind
+        self.detail = detail
+        self.retry_after_ms = retry_after_ms
+        self.ran = ran if ran is not None else TABLE[kind].ran
+
+    @property
+    def answer(self) -> Answer:
+        """The table's row for this failure."""
+        return TABLE[self.kind]
--- /dev/null
+++ b/src/jujubewharf/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""The experiment tool: real entry code on a virtual clock."""
--- /dev/null
+++ b/src/jujubewharf/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is here: the live list joined with heartbeats between peers."""
--- /dev/null
+++ b/src/jujubewharf/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operator RPC."""
--- /dev/null
+++ b/src/jujubewharf/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The inner protocol: typed messages in msgpack over streams."""
--- /dev/null
+++ b/src/jujubewharf/platform/http_log.py
@@ -0,0 +1,88 @@
+"""The log over HTTP with msgpack bodies."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import aiohttp
+import msgpack
+
+from jujubewharf import clock as clocks
+from jujubewharf.platform import log
+
+_REQUEST_TIMEOUT_MS = 3_000.0
+_GONE = 410
+
+
+class HttpLog:
+    """Speaks to the platform's log service.
+
+    Args:
+        url: ``http://IP:PORT`` of the service.
+        session: Shared client session.
+        clock: Times out slow answers.
+    """
+
+    def __init__(
+        self, url: str, session: aiohttp.ClientSession, clock: clocks.Clock
+    ) -> None:
+        self._url = url
+        self._session = session
+        self._clock = clock
+
+    async def append(self, stream: str, payloads: Sequence[bytes]) -> list[int]:
+        """Appends records; see ``log.Log``."""
+        body = msgpack.packb(list(payloads))
+        try:
+            async with self._clock.timeout_ms(_REQUEST_TIMEOUT_MS):
+                async with self._session.post(
+                    f"{self._url}/append",
+                    params={"stream": stream},
+                    data=body,
+                ) as response:
+                    if response.status != 200:
+                        raise log.LogUnavailableError(
+                            f"status {response.status}"
+                        )
+                    return list(msgpack.unpackb(await response.read()))
+        except aiohttp.ClientConnectorError as error:
+            raise log.LogUnavailableError(str(error)) from error
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise log.AppendUnknownError(str(error)) from error
+
+    async def read(
+        self,
+        stream: str,
+        from_offset: int,
+        *,
+        limit: int = 500,
+        wait_ms: float = 0.0,
+    ) -> log.LogPage:
+        """Reads records; see ``log.Log``."""
+        query = {
+            "stream": stream,
+            "from": str(from_offset),
+            "limit": str(limit),
+            "wait_ms": str(wait_ms),
+        }
+        try:
+            async with self._clock.timeout_ms(wait_ms + _REQUEST_TIMEOUT_MS):
+                async with self._session.get(
+                    f"{self._url}/read", params=query
+                ) as response:
+                    return await _page(response)
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise log.LogUnavailableError(str(error)) from error
+
+
+async def _page(response: aiohttp.ClientResponse) -> log.LogPage:
+    body = msgpack.unpackb(await response.read())
+    if response.status == _GONE:
+        raise log.LogTruncatedError(body["first_offset"])
+    if response.status != 200:
+        raise log.LogUnavailableError(f"status {response.status}")
+    return log.LogPage(
+        records=tuple(log.LogRecord(o, p) for o, p in body["records"]),
+        first_offset=body["first_offset"],
+        next_offset=body["next_offset"],
+    )
--- /dev/null
+++ b/src/jujubewharf/requests/__init__.py
@@ -0,0 +1,1 @@
+"""One request's life: key, claim, attempts, answer, cleanup."""
--- /dev/null
+++ b/src/jujubewharf/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Views of the engines' load and the decisions made from them."""
--- /dev/null
+++ b/src/jujubewharf/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Checked JSON settings of one entry instance."""
--- /dev/null
+++ b/src/jujubewharf/settings/models.py
@@ -0,0 +1,125 @@
+"""The settings file's models; unknown fields are errors."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import Annotated
+
+import pydantic
+
+Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
+PositiveMs = Annotated[float, pydantic.Field(gt=0)]
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class CallerSettings(_Model):
+    """The caller edge.
+
+    Attributes:
+        host: IP number to listen on.
+        port: TCP port; 0 takes a free one.
+        max_body_bytes: Largest accepted request body of a model request.
+        body_timeout_ms: Longest wait for a request body.
+    """
+
+    host: str = "127.0.0.1"
+    port: Port = 0
+    max_body_bytes: Annotated[int, pydantic.Field(gt=0)] = 2_000_000
+    body_timeout_ms: PositiveMs = 10_000
+
+
+class OperatorSettings(_Model):
+    """The operator RPC.
+
+    Attributes:
+        host: IP number to listen on.
+        port: TCP port; 0 takes a free one.
+        bootstrap_token_sha256: Hex SHA-256 of the token of a built-in admin,
+            for the first change on an empty log. Empty switches it off.
+    """
+
+    host: str = "127.0.0.1"
+    port: Port = 0
+    bootstrap_token_sha256: str = ""
+
+
+class PeerSettings(_Model):
+    """Links to other entry instances.
+
+    Attributes:
+        host: IP number to listen on.
+        port: TCP port; 0 takes a free one.
+        tls_certificate_file: PEM certificate; all three or none are given.
+        tls_key_file: PEM key.
+        tls_authority_file: PEM authority that signs every instance.
+        heartbeat_ms: Time between heartbeats.
+        suspect_after_ms: Silence after which a peer is suspected.
+    """
+
+    host: str = "127.0.0.1"
+    port: Port = 0
+    tls_certificate_file: pathlib.Path | None = None
+    tls_key_file: pathlib.Path | None = None
+    tls_authority_file: pathlib.Path | None = None
+    heartbeat_ms: PositiveMs = 1_000
+    suspect_after_ms: PositiveMs = 3_500
+
+    @pydantic.model_validator(mode="after")
+    def _tls_is_whole(self) -> PeerSettings:
+        files = (
+            self.tls_certificate_file,
+            self.tls_key_file,
+            self.tls_authority_file,
+        )
+        if any(files) and not all(files):
+            raise ValueError("give all three TLS files or none")
+        return self
+
+
+class PlatformSettings(_Model):
+    """Addresses of the platform's services, as ``http://IP:PORT``."""
+
+    log_url: str
+    live_list_url: str
+    weight_store_url: str
+    live_list_poll_ms: PositiveMs = 1_000
+    log_wait_ms: PositiveMs = 2_000
+
+
+class TelemetrySettings(_Model):
+    """Logs and metrics.
+
+    Attributes:
+        log_level: Lowest level written.
+        metrics_port: Port of the Prometheus endpoint; ``None`` switches it
+            off.
+        otlp_url: OTLP/HTTP endpoint; ``None`` switches it off.
+    """
+
+    log_level: str = "info"
+    metrics_port: Port | None = None
+    otlp_url: str | None = None
+
+
+class EntrySettings(_Model):
+    """Everything one entry instance is told before it starts.
+
+    Attributes:
+        instance: Name, unique in the deployment; a replacement may reuse it.
+        region: Region of the instance.
+        domain: Failure domain of the instance.
+        drain_ms: Upper bound of a graceful shutdown.
+    """
+
+    instance: Annotated[str, pydantic.Field(min_length=1, max_length=64)]
+    region: str
+    domain: str
+    platform: PlatformSettings
+    callers: CallerSettings = CallerSettings()
+    operators: OperatorSettings = OperatorSettings()
+    peers: PeerSettings = PeerSettings()
+    telemetry: TelemetrySettings = TelemetrySettings()
+    drain_ms: PositiveMs = 120_000
--- /dev/null
+++ b/src/jujubewharf/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for engines, endpoints and the platform, for tests."""
--- /dev/null
+++ b/src/jujubewharf/standins/endpoint.py
@@ -0,0 +1,50 @@
+"""An endpoint of a plain service in miniature: it echoes and counts."""
+
+from __future__ import annotations
+
+import collections
+
+from aiohttp import web
+
+from jujubewharf import clock as clocks
+
+_RUN_HEADER = "X-Request-Id"
+
+
+class PlainEndpoint:
+    """Answers any request with what it was sent.
+
+    Attributes:
+        runs: Times each request id ran here.
+    """
+
+    def __init__(
+        self, name: str, clock: clocks.Clock, *, answer_ms: float = 5.0
+    ) -> None:
+        self.name = name
+        self.runs: collections.Counter[str] = collections.Counter()
+        self._clock = clock
+        self._answer_ms = answer_ms
+
+    def app(self) -> web.Application:
+        """The aiohttp application; ``GET /-/runs`` tells the counts."""
+        app = web.Application(client_max_size=64_000_000)
+        app.router.add_get("/-/runs", self._runs)
+        app.router.add_route("*", "/{path:.*}", self._echo)
+        return app
+
+    async def _runs(self, request: web.Request) -> web.Response:
+        return web.json_response(self.runs)
+
+    async def _echo(self, request: web.Request) -> web.Response:
+        body = await request.text()
+        self.runs[request.headers.get(_RUN_HEADER, "")] += 1
+        await self._clock.sleep_ms(self._answer_ms)
+        return web.json_response(
+            {
+                "endpoint": self.name,
+                "method": request.method,
+                "path": request.path_qs,
+                "body": body,
+            }
+        )
--- /dev/null
+++ b/src/jujubewharf/standins/engine.py
@@ -0,0 +1,494 @@
+"""A model engine in miniature: batching, prefill, KV transfer, decode.
+
+It models what the router's decisions depend on: decode memory for about
+twenty requests, prefill time in proportion to the prompt, a prefill result
+that dies in under a second, links of limited rate, a small prefix cache, late
+load reports and orders with or without fencing. Answers are a function of the
+prompt, so a test can check that one came whole.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from collections.abc import AsyncIterator
+import dataclasses
+from typing import Protocol
+
+import numpy as np
+
+from jujubewharf import clock as clocks
+from jujubewharf import hashing
+from jujubewharf.configuration import resources
+from jujubewharf.engines import client
+from jujubewharf.engines import prefixes
+from jujubewharf.standins import link as links
+from jujubewharf.standins import prefix_cache
+from jujubewharf.standins import turns
+
+_LENGTH_WORD = "answer_tokens="
+_DEFAULT_ANSWER_TOKENS = 16
+_HISTORY_MS = 60_000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineSpec:
+    """How one engine behaves.
+
+    Attributes:
+        slots: Requests its decode memory holds.
+        prefill_ms_per_token: Reading time.
+        step_base_ms: Time between tokens of a lone request.
+        step_ms_per_request: What each further request adds.
+        prefill_slowdown: Factor on the step while a prefill runs here.
+        prefill_survives_ms: Time until an unused prefill result is gone.
+        kv_bytes_per_token: Size of a prefill result.
+        link_bytes_per_s: Rate of its link.
+        report_lag_ms: Age of its load reports.
+        chunk_tokens: Tokens a chunk.
+        load_ms: Time a model load takes.
+        capabilities: What it can do.
+        role: Role it starts in.
+        model: Model it starts with.
+        model_version: Version it starts with.
+    """
+
+    slots: int = 20
+    prefill_ms_per_token: float = 0.2
+    step_base_ms: float = 20.0
+    step_ms_per_request: float = 1.0
+    prefill_slowdown: float = 1.5
+    prefill_survives_ms: float = 900.0
+    kv_bytes_per_token: int = 160_000
+    link_bytes_per_s: float = 5e9
+    report_lag_ms: float = 500.0
+    chunk_tokens: int = 1
+    load_ms: float = 2_000.0
+    capabilities: resources.Capabilities = resources.Capabilities()
+    role: str = resources.Role.BOTH.value
+    model: str = ""
+    model_version: str = ""
+
+
+def answer_token(prompt: str, index: int) -> str:
+    """The token that every engine writes at one place of one answer."""
+    return f" {hashing.digest(prompt.encode())[:6]}-{index}"
+
+
+def answer_length(prompt: str, max_tokens: int) -> int:
+    """Length of the answer; a prompt may ask for one by its first word."""
+    word = prompt.split(maxsplit=1)[0] if prompt.strip() else ""
+    if word.startswith(_LENGTH_WORD):
+        return min(max_tokens, int(word[len(_LENGTH_WORD) :]))
+    return min(max_tokens, _DEFAULT_ANSWER_TOKENS)
+
+
+class KvSource(Protocol):
+    """Where an engine pulls KV cache from."""
+
+    async def export_kv(self, attempt_id: str) -> int:
+        """Sends an attempt's prefill result and returns its bytes."""
+        ...
+
+
+@dataclasses.dataclass(slots=True)
+class _Slot:
+    attempt: client.Attempt
+    taken_at_ms: float
+    has_kv: bool = False
+    generation: _Generation | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class _Prefilled:
+    attempt: client.Attempt
+    kv_bytes: int
+    done_at_ms: float
+    expires_at_ms: float
+    prompt_tokens: int
+
+
+class _Generation:
+    """One running answer: a buffer that readers follow from any place."""
+
+    def __init__(self, first_index: int) -> None:
+        self.first_index = first_index
+        self.tokens: list[str] = []
+        self.is_done = False
+        self.is_lost = False
+        self.changed = asyncio.Condition()
+        self.task: asyncio.Task[None] | None = None
+
+    async def add(self, tokens: list[str], *, is_done: bool) -> None:
+        async with self.changed:
+            self.tokens.extend(tokens)
+            self.is_done = is_done
+            self.changed.notify_all()
+
+    async def lose(self) -> None:
+        async with self.changed:
+            self.is_lost = True
+            self.changed.notify_all()
+
+
+@dataclasses.dataclass(slots=True)
+class Counts:
+    """What an engine did, for checks after a run."""
+
+    prefilled_tokens: int = 0
+    used_prefill_tokens: int = 0
+    wasted_prefill_tokens: int = 0
+    decoded_tokens: int = 0
+    dispatches: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+
+class Engine:
+    """The engine; speaks ``engines.client.EngineClient`` in process.
+
+    Args:
+        name: Its name.
+        spec: How it behaves.
+        clock: Time.
+        rng: Random numbers of its own.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        spec: EngineSpec,
+        clock: clocks.Clock,
+        rng: np.random.Generator,
+    ) -> None:
+        self.name = name
+        self.spec = spec
+        self.counts = Counts()
+        self.link = links.Link(spec.link_bytes_per_s, clock)
+        self.cache = prefix_cache.PrefixCache(clock, rng)
+        self.sources: dict[str, KvSource] = {}
+        self.role = spec.role
+        self.model = spec.model
+        self.model_version = spec.model_version
+        self.adapters: tuple[str, ...] = ()
+        self.is_leaving = False
+        self.is_dead = False
+        self.orders: list[client.Order] = []
+        self._clock = clock
+        self._slots: dict[str, _Slot] = {}
+        self._prefilled: dict[str, _Prefilled] = {}
+        self._prefills: dict[str, asyncio.Task[client.PrefillDone]] = {}
+        self._queued_tokens = 0
+        self._turns = turns.Turns()
+        self._fence = 0
+        self._history: collections.deque[client.LoadReport] = (
+            collections.deque()
+        )
+
+    def __repr__(self) -> str:
+        return f"Engine({self.name!r}, {len(self._slots)} slots held)"
+
+    async def reserve(self, attempt: client.Attempt) -> None:
+        """Takes a decode slot; see ``client.EngineClient``."""
+        self._check_alive()
+        if attempt.attempt_id in self._slots:
+            return
+        if self.is_leaving:
+            raise self._error(client.EngineFault.REFUSED_LEAVING)
+        if len(self._slots) >= self.spec.slots:
+            raise self._error(client.EngineFault.REFUSED_FULL)
+        self._slots[attempt.attempt_id] = _Slot(attempt, self._clock.now_ms())
+        self._note()
+
+    async def prefill(
+        self, attempt: client.Attempt, job: client.PrefillJob
+    ) -> client.PrefillDone:
+        """Reads a prompt; see ``client.EngineClient``."""
+        self._check_alive()
+        self._check_model(job.model)
+        if self.is_leaving:
+            raise self._error(client.EngineFault.REFUSED_LEAVING)
+        task = self._prefills.get(attempt.attempt_id)
+        if task is None:
+            task = asyncio.create_task(self._read_prompt(attempt, job))
+            self._prefills[attempt.attempt_id] = task
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            if task.cancelled():
+                fault = client.EngineFault.LOST
+                raise self._error(fault) from None
+            raise
+
+    async def import_kv(
+        self, attempt: client.Attempt, source_address: str
+    ) -> int:
+        """Pulls a prefill result; see ``client.EngineClient``."""
+        self._check_alive()
+        if not self.spec.capabilities.kv_import:
+            raise self._error(client.EngineFault.UNSUPPORTED)
+        await self.reserve(attempt)
+        source = self.sources.get(source_address)
+        if source is None:
+            raise self._error(client.EngineFault.KV_GONE)
+        kv_bytes = await source.export_kv(attempt.attempt_id)
+        self._check_alive()
+        slot = self._slots.get(attempt.attempt_id)
+        if slot is None:
+            raise self._error(client.EngineFault.UNKNOWN_ATTEMPT)
+        slot.has_kv = True
+        return kv_bytes
+
+    async def export_kv(self, attempt_id: str) -> int:
+        """Sends a prefill result over the link; see ``KvSource``."""
+        self._check_alive()
+        if not self.spec.capabilities.kv_export:
+            raise self._error(client.EngineFault.UNSUPPORTED)
+        prefilled = self._prefilled.pop(attempt_id, None)
+        if prefilled is None:
+            raise self._error(client.EngineFault.KV_GONE)
+        self.counts.used_prefill_tokens += prefilled.prompt_tokens
+        await self.link.carry(prefilled.kv_bytes)
+        self._check_alive()
+        return prefilled.kv_bytes
+
+    async def decode(
+        self, attempt: client.Attempt, job: client.DecodeJob
+    ) -> AsyncIterator[client.TokenChunk]:
+        """Writes the answer; see ``client.EngineClient``."""
+        self._check_alive()
+        self._check_model(job.model)
+        await self.reserve(attempt)
+        slot = self._slots[attempt.attempt_id]
+        if slot.generation is None:
+            slot.generation = _Generation(job.first_index)
+            self.counts.dispatches[attempt.attempt_id] += 1
+            slot.generation.task = asyncio.create_task(
+                self._generate(slot, job)
+            )
+        async for chunk in self._follow(slot.generation, job.first_index):
+            yield chunk
+
+    async def release(self, attempt_id: str) -> None:
+        """Cancels and frees an attempt; see ``client.EngineClient``."""
+        self._check_alive()
+        reading = self._prefills.pop(attempt_id, None)
+        if reading is not None:
+            reading.cancel()
+        prefilled = self._prefilled.pop(attempt_id, None)
+        if prefilled is not None:
+            self.counts.wasted_prefill_tokens += prefilled.prompt_tokens
+        slot = self._slots.get(attempt_id)
+        if slot is None:
+            return
+        is_running = slot.generation is not None
+        if is_running and not self.spec.capabilities.cancel:
+            return
+        self._free(attempt_id)
+        if slot.generation is not None and slot.generation.task is not None:
+            slot.generation.task.cancel()
+            await slot.generation.lose()
+
+    async def load(self) -> client.LoadReport:
+        """The load some while ago; see ``client.EngineClient``."""
+        self._check_alive()
+        self._note()
+        until_ms = self._clock.now_ms() - self.spec.report_lag_ms
+        report = self._history[0]
+        for candidate in self._history:
+            if candidate.measured_ms > until_ms:
+                break
+            report = candidate
+        return report
+
+    def load_now(self) -> client.LoadReport:
+        """The load without lag, for the oracle and for checks only."""
+        return client.LoadReport(
+            measured_ms=self._clock.now_ms(),
+            slots_total=self.spec.slots,
+            slots_used=len(self._slots),
+            prefill_queued_tokens=self._queued_tokens,
+            decode_queued=0,
+            step_ms=self._step_ms(),
+            is_leaving=self.is_leaving,
+            model=self.model,
+            model_version=self.model_version,
+            adapters=self.adapters,
+            role=self.role,
+        )
+
+    async def held(self) -> tuple[client.HeldAttempt, ...]:
+        """Everything held; see ``client.EngineClient``."""
+        self._check_alive()
+        now_ms = self._clock.now_ms()
+        return tuple(
+            client.HeldAttempt(slot.attempt, now_ms - slot.taken_at_ms)
+            for slot in self._slots.values()
+        )
+
+    async def cache_events(
+        self, after_sequence: int
+    ) -> tuple[client.CacheEvent, ...]:
+        """Cache events; see ``client.EngineClient``."""
+        self._check_alive()
+        return self.cache.events(after_sequence)
+
+    async def order(self, order: client.Order) -> None:
+        """Obeys an order; see ``client.EngineClient``."""
+        self._check_alive()
+        if self.spec.capabilities.checks_fencing and order.fence < self._fence:
+            raise self._error(client.EngineFault.REFUSED_FENCE)
+        self._fence = max(self._fence, order.fence)
+        self.orders.append(order)
+        match order.kind:
+            case client.OrderKind.CHANGE_ROLE:
+                self.role = order.value
+            case client.OrderKind.LOAD_ADAPTER:
+                self.adapters = (*self.adapters, order.value)
+            case client.OrderKind.LOAD_MODEL:
+                await self._clock.sleep_ms(self.spec.load_ms)
+                self.model = order.value
+                self.model_version = order.version
+        self._note()
+
+    async def die(self) -> None:
+        """Stops at once and forgets everything, as a crash does."""
+        self.is_dead = True
+        for reading in self._prefills.values():
+            reading.cancel()
+        for slot in list(self._slots.values()):
+            if slot.generation is not None:
+                if slot.generation.task is not None:
+                    slot.generation.task.cancel()
+                await slot.generation.lose()
+        for prefilled in self._prefilled.values():
+            self.counts.wasted_prefill_tokens += prefilled.prompt_tokens
+        self._prefills.clear()
+        self._prefilled.clear()
+        self._slots.clear()
+        self.cache.clear()
+        self._note()
+
+    def restart(self) -> None:
+        """Comes back empty."""
+        self.is_dead = False
+        self._queued_tokens = 0
+        self._turns = turns.Turns()
+
+    async def _read_prompt(
+        self, attempt: client.Attempt, job: client.PrefillJob
+    ) -> client.PrefillDone:
+        tokens = len(prefixes.tokens_of(job.prompt))
+        priority = job.priority if self.spec.capabilities.priorities else 0
+        self._queued_tokens += tokens
+        self._note()
+        try:
+            async with self._turns.turn(priority):
+                cached = self.cache.cached_tokens(job.prompt)
+                reading_ms = (tokens - cached) * self.spec.prefill_ms_per_token
+                await self._clock.sleep_ms(reading_ms)
+        finally:
+            self._queued_tokens = max(0, self._queued_tokens - tokens)
+            self._prefills.pop(attempt.attempt_id, None)
+            self._note()
+        self.cache.store(job.prompt)
+        self.counts.prefilled_tokens += tokens
+        now_ms = self._clock.now_ms()
+        kv_bytes = tokens * self.spec.kv_bytes_per_token
+        expires_at_ms = now_ms + self.spec.prefill_survives_ms
+        prefilled = _Prefilled(attempt, kv_bytes, now_ms, expires_at_ms, tokens)
+        self._prefilled[attempt.attempt_id] = prefilled
+        asyncio.create_task(self._expire(prefilled))
+        return client.PrefillDone(
+            tokens, cached, kv_bytes, self.spec.prefill_survives_ms
+        )
+
+    async def _expire(self, prefilled: _Prefilled) -> None:
+        await self._clock.sleep_until_ms(prefilled.expires_at_ms)
+        attempt_id = prefilled.attempt.attempt_id
+        if self._prefilled.get(attempt_id) is prefilled:
+            del self._prefilled[attempt_id]
+            self.counts.wasted_prefill_tokens += prefilled.prompt_tokens
+
+    async def _generate(self, slot: _Slot, job: client.DecodeJob) -> None:
+        generation = slot.generation
+        assert generation is not None
+        length = answer_length(job.prompt, job.max_tokens)
+        if not slot.has_kv:
+            tokens = len(prefixes.tokens_of(job.prompt)) + job.first_index
+            async with self._turns.turn(job.priority):
+                reading_ms = tokens * self.spec.prefill_ms_per_token
+                await self._clock.sleep_ms(reading_ms)
+            self.counts.prefilled_tokens += tokens
+            self.counts.used_prefill_tokens += tokens
+        index = job.first_index
+        while index < length:
+            size = min(self.spec.chunk_tokens, length - index)
+            await self._clock.sleep_ms(self._step_ms() * size)
+            tokens_now = [
+                answer_token(job.prompt, index + place) for place in range(size)
+            ]
+            index += size
+            self.counts.decoded_tokens += size
+            await generation.add(tokens_now, is_done=index >= length)
+        if not generation.is_done:
+            await generation.add([], is_done=True)
+        self._free(slot.attempt.attempt_id)
+
+    async def _follow(
+        self, generation: _Generation, first_index: int
+    ) -> AsyncIterator[client.TokenChunk]:
+        sent = first_index - generation.first_index
+        while True:
+            async with generation.changed:
+                while (
+                    len(generation.tokens) <= sent
+                    and not generation.is_done
+                    and not generation.is_lost
+                ):
+                    await generation.changed.wait()
+                fresh = tuple(generation.tokens[sent:])
+                is_last = generation.is_done
+                is_lost = generation.is_lost
+            if is_lost:
+                raise self._error(client.EngineFault.LOST)
+            index = generation.first_index + sent
+            sent += len(fresh)
+            yield client.TokenChunk(index, fresh, is_last)
+            if is_last:
+                return
+
+    def _free(self, attempt_id: str) -> None:
+        self._slots.pop(attempt_id, None)
+        self._note()
+
+    def _step_ms(self) -> float:
+        running = sum(
+            1 for slot in self._slots.values() if slot.generation is not None
+        )
+        others = max(0, running - 1)
+        step_ms = self.spec.step_base_ms
+        step_ms += others * self.spec.step_ms_per_request
+        if self._queued_tokens > 0:
+            step_ms *= self.spec.prefill_slowdown
+        return step_ms
+
+    def _note(self) -> None:
+        now_ms = self._clock.now_ms()
+        self._history.append(self.load_now())
+        oldest_ms = now_ms - max(_HISTORY_MS, self.spec.report_lag_ms * 2)
+        while (
+            len(self._history) > 1 and self._history[1].measured_ms < oldest_ms
+        ):
+            self._history.popleft()
+
+    def _check_alive(self) -> None:
+        if self.is_dead:
+            raise self._error(client.EngineFault.UNREACHABLE)
+
+    def _check_model(self, model: str) -> None:
+        if self.model and model and self.model != model:
+            raise self._error(client.EngineFault.REFUSED_MODEL)
+
+    def _error(self, fault: client.EngineFault) -> client.EngineError:
+        return client.EngineError(fault, self.name)
--- /dev/null
+++ b/src/jujubewharf/standins/link.py
@@ -0,0 +1,36 @@
+"""A link of limited rate that carries one transfer after another."""
+
+from __future__ import annotations
+
+from jujubewharf import clock as clocks
+
+MS_PER_S = clocks.MS_PER_S
+
+
+class Link:
+    """One engine's link.
+
+    Args:
+        rate_bytes_per_s: What it carries.
+        clock: Time.
+    """
+
+    def __init__(self, rate_bytes_per_s: float, clock: clocks.Clock) -> None:
+        self.rate_bytes_per_s = rate_bytes_per_s
+        self.is_stalled = False
+        self._clock = clock
+        self._free_at_ms = 0.0
+
+    def book(self, size_bytes: int) -> float:
+        """Takes the next turn and returns when it ends, in clock ms."""
+        start_ms = max(self._clock.now_ms(), self._free_at_ms)
+        duration_ms = size_bytes / self.rate_bytes_per_s * MS_PER_S
+        self._free_at_ms = start_ms + duration_ms
+        return self._free_at_ms
+
+    async def carry(self, size_bytes: int) -> None:
+        """Waits for a turn and the transfer; never ends while stalled."""
+        end_ms = self.book(size_bytes)
+        await self._clock.sleep_until_ms(end_ms)
+        while self.is_stalled:
+            await self._clock.sleep_ms(100.0)
--- /dev/null
+++ b/src/jujubewharf/standins/log.py
@@ -0,0 +1,186 @@
+"""The platform's log in miniature, with its outages and lost answers."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from collections.abc import Sequence
+
+from aiohttp import web
+import msgpack
+
+from jujubewharf import clock as clocks
+from jujubewharf.platform import log
+
+
+class _Stream:
+    """One stream's kept records and the offset of the first of them."""
+
+    def __init__(self) -> None:
+        self.records: list[log.LogRecord] = []
+        self.appended_at_ms: list[float] = []
+        self.first_offset = 0
+
+    @property
+    def next_offset(self) -> int:
+        return self.first_offset + len(self.records)
+
+
+class MemoryLog:
+    """Speaks ``platform.log.Log`` in process.
+
+    Args:
+        clock: Time.
+        retention_ms: Age at which records are forgotten; ``None`` keeps all.
+        append_ms: Time an append takes.
+
+    Attributes:
+        is_down: Refuses everything while true.
+        lose_answers: Number of coming appends that take effect but whose
+            answer is lost.
+        appends: Append calls that took effect, by stream.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        *,
+        retention_ms: float | None = None,
+        append_ms: float = 5.0,
+    ) -> None:
+        self.is_down = False
+        self.lose_answers = 0
+        self.appends: collections.Counter[str] = collections.Counter()
+        self._clock = clock
+        self._retention_ms = retention_ms
+        self._append_ms = append_ms
+        self._streams: dict[str, _Stream] = collections.defaultdict(_Stream)
+        self._appended = asyncio.Event()
+
+    async def append(self, stream: str, payloads: Sequence[bytes]) -> list[int]:
+        """Appends records; see ``log.Log``."""
+        if self.is_down:
+            raise log.LogUnavailableError("down")
+        await self._clock.sleep_ms(self._append_ms)
+        if self.is_down:
+            raise log.LogUnavailableError("down")
+        offsets = self._store(self._streams[stream], payloads)
+        self.appends[stream] += 1
+        self._appended.set()
+        self._appended = asyncio.Event()
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            raise log.AppendUnknownError("answer lost")
+        return offsets
+
+    async def read(
+        self,
+        stream: str,
+        from_offset: int,
+        *,
+        limit: int = 500,
+        wait_ms: float = 0.0,
+    ) -> log.LogPage:
+        """Reads records; see ``log.Log``."""
+        until_ms = self._clock.now_ms() + wait_ms
+        while True:
+            if self.is_down:
+                raise log.LogUnavailableError("down")
+            kept = self._streams[stream]
+            self._forget(kept)
+            if from_offset < kept.first_offset:
+                raise log.LogTruncatedError(kept.first_offset)
+            left_ms = until_ms - self._clock.now_ms()
+            if from_offset < kept.next_offset or left_ms <= 0:
+                break
+            await self._wait(left_ms)
+        start = from_offset - kept.first_offset
+        records = tuple(kept.records[start : start + limit])
+        return log.LogPage(records, kept.first_offset, kept.next_offset)
+
+    def truncate(self, stream: str, first_offset: int) -> None:
+        """Forgets a stream's records below an offset."""
+        kept = self._streams[stream]
+        count = min(len(kept.records), first_offset - kept.first_offset)
+        del kept.records[:count]
+        del kept.appended_at_ms[:count]
+        kept.first_offset += count
+
+    async def _wait(self, left_ms: float) -> None:
+        try:
+            async with self._clock.timeout_ms(left_ms):
+                await self._appended.wait()
+        except TimeoutError:
+            return
+
+    def _store(self, kept: _Stream, payloads: Sequence[bytes]) -> list[int]:
+        first = kept.next_offset
+        offsets = list(range(first, first + len(payloads)))
+        for offset, payload in zip(offsets, payloads, strict=True):
+            kept.records.append(log.LogRecord(offset, payload))
+            kept.appended_at_ms.append(self._clock.now_ms())
+        return offsets
+
+    def _forget(self, kept: _Stream) -> None:
+        if self._retention_ms is None:
+            return
+        oldest_ms = self._clock.now_ms() - self._retention_ms
+        while kept.appended_at_ms and kept.appended_at_ms[0] < oldest_ms:
+            kept.appended_at_ms.pop(0)
+            kept.records.pop(0)
+            kept.first_offset += 1
+
+
+class LogFace:
+    """The HTTP face of a stand-in log, as ``platform.http_log`` speaks it."""
+
+    def __init__(self, memory_log: MemoryLog) -> None:
+        self._log = memory_log
+
+    def app(self) -> web.Application:
+        """The aiohttp application; ``POST /control`` sets faults."""
+        app = web.Application(client_max_size=64_000_000)
+        app.router.add_post("/append", self._append)
+        app.router.add_get("/read", self._read)
+        app.router.add_post("/control", self._control)
+        return app
+
+    async def _append(self, request: web.Request) -> web.Response:
+        payloads = msgpack.unpackb(await request.read())
+        try:
+            offsets = await self._log.append(request.query["stream"], payloads)
+        except log.LogUnavailableError:
+            return web.Response(status=503)
+        except log.AppendUnknownError:
+            assert request.transport is not None
+            request.transport.abort()
+            return web.Response()
+        return web.Response(body=msgpack.packb(offsets))
+
+    async def _read(self, request: web.Request) -> web.Response:
+        try:
+            page = await self._log.read(
+                request.query["stream"],
+                int(request.query["from"]),
+                limit=int(request.query["limit"]),
+                wait_ms=float(request.query["wait_ms"]),
+            )
+        except log.LogUnavailableError:
+            return web.Response(status=503, body=msgpack.packb({}))
+        except log.LogTruncatedError as error:
+            gone = {"first_offset": error.first_offset}
+            return web.Response(status=410, body=msgpack.packb(gone))
+        body = {
+            "records": [(r.offset, r.payload) for r in page.records],
+            "first_offset": page.first_offset,
+            "next_offset": page.next_offset,
+        }
+        return web.Response(body=msgpack.packb(body))
+
+    async def _control(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        self._log.is_down = body.get("is_down", self._log.is_down)
+        self._log.lose_answers = body.get(
+            "lose_answers", self._log.lose_answers
+        )
+        return web.json_response({})
--- /dev/null
+++ b/src/jujubewharf/standins/prefix_cache.py
@@ -0,0 +1,96 @@
+"""An engine's prefix cache of limited memory and its late, gappy events."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+import numpy as np
+
+from jujubewharf import clock as clocks
+from jujubewharf.engines import client
+from jujubewharf.engines import prefixes
+
+_MAX_EVENTS = 4_096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Dated:
+    visible_at_ms: float
+    event: client.CacheEvent
+
+
+class PrefixCache:
+    """Least recently used blocks go first.
+
+    Args:
+        clock: Time.
+        rng: Decides which events are lost.
+        max_blocks: Blocks it holds.
+        event_lag_ms: Time until an event can be read.
+        event_loss_ratio: Share of events that never can be.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        rng: np.random.Generator,
+        *,
+        max_blocks: int = 2_000,
+        event_lag_ms: float = 400.0,
+        event_loss_ratio: float = 0.05,
+    ) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._max_blocks = max_blocks
+        self._event_lag_ms = event_lag_ms
+        self._event_loss_ratio = event_loss_ratio
+        self._blocks: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+        self._events: collections.deque[_Dated] = collections.deque(
+            maxlen=_MAX_EVENTS
+        )
+        self._sequence = 0
+
+    def cached_tokens(self, prompt: str) -> int:
+        """Tokens of the prompt's longest cached prefix."""
+        blocks = 0
+        for prefix_hash in prefixes.prefix_hashes(prompt):
+            if prefix_hash not in self._blocks:
+                break
+            self._blocks.move_to_end(prefix_hash)
+            blocks += 1
+        return blocks * prefixes.BLOCK_TOKENS
+
+    def store(self, prompt: str) -> None:
+        """Adds a prompt's blocks and drops the oldest over the bound."""
+        for prefix_hash in prefixes.prefix_hashes(prompt):
+            if prefix_hash not in self._blocks:
+                self._blocks[prefix_hash] = None
+                self._emit(prefix_hash, is_stored=True)
+        while len(self._blocks) > self._max_blocks:
+            prefix_hash, _ = self._blocks.popitem(last=False)
+            self._emit(prefix_hash, is_stored=False)
+
+    def clear(self) -> None:
+        """Forgets all blocks, as a restart does."""
+        self._blocks.clear()
+
+    def events(self, after_sequence: int) -> tuple[client.CacheEvent, ...]:
+        """Events that got through by now."""
+        now_ms = self._clock.now_ms()
+        return tuple(
+            dated.event
+            for dated in self._events
+            if dated.event.sequence > after_sequence
+            and dated.visible_at_ms <= now_ms
+        )
+
+    def _emit(self, prefix_hash: int, *, is_stored: bool) -> None:
+        self._sequence += 1
+        if self._rng.random() < self._event_loss_ratio:
+            return
+        event = client.CacheEvent(self._sequence, prefix_hash, is_stored)
+        visible_at_ms = self._clock.now_ms() + self._event_lag_ms
+        self._events.append(_Dated(visible_at_ms, event))
--- /dev/null
+++ b/src/jujubewharf/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,3 @@
+"""Fixtures that several test modules share."""
+
+from __future__ import annotations
