--- a/src/jujubewharf/callers/completions.py
+++ b/src/jujubewharf/callers/completions.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator
 import json
 import time
+from typing import TYPE_CHECKING
 from typing import Any
 import uuid
 
@@ -15,11 +16,12 @@
 from jujubewharf import errors
 from jujubewharf import hashing
 from jujubewharf.callers import answers
-from jujubewharf.configuration import follower
 from jujubewharf.configuration import resources
-from jujubewharf.requests import life
 from jujubewharf.requests import model_request
 
+if TYPE_CHECKING:
+    from jujubewharf import entry
+
 KEY_HEADER = "Idempotency-Key"
 REQUEST_HEADER = "X-Request-Id"
 _DEFAULT_MAX_TOKENS = 256
@@ -59,19 +61,12 @@
     """Handlers of the two model request paths.
 
     Args:
-        configuration: Configuration in force.
-        runner: Runs requests.
+        core: Knows the configuration and answers requests.
         clock: Time.
     """
 
-    def __init__(
-        self,
-        configuration: follower.ConfigurationFollower,
-        runner: life.RequestRunner,
-        clock: clocks.Clock,
-    ) -> None:
-        self._configuration = configuration
-        self._runner = runner
+    def __init__(self, core: entry.EntryCore, clock: clocks.Clock) -> None:
+        self._core = core
         self._clock = clock
 
     def add_to(self, app: web.Application) -> None:
@@ -97,7 +92,7 @@
             ) from error
         wanted = self._request(request, raw, body)
         shape = _ChatShape(body.model) if is_chat else _TextShape(body.model)
-        events = self._runner.run(wanted)
+        events = self._core.answer(wanted)
         headers = {REQUEST_HEADER: wanted.request_id, KEY_HEADER: wanted.key}
         if body.stream:
             return await _stream(request, events, shape, headers)
@@ -126,7 +121,7 @@
         )
 
     def _service(self, name: str) -> resources.Service:
-        state = self._configuration.current
+        state = self._core.configuration.current
         entry = state.get(resources.Kind.SERVICE, name)
         if entry is None:
             raise errors.WharfError(errors.ErrorKind.UNKNOWN_SERVICE, name)
--- a/src/jujubewharf/callers/plain.py
+++ b/src/jujubewharf/callers/plain.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
 import uuid
 
-import aiohttp
 from aiohttp import web
 
 from jujubewharf import errors
-from jujubewharf.callers import completions
-from jujubewharf.configuration import follower
 from jujubewharf.configuration import resources
+from jujubewharf.engines import client
+from jujubewharf.engines import endpoint_client
+from jujubewharf.engines import http_endpoint
+
+if TYPE_CHECKING:
+    from jujubewharf import entry
 
 _HOP_HEADERS = frozenset(
     {
@@ -31,17 +36,11 @@
     """The handler of plain requests.
 
     Args:
-        configuration: Configuration in force.
-        session: Client session towards endpoints.
+        core: Knows the configuration and how to call endpoints.
     """
 
-    def __init__(
-        self,
-        configuration: follower.ConfigurationFollower,
-        session: aiohttp.ClientSession,
-    ) -> None:
-        self._configuration = configuration
-        self._session = session
+    def __init__(self, core: entry.EntryCore) -> None:
+        self._core = core
         self._turn = 0
 
     def add_to(self, app: web.Application) -> None:
@@ -49,39 +48,43 @@
         app.router.add_route("*", "/s/{service}/{path:.*}", self._handle)
 
     async def _handle(self, request: web.Request) -> web.StreamResponse:
-        endpoint = self._endpoint(request.match_info["service"])
-        request_id = uuid.uuid4().hex
-        headers = _forwarded(request.headers)
-        headers[completions.REQUEST_HEADER] = request_id
-        path = request.match_info["path"]
-        url = f"http://{endpoint.address}/{path}"
+        service = request.match_info["service"]
+        endpoint = self._endpoint(service)
         body = request.content.iter_chunked(_CHUNK_BYTES)
+        call = endpoint_client.PlainCall(
+            request_id=uuid.uuid4().hex,
+            method=request.method,
+            path_query=request.path_qs.removeprefix(f"/s/{service}"),
+            headers=_end_to_end(request.headers.items()),
+            body=aiter(body) if request.can_read_body else None,
+        )
         try:
-            async with self._session.request(
-                request.method,
-                url,
-                params=request.query,
-                headers=headers,
-                data=body if request.can_read_body else None,
-            ) as upstream:
-                response = web.StreamResponse(
-                    status=upstream.status,
-                    headers=_forwarded(upstream.headers),
-                )
-                response.headers[completions.REQUEST_HEADER] = request_id
-                await response.prepare(request)
-                async for chunk in upstream.content.iter_chunked(_CHUNK_BYTES):
-                    await response.write(chunk)
-                return response
-        except aiohttp.ClientConnectorError as error:
-            raise errors.WharfError(
-                errors.ErrorKind.NO_FITTING_ENGINE
-            ) from error
-        except aiohttp.ClientError as error:
-            raise errors.WharfError(errors.ErrorKind.ENDPOINT_FAILED) from error
+            return await self._pass_on(request, endpoint, call)
+        except client.EngineError as error:
+            kind = errors.ErrorKind.ENDPOINT_FAILED
+            if error.fault is client.EngineFault.UNREACHABLE:
+                kind = errors.ErrorKind.NO_FITTING_ENGINE
+            raise errors.WharfError(kind) from error
+
+    async def _pass_on(
+        self,
+        request: web.Request,
+        endpoint: resources.Endpoint,
+        call: endpoint_client.PlainCall,
+    ) -> web.StreamResponse:
+        endpoints = self._core.adapters.endpoints
+        async with endpoints.call(endpoint, call) as reply:
+            response = web.StreamResponse(status=reply.status)
+            for name, value in _end_to_end(reply.headers):
+                response.headers.add(name, value)
+            response.headers[http_endpoint.REQUEST_HEADER] = call.request_id
+            await response.prepare(request)
+            async for chunk in reply.body:
+                await response.write(chunk)
+            return response
 
     def _endpoint(self, service: str) -> resources.Endpoint:
-        state = self._configuration.current
+        state = self._core.configuration.current
         if state.get(resources.Kind.SERVICE, service) is None:
             raise errors.WharfError(errors.ErrorKind.UNKNOWN_SERVICE, service)
         endpoints = [
@@ -98,10 +101,11 @@
         return endpoints[self._turn % len(endpoints)]
 
 
-def _forwarded(headers: object) -> dict[str, str]:
-    assert hasattr(headers, "items")
-    return {
-        name: value
-        for name, value in headers.items()
+def _end_to_end(
+    headers: Iterable[tuple[str, str]],
+) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (name, value)
+        for name, value in headers
         if name.lower() not in _HOP_HEADERS
-    }
+    )
--- a/src/jujubewharf/requests/life.py
+++ b/src/jujubewharf/requests/life.py
@@ -21,7 +21,7 @@
 from jujubewharf.requests import model_request
 from jujubewharf.routing import fleet as fleets
 from jujubewharf.routing import jobs
-from jujubewharf.routing import policy as policies
+from jujubewharf.routing import placer as placers
 
 _MAX_ATTEMPTS = 4
 
@@ -42,7 +42,7 @@
     Args:
         instance: Name of this instance; engines learn it as owner.
         fleet: Views of the engines.
-        policy: Decides where requests run.
+        placer: Finds places for requests.
         clock: Time.
     """
 
@@ -50,12 +50,12 @@
         self,
         instance: str,
         fleet: fleets.Fleet,
-        policy: policies.Policy,
+        placer: placers.Placer,
         clock: clocks.Clock,
     ) -> None:
         self._instance = instance
         self._fleet = fleet
-        self._policy = policy
+        self._placer = placer
         self._clock = clock
         self._logger = structlog.get_logger()
         self._cleanups: set[asyncio.Task[None]] = set()
@@ -81,90 +81,57 @@
         self, request: model_request.ModelRequest, progress: _Progress
     ) -> AsyncIterator[model_request.Event]:
         while True:
-            choice = await self._place(request, progress)
-            progress.attempts += 1
-            attempt = client.Attempt(
-                f"{request.request_id}.{progress.attempts}", self._instance
-            )
+            job = self._job(request, progress)
             try:
-                async for event in self._attempt(
-                    request, progress, choice, attempt
-                ):
-                    yield event
+                async with self._placer.placed(job) as choice:
+                    async for event in self._attempt(request, progress, choice):
+                        yield event
                 return
             except client.EngineError as error:
-                self._logger.info(
-                    "attempt_failed",
-                    request=request.request_id,
-                    attempt=attempt.attempt_id,
-                    engine=error.engine,
-                    fault=error.fault.value,
-                )
                 self._after_failure(request, progress, error)
 
-    async def _place(
-        self, request: model_request.ModelRequest, progress: _Progress
-    ) -> jobs.Choice:
-        while True:
-            job = self._job(request, progress)
-            decision = self._policy.place(job, self._fleet)
-            match decision:
-                case jobs.Choice():
-                    return decision
-                case jobs.Later(after_ms):
-                    await self._clock.sleep_ms(after_ms)
-                case jobs.Refusal(kind, retry_after_ms):
-                    raise errors.WharfError(kind, retry_after_ms=retry_after_ms)
-
     async def _attempt(
         self,
         request: model_request.ModelRequest,
         progress: _Progress,
         choice: jobs.Choice,
-        attempt: client.Attempt,
     ) -> AsyncIterator[model_request.Event]:
+        progress.attempts += 1
+        attempt = client.Attempt(
+            f"{request.request_id}.{progress.attempts}", self._instance
+        )
         assert choice.decode is not None
-        decode_view = self._fleet.view(choice.decode.name)
-        if decode_view is None:
-            fault = client.EngineFault.UNREACHABLE
-            raise client.EngineError(fault, choice.decode.name)
-        decode_view.own_slots += 1
         try:
-            await decode_view.client.reserve(attempt)
+            decode = self._view(choice.decode)
+            await self._clock.sleep_until_ms(choice.reserve_at_ms)
             progress.has_run = True
+            await decode.client.reserve(attempt)
             if choice.prefill is not None and not progress.texts:
-                await self._read_prompt(request, choice, attempt)
-            async for event in self._write(
-                request, progress, decode_view, attempt
-            ):
+                await self._clock.sleep_until_ms(choice.prefill_at_ms)
+                await self._read_prompt(request, choice.prefill, attempt)
+                await decode.client.import_kv(attempt, choice.prefill.address)
+            async for event in self._write(request, progress, decode, attempt):
                 yield event
         finally:
-            decode_view.own_slots -= 1
             self._clean_up(attempt, choice)
 
     async def _read_prompt(
         self,
         request: model_request.ModelRequest,
-        choice: jobs.Choice,
+        prefill: resources.Endpoint,
         attempt: client.Attempt,
     ) -> None:
-        assert choice.prefill is not None
-        assert choice.decode is not None
-        prefill_view = self._fleet.view(choice.prefill.name)
-        decode_view = self._fleet.view(choice.decode.name)
-        if prefill_view is None or decode_view is None:
-            fault = client.EngineFault.UNREACHABLE
-            raise client.EngineError(fault, choice.prefill.name)
         job = client.PrefillJob(
             request.service.model, request.prompt, request.priority
         )
-        tokens = len(prefixes.tokens_of(request.prompt))
-        prefill_view.own_prefill_tokens += tokens
-        try:
-            await prefill_view.client.prefill(attempt, job)
-        finally:
-            prefill_view.own_prefill_tokens -= tokens
-        await decode_view.client.import_kv(attempt, choice.prefill.address)
+        await self._view(prefill).client.prefill(attempt, job)
+
+    def _view(self, endpoint: resources.Endpoint) -> fleets.EngineView:
+        view = self._fleet.view(endpoint.name)
+        if view is None:
+            fault = client.EngineFault.UNREACHABLE
+            raise client.EngineError(fault, endpoint.name)
+        return view
 
     async def _write(
         self,
@@ -204,6 +171,14 @@
         progress: _Progress,
         error: client.EngineError,
     ) -> None:
+        self._logger.info(
+            "attempt_failed",
+            request=request.request_id,
+            attempt=progress.attempts,
+            engine=error.engine,
+            fault=error.fault.value,
+        )
+        self._placer.failed(error.engine, error.fault)
         if progress.has_run and not request.is_repeatable:
             raise errors.WharfError(errors.ErrorKind.OUTCOME_UNKNOWN)
         if progress.attempts >= _MAX_ATTEMPTS:
--- a/src/jujubewharf/routing/jobs.py
+++ b/src/jujubewharf/routing/jobs.py
@@ -50,11 +50,15 @@
             the prompt was read.
         prefill: Engine that reads; ``None`` lets ``decode`` read.
         prefill_at_ms: Clock reading before which reading must not start.
+        reserve_at_ms: Clock reading before which the decode slot must not be
+            taken; later than ``prefill_at_ms`` when a slot is expected to
+            come free while the prompt is read.
     """
 
     decode: resources.Endpoint | None
     prefill: resources.Endpoint | None = None
     prefill_at_ms: float = 0.0
+    reserve_at_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
