Operators: schema, service, gRPC server, client and ctl (awaits core.changes)

Cause: operators could only change configuration by appending to the log. Change: a committed .proto served by grpc.aio, an in-process OperatorService under it, an async client with fail-over and the ctl commands.

--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,8 @@
 
 lock:
 	$(BIN)/pip freeze --exclude-editable > requirements.lock
+
+proto: setup
+	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m grpc_tools.protoc -I src \
+	  --python_out=src --mypy_out=src --grpc_python_out=src \
+	  --mypy_grpc_out=src src/jujubewharf/operators/jujubewharf.proto
--- /dev/null
+++ b/src/jujubewharf/commands/ctl_session.py
@@ -0,0 +1,146 @@
+"""How ``jujubewharf ctl`` reaches the fleet, and its exit codes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import enum
+import json
+import os
+import pathlib
+import sys
+from typing import Any
+from typing import NoReturn
+from typing import TypeVar
+
+import pydantic_core
+import typer
+
+from jujubewharf import errors
+from jujubewharf.operators import client as clients
+from jujubewharf.operators import faults
+from jujubewharf.operators import values
+
+TOKEN_VARIABLE = "JUJUBEWHARF_TOKEN"
+TOKEN_FILE_VARIABLE = "JUJUBEWHARF_TOKEN_FILE"
+SERVERS_VARIABLE = "JUJUBEWHARF_SERVERS"
+
+_BAD_INPUT_KINDS = (
+    errors.ErrorKind.BAD_REQUEST,
+    errors.ErrorKind.CONFIG_INVALID,
+)
+
+_Answer = TypeVar("_Answer")
+
+
+class ExitCode(enum.IntEnum):
+    """What the command's exit code says."""
+
+    OK = 0
+    REFUSED = 1
+    BAD_INPUT = 2
+    OUTCOME_UNKNOWN = 3
+    UNREACHABLE = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Session:
+    """Where to find the fleet and who asks.
+
+    Attributes:
+        servers: ``IP:PORT`` of instances, in order of preference.
+        token_file: File with the token; ``None`` reads the environment.
+        timeout_ms: Longest wait for one instance's answer.
+    """
+
+    servers: tuple[str, ...]
+    token_file: pathlib.Path | None = None
+    timeout_ms: float = clients.DEFAULT_TIMEOUT_MS
+
+    def run(
+        self,
+        call: Callable[[clients.OperatorClient], Awaitable[_Answer]],
+        *,
+        as_json: bool = False,
+    ) -> _Answer:
+        """Runs a call to its end; a failure ends the command."""
+        if not self.servers:
+            fail(ExitCode.BAD_INPUT, f"give --server or set {SERVERS_VARIABLE}")
+        token = self._token()
+        try:
+            return asyncio.run(self._call(token, call))
+        except faults.UnreachableError as error:
+            fail(ExitCode.UNREACHABLE, str(error))
+        except errors.WharfError as error:
+            fail_with(faults.detail_of(error), as_json=as_json)
+
+    async def _call(
+        self,
+        token: str,
+        call: Callable[[clients.OperatorClient], Awaitable[_Answer]],
+    ) -> _Answer:
+        client = clients.OperatorClient(
+            self.servers, token, timeout_ms=self.timeout_ms
+        )
+        async with client:
+            return await call(client)
+
+    def _token(self) -> str:
+        if self.token_file is None:
+            return os.environ.get(TOKEN_VARIABLE, "")
+        try:
+            return self.token_file.read_text(encoding="utf-8").strip()
+        except OSError as error:
+            fail(ExitCode.BAD_INPUT, f"{self.token_file}: {error.strerror}")
+
+
+def exit_code_of(detail: values.ErrorDetail) -> ExitCode:
+    """The exit code of a failed call."""
+    if detail.ran is not errors.Ran.NO:
+        return ExitCode.OUTCOME_UNKNOWN
+    if detail.kind in [kind.value for kind in _BAD_INPUT_KINDS]:
+        return ExitCode.BAD_INPUT
+    return ExitCode.REFUSED
+
+
+def fail(code: ExitCode, message: str) -> NoReturn:
+    """Tells what is wrong and ends the command."""
+    print(message, file=sys.stderr)
+    raise typer.Exit(code)
+
+
+def fail_with(detail: values.ErrorDetail, *, as_json: bool) -> NoReturn:
+    """Tells of a failed call and ends the command."""
+    if as_json:
+        print(to_json({"error": detail}), file=sys.stderr)
+    else:
+        for line in lines_of(detail):
+            print(line, file=sys.stderr)
+    raise typer.Exit(exit_code_of(detail))
+
+
+def lines_of(detail: values.ErrorDetail) -> list[str]:
+    """A failure for a person; its operation helps to ask later."""
+    lines = [f"{detail.kind}: {detail.message}"]
+    if detail.violations:
+        lines.extend(f"  {violation}" for violation in detail.violations)
+    elif detail.detail:
+        lines.append(f"  {detail.detail}")
+    lines.append(f"  ran: {detail.ran.value}")
+    if detail.operation_id:
+        lines.append(f"  operation: {detail.operation_id}")
+    return lines
+
+
+def to_json(value: Any) -> str:
+    """Data classes as JSON text."""
+    data = pydantic_core.to_jsonable_python(value)
+    return json.dumps(data, indent=2, ensure_ascii=False)
+
+
+def to_json_line(value: Any) -> str:
+    """A data class as one line of JSON."""
+    data = pydantic_core.to_jsonable_python(value)
+    return json.dumps(data, ensure_ascii=False)
--- /dev/null
+++ b/src/jujubewharf/commands/ctl_tables.py
@@ -0,0 +1,286 @@
+"""Tables that ``jujubewharf ctl`` prints."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+import datetime
+import sys
+from typing import Any
+
+from rich import console as consoles
+from rich import markup
+from rich import table as tables
+
+from jujubewharf import clock as clocks
+from jujubewharf.configuration import border
+from jujubewharf.configuration import resources
+from jujubewharf.operators import values
+
+_PIPE_WIDTH = 160
+
+_EFFECT_STYLES = {
+    values.Effect.CREATE: "green",
+    values.Effect.CHANGE: "yellow",
+    values.Effect.DELETE: "red",
+}
+
+_COLUMNS = {
+    resources.Kind.SERVICE: (
+        "name",
+        "kind",
+        "model",
+        "model_version",
+        "repeatable",
+        "first_answer_target_ms",
+        "completion_target_ms",
+        "deadline_ms",
+        "waste_weight",
+    ),
+    resources.Kind.ENDPOINT: (
+        "name",
+        "service",
+        "address",
+        "domain",
+        "role",
+        "model",
+        "model_version",
+        "slots",
+        "drained",
+    ),
+    resources.Kind.MODEL: (
+        "name",
+        "versions",
+        "kv_bytes_per_token",
+        "weight_bytes",
+    ),
+    resources.Kind.ACCOUNT: (
+        "name",
+        "services",
+        "rate_per_s",
+        "max_in_flight",
+        "priority",
+    ),
+    resources.Kind.OPERATOR: ("name", "role", "services"),
+}
+
+
+def show(*renderables: Any) -> None:
+    """Prints to the standard output, wide enough when it is no terminal."""
+    width = None if sys.stdout.isatty() else _PIPE_WIDTH
+    console = consoles.Console(width=width, highlight=False)
+    console.print(*renderables)
+
+
+def of_resources(
+    kind: resources.Kind, held: Iterable[values.StoredResource]
+) -> tables.Table:
+    """Resources of one kind, a row each."""
+    columns = _COLUMNS[kind]
+    table = _table(*columns, "generation")
+    for stored in held:
+        data = border.dump(stored.resource)
+        cells = [_cell(data[column]) for column in columns]
+        table.add_row(*cells, str(stored.generation))
+    return table
+
+
+def of_resource(stored: values.StoredResource) -> tables.Table:
+    """One resource, a row a field."""
+    table = _table("field", "value")
+    for path, value in _flat(border.dump(stored.resource)):
+        table.add_row(path, _cell(value))
+    table.add_row("generation", str(stored.generation))
+    return table
+
+
+def of_differences(items: Sequence[values.AppliedDifference]) -> tables.Table:
+    """What an apply changes, a row a field."""
+    table = _table("effect", "kind", "name", "field", "before", "after")
+    for item in items:
+        _add_difference(table, item.difference)
+    return table
+
+
+def of_applied(items: Sequence[values.AppliedDifference]) -> tables.Table:
+    """What became of an apply, a row a resource."""
+    table = _table("kind", "name", "effect", "generation", "outcome")
+    for item in items:
+        difference = item.difference
+        outcome = "in force"
+        if item.error is not None:
+            outcome = f"{item.error.kind}: {item.error.detail}"
+        table.add_row(
+            difference.kind.value,
+            _cell(difference.name),
+            _effect(difference.effect),
+            str(item.generation or ""),
+            _cell(outcome),
+        )
+    return table
+
+
+def of_history(entries: Sequence[values.HistoryEntry]) -> tables.Table:
+    """Changes of a resource, newest first."""
+    table = _table(
+        "generation", "at", "actor", "effect", "state", "operation", "detail"
+    )
+    for entry in entries:
+        table.add_row(
+            str(entry.generation),
+            _time(entry.wall_ms),
+            _cell(entry.actor),
+            _effect(entry.effect),
+            entry.state.value,
+            _cell(entry.operation_id),
+            _cell(entry.detail),
+        )
+    return table
+
+
+def of_statuses(
+    statuses: Sequence[tuple[str, values.InstanceStatus | str]],
+) -> tables.Table:
+    """Instances by the address asked, or why one gave no answer."""
+    table = _table(
+        "server",
+        "instance",
+        "region",
+        "domain",
+        "offset",
+        "caught up",
+        "in flight",
+        "refusals",
+        "retries",
+    )
+    for server, status in statuses:
+        if isinstance(status, str):
+            table.add_row(server, _cell(status))
+            continue
+        table.add_row(
+            server,
+            _cell(status.instance),
+            _cell(status.region),
+            _cell(status.domain),
+            str(status.applied_offset),
+            _cell(status.is_caught_up),
+            str(status.requests_in_flight),
+            _counts(status.refusals),
+            _counts(status.retries),
+        )
+    return table
+
+
+def of_members(members: Sequence[values.Member]) -> tables.Table:
+    """The fleet as one instance sees it."""
+    table = _table("instance", "address", "domain", "leaving", "suspected")
+    for member in members:
+        table.add_row(
+            _cell(member.instance),
+            member.address,
+            _cell(member.domain),
+            _cell(member.is_leaving),
+            _cell(member.is_suspected),
+        )
+    return table
+
+
+def of_engines(engines: Sequence[values.EngineStatus]) -> tables.Table:
+    """Engines as one instance sees them."""
+    table = _table(
+        "engine",
+        "service",
+        "domain",
+        "role",
+        "model",
+        "slots",
+        "own",
+        "prefill queue",
+        "takes work",
+        "report age ms",
+    )
+    for engine in engines:
+        model = f"{engine.model} {engine.model_version}".strip()
+        age_ms = engine.report_age_ms
+        table.add_row(
+            _cell(engine.name),
+            _cell(engine.service),
+            _cell(engine.domain),
+            engine.role,
+            _cell(model),
+            f"{engine.slots_used}/{engine.slots_total}",
+            str(engine.own_slots),
+            str(engine.prefill_queued_tokens),
+            _why_no_work(engine),
+            "" if age_ms is None else f"{age_ms:.0f}",
+        )
+    return table
+
+
+def of_fields(value: Any) -> tables.Table:
+    """A small data class, a row a field."""
+    table = _table("field", "value")
+    for name in value.__dataclass_fields__:
+        table.add_row(name, _cell(_plain(getattr(value, name))))
+    return table
+
+
+def _table(*columns: str) -> tables.Table:
+    table = tables.Table(box=None, pad_edge=False, header_style="bold")
+    for column in columns:
+        table.add_column(column, overflow="fold")
+    return table
+
+
+def _add_difference(table: tables.Table, item: values.Difference) -> None:
+    row = (_effect(item.effect), item.kind.value, _cell(item.name))
+    for field in item.fields:
+        before, after = _cell(field.before), _cell(field.after)
+        table.add_row(*row, _cell(field.path), before, after)
+        row = ("", "", "")
+
+
+def _effect(effect: values.Effect) -> str:
+    style = _EFFECT_STYLES[effect]
+    return f"[{style}]{effect.value}[/{style}]"
+
+
+def _why_no_work(engine: values.EngineStatus) -> str:
+    if engine.takes_work:
+        return "yes"
+    if engine.is_drained:
+        return "no: drained"
+    return "no: unreachable" if engine.is_suspect else "no"
+
+
+def _counts(counts: Sequence[values.ReasonCount]) -> str:
+    return " ".join(f"{one.reason}={one.count}" for one in counts)
+
+
+def _flat(data: dict[str, object], path: str = "") -> Iterable[tuple[str, Any]]:
+    for name, value in data.items():
+        if isinstance(value, dict):
+            yield from _flat(value, f"{path}{name}.")
+        else:
+            yield f"{path}{name}", value
+
+
+def _plain(value: Any) -> Any:
+    return getattr(value, "value", value)
+
+
+def _cell(value: object) -> str:
+    match value:
+        case bool():
+            return "yes" if value else "no"
+        case list() | tuple():
+            return markup.escape(", ".join(str(part) for part in value))
+        case _:
+            return markup.escape(str(value))
+
+
+def _time(wall_ms: float) -> str:
+    moment = datetime.datetime.fromtimestamp(
+        wall_ms / clocks.MS_PER_S, tz=datetime.UTC
+    )
+    return moment.strftime("%Y-%m-%d %H:%M:%S")
--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -24,6 +24,8 @@
 from jujubewharf.engines import endpoint_client
 from jujubewharf.engines import http as engine_http
 from jujubewharf.engines import http_endpoint
+from jujubewharf.operators import server as operator_server
+from jujubewharf.operators import service as operator_service
 from jujubewharf.peers import streams
 from jujubewharf.platform import http_log
 from jujubewharf.platform import live_list
@@ -71,6 +73,7 @@
     Attributes:
         configuration: Configuration in force here.
         fleet: Views of the engines.
+        operators: Answers operators.
     """
 
     def __init__(
@@ -90,6 +93,7 @@
         )
         self.fleet = fleets.Fleet(adapters.make_engine_client, clock)
         self.configuration.listen(self.fleet.on_configuration)
+        self.operators = operator_service.OperatorService(self)
         if policy is None:
             policy = least_load.LeastLoad()
         self._placer = placers.Placer(policy, self.fleet, clock)
@@ -122,6 +126,7 @@
     Attributes:
         core: The instance's core, once started.
         callers: The caller edge, once started.
+        operators: The operator RPC, once started.
     """
 
     def __init__(
@@ -133,6 +138,7 @@
         self._session: aiohttp.ClientSession | None = None
         self.core: EntryCore | None = None
         self.callers: edge.CallerEdge | None = None
+        self.operators: operator_server.OperatorServer | None = None
 
     async def on_start(self) -> None:
         """Makes the adapters and starts core and edges."""
@@ -149,7 +155,11 @@
             completions.Completions(self.core, self._clock),
             plain.PlainServices(self.core),
         )
+        self.operators = operator_server.OperatorServer(
+            self._settings.operators, self.core.operators, self._clock
+        )
         await self.add_runtime_dependency(self.core)
+        await self.add_runtime_dependency(self.operators)
         await self.add_runtime_dependency(self.callers)
 
     async def on_shutdown(self) -> None:
--- /dev/null
+++ b/src/jujubewharf/operators/adapter.py
@@ -0,0 +1,110 @@
+"""The gRPC face of the operator service: tokens, errors and streams."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from typing import Any
+from typing import NoReturn
+
+from google.protobuf import message as protobuf
+from google.protobuf import message_factory
+import grpc
+import structlog
+
+from jujubewharf import errors
+from jujubewharf.operators import calls
+from jujubewharf.operators import faults
+from jujubewharf.operators import jujubewharf_pb2 as pb
+from jujubewharf.operators import messages
+from jujubewharf.operators import service as services
+from jujubewharf.operators import values
+
+SERVICE = pb.DESCRIPTOR.services_by_name["Operators"]
+AUTHORIZATION = "authorization"
+BEARER = "bearer "
+ERROR_DETAIL = "jujubewharf-error-bin"
+
+_Context = grpc.aio.ServicerContext[Any, Any]
+
+
+def handler(service: services.OperatorService) -> grpc.GenericRpcHandler:
+    """Every RPC of the schema, answered by the operator service."""
+    face = _Face(service)
+    return grpc.method_handlers_generic_handler(
+        SERVICE.full_name,
+        {method.name: face.handler(method) for method in SERVICE.methods},
+    )
+
+
+class _Face:
+    def __init__(self, service: services.OperatorService) -> None:
+        self._service = service
+        self._logger = structlog.get_logger()
+
+    def handler(self, method: Any) -> grpc.RpcMethodHandler[Any, Any]:
+        request = message_factory.GetMessageClass(method.input_type)
+        make, behavior = grpc.unary_unary_rpc_method_handler, self._unary
+        if method.server_streaming:
+            make, behavior = grpc.unary_stream_rpc_method_handler, self._stream
+        return make(
+            behavior(method.name),
+            request_deserializer=request.FromString,
+            response_serializer=_serialize,
+        )
+
+    def _unary(self, name: str) -> Any:
+        call = calls.UNARY[name]
+
+        async def answer(
+            request: protobuf.Message, context: _Context
+        ) -> protobuf.Message:
+            try:
+                identity = self._identity(context)
+                return await call(self._service, identity, request)
+            except Exception as error:
+                await self._abort(name, error, context)
+
+        return answer
+
+    def _stream(self, name: str) -> Any:
+        call = calls.STREAM[name]
+
+        async def answer(
+            request: protobuf.Message, context: _Context
+        ) -> AsyncIterator[protobuf.Message]:
+            try:
+                identity = self._identity(context)
+                async for part in call(self._service, identity, request):
+                    yield part
+            except Exception as error:
+                await self._abort(name, error, context)
+
+        return answer
+
+    def _identity(self, context: _Context) -> values.Identity:
+        for key, value in context.invocation_metadata() or ():
+            if key == AUTHORIZATION and isinstance(value, str):
+                is_bearer = value.lower().startswith(BEARER)
+                token = value[len(BEARER) :].strip() if is_bearer else ""
+                return self._service.identify(token)
+        return self._service.identify("")
+
+    async def _abort(
+        self, name: str, error: Exception, context: _Context
+    ) -> NoReturn:
+        if not isinstance(error, errors.WharfError):
+            self._logger.error(
+                "operator_call_crashed", call=name, exc_info=error
+            )
+            error = errors.WharfError(errors.ErrorKind.INTERNAL)
+        detail = faults.detail_of(error)
+        trailer = messages.to_message(detail, pb.ErrorDetail)
+        await context.abort(
+            grpc.StatusCode[error.answer.grpc_code],
+            f"{detail.kind}: {detail.message} {detail.detail}".strip(),
+            ((ERROR_DETAIL, trailer.SerializeToString()),),
+        )
+
+
+def _serialize(message: protobuf.Message) -> bytes:
+    return message.SerializeToString()
--- /dev/null
+++ b/src/jujubewharf/operators/backend.py
@@ -0,0 +1,177 @@
+"""What the operator interface needs of the configuration."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+import dataclasses
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from jujubewharf.configuration import border
+from jujubewharf.configuration import history as histories
+from jujubewharf.configuration import records
+from jujubewharf.configuration import resources
+from jujubewharf.configuration import state as states
+from jujubewharf.operators import values
+
+if TYPE_CHECKING:
+    from jujubewharf import entry
+
+_STATES = {
+    states.Outcome.ACCEPTED: values.OperationState.ACCEPTED,
+    states.Outcome.CONFLICT: values.OperationState.CONFLICT,
+    states.Outcome.UNSAFE: values.OperationState.UNSAFE,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """What became of one change.
+
+    Attributes:
+        operation_id: Its operation.
+        state: Its verdict.
+        generation: Generation reached; 0 when it reached none.
+        detail: Why it was not accepted.
+    """
+
+    operation_id: str
+    state: values.OperationState
+    generation: int = 0
+    detail: str = ""
+
+
+class Backend(Protocol):
+    """Configuration in force, and the way to change it."""
+
+    @property
+    def state(self) -> states.State:
+        """Configuration in force at this instance."""
+        ...
+
+    @property
+    def is_caught_up(self) -> bool:
+        """Whether this instance has a configuration to answer from."""
+        ...
+
+    async def submit(
+        self, changes: Sequence[records.Change], *, force: bool
+    ) -> list[Verdict]:
+        """Appends changes and waits until they are folded here.
+
+        Raises:
+            WharfError: ``LOG_UNAVAILABLE`` when nothing was appended,
+                ``OPERATION_UNKNOWN`` when that can't be known.
+        """
+        ...
+
+    def operation(self, operation_id: str) -> values.HistoryEntry | None:
+        """What became of an operation; ``None`` when it was not seen."""
+        ...
+
+    def history(
+        self, kind: resources.Kind, name: str
+    ) -> Sequence[values.HistoryEntry]:
+        """Changes of a resource, oldest first."""
+        ...
+
+    async def changed(self, since_offset: int, wait_ms: float) -> None:
+        """Waits until more than an offset is folded, or for a while."""
+        ...
+
+
+class CoreBackend:
+    """The configuration of an instance.
+
+    Args:
+        core: The instance.
+    """
+
+    def __init__(self, core: entry.EntryCore) -> None:
+        self._follower = core.configuration
+        self._changes = core.changes
+        self._clock = core.clock
+        self._folded = asyncio.Event()
+        self._follower.listen(self._on_state)
+
+    @property
+    def state(self) -> states.State:
+        """See ``Backend``."""
+        return self._follower.current
+
+    @property
+    def is_caught_up(self) -> bool:
+        """See ``Backend``."""
+        return self._follower.caught_up.is_set()
+
+    async def submit(
+        self, changes: Sequence[records.Change], *, force: bool
+    ) -> list[Verdict]:
+        """See ``Backend``."""
+        judged = await self._changes.submit(changes, force=force)
+        return [_verdict(one) for one in judged]
+
+    def operation(self, operation_id: str) -> values.HistoryEntry | None:
+        """See ``Backend``."""
+        item = self.state.history.find(operation_id)
+        return _entry(item) if item is not None else None
+
+    def history(
+        self, kind: resources.Kind, name: str
+    ) -> Sequence[values.HistoryEntry]:
+        """See ``Backend``."""
+        return [_entry(item) for item in self._changes.history(kind, name)]
+
+    async def changed(self, since_offset: int, wait_ms: float) -> None:
+        """See ``Backend``."""
+        folded = self._folded
+        if self.state.next_offset > since_offset:
+            return
+        try:
+            async with self._clock.timeout_ms(wait_ms):
+                await folded.wait()
+        except TimeoutError:
+            return
+
+    def _on_state(self, _: states.State) -> None:
+        folded, self._folded = self._folded, asyncio.Event()
+        folded.set()
+
+
+def _verdict(judged: states.Verdict) -> Verdict:
+    state = _STATES.get(judged.outcome, values.OperationState.INVALID)
+    return Verdict(
+        judged.operation_id,
+        state,
+        judged.generation if judged.is_accepted else 0,
+        judged.detail,
+    )
+
+
+def _entry(item: histories.HistoryItem) -> values.HistoryEntry:
+    judged = _verdict(item.verdict)
+    return values.HistoryEntry(
+        operation_id=judged.operation_id,
+        actor=item.actor,
+        effect=_effect(item),
+        state=judged.state,
+        generation=item.offset + 1,
+        wall_ms=item.wall_ms,
+        resource=_resource(item),
+        detail=judged.detail,
+    )
+
+
+def _effect(item: histories.HistoryItem) -> values.Effect:
+    if item.verb is records.Verb.DELETE:
+        return values.Effect.DELETE
+    if item.generation_before == 0:
+        return values.Effect.CREATE
+    return values.Effect.CHANGE
+
+
+def _resource(item: histories.HistoryItem) -> resources.Resource | None:
+    if item.after is None:
+        return None
+    return border.parse(resources.Kind(item.kind), item.after).ok()
--- /dev/null
+++ b/src/jujubewharf/operators/differences.py
@@ -0,0 +1,109 @@
+"""What differs between the configuration in force and a wanted one."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterator
+from collections.abc import Sequence
+import json
+
+from jujubewharf.configuration import border
+from jujubewharf.configuration import resources
+from jujubewharf.configuration import state as states
+from jujubewharf.operators import values
+
+# What others refer to comes first, and goes last.
+_ORDER = (
+    resources.Kind.MODEL,
+    resources.Kind.SERVICE,
+    resources.Kind.ENDPOINT,
+    resources.Kind.ACCOUNT,
+    resources.Kind.OPERATOR,
+)
+
+_Path = tuple[str, ...]
+
+
+def key_of(resource: resources.Resource) -> states.Key:
+    """Kind and name of a resource."""
+    return resources.KIND_OF[type(resource)], resource.name
+
+
+def of_resource(
+    before: states.Entry | None, after: resources.Resource | None
+) -> values.Difference | None:
+    """What differs in one resource; ``None`` when nothing does."""
+    old = before.resource if before else None
+    if old == after:
+        return None
+    present = old if after is None else after
+    assert present is not None
+    kind, name = key_of(present)
+    return values.Difference(
+        kind=kind,
+        name=name,
+        effect=_effect(old, after),
+        generation=before.generation if before else 0,
+        fields=tuple(_fields(old, after)),
+    )
+
+
+def of_state(
+    state: states.State,
+    wanted: Sequence[resources.Resource],
+    *,
+    is_pruned: Callable[[resources.Resource], bool],
+) -> list[values.Difference]:
+    """What an apply would do, in the order in which it would do it.
+
+    Args:
+        state: Configuration in force.
+        wanted: Resources that should be in force.
+        is_pruned: Whether a resource that is not wanted goes.
+    """
+    named = {key_of(resource): resource for resource in wanted}
+    found = [of_resource(state.get(*key), named[key]) for key in named]
+    for kind in _ORDER:
+        for entry in state.of_kind(kind):
+            is_wanted = (kind, entry.resource.name) in named
+            if not is_wanted and is_pruned(entry.resource):
+                found.append(of_resource(entry, None))
+    return sorted((item for item in found if item), key=_rank)
+
+
+def _effect(
+    old: resources.Resource | None, new: resources.Resource | None
+) -> values.Effect:
+    if old is None:
+        return values.Effect.CREATE
+    return values.Effect.DELETE if new is None else values.Effect.CHANGE
+
+
+def _rank(item: values.Difference) -> tuple[int, int, str]:
+    place = _ORDER.index(item.kind)
+    if item.effect is values.Effect.DELETE:
+        return 1, -place, item.name
+    return 0, place, item.name
+
+
+def _fields(
+    old: resources.Resource | None, new: resources.Resource | None
+) -> Iterator[values.FieldDifference]:
+    before = dict(_leaves(border.dump(old))) if old else {}
+    after = dict(_leaves(border.dump(new))) if new else {}
+    for path in list(before) + [path for path in after if path not in before]:
+        texts = _text(before.get(path)), _text(after.get(path))
+        if texts[0] != texts[1]:
+            yield values.FieldDifference(".".join(path), *texts)
+
+
+def _leaves(data: object, path: _Path = ()) -> Iterator[tuple[_Path, object]]:
+    if not isinstance(data, dict):
+        yield path, data
+        return
+    for name, part in data.items():
+        yield from _leaves(part, (*path, name))
+
+
+def _text(value: object) -> str:
+    return "" if value is None else json.dumps(value, ensure_ascii=False)
--- /dev/null
+++ b/src/jujubewharf/operators/documents.py
@@ -0,0 +1,104 @@
+"""The configuration file that ``ctl apply`` takes and ``ctl export`` writes.
+
+A JSON object with one list a kind: ``models``, ``services``, ``endpoints``,
+``accounts`` and ``operators``; each may be left out.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from collections.abc import Sequence
+import dataclasses
+import json
+
+import result
+
+from jujubewharf.configuration import border
+from jujubewharf.configuration import resources
+from jujubewharf.operators import differences
+
+_LISTS = {
+    "models": resources.Kind.MODEL,
+    "services": resources.Kind.SERVICE,
+    "endpoints": resources.Kind.ENDPOINT,
+    "accounts": resources.Kind.ACCOUNT,
+    "operators": resources.Kind.OPERATOR,
+}
+
+
+def parse(text: str) -> result.Result[list[resources.Resource], list[str]]:
+    """Checks a configuration file.
+
+    Returns:
+        The resources in the file's order, or one line an error, each opening
+        with the path of the field it is about.
+    """
+    try:
+        data = json.loads(text)
+    except ValueError as error:
+        return result.Err([f"(top): not JSON: {error}"])
+    if not isinstance(data, dict):
+        return result.Err(["(top): must be an object with a list a kind"])
+    found: list[resources.Resource] = []
+    faults: list[str] = []
+    for name, items in data.items():
+        kind = _LISTS.get(name)
+        if kind is None:
+            faults.append(f"{name}: no such list; it may be {_known()}")
+        elif not isinstance(items, list):
+            faults.append(f"{name}: must be a list")
+        else:
+            for index, item in enumerate(items):
+                _parse_one(kind, item, f"{name}.{index}", found, faults)
+    faults.extend(_repeated(found))
+    return result.Err(faults) if faults else result.Ok(found)
+
+
+def dump(held: Sequence[resources.Resource]) -> str:
+    """Resources as a configuration file; defaults are left out."""
+    data = {
+        name: [
+            _compact(resource)
+            for resource in held
+            if resources.KIND_OF[type(resource)] is kind
+        ]
+        for name, kind in _LISTS.items()
+    }
+    return json.dumps(data, indent=2, ensure_ascii=False) + "\n"
+
+
+def _parse_one(
+    kind: resources.Kind,
+    item: object,
+    path: str,
+    found: list[resources.Resource],
+    faults: list[str],
+) -> None:
+    parsed = border.parse(kind, item)
+    if parsed.is_ok():
+        found.append(parsed.unwrap())
+        return
+    faults.extend(f"{path}.{line}" for line in parsed.unwrap_err())
+
+
+def _repeated(found: Sequence[resources.Resource]) -> Iterator[str]:
+    seen = set()
+    for resource in found:
+        key = differences.key_of(resource)
+        if key in seen:
+            yield f"{key[0].value} {key[1]}: comes twice"
+        seen.add(key)
+
+
+def _compact(resource: resources.Resource) -> dict[str, object]:
+    data = border.dump(resource)
+    for field in dataclasses.fields(resource):
+        if field.default is dataclasses.MISSING:
+            continue
+        if getattr(resource, field.name) == field.default:
+            del data[field.name]
+    return data
+
+
+def _known() -> str:
+    return ", ".join(_LISTS)
--- /dev/null
+++ b/src/jujubewharf/operators/identities.py
@@ -0,0 +1,131 @@
+"""Who calls, and what they may see and change.
+
+A token is compared by its SHA-256 only, and with every known one in constant
+time, so that neither a leaked configuration nor the time of an answer tells
+anything of a token.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import hashlib
+import hmac
+
+from jujubewharf import errors
+from jujubewharf.configuration import resources
+from jujubewharf.configuration import state as states
+from jujubewharf.operators import values
+
+BOOTSTRAP_NAME = "bootstrap"
+
+_BOOTSTRAP = values.Identity(BOOTSTRAP_NAME, resources.OperatorRole.ADMIN)
+
+_RANKS = {
+    resources.OperatorRole.VIEWER: 0,
+    resources.OperatorRole.OPERATOR: 1,
+    resources.OperatorRole.ADMIN: 2,
+}
+
+
+def token_sha256(token: str) -> str:
+    """What the configuration holds of a token."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+class Identities:
+    """Finds the identity behind a token.
+
+    Args:
+        state: Gives the configuration in force.
+        bootstrap_token_sha256: Hex SHA-256 of the built-in admin's token;
+            empty switches that admin off.
+    """
+
+    def __init__(
+        self,
+        state: Callable[[], states.State],
+        bootstrap_token_sha256: str,
+    ) -> None:
+        self._state = state
+        self._bootstrap = bootstrap_token_sha256.lower()
+
+    def of_token(self, token: str) -> values.Identity:
+        """The identity behind a token.
+
+        Raises:
+            WharfError: ``UNAUTHENTICATED``.
+        """
+        digest = token_sha256(token).encode()
+        found: values.Identity | None = None
+        # No early exit: the time must not tell which digest came close.
+        if self._bootstrap and _same(self._bootstrap, digest):
+            found = _BOOTSTRAP
+        for entry in self._state().of_kind(resources.Kind.OPERATOR):
+            operator = entry.resource
+            assert isinstance(operator, resources.Operator)
+            if _same(operator.token_sha256.lower(), digest):
+                found = found or _identity(operator)
+        if not token or found is None:
+            raise errors.WharfError(errors.ErrorKind.UNAUTHENTICATED)
+        return found
+
+
+def may_see(identity: values.Identity, resource: resources.Resource) -> bool:
+    """Whether an identity may read a resource."""
+    match resource:
+        case resources.Model():
+            return True
+        case resources.Operator():
+            return _is_admin(identity) and _in_scope(identity, resource)
+        case _:
+            return _in_scope(identity, resource)
+
+
+def may_change(identity: values.Identity, resource: resources.Resource) -> bool:
+    """Whether an identity may create, change or delete a resource."""
+    match resource:
+        case resources.Operator():
+            needed = resources.OperatorRole.ADMIN
+        case _:
+            needed = resources.OperatorRole.OPERATOR
+    if not has_role(identity, needed):
+        return False
+    return _in_scope(identity, resource)
+
+
+def has_role(identity: values.Identity, role: resources.OperatorRole) -> bool:
+    """Whether an identity has a role or a higher one."""
+    return _RANKS[identity.role] >= _RANKS[role]
+
+
+def _is_admin(identity: values.Identity) -> bool:
+    return has_role(identity, resources.OperatorRole.ADMIN)
+
+
+def _in_scope(identity: values.Identity, resource: resources.Resource) -> bool:
+    if not identity.services:
+        return True
+    match resource:
+        case resources.Service(name=name):
+            return name in identity.services
+        case resources.Endpoint(service=service):
+            return service in identity.services
+        case resources.Account(services=services):
+            return _is_within(services, identity)
+        case resources.Operator(services=services):
+            return _is_within(services, identity)
+        case resources.Model():
+            return False
+
+
+def _is_within(services: tuple[str, ...], identity: values.Identity) -> bool:
+    # No services means all of them, which is more than any scope.
+    return bool(services) and set(services) <= set(identity.services)
+
+
+def _same(held: str, digest: bytes) -> bool:
+    return hmac.compare_digest(held.encode(), digest)
+
+
+def _identity(operator: resources.Operator) -> values.Identity:
+    return values.Identity(operator.name, operator.role, operator.services)
--- /dev/null
+++ b/src/jujubewharf/operators/queries.py
@@ -0,0 +1,283 @@
+"""What operators ask of the configuration in force and of its past."""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import AsyncIterator
+from collections.abc import Iterator
+from collections.abc import Sequence
+import json
+
+from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf.configuration import resources
+from jujubewharf.configuration import state as states
+from jujubewharf.operators import backend as backends
+from jujubewharf.operators import identities
+from jujubewharf.operators import values
+
+DEFAULT_PAGE_SIZE = 100
+MAX_PAGE_SIZE = 1_000
+
+_REACH_MS = 5_000.0
+_WATCH_WAIT_MS = 60_000.0
+
+
+class Queries:
+    """Reads the configuration for an identity, within its scope.
+
+    Args:
+        backend: The configuration.
+        clock: Time.
+    """
+
+    def __init__(self, backend: backends.Backend, clock: clocks.Clock) -> None:
+        self._backend = backend
+        self._clock = clock
+
+    async def get(
+        self,
+        identity: values.Identity,
+        kind: resources.Kind,
+        name: str,
+        *,
+        not_before_offset: int = 0,
+    ) -> values.StoredResource:
+        """One resource in force.
+
+        Args:
+            identity: Who asks.
+            kind: Resource kind.
+            name: Resource name.
+            not_before_offset: Waits until the log is folded up to here, so
+                that an operator reads its own change at any instance.
+
+        Raises:
+            WharfError: ``UNKNOWN_RESOURCE``, also for what the identity may
+                not see; ``LOG_UNAVAILABLE`` when the offset is not reached.
+        """
+        await self._reach(not_before_offset)
+        entry = self._backend.state.get(kind, name)
+        if entry is None or not identities.may_see(identity, entry.resource):
+            detail = f"{kind.value} {name}"
+            raise errors.WharfError(errors.ErrorKind.UNKNOWN_RESOURCE, detail)
+        return self._stored(entry)
+
+    async def list_page(
+        self,
+        identity: values.Identity,
+        kind: resources.Kind,
+        *,
+        service: str = "",
+        page_size: int = 0,
+        page_token: str = "",
+        not_before_offset: int = 0,
+    ) -> values.ListReply:
+        """A page of resources by name.
+
+        A page goes on after the last name of the one before, so a resource
+        that stays is listed exactly once whatever comes and goes meanwhile.
+
+        Raises:
+            WharfError: ``BAD_REQUEST`` when the token is of another listing.
+        """
+        await self._reach(not_before_offset)
+        listing = ["list", kind.value, service]
+        after = _parse_token(page_token, listing)
+        entries = [
+            entry
+            for entry in self._backend.state.of_kind(kind)
+            if entry.resource.name > after
+            and _belongs(entry.resource, service)
+            and identities.may_see(identity, entry.resource)
+        ]
+        size = _page_size(page_size)
+        page = entries[:size]
+        token = ""
+        if len(entries) > size:
+            token = _token(listing, page[-1].resource.name)
+        items = tuple(self._stored(entry) for entry in page)
+        return values.ListReply(items, token, self._offset)
+
+    async def watch(
+        self,
+        identity: values.Identity,
+        *,
+        kinds: Sequence[resources.Kind] = (),
+        service: str = "",
+    ) -> AsyncIterator[values.WatchEvent]:
+        """The state in force, then every change as it comes into force.
+
+        Changes of one resource that come close together may be told as one:
+        the watcher ends at the state in force, not at every step.
+        """
+        told: dict[states.Key, states.Entry] = {}
+        is_first = True
+        while True:
+            offset = self._offset
+            seen = self._visible(identity, kinds, service)
+            for event in _events(told, seen, offset):
+                yield event
+            told = seen
+            if is_first:
+                yield values.WatchEvent(
+                    is_snapshot_end=True, applied_offset=offset
+                )
+                is_first = False
+            await self._backend.changed(offset, _WATCH_WAIT_MS)
+
+    async def history(
+        self,
+        identity: values.Identity,
+        kind: resources.Kind,
+        name: str,
+        *,
+        page_size: int = 0,
+        page_token: str = "",
+    ) -> values.HistoryReply:
+        """Changes of a resource, newest first, as far back as is kept.
+
+        Raises:
+            WharfError: ``BAD_REQUEST`` when the token is of another history.
+        """
+        listing = ["history", kind.value, name]
+        after = _parse_token(page_token, listing)
+        kept = self._backend.history(kind, name)
+        if not _may_see_history(identity, kept):
+            kept = []
+        entries = [
+            entry
+            for entry in reversed(kept)
+            if not after or entry.generation < int(after)
+        ]
+        size = _page_size(page_size)
+        page = entries[:size]
+        token = ""
+        if len(entries) > size:
+            token = _token(listing, str(page[-1].generation))
+        return values.HistoryReply(tuple(page), token, self._offset)
+
+    async def operation(self, operation_id: str) -> values.Operation:
+        """What became of an operation."""
+        entry = self._backend.operation(operation_id)
+        if entry is None:
+            state = values.OperationState.NOT_SEEN
+            return values.Operation(
+                operation_id, state, applied_offset=self._offset
+            )
+        is_accepted = entry.state is values.OperationState.ACCEPTED
+        return values.Operation(
+            operation_id,
+            entry.state,
+            entry.generation if is_accepted else 0,
+            entry.detail,
+            self._offset,
+        )
+
+    @property
+    def _offset(self) -> int:
+        return self._backend.state.next_offset
+
+    async def _reach(self, offset: int) -> None:
+        until_ms = self._clock.now_ms() + _REACH_MS
+        while self._offset < offset:
+            left_ms = until_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                detail = f"folded up to {self._offset} only, not {offset}"
+                kind = errors.ErrorKind.LOG_UNAVAILABLE
+                raise errors.WharfError(kind, detail)
+            await self._backend.changed(self._offset, left_ms)
+
+    def _stored(self, entry: states.Entry) -> values.StoredResource:
+        return values.StoredResource(
+            entry.resource, entry.generation, self._offset
+        )
+
+    def _visible(
+        self,
+        identity: values.Identity,
+        kinds: Sequence[resources.Kind],
+        service: str,
+    ) -> dict[states.Key, states.Entry]:
+        return {
+            (kind, entry.resource.name): entry
+            for kind in kinds or tuple(resources.Kind)
+            for entry in self._backend.state.of_kind(kind)
+            if _belongs(entry.resource, service)
+            and identities.may_see(identity, entry.resource)
+        }
+
+
+def _events(
+    told: dict[states.Key, states.Entry],
+    seen: dict[states.Key, states.Entry],
+    offset: int,
+) -> Iterator[values.WatchEvent]:
+    for key, entry in seen.items():
+        before = told.get(key)
+        if before is not None and before.generation == entry.generation:
+            continue
+        effect = values.Effect.CHANGE if before else values.Effect.CREATE
+        yield values.WatchEvent(
+            effect,
+            *key,
+            generation=entry.generation,
+            resource=entry.resource,
+            applied_offset=offset,
+        )
+    for key in told:
+        if key not in seen:
+            yield values.WatchEvent(
+                values.Effect.DELETE, *key, applied_offset=offset
+            )
+
+
+def _belongs(resource: resources.Resource, service: str) -> bool:
+    if not service:
+        return True
+    match resource:
+        case resources.Service(name=name):
+            return name == service
+        case resources.Endpoint(service=of):
+            return of == service
+        case resources.Account(services=services):
+            return not services or service in services
+        case resources.Operator(services=services):
+            return not services or service in services
+        case resources.Model():
+            return True
+
+
+def _may_see_history(
+    identity: values.Identity, entries: Sequence[values.HistoryEntry]
+) -> bool:
+    # A resource that moved between services shows both in its history.
+    bodies = [entry.resource for entry in entries if entry.resource]
+    if not bodies:
+        return not identity.services
+    return all(identities.may_see(identity, body) for body in bodies)
+
+
+def _page_size(asked: int) -> int:
+    if asked < 0:
+        detail = "page_size: is below zero"
+        raise errors.WharfError(errors.ErrorKind.BAD_REQUEST, detail)
+    return min(asked or DEFAULT_PAGE_SIZE, MAX_PAGE_SIZE)
+
+
+def _token(listing: list[str], after: str) -> str:
+    text = json.dumps([*listing, after])
+    return base64.urlsafe_b64encode(text.encode()).decode()
+
+
+def _parse_token(token: str, listing: list[str]) -> str:
+    if not token:
+        return ""
+    try:
+        *of, after = json.loads(base64.urlsafe_b64decode(token.encode()))
+    except (ValueError, TypeError):
+        of, after = [], ""
+    if of != listing or not isinstance(after, str):
+        detail = "page_token: is not of this listing"
+        raise errors.WharfError(errors.ErrorKind.BAD_REQUEST, detail)
+    return after
