--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -31,8 +31,8 @@
 from jujubewharf.platform import weights
 from jujubewharf.requests import life
 from jujubewharf.requests import model_request
+from jujubewharf.routing import baselines
 from jujubewharf.routing import fleet as fleets
-from jujubewharf.routing import least_load
 from jujubewharf.routing import placer as placers
 from jujubewharf.routing import policy as policies
 from jujubewharf.settings import models
@@ -91,7 +91,7 @@
         self.fleet = fleets.Fleet(adapters.make_engine_client, clock)
         self.configuration.listen(self.fleet.on_configuration)
         if policy is None:
-            policy = least_load.LeastLoad()
+            policy = baselines.LeastLoad()
         self._placer = placers.Placer(policy, self.fleet, clock)
         self._runner = life.RequestRunner(
             settings.instance,
--- /dev/null
+++ b/src/jujubewharf/routing/baselines.py
@@ -0,0 +1,134 @@
+"""Simple policies that the product's own is measured against."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import itertools
+
+import numpy as np
+
+from jujubewharf import errors
+from jujubewharf.routing import fitting
+from jujubewharf.routing import fleet as fleets
+from jujubewharf.routing import jobs
+
+_RETRY_MS = 50.0
+
+Pick = Callable[[list[fleets.EngineView]], fleets.EngineView]
+
+
+class _ByReports:
+    """Places on engines that lagging reports show as free.
+
+    Args:
+        pick_decode: Picks among engines that seem to have a free slot.
+        pick_prefill: Picks among engines that can read the prompt.
+    """
+
+    def __init__(self, pick_decode: Pick, pick_prefill: Pick) -> None:
+        self._pick_decode = pick_decode
+        self._pick_prefill = pick_prefill
+
+    def place(self, job: jobs.Job, fleet: fleets.Fleet) -> jobs.Decision:
+        """Decides for a request that holds nothing yet."""
+        views = fitting.usable(job, fleet)
+        decode = self._decode(fitting.decoders(views))
+        if not isinstance(decode, fleets.EngineView):
+            return decode
+        prefillers = fitting.exporters(views)
+        if not prefillers or not decode.endpoint.capabilities.kv_import:
+            return jobs.Choice(decode.endpoint)
+        prefill = self._pick_prefill(prefillers)
+        if prefill is decode:
+            return jobs.Choice(decode.endpoint)
+        return jobs.Choice(decode.endpoint, prefill.endpoint)
+
+    def place_decode(self, job: jobs.Job, fleet: fleets.Fleet) -> jobs.Decision:
+        """Decides for a request whose prompt was read already."""
+        views = fitting.usable(job, fleet)
+        decode = self._decode(fitting.importers(views))
+        if not isinstance(decode, fleets.EngineView):
+            return decode
+        return jobs.Choice(decode.endpoint)
+
+    def _decode(
+        self, views: list[fleets.EngineView]
+    ) -> fleets.EngineView | jobs.Later | jobs.Refusal:
+        if not views:
+            return jobs.Refusal(errors.ErrorKind.NO_FITTING_ENGINE)
+        free = [view for view in views if used_slots(view) < total_slots(view)]
+        if not free:
+            return jobs.Later(_RETRY_MS)
+        return self._pick_decode(free)
+
+
+class RandomChoice(_ByReports):
+    """Any engine with a free slot, any engine to read.
+
+    Args:
+        rng: Random numbers of its own.
+    """
+
+    def __init__(self, rng: np.random.Generator) -> None:
+        def pick(views: list[fleets.EngineView]) -> fleets.EngineView:
+            return views[int(rng.integers(len(views)))]
+
+        super().__init__(pick, pick)
+
+
+class RoundRobin(_ByReports):
+    """Engines in turn, each instance with turns of its own.
+
+    Args:
+        rng: Says where the turns start, so that instances differ.
+    """
+
+    def __init__(self, rng: np.random.Generator) -> None:
+        decode_turns = itertools.count(int(rng.integers(1_000)))
+        prefill_turns = itertools.count(int(rng.integers(1_000)))
+        super().__init__(
+            lambda views: views[next(decode_turns) % len(views)],
+            lambda views: views[next(prefill_turns) % len(views)],
+        )
+
+
+class LeastLoad(_ByReports):
+    """The emptiest decode memory and the shortest prefill queue."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            lambda views: min(views, key=used_slots),
+            lambda views: min(views, key=queued_tokens),
+        )
+
+
+class PrefillThenLook(LeastLoad):
+    """Reads at once and looks for a decode slot afterwards."""
+
+    def place(self, job: jobs.Job, fleet: fleets.Fleet) -> jobs.Decision:
+        """Decides for a request that holds nothing yet."""
+        views = fitting.usable(job, fleet)
+        prefillers = fitting.exporters(views)
+        if not prefillers or not fitting.importers(views):
+            return super().place(job, fleet)
+        prefill = min(prefillers, key=queued_tokens)
+        return jobs.Choice(None, prefill.endpoint)
+
+
+def used_slots(view: fleets.EngineView) -> int:
+    """Slots in use by the lagging report or by this instance's own count."""
+    reported = view.report.slots_used if view.report is not None else 0
+    return max(reported, view.own_slots)
+
+
+def total_slots(view: fleets.EngineView) -> int:
+    """Slots an engine has, by its own word before the configuration's."""
+    if view.report is not None and view.report.slots_total > 0:
+        return view.report.slots_total
+    return view.endpoint.slots
+
+
+def queued_tokens(view: fleets.EngineView) -> int:
+    """Prompt tokens ahead of a new one, by report and own count."""
+    reported = view.report.prefill_queued_tokens if view.report else 0
+    return reported + view.own_prefill_tokens
--- /dev/null
+++ b/src/jujubewharf/routing/catalog.py
@@ -0,0 +1,57 @@
+"""All policies by name, for the experiment tool."""
+
+from __future__ import annotations
+
+import numpy as np
+
+from jujubewharf import clock as clocks
+from jujubewharf.routing import baselines
+from jujubewharf.routing import oracle
+from jujubewharf.routing import policy as policies
+
+PRODUCT = "product"
+NAMES = (
+    PRODUCT,
+    "random",
+    "round_robin",
+    "least_load",
+    "prefill_then_look",
+    "oracle",
+)
+
+
+def make(
+    name: str,
+    *,
+    clock: clocks.Clock,
+    rng: np.random.Generator,
+    truth: oracle.Truth | None = None,
+) -> policies.Policy:
+    """Makes a policy for one instance.
+
+    Args:
+        name: One of ``NAMES``.
+        clock: Time.
+        rng: Random numbers of this instance's policy.
+        truth: One object for all instances of a run; the oracle needs it.
+
+    Raises:
+        ValueError: The name is unknown, or the oracle got no truth.
+    """
+    match name:
+        case "product":
+            return baselines.LeastLoad()
+        case "random":
+            return baselines.RandomChoice(rng)
+        case "round_robin":
+            return baselines.RoundRobin(rng)
+        case "least_load":
+            return baselines.LeastLoad()
+        case "prefill_then_look":
+            return baselines.PrefillThenLook()
+        case "oracle":
+            if truth is None:
+                raise ValueError("the oracle needs the run's truth")
+            return oracle.Oracle(truth, clock)
+        case _:
+            raise ValueError(f"unknown policy {name!r}; one of {NAMES}")
