Add a demonstration that runs a whole deployment on loopback

Cause: a newcomer had no command that shows the whole path at work. Change: `jujubewharf demo` starts four entry instances in two failure domains, six engine stand-ins, two plain endpoints, log, live list and weight store as processes, loads them with a mixed load and checks each answer against the engines' own counts.

--- /dev/null
+++ b/src/jujubewharf/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A whole deployment on loopback, for the demonstration and for tests."""
--- /dev/null
+++ b/src/jujubewharf/demo/checks.py
@@ -0,0 +1,92 @@
+"""What engines and endpoints themselves say after the load."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+
+import aiohttp
+
+from jujubewharf import clock as clocks
+from jujubewharf.configuration import resources
+from jujubewharf.demo import deployment as deployments
+from jujubewharf.demo import load
+from jujubewharf.engines import http as engine_http
+
+_RELEASE_WAIT_S = 5.0
+_RELEASE_POLL_S = 0.2
+
+
+async def ran_more_than_once(
+    outcomes: list[load.Outcome],
+    deployment: deployments.Deployment,
+    session: aiohttp.ClientSession,
+) -> list[str]:
+    """Requests that more or fewer than one engine or endpoint answered.
+
+    Returns:
+        One line for each; a cancelled request may have run or not.
+    """
+    answers = await _answers(deployment, session)
+    plain_runs = await _plain_runs(deployment, session)
+    lines = []
+    for outcome in outcomes:
+        if outcome.kind is load.Kind.PLAIN:
+            times = sum(plain_runs[one] for one in outcome.request_ids)
+        else:
+            times = answers[outcome.prompt_digest]
+        is_cancelled = outcome.kind is load.Kind.CANCELLED
+        if times > 1 or (times < 1 and not is_cancelled):
+            lines.append(f"{outcome.kind.value}: ran {times} times")
+    return lines
+
+
+async def held_memory(
+    deployment: deployments.Deployment, session: aiohttp.ClientSession
+) -> list[str]:
+    """What engines still hold after releases had a while to arrive."""
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + _RELEASE_WAIT_S
+    while True:
+        held = await _held(deployment, session)
+        if not held or loop.time() > until_s:
+            return held
+        await asyncio.sleep(_RELEASE_POLL_S)
+
+
+async def _held(
+    deployment: deployments.Deployment, session: aiohttp.ClientSession
+) -> list[str]:
+    lines = []
+    for endpoint in deployment.engines():
+        client = engine_http.HttpEngineClient(
+            endpoint.name, endpoint.address, session, clocks.Clock()
+        )
+        for item in await client.held():
+            attempt_id = item.attempt.attempt_id
+            lines.append(f"{endpoint.name} holds memory for {attempt_id}")
+    return lines
+
+
+async def _answers(
+    deployment: deployments.Deployment, session: aiohttp.ClientSession
+) -> collections.Counter[str]:
+    answers: collections.Counter[str] = collections.Counter()
+    for endpoint in deployment.engines():
+        url = f"http://{endpoint.address}/counts"
+        async with session.post(url, json={}) as response:
+            answers.update((await response.json())["answers"])
+    return answers
+
+
+async def _plain_runs(
+    deployment: deployments.Deployment, session: aiohttp.ClientSession
+) -> collections.Counter[str]:
+    runs: collections.Counter[str] = collections.Counter()
+    for endpoint in deployment.endpoints:
+        if endpoint.role is not resources.Role.PLAIN:
+            continue
+        url = f"http://{endpoint.address}/-/runs"
+        async with session.get(url) as response:
+            runs.update(await response.json())
+    return runs
--- /dev/null
+++ b/src/jujubewharf/demo/deployment.py
@@ -0,0 +1,269 @@
+"""The demonstration's deployment: two failure domains on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+import pathlib
+import socket
+
+import aiohttp
+
+from jujubewharf.configuration import resources
+from jujubewharf.demo import processes
+from jujubewharf.platform import live_list
+
+REGION = "norte"
+DOMAINS = ("norte-a", "norte-b")
+MODEL_SERVICE = "verdict-llm"
+PLAIN_SERVICE = "shop-api"
+MODEL = "judge"
+_INSTANCES_PER_DOMAIN = 2
+_ENGINE_ROLES = (
+    resources.Role.PREFILL,
+    resources.Role.DECODE,
+    resources.Role.BOTH,
+)
+_READY_TIMEOUT_S = 20.0
+_READY_POLL_S = 0.1
+_HTTP_OK = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryAddress:
+    """Where one entry instance listens, as ``IP:PORT``."""
+
+    instance: str
+    domain: str
+    callers: str
+    operators: str
+    peers: str
+
+
+@dataclasses.dataclass(slots=True)
+class Deployment:
+    """A running deployment.
+
+    Attributes:
+        entries: The entry instances.
+        children: Their processes, by instance.
+        endpoints: Engines and plain endpoints, as declared.
+        log_url: The platform's log.
+        live_list_url: The platform's live list.
+    """
+
+    entries: list[EntryAddress]
+    children: dict[str, processes.Child]
+    endpoints: list[resources.Endpoint]
+    log_url: str
+    live_list_url: str
+
+    def declared(self) -> list[resources.Resource]:
+        """The configuration that operators would apply."""
+        return [
+            resources.Model(MODEL, versions=("1",)),
+            resources.Service(
+                MODEL_SERVICE, resources.ServiceKind.MODEL, model=MODEL
+            ),
+            resources.Service(PLAIN_SERVICE, resources.ServiceKind.PLAIN),
+            *self.endpoints,
+        ]
+
+    def engines(self) -> list[resources.Endpoint]:
+        """The model engines."""
+        plain = resources.Role.PLAIN
+        return [e for e in self.endpoints if e.role is not plain]
+
+
+async def start(
+    running: processes.Processes,
+    directory: pathlib.Path,
+    *,
+    bootstrap_token_sha256: str = "",
+) -> Deployment:
+    """Starts everything, the platform first.
+
+    Raises:
+        StartError: A process did not start.
+    """
+    platform = await asyncio.gather(
+        running.start_standin("log", "log"),
+        running.start_standin("live-list", "live-list", "--lag-ms", "500"),
+        running.start_standin("weight-store", "weight-store"),
+    )
+    log_url, live_list_url, weight_store_url = (f"http://{a}" for a in platform)
+    starts = [_start_endpoint(running, *one) for one in _endpoints()]
+    endpoints = list(await asyncio.gather(*starts))
+    deployment = Deployment([], {}, endpoints, log_url, live_list_url)
+    for domain in DOMAINS:
+        for number in range(1, _INSTANCES_PER_DOMAIN + 1):
+            entry = _entry_address(f"entry-{domain[-1]}{number}", domain)
+            settings = _settings(
+                entry,
+                log_url,
+                live_list_url,
+                weight_store_url,
+                bootstrap_token_sha256,
+            )
+            path = directory / f"{entry.instance}.json"
+            path.write_text(json.dumps(settings, indent=2), encoding="utf-8")
+            child = await running.start(
+                entry.instance, "entry", "--settings", str(path)
+            )
+            deployment.entries.append(entry)
+            deployment.children[entry.instance] = child
+    return deployment
+
+
+async def publish_live_list(
+    deployment: Deployment, session: aiohttp.ClientSession
+) -> None:
+    """Puts every instance and endpoint on the live list."""
+    live = live_list.LiveState.LIVE.value
+    members = [
+        {
+            "name": entry.instance,
+            "address": entry.peers,
+            "domain": entry.domain,
+            "is_entry": True,
+            "state": live,
+        }
+        for entry in deployment.entries
+    ]
+    members += [
+        {
+            "name": endpoint.name,
+            "address": endpoint.address,
+            "domain": endpoint.domain,
+            "is_entry": False,
+            "state": live,
+        }
+        for endpoint in deployment.endpoints
+    ]
+    url = f"{deployment.live_list_url}/list"
+    async with session.post(url, json=members) as response:
+        response.raise_for_status()
+
+
+async def wait_until_ready(
+    deployment: Deployment, session: aiohttp.ClientSession
+) -> None:
+    """Waits until every instance answers a plain and a model request.
+
+    Raises:
+        StartError: One did not in time, or its process ended.
+    """
+    waits = [_wait_for(deployment, one, session) for one in deployment.entries]
+    await asyncio.gather(*waits)
+
+
+async def _wait_for(
+    deployment: Deployment,
+    entry: EntryAddress,
+    session: aiohttp.ClientSession,
+) -> None:
+    child = deployment.children[entry.instance]
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + _READY_TIMEOUT_S
+    while loop.time() < until_s and child.is_running:
+        if await _answers(entry, session):
+            return
+        await asyncio.sleep(_READY_POLL_S)
+    raise processes.StartError(f"{entry.instance}: see {child.log_path}")
+
+
+async def _answers(entry: EntryAddress, session: aiohttp.ClientSession) -> bool:
+    base = f"http://{entry.callers}"
+    body = {"model": MODEL_SERVICE, "prompt": "ready", "max_tokens": 1}
+    try:
+        async with session.get(f"{base}/s/{PLAIN_SERVICE}/ready") as answer:
+            if answer.status != _HTTP_OK:
+                return False
+        async with session.post(f"{base}/v1/completions", json=body) as answer:
+            return answer.status == _HTTP_OK
+    except aiohttp.ClientError:
+        return False
+
+
+def _endpoints() -> list[tuple[str, str, resources.Role]]:
+    wanted = []
+    for domain in DOMAINS:
+        letter = domain[-1]
+        for role in _ENGINE_ROLES:
+            wanted.append((f"{role.value}-{letter}1", domain, role))
+        wanted.append((f"till-{letter}1", domain, resources.Role.PLAIN))
+    return wanted
+
+
+async def _start_endpoint(
+    running: processes.Processes,
+    name: str,
+    domain: str,
+    role: resources.Role,
+) -> resources.Endpoint:
+    if role is resources.Role.PLAIN:
+        address = await running.start_standin(name, "endpoint", name)
+        return resources.Endpoint(name, PLAIN_SERVICE, address, domain, role)
+    address = await running.start_standin(
+        name, "engine", name, "--role", role.value, "--model", MODEL
+    )
+    return resources.Endpoint(
+        name, MODEL_SERVICE, address, domain, role, model=MODEL
+    )
+
+
+def _entry_address(instance: str, domain: str) -> EntryAddress:
+    callers, operators, peers = _free_ports(3)
+    return EntryAddress(
+        instance,
+        domain,
+        f"127.0.0.1:{callers}",
+        f"127.0.0.1:{operators}",
+        f"127.0.0.1:{peers}",
+    )
+
+
+def _free_ports(count: int) -> list[int]:
+    """Ports that are free now.
+
+    Peers dial an instance by the address on the live list, so its ports have
+    to be known before it starts.
+    """
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for one in sockets:
+            one.bind(("127.0.0.1", 0))
+        return [one.getsockname()[1] for one in sockets]
+    finally:
+        for one in sockets:
+            one.close()
+
+
+def _settings(
+    entry: EntryAddress,
+    log_url: str,
+    live_list_url: str,
+    weight_store_url: str,
+    bootstrap_token_sha256: str,
+) -> dict[str, object]:
+    return {
+        "instance": entry.instance,
+        "region": REGION,
+        "domain": entry.domain,
+        "platform": {
+            "log_url": log_url,
+            "live_list_url": live_list_url,
+            "weight_store_url": weight_store_url,
+        },
+        "callers": _listen(entry.callers),
+        "operators": _listen(entry.operators)
+        | {"bootstrap_token_sha256": bootstrap_token_sha256},
+        "peers": _listen(entry.peers),
+        "drain_ms": 8_000,
+    }
+
+
+def _listen(address: str) -> dict[str, object]:
+    host, _, port = address.rpartition(":")
+    return {"host": host, "port": int(port)}
--- /dev/null
+++ b/src/jujubewharf/demo/load.py
@@ -0,0 +1,263 @@
+"""A mixed load on several instances, and the check of every answer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import enum
+import json
+
+import aiohttp
+
+from jujubewharf import hashing
+from jujubewharf.callers import completions
+from jujubewharf.demo import deployment as deployments
+from jujubewharf.engines import http_endpoint
+from jujubewharf.standins import engine as engines
+
+_CONCURRENT = 24
+_TOKENS_MIN = 8
+_TOKENS_SPREAD = 25
+_WORDS_MIN = 50
+_WORDS_SPREAD = 900
+_WORDS_STEP = 137
+_DATA = "data: "
+_DONE = "[DONE]"
+_HTTP_OK = 200
+
+
+class Kind(enum.Enum):
+    """Kinds of request in the mix."""
+
+    STREAMED = "streamed"
+    WHOLE = "whole"
+    RETRIED = "retried at another instance"
+    NOT_REPEATABLE = "not repeatable"
+    CANCELLED = "cancelled by the caller"
+    PLAIN = "plain"
+
+
+_MIX = (
+    Kind.STREAMED,
+    Kind.PLAIN,
+    Kind.WHOLE,
+    Kind.PLAIN,
+    Kind.NOT_REPEATABLE,
+    Kind.STREAMED,
+    Kind.PLAIN,
+    Kind.RETRIED,
+    Kind.WHOLE,
+    Kind.CANCELLED,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """What became of one request.
+
+    Attributes:
+        kind: Its place in the mix.
+        duration_ms: From sending to the last byte.
+        fault: What was wrong; empty when the answer came once and whole.
+        prompt_digest: Names the answer at the engines; empty for plain calls.
+        request_ids: Ids that instances gave to its tries.
+    """
+
+    kind: Kind
+    duration_ms: float
+    fault: str = ""
+    prompt_digest: str = ""
+    request_ids: tuple[str, ...] = ()
+
+
+class WrongAnswerError(Exception):
+    """An answer was refused, cut or not the one asked for."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Ask:
+    """One model request and the answer it must get."""
+
+    number: int
+
+    @property
+    def key(self) -> str:
+        return f"demo-{self.number}"
+
+    @property
+    def prompt(self) -> str:
+        words = _WORDS_MIN + self.number * _WORDS_STEP % _WORDS_SPREAD
+        report = " ".join(f"line-{self.number}-{i}" for i in range(words))
+        return f"answer_tokens={self.tokens} {report}"
+
+    @property
+    def tokens(self) -> int:
+        return _TOKENS_MIN + self.number % _TOKENS_SPREAD
+
+    @property
+    def expected(self) -> str:
+        prompt = self.prompt
+        return "".join(
+            engines.answer_token(prompt, i) for i in range(self.tokens)
+        )
+
+
+class Load:
+    """Sends the mix and checks what comes back.
+
+    Args:
+        entries: Instances to send to, in turn.
+        session: HTTP client.
+    """
+
+    def __init__(
+        self,
+        entries: list[deployments.EntryAddress],
+        session: aiohttp.ClientSession,
+    ) -> None:
+        self._entries = entries
+        self._session = session
+
+    async def run(
+        self, count: int, on_outcome: Callable[[Outcome], None]
+    ) -> list[Outcome]:
+        """Sends a number of requests, some at a time."""
+        gate = asyncio.Semaphore(_CONCURRENT)
+
+        async def one(number: int) -> Outcome:
+            async with gate:
+                outcome = await self._one(number)
+            on_outcome(outcome)
+            return outcome
+
+        return list(await asyncio.gather(*[one(n) for n in range(count)]))
+
+    async def _one(self, number: int) -> Outcome:
+        kind = _MIX[number % len(_MIX)]
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        fault = ""
+        request_ids: tuple[str, ...] = ()
+        try:
+            request_ids = await self._send(kind, number)
+        except (WrongAnswerError, aiohttp.ClientError, TimeoutError) as error:
+            fault = f"{type(error).__name__}: {error}"
+        duration_ms = (loop.time() - began_s) * 1_000
+        prompt_digest = ""
+        if kind is not Kind.PLAIN:
+            prompt_digest = hashing.digest(_Ask(number).prompt.encode())
+        return Outcome(kind, duration_ms, fault, prompt_digest, request_ids)
+
+    async def _send(self, kind: Kind, number: int) -> tuple[str, ...]:
+        ask = _Ask(number)
+        match kind:
+            case Kind.PLAIN:
+                return (await self._plain(number),)
+            case Kind.STREAMED:
+                return (await self._streamed(ask),)
+            case Kind.CANCELLED:
+                return (await self._cancelled(ask),)
+            case Kind.RETRIED:
+                return await self._retried(ask)
+            case Kind.WHOLE:
+                return (await self._whole(ask, ask.number),)
+            case Kind.NOT_REPEATABLE:
+                return (await self._whole(ask, number, repeatable=False),)
+
+    def _base(self, number: int) -> str:
+        entry = self._entries[number % len(self._entries)]
+        return f"http://{entry.callers}"
+
+    async def _plain(self, number: int) -> str:
+        url = f"{self._base(number)}/s/{deployments.PLAIN_SERVICE}/stock"
+        data = f"item {number}"
+        async with self._session.post(
+            url, params={"item": str(number)}, data=data
+        ) as answer:
+            await _check_status(answer)
+            echoed = await answer.json()
+            if echoed["body"] != data:
+                raise WrongAnswerError("another call's answer")
+            return answer.headers[http_endpoint.REQUEST_HEADER]
+
+    async def _whole(
+        self, ask: _Ask, place: int, *, repeatable: bool = True
+    ) -> str:
+        body = self._body(ask) | {"repeatable": repeatable}
+        async with self._post(ask, place, body) as answer:
+            await _check_status(answer)
+            text = (await answer.json())["choices"][0]["text"]
+            _check_text(ask, text)
+            return answer.headers[completions.REQUEST_HEADER]
+
+    async def _retried(self, ask: _Ask) -> tuple[str, ...]:
+        """The same key at two instances, as after a caller's timeout."""
+        tries = await asyncio.gather(
+            self._whole(ask, ask.number),
+            self._whole(ask, ask.number + 1),
+        )
+        return tuple(tries)
+
+    async def _streamed(self, ask: _Ask) -> str:
+        texts = []
+        body = self._body(ask) | {"stream": True}
+        async with self._post(ask, ask.number, body) as answer:
+            await _check_status(answer)
+            async for data in _events(answer):
+                if data == _DONE:
+                    break
+                texts.append(_text_of(data))
+            else:
+                raise WrongAnswerError("the stream was cut")
+            _check_text(ask, "".join(texts))
+            return answer.headers[completions.REQUEST_HEADER]
+
+    async def _cancelled(self, ask: _Ask) -> str:
+        body = self._body(ask) | {"stream": True}
+        async with self._post(ask, ask.number, body) as answer:
+            await _check_status(answer)
+            async for _ in _events(answer):
+                break
+            answer.close()
+            return answer.headers[completions.REQUEST_HEADER]
+
+    def _body(self, ask: _Ask) -> dict[str, object]:
+        return {
+            "model": deployments.MODEL_SERVICE,
+            "prompt": ask.prompt,
+            "max_tokens": ask.tokens,
+        }
+
+    def _post(  # type: ignore[no-untyped-def]
+        self, ask: _Ask, place: int, body: dict[str, object]
+    ):
+        return self._session.post(
+            f"{self._base(place)}/v1/completions",
+            json=body,
+            headers={completions.KEY_HEADER: ask.key},
+        )
+
+
+async def _events(answer: aiohttp.ClientResponse):  # type: ignore[no-untyped-def]
+    async for raw in answer.content:
+        line = raw.decode().strip()
+        if line.startswith(_DATA):
+            yield line.removeprefix(_DATA)
+
+
+def _text_of(data: str) -> str:
+    event = json.loads(data)
+    if "error" in event:
+        raise WrongAnswerError(event["error"]["code"])
+    return event["choices"][0]["text"]
+
+
+async def _check_status(answer: aiohttp.ClientResponse) -> None:
+    if answer.status != _HTTP_OK:
+        raise WrongAnswerError(f"{answer.status}: {await answer.text()}")
+
+
+def _check_text(ask: _Ask, text: str) -> None:
+    if text != ask.expected:
+        raise WrongAnswerError(f"answer {ask.number} is not whole")
--- /dev/null
+++ b/src/jujubewharf/demo/show.py
@@ -0,0 +1,163 @@
+"""Runs the demonstration and shows it on the terminal."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import pathlib
+import statistics
+import tempfile
+
+import aiohttp
+from rich import console as consoles
+from rich import progress as progresses
+from rich import table as tables
+
+from jujubewharf import clock as clocks
+from jujubewharf.configuration import border
+from jujubewharf.configuration import records
+from jujubewharf.configuration import resources
+from jujubewharf.demo import checks
+from jujubewharf.demo import deployment as deployments
+from jujubewharf.demo import load
+from jujubewharf.demo import processes
+from jujubewharf.platform import http_log
+
+_TIME_LIMIT_S = 55.0
+
+
+async def run(requests: int) -> list[str]:
+    """Runs the demonstration to its end.
+
+    Returns:
+        What went wrong, one line each; empty when all was well.
+    """
+    console = consoles.Console()
+    with tempfile.TemporaryDirectory(prefix="jujubewharf-demo-") as name:
+        directory = pathlib.Path(name)
+        try:
+            async with asyncio.timeout(_TIME_LIMIT_S):
+                faults = await _run(requests, directory, console)
+        except (
+            processes.StartError,
+            aiohttp.ClientError,
+            TimeoutError,
+        ) as error:
+            faults = [f"{type(error).__name__}: {error}"]
+            _print_logs(directory, console)
+    for fault in faults:
+        console.print(f"[red]{fault}", highlight=False)
+    if not faults:
+        console.print("[green]Every answer came once and whole.")
+        console.print("[green]No engine holds memory.")
+    return faults
+
+
+async def _run(
+    requests: int, directory: pathlib.Path, console: consoles.Console
+) -> list[str]:
+    async with (
+        processes.Processes(directory) as running,
+        aiohttp.ClientSession() as session,
+    ):
+        with console.status("Starting a deployment on loopback"):
+            deployment = await deployments.start(running, directory)
+            await deployments.publish_live_list(deployment, session)
+            await _apply(deployment, session)
+            await deployments.wait_until_ready(deployment, session)
+        console.print(_deployment_table(deployment))
+        outcomes = await _load(requests, deployment, session, console)
+        console.print(_outcome_table(outcomes))
+        faults = [f"{o.kind.value}: {o.fault}" for o in outcomes if o.fault]
+        faults += await checks.ran_more_than_once(outcomes, deployment, session)
+        return faults + await checks.held_memory(deployment, session)
+
+
+async def _apply(
+    deployment: deployments.Deployment, session: aiohttp.ClientSession
+) -> None:
+    platform_log = http_log.HttpLog(deployment.log_url, session, clocks.Clock())
+    payloads = [_put(resource) for resource in deployment.declared()]
+    await platform_log.append(records.STREAM, payloads)
+
+
+def _put(resource: resources.Resource) -> bytes:
+    kind = resources.KIND_OF[type(resource)]
+    change = records.Change(
+        operation_id=f"demo-{kind.value}-{resource.name}",
+        actor="demo",
+        verb=records.Verb.PUT,
+        kind=kind.value,
+        name=resource.name,
+        expected_generation=0,
+        body=border.dump(resource),
+    )
+    return records.encode(change)
+
+
+async def _load(
+    requests: int,
+    deployment: deployments.Deployment,
+    session: aiohttp.ClientSession,
+    console: consoles.Console,
+) -> list[load.Outcome]:
+    bar = progresses.Progress(
+        "{task.description}",
+        progresses.BarColumn(),
+        progresses.MofNCompleteColumn(),
+        progresses.TimeElapsedColumn(),
+        console=console,
+    )
+    with bar:
+        task = bar.add_task("Requests", total=requests)
+        sender = load.Load(deployment.entries, session)
+        return await sender.run(requests, lambda _: bar.advance(task))
+
+
+def _deployment_table(deployment: deployments.Deployment) -> tables.Table:
+    table = tables.Table(title="Deployment")
+    for column in ("domain", "entry instances", "endpoints"):
+        table.add_column(column)
+    for domain in deployments.DOMAINS:
+        entries = [
+            f"{entry.instance}  http://{entry.callers}"
+            for entry in deployment.entries
+            if entry.domain == domain
+        ]
+        endpoints = [
+            f"{endpoint.name}  {endpoint.role.value}"
+            for endpoint in deployment.endpoints
+            if endpoint.domain == domain
+        ]
+        table.add_row(domain, "\n".join(entries), "\n".join(endpoints))
+    return table
+
+
+def _outcome_table(outcomes: list[load.Outcome]) -> tables.Table:
+    table = tables.Table(title="Requests")
+    for column in ("kind", "sent", "once and whole", "p50 ms", "max ms"):
+        table.add_column(column, justify="right")
+    by_kind: dict[load.Kind, list[load.Outcome]] = collections.defaultdict(list)
+    for outcome in outcomes:
+        by_kind[outcome.kind].append(outcome)
+    for kind in load.Kind:
+        of_kind = by_kind[kind]
+        if not of_kind:
+            continue
+        durations = [outcome.duration_ms for outcome in of_kind]
+        whole = sum(1 for outcome in of_kind if not outcome.fault)
+        table.add_row(
+            kind.value,
+            str(len(of_kind)),
+            str(whole),
+            f"{statistics.median(durations):.0f}",
+            f"{max(durations):.0f}",
+        )
+    return table
+
+
+def _print_logs(directory: pathlib.Path, console: consoles.Console) -> None:
+    for path in sorted(directory.glob("*.log")):
+        lines = path.read_text(encoding="utf-8").splitlines()[-5:]
+        for line in lines:
+            console.print(f"{path.stem}: {line}", markup=False)
--- a/src/jujubewharf/standins/engine.py
+++ b/src/jujubewharf/standins/engine.py
@@ -133,12 +133,24 @@
 
 @dataclasses.dataclass(slots=True)
 class Counts:
-    """What an engine did, for checks after a run."""
+    """What an engine did, for checks after a run.
+
+    Attributes:
+        prefilled_tokens: Prompt tokens read.
+        used_prefill_tokens: Those whose result was used.
+        wasted_prefill_tokens: Those whose result died or was released.
+        decoded_tokens: Tokens written.
+        answers: Answers written to their end, by digest of the prompt.
+        dispatches: Answers begun, by attempt id.
+    """
 
     prefilled_tokens: int = 0
     used_prefill_tokens: int = 0
     wasted_prefill_tokens: int = 0
     decoded_tokens: int = 0
+    answers: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
     dispatches: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -433,6 +445,7 @@
             await generation.add(tokens_now, is_done=index >= length)
         if not generation.is_done:
             await generation.add([], is_done=True)
+        self.counts.answers[hashing.digest(job.prompt.encode())] += 1
         self._free(slot.attempt.attempt_id)
 
     async def _follow(
--- a/src/jujubewharf/standins/engine_http.py
+++ b/src/jujubewharf/standins/engine_http.py
@@ -100,6 +100,8 @@
             case "events":
                 events = await engine.cache_events(body["after_sequence"])
                 return [dataclasses.asdict(event) for event in events]
+            case "counts":
+                return _counts(engine.counts)
             case "order":
                 kind = client.OrderKind(body.pop("kind"))
                 await engine.order(client.Order(kind=kind, **body))
@@ -136,6 +138,13 @@
     return client.Attempt(body["attempt_id"], body["owner"])
 
 
+def _counts(counts: engines.Counts) -> dict[str, Any]:
+    return {
+        field.name: getattr(counts, field.name)
+        for field in dataclasses.fields(counts)
+    }
+
+
 def _held(item: client.HeldAttempt) -> dict[str, Any]:
     return dataclasses.asdict(item.attempt) | {"age_ms": item.age_ms}
 
