A request's life: attempts that move, resume and always release

Cause: the thin path held no timed reservation, wasted a prefill when its decode engine refused, resumed only on engines that can, released once. Change: attempt, answer buffer, retry budget, repeated releases, counters.

--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -29,6 +29,7 @@
 from jujubewharf.platform import live_list
 from jujubewharf.platform import log
 from jujubewharf.platform import weights
+from jujubewharf.requests import answers as request_answers
 from jujubewharf.requests import life
 from jujubewharf.requests import model_request
 from jujubewharf.routing import fleet as fleets
@@ -71,6 +72,8 @@
     Attributes:
         configuration: Configuration in force here.
         fleet: Views of the engines.
+        runner: Runs model requests, and counts.
+        answers: All answers of this instance.
     """
 
     def __init__(
@@ -93,23 +96,25 @@
         if policy is None:
             policy = least_load.LeastLoad()
         self._placer = placers.Placer(policy, self.fleet, clock)
-        self._runner = life.RequestRunner(
+        self.runner = life.RequestRunner(
             settings.instance,
             self.fleet,
             self._placer,
             clock,
         )
+        self.answers = request_answers.Answers(self.runner, clock)
 
     async def on_start(self) -> None:
         """Starts the parts, those that others need first."""
         await self.add_runtime_dependency(self.configuration)
         await self.add_runtime_dependency(self.fleet)
+        await self.add_runtime_dependency(self.answers)
 
     def answer(
         self, request: model_request.ModelRequest
     ) -> AsyncIterator[model_request.Event]:
-        """Answers a model request; see ``life.RequestRunner.run``."""
-        return self._runner.run(request)
+        """Answers a model request; see ``answers.Answers.answer``."""
+        return self.answers.answer(request)
 
 
 class Entry(mode.Service):
--- a/src/jujubewharf/requests/life.py
+++ b/src/jujubewharf/requests/life.py
@@ -1,39 +1,57 @@
-"""One model request, written straight down: place, reserve, read, write.
+"""One model request, written straight down: place, attempt, try again.
 
-Every way out of an attempt goes through its ``release``, so an engine's
-memory is never left with a request whose caller or engine is gone.
+Every way out of an attempt releases what it holds (see ``attempt``), so an
+engine's memory is never left with a request whose caller or engine is gone.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
+import random
+import zlib
 
 import structlog
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
-from jujubewharf import hashing
-from jujubewharf.configuration import resources
 from jujubewharf.engines import client
 from jujubewharf.engines import prefixes
+from jujubewharf.requests import answer as answers
+from jujubewharf.requests import attempt as attempts
+from jujubewharf.requests import counters as request_counters
 from jujubewharf.requests import model_request
+from jujubewharf.requests import releases
+from jujubewharf.requests import retries
 from jujubewharf.routing import fleet as fleets
 from jujubewharf.routing import jobs
 from jujubewharf.routing import placer as placers
 
-_MAX_ATTEMPTS = 4
+_COME_BACK_MS = 1_000.0
 
 
-@dataclasses.dataclass(slots=True)
-class _Progress:
-    """What the caller has so far."""
+async def _nothing() -> None:
+    return None
 
-    texts: list[str] = dataclasses.field(default_factory=list)
-    attempts: int = 0
-    has_run: bool = False
-    excluded: frozenset[str] = frozenset()
+
+def _ignore(attempt_id: str, engines: tuple[str, ...]) -> None:
+    return None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hooks:
+    """What the owner of an answer is told or asked during its life.
+
+    Attributes:
+        on_dispatch: Told an attempt and its engines before decode.
+        confirm: Awaited before a further attempt; raises when the request
+            has been taken over by another instance.
+    """
+
+    on_dispatch: attempts.OnDispatch = _ignore
+    confirm: Callable[[], Awaitable[None]] = _nothing
 
 
 class RequestRunner:
@@ -44,6 +62,10 @@
         fleet: Views of the engines.
         placer: Finds places for requests.
         clock: Time.
+
+    Attributes:
+        counters: Counts what happens to requests.
+        releaser: Gives memory back and knows the living attempts.
     """
 
     def __init__(
@@ -53,122 +75,89 @@
         placer: placers.Placer,
         clock: clocks.Clock,
     ) -> None:
-        self._instance = instance
-        self._fleet = fleet
+        self.counters = request_counters.Counters()
+        self._rng = random.Random(zlib.crc32(instance.encode()))
+        self.releaser = releases.Releaser(
+            fleet, clock, self.counters, self._rng
+        )
+        self._tools = attempts.Tools(
+            instance, fleet, placer, clock, self.releaser, self.counters
+        )
         self._placer = placer
         self._clock = clock
+        self._budget = retries.RetryBudget()
         self._logger = structlog.get_logger()
-        self._cleanups: set[asyncio.Task[None]] = set()
+
+    @property
+    def counts(self) -> request_counters.Counts:
+        """Plain totals since the start."""
+        return self.counters.counts
 
     async def run(
-        self, request: model_request.ModelRequest
-    ) -> AsyncIterator[model_request.Event]:
-        """Answers a request; the last event is ``Finished`` or ``Failed``."""
-        progress = _Progress()
+        self,
+        request: model_request.ModelRequest,
+        answer: answers.Answer,
+        hooks: Hooks = Hooks(),
+    ) -> None:
+        """Answers a request; the answer has an end afterwards, always."""
+        progress = attempts.Progress(answer)
+        self._budget.accepted(request.service)
+        deadline_at_ms = request.arrived_ms + request.deadline_ms
+        left_ms = deadline_at_ms - self._clock.now_ms()
         try:
-            async with self._clock.timeout_ms(request.deadline_ms):
-                async for event in self._attempts(request, progress):
-                    yield event
+            async with self._clock.timeout_ms(left_ms):
+                attempt_id = await self._attempts(request, progress, hooks)
+            self._finish(request, answer, attempt_id)
         except TimeoutError:
             kind = errors.ErrorKind.DEADLINE_EXCEEDED
-            yield self._failed(kind, progress)
+            self._fail(errors.WharfError(kind), request, progress)
         except errors.WharfError as error:
-            yield self._failed(
-                error.kind, progress, retry_after_ms=error.retry_after_ms
-            )
+            self._fail(error, request, progress)
+        except asyncio.CancelledError:
+            kind = errors.ErrorKind.CANCELLED
+            self._fail(errors.WharfError(kind), request, progress)
+            raise
+        except Exception:
+            self._logger.exception("request_crashed", id=request.request_id)
+            kind = errors.ErrorKind.INTERNAL
+            self._fail(errors.WharfError(kind), request, progress)
 
     async def _attempts(
-        self, request: model_request.ModelRequest, progress: _Progress
-    ) -> AsyncIterator[model_request.Event]:
-        while True:
-            job = self._job(request, progress)
-            try:
-                async with self._placer.placed(job) as choice:
-                    async for event in self._attempt(request, progress, choice):
-                        yield event
-                return
-            except client.EngineError as error:
-                self._after_failure(request, progress, error)
-
-    async def _attempt(
         self,
         request: model_request.ModelRequest,
-        progress: _Progress,
-        choice: jobs.Choice,
-    ) -> AsyncIterator[model_request.Event]:
-        progress.attempts += 1
-        attempt = client.Attempt(
-            f"{request.request_id}.{progress.attempts}", self._instance
-        )
-        assert choice.decode is not None
-        try:
-            decode = self._view(choice.decode)
-            await self._clock.sleep_until_ms(choice.reserve_at_ms)
-            progress.has_run = True
-            await decode.client.reserve(attempt)
-            if choice.prefill is not None and not progress.texts:
-                await self._clock.sleep_until_ms(choice.prefill_at_ms)
-                await self._read_prompt(request, choice.prefill, attempt)
-                await decode.client.import_kv(attempt, choice.prefill.address)
-            async for event in self._write(request, progress, decode, attempt):
-                yield event
-        finally:
-            self._clean_up(attempt, choice)
-
-    async def _read_prompt(
-        self,
-        request: model_request.ModelRequest,
-        prefill: resources.Endpoint,
-        attempt: client.Attempt,
-    ) -> None:
-        job = client.PrefillJob(
-            request.service.model, request.prompt, request.priority
-        )
-        await self._view(prefill).client.prefill(attempt, job)
+        progress: attempts.Progress,
+        hooks: Hooks,
+    ) -> str:
+        backoff = retries.Backoff(self._rng)
+        first_job = _job(request)
 
-    def _view(self, endpoint: resources.Endpoint) -> fleets.EngineView:
-        view = self._fleet.view(endpoint.name)
-        if view is None:
-            fault = client.EngineFault.UNREACHABLE
-            raise client.EngineError(fault, endpoint.name)
-        return view
+        def make_job() -> jobs.Job:
+            return dataclasses.replace(
+                first_job,
+                first_index=len(progress.answer.texts),
+                excluded=progress.exclusions.at(self._clock.now_ms()),
+            )
 
-    async def _write(
-        self,
-        request: model_request.ModelRequest,
-        progress: _Progress,
-        view: fleets.EngineView,
-        attempt: client.Attempt,
-    ) -> AsyncIterator[model_request.Event]:
-        job = client.DecodeJob(
-            model=request.service.model,
-            prompt=request.prompt,
-            max_tokens=request.max_tokens,
-            first_index=len(progress.texts),
-            delivered=tuple(progress.texts),
-            priority=request.priority,
-        )
-        async for chunk in view.client.decode(attempt, job):
-            if chunk.first_index != len(progress.texts):
-                fault = client.EngineFault.LOST
-                raise client.EngineError(fault, view.endpoint.name)
-            if chunk.tokens:
-                progress.texts.extend(chunk.tokens)
-                yield model_request.Tokens(chunk.first_index, chunk.tokens)
-            if chunk.is_last:
-                whole = "".join(progress.texts).encode()
-                yield model_request.Finished(
-                    len(progress.texts),
-                    hashing.digest(whole),
-                    attempt.attempt_id,
-                )
-                return
-        raise client.EngineError(client.EngineFault.LOST, view.endpoint.name)
+        while True:
+            progress.attempts += 1
+            attempt = attempts.AttemptRun(
+                self._tools, request, progress, make_job, hooks.on_dispatch
+            )
+            try:
+                async with self._placer.placed(make_job()) as choice:
+                    await attempt.run(choice)
+                return attempt.attempt_id
+            except client.EngineError as error:
+                self._after_failure(request, progress, error)
+                await self._clock.sleep_ms(backoff.next_ms())
+                await hooks.confirm()
+            except errors.WharfError as error:
+                await self._wait_for_excluded(error, progress)
 
     def _after_failure(
         self,
         request: model_request.ModelRequest,
-        progress: _Progress,
+        progress: attempts.Progress,
         error: client.EngineError,
     ) -> None:
         self._logger.info(
@@ -179,67 +168,95 @@
             fault=error.fault.value,
         )
         self._placer.failed(error.engine, error.fault)
-        if progress.has_run and not request.is_repeatable:
+        progress.exclusions.add(error, self._clock.now_ms())
+        is_dispatched = progress.dispatch is not attempts.Dispatch.NO
+        if is_dispatched and not request.is_repeatable:
             raise errors.WharfError(errors.ErrorKind.OUTCOME_UNKNOWN)
-        if progress.attempts >= _MAX_ATTEMPTS:
-            raise errors.WharfError(errors.ErrorKind.ENGINE_FAILED)
-        if error.engine:
-            progress.excluded |= {error.engine}
-
-    def _clean_up(self, attempt: client.Attempt, choice: jobs.Choice) -> None:
-        for endpoint in (choice.decode, choice.prefill):
-            if endpoint is None:
-                continue
-            task = asyncio.create_task(self._release(attempt, endpoint))
-            self._cleanups.add(task)
-            task.add_done_callback(self._cleanups.discard)
-
-    async def _release(
-        self, attempt: client.Attempt, endpoint: resources.Endpoint
+        if progress.attempts >= retries.MAX_ATTEMPTS:
+            raise self._given_up(error)
+        # A refusal cost the engines nothing, so it takes no retry budget.
+        was_refused = error.fault in retries.DID_NOTHING
+        if not was_refused and not self._budget.take(request.service):
+            raise self._given_up(error)
+        self.counters.retried(error.fault.value)
+
+    def _given_up(self, error: client.EngineError) -> errors.WharfError:
+        return errors.WharfError(
+            errors.ErrorKind.ENGINE_FAILED,
+            error.fault.value,
+            retry_after_ms=_COME_BACK_MS,
+        )
+
+    async def _wait_for_excluded(
+        self, error: errors.WharfError, progress: attempts.Progress
     ) -> None:
-        view = self._fleet.view(endpoint.name)
-        if view is None:
-            return
-        try:
-            await view.client.release(attempt.attempt_id)
-        except client.EngineError as error:
-            self._logger.info(
-                "release_failed",
-                attempt=attempt.attempt_id,
-                engine=endpoint.name,
-                fault=error.fault.value,
-            )
+        """Waits when nothing fits only because engines are excluded."""
+        now_ms = self._clock.now_ms()
+        lapse_ms = progress.exclusions.next_lapse_ms(now_ms)
+        is_none_fitting = error.kind is errors.ErrorKind.NO_FITTING_ENGINE
+        is_spent = progress.attempts >= retries.MAX_ATTEMPTS
+        if not is_none_fitting or lapse_ms is None or is_spent:
+            raise error
+        await self._clock.sleep_until_ms(lapse_ms)
 
-    def _job(
-        self, request: model_request.ModelRequest, progress: _Progress
-    ) -> jobs.Job:
+    def _finish(
+        self,
+        request: model_request.ModelRequest,
+        answer: answers.Answer,
+        attempt_id: str,
+    ) -> None:
         service = request.service
-        return jobs.Job(
-            service=service,
-            prompt_tokens=len(prefixes.tokens_of(request.prompt)),
-            max_tokens=request.max_tokens,
-            prefix_hashes=prefixes.prefix_hashes(request.prompt),
-            arrived_ms=request.arrived_ms,
-            first_answer_by_ms=(
-                request.arrived_ms + service.first_answer_target_ms
-            ),
-            complete_by_ms=request.arrived_ms + service.completion_target_ms,
-            deadline_at_ms=request.arrived_ms + request.deadline_ms,
-            priority=request.priority,
-            first_index=len(progress.texts),
-            excluded=progress.excluded,
-        )
+        arrived_ms = request.arrived_ms
+        first_ms = answer.first_token_ms or self._clock.now_ms()
+        is_first_good = first_ms - arrived_ms <= service.first_answer_target_ms
+        took_ms = self._clock.now_ms() - arrived_ms
+        is_whole_good = took_ms <= service.completion_target_ms
+        self.counters.finished(within_targets=is_first_good and is_whole_good)
+        count = len(answer.texts)
+        answer.finish(model_request.Finished(count, answer.digest, attempt_id))
 
-    def _failed(
+    def _fail(
         self,
-        kind: errors.ErrorKind,
-        progress: _Progress,
-        *,
-        retry_after_ms: float | None = None,
-    ) -> model_request.Failed:
-        ran = errors.TABLE[kind].ran
-        if ran is errors.Ran.YES and not progress.has_run:
-            ran = errors.Ran.NO
-        elif ran is errors.Ran.NO and progress.has_run:
-            ran = errors.Ran.YES
-        return model_request.Failed(kind, ran, retry_after_ms=retry_after_ms)
+        error: errors.WharfError,
+        request: model_request.ModelRequest,
+        progress: attempts.Progress,
+    ) -> None:
+        self.counters.refused(error.kind.value)
+        progress.answer.finish(
+            model_request.Failed(
+                error.kind,
+                ran_of(error, progress.dispatch),
+                error.detail,
+                retry_after_ms=error.retry_after_ms,
+            )
+        )
+
+
+def _job(request: model_request.ModelRequest) -> jobs.Job:
+    service = request.service
+    return jobs.Job(
+        service=service,
+        prompt_tokens=len(prefixes.tokens_of(request.prompt)),
+        max_tokens=request.max_tokens,
+        prefix_hashes=prefixes.prefix_hashes(request.prompt),
+        arrived_ms=request.arrived_ms,
+        first_answer_by_ms=(
+            request.arrived_ms + service.first_answer_target_ms
+        ),
+        complete_by_ms=request.arrived_ms + service.completion_target_ms,
+        deadline_at_ms=request.arrived_ms + request.deadline_ms,
+        priority=request.priority,
+    )
+
+
+def ran_of(error: errors.WharfError, dispatch: attempts.Dispatch) -> errors.Ran:
+    """What may be said of a failed request: "no" only when it is certain."""
+    match dispatch:
+        case attempts.Dispatch.NO:
+            return errors.Ran.NO
+        case attempts.Dispatch.MAYBE:
+            return errors.Ran.UNKNOWN
+        case attempts.Dispatch.YES:
+            if error.ran is errors.Ran.UNKNOWN:
+                return errors.Ran.UNKNOWN
+            return errors.Ran.YES
