--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -24,17 +24,21 @@
 from jujubewharf.engines import endpoint_client
 from jujubewharf.engines import http as engine_http
 from jujubewharf.engines import http_endpoint
+from jujubewharf.membership import membership as memberships
 from jujubewharf.operators import server as operator_server
 from jujubewharf.operators import service as operator_service
+from jujubewharf.peers import mesh
+from jujubewharf.peers import peer
 from jujubewharf.peers import streams
 from jujubewharf.platform import http_log
 from jujubewharf.platform import live_list
 from jujubewharf.platform import log
 from jujubewharf.platform import weights
+from jujubewharf.requests import answers as request_answers
 from jujubewharf.requests import life
 from jujubewharf.requests import model_request
+from jujubewharf.routing import baselines
 from jujubewharf.routing import fleet as fleets
-from jujubewharf.routing import least_load
 from jujubewharf.routing import placer as placers
 from jujubewharf.routing import policy as policies
 from jujubewharf.settings import models
@@ -74,6 +78,10 @@
         configuration: Configuration in force here.
         fleet: Views of the engines.
         operators: Answers operators.
+        peers: Links to the other instances.
+        membership: Who they are.
+        runner: Runs model requests, and counts.
+        answers: All answers of this instance.
     """
 
     def __init__(
@@ -88,6 +96,24 @@
         self.settings = settings
         self.clock = clock
         self.adapters = adapters
+        timing = peer.Timing(
+            settings.peers.heartbeat_ms, settings.peers.suspect_after_ms
+        )
+        self.peers = mesh.PeerMesh(
+            settings.instance,
+            settings.domain,
+            clock,
+            adapters.transport,
+            timing=timing,
+        )
+        self.membership = memberships.Membership(
+            self.peers,
+            settings.domain,
+            adapters.live_list,
+            clock,
+            timing=timing,
+            poll_ms=settings.platform.live_list_poll_ms,
+        )
         self.configuration = follower.ConfigurationFollower(
             adapters.log, clock, wait_ms=settings.platform.log_wait_ms
         )
@@ -95,25 +121,29 @@
         self.configuration.listen(self.fleet.on_configuration)
         self.operators = operator_service.OperatorService(self)
         if policy is None:
-            policy = least_load.LeastLoad()
+            policy = baselines.LeastLoad()
         self._placer = placers.Placer(policy, self.fleet, clock)
-        self._runner = life.RequestRunner(
+        self.runner = life.RequestRunner(
             settings.instance,
             self.fleet,
             self._placer,
             clock,
         )
+        self.answers = request_answers.Answers(self.runner, clock)
 
     async def on_start(self) -> None:
         """Starts the parts, those that others need first."""
+        await self.add_runtime_dependency(self.peers)
+        await self.add_runtime_dependency(self.membership)
         await self.add_runtime_dependency(self.configuration)
         await self.add_runtime_dependency(self.fleet)
+        await self.add_runtime_dependency(self.answers)
 
     def answer(
         self, request: model_request.ModelRequest
     ) -> AsyncIterator[model_request.Event]:
-        """Answers a model request; see ``life.RequestRunner.run``."""
-        return self._runner.run(request)
+        """Answers a model request; see ``answers.Answers.answer``."""
+        return self.answers.answer(request)
 
 
 class Entry(mode.Service):
--- a/tests/operators/deployments.py
+++ b/tests/operators/deployments.py
@@ -15,6 +15,7 @@
 from jujubewharf.settings import models
 from jujubewharf.standins import engine as engines
 
+_NOWHERE = "http://127.0.0.1:9"
 BOOTSTRAP_TOKEN = "bootstrap-token"
 
 SERVICE = resources.Service(
@@ -77,7 +78,16 @@
 def core_settings() -> dict[str, object]:
     """Settings under which the bootstrap token is valid."""
     digest = identities.token_sha256(BOOTSTRAP_TOKEN)
-    return {"operators": {"bootstrap_token_sha256": digest}}
+    platform = {
+        "log_url": _NOWHERE,
+        "live_list_url": _NOWHERE,
+        "weight_store_url": _NOWHERE,
+        "log_wait_ms": 50,
+    }
+    return {
+        "operators": {"bootstrap_token_sha256": digest},
+        "platform": platform,
+    }
 
 
 @contextlib.asynccontextmanager
