Caller edge checked and bounded, limits, plain services with retries

Cause: the edge took any body at any pace, knew no accounts, answered unknown paths in plain text; plain calls went to the next endpoint whatever its state, and aiohttp by itself sent PUT and DELETE a second time.

--- a/src/jujubewharf/callers/edge.py
+++ b/src/jujubewharf/callers/edge.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from aiohttp import web
 import mode
@@ -13,10 +14,17 @@
 from jujubewharf.callers import answers
 from jujubewharf.callers import completions
 from jujubewharf.callers import plain
+from jujubewharf.callers import server
 from jujubewharf.settings import models
 
+if TYPE_CHECKING:
+    from jujubewharf.callers import readiness as readinesses
+
 _Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
+_READY_STATUS = {True: 200, False: 503}
+_PROBES = frozenset({"/healthz", "/readyz"})
+
 
 class CallerEdge(mode.Service):
     """Serves callers.
@@ -25,9 +33,11 @@
         settings: Where to listen, and bounds.
         model_paths: Handlers of model requests.
         plain_paths: Handler of plain requests.
+        readiness: Whether requests are taken.
 
     Attributes:
         port: Port listened on, once started.
+        readiness: Whether requests are taken.
     """
 
     def __init__(
@@ -35,18 +45,25 @@
         settings: models.CallerSettings,
         model_paths: completions.Completions,
         plain_paths: plain.PlainServices,
+        readiness: readinesses.Readiness,
     ) -> None:
         super().__init__()
         self.port = settings.port
+        self.readiness = readiness
         self._settings = settings
         self._app = web.Application(
-            client_max_size=settings.max_body_bytes,
-            middlewares=[_answer_errors],
+            middlewares=[_answer_errors, self._check_readiness]
         )
         self._app.router.add_get("/healthz", _healthz)
+        self._app.router.add_get("/readyz", self._readyz)
         model_paths.add_to(self._app)
         plain_paths.add_to(self._app)
-        self._runner = web.AppRunner(self._app, handler_cancellation=True)
+        self._runner = server.JsonErrorRunner(
+            self._app,
+            handler_cancellation=True,
+            auto_decompress=False,
+            access_log=None,
+        )
 
     async def on_start(self) -> None:
         """Starts listening."""
@@ -61,6 +78,19 @@
         """Stops listening and ends open requests."""
         await self._runner.cleanup()
 
+    async def _readyz(self, request: web.Request) -> web.Response:
+        is_ready = self.readiness.is_ready
+        body = {"status": "ready" if is_ready else "not ready"}
+        return web.json_response(body, status=_READY_STATUS[is_ready])
+
+    @web.middleware
+    async def _check_readiness(
+        self, request: web.Request, handler: _Handler
+    ) -> web.StreamResponse:
+        if request.path not in _PROBES:
+            self.readiness.check()
+        return await handler(request)
+
 
 async def _healthz(request: web.Request) -> web.Response:
     return web.json_response({"status": "ok"})
@@ -73,16 +103,14 @@
     try:
         return await handler(request)
     except errors.WharfError as error:
-        return answers.error_response(
-            error.kind,
-            error.ran,
-            error.detail,
-            retry_after_ms=error.retry_after_ms,
-        )
-    except web.HTTPRequestEntityTooLarge:
-        kind = errors.ErrorKind.BODY_TOO_LARGE
+        return answers.response_to(error)
+    except web.HTTPNotFound:
+        kind = errors.ErrorKind.UNKNOWN_RESOURCE
         return answers.error_response(kind, errors.Ran.NO)
-    except web.HTTPException:
+    except web.HTTPException as error:
+        kind = errors.ErrorKind.BAD_REQUEST
+        return answers.error_response(kind, errors.Ran.NO, error.reason)
+    except ConnectionError:
         raise
     except Exception:
         structlog.get_logger().exception("request_crashed")
--- /dev/null
+++ b/src/jujubewharf/callers/event_stream.py
@@ -0,0 +1,124 @@
+"""A streamed answer: server-sent events, numbered by token."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from collections.abc import Mapping
+import json
+
+from aiohttp import web
+
+from jujubewharf import errors
+from jujubewharf.callers import answers
+from jujubewharf.callers import shapes
+from jujubewharf.requests import model_request
+
+_DONE = b"data: [DONE]\n\n"
+_CONTENT_TYPE = "text/event-stream"
+
+
+class EventStream:
+    """Sends one answer to one caller.
+
+    The id of an event is the number of the next token, so a caller that sends
+    the last id it saw as ``Last-Event-ID`` goes on without a gap or a repeat.
+
+    Args:
+        request: The caller's HTTP request.
+        shape: Bodies of the events.
+        headers: Headers of the answer.
+        resume_from: Tokens that the caller has already.
+        usage: Told at the end; ``None`` leaves it out.
+    """
+
+    def __init__(
+        self,
+        request: web.Request,
+        shape: shapes.TextShape,
+        headers: Mapping[str, str],
+        *,
+        resume_from: int = 0,
+        prompt_tokens: int | None = None,
+    ) -> None:
+        self._request = request
+        self._shape = shape
+        self._headers = headers
+        self._next_index = resume_from
+        self._prompt_tokens = prompt_tokens
+        self._is_first = True
+        self._response = web.StreamResponse(
+            headers={
+                **headers,
+                "Content-Type": _CONTENT_TYPE,
+                "Cache-Control": "no-cache",
+            }
+        )
+
+    async def send(
+        self, events: AsyncIterator[model_request.Event]
+    ) -> web.StreamResponse:
+        """Sends the events; the first decides on the status."""
+        async for event in events:
+            match event:
+                case model_request.Tokens():
+                    await self._send_tokens(event)
+                case model_request.Finished():
+                    await self._finish(event)
+                    return self._response
+                case model_request.Failed():
+                    return await self._fail(event)
+        return await self._fail(_BROKEN)
+
+    async def _send_tokens(self, event: model_request.Tokens) -> None:
+        fresh = event.texts[max(0, self._next_index - event.first_index) :]
+        if not fresh:
+            return
+        self._next_index = event.first_index + len(event.texts)
+        body = self._shape.chunk("".join(fresh), is_first=self._is_first)
+        self._is_first = False
+        await self._write(body)
+
+    async def _finish(self, event: model_request.Finished) -> None:
+        await self._write(self._shape.last_chunk(event))
+        if self._prompt_tokens is not None:
+            usage = shapes.Usage(self._prompt_tokens, event.count)
+            await self._write(self._shape.usage_chunk(usage))
+        await self._response.write(_DONE)
+
+    async def _fail(self, event: model_request.Failed) -> web.StreamResponse:
+        if not self._response.prepared:
+            return answers.failed_response(event, self._headers)
+        body = answers.error_body(event.kind, event.ran, event.detail)
+        answers.count(event.kind)
+        await self._response.write(b"event: error\n" + _data(body))
+        self._cut()
+        return self._response
+
+    def _cut(self) -> None:
+        """Closes the connection before the body's end.
+
+        A body that ends in order would be taken for a whole answer by a
+        client that doesn't know error events; one that breaks off is an error
+        to every HTTP client. What was written is still sent.
+        """
+        transport = self._request.transport
+        if transport is not None:
+            transport.close()
+
+    async def _write(self, body: shapes.Json) -> None:
+        if not self._response.prepared:
+            await self._response.prepare(self._request)
+        event_id = f"id: {self._next_index}\n".encode()
+        await self._response.write(event_id + _data(body))
+
+
+_BROKEN = model_request.Failed(
+    errors.ErrorKind.INTERNAL,
+    errors.Ran.UNKNOWN,
+    "The answer ended without an end.",
+)
+
+
+def _data(body: Mapping[str, object]) -> bytes:
+    text = json.dumps(body, separators=(",", ":"))
+    return f"data: {text}\n\n".encode()
--- a/src/jujubewharf/callers/plain.py
+++ b/src/jujubewharf/callers/plain.py
@@ -2,110 +2,176 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
-import uuid
 
 from aiohttp import web
+import structlog
 
+from jujubewharf import clock as clocks
 from jujubewharf import errors
+from jujubewharf.callers import accounts
+from jujubewharf.callers import answers
+from jujubewharf.callers import bodies
+from jujubewharf.callers import marks as caller_marks
+from jujubewharf.callers import shapes
 from jujubewharf.configuration import resources
-from jujubewharf.engines import client
 from jujubewharf.engines import endpoint_client
-from jujubewharf.engines import http_endpoint
+from jujubewharf.requests import plain
+from jujubewharf.settings import models
 
 if TYPE_CHECKING:
     from jujubewharf import entry
 
+# What concerns one connection only (RFC 9110, section 7.6.1), what the next
+# connection sets anew, and the caller's token, which is for this system.
 _HOP_HEADERS = frozenset(
     {
-        "host",
+        "authorization",
         "connection",
+        "expect",
+        "host",
         "keep-alive",
-        "transfer-encoding",
-        "content-length",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
         "te",
+        "trailer",
+        "transfer-encoding",
         "upgrade",
-        "authorization",
+        caller_marks.ATTEMPT_HEADER.lower(),
+        caller_marks.REQUEST_HEADER.lower(),
     }
 )
-_CHUNK_BYTES = 65_536
+_IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+
+Headers = tuple[tuple[str, str], ...]
 
 
 class PlainServices:
     """The handler of plain requests.
 
     Args:
-        core: Knows the configuration and how to call endpoints.
+        core: Knows the configuration and calls endpoints.
+        clock: Time.
+        settings: Bounds of bodies.
+        new_id: Mints request ids.
     """
 
-    def __init__(self, core: entry.EntryCore) -> None:
+    def __init__(
+        self,
+        core: entry.EntryCore,
+        clock: clocks.Clock,
+        settings: models.CallerSettings,
+        *,
+        new_id: Callable[[], str] = shapes.new_request_id,
+    ) -> None:
         self._core = core
-        self._turn = 0
+        self._clock = clock
+        self._settings = settings
+        self._new_id = new_id
 
     def add_to(self, app: web.Application) -> None:
         """Adds the route."""
         app.router.add_route("*", "/s/{service}/{path:.*}", self._handle)
 
     async def _handle(self, request: web.Request) -> web.StreamResponse:
-        service = request.match_info["service"]
-        endpoint = self._endpoint(service)
-        body = request.content.iter_chunked(_CHUNK_BYTES)
-        call = endpoint_client.PlainCall(
-            request_id=uuid.uuid4().hex,
+        wanted = self._request(request)
+        with structlog.contextvars.bound_contextvars(request=wanted.request_id):
+            return await self._pass_on(request, wanted)
+
+    def _request(self, request: web.Request) -> plain.PlainRequest:
+        arrived_ms = self._clock.now_ms()
+        account = self._core.accounts.identify(request.headers)
+        marks = caller_marks.Marks.from_headers(request.headers)
+        service = self._service(request.match_info["service"])
+        accounts.check_service(account, service)
+        if (request.content_length or 0) > self._settings.max_plain_body_bytes:
+            raise errors.WharfError(errors.ErrorKind.BODY_TOO_LARGE)
+        body = bodies.chunks(
+            request.content,
+            self._clock,
+            max_bytes=self._settings.max_plain_body_bytes,
+            timeout_ms=self._settings.body_timeout_ms,
+        )
+        prefix = f"/s/{request.match_info['service']}"
+        return plain.PlainRequest(
+            request_id=self._new_id(),
+            service=service,
             method=request.method,
-            path_query=request.path_qs.removeprefix(f"/s/{service}"),
+            path_query=request.rel_url.raw_path_qs.removeprefix(prefix),
+            arrived_ms=arrived_ms,
+            deadline_ms=marks.deadline_ms or service.deadline_ms,
             headers=_end_to_end(request.headers.items()),
-            body=aiter(body) if request.can_read_body else None,
+            body=body if request.can_read_body else None,
+            account=accounts.name_of(account),
+            key=marks.key,
+            priority=accounts.capped_priority(account, marks.priority or 0),
+            is_repeatable=_is_repeatable(request.method, marks, service),
         )
-        try:
-            return await self._pass_on(request, endpoint, call)
-        except client.EngineError as error:
-            kind = errors.ErrorKind.ENDPOINT_FAILED
-            if error.fault is client.EngineFault.UNREACHABLE:
-                kind = errors.ErrorKind.NO_FITTING_ENGINE
-            raise errors.WharfError(kind) from error
 
     async def _pass_on(
-        self,
-        request: web.Request,
-        endpoint: resources.Endpoint,
-        call: endpoint_client.PlainCall,
+        self, request: web.Request, wanted: plain.PlainRequest
     ) -> web.StreamResponse:
-        endpoints = self._core.adapters.endpoints
-        async with endpoints.call(endpoint, call) as reply:
-            response = web.StreamResponse(status=reply.status)
-            for name, value in _end_to_end(reply.headers):
-                response.headers.add(name, value)
-            response.headers[http_endpoint.REQUEST_HEADER] = call.request_id
-            await response.prepare(request)
-            async for chunk in reply.body:
-                await response.write(chunk)
-            return response
-
-    def _endpoint(self, service: str) -> resources.Endpoint:
+        response: web.StreamResponse | None = None
+        try:
+            async with self._core.call_plain(wanted) as reply:
+                response = _response(reply, wanted)
+                await response.prepare(request)
+                async for chunk in reply.body:
+                    await response.write(chunk)
+        except errors.WharfError as error:
+            if response is None:
+                return answers.response_to(error)
+            # The status is out already. A body that ended in order would be
+            # taken for whole, so the connection is cut before its end.
+            answers.count(error.kind)
+            if request.transport is not None:
+                request.transport.close()
+        assert response is not None
+        return response
+
+    def _service(self, name: str) -> resources.Service:
         state = self._core.configuration.current
-        if state.get(resources.Kind.SERVICE, service) is None:
-            raise errors.WharfError(errors.ErrorKind.UNKNOWN_SERVICE, service)
-        endpoints = [
-            entry.resource
-            for entry in state.of_kind(resources.Kind.ENDPOINT)
-            if isinstance(entry.resource, resources.Endpoint)
-            and entry.resource.service == service
-            and entry.resource.role is resources.Role.PLAIN
-            and not entry.resource.drained
-        ]
-        if not endpoints:
-            raise errors.WharfError(errors.ErrorKind.NO_FITTING_ENGINE)
-        self._turn += 1
-        return endpoints[self._turn % len(endpoints)]
-
-
-def _end_to_end(
-    headers: Iterable[tuple[str, str]],
-) -> tuple[tuple[str, str], ...]:
+        entry = state.get(resources.Kind.SERVICE, name)
+        if entry is None:
+            raise errors.WharfError(errors.ErrorKind.UNKNOWN_SERVICE)
+        service = entry.resource
+        assert isinstance(service, resources.Service)
+        if service.kind is not resources.ServiceKind.PLAIN:
+            raise errors.WharfError(errors.ErrorKind.UNKNOWN_SERVICE)
+        return service
+
+
+def _is_repeatable(
+    method: str, marks: caller_marks.Marks, service: resources.Service
+) -> bool:
+    if marks.is_repeatable is not None:
+        return marks.is_repeatable
+    return method in _IDEMPOTENT_METHODS or service.repeatable
+
+
+def _response(
+    reply: endpoint_client.PlainReply, wanted: plain.PlainRequest
+) -> web.StreamResponse:
+    response = web.StreamResponse(status=reply.status)
+    for name, value in _end_to_end(reply.headers):
+        response.headers.add(name, value)
+    response.headers[caller_marks.REQUEST_HEADER] = wanted.request_id
+    return response
+
+
+def _end_to_end(headers: Iterable[tuple[str, str]]) -> Headers:
+    items = tuple(headers)
+    named = {
+        token.strip().lower()
+        for name, value in items
+        if name.lower() == "connection"
+        for token in value.split(",")
+    }
     return tuple(
         (name, value)
-        for name, value in headers
-        if name.lower() not in _HOP_HEADERS
+        for name, value in items
+        if name.lower() not in _HOP_HEADERS and name.lower() not in named
     )
--- a/src/jujubewharf/engines/http.py
+++ b/src/jujubewharf/engines/http.py
@@ -17,7 +17,10 @@
 _CHUNK_TIMEOUT_MS = 10_000.0
 _OK = 200
 
-_CONNECT_ERRORS = (aiohttp.ClientConnectorError,)
+_CONNECT_ERRORS = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
 _STREAM_ERRORS = (aiohttp.ClientError, TimeoutError, ValueError)
 
 
--- a/src/jujubewharf/engines/http_endpoint.py
+++ b/src/jujubewharf/engines/http_endpoint.py
@@ -6,17 +6,53 @@
 import contextlib
 
 import aiohttp
+import yarl
 
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
 from jujubewharf.engines import endpoint_client
 
 REQUEST_HEADER = "X-Request-Id"
+CONNECT_TIMEOUT_S = 1.0
 _CHUNK_BYTES = 65_536
+# aiohttp adds these when the caller gave none; an endpoint would then
+# compress an answer for a caller that can't read it.
+_NOT_ADDED = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
+
+_CONNECT_ERRORS = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
+
+
+class _SendOnce:
+    """Client middleware that lets a call go out one time.
+
+    aiohttp by itself sends GET, PUT and DELETE again when the connection
+    breaks before an answer. A call that may not be repeated would run twice,
+    and nobody here would know; so the second sending is stopped, and retries
+    are left to ``requests.plain``.
+    """
+
+    def __init__(self) -> None:
+        self._was_sent = False
+
+    async def __call__(
+        self, request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+    ) -> aiohttp.ClientResponse:
+        if self._was_sent:
+            raise aiohttp.ServerDisconnectedError
+        self._was_sent = True
+        return await handler(request)
 
 
 class HttpEndpointClient:
-    """Calls endpoints over one shared client session."""
+    """Calls endpoints over one shared client session.
+
+    Args:
+        session: A session that no engine call uses, so that plain calls never
+            wait for a connection behind model requests.
+    """
 
     def __init__(self, session: aiohttp.ClientSession) -> None:
         self._session = session
@@ -28,16 +64,35 @@
         """Sends a call; see ``endpoint_client.EndpointClient``."""
         url = f"http://{endpoint.address}/{call.path_query.lstrip('/')}"
         headers = [*call.headers, (REQUEST_HEADER, call.request_id)]
+        upstream = await self._send(endpoint, call, url, headers)
+        # Only sending is guarded: an error thrown in at the yield is of the
+        # block's own making, as when the caller's connection breaks, and says
+        # nothing about the endpoint.
+        async with upstream:
+            yield endpoint_client.PlainReply(
+                status=upstream.status,
+                headers=tuple(upstream.headers.items()),
+                body=_body(upstream, endpoint.name),
+            )
+
+    async def _send(
+        self,
+        endpoint: resources.Endpoint,
+        call: endpoint_client.PlainCall,
+        url: str,
+        headers: list[tuple[str, str]],
+    ) -> aiohttp.ClientResponse:
         try:
-            async with self._session.request(
-                call.method, url, headers=headers, data=call.body
-            ) as upstream:
-                yield endpoint_client.PlainReply(
-                    status=upstream.status,
-                    headers=tuple(upstream.headers.items()),
-                    body=_body(upstream, endpoint.name),
-                )
-        except aiohttp.ClientConnectorError as error:
+            return await self._session.request(
+                call.method,
+                yarl.URL(url, encoded=True),
+                headers=headers,
+                data=call.body,
+                allow_redirects=False,
+                skip_auto_headers=_NOT_ADDED,
+                middlewares=(_SendOnce(),),
+            )
+        except _CONNECT_ERRORS as error:
             fault = client.EngineFault.UNREACHABLE
             raise client.EngineError(fault, endpoint.name) from error
         except aiohttp.ClientError as error:
--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -8,16 +8,22 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
+import contextlib
 import dataclasses
 
 import aiohttp
 import mode
 
 from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf.callers import accounts
 from jujubewharf.callers import completions
 from jujubewharf.callers import edge
-from jujubewharf.callers import plain
+from jujubewharf.callers import plain as plain_paths
+from jujubewharf.callers import readiness
 from jujubewharf.configuration import follower
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
@@ -30,12 +36,16 @@
 from jujubewharf.platform import log
 from jujubewharf.platform import weights
 from jujubewharf.requests import life
+from jujubewharf.requests import limits
 from jujubewharf.requests import model_request
+from jujubewharf.requests import plain
+from jujubewharf.requests import plain_endpoints
 from jujubewharf.routing import fleet as fleets
 from jujubewharf.routing import least_load
 from jujubewharf.routing import placer as placers
 from jujubewharf.routing import policy as policies
 from jujubewharf.settings import models
+from jujubewharf.telemetry import goodput
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -100,16 +110,64 @@
             clock,
         )
 
+        self.accounts = accounts.Accounts()
+        self.configuration.listen(self.accounts.on_configuration)
+        self.model_limits = limits.Limits(clock, self.accounts.get)
+        self.plain_limits = limits.Limits(clock, self.accounts.get)
+        chooser = plain_endpoints.Chooser(settings.domain, clock)
+        self.configuration.listen(chooser.on_configuration)
+        self._plain = plain.PlainRunner(adapters.endpoints, chooser, clock)
+
     async def on_start(self) -> None:
         """Starts the parts, those that others need first."""
         await self.add_runtime_dependency(self.configuration)
         await self.add_runtime_dependency(self.fleet)
 
-    def answer(
+    async def answer(
         self, request: model_request.ModelRequest
-    ) -> AsyncIterator[model_request.Event]:
+    ) -> AsyncGenerator[model_request.Event, None]:
         """Answers a model request; see ``life.RequestRunner.run``."""
-        return self._runner.run(request)
+        deadline_at_ms = request.arrived_ms + request.deadline_ms
+        watch = goodput.Stopwatch(
+            request.service, request.arrived_ms, self.clock
+        )
+        try:
+            async with (
+                self.model_limits.admitted(
+                    request.account,
+                    request.service,
+                    deadline_at_ms=deadline_at_ms,
+                    priority=request.priority,
+                ),
+                contextlib.aclosing(self._runner.run(request)) as events,
+            ):
+                async for event in events:
+                    watch.see(event)
+                    yield event
+        except errors.WharfError as error:
+            watch.ended(error.kind.value)
+            yield model_request.Failed(
+                error.kind, error.ran, error.detail, error.retry_after_ms
+            )
+        except (asyncio.CancelledError, GeneratorExit):
+            watch.ended(errors.ErrorKind.CANCELLED.value)
+            raise
+
+    @contextlib.asynccontextmanager
+    async def call_plain(
+        self, request: plain.PlainRequest
+    ) -> AsyncIterator[endpoint_client.PlainReply]:
+        """Calls a plain service; see ``plain.PlainRunner.run``."""
+        async with (
+            self.plain_limits.admitted(
+                request.account,
+                request.service,
+                deadline_at_ms=request.deadline_at_ms,
+                priority=request.priority,
+            ),
+            self._plain.run(request) as reply,
+        ):
+            yield reply
 
 
 class Entry(mode.Service):
@@ -130,34 +188,42 @@
         super().__init__()
         self._settings = settings
         self._clock = clock
-        self._session: aiohttp.ClientSession | None = None
+        self._sessions: list[aiohttp.ClientSession] = []
         self.core: EntryCore | None = None
         self.callers: edge.CallerEdge | None = None
 
     async def on_start(self) -> None:
         """Makes the adapters and starts core and edges."""
-        connector = aiohttp.TCPConnector(limit=0)
-        timeout = aiohttp.ClientTimeout(total=None)
-        self._session = aiohttp.ClientSession(
-            connector=connector, timeout=timeout, auto_decompress=False
-        )
-        self.core = EntryCore(
-            self._settings, self._clock, self._adapters(self._session)
-        )
+        self.core = EntryCore(self._settings, self._clock, self._adapters())
+        callers = self._settings.callers
         self.callers = edge.CallerEdge(
-            self._settings.callers,
-            completions.Completions(self.core, self._clock),
-            plain.PlainServices(self.core),
+            callers,
+            completions.Completions(self.core, self._clock, callers),
+            plain_paths.PlainServices(self.core, self._clock, callers),
+            readiness.Readiness(self.core.configuration.caught_up),
         )
         await self.add_runtime_dependency(self.core)
         await self.add_runtime_dependency(self.callers)
 
     async def on_shutdown(self) -> None:
-        """Closes the client session once all parts stopped."""
-        if self._session is not None:
-            await self._session.close()
+        """Closes the client sessions once all parts stopped."""
+        for session in self._sessions:
+            await session.close()
+
+    def _new_session(self) -> aiohttp.ClientSession:
+        """A connection pool of its own."""
+        session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=http_endpoint.CONNECT_TIMEOUT_S
+            ),
+            auto_decompress=False,
+        )
+        self._sessions.append(session)
+        return session
 
-    def _adapters(self, session: aiohttp.ClientSession) -> Adapters:
+    def _adapters(self) -> Adapters:
+        session = self._new_session()
         platform = self._settings.platform
         peers = self._settings.peers
 
@@ -177,6 +243,6 @@
                 platform.weight_store_url, session, self._clock
             ),
             make_engine_client=make_engine_client,
-            endpoints=http_endpoint.HttpEndpointClient(session),
+            endpoints=http_endpoint.HttpEndpointClient(self._new_session()),
             transport=streams.TcpTransport(peers.host, peers.port),
         )
--- a/src/jujubewharf/errors.py
+++ b/src/jujubewharf/errors.py
@@ -34,6 +34,7 @@
     QUEUE_FULL = "queue_full"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     NO_FITTING_ENGINE = "no_fitting_engine"
+    NOT_READY = "not_ready"
     SHUTTING_DOWN = "shutting_down"
     KEY_CONFLICT = "key_conflict"
     KEY_EXPIRED = "key_expired"
@@ -111,6 +112,9 @@
     ErrorKind.NO_FITTING_ENGINE: Answer(
         503, "UNAVAILABLE", _NO, True, "No engine fits the request now."
     ),
+    ErrorKind.NOT_READY: Answer(
+        503, "UNAVAILABLE", _NO, True, "This instance is still starting."
+    ),
     ErrorKind.SHUTTING_DOWN: Answer(
         503, "UNAVAILABLE", _NO, True, "This instance is shutting down."
     ),
--- a/src/jujubewharf/requests/life.py
+++ b/src/jujubewharf/requests/life.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
 import dataclasses
 
@@ -62,7 +63,7 @@
 
     async def run(
         self, request: model_request.ModelRequest
-    ) -> AsyncIterator[model_request.Event]:
+    ) -> AsyncGenerator[model_request.Event, None]:
         """Answers a request; the last event is ``Finished`` or ``Failed``."""
         progress = _Progress()
         try:
--- /dev/null
+++ b/src/jujubewharf/requests/limits.py
@@ -0,0 +1,286 @@
+"""Limits of accounts and services, and the queue before a service.
+
+An account's limits are totals of the whole fleet. No instance counts for the
+others, so each enforces its share: the total divided by the instances that
+are present. See ``docs/design/limits.md``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import heapq
+import math
+
+from opentelemetry import metrics
+
+from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf.configuration import resources
+
+# A balancer spreads one account's requests unevenly; a share has to take a
+# clump of them without refusing an account that is within its total.
+BURST_MS = 10_000.0
+MIN_BURST = 8.0
+MIN_IN_FLIGHT = 8
+_RETRY_IN_FLIGHT_MS = 1_000.0
+_FIRST_HOLD_MS = 1_000.0
+_HOLD_WEIGHT = 0.1
+_SWEEP_AT = 1_024
+
+AccountOf = Callable[[str], resources.Account | None]
+MemberCount = Callable[[], int]
+
+_in_flight = metrics.get_meter("jujubewharf").create_up_down_counter(
+    "jujubewharf.requests.in_flight",
+    description="Requests admitted and not yet ended, by service.",
+)
+
+
+def one_member() -> int:
+    """The member count of an instance that knows of no other."""
+    return 1
+
+
+@dataclasses.dataclass(slots=True)
+class _Bucket:
+    """A token bucket that tells when the next token comes."""
+
+    tokens: float
+    filled_at_ms: float
+
+    def fill(self, now_ms: float, rate_per_s: float, burst: float) -> None:
+        gained = (now_ms - self.filled_at_ms) * rate_per_s / clocks.MS_PER_S
+        self.tokens = min(burst, self.tokens + gained)
+        self.filled_at_ms = now_ms
+
+    def wait_ms(self, rate_per_s: float) -> float:
+        """Time until a token is there."""
+        missing = max(0.0, 1.0 - self.tokens)
+        return missing / rate_per_s * clocks.MS_PER_S
+
+
+class _AccountShare:
+    """What one account uses at this instance."""
+
+    def __init__(self, burst: float, now_ms: float) -> None:
+        self.in_flight = 0
+        self.bucket = _Bucket(burst, now_ms)
+
+
+class _ServiceGate:
+    """Requests of one service that run, and those that wait to."""
+
+    def __init__(self) -> None:
+        self.in_flight = 0
+        self.waiting: list[tuple[int, int, asyncio.Future[None]]] = []
+        self.queued = 0
+        self.hold_ms = _FIRST_HOLD_MS
+        self._turn = 0
+
+    def expected_wait_ms(self, service: resources.Service) -> float:
+        """When a request that queued now would run, at the present pace."""
+        rounds = math.ceil((self.queued + 1) / service.max_in_flight)
+        return rounds * self.hold_ms
+
+    async def wait(self, priority: int, max_in_flight: int) -> None:
+        """Waits for a place; higher priorities go first."""
+        self._turn += 1
+        place: asyncio.Future[None] = asyncio.Future()
+        heapq.heappush(self.waiting, (-priority, self._turn, place))
+        self.queued += 1
+        try:
+            await place
+        except asyncio.CancelledError:
+            if place.done() and not place.cancelled():
+                # The place was handed over in the same turn of the loop as
+                # the caller went away; nobody else would ever pass it on.
+                self.leave(max_in_flight)
+            raise
+        finally:
+            self.queued -= 1
+
+    def leave(self, max_in_flight: int) -> None:
+        """Frees a place and hands it on."""
+        self.in_flight -= 1
+        while self.waiting and self.in_flight < max_in_flight:
+            _, _, place = heapq.heappop(self.waiting)
+            if not place.done():
+                self.in_flight += 1
+                place.set_result(None)
+
+    def note_hold(self, held_ms: float) -> None:
+        """Learns how long requests hold their place."""
+        self.hold_ms += _HOLD_WEIGHT * (held_ms - self.hold_ms)
+
+
+class Limits:
+    """The limits of one kind of service at this instance.
+
+    Model and plain services have one each, so that a till never waits for a
+    report: neither a place in flight nor an account's rate is shared.
+
+    Args:
+        clock: Time.
+        account_of: Finds an account by name; ``None`` has no limits.
+        member_count: Instances that share an account's requests.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        account_of: AccountOf,
+        *,
+        member_count: MemberCount = one_member,
+    ) -> None:
+        self._clock = clock
+        self._account_of = account_of
+        self._member_count = member_count
+        self._shares: dict[str, _AccountShare] = {}
+        self._gates: dict[str, _ServiceGate] = {}
+        self._sweep_at = _SWEEP_AT
+
+    def in_flight(self, service: str) -> int:
+        """Requests of a service that run here now."""
+        gate = self._gates.get(service)
+        return gate.in_flight if gate else 0
+
+    def queued(self, service: str) -> int:
+        """Requests of a service that wait for a place here now."""
+        gate = self._gates.get(service)
+        return gate.queued if gate else 0
+
+    def check(self, account_name: str) -> None:
+        """Refuses an account that is over its limits, and takes nothing.
+
+        The edge asks before it reads a body, so that an overload costs it
+        no more than the headers.
+
+        Raises:
+            WharfError: ``RATE_LIMITED`` or ``TOO_MANY_IN_FLIGHT``.
+        """
+        account = self._account_of(account_name)
+        if account is not None:
+            self._check_share(account)
+
+    @contextlib.asynccontextmanager
+    async def admitted(
+        self,
+        account_name: str,
+        service: resources.Service,
+        *,
+        deadline_at_ms: float,
+        priority: int = 0,
+    ) -> AsyncIterator[None]:
+        """Admits a request for the block; it may queue before.
+
+        Raises:
+            WharfError: ``RATE_LIMITED``, ``TOO_MANY_IN_FLIGHT``,
+                ``QUEUE_FULL`` or ``DEADLINE_UNREACHABLE``; nothing ran.
+        """
+        share = self._take_share(account_name)
+        try:
+            gate = self._gates.setdefault(service.name, _ServiceGate())
+            await self._enter(gate, service, deadline_at_ms, priority)
+            entered_ms = self._clock.now_ms()
+            attributes = {"service": service.name}
+            _in_flight.add(1, attributes)
+            try:
+                yield
+            finally:
+                _in_flight.add(-1, attributes)
+                gate.note_hold(self._clock.now_ms() - entered_ms)
+                gate.leave(service.max_in_flight)
+        finally:
+            if share is not None:
+                share.in_flight -= 1
+
+    async def _enter(
+        self,
+        gate: _ServiceGate,
+        service: resources.Service,
+        deadline_at_ms: float,
+        priority: int,
+    ) -> None:
+        if gate.in_flight < service.max_in_flight and not gate.queued:
+            gate.in_flight += 1
+            return
+        wait_ms = gate.expected_wait_ms(service)
+        if gate.queued >= service.max_queued:
+            kind = errors.ErrorKind.QUEUE_FULL
+            raise errors.WharfError(kind, retry_after_ms=wait_ms)
+        left_ms = deadline_at_ms - self._clock.now_ms()
+        try:
+            async with self._clock.timeout_ms(left_ms):
+                await gate.wait(priority, service.max_in_flight)
+        except TimeoutError:
+            kind = errors.ErrorKind.DEADLINE_UNREACHABLE
+            raise errors.WharfError(kind, retry_after_ms=wait_ms) from None
+
+    def _take_share(self, account_name: str) -> _AccountShare | None:
+        account = self._account_of(account_name)
+        if account is None:
+            return None
+        share = self._check_share(account)
+        share.bucket.tokens -= 1.0
+        share.in_flight += 1
+        return share
+
+    def _check_share(self, account: resources.Account) -> _AccountShare:
+        members = max(1, self._member_count())
+        share = self._share(account, members)
+        rate_per_s = account.rate_per_s / members
+        now_ms = self._clock.now_ms()
+        share.bucket.fill(now_ms, rate_per_s, _burst(account, members))
+        if share.in_flight >= _in_flight_share(account, members):
+            kind = errors.ErrorKind.TOO_MANY_IN_FLIGHT
+            raise errors.WharfError(kind, retry_after_ms=_RETRY_IN_FLIGHT_MS)
+        if share.bucket.tokens < 1.0:
+            kind = errors.ErrorKind.RATE_LIMITED
+            wait_ms = share.bucket.wait_ms(rate_per_s)
+            raise errors.WharfError(kind, retry_after_ms=wait_ms)
+        return share
+
+    def _share(self, account: resources.Account, members: int) -> _AccountShare:
+        share = self._shares.get(account.name)
+        if share is None:
+            self._forget_idle()
+            burst = _burst(account, members)
+            share = _AccountShare(burst, self._clock.now_ms())
+            self._shares[account.name] = share
+        return share
+
+    def _forget_idle(self) -> None:
+        """Bounds the shares held: one that is full again may be forgotten."""
+        if len(self._shares) < self._sweep_at:
+            return
+        for name in list(self._shares):
+            if self._is_idle(name):
+                del self._shares[name]
+        self._sweep_at = max(_SWEEP_AT, 2 * len(self._shares))
+
+    def _is_idle(self, name: str) -> bool:
+        share = self._shares[name]
+        account = self._account_of(name)
+        if share.in_flight:
+            return False
+        if account is None:
+            return True
+        members = max(1, self._member_count())
+        burst = _burst(account, members)
+        rate_per_s = account.rate_per_s / members
+        share.bucket.fill(self._clock.now_ms(), rate_per_s, burst)
+        return share.bucket.tokens >= burst
+
+
+def _burst(account: resources.Account, members: int) -> float:
+    rate_per_s = account.rate_per_s / members
+    return max(MIN_BURST, rate_per_s * BURST_MS / clocks.MS_PER_S)
+
+
+def _in_flight_share(account: resources.Account, members: int) -> int:
+    share = math.ceil(account.max_in_flight / members)
+    return min(account.max_in_flight, max(MIN_IN_FLIGHT, share))
--- a/src/jujubewharf/requests/model_request.py
+++ b/src/jujubewharf/requests/model_request.py
@@ -24,6 +24,7 @@
         deadline_ms: Time after arrival at which it is given up on.
         priority: Higher goes first.
         is_repeatable: Whether it may be dispatched more than once.
+        resume_from: Tokens of the answer that the caller has already.
     """
 
     request_id: str
@@ -37,6 +38,7 @@
     deadline_ms: float
     priority: int = 0
     is_repeatable: bool = True
+    resume_from: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/jujubewharf/requests/plain.py
@@ -0,0 +1,305 @@
+"""One call of a plain service: choose an endpoint, call it, retry or tell.
+
+A call that may not be repeated is sent at most once. A retry follows only
+when nothing was sent, or when the call may be repeated and its body is still
+at hand; and never once the answer has begun.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+from typing import Protocol
+
+from opentelemetry import metrics
+import structlog
+
+from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf import hashing
+from jujubewharf.configuration import resources
+from jujubewharf.engines import client
+from jujubewharf.engines import endpoint_client
+from jujubewharf.requests import plain_body
+from jujubewharf.requests import plain_endpoints
+from jujubewharf.telemetry import goodput
+
+ATTEMPT_HEADER = "X-Attempt"
+_MAX_ATTEMPTS = 3
+_RETRY_AFTER_MS = 1_000.0
+_BUDGET_CEILING = 10.0
+
+_retries = metrics.get_meter("jujubewharf").create_counter(
+    "jujubewharf.plain.retries",
+    description="Plain calls sent again, by reason.",
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlainRequest:
+    """A plain call that passed the border's checks.
+
+    Attributes:
+        request_id: Minted by the instance that accepted it.
+        service: Service asked for.
+        method: HTTP method.
+        path_query: Path and query below the service's prefix.
+        arrived_ms: Clock reading at arrival.
+        deadline_ms: Time after arrival at which it is given up on.
+        headers: End-to-end headers.
+        body: The body as it arrives; ``None`` without one.
+        account: Name of the caller's account.
+        key: The caller's idempotency key, if it gave one.
+        priority: Higher leaves the queue first.
+        is_repeatable: Whether it may be sent more than once.
+    """
+
+    request_id: str
+    service: resources.Service
+    method: str
+    path_query: str
+    arrived_ms: float
+    deadline_ms: float
+    headers: tuple[tuple[str, str], ...] = ()
+    body: AsyncIterator[bytes] | None = None
+    account: str = ""
+    key: str | None = None
+    priority: int = 0
+    is_repeatable: bool = False
+
+    @property
+    def deadline_at_ms(self) -> float:
+        """Clock reading at which it is given up on."""
+        return self.arrived_ms + self.deadline_ms
+
+
+class Claims(Protocol):
+    """Decides over the whole fleet who may send a call with a key."""
+
+    async def claim(self, key: str, request_id: str, body_digest: str) -> None:
+        """Takes the key for good.
+
+        Raises:
+            WharfError: The call must not be sent.
+        """
+        ...
+
+
+class RetryBudget:
+    """Retries as a share of calls, so that failures make no storm.
+
+    Each call earns ``ratio`` of a retry; a retry spends one.
+    """
+
+    def __init__(self) -> None:
+        self._earned = _BUDGET_CEILING
+
+    def earn(self, ratio: float) -> None:
+        """Adds what one call earns."""
+        self._earned = min(_BUDGET_CEILING, self._earned + ratio)
+
+    def spend(self) -> bool:
+        """Takes one retry; false when none is left."""
+        if self._earned < 1.0:
+            return False
+        self._earned -= 1.0
+        return True
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """What became of a call so far."""
+
+    attempts: int = 0
+    may_have_run: bool = False
+    has_begun: bool = False
+    excluded: frozenset[str] = frozenset()
+
+
+class PlainRunner:
+    """Runs plain calls.
+
+    Args:
+        endpoints: Calls endpoints.
+        chooser: Knows the endpoints and picks one.
+        clock: Time.
+        claims: Guards keyed calls that may not be repeated; ``None`` refuses
+            no key, for an instance that runs alone.
+    """
+
+    def __init__(
+        self,
+        endpoints: endpoint_client.EndpointClient,
+        chooser: plain_endpoints.Chooser,
+        clock: clocks.Clock,
+        *,
+        claims: Claims | None = None,
+    ) -> None:
+        self._endpoints = endpoints
+        self._chooser = chooser
+        self._clock = clock
+        self._claims = claims
+        self._budgets: dict[str, RetryBudget] = {}
+        self._logger = structlog.get_logger()
+
+    @contextlib.asynccontextmanager
+    async def run(
+        self, request: PlainRequest
+    ) -> AsyncIterator[endpoint_client.PlainReply]:
+        """Calls an endpoint; the reply's body is read inside the block.
+
+        Raises:
+            WharfError: There is no answer, or it broke off in the block.
+        """
+        progress = _Progress()
+        watch = goodput.Stopwatch(
+            request.service, request.arrived_ms, self._clock
+        )
+        left_ms = request.deadline_at_ms - self._clock.now_ms()
+        try:
+            async with self._clock.timeout_ms(left_ms):
+                async with contextlib.AsyncExitStack() as stack:
+                    reply = await self._begin(stack, request, progress)
+                    progress.has_begun = True
+                    watch.first()
+                    yield reply
+        except errors.WharfError as error:
+            watch.ended(error.kind.value)
+            raise
+        except client.EngineError as error:
+            failure = _failure(request, error, progress)
+            watch.ended(failure.kind.value)
+            raise failure from error
+        except TimeoutError as error:
+            failure = _too_late(request, progress)
+            watch.ended(failure.kind.value)
+            raise failure from error
+        except BaseException:
+            # The caller went away, or its connection broke.
+            watch.ended(errors.ErrorKind.CANCELLED.value)
+            raise
+        watch.finished()
+
+    async def _begin(
+        self,
+        stack: contextlib.AsyncExitStack,
+        request: PlainRequest,
+        progress: _Progress,
+    ) -> endpoint_client.PlainReply:
+        body = plain_body.ReplayableBody(request.body)
+        budget = self._budgets.setdefault(request.service.name, RetryBudget())
+        budget.earn(request.service.retry_ratio)
+        await self._claim(request, body)
+        while True:
+            try:
+                return await self._attempt(stack, request, progress, body)
+            except client.EngineError as error:
+                self._after_failure(request, progress, body, budget, error)
+
+    async def _claim(
+        self, request: PlainRequest, body: plain_body.ReplayableBody
+    ) -> None:
+        if request.is_repeatable or request.key is None:
+            return
+        if self._claims is None:
+            return
+        start = await body.peek()
+        heading = f"{request.method} {request.path_query}\n".encode()
+        await self._claims.claim(
+            request.key, request.request_id, hashing.digest(heading + start)
+        )
+
+    async def _attempt(
+        self,
+        stack: contextlib.AsyncExitStack,
+        request: PlainRequest,
+        progress: _Progress,
+        body: plain_body.ReplayableBody,
+    ) -> endpoint_client.PlainReply:
+        endpoint = self._chooser.choose(
+            request.service.name, excluded=progress.excluded
+        )
+        if endpoint is None:
+            raise errors.WharfError(
+                errors.ErrorKind.NO_FITTING_ENGINE,
+                retry_after_ms=_RETRY_AFTER_MS,
+                ran=_ran(progress),
+            )
+        progress.attempts += 1
+        attempt_id = f"{request.request_id}.{progress.attempts}"
+        call = endpoint_client.PlainCall(
+            request_id=request.request_id,
+            method=request.method,
+            path_query=request.path_query,
+            headers=(*request.headers, (ATTEMPT_HEADER, attempt_id)),
+            body=body.read(),
+        )
+        async with contextlib.AsyncExitStack() as attempt:
+            attempt.enter_context(self._chooser.counted(endpoint))
+            was_sent = progress.may_have_run
+            progress.may_have_run = True
+            try:
+                reply = await attempt.enter_async_context(
+                    self._endpoints.call(endpoint, call)
+                )
+            except client.EngineError as error:
+                if error.fault is client.EngineFault.UNREACHABLE:
+                    progress.may_have_run = was_sent
+                raise
+            stack.push_async_exit(attempt.pop_all())
+        return reply
+
+    def _after_failure(
+        self,
+        request: PlainRequest,
+        progress: _Progress,
+        body: plain_body.ReplayableBody,
+        budget: RetryBudget,
+        error: client.EngineError,
+    ) -> None:
+        if body.failure is not None:
+            kind = body.failure.kind
+            raise errors.WharfError(kind, ran=_ran(progress)) from error
+        self._logger.info(
+            "plain_attempt_failed",
+            request=request.request_id,
+            attempt=progress.attempts,
+            endpoint=error.engine,
+            fault=error.fault.value,
+        )
+        self._chooser.failed(error.engine)
+        progress.excluded |= {error.engine}
+        is_safe = request.is_repeatable or not progress.may_have_run
+        if (
+            not is_safe
+            or not body.is_whole
+            or progress.attempts >= _MAX_ATTEMPTS
+            or not budget.spend()
+        ):
+            raise _failure(request, error, progress)
+        _retries.add(1, {"reason": error.fault.value})
+
+
+def _ran(progress: _Progress) -> errors.Ran:
+    return errors.Ran.UNKNOWN if progress.may_have_run else errors.Ran.NO
+
+
+def _failure(
+    request: PlainRequest, error: client.EngineError, progress: _Progress
+) -> errors.WharfError:
+    if not progress.may_have_run:
+        kind = errors.ErrorKind.NO_FITTING_ENGINE
+        return errors.WharfError(kind, retry_after_ms=_RETRY_AFTER_MS)
+    if not request.is_repeatable:
+        return errors.WharfError(errors.ErrorKind.OUTCOME_UNKNOWN)
+    return errors.WharfError(
+        errors.ErrorKind.ENDPOINT_FAILED, retry_after_ms=_RETRY_AFTER_MS
+    )
+
+
+def _too_late(request: PlainRequest, progress: _Progress) -> errors.WharfError:
+    if progress.may_have_run and not request.is_repeatable:
+        return errors.WharfError(errors.ErrorKind.OUTCOME_UNKNOWN)
+    kind = errors.ErrorKind.DEADLINE_EXCEEDED
+    return errors.WharfError(kind, ran=_ran(progress))
