--- a/src/jujubewharf/requests/answers.py
+++ b/src/jujubewharf/requests/answers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 import dataclasses
 
 import mode
@@ -44,7 +44,7 @@
 
     async def answer(
         self, request: model_request.ModelRequest
-    ) -> AsyncIterator[model_request.Event]:
+    ) -> AsyncGenerator[model_request.Event, None]:
         """Answers a request; the last event is ``Finished`` or ``Failed``."""
         held = Held(request, answers.Answer(self._clock))
         held.task = asyncio.create_task(self._runner.run(request, held.answer))
