--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -129,7 +129,6 @@
         )
         self.fleet = fleets.Fleet(adapters.make_engine_client, clock)
         self.configuration.listen(self.fleet.on_configuration)
-        self.operators = operator_service.OperatorService(self)
         if policy is None:
             policy = baselines.LeastLoad()
         self._placer = placers.Placer(policy, self.fleet, clock)
@@ -140,6 +139,7 @@
             clock,
         )
         self.answers = request_answers.Answers(self.runner, clock)
+        self.operators = operator_service.OperatorService(self)
 
         self.accounts = accounts.Accounts()
         self.configuration.listen(self.accounts.on_configuration)
--- a/src/jujubewharf/operators/inspection.py
+++ b/src/jujubewharf/operators/inspection.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+from collections.abc import Iterator
 import dataclasses
 from typing import TYPE_CHECKING
 
@@ -9,6 +11,7 @@
 from jujubewharf.operators import backend as backends
 from jujubewharf.operators import identities
 from jujubewharf.operators import values
+from jujubewharf.requests import counters as request_counters
 from jujubewharf.routing import fleet as fleets
 
 if TYPE_CHECKING:
@@ -33,12 +36,17 @@
         """The instance, its configuration and its counts."""
         settings = self._core.settings
         state = self._backend.state
+        counts = self._core.runner.counts
         return values.InstanceStatus(
             instance=settings.instance,
             region=settings.region,
             domain=settings.domain,
             applied_offset=state.next_offset,
             is_caught_up=self._backend.is_caught_up,
+            requests_in_flight=_in_flight(counts),
+            refusals=_by_reason(counts.refused),
+            retries=_by_reason(counts.retries),
+            members=tuple(self._members()),
             resources=tuple(
                 values.ReasonCount(kind.value, len(state.of_kind(kind)))
                 for kind in resources.Kind
@@ -65,6 +73,17 @@
                 found.append(self._engine(view))
         return tuple(found)
 
+    def _members(self) -> Iterator[values.Member]:
+        membership = self._core.membership
+        for member in membership.members():
+            yield values.Member(
+                member.instance,
+                member.address,
+                member.domain,
+                member.is_leaving,
+                membership.is_suspected(member.instance),
+            )
+
     def _engine(self, view: fleets.EngineView) -> values.EngineStatus:
         endpoint = view.endpoint
         status = values.EngineStatus(
@@ -90,3 +109,16 @@
             decode_queued=report.decode_queued,
             report_age_ms=self._core.clock.now_ms() - heard_ms,
         )
+
+
+def _in_flight(counts: request_counters.Counts) -> int:
+    return counts.accepted - counts.finished - counts.refused.total()
+
+
+def _by_reason(
+    counter: collections.Counter[str],
+) -> tuple[values.ReasonCount, ...]:
+    return tuple(
+        values.ReasonCount(reason, counter[reason])
+        for reason in sorted(counter)
+    )
--- a/src/jujubewharf/operators/messages.py
+++ b/src/jujubewharf/operators/messages.py
@@ -169,7 +169,7 @@
         )
         if part is not _MISSING:
             found[field.name] = part
-        elif _is_required(field):
+        elif _is_required(field) and at not in [v.path for v in violations]:
             violations.append(values.Violation(at, "is required"))
     return cls(**found) if not violations else None
 
--- /dev/null
+++ b/tests/operators/test_access.py
@@ -0,0 +1,151 @@
+"""Who may see and change what."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+
+from jujubewharf import errors
+from jujubewharf.configuration import resources
+from jujubewharf.operators import identities
+from jujubewharf.operators import values
+from tests.operators import deployments
+
+_KIND = resources.Kind
+_ROLE = resources.OperatorRole
+
+VIEWER = values.Identity("viewer", _ROLE.VIEWER)
+OPERATOR = values.Identity("operator", _ROLE.OPERATOR)
+ADMIN = values.Identity("admin", _ROLE.ADMIN)
+TEAM_VIEWER = values.Identity("tv", _ROLE.VIEWER, ("shop-api",))
+TEAM_OPERATOR = values.Identity("to", _ROLE.OPERATOR, ("shop-api",))
+TEAM_ADMIN = values.Identity("ta", _ROLE.ADMIN, ("shop-api",))
+IDENTITIES = (
+    VIEWER,
+    OPERATOR,
+    ADMIN,
+    TEAM_VIEWER,
+    TEAM_OPERATOR,
+    TEAM_ADMIN,
+)
+
+ANYBODY = deployments.operator("anybody", _ROLE.ADMIN)
+MATE = deployments.operator("mate", _ROLE.OPERATOR, ("shop-api",))
+OPEN_ACCOUNT = dataclasses.replace(deployments.ACCOUNT, services=())
+
+# One letter an identity: - nothing, r sees, w sees and changes.
+MATRIX = (
+    (deployments.SHOP, "r w w r w w"),
+    (deployments.TILL, "r w w r w w"),
+    (deployments.SERVICE, "r w w - - -"),
+    (deployments.ENDPOINT, "r w w - - -"),
+    (deployments.MODEL, "r w w r r r"),
+    (deployments.ACCOUNT, "r w w r w w"),
+    (OPEN_ACCOUNT, "r w w - - -"),
+    (ANYBODY, "- - w - - -"),
+    (MATE, "- - w - - w"),
+)
+
+
+@pytest.mark.parametrize(("resource", "row"), MATRIX)
+def test_the_matrix_of_roles_and_scopes(resource: resources.Resource, row: str):
+    found = []
+    for identity in IDENTITIES:
+        sees = identities.may_see(identity, resource)
+        changes = identities.may_change(identity, resource)
+        assert sees or not changes
+        found.append("w" if changes else "r" if sees else "-")
+    assert " ".join(found) == row
+
+
+async def _refusal(call) -> errors.ErrorKind:
+    with pytest.raises(errors.WharfError) as refused:
+        await call
+    assert refused.value.ran is errors.Ran.NO
+    return refused.value.kind
+
+
+async def test_unknown_and_missing_tokens_are_refused():
+    async with deployments.running("e1") as deployment:
+        for token in ("", "nobody", deployments.BOOTSTRAP_TOKEN + "x"):
+            client = deployment.client(token=token)
+            kind = await _refusal(client.list_page(_KIND.SERVICE))
+            assert kind is errors.ErrorKind.UNAUTHENTICATED
+
+
+async def test_a_deleted_operator_is_refused_at_once():
+    async with deployments.running("e1") as deployment:
+        admin = deployment.client()
+        await admin.create(deployments.SHOP)
+        created = await admin.create(MATE)
+        mate = deployment.client(token="mate")
+        await mate.list_page(_KIND.SERVICE)
+        await admin.delete(
+            _KIND.OPERATOR, "mate", expected_generation=created.generation
+        )
+        kind = await _refusal(mate.list_page(_KIND.SERVICE))
+        assert kind is errors.ErrorKind.UNAUTHENTICATED
+
+
+async def test_a_team_sees_and_changes_only_its_own():
+    async with deployments.running("e1") as deployment:
+        await deployment.client().apply([*deployments.ALL, MATE])
+        mate = deployment.client(token="mate")
+        held = await mate.list_all(_KIND.ENDPOINT)
+        assert [one.resource for one in held] == [deployments.TILL]
+        foreign = deployments.ENDPOINT
+        stolen = dataclasses.replace(foreign, service="shop-api")
+        given = dataclasses.replace(deployments.TILL, service="verdict-llm")
+        forbidden = errors.ErrorKind.FORBIDDEN
+        unknown = errors.ErrorKind.UNKNOWN_RESOURCE
+        assert await _refusal(mate.get(_KIND.ENDPOINT, foreign.name)) is unknown
+        for wanted in (stolen, given):
+            call = mate.change(wanted, expected_generation=1)
+            assert await _refusal(call) is forbidden
+        assert await _refusal(mate.apply([foreign, stolen][1:])) is forbidden
+        assert (
+            await _refusal(mate.set_drained(foreign.name, drained=True))
+            is unknown
+        )
+        history = await mate.history(_KIND.ENDPOINT, foreign.name)
+        assert history.entries == ()
+        assert await mate.engines() == ()
+
+
+async def test_pruning_stays_within_the_scope():
+    async with deployments.running("e1") as deployment:
+        admin = deployment.client()
+        await admin.apply([*deployments.ALL, MATE])
+        mate = deployment.client(token="mate")
+        plan = await mate.apply([deployments.SHOP], prune=True, dry_run=True)
+        names = [item.difference.name for item in plan.items]
+        assert names == ["shops", "till-1"]
+
+
+async def test_an_operator_can_not_take_the_built_in_admins_name():
+    async with deployments.running("e1") as deployment:
+        wanted = deployments.operator("bootstrap", _ROLE.VIEWER)
+        kind = await _refusal(deployment.client().create(wanted))
+        assert kind is errors.ErrorKind.CONFIG_INVALID
+
+
+async def test_a_viewer_writes_nothing_to_the_log():
+    async with deployments.running("e1") as deployment:
+        viewer = deployments.operator("viewer", _ROLE.VIEWER)
+        await deployment.client().apply([*deployments.ALL, viewer])
+        client = deployment.client(token="viewer")
+        before = deployment.bench.log.appends.total()
+        forbidden = errors.ErrorKind.FORBIDDEN
+        calls = (
+            client.create(dataclasses.replace(deployments.SHOP, name="new")),
+            client.change(deployments.SHOP, expected_generation=2),
+            client.delete(_KIND.SERVICE, "shop-api", expected_generation=2),
+            client.set_drained("till-1", drained=True),
+            client.apply([dataclasses.replace(deployments.TILL, slots=1)]),
+        )
+        for call in calls:
+            assert await _refusal(call) is forbidden
+        call = client.delete(_KIND.SERVICE, "none", expected_generation=2)
+        assert await _refusal(call) is errors.ErrorKind.UNKNOWN_RESOURCE
+        assert deployment.bench.log.appends.total() == before
--- /dev/null
+++ b/tests/operators/test_failures.py
@@ -0,0 +1,229 @@
+"""Operator calls while the log, an instance or an answer is lost."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from jujubewharf import errors
+from jujubewharf.configuration import resources
+from jujubewharf.experiments import bench as benches
+from jujubewharf.experiments import virtual_time
+from jujubewharf.operators import faults
+from jujubewharf.operators import identities
+from jujubewharf.operators import service as services
+from jujubewharf.operators import values
+from tests.operators import deployments
+
+_KIND = resources.Kind
+_ADMIN = values.Identity("ana", resources.OperatorRole.ADMIN)
+
+
+async def test_racing_operators_get_one_winner_and_one_conflict():
+    """Two operators change the same service at two instances at once.
+
+    Both expect the generation that they saw, and both changes reach the log.
+    The fold takes the first of them everywhere; the other operator is told
+    that a change came first, and its body is nowhere in force.
+    """
+    async with deployments.running("e1", "e2") as deployment:
+        one, two = deployment.client("e1"), deployment.client("e2")
+        created = await one.create(deployments.SHOP)
+        await two.get(
+            _KIND.SERVICE, "shop-api", not_before_offset=created.generation
+        )
+        wanted = [
+            dataclasses.replace(deployments.SHOP, max_queued=bound)
+            for bound in (11, 22)
+        ]
+        results = await asyncio.gather(
+            *(
+                client.change(body, expected_generation=created.generation)
+                for client, body in zip((one, two), wanted, strict=True)
+            ),
+            return_exceptions=True,
+        )
+        [refused] = [r for r in results if isinstance(r, Exception)]
+        [done] = [r for r in results if isinstance(r, values.ChangeDone)]
+        assert isinstance(refused, faults.OperatorError)
+        assert refused.kind is errors.ErrorKind.CONFIG_CONFLICT
+        assert refused.ran is errors.Ran.NO
+        winner = wanted[results.index(done)]
+        for client in (one, two):
+            stored = await client.get(
+                _KIND.SERVICE,
+                "shop-api",
+                not_before_offset=done.applied_offset,
+            )
+            assert stored.resource == winner
+            assert stored.generation == done.generation
+
+
+async def test_a_log_that_is_down_answers_that_nothing_ran():
+    """The log is down when an operator changes something.
+
+    The instance can't append; nothing ran, and it says so, with the same
+    answer for every instance asked. What is in force can still be read.
+    """
+    async with deployments.running("e1", "e2") as deployment:
+        client = deployment.client()
+        await client.create(deployments.SHOP)
+        deployment.bench.log.is_down = True
+        with pytest.raises(faults.OperatorError) as refused:
+            await client.create(deployments.MODEL, operation_id="op-1")
+        assert refused.value.kind is errors.ErrorKind.LOG_UNAVAILABLE
+        assert refused.value.ran is errors.Ran.NO
+        assert refused.value.operation_id == "op-1"
+        assert await client.list_all(_KIND.SERVICE)
+        deployment.bench.log.is_down = False
+        await client.create(deployments.MODEL, operation_id="op-1")
+
+
+async def test_an_instance_cut_off_from_the_log_is_passed_over():
+    """The first instance of the list can't reach the log, the second can.
+
+    The first says that nothing ran, so the client goes on to the second
+    under the same operation id, and the operator sees one success.
+    """
+    async with deployments.running("e1", "e2") as deployment:
+        deployment.bench.instances["e1"].log.is_cut = True
+        client = deployment.client("e1", "e2")
+        done = await client.create(deployments.SHOP)
+        assert done.generation == 1
+
+
+async def test_a_lost_acknowledgement_is_resolved_by_reading():
+    """The log takes the change and its answer is lost.
+
+    The instance reads on, finds the operation and answers that it is in
+    force; the change stands on the log once.
+    """
+    async with deployments.running("e1") as deployment:
+        deployment.bench.log.lose_answers = 1
+        client = deployment.client()
+        done = await client.create(deployments.SHOP)
+        assert done.generation == 1
+        assert deployment.bench.log.appends["configuration"] == 1
+
+
+async def test_a_dead_instance_is_passed_over_and_all_dead_is_unreachable():
+    """Instances die one after the other under an operator's client.
+
+    The client goes on to the next address; with none left it says that no
+    instance was reached, which means that nothing ran.
+    """
+    async with deployments.running("e1", "e2") as deployment:
+        client = deployment.client("e1", "e2")
+        await client.create(deployments.SHOP)
+        await deployment.servers["e1"].stop()
+        assert (await client.status()).instance == "e2"
+        await deployment.servers["e2"].stop()
+        with pytest.raises(faults.UnreachableError):
+            await client.create(deployments.MODEL)
+
+
+def test_an_instance_that_knows_no_configuration_says_so():
+    """An instance starts while the log is down and no peer has a snapshot.
+
+    It knows no operator, but the token may well be good: it must not say
+    that the token is unknown, which would send the operator off for good.
+    """
+
+    async def scenario() -> None:
+        bench = benches.Bench()
+        bench.log.is_down = True
+        instance = await bench.start_instance(
+            "e1", "norte-a", settings=deployments.core_settings()
+        )
+        operators = instance.core.operators
+        with pytest.raises(errors.WharfError) as refused:
+            operators.identify(deployments.BOOTSTRAP_TOKEN)
+        assert refused.value.kind is errors.ErrorKind.LOG_UNAVAILABLE
+        bench.log.is_down = False
+        await bench.clock.sleep_ms(10_000)
+        identity = operators.identify(deployments.BOOTSTRAP_TOKEN)
+        assert identity.name == identities.BOOTSTRAP_NAME
+        await bench.stop()
+
+    virtual_time.run(scenario())
+
+
+def test_an_unknown_outcome_is_told_and_found_later():
+    """The log takes a change, then goes down before it can be read back.
+
+    The instance can't know whether the change stands on the log: it answers
+    that the outcome is unknown, with the operation to ask for. When the log
+    is back, asking tells, and sending the operation again changes nothing.
+    """
+
+    async def scenario() -> None:
+        bench = benches.Bench()
+        instance = await bench.start_instance("e1", "norte-a")
+        await bench.clock.sleep_ms(5_000)
+        operators: services.OperatorService = instance.core.operators
+        bench.log.lose_answers = 1
+
+        async def go_down() -> None:
+            while not bench.log.appends["configuration"]:
+                await bench.clock.sleep_ms(0.5)
+            bench.log.is_down = True
+
+        downed = asyncio.ensure_future(go_down())
+        with pytest.raises(faults.OperatorError) as refused:
+            await operators.editor.create(
+                _ADMIN, deployments.SHOP, operation_id="op-1"
+            )
+        await downed
+        assert refused.value.ran is errors.Ran.UNKNOWN
+        assert refused.value.operation_id == "op-1"
+        bench.log.is_down = False
+        await bench.clock.sleep_ms(10_000)
+        found = await operators.queries.operation("op-1")
+        assert found.state is values.OperationState.ACCEPTED
+        again = await operators.editor.create(
+            _ADMIN, deployments.SHOP, operation_id="op-1"
+        )
+        assert again.generation == found.generation
+        assert bench.log.appends["configuration"] == 1
+        await bench.stop()
+
+    virtual_time.run(scenario())
+
+
+async def test_pages_stay_stable_while_others_change_things():
+    """Resources come and go between two pages of a listing.
+
+    A page goes on after the last name of the one before, so what stays is
+    listed exactly once, neither skipped nor told twice.
+    """
+    async with deployments.running("e1", "e2") as deployment:
+        client = deployment.client("e1")
+        names = [f"s{number:02}" for number in range(10)]
+        await client.apply(
+            [dataclasses.replace(deployments.SHOP, name=n) for n in names]
+        )
+        first = await client.list_page(_KIND.SERVICE, page_size=4)
+        gone = first.items[1]
+        await client.delete(
+            _KIND.SERVICE,
+            gone.resource.name,
+            expected_generation=gone.generation,
+            force=True,
+        )
+        await client.create(dataclasses.replace(deployments.SHOP, name="s000"))
+        listed = [item.resource.name for item in first.items]
+        token = first.next_page_token
+        while token:
+            page = await client.list_page(
+                _KIND.SERVICE, page_size=4, page_token=token
+            )
+            listed.extend(item.resource.name for item in page.items)
+            token = page.next_page_token
+        assert listed == names
+        with pytest.raises(errors.WharfError) as refused:
+            await client.list_page(
+                _KIND.ENDPOINT, page_token=first.next_page_token
+            )
+        assert refused.value.kind is errors.ErrorKind.BAD_REQUEST
