--- a/src/jujubewharf/experiments/virtual_time.py
+++ b/src/jujubewharf/experiments/virtual_time.py
@@ -27,5 +27,5 @@
     rest = asyncio.all_tasks(loop)
     for task in rest:
         task.cancel()
-    gathered = asyncio.gather(*rest, return_exceptions=True)
-    loop.run_until_complete(gathered)
+    if rest:
+        loop.run_until_complete(asyncio.wait(rest))
--- a/src/jujubewharf/requests/limits.py
+++ b/src/jujubewharf/requests/limits.py
@@ -143,6 +143,11 @@
         self._gates: dict[str, _ServiceGate] = {}
         self._sweep_at = _SWEEP_AT
 
+    @property
+    def accounts_held(self) -> int:
+        """Accounts whose use is kept here."""
+        return len(self._shares)
+
     def in_flight(self, service: str) -> int:
         """Requests of a service that run here now."""
         gate = self._gates.get(service)
--- /dev/null
+++ b/tests/requests/test_limits.py
@@ -0,0 +1,223 @@
+"""Limits of accounts and services, on the virtual clock."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf.configuration import resources
+from jujubewharf.experiments import virtual_time
+from jujubewharf.requests import limits
+
+ACCOUNT = resources.Account("dealer", "", rate_per_s=2.0, max_in_flight=20)
+SERVICE = resources.Service(
+    "shop-api", resources.ServiceKind.PLAIN, max_in_flight=2, max_queued=2
+)
+WIDE = resources.Service("wide", resources.ServiceKind.PLAIN)
+
+
+def _limits(members: int = 1) -> limits.Limits:
+    accounts = {ACCOUNT.name: ACCOUNT}
+    return limits.Limits(
+        clocks.Clock(), accounts.get, member_count=lambda: members
+    )
+
+
+async def _hold(
+    limited: limits.Limits,
+    hold_ms: float,
+    *,
+    account: str = "",
+    service: resources.Service = SERVICE,
+    deadline_at_ms: float = 60_000,
+    priority: int = 0,
+) -> float | errors.WharfError:
+    """The time of admission, or the refusal."""
+    clock = clocks.Clock()
+    try:
+        async with limited.admitted(
+            account,
+            service,
+            deadline_at_ms=deadline_at_ms,
+            priority=priority,
+        ):
+            entered_ms = clock.now_ms()
+            await clock.sleep_ms(hold_ms)
+            return entered_ms
+    except errors.WharfError as error:
+        return error
+
+
+def test_the_queue_is_bounded_and_goes_by_priority():
+    async def main() -> None:
+        limited = _limits()
+        calls = [
+            asyncio.create_task(_hold(limited, 100, priority=priority))
+            for priority in (0, 0, 1, 5, 9)
+        ]
+        results = await asyncio.gather(*calls)
+        assert results[:2] == [0, 0]
+        # Both places came free at 100 ms, for the two that waited.
+        assert results[2:4] == [100, 100]
+        refused = results[4]
+        assert refused.kind is errors.ErrorKind.QUEUE_FULL
+        assert refused.retry_after_ms > 0
+        assert limited.in_flight("shop-api") == 0
+
+    virtual_time.run(main())
+
+
+def test_a_higher_priority_leaves_the_queue_first():
+    async def main() -> None:
+        limited = _limits()
+        running = [
+            asyncio.create_task(_hold(limited, hold_ms))
+            for hold_ms in (100, 200)
+        ]
+        low = asyncio.create_task(_hold(limited, 10, priority=1))
+        high = asyncio.create_task(_hold(limited, 500, priority=5))
+        await asyncio.gather(*running)
+        assert await high == 100
+        assert await low == 200
+
+    virtual_time.run(main())
+
+
+def test_a_queued_request_is_given_up_on_at_its_deadline():
+    async def main() -> None:
+        limited = _limits()
+        running = [asyncio.create_task(_hold(limited, 1_000)) for _ in range(2)]
+        await asyncio.sleep(0)
+        refused = await _hold(limited, 1, deadline_at_ms=300)
+        assert refused.kind is errors.ErrorKind.DEADLINE_UNREACHABLE
+        assert refused.ran is errors.Ran.NO
+        assert clocks.Clock().now_ms() == 300
+        assert limited.queued("shop-api") == 0
+        await asyncio.gather(*running)
+
+    virtual_time.run(main())
+
+
+def test_a_caller_that_leaves_as_its_place_comes_passes_it_on():
+    """A place is handed to a waiting caller that is cancelled just then.
+
+    The cancelled caller never runs. If it kept the place, the service would
+    have one less for good; a later caller must get it.
+    """
+
+    async def main() -> None:
+        limited = _limits()
+        running = [asyncio.create_task(_hold(limited, 100)) for _ in range(2)]
+        await asyncio.sleep(0)
+        waiting = asyncio.create_task(_hold(limited, 1))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0.1)
+        waiting.cancel()
+        await asyncio.gather(*running, waiting, return_exceptions=True)
+        assert limited.in_flight("shop-api") == 0
+        results = await asyncio.gather(_hold(limited, 1), _hold(limited, 1))
+        assert results == [100, 100]
+
+    virtual_time.run(main())
+
+
+def test_cancelling_at_every_turn_never_loses_a_place():
+    """As above, for each turn of the loop around the handover."""
+
+    async def main(turns: int) -> None:
+        limited = _limits()
+        clock = clocks.Clock()
+        holders = [asyncio.Event(), asyncio.Event()]
+
+        async def hold(event: asyncio.Event) -> None:
+            async with limited.admitted("", SERVICE, deadline_at_ms=60_000):
+                await event.wait()
+
+        running = [asyncio.create_task(hold(event)) for event in holders]
+        await clock.sleep_ms(1)
+        waiting = asyncio.create_task(_hold(limited, 50))
+        await clock.sleep_ms(1)
+        holders[0].set()
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        waiting.cancel()
+        holders[1].set()
+        await asyncio.gather(*running, waiting, return_exceptions=True)
+        assert limited.in_flight("shop-api") == 0
+        assert limited.queued("shop-api") == 0
+
+    for turns in range(6):
+        virtual_time.run(main(turns))
+
+
+def test_an_account_is_held_to_its_rate_and_told_when_to_come_back():
+    async def main() -> None:
+        limited = _limits()
+        outcomes = [
+            await _hold(limited, 0, account="dealer", service=WIDE)
+            for _ in range(21)
+        ]
+        assert all(isinstance(outcome, float) for outcome in outcomes[:20])
+        refused = outcomes[20]
+        assert refused.kind is errors.ErrorKind.RATE_LIMITED
+        assert refused.retry_after_ms == pytest.approx(500)
+        await clocks.Clock().sleep_ms(refused.retry_after_ms)
+        again = await _hold(limited, 0, account="dealer", service=WIDE)
+        assert isinstance(again, float)
+
+    virtual_time.run(main())
+
+
+def test_a_check_refuses_as_admission_does_and_takes_nothing():
+    async def main() -> None:
+        limited = _limits()
+        for _ in range(50):
+            limited.check("dealer")
+        for _ in range(20):
+            await _hold(limited, 0, account="dealer", service=WIDE)
+        with pytest.raises(errors.WharfError):
+            limited.check("dealer")
+        limited.check("another")
+
+    virtual_time.run(main())
+
+
+def test_the_share_of_many_instances_is_smaller_but_never_nothing():
+    async def main(members: int) -> int:
+        limited = _limits(members)
+        outcomes = await asyncio.gather(
+            *(
+                _hold(limited, 10, account="dealer", service=WIDE)
+                for _ in range(30)
+            )
+        )
+        kept = [o for o in outcomes if isinstance(o, float)]
+        refused = [o for o in outcomes if not isinstance(o, float)]
+        kinds = {error.kind for error in refused}
+        assert kinds <= {
+            errors.ErrorKind.TOO_MANY_IN_FLIGHT,
+            errors.ErrorKind.RATE_LIMITED,
+        }
+        return len(kept)
+
+    assert virtual_time.run(main(1)) == 20
+    assert virtual_time.run(main(2)) == 10
+    assert virtual_time.run(main(380)) == limits.MIN_IN_FLIGHT
+
+
+def test_many_accounts_seen_once_are_forgotten():
+    async def main() -> None:
+        accounts = {
+            f"a{i}": resources.Account(f"a{i}", "", rate_per_s=100.0)
+            for i in range(2_500)
+        }
+        limited = limits.Limits(clocks.Clock(), accounts.get)
+        for name in accounts:
+            await _hold(limited, 0, account=name, service=WIDE)
+            await clocks.Clock().sleep_ms(10)
+        assert limited.accounts_held <= 1_024
+
+    virtual_time.run(main())
