--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -81,6 +81,10 @@
     Attributes:
         configuration: Configuration in force here.
         fleet: Views of the engines.
+        accounts: Client accounts in force here.
+        model_limits: Limits of model requests here.
+        plain_limits: Limits of plain calls here.
+        plain: Runs plain calls.
     """
 
     def __init__(
@@ -116,7 +120,7 @@
         self.plain_limits = limits.Limits(clock, self.accounts.get)
         chooser = plain_endpoints.Chooser(settings.domain, clock)
         self.configuration.listen(chooser.on_configuration)
-        self._plain = plain.PlainRunner(adapters.endpoints, chooser, clock)
+        self.plain = plain.PlainRunner(adapters.endpoints, chooser, clock)
 
     async def on_start(self) -> None:
         """Starts the parts, those that others need first."""
@@ -165,7 +169,7 @@
                 deadline_at_ms=request.deadline_at_ms,
                 priority=request.priority,
             ),
-            self._plain.run(request) as reply,
+            self.plain.run(request) as reply,
         ):
             yield reply
 
--- a/src/jujubewharf/requests/plain.py
+++ b/src/jujubewharf/requests/plain.py
@@ -124,6 +124,9 @@
         endpoints: Calls endpoints.
         chooser: Knows the endpoints and picks one.
         clock: Time.
+        claims: See the attribute.
+
+    Attributes:
         claims: Guards keyed calls that may not be repeated; ``None`` refuses
             no key, for an instance that runs alone.
     """
@@ -139,7 +142,7 @@
         self._endpoints = endpoints
         self._chooser = chooser
         self._clock = clock
-        self._claims = claims
+        self.claims = claims
         self._budgets: dict[str, RetryBudget] = {}
         self._logger = structlog.get_logger()
 
@@ -202,11 +205,11 @@
     ) -> None:
         if request.is_repeatable or request.key is None:
             return
-        if self._claims is None:
+        if self.claims is None:
             return
         start = await body.peek()
         heading = f"{request.method} {request.path_query}\n".encode()
-        await self._claims.claim(
+        await self.claims.claim(
             request.key, request.request_id, hashing.digest(heading + start)
         )
 
@@ -270,11 +273,13 @@
         )
         self._chooser.failed(error.engine)
         progress.excluded |= {error.engine}
+        service = request.service.name
         is_safe = request.is_repeatable or not progress.may_have_run
         if (
             not is_safe
             or not body.is_whole
             or progress.attempts >= _MAX_ATTEMPTS
+            or not self._chooser.has_any(service, excluded=progress.excluded)
             or not budget.spend()
         ):
             raise _failure(request, error, progress)
--- a/src/jujubewharf/requests/plain_endpoints.py
+++ b/src/jujubewharf/requests/plain_endpoints.py
@@ -73,13 +73,7 @@
         A suspect one is taken where no other is left: suspicion may be wrong,
         and a refusal helps nobody.
         """
-        usable = [
-            endpoint
-            for endpoint in self._by_service.get(service, [])
-            if not endpoint.drained
-            and endpoint.name not in excluded
-            and not self._is_leaving(endpoint.name)
-        ]
+        usable = self._usable(service, excluded)
         trusted = [e for e in usable if not self._is_suspect(e.name)]
         near = [e for e in trusted if e.domain == self._domain]
         pool = near or trusted or usable
@@ -90,6 +84,10 @@
         self._last_turn[best.name] = self._turn
         return best
 
+    def has_any(self, service: str, *, excluded: frozenset[str]) -> bool:
+        """Whether ``choose`` would find one."""
+        return bool(self._usable(service, excluded))
+
     @contextlib.contextmanager
     def counted(self, endpoint: resources.Endpoint) -> Iterator[None]:
         """Counts a call to an endpoint for the block."""
@@ -106,6 +104,17 @@
         until_ms = self._clock.now_ms() + _SUSPECT_MS
         self._suspect_until_ms[endpoint] = until_ms
 
+    def _usable(
+        self, service: str, excluded: frozenset[str]
+    ) -> list[resources.Endpoint]:
+        return [
+            endpoint
+            for endpoint in self._by_service.get(service, [])
+            if not endpoint.drained
+            and endpoint.name not in excluded
+            and not self._is_leaving(endpoint.name)
+        ]
+
     def _is_suspect(self, name: str) -> bool:
         until_ms = self._suspect_until_ms.get(name)
         if until_ms is None:
--- /dev/null
+++ b/tests/callers/test_plain.py
@@ -0,0 +1,164 @@
+"""Plain services on loopback: what goes through, and what breaks."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+from aiohttp import web
+import multidict
+import pytest
+
+from jujubewharf.configuration import resources
+from tests import loopback
+
+BIG = bytes(range(256)) * 4_096
+
+
+class _Shop:
+    """An endpoint under a test's control."""
+
+    def __init__(self) -> None:
+        self.calls: list[str] = []
+        self.seen: list[multidict.CIMultiDictProxy[str]] = []
+        self.body_started = asyncio.Event()
+
+    def app(self) -> web.Application:
+        app = web.Application(client_max_size=64_000_000)
+        app.router.add_route("*", "/{path:.*}", self._handle)
+        return app
+
+    async def _handle(self, request: web.Request) -> web.StreamResponse:
+        path = request.match_info["path"]
+        self.calls.append(f"{request.method} {path}")
+        self.seen.append(request.headers)
+        match path:
+            case "moved":
+                raise web.HTTPFound("/elsewhere")
+            case "hang-up":
+                request.transport.abort()
+                return web.Response()
+            case "half":
+                response = web.StreamResponse()
+                await response.prepare(request)
+                await response.write(b"half")
+                request.transport.abort()
+                return response
+            case "upload":
+                self.body_started.set()
+        body = await request.read()
+        headers = {"X-Shop": "open", "Connection": "X-Secret", "X-Secret": "1"}
+        return web.Response(body=body, headers=headers)
+
+
+async def _deploy(deployment: loopback.Loopback) -> _Shop:
+    shop = _Shop()
+    address = await deployment.listen(shop.app())
+    service = resources.Service(
+        "photos", resources.ServiceKind.PLAIN, repeatable=False
+    )
+    endpoint = resources.Endpoint(
+        "photo-1", "photos", address, "norte-a", resources.Role.PLAIN
+    )
+    await deployment.declare(service, endpoint)
+    core = deployment.entry.core
+    for _ in range(200):
+        kind = resources.Kind.ENDPOINT
+        if core.configuration.current.get(kind, "photo-1"):
+            return shop
+        await asyncio.sleep(0.01)
+    raise AssertionError("the configuration never came")
+
+
+async def test_bodies_and_headers_go_through_both_ways():
+    async with loopback.deployed() as deployment:
+        shop = await _deploy(deployment)
+        url = f"{deployment.base}/s/photos"
+        headers = {"Content-Encoding": "odd", "Authorization": "Bearer mine"}
+        async with deployment.session.post(
+            f"{url}/a%2Fb?x=%20y", data=BIG, headers=headers
+        ) as answer:
+            assert await answer.read() == BIG
+            assert answer.headers["X-Shop"] == "open"
+            assert "X-Secret" not in answer.headers
+            assert answer.headers["X-Request-Id"]
+        seen = shop.seen[0]
+        assert seen["Content-Encoding"] == "odd"
+        assert "Authorization" not in seen
+        assert seen["X-Attempt"] == f"{seen['X-Request-Id']}.1"
+        async with deployment.session.get(
+            f"{url}/moved", allow_redirects=False
+        ) as answer:
+            assert answer.status == 302
+            assert answer.headers["Location"] == "/elsewhere"
+
+
+async def test_a_broken_connection_is_never_sent_twice():
+    """The endpoint takes the call and hangs up without an answer.
+
+    aiohttp's client would send a PUT or DELETE again by itself; the caller
+    must be told that the outcome is unknown after one sending.
+    """
+    async with loopback.deployed() as deployment:
+        shop = await _deploy(deployment)
+        for method in ("PUT", "DELETE", "POST"):
+            async with deployment.session.request(
+                method, f"{deployment.base}/s/photos/hang-up"
+            ) as answer:
+                error = (await answer.json())["error"]
+            assert answer.status == 504
+            assert error["code"] == "outcome_unknown"
+            assert answer.headers["X-Should-Retry"] == "false"
+        assert shop.calls == ["PUT hang-up", "DELETE hang-up", "POST hang-up"]
+
+
+async def test_an_answer_that_breaks_off_is_not_taken_for_whole():
+    async with loopback.deployed() as deployment:
+        await _deploy(deployment)
+        with pytest.raises(aiohttp.ClientError):
+            async with deployment.session.get(
+                f"{deployment.base}/s/photos/half"
+            ) as answer:
+                assert answer.status == 200
+                await answer.read()
+
+
+async def test_a_caller_that_stops_sending_is_told_and_the_endpoint_freed():
+    """The caller sends half of its body and then nothing more.
+
+    The endpoint has begun to read it, so it may have run.
+    """
+    async with loopback.deployed(body_timeout_ms=100) as deployment:
+        shop = await _deploy(deployment)
+
+        async def half():
+            yield b"half"
+            await shop.body_started.wait()
+            await asyncio.sleep(30)
+
+        async with deployment.session.post(
+            f"{deployment.base}/s/photos/upload", data=half()
+        ) as answer:
+            error = (await answer.json())["error"]
+        assert answer.status == 408
+        assert error["code"] == "slow_body"
+        assert error["ran"] == "unknown"
+        assert deployment.entry.core.plain_limits.in_flight("photos") == 0
+
+
+async def test_a_caller_that_leaves_ends_the_call():
+    async with loopback.deployed() as deployment:
+        shop = await _deploy(deployment)
+        host, port = deployment.base.removeprefix("http://").split(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        head = "POST /s/photos/upload HTTP/1.1\r\nHost: x\r\n"
+        writer.write(f"{head}Content-Length: 9\r\n\r\nhalf".encode())
+        await asyncio.wait_for(shop.body_started.wait(), 5)
+        limits = deployment.entry.core.plain_limits
+        assert limits.in_flight("photos") == 1
+        writer.transport.abort()
+        for _ in range(200):
+            if not limits.in_flight("photos"):
+                return
+            await asyncio.sleep(0.01)
+        raise AssertionError("the call is still in flight")
--- /dev/null
+++ b/tests/requests/test_plain.py
@@ -0,0 +1,308 @@
+"""Plain calls on the virtual clock: choice, retries, at most one sending."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Sequence
+
+import pytest
+
+from jujubewharf import errors
+from jujubewharf.configuration import resources
+from jujubewharf.engines import client
+from jujubewharf.experiments import bench as benches
+from jujubewharf.experiments import virtual_time
+from jujubewharf.requests import plain
+from jujubewharf.requests import plain_body
+
+SERVICE = resources.Service(
+    "shop-api",
+    resources.ServiceKind.PLAIN,
+    repeatable=False,
+    deadline_ms=1_000.0,
+    retry_ratio=0.0,
+)
+
+
+def _endpoint(name: str, domain: str = "a", **more) -> resources.Endpoint:
+    role = resources.Role.PLAIN
+    return resources.Endpoint(name, "shop-api", name, domain, role, **more)
+
+
+async def _bench(
+    *endpoints: resources.Endpoint, service: resources.Service = SERVICE
+) -> benches.Bench:
+    bench = benches.Bench()
+    await bench.declare(service, *endpoints)
+    await bench.start_instance("e1", "a")
+    await bench.clock.sleep_ms(100)
+    return bench
+
+
+async def _chunks(parts: Sequence[bytes]) -> AsyncIterator[bytes]:
+    for part in parts:
+        yield part
+
+
+def _request(
+    bench: benches.Bench, number: int = 1, **more
+) -> plain.PlainRequest:
+    return plain.PlainRequest(
+        **{
+            "request_id": f"r{number}",
+            "service": SERVICE,
+            "method": "POST",
+            "path_query": "/stock",
+            "arrived_ms": bench.clock.now_ms(),
+            "deadline_ms": 1_000.0,
+        }
+        | more
+    )
+
+
+async def _call(bench: benches.Bench, **more) -> bytes | errors.WharfError:
+    core = bench.instances["e1"].core
+    try:
+        async with core.call_plain(_request(bench, **more)) as reply:
+            return b"".join([chunk async for chunk in reply.body])
+    except errors.WharfError as error:
+        return error
+
+
+def _runs(bench: benches.Bench) -> int:
+    return sum(len(runs) for runs in bench.endpoints.runs.values())
+
+
+def test_the_own_domain_is_preferred_and_drained_endpoints_are_left_out():
+    async def main() -> None:
+        bench = await _bench(
+            _endpoint("a1"),
+            _endpoint("a2", drained=True),
+            _endpoint("b1", "b"),
+        )
+        for number in range(6):
+            assert await _call(bench, number=number) == b""
+        assert list(bench.endpoints.runs) == ["a1"]
+        await bench.stop()
+
+    virtual_time.run(main())
+
+
+def test_a_slow_endpoint_gets_fewer_calls():
+    async def main() -> None:
+        bench = await _bench(_endpoint("fast"), _endpoint("slow"))
+        bench.endpoints.answer_ms |= {"fast": 5.0, "slow": 400.0}
+
+        async def steadily(number: int) -> None:
+            await bench.clock.sleep_ms(number * 10)
+            await _call(bench, number=number)
+
+        await asyncio.gather(*(steadily(number) for number in range(40)))
+        runs = bench.endpoints.runs
+        assert len(runs["fast"]) > 5 * len(runs["slow"])
+        await bench.stop()
+
+    virtual_time.run(main())
+
+
+def test_what_was_never_sent_goes_to_another_endpoint():
+    """The first endpoint is down: no connection, so nothing ran there.
+
+    The caller sees an answer, also for a call that may not be repeated.
+    """
+
+    async def main() -> None:
+        bench = await _bench(_endpoint("a1"), _endpoint("b1", "b"))
+        bench.endpoints.dead.add("a1")
+        answer = await _call(bench, body=_chunks([b"one", b"two"]))
+        assert answer == b"onetwo"
+        assert _runs(bench) == 1
+        await bench.stop()
+
+    virtual_time.run(main())
+
+
+def test_a_lost_answer_of_a_call_that_may_not_be_repeated_is_unknown():
+    """The endpoint takes the call and dies before it answers.
+
+    Another endpoint is there, but a second sending could log stock twice; the
+    caller is told that the outcome is unknown, never that it did not run.
+    """
+
+    async def main() -> None:
+        bench = await _bench(_endpoint("a1"), _endpoint("a2"))
+        _die_while_running(bench)
+        error = await _call(bench)
+        assert error.kind is errors.ErrorKind.OUTCOME_UNKNOWN
+        assert error.ran is errors.Ran.UNKNOWN
+        assert _runs(bench) == 1
+        await bench.stop()
+
+    virtual_time.run(main())
+
+
+def test_a_lost_answer_of_a_repeatable_call_is_asked_for_again():
+    async def main() -> None:
+        bench = await _bench(_endpoint("a1"), _endpoint("a2"))
+        _die_while_running(bench)
+        body = _chunks([b"x" * 100])
+        answer = await _call(bench, is_repeatable=True, body=body)
+        assert answer == b"x" * 100
+        assert _runs(bench) == 2
+        await bench.stop()
+
+    virtual_time.run(main())
+
+
+def test_a_body_that_is_too_large_to_keep_is_not_sent_again():
+    async def main() -> None:
+        bench = await _bench(_endpoint("a1"), _endpoint("a2"))
+        _die_while_running(bench)
+        body = _chunks([b"x" * plain_body.MAX_KEPT_BYTES, b"x"])
+        error = await _call(bench, is_repeatable=True, body=body)
+        assert error.kind is errors.ErrorKind.ENDPOINT_FAILED
+        assert error.ran is errors.Ran.UNKNOWN
+        assert _runs(bench) == 1
+        await bench.stop()
+
+    virtual_time.run(main())
+
+
+def test_retries_are_bounded_by_a_budget():
+    """All endpoints fail; ten retries are in hand and none is earned."""
+
+    async def main() -> None:
+        bench = await _bench(_endpoint("a1"), _endpoint("a2"))
+        _die_while_running(bench, once=False)
+        for number in range(40):
+            await _call(bench, number=number, is_repeatable=True)
+        assert _runs(bench) == 40 + 10
+        await bench.stop()
+
+    virtual_time.run(main())
+
+
+def test_a_deadline_ends_the_call_and_says_what_is_known():
+    async def main() -> None:
+        bench = await _bench(_endpoint("a1"))
+        bench.endpoints.answer_ms["a1"] = 5_000.0
+        started_ms = bench.clock.now_ms()
+        unknown = await _call(bench)
+        assert unknown.kind is errors.ErrorKind.OUTCOME_UNKNOWN
+        assert bench.clock.now_ms() - started_ms == 1_000
+        late = await _call(bench, is_repeatable=True)
+        assert late.kind is errors.ErrorKind.DEADLINE_EXCEEDED
+        assert late.ran is errors.Ran.UNKNOWN
+        await bench.stop()
+
+    virtual_time.run(main())
+
+
+def test_no_endpoint_left_is_a_refusal_that_did_not_run():
+    async def main() -> None:
+        bench = await _bench(_endpoint("a1"), _endpoint("a2"))
+        bench.endpoints.dead |= {"a1", "a2"}
+        error = await _call(bench)
+        assert error.kind is errors.ErrorKind.NO_FITTING_ENGINE
+        assert error.ran is errors.Ran.NO
+        assert error.retry_after_ms > 0
+        await bench.stop()
+
+    virtual_time.run(main())
+
+
+class _Claims:
+    """Gives each key once; another body under it is a conflict."""
+
+    def __init__(self) -> None:
+        self.taken: dict[str, str] = {}
+
+    async def claim(self, key: str, request_id: str, body_digest: str) -> None:
+        held = self.taken.setdefault(key, body_digest)
+        if held != body_digest:
+            raise errors.WharfError(errors.ErrorKind.KEY_CONFLICT)
+        if len(self.taken) > 1 or request_id != "r1":
+            raise errors.WharfError(errors.ErrorKind.CLAIM_LOST)
+
+
+def test_a_keyed_call_that_may_not_be_repeated_is_sent_once_for_its_key():
+    """The caller sends the same sale twice with one key, then another."""
+
+    async def main() -> None:
+        bench = await _bench(_endpoint("a1"))
+        core = bench.instances["e1"].core
+        core.plain.claims = _Claims()
+        first = await _call(bench, key="k", body=_chunks([b"one"]))
+        assert first == b"one"
+        again = await _call(bench, number=2, key="k", body=_chunks([b"one"]))
+        assert again.kind is errors.ErrorKind.CLAIM_LOST
+        other = await _call(bench, number=3, key="k", body=_chunks([b"two"]))
+        assert other.kind is errors.ErrorKind.KEY_CONFLICT
+        assert _runs(bench) == 1
+        await bench.stop()
+
+    virtual_time.run(main())
+
+
+def test_plain_calls_do_not_wait_for_model_requests():
+    """Every place of a model service is taken, and its queue is full."""
+
+    async def main() -> None:
+        bench = await _bench(_endpoint("a1"))
+        core = bench.instances["e1"].core
+        tight = resources.Service(
+            "verdict-llm",
+            resources.ServiceKind.MODEL,
+            max_in_flight=1,
+            max_queued=0,
+        )
+        async with core.model_limits.admitted("", tight, deadline_at_ms=9e9):
+            with pytest.raises(errors.WharfError):
+                async with core.model_limits.admitted(
+                    "", tight, deadline_at_ms=9e9
+                ):
+                    pass
+            assert await _call(bench) == b""
+        await bench.stop()
+
+    virtual_time.run(main())
+
+
+def _die_while_running(bench: benches.Bench, *, once: bool = True) -> None:
+    """Makes endpoints take a call, run it, and lose the answer.
+
+    Args:
+        bench: Whose endpoints.
+        once: Only the first call is lost when true, else every one.
+    """
+    endpoints = bench.endpoints
+    whole = endpoints.call
+    lost: list[str] = []
+
+    def call(endpoint, sent):
+        if once and lost:
+            return whole(endpoint, sent)
+        lost.append(endpoint.name)
+        return _Lost(endpoints, endpoint, sent)
+
+    endpoints.call = call
+
+
+class _Lost:
+    def __init__(self, endpoints, endpoint, sent) -> None:
+        self._endpoints = endpoints
+        self._endpoint = endpoint
+        self._sent = sent
+
+    async def __aenter__(self):
+        if self._sent.body is not None:
+            async for _ in self._sent.body:
+                pass
+        name = self._endpoint.name
+        runs = self._endpoints.runs.setdefault(name, [])
+        runs.append(self._sent.request_id)
+        raise client.EngineError(client.EngineFault.LOST, name)
+
+    async def __aexit__(self, *error) -> None:
+        return None
