--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -30,18 +30,22 @@
 from jujubewharf.engines import endpoint_client
 from jujubewharf.engines import http as engine_http
 from jujubewharf.engines import http_endpoint
+from jujubewharf.membership import membership as memberships
+from jujubewharf.peers import mesh
+from jujubewharf.peers import peer
 from jujubewharf.peers import streams
 from jujubewharf.platform import http_log
 from jujubewharf.platform import live_list
 from jujubewharf.platform import log
 from jujubewharf.platform import weights
+from jujubewharf.requests import answers as request_answers
 from jujubewharf.requests import life
 from jujubewharf.requests import limits
 from jujubewharf.requests import model_request
 from jujubewharf.requests import plain
 from jujubewharf.requests import plain_endpoints
+from jujubewharf.routing import baselines
 from jujubewharf.routing import fleet as fleets
-from jujubewharf.routing import least_load
 from jujubewharf.routing import placer as placers
 from jujubewharf.routing import policy as policies
 from jujubewharf.settings import models
@@ -85,6 +89,10 @@
         model_limits: Limits of model requests here.
         plain_limits: Limits of plain calls here.
         plain: Runs plain calls.
+        peers: Links to the other instances.
+        membership: Who they are.
+        runner: Runs model requests, and counts.
+        answers: All answers of this instance.
     """
 
     def __init__(
@@ -99,38 +107,67 @@
         self.settings = settings
         self.clock = clock
         self.adapters = adapters
+        timing = peer.Timing(
+            settings.peers.heartbeat_ms, settings.peers.suspect_after_ms
+        )
+        self.peers = mesh.PeerMesh(
+            settings.instance,
+            settings.domain,
+            clock,
+            adapters.transport,
+            timing=timing,
+        )
+        self.membership = memberships.Membership(
+            self.peers,
+            settings.domain,
+            adapters.live_list,
+            clock,
+            timing=timing,
+            poll_ms=settings.platform.live_list_poll_ms,
+        )
         self.configuration = follower.ConfigurationFollower(
             adapters.log, clock, wait_ms=settings.platform.log_wait_ms
         )
         self.fleet = fleets.Fleet(adapters.make_engine_client, clock)
         self.configuration.listen(self.fleet.on_configuration)
         if policy is None:
-            policy = least_load.LeastLoad()
+            policy = baselines.LeastLoad()
         self._placer = placers.Placer(policy, self.fleet, clock)
-        self._runner = life.RequestRunner(
+        self.runner = life.RequestRunner(
             settings.instance,
             self.fleet,
             self._placer,
             clock,
         )
+        self.answers = request_answers.Answers(self.runner, clock)
 
         self.accounts = accounts.Accounts()
         self.configuration.listen(self.accounts.on_configuration)
-        self.model_limits = limits.Limits(clock, self.accounts.get)
-        self.plain_limits = limits.Limits(clock, self.accounts.get)
+        self.model_limits, self.plain_limits = (
+            limits.Limits(
+                clock, self.accounts.get, member_count=self._member_count
+            )
+            for _ in range(2)
+        )
         chooser = plain_endpoints.Chooser(settings.domain, clock)
         self.configuration.listen(chooser.on_configuration)
         self.plain = plain.PlainRunner(adapters.endpoints, chooser, clock)
 
     async def on_start(self) -> None:
         """Starts the parts, those that others need first."""
+        await self.add_runtime_dependency(self.peers)
+        await self.add_runtime_dependency(self.membership)
         await self.add_runtime_dependency(self.configuration)
         await self.add_runtime_dependency(self.fleet)
+        await self.add_runtime_dependency(self.answers)
+
+    def _member_count(self) -> int:
+        return len(self.membership.present())
 
     async def answer(
         self, request: model_request.ModelRequest
     ) -> AsyncGenerator[model_request.Event, None]:
-        """Answers a model request; see ``life.RequestRunner.run``."""
+        """Answers a model request; see ``answers.Answers.answer``."""
         deadline_at_ms = request.arrived_ms + request.deadline_ms
         watch = goodput.Stopwatch(
             request.service, request.arrived_ms, self.clock
@@ -143,7 +180,7 @@
                     deadline_at_ms=deadline_at_ms,
                     priority=request.priority,
                 ),
-                contextlib.aclosing(self._runner.run(request)) as events,
+                contextlib.aclosing(self.answers.answer(request)) as events,
             ):
                 async for event in events:
                     watch.see(event)
--- a/src/jujubewharf/experiments/virtual_time.py
+++ b/src/jujubewharf/experiments/virtual_time.py
@@ -25,7 +25,9 @@
 
 def _cancel_rest(loop: asyncio.AbstractEventLoop) -> None:
     rest = asyncio.all_tasks(loop)
+    if not rest:
+        return
     for task in rest:
         task.cancel()
-    if rest:
-        loop.run_until_complete(asyncio.wait(rest))
+    gathered = asyncio.gather(*rest, return_exceptions=True)
+    loop.run_until_complete(gathered)
--- a/src/jujubewharf/requests/limits.py
+++ b/src/jujubewharf/requests/limits.py
@@ -35,7 +35,7 @@
 MemberCount = Callable[[], int]
 
 _in_flight = metrics.get_meter("jujubewharf").create_up_down_counter(
-    "jujubewharf.requests.in_flight",
+    "callers.in_flight",
     description="Requests admitted and not yet ended, by service.",
 )
 
--- a/src/jujubewharf/requests/plain.py
+++ b/src/jujubewharf/requests/plain.py
@@ -23,15 +23,15 @@
 from jujubewharf.engines import endpoint_client
 from jujubewharf.requests import plain_body
 from jujubewharf.requests import plain_endpoints
+from jujubewharf.requests import retries
 from jujubewharf.telemetry import goodput
 
 ATTEMPT_HEADER = "X-Attempt"
 _MAX_ATTEMPTS = 3
 _RETRY_AFTER_MS = 1_000.0
-_BUDGET_CEILING = 10.0
 
 _retries = metrics.get_meter("jujubewharf").create_counter(
-    "jujubewharf.plain.retries",
+    "plain.retries",
     description="Plain calls sent again, by reason.",
 )
 
@@ -86,27 +86,6 @@
         ...
 
 
-class RetryBudget:
-    """Retries as a share of calls, so that failures make no storm.
-
-    Each call earns ``ratio`` of a retry; a retry spends one.
-    """
-
-    def __init__(self) -> None:
-        self._earned = _BUDGET_CEILING
-
-    def earn(self, ratio: float) -> None:
-        """Adds what one call earns."""
-        self._earned = min(_BUDGET_CEILING, self._earned + ratio)
-
-    def spend(self) -> bool:
-        """Takes one retry; false when none is left."""
-        if self._earned < 1.0:
-            return False
-        self._earned -= 1.0
-        return True
-
-
 @dataclasses.dataclass(slots=True)
 class _Progress:
     """What became of a call so far."""
@@ -143,7 +122,7 @@
         self._chooser = chooser
         self._clock = clock
         self.claims = claims
-        self._budgets: dict[str, RetryBudget] = {}
+        self._budget = retries.RetryBudget()
         self._logger = structlog.get_logger()
 
     @contextlib.asynccontextmanager
@@ -191,14 +170,13 @@
         progress: _Progress,
     ) -> endpoint_client.PlainReply:
         body = plain_body.ReplayableBody(request.body)
-        budget = self._budgets.setdefault(request.service.name, RetryBudget())
-        budget.earn(request.service.retry_ratio)
+        self._budget.accepted(request.service)
         await self._claim(request, body)
         while True:
             try:
                 return await self._attempt(stack, request, progress, body)
             except client.EngineError as error:
-                self._after_failure(request, progress, body, budget, error)
+                self._after_failure(request, progress, body, error)
 
     async def _claim(
         self, request: PlainRequest, body: plain_body.ReplayableBody
@@ -258,7 +236,6 @@
         request: PlainRequest,
         progress: _Progress,
         body: plain_body.ReplayableBody,
-        budget: RetryBudget,
         error: client.EngineError,
     ) -> None:
         if body.failure is not None:
@@ -280,7 +257,7 @@
             or not body.is_whole
             or progress.attempts >= _MAX_ATTEMPTS
             or not self._chooser.has_any(service, excluded=progress.excluded)
-            or not budget.spend()
+            or not self._budget.take(request.service)
         ):
             raise _failure(request, error, progress)
         _retries.add(1, {"reason": error.fault.value})
