Telemetry: JSON lines without request text, Prometheus and OTLP, error page

Cause: other libraries' records went out as plain text, exceptions were written with their message, which may quote a body, and no meter provider was ever set up. Change: logging is routed into the same JSON lines; an exception is its type and its places; the event loop's own reports leave out the failed objects; metrics by setting on a port of their own; docs/ERRORS.md is made from the table, docs/operating/metrics.md is held against the code.

--- a/src/jujubewharf/commands/main.py
+++ b/src/jujubewharf/commands/main.py
@@ -17,7 +17,9 @@
 from jujubewharf.commands import standin
 from jujubewharf.settings import models
 from jujubewharf.settings import reader
+from jujubewharf.telemetry import error_page as error_pages
 from jujubewharf.telemetry import logs
+from jujubewharf.telemetry import metrics
 
 _EXIT_BAD_SETTINGS = 2
 
@@ -44,12 +46,28 @@
     """Run one entry instance until SIGTERM."""
     checked = _read_or_exit(settings)
     logs.configure(checked.telemetry.log_level, instance=checked.instance)
-    service = entries.Entry(checked, clocks.Clock())
+    services: list[mode.Service] = [entries.Entry(checked, clocks.Clock())]
+    metrics_edge = metrics.configure(checked)
+    if metrics_edge is not None:
+        services.append(metrics_edge)
     loop = asyncio.new_event_loop()
-    worker = mode.Worker(service, loop=loop, override_logging=False)
+    logs.handle_loop_errors(loop)
+    worker = mode.Worker(
+        *services,
+        loop=loop,
+        override_logging=False,
+        redirect_stdouts=False,
+        quiet=True,
+    )
     worker.execute_from_commandline()
 
 
+@app.command("errors")
+def error_page() -> None:
+    """Print the table of all errors, as docs/ERRORS.md holds it."""
+    print(error_pages.page(), end="")
+
+
 @settings_app.command("check")
 def settings_check(path: pathlib.Path) -> None:
     """Check a settings file; every error is named with its path."""
--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -49,6 +49,7 @@
 from jujubewharf.routing import placer as placers
 from jujubewharf.routing import policy as policies
 from jujubewharf.settings import models
+from jujubewharf.telemetry import gauges
 from jujubewharf.telemetry import goodput
 
 
@@ -236,6 +237,7 @@
     async def on_start(self) -> None:
         """Makes the adapters and starts core and edges."""
         self.core = EntryCore(self._settings, self._clock, self._adapters())
+        gauges.watch(self.core)
         callers = self._settings.callers
         self.callers = edge.CallerEdge(
             callers,
--- a/src/jujubewharf/peers/counters.py
+++ b/src/jujubewharf/peers/counters.py
@@ -9,19 +9,17 @@
 
 _meter = metrics.get_meter("jujubewharf")
 _bytes_in = _meter.create_counter(
-    "jujubewharf_peer_bytes_in", unit="By", description="Bytes from peers."
+    "peers.bytes_in", unit="By", description="Bytes from peers."
 )
 _bytes_out = _meter.create_counter(
-    "jujubewharf_peer_bytes_out", unit="By", description="Bytes to peers."
+    "peers.bytes_out", unit="By", description="Bytes to peers."
 )
 _drops = _meter.create_counter(
-    "jujubewharf_peer_drops", description="Dropped messages by reason."
-)
-_asks = _meter.create_counter(
-    "jujubewharf_peer_asks", description="Asks by outcome."
+    "peers.drops", description="Dropped messages by reason."
 )
+_asks = _meter.create_counter("peers.asks", description="Asks by outcome.")
 _refusals = _meter.create_counter(
-    "jujubewharf_peer_refusals", description="Refused links by reason."
+    "peers.refusals", description="Refused links by reason."
 )
 
 
--- /dev/null
+++ b/tests/telemetry/test_metrics.py
@@ -0,0 +1,74 @@
+"""Metrics: the documented list, and the Prometheus endpoint."""
+
+from __future__ import annotations
+
+import ast
+import pathlib
+import re
+
+import aiohttp
+from opentelemetry import metrics as api
+from opentelemetry.sdk import metrics as sdk_metrics
+import prometheus_client
+
+import jujubewharf
+from jujubewharf.settings import models
+from jujubewharf.telemetry import metrics
+
+ROOT = pathlib.Path(jujubewharf.__file__).parent
+PAGE = ROOT.parents[1] / "docs" / "operating" / "metrics.md"
+CREATE = re.compile(r"create_(observable_)?(counter|up_down|gauge|histogram)")
+
+
+def _made_in(path: pathlib.Path) -> set[str]:
+    names: set[str] = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if not isinstance(node, ast.Call):
+            continue
+        made_by = getattr(node.func, "attr", "")
+        if CREATE.match(made_by):
+            name = node.args[0]
+            assert isinstance(name, ast.Constant), f"{path}: not a literal"
+            names.add(name.value)
+    return names
+
+
+def test_the_page_lists_every_instrument_and_no_other():
+    made = set().union(*(_made_in(path) for path in ROOT.rglob("*.py")))
+    listed = set(re.findall(r"^\| `([a-z_.]+)` \|", PAGE.read_text(), re.M))
+    assert listed == made
+
+
+async def test_the_prometheus_endpoint_tells_what_was_counted():
+    registry = prometheus_client.CollectorRegistry()
+    reader = metrics._prometheus_reader(registry)
+    provider = sdk_metrics.MeterProvider(metric_readers=[reader])
+    counter = provider.get_meter("jujubewharf").create_counter("callers.x")
+    counter.add(3, {"reason": "rate_limited"})
+    settings = models.TelemetrySettings(metrics_port=0)
+    edge = metrics.MetricsEdge(settings, registry)
+    await edge.start()
+    try:
+        url = f"http://127.0.0.1:{edge.port}/metrics"
+        async with aiohttp.ClientSession() as session:
+            async with session.get(url) as answer:
+                text = await answer.text()
+    finally:
+        await edge.stop()
+        provider.shutdown()
+    assert 'jujubewharf_callers_x_total{reason="rate_limited"} 3.0' in text
+
+
+def test_nothing_is_set_up_unless_asked_for():
+    before = api.get_meter_provider()
+    url = "http://127.0.0.1:9"
+    settings = models.EntrySettings(
+        instance="e1",
+        region="r",
+        domain="d",
+        platform=models.PlatformSettings(
+            log_url=url, live_list_url=url, weight_store_url=url
+        ),
+    )
+    assert metrics.configure(settings) is None
+    assert api.get_meter_provider() is before
