Bench: kill, restart, pause and cut instances as processes

Cause: failure tests need an instance that dies without clean-up, and one that is paused and believes what it believed; cancelling tasks runs their clean-up, and gating each adapter leaves timers running.

--- /dev/null
+++ b/src/jujubewharf/experiments/adapters.py
@@ -0,0 +1,176 @@
+"""The platform and plain endpoints as one instance reaches them."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from collections.abc import Sequence
+import contextlib
+
+from jujubewharf import clock as clocks
+from jujubewharf.configuration import resources
+from jujubewharf.engines import client
+from jujubewharf.engines import endpoint_client
+from jujubewharf.experiments import processes
+from jujubewharf.platform import live_list as platform_live_list
+from jujubewharf.platform import log as platform_log
+from jujubewharf.platform import weights as platform_weights
+from jujubewharf.standins import live_list
+from jujubewharf.standins import log
+from jujubewharf.standins import weights
+
+
+class InstanceLog:
+    """The log as seen from one instance.
+
+    Attributes:
+        is_cut: Whether the instance is cut off from it. An append under way
+            at that moment takes effect and its answer is lost.
+    """
+
+    def __init__(
+        self, process: processes.Process, shared: log.MemoryLog
+    ) -> None:
+        self.is_cut = False
+        self._process = process
+        self._shared = shared
+
+    async def append(self, stream: str, payloads: Sequence[bytes]) -> list[int]:
+        """Appends; see ``platform.log.Log``."""
+        if self.is_cut:
+            raise platform_log.LogUnavailableError("cut off")
+        call = self._shared.append(stream, payloads)
+        offsets = await self._process.call_out(call)
+        if self.is_cut:
+            raise platform_log.AppendUnknownError("cut off")
+        return offsets
+
+    async def read(
+        self,
+        stream: str,
+        from_offset: int,
+        *,
+        limit: int = 500,
+        wait_ms: float = 0.0,
+    ) -> platform_log.LogPage:
+        """Reads; see ``platform.log.Log``."""
+        if self.is_cut:
+            raise platform_log.LogUnavailableError("cut off")
+        call = self._shared.read(
+            stream, from_offset, limit=limit, wait_ms=wait_ms
+        )
+        page = await self._process.call_out(call)
+        if self.is_cut:
+            raise platform_log.LogUnavailableError("cut off")
+        return page
+
+
+class InstanceLiveList:
+    """The live list as seen from one instance.
+
+    Attributes:
+        is_cut: Whether the instance is cut off from it.
+    """
+
+    def __init__(
+        self, process: processes.Process, shared: live_list.MemoryLiveList
+    ) -> None:
+        self.is_cut = False
+        self._process = process
+        self._shared = shared
+
+    async def fetch(self) -> tuple[platform_live_list.LiveMember, ...]:
+        """Reads the list; see ``platform.live_list.LiveList``."""
+        if self.is_cut:
+            raise platform_live_list.LiveListUnavailableError("cut off")
+        return await self._process.call_out(self._shared.fetch())
+
+
+class InstanceWeightStore:
+    """The weight store as seen from one instance.
+
+    Attributes:
+        is_cut: Whether the instance is cut off from it.
+    """
+
+    def __init__(
+        self, process: processes.Process, shared: weights.MemoryWeightStore
+    ) -> None:
+        self.is_cut = False
+        self._process = process
+        self._shared = shared
+
+    async def status(self) -> platform_weights.WeightStatus:
+        """Reads rate and load; see ``platform.weights.WeightStore``."""
+        if self.is_cut:
+            raise platform_weights.WeightStoreUnavailableError("cut off")
+        return await self._process.call_out(self._shared.status())
+
+
+class MemoryEndpoints:
+    """Plain endpoints in process: each answers after a while, and counts.
+
+    Attributes:
+        runs: Request ids in the order they ran, by endpoint.
+        answer_ms: Time an answer takes, by endpoint; others take
+            ``default_ms``.
+        dead: Endpoints that are unreachable.
+    """
+
+    def __init__(self, clock: clocks.Clock, *, default_ms: float = 5.0) -> None:
+        self.runs: dict[str, list[str]] = {}
+        self.answer_ms: dict[str, float] = {}
+        self.dead: set[str] = set()
+        self._clock = clock
+        self._default_ms = default_ms
+
+    @contextlib.asynccontextmanager
+    async def call(
+        self, endpoint: resources.Endpoint, call: endpoint_client.PlainCall
+    ) -> AsyncIterator[endpoint_client.PlainReply]:
+        """Echoes; see ``endpoint_client.EndpointClient``."""
+        body = await _whole(call)
+        await self.run(endpoint.name, call.request_id)
+        yield endpoint_client.PlainReply(200, (), _once(body))
+
+    async def run(self, name: str, request_id: str) -> None:
+        """Runs one request at an endpoint.
+
+        Raises:
+            EngineError: It is dead, or died meanwhile.
+        """
+        if name in self.dead:
+            raise client.EngineError(client.EngineFault.UNREACHABLE, name)
+        self.runs.setdefault(name, []).append(request_id)
+        await self._clock.sleep_ms(self.answer_ms.get(name, self._default_ms))
+        if name in self.dead:
+            raise client.EngineError(client.EngineFault.LOST, name)
+
+
+class InstanceEndpoints:
+    """Plain endpoints as one instance reaches them."""
+
+    def __init__(
+        self, process: processes.Process, shared: MemoryEndpoints
+    ) -> None:
+        self._process = process
+        self._shared = shared
+
+    @contextlib.asynccontextmanager
+    async def call(
+        self, endpoint: resources.Endpoint, call: endpoint_client.PlainCall
+    ) -> AsyncIterator[endpoint_client.PlainReply]:
+        """Echoes; see ``endpoint_client.EndpointClient``."""
+        body = await _whole(call)
+        run = self._shared.run(endpoint.name, call.request_id)
+        await self._process.call_out(run)
+        yield endpoint_client.PlainReply(200, (), _once(body))
+
+
+async def _whole(call: endpoint_client.PlainCall) -> bytes:
+    if call.body is None:
+        return b""
+    return b"".join([chunk async for chunk in call.body])
+
+
+async def _once(body: bytes) -> AsyncIterator[bytes]:
+    yield body
--- a/src/jujubewharf/experiments/bench.py
+++ b/src/jujubewharf/experiments/bench.py
@@ -2,13 +2,12 @@
 
 Scenario tests and the experiment tool share this bench. It models nothing of
 the router: only the stand-ins, a delay on streams and the engines' links.
+Run it inside ``virtual_time.run``.
 """
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
-from collections.abc import Sequence
-import contextlib
+from collections.abc import Callable
 import dataclasses
 import zlib
 
@@ -20,9 +19,11 @@
 from jujubewharf.configuration import records
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
-from jujubewharf.engines import endpoint_client
+from jujubewharf.experiments import adapters
+from jujubewharf.experiments import instances
+from jujubewharf.experiments import processes
+from jujubewharf.experiments import remote_engine
 from jujubewharf.platform import live_list as platform_live_list
-from jujubewharf.platform import log as platform_log
 from jujubewharf.routing import policy as policies
 from jujubewharf.settings import models
 from jujubewharf.standins import engine as engines
@@ -33,83 +34,16 @@
 
 _NOWHERE = "http://127.0.0.1:9"
 
+MakePolicy = Callable[[], policies.Policy | None]
 
-class CuttableLog:
-    """The log as seen from one instance: cut off or not, stalled or not."""
 
-    def __init__(self, shared: log.MemoryLog) -> None:
-        self.is_cut = False
-        self._shared = shared
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Start:
+    """How an instance was started, to start it again."""
 
-    async def append(self, stream: str, payloads: Sequence[bytes]) -> list[int]:
-        """Appends; see ``platform.log.Log``."""
-        if self.is_cut:
-            raise platform_log.LogUnavailableError("cut off")
-        return await self._shared.append(stream, payloads)
-
-    async def read(
-        self,
-        stream: str,
-        from_offset: int,
-        *,
-        limit: int = 500,
-        wait_ms: float = 0.0,
-    ) -> platform_log.LogPage:
-        """Reads; see ``platform.log.Log``."""
-        if self.is_cut:
-            raise platform_log.LogUnavailableError("cut off")
-        return await self._shared.read(
-            stream, from_offset, limit=limit, wait_ms=wait_ms
-        )
-
-
-class MemoryEndpoints:
-    """Plain endpoints in process: each answers after a while, and counts.
-
-    Attributes:
-        runs: Request ids in the order they ran, by endpoint.
-        answer_ms: Time an answer takes, by endpoint; others take
-            ``default_ms``.
-        dead: Endpoints that are unreachable.
-    """
-
-    def __init__(self, clock: clocks.Clock, *, default_ms: float = 5.0) -> None:
-        self.runs: dict[str, list[str]] = {}
-        self.answer_ms: dict[str, float] = {}
-        self.dead: set[str] = set()
-        self._clock = clock
-        self._default_ms = default_ms
-
-    @contextlib.asynccontextmanager
-    async def call(
-        self, endpoint: resources.Endpoint, call: endpoint_client.PlainCall
-    ) -> AsyncIterator[endpoint_client.PlainReply]:
-        """Echoes; see ``endpoint_client.EndpointClient``."""
-        name = endpoint.name
-        if name in self.dead:
-            raise client.EngineError(client.EngineFault.UNREACHABLE, name)
-        body = b""
-        if call.body is not None:
-            body = b"".join([chunk async for chunk in call.body])
-        self.runs.setdefault(name, []).append(call.request_id)
-        await self._clock.sleep_ms(self.answer_ms.get(name, self._default_ms))
-        if name in self.dead:
-            raise client.EngineError(client.EngineFault.LOST, name)
-        yield endpoint_client.PlainReply(200, (), _once(body))
-
-
-async def _once(body: bytes) -> AsyncIterator[bytes]:
-    yield body
-
-
-@dataclasses.dataclass(slots=True)
-class Instance:
-    """One running core and the faults of its surroundings."""
-
-    name: str
     domain: str
-    core: entries.EntryCore
-    log: CuttableLog
+    make_policy: MakePolicy
+    settings: dict[str, object]
 
 
 class Bench:
@@ -119,8 +53,14 @@
         seed: Seeds every stand-in's random numbers.
         retention_ms: Retention of the log.
         list_lag_ms: Lag of the live list.
-        near_ms: Delay of peer streams within a domain.
-        far_ms: Delay of peer streams between domains.
+        near_ms: Delay of streams and engine calls within a domain.
+        far_ms: Delay of streams and engine calls between domains.
+
+    Attributes:
+        network: Peer streams.
+        engine_network: Delays and cuts of engine calls.
+        engines: Engines by address.
+        instances: The latest run of each instance, by name.
     """
 
     def __init__(
@@ -141,10 +81,16 @@
         self.network = network.MemoryNetwork(
             self.clock, near_ms=near_ms, far_ms=far_ms
         )
-        self.endpoints = MemoryEndpoints(self.clock)
+        self.engine_network = network.MemoryNetwork(
+            self.clock, near_ms=near_ms, far_ms=far_ms
+        )
+        self.endpoints = adapters.MemoryEndpoints(self.clock)
         self.engines: dict[str, engines.Engine] = {}
-        self.instances: dict[str, Instance] = {}
+        self.instances: dict[str, instances.Instance] = {}
         self._seed = seed
+        self._engine_domains: dict[str, str] = {}
+        self._starts: dict[str, _Start] = {}
+        self._domains_without_log: list[str] = []
         self._listed: dict[str, platform_live_list.LiveMember] = {}
 
     def rng(self, name: str) -> np.random.Generator:
@@ -158,10 +104,22 @@
         engine = engines.Engine(
             endpoint.name, spec, self.clock, self.rng(endpoint.name)
         )
-        engine.sources = _Sources(self)
+        engine.sources = _Sources(self, endpoint.domain)
         self.engines[endpoint.address] = engine
+        self._engine_domains[endpoint.address] = endpoint.domain
         return engine
 
+    def engine(self, name: str) -> engines.Engine:
+        """An engine by its name.
+
+        Raises:
+            KeyError: There is none.
+        """
+        for engine in self.engines.values():
+            if engine.name == name:
+                return engine
+        raise KeyError(name)
+
     async def declare(self, *declared: resources.Resource) -> None:
         """Puts resources on the configuration stream."""
         payloads = [_put(resource) for resource in declared]
@@ -173,41 +131,105 @@
         domain: str,
         *,
         policy: policies.Policy | None = None,
+        make_policy: MakePolicy | None = None,
         settings: dict[str, object] | None = None,
-    ) -> Instance:
-        """Starts an entry core and puts it on the live list."""
-        checked = models.EntrySettings.model_validate(
-            {
-                "instance": name,
-                "region": "region",
-                "domain": domain,
-                "platform": {
-                    "log_url": _NOWHERE,
-                    "live_list_url": _NOWHERE,
-                    "weight_store_url": _NOWHERE,
-                },
-                **(settings or {}),
-            }
-        )
-        seen_log = CuttableLog(self.log)
-        adapters = entries.Adapters(
-            log=seen_log,
-            live_list=self.live_list,
-            weight_store=self.weight_store,
-            make_engine_client=lambda e: self.engines[e.address],
-            endpoints=self.endpoints,
-            transport=self.network.transport(name, domain),
-        )
-        core = entries.EntryCore(checked, self.clock, adapters, policy=policy)
-        instance = Instance(name, domain, core, seen_log)
-        self.instances[name] = instance
-        await core.start()
-        return instance
+    ) -> instances.Instance:
+        """Starts an entry core.
+
+        Args:
+            name: The instance's name.
+            domain: Its failure domain.
+            policy: Its policy; a restart uses the same object again.
+            make_policy: Makes its policy at the start and each restart.
+            settings: Settings other than the bench's own.
+        """
+        make_policy = make_policy or (lambda: policy)
+        self._starts[name] = _Start(domain, make_policy, settings or {})
+        return await self._start(name)
+
+    async def restart_instance(self, name: str) -> instances.Instance:
+        """Starts an instance anew under its old name, with nothing kept.
+
+        One that still runs is killed first.
+        """
+        if not self.instances[name].process.is_dead:
+            self.kill_instance(name)
+        return await self._start(name)
+
+    async def stop_instance(self, name: str) -> None:
+        """Shuts an instance down gracefully."""
+        instance = self.instances[name]
+        instance.process.resume()
+        await instance.stop()
+        instance.process.kill()
+        self._drop(instance)
+
+    def kill_instance(self, name: str) -> None:
+        """Ends an instance at once: it releases and tells nothing."""
+        instance = self.instances[name]
+        instance.process.kill()
+        self._drop(instance)
+
+    def pause_instance(self, name: str) -> None:
+        """Stops an instance; what is sent to it waits."""
+        self.instances[name].process.pause()
+
+    def resume_instance(self, name: str) -> None:
+        """Lets a paused instance run on, believing what it believed."""
+        self.instances[name].process.resume()
+
+    async def kill_engine(self, name: str) -> None:
+        """Ends an engine at once."""
+        await processes.outside(self.engine(name).die())
+
+    def restart_engine(self, name: str) -> None:
+        """Starts a dead engine anew, with nothing kept."""
+        self.engine(name).restart()
+
+    def stall_link(self, name: str, *, is_stalled: bool = True) -> None:
+        """Stops an engine's KV transfers, or lets them go on."""
+        self.engine(name).link.is_stalled = is_stalled
+
+    def cut_domain(
+        self,
+        domain: str,
+        *,
+        from_log: bool = True,
+        from_list: bool = True,
+        from_peers: bool = True,
+        from_engines_elsewhere: bool = True,
+    ) -> None:
+        """Cuts a failure domain off until ``heal``."""
+        for other in self._domains():
+            if other == domain:
+                continue
+            if from_peers:
+                self.network.cut(domain, other)
+            if from_engines_elsewhere:
+                self.engine_network.cut(domain, other)
+        if from_log:
+            self._domains_without_log.append(domain)
+        for instance in self.instances.values():
+            if instance.domain == domain:
+                instance.log.is_cut |= from_log
+                instance.live_list.is_cut |= from_list
+
+    def heal(self) -> None:
+        """Ends all cuts."""
+        self.network.heal()
+        self.engine_network.heal()
+        self._domains_without_log.clear()
+        for instance in self.instances.values():
+            instance.log.is_cut = False
+            instance.live_list.is_cut = False
 
     async def stop(self) -> None:
-        """Stops all instances."""
+        """Stops all instances that still live."""
         for instance in self.instances.values():
-            await instance.core.stop()
+            if instance.process.is_dead:
+                continue
+            instance.process.resume()
+            await instance.stop()
 
     def list_member(self, member: platform_live_list.LiveMember) -> None:
         """Sets one member on the live list."""
@@ -219,16 +241,84 @@
         self._listed.pop(name, None)
         self.live_list.publish(tuple(self._listed.values()))
 
+    def engine_at(self, address: str, domain: str) -> engines.Engine | None:
+        """The engine at an address, if it can be reached from a domain."""
+        here = self._engine_domains.get(address)
+        if here is None or self.engine_network.is_cut(here, domain):
+            return None
+        return self.engines[address]
+
+    async def _start(self, name: str) -> instances.Instance:
+        start = self._starts[name]
+        process = processes.Process(name, start.domain)
+        seen_log = adapters.InstanceLog(process, self.log)
+        seen_list = adapters.InstanceLiveList(process, self.live_list)
+        seen_log.is_cut = start.domain in self._domains_without_log
+        core = entries.EntryCore(
+            _settings(name, start),
+            self.clock,
+            entries.Adapters(
+                log=seen_log,
+                live_list=seen_list,
+                weight_store=adapters.InstanceWeightStore(
+                    process, self.weight_store
+                ),
+                make_engine_client=lambda e: self._remote_engine(process, e),
+                endpoints=adapters.InstanceEndpoints(process, self.endpoints),
+                transport=self.network.transport(name, start.domain),
+            ),
+            policy=start.make_policy(),
+        )
+        instance = instances.Instance(process, core, seen_log, seen_list)
+        self.instances[name] = instance
+        await instance.start()
+        return instance
+
+    def _remote_engine(
+        self, process: processes.Process, endpoint: resources.Endpoint
+    ) -> client.EngineClient:
+        return remote_engine.RemoteEngine(
+            process,
+            self.engines[endpoint.address],
+            endpoint.domain,
+            self.engine_network,
+            self.clock,
+        )
+
+    def _drop(self, instance: instances.Instance) -> None:
+        self.network.drop_instance(instance.name)
+
+    def _domains(self) -> list[str]:
+        domains = {start.domain for start in self._starts.values()}
+        return sorted(domains | set(self._engine_domains.values()))
+
 
 class _Sources(dict[str, engines.KvSource]):
     """Finds the engine at an address, as a KV transfer does."""
 
-    def __init__(self, bench: Bench) -> None:
+    def __init__(self, bench: Bench, domain: str) -> None:
         super().__init__()
         self._bench = bench
+        self._domain = domain
 
     def get(self, key: str, default: object = None) -> engines.Engine | None:  # type: ignore[override]
-        return self._bench.engines.get(key)
+        return self._bench.engine_at(key, self._domain)
+
+
+def _settings(name: str, start: _Start) -> models.EntrySettings:
+    return models.EntrySettings.model_validate(
+        {
+            "instance": name,
+            "region": "region",
+            "domain": start.domain,
+            "platform": {
+                "log_url": _NOWHERE,
+                "live_list_url": _NOWHERE,
+                "weight_store_url": _NOWHERE,
+            },
+            **start.settings,
+        }
+    )
 
 
 def _put(resource: resources.Resource) -> bytes:
--- /dev/null
+++ b/src/jujubewharf/experiments/instances.py
@@ -0,0 +1,107 @@
+"""An entry core in its process, and how callers reach it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+
+from jujubewharf import entry as entries
+from jujubewharf.experiments import adapters
+from jujubewharf.experiments import processes
+from jujubewharf.requests import model_request
+
+
+class Instance:
+    """One run of one instance.
+
+    Args:
+        process: Holds all its tasks.
+        core: The core.
+        log: The log as it sees it.
+        live_list: The live list as it sees it.
+    """
+
+    def __init__(
+        self,
+        process: processes.Process,
+        core: entries.EntryCore,
+        log: adapters.InstanceLog,
+        live_list: adapters.InstanceLiveList,
+    ) -> None:
+        self.process = process
+        self.core = core
+        self.log = log
+        self.live_list = live_list
+
+    def __repr__(self) -> str:
+        return f"Instance({self.name!r}, {self.domain!r})"
+
+    @property
+    def name(self) -> str:
+        """The instance's name."""
+        return self.process.name
+
+    @property
+    def domain(self) -> str:
+        """Its failure domain."""
+        return self.process.domain
+
+    async def start(self) -> None:
+        """Starts the core in its process."""
+        await self.process.create_task(_start(self.core))
+
+    async def stop(self) -> None:
+        """Stops the core gracefully."""
+        await self.process.create_task(_stop(self.core))
+
+    async def answer(
+        self, request: model_request.ModelRequest
+    ) -> AsyncIterator[model_request.Event]:
+        """Sends a request and reads its answer, as a caller does.
+
+        Leaving early is the caller's hanging up. The caller's own task is no
+        part of the instance: it lives on when the instance is killed.
+
+        Raises:
+            InstanceLostError: The instance died.
+        """
+        if self.process.is_dead:
+            raise processes.InstanceLostError(self.name)
+        arrived: asyncio.Queue[model_request.Event | None] = asyncio.Queue()
+        task = self.process.create_task(self._pump(request, arrived))
+        self.process.on_death(arrived, lambda: arrived.put_nowait(None))
+        try:
+            while True:
+                event = await arrived.get()
+                if event is None:
+                    break
+                yield event
+        finally:
+            self.process.forget(arrived)
+            if not self.process.is_dead:
+                task.cancel()
+        if self.process.is_dead:
+            raise processes.InstanceLostError(self.name)
+        await task
+
+    async def _pump(
+        self,
+        request: model_request.ModelRequest,
+        arrived: asyncio.Queue[model_request.Event | None],
+    ) -> None:
+        events = self.core.answer(request)
+        try:
+            async with contextlib.aclosing(events) as open_events:  # type: ignore[type-var]
+                async for event in open_events:
+                    arrived.put_nowait(event)
+        finally:
+            arrived.put_nowait(None)
+
+
+async def _start(core: entries.EntryCore) -> None:
+    await core.start()
+
+
+async def _stop(core: entries.EntryCore) -> None:
+    await core.stop()
--- a/src/jujubewharf/standins/log.py
+++ b/src/jujubewharf/standins/log.py
@@ -38,6 +38,7 @@
         is_down: Refuses everything while true.
         lose_answers: Number of coming appends that take effect but whose
             answer is lost.
+        append_ms: Time an append takes; a slow log takes long.
         appends: Append calls that took effect, by stream.
     """
 
@@ -53,7 +54,7 @@
         self.appends: collections.Counter[str] = collections.Counter()
         self._clock = clock
         self._retention_ms = retention_ms
-        self._append_ms = append_ms
+        self.append_ms = append_ms
         self._streams: dict[str, _Stream] = collections.defaultdict(_Stream)
         self._appended = asyncio.Event()
 
@@ -61,7 +62,7 @@
         """Appends records; see ``log.Log``."""
         if self.is_down:
             raise log.LogUnavailableError("down")
-        await self._clock.sleep_ms(self._append_ms)
+        await self._clock.sleep_ms(self.append_ms)
         if self.is_down:
             raise log.LogUnavailableError("down")
         offsets = self._store(self._streams[stream], payloads)
--- a/src/jujubewharf/standins/network.py
+++ b/src/jujubewharf/standins/network.py
@@ -1,14 +1,16 @@
 """Streams between instances in memory: a delay, and cuts between domains.
 
 Bytes written arrive after the delay, in order. A cut holds back what is
-written across it, as a partition does: nobody is told, writes just vanish
-into silence, and a new dial hangs and then fails.
+written across it, as a partition does: nobody is told, and what was held back
+arrives once the cut ends, as TCP sends it again. A new dial across a cut
+hangs and then fails.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+import collections
+import contextvars
 import dataclasses
 import itertools
 from typing import Any
@@ -22,9 +24,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Site:
-    address: str
+    instance: str
     domain: str
     on_stream: streams.OnStream
+    context: contextvars.Context
 
 
 class MemoryNetwork:
@@ -53,8 +56,8 @@
         self._sites: dict[str, _Site] = {}
         self._ports = itertools.count(_FIRST_PORT)
         self._cuts: set[tuple[str, str]] = set()
-        self._frozen: set[str] = set()
-        self._writers: list[_MemoryWriter] = []
+        self._changed = asyncio.Event()
+        self._writers: dict[_MemoryWriter, None] = {}
 
     def transport(self, instance: str, domain: str) -> MemoryTransport:
         """The transport of one instance."""
@@ -69,25 +72,45 @@
     def heal(self) -> None:
         """Ends all cuts."""
         self._cuts.clear()
+        self._changed.set()
+        self._changed = asyncio.Event()
+        for writer in list(self._writers):
+            writer.flush()
 
     def is_cut(self, domain: str, other: str) -> bool:
         """Whether bytes from one domain don't reach another."""
         return (domain, other) in self._cuts
 
+    async def passable(self, domain: str, other: str) -> None:
+        """Waits until bytes from one domain reach another."""
+        while self.is_cut(domain, other):
+            await self._changed.wait()
+
     def delay_ms(self, domain: str, other: str) -> float:
         """One-way delay."""
         return self._near_ms if domain == other else self._far_ms
 
+    def set_delays(self, *, near_ms: float, far_ms: float) -> None:
+        """Changes the delays of what is sent from now on."""
+        self._near_ms = near_ms
+        self._far_ms = far_ms
+
     def drop_instance(self, instance: str) -> None:
-        """Breaks all streams of an instance, as its death does."""
+        """Closes all that an instance has open, as its death does."""
+        for address, site in list(self._sites.items()):
+            if site.instance == instance:
+                del self._sites[address]
         for writer in list(self._writers):
-            if instance in (writer.instance, writer.other_instance):
-                writer.abort()
+            if writer.instance == instance:
+                writer.close()
 
-    def add_site(self, domain: str, on_stream: streams.OnStream) -> str:
+    def add_site(
+        self, instance: str, domain: str, on_stream: streams.OnStream
+    ) -> str:
         """Opens a listening address."""
         address = f"127.0.0.1:{next(self._ports)}"
-        self._sites[address] = _Site(address, domain, on_stream)
+        context = contextvars.copy_context()
+        self._sites[address] = _Site(instance, domain, on_stream, context)
         return address
 
     def remove_site(self, address: str) -> None:
@@ -105,58 +128,69 @@
         site = self._sites.get(address)
         if site is None:
             raise ConnectionRefusedError(address)
-        if self.is_cut(domain, site.domain):
+        if self.is_cut(domain, site.domain) or self.is_cut(site.domain, domain):
             await self._clock.sleep_ms(_DIAL_TIMEOUT_MS)
             raise TimeoutError(address)
         await self._clock.sleep_ms(2 * self.delay_ms(domain, site.domain))
         if address not in self._sites:
             raise ConnectionRefusedError(address)
+        return self._open(instance, domain, site)
+
+    def _open(
+        self, instance: str, domain: str, site: _Site
+    ) -> tuple[asyncio.StreamReader, streams.StreamWriter]:
         here, there = asyncio.StreamReader(), asyncio.StreamReader()
-        ends = (instance, address)
-        outward = _MemoryWriter(self, ends, domain, site.domain, there)
-        inward = _MemoryWriter(self, ends[::-1], site.domain, domain, here)
+        outward = _MemoryWriter(self, instance, (domain, site.domain), there)
+        inward = _MemoryWriter(self, site.instance, (site.domain, domain), here)
         outward.twin, inward.twin = inward, outward
-        self._writers += [outward, inward]
-        asyncio.ensure_future(site.on_stream(there, inward))
+        self._writers[outward] = None
+        self._writers[inward] = None
+        # The stream is served by the instance that listens, not by the one
+        # that dialled: a pause of either must stop only its own side.
+        asyncio.get_running_loop().create_task(
+            _serve(site.on_stream, there, inward), context=site.context.copy()
+        )
         return here, outward
 
     def forget(self, writer: _MemoryWriter) -> None:
-        """Drops a closed writer."""
-        if writer in self._writers:
-            self._writers.remove(writer)
+        """Drops a writer whose end has arrived."""
+        self._writers.pop(writer, None)
 
-    def call_later(self, delay_ms: float, call: Callable[[], None]) -> None:
-        """Runs a call after a while."""
-        loop = asyncio.get_running_loop()
-        loop.call_later(delay_ms / clocks.MS_PER_S, call)
+
+async def _serve(
+    on_stream: streams.OnStream,
+    reader: asyncio.StreamReader,
+    writer: _MemoryWriter,
+) -> None:
+    await on_stream(reader, writer)
 
 
 class _MemoryWriter:
-    """One direction of a stream."""
+    """One direction of a stream; ``None`` in its queues is the end."""
 
     def __init__(
         self,
         network: MemoryNetwork,
-        ends: tuple[str, str],
-        domain: str,
-        other: str,
+        instance: str,
+        way: tuple[str, str],
         reader: asyncio.StreamReader,
     ) -> None:
-        self.instance, self.other_instance = ends
+        self.instance = instance
         self.twin: _MemoryWriter | None = None
         self._network = network
-        self._domain = domain
-        self._other = other
+        self._way = way
         self._reader = reader
         self._is_closed = False
+        self._held: collections.deque[bytes | None] = collections.deque()
+        self._in_flight: collections.deque[bytes | None] = collections.deque()
 
     def write(self, data: bytes) -> None:
+        if self._is_closed:
+            return
         sent = self._network.bytes_sent
         sent[self.instance] = sent.get(self.instance, 0) + len(data)
-        if self._is_closed or self._network.is_cut(self._domain, self._other):
-            return
-        delay_ms = self._network.delay_ms(self._domain, self._other)
-        self._network.call_later(delay_ms, lambda: self._arrive(data))
+        self._held.append(data)
+        self.flush()
 
     async def drain(self) -> None:
         if self._is_closed:
@@ -167,15 +201,8 @@
         if self._is_closed:
             return
         self._is_closed = True
-        self._network.forget(self)
-        if not self._network.is_cut(self._domain, self._other):
-            delay_ms = self._network.delay_ms(self._domain, self._other)
-            self._network.call_later(delay_ms, self._end)
-
-    def abort(self) -> None:
-        self._is_closed = True
-        self._network.forget(self)
-        self._end()
+        self._held.append(None)
+        self.flush()
 
     def is_closing(self) -> bool:
         return self._is_closed
@@ -186,13 +213,35 @@
     def get_extra_info(self, name: str, default: Any = None) -> Any:
         return default
 
-    def _arrive(self, data: bytes) -> None:
-        if not self._reader.at_eof() and self._reader.exception() is None:
+    def flush(self) -> None:
+        """Sends what is held back, unless the way is cut."""
+        if self._network.is_cut(*self._way):
+            return
+        delay_ms = self._network.delay_ms(*self._way)
+        loop = asyncio.get_running_loop()
+        while self._held:
+            self._in_flight.append(self._held.popleft())
+            # Bytes under way belong to no instance: they arrive though their
+            # sender is paused or dead.
+            loop.call_later(
+                delay_ms / clocks.MS_PER_S,
+                self._arrive,
+                context=contextvars.Context(),
+            )
+
+    def _arrive(self) -> None:
+        # Timers due at one moment may fire in any order; taking the oldest
+        # each time keeps the stream's order.
+        data = self._in_flight.popleft()
+        if data is None:
+            self._end()
+        elif not self._reader.at_eof() and self._reader.exception() is None:
             self._reader.feed_data(data)
 
     def _end(self) -> None:
+        self._network.forget(self)
         self._reader.feed_eof()
-        if self.twin is not None and not self.twin.is_closing():
+        if self.twin is not None:
             self.twin.close()
 
 
@@ -225,5 +274,7 @@
 
     async def listen(self, on_stream: streams.OnStream) -> streams.Listener:
         """Listens; see ``streams.Transport``."""
-        address = self._network.add_site(self._domain, on_stream)
+        address = self._network.add_site(
+            self._instance, self._domain, on_stream
+        )
         return _MemoryListener(self._network, address)
