Facts across the fleet, suspicion by report, probes of what is in doubt

Cause: a link to everybody costs more than the budget for control at 380 instances, so an instance needs to learn of others without a link to them.

Change: facts with version and life spread by pushes of six copies and by a comparison of stores when the digests in heartbeats stay different; two reports of watchers in either domain make a member suspected; a pause of the own process is forgiven; a newcomer says its presence until the list has it.

--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -24,6 +24,7 @@
 from jujubewharf.engines import endpoint_client
 from jujubewharf.engines import http as engine_http
 from jujubewharf.engines import http_endpoint
+from jujubewharf.membership import facts
 from jujubewharf.membership import membership as memberships
 from jujubewharf.peers import mesh
 from jujubewharf.peers import peer
@@ -75,6 +76,7 @@
         configuration: Configuration in force here.
         fleet: Views of the engines.
         peers: Links to the other instances.
+        facts: Small facts known to the whole fleet.
         membership: Who they are.
     """
 
@@ -100,8 +102,10 @@
             adapters.transport,
             timing=timing,
         )
+        self.facts = facts.Facts(self.peers, clock)
         self.membership = memberships.Membership(
             self.peers,
+            self.facts,
             settings.domain,
             adapters.live_list,
             clock,
@@ -126,6 +130,7 @@
     async def on_start(self) -> None:
         """Starts the parts, those that others need first."""
         await self.add_runtime_dependency(self.peers)
+        await self.add_runtime_dependency(self.facts)
         await self.add_runtime_dependency(self.membership)
         await self.add_runtime_dependency(self.configuration)
         await self.add_runtime_dependency(self.fleet)
--- /dev/null
+++ b/src/jujubewharf/membership/facts.py
@@ -0,0 +1,269 @@
+"""Small facts that reach the whole fleet in seconds, over the links.
+
+News is pushed to a few links at a time, each receiver pushes it on, and so
+it spreads like an infection (Demers et al. 1987). A fixed number of copies
+an instance keeps the cost independent of the fleet's size, but leaves some
+instances out now and then. Heartbeats therefore carry a digest of all facts,
+and two stores whose digests differ are compared and made equal.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import random
+from typing import TYPE_CHECKING
+
+import aiolimiter
+import mode
+import structlog
+
+from jujubewharf.membership import fact_messages
+from jujubewharf.membership import fact_store
+from jujubewharf.peers import network
+
+if TYPE_CHECKING:
+    from jujubewharf import clock as clocks
+    from jujubewharf.peers import mesh as meshes
+
+Fact = fact_store.Fact
+Topic = fact_store.Topic
+Listener = Callable[[Fact], None]
+
+COPIES = 6
+
+_FANOUT = 3
+_TICK_MS = 200.0
+_MAX_FACTS_A_PUSH = 20
+_MAX_FACTS_A_SYNC = 200
+_SYNC_TIMEOUT_MS = 2_000.0
+_SYNC_PAUSE_MS = 1_000.0
+_MISMATCHES_TO_SYNC = 2
+_MISMATCHES_TO_TAKE_OVER = 4
+_PUSH_BYTES_PER_S = 1_000
+_PUSH_BURST_BYTES = 16_000
+_FACT_OVERHEAD_BYTES = 16
+
+
+class _HotFact:
+    """A fact that is still to be pushed on."""
+
+    def __init__(self, fact: Fact, source: str | None) -> None:
+        self.fact = fact
+        self.copies = 0
+        self.covered = {source}
+
+
+class Facts(mode.Service):
+    """Publishes facts to all instances and hears theirs.
+
+    Args:
+        mesh: The links.
+        clock: Time.
+
+    Attributes:
+        store: What is known here.
+    """
+
+    def __init__(self, mesh: meshes.PeerMesh, clock: clocks.Clock) -> None:
+        super().__init__()
+        self.store = fact_store.FactStore(clock)
+        self._mesh = mesh
+        self._clock = clock
+        self._listeners: dict[str, list[Listener]] = {}
+        self._hot: dict[tuple[str, str], _HotFact] = {}
+        self._mismatches: dict[str, int] = {}
+        self._random = random.Random(mesh.instance)
+        self._budget: aiolimiter.AsyncLimiter | None = None
+        self._due: list[str] = []
+        self._logger = structlog.get_logger()
+        mesh.handle(fact_messages.FactsPush, self._on_push)
+        mesh.handle(fact_messages.FactsKnown, self._on_known)
+        mesh.on_heartbeat(self._on_heartbeat)
+        mesh.facts_digest = lambda: self.store.digest
+
+    def publish(
+        self,
+        topic: str,
+        subject: str,
+        *,
+        version: int,
+        value: str = "",
+        ttl_ms: float,
+    ) -> bool:
+        """Tells the whole fleet.
+
+        Args:
+            topic: A ``Topic``.
+            subject: What the fact is about.
+            version: Higher than that of the fact it replaces or renews.
+            value: Its content.
+            ttl_ms: How long it is to be known, at most
+                ``fact_store.MAX_TTL_MS``.
+
+        Returns:
+            Whether this is news here.
+        """
+        ttl_ms = min(ttl_ms, fact_store.MAX_TTL_MS)
+        expires_ms = self._clock.now_ms() + ttl_ms
+        fact = Fact(str(topic), subject, version, value, expires_ms)
+        return self._take_in(fact, None)
+
+    def get(self, topic: str, subject: str) -> Fact | None:
+        """What is known, or ``None``."""
+        return self.store.get(topic, subject)
+
+    def about(self, topic: str) -> tuple[Fact, ...]:
+        """All that is known on a topic, by subject."""
+        now_ms = self._clock.now_ms()
+        found = [
+            fact
+            for fact in self.store
+            if fact.topic == topic and fact.expires_ms > now_ms
+        ]
+        return tuple(sorted(found, key=lambda fact: fact.subject))
+
+    def listen(self, topic: str, listener: Listener) -> None:
+        """Calls back for each new version of a fact, this side's included."""
+        self._listeners.setdefault(str(topic), []).append(listener)
+
+    async def on_start(self) -> None:
+        """Makes the limiter, which belongs to the running loop."""
+        self._budget = aiolimiter.AsyncLimiter(
+            _PUSH_BURST_BYTES, _PUSH_BURST_BYTES / _PUSH_BYTES_PER_S
+        )
+
+    @mode.Service.task
+    async def _push_on(self) -> None:
+        while not self.should_stop:
+            await self._clock.sleep_ms(_TICK_MS)
+            self.store.forget_expired()
+            if self._hot:
+                await self._push_some()
+
+    @mode.Service.task
+    async def _sync_on(self) -> None:
+        while not self.should_stop:
+            await self._clock.sleep_ms(_SYNC_PAUSE_MS)
+            if self._due:
+                peer = self._due.pop(0)
+                self._mismatches.pop(peer, None)
+                await self._sync(peer)
+
+    def _take_in(self, fact: Fact, source: str | None) -> bool:
+        if not self.store.add(fact):
+            return False
+        self._hot[fact.key] = _HotFact(fact, source)
+        for listener in self._listeners.get(fact.topic, ()):
+            listener(fact)
+        return True
+
+    def _take_in_all(
+        self, wires: Iterable[fact_messages.WireFact], source: str
+    ) -> None:
+        for wire in wires:
+            if wire.left_ms > 0:
+                self._take_in(self.store.from_wire(wire), source)
+
+    async def _push_some(self) -> None:
+        linked = self._mesh.linked()
+        targets = self._random.sample(linked, min(_FANOUT, len(linked)))
+        for target in targets:
+            await self._push_to(target)
+        if not linked:
+            return
+        for key, hot in list(self._hot.items()):
+            if hot.copies >= COPIES or hot.covered.issuperset(linked):
+                del self._hot[key]
+
+    async def _push_to(self, target: str) -> None:
+        fresh = [hot for hot in self._hot.values() if target not in hot.covered]
+        fresh.sort(key=lambda hot: hot.copies)
+        batch = fresh[:_MAX_FACTS_A_PUSH]
+        size_bytes = sum(_size_bytes(hot.fact) for hot in batch)
+        assert self._budget is not None
+        if not batch or not self._budget.has_capacity(size_bytes):
+            return
+        await self._budget.acquire(size_bytes)
+        wires = tuple(self.store.to_wire(hot.fact) for hot in batch)
+        if not self._mesh.tell(target, fact_messages.FactsPush(wires)):
+            return
+        for hot in batch:
+            hot.copies += 1
+            hot.covered.add(target)
+
+    async def _on_push(self, peer: str, push: fact_messages.FactsPush) -> None:
+        self._take_in_all(push.facts, peer)
+
+    def _on_heartbeat(self, peer: str, digest: int) -> None:
+        """Notes peers whose facts stay different.
+
+        Facts under way make digests differ for a moment, so one difference
+        proves nothing. Of two sides that notice, the lower name compares;
+        the other one steps in when nothing comes of it.
+        """
+        if digest == self.store.digest:
+            self._mismatches.pop(peer, None)
+            return
+        count = self._mismatches.get(peer, 0) + 1
+        self._mismatches[peer] = count
+        needed = _MISMATCHES_TO_SYNC
+        if self._mesh.instance > peer:
+            needed = _MISMATCHES_TO_TAKE_OVER
+        if count >= needed and peer not in self._due:
+            self._due.append(peer)
+
+    async def _sync(self, peer: str) -> None:
+        """Makes two stores equal, or a window of them if they are large."""
+        ordered = sorted(self.store, key=lambda fact: fact.key_hash)
+        window = fact_messages.FactsKnown(0, 2**32, ())
+        if len(ordered) > _MAX_FACTS_A_SYNC:
+            last_start = len(ordered) - _MAX_FACTS_A_SYNC
+            start = self._random.randint(0, last_start)
+            ordered = ordered[start : start + _MAX_FACTS_A_SYNC]
+            low, high = ordered[0].key_hash, ordered[-1].key_hash
+            window = fact_messages.FactsKnown(low, high, ())
+        known = tuple((f.key_hash, f.content_hash) for f in ordered)
+        question = fact_messages.FactsKnown(
+            window.from_key, window.to_key, known
+        )
+        try:
+            answer = await self._mesh.ask(
+                peer, question, timeout_ms=_SYNC_TIMEOUT_MS
+            )
+        except network.PeerError:
+            return
+        if not isinstance(answer, fact_messages.FactsMissing):
+            return
+        self._take_in_all(answer.facts, peer)
+        wanted = set(answer.wanted)
+        facts = [fact for fact in ordered if fact.key_hash in wanted]
+        if facts:
+            wires = tuple(self.store.to_wire(fact) for fact in facts)
+            self._mesh.tell(peer, fact_messages.FactsPush(wires))
+
+    async def _on_known(
+        self, peer: str, question: fact_messages.FactsKnown
+    ) -> fact_messages.FactsMissing:
+        theirs = dict(question.known)
+        mine = {
+            fact.key_hash: fact
+            for fact in self.store
+            if question.from_key <= fact.key_hash <= question.to_key
+        }
+        differing = [
+            fact
+            for key_hash, fact in mine.items()
+            if theirs.get(key_hash) != fact.content_hash
+        ]
+        wanted = [
+            key_hash
+            for key_hash, content in theirs.items()
+            if key_hash not in mine or mine[key_hash].content_hash != content
+        ]
+        wires = [self.store.to_wire(f) for f in differing[:_MAX_FACTS_A_SYNC]]
+        return fact_messages.FactsMissing(tuple(wires), tuple(wanted))
+
+
+def _size_bytes(fact: Fact) -> int:
+    return _FACT_OVERHEAD_BYTES + len(fact.subject) + len(fact.value)
--- a/src/jujubewharf/membership/membership.py
+++ b/src/jujubewharf/membership/membership.py
@@ -2,30 +2,45 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
+from collections.abc import Mapping
+import random
 from typing import TYPE_CHECKING
 
 import mode
 import structlog
 
+from jujubewharf.membership import facts as all_facts
+from jujubewharf.membership import member_facts
 from jujubewharf.membership import neighbours
+from jujubewharf.membership import suspicion
 from jujubewharf.membership import view
-from jujubewharf.peers import link_messages
 from jujubewharf.platform import live_list
 
 if TYPE_CHECKING:
     from jujubewharf import clock as clocks
+    from jujubewharf.peers import link_messages
     from jujubewharf.peers import mesh as meshes
     from jujubewharf.peers import peer as peers
 
 _CHECKS_PER_HEARTBEAT = 2
+_POLL_JITTER = 0.2
+_GATHER_MS = 50.0
+_PRESENCE_TTL_MS = 600_000.0
 
 
 class Membership(mode.Service):
     """Speaks ``view.MembershipView``.
 
+    Three sources are joined. The platform's list says who may exist, late.
+    A link says who answers, and its hello is newer than any list. Facts
+    spread what an instance says of itself, so that one that the list
+    doesn't have yet is known to all in seconds.
+
     Args:
         mesh: The links; this instance's name and address are theirs.
+        facts: What the fleet knows.
         domain: Failure domain of this instance.
         platform_list: The platform's live list.
         clock: Time.
@@ -36,6 +51,7 @@
     def __init__(
         self,
         mesh: meshes.PeerMesh,
+        facts: all_facts.Facts,
         domain: str,
         platform_list: live_list.LiveList,
         clock: clocks.Clock,
@@ -45,20 +61,33 @@
     ) -> None:
         super().__init__()
         self._mesh = mesh
+        self._facts = facts
         self._domain = domain
         self._list = platform_list
         self._clock = clock
         self._timing = timing
         self._poll_ms = poll_ms
+        self._suspicion = suspicion.Suspicion(
+            mesh, facts, domain, clock, timing=timing
+        )
         self._listed: dict[str, live_list.LiveMember] = {}
         self._listed_endpoints: tuple[live_list.LiveMember, ...] = ()
         self._members: dict[str, view.Member] = {}
         self._suspected: frozenset[str] = frozenset()
-        self._wanted_since_ms: dict[str, float] = {}
-        self._checked_ms: float | None = None
+        self._is_listed = False
+        self._presence_ms: float | None = None
+        self._presence_incarnation = 0
+        self._news = asyncio.Event()
         self._listeners: list[Callable[[], None]] = []
+        self._random = random.Random(mesh.instance)
         self._logger = structlog.get_logger()
         mesh.on_hello(self._on_hello)
+        for topic in (
+            all_facts.Topic.MEMBER,
+            all_facts.Topic.MEMBER_LEAVING,
+            all_facts.Topic.SUSPICION,
+        ):
+            facts.listen(topic, self._on_fact)
 
     @property
     def myself(self) -> view.Member:
@@ -95,6 +124,19 @@
         """Calls back upon changes; see ``view.MembershipView``."""
         self._listeners.append(listener)
 
+    def leave(self) -> None:
+        """Tells the fleet that this instance takes no new roles."""
+        if self._mesh.is_leaving:
+            return
+        self._mesh.is_leaving = True
+        self._facts.publish(
+            all_facts.Topic.MEMBER_LEAVING,
+            self._mesh.instance,
+            version=self._mesh.incarnation,
+            ttl_ms=_PRESENCE_TTL_MS,
+        )
+        self._refresh(has_news=True)
+
     @mode.Service.task
     async def _poll(self) -> None:
         while not self.should_stop:
@@ -104,27 +146,79 @@
                 # The last list is kept: an outage of the list says nothing
                 # about the instances on it.
                 self._logger.warning("live_list_unavailable", detail=str(error))
-            await self._clock.sleep_ms(self._poll_ms)
+            spread = self._random.uniform(1 - _POLL_JITTER, 1 + _POLL_JITTER)
+            await self._clock.sleep_ms(self._poll_ms * spread)
 
     @mode.Service.task
     async def _watch(self) -> None:
         while not self.should_stop:
+            self._news.clear()
+            self._say_presence()
             self._refresh()
-            await self._clock.sleep_ms(
-                self._timing.heartbeat_ms / _CHECKS_PER_HEARTBEAT
-            )
+            probed = self._suspicion.next_probe(self._members, self._suspected)
+            if probed is not None:
+                self._mesh.probe(probed)
+            await self._wait_for_news()
 
     def _on_list(self, listed: tuple[live_list.LiveMember, ...]) -> None:
         endpoints = tuple(m for m in listed if not m.is_entry)
-        entries = {m.name: m for m in listed if m.is_entry}
-        entries.pop(self._mesh.instance, None)
         has_news = endpoints != self._listed_endpoints
         self._listed_endpoints = endpoints
-        self._listed = entries
+        self._listed = {m.name: m for m in listed if m.is_entry}
+        mine = self._listed.pop(self._mesh.instance, None)
+        self._is_listed = (
+            mine is not None and mine.address == self._mesh.address
+        )
         self._refresh(has_news=has_news)
+        if self._is_listed and mine is not None:
+            if mine.state is live_list.LiveState.LEAVING:
+                self.leave()
 
     def _on_hello(self, hello: link_messages.Hello) -> None:
-        self._refresh()
+        self._news.set()
+
+    def _on_fact(self, fact: all_facts.Fact) -> None:
+        self._news.set()
+
+    async def _wait_for_news(self) -> None:
+        """Waits for the next check, or shortly when something came up.
+
+        The short wait gathers the many facts and hellos of one event, such
+        as a domain's healing, into one joining.
+        """
+        await self._clock.sleep_ms(_GATHER_MS)
+        check_ms = self._timing.heartbeat_ms / _CHECKS_PER_HEARTBEAT
+        try:
+            async with self._clock.timeout_ms(check_ms - _GATHER_MS):
+                await self._news.wait()
+        except TimeoutError:
+            return
+
+    def _say_presence(self) -> None:
+        """Tells the fleet of this instance until the list does."""
+        incarnation = self._mesh.incarnation
+        now_ms = self._clock.now_ms()
+        is_said = self._presence_incarnation == incarnation
+        if self._presence_ms is not None and is_said:
+            is_fresh = now_ms < self._presence_ms + _PRESENCE_TTL_MS / 2
+            if self._is_listed or is_fresh:
+                return
+        self._presence_incarnation = incarnation
+        self._presence_ms = now_ms
+        presence = member_facts.Presence(
+            self._domain, self._mesh.address, incarnation
+        )
+        held = self._facts.get(all_facts.Topic.MEMBER, self._mesh.instance)
+        version = incarnation
+        if held is not None:
+            version = max(version, held.version + 1)
+        self._facts.publish(
+            all_facts.Topic.MEMBER,
+            self._mesh.instance,
+            version=version,
+            value=member_facts.dump(presence),
+            ttl_ms=_PRESENCE_TTL_MS,
+        )
 
     def _refresh(self, *, has_news: bool = False) -> None:
         """Joins all that is known, and tells the listeners of changes."""
@@ -134,7 +228,7 @@
         )
         chosen = neighbours.choose(self.myself, members.values())
         self._mesh.keep_links(chosen)
-        suspected = self._find_suspected(members)
+        suspected = self._suspicion.find(members)
         if members != self._members or suspected != self._suspected:
             has_news = True
         self._members = members
@@ -144,66 +238,67 @@
                 listener()
 
     def _join(self) -> dict[str, view.Member]:
-        names = set(self._listed) | set(self._members) | set(self._heard())
+        told = self._told()
+        names = {*self._listed, *told, *self._mesh.greeted()}
         members = {}
         for name in sorted(names - {self._mesh.instance}):
-            member = self._join_one(name)
+            member = self._join_one(name, told)
             if member is not None:
                 members[name] = member
         return members
 
-    def _heard(self) -> tuple[str, ...]:
-        return self._mesh.linked()
+    def _told(self) -> dict[str, member_facts.Presence]:
+        found = {}
+        for fact in self._facts.about(all_facts.Topic.MEMBER):
+            presence = member_facts.presence(fact)
+            if presence is not None:
+                found[fact.subject] = presence
+        return found
 
-    def _join_one(self, name: str) -> view.Member | None:
-        """One member, or ``None`` if neither the list nor a link has it."""
+    def _join_one(
+        self, name: str, told: Mapping[str, member_facts.Presence]
+    ) -> view.Member | None:
+        """One member, or ``None`` if nothing speaks for it any more."""
         listed = self._listed.get(name)
+        is_heard = self._suspicion.is_heard(name)
+        said = self._said_of_itself(name, told)
+        if listed is None:
+            # Off the list and not heard: gone. Off the list and heard: the
+            # list lags behind a newcomer.
+            if said is None or (name in self._suspected and not is_heard):
+                return None
+            return self._member(name, said.domain, said.address, False)
+        is_leaving = listed.state is live_list.LiveState.LEAVING
+        if said is None:
+            return self._member(name, listed.domain, listed.address, is_leaving)
+        address = said.address
+        if self._mesh.contact(name).failed_ms is not None and not is_heard:
+            # Its own word may be out of date by now as well as the list.
+            address = listed.address
+        return self._member(name, said.domain, address, is_leaving)
+
+    def _said_of_itself(
+        self, name: str, told: Mapping[str, member_facts.Presence]
+    ) -> member_facts.Presence | None:
+        presence = told.get(name)
         hello = self._mesh.hello_of(name)
-        is_heard = self._is_heard(name)
-        if listed is None and not is_heard:
-            return None
-        is_leaving = (
-            listed is not None and listed.state is live_list.LiveState.LEAVING
+        if hello is None:
+            return presence
+        if presence is not None and presence.incarnation > hello.incarnation:
+            return presence
+        return member_facts.Presence(
+            hello.domain, hello.address, hello.incarnation
         )
-        if hello is not None and is_heard:
-            # A link's own word is newer than the lagging list's.
-            return view.Member(
-                name,
-                hello.address,
-                hello.domain,
-                is_leaving or hello.is_leaving,
-            )
-        if listed is None:
-            return None
-        return view.Member(name, listed.address, listed.domain, is_leaving)
-
-    def _is_heard(self, name: str) -> bool:
-        heard_ms = self._mesh.contact(name).heard_ms
-        if heard_ms is None:
-            return False
-        silence_ms = self._clock.now_ms() - heard_ms
-        return silence_ms <= self._timing.suspect_after_ms
-
-    def _find_suspected(
-        self, members: dict[str, view.Member]
-    ) -> frozenset[str]:
-        now_ms = self._clock.now_ms()
-        for name in members:
-            self._wanted_since_ms.setdefault(name, now_ms)
-        for name in set(self._wanted_since_ms) - set(members):
-            del self._wanted_since_ms[name]
-        return frozenset(name for name in members if self._is_silent(name))
-
-    def _is_silent(self, name: str) -> bool:
-        contact = self._mesh.contact(name)
-        if contact.failed_ms is not None:
-            return True
-        if not contact.is_watched:
-            return False
-        if not contact.hears_us:
-            return True
-        since_ms = contact.heard_ms
-        if since_ms is None:
-            since_ms = self._wanted_since_ms[name]
-        silence_ms = self._clock.now_ms() - since_ms
-        return silence_ms > self._timing.suspect_after_ms
+
+    def _member(
+        self, name: str, domain: str, address: str, is_leaving: bool
+    ) -> view.Member:
+        hello = self._mesh.hello_of(name)
+        fact = self._facts.get(all_facts.Topic.MEMBER_LEAVING, name)
+        incarnation = 0
+        if hello is not None:
+            is_leaving = is_leaving or hello.is_leaving
+            incarnation = hello.incarnation
+        if fact is not None and fact.version >= incarnation:
+            is_leaving = True
+        return view.Member(name, address, domain, is_leaving)
--- /dev/null
+++ b/src/jujubewharf/membership/suspicion.py
@@ -0,0 +1,210 @@
+"""Which members are not heard: by this instance's links, or by report.
+
+An instance watches only the peers that it has links to. Of the others it
+learns by reports, which it believes when two watchers give them that stand
+in its own domain or in the silent one's: what a third domain doesn't hear
+says nothing about the way from here.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+from jujubewharf.membership import facts as all_facts
+from jujubewharf.membership import member_facts
+from jujubewharf.membership import view
+
+if TYPE_CHECKING:
+    from jujubewharf import clock as clocks
+    from jujubewharf.peers import mesh as meshes
+    from jujubewharf.peers import peer as peers
+
+REPORTS_TO_BELIEVE = 2
+
+_ENOUGH_REPORTS = 3
+_REPORT_TTL_MS = 30_000.0
+_RENEW_MS = 15_000.0
+_PROBE_MS = 2_000.0
+_PROBE_AGAIN_MS = 10_000.0
+
+
+class Suspicion:
+    """Finds the members that are not heard.
+
+    Args:
+        mesh: The links.
+        facts: Where reports are given and found.
+        domain: Failure domain of this instance.
+        clock: Time.
+        timing: Times of the links.
+    """
+
+    def __init__(
+        self,
+        mesh: meshes.PeerMesh,
+        facts: all_facts.Facts,
+        domain: str,
+        clock: clocks.Clock,
+        *,
+        timing: peers.Timing,
+    ) -> None:
+        self._mesh = mesh
+        self._facts = facts
+        self._domain = domain
+        self._clock = clock
+        self._timing = timing
+        self._known_since_ms: dict[str, float] = {}
+        self._reported_ms: dict[str, float] = {}
+        self._probed_ms: dict[str, float] = {}
+        self._last_probe_ms = 0.0
+        self._checked_ms: float | None = None
+        self._resumed_ms = float("-inf")
+
+    def find(self, members: Mapping[str, view.Member]) -> frozenset[str]:
+        """Names of the members that are not heard."""
+        self._notice_pause()
+        self._keep_times(members)
+        told = self._reported(members)
+        found = set()
+        for name in members:
+            is_silent = self.is_silent(name)
+            self._report(name, is_silent, told[name])
+            if is_silent or self._is_told(name, told[name]):
+                found.add(name)
+        return frozenset(found)
+
+    def is_heard(self, name: str) -> bool:
+        """Whether a link heard the peer within the time for suspicion."""
+        heard_ms = self._mesh.contact(name).heard_ms
+        return heard_ms is not None and self._is_recent(heard_ms)
+
+    def is_silent(self, name: str) -> bool:
+        """Whether this instance itself has evidence against the peer."""
+        contact = self._mesh.contact(name)
+        if contact.failed_ms is not None:
+            return True
+        if not contact.is_watched:
+            return False
+        if not contact.hears_us:
+            return True
+        since_ms = contact.heard_ms
+        if since_ms is None:
+            since_ms = self._known_since_ms.get(name, self._clock.now_ms())
+        return not self._is_recent(since_ms)
+
+    def next_probe(
+        self, members: Mapping[str, view.Member], suspected: frozenset[str]
+    ) -> str | None:
+        """A member in doubt that should be dialled now, if any.
+
+        In doubt is who stands in a domain of a suspected member and is not
+        watched from here. Without probes the members of a domain that was
+        cut off would be found out one failed request at a time, and one
+        once suspected would stay so, for nobody would dial it again.
+        """
+        now_ms = self._clock.now_ms()
+        if not suspected or now_ms < self._last_probe_ms + _PROBE_MS:
+            return None
+        doubtful = {
+            members[name].domain for name in suspected if name in members
+        }
+        for name, member in members.items():
+            if member.domain not in doubtful:
+                continue
+            if self._mesh.contact(name).is_watched or self.is_heard(name):
+                continue
+            probed_ms = self._probed_ms.get(name, float("-inf"))
+            if now_ms >= probed_ms + _PROBE_AGAIN_MS:
+                self._probed_ms[name] = now_ms
+                self._last_probe_ms = now_ms
+                return name
+        return None
+
+    def _is_recent(self, at_ms: float) -> bool:
+        since_ms = max(at_ms, self._resumed_ms)
+        silence_ms = self._clock.now_ms() - since_ms
+        return silence_ms <= self._timing.suspect_after_ms
+
+    def _notice_pause(self) -> None:
+        """Forgives silence that lies in a pause of this very process.
+
+        A process that was stopped for ten seconds finds, before it has read
+        its sockets, that everybody was silent for ten seconds. Suspecting
+        them all would make it the owner of everything for a moment.
+        """
+        now_ms = self._clock.now_ms()
+        last_ms = self._checked_ms
+        self._checked_ms = now_ms
+        if last_ms is None:
+            return
+        if now_ms - last_ms > self._timing.suspect_after_ms / 2:
+            self._resumed_ms = now_ms
+
+    def _keep_times(self, members: Mapping[str, view.Member]) -> None:
+        now_ms = self._clock.now_ms()
+        for name in members:
+            self._known_since_ms.setdefault(name, now_ms)
+        for times in (
+            self._known_since_ms,
+            self._reported_ms,
+            self._probed_ms,
+        ):
+            for name in [name for name in times if name not in members]:
+                del times[name]
+
+    def _reported(
+        self, members: Mapping[str, view.Member]
+    ) -> dict[str, list[member_facts.Report]]:
+        """Reports that count, by silent member."""
+        found: dict[str, list[member_facts.Report]]
+        found = collections.defaultdict(list)
+        for fact in self._facts.about(all_facts.Topic.SUSPICION):
+            name = member_facts.silent_in(fact.subject)
+            report = member_facts.report(fact)
+            member = members.get(name)
+            if report is None or member is None or not report.is_silent:
+                continue
+            is_near = report.domain in (self._domain, member.domain)
+            if is_near and report.incarnation >= self._incarnation(name):
+                found[name].append(report)
+        return found
+
+    def _is_told(self, name: str, reports: list[member_facts.Report]) -> bool:
+        if self._mesh.contact(name).is_watched or self.is_heard(name):
+            return False
+        return len(reports) >= REPORTS_TO_BELIEVE
+
+    def _report(
+        self, name: str, is_silent: bool, told: list[member_facts.Report]
+    ) -> None:
+        """Gives, renews or takes back this instance's own report."""
+        now_ms = self._clock.now_ms()
+        reported_ms = self._reported_ms.get(name)
+        if is_silent:
+            if reported_ms is None and len(told) >= _ENOUGH_REPORTS:
+                return
+            if reported_ms is not None and now_ms < reported_ms + _RENEW_MS:
+                return
+            self._reported_ms[name] = now_ms
+            self._publish(name, is_silent=True)
+        elif reported_ms is not None:
+            del self._reported_ms[name]
+            self._publish(name, is_silent=False)
+
+    def _publish(self, name: str, *, is_silent: bool) -> None:
+        report = member_facts.Report(
+            self._domain, self._incarnation(name), is_silent
+        )
+        self._facts.publish(
+            all_facts.Topic.SUSPICION,
+            member_facts.report_subject(name, self._mesh.instance),
+            version=int(self._clock.wall_ms()),
+            value=member_facts.dump(report),
+            ttl_ms=_REPORT_TTL_MS,
+        )
+
+    def _incarnation(self, name: str) -> int:
+        hello = self._mesh.hello_of(name)
+        return 0 if hello is None else hello.incarnation
--- a/src/jujubewharf/peers/mesh.py
+++ b/src/jujubewharf/peers/mesh.py
@@ -149,6 +149,12 @@
         self._tend(known)
         return is_kept
 
+    def probe(self, peer: str) -> None:
+        """Dials a peer that has no link, to find out whether it answers."""
+        known = self._known(peer)
+        if known is not None and known.best_link() is None:
+            self._spawn(self._probe(known))
+
     def set_addresses(self, addresses: Mapping[str, str]) -> None:
         """Says where each other instance listens."""
         self._addresses = addresses
@@ -176,6 +182,10 @@
             )
         )
 
+    def greeted(self) -> tuple[str, ...]:
+        """Peers whose hello is known."""
+        return tuple(self._hellos)
+
     def link_count(self) -> int:
         """Open links, those on demand included."""
         return sum(len(known.links) for known in self._peers.values())
@@ -206,7 +216,7 @@
     async def on_start(self) -> None:
         """Starts to listen."""
         self._started_ms = self._clock.now_ms()
-        self.incarnation = int(self._clock.wall_ms())
+        self.incarnation = max(1, int(self._clock.wall_ms()))
         self._listener = await self._transport.listen(self._accept)
         self.address = self._listener.address
 
@@ -266,6 +276,12 @@
             raise refused
         return answer
 
+    async def _probe(self, known: peers.Peer) -> None:
+        try:
+            await known.link()
+        except OSError:
+            return
+
     async def _tell_myself(self, message: messages.Message) -> None:
         try:
             await self._dispatch(self._instance, message)
--- a/src/jujubewharf/peers/peer.py
+++ b/src/jujubewharf/peers/peer.py
@@ -25,6 +25,7 @@
 _YIELD_DIAL_MS = 1_000.0
 _SHORTEST_PAUSE_MS = 10.0
 _JITTER = 0.1
+_STOPPING = link_messages.Goodbye.STOPPING.value
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,6 +91,7 @@
         self._news = asyncio.Event()
         self._backoff_ms = 0.0
         self._lacking_ms: float | None = None
+        self._tended_ms = float("-inf")
         self._random = random.Random(f"{instance}>{name}")
 
     def __repr__(self) -> str:
@@ -134,6 +136,10 @@
         self._heard_ms = self.heard_ms
         self.links.remove(link)
         self._news.set()
+        match link.farewell:
+            case link_messages.Farewell(reason=reason) if reason == _STOPPING:
+                # Its word is as good as a refused dial.
+                self._on_failed()
 
     def want(self, is_wanted: bool) -> None:
         """Asks for a standing link, or no longer."""
@@ -230,10 +236,15 @@
                 link.close(_idle())
             elif is_kept or link.is_busy:
                 self._beat(link)
+        self._tended_ms = now_ms
 
     def _beat(self, link: links.Link) -> None:
-        silence_ms = self._clock.now_ms() - link.last_heard_ms
-        if silence_ms > self._timing.dead_after_ms:
+        now_ms = self._clock.now_ms()
+        silence_ms = now_ms - link.last_heard_ms
+        # After a pause of this process what came meanwhile is still unread;
+        # only silence that this task has seen twice counts.
+        has_looked = now_ms - self._tended_ms < self._timing.suspect_after_ms
+        if silence_ms > self._timing.dead_after_ms and has_looked:
             link.close()
             return
         is_heard = silence_ms <= self._timing.suspect_after_ms
--- a/src/jujubewharf/platform/live_list.py
+++ b/src/jujubewharf/platform/live_list.py
@@ -72,9 +72,12 @@
                 async with self._session.get(f"{self._url}/list") as response:
                     response.raise_for_status()
                     items = await response.json()
-        except (aiohttp.ClientError, TimeoutError) as error:
+            return tuple(_member(item) for item in items)
+        except (aiohttp.ClientError, OSError) as error:
             raise LiveListUnavailableError(str(error)) from error
-        return tuple(_member(item) for item in items)
+        except (KeyError, TypeError, ValueError) as error:
+            # Half a list must not pass for a list on which many are gone.
+            raise LiveListUnavailableError("malformed list") from error
 
 
 def _member(item: dict[str, object]) -> LiveMember:
