--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -33,10 +33,11 @@
 from jujubewharf.platform import live_list
 from jujubewharf.platform import log
 from jujubewharf.platform import weights
+from jujubewharf.requests import answers as request_answers
 from jujubewharf.requests import life
 from jujubewharf.requests import model_request
+from jujubewharf.routing import baselines
 from jujubewharf.routing import fleet as fleets
-from jujubewharf.routing import least_load
 from jujubewharf.routing import placer as placers
 from jujubewharf.routing import policy as policies
 from jujubewharf.settings import models
@@ -78,6 +79,8 @@
         peers: Links to the other instances.
         facts: Small facts known to the whole fleet.
         membership: Who they are.
+        runner: Runs model requests, and counts.
+        answers: All answers of this instance.
     """
 
     def __init__(
@@ -118,14 +121,15 @@
         self.fleet = fleets.Fleet(adapters.make_engine_client, clock)
         self.configuration.listen(self.fleet.on_configuration)
         if policy is None:
-            policy = least_load.LeastLoad()
+            policy = baselines.LeastLoad()
         self._placer = placers.Placer(policy, self.fleet, clock)
-        self._runner = life.RequestRunner(
+        self.runner = life.RequestRunner(
             settings.instance,
             self.fleet,
             self._placer,
             clock,
         )
+        self.answers = request_answers.Answers(self.runner, clock)
 
     async def on_start(self) -> None:
         """Starts the parts, those that others need first."""
@@ -134,12 +138,13 @@
         await self.add_runtime_dependency(self.membership)
         await self.add_runtime_dependency(self.configuration)
         await self.add_runtime_dependency(self.fleet)
+        await self.add_runtime_dependency(self.answers)
 
     def answer(
         self, request: model_request.ModelRequest
     ) -> AsyncIterator[model_request.Event]:
-        """Answers a model request; see ``life.RequestRunner.run``."""
-        return self._runner.run(request)
+        """Answers a model request; see ``answers.Answers.answer``."""
+        return self.answers.answer(request)
 
 
 class Entry(mode.Service):
