--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -30,6 +30,7 @@
 from jujubewharf.engines import endpoint_client
 from jujubewharf.engines import http as engine_http
 from jujubewharf.engines import http_endpoint
+from jujubewharf.membership import facts
 from jujubewharf.membership import membership as memberships
 from jujubewharf.peers import mesh
 from jujubewharf.peers import peer
@@ -91,6 +92,7 @@
         plain_limits: Limits of plain calls here.
         plain: Runs plain calls.
         peers: Links to the other instances.
+        facts: Small facts known to the whole fleet.
         membership: Who they are.
         runner: Runs model requests, and counts.
         answers: All answers of this instance.
@@ -118,8 +120,10 @@
             adapters.transport,
             timing=timing,
         )
+        self.facts = facts.Facts(self.peers, clock)
         self.membership = memberships.Membership(
             self.peers,
+            self.facts,
             settings.domain,
             adapters.live_list,
             clock,
@@ -157,6 +161,7 @@
     async def on_start(self) -> None:
         """Starts the parts, those that others need first."""
         await self.add_runtime_dependency(self.peers)
+        await self.add_runtime_dependency(self.facts)
         await self.add_runtime_dependency(self.membership)
         await self.add_runtime_dependency(self.configuration)
         await self.add_runtime_dependency(self.fleet)
