--- a/tests/requests/test_plain.py
+++ b/tests/requests/test_plain.py
@@ -277,32 +277,15 @@
         once: Only the first call is lost when true, else every one.
     """
     endpoints = bench.endpoints
-    whole = endpoints.call
+    whole = endpoints.run
     lost: list[str] = []
 
-    def call(endpoint, sent):
+    async def run(name: str, request_id: str) -> None:
         if once and lost:
-            return whole(endpoint, sent)
-        lost.append(endpoint.name)
-        return _Lost(endpoints, endpoint, sent)
-
-    endpoints.call = call
-
-
-class _Lost:
-    def __init__(self, endpoints, endpoint, sent) -> None:
-        self._endpoints = endpoints
-        self._endpoint = endpoint
-        self._sent = sent
-
-    async def __aenter__(self):
-        if self._sent.body is not None:
-            async for _ in self._sent.body:
-                pass
-        name = self._endpoint.name
-        runs = self._endpoints.runs.setdefault(name, [])
-        runs.append(self._sent.request_id)
+            await whole(name, request_id)
+            return
+        lost.append(name)
+        endpoints.runs.setdefault(name, []).append(request_id)
         raise client.EngineError(client.EngineFault.LOST, name)
 
-    async def __aexit__(self, *error) -> None:
-        return None
+    endpoints.run = run
