--- a/src/jujubewharf/requests/limits.py
+++ b/src/jujubewharf/requests/limits.py
@@ -35,7 +35,7 @@
 MemberCount = Callable[[], int]
 
 _in_flight = metrics.get_meter("jujubewharf").create_up_down_counter(
-    "jujubewharf.requests.in_flight",
+    "callers.in_flight",
     description="Requests admitted and not yet ended, by service.",
 )
 
@@ -143,6 +143,11 @@
         self._gates: dict[str, _ServiceGate] = {}
         self._sweep_at = _SWEEP_AT
 
+    @property
+    def accounts_held(self) -> int:
+        """Accounts whose use is kept here."""
+        return len(self._shares)
+
     def in_flight(self, service: str) -> int:
         """Requests of a service that run here now."""
         gate = self._gates.get(service)
