Scenarios of membership; a broken link is looked after at once

Cause: an instance that was dialled by a peer, and so didn't watch it, took it for heard for 3.5 s after its death, and reports could not overrule that.

Change: a link that breaks without a farewell is followed by a dial; one that falls silent counts as a failed dial; a hello from a domain clears the failed dials to its other members. The in-memory network can freeze an instance.

--- a/src/jujubewharf/experiments/bench.py
+++ b/src/jujubewharf/experiments/bench.py
@@ -174,8 +174,17 @@
         *,
         policy: policies.Policy | None = None,
         settings: dict[str, object] | None = None,
+        clock: clocks.Clock | None = None,
     ) -> Instance:
-        """Starts an entry core and puts it on the live list."""
+        """Starts an entry core and puts it on the live list.
+
+        Args:
+            name: Its name; one used before makes a replacement.
+            domain: Its failure domain.
+            policy: See ``EntryCore``.
+            settings: Settings beside the required ones.
+            clock: A clock that differs from the bench's.
+        """
         checked = models.EntrySettings.model_validate(
             {
                 "instance": name,
@@ -198,7 +207,9 @@
             endpoints=self.endpoints,
             transport=self.network.transport(name, domain),
         )
-        core = entries.EntryCore(checked, self.clock, adapters, policy=policy)
+        core = entries.EntryCore(
+            checked, clock or self.clock, adapters, policy=policy
+        )
         instance = Instance(name, domain, core, seen_log)
         self.instances[name] = instance
         await core.start()
--- a/src/jujubewharf/membership/membership.py
+++ b/src/jujubewharf/membership/membership.py
@@ -175,6 +175,7 @@
                 self.leave()
 
     def _on_hello(self, hello: link_messages.Hello) -> None:
+        self._suspicion.on_hello(hello.domain, self._members)
         self._news.set()
 
     def _on_fact(self, fact: all_facts.Fact) -> None:
--- a/src/jujubewharf/membership/suspicion.py
+++ b/src/jujubewharf/membership/suspicion.py
@@ -94,6 +94,17 @@
             since_ms = self._known_since_ms.get(name, self._clock.now_ms())
         return not self._is_recent(since_ms)
 
+    def on_hello(self, domain: str, members: Mapping[str, view.Member]) -> None:
+        """Takes a hello from a domain as a sign that the way there is open.
+
+        After a partition heals, the members that were found unreachable by
+        probes would else be passed over until each is probed again.
+        """
+        for name, member in members.items():
+            contact = self._mesh.contact(name)
+            if member.domain == domain and not contact.is_watched:
+                self._mesh.forgive(name)
+
     def next_probe(
         self, members: Mapping[str, view.Member], suspected: frozenset[str]
     ) -> str | None:
@@ -172,7 +183,8 @@
         return found
 
     def _is_told(self, name: str, reports: list[member_facts.Report]) -> bool:
-        if self._mesh.contact(name).is_watched or self.is_heard(name):
+        contact = self._mesh.contact(name)
+        if contact.is_watched or (contact.is_linked and self.is_heard(name)):
             return False
         return len(reports) >= REPORTS_TO_BELIEVE
 
--- a/src/jujubewharf/peers/mesh.py
+++ b/src/jujubewharf/peers/mesh.py
@@ -41,12 +41,14 @@
     """What the links know of a peer.
 
     Attributes:
+        is_linked: Whether there is an open link.
         is_watched: Whether heartbeats are due from it.
         heard_ms: When it was last heard; ``None`` for never.
         hears_us: Its last word on whether it hears this instance.
         failed_ms: When a dial last failed and it was not heard since.
     """
 
+    is_linked: bool
     is_watched: bool
     heard_ms: float | None
     hears_us: bool
@@ -155,6 +157,12 @@
         if known is not None and known.best_link() is None:
             self._spawn(self._probe(known))
 
+    def forgive(self, peer: str) -> None:
+        """Forgets a failed dial, for there is reason to try again."""
+        known = self._peers.get(peer)
+        if known is not None:
+            known.forgive()
+
     def set_addresses(self, addresses: Mapping[str, str]) -> None:
         """Says where each other instance listens."""
         self._addresses = addresses
@@ -194,11 +202,15 @@
         """What the links know of a peer."""
         known = self._peers.get(peer)
         if known is None:
-            return Contact(False, None, True, None)
+            return Contact(False, False, None, True, None)
         link = known.best_link()
         is_watched = known.is_wanted or (link is not None and link.is_standing)
         return Contact(
-            is_watched, known.heard_ms, known.hears_us, known.failed_ms
+            is_linked=link is not None,
+            is_watched=is_watched,
+            heard_ms=known.heard_ms,
+            hears_us=known.hears_us,
+            failed_ms=known.failed_ms,
         )
 
     def hello_of(self, peer: str) -> link_messages.Hello | None:
@@ -505,8 +517,19 @@
             known = self._peers.get(link.peer)
             if known is not None and link in known.links:
                 known.remove(link)
+                self._look_after(known, link)
                 self._forget(known)
 
+    def _look_after(self, known: peers.Peer, link: links.Link) -> None:
+        """Finds out at once whether a peer died when its link breaks.
+
+        A peer that is to be kept linked is dialled anyhow. Of another one,
+        which had dialled this side, nothing would be heard until asked.
+        """
+        is_orderly = link.farewell is not None
+        if not is_orderly and not known.is_wanted and not self.should_stop:
+            self.probe(known.name)
+
     def _on_heartbeat(
         self, link: links.Link, heartbeat: link_messages.Heartbeat
     ) -> None:
--- a/src/jujubewharf/peers/peer.py
+++ b/src/jujubewharf/peers/peer.py
@@ -22,7 +22,7 @@
 _FIRST_BACKOFF_MS = 250.0
 _LAST_BACKOFF_MS = 4_000.0
 _IDLE_MS = 10_000.0
-_YIELD_DIAL_MS = 1_000.0
+_YIELD_DIAL_MS = 300.0
 _SHORTEST_PAUSE_MS = 10.0
 _JITTER = 0.1
 _STOPPING = link_messages.Goodbye.STOPPING.value
@@ -136,10 +136,9 @@
         self._heard_ms = self.heard_ms
         self.links.remove(link)
         self._news.set()
-        match link.farewell:
-            case link_messages.Farewell(reason=reason) if reason == _STOPPING:
-                # Its word is as good as a refused dial.
-                self._on_failed()
+        if link.farewell is not None and link.farewell.reason == _STOPPING:
+            # Its word is as good as a refused dial.
+            self._on_failed()
 
     def want(self, is_wanted: bool) -> None:
         """Asks for a standing link, or no longer."""
@@ -148,6 +147,12 @@
             self._backoff_ms = 0.0
             self._news.set()
 
+    def forgive(self) -> None:
+        """Forgets a failed dial, for there is reason to try again."""
+        self.failed_ms = None
+        self._backoff_ms = 0.0
+        self._news.set()
+
     def tell_later(self, message: messages.Message) -> bool:
         """Keeps a message for the link that is about to be dialled."""
         if self._is_backing_off() or len(self._waiting) >= MAX_WAITING_TELLS:
@@ -246,6 +251,7 @@
         has_looked = now_ms - self._tended_ms < self._timing.suspect_after_ms
         if silence_ms > self._timing.dead_after_ms and has_looked:
             link.close()
+            self._on_failed()
             return
         is_heard = silence_ms <= self._timing.suspect_after_ms
         link.beat(self._make_heartbeat(is_heard))
--- a/src/jujubewharf/standins/live_list.py
+++ b/src/jujubewharf/standins/live_list.py
@@ -25,12 +25,13 @@
 
     Attributes:
         is_down: Refuses everything while true.
+        lag_ms: How far the list lies behind.
     """
 
     def __init__(self, clock: clocks.Clock, *, lag_ms: float = 0.0) -> None:
         self.is_down = False
         self._clock = clock
-        self._lag_ms = lag_ms
+        self.lag_ms = lag_ms
         self._versions: list[_Version] = []
 
     def publish(self, members: tuple[live_list.LiveMember, ...]) -> None:
@@ -42,7 +43,7 @@
         """Reads the list; see ``live_list.LiveList``."""
         if self.is_down:
             raise live_list.LiveListUnavailableError("down")
-        until_ms = self._clock.now_ms() - self._lag_ms
+        until_ms = self._clock.now_ms() - self.lag_ms
         seen: tuple[live_list.LiveMember, ...] = ()
         for version in self._versions:
             if version.at_ms <= until_ms:
--- a/src/jujubewharf/standins/network.py
+++ b/src/jujubewharf/standins/network.py
@@ -54,13 +54,15 @@
         self._sites: dict[str, _Site] = {}
         self._ports = itertools.count(_FIRST_PORT)
         self._cuts: set[tuple[str, str]] = set()
-        self._dead: set[str] = set()
+        self._transports: list[MemoryTransport] = []
+        self._held: dict[str, list[Callable[[], None]]] = {}
         self._writers: list[_MemoryWriter] = []
 
     def transport(self, instance: str, domain: str) -> MemoryTransport:
-        """The transport of one instance; a dead one of this name is over."""
-        self._dead.discard(instance)
-        return MemoryTransport(self, instance, domain)
+        """The transport of one instance."""
+        transport = MemoryTransport(self, instance, domain)
+        self._transports.append(transport)
+        return transport
 
     def cut(self, domain: str, other: str, *, one_way: bool = False) -> None:
         """Holds back everything from one domain to another."""
@@ -85,7 +87,9 @@
 
         Whatever its code still does reaches nobody.
         """
-        self._dead.add(instance)
+        for transport in self._transports:
+            if transport.instance == instance:
+                transport.is_dead = True
         for address, site in list(self._sites.items()):
             if site.instance == instance:
                 self.remove_site(address)
@@ -93,6 +97,20 @@
             if instance in (writer.instance, writer.other_instance):
                 writer.abort()
 
+    def freeze(self, instance: str) -> None:
+        """Holds back all to and from an instance, as a pause of it does."""
+        self._held.setdefault(instance, [])
+
+    def thaw(self, instance: str) -> None:
+        """Delivers what was held back, in order."""
+        for arrive in self._held.pop(instance, ()):
+            arrive()
+
+    def held(self, *instances: str) -> list[Callable[[], None]] | None:
+        """Where to hold back what goes between instances, if anywhere."""
+        frozen = [self._held[name] for name in instances if name in self._held]
+        return frozen[0] if frozen else None
+
     def add_site(
         self, instance: str, domain: str, on_stream: streams.OnStream
     ) -> str:
@@ -114,9 +132,10 @@
             OSError: Nobody listens there, or a cut lies between.
         """
         site = self._sites.get(address)
-        if site is None or instance in self._dead:
+        if site is None:
             raise ConnectionRefusedError(address)
-        if self.is_cut(domain, site.domain):
+        is_frozen = self.held(instance, site.instance) is not None
+        if is_frozen or self.is_cut(domain, site.domain):
             await self._clock.sleep_ms(_DIAL_TIMEOUT_MS)
             raise TimeoutError(address)
         await self._clock.sleep_ms(2 * self.delay_ms(domain, site.domain))
@@ -168,7 +187,9 @@
         if self._is_closed or self._network.is_cut(self._domain, self._other):
             return
         delay_ms = self._network.delay_ms(self._domain, self._other)
-        self._network.call_later(delay_ms, lambda: self._arrive(data))
+        self._network.call_later(
+            delay_ms, lambda: self._pass(lambda: self._arrive(data))
+        )
 
     async def drain(self) -> None:
         if self._is_closed:
@@ -182,7 +203,7 @@
         self._network.forget(self)
         if not self._network.is_cut(self._domain, self._other):
             delay_ms = self._network.delay_ms(self._domain, self._other)
-            self._network.call_later(delay_ms, self._end)
+            self._network.call_later(delay_ms, lambda: self._pass(self._end))
 
     def abort(self) -> None:
         self._is_closed = True
@@ -198,6 +219,13 @@
     def get_extra_info(self, name: str, default: Any = None) -> Any:
         return default
 
+    def _pass(self, arrive: Callable[[], None]) -> None:
+        held = self._network.held(self.instance, self.other_instance)
+        if held is None:
+            arrive()
+            return
+        held.append(arrive)
+
     def _arrive(self, data: bytes) -> None:
         if not self._has_ended:
             self._reader.feed_data(data)
@@ -224,21 +252,20 @@
     def __init__(
         self, network: MemoryNetwork, instance: str, domain: str
     ) -> None:
+        self.instance = instance
+        self.is_dead = False
         self._network = network
-        self._instance = instance
         self._domain = domain
 
     async def dial(
         self, address: str
     ) -> tuple[asyncio.StreamReader, streams.StreamWriter]:
         """Opens a stream; see ``streams.Transport``."""
-        return await self._network.connect(
-            self._instance, self._domain, address
-        )
+        if self.is_dead:
+            raise ConnectionRefusedError(address)
+        return await self._network.connect(self.instance, self._domain, address)
 
     async def listen(self, on_stream: streams.OnStream) -> streams.Listener:
         """Listens; see ``streams.Transport``."""
-        address = self._network.add_site(
-            self._instance, self._domain, on_stream
-        )
+        address = self._network.add_site(self.instance, self._domain, on_stream)
         return _MemoryListener(self._network, address)
--- /dev/null
+++ b/tests/scenarios/steps.py
@@ -0,0 +1,68 @@
+"""What all scenarios share: a bench on virtual time, a step at a time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+
+import looptime
+
+from jujubewharf.experiments import bench as benches
+
+_STEP_MS = 100.0
+
+
+class World:
+    """A bench whose time runs only while a step runs."""
+
+    def __init__(self) -> None:
+        self.loop = looptime.new_event_loop()
+        self.loop.setup_looptime(start=0)
+        self.bench = benches.Bench()
+
+    def run(self, work: Coroutine[Any, Any, Any]) -> Any:
+        """Runs a step's work to its end."""
+        return self.loop.run_until_complete(work)
+
+    def act(self, action: Callable[[], Any]) -> Any:
+        """Calls something that needs the running loop."""
+
+        async def call() -> Any:
+            return action()
+
+        return self.run(call())
+
+    def wait_s(self, duration_s: float) -> None:
+        """Lets time pass."""
+        self.run(self.bench.clock.sleep_ms(duration_s * 1_000))
+
+    def holds_within_s(
+        self, duration_s: float, holds: Callable[[], bool]
+    ) -> bool:
+        """Whether something comes to hold in time."""
+
+        async def watch() -> bool:
+            until_ms = self.bench.clock.now_ms() + duration_s * 1_000
+            while not holds():
+                if self.bench.clock.now_ms() >= until_ms:
+                    return False
+                await self.bench.clock.sleep_ms(_STEP_MS)
+            return True
+
+        return bool(self.run(watch()))
+
+    def close(self) -> None:
+        """Stops the bench and ends all that is left."""
+        self.run(self.bench.stop())
+        rest = asyncio.all_tasks(self.loop)
+        for task in rest:
+            task.cancel()
+        if rest:
+            self.run(_gather(rest))
+        self.loop.close()
+
+
+async def _gather(tasks: set[asyncio.Task[Any]]) -> None:
+    await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/tests/scenarios/test_peers.py
@@ -0,0 +1,191 @@
+"""Steps of ``peers.feature``."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import dataclasses
+
+import pytest
+import pytest_bdd
+from pytest_bdd import parsers
+
+from jujubewharf import clock as clocks
+from jujubewharf.peers import messages
+from tests.scenarios import steps
+
+pytest_bdd.scenarios("peers.feature")
+
+
+@messages.message(9_101)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Who(messages.Message):
+    incarnation: int = 0
+
+
+@pytest.fixture
+def world() -> Iterator[steps.World]:
+    world = steps.World()
+    yield world
+    world.close()
+
+
+def _group(world: steps.World, words: str) -> list[str]:
+    """Names meant by 'all', 'all but x', 'those in a' or a name."""
+    everyone = sorted(world.bench.instances)
+    if words == "all":
+        return everyone
+    if words.startswith("all but "):
+        return [n for n in everyone if n != words.removeprefix("all but ")]
+    if words.startswith("those in "):
+        domain = words.removeprefix("those in ")
+        return [
+            n for n in everyone if world.bench.instances[n].domain == domain
+        ]
+    return [words]
+
+
+def _present(world: steps.World, name: str) -> set[str]:
+    view = world.bench.instances[name].core.membership
+    return {member.instance for member in view.present()}
+
+
+def _start(world: steps.World, name: str, clock: clocks.Clock | None) -> None:
+    async def start() -> None:
+        instance = await world.bench.start_instance(name, name[0], clock=clock)
+        mesh = instance.core.peers
+
+        async def who(peer: str, question: Who) -> Who:
+            return Who(mesh.incarnation)
+
+        mesh.handle(Who, who)
+
+    world.run(start())
+
+
+@pytest_bdd.given("3 instances in each of the domains a, b and c")
+def three_domains(world):
+    for domain in "abc":
+        for number in (1, 2, 3):
+            _start(world, f"{domain}{number}", None)
+    world.wait_s(10)
+    for name in _group(world, "all"):
+        assert _present(world, name) == set(_group(world, "all"))
+
+
+@pytest_bdd.given(parsers.parse("the list lies {lag_s:d} seconds behind"))
+def list_lags(world, lag_s):
+    world.wait_s(lag_s)
+    world.bench.live_list.lag_ms = lag_s * 1_000
+
+
+@pytest_bdd.given("the list is down")
+def list_down(world):
+    world.bench.live_list.is_down = True
+
+
+@pytest_bdd.when(parsers.re(r"(?P<name>\w+) starts in domain \w"))
+def starts(world, name):
+    _start(world, name, None)
+
+
+@pytest_bdd.when(
+    parsers.re(
+        r"(?P<name>\w+) starts in domain \w with a clock "
+        r"(?P<skew_s>\d+) seconds (?P<side>behind|ahead)"
+    )
+)
+def starts_with_skew(world, name, skew_s, side):
+    sign = 1 if side == "ahead" else -1
+    skew_ms = sign * float(skew_s) * 1_000
+    clock = clocks.Clock(skew_ms=skew_ms, wall_origin_ms=1e7)
+    _start(world, name, clock)
+
+
+@pytest_bdd.when(parsers.parse("{name} dies"))
+def dies(world, name):
+    world.act(lambda: world.bench.network.drop_instance(name))
+    world.run(world.bench.instances[name].core.stop())
+
+
+@pytest_bdd.when(parsers.parse("{name} is paused"))
+def is_paused(world, name):
+    world.bench.network.freeze(name)
+
+
+@pytest_bdd.when(parsers.parse("{name} goes on"))
+def goes_on(world, name):
+    world.act(lambda: world.bench.network.thaw(name))
+
+
+@pytest_bdd.when(parsers.parse("{name} begins to leave"))
+def leaves(world, name):
+    world.act(world.bench.instances[name].core.membership.leave)
+
+
+@pytest_bdd.when("domain b is no longer heard in domain a")
+def one_way_cut(world):
+    world.bench.network.cut("b", "a", one_way=True)
+
+
+@pytest_bdd.when("domain a is cut off from domains b and c")
+def cut_off(world):
+    world.bench.network.cut("a", "b")
+    world.bench.network.cut("a", "c")
+
+
+@pytest_bdd.when("the cut heals")
+def heals(world):
+    world.bench.network.heal()
+
+
+@pytest_bdd.then(
+    parsers.re(
+        r"within (?P<limit_s>\d+) seconds (?P<watchers>.+) "
+        r"pass over (?P<others>.+)"
+    )
+)
+def pass_over(world, limit_s, watchers, others):
+    def holds() -> bool:
+        absent = set(_group(world, others))
+        return not any(
+            _present(world, name) & absent - {name}
+            for name in _group(world, watchers)
+        )
+
+    assert world.holds_within_s(float(limit_s), holds)
+
+
+@pytest_bdd.then(
+    parsers.re(
+        r"within (?P<limit_s>\d+) seconds (?P<watchers>.+) see (?P<others>.+)"
+    )
+)
+def see_within(world, limit_s, watchers, others):
+    def holds() -> bool:
+        seen = set(_group(world, others))
+        return all(
+            seen <= _present(world, name) for name in _group(world, watchers)
+        )
+
+    assert world.holds_within_s(float(limit_s), holds)
+
+
+@pytest_bdd.then(parsers.re(r"(?P<watchers>(all|those).*) see (?P<others>.+)"))
+def see(world, watchers, others):
+    see_within(world, "0", watchers, others)
+
+
+@pytest_bdd.then(
+    parsers.parse("within {limit_s:d} seconds all reach the new {name}")
+)
+def reach(world, limit_s, name):
+    newest = world.bench.instances[name].core.peers.incarnation
+
+    async def ask(asker: str) -> int:
+        mesh = world.bench.instances[asker].core.peers
+        answer = await mesh.ask(name, Who(), timeout_ms=3_000)
+        return answer.incarnation
+
+    world.wait_s(limit_s)
+    for asker in _group(world, f"all but {name}"):
+        assert world.run(ask(asker)) == newest
