--- a/tests/scenarios/steps.py
+++ b/tests/scenarios/steps.py
@@ -7,9 +7,8 @@
 from collections.abc import Coroutine
 from typing import Any
 
-import looptime
-
 from jujubewharf.experiments import bench as benches
+from jujubewharf.experiments import virtual_time
 
 _STEP_MS = 100.0
 
@@ -18,8 +17,7 @@
     """A bench whose time runs only while a step runs."""
 
     def __init__(self) -> None:
-        self.loop = looptime.new_event_loop()
-        self.loop.setup_looptime(start=0)
+        self.loop = virtual_time.VirtualLoop()
         self.bench = benches.Bench()
 
     def run(self, work: Coroutine[Any, Any, Any]) -> Any:
@@ -56,6 +54,7 @@
     def close(self) -> None:
         """Stops the bench and ends all that is left."""
         self.run(self.bench.stop())
+        self.loop.let_all_go()
         rest = asyncio.all_tasks(self.loop)
         for task in rest:
             task.cancel()
--- a/tests/scenarios/test_peers.py
+++ b/tests/scenarios/test_peers.py
@@ -15,6 +15,8 @@
 
 pytest_bdd.scenarios("peers.feature")
 
+_ORIGIN_MS = 1e9
+
 
 @messages.message(9_101)
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,8 +51,9 @@
     return {member.instance for member in view.present()}
 
 
-def _start(world: steps.World, name: str, clock: clocks.Clock | None) -> None:
+def _start(world: steps.World, name: str, skew_ms: float = 0.0) -> None:
     async def start() -> None:
+        clock = clocks.Clock(skew_ms=skew_ms, wall_origin_ms=_ORIGIN_MS)
         instance = await world.bench.start_instance(name, name[0], clock=clock)
         mesh = instance.core.peers
 
@@ -66,7 +69,7 @@
 def three_domains(world):
     for domain in "abc":
         for number in (1, 2, 3):
-            _start(world, f"{domain}{number}", None)
+            _start(world, f"{domain}{number}")
     world.wait_s(10)
     for name in _group(world, "all"):
         assert _present(world, name) == set(_group(world, "all"))
@@ -85,7 +88,7 @@
 
 @pytest_bdd.when(parsers.re(r"(?P<name>\w+) starts in domain \w"))
 def starts(world, name):
-    _start(world, name, None)
+    _start(world, name)
 
 
 @pytest_bdd.when(
@@ -97,24 +100,22 @@
 def starts_with_skew(world, name, skew_s, side):
     sign = 1 if side == "ahead" else -1
     skew_ms = sign * float(skew_s) * 1_000
-    clock = clocks.Clock(skew_ms=skew_ms, wall_origin_ms=1e7)
-    _start(world, name, clock)
+    _start(world, name, skew_ms)
 
 
 @pytest_bdd.when(parsers.parse("{name} dies"))
 def dies(world, name):
-    world.act(lambda: world.bench.network.drop_instance(name))
-    world.run(world.bench.instances[name].core.stop())
+    world.act(lambda: world.bench.kill_instance(name))
 
 
 @pytest_bdd.when(parsers.parse("{name} is paused"))
 def is_paused(world, name):
-    world.bench.network.freeze(name)
+    world.act(lambda: world.bench.pause_instance(name))
 
 
 @pytest_bdd.when(parsers.parse("{name} goes on"))
 def goes_on(world, name):
-    world.act(lambda: world.bench.network.thaw(name))
+    world.act(lambda: world.bench.resume_instance(name))
 
 
 @pytest_bdd.when(parsers.parse("{name} begins to leave"))
@@ -135,7 +136,7 @@
 
 @pytest_bdd.when("the cut heals")
 def heals(world):
-    world.bench.network.heal()
+    world.act(world.bench.heal)
 
 
 @pytest_bdd.then(
@@ -179,7 +180,7 @@
     parsers.parse("within {limit_s:d} seconds all reach the new {name}")
 )
 def reach(world, limit_s, name):
-    newest = world.bench.instances[name].core.peers.incarnation
+    newest = world.bench.instances[name].core.peers
 
     async def ask(asker: str) -> int:
         mesh = world.bench.instances[asker].core.peers
@@ -188,4 +189,4 @@
 
     world.wait_s(limit_s)
     for asker in _group(world, f"all but {name}"):
-        assert world.run(ask(asker)) == newest
+        assert world.run(ask(asker)) == newest.incarnation
