--- a/src/jujubewharf/operators/differences.py
+++ b/src/jujubewharf/operators/differences.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Sequence
+import dataclasses
 import json
 
 from jujubewharf.configuration import border
@@ -29,6 +30,17 @@
     return resources.KIND_OF[type(resource)], resource.name
 
 
+def explicit(resource: resources.Resource) -> dict[str, object]:
+    """A resource as JSON data without the fields that have their default."""
+    data = border.dump(resource)
+    for field in dataclasses.fields(resource):
+        if field.default is dataclasses.MISSING:
+            continue
+        if getattr(resource, field.name) == field.default:
+            del data[field.name]
+    return data
+
+
 def of_resource(
     before: states.Entry | None, after: resources.Resource | None
 ) -> values.Difference | None:
@@ -89,8 +101,9 @@
 def _fields(
     old: resources.Resource | None, new: resources.Resource | None
 ) -> Iterator[values.FieldDifference]:
-    before = dict(_leaves(border.dump(old))) if old else {}
-    after = dict(_leaves(border.dump(new))) if new else {}
+    dump = border.dump if old and new else explicit
+    before = dict(_leaves(dump(old))) if old else {}
+    after = dict(_leaves(dump(new))) if new else {}
     for path in list(before) + [path for path in after if path not in before]:
         texts = _text(before.get(path)), _text(after.get(path))
         if texts[0] != texts[1]:
--- a/src/jujubewharf/operators/documents.py
+++ b/src/jujubewharf/operators/documents.py
@@ -8,7 +8,6 @@
 
 from collections.abc import Iterator
 from collections.abc import Sequence
-import dataclasses
 import json
 
 import result
@@ -55,11 +54,12 @@
 
 
 def dump(held: Sequence[resources.Resource]) -> str:
-    """Resources as a configuration file; defaults are left out."""
+    """Resources as a configuration file, by name; defaults are left out."""
+    by_name = sorted(held, key=lambda resource: resource.name)
     data = {
         name: [
-            _compact(resource)
-            for resource in held
+            differences.explicit(resource)
+            for resource in by_name
             if resources.KIND_OF[type(resource)] is kind
         ]
         for name, kind in _LISTS.items()
@@ -90,15 +90,5 @@
         seen.add(key)
 
 
-def _compact(resource: resources.Resource) -> dict[str, object]:
-    data = border.dump(resource)
-    for field in dataclasses.fields(resource):
-        if field.default is dataclasses.MISSING:
-            continue
-        if getattr(resource, field.name) == field.default:
-            del data[field.name]
-    return data
-
-
 def _known() -> str:
     return ", ".join(_LISTS)
