--- a/src/jujubewharf/standins/log.py
+++ b/src/jujubewharf/standins/log.py
@@ -12,10 +12,6 @@
 from jujubewharf import clock as clocks
 from jujubewharf.platform import log
 
-# Less than this can be left over by rounding; on a virtual clock such a wait
-# would never pass, and the reader would ask again for ever.
-_RESOLUTION_MS = 0.001
-
 
 class _Stream:
     """One stream's kept records and the offset of the first of them."""
@@ -96,7 +92,7 @@
             if from_offset < kept.first_offset:
                 raise log.LogTruncatedError(kept.first_offset)
             left_ms = until_ms - self._clock.now_ms()
-            if from_offset < kept.next_offset or left_ms < _RESOLUTION_MS:
+            if from_offset < kept.next_offset or left_ms <= 0:
                 break
             await self._wait(left_ms)
         start = from_offset - kept.first_offset
