Operators: bounds for each operator's calls, watches from the history

Cause: a script in a loop could use up the log for all teams; a watch scanned the whole state on every change and outlived its operator's rights. Change: token bucket a second for each operator and instance, bounded watches, watch steps from the folded history, identity checked again at each event.

--- a/src/jujubewharf/operators/adapter.py
+++ b/src/jujubewharf/operators/adapter.py
@@ -14,6 +14,7 @@
 from jujubewharf import errors
 from jujubewharf.operators import calls
 from jujubewharf.operators import faults
+from jujubewharf.operators import guard as guards
 from jujubewharf.operators import jujubewharf_pb2 as pb
 from jujubewharf.operators import messages
 from jujubewharf.operators import service as services
@@ -24,12 +25,16 @@
 BEARER = "bearer "
 ERROR_DETAIL = "jujubewharf-error-bin"
 
+_OK = "ok"
+
 _Context = grpc.aio.ServicerContext[Any, Any]
 
 
-def handler(service: services.OperatorService) -> grpc.GenericRpcHandler:
+def handler(
+    service: services.OperatorService, guard: guards.Guard
+) -> grpc.GenericRpcHandler:
     """Every RPC of the schema, answered by the operator service."""
-    face = _Face(service)
+    face = _Face(service, guard)
     return grpc.method_handlers_generic_handler(
         SERVICE.full_name,
         {method.name: face.handler(method) for method in SERVICE.methods},
@@ -37,8 +42,11 @@
 
 
 class _Face:
-    def __init__(self, service: services.OperatorService) -> None:
+    def __init__(
+        self, service: services.OperatorService, guard: guards.Guard
+    ) -> None:
         self._service = service
+        self._guard = guard
         self._logger = structlog.get_logger()
 
     def handler(self, method: Any) -> grpc.RpcMethodHandler[Any, Any]:
@@ -60,9 +68,12 @@
         ) -> protobuf.Message:
             try:
                 identity = self._identity(context)
-                return await call(self._service, identity, request)
+                await self._guard.admit(identity, name)
+                reply = await call(self._service, identity, request)
             except Exception as error:
                 await self._abort(name, error, context)
+            self._guard.count(name, _OK)
+            return reply
 
         return answer
 
@@ -74,8 +85,11 @@
         ) -> AsyncIterator[protobuf.Message]:
             try:
                 identity = self._identity(context)
-                async for part in call(self._service, identity, request):
-                    yield part
+                await self._guard.admit(identity, name)
+                with self._guard.watching():
+                    async for part in call(self._service, identity, request):
+                        self._check_still(identity, context)
+                        yield part
             except Exception as error:
                 await self._abort(name, error, context)
 
@@ -89,6 +103,15 @@
                 return self._service.identify(token)
         return self._service.identify("")
 
+    def _check_still(
+        self, identity: values.Identity, context: _Context
+    ) -> None:
+        # A stream outlives a change of its operator's role or scope; going on
+        # would show a former operator what it may no longer see.
+        if self._identity(context) != identity:
+            detail = "the identity was changed; watch anew"
+            raise errors.WharfError(errors.ErrorKind.FORBIDDEN, detail)
+
     async def _abort(
         self, name: str, error: Exception, context: _Context
     ) -> NoReturn:
@@ -97,6 +120,7 @@
                 "operator_call_crashed", call=name, exc_info=error
             )
             error = errors.WharfError(errors.ErrorKind.INTERNAL)
+        self._guard.count(name, error.kind.value)
         detail = faults.detail_of(error)
         trailer = messages.to_message(detail, pb.ErrorDetail)
         await context.abort(
--- a/src/jujubewharf/operators/backend.py
+++ b/src/jujubewharf/operators/backend.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Sequence
 import dataclasses
 from typing import TYPE_CHECKING
+from typing import Any
 from typing import Protocol
 
 from jujubewharf.configuration import border
@@ -18,6 +20,8 @@
 if TYPE_CHECKING:
     from jujubewharf import entry
 
+# The history also holds changes of the fold's own rules.
+_KINDS = frozenset(kind.value for kind in resources.Kind)
 _STATES = {
     states.Outcome.ACCEPTED: values.OperationState.ACCEPTED,
     states.Outcome.CONFLICT: values.OperationState.CONFLICT,
@@ -42,6 +46,25 @@
     detail: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """One change that came into force.
+
+    Attributes:
+        kind: Resource kind.
+        name: Resource name.
+        generation: Generation reached.
+        before: Body that the change found; ``None`` for none.
+        after: Body that it left; ``None`` for none.
+    """
+
+    kind: resources.Kind
+    name: str
+    generation: int
+    before: resources.Resource | None
+    after: resources.Resource | None
+
+
 class Backend(Protocol):
     """Configuration in force, and the way to change it."""
 
@@ -80,6 +103,14 @@
         """Waits until more than an offset is folded, or for a while."""
         ...
 
+    def steps(self, from_offset: int) -> AsyncIterator[Step]:
+        """Changes as they come into force, from an offset on.
+
+        Raises:
+            WharfError: ``UNKNOWN_RESOURCE`` when they are no longer kept.
+        """
+        ...
+
 
 class CoreBackend:
     """The configuration of an instance.
@@ -134,6 +165,19 @@
         except TimeoutError:
             return
 
+    async def steps(self, from_offset: int) -> AsyncIterator[Step]:
+        """See ``Backend``."""
+        async for item in self._changes.watch(from_offset):
+            if not item.verdict.is_accepted or item.kind not in _KINDS:
+                continue
+            yield Step(
+                resources.Kind(item.kind),
+                item.name,
+                item.verdict.generation,
+                _resource(item, item.before),
+                _resource(item, item.after),
+            )
+
     def _on_state(self, _: states.State) -> None:
         folded, self._folded = self._folded, asyncio.Event()
         folded.set()
@@ -158,7 +202,7 @@
         state=judged.state,
         generation=item.offset + 1,
         wall_ms=item.wall_ms,
-        resource=_resource(item),
+        resource=_resource(item, item.after),
         detail=judged.detail,
     )
 
@@ -171,7 +215,9 @@
     return values.Effect.CHANGE
 
 
-def _resource(item: histories.HistoryItem) -> resources.Resource | None:
-    if item.after is None:
+def _resource(
+    item: histories.HistoryItem, body: dict[str, Any] | None
+) -> resources.Resource | None:
+    if body is None or item.kind not in _KINDS:
         return None
-    return border.parse(resources.Kind(item.kind), item.after).ok()
+    return border.parse(resources.Kind(item.kind), body).ok()
--- a/src/jujubewharf/operators/client.py
+++ b/src/jujubewharf/operators/client.py
@@ -23,6 +23,7 @@
 from jujubewharf.configuration import resources
 from jujubewharf.operators import adapter
 from jujubewharf.operators import faults
+from jujubewharf.operators import guard
 from jujubewharf.operators import jujubewharf_pb2 as pb
 from jujubewharf.operators import messages
 from jujubewharf.operators import values
@@ -31,9 +32,6 @@
 
 _Value = TypeVar("_Value")
 _METHODS = {method.name: method for method in adapter.SERVICE.methods}
-_CHANGES = frozenset(
-    {"Create", "Change", "Delete", "Rollback", "Drain", "Undrain", "Apply"}
-)
 _VERDICTS = frozenset(
     {
         errors.ErrorKind.CONFIG_CONFLICT,
@@ -41,6 +39,15 @@
         errors.ErrorKind.CONFIG_UNSAFE,
     }
 )
+# What another instance may answer better: it may be up, or reach the log
+# where this one is cut off.
+_ELSEWHERE = frozenset(
+    {
+        errors.ErrorKind.LOG_UNAVAILABLE,
+        errors.ErrorKind.NOT_READY,
+        errors.ErrorKind.SHUTTING_DOWN,
+    }
+)
 _CONNECT_S = 3.0
 # The client itself goes on to the next instance, under one operation id.
 _OPTIONS = (("grpc.enable_retries", 0),)
@@ -345,7 +352,7 @@
                     break
             except _NoAnswerError as error:
                 refused = faults.UnreachableError(str(error))
-                may_have_run = may_have_run or name in _CHANGES
+                may_have_run = may_have_run or name in guard.CHANGES
             else:
                 self._prefer(address)
                 return messages.from_message(reply, cls)
@@ -433,9 +440,7 @@
 
 
 def _may_ask_next(refused: faults.OperatorError) -> bool:
-    # The next instance may reach the log where this one is cut off.
-    is_unavailable = refused.kind is errors.ErrorKind.LOG_UNAVAILABLE
-    return is_unavailable and refused.ran is errors.Ran.NO
+    return refused.ran is errors.Ran.NO and refused.kind in _ELSEWHERE
 
 
 def _is_verdict(refused: Exception) -> bool:
--- /dev/null
+++ b/src/jujubewharf/operators/guard.py
@@ -0,0 +1,94 @@
+"""What keeps one operator's tools from crowding out the others.
+
+The log takes several hundred appends a second from everybody; a script that
+changes things in a loop would use them up. Each operator has a rate at each
+instance, and only so many watches are open.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import contextlib
+
+import aiolimiter
+from opentelemetry import metrics
+
+from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf.operators import values
+from jujubewharf.settings import models
+
+_BURST_S = 10.0
+
+_calls = metrics.get_meter("jujubewharf").create_counter(
+    "operators.calls",
+    description="Calls of operators, by call and outcome.",
+)
+
+CHANGES = frozenset(
+    {"Create", "Change", "Delete", "Rollback", "Drain", "Undrain", "Apply"}
+)
+
+
+class Guard:
+    """Bounds and counts the calls at this instance.
+
+    Args:
+        settings: The bounds.
+    """
+
+    def __init__(self, settings: models.OperatorSettings) -> None:
+        self._settings = settings
+        self._limiters: dict[tuple[str, bool], aiolimiter.AsyncLimiter] = {}
+        self._watches = 0
+
+    async def admit(self, identity: values.Identity, call: str) -> None:
+        """Counts a call against its operator's rate.
+
+        Raises:
+            WharfError: ``RATE_LIMITED``.
+        """
+        is_change = call in CHANGES
+        limiter = self._limiter(identity.name, is_change)
+        if not limiter.has_capacity():
+            raise errors.WharfError(
+                errors.ErrorKind.RATE_LIMITED,
+                f"{identity.name} calls too often",
+                retry_after_ms=clocks.MS_PER_S / self._rate_per_s(is_change),
+            )
+        await limiter.acquire()
+
+    @contextlib.contextmanager
+    def watching(self) -> Iterator[None]:
+        """Holds one of the watches while in the block.
+
+        Raises:
+            WharfError: ``TOO_MANY_IN_FLIGHT``.
+        """
+        if self._watches >= self._settings.max_watches:
+            detail = "no more watches at this instance"
+            kind = errors.ErrorKind.TOO_MANY_IN_FLIGHT
+            raise errors.WharfError(kind, detail)
+        self._watches += 1
+        try:
+            yield
+        finally:
+            self._watches -= 1
+
+    def count(self, call: str, outcome: str) -> None:
+        """Counts a call that ended."""
+        _calls.add(1, {"call": call, "outcome": outcome})
+
+    def _limiter(self, name: str, is_change: bool) -> aiolimiter.AsyncLimiter:
+        key = (name, is_change)
+        limiter = self._limiters.get(key)
+        if limiter is None:
+            burst = max(1.0, self._rate_per_s(is_change) * _BURST_S)
+            limiter = aiolimiter.AsyncLimiter(burst, _BURST_S)
+            self._limiters[key] = limiter
+        return limiter
+
+    def _rate_per_s(self, is_change: bool) -> float:
+        if is_change:
+            return self._settings.max_changes_per_s
+        return self._settings.max_reads_per_s
--- a/src/jujubewharf/operators/queries.py
+++ b/src/jujubewharf/operators/queries.py
@@ -4,8 +4,8 @@
 
 import base64
 from collections.abc import AsyncIterator
-from collections.abc import Iterator
 from collections.abc import Sequence
+import dataclasses
 import json
 
 from jujubewharf import clock as clocks
@@ -20,7 +20,6 @@
 MAX_PAGE_SIZE = 1_000
 
 _REACH_MS = 5_000.0
-_WATCH_WAIT_MS = 60_000.0
 
 
 class Queries:
@@ -108,23 +107,25 @@
     ) -> AsyncIterator[values.WatchEvent]:
         """The state in force, then every change as it comes into force.
 
-        Changes of one resource that come close together may be told as one:
-        the watcher ends at the state in force, not at every step.
+        Raises:
+            WharfError: ``UNKNOWN_RESOURCE`` when the watcher is so slow that
+                changes it has not seen are no longer kept; watch anew.
         """
-        told: dict[states.Key, states.Entry] = {}
-        is_first = True
-        while True:
-            offset = self._offset
-            seen = self._visible(identity, kinds, service)
-            for event in _events(told, seen, offset):
+        scope = _Scope(identity, frozenset(kinds), service)
+        offset = self._offset
+        held = [
+            entry
+            for kind in resources.Kind
+            for entry in self._backend.state.of_kind(kind)
+            if scope.holds(entry.resource)
+        ]
+        for entry in held:
+            yield _created(entry, offset)
+        yield values.WatchEvent(is_snapshot_end=True, applied_offset=offset)
+        async for step in self._backend.steps(offset):
+            event = scope.event(step)
+            if event is not None:
                 yield event
-            told = seen
-            if is_first:
-                yield values.WatchEvent(
-                    is_snapshot_end=True, applied_offset=offset
-                )
-                is_first = False
-            await self._backend.changed(offset, _WATCH_WAIT_MS)
 
     async def history(
         self,
@@ -193,43 +194,58 @@
             entry.resource, entry.generation, self._offset
         )
 
-    def _visible(
-        self,
-        identity: values.Identity,
-        kinds: Sequence[resources.Kind],
-        service: str,
-    ) -> dict[states.Key, states.Entry]:
-        return {
-            (kind, entry.resource.name): entry
-            for kind in kinds or tuple(resources.Kind)
-            for entry in self._backend.state.of_kind(kind)
-            if _belongs(entry.resource, service)
-            and identities.may_see(identity, entry.resource)
-        }
-
-
-def _events(
-    told: dict[states.Key, states.Entry],
-    seen: dict[states.Key, states.Entry],
-    offset: int,
-) -> Iterator[values.WatchEvent]:
-    for key, entry in seen.items():
-        before = told.get(key)
-        if before is not None and before.generation == entry.generation:
-            continue
-        effect = values.Effect.CHANGE if before else values.Effect.CREATE
-        yield values.WatchEvent(
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Scope:
+    """What one watcher is told of."""
+
+    identity: values.Identity
+    kinds: frozenset[resources.Kind]
+    service: str
+
+    def holds(self, resource: resources.Resource | None) -> bool:
+        if resource is None:
+            return False
+        kind = resources.KIND_OF[type(resource)]
+        if self.kinds and kind not in self.kinds:
+            return False
+        return _belongs(resource, self.service) and identities.may_see(
+            self.identity, resource
+        )
+
+    def event(self, step: backends.Step) -> values.WatchEvent | None:
+        """The step as this watcher sees it.
+
+        A resource that leaves the scope is told as deleted, and one that
+        comes into it as created.
+        """
+        was_held, is_held = self.holds(step.before), self.holds(step.after)
+        if not was_held and not is_held:
+            return None
+        effect = values.Effect.CHANGE
+        if not was_held:
+            effect = values.Effect.CREATE
+        elif not is_held:
+            effect = values.Effect.DELETE
+        return values.WatchEvent(
             effect,
-            *key,
-            generation=entry.generation,
-            resource=entry.resource,
-            applied_offset=offset,
+            step.kind,
+            step.name,
+            step.generation,
+            step.after if is_held else None,
+            applied_offset=step.generation,
         )
-    for key in told:
-        if key not in seen:
-            yield values.WatchEvent(
-                values.Effect.DELETE, *key, applied_offset=offset
-            )
+
+
+def _created(entry: states.Entry, offset: int) -> values.WatchEvent:
+    return values.WatchEvent(
+        values.Effect.CREATE,
+        resources.KIND_OF[type(entry.resource)],
+        entry.resource.name,
+        entry.generation,
+        entry.resource,
+        applied_offset=offset,
+    )
 
 
 def _belongs(resource: resources.Resource, service: str) -> bool:
--- a/src/jujubewharf/operators/server.py
+++ b/src/jujubewharf/operators/server.py
@@ -11,6 +11,7 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf.operators import adapter
+from jujubewharf.operators import guard
 from jujubewharf.operators import service as services
 from jujubewharf.settings import models
 
@@ -55,7 +56,8 @@
     async def on_start(self) -> None:
         """Starts listening."""
         server = grpc.aio.server(options=_OPTIONS)
-        server.add_generic_rpc_handlers((adapter.handler(self._service),))
+        handler = adapter.handler(self._service, guard.Guard(self._settings))
+        server.add_generic_rpc_handlers((handler,))
         health_pb2_grpc.add_HealthServicer_to_server(self._health, server)
         reflected = (
             adapter.SERVICE.full_name,
--- a/src/jujubewharf/operators/service.py
+++ b/src/jujubewharf/operators/service.py
@@ -15,6 +15,8 @@
 if TYPE_CHECKING:
     from jujubewharf import entry
 
+_RETRY_AFTER_MS = 1_000.0
+
 
 class OperatorService:
     """Everything that operators can ask of one instance.
@@ -47,11 +49,11 @@
         """The identity behind a token.
 
         Raises:
-            WharfError: ``UNAUTHENTICATED``; ``LOG_UNAVAILABLE`` when this
-                instance has not read the configuration yet.
+            WharfError: ``UNAUTHENTICATED``; ``NOT_READY`` when this instance
+                has not read the configuration yet.
         """
         if not self.is_ready:
             # On an empty state every token would look unknown for good.
-            detail = "this instance has not read the configuration yet"
-            raise errors.WharfError(errors.ErrorKind.LOG_UNAVAILABLE, detail)
+            kind = errors.ErrorKind.NOT_READY
+            raise errors.WharfError(kind, retry_after_ms=_RETRY_AFTER_MS)
         return self._identities.of_token(token)
--- a/src/jujubewharf/settings/models.py
+++ b/src/jujubewharf/settings/models.py
@@ -63,11 +63,18 @@
         port: TCP port; 0 takes a free one.
         bootstrap_token_sha256: Hex SHA-256 of the token of a built-in admin,
             for the first change on an empty log. Empty switches it off.
+        max_changes_per_s: Changes that one operator may ask this instance
+            for, on average; a burst of ten seconds' worth passes.
+        max_reads_per_s: The same for calls that only ask.
+        max_watches: Watches open at this instance, of all operators.
     """
 
     host: IpNumber = "127.0.0.1"
     port: Port = 0
     bootstrap_token_sha256: str = ""
+    max_changes_per_s: Annotated[float, pydantic.Field(gt=0)] = 20.0
+    max_reads_per_s: Annotated[float, pydantic.Field(gt=0)] = 200.0
+    max_watches: Annotated[int, pydantic.Field(ge=0)] = 64
 
 
 class PeerSettings(_Model):
--- a/tests/operators/test_access.py
+++ b/tests/operators/test_access.py
@@ -10,6 +10,7 @@
 from jujubewharf.configuration import resources
 from jujubewharf.operators import identities
 from jujubewharf.operators import values
+from jujubewharf.settings import models
 from tests.operators import deployments
 
 _KIND = resources.Kind
@@ -149,3 +150,73 @@
         call = client.delete(_KIND.SERVICE, "none", expected_generation=2)
         assert await _refusal(call) is errors.ErrorKind.UNKNOWN_RESOURCE
         assert deployment.bench.log.appends.total() == before
+
+
+async def test_an_operator_that_calls_too_often_is_told_when_to_come_back():
+    """A script of one team changes things in a loop.
+
+    It is refused with the time to come back, nothing ran, and another
+    operator's changes go on at the same instance.
+    """
+    settings = models.OperatorSettings(max_changes_per_s=0.3)
+    async with deployments.running("e1", settings=settings) as deployment:
+        await deployment.client().apply([deployments.SHOP, MATE])
+        mate = deployment.client(token="mate")
+        for drained in (True, False, True):
+            wanted = dataclasses.replace(deployments.TILL, drained=drained)
+            await mate.apply([wanted], force=True)
+        with pytest.raises(errors.WharfError) as refused:
+            await mate.apply([deployments.TILL])
+        assert refused.value.kind is errors.ErrorKind.RATE_LIMITED
+        assert refused.value.ran is errors.Ran.NO
+        assert refused.value.retry_after_ms == pytest.approx(1000 / 0.3)
+        await mate.list_page(_KIND.SERVICE)
+        await deployment.client().apply([deployments.TILL])
+
+
+async def test_a_watch_ends_when_its_operator_loses_its_rights():
+    """An operator is taken out of its team while it watches.
+
+    The next change would tell it what it may no longer see; the watch ends
+    with a refusal instead.
+    """
+    async with deployments.running("e1") as deployment:
+        admin = deployment.client()
+        await admin.apply([*deployments.ALL, MATE])
+        events = deployment.client(token="mate").watch()
+        while not (await anext(events)).is_snapshot_end:
+            pass
+        await admin.apply(
+            [dataclasses.replace(MATE, services=("verdict-llm",))]
+        )
+        await admin.set_drained("till-1", drained=True, force=True)
+        with pytest.raises(errors.WharfError) as refused:
+            await anext(events)
+        assert refused.value.kind is errors.ErrorKind.FORBIDDEN
+
+
+async def test_a_watch_tells_of_moves_into_and_out_of_the_scope():
+    async with deployments.running("e1") as deployment:
+        admin = deployment.client()
+        await admin.apply([*deployments.ALL, MATE])
+        events = deployment.client(token="mate").watch(kinds=[_KIND.ENDPOINT])
+        while not (await anext(events)).is_snapshot_end:
+            pass
+        other = dataclasses.replace(deployments.SHOP, name="stock-api")
+        moved = dataclasses.replace(deployments.TILL, service="stock-api")
+        await admin.apply([other, moved], force=True)
+        await admin.apply([deployments.TILL], force=True)
+        left, back = await anext(events), await anext(events)
+        assert (left.effect, left.resource) == (values.Effect.DELETE, None)
+        assert back.effect is values.Effect.CREATE
+        assert back.resource == deployments.TILL
+
+
+async def test_only_so_many_watches_are_open():
+    settings = models.OperatorSettings(max_watches=1)
+    async with deployments.running("e1", settings=settings) as deployment:
+        first = deployment.client().watch()
+        await anext(first)
+        kind = await _refusal(anext(deployment.client().watch()))
+        assert kind is errors.ErrorKind.TOO_MANY_IN_FLIGHT
+        await first.aclose()
