Operators' changes: appended once, answered after they were read back

Cause: operators need an answer that means in force, also when the log's answer is lost, and racing operators must not jointly empty a pool. Change: configuration.changes.Changes (submit, operation, history, diff, rollback, watch); the fold judges sanity bounds and repeats of an operation id by log order; unknown fields are carried along, unknown records kept whole, rules versioned. Indexes of endpoints by service and of tokens. Also mended: the stand-in log's read span on a virtual clock when the wait left was below the clock's step, seen as a test that never ended.

--- a/src/jujubewharf/configuration/border.py
+++ b/src/jujubewharf/configuration/border.py
@@ -1,23 +1,35 @@
 """Checks resources that come from outside and turns them into data classes.
 
 The checked shapes are derived from the data classes of ``resources`` by
-pydantic, so that a field is declared once.
+pydantic, so that a field is declared once. An operator's field that nobody
+knows is an error (``parse``); on the log it is a newer version's field and
+is carried along unread (``read``).
 """
 
 from __future__ import annotations
 
+import dataclasses
 import json
+from typing import Any
 
 import pydantic
 import result
 
 from jujubewharf.configuration import resources
 
-_CONFIG = pydantic.ConfigDict(extra="forbid")
+_CONFIG = pydantic.ConfigDict(extra="forbid", allow_inf_nan=False)
+_CAPABILITIES = "capabilities"
 
 _TYPES: dict[resources.Kind, type] = {
     kind: cls for cls, kind in resources.KIND_OF.items()
 }
+_FIELDS: dict[resources.Kind, frozenset[str]] = {
+    kind: frozenset(field.name for field in dataclasses.fields(cls))
+    for kind, cls in _TYPES.items()
+}
+_CAPABILITY_FIELDS = frozenset(
+    field.name for field in dataclasses.fields(resources.Capabilities)
+)
 
 
 def _adapter(cls: type) -> pydantic.TypeAdapter[resources.Resource]:
@@ -37,7 +49,10 @@
     Returns:
         The resource, or one line an error, each opening with a field path.
     """
-    text = json.dumps(data)
+    try:
+        text = json.dumps(data)
+    except (TypeError, ValueError) as error:
+        return result.Err([f"not JSON data: {error}"])
     try:
         return result.Ok(_ADAPTERS[kind].validate_json(text))
     except pydantic.ValidationError as error:
@@ -49,7 +64,52 @@
         )
 
 
-def dump(resource: resources.Resource) -> dict[str, object]:
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reading:
+    """A body as far as this version understands it.
+
+    Attributes:
+        resource: What it understands.
+        extra: Fields of newer versions.
+    """
+
+    resource: resources.Resource
+    extra: dict[str, Any]
+
+
+def read(
+    kind: resources.Kind, body: dict[str, Any]
+) -> result.Result[Reading, list[str]]:
+    """Reads a body from the log, setting aside fields it doesn't know."""
+    known, extra = _split(body, _FIELDS[kind])
+    inner = known.get(_CAPABILITIES)
+    if isinstance(inner, dict):
+        known[_CAPABILITIES], inner_extra = _split(inner, _CAPABILITY_FIELDS)
+        if inner_extra:
+            extra[_CAPABILITIES] = inner_extra
+    return parse(kind, known).map(lambda resource: Reading(resource, extra))
+
+
+def dump(resource: resources.Resource) -> dict[str, Any]:
     """A resource as JSON data; ``parse`` takes it back."""
     kind = resources.KIND_OF[type(resource)]
     return _ADAPTERS[kind].dump_python(resource, mode="json")
+
+
+def dump_whole(
+    resource: resources.Resource, extra: dict[str, Any]
+) -> dict[str, Any]:
+    """A resource with the fields that were set aside; ``read`` takes it."""
+    body = dump(resource)
+    for name, value in extra.items():
+        is_nested = name == _CAPABILITIES and name in body
+        body[name] = body[name] | value if is_nested else value
+    return body
+
+
+def _split(
+    body: dict[str, Any], known: frozenset[str]
+) -> tuple[dict[str, Any], dict[str, Any]]:
+    inside = {key: value for key, value in body.items() if key in known}
+    outside = {key: value for key, value in body.items() if key not in known}
+    return inside, outside
--- /dev/null
+++ b/src/jujubewharf/configuration/changes.py
@@ -0,0 +1,274 @@
+"""Operators' changes: to the log, and answered once they were read back."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Sequence
+import dataclasses
+
+from opentelemetry import metrics
+
+from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf.configuration import differences
+from jujubewharf.configuration import follower as followers
+from jujubewharf.configuration import history as histories
+from jujubewharf.configuration import records
+from jujubewharf.configuration import resources
+from jujubewharf.configuration import state as states
+from jujubewharf.configuration import validation
+from jujubewharf.platform import log
+
+_ANSWER_TIMEOUT_MS = 10_000.0
+
+_meter = metrics.get_meter("jujubewharf")
+_submitted = _meter.create_counter(
+    "configuration_changes_submitted",
+    description="Operators' changes answered here, by outcome",
+)
+
+
+class Changes:
+    """Takes operators' changes and answers questions about them.
+
+    Args:
+        follower: Holds the configuration in force here.
+        platform_log: The platform's log.
+        clock: Time.
+        answer_timeout_ms: Longest wait for a change to be read back.
+    """
+
+    def __init__(
+        self,
+        follower: followers.ConfigurationFollower,
+        platform_log: log.Log,
+        clock: clocks.Clock,
+        *,
+        answer_timeout_ms: float = _ANSWER_TIMEOUT_MS,
+    ) -> None:
+        self._follower = follower
+        self._log = platform_log
+        self._clock = clock
+        self._answer_timeout_ms = answer_timeout_ms
+        self._folded = asyncio.Event()
+        follower.listen(self._on_state)
+
+    async def submit(
+        self, changes: Sequence[records.Change], *, force: bool = False
+    ) -> list[states.Verdict]:
+        """Puts changes on the log and waits until they are judged.
+
+        Each change has a verdict of its own; a run of changes is appended
+        together but is not a transaction. An operation that was judged
+        already is not appended again.
+
+        Args:
+            changes: What to change, in order.
+            force: Sets the sanity bounds aside for all of them.
+
+        Returns:
+            The verdicts, in the order of the changes.
+
+        Raises:
+            WharfError: ``CONFIG_INVALID`` names every error; nothing ran.
+                ``LOG_UNAVAILABLE``: nothing ran. ``OPERATION_UNKNOWN``: it
+                may have run; ``operation`` tells later.
+        """
+        if force:
+            changes = [dataclasses.replace(one, force=True) for one in changes]
+        found = validation.check(self._state, changes)
+        if found:
+            raise self._refused(
+                errors.ErrorKind.CONFIG_INVALID, "; ".join(found)
+            )
+        if not self._follower.caught_up.is_set():
+            raise self._refused(
+                errors.ErrorKind.LOG_UNAVAILABLE,
+                "this instance has not read the log to its end yet",
+            )
+        verdicts = self._judged(changes)
+        if not all(one.operation_id in verdicts for one in changes):
+            await self._append(changes, verdicts)
+            verdicts = await self._read_back(changes)
+        for verdict in verdicts.values():
+            _submitted.add(1, {"outcome": verdict.outcome.value})
+        return [verdicts[change.operation_id] for change in changes]
+
+    def operation(self, operation_id: str) -> states.Verdict | None:
+        """What became of an operation.
+
+        Returns:
+            Its verdict; ``None`` when it was not judged yet, or so long ago
+            that it is no longer kept.
+        """
+        item = self._state.history.find(operation_id)
+        return item.verdict if item is not None else None
+
+    def history(
+        self, kind: resources.Kind | None = None, name: str = ""
+    ) -> list[histories.HistoryItem]:
+        """Judged changes, oldest first: of all, or of one resource."""
+        if kind is None:
+            return list(self._state.history)
+        return self._state.history.of(kind.value, name)
+
+    def diff(
+        self, wanted: Sequence[resources.Resource], *, prune: bool = False
+    ) -> list[differences.Difference]:
+        """What would have to change; see ``differences.find``."""
+        return differences.find(self._state, wanted, prune=prune)
+
+    async def rollback(
+        self,
+        kind: resources.Kind,
+        name: str,
+        to_generation: int,
+        *,
+        operation_id: str,
+        actor: str,
+        force: bool = False,
+    ) -> states.Verdict:
+        """Makes a new change that brings an earlier body back.
+
+        Args:
+            kind: Resource kind.
+            name: Resource name.
+            to_generation: Generation whose body is wanted.
+            operation_id: Names the new change.
+            actor: Operator who asks.
+            force: Sets the sanity bounds aside.
+
+        Raises:
+            WharfError: ``UNKNOWN_RESOURCE`` when that generation is not in
+                the history; otherwise as ``submit``.
+        """
+        body = self._body_of(kind, name, to_generation)
+        held = self._state.get(kind, name)
+        change = records.Change(
+            operation_id=operation_id,
+            actor=actor,
+            verb=records.Verb.PUT,
+            kind=kind.value,
+            name=name,
+            expected_generation=held.generation if held else 0,
+            body=body,
+            wall_ms=self._clock.wall_ms(),
+        )
+        return (await self.submit([change], force=force))[0]
+
+    async def watch(
+        self, from_offset: int
+    ) -> AsyncIterator[histories.HistoryItem]:
+        """Yields judged changes as they come, from an offset on.
+
+        A slow reader costs nothing here: it reads from the bounded history
+        at its own pace.
+
+        Raises:
+            WharfError: ``UNKNOWN_RESOURCE`` when changes from that offset on
+                are no longer kept; read the state anew and watch from there.
+        """
+        cursor = from_offset - 1
+        while True:
+            folded = self._folded
+            history = self._state.history
+            if cursor + 1 < history.dropped_below:
+                raise errors.WharfError(
+                    errors.ErrorKind.UNKNOWN_RESOURCE,
+                    f"the history starts at offset {history.dropped_below}",
+                )
+            items = history.newer_than(cursor)
+            for item in items:
+                cursor = max(cursor, item.offset)
+                yield item
+            if not items:
+                await folded.wait()
+
+    @property
+    def _state(self) -> states.State:
+        return self._follower.current
+
+    def _on_state(self, _: states.State) -> None:
+        folded, self._folded = self._folded, asyncio.Event()
+        folded.set()
+
+    def _judged(
+        self, changes: Sequence[records.Change]
+    ) -> dict[str, states.Verdict]:
+        """Verdicts of those changes that were judged already.
+
+        Raises:
+            WharfError: An operation id was used for another change.
+        """
+        verdicts: dict[str, states.Verdict] = {}
+        for change in changes:
+            item = self._state.history.find(change.operation_id)
+            if item is None:
+                continue
+            if item.change_digest != change.digest():
+                raise self._refused(
+                    errors.ErrorKind.CONFIG_CONFLICT,
+                    f"operation id {change.operation_id} was used for"
+                    " another change",
+                )
+            verdicts[change.operation_id] = item.verdict
+        return verdicts
+
+    async def _append(
+        self,
+        changes: Sequence[records.Change],
+        judged: dict[str, states.Verdict],
+    ) -> None:
+        fresh = [one for one in changes if one.operation_id not in judged]
+        try:
+            await self._log.append(
+                records.STREAM, [records.encode(change) for change in fresh]
+            )
+        except log.LogUnavailableError as error:
+            raise self._refused(
+                errors.ErrorKind.LOG_UNAVAILABLE, str(error)
+            ) from error
+        except log.AppendUnknownError:
+            # The changes may be on the log. Appending them again could set
+            # back a change that came between; reading on tells.
+            return
+
+    async def _read_back(
+        self, changes: Sequence[records.Change]
+    ) -> dict[str, states.Verdict]:
+        try:
+            async with self._clock.timeout_ms(self._answer_timeout_ms):
+                while True:
+                    folded = self._folded
+                    verdicts = self._judged(changes)
+                    if len(verdicts) == len(changes):
+                        return verdicts
+                    await folded.wait()
+        except TimeoutError as error:
+            named = ", ".join(change.operation_id for change in changes)
+            raise self._refused(
+                errors.ErrorKind.OPERATION_UNKNOWN,
+                f"not read back yet; ask for operation {named}",
+            ) from error
+
+    def _body_of(
+        self, kind: resources.Kind, name: str, generation: int
+    ) -> dict[str, object]:
+        for item in self.history(kind, name):
+            verdict = item.verdict
+            if verdict.is_accepted and verdict.generation == generation:
+                if item.after is not None:
+                    return item.after
+            if item.generation_before == generation and item.before:
+                return item.before
+        raise errors.WharfError(
+            errors.ErrorKind.UNKNOWN_RESOURCE,
+            f"generation {generation} of {kind.value} {name} is not kept",
+        )
+
+    def _refused(
+        self, kind: errors.ErrorKind, detail: str
+    ) -> errors.WharfError:
+        _submitted.add(1, {"outcome": kind.value})
+        return errors.WharfError(kind, detail)
--- /dev/null
+++ b/src/jujubewharf/configuration/differences.py
@@ -0,0 +1,123 @@
+"""What would have to change for a wanted set of resources to be in force."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from collections.abc import Sequence
+import dataclasses
+import enum
+from typing import Any
+
+from jujubewharf.configuration import border
+from jujubewharf.configuration import resources
+from jujubewharf.configuration import state as states
+
+
+class Action(enum.Enum):
+    """What a difference asks for."""
+
+    CREATE = "create"
+    UPDATE = "update"
+    DELETE = "delete"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FieldDifference:
+    """One field of a resource.
+
+    Attributes:
+        path: Field, with dots between levels.
+        before: Value in force; ``None`` for none.
+        after: Value wanted; ``None`` for none.
+    """
+
+    path: str
+    before: Any
+    after: Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Difference:
+    """One resource that is not as wanted.
+
+    Attributes:
+        kind: Resource kind.
+        name: Resource name.
+        action: What would make it so.
+        generation: Generation in force, to be expected by the change; 0 for
+            none.
+        fields: Fields that differ.
+    """
+
+    kind: resources.Kind
+    name: str
+    action: Action
+    generation: int
+    fields: tuple[FieldDifference, ...] = ()
+
+
+def find(
+    state: states.State,
+    wanted: Sequence[resources.Resource],
+    *,
+    prune: bool = False,
+) -> list[Difference]:
+    """Compares wanted resources with those in force.
+
+    Args:
+        state: What is in force.
+        wanted: What should be.
+        prune: Whether resources that nobody wants are differences, too, of
+            the kinds that occur in ``wanted``.
+    """
+    found = [
+        difference
+        for resource in wanted
+        if (difference := _of_one(state, resource)) is not None
+    ]
+    if prune:
+        found.extend(_unwanted(state, wanted))
+    return found
+
+
+def _of_one(
+    state: states.State, resource: resources.Resource
+) -> Difference | None:
+    kind = resources.KIND_OF[type(resource)]
+    held = state.get(kind, resource.name)
+    after = border.dump(resource)
+    if held is None:
+        fields = _fields({}, after)
+        return Difference(kind, resource.name, Action.CREATE, 0, fields)
+    fields = _fields(border.dump(held.resource), after)
+    if not fields:
+        return None
+    return Difference(
+        kind, resource.name, Action.UPDATE, held.generation, fields
+    )
+
+
+def _unwanted(
+    state: states.State, wanted: Sequence[resources.Resource]
+) -> Iterator[Difference]:
+    keys = {(resources.KIND_OF[type(one)], one.name) for one in wanted}
+    kinds = {kind for kind, _ in keys}
+    for (kind, name), entry in state.entries:
+        if kind in kinds and (kind, name) not in keys:
+            fields = _fields(border.dump(entry.resource), {})
+            yield Difference(
+                kind, name, Action.DELETE, entry.generation, fields
+            )
+
+
+def _fields(
+    before: dict[str, Any], after: dict[str, Any], prefix: str = ""
+) -> tuple[FieldDifference, ...]:
+    found: list[FieldDifference] = []
+    for name in sorted(before.keys() | after.keys()):
+        old, new = before.get(name), after.get(name)
+        if isinstance(old, dict) and isinstance(new, dict):
+            found.extend(_fields(old, new, f"{prefix}{name}."))
+        elif old != new:
+            found.append(FieldDifference(prefix + name, old, new))
+    return tuple(found)
--- /dev/null
+++ b/src/jujubewharf/configuration/entries.py
@@ -0,0 +1,153 @@
+"""The resources in force, with the indexes that routing and edges ask."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import dataclasses
+import sys
+from typing import Any
+
+import msgpack
+
+from jujubewharf.configuration import border
+from jujubewharf.configuration import records
+from jujubewharf.configuration import resources
+
+Key = tuple[resources.Kind, str]
+
+_INTERNED_FIELDS = ("service", "domain", "model", "model_version")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """A resource in force.
+
+    Attributes:
+        generation: Offset of its change plus one; grows with each change.
+        resource: The resource.
+        extra_packed: Fields of newer versions, in msgpack; mostly empty.
+    """
+
+    generation: int
+    resource: resources.Resource
+    extra_packed: bytes = b""
+
+    @classmethod
+    def from_reading(cls, generation: int, reading: border.Reading) -> Entry:
+        """The entry that a body on the log gives."""
+        packed = records.pack_body(reading.extra) if reading.extra else b""
+        return cls(generation, reading.resource, packed)
+
+    def body(self) -> dict[str, Any]:
+        """The whole body, fields of newer versions included."""
+        extra = msgpack.unpackb(self.extra_packed) if self.extra_packed else {}
+        return border.dump_whole(self.resource, extra)
+
+    def packed_body(self) -> bytes:
+        """The whole body in its canonical bytes."""
+        return records.pack_body(self.body())
+
+
+class Entries:
+    """All entries, by kind and name.
+
+    The indexes keep a request from scanning thousands of endpoints or
+    accounts: they are made with each change, not with each request.
+    """
+
+    def __init__(self) -> None:
+        self._by_kind: dict[resources.Kind, dict[str, Entry]] = {
+            kind: {} for kind in resources.Kind
+        }
+        self._by_service: dict[str, dict[str, Entry]] = {}
+        self._sorted: dict[str, tuple[resources.Endpoint, ...]] = {}
+        self._by_token: dict[tuple[resources.Kind, str], str] = {}
+        self._shared: dict[resources.Capabilities, resources.Capabilities] = {}
+
+    def __len__(self) -> int:
+        return sum(len(entries) for entries in self._by_kind.values())
+
+    def __iter__(self) -> Iterator[tuple[Key, Entry]]:
+        """All entries by kind and name."""
+        for kind in resources.Kind:
+            for entry in self.of_kind(kind):
+                yield (kind, entry.resource.name), entry
+
+    def get(self, key: Key) -> Entry | None:
+        """One entry."""
+        return self._by_kind[key[0]].get(key[1])
+
+    def of_kind(self, kind: resources.Kind) -> list[Entry]:
+        """All entries of a kind, by name."""
+        held = self._by_kind[kind]
+        return [held[name] for name in sorted(held)]
+
+    def endpoints_of(self, service: str) -> tuple[resources.Endpoint, ...]:
+        """A service's endpoints, by name."""
+        endpoints = self._sorted.get(service)
+        if endpoints is None:
+            held = self._by_service.get(service, {})
+            endpoints = tuple(
+                entry.resource
+                for _, entry in sorted(held.items())
+                if isinstance(entry.resource, resources.Endpoint)
+            )
+            if held:
+                self._sorted[service] = endpoints
+        return endpoints
+
+    def name_of_token(
+        self, kind: resources.Kind, token_sha256: str
+    ) -> str | None:
+        """The account or operator that owns a token."""
+        return self._by_token.get((kind, token_sha256))
+
+    def put(self, key: Key, entry: Entry) -> None:
+        """Sets an entry."""
+        self.remove(key)
+        self._share_strings(entry.resource)
+        kind = key[0]
+        name = entry.resource.name
+        self._by_kind[kind][name] = entry
+        match entry.resource:
+            case resources.Endpoint(service=service):
+                self._by_service.setdefault(service, {})[name] = entry
+                self._sorted.pop(service, None)
+            case resources.Account(token_sha256=token):
+                self._by_token[kind, token] = name
+            case resources.Operator(token_sha256=token):
+                self._by_token[kind, token] = name
+
+    def remove(self, key: Key) -> None:
+        """Takes an entry out, if it is there."""
+        kind, name = key
+        entry = self._by_kind[kind].pop(name, None)
+        if entry is None:
+            return
+        match entry.resource:
+            case resources.Endpoint(service=service):
+                self._remove_from_service(service, name)
+            case resources.Account(token_sha256=token):
+                self._by_token.pop((kind, token), None)
+            case resources.Operator(token_sha256=token):
+                self._by_token.pop((kind, token), None)
+
+    def _remove_from_service(self, service: str, name: str) -> None:
+        held = self._by_service[service]
+        del held[name]
+        if not held:
+            del self._by_service[service]
+        self._sorted.pop(service, None)
+
+    def _share_strings(self, resource: resources.Resource) -> None:
+        # Thousands of endpoints name the same few services, domains and
+        # models; one copy of each keeps an instance within its memory.
+        if not isinstance(resource, resources.Endpoint):
+            return
+        for field in _INTERNED_FIELDS:
+            shared = sys.intern(getattr(resource, field))
+            object.__setattr__(resource, field, shared)
+        capabilities = self._shared.setdefault(
+            resource.capabilities, resource.capabilities
+        )
+        object.__setattr__(resource, "capabilities", capabilities)
--- /dev/null
+++ b/src/jujubewharf/configuration/rules.py
@@ -0,0 +1,242 @@
+"""The fold's rules: which change is accepted, given what is in force.
+
+Rules have a version, and the version in force is part of the state: a record
+on the log raises it, so that a new rule takes effect for all instances at
+one offset. Under rules N every instance, old or new, judges a body by what
+schema N knows; fields past that are carried along unjudged. Otherwise two
+versions would judge one record differently and a later compare-and-set
+would split them for good.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import dataclasses
+
+import result
+
+from jujubewharf.configuration import border
+from jujubewharf.configuration import entries as entries_lib
+from jujubewharf.configuration import records
+from jujubewharf.configuration import resources
+from jujubewharf.configuration import verdicts
+
+FIRST_VERSION = 1
+NEWEST_VERSION = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a change is not taken."""
+
+    outcome: verdicts.Outcome
+    detail: str
+
+
+Judgement = result.Result[border.Reading | None, Refusal]
+
+
+def judge(
+    entries: entries_lib.Entries,
+    kind: resources.Kind,
+    change: records.Change,
+) -> Judgement:
+    """Judges a change by log order, form and sanity bounds, in that order.
+
+    Returns:
+        What to put, ``None`` for a delete, or why not.
+    """
+    held = entries.get((kind, change.name))
+    generation = held.generation if held else 0
+    expected = change.expected_generation
+    if expected is not None and expected != generation:
+        detail = f"generation is {generation}, not {expected}"
+        return _refused(verdicts.Outcome.CONFLICT, detail)
+    if change.verb is records.Verb.DELETE:
+        return _judge_delete(entries, kind, change)
+    return _judge_put(entries, kind, change)
+
+
+def _judge_delete(
+    entries: entries_lib.Entries, kind: resources.Kind, change: records.Change
+) -> Judgement:
+    held = entries.get((kind, change.name))
+    if held is None or change.force:
+        return result.Ok(None)
+    reason = _unsafe(entries, held.resource, None)
+    if reason:
+        return _refused(verdicts.Outcome.UNSAFE, reason)
+    return result.Ok(None)
+
+
+def _judge_put(
+    entries: entries_lib.Entries, kind: resources.Kind, change: records.Change
+) -> Judgement:
+    read = border.read(kind, change.body)
+    if isinstance(read, result.Err):
+        detail = "; ".join(read.err_value)
+        return _refused(verdicts.Outcome.INVALID, detail)
+    reading = read.ok_value
+    invalid = _invalid(entries, kind, change.name, reading.resource)
+    if invalid:
+        return _refused(verdicts.Outcome.INVALID, invalid)
+    held = entries.get((kind, change.name))
+    if held is not None and not change.force:
+        reason = _unsafe(entries, held.resource, reading.resource)
+        if reason:
+            return _refused(verdicts.Outcome.UNSAFE, reason)
+    return result.Ok(reading)
+
+
+def _refused(outcome: verdicts.Outcome, detail: str) -> result.Err[Refusal]:
+    return result.Err(Refusal(outcome, detail))
+
+
+def _invalid(
+    entries: entries_lib.Entries,
+    kind: resources.Kind,
+    name: str,
+    resource: resources.Resource,
+) -> str:
+    if resource.name != name:
+        return f"name: the body says {resource.name!r}, the change {name!r}"
+    if isinstance(resource, resources.Account | resources.Operator):
+        owner = entries.name_of_token(kind, resource.token_sha256)
+        if owner is not None and owner != name:
+            return f"token_sha256: already the token of {owner}"
+    return ""
+
+
+def _unsafe(
+    entries: entries_lib.Entries,
+    before: resources.Resource,
+    after: resources.Resource | None,
+) -> str:
+    """Names the harm that a change would do, or nothing.
+
+    It is judged in the fold, not only when the change is asked for: of two
+    operators who each drain one of the last two engines, both saw a safe
+    change, and only log order tells which of them would empty the pool.
+    """
+    match before:
+        case resources.Endpoint():
+            assert after is None or isinstance(after, resources.Endpoint)
+            return _empties_pool(entries, before, after)
+        case resources.Service():
+            assert after is None or isinstance(after, resources.Service)
+            return _unsafe_service(entries, before, after)
+        case resources.Model():
+            return _unsafe_model(entries, before) if after is None else ""
+        case resources.Operator():
+            assert after is None or isinstance(after, resources.Operator)
+            return _locks_out(entries, before, after)
+        case _:
+            return ""
+
+
+def _empties_pool(
+    entries: entries_lib.Entries,
+    before: resources.Endpoint,
+    after: resources.Endpoint | None,
+) -> str:
+    held = entries.get((resources.Kind.SERVICE, before.service))
+    if held is None or not isinstance(held.resource, resources.Service):
+        return ""
+    service = held.resource
+    others = [
+        endpoint
+        for endpoint in entries.endpoints_of(service.name)
+        if endpoint.name != before.name
+    ]
+    stays = after is not None and after.service == service.name
+    left = [*others, after] if stays and after is not None else others
+    lost = _jobs(service, [*others, before]) - _jobs(service, left)
+    return _lost(service.name, lost)
+
+
+def _unsafe_service(
+    entries: entries_lib.Entries,
+    before: resources.Service,
+    after: resources.Service | None,
+) -> str:
+    endpoints = entries.endpoints_of(before.name)
+    if after is None:
+        users = [f"endpoint {endpoint.name}" for endpoint in endpoints[:1]]
+        users += _users_of_service(entries, before.name)
+        return f"service {before.name} is used by {users[0]}" if users else ""
+    lost = _jobs(before, endpoints) - _jobs(after, endpoints)
+    return _lost(before.name, lost)
+
+
+def _users_of_service(entries: entries_lib.Entries, name: str) -> list[str]:
+    users = []
+    for kind in (resources.Kind.ACCOUNT, resources.Kind.OPERATOR):
+        for entry in entries.of_kind(kind):
+            match entry.resource:
+                case (
+                    resources.Account(services=services)
+                    | resources.Operator(services=services)
+                ) if name in services:
+                    users.append(f"{kind.value} {entry.resource.name}")
+    return users
+
+
+def _unsafe_model(entries: entries_lib.Entries, before: resources.Model) -> str:
+    for kind in (resources.Kind.SERVICE, resources.Kind.ENDPOINT):
+        for entry in entries.of_kind(kind):
+            match entry.resource:
+                case (
+                    resources.Service(model=model)
+                    | resources.Endpoint(model=model)
+                ) if model == before.name:
+                    user = f"{kind.value} {entry.resource.name}"
+                    return f"model {model} is used by {user}"
+    return ""
+
+
+def _locks_out(
+    entries: entries_lib.Entries,
+    before: resources.Operator,
+    after: resources.Operator | None,
+) -> str:
+    admin = resources.OperatorRole.ADMIN
+    if before.role is not admin or (after and after.role is admin):
+        return ""
+    for entry in entries.of_kind(resources.Kind.OPERATOR):
+        other = entry.resource
+        assert isinstance(other, resources.Operator)
+        if other.name != before.name and other.role is admin:
+            return ""
+    return f"operator {before.name} is the last admin"
+
+
+def _jobs(
+    service: resources.Service, endpoints: Iterable[resources.Endpoint]
+) -> set[str]:
+    """Jobs for which a service has at least one fitting endpoint."""
+    jobs: set[str] = set()
+    for endpoint in endpoints:
+        if endpoint.drained or not _fits(service, endpoint):
+            continue
+        if service.kind is resources.ServiceKind.PLAIN:
+            jobs.add("plain")
+            continue
+        if endpoint.can_prefill:
+            jobs.add("prefill")
+        if endpoint.can_decode:
+            jobs.add("decode")
+    return jobs
+
+
+def _fits(service: resources.Service, endpoint: resources.Endpoint) -> bool:
+    is_plain = service.kind is resources.ServiceKind.PLAIN
+    if is_plain != (endpoint.role is resources.Role.PLAIN):
+        return False
+    return endpoint.model in ("", service.model) or not service.model
+
+
+def _lost(service: str, jobs: set[str]) -> str:
+    if not jobs:
+        return ""
+    named = " and ".join(sorted(jobs))
+    return f"service {service} would have no endpoint left for {named}"
--- a/src/jujubewharf/configuration/state.py
+++ b/src/jujubewharf/configuration/state.py
@@ -7,115 +7,210 @@
 
 from __future__ import annotations
 
-import dataclasses
-import enum
+from typing import Any
 
-from jujubewharf.configuration import border
+from jujubewharf.configuration import entries as entries_lib
+from jujubewharf.configuration import history as histories
 from jujubewharf.configuration import records
 from jujubewharf.configuration import resources
+from jujubewharf.configuration import rules
+from jujubewharf.configuration import verdicts
 from jujubewharf.platform import log
 
+Entry = entries_lib.Entry
+Key = entries_lib.Key
+Outcome = verdicts.Outcome
+Verdict = verdicts.Verdict
 
-class Outcome(enum.Enum):
-    """The fold's verdict on one change."""
 
-    ACCEPTED = "accepted"
-    CONFLICT = "conflict"
-    INVALID = "invalid"
-    UNKNOWN_RECORD = "unknown_record"
+class RulesTooNewError(Exception):
+    """The next record puts rules in force that this version lacks.
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Entry:
-    """A resource in force.
-
-    Attributes:
-        generation: Offset of its change plus one; grows with each change.
-        resource: The resource.
+    Folding on by the old rules could judge a change differently from the
+    rest of the fleet, so the state stays where it is.
     """
 
-    generation: int
-    resource: resources.Resource
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Verdict:
-    """What became of one change."""
-
-    operation_id: str
-    offset: int
-    outcome: Outcome
-    detail: str = ""
-
-
-Key = tuple[resources.Kind, str]
-
 
 class State:
     """Configuration at one offset of the log.
 
+    Args:
+        newest_rules: Newest version of the rules that this program has.
+
     Attributes:
         next_offset: Offset of the next record to fold; it never goes down.
-        entries: Resources in force.
-        unknown: Records kept whole for newer versions.
+        rules_version: Version of the rules in force.
+        history: The latest changes and their verdicts.
+        unknown: Records kept whole until newer rules are in force.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, newest_rules: int = rules.NEWEST_VERSION) -> None:
         self.next_offset = 0
-        self.entries: dict[Key, Entry] = {}
+        self.rules_version = rules.FIRST_VERSION
+        self.history = histories.History()
         self.unknown: list[log.LogRecord] = []
+        self._newest_rules = newest_rules
+        self._entries = entries_lib.Entries()
+
+    def __repr__(self) -> str:
+        return f"State(next_offset={self.next_offset}, entries={len(self)})"
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    @property
+    def entries(self) -> entries_lib.Entries:
+        """Resources in force."""
+        return self._entries
+
+    def get(self, kind: resources.Kind, name: str) -> Entry | None:
+        """One resource in force."""
+        return self._entries.get((kind, name))
+
+    def of_kind(self, kind: resources.Kind) -> list[Entry]:
+        """All resources of a kind, by name."""
+        return self._entries.of_kind(kind)
+
+    def endpoints_of(self, service: str) -> tuple[resources.Endpoint, ...]:
+        """A service's endpoints, by name, without a scan."""
+        return self._entries.endpoints_of(service)
+
+    def account_of_token(self, token_sha256: str) -> resources.Account | None:
+        """The account with this token."""
+        kind = resources.Kind.ACCOUNT
+        name = self._entries.name_of_token(kind, token_sha256)
+        entry = self.get(kind, name) if name is not None else None
+        if entry is None or not isinstance(entry.resource, resources.Account):
+            return None
+        return entry.resource
+
+    def operator_of_token(self, token_sha256: str) -> resources.Operator | None:
+        """The operator with this token."""
+        kind = resources.Kind.OPERATOR
+        name = self._entries.name_of_token(kind, token_sha256)
+        entry = self.get(kind, name) if name is not None else None
+        if entry is None or not isinstance(entry.resource, resources.Operator):
+            return None
+        return entry.resource
 
     def apply(self, record: log.LogRecord) -> Verdict:
         """Folds one record, which must be the next.
 
         Raises:
             ValueError: The record is not the next one.
+            RulesTooNewError: The record can't be folded by this version; the
+                state is as before.
         """
         if record.offset != self.next_offset:
             raise ValueError(
                 f"record {record.offset} is not {self.next_offset}"
             )
+        verdict = self._judge(record)
         self.next_offset = record.offset + 1
+        return verdict
+
+    def _judge(self, record: log.LogRecord) -> Verdict:
+        offset = record.offset
         try:
-            change = records.decode(record.payload)
-            kind = resources.Kind(change.kind)
-        except (records.UnknownRecordError, ValueError) as error:
-            self.unknown.append(record)
-            return Verdict(
-                "", record.offset, Outcome.UNKNOWN_RECORD, str(error)
+            change = records.decode(
+                record.payload, rules_version=self.rules_version
             )
-        return self._apply_change(record.offset, kind, change)
-
-    def get(self, kind: resources.Kind, name: str) -> Entry | None:
-        """One resource in force."""
-        return self.entries.get((kind, name))
-
-    def of_kind(self, kind: resources.Kind) -> list[Entry]:
-        """All resources of a kind, by name."""
-        keys = sorted(
-            (key for key in self.entries if key[0] is kind),
-            key=lambda key: key[1],
-        )
-        return [self.entries[key] for key in keys]
+        except records.UnknownRecordError as error:
+            return self._keep(record, str(error))
+        except records.MalformedRecordError as error:
+            return Verdict("", offset, Outcome.MALFORMED, str(error))
+        if change.verb is records.Verb.RULES:
+            return self._raise_rules(offset, change)
+        if change.kind not in resources.Kind._value2member_map_:
+            return self._keep(record, f"kind {change.kind}")
+        earlier = self.history.find(change.operation_id)
+        if earlier is not None:
+            return _repeated(offset, change, earlier)
+        return self._apply_change(offset, resources.Kind(change.kind), change)
+
+    def _keep(self, record: log.LogRecord, detail: str) -> Verdict:
+        self.unknown.append(record)
+        return Verdict("", record.offset, Outcome.UNKNOWN_RECORD, detail)
+
+    def _raise_rules(self, offset: int, change: records.Change) -> Verdict:
+        wanted = change.body.get("version")
+        if not isinstance(wanted, int) or wanted <= self.rules_version:
+            detail = f"rules {self.rules_version} are in force"
+            return self._note(
+                _item(offset, change, Outcome.CONFLICT, detail=detail)
+            )
+        if wanted > self._newest_rules:
+            raise RulesTooNewError(f"rules {wanted} at offset {offset}")
+        self.rules_version = wanted
+        verdict = self._note(_item(offset, change, Outcome.ACCEPTED))
+        self._fold_kept()
+        return verdict
+
+    def _fold_kept(self) -> None:
+        kept, self.unknown = self.unknown, []
+        for record in kept:
+            self._judge(record)
 
     def _apply_change(
         self, offset: int, kind: resources.Kind, change: records.Change
     ) -> Verdict:
-        key = (kind, change.name)
-        held = self.entries.get(key)
-        generation = held.generation if held else 0
-        expected = change.expected_generation
-        if expected is not None and expected != generation:
-            detail = f"generation is {generation}, not {expected}"
-            return Verdict(
-                change.operation_id, offset, Outcome.CONFLICT, detail
+        judgement = rules.judge(self._entries, kind, change)
+        if judgement.is_err():
+            refusal = judgement.unwrap_err()
+            return self._note(
+                _item(offset, change, refusal.outcome, detail=refusal.detail)
             )
-        if change.verb is records.Verb.DELETE:
-            self.entries.pop(key, None)
-            return Verdict(change.operation_id, offset, Outcome.ACCEPTED)
-        parsed = border.parse(kind, change.body)
-        if parsed.is_err():
-            detail = "; ".join(parsed.unwrap_err())
-            return Verdict(change.operation_id, offset, Outcome.INVALID, detail)
-        self.entries[key] = Entry(offset + 1, parsed.unwrap())
-        return Verdict(change.operation_id, offset, Outcome.ACCEPTED)
+        key = (kind, change.name)
+        held = self._entries.get(key)
+        reading = judgement.unwrap()
+        after: Entry | None = None
+        if reading is None:
+            self._entries.remove(key)
+        else:
+            after = Entry.from_reading(offset + 1, reading)
+            self._entries.put(key, after)
+        return self._note(
+            _item(offset, change, Outcome.ACCEPTED, held=held, after=after)
+        )
+
+    def _note(self, item: histories.HistoryItem) -> Verdict:
+        self.history.add(item)
+        return item.verdict
+
+
+def _repeated(
+    offset: int, change: records.Change, earlier: histories.HistoryItem
+) -> Verdict:
+    # An operator's tool that got no answer may send the operation again; the
+    # second copy on the log must not undo a change that came between.
+    if earlier.change_digest == change.digest():
+        return earlier.verdict
+    detail = "the operation id was used for another change"
+    return Verdict(change.operation_id, offset, Outcome.CONFLICT, detail)
+
+
+def _item(
+    offset: int,
+    change: records.Change,
+    outcome: Outcome,
+    *,
+    detail: str = "",
+    held: Entry | None = None,
+    after: Entry | None = None,
+) -> histories.HistoryItem:
+    fields: dict[str, Any] = {}
+    if held is not None:
+        fields["generation_before"] = held.generation
+        fields["before_packed"] = held.packed_body()
+    if after is not None:
+        fields["after_packed"] = after.packed_body()
+    return histories.HistoryItem(
+        verdict=Verdict(change.operation_id, offset, outcome, detail),
+        actor=change.actor,
+        wall_ms=change.wall_ms,
+        verb=change.verb,
+        kind=change.kind,
+        name=change.name,
+        change_digest=change.digest(),
+        **fields,
+    )
--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -18,6 +18,7 @@
 from jujubewharf.callers import completions
 from jujubewharf.callers import edge
 from jujubewharf.callers import plain
+from jujubewharf.configuration import changes
 from jujubewharf.configuration import follower
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
@@ -70,6 +71,7 @@
 
     Attributes:
         configuration: Configuration in force here.
+        changes: Takes operators' changes.
         fleet: Views of the engines.
     """
 
@@ -88,6 +90,7 @@
         self.configuration = follower.ConfigurationFollower(
             adapters.log, clock, wait_ms=settings.platform.log_wait_ms
         )
+        self.changes = changes.Changes(self.configuration, adapters.log, clock)
         self.fleet = fleets.Fleet(adapters.make_engine_client, clock)
         self.configuration.listen(self.fleet.on_configuration)
         if policy is None:
--- a/src/jujubewharf/experiments/bench.py
+++ b/src/jujubewharf/experiments/bench.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 import contextlib
 import dataclasses
+import itertools
 import zlib
 
 import numpy as np
@@ -144,6 +145,7 @@
         self.endpoints = MemoryEndpoints(self.clock)
         self.engines: dict[str, engines.Engine] = {}
         self.instances: dict[str, Instance] = {}
+        self._operations = itertools.count()
         self._seed = seed
         self._listed: dict[str, platform_live_list.LiveMember] = {}
 
@@ -164,7 +166,9 @@
 
     async def declare(self, *declared: resources.Resource) -> None:
         """Puts resources on the configuration stream."""
-        payloads = [_put(resource) for resource in declared]
+        payloads = [
+            _put(resource, next(self._operations)) for resource in declared
+        ]
         await self.log.append(records.STREAM, payloads)
 
     async def start_instance(
@@ -231,11 +235,11 @@
         return self._bench.engines.get(key)
 
 
-def _put(resource: resources.Resource) -> bytes:
+def _put(resource: resources.Resource, number: int) -> bytes:
     kind = resources.KIND_OF[type(resource)]
     return records.encode(
         records.Change(
-            operation_id=f"declare-{kind.value}-{resource.name}",
+            operation_id=f"declare-{number}",
             actor="bench",
             verb=records.Verb.PUT,
             kind=kind.value,
--- a/src/jujubewharf/experiments/virtual_time.py
+++ b/src/jujubewharf/experiments/virtual_time.py
@@ -25,6 +25,8 @@
 
 def _cancel_rest(loop: asyncio.AbstractEventLoop) -> None:
     rest = asyncio.all_tasks(loop)
+    if not rest:
+        return
     for task in rest:
         task.cancel()
     gathered = asyncio.gather(*rest, return_exceptions=True)
--- a/src/jujubewharf/standins/log.py
+++ b/src/jujubewharf/standins/log.py
@@ -12,6 +12,9 @@
 from jujubewharf import clock as clocks
 from jujubewharf.platform import log
 
+# A virtual clock rounds; a wait that is shorter than its step never ends.
+_LEAST_WAIT_MS = 0.001
+
 
 class _Stream:
     """One stream's kept records and the offset of the first of them."""
@@ -91,7 +94,7 @@
             if from_offset < kept.first_offset:
                 raise log.LogTruncatedError(kept.first_offset)
             left_ms = until_ms - self._clock.now_ms()
-            if from_offset < kept.next_offset or left_ms <= 0:
+            if from_offset < kept.next_offset or left_ms <= _LEAST_WAIT_MS:
                 break
             await self._wait(left_ms)
         start = from_offset - kept.first_offset
--- /dev/null
+++ b/tests/configuration/test_changes.py
@@ -0,0 +1,232 @@
+"""Operators' changes through one instance or several, on virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf.configuration import differences
+from jujubewharf.configuration import records
+from jujubewharf.configuration import resources
+from jujubewharf.configuration import state as states
+from jujubewharf.experiments import virtual_time
+from jujubewharf.platform import log as platform_log
+from jujubewharf.standins import log as logs
+from tests.configuration import making
+
+
+class _Log(logs.MemoryLog):
+    """Goes down, when told so, at the moment an append took effect."""
+
+    goes_down_after_append = False
+
+    async def append(self, stream, payloads):
+        offsets = await super().append(stream, payloads)
+        if self.goes_down_after_append:
+            self.is_down = True
+            raise platform_log.AppendUnknownError("answer lost")
+        return offsets
+
+
+def _run(scenario):
+    """Runs a scenario with two instances on one log."""
+
+    async def main():
+        clock = clocks.Clock(wall_origin_ms=0.0)
+        log = _Log(clock)
+        async with (
+            making.following(log, clock) as (here, _),
+            making.following(log, clock) as (there, _),
+        ):
+            await scenario(log, here, there)
+
+    virtual_time.run(main())
+
+
+def test_an_answer_means_that_the_change_is_in_force_here():
+    async def scenario(log, here, there):
+        del log
+        verdicts = await here.submit([making.put(making.SERVICE)])
+        assert verdicts[0].is_accepted
+        assert here.operation(verdicts[0].operation_id) == verdicts[0]
+        await asyncio.sleep(0.1)
+        assert there.operation(verdicts[0].operation_id) == verdicts[0]
+
+    _run(scenario)
+
+
+def test_two_racing_operators_get_one_winner():
+    async def scenario(log, here, there):
+        del log
+        one, two = await asyncio.gather(
+            here.submit([making.put(making.SERVICE, expected_generation=0)]),
+            there.submit([making.put(making.SERVICE, expected_generation=0)]),
+        )
+        outcomes = sorted(verdict.outcome.value for verdict in one + two)
+        assert outcomes == ["accepted", "conflict"]
+
+    _run(scenario)
+
+
+def test_a_lost_acknowledgement_is_resolved_by_reading():
+    """The log takes the change and its answer is lost on the way.
+
+    The operator must learn that the change ran. Appending it again would
+    put a second copy on the log; instead the instance reads on until it
+    meets the operation.
+    """
+
+    async def scenario(log, here, there):
+        del there
+        log.lose_answers = 1
+        verdicts = await here.submit([making.put(making.SERVICE)])
+        assert verdicts[0].is_accepted
+        assert log.appends[records.STREAM] == 1
+
+    _run(scenario)
+
+
+def test_no_log_means_that_nothing_ran():
+    async def scenario(log, here, there):
+        del there
+        log.is_down = True
+        with pytest.raises(errors.WharfError) as caught:
+            await here.submit([making.put(making.SERVICE)])
+        assert caught.value.kind is errors.ErrorKind.LOG_UNAVAILABLE
+        assert caught.value.ran is errors.Ran.NO
+        assert log.appends[records.STREAM] == 0
+
+    _run(scenario)
+
+
+def test_an_outage_after_the_append_is_answered_as_unknown():
+    """The append takes effect, its answer is lost, and the log goes down.
+
+    Nobody can tell now whether the change ran. The operator is told so with
+    the operation's id, asks for it once the log is back, and sending the
+    very same operation again adds nothing.
+    """
+
+    async def scenario(log, here, there):
+        del there
+        log.goes_down_after_append = True
+        change = making.put(making.SERVICE, operation_id="op-lost")
+        with pytest.raises(errors.WharfError) as caught:
+            await here.submit([change])
+        assert caught.value.kind is errors.ErrorKind.OPERATION_UNKNOWN
+        assert caught.value.ran is errors.Ran.UNKNOWN
+        assert "op-lost" in caught.value.detail
+        log.is_down = log.goes_down_after_append = False
+        await asyncio.sleep(5)
+        assert here.operation("op-lost").is_accepted
+        assert (await here.submit([change]))[0].is_accepted
+        assert log.appends[records.STREAM] == 1
+
+    _run(scenario)
+
+
+def test_every_error_is_named_and_nothing_is_appended():
+    async def scenario(log, here, there):
+        del there
+        bad = making.engine("e 1", address="nowhere", slots=0)
+        account = resources.Account("a", "secret-token", rate_per_s=-1)
+        with pytest.raises(errors.WharfError) as caught:
+            await here.submit([making.put(bad), making.put(account)])
+        assert caught.value.kind is errors.ErrorKind.CONFIG_INVALID
+        detail = caught.value.detail
+        for named in (
+            "changes[0].name",
+            "changes[0].body.address",
+            "changes[0].body.slots",
+            "changes[0].body.service",
+            "changes[1].body.token_sha256",
+            "changes[1].body.rate_per_s",
+        ):
+            assert named in detail
+        assert "secret-token" not in detail
+        assert log.appends[records.STREAM] == 0
+
+    _run(scenario)
+
+
+def test_force_sets_the_bounds_aside():
+    async def scenario(log, here, there):
+        del log, there
+        made = [making.put(making.SERVICE), making.put(making.engine("e1"))]
+        await here.submit(made)
+        refused = await here.submit([making.delete(making.engine("e1"))])
+        assert refused[0].outcome is states.Outcome.UNSAFE
+        error = refused[0].error()
+        assert error.kind is errors.ErrorKind.CONFIG_UNSAFE
+        gone = making.delete(making.engine("e1"))
+        assert (await here.submit([gone], force=True))[0].is_accepted
+
+    _run(scenario)
+
+
+def test_rollback_is_a_new_change_with_the_earlier_body():
+    async def scenario(log, here, there):
+        del log, there
+        before = making.engine("e1", slots=10)
+        made = [making.put(making.SERVICE), making.put(before)]
+        old = (await here.submit(made))[1]
+        await here.submit([making.put(making.engine("e1", slots=30))])
+        kind = resources.Kind.ENDPOINT
+        back = await here.rollback(
+            kind, "e1", old.generation, operation_id="back", actor="eva"
+        )
+        assert back.generation > old.generation
+        assert [item.after["slots"] for item in here.history(kind, "e1")] == [
+            10,
+            30,
+            10,
+        ]
+        assert here.history(kind, "e1")[-1].actor == "eva"
+        with pytest.raises(errors.WharfError) as caught:
+            await here.rollback(
+                kind, "e1", 99, operation_id="none", actor="eva"
+            )
+        assert caught.value.kind is errors.ErrorKind.UNKNOWN_RESOURCE
+
+    _run(scenario)
+
+
+def test_diff_names_what_is_not_as_wanted():
+    async def scenario(log, here, there):
+        del log, there
+        made = [making.SERVICE, making.engine("e1"), making.engine("e2")]
+        await here.submit([making.put(one) for one in made])
+        wanted = [making.engine("e1", slots=3), making.engine("e3")]
+        found = here.diff([making.SERVICE, *wanted], prune=True)
+        assert [(one.name, one.action.value) for one in found] == [
+            ("e1", "update"),
+            ("e3", "create"),
+            ("e2", "delete"),
+        ]
+        assert found[0].fields == (differences.FieldDifference("slots", 20, 3),)
+        assert found[0].generation == 2
+
+    _run(scenario)
+
+
+def test_watch_gives_old_and_coming_changes():
+    async def scenario(log, here, there):
+        del log
+        await here.submit([making.put(making.SERVICE)])
+        seen = []
+
+        async def watch():
+            async for item in there.watch(0):
+                seen.append(item.name)
+
+        task = asyncio.ensure_future(watch())
+        await asyncio.sleep(0.1)
+        await here.submit([making.put(making.engine("e1"))])
+        await asyncio.sleep(0.1)
+        task.cancel()
+        assert seen == ["verdict-llm", "e1"]
+
+    _run(scenario)
