--- a/src/jujubewharf/configuration/changes.py
+++ b/src/jujubewharf/configuration/changes.py
@@ -24,7 +24,7 @@
 
 _meter = metrics.get_meter("jujubewharf")
 _submitted = _meter.create_counter(
-    "configuration_changes_submitted",
+    "configuration.submitted",
     description="Operators' changes answered here, by outcome",
 )
 
--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -8,16 +8,22 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
+import contextlib
 import dataclasses
 
 import aiohttp
 import mode
 
 from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf.callers import accounts
 from jujubewharf.callers import completions
 from jujubewharf.callers import edge
-from jujubewharf.callers import plain
+from jujubewharf.callers import plain as plain_paths
+from jujubewharf.callers import readiness
 from jujubewharf.configuration import changes
 from jujubewharf.configuration import follower
 from jujubewharf.configuration import resources
@@ -25,18 +31,28 @@
 from jujubewharf.engines import endpoint_client
 from jujubewharf.engines import http as engine_http
 from jujubewharf.engines import http_endpoint
+from jujubewharf.membership import facts
+from jujubewharf.membership import membership as memberships
+from jujubewharf.peers import mesh
+from jujubewharf.peers import peer
 from jujubewharf.peers import streams
 from jujubewharf.platform import http_log
 from jujubewharf.platform import live_list
 from jujubewharf.platform import log
 from jujubewharf.platform import weights
+from jujubewharf.requests import answers as request_answers
 from jujubewharf.requests import life
+from jujubewharf.requests import limits
 from jujubewharf.requests import model_request
+from jujubewharf.requests import plain
+from jujubewharf.requests import plain_endpoints
+from jujubewharf.routing import baselines
 from jujubewharf.routing import fleet as fleets
-from jujubewharf.routing import least_load
 from jujubewharf.routing import placer as placers
 from jujubewharf.routing import policy as policies
 from jujubewharf.settings import models
+from jujubewharf.telemetry import gauges
+from jujubewharf.telemetry import goodput
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,6 +89,15 @@
         configuration: Configuration in force here.
         changes: Takes operators' changes.
         fleet: Views of the engines.
+        accounts: Client accounts in force here.
+        model_limits: Limits of model requests here.
+        plain_limits: Limits of plain calls here.
+        plain: Runs plain calls.
+        peers: Links to the other instances.
+        facts: Small facts known to the whole fleet.
+        membership: Who they are.
+        runner: Runs model requests, and counts.
+        answers: All answers of this instance.
     """
 
     def __init__(
@@ -87,6 +112,26 @@
         self.settings = settings
         self.clock = clock
         self.adapters = adapters
+        timing = peer.Timing(
+            settings.peers.heartbeat_ms, settings.peers.suspect_after_ms
+        )
+        self.peers = mesh.PeerMesh(
+            settings.instance,
+            settings.domain,
+            clock,
+            adapters.transport,
+            timing=timing,
+        )
+        self.facts = facts.Facts(self.peers, clock)
+        self.membership = memberships.Membership(
+            self.peers,
+            self.facts,
+            settings.domain,
+            adapters.live_list,
+            clock,
+            timing=timing,
+            poll_ms=settings.platform.live_list_poll_ms,
+        )
         self.configuration = follower.ConfigurationFollower(
             adapters.log, clock, wait_ms=settings.platform.log_wait_ms
         )
@@ -94,25 +139,85 @@
         self.fleet = fleets.Fleet(adapters.make_engine_client, clock)
         self.configuration.listen(self.fleet.on_configuration)
         if policy is None:
-            policy = least_load.LeastLoad()
+            policy = baselines.LeastLoad()
         self._placer = placers.Placer(policy, self.fleet, clock)
-        self._runner = life.RequestRunner(
+        self.runner = life.RequestRunner(
             settings.instance,
             self.fleet,
             self._placer,
             clock,
         )
+        self.answers = request_answers.Answers(self.runner, clock)
+
+        self.accounts = accounts.Accounts()
+        self.configuration.listen(self.accounts.on_configuration)
+        self.model_limits, self.plain_limits = (
+            limits.Limits(
+                clock, self.accounts.get, member_count=self._member_count
+            )
+            for _ in range(2)
+        )
+        chooser = plain_endpoints.Chooser(settings.domain, clock)
+        self.configuration.listen(chooser.on_configuration)
+        self.plain = plain.PlainRunner(adapters.endpoints, chooser, clock)
 
     async def on_start(self) -> None:
         """Starts the parts, those that others need first."""
+        await self.add_runtime_dependency(self.peers)
+        await self.add_runtime_dependency(self.facts)
+        await self.add_runtime_dependency(self.membership)
         await self.add_runtime_dependency(self.configuration)
         await self.add_runtime_dependency(self.fleet)
+        await self.add_runtime_dependency(self.answers)
+
+    def _member_count(self) -> int:
+        return len(self.membership.present())
 
-    def answer(
+    async def answer(
         self, request: model_request.ModelRequest
-    ) -> AsyncIterator[model_request.Event]:
-        """Answers a model request; see ``life.RequestRunner.run``."""
-        return self._runner.run(request)
+    ) -> AsyncGenerator[model_request.Event, None]:
+        """Answers a model request; see ``answers.Answers.answer``."""
+        deadline_at_ms = request.arrived_ms + request.deadline_ms
+        watch = goodput.Stopwatch(
+            request.service, request.arrived_ms, self.clock
+        )
+        try:
+            async with (
+                self.model_limits.admitted(
+                    request.account,
+                    request.service,
+                    deadline_at_ms=deadline_at_ms,
+                    priority=request.priority,
+                ),
+                contextlib.aclosing(self.answers.answer(request)) as events,
+            ):
+                async for event in events:
+                    watch.see(event)
+                    yield event
+        except errors.WharfError as error:
+            watch.ended(error.kind.value)
+            yield model_request.Failed(
+                error.kind, error.ran, error.detail, error.retry_after_ms
+            )
+        except (asyncio.CancelledError, GeneratorExit):
+            watch.ended(errors.ErrorKind.CANCELLED.value)
+            raise
+
+    @contextlib.asynccontextmanager
+    async def call_plain(
+        self, request: plain.PlainRequest
+    ) -> AsyncIterator[endpoint_client.PlainReply]:
+        """Calls a plain service; see ``plain.PlainRunner.run``."""
+        async with (
+            self.plain_limits.admitted(
+                request.account,
+                request.service,
+                deadline_at_ms=request.deadline_at_ms,
+                priority=request.priority,
+            ),
+            self.plain.run(request) as reply,
+        ):
+            yield reply
 
 
 class Entry(mode.Service):
@@ -133,34 +238,43 @@
         super().__init__()
         self._settings = settings
         self._clock = clock
-        self._session: aiohttp.ClientSession | None = None
+        self._sessions: list[aiohttp.ClientSession] = []
         self.core: EntryCore | None = None
         self.callers: edge.CallerEdge | None = None
 
     async def on_start(self) -> None:
         """Makes the adapters and starts core and edges."""
-        connector = aiohttp.TCPConnector(limit=0)
-        timeout = aiohttp.ClientTimeout(total=None)
-        self._session = aiohttp.ClientSession(
-            connector=connector, timeout=timeout, auto_decompress=False
-        )
-        self.core = EntryCore(
-            self._settings, self._clock, self._adapters(self._session)
-        )
+        self.core = EntryCore(self._settings, self._clock, self._adapters())
+        gauges.watch(self.core)
+        callers = self._settings.callers
         self.callers = edge.CallerEdge(
-            self._settings.callers,
-            completions.Completions(self.core, self._clock),
-            plain.PlainServices(self.core),
+            callers,
+            completions.Completions(self.core, self._clock, callers),
+            plain_paths.PlainServices(self.core, self._clock, callers),
+            readiness.Readiness(self.core.configuration.caught_up),
         )
         await self.add_runtime_dependency(self.core)
         await self.add_runtime_dependency(self.callers)
 
     async def on_shutdown(self) -> None:
-        """Closes the client session once all parts stopped."""
-        if self._session is not None:
-            await self._session.close()
+        """Closes the client sessions once all parts stopped."""
+        for session in self._sessions:
+            await session.close()
+
+    def _new_session(self) -> aiohttp.ClientSession:
+        """A connection pool of its own."""
+        session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=http_endpoint.CONNECT_TIMEOUT_S
+            ),
+            auto_decompress=False,
+        )
+        self._sessions.append(session)
+        return session
 
-    def _adapters(self, session: aiohttp.ClientSession) -> Adapters:
+    def _adapters(self) -> Adapters:
+        session = self._new_session()
         platform = self._settings.platform
         peers = self._settings.peers
 
@@ -180,6 +294,6 @@
                 platform.weight_store_url, session, self._clock
             ),
             make_engine_client=make_engine_client,
-            endpoints=http_endpoint.HttpEndpointClient(session),
+            endpoints=http_endpoint.HttpEndpointClient(self._new_session()),
             transport=streams.TcpTransport(peers.host, peers.port),
         )
