--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -24,6 +24,7 @@
 from jujubewharf.callers import edge
 from jujubewharf.callers import plain as plain_paths
 from jujubewharf.callers import readiness
+from jujubewharf.configuration import changes
 from jujubewharf.configuration import follower
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
@@ -88,6 +89,7 @@
 
     Attributes:
         configuration: Configuration in force here.
+        changes: Takes operators' changes.
         fleet: Views of the engines.
         operators: Answers operators.
         accounts: Client accounts in force here.
@@ -136,6 +138,7 @@
         self.configuration = follower.ConfigurationFollower(
             adapters.log, clock, wait_ms=settings.platform.log_wait_ms
         )
+        self.changes = changes.Changes(self.configuration, adapters.log, clock)
         self.fleet = fleets.Fleet(adapters.make_engine_client, clock)
         self.configuration.listen(self.fleet.on_configuration)
         if policy is None:
