--- a/src/jujubewharf/experiments/bench.py
+++ b/src/jujubewharf/experiments/bench.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import itertools
 import zlib
 
 import numpy as np
@@ -88,6 +89,7 @@
         self.endpoints = adapters.MemoryEndpoints(self.clock)
         self.engines: dict[str, engines.Engine] = {}
         self.instances: dict[str, instances.Instance] = {}
+        self._operations = itertools.count()
         self._seed = seed
         self._engine_domains: dict[str, str] = {}
         self._starts: dict[str, _Start] = {}
@@ -123,7 +125,9 @@
 
     async def declare(self, *declared: resources.Resource) -> None:
         """Puts resources on the configuration stream."""
-        payloads = [_put(resource) for resource in declared]
+        payloads = [
+            _put(resource, next(self._operations)) for resource in declared
+        ]
         await self.log.append(records.STREAM, payloads)
 
     async def start_instance(
@@ -331,11 +335,11 @@
     )
 
 
-def _put(resource: resources.Resource) -> bytes:
+def _put(resource: resources.Resource, number: int) -> bytes:
     kind = resources.KIND_OF[type(resource)]
     return records.encode(
         records.Change(
-            operation_id=f"declare-{kind.value}-{resource.name}",
+            operation_id=f"declare-{number}",
             actor="bench",
             verb=records.Verb.PUT,
             kind=kind.value,
