Operators: an apply of any size, all faults named before the first change

Change: every body is checked first, in a dry run too; then runs of 500; a failure on the way is told item by item.

--- a/src/jujubewharf/configuration/validation.py
+++ b/src/jujubewharf/configuration/validation.py
@@ -20,7 +20,7 @@
 
 
 def check(state: states.State, changes: Sequence[records.Change]) -> list[str]:
-    """Finds all errors of a run of changes.
+    """Finds all errors of a run of changes that go to the log together.
 
     Returns:
         One line an error, each opening with the change's place and the
@@ -28,6 +28,11 @@
     """
     if len(changes) > MAX_CHANGES:
         return [f"changes: at most {MAX_CHANGES} at once"]
+    return find(state, changes)
+
+
+def find(state: states.State, changes: Sequence[records.Change]) -> list[str]:
+    """As ``check``, for any number of changes; they go to the log in runs."""
     return list(_Checker(state).check(changes))
 
 
--- a/src/jujubewharf/operators/editing.py
+++ b/src/jujubewharf/operators/editing.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from collections.abc import Sequence
 import dataclasses
+import re
 import uuid
 
 from jujubewharf import clock as clocks
@@ -12,6 +14,7 @@
 from jujubewharf.configuration import records
 from jujubewharf.configuration import resources
 from jujubewharf.configuration import state as states
+from jujubewharf.configuration import validation
 from jujubewharf.operators import backend as backends
 from jujubewharf.operators import differences
 from jujubewharf.operators import faults
@@ -20,6 +23,11 @@
 
 MAX_OPERATION_ID = 128
 
+# As ``configuration.validation`` writes them.
+_FAULT = re.compile(
+    r"changes\[(?P<index>\d+)\]\.(body\.)?(?P<path>[^:]*): (?P<message>.*)"
+)
+
 _State = values.OperationState
 _KIND_OF_STATE = {
     _State.CONFLICT: errors.ErrorKind.CONFIG_CONFLICT,
@@ -207,14 +215,12 @@
         for wish in wishes:
             self._check(identity, wish)
             self._check_seen(wish, seen_offset)
+        changes = [self._record(identity, wish) for wish in wishes]
+        self._check_bodies(changes, operation)
         if dry_run:
             items = tuple(values.AppliedDifference(item) for item in found)
             return values.ApplyReply(operation, items, self._offset)
-        verdicts = await self._submit(identity, wishes, operation, force)
-        items = tuple(
-            _applied(item, verdict)
-            for item, verdict in zip(found, verdicts, strict=True)
-        )
+        items = await self._in_runs(found, changes, operation, force)
         return values.ApplyReply(operation, items, self._offset)
 
     @property
@@ -230,9 +236,9 @@
     ) -> values.ChangeDone:
         is_known = self._backend.operation(wish.operation_id) is not None
         self._check(identity, wish, is_known=is_known)
-        [verdict] = await self._submit(
-            identity, [wish], wish.operation_id, force
-        )
+        changes = [self._record(identity, wish)]
+        self._check_bodies(changes, wish.operation_id)
+        [verdict] = await self._submit(changes, wish.operation_id, force)
         error = _error_of(verdict)
         if error is not None:
             raise error
@@ -276,25 +282,55 @@
                 f"{detail} {wish.name}",
                 operation_id=wish.operation_id,
             )
-        violations = _violations(wish)
+        if isinstance(wish.resource, resources.Operator):
+            _check_operator_name(wish)
+
+    def _check_bodies(
+        self, changes: Sequence[records.Change], operation_id: str
+    ) -> None:
+        """Names every fault of every change before the first is made."""
+        found = validation.find(self._backend.state, changes)
+        violations = tuple(_violation(line, changes) for line in found)
         if violations:
-            raise faults.OperatorError(
-                errors.ErrorKind.CONFIG_INVALID,
-                "; ".join(str(violation) for violation in violations),
-                operation_id=wish.operation_id,
-                violations=violations,
-            )
+            raise _invalid(violations, operation_id)
+
+    async def _in_runs(
+        self,
+        found: Sequence[values.Difference],
+        changes: Sequence[records.Change],
+        operation_id: str,
+        force: bool,
+    ) -> tuple[values.AppliedDifference, ...]:
+        """Submits as many changes at once as go to the log together.
+
+        A failure of the first run is the whole's. After that some changes
+        are in force: the failed run's items tell of the failure, and those
+        after it that they were not tried.
+        """
+        items: list[values.AppliedDifference] = []
+        for start in range(0, len(changes), validation.MAX_CHANGES):
+            run = changes[start : start + validation.MAX_CHANGES]
+            differing = found[start : start + validation.MAX_CHANGES]
+            try:
+                verdicts = await self._submit(run, operation_id, force)
+            except faults.OperatorError as error:
+                if not items:
+                    raise
+                items.extend(_failed(differing, run, error))
+                rest = start + len(run)
+                items.extend(
+                    _failed(found[rest:], changes[rest:], _not_tried(error))
+                )
+                break
+            items.extend(map(_applied, differing, verdicts))
+        return tuple(items)
 
     async def _submit(
         self,
-        identity: values.Identity,
-        wishes: Sequence[_Wish],
+        changes: Sequence[records.Change],
         operation_id: str,
         force: bool,
     ) -> list[backends.Verdict]:
-        if not wishes:
-            return []
-        changes = [self._record(identity, wish) for wish in wishes]
         try:
             return await self._backend.submit(changes, force=force)
         except errors.WharfError as error:
@@ -385,20 +421,52 @@
         seen.add(key)
 
 
-def _violations(wish: _Wish) -> tuple[values.Violation, ...]:
-    if not wish.name:
-        return (values.Violation("name", "is required"),)
-    if wish.resource is None:
-        return ()
-    if isinstance(wish.resource, resources.Operator):
-        # History could not tell it from the one of the settings.
-        if wish.name == identities.BOOTSTRAP_NAME:
-            return (values.Violation("name", "is the built-in admin's"),)
-    parsed = border.parse(wish.kind, border.dump(wish.resource))
-    if parsed.is_ok():
-        return ()
-    lines = [line.partition(": ") for line in parsed.unwrap_err()]
-    return tuple(values.Violation(path, text) for path, _, text in lines)
+def _check_operator_name(wish: _Wish) -> None:
+    # History could not tell it from the one of the settings.
+    if wish.name == identities.BOOTSTRAP_NAME:
+        violation = values.Violation("name", "is the built-in admin's")
+        raise _invalid((violation,), wish.operation_id)
+
+
+def _violation(
+    line: str, changes: Sequence[records.Change]
+) -> values.Violation:
+    found = _FAULT.fullmatch(line)
+    if found is None:
+        return values.Violation("", line)
+    change = changes[int(found["index"])]
+    path = found["path"]
+    if len(changes) > 1:
+        path = f"{change.kind} {change.name}.{path}"
+    return values.Violation(path, found["message"])
+
+
+def _invalid(
+    violations: tuple[values.Violation, ...], operation_id: str
+) -> faults.OperatorError:
+    return faults.OperatorError(
+        errors.ErrorKind.CONFIG_INVALID,
+        "; ".join(str(violation) for violation in violations),
+        operation_id=operation_id,
+        violations=violations,
+    )
+
+
+def _failed(
+    found: Sequence[values.Difference],
+    changes: Sequence[records.Change],
+    error: faults.OperatorError,
+) -> Iterator[values.AppliedDifference]:
+    for item, change in zip(found, changes, strict=True):
+        detail = dataclasses.replace(
+            faults.detail_of(error), operation_id=change.operation_id
+        )
+        yield values.AppliedDifference(item, change.operation_id, error=detail)
+
+
+def _not_tried(error: faults.OperatorError) -> faults.OperatorError:
+    detail = "not tried, since an earlier run of changes failed"
+    return faults.OperatorError(error.kind, detail, ran=errors.Ran.NO)
 
 
 def _unknown(kind: resources.Kind, name: str) -> errors.WharfError:
--- a/tests/operators/test_failures.py
+++ b/tests/operators/test_failures.py
@@ -227,3 +227,53 @@
                 _KIND.ENDPOINT, page_token=first.next_page_token
             )
         assert refused.value.kind is errors.ErrorKind.BAD_REQUEST
+
+
+async def test_an_apply_of_many_names_every_fault_before_the_first_change():
+    """A file of more changes than go to the log together has faults at its
+    end. Found only on the way, half the file would be in force."""
+    async with deployments.running("e1") as deployment:
+        many = [
+            dataclasses.replace(deployments.TILL, name=f"till-{number:04}")
+            for number in range(600)
+        ]
+        bad = dataclasses.replace(many[-1], slots=0, service="none")
+        client = deployment.client()
+        for dry_run in (True, False):
+            with pytest.raises(faults.OperatorError) as refused:
+                await client.apply(
+                    [deployments.SHOP, *many[:-1], bad], dry_run=dry_run
+                )
+            assert [str(one) for one in refused.value.violations] == [
+                "endpoint till-0599.service: 'none' is unknown",
+                "endpoint till-0599.slots: not above 0",
+            ]
+        assert await client.list_all(_KIND.SERVICE) == []
+        reply = await client.apply([deployments.SHOP, *many])
+        assert len(reply.items) == 601
+        assert not reply.failed
+
+
+async def test_an_apply_of_many_tells_where_the_log_went_down():
+    """The log goes down between two runs of changes of one apply.
+
+    The first run is in force. The items tell which changes are, and that the
+    others did not run; the same apply sent again makes just these.
+    """
+    async with deployments.running("e1") as deployment:
+        many = [
+            dataclasses.replace(deployments.TILL, name=f"till-{number:04}")
+            for number in range(1_200)
+        ]
+        log = deployment.bench.instances["e1"].log
+        state = deployment.bench.instances["e1"].core.configuration
+        client = deployment.client()
+        await client.create(deployments.SHOP)
+        state.listen(lambda _: setattr(log, "is_cut", True))
+        reply = await client.apply(many)
+        in_force = [item for item in reply.items if item.error is None]
+        assert len(in_force) == 500
+        assert {item.error.ran for item in reply.failed if item.error} == {
+            errors.Ran.NO
+        }
+        assert len(reply.failed) == 700
