Operators: large files in small pieces; fields of newer versions outlive a change

Cause: an apply of 1,000 endpoints worked through its file in one go, on the event loop that relays tokens, and sent runs of 500 that every instance folds in one go; a change made at an older instance dropped fields that a newer one had put in force. Change: pieces of 32 with a turn for others between them, runs of 50 to the log, plans of the message fields worked out once, unknown fields carried on.

--- a/src/jujubewharf/configuration/validation.py
+++ b/src/jujubewharf/configuration/validation.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 import re
+from typing import Any
 
 import result
 
@@ -28,12 +29,18 @@
     """
     if len(changes) > MAX_CHANGES:
         return [f"changes: at most {MAX_CHANGES} at once"]
-    return find(state, changes)
+    return [line for lines in find(state, changes) for line in lines]
 
 
-def find(state: states.State, changes: Sequence[records.Change]) -> list[str]:
-    """As ``check``, for any number of changes; they go to the log in runs."""
-    return list(_Checker(state).check(changes))
+def find(
+    state: states.State, changes: Sequence[records.Change]
+) -> Iterator[list[str]]:
+    """As ``check``, for any number of changes that go to the log in runs.
+
+    Yields:
+        The errors of each change, so that long work can be paced.
+    """
+    return _Checker(state).check(changes)
 
 
 class _Checker:
@@ -44,10 +51,11 @@
         self._added: set[states.Key] = set()
         self._operation_ids: set[str] = set()
 
-    def check(self, changes: Sequence[records.Change]) -> Iterator[str]:
+    def check(self, changes: Sequence[records.Change]) -> Iterator[list[str]]:
         for index, change in enumerate(changes):
-            for error in self._check_one(change):
-                yield f"changes[{index}].{error}"
+            yield [
+                f"changes[{index}].{error}" for error in self._check_one(change)
+            ]
 
     def _check_one(self, change: records.Change) -> Iterator[str]:
         if not change.operation_id:
@@ -71,7 +79,7 @@
     def _check_body(
         self, kind: resources.Kind, change: records.Change
     ) -> Iterator[str]:
-        parsed = border.parse(kind, change.body)
+        parsed = border.parse(kind, self._without_held(kind, change))
         if isinstance(parsed, result.Err):
             for error in parsed.err_value:
                 yield f"body.{error}"
@@ -83,6 +91,23 @@
             yield f"body.{error}"
         self._added.add((kind, change.name))
 
+    def _without_held(
+        self, kind: resources.Kind, change: records.Change
+    ) -> dict[str, Any]:
+        """The body less the fields of a newer version that are in force.
+
+        A change made here carries them on as they are; only a field that
+        nobody has put in force yet is a fault.
+        """
+        held = self._state.get(kind, change.name)
+        read = border.read(kind, change.body)
+        if held is None or not held.extra_packed or read.is_err():
+            return change.body
+        reading = read.unwrap()
+        if records.pack_body(reading.extra) != held.extra_packed:
+            return change.body
+        return border.dump(reading.resource)
+
     def _check_resource(self, resource: resources.Resource) -> Iterator[str]:
         match resource:
             case resources.Service():
--- a/src/jujubewharf/operators/calls.py
+++ b/src/jujubewharf/operators/calls.py
@@ -16,6 +16,7 @@
 from jujubewharf.operators import faults
 from jujubewharf.operators import jujubewharf_pb2 as pb
 from jujubewharf.operators import messages
+from jujubewharf.operators import pacing
 from jujubewharf.operators import service as services
 from jujubewharf.operators import values
 
@@ -118,7 +119,7 @@
 ) -> pb.ApplyReply:
     reply = await service.editor.apply(
         identity,
-        _resources(request),
+        await _resources(request),
         prune=request.prune,
         force=request.force,
         dry_run=request.dry_run,
@@ -127,7 +128,12 @@
             request.seen_offset if request.HasField("seen_offset") else None
         ),
     )
-    return messages.to_message(reply, pb.ApplyReply)
+    answer = pb.ApplyReply(
+        operation_id=reply.operation_id, applied_offset=reply.applied_offset
+    )
+    async for item in pacing.paced(reply.items):
+        answer.items.append(messages.to_message(item, pb.AppliedDifference))
+    return answer
 
 
 async def _get(
@@ -152,7 +158,13 @@
         page_token=request.page_token,
         not_before_offset=request.not_before_offset,
     )
-    return messages.to_message(reply, pb.ListReply)
+    answer = pb.ListReply(
+        next_page_token=reply.next_page_token,
+        applied_offset=reply.applied_offset,
+    )
+    async for item in pacing.paced(reply.items):
+        answer.items.append(messages.to_message(item, pb.StoredResource))
+    return answer
 
 
 async def _watch(
@@ -241,10 +253,10 @@
     return read.unwrap()
 
 
-def _resources(request: pb.ApplyRequest) -> list[resources.Resource]:
+async def _resources(request: pb.ApplyRequest) -> list[resources.Resource]:
     found: list[resources.Resource] = []
     violations: list[values.Violation] = []
-    for index, message in enumerate(request.resources):
+    async for index, message in pacing.paced(enumerate(request.resources)):
         read = messages.resource_from_message(message)
         if read.is_ok():
             found.append(read.unwrap())
--- a/src/jujubewharf/operators/differences.py
+++ b/src/jujubewharf/operators/differences.py
@@ -11,6 +11,7 @@
 from jujubewharf.configuration import border
 from jujubewharf.configuration import resources
 from jujubewharf.configuration import state as states
+from jujubewharf.operators import pacing
 from jujubewharf.operators import values
 
 # What others refer to comes first, and goes last.
@@ -60,7 +61,7 @@
     )
 
 
-def of_state(
+async def of_state(
     state: states.State,
     wanted: Sequence[resources.Resource],
     *,
@@ -74,13 +75,25 @@
         is_pruned: Whether a resource that is not wanted goes.
     """
     named = {key_of(resource): resource for resource in wanted}
-    found = [of_resource(state.get(*key), named[key]) for key in named]
+    found = [
+        of_resource(state.get(*key), resource)
+        async for key, resource in pacing.paced(named.items())
+    ]
+    async for entry in pacing.paced(_others(state, named, is_pruned)):
+        found.append(of_resource(entry, None))
+    return sorted((item for item in found if item), key=_rank)
+
+
+def _others(
+    state: states.State,
+    named: dict[states.Key, resources.Resource],
+    is_pruned: Callable[[resources.Resource], bool],
+) -> Iterator[states.Entry]:
     for kind in _ORDER:
         for entry in state.of_kind(kind):
             is_wanted = (kind, entry.resource.name) in named
             if not is_wanted and is_pruned(entry.resource):
-                found.append(of_resource(entry, None))
-    return sorted((item for item in found if item), key=_rank)
+                yield entry
 
 
 def _effect(
--- a/src/jujubewharf/operators/editing.py
+++ b/src/jujubewharf/operators/editing.py
@@ -6,8 +6,11 @@
 from collections.abc import Sequence
 import dataclasses
 import re
+from typing import Any
 import uuid
 
+import msgpack
+
 from jujubewharf import clock as clocks
 from jujubewharf import errors
 from jujubewharf.configuration import border
@@ -19,9 +22,13 @@
 from jujubewharf.operators import differences
 from jujubewharf.operators import faults
 from jujubewharf.operators import identities
+from jujubewharf.operators import pacing
 from jujubewharf.operators import values
 
 MAX_OPERATION_ID = 128
+# Changes that go to the log together. Every instance folds what it reads in
+# one go, so a longer run would hold up its streams for longer.
+RUN = 50
 
 # As ``configuration.validation`` writes them.
 _FAULT = re.compile(
@@ -203,7 +210,9 @@
         """
         operation = _named(operation_id)
         _check_names(wanted, operation)
-        found = differences.of_state(
+        # What comes into force from here on is a conflict, not a difference.
+        offset = self._offset
+        found = await differences.of_state(
             self._backend.state,
             wanted,
             is_pruned=lambda resource: (
@@ -211,15 +220,16 @@
             ),
         )
         named = {differences.key_of(resource): resource for resource in wanted}
-        wishes = [_wish_of(item, named, operation) for item in found]
-        for wish in wishes:
+        changes: list[records.Change] = []
+        async for item in pacing.paced(found):
+            wish = _wish_of(item, named, operation)
             self._check(identity, wish)
             self._check_seen(wish, seen_offset)
-        changes = [self._record(identity, wish) for wish in wishes]
-        self._check_bodies(changes, operation)
+            changes.append(self._record(identity, wish))
+        await self._check_bodies(changes, operation)
         if dry_run:
             items = tuple(values.AppliedDifference(item) for item in found)
-            return values.ApplyReply(operation, items, self._offset)
+            return values.ApplyReply(operation, items, offset)
         items = await self._in_runs(found, changes, operation, force)
         return values.ApplyReply(operation, items, self._offset)
 
@@ -237,7 +247,7 @@
         is_known = self._backend.operation(wish.operation_id) is not None
         self._check(identity, wish, is_known=is_known)
         changes = [self._record(identity, wish)]
-        self._check_bodies(changes, wish.operation_id)
+        await self._check_bodies(changes, wish.operation_id)
         [verdict] = await self._submit(changes, wish.operation_id, force)
         error = _error_of(verdict)
         if error is not None:
@@ -285,14 +295,16 @@
         if isinstance(wish.resource, resources.Operator):
             _check_operator_name(wish)
 
-    def _check_bodies(
+    async def _check_bodies(
         self, changes: Sequence[records.Change], operation_id: str
     ) -> None:
         """Names every fault of every change before the first is made."""
+        violations: list[values.Violation] = []
         found = validation.find(self._backend.state, changes)
-        violations = tuple(_violation(line, changes) for line in found)
+        async for lines in pacing.paced(found):
+            violations.extend(_violation(line, changes) for line in lines)
         if violations:
-            raise _invalid(violations, operation_id)
+            raise _invalid(tuple(violations), operation_id)
 
     async def _in_runs(
         self,
@@ -308,9 +320,9 @@
         after it that they were not tried.
         """
         items: list[values.AppliedDifference] = []
-        for start in range(0, len(changes), validation.MAX_CHANGES):
-            run = changes[start : start + validation.MAX_CHANGES]
-            differing = found[start : start + validation.MAX_CHANGES]
+        for start in range(0, len(changes), RUN):
+            run = changes[start : start + RUN]
+            differing = found[start : start + RUN]
             try:
                 verdicts = await self._submit(run, operation_id, force)
             except faults.OperatorError as error:
@@ -345,7 +357,7 @@
     def _record(self, identity: values.Identity, wish: _Wish) -> records.Change:
         verb, body = records.Verb.DELETE, {}
         if wish.resource is not None:
-            verb, body = records.Verb.PUT, border.dump(wish.resource)
+            verb, body = records.Verb.PUT, self._body(wish.resource)
         return records.Change(
             operation_id=wish.operation_id,
             actor=identity.name,
@@ -357,6 +369,17 @@
             wall_ms=self._clock.wall_ms(),
         )
 
+    def _body(self, resource: resources.Resource) -> dict[str, Any]:
+        """The resource's body, with what a newer version has set in it.
+
+        This instance can't show such fields to an operator, so none can have
+        meant to drop them by leaving them out.
+        """
+        held = self._backend.state.get(*differences.key_of(resource))
+        if held is None or not held.extra_packed:
+            return border.dump(resource)
+        return border.dump_whole(resource, msgpack.unpackb(held.extra_packed))
+
     def _body_at(
         self, kind: resources.Kind, name: str, generation: int
     ) -> resources.Resource:
--- a/src/jujubewharf/operators/messages.py
+++ b/src/jujubewharf/operators/messages.py
@@ -97,30 +97,88 @@
     return cls.__members__.get(name)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Plan:
+    """How one field goes between a data class and a message.
+
+    Attributes:
+        name: The field's name in both.
+        is_repeated: Whether it holds many.
+        has_presence: Whether a message tells that it is absent.
+        is_message: Whether it holds messages.
+        numbers: Number of each member, for an enumeration.
+        members: Member of each number, for an enumeration.
+        cls: Class of one element in the data class.
+        is_required: Whether the data class has no default.
+    """
+
+    name: str
+    is_repeated: bool
+    has_presence: bool
+    is_message: bool
+    numbers: dict[enum.Enum, int] | None
+    members: dict[int, enum.Enum] | None
+    cls: Any
+    is_required: bool
+
+
+@functools.cache
+def _plans(cls: Any, message_class: Any) -> tuple[_Plan, ...]:
+    """Plans of a data class's fields, worked out once."""
+    described = message_class.DESCRIPTOR.fields_by_name
+    hints = typing.get_type_hints(cls)
+    return tuple(
+        _plan(field, described[field.name], hints[field.name])
+        for field in dataclasses.fields(cls)
+    )
+
+
+def _plans_of(cls: Any, message: Any) -> tuple[_Plan, ...]:
+    message_class: Any = type(message)
+    return _plans(cls, message_class)
+
+
+def _plan(field: dataclasses.Field[Any], described: Any, hint: Any) -> _Plan:
+    element = typing.get_args(hint)[0] if described.is_repeated else hint
+    cls = _without_none(element)
+    members: dict[int, enum.Enum] | None = None
+    numbers: dict[enum.Enum, int] | None = None
+    if described.enum_type is not None:
+        known = described.enum_type.values_by_number
+        found = {n: enum_of(described.enum_type, n, cls) for n in known}
+        members = {n: one for n, one in found.items() if one is not None}
+        numbers = {one: n for n, one in members.items()}
+    return _Plan(
+        name=field.name,
+        is_repeated=described.is_repeated,
+        has_presence=described.has_presence,
+        is_message=described.message_type is not None,
+        numbers=numbers,
+        members=members,
+        cls=cls,
+        is_required=_is_required(field),
+    )
+
+
 def _fill(message: protobuf.Message, value: Any) -> None:
-    for field in message.DESCRIPTOR.fields:
-        part = getattr(value, field.name)
+    for plan in _plans_of(type(value), message):
+        part = getattr(value, plan.name)
         if part is None:
             continue
-        if field.is_repeated:
-            _fill_repeated(message, field, part)
-        elif field.message_type is not None:
-            _fill_message(getattr(message, field.name), part)
+        if plan.is_repeated:
+            _fill_repeated(getattr(message, plan.name), plan, part)
+        elif plan.is_message:
+            _fill_message(getattr(message, plan.name), part)
         else:
-            setattr(message, field.name, _scalar(field, part))
+            setattr(message, plan.name, _scalar(plan, part))
 
 
-def _fill_repeated(
-    message: protobuf.Message,
-    field: Any,
-    parts: tuple[Any, ...],
-) -> None:
-    repeated = getattr(message, field.name)
+def _fill_repeated(repeated: Any, plan: _Plan, parts: tuple[Any, ...]) -> None:
+    if not plan.is_message:
+        repeated.extend(_scalar(plan, part) for part in parts)
+        return
     for part in parts:
-        if field.message_type is not None:
-            _fill_message(repeated.add(), part)
-        else:
-            repeated.append(_scalar(field, part))
+        _fill_message(repeated.add(), part)
 
 
 def _fill_message(message: protobuf.Message, part: Any) -> None:
@@ -137,11 +195,8 @@
     _fill_message(getattr(message, arm), resource)
 
 
-def _scalar(field: Any, part: Any) -> Any:
-    if not isinstance(part, enum.Enum):
-        return part
-    name = _prefix(field.enum_type) + part.name
-    return field.enum_type.values_by_name[name].number
+def _scalar(plan: _Plan, part: Any) -> Any:
+    return part if plan.numbers is None else plan.numbers[part]
 
 
 def _prefix(enum_type: descriptors.EnumDescriptor) -> str:
@@ -154,60 +209,52 @@
     path: str,
     violations: list[values.Violation],
 ) -> Any:
+    before = len(violations)
     unknown_set: Any = unknown_fields.UnknownFieldSet(message)
     for unknown in unknown_set:
         # Dropping it would accept a change that is never in force.
         detail = f"field number {unknown.field_number} is unknown here"
         violations.append(values.Violation(path, detail))
-    hints = _hints(cls)
     found: dict[str, Any] = {}
-    for field in dataclasses.fields(cls):
-        at = f"{path}.{field.name}" if path else field.name
-        descriptor = message.DESCRIPTOR.fields_by_name[field.name]
-        part = _read_field(
-            message, descriptor, hints[field.name], at, violations
-        )
+    for plan in _plans_of(cls, message):
+        at = f"{path}.{plan.name}" if path else plan.name
+        part = _read_field(message, plan, at, violations)
         if part is not _MISSING:
-            found[field.name] = part
-        elif _is_required(field) and at not in [v.path for v in violations]:
+            found[plan.name] = part
+        elif plan.is_required and at not in [v.path for v in violations]:
             violations.append(values.Violation(at, "is required"))
-    return cls(**found) if not violations else None
+    return cls(**found) if len(violations) == before else None
 
 
 def _read_field(
     message: protobuf.Message,
-    field: Any,
-    hint: Any,
+    plan: _Plan,
     at: str,
     violations: list[values.Violation],
 ) -> Any:
-    held = getattr(message, field.name)
-    if field.is_repeated:
-        element = typing.get_args(hint)[0]
+    held = getattr(message, plan.name)
+    if plan.is_repeated:
+        if not plan.is_message and plan.members is None:
+            return tuple(held)
         return tuple(
-            _read_one(field, part, element, f"{at}.{i}", violations)
-            for i, part in enumerate(held)
+            _read_one(plan, part, f"{at}.{index}", violations)
+            for index, part in enumerate(held)
         )
-    if field.has_presence and not message.HasField(field.name):
+    if plan.has_presence and not message.HasField(plan.name):
         return _MISSING
-    return _read_one(field, held, hint, at, violations)
+    return _read_one(plan, held, at, violations)
 
 
 def _read_one(
-    field: Any,
-    part: Any,
-    hint: Any,
-    at: str,
-    violations: list[values.Violation],
+    plan: _Plan, part: Any, at: str, violations: list[values.Violation]
 ) -> Any:
+    if plan.members is not None:
+        return _read_enum(plan.members, part, at, violations)
+    if not plan.is_message:
+        return part
     if isinstance(part, pb.Resource):
         return _read_resource(part, at, violations)
-    wanted = _without_none(hint)
-    if field.message_type is not None:
-        return _read(part, wanted, at, violations)
-    if field.enum_type is not None:
-        return _read_enum(field, part, wanted, at, violations)
-    return part
+    return _read(part, plan.cls, at, violations)
 
 
 def _read_resource(
@@ -223,20 +270,18 @@
 
 
 def _read_enum(
-    field: Any,
+    members: dict[int, enum.Enum],
     number: int,
-    cls: type[_Enum],
     at: str,
     violations: list[values.Violation],
 ) -> Any:
     if number == 0:
         return _MISSING
-    found = enum_of(field.enum_type, number, cls)
-    if found is None:
+    if number not in members:
         message = f"value {number} is unknown here"
         violations.append(values.Violation(at, message))
         return _MISSING
-    return found
+    return members[number]
 
 
 def _is_required(field: dataclasses.Field[Any]) -> bool:
@@ -250,9 +295,4 @@
     return hint
 
 
-@functools.cache
-def _hints(cls: Any) -> dict[str, Any]:
-    return typing.get_type_hints(cls)
-
-
 _CLASS_OF = {kind: cls for cls, kind in resources.KIND_OF.items()}
--- a/src/jujubewharf/operators/queries.py
+++ b/src/jujubewharf/operators/queries.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import base64
+import bisect
 from collections.abc import AsyncIterator
 from collections.abc import Sequence
 import dataclasses
+import itertools
 import json
 
 from jujubewharf import clock as clocks
@@ -83,17 +85,18 @@
         await self._reach(not_before_offset)
         listing = ["list", kind.value, service]
         after = _parse_token(page_token, listing)
-        entries = [
-            entry
-            for entry in self._backend.state.of_kind(kind)
-            if entry.resource.name > after
-            and _belongs(entry.resource, service)
-            and identities.may_see(identity, entry.resource)
-        ]
+        held = self._backend.state.of_kind(kind)
+        start = bisect.bisect_right(
+            held, after, key=lambda entry: entry.resource.name
+        )
+        scope = _Scope(identity, frozenset((kind,)), service)
+        entries = (
+            entry for entry in held[start:] if scope.holds(entry.resource)
+        )
         size = _page_size(page_size)
-        page = entries[:size]
+        page = list(itertools.islice(entries, size))
         token = ""
-        if len(entries) > size:
+        if next(entries, None) is not None:
             token = _token(listing, page[-1].resource.name)
         items = tuple(self._stored(entry) for entry in page)
         return values.ListReply(items, token, self._offset)
