--- /dev/null
+++ b/src/jujubewharf/peers/key_messages.py
@@ -0,0 +1,210 @@
+"""Messages about idempotency keys, answers, claims and living attempts."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from jujubewharf.peers import messages
+
+
+class PullState(enum.IntEnum):
+    """What an instance says of an answer that is asked for."""
+
+    NOT_HERE = 0
+    RUNNING = 1
+    FINISHED = 2
+    FAILED = 3
+    ELSEWHERE = 4
+    OTHER_BODY = 5
+
+
+@messages.message(20)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Register(messages.Message):
+    """Asks a key's home to note who runs it; ``Registered`` says who does.
+
+    Attributes:
+        key: Digest of account and key.
+        body: Digest of the request's body.
+        owner: Instance that runs it.
+        request_id: That run.
+        replaces: Run that this one takes over from; empty for none.
+        keep_ms: Time the record is kept.
+        is_copy: Whether it comes from the key's other home.
+        attempt_id: Latest attempt that was dispatched.
+        engines: Engines that hold something for it.
+    """
+
+    key: bytes
+    body: bytes
+    owner: str
+    request_id: str
+    replaces: str
+    keep_ms: float
+    is_copy: bool = False
+    attempt_id: str = ""
+    engines: tuple[str, ...] = ()
+
+
+@messages.message(21)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Registered(messages.Message):
+    """A key's record; an empty ``request_id`` says that there is none."""
+
+    body: bytes
+    owner: str
+    request_id: str
+    attempt_id: str = ""
+    engines: tuple[str, ...] = ()
+
+
+@messages.message(22)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dispatched(messages.Message):
+    """Tells a home which engines hold memory for the key's run."""
+
+    key: bytes
+    attempt_id: str
+    engines: tuple[str, ...]
+
+
+@messages.message(23)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lookup(messages.Message):
+    """Asks a home for a key's record; answered by ``Registered``."""
+
+    key: bytes
+
+
+@messages.message(24)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pull(messages.Message):
+    """Asks for an answer's tokens from a number on, waiting a while.
+
+    Attributes:
+        request_id: The run.
+        key: Key that the asker was given; another key gets nothing.
+        body: Digest of the body that came with it.
+        first_index: Number of the first token wanted.
+        wait_ms: Longest wait for it.
+    """
+
+    request_id: str
+    key: bytes
+    body: bytes
+    first_index: int
+    wait_ms: float
+
+
+@messages.message(25)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pulled(messages.Message):
+    """Tokens of an answer, and its end once there is one.
+
+    Attributes:
+        state: A ``PullState``.
+        first_index: Number of the first token here.
+        texts: Tokens.
+        count: Tokens of the whole answer, when finished.
+        digest: Digest of the whole answer, when finished.
+        attempt_id: Attempt that finished it.
+        kind: Error kind, when failed.
+        ran: What may be said of a failed run.
+        owner: Where it is, when elsewhere.
+        request_id: Which run it is there.
+    """
+
+    state: int
+    first_index: int = 0
+    texts: tuple[str, ...] = ()
+    count: int = 0
+    digest: str = ""
+    attempt_id: str = ""
+    kind: str = ""
+    ran: str = ""
+    owner: str = ""
+    request_id: str = ""
+
+
+@messages.message(26)
+@dataclasses.dataclass(frozen=True, slots=True)
+class TakenOver(messages.Message):
+    """Tells an owner that another instance runs its key now."""
+
+    request_id: str
+    by_owner: str
+    by_request_id: str
+
+
+@messages.message(27)
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskAlive(messages.Message):
+    """Asks which attempts an instance still needs; passed on once."""
+
+    owner: str
+    attempt_ids: tuple[str, ...]
+
+
+@messages.message(28)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Alive(messages.Message):
+    """The attempts that are needed.
+
+    Attributes:
+        attempt_ids: Out of those asked for.
+        is_owners_word: False when the owner could not be reached.
+    """
+
+    attempt_ids: tuple[str, ...]
+    is_owners_word: bool = True
+
+
+@messages.message(29)
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimWanted(messages.Message):
+    """Asks a claim shard's owner to claim a key on the log.
+
+    Attributes:
+        key: Digest of account and key.
+        body: Digest of the request's body.
+        owner: Instance that would run it.
+        request_id: That run.
+        replaces: Abandoned run that holds the key; empty for none.
+        wall_ms: When it was asked for.
+        is_dated: Whether the key itself tells its age.
+    """
+
+    key: bytes
+    body: bytes
+    owner: str
+    request_id: str
+    replaces: str
+    wall_ms: float
+    is_dated: bool
+
+
+@messages.message(30)
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimHeld(messages.Message):
+    """Who holds a key by the log; an empty ``request_id``: can't be told."""
+
+    owner: str = ""
+    request_id: str = ""
+    body: bytes = b""
+
+
+@messages.message(31)
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskAbandoned(messages.Message):
+    """Asks an owner whether it gave a run up before any dispatch."""
+
+    request_id: str
+
+
+@messages.message(32)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Abandoned(messages.Message):
+    """Whether the run never was and never will be dispatched."""
+
+    is_abandoned: bool
--- a/src/jujubewharf/requests/answers.py
+++ b/src/jujubewharf/requests/answers.py
@@ -4,57 +4,359 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-import dataclasses
 
 import mode
+import structlog
 
 from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf.membership import view as views
+from jujubewharf.peers import key_messages
+from jujubewharf.peers import network
 from jujubewharf.requests import answer as answers
+from jujubewharf.requests import claims as request_claims
+from jujubewharf.requests import held as holding
+from jujubewharf.requests import kept as kept_answers
+from jujubewharf.requests import keys
 from jujubewharf.requests import life
 from jujubewharf.requests import model_request
+from jujubewharf.requests import ownership
+from jujubewharf.requests import rehoming
+from jujubewharf.requests import relay as relays
 
 _FLUSH_MS = 2_000.0
-
-
-@dataclasses.dataclass(slots=True)
-class Held:
-    """An answer and the task that writes it."""
-
-    request: model_request.ModelRequest
-    answer: answers.Answer
-    task: asyncio.Task[None] | None = None
-    followers: int = 0
+_SLACK_MS = 2_000.0
+_EXPIRE_EVERY_MS = 5_000.0
+_MAX_PULLED = 2_000
 
 
 class Answers(mode.Service):
-    """Starts requests and lets callers follow their answers.
+    """Starts requests, and lets callers and other instances follow them.
 
-    The task that writes an answer is not the caller's: so a timeout strikes
-    only there, and a retry can join it.
+    The task that writes an answer is not its caller's: so a retry can join
+    it, and a timeout strikes only there.
 
     Args:
+        instance: Name of this instance.
         runner: Runs requests.
+        homes: Records of keys.
+        claims: Claims of requests that may not be repeated.
+        peers: Messages to other instances.
+        membership: Who is here.
         clock: Time.
     """
 
-    def __init__(self, runner: life.RequestRunner, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        instance: str,
+        runner: life.RequestRunner,
+        homes: keys.KeyHomes,
+        claims: request_claims.Claims,
+        peers: network.PeerNetwork,
+        membership: views.MembershipView,
+        clock: clocks.Clock,
+    ) -> None:
         super().__init__()
+        self._instance = instance
         self._runner = runner
+        self._claims = claims
         self._clock = clock
+        self._kept = kept_answers.KeptAnswers(clock)
+        relay = relays.Relay(peers, membership, clock, self._pulled_here)
+        self._ownership = ownership.Ownership(
+            instance, homes, claims, relay, runner.releaser, runner.counters
+        )
+        self._rehoming = rehoming.Rehoming(
+            homes,
+            self._ownership.homes_of,
+            self._own_records,
+            membership,
+            clock,
+        )
+        self._by_key: dict[bytes, holding.Held] = {}
+        self._by_id: dict[str, holding.Held] = {}
+        self._logger = structlog.get_logger()
+        peers.handle(key_messages.Pull, self._on_pull)
+        peers.handle(key_messages.TakenOver, self._on_taken_over)
+
+    @property
+    def running(self) -> int:
+        """Answers that are being written here."""
+        return len(self._by_id)
 
     async def answer(
         self, request: model_request.ModelRequest
     ) -> AsyncIterator[model_request.Event]:
-        """Answers a request; the last event is ``Finished`` or ``Failed``."""
-        held = Held(request, answers.Answer(self._clock))
-        held.task = asyncio.create_task(self._runner.run(request, held.answer))
-        until_ms = request.arrived_ms + request.deadline_ms + 1_000.0
+        """Answers a request; the last event is ``Finished`` or ``Failed``.
+
+        Closing the iterator early says that the caller is gone.
+        """
+        try:
+            held = self._join_or_start(request)
+        except errors.WharfError as error:
+            self._runner.counters.refused(error.kind.value)
+            yield holding.failed(error)
+            return
+        until_ms = request.arrived_ms + request.deadline_ms + _SLACK_MS
+        held.followers += 1
         try:
             async for event in held.answer.follow(until_ms):
                 yield event
         finally:
-            held.task.cancel()
+            held.followers -= 1
+            self._reader_left(held)
+
+    async def on_start(self) -> None:
+        """Starts the parts."""
+        await self.add_runtime_dependency(self._rehoming)
 
     async def on_stop(self) -> None:
-        """Lets releases under way arrive."""
+        """Ends what still runs and lets releases under way arrive."""
+        tasks = [held.task for held in self._by_id.values() if held.task]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         await self._runner.releaser.flush(_FLUSH_MS)
+
+    def _join_or_start(self, request: model_request.ModelRequest) -> holding.Held:
+        """Finds the key's answer here, or begins one."""
+        key = keys.key_of(request.account, request.key)
+        held = self._by_key.get(key) or self._from_kept(key)
+        replaces = ""
+        if held is not None:
+            if held.request.body_digest != request.body_digest:
+                raise errors.WharfError(errors.ErrorKind.KEY_CONFLICT)
+            if not held.may_run_again:
+                self._runner.counters.attached("here")
+                return held
+            replaces = held.request.request_id
+            self._kept.forget_key(key)
+        answer = answers.Answer(self._clock)
+        held = holding.Held(request, key, answer, replaces)
+        self._by_key[key] = held
+        self._by_id[request.request_id] = held
+        self._runner.counters.accepted()
+        held.task = asyncio.create_task(self._live(held))
+        return held
+
+    def _from_kept(self, key: bytes) -> holding.Held | None:
+        kept = self._kept.by_key(key)
+        if kept is None:
+            return None
+        answer = answers.Answer(self._clock)
+        answer.add(kept.texts())
+        answer.finish(kept.end)
+        return holding.Held(kept.request, key, answer)
+
+    async def _live(self, held: holding.Held) -> None:
+        """A request from its key to its end, written straight down."""
+        request = held.request
+        try:
+            async with self._until_deadline(request):
+                is_mine = await self._ownership.acquire(held)
+            while is_mine:
+                taken_over = await self._run(held)
+                if taken_over is None:
+                    break
+                async with self._until_deadline(request):
+                    is_mine = await self._ownership.join(held, taken_over)
+        except TimeoutError:
+            kind = errors.ErrorKind.DEADLINE_EXCEEDED
+            self._fail(held, errors.WharfError(kind, ran=held.ran_so_far))
+        except errors.WharfError as error:
+            self._fail(held, error)
+        except asyncio.CancelledError:
+            kind = errors.ErrorKind.CANCELLED
+            self._fail(held, errors.WharfError(kind, ran=held.ran_so_far))
+            raise
+        except Exception:
+            self._logger.exception("answer_crashed", id=request.request_id)
+            self._fail(held, errors.WharfError(errors.ErrorKind.INTERNAL))
+        finally:
+            self._ended(held)
+
+    async def _run(self, held: holding.Held) -> relays.Source | None:
+        """Runs a request; returns who took it over, if anybody did."""
+        run = self._runner.run(
+            held.request, held.answer, self._ownership.hooks(held)
+        )
+        held.run_task = asyncio.create_task(run)
+        try:
+            await held.run_task
+        except life.TakenOverError as error:
+            held.taken_over = relays.Source(error.owner, error.request_id)
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if held.taken_over is None or (task and task.cancelling()):
+                raise
+        taken_over, held.taken_over = held.taken_over, None
+        if held.answer.end is not None:
+            return None
+        return taken_over
+
+    def _reader_left(self, held: holding.Held) -> None:
+        if held.has_readers or held.answer.end is not None:
+            return
+        held.left_ms = self._clock.now_ms()
+        if held.linger_ms <= 0.0:
+            self._cancel(held)
+        elif held.lingering is None:
+            held.lingering = asyncio.create_task(self._linger(held))
+
+    async def _linger(self, held: holding.Held) -> None:
+        """Gives a caller that gave a key some time to come back."""
+        try:
+            while held.answer.end is None:
+                if held.has_readers:
+                    return
+                due_ms = held.left_ms + held.linger_ms
+                if self._clock.now_ms() >= due_ms:
+                    self._cancel(held)
+                    return
+                await self._clock.sleep_until_ms(due_ms)
+        finally:
+            held.lingering = None
+
+    def _cancel(self, held: holding.Held) -> None:
+        if held.task is not None:
+            held.task.cancel()
+
+    def _fail(self, held: holding.Held, error: errors.WharfError) -> None:
+        if held.answer.end is None:
+            self._runner.counters.refused(error.kind.value)
+            held.answer.finish(holding.failed(error))
+
+    def _ended(self, held: holding.Held) -> None:
+        request = held.request
+        if self._by_id.get(request.request_id) is held:
+            del self._by_id[request.request_id]
+        if self._by_key.get(held.key) is held:
+            del self._by_key[held.key]
+        end = held.answer.end
+        assert end is not None
+        if held.is_claimed and _did_not_run(end):
+            self._claims.abandon(request.request_id)
+        is_relayed = held.source is not None
+        if not is_relayed and not (held.may_run_again and request.is_repeatable):
+            self._kept.keep(held.key, request, held.answer)
+
+    async def _on_pull(
+        self, sender: str, message: key_messages.Pull
+    ) -> key_messages.Pulled:
+        return await self._pulled_here(message)
+
+    async def _pulled_here(
+        self, message: key_messages.Pull
+    ) -> key_messages.Pulled:
+        held = self._by_id.get(message.request_id)
+        if held is None:
+            kept = self._kept.by_id(message.request_id)
+            found = self._from_kept(message.key) if kept else None
+            if found is None or found.request.request_id != message.request_id:
+                return _not_here()
+            held = found
+        if held.key != message.key:
+            return _not_here()
+        if held.body != message.body:
+            return key_messages.Pulled(key_messages.PullState.OTHER_BODY)
+        if held.source is not None:
+            return key_messages.Pulled(
+                key_messages.PullState.ELSEWHERE,
+                owner=held.source.owner,
+                request_id=held.source.request_id,
+            )
+        held.pulls += 1
+        held.was_pulled = True
+        try:
+            until_ms = self._clock.now_ms() + message.wait_ms
+            await held.answer.wait_beyond(message.first_index, until_ms)
+        finally:
+            held.pulls -= 1
+            self._reader_left(held)
+        return _pulled(held.answer, message.first_index)
+
+    async def _on_taken_over(
+        self, sender: str, message: key_messages.TakenOver
+    ) -> None:
+        held = self._by_id.get(message.request_id)
+        if held is None or held.run_task is None or held.source is not None:
+            return
+        if held.request.is_repeatable and held.answer.end is None:
+            # This instance was paused or cut off. A caller that still waits
+            # here is served by the other run from now on.
+            held.taken_over = relays.Source(
+                message.by_owner, message.by_request_id
+            )
+            held.run_task.cancel()
+
+    def _until_deadline(
+        self, request: model_request.ModelRequest
+    ) -> asyncio.Timeout:
+        at_ms = request.arrived_ms + request.deadline_ms
+        return self._clock.timeout_ms(at_ms - self._clock.now_ms())
+
+    @mode.Service.task
+    async def _expire(self) -> None:
+        while not self.should_stop:
+            await self._clock.sleep_ms(_EXPIRE_EVERY_MS)
+            self._kept.expire()
+            kept = {key for key, _ in self._kept.items()}
+            homes_of = self._ownership.homes_of
+            for key in list(homes_of):
+                if key not in self._by_key and key not in kept:
+                    del homes_of[key]
+
+    def _own_records(self) -> list[keys.KeyRecord]:
+        """Records of the keys whose answers are here."""
+        own = [
+            (held.key, held.request)
+            for held in self._by_id.values()
+            if held.source is None
+        ]
+        own += [(key, kept.request) for key, kept in self._kept.items()]
+        return [
+            keys.KeyRecord(
+                key,
+                keys.body_of(request.body_digest),
+                self._instance,
+                request.request_id,
+            )
+            for key, request in own
+            if key in self._ownership.homes_of
+        ]
+
+
+def _did_not_run(end: answers.End) -> bool:
+    match end:
+        case model_request.Failed(ran=errors.Ran.NO):
+            return True
+    return False
+
+
+def _not_here() -> key_messages.Pulled:
+    return key_messages.Pulled(key_messages.PullState.NOT_HERE)
+
+
+def _pulled(answer: answers.Answer, first_index: int) -> key_messages.Pulled:
+    texts = tuple(answer.texts[first_index : first_index + _MAX_PULLED])
+    is_all = first_index + len(texts) >= len(answer.texts)
+    match answer.end:
+        case model_request.Finished(count, digest, attempt_id) if is_all:
+            return key_messages.Pulled(
+                key_messages.PullState.FINISHED,
+                first_index,
+                texts,
+                count=count,
+                digest=digest,
+                attempt_id=attempt_id,
+            )
+        case model_request.Failed(kind, ran) if not texts:
+            return key_messages.Pulled(
+                key_messages.PullState.FAILED,
+                first_index,
+                kind=kind.value,
+                ran=ran.value,
+            )
+    return key_messages.Pulled(
+        key_messages.PullState.RUNNING, first_index, texts
+    )
--- /dev/null
+++ b/src/jujubewharf/requests/claim_shard.py
@@ -0,0 +1,252 @@
+"""One shard of the claims: a stream of the log and the fold of it.
+
+Whoever appends to the stream knows the fold up to an offset. When the log
+gives its batch that very offset, nobody came in between; when it gives a
+later one, the records between are read and folded first. So the log's order
+alone decides, also when two instances both believe to own the shard.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+import dataclasses
+
+import structlog
+
+from jujubewharf import clock as clocks
+from jujubewharf.platform import log
+from jujubewharf.requests import claim_records
+
+SHARDS = 32
+APPENDS_PER_S = 160.0
+MIN_INTERVAL_MS = SHARDS / APPENDS_PER_S * clocks.MS_PER_S
+MAX_BATCH = 400
+MAX_UNDATED = 10_000
+_PAGE = 500
+_FORGET_EVERY_MS = 10_000.0
+
+
+def stream_of(shard: int) -> str:
+    """The log stream of a shard."""
+    return f"claims-{shard}"
+
+
+def shard_of(key: bytes) -> int:
+    """The shard of a key."""
+    return int.from_bytes(key[:4], "big") % SHARDS
+
+
+class ClaimUnavailableError(Exception):
+    """The log did not confirm the claim; it may still land there."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Windows:
+    """How long keys are remembered.
+
+    Attributes:
+        dated_ms: Keys that tell their age are refused beyond this age, so
+            their claims may be forgotten after it.
+        undated_ms: Claims of other keys are forgotten after this age.
+        carry_after_ms: Age at which a claim is appended anew, well before
+            the log forgets it.
+    """
+
+    dated_ms: float = 900_000.0
+    undated_ms: float = 86_400_000.0
+    carry_after_ms: float = 900_000.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Wanted:
+    claim: claim_records.ClaimRecord
+    done: asyncio.Future[claim_records.ClaimRecord]
+
+
+class ClaimShard:
+    """Claims keys on one stream, many in one append.
+
+    Args:
+        shard: Its number.
+        platform_log: The platform's log.
+        clock: Time.
+        windows: How long keys are remembered.
+
+    Attributes:
+        appends: Appends that took effect.
+    """
+
+    def __init__(
+        self,
+        shard: int,
+        platform_log: log.Log,
+        clock: clocks.Clock,
+        windows: Windows,
+    ) -> None:
+        self.appends = 0
+        self.holders = claim_records.Holders()
+        self._stream = stream_of(shard)
+        self._log = platform_log
+        self._clock = clock
+        self._windows = windows
+        self._next_offset: int | None = None
+        self._appended_wall_ms: dict[bytes, float] = {}
+        self._waiting: list[_Wanted] = []
+        self._task: asyncio.Task[None] | None = None
+        self._appended_ms = float("-inf")
+        self._forgot_wall_ms = float("-inf")
+        self._logger = structlog.get_logger()
+
+    async def claim(
+        self, claim: claim_records.ClaimRecord
+    ) -> claim_records.ClaimRecord:
+        """Claims a key.
+
+        Returns:
+            The claim that holds the key by the log's order.
+
+        Raises:
+            ClaimUnavailableError: That can't be told now.
+        """
+        loop = asyncio.get_running_loop()
+        wanted = _Wanted(claim, loop.create_future())
+        self._waiting.append(wanted)
+        if self._task is None or self._task.done():
+            self._task = asyncio.create_task(self._drain())
+        return await wanted.done
+
+    async def load(self) -> None:
+        """Reads the stream up to its end.
+
+        Raises:
+            LogUnavailableError: The log was not reached.
+        """
+        offset = self._next_offset or 0
+        while True:
+            try:
+                page = await self._log.read(self._stream, offset, limit=_PAGE)
+            except log.LogTruncatedError as error:
+                # What is gone is over age, or was carried to a later offset.
+                offset = error.first_offset
+                continue
+            for record in page.records:
+                self._fold(record)
+            offset += len(page.records)
+            self._next_offset = offset
+            if offset >= page.next_offset:
+                return
+
+    async def carry(self) -> None:
+        """Appends claims anew before the log forgets them.
+
+        Raises:
+            LogUnavailableError: The log was not reached.
+            AppendUnknownError: They may be on the log.
+        """
+        await self.load()
+        self._forget_over_age()
+        wall_ms = self._clock.wall_ms()
+        due = [
+            claim
+            for claim in self.holders.older_than(
+                wall_ms - self._windows.carry_after_ms
+            )
+            if wall_ms - self._appended_wall_ms.get(claim.key, 0.0)
+            >= self._windows.carry_after_ms
+        ]
+        for start in range(0, len(due), MAX_BATCH):
+            await self._append(due[start : start + MAX_BATCH])
+            await self._clock.sleep_ms(MIN_INTERVAL_MS)
+
+    async def _drain(self) -> None:
+        while self._waiting:
+            await self._clock.sleep_until_ms(
+                self._appended_ms + MIN_INTERVAL_MS
+            )
+            batch = self._waiting[:MAX_BATCH]
+            del self._waiting[:MAX_BATCH]
+            try:
+                await self._claim_batch(batch)
+            except (log.LogUnavailableError, log.AppendUnknownError) as error:
+                self._logger.warning(
+                    "claims_unavailable", stream=self._stream, why=str(error)
+                )
+            for wanted in batch:
+                if not wanted.done.done():
+                    wanted.done.set_exception(ClaimUnavailableError())
+
+    async def _claim_batch(self, batch: list[_Wanted]) -> None:
+        if self._next_offset is None:
+            await self.load()
+        self._forget_over_age()
+        self._answer_held(batch)
+        left = [wanted for wanted in batch if not wanted.done.done()]
+        left = self._without_excess(left)
+        if not left:
+            return
+        try:
+            await self._append([wanted.claim for wanted in left])
+        except log.AppendUnknownError:
+            # The answer was lost. What the log shows now is certain; what
+            # it doesn't show may still land, so it stays unanswered.
+            await self.load()
+        self._answer_held(left)
+
+    def _answer_held(self, batch: list[_Wanted]) -> None:
+        for wanted in batch:
+            held = self.holders.get(wanted.claim.key)
+            if held is None or held.request_id == wanted.claim.replaces:
+                continue
+            if not wanted.done.done():
+                wanted.done.set_result(held)
+
+    def _without_excess(self, batch: list[_Wanted]) -> list[_Wanted]:
+        """Leaves out keys without a date beyond the bound.
+
+        To forget an old one for a new one would let the old one run again.
+        """
+        room = MAX_UNDATED - self.holders.undated
+        kept = []
+        for wanted in batch:
+            if not wanted.claim.is_dated:
+                room -= 1
+            if wanted.claim.is_dated or room >= 0:
+                kept.append(wanted)
+        return kept
+
+    async def _append(
+        self, claims: Sequence[claim_records.ClaimRecord]
+    ) -> None:
+        batch = claim_records.Batch(self._clock.wall_ms(), tuple(claims))
+        payload = claim_records.encode(batch)
+        self._appended_ms = self._clock.now_ms()
+        (offset,) = await self._log.append(self._stream, [payload])
+        self.appends += 1
+        if offset != self._next_offset:
+            await self.load()
+            return
+        self._fold(log.LogRecord(offset, payload))
+        self._next_offset = offset + 1
+
+    def _fold(self, record: log.LogRecord) -> None:
+        batch = claim_records.decode(record.payload)
+        for claim in batch.claims:
+            self.holders.fold(claim)
+            self._appended_wall_ms[claim.key] = batch.appended_wall_ms
+
+    def _forget_over_age(self) -> None:
+        wall_ms = self._clock.wall_ms()
+        if wall_ms - self._forgot_wall_ms < _FORGET_EVERY_MS:
+            return
+        self._forgot_wall_ms = wall_ms
+        dated_ms = wall_ms - self._windows.dated_ms
+        undated_ms = wall_ms - self._windows.undated_ms
+        due = [
+            claim
+            for claim in self.holders.older_than(dated_ms)
+            if claim.is_dated or claim.wall_ms < undated_ms
+        ]
+        self.holders.drop(due)
+        for claim in due:
+            self._appended_wall_ms.pop(claim.key, None)
--- /dev/null
+++ b/src/jujubewharf/requests/claims.py
@@ -0,0 +1,290 @@
+"""Claims: the right to run a request that may not be repeated.
+
+A claim is asked of the owner of the key's shard, which gathers claims and
+appends them to the log. The log's order decides who holds a key, never the
+choice of owner, so two owners in a split view cost an append and no more.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import uuid
+
+import mode
+import structlog
+
+from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf import hashing
+from jujubewharf.membership import view as views
+from jujubewharf.peers import key_messages
+from jujubewharf.peers import network
+from jujubewharf.platform import log
+from jujubewharf.requests import claim_records
+from jujubewharf.requests import claim_shard
+
+_ASK_MS = 4_000.0
+_ASK_ABANDONED_MS = 1_000.0
+_COME_BACK_MS = 1_000.0
+_MAX_TRIES = 3
+_MAX_ABANDONED = 20_000
+_CARRY_EVERY_MS = 60_000.0
+_FUTURE_MS = 60_000.0
+_UUID7_MS_SHIFT = 80
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """Who may run a key.
+
+    Attributes:
+        is_won: Whether it is the run that asked.
+        owner: Instance that holds the key.
+        request_id: The run that holds it.
+        body: Digest of that run's body.
+    """
+
+    is_won: bool
+    owner: str
+    request_id: str
+    body: bytes
+
+
+def created_wall_ms(key: str) -> float | None:
+    """When a key was made, if it is a UUID of version 7 (RFC 9562)."""
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return None
+    if parsed.version != 7:
+        return None
+    return float(parsed.int >> _UUID7_MS_SHIFT)
+
+
+class Claims(mode.Service):
+    """Claims keys for this instance, and for others whose shards it owns.
+
+    Args:
+        instance: Name of this instance.
+        peers: Messages to other instances.
+        membership: Who is here.
+        platform_log: The platform's log.
+        clock: Time.
+        windows: How long keys are remembered.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        peers: network.PeerNetwork,
+        membership: views.MembershipView,
+        platform_log: log.Log,
+        clock: clocks.Clock,
+        *,
+        windows: claim_shard.Windows = claim_shard.Windows(),
+    ) -> None:
+        super().__init__()
+        self._instance = instance
+        self._peers = peers
+        self._membership = membership
+        self._log = platform_log
+        self._clock = clock
+        self._windows = windows
+        self._shards: dict[int, claim_shard.ClaimShard] = {}
+        self._abandoned: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self._logger = structlog.get_logger()
+        peers.handle(key_messages.ClaimWanted, self._on_wanted)
+        peers.handle(key_messages.AskAbandoned, self._on_ask_abandoned)
+
+    @property
+    def appends(self) -> int:
+        """Appends that this instance made for claims."""
+        return sum(shard.appends for shard in self._shards.values())
+
+    def check_age(self, callers_key: str) -> bool:
+        """Refuses a key that is older than what the claims remember.
+
+        Its earlier claim may be forgotten, and it would run again.
+
+        Returns:
+            Whether the key tells its age.
+
+        Raises:
+            WharfError: ``KEY_EXPIRED``, or ``BAD_REQUEST`` for a key from
+                the future, which would never expire.
+        """
+        created_ms = created_wall_ms(callers_key)
+        if created_ms is None:
+            return False
+        age_ms = self._clock.wall_ms() - created_ms
+        if age_ms > self._windows.dated_ms / 2:
+            raise errors.WharfError(errors.ErrorKind.KEY_EXPIRED)
+        if age_ms < -_FUTURE_MS:
+            detail = "The key's time lies in the future."
+            raise errors.WharfError(errors.ErrorKind.BAD_REQUEST, detail)
+        return True
+
+    async def claim(
+        self,
+        key: bytes,
+        request_id: str,
+        body: bytes = b"",
+        *,
+        is_dated: bool = False,
+    ) -> Claim:
+        """Claims a key for a run, before its dispatch.
+
+        A run that lost may never be dispatched. A run that won and gives up
+        before its dispatch calls ``abandon``.
+
+        Args:
+            key: See ``keys.key_of``.
+            request_id: The run, unique for all time.
+            body: Digest of the request's body.
+            is_dated: What ``check_age`` returned.
+
+        Raises:
+            WharfError: ``CLAIM_UNAVAILABLE``; the run did not and may not
+                happen, even if its claim lands on the log later.
+        """
+        wanted = key_messages.ClaimWanted(
+            key,
+            body,
+            self._instance,
+            request_id,
+            "",
+            self._clock.wall_ms(),
+            is_dated,
+        )
+        try:
+            return await self._claim(wanted)
+        except (errors.WharfError, asyncio.CancelledError):
+            self.abandon(request_id)
+            raise
+
+    def abandon(self, request_id: str) -> None:
+        """Notes that a run never was and never will be dispatched.
+
+        Then a later run of its key may take the claim over. Only the
+        instance that owned the run can say this, so a run whose instance is
+        gone stays unknown.
+        """
+        self._abandoned[request_id] = None
+        while len(self._abandoned) > _MAX_ABANDONED:
+            self._abandoned.popitem(last=False)
+
+    async def _claim(self, wanted: key_messages.ClaimWanted) -> Claim:
+        for _ in range(_MAX_TRIES):
+            held = await self._ask_owner(wanted)
+            if held.request_id == wanted.request_id:
+                return Claim(True, held.owner, held.request_id, held.body)
+            if not await self._is_abandoned(held):
+                return Claim(False, held.owner, held.request_id, held.body)
+            wanted = dataclasses.replace(wanted, replaces=held.request_id)
+        raise _unavailable()
+
+    async def _ask_owner(
+        self, wanted: key_messages.ClaimWanted
+    ) -> key_messages.ClaimHeld:
+        shard = claim_shard.shard_of(wanted.key)
+        for owner in self._owners(shard)[:_MAX_TRIES]:
+            try:
+                held = await self._ask(owner, wanted)
+            except network.PeerError as error:
+                if error.fault is network.PeerFault.UNREACHABLE:
+                    continue
+                break
+            if held.request_id:
+                return held
+            break
+        raise _unavailable()
+
+    async def _ask(
+        self, owner: str, wanted: key_messages.ClaimWanted
+    ) -> key_messages.ClaimHeld:
+        if owner == self._instance:
+            return await self._on_wanted(owner, wanted)
+        held = await self._peers.ask(owner, wanted, timeout_ms=_ASK_MS)
+        if not isinstance(held, key_messages.ClaimHeld):
+            raise network.PeerError(network.PeerFault.REFUSED, owner)
+        return held
+
+    async def _is_abandoned(self, held: key_messages.ClaimHeld) -> bool:
+        if held.owner == self._instance:
+            return held.request_id in self._abandoned
+        message = key_messages.AskAbandoned(held.request_id)
+        try:
+            answer = await self._peers.ask(
+                held.owner, message, timeout_ms=_ASK_ABANDONED_MS
+            )
+        except network.PeerError:
+            return False
+        match answer:
+            case key_messages.Abandoned(is_abandoned):
+                return is_abandoned
+        return False
+
+    async def _on_wanted(
+        self, sender: str, message: key_messages.ClaimWanted
+    ) -> key_messages.ClaimHeld:
+        record = claim_records.ClaimRecord(
+            message.key,
+            message.body,
+            message.owner,
+            message.request_id,
+            message.replaces,
+            message.wall_ms,
+            message.is_dated,
+        )
+        shard = self._shard(claim_shard.shard_of(message.key))
+        try:
+            held = await shard.claim(record)
+        except claim_shard.ClaimUnavailableError:
+            return key_messages.ClaimHeld()
+        return key_messages.ClaimHeld(held.owner, held.request_id, held.body)
+
+    async def _on_ask_abandoned(
+        self, sender: str, message: key_messages.AskAbandoned
+    ) -> key_messages.Abandoned:
+        return key_messages.Abandoned(message.request_id in self._abandoned)
+
+    def _shard(self, number: int) -> claim_shard.ClaimShard:
+        shard = self._shards.get(number)
+        if shard is None:
+            shard = claim_shard.ClaimShard(
+                number, self._log, self._clock, self._windows
+            )
+            self._shards[number] = shard
+        return shard
+
+    def _owners(self, shard: int) -> list[str]:
+        names = [m.instance for m in self._membership.present()]
+        return hashing.rank(claim_shard.stream_of(shard), names)
+
+    @mode.Service.task
+    async def _carry(self) -> None:
+        """Keeps the claims of owned shards from falling off the log."""
+        while not self.should_stop:
+            await self._clock.sleep_ms(_CARRY_EVERY_MS)
+            for number in range(claim_shard.SHARDS):
+                owners = self._owners(number)
+                if owners and owners[0] == self._instance:
+                    await self._carry_one(number)
+                else:
+                    self._shards.pop(number, None)
+
+    async def _carry_one(self, number: int) -> None:
+        try:
+            await self._shard(number).carry()
+        except (log.LogUnavailableError, log.AppendUnknownError) as error:
+            self._logger.warning("claims_not_carried", why=str(error))
+
+
+def _unavailable() -> errors.WharfError:
+    return errors.WharfError(
+        errors.ErrorKind.CLAIM_UNAVAILABLE, retry_after_ms=_COME_BACK_MS
+    )
--- /dev/null
+++ b/src/jujubewharf/requests/kept.py
@@ -0,0 +1,132 @@
+"""Answers that have ended, kept for a while for callers that ask again."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+import msgpack
+
+from jujubewharf import clock as clocks
+from jujubewharf.requests import answer as answers
+from jujubewharf.requests import model_request
+
+MAX_BYTES = 8_000_000
+KEEP_MS = 120_000.0
+KEEP_CLAIMED_MS = 900_000.0
+_OVERHEAD_BYTES = 600
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeptAnswer:
+    """One ended answer, packed.
+
+    Attributes:
+        request: What was asked, without its prompt.
+        end: How it ended.
+        packed: Its tokens.
+        expires_ms: Clock reading at which it is forgotten.
+    """
+
+    request: model_request.ModelRequest
+    end: answers.End
+    packed: bytes
+    expires_ms: float
+
+    @property
+    def size_bytes(self) -> int:
+        """Memory it counts for."""
+        return len(self.packed) + _OVERHEAD_BYTES
+
+    def texts(self) -> tuple[str, ...]:
+        """Its tokens."""
+        return tuple(msgpack.unpackb(self.packed))
+
+
+class KeptAnswers:
+    """Bounded in age and bytes; the oldest go first.
+
+    Args:
+        clock: Time.
+        max_bytes: Bound of memory.
+    """
+
+    def __init__(
+        self, clock: clocks.Clock, *, max_bytes: int = MAX_BYTES
+    ) -> None:
+        self._clock = clock
+        self._max_bytes = max_bytes
+        self._bytes = 0
+        self._by_id: collections.OrderedDict[str, KeptAnswer] = (
+            collections.OrderedDict()
+        )
+        self._id_of_key: dict[bytes, str] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    def keep(
+        self,
+        key: bytes,
+        request: model_request.ModelRequest,
+        answer: answers.Answer,
+    ) -> None:
+        """Keeps an answer that has ended."""
+        assert answer.end is not None
+        keep_ms = KEEP_MS if request.is_repeatable else KEEP_CLAIMED_MS
+        kept = KeptAnswer(
+            dataclasses.replace(request, prompt=""),
+            answer.end,
+            msgpack.packb(answer.texts),
+            self._clock.now_ms() + keep_ms,
+        )
+        self._drop(request.request_id)
+        self._by_id[request.request_id] = kept
+        self._id_of_key[key] = request.request_id
+        self._bytes += kept.size_bytes
+        self._trim()
+
+    def by_id(self, request_id: str) -> KeptAnswer | None:
+        """An answer by its run."""
+        kept = self._by_id.get(request_id)
+        if kept is None or kept.expires_ms <= self._clock.now_ms():
+            return None
+        return kept
+
+    def by_key(self, key: bytes) -> KeptAnswer | None:
+        """The latest answer of a key."""
+        request_id = self._id_of_key.get(key)
+        return None if request_id is None else self.by_id(request_id)
+
+    def forget_key(self, key: bytes) -> None:
+        """Forgets a key's answer, because it runs again."""
+        request_id = self._id_of_key.get(key)
+        if request_id is not None:
+            self._drop(request_id)
+
+    def items(self) -> list[tuple[bytes, KeptAnswer]]:
+        """All that are kept, by key."""
+        return [
+            (key, self._by_id[request_id])
+            for key, request_id in self._id_of_key.items()
+            if request_id in self._by_id
+        ]
+
+    def expire(self) -> None:
+        """Drops what is over age."""
+        now_ms = self._clock.now_ms()
+        due = [i for i, k in self._by_id.items() if k.expires_ms <= now_ms]
+        for request_id in due:
+            self._drop(request_id)
+        stale = [k for k, i in self._id_of_key.items() if i not in self._by_id]
+        for key in stale:
+            del self._id_of_key[key]
+
+    def _trim(self) -> None:
+        while self._bytes > self._max_bytes:
+            self._drop(next(iter(self._by_id)))
+
+    def _drop(self, request_id: str) -> None:
+        kept = self._by_id.pop(request_id, None)
+        if kept is not None:
+            self._bytes -= kept.size_bytes
--- /dev/null
+++ b/src/jujubewharf/requests/keys.py
@@ -0,0 +1,331 @@
+"""Idempotency keys: where their records live and what the records say.
+
+A key's homes are the two best instances by rendezvous hash, in different
+failure domains where there are two. A home's record is a hint with a bounded
+life: it saves a second run. It is never what makes a run that may not be
+repeated safe; that is the claim (``requests.claims``).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import hashlib
+
+import mode
+import xxhash
+
+from jujubewharf import clock as clocks
+from jujubewharf import hashing
+from jujubewharf.membership import view as views
+from jujubewharf.peers import key_messages
+from jujubewharf.peers import network
+
+MAX_RECORDS = 20_000
+_KEY_BYTES = 16
+_ASK_MS = 400.0
+_EXPIRE_EVERY_MS = 5_000.0
+
+
+class HomesUnreachableError(Exception):
+    """Neither home of a key answered."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyRecord:
+    """Who runs a key.
+
+    Attributes:
+        key: Digest of account and key.
+        body: Digest of the request's body.
+        owner: Instance that runs it.
+        request_id: That run.
+        attempt_id: Latest attempt that was dispatched.
+        engines: Engines that hold something for it.
+    """
+
+    key: bytes
+    body: bytes
+    owner: str
+    request_id: str
+    attempt_id: str = ""
+    engines: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(slots=True)
+class _Kept:
+    record: KeyRecord
+    expires_ms: float
+
+
+def key_of(account: str, key: str) -> bytes:
+    """The digest that names a caller's key; accounts never share one.
+
+    It is cryptographic, so that no account can aim at another's key.
+    """
+    data = f"{account}\0{key}".encode()
+    return hashlib.sha256(data).digest()[:_KEY_BYTES]
+
+
+def body_of(body_digest: str) -> bytes:
+    """A short digest of a body, to tell a key's misuse."""
+    return xxhash.xxh3_64_digest(body_digest.encode())
+
+
+def homes_of(key: bytes, members: tuple[views.Member, ...]) -> list[str]:
+    """The one or two homes of a key, best first."""
+    domains = {member.instance: member.domain for member in members}
+    ranked = hashing.rank(key.hex(), domains)
+    if len(ranked) < 2:
+        return ranked
+    first, *others = ranked
+    second = next(
+        (name for name in others if domains[name] != domains[first]),
+        others[0],
+    )
+    return [first, second]
+
+
+class KeyHomes(mode.Service):
+    """This instance as a home of keys, and as one that asks homes.
+
+    Args:
+        peers: Messages to other instances.
+        membership: Who is here.
+        clock: Time.
+        max_records: Most records kept here.
+
+    Attributes:
+        evicted: Records dropped before their time because of the bound.
+    """
+
+    def __init__(
+        self,
+        peers: network.PeerNetwork,
+        membership: views.MembershipView,
+        clock: clocks.Clock,
+        *,
+        max_records: int = MAX_RECORDS,
+    ) -> None:
+        super().__init__()
+        self.evicted = 0
+        self._peers = peers
+        self._membership = membership
+        self._clock = clock
+        self._max_records = max_records
+        self._kept: collections.OrderedDict[bytes, _Kept] = (
+            collections.OrderedDict()
+        )
+        peers.handle(key_messages.Register, self._on_register)
+        peers.handle(key_messages.Lookup, self._on_lookup)
+        peers.handle(key_messages.Dispatched, self._on_dispatched)
+
+    def __len__(self) -> int:
+        return len(self._kept)
+
+    def homes(self, key: bytes) -> list[str]:
+        """The homes of a key as this instance sees them now."""
+        return homes_of(key, self._membership.present())
+
+    async def register(
+        self, record: KeyRecord, *, replaces: str, keep_ms: float
+    ) -> KeyRecord:
+        """Notes a run at the key's homes, unless there is another.
+
+        The first home decides and asks the second before it answers, so that
+        a run known to either is found, also by a home that just joined.
+
+        Returns:
+            The record in force: the given one, or that of the other run.
+
+        Raises:
+            HomesUnreachableError: No home answered.
+        """
+        message = _register(record, replaces, keep_ms)
+        for home in self.homes(record.key):
+            try:
+                answer = await self._ask(home, message)
+            except network.PeerError:
+                continue
+            return _record(record.key, answer)
+        raise HomesUnreachableError
+
+    async def look_up(self, key: bytes) -> KeyRecord | None:
+        """A key's record, if a home has one.
+
+        Raises:
+            HomesUnreachableError: No home answered.
+        """
+        for home in self.homes(key):
+            try:
+                answer = await self._ask(home, key_messages.Lookup(key))
+            except network.PeerError:
+                continue
+            found = _record(key, answer)
+            return found if found.request_id else None
+        raise HomesUnreachableError
+
+    def note_dispatch(
+        self, key: bytes, attempt_id: str, engines: tuple[str, ...]
+    ) -> None:
+        """Tells the homes what to release should this instance be lost."""
+        message = key_messages.Dispatched(key, attempt_id, engines)
+        for home in self.homes(key):
+            if home == self._peers.instance:
+                self._note(message)
+            else:
+                self._peers.tell(home, message)
+
+    async def copy_to(
+        self, home: str, record: KeyRecord, *, keep_ms: float
+    ) -> None:
+        """Gives a record to an instance that has just become its home."""
+        message = _register(record, "", keep_ms, is_copy=True)
+        try:
+            await self._ask(home, message)
+        except network.PeerError:
+            return
+
+    async def _ask(
+        self,
+        home: str,
+        message: key_messages.Register | key_messages.Lookup,
+    ) -> key_messages.Registered:
+        if home == self._peers.instance:
+            match message:
+                case key_messages.Register():
+                    return await self._on_register(home, message)
+                case key_messages.Lookup():
+                    return await self._on_lookup(home, message)
+        answer = await self._peers.ask(home, message, timeout_ms=_ASK_MS)
+        if not isinstance(answer, key_messages.Registered):
+            raise network.PeerError(network.PeerFault.REFUSED, home)
+        return answer
+
+    async def _on_register(
+        self, sender: str, message: key_messages.Register
+    ) -> key_messages.Registered:
+        known = self._get(message.key)
+        expected = (message.request_id, message.replaces)
+        if known is not None and known.request_id not in expected:
+            return _registered(known)
+        if known is not None and known.request_id == message.replaces:
+            self._tell_replaced(known, message)
+        self._put(_record(message.key, message), message.keep_ms)
+        if not message.is_copy:
+            await self._ask_other_home(message)
+        return _registered(self._get(message.key) or _record(b"", message))
+
+    async def _ask_other_home(self, message: key_messages.Register) -> None:
+        """Copies a record to the other home, or adopts what it has."""
+        others = [
+            home
+            for home in self.homes(message.key)
+            if home != self._peers.instance
+        ]
+        if not others:
+            return
+        copy = dataclasses.replace(message, is_copy=True)
+        try:
+            answer = await self._ask(others[0], copy)
+        except network.PeerError:
+            return
+        if answer.request_id != message.request_id:
+            self._put(_record(message.key, answer), message.keep_ms)
+
+    async def _on_lookup(
+        self, sender: str, message: key_messages.Lookup
+    ) -> key_messages.Registered:
+        known = self._get(message.key)
+        if known is None:
+            return key_messages.Registered(b"", "", "")
+        return _registered(known)
+
+    async def _on_dispatched(
+        self, sender: str, message: key_messages.Dispatched
+    ) -> None:
+        self._note(message)
+
+    def _note(self, message: key_messages.Dispatched) -> None:
+        kept = self._kept.get(message.key)
+        request_id, _, _ = message.attempt_id.rpartition(".")
+        if kept is not None and kept.record.request_id == request_id:
+            kept.record = dataclasses.replace(
+                kept.record,
+                attempt_id=message.attempt_id,
+                engines=tuple(message.engines),
+            )
+
+    def _tell_replaced(
+        self, known: KeyRecord, message: key_messages.Register
+    ) -> None:
+        """Lets an owner that was only paused know that it lost the key."""
+        if known.owner not in (self._peers.instance, message.owner):
+            told = key_messages.TakenOver(
+                known.request_id, message.owner, message.request_id
+            )
+            self._peers.tell(known.owner, told)
+
+    def _get(self, key: bytes) -> KeyRecord | None:
+        kept = self._kept.get(key)
+        if kept is None or kept.expires_ms <= self._clock.now_ms():
+            return None
+        return kept.record
+
+    def _put(self, record: KeyRecord, keep_ms: float) -> None:
+        expires_ms = self._clock.now_ms() + keep_ms
+        self._kept[record.key] = _Kept(record, expires_ms)
+        self._kept.move_to_end(record.key)
+        while len(self._kept) > self._max_records:
+            self._kept.popitem(last=False)
+            self.evicted += 1
+
+    @mode.Service.task
+    async def _expire(self) -> None:
+        while not self.should_stop:
+            await self._clock.sleep_ms(_EXPIRE_EVERY_MS)
+            now_ms = self._clock.now_ms()
+            due = [k for k, v in self._kept.items() if v.expires_ms <= now_ms]
+            for key in due:
+                del self._kept[key]
+            await asyncio.sleep(0)
+
+
+def _register(
+    record: KeyRecord, replaces: str, keep_ms: float, *, is_copy: bool = False
+) -> key_messages.Register:
+    return key_messages.Register(
+        key=record.key,
+        body=record.body,
+        owner=record.owner,
+        request_id=record.request_id,
+        replaces=replaces,
+        keep_ms=keep_ms,
+        is_copy=is_copy,
+        attempt_id=record.attempt_id,
+        engines=record.engines,
+    )
+
+
+def _record(
+    key: bytes, message: key_messages.Register | key_messages.Registered
+) -> KeyRecord:
+    return KeyRecord(
+        key,
+        message.body,
+        message.owner,
+        message.request_id,
+        message.attempt_id,
+        tuple(message.engines),
+    )
+
+
+def _registered(record: KeyRecord) -> key_messages.Registered:
+    return key_messages.Registered(
+        record.body,
+        record.owner,
+        record.request_id,
+        record.attempt_id,
+        record.engines,
+    )
--- a/src/jujubewharf/requests/life.py
+++ b/src/jujubewharf/requests/life.py
@@ -32,10 +32,28 @@
 _COME_BACK_MS = 1_000.0
 
 
+class TakenOverError(Exception):
+    """Another instance runs this request now.
+
+    Args:
+        owner: That instance.
+        request_id: Its run.
+    """
+
+    def __init__(self, owner: str, request_id: str) -> None:
+        super().__init__(f"{owner} runs it as {request_id}")
+        self.owner = owner
+        self.request_id = request_id
+
+
 async def _nothing() -> None:
     return None
 
 
+def _never() -> bool:
+    return False
+
+
 def _ignore(attempt_id: str, engines: tuple[str, ...]) -> None:
     return None
 
@@ -48,10 +66,14 @@
         on_dispatch: Told an attempt and its engines before decode.
         confirm: Awaited before a further attempt; raises when the request
             has been taken over by another instance.
+        is_taken_over: Whether a cancel means that another instance runs it.
+        may_have_run: Whether an earlier run of the key may have begun.
     """
 
     on_dispatch: attempts.OnDispatch = _ignore
     confirm: Callable[[], Awaitable[None]] = _nothing
+    is_taken_over: Callable[[], bool] = _never
+    may_have_run: bool = False
 
 
 class RequestRunner:
@@ -99,8 +121,14 @@
         answer: answers.Answer,
         hooks: Hooks = Hooks(),
     ) -> None:
-        """Answers a request; the answer has an end afterwards, always."""
+        """Answers a request; the answer has an end afterwards.
+
+        Raises:
+            TakenOverError: ``hooks.confirm`` said so; there is no end yet.
+        """
         progress = attempts.Progress(answer)
+        if hooks.may_have_run:
+            progress.dispatch = attempts.Dispatch.MAYBE
         self._budget.accepted(request.service)
         deadline_at_ms = request.arrived_ms + request.deadline_ms
         left_ms = deadline_at_ms - self._clock.now_ms()
@@ -113,7 +141,11 @@
             self._fail(errors.WharfError(kind), request, progress)
         except errors.WharfError as error:
             self._fail(error, request, progress)
+        except TakenOverError:
+            raise
         except asyncio.CancelledError:
+            if hooks.is_taken_over():
+                raise
             kind = errors.ErrorKind.CANCELLED
             self._fail(errors.WharfError(kind), request, progress)
             raise
--- a/src/jujubewharf/requests/model_request.py
+++ b/src/jujubewharf/requests/model_request.py
@@ -3,11 +3,31 @@
 from __future__ import annotations
 
 import dataclasses
+import re
+import uuid
 
 from jujubewharf import errors
 from jujubewharf.configuration import resources
 
 
+_MINTED = re.compile(r"(?P<instance>.+)~[0-9a-f]{32}")
+
+
+def mint_id(instance: str) -> str:
+    """A request id that names the instance which minted it."""
+    return f"{instance}~{uuid.uuid4().hex}"
+
+
+def minted_by(key: str) -> str | None:
+    """The instance that minted a key; ``None`` for a caller's own key.
+
+    A minted key is known to nobody before its answer begins, so only its
+    minter ever runs it: that needs no record and no claim anywhere.
+    """
+    match = _MINTED.fullmatch(key)
+    return match["instance"] if match else None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ModelRequest:
     """A request that passed the border's checks.
@@ -38,6 +58,11 @@
     priority: int = 0
     is_repeatable: bool = True
 
+    @property
+    def has_callers_key(self) -> bool:
+        """Whether the key came with the request."""
+        return self.key != self.request_id
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tokens:
--- /dev/null
+++ b/src/jujubewharf/requests/ownership.py
@@ -0,0 +1,205 @@
+"""Decides which instance runs a request: its key, its claim, takeovers."""
+
+from __future__ import annotations
+
+from jujubewharf import errors
+from jujubewharf.requests import claims as request_claims
+from jujubewharf.requests import counters as request_counters
+from jujubewharf.requests import held as holding
+from jujubewharf.requests import kept as kept_answers
+from jujubewharf.requests import keys
+from jujubewharf.requests import life
+from jujubewharf.requests import model_request
+from jujubewharf.requests import relay as relays
+from jujubewharf.requests import releases
+
+
+class Ownership:
+    """Finds a key's run, follows it, or lets this instance run it.
+
+    Args:
+        instance: Name of this instance.
+        homes: Records of keys.
+        claims: Claims of requests that may not be repeated.
+        relay: Follows answers elsewhere.
+        releaser: Frees what a lost run holds.
+        counters: Counts joined answers.
+
+    Attributes:
+        homes_of: Homes that were given a key's record.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        homes: keys.KeyHomes,
+        claims: request_claims.Claims,
+        relay: relays.Relay,
+        releaser: releases.Releaser,
+        counters: request_counters.Counters,
+    ) -> None:
+        self.homes_of: dict[bytes, list[str]] = {}
+        self._instance = instance
+        self._homes = homes
+        self._claims = claims
+        self._relay = relay
+        self._releaser = releaser
+        self._counters = counters
+
+    async def acquire(self, held: holding.Held) -> bool:
+        """Finds out whether this instance is to run the request.
+
+        Returns:
+            False when the answer was relayed to its end instead.
+
+        Raises:
+            WharfError: It is refused.
+        """
+        request = held.request
+        if not request.has_callers_key:
+            return True
+        minter = model_request.minted_by(request.key)
+        if minter is not None:
+            return await self._join_minted(held, minter)
+        if not await self._register(held):
+            return False
+        if not request.is_repeatable:
+            return await self._claim(held)
+        return True
+
+    async def join(self, held: holding.Held, source: relays.Source) -> bool:
+        """Follows another run of the key.
+
+        Returns:
+            Whether that run is over without an answer, so that this request
+            may go on by itself. For one that may not be repeated that only
+            means to go on to its claim.
+        """
+        result = await self._follow(held, source)
+        if result.ending is relays.Ending.DONE:
+            return False
+        failure = result.failure
+        if failure is not None and failure.ran is errors.Ran.NO:
+            return True
+        held.may_have_run = True
+        if failure is not None and not held.request.is_repeatable:
+            held.answer.finish(failure)
+            return False
+        return True
+
+    def hooks(self, held: holding.Held) -> life.Hooks:
+        """What the run of a request tells and asks."""
+        if not held.request.has_callers_key:
+            return life.Hooks(may_have_run=held.may_have_run)
+
+        def on_dispatch(attempt_id: str, engines: tuple[str, ...]) -> None:
+            self._homes.note_dispatch(held.key, attempt_id, engines)
+
+        async def confirm() -> None:
+            await self._confirm(held)
+
+        def is_taken_over() -> bool:
+            return held.taken_over is not None
+
+        return life.Hooks(
+            on_dispatch=on_dispatch,
+            confirm=confirm,
+            is_taken_over=is_taken_over,
+            may_have_run=held.may_have_run,
+        )
+
+    async def _join_minted(self, held: holding.Held, minter: str) -> bool:
+        source = relays.Source(minter, held.request.key)
+        if not await self.join(held, source):
+            return False
+        if not held.request.is_repeatable:
+            # Only the minter may run it, and it no longer knows it.
+            raise errors.WharfError(errors.ErrorKind.KEY_EXPIRED)
+        return True
+
+    async def _register(self, held: holding.Held) -> bool:
+        request = held.request
+        mine = keys.KeyRecord(
+            held.key, held.body, self._instance, request.request_id
+        )
+        keep_ms = request.deadline_ms + kept_answers.KEEP_MS
+        replaces = held.replaces
+        while True:
+            try:
+                record = await self._homes.register(
+                    mine, replaces=replaces, keep_ms=keep_ms
+                )
+            except keys.HomesUnreachableError:
+                # Cut off from both homes, a domain goes on serving; what may
+                # not be repeated is still decided by its claim.
+                return True
+            self.homes_of[held.key] = self._homes.homes(held.key)
+            if record.request_id == request.request_id:
+                return True
+            if record.body != held.body:
+                raise errors.WharfError(errors.ErrorKind.KEY_CONFLICT)
+            source = relays.Source(record.owner, record.request_id)
+            if not await self.join(held, source):
+                return False
+            if record.attempt_id:
+                self._releaser.release_by_names(
+                    record.attempt_id, record.engines
+                )
+            replaces = record.request_id
+
+    async def _claim(self, held: holding.Held) -> bool:
+        request = held.request
+        is_dated = self._claims.check_age(request.key)
+        held.is_claimed = True
+        claim = await self._claims.claim(
+            held.key, request.request_id, held.body, is_dated=is_dated
+        )
+        if claim.is_won:
+            held.may_have_run = False
+            return True
+        held.may_have_run = True
+        if claim.body != held.body:
+            raise errors.WharfError(errors.ErrorKind.KEY_CONFLICT)
+        source = relays.Source(claim.owner, claim.request_id)
+        result = await self._follow(held, source)
+        match result.ending:
+            case relays.Ending.DONE:
+                return False
+            case relays.Ending.UNREACHABLE:
+                raise errors.WharfError(errors.ErrorKind.CLAIM_LOST)
+            case relays.Ending.NOT_THERE:
+                raise errors.WharfError(errors.ErrorKind.KEY_EXPIRED)
+            case relays.Ending.FAILED:
+                assert result.failure is not None
+                kind = result.failure.kind
+                raise errors.WharfError(kind, ran=errors.Ran.UNKNOWN)
+
+    async def _follow(
+        self, held: holding.Held, source: relays.Source
+    ) -> relays.Result:
+        held.source = source
+        self._counters.attached("elsewhere")
+        try:
+            return await self._relay.follow(
+                source, held.key, held.body, held.answer
+            )
+        except BaseException:
+            held.may_have_run = True
+            raise
+        finally:
+            if held.answer.end is None:
+                held.source = None
+
+    async def _confirm(self, held: holding.Held) -> None:
+        """Checks that no other instance took over, after a lost attempt.
+
+        An instance that was paused finds its streams broken; it must not
+        begin a second run of what another has taken over meanwhile.
+        """
+        try:
+            record = await self._homes.look_up(held.key)
+        except keys.HomesUnreachableError:
+            return
+        mine = held.request.request_id
+        if record is not None and record.request_id != mine:
+            raise life.TakenOverError(record.owner, record.request_id)
--- /dev/null
+++ b/src/jujubewharf/requests/rehoming.py
@@ -0,0 +1,71 @@
+"""Gives the records of this instance's keys to new homes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import mode
+
+from jujubewharf import clock as clocks
+from jujubewharf.membership import view as views
+from jujubewharf.requests import kept as kept_answers
+from jujubewharf.requests import keys
+
+_DELAY_MS = 500.0
+_RUN = 50
+
+
+class Rehoming(mode.Service):
+    """Acts whenever the membership changes.
+
+    The owner of an answer knows its record best, so a home that is lost is
+    made good from here and homes need not copy among themselves.
+
+    Args:
+        homes: Records of keys.
+        homes_of: Homes that were given a key's record; kept up to date.
+        own_records: Records of what runs or is kept here.
+        membership: Who is here.
+        clock: Time.
+    """
+
+    def __init__(
+        self,
+        homes: keys.KeyHomes,
+        homes_of: dict[bytes, list[str]],
+        own_records: Callable[[], Iterable[keys.KeyRecord]],
+        membership: views.MembershipView,
+        clock: clocks.Clock,
+    ) -> None:
+        super().__init__()
+        self._homes = homes
+        self._homes_of = homes_of
+        self._own_records = own_records
+        self._clock = clock
+        self._changed = asyncio.Event()
+        membership.listen(self._changed.set)
+
+    @mode.Service.task
+    async def _act(self) -> None:
+        while not self.should_stop:
+            await self._changed.wait()
+            await self._clock.sleep_ms(_DELAY_MS)
+            self._changed.clear()
+            for number, record in enumerate(list(self._own_records())):
+                await self._give(record)
+                if number % _RUN == 0:
+                    await asyncio.sleep(0)
+
+    async def _give(self, record: keys.KeyRecord) -> None:
+        before = self._homes_of.get(record.key, [])
+        homes = self._homes.homes(record.key)
+        if homes == before:
+            return
+        self._homes_of[record.key] = homes
+        for home in homes:
+            if home not in before:
+                await self._homes.copy_to(
+                    home, record, keep_ms=kept_answers.KEEP_MS
+                )
--- a/src/jujubewharf/requests/releases.py
+++ b/src/jujubewharf/requests/releases.py
@@ -71,6 +71,15 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def release_by_names(
+        self, attempt_id: str, names: tuple[str, ...]
+    ) -> None:
+        """Releases an attempt of a lost instance at engines named by it."""
+        for name in names:
+            view = self._fleet.view(name)
+            if view is not None:
+                self.release(attempt_id, view.endpoint)
+
     async def flush(self, timeout_ms: float) -> None:
         """Waits a while for releases under way, for a shutdown."""
         if self._tasks:
--- /dev/null
+++ b/src/jujubewharf/requests/sweep.py
@@ -0,0 +1,225 @@
+"""Frees engine memory that is held for nobody.
+
+Each engine is swept by one instance of its own domain, chosen by rendezvous
+hash. The sweep compares what the engine holds with what owners say they
+need. An owner adds an attempt to its list before any engine hears of it, and
+never uses an attempt's id twice, so its "not needed" is final. An owner that
+is silent is given time, asked again by way of other instances, and only an
+attempt that went unclaimed twice is freed: that fences an owner that was
+only paused, which finds its attempt gone and learns who took its key over.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from collections.abc import Callable
+import dataclasses
+
+import mode
+import structlog
+
+from jujubewharf import clock as clocks
+from jujubewharf import hashing
+from jujubewharf.configuration import resources
+from jujubewharf.engines import client
+from jujubewharf.membership import view as views
+from jujubewharf.peers import key_messages
+from jujubewharf.peers import network
+from jujubewharf.requests import counters as request_counters
+from jujubewharf.requests import releases
+from jujubewharf.routing import fleet as fleets
+
+SWEEP_EVERY_MS = 2_000.0
+GRACE_MS = 1_000.0
+SILENT_OWNER_MS = 8_000.0
+_ASK_MS = 1_000.0
+_MAX_RELAYS = 2
+
+Engines = Callable[[], list[resources.Endpoint]]
+
+
+@dataclasses.dataclass(slots=True)
+class _Unclaimed:
+    """An attempt whose owner is silent.
+
+    Attributes:
+        since_ms: When it was first found so.
+        sightings: Times it was found so.
+    """
+
+    since_ms: float
+    sightings: int = 0
+
+
+class Sweep(mode.Service):
+    """Sweeps the engines that fall to this instance.
+
+    Args:
+        instance: Name of this instance.
+        engines: All model engines in the configuration.
+        fleet: How to speak to them.
+        releaser: Knows which attempts are alive here.
+        peers: Messages to other instances.
+        membership: Who is here.
+        clock: Time.
+        counters: Counts what was freed.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        engines: Engines,
+        fleet: fleets.Fleet,
+        releaser: releases.Releaser,
+        peers: network.PeerNetwork,
+        membership: views.MembershipView,
+        clock: clocks.Clock,
+        counters: request_counters.Counters,
+    ) -> None:
+        super().__init__()
+        self._instance = instance
+        self._engines = engines
+        self._fleet = fleet
+        self._releaser = releaser
+        self._peers = peers
+        self._membership = membership
+        self._clock = clock
+        self._counters = counters
+        self._unclaimed: dict[tuple[str, str], _Unclaimed] = {}
+        self._logger = structlog.get_logger()
+        peers.handle(key_messages.AskAlive, self._on_ask_alive)
+
+    @mode.Service.task
+    async def _sweep(self) -> None:
+        while not self.should_stop:
+            await self._clock.sleep_ms(SWEEP_EVERY_MS)
+            mine = [e for e in self._engines() if self._is_mine(e)]
+            await asyncio.gather(*(self._sweep_one(e) for e in mine))
+
+    def _is_mine(self, endpoint: resources.Endpoint) -> bool:
+        """Whether this instance sweeps the engine.
+
+        An engine whose domain has no instance left falls to any other.
+        """
+        present = self._membership.present()
+        near = [m.instance for m in present if m.domain == endpoint.domain]
+        candidates = near or [m.instance for m in present]
+        ranked = hashing.rank(f"sweep-{endpoint.name}", candidates)
+        return bool(ranked) and ranked[0] == self._instance
+
+    async def _sweep_one(self, endpoint: resources.Endpoint) -> None:
+        view = self._fleet.view(endpoint.name)
+        if view is None:
+            return
+        try:
+            held = await view.client.held()
+        except client.EngineError:
+            return
+        by_owner: dict[str, list[str]] = collections.defaultdict(list)
+        for item in held:
+            if item.age_ms >= GRACE_MS:
+                attempt = item.attempt
+                by_owner[attempt.owner].append(attempt.attempt_id)
+        self._forget_others(endpoint.name, by_owner)
+        for owner, attempt_ids in sorted(by_owner.items()):
+            await self._reconcile(endpoint, owner, tuple(attempt_ids))
+
+    async def _reconcile(
+        self,
+        endpoint: resources.Endpoint,
+        owner: str,
+        attempt_ids: tuple[str, ...],
+    ) -> None:
+        alive = await self._alive(owner, attempt_ids)
+        for attempt_id in attempt_ids:
+            if alive is None:
+                if self._is_given_up(endpoint.name, attempt_id):
+                    self._free(endpoint, attempt_id, "owner_silent")
+                continue
+            self._unclaimed.pop((endpoint.name, attempt_id), None)
+            if attempt_id not in alive:
+                self._free(endpoint, attempt_id, "not_needed")
+
+    async def _alive(
+        self, owner: str, attempt_ids: tuple[str, ...]
+    ) -> frozenset[str] | None:
+        """Attempts the owner needs; ``None`` when nobody can reach it."""
+        if owner == self._instance:
+            return frozenset(filter(self._releaser.is_alive, attempt_ids))
+        message = key_messages.AskAlive(owner, attempt_ids)
+        for peer in [owner, *self._relays(owner)]:
+            answer = await self._ask(peer, message)
+            if answer is not None and answer.is_owners_word:
+                return frozenset(answer.attempt_ids)
+        return None
+
+    def _relays(self, owner: str) -> list[str]:
+        """Instances that may reach an owner that this one doesn't."""
+        others = [
+            m.instance
+            for m in self._membership.present()
+            if m.instance not in (owner, self._instance)
+        ]
+        return hashing.rank(owner, others)[:_MAX_RELAYS]
+
+    async def _ask(
+        self, peer: str, message: key_messages.AskAlive
+    ) -> key_messages.Alive | None:
+        try:
+            answer = await self._peers.ask(peer, message, timeout_ms=_ASK_MS)
+        except network.PeerError:
+            return None
+        return answer if isinstance(answer, key_messages.Alive) else None
+
+    def _is_given_up(self, engine: str, attempt_id: str) -> bool:
+        now_ms = self._clock.now_ms()
+        unclaimed = self._unclaimed.setdefault(
+            (engine, attempt_id), _Unclaimed(now_ms)
+        )
+        unclaimed.sightings += 1
+        is_old = now_ms - unclaimed.since_ms >= SILENT_OWNER_MS
+        return is_old and unclaimed.sightings > 1
+
+    def _free(
+        self, endpoint: resources.Endpoint, attempt_id: str, reason: str
+    ) -> None:
+        self._unclaimed.pop((endpoint.name, attempt_id), None)
+        self._counters.swept(reason)
+        self._logger.info(
+            "attempt_swept",
+            attempt=attempt_id,
+            engine=endpoint.name,
+            reason=reason,
+        )
+        self._releaser.release(attempt_id, endpoint)
+
+    def _forget_others(
+        self, engine: str, by_owner: dict[str, list[str]]
+    ) -> None:
+        held = {i for ids in by_owner.values() for i in ids}
+        gone = [
+            key
+            for key in self._unclaimed
+            if key[0] == engine and key[1] not in held
+        ]
+        for key in gone:
+            del self._unclaimed[key]
+
+    async def _on_ask_alive(
+        self, sender: str, message: key_messages.AskAlive
+    ) -> key_messages.Alive:
+        if message.owner == self._instance:
+            alive = filter(self._releaser.is_alive, message.attempt_ids)
+            return key_messages.Alive(tuple(alive))
+        return await self._passed_on(message)
+
+    async def _passed_on(
+        self, message: key_messages.AskAlive
+    ) -> key_messages.Alive:
+        """Asks the owner for somebody who doesn't reach it."""
+        answer = await self._ask(message.owner, message)
+        if answer is None:
+            return key_messages.Alive((), is_owners_word=False)
+        return answer
+
--- a/src/jujubewharf/standins/engine.py
+++ b/src/jujubewharf/standins/engine.py
@@ -106,6 +106,7 @@
     done_at_ms: float
     expires_at_ms: float
     prompt_tokens: int
+    transfers: int = 0
 
 
 class _Generation:
@@ -244,12 +245,18 @@
         self._check_alive()
         if not self.spec.capabilities.kv_export:
             raise self._error(client.EngineFault.UNSUPPORTED)
-        prefilled = self._prefilled.pop(attempt_id, None)
+        prefilled = self._prefilled.get(attempt_id)
         if prefilled is None:
             raise self._error(client.EngineFault.KV_GONE)
-        self.counts.used_prefill_tokens += prefilled.prompt_tokens
-        await self.link.carry(prefilled.kv_bytes)
-        self._check_alive()
+        prefilled.transfers += 1
+        try:
+            await self.link.carry(prefilled.kv_bytes)
+            self._check_alive()
+        finally:
+            prefilled.transfers -= 1
+            self._expire_if_due(prefilled)
+        if self._prefilled.pop(attempt_id, None) is not None:
+            self.counts.used_prefill_tokens += prefilled.prompt_tokens
         return prefilled.kv_bytes
 
     async def decode(
@@ -405,8 +412,14 @@
 
     async def _expire(self, prefilled: _Prefilled) -> None:
         await self._clock.sleep_until_ms(prefilled.expires_at_ms)
+        self._expire_if_due(prefilled)
+
+    def _expire_if_due(self, prefilled: _Prefilled) -> None:
+        """Forgets a result that is due, but not under a running transfer."""
+        is_due = self._clock.now_ms() >= prefilled.expires_at_ms
         attempt_id = prefilled.attempt.attempt_id
-        if self._prefilled.get(attempt_id) is prefilled:
+        is_kept = self._prefilled.get(attempt_id) is prefilled
+        if is_kept and is_due and not prefilled.transfers:
             del self._prefilled[attempt_id]
             self.counts.wasted_prefill_tokens += prefilled.prompt_tokens
 
