--- a/src/jujubewharf/callers/completions.py
+++ b/src/jujubewharf/callers/completions.py
@@ -102,7 +102,7 @@
         self, request: web.Request, raw: bytes, body: _Body
     ) -> model_request.ModelRequest:
         service = self._service(body.model)
-        request_id = uuid.uuid4().hex
+        request_id = model_request.mint_id(self._core.settings.instance)
         repeatable = body.repeatable
         if repeatable is None:
             repeatable = service.repeatable
--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -24,16 +24,22 @@
 from jujubewharf.engines import endpoint_client
 from jujubewharf.engines import http as engine_http
 from jujubewharf.engines import http_endpoint
+from jujubewharf.membership import membership as memberships
+from jujubewharf.peers import mesh
+from jujubewharf.peers import peer
 from jujubewharf.peers import streams
 from jujubewharf.platform import http_log
 from jujubewharf.platform import live_list
 from jujubewharf.platform import log
 from jujubewharf.platform import weights
 from jujubewharf.requests import answers as request_answers
+from jujubewharf.requests import claims as request_claims
+from jujubewharf.requests import keys
 from jujubewharf.requests import life
 from jujubewharf.requests import model_request
+from jujubewharf.requests import sweep as sweeps
+from jujubewharf.routing import baselines
 from jujubewharf.routing import fleet as fleets
-from jujubewharf.routing import least_load
 from jujubewharf.routing import placer as placers
 from jujubewharf.routing import policy as policies
 from jujubewharf.settings import models
@@ -74,6 +80,9 @@
         fleet: Views of the engines.
         runner: Runs model requests, and counts.
         answers: All answers of this instance.
+        claims: Claims of requests that may not be repeated.
+        peers: Links to the other instances.
+        membership: Who they are.
     """
 
     def __init__(
@@ -88,13 +97,31 @@
         self.settings = settings
         self.clock = clock
         self.adapters = adapters
+        timing = peer.Timing(
+            settings.peers.heartbeat_ms, settings.peers.suspect_after_ms
+        )
+        self.peers = mesh.PeerMesh(
+            settings.instance,
+            settings.domain,
+            clock,
+            adapters.transport,
+            timing=timing,
+        )
+        self.membership = memberships.Membership(
+            self.peers,
+            settings.domain,
+            adapters.live_list,
+            clock,
+            timing=timing,
+            poll_ms=settings.platform.live_list_poll_ms,
+        )
         self.configuration = follower.ConfigurationFollower(
             adapters.log, clock, wait_ms=settings.platform.log_wait_ms
         )
         self.fleet = fleets.Fleet(adapters.make_engine_client, clock)
         self.configuration.listen(self.fleet.on_configuration)
         if policy is None:
-            policy = least_load.LeastLoad()
+            policy = baselines.LeastLoad()
         self._placer = placers.Placer(policy, self.fleet, clock)
         self.runner = life.RequestRunner(
             settings.instance,
@@ -102,13 +129,44 @@
             self._placer,
             clock,
         )
-        self.answers = request_answers.Answers(self.runner, clock)
+        self.key_homes = keys.KeyHomes(self.peers, self.membership, clock)
+        self.claims = request_claims.Claims(
+            settings.instance,
+            self.peers,
+            self.membership,
+            adapters.log,
+            clock,
+        )
+        self.answers = request_answers.Answers(
+            settings.instance,
+            self.runner,
+            self.key_homes,
+            self.claims,
+            self.peers,
+            self.membership,
+            clock,
+        )
+        self.sweep = sweeps.Sweep(
+            settings.instance,
+            lambda: self.configuration.current,
+            self.fleet,
+            self.runner.releaser,
+            self.peers,
+            self.membership,
+            clock,
+            self.runner.counters,
+        )
 
     async def on_start(self) -> None:
         """Starts the parts, those that others need first."""
+        await self.add_runtime_dependency(self.peers)
+        await self.add_runtime_dependency(self.membership)
         await self.add_runtime_dependency(self.configuration)
         await self.add_runtime_dependency(self.fleet)
+        await self.add_runtime_dependency(self.key_homes)
+        await self.add_runtime_dependency(self.claims)
         await self.add_runtime_dependency(self.answers)
+        await self.add_runtime_dependency(self.sweep)
 
     def answer(
         self, request: model_request.ModelRequest
--- a/src/jujubewharf/requests/answers.py
+++ b/src/jujubewharf/requests/answers.py
@@ -118,7 +118,9 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         await self._runner.releaser.flush(_FLUSH_MS)
 
-    def _join_or_start(self, request: model_request.ModelRequest) -> holding.Held:
+    def _join_or_start(
+        self, request: model_request.ModelRequest
+    ) -> holding.Held:
         """Finds the key's answer here, or begins one."""
         key = keys.key_of(request.account, request.key)
         held = self._by_key.get(key) or self._from_kept(key)
@@ -237,7 +239,9 @@
         if held.is_claimed and _did_not_run(end):
             self._claims.abandon(request.request_id)
         is_relayed = held.source is not None
-        if not is_relayed and not (held.may_run_again and request.is_repeatable):
+        if not is_relayed and not (
+            held.may_run_again and request.is_repeatable
+        ):
             self._kept.keep(held.key, request, held.answer)
 
     async def _on_pull(
--- a/src/jujubewharf/requests/claims.py
+++ b/src/jujubewharf/requests/claims.py
@@ -33,6 +33,7 @@
 _CARRY_EVERY_MS = 60_000.0
 _FUTURE_MS = 60_000.0
 _UUID7_MS_SHIFT = 80
+_WINDOWS = claim_shard.Windows()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,7 +84,7 @@
         platform_log: log.Log,
         clock: clocks.Clock,
         *,
-        windows: claim_shard.Windows = claim_shard.Windows(),
+        windows: claim_shard.Windows = _WINDOWS,
     ) -> None:
         super().__init__()
         self._instance = instance
--- a/src/jujubewharf/requests/model_request.py
+++ b/src/jujubewharf/requests/model_request.py
@@ -9,7 +9,6 @@
 from jujubewharf import errors
 from jujubewharf.configuration import resources
 
-
 _MINTED = re.compile(r"(?P<instance>.+)~[0-9a-f]{32}")
 
 
--- a/src/jujubewharf/requests/relay.py
+++ b/src/jujubewharf/requests/relay.py
@@ -171,4 +171,3 @@
 def _failure(pulled: key_messages.Pulled) -> model_request.Failed:
     kind = errors.ErrorKind(pulled.kind)
     return model_request.Failed(kind, errors.Ran(pulled.ran))
-
--- a/src/jujubewharf/requests/releases.py
+++ b/src/jujubewharf/requests/releases.py
@@ -71,9 +71,7 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def release_by_names(
-        self, attempt_id: str, names: tuple[str, ...]
-    ) -> None:
+    def release_by_names(self, attempt_id: str, names: tuple[str, ...]) -> None:
         """Releases an attempt of a lost instance at engines named by it."""
         for name in names:
             view = self._fleet.view(name)
--- a/src/jujubewharf/requests/sweep.py
+++ b/src/jujubewharf/requests/sweep.py
@@ -22,6 +22,7 @@
 from jujubewharf import clock as clocks
 from jujubewharf import hashing
 from jujubewharf.configuration import resources
+from jujubewharf.configuration import state as states
 from jujubewharf.engines import client
 from jujubewharf.membership import view as views
 from jujubewharf.peers import key_messages
@@ -36,7 +37,7 @@
 _ASK_MS = 1_000.0
 _MAX_RELAYS = 2
 
-Engines = Callable[[], list[resources.Endpoint]]
+Current = Callable[[], states.State]
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,7 +58,7 @@
 
     Args:
         instance: Name of this instance.
-        engines: All model engines in the configuration.
+        current: The configuration in force.
         fleet: How to speak to them.
         releaser: Knows which attempts are alive here.
         peers: Messages to other instances.
@@ -69,7 +70,7 @@
     def __init__(
         self,
         instance: str,
-        engines: Engines,
+        current: Current,
         fleet: fleets.Fleet,
         releaser: releases.Releaser,
         peers: network.PeerNetwork,
@@ -79,7 +80,7 @@
     ) -> None:
         super().__init__()
         self._instance = instance
-        self._engines = engines
+        self._current = current
         self._fleet = fleet
         self._releaser = releaser
         self._peers = peers
@@ -97,6 +98,18 @@
             mine = [e for e in self._engines() if self._is_mine(e)]
             await asyncio.gather(*(self._sweep_one(e) for e in mine))
 
+    def _engines(self) -> list[resources.Endpoint]:
+        endpoints = [
+            entry.resource
+            for entry in self._current().of_kind(resources.Kind.ENDPOINT)
+        ]
+        return [
+            endpoint
+            for endpoint in endpoints
+            if isinstance(endpoint, resources.Endpoint)
+            and endpoint.role is not resources.Role.PLAIN
+        ]
+
     def _is_mine(self, endpoint: resources.Endpoint) -> bool:
         """Whether this instance sweeps the engine.
 
@@ -222,4 +235,3 @@
         if answer is None:
             return key_messages.Alive((), is_owners_word=False)
         return answer
-
