--- a/src/jujubewharf/requests/answers.py
+++ b/src/jujubewharf/requests/answers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 
 import mode
 import structlog
@@ -86,7 +86,7 @@
 
     async def answer(
         self, request: model_request.ModelRequest
-    ) -> AsyncIterator[model_request.Event]:
+    ) -> AsyncGenerator[model_request.Event, None]:
         """Answers a request; the last event is ``Finished`` or ``Failed``.
 
         Closing the iterator early says that the caller is gone.
--- a/src/jujubewharf/requests/claims.py
+++ b/src/jujubewharf/requests/claims.py
@@ -24,6 +24,7 @@
 from jujubewharf.platform import log
 from jujubewharf.requests import claim_records
 from jujubewharf.requests import claim_shard
+from jujubewharf.requests import keys
 
 _ASK_MS = 4_000.0
 _ASK_ABANDONED_MS = 1_000.0
@@ -285,6 +286,50 @@
             self._logger.warning("claims_not_carried", why=str(error))
 
 
+class PlainClaims:
+    """Claims of plain calls, whose answers can't be followed elsewhere.
+
+    Args:
+        claims: Claims of this instance.
+    """
+
+    def __init__(self, claims: Claims) -> None:
+        self._claims = claims
+
+    async def claim(
+        self,
+        key: str,
+        request_id: str,
+        body_digest: str,
+        *,
+        account: str = "",
+    ) -> None:
+        """Takes a key for one call.
+
+        Raises:
+            WharfError: The call must not be sent.
+        """
+        is_dated = self._claims.check_age(key)
+        body = keys.body_of(body_digest)
+        claim = await self._claims.claim(
+            keys.key_of(f"plain/{account}", key),
+            request_id,
+            body,
+            is_dated=is_dated,
+        )
+        if claim.is_won:
+            return
+        if claim.body != body:
+            raise errors.WharfError(
+                errors.ErrorKind.KEY_CONFLICT, ran=errors.Ran.NO
+            )
+        raise errors.WharfError(errors.ErrorKind.CLAIM_LOST)
+
+    def abandon(self, request_id: str) -> None:
+        """Notes that a call was not sent and never will be."""
+        self._claims.abandon(request_id)
+
+
 def _unavailable() -> errors.WharfError:
     return errors.WharfError(
         errors.ErrorKind.CLAIM_UNAVAILABLE, retry_after_ms=_COME_BACK_MS
--- a/src/jujubewharf/requests/ownership.py
+++ b/src/jujubewharf/requests/ownership.py
@@ -55,6 +55,15 @@
         Raises:
             WharfError: It is refused.
         """
+        is_mine = await self._acquire(held)
+        if is_mine and held.request.resume_from > 0:
+            # The caller holds the beginning of an answer that is gone; a new
+            # run may write another, and the two halves would not fit.
+            detail = "Ask again for the answer from its start."
+            raise errors.WharfError(errors.ErrorKind.KEY_EXPIRED, detail)
+        return is_mine
+
+    async def _acquire(self, held: holding.Held) -> bool:
         request = held.request
         if not request.has_callers_key:
             return True
