--- a/src/jujubewharf/requests/claim_shard.py
+++ b/src/jujubewharf/requests/claim_shard.py
@@ -51,11 +51,13 @@
         undated_ms: Claims of other keys are forgotten after this age.
         carry_after_ms: Age at which a claim is appended anew, well before
             the log forgets it.
+        carry_every_ms: Time between two looks for such claims.
     """
 
     dated_ms: float = 900_000.0
     undated_ms: float = 86_400_000.0
     carry_after_ms: float = 900_000.0
+    carry_every_ms: float = 60_000.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/jujubewharf/requests/claims.py
+++ b/src/jujubewharf/requests/claims.py
@@ -31,7 +31,6 @@
 _COME_BACK_MS = 1_000.0
 _MAX_TRIES = 3
 _MAX_ABANDONED = 20_000
-_CARRY_EVERY_MS = 60_000.0
 _FUTURE_MS = 60_000.0
 _UUID7_MS_SHIFT = 80
 _WINDOWS = claim_shard.Windows()
@@ -271,7 +270,7 @@
     async def _carry(self) -> None:
         """Keeps the claims of owned shards from falling off the log."""
         while not self.should_stop:
-            await self._clock.sleep_ms(_CARRY_EVERY_MS)
+            await self._clock.sleep_ms(self._windows.carry_every_ms)
             for number in range(claim_shard.SHARDS):
                 owners = self._owners(number)
                 if owners and owners[0] == self._instance:
--- a/tests/requests/deployments.py
+++ b/tests/requests/deployments.py
@@ -79,6 +79,7 @@
         service=None,
         specs=None,
         seed=1,
+        windows=None,
         **bench,
     ):
         self.bench = benches.Bench(seed=seed, **bench)
@@ -94,6 +95,7 @@
         self._names = [f"p{i + 1}" for i in range(prefillers)]
         self._names += [f"d{i + 1}" for i in range(decoders)]
         self._specs = specs or {}
+        self._windows = windows
         self._numbers = itertools.count(1)
 
     async def start(self):
@@ -103,6 +105,8 @@
             await self._add_engine(name, domains[place % len(domains)])
         for name, domain in self._instances.items():
             await self.bench.start_instance(name, domain, policy=self.policy)
+            if self._windows is not None:
+                self.core(name).claims._windows = self._windows
         await self.clock.sleep_ms(2_500)
         return self
 
@@ -150,7 +154,7 @@
 
     async def ask(self, request, name="e1"):
         """All events of an answer."""
-        events = self.bench.instances[name].core.answer(request)
+        events = self.bench.instances[name].answer(request)
         return [event async for event in events]
 
     def dispatches(self) -> int:
--- /dev/null
+++ b/tests/requests/test_answers.py
@@ -0,0 +1,235 @@
+"""Keys across instances: retries join, take over, or are told the truth."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+
+from jujubewharf import errors
+from jujubewharf.experiments import processes
+from jujubewharf.experiments import virtual_time
+from jujubewharf.requests import model_request
+from tests.requests import deployments
+
+THREE = {"e1": "a", "e2": "b", "e3": "c"}
+
+
+def run(story, **fields):
+    async def main():
+        fields.setdefault("instances", THREE)
+        deployment = await deployments.Deployment(**fields).start()
+        result = await story(deployment)
+        await deployment.bench.stop()
+        return result
+
+    return virtual_time.run(main())
+
+
+async def ask_quietly(d, request, name):
+    """Asks as a caller that puts up with its instance's death."""
+    with contextlib.suppress(processes.InstanceLostError):
+        return await d.ask(request, name)
+    return []
+
+
+def test_a_retry_elsewhere_joins_the_running_answer():
+    # The caller's connection to e1 breaks and its retry lands on e2 while
+    # the answer is being written. It gets the whole answer of the one run.
+    async def story(d):
+        first = asyncio.ensure_future(d.ask(d.request(key="k"), "e1"))
+        await d.clock.sleep_ms(300)
+        second = await d.ask(d.request(key="k"), "e2")
+        return await first, second, d.dispatches()
+
+    first, second, dispatches = run(story)
+    assert deployments.is_whole(first)
+    assert deployments.is_whole(second)
+    assert dispatches == 1
+
+
+def test_a_retry_after_the_end_gets_the_finished_answer():
+    async def story(d):
+        await d.ask(d.request(key="k"), "e1")
+        await d.clock.sleep_ms(5_000)
+        return await d.ask(d.request(key="k"), "e3"), d.dispatches()
+
+    again, dispatches = run(story)
+    assert deployments.is_whole(again)
+    assert dispatches == 1
+
+
+def test_two_at_once_at_two_instances_run_once():
+    # Both instances hear the key first in the same moment. The key's first
+    # home puts one before the other.
+    async def story(d):
+        both = await asyncio.gather(
+            d.ask(d.request(key="k"), "e1"), d.ask(d.request(key="k"), "e2")
+        )
+        return both, d.dispatches()
+
+    both, dispatches = run(story)
+    assert all(deployments.is_whole(events) for events in both)
+    assert dispatches == 1
+
+
+def test_the_same_key_with_another_body_is_a_conflict():
+    async def story(d):
+        await d.ask(d.request(key="k"), "e1")
+        other = d.request(key="k", body_digest="other")
+        return await d.ask(other, "e2"), await d.ask(other, "e1")
+
+    for events in run(story):
+        assert events[-1].kind is errors.ErrorKind.KEY_CONFLICT
+
+
+def test_accounts_do_not_share_keys():
+    async def story(d):
+        await d.ask(d.request(key="k"), "e1")
+        other = d.request(key="k")
+        other = model_request.dataclasses.replace(other, account="other")
+        return await d.ask(other, "e2"), d.dispatches()
+
+    events, dispatches = run(story)
+    assert deployments.is_whole(events)
+    assert dispatches == 2
+
+
+def test_a_dead_owners_answer_is_taken_over_and_its_memory_freed():
+    # e1 dies while it writes. The retry at e2 finds the record, finds e1
+    # gone, releases e1's attempt at its engines and runs the request itself.
+    async def story(d):
+        request = d.request(tokens=200, key="k")
+        asyncio.ensure_future(ask_quietly(d, request, "e1"))
+        await d.clock.sleep_ms(500)
+        d.bench.kill_instance("e1")
+        retry = d.request(tokens=200, key="k")
+        task = asyncio.ensure_future(d.ask(retry, "e2"))
+        await d.clock.sleep_ms(4_000)
+        held = await d.held()
+        return await task, held, request.request_id
+
+    events, held, request_id = run(story)
+    assert deployments.is_whole(events, 200)
+    assert not any(request_id in item for item in held)
+
+
+def test_a_retry_that_had_joined_goes_on_where_the_owner_died():
+    # The retry at e2 has passed on tokens of e1's run when e1 dies. e2 goes
+    # on after the last of them; the caller sees no gap and no repeat.
+    async def story(d):
+        asyncio.ensure_future(
+            ask_quietly(d, d.request(tokens=200, key="k"), "e1")
+        )
+        await d.clock.sleep_ms(500)
+        task = asyncio.ensure_future(
+            d.ask(d.request(tokens=200, key="k"), "e2")
+        )
+        await d.clock.sleep_ms(1_000)
+        d.bench.kill_instance("e1")
+        return await task
+
+    assert deployments.is_whole(run(story), 200)
+
+
+def test_a_paused_owner_finds_its_run_taken_over():
+    # e1 is paused; its caller gives up and retries at e2, which takes over.
+    # When e1 is back it is told so, gives its engine memory up and serves a
+    # caller that still waits there from e2's run.
+    async def story(d):
+        request = d.request(tokens=400, key="k", deadline_ms=60_000)
+        first = asyncio.ensure_future(d.ask(request, "e1"))
+        await d.clock.sleep_ms(500)
+        d.bench.pause_instance("e1")
+        retry = d.request(tokens=400, key="k", deadline_ms=60_000)
+        second = asyncio.ensure_future(d.ask(retry, "e2"))
+        await d.clock.sleep_ms(8_000)
+        d.bench.resume_instance("e1")
+        await d.clock.sleep_ms(2_000)
+        held = await d.held()
+        return await first, await second, held, request.request_id
+
+    first, second, held, request_id = run(story)
+    assert deployments.is_whole(second, 400)
+    assert deployments.is_whole(first, 400)
+    assert not any(request_id in item for item in held)
+
+
+def test_a_minted_key_is_followed_to_its_minter_and_costs_no_record():
+    # A request without a key gets one that names its instance. The retry at
+    # e2 with that key goes straight there; no home was ever told.
+    async def story(d):
+        minted = model_request.mint_id("e1")
+        request = model_request.dataclasses.replace(
+            d.request(), request_id=minted, key=minted
+        )
+        first = asyncio.ensure_future(d.ask(request, "e1"))
+        await d.clock.sleep_ms(200)
+        records = sum(len(d.core(name).key_homes) for name in THREE)
+        second = await d.ask(d.request(key=minted), "e2")
+        return await first, second, records, d.dispatches()
+
+    first, second, records, dispatches = run(story)
+    assert deployments.is_whole(first)
+    assert deployments.is_whole(second)
+    assert (records, dispatches) == (0, 1)
+
+
+def test_not_repeatable_with_a_lost_minter_is_told_as_unknown():
+    async def story(d):
+        minted = model_request.mint_id("e1")
+        request = model_request.dataclasses.replace(
+            d.request(is_repeatable=False), request_id=minted, key=minted
+        )
+        task = asyncio.ensure_future(ask_quietly(d, request, "e1"))
+        await d.clock.sleep_ms(300)
+        d.bench.kill_instance("e1")
+        await task
+        retry = d.request(key=minted, is_repeatable=False)
+        return await d.ask(retry, "e2"), d.dispatches()
+
+    events, dispatches = run(story)
+    assert events[-1].kind is errors.ErrorKind.KEY_EXPIRED
+    assert events[-1].ran is errors.Ran.UNKNOWN
+    assert dispatches == 1
+
+
+def test_records_follow_when_their_home_is_lost():
+    # Both homes of the key's record are replaced one after the other while
+    # e1 writes; e1 gives the record to each new home, and a retry joins.
+    async def story(d):
+        request = d.request(tokens=800, key="k", deadline_ms=90_000)
+        first = asyncio.ensure_future(d.ask(request, "e1"))
+        await d.clock.sleep_ms(500)
+        for name in ("e2", "e3"):
+            await d.bench.restart_instance(name)
+            await d.clock.sleep_ms(6_000)
+        retry = d.request(tokens=800, key="k", deadline_ms=90_000)
+        second = await d.ask(retry, "e3")
+        return await first, second, d.dispatches()
+
+    first, second, dispatches = run(story)
+    assert deployments.is_whole(first, 800)
+    assert deployments.is_whole(second, 800)
+    assert dispatches == 1
+
+
+@pytest.mark.parametrize("is_repeatable", [True, False])
+def test_a_caller_that_left_leaves_no_memory_held(is_repeatable):
+    # The caller of a keyed request leaves and doesn't come back. The run
+    # lingers for a stated while, then everything is released.
+    async def story(d):
+        request = d.request(tokens=900, key="k", is_repeatable=is_repeatable)
+        request = model_request.dataclasses.replace(request, deadline_ms=9e4)
+        events = d.bench.instances["e1"].answer(request)
+        async with contextlib.aclosing(events) as opened:
+            async for _ in opened:
+                break
+        before = await d.held()
+        await d.clock.sleep_ms(2_200 if is_repeatable else 15_200)
+        return before, await d.held()
+
+    before, after = run(story)
+    assert len(before) == 1
+    assert after == []
--- /dev/null
+++ b/tests/requests/test_claims.py
@@ -0,0 +1,309 @@
+"""Requests that may not be repeated: one dispatch over the whole fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+
+import pytest
+
+from jujubewharf import errors
+from jujubewharf.requests import claim_records
+from jujubewharf.requests import claim_shard
+from jujubewharf.requests import keys
+from tests.requests import deployments
+from tests.requests.test_answers import THREE
+from tests.requests.test_answers import ask_quietly
+from tests.requests.test_answers import run
+
+
+def once(d, key="k", **fields):
+    return d.request(key=key, is_repeatable=False, **fields)
+
+
+def uuid7(wall_ms: float) -> str:
+    number = (int(wall_ms) << 80) | (7 << 76) | (2 << 62) | 12345
+    return str(uuid.UUID(int=number))
+
+
+def test_retries_everywhere_at_once_are_one_dispatch():
+    async def story(d):
+        asked = [
+            d.ask(once(d), name) for name in ("e1", "e2", "e3", "e1", "e2")
+        ]
+        return await asyncio.gather(*asked), d.dispatches()
+
+    answers, dispatches = run(story)
+    assert all(deployments.is_whole(events) for events in answers)
+    assert dispatches == 1
+
+
+def test_a_dead_owner_is_told_as_unknown_and_never_run_again():
+    # e1 claims, dispatches and dies. Nobody can know how far it came, so no
+    # retry runs and none is told "did not run".
+    async def story(d):
+        asyncio.ensure_future(ask_quietly(d, once(d), "e1"))
+        await d.clock.sleep_ms(400)
+        d.bench.kill_instance("e1")
+        events = [await d.ask(once(d), name) for name in ("e2", "e3")]
+        await d.bench.restart_instance("e1")
+        await d.clock.sleep_ms(5_000)
+        events.append(await d.ask(once(d), "e1"))
+        return [e[-1] for e in events], d.dispatches()
+
+    ends, dispatches = run(story)
+    assert dispatches == 1
+    assert {end.ran for end in ends} == {errors.Ran.UNKNOWN}
+
+
+def test_without_the_log_nothing_is_dispatched_and_it_is_said_at_once():
+    # The log is down: the claim can't be made, so the request is refused
+    # within a moment and told when to come back. After the outage it runs.
+    async def story(d):
+        d.bench.log.is_down = True
+        before_ms = d.clock.now_ms()
+        refused = (await d.ask(once(d), "e1"))[-1]
+        took_ms = d.clock.now_ms() - before_ms
+        dispatches = d.dispatches()
+        d.bench.log.is_down = False
+        return refused, took_ms, dispatches, await d.ask(once(d), "e2")
+
+    refused, took_ms, dispatches, later = run(story)
+    assert refused.kind is errors.ErrorKind.CLAIM_UNAVAILABLE
+    assert refused.ran is errors.Ran.NO
+    assert refused.retry_after_ms is not None
+    assert took_ms < 500
+    assert dispatches == 0
+    assert deployments.is_whole(later)
+
+
+def test_a_finished_answer_is_found_while_the_log_is_down():
+    async def story(d):
+        await d.ask(once(d), "e1")
+        d.bench.log.is_down = True
+        return await d.ask(once(d), "e3"), d.dispatches()
+
+    events, dispatches = run(story)
+    assert deployments.is_whole(events)
+    assert dispatches == 1
+
+
+def test_a_claim_whose_answer_was_lost_is_found_on_the_log():
+    # The append takes effect, its answer is lost. Reading the log resolves
+    # it, so the request runs, once.
+    async def story(d):
+        d.bench.log.lose_answers = 1
+        return await d.ask(once(d), "e1"), d.dispatches()
+
+    events, dispatches = run(story)
+    assert deployments.is_whole(events)
+    assert dispatches == 1
+
+
+class _LateLog:
+    """A log whose next append is given no answer and lands later."""
+
+    def __init__(self, shared, clock, late_ms):
+        self.shared = shared
+        self.clock = clock
+        self.late_ms = late_ms
+        self.landed = []
+
+    async def append(self, stream, payloads):
+        from jujubewharf.platform import log
+
+        if self.late_ms is None:
+            return await self.shared.append(stream, payloads)
+        late_ms, self.late_ms = self.late_ms, None
+
+        async def land():
+            await self.clock.sleep_ms(late_ms)
+            self.landed += await self.shared.append(stream, payloads)
+
+        self.landing = asyncio.ensure_future(land())
+        raise log.AppendUnknownError("no answer")
+
+    async def read(self, stream, from_offset, **fields):
+        return await self.shared.read(stream, from_offset, **fields)
+
+
+def test_a_claim_that_lands_late_never_runs_and_holds_nobody_up():
+    # e1's claim gets no answer and is not on the log yet: e1 gives it up and
+    # says "did not run". Then it lands. The caller's retry finds the key
+    # held by a run that e1 says it abandoned, takes it over, and runs once.
+    async def story(d):
+        first = once(d)
+        key = keys.key_of("", "k")
+        shard = claim_shard.shard_of(key)
+        owner = d.core("e1").claims._owners(shard)[0]
+        late = _LateLog(d.bench.log, d.clock, 300)
+        d.core(owner).claims._log = late
+        refused = (await d.ask(first, "e1"))[-1]
+        await d.clock.sleep_ms(1_000)
+        assert late.landed
+        return refused, await d.ask(once(d), "e2"), d.dispatches()
+
+    refused, later, dispatches = run(story)
+    assert refused.kind is errors.ErrorKind.CLAIM_UNAVAILABLE
+    assert refused.ran is errors.Ran.NO
+    assert deployments.is_whole(later)
+    assert dispatches == 1
+
+
+def test_two_owners_of_one_shard_agree_by_the_logs_order():
+    # In a split view both e1 and e2 believe to own the key's shard and claim
+    # it for runs of their own. The log puts one first; both read that.
+    async def story(d):
+        key = keys.key_of("", "k")
+        claims = []
+        for name in ("e1", "e2"):
+            core = d.core(name)
+            core.claims._owners = lambda shard, name=name: [name]
+            claims.append(core.claims.claim(key, f"run-{name}", b"body"))
+        return await asyncio.gather(*claims)
+
+    first, second = run(story)
+    assert first.request_id == second.request_id
+    assert [first.is_won, second.is_won].count(True) == 1
+
+
+def test_a_domain_cut_from_the_log_refuses_and_the_others_run():
+    # Domain a is cut off from the log and the others. Its instance refuses
+    # what must be claimed, and says truly that it did not run.
+    async def story(d):
+        d.bench.cut_domain("a")
+        await d.clock.sleep_ms(6_000)
+        refused = (await d.ask(once(d), "e1"))[-1]
+        ran = await d.ask(once(d), "e2")
+        d.bench.heal()
+        await d.clock.sleep_ms(6_000)
+        return refused, ran, await d.ask(once(d), "e1"), d.dispatches()
+
+    refused, ran, joined, dispatches = run(story)
+    assert refused.kind is errors.ErrorKind.CLAIM_UNAVAILABLE
+    assert refused.ran is errors.Ran.NO
+    assert deployments.is_whole(ran)
+    assert deployments.is_whole(joined)
+    assert dispatches == 1
+
+
+def test_a_paused_claimer_still_dispatches_once():
+    # e1 is paused between its claim and its dispatch, for longer than any
+    # patience. The retry at e2 doesn't run; e1 runs when it is back.
+    async def story(d):
+        first = asyncio.ensure_future(d.ask(once(d, deadline_ms=60_000), "e1"))
+        await d.clock.sleep_ms(30)
+        d.bench.pause_instance("e1")
+        retry = (await d.ask(once(d, deadline_ms=60_000), "e2"))[-1]
+        before = d.dispatches()
+        d.bench.resume_instance("e1")
+        return retry, before, await first, d.dispatches()
+
+    retry, before, first, dispatches = run(story)
+    assert retry.ran is errors.Ran.UNKNOWN
+    assert before == 0
+    assert deployments.is_whole(first)
+    assert dispatches == 1
+
+
+def test_a_failure_before_dispatch_gives_the_key_back():
+    # No engine fits; the request did not run, and says so. When one fits
+    # again the retry runs, although the key was claimed before.
+    async def story(d):
+        policies = [d.core(name)._placer for name in THREE]
+        kept = policies[0]._policy
+        policies[0]._policy = deployments.Scripted([])
+        refused = (await d.ask(once(d), "e1"))[-1]
+        policies[0]._policy = kept
+        return refused, await d.ask(once(d), "e2"), d.dispatches()
+
+    refused, later, dispatches = run(story)
+    assert refused.kind is errors.ErrorKind.NO_FITTING_ENGINE
+    assert refused.ran is errors.Ran.NO
+    assert deployments.is_whole(later)
+    assert dispatches == 1
+
+
+WINDOWS = claim_shard.Windows(
+    dated_ms=20_000,
+    undated_ms=200_000,
+    carry_after_ms=8_000,
+    carry_every_ms=4_000,
+)
+
+
+def test_a_dated_key_that_is_too_old_never_runs_again():
+    # The log has forgotten the key's claim and the owner its answer. The key
+    # itself tells its age, so it is refused instead of run a second time.
+    async def story(d):
+        key = uuid7(d.clock.wall_ms())
+        first = await d.ask(once(d, key), "e1")
+        await d.bench.restart_instance("e1")
+        await d.clock.sleep_ms(40_000)
+        again = await d.ask(once(d, key), "e2")
+        return first, again[-1], d.dispatches()
+
+    first, again, dispatches = run(story, retention_ms=25_000, windows=WINDOWS)
+    assert deployments.is_whole(first)
+    assert again.kind is errors.ErrorKind.KEY_EXPIRED
+    assert again.ran is errors.Ran.UNKNOWN
+    assert dispatches == 1
+
+
+def test_an_undated_key_is_carried_beyond_the_logs_retention():
+    # The log keeps records for 25 s; after 60 s the claim is still known,
+    # because the shard's owner appended it anew in time.
+    async def story(d):
+        await d.ask(once(d), "e1")
+        await d.bench.restart_instance("e1")
+        await d.clock.sleep_ms(60_000)
+        again = await d.ask(once(d), "e2")
+        return again[-1], d.dispatches()
+
+    again, dispatches = run(story, retention_ms=25_000, windows=WINDOWS)
+    assert again.ran is errors.Ran.UNKNOWN
+    assert dispatches == 1
+
+
+def _claim(request_id, replaces="", key=b"k", is_dated=True):
+    return claim_records.ClaimRecord(
+        key, b"body", "e1", request_id, replaces, 0.0, is_dated
+    )
+
+
+def test_the_fold_knows_one_holder_and_one_successor():
+    holders = claim_records.Holders()
+    for claim in (
+        _claim("r1"),
+        _claim("r2"),
+        _claim("r3", replaces="r1"),
+        _claim("r4", replaces="r1"),
+        _claim("r1"),
+    ):
+        holders.fold(claim)
+    assert holders.get(b"k").request_id == "r3"
+
+
+def test_claims_survive_the_wire_and_newer_fields():
+    batch = claim_records.Batch(1.0, (_claim("r1"), _claim("r2")))
+    assert claim_records.decode(claim_records.encode(batch)) == batch
+
+
+@pytest.mark.parametrize("count", [300])
+def test_claims_share_appends(count):
+    # Many claims at once: a shard appends them together, so the log sees a
+    # bounded number of appends a second whatever the load.
+    async def story(d):
+        claims = [
+            d.core(f"e{i % 3 + 1}").claims.claim(
+                keys.key_of("", f"k{i}"), f"r{i}"
+            )
+            for i in range(count)
+        ]
+        won = await asyncio.gather(*claims)
+        appends = sum(d.core(name).claims.appends for name in THREE)
+        return all(claim.is_won for claim in won), appends
+
+    won, appends = run(story)
+    assert won
+    assert appends <= 2 * claim_shard.SHARDS
--- a/tests/requests/test_life.py
+++ b/tests/requests/test_life.py
@@ -154,7 +154,7 @@
     # The caller hangs up while waiting, reading, transferring or writing;
     # whatever was held anywhere is released without waiting for a timer.
     async def story(d):
-        events = d.core().answer(d.request())
+        events = d.bench.instances["e1"].answer(d.request())
 
         async def read():
             async with contextlib.aclosing(events) as opened:
@@ -189,7 +189,7 @@
             await release(attempt_id)
 
         engine.release = deaf
-        events = d.core().answer(d.request(tokens=500))
+        events = d.bench.instances["e1"].answer(d.request(tokens=500))
         async with contextlib.aclosing(events) as opened:
             async for _ in opened:
                 break
