--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -53,6 +53,7 @@
 from jujubewharf.routing import placer as placers
 from jujubewharf.routing import policy as policies
 from jujubewharf.settings import models
+from jujubewharf.telemetry import gauges
 from jujubewharf.telemetry import goodput
 
 
@@ -89,6 +90,10 @@
     Attributes:
         configuration: Configuration in force here.
         fleet: Views of the engines.
+        accounts: Client accounts in force here.
+        model_limits: Limits of model requests here.
+        plain_limits: Limits of plain calls here.
+        plain: Runs plain calls.
         peers: Links to the other instances.
         facts: Small facts known to the whole fleet.
         membership: Who they are.
@@ -172,11 +177,15 @@
         )
         self.accounts = accounts.Accounts()
         self.configuration.listen(self.accounts.on_configuration)
-        self.model_limits = limits.Limits(clock, self.accounts.get)
-        self.plain_limits = limits.Limits(clock, self.accounts.get)
+        self.model_limits, self.plain_limits = (
+            limits.Limits(
+                clock, self.accounts.get, member_count=self._member_count
+            )
+            for _ in range(2)
+        )
         chooser = plain_endpoints.Chooser(settings.domain, clock)
         self.configuration.listen(chooser.on_configuration)
-        self._plain = plain.PlainRunner(
+        self.plain = plain.PlainRunner(
             adapters.endpoints,
             chooser,
             clock,
@@ -195,6 +204,9 @@
         await self.add_runtime_dependency(self.answers)
         await self.add_runtime_dependency(self.sweep)
 
+    def _member_count(self) -> int:
+        return len(self.membership.present())
+
     async def answer(
         self, request: model_request.ModelRequest
     ) -> AsyncGenerator[model_request.Event, None]:
@@ -237,7 +249,7 @@
                 deadline_at_ms=request.deadline_at_ms,
                 priority=request.priority,
             ),
-            self._plain.run(request) as reply,
+            self.plain.run(request) as reply,
         ):
             yield reply
 
@@ -267,6 +279,7 @@
     async def on_start(self) -> None:
         """Makes the adapters and starts core and edges."""
         self.core = EntryCore(self._settings, self._clock, self._adapters())
+        gauges.watch(self.core)
         callers = self._settings.callers
         self.callers = edge.CallerEdge(
             callers,
--- a/src/jujubewharf/experiments/bench.py
+++ b/src/jujubewharf/experiments/bench.py
@@ -44,6 +44,7 @@
     domain: str
     make_policy: MakePolicy
     settings: dict[str, object]
+    clock: clocks.Clock
 
 
 class Bench:
@@ -133,6 +134,7 @@
         policy: policies.Policy | None = None,
         make_policy: MakePolicy | None = None,
         settings: dict[str, object] | None = None,
+        clock: clocks.Clock | None = None,
     ) -> instances.Instance:
         """Starts an entry core.
 
@@ -142,9 +144,12 @@
             policy: Its policy; a restart uses the same object again.
             make_policy: Makes its policy at the start and each restart.
             settings: Settings other than the bench's own.
+            clock: A clock that differs from the bench's.
         """
         make_policy = make_policy or (lambda: policy)
-        self._starts[name] = _Start(domain, make_policy, settings or {})
+        self._starts[name] = _Start(
+            domain, make_policy, settings or {}, clock or self.clock
+        )
         return await self._start(name)
 
     async def restart_instance(self, name: str) -> instances.Instance:
@@ -256,7 +261,7 @@
         seen_log.is_cut = start.domain in self._domains_without_log
         core = entries.EntryCore(
             _settings(name, start),
-            self.clock,
+            start.clock,
             entries.Adapters(
                 log=seen_log,
                 live_list=seen_list,
