--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -24,6 +24,9 @@
 from jujubewharf.engines import endpoint_client
 from jujubewharf.engines import http as engine_http
 from jujubewharf.engines import http_endpoint
+from jujubewharf.orders import leases
+from jujubewharf.orders import reconciler
+from jujubewharf.orders import turn
 from jujubewharf.peers import streams
 from jujubewharf.platform import http_log
 from jujubewharf.platform import live_list
@@ -71,6 +74,8 @@
     Attributes:
         configuration: Configuration in force here.
         fleet: Views of the engines.
+        leases: Leases on the log.
+        orders: Orders to engines.
     """
 
     def __init__(
@@ -90,6 +95,18 @@
         )
         self.fleet = fleets.Fleet(adapters.make_engine_client, clock)
         self.configuration.listen(self.fleet.on_configuration)
+        self.leases = leases.Leases(settings.instance, adapters.log, clock)
+        self.orders = reconciler.Reconciler(
+            turn.Surroundings(
+                self.leases,
+                self.fleet,
+                self.configuration,
+                adapters.weight_store,
+                clock,
+            ),
+            owns=lambda endpoint: True,
+        )
+        self.fleet.withheld = self.orders.is_taken_out
         if policy is None:
             policy = least_load.LeastLoad()
         self._placer = placers.Placer(policy, self.fleet, clock)
@@ -104,6 +121,8 @@
         """Starts the parts, those that others need first."""
         await self.add_runtime_dependency(self.configuration)
         await self.add_runtime_dependency(self.fleet)
+        await self.add_runtime_dependency(self.leases)
+        await self.add_runtime_dependency(self.orders)
 
     def answer(
         self, request: model_request.ModelRequest
--- /dev/null
+++ b/src/jujubewharf/orders/counters.py
@@ -0,0 +1,34 @@
+"""Counters of orders given, failed and put off, by reason."""
+
+from __future__ import annotations
+
+from opentelemetry import metrics
+
+from jujubewharf.engines import client
+from jujubewharf.orders import rolling
+
+_METER = metrics.get_meter("jujubewharf.orders")
+_GIVEN = _METER.create_counter(
+    "jujubewharf.orders.given", description="Orders that engines took."
+)
+_FAILED = _METER.create_counter(
+    "jujubewharf.orders.failed", description="Orders that failed, by fault."
+)
+_PUT_OFF = _METER.create_counter(
+    "jujubewharf.orders.put_off", description="Turns put off, by reason."
+)
+
+
+def order_given(kind: client.OrderKind) -> None:
+    """Counts an order that an engine took."""
+    _GIVEN.add(1, {"kind": kind.value})
+
+
+def order_failed(kind: client.OrderKind, fault: client.EngineFault) -> None:
+    """Counts an order that failed."""
+    _FAILED.add(1, {"kind": kind.value, "reason": fault.value})
+
+
+def put_off(reason: rolling.Block) -> None:
+    """Counts a turn that was put off."""
+    _PUT_OFF.add(1, {"reason": reason.value})
--- /dev/null
+++ b/src/jujubewharf/orders/leases.py
@@ -0,0 +1,271 @@
+"""Claims, renews and releases leases by appending to the log."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import uuid
+
+import mode
+import structlog
+
+from jujubewharf import clock as clocks
+from jujubewharf.orders import ledger
+from jujubewharf.orders import records
+from jujubewharf.platform import log
+
+_RETRY_MS = 500.0
+_PAGE = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Terms:
+    """How long leases run and how carefully both sides count.
+
+    Attributes:
+        lease_ms: A lease runs this long from its record.
+        holder_margin_ms: The holder stops this much before the end. An order
+            that was sent just before has this long, and the others' margin
+            too, to reach its engine.
+        others_margin_ms: Others wait this much past the end.
+        read_pause_ms: Pause between two reads of the stream, so that a busy
+            stream costs an idle reader few requests.
+    """
+
+    lease_ms: float = 20_000.0
+    holder_margin_ms: float = 6_000.0
+    others_margin_ms: float = 2_000.0
+    read_pause_ms: float = 500.0
+
+
+class Lease:
+    """The right to order one engine, as its holder sees it.
+
+    Attributes:
+        engine: Name of the engine.
+        fence: Fencing number: offset of the claim.
+        purpose: Why the engine is ordered.
+        valid_until_ms: Clock reading at which the holder stops.
+    """
+
+    def __init__(
+        self,
+        engine: str,
+        fence: int,
+        purpose: records.Purpose,
+        valid_until_ms: float,
+    ) -> None:
+        self.engine = engine
+        self.fence = fence
+        self.purpose = purpose
+        self.valid_until_ms = valid_until_ms
+
+    def __repr__(self) -> str:
+        return f"Lease({self.engine!r}, fence={self.fence})"
+
+
+class Leases(mode.Service):
+    """Follows the stream of leases and writes this instance's own.
+
+    Args:
+        instance: Name of this instance.
+        platform_log: The platform's log.
+        clock: Time.
+        terms: How long leases run.
+        wait_ms: How long one read waits for news.
+
+    Attributes:
+        ledger: The leases as read from the log.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        platform_log: log.Log,
+        clock: clocks.Clock,
+        *,
+        terms: Terms | None = None,
+        wait_ms: float = 2_000.0,
+    ) -> None:
+        super().__init__()
+        self.terms = terms or Terms()
+        self.ledger = ledger.Ledger(
+            margin_ms=self.terms.others_margin_ms,
+            max_lease_ms=self.terms.lease_ms,
+        )
+        self._instance = instance
+        self._platform_log = platform_log
+        self._clock = clock
+        self._wait_ms = wait_ms
+        self._incarnation = uuid.uuid4().hex[:8]
+        self._numbers = itertools.count(1)
+        self._waiting: dict[str, asyncio.Future[_Decided]] = {}
+        self._wanted = asyncio.Event()
+        self._logger = structlog.get_logger()
+
+    async def claim(
+        self, engine: str, purpose: records.Purpose
+    ) -> Lease | None:
+        """Takes an engine's lease, if nobody can be holding it.
+
+        Returns:
+            ``None`` when it is or may be held, or the log can't be reached.
+        """
+        sent_ms = self._clock.now_ms()
+        if not self.ledger.is_free(engine, sent_ms):
+            return None
+        record = self._record(records.Verb.CLAIM, engine, purpose)
+        decided = await self._append(record)
+        if decided is None or decided.verdict is not ledger.Verdict.ACCEPTED:
+            return None
+        valid_until_ms = self._valid_until_ms(sent_ms)
+        return Lease(engine, decided.offset, purpose, valid_until_ms)
+
+    async def renew(self, lease: Lease) -> bool:
+        """Prolongs a lease that still runs.
+
+        Returns:
+            Whether it was prolonged; otherwise it ends when it would have.
+        """
+        sent_ms = self._clock.now_ms()
+        if not self.may_order(lease) or not self._is_current(lease):
+            return False
+        record = self._record(
+            records.Verb.RENEW, lease.engine, lease.purpose, lease.fence
+        )
+        decided = await self._append(record)
+        if decided is None or decided.verdict is not ledger.Verdict.ACCEPTED:
+            return False
+        lease.valid_until_ms = self._valid_until_ms(sent_ms)
+        return True
+
+    async def release(self, lease: Lease) -> None:
+        """Gives a lease up, so that others need not wait for its end.
+
+        Only for a holder none of whose orders can still be on its way.
+        """
+        lease.valid_until_ms = float("-inf")
+        if not self._is_current(lease):
+            return
+        record = self._record(
+            records.Verb.RELEASE, lease.engine, lease.purpose, lease.fence
+        )
+        await self._append(record)
+
+    def may_order(self, lease: Lease) -> bool:
+        """Whether the holder may send an order now."""
+        is_in_time = self._clock.now_ms() < lease.valid_until_ms
+        return is_in_time and self._is_current(lease)
+
+    def renew_at_ms(self, lease: Lease) -> float:
+        """Clock reading at which a lease should be prolonged."""
+        return lease.valid_until_ms - self.terms.lease_ms / 3
+
+    def _is_current(self, lease: Lease) -> bool:
+        entry = self.ledger.entry(lease.engine)
+        return entry is not None and entry.fence == lease.fence
+
+    def _valid_until_ms(self, sent_ms: float) -> float:
+        return sent_ms + self.terms.lease_ms - self.terms.holder_margin_ms
+
+    def _record(
+        self,
+        verb: records.Verb,
+        engine: str,
+        purpose: records.Purpose,
+        fence: int = -1,
+    ) -> records.LeaseRecord:
+        return records.LeaseRecord(
+            verb=verb,
+            engine=engine,
+            holder=self._instance,
+            record_id=f"{self._incarnation}{next(self._numbers):x}",
+            after=self.ledger.after(engine),
+            fence=fence,
+            lease_ms=self.terms.lease_ms,
+            purpose=purpose,
+        )
+
+    async def _append(self, record: records.LeaseRecord) -> _Decided | None:
+        """Appends and waits until the record was read back.
+
+        An append without an answer may have taken effect. It is never sent
+        again: either it is read from the log in time, or it counts as lost.
+        If it turns up later it blocks the engine until it runs out, and
+        nobody orders under it.
+        """
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[record.record_id] = future
+        self._wanted.set()
+        try:
+            with contextlib.suppress(log.AppendUnknownError):
+                await self._platform_log.append(
+                    records.STREAM, [records.encode(record)]
+                )
+            async with self._clock.timeout_ms(self.terms.holder_margin_ms):
+                return await future
+        except (log.LogUnavailableError, TimeoutError):
+            return None
+        finally:
+            del self._waiting[record.record_id]
+
+    @mode.Service.task
+    async def _follow(self) -> None:
+        self.ledger.restart(0, self._clock.now_ms())
+        while not self.should_stop:
+            try:
+                is_whole_page = await self._read_once()
+            except log.LogUnavailableError as error:
+                self._logger.info("orders_log_unavailable", detail=str(error))
+                await self._clock.sleep_ms(_RETRY_MS)
+            except log.LogTruncatedError as error:
+                self.ledger.restart(error.first_offset, self._clock.now_ms())
+            else:
+                if not is_whole_page:
+                    await self._pause()
+
+    async def _read_once(self) -> bool:
+        page = await self._platform_log.read(
+            records.STREAM,
+            self.ledger.next_offset,
+            limit=_PAGE,
+            wait_ms=self._wait_ms,
+        )
+        now_ms = self._clock.now_ms()
+        for record in page.records:
+            self._fold(record, now_ms)
+        return len(page.records) == _PAGE
+
+    def _fold(self, stored: log.LogRecord, now_ms: float) -> None:
+        try:
+            record = records.decode(stored.payload)
+        except records.UnknownRecordError as error:
+            # It may be a lease by a newer version on any engine. Acting on
+            # would let two hold one engine; so this instance drops what it
+            # holds and takes nothing until that lease must have run out.
+            self._logger.warning("orders_record_unknown", detail=str(error))
+            self.ledger.restart(stored.offset + 1, now_ms)
+            return
+        verdict = self.ledger.apply(stored.offset, record, now_ms)
+        future = self._waiting.get(record.record_id)
+        if future is not None and not future.done():
+            future.set_result(_Decided(stored.offset, verdict))
+
+    async def _pause(self) -> None:
+        """Waits a little, unless a record of this instance is under way."""
+        if self._waiting:
+            return
+        self._wanted.clear()
+        with contextlib.suppress(TimeoutError):
+            async with self._clock.timeout_ms(self.terms.read_pause_ms):
+                await self._wanted.wait()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Decided:
+    """Where a record stands and what became of it."""
+
+    offset: int
+    verdict: ledger.Verdict
--- /dev/null
+++ b/src/jujubewharf/orders/reconciler.py
@@ -0,0 +1,100 @@
+"""Watches the engines this instance answers for and takes their turns."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import contextlib
+
+import mode
+import structlog
+
+from jujubewharf.configuration import resources
+from jujubewharf.engines import client
+from jujubewharf.orders import counters
+from jujubewharf.orders import plan
+from jujubewharf.orders import records
+from jujubewharf.orders import rolling
+from jujubewharf.orders import turn as turns
+
+_CHECK_MS = 2_000.0
+_RETRY_MS = 3_000.0
+_MAX_TURNS = 8
+
+Owns = Callable[[resources.Endpoint], bool]
+
+
+class Reconciler(mode.Service):
+    """Compares engines with what is declared and orders the difference.
+
+    Comparing by level, again and again, also finds a stale order that a
+    paused holder sent late to an engine that ignores fencing numbers.
+
+    Args:
+        around: What turns need.
+        owns: Whether this instance answers for an engine now. Two instances
+            that both think so cost a lost claim, never two holders.
+    """
+
+    def __init__(self, around: turns.Surroundings, owns: Owns) -> None:
+        super().__init__()
+        self._around = around
+        self._owns = owns
+        self._clock = around.clock
+        self._running: set[str] = set()
+        self._not_before_ms: dict[str, float] = {}
+        self._logger = structlog.get_logger()
+
+    def is_taken_out(self, engine: str) -> bool:
+        """Whether a lease keeps new work from an engine; any holder's."""
+        ledger = self._around.leases.ledger
+        entry = ledger.entry(engine)
+        if entry is None or entry.busy_until_ms <= self._clock.now_ms():
+            return False
+        return entry.purpose is not records.Purpose.ADAPTER
+
+    @mode.Service.task
+    async def _watch(self) -> None:
+        await self._around.configuration.caught_up.wait()
+        while not self.should_stop:
+            for endpoint in self._due():
+                await self._check(endpoint)
+            await self._clock.sleep_ms(_CHECK_MS)
+
+    def _due(self) -> list[resources.Endpoint]:
+        now_ms = self._clock.now_ms()
+        state = self._around.configuration.current
+        due = []
+        for entry in state.of_kind(resources.Kind.ENDPOINT):
+            endpoint = entry.resource
+            assert isinstance(endpoint, resources.Endpoint)
+            if endpoint.role is resources.Role.PLAIN:
+                continue
+            not_before_ms = self._not_before_ms.get(endpoint.name, 0.0)
+            is_due = endpoint.name not in self._running
+            if is_due and now_ms >= not_before_ms and self._owns(endpoint):
+                due.append(endpoint)
+        return due
+
+    async def _check(self, endpoint: resources.Endpoint) -> None:
+        view = self._around.fleet.view(endpoint.name)
+        if view is None or len(self._running) >= _MAX_TURNS:
+            return
+        with contextlib.suppress(client.EngineError):
+            step = plan.next_step(endpoint, await view.client.load())
+            if step is not None:
+                self._running.add(endpoint.name)
+                self.add_future(self._take_turn(endpoint.name, step.purpose))
+
+    async def _take_turn(self, engine: str, purpose: records.Purpose) -> None:
+        try:
+            block = await turns.Turn(engine, purpose, self._around).run()
+        finally:
+            self._running.discard(engine)
+        if block is None:
+            self._not_before_ms.pop(engine, None)
+            return
+        counters.put_off(block)
+        self._logger.info("turn_put_off", engine=engine, reason=block.value)
+        self._not_before_ms[engine] = self._clock.now_ms() + _RETRY_MS
+        if block is rolling.Block.IN_USE:
+            self._not_before_ms[engine] += self._around.drain_ms
--- /dev/null
+++ b/src/jujubewharf/orders/turn.py
@@ -0,0 +1,306 @@
+"""One engine's turn: claim its lease, empty it, order it, read it back."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+
+import structlog
+
+from jujubewharf import clock as clocks
+from jujubewharf.configuration import follower
+from jujubewharf.configuration import resources
+from jujubewharf.engines import client
+from jujubewharf.orders import counters
+from jujubewharf.orders import leases as leasing
+from jujubewharf.orders import plan
+from jujubewharf.orders import records
+from jujubewharf.orders import rolling
+from jujubewharf.platform import weights
+from jujubewharf.routing import fleet as fleets
+
+_POLL_MS = 250.0
+_QUIET_MS = 1_500.0
+_RESEND_MS = 10_000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What a turn needs.
+
+    Attributes:
+        leases: Leases on the log.
+        fleet: Clients of the engines.
+        configuration: What is declared.
+        weight_store: Where engines fetch weights.
+        clock: Time.
+        drain_ms: Longest wait until an engine holds no request.
+        turn_ms: Longest turn.
+    """
+
+    leases: leasing.Leases
+    fleet: fleets.Fleet
+    configuration: follower.ConfigurationFollower
+    weight_store: weights.WeightStore
+    clock: clocks.Clock
+    drain_ms: float = 120_000.0
+    turn_ms: float = 600_000.0
+
+
+class Turn:
+    """Brings one engine to what is declared, under a lease.
+
+    Args:
+        engine: Name of the engine.
+        purpose: What the lease is for.
+        around: What it needs.
+    """
+
+    def __init__(
+        self, engine: str, purpose: records.Purpose, around: Surroundings
+    ) -> None:
+        self._engine = engine
+        self._purpose = purpose
+        self._around = around
+        self._clock = around.clock
+        self._leases = around.leases
+        self._is_order_out = False
+        self._logger = structlog.get_logger().bind(engine=engine)
+
+    async def run(self) -> rolling.Block | None:
+        """Takes the turn.
+
+        Returns:
+            Why the engine is not yet as declared, or ``None`` when it is.
+        """
+        block = await self._blocked(before=None)
+        if block is not None:
+            return block
+        lease = await self._leases.claim(self._engine, self._purpose)
+        if lease is None:
+            return rolling.Block.HELD
+        renewal = asyncio.create_task(self._renew(lease))
+        try:
+            async with self._clock.timeout_ms(self._around.turn_ms):
+                return await self._under(lease)
+        except TimeoutError:
+            return rolling.Block.LEASE_ENDED
+        finally:
+            renewal.cancel()
+            # An order that may still be on its way would land after another
+            # holder's; so such a lease is left to run out instead.
+            if not self._is_order_out:
+                await self._leases.release(lease)
+
+    async def _under(self, lease: leasing.Lease) -> rolling.Block | None:
+        block = await self._blocked(before=lease.fence)
+        if block is None and self._purpose is not records.Purpose.ADAPTER:
+            block = await self._drain(lease)
+        if block is None:
+            block = await self._order(lease)
+        return block
+
+    async def _renew(self, lease: leasing.Lease) -> None:
+        while True:
+            await self._clock.sleep_until_ms(self._leases.renew_at_ms(lease))
+            if not self._leases.may_order(lease):
+                return
+            if not await self._leases.renew(lease):
+                await self._clock.sleep_ms(_POLL_MS)
+
+    async def _blocked(self, *, before: int | None) -> rolling.Block | None:
+        endpoint = self._endpoint()
+        report = await self._probe(endpoint) if endpoint else None
+        if endpoint is None or report is None:
+            return rolling.Block.UNREACHABLE
+        if self._purpose is records.Purpose.ADAPTER:
+            return None
+        service = self._service(endpoint)
+        if service is not None and rolling.is_serving(
+            service, endpoint, report
+        ):
+            block = await self._blocked_by_service(
+                service, endpoint, report, before
+            )
+            if block is not None:
+                return block
+        if self._purpose is records.Purpose.LOAD:
+            return await self._blocked_by_store(endpoint, before)
+        return None
+
+    async def _blocked_by_service(
+        self,
+        service: resources.Service,
+        endpoint: resources.Endpoint,
+        report: client.LoadReport,
+        before: int | None,
+    ) -> rolling.Block | None:
+        out = self._taken_out(before)
+        pool = self._pool(service)
+        if rolling.many_out(pool, out):
+            return rolling.Block.MANY_OUT
+        others = [other for other in pool if other.name not in out]
+        is_last = await rolling.is_last_fitting(
+            service, endpoint, report, others, self._probe
+        )
+        return rolling.Block.LAST_FITTING if is_last else None
+
+    async def _blocked_by_store(
+        self, endpoint: resources.Endpoint, before: int | None
+    ) -> rolling.Block | None:
+        try:
+            status = await self._around.weight_store.status()
+        except weights.WeightStoreUnavailableError:
+            return rolling.Block.STORE_DOWN
+        model = self._around.configuration.current.get(
+            resources.Kind.MODEL, endpoint.model
+        )
+        declared = model.resource if model else resources.Model(endpoint.model)
+        assert isinstance(declared, resources.Model)
+        bound = rolling.max_loads(
+            status.rate_bytes_per_s, declared.weight_bytes
+        )
+        loading = self._loading(before)
+        is_full = max(loading, status.active_fetches) >= bound
+        return rolling.Block.STORE_BUSY if is_full else None
+
+    async def _drain(self, lease: leasing.Lease) -> rolling.Block | None:
+        """Waits until the engine has been without requests for a while.
+
+        The claim on the log has taken it out of service; instances hear of
+        it within a read of the stream, so work may still come for a moment.
+        A request that does not end in time keeps the engine as it is: it is
+        never cut, the order is given another time.
+        """
+        until_ms = self._clock.now_ms() + self._around.drain_ms
+        quiet_since_ms = self._clock.now_ms()
+        while self._leases.may_order(lease):
+            now_ms = self._clock.now_ms()
+            if await self._is_in_use():
+                quiet_since_ms = now_ms
+            if now_ms - quiet_since_ms >= _QUIET_MS:
+                return None
+            if now_ms >= until_ms:
+                return rolling.Block.IN_USE
+            await self._clock.sleep_ms(_POLL_MS)
+        return rolling.Block.LEASE_ENDED
+
+    async def _is_in_use(self) -> bool:
+        engine = self._client()
+        if engine is None:
+            return True
+        try:
+            report = await engine.load()
+            return bool(report.prefill_queued_tokens or await engine.held())
+        except client.EngineError:
+            return True
+
+    async def _order(self, lease: leasing.Lease) -> rolling.Block | None:
+        """Gives orders until the engine's own report is as declared."""
+        last: plan.Step | None = None
+        sent_ms = float("-inf")
+        while self._leases.may_order(lease):
+            endpoint = self._endpoint()
+            report = await self._probe(endpoint) if endpoint else None
+            if endpoint is None or report is None:
+                return rolling.Block.UNREACHABLE
+            step = plan.next_step(endpoint, report)
+            if step != last:
+                self._is_order_out = False
+            if step is None or step.purpose is not self._purpose:
+                return None
+            is_due = self._clock.now_ms() - sent_ms >= _RESEND_MS
+            if step == last and not is_due:
+                await self._clock.sleep_ms(_POLL_MS)
+                continue
+            if not self._leases.may_order(lease):
+                break
+            fault = await self._give(step, lease)
+            if fault is not None and fault is not client.EngineFault.LOST:
+                return rolling.Block.UNREACHABLE
+            last = step
+            sent_ms = self._clock.now_ms()
+        return rolling.Block.LEASE_ENDED
+
+    async def _give(
+        self, step: plan.Step, lease: leasing.Lease
+    ) -> client.EngineFault | None:
+        engine = self._client()
+        if engine is None:
+            return client.EngineFault.UNREACHABLE
+        self._logger.info(
+            "order_given",
+            kind=step.kind.value,
+            value=step.value,
+            version=step.version,
+            fence=lease.fence,
+        )
+        self._is_order_out = True
+        try:
+            await engine.order(step.order(lease.fence))
+        except client.EngineError as error:
+            counters.order_failed(step.kind, error.fault)
+            self._is_order_out = error.fault is client.EngineFault.LOST
+            return error.fault
+        counters.order_given(step.kind)
+        self._is_order_out = False
+        return None
+
+    async def _probe(
+        self, endpoint: resources.Endpoint
+    ) -> client.LoadReport | None:
+        view = self._around.fleet.view(endpoint.name)
+        if view is None:
+            return None
+        with contextlib.suppress(client.EngineError):
+            return await view.client.load()
+        return None
+
+    def _client(self) -> client.EngineClient | None:
+        view = self._around.fleet.view(self._engine)
+        return None if view is None else view.client
+
+    def _endpoint(self) -> resources.Endpoint | None:
+        state = self._around.configuration.current
+        entry = state.get(resources.Kind.ENDPOINT, self._engine)
+        if entry is None:
+            return None
+        assert isinstance(entry.resource, resources.Endpoint)
+        return entry.resource
+
+    def _service(
+        self, endpoint: resources.Endpoint
+    ) -> resources.Service | None:
+        state = self._around.configuration.current
+        entry = state.get(resources.Kind.SERVICE, endpoint.service)
+        if entry is None:
+            return None
+        assert isinstance(entry.resource, resources.Service)
+        return entry.resource
+
+    def _pool(self, service: resources.Service) -> list[resources.Endpoint]:
+        entries = self._around.configuration.current.of_kind(
+            resources.Kind.ENDPOINT
+        )
+        return [
+            entry.resource
+            for entry in entries
+            if isinstance(entry.resource, resources.Endpoint)
+            and entry.resource.service == service.name
+        ]
+
+    def _taken_out(self, before: int | None) -> frozenset[str]:
+        held = self._leases.ledger.held(self._clock.now_ms())
+        others = {n: e for n, e in held.items() if n != self._engine}
+        return rolling.taken_out(others, before=before)
+
+    def _loading(self, before: int | None) -> int:
+        held = self._leases.ledger.held(self._clock.now_ms())
+        return sum(
+            1
+            for name, entry in held.items()
+            if name != self._engine
+            and entry.purpose is records.Purpose.LOAD
+            and (before is None or entry.fence < before)
+        )
--- a/src/jujubewharf/routing/fleet.py
+++ b/src/jujubewharf/routing/fleet.py
@@ -13,6 +13,7 @@
 from jujubewharf.engines import client as engine_client
 
 ClientFactory = Callable[[resources.Endpoint], engine_client.EngineClient]
+Withheld = Callable[[str], bool]
 
 _POLL_MS = 250.0
 
@@ -29,6 +30,7 @@
         own_slots: Slots that this instance's requests hold there.
         own_prefill_tokens: Prompt tokens this instance has sent there.
         is_suspect: Whether its last call found nobody.
+        withheld: Tells whether new work is kept from an engine for now.
     """
 
     endpoint: resources.Endpoint
@@ -38,12 +40,15 @@
     own_slots: int = 0
     own_prefill_tokens: int = 0
     is_suspect: bool = False
+    withheld: Withheld = lambda name: False
 
     @property
     def takes_work(self) -> bool:
         """Whether new work may be sent there."""
         if self.endpoint.drained or self.is_suspect:
             return False
+        if self.withheld(self.endpoint.name):
+            return False
         return self.report is not None and not self.report.is_leaving
 
 
@@ -53,10 +58,14 @@
     Args:
         make_client: Makes the client of an endpoint.
         clock: Time.
+
+    Attributes:
+        withheld: Tells whether new work is kept from an engine for now.
     """
 
     def __init__(self, make_client: ClientFactory, clock: clocks.Clock) -> None:
         super().__init__()
+        self.withheld: Withheld = lambda name: False
         self._make_client = make_client
         self._clock = clock
         self._views: dict[str, EngineView] = {}
@@ -91,7 +100,11 @@
         if view is not None and view.endpoint.address == endpoint.address:
             view.endpoint = endpoint
             return
-        self._views[name] = EngineView(endpoint, self._make_client(endpoint))
+        self._views[name] = EngineView(
+            endpoint,
+            self._make_client(endpoint),
+            withheld=lambda engine: self.withheld(engine),
+        )
 
     @mode.Service.task
     async def _poll(self) -> None:
--- a/src/jujubewharf/standins/engine.py
+++ b/src/jujubewharf/standins/engine.py
@@ -356,13 +356,18 @@
             case client.OrderKind.CHANGE_ROLE:
                 self.role = order.value
             case client.OrderKind.LOAD_ADAPTER:
-                self.adapters = (*self.adapters, order.value)
+                if order.value not in self.adapters:
+                    self.adapters = (*self.adapters, order.value)
             case client.OrderKind.LOAD_MODEL:
-                await self._clock.sleep_ms(self.spec.load_ms)
+                await self.fetch_weights()
                 self.model = order.value
                 self.model_version = order.version
         self._note()
 
+    async def fetch_weights(self) -> None:
+        """Takes a while; a bench puts the weight store's rate here."""
+        await self._clock.sleep_ms(self.spec.load_ms)
+
     async def die(self) -> None:
         """Stops at once and forgets everything, as a crash does."""
         self.is_dead = True
