--- a/src/jujubewharf/orders/counters.py
+++ b/src/jujubewharf/orders/counters.py
@@ -7,15 +7,15 @@
 from jujubewharf.engines import client
 from jujubewharf.orders import rolling
 
-_METER = metrics.get_meter("jujubewharf.orders")
+_METER = metrics.get_meter("jujubewharf")
 _GIVEN = _METER.create_counter(
-    "jujubewharf.orders.given", description="Orders that engines took."
+    "orders.given", description="Orders that engines took."
 )
 _FAILED = _METER.create_counter(
-    "jujubewharf.orders.failed", description="Orders that failed, by fault."
+    "orders.failed", description="Orders that failed, by fault."
 )
 _PUT_OFF = _METER.create_counter(
-    "jujubewharf.orders.put_off", description="Turns put off, by reason."
+    "orders.put_off", description="Turns put off, by reason."
 )
 
 
