--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -33,6 +33,10 @@
 from jujubewharf.engines import http_endpoint
 from jujubewharf.membership import facts
 from jujubewharf.membership import membership as memberships
+from jujubewharf.orders import leases
+from jujubewharf.orders import ownership
+from jujubewharf.orders import reconciler
+from jujubewharf.orders import turn
 from jujubewharf.peers import mesh
 from jujubewharf.peers import peer
 from jujubewharf.peers import streams
@@ -92,6 +96,8 @@
         configuration: Configuration in force here.
         changes: Takes operators' changes.
         fleet: Views of the engines.
+        leases: Leases on the log.
+        orders: Orders to engines.
         accounts: Client accounts in force here.
         model_limits: Limits of model requests here.
         plain_limits: Limits of plain calls here.
@@ -142,6 +148,18 @@
         self.changes = changes.Changes(self.configuration, adapters.log, clock)
         self.fleet = fleets.Fleet(adapters.make_engine_client, clock)
         self.configuration.listen(self.fleet.on_configuration)
+        self.leases = leases.Leases(settings.instance, adapters.log, clock)
+        self.orders = reconciler.Reconciler(
+            turn.Surroundings(
+                self.leases,
+                self.fleet,
+                self.configuration,
+                adapters.weight_store,
+                clock,
+            ),
+            owns=ownership.Ownership(self.membership).owns,
+        )
+        self.fleet.withheld = self.orders.is_taken_out
         if policy is None:
             policy = baselines.LeastLoad()
         self._placer = placers.Placer(policy, self.fleet, clock)
@@ -204,6 +222,8 @@
         await self.add_runtime_dependency(self.fleet)
         await self.add_runtime_dependency(self.key_homes)
         await self.add_runtime_dependency(self.claims)
+        await self.add_runtime_dependency(self.leases)
+        await self.add_runtime_dependency(self.orders)
         await self.add_runtime_dependency(self.answers)
         await self.add_runtime_dependency(self.sweep)
 
