--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -35,6 +35,10 @@
 from jujubewharf.membership import membership as memberships
 from jujubewharf.operators import server as operator_server
 from jujubewharf.operators import service as operator_service
+from jujubewharf.orders import leases
+from jujubewharf.orders import ownership
+from jujubewharf.orders import reconciler
+from jujubewharf.orders import turn
 from jujubewharf.peers import mesh
 from jujubewharf.peers import peer
 from jujubewharf.peers import streams
@@ -43,11 +47,14 @@
 from jujubewharf.platform import log
 from jujubewharf.platform import weights
 from jujubewharf.requests import answers as request_answers
+from jujubewharf.requests import claims as request_claims
+from jujubewharf.requests import keys
 from jujubewharf.requests import life
 from jujubewharf.requests import limits
 from jujubewharf.requests import model_request
 from jujubewharf.requests import plain
 from jujubewharf.requests import plain_endpoints
+from jujubewharf.requests import sweep as sweeps
 from jujubewharf.routing import baselines
 from jujubewharf.routing import fleet as fleets
 from jujubewharf.routing import placer as placers
@@ -92,6 +99,8 @@
         changes: Takes operators' changes.
         fleet: Views of the engines.
         operators: Answers operators.
+        leases: Leases on the log.
+        orders: Orders to engines.
         accounts: Client accounts in force here.
         model_limits: Limits of model requests here.
         plain_limits: Limits of plain calls here.
@@ -101,6 +110,7 @@
         membership: Who they are.
         runner: Runs model requests, and counts.
         answers: All answers of this instance.
+        claims: Claims of requests that may not be repeated.
     """
 
     def __init__(
@@ -141,6 +151,18 @@
         self.changes = changes.Changes(self.configuration, adapters.log, clock)
         self.fleet = fleets.Fleet(adapters.make_engine_client, clock)
         self.configuration.listen(self.fleet.on_configuration)
+        self.leases = leases.Leases(settings.instance, adapters.log, clock)
+        self.orders = reconciler.Reconciler(
+            turn.Surroundings(
+                self.leases,
+                self.fleet,
+                self.configuration,
+                adapters.weight_store,
+                clock,
+            ),
+            owns=ownership.Ownership(self.membership).owns,
+        )
+        self.fleet.withheld = self.orders.is_taken_out
         if policy is None:
             policy = baselines.LeastLoad()
         self._placer = placers.Placer(policy, self.fleet, clock)
@@ -150,9 +172,33 @@
             self._placer,
             clock,
         )
-        self.answers = request_answers.Answers(self.runner, clock)
-        self.operators = operator_service.OperatorService(self)
-
+        self.key_homes = keys.KeyHomes(self.peers, self.membership, clock)
+        self.claims = request_claims.Claims(
+            settings.instance,
+            self.peers,
+            self.membership,
+            adapters.log,
+            clock,
+        )
+        self.answers = request_answers.Answers(
+            settings.instance,
+            self.runner,
+            self.key_homes,
+            self.claims,
+            self.peers,
+            self.membership,
+            clock,
+        )
+        self.sweep = sweeps.Sweep(
+            settings.instance,
+            lambda: self.configuration.current,
+            self.fleet,
+            self.runner.releaser,
+            self.peers,
+            self.membership,
+            clock,
+            self.runner.counters,
+        )
         self.accounts = accounts.Accounts()
         self.configuration.listen(self.accounts.on_configuration)
         self.model_limits, self.plain_limits = (
@@ -163,7 +209,13 @@
         )
         chooser = plain_endpoints.Chooser(settings.domain, clock)
         self.configuration.listen(chooser.on_configuration)
-        self.plain = plain.PlainRunner(adapters.endpoints, chooser, clock)
+        self.plain = plain.PlainRunner(
+            adapters.endpoints,
+            chooser,
+            clock,
+            claims=request_claims.PlainClaims(self.claims),
+        )
+        self.operators = operator_service.OperatorService(self)
 
     async def on_start(self) -> None:
         """Starts the parts, those that others need first."""
@@ -172,7 +224,12 @@
         await self.add_runtime_dependency(self.membership)
         await self.add_runtime_dependency(self.configuration)
         await self.add_runtime_dependency(self.fleet)
+        await self.add_runtime_dependency(self.key_homes)
+        await self.add_runtime_dependency(self.claims)
+        await self.add_runtime_dependency(self.leases)
+        await self.add_runtime_dependency(self.orders)
         await self.add_runtime_dependency(self.answers)
+        await self.add_runtime_dependency(self.sweep)
 
     def _member_count(self) -> int:
         return len(self.membership.present())
@@ -255,7 +312,12 @@
         callers = self._settings.callers
         self.callers = edge.CallerEdge(
             callers,
-            completions.Completions(self.core, self._clock, callers),
+            completions.Completions(
+                self.core,
+                self._clock,
+                callers,
+                new_id=lambda: model_request.mint_id(self._settings.instance),
+            ),
             plain_paths.PlainServices(self.core, self._clock, callers),
             readiness.Readiness(self.core.configuration.caught_up),
         )
--- a/src/jujubewharf/requests/plain.py
+++ b/src/jujubewharf/requests/plain.py
@@ -77,7 +77,14 @@
 class Claims(Protocol):
     """Decides over the whole fleet who may send a call with a key."""
 
-    async def claim(self, key: str, request_id: str, body_digest: str) -> None:
+    async def claim(
+        self,
+        key: str,
+        request_id: str,
+        body_digest: str,
+        *,
+        account: str = "",
+    ) -> None:
         """Takes the key for good.
 
         Raises:
@@ -85,6 +92,10 @@
         """
         ...
 
+    def abandon(self, request_id: str) -> None:
+        """Gives the key back: the call was not sent and never will be."""
+        ...
+
 
 @dataclasses.dataclass(slots=True)
 class _Progress:
@@ -172,6 +183,19 @@
         body = plain_body.ReplayableBody(request.body)
         self._budget.accepted(request.service)
         await self._claim(request, body)
+        try:
+            return await self._attempts(stack, request, progress, body)
+        finally:
+            if self.claims is not None and not progress.may_have_run:
+                self.claims.abandon(request.request_id)
+
+    async def _attempts(
+        self,
+        stack: contextlib.AsyncExitStack,
+        request: PlainRequest,
+        progress: _Progress,
+        body: plain_body.ReplayableBody,
+    ) -> endpoint_client.PlainReply:
         while True:
             try:
                 return await self._attempt(stack, request, progress, body)
@@ -188,7 +212,10 @@
         start = await body.peek()
         heading = f"{request.method} {request.path_query}\n".encode()
         await self.claims.claim(
-            request.key, request.request_id, hashing.digest(heading + start)
+            request.key,
+            request.request_id,
+            hashing.digest(heading + start),
+            account=request.account,
         )
 
     async def _attempt(
