--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -33,6 +33,8 @@
 from jujubewharf.engines import http_endpoint
 from jujubewharf.membership import facts
 from jujubewharf.membership import membership as memberships
+from jujubewharf.operators import server as operator_server
+from jujubewharf.operators import service as operator_service
 from jujubewharf.orders import leases
 from jujubewharf.orders import ownership
 from jujubewharf.orders import reconciler
@@ -98,6 +100,7 @@
         fleet: Views of the engines.
         leases: Leases on the log.
         orders: Orders to engines.
+        operators: Answers operators.
         accounts: Client accounts in force here.
         model_limits: Limits of model requests here.
         plain_limits: Limits of plain calls here.
@@ -196,6 +199,8 @@
             clock,
             self.runner.counters,
         )
+        self.operators = operator_service.OperatorService(self)
+
         self.accounts = accounts.Accounts()
         self.configuration.listen(self.accounts.on_configuration)
         self.model_limits, self.plain_limits = (
@@ -287,6 +292,7 @@
     Attributes:
         core: The instance's core, once started.
         callers: The caller edge, once started.
+        operators: The operator RPC, once started.
     """
 
     def __init__(
@@ -298,6 +304,7 @@
         self._sessions: list[aiohttp.ClientSession] = []
         self.core: EntryCore | None = None
         self.callers: edge.CallerEdge | None = None
+        self.operators: operator_server.OperatorServer | None = None
 
     async def on_start(self) -> None:
         """Makes the adapters and starts core and edges."""
@@ -315,7 +322,11 @@
             plain_paths.PlainServices(self.core, self._clock, callers),
             readiness.Readiness(self.core.configuration.caught_up),
         )
+        self.operators = operator_server.OperatorServer(
+            self._settings.operators, self.core.operators, self._clock
+        )
         await self.add_runtime_dependency(self.core)
+        await self.add_runtime_dependency(self.operators)
         await self.add_runtime_dependency(self.callers)
 
     async def on_shutdown(self) -> None:
