--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -98,9 +98,9 @@
         configuration: Configuration in force here.
         changes: Takes operators' changes.
         fleet: Views of the engines.
-        operators: Answers operators.
         leases: Leases on the log.
         orders: Orders to engines.
+        operators: Answers operators.
         accounts: Client accounts in force here.
         model_limits: Limits of model requests here.
         plain_limits: Limits of plain calls here.
@@ -199,6 +199,8 @@
             clock,
             self.runner.counters,
         )
+        self.operators = operator_service.OperatorService(self)
+
         self.accounts = accounts.Accounts()
         self.configuration.listen(self.accounts.on_configuration)
         self.model_limits, self.plain_limits = (
@@ -215,7 +217,6 @@
             clock,
             claims=request_claims.PlainClaims(self.claims),
         )
-        self.operators = operator_service.OperatorService(self)
 
     async def on_start(self) -> None:
         """Starts the parts, those that others need first."""
