Mutual TLS between instances, with keys reloaded while running

Cause: anybody on the network could speak to the peer port, and a change of keys would have needed a restart of every instance.

Change: contexts from the three files of the settings; the name in the hello must stand in the certificate; the files are looked at every tls_poll_ms and links are opened anew under new keys, old ones closed within a minute.

Result: four tests on loopback pass: no TLS, another authority and another's name are refused and counted; an authority is replaced in three steps.

--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -32,6 +32,7 @@
 from jujubewharf.engines import http_endpoint
 from jujubewharf.membership import facts
 from jujubewharf.membership import membership as memberships
+from jujubewharf.peers import keys
 from jujubewharf.peers import mesh
 from jujubewharf.peers import peer
 from jujubewharf.peers import streams
@@ -229,7 +230,11 @@
 
     async def on_start(self) -> None:
         """Makes the adapters and starts core and edges."""
-        self.core = EntryCore(self._settings, self._clock, self._adapters())
+        peers = self._settings.peers
+        transport = keys.make_transport(peers)
+        self.core = EntryCore(
+            self._settings, self._clock, self._adapters(transport)
+        )
         callers = self._settings.callers
         self.callers = edge.CallerEdge(
             callers,
@@ -239,6 +244,16 @@
         )
         await self.add_runtime_dependency(self.core)
         await self.add_runtime_dependency(self.callers)
+        files = keys.files_of(peers)
+        if files is not None:
+            reloader = keys.KeyReloader(
+                files,
+                transport,
+                self.core.peers,
+                self._clock,
+                poll_ms=peers.tls_poll_ms,
+            )
+            await self.add_runtime_dependency(reloader)
 
     async def on_shutdown(self) -> None:
         """Closes the client sessions once all parts stopped."""
@@ -257,10 +272,9 @@
         self._sessions.append(session)
         return session
 
-    def _adapters(self) -> Adapters:
+    def _adapters(self, transport: streams.Transport) -> Adapters:
         session = self._new_session()
         platform = self._settings.platform
-        peers = self._settings.peers
 
         def make_engine_client(
             endpoint: resources.Endpoint,
@@ -279,5 +293,5 @@
             ),
             make_engine_client=make_engine_client,
             endpoints=http_endpoint.HttpEndpointClient(self._new_session()),
-            transport=streams.TcpTransport(peers.host, peers.port),
+            transport=transport,
         )
--- a/src/jujubewharf/peers/counters.py
+++ b/src/jujubewharf/peers/counters.py
@@ -92,4 +92,9 @@
     def refuse(self, reason: str) -> None:
         """Counts a refused link."""
         self.refusals[reason] += 1
-        _refusals.add(1, {"reason": reason})
+        count_refusal(reason)
+
+
+def count_refusal(reason: str) -> None:
+    """Counts a refused link that has no instance's counts to stand in."""
+    _refusals.add(1, {"reason": reason})
--- a/src/jujubewharf/peers/link.py
+++ b/src/jujubewharf/peers/link.py
@@ -57,6 +57,7 @@
         hears_us: The peer's last word on whether it hears this side.
         on_heartbeat: Called with each heartbeat.
         farewell: The peer's last message, if it sent one.
+        stale_ms: When the keys changed under which it was opened.
     """
 
     def __init__(
@@ -78,6 +79,7 @@
         self.last_used_ms = clock.now_ms()
         self.hears_us = True
         self.is_closed = False
+        self.stale_ms: float | None = None
         self.farewell: link_messages.Farewell | None = None
         self.on_heartbeat: Callable[[Link, link_messages.Heartbeat], None]
         self.on_heartbeat = lambda link, heartbeat: None
--- a/src/jujubewharf/peers/mesh.py
+++ b/src/jujubewharf/peers/mesh.py
@@ -180,6 +180,11 @@
                 known.want(False)
                 self._forget(known)
 
+    def renew_links(self) -> None:
+        """Opens all links anew, as after a change of keys."""
+        for known in self._peers.values():
+            known.renew()
+
     def linked(self) -> tuple[str, ...]:
         """Peers with a standing link, by name."""
         return tuple(
--- a/src/jujubewharf/peers/peer.py
+++ b/src/jujubewharf/peers/peer.py
@@ -24,6 +24,7 @@
 _IDLE_MS = 10_000.0
 _YIELD_DIAL_MS = 300.0
 _SHORTEST_PAUSE_MS = 10.0
+_STALE_MS = 60_000.0
 _JITTER = 0.1
 _STOPPING = link_messages.Goodbye.STOPPING.value
 
@@ -153,6 +154,12 @@
         self._backoff_ms = 0.0
         self._news.set()
 
+    def renew(self) -> None:
+        """Replaces all links by new ones, without cutting what is asked."""
+        for link in self.links:
+            link.stale_ms = self._clock.now_ms()
+        self._news.set()
+
     def tell_later(self, message: messages.Message) -> bool:
         """Keeps a message for the link that is about to be dialled."""
         if self._is_backing_off() or len(self._waiting) >= MAX_WAITING_TELLS:
@@ -187,7 +194,8 @@
         link = self.best_link()
         if link is None and self._waiting:
             return True
-        if not self.is_wanted or (link is not None and link.is_standing):
+        is_kept = link is not None and link.is_standing
+        if not self.is_wanted or (is_kept and not _is_stale(link)):
             self._lacking_ms = None
             return False
         # Both sides may want the link. The lower name dials at once and the
@@ -237,7 +245,7 @@
             is_kept = link is best and link.is_standing
             if is_kept and (self.is_wanted or not link.is_dialled):
                 link.last_used_ms = now_ms
-            if self._is_idle(link):
+            if self._is_idle(link) or self._is_spent(link, best):
                 link.close(_idle())
             elif is_kept or link.is_busy:
                 self._beat(link)
@@ -261,6 +269,18 @@
             return False
         return self._clock.now_ms() - link.last_used_ms > _IDLE_MS
 
+    def _is_spent(self, link: links.Link, best: links.Link | None) -> bool:
+        """Whether a link of old keys has done its service.
+
+        The last bound closes it also when the peer knows no new keys: those
+        taken out of force must not be heard for good.
+        """
+        if link.stale_ms is None:
+            return False
+        if self._clock.now_ms() - link.stale_ms > _STALE_MS:
+            return True
+        return link.is_dialled and link is not best and not link.is_busy
+
     def _pause_ms(self) -> float:
         pause_ms = self._timing.heartbeat_ms
         if not self.links and self.is_wanted:
@@ -284,9 +304,18 @@
             return
         self._news.clear()
 
-    def _order(self, link: links.Link) -> tuple[bool, bool, int]:
+    def _order(self, link: links.Link) -> tuple[bool, bool, bool, int]:
         lower_dialled = link.is_dialled == (self._instance < self.name)
-        return not link.is_standing, not lower_dialled, self.links.index(link)
+        return (
+            _is_stale(link),
+            not link.is_standing,
+            not lower_dialled,
+            self.links.index(link),
+        )
+
+
+def _is_stale(link: links.Link | None) -> bool:
+    return link is not None and link.stale_ms is not None
 
 
 def _idle() -> link_messages.Farewell:
--- a/src/jujubewharf/peers/streams.py
+++ b/src/jujubewharf/peers/streams.py
@@ -10,10 +10,17 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-import ssl
+from typing import TYPE_CHECKING
 from typing import Any
 from typing import Protocol
 
+from jujubewharf.peers import counters
+
+if TYPE_CHECKING:
+    from jujubewharf.peers import tls
+
+_TLS_TIMEOUT_S = 5.0
+
 
 class StreamWriter(Protocol):
     """The part of ``asyncio.StreamWriter`` that peer code uses."""
@@ -92,8 +99,11 @@
     Args:
         host: IP number to listen on.
         port: Port to listen on; 0 takes a free one.
-        client_context: TLS context for dialling; ``None`` for plain TCP.
-        server_context: TLS context for listening; ``None`` for plain TCP.
+        contexts: TLS contexts; ``None`` for plain TCP.
+
+    Attributes:
+        refused: Streams that came in without a certificate of the
+            authority.
     """
 
     def __init__(
@@ -101,26 +111,58 @@
         host: str,
         port: int,
         *,
-        client_context: ssl.SSLContext | None = None,
-        server_context: ssl.SSLContext | None = None,
+        contexts: tls.TlsContexts | None = None,
     ) -> None:
+        self.refused = 0
         self._host = host
         self._port = port
-        self._client_context = client_context
-        self._server_context = server_context
+        self._contexts = contexts
+
+    def renew(self, contexts: tls.TlsContexts) -> None:
+        """Takes other TLS contexts for all streams opened from now on."""
+        self._contexts = contexts
 
     async def dial(
         self, address: str
     ) -> tuple[asyncio.StreamReader, StreamWriter]:
         """Opens a stream; see ``Transport``."""
         host, _, port = address.rpartition(":")
+        if self._contexts is None:
+            return await asyncio.open_connection(host, int(port))
         return await asyncio.open_connection(
-            host, int(port), ssl=self._client_context
+            host,
+            int(port),
+            ssl=self._contexts.client,
+            ssl_handshake_timeout=_TLS_TIMEOUT_S,
         )
 
     async def listen(self, on_stream: OnStream) -> Listener:
         """Listens; see ``Transport``."""
-        server = await asyncio.start_server(
-            on_stream, self._host, self._port, ssl=self._server_context
-        )
+
+        async def on_raw(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            if await self._secure(writer):
+                await on_stream(reader, writer)
+
+        server = await asyncio.start_server(on_raw, self._host, self._port)
         return _TcpListener(server)
+
+    async def _secure(self, writer: asyncio.StreamWriter) -> bool:
+        """Puts TLS on a stream that came in, unless TLS is off.
+
+        Done here and not by the server, for a server keeps the context it
+        was started with, and tells nobody of the strangers that it refuses.
+        """
+        if self._contexts is None:
+            return True
+        try:
+            await writer.start_tls(
+                self._contexts.server, ssl_handshake_timeout=_TLS_TIMEOUT_S
+            )
+        except OSError:
+            self.refused += 1
+            counters.count_refusal("stranger")
+            writer.close()
+            return False
+        return True
--- a/src/jujubewharf/settings/models.py
+++ b/src/jujubewharf/settings/models.py
@@ -79,6 +79,7 @@
         tls_certificate_file: PEM certificate; all three or none are given.
         tls_key_file: PEM key.
         tls_authority_file: PEM authority that signs every instance.
+        tls_poll_ms: Time between two looks whether the TLS files changed.
         heartbeat_ms: Time between heartbeats.
         suspect_after_ms: Silence after which a peer is suspected.
     """
@@ -88,6 +89,7 @@
     tls_certificate_file: pathlib.Path | None = None
     tls_key_file: pathlib.Path | None = None
     tls_authority_file: pathlib.Path | None = None
+    tls_poll_ms: PositiveMs = 10_000
     heartbeat_ms: PositiveMs = 1_000
     suspect_after_ms: PositiveMs = 3_500
 
--- /dev/null
+++ b/tests/peers/test_keys.py
@@ -0,0 +1,184 @@
+"""Mutual TLS between instances on loopback: strangers and new keys."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import dataclasses
+
+import pytest
+import trustme
+
+from jujubewharf import clock as clocks
+from jujubewharf.peers import keys
+from jujubewharf.peers import mesh as meshes
+from jujubewharf.peers import messages
+from jujubewharf.peers import network
+from jujubewharf.peers import peer
+from jujubewharf.settings import models
+
+
+@messages.message(9_201)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ping(messages.Message):
+    pass
+
+
+class Keys:
+    """The three files of one instance."""
+
+    def __init__(self, folder, name: str, authority: trustme.CA) -> None:
+        self._folder = folder
+        self.issue(name, authority)
+
+    def issue(
+        self, name: str, authority: trustme.CA, *trusted: trustme.CA
+    ) -> None:
+        issued = authority.issue_cert(common_name=name)
+        issued.cert_chain_pems[0].write_to_path(self._folder / "cert.pem")
+        issued.private_key_pem.write_to_path(self._folder / "key.pem")
+        pems = [ca.cert_pem.bytes() for ca in trusted or (authority,)]
+        (self._folder / "ca.pem").write_bytes(b"".join(pems))
+
+    def settings(self) -> models.PeerSettings:
+        return models.PeerSettings(
+            tls_certificate_file=self._folder / "cert.pem",
+            tls_key_file=self._folder / "key.pem",
+            tls_authority_file=self._folder / "ca.pem",
+            tls_poll_ms=50,
+        )
+
+
+class Node:
+    """One instance's links over TCP."""
+
+    def __init__(self, name: str, settings: models.PeerSettings) -> None:
+        clock = clocks.Clock()
+        self.transport = keys.make_transport(settings)
+        self.mesh = meshes.PeerMesh(
+            name, "a", clock, self.transport, timing=peer.Timing(100, 350)
+        )
+        self.mesh.handle(Ping, self._answer)
+        files = keys.files_of(settings)
+        self.reloader = None
+        if files is not None:
+            self.reloader = keys.KeyReloader(
+                files, self.transport, self.mesh, clock, poll_ms=50
+            )
+
+    async def _answer(self, peer: str, message: Ping) -> Ping:
+        return message
+
+    async def start(self, stack: contextlib.AsyncExitStack) -> None:
+        for service in (self.mesh, self.reloader):
+            if service is not None:
+                await service.start()
+                stack.push_async_callback(service.stop)
+
+    async def ping(self, other: Node) -> None:
+        name = other.mesh.instance
+        self.mesh.set_addresses({name: other.mesh.address})
+        self.mesh.forgive(name)
+        await self.mesh.ask(name, Ping(), timeout_ms=5_000)
+
+
+@pytest.fixture
+def make_keys(tmp_path):
+    def make(name: str, authority: trustme.CA, *, folder: str = "") -> Keys:
+        path = tmp_path / (folder or name)
+        path.mkdir()
+        return Keys(path, name, authority)
+
+    return make
+
+
+async def _refused(node: Node, other: Node) -> None:
+    with pytest.raises(network.PeerError) as caught:
+        await node.ping(other)
+    assert caught.value.fault is network.PeerFault.UNREACHABLE
+
+
+async def test_instances_of_one_authority_reach_each_other(make_keys):
+    authority = trustme.CA()
+    async with contextlib.AsyncExitStack() as stack:
+        e1 = Node("e1", make_keys("e1", authority).settings())
+        e2 = Node("e2", make_keys("e2", authority).settings())
+        await e1.start(stack)
+        await e2.start(stack)
+        await e1.ping(e2)
+        await e2.ping(e1)
+
+
+async def test_strangers_are_refused_and_counted(make_keys):
+    """Somebody else on the network dials an instance's peer port.
+
+    One has no TLS, one a certificate of another authority, and one a good
+    certificate but gives another's name: each would else be heard as a peer
+    and could take over keys and roles.
+    """
+    authority = trustme.CA()
+    async with contextlib.AsyncExitStack() as stack:
+        e1 = Node("e1", make_keys("e1", authority).settings())
+        plain = Node("e2", models.PeerSettings())
+        foreign = Node("e2", make_keys("e2", trustme.CA()).settings())
+        posing = make_keys("e3", authority, folder="posing").settings()
+        impostor = Node("e2", posing)
+        for node in (e1, plain, foreign, impostor):
+            await node.start(stack)
+        await _refused(plain, e1)
+        await _refused(foreign, e1)
+        await _until(lambda: e1.transport.refused == 2)
+        await _refused(impostor, e1)
+        assert e1.mesh.counts.refusals["stranger"] == 1
+        await _refused(e1, impostor)
+        assert e1.mesh.link_count() == 0
+
+
+async def test_new_keys_come_into_force_without_a_restart(make_keys):
+    """An operator moves two running instances to another authority.
+
+    Both trust both for a while; then the old one goes. Links are opened anew
+    under the new keys, and who has only the old authority's is a stranger.
+    """
+    old, new = trustme.CA(), trustme.CA()
+    async with contextlib.AsyncExitStack() as stack:
+        first, second = make_keys("e1", old), make_keys("e2", old)
+        e1 = Node("e1", first.settings())
+        e2 = Node("e2", second.settings())
+        late = Node("e3", make_keys("e3", old).settings())
+        for node in (e1, e2, late):
+            await node.start(stack)
+        await e1.ping(e2)
+        for step in ((old, old, new), (new, old, new), (new, new)):
+            first.issue("e1", *step)
+            second.issue("e2", *step)
+            await _until_reloaded(e1, e2)
+            await e1.ping(e2)
+            await e2.ping(e1)
+        await _refused(late, e1)
+
+
+async def test_half_written_keys_change_nothing(make_keys, tmp_path):
+    authority = trustme.CA()
+    async with contextlib.AsyncExitStack() as stack:
+        e1 = Node("e1", make_keys("e1", authority).settings())
+        e2 = Node("e2", make_keys("e2", authority).settings())
+        await e1.start(stack)
+        await e2.start(stack)
+        (tmp_path / "e1" / "cert.pem").write_text("half")
+        assert e1.reloader is not None
+        await _until(lambda: e1.reloader.failures > 0)
+        await e2.ping(e1)
+        assert e1.reloader.reloads == 0
+
+
+async def _until_reloaded(*nodes: Node) -> None:
+    before = {node: node.reloader.reloads for node in nodes}
+    await _until(lambda: all(n.reloader.reloads > before[n] for n in nodes))
+
+
+async def _until(holds: Callable[[], bool]) -> None:
+    async with asyncio.timeout(20):
+        while not holds():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
