--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -51,6 +51,7 @@
 from jujubewharf.routing import placer as placers
 from jujubewharf.routing import policy as policies
 from jujubewharf.settings import models
+from jujubewharf.telemetry import gauges
 from jujubewharf.telemetry import goodput
 
 
@@ -87,6 +88,10 @@
     Attributes:
         configuration: Configuration in force here.
         fleet: Views of the engines.
+        accounts: Client accounts in force here.
+        model_limits: Limits of model requests here.
+        plain_limits: Limits of plain calls here.
+        plain: Runs plain calls.
         peers: Links to the other instances.
         facts: Small facts known to the whole fleet.
         membership: Who they are.
@@ -144,11 +149,15 @@
 
         self.accounts = accounts.Accounts()
         self.configuration.listen(self.accounts.on_configuration)
-        self.model_limits = limits.Limits(clock, self.accounts.get)
-        self.plain_limits = limits.Limits(clock, self.accounts.get)
+        self.model_limits, self.plain_limits = (
+            limits.Limits(
+                clock, self.accounts.get, member_count=self._member_count
+            )
+            for _ in range(2)
+        )
         chooser = plain_endpoints.Chooser(settings.domain, clock)
         self.configuration.listen(chooser.on_configuration)
-        self._plain = plain.PlainRunner(adapters.endpoints, chooser, clock)
+        self.plain = plain.PlainRunner(adapters.endpoints, chooser, clock)
 
     async def on_start(self) -> None:
         """Starts the parts, those that others need first."""
@@ -159,6 +168,9 @@
         await self.add_runtime_dependency(self.fleet)
         await self.add_runtime_dependency(self.answers)
 
+    def _member_count(self) -> int:
+        return len(self.membership.present())
+
     async def answer(
         self, request: model_request.ModelRequest
     ) -> AsyncGenerator[model_request.Event, None]:
@@ -201,7 +213,7 @@
                 deadline_at_ms=request.deadline_at_ms,
                 priority=request.priority,
             ),
-            self._plain.run(request) as reply,
+            self.plain.run(request) as reply,
         ):
             yield reply
 
@@ -235,6 +247,7 @@
         self.core = EntryCore(
             self._settings, self._clock, self._adapters(transport)
         )
+        gauges.watch(self.core)
         callers = self._settings.callers
         self.callers = edge.CallerEdge(
             callers,
--- a/src/jujubewharf/peers/peer.py
+++ b/src/jujubewharf/peers/peer.py
@@ -219,8 +219,12 @@
             self._dialling = asyncio.ensure_future(
                 self._dial(self.name, is_standing)
             )
+            self._dialling.add_done_callback(_look_at)
+        dialling = self._dialling
+        # Waits without cancelling: others may have joined the same dial.
+        await asyncio.wait((dialling,))
         try:
-            return await asyncio.shield(self._dialling)
+            return dialling.result()
         except OSError:
             self._on_failed()
             raise
@@ -314,6 +318,12 @@
         )
 
 
+def _look_at(dialling: asyncio.Task[links.Link]) -> None:
+    """Takes note of a failure that nobody waits for any more."""
+    if not dialling.cancelled():
+        dialling.exception()
+
+
 def _is_stale(link: links.Link | None) -> bool:
     return link is not None and link.stale_ms is not None
 
