--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -39,6 +39,7 @@
 from jujubewharf.orders import ownership
 from jujubewharf.orders import reconciler
 from jujubewharf.orders import turn
+from jujubewharf.peers import keys as peer_keys
 from jujubewharf.peers import mesh
 from jujubewharf.peers import peer
 from jujubewharf.peers import streams
@@ -308,7 +309,11 @@
 
     async def on_start(self) -> None:
         """Makes the adapters and starts core and edges."""
-        self.core = EntryCore(self._settings, self._clock, self._adapters())
+        peers = self._settings.peers
+        transport = peer_keys.make_transport(peers)
+        self.core = EntryCore(
+            self._settings, self._clock, self._adapters(transport)
+        )
         gauges.watch(self.core)
         callers = self._settings.callers
         self.callers = edge.CallerEdge(
@@ -328,6 +333,16 @@
         await self.add_runtime_dependency(self.core)
         await self.add_runtime_dependency(self.operators)
         await self.add_runtime_dependency(self.callers)
+        files = peer_keys.files_of(peers)
+        if files is not None:
+            reloader = peer_keys.KeyReloader(
+                files,
+                transport,
+                self.core.peers,
+                self._clock,
+                poll_ms=peers.tls_poll_ms,
+            )
+            await self.add_runtime_dependency(reloader)
 
     async def on_shutdown(self) -> None:
         """Closes the client sessions once all parts stopped."""
@@ -346,10 +361,9 @@
         self._sessions.append(session)
         return session
 
-    def _adapters(self) -> Adapters:
+    def _adapters(self, transport: streams.Transport) -> Adapters:
         session = self._new_session()
         platform = self._settings.platform
-        peers = self._settings.peers
 
         def make_engine_client(
             endpoint: resources.Endpoint,
@@ -368,5 +382,5 @@
             ),
             make_engine_client=make_engine_client,
             endpoints=http_endpoint.HttpEndpointClient(self._new_session()),
-            transport=streams.TcpTransport(peers.host, peers.port),
+            transport=transport,
         )
