Random failure run over four instances; a relay's early end is not kept

Change: only ends of own runs are kept; a cancelled run is told later as outcome unknown; tests/soak.py.

--- a/src/jujubewharf/requests/answers.py
+++ b/src/jujubewharf/requests/answers.py
@@ -183,6 +183,7 @@
             held.request, held.answer, self._ownership.hooks(held)
         )
         held.run_task = asyncio.create_task(run)
+        held.has_run = True
         try:
             await held.run_task
         except life.TakenOverError as error:
@@ -238,10 +239,10 @@
         assert end is not None
         if held.is_claimed and _did_not_run(end):
             self._claims.abandon(request.request_id)
-        is_relayed = held.source is not None
-        if not is_relayed and not (
-            held.may_run_again and request.is_repeatable
-        ):
+        # A relay's early end says nothing of the run that it followed: kept,
+        # it would hide that run's answer from the next retry.
+        is_own = held.has_run and held.source is None
+        if is_own and not (held.may_run_again and request.is_repeatable):
             self._kept.keep(held.key, request, held.answer)
 
     async def _on_pull(
--- a/src/jujubewharf/requests/held.py
+++ b/src/jujubewharf/requests/held.py
@@ -32,6 +32,7 @@
         left_ms: When the last reader left.
         source: Where it runs, while relayed.
         taken_over: Where it runs since another instance took it over.
+        has_run: Whether its own run began here.
         is_claimed: Whether a claim was asked for.
         may_have_run: Whether an earlier run of the key may have begun.
         lingering: Waits for a reader to come back.
@@ -49,6 +50,7 @@
     left_ms: float = 0.0
     source: relays.Source | None = None
     taken_over: relays.Source | None = None
+    has_run: bool = False
     is_claimed: bool = False
     may_have_run: bool = False
     lingering: asyncio.Task[None] | None = None
--- a/src/jujubewharf/requests/kept.py
+++ b/src/jujubewharf/requests/kept.py
@@ -8,6 +8,7 @@
 import msgpack
 
 from jujubewharf import clock as clocks
+from jujubewharf import errors
 from jujubewharf.requests import answer as answers
 from jujubewharf.requests import model_request
 
@@ -76,7 +77,7 @@
         keep_ms = KEEP_MS if request.is_repeatable else KEEP_CLAIMED_MS
         kept = KeptAnswer(
             dataclasses.replace(request, prompt=""),
-            answer.end,
+            _told_later(answer.end),
             msgpack.packb(answer.texts),
             self._clock.now_ms() + keep_ms,
         )
@@ -130,3 +131,18 @@
         kept = self._by_id.pop(request_id, None)
         if kept is not None:
             self._bytes -= kept.size_bytes
+
+
+def _told_later(end: answers.End) -> answers.End:
+    """How an end is told to those who ask again.
+
+    A run that was cancelled because its caller left has an unknown outcome
+    for a caller that is still here.
+    """
+    match end:
+        case model_request.Failed(errors.ErrorKind.CANCELLED, ran) if (
+            ran is not errors.Ran.NO
+        ):
+            kind = errors.ErrorKind.OUTCOME_UNKNOWN
+            return model_request.Failed(kind, errors.Ran.UNKNOWN)
+    return end
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,398 @@
+"""Random failures against real entry cores, with checks after each run.
+
+``python -m tests.soak --seeds 200`` runs more of what the test suite runs a
+little of. Everything happens on virtual time and follows from the seed: four
+instances in three domains, engines that die, stall, lose answers and take
+calls late, a log that is down or loses answers, pauses, kills, restarts and
+cuts, while callers hang up and send their requests again elsewhere.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import collections
+from concurrent import futures
+import dataclasses
+import logging
+import random
+import sys
+
+import structlog
+
+from jujubewharf import errors
+from jujubewharf.experiments import processes
+from jujubewharf.experiments import virtual_time
+from jujubewharf.requests import model_request
+from tests.requests import deployments
+
+INSTANCES = {"e1": "a", "e2": "b", "e3": "c", "e4": "a"}
+ENGINES = ("p1", "p2", "d1", "d2", "d3")
+_CALLERS = 24
+_STORM_MS = 25_000
+_SETTLE_MS = 45_000
+_MAX_TRIES = 30
+
+
+@dataclasses.dataclass
+class Intent:
+    """What one caller wants, whatever it takes.
+
+    Attributes:
+        key: Its idempotency key; ``None`` lets the instance mint one.
+        tokens: Length of the answer.
+        words: Length of the prompt.
+        is_repeatable: Whether it may run more than once.
+        submissions: Each time it was sent.
+    """
+
+    key: str | None
+    tokens: int
+    words: int
+    is_repeatable: bool
+    submissions: list[Submission] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass
+class Submission:
+    """One sending of a request and all that came back."""
+
+    request: model_request.ModelRequest
+    instance: str
+    events: list[model_request.Event] = dataclasses.field(default_factory=list)
+    is_over: bool = False
+
+    @property
+    def end(self):
+        """The last event, if it is an end."""
+        last = self.events[-1] if self.events else None
+        return None if isinstance(last, model_request.Tokens) else last
+
+
+@dataclasses.dataclass
+class Report:
+    """What one run did and what was wrong."""
+
+    seed: int
+    violations: list[str] = dataclasses.field(default_factory=list)
+    faults: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    ends: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+
+class Storm:
+    """One run.
+
+    Args:
+        seed: Everything follows from it.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.report = Report(seed)
+        self.rng = random.Random(seed)
+        self.is_over = False
+        self.intents: list[Intent] = []
+        self.ids = 0
+
+    async def run(self) -> Report:
+        self.d = await deployments.Deployment(
+            INSTANCES, prefillers=2, decoders=3, seed=self.report.seed
+        ).start()
+        callers = [
+            asyncio.ensure_future(self._caller(number))
+            for number in range(_CALLERS)
+        ]
+        await self._storm()
+        await self._calm()
+        await asyncio.wait(callers, timeout=_SETTLE_MS / 1000)
+        for number, caller in enumerate(callers):
+            if not caller.done():
+                self._wrong(f"caller {number} still waits")
+                caller.cancel()
+            elif caller.exception() is not None:
+                raise caller.exception()
+        await self.d.clock.sleep_ms(20_000)
+        await self._check()
+        await self.d.bench.stop()
+        return self.report
+
+    async def _caller(self, number: int) -> None:
+        rng = random.Random((self.report.seed << 8) + number)
+        clock = self.d.clock
+        is_keyed = rng.random() < 0.8
+        intent = Intent(
+            f"key-{number}" if is_keyed else None,
+            rng.choice([1, 5, 20, 80, 200]),
+            rng.choice([3, 100, 1_500]),
+            rng.random() < 0.5,
+        )
+        self.intents.append(intent)
+        await clock.sleep_ms(rng.random() * _STORM_MS * 0.8)
+        for _ in range(_MAX_TRIES):
+            if rng.random() < 0.25 and is_keyed:
+                # A doubled sending: the same key at two instances at once.
+                await asyncio.gather(
+                    self._send(intent, rng), self._send(intent, rng)
+                )
+            else:
+                await self._send(intent, rng)
+            if self._is_settled(intent):
+                return
+            await clock.sleep_ms(200 + rng.random() * 1_500)
+
+    async def _send(self, intent: Intent, rng: random.Random) -> None:
+        self.ids += 1
+        name = rng.choice(sorted(INSTANCES))
+        request_id = f"{name}~{self.ids:032x}"
+        request = self.d.request(
+            tokens=intent.tokens,
+            words=intent.words,
+            key=intent.key or request_id,
+            is_repeatable=intent.is_repeatable,
+            deadline_ms=15_000,
+        )
+        request = dataclasses.replace(
+            request,
+            request_id=request_id,
+            key=intent.key or request_id,
+        )
+        sent = Submission(request, name)
+        intent.submissions.append(sent)
+        patience_ms = rng.choice([50, 500, 3_000, 20_000])
+        if self.is_over:
+            patience_ms = 20_000
+        task = asyncio.ensure_future(self._read(sent))
+        await asyncio.wait([task], timeout=patience_ms / 1000)
+        if not task.done():
+            self.report.faults["hang_up"] += 1
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        sent.is_over = True
+
+    async def _read(self, sent: Submission) -> None:
+        instance = self.d.bench.instances[sent.instance]
+        try:
+            async for event in instance.answer(sent.request):
+                sent.events.append(event)
+        except processes.InstanceLostError:
+            return
+
+    def _is_settled(self, intent: Intent) -> bool:
+        """Whether the caller knows all that it ever will."""
+        for sent in intent.submissions:
+            match sent.end:
+                case model_request.Finished():
+                    return True
+                case model_request.Failed(ran=ran):
+                    if not intent.is_repeatable and ran is not errors.Ran.NO:
+                        return True
+        # Without a key a second sending is a second request.
+        return intent.key is None and not intent.is_repeatable
+
+    async def _storm(self) -> None:
+        until_ms = self.d.clock.now_ms() + _STORM_MS
+        while self.d.clock.now_ms() < until_ms:
+            await self.d.clock.sleep_ms(100 + self.rng.random() * 1_400)
+            fault = self.rng.choice(
+                [
+                    self._kill,
+                    self._pause,
+                    self._engine_dies,
+                    self._log_down,
+                    self._log_loses,
+                    self._cut,
+                    self._stall,
+                    self._lose_answer,
+                    self._lose_answer,
+                    self._lag,
+                ]
+            )
+            self.report.faults[fault.__name__.strip("_")] += 1
+            asyncio.ensure_future(fault())
+        # The last fault begins before the calm, not after it.
+        await self.d.clock.sleep_ms(1)
+
+    async def _calm(self) -> None:
+        self.is_over = True
+        bench = self.d.bench
+        bench.heal()
+        bench.log.is_down = False
+        bench.log.lose_answers = 0
+        for name in INSTANCES:
+            if bench.instances[name].process.is_dead:
+                await bench.restart_instance(name)
+            else:
+                bench.resume_instance(name)
+        for name in ENGINES:
+            engine = self.d.engine(name)
+            engine.lose_answers.clear()
+            engine.lag_ms.clear()
+            bench.stall_link(name, is_stalled=False)
+            if engine.is_dead:
+                bench.restart_engine(name)
+
+    async def _kill(self) -> None:
+        name = self.rng.choice(sorted(INSTANCES))
+        if self.d.bench.instances[name].process.is_dead:
+            return
+        self.d.bench.kill_instance(name)
+        await self.d.clock.sleep_ms(self.rng.random() * 4_000)
+        if self.d.bench.instances[name].process.is_dead and not self.is_over:
+            await self.d.bench.restart_instance(name)
+
+    async def _pause(self) -> None:
+        name = self.rng.choice(sorted(INSTANCES))
+        instance = self.d.bench.instances[name]
+        if instance.process.is_dead or instance.process.is_paused:
+            return
+        instance.process.pause()
+        await self.d.clock.sleep_ms(self.rng.choice([300, 3_000, 12_000]))
+        if not instance.process.is_dead and instance.process.is_paused:
+            instance.process.resume()
+
+    async def _engine_dies(self) -> None:
+        engine = self.d.engine(self.rng.choice(ENGINES))
+        if engine.is_dead:
+            return
+        await self.d.bench.kill_engine(engine.name)
+        await self.d.clock.sleep_ms(self.rng.random() * 5_000)
+        if engine.is_dead:
+            self.d.bench.restart_engine(engine.name)
+
+    async def _log_down(self) -> None:
+        self.d.bench.log.is_down = True
+        await self.d.clock.sleep_ms(self.rng.random() * 4_000)
+        self.d.bench.log.is_down = False
+
+    async def _log_loses(self) -> None:
+        self.d.bench.log.lose_answers = self.rng.randint(1, 3)
+
+    async def _cut(self) -> None:
+        self.d.bench.cut_domain(
+            self.rng.choice("abc"),
+            from_log=self.rng.random() < 0.5,
+            from_list=self.rng.random() < 0.5,
+            from_engines_elsewhere=self.rng.random() < 0.5,
+        )
+        await self.d.clock.sleep_ms(self.rng.choice([500, 6_000]))
+        self.d.bench.heal()
+
+    async def _stall(self) -> None:
+        name = self.rng.choice(ENGINES)
+        self.d.bench.stall_link(name)
+        await self.d.clock.sleep_ms(self.rng.random() * 3_000)
+        self.d.bench.stall_link(name, is_stalled=False)
+
+    async def _lose_answer(self) -> None:
+        engine = self.d.engine(self.rng.choice(ENGINES))
+        call = self.rng.choice(["reserve", "release", "import_kv", "decode"])
+        engine.lose_answers[call] += self.rng.randint(1, 3)
+
+    async def _lag(self) -> None:
+        engine = self.d.engine(self.rng.choice(ENGINES))
+        call = self.rng.choice(["reserve", "release"])
+        engine.lag_ms[call] = self.rng.choice([20, 400, 2_500])
+        await self.d.clock.sleep_ms(2_000)
+        engine.lag_ms[call] = 0
+
+    async def _check(self) -> None:
+        dispatches = self._dispatches()
+        for intent in self.intents:
+            self._check_intent(intent, dispatches)
+        for item in await self.d.held():
+            self._wrong(f"memory is held by {item}")
+        for name in INSTANCES:
+            core = self.d.core(name)
+            if core.answers.running:
+                self._wrong(f"{name} still runs {core.answers.running}")
+
+    def _dispatches(self) -> collections.Counter:
+        """Times an engine began to write, by request id."""
+        counts: collections.Counter = collections.Counter()
+        for engine in self.d.bench.engines.values():
+            for attempt_id, count in engine.counts.dispatches.items():
+                counts[attempt_id.rpartition(".")[0]] += count
+        return counts
+
+    def _check_intent(
+        self, intent: Intent, dispatches: collections.Counter
+    ) -> None:
+        ids = [sent.request.request_id for sent in intent.submissions]
+        ran = sum(dispatches[request_id] for request_id in ids)
+        name = intent.key or ids[0]
+        if not intent.is_repeatable and ran > 1:
+            self._wrong(f"{name} was dispatched {ran} times")
+        whole = deployments.expected(intent.tokens, intent.words)
+        for sent in intent.submissions:
+            self._check_submission(sent, whole, dispatches)
+        if not self._is_settled(intent):
+            self._wrong(f"{name} never got an answer")
+
+    def _check_submission(
+        self, sent: Submission, whole: str, dispatches: collections.Counter
+    ) -> None:
+        request_id = sent.request.request_id
+        text = deployments.text_of(sent.events)
+        end = sent.end
+        label = type(end).__name__ if end else "HungUp"
+        if isinstance(end, model_request.Failed):
+            label = f"{end.kind.value}/{end.ran.value}"
+            if end.ran is errors.Ran.NO and dispatches[request_id]:
+                self._wrong(f"{request_id} ran, against {label}")
+            if end.kind is errors.ErrorKind.INTERNAL:
+                self._wrong(f"{request_id} crashed")
+        self.report.ends[label] += 1
+        if isinstance(end, model_request.Finished) and text != whole:
+            self._wrong(f"{request_id} is not whole")
+        if not whole.startswith(text):
+            self._wrong(f"{request_id} got another's text, a gap or a repeat")
+        ends = [e for e in sent.events if not _is_tokens(e)]
+        if len(ends) > 1:
+            self._wrong(f"{request_id} ended {len(ends)} times")
+
+    def _wrong(self, what: str) -> None:
+        self.report.violations.append(what)
+
+
+def _is_tokens(event: model_request.Event) -> bool:
+    return isinstance(event, model_request.Tokens)
+
+
+def run_seed(seed: int) -> Report:
+    """One run."""
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
+    )
+    logging.disable(logging.CRITICAL)
+    return virtual_time.run(Storm(seed).run())
+
+
+def main() -> int:
+    """Runs many seeds; the exit code says whether any check failed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=200)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--workers", type=int, default=3)
+    options = parser.parse_args()
+    seeds = range(options.first, options.first + options.seeds)
+    faults: collections.Counter = collections.Counter()
+    ends: collections.Counter = collections.Counter()
+    failed = 0
+    with futures.ProcessPoolExecutor(options.workers) as pool:
+        for report in pool.map(run_seed, seeds):
+            faults += report.faults
+            ends += report.ends
+            failed += bool(report.violations)
+            for violation in report.violations:
+                print(f"seed {report.seed}: {violation}", flush=True)
+    print(f"{len(seeds)} seeds, {failed} failed")
+    print(f"faults: {sum(faults.values())} {dict(sorted(faults.items()))}")
+    print(f"submissions: {sum(ends.values())} {dict(sorted(ends.items()))}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
