--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -33,6 +33,8 @@
 from jujubewharf.engines import http_endpoint
 from jujubewharf.membership import facts
 from jujubewharf.membership import membership as memberships
+from jujubewharf.operators import server as operator_server
+from jujubewharf.operators import service as operator_service
 from jujubewharf.peers import mesh
 from jujubewharf.peers import peer
 from jujubewharf.peers import streams
@@ -41,11 +43,14 @@
 from jujubewharf.platform import log
 from jujubewharf.platform import weights
 from jujubewharf.requests import answers as request_answers
+from jujubewharf.requests import claims as request_claims
+from jujubewharf.requests import keys
 from jujubewharf.requests import life
 from jujubewharf.requests import limits
 from jujubewharf.requests import model_request
 from jujubewharf.requests import plain
 from jujubewharf.requests import plain_endpoints
+from jujubewharf.requests import sweep as sweeps
 from jujubewharf.routing import baselines
 from jujubewharf.routing import fleet as fleets
 from jujubewharf.routing import placer as placers
@@ -89,6 +94,7 @@
         configuration: Configuration in force here.
         changes: Takes operators' changes.
         fleet: Views of the engines.
+        operators: Answers operators.
         accounts: Client accounts in force here.
         model_limits: Limits of model requests here.
         plain_limits: Limits of plain calls here.
@@ -98,6 +104,7 @@
         membership: Who they are.
         runner: Runs model requests, and counts.
         answers: All answers of this instance.
+        claims: Claims of requests that may not be repeated.
     """
 
     def __init__(
@@ -153,7 +160,35 @@
             self._placer,
             clock,
         )
+        self.key_homes = keys.KeyHomes(self.peers, self.membership, clock)
+        self.claims = request_claims.Claims(
+            settings.instance,
+            self.peers,
+            self.membership,
+            adapters.log,
+            clock,
+        )
+        self.answers = request_answers.Answers(
+            settings.instance,
+            self.runner,
+            self.key_homes,
+            self.claims,
+            self.peers,
+            self.membership,
+            clock,
+        )
+        self.sweep = sweeps.Sweep(
+            settings.instance,
+            lambda: self.configuration.current,
+            self.fleet,
+            self.runner.releaser,
+            self.peers,
+            self.membership,
+            clock,
+            self.runner.counters,
+        )
         self.answers = request_answers.Answers(self.runner, clock)
+        self.operators = operator_service.OperatorService(self)
 
         self.accounts = accounts.Accounts()
         self.configuration.listen(self.accounts.on_configuration)
@@ -165,7 +200,12 @@
         )
         chooser = plain_endpoints.Chooser(settings.domain, clock)
         self.configuration.listen(chooser.on_configuration)
-        self.plain = plain.PlainRunner(adapters.endpoints, chooser, clock)
+        self.plain = plain.PlainRunner(
+            adapters.endpoints,
+            chooser,
+            clock,
+            claims=request_claims.PlainClaims(self.claims),
+        )
 
     async def on_start(self) -> None:
         """Starts the parts, those that others need first."""
@@ -174,7 +214,10 @@
         await self.add_runtime_dependency(self.membership)
         await self.add_runtime_dependency(self.configuration)
         await self.add_runtime_dependency(self.fleet)
+        await self.add_runtime_dependency(self.key_homes)
+        await self.add_runtime_dependency(self.claims)
         await self.add_runtime_dependency(self.answers)
+        await self.add_runtime_dependency(self.sweep)
 
     def _member_count(self) -> int:
         return len(self.membership.present())
@@ -236,6 +279,7 @@
     Attributes:
         core: The instance's core, once started.
         callers: The caller edge, once started.
+        operators: The operator RPC, once started.
     """
 
     def __init__(
@@ -247,6 +291,7 @@
         self._sessions: list[aiohttp.ClientSession] = []
         self.core: EntryCore | None = None
         self.callers: edge.CallerEdge | None = None
+        self.operators: operator_server.OperatorServer | None = None
 
     async def on_start(self) -> None:
         """Makes the adapters and starts core and edges."""
@@ -255,11 +300,20 @@
         callers = self._settings.callers
         self.callers = edge.CallerEdge(
             callers,
-            completions.Completions(self.core, self._clock, callers),
+            completions.Completions(
+                self.core,
+                self._clock,
+                callers,
+                new_id=lambda: model_request.mint_id(self._settings.instance),
+            ),
             plain_paths.PlainServices(self.core, self._clock, callers),
             readiness.Readiness(self.core.configuration.caught_up),
         )
+        self.operators = operator_server.OperatorServer(
+            self._settings.operators, self.core.operators, self._clock
+        )
         await self.add_runtime_dependency(self.core)
+        await self.add_runtime_dependency(self.operators)
         await self.add_runtime_dependency(self.callers)
 
     async def on_shutdown(self) -> None:
