Engine stand-in: a ledger of readings, split into modules

Change: standins/readings.py notes each reading's tokens and fate; spec, generation and load history have modules of their own; reports look back from the newest load instead of from the oldest.

--- a/src/jujubewharf/standins/engine.py
+++ b/src/jujubewharf/standins/engine.py
@@ -18,69 +18,19 @@
 import numpy as np
 
 from jujubewharf import clock as clocks
-from jujubewharf import hashing
-from jujubewharf.configuration import resources
 from jujubewharf.engines import client
 from jujubewharf.engines import prefixes
+from jujubewharf.standins import engine_spec
+from jujubewharf.standins import generation as generations
 from jujubewharf.standins import link as links
+from jujubewharf.standins import load_history
 from jujubewharf.standins import prefix_cache
+from jujubewharf.standins import readings
 from jujubewharf.standins import turns
 
-_LENGTH_WORD = "answer_tokens="
-_DEFAULT_ANSWER_TOKENS = 16
-_HISTORY_MS = 60_000.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineSpec:
-    """How one engine behaves.
-
-    Attributes:
-        slots: Requests its decode memory holds.
-        prefill_ms_per_token: Reading time.
-        step_base_ms: Time between tokens of a lone request.
-        step_ms_per_request: What each further request adds.
-        prefill_slowdown: Factor on the step while a prefill runs here.
-        prefill_survives_ms: Time until an unused prefill result is gone.
-        kv_bytes_per_token: Size of a prefill result.
-        link_bytes_per_s: Rate of its link.
-        report_lag_ms: Age of its load reports.
-        chunk_tokens: Tokens a chunk.
-        load_ms: Time a model load takes.
-        capabilities: What it can do.
-        role: Role it starts in.
-        model: Model it starts with.
-        model_version: Version it starts with.
-    """
-
-    slots: int = 20
-    prefill_ms_per_token: float = 0.2
-    step_base_ms: float = 20.0
-    step_ms_per_request: float = 1.0
-    prefill_slowdown: float = 1.5
-    prefill_survives_ms: float = 900.0
-    kv_bytes_per_token: int = 160_000
-    link_bytes_per_s: float = 5e9
-    report_lag_ms: float = 500.0
-    chunk_tokens: int = 1
-    load_ms: float = 2_000.0
-    capabilities: resources.Capabilities = resources.Capabilities()
-    role: str = resources.Role.BOTH.value
-    model: str = ""
-    model_version: str = ""
-
-
-def answer_token(prompt: str, index: int) -> str:
-    """The token that every engine writes at one place of one answer."""
-    return f" {hashing.digest(prompt.encode())[:6]}-{index}"
-
-
-def answer_length(prompt: str, max_tokens: int) -> int:
-    """Length of the answer; a prompt may ask for one by its first word."""
-    word = prompt.split(maxsplit=1)[0] if prompt.strip() else ""
-    if word.startswith(_LENGTH_WORD):
-        return min(max_tokens, int(word[len(_LENGTH_WORD) :]))
-    return min(max_tokens, _DEFAULT_ANSWER_TOKENS)
+EngineSpec = engine_spec.EngineSpec
+answer_token = generations.answer_token
+answer_length = generations.answer_length
 
 
 class KvSource(Protocol):
@@ -96,7 +46,7 @@
     attempt: client.Attempt
     taken_at_ms: float
     has_kv: bool = False
-    generation: _Generation | None = None
+    generation: generations.Generation | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -108,29 +58,6 @@
     prompt_tokens: int
 
 
-class _Generation:
-    """One running answer: a buffer that readers follow from any place."""
-
-    def __init__(self, first_index: int) -> None:
-        self.first_index = first_index
-        self.tokens: list[str] = []
-        self.is_done = False
-        self.is_lost = False
-        self.changed = asyncio.Condition()
-        self.task: asyncio.Task[None] | None = None
-
-    async def add(self, tokens: list[str], *, is_done: bool) -> None:
-        async with self.changed:
-            self.tokens.extend(tokens)
-            self.is_done = is_done
-            self.changed.notify_all()
-
-    async def lose(self) -> None:
-        async with self.changed:
-            self.is_lost = True
-            self.changed.notify_all()
-
-
 @dataclasses.dataclass(slots=True)
 class Counts:
     """What an engine did, for checks after a run."""
@@ -164,6 +91,7 @@
         self.name = name
         self.spec = spec
         self.counts = Counts()
+        self.ledger = readings.Ledger()
         self.link = links.Link(spec.link_bytes_per_s, clock)
         self.cache = prefix_cache.PrefixCache(clock, rng)
         self.sources: dict[str, KvSource] = {}
@@ -181,9 +109,7 @@
         self._queued_tokens = 0
         self._turns = turns.Turns()
         self._fence = 0
-        self._history: collections.deque[client.LoadReport] = (
-            collections.deque()
-        )
+        self._history = load_history.LoadHistory()
 
     def __repr__(self) -> str:
         return f"Engine({self.name!r}, {len(self._slots)} slots held)"
@@ -248,6 +174,7 @@
         if prefilled is None:
             raise self._error(client.EngineFault.KV_GONE)
         self.counts.used_prefill_tokens += prefilled.prompt_tokens
+        self.ledger.settle(attempt_id, readings.Fate.SENT)
         await self.link.carry(prefilled.kv_bytes)
         self._check_alive()
         return prefilled.kv_bytes
@@ -261,12 +188,14 @@
         await self.reserve(attempt)
         slot = self._slots[attempt.attempt_id]
         if slot.generation is None:
-            slot.generation = _Generation(job.first_index)
+            slot.generation = generations.Generation(job.first_index)
             self.counts.dispatches[attempt.attempt_id] += 1
             slot.generation.task = asyncio.create_task(
                 self._generate(slot, job)
             )
-        async for chunk in self._follow(slot.generation, job.first_index):
+        lost = self._error(client.EngineFault.LOST)
+        follow = slot.generation.follow(job.first_index, lost)
+        async for chunk in follow:
             yield chunk
 
     async def release(self, attempt_id: str) -> None:
@@ -278,6 +207,7 @@
         prefilled = self._prefilled.pop(attempt_id, None)
         if prefilled is not None:
             self.counts.wasted_prefill_tokens += prefilled.prompt_tokens
+            self.ledger.settle(attempt_id, readings.Fate.RELEASED)
         slot = self._slots.get(attempt_id)
         if slot is None:
             return
@@ -293,13 +223,7 @@
         """The load some while ago; see ``client.EngineClient``."""
         self._check_alive()
         self._note()
-        until_ms = self._clock.now_ms() - self.spec.report_lag_ms
-        report = self._history[0]
-        for candidate in self._history:
-            if candidate.measured_ms > until_ms:
-                break
-            report = candidate
-        return report
+        return self._history.at(self._clock.now_ms() - self.spec.report_lag_ms)
 
     def load_now(self) -> client.LoadReport:
         """The load without lag, for the oracle and for checks only."""
@@ -363,6 +287,8 @@
                 await slot.generation.lose()
         for prefilled in self._prefilled.values():
             self.counts.wasted_prefill_tokens += prefilled.prompt_tokens
+            attempt_id = prefilled.attempt.attempt_id
+            self.ledger.settle(attempt_id, readings.Fate.ENGINE_DIED)
         self._prefills.clear()
         self._prefilled.clear()
         self._slots.clear()
@@ -385,8 +311,7 @@
         try:
             async with self._turns.turn(priority):
                 cached = self.cache.cached_tokens(job.prompt)
-                reading_ms = (tokens - cached) * self.spec.prefill_ms_per_token
-                await self._clock.sleep_ms(reading_ms)
+                await self._read(attempt.attempt_id, tokens - cached)
         finally:
             self._queued_tokens = max(0, self._queued_tokens - tokens)
             self._prefills.pop(attempt.attempt_id, None)
@@ -403,12 +328,30 @@
             tokens, cached, kv_bytes, self.spec.prefill_survives_ms
         )
 
+    async def _read(self, attempt_id: str, tokens: int) -> None:
+        began_ms = self._clock.now_ms()
+        reading = self.ledger.begin(attempt_id, began_ms)
+        try:
+            await self._clock.sleep_ms(tokens * self.spec.prefill_ms_per_token)
+        except asyncio.CancelledError:
+            spent_ms = self._clock.now_ms() - began_ms
+            done = int(spent_ms / self.spec.prefill_ms_per_token)
+            reading.tokens = min(tokens, done)
+            reading.fate = (
+                readings.Fate.ENGINE_DIED
+                if self.is_dead
+                else readings.Fate.CUT_SHORT
+            )
+            raise
+        reading.tokens = tokens
+
     async def _expire(self, prefilled: _Prefilled) -> None:
         await self._clock.sleep_until_ms(prefilled.expires_at_ms)
         attempt_id = prefilled.attempt.attempt_id
         if self._prefilled.get(attempt_id) is prefilled:
             del self._prefilled[attempt_id]
             self.counts.wasted_prefill_tokens += prefilled.prompt_tokens
+            self.ledger.settle(attempt_id, readings.Fate.EXPIRED)
 
     async def _generate(self, slot: _Slot, job: client.DecodeJob) -> None:
         generation = slot.generation
@@ -417,47 +360,23 @@
         if not slot.has_kv:
             tokens = len(prefixes.tokens_of(job.prompt)) + job.first_index
             async with self._turns.turn(job.priority):
-                reading_ms = tokens * self.spec.prefill_ms_per_token
-                await self._clock.sleep_ms(reading_ms)
+                await self._read(slot.attempt.attempt_id, tokens)
             self.counts.prefilled_tokens += tokens
             self.counts.used_prefill_tokens += tokens
+            self.ledger.settle(slot.attempt.attempt_id, readings.Fate.KEPT)
         index = job.first_index
         while index < length:
             size = min(self.spec.chunk_tokens, length - index)
             await self._clock.sleep_ms(self._step_ms() * size)
-            tokens_now = [
-                answer_token(job.prompt, index + place) for place in range(size)
-            ]
+            tokens_now = generations.answer_tokens(job.prompt, index, size)
             index += size
             self.counts.decoded_tokens += size
+            self.ledger.write(slot.attempt.attempt_id, size)
             await generation.add(tokens_now, is_done=index >= length)
         if not generation.is_done:
             await generation.add([], is_done=True)
         self._free(slot.attempt.attempt_id)
 
-    async def _follow(
-        self, generation: _Generation, first_index: int
-    ) -> AsyncIterator[client.TokenChunk]:
-        sent = first_index - generation.first_index
-        while True:
-            async with generation.changed:
-                while (
-                    len(generation.tokens) <= sent
-                    and not generation.is_done
-                    and not generation.is_lost
-                ):
-                    await generation.changed.wait()
-                fresh = tuple(generation.tokens[sent:])
-                is_last = generation.is_done
-                is_lost = generation.is_lost
-            if is_lost:
-                raise self._error(client.EngineFault.LOST)
-            index = generation.first_index + sent
-            sent += len(fresh)
-            yield client.TokenChunk(index, fresh, is_last)
-            if is_last:
-                return
-
     def _free(self, attempt_id: str) -> None:
         self._slots.pop(attempt_id, None)
         self._note()
@@ -474,13 +393,7 @@
         return step_ms
 
     def _note(self) -> None:
-        now_ms = self._clock.now_ms()
-        self._history.append(self.load_now())
-        oldest_ms = now_ms - max(_HISTORY_MS, self.spec.report_lag_ms * 2)
-        while (
-            len(self._history) > 1 and self._history[1].measured_ms < oldest_ms
-        ):
-            self._history.popleft()
+        self._history.add(self.load_now(), lag_ms=self.spec.report_lag_ms)
 
     def _check_alive(self) -> None:
         if self.is_dead:
