--- a/src/jujubewharf/experiments/bench.py
+++ b/src/jujubewharf/experiments/bench.py
@@ -272,6 +272,11 @@
         instance = instances.Instance(process, core, seen_log, seen_list)
         self.instances[name] = instance
         await instance.start()
+        self.list_member(
+            platform_live_list.LiveMember(
+                name, core.peers.address, start.domain, is_entry=True
+            )
+        )
         return instance
 
     def _remote_engine(
--- a/src/jujubewharf/experiments/instances.py
+++ b/src/jujubewharf/experiments/instances.py
@@ -92,7 +92,7 @@
     ) -> None:
         events = self.core.answer(request)
         try:
-            async with contextlib.aclosing(events) as open_events:  # type: ignore[type-var]
+            async with contextlib.aclosing(events) as open_events:
                 async for event in open_events:
                     arrived.put_nowait(event)
         finally:
