--- a/src/jujubewharf/commands/main.py
+++ b/src/jujubewharf/commands/main.py
@@ -14,6 +14,7 @@
 from jujubewharf import clock as clocks
 from jujubewharf import entry as entries
 from jujubewharf.commands import demo
+from jujubewharf.commands import experiment
 from jujubewharf.commands import standin
 from jujubewharf.settings import models
 from jujubewharf.settings import reader
@@ -24,6 +25,7 @@
 app = typer.Typer(no_args_is_help=True, help=__doc__)
 settings_app = typer.Typer(no_args_is_help=True, help="Check settings files.")
 app.add_typer(settings_app, name="settings")
+app.add_typer(experiment.app, name="experiment")
 app.add_typer(standin.app, name="standin")
 app.command("demo")(demo.demo)
 
--- a/src/jujubewharf/experiments/adapters.py
+++ b/src/jujubewharf/experiments/adapters.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import AsyncIterator
 from collections.abc import Sequence
 import contextlib
@@ -111,6 +112,7 @@
 
     Attributes:
         runs: Request ids in the order they ran, by endpoint.
+        runs_of_path: Times that each path and query ran, at all endpoints.
         answer_ms: Time an answer takes, by endpoint; others take
             ``default_ms``.
         dead: Endpoints that are unreachable.
@@ -118,6 +120,7 @@
 
     def __init__(self, clock: clocks.Clock, *, default_ms: float = 5.0) -> None:
         self.runs: dict[str, list[str]] = {}
+        self.runs_of_path: collections.Counter[str] = collections.Counter()
         self.answer_ms: dict[str, float] = {}
         self.dead: set[str] = set()
         self._clock = clock
@@ -129,18 +132,19 @@
     ) -> AsyncIterator[endpoint_client.PlainReply]:
         """Echoes; see ``endpoint_client.EndpointClient``."""
         body = await _whole(call)
-        await self.run(endpoint.name, call.request_id)
+        await self.run(endpoint.name, call)
         yield endpoint_client.PlainReply(200, (), _once(body))
 
-    async def run(self, name: str, request_id: str) -> None:
-        """Runs one request at an endpoint.
+    async def run(self, name: str, call: endpoint_client.PlainCall) -> None:
+        """Runs one call at an endpoint; the body was read already.
 
         Raises:
             EngineError: It is dead, or died meanwhile.
         """
         if name in self.dead:
             raise client.EngineError(client.EngineFault.UNREACHABLE, name)
-        self.runs.setdefault(name, []).append(request_id)
+        self.runs.setdefault(name, []).append(call.request_id)
+        self.runs_of_path[call.path_query] += 1
         await self._clock.sleep_ms(self.answer_ms.get(name, self._default_ms))
         if name in self.dead:
             raise client.EngineError(client.EngineFault.LOST, name)
@@ -161,7 +165,7 @@
     ) -> AsyncIterator[endpoint_client.PlainReply]:
         """Echoes; see ``endpoint_client.EndpointClient``."""
         body = await _whole(call)
-        run = self._shared.run(endpoint.name, call.request_id)
+        run = self._shared.run(endpoint.name, call)
         await self._process.call_out(run)
         yield endpoint_client.PlainReply(200, (), _once(body))
 
--- /dev/null
+++ b/src/jujubewharf/experiments/callers.py
@@ -0,0 +1,284 @@
+"""Callers: they send, check what comes back, and try again elsewhere.
+
+They know nothing of the system's insides. An answer counts as whole only if
+every token is the one that the engines must write for the prompt.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import itertools
+
+import numpy as np
+
+from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf import hashing
+from jujubewharf.configuration import resources
+from jujubewharf.experiments import balancer as balancers
+from jujubewharf.experiments import instances
+from jujubewharf.experiments import load
+from jujubewharf.experiments import outcomes
+from jujubewharf.experiments import processes
+from jujubewharf.requests import model_request
+from jujubewharf.requests import plain
+from jujubewharf.standins import generation
+
+_SILENCE_MS = 10_000.0
+_NOBODY_MS = 500.0
+_COME_BACK_MS = 1_000.0
+_CONNECTION_LOST = "connection_lost"
+_IMPATIENT = "impatient"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Refused:
+    kind: errors.ErrorKind
+    ran: errors.Ran
+    retry_after_ms: float | None
+
+
+class _ImpatienceError(Exception):
+    """No token came in the time the caller gives it."""
+
+
+class Callers:
+    """All callers of a run.
+
+    Args:
+        services: Services by name.
+        balancer: Picks the instance for each call.
+        clock: Time.
+        rng: Spreads the callers that come back.
+        caller_ms: One-way delay between a caller and an instance.
+
+    Attributes:
+        outcomes: What each caller saw, in the order they came.
+    """
+
+    def __init__(
+        self,
+        services: dict[str, resources.Service],
+        balancer: balancers.Balancer,
+        clock: clocks.Clock,
+        rng: np.random.Generator,
+        *,
+        caller_ms: float,
+    ) -> None:
+        self.outcomes: list[outcomes.Outcome] = []
+        self._services = services
+        self._balancer = balancer
+        self._clock = clock
+        self._rng = rng
+        self._caller_ms = caller_ms
+
+    async def make(self, call: load.PlannedCall) -> None:
+        """Makes one call to its end."""
+        outcome = outcomes.Outcome(call, self._clock.now_ms())
+        self.outcomes.append(outcome)
+        try:
+            async with self._clock.timeout_ms(call.cancel_after_ms):
+                await self._until_answered(outcome)
+        except TimeoutError:
+            outcome.end = outcomes.End.CANCELLED
+
+    async def _until_answered(self, outcome: outcomes.Outcome) -> None:
+        service = self._services[outcome.call.service]
+        give_up_at_ms = outcome.began_ms + 2 * service.deadline_ms
+        come_backs = outcome.call.come_backs
+        avoided = ""
+        for number in itertools.count(1):
+            wait_ms = 0.0
+            instance = self._balancer.pick(avoided)
+            request_id = f"{outcome.call.key}-{number}"
+            outcome.request_ids.append(request_id)
+            try:
+                refused = await self._send(outcome, instance, request_id)
+            except processes.InstanceLostError:
+                outcome.retries[_CONNECTION_LOST] += 1
+                avoided = instance.name
+                wait_ms = _NOBODY_MS
+            except _ImpatienceError:
+                outcome.retries[_IMPATIENT] += 1
+                avoided = instance.name
+            else:
+                if refused is None:
+                    return
+                self._note_refusal(outcome, refused, request_id)
+                if come_backs == 0 or not _may_come_back(refused):
+                    return
+                come_backs -= 1
+                wait_ms = refused.retry_after_ms or _COME_BACK_MS
+                wait_ms *= 1 + self._rng.random() / 2
+                outcome.retries[refused.kind.value] += 1
+            if self._clock.now_ms() + wait_ms > give_up_at_ms:
+                outcome.end = outcome.end or outcomes.End.LOST
+                return
+            await self._clock.sleep_ms(wait_ms)
+
+    async def _send(
+        self,
+        outcome: outcomes.Outcome,
+        instance: instances.Instance,
+        request_id: str,
+    ) -> _Refused | None:
+        send = self._send_plain if outcome.call.is_plain else self._send_model
+        service = self._services[outcome.call.service]
+        try:
+            async with self._clock.timeout_ms(
+                service.deadline_ms + _SILENCE_MS
+            ):
+                return await send(outcome, instance, request_id)
+        except TimeoutError:
+            outcome.end = outcomes.End.LOST
+            return None
+
+    async def _send_plain(
+        self,
+        outcome: outcomes.Outcome,
+        instance: instances.Instance,
+        request_id: str,
+    ) -> _Refused | None:
+        call = outcome.call
+        service = self._services[call.service]
+        request = plain.PlainRequest(
+            request_id=request_id,
+            service=service,
+            method="POST",
+            path_query=f"/{call.key}",
+            arrived_ms=self._clock.now_ms(),
+            deadline_ms=service.deadline_ms,
+            body=_once(call.key.encode()),
+            key=call.key,
+            is_repeatable=call.is_repeatable,
+        )
+        try:
+            body = await instance.call_plain(request)
+        except errors.WharfError as error:
+            return _Refused(error.kind, error.ran, error.retry_after_ms)
+        if body != call.key.encode():
+            outcome.broken += 1
+        outcome.first_ms = self._since(outcome)
+        self._finish(outcome)
+        return None
+
+    async def _send_model(
+        self,
+        outcome: outcomes.Outcome,
+        instance: instances.Instance,
+        request_id: str,
+    ) -> _Refused | None:
+        request = self._model_request(outcome.call, request_id)
+        received: list[str] = []
+        async with contextlib.aclosing(instance.answer(request)) as events:
+            async for event in self._with_patience(outcome, events):
+                match event:
+                    case model_request.Tokens():
+                        self._take(outcome, received, event)
+                    case model_request.Finished():
+                        self._check(outcome, received, event)
+                        self._finish(outcome)
+                        return None
+                    case model_request.Failed(kind, ran):
+                        return _Refused(kind, ran, event.retry_after_ms)
+        # The stream ended without saying how: the caller can't know.
+        outcome.broken += 1
+        outcome.end = outcomes.End.LOST
+        return None
+
+    async def _with_patience(
+        self,
+        outcome: outcomes.Outcome,
+        events: AsyncIterator[model_request.Event],
+    ) -> AsyncIterator[model_request.Event]:
+        patience_ms = outcome.call.impatient_after_ms
+        if outcome.retries[_IMPATIENT]:
+            patience_ms = None
+        try:
+            async with self._clock.timeout_ms(patience_ms):
+                yield await anext(events)
+        except StopAsyncIteration:
+            return
+        except TimeoutError:
+            raise _ImpatienceError from None
+        async for event in events:
+            yield event
+
+    def _model_request(
+        self, call: load.PlannedCall, request_id: str
+    ) -> model_request.ModelRequest:
+        service = self._services[call.service]
+        return model_request.ModelRequest(
+            request_id=request_id,
+            key=call.key,
+            body_digest=hashing.digest(call.prompt.encode()),
+            account="",
+            service=service,
+            prompt=call.prompt,
+            max_tokens=call.answer_tokens,
+            arrived_ms=self._clock.now_ms(),
+            deadline_ms=service.deadline_ms,
+            priority=call.priority,
+            is_repeatable=call.is_repeatable,
+        )
+
+    def _take(
+        self,
+        outcome: outcomes.Outcome,
+        received: list[str],
+        event: model_request.Tokens,
+    ) -> None:
+        if outcome.first_ms is None:
+            outcome.first_ms = self._since(outcome)
+        if event.first_index < len(received):
+            outcome.repeated_tokens += len(received) - event.first_index
+        received.extend(event.texts)
+
+    def _check(
+        self,
+        outcome: outcomes.Outcome,
+        received: list[str],
+        event: model_request.Finished,
+    ) -> None:
+        call = outcome.call
+        wanted = generation.answer_tokens(call.prompt, 0, call.answer_tokens)
+        digest = hashing.digest("".join(wanted).encode())
+        if received != wanted or event.digest != digest:
+            outcome.broken += 1
+        if event.attempt_id not in outcome.attempts_finished:
+            outcome.attempts_finished.append(event.attempt_id)
+
+    def _finish(self, outcome: outcomes.Outcome) -> None:
+        outcome.completion_ms = self._since(outcome)
+        outcome.end = outcomes.End.FINISHED
+
+    def _since(self, outcome: outcomes.Outcome) -> float:
+        passed_ms = self._clock.now_ms() - outcome.began_ms
+        return passed_ms + 2 * self._caller_ms
+
+    def _note_refusal(
+        self, outcome: outcomes.Outcome, refused: _Refused, request_id: str
+    ) -> None:
+        outcome.end = outcomes.End.REFUSED
+        outcome.reason = refused.kind
+        if refused.ran is errors.Ran.NO:
+            outcome.said_not_run.append(request_id)
+
+
+def _may_come_back(refused: _Refused) -> bool:
+    if refused.ran is errors.Ran.UNKNOWN:
+        return False
+    return errors.TABLE[refused.kind].retryable
+
+
+async def _once(body: bytes) -> AsyncIterator[bytes]:
+    yield body
+
+
+async def all_ended(tasks: list[asyncio.Task[None]]) -> None:
+    """Waits for callers; a fault in one of them is raised."""
+    for task in tasks:
+        await task
--- a/src/jujubewharf/experiments/instances.py
+++ b/src/jujubewharf/experiments/instances.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 import contextlib
 
 from jujubewharf import entry as entries
 from jujubewharf.experiments import adapters
 from jujubewharf.experiments import processes
 from jujubewharf.requests import model_request
+from jujubewharf.requests import plain
 
 
 class Instance:
@@ -57,7 +58,7 @@
 
     async def answer(
         self, request: model_request.ModelRequest
-    ) -> AsyncIterator[model_request.Event]:
+    ) -> AsyncGenerator[model_request.Event, None]:
         """Sends a request and reads its answer, as a caller does.
 
         Leaving early is the caller's hanging up. The caller's own task is no
@@ -85,6 +86,30 @@
             raise processes.InstanceLostError(self.name)
         await task
 
+    async def call_plain(self, request: plain.PlainRequest) -> bytes:
+        """Calls a plain service and reads the whole answer.
+
+        Raises:
+            InstanceLostError: The instance died.
+            WharfError: The call was refused or broke off.
+        """
+        if self.process.is_dead:
+            raise processes.InstanceLostError(self.name)
+        call = self.process.create_task(_call_plain(self.core, request))
+        lost = asyncio.get_running_loop().create_future()
+        self.process.on_death(call, lambda: lost.set_result(None))
+        try:
+            await asyncio.wait(
+                (call, lost), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            self.process.forget(call)
+            if not call.done() and not self.process.is_dead:
+                call.cancel()
+        if lost.done():
+            raise processes.InstanceLostError(self.name)
+        return call.result()
+
     async def _pump(
         self,
         request: model_request.ModelRequest,
@@ -99,6 +124,13 @@
             arrived.put_nowait(None)
 
 
+async def _call_plain(
+    core: entries.EntryCore, request: plain.PlainRequest
+) -> bytes:
+    async with core.call_plain(request) as reply:
+        return b"".join([chunk async for chunk in reply.body])
+
+
 async def _start(core: entries.EntryCore) -> None:
     await core.start()
 
--- a/src/jujubewharf/experiments/processes.py
+++ b/src/jujubewharf/experiments/processes.py
@@ -25,7 +25,15 @@
     engine's writing would stop when the instance that asked for it is paused.
     """
     loop = asyncio.get_running_loop()
-    return loop.create_task(coroutine, context=contextvars.Context())
+    task = loop.create_task(coroutine, context=contextvars.Context())
+    task.add_done_callback(_look_at)
+    return task
+
+
+def _look_at(task: asyncio.Task[Any]) -> None:
+    """Marks a failure as seen: whoever asked may wait for it no longer."""
+    if not task.cancelled():
+        task.exception()
 
 
 class Process:
--- /dev/null
+++ b/src/jujubewharf/experiments/reader.py
@@ -0,0 +1,66 @@
+"""Reads an experiment file; one file may extend another."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+from typing import Any
+
+import pydantic
+import result
+
+from jujubewharf.experiments import models
+
+_EXTENDS = "extends"
+_MAX_DEPTH = 5
+
+
+def read(path: pathlib.Path) -> result.Result[models.Experiment, list[str]]:
+    """Reads and checks an experiment file.
+
+    A file with ``extends`` holds only what differs from the file named there,
+    relative to its own place: objects are merged, all else is replaced.
+
+    Returns:
+        The experiment, or one line an error, each opening with the path of
+        the field it is about.
+    """
+    try:
+        data = _merged(path, depth=0)
+    except OSError as error:
+        return result.Err([f"{error.filename}: {error.strerror}"])
+    except ValueError as error:
+        return result.Err([f"{path}: {error}"])
+    try:
+        return result.Ok(models.Experiment.model_validate(data))
+    except pydantic.ValidationError as error:
+        return result.Err([_line(item) for item in error.errors()])
+
+
+def _merged(path: pathlib.Path, *, depth: int) -> dict[str, Any]:
+    if depth > _MAX_DEPTH:
+        raise ValueError("files extend each other too deeply")
+    data = json.loads(path.read_text(encoding="utf-8"))
+    if not isinstance(data, dict):
+        raise ValueError("not a JSON object")
+    base_name = data.pop(_EXTENDS, None)
+    if base_name is None:
+        return data
+    base = _merged(path.parent / str(base_name), depth=depth + 1)
+    return _over(base, data)
+
+
+def _over(base: dict[str, Any], data: dict[str, Any]) -> dict[str, Any]:
+    merged = dict(base)
+    for key, value in data.items():
+        held = merged.get(key)
+        if isinstance(held, dict) and isinstance(value, dict):
+            merged[key] = _over(held, value)
+        else:
+            merged[key] = value
+    return merged
+
+
+def _line(item: Any) -> str:
+    path = ".".join(str(part) for part in item["loc"]) or "(top)"
+    return f"{path}: {item['msg']}"
--- /dev/null
+++ b/src/jujubewharf/experiments/report.py
@@ -0,0 +1,169 @@
+"""The report of a run, as data for JSON."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Sequence
+import dataclasses
+from typing import Any
+
+from hdrh import histogram
+
+from jujubewharf.configuration import resources
+from jujubewharf.experiments import outcomes
+from jujubewharf.experiments import truth as truths
+
+_LONGEST_MS = 3_600_000
+_PERCENTILES = (50, 90, 95, 99)
+_DIGITS = 6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceReport:
+    """One service's callers.
+
+    Attributes:
+        offered: Calls that came after the warm-up.
+        finished: Those answered in whole.
+        goodput: Those answered within both targets.
+        goodput_ratio: Goodput over the calls whose callers stayed.
+        cancelled: Calls whose callers hung up.
+        refused: Calls refused for good, by reason.
+        retries: Times that callers sent again, by reason.
+        lost: Calls that got neither an answer nor a refusal.
+        doubled: Calls answered more than once.
+        partial: Calls with an answer that was not whole and right.
+        refused_but_ran: Calls that ran though refused as not run.
+        ttft_ms: Time to the first token or byte, percentiles.
+        completion_ms: Time to the last, percentiles.
+    """
+
+    offered: int
+    finished: int
+    goodput: int
+    goodput_ratio: float
+    cancelled: int
+    refused: dict[str, int]
+    retries: dict[str, int]
+    lost: int
+    doubled: int
+    partial: int
+    refused_but_ran: int
+    ttft_ms: dict[str, int]
+    completion_ms: dict[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """One run.
+
+    Attributes:
+        experiment: Its name.
+        policy: Policy that decided.
+        seed: Seed of the run.
+        goodput_ratio: Over all model services.
+        wasted_prefill_ratio: Prefill never used over all prefill.
+        services: Each service's callers.
+        prefilled_tokens: Prompt tokens read.
+        wasted_prefill_tokens: Those never used, by cause.
+        leaked_slots: Slots still held at the end.
+        max_dispatches_not_repeatable: Most often that any call which may not
+            be repeated was begun.
+        reattempts: Attempts beyond the first of each request.
+        control_bytes_per_s: Peer traffic of an instance, the mean and the
+            highest of all instances.
+    """
+
+    experiment: str
+    policy: str
+    seed: int
+    goodput_ratio: float
+    wasted_prefill_ratio: float
+    services: dict[str, ServiceReport]
+    prefilled_tokens: int
+    wasted_prefill_tokens: dict[str, int]
+    leaked_slots: int
+    max_dispatches_not_repeatable: int
+    reattempts: int
+    control_bytes_per_s: dict[str, float]
+
+    @property
+    def broken_promises(self) -> dict[str, int]:
+        """Counts that must all be zero, by name."""
+        found = collections.Counter(leaked_slots=self.leaked_slots)
+        over = max(0, self.max_dispatches_not_repeatable - 1)
+        found["dispatched_twice"] = over
+        for service in self.services.values():
+            found["lost"] += service.lost
+            found["doubled"] += service.doubled
+            found["partial"] += service.partial
+            found["refused_but_ran"] += service.refused_but_ran
+        return {name: count for name, count in found.items() if count}
+
+    def to_json(self) -> dict[str, Any]:
+        """The report as JSON data."""
+        return dataclasses.asdict(self)
+
+
+def service_report(
+    service: resources.Service,
+    seen: Sequence[outcomes.Outcome],
+    truth: truths.Truth,
+) -> ServiceReport:
+    """Sums up the callers of one service."""
+    ends = collections.Counter(outcome.end for outcome in seen)
+    finished = [o for o in seen if o.end is outcomes.End.FINISHED]
+    good = sum(is_good(outcome, service) for outcome in finished)
+    retries: collections.Counter[str] = collections.Counter()
+    for outcome in seen:
+        retries.update(outcome.retries)
+    refused = collections.Counter(
+        outcome.reason.value
+        for outcome in seen
+        if outcome.end is outcomes.End.REFUSED and outcome.reason is not None
+    )
+    stayed = len(seen) - ends[outcomes.End.CANCELLED]
+    return ServiceReport(
+        offered=len(seen),
+        finished=len(finished),
+        goodput=good,
+        goodput_ratio=ratio(good, stayed),
+        cancelled=ends[outcomes.End.CANCELLED],
+        refused=dict(sorted(refused.items())),
+        retries={k: n for k, n in sorted(retries.items()) if n},
+        lost=ends[outcomes.End.LOST] + ends[None],
+        doubled=sum(outcome.is_doubled for outcome in seen),
+        partial=sum(outcome.broken > 0 for outcome in seen),
+        refused_but_ran=sum(truth.ran_though_refused(o) for o in seen),
+        ttft_ms=_percentiles([o.first_ms for o in finished]),
+        completion_ms=_percentiles([o.completion_ms for o in finished]),
+    )
+
+
+def is_good(outcome: outcomes.Outcome, service: resources.Service) -> bool:
+    """Whether a call was answered in whole within both targets."""
+    if outcome.first_ms is None or outcome.completion_ms is None:
+        return False
+    if outcome.broken or outcome.is_doubled:
+        return False
+    return (
+        outcome.first_ms <= service.first_answer_target_ms
+        and outcome.completion_ms <= service.completion_target_ms
+    )
+
+
+def ratio(part: float, whole: float) -> float:
+    """A rounded share; 1 of nothing."""
+    return round(part / whole, _DIGITS) if whole else 1.0
+
+
+def _percentiles(values_ms: Sequence[float | None]) -> dict[str, int]:
+    recorded = histogram.HdrHistogram(1, _LONGEST_MS, 3)
+    for value_ms in values_ms:
+        if value_ms is not None:
+            recorded.record_value(max(1, round(value_ms)))
+    found = {
+        f"p{percentile}": int(recorded.get_value_at_percentile(percentile))
+        for percentile in _PERCENTILES
+    }
+    return found | {"max": int(recorded.get_max_value())}
--- /dev/null
+++ b/src/jujubewharf/experiments/truth.py
@@ -0,0 +1,126 @@
+"""What really happened, from the stand-ins' own books after a run."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable
+import dataclasses
+
+from jujubewharf.experiments import bench as benches
+from jujubewharf.experiments import outcomes
+from jujubewharf.standins import readings
+
+CALLER_CANCELLED = "caller_cancelled"
+SENT_UNUSED = "sent_unused"
+KEPT_UNUSED = "kept_unused"
+
+
+@dataclasses.dataclass(slots=True)
+class Waste:
+    """Prefill done and prefill never used.
+
+    Attributes:
+        prefilled_tokens: Tokens read, those from the cache left out.
+        wasted_tokens: Of these the ones never used, by cause.
+    """
+
+    prefilled_tokens: int = 0
+    wasted_tokens: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+    @property
+    def ratio(self) -> float:
+        """Share of prefill that was never used."""
+        if self.prefilled_tokens == 0:
+            return 0.0
+        return self.wasted_tokens.total() / self.prefilled_tokens
+
+
+class Truth:
+    """The engines' and endpoints' books, and the callers' outcomes.
+
+    Args:
+        bench: The deployment after the run.
+        seen: All callers' outcomes.
+    """
+
+    def __init__(
+        self, bench: benches.Bench, seen: Iterable[outcomes.Outcome]
+    ) -> None:
+        self._bench = bench
+        self._written: collections.Counter[str] = collections.Counter()
+        self._dispatches: collections.Counter[str] = collections.Counter()
+        self._given: set[str] = set()
+        self._call_of: dict[str, outcomes.Outcome] = {}
+        for outcome in seen:
+            for request_id in outcome.request_ids:
+                self._call_of[request_id] = outcome
+        for engine in bench.engines.values():
+            self._written.update(engine.ledger.written)
+            for attempt_id, count in engine.counts.dispatches.items():
+                self._dispatches[_request(attempt_id)] += count
+                self._given.add(_request(attempt_id))
+            for reading in engine.ledger.readings:
+                self._given.add(_request(reading.attempt_id))
+
+    def waste(self, *, since_ms: float) -> Waste:
+        """Prefill of readings that began at some moment or later."""
+        waste = Waste()
+        for engine in self._bench.engines.values():
+            for reading in engine.ledger.readings:
+                if reading.started_ms < since_ms:
+                    continue
+                waste.prefilled_tokens += reading.tokens
+                cause = self._cause(reading)
+                if cause is not None and reading.tokens > 0:
+                    waste.wasted_tokens[cause] += reading.tokens
+        return waste
+
+    def dispatches(self, outcome: outcomes.Outcome) -> int:
+        """Times that a call was begun at an engine or endpoint."""
+        call = outcome.call
+        if call.is_plain:
+            return self._bench.endpoints.runs_of_path[f"/{call.key}"]
+        return sum(self._dispatches[name] for name in outcome.request_ids)
+
+    def ran_though_refused(self, outcome: outcomes.Outcome) -> bool:
+        """Whether a call that was said not to have run did run."""
+        if outcome.call.is_plain:
+            is_sure = len(outcome.said_not_run) == len(outcome.request_ids)
+            return is_sure and self.dispatches(outcome) > 0
+        return any(name in self._given for name in outcome.said_not_run)
+
+    def leaked_slots(self) -> int:
+        """Decode slots still held, though every caller is long gone."""
+        return sum(
+            engine.load_now().slots_used
+            for engine in self._bench.engines.values()
+            if not engine.is_dead
+        )
+
+    def reattempts(self) -> int:
+        """Attempts that engines saw beyond the first of each request."""
+        attempts = set(self._written)
+        return len(attempts) - len({_request(name) for name in attempts})
+
+    def _cause(self, reading: readings.Reading) -> str | None:
+        is_written = self._written[reading.attempt_id] > 0
+        match reading.fate:
+            case readings.Fate.SENT:
+                cause = SENT_UNUSED
+            case readings.Fate.KEPT:
+                cause = KEPT_UNUSED
+            case fate:
+                cause = fate.value
+                is_written = False
+        if is_written:
+            return None
+        outcome = self._call_of.get(_request(reading.attempt_id))
+        if outcome is not None and outcome.end is outcomes.End.CANCELLED:
+            return CALLER_CANCELLED
+        return cause
+
+
+def _request(attempt_id: str) -> str:
+    return attempt_id.rpartition(".")[0]
--- a/src/jujubewharf/experiments/virtual_time.py
+++ b/src/jujubewharf/experiments/virtual_time.py
@@ -14,11 +14,10 @@
 from collections.abc import Coroutine
 import contextvars
 import heapq
+import selectors
 from typing import Any
 from typing import TypeVar
 
-import looptime
-
 _Result = TypeVar("_Result")
 
 OWNER: contextvars.ContextVar[object | None] = contextvars.ContextVar(
@@ -26,17 +25,60 @@
 )
 
 
-class VirtualLoop(looptime.LoopTimeEventLoop, asyncio.SelectorEventLoop):
-    """The loop; it starts at time zero."""
+_RESOLUTION_DIGITS = 6
+_TICK_S = 1e-6
+_ROUNDS_A_TICK = 2_000
+
+
+class StuckError(RuntimeError):
+    """Nothing is due and nothing can ever come: tasks wait for each other."""
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """The loop; it starts at time zero.
+
+    It does no input or output, so that asking the system for events, which
+    the library ``looptime`` does several times a step, is spared.
+    """
 
     # What asyncio's own base class calls them; typeshed leaves them out.
     _ready: collections.deque[asyncio.Handle]
     _scheduled: list[asyncio.TimerHandle]
 
     def __init__(self) -> None:
-        super().__init__(start=0, noop_cycles=0)
+        super().__init__(_JumpingSelector(self))
+        self._now_s = 0.0
+        self._clock_resolution = _TICK_S
         self._held: dict[object, list[asyncio.Handle]] = {}
 
+    def time(self) -> float:
+        """Virtual seconds."""
+        return self._now_s
+
+    def jump(self) -> None:
+        """Goes on to the next timer.
+
+        Raises:
+            StuckError: There is none.
+        """
+        if not self._scheduled:
+            raise StuckError("nothing is due, ever")
+        # Rounded, so that sums of durations don't differ in the last bit.
+        next_s = round(self._scheduled[0].when(), _RESOLUTION_DIGITS)
+        if next_s <= self._now_s:
+            self.tick()
+        else:
+            self._now_s = next_s
+
+    def tick(self) -> None:
+        """Goes on by the least step.
+
+        Code that waits for what is left of a while may find left, by
+        rounding, what is too little to move the clock, and wait for it again
+        and again: on a real loop the rounds themselves take time.
+        """
+        self._now_s = round(self._now_s + _TICK_S, _RESOLUTION_DIGITS)
+
     def hold(self, owner: object) -> None:
         """Stops everything of an owner; again is harmless."""
         if owner in self._held:
@@ -101,6 +143,25 @@
         return super()._call_soon(callback, args, context)  # type: ignore[misc]
 
 
+class _JumpingSelector(selectors.DefaultSelector):
+    def __init__(self, loop: VirtualLoop) -> None:
+        super().__init__()
+        self._loop = loop
+        self._rounds = 0
+
+    def select(
+        self, timeout: float | None = None
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        self._rounds += 1
+        if timeout is None or timeout > 0:
+            self._loop.jump()
+            self._rounds = 0
+        elif self._rounds >= _ROUNDS_A_TICK:
+            self._loop.tick()
+            self._rounds = 0
+        return []
+
+
 def run(main: Coroutine[Any, Any, _Result]) -> _Result:
     """Runs to the end in virtual time, starting at zero."""
     loop = VirtualLoop()
--- a/src/jujubewharf/standins/engine.py
+++ b/src/jujubewharf/standins/engine.py
@@ -18,6 +18,7 @@
 import numpy as np
 
 from jujubewharf import clock as clocks
+from jujubewharf import hashing
 from jujubewharf.engines import client
 from jujubewharf.engines import prefixes
 from jujubewharf.standins import engine_spec
@@ -118,6 +119,7 @@
         self._slots: dict[str, _Slot] = {}
         self._prefilled: dict[str, _Prefilled] = {}
         self._prefills: dict[str, asyncio.Task[client.PrefillDone]] = {}
+        self._running = 0
         self._queued_tokens = 0
         self._turns = turns.Turns()
         self._fence = 0
@@ -201,6 +203,7 @@
         slot = self._slots[attempt.attempt_id]
         if slot.generation is None:
             slot.generation = generations.Generation(job.first_index)
+            self._running += 1
             self.counts.dispatches[attempt.attempt_id] += 1
             slot.generation.task = asyncio.create_task(
                 self._generate(slot, job)
@@ -304,6 +307,7 @@
         self._prefills.clear()
         self._prefilled.clear()
         self._slots.clear()
+        self._running = 0
         self.cache.clear()
         self._note()
 
@@ -391,14 +395,13 @@
         self._free(slot.attempt.attempt_id)
 
     def _free(self, attempt_id: str) -> None:
-        self._slots.pop(attempt_id, None)
+        slot = self._slots.pop(attempt_id, None)
+        if slot is not None and slot.generation is not None:
+            self._running -= 1
         self._note()
 
     def _step_ms(self) -> float:
-        running = sum(
-            1 for slot in self._slots.values() if slot.generation is not None
-        )
-        others = max(0, running - 1)
+        others = max(0, self._running - 1)
         step_ms = self.spec.step_base_ms
         step_ms += others * self.spec.step_ms_per_request
         if self._queued_tokens > 0:
--- a/src/jujubewharf/standins/network.py
+++ b/src/jujubewharf/standins/network.py
@@ -52,7 +52,7 @@
         self.bytes_sent: dict[str, int] = {}
         self._clock = clock
         self._near_ms = near_ms
-        self._far_ms = far_ms
+        self._far_ms = self._usual_far_ms = far_ms
         self._sites: dict[str, _Site] = {}
         self._ports = itertools.count(_FIRST_PORT)
         self._cuts: set[tuple[str, str]] = set()
@@ -90,10 +90,13 @@
         """One-way delay."""
         return self._near_ms if domain == other else self._far_ms
 
-    def set_delays(self, *, near_ms: float, far_ms: float) -> None:
-        """Changes the delays of what is sent from now on."""
-        self._near_ms = near_ms
-        self._far_ms = far_ms
+    def set_delays(self, *, far_ms: float | None = None) -> None:
+        """Changes the far delay of what is sent from now on.
+
+        Args:
+            far_ms: The new one; ``None`` is the one it began with.
+        """
+        self._far_ms = self._usual_far_ms if far_ms is None else far_ms
 
     def drop_instance(self, instance: str) -> None:
         """Closes all that an instance has open, as its death does."""
