--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -24,6 +24,7 @@
 from jujubewharf.callers import edge
 from jujubewharf.callers import plain as plain_paths
 from jujubewharf.callers import readiness
+from jujubewharf.configuration import changes
 from jujubewharf.configuration import follower
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
@@ -32,6 +33,13 @@
 from jujubewharf.engines import http_endpoint
 from jujubewharf.membership import facts
 from jujubewharf.membership import membership as memberships
+from jujubewharf.operators import server as operator_server
+from jujubewharf.operators import service as operator_service
+from jujubewharf.orders import leases
+from jujubewharf.orders import ownership
+from jujubewharf.orders import reconciler
+from jujubewharf.orders import turn
+from jujubewharf.peers import keys as peer_keys
 from jujubewharf.peers import mesh
 from jujubewharf.peers import peer
 from jujubewharf.peers import streams
@@ -40,16 +48,20 @@
 from jujubewharf.platform import log
 from jujubewharf.platform import weights
 from jujubewharf.requests import answers as request_answers
+from jujubewharf.requests import claims as request_claims
+from jujubewharf.requests import keys
 from jujubewharf.requests import life
 from jujubewharf.requests import limits
 from jujubewharf.requests import model_request
 from jujubewharf.requests import plain
 from jujubewharf.requests import plain_endpoints
+from jujubewharf.requests import sweep as sweeps
 from jujubewharf.routing import baselines
 from jujubewharf.routing import fleet as fleets
 from jujubewharf.routing import placer as placers
 from jujubewharf.routing import policy as policies
 from jujubewharf.settings import models
+from jujubewharf.telemetry import gauges
 from jujubewharf.telemetry import goodput
 
 
@@ -85,12 +97,21 @@
 
     Attributes:
         configuration: Configuration in force here.
+        changes: Takes operators' changes.
         fleet: Views of the engines.
+        leases: Leases on the log.
+        orders: Orders to engines.
+        operators: Answers operators.
+        accounts: Client accounts in force here.
+        model_limits: Limits of model requests here.
+        plain_limits: Limits of plain calls here.
+        plain: Runs plain calls.
         peers: Links to the other instances.
         facts: Small facts known to the whole fleet.
         membership: Who they are.
         runner: Runs model requests, and counts.
         answers: All answers of this instance.
+        claims: Claims of requests that may not be repeated.
     """
 
     def __init__(
@@ -128,8 +149,21 @@
         self.configuration = follower.ConfigurationFollower(
             adapters.log, clock, wait_ms=settings.platform.log_wait_ms
         )
+        self.changes = changes.Changes(self.configuration, adapters.log, clock)
         self.fleet = fleets.Fleet(adapters.make_engine_client, clock)
         self.configuration.listen(self.fleet.on_configuration)
+        self.leases = leases.Leases(settings.instance, adapters.log, clock)
+        self.orders = reconciler.Reconciler(
+            turn.Surroundings(
+                self.leases,
+                self.fleet,
+                self.configuration,
+                adapters.weight_store,
+                clock,
+            ),
+            owns=ownership.Ownership(self.membership).owns,
+        )
+        self.fleet.withheld = self.orders.is_taken_out
         if policy is None:
             policy = baselines.LeastLoad()
         self._placer = placers.Placer(policy, self.fleet, clock)
@@ -139,15 +173,54 @@
             self._placer,
             clock,
         )
-        self.answers = request_answers.Answers(self.runner, clock)
+        self.key_homes = keys.KeyHomes(
+            self.peers, self.membership, clock, self._incarnation_of
+        )
+        self.claims = request_claims.Claims(
+            settings.instance,
+            self.peers,
+            self.membership,
+            adapters.log,
+            clock,
+        )
+        self.answers = request_answers.Answers(
+            settings.instance,
+            self.runner,
+            self.key_homes,
+            self.claims,
+            self.peers,
+            self.membership,
+            clock,
+        )
+        self.peers.on_hello(lambda hello: self.answers.rehoming.wake())
+        self.sweep = sweeps.Sweep(
+            settings.instance,
+            lambda: self.configuration.current,
+            self.fleet,
+            self.runner.releaser,
+            self.peers,
+            self.membership,
+            clock,
+            self.runner.counters,
+        )
+        self.operators = operator_service.OperatorService(self)
 
         self.accounts = accounts.Accounts()
         self.configuration.listen(self.accounts.on_configuration)
-        self.model_limits = limits.Limits(clock, self.accounts.get)
-        self.plain_limits = limits.Limits(clock, self.accounts.get)
+        self.model_limits, self.plain_limits = (
+            limits.Limits(
+                clock, self.accounts.get, member_count=self._member_count
+            )
+            for _ in range(2)
+        )
         chooser = plain_endpoints.Chooser(settings.domain, clock)
         self.configuration.listen(chooser.on_configuration)
-        self._plain = plain.PlainRunner(adapters.endpoints, chooser, clock)
+        self.plain = plain.PlainRunner(
+            adapters.endpoints,
+            chooser,
+            clock,
+            claims=request_claims.PlainClaims(self.claims),
+        )
 
     async def on_start(self) -> None:
         """Starts the parts, those that others need first."""
@@ -156,7 +229,19 @@
         await self.add_runtime_dependency(self.membership)
         await self.add_runtime_dependency(self.configuration)
         await self.add_runtime_dependency(self.fleet)
+        await self.add_runtime_dependency(self.key_homes)
+        await self.add_runtime_dependency(self.claims)
+        await self.add_runtime_dependency(self.leases)
+        await self.add_runtime_dependency(self.orders)
         await self.add_runtime_dependency(self.answers)
+        await self.add_runtime_dependency(self.sweep)
+
+    def _incarnation_of(self, instance: str) -> int:
+        hello = self.peers.hello_of(instance)
+        return self.peers.incarnation if hello is None else hello.incarnation
+
+    def _member_count(self) -> int:
+        return len(self.membership.present())
 
     async def answer(
         self, request: model_request.ModelRequest
@@ -200,7 +285,7 @@
                 deadline_at_ms=request.deadline_at_ms,
                 priority=request.priority,
             ),
-            self._plain.run(request) as reply,
+            self.plain.run(request) as reply,
         ):
             yield reply
 
@@ -215,6 +300,7 @@
     Attributes:
         core: The instance's core, once started.
         callers: The caller edge, once started.
+        operators: The operator RPC, once started.
     """
 
     def __init__(
@@ -226,19 +312,44 @@
         self._sessions: list[aiohttp.ClientSession] = []
         self.core: EntryCore | None = None
         self.callers: edge.CallerEdge | None = None
+        self.operators: operator_server.OperatorServer | None = None
 
     async def on_start(self) -> None:
         """Makes the adapters and starts core and edges."""
-        self.core = EntryCore(self._settings, self._clock, self._adapters())
+        peers = self._settings.peers
+        transport = peer_keys.make_transport(peers)
+        self.core = EntryCore(
+            self._settings, self._clock, self._adapters(transport)
+        )
+        gauges.watch(self.core)
         callers = self._settings.callers
         self.callers = edge.CallerEdge(
             callers,
-            completions.Completions(self.core, self._clock, callers),
+            completions.Completions(
+                self.core,
+                self._clock,
+                callers,
+                new_id=lambda: model_request.mint_id(self._settings.instance),
+            ),
             plain_paths.PlainServices(self.core, self._clock, callers),
             readiness.Readiness(self.core.configuration.caught_up),
         )
+        self.operators = operator_server.OperatorServer(
+            self._settings.operators, self.core.operators, self._clock
+        )
         await self.add_runtime_dependency(self.core)
+        await self.add_runtime_dependency(self.operators)
         await self.add_runtime_dependency(self.callers)
+        files = peer_keys.files_of(peers)
+        if files is not None:
+            reloader = peer_keys.KeyReloader(
+                files,
+                transport,
+                self.core.peers,
+                self._clock,
+                poll_ms=peers.tls_poll_ms,
+            )
+            await self.add_runtime_dependency(reloader)
 
     async def on_shutdown(self) -> None:
         """Closes the client sessions once all parts stopped."""
@@ -257,10 +368,9 @@
         self._sessions.append(session)
         return session
 
-    def _adapters(self) -> Adapters:
+    def _adapters(self, transport: streams.Transport) -> Adapters:
         session = self._new_session()
         platform = self._settings.platform
-        peers = self._settings.peers
 
         def make_engine_client(
             endpoint: resources.Endpoint,
@@ -279,5 +389,5 @@
             ),
             make_engine_client=make_engine_client,
             endpoints=http_endpoint.HttpEndpointClient(self._new_session()),
-            transport=streams.TcpTransport(peers.host, peers.port),
+            transport=transport,
         )
--- a/src/jujubewharf/experiments/bench.py
+++ b/src/jujubewharf/experiments/bench.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import itertools
 import zlib
 
 import numpy as np
@@ -44,6 +45,7 @@
     domain: str
     make_policy: MakePolicy
     settings: dict[str, object]
+    clock: clocks.Clock
 
 
 class Bench:
@@ -87,6 +89,7 @@
         self.endpoints = adapters.MemoryEndpoints(self.clock)
         self.engines: dict[str, engines.Engine] = {}
         self.instances: dict[str, instances.Instance] = {}
+        self._operations = itertools.count()
         self._seed = seed
         self._engine_domains: dict[str, str] = {}
         self._starts: dict[str, _Start] = {}
@@ -122,7 +125,9 @@
 
     async def declare(self, *declared: resources.Resource) -> None:
         """Puts resources on the configuration stream."""
-        payloads = [_put(resource) for resource in declared]
+        payloads = [
+            _put(resource, next(self._operations)) for resource in declared
+        ]
         await self.log.append(records.STREAM, payloads)
 
     async def start_instance(
@@ -133,6 +138,7 @@
         policy: policies.Policy | None = None,
         make_policy: MakePolicy | None = None,
         settings: dict[str, object] | None = None,
+        clock: clocks.Clock | None = None,
     ) -> instances.Instance:
         """Starts an entry core.
 
@@ -142,9 +148,12 @@
             policy: Its policy; a restart uses the same object again.
             make_policy: Makes its policy at the start and each restart.
             settings: Settings other than the bench's own.
+            clock: A clock that differs from the bench's.
         """
         make_policy = make_policy or (lambda: policy)
-        self._starts[name] = _Start(domain, make_policy, settings or {})
+        self._starts[name] = _Start(
+            domain, make_policy, settings or {}, clock or self.clock
+        )
         return await self._start(name)
 
     async def restart_instance(self, name: str) -> instances.Instance:
@@ -256,7 +265,7 @@
         seen_log.is_cut = start.domain in self._domains_without_log
         core = entries.EntryCore(
             _settings(name, start),
-            self.clock,
+            start.clock,
             entries.Adapters(
                 log=seen_log,
                 live_list=seen_list,
@@ -326,11 +335,11 @@
     )
 
 
-def _put(resource: resources.Resource) -> bytes:
+def _put(resource: resources.Resource, number: int) -> bytes:
     kind = resources.KIND_OF[type(resource)]
     return records.encode(
         records.Change(
-            operation_id=f"declare-{kind.value}-{resource.name}",
+            operation_id=f"declare-{number}",
             actor="bench",
             verb=records.Verb.PUT,
             kind=kind.value,
--- a/src/jujubewharf/membership/suspicion.py
+++ b/src/jujubewharf/membership/suspicion.py
@@ -84,7 +84,11 @@
         """Whether this instance itself has evidence against the peer."""
         contact = self._mesh.contact(name)
         if contact.failed_ms is not None:
-            return True
+            # A dial that failed beside a link that came back would else be
+            # held against the peer for ever: no further dial follows it.
+            heard_ms = contact.heard_ms
+            if heard_ms is None or heard_ms <= contact.failed_ms:
+                return True
         if not contact.is_watched:
             return False
         if not contact.hears_us:
@@ -94,6 +98,17 @@
             since_ms = self._known_since_ms.get(name, self._clock.now_ms())
         return not self._is_recent(since_ms)
 
+    def on_hello(self, domain: str, members: Mapping[str, view.Member]) -> None:
+        """Takes a hello from a domain as a sign that the way there is open.
+
+        After a partition heals, the members that were found unreachable by
+        probes would else be passed over until each is probed again.
+        """
+        for name, member in members.items():
+            contact = self._mesh.contact(name)
+            if member.domain == domain and not contact.is_watched:
+                self._mesh.forgive(name)
+
     def next_probe(
         self, members: Mapping[str, view.Member], suspected: frozenset[str]
     ) -> str | None:
@@ -172,7 +187,8 @@
         return found
 
     def _is_told(self, name: str, reports: list[member_facts.Report]) -> bool:
-        if self._mesh.contact(name).is_watched or self.is_heard(name):
+        contact = self._mesh.contact(name)
+        if contact.is_watched or (contact.is_linked and self.is_heard(name)):
             return False
         return len(reports) >= REPORTS_TO_BELIEVE
 
--- a/src/jujubewharf/requests/plain.py
+++ b/src/jujubewharf/requests/plain.py
@@ -23,15 +23,15 @@
 from jujubewharf.engines import endpoint_client
 from jujubewharf.requests import plain_body
 from jujubewharf.requests import plain_endpoints
+from jujubewharf.requests import retries
 from jujubewharf.telemetry import goodput
 
 ATTEMPT_HEADER = "X-Attempt"
 _MAX_ATTEMPTS = 3
 _RETRY_AFTER_MS = 1_000.0
-_BUDGET_CEILING = 10.0
 
 _retries = metrics.get_meter("jujubewharf").create_counter(
-    "jujubewharf.plain.retries",
+    "plain.retries",
     description="Plain calls sent again, by reason.",
 )
 
@@ -77,7 +77,14 @@
 class Claims(Protocol):
     """Decides over the whole fleet who may send a call with a key."""
 
-    async def claim(self, key: str, request_id: str, body_digest: str) -> None:
+    async def claim(
+        self,
+        key: str,
+        request_id: str,
+        body_digest: str,
+        *,
+        account: str = "",
+    ) -> None:
         """Takes the key for good.
 
         Raises:
@@ -85,26 +92,9 @@
         """
         ...
 
-
-class RetryBudget:
-    """Retries as a share of calls, so that failures make no storm.
-
-    Each call earns ``ratio`` of a retry; a retry spends one.
-    """
-
-    def __init__(self) -> None:
-        self._earned = _BUDGET_CEILING
-
-    def earn(self, ratio: float) -> None:
-        """Adds what one call earns."""
-        self._earned = min(_BUDGET_CEILING, self._earned + ratio)
-
-    def spend(self) -> bool:
-        """Takes one retry; false when none is left."""
-        if self._earned < 1.0:
-            return False
-        self._earned -= 1.0
-        return True
+    def abandon(self, request_id: str) -> None:
+        """Gives the key back: the call was not sent and never will be."""
+        ...
 
 
 @dataclasses.dataclass(slots=True)
@@ -124,6 +114,9 @@
         endpoints: Calls endpoints.
         chooser: Knows the endpoints and picks one.
         clock: Time.
+        claims: See the attribute.
+
+    Attributes:
         claims: Guards keyed calls that may not be repeated; ``None`` refuses
             no key, for an instance that runs alone.
     """
@@ -139,8 +132,8 @@
         self._endpoints = endpoints
         self._chooser = chooser
         self._clock = clock
-        self._claims = claims
-        self._budgets: dict[str, RetryBudget] = {}
+        self.claims = claims
+        self._budget = retries.RetryBudget()
         self._logger = structlog.get_logger()
 
     @contextlib.asynccontextmanager
@@ -188,26 +181,41 @@
         progress: _Progress,
     ) -> endpoint_client.PlainReply:
         body = plain_body.ReplayableBody(request.body)
-        budget = self._budgets.setdefault(request.service.name, RetryBudget())
-        budget.earn(request.service.retry_ratio)
+        self._budget.accepted(request.service)
         await self._claim(request, body)
+        try:
+            return await self._attempts(stack, request, progress, body)
+        finally:
+            if self.claims is not None and not progress.may_have_run:
+                self.claims.abandon(request.request_id)
+
+    async def _attempts(
+        self,
+        stack: contextlib.AsyncExitStack,
+        request: PlainRequest,
+        progress: _Progress,
+        body: plain_body.ReplayableBody,
+    ) -> endpoint_client.PlainReply:
         while True:
             try:
                 return await self._attempt(stack, request, progress, body)
             except client.EngineError as error:
-                self._after_failure(request, progress, body, budget, error)
+                self._after_failure(request, progress, body, error)
 
     async def _claim(
         self, request: PlainRequest, body: plain_body.ReplayableBody
     ) -> None:
         if request.is_repeatable or request.key is None:
             return
-        if self._claims is None:
+        if self.claims is None:
             return
         start = await body.peek()
         heading = f"{request.method} {request.path_query}\n".encode()
-        await self._claims.claim(
-            request.key, request.request_id, hashing.digest(heading + start)
+        await self.claims.claim(
+            request.key,
+            request.request_id,
+            hashing.digest(heading + start),
+            account=request.account,
         )
 
     async def _attempt(
@@ -255,7 +263,6 @@
         request: PlainRequest,
         progress: _Progress,
         body: plain_body.ReplayableBody,
-        budget: RetryBudget,
         error: client.EngineError,
     ) -> None:
         if body.failure is not None:
@@ -270,12 +277,14 @@
         )
         self._chooser.failed(error.engine)
         progress.excluded |= {error.engine}
+        service = request.service.name
         is_safe = request.is_repeatable or not progress.may_have_run
         if (
             not is_safe
             or not body.is_whole
             or progress.attempts >= _MAX_ATTEMPTS
-            or not budget.spend()
+            or not self._chooser.has_any(service, excluded=progress.excluded)
+            or not self._budget.take(request.service)
         ):
             raise _failure(request, error, progress)
         _retries.add(1, {"reason": error.fault.value})
