--- a/src/jujubewharf/commands/standin.py
+++ b/src/jujubewharf/commands/standin.py
@@ -43,10 +43,24 @@
     role: str = resources.Role.BOTH.value,
     model: str = "",
     fencing: bool = True,
+    slots: int = 20,
+    step_ms: float = 20.0,
+    step_ms_per_request: float = 1.0,
+    prefill_ms_per_token: float = 0.2,
+    report_lag_ms: float = 500.0,
 ) -> None:
     """Run a model engine."""
     capabilities = resources.Capabilities(checks_fencing=fencing)
-    spec = engines.EngineSpec(role=role, model=model, capabilities=capabilities)
+    spec = engines.EngineSpec(
+        role=role,
+        model=model,
+        capabilities=capabilities,
+        slots=slots,
+        step_base_ms=step_ms,
+        step_ms_per_request=step_ms_per_request,
+        prefill_ms_per_token=prefill_ms_per_token,
+        report_lag_ms=report_lag_ms,
+    )
     asyncio.run(_serve_engine(name, spec, port))
 
 
