--- a/benchmarks/overhead.py
+++ b/benchmarks/overhead.py
@@ -32,6 +32,7 @@
 _MS_PER_S = 1_000.0
 _BYTES_PER_MB = 1e6
 _PROMPT_WORDS = 100
+_OK = 200
 
 Send = Callable[[int], Awaitable["Timing"]]
 
@@ -144,7 +145,8 @@
         first_ms = 0.0
         data = b""
         async with self._session.post(self._url, json=body) as answer:
-            answer.raise_for_status()
+            if answer.status != _OK:
+                raise RuntimeError(await answer.text())
             async for part in answer.content.iter_any():
                 first_ms = first_ms or _since_ms(began_s)
                 data += part
