--- a/src/jujubewharf/callers/event_stream.py
+++ b/src/jujubewharf/callers/event_stream.py
@@ -4,9 +4,9 @@
 
 from collections.abc import AsyncIterator
 from collections.abc import Mapping
-import json
 
 from aiohttp import web
+import orjson
 
 from jujubewharf import errors
 from jujubewharf.callers import answers
@@ -120,5 +120,4 @@
 
 
 def _data(body: Mapping[str, object]) -> bytes:
-    text = json.dumps(body, separators=(",", ":"))
-    return f"data: {text}\n\n".encode()
+    return b"data: " + orjson.dumps(body) + b"\n\n"
--- a/src/jujubewharf/engines/http.py
+++ b/src/jujubewharf/engines/http.py
@@ -4,10 +4,10 @@
 
 from collections.abc import AsyncIterator
 import dataclasses
-import json
 from typing import Any
 
 import aiohttp
+import orjson
 
 from jujubewharf import clock as clocks
 from jujubewharf.engines import client
@@ -16,6 +16,7 @@
 _PREFILL_TIMEOUT_MS = 60_000.0
 _CHUNK_TIMEOUT_S = 10.0
 _OK = 200
+_JSON = {"Content-Type": "application/json"}
 
 # The HTTP library's own timeout between two reads costs a tenth of a timer
 # of ours around each.
@@ -81,7 +82,10 @@
         body = _attempt(attempt) | dataclasses.asdict(job)
         try:
             async with self._session.post(
-                f"{self._url}/decode", json=body, timeout=_STREAM_TIMEOUT
+                f"{self._url}/decode",
+                data=orjson.dumps(body),
+                headers=_JSON,
+                timeout=_STREAM_TIMEOUT,
             ) as response:
                 await self._raise_for_fault(response)
                 async for chunk in _chunks(response.content):
@@ -133,10 +137,12 @@
         try:
             async with self._clock.timeout_ms(timeout_ms):
                 async with self._session.post(
-                    f"{self._url}/{verb}", json=body
+                    f"{self._url}/{verb}",
+                    data=orjson.dumps(body),
+                    headers=_JSON,
                 ) as response:
                     await self._raise_for_fault(response)
-                    return await response.json()
+                    return orjson.loads(await response.read())
         except _CONNECT_ERRORS as error:
             raise self._error(client.EngineFault.UNREACHABLE) from error
         except _STREAM_ERRORS as error:
@@ -145,7 +151,7 @@
     async def _raise_for_fault(self, response: aiohttp.ClientResponse) -> None:
         if response.status == _OK:
             return
-        body = await response.json()
+        body = orjson.loads(await response.read())
         raise self._error(client.EngineFault(body["fault"]))
 
     def _error(self, fault: client.EngineFault) -> client.EngineError:
@@ -171,7 +177,7 @@
         *lines, rest = (rest + data).split(b"\n")
         pending: client.TokenChunk | None = None
         for line in lines:
-            chunk = _chunk(json.loads(line))
+            chunk = _chunk(orjson.loads(line))
             if pending is None:
                 pending = chunk
             elif _goes_on(pending, chunk):
