--- a/benchmarks/overhead.py
+++ b/benchmarks/overhead.py
@@ -33,6 +33,7 @@
 _BYTES_PER_MB = 1e6
 _PROMPT_WORDS = 100
 _OK = 200
+_PARTS = ("latency", "target", "capacity")
 
 Send = Callable[[int], Awaitable["Timing"]]
 
@@ -238,6 +239,18 @@
             _print_ratio(load, direct, through, use)
 
 
+async def target() -> None:
+    """An instance's load at the target size: 163 answers, 64 ms a token."""
+    tokens = 200
+    async with deployments.running(step_ms=64.0) as deployment:
+        load = Load(163, 163, tokens)
+        async with _session() as session:
+            send = Through(deployment, session, tokens).send
+            async with used(deployment.entry_pid) as use:
+                run = await run_load(send, load)
+        _print_capacity("target load", load, run, use)
+
+
 async def capacity(scale: float) -> None:
     """Tokens and requests a second of a busy entry process."""
     async with deployments.running(step_ms=1.0) as deployment:
@@ -328,6 +341,8 @@
 async def _main(arguments: argparse.Namespace) -> None:
     if "latency" in arguments.parts:
         await latency(arguments.step_ms, arguments.scale)
+    if "target" in arguments.parts:
+        await target()
     if "capacity" in arguments.parts:
         await capacity(arguments.scale)
 
@@ -335,7 +350,7 @@
 def main() -> None:
     """Runs the parts that are named."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("parts", nargs="*", default=["latency", "capacity"])
+    parser.add_argument("parts", nargs="*", default=_PARTS)
     parser.add_argument("--step-ms", type=float, default=20.0)
     parser.add_argument("--scale", type=float, default=1.0)
     asyncio.run(_main(parser.parse_args(sys.argv[1:])))
