--- a/src/jujubewharf/membership/suspicion.py
+++ b/src/jujubewharf/membership/suspicion.py
@@ -84,7 +84,11 @@
         """Whether this instance itself has evidence against the peer."""
         contact = self._mesh.contact(name)
         if contact.failed_ms is not None:
-            return True
+            # A dial that failed beside a link that came back would else be
+            # held against the peer for ever: no further dial follows it.
+            heard_ms = contact.heard_ms
+            if heard_ms is None or heard_ms <= contact.failed_ms:
+                return True
         if not contact.is_watched:
             return False
         if not contact.hears_us:
