--- a/src/jujubewharf/peers/key_messages.py
+++ b/src/jujubewharf/peers/key_messages.py
@@ -171,8 +171,8 @@
         owner: Instance that would run it.
         request_id: That run.
         replaces: Abandoned run that holds the key; empty for none.
-        wall_ms: When it was asked for.
-        is_dated: Whether the key itself tells its age.
+        wall_ms: When the key was made, or when it was asked for.
+        is_dated: Whether the key itself tells when it was made.
     """
 
     key: bytes
@@ -187,11 +187,19 @@
 @messages.message(30)
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimHeld(messages.Message):
-    """Who holds a key by the log; an empty ``request_id``: can't be told."""
+    """Who holds a key by the log; an empty ``request_id``: can't be told.
+
+    Attributes:
+        owner: Instance that holds it.
+        request_id: The run that holds it.
+        body: Digest of that run's body.
+        is_expired: Whether the key is too old to be claimed.
+    """
 
     owner: str = ""
     request_id: str = ""
     body: bytes = b""
+    is_expired: bool = False
 
 
 @messages.message(31)
--- a/src/jujubewharf/requests/claim_records.py
+++ b/src/jujubewharf/requests/claim_records.py
@@ -20,8 +20,8 @@
         owner: Instance that may run it if the claim wins.
         request_id: That run.
         replaces: Abandoned run that held the key; empty for none.
-        wall_ms: When it was asked for.
-        is_dated: Whether the key itself tells its age.
+        wall_ms: When the key was made, or when it was asked for.
+        is_dated: Whether the key itself tells when it was made.
     """
 
     key: bytes
--- a/src/jujubewharf/requests/claim_shard.py
+++ b/src/jujubewharf/requests/claim_shard.py
@@ -41,6 +41,10 @@
     """The log did not confirm the claim; it may still land there."""
 
 
+class KeyTooOldError(Exception):
+    """The key was made before what the claims remember."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Windows:
     """How long keys are remembered.
@@ -110,6 +114,8 @@
 
         Raises:
             ClaimUnavailableError: That can't be told now.
+            KeyTooOldError: By the clock that also forgets claims; a claimer
+                whose clock is slow can't see it.
         """
         loop = asyncio.get_running_loop()
         wanted = _Wanted(claim, loop.create_future())
@@ -183,6 +189,7 @@
             await self.load()
         self._forget_over_age()
         self._answer_held(batch)
+        self._refuse_old(batch)
         left = [wanted for wanted in batch if not wanted.done.done()]
         left = self._without_excess(left)
         if not left:
@@ -203,6 +210,15 @@
             if not wanted.done.done():
                 wanted.done.set_result(held)
 
+    def _refuse_old(self, batch: list[_Wanted]) -> None:
+        """Refuses keys well before their claims may be forgotten."""
+        oldest_ms = self._clock.wall_ms() - self._windows.dated_ms / 2
+        for wanted in batch:
+            claim = wanted.claim
+            if claim.is_dated and claim.wall_ms < oldest_ms:
+                if not wanted.done.done():
+                    wanted.done.set_exception(KeyTooOldError())
+
     def _without_excess(self, batch: list[_Wanted]) -> list[_Wanted]:
         """Leaves out keys without a date beyond the bound.
 
--- a/src/jujubewharf/requests/claims.py
+++ b/src/jujubewharf/requests/claims.py
@@ -106,13 +106,13 @@
         """Appends that this instance made for claims."""
         return sum(shard.appends for shard in self._shards.values())
 
-    def check_age(self, callers_key: str) -> bool:
+    def check_age(self, callers_key: str) -> float | None:
         """Refuses a key that is older than what the claims remember.
 
         Its earlier claim may be forgotten, and it would run again.
 
         Returns:
-            Whether the key tells its age.
+            When the key was made, in wall-clock ms, if it tells.
 
         Raises:
             WharfError: ``KEY_EXPIRED``, or ``BAD_REQUEST`` for a key from
@@ -120,14 +120,14 @@
         """
         created_ms = created_wall_ms(callers_key)
         if created_ms is None:
-            return False
+            return None
         age_ms = self._clock.wall_ms() - created_ms
         if age_ms > self._windows.dated_ms / 2:
             raise errors.WharfError(errors.ErrorKind.KEY_EXPIRED)
         if age_ms < -_FUTURE_MS:
             detail = "The key's time lies in the future."
             raise errors.WharfError(errors.ErrorKind.BAD_REQUEST, detail)
-        return True
+        return created_ms
 
     async def claim(
         self,
@@ -135,7 +135,7 @@
         request_id: str,
         body: bytes = b"",
         *,
-        is_dated: bool = False,
+        created_ms: float | None = None,
     ) -> Claim:
         """Claims a key for a run, before its dispatch.
 
@@ -146,11 +146,12 @@
             key: See ``keys.key_of``.
             request_id: The run, unique for all time.
             body: Digest of the request's body.
-            is_dated: What ``check_age`` returned.
+            created_ms: What ``check_age`` returned.
 
         Raises:
             WharfError: ``CLAIM_UNAVAILABLE``; the run did not and may not
                 happen, even if its claim lands on the log later.
+                ``KEY_EXPIRED`` when the shard's owner finds it too old.
         """
         wanted = key_messages.ClaimWanted(
             key,
@@ -158,8 +159,8 @@
             self._instance,
             request_id,
             "",
-            self._clock.wall_ms(),
-            is_dated,
+            self._clock.wall_ms() if created_ms is None else created_ms,
+            created_ms is not None,
         )
         try:
             return await self._claim(wanted)
@@ -201,6 +202,8 @@
                 break
             if held.request_id:
                 return held
+            if held.is_expired:
+                raise errors.WharfError(errors.ErrorKind.KEY_EXPIRED)
             break
         raise _unavailable()
 
@@ -246,6 +249,8 @@
             held = await shard.claim(record)
         except claim_shard.ClaimUnavailableError:
             return key_messages.ClaimHeld()
+        except claim_shard.KeyTooOldError:
+            return key_messages.ClaimHeld(is_expired=True)
         return key_messages.ClaimHeld(held.owner, held.request_id, held.body)
 
     async def _on_ask_abandoned(
@@ -308,13 +313,13 @@
         Raises:
             WharfError: The call must not be sent.
         """
-        is_dated = self._claims.check_age(key)
+        created_ms = self._claims.check_age(key)
         body = keys.body_of(body_digest)
         claim = await self._claims.claim(
             keys.key_of(f"plain/{account}", key),
             request_id,
             body,
-            is_dated=is_dated,
+            created_ms=created_ms,
         )
         if claim.is_won:
             return
--- a/src/jujubewharf/requests/ownership.py
+++ b/src/jujubewharf/requests/ownership.py
@@ -158,10 +158,10 @@
 
     async def _claim(self, held: holding.Held) -> bool:
         request = held.request
-        is_dated = self._claims.check_age(request.key)
+        created_ms = self._claims.check_age(request.key)
         held.is_claimed = True
         claim = await self._claims.claim(
-            held.key, request.request_id, held.body, is_dated=is_dated
+            held.key, request.request_id, held.body, created_ms=created_ms
         )
         if claim.is_won:
             held.may_have_run = False
