Sanity bounds look at a pool only for changes that take a job away

Cause: the fold of any change of an endpoint listed and judged all endpoints of its service twice, on every instance and on the loop that relays tokens. Change: only a change that takes a job away looks at the others, until they are seen to do it; the verdict is the same set difference.

--- a/src/jujubewharf/configuration/rules.py
+++ b/src/jujubewharf/configuration/rules.py
@@ -143,15 +143,17 @@
     if held is None or not isinstance(held.resource, resources.Service):
         return ""
     service = held.resource
-    others = [
-        endpoint
-        for endpoint in entries.endpoints_of(service.name)
-        if endpoint.name != before.name
-    ]
     stays = after is not None and after.service == service.name
-    left = [*others, after] if stays and after is not None else others
-    lost = _jobs(service, [*others, before]) - _jobs(service, left)
-    return _lost(service.name, lost)
+    kept = _jobs(service, [after]) if stays and after is not None else set()
+    at_risk = _jobs(service, [before]) - kept
+    # Most changes take no job away; only those that do look at the others,
+    # and only until these are seen to do it.
+    for endpoint in entries.endpoints_of(service.name) if at_risk else ():
+        if endpoint.name != before.name:
+            at_risk -= _jobs(service, [endpoint])
+        if not at_risk:
+            break
+    return _lost(service.name, at_risk)
 
 
 def _unsafe_service(
