Operators: status tells of the log, refusals and retries; accepting a loss

Cause: status counted model requests only, and the follower's way out of a lost log had no call. Change: requests in flight from the limits, refusals and retries from the process's own instruments where metrics are on, how the log stands, AcceptLoss for admins of all services.

--- a/src/jujubewharf/commands/ctl_queries.py
+++ b/src/jujubewharf/commands/ctl_queries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 from typing import Annotated
 
 import typer
@@ -24,6 +25,7 @@
     app.command("history")(history)
     app.command("operation")(operation)
     app.command("status")(status)
+    app.command("accept-loss")(accept_loss)
     app.command("engines")(engines)
     app.command("whoami")(whoami)
 
@@ -135,6 +137,25 @@
         raise typer.Exit(ctl_session.ExitCode.UNREACHABLE)
 
 
+def accept_loss(
+    context: typer.Context,
+    server: Annotated[str, typer.Argument(help="IP:PORT of the instance.")],
+    yes: Annotated[
+        bool, typer.Option("--yes", help="Do not ask before.")
+    ] = False,
+    as_json: options.AsJson = False,
+) -> None:
+    """Let an instance go on without records that the log has lost."""
+    session: ctl_session.Session = context.obj
+    question = f"Go on at {server} without records that the log has lost?"
+    if not yes and not typer.confirm(question):
+        raise typer.Exit(ctl_session.ExitCode.REFUSED)
+    at_server = dataclasses.replace(session, servers=(server,))
+    status = at_server.run(lambda client: client.accept_loss(), as_json=as_json)
+    table = ctl_tables.of_statuses([(server, status)])
+    _show(status, table, as_json=as_json)
+
+
 def engines(
     context: typer.Context,
     service: options.Service = "",
--- a/src/jujubewharf/commands/ctl_tables.py
+++ b/src/jujubewharf/commands/ctl_tables.py
@@ -18,6 +18,8 @@
 from jujubewharf.operators import values
 
 _PIPE_WIDTH = 160
+# A read of the log waits some seconds for news.
+_LOG_SILENT_MS = 10_000.0
 
 _EFFECT_STYLES = {
     values.Effect.CREATE: "green",
@@ -148,7 +150,7 @@
         "region",
         "domain",
         "offset",
-        "caught up",
+        "log",
         "in flight",
         "refusals",
         "retries",
@@ -163,7 +165,7 @@
             _cell(status.region),
             _cell(status.domain),
             str(status.applied_offset),
-            _cell(status.is_caught_up),
+            _log_state(status),
             str(status.requests_in_flight),
             _counts(status.refusals),
             _counts(status.retries),
@@ -245,6 +247,21 @@
     return f"[{style}]{effect.value}[/{style}]"
 
 
+def _log_state(status: values.InstanceStatus) -> str:
+    if status.is_frozen:
+        return "needs a newer program"
+    if status.is_log_behind:
+        return "ends before what is in force"
+    if not status.is_caught_up:
+        return "not read yet"
+    silence_ms = status.log_silence_ms
+    if silence_ms is None:
+        return "never heard"
+    if silence_ms > _LOG_SILENT_MS:
+        return f"silent for {silence_ms / clocks.MS_PER_S:.0f} s"
+    return "heard"
+
+
 def _why_no_work(engine: values.EngineStatus) -> str:
     if engine.takes_work:
         return "yes"
--- a/src/jujubewharf/configuration/follower.py
+++ b/src/jujubewharf/configuration/follower.py
@@ -124,6 +124,13 @@
         """
         return self._is_log_behind
 
+    @property
+    def log_silence_ms(self) -> float | None:
+        """Time since the log last answered; ``None`` before it first did."""
+        if self._heard_ms is None:
+            return None
+        return self._clock.now_ms() - self._heard_ms
+
     def listen(self, listener: Listener) -> None:
         """Calls back after every run of records and every takeover."""
         self._holding.listen(listener)
--- a/src/jujubewharf/operators/calls.py
+++ b/src/jujubewharf/operators/calls.py
@@ -207,6 +207,13 @@
     return messages.to_message(status, pb.InstanceStatus)
 
 
+async def _accept_loss(
+    service: Service, identity: values.Identity, request: pb.AcceptLossRequest
+) -> pb.InstanceStatus:
+    status = service.inspector.accept_loss(identity)
+    return messages.to_message(status, pb.InstanceStatus)
+
+
 async def _list_engines(
     service: Service,
     identity: values.Identity,
@@ -238,6 +245,7 @@
     "History": _history,
     "GetOperation": _get_operation,
     "GetStatus": _get_status,
+    "AcceptLoss": _accept_loss,
     "ListEngines": _list_engines,
     "GetIdentity": _get_identity,
 }
--- a/src/jujubewharf/operators/client.py
+++ b/src/jujubewharf/operators/client.py
@@ -320,6 +320,11 @@
         request = pb.GetStatusRequest()
         return await self._call("GetStatus", request, values.InstanceStatus)
 
+    async def accept_loss(self) -> values.InstanceStatus:
+        """Lets one instance go on without lost records; see the pages."""
+        request = pb.AcceptLossRequest()
+        return await self._call("AcceptLoss", request, values.InstanceStatus)
+
     async def engines(
         self, *, service: str = ""
     ) -> tuple[values.EngineStatus, ...]:
--- a/src/jujubewharf/operators/guard.py
+++ b/src/jujubewharf/operators/guard.py
@@ -26,7 +26,16 @@
 )
 
 CHANGES = frozenset(
-    {"Create", "Change", "Delete", "Rollback", "Drain", "Undrain", "Apply"}
+    {
+        "Create",
+        "Change",
+        "Delete",
+        "Rollback",
+        "Drain",
+        "Undrain",
+        "Apply",
+        "AcceptLoss",
+    }
 )
 
 
--- a/src/jujubewharf/operators/inspection.py
+++ b/src/jujubewharf/operators/inspection.py
@@ -7,12 +7,15 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+import structlog
+
+from jujubewharf import errors
 from jujubewharf.configuration import resources
 from jujubewharf.operators import backend as backends
 from jujubewharf.operators import identities
 from jujubewharf.operators import values
-from jujubewharf.requests import counters as request_counters
 from jujubewharf.routing import fleet as fleets
+from jujubewharf.telemetry import tallies
 
 if TYPE_CHECKING:
     from jujubewharf import entry
@@ -31,11 +34,13 @@
     ) -> None:
         self._core = core
         self._backend = backend
+        self._logger = structlog.get_logger()
 
     def status(self) -> values.InstanceStatus:
         """The instance, its configuration and its counts."""
         settings = self._core.settings
         state = self._backend.state
+        follower = self._core.configuration
         counts = self._core.runner.counts
         return values.InstanceStatus(
             instance=settings.instance,
@@ -43,16 +48,33 @@
             domain=settings.domain,
             applied_offset=state.next_offset,
             is_caught_up=self._backend.is_caught_up,
-            requests_in_flight=_in_flight(counts),
-            refusals=_by_reason(counts.refused),
-            retries=_by_reason(counts.retries),
+            requests_in_flight=self._in_flight(),
+            refusals=_by_reason("callers.refusals", counts.refused),
+            retries=_by_reason("requests.retries", counts.retries),
             members=tuple(self._members()),
             resources=tuple(
                 values.ReasonCount(kind.value, len(state.of_kind(kind)))
                 for kind in resources.Kind
             ),
+            is_frozen=follower.is_frozen,
+            is_log_behind=follower.is_log_behind,
+            log_silence_ms=follower.log_silence_ms,
         )
 
+    def accept_loss(self, identity: values.Identity) -> values.InstanceStatus:
+        """Lets the instance go on without records that the log has lost.
+
+        Raises:
+            WharfError: ``FORBIDDEN`` unless an admin of all services asks.
+        """
+        admin = resources.OperatorRole.ADMIN
+        if identity.services or not identities.has_role(identity, admin):
+            detail = f"{identity.name} may not accept a loss"
+            raise errors.WharfError(errors.ErrorKind.FORBIDDEN, detail)
+        self._logger.warning("loss_accepted", actor=identity.name)
+        self._core.configuration.accept_loss()
+        return self.status()
+
     def engines(
         self, identity: values.Identity, service: str = ""
     ) -> tuple[values.EngineStatus, ...]:
@@ -73,6 +95,14 @@
                 found.append(self._engine(view))
         return tuple(found)
 
+    def _in_flight(self) -> int:
+        core = self._core
+        return sum(
+            core.model_limits.in_flight(entry.resource.name)
+            + core.plain_limits.in_flight(entry.resource.name)
+            for entry in self._backend.state.of_kind(resources.Kind.SERVICE)
+        )
+
     def _members(self) -> Iterator[values.Member]:
         membership = self._core.membership
         for member in membership.members():
@@ -111,13 +141,12 @@
         )
 
 
-def _in_flight(counts: request_counters.Counts) -> int:
-    return counts.accepted - counts.finished - counts.refused.total()
-
-
 def _by_reason(
-    counter: collections.Counter[str],
+    instrument: str, of_models: collections.Counter[str]
 ) -> tuple[values.ReasonCount, ...]:
+    """Counts of the process, or those of model requests without metrics."""
+    found = tallies.by_reason(instrument)
+    counter = of_models if found is None else found
     return tuple(
         values.ReasonCount(reason, counter[reason])
         for reason in sorted(counter)
--- a/src/jujubewharf/operators/values.py
+++ b/src/jujubewharf/operators/values.py
@@ -293,6 +293,10 @@
         retries: Retries since its start, by reason.
         members: The fleet as it sees it.
         resources: Resources in force, by kind.
+        is_frozen: The next record needs rules of a newer program.
+        is_log_behind: The log ends before what is in force here.
+        log_silence_ms: Time since the log last answered; ``None`` before it
+            first did.
     """
 
     instance: str
@@ -305,6 +309,9 @@
     retries: tuple[ReasonCount, ...] = ()
     members: tuple[Member, ...] = ()
     resources: tuple[ReasonCount, ...] = ()
+    is_frozen: bool = False
+    is_log_behind: bool = False
+    log_silence_ms: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/jujubewharf/telemetry/metrics.py
+++ b/src/jujubewharf/telemetry/metrics.py
@@ -19,6 +19,7 @@
 from prometheus_client import exposition
 
 from jujubewharf.settings import models
+from jujubewharf.telemetry import tallies
 
 PREFIX = "jujubewharf"
 
@@ -82,6 +83,7 @@
     if telemetry.otlp_url is not None:
         readers.append(_otlp_reader(telemetry))
     if readers:
+        readers.append(tallies.make_reader())
         metrics.set_meter_provider(_provider(settings, readers))
     return edge
 
--- a/tests/commands/test_ctl.py
+++ b/tests/commands/test_ctl.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterator
+import dataclasses
 import json
 import pathlib
 import threading
@@ -175,6 +176,10 @@
     )
     assert half.exit_code == _EXIT.UNREACHABLE
     assert "unreachable" in half.output
+    accepted = ctl("accept-loss", deployment.address("e2"), "--yes", "--json")
+    # The server's log line is in the same process's output.
+    answer = accepted.output[accepted.output.index("{") :]
+    assert json.loads(answer)["instance"] == "e2"
     engines = json.loads(ctl("engines", "--json").output)
     assert [one["name"] for one in engines] == ["decode-1"]
     assert "bootstrap" in ctl("whoami").output
@@ -235,11 +240,19 @@
         "norte-a",
         applied_offset=41,
         is_caught_up=True,
+        log_silence_ms=900,
         requests_in_flight=7,
         refusals=(values.ReasonCount("queue_full", 3),),
         retries=(values.ReasonCount("lost", 1),),
     )
-    statuses = [("127.0.0.1:7100", status), ("127.0.0.1:9", "unreachable")]
+    silent = dataclasses.replace(status, log_silence_ms=61_000)
+    statuses = [
+        ("127.0.0.1:7100", status),
+        ("127.0.0.1:7101", silent),
+        ("127.0.0.1:7102", dataclasses.replace(status, is_frozen=True)),
+        ("127.0.0.1:7103", dataclasses.replace(status, is_log_behind=True)),
+        ("127.0.0.1:9", "unreachable"),
+    ]
     ctl_tables.show(ctl_tables.of_statuses(statuses))
     members = [
         values.Member("entry-a1", "127.0.0.1:7200", "norte-a"),
--- a/tests/operators/test_access.py
+++ b/tests/operators/test_access.py
@@ -212,6 +212,18 @@
         assert back.resource == deployments.TILL
 
 
+async def test_a_loss_is_accepted_by_an_admin_of_all_services_only():
+    team_admin = deployments.operator("ta", _ROLE.ADMIN, ["shop-api"])
+    ben = deployments.operator("ben", _ROLE.OPERATOR)
+    async with deployments.running("e1") as deployment:
+        await deployment.client().apply([deployments.SHOP, team_admin, ben])
+        for token in ("ta", "ben"):
+            call = deployment.client(token=token).accept_loss()
+            assert await _refusal(call) is errors.ErrorKind.FORBIDDEN
+        status = await deployment.client().accept_loss()
+        assert status.instance == "e1"
+
+
 async def test_only_so_many_watches_are_open():
     settings = models.OperatorSettings(max_watches=1)
     async with deployments.running("e1", settings=settings) as deployment:
