--- a/src/jujubewharf/operators/adapter.py
+++ b/src/jujubewharf/operators/adapter.py
@@ -69,7 +69,7 @@
             try:
                 identity = self._identity(context)
                 await self._guard.admit(identity, name)
-                reply = await call(self._service, identity, request)
+                reply = await self._audited(name, identity, call, request)
             except Exception as error:
                 await self._abort(name, error, context)
             self._guard.count(name, _OK)
@@ -77,6 +77,40 @@
 
         return answer
 
+    async def _audited(
+        self,
+        name: str,
+        identity: values.Identity,
+        call: calls.UnaryCall,
+        request: protobuf.Message,
+    ) -> protobuf.Message:
+        """Makes the call; each change leaves a line, refused or not.
+
+        History has what was judged; what an operator tried without the right
+        to is only here.
+        """
+        outcome = errors.ErrorKind.INTERNAL.value
+        operation = getattr(request, "operation_id", "")
+        try:
+            reply = await call(self._service, identity, request)
+            outcome = _OK
+            operation = getattr(reply, "operation_id", operation)
+            return reply
+        except errors.WharfError as error:
+            outcome = error.kind.value
+            operation = getattr(error, "operation_id", operation)
+            raise
+        finally:
+            is_dry = getattr(request, "dry_run", False)
+            if name in guards.CHANGES and not is_dry:
+                self._logger.info(
+                    "operator_change",
+                    call=name,
+                    actor=identity.name,
+                    operation=operation,
+                    outcome=outcome,
+                )
+
     def _stream(self, name: str) -> Any:
         call = calls.STREAM[name]
 
--- a/src/jujubewharf/operators/backend.py
+++ b/src/jujubewharf/operators/backend.py
@@ -210,7 +210,8 @@
 def _effect(item: histories.HistoryItem) -> values.Effect:
     if item.verb is records.Verb.DELETE:
         return values.Effect.DELETE
-    if item.generation_before == 0:
+    # A refused change found nothing that is kept, and says nothing of it.
+    if item.verdict.is_accepted and item.generation_before == 0:
         return values.Effect.CREATE
     return values.Effect.CHANGE
 
--- a/tests/commands/test_ctl.py
+++ b/tests/commands/test_ctl.py
@@ -11,6 +11,7 @@
 import threading
 
 import pytest
+from structlog import testing as structlog_testing
 from typer import testing
 
 from jujubewharf import errors
@@ -44,7 +45,9 @@
     thread = threading.Thread(target=asyncio.run, args=(serve(),))
     thread.start()
     assert is_up.wait(30)
-    yield started[0]
+    # Servers and commands share this process, and so its output.
+    with structlog_testing.capture_logs():
+        yield started[0]
     may_end.set()
     thread.join()
 
@@ -177,9 +180,7 @@
     assert half.exit_code == _EXIT.UNREACHABLE
     assert "unreachable" in half.output
     accepted = ctl("accept-loss", deployment.address("e2"), "--yes", "--json")
-    # The server's log line is in the same process's output.
-    answer = accepted.output[accepted.output.index("{") :]
-    assert json.loads(answer)["instance"] == "e2"
+    assert json.loads(accepted.output)["instance"] == "e2"
     engines = json.loads(ctl("engines", "--json").output)
     assert [one["name"] for one in engines] == ["decode-1"]
     assert "bootstrap" in ctl("whoami").output
--- a/tests/operators/test_access.py
+++ b/tests/operators/test_access.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 import pytest
+from structlog import testing
 
 from jujubewharf import errors
 from jujubewharf.configuration import resources
@@ -224,6 +225,29 @@
         assert status.instance == "e1"
 
 
+async def test_every_change_leaves_a_line_without_the_token():
+    viewer = deployments.operator("viewer", _ROLE.VIEWER)
+    with testing.capture_logs() as lines:
+        async with deployments.running("e1") as deployment:
+            client = deployment.client()
+            await client.create(deployments.SHOP, operation_id="op-1")
+            await client.create(viewer, operation_id="op-2")
+            call = deployment.client(token="viewer").create(deployments.MODEL)
+            await _refusal(call)
+    found = [
+        (line["actor"], line["call"], line["outcome"])
+        for line in lines
+        if line["event"] == "operator_change"
+    ]
+    assert found == [
+        ("bootstrap", "Create", "ok"),
+        ("bootstrap", "Create", "ok"),
+        ("viewer", "Create", "forbidden"),
+    ]
+    assert [line.get("operation") for line in lines].count("op-1") == 1
+    assert deployments.BOOTSTRAP_TOKEN not in str(lines)
+
+
 async def test_only_so_many_watches_are_open():
     settings = models.OperatorSettings(max_watches=1)
     async with deployments.running("e1", settings=settings) as deployment:
