--- a/src/jujubewharf/requests/claim_shard.py
+++ b/src/jujubewharf/requests/claim_shard.py
@@ -53,8 +53,8 @@
         dated_ms: Keys that tell their age are refused beyond this age, so
             their claims may be forgotten after it.
         undated_ms: Claims of other keys are forgotten after this age.
-        carry_after_ms: Age at which a claim is appended anew, well before
-            the log forgets it.
+        carry_after_ms: Age at which an undated claim is appended anew, well
+            before the log forgets it. Dated ones are over age before that.
         carry_every_ms: Time between two looks for such claims.
     """
 
@@ -160,7 +160,8 @@
             for claim in self.holders.older_than(
                 wall_ms - self._windows.carry_after_ms
             )
-            if wall_ms - self._appended_wall_ms.get(claim.key, 0.0)
+            if not claim.is_dated
+            and wall_ms - self._appended_wall_ms.get(claim.key, 0.0)
             >= self._windows.carry_after_ms
         ]
         for start in range(0, len(due), MAX_BATCH):
@@ -251,7 +252,8 @@
         batch = claim_records.decode(record.payload)
         for claim in batch.claims:
             self.holders.fold(claim)
-            self._appended_wall_ms[claim.key] = batch.appended_wall_ms
+            if not claim.is_dated:
+                self._appended_wall_ms[claim.key] = batch.appended_wall_ms
 
     def _forget_over_age(self) -> None:
         wall_ms = self._clock.wall_ms()
