--- a/src/jujubewharf/peers/key_messages.py
+++ b/src/jujubewharf/peers/key_messages.py
@@ -139,24 +139,29 @@
 
 @messages.message(27)
 @dataclasses.dataclass(frozen=True, slots=True)
-class AskAlive(messages.Message):
-    """Asks which attempts an instance still needs; passed on once."""
+class AskNeeded(messages.Message):
+    """Asks which attempts an instance still needs; passed on once.
+
+    Attributes:
+        owner: The instance.
+        marks: Eight bytes for each attempt, see ``releases.mark_of``.
+    """
 
     owner: str
-    attempt_ids: tuple[str, ...]
+    marks: bytes
 
 
 @messages.message(28)
 @dataclasses.dataclass(frozen=True, slots=True)
-class Alive(messages.Message):
-    """The attempts that are needed.
+class NotNeeded(messages.Message):
+    """The attempts, out of those asked for, that are not needed.
 
     Attributes:
-        attempt_ids: Out of those asked for.
+        marks: Eight bytes for each attempt.
         is_owners_word: False when the owner could not be reached.
     """
 
-    attempt_ids: tuple[str, ...]
+    marks: bytes
     is_owners_word: bool = True
 
 
--- a/src/jujubewharf/requests/ownership.py
+++ b/src/jujubewharf/requests/ownership.py
@@ -105,7 +105,10 @@
             self._homes.note_dispatch(held.key, attempt_id, engines)
 
         async def confirm() -> None:
-            await self._confirm(held)
+            # What may not be repeated is nobody else's once it is claimed,
+            # whatever the hints at the key's homes say.
+            if held.request.is_repeatable:
+                await self._confirm(held)
 
         def is_taken_over() -> bool:
             return held.taken_over is not None
@@ -189,8 +192,9 @@
         held.source = source
         self._counters.attached("elsewhere")
         try:
+            own = relays.Source(self._instance, held.request.request_id)
             return await self._relay.follow(
-                source, held.key, held.body, held.answer
+                source, own, held.key, held.body, held.answer
             )
         except BaseException:
             held.may_have_run = True
--- a/src/jujubewharf/requests/relay.py
+++ b/src/jujubewharf/requests/relay.py
@@ -83,6 +83,7 @@
     async def follow(
         self,
         source: Source,
+        own: Source,
         key: bytes,
         body: bytes,
         answer: answers.Answer,
@@ -91,6 +92,14 @@
 
         Tokens that the answer has already are compared and left out.
 
+        Args:
+            source: The run to follow.
+            own: The request that follows it; two that followed one another
+                would wait for ever.
+            key: Digest of account and key.
+            body: Digest of the request's body.
+            answer: Where the tokens go.
+
         Raises:
             WharfError: The answer is broken, or the body is another.
         """
@@ -107,6 +116,8 @@
                     raise errors.WharfError(errors.ErrorKind.KEY_CONFLICT)
                 case key_messages.PullState.ELSEWHERE:
                     source = Source(pulled.owner, pulled.request_id)
+                    if source == own:
+                        return Result(Ending.NOT_THERE)
                     await self._clock.sleep_ms(_RETRY_MS)
                     continue
                 case key_messages.PullState.FAILED:
--- a/src/jujubewharf/requests/releases.py
+++ b/src/jujubewharf/requests/releases.py
@@ -6,6 +6,7 @@
 import random
 
 import structlog
+import xxhash
 
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
@@ -17,6 +18,24 @@
 _FIRST_DELAY_MS = 100.0
 _LONGEST_DELAY_MS = 2_000.0
 GIVE_UP_MS = 30_000.0
+MARK_BYTES = 8
+
+
+def mark_of(attempt_id: str) -> bytes:
+    """Eight bytes that stand for an attempt where sweeps ask owners.
+
+    Should two attempts ever share a mark, one is kept for longer; none that
+    is needed can be freed by it.
+    """
+    return xxhash.xxh3_64_digest(attempt_id.encode())
+
+
+def marks_in(marks: bytes) -> list[bytes]:
+    """The single marks of a run of marks."""
+    return [
+        marks[start : start + MARK_BYTES]
+        for start in range(0, len(marks), MARK_BYTES)
+    ]
 
 
 class Releaser:
@@ -45,25 +64,27 @@
         self._clock = clock
         self._counters = counters
         self._rng = rng
-        self._alive: set[str] = set()
+        self._needed: set[bytes] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._logger = structlog.get_logger()
 
     def begin(self, attempt_id: str) -> None:
         """An attempt begins; called before any engine hears of it.
 
-        The sweep takes "not alive" as leave to free, so the order matters:
-        no engine may hold an attempt that is not yet alive here.
+        The sweep takes "not needed" as leave to free, so the order matters:
+        no engine may hold an attempt that is not yet needed here.
         """
-        self._alive.add(attempt_id)
+        self._needed.add(mark_of(attempt_id))
 
     def end(self, attempt_id: str) -> None:
         """An attempt ended; what it holds anywhere may be freed."""
-        self._alive.discard(attempt_id)
+        self._needed.discard(mark_of(attempt_id))
 
-    def is_alive(self, attempt_id: str) -> bool:
-        """Whether a request here still needs the attempt."""
-        return attempt_id in self._alive
+    def not_needed(self, marks: bytes) -> bytes:
+        """Those attempts that no request here needs, and never will."""
+        return b"".join(
+            mark for mark in marks_in(marks) if mark not in self._needed
+        )
 
     def release(self, attempt_id: str, endpoint: resources.Endpoint) -> None:
         """Starts to release an attempt at one engine."""
--- a/src/jujubewharf/requests/sweep.py
+++ b/src/jujubewharf/requests/sweep.py
@@ -89,7 +89,7 @@
         self._counters = counters
         self._unclaimed: dict[tuple[str, str], _Unclaimed] = {}
         self._logger = structlog.get_logger()
-        peers.handle(key_messages.AskAlive, self._on_ask_alive)
+        peers.handle(key_messages.AskNeeded, self._on_ask_needed)
 
     @mode.Service.task
     async def _sweep(self) -> None:
@@ -144,27 +144,29 @@
         owner: str,
         attempt_ids: tuple[str, ...],
     ) -> None:
-        alive = await self._alive(owner, attempt_ids)
-        for attempt_id in attempt_ids:
-            if alive is None:
+        marks = {releases.mark_of(item): item for item in attempt_ids}
+        not_needed = await self._not_needed(owner, b"".join(marks))
+        for mark, attempt_id in marks.items():
+            if not_needed is None:
                 if self._is_given_up(endpoint.name, attempt_id):
                     self._free(endpoint, attempt_id, "owner_silent")
                 continue
             self._unclaimed.pop((endpoint.name, attempt_id), None)
-            if attempt_id not in alive:
+            if mark in not_needed:
                 self._free(endpoint, attempt_id, "not_needed")
 
-    async def _alive(
-        self, owner: str, attempt_ids: tuple[str, ...]
-    ) -> frozenset[str] | None:
-        """Attempts the owner needs; ``None`` when nobody can reach it."""
+    async def _not_needed(
+        self, owner: str, marks: bytes
+    ) -> frozenset[bytes] | None:
+        """Attempts the owner needs no more; ``None`` if it can't be asked."""
         if owner == self._instance:
-            return frozenset(filter(self._releaser.is_alive, attempt_ids))
-        message = key_messages.AskAlive(owner, attempt_ids)
+            found = self._releaser.not_needed(marks)
+            return frozenset(releases.marks_in(found))
+        message = key_messages.AskNeeded(owner, marks)
         for peer in [owner, *self._relays(owner)]:
             answer = await self._ask(peer, message)
             if answer is not None and answer.is_owners_word:
-                return frozenset(answer.attempt_ids)
+                return frozenset(releases.marks_in(answer.marks))
         return None
 
     def _relays(self, owner: str) -> list[str]:
@@ -177,13 +179,13 @@
         return hashing.rank(owner, others)[:_MAX_RELAYS]
 
     async def _ask(
-        self, peer: str, message: key_messages.AskAlive
-    ) -> key_messages.Alive | None:
+        self, peer: str, message: key_messages.AskNeeded
+    ) -> key_messages.NotNeeded | None:
         try:
             answer = await self._peers.ask(peer, message, timeout_ms=_ASK_MS)
         except network.PeerError:
             return None
-        return answer if isinstance(answer, key_messages.Alive) else None
+        return answer if isinstance(answer, key_messages.NotNeeded) else None
 
     def _is_given_up(self, engine: str, attempt_id: str) -> bool:
         now_ms = self._clock.now_ms()
@@ -219,19 +221,14 @@
         for key in gone:
             del self._unclaimed[key]
 
-    async def _on_ask_alive(
-        self, sender: str, message: key_messages.AskAlive
-    ) -> key_messages.Alive:
+    async def _on_ask_needed(
+        self, sender: str, message: key_messages.AskNeeded
+    ) -> key_messages.NotNeeded:
         if message.owner == self._instance:
-            alive = filter(self._releaser.is_alive, message.attempt_ids)
-            return key_messages.Alive(tuple(alive))
-        return await self._passed_on(message)
-
-    async def _passed_on(
-        self, message: key_messages.AskAlive
-    ) -> key_messages.Alive:
-        """Asks the owner for somebody who doesn't reach it."""
+            found = self._releaser.not_needed(message.marks)
+            return key_messages.NotNeeded(found)
+        # Asks the owner for somebody who doesn't reach it.
         answer = await self._ask(message.owner, message)
         if answer is None:
-            return key_messages.Alive((), is_owners_word=False)
+            return key_messages.NotNeeded(b"", is_owners_word=False)
         return answer
--- a/tests/requests/test_safeguards.py
+++ b/tests/requests/test_safeguards.py
@@ -139,8 +139,8 @@
     Off(
         "owners name their living attempts",
         releases.Releaser,
-        "is_alive",
-        lambda *args: False,
+        "not_needed",
+        lambda self, marks: marks,
         test_sweep.test_live_requests_keep_their_memory,
     ),
     Off(
