A leaving instance hands its finished answers to their keys' homes

Cause: after an orderly shutdown a retry ran again, or was told 'unknown' of a request that had its answer. Result: both scenarios pass; with the handover off the check fails.

--- a/src/jujubewharf/peers/key_messages.py
+++ b/src/jujubewharf/peers/key_messages.py
@@ -221,3 +221,37 @@
     """Whether the run never was and never will be dispatched."""
 
     is_abandoned: bool
+
+
+@messages.message(33)
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandOver(messages.Message):
+    """Gives a finished answer to another instance before leaving.
+
+    Attributes:
+        account: Account of the caller.
+        callers_key: The caller's key.
+        body_digest: Digest of the request's body.
+        request_id: The run that wrote it.
+        is_repeatable: Whether the request may be repeated.
+        packed: Its tokens, as ``requests.kept`` packs them.
+        count: Tokens of the whole answer.
+        digest: Digest of the whole answer.
+        attempt_id: Attempt that finished it.
+    """
+
+    account: str
+    callers_key: str
+    body_digest: str
+    request_id: str
+    is_repeatable: bool
+    packed: bytes
+    count: int
+    digest: str
+    attempt_id: str
+
+
+@messages.message(34)
+@dataclasses.dataclass(frozen=True, slots=True)
+class TookOver(messages.Message):
+    """The answer is kept and its key's homes know."""
--- a/src/jujubewharf/requests/answers.py
+++ b/src/jujubewharf/requests/answers.py
@@ -15,6 +15,7 @@
 from jujubewharf.peers import network
 from jujubewharf.requests import answer as answers
 from jujubewharf.requests import claims as request_claims
+from jujubewharf.requests import handover
 from jujubewharf.requests import held as holding
 from jujubewharf.requests import kept as kept_answers
 from jujubewharf.requests import keys
@@ -25,6 +26,7 @@
 from jujubewharf.requests import relay as relays
 
 _FLUSH_MS = 2_000.0
+_HAND_OVER_MS = 3_000.0
 _SLACK_MS = 2_000.0
 _EXPIRE_EVERY_MS = 5_000.0
 _MAX_PULLED = 2_000
@@ -65,6 +67,9 @@
         self._claims = claims
         self._clock = clock
         self._kept = kept_answers.KeptAnswers(clock)
+        self._handover = handover.Handover(
+            instance, self._kept, homes, peers, clock
+        )
         relay = relays.Relay(peers, membership, clock, self._pulled_here)
         self._ownership = ownership.Ownership(
             instance, homes, claims, relay, runner.releaser, runner.counters
@@ -114,7 +119,8 @@
         await self.add_runtime_dependency(self.rehoming)
 
     async def on_stop(self) -> None:
-        """Ends what still runs and lets releases under way arrive."""
+        """Hands answers over, ends what runs, lets releases arrive."""
+        await self._handover.give_all(_HAND_OVER_MS)
         tasks = [held.task for held in self._by_id.values() if held.task]
         for task in tasks:
             task.cancel()
--- /dev/null
+++ b/src/jujubewharf/requests/handover.py
@@ -0,0 +1,146 @@
+"""Gives finished answers to other instances when this one leaves."""
+
+from __future__ import annotations
+
+import asyncio
+
+from jujubewharf import clock as clocks
+from jujubewharf.configuration import resources
+from jujubewharf.peers import key_messages
+from jujubewharf.peers import network
+from jujubewharf.requests import kept as kept_answers
+from jujubewharf.requests import keys
+from jujubewharf.requests import model_request
+
+_GIVE_MS = 1_000.0
+_AT_ONCE = 8
+
+
+class Handover:
+    """Both sides of a handover.
+
+    Without it a retry after its instance's orderly shutdown would run again,
+    or be told "unknown" of a request that has its answer.
+
+    Args:
+        instance: Name of this instance.
+        kept: Answers that are kept here.
+        homes: Records of keys.
+        peers: Messages to other instances.
+        clock: Time.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        kept: kept_answers.KeptAnswers,
+        homes: keys.KeyHomes,
+        peers: network.PeerNetwork,
+        clock: clocks.Clock,
+    ) -> None:
+        self._instance = instance
+        self._kept = kept
+        self._homes = homes
+        self._peers = peers
+        self._clock = clock
+        peers.handle(key_messages.HandOver, self._on_hand_over)
+
+    async def give_all(self, timeout_ms: float) -> int:
+        """Gives away what callers may ask for again.
+
+        Returns:
+            Number of answers that were taken over in time.
+        """
+        turns = asyncio.Semaphore(_AT_ONCE)
+        taken: list[bytes] = []
+
+        async def give(key: bytes, message: key_messages.HandOver) -> None:
+            async with turns:
+                if await self._give(key, message):
+                    taken.append(key)
+
+        tasks = [
+            asyncio.create_task(give(key, message))
+            for key, kept in self._kept.items()
+            if (message := _message(kept)) is not None
+        ]
+        if tasks:
+            seconds = timeout_ms / clocks.MS_PER_S
+            _, late = await asyncio.wait(tasks, timeout=seconds)
+            for task in late:
+                task.cancel()
+        return len(taken)
+
+    async def _give(self, key: bytes, message: key_messages.HandOver) -> bool:
+        for home in self._homes.homes(key):
+            if home == self._instance:
+                continue
+            try:
+                await self._peers.ask(home, message, timeout_ms=_GIVE_MS)
+            except network.PeerError:
+                continue
+            return True
+        return False
+
+    async def _on_hand_over(
+        self, sender: str, message: key_messages.HandOver
+    ) -> key_messages.TookOver:
+        key = keys.key_of(message.account, message.callers_key)
+        request = _request(message, self._clock.now_ms())
+        end = model_request.Finished(
+            message.count, message.digest, message.attempt_id
+        )
+        self._kept.keep_packed(key, request, end, message.packed)
+        record = keys.KeyRecord(
+            key,
+            keys.body_of(message.body_digest),
+            self._instance,
+            message.request_id,
+        )
+        try:
+            # The same run at another owner: the homes take it for an update.
+            await self._homes.register(
+                record, replaces="", keep_ms=kept_answers.KEEP_CLAIMED_MS
+            )
+        except keys.HomesUnreachableError:
+            pass
+        return key_messages.TookOver()
+
+
+def _message(kept: kept_answers.KeptAnswer) -> key_messages.HandOver | None:
+    """What is given away: whole answers to requests with a caller's key."""
+    request, end = kept.request, kept.end
+    if not request.has_callers_key:
+        return None
+    match end:
+        case model_request.Finished(count, digest, attempt_id):
+            return key_messages.HandOver(
+                account=request.account,
+                callers_key=request.key,
+                body_digest=request.body_digest,
+                request_id=request.request_id,
+                is_repeatable=request.is_repeatable,
+                packed=kept.packed,
+                count=count,
+                digest=digest,
+                attempt_id=attempt_id,
+            )
+    return None
+
+
+def _request(
+    message: key_messages.HandOver, now_ms: float
+) -> model_request.ModelRequest:
+    """The request as far as a kept answer needs it."""
+    return model_request.ModelRequest(
+        request_id=message.request_id,
+        key=message.callers_key,
+        body_digest=message.body_digest,
+        account=message.account,
+        service=resources.Service("", resources.ServiceKind.MODEL),
+        prompt="",
+        max_tokens=message.count,
+        arrived_ms=now_ms,
+        deadline_ms=kept_answers.KEEP_MS,
+        is_repeatable=message.is_repeatable,
+    )
--- a/src/jujubewharf/requests/kept.py
+++ b/src/jujubewharf/requests/kept.py
@@ -74,11 +74,22 @@
     ) -> None:
         """Keeps an answer that has ended."""
         assert answer.end is not None
+        packed = msgpack.packb(answer.texts)
+        self.keep_packed(key, request, answer.end, packed)
+
+    def keep_packed(
+        self,
+        key: bytes,
+        request: model_request.ModelRequest,
+        end: answers.End,
+        packed: bytes,
+    ) -> None:
+        """Keeps an answer whose tokens are packed already."""
         keep_ms = KEEP_MS if request.is_repeatable else KEEP_CLAIMED_MS
         kept = KeptAnswer(
             dataclasses.replace(request, prompt=""),
-            _told_later(answer.end),
-            msgpack.packb(answer.texts),
+            _told_later(end),
+            packed,
             self._clock.now_ms() + keep_ms,
         )
         self._drop(request.request_id)
--- a/tests/requests/test_answers.py
+++ b/tests/requests/test_answers.py
@@ -239,3 +239,20 @@
     before, after = run(story)
     assert len(before) == 1
     assert after == []
+
+
+@pytest.mark.parametrize("is_repeatable", [True, False])
+def test_a_finished_answer_outlives_its_instances_shutdown(is_repeatable):
+    # e1 answers and is shut down in order. The answer goes to a home of its
+    # key, and the retry gets it from there instead of a second run.
+    async def story(d):
+        request = d.request(key="k", is_repeatable=is_repeatable)
+        await d.ask(request, "e1")
+        await d.bench.stop_instance("e1")
+        await d.clock.sleep_ms(1_000)
+        retry = d.request(key="k", is_repeatable=is_repeatable)
+        return await d.ask(retry, "e2"), d.dispatches()
+
+    events, dispatches = run(story)
+    assert deployments.is_whole(events)
+    assert dispatches == 1
--- a/tests/requests/test_safeguards.py
+++ b/tests/requests/test_safeguards.py
@@ -18,6 +18,7 @@
 from jujubewharf.requests import claim_records
 from jujubewharf.requests import claim_shard
 from jujubewharf.requests import claims
+from jujubewharf.requests import handover
 from jujubewharf.requests import held
 from jujubewharf.requests import kept
 from jujubewharf.requests import keys
@@ -284,6 +285,17 @@
         lambda *args: None,
         test_answers.test_a_retry_after_the_end_gets_the_finished_answer,
     ),
+    Off(
+        "answers are handed over at a shutdown",
+        handover.Handover,
+        "give_all",
+        _nothing,
+        lambda: (
+            test_answers.test_a_finished_answer_outlives_its_instances_shutdown(
+                True
+            )
+        ),
+    ),
     Off(
         "claims, under random failures",
         claims.Claims,
