--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of real processes on loopback; not tests."""
--- a/src/jujubewharf/experiments/virtual_time.py
+++ b/src/jujubewharf/experiments/virtual_time.py
@@ -28,6 +28,7 @@
 _RESOLUTION_DIGITS = 6
 _TICK_S = 1e-6
 _ROUNDS_A_TICK = 2_000
+_CLEAN_UP_ROUNDS = 5
 
 
 class StuckError(RuntimeError):
@@ -178,10 +179,12 @@
 
 
 def _cancel_rest(loop: asyncio.AbstractEventLoop) -> None:
-    rest = asyncio.all_tasks(loop)
-    if not rest:
-        return
-    for task in rest:
-        task.cancel()
-    gathered = asyncio.gather(*rest, return_exceptions=True)
-    loop.run_until_complete(gathered)
+    """Cancels all tasks, and those that their clean-up code starts."""
+    for _ in range(_CLEAN_UP_ROUNDS):
+        rest = asyncio.all_tasks(loop)
+        if not rest:
+            return
+        for task in rest:
+            task.cancel()
+        gathered = asyncio.gather(*rest, return_exceptions=True)
+        loop.run_until_complete(gathered)
