Hostile, truncated and newer frames: counted, answered or dropped, nothing held

Cause: the peer port reads whatever comes.

An answer's kind goes before its message. A fault in a link's task is counted and told.

--- a/src/jujubewharf/peers/counters.py
+++ b/src/jujubewharf/peers/counters.py
@@ -58,6 +58,7 @@
         drops: Drops by reason.
         asks: Asks by outcome.
         refusals: Links that were refused, by the reason's value.
+        task_failures: Tasks of links that ended by a fault in this program.
     """
 
     def __init__(self) -> None:
@@ -65,6 +66,7 @@
         self.bytes_out = 0
         self.drops: collections.Counter[Drop] = collections.Counter()
         self.asks: collections.Counter[AskOutcome] = collections.Counter()
+        self.task_failures = 0
         self.refusals: collections.Counter[str] = collections.Counter()
 
     def received(self, size_bytes: int) -> None:
--- a/src/jujubewharf/peers/link.py
+++ b/src/jujubewharf/peers/link.py
@@ -251,17 +251,20 @@
                 self._on_answer(error.correlation, None)
 
     def _on_frame(self, frame: codec.Frame) -> None:
-        match frame:
-            case codec.Frame(message=link_messages.Heartbeat() as heartbeat):
+        match frame.kind:
+            case codec.FrameKind.ANSWER:
+                self._on_answer(frame.correlation, frame.message)
+                return
+            case codec.FrameKind.REFUSAL:
+                self._on_answer(frame.correlation, None)
+                return
+        match frame.message:
+            case link_messages.Heartbeat() as heartbeat:
                 self.hears_us = heartbeat.hears_you
                 self.on_heartbeat(self, heartbeat)
-            case codec.Frame(message=link_messages.Farewell() as farewell):
+            case link_messages.Farewell() as farewell:
                 self.farewell = farewell
-            case codec.Frame(codec.FrameKind.ANSWER, message=message):
-                self._on_answer(frame.correlation, message)
-            case codec.Frame(codec.FrameKind.REFUSAL):
-                self._on_answer(frame.correlation, None)
-            case codec.Frame(message=None):
+            case None:
                 self._counts.drop(counters.Drop.MALFORMED)
             case _:
                 self._start_handler(frame)
--- a/src/jujubewharf/peers/mesh.py
+++ b/src/jujubewharf/peers/mesh.py
@@ -362,7 +362,17 @@
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
         self._running.add(task)
-        task.add_done_callback(self._running.discard)
+        task.add_done_callback(self._on_done)
+
+    def _on_done(self, task: asyncio.Task[None]) -> None:
+        """Tells of a fault, which else would come up at some collection."""
+        self._running.discard(task)
+        if task.cancelled():
+            return
+        fault = task.exception()
+        if fault is not None:
+            self.counts.task_failures += 1
+            self._logger.error("peer_task_failed", exc_info=fault)
 
     def _hello(self, *, is_standing: bool) -> link_messages.Hello:
         return link_messages.Hello(
@@ -409,6 +419,11 @@
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: streams.StreamWriter
+    ) -> None:
+        self._spawn(self._greet(reader, writer))
+
+    async def _greet(
+        self, reader: asyncio.StreamReader, writer: streams.StreamWriter
     ) -> None:
         greeting = self._handshake(reader, writer, False)
         if self._handshakes >= _MAX_HANDSHAKES or self.should_stop:
