--- a/src/jujubewharf/peers/counters.py
+++ b/src/jujubewharf/peers/counters.py
@@ -55,6 +55,7 @@
     Attributes:
         bytes_in: Bytes of frames read.
         bytes_out: Bytes of frames written.
+        frames_out: Number of frames written.
         drops: Drops by reason.
         asks: Asks by outcome.
         refusals: Links that were refused, by the reason's value.
@@ -64,6 +65,7 @@
     def __init__(self) -> None:
         self.bytes_in = 0
         self.bytes_out = 0
+        self.frames_out = 0
         self.drops: collections.Counter[Drop] = collections.Counter()
         self.asks: collections.Counter[AskOutcome] = collections.Counter()
         self.task_failures = 0
@@ -77,6 +79,7 @@
     def sent(self, size_bytes: int) -> None:
         """Counts a frame written."""
         self.bytes_out += size_bytes
+        self.frames_out += 1
         _bytes_out.add(size_bytes)
 
     def drop(self, reason: Drop) -> None:
