Join the sources of membership only when one has changed

Cause: each check joined all members anew, in time proportional to the fleet.

Change: joining waits for a change of list, hello, or fact; looking for silence goes over the peers that the links know. Values of facts are read once. A tool measures the cost of control.

--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -37,7 +37,7 @@
 from jujubewharf.orders import ownership
 from jujubewharf.orders import reconciler
 from jujubewharf.orders import turn
-from jujubewharf.peers import keys
+from jujubewharf.peers import keys as peer_keys
 from jujubewharf.peers import mesh
 from jujubewharf.peers import peer
 from jujubewharf.peers import streams
@@ -303,7 +303,7 @@
     async def on_start(self) -> None:
         """Makes the adapters and starts core and edges."""
         peers = self._settings.peers
-        transport = keys.make_transport(peers)
+        transport = peer_keys.make_transport(peers)
         self.core = EntryCore(
             self._settings, self._clock, self._adapters(transport)
         )
@@ -322,9 +322,9 @@
         )
         await self.add_runtime_dependency(self.core)
         await self.add_runtime_dependency(self.callers)
-        files = keys.files_of(peers)
+        files = peer_keys.files_of(peers)
         if files is not None:
-            reloader = keys.KeyReloader(
+            reloader = peer_keys.KeyReloader(
                 files,
                 transport,
                 self.core.peers,
--- a/src/jujubewharf/experiments/control_cost.py
+++ b/src/jujubewharf/experiments/control_cost.py
@@ -120,7 +120,6 @@
         if bench.clock.now_ms() + pause_ms > until_ms:
             break
         await bench.clock.sleep_ms(pause_ms)
-        bench.network.bytes_sent.setdefault(name, 0)
         await bench.restart_instance(name)
     await bench.clock.sleep_until_ms(until_ms)
 
@@ -162,8 +161,8 @@
         table.add_row(*(f"{value:.4g}" for value in values))
     console = rich.console.Console(width=140)
     console.print(table)
-    for field in ("bytes_per_s", "frames_per_s", "core_percent"):
-        console.print(f"{field}: {slope(costs, field):+.4g} an instance")
+    for name in ("bytes_per_s", "frames_per_s", "core_percent"):
+        console.print(f"{name}: {slope(costs, name):+.4g} an instance")
 
 
 def main(
--- a/src/jujubewharf/membership/fact_store.py
+++ b/src/jujubewharf/membership/fact_store.py
@@ -99,6 +99,7 @@
         self.refused = 0
         self._clock = clock
         self._facts: dict[_Key, Fact] = {}
+        self._of_topic: dict[str, dict[str, Fact]] = {}
         self._expiries: list[tuple[float, _Key]] = []
 
     def __len__(self) -> int:
@@ -114,6 +115,13 @@
             return None
         return fact
 
+    def about(self, topic: str) -> tuple[Fact, ...]:
+        """All facts on a topic that have not expired, by subject."""
+        of_topic = self._of_topic.get(topic, {})
+        now_ms = self._clock.now_ms()
+        found = (f for f in of_topic.values() if f.expires_ms > now_ms)
+        return tuple(sorted(found, key=lambda fact: fact.subject))
+
     def add(self, fact: Fact) -> bool:
         """Takes a fact in if it is news."""
         held = self._facts.get(fact.key)
@@ -129,6 +137,7 @@
             self.digest ^= held.content_hash
         self.digest ^= fact.content_hash
         self._facts[fact.key] = fact
+        self._of_topic.setdefault(fact.topic, {})[fact.subject] = fact
         heapq.heappush(self._expiries, (fact.expires_ms, fact.key))
         return True
 
@@ -141,6 +150,7 @@
             if fact is not None and fact.expires_ms <= now_ms:
                 self.digest ^= fact.content_hash
                 del self._facts[key]
+                del self._of_topic[fact.topic][fact.subject]
 
     def to_wire(self, fact: Fact) -> fact_messages.WireFact:
         """A fact with the rest of its life."""
--- a/src/jujubewharf/membership/facts.py
+++ b/src/jujubewharf/membership/facts.py
@@ -115,13 +115,7 @@
 
     def about(self, topic: str) -> tuple[Fact, ...]:
         """All that is known on a topic, by subject."""
-        now_ms = self._clock.now_ms()
-        found = [
-            fact
-            for fact in self.store
-            if fact.topic == topic and fact.expires_ms > now_ms
-        ]
-        return tuple(sorted(found, key=lambda fact: fact.subject))
+        return self.store.about(topic)
 
     def listen(self, topic: str, listener: Listener) -> None:
         """Calls back for each new version of a fact, this side's included."""
--- a/src/jujubewharf/membership/member_facts.py
+++ b/src/jujubewharf/membership/member_facts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import json
 from typing import TYPE_CHECKING
 
@@ -42,6 +43,8 @@
     is_silent: bool
 
 
+_CACHED_VALUES = 1_024
+
 _presence = pydantic.TypeAdapter(Presence)
 _report = pydantic.TypeAdapter(Report)
 
@@ -53,18 +56,12 @@
 
 def presence(fact: fact_store.Fact) -> Presence | None:
     """Reads a presence; ``None`` if it is of a form unknown here."""
-    try:
-        return _presence.validate_python(_named(Presence, fact.value))
-    except ValueError:
-        return None
+    return _read_presence(fact.value)
 
 
 def report(fact: fact_store.Fact) -> Report | None:
     """Reads a report; ``None`` if it is of a form unknown here."""
-    try:
-        return _report.validate_python(_named(Report, fact.value))
-    except ValueError:
-        return None
+    return _read_report(fact.value)
 
 
 def report_subject(silent: str, watcher: str) -> str:
@@ -77,6 +74,23 @@
     return subject.partition("\t")[0]
 
 
+# The same few values are read at every check, several times a second.
+@functools.lru_cache(maxsize=_CACHED_VALUES)
+def _read_presence(value: str) -> Presence | None:
+    try:
+        return _presence.validate_python(_named(Presence, value))
+    except ValueError:
+        return None
+
+
+@functools.lru_cache(maxsize=_CACHED_VALUES)
+def _read_report(value: str) -> Report | None:
+    try:
+        return _report.validate_python(_named(Report, value))
+    except ValueError:
+        return None
+
+
 def _named(value_type: type[Presence | Report], value: str) -> object:
     items = json.loads(value)
     if not isinstance(items, list):
--- a/src/jujubewharf/membership/membership.py
+++ b/src/jujubewharf/membership/membership.py
@@ -27,6 +27,7 @@
 _CHECKS_PER_HEARTBEAT = 2
 _POLL_JITTER = 0.2
 _GATHER_MS = 50.0
+_REJOIN_MS = 10_000.0
 _PRESENCE_TTL_MS = 600_000.0
 
 
@@ -77,6 +78,8 @@
         self._is_listed = False
         self._presence_ms: float | None = None
         self._presence_incarnation = 0
+        self._is_stale = True
+        self._joined_ms = 0.0
         self._news = asyncio.Event()
         self._listeners: list[Callable[[], None]] = []
         self._random = random.Random(mesh.instance)
@@ -164,11 +167,13 @@
         endpoints = tuple(m for m in listed if not m.is_entry)
         has_news = endpoints != self._listed_endpoints
         self._listed_endpoints = endpoints
+        before = self._listed
         self._listed = {m.name: m for m in listed if m.is_entry}
         mine = self._listed.pop(self._mesh.instance, None)
         self._is_listed = (
             mine is not None and mine.address == self._mesh.address
         )
+        self._is_stale |= self._listed != before
         self._refresh(has_news=has_news)
         if self._is_listed and mine is not None:
             if mine.state is live_list.LiveState.LEAVING:
@@ -176,9 +181,12 @@
 
     def _on_hello(self, hello: link_messages.Hello) -> None:
         self._suspicion.on_hello(hello.domain, self._members)
+        self._is_stale = True
         self._news.set()
 
     def _on_fact(self, fact: all_facts.Fact) -> None:
+        if fact.topic != all_facts.Topic.SUSPICION:
+            self._is_stale = True
         self._news.set()
 
     async def _wait_for_news(self) -> None:
@@ -222,22 +230,38 @@
         )
 
     def _refresh(self, *, has_news: bool = False) -> None:
-        """Joins all that is known, and tells the listeners of changes."""
-        members = self._join()
-        self._mesh.set_addresses(
-            {name: member.address for name, member in members.items()}
-        )
-        chosen = neighbours.choose(self.myself, members.values())
-        self._mesh.keep_links(chosen)
-        suspected = self._suspicion.find(members)
-        if members != self._members or suspected != self._suspected:
+        """Brings the view up to date, and tells the listeners of changes.
+
+        Joining costs time in proportion to the fleet, so it is done only
+        when a source has changed; looking for silence costs little.
+        """
+        now_ms = self._clock.now_ms()
+        if self._is_stale or now_ms >= self._joined_ms + _REJOIN_MS:
+            self._joined_ms = now_ms
+            self._is_stale = False
+            has_news |= self._rejoin()
+        suspected = self._suspicion.find(self._members)
+        if suspected != self._suspected:
+            self._suspected = suspected
+            self._is_stale = True
             has_news = True
-        self._members = members
-        self._suspected = suspected
         if has_news:
             for listener in self._listeners:
                 listener()
 
+    def _rejoin(self) -> bool:
+        """Joins all sources anew; returns whether a member changed."""
+        members = self._join()
+        self._suspicion.on_members(members)
+        if members == self._members:
+            return False
+        self._members = members
+        self._mesh.set_addresses(
+            {name: member.address for name, member in members.items()}
+        )
+        self._mesh.keep_links(neighbours.choose(self.myself, members.values()))
+        return True
+
     def _join(self) -> dict[str, view.Member]:
         told = self._told()
         names = {*self._listed, *told, *self._mesh.greeted()}
--- a/src/jujubewharf/membership/suspicion.py
+++ b/src/jujubewharf/membership/suspicion.py
@@ -63,18 +63,39 @@
         self._resumed_ms = float("-inf")
 
     def find(self, members: Mapping[str, view.Member]) -> frozenset[str]:
-        """Names of the members that are not heard."""
+        """Names of the members that are not heard.
+
+        Looks only at peers that the links know and at members that reports
+        are about: both stay few while the fleet grows.
+        """
         self._notice_pause()
-        self._keep_times(members)
         told = self._reported(members)
         found = set()
-        for name in members:
+        for name in self._mesh.known():
+            if name not in members:
+                continue
             is_silent = self.is_silent(name)
-            self._report(name, is_silent, told[name])
-            if is_silent or self._is_told(name, told[name]):
+            self._report(name, is_silent, len(told.get(name, ())))
+            if is_silent:
+                found.add(name)
+        for name, reports in told.items():
+            if self._is_told(name, reports):
                 found.add(name)
         return frozenset(found)
 
+    def on_members(self, members: Mapping[str, view.Member]) -> None:
+        """Notes since when members are known and forgets the gone."""
+        now_ms = self._clock.now_ms()
+        for name in members:
+            self._known_since_ms.setdefault(name, now_ms)
+        for times in (
+            self._known_since_ms,
+            self._reported_ms,
+            self._probed_ms,
+        ):
+            for name in [name for name in times if name not in members]:
+                del times[name]
+
     def is_heard(self, name: str) -> bool:
         """Whether a link heard the peer within the time for suspicion."""
         heard_ms = self._mesh.contact(name).heard_ms
@@ -157,18 +178,6 @@
         if now_ms - last_ms > self._timing.suspect_after_ms / 2:
             self._resumed_ms = now_ms
 
-    def _keep_times(self, members: Mapping[str, view.Member]) -> None:
-        now_ms = self._clock.now_ms()
-        for name in members:
-            self._known_since_ms.setdefault(name, now_ms)
-        for times in (
-            self._known_since_ms,
-            self._reported_ms,
-            self._probed_ms,
-        ):
-            for name in [name for name in times if name not in members]:
-                del times[name]
-
     def _reported(
         self, members: Mapping[str, view.Member]
     ) -> dict[str, list[member_facts.Report]]:
@@ -192,14 +201,12 @@
             return False
         return len(reports) >= REPORTS_TO_BELIEVE
 
-    def _report(
-        self, name: str, is_silent: bool, told: list[member_facts.Report]
-    ) -> None:
+    def _report(self, name: str, is_silent: bool, told_by: int) -> None:
         """Gives, renews or takes back this instance's own report."""
         now_ms = self._clock.now_ms()
         reported_ms = self._reported_ms.get(name)
         if is_silent:
-            if reported_ms is None and len(told) >= _ENOUGH_REPORTS:
+            if reported_ms is None and told_by >= _ENOUGH_REPORTS:
                 return
             if reported_ms is not None and now_ms < reported_ms + _RENEW_MS:
                 return
--- a/src/jujubewharf/peers/mesh.py
+++ b/src/jujubewharf/peers/mesh.py
@@ -195,6 +195,10 @@
             )
         )
 
+    def known(self) -> tuple[str, ...]:
+        """Peers that this instance has or had to do with."""
+        return tuple(self._peers)
+
     def greeted(self) -> tuple[str, ...]:
         """Peers whose hello is known."""
         return tuple(self._hellos)
@@ -531,14 +535,13 @@
             listener(link.hello)
 
     async def _run(self, link: links.Link) -> None:
+        known = self._make(link.peer)
         try:
             await link.run()
         finally:
-            known = self._peers.get(link.peer)
-            if known is not None and link in known.links:
-                known.remove(link)
-                self._look_after(known, link)
-                self._forget(known)
+            known.remove(link)
+            self._forget(known)
+        self._look_after(known, link)
 
     def _look_after(self, known: peers.Peer, link: links.Link) -> None:
         """Finds out at once whether a peer died when its link breaks.
--- a/src/jujubewharf/peers/peer.py
+++ b/src/jujubewharf/peers/peer.py
@@ -122,6 +122,8 @@
         A standing one goes first, then the one that the lower name dialled.
         """
         open_links = [link for link in self.links if not link.is_closed]
+        if len(open_links) == 1:
+            return open_links[0]
         return min(open_links, key=self._order, default=None)
 
     def add(self, link: links.Link) -> None:
