Compare facts only with peers that still differ and are linked

Cause: at 48 instances the first one, to which all had linked at the start, compared stores with each for 47 s after they were equal (850 bytes/s).

Change: a peer that comes to agree or is no longer linked leaves the queue.

--- a/src/jujubewharf/membership/facts.py
+++ b/src/jujubewharf/membership/facts.py
@@ -139,11 +139,20 @@
     async def _sync_on(self) -> None:
         while not self.should_stop:
             await self._clock.sleep_ms(_SYNC_PAUSE_MS)
-            if self._due:
-                peer = self._due.pop(0)
-                self._mismatches.pop(peer, None)
+            peer = self._next_due()
+            if peer is not None:
                 await self._sync(peer)
 
+    def _next_due(self) -> str | None:
+        """A peer to compare with; those whose link is gone are let be."""
+        linked = self._mesh.linked()
+        while self._due:
+            peer = self._due.pop(0)
+            self._mismatches.pop(peer, None)
+            if peer in linked:
+                return peer
+        return None
+
     def _take_in(self, fact: Fact, source: str | None) -> bool:
         if not self.store.add(fact):
             return False
@@ -198,6 +207,8 @@
         """
         if digest == self.store.digest:
             self._mismatches.pop(peer, None)
+            if peer in self._due:
+                self._due.remove(peer)
             return
         count = self._mismatches.get(peer, 0) + 1
         self._mismatches[peer] = count
