--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -33,6 +33,8 @@
 from jujubewharf.engines import http_endpoint
 from jujubewharf.membership import facts
 from jujubewharf.membership import membership as memberships
+from jujubewharf.operators import server as operator_server
+from jujubewharf.operators import service as operator_service
 from jujubewharf.orders import leases
 from jujubewharf.orders import ownership
 from jujubewharf.orders import reconciler
@@ -99,6 +101,7 @@
         fleet: Views of the engines.
         leases: Leases on the log.
         orders: Orders to engines.
+        operators: Answers operators.
         accounts: Client accounts in force here.
         model_limits: Limits of model requests here.
         plain_limits: Limits of plain calls here.
@@ -144,7 +147,13 @@
             poll_ms=settings.platform.live_list_poll_ms,
         )
         self.configuration = follower.ConfigurationFollower(
-            adapters.log, clock, wait_ms=settings.platform.log_wait_ms
+            adapters.log,
+            clock,
+            wait_ms=settings.platform.log_wait_ms,
+            instance=settings.instance,
+            network=self.peers,
+            membership=self.membership,
+            retention_ms=settings.platform.log_retention_ms,
         )
         self.changes = changes.Changes(self.configuration, adapters.log, clock)
         self.fleet = fleets.Fleet(adapters.make_engine_client, clock)
@@ -170,7 +179,9 @@
             self._placer,
             clock,
         )
-        self.key_homes = keys.KeyHomes(self.peers, self.membership, clock)
+        self.key_homes = keys.KeyHomes(
+            self.peers, self.membership, clock, self._incarnation_of
+        )
         self.claims = request_claims.Claims(
             settings.instance,
             self.peers,
@@ -187,6 +198,7 @@
             self.membership,
             clock,
         )
+        self.peers.on_hello(lambda hello: self.answers.rehoming.wake())
         self.sweep = sweeps.Sweep(
             settings.instance,
             lambda: self.configuration.current,
@@ -197,6 +209,8 @@
             clock,
             self.runner.counters,
         )
+        self.operators = operator_service.OperatorService(self)
+
         self.accounts = accounts.Accounts()
         self.configuration.listen(self.accounts.on_configuration)
         self.model_limits, self.plain_limits = (
@@ -228,6 +242,10 @@
         await self.add_runtime_dependency(self.answers)
         await self.add_runtime_dependency(self.sweep)
 
+    def _incarnation_of(self, instance: str) -> int:
+        hello = self.peers.hello_of(instance)
+        return self.peers.incarnation if hello is None else hello.incarnation
+
     def _member_count(self) -> int:
         return len(self.membership.present())
 
@@ -288,6 +306,7 @@
     Attributes:
         core: The instance's core, once started.
         callers: The caller edge, once started.
+        operators: The operator RPC, once started.
     """
 
     def __init__(
@@ -299,6 +318,7 @@
         self._sessions: list[aiohttp.ClientSession] = []
         self.core: EntryCore | None = None
         self.callers: edge.CallerEdge | None = None
+        self.operators: operator_server.OperatorServer | None = None
 
     async def on_start(self) -> None:
         """Makes the adapters and starts core and edges."""
@@ -320,7 +340,11 @@
             plain_paths.PlainServices(self.core, self._clock, callers),
             readiness.Readiness(self.core.configuration.caught_up),
         )
+        self.operators = operator_server.OperatorServer(
+            self._settings.operators, self.core.operators, self._clock
+        )
         await self.add_runtime_dependency(self.core)
+        await self.add_runtime_dependency(self.operators)
         await self.add_runtime_dependency(self.callers)
         files = peer_keys.files_of(peers)
         if files is not None:
--- a/src/jujubewharf/membership/membership.py
+++ b/src/jujubewharf/membership/membership.py
@@ -187,6 +187,10 @@
     def _on_fact(self, fact: all_facts.Fact) -> None:
         if fact.topic != all_facts.Topic.SUSPICION:
             self._is_stale = True
+        if fact.topic == all_facts.Topic.MEMBER:
+            # A dial that failed was to the process before this one; holding
+            # it against the new one would lead back to the listed address.
+            self._mesh.forgive(fact.subject)
         self._news.set()
 
     async def _wait_for_news(self) -> None:
