--- a/src/jujubewharf/peers/counters.py
+++ b/src/jujubewharf/peers/counters.py
@@ -55,16 +55,20 @@
     Attributes:
         bytes_in: Bytes of frames read.
         bytes_out: Bytes of frames written.
+        frames_out: Number of frames written.
         drops: Drops by reason.
         asks: Asks by outcome.
         refusals: Links that were refused, by the reason's value.
+        task_failures: Tasks of links that ended by a fault in this program.
     """
 
     def __init__(self) -> None:
         self.bytes_in = 0
         self.bytes_out = 0
+        self.frames_out = 0
         self.drops: collections.Counter[Drop] = collections.Counter()
         self.asks: collections.Counter[AskOutcome] = collections.Counter()
+        self.task_failures = 0
         self.refusals: collections.Counter[str] = collections.Counter()
 
     def received(self, size_bytes: int) -> None:
@@ -75,6 +79,7 @@
     def sent(self, size_bytes: int) -> None:
         """Counts a frame written."""
         self.bytes_out += size_bytes
+        self.frames_out += 1
         _bytes_out.add(size_bytes)
 
     def drop(self, reason: Drop) -> None:
