--- a/src/jujubewharf/callers/readiness.py
+++ b/src/jujubewharf/callers/readiness.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from jujubewharf import errors
+from jujubewharf.leaving import shutdown
 
 _RETRY_AFTER_MS = 1_000.0
 
@@ -23,21 +24,18 @@
 
     Args:
         caught_up: Set once the configuration was read to its end.
-
-    Attributes:
-        is_listed: False asks the balancer to send no more.
-        is_accepting: False refuses new requests.
+        door: Closed by a shutdown.
     """
 
-    def __init__(self, caught_up: _Event) -> None:
-        self.is_listed = True
-        self.is_accepting = True
+    def __init__(self, caught_up: _Event, door: shutdown.Door) -> None:
         self._caught_up = caught_up
+        self._door = door
 
     @property
     def is_ready(self) -> bool:
         """What ``/readyz`` says."""
-        return self.is_listed and self.is_accepting and self._caught_up.is_set()
+        is_listed = self._door.is_listed and self._door.is_open
+        return is_listed and self._caught_up.is_set()
 
     def check(self) -> None:
         """Refuses a new request unless this instance takes traffic.
@@ -45,9 +43,7 @@
         Raises:
             WharfError: ``NOT_READY`` or ``SHUTTING_DOWN``.
         """
-        if not self.is_accepting:
-            kind = errors.ErrorKind.SHUTTING_DOWN
-            raise errors.WharfError(kind, retry_after_ms=_RETRY_AFTER_MS)
+        self._door.check()
         if not self._caught_up.is_set():
             kind = errors.ErrorKind.NOT_READY
             raise errors.WharfError(kind, retry_after_ms=_RETRY_AFTER_MS)
--- a/src/jujubewharf/commands/main.py
+++ b/src/jujubewharf/commands/main.py
@@ -17,6 +17,7 @@
 from jujubewharf.commands import demo
 from jujubewharf.commands import experiment
 from jujubewharf.commands import standin
+from jujubewharf.leaving import process
 from jujubewharf.settings import models
 from jujubewharf.settings import reader
 from jujubewharf.telemetry import error_page as error_pages
@@ -47,23 +48,23 @@
 
 @app.command()
 def entry(settings: SettingsPath) -> None:
-    """Run one entry instance until SIGTERM."""
+    """Run one entry instance until SIGTERM, then drain it.
+
+    Exit codes: 0 drained, 1 crashed, 2 bad settings, 3 requests were cut.
+    """
     checked = _read_or_exit(settings)
     logs.configure(checked.telemetry.log_level, instance=checked.instance)
-    services: list[mode.Service] = [entries.Entry(checked, clocks.Clock())]
-    metrics_edge = metrics.configure(checked)
+    raise typer.Exit(asyncio.run(_run(checked)))
+
+
+async def _run(settings: models.EntrySettings) -> int:
+    daemon = entries.Entry(settings, clocks.Clock())
+    services: list[mode.Service] = [daemon]
+    metrics_edge = metrics.configure(settings)
     if metrics_edge is not None:
         services.append(metrics_edge)
-    loop = asyncio.new_event_loop()
-    logs.handle_loop_errors(loop)
-    worker = mode.Worker(
-        *services,
-        loop=loop,
-        override_logging=False,
-        redirect_stdouts=False,
-        quiet=True,
-    )
-    worker.execute_from_commandline()
+    logs.handle_loop_errors(asyncio.get_running_loop())
+    return await process.Runner(daemon, services).run()
 
 
 @app.command("errors")
--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -31,6 +31,8 @@
 from jujubewharf.engines import endpoint_client
 from jujubewharf.engines import http as engine_http
 from jujubewharf.engines import http_endpoint
+from jujubewharf.leaving import departures
+from jujubewharf.leaving import shutdown
 from jujubewharf.membership import facts
 from jujubewharf.membership import membership as memberships
 from jujubewharf.operators import server as operator_server
@@ -99,6 +101,8 @@
         configuration: Configuration in force here.
         changes: Takes operators' changes.
         fleet: Views of the engines.
+        departures: Endpoints that somebody says are leaving.
+        door: Counts requests in flight; closed by a shutdown.
         leases: Leases on the log.
         orders: Orders to engines.
         operators: Answers operators.
@@ -169,7 +173,14 @@
             ),
             owns=ownership.Ownership(self.membership).owns,
         )
-        self.fleet.withheld = self.orders.is_taken_out
+        self.departures = departures.Departures(
+            self.facts,
+            self.membership.listed_endpoints,
+            self.fleet.say_leaving,
+            clock,
+        )
+        self.fleet.withheld = self._is_withheld
+        self.door = shutdown.Door()
         if policy is None:
             policy = baselines.LeastLoad()
         self._placer = placers.Placer(policy, self.fleet, clock)
@@ -219,7 +230,9 @@
             )
             for _ in range(2)
         )
-        chooser = plain_endpoints.Chooser(settings.domain, clock)
+        chooser = plain_endpoints.Chooser(
+            settings.domain, clock, is_leaving=self.departures.is_leaving
+        )
         self.configuration.listen(chooser.on_configuration)
         self.plain = plain.PlainRunner(
             adapters.endpoints,
@@ -237,11 +250,33 @@
         await self.add_runtime_dependency(self.fleet)
         await self.add_runtime_dependency(self.key_homes)
         await self.add_runtime_dependency(self.claims)
+        await self.add_runtime_dependency(self.departures)
         await self.add_runtime_dependency(self.leases)
         await self.add_runtime_dependency(self.orders)
         await self.add_runtime_dependency(self.answers)
         await self.add_runtime_dependency(self.sweep)
 
+    def new_shutdown(self) -> shutdown.Shutdown:
+        """A graceful shutdown of this instance; the caller runs it."""
+        return shutdown.Shutdown(
+            self.door,
+            lambda: self.answers.running,
+            self._hand_over,
+            self.clock,
+            grace_ms=self.settings.balancer_grace_ms,
+            drain_ms=self.settings.drain_ms,
+        )
+
+    def _hand_over(self) -> None:
+        """Peers take this instance's roles when they hear that it leaves."""
+        self.orders.retire()
+        self.membership.leave()
+
+    def _is_withheld(self, engine: str) -> bool:
+        if self.departures.is_leaving(engine):
+            return True
+        return self.orders.is_taken_out(engine)
+
     def _incarnation_of(self, instance: str) -> int:
         hello = self.peers.hello_of(instance)
         return self.peers.incarnation if hello is None else hello.incarnation
@@ -259,6 +294,7 @@
         )
         try:
             async with (
+                self.door.inside(),
                 self.model_limits.admitted(
                     request.account,
                     request.service,
@@ -285,6 +321,7 @@
     ) -> AsyncIterator[endpoint_client.PlainReply]:
         """Calls a plain service; see ``plain.PlainRunner.run``."""
         async with (
+            self.door.inside(),
             self.plain_limits.admitted(
                 request.account,
                 request.service,
@@ -338,7 +375,9 @@
                 new_id=lambda: model_request.mint_id(self._settings.instance),
             ),
             plain_paths.PlainServices(self.core, self._clock, callers),
-            readiness.Readiness(self.core.configuration.caught_up),
+            readiness.Readiness(
+                self.core.configuration.caught_up, self.core.door
+            ),
         )
         self.operators = operator_server.OperatorServer(
             self._settings.operators, self.core.operators, self._clock
@@ -357,6 +396,11 @@
             )
             await self.add_runtime_dependency(reloader)
 
+    def new_shutdown(self) -> shutdown.Shutdown:
+        """A graceful shutdown; see ``EntryCore.new_shutdown``."""
+        assert self.core is not None
+        return self.core.new_shutdown()
+
     async def on_shutdown(self) -> None:
         """Closes the client sessions once all parts stopped."""
         for session in self._sessions:
--- /dev/null
+++ b/src/jujubewharf/leaving/__init__.py
@@ -0,0 +1,1 @@
+"""Leaving: endpoints that get no new work, and an instance's shutdown."""
--- /dev/null
+++ b/src/jujubewharf/leaving/process.py
@@ -0,0 +1,90 @@
+"""Runs the daemon's services until a signal, and drains before the end."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+import enum
+import signal
+from typing import Protocol
+
+import mode
+import structlog
+
+from jujubewharf.leaving import shutdown
+
+
+class ExitCode(enum.IntEnum):
+    """What the process ends with.
+
+    ``CUT`` says that requests were still in flight at the end, since the
+    bound passed or a second signal came.
+    """
+
+    DRAINED = 0
+    CRASHED = 1
+    BAD_SETTINGS = 2
+    CUT = 3
+
+
+class Daemon(Protocol):
+    """What is drained; the first of the services."""
+
+    def new_shutdown(self) -> shutdown.Shutdown:
+        """A shutdown that empties the daemon."""
+        ...
+
+
+class Runner:
+    """Starts services, waits for SIGTERM or SIGINT, drains and stops.
+
+    Args:
+        daemon: What is drained.
+        services: Everything to start, in order.
+    """
+
+    def __init__(
+        self, daemon: Daemon, services: Sequence[mode.Service]
+    ) -> None:
+        self._daemon = daemon
+        self._services = services
+        self._asked = asyncio.Event()
+        self._shutdown: shutdown.Shutdown | None = None
+
+    async def run(self) -> ExitCode:
+        """Runs to the end.
+
+        A first signal drains; a second one hastens the end.
+        """
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._on_signal)
+        try:
+            for service in self._services:
+                await service.start()
+            crashed = await self._wait()
+            if crashed:
+                return ExitCode.CRASHED
+            self._shutdown = self._daemon.new_shutdown()
+            summary = await self._shutdown.run()
+            return ExitCode.CUT if summary.cut else ExitCode.DRAINED
+        finally:
+            for service in reversed(self._services):
+                await service.stop()
+
+    async def _wait(self) -> bool:
+        """Waits for a signal; tells whether a service crashed first."""
+        waits = [
+            asyncio.create_task(service.wait(self._asked.wait()))
+            for service in self._services
+        ]
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        for wait in waits:
+            wait.cancel()
+        return not self._asked.is_set()
+
+    def _on_signal(self) -> None:
+        if self._shutdown is not None:
+            structlog.get_logger().warning("shutdown_hastened")
+            self._shutdown.hasten()
+        self._asked.set()
--- a/src/jujubewharf/orders/reconciler.py
+++ b/src/jujubewharf/orders/reconciler.py
@@ -40,10 +40,15 @@
         self._around = around
         self._owns = owns
         self._clock = around.clock
+        self._is_retired = False
         self._running: set[str] = set()
         self._not_before_ms: dict[str, float] = {}
         self._logger = structlog.get_logger()
 
+    def retire(self) -> None:
+        """Takes no further turns; those under way go on."""
+        self._is_retired = True
+
     def is_taken_out(self, engine: str) -> bool:
         """Whether a lease keeps new work from an engine; any holder's."""
         ledger = self._around.leases.ledger
@@ -61,6 +66,8 @@
             await self._clock.sleep_ms(_CHECK_MS)
 
     def _due(self) -> list[resources.Endpoint]:
+        if self._is_retired:
+            return []
         now_ms = self._clock.now_ms()
         state = self._around.configuration.current
         due = []
--- a/src/jujubewharf/routing/fleet.py
+++ b/src/jujubewharf/routing/fleet.py
@@ -42,6 +42,11 @@
     is_suspect: bool = False
     withheld: Withheld = lambda name: False
 
+    @property
+    def says_leaving(self) -> bool:
+        """Whether the engine itself lately said that it leaves."""
+        return self.report is not None and self.report.is_leaving
+
     @property
     def takes_work(self) -> bool:
         """Whether new work may be sent there."""
@@ -91,6 +96,14 @@
             if view.endpoint.service == service
         ]
 
+    def say_leaving(self) -> list[str]:
+        """Engines that lately said themselves that they leave, by name."""
+        return [
+            name
+            for name, view in sorted(self._views.items())
+            if view.says_leaving
+        ]
+
     def view(self, name: str) -> EngineView | None:
         """The view of one engine."""
         return self._views.get(name)
--- a/src/jujubewharf/settings/models.py
+++ b/src/jujubewharf/settings/models.py
@@ -160,6 +160,8 @@
         region: Region of the instance.
         domain: Failure domain of the instance.
         drain_ms: Upper bound of a graceful shutdown.
+        balancer_grace_ms: How long a shutdown goes on taking requests, until
+            the balancer has noticed.
     """
 
     instance: Annotated[str, pydantic.Field(min_length=1, max_length=64)]
@@ -171,3 +173,4 @@
     peers: PeerSettings = PeerSettings()
     telemetry: TelemetrySettings = TelemetrySettings()
     drain_ms: PositiveMs = 120_000
+    balancer_grace_ms: PositiveMs = 3_000
--- a/src/jujubewharf/standins/engine.py
+++ b/src/jujubewharf/standins/engine.py
@@ -71,6 +71,7 @@
         decoded_tokens: Tokens written.
         answers: Answers written to their end, by digest of the prompt.
         dispatches: Answers begun, by attempt id.
+        cut_by_orders: Attempts that lost their memory to an order.
     """
 
     prefilled_tokens: int = 0
@@ -83,6 +84,7 @@
     dispatches: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
+    cut_by_orders: int = 0
 
 
 class Engine:
@@ -307,16 +309,28 @@
         self.orders.append(order)
         match order.kind:
             case client.OrderKind.CHANGE_ROLE:
+                await self._drop_all()
                 self.role = order.value
             case client.OrderKind.LOAD_ADAPTER:
                 if order.value not in self.adapters:
                     self.adapters = (*self.adapters, order.value)
             case client.OrderKind.LOAD_MODEL:
+                await self._drop_all()
                 await self.fetch_weights()
                 self.model = order.value
                 self.model_version = order.version
         self._note()
 
+    async def _drop_all(self) -> None:
+        """New weights or another role leave no request its memory."""
+        self.counts.cut_by_orders += len(self._slots)
+        for slot in list(self._slots.values()):
+            if slot.generation is not None:
+                if slot.generation.task is not None:
+                    slot.generation.task.cancel()
+                await slot.generation.lose()
+        self._slots.clear()
+
     async def fetch_weights(self) -> None:
         """Takes a while; a bench puts the weight store's rate here."""
         await self._clock.sleep_ms(self.spec.load_ms)
--- a/tests/callers/test_edge.py
+++ b/tests/callers/test_edge.py
@@ -247,8 +247,8 @@
 
 async def test_readiness_is_told_to_the_balancer_and_to_callers():
     async with loopback.deployed() as deployment:
-        readiness = deployment.entry.callers.readiness
-        readiness.is_listed = False
+        door = deployment.entry.core.door
+        door.is_listed = False
         async with deployment.session.get(
             deployment.base + "/readyz"
         ) as answer:
@@ -257,7 +257,7 @@
             deployment.base + PATH, data=_body()
         ) as answer:
             assert answer.status == 200
-        readiness.is_accepting = False
+        door.is_open = False
         async with deployment.session.post(
             deployment.base + PATH, data=_body()
         ) as answer:
