--- a/src/jujubewharf/configuration/follower.py
+++ b/src/jujubewharf/configuration/follower.py
@@ -79,6 +79,7 @@
         self._clock = clock
         self._wait_ms = wait_ms
         self._heard_ms: float | None = None
+        self._is_reached = True
         self._is_log_behind = False
         self._logger = structlog.get_logger()
         self._holding = holdings.Holding(state)
@@ -151,7 +152,7 @@
                 await self._recover(error.first_offset)
             except (log.LogUnavailableError, log.AppendUnknownError) as error:
                 _reads.add(1, {"outcome": "unavailable"})
-                self._logger.warning("log_unavailable", detail=str(error))
+                self._note_reached(False, str(error))
                 await self._clock.sleep_ms(_RETRY_MS)
 
     async def _read_once(self) -> None:
@@ -160,13 +161,25 @@
             records.STREAM, asked_for, wait_ms=self._wait_ms
         )
         _reads.add(1, {"outcome": "read"})
-        self._heard_ms = self._clock.now_ms()
+        self._note_reached(True)
         self._holding.fold(page.records)
         self._checkpointer.log_first_offset = page.first_offset
         self._note_log_end(page.next_offset, asked_for)
         if self._holding.is_frozen:
             await self._clock.sleep_ms(_RETRY_MS)
 
+    def _note_reached(self, is_reached: bool, detail: str = "") -> None:
+        """Notes whether the log answered, and logs only what is new."""
+        if is_reached:
+            self._heard_ms = self._clock.now_ms()
+        if is_reached == self._is_reached:
+            return
+        self._is_reached = is_reached
+        if is_reached:
+            self._logger.info("log_reached")
+        else:
+            self._logger.warning("log_unavailable", detail=detail)
+
     def _note_log_end(self, log_end: int, asked_for: int) -> None:
         _lag.set(max(0, log_end - self._holding.next_offset))
         is_behind = log_end < asked_for
--- a/src/jujubewharf/configuration/holding.py
+++ b/src/jujubewharf/configuration/holding.py
@@ -26,6 +26,10 @@
     "configuration.adopted",
     description="Whole states taken over, by where from",
 )
+_failures = _meter.create_counter(
+    "configuration.listener_failures",
+    description="Parts of this instance that failed to take a change in",
+)
 
 
 class Holding:
@@ -121,4 +125,10 @@
 
     def _tell(self) -> None:
         for listener in self._listeners:
-            listener(self.current)
+            try:
+                listener(self.current)
+            except Exception:
+                # One part that can't take a change in must not keep the
+                # instance, and every other part, from the changes after it.
+                _failures.add(1)
+                self._logger.exception("configuration_listener_failed")
--- a/src/jujubewharf/configuration/spread.py
+++ b/src/jujubewharf/configuration/spread.py
@@ -28,7 +28,7 @@
     from jujubewharf.membership import view
     from jujubewharf.peers import messages
 
-PEERS_A_ROUND = 3
+PEERS_A_ROUND = 2
 
 _ASK_TIMEOUT_MS = 2_000.0
 _PAGE_RECORDS = 200
@@ -90,8 +90,19 @@
             )
             if not given.records:
                 await self.adopt_from(peer)
+            elif given.is_caught_up:
+                self._note_caught_up(given.next_offset)
             return
 
+    def _note_caught_up(self, end_offset: int) -> None:
+        """Takes traffic once everything that a caught-up peer had is here.
+
+        Less would serve a request by half a configuration: with its service
+        but without the account that may not call it.
+        """
+        if self._holding.next_offset >= end_offset:
+            self._holding.caught_up.set()
+
     async def adopt_any(self) -> bool:
         """Takes over the state of the first peer that is further on.
 
@@ -188,13 +199,16 @@
         limit = min(wanted.limit, _PAGE_RECORDS)
         found = self._holding.recent(wanted.from_offset, limit)
         return configuration_messages.RecordsGiven(
-            self._holding.next_offset, tuple(_within_page(found))
+            self._holding.next_offset,
+            tuple(_within_page(found)),
+            self._holding.caught_up.is_set(),
         )
 
     async def _on_snapshot(
         self, _: str, wanted: configuration_messages.SnapshotWanted
     ) -> configuration_messages.SnapshotOffered:
-        if self._holding.next_offset <= wanted.above_offset:
+        is_whole = self._holding.caught_up.is_set()
+        if not is_whole or self._holding.next_offset <= wanted.above_offset:
             return configuration_messages.SnapshotOffered(
                 self._holding.next_offset
             )
--- a/src/jujubewharf/peers/configuration_messages.py
+++ b/src/jujubewharf/peers/configuration_messages.py
@@ -42,10 +42,13 @@
             when it is past ``from_offset`` and there are no records, only a
             snapshot helps.
         records: Records from ``from_offset`` on.
+        is_caught_up: Whether the sender has seen the end of the log, or has
+            it from one that had.
     """
 
     next_offset: int
     records: tuple[WireRecord, ...] = ()
+    is_caught_up: bool = False
 
 
 @messages.message(62)
--- a/src/jujubewharf/standins/log.py
+++ b/src/jujubewharf/standins/log.py
@@ -42,6 +42,9 @@
         lose_answers: Number of coming appends that take effect but whose
             answer is lost.
         append_ms: Time an append takes; a slow log takes long.
+        retention_ms: Age at which records are forgotten.
+        falls_after_append: Goes down the moment the next append took effect,
+            before anybody can read it; its answer is lost.
         appends: Append calls that took effect, by stream.
     """
 
@@ -56,7 +59,8 @@
         self.lose_answers = 0
         self.appends: collections.Counter[str] = collections.Counter()
         self._clock = clock
-        self._retention_ms = retention_ms
+        self.retention_ms = retention_ms
+        self.falls_after_append = False
         self.append_ms = append_ms
         self._streams: dict[str, _Stream] = collections.defaultdict(_Stream)
         self._appended = asyncio.Event()
@@ -70,6 +74,10 @@
             raise log.LogUnavailableError("down")
         offsets = self._store(self._streams[stream], payloads)
         self.appends[stream] += 1
+        if self.falls_after_append:
+            self.falls_after_append = False
+            self.is_down = True
+            raise log.AppendUnknownError("answer lost")
         self._appended.set()
         self._appended = asyncio.Event()
         if self.lose_answers > 0:
@@ -110,6 +118,10 @@
         del kept.appended_at_ms[:count]
         kept.first_offset += count
 
+    def wipe(self) -> None:
+        """Begins anew with empty streams at offset 0, as an old copy would."""
+        self._streams.clear()
+
     async def _wait(self, left_ms: float) -> None:
         try:
             async with self._clock.timeout_ms(left_ms):
@@ -126,9 +138,9 @@
         return offsets
 
     def _forget(self, kept: _Stream) -> None:
-        if self._retention_ms is None:
+        if self.retention_ms is None:
             return
-        oldest_ms = self._clock.now_ms() - self._retention_ms
+        oldest_ms = self._clock.now_ms() - self.retention_ms
         while kept.appended_at_ms and kept.appended_at_ms[0] < oldest_ms:
             kept.appended_at_ms.pop(0)
             kept.records.pop(0)
