Model check: one offset, one state, and all orders of a small race

Cause: the claim that instances agree however they got to an offset rested on examples. Change: a hypothesis state machine over reads, restarts, checkpoints, truncation, peers, repeats, newer records and newer rules, against a reference fold; 90 interleavings of a race with a restart at every cut; four safeguards switched off one by one.

--- /dev/null
+++ b/tests/configuration/test_model.py
@@ -0,0 +1,297 @@
+"""Every instance at one offset holds one state, however it got there.
+
+Hypothesis drives three holdings and a log through reads, restarts,
+checkpoints, truncation, peers' records and snapshots, repeated appends,
+records of newer versions and newer rules. A reference that reads every
+record in order tells what each offset's state must be. The last test
+switches safeguards off one by one and expects the check to notice.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from jujubewharf.configuration import holding as holdings
+from jujubewharf.configuration import records
+from jujubewharf.configuration import resources
+from jujubewharf.configuration import snapshot as snapshots
+from jujubewharf.configuration import state as states
+from jujubewharf.platform import log as logs
+from tests.configuration import making
+
+ENGINES = ("e1", "e2", "e3")
+INSTANCES = (0, 1, 2)
+NEWEST_RULES = (1, 1, 2)
+
+CHANGES = st.builds(
+    lambda verb, name, drained, expected: (
+        making.delete(making.engine(name), expected_generation=expected)
+        if verb == "delete"
+        else making.put(
+            making.engine(name, drained=drained), expected_generation=expected
+        )
+    ),
+    st.sampled_from(["put", "put", "delete"]),
+    st.sampled_from(ENGINES),
+    st.booleans(),
+    st.one_of(st.none(), st.integers(0, 8)),
+)
+INSTANCE = st.sampled_from(INSTANCES)
+
+
+class Fleet(stateful.RuleBasedStateMachine):
+    """Three instances, a log that forgets, and checkpoints on it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.payloads: list[bytes] = []
+        self.first_offset = 0
+        self.reference = states.State(newest_rules=2)
+        self.digests = {0: snapshots.digest(self.reference)}
+        self.verdicts: dict[str, states.Verdict] = {}
+        self.held = [self.make(index) for index in INSTANCES]
+        self.reached = [0 for _ in INSTANCES]
+        self.checked: list[object] = [None for _ in INSTANCES]
+        self.checkpoints: list[snapshots.Snapshot] = []
+        self.append(records.encode(making.put(making.SERVICE)))
+
+    def make(self, index: int) -> holdings.Holding:
+        state = states.State(newest_rules=NEWEST_RULES[index])
+        return holdings.Holding(state)
+
+    def append(self, payload: bytes) -> None:
+        offset = len(self.payloads)
+        self.payloads.append(payload)
+        verdict = self.reference.apply(logs.LogRecord(offset, payload))
+        self.digests[offset + 1] = snapshots.digest(self.reference)
+        self.verdicts.setdefault(verdict.operation_id, verdict)
+
+    @stateful.rule(change=CHANGES)
+    def operator_changes(self, change):
+        self.append(records.encode(change))
+
+    @stateful.rule(back=st.integers(1, 6))
+    def operator_repeats(self, back):
+        self.append(self.payloads[-min(back, len(self.payloads))])
+
+    @stateful.rule(change=CHANGES, version=st.integers(2, 3))
+    def newer_version_writes(self, change, version):
+        newer = dataclasses.replace(change, schema_version=version)
+        self.append(records.encode(newer))
+
+    @stateful.rule()
+    def garbage_is_appended(self):
+        self.append(b"\xc1")
+
+    @stateful.precondition(lambda self: len(self.payloads) > 4)
+    @stateful.rule()
+    def newer_rules_come_into_force(self):
+        self.append(records.encode(making.rules(2)))
+
+    @stateful.rule(index=INSTANCE, limit=st.integers(1, 12))
+    def reads(self, index, limit):
+        offset = self.held[index].next_offset
+        start = max(offset, self.first_offset)
+        page = [
+            logs.LogRecord(place, payload)
+            for place, payload in enumerate(self.payloads[: start + limit])
+            if place >= start
+        ]
+        self.held[index].fold(page)
+
+    @stateful.rule(index=INSTANCE)
+    def restarts(self, index):
+        self.held[index] = self.make(index)
+        self.reached[index] = 0
+
+    @stateful.rule(index=INSTANCE, forgets=st.booleans())
+    def writes_checkpoint(self, index, forgets):
+        self.checkpoints.append(snapshots.encode(self.held[index].current))
+        if forgets:
+            newest = max(one.next_offset for one in self.checkpoints)
+            self.first_offset = max(self.first_offset, newest)
+
+    @stateful.precondition(lambda self: self.checkpoints)
+    @stateful.rule(index=INSTANCE, data=st.data())
+    def loads_checkpoint(self, index, data):
+        self.adopt(index, data.draw(st.sampled_from(self.checkpoints)))
+
+    @stateful.rule(index=INSTANCE, other=INSTANCE)
+    def takes_peers_state(self, index, other):
+        self.adopt(index, snapshots.encode(self.held[other].current))
+
+    @stateful.rule(index=INSTANCE, other=INSTANCE, limit=st.integers(1, 6))
+    def takes_peers_records(self, index, other, limit):
+        offset = self.held[index].next_offset
+        self.held[index].fold(self.held[other].recent(offset, limit))
+
+    def adopt(self, index: int, snapshot: snapshots.Snapshot) -> None:
+        holding = self.held[index]
+        rules = holding.current.newest_rules
+        try:
+            state = snapshots.decode(snapshot, newest_rules=rules)
+        except snapshots.BrokenSnapshotError:
+            assert rules == 1
+            return
+        holding.adopt(state, source="test")
+
+    @stateful.invariant()
+    def one_offset_one_state(self):
+        for index, holding in enumerate(self.held):
+            now = (holding.current, holding.next_offset)
+            if now != self.checked[index]:
+                self.checked[index] = now
+                found = snapshots.digest(holding.current)
+                assert found == self.digests[holding.next_offset]
+
+    @stateful.invariant()
+    def no_offset_goes_down(self):
+        for index, holding in enumerate(self.held):
+            assert holding.next_offset >= self.reached[index]
+            self.reached[index] = holding.next_offset
+
+    @stateful.invariant()
+    def one_operation_one_verdict(self):
+        for holding in self.held:
+            for item in holding.current.history:
+                found = item.verdict
+                assert found == self.verdicts[found.operation_id]
+
+
+def _settings(examples: int) -> hypothesis.settings:
+    return hypothesis.settings(
+        max_examples=examples,
+        stateful_step_count=40,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+
+
+def test_every_instance_at_one_offset_holds_one_state():
+    stateful.run_state_machine_as_test(Fleet, settings=_settings(150))
+
+
+class _SkipsAGap(holdings.Holding):
+    def fold(self, found):
+        found = list(found)
+        if found and found[0].offset > self.next_offset:
+            self.current.next_offset = found[0].offset
+        return super().fold(found)
+
+
+class _GoesBack(holdings.Holding):
+    def adopt(self, state, *, source):
+        del source
+        self.current = state
+        return True
+
+
+class _FoldsByOldRules(holdings.Holding):
+    def fold(self, found):
+        count = super().fold(found)
+        if self.is_frozen:
+            self.is_frozen = False
+            self.current.next_offset += 1
+        return count
+
+
+def _without_history(item):
+    del item
+    return [snapshots._HISTORY, "x", 0, "accepted", "", "", 0.0, "put", "", ""]
+
+
+@pytest.mark.parametrize(
+    "weakened",
+    [_SkipsAGap, _GoesBack, _FoldsByOldRules, "history"],
+    ids=["gap", "lower offset", "old rules", "history"],
+)
+def test_the_check_notices_a_missing_safeguard(monkeypatch, weakened):
+    """Each safeguard is switched off in turn, and the check must fail."""
+    if weakened == "history":
+        monkeypatch.setattr(snapshots, "_history_item", _without_history)
+    else:
+        monkeypatch.setattr(holdings, "Holding", weakened)
+    with pytest.raises((AssertionError, KeyError, ValueError)):
+        settings = hypothesis.settings(
+            _settings(600), phases=[hypothesis.Phase.generate]
+        )
+        stateful.run_state_machine_as_test(Fleet, settings=settings)
+
+
+def _race(seen: int) -> list[list[records.Change]]:
+    """Three operators, each with two changes by what each saw at first."""
+    kind = {"expected_generation": seen}
+    return [
+        [
+            making.put(making.engine("e1", drained=True), **kind),
+            making.put(making.engine("e1", slots=1)),
+        ],
+        [
+            making.put(making.engine("e1", slots=2), **kind),
+            making.delete(making.engine("e2")),
+        ],
+        [
+            making.put(making.engine("e2", drained=True)),
+            making.put(making.engine("e1", slots=3), **kind),
+        ],
+    ]
+
+
+def _interleavings(operators: list[list[records.Change]]):
+    order = [i for i, own in enumerate(operators) for _ in own]
+    for chosen in sorted(set(itertools.permutations(order))):
+        queues = [iter(own) for own in operators]
+        yield [next(queues[index]) for index in chosen]
+
+
+def test_every_interleaving_of_a_race_has_one_winner_and_one_state():
+    """Three operators race for one generation and for the last engine.
+
+    All 90 orders are folded, each straight through and with a restart from
+    a snapshot at every place. At most one change by the generation that all
+    three saw may win, and the pool is never empty.
+    """
+    operators = _race(2)
+    by_generation = {
+        change.operation_id
+        for own in operators
+        for change in own
+        if change.expected_generation is not None
+    }
+    count = 0
+    for changes in _interleavings(operators):
+        count += 1
+        digests = set()
+        for cut in range(len(changes) + 1):
+            state = states.State()
+            made = [making.SERVICE, making.engine("e1"), making.engine("e2")]
+            for index, one in enumerate(made):
+                making.fold(
+                    state, making.put(one, operation_id=f"made-{index}")
+                )
+            verdicts = making.fold(state, *changes[:cut])
+            state = snapshots.decode(snapshots.encode(state), newest_rules=1)
+            verdicts += making.fold(state, *changes[cut:])
+            digests.add(snapshots.digest(state))
+            winners = [
+                verdict
+                for verdict in verdicts
+                if verdict.is_accepted and verdict.operation_id in by_generation
+            ]
+            assert len(winners) <= 1
+            assert any(
+                not endpoint.drained
+                for endpoint in state.endpoints_of("verdict-llm")
+            )
+            kind = resources.Kind.ENDPOINT
+            assert state.get(kind, "e1") is not None
+        assert len(digests) == 1
+    assert count == 90
