--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -39,6 +39,7 @@
 from jujubewharf.orders import ownership
 from jujubewharf.orders import reconciler
 from jujubewharf.orders import turn
+from jujubewharf.peers import keys as peer_keys
 from jujubewharf.peers import mesh
 from jujubewharf.peers import peer
 from jujubewharf.peers import streams
@@ -178,7 +179,9 @@
             self._placer,
             clock,
         )
-        self.key_homes = keys.KeyHomes(self.peers, self.membership, clock)
+        self.key_homes = keys.KeyHomes(
+            self.peers, self.membership, clock, self._incarnation_of
+        )
         self.claims = request_claims.Claims(
             settings.instance,
             self.peers,
@@ -195,6 +198,7 @@
             self.membership,
             clock,
         )
+        self.peers.on_hello(lambda hello: self.answers.rehoming.wake())
         self.sweep = sweeps.Sweep(
             settings.instance,
             lambda: self.configuration.current,
@@ -238,6 +242,10 @@
         await self.add_runtime_dependency(self.answers)
         await self.add_runtime_dependency(self.sweep)
 
+    def _incarnation_of(self, instance: str) -> int:
+        hello = self.peers.hello_of(instance)
+        return self.peers.incarnation if hello is None else hello.incarnation
+
     def _member_count(self) -> int:
         return len(self.membership.present())
 
@@ -314,7 +322,11 @@
 
     async def on_start(self) -> None:
         """Makes the adapters and starts core and edges."""
-        self.core = EntryCore(self._settings, self._clock, self._adapters())
+        peers = self._settings.peers
+        transport = peer_keys.make_transport(peers)
+        self.core = EntryCore(
+            self._settings, self._clock, self._adapters(transport)
+        )
         gauges.watch(self.core)
         callers = self._settings.callers
         self.callers = edge.CallerEdge(
@@ -334,6 +346,16 @@
         await self.add_runtime_dependency(self.core)
         await self.add_runtime_dependency(self.operators)
         await self.add_runtime_dependency(self.callers)
+        files = peer_keys.files_of(peers)
+        if files is not None:
+            reloader = peer_keys.KeyReloader(
+                files,
+                transport,
+                self.core.peers,
+                self._clock,
+                poll_ms=peers.tls_poll_ms,
+            )
+            await self.add_runtime_dependency(reloader)
 
     async def on_shutdown(self) -> None:
         """Closes the client sessions once all parts stopped."""
@@ -352,10 +374,9 @@
         self._sessions.append(session)
         return session
 
-    def _adapters(self) -> Adapters:
+    def _adapters(self, transport: streams.Transport) -> Adapters:
         session = self._new_session()
         platform = self._settings.platform
-        peers = self._settings.peers
 
         def make_engine_client(
             endpoint: resources.Endpoint,
@@ -374,5 +395,5 @@
             ),
             make_engine_client=make_engine_client,
             endpoints=http_endpoint.HttpEndpointClient(self._new_session()),
-            transport=streams.TcpTransport(peers.host, peers.port),
+            transport=transport,
         )
--- a/src/jujubewharf/requests/ownership.py
+++ b/src/jujubewharf/requests/ownership.py
@@ -38,7 +38,7 @@
         releaser: releases.Releaser,
         counters: request_counters.Counters,
     ) -> None:
-        self.homes_of: dict[bytes, list[str]] = {}
+        self.homes_of: dict[bytes, list[keys.Home]] = {}
         self._instance = instance
         self._homes = homes
         self._claims = claims
@@ -142,7 +142,7 @@
                 # Cut off from both homes, a domain goes on serving; what may
                 # not be repeated is still decided by its claim.
                 return True
-            self.homes_of[held.key] = self._homes.homes(held.key)
+            self.homes_of[held.key] = self._homes.places(held.key)
             if record.request_id == request.request_id:
                 return True
             if record.body != held.body:
@@ -158,10 +158,10 @@
 
     async def _claim(self, held: holding.Held) -> bool:
         request = held.request
-        is_dated = self._claims.check_age(request.key)
+        created_ms = self._claims.check_age(request.key)
         held.is_claimed = True
         claim = await self._claims.claim(
-            held.key, request.request_id, held.body, is_dated=is_dated
+            held.key, request.request_id, held.body, created_ms=created_ms
         )
         if claim.is_won:
             held.may_have_run = False
