--- a/src/jujubewharf/operators/backend.py
+++ b/src/jujubewharf/operators/backend.py
@@ -65,6 +65,11 @@
     after: resources.Resource | None
 
 
+def part_of(operation_id: str, part: str) -> str:
+    """Name of one change of an apply, below the apply's own."""
+    return f"{operation_id}/{part}"
+
+
 class Backend(Protocol):
     """Configuration in force, and the way to change it."""
 
@@ -93,6 +98,10 @@
         """What became of an operation; ``None`` when it was not seen."""
         ...
 
+    def operations(self, operation_id: str) -> Sequence[values.HistoryEntry]:
+        """The change of an operation, or those of an apply, oldest first."""
+        ...
+
     def history(
         self, kind: resources.Kind, name: str
     ) -> Sequence[values.HistoryEntry]:
@@ -148,6 +157,18 @@
         item = self.state.history.find(operation_id)
         return _entry(item) if item is not None else None
 
+    def operations(self, operation_id: str) -> Sequence[values.HistoryEntry]:
+        """See ``Backend``."""
+        item = self.state.history.find(operation_id)
+        if item is not None:
+            return [_entry(item)]
+        prefix = part_of(operation_id, "")
+        return [
+            _entry(item)
+            for item in self.state.history
+            if item.verdict.operation_id.startswith(prefix)
+        ]
+
     def history(
         self, kind: resources.Kind, name: str
     ) -> Sequence[values.HistoryEntry]:
--- a/src/jujubewharf/operators/calls.py
+++ b/src/jujubewharf/operators/calls.py
@@ -196,7 +196,7 @@
     identity: values.Identity,
     request: pb.GetOperationRequest,
 ) -> pb.Operation:
-    operation = await service.queries.operation(request.operation_id)
+    operation = await service.queries.operation(identity, request.operation_id)
     return messages.to_message(operation, pb.Operation)
 
 
--- a/src/jujubewharf/operators/editing.py
+++ b/src/jujubewharf/operators/editing.py
@@ -405,7 +405,7 @@
     operation_id: str,
 ) -> _Wish:
     return _Wish(
-        f"{operation_id}/{item.kind.value}/{item.name}",
+        backends.part_of(operation_id, f"{item.kind.value}/{item.name}"),
         item.kind,
         item.name,
         named.get((item.kind, item.name)),
--- a/src/jujubewharf/operators/queries.py
+++ b/src/jujubewharf/operators/queries.py
@@ -161,20 +161,40 @@
             token = _token(listing, str(page[-1].generation))
         return values.HistoryReply(tuple(page), token, self._offset)
 
-    async def operation(self, operation_id: str) -> values.Operation:
-        """What became of an operation."""
-        entry = self._backend.operation(operation_id)
-        if entry is None:
+    async def operation(
+        self, identity: values.Identity, operation_id: str
+    ) -> values.Operation:
+        """What became of an operation, or of the changes of an apply.
+
+        Of an apply it tells the changes that were judged: the first that was
+        refused, or else the last that was accepted.
+
+        Raises:
+            WharfError: ``FORBIDDEN`` for another's operation on what the
+                identity may not see.
+        """
+        entries = self._backend.operations(operation_id)
+        for entry in entries:
+            _check_operation(identity, entry)
+        if not entries:
             state = values.OperationState.NOT_SEEN
             return values.Operation(
                 operation_id, state, applied_offset=self._offset
             )
-        is_accepted = entry.state is values.OperationState.ACCEPTED
+        accepted = [entry for entry in entries if _is_accepted(entry)]
+        refused = [entry for entry in entries if not _is_accepted(entry)]
+        told = refused[0] if refused else accepted[-1]
+        detail = told.detail
+        if len(entries) > 1 or told.operation_id != operation_id:
+            detail = (
+                f"{len(accepted)} of {len(entries)} judged changes are in"
+                f" force; {told.operation_id} {detail}"
+            ).strip()
         return values.Operation(
             operation_id,
-            entry.state,
-            entry.generation if is_accepted else 0,
-            entry.detail,
+            told.state,
+            0 if refused else told.generation,
+            detail,
             self._offset,
         )
 
@@ -277,6 +297,21 @@
     return all(identities.may_see(identity, body) for body in bodies)
 
 
+def _is_accepted(entry: values.HistoryEntry) -> bool:
+    return entry.state is values.OperationState.ACCEPTED
+
+
+def _check_operation(
+    identity: values.Identity, entry: values.HistoryEntry
+) -> None:
+    if entry.actor == identity.name or not identity.services:
+        return
+    body = entry.resource
+    if body is None or not identities.may_see(identity, body):
+        detail = f"operation {entry.operation_id} is another operator's"
+        raise errors.WharfError(errors.ErrorKind.FORBIDDEN, detail)
+
+
 def _page_size(asked: int) -> int:
     if asked < 0:
         detail = "page_size: is below zero"
--- a/tests/operators/test_access.py
+++ b/tests/operators/test_access.py
@@ -213,6 +213,17 @@
         assert back.resource == deployments.TILL
 
 
+async def test_an_operation_is_told_to_its_operator_and_to_its_team():
+    async with deployments.running("e1") as deployment:
+        admin = deployment.client()
+        await admin.apply([*deployments.ALL, MATE], operation_id="op-1")
+        mate = deployment.client(token="mate")
+        own = f"op-1/endpoint/{deployments.TILL.name}"
+        assert (await mate.operation(own)).generation
+        kind = await _refusal(mate.operation("op-1"))
+        assert kind is errors.ErrorKind.FORBIDDEN
+
+
 async def test_a_loss_is_accepted_by_an_admin_of_all_services_only():
     team_admin = deployments.operator("ta", _ROLE.ADMIN, ["shop-api"])
     ben = deployments.operator("ben", _ROLE.OPERATOR)
--- a/tests/operators/test_failures.py
+++ b/tests/operators/test_failures.py
@@ -184,7 +184,7 @@
         assert refused.value.operation_id == "op-1"
         bench.log.is_down = False
         await bench.clock.sleep_ms(10_000)
-        found = await operators.queries.operation("op-1")
+        found = await operators.queries.operation(_ADMIN, "op-1")
         assert found.state is values.OperationState.ACCEPTED
         again = await operators.editor.create(
             _ADMIN, deployments.SHOP, operation_id="op-1"
--- a/tests/operators/test_rpc.py
+++ b/tests/operators/test_rpc.py
@@ -212,6 +212,24 @@
         assert repeated.generation == deleted.generation
 
 
+async def test_the_operation_of_an_apply_tells_of_its_changes():
+    async with deployments.running("e1") as deployment:
+        client = deployment.client()
+        await client.apply(deployments.ALL, operation_id="op-1")
+        found = await client.operation("op-1")
+        assert found.state is values.OperationState.ACCEPTED
+        assert found.generation == len(deployments.ALL)
+        assert found.detail.startswith("6 of 6 judged changes are in force")
+        drained = dataclasses.replace(deployments.TILL, drained=True)
+        changed = dataclasses.replace(deployments.SHOP, max_queued=1)
+        await client.apply([drained, changed], operation_id="op-2")
+        found = await client.operation("op-2")
+        assert found.state is values.OperationState.UNSAFE
+        assert found.detail.startswith(
+            "1 of 2 judged changes are in force; op-2/endpoint/till-1"
+        )
+
+
 async def test_status_engines_and_identity():
     async with deployments.running("e1") as deployment:
         client = deployment.client()
