--- a/src/jujubewharf/operators/client.py
+++ b/src/jujubewharf/operators/client.py
@@ -7,51 +7,21 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import AsyncGenerator
 from collections.abc import Sequence
+import contextlib
 import types
 from typing import Any
-from typing import TypeVar
 import uuid
 
-from google.protobuf import message as protobuf
-from google.protobuf import message_factory
-import grpc
-
-from jujubewharf import errors
 from jujubewharf.configuration import resources
-from jujubewharf.operators import adapter
-from jujubewharf.operators import faults
-from jujubewharf.operators import guard
+from jujubewharf.operators import connections
 from jujubewharf.operators import jujubewharf_pb2 as pb
 from jujubewharf.operators import messages
 from jujubewharf.operators import values
 
 DEFAULT_TIMEOUT_MS = 15_000.0
 
-_Value = TypeVar("_Value")
-_METHODS = {method.name: method for method in adapter.SERVICE.methods}
-_VERDICTS = frozenset(
-    {
-        errors.ErrorKind.CONFIG_CONFLICT,
-        errors.ErrorKind.CONFIG_INVALID,
-        errors.ErrorKind.CONFIG_UNSAFE,
-    }
-)
-# What another instance may answer better: it may be up, or reach the log
-# where this one is cut off.
-_ELSEWHERE = frozenset(
-    {
-        errors.ErrorKind.LOG_UNAVAILABLE,
-        errors.ErrorKind.NOT_READY,
-        errors.ErrorKind.SHUTTING_DOWN,
-    }
-)
-_CONNECT_S = 3.0
-# The client itself goes on to the next instance, under one operation id.
-_OPTIONS = (("grpc.enable_retries", 0),)
-
 
 class OperatorClient:
     """Calls the operator interface of a fleet.
@@ -74,16 +44,15 @@
         *,
         timeout_ms: float = DEFAULT_TIMEOUT_MS,
     ) -> None:
-        if not addresses:
-            raise ValueError("no address")
-        self._addresses = list(addresses)
+        self._addresses = tuple(addresses)
         self._token = token
-        self._metadata = ((adapter.AUTHORIZATION, f"Bearer {token}"),)
-        self._timeout_s = timeout_ms / 1000.0
-        self._channels: dict[str, grpc.aio.Channel] = {}
+        self._timeout_ms = timeout_ms
+        self._connections = connections.Connections(
+            addresses, token, timeout_ms=timeout_ms
+        )
 
     def __repr__(self) -> str:
-        return f"OperatorClient({self._addresses})"
+        return f"OperatorClient({list(self._addresses)})"
 
     async def __aenter__(self) -> OperatorClient:
         return self
@@ -98,14 +67,13 @@
 
     def only(self, address: str) -> OperatorClient:
         """A client of one instance, with the same token."""
-        timeout_ms = self._timeout_s * 1000.0
-        return OperatorClient([address], self._token, timeout_ms=timeout_ms)
+        return OperatorClient(
+            [address], self._token, timeout_ms=self._timeout_ms
+        )
 
     async def close(self) -> None:
         """Closes all channels."""
-        for channel in self._channels.values():
-            await channel.close()
-        self._channels.clear()
+        await self._connections.close()
 
     async def create(
         self, resource: resources.Resource, *, operation_id: str = ""
@@ -115,7 +83,9 @@
             resource=messages.resource_to_message(resource),
             operation_id=operation_id or new_operation_id(),
         )
-        return await self._call("Create", request, values.ChangeDone)
+        return await self._connections.call(
+            "Create", request, values.ChangeDone
+        )
 
     async def change(
         self,
@@ -132,7 +102,9 @@
             force=force,
             operation_id=operation_id or new_operation_id(),
         )
-        return await self._call("Change", request, values.ChangeDone)
+        return await self._connections.call(
+            "Change", request, values.ChangeDone
+        )
 
     async def delete(
         self,
@@ -151,7 +123,9 @@
             force=force,
             operation_id=operation_id or new_operation_id(),
         )
-        return await self._call("Delete", request, values.ChangeDone)
+        return await self._connections.call(
+            "Delete", request, values.ChangeDone
+        )
 
     async def rollback(
         self,
@@ -172,7 +146,9 @@
             force=force,
             operation_id=operation_id or new_operation_id(),
         )
-        return await self._call("Rollback", request, values.ChangeDone)
+        return await self._connections.call(
+            "Rollback", request, values.ChangeDone
+        )
 
     async def set_drained(
         self,
@@ -189,7 +165,7 @@
             operation_id=operation_id or new_operation_id(),
         )
         name = "Drain" if drained else "Undrain"
-        return await self._call(name, request, values.ChangeDone)
+        return await self._connections.call(name, request, values.ChangeDone)
 
     async def apply(
         self,
@@ -214,7 +190,7 @@
             operation_id=operation_id or new_operation_id(),
             seen_offset=seen_offset,
         )
-        return await self._call("Apply", request, values.ApplyReply)
+        return await self._connections.call("Apply", request, values.ApplyReply)
 
     async def get(
         self,
@@ -229,7 +205,9 @@
             name=name,
             not_before_offset=not_before_offset,
         )
-        return await self._call("Get", request, values.StoredResource)
+        return await self._connections.call(
+            "Get", request, values.StoredResource
+        )
 
     async def list_page(
         self,
@@ -248,7 +226,7 @@
             page_token=page_token,
             not_before_offset=not_before_offset,
         )
-        return await self._call("List", request, values.ListReply)
+        return await self._connections.call("List", request, values.ListReply)
 
     async def list_all(
         self, kind: resources.Kind, *, service: str = ""
@@ -276,22 +254,13 @@
         request = pb.WatchRequest(
             kinds=[_number(kind) for kind in kinds], service=service
         )
-        await self._call(
+        await self._connections.call(
             "GetIdentity", pb.GetIdentityRequest(), values.Identity
         )
-        call = self._method(self._addresses[0], "Watch")(
-            request, metadata=self._metadata
-        )
-        try:
-            async for message in call:
-                yield messages.from_message(message, values.WatchEvent)
-        except grpc.aio.AioRpcError as error:
-            failure = _failure(self._addresses[0], error)
-            if isinstance(failure, _NoAnswerError):
-                failure = faults.UnreachableError(str(failure))
-            raise failure from error
-        finally:
-            call.cancel()
+        events = self._connections.stream("Watch", request, values.WatchEvent)
+        async with contextlib.aclosing(events):
+            async for event in events:
+                yield event
 
     async def history(
         self,
@@ -308,29 +277,37 @@
             page_size=page_size,
             page_token=page_token,
         )
-        return await self._call("History", request, values.HistoryReply)
+        return await self._connections.call(
+            "History", request, values.HistoryReply
+        )
 
     async def operation(self, operation_id: str) -> values.Operation:
         """What became of an operation."""
         request = pb.GetOperationRequest(operation_id=operation_id)
-        return await self._call("GetOperation", request, values.Operation)
+        return await self._connections.call(
+            "GetOperation", request, values.Operation
+        )
 
     async def status(self) -> values.InstanceStatus:
         """The answering instance."""
         request = pb.GetStatusRequest()
-        return await self._call("GetStatus", request, values.InstanceStatus)
+        return await self._connections.call(
+            "GetStatus", request, values.InstanceStatus
+        )
 
     async def accept_loss(self) -> values.InstanceStatus:
         """Lets one instance go on without lost records; see the pages."""
         request = pb.AcceptLossRequest()
-        return await self._call("AcceptLoss", request, values.InstanceStatus)
+        return await self._connections.call(
+            "AcceptLoss", request, values.InstanceStatus
+        )
 
     async def engines(
         self, *, service: str = ""
     ) -> tuple[values.EngineStatus, ...]:
         """Engines as the answering instance sees them."""
         request = pb.ListEnginesRequest(service=service)
-        reply = await self._call(
+        reply = await self._connections.call(
             "ListEngines", request, values.ListEnginesReply
         )
         return reply.engines
@@ -338,92 +315,8 @@
     async def identity(self) -> values.Identity:
         """The identity behind the token."""
         request = pb.GetIdentityRequest()
-        return await self._call("GetIdentity", request, values.Identity)
-
-    async def _call(
-        self, name: str, request: protobuf.Message, cls: type[_Value]
-    ) -> _Value:
-        """Asks one instance after the other until one answers for good."""
-        may_have_run = False
-        refused: Exception = faults.UnreachableError("no address")
-        for address in tuple(self._addresses):
-            try:
-                reply = await self._ask(address, name, request)
-            except faults.UnreachableError as error:
-                refused = error
-            except faults.OperatorError as error:
-                refused = error
-                if not _may_ask_next(error):
-                    break
-            except _NoAnswerError as error:
-                refused = faults.UnreachableError(str(error))
-                may_have_run = may_have_run or name in guard.CHANGES
-            else:
-                self._prefer(address)
-                return messages.from_message(reply, cls)
-        if may_have_run and not _is_verdict(refused):
-            # One instance took the change and was lost before it answered;
-            # another's "did not run" speaks only for itself.
-            raise faults.OperatorError(
-                errors.ErrorKind.OPERATION_UNKNOWN,
-                str(refused),
-                operation_id=getattr(request, "operation_id", ""),
-            )
-        raise refused
-
-    async def _ask(
-        self, address: str, name: str, request: protobuf.Message
-    ) -> protobuf.Message:
-        await self._connect(address)
-        try:
-            return await self._method(address, name)(
-                request, metadata=self._metadata, timeout=self._timeout_s
-            )
-        except grpc.aio.AioRpcError as error:
-            raise _failure(address, error) from error
-
-    async def _connect(self, address: str) -> None:
-        """Waits for a connection, so that a failure here means nothing ran.
-
-        Raises:
-            UnreachableError: There is none.
-        """
-        channel = self._channel(address)
-        try:
-            async with asyncio.timeout(_CONNECT_S):
-                state = channel.get_state(try_to_connect=True)
-                while state is not grpc.ChannelConnectivity.READY:
-                    if state is grpc.ChannelConnectivity.TRANSIENT_FAILURE:
-                        raise faults.UnreachableError(f"{address}: unreachable")
-                    await channel.wait_for_state_change(state)
-                    state = channel.get_state(try_to_connect=True)
-        except TimeoutError as error:
-            text = f"{address}: no connection in time"
-            raise faults.UnreachableError(text) from error
-
-    def _prefer(self, address: str) -> None:
-        """Asks the instance that answered first from now on."""
-        self._addresses.remove(address)
-        self._addresses.insert(0, address)
-
-    def _channel(self, address: str) -> grpc.aio.Channel:
-        channel = self._channels.get(address)
-        if channel is None:
-            channel = grpc.aio.insecure_channel(address, options=_OPTIONS)
-            self._channels[address] = channel
-        return channel
-
-    def _method(self, address: str, name: str) -> Any:
-        method = _METHODS[name]
-        channel: Any = self._channel(address)
-        reply = message_factory.GetMessageClass(method.output_type)
-        make = channel.unary_unary
-        if method.server_streaming:
-            make = channel.unary_stream
-        return make(
-            f"/{adapter.SERVICE.full_name}/{name}",
-            request_serializer=_serialize,
-            response_deserializer=reply.FromString,
+        return await self._connections.call(
+            "GetIdentity", request, values.Identity
         )
 
 
@@ -432,32 +325,5 @@
     return uuid.uuid4().hex
 
 
-class _NoAnswerError(Exception):
-    """The call was sent and got no answer from the operator service."""
-
-
-def _serialize(message: protobuf.Message) -> bytes:
-    return message.SerializeToString()
-
-
 def _number(kind: resources.Kind) -> Any:
     return pb.Kind.Value(f"KIND_{kind.name}")
-
-
-def _may_ask_next(refused: faults.OperatorError) -> bool:
-    return refused.ran is errors.Ran.NO and refused.kind in _ELSEWHERE
-
-
-def _is_verdict(refused: Exception) -> bool:
-    return (
-        isinstance(refused, faults.OperatorError) and refused.kind in _VERDICTS
-    )
-
-
-def _failure(address: str, error: grpc.aio.AioRpcError) -> Exception:
-    for key, value in error.trailing_metadata() or ():
-        if key == adapter.ERROR_DETAIL and isinstance(value, bytes):
-            detail = pb.ErrorDetail.FromString(value)
-            read = messages.from_message(detail, values.ErrorDetail)
-            return faults.from_detail(read)
-    return _NoAnswerError(f"{address}: {error.code().name}: {error.details()}")
--- /dev/null
+++ b/src/jujubewharf/operators/connections.py
@@ -0,0 +1,213 @@
+"""Calls to the first instance of several that answers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncGenerator
+from collections.abc import Sequence
+from typing import Any
+from typing import TypeVar
+
+from google.protobuf import message as protobuf
+from google.protobuf import message_factory
+import grpc
+
+from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf.operators import adapter
+from jujubewharf.operators import faults
+from jujubewharf.operators import guard
+from jujubewharf.operators import jujubewharf_pb2 as pb
+from jujubewharf.operators import messages
+from jujubewharf.operators import values
+
+_Value = TypeVar("_Value")
+_METHODS = {method.name: method for method in adapter.SERVICE.methods}
+_VERDICTS = frozenset(
+    {
+        errors.ErrorKind.CONFIG_CONFLICT,
+        errors.ErrorKind.CONFIG_INVALID,
+        errors.ErrorKind.CONFIG_UNSAFE,
+    }
+)
+# What another instance may answer better: it may be up, or reach the log
+# where this one is cut off.
+_ELSEWHERE = frozenset(
+    {
+        errors.ErrorKind.LOG_UNAVAILABLE,
+        errors.ErrorKind.NOT_READY,
+        errors.ErrorKind.SHUTTING_DOWN,
+    }
+)
+_CONNECT_S = 3.0
+# The client itself goes on to the next instance, under one operation id.
+_OPTIONS = (("grpc.enable_retries", 0),)
+
+
+class Connections:
+    """Connections to instances, in order of preference.
+
+    Args:
+        addresses: ``IP:PORT`` of instances.
+        token: The operator's bearer token.
+        timeout_ms: Longest wait for one instance's answer.
+    """
+
+    def __init__(
+        self, addresses: Sequence[str], token: str, *, timeout_ms: float
+    ) -> None:
+        if not addresses:
+            raise ValueError("no address")
+        self._addresses = list(addresses)
+        self._metadata = ((adapter.AUTHORIZATION, f"Bearer {token}"),)
+        self._timeout_s = timeout_ms / clocks.MS_PER_S
+        self._channels: dict[str, grpc.aio.Channel] = {}
+
+    def __repr__(self) -> str:
+        return f"Connections({self._addresses})"
+
+    async def close(self) -> None:
+        """Closes all channels."""
+        for channel in self._channels.values():
+            await channel.close()
+        self._channels.clear()
+
+    async def call(
+        self, name: str, request: protobuf.Message, cls: type[_Value]
+    ) -> _Value:
+        """Asks one instance after the other until one answers for good.
+
+        Raises:
+            OperatorError: The call was refused, or its outcome is unknown.
+            UnreachableError: No instance was reached.
+        """
+        may_have_run = False
+        refused: Exception = faults.UnreachableError("no address")
+        for address in tuple(self._addresses):
+            try:
+                reply = await self._ask(address, name, request)
+            except faults.UnreachableError as error:
+                refused = error
+            except faults.OperatorError as error:
+                refused = error
+                if not _may_ask_next(error):
+                    break
+            except _NoAnswerError as error:
+                refused = faults.UnreachableError(str(error))
+                may_have_run = may_have_run or name in guard.CHANGES
+            else:
+                self._prefer(address)
+                return messages.from_message(reply, cls)
+        if may_have_run and not _is_verdict(refused):
+            # One instance took the change and was lost before it answered;
+            # another's "did not run" speaks only for itself.
+            raise faults.OperatorError(
+                errors.ErrorKind.OPERATION_UNKNOWN,
+                str(refused),
+                operation_id=getattr(request, "operation_id", ""),
+            )
+        raise refused
+
+    async def _ask(
+        self, address: str, name: str, request: protobuf.Message
+    ) -> protobuf.Message:
+        await self._connect(address)
+        try:
+            return await self._method(address, name)(
+                request, metadata=self._metadata, timeout=self._timeout_s
+            )
+        except grpc.aio.AioRpcError as error:
+            raise _failure(address, error) from error
+
+    async def _connect(self, address: str) -> None:
+        """Waits for a connection, so that a failure here means nothing ran.
+
+        Raises:
+            UnreachableError: There is none.
+        """
+        channel = self._channel(address)
+        try:
+            async with asyncio.timeout(_CONNECT_S):
+                state = channel.get_state(try_to_connect=True)
+                while state is not grpc.ChannelConnectivity.READY:
+                    if state is grpc.ChannelConnectivity.TRANSIENT_FAILURE:
+                        raise faults.UnreachableError(f"{address}: unreachable")
+                    await channel.wait_for_state_change(state)
+                    state = channel.get_state(try_to_connect=True)
+        except TimeoutError as error:
+            text = f"{address}: no connection in time"
+            raise faults.UnreachableError(text) from error
+
+    def _prefer(self, address: str) -> None:
+        """Asks the instance that answered first from now on."""
+        self._addresses.remove(address)
+        self._addresses.insert(0, address)
+
+    def _channel(self, address: str) -> grpc.aio.Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = grpc.aio.insecure_channel(address, options=_OPTIONS)
+            self._channels[address] = channel
+        return channel
+
+    def _method(self, address: str, name: str) -> Any:
+        method = _METHODS[name]
+        channel: Any = self._channel(address)
+        reply = message_factory.GetMessageClass(method.output_type)
+        make = channel.unary_unary
+        if method.server_streaming:
+            make = channel.unary_stream
+        return make(
+            f"/{adapter.SERVICE.full_name}/{name}",
+            request_serializer=_serialize,
+            response_deserializer=reply.FromString,
+        )
+
+    async def stream(
+        self, name: str, request: protobuf.Message, cls: type[_Value]
+    ) -> AsyncGenerator[_Value, None]:
+        """Parts of an answer from the instance that answered last.
+
+        Raises:
+            OperatorError: The call was refused.
+            UnreachableError: The instance was lost.
+        """
+        address = self._addresses[0]
+        call = self._method(address, name)(request, metadata=self._metadata)
+        try:
+            async for message in call:
+                yield messages.from_message(message, cls)
+        except grpc.aio.AioRpcError as error:
+            failure = _failure(address, error)
+            if isinstance(failure, _NoAnswerError):
+                failure = faults.UnreachableError(str(failure))
+            raise failure from error
+        finally:
+            call.cancel()
+
+
+class _NoAnswerError(Exception):
+    """The call was sent and got no answer from the operator service."""
+
+
+def _serialize(message: protobuf.Message) -> bytes:
+    return message.SerializeToString()
+
+
+def _may_ask_next(refused: faults.OperatorError) -> bool:
+    return refused.ran is errors.Ran.NO and refused.kind in _ELSEWHERE
+
+
+def _is_verdict(refused: Exception) -> bool:
+    return (
+        isinstance(refused, faults.OperatorError) and refused.kind in _VERDICTS
+    )
+
+
+def _failure(address: str, error: grpc.aio.AioRpcError) -> Exception:
+    for key, value in error.trailing_metadata() or ():
+        if key == adapter.ERROR_DETAIL and isinstance(value, bytes):
+            detail = pb.ErrorDetail.FromString(value)
+            read = messages.from_message(detail, values.ErrorDetail)
+            return faults.from_detail(read)
+    return _NoAnswerError(f"{address}: {error.code().name}: {error.details()}")
--- a/tests/operators/test_failures.py
+++ b/tests/operators/test_failures.py
@@ -13,11 +13,11 @@
 from jujubewharf.configuration import resources
 from jujubewharf.experiments import bench as benches
 from jujubewharf.experiments import virtual_time
-from jujubewharf.operators import editing
 from jujubewharf.operators import faults
 from jujubewharf.operators import identities
 from jujubewharf.operators import pacing
 from jujubewharf.operators import service as services
+from jujubewharf.operators import submission
 from jujubewharf.operators import values
 from tests.operators import deployments
 
@@ -276,11 +276,11 @@
         state.listen(lambda _: setattr(log, "is_cut", True))
         reply = await client.apply(many)
         in_force = [item for item in reply.items if item.error is None]
-        assert len(in_force) == editing.RUN
+        assert len(in_force) == submission.RUN
         assert {item.error.ran for item in reply.failed if item.error} == {
             errors.Ran.NO
         }
-        assert len(reply.failed) == len(many) - editing.RUN
+        assert len(reply.failed) == len(many) - submission.RUN
 
 
 async def test_streams_go_on_while_a_large_file_is_applied():
