--- a/tests/operators/test_failures.py
+++ b/tests/operators/test_failures.py
@@ -16,6 +16,7 @@
 from jujubewharf.operators import faults
 from jujubewharf.operators import identities
 from jujubewharf.operators import pacing
+from jujubewharf.operators import server
 from jujubewharf.operators import service as services
 from jujubewharf.operators import submission
 from jujubewharf.operators import values
@@ -128,6 +129,37 @@
             await client.create(deployments.MODEL)
 
 
+@pytest.mark.parametrize("names", [("e1",), ("e1", "e2")])
+async def test_an_instance_lost_before_its_answer(names, monkeypatch):
+    """An instance dies with a change under way, before it answers.
+
+    The client can't know whether the change went to the log. It asks the next
+    instance under the same operation id and gets the answer there; with none
+    left it says that the outcome is unknown, never that nothing ran.
+    """
+    monkeypatch.setattr(server, "_GRACE_S", 0.0)
+    async with deployments.running("e1", "e2") as deployment:
+        deployment.bench.log.append_ms = 400.0
+        appending = _appending(deployment.bench.instances["e1"].log)
+        client = deployment.client(*names)
+        call = client.create(deployments.SHOP, operation_id="op-1")
+        calling = asyncio.ensure_future(call)
+        await appending.wait()
+        await deployment.servers["e1"].stop()
+        if len(names) == 1:
+            with pytest.raises(faults.OperatorError) as refused:
+                await calling
+            assert refused.value.ran is errors.Ran.UNKNOWN
+            assert refused.value.operation_id == "op-1"
+        else:
+            await calling
+        again = await deployment.client("e2").create(
+            deployments.SHOP, operation_id="op-1"
+        )
+        stored = await deployment.client("e2").get(_KIND.SERVICE, "shop-api")
+        assert stored.generation == again.generation
+
+
 def test_an_instance_that_knows_no_configuration_says_so():
     """An instance starts while the log is down and no peer has a snapshot.
 
@@ -343,3 +375,17 @@
         assert entry is not None
         assert entry.body()["paint"] == "blue"
         assert entry.body()["drained"]
+
+
+def _appending(seen_log) -> asyncio.Event:
+    """Set when an instance begins to append."""
+    started = asyncio.Event()
+    append = seen_log.append
+
+    async def tell(stream, payloads):
+        if stream == records.STREAM:
+            started.set()
+        return await append(stream, payloads)
+
+    seen_log.append = tell
+    return started
