Plain calls leave out endpoints that the list or any instance calls leaving

Cause: only drained endpoints were left out; the list's word came to nothing. Change: evidence of leaving is asked before each choice. Result: the new test fails without it (calls go to a1 and a2), passes with.

--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -32,6 +32,7 @@
 from jujubewharf.engines import http as engine_http
 from jujubewharf.engines import http_endpoint
 from jujubewharf.membership import facts
+from jujubewharf.membership import leaving
 from jujubewharf.membership import membership as memberships
 from jujubewharf.operators import server as operator_server
 from jujubewharf.operators import service as operator_service
@@ -219,7 +220,11 @@
             )
             for _ in range(2)
         )
-        chooser = plain_endpoints.Chooser(settings.domain, clock)
+        chooser = plain_endpoints.Chooser(
+            settings.domain,
+            clock,
+            is_leaving=leaving.LeavingEndpoints(self.membership, self.facts),
+        )
         self.configuration.listen(chooser.on_configuration)
         self.plain = plain.PlainRunner(
             adapters.endpoints,
--- a/tests/requests/test_plain.py
+++ b/tests/requests/test_plain.py
@@ -13,6 +13,7 @@
 from jujubewharf.engines import client
 from jujubewharf.experiments import bench as benches
 from jujubewharf.experiments import virtual_time
+from jujubewharf.platform import live_list
 from jujubewharf.requests import plain
 from jujubewharf.requests import plain_body
 
@@ -89,6 +90,24 @@
     virtual_time.run(main())
 
 
+def test_an_endpoint_that_the_list_calls_leaving_gets_no_new_work():
+    """The list says so first; the configuration still has the endpoint."""
+
+    async def main() -> None:
+        bench = await _bench(_endpoint("a1"), _endpoint("a2"))
+        leaving = live_list.LiveMember(
+            "a1", "a1", "a", is_entry=False, state=live_list.LiveState.LEAVING
+        )
+        bench.list_member(leaving)
+        await bench.clock.sleep_ms(3_000)
+        for number in range(4):
+            assert await _call(bench, number=number) == b""
+        assert list(bench.endpoints.runs) == ["a2"]
+        await bench.stop()
+
+    virtual_time.run(main())
+
+
 def test_a_slow_endpoint_gets_fewer_calls():
     async def main() -> None:
         bench = await _bench(_endpoint("fast"), _endpoint("slow"))
