--- a/tests/callers/test_edge.py
+++ b/tests/callers/test_edge.py
@@ -6,6 +6,7 @@
 import dataclasses
 import json
 
+import aiohttp
 import pytest
 
 from jujubewharf import hashing
@@ -245,6 +246,29 @@
         assert limits.in_flight("verdict-llm") == 0
 
 
+async def test_a_stream_that_fails_ends_with_an_error_and_a_cut():
+    """All engines die after the first tokens were sent.
+
+    An error event follows. The body then breaks off instead of ending, so a
+    client that knows nothing of error events sees an error as well.
+    """
+    slow = dataclasses.replace(loopback.FAST, step_base_ms=30.0)
+    body = _body(prompt="answer_tokens=90 x", max_tokens=90, stream=True)
+    seen = b""
+    async with loopback.deployed(spec=slow) as deployment:
+        async with deployment.session.post(
+            deployment.base + PATH, data=body
+        ) as answer:
+            seen += await answer.content.readline()
+            for engine in deployment.engines.values():
+                await engine.die()
+            with pytest.raises(aiohttp.ClientPayloadError):
+                while part := await answer.content.readany():
+                    seen += part
+    assert b"event: error" in seen
+    assert b"[DONE]" not in seen
+
+
 async def test_readiness_is_told_to_the_balancer_and_to_callers():
     async with loopback.deployed() as deployment:
         readiness = deployment.entry.callers.readiness
--- a/tests/callers/test_plain.py
+++ b/tests/callers/test_plain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gzip
 
 import aiohttp
 from aiohttp import web
@@ -33,6 +34,8 @@
         self.calls.append(f"{request.method} {path}")
         self.seen.append(request.headers)
         match path:
+            case "raw":
+                return web.Response(body=await request.content.read())
             case "moved":
                 raise web.HTTPFound("/elsewhere")
             case "hang-up":
@@ -53,7 +56,7 @@
 
 async def _deploy(deployment: loopback.Loopback) -> _Shop:
     shop = _Shop()
-    address = await deployment.listen(shop.app())
+    address = await deployment.listen(shop.app(), auto_decompress=False)
     service = resources.Service(
         "photos", resources.ServiceKind.PLAIN, repeatable=False
     )
@@ -93,6 +96,19 @@
             assert answer.headers["Location"] == "/elsewhere"
 
 
+async def test_a_compressed_body_goes_through_as_it_is():
+    async with loopback.deployed() as deployment:
+        shop = await _deploy(deployment)
+        packed = gzip.compress(b"stock " * 100)
+        async with deployment.session.post(
+            f"{deployment.base}/s/photos/raw",
+            data=packed,
+            headers={"Content-Encoding": "gzip"},
+        ) as answer:
+            assert await answer.read() == packed
+        assert shop.seen[0]["Content-Encoding"] == "gzip"
+
+
 async def test_a_broken_connection_is_never_sent_twice():
     """The endpoint takes the call and hangs up without an answer.
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -71,9 +71,11 @@
         self.session: aiohttp.ClientSession
         self._stack = stack
 
-    async def listen(self, app: web.Application) -> str:
+    async def listen(self, app: web.Application, **options: object) -> str:
         """Serves an application for as long as the deployment stands."""
-        runner = web.AppRunner(app, shutdown_timeout=0.1, access_log=None)
+        runner = web.AppRunner(
+            app, shutdown_timeout=0.1, access_log=None, **options
+        )
         await runner.setup()
         self._stack.push_async_callback(runner.cleanup)
         site = web.TCPSite(runner, HOST, 0)
