--- a/src/jujubewharf/requests/plain.py
+++ b/src/jujubewharf/requests/plain.py
@@ -102,8 +102,8 @@
     """What became of a call so far."""
 
     attempts: int = 0
+    is_claimed: bool = False
     may_have_run: bool = False
-    has_begun: bool = False
     excluded: frozenset[str] = frozenset()
 
 
@@ -154,7 +154,6 @@
             async with self._clock.timeout_ms(left_ms):
                 async with contextlib.AsyncExitStack() as stack:
                     reply = await self._begin(stack, request, progress)
-                    progress.has_begun = True
                     watch.first()
                     yield reply
         except errors.WharfError as error:
@@ -172,6 +171,12 @@
             # The caller went away, or its connection broke.
             watch.ended(errors.ErrorKind.CANCELLED.value)
             raise
+        finally:
+            if progress.is_claimed and not progress.may_have_run:
+                # Else the caller, told that it did not run, would be refused
+                # when it sends the call again with its key.
+                assert self.claims is not None
+                self.claims.abandon(request.request_id)
         watch.finished()
 
     async def _begin(
@@ -182,7 +187,7 @@
     ) -> endpoint_client.PlainReply:
         body = plain_body.ReplayableBody(request.body)
         self._budget.accepted(request.service)
-        await self._claim(request, body)
+        await self._claim(request, progress, body)
         try:
             return await self._attempts(stack, request, progress, body)
         finally:
@@ -203,7 +208,10 @@
                 self._after_failure(request, progress, body, error)
 
     async def _claim(
-        self, request: PlainRequest, body: plain_body.ReplayableBody
+        self,
+        request: PlainRequest,
+        progress: _Progress,
+        body: plain_body.ReplayableBody,
     ) -> None:
         if request.is_repeatable or request.key is None:
             return
--- a/tests/requests/test_plain.py
+++ b/tests/requests/test_plain.py
@@ -231,36 +231,16 @@
     virtual_time.run(main())
 
 
-class _Claims:
-    """Gives each key once; another body under it is a conflict."""
-
-    def __init__(self) -> None:
-        self.taken: dict[str, str] = {}
-
-    def abandon(self, request_id: str) -> None:
-        self.abandoned = request_id
-
-    async def claim(
-        self, key: str, request_id: str, body_digest: str, *, account: str = ""
-    ) -> None:
-        held = self.taken.setdefault(key, body_digest)
-        if held != body_digest:
-            raise errors.WharfError(errors.ErrorKind.KEY_CONFLICT)
-        if len(self.taken) > 1 or request_id != "r1":
-            raise errors.WharfError(errors.ErrorKind.CLAIM_LOST)
-
-
 def test_a_keyed_call_that_may_not_be_repeated_is_sent_once_for_its_key():
     """The caller sends the same sale twice with one key, then another."""
 
     async def main() -> None:
         bench = await _bench(_endpoint("a1"))
-        core = bench.instances["e1"].core
-        core.plain.claims = _Claims()
         first = await _call(bench, key="k", body=_chunks([b"one"]))
         assert first == b"one"
         again = await _call(bench, number=2, key="k", body=_chunks([b"one"]))
         assert again.kind is errors.ErrorKind.CLAIM_LOST
+        assert again.ran is errors.Ran.UNKNOWN
         other = await _call(bench, number=3, key="k", body=_chunks([b"two"]))
         assert other.kind is errors.ErrorKind.KEY_CONFLICT
         assert _runs(bench) == 1
@@ -269,6 +249,39 @@
     virtual_time.run(main())
 
 
+def test_a_key_whose_call_did_not_run_can_be_used_again():
+    """No endpoint is reachable; the caller is told that it did not run.
+
+    It sends the call again with its key once the endpoint is back.
+    """
+
+    async def main() -> None:
+        bench = await _bench(_endpoint("a1"))
+        bench.endpoints.dead.add("a1")
+        refused = await _call(bench, key="k", body=_chunks([b"one"]))
+        assert refused.ran is errors.Ran.NO
+        bench.endpoints.dead.clear()
+        answer = await _call(bench, number=2, key="k", body=_chunks([b"one"]))
+        assert answer == b"one"
+        assert _runs(bench) == 1
+        await bench.stop()
+
+    virtual_time.run(main())
+
+
+def test_a_claim_that_the_log_does_not_confirm_stops_the_call():
+    async def main() -> None:
+        bench = await _bench(_endpoint("a1"))
+        bench.instances["e1"].log.is_cut = True
+        error = await _call(bench, key="k", body=_chunks([b"one"]))
+        assert error.kind is errors.ErrorKind.CLAIM_UNAVAILABLE
+        assert error.ran is errors.Ran.NO
+        assert _runs(bench) == 0
+        await bench.stop()
+
+    virtual_time.run(main())
+
+
 def test_plain_calls_do_not_wait_for_model_requests():
     """Every place of a model service is taken, and its queue is full."""
 
