--- a/src/jujubewharf/errors.py
+++ b/src/jujubewharf/errors.py
@@ -144,7 +144,7 @@
         "ABORTED",
         _UNKNOWN,
         False,
-        "Another instance claimed this key and can't be reached.",
+        "The key was claimed before and its answer can't be had here.",
     ),
     ErrorKind.OUTCOME_UNKNOWN: Answer(
         504,
