The daemon loads no other command

Cause: python -m jujubewharf entry loaded stand-ins, experiments, demo, the operator tables and the OTLP exporter. Change: those are loaded when they are asked for.

--- a/src/jujubewharf/commands/main.py
+++ b/src/jujubewharf/commands/main.py
@@ -13,10 +13,7 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf import entry as entries
-from jujubewharf.commands import ctl
-from jujubewharf.commands import demo
-from jujubewharf.commands import experiment
-from jujubewharf.commands import standin
+from jujubewharf.commands import lazy
 from jujubewharf.settings import models
 from jujubewharf.settings import reader
 from jujubewharf.telemetry import error_page as error_pages
@@ -25,13 +22,9 @@
 
 _EXIT_BAD_SETTINGS = 2
 
-app = typer.Typer(no_args_is_help=True, help=__doc__)
+app = typer.Typer(cls=lazy.LazyCommands, no_args_is_help=True, help=__doc__)
 settings_app = typer.Typer(no_args_is_help=True, help="Check settings files.")
 app.add_typer(settings_app, name="settings")
-app.add_typer(experiment.app, name="experiment")
-app.add_typer(standin.app, name="standin")
-app.add_typer(ctl.app, name="ctl")
-app.command("demo")(demo.demo)
 
 SettingsPath = Annotated[pathlib.Path, typer.Option("--settings")]
 
--- a/src/jujubewharf/telemetry/metrics.py
+++ b/src/jujubewharf/telemetry/metrics.py
@@ -11,7 +11,6 @@
 import mode
 from opentelemetry import metrics
 from opentelemetry.exporter import prometheus
-from opentelemetry.exporter.otlp.proto.http import metric_exporter
 from opentelemetry.sdk import metrics as sdk_metrics
 from opentelemetry.sdk import resources as sdk_resources
 from opentelemetry.sdk.metrics import export
@@ -97,6 +96,9 @@
 def _otlp_reader(
     telemetry: models.TelemetrySettings,
 ) -> export.PeriodicExportingMetricReader:
+    # Loaded only where it is asked for: it brings an HTTP client of its own.
+    from opentelemetry.exporter.otlp.proto.http import metric_exporter
+
     exporter = metric_exporter.OTLPMetricExporter(endpoint=telemetry.otlp_url)
     return export.PeriodicExportingMetricReader(
         exporter, export_interval_millis=telemetry.otlp_interval_ms
