--- a/src/jujubewharf/experiments/operator_rpc.py
+++ b/src/jujubewharf/experiments/operator_rpc.py
@@ -3,7 +3,8 @@
 Run ``python -m jujubewharf.experiments.operator_rpc``. It starts the platform's
 stand-ins and two entry instances, and prints a table: the time of a change
 until it is in force at the answering instance and at the other one, and the
-rates of changes, gets and lists.
+rates and the processor time of changes, gets and lists. It needs psutil, from
+the development extras.
 """
 
 from __future__ import annotations
@@ -19,10 +20,12 @@
 import time
 
 import numpy as np
+import psutil
 from rich import console as consoles
 from rich import table as tables
 import typer
 
+from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
 from jujubewharf.demo import processes
 from jujubewharf.operators import client as clients
@@ -48,6 +51,8 @@
         p50_ms: Median time of a call.
         p99_ms: Time that 99 in 100 calls stay under.
         per_s: Calls a second.
+        here_ms: Processor time of the answering instance for a call.
+        there_ms: Processor time of the other instance for a call.
     """
 
     matter: str
@@ -56,11 +61,22 @@
     p50_ms: float
     p99_ms: float
     per_s: float
+    here_ms: float
+    there_ms: float
 
 
 def main(calls: int = 400, endpoints: int = 1_000) -> None:
     """Measures and prints the table."""
-    table = tables.Table("matter", "calls", "in flight", "p50", "p99", "1/s")
+    table = tables.Table(
+        "matter",
+        "calls",
+        "in flight",
+        "p50",
+        "p99",
+        "1/s",
+        "CPU here",
+        "CPU there",
+    )
     for row in asyncio.run(_measure(calls, endpoints)):
         table.add_row(
             row.matter,
@@ -69,6 +85,8 @@
             f"{row.p50_ms:.2f} ms",
             f"{row.p99_ms:.2f} ms",
             f"{row.per_s:.0f}",
+            f"{row.here_ms:.2f} ms",
+            f"{row.there_ms:.2f} ms",
         )
     consoles.Console().print(table)
 
@@ -77,18 +95,19 @@
     with tempfile.TemporaryDirectory() as name:
         directory = pathlib.Path(name)
         async with processes.Processes(directory) as running:
-            addresses = await _start(running, directory)
+            addresses, entries = await _start(running, directory)
             here = clients.OperatorClient(addresses[:1], _TOKEN)
             there = clients.OperatorClient(addresses[1:], _TOKEN)
             async with here, there:
                 await _wait_until_ready(here)
                 await _wait_until_ready(there)
-                return await _rows(here, there, calls, endpoints)
+                return await _rows(here, there, entries, calls, endpoints)
 
 
 async def _rows(
     here: clients.OperatorClient,
     there: clients.OperatorClient,
+    entries: list[psutil.Process],
     calls: int,
     endpoints: int,
 ) -> list[Row]:
@@ -117,19 +136,26 @@
             [_endpoint(n, slots=10 * calls + index) for n in range(endpoints)]
         )
 
-    return [
-        await _row(f"apply of {endpoints} endpoints", apply_all, 5, 1),
-        await _row("change, in force here", change, calls, 1),
-        await _row("change, in force at both", change_and_read_there, calls, 1),
-        await _row("change, in force here", change, calls, 16),
-        await _row("get", get, 5 * calls, 1),
-        await _row("get", get, 5 * calls, 16),
-        await _row("list of 100", list_page, calls, 1),
-        await _row("list of 100", list_page, calls, 16),
+    plan: list[tuple[str, Call, int, int]] = [
+        (f"apply of {endpoints} endpoints", apply_all, 5, 1),
+        ("change, in force here", change, calls, 1),
+        ("change, in force at both", change_and_read_there, calls, 1),
+        ("change, in force here", change, calls, 16),
+        ("get", get, 5 * calls, 1),
+        ("get", get, 5 * calls, 16),
+        ("list of 100", list_page, calls, 1),
+        ("list of 100", list_page, calls, 16),
     ]
+    return [await _row(*line, entries) for line in plan]
 
 
-async def _row(matter: str, call: Call, count: int, in_flight: int) -> Row:
+async def _row(
+    matter: str,
+    call: Call,
+    count: int,
+    in_flight: int,
+    entries: list[psutil.Process],
+) -> Row:
     took_ms: list[float] = []
     numbers = iter(range(count))
 
@@ -139,21 +165,41 @@
             await call(index)
             took_ms.append((time.perf_counter() - started_s) * 1000.0)
 
+    before_ms = [_cpu_ms(process) for process in entries]
     started_s = time.perf_counter()
     await asyncio.gather(*(work() for _ in range(in_flight)))
     lasted_s = time.perf_counter() - started_s
     p50_ms, p99_ms = np.percentile(took_ms, [50, 99])
-    return Row(matter, count, in_flight, p50_ms, p99_ms, count / lasted_s)
+    here_ms, there_ms = (
+        (_cpu_ms(process) - before) / count
+        for process, before in zip(entries, before_ms, strict=True)
+    )
+    return Row(
+        matter,
+        count,
+        in_flight,
+        float(p50_ms),
+        float(p99_ms),
+        count / lasted_s,
+        here_ms,
+        there_ms,
+    )
+
+
+def _cpu_ms(process: psutil.Process) -> float:
+    used = process.cpu_times()
+    return (used.user + used.system) * clocks.MS_PER_S
 
 
 async def _start(
     running: processes.Processes, directory: pathlib.Path
-) -> list[str]:
+) -> tuple[list[str], list[psutil.Process]]:
     log, live_list, weights = [
         await running.start_standin(name, name)
         for name in ("log", "live-list", "weight-store")
     ]
-    addresses = []
+    addresses: list[str] = []
+    entries: list[psutil.Process] = []
     for name in ("e1", "e2"):
         port = _free_port()
         settings = {
@@ -174,9 +220,10 @@
         }
         path = directory / f"{name}.json"
         path.write_text(json.dumps(settings), encoding="utf-8")
-        await running.start(name, "entry", "--settings", str(path))
+        child = await running.start(name, "entry", "--settings", str(path))
+        entries.append(psutil.Process(child.process.pid))
         addresses.append(f"127.0.0.1:{port}")
-    return addresses
+    return addresses, entries
 
 
 async def _wait_until_ready(client: clients.OperatorClient) -> None:
