Keepers grant decode slots; the product's policy reads only against them

Cause: instances that each judge by lagging reports pile on the same engine, and a prompt read without a slot is wasted. Change: an engine's keeper serves one line for all instances and promises a slot when enough holders are expected to end by the time the prompt was read (learned hold times). What can't meet its first target is refused at once. A prompt that was read takes the promised slot, or any other free one.

--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -13,9 +13,11 @@
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
+import zlib
 
 import aiohttp
 import mode
+import numpy as np
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
@@ -45,10 +47,11 @@
 from jujubewharf.requests import model_request
 from jujubewharf.requests import plain
 from jujubewharf.requests import plain_endpoints
-from jujubewharf.routing import baselines
 from jujubewharf.routing import fleet as fleets
+from jujubewharf.routing import keeping
 from jujubewharf.routing import placer as placers
 from jujubewharf.routing import policy as policies
+from jujubewharf.routing import product
 from jujubewharf.settings import models
 from jujubewharf.telemetry import goodput
 
@@ -99,7 +102,7 @@
         clock: clocks.Clock,
         adapters: Adapters,
         *,
-        policy: policies.Policy | None = None,
+        policy: policies.AnyPolicy | None = None,
     ) -> None:
         super().__init__()
         self.settings = settings
@@ -130,8 +133,19 @@
         )
         self.fleet = fleets.Fleet(adapters.make_engine_client, clock)
         self.configuration.listen(self.fleet.on_configuration)
+        self.keeping = keeping.Keeping(
+            self.fleet, self.peers, self.membership, clock
+        )
         if policy is None:
-            policy = baselines.LeastLoad()
+            seed = zlib.crc32(settings.instance.encode())
+            rng = np.random.default_rng(seed)
+            policy = product.Product(clock, rng)
+        if isinstance(policy, policies.WaitingPolicy):
+            policy.join(
+                policies.Surroundings(
+                    self.fleet, self.peers, self.membership, settings.domain
+                )
+            )
         self._placer = placers.Placer(policy, self.fleet, clock)
         self.runner = life.RequestRunner(
             settings.instance,
@@ -156,6 +170,7 @@
         await self.add_runtime_dependency(self.membership)
         await self.add_runtime_dependency(self.configuration)
         await self.add_runtime_dependency(self.fleet)
+        await self.add_runtime_dependency(self.keeping)
         await self.add_runtime_dependency(self.answers)
 
     async def answer(
--- a/src/jujubewharf/experiments/bench.py
+++ b/src/jujubewharf/experiments/bench.py
@@ -34,7 +34,7 @@
 
 _NOWHERE = "http://127.0.0.1:9"
 
-MakePolicy = Callable[[], policies.Policy | None]
+MakePolicy = Callable[[], policies.AnyPolicy | None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,7 +130,7 @@
         name: str,
         domain: str,
         *,
-        policy: policies.Policy | None = None,
+        policy: policies.AnyPolicy | None = None,
         make_policy: MakePolicy | None = None,
         settings: dict[str, object] | None = None,
     ) -> instances.Instance:
--- a/src/jujubewharf/routing/baselines.py
+++ b/src/jujubewharf/routing/baselines.py
@@ -56,7 +56,7 @@
     ) -> fleets.EngineView | jobs.Later | jobs.Refusal:
         if not views:
             return jobs.Refusal(errors.ErrorKind.NO_FITTING_ENGINE)
-        free = [view for view in views if used_slots(view) < total_slots(view)]
+        free = [view for view in views if used_slots(view) < view.slots]
         if not free:
             return jobs.Later(_RETRY_MS)
         return self._pick_decode(free)
@@ -121,13 +121,6 @@
     return max(reported, view.own_slots)
 
 
-def total_slots(view: fleets.EngineView) -> int:
-    """Slots an engine has, by its own word before the configuration's."""
-    if view.report is not None and view.report.slots_total > 0:
-        return view.report.slots_total
-    return view.endpoint.slots
-
-
 def queued_tokens(view: fleets.EngineView) -> int:
     """Prompt tokens ahead of a new one, by report and own count."""
     reported = view.report.prefill_queued_tokens if view.report else 0
--- a/src/jujubewharf/routing/catalog.py
+++ b/src/jujubewharf/routing/catalog.py
@@ -8,6 +8,7 @@
 from jujubewharf.routing import baselines
 from jujubewharf.routing import oracle
 from jujubewharf.routing import policy as policies
+from jujubewharf.routing import product
 
 PRODUCT = "product"
 NAMES = (
@@ -26,7 +27,7 @@
     clock: clocks.Clock,
     rng: np.random.Generator,
     truth: oracle.Truth | None = None,
-) -> policies.Policy:
+) -> policies.AnyPolicy:
     """Makes a policy for one instance.
 
     Args:
@@ -40,7 +41,7 @@
     """
     match name:
         case "product":
-            return baselines.LeastLoad()
+            return product.Product(clock, rng)
         case "random":
             return baselines.RandomChoice(rng)
         case "round_robin":
--- a/src/jujubewharf/routing/fleet.py
+++ b/src/jujubewharf/routing/fleet.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 
 import mode
 
@@ -11,10 +12,13 @@
 from jujubewharf.configuration import resources
 from jujubewharf.configuration import state as states
 from jujubewharf.engines import client as engine_client
+from jujubewharf.peers import slot_messages
 
 ClientFactory = Callable[[resources.Endpoint], engine_client.EngineClient]
 
 _POLL_MS = 250.0
+_LEAVING_MS = 3_000.0
+_DEFAULT_KV_BYTES_PER_TOKEN = resources.Model("").kv_bytes_per_token
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,27 +28,64 @@
     Attributes:
         endpoint: Its configuration.
         client: How to speak to it.
+        clock: Time.
         report: Its latest load report.
         heard_ms: When that came; ``None`` before the first.
         own_slots: Slots that this instance's requests hold there.
         own_prefill_tokens: Prompt tokens this instance has sent there.
         is_suspect: Whether its last call found nobody.
+        leaving_until_ms: Until when somebody's word that it leaves counts.
+        news: What its keeper said last.
+        news_ms: When that came; ``None`` before the first.
+        asked_since_news: Slots asked for here since then.
     """
 
     endpoint: resources.Endpoint
     client: engine_client.EngineClient
+    clock: clocks.Clock
     report: engine_client.LoadReport | None = None
     heard_ms: float | None = None
     own_slots: int = 0
     own_prefill_tokens: int = 0
     is_suspect: bool = False
+    leaving_until_ms: float = -math.inf
+    news: slot_messages.EngineNews | None = None
+    news_ms: float | None = None
+    asked_since_news: int = 0
 
     @property
     def takes_work(self) -> bool:
         """Whether new work may be sent there."""
         if self.endpoint.drained or self.is_suspect:
             return False
-        return self.report is not None and not self.report.is_leaving
+        if self.leaving_until_ms > self.clock.now_ms():
+            return False
+        if self.report is not None:
+            return not self.report.is_leaving
+        return self.news is not None and self.news.is_usable
+
+    @property
+    def slots(self) -> int:
+        """Slots it has, by its own word before the configuration's."""
+        if self.report is not None and self.report.slots_total > 0:
+            return self.report.slots_total
+        return self.endpoint.slots
+
+    def failed(self, fault: engine_client.EngineFault) -> None:
+        """Learns that a call failed."""
+        if fault is engine_client.EngineFault.UNREACHABLE:
+            self.is_suspect = True
+        elif fault is engine_client.EngineFault.REFUSED_LEAVING:
+            now_ms = self.clock.now_ms()
+            self.leaving_until_ms = max(
+                self.leaving_until_ms, now_ms + _LEAVING_MS
+            )
+
+    def take_news(self, news: slot_messages.EngineNews, now_ms: float) -> None:
+        """Takes over what its keeper says."""
+        self.news = news
+        self.news_ms = now_ms
+        self.asked_since_news = 0
 
 
 class Fleet(mode.Service):
@@ -60,6 +101,7 @@
         self._make_client = make_client
         self._clock = clock
         self._views: dict[str, EngineView] = {}
+        self._kv_bytes: dict[str, int] = {}
 
     def on_configuration(self, state: states.State) -> None:
         """Takes over the engines of a configuration."""
@@ -69,7 +111,11 @@
             assert isinstance(endpoint, resources.Endpoint)
             if endpoint.role is not resources.Role.PLAIN:
                 wanted[endpoint.name] = endpoint
-        for name in set(self._views) - set(wanted):
+        for entry in state.of_kind(resources.Kind.MODEL):
+            model = entry.resource
+            assert isinstance(model, resources.Model)
+            self._kv_bytes[model.name] = model.kv_bytes_per_token
+        for name in sorted(set(self._views) - set(wanted)):
             del self._views[name]
         for name, endpoint in wanted.items():
             self._take_over(name, endpoint)
@@ -82,6 +128,32 @@
             if view.endpoint.service == service
         ]
 
+    def all_views(self) -> list[EngineView]:
+        """Views of all engines, by name."""
+        return [view for _, view in sorted(self._views.items())]
+
+    def mark_leaving(
+        self,
+        engine: str,
+        is_leaving: bool,
+        *,
+        until_ms: float = math.inf,
+    ) -> None:
+        """Stops new work to an engine that anybody says is leaving.
+
+        Args:
+            engine: Its name.
+            is_leaving: False takes the word back.
+            until_ms: Clock reading until which the word counts.
+        """
+        view = self._views.get(engine)
+        if view is not None:
+            view.leaving_until_ms = until_ms if is_leaving else -math.inf
+
+    def kv_bytes_per_token(self, model: str) -> int:
+        """KV cache that a prompt token takes, as configured."""
+        return self._kv_bytes.get(model, _DEFAULT_KV_BYTES_PER_TOKEN)
+
     def view(self, name: str) -> EngineView | None:
         """The view of one engine."""
         return self._views.get(name)
@@ -91,7 +163,9 @@
         if view is not None and view.endpoint.address == endpoint.address:
             view.endpoint = endpoint
             return
-        self._views[name] = EngineView(endpoint, self._make_client(endpoint))
+        self._views[name] = EngineView(
+            endpoint, self._make_client(endpoint), self._clock
+        )
 
     @mode.Service.task
     async def _poll(self) -> None:
--- a/src/jujubewharf/routing/jobs.py
+++ b/src/jujubewharf/routing/jobs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 
 from jujubewharf import errors
 from jujubewharf.configuration import resources
@@ -26,6 +27,8 @@
         priority: Higher goes first.
         first_index: Tokens the caller has already.
         excluded: Engines that failed this request before.
+        number: Tells requests of one instance apart; a copy made for a
+            further attempt keeps it.
     """
 
     service: resources.Service
@@ -39,6 +42,7 @@
     priority: int = 0
     first_index: int = 0
     excluded: frozenset[str] = frozenset()
+    number: int = dataclasses.field(default_factory=itertools.count(1).__next__)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/jujubewharf/routing/keeping.py
@@ -0,0 +1,241 @@
+"""Keeps engines: serves the lines for their slots and tells of their load."""
+
+from __future__ import annotations
+
+import asyncio
+
+import mode
+
+from jujubewharf import clock as clocks
+from jujubewharf.membership import view as membership
+from jujubewharf.peers import network
+from jujubewharf.peers import slot_messages
+from jujubewharf.routing import fleet as fleets
+from jujubewharf.routing import hold_times
+from jujubewharf.routing import keepers
+from jujubewharf.routing import slot_ledger
+
+_SERVE_EVERY_MS = 20.0
+_MAX_LINE = 512
+_NEWS_BYTES_PER_S = 600.0
+_NEWS_BYTES = 40.0
+_NEWS_AT_MOST_EVERY_MS = 500.0
+
+
+class _Line:
+    """The ledger of one engine and who is to be answered."""
+
+    def __init__(self, ledger: slot_ledger.SlotLedger) -> None:
+        self.ledger = ledger
+        self.answers: dict[slot_ledger.Holder, asyncio.Future[bool]] = {}
+        self.reported_ms = -1.0
+
+
+class Keeping(mode.Service):
+    """Answers for the slots of the engines that this instance keeps.
+
+    Args:
+        fleet: Views of the engines.
+        peers: Links to the other instances.
+        members: Who they are.
+        clock: Time.
+    """
+
+    def __init__(
+        self,
+        fleet: fleets.Fleet,
+        peers: network.PeerNetwork,
+        members: membership.MembershipView,
+        clock: clocks.Clock,
+    ) -> None:
+        super().__init__()
+        self._fleet = fleet
+        self._peers = peers
+        self._members = members
+        self._clock = clock
+        self._lines: dict[str, _Line] = {}
+        self._hold_times: dict[str, hold_times.HoldTimes] = {}
+        self._present: frozenset[str] = frozenset()
+        peers.handle(slot_messages.SlotAsk, self.on_ask)
+        peers.handle(slot_messages.SlotEnd, self.on_end)
+        peers.handle(slot_messages.SlotsHeld, self.on_held)
+        members.listen(self._on_members)
+
+    def is_keeper(self, view: fleets.EngineView) -> bool:
+        """Whether this instance keeps an engine."""
+        present = self._members.present()
+        keeper = keepers.keeper_of(view.endpoint, present)
+        return keeper == self._peers.instance
+
+    def news(self) -> tuple[slot_messages.EngineNews, ...]:
+        """What this instance has to say of the engines it keeps."""
+        return tuple(
+            self._news_of(view)
+            for view in self._fleet.all_views()
+            if self.is_keeper(view)
+        )
+
+    async def on_ask(
+        self, peer: str, ask: slot_messages.SlotAsk
+    ) -> slot_messages.SlotAnswer:
+        """Answers when the slot is granted, or when it can't be in time."""
+        view = self._fleet.view(ask.engine)
+        if view is None or not view.takes_work:
+            return self._refusal(0.0)
+        line = self._line_of(view, ask.hold_ms)
+        if len(line.answers) >= _MAX_LINE:
+            return self._refusal(line.ledger.wait_ms())
+        granted = await self._wait(line, _wish(peer, ask, self._clock.now_ms()))
+        if not granted:
+            return self._refusal(line.ledger.wait_ms())
+        return slot_messages.SlotAnswer(
+            True,
+            from_in_ms=0 if ask.is_ready else ask.ready_in_ms,
+            until_in_ms=ask.ready_in_ms + slot_ledger.PROMISE_LASTS_MS,
+            news=self.news(),
+        )
+
+    async def on_end(self, peer: str, end: slot_messages.SlotEnd) -> None:
+        """Takes a slot, a promise or a place in the line back."""
+        line = self._lines.get(end.engine)
+        if line is None:
+            return
+        holder = slot_ledger.Holder(peer, end.number)
+        line.ledger.end(holder, self._clock.now_ms())
+        self._answer(line, holder, is_granted=False)
+        self._serve(line)
+
+    async def on_held(self, peer: str, held: slot_messages.SlotsHeld) -> None:
+        """Learns what an instance held before this one kept the engine."""
+        view = self._fleet.view(held.engine)
+        if view is None:
+            return
+        line = self._line_of(view, 0)
+        now_ms = self._clock.now_ms()
+        for number, age_ms in held.held:
+            holder = slot_ledger.Holder(peer, number)
+            line.ledger.hold(holder, now_ms - age_ms)
+
+    async def _wait(self, line: _Line, wish: slot_ledger.Wish) -> bool:
+        self._answer(line, wish.holder, is_granted=False)
+        future = asyncio.get_running_loop().create_future()
+        line.answers[wish.holder] = future
+        line.ledger.wish(wish)
+        self._serve(line)
+        try:
+            return await future
+        except asyncio.CancelledError:
+            line.ledger.end(wish.holder, self._clock.now_ms())
+            line.answers.pop(wish.holder, None)
+            raise
+
+    def _serve(self, line: _Line) -> None:
+        now_ms = self._clock.now_ms()
+        for wish in line.ledger.take_hopeless(now_ms):
+            self._answer(line, wish.holder, is_granted=False)
+        while (wish_now := line.ledger.grant_next(now_ms)) is not None:
+            self._answer(line, wish_now.holder, is_granted=True)
+
+    def _answer(
+        self, line: _Line, holder: slot_ledger.Holder, *, is_granted: bool
+    ) -> None:
+        future = line.answers.pop(holder, None)
+        if future is not None and not future.done():
+            future.set_result(is_granted)
+
+    def _refusal(self, wait_ms: float) -> slot_messages.SlotAnswer:
+        return slot_messages.SlotAnswer(
+            False, wait_ms=round(wait_ms), news=self.news()
+        )
+
+    def _line_of(self, view: fleets.EngineView, hold_ms: int) -> _Line:
+        name = view.endpoint.name
+        line = self._lines.get(name)
+        if line is None:
+            service = view.endpoint.service
+            times = self._hold_times.get(service)
+            if times is None:
+                times = hold_times.HoldTimes(float(hold_ms or 1_000))
+                self._hold_times[service] = times
+            ledger = slot_ledger.SlotLedger(view.endpoint.slots, times)
+            line = self._lines[name] = _Line(ledger)
+        self._read_report(line, view)
+        return line
+
+    def _read_report(self, line: _Line, view: fleets.EngineView) -> None:
+        if view.report is None or view.heard_ms is None:
+            return
+        if view.heard_ms > line.reported_ms:
+            line.reported_ms = view.heard_ms
+            line.ledger.reported(
+                view.report.slots_total, view.report.slots_used
+            )
+
+    def _news_of(self, view: fleets.EngineView) -> slot_messages.EngineNews:
+        report = view.report
+        line = self._lines.get(view.endpoint.name)
+        if line is None:
+            used = report.slots_used if report is not None else 0
+            free, wait_ms = view.endpoint.slots - used, 0.0
+        else:
+            free, wait_ms = line.ledger.balance, line.ledger.wait_ms()
+        return slot_messages.EngineNews(
+            view.endpoint.name,
+            free,
+            round(wait_ms),
+            report.prefill_queued_tokens if report is not None else 0,
+            view.takes_work,
+        )
+
+    def _on_members(self) -> None:
+        present = frozenset(m.instance for m in self._members.present())
+        for gone in sorted(self._present - present):
+            for line in self._lines.values():
+                line.ledger.forget_instance(gone)
+        self._present = present
+        for name, line in list(self._lines.items()):
+            view = self._fleet.view(name)
+            if view is None or not self.is_keeper(view):
+                self._close(name, line)
+
+    def _close(self, name: str, line: _Line) -> None:
+        """Sends everybody who waits to the engine's new keeper."""
+        for holder in list(line.answers):
+            self._answer(line, holder, is_granted=False)
+        del self._lines[name]
+
+    @mode.Service.task
+    async def _serve_on(self) -> None:
+        while not self.should_stop:
+            await self._clock.sleep_ms(_SERVE_EVERY_MS)
+            for name, line in list(self._lines.items()):
+                view = self._fleet.view(name)
+                if view is not None:
+                    self._read_report(line, view)
+                if line.answers:
+                    self._serve(line)
+
+    @mode.Service.task
+    async def _tell_on(self) -> None:
+        while not self.should_stop:
+            others = sorted(self._present - {self._peers.instance})
+            news = self.news()
+            size_bytes = _NEWS_BYTES * (1 + len(news)) * max(1, len(others))
+            pause_ms = size_bytes / _NEWS_BYTES_PER_S * clocks.MS_PER_S
+            await self._clock.sleep_ms(max(pause_ms, _NEWS_AT_MOST_EVERY_MS))
+            if news:
+                for other in others:
+                    self._peers.tell(other, slot_messages.LoadNews(news))
+
+
+def _wish(
+    peer: str, ask: slot_messages.SlotAsk, now_ms: float
+) -> slot_ledger.Wish:
+    return slot_ledger.Wish(
+        slot_ledger.Holder(peer, ask.number),
+        ready_in_ms=ask.ready_in_ms,
+        latest_at_ms=now_ms + ask.latest_in_ms,
+        priority=ask.priority,
+        caution=ask.caution,
+        is_ready=ask.is_ready,
+    )
--- a/src/jujubewharf/routing/placer.py
+++ b/src/jujubewharf/routing/placer.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+from collections.abc import Iterator
 import contextlib
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
+from jujubewharf.configuration import resources
 from jujubewharf.engines import client
 from jujubewharf.routing import fleet as fleets
 from jujubewharf.routing import jobs
@@ -24,7 +26,7 @@
 
     def __init__(
         self,
-        policy: policies.Policy,
+        policy: policies.AnyPolicy,
         fleet: fleets.Fleet,
         clock: clocks.Clock,
     ) -> None:
@@ -39,27 +41,55 @@
         Raises:
             WharfError: The request is refused; nothing ran for this job.
         """
-        choice = await self._decide(job, is_prefilled=False)
-        with self._counted(job, choice):
+        async with self._place(job, is_prefilled=False) as choice:
             yield choice
 
     @contextlib.asynccontextmanager
     async def moved(self, job: jobs.Job) -> AsyncIterator[jobs.Choice]:
         """As ``placed``, for a job whose prompt was read already."""
-        choice = await self._decide(job, is_prefilled=True)
-        with self._counted(job, choice):
+        async with self._place(job, is_prefilled=True) as choice:
             yield choice
 
     def failed(self, engine: str, fault: client.EngineFault) -> None:
         """Learns that a call to an engine failed."""
         view = self._fleet.view(engine)
-        if view is not None and fault is client.EngineFault.UNREACHABLE:
-            view.is_suspect = True
+        if view is not None:
+            view.failed(fault)
 
-    async def _decide(
+    @contextlib.asynccontextmanager
+    async def _place(
         self, job: jobs.Job, *, is_prefilled: bool
-    ) -> jobs.Choice:
+    ) -> AsyncIterator[jobs.Choice]:
         policy = self._policy
+        try:
+            if isinstance(policy, policies.WaitingPolicy):
+                choice = await self._wait(policy, job, is_prefilled)
+            else:
+                choice = await self._ask_on(policy, job, is_prefilled)
+            with self._counted(job, choice):
+                yield choice
+        finally:
+            if isinstance(policy, policies.WaitingPolicy):
+                policy.ended(job, is_prefilled=is_prefilled)
+
+    async def _wait(
+        self, policy: policies.WaitingPolicy, job: jobs.Job, is_prefilled: bool
+    ) -> jobs.Choice:
+        if is_prefilled:
+            decision = await policy.wait_for_decode(job)
+        else:
+            decision = await policy.wait_for_place(job)
+        match decision:
+            case jobs.Choice() as choice:
+                return choice
+            case jobs.Refusal(kind, retry_after_ms):
+                raise errors.WharfError(kind, retry_after_ms=retry_after_ms)
+            case jobs.Later():
+                raise AssertionError("a waiting policy waits by itself")
+
+    async def _ask_on(
+        self, policy: policies.Policy, job: jobs.Job, is_prefilled: bool
+    ) -> jobs.Choice:
         ask = policy.place_decode if is_prefilled else policy.place
         while True:
             match ask(job, self._fleet):
@@ -71,7 +101,7 @@
                     raise errors.WharfError(kind, retry_after_ms=retry_after_ms)
 
     @contextlib.contextmanager
-    def _counted(self, job: jobs.Job, choice: jobs.Choice):  # type: ignore[no-untyped-def]
+    def _counted(self, job: jobs.Job, choice: jobs.Choice) -> Iterator[None]:
         decode = self._view(choice.decode)
         prefill = self._view(choice.prefill)
         if decode is not None:
@@ -86,6 +116,7 @@
             if prefill is not None:
                 prefill.own_prefill_tokens -= job.prompt_tokens
 
-    def _view(self, endpoint: object) -> fleets.EngineView | None:
-        name = getattr(endpoint, "name", None)
-        return self._fleet.view(name) if name is not None else None
+    def _view(
+        self, endpoint: resources.Endpoint | None
+    ) -> fleets.EngineView | None:
+        return self._fleet.view(endpoint.name) if endpoint is not None else None
--- a/src/jujubewharf/routing/policy.py
+++ b/src/jujubewharf/routing/policy.py
@@ -1,9 +1,13 @@
-"""The interface of a routing policy."""
+"""The interfaces of a routing policy."""
 
 from __future__ import annotations
 
+import dataclasses
 from typing import Protocol
+from typing import runtime_checkable
 
+from jujubewharf.membership import view as membership
+from jujubewharf.peers import network
 from jujubewharf.routing import fleet as fleets
 from jujubewharf.routing import jobs
 
@@ -23,3 +27,48 @@
     def place_decode(self, job: jobs.Job, fleet: fleets.Fleet) -> jobs.Decision:
         """Decides for a request whose prompt was read already."""
         ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What a policy that speaks to other instances works with.
+
+    Attributes:
+        fleet: Views of the engines.
+        peers: Links to the other instances.
+        members: Who they are.
+        domain: Failure domain of this instance.
+    """
+
+    fleet: fleets.Fleet
+    peers: network.PeerNetwork
+    members: membership.MembershipView
+    domain: str
+
+
+@runtime_checkable
+class WaitingPolicy(Protocol):
+    """Decides after asking other instances, so its decisions are awaited.
+
+    Whatever a request was given is ended through ``ended``, which also
+    follows when the wait itself is cancelled.
+    """
+
+    def join(self, surroundings: Surroundings) -> None:
+        """Begins to work for an instance; a restarted one joins again."""
+        ...
+
+    async def wait_for_place(self, job: jobs.Job) -> jobs.Decision:
+        """As ``Policy.place``; never ``Later``."""
+        ...
+
+    async def wait_for_decode(self, job: jobs.Job) -> jobs.Decision:
+        """As ``Policy.place_decode``; never ``Later``."""
+        ...
+
+    def ended(self, job: jobs.Job, *, is_prefilled: bool) -> None:
+        """Learns that a place is no longer needed, for whatever reason."""
+        ...
+
+
+AnyPolicy = Policy | WaitingPolicy
--- /dev/null
+++ b/src/jujubewharf/routing/product.py
@@ -0,0 +1,265 @@
+"""The product's policy: read a prompt only against a slot in time.
+
+A request first picks the decode engine with the shortest expected wait and
+asks its keeper. The keeper promises a slot when enough holders are expected
+to end by the time the prompt was read, or refuses at once what can't meet its
+target. The prompt is read then, and the promise turned into a slot; when that
+is late, any other engine's free slot is taken instead.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+import numpy as np
+
+from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf.peers import slot_messages
+from jujubewharf.routing import fitting
+from jujubewharf.routing import fleet as fleets
+from jujubewharf.routing import hold_times
+from jujubewharf.routing import jobs
+from jujubewharf.routing import policy as policies
+from jujubewharf.routing import reading
+from jujubewharf.routing import slots
+
+_MAX_ASKS = 3
+_READY_WAIT_MS = 120.0
+_MARGIN = 0.9
+_NEAR_BONUS_SLOTS = 1.0
+_SHORTEST_RETRY_MS = 200.0
+_STEPS_TO_FIRST_TOKEN = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Plan:
+    """One way to run a request.
+
+    Attributes:
+        decode: Engine that writes.
+        prefill: Engine that reads; ``None`` when ``decode`` does.
+        ready_ms: Time from the start until the slot is needed.
+        first_ms: Time from the start to the first token.
+        wait_ms: Expected wait until it can start.
+    """
+
+    decode: fleets.EngineView
+    prefill: fleets.EngineView | None
+    ready_ms: float
+    first_ms: float
+    wait_ms: float
+
+
+class Product:
+    """Speaks ``policy.WaitingPolicy``.
+
+    Args:
+        clock: Time.
+        rng: Breaks ties, so that instances don't all pick the same engine.
+    """
+
+    def __init__(self, clock: clocks.Clock, rng: np.random.Generator) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._waiting: collections.Counter[str] = collections.Counter()
+        self._hold_times: dict[str, hold_times.HoldTimes] = {}
+        self._reading = reading.Reading(clock)
+        self._held_since_ms: dict[int, float] = {}
+
+    def join(self, surroundings: policies.Surroundings) -> None:
+        """Begins to work for an instance; see ``policy.WaitingPolicy``."""
+        self._here = surroundings
+        self._slots = slots.Slots(surroundings, self._clock)
+        self._reading = reading.Reading(self._clock)
+        self._waiting.clear()
+        self._held_since_ms.clear()
+
+    async def wait_for_place(self, job: jobs.Job) -> jobs.Decision:
+        """Waits for a promise of a slot, or refuses."""
+        service = job.service.name
+        if self._waiting[service] >= job.service.max_queued:
+            return self._refusal(errors.ErrorKind.QUEUE_FULL, job)
+        self._waiting[service] += 1
+        try:
+            return await self._seek_promise(job)
+        finally:
+            self._waiting[service] -= 1
+
+    async def wait_for_decode(self, job: jobs.Job) -> jobs.Decision:
+        """Waits for a slot for a prompt that was read, as long as it takes."""
+        self._reading.done(job.number)
+        promised = self._slots.granted_engine(job.number)
+        while True:
+            views = fitting.importers(fitting.usable(job, self._here.fleet))
+            if not views:
+                return jobs.Refusal(errors.ErrorKind.NO_FITTING_ENGINE)
+            ordered = self._by_room(views, first=promised)
+            for view in ordered[:_MAX_ASKS]:
+                ask = self._ask(job, view, 0.0, _READY_WAIT_MS, is_ready=True)
+                answer = await self._slots.ask(view, ask)
+                if answer.is_granted:
+                    self._held_since_ms[job.number] = self._clock.now_ms()
+                    return jobs.Choice(view.endpoint)
+            promised = None
+
+    def ended(self, job: jobs.Job, *, is_prefilled: bool) -> None:
+        """Gives everything back; see ``policy.WaitingPolicy``."""
+        self._reading.dropped(job.number)
+        self._slots.end(job.number)
+        since_ms = self._held_since_ms.pop(job.number, None)
+        if since_ms is not None:
+            held_ms = self._clock.now_ms() - since_ms
+            self._hold_times_of(job).add(held_ms)
+
+    async def _seek_promise(self, job: jobs.Job) -> jobs.Decision:
+        asked: set[str] = set()
+        while True:
+            plans = self._plans(job)
+            if not plans:
+                return jobs.Refusal(errors.ErrorKind.NO_FITTING_ENGINE)
+            fresh = [p for p in plans if p.decode.endpoint.name not in asked]
+            plan = min(fresh, key=self._rank, default=None)
+            if plan is None or len(asked) >= _MAX_ASKS:
+                return self._refusal(errors.ErrorKind.DEADLINE_UNREACHABLE, job)
+            left_ms = job.first_answer_by_ms - self._clock.now_ms()
+            latest_ms = left_ms - plan.first_ms
+            asked.add(plan.decode.endpoint.name)
+            if latest_ms < 0:
+                continue
+            ready_ms = plan.ready_ms
+            ask = self._ask(job, plan.decode, ready_ms, latest_ms)
+            answer = await self._slots.ask(plan.decode, ask)
+            if answer.is_granted:
+                return self._start(job, plan)
+
+    def _start(self, job: jobs.Job, plan: _Plan) -> jobs.Choice:
+        """Starts reading on what is the best engine by now."""
+        if plan.prefill is None:
+            self._held_since_ms[job.number] = self._clock.now_ms()
+            return jobs.Choice(plan.decode.endpoint)
+        views = fitting.usable(job, self._here.fleet)
+        prefill = self._best_prefill(job, fitting.exporters(views))
+        prefill = prefill or plan.prefill
+        self._reading.begin(job, prefill)
+        return jobs.Choice(None, prefill.endpoint)
+
+    def _plans(self, job: jobs.Job) -> list[_Plan]:
+        views = fitting.usable(job, self._here.fleet)
+        prefill = self._best_prefill(job, fitting.exporters(views))
+        plans = []
+        if prefill is not None:
+            read_ms = self._reading.read_ms(prefill, job.prompt_tokens)
+            for decode in fitting.importers(views):
+                plans.append(self._pair(job, decode, prefill, read_ms))
+        for decode in fitting.loners(views):
+            is_paired = prefill is not None
+            if not is_paired or not decode.endpoint.capabilities.kv_import:
+                plans.append(self._alone(job, decode))
+        return plans
+
+    def _pair(
+        self,
+        job: jobs.Job,
+        decode: fleets.EngineView,
+        prefill: fleets.EngineView,
+        read_ms: float,
+    ) -> _Plan:
+        kv_bytes = job.prompt_tokens * self._here.fleet.kv_bytes_per_token(
+            job.service.model
+        )
+        moved_ms = reading.transfer_ms(prefill, decode, kv_bytes)
+        first_ms = read_ms + moved_ms + _first_steps_ms(decode)
+        wait_ms = self._wait_ms(job, decode)
+        return _Plan(decode, prefill, read_ms, first_ms, wait_ms)
+
+    def _alone(self, job: jobs.Job, decode: fleets.EngineView) -> _Plan:
+        read_ms = self._reading.read_ms(decode, job.prompt_tokens)
+        first_ms = read_ms + _first_steps_ms(decode)
+        wait_ms = self._wait_ms(job, decode)
+        return _Plan(decode, None, 0.0, first_ms, wait_ms)
+
+    def _best_prefill(
+        self, job: jobs.Job, views: list[fleets.EngineView]
+    ) -> fleets.EngineView | None:
+        return min(
+            views,
+            key=lambda v: self._reading.read_ms(v, job.prompt_tokens),
+            default=None,
+        )
+
+    def _wait_ms(self, job: jobs.Job, view: fleets.EngineView) -> float:
+        """Expected wait by the keeper's news and own asks since."""
+        if view.news is None:
+            return 0.0
+        ahead = view.asked_since_news - max(0, view.news.free)
+        if ahead < 0:
+            return 0.0
+        slot_ms = self._hold_times_of(job).mean_ms / max(1, view.slots)
+        return view.news.wait_ms + ahead * slot_ms
+
+    def _rank(self, plan: _Plan) -> tuple[float, float, float]:
+        total_ms = plan.wait_ms + plan.first_ms
+        if plan.wait_ms > 0:
+            return (total_ms, 0.0, self._rng.random())
+        room = self._room(plan.decode)
+        return (plan.first_ms, -room, self._rng.random())
+
+    def _room(self, view: fleets.EngineView) -> float:
+        if view.news is not None:
+            room = float(view.news.free - view.asked_since_news)
+        elif view.report is not None:
+            room = float(view.slots - view.report.slots_used - view.own_slots)
+        else:
+            room = 0.0
+        is_near = view.endpoint.domain == self._here.domain
+        return room + (_NEAR_BONUS_SLOTS if is_near else 0.0)
+
+    def _by_room(
+        self, views: list[fleets.EngineView], *, first: str | None
+    ) -> list[fleets.EngineView]:
+        return sorted(
+            views,
+            key=lambda v: (v.endpoint.name != first, -self._room(v)),
+        )
+
+    def _ask(
+        self,
+        job: jobs.Job,
+        view: fleets.EngineView,
+        ready_ms: float,
+        latest_ms: float,
+        *,
+        is_ready: bool = False,
+    ) -> slot_messages.SlotAsk:
+        return slot_messages.SlotAsk(
+            view.endpoint.name,
+            job.number,
+            ready_in_ms=round(ready_ms),
+            latest_in_ms=max(1, round(latest_ms * _MARGIN)),
+            hold_ms=round(self._hold_times_of(job).mean_ms),
+            priority=job.priority,
+            caution=job.service.waste_weight,
+            is_ready=is_ready,
+        )
+
+    def _refusal(self, kind: errors.ErrorKind, job: jobs.Job) -> jobs.Refusal:
+        """Refuses with the time until a slot may be had."""
+        views = fitting.decoders(fitting.usable(job, self._here.fleet))
+        waits_ms = [self._wait_ms(job, view) for view in views]
+        wait_ms = min(waits_ms, default=0.0)
+        return jobs.Refusal(kind, max(_SHORTEST_RETRY_MS, wait_ms))
+
+    def _hold_times_of(self, job: jobs.Job) -> hold_times.HoldTimes:
+        times = self._hold_times.get(job.service.name)
+        if times is None:
+            prior_ms = job.service.completion_target_ms / 2
+            times = hold_times.HoldTimes(prior_ms)
+            self._hold_times[job.service.name] = times
+        return times
+
+
+def _first_steps_ms(view: fleets.EngineView) -> float:
+    step_ms = view.report.step_ms if view.report is not None else 0.0
+    return step_ms * _STEPS_TO_FIRST_TOKEN
--- /dev/null
+++ b/src/jujubewharf/routing/slots.py
@@ -0,0 +1,146 @@
+"""Asks the keepers of engines for decode slots, and gives them back."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from jujubewharf import clock as clocks
+from jujubewharf.peers import network
+from jujubewharf.peers import slot_messages
+from jujubewharf.routing import fleet as fleets
+from jujubewharf.routing import keepers
+from jujubewharf.routing import policy as policies
+
+_ANSWER_MARGIN_MS = 250.0
+_SILENT_FOR_MS = 3_000.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Grant:
+    engine: str
+    keeper: str
+    since_ms: float
+    is_held: bool
+
+
+class Slots:
+    """This instance's grants, from whoever keeps the engines.
+
+    Args:
+        surroundings: Engines and other instances.
+        clock: Time.
+    """
+
+    def __init__(
+        self, surroundings: policies.Surroundings, clock: clocks.Clock
+    ) -> None:
+        self._fleet = surroundings.fleet
+        self._peers = surroundings.peers
+        self._members = surroundings.members
+        self._clock = clock
+        self._grants: dict[int, _Grant] = {}
+        self._silent_until_ms: dict[str, float] = {}
+        self._keepers: dict[str, str | None] = {}
+        self._peers.handle(slot_messages.LoadNews, self._on_news)
+        self._members.listen(self._on_members)
+
+    def granted_engine(self, number: int) -> str | None:
+        """The engine whose slot a request holds or was promised."""
+        grant = self._grants.get(number)
+        return grant.engine if grant is not None else None
+
+    async def ask(
+        self, view: fleets.EngineView, ask: slot_messages.SlotAsk
+    ) -> slot_messages.SlotAnswer:
+        """Asks for a slot; waits until it is granted or can't be in time.
+
+        A keeper that can't be reached is replaced by this instance itself,
+        which judges by the engine's reports; the engine has the last word.
+        """
+        keeper = self._keeper_of(view)
+        self.end(ask.number, but_promised_by=(view.endpoint.name, keeper))
+        view.asked_since_news += 1
+        grant = _Grant(
+            view.endpoint.name, keeper, self._clock.now_ms(), ask.is_ready
+        )
+        self._grants[ask.number] = grant
+        answer = await self._ask(keeper, ask)
+        if answer is None and keeper != self._peers.instance:
+            self._silent_until_ms[keeper] = (
+                self._clock.now_ms() + _SILENT_FOR_MS
+            )
+            grant.keeper = self._peers.instance
+            answer = await self._ask(grant.keeper, ask)
+        if answer is None:
+            answer = slot_messages.SlotAnswer(False)
+        self._take_news(answer.news)
+        grant.since_ms = self._clock.now_ms()
+        if not answer.is_granted and self._grants.get(ask.number) is grant:
+            del self._grants[ask.number]
+        return answer
+
+    def end(
+        self, number: int, *, but_promised_by: tuple[str, str] | None = None
+    ) -> None:
+        """Gives back what a request holds, was promised or waits for."""
+        grant = self._grants.get(number)
+        if grant is None:
+            return
+        if (grant.engine, grant.keeper) == but_promised_by:
+            return
+        del self._grants[number]
+        end = slot_messages.SlotEnd(grant.engine, number)
+        self._peers.tell(grant.keeper, end)
+
+    def _keeper_of(self, view: fleets.EngineView) -> str:
+        keeper = keepers.keeper_of(view.endpoint, self._members.present())
+        if keeper is None:
+            return self._peers.instance
+        if self._silent_until_ms.get(keeper, 0.0) > self._clock.now_ms():
+            return self._peers.instance
+        return keeper
+
+    async def _ask(
+        self, keeper: str, ask: slot_messages.SlotAsk
+    ) -> slot_messages.SlotAnswer | None:
+        timeout_ms = ask.latest_in_ms + _ANSWER_MARGIN_MS
+        try:
+            answer = await self._peers.ask(keeper, ask, timeout_ms=timeout_ms)
+        except network.PeerError:
+            return None
+        if isinstance(answer, slot_messages.SlotAnswer):
+            return answer
+        return None
+
+    def _take_news(self, news: tuple[slot_messages.EngineNews, ...]) -> None:
+        now_ms = self._clock.now_ms()
+        for one in news:
+            view = self._fleet.view(one.engine)
+            if view is not None:
+                view.take_news(one, now_ms)
+
+    async def _on_news(self, peer: str, news: slot_messages.LoadNews) -> None:
+        self._take_news(news.news)
+
+    def _on_members(self) -> None:
+        """Tells new keepers what this instance holds at their engines."""
+        present = self._members.present()
+        for view in self._fleet.all_views():
+            name = view.endpoint.name
+            keeper = keepers.keeper_of(view.endpoint, present)
+            if keeper == self._keepers.get(name):
+                continue
+            self._keepers[name] = keeper
+            if keeper is not None:
+                self._tell_held(name, keeper)
+
+    def _tell_held(self, engine: str, keeper: str) -> None:
+        now_ms = self._clock.now_ms()
+        held = []
+        for number, grant in sorted(self._grants.items()):
+            if grant.engine == engine and grant.is_held:
+                grant.keeper = keeper
+                held.append((number, round(now_ms - grant.since_ms)))
+        if held:
+            message = slot_messages.SlotsHeld(engine, tuple(held))
+            self._peers.tell(keeper, message)
--- a/tests/routing/test_catalog.py
+++ b/tests/routing/test_catalog.py
@@ -55,10 +55,7 @@
     return events[-1]
 
 
-_PLACING_DECODE_FIRST = sorted(set(catalog.NAMES) - {"prefill_then_look"})
-
-
-@pytest.mark.parametrize("name", _PLACING_DECODE_FIRST)
+@pytest.mark.parametrize("name", catalog.NAMES)
 def test_each_policy_answers(name: str):
     last = virtual_time.run(_answer(name))
     assert isinstance(last, model_request.Finished)
