--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -26,6 +26,7 @@
 from jujubewharf.callers import edge
 from jujubewharf.callers import plain as plain_paths
 from jujubewharf.callers import readiness
+from jujubewharf.configuration import changes
 from jujubewharf.configuration import follower
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
@@ -53,6 +54,7 @@
 from jujubewharf.routing import policy as policies
 from jujubewharf.routing import product
 from jujubewharf.settings import models
+from jujubewharf.telemetry import gauges
 from jujubewharf.telemetry import goodput
 
 
@@ -88,7 +90,12 @@
 
     Attributes:
         configuration: Configuration in force here.
+        changes: Takes operators' changes.
         fleet: Views of the engines.
+        accounts: Client accounts in force here.
+        model_limits: Limits of model requests here.
+        plain_limits: Limits of plain calls here.
+        plain: Runs plain calls.
         peers: Links to the other instances.
         facts: Small facts known to the whole fleet.
         membership: Who they are.
@@ -131,6 +138,7 @@
         self.configuration = follower.ConfigurationFollower(
             adapters.log, clock, wait_ms=settings.platform.log_wait_ms
         )
+        self.changes = changes.Changes(self.configuration, adapters.log, clock)
         self.fleet = fleets.Fleet(adapters.make_engine_client, clock)
         self.configuration.listen(self.fleet.on_configuration)
         self.keeping = keeping.Keeping(
@@ -157,11 +165,15 @@
 
         self.accounts = accounts.Accounts()
         self.configuration.listen(self.accounts.on_configuration)
-        self.model_limits = limits.Limits(clock, self.accounts.get)
-        self.plain_limits = limits.Limits(clock, self.accounts.get)
+        self.model_limits, self.plain_limits = (
+            limits.Limits(
+                clock, self.accounts.get, member_count=self._member_count
+            )
+            for _ in range(2)
+        )
         chooser = plain_endpoints.Chooser(settings.domain, clock)
         self.configuration.listen(chooser.on_configuration)
-        self._plain = plain.PlainRunner(adapters.endpoints, chooser, clock)
+        self.plain = plain.PlainRunner(adapters.endpoints, chooser, clock)
 
     async def on_start(self) -> None:
         """Starts the parts, those that others need first."""
@@ -173,6 +185,9 @@
         await self.add_runtime_dependency(self.keeping)
         await self.add_runtime_dependency(self.answers)
 
+    def _member_count(self) -> int:
+        return len(self.membership.present())
+
     async def answer(
         self, request: model_request.ModelRequest
     ) -> AsyncGenerator[model_request.Event, None]:
@@ -215,7 +230,7 @@
                 deadline_at_ms=request.deadline_at_ms,
                 priority=request.priority,
             ),
-            self._plain.run(request) as reply,
+            self.plain.run(request) as reply,
         ):
             yield reply
 
@@ -245,6 +260,7 @@
     async def on_start(self) -> None:
         """Makes the adapters and starts core and edges."""
         self.core = EntryCore(self._settings, self._clock, self._adapters())
+        gauges.watch(self.core)
         callers = self._settings.callers
         self.callers = edge.CallerEdge(
             callers,
--- a/src/jujubewharf/telemetry/goodput.py
+++ b/src/jujubewharf/telemetry/goodput.py
@@ -10,20 +10,20 @@
 
 _meter = metrics.get_meter("jujubewharf")
 _requests = _meter.create_counter(
-    "jujubewharf.requests",
+    "callers.requests",
     description="Ended requests, by service and outcome.",
 )
 _goodput = _meter.create_counter(
-    "jujubewharf.goodput",
+    "callers.goodput",
     description="Requests that met both targets, by service.",
 )
 _first_answer_ms = _meter.create_histogram(
-    "jujubewharf.first_answer",
+    "callers.first_answer",
     unit="ms",
     description="Time from arrival to the first token or byte, by service.",
 )
 _completion_ms = _meter.create_histogram(
-    "jujubewharf.completion",
+    "callers.completion",
     unit="ms",
     description="Time from arrival to the last token or byte, by service.",
 )
