--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -109,7 +109,7 @@
         clock: clocks.Clock,
         adapters: Adapters,
         *,
-        policy: policies.AnyPolicy | None = None,
+        policy: policies.Policy | None = None,
     ) -> None:
         super().__init__()
         self.settings = settings
--- a/src/jujubewharf/experiments/bench.py
+++ b/src/jujubewharf/experiments/bench.py
@@ -35,7 +35,7 @@
 
 _NOWHERE = "http://127.0.0.1:9"
 
-MakePolicy = Callable[[], policies.AnyPolicy | None]
+MakePolicy = Callable[[], policies.Policy | None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -135,7 +135,7 @@
         name: str,
         domain: str,
         *,
-        policy: policies.AnyPolicy | None = None,
+        policy: policies.Policy | None = None,
         make_policy: MakePolicy | None = None,
         settings: dict[str, object] | None = None,
         clock: clocks.Clock | None = None,
--- a/src/jujubewharf/routing/catalog.py
+++ b/src/jujubewharf/routing/catalog.py
@@ -27,7 +27,7 @@
     clock: clocks.Clock,
     rng: np.random.Generator,
     truth: oracle.Truth | None = None,
-) -> policies.AnyPolicy:
+) -> policies.Policy:
     """Makes a policy for one instance.
 
     Args:
--- a/src/jujubewharf/routing/oracle.py
+++ b/src/jujubewharf/routing/oracle.py
@@ -1,60 +1,91 @@
 """The bound to close in on: a policy that sees true state without lag.
 
-It is no product policy: it reads the stand-in engines directly and sums what
-all instances of the run have placed.
+It is no product policy: it reads the stand-in engines directly, and all
+instances of a run share one line for the slots of all engines, without any
+delay between them. Like the product it doesn't know how long an answer will
+be before it ends.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
-import dataclasses
+import math
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
 from jujubewharf.engines import client
 from jujubewharf.routing import fitting
 from jujubewharf.routing import fleet as fleets
+from jujubewharf.routing import hold_times
 from jujubewharf.routing import jobs
+from jujubewharf.routing import policy as policies
+from jujubewharf.routing import reading
+from jujubewharf.routing import slot_ledger
+
+_LOOK_AGAIN_MS = 5.0
+_STEPS_TO_FIRST_TOKEN = 2.0
+
+
+class _Pool:
+    """One line for the slots of all engines of a service."""
+
+    def __init__(self, prior_ms: float) -> None:
+        self.hold_times = hold_times.HoldTimes(prior_ms)
+        self.ledger = slot_ledger.SlotLedger(0, self.hold_times)
+        self._granted: set[slot_ledger.Holder] = set()
+        self._hopeless: set[slot_ledger.Holder] = set()
+
+    async def wait(self, wish: slot_ledger.Wish, clock: clocks.Clock) -> bool:
+        """Waits in the line; false when it can't be granted in time."""
+        holder = wish.holder
+        self.ledger.wish(wish)
+        while True:
+            self._serve(clock.now_ms())
+            if holder in self._granted:
+                self._granted.discard(holder)
+                return True
+            if holder in self._hopeless:
+                self._hopeless.discard(holder)
+                return False
+            await clock.sleep_ms(_LOOK_AGAIN_MS)
+
+    def _serve(self, now_ms: float) -> None:
+        for wish in self.ledger.take_hopeless(now_ms):
+            self._hopeless.add(wish.holder)
+        while (granted := self.ledger.grant_next(now_ms)) is not None:
+            self._granted.add(granted.holder)
 
-_RETRY_MS = 5.0
 
-
-@dataclasses.dataclass(slots=True)
 class Truth:
     """What all oracle instances of one run share.
 
-    Attributes:
+    Args:
         load_now: True load of an engine, by its name.
-        joined: The fleets of all instances, for their own claims.
     """
 
-    load_now: Callable[[str], client.LoadReport]
-    joined: list[fleets.Fleet] = dataclasses.field(default_factory=list)
-
-    def join(self, fleet: fleets.Fleet) -> None:
-        """Counts an instance's claims from now on."""
-        if not any(known is fleet for known in self.joined):
-            self.joined.append(fleet)
+    def __init__(self, load_now: Callable[[str], client.LoadReport]) -> None:
+        self.load_now = load_now
+        self.reading: reading.Reading | None = None
+        self.claimed: dict[str, set[slot_ledger.Holder]] = {}
+        self._pools: dict[str, _Pool] = {}
 
-    def used_slots(self, name: str) -> int:
-        """Slots held or claimed at an engine."""
-        return max(self.load_now(name).slots_used, self._claimed(name))
+    def pool(self, job: jobs.Job) -> _Pool:
+        """The line of a job's service."""
+        service = job.service
+        if service.name not in self._pools:
+            prior_ms = service.completion_target_ms / 2
+            self._pools[service.name] = _Pool(prior_ms)
+        return self._pools[service.name]
 
     def free_slots(self, name: str) -> int:
         """Slots that nobody holds or has claimed."""
-        return self.load_now(name).slots_total - self.used_slots(name)
-
-    def queued_tokens(self, name: str) -> int:
-        """Prompt tokens waiting or about to come."""
-        return self.load_now(name).prefill_queued_tokens
-
-    def _claimed(self, name: str) -> int:
-        views = (fleet.view(name) for fleet in self.joined)
-        return sum(view.own_slots for view in views if view is not None)
+        load = self.load_now(name)
+        claimed = len(self.claimed.get(name, ()))
+        return load.slots_total - max(load.slots_used, claimed)
 
 
 class Oracle:
-    """Places by true state; refuses what would miss its first target.
+    """Speaks ``policy.WaitingPolicy`` by true state.
 
     Args:
         truth: What all oracle instances of the run share.
@@ -64,44 +95,115 @@
     def __init__(self, truth: Truth, clock: clocks.Clock) -> None:
         self._truth = truth
         self._clock = clock
-
-    def place(self, job: jobs.Job, fleet: fleets.Fleet) -> jobs.Decision:
-        """Decides for a request that holds nothing yet."""
-        self._truth.join(fleet)
-        views = fitting.usable(job, fleet)
-        decode = self._emptiest(fitting.decoders(views))
-        if decode is None:
-            return jobs.Refusal(errors.ErrorKind.NO_FITTING_ENGINE)
-        if self._clock.now_ms() > job.first_answer_by_ms:
+        if truth.reading is None:
+            truth.reading = reading.Reading(clock)
+        self._reading = truth.reading
+
+    def join(self, surroundings: policies.Surroundings) -> None:
+        """Begins to work for an instance; see ``policy.WaitingPolicy``."""
+        self._here = surroundings
+
+    async def wait_for_place(self, job: jobs.Job) -> jobs.Decision:
+        """Waits for a slot that is free when the prompt was read."""
+        views = self._usable(job)
+        prefills = fitting.exporters(views)
+        if not prefills or not fitting.importers(views):
+            return await self._wait_alone(job)
+        prefill = min(prefills, key=lambda v: self._read_ms(v, job))
+        read_ms = self._read_ms(prefill, job)
+        first_ms = read_ms + self._after_read_ms(job, prefill, views)
+        if not await self._wait(job, read_ms, first_ms):
             return jobs.Refusal(errors.ErrorKind.DEADLINE_UNREACHABLE)
-        if self._truth.free_slots(decode.endpoint.name) <= 0:
-            return jobs.Later(_RETRY_MS)
-        prefillers = fitting.exporters(views)
-        if not prefillers or not decode.endpoint.capabilities.kv_import:
-            return jobs.Choice(decode.endpoint)
-        prefill = min(prefillers, key=self._queued)
-        if prefill is decode:
-            return jobs.Choice(decode.endpoint)
-        return jobs.Choice(decode.endpoint, prefill.endpoint)
-
-    def place_decode(self, job: jobs.Job, fleet: fleets.Fleet) -> jobs.Decision:
-        """Decides for a request whose prompt was read already."""
-        self._truth.join(fleet)
-        views = fitting.usable(job, fleet)
-        decode = self._emptiest(fitting.importers(views))
-        if decode is None:
+        prefill = min(prefills, key=lambda v: self._read_ms(v, job))
+        self._reading.begin(job, prefill)
+        return jobs.Choice(None, prefill.endpoint)
+
+    async def wait_for_decode(self, job: jobs.Job) -> jobs.Decision:
+        """Takes the emptiest engine as soon as one has a free slot."""
+        self._reading.done(job.number)
+        await self._wait(job, 0.0, -math.inf, is_ready=True)
+        return await self._claim(job, fitting.importers)
+
+    def ended(self, job: jobs.Job, *, is_prefilled: bool) -> None:
+        """Gives everything back; see ``policy.WaitingPolicy``."""
+        self._reading.dropped(job.number)
+        holder = self._holder(job)
+        self._truth.pool(job).ledger.end(holder, self._clock.now_ms())
+        for claimed in self._truth.claimed.values():
+            claimed.discard(holder)
+
+    async def _wait_alone(self, job: jobs.Job) -> jobs.Decision:
+        views = fitting.loners(self._usable(job))
+        if not views:
             return jobs.Refusal(errors.ErrorKind.NO_FITTING_ENGINE)
-        if self._truth.free_slots(decode.endpoint.name) <= 0:
-            return jobs.Later(_RETRY_MS)
-        return jobs.Choice(decode.endpoint)
-
-    def _emptiest(
-        self, views: list[fleets.EngineView]
-    ) -> fleets.EngineView | None:
-        return min(views, key=self._used, default=None)
-
-    def _used(self, view: fleets.EngineView) -> int:
-        return self._truth.used_slots(view.endpoint.name)
-
-    def _queued(self, view: fleets.EngineView) -> int:
-        return self._truth.queued_tokens(view.endpoint.name)
+        first_ms = min(self._read_ms(view, job) for view in views)
+        if not await self._wait(job, 0.0, first_ms):
+            return jobs.Refusal(errors.ErrorKind.DEADLINE_UNREACHABLE)
+        return await self._claim(job, fitting.loners)
+
+    async def _wait(
+        self,
+        job: jobs.Job,
+        ready_ms: float,
+        first_ms: float,
+        *,
+        is_ready: bool = False,
+    ) -> bool:
+        pool = self._truth.pool(job)
+        names = [v.endpoint.name for v in fitting.decoders(self._usable(job))]
+        pool.ledger.slots = sum(
+            self._truth.load_now(name).slots_total for name in names
+        )
+        wish = slot_ledger.Wish(
+            self._holder(job),
+            ready_in_ms=ready_ms,
+            latest_at_ms=job.first_answer_by_ms - first_ms,
+            priority=job.priority,
+            caution=0.0,
+            is_ready=is_ready,
+        )
+        return await pool.wait(wish, self._clock)
+
+    async def _claim(
+        self,
+        job: jobs.Job,
+        fit: Callable[[list[fleets.EngineView]], list[fleets.EngineView]],
+    ) -> jobs.Decision:
+        while True:
+            names = [view.endpoint.name for view in fit(self._usable(job))]
+            if not names:
+                return jobs.Refusal(errors.ErrorKind.NO_FITTING_ENGINE)
+            name = max(names, key=self._truth.free_slots)
+            if self._truth.free_slots(name) > 0:
+                break
+            await self._clock.sleep_ms(_LOOK_AGAIN_MS)
+        self._truth.claimed.setdefault(name, set()).add(self._holder(job))
+        view = self._here.fleet.view(name)
+        assert view is not None
+        return jobs.Choice(view.endpoint)
+
+    def _usable(self, job: jobs.Job) -> list[fleets.EngineView]:
+        return fitting.usable(job, self._here.fleet)
+
+    def _read_ms(self, view: fleets.EngineView, job: jobs.Job) -> float:
+        name = view.endpoint.name
+        queued = self._truth.load_now(name).prefill_queued_tokens
+        tokens = queued + job.prompt_tokens
+        return tokens * self._reading.ms_per_token(name)
+
+    def _after_read_ms(
+        self,
+        job: jobs.Job,
+        prefill: fleets.EngineView,
+        views: list[fleets.EngineView],
+    ) -> float:
+        decode = fitting.importers(views)[0]
+        kv_bytes = job.prompt_tokens * self._here.fleet.kv_bytes_per_token(
+            job.service.model
+        )
+        moved_ms = reading.transfer_ms(prefill, decode, kv_bytes)
+        step_ms = self._truth.load_now(decode.endpoint.name).step_ms
+        return moved_ms + _STEPS_TO_FIRST_TOKEN * step_ms
+
+    def _holder(self, job: jobs.Job) -> slot_ledger.Holder:
+        return slot_ledger.Holder(self._here.peers.instance, job.number)
--- a/src/jujubewharf/routing/placer.py
+++ b/src/jujubewharf/routing/placer.py
@@ -26,7 +26,7 @@
 
     def __init__(
         self,
-        policy: policies.AnyPolicy,
+        policy: policies.Policy,
         fleet: fleets.Fleet,
         clock: clocks.Clock,
     ) -> None:
@@ -88,7 +88,7 @@
                 raise AssertionError("a waiting policy waits by itself")
 
     async def _ask_on(
-        self, policy: policies.Policy, job: jobs.Job, is_prefilled: bool
+        self, policy: policies.InstantPolicy, job: jobs.Job, is_prefilled: bool
     ) -> jobs.Choice:
         ask = policy.place_decode if is_prefilled else policy.place
         while True:
--- a/src/jujubewharf/routing/policy.py
+++ b/src/jujubewharf/routing/policy.py
@@ -12,7 +12,7 @@
 from jujubewharf.routing import jobs
 
 
-class Policy(Protocol):
+class InstantPolicy(Protocol):
     """Decides where a request runs.
 
     ``place`` is called for a new request, again after ``Later``, and again
@@ -59,11 +59,11 @@
         ...
 
     async def wait_for_place(self, job: jobs.Job) -> jobs.Decision:
-        """As ``Policy.place``; never ``Later``."""
+        """As ``InstantPolicy.place``; never ``Later``."""
         ...
 
     async def wait_for_decode(self, job: jobs.Job) -> jobs.Decision:
-        """As ``Policy.place_decode``; never ``Later``."""
+        """As ``InstantPolicy.place_decode``; never ``Later``."""
         ...
 
     def ended(self, job: jobs.Job, *, is_prefilled: bool) -> None:
@@ -71,4 +71,4 @@
         ...
 
 
-AnyPolicy = Policy | WaitingPolicy
+Policy = InstantPolicy | WaitingPolicy
