--- a/src/jujubewharf/routing/fleet.py
+++ b/src/jujubewharf/routing/fleet.py
@@ -15,6 +15,7 @@
 from jujubewharf.peers import slot_messages
 
 ClientFactory = Callable[[resources.Endpoint], engine_client.EngineClient]
+Withheld = Callable[[str], bool]
 
 _POLL_MS = 250.0
 _LEAVING_MS = 3_000.0
@@ -38,6 +39,7 @@
         news: What its keeper said last.
         news_ms: When that came; ``None`` before the first.
         asked_since_news: Slots asked for here since then.
+        withheld: Tells whether new work is kept from an engine for now.
     """
 
     endpoint: resources.Endpoint
@@ -52,12 +54,15 @@
     news: slot_messages.EngineNews | None = None
     news_ms: float | None = None
     asked_since_news: int = 0
+    withheld: Withheld = lambda name: False
 
     @property
     def takes_work(self) -> bool:
         """Whether new work may be sent there."""
         if self.endpoint.drained or self.is_suspect:
             return False
+        if self.withheld(self.endpoint.name):
+            return False
         if self.leaving_until_ms > self.clock.now_ms():
             return False
         if self.report is not None:
@@ -94,10 +99,14 @@
     Args:
         make_client: Makes the client of an endpoint.
         clock: Time.
+
+    Attributes:
+        withheld: Tells whether new work is kept from an engine for now.
     """
 
     def __init__(self, make_client: ClientFactory, clock: clocks.Clock) -> None:
         super().__init__()
+        self.withheld: Withheld = lambda name: False
         self._make_client = make_client
         self._clock = clock
         self._views: dict[str, EngineView] = {}
@@ -164,7 +173,10 @@
             view.endpoint = endpoint
             return
         self._views[name] = EngineView(
-            endpoint, self._make_client(endpoint), self._clock
+            endpoint,
+            self._make_client(endpoint),
+            self._clock,
+            withheld=lambda engine: self.withheld(engine),
         )
 
     @mode.Service.task
--- a/src/jujubewharf/routing/oracle.py
+++ b/src/jujubewharf/routing/oracle.py
@@ -24,6 +24,7 @@
 
 _LOOK_AGAIN_MS = 5.0
 _STEPS_TO_FIRST_TOKEN = 2.0
+_MARGIN = 0.85
 
 
 class _Pool:
@@ -157,13 +158,18 @@
         wish = slot_ledger.Wish(
             self._holder(job),
             ready_in_ms=ready_ms,
-            latest_at_ms=job.first_answer_by_ms - first_ms,
+            latest_at_ms=self._latest_at_ms(job, first_ms),
             priority=job.priority,
             caution=0.0,
             is_ready=is_ready,
         )
         return await pool.wait(wish, self._clock)
 
+    def _latest_at_ms(self, job: jobs.Job, first_ms: float) -> float:
+        now_ms = self._clock.now_ms()
+        left_ms = job.first_answer_by_ms - first_ms - now_ms
+        return now_ms + _MARGIN * left_ms
+
     async def _claim(
         self,
         job: jobs.Job,
--- /dev/null
+++ b/tests/requests/test_life.py
@@ -0,0 +1,280 @@
+"""A request's life at one instance, under faults of its engines."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+
+from jujubewharf import errors
+from jujubewharf.configuration import resources
+from jujubewharf.experiments import virtual_time
+from jujubewharf.requests import model_request
+from tests.requests import deployments
+
+NO_RESUME = {"capabilities": resources.Capabilities(resume=False)}
+
+
+def run(deployment_of, story):
+    async def main():
+        deployment = await deployment_of().start()
+        result = await story(deployment)
+        await deployment.bench.stop()
+        return result
+
+    return virtual_time.run(main())
+
+
+async def _fill(engine, count=20):
+    from jujubewharf.engines import client
+
+    for number in range(count):
+        await engine.reserve(client.Attempt(f"other.{number}", "e1"))
+
+
+def test_a_refused_prefill_result_moves_to_another_decode_engine():
+    # The slot is taken only while the prompt is read, and d1 turns out full
+    # when the result is ready. The result goes to d2 before it dies; the
+    # caller sees a whole answer and no prompt is read twice.
+    async def story(d):
+        await _fill(d.engine("d1"))
+        d.policy.reserve_after_ms = d.clock.now_ms() + 60
+        events = await d.ask(d.request())
+        read = d.engine("p1").counts.prefilled_tokens
+        return events, read, dict(d.counts().moves)
+
+    policy = deployments.Scripted(["d1", "d2"], ["p1"])
+    events, read, moves = run(
+        lambda: deployments.Deployment(policy=policy), story
+    )
+    assert deployments.is_whole(events)
+    assert read == 401
+    assert moves == {"refused_full": 1}
+
+
+def test_a_policy_may_look_for_the_decode_engine_after_the_prefill():
+    async def story(d):
+        return await d.ask(d.request()), d.engine("d2").counts.dispatches
+
+    policy = deployments.Scripted(["d2"], ["p1"], looks_later=True)
+    events, dispatches = run(
+        lambda: deployments.Deployment(policy=policy), story
+    )
+    assert deployments.is_whole(events)
+    assert sum(dispatches.values()) == 1
+
+
+def test_a_result_without_any_slot_is_counted_as_waste():
+    # All decode memory is taken until the result has died. It is wasted
+    # with its cause, and the request goes on by reading anew.
+    async def story(d):
+        await _fill(d.engine("d1"))
+        request = d.request()
+        task = asyncio.ensure_future(d.ask(request))
+        await d.clock.sleep_ms(2_000)
+        for number in range(20):
+            await d.engine("d1").release(f"other.{number}")
+        return await task, dict(d.counts().wasted_prefill_tokens)
+
+    policy = deployments.Scripted(["d1"], ["p1"], looks_later=True)
+    events, wasted = run(lambda: deployments.Deployment(policy=policy), story)
+    assert deployments.is_whole(events)
+    assert wasted["no_decode_slot"] >= 401
+
+
+def test_a_stalled_transfer_is_given_up_and_done_elsewhere():
+    # p1's link stalls. The import is given up after a bound, d1's slot is
+    # freed, and the request reads at p2 and is answered whole.
+    async def story(d):
+        d.engine("p1").link.is_stalled = True
+        events = await d.ask(d.request())
+        d.engine("p1").link.is_stalled = False
+        await d.clock.sleep_ms(500)
+        wasted = dict(d.counts().wasted_prefill_tokens)
+        return events, wasted, await d.held(), d.clock.now_ms()
+
+    def policy_of():
+        return deployments.Scripted(["d1", "d2"], ["p1", "p2"])
+
+    events, wasted, held, _ = run(
+        lambda: deployments.Deployment(policy=policy_of()), story
+    )
+    assert deployments.is_whole(events)
+    assert wasted == {"transfer_stalled": 401}
+    assert held == []
+
+
+@pytest.mark.parametrize("specs", [{}, {"d2": NO_RESUME}])
+def test_an_engines_death_leaves_no_gap_and_no_repeat(specs):
+    # d1 dies after some tokens. d2 goes on after them, or writes all anew
+    # when it can't resume; the caller sees each token once.
+    async def story(d):
+        task = asyncio.ensure_future(d.ask(d.request()))
+        await d.clock.sleep_ms(400)
+        await d.engine("d1").die()
+        return await task, dict(d.counts().retries)
+
+    policy = deployments.Scripted(["d1", "d2"], ["p1"])
+    events, retries = run(
+        lambda: deployments.Deployment(policy=policy, specs=specs), story
+    )
+    assert deployments.is_whole(events)
+    assert sum(retries.values()) == 1
+
+
+def test_a_replay_that_differs_is_a_broken_answer():
+    # d2 can't resume and writes another answer than d1 began. To splice the
+    # two would give the caller a verdict that no engine ever wrote.
+    async def story(d):
+        task = asyncio.ensure_future(d.ask(d.request()))
+        await d.clock.sleep_ms(400)
+        await d.engine("d1").die()
+        engine = d.engine("d2")
+        decode = engine.decode
+
+        async def other(attempt, job):
+            async for chunk in decode(attempt, job):
+                texts = tuple(text.upper() + "!" for text in chunk.tokens)
+                yield type(chunk)(chunk.first_index, texts, chunk.is_last)
+
+        engine.decode = other
+        return await task
+
+    policy = deployments.Scripted(["d1", "d2"], ["p1"])
+    events = run(
+        lambda: deployments.Deployment(policy=policy, specs={"d2": NO_RESUME}),
+        story,
+    )
+    assert events[-1].kind is errors.ErrorKind.ANSWER_BROKEN
+
+
+@pytest.mark.parametrize("gone_after_ms", [0, 1, 30, 81, 100, 300, 700])
+def test_memory_is_free_at_once_when_the_caller_leaves(gone_after_ms):
+    # The caller hangs up while waiting, reading, transferring or writing;
+    # whatever was held anywhere is released without waiting for a timer.
+    async def story(d):
+        events = d.bench.instances["e1"].answer(d.request())
+
+        async def read():
+            async with contextlib.aclosing(events) as opened:
+                async for _ in opened:
+                    pass
+
+        task = asyncio.ensure_future(read())
+        await d.clock.sleep_ms(gone_after_ms)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await d.clock.sleep_ms(50)
+        return await d.held()
+
+    policy = deployments.Scripted(["d1", "d2"], ["p1"])
+    held = run(lambda: deployments.Deployment(policy=policy), story)
+    assert held == []
+
+
+def test_an_unanswered_release_is_repeated():
+    # The engine doesn't hear the first releases. Without a repeat the slot
+    # would stay taken for a caller that has long gone.
+    async def story(d):
+        engine = d.engine("d1")
+        release, calls = engine.release, []
+
+        async def deaf(attempt_id):
+            calls.append(attempt_id)
+            if len(calls) <= 3:
+                from jujubewharf.engines import client
+
+                raise client.EngineError(client.EngineFault.LOST, "d1")
+            await release(attempt_id)
+
+        engine.release = deaf
+        events = d.bench.instances["e1"].answer(d.request(tokens=500))
+        async with contextlib.aclosing(events) as opened:
+            async for _ in opened:
+                break
+        await d.clock.sleep_ms(1_000)
+        return await d.held(), len(calls)
+
+    policy = deployments.Scripted(["d1"], ["p1"])
+    held, calls = run(lambda: deployments.Deployment(policy=policy), story)
+    assert held == []
+    assert calls >= 4
+
+
+def test_retries_stop_when_their_budget_is_used_up():
+    # Every engine loses every answer. The requests fail with a clear kind
+    # and the pool gets no more than the budget's share of further attempts.
+    async def story(d):
+        for name in ("d1", "d2"):
+            d.engine(name).lose_answers["decode"] = 10_000
+        kinds = []
+        for _ in range(20):
+            events = await d.ask(d.request())
+            kinds.append(events[-1].kind)
+        return set(kinds), d.dispatches()
+
+    policy = deployments.Scripted(["d1", "d2"], ["p1"])
+    kinds, dispatches = run(
+        lambda: deployments.Deployment(
+            policy=policy, service={"retry_ratio": 0.2}
+        ),
+        story,
+    )
+    assert kinds == {errors.ErrorKind.ENGINE_FAILED}
+    assert dispatches <= 20 + 10 + 20 * 0.2
+
+
+def test_not_repeatable_is_never_dispatched_twice():
+    # The answer to the dispatch is lost, so the engine may be writing. The
+    # caller is told "unknown", at once, and no other engine is tried.
+    async def story(d):
+        d.engine("d1").lose_answers["decode"] = 1
+        events = await d.ask(d.request(is_repeatable=False))
+        await d.clock.sleep_ms(2_000)
+        return events, d.dispatches()
+
+    policy = deployments.Scripted(["d1", "d2"], ["p1"])
+    events, dispatches = run(
+        lambda: deployments.Deployment(policy=policy), story
+    )
+    assert events[-1].kind is errors.ErrorKind.OUTCOME_UNKNOWN
+    assert events[-1].ran is errors.Ran.UNKNOWN
+    assert dispatches == 1
+
+
+def test_not_repeatable_goes_on_after_an_engines_own_refusal():
+    async def story(d):
+        await _fill(d.engine("d1"))
+        return await d.ask(d.request(is_repeatable=False)), d.dispatches()
+
+    policy = deployments.Scripted(["d1", "d2"], ["p1"])
+    events, dispatches = run(
+        lambda: deployments.Deployment(policy=policy), story
+    )
+    assert deployments.is_whole(events)
+    assert dispatches == 1
+
+
+@pytest.mark.parametrize(
+    ("deadline_ms", "ran"),
+    [(50, errors.Ran.NO), (400, errors.Ran.YES)],
+)
+def test_the_deadline_tells_whether_it_ran(deadline_ms, ran):
+    # The deadline passes while the prompt is read, or while the answer is
+    # written. "Did not run" is said only in the first case.
+    async def story(d):
+        events = await d.ask(d.request(tokens=100, deadline_ms=deadline_ms))
+        await d.clock.sleep_ms(100)
+        return events, await d.held(), d.dispatches()
+
+    policy = deployments.Scripted(["d1"], ["p1"])
+    events, held, dispatches = run(
+        lambda: deployments.Deployment(policy=policy), story
+    )
+    failed = events[-1]
+    assert isinstance(failed, model_request.Failed)
+    assert failed.kind is errors.ErrorKind.DEADLINE_EXCEEDED
+    assert failed.ran is ran
+    assert (dispatches == 0) == (ran is errors.Ran.NO)
+    assert held == []
