Asks for a slot are answered within 400 ms; late and resumed requests

Cause: a request that a dead instance or engine left behind has missed its first target, and was refused where a late answer is better than none; a silent keeper cost a request all its slack. Change: such requests wait behind those that can meet their target, resumed ones before; a keeper answers within answer_in_ms, and the asker looks again at all engines.

--- a/src/jujubewharf/peers/slot_messages.py
+++ b/src/jujubewharf/peers/slot_messages.py
@@ -41,6 +41,8 @@
         number: Of the request at the asking instance.
         ready_in_ms: Time from the grant until the slot will be needed.
         latest_in_ms: Time within which the grant must come to be of use.
+        answer_in_ms: Time within which the asker wants to hear, so that it
+            can look elsewhere and a keeper that is gone is noticed.
         hold_ms: How long the asker expects to hold the slot.
         priority: Higher goes first.
         caution: From 0 to 1, the service's weight of wasted prefill.
@@ -51,6 +53,7 @@
     number: int
     ready_in_ms: int
     latest_in_ms: int
+    answer_in_ms: int
     hold_ms: int
     priority: int = 0
     caution: float = 0.5
@@ -67,6 +70,7 @@
         from_in_ms: When the slot is expected to be free.
         until_in_ms: When the grant lapses unless the slot was taken.
         wait_ms: Without a grant, when to come back.
+        is_hopeless: The grant can't come in time at this engine.
         news: Of engines that this keeper keeps.
     """
 
@@ -74,6 +78,7 @@
     from_in_ms: int = 0
     until_in_ms: int = 0
     wait_ms: int = 0
+    is_hopeless: bool = False
     news: tuple[EngineNews, ...] = ()
 
 
--- a/src/jujubewharf/routing/keeping.py
+++ b/src/jujubewharf/routing/keeping.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 
 import mode
 
@@ -22,12 +23,20 @@
 _NEWS_AT_MOST_EVERY_MS = 500.0
 
 
+class _Outcome(enum.Enum):
+    """What became of a wish."""
+
+    GRANTED = "granted"
+    NOT_YET = "not_yet"
+    HOPELESS = "hopeless"
+
+
 class _Line:
     """The ledger of one engine and who is to be answered."""
 
     def __init__(self, ledger: slot_ledger.SlotLedger) -> None:
         self.ledger = ledger
-        self.answers: dict[slot_ledger.Holder, asyncio.Future[bool]] = {}
+        self.answers: dict[slot_ledger.Holder, asyncio.Future[_Outcome]] = {}
         self.reported_ms = -1.0
 
 
@@ -81,13 +90,16 @@
         """Answers when the slot is granted, or when it can't be in time."""
         view = self._fleet.view(ask.engine)
         if view is None or not view.takes_work:
-            return self._refusal(0.0)
+            return self._refusal(0.0, is_hopeless=True)
         line = self._line_of(view, ask.hold_ms)
         if len(line.answers) >= _MAX_LINE:
-            return self._refusal(line.ledger.wait_ms())
-        granted = await self._wait(line, _wish(peer, ask, self._clock.now_ms()))
-        if not granted:
-            return self._refusal(line.ledger.wait_ms())
+            return self._refusal(line.ledger.wait_ms(), is_hopeless=True)
+        wish = _wish(peer, ask, self._clock.now_ms())
+        outcome = await self._wait(line, wish, ask.answer_in_ms)
+        if outcome is not _Outcome.GRANTED:
+            is_hopeless = outcome is _Outcome.HOPELESS
+            wait_ms = line.ledger.wait_ms()
+            return self._refusal(wait_ms, is_hopeless=is_hopeless)
         return slot_messages.SlotAnswer(
             True,
             from_in_ms=0 if ask.is_ready else ask.ready_in_ms,
@@ -102,7 +114,7 @@
             return
         holder = slot_ledger.Holder(peer, end.number)
         line.ledger.end(holder, self._clock.now_ms())
-        self._answer(line, holder, is_granted=False)
+        self._answer(line, holder, _Outcome.NOT_YET)
         self._serve(line)
 
     async def on_held(self, peer: str, held: slot_messages.SlotsHeld) -> None:
@@ -116,36 +128,58 @@
             holder = slot_ledger.Holder(peer, number)
             line.ledger.hold(holder, now_ms - age_ms)
 
-    async def _wait(self, line: _Line, wish: slot_ledger.Wish) -> bool:
-        self._answer(line, wish.holder, is_granted=False)
+    async def _wait(
+        self, line: _Line, wish: slot_ledger.Wish, for_ms: float
+    ) -> _Outcome:
+        self._answer(line, wish.holder, _Outcome.NOT_YET)
+        future: asyncio.Future[_Outcome]
         future = asyncio.get_running_loop().create_future()
         line.answers[wish.holder] = future
         line.ledger.wish(wish)
         self._serve(line)
         try:
-            return await future
+            async with self._clock.timeout_ms(for_ms):
+                return await future
+        except TimeoutError:
+            self._forget(line, wish.holder, future)
+            return _Outcome.NOT_YET
         except asyncio.CancelledError:
-            line.ledger.end(wish.holder, self._clock.now_ms())
-            line.answers.pop(wish.holder, None)
+            self._forget(line, wish.holder, future)
             raise
 
+    def _forget(
+        self,
+        line: _Line,
+        holder: slot_ledger.Holder,
+        future: asyncio.Future[_Outcome],
+    ) -> None:
+        """Forgets a wish, unless its holder has made another since."""
+        if line.answers.get(holder) is future:
+            del line.answers[holder]
+            line.ledger.end(holder, self._clock.now_ms())
+
     def _serve(self, line: _Line) -> None:
         now_ms = self._clock.now_ms()
         for wish in line.ledger.take_hopeless(now_ms):
-            self._answer(line, wish.holder, is_granted=False)
+            self._answer(line, wish.holder, _Outcome.HOPELESS)
         while (wish_now := line.ledger.grant_next(now_ms)) is not None:
-            self._answer(line, wish_now.holder, is_granted=True)
+            self._answer(line, wish_now.holder, _Outcome.GRANTED)
 
     def _answer(
-        self, line: _Line, holder: slot_ledger.Holder, *, is_granted: bool
+        self, line: _Line, holder: slot_ledger.Holder, outcome: _Outcome
     ) -> None:
         future = line.answers.pop(holder, None)
         if future is not None and not future.done():
-            future.set_result(is_granted)
+            future.set_result(outcome)
 
-    def _refusal(self, wait_ms: float) -> slot_messages.SlotAnswer:
+    def _refusal(
+        self, wait_ms: float, *, is_hopeless: bool = False
+    ) -> slot_messages.SlotAnswer:
         return slot_messages.SlotAnswer(
-            False, wait_ms=round(wait_ms), news=self.news()
+            False,
+            wait_ms=round(wait_ms),
+            is_hopeless=is_hopeless,
+            news=self.news(),
         )
 
     def _line_of(self, view: fleets.EngineView, hold_ms: int) -> _Line:
@@ -201,7 +235,7 @@
     def _close(self, name: str, line: _Line) -> None:
         """Sends everybody who waits to the engine's new keeper."""
         for holder in list(line.answers):
-            self._answer(line, holder, is_granted=False)
+            self._answer(line, holder, _Outcome.NOT_YET)
         del self._lines[name]
 
     @mode.Service.task
--- a/src/jujubewharf/routing/product.py
+++ b/src/jujubewharf/routing/product.py
@@ -11,6 +11,7 @@
 
 import collections
 import dataclasses
+import enum
 
 import numpy as np
 
@@ -26,6 +27,9 @@
 from jujubewharf.routing import slots
 
 _MAX_ASKS = 3
+_MAX_HOPELESS = 3
+_ASK_AGAIN_MS = 5.0
+_ANSWER_IN_MS = 400.0
 _READY_WAIT_MS = 120.0
 _MARGIN = 0.9
 _NEAR_BONUS_SLOTS = 1.0
@@ -33,6 +37,20 @@
 _STEPS_TO_FIRST_TOKEN = 2.0
 
 
+class _Urgency(enum.Enum):
+    """Adds to the priority in the lines for slots.
+
+    ``RESUMED`` has tokens with its caller already. ``LATE`` has missed its
+    first target, as after a failure, or can't meet it however short the
+    lines are; it takes what is left over, for a late answer is better than
+    none.
+    """
+
+    RESUMED = 1_000
+    IN_TIME = 0
+    LATE = -1_000
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Plan:
     """One way to run a request.
@@ -114,25 +132,41 @@
             self._hold_times_of(job).add(held_ms)
 
     async def _seek_promise(self, job: jobs.Job) -> jobs.Decision:
-        asked: set[str] = set()
+        hopeless: set[str] = set()
+        urgency: _Urgency | None = None
         while True:
             plans = self._plans(job)
             if not plans:
                 return jobs.Refusal(errors.ErrorKind.NO_FITTING_ENGINE)
-            fresh = [p for p in plans if p.decode.endpoint.name not in asked]
-            plan = min(fresh, key=self._rank, default=None)
-            if plan is None or len(asked) >= _MAX_ASKS:
+            left = [p for p in plans if p.decode.endpoint.name not in hopeless]
+            plan = min(left, key=self._rank, default=None)
+            if plan is None or len(hopeless) >= _MAX_HOPELESS:
                 return self._refusal(errors.ErrorKind.DEADLINE_UNREACHABLE, job)
-            left_ms = job.first_answer_by_ms - self._clock.now_ms()
-            latest_ms = left_ms - plan.first_ms
-            asked.add(plan.decode.endpoint.name)
-            if latest_ms < 0:
-                continue
-            ready_ms = plan.ready_ms
-            ask = self._ask(job, plan.decode, ready_ms, latest_ms)
-            answer = await self._slots.ask(plan.decode, ask)
+            if urgency is None:
+                urgency = _urgency(job, self._clock.now_ms() + plan.first_ms)
+            answer = await self._ask_for_promise(job, plan, urgency)
             if answer.is_granted:
                 return self._start(job, plan)
+            if answer.is_hopeless:
+                hopeless.add(plan.decode.endpoint.name)
+            else:
+                await self._clock.sleep_ms(_ASK_AGAIN_MS)
+
+    async def _ask_for_promise(
+        self, job: jobs.Job, plan: _Plan, urgency: _Urgency
+    ) -> slot_messages.SlotAnswer:
+        match urgency:
+            case _Urgency.IN_TIME:
+                by_ms = job.first_answer_by_ms
+            case _:
+                by_ms = job.deadline_at_ms
+        latest_ms = by_ms - self._clock.now_ms() - plan.first_ms
+        if latest_ms < 0:
+            return slot_messages.SlotAnswer(False, is_hopeless=True)
+        ask = self._ask(
+            job, plan.decode, plan.ready_ms, latest_ms, urgency=urgency
+        )
+        return await self._slots.ask(plan.decode, ask)
 
     def _start(self, job: jobs.Job, plan: _Plan) -> jobs.Choice:
         """Starts reading on what is the best engine by now."""
@@ -232,14 +266,17 @@
         latest_ms: float,
         *,
         is_ready: bool = False,
+        urgency: _Urgency = _Urgency.IN_TIME,
     ) -> slot_messages.SlotAsk:
+        latest_ms = max(1.0, latest_ms * _MARGIN)
         return slot_messages.SlotAsk(
             view.endpoint.name,
             job.number,
             ready_in_ms=round(ready_ms),
-            latest_in_ms=max(1, round(latest_ms * _MARGIN)),
+            latest_in_ms=round(latest_ms),
+            answer_in_ms=round(min(latest_ms, _ANSWER_IN_MS)),
             hold_ms=round(self._hold_times_of(job).mean_ms),
-            priority=job.priority,
+            priority=job.priority + urgency.value,
             caution=job.service.waste_weight,
             is_ready=is_ready,
         )
@@ -263,3 +300,11 @@
 def _first_steps_ms(view: fleets.EngineView) -> float:
     step_ms = view.report.step_ms if view.report is not None else 0.0
     return step_ms * _STEPS_TO_FIRST_TOKEN
+
+
+def _urgency(job: jobs.Job, earliest_first_ms: float) -> _Urgency:
+    if job.first_index > 0:
+        return _Urgency.RESUMED
+    if earliest_first_ms > job.first_answer_by_ms:
+        return _Urgency.LATE
+    return _Urgency.IN_TIME
--- a/src/jujubewharf/routing/slots.py
+++ b/src/jujubewharf/routing/slots.py
@@ -103,7 +103,7 @@
     async def _ask(
         self, keeper: str, ask: slot_messages.SlotAsk
     ) -> slot_messages.SlotAnswer | None:
-        timeout_ms = ask.latest_in_ms + _ANSWER_MARGIN_MS
+        timeout_ms = ask.answer_in_ms + _ANSWER_MARGIN_MS
         try:
             answer = await self._peers.ask(keeper, ask, timeout_ms=timeout_ms)
         except network.PeerError:
