--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -35,10 +35,13 @@
 from jujubewharf.engines import http_endpoint
 from jujubewharf.membership import facts
 from jujubewharf.membership import membership as memberships
+from jujubewharf.operators import server as operator_server
+from jujubewharf.operators import service as operator_service
 from jujubewharf.orders import leases
 from jujubewharf.orders import ownership
 from jujubewharf.orders import reconciler
 from jujubewharf.orders import turn
+from jujubewharf.peers import keys as peer_keys
 from jujubewharf.peers import mesh
 from jujubewharf.peers import peer
 from jujubewharf.peers import streams
@@ -101,6 +104,7 @@
         fleet: Views of the engines.
         leases: Leases on the log.
         orders: Orders to engines.
+        operators: Answers operators.
         accounts: Client accounts in force here.
         model_limits: Limits of model requests here.
         plain_limits: Limits of plain calls here.
@@ -146,7 +150,13 @@
             poll_ms=settings.platform.live_list_poll_ms,
         )
         self.configuration = follower.ConfigurationFollower(
-            adapters.log, clock, wait_ms=settings.platform.log_wait_ms
+            adapters.log,
+            clock,
+            wait_ms=settings.platform.log_wait_ms,
+            instance=settings.instance,
+            network=self.peers,
+            membership=self.membership,
+            retention_ms=settings.platform.log_retention_ms,
         )
         self.changes = changes.Changes(self.configuration, adapters.log, clock)
         self.fleet = fleets.Fleet(adapters.make_engine_client, clock)
@@ -210,6 +220,8 @@
             clock,
             self.runner.counters,
         )
+        self.operators = operator_service.OperatorService(self)
+
         self.accounts = accounts.Accounts()
         self.configuration.listen(self.accounts.on_configuration)
         self.model_limits, self.plain_limits = (
@@ -302,6 +314,7 @@
     Attributes:
         core: The instance's core, once started.
         callers: The caller edge, once started.
+        operators: The operator RPC, once started.
     """
 
     def __init__(
@@ -313,10 +326,15 @@
         self._sessions: list[aiohttp.ClientSession] = []
         self.core: EntryCore | None = None
         self.callers: edge.CallerEdge | None = None
+        self.operators: operator_server.OperatorServer | None = None
 
     async def on_start(self) -> None:
         """Makes the adapters and starts core and edges."""
-        self.core = EntryCore(self._settings, self._clock, self._adapters())
+        peers = self._settings.peers
+        transport = peer_keys.make_transport(peers)
+        self.core = EntryCore(
+            self._settings, self._clock, self._adapters(transport)
+        )
         gauges.watch(self.core)
         callers = self._settings.callers
         self.callers = edge.CallerEdge(
@@ -330,8 +348,22 @@
             plain_paths.PlainServices(self.core, self._clock, callers),
             readiness.Readiness(self.core.configuration.caught_up),
         )
+        self.operators = operator_server.OperatorServer(
+            self._settings.operators, self.core.operators, self._clock
+        )
         await self.add_runtime_dependency(self.core)
+        await self.add_runtime_dependency(self.operators)
         await self.add_runtime_dependency(self.callers)
+        files = peer_keys.files_of(peers)
+        if files is not None:
+            reloader = peer_keys.KeyReloader(
+                files,
+                transport,
+                self.core.peers,
+                self._clock,
+                poll_ms=peers.tls_poll_ms,
+            )
+            await self.add_runtime_dependency(reloader)
 
     async def on_shutdown(self) -> None:
         """Closes the client sessions once all parts stopped."""
@@ -350,10 +382,9 @@
         self._sessions.append(session)
         return session
 
-    def _adapters(self) -> Adapters:
+    def _adapters(self, transport: streams.Transport) -> Adapters:
         session = self._new_session()
         platform = self._settings.platform
-        peers = self._settings.peers
 
         def make_engine_client(
             endpoint: resources.Endpoint,
@@ -372,5 +403,5 @@
             ),
             make_engine_client=make_engine_client,
             endpoints=http_endpoint.HttpEndpointClient(self._new_session()),
-            transport=streams.TcpTransport(peers.host, peers.port),
+            transport=transport,
         )
