Engines are polled by their keepers only; a breaker for failing engines

Cause: every instance polled every engine four times a second, which no budget of 3 KB/s allows at size; one unanswered poll held all others up. Change: keepers poll, four polls a second an instance in all, and tell the others in LoadNews and with every answer; an engine without news for 10 s is polled by whoever needs it. A breaker opens after failures, doubling.

--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -181,6 +181,7 @@
             rng = np.random.default_rng(seed)
             policy = product.Product(clock, rng)
         if isinstance(policy, policies.WaitingPolicy):
+            self.fleet.polls = self.keeping.is_keeper
             policy.join(
                 policies.Surroundings(
                     self.fleet, self.peers, self.membership, settings.domain
--- a/src/jujubewharf/peers/slot_messages.py
+++ b/src/jujubewharf/peers/slot_messages.py
@@ -22,6 +22,7 @@
         wait_ms: Expected wait of a new request.
         queued_tokens: Prompt tokens waiting to be read.
         is_usable: Whether new work may be sent there.
+        step_ms: Time between tokens.
     """
 
     engine: str
@@ -29,6 +30,7 @@
     wait_ms: int
     queued_tokens: int
     is_usable: bool
+    step_ms: int = 0
 
 
 @messages.message(40)
--- a/src/jujubewharf/routing/fleet.py
+++ b/src/jujubewharf/routing/fleet.py
@@ -13,11 +13,14 @@
 from jujubewharf.configuration import state as states
 from jujubewharf.engines import client as engine_client
 from jujubewharf.peers import slot_messages
+from jujubewharf.routing import breaker as breakers
 
 ClientFactory = Callable[[resources.Endpoint], engine_client.EngineClient]
 Withheld = Callable[[str], bool]
 
 _POLL_MS = 250.0
+_POLL_TIMEOUT_MS = 1_000.0
+_NEWS_LAST_MS = 10_000.0
 _LEAVING_MS = 3_000.0
 _DEFAULT_KV_BYTES_PER_TOKEN = resources.Model("").kv_bytes_per_token
 
@@ -34,11 +37,11 @@
         heard_ms: When that came; ``None`` before the first.
         own_slots: Slots that this instance's requests hold there.
         own_prefill_tokens: Prompt tokens this instance has sent there.
-        is_suspect: Whether its last call found nobody.
         leaving_until_ms: Until when somebody's word that it leaves counts.
         news: What its keeper said last.
         news_ms: When that came; ``None`` before the first.
         asked_since_news: Slots asked for here since then.
+        breaker: Keeps work away while calls fail.
         withheld: Tells whether new work is kept from an engine for now.
     """
 
@@ -49,12 +52,20 @@
     heard_ms: float | None = None
     own_slots: int = 0
     own_prefill_tokens: int = 0
-    is_suspect: bool = False
     leaving_until_ms: float = -math.inf
     news: slot_messages.EngineNews | None = None
     news_ms: float | None = None
     asked_since_news: int = 0
     withheld: Withheld = lambda name: False
+    breaker: breakers.Breaker = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.breaker = breakers.Breaker(self.clock)
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether recent calls failed."""
+        return self.breaker.is_open
 
     @property
     def takes_work(self) -> bool:
@@ -69,6 +80,20 @@
             return not self.report.is_leaving
         return self.news is not None and self.news.is_usable
 
+    @property
+    def has_news(self) -> bool:
+        """Whether its keeper was heard from lately."""
+        if self.news_ms is None:
+            return False
+        return self.clock.now_ms() - self.news_ms < _NEWS_LAST_MS
+
+    @property
+    def step_ms(self) -> float:
+        """Time between tokens, by report or news."""
+        if self.report is not None:
+            return self.report.step_ms
+        return float(self.news.step_ms) if self.news is not None else 0.0
+
     @property
     def slots(self) -> int:
         """Slots it has, by its own word before the configuration's."""
@@ -78,9 +103,8 @@
 
     def failed(self, fault: engine_client.EngineFault) -> None:
         """Learns that a call failed."""
-        if fault is engine_client.EngineFault.UNREACHABLE:
-            self.is_suspect = True
-        elif fault is engine_client.EngineFault.REFUSED_LEAVING:
+        self.breaker.failed(fault)
+        if fault is engine_client.EngineFault.REFUSED_LEAVING:
             now_ms = self.clock.now_ms()
             self.leaving_until_ms = max(
                 self.leaving_until_ms, now_ms + _LEAVING_MS
@@ -94,7 +118,11 @@
 
 
 class Fleet(mode.Service):
-    """Views of all engines in the configuration, kept fresh by polling.
+    """Views of all engines in the configuration.
+
+    Engines that this instance keeps are polled, no more than a few a second
+    in all, for an instance has few bytes a second for control. Of the others
+    it hears from their keepers.
 
     Args:
         make_client: Makes the client of an endpoint.
@@ -102,15 +130,18 @@
 
     Attributes:
         withheld: Tells whether new work is kept from an engine for now.
+        polls: Tells whether an engine is to be polled from here.
     """
 
     def __init__(self, make_client: ClientFactory, clock: clocks.Clock) -> None:
         super().__init__()
         self.withheld: Withheld = lambda name: False
+        self.polls: Callable[[EngineView], bool] = lambda view: True
         self._make_client = make_client
         self._clock = clock
         self._views: dict[str, EngineView] = {}
         self._kv_bytes: dict[str, int] = {}
+        self._services: dict[str, resources.Service] = {}
 
     def on_configuration(self, state: states.State) -> None:
         """Takes over the engines of a configuration."""
@@ -120,6 +151,10 @@
             assert isinstance(endpoint, resources.Endpoint)
             if endpoint.role is not resources.Role.PLAIN:
                 wanted[endpoint.name] = endpoint
+        for entry in state.of_kind(resources.Kind.SERVICE):
+            service = entry.resource
+            assert isinstance(service, resources.Service)
+            self._services[service.name] = service
         for entry in state.of_kind(resources.Kind.MODEL):
             model = entry.resource
             assert isinstance(model, resources.Model)
@@ -159,6 +194,10 @@
         if view is not None:
             view.leaving_until_ms = until_ms if is_leaving else -math.inf
 
+    def service(self, name: str) -> resources.Service | None:
+        """A service, as configured."""
+        return self._services.get(name)
+
     def kv_bytes_per_token(self, model: str) -> int:
         """KV cache that a prompt token takes, as configured."""
         return self._kv_bytes.get(model, _DEFAULT_KV_BYTES_PER_TOKEN)
@@ -182,15 +221,28 @@
     @mode.Service.task
     async def _poll(self) -> None:
         while not self.should_stop:
-            for view in list(self._views.values()):
-                await self._poll_one(view)
-            await self._clock.sleep_ms(_POLL_MS)
+            polled = self._polled()
+            for view in polled:
+                self.add_future(self._poll_one(view))
+            await self._clock.sleep_ms(_POLL_MS * max(1, len(polled)))
+
+    def _polled(self) -> list[EngineView]:
+        """Engines to poll; what was known of the others is forgotten."""
+        polled = []
+        for view in self.all_views():
+            if self.polls(view) or not view.has_news:
+                polled.append(view)
+            else:
+                view.report = view.heard_ms = None
+        return polled
 
     async def _poll_one(self, view: EngineView) -> None:
         try:
-            view.report = await view.client.load()
-        except engine_client.EngineError:
-            view.is_suspect = True
+            async with self._clock.timeout_ms(_POLL_TIMEOUT_MS):
+                report = await view.client.load()
+        except (engine_client.EngineError, TimeoutError):
+            view.failed(engine_client.EngineFault.UNREACHABLE)
             return
-        view.is_suspect = False
+        view.breaker.answered()
+        view.report = report
         view.heard_ms = self._clock.now_ms()
--- a/src/jujubewharf/routing/keeping.py
+++ b/src/jujubewharf/routing/keeping.py
@@ -11,6 +11,7 @@
 from jujubewharf.membership import view as membership
 from jujubewharf.peers import network
 from jujubewharf.peers import slot_messages
+from jujubewharf.routing import fitting
 from jujubewharf.routing import fleet as fleets
 from jujubewharf.routing import hold_times
 from jujubewharf.routing import keepers
@@ -218,9 +219,15 @@
             free,
             round(wait_ms),
             report.prefill_queued_tokens if report is not None else 0,
-            view.takes_work,
+            self._is_usable(view),
+            round(view.step_ms),
         )
 
+    def _is_usable(self, view: fleets.EngineView) -> bool:
+        service = self._fleet.service(view.endpoint.service)
+        has_model = service is None or fitting.has_model(view, service)
+        return view.takes_work and has_model
+
     def _on_members(self) -> None:
         present = frozenset(m.instance for m in self._members.present())
         for gone in sorted(self._present - present):
--- a/src/jujubewharf/routing/product.py
+++ b/src/jujubewharf/routing/product.py
@@ -298,8 +298,7 @@
 
 
 def _first_steps_ms(view: fleets.EngineView) -> float:
-    step_ms = view.report.step_ms if view.report is not None else 0.0
-    return step_ms * _STEPS_TO_FIRST_TOKEN
+    return view.step_ms * _STEPS_TO_FIRST_TOKEN
 
 
 def _urgency(job: jobs.Job, earliest_first_ms: float) -> _Urgency:
