A read prompt waits in several lines at once; scenarios of keepers

Cause: after engine deaths promises were void, and a prompt that was read asked one engine after the other until its KV cache was gone; the expected wait counted holders only, so an idle pool with six promises looked full. A SlotEnd for a wish already answered was taken for a foreign slot's end. Change: the promised engine first, then three engines at once, the first grant wins; promises count as users; SlotEnd says whether a slot was held.

--- a/src/jujubewharf/peers/slot_messages.py
+++ b/src/jujubewharf/peers/slot_messages.py
@@ -87,10 +87,17 @@
 @messages.message(42)
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotEnd(messages.Message):
-    """Gives a slot, a grant or a place in the line back."""
+    """Gives a slot, a grant or a place in the line back.
+
+    Attributes:
+        engine: Whose slot.
+        number: Of the request at the sender.
+        is_held: Whether it was a slot and not a grant or a place.
+    """
 
     engine: str
     number: int
+    is_held: bool = False
 
 
 @messages.message(43)
--- a/src/jujubewharf/routing/keeping.py
+++ b/src/jujubewharf/routing/keeping.py
@@ -114,7 +114,7 @@
         if line is None:
             return
         holder = slot_ledger.Holder(peer, end.number)
-        line.ledger.end(holder, self._clock.now_ms())
+        line.ledger.end(holder, self._clock.now_ms(), was_held=end.is_held)
         self._answer(line, holder, _Outcome.NOT_YET)
         self._serve(line)
 
--- a/src/jujubewharf/routing/product.py
+++ b/src/jujubewharf/routing/product.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections
 import dataclasses
 import enum
@@ -17,6 +18,7 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
+from jujubewharf.configuration import resources
 from jujubewharf.peers import slot_messages
 from jujubewharf.routing import fitting
 from jujubewharf.routing import fleet as fleets
@@ -30,7 +32,8 @@
 _MAX_HOPELESS = 3
 _ASK_AGAIN_MS = 5.0
 _ANSWER_IN_MS = 400.0
-_READY_WAIT_MS = 120.0
+_READY_WAIT_MS = 300.0
+_PROMISED_WAIT_MS = 40.0
 _MARGIN = 0.9
 _NEAR_BONUS_SLOTS = 1.0
 _SHORTEST_RETRY_MS = 200.0
@@ -114,13 +117,43 @@
             if not views:
                 return jobs.Refusal(errors.ErrorKind.NO_FITTING_ENGINE)
             ordered = self._by_room(views, first=promised)
-            for view in ordered[:_MAX_ASKS]:
-                ask = self._ask(job, view, 0.0, _READY_WAIT_MS, is_ready=True)
-                answer = await self._slots.ask(view, ask)
-                if answer.is_granted:
-                    self._held_since_ms[job.number] = self._clock.now_ms()
-                    return jobs.Choice(view.endpoint)
+            if promised is not None:
+                ordered = ordered[:1]
+            found = await self._first_free(job, ordered[:_MAX_ASKS])
+            if found is not None:
+                self._held_since_ms[job.number] = self._clock.now_ms()
+                self._slots.end(job.number, but=found.name)
+                return jobs.Choice(found)
             promised = None
+            await self._clock.sleep_ms(_ASK_AGAIN_MS)
+
+    async def _first_free(
+        self, job: jobs.Job, views: list[fleets.EngineView]
+    ) -> resources.Endpoint | None:
+        """Waits in several lines at once; the first slot is taken."""
+        for_ms = _PROMISED_WAIT_MS if len(views) == 1 else _READY_WAIT_MS
+        asks = {
+            asyncio.ensure_future(
+                self._slots.ask(
+                    view, self._ask(job, view, 0.0, for_ms, is_ready=True)
+                )
+            ): view
+            for view in views
+        }
+        try:
+            waiting = set(asks)
+            while waiting:
+                done, waiting = await asyncio.wait(
+                    waiting, return_when=asyncio.FIRST_COMPLETED
+                )
+                for ask, view in asks.items():
+                    if ask in done and ask.result().is_granted:
+                        return view.endpoint
+            return None
+        finally:
+            for ask in asks:
+                ask.cancel()
+            await asyncio.gather(*asks, return_exceptions=True)
 
     def ended(self, job: jobs.Job, *, is_prefilled: bool) -> None:
         """Gives everything back; see ``policy.WaitingPolicy``."""
--- a/src/jujubewharf/routing/slot_ledger.py
+++ b/src/jujubewharf/routing/slot_ledger.py
@@ -134,14 +134,22 @@
             self._explain_one()
         self._held[holder] = since_ms
 
-    def end(self, holder: Holder, now_ms: float) -> None:
-        """Takes back whatever a request holds, was promised or waits for."""
+    def end(
+        self, holder: Holder, now_ms: float, *, was_held: bool = False
+    ) -> None:
+        """Takes back whatever a request holds, was promised or waits for.
+
+        Args:
+            holder: The request.
+            now_ms: Clock reading.
+            was_held: Its own word, for slots of an earlier keeper's time.
+        """
         self._line.pop(holder, None)
-        was_promised = self._promised.pop(holder, None) is not None
+        self._promised.pop(holder, None)
         since_ms = self._held.pop(holder, None)
         if since_ms is not None:
             self._hold_times.add(now_ms - since_ms)
-        elif not was_promised and self.foreign:
+        elif was_held and self.foreign:
             self._explain_one()
 
     def forget_instance(self, instance: str) -> None:
@@ -199,7 +207,8 @@
         needed = place + 1 + len(self._promised) - self.free
         if needed <= 0:
             return 0.0
-        users = max(1, len(self._held) + self.foreign)
+        users = len(self._held) + self.foreign + len(self._promised)
+        users = max(1, min(users, self.slots))
         return needed * self._hold_times.mean_ms / users
 
     def _can_promise(self, wish: Wish, now_ms: float) -> bool:
--- a/src/jujubewharf/routing/slots.py
+++ b/src/jujubewharf/routing/slots.py
@@ -17,10 +17,16 @@
 
 @dataclasses.dataclass(slots=True)
 class _Grant:
-    engine: str
+    """What a request waits for, was promised or holds at one engine."""
+
     keeper: str
     since_ms: float
-    is_held: bool
+    is_ready: bool
+    is_granted: bool = False
+
+    @property
+    def is_held(self) -> bool:
+        return self.is_ready and self.is_granted
 
 
 class Slots:
@@ -38,7 +44,7 @@
         self._peers = surroundings.peers
         self._members = surroundings.members
         self._clock = clock
-        self._grants: dict[int, _Grant] = {}
+        self._grants: dict[int, dict[str, _Grant]] = {}
         self._silent_until_ms: dict[str, float] = {}
         self._keepers: dict[str, str | None] = {}
         self._peers.handle(slot_messages.LoadNews, self._on_news)
@@ -46,8 +52,10 @@
 
     def granted_engine(self, number: int) -> str | None:
         """The engine whose slot a request holds or was promised."""
-        grant = self._grants.get(number)
-        return grant.engine if grant is not None else None
+        grants = self._grants.get(number, {})
+        return next(
+            (n for n, grant in grants.items() if grant.is_granted), None
+        )
 
     async def ask(
         self, view: fleets.EngineView, ask: slot_messages.SlotAsk
@@ -58,12 +66,10 @@
         which judges by the engine's reports; the engine has the last word.
         """
         keeper = self._keeper_of(view)
-        self.end(ask.number, but_promised_by=(view.endpoint.name, keeper))
         view.asked_since_news += 1
-        grant = _Grant(
-            view.endpoint.name, keeper, self._clock.now_ms(), ask.is_ready
-        )
-        self._grants[ask.number] = grant
+        grant = _Grant(keeper, self._clock.now_ms(), ask.is_ready)
+        grants = self._grants.setdefault(ask.number, {})
+        grants[ask.engine] = grant
         answer = await self._ask(keeper, ask)
         if answer is None and keeper != self._peers.instance:
             self._silent_until_ms[keeper] = (
@@ -75,22 +81,25 @@
             answer = slot_messages.SlotAnswer(False)
         self._take_news(answer.news)
         grant.since_ms = self._clock.now_ms()
-        if not answer.is_granted and self._grants.get(ask.number) is grant:
-            del self._grants[ask.number]
+        grant.is_granted = answer.is_granted
+        if not answer.is_granted and grants.get(ask.engine) is grant:
+            del grants[ask.engine]
         return answer
 
-    def end(
-        self, number: int, *, but_promised_by: tuple[str, str] | None = None
-    ) -> None:
-        """Gives back what a request holds, was promised or waits for."""
-        grant = self._grants.get(number)
-        if grant is None:
-            return
-        if (grant.engine, grant.keeper) == but_promised_by:
-            return
-        del self._grants[number]
-        end = slot_messages.SlotEnd(grant.engine, number)
-        self._peers.tell(grant.keeper, end)
+    def end(self, number: int, *, but: str | None = None) -> None:
+        """Gives back what a request holds, was promised or waits for.
+
+        Args:
+            number: Of the request.
+            but: An engine whose slot it keeps.
+        """
+        grants = self._grants.pop(number, {})
+        for engine, grant in grants.items():
+            if engine == but:
+                self._grants[number] = {engine: grant}
+                continue
+            end = slot_messages.SlotEnd(engine, number, grant.is_held)
+            self._peers.tell(grant.keeper, end)
 
     def _keeper_of(self, view: fleets.EngineView) -> str:
         keeper = keepers.keeper_of(view.endpoint, self._members.present())
@@ -137,8 +146,9 @@
     def _tell_held(self, engine: str, keeper: str) -> None:
         now_ms = self._clock.now_ms()
         held = []
-        for number, grant in sorted(self._grants.items()):
-            if grant.engine == engine and grant.is_held:
+        for number, grants in sorted(self._grants.items()):
+            grant = grants.get(engine)
+            if grant is not None and grant.is_held:
                 grant.keeper = keeper
                 held.append((number, round(now_ms - grant.since_ms)))
         if held:
--- /dev/null
+++ b/tests/routing/test_breaker.py
@@ -0,0 +1,52 @@
+"""The breaker keeps work from an engine whose calls fail."""
+
+from __future__ import annotations
+
+from jujubewharf import clock as clocks
+from jujubewharf.engines import client
+from jujubewharf.experiments import virtual_time
+from jujubewharf.routing import breaker as breakers
+
+_GONE = client.EngineFault.UNREACHABLE
+_LOST = client.EngineFault.LOST
+
+
+def test_it_opens_for_longer_each_time_and_closes_on_an_answer():
+    async def story():
+        clock = clocks.Clock()
+        breaker = breakers.Breaker(clock)
+        open_for_ms = []
+        for _ in range(3):
+            breaker.failed(_GONE)
+            began_ms = clock.now_ms()
+            while breaker.is_open:
+                await clock.sleep_ms(100)
+            open_for_ms.append(clock.now_ms() - began_ms)
+        breaker.failed(_GONE)
+        breaker.answered()
+        return open_for_ms, breaker.is_open
+
+    open_for_ms, is_open = virtual_time.run(story())
+    assert open_for_ms == [500, 1_000, 2_000]
+    assert not is_open
+
+
+def test_one_lost_answer_is_no_reason_but_three_are():
+    async def story():
+        breaker = breakers.Breaker(clocks.Clock())
+        opened = []
+        for _ in range(3):
+            breaker.failed(_LOST)
+            opened.append(breaker.is_open)
+        return opened
+
+    assert virtual_time.run(story()) == [False, False, True]
+
+
+def test_a_refusal_is_no_failure():
+    async def story():
+        breaker = breakers.Breaker(clocks.Clock())
+        breaker.failed(client.EngineFault.REFUSED_FULL)
+        return breaker.is_open
+
+    assert not virtual_time.run(story())
--- /dev/null
+++ b/tests/routing/test_hold_times.py
@@ -0,0 +1,35 @@
+"""Hold times are learned, and age changes what is left."""
+
+from __future__ import annotations
+
+import pytest
+
+from jujubewharf.routing import hold_times
+
+
+def test_the_prior_holds_until_enough_ended():
+    times = hold_times.HoldTimes(8_000)
+    times.add(100)
+    assert times.mean_ms == 8_000
+
+
+def test_the_mean_is_learned():
+    times = hold_times.HoldTimes(60_000)
+    for place in range(100):
+        times.add(5_000 + 10 * place)
+    assert times.mean_ms == pytest.approx(5_500, rel=0.02)
+
+
+def test_a_young_holder_of_even_times_does_not_end_soon():
+    times = hold_times.HoldTimes(1_000)
+    for _ in range(50):
+        times.add(5_000)
+    assert times.chance_of_end(1_000, 2_000) == pytest.approx(0.0)
+    assert times.chance_of_end(4_000, 2_000) > 0.9
+
+
+def test_one_older_than_all_seen_may_end_any_time():
+    times = hold_times.HoldTimes(1_000)
+    for _ in range(50):
+        times.add(5_000)
+    assert 0 < times.chance_of_end(50_000, 1_000) < 1
--- /dev/null
+++ b/tests/scenarios/test_policy.py
@@ -0,0 +1,223 @@
+"""Scenarios of keepers and their grants.
+
+The caller sees whole answers whatever happens to keepers: a grant only
+steers, the engine's own answer decides. What goes wrong without keepers is
+that instances with old reports all pick the engine that looked empty, read a
+prompt for it, and find it full.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+import pytest_bdd
+from pytest_bdd import parsers
+
+from jujubewharf.configuration import resources
+from jujubewharf.engines import client
+from jujubewharf.requests import model_request
+from jujubewharf.routing import keepers
+from jujubewharf.standins import engine as engines
+from tests.scenarios import steps
+
+pytest_bdd.scenarios("policy.feature")
+
+_SERVICE = resources.Service(
+    "verdict-llm",
+    resources.ServiceKind.MODEL,
+    model="judge",
+    first_answer_target_ms=20_000,
+)
+_TOKENS = 40
+
+
+class Story:
+    """A world, its engines, and what was answered."""
+
+    def __init__(self):
+        self.world = steps.World()
+        self.bench = self.world.bench
+        self.world.run(self.bench.declare(_SERVICE))
+        self.ends = []
+        self.refused_full = 0
+
+    def add_engine(self, name, domain, role, *, capabilities=None, lag_ms=500):
+        capabilities = capabilities or resources.Capabilities()
+        endpoint = resources.Endpoint(
+            name,
+            _SERVICE.name,
+            f"127.0.0.1:{name}",
+            domain,
+            resources.Role(role),
+            slots=4,
+            capabilities=capabilities,
+        )
+        spec = engines.EngineSpec(
+            slots=4,
+            role=role,
+            model="judge",
+            capabilities=capabilities,
+            report_lag_ms=lag_ms,
+        )
+
+        def add():
+            engine = self.bench.add_engine(endpoint, spec)
+            self._watch(engine)
+
+        self.world.act(add)
+        self.world.run(self.bench.declare(endpoint))
+
+    def _watch(self, engine):
+        reserve = engine.reserve
+
+        async def watched(attempt):
+            try:
+                await reserve(attempt)
+            except client.EngineError as error:
+                full = client.EngineFault.REFUSED_FULL
+                self.refused_full += error.fault is full
+                raise
+
+        engine.reserve = watched
+
+    async def ask(self, instance, number):
+        request = model_request.ModelRequest(
+            request_id=f"r-{instance.name}-{number}",
+            key=f"k-{instance.name}-{number}",
+            body_digest="",
+            account="",
+            service=_SERVICE,
+            prompt=f"answer_tokens={_TOKENS} " + "word " * 400,
+            max_tokens=_TOKENS,
+            arrived_ms=self.bench.clock.now_ms(),
+            deadline_ms=40_000,
+        )
+        answer = instance.core.answer(request)
+        self.ends.append([event async for event in answer][-1])
+
+    def living(self):
+        return [
+            instance
+            for instance in self.bench.instances.values()
+            if not instance.process.is_dead
+        ]
+
+    def ask_all(self, count, over_s):
+        async def work():
+            asked = []
+            for number in range(count):
+                for instance in self.living():
+                    name = number + 100 * len(self.ends)
+                    asked.append(
+                        asyncio.ensure_future(self.ask(instance, name))
+                    )
+                await self.bench.clock.sleep_ms(over_s * 1_000 / count)
+            await asyncio.gather(*asked)
+
+        self.world.run(work())
+
+
+@pytest.fixture
+def story():
+    told = Story()
+    yield told
+    told.world.close()
+
+
+@pytest_bdd.given("two decode engines of 4 slots whose reports are 5 s old")
+def two_decode_engines(story):
+    for name, domain in (("d1", "a"), ("d2", "b")):
+        story.add_engine(name, domain, "decode", lag_ms=5_000)
+    story.add_engine("p1", "a", "prefill", lag_ms=5_000)
+
+
+@pytest_bdd.given('a decode engine "d1" that can\'t import KV cache')
+def no_import(story):
+    capabilities = resources.Capabilities(kv_import=False)
+    story.add_engine("d1", "a", "both", capabilities=capabilities)
+
+
+@pytest_bdd.given('a prefill engine "p1" that can\'t export KV cache')
+def no_export(story):
+    capabilities = resources.Capabilities(kv_export=False)
+    story.add_engine("p1", "b", "prefill", capabilities=capabilities)
+
+
+@pytest_bdd.given('3 instances in each of domains "a" and "b"')
+def instances(story):
+    for domain in ("a", "b"):
+        for number in range(3):
+            name = f"e-{domain}{number}"
+            story.world.run(story.bench.start_instance(name, domain))
+    story.world.wait_s(8)
+
+
+@pytest_bdd.when("every instance is asked 3 questions at once")
+def ask_at_once(story):
+    story.ask_all(3, 0)
+
+
+@pytest_bdd.when(
+    parsers.parse("every living instance is asked {count:d} questions over 6 s")
+)
+def ask_over_time(story, count):
+    story.ask_all(count, 6)
+
+
+@pytest_bdd.when('the keeper of "d1" dies')
+def keeper_dies(story):
+    core = story.living()[0].core
+    endpoint = core.fleet.view("d1").endpoint
+    keeper = keepers.keeper_of(endpoint, core.membership.present())
+    story.world.act(lambda: story.bench.kill_instance(keeper))
+
+
+@pytest_bdd.when('the peers of domain "a" are cut off')
+def cut_peers(story):
+    story.world.act(
+        lambda: story.bench.cut_domain(
+            "a", from_log=False, from_list=False, from_engines_elsewhere=False
+        )
+    )
+
+
+@pytest_bdd.when('the instances are told that "d1" is leaving')
+def told_leaving(story):
+    for instance in story.living():
+        instance.core.fleet.mark_leaving("d1", True)
+
+
+@pytest_bdd.then("no engine refused a reservation for lack of slots")
+def none_refused(story):
+    assert story.refused_full == 0
+
+
+@pytest_bdd.then("no prompt was read in vain")
+def none_wasted(story):
+    for engine in story.bench.engines.values():
+        assert engine.counts.wasted_prefill_tokens == 0
+
+
+@pytest_bdd.then("every question is answered whole")
+def all_whole(story):
+    kinds = [type(end) for end in story.ends]
+    assert kinds == [model_request.Finished] * len(kinds)
+    assert all(end.count == _TOKENS for end in story.ends)
+
+
+@pytest_bdd.then("no slot stays held")
+def none_held(story):
+    story.world.wait_s(1)
+    for engine in story.bench.engines.values():
+        assert story.world.run(engine.held()) == ()
+
+
+@pytest_bdd.then(parsers.parse('"{name}" wrote nothing'))
+def wrote_nothing(story, name):
+    assert story.bench.engine(name).counts.decoded_tokens == 0
+
+
+@pytest_bdd.then(parsers.parse('"{name}" read nothing'))
+def read_nothing(story, name):
+    assert story.bench.engine(name).counts.prefilled_tokens == 0
