Prompts are announced to the keepers of prefill engines

Change: before a prompt is sent, its instance tells the engine's keeper and is answered with the queue ahead; when another engine is better by 30 ms it moves there. Two short messages and one hop a request more.

--- a/src/jujubewharf/experiments/virtual_time.py
+++ b/src/jujubewharf/experiments/virtual_time.py
@@ -20,6 +20,8 @@
 
 _Result = TypeVar("_Result")
 
+_CANCEL_ROUNDS = 10
+
 OWNER: contextvars.ContextVar[object | None] = contextvars.ContextVar(
     "owner", default=None
 )
@@ -178,10 +180,16 @@
 
 
 def _cancel_rest(loop: asyncio.AbstractEventLoop) -> None:
-    rest = asyncio.all_tasks(loop)
-    if not rest:
-        return
-    for task in rest:
-        task.cancel()
-    gathered = asyncio.gather(*rest, return_exceptions=True)
-    loop.run_until_complete(gathered)
+    """Cancels all tasks, and those that the cancelled ones start in turn.
+
+    A task left over is destroyed by the garbage collector at any later
+    moment; within ``ast.parse`` that is a ``SystemError`` of Python 3.11.
+    """
+    for _ in range(_CANCEL_ROUNDS):
+        rest = asyncio.all_tasks(loop)
+        if not rest:
+            return
+        for task in rest:
+            task.cancel()
+        gathered = asyncio.gather(*rest, return_exceptions=True)
+        loop.run_until_complete(gathered)
--- a/src/jujubewharf/peers/slot_messages.py
+++ b/src/jujubewharf/peers/slot_messages.py
@@ -117,6 +117,34 @@
 @messages.message(44)
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadNews(messages.Message):
-    """Tells others of the engines that the sender keeps."""
+    """Tells others of the engines that the sender keeps.
+
+    It also answers ``ReadAsk``, with the queue ahead of that prompt.
+    """
 
     news: tuple[EngineNews, ...]
+
+
+@messages.message(45)
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadAsk(messages.Message):
+    """Tells a keeper of a prompt about to be sent; answered at once.
+
+    Attributes:
+        engine: Where to.
+        number: Of the request at the asking instance.
+        tokens: Length of the prompt.
+    """
+
+    engine: str
+    number: int
+    tokens: int
+
+
+@messages.message(46)
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadEnd(messages.Message):
+    """Tells a keeper that a prompt was read, or won't be."""
+
+    engine: str
+    number: int
--- a/src/jujubewharf/routing/keeping.py
+++ b/src/jujubewharf/routing/keeping.py
@@ -15,11 +15,12 @@
 from jujubewharf.routing import fleet as fleets
 from jujubewharf.routing import hold_times
 from jujubewharf.routing import keepers
+from jujubewharf.routing import read_ledger
 from jujubewharf.routing import slot_ledger
 
 _SERVE_EVERY_MS = 20.0
 _MAX_LINE = 512
-_NEWS_BYTES_PER_S = 600.0
+_NEWS_BYTES_PER_S = 1_000.0
 _NEWS_BYTES = 40.0
 _NEWS_AT_MOST_EVERY_MS = 500.0
 
@@ -66,9 +67,12 @@
         self._lines: dict[str, _Line] = {}
         self._hold_times: dict[str, hold_times.HoldTimes] = {}
         self._present: frozenset[str] = frozenset()
+        self._reads: dict[str, read_ledger.ReadLedger] = {}
         peers.handle(slot_messages.SlotAsk, self.on_ask)
         peers.handle(slot_messages.SlotEnd, self.on_end)
         peers.handle(slot_messages.SlotsHeld, self.on_held)
+        peers.handle(slot_messages.ReadAsk, self.on_read)
+        peers.handle(slot_messages.ReadEnd, self.on_read_end)
         members.listen(self._on_members)
 
     def is_keeper(self, view: fleets.EngineView) -> bool:
@@ -129,6 +133,25 @@
             holder = slot_ledger.Holder(peer, number)
             line.ledger.hold(holder, now_ms - age_ms)
 
+    async def on_read(
+        self, peer: str, ask: slot_messages.ReadAsk
+    ) -> slot_messages.LoadNews:
+        """Notes a prompt about to be sent, and tells what is ahead of it."""
+        news = self.news()
+        now_ms = self._clock.now_ms()
+        reads = self._reads.get(ask.engine)
+        if reads is None:
+            reads = self._reads[ask.engine] = read_ledger.ReadLedger(now_ms)
+        holder = slot_ledger.Holder(peer, ask.number)
+        reads.begin(holder, ask.tokens, now_ms)
+        return slot_messages.LoadNews(news)
+
+    async def on_read_end(self, peer: str, end: slot_messages.ReadEnd) -> None:
+        """Notes that a prompt was read, or won't be."""
+        reads = self._reads.get(end.engine)
+        if reads is not None:
+            reads.end(slot_ledger.Holder(peer, end.number))
+
     async def _wait(
         self, line: _Line, wish: slot_ledger.Wish, for_ms: float
     ) -> _Outcome:
@@ -218,11 +241,19 @@
             view.endpoint.name,
             free,
             round(wait_ms),
-            report.prefill_queued_tokens if report is not None else 0,
+            self._queued_tokens(view),
             self._is_usable(view),
             round(view.step_ms),
         )
 
+    def _queued_tokens(self, view: fleets.EngineView) -> int:
+        report = view.report
+        reported = report.prefill_queued_tokens if report is not None else 0
+        reads = self._reads.get(view.endpoint.name)
+        if reads is None:
+            return reported
+        return reads.queued_tokens(reported, self._clock.now_ms())
+
     def _is_usable(self, view: fleets.EngineView) -> bool:
         service = self._fleet.service(view.endpoint.service)
         has_model = service is None or fitting.has_model(view, service)
@@ -233,11 +264,17 @@
         for gone in sorted(self._present - present):
             for line in self._lines.values():
                 line.ledger.forget_instance(gone)
+            for reads in self._reads.values():
+                reads.forget_instance(gone)
         self._present = present
         for name, line in list(self._lines.items()):
             view = self._fleet.view(name)
             if view is None or not self.is_keeper(view):
                 self._close(name, line)
+        for name in list(self._reads):
+            view = self._fleet.view(name)
+            if view is None or not self.is_keeper(view):
+                del self._reads[name]
 
     def _close(self, name: str, line: _Line) -> None:
         """Sends everybody who waits to the engine's new keeper."""
--- a/src/jujubewharf/routing/product.py
+++ b/src/jujubewharf/routing/product.py
@@ -31,6 +31,8 @@
 _MAX_ASKS = 3
 _MAX_HOPELESS = 3
 _ASK_AGAIN_MS = 5.0
+_MAX_READ_ASKS = 3
+_WORTH_A_MOVE_MS = 30.0
 _ANSWER_IN_MS = 400.0
 _READY_WAIT_MS = 300.0
 _PROMISED_WAIT_MS = 40.0
@@ -111,6 +113,7 @@
     async def wait_for_decode(self, job: jobs.Job) -> jobs.Decision:
         """Waits for a slot for a prompt that was read, as long as it takes."""
         self._reading.done(job.number)
+        self._slots.end_read(job.number)
         promised = self._slots.granted_engine(job.number)
         while True:
             views = fitting.importers(fitting.usable(job, self._here.fleet))
@@ -158,6 +161,7 @@
     def ended(self, job: jobs.Job, *, is_prefilled: bool) -> None:
         """Gives everything back; see ``policy.WaitingPolicy``."""
         self._reading.dropped(job.number)
+        self._slots.end_read(job.number)
         self._slots.end(job.number)
         since_ms = self._held_since_ms.pop(job.number, None)
         if since_ms is not None:
@@ -179,7 +183,7 @@
                 urgency = _urgency(job, self._clock.now_ms() + plan.first_ms)
             answer = await self._ask_for_promise(job, plan, urgency)
             if answer.is_granted:
-                return self._start(job, plan)
+                return await self._start(job, plan)
             if answer.is_hopeless:
                 hopeless.add(plan.decode.endpoint.name)
             else:
@@ -201,20 +205,37 @@
         )
         return await self._slots.ask(plan.decode, ask)
 
-    def _start(self, job: jobs.Job, plan: _Plan) -> jobs.Choice:
+    async def _start(self, job: jobs.Job, plan: _Plan) -> jobs.Choice:
         """Starts reading on what is the best engine by now."""
         if plan.prefill is None:
             self._held_since_ms[job.number] = self._clock.now_ms()
             return jobs.Choice(plan.decode.endpoint)
-        views = fitting.usable(job, self._here.fleet)
-        prefill = self._best_prefill(job, fitting.exporters(views))
-        prefill = prefill or plan.prefill
+        prefill = plan.prefill
+        for _ in range(_MAX_READ_ASKS):
+            best = self._best_prefill(job) or prefill
+            if self._saved_ms(job, prefill, best) < _WORTH_A_MOVE_MS:
+                best = prefill
+            is_told = self._slots.read_engine(job.number) == best.endpoint.name
+            prefill = best
+            if is_told:
+                break
+            await self._slots.ask_read(prefill, job.number, job.prompt_tokens)
         self._reading.begin(job, prefill)
         return jobs.Choice(None, prefill.endpoint)
 
+    def _saved_ms(
+        self,
+        job: jobs.Job,
+        current: fleets.EngineView,
+        other: fleets.EngineView,
+    ) -> float:
+        tokens = job.prompt_tokens
+        current_ms = self._reading.read_ms(current, tokens)
+        return current_ms - self._reading.read_ms(other, tokens)
+
     def _plans(self, job: jobs.Job) -> list[_Plan]:
         views = fitting.usable(job, self._here.fleet)
-        prefill = self._best_prefill(job, fitting.exporters(views))
+        prefill = self._best_prefill(job)
         plans = []
         if prefill is not None:
             read_ms = self._reading.read_ms(prefill, job.prompt_tokens)
@@ -247,11 +268,9 @@
         wait_ms = self._wait_ms(job, decode)
         return _Plan(decode, None, 0.0, first_ms, wait_ms)
 
-    def _best_prefill(
-        self, job: jobs.Job, views: list[fleets.EngineView]
-    ) -> fleets.EngineView | None:
+    def _best_prefill(self, job: jobs.Job) -> fleets.EngineView | None:
         return min(
-            views,
+            fitting.exporters(fitting.usable(job, self._here.fleet)),
             key=lambda v: self._reading.read_ms(v, job.prompt_tokens),
             default=None,
         )
--- a/src/jujubewharf/routing/reading.py
+++ b/src/jujubewharf/routing/reading.py
@@ -102,11 +102,11 @@
 
 
 def _last_word(view: fleets.EngineView) -> tuple[int, float]:
-    """Queued tokens by the newest of report and news, and when it came."""
+    """Queued tokens by the keeper or else by report, and when it came."""
+    if view.has_news and view.news is not None and view.news_ms is not None:
+        return view.news.queued_tokens, view.news_ms
     if view.report is not None and view.heard_ms is not None:
         return view.report.prefill_queued_tokens, view.heard_ms
-    if view.news is not None and view.news_ms is not None:
-        return view.news.queued_tokens, view.news_ms
     return 0, 0.0
 
 
--- a/src/jujubewharf/routing/slots.py
+++ b/src/jujubewharf/routing/slots.py
@@ -13,6 +13,7 @@
 
 _ANSWER_MARGIN_MS = 250.0
 _SILENT_FOR_MS = 3_000.0
+_READ_ANSWER_MS = 100.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -45,6 +46,7 @@
         self._members = surroundings.members
         self._clock = clock
         self._grants: dict[int, dict[str, _Grant]] = {}
+        self._reads: dict[int, tuple[str, str]] = {}
         self._silent_until_ms: dict[str, float] = {}
         self._keepers: dict[str, str | None] = {}
         self._peers.handle(slot_messages.LoadNews, self._on_news)
@@ -86,6 +88,35 @@
             del grants[ask.engine]
         return answer
 
+    async def ask_read(
+        self, view: fleets.EngineView, number: int, tokens: int
+    ) -> None:
+        """Tells of a prompt about to be sent, and learns the queue there."""
+        self.end_read(number)
+        keeper = self._keeper_of(view)
+        self._reads[number] = (view.endpoint.name, keeper)
+        ask = slot_messages.ReadAsk(view.endpoint.name, number, tokens)
+        try:
+            news = await self._peers.ask(
+                keeper, ask, timeout_ms=_READ_ANSWER_MS
+            )
+        except network.PeerError:
+            return
+        if isinstance(news, slot_messages.LoadNews):
+            self._take_news(news.news)
+
+    def read_engine(self, number: int) -> str | None:
+        """The engine whose keeper was told of a request's prompt."""
+        read = self._reads.get(number)
+        return read[0] if read is not None else None
+
+    def end_read(self, number: int) -> None:
+        """Tells that a prompt was read, or won't be."""
+        read = self._reads.pop(number, None)
+        if read is not None:
+            engine, keeper = read
+            self._peers.tell(keeper, slot_messages.ReadEnd(engine, number))
+
     def end(self, number: int, *, but: str | None = None) -> None:
         """Gives back what a request holds, was promised or waits for.
 
