A decision weighs a bounded sample and asks a remembered keeper

Change: keepers are remembered until the members change; views are indexed when the configuration changes; at most 32 drawn candidates, half of the own domain; answers carry news of the engine asked for and of four others.

--- /dev/null
+++ b/benchmarks/decision_cost.py
@@ -0,0 +1,123 @@
+"""Processor time of one placement decision, by the engines in view.
+
+Run: ``python -m benchmarks.decision_cost``. One decision is everything that
+an instance and the keepers it asks compute for a request: picking engines,
+the grant, the read's announcement, the slot, and giving all back. Messages
+are handed over in process; their encoding is measured in ``overhead``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any
+from typing import cast
+
+import numpy as np
+
+from jujubewharf import clock as clocks
+from jujubewharf.configuration import border
+from jujubewharf.configuration import records
+from jujubewharf.configuration import resources
+from jujubewharf.configuration import state as states
+from jujubewharf.engines import client
+from jujubewharf.membership import view as membership
+from jujubewharf.platform import log
+from jujubewharf.routing import fleet as fleets
+from jujubewharf.routing import jobs
+from jujubewharf.routing import keeping
+from jujubewharf.routing import policy as policies
+from jujubewharf.routing import product
+
+_ENGINES_IN_VIEW = (10, 100, 400)
+_DECISIONS = 400
+_SERVICE = resources.Service("verdict-llm", resources.ServiceKind.MODEL)
+_US_PER_S = 1e6
+
+
+class _Alone:
+    """Peers and membership of an instance that keeps all engines itself."""
+
+    instance = "e1"
+    myself = membership.Member("e1", "127.0.0.1:1", "a")
+
+    def __init__(self) -> None:
+        self._handlers: dict[type, Any] = {}
+
+    async def ask(self, peer: str, message: Any, *, timeout_ms: float) -> Any:
+        return await self._handlers[type(message)](peer, message)
+
+    def tell(self, peer: str, message: Any) -> bool:
+        asyncio.ensure_future(self._handlers[type(message)](peer, message))
+        return True
+
+    def handle(self, message_type: type, handler: Any) -> None:
+        self._handlers[message_type] = handler
+
+    def listen(self, listener: Any) -> None:
+        return
+
+    def present(self) -> tuple[membership.Member, ...]:
+        return (self.myself,)
+
+
+def _fleet(count: int, clock: clocks.Clock) -> fleets.Fleet:
+    state = states.State()
+    for offset in range(count):
+        role = resources.Role.DECODE if offset % 3 else resources.Role.PREFILL
+        endpoint = resources.Endpoint(
+            f"engine-{offset}",
+            _SERVICE.name,
+            f"127.0.0.1:{offset + 1}",
+            "abcd"[offset % 4],
+            role,
+        )
+        change = records.Change(
+            operation_id=f"put-{offset}",
+            actor="benchmark",
+            verb=records.Verb.PUT,
+            kind=resources.Kind.ENDPOINT.value,
+            name=endpoint.name,
+            expected_generation=None,
+            body=border.dump(endpoint),
+        )
+        state.apply(log.LogRecord(offset, records.encode(change)))
+    fleet = fleets.Fleet(lambda _: cast(client.EngineClient, None), clock)
+    fleet.on_configuration(state)
+    rng = np.random.default_rng(1)
+    for view in fleet.all_views():
+        view.report = client.LoadReport(
+            0.0, 20, int(rng.integers(0, 18)), 0, 0, 30.0
+        )
+        view.heard_ms = clock.now_ms()
+    return fleet
+
+
+async def _decision_us(count: int) -> float:
+    clock = clocks.Clock()
+    fleet = _fleet(count, clock)
+    peers = cast(Any, _Alone())
+    keeping.Keeping(fleet, peers, peers, clock)
+    policy = product.Product(clock, np.random.default_rng(1))
+    policy.join(policies.Surroundings(fleet, peers, peers, "a"))
+    began_s = time.process_time()
+    for _ in range(_DECISIONS):
+        now_ms = clock.now_ms()
+        job = jobs.Job(
+            _SERVICE, 3_000, 500, (), now_ms, now_ms + 2e3, now_ms + 3e4, 6e4
+        )
+        assert isinstance(await policy.wait_for_place(job), jobs.Choice)
+        assert isinstance(await policy.wait_for_decode(job), jobs.Choice)
+        policy.ended(job, is_prefilled=True)
+        await asyncio.sleep(0)
+    return (time.process_time() - began_s) / _DECISIONS * _US_PER_S
+
+
+def main() -> None:
+    """Prints a line for each size of the view."""
+    for count in _ENGINES_IN_VIEW:
+        print(f"{count:4d} engines: {asyncio.run(_decision_us(count)):7.0f} us")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/jujubewharf/routing/fitting.py
+++ b/src/jujubewharf/routing/fitting.py
@@ -9,9 +9,16 @@
 
 def usable(job: jobs.Job, fleet: fleets.Fleet) -> list[fleets.EngineView]:
     """Engines of the job's service that take work and have its model."""
+    return among(job, fleet.views_of(job.service.name))
+
+
+def among(
+    job: jobs.Job, views: list[fleets.EngineView]
+) -> list[fleets.EngineView]:
+    """Those of some engines that take work and have the job's model."""
     return [
         view
-        for view in fleet.views_of(job.service.name)
+        for view in views
         if view.takes_work
         and view.endpoint.name not in job.excluded
         and has_model(view, job.service)
--- a/src/jujubewharf/routing/fleet.py
+++ b/src/jujubewharf/routing/fleet.py
@@ -140,6 +140,9 @@
         self._make_client = make_client
         self._clock = clock
         self._views: dict[str, EngineView] = {}
+        self._all: list[EngineView] = []
+        self._of_service: dict[str, list[EngineView]] = {}
+        self._near: dict[tuple[str, str], list[EngineView]] = {}
         self._kv_bytes: dict[str, int] = {}
         self._services: dict[str, resources.Service] = {}
 
@@ -163,18 +166,19 @@
             del self._views[name]
         for name, endpoint in wanted.items():
             self._take_over(name, endpoint)
+        self._index()
 
     def views_of(self, service: str) -> list[EngineView]:
         """Views of a service's engines, by name."""
-        return [
-            view
-            for _, view in sorted(self._views.items())
-            if view.endpoint.service == service
-        ]
+        return self._of_service.get(service, [])
+
+    def views_near(self, service: str, domain: str) -> list[EngineView]:
+        """Views of a service's engines in a failure domain, by name."""
+        return self._near.get((service, domain), [])
 
     def all_views(self) -> list[EngineView]:
         """Views of all engines, by name."""
-        return [view for _, view in sorted(self._views.items())]
+        return self._all
 
     def mark_leaving(
         self,
@@ -206,6 +210,15 @@
         """The view of one engine."""
         return self._views.get(name)
 
+    def _index(self) -> None:
+        """Sorts the views once, so that a decision need not."""
+        self._all = [view for _, view in sorted(self._views.items())]
+        self._of_service, self._near = {}, {}
+        for view in self._all:
+            service, domain = view.endpoint.service, view.endpoint.domain
+            self._of_service.setdefault(service, []).append(view)
+            self._near.setdefault((service, domain), []).append(view)
+
     def _take_over(self, name: str, endpoint: resources.Endpoint) -> None:
         view = self._views.get(name)
         if view is not None and view.endpoint.address == endpoint.address:
--- a/src/jujubewharf/routing/keepers.py
+++ b/src/jujubewharf/routing/keepers.py
@@ -25,3 +25,27 @@
     candidates = near or [m.instance for m in present]
     ranked = hashing.rank(endpoint.name, candidates)
     return ranked[0] if ranked else None
+
+
+class Keepers:
+    """Remembers the keeper of each engine until the members change.
+
+    Ranking the members for each engine of each decision would make a
+    decision cost engines times members.
+
+    Args:
+        members: Who is here.
+    """
+
+    def __init__(self, members: membership.MembershipView) -> None:
+        self._members = members
+        self._known: dict[tuple[str, str], str | None] = {}
+        members.listen(self._known.clear)
+
+    def of(self, endpoint: resources.Endpoint) -> str | None:
+        """The keeper of an engine; ``None`` when nobody is present."""
+        key = (endpoint.name, endpoint.domain)
+        if key not in self._known:
+            present = self._members.present()
+            self._known[key] = keeper_of(endpoint, present)
+        return self._known[key]
--- a/src/jujubewharf/routing/keeping.py
+++ b/src/jujubewharf/routing/keeping.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import enum
 
 import mode
@@ -22,6 +23,7 @@
 _MAX_LINE = 512
 _NEWS_BYTES_PER_S = 1_000.0
 _NEWS_BYTES = 40.0
+_NEWS_WITH_ANSWER = 4
 _NEWS_AT_MOST_EVERY_MS = 500.0
 
 
@@ -68,6 +70,8 @@
         self._hold_times: dict[str, hold_times.HoldTimes] = {}
         self._present: frozenset[str] = frozenset()
         self._reads: dict[str, read_ledger.ReadLedger] = {}
+        self._news_turns: collections.deque[str] = collections.deque()
+        self._keepers = keepers.Keepers(members)
         peers.handle(slot_messages.SlotAsk, self.on_ask)
         peers.handle(slot_messages.SlotEnd, self.on_end)
         peers.handle(slot_messages.SlotsHeld, self.on_held)
@@ -77,17 +81,23 @@
 
     def is_keeper(self, view: fleets.EngineView) -> bool:
         """Whether this instance keeps an engine."""
-        present = self._members.present()
-        keeper = keepers.keeper_of(view.endpoint, present)
-        return keeper == self._peers.instance
-
-    def news(self) -> tuple[slot_messages.EngineNews, ...]:
-        """What this instance has to say of the engines it keeps."""
-        return tuple(
-            self._news_of(view)
-            for view in self._fleet.all_views()
-            if self.is_keeper(view)
-        )
+        return self._keepers.of(view.endpoint) == self._peers.instance
+
+    def _kept(self) -> list[fleets.EngineView]:
+        return [v for v in self._fleet.all_views() if self.is_keeper(v)]
+
+    def _news(self, engine: str) -> tuple[slot_messages.EngineNews, ...]:
+        """News for an answer: of the engine asked for, and of a few others.
+
+        All that are kept here would make answers grow with the fleet.
+        """
+        views = [self._fleet.view(engine)]
+        count = min(_NEWS_WITH_ANSWER, len(self._news_turns))
+        for _ in range(count):
+            self._news_turns.rotate(-1)
+            if self._news_turns[0] != engine:
+                views.append(self._fleet.view(self._news_turns[0]))
+        return tuple(self._news_of(view) for view in views if view is not None)
 
     async def on_ask(
         self, peer: str, ask: slot_messages.SlotAsk
@@ -95,21 +105,23 @@
         """Answers when the slot is granted, or when it can't be in time."""
         view = self._fleet.view(ask.engine)
         if view is None or not view.takes_work:
-            return self._refusal(0.0, is_hopeless=True)
+            return self._refusal(ask.engine, 0.0, is_hopeless=True)
         line = self._line_of(view, ask.hold_ms)
         if len(line.answers) >= _MAX_LINE:
-            return self._refusal(line.ledger.wait_ms(), is_hopeless=True)
+            return self._refusal(
+                ask.engine, line.ledger.wait_ms(), is_hopeless=True
+            )
         wish = _wish(peer, ask, self._clock.now_ms())
         outcome = await self._wait(line, wish, ask.answer_in_ms)
         if outcome is not _Outcome.GRANTED:
             is_hopeless = outcome is _Outcome.HOPELESS
             wait_ms = line.ledger.wait_ms()
-            return self._refusal(wait_ms, is_hopeless=is_hopeless)
+            return self._refusal(ask.engine, wait_ms, is_hopeless=is_hopeless)
         return slot_messages.SlotAnswer(
             True,
             from_in_ms=0 if ask.is_ready else ask.ready_in_ms,
             until_in_ms=ask.ready_in_ms + slot_ledger.PROMISE_LASTS_MS,
-            news=self.news(),
+            news=self._news(ask.engine),
         )
 
     async def on_end(self, peer: str, end: slot_messages.SlotEnd) -> None:
@@ -137,7 +149,7 @@
         self, peer: str, ask: slot_messages.ReadAsk
     ) -> slot_messages.LoadNews:
         """Notes a prompt about to be sent, and tells what is ahead of it."""
-        news = self.news()
+        news = self._news(ask.engine)
         now_ms = self._clock.now_ms()
         reads = self._reads.get(ask.engine)
         if reads is None:
@@ -197,13 +209,13 @@
             future.set_result(outcome)
 
     def _refusal(
-        self, wait_ms: float, *, is_hopeless: bool = False
+        self, engine: str, wait_ms: float, *, is_hopeless: bool = False
     ) -> slot_messages.SlotAnswer:
         return slot_messages.SlotAnswer(
             False,
             wait_ms=round(wait_ms),
             is_hopeless=is_hopeless,
-            news=self.news(),
+            news=self._news(engine),
         )
 
     def _line_of(self, view: fleets.EngineView, hold_ms: int) -> _Line:
@@ -297,7 +309,9 @@
     async def _tell_on(self) -> None:
         while not self.should_stop:
             others = sorted(self._present - {self._peers.instance})
-            news = self.news()
+            kept = self._kept()
+            self._news_turns = collections.deque(v.endpoint.name for v in kept)
+            news = tuple(self._news_of(view) for view in kept)
             size_bytes = _NEWS_BYTES * (1 + len(news)) * max(1, len(others))
             pause_ms = size_bytes / _NEWS_BYTES_PER_S * clocks.MS_PER_S
             await self._clock.sleep_ms(max(pause_ms, _NEWS_AT_MOST_EVERY_MS))
--- a/src/jujubewharf/routing/product.py
+++ b/src/jujubewharf/routing/product.py
@@ -32,6 +32,7 @@
 _MAX_HOPELESS = 3
 _ASK_AGAIN_MS = 5.0
 _MAX_READ_ASKS = 3
+_MAX_CANDIDATES = 32
 _WORTH_A_MOVE_MS = 30.0
 _ANSWER_IN_MS = 400.0
 _READY_WAIT_MS = 300.0
@@ -116,7 +117,7 @@
         self._slots.end_read(job.number)
         promised = self._slots.granted_engine(job.number)
         while True:
-            views = fitting.importers(fitting.usable(job, self._here.fleet))
+            views = fitting.importers(self._candidates(job))
             if not views:
                 return jobs.Refusal(errors.ErrorKind.NO_FITTING_ENGINE)
             ordered = self._by_room(views, first=promised)
@@ -212,7 +213,7 @@
             return jobs.Choice(plan.decode.endpoint)
         prefill = plan.prefill
         for _ in range(_MAX_READ_ASKS):
-            best = self._best_prefill(job) or prefill
+            best = self._best_prefill(job, self._candidates(job)) or prefill
             if self._saved_ms(job, prefill, best) < _WORTH_A_MOVE_MS:
                 best = prefill
             is_told = self._slots.read_engine(job.number) == best.endpoint.name
@@ -234,8 +235,8 @@
         return current_ms - self._reading.read_ms(other, tokens)
 
     def _plans(self, job: jobs.Job) -> list[_Plan]:
-        views = fitting.usable(job, self._here.fleet)
-        prefill = self._best_prefill(job)
+        views = self._candidates(job)
+        prefill = self._best_prefill(job, views)
         plans = []
         if prefill is not None:
             read_ms = self._reading.read_ms(prefill, job.prompt_tokens)
@@ -268,9 +269,37 @@
         wait_ms = self._wait_ms(job, decode)
         return _Plan(decode, None, 0.0, first_ms, wait_ms)
 
-    def _best_prefill(self, job: jobs.Job) -> fleets.EngineView | None:
+    def _candidates(self, job: jobs.Job) -> list[fleets.EngineView]:
+        """Engines to weigh: all of a small fleet, some of a large one.
+
+        Half of them are of this domain. The best of two random ones is
+        nearly as good as the best of all (Mitzenmacher 2001), and less often
+        the one that everybody else picks.
+        """
+        fleet, service = self._here.fleet, job.service.name
+        views = fleet.views_of(service)
+        if len(views) > _MAX_CANDIDATES:
+            near = fleet.views_near(service, self._here.domain)
+            drawn = self._draw(near) | self._draw(views)
+            found = fitting.among(job, list(drawn.values()))
+            if fitting.decoders(found) and fitting.exporters(found):
+                return found
+        return fitting.usable(job, fleet)
+
+    def _draw(
+        self, views: list[fleets.EngineView]
+    ) -> dict[str, fleets.EngineView]:
+        if not views:
+            return {}
+        places = self._rng.integers(len(views), size=_MAX_CANDIDATES // 2)
+        drawn = (views[place] for place in places.tolist())
+        return {view.endpoint.name: view for view in drawn}
+
+    def _best_prefill(
+        self, job: jobs.Job, views: list[fleets.EngineView]
+    ) -> fleets.EngineView | None:
         return min(
-            fitting.exporters(fitting.usable(job, self._here.fleet)),
+            fitting.exporters(views),
             key=lambda v: self._reading.read_ms(v, job.prompt_tokens),
             default=None,
         )
@@ -335,7 +364,7 @@
 
     def _refusal(self, kind: errors.ErrorKind, job: jobs.Job) -> jobs.Refusal:
         """Refuses with the time until a slot may be had."""
-        views = fitting.decoders(fitting.usable(job, self._here.fleet))
+        views = fitting.decoders(self._candidates(job))
         waits_ms = [self._wait_ms(job, view) for view in views]
         wait_ms = min(waits_ms, default=0.0)
         return jobs.Refusal(kind, max(_SHORTEST_RETRY_MS, wait_ms))
--- a/src/jujubewharf/routing/slots.py
+++ b/src/jujubewharf/routing/slots.py
@@ -49,6 +49,7 @@
         self._reads: dict[int, tuple[str, str]] = {}
         self._silent_until_ms: dict[str, float] = {}
         self._keepers: dict[str, str | None] = {}
+        self._all_keepers = keepers.Keepers(surroundings.members)
         self._peers.handle(slot_messages.LoadNews, self._on_news)
         self._members.listen(self._on_members)
 
@@ -133,7 +134,7 @@
             self._peers.tell(grant.keeper, end)
 
     def _keeper_of(self, view: fleets.EngineView) -> str:
-        keeper = keepers.keeper_of(view.endpoint, self._members.present())
+        keeper = self._all_keepers.of(view.endpoint)
         if keeper is None:
             return self._peers.instance
         if self._silent_until_ms.get(keeper, 0.0) > self._clock.now_ms():
@@ -164,10 +165,9 @@
 
     def _on_members(self) -> None:
         """Tells new keepers what this instance holds at their engines."""
-        present = self._members.present()
         for view in self._fleet.all_views():
             name = view.endpoint.name
-            keeper = keepers.keeper_of(view.endpoint, present)
+            keeper = self._all_keepers.of(view.endpoint)
             if keeper == self._keepers.get(name):
                 continue
             self._keepers[name] = keeper
