--- a/src/jujubewharf/routing/fleet.py
+++ b/src/jujubewharf/routing/fleet.py
@@ -14,6 +14,7 @@
 from jujubewharf.engines import client as engine_client
 from jujubewharf.peers import slot_messages
 from jujubewharf.routing import breaker as breakers
+from jujubewharf.routing import prefix_hints
 
 ClientFactory = Callable[[resources.Endpoint], engine_client.EngineClient]
 Withheld = Callable[[str], bool]
@@ -131,12 +132,14 @@
     Attributes:
         withheld: Tells whether new work is kept from an engine for now.
         polls: Tells whether an engine is to be polled from here.
+        hints: What engines may have cached.
     """
 
     def __init__(self, make_client: ClientFactory, clock: clocks.Clock) -> None:
         super().__init__()
         self.withheld: Withheld = lambda name: False
         self.polls: Callable[[EngineView], bool] = lambda view: True
+        self.hints = prefix_hints.PrefixHints(clock)
         self._make_client = make_client
         self._clock = clock
         self._views: dict[str, EngineView] = {}
@@ -254,6 +257,7 @@
             async with self._clock.timeout_ms(_POLL_TIMEOUT_MS):
                 report = await view.client.load()
         except (engine_client.EngineError, TimeoutError):
+            self.hints.forget(view.endpoint.name)
             view.failed(engine_client.EngineFault.UNREACHABLE)
             return
         view.breaker.answered()
--- /dev/null
+++ b/src/jujubewharf/routing/prefix_hints.py
@@ -0,0 +1,106 @@
+"""Which engine may have a prompt's prefix cached: hints that decay.
+
+Cache events come late and with gaps, and an engine's cache is small, so a
+hint is never more than a chance. It is worth what it saves times how far it
+is trusted, and that is weighed against the engine's queue.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Sequence
+
+from jujubewharf import clock as clocks
+from jujubewharf.engines import client
+from jujubewharf.engines import prefixes
+
+_MAX_HINTS = 2_048
+_HALF_LIFE_MS = 20_000.0
+_WEIGHT_OF_NEW = 0.1
+_MAX_MISSING = 1
+
+
+class _Cache:
+    """What is thought to be in one engine's cache."""
+
+    def __init__(self) -> None:
+        self.noted_ms: collections.OrderedDict[int, float] = (
+            collections.OrderedDict()
+        )
+        self.last_sequence = 0
+        self.loss_ratio = 0.0
+
+    def note(self, prefix_hash: int, now_ms: float) -> None:
+        self.noted_ms[prefix_hash] = now_ms
+        self.noted_ms.move_to_end(prefix_hash)
+        while len(self.noted_ms) > _MAX_HINTS:
+            self.noted_ms.popitem(last=False)
+
+
+class PrefixHints:
+    """Hints of all engines, from events and from this instance's own prompts.
+
+    Args:
+        clock: Time.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._caches: dict[str, _Cache] = {}
+
+    def last_sequence(self, engine: str) -> int:
+        """Sequence number of the latest event seen."""
+        cache = self._caches.get(engine)
+        return cache.last_sequence if cache is not None else 0
+
+    def sent(self, engine: str, prefix_hashes: Sequence[int]) -> None:
+        """Notes that an engine has read a prompt with these prefixes."""
+        cache = self._cache(engine)
+        now_ms = self._clock.now_ms()
+        for prefix_hash in prefix_hashes:
+            cache.note(prefix_hash, now_ms)
+
+    def learn(self, engine: str, events: Sequence[client.CacheEvent]) -> None:
+        """Takes events over; each hole lowers the trust in all hints.
+
+        What is missing may have been an eviction, after which a hint sends
+        prompts to an engine that has nothing of them.
+        """
+        cache = self._cache(engine)
+        now_ms = self._clock.now_ms()
+        for event in events:
+            missing = max(0, event.sequence - cache.last_sequence - 1)
+            if cache.last_sequence:
+                lost = missing / (missing + 1)
+                cache.loss_ratio += _WEIGHT_OF_NEW * (lost - cache.loss_ratio)
+            cache.last_sequence = max(cache.last_sequence, event.sequence)
+            if event.is_stored:
+                cache.note(event.prefix_hash, now_ms)
+            else:
+                cache.noted_ms.pop(event.prefix_hash, None)
+
+    def forget(self, engine: str) -> None:
+        """Drops an engine's hints, as after its restart."""
+        self._caches.pop(engine, None)
+
+    def saved_tokens(self, engine: str, prefix_hashes: Sequence[int]) -> float:
+        """Tokens that the cache is expected to save, by trust in the hints."""
+        cache = self._caches.get(engine)
+        if cache is None:
+            return 0.0
+        blocks = missing = 0
+        noted_ms = 0.0
+        for place, prefix_hash in enumerate(prefix_hashes):
+            found_ms = cache.noted_ms.get(prefix_hash)
+            if found_ms is not None:
+                blocks, noted_ms = place + 1, found_ms
+            else:
+                missing += 1
+                if missing > _MAX_MISSING:
+                    break
+        age_ms = self._clock.now_ms() - noted_ms
+        trust = (1.0 - cache.loss_ratio) * 0.5 ** (age_ms / _HALF_LIFE_MS)
+        return blocks * prefixes.BLOCK_TOKENS * trust
+
+    def _cache(self, engine: str) -> _Cache:
+        return self._caches.setdefault(engine, _Cache())
--- a/src/jujubewharf/routing/product.py
+++ b/src/jujubewharf/routing/product.py
@@ -113,7 +113,9 @@
 
     async def wait_for_decode(self, job: jobs.Job) -> jobs.Decision:
         """Waits for a slot for a prompt that was read, as long as it takes."""
-        self._reading.done(job.number)
+        read = self._reading.done(job.number)
+        if read is not None:
+            self._here.fleet.hints.sent(read.engine, job.prefix_hashes)
         self._slots.end_read(job.number)
         promised = self._slots.granted_engine(job.number)
         while True:
@@ -184,7 +186,7 @@
                 urgency = _urgency(job, self._clock.now_ms() + plan.first_ms)
             answer = await self._ask_for_promise(job, plan, urgency)
             if answer.is_granted:
-                return await self._start(job, plan)
+                return await self._start(job, plan, urgency)
             if answer.is_hopeless:
                 hopeless.add(plan.decode.endpoint.name)
             else:
@@ -206,8 +208,15 @@
         )
         return await self._slots.ask(plan.decode, ask)
 
-    async def _start(self, job: jobs.Job, plan: _Plan) -> jobs.Choice:
-        """Starts reading on what is the best engine by now."""
+    async def _start(
+        self, job: jobs.Job, plan: _Plan, urgency: _Urgency
+    ) -> jobs.Decision:
+        """Starts reading on what is the best engine by now.
+
+        Others were granted slots while this one waited, and their prompts
+        are ahead now. One that would miss its target is better refused
+        before it is read than answered late after it.
+        """
         if plan.prefill is None:
             self._held_since_ms[job.number] = self._clock.now_ms()
             return jobs.Choice(plan.decode.endpoint)
@@ -221,6 +230,11 @@
             if is_told:
                 break
             await self._slots.ask_read(prefill, job.number, job.prompt_tokens)
+        waited_ms = self._read_ms(prefill, job) - plan.ready_ms
+        first_at_ms = self._clock.now_ms() + plan.first_ms + waited_ms
+        is_late = first_at_ms > job.first_answer_by_ms
+        if urgency is _Urgency.IN_TIME and is_late:
+            return self._refusal(errors.ErrorKind.DEADLINE_UNREACHABLE, job)
         self._reading.begin(job, prefill)
         return jobs.Choice(None, prefill.endpoint)
 
@@ -230,16 +244,21 @@
         current: fleets.EngineView,
         other: fleets.EngineView,
     ) -> float:
-        tokens = job.prompt_tokens
-        current_ms = self._reading.read_ms(current, tokens)
-        return current_ms - self._reading.read_ms(other, tokens)
+        return self._read_ms(current, job) - self._read_ms(other, job)
+
+    def _read_ms(self, view: fleets.EngineView, job: jobs.Job) -> float:
+        """Expected time to read, less what the cache may save."""
+        saved = self._here.fleet.hints.saved_tokens(
+            view.endpoint.name, job.prefix_hashes
+        )
+        return self._reading.read_ms(view, job.prompt_tokens - saved)
 
     def _plans(self, job: jobs.Job) -> list[_Plan]:
         views = self._candidates(job)
         prefill = self._best_prefill(job, views)
         plans = []
         if prefill is not None:
-            read_ms = self._reading.read_ms(prefill, job.prompt_tokens)
+            read_ms = self._read_ms(prefill, job)
             for decode in fitting.importers(views):
                 plans.append(self._pair(job, decode, prefill, read_ms))
         for decode in fitting.loners(views):
@@ -264,7 +283,7 @@
         return _Plan(decode, prefill, read_ms, first_ms, wait_ms)
 
     def _alone(self, job: jobs.Job, decode: fleets.EngineView) -> _Plan:
-        read_ms = self._reading.read_ms(decode, job.prompt_tokens)
+        read_ms = self._read_ms(decode, job)
         first_ms = read_ms + _first_steps_ms(decode)
         wait_ms = self._wait_ms(job, decode)
         return _Plan(decode, None, 0.0, first_ms, wait_ms)
@@ -300,7 +319,7 @@
     ) -> fleets.EngineView | None:
         return min(
             fitting.exporters(views),
-            key=lambda v: self._reading.read_ms(v, job.prompt_tokens),
+            key=lambda v: self._read_ms(v, job),
             default=None,
         )
 
--- a/src/jujubewharf/routing/reading.py
+++ b/src/jujubewharf/routing/reading.py
@@ -67,7 +67,7 @@
         rate = self.ms_per_token(view.endpoint.name)
         return self.queued_tokens(view) * rate
 
-    def read_ms(self, view: fleets.EngineView, tokens: int) -> float:
+    def read_ms(self, view: fleets.EngineView, tokens: float) -> float:
         """Expected time from sending a prompt until it was read."""
         rate = self.ms_per_token(view.endpoint.name)
         return self.wait_ms(view) + tokens * rate
--- /dev/null
+++ b/tests/routing/test_prefix_hints.py
@@ -0,0 +1,67 @@
+"""Hints of cached prefixes decay, and holes in the events lower them."""
+
+from __future__ import annotations
+
+from jujubewharf import clock as clocks
+from jujubewharf.engines import client
+from jujubewharf.experiments import virtual_time
+from jujubewharf.routing import prefix_hints
+
+_HASHES = tuple(range(100, 110))
+
+
+def _run(story):
+    async def work():
+        clock = clocks.Clock()
+        return await story(prefix_hints.PrefixHints(clock), clock)
+
+    return virtual_time.run(work())
+
+
+def _events(sequences):
+    return [
+        client.CacheEvent(sequence, 99 + sequence, is_stored=True)
+        for sequence in sequences
+    ]
+
+
+def test_what_was_sent_is_a_hint_that_decays():
+    async def story(hints, clock):
+        hints.sent("p1", _HASHES)
+        fresh = hints.saved_tokens("p1", _HASHES)
+        await clock.sleep_ms(60_000)
+        return fresh, hints.saved_tokens("p1", _HASHES)
+
+    fresh, old = _run(story)
+    assert fresh == 640
+    assert 0 < old < fresh / 4
+
+
+def test_an_eviction_ends_a_hint():
+    async def story(hints, clock):
+        hints.learn("p1", _events([1, 2, 3]))
+        gone = client.CacheEvent(4, 101, is_stored=False)
+        hints.learn("p1", [gone, client.CacheEvent(5, 102, is_stored=False)])
+        return hints.saved_tokens("p1", _HASHES)
+
+    assert _run(story) == 64
+
+
+def test_holes_lower_the_trust():
+    async def story(hints, clock):
+        hints.learn("p1", _events(range(1, 11)))
+        hints.learn("p2", _events([1, 2, 3, 5, 6, 7, 8, 9, 10]))
+        return [hints.saved_tokens(name, _HASHES) for name in ("p1", "p2")]
+
+    whole, holed = _run(story)
+    assert 0 < holed < whole
+
+
+def test_memory_is_bounded():
+    async def story(hints, clock):
+        hints.sent("p1", range(10_000))
+        return hints.saved_tokens("p1", [0, 1]), hints.saved_tokens(
+            "p1", [9_999]
+        )
+
+    assert _run(story) == (0, 64)
