--- /dev/null
+++ b/src/jujubewharf/routing/counters.py
@@ -0,0 +1,39 @@
+"""Counters of routing decisions."""
+
+from __future__ import annotations
+
+from opentelemetry import metrics
+
+from jujubewharf import errors
+
+_METER = metrics.get_meter("jujubewharf")
+_ASKS = _METER.create_counter(
+    "routing.slot_asks", description="Asks for decode slots, by outcome."
+)
+_REFUSALS = _METER.create_counter(
+    "routing.refusals", description="Requests given no place, by reason."
+)
+_FALLBACKS = _METER.create_counter(
+    "routing.keeper_fallbacks",
+    description="Asks judged here because a keeper gave no answer.",
+)
+
+
+def asked(*, is_granted: bool, is_hopeless: bool) -> None:
+    """Counts the answer to an ask for a slot."""
+    outcome = "not_yet"
+    if is_granted:
+        outcome = "granted"
+    elif is_hopeless:
+        outcome = "hopeless"
+    _ASKS.add(1, {"outcome": outcome})
+
+
+def refused(kind: errors.ErrorKind) -> None:
+    """Counts a request that got no place."""
+    _REFUSALS.add(1, {"reason": kind.value})
+
+
+def fell_back() -> None:
+    """Counts an ask whose keeper gave no answer."""
+    _FALLBACKS.add(1)
--- a/src/jujubewharf/routing/placer.py
+++ b/src/jujubewharf/routing/placer.py
@@ -10,6 +10,7 @@
 from jujubewharf import errors
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
+from jujubewharf.routing import counters
 from jujubewharf.routing import fleet as fleets
 from jujubewharf.routing import jobs
 from jujubewharf.routing import policy as policies
@@ -83,6 +84,7 @@
             case jobs.Choice() as choice:
                 return choice
             case jobs.Refusal(kind, retry_after_ms):
+                counters.refused(kind)
                 raise errors.WharfError(kind, retry_after_ms=retry_after_ms)
             case jobs.Later():
                 raise AssertionError("a waiting policy waits by itself")
@@ -98,6 +100,7 @@
                 case jobs.Later(after_ms):
                     await self._clock.sleep_ms(after_ms)
                 case jobs.Refusal(kind, retry_after_ms):
+                    counters.refused(kind)
                     raise errors.WharfError(kind, retry_after_ms=retry_after_ms)
 
     @contextlib.contextmanager
--- a/src/jujubewharf/routing/slots.py
+++ b/src/jujubewharf/routing/slots.py
@@ -7,6 +7,7 @@
 from jujubewharf import clock as clocks
 from jujubewharf.peers import network
 from jujubewharf.peers import slot_messages
+from jujubewharf.routing import counters
 from jujubewharf.routing import fleet as fleets
 from jujubewharf.routing import keepers
 from jujubewharf.routing import policy as policies
@@ -78,10 +79,14 @@
             self._silent_until_ms[keeper] = (
                 self._clock.now_ms() + _SILENT_FOR_MS
             )
+            counters.fell_back()
             grant.keeper = self._peers.instance
             answer = await self._ask(grant.keeper, ask)
         if answer is None:
             answer = slot_messages.SlotAnswer(False)
+        counters.asked(
+            is_granted=answer.is_granted, is_hopeless=answer.is_hopeless
+        )
         self._take_news(answer.news)
         grant.since_ms = self._clock.now_ms()
         grant.is_granted = answer.is_granted
