--- a/tests/requests/test_safeguards.py
+++ b/tests/requests/test_safeguards.py
@@ -301,14 +301,14 @@
         claims.Claims,
         "claim",
         _always_won,
-        seeds(2),
+        seeds(*range(1, 9)),
     ),
     Off(
         "releases, under random failures",
         releases.Releaser,
         "release",
         lambda *args: None,
-        seeds(1),
+        seeds(*range(1, 9)),
     ),
     Off(
         "truth of did not run, under random failures",
