A resumed instance forgives what it heard of itself while it was paused

Cause: on going on, an instance read its peers' word that they did not hear it, and passed over them for a moment, so it would have owned everything.

Change: that word counts only after the time for suspicion.

--- a/src/jujubewharf/membership/suspicion.py
+++ b/src/jujubewharf/membership/suspicion.py
@@ -112,7 +112,9 @@
                 return True
         if not contact.is_watched:
             return False
-        if not contact.hears_us:
+        if not contact.hears_us and not self._is_recent(self._resumed_ms):
+            # After a pause of this process the word that it is not heard
+            # was true, and is out of date.
             return True
         since_ms = contact.heard_ms
         if since_ms is None:
--- a/tests/scenarios/peers.feature
+++ b/tests/scenarios/peers.feature
@@ -38,7 +38,8 @@
     When c2 is paused
     Then within 8 seconds all but c2 pass over c2
     When c2 goes on
-    Then within 8 seconds all see c2
+    Then c2 passes over nobody for 3 seconds
+    And within 8 seconds all see c2
 
   Scenario: A peer that hears but is not heard is passed over
     When domain b is no longer heard in domain a
--- a/tests/scenarios/test_peers.py
+++ b/tests/scenarios/test_peers.py
@@ -176,6 +176,16 @@
     see_within(world, "0", watchers, others)
 
 
+@pytest_bdd.then(
+    parsers.parse("{name} passes over nobody for {duration_s:d} seconds")
+)
+def passes_over_nobody(world, name, duration_s):
+    def is_alone() -> bool:
+        return len(_present(world, name)) < len(world.bench.instances)
+
+    assert not world.holds_within_s(duration_s, is_alone)
+
+
 @pytest_bdd.then(
     parsers.parse("within {limit_s:d} seconds all reach the new {name}")
 )
