--- a/src/jujubewharf/experiments/control_cost.py
+++ b/src/jujubewharf/experiments/control_cost.py
@@ -33,6 +33,7 @@
 # Headers of one TCP segment over IPv4 with timestamps, and of its
 # acknowledgement; a worked-out allowance, for the bench has no packets.
 _SEGMENT_BYTES = 104
+_LEAST_FOR_SLOPE = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,9 +88,9 @@
     sent_before = dict(bench.network.bytes_sent)
     frames_before = _frames(bench)
     started_s = time.process_time()
-    await _run(bench, duration_s, churn_per_min)
+    frames_of_gone = await _run(bench, duration_s, churn_per_min)
     spent_s = time.process_time() - started_s
-    frames = _frames(bench) - frames_before
+    frames = _frames(bench) + frames_of_gone - frames_before
     sent = [
         (bench.network.bytes_sent[name] - sent_before[name]) / duration_s
         for name in bench.instances
@@ -110,18 +111,23 @@
 
 async def _run(
     bench: benches.Bench, duration_s: float, churn_per_min: float
-) -> None:
+) -> int:
+    """Lets time pass; returns the messages of instances killed meanwhile."""
+    frames_of_gone = 0
     if churn_per_min == 0:
         await bench.clock.sleep_ms(duration_s * 1_000)
-        return
+        return frames_of_gone
     until_ms = bench.clock.now_ms() + duration_s * 1_000
     pause_ms = 60_000 / churn_per_min
     for name in itertools.cycle(sorted(bench.instances)):
         if bench.clock.now_ms() + pause_ms > until_ms:
             break
         await bench.clock.sleep_ms(pause_ms)
+        gone = bench.instances[name].core
+        frames_of_gone += gone.peers.counts.frames_out
         await bench.restart_instance(name)
     await bench.clock.sleep_until_ms(until_ms)
+    return frames_of_gone
 
 
 async def _spread(bench: benches.Bench) -> float:
@@ -161,6 +167,8 @@
         table.add_row(*(f"{value:.4g}" for value in values))
     console = rich.console.Console(width=140)
     console.print(table)
+    if len(costs) < _LEAST_FOR_SLOPE:
+        return
     for name in ("bytes_per_s", "frames_per_s", "core_percent"):
         console.print(f"{name}: {slope(costs, name):+.4g} an instance")
 
