--- a/src/jujubewharf/requests/claim_shard.py
+++ b/src/jujubewharf/requests/claim_shard.py
@@ -41,6 +41,10 @@
     """The log did not confirm the claim; it may still land there."""
 
 
+class KeyTooOldError(Exception):
+    """The key was made before what the claims remember."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Windows:
     """How long keys are remembered.
@@ -49,8 +53,8 @@
         dated_ms: Keys that tell their age are refused beyond this age, so
             their claims may be forgotten after it.
         undated_ms: Claims of other keys are forgotten after this age.
-        carry_after_ms: Age at which a claim is appended anew, well before
-            the log forgets it.
+        carry_after_ms: Age at which an undated claim is appended anew, well
+            before the log forgets it. Dated ones are over age before that.
         carry_every_ms: Time between two looks for such claims.
     """
 
@@ -110,6 +114,8 @@
 
         Raises:
             ClaimUnavailableError: That can't be told now.
+            KeyTooOldError: By the clock that also forgets claims; a claimer
+                whose clock is slow can't see it.
         """
         loop = asyncio.get_running_loop()
         wanted = _Wanted(claim, loop.create_future())
@@ -154,7 +160,8 @@
             for claim in self.holders.older_than(
                 wall_ms - self._windows.carry_after_ms
             )
-            if wall_ms - self._appended_wall_ms.get(claim.key, 0.0)
+            if not claim.is_dated
+            and wall_ms - self._appended_wall_ms.get(claim.key, 0.0)
             >= self._windows.carry_after_ms
         ]
         for start in range(0, len(due), MAX_BATCH):
@@ -183,6 +190,7 @@
             await self.load()
         self._forget_over_age()
         self._answer_held(batch)
+        self._refuse_old(batch)
         left = [wanted for wanted in batch if not wanted.done.done()]
         left = self._without_excess(left)
         if not left:
@@ -203,6 +211,15 @@
             if not wanted.done.done():
                 wanted.done.set_result(held)
 
+    def _refuse_old(self, batch: list[_Wanted]) -> None:
+        """Refuses keys well before their claims may be forgotten."""
+        oldest_ms = self._clock.wall_ms() - self._windows.dated_ms / 2
+        for wanted in batch:
+            claim = wanted.claim
+            if claim.is_dated and claim.wall_ms < oldest_ms:
+                if not wanted.done.done():
+                    wanted.done.set_exception(KeyTooOldError())
+
     def _without_excess(self, batch: list[_Wanted]) -> list[_Wanted]:
         """Leaves out keys without a date beyond the bound.
 
@@ -235,7 +252,8 @@
         batch = claim_records.decode(record.payload)
         for claim in batch.claims:
             self.holders.fold(claim)
-            self._appended_wall_ms[claim.key] = batch.appended_wall_ms
+            if not claim.is_dated:
+                self._appended_wall_ms[claim.key] = batch.appended_wall_ms
 
     def _forget_over_age(self) -> None:
         wall_ms = self._clock.wall_ms()
