--- a/src/jujubewharf/requests/answers.py
+++ b/src/jujubewharf/requests/answers.py
@@ -105,7 +105,10 @@
             self._runner.counters.refused(error.kind.value)
             yield holding.failed(error)
             return
-        until_ms = request.arrived_ms + request.deadline_ms + _SLACK_MS
+        until_ms = request.arrived_ms + request.deadline_ms
+        if held.request is request:
+            # Its own run ends it, and knows best how far it came.
+            until_ms += _SLACK_MS
         held.followers += 1
         try:
             async for event in held.answer.follow(until_ms):
--- a/src/jujubewharf/requests/claims.py
+++ b/src/jujubewharf/requests/claims.py
@@ -26,7 +26,7 @@
 from jujubewharf.requests import claim_shard
 from jujubewharf.requests import keys
 
-_ASK_MS = 4_000.0
+_ASK_MS = 2_500.0
 _ASK_ABANDONED_MS = 1_000.0
 _COME_BACK_MS = 1_000.0
 _MAX_TRIES = 3
--- a/src/jujubewharf/requests/keys.py
+++ b/src/jujubewharf/requests/keys.py
@@ -27,6 +27,7 @@
 MAX_RECORDS = 20_000
 _KEY_BYTES = 16
 _ASK_MS = 400.0
+_COPY_MS = 150.0
 _EXPIRE_EVERY_MS = 5_000.0
 
 
@@ -214,6 +215,8 @@
         self,
         home: str,
         message: key_messages.Register | key_messages.Lookup,
+        *,
+        timeout_ms: float = _ASK_MS,
     ) -> key_messages.Registered:
         if home == self._peers.instance:
             match message:
@@ -221,7 +224,7 @@
                     return await self._on_register(home, message)
                 case key_messages.Lookup():
                     return await self._on_lookup(home, message)
-        answer = await self._peers.ask(home, message, timeout_ms=_ASK_MS)
+        answer = await self._peers.ask(home, message, timeout_ms=timeout_ms)
         if not isinstance(answer, key_messages.Registered):
             raise network.PeerError(network.PeerFault.REFUSED, home)
         return answer
@@ -251,7 +254,9 @@
             return
         copy = dataclasses.replace(message, is_copy=True)
         try:
-            answer = await self._ask(others[0], copy)
+            # Well within the asker's patience: a second home that is silent
+            # must not make the first look silent too.
+            answer = await self._ask(others[0], copy, timeout_ms=_COPY_MS)
         except network.PeerError:
             return
         if answer.request_id != message.request_id:
--- a/tests/requests/test_answers.py
+++ b/tests/requests/test_answers.py
@@ -256,3 +256,46 @@
     events, dispatches = run(story)
     assert deployments.is_whole(events)
     assert dispatches == 1
+
+
+def test_a_silent_second_home_delays_a_request_little():
+    # The second home of the key is paused and not yet suspected. The first
+    # waits a moment for it and answers; the request is not held up for long.
+    async def story(d):
+        key = next(
+            f"k{number}"
+            for number in range(100)
+            if d.core("e1").key_homes.homes(keys.key_of("", f"k{number}"))
+            == ["e2", "e3"]
+        )
+        d.bench.pause_instance("e3")
+        before_ms = d.clock.now_ms()
+        events = d.bench.instances["e1"].answer(d.request(key=key))
+        async with contextlib.aclosing(events) as opened:
+            async for _ in opened:
+                break
+        took_ms = d.clock.now_ms() - before_ms
+        d.bench.resume_instance("e3")
+        return took_ms, len(d.core("e2").key_homes)
+
+    took_ms, records = run(story)
+    assert took_ms < 400
+    assert records == 1
+
+
+def test_a_joined_answer_keeps_the_retrys_own_deadline():
+    # The first sending has long to run; the retry has little time left and
+    # is told so at its deadline, not when the other run ends.
+    async def story(d):
+        long = d.request(tokens=400, key="k", deadline_ms=60_000)
+        asyncio.ensure_future(d.ask(long, "e1"))
+        await d.clock.sleep_ms(300)
+        before_ms = d.clock.now_ms()
+        retry = d.request(tokens=400, key="k", deadline_ms=1_000)
+        events = await d.ask(retry, "e1")
+        return events[-1], d.clock.now_ms() - before_ms
+
+    end, took_ms = run(story)
+    assert deployments.kind_of(end) is errors.ErrorKind.DEADLINE_EXCEEDED
+    assert deployments.ran_of(end) is errors.Ran.UNKNOWN
+    assert took_ms <= 1_010
