Send the scenario's load to every instance in turn

Cause: every second count skipped half the instances, so that a till in the domain of the only instance that knew was never tried.

--- a/tests/scenarios/test_shutdown.py
+++ b/tests/scenarios/test_shutdown.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Iterator
 import dataclasses
+import itertools
 
 import pytest
 import pytest_bdd
@@ -70,9 +71,9 @@
         return last
 
     async def _load(self) -> None:
-        while True:
+        for turn in itertools.count():
             names = self.listed()
-            name = names[self._count % len(names)]
+            name = names[turn % len(names)]
             self._tasks.append(asyncio.create_task(self._ask(name)))
             self._tasks.append(asyncio.create_task(self._call(name)))
             await self.bench.clock.sleep_ms(300)
