Demonstration over the operator RPC, an instance replaced under its load

Cause: the demonstration appended its configuration by hand; SIGTERM was not tried on a real process, and a stop waited up to a minute for open calls. Change: configuration goes through the operator client; entry-b2 is drained by SIGTERM under load and started anew; a stop leaves open calls 0.1 s, since the shutdown before it has waited.

--- a/src/jujubewharf/callers/edge.py
+++ b/src/jujubewharf/callers/edge.py
@@ -22,6 +22,8 @@
 
 _Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
+# A shutdown has waited for requests before; who is left then is cut.
+_STOP_S = 0.1
 _READY_STATUS = {True: 200, False: 503}
 _PROBES = frozenset({"/healthz", "/readyz"})
 
@@ -61,6 +63,7 @@
         self._runner = server.JsonErrorRunner(
             self._app,
             handler_cancellation=True,
+            shutdown_timeout=_STOP_S,
             auto_decompress=False,
             access_log=None,
         )
@@ -73,6 +76,7 @@
         )
         await site.start()
         self.port = self._runner.addresses[0][1]
+        structlog.get_logger().info("callers_listening", port=self.port)
 
     async def on_stop(self) -> None:
         """Stops listening and ends open requests."""
--- a/src/jujubewharf/callers/server.py
+++ b/src/jujubewharf/callers/server.py
@@ -49,11 +49,18 @@
 
     Args:
         app: The application.
+        shutdown_timeout: Seconds that a stop leaves open requests.
         **options: Options of ``web.Server``.
     """
 
-    def __init__(self, app: web.Application, **options: Any) -> None:
-        super().__init__(app, **options)
+    def __init__(
+        self,
+        app: web.Application,
+        *,
+        shutdown_timeout: float,
+        **options: Any,
+    ) -> None:
+        super().__init__(app, shutdown_timeout=shutdown_timeout, **options)
         self._options = options
 
     async def _make_server(self) -> web.Server:
--- a/src/jujubewharf/commands/demo.py
+++ b/src/jujubewharf/commands/demo.py
@@ -13,7 +13,7 @@
 _EXIT_INTERRUPTED = 130
 
 
-def demo(requests: int = 240) -> None:
+def demo(requests: int = 300) -> None:
     """Start a deployment on loopback, load it, check it, end it.
 
     Exits with 0 only if every answer came once and whole and no engine holds
--- a/src/jujubewharf/commands/standin.py
+++ b/src/jujubewharf/commands/standin.py
@@ -72,9 +72,9 @@
 
 
 @app.command("endpoint")
-def endpoint(name: str, port: int = 0) -> None:
+def endpoint(name: str, port: int = 0, answer_ms: float = 5.0) -> None:
     """Run an endpoint of a plain service."""
-    served = endpoints.PlainEndpoint(name, clocks.Clock())
+    served = endpoints.PlainEndpoint(name, clocks.Clock(), answer_ms=answer_ms)
     asyncio.run(serve(served.app(), port))
 
 
--- a/src/jujubewharf/demo/deployment.py
+++ b/src/jujubewharf/demo/deployment.py
@@ -3,9 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
+import hashlib
 import json
 import pathlib
+import secrets
+import signal
 import socket
 
 import aiohttp
@@ -41,6 +46,9 @@
     peers: str
 
 
+_Holds = Callable[[EntryAddress, aiohttp.ClientSession], Awaitable[bool]]
+
+
 @dataclasses.dataclass(slots=True)
 class Deployment:
     """A running deployment.
@@ -51,6 +59,7 @@
         endpoints: Engines and plain endpoints, as declared.
         log_url: The platform's log.
         live_list_url: The platform's live list.
+        operator_token: Token of the built-in administrator.
     """
 
     entries: list[EntryAddress]
@@ -58,6 +67,7 @@
     endpoints: list[resources.Endpoint]
     log_url: str
     live_list_url: str
+    operator_token: str
 
     def declared(self) -> list[resources.Resource]:
         """The configuration that operators would apply."""
@@ -77,10 +87,7 @@
 
 
 async def start(
-    running: processes.Processes,
-    directory: pathlib.Path,
-    *,
-    bootstrap_token_sha256: str = "",
+    running: processes.Processes, directory: pathlib.Path
 ) -> Deployment:
     """Starts everything, the platform first.
 
@@ -95,7 +102,9 @@
     log_url, live_list_url, weight_store_url = (f"http://{a}" for a in platform)
     starts = [_start_endpoint(running, *one) for one in _endpoints()]
     endpoints = list(await asyncio.gather(*starts))
-    deployment = Deployment([], {}, endpoints, log_url, live_list_url)
+    token = secrets.token_hex()
+    token_sha256 = hashlib.sha256(token.encode()).hexdigest()
+    deployment = Deployment([], {}, endpoints, log_url, live_list_url, token)
     for domain in DOMAINS:
         for number in range(1, _INSTANCES_PER_DOMAIN + 1):
             entry = _entry_address(f"entry-{domain[-1]}{number}", domain)
@@ -104,18 +113,25 @@
                 log_url,
                 live_list_url,
                 weight_store_url,
-                bootstrap_token_sha256,
+                token_sha256,
             )
             path = directory / f"{entry.instance}.json"
             path.write_text(json.dumps(settings, indent=2), encoding="utf-8")
-            child = await running.start(
-                entry.instance, "entry", "--settings", str(path)
-            )
             deployment.entries.append(entry)
-            deployment.children[entry.instance] = child
+            deployment.children[entry.instance] = await _start_entry(
+                running, entry, path
+            )
     return deployment
 
 
+async def _start_entry(
+    running: processes.Processes, entry: EntryAddress, path: pathlib.Path
+) -> processes.Child:
+    return await running.start(
+        entry.instance, "entry", "--settings", str(path), settings_path=path
+    )
+
+
 async def publish_live_list(
     deployment: Deployment, session: aiohttp.ClientSession
 ) -> None:
@@ -146,28 +162,89 @@
         response.raise_for_status()
 
 
+async def is_ready(entry: EntryAddress, session: aiohttp.ClientSession) -> bool:
+    """What an instance tells its balancer."""
+    try:
+        async with session.get(f"http://{entry.callers}/readyz") as answer:
+            return answer.status == _HTTP_OK
+    except aiohttp.ClientError:
+        return False
+
+
 async def wait_until_ready(
     deployment: Deployment, session: aiohttp.ClientSession
+) -> None:
+    """Waits until every instance takes requests.
+
+    Raises:
+        StartError: One did not in time, or its process ended.
+    """
+    waits = [
+        _wait_for(deployment, entry, is_ready, session)
+        for entry in deployment.entries
+    ]
+    await asyncio.gather(*waits)
+
+
+async def wait_until_answering(
+    deployment: Deployment, session: aiohttp.ClientSession
 ) -> None:
     """Waits until every instance answers a plain and a model request.
 
     Raises:
         StartError: One did not in time, or its process ended.
     """
-    waits = [_wait_for(deployment, one, session) for one in deployment.entries]
+    waits = [
+        _wait_for(deployment, entry, _answers, session)
+        for entry in deployment.entries
+    ]
     await asyncio.gather(*waits)
 
 
+async def replace(
+    running: processes.Processes,
+    deployment: Deployment,
+    entry: EntryAddress,
+    session: aiohttp.ClientSession,
+) -> int:
+    """Drains an instance by SIGTERM and starts it anew at its address.
+
+    It is out of the rotation for as long as its readiness says so, as with a
+    balancer.
+
+    Returns:
+        The exit code of the drained process.
+    """
+    child = deployment.children[entry.instance]
+    child.send(signal.SIGTERM)
+    await _wait_for(deployment, entry, _is_unlisted, session)
+    deployment.entries.remove(entry)
+    exit_code = await child.process.wait()
+    deployment.children[entry.instance] = await _start_entry(
+        running, entry, child.settings_path
+    )
+    await _wait_for(deployment, entry, is_ready, session)
+    deployment.entries.append(entry)
+    return exit_code
+
+
+async def _is_unlisted(
+    entry: EntryAddress, session: aiohttp.ClientSession
+) -> bool:
+    return not await is_ready(entry, session)
+
+
 async def _wait_for(
     deployment: Deployment,
     entry: EntryAddress,
+    holds: _Holds,
     session: aiohttp.ClientSession,
 ) -> None:
     child = deployment.children[entry.instance]
     loop = asyncio.get_running_loop()
     until_s = loop.time() + _READY_TIMEOUT_S
     while loop.time() < until_s and child.is_running:
-        if await _answers(entry, session):
+        if await holds(entry, session):
             return
         await asyncio.sleep(_READY_POLL_S)
     raise processes.StartError(f"{entry.instance}: see {child.log_path}")
--- a/src/jujubewharf/demo/processes.py
+++ b/src/jujubewharf/demo/processes.py
@@ -26,11 +26,13 @@
         name: What it stands for.
         process: The process; it is only ever ended by its own id.
         log_path: Where its standard error goes.
+        settings_path: Its settings file, if it has one.
     """
 
     name: str
     process: asyncio.subprocess.Process
     log_path: pathlib.Path
+    settings_path: pathlib.Path = pathlib.Path()
 
     @property
     def is_running(self) -> bool:
@@ -64,7 +66,12 @@
     async def __aexit__(self, *exc: object) -> None:
         await self.end(self._children)
 
-    async def start(self, name: str, *arguments: str) -> Child:
+    async def start(
+        self,
+        name: str,
+        *arguments: str,
+        settings_path: pathlib.Path = pathlib.Path(),
+    ) -> Child:
         """Starts one command."""
         log_path = self._directory / f"{name}.log"
         with log_path.open("ab") as log_file:
@@ -79,7 +86,7 @@
                 start_new_session=True,
                 limit=_LINE_LIMIT_BYTES,
             )
-        child = Child(name, process, log_path)
+        child = Child(name, process, log_path, settings_path)
         self._children.append(child)
         return child
 
--- a/src/jujubewharf/demo/show.py
+++ b/src/jujubewharf/demo/show.py
@@ -13,15 +13,12 @@
 from rich import progress as progresses
 from rich import table as tables
 
-from jujubewharf import clock as clocks
-from jujubewharf.configuration import border
-from jujubewharf.configuration import records
-from jujubewharf.configuration import resources
 from jujubewharf.demo import checks
 from jujubewharf.demo import deployment as deployments
 from jujubewharf.demo import load
 from jujubewharf.demo import processes
-from jujubewharf.platform import http_log
+from jujubewharf.operators import client as operator_client
+from jujubewharf.operators import faults
 
 _TIME_LIMIT_S = 55.0
 
@@ -37,20 +34,22 @@
         directory = pathlib.Path(name)
         try:
             async with asyncio.timeout(_TIME_LIMIT_S):
-                faults = await _run(requests, directory, console)
+                found = await _run(requests, directory, console)
         except (
             processes.StartError,
             aiohttp.ClientError,
+            faults.OperatorError,
+            faults.UnreachableError,
             TimeoutError,
         ) as error:
-            faults = [f"{type(error).__name__}: {error}"]
+            found = [f"{type(error).__name__}: {error}"]
             _print_logs(directory, console)
-    for fault in faults:
+    for fault in found:
         console.print(f"[red]{fault}", highlight=False)
-    if not faults:
+    if not found:
         console.print("[green]Every answer came once and whole.")
         console.print("[green]No engine holds memory.")
-    return faults
+    return found
 
 
 async def _run(
@@ -63,36 +62,37 @@
         with console.status("Starting a deployment on loopback"):
             deployment = await deployments.start(running, directory)
             await deployments.publish_live_list(deployment, session)
-            await _apply(deployment, session)
             await deployments.wait_until_ready(deployment, session)
+            await _apply(deployment)
+            await deployments.wait_until_answering(deployment, session)
         console.print(_deployment_table(deployment))
-        outcomes = await _load(requests, deployment, session, console)
+        leaver = deployment.entries[-1]
+        outcomes, exit_code = await asyncio.gather(
+            _load(requests, deployment, session, console),
+            deployments.replace(running, deployment, leaver, session),
+        )
         console.print(_outcome_table(outcomes))
-        faults = [f"{o.kind.value}: {o.fault}" for o in outcomes if o.fault]
-        faults += await checks.ran_more_than_once(outcomes, deployment, session)
-        return faults + await checks.held_memory(deployment, session)
-
-
-async def _apply(
-    deployment: deployments.Deployment, session: aiohttp.ClientSession
-) -> None:
-    platform_log = http_log.HttpLog(deployment.log_url, session, clocks.Clock())
-    payloads = [_put(resource) for resource in deployment.declared()]
-    await platform_log.append(records.STREAM, payloads)
-
-
-def _put(resource: resources.Resource) -> bytes:
-    kind = resources.KIND_OF[type(resource)]
-    change = records.Change(
-        operation_id=f"demo-{kind.value}-{resource.name}",
-        actor="demo",
-        verb=records.Verb.PUT,
-        kind=kind.value,
-        name=resource.name,
-        expected_generation=0,
-        body=border.dump(resource),
-    )
-    return records.encode(change)
+        console.print(
+            f"{leaver.instance} was drained under load (exit code {exit_code})"
+            " and started anew.",
+            highlight=False,
+        )
+        found = [f"{o.kind.value}: {o.fault}" for o in outcomes if o.fault]
+        if exit_code != 0:
+            found.append(f"{leaver.instance}: exit code {exit_code}")
+        found += await checks.ran_more_than_once(outcomes, deployment, session)
+        return found + await checks.held_memory(deployment, session)
+
+
+async def _apply(deployment: deployments.Deployment) -> None:
+    """Declares everything over the operator RPC, as operators would."""
+    addresses = [entry.operators for entry in deployment.entries]
+    async with operator_client.OperatorClient(
+        addresses, deployment.operator_token
+    ) as client:
+        reply = await client.apply(deployment.declared())
+    if reply.failed:
+        raise processes.StartError(f"not applied: {reply.failed}")
 
 
 async def _load(
