--- a/tests/requests/test_sweep.py
+++ b/tests/requests/test_sweep.py
@@ -84,7 +84,8 @@
         events = await task
         return events, [dict(d.counts(n).swept) for n in ("e1", "e2", "e3")]
 
-    events, swept = run(story)
+    policy = deployments.Scripted(["d1"], ["p1"])
+    events, swept = run(story, policy=policy)
     assert deployments.is_whole(events, 900)
     assert swept == [{}, {}, {}]
 
--- a/tests/test_golden_session.py
+++ b/tests/test_golden_session.py
@@ -58,7 +58,8 @@
     """Writes down what the stand-ins are asked between two steps.
 
     Releases go out together and arrive in any order, so they stand at the
-    end of their step, sorted.
+    end of their step, sorted. A reservation and the reading of the prompt run
+    side by side too; the reservation is shown first.
     """
 
     def __init__(
@@ -73,7 +74,8 @@
         self._wrap_log(deployment)
 
     def write(self) -> None:
-        for party, text in [*self._calls, *sorted(self._releases)]:
+        calls = _reservations_first(self._calls)
+        for party, text in [*calls, *sorted(self._releases)]:
             self._transcript.add(party, text)
         self._calls.clear()
         self._releases.clear()
@@ -106,6 +108,18 @@
         deployment.log.append = append
 
 
+def _reservations_first(
+    calls: list[tuple[str, str]],
+) -> list[tuple[str, str]]:
+    """Swaps each prefill with a reservation that came right after it."""
+    settled = list(calls)
+    for place in range(1, len(settled)):
+        before, after = settled[place - 1], settled[place]
+        if before[1].startswith("prefill") and after[1].startswith("reserve"):
+            settled[place - 1], settled[place] = after, before
+    return settled
+
+
 def _shown(argument: object) -> str:
     match argument:
         case client.Attempt():
