--- a/tests/commands/test_ctl.py
+++ b/tests/commands/test_ctl.py
@@ -297,3 +297,19 @@
     )
     ctl_tables.show(ctl_tables.of_history([refused, accepted]))
     assert capsys.readouterr().out == snapshot
+
+
+@pytest.mark.parametrize(
+    ("typed", "completed"),
+    [("ctl acc", "accept-loss"), ("ctl get e", "endpoint")],
+)
+def test_the_shell_completes_commands_and_kinds(typed: str, completed: str):
+    environment = {
+        "_JUJUBEWHARF_COMPLETE": "complete_bash",
+        "COMP_WORDS": f"jujubewharf {typed}",
+        "COMP_CWORD": str(len(typed.split())),
+    }
+    result = testing.CliRunner().invoke(
+        main.app, [], env=environment, prog_name="jujubewharf"
+    )
+    assert result.output.split() == [completed]
