--- a/src/jujubewharf/experiments/control_cost.py
+++ b/src/jujubewharf/experiments/control_cost.py
@@ -27,7 +27,8 @@
 SIZES = (6, 12, 24, 48)
 DOMAINS = 3
 
-_SETTLE_MS = 20_000.0
+SETTLE_S = 20.0
+
 _STEP_MS = 50.0
 _PATIENCE_MS = 20_000.0
 # Headers of one TCP segment over IPv4 with timestamps, and of its
@@ -67,7 +68,12 @@
 
 
 async def measure(
-    size: int, *, domains: int, duration_s: float, churn_per_min: float
+    size: int,
+    *,
+    domains: int,
+    duration_s: float,
+    churn_per_min: float,
+    settle_s: float = SETTLE_S,
 ) -> Cost:
     """Runs a fleet and measures it.
 
@@ -76,11 +82,12 @@
         domains: Number of failure domains.
         duration_s: Virtual seconds to measure over.
         churn_per_min: Instances killed and started anew a minute.
+        settle_s: Virtual seconds after the start that are left out.
     """
     bench = benches.Bench()
     for number in range(size):
         await bench.start_instance(f"e{number:03}", f"d{number % domains}")
-    await bench.clock.sleep_ms(_SETTLE_MS)
+    await bench.clock.sleep_ms(settle_s * 1_000)
     links = statistics.mean(
         instance.core.peers.link_count()
         for instance in bench.instances.values()
@@ -178,6 +185,7 @@
     domains: int = DOMAINS,
     duration_s: float = 60.0,
     churn_per_min: float = 0.0,
+    settle_s: float = SETTLE_S,
 ) -> None:
     """Measures the cost of control, idle or under churn."""
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
@@ -188,6 +196,7 @@
                 domains=domains,
                 duration_s=duration_s,
                 churn_per_min=churn_per_min,
+                settle_s=settle_s,
             )
         )
         for size in sizes or SIZES
--- a/src/jujubewharf/membership/facts.py
+++ b/src/jujubewharf/membership/facts.py
@@ -146,6 +146,8 @@
     def _next_due(self) -> str | None:
         """A peer to compare with; those whose link is gone are let be."""
         linked = self._mesh.linked()
+        for peer in [name for name in self._mismatches if name not in linked]:
+            del self._mismatches[peer]
         while self._due:
             peer = self._due.pop(0)
             self._mismatches.pop(peer, None)
--- /dev/null
+++ b/tests/membership/test_membership.py
@@ -0,0 +1,63 @@
+"""Membership over long times: what is gone is forgotten."""
+
+from __future__ import annotations
+
+from jujubewharf.experiments import bench as benches
+from jujubewharf.experiments import virtual_time
+
+GENERATIONS = 12
+FORGOTTEN_AFTER_MS = 150_000.0
+
+
+def test_instances_that_are_gone_leave_nothing_behind():
+    """An instance is replaced again and again, each time under a new name.
+
+    The list drops the old name. Its links, hello, reports, presence and times
+    must go as well, or an instance that runs for months fills its memory.
+    """
+
+    async def run() -> None:
+        bench = benches.Bench()
+        for name in ("e1", "e2", "e3"):
+            await bench.start_instance(name, "a")
+        for generation in range(GENERATIONS):
+            name = f"short-{generation}"
+            await bench.start_instance(name, "a")
+            await bench.clock.sleep_ms(5_000)
+            bench.kill_instance(name)
+            bench.unlist_member(name)
+        await bench.clock.sleep_ms(FORGOTTEN_AFTER_MS)
+        core = bench.instances["e1"].core
+        names = [member.instance for member in core.membership.members()]
+        assert names == ["e1", "e2", "e3"]
+        assert sorted(core.peers.known()) == ["e2", "e3"]
+        assert sorted(core.peers.greeted()) == ["e2", "e3"]
+        assert len(core.facts.store) == 0
+        assert core.facts.store.digest == 0
+        held = core.membership._suspicion
+        assert sorted(held._known_since_ms) == ["e2", "e3"]
+        assert not held._reports
+        assert not held._due_ms
+        await bench.stop()
+
+    virtual_time.run(run())
+
+
+def test_a_listener_hears_of_each_change():
+    async def run() -> None:
+        bench = benches.Bench()
+        await bench.start_instance("e1", "a")
+        view = bench.instances["e1"].core.membership
+        seen: list[tuple[str, ...]] = []
+        view.listen(
+            lambda: seen.append(tuple(m.instance for m in view.present()))
+        )
+        await bench.start_instance("e2", "a")
+        await bench.clock.sleep_ms(3_000)
+        bench.kill_instance("e2")
+        await bench.clock.sleep_ms(3_000)
+        assert ("e1", "e2") in seen
+        assert seen[-1] == ("e1",)
+        await bench.stop()
+
+    virtual_time.run(run())
