A domain cut off from everything goes on answering: scenario

A peer host that nobody can dial (0.0.0.0, a name) is refused in settings: hellos would tell it to all.

--- a/src/jujubewharf/settings/models.py
+++ b/src/jujubewharf/settings/models.py
@@ -81,7 +81,7 @@
     """Links to other entry instances.
 
     Attributes:
-        host: IP number to listen on.
+        host: IP number to listen on, which others dial as well.
         port: TCP port; 0 takes a free one.
         tls_certificate_file: PEM certificate; all three or none are given.
         tls_key_file: PEM key.
@@ -100,6 +100,13 @@
     heartbeat_ms: PositiveMs = 1_000
     suspect_after_ms: PositiveMs = 3_500
 
+    @pydantic.field_validator("host")
+    @classmethod
+    def _host_can_be_dialled(cls, host: str) -> str:
+        if ipaddress.ip_address(host).is_unspecified:
+            raise ValueError("others dial this number; give the instance's own")
+        return host
+
     @pydantic.model_validator(mode="after")
     def _tls_is_whole(self) -> PeerSettings:
         files = (
--- a/tests/peers/test_keys.py
+++ b/tests/peers/test_keys.py
@@ -173,6 +173,12 @@
         assert e1.reloader.reloads == 0
 
 
+@pytest.mark.parametrize("host", ["0.0.0.0", "::", "router.example"])
+def test_a_host_that_nobody_can_dial_is_no_setting(host):
+    with pytest.raises(ValueError, match="host"):
+        models.PeerSettings(host=host)
+
+
 async def _until_reloaded(*nodes: Node) -> None:
     before = {node: node.reloader.reloads for node in nodes}
     await _until(lambda: all(n.reloader.reloads > before[n] for n in nodes))
--- a/tests/scenarios/peers.feature
+++ b/tests/scenarios/peers.feature
@@ -65,3 +65,13 @@
     And those in a see those in a
     When the cut heals
     Then within 30 seconds all see all
+
+  Scenario: A domain cut off from everything goes on answering
+    Given a model engine in each of the domains a, b and c
+    When domain a is cut off from peers, log and list
+    And 20 seconds pass
+    Then a1 answers a request whole, with the engine of its domain
+    And b1 answers a request whole, with an engine of b or c
+    When the cut heals
+    Then within 30 seconds all see all
+    And no engine holds memory
--- a/tests/scenarios/test_peers.py
+++ b/tests/scenarios/test_peers.py
@@ -4,18 +4,25 @@
 
 from collections.abc import Iterator
 import dataclasses
+import re
 
 import pytest
 import pytest_bdd
 from pytest_bdd import parsers
 
 from jujubewharf import clock as clocks
+from jujubewharf.configuration import resources
 from jujubewharf.peers import messages
+from jujubewharf.requests import model_request
+from jujubewharf.standins import engine as engines
 from tests.scenarios import steps
 
 pytest_bdd.scenarios("peers.feature")
 
 _ORIGIN_MS = 1e9
+_SERVICE = resources.Service(
+    "verdict-llm", resources.ServiceKind.MODEL, model="judge"
+)
 
 
 @messages.message(9_101)
@@ -134,6 +141,83 @@
     world.bench.network.cut("a", "c")
 
 
+@pytest_bdd.given("a model engine in each of the domains a, b and c")
+def engines_everywhere(world):
+    async def declare() -> None:
+        await world.bench.declare(_SERVICE)
+        for domain in "abc":
+            endpoint = resources.Endpoint(
+                f"engine-{domain}",
+                _SERVICE.name,
+                f"127.0.0.1:{domain}",
+                domain,
+                resources.Role.BOTH,
+            )
+            spec = engines.EngineSpec(model=_SERVICE.model)
+            world.bench.add_engine(endpoint, spec)
+            await world.bench.declare(endpoint)
+
+    world.run(declare())
+    world.wait_s(3)
+
+
+@pytest_bdd.when("domain a is cut off from peers, log and list")
+def cut_off_from_all(world):
+    world.act(lambda: world.bench.cut_domain("a"))
+
+
+@pytest_bdd.when(parsers.parse("{duration_s:d} seconds pass"))
+def time_passes(world, duration_s):
+    world.wait_s(duration_s)
+
+
+@pytest_bdd.then(
+    parsers.re(
+        r"(?P<name>\w+) answers a request whole, "
+        r"with (the|an) engine of (?P<where>.+)"
+    )
+)
+def answers_whole(world, name, where):
+    domains = re.findall(r"\b[abc]\b", where) or [name[0]]
+    request = model_request.ModelRequest(
+        request_id=f"from-{name}",
+        key=f"from-{name}",
+        body_digest="",
+        account="",
+        service=_SERVICE,
+        prompt="answer_tokens=9 " + "word " * 50,
+        max_tokens=50,
+        arrived_ms=world.act(world.bench.clock.now_ms),
+        deadline_ms=10_000,
+    )
+    generated = {
+        domain: world.bench.engine(f"engine-{domain}").counts.decoded_tokens
+        for domain in "abc"
+    }
+
+    async def ask() -> list[model_request.Event]:
+        instance = world.bench.instances[name]
+        return [event async for event in instance.answer(request)]
+
+    last = world.run(ask())[-1]
+    assert isinstance(last, model_request.Finished)
+    assert last.count == 9
+    used = [
+        domain
+        for domain in "abc"
+        if world.bench.engine(f"engine-{domain}").counts.decoded_tokens
+        > generated[domain]
+    ]
+    assert len(used) == 1
+    assert used[0] in domains
+
+
+@pytest_bdd.then("no engine holds memory")
+def nothing_held(world):
+    for engine in world.bench.engines.values():
+        assert world.run(engine.held()) == ()
+
+
 @pytest_bdd.when("the cut heals")
 def heals(world):
     world.act(world.bench.heal)
