--- a/src/jujubewharf/engines/http.py
+++ b/src/jujubewharf/engines/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+from collections.abc import Iterator
 import dataclasses
 from typing import Any
 
@@ -175,30 +176,29 @@
     rest = b""
     async for data in content.iter_any():
         *lines, rest = (rest + data).split(b"\n")
-        pending: client.TokenChunk | None = None
-        for line in lines:
-            chunk = _chunk(orjson.loads(line))
-            if pending is None:
-                pending = chunk
-            elif _goes_on(pending, chunk):
-                pending = _joined(pending, chunk)
-            else:
-                yield pending
-                pending = chunk
-        if pending is not None:
-            yield pending
-
-
-def _goes_on(chunk: client.TokenChunk, after: client.TokenChunk) -> bool:
-    next_index = chunk.first_index + len(chunk.tokens)
-    return not chunk.is_last and after.first_index == next_index
-
-
-def _joined(
-    chunk: client.TokenChunk, after: client.TokenChunk
-) -> client.TokenChunk:
-    tokens = chunk.tokens + after.tokens
-    return client.TokenChunk(chunk.first_index, tokens, after.is_last)
+        for chunk in _parsed(lines):
+            yield chunk
+
+
+def _parsed(lines: list[bytes]) -> Iterator[client.TokenChunk]:
+    if len(lines) == 1:
+        yield _chunk(orjson.loads(lines[0]))
+        return
+    first_index = 0
+    tokens: list[str] = []
+    for line in lines:
+        item = orjson.loads(line)
+        if tokens and item["first_index"] != first_index + len(tokens):
+            yield client.TokenChunk(first_index, tuple(tokens))
+            tokens = []
+        if not tokens:
+            first_index = item["first_index"]
+        tokens += item["tokens"]
+        if item["is_last"]:
+            yield client.TokenChunk(first_index, tuple(tokens), True)
+            tokens = []
+    if tokens:
+        yield client.TokenChunk(first_index, tuple(tokens))
 
 
 def _chunk(item: dict[str, Any]) -> client.TokenChunk:
