--- a/src/jujubewharf/engines/http.py
+++ b/src/jujubewharf/engines/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Iterator
 import dataclasses
@@ -15,15 +16,11 @@
 
 _CALL_TIMEOUT_MS = 5_000.0
 _PREFILL_TIMEOUT_MS = 60_000.0
-_CHUNK_TIMEOUT_S = 10.0
+_SILENCE_CHECK_MS = 5_000.0
 _OK = 200
 _JSON = {"Content-Type": "application/json"}
 
-# The HTTP library's own timeout between two reads costs a tenth of a timer
-# of ours around each.
-_STREAM_TIMEOUT = aiohttp.ClientTimeout(
-    total=None, sock_connect=1.0, sock_read=_CHUNK_TIMEOUT_S
-)
+_STREAM_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=1.0)
 _CONNECT_ERRORS = (
     aiohttp.ClientConnectorError,
     aiohttp.ConnectionTimeoutError,
@@ -89,8 +86,12 @@
                 timeout=_STREAM_TIMEOUT,
             ) as response:
                 await self._raise_for_fault(response)
-                async for chunk in _chunks(response.content):
-                    yield chunk
+                with _SilenceWatch(
+                    response, self._clock, period_ms=_SILENCE_CHECK_MS
+                ) as watch:
+                    async for chunk in _chunks(response.content):
+                        watch.has_heard = True
+                        yield chunk
         except _CONNECT_ERRORS as error:
             raise self._error(client.EngineFault.UNREACHABLE) from error
         except _STREAM_ERRORS as error:
@@ -163,6 +164,52 @@
     return {"attempt_id": attempt.attempt_id, "owner": attempt.owner}
 
 
+class _SilenceWatch:
+    """Closes an answer's connection when the engine falls silent.
+
+    A timer around each read, ours or the HTTP library's, is made and dropped
+    for every token. This one looks now and then whether anything came, so
+    silence is noticed after one to two periods.
+
+    Args:
+        response: The answer; reading it fails once it is closed.
+        clock: Time.
+        period_ms: Time between two looks.
+
+    Attributes:
+        has_heard: Set whenever something came.
+    """
+
+    def __init__(
+        self,
+        response: aiohttp.ClientResponse,
+        clock: clocks.Clock,
+        *,
+        period_ms: float,
+    ) -> None:
+        self.has_heard = True
+        self._response = response
+        self._clock = clock
+        self._period_ms = period_ms
+        self._timer: asyncio.TimerHandle | None = None
+
+    def __enter__(self) -> _SilenceWatch:
+        self._look()
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _look(self) -> None:
+        if not self.has_heard:
+            self._response.close()
+            return
+        self.has_heard = False
+        at_ms = self._clock.now_ms() + self._period_ms
+        self._timer = self._clock.call_at_ms(at_ms, self._look)
+
+
 async def _chunks(
     content: aiohttp.StreamReader,
 ) -> AsyncIterator[client.TokenChunk]:
