--- a/src/jujubewharf/peers/key_messages.py
+++ b/src/jujubewharf/peers/key_messages.py
@@ -139,24 +139,29 @@
 
 @messages.message(27)
 @dataclasses.dataclass(frozen=True, slots=True)
-class AskAlive(messages.Message):
-    """Asks which attempts an instance still needs; passed on once."""
+class AskNeeded(messages.Message):
+    """Asks which attempts an instance still needs; passed on once.
+
+    Attributes:
+        owner: The instance.
+        marks: Eight bytes for each attempt, see ``releases.mark_of``.
+    """
 
     owner: str
-    attempt_ids: tuple[str, ...]
+    marks: bytes
 
 
 @messages.message(28)
 @dataclasses.dataclass(frozen=True, slots=True)
-class Alive(messages.Message):
-    """The attempts that are needed.
+class NotNeeded(messages.Message):
+    """The attempts, out of those asked for, that are not needed.
 
     Attributes:
-        attempt_ids: Out of those asked for.
+        marks: Eight bytes for each attempt.
         is_owners_word: False when the owner could not be reached.
     """
 
-    attempt_ids: tuple[str, ...]
+    marks: bytes
     is_owners_word: bool = True
 
 
@@ -216,3 +221,37 @@
     """Whether the run never was and never will be dispatched."""
 
     is_abandoned: bool
+
+
+@messages.message(33)
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandOver(messages.Message):
+    """Gives a finished answer to another instance before leaving.
+
+    Attributes:
+        account: Account of the caller.
+        callers_key: The caller's key.
+        body_digest: Digest of the request's body.
+        request_id: The run that wrote it.
+        is_repeatable: Whether the request may be repeated.
+        packed: Its tokens, as ``requests.kept`` packs them.
+        count: Tokens of the whole answer.
+        digest: Digest of the whole answer.
+        attempt_id: Attempt that finished it.
+    """
+
+    account: str
+    callers_key: str
+    body_digest: str
+    request_id: str
+    is_repeatable: bool
+    packed: bytes
+    count: int
+    digest: str
+    attempt_id: str
+
+
+@messages.message(34)
+@dataclasses.dataclass(frozen=True, slots=True)
+class TookOver(messages.Message):
+    """The answer is kept and its key's homes know."""
--- /dev/null
+++ b/src/jujubewharf/routing/slots.py
@@ -0,0 +1,192 @@
+"""Asks the keepers of engines for decode slots, and gives them back."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from jujubewharf import clock as clocks
+from jujubewharf.peers import network
+from jujubewharf.peers import slot_messages
+from jujubewharf.routing import counters
+from jujubewharf.routing import fleet as fleets
+from jujubewharf.routing import keepers
+from jujubewharf.routing import policy as policies
+
+_ANSWER_MARGIN_MS = 250.0
+_SILENT_FOR_MS = 3_000.0
+_READ_ANSWER_MS = 100.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Grant:
+    """What a request waits for, was promised or holds at one engine."""
+
+    keeper: str
+    since_ms: float
+    is_ready: bool
+    is_granted: bool = False
+
+    @property
+    def is_held(self) -> bool:
+        return self.is_ready and self.is_granted
+
+
+class Slots:
+    """This instance's grants, from whoever keeps the engines.
+
+    Args:
+        surroundings: Engines and other instances.
+        clock: Time.
+    """
+
+    def __init__(
+        self, surroundings: policies.Surroundings, clock: clocks.Clock
+    ) -> None:
+        self._fleet = surroundings.fleet
+        self._peers = surroundings.peers
+        self._members = surroundings.members
+        self._clock = clock
+        self._grants: dict[int, dict[str, _Grant]] = {}
+        self._reads: dict[int, tuple[str, str]] = {}
+        self._silent_until_ms: dict[str, float] = {}
+        self._keepers: dict[str, str | None] = {}
+        self._all_keepers = keepers.Keepers(surroundings.members)
+        self._peers.handle(slot_messages.LoadNews, self._on_news)
+        self._members.listen(self._on_members)
+
+    def granted_engine(self, number: int) -> str | None:
+        """The engine whose slot a request holds or was promised."""
+        grants = self._grants.get(number, {})
+        return next(
+            (n for n, grant in grants.items() if grant.is_granted), None
+        )
+
+    async def ask(
+        self, view: fleets.EngineView, ask: slot_messages.SlotAsk
+    ) -> slot_messages.SlotAnswer:
+        """Asks for a slot; waits until it is granted or can't be in time.
+
+        A keeper that can't be reached is replaced by this instance itself,
+        which judges by the engine's reports; the engine has the last word.
+        """
+        keeper = self._keeper_of(view)
+        view.asked_since_news += 1
+        grant = _Grant(keeper, self._clock.now_ms(), ask.is_ready)
+        grants = self._grants.setdefault(ask.number, {})
+        grants[ask.engine] = grant
+        answer = await self._ask(keeper, ask)
+        if answer is None and keeper != self._peers.instance:
+            self._silent_until_ms[keeper] = (
+                self._clock.now_ms() + _SILENT_FOR_MS
+            )
+            counters.fell_back()
+            grant.keeper = self._peers.instance
+            answer = await self._ask(grant.keeper, ask)
+        if answer is None:
+            answer = slot_messages.SlotAnswer(False)
+        counters.asked(
+            is_granted=answer.is_granted, is_hopeless=answer.is_hopeless
+        )
+        self._take_news(answer.news)
+        grant.since_ms = self._clock.now_ms()
+        grant.is_granted = answer.is_granted
+        if not answer.is_granted and grants.get(ask.engine) is grant:
+            del grants[ask.engine]
+        return answer
+
+    async def ask_read(
+        self, view: fleets.EngineView, number: int, tokens: int
+    ) -> None:
+        """Tells of a prompt about to be sent, and learns the queue there."""
+        self.end_read(number)
+        keeper = self._keeper_of(view)
+        self._reads[number] = (view.endpoint.name, keeper)
+        ask = slot_messages.ReadAsk(view.endpoint.name, number, tokens)
+        try:
+            news = await self._peers.ask(
+                keeper, ask, timeout_ms=_READ_ANSWER_MS
+            )
+        except network.PeerError:
+            return
+        if isinstance(news, slot_messages.LoadNews):
+            self._take_news(news.news)
+
+    def read_engine(self, number: int) -> str | None:
+        """The engine whose keeper was told of a request's prompt."""
+        read = self._reads.get(number)
+        return read[0] if read is not None else None
+
+    def end_read(self, number: int) -> None:
+        """Tells that a prompt was read, or won't be."""
+        read = self._reads.pop(number, None)
+        if read is not None:
+            engine, keeper = read
+            self._peers.tell(keeper, slot_messages.ReadEnd(engine, number))
+
+    def end(self, number: int, *, but: str | None = None) -> None:
+        """Gives back what a request holds, was promised or waits for.
+
+        Args:
+            number: Of the request.
+            but: An engine whose slot it keeps.
+        """
+        grants = self._grants.pop(number, {})
+        for engine, grant in grants.items():
+            if engine == but:
+                self._grants[number] = {engine: grant}
+                continue
+            end = slot_messages.SlotEnd(engine, number, grant.is_held)
+            self._peers.tell(grant.keeper, end)
+
+    def _keeper_of(self, view: fleets.EngineView) -> str:
+        keeper = self._all_keepers.of(view.endpoint)
+        if keeper is None:
+            return self._peers.instance
+        if self._silent_until_ms.get(keeper, 0.0) > self._clock.now_ms():
+            return self._peers.instance
+        return keeper
+
+    async def _ask(
+        self, keeper: str, ask: slot_messages.SlotAsk
+    ) -> slot_messages.SlotAnswer | None:
+        timeout_ms = ask.answer_in_ms + _ANSWER_MARGIN_MS
+        try:
+            answer = await self._peers.ask(keeper, ask, timeout_ms=timeout_ms)
+        except network.PeerError:
+            return None
+        if isinstance(answer, slot_messages.SlotAnswer):
+            return answer
+        return None
+
+    def _take_news(self, news: tuple[slot_messages.EngineNews, ...]) -> None:
+        now_ms = self._clock.now_ms()
+        for one in news:
+            view = self._fleet.view(one.engine)
+            if view is not None:
+                view.take_news(one, now_ms)
+
+    async def _on_news(self, peer: str, news: slot_messages.LoadNews) -> None:
+        self._take_news(news.news)
+
+    def _on_members(self) -> None:
+        """Tells new keepers what this instance holds at their engines."""
+        for view in self._fleet.all_views():
+            name = view.endpoint.name
+            keeper = self._all_keepers.of(view.endpoint)
+            if keeper == self._keepers.get(name):
+                continue
+            self._keepers[name] = keeper
+            if keeper is not None:
+                self._tell_held(name, keeper)
+
+    def _tell_held(self, engine: str, keeper: str) -> None:
+        now_ms = self._clock.now_ms()
+        held = []
+        for number, grants in sorted(self._grants.items()):
+            grant = grants.get(engine)
+            if grant is not None and grant.is_held:
+                grant.keeper = keeper
+                held.append((number, round(now_ms - grant.since_ms)))
+        if held:
+            message = slot_messages.SlotsHeld(engine, tuple(held))
+            self._peers.tell(keeper, message)
