--- a/src/jujubewharf/demo/deployment.py
+++ b/src/jujubewharf/demo/deployment.py
@@ -46,6 +46,19 @@
     peers: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replaced:
+    """How an instance was replaced.
+
+    Attributes:
+        exit_code: Exit code of the drained process.
+        drained_s: From the signal to the end of that process.
+    """
+
+    exit_code: int
+    drained_s: float
+
+
 _Holds = Callable[[EntryAddress, aiohttp.ClientSession], Awaitable[bool]]
 
 
@@ -206,26 +219,26 @@
     deployment: Deployment,
     entry: EntryAddress,
     session: aiohttp.ClientSession,
-) -> int:
+) -> Replaced:
     """Drains an instance by SIGTERM and starts it anew at its address.
 
     It is out of the rotation for as long as its readiness says so, as with a
     balancer.
-
-    Returns:
-        The exit code of the drained process.
     """
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
     child = deployment.children[entry.instance]
     child.send(signal.SIGTERM)
     await _wait_for(deployment, entry, _is_unlisted, session)
     deployment.entries.remove(entry)
     exit_code = await child.process.wait()
+    drained_s = loop.time() - began_s
     deployment.children[entry.instance] = await _start_entry(
         running, entry, child.settings_path
     )
     await _wait_for(deployment, entry, is_ready, session)
     deployment.entries.append(entry)
-    return exit_code
+    return Replaced(exit_code, drained_s)
 
 
 async def _is_unlisted(
--- a/src/jujubewharf/demo/show.py
+++ b/src/jujubewharf/demo/show.py
@@ -67,19 +67,20 @@
             await deployments.wait_until_answering(deployment, session)
         console.print(_deployment_table(deployment))
         leaver = deployment.entries[-1]
-        outcomes, exit_code = await asyncio.gather(
+        outcomes, replaced = await asyncio.gather(
             _load(requests, deployment, session, console),
             deployments.replace(running, deployment, leaver, session),
         )
         console.print(_outcome_table(outcomes))
         console.print(
-            f"{leaver.instance} was drained under load (exit code {exit_code})"
-            " and started anew.",
+            f"{leaver.instance} was drained under load in "
+            f"{replaced.drained_s:.1f} s (exit code {replaced.exit_code}) and "
+            "started anew.",
             highlight=False,
         )
         found = [f"{o.kind.value}: {o.fault}" for o in outcomes if o.fault]
-        if exit_code != 0:
-            found.append(f"{leaver.instance}: exit code {exit_code}")
+        if replaced.exit_code != 0:
+            found.append(f"{leaver.instance}: exit code {replaced.exit_code}")
         found += await checks.ran_more_than_once(outcomes, deployment, session)
         return found + await checks.held_memory(deployment, session)
 
--- a/src/jujubewharf/leaving/departures.py
+++ b/src/jujubewharf/leaving/departures.py
@@ -54,6 +54,9 @@
         listed: Endpoints on the platform's list.
         say_leaving: Endpoints that lately said so themselves.
         clock: Time.
+
+    Attributes:
+        listed: Endpoints on the platform's list.
     """
 
     def __init__(
@@ -65,7 +68,7 @@
     ) -> None:
         super().__init__()
         self._facts = facts
-        self._listed = listed
+        self.listed = listed
         self._say_leaving = say_leaving
         self._clock = clock
         self._first_hand: dict[str, Source] = {}
@@ -104,7 +107,7 @@
     def _find(self) -> dict[str, Source]:
         found = {
             member.name: Source.LIST
-            for member in self._listed()
+            for member in self.listed()
             if member.state is live_list.LiveState.LEAVING
         }
         for name in self._say_leaving():
