An instance is ready only once it knows an engine that takes work

Cause: a replaced instance said that it was ready when it had read the configuration, and refused its first requests with no_fitting_engine. Change: readiness waits until each model service has an engine known to take work, 1.5 s at most.

--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -60,6 +60,7 @@
 from jujubewharf.requests import sweep as sweeps
 from jujubewharf.routing import baselines
 from jujubewharf.routing import fleet as fleets
+from jujubewharf.routing import looked_around
 from jujubewharf.routing import placer as placers
 from jujubewharf.routing import policy as policies
 from jujubewharf.settings import models
@@ -376,7 +377,10 @@
             ),
             plain_paths.PlainServices(self.core, self._clock, callers),
             readiness.Readiness(
-                self.core.configuration.caught_up, self.core.door
+                looked_around.LookedAround(
+                    self.core.configuration, self.core.fleet, self._clock
+                ),
+                self.core.door,
             ),
         )
         self.operators = operator_server.OperatorServer(
--- /dev/null
+++ b/src/jujubewharf/routing/looked_around.py
@@ -0,0 +1,62 @@
+"""Whether a starting instance knows enough to place requests."""
+
+from __future__ import annotations
+
+from jujubewharf import clock as clocks
+from jujubewharf.configuration import follower
+from jujubewharf.configuration import resources
+from jujubewharf.routing import fleet as fleets
+
+_LIMIT_MS = 1_500.0
+
+
+class LookedAround:
+    """Set once for each model service some engine is known to take work.
+
+    An instance that has only read the configuration knows engines by name
+    and no more; it would refuse its first requests for want of a fitting
+    engine, though the pool is idle. A service may have no engine that takes
+    work at all, so the wait is bounded.
+
+    Args:
+        configuration: What is declared.
+        fleet: Views of the engines.
+        clock: Time.
+    """
+
+    def __init__(
+        self,
+        configuration: follower.ConfigurationFollower,
+        fleet: fleets.Fleet,
+        clock: clocks.Clock,
+    ) -> None:
+        self._configuration = configuration
+        self._fleet = fleet
+        self._clock = clock
+        self._since_ms: float | None = None
+        self._is_set = False
+
+    def is_set(self) -> bool:
+        """Whether it has; once true it stays so."""
+        if not self._is_set:
+            self._is_set = self._has_looked()
+        return self._is_set
+
+    def _has_looked(self) -> bool:
+        if not self._configuration.caught_up.is_set():
+            return False
+        now_ms = self._clock.now_ms()
+        if self._since_ms is None:
+            self._since_ms = now_ms
+        if now_ms - self._since_ms >= _LIMIT_MS:
+            return True
+        state = self._configuration.current
+        for entry in state.of_kind(resources.Kind.SERVICE):
+            service = entry.resource
+            assert isinstance(service, resources.Service)
+            if service.kind is not resources.ServiceKind.MODEL:
+                continue
+            views = self._fleet.views_of(service.name)
+            if not any(view.takes_work for view in views):
+                return False
+        return True
--- /dev/null
+++ b/tests/routing/test_looked_around.py
@@ -0,0 +1,52 @@
+"""A fresh instance isn't ready before it knows an engine that takes work.
+
+The caller of a replaced instance saw its first requests refused for want of a
+fitting engine: the instance had read the configuration and said that it was
+ready, but had not yet heard from any engine.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from jujubewharf.configuration import resources
+from jujubewharf.experiments import bench as benches
+from jujubewharf.experiments import virtual_time
+from jujubewharf.routing import looked_around
+from jujubewharf.standins import engine as engines
+
+SERVICE = resources.Service(
+    "verdict-llm", resources.ServiceKind.MODEL, model="judge"
+)
+
+
+@pytest.mark.parametrize("is_dead", [False, True])
+def test_ready_once_an_engine_takes_work_or_the_wait_is_over(is_dead):
+    async def story() -> None:
+        bench = benches.Bench()
+        endpoint = resources.Endpoint(
+            "e1", SERVICE.name, "127.0.0.1:e1", "a", resources.Role.BOTH
+        )
+        spec = engines.EngineSpec(model="judge")
+        engine = bench.add_engine(endpoint, spec)
+        if is_dead:
+            await engine.die()
+        await bench.declare(SERVICE, endpoint)
+        core = (await bench.start_instance("entry-1", "a")).core
+        looked = looked_around.LookedAround(
+            core.configuration, core.fleet, bench.clock
+        )
+        await core.configuration.caught_up.wait()
+        was_usable = _is_usable(core)
+        assert looked.is_set() == was_usable
+        await bench.clock.sleep_ms(1_000)
+        assert looked.is_set() == (not is_dead)
+        await bench.clock.sleep_ms(1_000)
+        assert looked.is_set()
+        await bench.stop()
+
+    virtual_time.run(story())
+
+
+def _is_usable(core) -> bool:
+    return any(view.takes_work for view in core.fleet.views_of(SERVICE.name))
