--- a/src/jujubewharf/experiments/bench.py
+++ b/src/jujubewharf/experiments/bench.py
@@ -169,7 +169,7 @@
         """Shuts an instance down gracefully."""
         instance = self.instances[name]
         instance.process.resume()
-        await instance.stop()
+        await instance.drain()
         instance.process.kill()
         self._drop(instance)
 
--- a/src/jujubewharf/experiments/instances.py
+++ b/src/jujubewharf/experiments/instances.py
@@ -56,6 +56,11 @@
         """Stops the core gracefully."""
         await self.process.create_task(_stop(self.core))
 
+    async def drain(self) -> None:
+        """Shuts down as the daemon does on its first signal, then stops."""
+        await self.process.create_task(_drain(self.core))
+        await self.stop()
+
     async def answer(
         self, request: model_request.ModelRequest
     ) -> AsyncGenerator[model_request.Event, None]:
@@ -135,5 +140,9 @@
     await core.start()
 
 
+async def _drain(core: entries.EntryCore) -> None:
+    await core.new_shutdown().run()
+
+
 async def _stop(core: entries.EntryCore) -> None:
     await core.stop()
--- a/tests/experiments/test_faults.py
+++ b/tests/experiments/test_faults.py
@@ -224,3 +224,19 @@
         await bench.stop()
 
     virtual_time.run(run())
+
+
+def test_a_graceful_stop_cuts_no_answer_off():
+    """The answer under way comes whole; only then does the instance end."""
+
+    async def run():
+        bench = await _bench()
+        seen: list = []
+        caller = asyncio.create_task(_ask(bench, "e-a", seen))
+        await bench.clock.sleep_ms(500)
+        await bench.stop_instance("e-a")
+        await caller
+        assert bench.instances["e-a"].process.is_dead
+        return seen[-1]
+
+    assert isinstance(virtual_time.run(run()), model_request.Finished)
