--- a/src/jujubewharf/peers/link.py
+++ b/src/jujubewharf/peers/link.py
@@ -57,6 +57,7 @@
         hears_us: The peer's last word on whether it hears this side.
         on_heartbeat: Called with each heartbeat.
         farewell: The peer's last message, if it sent one.
+        has_broken: Whether it ended without either side's saying so.
         stale_ms: When the keys changed under which it was opened.
     """
 
@@ -79,6 +80,7 @@
         self.last_used_ms = clock.now_ms()
         self.hears_us = True
         self.is_closed = False
+        self.has_broken = False
         self.stale_ms: float | None = None
         self.farewell: link_messages.Farewell | None = None
         self.on_heartbeat: Callable[[Link, link_messages.Heartbeat], None]
@@ -130,6 +132,7 @@
         writing = asyncio.ensure_future(self._write_on())
         try:
             await self._read_on()
+            self.has_broken = not self.is_closed and self.farewell is None
         finally:
             self.close()
             writing.cancel()
--- a/src/jujubewharf/peers/mesh.py
+++ b/src/jujubewharf/peers/mesh.py
@@ -549,8 +549,7 @@
         A peer that is to be kept linked is dialled anyhow. Of another one,
         which had dialled this side, nothing would be heard until asked.
         """
-        is_orderly = link.farewell is not None
-        if not is_orderly and not known.is_wanted and not self.should_stop:
+        if link.has_broken and not known.is_wanted and not self.should_stop:
             self.probe(known.name)
 
     def _on_heartbeat(
--- a/tests/peers/test_mesh.py
+++ b/tests/peers/test_mesh.py
@@ -88,3 +88,33 @@
         await bench.stop()
 
     virtual_time.run(run())
+
+
+def test_a_link_on_demand_is_closed_and_stays_closed():
+    """An instance asks one that it keeps no link to.
+
+    The link serves the ask and is closed when idle. Were its end taken for a
+    death and dialled again, links would grow to one for every pair that ever
+    spoke.
+    """
+
+    async def run() -> None:
+        names = [(f"e{n:02}", f"d{n % 6}") for n in range(18)]
+        bench = await _bench(*names)
+        meshes = {n: i.core.peers for n, i in bench.instances.items()}
+        await bench.clock.sleep_ms(30_000)
+        others = [n for n in meshes if n not in meshes["e00"].linked()]
+        other = next(n for n in others if n != "e00")
+        sent = bench.network.bytes_sent["e00"]
+        await meshes["e00"].ask(other, Question("q"), timeout_ms=1_000)
+        assert meshes["e00"].contact(other).is_linked
+        assert bench.network.bytes_sent["e00"] > sent
+        for _ in range(40):
+            await bench.clock.sleep_ms(1_000)
+            linked = meshes["e00"].contact(other).is_linked
+        assert not linked
+        for mesh in meshes.values():
+            assert mesh.link_count() == len(mesh.linked())
+        await bench.stop()
+
+    virtual_time.run(run())
