--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -22,6 +22,8 @@
 _DAY_S = 86_400
 _S_US = 1e6
 _MB = 1e6
+_MEASURED_REQUESTS_PER_S = 2.0
+_MEASURED_RESTART_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,7 +110,8 @@
 def rows(size: Size, measured: Measured) -> Iterator[Row]:
     """All roles, each for the instance that holds it."""
     yield _relay(size, measured)
-    yield _peers(size, measured)
+    yield from _peers(size, measured)
+    yield _restarts(size, measured)
     yield from _engines(size, measured)
     yield from _keys(size, measured)
     yield from _configuration(size, measured)
@@ -132,8 +135,8 @@
     )
 
 
-def _peers(size: Size, measured: Measured) -> Row:
-    return Row(
+def _peers(size: Size, measured: Measured) -> Iterator[Row]:
+    yield Row(
         "member: heartbeats, facts, links within and between domains",
         "bounded links by rendezvous hash; facts pushed and compared",
         f"{size.instances} members' facts",
@@ -142,6 +145,32 @@
         None,
         "the line is drawn out far past its range; see below",
     )
+    more = measured.at("load_bytes_per_s", size.instances)
+    more -= measured.at("idle_with_engines_bytes_per_s", size.instances)
+    yield Row(
+        "member: what requests add between peers",
+        "asks for slots, keys' homes, owners of attempts",
+        f"{size.requests_per_instance_s:.0f} requests/s, measured at 2",
+        more * size.requests_per_instance_s / _MEASURED_REQUESTS_PER_S,
+        None,
+        None,
+        "messages a request; the line is drawn out far past its range",
+    )
+
+
+def _restarts(size: Size, measured: Measured) -> Row:
+    more = measured.at("churn_bytes_per_s", size.instances)
+    more -= measured.at("idle_bytes_per_s", size.instances)
+    share = size.starts_per_day / _DAY_S * _MEASURED_RESTART_S
+    return Row(
+        "member: what restarts add",
+        "facts of the new run, links dialled anew, snapshots",
+        f"{size.starts_per_day:,.0f} starts a day in the fleet",
+        more * share,
+        None,
+        None,
+        "a start costs every member bytes; measured to 24 members only",
+    )
 
 
 def _engines(size: Size, measured: Measured) -> Iterator[Row]:
@@ -175,10 +204,10 @@
         "home of keys",
         "two homes by rendezvous hash, bounded records",
         f"{kept:,.0f} records",
-        writes * measured.at("key_message_bytes"),
         None,
         None,
-        "messages, in proportion to requests with keys",
+        None,
+        "messages, in proportion to requests; their bytes stand above",
     )
     appends = measured.at("claim_appends_per_s")
     shards = measured.at("claim_shards")
@@ -197,10 +226,8 @@
 def _configuration(size: Size, measured: Measured) -> Iterator[Row]:
     state_bytes = size.engines * measured.at("endpoint_state_bytes")
     state_bytes += size.accounts * measured.at("account_state_bytes")
-    memory_mb = size.engines * measured.at("endpoint_memory_mb", 1)
-    memory_mb += size.accounts * measured.at("account_memory_mb", 1)
-    memory_mb -= measured.at("endpoint_memory_mb") * size.engines
-    memory_mb -= measured.at("account_memory_mb") * size.accounts
+    memory_mb = measured.at("endpoint_memory_mb", size.engines)
+    memory_mb += measured.at("account_memory_mb", size.accounts)
     changes = size.changes_per_s
     yield Row(
         "follower of configuration",
@@ -218,7 +245,7 @@
         "chunks on the log; a starting instance reads the latest",
         f"{state_bytes / _MB:.1f} MB a checkpoint; "
         f"{size.starts_per_day:,.0f} starts a day read it",
-        starts * state_bytes,
+        starts * state_bytes / size.instances,
         None,
         None,
         "a rack that starts at once reads it all together",
@@ -227,7 +254,7 @@
         "operator RPC",
         "validate, append, answer after reading back",
         f"{changes:.2f} changes/s over the whole fleet",
-        changes * measured.at("endpoint_record_bytes"),
+        changes * measured.at("endpoint_record_bytes") / size.instances,
         None,
         None,
         "the log's append time",
--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -23,7 +23,6 @@
 from jujubewharf.standins import engine as engines
 
 _DOMAINS = 3
-_ENGINES_PER_INSTANCE = 1
 _SETTLE_MS = 10_000.0
 _MEASURED_MS = 20_000.0
 _REQUESTS_PER_S = 2.0
@@ -41,10 +40,10 @@
     processor_ms_per_s: float
 
 
-async def _run(instances: int, state: str) -> Cost:
+async def _run(instances: int, state: str, engines_each: int) -> Cost:
     bench = benches.Bench()
     await bench.declare(_SERVICE)
-    for number in range(instances * _ENGINES_PER_INSTANCE):
+    for number in range(instances * engines_each):
         endpoint = resources.Endpoint(
             f"m{number}",
             "m",
@@ -122,13 +121,14 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--instances", default="6,12,24,48")
     parser.add_argument("--states", default="idle,load,churn")
+    parser.add_argument("--engines", type=int, default=1, help="an instance")
     options = parser.parse_args()
     counts = [int(count) for count in options.instances.split(",")]
     runner.quiet_logs()
     for state in options.states.split(","):
         costs = []
         for count in counts:
-            costs.append(virtual_time.run(_run(count, state)))
+            costs.append(virtual_time.run(_run(count, state, options.engines)))
             print(json.dumps(dataclasses.asdict(costs[-1])), flush=True)
         for field in ("control_bytes_per_s", "processor_ms_per_s"):
             values = [getattr(cost, field) for cost in costs]
