--- a/tests/requests/test_safeguards.py
+++ b/tests/requests/test_safeguards.py
@@ -18,6 +18,7 @@
 from jujubewharf.requests import claim_records
 from jujubewharf.requests import claim_shard
 from jujubewharf.requests import claims
+from jujubewharf.requests import handover
 from jujubewharf.requests import held
 from jujubewharf.requests import kept
 from jujubewharf.requests import keys
@@ -139,8 +140,8 @@
     Off(
         "owners name their living attempts",
         releases.Releaser,
-        "is_alive",
-        lambda *args: False,
+        "not_needed",
+        lambda self, marks: marks,
         test_sweep.test_live_requests_keep_their_memory,
     ),
     Off(
@@ -284,19 +285,30 @@
         lambda *args: None,
         test_answers.test_a_retry_after_the_end_gets_the_finished_answer,
     ),
+    Off(
+        "answers are handed over at a shutdown",
+        handover.Handover,
+        "give_all",
+        _nothing,
+        lambda: (
+            test_answers.test_a_finished_answer_outlives_its_instances_shutdown(
+                True
+            )
+        ),
+    ),
     Off(
         "claims, under random failures",
         claims.Claims,
         "claim",
         _always_won,
-        seeds(2),
+        seeds(*range(1, 9)),
     ),
     Off(
         "releases, under random failures",
         releases.Releaser,
         "release",
         lambda *args: None,
-        seeds(1),
+        seeds(*range(1, 9)),
     ),
     Off(
         "truth of did not run, under random failures",
