--- a/src/jujubewharf/configuration/follower.py
+++ b/src/jujubewharf/configuration/follower.py
@@ -129,14 +129,6 @@
         """Calls back after every run of records and every takeover."""
         self._holding.listen(listener)
 
-    def accept_loss(self) -> None:
-        """Goes on without records that only silent members may know.
-
-        For operators, when the log lost records and some members on the list
-        are known to be gone; see the operators' page on log outages.
-        """
-        self._recovery.is_loss_accepted = True
-
     async def on_start(self) -> None:
         """Starts the parts."""
         if self._spread is not None:
--- a/src/jujubewharf/configuration/recovery.py
+++ b/src/jujubewharf/configuration/recovery.py
@@ -24,11 +24,6 @@
         store: Checkpoints on the log.
         spread: Peers; ``None`` for an instance alone.
         instance: Name of this instance.
-
-    Attributes:
-        is_loss_accepted: An operator's word that members which don't answer
-            know nothing more, and that a fleet which lost everything is to
-            begin anew.
     """
 
     def __init__(
@@ -39,7 +34,6 @@
         *,
         instance: str,
     ) -> None:
-        self.is_loss_accepted = False
         self._holding = holding
         self._store = store
         self._spread = spread
@@ -123,7 +117,8 @@
 
     async def _may_close_gap(self) -> bool:
         held = self._holding.next_offset
-        if not held and not self.is_loss_accepted:
+        if not held:
+            # An empty state would be put in force over what others may hold.
             return False
         offsets = await self._spread.offsets() if self._spread else {}
         heard = {
@@ -131,7 +126,7 @@
             for name, offset in offsets.items()
             if offset is not None
         }
-        if len(heard) < len(offsets) and not self.is_loss_accepted:
+        if len(heard) < len(offsets):
             return False
         if any(offset > held for offset in heard.values()):
             return False
--- a/src/jujubewharf/configuration/rules.py
+++ b/src/jujubewharf/configuration/rules.py
@@ -143,14 +143,15 @@
     if held is None or not isinstance(held.resource, resources.Service):
         return ""
     service = held.resource
-    others = [
-        endpoint
-        for endpoint in entries.endpoints_of(service.name)
-        if endpoint.name != before.name
-    ]
-    stays = after is not None and after.service == service.name
-    left = [*others, after] if stays and after is not None else others
-    lost = _jobs(service, [*others, before]) - _jobs(service, left)
+    lost = _jobs(service, [before])
+    if after is not None and after.service == service.name:
+        lost -= _jobs(service, [after])
+    for endpoint in entries.endpoints_of(service.name):
+        # Mostly nothing is lost, or the first endpoint makes up for it.
+        if not lost:
+            return ""
+        if endpoint.name != before.name:
+            lost -= _jobs(service, [endpoint])
     return _lost(service.name, lost)
 
 
--- a/src/jujubewharf/platform/http_log.py
+++ b/src/jujubewharf/platform/http_log.py
@@ -11,7 +11,10 @@
 from jujubewharf.platform import log
 
 _REQUEST_TIMEOUT_MS = 3_000.0
+_OK = 200
 _GONE = 410
+_SERVER_ERROR = 500
+_UNAVAILABLE = 503
 
 
 class HttpLog:
@@ -40,10 +43,7 @@
                     params={"stream": stream},
                     data=body,
                 ) as response:
-                    if response.status != 200:
-                        raise log.LogUnavailableError(
-                            f"status {response.status}"
-                        )
+                    _check_append(response.status)
                     return list(msgpack.unpackb(await response.read()))
         except aiohttp.ClientConnectorError as error:
             raise log.LogUnavailableError(str(error)) from error
@@ -75,6 +75,15 @@
             raise log.LogUnavailableError(str(error)) from error
 
 
+def _check_append(status: int) -> None:
+    """Tells refusals from failures, which may come after the append."""
+    if status == _OK:
+        return
+    if status == _UNAVAILABLE or status < _SERVER_ERROR:
+        raise log.LogUnavailableError(f"status {status}")
+    raise log.AppendUnknownError(f"status {status}")
+
+
 async def _page(response: aiohttp.ClientResponse) -> log.LogPage:
     body = msgpack.unpackb(await response.read())
     if response.status == _GONE:
