--- a/src/jujubewharf/configuration/follower.py
+++ b/src/jujubewharf/configuration/follower.py
@@ -125,10 +125,26 @@
         """
         return self._is_log_behind
 
+    @property
+    def log_silence_ms(self) -> float | None:
+        """Time since the log last answered; ``None`` before it first did."""
+        if self._heard_ms is None:
+            return None
+        return self._clock.now_ms() - self._heard_ms
+
     def listen(self, listener: Listener) -> None:
         """Calls back after every run of records and every takeover."""
         self._holding.listen(listener)
 
+    def accept_loss(self) -> None:
+        """Goes on without records that only silent members may know.
+
+        For operators, when the log lost records and some members on the list
+        are known to be gone; see the operators' page on log outages. Without
+        a gap it does nothing.
+        """
+        self._recovery.is_loss_accepted = True
+
     async def on_start(self) -> None:
         """Starts the parts."""
         if self._spread is not None:
@@ -154,6 +170,7 @@
         )
         _reads.add(1, {"outcome": "read"})
         self._note_reached(True)
+        self._recovery.is_loss_accepted = False
         self._holding.fold(page.records)
         self._checkpointer.log_first_offset = page.first_offset
         self._note_log_end(page.next_offset, asked_for)
--- a/src/jujubewharf/configuration/recovery.py
+++ b/src/jujubewharf/configuration/recovery.py
@@ -24,6 +24,11 @@
         store: Checkpoints on the log.
         spread: Peers; ``None`` for an instance alone.
         instance: Name of this instance.
+
+    Attributes:
+        is_loss_accepted: An operator's word that members which don't answer
+            know nothing more, and that a fleet which lost everything is to
+            begin anew. It holds for the present gap only.
     """
 
     def __init__(
@@ -38,6 +43,7 @@
         self._store = store
         self._spread = spread
         self._instance = instance
+        self.is_loss_accepted = False
         self._rounds = 0
         self._logger = structlog.get_logger()
 
@@ -117,18 +123,19 @@
 
     async def _may_close_gap(self) -> bool:
         held = self._holding.next_offset
-        if not held:
-            # An empty state would be put in force over what others may hold.
-            return False
         offsets = await self._spread.offsets() if self._spread else {}
         heard = {
             name: offset
             for name, offset in offsets.items()
             if offset is not None
         }
-        if len(heard) < len(offsets):
-            return False
         if any(offset > held for offset in heard.values()):
             return False
+        if self.is_loss_accepted:
+            return True
+        if not held or len(heard) < len(offsets):
+            # An empty state is never put in force by itself: it would say
+            # that there is no configuration, not that it was lost.
+            return False
         equals = [name for name, offset in heard.items() if offset == held]
         return self._instance <= min(equals, default=self._instance)
--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -13,9 +13,11 @@
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
+import zlib
 
 import aiohttp
 import mode
+import numpy as np
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
@@ -31,6 +33,8 @@
 from jujubewharf.engines import endpoint_client
 from jujubewharf.engines import http as engine_http
 from jujubewharf.engines import http_endpoint
+from jujubewharf.leaving import departures
+from jujubewharf.leaving import shutdown
 from jujubewharf.membership import facts
 from jujubewharf.membership import membership as memberships
 from jujubewharf.operators import server as operator_server
@@ -56,10 +60,11 @@
 from jujubewharf.requests import plain
 from jujubewharf.requests import plain_endpoints
 from jujubewharf.requests import sweep as sweeps
-from jujubewharf.routing import baselines
 from jujubewharf.routing import fleet as fleets
+from jujubewharf.routing import keeping
 from jujubewharf.routing import placer as placers
 from jujubewharf.routing import policy as policies
+from jujubewharf.routing import product
 from jujubewharf.settings import models
 from jujubewharf.telemetry import gauges
 from jujubewharf.telemetry import goodput
@@ -99,6 +104,8 @@
         configuration: Configuration in force here.
         changes: Takes operators' changes.
         fleet: Views of the engines.
+        departures: Endpoints that somebody says are leaving.
+        door: Counts requests in flight; closed by a shutdown.
         leases: Leases on the log.
         orders: Orders to engines.
         operators: Answers operators.
@@ -158,6 +165,9 @@
         self.changes = changes.Changes(self.configuration, adapters.log, clock)
         self.fleet = fleets.Fleet(adapters.make_engine_client, clock)
         self.configuration.listen(self.fleet.on_configuration)
+        self.keeping = keeping.Keeping(
+            self.fleet, self.peers, self.membership, clock
+        )
         self.leases = leases.Leases(settings.instance, adapters.log, clock)
         self.orders = reconciler.Reconciler(
             turn.Surroundings(
@@ -169,9 +179,25 @@
             ),
             owns=ownership.Ownership(self.membership).owns,
         )
-        self.fleet.withheld = self.orders.is_taken_out
+        self.departures = departures.Departures(
+            self.facts,
+            self.membership.listed_endpoints,
+            self.fleet.say_leaving,
+            clock,
+        )
+        self.fleet.withheld = self._is_withheld
+        self.door = shutdown.Door()
         if policy is None:
-            policy = baselines.LeastLoad()
+            seed = zlib.crc32(settings.instance.encode())
+            rng = np.random.default_rng(seed)
+            policy = product.Product(clock, rng)
+        if isinstance(policy, policies.WaitingPolicy):
+            self.fleet.polls = self.keeping.is_keeper
+            policy.join(
+                policies.Surroundings(
+                    self.fleet, self.peers, self.membership, settings.domain
+                )
+            )
         self._placer = placers.Placer(policy, self.fleet, clock)
         self.runner = life.RequestRunner(
             settings.instance,
@@ -219,7 +245,9 @@
             )
             for _ in range(2)
         )
-        chooser = plain_endpoints.Chooser(settings.domain, clock)
+        chooser = plain_endpoints.Chooser(
+            settings.domain, clock, is_leaving=self.departures.is_leaving
+        )
         self.configuration.listen(chooser.on_configuration)
         self.plain = plain.PlainRunner(
             adapters.endpoints,
@@ -235,13 +263,36 @@
         await self.add_runtime_dependency(self.membership)
         await self.add_runtime_dependency(self.configuration)
         await self.add_runtime_dependency(self.fleet)
+        await self.add_runtime_dependency(self.keeping)
         await self.add_runtime_dependency(self.key_homes)
         await self.add_runtime_dependency(self.claims)
+        await self.add_runtime_dependency(self.departures)
         await self.add_runtime_dependency(self.leases)
         await self.add_runtime_dependency(self.orders)
         await self.add_runtime_dependency(self.answers)
         await self.add_runtime_dependency(self.sweep)
 
+    def new_shutdown(self) -> shutdown.Shutdown:
+        """A graceful shutdown of this instance; the caller runs it."""
+        return shutdown.Shutdown(
+            self.door,
+            lambda: self.answers.running,
+            self._hand_over,
+            self.clock,
+            grace_ms=self.settings.balancer_grace_ms,
+            drain_ms=self.settings.drain_ms,
+        )
+
+    def _hand_over(self) -> None:
+        """Peers take this instance's roles when they hear that it leaves."""
+        self.orders.retire()
+        self.membership.leave()
+
+    def _is_withheld(self, engine: str) -> bool:
+        if self.departures.is_leaving(engine):
+            return True
+        return self.orders.is_taken_out(engine)
+
     def _incarnation_of(self, instance: str) -> int:
         hello = self.peers.hello_of(instance)
         return self.peers.incarnation if hello is None else hello.incarnation
@@ -259,6 +310,7 @@
         )
         try:
             async with (
+                self.door.inside(),
                 self.model_limits.admitted(
                     request.account,
                     request.service,
@@ -285,6 +337,7 @@
     ) -> AsyncIterator[endpoint_client.PlainReply]:
         """Calls a plain service; see ``plain.PlainRunner.run``."""
         async with (
+            self.door.inside(),
             self.plain_limits.admitted(
                 request.account,
                 request.service,
@@ -338,7 +391,9 @@
                 new_id=lambda: model_request.mint_id(self._settings.instance),
             ),
             plain_paths.PlainServices(self.core, self._clock, callers),
-            readiness.Readiness(self.core.configuration.caught_up),
+            readiness.Readiness(
+                self.core.configuration.caught_up, self.core.door
+            ),
         )
         self.operators = operator_server.OperatorServer(
             self._settings.operators, self.core.operators, self._clock
@@ -357,6 +412,11 @@
             )
             await self.add_runtime_dependency(reloader)
 
+    def new_shutdown(self) -> shutdown.Shutdown:
+        """A graceful shutdown; see ``EntryCore.new_shutdown``."""
+        assert self.core is not None
+        return self.core.new_shutdown()
+
     async def on_shutdown(self) -> None:
         """Closes the client sessions once all parts stopped."""
         for session in self._sessions:
--- /dev/null
+++ b/src/jujubewharf/routing/keeping.py
@@ -0,0 +1,362 @@
+"""Keeps engines: serves the lines for their slots and tells of their load."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import enum
+
+import mode
+
+from jujubewharf import clock as clocks
+from jujubewharf.engines import client
+from jujubewharf.membership import view as membership
+from jujubewharf.peers import network
+from jujubewharf.peers import slot_messages
+from jujubewharf.routing import fitting
+from jujubewharf.routing import fleet as fleets
+from jujubewharf.routing import hold_times
+from jujubewharf.routing import keepers
+from jujubewharf.routing import read_ledger
+from jujubewharf.routing import slot_ledger
+
+_SERVE_EVERY_MS = 20.0
+_MAX_LINE = 512
+_NEWS_BYTES_PER_S = 1_000.0
+_NEWS_BYTES = 40.0
+_NEWS_WITH_ANSWER = 4
+_EVENT_BYTES = 64.0
+_EVENT_BYTES_PER_S = 400.0
+_EVENTS_EVERY_MS = 2_000.0
+_EVENTS_TIMEOUT_MS = 1_000.0
+_NEWS_AT_MOST_EVERY_MS = 500.0
+
+
+class _Outcome(enum.Enum):
+    """What became of a wish."""
+
+    GRANTED = "granted"
+    NOT_YET = "not_yet"
+    HOPELESS = "hopeless"
+
+
+class _Line:
+    """The ledger of one engine and who is to be answered."""
+
+    def __init__(self, ledger: slot_ledger.SlotLedger) -> None:
+        self.ledger = ledger
+        self.answers: dict[slot_ledger.Holder, asyncio.Future[_Outcome]] = {}
+        self.reported_ms = -1.0
+
+
+class Keeping(mode.Service):
+    """Answers for the slots of the engines that this instance keeps.
+
+    Args:
+        fleet: Views of the engines.
+        peers: Links to the other instances.
+        members: Who they are.
+        clock: Time.
+    """
+
+    def __init__(
+        self,
+        fleet: fleets.Fleet,
+        peers: network.PeerNetwork,
+        members: membership.MembershipView,
+        clock: clocks.Clock,
+    ) -> None:
+        super().__init__()
+        self._fleet = fleet
+        self._peers = peers
+        self._members = members
+        self._clock = clock
+        self._lines: dict[str, _Line] = {}
+        self._hold_times: dict[str, hold_times.HoldTimes] = {}
+        self._present: frozenset[str] = frozenset()
+        self._reads: dict[str, read_ledger.ReadLedger] = {}
+        self._news_turns: collections.deque[str] = collections.deque()
+        self._keepers = keepers.Keepers(members)
+        peers.handle(slot_messages.SlotAsk, self.on_ask)
+        peers.handle(slot_messages.SlotEnd, self.on_end)
+        peers.handle(slot_messages.SlotsHeld, self.on_held)
+        peers.handle(slot_messages.ReadAsk, self.on_read)
+        peers.handle(slot_messages.ReadEnd, self.on_read_end)
+        members.listen(self._on_members)
+
+    def is_keeper(self, view: fleets.EngineView) -> bool:
+        """Whether this instance keeps an engine."""
+        return self._keepers.of(view.endpoint) == self._peers.instance
+
+    def _kept(self) -> list[fleets.EngineView]:
+        return [v for v in self._fleet.all_views() if self.is_keeper(v)]
+
+    def _news(self, engine: str) -> tuple[slot_messages.EngineNews, ...]:
+        """News for an answer: of the engine asked for, and of a few others.
+
+        All that are kept here would make answers grow with the fleet.
+        """
+        views = [self._fleet.view(engine)]
+        count = min(_NEWS_WITH_ANSWER, len(self._news_turns))
+        for _ in range(count):
+            self._news_turns.rotate(-1)
+            if self._news_turns[0] != engine:
+                views.append(self._fleet.view(self._news_turns[0]))
+        return tuple(self._news_of(view) for view in views if view is not None)
+
+    async def on_ask(
+        self, peer: str, ask: slot_messages.SlotAsk
+    ) -> slot_messages.SlotAnswer:
+        """Answers when the slot is granted, or when it can't be in time."""
+        view = self._fleet.view(ask.engine)
+        if view is None or not view.takes_work:
+            return self._refusal(ask.engine, 0.0, is_hopeless=True)
+        line = self._line_of(view, ask.hold_ms)
+        if len(line.answers) >= _MAX_LINE:
+            return self._refusal(
+                ask.engine, line.ledger.wait_ms(), is_hopeless=True
+            )
+        wish = _wish(peer, ask, self._clock.now_ms())
+        outcome = await self._wait(line, wish, ask.answer_in_ms)
+        if outcome is not _Outcome.GRANTED:
+            is_hopeless = outcome is _Outcome.HOPELESS
+            wait_ms = line.ledger.wait_ms()
+            return self._refusal(ask.engine, wait_ms, is_hopeless=is_hopeless)
+        return slot_messages.SlotAnswer(
+            True,
+            from_in_ms=0 if ask.is_ready else ask.ready_in_ms,
+            until_in_ms=ask.ready_in_ms + slot_ledger.PROMISE_LASTS_MS,
+            news=self._news(ask.engine),
+        )
+
+    async def on_end(self, peer: str, end: slot_messages.SlotEnd) -> None:
+        """Takes a slot, a promise or a place in the line back."""
+        line = self._lines.get(end.engine)
+        if line is None:
+            return
+        holder = slot_ledger.Holder(peer, end.number)
+        line.ledger.end(holder, self._clock.now_ms(), was_held=end.is_held)
+        self._answer(line, holder, _Outcome.NOT_YET)
+        self._serve(line)
+
+    async def on_held(self, peer: str, held: slot_messages.SlotsHeld) -> None:
+        """Learns what an instance held before this one kept the engine."""
+        view = self._fleet.view(held.engine)
+        if view is None:
+            return
+        line = self._line_of(view, 0)
+        now_ms = self._clock.now_ms()
+        for number, age_ms in held.held:
+            holder = slot_ledger.Holder(peer, number)
+            line.ledger.hold(holder, now_ms - age_ms)
+
+    async def on_read(
+        self, peer: str, ask: slot_messages.ReadAsk
+    ) -> slot_messages.LoadNews:
+        """Notes a prompt about to be sent, and tells what is ahead of it."""
+        news = self._news(ask.engine)
+        now_ms = self._clock.now_ms()
+        reads = self._reads.get(ask.engine)
+        if reads is None:
+            reads = self._reads[ask.engine] = read_ledger.ReadLedger(now_ms)
+        holder = slot_ledger.Holder(peer, ask.number)
+        reads.begin(holder, ask.tokens, now_ms)
+        return slot_messages.LoadNews(news)
+
+    async def on_read_end(self, peer: str, end: slot_messages.ReadEnd) -> None:
+        """Notes that a prompt was read, or won't be."""
+        reads = self._reads.get(end.engine)
+        if reads is not None:
+            reads.end(slot_ledger.Holder(peer, end.number))
+
+    async def _wait(
+        self, line: _Line, wish: slot_ledger.Wish, for_ms: float
+    ) -> _Outcome:
+        self._answer(line, wish.holder, _Outcome.NOT_YET)
+        future: asyncio.Future[_Outcome]
+        future = asyncio.get_running_loop().create_future()
+        line.answers[wish.holder] = future
+        line.ledger.wish(wish)
+        self._serve(line)
+        try:
+            async with self._clock.timeout_ms(for_ms):
+                return await future
+        except TimeoutError:
+            self._forget(line, wish.holder, future)
+            return _Outcome.NOT_YET
+        except asyncio.CancelledError:
+            self._forget(line, wish.holder, future)
+            raise
+
+    def _forget(
+        self,
+        line: _Line,
+        holder: slot_ledger.Holder,
+        future: asyncio.Future[_Outcome],
+    ) -> None:
+        """Forgets a wish, unless its holder has made another since."""
+        if line.answers.get(holder) is future:
+            del line.answers[holder]
+            line.ledger.end(holder, self._clock.now_ms())
+
+    def _serve(self, line: _Line) -> None:
+        now_ms = self._clock.now_ms()
+        for wish in line.ledger.take_hopeless(now_ms):
+            self._answer(line, wish.holder, _Outcome.HOPELESS)
+        while (wish_now := line.ledger.grant_next(now_ms)) is not None:
+            self._answer(line, wish_now.holder, _Outcome.GRANTED)
+
+    def _answer(
+        self, line: _Line, holder: slot_ledger.Holder, outcome: _Outcome
+    ) -> None:
+        future = line.answers.pop(holder, None)
+        if future is not None and not future.done():
+            future.set_result(outcome)
+
+    def _refusal(
+        self, engine: str, wait_ms: float, *, is_hopeless: bool = False
+    ) -> slot_messages.SlotAnswer:
+        return slot_messages.SlotAnswer(
+            False,
+            wait_ms=round(wait_ms),
+            is_hopeless=is_hopeless,
+            news=self._news(engine),
+        )
+
+    def _line_of(self, view: fleets.EngineView, hold_ms: int) -> _Line:
+        name = view.endpoint.name
+        line = self._lines.get(name)
+        if line is None:
+            service = view.endpoint.service
+            times = self._hold_times.get(service)
+            if times is None:
+                times = hold_times.HoldTimes(float(hold_ms or 1_000))
+                self._hold_times[service] = times
+            ledger = slot_ledger.SlotLedger(view.endpoint.slots, times)
+            line = self._lines[name] = _Line(ledger)
+        self._read_report(line, view)
+        return line
+
+    def _read_report(self, line: _Line, view: fleets.EngineView) -> None:
+        if view.report is None or view.heard_ms is None:
+            return
+        if view.heard_ms > line.reported_ms:
+            line.reported_ms = view.heard_ms
+            line.ledger.reported(
+                view.report.slots_total, view.report.slots_used
+            )
+
+    def _news_of(self, view: fleets.EngineView) -> slot_messages.EngineNews:
+        report = view.report
+        line = self._lines.get(view.endpoint.name)
+        if line is None:
+            used = report.slots_used if report is not None else 0
+            free, wait_ms = view.endpoint.slots - used, 0.0
+        else:
+            free, wait_ms = line.ledger.balance, line.ledger.wait_ms()
+        return slot_messages.EngineNews(
+            view.endpoint.name,
+            free,
+            round(wait_ms),
+            self._queued_tokens(view),
+            self._is_usable(view),
+            round(view.step_ms),
+        )
+
+    def _queued_tokens(self, view: fleets.EngineView) -> int:
+        report = view.report
+        reported = report.prefill_queued_tokens if report is not None else 0
+        reads = self._reads.get(view.endpoint.name)
+        if reads is None:
+            return reported
+        return reads.queued_tokens(reported, self._clock.now_ms())
+
+    def _is_usable(self, view: fleets.EngineView) -> bool:
+        service = self._fleet.service(view.endpoint.service)
+        has_model = service is None or fitting.has_model(view, service)
+        return view.takes_work and has_model
+
+    def _on_members(self) -> None:
+        present = frozenset(m.instance for m in self._members.present())
+        for gone in sorted(self._present - present):
+            for line in self._lines.values():
+                line.ledger.forget_instance(gone)
+            for reads in self._reads.values():
+                reads.forget_instance(gone)
+        self._present = present
+        for name, line in list(self._lines.items()):
+            view = self._fleet.view(name)
+            if view is None or not self.is_keeper(view):
+                self._close(name, line)
+        for name in list(self._reads):
+            view = self._fleet.view(name)
+            if view is None or not self.is_keeper(view):
+                del self._reads[name]
+
+    def _close(self, name: str, line: _Line) -> None:
+        """Sends everybody who waits to the engine's new keeper."""
+        for holder in list(line.answers):
+            self._answer(line, holder, _Outcome.NOT_YET)
+        del self._lines[name]
+
+    @mode.Service.task
+    async def _serve_on(self) -> None:
+        while not self.should_stop:
+            await self._clock.sleep_ms(_SERVE_EVERY_MS)
+            for name, line in list(self._lines.items()):
+                view = self._fleet.view(name)
+                if view is not None:
+                    self._read_report(line, view)
+                if line.answers:
+                    self._serve(line)
+
+    @mode.Service.task
+    async def _follow_caches(self) -> None:
+        """Reads cache events of kept engines, within a budget of bytes."""
+        while not self.should_stop:
+            count = 0
+            for view in self._kept():
+                if view.endpoint.can_prefill and view.takes_work:
+                    count += await self._read_events(view)
+            size_bytes = count * _EVENT_BYTES
+            pause_ms = size_bytes / _EVENT_BYTES_PER_S * clocks.MS_PER_S
+            await self._clock.sleep_ms(max(pause_ms, _EVENTS_EVERY_MS))
+
+    async def _read_events(self, view: fleets.EngineView) -> int:
+        name, hints = view.endpoint.name, self._fleet.hints
+        try:
+            async with self._clock.timeout_ms(_EVENTS_TIMEOUT_MS):
+                events = await view.client.cache_events(
+                    hints.last_sequence(name)
+                )
+        except (client.EngineError, TimeoutError):
+            return 0
+        hints.learn(name, events)
+        return len(events)
+
+    @mode.Service.task
+    async def _tell_on(self) -> None:
+        while not self.should_stop:
+            others = sorted(self._present - {self._peers.instance})
+            kept = self._kept()
+            self._news_turns = collections.deque(v.endpoint.name for v in kept)
+            news = tuple(self._news_of(view) for view in kept)
+            size_bytes = _NEWS_BYTES * (1 + len(news)) * max(1, len(others))
+            pause_ms = size_bytes / _NEWS_BYTES_PER_S * clocks.MS_PER_S
+            await self._clock.sleep_ms(max(pause_ms, _NEWS_AT_MOST_EVERY_MS))
+            if news:
+                for other in others:
+                    self._peers.tell(other, slot_messages.LoadNews(news))
+
+
+def _wish(
+    peer: str, ask: slot_messages.SlotAsk, now_ms: float
+) -> slot_ledger.Wish:
+    return slot_ledger.Wish(
+        slot_ledger.Holder(peer, ask.number),
+        ready_in_ms=ask.ready_in_ms,
+        latest_at_ms=now_ms + ask.latest_in_ms,
+        priority=ask.priority,
+        caution=ask.caution,
+        is_ready=ask.is_ready,
+    )
--- /dev/null
+++ b/src/jujubewharf/routing/product.py
@@ -0,0 +1,409 @@
+"""The product's policy: read a prompt only against a slot in time.
+
+A request first picks the decode engine with the shortest expected wait and
+asks its keeper. The keeper promises a slot when enough holders are expected
+to end by the time the prompt was read, or refuses at once what can't meet its
+target. The prompt is read then, and the promise turned into a slot; when that
+is late, any other engine's free slot is taken instead.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import enum
+
+import numpy as np
+
+from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf.configuration import resources
+from jujubewharf.peers import slot_messages
+from jujubewharf.routing import fitting
+from jujubewharf.routing import fleet as fleets
+from jujubewharf.routing import hold_times
+from jujubewharf.routing import jobs
+from jujubewharf.routing import policy as policies
+from jujubewharf.routing import reading
+from jujubewharf.routing import slots
+
+_MAX_ASKS = 3
+_MAX_HOPELESS = 3
+_ASK_AGAIN_MS = 5.0
+_MAX_READ_ASKS = 3
+_MAX_CANDIDATES = 32
+_WORTH_A_MOVE_MS = 30.0
+_ANSWER_IN_MS = 400.0
+_READY_WAIT_MS = 300.0
+_PROMISED_WAIT_MS = 40.0
+_MARGIN = 0.9
+_NEAR_BONUS_SLOTS = 1.0
+_SHORTEST_RETRY_MS = 200.0
+_STEPS_TO_FIRST_TOKEN = 2.0
+
+
+class _Urgency(enum.Enum):
+    """Adds to the priority in the lines for slots.
+
+    ``RESUMED`` has tokens with its caller already. ``LATE`` has missed its
+    first target, as after a failure, or can't meet it however short the
+    lines are; it takes what is left over, for a late answer is better than
+    none.
+    """
+
+    RESUMED = 1_000
+    IN_TIME = 0
+    LATE = -1_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Plan:
+    """One way to run a request.
+
+    Attributes:
+        decode: Engine that writes.
+        prefill: Engine that reads; ``None`` when ``decode`` does.
+        ready_ms: Time from the start until the slot is needed.
+        first_ms: Time from the start to the first token.
+        wait_ms: Expected wait until it can start.
+    """
+
+    decode: fleets.EngineView
+    prefill: fleets.EngineView | None
+    ready_ms: float
+    first_ms: float
+    wait_ms: float
+
+
+class Product:
+    """Speaks ``policy.WaitingPolicy``.
+
+    Args:
+        clock: Time.
+        rng: Breaks ties, so that instances don't all pick the same engine.
+    """
+
+    def __init__(self, clock: clocks.Clock, rng: np.random.Generator) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._waiting: collections.Counter[str] = collections.Counter()
+        self._hold_times: dict[str, hold_times.HoldTimes] = {}
+        self._reading = reading.Reading(clock)
+        self._held_since_ms: dict[int, float] = {}
+
+    def join(self, surroundings: policies.Surroundings) -> None:
+        """Begins to work for an instance; see ``policy.WaitingPolicy``."""
+        self._here = surroundings
+        self._slots = slots.Slots(surroundings, self._clock)
+        self._reading = reading.Reading(self._clock)
+        self._waiting.clear()
+        self._held_since_ms.clear()
+
+    async def wait_for_place(self, job: jobs.Job) -> jobs.Decision:
+        """Waits for a promise of a slot, or refuses."""
+        service = job.service.name
+        if self._waiting[service] >= job.service.max_queued:
+            return self._refusal(errors.ErrorKind.QUEUE_FULL, job)
+        self._waiting[service] += 1
+        try:
+            return await self._seek_promise(job)
+        finally:
+            self._waiting[service] -= 1
+
+    async def wait_for_decode(self, job: jobs.Job) -> jobs.Decision:
+        """Waits for a slot for a prompt that was read, as long as it takes."""
+        read = self._reading.done(job.number)
+        if read is not None:
+            self._here.fleet.hints.sent(read.engine, job.prefix_hashes)
+        self._slots.end_read(job.number)
+        promised = self._slots.granted_engine(job.number)
+        while True:
+            views = fitting.importers(self._candidates(job))
+            if not views:
+                return jobs.Refusal(errors.ErrorKind.NO_FITTING_ENGINE)
+            ordered = self._by_room(views, first=promised)
+            if promised is not None:
+                ordered = ordered[:1]
+            found = await self._first_free(job, ordered[:_MAX_ASKS])
+            if found is not None:
+                self._held_since_ms[job.number] = self._clock.now_ms()
+                self._slots.end(job.number, but=found.name)
+                return jobs.Choice(found)
+            promised = None
+            await self._clock.sleep_ms(_ASK_AGAIN_MS)
+
+    async def _first_free(
+        self, job: jobs.Job, views: list[fleets.EngineView]
+    ) -> resources.Endpoint | None:
+        """Waits in several lines at once; the first slot is taken."""
+        for_ms = _PROMISED_WAIT_MS if len(views) == 1 else _READY_WAIT_MS
+        asks = {
+            asyncio.ensure_future(
+                self._slots.ask(
+                    view, self._ask(job, view, 0.0, for_ms, is_ready=True)
+                )
+            ): view
+            for view in views
+        }
+        try:
+            waiting = set(asks)
+            while waiting:
+                done, waiting = await asyncio.wait(
+                    waiting, return_when=asyncio.FIRST_COMPLETED
+                )
+                for ask, view in asks.items():
+                    if ask in done and ask.result().is_granted:
+                        return view.endpoint
+            return None
+        finally:
+            for ask in asks:
+                ask.cancel()
+            await asyncio.gather(*asks, return_exceptions=True)
+
+    def ended(self, job: jobs.Job, *, is_prefilled: bool) -> None:
+        """Gives everything back; see ``policy.WaitingPolicy``."""
+        self._reading.dropped(job.number)
+        self._slots.end_read(job.number)
+        self._slots.end(job.number)
+        since_ms = self._held_since_ms.pop(job.number, None)
+        if since_ms is not None:
+            held_ms = self._clock.now_ms() - since_ms
+            self._hold_times_of(job).add(held_ms)
+
+    async def _seek_promise(self, job: jobs.Job) -> jobs.Decision:
+        hopeless: set[str] = set()
+        urgency: _Urgency | None = None
+        while True:
+            plans = self._plans(job)
+            if not plans:
+                return jobs.Refusal(errors.ErrorKind.NO_FITTING_ENGINE)
+            left = [p for p in plans if p.decode.endpoint.name not in hopeless]
+            plan = min(left, key=self._rank, default=None)
+            if plan is None or len(hopeless) >= _MAX_HOPELESS:
+                return self._refusal(errors.ErrorKind.DEADLINE_UNREACHABLE, job)
+            if urgency is None:
+                urgency = _urgency(job, self._clock.now_ms() + plan.first_ms)
+            answer = await self._ask_for_promise(job, plan, urgency)
+            if answer.is_granted:
+                return await self._start(job, plan, urgency)
+            if answer.is_hopeless:
+                hopeless.add(plan.decode.endpoint.name)
+            else:
+                await self._clock.sleep_ms(_ASK_AGAIN_MS)
+
+    async def _ask_for_promise(
+        self, job: jobs.Job, plan: _Plan, urgency: _Urgency
+    ) -> slot_messages.SlotAnswer:
+        match urgency:
+            case _Urgency.IN_TIME:
+                by_ms = job.first_answer_by_ms
+            case _:
+                by_ms = job.deadline_at_ms
+        latest_ms = by_ms - self._clock.now_ms() - plan.first_ms
+        if latest_ms < 0:
+            return slot_messages.SlotAnswer(False, is_hopeless=True)
+        ask = self._ask(
+            job, plan.decode, plan.ready_ms, latest_ms, urgency=urgency
+        )
+        return await self._slots.ask(plan.decode, ask)
+
+    async def _start(
+        self, job: jobs.Job, plan: _Plan, urgency: _Urgency
+    ) -> jobs.Decision:
+        """Starts reading on what is the best engine by now.
+
+        Others were granted slots while this one waited, and their prompts
+        are ahead now. One that would miss its target is better refused
+        before it is read than answered late after it.
+        """
+        if plan.prefill is None:
+            self._held_since_ms[job.number] = self._clock.now_ms()
+            return jobs.Choice(plan.decode.endpoint)
+        prefill = plan.prefill
+        for _ in range(_MAX_READ_ASKS):
+            best = self._best_prefill(job, self._candidates(job)) or prefill
+            if self._saved_ms(job, prefill, best) < _WORTH_A_MOVE_MS:
+                best = prefill
+            is_told = self._slots.read_engine(job.number) == best.endpoint.name
+            prefill = best
+            if is_told:
+                break
+            await self._slots.ask_read(prefill, job.number, job.prompt_tokens)
+        waited_ms = self._read_ms(prefill, job) - plan.ready_ms
+        first_at_ms = self._clock.now_ms() + plan.first_ms + waited_ms
+        is_late = first_at_ms > job.first_answer_by_ms
+        if urgency is _Urgency.IN_TIME and is_late:
+            return self._refusal(errors.ErrorKind.DEADLINE_UNREACHABLE, job)
+        self._reading.begin(job, prefill)
+        return jobs.Choice(None, prefill.endpoint)
+
+    def _saved_ms(
+        self,
+        job: jobs.Job,
+        current: fleets.EngineView,
+        other: fleets.EngineView,
+    ) -> float:
+        return self._read_ms(current, job) - self._read_ms(other, job)
+
+    def _read_ms(self, view: fleets.EngineView, job: jobs.Job) -> float:
+        """Expected time to read, less what the cache may save."""
+        saved = self._here.fleet.hints.saved_tokens(
+            view.endpoint.name, job.prefix_hashes
+        )
+        return self._reading.read_ms(view, job.prompt_tokens - saved)
+
+    def _plans(self, job: jobs.Job) -> list[_Plan]:
+        views = self._candidates(job)
+        prefill = self._best_prefill(job, views)
+        plans = []
+        if prefill is not None:
+            read_ms = self._read_ms(prefill, job)
+            for decode in fitting.importers(views):
+                plans.append(self._pair(job, decode, prefill, read_ms))
+        for decode in fitting.loners(views):
+            is_paired = prefill is not None
+            if not is_paired or not decode.endpoint.capabilities.kv_import:
+                plans.append(self._alone(job, decode))
+        return plans
+
+    def _pair(
+        self,
+        job: jobs.Job,
+        decode: fleets.EngineView,
+        prefill: fleets.EngineView,
+        read_ms: float,
+    ) -> _Plan:
+        kv_bytes = job.prompt_tokens * self._here.fleet.kv_bytes_per_token(
+            job.service.model
+        )
+        moved_ms = reading.transfer_ms(prefill, decode, kv_bytes)
+        first_ms = read_ms + moved_ms + _first_steps_ms(decode)
+        wait_ms = self._wait_ms(job, decode)
+        return _Plan(decode, prefill, read_ms, first_ms, wait_ms)
+
+    def _alone(self, job: jobs.Job, decode: fleets.EngineView) -> _Plan:
+        read_ms = self._read_ms(decode, job)
+        first_ms = read_ms + _first_steps_ms(decode)
+        wait_ms = self._wait_ms(job, decode)
+        return _Plan(decode, None, 0.0, first_ms, wait_ms)
+
+    def _candidates(self, job: jobs.Job) -> list[fleets.EngineView]:
+        """Engines to weigh: all of a small fleet, some of a large one.
+
+        Half of them are of this domain. The best of two random ones is
+        nearly as good as the best of all (Mitzenmacher 2001), and less often
+        the one that everybody else picks.
+        """
+        fleet, service = self._here.fleet, job.service.name
+        views = fleet.views_of(service)
+        if len(views) > _MAX_CANDIDATES:
+            near = fleet.views_near(service, self._here.domain)
+            drawn = self._draw(near) | self._draw(views)
+            found = fitting.among(job, list(drawn.values()))
+            if fitting.decoders(found) and fitting.exporters(found):
+                return found
+        return fitting.usable(job, fleet)
+
+    def _draw(
+        self, views: list[fleets.EngineView]
+    ) -> dict[str, fleets.EngineView]:
+        if not views:
+            return {}
+        places = self._rng.integers(len(views), size=_MAX_CANDIDATES // 2)
+        drawn = (views[place] for place in places.tolist())
+        return {view.endpoint.name: view for view in drawn}
+
+    def _best_prefill(
+        self, job: jobs.Job, views: list[fleets.EngineView]
+    ) -> fleets.EngineView | None:
+        return min(
+            fitting.exporters(views),
+            key=lambda v: self._read_ms(v, job),
+            default=None,
+        )
+
+    def _wait_ms(self, job: jobs.Job, view: fleets.EngineView) -> float:
+        """Expected wait by the keeper's news and own asks since."""
+        if view.news is None:
+            return 0.0
+        ahead = view.asked_since_news - max(0, view.news.free)
+        if ahead < 0:
+            return 0.0
+        slot_ms = self._hold_times_of(job).mean_ms / max(1, view.slots)
+        return view.news.wait_ms + ahead * slot_ms
+
+    def _rank(self, plan: _Plan) -> tuple[float, float, float]:
+        total_ms = plan.wait_ms + plan.first_ms
+        if plan.wait_ms > 0:
+            return (total_ms, 0.0, self._rng.random())
+        room = self._room(plan.decode)
+        return (plan.first_ms, -room, self._rng.random())
+
+    def _room(self, view: fleets.EngineView) -> float:
+        if view.news is not None:
+            room = float(view.news.free - view.asked_since_news)
+        elif view.report is not None:
+            room = float(view.slots - view.report.slots_used - view.own_slots)
+        else:
+            room = 0.0
+        is_near = view.endpoint.domain == self._here.domain
+        return room + (_NEAR_BONUS_SLOTS if is_near else 0.0)
+
+    def _by_room(
+        self, views: list[fleets.EngineView], *, first: str | None
+    ) -> list[fleets.EngineView]:
+        return sorted(
+            views,
+            key=lambda v: (v.endpoint.name != first, -self._room(v)),
+        )
+
+    def _ask(
+        self,
+        job: jobs.Job,
+        view: fleets.EngineView,
+        ready_ms: float,
+        latest_ms: float,
+        *,
+        is_ready: bool = False,
+        urgency: _Urgency = _Urgency.IN_TIME,
+    ) -> slot_messages.SlotAsk:
+        latest_ms = max(1.0, latest_ms * _MARGIN)
+        return slot_messages.SlotAsk(
+            view.endpoint.name,
+            job.number,
+            ready_in_ms=round(ready_ms),
+            latest_in_ms=round(latest_ms),
+            answer_in_ms=round(min(latest_ms, _ANSWER_IN_MS)),
+            hold_ms=round(self._hold_times_of(job).mean_ms),
+            priority=job.priority + urgency.value,
+            caution=job.service.waste_weight,
+            is_ready=is_ready,
+        )
+
+    def _refusal(self, kind: errors.ErrorKind, job: jobs.Job) -> jobs.Refusal:
+        """Refuses with the time until a slot may be had."""
+        views = fitting.decoders(self._candidates(job))
+        waits_ms = [self._wait_ms(job, view) for view in views]
+        wait_ms = min(waits_ms, default=0.0)
+        return jobs.Refusal(kind, max(_SHORTEST_RETRY_MS, wait_ms))
+
+    def _hold_times_of(self, job: jobs.Job) -> hold_times.HoldTimes:
+        times = self._hold_times.get(job.service.name)
+        if times is None:
+            prior_ms = job.service.completion_target_ms / 2
+            times = hold_times.HoldTimes(prior_ms)
+            self._hold_times[job.service.name] = times
+        return times
+
+
+def _first_steps_ms(view: fleets.EngineView) -> float:
+    return view.step_ms * _STEPS_TO_FIRST_TOKEN
+
+
+def _urgency(job: jobs.Job, earliest_first_ms: float) -> _Urgency:
+    if job.first_index > 0:
+        return _Urgency.RESUMED
+    if earliest_first_ms > job.first_answer_by_ms:
+        return _Urgency.LATE
+    return _Urgency.IN_TIME
