A repeated switch of rules gets the first copy's verdict

Cause: the second copy on the log was judged anew and its conflict took the place of the first copy's acceptance in the history. Change: repeats are looked for before the verb is.

--- a/src/jujubewharf/configuration/state.py
+++ b/src/jujubewharf/configuration/state.py
@@ -138,13 +138,13 @@
             return self._keep(record, str(error))
         except records.MalformedRecordError as error:
             return Verdict("", offset, Outcome.MALFORMED, str(error))
+        earlier = self.history.find(change.operation_id)
+        if earlier is not None:
+            return _repeated(offset, change, earlier)
         if change.verb is records.Verb.RULES:
             return self._raise_rules(offset, change)
         if change.kind not in resources.Kind._value2member_map_:
             return self._keep(record, f"kind {change.kind}")
-        earlier = self.history.find(change.operation_id)
-        if earlier is not None:
-            return _repeated(offset, change, earlier)
         return self._apply_change(offset, resources.Kind(change.kind), change)
 
     def _keep(self, record: log.LogRecord, detail: str) -> Verdict:
--- a/tests/configuration/test_state.py
+++ b/tests/configuration/test_state.py
@@ -168,3 +168,17 @@
     making.fold(state, making.put(making.engine("e1", service="other")))
     assert state.endpoints_of("verdict-llm") == ()
     assert [e.name for e in state.endpoints_of("other")] == ["e1"]
+
+
+def test_a_switch_of_rules_that_stands_twice_on_the_log_counts_once():
+    """The switch's answer was lost and a tool sent it again.
+
+    The second copy finds the rules in force already. It must get the first
+    copy's verdict: the operation was accepted, and stays so for who asks.
+    """
+    state = states.State(newest_rules=2)
+    change = making.rules(2)
+    first, again = making.fold(state, change, change)
+    assert first.outcome is ACCEPTED
+    assert again == first
+    assert state.history.find(change.operation_id).verdict == first
