--- a/tests/scenarios/configuration.feature
+++ b/tests/scenarios/configuration.feature
@@ -61,6 +61,29 @@
     And a change at b1 is accepted
     Then within 6 seconds all hold the accepted changes
 
+  Scenario: An operator accepts the loss while an instance is silent
+    When domain c is cut off from peers
+    And the log takes a change at a1, falls and loses the answer
+    And 100 seconds pass
+    And the log comes back
+    And 30 seconds pass
+    Then a change at b1 is refused or unknown
+    When an operator accepts the loss at b1
+    And 20 seconds pass
+    And a change at b1 is accepted
+    Then within 6 seconds all hold the accepted changes
+    And all instances at one offset hold one state
+
+  Scenario: An accepted loss is for the present gap only
+    When an operator accepts the loss at b1
+    And 5 seconds pass
+    And domain c is cut off from peers
+    And the log takes a change at a1, falls and loses the answer
+    And 100 seconds pass
+    And the log comes back
+    And 30 seconds pass
+    Then a change at b1 is refused or unknown
+
   Scenario: The log begins anew at offset 0
     When the log is wiped
     And 10 seconds pass
