A retried sale gets the reply of the one call; a refused claim says what it knows

Cause: a till that sent its sale again was told 'unknown' although the reply was at hand; and a claim refused because nobody could be asked said 'did not run' of a key that had run at an instance just killed. Change: replies of plain calls that may not be repeated are kept and pulled; the next shard owner is asked when one is silent; 'did not run' is said only where the shard's claims are known and show none; shards are loaded early.

--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -57,6 +57,7 @@
 from jujubewharf.requests import model_request
 from jujubewharf.requests import plain
 from jujubewharf.requests import plain_endpoints
+from jujubewharf.requests import plain_replies
 from jujubewharf.requests import sweep as sweeps
 from jujubewharf.routing import baselines
 from jujubewharf.routing import fleet as fleets
@@ -240,6 +241,9 @@
             clock,
             claims=request_claims.PlainClaims(self.claims),
         )
+        self._plain_replies = plain_replies.PlainReplies(
+            settings.instance, self.plain, self.peers, clock
+        )
 
     async def on_start(self) -> None:
         """Starts the parts, those that others need first."""
@@ -319,7 +323,7 @@
     async def call_plain(
         self, request: plain.PlainRequest
     ) -> AsyncIterator[endpoint_client.PlainReply]:
-        """Calls a plain service; see ``plain.PlainRunner.run``."""
+        """Calls a plain service; see ``plain_replies.PlainReplies.run``."""
         async with (
             self.door.inside(),
             self.plain_limits.admitted(
@@ -328,7 +332,7 @@
                 deadline_at_ms=request.deadline_at_ms,
                 priority=request.priority,
             ),
-            self.plain.run(request) as reply,
+            self._plain_replies.run(request) as reply,
         ):
             yield reply
 
--- a/src/jujubewharf/peers/key_messages.py
+++ b/src/jujubewharf/peers/key_messages.py
@@ -199,12 +199,14 @@
         request_id: The run that holds it.
         body: Digest of that run's body.
         is_expired: Whether the key is too old to be claimed.
+        is_new: Whether the shard's claims are known, and none is the key's.
     """
 
     owner: str = ""
     request_id: str = ""
     body: bytes = b""
     is_expired: bool = False
+    is_new: bool = False
 
 
 @messages.message(31)
@@ -255,3 +257,32 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class TookOver(messages.Message):
     """The answer is kept and its key's homes know."""
+
+
+@messages.message(35)
+@dataclasses.dataclass(frozen=True, slots=True)
+class PullReply(messages.Message):
+    """Asks for the reply to a plain call, waiting a while for its end."""
+
+    request_id: str
+    wait_ms: float
+
+
+@messages.message(36)
+@dataclasses.dataclass(frozen=True, slots=True)
+class PulledReply(messages.Message):
+    """The reply to a plain call, if it is whole.
+
+    Attributes:
+        is_running: Whether it may come yet.
+        is_whole: Whether the rest is given.
+        status: HTTP status.
+        headers: End-to-end headers.
+        body: The whole body.
+    """
+
+    is_running: bool = False
+    is_whole: bool = False
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
--- a/src/jujubewharf/requests/claim_shard.py
+++ b/src/jujubewharf/requests/claim_shard.py
@@ -38,7 +38,15 @@
 
 
 class ClaimUnavailableError(Exception):
-    """The log did not confirm the claim; it may still land there."""
+    """The log did not confirm the claim; it may still land there.
+
+    Args:
+        is_new: Whether the shard's claims were known, and none is the key's.
+    """
+
+    def __init__(self, *, is_new: bool) -> None:
+        super().__init__("unavailable")
+        self.is_new = is_new
 
 
 class KeyTooOldError(Exception):
@@ -183,7 +191,9 @@
                 )
             for wanted in batch:
                 if not wanted.done.done():
-                    wanted.done.set_exception(ClaimUnavailableError())
+                    is_new = self._next_offset is not None
+                    failure = ClaimUnavailableError(is_new=is_new)
+                    wanted.done.set_exception(failure)
 
     async def _claim_batch(self, batch: list[_Wanted]) -> None:
         if self._next_offset is None:
--- a/src/jujubewharf/requests/claims.py
+++ b/src/jujubewharf/requests/claims.py
@@ -26,8 +26,9 @@
 from jujubewharf.requests import claim_shard
 from jujubewharf.requests import keys
 
-_ASK_MS = 2_500.0
+_ASK_MS = 1_500.0
 _ASK_ABANDONED_MS = 1_000.0
+_FIRST_CARRY_MS = 1_000.0
 _COME_BACK_MS = 1_000.0
 _MAX_TRIES = 3
 _MAX_ABANDONED = 20_000
@@ -187,7 +188,7 @@
             if not await self._is_abandoned(held):
                 return Claim(False, held.owner, held.request_id, held.body)
             wanted = dataclasses.replace(wanted, replaces=held.request_id)
-        raise _unavailable()
+        raise _unavailable(is_new=False)
 
     async def _ask_owner(
         self, wanted: key_messages.ClaimWanted
@@ -196,16 +197,16 @@
         for owner in self._owners(shard)[:_MAX_TRIES]:
             try:
                 held = await self._ask(owner, wanted)
-            except network.PeerError as error:
-                if error.fault is network.PeerFault.UNREACHABLE:
-                    continue
-                break
+            except network.PeerError:
+                # The next one may claim for the same run again: the fold
+                # takes two claims of one run for one.
+                continue
             if held.request_id:
                 return held
             if held.is_expired:
                 raise errors.WharfError(errors.ErrorKind.KEY_EXPIRED)
-            break
-        raise _unavailable()
+            raise _unavailable(is_new=held.is_new)
+        raise _unavailable(is_new=False)
 
     async def _ask(
         self, owner: str, wanted: key_messages.ClaimWanted
@@ -247,8 +248,8 @@
         shard = self._shard(claim_shard.shard_of(message.key))
         try:
             held = await shard.claim(record)
-        except claim_shard.ClaimUnavailableError:
-            return key_messages.ClaimHeld()
+        except claim_shard.ClaimUnavailableError as error:
+            return key_messages.ClaimHeld(is_new=error.is_new)
         except claim_shard.KeyTooOldError:
             return key_messages.ClaimHeld(is_expired=True)
         return key_messages.ClaimHeld(held.owner, held.request_id, held.body)
@@ -273,15 +274,19 @@
 
     @mode.Service.task
     async def _carry(self) -> None:
-        """Keeps the claims of owned shards from falling off the log."""
+        """Keeps owned shards in memory and their claims on the log.
+
+        Claims that are in memory are found also when the log is down.
+        """
+        await self._clock.sleep_ms(_FIRST_CARRY_MS)
         while not self.should_stop:
-            await self._clock.sleep_ms(self._windows.carry_every_ms)
             for number in range(claim_shard.SHARDS):
                 owners = self._owners(number)
                 if owners and owners[0] == self._instance:
                     await self._carry_one(number)
                 else:
                     self._shards.pop(number, None)
+            await self._clock.sleep_ms(self._windows.carry_every_ms)
 
     async def _carry_one(self, number: int) -> None:
         try:
@@ -290,6 +295,19 @@
             self._logger.warning("claims_not_carried", why=str(error))
 
 
+class ClaimLostError(errors.WharfError):
+    """Another call holds the key.
+
+    Args:
+        claim: The claim that holds it.
+    """
+
+    def __init__(self, claim: Claim) -> None:
+        super().__init__(errors.ErrorKind.CLAIM_LOST)
+        self.owner = claim.owner
+        self.request_id = claim.request_id
+
+
 class PlainClaims:
     """Claims of plain calls, whose answers can't be followed elsewhere.
 
@@ -311,7 +329,8 @@
         """Takes a key for one call.
 
         Raises:
-            WharfError: The call must not be sent.
+            WharfError: The call must not be sent; ``ClaimLostError`` when
+                another call with the same body holds the key.
         """
         created_ms = self._claims.check_age(key)
         body = keys.body_of(body_digest)
@@ -327,14 +346,21 @@
             raise errors.WharfError(
                 errors.ErrorKind.KEY_CONFLICT, ran=errors.Ran.NO
             )
-        raise errors.WharfError(errors.ErrorKind.CLAIM_LOST)
+        raise ClaimLostError(claim)
 
     def abandon(self, request_id: str) -> None:
         """Notes that a call was not sent and never will be."""
         self._claims.abandon(request_id)
 
 
-def _unavailable() -> errors.WharfError:
+def _unavailable(*, is_new: bool) -> errors.WharfError:
+    """The refusal of a run that did not and will not happen.
+
+    An earlier sending of the key may have run. Only where the shard's claims
+    are known, and show none, is "did not run" said without reserve.
+    """
     return errors.WharfError(
-        errors.ErrorKind.CLAIM_UNAVAILABLE, retry_after_ms=_COME_BACK_MS
+        errors.ErrorKind.CLAIM_UNAVAILABLE,
+        retry_after_ms=_COME_BACK_MS,
+        ran=errors.Ran.NO if is_new else errors.Ran.UNKNOWN,
     )
--- /dev/null
+++ b/src/jujubewharf/requests/plain_replies.py
@@ -0,0 +1,272 @@
+"""Replies to plain calls that may not be repeated, kept for a retry.
+
+A till whose connection breaks sends its sale again with the same key. The
+call is not sent a second time; the retry gets the reply of the first, from
+whichever instance has it. For that the call is not its caller's task: it goes
+on when the caller leaves, which holds no engine memory.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from collections.abc import AsyncIterator
+import contextlib
+
+import structlog
+
+from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf.engines import endpoint_client
+from jujubewharf.peers import key_messages
+from jujubewharf.peers import network
+from jujubewharf.requests import claims
+from jujubewharf.requests import plain
+
+MAX_REPLY_BYTES = 256_000
+MAX_KEPT_BYTES = 8_000_000
+KEEP_MS = 900_000.0
+_OVERHEAD_BYTES = 1_000
+_WAIT_MS = 1_000.0
+_ANSWER_MS = 1_500.0
+_RETRY_MS = 300.0
+_MAX_FAILURES = 3
+
+
+class _Recording:
+    """A reply as it arrives, which readers follow from its start."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: tuple[tuple[str, str], ...] = ()
+        self.chunks: list[bytes] = []
+        self.size_bytes = 0
+        self.dropped_bytes = 0
+        self.is_whole = False
+        self.failure: errors.WharfError | None = None
+        self.readers = 0
+        self.expires_ms = float("inf")
+        self._changed = asyncio.Event()
+
+    @property
+    def is_over(self) -> bool:
+        return self.is_whole or self.failure is not None
+
+    @property
+    def can_be_replayed(self) -> bool:
+        return self.is_whole and not self.dropped_bytes
+
+    def wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def changed(self) -> None:
+        await self._changed.wait()
+
+    async def until_begun(self) -> None:
+        while not self.status and self.failure is None:
+            await self.changed()
+        if self.failure is not None and not self.status:
+            raise self.failure
+
+    async def add(self, chunk: bytes) -> None:
+        """Takes a part in; a large reply waits for its reader."""
+        self.chunks.append(chunk)
+        self.size_bytes += len(chunk)
+        self.wake()
+        while self.size_bytes - self.dropped_bytes > MAX_REPLY_BYTES:
+            if not self.readers:
+                raise errors.WharfError(errors.ErrorKind.OUTCOME_UNKNOWN)
+            await self.changed()
+
+    async def body(self) -> AsyncIterator[bytes]:
+        """The reply's body; raises when it breaks off."""
+        place = 0
+        while True:
+            while place < len(self.chunks):
+                chunk = self.chunks[place]
+                yield chunk
+                if self.size_bytes > MAX_REPLY_BYTES:
+                    self.chunks[place] = b""
+                    self.dropped_bytes += len(chunk)
+                    self.wake()
+                place += 1
+            if self.failure is not None:
+                raise self.failure
+            if self.is_whole:
+                return
+            await self.changed()
+
+    def reply(self) -> endpoint_client.PlainReply:
+        return endpoint_client.PlainReply(
+            self.status, self.headers, self.body()
+        )
+
+
+class PlainReplies:
+    """Runs plain calls and keeps what a retry may ask for.
+
+    Args:
+        instance: Name of this instance.
+        runner: Runs plain calls.
+        peers: Messages to other instances.
+        clock: Time.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        runner: plain.PlainRunner,
+        peers: network.PeerNetwork,
+        clock: clocks.Clock,
+    ) -> None:
+        self._instance = instance
+        self._runner = runner
+        self._peers = peers
+        self._clock = clock
+        self._recordings: collections.OrderedDict[str, _Recording] = (
+            collections.OrderedDict()
+        )
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._logger = structlog.get_logger()
+        peers.handle(key_messages.PullReply, self._on_pull)
+
+    @contextlib.asynccontextmanager
+    async def run(
+        self, request: plain.PlainRequest
+    ) -> AsyncIterator[endpoint_client.PlainReply]:
+        """Calls an endpoint, or replays; see ``plain.PlainRunner.run``."""
+        if request.is_repeatable or request.key is None:
+            async with self._runner.run(request) as reply:
+                yield reply
+            return
+        recording = self._start(request)
+        recording.readers += 1
+        try:
+            try:
+                await recording.until_begun()
+            except claims.ClaimLostError as lost:
+                yield await self._find(request, lost)
+                return
+            yield recording.reply()
+        finally:
+            recording.readers -= 1
+            recording.wake()
+
+    def _start(self, request: plain.PlainRequest) -> _Recording:
+        self._forget_old()
+        recording = _Recording()
+        self._recordings[request.request_id] = recording
+        task = asyncio.create_task(self._record(request, recording))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return recording
+
+    async def _record(
+        self, request: plain.PlainRequest, recording: _Recording
+    ) -> None:
+        try:
+            async with self._runner.run(request) as reply:
+                recording.headers = reply.headers
+                recording.status = reply.status
+                recording.wake()
+                async for chunk in reply.body:
+                    await recording.add(chunk)
+            recording.is_whole = True
+        except errors.WharfError as error:
+            recording.failure = error
+        except asyncio.CancelledError:
+            kind = errors.ErrorKind.OUTCOME_UNKNOWN
+            recording.failure = errors.WharfError(kind)
+            raise
+        except Exception:
+            self._logger.exception("plain_call_crashed", id=request.request_id)
+            kind = errors.ErrorKind.INTERNAL
+            recording.failure = errors.WharfError(kind)
+        finally:
+            recording.expires_ms = self._clock.now_ms() + KEEP_MS
+            if not recording.can_be_replayed:
+                self._recordings.pop(request.request_id, None)
+            recording.wake()
+
+    async def _find(
+        self, request: plain.PlainRequest, lost: claims.ClaimLostError
+    ) -> endpoint_client.PlainReply:
+        """The reply of the call that holds the key.
+
+        Raises:
+            ClaimLostError: It can't be had.
+        """
+        message = key_messages.PullReply(lost.request_id, _WAIT_MS)
+        failures = 0
+        while self._clock.now_ms() < request.deadline_at_ms:
+            try:
+                pulled = await self._ask(lost.owner, message)
+            except network.PeerError:
+                failures += 1
+                if failures >= _MAX_FAILURES:
+                    break
+                await self._clock.sleep_ms(_RETRY_MS * failures)
+                continue
+            if pulled.is_whole:
+                return endpoint_client.PlainReply(
+                    pulled.status,
+                    tuple((name, value) for name, value in pulled.headers),
+                    _once(pulled.body),
+                )
+            if not pulled.is_running:
+                break
+        raise lost
+
+    async def _ask(
+        self, owner: str, message: key_messages.PullReply
+    ) -> key_messages.PulledReply:
+        if owner == self._instance:
+            return await self._on_pull(owner, message)
+        answer = await self._peers.ask(
+            owner, message, timeout_ms=_WAIT_MS + _ANSWER_MS
+        )
+        if not isinstance(answer, key_messages.PulledReply):
+            raise network.PeerError(network.PeerFault.REFUSED, owner)
+        return answer
+
+    async def _on_pull(
+        self, sender: str, message: key_messages.PullReply
+    ) -> key_messages.PulledReply:
+        recording = self._recordings.get(message.request_id)
+        if recording is None:
+            return key_messages.PulledReply()
+        try:
+            async with self._clock.timeout_ms(message.wait_ms):
+                while not recording.is_over:
+                    await recording.changed()
+        except TimeoutError:
+            return key_messages.PulledReply(is_running=True)
+        if not recording.can_be_replayed:
+            return key_messages.PulledReply()
+        return key_messages.PulledReply(
+            is_whole=True,
+            status=recording.status,
+            headers=recording.headers,
+            body=b"".join(recording.chunks),
+        )
+
+    def _forget_old(self) -> None:
+        """Keeps what is kept within its bounds, the newest first."""
+        now_ms = self._clock.now_ms()
+        ended = [
+            (request_id, recording)
+            for request_id, recording in self._recordings.items()
+            if recording.is_over
+        ]
+        total = sum(r.size_bytes + _OVERHEAD_BYTES for _, r in ended)
+        for request_id, recording in ended:
+            is_due = recording.expires_ms <= now_ms
+            if not is_due and total <= MAX_KEPT_BYTES:
+                return
+            total -= recording.size_bytes + _OVERHEAD_BYTES
+            del self._recordings[request_id]
+
+
+async def _once(body: bytes) -> AsyncIterator[bytes]:
+    yield body
