A refused claim says 'did not run' only when the log was read and shows none

Change: 'no' only after reading the log to its end, else 'unknown' with the word that this sending did not run; the table's row is 'unknown' now.

--- a/src/jujubewharf/errors.py
+++ b/src/jujubewharf/errors.py
@@ -135,7 +135,7 @@
     ErrorKind.CLAIM_UNAVAILABLE: Answer(
         503,
         "UNAVAILABLE",
-        _NO,
+        _UNKNOWN,
         True,
         "A request that may not be repeated can't be claimed now.",
     ),
--- a/src/jujubewharf/peers/key_messages.py
+++ b/src/jujubewharf/peers/key_messages.py
@@ -199,7 +199,7 @@
         request_id: The run that holds it.
         body: Digest of that run's body.
         is_expired: Whether the key is too old to be claimed.
-        is_new: Whether the shard's claims are known, and none is the key's.
+        is_new: Whether the log was just read and shows no claim of the key.
     """
 
     owner: str = ""
--- a/src/jujubewharf/requests/claim_shard.py
+++ b/src/jujubewharf/requests/claim_shard.py
@@ -41,7 +41,8 @@
     """The log did not confirm the claim; it may still land there.
 
     Args:
-        is_new: Whether the shard's claims were known, and none is the key's.
+        is_new: Whether the log was read to its end meanwhile, and shows no
+            claim of the key.
     """
 
     def __init__(self, *, is_new: bool) -> None:
@@ -183,19 +184,24 @@
             )
             batch = self._waiting[:MAX_BATCH]
             del self._waiting[:MAX_BATCH]
+            is_read = False
             try:
-                await self._claim_batch(batch)
+                is_read = await self._claim_batch(batch)
             except (log.LogUnavailableError, log.AppendUnknownError) as error:
                 self._logger.warning(
                     "claims_unavailable", stream=self._stream, why=str(error)
                 )
             for wanted in batch:
                 if not wanted.done.done():
-                    is_new = self._next_offset is not None
-                    failure = ClaimUnavailableError(is_new=is_new)
+                    failure = ClaimUnavailableError(is_new=is_read)
                     wanted.done.set_exception(failure)
 
-    async def _claim_batch(self, batch: list[_Wanted]) -> None:
+    async def _claim_batch(self, batch: list[_Wanted]) -> bool:
+        """Claims; returns whether what is left unanswered is not on the log.
+
+        Raises:
+            LogUnavailableError: The log was not reached.
+        """
         if self._next_offset is None:
             await self.load()
         self._forget_over_age()
@@ -204,14 +210,15 @@
         left = [wanted for wanted in batch if not wanted.done.done()]
         left = self._without_excess(left)
         if not left:
-            return
+            return False
         try:
             await self._append([wanted.claim for wanted in left])
-        except log.AppendUnknownError:
-            # The answer was lost. What the log shows now is certain; what
-            # it doesn't show may still land, so it stays unanswered.
+        except (log.LogUnavailableError, log.AppendUnknownError):
+            # What the log shows now is certain. A claim that it doesn't show
+            # may still land, so it stays unanswered.
             await self.load()
         self._answer_held(left)
+        return True
 
     def _answer_held(self, batch: list[_Wanted]) -> None:
         for wanted in batch:
--- a/src/jujubewharf/requests/claims.py
+++ b/src/jujubewharf/requests/claims.py
@@ -28,6 +28,7 @@
 
 _ASK_MS = 1_500.0
 _ASK_ABANDONED_MS = 1_000.0
+_THIS_DID_NOT = "This sending did not run; an earlier one of its key may have."
 _FIRST_CARRY_MS = 1_000.0
 _COME_BACK_MS = 1_000.0
 _MAX_TRIES = 3
@@ -356,11 +357,13 @@
 def _unavailable(*, is_new: bool) -> errors.WharfError:
     """The refusal of a run that did not and will not happen.
 
-    An earlier sending of the key may have run. Only where the shard's claims
-    are known, and show none, is "did not run" said without reserve.
+    An earlier sending of the key may have run, and its caller would take "did
+    not run" as leave to do it by hand. So that is said without reserve only
+    when the log was read to its end and shows no claim of the key.
     """
     return errors.WharfError(
         errors.ErrorKind.CLAIM_UNAVAILABLE,
+        "" if is_new else _THIS_DID_NOT,
         retry_after_ms=_COME_BACK_MS,
         ran=errors.Ran.NO if is_new else errors.Ran.UNKNOWN,
     )
