--- a/src/jujubewharf/requests/claims.py
+++ b/src/jujubewharf/requests/claims.py
@@ -281,19 +281,19 @@
         """
         await self._clock.sleep_ms(_FIRST_CARRY_MS)
         while not self.should_stop:
-            for number in range(claim_shard.SHARDS):
-                owners = self._owners(number)
-                if owners and owners[0] == self._instance:
-                    await self._carry_one(number)
-                else:
-                    self._shards.pop(number, None)
+            try:
+                await self._carry_owned()
+            except (log.LogUnavailableError, log.AppendUnknownError) as error:
+                self._logger.warning("claims_not_carried", why=str(error))
             await self._clock.sleep_ms(self._windows.carry_every_ms)
 
-    async def _carry_one(self, number: int) -> None:
-        try:
-            await self._shard(number).carry()
-        except (log.LogUnavailableError, log.AppendUnknownError) as error:
-            self._logger.warning("claims_not_carried", why=str(error))
+    async def _carry_owned(self) -> None:
+        for number in range(claim_shard.SHARDS):
+            owners = self._owners(number)
+            if owners and owners[0] == self._instance:
+                await self._shard(number).carry()
+            else:
+                self._shards.pop(number, None)
 
 
 class ClaimLostError(errors.WharfError):
