--- a/src/jujubewharf/peers/mesh.py
+++ b/src/jujubewharf/peers/mesh.py
@@ -15,23 +15,18 @@
 import structlog
 
 from jujubewharf.peers import counters
-from jujubewharf.peers import handshake
 from jujubewharf.peers import link as links
 from jujubewharf.peers import link_messages
 from jujubewharf.peers import messages
 from jujubewharf.peers import network
+from jujubewharf.peers import opener as openers
 from jujubewharf.peers import peer as peers
 from jujubewharf.peers import streams
 
 if TYPE_CHECKING:
     from jujubewharf import clock as clocks
 
-CAPABILITIES: tuple[str, ...] = ("facts",)
-
-_DIAL_TIMEOUT_MS = 2_000.0
-_MAX_HANDSHAKES = 64
 _MAX_PEERS = 2_000
-_FRESH_MS = 60_000.0
 
 _Goodbye = link_messages.Goodbye
 
@@ -66,10 +61,6 @@
         timing: Times of the links.
 
     Attributes:
-        address: ``IP:PORT`` on which peers are heard, once started.
-        incarnation: Tells this process from others of the same name.
-        is_leaving: Said in every hello.
-        is_replaced: Whether peers know a newer process of this name.
         counts: What came, went, and was dropped.
         facts_digest: Read for every heartbeat.
     """
@@ -84,18 +75,20 @@
         timing: peers.Timing,
     ) -> None:
         super().__init__()
-        self.address = ""
-        self.incarnation = 0
-        self.is_leaving = False
-        self.is_replaced = False
         self.counts = counters.PeerCounters()
         self.facts_digest: Callable[[], int] = lambda: 0
         self._instance = instance
-        self._domain = domain
         self._clock = clock
         self._transport = transport
+        self._opener = openers.Opener(
+            instance,
+            domain,
+            clock,
+            transport,
+            self.counts,
+            newest_hello=self.hello_of,
+        )
         self._timing = timing
-        self._started_ms = 0.0
         self._listener: streams.Listener | None = None
         self._addresses: Mapping[str, str] = {}
         self._peers: dict[str, peers.Peer] = {}
@@ -105,7 +98,6 @@
         self._heartbeat_listeners: list[Callable[[str, int], None]] = []
         self._running: set[asyncio.Task[None]] = set()
         self._tended: set[str] = set()
-        self._handshakes = 0
         self._logger = structlog.get_logger()
 
     @property
@@ -113,6 +105,30 @@
         """Name of this instance."""
         return self._instance
 
+    @property
+    def address(self) -> str:
+        """``IP:PORT`` on which peers are heard, once started."""
+        return self._opener.address
+
+    @property
+    def incarnation(self) -> int:
+        """Tells this process from others of the same name."""
+        return self._opener.incarnation
+
+    @property
+    def is_replaced(self) -> bool:
+        """Whether peers know a newer process of this name."""
+        return self._opener.is_replaced
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether every hello says that this instance leaves."""
+        return self._opener.is_leaving
+
+    @is_leaving.setter
+    def is_leaving(self, is_leaving: bool) -> None:
+        self._opener.is_leaving = is_leaving
+
     def handle(
         self, message_type: type[messages.Message], handler: network.Handler
     ) -> None:
@@ -236,10 +252,9 @@
 
     async def on_start(self) -> None:
         """Starts to listen."""
-        self._started_ms = self._clock.now_ms()
-        self.incarnation = max(1, int(self._clock.wall_ms()))
+        self._opener.start()
         self._listener = await self._transport.listen(self._accept)
-        self.address = self._listener.address
+        self._opener.address = self._listener.address
 
     async def on_stop(self) -> None:
         """Says goodbye on every link and ends all tasks."""
@@ -378,23 +393,6 @@
             self.counts.task_failures += 1
             self._logger.error("peer_task_failed", exc_info=fault)
 
-    def _hello(self, *, is_standing: bool) -> link_messages.Hello:
-        return link_messages.Hello(
-            instance=self._instance,
-            domain=self._domain,
-            address=self.address,
-            incarnation=self.incarnation,
-            capabilities=CAPABILITIES,
-            is_standing=is_standing,
-            is_leaving=self.is_leaving,
-        )
-
-    def _newest_incarnation(self, name: str) -> int:
-        if name == self._instance:
-            return self.incarnation
-        hello = self._hellos.get(name)
-        return 0 if hello is None else hello.incarnation
-
     async def _dial(self, name: str, is_standing: bool) -> links.Link:
         """Opens a link.
 
@@ -404,20 +402,8 @@
         address = self._addresses.get(name)
         if address is None:
             raise ConnectionRefusedError(name)
-        async with self._clock.timeout_ms(_DIAL_TIMEOUT_MS):
-            reader, writer = await self._transport.dial(address)
-        greeting = self._handshake(reader, writer, is_standing)
-        try:
-            async with self._clock.timeout_ms(handshake.HELLO_TIMEOUT_MS):
-                hello = await greeting.dial(name)
-        except handshake.RefusedHelloError as error:
-            self._on_refused(greeting, error, name)
-            writer.close()
-            raise ConnectionRefusedError(error.reason) from error
-        except BaseException:
-            writer.close()
-            raise
-        link = self._make_link(greeting, hello, is_dialled=True)
+        opened = await self._opener.dial(name, address, is_standing=is_standing)
+        link = self._make_link(opened)
         self._spawn(self._run(link))
         return link
 
@@ -429,91 +415,22 @@
     async def _greet(
         self, reader: asyncio.StreamReader, writer: streams.StreamWriter
     ) -> None:
-        greeting = self._handshake(reader, writer, False)
-        if self._handshakes >= _MAX_HANDSHAKES or self.should_stop:
-            error = handshake.RefusedHelloError(_Goodbye.BUSY.value)
-            greeting.refuse(error)
-            writer.close()
-            return
-        self._handshakes += 1
-        try:
-            async with self._clock.timeout_ms(handshake.HELLO_TIMEOUT_MS):
-                hello = await greeting.accept()
-        except handshake.RefusedHelloError as error:
-            self._on_refused(greeting, error, "")
-            writer.close()
-            return
-        except OSError:
-            writer.close()
-            return
-        finally:
-            self._handshakes -= 1
-        if len(self._peers) >= _MAX_PEERS and hello.instance not in self._peers:
-            greeting.refuse(handshake.RefusedHelloError(_Goodbye.BUSY.value))
-            writer.close()
-            return
-        self._spawn(
-            self._run(self._make_link(greeting, hello, is_dialled=False))
-        )
-
-    def _handshake(
-        self,
-        reader: asyncio.StreamReader,
-        writer: streams.StreamWriter,
-        is_standing: bool,
-    ) -> handshake.Handshake:
-        return handshake.Handshake(
-            reader,
-            writer,
-            self._hello(is_standing=is_standing),
-            self._newest_incarnation,
-            self.counts,
-        )
-
-    def _on_refused(
-        self,
-        greeting: handshake.Handshake,
-        error: handshake.RefusedHelloError,
-        peer: str,
-    ) -> None:
-        greeting.refuse(error)
-        self._logger.warning(
-            "peer_link_refused",
-            peer=peer,
-            reason=error.reason,
-            is_theirs=error.is_theirs,
-        )
-        if error.is_theirs and error.reason == _Goodbye.REPLACED.value:
-            self._on_replaced(error.incarnation)
-
-    def _on_replaced(self, newest: int) -> None:
-        """A peer knows a newer process of this name.
-
-        A process that has just started is the newer one whatever the clocks
-        say, so it takes a higher number. One that has run for long was
-        replaced while it was paused, and stays refused.
-        """
-        if newest <= self.incarnation:
+        opened = await self._opener.accept(reader, writer)
+        if opened is None:
             return
-        if self._clock.now_ms() - self._started_ms < _FRESH_MS:
-            self.incarnation = newest + 1
+        is_new = opened.hello.instance not in self._peers
+        if self.should_stop or (is_new and len(self._peers) >= _MAX_PEERS):
+            self._opener.refuse_busy(opened)
             return
-        self.is_replaced = True
+        self._spawn(self._run(self._make_link(opened)))
 
-    def _make_link(
-        self,
-        greeting: handshake.Handshake,
-        hello: link_messages.Hello,
-        *,
-        is_dialled: bool,
-    ) -> links.Link:
-        mine = greeting.hello.is_standing
+    def _make_link(self, opened: openers.Opened) -> links.Link:
         link = links.Link(
-            hello,
-            is_dialled=is_dialled,
-            is_standing=mine if is_dialled else hello.is_standing,
-            reader=greeting.reader,
-            writer=greeting.writer,
+            opened.hello,
+            is_dialled=opened.is_dialled,
+            is_standing=opened.is_standing,
+            reader=opened.reader,
+            writer=opened.writer,
             clock=self._clock,
             counts=self.counts,
             dispatch=self._dispatch,
--- /dev/null
+++ b/src/jujubewharf/peers/opener.py
@@ -0,0 +1,206 @@
+"""Opens links in both directions, in this process's own name."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+from typing import TYPE_CHECKING
+
+import structlog
+
+from jujubewharf.peers import handshake
+from jujubewharf.peers import link_messages
+
+if TYPE_CHECKING:
+    from jujubewharf import clock as clocks
+    from jujubewharf.peers import counters
+    from jujubewharf.peers import streams
+
+CAPABILITIES: tuple[str, ...] = ("facts",)
+MAX_HANDSHAKES = 64
+
+_DIAL_TIMEOUT_MS = 2_000.0
+_FRESH_MS = 60_000.0
+
+_Goodbye = link_messages.Goodbye
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Opened:
+    """A stream on which both hellos were said.
+
+    Attributes:
+        hello: What the peer said of itself.
+        is_dialled: Whether this side dialled.
+        is_standing: Whether the side that dialled means to keep the link.
+        reader: Bytes from the peer.
+        writer: Bytes to the peer.
+    """
+
+    hello: link_messages.Hello
+    is_dialled: bool
+    is_standing: bool
+    reader: asyncio.StreamReader
+    writer: streams.StreamWriter
+
+
+class Opener:
+    """Dials and greets.
+
+    Args:
+        instance: Name of this instance.
+        domain: Failure domain of this instance.
+        clock: Time.
+        transport: Streams to and from peers.
+        counts: Where to count.
+        newest_hello: The newest hello that a peer gave, if any.
+
+    Attributes:
+        address: ``IP:PORT`` on which this instance is heard, once known.
+        incarnation: Tells this process from others of the same name.
+        is_leaving: Said in every hello.
+        is_replaced: Whether peers know a newer process of this name.
+        handshakes: Hellos of others that are under way.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        domain: str,
+        clock: clocks.Clock,
+        transport: streams.Transport,
+        counts: counters.PeerCounters,
+        *,
+        newest_hello: Callable[[str], link_messages.Hello | None],
+    ) -> None:
+        self.address = ""
+        self.incarnation = 0
+        self.is_leaving = False
+        self.is_replaced = False
+        self.handshakes = 0
+        self._instance = instance
+        self._domain = domain
+        self._clock = clock
+        self._transport = transport
+        self._counts = counts
+        self._newest_hello = newest_hello
+        self._started_ms = 0.0
+        self._logger = structlog.get_logger()
+
+    def start(self) -> None:
+        """Takes this process's number."""
+        self._started_ms = self._clock.now_ms()
+        self.incarnation = max(1, int(self._clock.wall_ms()))
+
+    async def dial(
+        self, name: str, address: str, *, is_standing: bool
+    ) -> Opened:
+        """Opens a stream to a peer.
+
+        Raises:
+            OSError: There is none to be had, for whatever reason.
+        """
+        async with self._clock.timeout_ms(_DIAL_TIMEOUT_MS):
+            reader, writer = await self._transport.dial(address)
+        greeting = self._handshake(reader, writer, is_standing=is_standing)
+        try:
+            async with self._clock.timeout_ms(handshake.HELLO_TIMEOUT_MS):
+                hello = await greeting.dial(name)
+        except handshake.RefusedHelloError as error:
+            self._on_refused(greeting, error, name)
+            writer.close()
+            raise ConnectionRefusedError(error.reason) from error
+        except BaseException:
+            writer.close()
+            raise
+        return Opened(hello, True, is_standing, reader, writer)
+
+    async def accept(
+        self, reader: asyncio.StreamReader, writer: streams.StreamWriter
+    ) -> Opened | None:
+        """Greets a stream that came in; closes it if nothing comes of it."""
+        greeting = self._handshake(reader, writer, is_standing=False)
+        if self.handshakes >= MAX_HANDSHAKES:
+            self._refuse_busy(greeting)
+            return None
+        self.handshakes += 1
+        try:
+            async with self._clock.timeout_ms(handshake.HELLO_TIMEOUT_MS):
+                hello = await greeting.accept()
+        except handshake.RefusedHelloError as error:
+            self._on_refused(greeting, error, "")
+            writer.close()
+            return None
+        except OSError:
+            writer.close()
+            return None
+        finally:
+            self.handshakes -= 1
+        return Opened(hello, False, hello.is_standing, reader, writer)
+
+    def refuse_busy(self, opened: Opened) -> None:
+        """Ends a stream for which there is no room."""
+        self._refuse_busy(
+            self._handshake(opened.reader, opened.writer, is_standing=False)
+        )
+
+    def _refuse_busy(self, greeting: handshake.Handshake) -> None:
+        greeting.refuse(handshake.RefusedHelloError(_Goodbye.BUSY.value))
+        greeting.writer.close()
+
+    def _handshake(
+        self,
+        reader: asyncio.StreamReader,
+        writer: streams.StreamWriter,
+        *,
+        is_standing: bool,
+    ) -> handshake.Handshake:
+        hello = link_messages.Hello(
+            instance=self._instance,
+            domain=self._domain,
+            address=self.address,
+            incarnation=self.incarnation,
+            capabilities=CAPABILITIES,
+            is_standing=is_standing,
+            is_leaving=self.is_leaving,
+        )
+        return handshake.Handshake(
+            reader, writer, hello, self._newest_incarnation, self._counts
+        )
+
+    def _newest_incarnation(self, name: str) -> int:
+        if name == self._instance:
+            return self.incarnation
+        hello = self._newest_hello(name)
+        return 0 if hello is None else hello.incarnation
+
+    def _on_refused(
+        self,
+        greeting: handshake.Handshake,
+        error: handshake.RefusedHelloError,
+        peer: str,
+    ) -> None:
+        greeting.refuse(error)
+        self._logger.warning(
+            "peer_link_refused",
+            peer=peer,
+            reason=error.reason,
+            is_theirs=error.is_theirs,
+        )
+        if error.is_theirs and error.reason == _Goodbye.REPLACED.value:
+            self._on_replaced(error.incarnation)
+
+    def _on_replaced(self, newest: int) -> None:
+        """A peer knows a newer process of this name.
+
+        A process that has just started is the newer one whatever the clocks
+        say, so it takes a higher number. One that has run for long was
+        replaced while it was paused, and stays refused.
+        """
+        if newest <= self.incarnation:
+            return
+        if self._clock.now_ms() - self._started_ms < _FRESH_MS:
+            self.incarnation = newest + 1
+            return
+        self.is_replaced = True
--- a/tests/peers/test_hostile.py
+++ b/tests/peers/test_hostile.py
@@ -22,6 +22,7 @@
 from jujubewharf.peers import mesh as meshes
 from jujubewharf.peers import messages
 from jujubewharf.peers import network
+from jujubewharf.peers import opener as openers
 from jujubewharf.peers import peer
 from jujubewharf.standins import network as networks
 
@@ -116,7 +117,7 @@
         assert self.mesh.link_count() == 0
         assert not self.mesh._peers
         assert not self.mesh._running
-        assert self.mesh._handshakes == 0
+        assert self.mesh._opener.handshakes == 0
 
 
 @settings(
@@ -249,7 +250,7 @@
         target = Target()
         await target.mesh.start()
         hostile = target.network.transport("stranger", "b")
-        for _ in range(meshes._MAX_HANDSHAKES + 5):
+        for _ in range(openers.MAX_HANDSHAKES + 5):
             await hostile.dial(target.mesh.address)
         await target.clock.sleep_ms(10)
         assert target.mesh.counts.refusals == {"busy": 5}
