--- a/src/jujubewharf/peers/mesh.py
+++ b/src/jujubewharf/peers/mesh.py
@@ -7,7 +7,6 @@
 from collections.abc import Coroutine
 from collections.abc import Iterable
 from collections.abc import Mapping
-import dataclasses
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -15,6 +14,7 @@
 import structlog
 
 from jujubewharf.peers import counters
+from jujubewharf.peers import handlers
 from jujubewharf.peers import link as links
 from jujubewharf.peers import link_messages
 from jujubewharf.peers import messages
@@ -31,25 +31,6 @@
 _Goodbye = link_messages.Goodbye
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Contact:
-    """What the links know of a peer.
-
-    Attributes:
-        is_linked: Whether there is an open link.
-        is_watched: Whether heartbeats are due from it.
-        heard_ms: When it was last heard; ``None`` for never.
-        hears_us: Its last word on whether it hears this instance.
-        failed_ms: When a dial last failed and it was not heard since.
-    """
-
-    is_linked: bool
-    is_watched: bool
-    heard_ms: float | None
-    hears_us: bool
-    failed_ms: float | None
-
-
 class PeerMesh(mode.Service):
     """Speaks ``network.PeerNetwork`` over the streams of a transport.
 
@@ -93,7 +74,7 @@
         self._addresses: Mapping[str, str] = {}
         self._peers: dict[str, peers.Peer] = {}
         self._hellos: dict[str, link_messages.Hello] = {}
-        self._handlers: dict[type[messages.Message], network.Handler] = {}
+        self._handlers = handlers.Handlers(instance, clock, self.counts)
         self._hello_listeners: list[Callable[[link_messages.Hello], None]] = []
         self._heartbeat_listeners: list[Callable[[str, int], None]] = []
         self._running: set[asyncio.Task[None]] = set()
@@ -133,7 +114,7 @@
         self, message_type: type[messages.Message], handler: network.Handler
     ) -> None:
         """Names the handler of a message type; see ``PeerNetwork``."""
-        self._handlers[message_type] = handler
+        self._handlers.add(message_type, handler)
 
     async def ask(
         self, peer: str, message: messages.Message, *, timeout_ms: float
@@ -155,7 +136,7 @@
             dialled. True is no promise that the peer gets it.
         """
         if peer == self._instance:
-            self._spawn(self._tell_myself(message))
+            self._spawn(self._handlers.tell_myself(message))
             return True
         known = self._known(peer)
         if known is None:
@@ -223,20 +204,10 @@
         """Open links, those on demand included."""
         return sum(len(known.links) for known in self._peers.values())
 
-    def contact(self, peer: str) -> Contact:
+    def contact(self, peer: str) -> peers.Contact:
         """What the links know of a peer."""
         known = self._peers.get(peer)
-        if known is None:
-            return Contact(False, False, None, True, None)
-        link = known.best_link()
-        is_watched = known.is_wanted or (link is not None and link.is_standing)
-        return Contact(
-            is_linked=link is not None,
-            is_watched=is_watched,
-            heard_ms=known.heard_ms,
-            hears_us=known.hears_us,
-            failed_ms=known.failed_ms,
-        )
+        return peers.NO_CONTACT if known is None else known.contact()
 
     def hello_of(self, peer: str) -> link_messages.Hello | None:
         """The newest hello that a peer gave."""
@@ -272,7 +243,7 @@
         self, peer: str, message: messages.Message, timeout_ms: float
     ) -> messages.Message:
         if peer == self._instance:
-            return await self._ask_myself(message, timeout_ms)
+            return await self._handlers.ask_myself(message, timeout_ms)
         until_ms = self._clock.now_ms() + timeout_ms
         unreachable = network.PeerError(network.PeerFault.UNREACHABLE, peer)
         known = self._known(peer)
@@ -295,43 +266,12 @@
                     link.close()
             raise
 
-    async def _ask_myself(
-        self, message: messages.Message, timeout_ms: float
-    ) -> messages.Message:
-        refused = network.PeerError(network.PeerFault.REFUSED, self._instance)
-        try:
-            async with self._clock.timeout_ms(timeout_ms):
-                answer = await self._dispatch(self._instance, message)
-        except TimeoutError as error:
-            raise network.PeerError(
-                network.PeerFault.LOST, self._instance
-            ) from error
-        except links.HandlerMissingError as error:
-            raise refused from error
-        if answer is None:
-            raise refused
-        return answer
-
     async def _probe(self, known: peers.Peer) -> None:
         try:
             await known.link()
         except OSError:
             return
 
-    async def _tell_myself(self, message: messages.Message) -> None:
-        try:
-            await self._dispatch(self._instance, message)
-        except links.HandlerMissingError:
-            self.counts.drop(counters.Drop.NO_HANDLER)
-
-    async def _dispatch(
-        self, peer: str, message: messages.Message
-    ) -> messages.Message | None:
-        handler = self._handlers.get(type(message))
-        if handler is None:
-            raise links.HandlerMissingError
-        return await handler(peer, message)
-
     def _known(self, name: str) -> peers.Peer | None:
         """The peer of a name, made when its address is known."""
         known = self._peers.get(name)
@@ -433,7 +373,7 @@
             writer=opened.writer,
             clock=self._clock,
             counts=self.counts,
-            dispatch=self._dispatch,
+            dispatch=self._handlers.dispatch,
         )
         link.on_heartbeat = self._on_heartbeat
         self._take_in(link)
--- a/src/jujubewharf/peers/peer.py
+++ b/src/jujubewharf/peers/peer.py
@@ -48,6 +48,34 @@
         return 2 * self.suspect_after_ms
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Contact:
+    """What the links know of a peer.
+
+    Attributes:
+        is_linked: Whether there is an open link.
+        is_watched: Whether heartbeats are due from it.
+        heard_ms: When it was last heard; ``None`` for never.
+        hears_us: Its last word on whether it hears this instance.
+        failed_ms: When a dial last failed and it was not heard since.
+    """
+
+    is_linked: bool
+    is_watched: bool
+    heard_ms: float | None
+    hears_us: bool
+    failed_ms: float | None
+
+
+NO_CONTACT = Contact(
+    is_linked=False,
+    is_watched=False,
+    heard_ms=None,
+    hears_us=True,
+    failed_ms=None,
+)
+
+
 class Peer:
     """What this instance holds for one other instance.
 
@@ -116,6 +144,18 @@
         """Whether the task has anything to tend."""
         return self.is_wanted or bool(self.links) or bool(self._waiting)
 
+    def contact(self) -> Contact:
+        """All that the links know, for who looks from outside."""
+        link = self.best_link()
+        is_kept = link is not None and link.is_standing
+        return Contact(
+            is_linked=link is not None,
+            is_watched=self.is_wanted or is_kept,
+            heard_ms=self.heard_ms,
+            hears_us=self.hears_us,
+            failed_ms=self.failed_ms,
+        )
+
     def best_link(self) -> links.Link | None:
         """The link to send on; both sides choose the same one of two.
 
