--- a/src/jujubewharf/peers/mesh.py
+++ b/src/jujubewharf/peers/mesh.py
@@ -7,7 +7,6 @@
 from collections.abc import Coroutine
 from collections.abc import Iterable
 from collections.abc import Mapping
-import dataclasses
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -15,46 +14,23 @@
 import structlog
 
 from jujubewharf.peers import counters
-from jujubewharf.peers import handshake
+from jujubewharf.peers import handlers
 from jujubewharf.peers import link as links
 from jujubewharf.peers import link_messages
 from jujubewharf.peers import messages
 from jujubewharf.peers import network
+from jujubewharf.peers import opener as openers
 from jujubewharf.peers import peer as peers
 from jujubewharf.peers import streams
 
 if TYPE_CHECKING:
     from jujubewharf import clock as clocks
 
-CAPABILITIES: tuple[str, ...] = ("facts",)
-
-_DIAL_TIMEOUT_MS = 2_000.0
-_MAX_HANDSHAKES = 64
 _MAX_PEERS = 2_000
-_FRESH_MS = 60_000.0
 
 _Goodbye = link_messages.Goodbye
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Contact:
-    """What the links know of a peer.
-
-    Attributes:
-        is_linked: Whether there is an open link.
-        is_watched: Whether heartbeats are due from it.
-        heard_ms: When it was last heard; ``None`` for never.
-        hears_us: Its last word on whether it hears this instance.
-        failed_ms: When a dial last failed and it was not heard since.
-    """
-
-    is_linked: bool
-    is_watched: bool
-    heard_ms: float | None
-    hears_us: bool
-    failed_ms: float | None
-
-
 class PeerMesh(mode.Service):
     """Speaks ``network.PeerNetwork`` over the streams of a transport.
 
@@ -66,10 +42,6 @@
         timing: Times of the links.
 
     Attributes:
-        address: ``IP:PORT`` on which peers are heard, once started.
-        incarnation: Tells this process from others of the same name.
-        is_leaving: Said in every hello.
-        is_replaced: Whether peers know a newer process of this name.
         counts: What came, went, and was dropped.
         facts_digest: Read for every heartbeat.
     """
@@ -84,28 +56,29 @@
         timing: peers.Timing,
     ) -> None:
         super().__init__()
-        self.address = ""
-        self.incarnation = 0
-        self.is_leaving = False
-        self.is_replaced = False
         self.counts = counters.PeerCounters()
         self.facts_digest: Callable[[], int] = lambda: 0
         self._instance = instance
-        self._domain = domain
         self._clock = clock
         self._transport = transport
+        self._opener = openers.Opener(
+            instance,
+            domain,
+            clock,
+            transport,
+            self.counts,
+            newest_hello=self.hello_of,
+        )
         self._timing = timing
-        self._started_ms = 0.0
         self._listener: streams.Listener | None = None
         self._addresses: Mapping[str, str] = {}
         self._peers: dict[str, peers.Peer] = {}
         self._hellos: dict[str, link_messages.Hello] = {}
-        self._handlers: dict[type[messages.Message], network.Handler] = {}
+        self._handlers = handlers.Handlers(instance, clock, self.counts)
         self._hello_listeners: list[Callable[[link_messages.Hello], None]] = []
         self._heartbeat_listeners: list[Callable[[str, int], None]] = []
         self._running: set[asyncio.Task[None]] = set()
         self._tended: set[str] = set()
-        self._handshakes = 0
         self._logger = structlog.get_logger()
 
     @property
@@ -113,11 +86,35 @@
         """Name of this instance."""
         return self._instance
 
+    @property
+    def address(self) -> str:
+        """``IP:PORT`` on which peers are heard, once started."""
+        return self._opener.address
+
+    @property
+    def incarnation(self) -> int:
+        """Tells this process from others of the same name."""
+        return self._opener.incarnation
+
+    @property
+    def is_replaced(self) -> bool:
+        """Whether peers know a newer process of this name."""
+        return self._opener.is_replaced
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether every hello says that this instance leaves."""
+        return self._opener.is_leaving
+
+    @is_leaving.setter
+    def is_leaving(self, is_leaving: bool) -> None:
+        self._opener.is_leaving = is_leaving
+
     def handle(
         self, message_type: type[messages.Message], handler: network.Handler
     ) -> None:
         """Names the handler of a message type; see ``PeerNetwork``."""
-        self._handlers[message_type] = handler
+        self._handlers.add(message_type, handler)
 
     async def ask(
         self, peer: str, message: messages.Message, *, timeout_ms: float
@@ -139,7 +136,7 @@
             dialled. True is no promise that the peer gets it.
         """
         if peer == self._instance:
-            self._spawn(self._tell_myself(message))
+            self._spawn(self._handlers.tell_myself(message))
             return True
         known = self._known(peer)
         if known is None:
@@ -207,20 +204,10 @@
         """Open links, those on demand included."""
         return sum(len(known.links) for known in self._peers.values())
 
-    def contact(self, peer: str) -> Contact:
+    def contact(self, peer: str) -> peers.Contact:
         """What the links know of a peer."""
         known = self._peers.get(peer)
-        if known is None:
-            return Contact(False, False, None, True, None)
-        link = known.best_link()
-        is_watched = known.is_wanted or (link is not None and link.is_standing)
-        return Contact(
-            is_linked=link is not None,
-            is_watched=is_watched,
-            heard_ms=known.heard_ms,
-            hears_us=known.hears_us,
-            failed_ms=known.failed_ms,
-        )
+        return peers.NO_CONTACT if known is None else known.contact()
 
     def hello_of(self, peer: str) -> link_messages.Hello | None:
         """The newest hello that a peer gave."""
@@ -236,10 +223,9 @@
 
     async def on_start(self) -> None:
         """Starts to listen."""
-        self._started_ms = self._clock.now_ms()
-        self.incarnation = max(1, int(self._clock.wall_ms()))
+        self._opener.start()
         self._listener = await self._transport.listen(self._accept)
-        self.address = self._listener.address
+        self._opener.address = self._listener.address
 
     async def on_stop(self) -> None:
         """Says goodbye on every link and ends all tasks."""
@@ -257,7 +243,7 @@
         self, peer: str, message: messages.Message, timeout_ms: float
     ) -> messages.Message:
         if peer == self._instance:
-            return await self._ask_myself(message, timeout_ms)
+            return await self._handlers.ask_myself(message, timeout_ms)
         until_ms = self._clock.now_ms() + timeout_ms
         unreachable = network.PeerError(network.PeerFault.UNREACHABLE, peer)
         known = self._known(peer)
@@ -280,43 +266,12 @@
                     link.close()
             raise
 
-    async def _ask_myself(
-        self, message: messages.Message, timeout_ms: float
-    ) -> messages.Message:
-        refused = network.PeerError(network.PeerFault.REFUSED, self._instance)
-        try:
-            async with self._clock.timeout_ms(timeout_ms):
-                answer = await self._dispatch(self._instance, message)
-        except TimeoutError as error:
-            raise network.PeerError(
-                network.PeerFault.LOST, self._instance
-            ) from error
-        except links.HandlerMissingError as error:
-            raise refused from error
-        if answer is None:
-            raise refused
-        return answer
-
     async def _probe(self, known: peers.Peer) -> None:
         try:
             await known.link()
         except OSError:
             return
 
-    async def _tell_myself(self, message: messages.Message) -> None:
-        try:
-            await self._dispatch(self._instance, message)
-        except links.HandlerMissingError:
-            self.counts.drop(counters.Drop.NO_HANDLER)
-
-    async def _dispatch(
-        self, peer: str, message: messages.Message
-    ) -> messages.Message | None:
-        handler = self._handlers.get(type(message))
-        if handler is None:
-            raise links.HandlerMissingError
-        return await handler(peer, message)
-
     def _known(self, name: str) -> peers.Peer | None:
         """The peer of a name, made when its address is known."""
         known = self._peers.get(name)
@@ -378,23 +333,6 @@
             self.counts.task_failures += 1
             self._logger.error("peer_task_failed", exc_info=fault)
 
-    def _hello(self, *, is_standing: bool) -> link_messages.Hello:
-        return link_messages.Hello(
-            instance=self._instance,
-            domain=self._domain,
-            address=self.address,
-            incarnation=self.incarnation,
-            capabilities=CAPABILITIES,
-            is_standing=is_standing,
-            is_leaving=self.is_leaving,
-        )
-
-    def _newest_incarnation(self, name: str) -> int:
-        if name == self._instance:
-            return self.incarnation
-        hello = self._hellos.get(name)
-        return 0 if hello is None else hello.incarnation
-
     async def _dial(self, name: str, is_standing: bool) -> links.Link:
         """Opens a link.
 
@@ -404,20 +342,8 @@
         address = self._addresses.get(name)
         if address is None:
             raise ConnectionRefusedError(name)
-        async with self._clock.timeout_ms(_DIAL_TIMEOUT_MS):
-            reader, writer = await self._transport.dial(address)
-        greeting = self._handshake(reader, writer, is_standing)
-        try:
-            async with self._clock.timeout_ms(handshake.HELLO_TIMEOUT_MS):
-                hello = await greeting.dial(name)
-        except handshake.RefusedHelloError as error:
-            self._on_refused(greeting, error, name)
-            writer.close()
-            raise ConnectionRefusedError(error.reason) from error
-        except BaseException:
-            writer.close()
-            raise
-        link = self._make_link(greeting, hello, is_dialled=True)
+        opened = await self._opener.dial(name, address, is_standing=is_standing)
+        link = self._make_link(opened)
         self._spawn(self._run(link))
         return link
 
@@ -429,94 +355,25 @@
     async def _greet(
         self, reader: asyncio.StreamReader, writer: streams.StreamWriter
     ) -> None:
-        greeting = self._handshake(reader, writer, False)
-        if self._handshakes >= _MAX_HANDSHAKES or self.should_stop:
-            error = handshake.RefusedHelloError(_Goodbye.BUSY.value)
-            greeting.refuse(error)
-            writer.close()
-            return
-        self._handshakes += 1
-        try:
-            async with self._clock.timeout_ms(handshake.HELLO_TIMEOUT_MS):
-                hello = await greeting.accept()
-        except handshake.RefusedHelloError as error:
-            self._on_refused(greeting, error, "")
-            writer.close()
-            return
-        except OSError:
-            writer.close()
+        opened = await self._opener.accept(reader, writer)
+        if opened is None:
             return
-        finally:
-            self._handshakes -= 1
-        if len(self._peers) >= _MAX_PEERS and hello.instance not in self._peers:
-            greeting.refuse(handshake.RefusedHelloError(_Goodbye.BUSY.value))
-            writer.close()
+        is_new = opened.hello.instance not in self._peers
+        if self.should_stop or (is_new and len(self._peers) >= _MAX_PEERS):
+            self._opener.refuse_busy(opened)
             return
-        self._spawn(
-            self._run(self._make_link(greeting, hello, is_dialled=False))
-        )
+        self._spawn(self._run(self._make_link(opened)))
 
-    def _handshake(
-        self,
-        reader: asyncio.StreamReader,
-        writer: streams.StreamWriter,
-        is_standing: bool,
-    ) -> handshake.Handshake:
-        return handshake.Handshake(
-            reader,
-            writer,
-            self._hello(is_standing=is_standing),
-            self._newest_incarnation,
-            self.counts,
-        )
-
-    def _on_refused(
-        self,
-        greeting: handshake.Handshake,
-        error: handshake.RefusedHelloError,
-        peer: str,
-    ) -> None:
-        greeting.refuse(error)
-        self._logger.warning(
-            "peer_link_refused",
-            peer=peer,
-            reason=error.reason,
-            is_theirs=error.is_theirs,
-        )
-        if error.is_theirs and error.reason == _Goodbye.REPLACED.value:
-            self._on_replaced(error.incarnation)
-
-    def _on_replaced(self, newest: int) -> None:
-        """A peer knows a newer process of this name.
-
-        A process that has just started is the newer one whatever the clocks
-        say, so it takes a higher number. One that has run for long was
-        replaced while it was paused, and stays refused.
-        """
-        if newest <= self.incarnation:
-            return
-        if self._clock.now_ms() - self._started_ms < _FRESH_MS:
-            self.incarnation = newest + 1
-            return
-        self.is_replaced = True
-
-    def _make_link(
-        self,
-        greeting: handshake.Handshake,
-        hello: link_messages.Hello,
-        *,
-        is_dialled: bool,
-    ) -> links.Link:
-        mine = greeting.hello.is_standing
+    def _make_link(self, opened: openers.Opened) -> links.Link:
         link = links.Link(
-            hello,
-            is_dialled=is_dialled,
-            is_standing=mine if is_dialled else hello.is_standing,
-            reader=greeting.reader,
-            writer=greeting.writer,
+            opened.hello,
+            is_dialled=opened.is_dialled,
+            is_standing=opened.is_standing,
+            reader=opened.reader,
+            writer=opened.writer,
             clock=self._clock,
             counts=self.counts,
-            dispatch=self._dispatch,
+            dispatch=self._handlers.dispatch,
         )
         link.on_heartbeat = self._on_heartbeat
         self._take_in(link)
