--- a/benchmarks/overhead.py
+++ b/benchmarks/overhead.py
@@ -61,11 +61,15 @@
         in_flight: Requests at a time.
         requests: Requests in all.
         tokens: Tokens an answer.
+        spread_s: Time over which the first requests start. Answers of one
+            length that start together end together, and so would all later
+            requests come in waves.
     """
 
     in_flight: int
     requests: int
     tokens: int
+    spread_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -179,12 +183,13 @@
     numbers = iter(range(load.requests))
     timings: list[Timing] = []
 
-    async def worker() -> None:
+    async def worker(place: int) -> None:
+        await asyncio.sleep(load.spread_s * place / load.in_flight)
         for number in numbers:
             timings.append(await send(number))
 
     began_s = time.perf_counter()
-    await asyncio.gather(*(worker() for _ in range(load.in_flight)))
+    await asyncio.gather(*(worker(place) for place in range(load.in_flight)))
     return Run(timings, time.perf_counter() - began_s)
 
 
@@ -226,7 +231,10 @@
         print(f"{tokens} tokens an answer, {step_ms:g} ms a token")
         for in_flight, requests in ((1, 20), (16, 320), (128, 1_536)):
             load = Load(
-                in_flight, max(in_flight, int(requests * scale)), tokens
+                in_flight,
+                max(in_flight, int(requests * scale)),
+                tokens,
+                spread_s=tokens * step_ms / _MS_PER_S,
             )
             async with _session() as session:
                 direct = await run_load(
