--- a/src/jujubewharf/configuration/recovery.py
+++ b/src/jujubewharf/configuration/recovery.py
@@ -28,7 +28,7 @@
     Attributes:
         is_loss_accepted: An operator's word that members which don't answer
             know nothing more, and that a fleet which lost everything is to
-            begin anew.
+            begin anew. It holds for the present gap only.
     """
 
     def __init__(
@@ -39,11 +39,11 @@
         *,
         instance: str,
     ) -> None:
-        self.is_loss_accepted = False
         self._holding = holding
         self._store = store
         self._spread = spread
         self._instance = instance
+        self.is_loss_accepted = False
         self._rounds = 0
         self._logger = structlog.get_logger()
 
@@ -123,17 +123,19 @@
 
     async def _may_close_gap(self) -> bool:
         held = self._holding.next_offset
-        if not held and not self.is_loss_accepted:
-            return False
         offsets = await self._spread.offsets() if self._spread else {}
         heard = {
             name: offset
             for name, offset in offsets.items()
             if offset is not None
         }
-        if len(heard) < len(offsets) and not self.is_loss_accepted:
-            return False
         if any(offset > held for offset in heard.values()):
             return False
+        if self.is_loss_accepted:
+            return True
+        if not held or len(heard) < len(offsets):
+            # An empty state is never put in force by itself: it would say
+            # that there is no configuration, not that it was lost.
+            return False
         equals = [name for name, offset in heard.items() if offset == held]
         return self._instance <= min(equals, default=self._instance)
