--- a/tests/callers/test_plain.py
+++ b/tests/callers/test_plain.py
@@ -34,6 +34,10 @@
         self.calls.append(f"{request.method} {path}")
         self.seen.append(request.headers)
         match path:
+            case "sized":
+                return web.Response(body=b"12345")
+            case "empty":
+                return web.Response(status=204)
             case "raw":
                 return web.Response(body=await request.content.read())
             case "moved":
@@ -96,6 +100,20 @@
             assert answer.headers["Location"] == "/elsewhere"
 
 
+async def test_answers_without_a_body_keep_their_headers():
+    async with loopback.deployed() as deployment:
+        await _deploy(deployment)
+        url = f"{deployment.base}/s/photos"
+        async with deployment.session.head(f"{url}/sized") as answer:
+            assert answer.status == 200
+            assert answer.headers["Content-Length"] == "5"
+        async with deployment.session.get(f"{url}/empty") as answer:
+            assert answer.status == 204
+            assert await answer.read() == b""
+        async with deployment.session.get(f"{url}/sized") as answer:
+            assert await answer.read() == b"12345"
+
+
 async def test_a_compressed_body_goes_through_as_it_is():
     async with loopback.deployed() as deployment:
         shop = await _deploy(deployment)
