--- a/src/jujubewharf/configuration/follower.py
+++ b/src/jujubewharf/configuration/follower.py
@@ -140,7 +140,8 @@
         """Goes on without records that only silent members may know.
 
         For operators, when the log lost records and some members on the list
-        are known to be gone; see the operators' page on log outages.
+        are known to be gone; see the operators' page on log outages. Without
+        a gap it does nothing.
         """
         self._recovery.is_loss_accepted = True
 
@@ -169,6 +170,7 @@
         )
         _reads.add(1, {"outcome": "read"})
         self._note_reached(True)
+        self._recovery.is_loss_accepted = False
         self._holding.fold(page.records)
         self._checkpointer.log_first_offset = page.first_offset
         self._note_log_end(page.next_offset, asked_for)
