--- a/benchmarks/deployment.py
+++ b/benchmarks/deployment.py
@@ -14,11 +14,11 @@
 import aiohttp
 
 from jujubewharf import clock as clocks
-from jujubewharf.configuration import border
 from jujubewharf.configuration import records
 from jujubewharf.configuration import resources
 from jujubewharf.demo import processes
 from jujubewharf.platform import http_log
+from jujubewharf.standins import declarations
 
 MODEL = "verdict-llm"
 PLAIN = "shop-api"
@@ -142,25 +142,13 @@
     ]
     async with aiohttp.ClientSession() as session:
         log = http_log.HttpLog(f"http://{log_address}", session, clocks.Clock())
-        payloads = [_put(resource) for resource in declared]
+        payloads = [
+            declarations.put(resource, f"op-{resource.name}")
+            for resource in declared
+        ]
         await log.append(records.STREAM, payloads)
 
 
-def _put(resource: resources.Resource) -> bytes:
-    kind = resources.KIND_OF[type(resource)]
-    return records.encode(
-        records.Change(
-            operation_id=f"benchmark-{kind.value}-{resource.name}",
-            actor="benchmark",
-            verb=records.Verb.PUT,
-            kind=kind.value,
-            name=resource.name,
-            expected_generation=None,
-            body=border.dump(resource),
-        )
-    )
-
-
 async def _wait_until_ready(url: str) -> None:
     body = {"model": MODEL, "prompt": "hi", "max_tokens": 1}
     async with aiohttp.ClientSession() as session:
--- a/src/jujubewharf/experiments/bench.py
+++ b/src/jujubewharf/experiments/bench.py
@@ -16,7 +16,6 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf import entry as entries
-from jujubewharf.configuration import border
 from jujubewharf.configuration import records
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
@@ -27,6 +26,7 @@
 from jujubewharf.platform import live_list as platform_live_list
 from jujubewharf.routing import policy as policies
 from jujubewharf.settings import models
+from jujubewharf.standins import declarations
 from jujubewharf.standins import engine as engines
 from jujubewharf.standins import live_list
 from jujubewharf.standins import log
@@ -126,7 +126,8 @@
     async def declare(self, *declared: resources.Resource) -> None:
         """Puts resources on the configuration stream."""
         payloads = [
-            _put(resource, next(self._operations)) for resource in declared
+            declarations.put(resource, f"declare-{next(self._operations)}")
+            for resource in declared
         ]
         await self.log.append(records.STREAM, payloads)
 
@@ -333,18 +334,3 @@
             **start.settings,
         }
     )
-
-
-def _put(resource: resources.Resource, number: int) -> bytes:
-    kind = resources.KIND_OF[type(resource)]
-    return records.encode(
-        records.Change(
-            operation_id=f"declare-{number}",
-            actor="bench",
-            verb=records.Verb.PUT,
-            kind=kind.value,
-            name=resource.name,
-            expected_generation=None,
-            body=border.dump(resource),
-        )
-    )
--- /dev/null
+++ b/src/jujubewharf/standins/declarations.py
@@ -0,0 +1,22 @@
+"""Puts resources on the log without an operator, for benches and tests."""
+
+from __future__ import annotations
+
+from jujubewharf.configuration import border
+from jujubewharf.configuration import records
+from jujubewharf.configuration import resources
+
+
+def put(resource: resources.Resource, operation_id: str) -> bytes:
+    """The record that declares a resource, whatever was there before."""
+    kind = resources.KIND_OF[type(resource)]
+    change = records.Change(
+        operation_id=operation_id,
+        actor="stand-in",
+        verb=records.Verb.PUT,
+        kind=kind.value,
+        name=resource.name,
+        expected_generation=None,
+        body=border.dump(resource),
+    )
+    return records.encode(change)
--- a/tests/leaving/test_process.py
+++ b/tests/leaving/test_process.py
@@ -15,12 +15,12 @@
 import pytest
 
 from jujubewharf import clock as clocks
-from jujubewharf.configuration import border
 from jujubewharf.configuration import records
 from jujubewharf.configuration import resources
 from jujubewharf.demo import processes
 from jujubewharf.leaving import process
 from jujubewharf.platform import http_log
+from jujubewharf.standins import declarations
 
 SERVICE = resources.Service("shop-api", resources.ServiceKind.PLAIN)
 ANSWER_MS = 1_500
@@ -70,7 +70,10 @@
         "till", SERVICE.name, till, "norte-a", resources.Role.PLAIN
     )
     platform_log = http_log.HttpLog(f"http://{log}", session, clocks.Clock())
-    payloads = [_put(resource) for resource in (SERVICE, endpoint)]
+    payloads = [
+        declarations.put(resource, f"op-{resource.name}")
+        for resource in (SERVICE, endpoint)
+    ]
     await platform_log.append(records.STREAM, payloads)
     settings = {
         "instance": "entry-1",
@@ -105,18 +108,3 @@
                 return event["port"]
         await asyncio.sleep(0.05)
     raise AssertionError(child.log_path.read_text())
-
-
-def _put(resource: resources.Resource) -> bytes:
-    kind = resources.KIND_OF[type(resource)]
-    return records.encode(
-        records.Change(
-            operation_id=f"op-{resource.name}",
-            actor="test",
-            verb=records.Verb.PUT,
-            kind=kind.value,
-            name=resource.name,
-            expected_generation=None,
-            body=border.dump(resource),
-        )
-    )
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -13,10 +13,10 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf import entry as entries
-from jujubewharf.configuration import border
 from jujubewharf.configuration import records
 from jujubewharf.configuration import resources
 from jujubewharf.settings import models
+from jujubewharf.standins import declarations
 from jujubewharf.standins import endpoint as endpoints
 from jujubewharf.standins import engine as engines
 from jujubewharf.standins import engine_http
@@ -84,7 +84,10 @@
 
     async def declare(self, *declared: resources.Resource) -> None:
         """Puts resources on the configuration stream."""
-        payloads = [_put(resource) for resource in declared]
+        payloads = [
+            declarations.put(resource, f"op-{resource.name}")
+            for resource in declared
+        ]
         await self.log.append(records.STREAM, payloads)
 
     async def start(
@@ -202,18 +205,3 @@
         settings = models.CallerSettings.model_validate(callers)
         await loopback.start(*declared, spec=spec, callers=settings)
         yield loopback
-
-
-def _put(resource: resources.Resource) -> bytes:
-    kind = resources.KIND_OF[type(resource)]
-    return records.encode(
-        records.Change(
-            operation_id=f"op-{kind.value}-{resource.name}",
-            actor="test",
-            verb=records.Verb.PUT,
-            kind=kind.value,
-            name=resource.name,
-            expected_generation=None,
-            body=border.dump(resource),
-        )
-    )
--- a/tests/scenarios/steps.py
+++ b/tests/scenarios/steps.py
@@ -63,5 +63,36 @@
         self.loop.close()
 
 
+class LoadedWorld(World):
+    """A world on which callers send requests while steps run.
+
+    Attributes:
+        sent: Tasks of requests, for ``end_load`` to wait for.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.sent: list[asyncio.Task[Any]] = []
+        self._sending: asyncio.Task[None] | None = None
+
+    def start_load(self, sending: Coroutine[Any, Any, None]) -> None:
+        """Begins to send."""
+
+        async def start() -> None:
+            self._sending = asyncio.create_task(sending)
+
+        self.run(start())
+
+    def end_load(self) -> None:
+        """Sends no more and waits for all answers."""
+        assert self._sending is not None
+        self._sending.cancel()
+
+        async def finish() -> None:
+            await asyncio.gather(*self.sent)
+
+        self.run(finish())
+
+
 async def _gather(tasks: set[asyncio.Task[Any]]) -> None:
     await asyncio.gather(*tasks, return_exceptions=True)
--- a/tests/scenarios/test_orders.py
+++ b/tests/scenarios/test_orders.py
@@ -25,7 +25,7 @@
 MODEL = resources.Model("judge", ("1", "2"))
 
 
-class Orders(steps.World):
+class Orders(steps.LoadedWorld):
     """A world with one pool, a steady load and what was seen of both."""
 
     def __init__(self) -> None:
@@ -34,7 +34,6 @@
         self.ends: list[model_request.Event | None] = []
         self.serving: list[int] = []
         self.paused = ""
-        self._tasks: list[asyncio.Task[None]] = []
         self._asked = 0
 
     def declare_version(self, version: str) -> None:
@@ -68,9 +67,9 @@
             last = event
         return last
 
-    async def _load(self) -> None:
+    async def load(self) -> None:
         while True:
-            self._tasks.append(asyncio.create_task(self._ask_one()))
+            self.sent.append(asyncio.create_task(self._ask_one()))
             self.serving.append(self._serving_now())
             await self.bench.clock.sleep_ms(400)
 
@@ -84,21 +83,6 @@
             for core in cores
         )
 
-    def start_load(self) -> None:
-        async def start() -> None:
-            self._tasks.append(asyncio.create_task(self._load()))
-
-        self.run(start())
-
-    def end_load(self) -> None:
-        self._tasks[0].cancel()
-        rest = self._tasks[1:]
-
-        async def finish() -> None:
-            await asyncio.gather(*rest)
-
-        self.run(finish())
-
 
 @pytest.fixture
 def world() -> Iterator[Orders]:
@@ -138,7 +122,7 @@
 
 @pytest_bdd.when("callers send requests all the while")
 def load(world):
-    world.start_load()
+    world.start_load(world.load())
     world.wait_s(2)
 
 
--- a/tests/scenarios/test_shutdown.py
+++ b/tests/scenarios/test_shutdown.py
@@ -28,7 +28,7 @@
 TILLS = resources.Service("shop-api", resources.ServiceKind.PLAIN)
 
 
-class Leaving(steps.World):
+class Leaving(steps.LoadedWorld):
     """A world with both pools and a steady load on listed instances."""
 
     def __init__(self) -> None:
@@ -38,7 +38,6 @@
         self.plain_ends: list[bytes] = []
         self.summary: shutdown.Summary | None = None
         self.asked: asyncio.Task[model_request.Event | None] | None = None
-        self._tasks: list[asyncio.Task[None]] = []
         self._count = 0
 
     def request(self, tokens: int) -> model_request.ModelRequest:
@@ -70,12 +69,12 @@
             last = event
         return last
 
-    async def _load(self) -> None:
+    async def load(self) -> None:
         for turn in itertools.count():
             names = self.listed()
             name = names[turn % len(names)]
-            self._tasks.append(asyncio.create_task(self._ask(name)))
-            self._tasks.append(asyncio.create_task(self._call(name)))
+            self.sent.append(asyncio.create_task(self._ask(name)))
+            self.sent.append(asyncio.create_task(self._call(name)))
             await self.bench.clock.sleep_ms(300)
 
     async def _ask(self, name: str) -> None:
@@ -96,20 +95,6 @@
             await self.bench.instances[name].call_plain(call)
         )
 
-    def start_load(self) -> None:
-        async def start() -> None:
-            self._tasks.append(asyncio.create_task(self._load()))
-
-        self.run(start())
-
-    def end_load(self) -> None:
-        self._tasks[0].cancel()
-
-        async def finish() -> None:
-            await asyncio.gather(*self._tasks[1:])
-
-        self.run(finish())
-
     def shut_down(self, name: str, hasten_after_s: float | None = None) -> None:
         async def drain() -> None:
             core = self.bench.instances[name].core
@@ -171,7 +156,7 @@
 
 @pytest_bdd.when("callers send requests all the while")
 def load(world):
-    world.start_load()
+    world.start_load(world.load())
     world.wait_s(3)
 
 
