--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 PYTHON ?= python3.11
 BIN := .venv/bin
 SEEDS ?= 200
+WORKERS ?= 4
 
 .PHONY: setup demo test check format soak lock proto
 
@@ -21,7 +22,7 @@
 	$(BIN)/mypy
 
 test: check
-	$(BIN)/pytest
+	$(BIN)/pytest -n $(WORKERS)
 
 format: setup
 	$(BIN)/ruff format .
