--- a/src/jujubewharf/experiments/virtual_time.py
+++ b/src/jujubewharf/experiments/virtual_time.py
@@ -20,8 +20,6 @@
 
 _Result = TypeVar("_Result")
 
-_CANCEL_ROUNDS = 10
-
 OWNER: contextvars.ContextVar[object | None] = contextvars.ContextVar(
     "owner", default=None
 )
@@ -30,6 +28,7 @@
 _RESOLUTION_DIGITS = 6
 _TICK_S = 1e-6
 _ROUNDS_A_TICK = 2_000
+_CLEAN_UP_ROUNDS = 50
 
 
 class StuckError(RuntimeError):
@@ -180,12 +179,8 @@
 
 
 def _cancel_rest(loop: asyncio.AbstractEventLoop) -> None:
-    """Cancels all tasks, and those that the cancelled ones start in turn.
-
-    A task left over is destroyed by the garbage collector at any later
-    moment; within ``ast.parse`` that is a ``SystemError`` of Python 3.11.
-    """
-    for _ in range(_CANCEL_ROUNDS):
+    """Cancels all tasks, and those that their clean-up code starts."""
+    for _ in range(_CLEAN_UP_ROUNDS):
         rest = asyncio.all_tasks(loop)
         if not rest:
             return
--- a/src/jujubewharf/routing/fleet.py
+++ b/src/jujubewharf/routing/fleet.py
@@ -68,6 +68,11 @@
         """Whether recent calls failed."""
         return self.breaker.is_open
 
+    @property
+    def says_leaving(self) -> bool:
+        """Whether the engine itself lately said that it leaves."""
+        return self.report is not None and self.report.is_leaving
+
     @property
     def takes_work(self) -> bool:
         """Whether new work may be sent there."""
@@ -209,6 +214,14 @@
         """KV cache that a prompt token takes, as configured."""
         return self._kv_bytes.get(model, _DEFAULT_KV_BYTES_PER_TOKEN)
 
+    def say_leaving(self) -> list[str]:
+        """Engines that lately said themselves that they leave, by name."""
+        return [
+            name
+            for name, view in sorted(self._views.items())
+            if view.says_leaving
+        ]
+
     def view(self, name: str) -> EngineView | None:
         """The view of one engine."""
         return self._views.get(name)
