Lost answers cast doubt on an engine and don't close it; another seed

Cause: with a pool whose engines all lose answers the breaker closed every engine, and callers were told no_fitting_engine in place of engine_failed (test_retries_stop_when_their_budget_is_used_up). Change: an engine that lost three answers is left out only while others can do the job. test_safeguards 'claims, under random failures' named seed 2 of the random run, whose course changed with the policy: without the safeguard it no longer meets a second claimer.

--- a/src/jujubewharf/routing/breaker.py
+++ b/src/jujubewharf/routing/breaker.py
@@ -5,19 +5,20 @@
 from jujubewharf import clock as clocks
 from jujubewharf.engines import client
 
-_FIRST_OPEN_MS = 500.0
-_LONGEST_OPEN_MS = 8_000.0
+_FIRST_MS = 500.0
+_LONGEST_MS = 8_000.0
 _FORGOTTEN_AFTER_MS = 10_000.0
-_LOSSES_TO_OPEN = 3
+_LOSSES_TO_DOUBT = 3
 
 
 class Breaker:
     """Opens after failures, for a time that doubles while they go on.
 
     A dead engine is otherwise chosen again and again, because it is the
-    emptiest. One call that found nobody opens it at once; lost answers do
-    only when several come together, for a stalled link loses some as well.
-    Once the time is over, work goes there again and the next failure shows.
+    emptiest. One call that found nobody opens the breaker. Lost answers only
+    cast doubt, and only several together, for a stalled link loses some as
+    well; a doubtful engine is used when there is no other. Once the time is
+    over, work goes there again and the next failure shows.
 
     Args:
         clock: Time.
@@ -25,40 +26,45 @@
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
-        self._opened = 0
+        self._times = 0
         self._losses = 0
         self._failed_ms = 0.0
         self._open_until_ms = 0.0
+        self._doubt_until_ms = 0.0
 
     @property
     def is_open(self) -> bool:
         """Whether work is kept away now."""
         return self._clock.now_ms() < self._open_until_ms
 
+    @property
+    def is_doubtful(self) -> bool:
+        """Whether work goes there only when nothing else is left."""
+        return self._clock.now_ms() < self._doubt_until_ms
+
     def failed(self, fault: client.EngineFault) -> None:
         """Learns that a call failed."""
         now_ms = self._clock.now_ms()
         if now_ms - self._failed_ms > _FORGOTTEN_AFTER_MS:
-            self._opened = self._losses = 0
+            self._times = self._losses = 0
         match fault:
             case client.EngineFault.UNREACHABLE:
-                self._open(now_ms)
+                if not self.is_open:
+                    self._open_until_ms = self._next_until_ms()
             case client.EngineFault.LOST:
                 self._failed_ms = now_ms
                 self._losses += 1
-                if self._losses >= _LOSSES_TO_OPEN:
-                    self._open(now_ms)
+                if self._losses >= _LOSSES_TO_DOUBT:
+                    self._losses = 0
+                    self._doubt_until_ms = self._next_until_ms()
 
     def answered(self) -> None:
         """Learns that it answers a call, so it is there."""
-        if self._losses < _LOSSES_TO_OPEN:
-            self._open_until_ms = 0.0
+        self._open_until_ms = 0.0
 
-    def _open(self, now_ms: float) -> None:
+    def _next_until_ms(self) -> float:
+        now_ms = self._clock.now_ms()
+        for_ms = min(_LONGEST_MS, _FIRST_MS * 2**self._times)
+        self._times += 1
         self._failed_ms = now_ms
-        if self.is_open:
-            return
-        for_ms = min(_LONGEST_OPEN_MS, _FIRST_OPEN_MS * 2**self._opened)
-        self._opened += 1
-        self._losses = 0
-        self._open_until_ms = now_ms + for_ms
+        return now_ms + for_ms
--- a/src/jujubewharf/routing/fitting.py
+++ b/src/jujubewharf/routing/fitting.py
@@ -15,14 +15,22 @@
 def among(
     job: jobs.Job, views: list[fleets.EngineView]
 ) -> list[fleets.EngineView]:
-    """Those of some engines that take work and have the job's model."""
-    return [
+    """Those of some engines that take work and have the job's model.
+
+    Engines that lately lost several answers are left out while others can
+    do the job; a pool that is doubtful as a whole is still used.
+    """
+    found = [
         view
         for view in views
         if view.takes_work
         and view.endpoint.name not in job.excluded
         and has_model(view, job.service)
     ]
+    sound = [view for view in found if not view.breaker.is_doubtful]
+    can_write = bool(decoders(sound))
+    can_read = bool(exporters(sound)) or not exporters(found)
+    return sound if can_write and can_read else found
 
 
 def has_model(view: fleets.EngineView, service: resources.Service) -> bool:
--- a/tests/requests/test_safeguards.py
+++ b/tests/requests/test_safeguards.py
@@ -301,7 +301,7 @@
         claims.Claims,
         "claim",
         _always_won,
-        seeds(2),
+        seeds(14, 28),
     ),
     Off(
         "releases, under random failures",
--- a/tests/routing/test_breaker.py
+++ b/tests/routing/test_breaker.py
@@ -31,22 +31,23 @@
     assert not is_open
 
 
-def test_one_lost_answer_is_no_reason_but_three_are():
+def test_lost_answers_cast_doubt_when_several_come_together():
     async def story():
         breaker = breakers.Breaker(clocks.Clock())
-        opened = []
+        doubtful = []
         for _ in range(3):
             breaker.failed(_LOST)
-            opened.append(breaker.is_open)
-        return opened
+            doubtful.append(breaker.is_doubtful)
+        return doubtful, breaker.is_open
 
-    assert virtual_time.run(story()) == [False, False, True]
+    assert virtual_time.run(story()) == ([False, False, True], False)
 
 
 def test_a_refusal_is_no_failure():
     async def story():
         breaker = breakers.Breaker(clocks.Clock())
-        breaker.failed(client.EngineFault.REFUSED_FULL)
-        return breaker.is_open
+        for _ in range(5):
+            breaker.failed(client.EngineFault.REFUSED_FULL)
+        return breaker.is_open or breaker.is_doubtful
 
     assert not virtual_time.run(story())
