Prompts are read when the link for their result comes free

Change: a prefill engine's keeper estimates how long its link is busy with all prompts under way; plans, the choice of the engine and the start of the reading go by it; late requests wait for a free link.

--- a/src/jujubewharf/peers/slot_messages.py
+++ b/src/jujubewharf/peers/slot_messages.py
@@ -23,6 +23,7 @@
         queued_tokens: Prompt tokens waiting to be read.
         is_usable: Whether new work may be sent there.
         step_ms: Time between tokens.
+        link_ms: Time its link needs for all prompts under way.
     """
 
     engine: str
@@ -31,6 +32,7 @@
     queued_tokens: int
     is_usable: bool
     step_ms: int = 0
+    link_ms: int = 0
 
 
 @messages.message(40)
@@ -144,7 +146,14 @@
 @messages.message(46)
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadEnd(messages.Message):
-    """Tells a keeper that a prompt was read, or won't be."""
+    """Tells a keeper that a prompt was read, or won't be.
+
+    Attributes:
+        engine: Where.
+        number: Of the request at the sender.
+        is_read: Whether it was read, so that its transfer begins.
+    """
 
     engine: str
     number: int
+    is_read: bool = False
--- a/src/jujubewharf/routing/keeping.py
+++ b/src/jujubewharf/routing/keeping.py
@@ -160,14 +160,26 @@
         if reads is None:
             reads = self._reads[ask.engine] = read_ledger.ReadLedger(now_ms)
         holder = slot_ledger.Holder(peer, ask.number)
-        reads.begin(holder, ask.tokens, now_ms)
+        transfer_ms = self._transfer_ms(ask.engine, ask.tokens)
+        reads.begin(holder, ask.tokens, transfer_ms, now_ms)
         return slot_messages.LoadNews(news)
 
     async def on_read_end(self, peer: str, end: slot_messages.ReadEnd) -> None:
         """Notes that a prompt was read, or won't be."""
         reads = self._reads.get(end.engine)
         if reads is not None:
-            reads.end(slot_ledger.Holder(peer, end.number))
+            holder = slot_ledger.Holder(peer, end.number)
+            reads.end(holder, self._clock.now_ms(), is_read=end.is_read)
+
+    def _transfer_ms(self, engine: str, tokens: int) -> float:
+        """Time the engine's link takes for a prompt's KV cache."""
+        view = self._fleet.view(engine)
+        if view is None:
+            return 0.0
+        service = self._fleet.service(view.endpoint.service)
+        model = service.model if service is not None else ""
+        kv_bytes = tokens * self._fleet.kv_bytes_per_token(model)
+        return kv_bytes / view.endpoint.link_bytes_per_s * clocks.MS_PER_S
 
     async def _wait(
         self, line: _Line, wish: slot_ledger.Wish, for_ms: float
@@ -261,8 +273,13 @@
             self._queued_tokens(view),
             self._is_usable(view),
             round(view.step_ms),
+            round(self._link_ms(view)),
         )
 
+    def _link_ms(self, view: fleets.EngineView) -> float:
+        reads = self._reads.get(view.endpoint.name)
+        return reads.link_ms(self._clock.now_ms()) if reads else 0.0
+
     def _queued_tokens(self, view: fleets.EngineView) -> int:
         report = view.report
         reported = report.prefill_queued_tokens if report is not None else 0
--- a/src/jujubewharf/routing/oracle.py
+++ b/src/jujubewharf/routing/oracle.py
@@ -116,7 +116,7 @@
         if not await self._wait(job, read_ms, first_ms):
             return jobs.Refusal(errors.ErrorKind.DEADLINE_UNREACHABLE)
         prefill = min(prefills, key=lambda v: self._read_ms(v, job))
-        self._reading.begin(job, prefill)
+        self._reading.begin(job, prefill, self._clock.now_ms())
         return jobs.Choice(None, prefill.endpoint)
 
     async def wait_for_decode(self, job: jobs.Job) -> jobs.Decision:
--- a/src/jujubewharf/routing/product.py
+++ b/src/jujubewharf/routing/product.py
@@ -32,6 +32,8 @@
 _MAX_HOPELESS = 3
 _ASK_AGAIN_MS = 5.0
 _MAX_READ_ASKS = 3
+_LATE_PAUSE_MS = 100.0
+_LOOK_AT_LINK_MS = 250.0
 _MAX_CANDIDATES = 32
 _WORTH_A_MOVE_MS = 30.0
 _ANSWER_IN_MS = 400.0
@@ -64,7 +66,9 @@
     Attributes:
         decode: Engine that writes.
         prefill: Engine that reads; ``None`` when ``decode`` does.
-        ready_ms: Time from the start until the slot is needed.
+        ready_ms: Time from the start until the slot is needed, which is
+            when the prompt was read and the link is free.
+        pause_ms: Part of that which is spent waiting for the link.
         first_ms: Time from the start to the first token.
         wait_ms: Expected wait until it can start.
     """
@@ -72,6 +76,7 @@
     decode: fleets.EngineView
     prefill: fleets.EngineView | None
     ready_ms: float
+    pause_ms: float
     first_ms: float
     wait_ms: float
 
@@ -116,7 +121,7 @@
         read = self._reading.done(job.number)
         if read is not None:
             self._here.fleet.hints.sent(read.engine, job.prefix_hashes)
-        self._slots.end_read(job.number)
+        self._slots.end_read(job.number, is_read=True)
         promised = self._slots.granted_engine(job.number)
         while True:
             views = fitting.importers(self._candidates(job))
@@ -184,6 +189,12 @@
                 return self._refusal(errors.ErrorKind.DEADLINE_UNREACHABLE, job)
             if urgency is None:
                 urgency = _urgency(job, self._clock.now_ms() + plan.first_ms)
+            if urgency is _Urgency.LATE and plan.pause_ms > _LATE_PAUSE_MS:
+                if self._clock.now_ms() + plan.first_ms > job.deadline_at_ms:
+                    kind = errors.ErrorKind.DEADLINE_UNREACHABLE
+                    return self._refusal(kind, job)
+                await self._clock.sleep_ms(_LOOK_AT_LINK_MS)
+                continue
             answer = await self._ask_for_promise(job, plan, urgency)
             if answer.is_granted:
                 return await self._start(job, plan, urgency)
@@ -230,13 +241,16 @@
             if is_told:
                 break
             await self._slots.ask_read(prefill, job.number, job.prompt_tokens)
-        waited_ms = self._read_ms(prefill, job) - plan.ready_ms
+        kv_ms = self._kv_ms(prefill, job)
+        waited_ms = kv_ms - plan.ready_ms
         first_at_ms = self._clock.now_ms() + plan.first_ms + waited_ms
         is_late = first_at_ms > job.first_answer_by_ms
         if urgency is _Urgency.IN_TIME and is_late:
             return self._refusal(errors.ErrorKind.DEADLINE_UNREACHABLE, job)
-        self._reading.begin(job, prefill)
-        return jobs.Choice(None, prefill.endpoint)
+        pause_ms = kv_ms - self._read_ms(prefill, job)
+        start_at_ms = self._clock.now_ms() + pause_ms
+        self._reading.begin(job, prefill, start_at_ms)
+        return jobs.Choice(None, prefill.endpoint, prefill_at_ms=start_at_ms)
 
     def _saved_ms(
         self,
@@ -244,7 +258,14 @@
         current: fleets.EngineView,
         other: fleets.EngineView,
     ) -> float:
-        return self._read_ms(current, job) - self._read_ms(other, job)
+        return self._kv_ms(current, job) - self._kv_ms(other, job)
+
+    def _kv_ms(self, view: fleets.EngineView, job: jobs.Job) -> float:
+        """Expected time until the KV cache can leave over the link."""
+        link_ms = view.news.link_ms if view.news is not None else 0.0
+        if view.news_ms is not None:
+            link_ms -= self._clock.now_ms() - view.news_ms
+        return max(self._read_ms(view, job), link_ms)
 
     def _read_ms(self, view: fleets.EngineView, job: jobs.Job) -> float:
         """Expected time to read, less what the cache may save."""
@@ -258,9 +279,9 @@
         prefill = self._best_prefill(job, views)
         plans = []
         if prefill is not None:
-            read_ms = self._read_ms(prefill, job)
+            kv_ms = self._kv_ms(prefill, job)
             for decode in fitting.importers(views):
-                plans.append(self._pair(job, decode, prefill, read_ms))
+                plans.append(self._pair(job, decode, prefill, kv_ms))
         for decode in fitting.loners(views):
             is_paired = prefill is not None
             if not is_paired or not decode.endpoint.capabilities.kv_import:
@@ -272,21 +293,22 @@
         job: jobs.Job,
         decode: fleets.EngineView,
         prefill: fleets.EngineView,
-        read_ms: float,
+        kv_ms: float,
     ) -> _Plan:
         kv_bytes = job.prompt_tokens * self._here.fleet.kv_bytes_per_token(
             job.service.model
         )
         moved_ms = reading.transfer_ms(prefill, decode, kv_bytes)
-        first_ms = read_ms + moved_ms + _first_steps_ms(decode)
+        first_ms = kv_ms + moved_ms + _first_steps_ms(decode)
         wait_ms = self._wait_ms(job, decode)
-        return _Plan(decode, prefill, read_ms, first_ms, wait_ms)
+        pause_ms = kv_ms - self._read_ms(prefill, job)
+        return _Plan(decode, prefill, kv_ms, pause_ms, first_ms, wait_ms)
 
     def _alone(self, job: jobs.Job, decode: fleets.EngineView) -> _Plan:
         read_ms = self._read_ms(decode, job)
         first_ms = read_ms + _first_steps_ms(decode)
         wait_ms = self._wait_ms(job, decode)
-        return _Plan(decode, None, 0.0, first_ms, wait_ms)
+        return _Plan(decode, None, 0.0, 0.0, first_ms, wait_ms)
 
     def _candidates(self, job: jobs.Job) -> list[fleets.EngineView]:
         """Engines to weigh: all of a small fleet, some of a large one.
@@ -319,7 +341,7 @@
     ) -> fleets.EngineView | None:
         return min(
             fitting.exporters(views),
-            key=lambda v: self._read_ms(v, job),
+            key=lambda v: self._kv_ms(v, job),
             default=None,
         )
 
--- a/src/jujubewharf/routing/read_ledger.py
+++ b/src/jujubewharf/routing/read_ledger.py
@@ -13,6 +13,7 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Read:
     tokens: int
+    transfer_ms: float
     since_ms: float
 
 
@@ -22,6 +23,10 @@
     Reports of a queue lag by more than the queue lasts, so instances that
     judge by them send to the shortest queue of a while ago, all at once.
 
+    The results leave over one link, one after another. A link slower than
+    the engine reads is what bounds the pool, and prompts read faster than
+    it carries them pile up until transfers time out.
+
     Args:
         kept_since_ms: When this instance began to keep the engine; soon
             after that, prompts are under way that nobody told it of.
@@ -29,17 +34,32 @@
 
     def __init__(self, kept_since_ms: float) -> None:
         self._kept_since_ms = kept_since_ms
+        self._link_free_ms = kept_since_ms
         self._reads: dict[slot_ledger.Holder, _Read] = {}
 
     def begin(
-        self, holder: slot_ledger.Holder, tokens: int, now_ms: float
+        self,
+        holder: slot_ledger.Holder,
+        tokens: int,
+        transfer_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Notes a prompt that is sent now, and what its transfer takes."""
+        self._reads[holder] = _Read(tokens, transfer_ms, now_ms)
+
+    def end(
+        self, holder: slot_ledger.Holder, now_ms: float, *, is_read: bool
     ) -> None:
-        """Notes a prompt that is sent now."""
-        self._reads[holder] = _Read(tokens, now_ms)
+        """Notes that a prompt was read and its transfer begins, or neither."""
+        read = self._reads.pop(holder, None)
+        if read is not None and is_read:
+            start_ms = max(now_ms, self._link_free_ms)
+            self._link_free_ms = start_ms + read.transfer_ms
 
-    def end(self, holder: slot_ledger.Holder) -> None:
-        """Notes that a prompt was read, or won't be."""
-        self._reads.pop(holder, None)
+    def link_ms(self, now_ms: float) -> float:
+        """Time the link needs for all that is under way."""
+        coming_ms = sum(read.transfer_ms for read in self._reads.values())
+        return max(0.0, self._link_free_ms - now_ms) + coming_ms
 
     def forget_instance(self, instance: str) -> None:
         """Drops the prompts of an instance that is gone."""
--- a/src/jujubewharf/routing/reading.py
+++ b/src/jujubewharf/routing/reading.py
@@ -72,12 +72,14 @@
         rate = self.ms_per_token(view.endpoint.name)
         return self.wait_ms(view) + tokens * rate
 
-    def begin(self, job: jobs.Job, view: fleets.EngineView) -> None:
-        """Notes that a prompt is sent."""
+    def begin(
+        self, job: jobs.Job, view: fleets.EngineView, at_ms: float
+    ) -> None:
+        """Notes that a prompt is sent now or soon."""
         self._reads[job.number] = Read(
             view.endpoint.name,
             job.prompt_tokens,
-            self._clock.now_ms(),
+            at_ms,
             self.queued_tokens(view),
         )
 
--- a/src/jujubewharf/routing/slots.py
+++ b/src/jujubewharf/routing/slots.py
@@ -116,12 +116,13 @@
         read = self._reads.get(number)
         return read[0] if read is not None else None
 
-    def end_read(self, number: int) -> None:
+    def end_read(self, number: int, *, is_read: bool = False) -> None:
         """Tells that a prompt was read, or won't be."""
         read = self._reads.pop(number, None)
         if read is not None:
             engine, keeper = read
-            self._peers.tell(keeper, slot_messages.ReadEnd(engine, number))
+            end = slot_messages.ReadEnd(engine, number, is_read)
+            self._peers.tell(keeper, end)
 
     def end(self, number: int, *, but: str | None = None) -> None:
         """Gives back what a request holds, was promised or waits for.
