--- a/src/jujubewharf/routing/keeping.py
+++ b/src/jujubewharf/routing/keeping.py
@@ -21,6 +21,7 @@
 from jujubewharf.routing import slot_ledger
 
 _SERVE_EVERY_MS = 20.0
+_IDLE_MS = 1_000.0
 _MAX_LINE = 512
 _NEWS_BYTES_PER_S = 1_000.0
 _NEWS_BYTES = 40.0
@@ -71,6 +72,7 @@
         self._peers = peers
         self._members = members
         self._clock = clock
+        self._somebody_waits = asyncio.Event()
         self._lines: dict[str, _Line] = {}
         self._hold_times: dict[str, hold_times.HoldTimes] = {}
         self._present: frozenset[str] = frozenset()
@@ -188,6 +190,7 @@
         future: asyncio.Future[_Outcome]
         future = asyncio.get_running_loop().create_future()
         line.answers[wish.holder] = future
+        self._somebody_waits.set()
         line.ledger.wish(wish)
         self._serve(line)
         try:
@@ -319,6 +322,7 @@
     @mode.Service.task
     async def _serve_on(self) -> None:
         while not self.should_stop:
+            await self._until_somebody_waits()
             await self._clock.sleep_ms(_SERVE_EVERY_MS)
             for name, line in list(self._lines.items()):
                 view = self._fleet.view(name)
@@ -327,6 +331,17 @@
                 if line.answers:
                     self._serve(line)
 
+    async def _until_somebody_waits(self) -> None:
+        """An idle keeper wakes once a second, for its engines' reports."""
+        if any(line.answers for line in self._lines.values()):
+            return
+        self._somebody_waits.clear()
+        try:
+            async with self._clock.timeout_ms(_IDLE_MS):
+                await self._somebody_waits.wait()
+        except TimeoutError:
+            return
+
     @mode.Service.task
     async def _follow_caches(self) -> None:
         """Reads cache events of kept engines, within a budget of bytes."""
