--- a/tests/scenarios/test_configuration.py
+++ b/tests/scenarios/test_configuration.py
@@ -221,6 +221,11 @@
     log._store = lose_on
 
 
+@pytest_bdd.when(parsers.parse("an operator accepts the loss at {name}"))
+def accept_loss(fleet, name):
+    fleet.act(fleet.bench.instances[name].core.configuration.accept_loss)
+
+
 @pytest_bdd.when("a record of a newer version is appended")
 def newer_record(fleet):
     fleet.run(fleet.bench.log.append(records.STREAM, [NEWER]))
