--- a/src/jujubewharf/routing/product.py
+++ b/src/jujubewharf/routing/product.py
@@ -11,8 +11,6 @@
 
 import asyncio
 import collections
-import dataclasses
-import enum
 
 import numpy as np
 
@@ -24,6 +22,7 @@
 from jujubewharf.routing import fleet as fleets
 from jujubewharf.routing import hold_times
 from jujubewharf.routing import jobs
+from jujubewharf.routing import plans as plans_lib
 from jujubewharf.routing import policy as policies
 from jujubewharf.routing import reading
 from jujubewharf.routing import slots
@@ -42,43 +41,6 @@
 _MARGIN = 0.9
 _NEAR_BONUS_SLOTS = 1.0
 _SHORTEST_RETRY_MS = 200.0
-_STEPS_TO_FIRST_TOKEN = 2.0
-
-
-class _Urgency(enum.Enum):
-    """Adds to the priority in the lines for slots.
-
-    ``RESUMED`` has tokens with its caller already. ``LATE`` has missed its
-    first target, as after a failure, or can't meet it however short the
-    lines are; it takes what is left over, for a late answer is better than
-    none.
-    """
-
-    RESUMED = 1_000
-    IN_TIME = 0
-    LATE = -1_000
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Plan:
-    """One way to run a request.
-
-    Attributes:
-        decode: Engine that writes.
-        prefill: Engine that reads; ``None`` when ``decode`` does.
-        ready_ms: Time from the start until the slot is needed, which is
-            when the prompt was read and the link is free.
-        pause_ms: Part of that which is spent waiting for the link.
-        first_ms: Time from the start to the first token.
-        wait_ms: Expected wait until it can start.
-    """
-
-    decode: fleets.EngineView
-    prefill: fleets.EngineView | None
-    ready_ms: float
-    pause_ms: float
-    first_ms: float
-    wait_ms: float
 
 
 class Product:
@@ -178,7 +140,7 @@
 
     async def _seek_promise(self, job: jobs.Job) -> jobs.Decision:
         hopeless: set[str] = set()
-        urgency: _Urgency | None = None
+        urgency: plans_lib.Urgency | None = None
         while True:
             plans = self._plans(job)
             if not plans:
@@ -188,8 +150,13 @@
             if plan is None or len(hopeless) >= _MAX_HOPELESS:
                 return self._refusal(errors.ErrorKind.DEADLINE_UNREACHABLE, job)
             if urgency is None:
-                urgency = _urgency(job, self._clock.now_ms() + plan.first_ms)
-            if urgency is _Urgency.LATE and plan.pause_ms > _LATE_PAUSE_MS:
+                urgency = plans_lib.urgency_of(
+                    job, self._clock.now_ms() + plan.first_ms
+                )
+            if (
+                urgency is plans_lib.Urgency.LATE
+                and plan.pause_ms > _LATE_PAUSE_MS
+            ):
                 if self._clock.now_ms() + plan.first_ms > job.deadline_at_ms:
                     kind = errors.ErrorKind.DEADLINE_UNREACHABLE
                     return self._refusal(kind, job)
@@ -204,10 +171,10 @@
                 await self._clock.sleep_ms(_ASK_AGAIN_MS)
 
     async def _ask_for_promise(
-        self, job: jobs.Job, plan: _Plan, urgency: _Urgency
+        self, job: jobs.Job, plan: plans_lib.Plan, urgency: plans_lib.Urgency
     ) -> slot_messages.SlotAnswer:
         match urgency:
-            case _Urgency.IN_TIME:
+            case plans_lib.Urgency.IN_TIME:
                 by_ms = job.first_answer_by_ms
             case _:
                 by_ms = job.deadline_at_ms
@@ -220,7 +187,7 @@
         return await self._slots.ask(plan.decode, ask)
 
     async def _start(
-        self, job: jobs.Job, plan: _Plan, urgency: _Urgency
+        self, job: jobs.Job, plan: plans_lib.Plan, urgency: plans_lib.Urgency
     ) -> jobs.Decision:
         """Starts reading on what is the best engine by now.
 
@@ -245,7 +212,7 @@
         waited_ms = kv_ms - plan.ready_ms
         first_at_ms = self._clock.now_ms() + plan.first_ms + waited_ms
         is_late = first_at_ms > job.first_answer_by_ms
-        if urgency is _Urgency.IN_TIME and is_late:
+        if urgency is plans_lib.Urgency.IN_TIME and is_late:
             return self._refusal(errors.ErrorKind.DEADLINE_UNREACHABLE, job)
         pause_ms = kv_ms - self._read_ms(prefill, job)
         start_at_ms = self._clock.now_ms() + pause_ms
@@ -274,7 +241,7 @@
         )
         return self._reading.read_ms(view, job.prompt_tokens - saved)
 
-    def _plans(self, job: jobs.Job) -> list[_Plan]:
+    def _plans(self, job: jobs.Job) -> list[plans_lib.Plan]:
         views = self._candidates(job)
         prefill = self._best_prefill(job, views)
         plans = []
@@ -294,21 +261,25 @@
         decode: fleets.EngineView,
         prefill: fleets.EngineView,
         kv_ms: float,
-    ) -> _Plan:
+    ) -> plans_lib.Plan:
         kv_bytes = job.prompt_tokens * self._here.fleet.kv_bytes_per_token(
             job.service.model
         )
         moved_ms = reading.transfer_ms(prefill, decode, kv_bytes)
-        first_ms = kv_ms + moved_ms + _first_steps_ms(decode)
+        first_ms = kv_ms + moved_ms + plans_lib.first_steps_ms(decode)
         wait_ms = self._wait_ms(job, decode)
         pause_ms = kv_ms - self._read_ms(prefill, job)
-        return _Plan(decode, prefill, kv_ms, pause_ms, first_ms, wait_ms)
+        return plans_lib.Plan(
+            decode, prefill, kv_ms, pause_ms, first_ms, wait_ms
+        )
 
-    def _alone(self, job: jobs.Job, decode: fleets.EngineView) -> _Plan:
+    def _alone(
+        self, job: jobs.Job, decode: fleets.EngineView
+    ) -> plans_lib.Plan:
         read_ms = self._read_ms(decode, job)
-        first_ms = read_ms + _first_steps_ms(decode)
+        first_ms = read_ms + plans_lib.first_steps_ms(decode)
         wait_ms = self._wait_ms(job, decode)
-        return _Plan(decode, None, 0.0, 0.0, first_ms, wait_ms)
+        return plans_lib.Plan(decode, None, 0.0, 0.0, first_ms, wait_ms)
 
     def _candidates(self, job: jobs.Job) -> list[fleets.EngineView]:
         """Engines to weigh: all of a small fleet, some of a large one.
@@ -355,7 +326,7 @@
         slot_ms = self._hold_times_of(job).mean_ms / max(1, view.slots)
         return view.news.wait_ms + ahead * slot_ms
 
-    def _rank(self, plan: _Plan) -> tuple[float, float, float]:
+    def _rank(self, plan: plans_lib.Plan) -> tuple[float, float, float]:
         total_ms = plan.wait_ms + plan.first_ms
         if plan.wait_ms > 0:
             return (total_ms, 0.0, self._rng.random())
@@ -388,7 +359,7 @@
         latest_ms: float,
         *,
         is_ready: bool = False,
-        urgency: _Urgency = _Urgency.IN_TIME,
+        urgency: plans_lib.Urgency = plans_lib.Urgency.IN_TIME,
     ) -> slot_messages.SlotAsk:
         latest_ms = max(1.0, latest_ms * _MARGIN)
         return slot_messages.SlotAsk(
@@ -417,15 +388,3 @@
             times = hold_times.HoldTimes(prior_ms)
             self._hold_times[job.service.name] = times
         return times
-
-
-def _first_steps_ms(view: fleets.EngineView) -> float:
-    return view.step_ms * _STEPS_TO_FIRST_TOKEN
-
-
-def _urgency(job: jobs.Job, earliest_first_ms: float) -> _Urgency:
-    if job.first_index > 0:
-        return _Urgency.RESUMED
-    if earliest_first_ms > job.first_answer_by_ms:
-        return _Urgency.LATE
-    return _Urgency.IN_TIME
