The decision benchmark uses prompts that fill no link; figures of the tool

Cause: python -m benchmarks.decision_cost failed once decisions counted the link: 400 prompts at once are rightly refused.

--- a/benchmarks/decision_cost.py
+++ b/benchmarks/decision_cost.py
@@ -104,7 +104,14 @@
     for _ in range(_DECISIONS):
         now_ms = clock.now_ms()
         job = jobs.Job(
-            _SERVICE, 3_000, 500, (), now_ms, now_ms + 2e3, now_ms + 3e4, 6e4
+            _SERVICE,
+            30,
+            500,
+            (),
+            now_ms,
+            now_ms + 2e3,
+            now_ms + 3e4,
+            now_ms + 6e4,
         )
         assert isinstance(await policy.wait_for_place(job), jobs.Choice)
         assert isinstance(await policy.wait_for_decode(job), jobs.Choice)
