--- a/src/jujubewharf/routing/keeping.py
+++ b/src/jujubewharf/routing/keeping.py
@@ -21,6 +21,7 @@
 from jujubewharf.routing import slot_ledger
 
 _SERVE_EVERY_MS = 20.0
+_IDLE_MS = 1_000.0
 _MAX_LINE = 512
 _NEWS_BYTES_PER_S = 1_000.0
 _NEWS_BYTES = 40.0
@@ -71,6 +72,7 @@
         self._peers = peers
         self._members = members
         self._clock = clock
+        self._somebody_waits = asyncio.Event()
         self._lines: dict[str, _Line] = {}
         self._hold_times: dict[str, hold_times.HoldTimes] = {}
         self._present: frozenset[str] = frozenset()
@@ -160,14 +162,26 @@
         if reads is None:
             reads = self._reads[ask.engine] = read_ledger.ReadLedger(now_ms)
         holder = slot_ledger.Holder(peer, ask.number)
-        reads.begin(holder, ask.tokens, now_ms)
+        transfer_ms = self._transfer_ms(ask.engine, ask.tokens)
+        reads.begin(holder, ask.tokens, transfer_ms, now_ms)
         return slot_messages.LoadNews(news)
 
     async def on_read_end(self, peer: str, end: slot_messages.ReadEnd) -> None:
         """Notes that a prompt was read, or won't be."""
         reads = self._reads.get(end.engine)
         if reads is not None:
-            reads.end(slot_ledger.Holder(peer, end.number))
+            holder = slot_ledger.Holder(peer, end.number)
+            reads.end(holder, self._clock.now_ms(), is_read=end.is_read)
+
+    def _transfer_ms(self, engine: str, tokens: int) -> float:
+        """Time the engine's link takes for a prompt's KV cache."""
+        view = self._fleet.view(engine)
+        if view is None:
+            return 0.0
+        service = self._fleet.service(view.endpoint.service)
+        model = service.model if service is not None else ""
+        kv_bytes = tokens * self._fleet.kv_bytes_per_token(model)
+        return kv_bytes / view.endpoint.link_bytes_per_s * clocks.MS_PER_S
 
     async def _wait(
         self, line: _Line, wish: slot_ledger.Wish, for_ms: float
@@ -176,6 +190,7 @@
         future: asyncio.Future[_Outcome]
         future = asyncio.get_running_loop().create_future()
         line.answers[wish.holder] = future
+        self._somebody_waits.set()
         line.ledger.wish(wish)
         self._serve(line)
         try:
@@ -261,8 +276,13 @@
             self._queued_tokens(view),
             self._is_usable(view),
             round(view.step_ms),
+            round(self._link_ms(view)),
         )
 
+    def _link_ms(self, view: fleets.EngineView) -> float:
+        reads = self._reads.get(view.endpoint.name)
+        return reads.link_ms(self._clock.now_ms()) if reads else 0.0
+
     def _queued_tokens(self, view: fleets.EngineView) -> int:
         report = view.report
         reported = report.prefill_queued_tokens if report is not None else 0
@@ -302,6 +322,7 @@
     @mode.Service.task
     async def _serve_on(self) -> None:
         while not self.should_stop:
+            await self._until_somebody_waits()
             await self._clock.sleep_ms(_SERVE_EVERY_MS)
             for name, line in list(self._lines.items()):
                 view = self._fleet.view(name)
@@ -310,6 +331,17 @@
                 if line.answers:
                     self._serve(line)
 
+    async def _until_somebody_waits(self) -> None:
+        """An idle keeper wakes once a second, for its engines' reports."""
+        if any(line.answers for line in self._lines.values()):
+            return
+        self._somebody_waits.clear()
+        try:
+            async with self._clock.timeout_ms(_IDLE_MS):
+                await self._somebody_waits.wait()
+        except TimeoutError:
+            return
+
     @mode.Service.task
     async def _follow_caches(self) -> None:
         """Reads cache events of kept engines, within a budget of bytes."""
