A request whose prompt was read is never told as "did not run"

Change: a prefill that may have arrived makes it unknown; the tool counts a read prompt as refused_but_ran again. The test of the deadline asked for "no" during the prefill and is replaced by a stricter one.

--- a/src/jujubewharf/experiments/report.py
+++ b/src/jujubewharf/experiments/report.py
@@ -33,8 +33,7 @@
         lost: Calls that got neither an answer nor a refusal.
         doubled: Calls answered more than once.
         partial: Calls with an answer that was not whole and right.
-        refused_but_ran: Calls that ran though refused as not run.
-        refused_but_read: Calls refused as not run whose prompt was read.
+        refused_but_ran: Calls refused as not run that an engine was given.
         ttft_ms: Time to the first token or byte, percentiles.
         completion_ms: Time to the last, percentiles.
     """
@@ -50,7 +49,6 @@
     doubled: int
     partial: int
     refused_but_ran: int
-    refused_but_read: int
     ttft_ms: dict[str, int]
     completion_ms: dict[str, int]
 
@@ -137,7 +135,6 @@
         doubled=sum(outcome.is_doubled for outcome in seen),
         partial=sum(outcome.broken > 0 for outcome in seen),
         refused_but_ran=sum(truth.ran_though_refused(o) for o in seen),
-        refused_but_read=sum(truth.read_though_refused(o) for o in seen),
         ttft_ms=_percentiles([o.first_ms for o in finished]),
         completion_ms=_percentiles([o.completion_ms for o in finished]),
     )
--- a/src/jujubewharf/experiments/truth.py
+++ b/src/jujubewharf/experiments/truth.py
@@ -84,19 +84,17 @@
         return sum(self._dispatches[name] for name in outcome.request_ids)
 
     def ran_though_refused(self, outcome: outcomes.Outcome) -> bool:
-        """Whether a call that was said not to have run did run."""
+        """Whether a call that was said not to have run did run.
+
+        A prompt that was read counts: an engine was given the call.
+        """
         if outcome.call.is_plain:
             is_sure = len(outcome.said_not_run) == len(outcome.request_ids)
             return is_sure and self.dispatches(outcome) > 0
-        return any(self._dispatches[name] for name in outcome.said_not_run)
-
-    def read_though_refused(self, outcome: outcomes.Outcome) -> bool:
-        """Whether a prompt was read for a call said not to have run.
-
-        Reading has no effect that a caller could see, and the answer was not
-        begun; it is counted apart, because it is prefill for nothing.
-        """
-        return any(name in self._read for name in outcome.said_not_run)
+        return any(
+            self._dispatches[name] or name in self._read
+            for name in outcome.said_not_run
+        )
 
     def leaked_slots(self) -> int:
         """Decode slots still held, though every caller is long gone."""
--- a/src/jujubewharf/requests/attempt.py
+++ b/src/jujubewharf/requests/attempt.py
@@ -30,7 +30,7 @@
     """Whether an engine was told to write the answer.
 
     Reservations and prefill don't count: they write nothing that a caller
-    or anybody else could see, so an attempt that ended there did not run.
+    or anybody else could see, so they may be repeated for any request.
     """
 
     NO = "no"
@@ -45,12 +45,14 @@
     Attributes:
         answer: What the caller has so far.
         dispatch: Whether any attempt may have begun to write it.
+        is_read: Whether any engine may have been given its prompt to read.
         attempts: Attempts so far.
         exclusions: Engines that failed it.
     """
 
     answer: answers.Answer
     dispatch: Dispatch = Dispatch.NO
+    is_read: bool = False
     attempts: int = 0
     exclusions: retries.Exclusions = dataclasses.field(
         default_factory=retries.Exclusions
@@ -200,7 +202,14 @@
         job = client.PrefillJob(
             request.service.model, request.prompt, request.priority
         )
-        done = await view.client.prefill(self._attempt, job)
+        was_read = self._progress.is_read
+        self._progress.is_read = True
+        try:
+            done = await view.client.prefill(self._attempt, job)
+        except client.EngineError as error:
+            if error.fault in retries.DID_NOTHING:
+                self._progress.is_read = was_read
+            raise
         self._unused_tokens = done.prompt_tokens
         self._cause = request_counters.WasteCause.ENGINE_FAILED
         return done
--- a/src/jujubewharf/requests/life.py
+++ b/src/jujubewharf/requests/life.py
@@ -257,7 +257,7 @@
         progress.answer.finish(
             model_request.Failed(
                 error.kind,
-                ran_of(error, progress.dispatch),
+                ran_of(error, progress),
                 error.detail,
                 retry_after_ms=error.retry_after_ms,
             )
@@ -281,9 +281,15 @@
     )
 
 
-def ran_of(error: errors.WharfError, dispatch: attempts.Dispatch) -> errors.Ran:
-    """What may be said of a failed request: "no" only when it is certain."""
-    match dispatch:
+def ran_of(error: errors.WharfError, progress: attempts.Progress) -> errors.Ran:
+    """What may be said of a failed request: "no" only when it is certain.
+
+    A prompt that was read is work an engine did for the request, though no
+    answer was begun: "no" would be untrue, so it is "unknown".
+    """
+    match progress.dispatch:
+        case attempts.Dispatch.NO if progress.is_read:
+            return errors.Ran.UNKNOWN
         case attempts.Dispatch.NO:
             return errors.Ran.NO
         case attempts.Dispatch.MAYBE:
--- a/tests/experiments/test_comparison.py
+++ b/tests/experiments/test_comparison.py
@@ -13,7 +13,7 @@
 
 def _report(policy: str, seed: int, goodput: float, *, lost: int = 0):
     service = report.ServiceReport(
-        1, 0, 0, 0.5, 0, {}, {}, lost, 0, 0, 0, 0, {}, {}
+        1, 0, 0, 0.5, 0, {}, {}, lost, 0, 0, 0, {}, {}
     )
     return report.Report(
         "e", policy, seed, goodput, 0.1, {"app": service}, 0, {}, 0, 1, 0, {}
--- a/tests/experiments/test_runner.py
+++ b/tests/experiments/test_runner.py
@@ -98,9 +98,7 @@
 
 
 def test_broken_promises_are_named():
-    service = report.ServiceReport(
-        1, 0, 0, 0.0, 0, {}, {}, 1, 0, 0, 0, 0, {}, {}
-    )
+    service = report.ServiceReport(1, 0, 0, 0.0, 0, {}, {}, 1, 0, 0, 0, {}, {})
     broken = report.Report(
         "e", "p", 1, 0.0, 0.0, {"s": service}, 0, {}, 2, 3, 0, {}
     )
--- a/tests/requests/test_life.py
+++ b/tests/requests/test_life.py
@@ -261,11 +261,15 @@
 
 @pytest.mark.parametrize(
     ("deadline_ms", "ran"),
-    [(50, errors.Ran.NO), (400, errors.Ran.YES)],
+    [
+        (50, errors.Ran.UNKNOWN),
+        (400, errors.Ran.YES),
+    ],
 )
 def test_the_deadline_tells_whether_it_ran(deadline_ms, ran):
     # The deadline passes while the prompt is read, or while the answer is
-    # written. "Did not run" is said only in the first case.
+    # written. An engine was given the request both times, so "did not run"
+    # is never said; "ran" only where an answer was begun.
     async def story(d):
         events = await d.ask(d.request(tokens=100, deadline_ms=deadline_ms))
         await d.clock.sleep_ms(100)
@@ -279,5 +283,30 @@
     assert isinstance(failed, model_request.Failed)
     assert deployments.kind_of(failed) is errors.ErrorKind.DEADLINE_EXCEEDED
     assert deployments.ran_of(failed) is ran
-    assert (dispatches == 0) == (ran is errors.Ran.NO)
+    assert (dispatches == 0) == (ran is errors.Ran.UNKNOWN)
     assert held == []
+
+
+def test_a_prompt_that_was_read_is_never_told_as_did_not_run():
+    # The prompt is read and its transfer stalls until the deadline. No
+    # answer is begun, yet an engine has worked for the request.
+    async def story(d):
+        d.bench.stall_link("p1")
+        return await d.ask(d.request(deadline_ms=1_000)), d.dispatches()
+
+    policy = deployments.Scripted(["d1"], ["p1"])
+    events, dispatches = run(
+        lambda: deployments.Deployment(policy=policy), story
+    )
+    assert dispatches == 0
+    assert deployments.ran_of(events[-1]) is errors.Ran.UNKNOWN
+
+
+def test_a_deadline_before_anything_was_sent_says_did_not_run():
+    # The policy has no place until the deadline, so no engine hears of it.
+    async def story(d):
+        return await d.ask(d.request(deadline_ms=500))
+
+    policy = deployments.Scripted([], ["p1"])
+    events = run(lambda: deployments.Deployment(policy=policy), story)
+    assert deployments.ran_of(events[-1]) is errors.Ran.NO
