Keep numpy out of the daemon

Cause: the daemon imported numpy only to break ties in the policies, about 12 MB of the 64 MB that an instance may have.

Change: the policies and EntryCore draw from random.Random, seeded by the instance's name (in experiments by the bench's seed and the name).

--- a/benchmarks/decision_cost.py
+++ b/benchmarks/decision_cost.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 from typing import Any
 from typing import cast
@@ -98,7 +99,7 @@
     fleet = _fleet(count, clock)
     peers = cast(Any, _Alone())
     keeping.Keeping(fleet, peers, peers, clock)
-    policy = product.Product(clock, np.random.default_rng(1))
+    policy = product.Product(clock, random.Random(1))
     policy.join(policies.Surroundings(fleet, peers, peers, "a"))
     began_s = time.process_time()
     for _ in range(_DECISIONS):
--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -13,11 +13,10 @@
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
-import zlib
+import random
 
 import aiohttp
 import mode
-import numpy as np
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
@@ -190,8 +189,7 @@
         self.fleet.withheld = self._is_withheld
         self.door = shutdown.Door()
         if policy is None:
-            seed = zlib.crc32(settings.instance.encode())
-            rng = np.random.default_rng(seed)
+            rng = random.Random(f"policy {settings.instance}")
             policy = product.Product(clock, rng)
         if isinstance(policy, policies.WaitingPolicy):
             self.fleet.polls = self.keeping.is_keeper
--- a/src/jujubewharf/experiments/bench.py
+++ b/src/jujubewharf/experiments/bench.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 import dataclasses
 import itertools
+import random
 import zlib
 
 import numpy as np
@@ -100,6 +101,13 @@
         """A generator of its own for each name, from the bench's seed."""
         return np.random.default_rng([self._seed, zlib.crc32(name.encode())])
 
+    def policy_rng(self, instance: str) -> random.Random:
+        """What an instance's policy draws from, by the bench's seed.
+
+        Policies run in the daemon too, which has no room for numpy.
+        """
+        return random.Random(f"{self._seed} policy {instance}")
+
     def add_engine(
         self, endpoint: resources.Endpoint, spec: engines.EngineSpec
     ) -> engines.Engine:
--- a/src/jujubewharf/experiments/runner.py
+++ b/src/jujubewharf/experiments/runner.py
@@ -117,7 +117,7 @@
         return catalog.make(
             self._policy,
             clock=self._clock,
-            rng=self._bench.rng(f"policy {instance}"),
+            rng=self._bench.policy_rng(instance),
             truth=self._truth,
         )
 
--- a/src/jujubewharf/routing/baselines.py
+++ b/src/jujubewharf/routing/baselines.py
@@ -4,8 +4,7 @@
 
 from collections.abc import Callable
 import itertools
-
-import numpy as np
+import random
 
 from jujubewharf import errors
 from jujubewharf.routing import fitting
@@ -69,9 +68,9 @@
         rng: Random numbers of its own.
     """
 
-    def __init__(self, rng: np.random.Generator) -> None:
+    def __init__(self, rng: random.Random) -> None:
         def pick(views: list[fleets.EngineView]) -> fleets.EngineView:
-            return views[int(rng.integers(len(views)))]
+            return rng.choice(views)
 
         super().__init__(pick, pick)
 
@@ -83,9 +82,9 @@
         rng: Says where the turns start, so that instances differ.
     """
 
-    def __init__(self, rng: np.random.Generator) -> None:
-        decode_turns = itertools.count(int(rng.integers(1_000)))
-        prefill_turns = itertools.count(int(rng.integers(1_000)))
+    def __init__(self, rng: random.Random) -> None:
+        decode_turns = itertools.count(rng.randrange(1_000))
+        prefill_turns = itertools.count(rng.randrange(1_000))
         super().__init__(
             lambda views: views[next(decode_turns) % len(views)],
             lambda views: views[next(prefill_turns) % len(views)],
--- a/src/jujubewharf/routing/catalog.py
+++ b/src/jujubewharf/routing/catalog.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import numpy as np
+import random
 
 from jujubewharf import clock as clocks
 from jujubewharf.routing import baselines
@@ -25,7 +25,7 @@
     name: str,
     *,
     clock: clocks.Clock,
-    rng: np.random.Generator,
+    rng: random.Random,
     truth: oracle.Truth | None = None,
 ) -> policies.Policy:
     """Makes a policy for one instance.
--- a/src/jujubewharf/routing/product.py
+++ b/src/jujubewharf/routing/product.py
@@ -11,8 +11,7 @@
 
 import asyncio
 import collections
-
-import numpy as np
+import random
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
@@ -51,7 +50,7 @@
         rng: Breaks ties, so that instances don't all pick the same engine.
     """
 
-    def __init__(self, clock: clocks.Clock, rng: np.random.Generator) -> None:
+    def __init__(self, clock: clocks.Clock, rng: random.Random) -> None:
         self._clock = clock
         self._rng = rng
         self._waiting: collections.Counter[str] = collections.Counter()
@@ -303,8 +302,7 @@
     ) -> dict[str, fleets.EngineView]:
         if not views:
             return {}
-        places = self._rng.integers(len(views), size=_MAX_CANDIDATES // 2)
-        drawn = (views[place] for place in places.tolist())
+        drawn = self._rng.choices(views, k=_MAX_CANDIDATES // 2)
         return {view.endpoint.name: view for view in drawn}
 
     def _best_prefill(
--- a/tests/routing/test_catalog.py
+++ b/tests/routing/test_catalog.py
@@ -31,7 +31,7 @@
     policy = catalog.make(
         policy_name,
         clock=bench.clock,
-        rng=bench.rng("policy"),
+        rng=bench.policy_rng("e1"),
         truth=oracle.Truth(lambda name: by_name[name].load_now()),
     )
     instance = await bench.start_instance("e1", "a", policy=policy)
