Keep one module of control costs; rename that of orders

Cause: benchmarks/control_cost.py and experiments/control_cost.py measured nearly the same, and experiments/control_costs.py (orders) differed from the latter by one letter. Change: benchmarks.control_cost stays, for docs/CAPACITY.md names it, and takes in links, messages, largest bytes, spread of a fact, domains and times of the other. experiments.control_costs is now experiments.order_costs.

--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -1,89 +1,196 @@
 """Control bytes and processor time of an instance over the fleet's size.
 
-Runs 6 to 48 real cores on one virtual clock. Bytes are those of peer streams.
-Processor time is that of the whole process, stand-ins included, shared out
-over the instances: an upper bound for code, without the sockets' own cost.
-``python -m benchmarks.control_cost``.
+Runs 6 to 48 real cores on one virtual clock, idle, under load or under churn.
+Bytes are those of peer streams. Processor time is that of the whole process,
+stand-ins included, shared out over the instances: an upper bound for code,
+without the sockets' own cost. ``python -m benchmarks.control_cost``.
 """
 
 from __future__ import annotations
 
 import argparse
 import asyncio
+from collections.abc import Coroutine
+from collections.abc import Iterator
+from collections.abc import Sequence
 import dataclasses
+import enum
+import itertools
 import json
+import statistics
 import time
+from typing import Any
 
 from benchmarks import slopes
 from jujubewharf.configuration import resources
 from jujubewharf.experiments import bench as benches
 from jujubewharf.experiments import runner
 from jujubewharf.experiments import virtual_time
+from jujubewharf.membership import facts
 from jujubewharf.requests import model_request
 from jujubewharf.standins import engine as engines
 
 _DOMAINS = 3
-_SETTLE_MS = 10_000.0
-_MEASURED_MS = 20_000.0
+_SETTLE_S = 10.0
+_DURATION_S = 20.0
+_CHURN_PER_MIN = 30.0
 _REQUESTS_PER_S = 2.0
-_CHURN_EVERY_MS = 2_000.0
 _SERVICE = resources.Service("m", resources.ServiceKind.MODEL, model="x")
+_STEP_MS = 50.0
+_PATIENCE_MS = 20_000.0
+# Headers of one TCP segment over IPv4 with timestamps, and of its
+# acknowledgement; a worked-out allowance, for the bench has no packets.
+_SEGMENT_BYTES = 104
+_FITTED = (
+    "control_bytes_per_s",
+    "wire_bytes_per_s",
+    "frames_per_s",
+    "processor_ms_per_s",
+)
+_LEAST_FOR_SLOPE = 2
+
+
+class State(enum.StrEnum):
+    """What the fleet does while it is measured."""
+
+    IDLE = "idle"
+    LOAD = "load"
+    CHURN = "churn"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """How a fleet is run.
+
+    Attributes:
+        state: What it does.
+        engines_each: Engines for each instance.
+        domains: Number of failure domains.
+        settle_s: Virtual seconds after the start that are left out.
+        duration_s: Virtual seconds to measure over.
+        churn_per_min: Instances killed and started anew a minute, under
+            churn, in the whole fleet.
+    """
+
+    state: State
+    engines_each: int = 1
+    domains: int = _DOMAINS
+    settle_s: float = _SETTLE_S
+    duration_s: float = _DURATION_S
+    churn_per_min: float = _CHURN_PER_MIN
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Cost:
-    """What one instance costs a second, the mean of all."""
+    """What one instance costs a second, the mean of all.
+
+    Attributes:
+        instances: Number of instances.
+        state: What the fleet did.
+        links: Mean number of open links, before the measured time.
+        control_bytes_per_s: Mean bytes written to peers.
+        max_bytes_per_s: The same of the instance that wrote most.
+        frames_per_s: Mean messages written to peers.
+        processor_ms_per_s: Time of a processor core.
+        spread_ms: Time until a fact was known to all; infinite when it took
+            more than 20 s.
+    """
 
     instances: int
-    state: str
+    state: State
+    links: float
     control_bytes_per_s: float
+    max_bytes_per_s: float
+    frames_per_s: float
     processor_ms_per_s: float
+    spread_ms: float
+
+    @property
+    def wire_bytes_per_s(self) -> float:
+        """Bytes with an allowance for TCP, a segment for each message."""
+        return self.control_bytes_per_s + self.frames_per_s * _SEGMENT_BYTES
+
+    def to_json(self) -> str:
+        """One line with all figures."""
+        figures = dataclasses.asdict(self)
+        figures["wire_bytes_per_s"] = self.wire_bytes_per_s
+        return json.dumps(
+            {
+                name: round(value, 3) if isinstance(value, float) else value
+                for name, value in figures.items()
+            }
+        )
+
+
+async def measure(instances: int, plan: Plan) -> Cost:
+    """Runs a fleet of so many instances and measures it."""
+    bench = await _started(instances, plan)
+    links = statistics.mean(
+        instance.core.peers.link_count()
+        for instance in bench.instances.values()
+    )
+    sent_before = dict(bench.network.bytes_sent)
+    frames_before = _frames(bench)
+    began_s = time.process_time()
+    frames_of_gone = await _run(bench, plan)
+    spent_s = time.process_time() - began_s
+    frames = _frames(bench) + frames_of_gone - frames_before
+    sent = [
+        (bench.network.bytes_sent[name] - sent_before[name]) / plan.duration_s
+        for name in bench.instances
+    ]
+    spread_ms = await _spread_ms(bench)
+    await bench.stop()
+    return Cost(
+        instances=instances,
+        state=plan.state,
+        links=links,
+        control_bytes_per_s=statistics.mean(sent),
+        max_bytes_per_s=max(sent),
+        frames_per_s=frames / instances / plan.duration_s,
+        processor_ms_per_s=spent_s * 1_000 / instances / plan.duration_s,
+        spread_ms=spread_ms,
+    )
 
 
-async def _run(instances: int, state: str, engines_each: int) -> Cost:
+async def _started(instances: int, plan: Plan) -> benches.Bench:
     bench = benches.Bench()
     await bench.declare(_SERVICE)
-    for number in range(instances * engines_each):
+    for number in range(instances * plan.engines_each):
         endpoint = resources.Endpoint(
             f"m{number}",
             "m",
             f"127.0.0.1:{number + 1}",
-            f"d{number % _DOMAINS}",
+            f"d{number % plan.domains}",
             resources.Role.BOTH,
         )
         spec = engines.EngineSpec(model="x", chunk_tokens=8)
         bench.add_engine(endpoint, spec)
         await bench.declare(endpoint)
     for number in range(instances):
-        await bench.start_instance(f"e{number}", f"d{number % _DOMAINS}")
-    await bench.clock.sleep_ms(_SETTLE_MS)
-    work = [
-        asyncio.create_task(coroutine)
-        for coroutine in _work(bench, instances, state)
-    ]
-    sent = sum(bench.network.bytes_sent.values())
-    began_s = time.process_time()
-    await bench.clock.sleep_ms(_MEASURED_MS)
-    spent_s = time.process_time() - began_s
-    sent = sum(bench.network.bytes_sent.values()) - sent
+        await bench.start_instance(f"e{number}", f"d{number % plan.domains}")
+    await bench.clock.sleep_ms(plan.settle_s * 1_000)
+    return bench
+
+
+async def _run(bench: benches.Bench, plan: Plan) -> int:
+    """Lets time pass; returns the messages of instances killed meanwhile."""
+    duration_ms = plan.duration_s * 1_000
+    if plan.state is State.CHURN:
+        return await _restart_on(bench, duration_ms, plan.churn_per_min)
+    work = [asyncio.create_task(asks) for asks in _work(bench, plan.state)]
+    await bench.clock.sleep_ms(duration_ms)
     for task in work:
         task.cancel()
-    seconds = _MEASURED_MS / 1_000 * instances
-    return Cost(
-        instances,
-        state,
-        round(sent / seconds, 1),
-        round(spent_s * 1_000 / seconds, 3),
-    )
+    return 0
 
 
-def _work(bench: benches.Bench, instances: int, state: str):  # type: ignore[no-untyped-def]
-    match state:
-        case "load":
-            for number in range(instances):
-                yield _ask_on(bench, f"e{number}")
-        case "churn":
-            yield _restart_on(bench)
+def _work(
+    bench: benches.Bench, state: State
+) -> Iterator[Coroutine[Any, Any, None]]:
+    if state is State.LOAD:
+        for name in bench.instances:
+            yield _ask_on(bench, name)
 
 
 async def _ask_on(bench: benches.Bench, name: str) -> None:
@@ -109,11 +216,47 @@
         pass
 
 
-async def _restart_on(bench: benches.Bench) -> None:
-    names = sorted(bench.instances)
-    for number in range(10_000):
-        await bench.clock.sleep_ms(_CHURN_EVERY_MS)
-        await bench.restart_instance(names[number % len(names)])
+async def _restart_on(
+    bench: benches.Bench, duration_ms: float, churn_per_min: float
+) -> int:
+    frames_of_gone = 0
+    until_ms = bench.clock.now_ms() + duration_ms
+    pause_ms = 60_000 / churn_per_min
+    for name in itertools.cycle(sorted(bench.instances)):
+        if bench.clock.now_ms() + pause_ms > until_ms:
+            break
+        await bench.clock.sleep_ms(pause_ms)
+        gone = bench.instances[name].core
+        frames_of_gone += gone.peers.counts.frames_out
+        await bench.restart_instance(name)
+    await bench.clock.sleep_until_ms(until_ms)
+    return frames_of_gone
+
+
+async def _spread_ms(bench: benches.Bench) -> float:
+    """Publishes a fact and waits until all know it."""
+    cores = [instance.core for instance in bench.instances.values()]
+    topic = facts.Topic.ENDPOINT_LEAVING
+    began_ms = bench.clock.now_ms()
+    cores[0].facts.publish(topic, "probe", version=1, ttl_ms=60_000)
+    while not all(core.facts.get(topic, "probe") for core in cores):
+        if bench.clock.now_ms() > began_ms + _PATIENCE_MS:
+            return float("inf")
+        await bench.clock.sleep_ms(_STEP_MS)
+    return bench.clock.now_ms() - began_ms
+
+
+def _frames(bench: benches.Bench) -> int:
+    return sum(
+        instance.core.peers.counts.frames_out
+        for instance in bench.instances.values()
+    )
+
+
+def slope(costs: Sequence[Cost], field: str) -> slopes.Slope:
+    """The line of a field over the number of instances."""
+    sizes = [cost.instances for cost in costs]
+    return slopes.Slope.fit(sizes, [getattr(cost, field) for cost in costs])
 
 
 def main() -> None:
@@ -122,19 +265,35 @@
     parser.add_argument("--instances", default="6,12,24,48")
     parser.add_argument("--states", default="idle,load,churn")
     parser.add_argument("--engines", type=int, default=1, help="an instance")
+    parser.add_argument("--domains", type=int, default=_DOMAINS)
+    parser.add_argument("--settle-s", type=float, default=_SETTLE_S)
+    parser.add_argument("--duration-s", type=float, default=_DURATION_S)
+    parser.add_argument("--churn-per-min", type=float, default=_CHURN_PER_MIN)
     options = parser.parse_args()
     counts = [int(count) for count in options.instances.split(",")]
     runner.quiet_logs()
-    for state in options.states.split(","):
+    for name in options.states.split(","):
+        plan = Plan(
+            State(name),
+            options.engines,
+            options.domains,
+            options.settle_s,
+            options.duration_s,
+            options.churn_per_min,
+        )
         costs = []
         for count in counts:
-            costs.append(virtual_time.run(_run(count, state, options.engines)))
-            print(json.dumps(dataclasses.asdict(costs[-1])), flush=True)
-        for field in ("control_bytes_per_s", "processor_ms_per_s"):
-            values = [getattr(cost, field) for cost in costs]
-            slope = slopes.Slope.fit(counts, values)
-            line = {"state": state, "of": field} | dataclasses.asdict(slope)
-            print(json.dumps(line), flush=True)
+            costs.append(virtual_time.run(measure(count, plan)))
+            print(costs[-1].to_json(), flush=True)
+        if len(costs) >= _LEAST_FOR_SLOPE:
+            _print_slopes(costs)
+
+
+def _print_slopes(costs: Sequence[Cost]) -> None:
+    for field in _FITTED:
+        line = {"state": costs[0].state, "of": field}
+        line |= dataclasses.asdict(slope(costs, field))
+        print(json.dumps(line), flush=True)
 
 
 if __name__ == "__main__":
--- a/src/jujubewharf/experiments/control_costs.py
+++ b/src/jujubewharf/experiments/order_costs.py
@@ -1,6 +1,6 @@
 """Measures what leases cost the log and how fast leaving spreads.
 
-    python -m jujubewharf.experiments.control_costs
+    python -m jujubewharf.experiments.order_costs
 
 On virtual time, so the figures are those of the mechanism and of the bench's
 delays, the same on every machine; processor time is not measured here.
