--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -14,6 +14,7 @@
 import contextlib
 import dataclasses
 import random
+import zlib
 
 import aiohttp
 import mode
@@ -189,7 +190,8 @@
         self.fleet.withheld = self._is_withheld
         self.door = shutdown.Door()
         if policy is None:
-            rng = random.Random(f"policy {settings.instance}")
+            seed = zlib.crc32(settings.instance.encode())
+            rng = random.Random(seed)
             policy = product.Product(clock, rng)
         if isinstance(policy, policies.WaitingPolicy):
             self.fleet.polls = self.keeping.is_keeper
