Split the entry core from the daemon

Change: core.py holds Adapters and EntryCore, entry.py the daemon with its real adapters and servers. Importers name the new module; nothing is exported twice. No behaviour is meant to change.

--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -25,6 +25,7 @@
 import typer
 
 from jujubewharf import clock as clocks
+from jujubewharf import core as cores
 from jujubewharf.configuration import border
 from jujubewharf.configuration import changes as changes_lib
 from jujubewharf.configuration import follower as followers
@@ -215,14 +216,14 @@
 
 async def _in_force(
     bench: benches.Bench,
-    core: benches.entries.EntryCore,
+    core: cores.EntryCore,
     change: records.Change,
 ) -> list[float]:
     """Milliseconds from the answer until each instance has folded it."""
     waiting = {name: one.core for name, one in bench.instances.items()}
     done_ms: dict[str, float] = {}
 
-    def watch(name: str, other: benches.entries.EntryCore) -> None:
+    def watch(name: str, other: cores.EntryCore) -> None:
         def on_state(_: states.State) -> None:
             if other.changes.operation(change.operation_id):
                 done_ms.setdefault(name, bench.clock.now_ms())
--- a/src/jujubewharf/callers/completions.py
+++ b/src/jujubewharf/callers/completions.py
@@ -26,7 +26,7 @@
 from jujubewharf.settings import models
 
 if TYPE_CHECKING:
-    from jujubewharf import entry
+    from jujubewharf import core as cores
 
 
 class Completions:
@@ -41,7 +41,7 @@
 
     def __init__(
         self,
-        core: entry.EntryCore,
+        core: cores.EntryCore,
         clock: clocks.Clock,
         settings: models.CallerSettings,
         *,
--- a/src/jujubewharf/callers/plain.py
+++ b/src/jujubewharf/callers/plain.py
@@ -22,7 +22,7 @@
 from jujubewharf.settings import models
 
 if TYPE_CHECKING:
-    from jujubewharf import entry
+    from jujubewharf import core as cores
 
 # What concerns one connection only (RFC 9110, section 7.6.1), what the next
 # connection sets anew, and the caller's token, which is for this system.
@@ -61,7 +61,7 @@
 
     def __init__(
         self,
-        core: entry.EntryCore,
+        core: cores.EntryCore,
         clock: clocks.Clock,
         settings: models.CallerSettings,
         *,
--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -1,357 +1,31 @@
-"""One entry instance: its core, and the daemon that wraps it in edges.
-
-``EntryCore`` holds everything that decides. It is given adapters, so that
-tests and experiments run the same code on stand-ins and a virtual clock.
-``Entry`` makes the real adapters from settings and adds the HTTP and RPC
-servers.
-"""
+"""The daemon: an entry core on real adapters, and its servers."""
 
 from __future__ import annotations
 
-import asyncio
-from collections.abc import AsyncGenerator
-from collections.abc import AsyncIterator
-import contextlib
-import dataclasses
-import random
-import zlib
-
 import aiohttp
 import mode
 
 from jujubewharf import clock as clocks
-from jujubewharf import errors
-from jujubewharf.callers import accounts
+from jujubewharf import core as cores
 from jujubewharf.callers import completions
 from jujubewharf.callers import edge
 from jujubewharf.callers import plain as plain_paths
 from jujubewharf.callers import readiness
-from jujubewharf.configuration import changes
-from jujubewharf.configuration import follower
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
-from jujubewharf.engines import endpoint_client
 from jujubewharf.engines import http as engine_http
 from jujubewharf.engines import http_endpoint
-from jujubewharf.leaving import departures
 from jujubewharf.leaving import shutdown
-from jujubewharf.membership import facts
-from jujubewharf.membership import membership as memberships
 from jujubewharf.operators import server as operator_server
-from jujubewharf.operators import service as operator_service
-from jujubewharf.orders import leases
-from jujubewharf.orders import ownership
-from jujubewharf.orders import reconciler
-from jujubewharf.orders import turn
 from jujubewharf.peers import keys as peer_keys
-from jujubewharf.peers import mesh
-from jujubewharf.peers import peer
 from jujubewharf.peers import streams
 from jujubewharf.platform import http_log
 from jujubewharf.platform import live_list
-from jujubewharf.platform import log
 from jujubewharf.platform import weights
-from jujubewharf.requests import answers as request_answers
-from jujubewharf.requests import claims as request_claims
-from jujubewharf.requests import keys
-from jujubewharf.requests import life
-from jujubewharf.requests import limits
 from jujubewharf.requests import model_request
-from jujubewharf.requests import plain
-from jujubewharf.requests import plain_endpoints
-from jujubewharf.requests import plain_replies
-from jujubewharf.requests import sweep as sweeps
-from jujubewharf.routing import fleet as fleets
-from jujubewharf.routing import keeping
 from jujubewharf.routing import looked_around
-from jujubewharf.routing import placer as placers
-from jujubewharf.routing import policy as policies
-from jujubewharf.routing import product
 from jujubewharf.settings import models
 from jujubewharf.telemetry import gauges
-from jujubewharf.telemetry import goodput
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Adapters:
-    """Everything outside that a core speaks to.
-
-    Attributes:
-        log: The platform's log.
-        live_list: The platform's list of the living.
-        weight_store: The platform's weight store.
-        make_engine_client: Makes the client of a model engine.
-        endpoints: Calls plain endpoints.
-        transport: Streams to and from peers.
-    """
-
-    log: log.Log
-    live_list: live_list.LiveList
-    weight_store: weights.WeightStore
-    make_engine_client: fleets.ClientFactory
-    endpoints: endpoint_client.EndpointClient
-    transport: streams.Transport
-
-
-class EntryCore(mode.Service):
-    """All of an instance but its servers.
-
-    Args:
-        settings: The instance's settings.
-        clock: Time.
-        adapters: What it speaks to.
-        policy: Decides where requests run; ``None`` takes the product's own.
-
-    Attributes:
-        configuration: Configuration in force here.
-        changes: Takes operators' changes.
-        fleet: Views of the engines.
-        departures: Endpoints that somebody says are leaving.
-        door: Counts requests in flight; closed by a shutdown.
-        leases: Leases on the log.
-        orders: Orders to engines.
-        operators: Answers operators.
-        accounts: Client accounts in force here.
-        model_limits: Limits of model requests here.
-        plain_limits: Limits of plain calls here.
-        plain: Runs plain calls.
-        peers: Links to the other instances.
-        facts: Small facts known to the whole fleet.
-        membership: Who they are.
-        runner: Runs model requests, and counts.
-        answers: All answers of this instance.
-        claims: Claims of requests that may not be repeated.
-    """
-
-    def __init__(
-        self,
-        settings: models.EntrySettings,
-        clock: clocks.Clock,
-        adapters: Adapters,
-        *,
-        policy: policies.Policy | None = None,
-    ) -> None:
-        super().__init__()
-        self.settings = settings
-        self.clock = clock
-        self.adapters = adapters
-        timing = peer.Timing(
-            settings.peers.heartbeat_ms, settings.peers.suspect_after_ms
-        )
-        self.peers = mesh.PeerMesh(
-            settings.instance,
-            settings.domain,
-            clock,
-            adapters.transport,
-            timing=timing,
-        )
-        self.facts = facts.Facts(self.peers, clock)
-        self.membership = memberships.Membership(
-            self.peers,
-            self.facts,
-            settings.domain,
-            adapters.live_list,
-            clock,
-            timing=timing,
-            poll_ms=settings.platform.live_list_poll_ms,
-        )
-        self.configuration = follower.ConfigurationFollower(
-            adapters.log,
-            clock,
-            wait_ms=settings.platform.log_wait_ms,
-            instance=settings.instance,
-            network=self.peers,
-            membership=self.membership,
-            retention_ms=settings.platform.log_retention_ms,
-        )
-        self.changes = changes.Changes(self.configuration, adapters.log, clock)
-        self.fleet = fleets.Fleet(adapters.make_engine_client, clock)
-        self.configuration.listen(self.fleet.on_configuration)
-        self.keeping = keeping.Keeping(
-            self.fleet, self.peers, self.membership, clock
-        )
-        self.leases = leases.Leases(settings.instance, adapters.log, clock)
-        self.orders = reconciler.Reconciler(
-            turn.Surroundings(
-                self.leases,
-                self.fleet,
-                self.configuration,
-                adapters.weight_store,
-                clock,
-            ),
-            owns=ownership.Ownership(self.membership).owns,
-        )
-        self.departures = departures.Departures(
-            self.facts,
-            self.membership.listed_endpoints,
-            self.fleet.say_leaving,
-            clock,
-        )
-        self.fleet.withheld = self._is_withheld
-        self.door = shutdown.Door()
-        if policy is None:
-            seed = zlib.crc32(settings.instance.encode())
-            rng = random.Random(seed)
-            policy = product.Product(clock, rng)
-        if isinstance(policy, policies.WaitingPolicy):
-            self.fleet.polls = self.keeping.is_keeper
-            policy.join(
-                policies.Surroundings(
-                    self.fleet, self.peers, self.membership, settings.domain
-                )
-            )
-        self._placer = placers.Placer(policy, self.fleet, clock)
-        self.runner = life.RequestRunner(
-            settings.instance,
-            self.fleet,
-            self._placer,
-            clock,
-        )
-        self.key_homes = keys.KeyHomes(
-            self.peers, self.membership, clock, self._incarnation_of
-        )
-        self.claims = request_claims.Claims(
-            settings.instance,
-            self.peers,
-            self.membership,
-            adapters.log,
-            clock,
-        )
-        self.answers = request_answers.Answers(
-            settings.instance,
-            self.runner,
-            self.key_homes,
-            self.claims,
-            self.peers,
-            self.membership,
-            clock,
-        )
-        self.peers.on_hello(lambda hello: self.answers.rehoming.wake())
-        self.sweep = sweeps.Sweep(
-            settings.instance,
-            lambda: self.configuration.current,
-            self.fleet,
-            self.runner.releaser,
-            self.peers,
-            self.membership,
-            clock,
-            self.runner.counters,
-        )
-        self.operators = operator_service.OperatorService(self)
-
-        self.accounts = accounts.Accounts()
-        self.configuration.listen(self.accounts.on_configuration)
-        self.model_limits, self.plain_limits = (
-            limits.Limits(
-                clock, self.accounts.get, member_count=self._member_count
-            )
-            for _ in range(2)
-        )
-        chooser = plain_endpoints.Chooser(
-            settings.domain, clock, is_leaving=self.departures.is_leaving
-        )
-        self.configuration.listen(chooser.on_configuration)
-        self.plain = plain.PlainRunner(
-            adapters.endpoints,
-            chooser,
-            clock,
-            claims=request_claims.PlainClaims(self.claims),
-        )
-        self._plain_replies = plain_replies.PlainReplies(
-            settings.instance, self.plain, self.peers, clock
-        )
-
-    async def on_start(self) -> None:
-        """Starts the parts, those that others need first."""
-        await self.add_runtime_dependency(self.peers)
-        await self.add_runtime_dependency(self.facts)
-        await self.add_runtime_dependency(self.membership)
-        await self.add_runtime_dependency(self.configuration)
-        await self.add_runtime_dependency(self.fleet)
-        await self.add_runtime_dependency(self.keeping)
-        await self.add_runtime_dependency(self.key_homes)
-        await self.add_runtime_dependency(self.claims)
-        await self.add_runtime_dependency(self.departures)
-        await self.add_runtime_dependency(self.leases)
-        await self.add_runtime_dependency(self.orders)
-        await self.add_runtime_dependency(self.answers)
-        await self.add_runtime_dependency(self.sweep)
-
-    def new_shutdown(self) -> shutdown.Shutdown:
-        """A graceful shutdown of this instance; the caller runs it."""
-        return shutdown.Shutdown(
-            self.door,
-            lambda: self.answers.running,
-            self._hand_over,
-            self.clock,
-            grace_ms=self.settings.balancer_grace_ms,
-            drain_ms=self.settings.drain_ms,
-        )
-
-    def _hand_over(self) -> None:
-        """Peers take this instance's roles when they hear that it leaves."""
-        self.orders.retire()
-        self.membership.leave()
-
-    def _is_withheld(self, engine: str) -> bool:
-        if self.departures.is_leaving(engine):
-            return True
-        return self.orders.is_taken_out(engine)
-
-    def _incarnation_of(self, instance: str) -> int:
-        hello = self.peers.hello_of(instance)
-        return self.peers.incarnation if hello is None else hello.incarnation
-
-    def _member_count(self) -> int:
-        return len(self.membership.present())
-
-    async def answer(
-        self, request: model_request.ModelRequest
-    ) -> AsyncGenerator[model_request.Event, None]:
-        """Answers a model request; see ``answers.Answers.answer``."""
-        deadline_at_ms = request.arrived_ms + request.deadline_ms
-        watch = goodput.Stopwatch(
-            request.service, request.arrived_ms, self.clock
-        )
-        try:
-            async with (
-                self.door.inside(),
-                self.model_limits.admitted(
-                    request.account,
-                    request.service,
-                    deadline_at_ms=deadline_at_ms,
-                    priority=request.priority,
-                ),
-                contextlib.aclosing(self.answers.answer(request)) as events,
-            ):
-                async for event in events:
-                    watch.see(event)
-                    yield event
-        except errors.WharfError as error:
-            watch.ended(error.kind.value)
-            yield model_request.Failed(
-                error.kind, error.ran, error.detail, error.retry_after_ms
-            )
-        except (asyncio.CancelledError, GeneratorExit):
-            watch.ended(errors.ErrorKind.CANCELLED.value)
-            raise
-
-    @contextlib.asynccontextmanager
-    async def call_plain(
-        self, request: plain.PlainRequest
-    ) -> AsyncIterator[endpoint_client.PlainReply]:
-        """Calls a plain service; see ``plain_replies.PlainReplies.run``."""
-        async with (
-            self.door.inside(),
-            self.plain_limits.admitted(
-                request.account,
-                request.service,
-                deadline_at_ms=request.deadline_at_ms,
-                priority=request.priority,
-            ),
-            self._plain_replies.run(request) as reply,
-        ):
-            yield reply
 
 
 class Entry(mode.Service):
@@ -374,7 +48,7 @@
         self._settings = settings
         self._clock = clock
         self._sessions: list[aiohttp.ClientSession] = []
-        self.core: EntryCore | None = None
+        self.core: cores.EntryCore | None = None
         self.callers: edge.CallerEdge | None = None
         self.operators: operator_server.OperatorServer | None = None
 
@@ -382,7 +56,7 @@
         """Makes the adapters and starts core and edges."""
         peers = self._settings.peers
         transport = peer_keys.make_transport(peers)
-        self.core = EntryCore(
+        self.core = cores.EntryCore(
             self._settings, self._clock, self._adapters(transport)
         )
         gauges.watch(self.core)
@@ -421,7 +95,7 @@
             await self.add_runtime_dependency(reloader)
 
     def new_shutdown(self) -> shutdown.Shutdown:
-        """A graceful shutdown; see ``EntryCore.new_shutdown``."""
+        """A graceful shutdown; see ``core.EntryCore.new_shutdown``."""
         assert self.core is not None
         return self.core.new_shutdown()
 
@@ -442,7 +116,7 @@
         self._sessions.append(session)
         return session
 
-    def _adapters(self, transport: streams.Transport) -> Adapters:
+    def _adapters(self, transport: streams.Transport) -> cores.Adapters:
         session = self._new_session()
         platform = self._settings.platform
 
@@ -453,7 +127,7 @@
                 endpoint.name, endpoint.address, session, self._clock
             )
 
-        return Adapters(
+        return cores.Adapters(
             log=http_log.HttpLog(platform.log_url, session, self._clock),
             live_list=live_list.HttpLiveList(
                 platform.live_list_url, session, self._clock
--- a/src/jujubewharf/experiments/bench.py
+++ b/src/jujubewharf/experiments/bench.py
@@ -16,7 +16,7 @@
 import numpy as np
 
 from jujubewharf import clock as clocks
-from jujubewharf import entry as entries
+from jujubewharf import core as cores
 from jujubewharf.configuration import records
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
@@ -272,10 +272,10 @@
         seen_log = adapters.InstanceLog(process, self.log)
         seen_list = adapters.InstanceLiveList(process, self.live_list)
         seen_log.is_cut = start.domain in self._domains_without_log
-        core = entries.EntryCore(
+        core = cores.EntryCore(
             _settings(name, start),
             start.clock,
-            entries.Adapters(
+            cores.Adapters(
                 log=seen_log,
                 live_list=seen_list,
                 weight_store=adapters.InstanceWeightStore(
--- a/src/jujubewharf/experiments/instances.py
+++ b/src/jujubewharf/experiments/instances.py
@@ -6,7 +6,7 @@
 from collections.abc import AsyncGenerator
 import contextlib
 
-from jujubewharf import entry as entries
+from jujubewharf import core as cores
 from jujubewharf.experiments import adapters
 from jujubewharf.experiments import processes
 from jujubewharf.requests import model_request
@@ -26,7 +26,7 @@
     def __init__(
         self,
         process: processes.Process,
-        core: entries.EntryCore,
+        core: cores.EntryCore,
         log: adapters.InstanceLog,
         live_list: adapters.InstanceLiveList,
     ) -> None:
@@ -130,19 +130,19 @@
 
 
 async def _call_plain(
-    core: entries.EntryCore, request: plain.PlainRequest
+    core: cores.EntryCore, request: plain.PlainRequest
 ) -> bytes:
     async with core.call_plain(request) as reply:
         return b"".join([chunk async for chunk in reply.body])
 
 
-async def _start(core: entries.EntryCore) -> None:
+async def _start(core: cores.EntryCore) -> None:
     await core.start()
 
 
-async def _drain(core: entries.EntryCore) -> None:
+async def _drain(core: cores.EntryCore) -> None:
     await core.new_shutdown().run()
 
 
-async def _stop(core: entries.EntryCore) -> None:
+async def _stop(core: cores.EntryCore) -> None:
     await core.stop()
--- a/src/jujubewharf/operators/backend.py
+++ b/src/jujubewharf/operators/backend.py
@@ -18,7 +18,7 @@
 from jujubewharf.operators import values
 
 if TYPE_CHECKING:
-    from jujubewharf import entry
+    from jujubewharf import core as cores
 
 # The history also holds changes of the fold's own rules.
 _KINDS = frozenset(kind.value for kind in resources.Kind)
@@ -128,7 +128,7 @@
         core: The instance.
     """
 
-    def __init__(self, core: entry.EntryCore) -> None:
+    def __init__(self, core: cores.EntryCore) -> None:
         self._follower = core.configuration
         self._changes = core.changes
         self._clock = core.clock
--- a/src/jujubewharf/operators/inspection.py
+++ b/src/jujubewharf/operators/inspection.py
@@ -18,7 +18,7 @@
 from jujubewharf.telemetry import tallies
 
 if TYPE_CHECKING:
-    from jujubewharf import entry
+    from jujubewharf import core as cores
 
 
 class Inspector:
@@ -30,7 +30,7 @@
     """
 
     def __init__(
-        self, core: entry.EntryCore, backend: backends.Backend
+        self, core: cores.EntryCore, backend: backends.Backend
     ) -> None:
         self._core = core
         self._backend = backend
--- a/src/jujubewharf/operators/service.py
+++ b/src/jujubewharf/operators/service.py
@@ -13,7 +13,7 @@
 from jujubewharf.operators import values
 
 if TYPE_CHECKING:
-    from jujubewharf import entry
+    from jujubewharf import core as cores
 
 _RETRY_AFTER_MS = 1_000.0
 
@@ -30,7 +30,7 @@
         inspector: Questions about the instance.
     """
 
-    def __init__(self, core: entry.EntryCore) -> None:
+    def __init__(self, core: cores.EntryCore) -> None:
         self._backend = backends.CoreBackend(core)
         self._identities = identities.Identities(
             lambda: self._backend.state,
--- a/src/jujubewharf/telemetry/gauges.py
+++ b/src/jujubewharf/telemetry/gauges.py
@@ -10,10 +10,10 @@
 from jujubewharf.configuration import resources
 
 if TYPE_CHECKING:
-    from jujubewharf import entry
+    from jujubewharf import core as cores
 
 
-def watch(core: entry.EntryCore) -> None:
+def watch(core: cores.EntryCore) -> None:
     """Registers the gauges of a core; called once a process."""
     meter = metrics.get_meter("jujubewharf")
 
@@ -53,7 +53,7 @@
     )
 
 
-def _model_services(core: entry.EntryCore) -> list[str]:
+def _model_services(core: cores.EntryCore) -> list[str]:
     state = core.configuration.current
     return [
         entry.resource.name
