A late answer that may not be repeated is not asked for again

Cause: a request marked as not repeatable that hit its deadline while it was written was told deadline_exceeded, retryable, with X-Should-Retry: true. The official client obeys and, without a key, sends it anew: it runs twice. Change: after a dispatch, a retryable failure of such a request becomes outcome_unknown. Plain calls did so already.

--- a/src/jujubewharf/requests/life.py
+++ b/src/jujubewharf/requests/life.py
@@ -253,6 +253,12 @@
         request: model_request.ModelRequest,
         progress: attempts.Progress,
     ) -> None:
+        is_dispatched = progress.dispatch is not attempts.Dispatch.NO
+        is_asked_again = errors.TABLE[error.kind].retryable
+        if is_dispatched and is_asked_again and not request.is_repeatable:
+            # Told "deadline exceeded, retry", a client without a key would
+            # send it anew, and a request that may not be repeated ran twice.
+            error = errors.WharfError(errors.ErrorKind.OUTCOME_UNKNOWN)
         self.counters.refused(error.kind.value)
         progress.answer.finish(
             model_request.Failed(
--- a/tests/requests/test_life.py
+++ b/tests/requests/test_life.py
@@ -302,6 +302,24 @@
     assert deployments.ran_of(events[-1]) is errors.Ran.UNKNOWN
 
 
+def test_a_late_answer_that_may_not_be_repeated_is_not_asked_for_again():
+    # The deadline passes while the answer is written. A client that has no
+    # key would obey "retry" and the request would run twice, so the caller
+    # is told that the outcome is unknown, which is not retryable.
+    async def story(d):
+        request = d.request(tokens=100, deadline_ms=400, is_repeatable=False)
+        return await d.ask(request), d.dispatches()
+
+    policy = deployments.Scripted(["d1"], ["p1"])
+    events, dispatches = run(
+        lambda: deployments.Deployment(policy=policy), story
+    )
+    kind = deployments.kind_of(events[-1])
+    assert dispatches == 1
+    assert not errors.TABLE[kind].retryable
+    assert deployments.ran_of(events[-1]) is errors.Ran.UNKNOWN
+
+
 def test_a_deadline_before_anything_was_sent_says_did_not_run():
     # The policy has no place until the deadline, so no engine hears of it.
     async def story(d):
