Split the peer mesh and the stand-in engine by job

Change: running tasks are in peers/tasks.py, the table of peers and hellos in peers/peer_table.py; an engine's counts, slots and prefill results have modules of their own, the timed reading of a prompt is with its ledger, KvSource with the link. One breaking-off of an answer in place of three.

--- a/src/jujubewharf/peers/mesh.py
+++ b/src/jujubewharf/peers/mesh.py
@@ -4,11 +4,9 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Coroutine
 from collections.abc import Iterable
 from collections.abc import Mapping
 from typing import TYPE_CHECKING
-from typing import Any
 
 import mode
 import structlog
@@ -21,7 +19,9 @@
 from jujubewharf.peers import network
 from jujubewharf.peers import opener as openers
 from jujubewharf.peers import peer as peers
+from jujubewharf.peers import peer_table
 from jujubewharf.peers import streams
+from jujubewharf.peers import tasks as all_tasks
 
 if TYPE_CHECKING:
     from jujubewharf import clock as clocks
@@ -71,13 +71,11 @@
         )
         self._timing = timing
         self._listener: streams.Listener | None = None
-        self._addresses: Mapping[str, str] = {}
-        self._peers: dict[str, peers.Peer] = {}
-        self._hellos: dict[str, link_messages.Hello] = {}
+        self._peers = peer_table.PeerTable(self._make)
         self._handlers = handlers.Handlers(instance, clock, self.counts)
         self._hello_listeners: list[Callable[[link_messages.Hello], None]] = []
         self._heartbeat_listeners: list[Callable[[str, int], None]] = []
-        self._running: set[asyncio.Task[None]] = set()
+        self._running = all_tasks.Tasks(self._on_fault)
         self._tended: set[str] = set()
         self._logger = structlog.get_logger()
 
@@ -136,9 +134,9 @@
             dialled. True is no promise that the peer gets it.
         """
         if peer == self._instance:
-            self._spawn(self._handlers.tell_myself(message))
+            self._running.spawn(self._handlers.tell_myself(message))
             return True
-        known = self._known(peer)
+        known = self._peers.reachable(peer)
         if known is None:
             return False
         link = known.best_link()
@@ -150,9 +148,9 @@
 
     def probe(self, peer: str) -> None:
         """Dials a peer that has no link, to find out whether it answers."""
-        known = self._known(peer)
+        known = self._peers.reachable(peer)
         if known is not None and known.best_link() is None:
-            self._spawn(self._probe(known))
+            self._running.spawn(self._probe(known))
 
     def forgive(self, peer: str) -> None:
         """Forgets a failed dial, for there is reason to try again."""
@@ -162,47 +160,47 @@
 
     def set_addresses(self, addresses: Mapping[str, str]) -> None:
         """Says where each other instance listens."""
-        self._addresses = addresses
+        self._peers.addresses = addresses
 
     def keep_links(self, names: Iterable[str]) -> None:
         """Says to which peers a standing link is to be kept."""
         wanted = {name: None for name in names if name != self._instance}
         for name in wanted:
-            known = self._known(name)
+            known = self._peers.reachable(name)
             if known is not None:
                 known.want(True)
                 self._tend(known)
-        for name, known in list(self._peers.items()):
-            if name not in wanted:
+        for known in tuple(self._peers):
+            if known.name not in wanted:
                 known.want(False)
-                self._forget(known)
+                self._peers.forget(known)
 
     def renew_links(self) -> None:
         """Opens all links anew, as after a change of keys."""
-        for known in self._peers.values():
+        for known in self._peers:
             known.renew()
 
     def linked(self) -> tuple[str, ...]:
         """Peers with a standing link, by name."""
         return tuple(
             sorted(
-                name
-                for name, known in self._peers.items()
+                known.name
+                for known in self._peers
                 if (link := known.best_link()) is not None and link.is_standing
             )
         )
 
     def known(self) -> tuple[str, ...]:
         """Peers that this instance has or had to do with."""
-        return tuple(self._peers)
+        return self._peers.names()
 
     def greeted(self) -> tuple[str, ...]:
         """Peers whose hello is known."""
-        return tuple(self._hellos)
+        return tuple(self._peers.hellos)
 
     def link_count(self) -> int:
         """Open links, those on demand included."""
-        return sum(len(known.links) for known in self._peers.values())
+        return sum(len(known.links) for known in self._peers)
 
     def contact(self, peer: str) -> peers.Contact:
         """What the links know of a peer."""
@@ -211,7 +209,7 @@
 
     def hello_of(self, peer: str) -> link_messages.Hello | None:
         """The newest hello that a peer gave."""
-        return self._hellos.get(peer)
+        return self._peers.hellos.get(peer)
 
     def on_hello(self, listener: Callable[[link_messages.Hello], None]) -> None:
         """Calls back for each link that opens."""
@@ -231,13 +229,10 @@
         """Says goodbye on every link and ends all tasks."""
         if self._listener is not None:
             await self._listener.close()
-        for known in self._peers.values():
+        for known in self._peers:
             for link in list(known.links):
                 link.close(_farewell(_Goodbye.STOPPING))
-        tasks = tuple(self._running)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._running.stop()
 
     async def _ask(
         self, peer: str, message: messages.Message, timeout_ms: float
@@ -246,7 +241,7 @@
             return await self._handlers.ask_myself(message, timeout_ms)
         until_ms = self._clock.now_ms() + timeout_ms
         unreachable = network.PeerError(network.PeerFault.UNREACHABLE, peer)
-        known = self._known(peer)
+        known = self._peers.reachable(peer)
         if known is None:
             raise unreachable
         try:
@@ -272,28 +267,15 @@
         except OSError:
             return
 
-    def _known(self, name: str) -> peers.Peer | None:
-        """The peer of a name, made when its address is known."""
-        known = self._peers.get(name)
-        if known is not None and (known.links or name in self._addresses):
-            return known
-        if name not in self._addresses:
-            return None
-        return self._make(name)
-
     def _make(self, name: str) -> peers.Peer:
-        known = self._peers.get(name)
-        if known is None:
-            known = peers.Peer(
-                name,
-                self._instance,
-                self._clock,
-                self._timing,
-                dial=self._dial,
-                make_heartbeat=self._make_heartbeat,
-            )
-            self._peers[name] = known
-        return known
+        return peers.Peer(
+            name,
+            self._instance,
+            self._clock,
+            self._timing,
+            dial=self._dial,
+            make_heartbeat=self._make_heartbeat,
+        )
 
     def _make_heartbeat(self, hears_you: bool) -> link_messages.Heartbeat:
         return link_messages.Heartbeat(hears_you, self.facts_digest())
@@ -303,35 +285,18 @@
         if known.name in self._tended or not known.is_needed:
             return
         self._tended.add(known.name)
-        self._spawn(self._tend_on(known))
+        self._running.spawn(self._tend_on(known))
 
     async def _tend_on(self, known: peers.Peer) -> None:
         try:
             await known.run()
         finally:
             self._tended.discard(known.name)
-            self._forget(known)
-
-    def _forget(self, known: peers.Peer) -> None:
-        """Drops a peer that is neither needed nor known to exist."""
-        if not known.is_needed and known.name not in self._addresses:
-            self._peers.pop(known.name, None)
-            self._hellos.pop(known.name, None)
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.ensure_future(work)
-        self._running.add(task)
-        task.add_done_callback(self._on_done)
-
-    def _on_done(self, task: asyncio.Task[None]) -> None:
-        """Tells of a fault, which else would come up at some collection."""
-        self._running.discard(task)
-        if task.cancelled():
-            return
-        fault = task.exception()
-        if fault is not None:
-            self.counts.task_failures += 1
-            self._logger.error("peer_task_failed", exc_info=fault)
+            self._peers.forget(known)
+
+    def _on_fault(self, fault: BaseException) -> None:
+        self.counts.task_failures += 1
+        self._logger.error("peer_task_failed", exc_info=fault)
 
     async def _dial(self, name: str, is_standing: bool) -> links.Link:
         """Opens a link.
@@ -339,18 +304,18 @@
         Raises:
             OSError: There is none to be had, for whatever reason.
         """
-        address = self._addresses.get(name)
+        address = self._peers.addresses.get(name)
         if address is None:
             raise ConnectionRefusedError(name)
         opened = await self._opener.dial(name, address, is_standing=is_standing)
         link = self._make_link(opened)
-        self._spawn(self._run(link))
+        self._running.spawn(self._run(link))
         return link
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: streams.StreamWriter
     ) -> None:
-        self._spawn(self._greet(reader, writer))
+        self._running.spawn(self._greet(reader, writer))
 
     async def _greet(
         self, reader: asyncio.StreamReader, writer: streams.StreamWriter
@@ -362,7 +327,7 @@
         if self.should_stop or (is_new and len(self._peers) >= _MAX_PEERS):
             self._opener.refuse_busy(opened)
             return
-        self._spawn(self._run(self._make_link(opened)))
+        self._running.spawn(self._run(self._make_link(opened)))
 
     def _make_link(self, opened: openers.Opened) -> links.Link:
         link = links.Link(
@@ -380,24 +345,24 @@
         return link
 
     def _take_in(self, link: links.Link) -> None:
-        known = self._make(link.peer)
-        newest = self._hellos.get(link.peer)
+        known = self._peers.made(link.peer)
+        newest = self._peers.hellos.get(link.peer)
         if newest is not None and newest.incarnation < link.hello.incarnation:
             for old in list(known.links):
                 old.close(_farewell(_Goodbye.REPLACED))
-        self._hellos[link.peer] = link.hello
+        self._peers.hellos[link.peer] = link.hello
         known.add(link)
         self._tend(known)
         for listener in self._hello_listeners:
             listener(link.hello)
 
     async def _run(self, link: links.Link) -> None:
-        known = self._make(link.peer)
+        known = self._peers.made(link.peer)
         try:
             await link.run()
         finally:
             known.remove(link)
-            self._forget(known)
+            self._peers.forget(known)
         self._look_after(known, link)
 
     def _look_after(self, known: peers.Peer, link: links.Link) -> None:
--- /dev/null
+++ b/src/jujubewharf/peers/tasks.py
@@ -0,0 +1,45 @@
+"""Tasks that run until they end or their owner stops."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+
+
+class Tasks:
+    """Keeps running tasks, so that none is collected or outlives its owner.
+
+    Args:
+        on_fault: Told of an exception, which else would come up at some
+            collection.
+    """
+
+    def __init__(self, on_fault: Callable[[BaseException], None]) -> None:
+        self._on_fault = on_fault
+        self._running: set[asyncio.Task[None]] = set()
+
+    def __len__(self) -> int:
+        return len(self._running)
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Starts a task."""
+        task = asyncio.ensure_future(work)
+        self._running.add(task)
+        task.add_done_callback(self._on_done)
+
+    async def stop(self) -> None:
+        """Cancels all tasks and waits for their ends."""
+        tasks = tuple(self._running)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _on_done(self, task: asyncio.Task[None]) -> None:
+        self._running.discard(task)
+        if task.cancelled():
+            return
+        fault = task.exception()
+        if fault is not None:
+            self._on_fault(fault)
--- a/src/jujubewharf/standins/engine.py
+++ b/src/jujubewharf/standins/engine.py
@@ -12,8 +12,6 @@
 import asyncio
 import collections
 from collections.abc import AsyncIterator
-import dataclasses
-from typing import Protocol
 
 import numpy as np
 
@@ -21,70 +19,22 @@
 from jujubewharf import hashing
 from jujubewharf.engines import client
 from jujubewharf.engines import prefixes
+from jujubewharf.standins import engine_counts
 from jujubewharf.standins import engine_spec
 from jujubewharf.standins import generation as generations
 from jujubewharf.standins import link as links
 from jujubewharf.standins import load_history
+from jujubewharf.standins import prefill_results
 from jujubewharf.standins import prefix_cache
 from jujubewharf.standins import readings
+from jujubewharf.standins import slots
 from jujubewharf.standins import turns
 
 EngineSpec = engine_spec.EngineSpec
 answer_token = generations.answer_token
 answer_length = generations.answer_length
-
-
-class KvSource(Protocol):
-    """Where an engine pulls KV cache from."""
-
-    async def export_kv(self, attempt_id: str) -> int:
-        """Sends an attempt's prefill result and returns its bytes."""
-        ...
-
-
-@dataclasses.dataclass(slots=True)
-class _Slot:
-    attempt: client.Attempt
-    taken_at_ms: float
-    has_kv: bool = False
-    generation: generations.Generation | None = None
-
-
-@dataclasses.dataclass(slots=True)
-class _Prefilled:
-    attempt: client.Attempt
-    kv_bytes: int
-    done_at_ms: float
-    expires_at_ms: float
-    prompt_tokens: int
-    transfers: int = 0
-
-
-@dataclasses.dataclass(slots=True)
-class Counts:
-    """What an engine did, for checks after a run.
-
-    Attributes:
-        prefilled_tokens: Prompt tokens read.
-        used_prefill_tokens: Those whose result was used.
-        wasted_prefill_tokens: Those whose result died or was released.
-        decoded_tokens: Tokens written.
-        answers: Answers written to their end, by digest of the prompt.
-        dispatches: Answers begun, by attempt id.
-        cut_by_orders: Attempts that lost their memory to an order.
-    """
-
-    prefilled_tokens: int = 0
-    used_prefill_tokens: int = 0
-    wasted_prefill_tokens: int = 0
-    decoded_tokens: int = 0
-    answers: collections.Counter[str] = dataclasses.field(
-        default_factory=collections.Counter
-    )
-    dispatches: collections.Counter[str] = dataclasses.field(
-        default_factory=collections.Counter
-    )
-    cut_by_orders: int = 0
+Counts = engine_counts.Counts
+KvSource = links.KvSource
 
 
 class Engine:
@@ -127,8 +77,10 @@
         self.lose_answers: collections.Counter[str] = collections.Counter()
         self.lag_ms: collections.Counter[str] = collections.Counter()
         self._clock = clock
-        self._slots: dict[str, _Slot] = {}
-        self._prefilled: dict[str, _Prefilled] = {}
+        self._slots: dict[str, slots.Slot] = {}
+        self._prefilled = prefill_results.PrefillResults(
+            clock, self.counts, self.ledger
+        )
         self._prefills: dict[str, asyncio.Task[client.PrefillDone]] = {}
         self._running = 0
         self._queued_tokens = 0
@@ -153,7 +105,9 @@
             raise self._error(client.EngineFault.REFUSED_LEAVING)
         if len(self._slots) >= self.spec.slots:
             raise self._error(client.EngineFault.REFUSED_FULL)
-        self._slots[attempt.attempt_id] = _Slot(attempt, self._clock.now_ms())
+        self._slots[attempt.attempt_id] = slots.Slot(
+            attempt, self._clock.now_ms()
+        )
         self._note()
 
     async def prefill(
@@ -204,16 +158,10 @@
         prefilled = self._prefilled.get(attempt_id)
         if prefilled is None:
             raise self._error(client.EngineFault.KV_GONE)
-        prefilled.transfers += 1
-        try:
+        with self._prefilled.transfer_of(prefilled):
             await self.link.carry(prefilled.kv_bytes)
             self._check_alive()
-        finally:
-            prefilled.transfers -= 1
-            self._expire_if_due(prefilled)
-        if self._prefilled.pop(attempt_id, None) is not None:
-            self.counts.used_prefill_tokens += prefilled.prompt_tokens
-            self.ledger.settle(attempt_id, readings.Fate.SENT)
+        self._prefilled.note_sent(prefilled)
         return prefilled.kv_bytes
 
     async def decode(
@@ -247,10 +195,7 @@
         reading = self._prefills.pop(attempt_id, None)
         if reading is not None:
             reading.cancel()
-        prefilled = self._prefilled.pop(attempt_id, None)
-        if prefilled is not None:
-            self.counts.wasted_prefill_tokens += prefilled.prompt_tokens
-            self.ledger.settle(attempt_id, readings.Fate.RELEASED)
+        self._prefilled.release(attempt_id)
         slot = self._slots.get(attempt_id)
         if slot is None:
             return
@@ -258,9 +203,7 @@
         if is_running and not self.spec.capabilities.cancel:
             return
         self._free(attempt_id)
-        if slot.generation is not None and slot.generation.task is not None:
-            slot.generation.task.cancel()
-            await slot.generation.lose()
+        await slot.break_off()
 
     async def load(self) -> client.LoadReport:
         """The load some while ago; see ``client.EngineClient``."""
@@ -325,10 +268,7 @@
         """New weights or another role leave no request its memory."""
         self.counts.cut_by_orders += len(self._slots)
         for slot in list(self._slots.values()):
-            if slot.generation is not None:
-                if slot.generation.task is not None:
-                    slot.generation.task.cancel()
-                await slot.generation.lose()
+            await slot.break_off()
         self._slots.clear()
 
     async def fetch_weights(self) -> None:
@@ -341,16 +281,9 @@
         for reading in self._prefills.values():
             reading.cancel()
         for slot in list(self._slots.values()):
-            if slot.generation is not None:
-                if slot.generation.task is not None:
-                    slot.generation.task.cancel()
-                await slot.generation.lose()
-        for prefilled in self._prefilled.values():
-            self.counts.wasted_prefill_tokens += prefilled.prompt_tokens
-            attempt_id = prefilled.attempt.attempt_id
-            self.ledger.settle(attempt_id, readings.Fate.ENGINE_DIED)
+            await slot.break_off()
+        self._prefilled.lose_all()
         self._prefills.clear()
-        self._prefilled.clear()
         self._slots.clear()
         self._running = 0
         self.cache.clear()
@@ -379,48 +312,29 @@
             self._note()
         self.cache.store(job.prompt)
         self.counts.prefilled_tokens += tokens
-        now_ms = self._clock.now_ms()
         kv_bytes = tokens * self.spec.kv_bytes_per_token
-        expires_at_ms = now_ms + self.spec.prefill_survives_ms
-        prefilled = _Prefilled(attempt, kv_bytes, now_ms, expires_at_ms, tokens)
-        self._prefilled[attempt.attempt_id] = prefilled
-        asyncio.create_task(self._expire(prefilled))
-        return client.PrefillDone(
-            tokens, cached, kv_bytes, self.spec.prefill_survives_ms
+        survives_ms = self.spec.prefill_survives_ms
+        self._prefilled.add(
+            prefill_results.PrefillResult(
+                attempt.attempt_id,
+                kv_bytes,
+                self._clock.now_ms() + survives_ms,
+                tokens,
+            )
         )
+        return client.PrefillDone(tokens, cached, kv_bytes, survives_ms)
 
     async def _read(self, attempt_id: str, tokens: int) -> None:
-        began_ms = self._clock.now_ms()
-        reading = self.ledger.begin(attempt_id, began_ms)
-        try:
-            await self._clock.sleep_ms(tokens * self.spec.prefill_ms_per_token)
-        except asyncio.CancelledError:
-            spent_ms = self._clock.now_ms() - began_ms
-            done = int(spent_ms / self.spec.prefill_ms_per_token)
-            reading.tokens = min(tokens, done)
-            reading.fate = (
-                readings.Fate.ENGINE_DIED
-                if self.is_dead
-                else readings.Fate.CUT_SHORT
-            )
-            raise
-        reading.tokens = tokens
-
-    async def _expire(self, prefilled: _Prefilled) -> None:
-        await self._clock.sleep_until_ms(prefilled.expires_at_ms)
-        self._expire_if_due(prefilled)
-
-    def _expire_if_due(self, prefilled: _Prefilled) -> None:
-        """Forgets a result that is due, but not under a running transfer."""
-        is_due = self._clock.now_ms() >= prefilled.expires_at_ms
-        attempt_id = prefilled.attempt.attempt_id
-        is_kept = self._prefilled.get(attempt_id) is prefilled
-        if is_kept and is_due and not prefilled.transfers:
-            del self._prefilled[attempt_id]
-            self.counts.wasted_prefill_tokens += prefilled.prompt_tokens
-            self.ledger.settle(attempt_id, readings.Fate.EXPIRED)
-
-    async def _generate(self, slot: _Slot, job: client.DecodeJob) -> None:
+        await readings.read(
+            self.ledger,
+            self._clock,
+            attempt_id,
+            tokens,
+            ms_per_token=self.spec.prefill_ms_per_token,
+            is_dead=lambda: self.is_dead,
+        )
+
+    async def _generate(self, slot: slots.Slot, job: client.DecodeJob) -> None:
         generation = slot.generation
         assert generation is not None
         length = answer_length(job.prompt, job.max_tokens)
--- a/src/jujubewharf/standins/link.py
+++ b/src/jujubewharf/standins/link.py
@@ -2,11 +2,21 @@
 
 from __future__ import annotations
 
+from typing import Protocol
+
 from jujubewharf import clock as clocks
 
 MS_PER_S = clocks.MS_PER_S
 
 
+class KvSource(Protocol):
+    """Where an engine pulls KV cache from."""
+
+    async def export_kv(self, attempt_id: str) -> int:
+        """Sends an attempt's prefill result and returns its bytes."""
+        ...
+
+
 class Link:
     """One engine's link.
 
--- a/src/jujubewharf/standins/readings.py
+++ b/src/jujubewharf/standins/readings.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Callable
 import dataclasses
 import enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from jujubewharf import clock as clocks
 
 
 class Fate(enum.Enum):
@@ -67,3 +73,34 @@
     def write(self, attempt_id: str, tokens: int) -> None:
         """Notes tokens written for an attempt."""
         self.written[attempt_id] = self.written.get(attempt_id, 0) + tokens
+
+
+async def read(
+    ledger: Ledger,
+    clock: clocks.Clock,
+    attempt_id: str,
+    tokens: int,
+    *,
+    ms_per_token: float,
+    is_dead: Callable[[], bool],
+) -> None:
+    """Reads a prompt, which takes its time, and notes how far it came.
+
+    Args:
+        ledger: Where it is noted.
+        clock: Time.
+        attempt_id: Whose prompt it is.
+        tokens: Tokens to read.
+        ms_per_token: Time for each.
+        is_dead: Whether the engine died, asked when the reading is cut short.
+    """
+    began_ms = clock.now_ms()
+    reading = ledger.begin(attempt_id, began_ms)
+    try:
+        await clock.sleep_ms(tokens * ms_per_token)
+    except asyncio.CancelledError:
+        done = int((clock.now_ms() - began_ms) / ms_per_token)
+        reading.tokens = min(tokens, done)
+        reading.fate = Fate.ENGINE_DIED if is_dead() else Fate.CUT_SHORT
+        raise
+    reading.tokens = tokens
