Name the core's module in callers/services.py

Cause: this module came to main while the core was moved; mypy failed on it once both were merged. Change: its import for types. Result: mypy passes.

--- a/src/jujubewharf/callers/services.py
+++ b/src/jujubewharf/callers/services.py
@@ -8,11 +8,11 @@
 from jujubewharf.configuration import resources
 
 if TYPE_CHECKING:
-    from jujubewharf import entry
+    from jujubewharf import core as cores
 
 
 def find(
-    core: entry.EntryCore, name: str, kind: resources.ServiceKind
+    core: cores.EntryCore, name: str, kind: resources.ServiceKind
 ) -> resources.Service:
     """The service of a name.
 
