Standard terms: admission state and load digests

Cause: the shutdown's Door and the keepers' News were words of our own, which a newcomer has to look up. Change: AdmissionState with is_ready, is_accepting and admitted(); EngineDigest and LoadDigest.

--- a/src/jujubewharf/callers/readiness.py
+++ b/src/jujubewharf/callers/readiness.py
@@ -24,18 +24,20 @@
 
     Args:
         caught_up: Set once the configuration was read to its end.
-        door: Closed by a shutdown.
+        admission: Closed by a shutdown.
     """
 
-    def __init__(self, caught_up: _Event, door: shutdown.Door) -> None:
+    def __init__(
+        self, caught_up: _Event, admission: shutdown.AdmissionState
+    ) -> None:
         self._caught_up = caught_up
-        self._door = door
+        self._admission = admission
 
     @property
     def is_ready(self) -> bool:
         """What ``/readyz`` says."""
-        is_listed = self._door.is_listed and self._door.is_open
-        return is_listed and self._caught_up.is_set()
+        is_serving = self._admission.is_ready and self._admission.is_accepting
+        return is_serving and self._caught_up.is_set()
 
     def check(self) -> None:
         """Refuses a new request unless this instance takes traffic.
@@ -43,7 +45,7 @@
         Raises:
             WharfError: ``NOT_READY`` or ``SHUTTING_DOWN``.
         """
-        self._door.check()
+        self._admission.check()
         if not self._caught_up.is_set():
             kind = errors.ErrorKind.NOT_READY
             raise errors.WharfError(kind, retry_after_ms=_RETRY_AFTER_MS)
--- a/src/jujubewharf/core.py
+++ b/src/jujubewharf/core.py
@@ -91,7 +91,7 @@
         changes: Takes operators' changes.
         fleet: Views of the engines.
         departures: Endpoints that somebody says are leaving.
-        door: Counts requests in flight; closed by a shutdown.
+        admission: Counts requests in flight; closed by a shutdown.
         leases: Leases on the log.
         orders: Orders to engines.
         operators: Answers operators.
@@ -172,7 +172,7 @@
             clock,
         )
         self.fleet.withheld = self._is_withheld
-        self.door = shutdown.Door()
+        self.admission = shutdown.AdmissionState()
         if policy is None:
             seed = zlib.crc32(settings.instance.encode())
             rng = random.Random(seed)
@@ -264,7 +264,7 @@
     def new_shutdown(self) -> shutdown.Shutdown:
         """A graceful shutdown of this instance; the caller runs it."""
         return shutdown.Shutdown(
-            self.door,
+            self.admission,
             lambda: self.answers.running,
             self._hand_over,
             self.clock,
@@ -299,7 +299,7 @@
         )
         try:
             async with (
-                self.door.inside(),
+                self.admission.admitted(),
                 self.model_limits.admitted(
                     request.account,
                     request.service,
@@ -326,7 +326,7 @@
     ) -> AsyncIterator[endpoint_client.PlainReply]:
         """Calls a plain service; see ``plain_replies.PlainReplies.run``."""
         async with (
-            self.door.inside(),
+            self.admission.admitted(),
             self.plain_limits.admitted(
                 request.account,
                 request.service,
--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -74,7 +74,7 @@
                 looked_around.LookedAround(
                     self.core.configuration, self.core.fleet, self._clock
                 ),
-                self.core.door,
+                self.core.admission,
             ),
         )
         self.operators = operator_server.OperatorServer(
--- a/src/jujubewharf/leaving/shutdown.py
+++ b/src/jujubewharf/leaving/shutdown.py
@@ -23,32 +23,32 @@
 _RETRY_AFTER_MS = 1_000.0
 
 
-class Door:
-    """Counts the requests inside and closes for new ones.
+class AdmissionState:
+    """Whether the instance takes requests, and how many it has.
 
     Attributes:
-        is_listed: False asks the balancer to send no more.
-        is_open: False refuses new requests.
-        in_flight: Requests inside.
+        is_ready: False asks the balancer to send no more.
+        is_accepting: False refuses new requests.
+        in_flight: Requests that were admitted and have not ended.
     """
 
     def __init__(self) -> None:
-        self.is_listed = True
-        self.is_open = True
+        self.is_ready = True
+        self.is_accepting = True
         self.in_flight = 0
 
     def check(self) -> None:
-        """Refuses a new request once the door is closed.
+        """Refuses a new request while the instance shuts down.
 
         Raises:
             WharfError: ``SHUTTING_DOWN``; nothing ran.
         """
-        if not self.is_open:
+        if not self.is_accepting:
             kind = errors.ErrorKind.SHUTTING_DOWN
             raise errors.WharfError(kind, retry_after_ms=_RETRY_AFTER_MS)
 
     @contextlib.asynccontextmanager
-    async def inside(self) -> AsyncIterator[None]:
+    async def admitted(self) -> AsyncIterator[None]:
         """Counts a request for the block.
 
         Raises:
@@ -80,7 +80,7 @@
     """Empties one instance.
 
     Args:
-        door: Where requests come in.
+        admission: Where requests come in.
         running: Answers being written here, also for other instances.
         hand_over: Gives roles and records to others.
         clock: Time.
@@ -90,7 +90,7 @@
 
     def __init__(
         self,
-        door: Door,
+        admission: AdmissionState,
         running: Callable[[], int],
         hand_over: Callable[[], None],
         clock: clocks.Clock,
@@ -98,7 +98,7 @@
         grace_ms: float,
         drain_ms: float,
     ) -> None:
-        self._door = door
+        self._admission = admission
         self._running = running
         self._hand_over = hand_over
         self._clock = clock
@@ -116,10 +116,10 @@
         began_ms = self._clock.now_ms()
         until_ms = began_ms + self._drain_ms
         self._logger.info("shutdown_began", in_flight=self._busy())
-        self._door.is_listed = False
+        self._admission.is_ready = False
         self._hand_over()
         await self._wait_until_ms(min(began_ms + self._grace_ms, until_ms))
-        self._door.is_open = False
+        self._admission.is_accepting = False
         while self._busy() and self._clock.now_ms() < until_ms:
             if self._hastened.is_set():
                 break
@@ -130,7 +130,7 @@
         return summary
 
     def _busy(self) -> int:
-        return max(self._door.in_flight, self._running())
+        return max(self._admission.in_flight, self._running())
 
     async def _wait_until_ms(self, at_ms: float) -> None:
         left_ms = at_ms - self._clock.now_ms()
--- a/src/jujubewharf/peers/slot_messages.py
+++ b/src/jujubewharf/peers/slot_messages.py
@@ -12,7 +12,7 @@
 from jujubewharf.peers import messages
 
 
-class EngineNews(NamedTuple):
+class EngineDigest(NamedTuple):
     """What a keeper says of one engine; a tuple, to be short on the wire.
 
     Attributes:
@@ -75,7 +75,7 @@
         until_in_ms: When the grant lapses unless the slot was taken.
         wait_ms: Without a grant, when to come back.
         is_hopeless: The grant can't come in time at this engine.
-        news: Of engines that this keeper keeps.
+        digest: Of engines that this keeper keeps.
     """
 
     is_granted: bool
@@ -83,7 +83,7 @@
     until_in_ms: int = 0
     wait_ms: int = 0
     is_hopeless: bool = False
-    news: tuple[EngineNews, ...] = ()
+    digest: tuple[EngineDigest, ...] = ()
 
 
 @messages.message(42)
@@ -118,13 +118,13 @@
 
 @messages.message(44)
 @dataclasses.dataclass(frozen=True, slots=True)
-class LoadNews(messages.Message):
+class LoadDigest(messages.Message):
     """Tells others of the engines that the sender keeps.
 
     It also answers ``ReadAsk``, with the queue ahead of that prompt.
     """
 
-    news: tuple[EngineNews, ...]
+    digest: tuple[EngineDigest, ...]
 
 
 @messages.message(45)
--- a/src/jujubewharf/routing/fleet.py
+++ b/src/jujubewharf/routing/fleet.py
@@ -21,7 +21,7 @@
 
 _POLL_MS = 250.0
 _POLL_TIMEOUT_MS = 1_000.0
-_NEWS_LAST_MS = 10_000.0
+_DIGEST_LASTS_MS = 10_000.0
 _LEAVING_MS = 3_000.0
 _DEFAULT_KV_BYTES_PER_TOKEN = resources.Model("").kv_bytes_per_token
 
@@ -39,9 +39,9 @@
         own_slots: Slots that this instance's requests hold there.
         own_prefill_tokens: Prompt tokens this instance has sent there.
         leaving_until_ms: Until when somebody's word that it leaves counts.
-        news: What its keeper said last.
-        news_ms: When that came; ``None`` before the first.
-        asked_since_news: Slots asked for here since then.
+        digest: What its keeper said last.
+        digest_ms: When that came; ``None`` before the first.
+        asked_since_digest: Slots asked for here since then.
         breaker: Keeps work away while calls fail.
         withheld: Tells whether new work is kept from an engine for now.
     """
@@ -54,9 +54,9 @@
     own_slots: int = 0
     own_prefill_tokens: int = 0
     leaving_until_ms: float = -math.inf
-    news: slot_messages.EngineNews | None = None
-    news_ms: float | None = None
-    asked_since_news: int = 0
+    digest: slot_messages.EngineDigest | None = None
+    digest_ms: float | None = None
+    asked_since_digest: int = 0
     withheld: Withheld = lambda name: False
     breaker: breakers.Breaker = dataclasses.field(init=False)
 
@@ -84,21 +84,21 @@
             return False
         if self.report is not None:
             return not self.report.is_leaving
-        return self.news is not None and self.news.is_usable
+        return self.digest is not None and self.digest.is_usable
 
     @property
-    def has_news(self) -> bool:
+    def has_digest(self) -> bool:
         """Whether its keeper was heard from lately."""
-        if self.news_ms is None:
+        if self.digest_ms is None:
             return False
-        return self.clock.now_ms() - self.news_ms < _NEWS_LAST_MS
+        return self.clock.now_ms() - self.digest_ms < _DIGEST_LASTS_MS
 
     @property
     def step_ms(self) -> float:
-        """Time between tokens, by report or news."""
+        """Time between tokens, by report or digest."""
         if self.report is not None:
             return self.report.step_ms
-        return float(self.news.step_ms) if self.news is not None else 0.0
+        return float(self.digest.step_ms) if self.digest is not None else 0.0
 
     @property
     def slots(self) -> int:
@@ -116,11 +116,13 @@
                 self.leaving_until_ms, now_ms + _LEAVING_MS
             )
 
-    def take_news(self, news: slot_messages.EngineNews, now_ms: float) -> None:
+    def take_digest(
+        self, digest: slot_messages.EngineDigest, now_ms: float
+    ) -> None:
         """Takes over what its keeper says."""
-        self.news = news
-        self.news_ms = now_ms
-        self.asked_since_news = 0
+        self.digest = digest
+        self.digest_ms = now_ms
+        self.asked_since_digest = 0
 
 
 class Fleet(mode.Service):
@@ -259,7 +261,7 @@
         """Engines to poll; what was known of the others is forgotten."""
         polled = []
         for view in self.all_views():
-            if self.polls(view) or not view.has_news:
+            if self.polls(view) or not view.has_digest:
                 polled.append(view)
             else:
                 view.report = view.heard_ms = None
--- a/src/jujubewharf/routing/keeping.py
+++ b/src/jujubewharf/routing/keeping.py
@@ -23,14 +23,14 @@
 _SERVE_EVERY_MS = 20.0
 _IDLE_MS = 1_000.0
 _MAX_LINE = 512
-_NEWS_BYTES_PER_S = 1_000.0
-_NEWS_BYTES = 40.0
-_NEWS_WITH_ANSWER = 4
+_DIGEST_BYTES_PER_S = 1_000.0
+_DIGEST_BYTES = 40.0
+_DIGEST_WITH_ANSWER = 4
 _EVENT_BYTES = 64.0
 _EVENT_BYTES_PER_S = 400.0
 _EVENTS_EVERY_MS = 2_000.0
 _EVENTS_TIMEOUT_MS = 1_000.0
-_NEWS_AT_MOST_EVERY_MS = 500.0
+_DIGEST_AT_MOST_EVERY_MS = 500.0
 
 
 class _Outcome(enum.Enum):
@@ -77,7 +77,7 @@
         self._hold_times: dict[str, hold_times.HoldTimes] = {}
         self._present: frozenset[str] = frozenset()
         self._reads: dict[str, read_ledger.ReadLedger] = {}
-        self._news_turns: collections.deque[str] = collections.deque()
+        self._digest_turns: collections.deque[str] = collections.deque()
         self._keepers = keepers.Keepers(members)
         peers.handle(slot_messages.SlotAsk, self.on_ask)
         peers.handle(slot_messages.SlotEnd, self.on_end)
@@ -93,18 +93,20 @@
     def _kept(self) -> list[fleets.EngineView]:
         return [v for v in self._fleet.all_views() if self.is_keeper(v)]
 
-    def _news(self, engine: str) -> tuple[slot_messages.EngineNews, ...]:
-        """News for an answer: of the engine asked for, and of a few others.
+    def _digest(self, engine: str) -> tuple[slot_messages.EngineDigest, ...]:
+        """Digests for an answer: of the engine asked for, and of a few others.
 
         All that are kept here would make answers grow with the fleet.
         """
         views = [self._fleet.view(engine)]
-        count = min(_NEWS_WITH_ANSWER, len(self._news_turns))
+        count = min(_DIGEST_WITH_ANSWER, len(self._digest_turns))
         for _ in range(count):
-            self._news_turns.rotate(-1)
-            if self._news_turns[0] != engine:
-                views.append(self._fleet.view(self._news_turns[0]))
-        return tuple(self._news_of(view) for view in views if view is not None)
+            self._digest_turns.rotate(-1)
+            if self._digest_turns[0] != engine:
+                views.append(self._fleet.view(self._digest_turns[0]))
+        return tuple(
+            self._digest_of(view) for view in views if view is not None
+        )
 
     async def on_ask(
         self, peer: str, ask: slot_messages.SlotAsk
@@ -128,7 +130,7 @@
             True,
             from_in_ms=0 if ask.is_ready else ask.ready_in_ms,
             until_in_ms=ask.ready_in_ms + slot_ledger.PROMISE_LASTS_MS,
-            news=self._news(ask.engine),
+            digest=self._digest(ask.engine),
         )
 
     async def on_end(self, peer: str, end: slot_messages.SlotEnd) -> None:
@@ -154,9 +156,9 @@
 
     async def on_read(
         self, peer: str, ask: slot_messages.ReadAsk
-    ) -> slot_messages.LoadNews:
+    ) -> slot_messages.LoadDigest:
         """Notes a prompt about to be sent, and tells what is ahead of it."""
-        news = self._news(ask.engine)
+        digest = self._digest(ask.engine)
         now_ms = self._clock.now_ms()
         reads = self._reads.get(ask.engine)
         if reads is None:
@@ -164,7 +166,7 @@
         holder = slot_ledger.Holder(peer, ask.number)
         transfer_ms = self._transfer_ms(ask.engine, ask.tokens)
         reads.begin(holder, ask.tokens, transfer_ms, now_ms)
-        return slot_messages.LoadNews(news)
+        return slot_messages.LoadDigest(digest)
 
     async def on_read_end(self, peer: str, end: slot_messages.ReadEnd) -> None:
         """Notes that a prompt was read, or won't be."""
@@ -235,7 +237,7 @@
             False,
             wait_ms=round(wait_ms),
             is_hopeless=is_hopeless,
-            news=self._news(engine),
+            digest=self._digest(engine),
         )
 
     def _line_of(self, view: fleets.EngineView, hold_ms: int) -> _Line:
@@ -261,7 +263,7 @@
                 view.report.slots_total, view.report.slots_used
             )
 
-    def _news_of(self, view: fleets.EngineView) -> slot_messages.EngineNews:
+    def _digest_of(self, view: fleets.EngineView) -> slot_messages.EngineDigest:
         report = view.report
         line = self._lines.get(view.endpoint.name)
         if line is None:
@@ -269,7 +271,7 @@
             free, wait_ms = view.endpoint.slots - used, 0.0
         else:
             free, wait_ms = line.ledger.balance, line.ledger.wait_ms()
-        return slot_messages.EngineNews(
+        return slot_messages.EngineDigest(
             view.endpoint.name,
             free,
             round(wait_ms),
@@ -371,14 +373,16 @@
         while not self.should_stop:
             others = sorted(self._present - {self._peers.instance})
             kept = self._kept()
-            self._news_turns = collections.deque(v.endpoint.name for v in kept)
-            news = tuple(self._news_of(view) for view in kept)
-            size_bytes = _NEWS_BYTES * (1 + len(news)) * max(1, len(others))
-            pause_ms = size_bytes / _NEWS_BYTES_PER_S * clocks.MS_PER_S
-            await self._clock.sleep_ms(max(pause_ms, _NEWS_AT_MOST_EVERY_MS))
-            if news:
+            self._digest_turns = collections.deque(
+                v.endpoint.name for v in kept
+            )
+            digest = tuple(self._digest_of(view) for view in kept)
+            size_bytes = _DIGEST_BYTES * (1 + len(digest)) * max(1, len(others))
+            pause_ms = size_bytes / _DIGEST_BYTES_PER_S * clocks.MS_PER_S
+            await self._clock.sleep_ms(max(pause_ms, _DIGEST_AT_MOST_EVERY_MS))
+            if digest:
                 for other in others:
-                    self._peers.tell(other, slot_messages.LoadNews(news))
+                    self._peers.tell(other, slot_messages.LoadDigest(digest))
 
 
 def _wish(
--- a/src/jujubewharf/routing/product.py
+++ b/src/jujubewharf/routing/product.py
@@ -228,9 +228,9 @@
 
     def _kv_ms(self, view: fleets.EngineView, job: jobs.Job) -> float:
         """Expected time until the KV cache can leave over the link."""
-        link_ms = view.news.link_ms if view.news is not None else 0.0
-        if view.news_ms is not None:
-            link_ms -= self._clock.now_ms() - view.news_ms
+        link_ms = view.digest.link_ms if view.digest is not None else 0.0
+        if view.digest_ms is not None:
+            link_ms -= self._clock.now_ms() - view.digest_ms
         return max(self._read_ms(view, job), link_ms)
 
     def _read_ms(self, view: fleets.EngineView, job: jobs.Job) -> float:
@@ -315,14 +315,14 @@
         )
 
     def _wait_ms(self, job: jobs.Job, view: fleets.EngineView) -> float:
-        """Expected wait by the keeper's news and own asks since."""
-        if view.news is None:
+        """Expected wait by the keeper's digest and own asks since."""
+        if view.digest is None:
             return 0.0
-        ahead = view.asked_since_news - max(0, view.news.free)
+        ahead = view.asked_since_digest - max(0, view.digest.free)
         if ahead < 0:
             return 0.0
         slot_ms = self._hold_times_of(job).mean_ms / max(1, view.slots)
-        return view.news.wait_ms + ahead * slot_ms
+        return view.digest.wait_ms + ahead * slot_ms
 
     def _rank(self, plan: plans_lib.Plan) -> tuple[float, float, float]:
         total_ms = plan.wait_ms + plan.first_ms
@@ -332,8 +332,8 @@
         return (plan.first_ms, -room, self._rng.random())
 
     def _room(self, view: fleets.EngineView) -> float:
-        if view.news is not None:
-            room = float(view.news.free - view.asked_since_news)
+        if view.digest is not None:
+            room = float(view.digest.free - view.asked_since_digest)
         elif view.report is not None:
             room = float(view.slots - view.report.slots_used - view.own_slots)
         else:
--- a/src/jujubewharf/routing/reading.py
+++ b/src/jujubewharf/routing/reading.py
@@ -105,8 +105,12 @@
 
 def _last_word(view: fleets.EngineView) -> tuple[int, float]:
     """Queued tokens by the keeper or else by report, and when it came."""
-    if view.has_news and view.news is not None and view.news_ms is not None:
-        return view.news.queued_tokens, view.news_ms
+    if (
+        view.has_digest
+        and view.digest is not None
+        and view.digest_ms is not None
+    ):
+        return view.digest.queued_tokens, view.digest_ms
     if view.report is not None and view.heard_ms is not None:
         return view.report.prefill_queued_tokens, view.heard_ms
     return 0, 0.0
--- a/src/jujubewharf/routing/slots.py
+++ b/src/jujubewharf/routing/slots.py
@@ -51,7 +51,7 @@
         self._silent_until_ms: dict[str, float] = {}
         self._keepers: dict[str, str | None] = {}
         self._all_keepers = keepers.Keepers(surroundings.members)
-        self._peers.handle(slot_messages.LoadNews, self._on_news)
+        self._peers.handle(slot_messages.LoadDigest, self._on_digest)
         self._members.listen(self._on_members)
 
     def granted_engine(self, number: int) -> str | None:
@@ -70,7 +70,7 @@
         which judges by the engine's reports; the engine has the last word.
         """
         keeper = self._keeper_of(view)
-        view.asked_since_news += 1
+        view.asked_since_digest += 1
         grant = _Grant(keeper, self._clock.now_ms(), ask.is_ready)
         grants = self._grants.setdefault(ask.number, {})
         grants[ask.engine] = grant
@@ -87,7 +87,7 @@
         counters.asked(
             is_granted=answer.is_granted, is_hopeless=answer.is_hopeless
         )
-        self._take_news(answer.news)
+        self._take_digest(answer.digest)
         grant.since_ms = self._clock.now_ms()
         grant.is_granted = answer.is_granted
         if not answer.is_granted and grants.get(ask.engine) is grant:
@@ -103,13 +103,13 @@
         self._reads[number] = (view.endpoint.name, keeper)
         ask = slot_messages.ReadAsk(view.endpoint.name, number, tokens)
         try:
-            news = await self._peers.ask(
+            digest = await self._peers.ask(
                 keeper, ask, timeout_ms=_READ_ANSWER_MS
             )
         except network.PeerError:
             return
-        if isinstance(news, slot_messages.LoadNews):
-            self._take_news(news.news)
+        if isinstance(digest, slot_messages.LoadDigest):
+            self._take_digest(digest.digest)
 
     def read_engine(self, number: int) -> str | None:
         """The engine whose keeper was told of a request's prompt."""
@@ -159,15 +159,19 @@
             return answer
         return None
 
-    def _take_news(self, news: tuple[slot_messages.EngineNews, ...]) -> None:
+    def _take_digest(
+        self, digest: tuple[slot_messages.EngineDigest, ...]
+    ) -> None:
         now_ms = self._clock.now_ms()
-        for one in news:
+        for one in digest:
             view = self._fleet.view(one.engine)
             if view is not None:
-                view.take_news(one, now_ms)
+                view.take_digest(one, now_ms)
 
-    async def _on_news(self, peer: str, news: slot_messages.LoadNews) -> None:
-        self._take_news(news.news)
+    async def _on_digest(
+        self, peer: str, digest: slot_messages.LoadDigest
+    ) -> None:
+        self._take_digest(digest.digest)
 
     def _on_members(self) -> None:
         """Tells new keepers what this instance holds at their engines."""
--- a/tests/callers/test_edge.py
+++ b/tests/callers/test_edge.py
@@ -271,8 +271,8 @@
 
 async def test_readiness_is_told_to_the_balancer_and_to_callers():
     async with loopback.deployed() as deployment:
-        door = deployment.entry.core.door
-        door.is_listed = False
+        admission = deployment.entry.core.admission
+        admission.is_ready = False
         async with deployment.session.get(
             deployment.base + "/readyz"
         ) as answer:
@@ -281,7 +281,7 @@
             deployment.base + PATH, data=_body()
         ) as answer:
             assert answer.status == 200
-        door.is_open = False
+        admission.is_accepting = False
         async with deployment.session.post(
             deployment.base + PATH, data=_body()
         ) as answer:
--- a/tests/scenarios/test_shutdown.py
+++ b/tests/scenarios/test_shutdown.py
@@ -59,7 +59,7 @@
         return [
             name
             for name, instance in sorted(self.bench.instances.items())
-            if not instance.process.is_dead and instance.core.door.is_listed
+            if not instance.process.is_dead and instance.core.admission.is_ready
         ]
 
     async def ask(self, name: str, tokens: int) -> model_request.Event | None:
