--- a/tests/soak.py
+++ b/tests/soak.py
@@ -24,6 +24,7 @@
 from jujubewharf.experiments import processes
 from jujubewharf.experiments import virtual_time
 from jujubewharf.requests import model_request
+from tests import soak_records
 from tests.requests import deployments
 
 INSTANCES = {"e1": "a", "e2": "b", "e3": "c", "e4": "a"}
@@ -34,55 +35,6 @@
 _MAX_TRIES = 30
 
 
-@dataclasses.dataclass
-class Intent:
-    """What one caller wants, whatever it takes.
-
-    Attributes:
-        key: Its idempotency key; ``None`` lets the instance mint one.
-        tokens: Length of the answer.
-        words: Length of the prompt.
-        is_repeatable: Whether it may run more than once.
-        submissions: Each time it was sent.
-    """
-
-    key: str | None
-    tokens: int
-    words: int
-    is_repeatable: bool
-    submissions: list[Submission] = dataclasses.field(default_factory=list)
-
-
-@dataclasses.dataclass
-class Submission:
-    """One sending of a request and all that came back."""
-
-    request: model_request.ModelRequest
-    instance: str
-    events: list[model_request.Event] = dataclasses.field(default_factory=list)
-    is_over: bool = False
-
-    @property
-    def end(self):
-        """The last event, if it is an end."""
-        last = self.events[-1] if self.events else None
-        return None if isinstance(last, model_request.Tokens) else last
-
-
-@dataclasses.dataclass
-class Report:
-    """What one run did and what was wrong."""
-
-    seed: int
-    violations: list[str] = dataclasses.field(default_factory=list)
-    faults: collections.Counter = dataclasses.field(
-        default_factory=collections.Counter
-    )
-    ends: collections.Counter = dataclasses.field(
-        default_factory=collections.Counter
-    )
-
-
 class Storm:
     """One run.
 
@@ -91,13 +43,13 @@
     """
 
     def __init__(self, seed: int) -> None:
-        self.report = Report(seed)
+        self.report = soak_records.Report(seed)
         self.rng = random.Random(seed)
         self.is_over = False
-        self.intents: list[Intent] = []
+        self.intents: list[soak_records.Intent] = []
         self.ids = 0
 
-    async def run(self) -> Report:
+    async def run(self) -> soak_records.Report:
         self.d = await deployments.Deployment(
             INSTANCES, prefillers=2, decoders=3, seed=self.report.seed
         ).start()
@@ -123,7 +75,7 @@
         rng = random.Random((self.report.seed << 8) + number)
         clock = self.d.clock
         is_keyed = rng.random() < 0.8
-        intent = Intent(
+        intent = soak_records.Intent(
             f"key-{number}" if is_keyed else None,
             rng.choice([1, 5, 20, 80, 200]),
             rng.choice([3, 100, 1_500]),
@@ -143,7 +95,9 @@
                 return
             await clock.sleep_ms(200 + rng.random() * 1_500)
 
-    async def _send(self, intent: Intent, rng: random.Random) -> None:
+    async def _send(
+        self, intent: soak_records.Intent, rng: random.Random
+    ) -> None:
         self.ids += 1
         name = rng.choice(sorted(INSTANCES))
         request_id = f"{name}~{self.ids:032x}"
@@ -159,7 +113,7 @@
             request_id=request_id,
             key=intent.key or request_id,
         )
-        sent = Submission(request, name)
+        sent = soak_records.Submission(request, name)
         intent.submissions.append(sent)
         patience_ms = rng.choice([50, 500, 3_000, 20_000])
         if self.is_over:
@@ -172,7 +126,9 @@
         await asyncio.gather(task, return_exceptions=True)
         sent.is_over = True
 
-    async def _read(self, intent: Intent, sent: Submission) -> None:
+    async def _read(
+        self, intent: soak_records.Intent, sent: soak_records.Submission
+    ) -> None:
         instance = self.d.bench.instances[sent.instance]
         try:
             async for event in instance.answer(sent.request):
@@ -181,7 +137,9 @@
         except processes.InstanceLostError:
             return
 
-    def _check_refusal(self, intent: Intent, sent: Submission) -> None:
+    def _check_refusal(
+        self, intent: soak_records.Intent, sent: soak_records.Submission
+    ) -> None:
         """A refused claim says "did not run" only if no sending did."""
         match sent.end:
             case model_request.Failed(
@@ -192,7 +150,7 @@
                 if any(dispatches[request_id] for request_id in ids):
                     self._wrong(f"{intent.key} had run, against a refusal")
 
-    def _is_settled(self, intent: Intent) -> bool:
+    def _is_settled(self, intent: soak_records.Intent) -> bool:
         """Whether the caller knows all that it ever will."""
         for sent in intent.submissions:
             match sent.end:
@@ -330,7 +288,7 @@
         return counts
 
     def _check_intent(
-        self, intent: Intent, dispatches: collections.Counter
+        self, intent: soak_records.Intent, dispatches: collections.Counter
     ) -> None:
         ids = [sent.request.request_id for sent in intent.submissions]
         ran = sum(dispatches[request_id] for request_id in ids)
@@ -344,7 +302,10 @@
             self._wrong(f"{name} never got an answer")
 
     def _check_submission(
-        self, sent: Submission, whole: str, dispatches: collections.Counter
+        self,
+        sent: soak_records.Submission,
+        whole: str,
+        dispatches: collections.Counter,
     ) -> None:
         request_id = sent.request.request_id
         text = deployments.text_of(sent.events)
@@ -373,7 +334,7 @@
     return isinstance(event, model_request.Tokens)
 
 
-def run_seed(seed: int) -> Report:
+def run_seed(seed: int) -> soak_records.Report:
     """One run."""
     return virtual_time.run(Storm(seed).run())
 
