Role orders: pools sized by what requests cost their engines

Cause: three of six engines only read prompts, though a prompt takes a fifth of the engine time of its answer; requests were refused for want of memory.

--- a/src/jujubewharf/forwarding/decisions.py
+++ b/src/jujubewharf/forwarding/decisions.py
@@ -28,6 +28,9 @@
 _FAULTS = _METER.create_counter(
     "forwarding.faults", description="Failed calls to engines, by fault."
 )
+_ORDERS = _METER.create_counter(
+    "forwarding.orders", description="Orders to engines, by outcome."
+)
 _HEAD_MS = _METER.create_histogram(
     "forwarding.first_answer",
     unit="ms",
@@ -60,6 +63,28 @@
     )
 
 
+def ordered(
+    engine: str,
+    *,
+    role: str,
+    fence: int,
+    outcome: str,
+    prefill_share: float,
+    registry_age_ms: float,
+) -> None:
+    """An engine was ordered to change its role."""
+    _ORDERS.add(1, {"outcome": outcome})
+    _logger.info(
+        "role_ordered",
+        engine=engine,
+        role=role,
+        fence=fence,
+        outcome=outcome,
+        prefill_share=round(prefill_share, 3),
+        registry_age_ms=round(registry_age_ms),
+    )
+
+
 def refused(
     request_id: str, error: errors.WharfError, *, route: str, held_ms: float
 ) -> None:
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -13,9 +13,11 @@
 from jujubewharf.configuration import resources
 from jujubewharf.forwarding import budget
 from jujubewharf.forwarding import calls
+from jujubewharf.forwarding import costs
 from jujubewharf.forwarding import decisions
 from jujubewharf.forwarding import follower
 from jujubewharf.forwarding import forwarder
+from jujubewharf.forwarding import ordering
 from jujubewharf.forwarding import placement
 from jujubewharf.forwarding import plain
 from jujubewharf.forwarding import pool
@@ -40,6 +42,8 @@
 # Share of the fleet's retries while the group can't be reached: small enough
 # for two dozen instances that are all cut off.
 _SHARE_ALONE = 1 / 24
+# Taken for an engine of a service that is no longer in force.
+_MEMORY_TOKENS = 80_000
 # The balancer asks each second and takes an instance out after two misses.
 _BALANCER_MS = 2_600.0
 # What is left of the time before SIGKILL for closing down.
@@ -126,8 +130,24 @@
         self.registry.listen(chooser.take_over)
         engines = pool.EnginePool(self._settings.domain, clock)
         self.registry.listen(engines.take_over)
+        work = costs.WorkCosts()
+        self._orders = ordering.RoleOrders(
+            self._settings.instance,
+            backends,
+            self.registry,
+            self.share,
+            work,
+            self._services,
+            clock,
+        )
         places = placement.Placement(
-            backends, self.registry, engines, clock, rng
+            backends,
+            self.registry,
+            engines,
+            work,
+            self._memory_tokens,
+            clock,
+            rng,
         )
         return forwarder.Forwarder(
             self.source,
@@ -135,7 +155,13 @@
                 backends, self.registry, chooser, self._budget, clock
             ),
             stream.StreamForwarder(
-                backends, self.registry, places, engines, self._budget, clock
+                backends,
+                self.registry,
+                places,
+                engines,
+                self._budget,
+                work,
+                clock,
             ),
             self._budget,
             clock,
@@ -147,6 +173,17 @@
         await self.add_runtime_dependency(self._configurations)
         await self.add_runtime_dependency(self._endpoints)
         await self.add_runtime_dependency(self.share)
+        await self.add_runtime_dependency(self._orders)
+
+    def _services(self) -> dict[str, routes.RoutedService]:
+        current = self.source.current
+        return {} if current is None else current.services
+
+    def _memory_tokens(self, service: str) -> int:
+        known = self._services().get(service)
+        if known is None or known.engine is None:
+            return _MEMORY_TOKENS
+        return known.engine.memory_tokens
 
     @property
     def is_ready(self) -> bool:
--- /dev/null
+++ b/src/jujubewharf/forwarding/ordering.py
@@ -0,0 +1,150 @@
+"""Orders engines into the roles that the plan wants, under a lease."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import dataclasses
+
+import mode
+
+from jujubewharf import clock as clocks
+from jujubewharf.engines import client
+from jujubewharf.forwarding import costs
+from jujubewharf.forwarding import decisions
+from jujubewharf.forwarding import ports
+from jujubewharf.forwarding import registry as registries
+from jujubewharf.forwarding import role_plan
+from jujubewharf.forwarding import routes
+from jujubewharf.forwarding import sharing
+
+_CHECK_MS = 500.0
+# An order without answer may be carried out this much later. Until then no
+# other one goes to that engine: the older one would undo it.
+_UNKNOWN_MS = 13_000.0
+# After an answered order: the change itself and the time until the engine's
+# new registration is read. Added to the change's own time.
+_SEEN_MS = 3_000.0
+# A refused order may be given again after this.
+_REFUSED_MS = 3_000.0
+# The plan must want a change this long: engines register one by one at a
+# start, and are missing for moments while the store is away.
+_SETTLED_MS = 1_500.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Pending:
+    """An order whose effect isn't seen yet."""
+
+    change: role_plan.Change
+    until_ms: float
+
+
+class RoleOrders(mode.Service):
+    """Gives orders while this instance holds the fleet's lease.
+
+    Args:
+        instance: Name of this instance.
+        backends: Calls engines.
+        registry: Tells the engines and their roles.
+        share: Holds the lease.
+        work: What requests cost.
+        services: The services in force.
+        clock: Time.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        backends: ports.Backends,
+        registry: registries.Registry,
+        share: sharing.FleetShare,
+        work: costs.WorkCosts,
+        services: Callable[[], dict[str, routes.RoutedService]],
+        clock: clocks.Clock,
+    ) -> None:
+        super().__init__()
+        self._instance = instance
+        self._backends = backends
+        self._registry = registry
+        self._share = share
+        self._work = work
+        self._services = services
+        self._clock = clock
+        self._pending: dict[str, _Pending] = {}
+        self._wanted_since_ms: dict[str, float] = {}
+
+    @mode.Service.task
+    async def _run(self) -> None:
+        while not self.should_stop:
+            await self._clock.sleep_ms(_CHECK_MS)
+            for service in list(self._services().values()):
+                if service.engine is not None:
+                    await self._check(service.name, service.engine)
+
+    async def _check(self, service: str, traits: routes.EngineTraits) -> None:
+        """Gives the orders that are due for one service."""
+        if self._share.fence is None or self._registry.is_away:
+            self._wanted_since_ms.pop(service, None)
+            return
+        self._settle()
+        changes = role_plan.changes(
+            self._registry.of_service(service),
+            prefill_share=self._work.prefill_share,
+        )
+        if not self._is_settled(service, bool(changes)):
+            return
+        busy = any(
+            p.change.engine.service == service for p in self._pending.values()
+        )
+        if busy:
+            # One step at a time: an engine that changes does no work.
+            return
+        for change in changes:
+            await self._order(change, traits)
+
+    def _settle(self) -> None:
+        """Forgets orders whose effect is seen or whose time is over."""
+        now_ms = self._clock.now_ms()
+        for name, pending in list(self._pending.items()):
+            engine = self._registry.get(name)
+            is_seen = engine is None or engine.role is pending.change.role
+            if is_seen or now_ms >= pending.until_ms:
+                del self._pending[name]
+
+    def _is_settled(self, service: str, is_wanted: bool) -> bool:
+        if not is_wanted:
+            self._wanted_since_ms.pop(service, None)
+            return False
+        now_ms = self._clock.now_ms()
+        since_ms = self._wanted_since_ms.setdefault(service, now_ms)
+        return now_ms - since_ms >= _SETTLED_MS
+
+    async def _order(
+        self, change: role_plan.Change, traits: routes.EngineTraits
+    ) -> None:
+        fence = self._share.fence
+        if fence is None:
+            # Looked up for each order: the one before may have taken seconds.
+            return
+        order = ports.RoleOrder(change.role, self._instance, fence)
+        lasts_ms = traits.role_switch_ms + _SEEN_MS
+        outcome = "accepted"
+        try:
+            await self._backends.order_role(change.engine, order)
+        except client.EngineError as error:
+            outcome = error.fault.value
+            lasts_ms = _REFUSED_MS
+            if error.fault is client.EngineFault.LOST:
+                lasts_ms = _UNKNOWN_MS
+            if error.fault is client.EngineFault.REFUSED_FENCE:
+                self._share.fenced(fence)
+        until_ms = self._clock.now_ms() + lasts_ms
+        self._pending[change.engine.name] = _Pending(change, until_ms)
+        decisions.ordered(
+            change.engine.name,
+            role=change.role.value,
+            fence=fence,
+            outcome=outcome,
+            prefill_share=self._work.prefill_share,
+            registry_age_ms=self._registry.age_ms,
+        )
--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 import random
 
@@ -16,6 +17,7 @@
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
 from jujubewharf.forwarding import calls
+from jujubewharf.forwarding import costs
 from jujubewharf.forwarding import decisions
 from jujubewharf.forwarding import pool as pools
 from jujubewharf.forwarding import ports
@@ -69,6 +71,8 @@
         backends: Calls engines.
         registry: Tells which engines take work.
         pool: What is known of the engines.
+        work: Learns what requests cost.
+        memory_tokens: Tokens that an engine of a service holds.
         clock: Time.
         rng: Spreads the times at which callers come back.
     """
@@ -78,12 +82,16 @@
         backends: ports.Backends,
         registry: registries.Registry,
         pool: pools.EnginePool,
+        work: costs.WorkCosts,
+        memory_tokens: Callable[[str], int],
         clock: clocks.Clock,
         rng: random.Random,
     ) -> None:
         self._backends = backends
         self._registry = registry
         self._pool = pool
+        self._work = work
+        self._memory_tokens = memory_tokens
         self._clock = clock
         self._rng = rng
         self._longest_patience_ms: dict[str, float] = {}
@@ -97,9 +105,13 @@
         """
         tokens = _tokens(run.call)
         place = await self._wait(run, tokens)
+        began_ms = self._clock.now_ms()
         try:
             with self._pool.holding(place.engine.name, tokens):
                 yield place
+            took_ms = self._clock.now_ms() - began_ms
+            part = tokens / self._memory_tokens(run.service)
+            self._work.decoded(took_ms, memory_part=part)
         finally:
             hold = place.take_hold()
             if hold is not None:
--- a/src/jujubewharf/forwarding/registry.py
+++ b/src/jujubewharf/forwarding/registry.py
@@ -64,6 +64,11 @@
         """Whether anything was ever read."""
         return bool(self._records)
 
+    @property
+    def is_away(self) -> bool:
+        """Whether the store can't be reached."""
+        return self._is_away
+
     @property
     def age_ms(self) -> float:
         """Time since the store was last read; for log lines."""
--- a/src/jujubewharf/forwarding/sharing.py
+++ b/src/jujubewharf/forwarding/sharing.py
@@ -47,6 +47,7 @@
         self._default_share = default_share
         self._share = groups.GroupShare(0, frozenset())
         self._until_s = 0.0
+        self._fenced = -1
         self._holds_orders_since_ms: float | None = None
         self._logger = structlog.get_logger()
 
@@ -74,8 +75,18 @@
             return None
         if self._clock.now_ms() - since_ms < self._group.ttl_ms:
             return None
+        if self._share.generation <= self._fenced:
+            return None
         return self._share.generation
 
+    def fenced(self, fence: int) -> None:
+        """Learns that an engine has seen a later fencing token.
+
+        Orders under this one would be refused for good; others wait until the
+        group has told a later generation.
+        """
+        self._fenced = max(self._fenced, fence)
+
     @mode.Service.task
     async def _stay(self) -> None:
         every_ms = self._group.ttl_ms / _JOINS_PER_TTL
--- a/src/jujubewharf/forwarding/stream.py
+++ b/src/jujubewharf/forwarding/stream.py
@@ -18,6 +18,7 @@
 from jujubewharf.engines import client
 from jujubewharf.forwarding import budget as budgets
 from jujubewharf.forwarding import calls
+from jujubewharf.forwarding import costs
 from jujubewharf.forwarding import decisions
 from jujubewharf.forwarding import events
 from jujubewharf.forwarding import placement
@@ -63,6 +64,7 @@
         placement: Finds memory for requests.
         pool: What is known of the engines.
         budget: Bounds retries over the fleet.
+        work: Learns what requests cost.
         clock: Time.
     """
 
@@ -73,6 +75,7 @@
         placement: placement.Placement,
         pool: pools.EnginePool,
         budget: budgets.FleetBudget,
+        work: costs.WorkCosts,
         clock: clocks.Clock,
     ) -> None:
         self._backends = backends
@@ -80,6 +83,7 @@
         self._placement = placement
         self._pool = pool
         self._budget = budget
+        self._work = work
         self._clock = clock
 
     async def begin(
@@ -195,6 +199,7 @@
             )
             raise
         self._pool.answered(engine.name)
+        self._work.prefilled(self._clock.now_ms() - began_ms)
         return source
 
     async def _drop(self, prefilled: _Prefilled) -> None:
