Trial: reservations by the caller's estimate, gone and changing engines left out

Cause 1: memory was reserved for the longest answer, 16,225 tokens against 11,200 used (mean of 205 requests).

--- a/src/jujubewharf/engines/client.py
+++ b/src/jujubewharf/engines/client.py
@@ -27,6 +27,7 @@
     REFUSED_MODEL = "refused_model"
     REFUSED_FENCE = "refused_fence"
     REFUSED_IDENTITY = "refused_identity"
+    REFUSED_ROLE = "refused_role"
     KV_GONE = "kv_gone"
     UNKNOWN_ATTEMPT = "unknown_attempt"
     UNSUPPORTED = "unsupported"
--- a/src/jujubewharf/forwarding/calls.py
+++ b/src/jujubewharf/forwarding/calls.py
@@ -15,10 +15,12 @@
     Attributes:
         prompt_tokens: Tokens to read.
         output_tokens: Most tokens that the answer has.
+        expected_tokens: The caller's estimate of them, which may be far off.
     """
 
     prompt_tokens: int
     output_tokens: int
+    expected_tokens: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/jujubewharf/forwarding/costs.py
+++ b/src/jujubewharf/forwarding/costs.py
@@ -37,8 +37,3 @@
         """Learns how long a request kept its part of a decode engine."""
         engine_ms = took_ms * memory_part
         self.decode_ms += _WEIGHT * (engine_ms - self.decode_ms)
-
-    @property
-    def prefill_share(self) -> float:
-        """Part of the engines that keeps both pools equally busy, 0 to 1."""
-        return self.prefill_ms / (self.prefill_ms + self.decode_ms)
--- a/src/jujubewharf/forwarding/decisions.py
+++ b/src/jujubewharf/forwarding/decisions.py
@@ -69,7 +69,8 @@
     role: str,
     fence: int,
     outcome: str,
-    prefill_share: float,
+    prefill_ms: float,
+    decode_ms: float,
     registry_age_ms: float,
 ) -> None:
     """An engine was ordered to change its role."""
@@ -80,7 +81,8 @@
         role=role,
         fence=fence,
         outcome=outcome,
-        prefill_share=round(prefill_share, 3),
+        prefill_ms=round(prefill_ms, 1),
+        decode_ms=round(decode_ms, 1),
         registry_age_ms=round(registry_age_ms),
     )
 
--- a/src/jujubewharf/forwarding/ordering.py
+++ b/src/jujubewharf/forwarding/ordering.py
@@ -89,7 +89,8 @@
         self._settle()
         changes = role_plan.changes(
             self._registry.of_service(service),
-            prefill_share=self._work.prefill_share,
+            prefill_ms=self._work.prefill_ms,
+            decode_ms=self._work.decode_ms,
         )
         if not self._is_settled(service, bool(changes)):
             return
@@ -145,6 +146,7 @@
             role=change.role.value,
             fence=fence,
             outcome=outcome,
-            prefill_share=self._work.prefill_share,
+            prefill_ms=self._work.prefill_ms,
+            decode_ms=self._work.decode_ms,
             registry_age_ms=self._registry.age_ms,
         )
--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -27,9 +27,13 @@
 # Part of the target for which a request waits for memory; the rest is for
 # reading the prompt and fetching the result.
 WAIT_OF_TARGET = 0.65
-# A request that has missed its target anyway may wait for this part of the
-# time it has left, since to be refused again would cost it the answer.
-LATE_WAIT_OF_LEFT = 0.25
+# A request that has missed its target anyway waits this long, since to be
+# refused again would cost it the answer. Callers leave a stream that hasn't
+# begun after 2 s or four times the target, whichever is longer.
+LATE_WAIT_MS = 2_000.0
+LATE_WAIT_OF_TARGET = 3.6
+# What is left of its time when its answer begins must do for the answer.
+ANSWER_MS = 4_000.0
 # Time between two rounds of asking, for requests in time and late ones. The
 # late ones ask less often, so that those in time get most of what is freed.
 ASK_EVERY_MS = 70.0
@@ -37,6 +41,10 @@
 # Reservations are for this long; reading a prompt takes a tenth of a second
 # for each 5,000 tokens, and more where others are read before it.
 RESERVE_MS = 1_500.0
+# Part of the expected answer that memory is reserved for. The estimate is far
+# off for some, and requests are at different places of their answers: what
+# one doesn't use yet another can have.
+RESERVED_PART = 1.0
 # When to come back after a refusal: a request keeps its memory for some
 # seconds, and a burst that fills all engines lasts about as long.
 COME_BACK_MS = 2_500.0
@@ -123,7 +131,10 @@
         in_time_ms = run.route.target_ms * WAIT_OF_TARGET - spent_ms
         is_late = in_time_ms <= 0 or run.may_have_run
         if is_late:
-            wait_ms = run.left_ms(self._clock) * LATE_WAIT_OF_LEFT
+            wait_ms = min(
+                max(LATE_WAIT_MS, run.route.target_ms * LATE_WAIT_OF_TARGET),
+                run.left_ms(self._clock) - ANSWER_MS,
+            )
         else:
             wait_ms = in_time_ms
         every_ms = ASK_EVERY_LATE_MS if is_late else ASK_EVERY_MS
@@ -149,6 +160,8 @@
                     engine, tokens=tokens, ttl_ms=RESERVE_MS
                 )
             except client.EngineError as error:
+                if error.fault is client.EngineFault.REFUSED_IDENTITY:
+                    self._registry.replaced(engine.name)
                 self._pool.failed(error)
                 if error.fault is not client.EngineFault.REFUSED_FULL:
                     decisions.engine_failed(
@@ -189,4 +202,8 @@
 def _tokens(call: calls.Call) -> int:
     if call.work is None:
         return 1
-    return call.work.prompt_tokens + call.work.output_tokens
+    work = call.work
+    output = work.output_tokens
+    if work.expected_tokens is not None:
+        output = min(output, work.expected_tokens)
+    return work.prompt_tokens + int(output * RESERVED_PART)
--- a/src/jujubewharf/forwarding/plain.py
+++ b/src/jujubewharf/forwarding/plain.py
@@ -119,6 +119,8 @@
             return await self._exchange(stack, run, endpoint)
         except client.EngineError as error:
             run.learn(error, before=before)
+            if error.fault is client.EngineFault.REFUSED_IDENTITY:
+                self._registry.replaced(endpoint.name)
             if error.fault is not client.EngineFault.REFUSED_FULL:
                 self._chooser.failed(endpoint.name)
             took_ms = self._clock.now_ms() - began_ms
--- a/src/jujubewharf/forwarding/pool.py
+++ b/src/jujubewharf/forwarding/pool.py
@@ -12,6 +12,12 @@
 from jujubewharf.engines import client
 from jujubewharf.routing import breaker as breakers
 
+# An engine that is changing its role, or has another one than is known here,
+# is left alone this long: a change takes seconds, and its new registration is
+# read about a second after it.
+ABSENT_MS = 1_000.0
+# The same for a prefill engine whose results can't be fetched.
+UNFETCHED_MS = 1_500.0
 # An engine that refused for want of room is left alone this long. Requests
 # last seconds, so asking sooner would mostly be refused again; asking later
 # would leave room unused that another request would have taken.
@@ -27,12 +33,14 @@
         held_tokens: Memory that this instance's requests hold there.
         reading_tokens: Prompt tokens that this instance has it read now.
         full_until_ms: Until when its last refusal is believed.
+        absent_until_ms: Until when it is thought to take no work of its role.
     """
 
     breaker: breakers.Breaker
     held_tokens: int = 0
     reading_tokens: int = 0
     full_until_ms: float = 0.0
+    absent_until_ms: float = 0.0
 
 
 class EnginePool:
@@ -77,6 +85,7 @@
             for engine in engines
             if engine.can_decode
             and self.view(engine.name).full_until_ms <= now_ms
+            and self.view(engine.name).absent_until_ms <= now_ms
         ]
         return sorted(asked, key=self._decode_rank)
 
@@ -91,17 +100,29 @@
                 within a domain that takes half the time and a third of the
                 cost.
         """
-        able = [e for e in engines if e.role is resources.Role.PREFILL]
-        able = [e for e in able if not self.view(e.name).breaker.is_open]
+        now_ms = self._clock.now_ms()
+        able = [
+            engine
+            for engine in engines
+            if engine.role is resources.Role.PREFILL
+            and not self.view(engine.name).breaker.is_open
+            and self.view(engine.name).absent_until_ms <= now_ms
+        ]
         return sorted(able, key=lambda e: self._prefill_rank(e, near))
 
     def failed(self, error: client.EngineError) -> None:
         """Learns that a call to an engine failed."""
         view = self.view(error.engine)
-        if error.fault is client.EngineFault.REFUSED_FULL:
-            view.full_until_ms = self._clock.now_ms() + FULL_MS
-        else:
-            view.breaker.failed(error.fault)
+        now_ms = self._clock.now_ms()
+        match error.fault:
+            case client.EngineFault.REFUSED_FULL:
+                view.full_until_ms = now_ms + FULL_MS
+            case client.EngineFault.REFUSED_ROLE:
+                view.absent_until_ms = now_ms + ABSENT_MS
+            case client.EngineFault.KV_GONE:
+                view.absent_until_ms = now_ms + UNFETCHED_MS
+            case _:
+                view.breaker.failed(error.fault)
 
     def answered(self, name: str) -> None:
         """Learns that an engine answered."""
--- a/src/jujubewharf/forwarding/ports.py
+++ b/src/jujubewharf/forwarding/ports.py
@@ -66,6 +66,10 @@
         """Gives a reservation back."""
         ...
 
+    async def is_changing(self, endpoint: resources.Endpoint) -> bool:
+        """Whether an engine is carrying out an order, and so takes no work."""
+        ...
+
     async def order_role(
         self, endpoint: resources.Endpoint, order: RoleOrder
     ) -> None:
--- a/src/jujubewharf/forwarding/registry.py
+++ b/src/jujubewharf/forwarding/registry.py
@@ -102,6 +102,18 @@
         record = self._records.get(name)
         return record.endpoint if record is not None else None
 
+    def replaced(self, name: str) -> None:
+        """Learns from whoever has its address now that an endpoint is gone.
+
+        An instance that is cut off from the store would else send to it for
+        as long as the cut lasts. A later word of the endpoint itself counts.
+        """
+        known = self._records.get(name)
+        if known is not None and known.endpoint is not None:
+            self._replace(known, Record(name, known.offset, None))
+        self._lapsed.pop(name, None)
+        self._index()
+
     def store_lost(self) -> None:
         """Learns that the store can't be reached."""
         self._is_away = True
--- a/src/jujubewharf/forwarding/role_plan.py
+++ b/src/jujubewharf/forwarding/role_plan.py
@@ -7,12 +7,12 @@
 
 from jujubewharf.configuration import resources
 
-# A change of role keeps an engine from work for seconds. So the wanted number
-# must miss what there is by this part of an engine beyond the rounding.
-_HYSTERESIS = 0.2
-# With fewer engines each decode engine reads its prompts itself: an engine
-# that only reads would take a third or more of the memory away.
-_MIN_ENGINES = 3
+# A change of role keeps an engine from work for ten seconds or more, with the
+# answers that it still writes. It must make the pools serve this much more.
+_MIN_GAIN = 0.2
+# A prompt that a decode engine reads takes twice the time that a prefill engine
+# needs, and stops the answers that the engine writes meanwhile.
+_DIRECT_COST = 4.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,13 +24,17 @@
 
 
 def changes(
-    engines: Sequence[resources.Endpoint], *, prefill_share: float
+    engines: Sequence[resources.Endpoint],
+    *,
+    prefill_ms: float,
+    decode_ms: float,
 ) -> list[Change]:
     """Changes that bring the pools to where both are equally busy.
 
     Args:
         engines: All engines of one service that take work.
-        prefill_share: Part of the engines that should read prompts.
+        prefill_ms: Time that a prompt takes a prefill engine.
+        decode_ms: Time that an answer takes a decode engine's whole memory.
 
     Returns:
         The changes, those that matter most first.
@@ -38,7 +42,7 @@
     readers = [e for e in engines if e.role is resources.Role.PREFILL]
     writers = [e for e in engines if e.role is resources.Role.DECODE]
     total = len(readers) + len(writers)
-    wanted = _wanted(total, len(readers), prefill_share)
+    wanted = _wanted(total, len(readers), prefill_ms, decode_ms)
     if wanted < len(readers):
         surplus = sorted(
             readers, key=lambda e: _crowd(e, readers), reverse=True
@@ -56,14 +60,34 @@
     return []
 
 
-def _wanted(total: int, present: int, prefill_share: float) -> int:
-    """Number of prefill engines; what there is, while it is near enough."""
-    if total < _MIN_ENGINES:
-        return 0
-    exact = min(max(1.0, total * prefill_share), total - 1.0)
-    if abs(exact - present) <= 0.5 + _HYSTERESIS and present > 0:
+def _wanted(
+    total: int, present: int, prefill_ms: float, decode_ms: float
+) -> int:
+    """Number of prefill engines that serves the most requests."""
+
+    def capacity(readers: int) -> float:
+        return _requests_per_ms(readers, total - readers, prefill_ms, decode_ms)
+
+    best = max(range(total + 1), key=capacity)
+    if capacity(best) < capacity(present) * (1.0 + _MIN_GAIN):
         return present
-    return round(exact)
+    return best
+
+
+def _requests_per_ms(
+    readers: int, writers: int, prefill_ms: float, decode_ms: float
+) -> float:
+    """Requests that the pools can serve.
+
+    What the prefill engines can't read the decode engines read as well.
+    """
+    by_memory = writers / decode_ms
+    by_reading = readers / prefill_ms
+    if by_memory <= by_reading:
+        return by_memory
+    direct_ms = prefill_ms * _DIRECT_COST
+    spare_ms = writers - by_reading * decode_ms
+    return by_reading + spare_ms / (decode_ms + direct_ms)
 
 
 def _crowd(
--- a/src/jujubewharf/forwarding/stream.py
+++ b/src/jujubewharf/forwarding/stream.py
@@ -144,10 +144,65 @@
                 hold=place.take_hold(),
                 after_event=after_event,
             )
-            reply = await self._send(exits, run, place.engine, sending)
+            try:
+                reply = await self._send(exits, run, place.engine, sending)
+            except client.EngineError as error:
+                sending = await self._instead(run, error, sending, prefilled)
+                reply = await self._send(exits, run, place.engine, sending)
             prefilled.is_fetched = True
             return _Upstream(place.engine, reply, exits.pop_all())
 
+    async def _instead(
+        self,
+        run: runs.Run,
+        error: client.EngineError,
+        sending: calls.Sending,
+        prefilled: _Prefilled,
+    ) -> calls.Sending:
+        """What to send to an engine that refused although it had reserved.
+
+        Either it is carrying out an order, or it couldn't fetch the prefill
+        result. Then it can still read the prompt by itself.
+
+        Raises:
+            EngineError: It takes no work now; the fault says so.
+        """
+        if error.fault is not client.EngineFault.REFUSED_FULL:
+            raise error
+        if sending.source is None or prefilled.reader is None:
+            raise error
+        engine = self._registry.get(error.engine)
+        if engine is None or await self._is_changing(engine):
+            fault = client.EngineFault.REFUSED_ROLE
+            changing = client.EngineError(fault, error.engine, "changing")
+            self._pool.failed(changing)
+            raise changing from error
+        gone = client.EngineError(
+            client.EngineFault.KV_GONE, prefilled.reader.name
+        )
+        self._pool.failed(gone)
+        decisions.engine_failed(run, gone, stage="fetch", took_ms=0.0)
+        left = self._budget.left(run.service)
+        if not self._budget.take(run.service):
+            decisions.not_retried(run, "kv_gone", budget_left=left)
+            raise run.failure() from error
+        decisions.retried(run, "kv_gone", budget_left=left)
+        return dataclasses.replace(
+            sending, source=None, left_ms=run.left_ms(self._clock)
+        )
+
+    def _learn(self, error: client.EngineError) -> None:
+        if error.fault is client.EngineFault.REFUSED_IDENTITY:
+            self._registry.replaced(error.engine)
+        self._pool.failed(error)
+
+    async def _is_changing(self, engine: resources.Endpoint) -> bool:
+        try:
+            return await self._backends.is_changing(engine)
+        except client.EngineError as error:
+            self._pool.failed(error)
+            return True
+
     @contextlib.asynccontextmanager
     async def _prefilled(
         self, run: runs.Run, place: placement.Place
@@ -192,7 +247,7 @@
                     engine, calls.Sending(run.call, left_ms)
                 )
         except client.EngineError as error:
-            self._pool.failed(error)
+            self._learn(error)
             took_ms = self._clock.now_ms() - began_ms
             decisions.engine_failed(
                 run, error, stage="prefill", took_ms=took_ms
@@ -236,7 +291,7 @@
             )
         except client.EngineError as error:
             run.learn(error, before=before)
-            self._pool.failed(error)
+            self._learn(error)
             took_ms = self._clock.now_ms() - began_ms
             decisions.engine_failed(run, error, stage="decode", took_ms=took_ms)
             raise
--- a/src/jujubewharf/requests/retries.py
+++ b/src/jujubewharf/requests/retries.py
@@ -23,6 +23,7 @@
         client.EngineFault.REFUSED_MODEL,
         client.EngineFault.REFUSED_FENCE,
         client.EngineFault.REFUSED_IDENTITY,
+        client.EngineFault.REFUSED_ROLE,
         client.EngineFault.UNSUPPORTED,
         client.EngineFault.UNKNOWN_ATTEMPT,
     }
