Reservations of three quarters of the estimate, with headroom checked

Cause: an engine counts reservations as used, so a request that outgrows its own on a fully reserved engine is put back and read again.

--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -41,10 +41,16 @@
 # Reservations are for this long; reading a prompt takes a tenth of a second
 # for each 5,000 tokens, and more where others are read before it.
 RESERVE_MS = 1_500.0
-# Part of the expected answer that memory is reserved for. The estimate is far
-# off for some, and requests are at different places of their answers: what
-# one doesn't use yet another can have.
-RESERVED_PART = 1.0
+# Part of the expected answer that memory is reserved for. An engine counts what
+# is reserved as used, so whoever outgrows its reservation on an engine that is
+# all reserved is put back and read again. Most answers are at other places
+# than their ends, so less than the whole is reserved ...
+RESERVED_PART = 0.75
+# ... and this part of an engine's memory must be free besides, for those that
+# outgrow theirs.
+HEADROOM_PART = 0.12
+# The check of the headroom is a reservation that is given back at once.
+HEADROOM_MS = 300.0
 # When to come back after a refusal: a request keeps its memory for some
 # seconds, and a burst that fills all engines lasts about as long.
 COME_BACK_MS = 2_500.0
@@ -156,9 +162,7 @@
             if not self._registry.takes_work(engine.name):
                 continue
             try:
-                hold = await self._backends.reserve(
-                    engine, tokens=tokens, ttl_ms=RESERVE_MS
-                )
+                hold = await self._reserve(engine, tokens)
             except client.EngineError as error:
                 if error.fault is client.EngineFault.REFUSED_IDENTITY:
                     self._registry.replaced(engine.name)
@@ -171,6 +175,23 @@
             return Place(engine, hold)
         return None
 
+    async def _reserve(self, engine: resources.Endpoint, tokens: int) -> str:
+        """Reserves memory where enough is free besides.
+
+        Raises:
+            EngineError: There isn't, or the engine can't be asked.
+        """
+        headroom = int(self._memory_tokens(engine.service) * HEADROOM_PART)
+        check = await self._backends.reserve(
+            engine, tokens=headroom, ttl_ms=HEADROOM_MS
+        )
+        try:
+            return await self._backends.reserve(
+                engine, tokens=tokens, ttl_ms=RESERVE_MS
+            )
+        finally:
+            await self._give_back(engine, check)
+
     def _spent_ms(self, call: calls.Call, route: str) -> float:
         """Time that the caller waited before this sending.
 
