Prefill cost is the fastest reading; engines that change role are left out longer

Cause: in a burst the queue before the prefill engine made reading look dear; a third order took a decode engine away and 31 prompts were read for it.

--- a/src/jujubewharf/forwarding/costs.py
+++ b/src/jujubewharf/forwarding/costs.py
@@ -5,33 +5,44 @@
 # Weight of one request in the running averages; some dozen requests, a few
 # seconds' worth, decide.
 _WEIGHT = 0.05
-# Engine time for reading against that for writing, before any request was
-# seen. A prompt of 5,200 tokens is read in a tenth of a second; its answer
-# fills an eighth of an engine's memory for some four.
-_FIRST_PREFILL_MS = 94.0
+# Before any request was seen: a prompt of 5,200 tokens is read in a tenth of a
+# second; its answer fills an eighth of an engine's memory for some four.
+_FIRST_PREFILL_TOKENS = 5_200.0
+_FIRST_TOKEN_MS = 0.018
 _FIRST_DECODE_MS = 480.0
+# The fastest reading seen is forgotten at this rate for each prompt, so that
+# engines that became slower are noticed within some hundred.
+_FORGET = 0.005
 
 
 class WorkCosts:
     """Running averages of the engine time that requests take.
 
     Attributes:
-        prefill_ms: Time for which a prompt keeps a prefill engine busy.
         decode_ms: Time for which a request would keep a decode engine's whole
             memory busy: its own time there, times its part of the memory.
     """
 
     def __init__(self) -> None:
-        self.prefill_ms = _FIRST_PREFILL_MS
         self.decode_ms = _FIRST_DECODE_MS
+        self._prompt_tokens = _FIRST_PREFILL_TOKENS
+        self._token_ms = _FIRST_TOKEN_MS
 
-    def prefilled(self, took_ms: float) -> None:
+    @property
+    def prefill_ms(self) -> float:
+        """Time for which a prompt keeps a prefill engine busy."""
+        return self._prompt_tokens * self._token_ms
+
+    def prefilled(self, took_ms: float, *, prompt_tokens: int) -> None:
         """Learns how long a prompt took to be read.
 
-        Others that were read before it make that longer, which calls for more
-        prefill engines all the same.
+        That includes the wait for others that were read before it. In a burst
+        it would make reading look dear and call for another prefill engine,
+        which is then missing for writing; so the fastest reading counts.
         """
-        self.prefill_ms += _WEIGHT * (took_ms - self.prefill_ms)
+        self._prompt_tokens += _WEIGHT * (prompt_tokens - self._prompt_tokens)
+        slower_ms = self._token_ms * (1.0 + _FORGET)
+        self._token_ms = min(slower_ms, took_ms / max(1, prompt_tokens))
 
     def decoded(self, took_ms: float, *, memory_part: float) -> None:
         """Learns how long a request kept its part of a decode engine."""
--- a/src/jujubewharf/forwarding/pool.py
+++ b/src/jujubewharf/forwarding/pool.py
@@ -12,10 +12,12 @@
 from jujubewharf.engines import client
 from jujubewharf.routing import breaker as breakers
 
-# An engine that is changing its role, or has another one than is known here,
-# is left alone this long: a change takes seconds, and its new registration is
-# read about a second after it.
+# An engine that has another role than is known here is left alone this long,
+# in which its new registration is read.
 ABSENT_MS = 1_000.0
+# One that is changing its role first ends its answers and then is away for
+# seconds. To ask sooner costs a prompt that is read for nothing.
+CHANGING_MS = 4_000.0
 # The same for a prefill engine whose results can't be fetched.
 UNFETCHED_MS = 1_500.0
 # An engine that refused for want of room is left alone this long. Requests
@@ -128,6 +130,11 @@
         """Learns that an engine answered."""
         self.view(name).breaker.answered()
 
+    def changing(self, name: str) -> None:
+        """Learns that an engine is carrying out an order."""
+        until_ms = self._clock.now_ms() + CHANGING_MS
+        self.view(name).absent_until_ms = until_ms
+
     @contextlib.contextmanager
     def holding(self, name: str, tokens: int) -> Iterator[None]:
         """Counts memory of ours on an engine for the block."""
--- a/src/jujubewharf/forwarding/stream.py
+++ b/src/jujubewharf/forwarding/stream.py
@@ -175,7 +175,7 @@
         if engine is None or await self._is_changing(engine):
             fault = client.EngineFault.REFUSED_ROLE
             changing = client.EngineError(fault, error.engine, "changing")
-            self._pool.failed(changing)
+            self._pool.changing(error.engine)
             raise changing from error
         gone = client.EngineError(
             client.EngineFault.KV_GONE, prefilled.reader.name
@@ -254,7 +254,8 @@
             )
             raise
         self._pool.answered(engine.name)
-        self._work.prefilled(self._clock.now_ms() - began_ms)
+        took_ms = self._clock.now_ms() - began_ms
+        self._work.prefilled(took_ms, prompt_tokens=tokens)
         return source
 
     async def _drop(self, prefilled: _Prefilled) -> None:
