--- a/src/jujubewharf/forwarding/role_plan.py
+++ b/src/jujubewharf/forwarding/role_plan.py
@@ -13,6 +13,9 @@
 # A prompt that a decode engine reads takes twice the time that a prefill engine
 # needs, and stops the answers that the engine writes meanwhile.
 _DIRECT_COST = 4.0
+# What the pools would serve without one of the prefill engines counts for this
+# part: until another has changed its role, decode engines would read.
+_LOSS_WEIGHT = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,7 +69,12 @@
     """Number of prefill engines that serves the most requests."""
 
     def capacity(readers: int) -> float:
-        return _requests_per_ms(readers, total - readers, prefill_ms, decode_ms)
+        writers = total - readers
+        whole = _requests_per_ms(readers, writers, prefill_ms, decode_ms)
+        if not readers:
+            return whole
+        less = _requests_per_ms(readers - 1, writers, prefill_ms, decode_ms)
+        return whole * (1.0 - _LOSS_WEIGHT) + less * _LOSS_WEIGHT
 
     best = max(range(total + 1), key=capacity)
     if capacity(best) < capacity(present) * (1.0 + _MIN_GAIN):
