--- a/src/jujubewharf/forwarding/pool.py
+++ b/src/jujubewharf/forwarding/pool.py
@@ -157,13 +157,15 @@
 
     def _decode_rank(
         self, engine: resources.Endpoint
-    ) -> tuple[bool, bool, int, bool, str]:
+    ) -> tuple[bool, bool, bool, int, str]:
         view = self.view(engine.name)
         return (
             view.breaker.is_open,
             view.breaker.is_doubtful,
-            view.held_tokens,
+            # Before load: an answer that crosses domains dies with a cut
+            # between them, and engines with room are equally fast.
             engine.domain != self._domain,
+            view.held_tokens,
             engine.name,
         )
 
