Forwarding: stand-ins and tests; a shutdown leaves the group for good

The tests found: an instance that gave its share back joined again a second later; a stream that broke went back to the engine that had broken it.

--- a/src/jujubewharf/clock.py
+++ b/src/jujubewharf/clock.py
@@ -43,6 +43,16 @@
             return time.time() * MS_PER_S + self._skew_ms
         return self._wall_origin_ms + self.now_ms() + self._skew_ms
 
+    def awake_ms(self) -> float:
+        """As ``now_ms``, but time in which the process was suspended counts.
+
+        A lease that ran out while its holder was suspended still looks young
+        by a clock that stood still meanwhile.
+        """
+        if self._wall_origin_ms is not None:
+            return self.now_ms()
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * MS_PER_S
+
     async def sleep_ms(self, duration_ms: float) -> None:
         """Waits; a duration of zero or less yields to other tasks once."""
         await asyncio.sleep(max(0.0, duration_ms) / MS_PER_S)
--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -158,7 +158,7 @@
 
     async def _ask_all(self, run: runs.Run, tokens: int) -> Place | None:
         engines = self._registry.of_service(run.service)
-        for engine in self._pool.to_decode(engines):
+        for engine in self._pool.to_decode(engines, last=run.lost_by):
             if not self._registry.takes_work(engine.name):
                 continue
             try:
--- a/src/jujubewharf/forwarding/pool.py
+++ b/src/jujubewharf/forwarding/pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from collections.abc import Iterator
 from collections.abc import Sequence
 import contextlib
@@ -75,11 +76,19 @@
                 del self._views[name]
 
     def to_decode(
-        self, engines: Sequence[resources.Endpoint]
+        self,
+        engines: Sequence[resources.Endpoint],
+        *,
+        last: Collection[str] = (),
     ) -> list[resources.Endpoint]:
         """Engines worth asking for a decode slot, the best first.
 
         Those that refused lately are left out, those that fail come last.
+
+        Args:
+            engines: Those to choose from.
+            last: Engines that have failed the request already; a request that
+                went back there would most likely fail again.
         """
         now_ms = self._clock.now_ms()
         asked = [
@@ -89,7 +98,9 @@
             and self.view(engine.name).full_until_ms <= now_ms
             and self.view(engine.name).absent_until_ms <= now_ms
         ]
-        return sorted(asked, key=self._decode_rank)
+        return sorted(
+            asked, key=lambda e: (e.name in last, self._decode_rank(e))
+        )
 
     def to_prefill(
         self, engines: Sequence[resources.Endpoint], *, near: str
--- a/src/jujubewharf/forwarding/runs.py
+++ b/src/jujubewharf/forwarding/runs.py
@@ -28,6 +28,7 @@
         tried: Engines that it was sent to.
         may_have_run: Whether any of them may have begun to work on it.
         refusals: Sendings that an engine said it did not run.
+        lost_by: Engines that lost its answer, or a part of it.
     """
 
     call: calls.Call
@@ -37,6 +38,7 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
     refusals: int = 0
+    lost_by: set[str] = dataclasses.field(default_factory=set)
 
     @property
     def ran(self) -> errors.Ran:
@@ -76,6 +78,8 @@
             error: How the sending failed.
             before: What ``sent`` returned.
         """
+        if error.fault is client.EngineFault.LOST:
+            self.lost_by.add(error.engine)
         if error.fault in retries.DID_NOTHING:
             self.may_have_run = before
             self.refusals += 1
--- a/src/jujubewharf/forwarding/sharing.py
+++ b/src/jujubewharf/forwarding/sharing.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-import time
-
 import mode
 import structlog
 
@@ -46,15 +44,16 @@
         self._clock = clock
         self._default_share = default_share
         self._share = groups.GroupShare(0, frozenset())
-        self._until_s = 0.0
+        self._until_ms = 0.0
         self._fenced = -1
+        self._has_left = False
         self._holds_orders_since_ms: float | None = None
         self._logger = structlog.get_logger()
 
     @property
     def is_current(self) -> bool:
         """Whether what was dealt to this instance still counts."""
-        return _awake_s() < self._until_s
+        return self._clock.awake_ms() < self._until_ms
 
     @property
     def fraction(self) -> float:
@@ -90,15 +89,18 @@
     @mode.Service.task
     async def _stay(self) -> None:
         every_ms = self._group.ttl_ms / _JOINS_PER_TTL
-        while not self.should_stop:
-            began_s = _awake_s()
+        while not self.should_stop and not self._has_left:
+            began_ms = self._clock.awake_ms()
             try:
                 share = await self._group.join(self._share.generation)
             except log.LogUnavailableError as error:
                 self._logger.debug("share_not_renewed", detail=str(error))
             else:
+                if self._has_left:
+                    # The answer to a call that was on its way.
+                    return
                 # From before the call: the group counts from its arrival.
-                self._until_s = began_s + self._group.ttl_ms / clocks.MS_PER_S
+                self._until_ms = began_ms + self._group.ttl_ms
                 self._take(share)
             await self._clock.sleep_ms(every_ms)
 
@@ -121,15 +123,11 @@
         self._share = share
 
     async def leave(self) -> None:
-        """Gives everything back, so that others needn't wait for it."""
-        self._until_s = 0.0
+        """Gives everything back for good, so that others needn't wait."""
+        self._has_left = True
+        self._until_ms = 0.0
         self._holds_orders_since_ms = None
         try:
             await self._group.leave()
         except log.LogUnavailableError as error:
             self._logger.info("share_not_given_back", detail=str(error))
-
-
-def _awake_s() -> float:
-    """Seconds by a clock that counts time in which the process is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/src/jujubewharf/forwarding/stream.py
+++ b/src/jujubewharf/forwarding/stream.py
@@ -328,6 +328,7 @@
         Raises:
             WharfError: The stream stays broken.
         """
+        run.lost_by.add(error.engine)
         self._pool.failed(error)
         decisions.engine_failed(run, error, stage="stream", took_ms=0.0)
         left = self._budget.left(run.service)
--- /dev/null
+++ b/src/jujubewharf/standins/backends.py
@@ -0,0 +1,257 @@
+"""Engines and plain endpoints that forwarding can be run against, in memory.
+
+They keep the promises that forwarding relies on: memory is reserved or
+refused, a prefill result can be fetched once, a run ends when its connection
+does. Faults are switched on by attributes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from collections.abc import Iterable
+import contextlib
+import dataclasses
+
+from jujubewharf import clock as clocks
+from jujubewharf.configuration import resources
+from jujubewharf.engines import client
+from jujubewharf.forwarding import calls
+from jujubewharf.forwarding import ports
+
+PROOF = ("Proof", "engine")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ran:
+    """One run that an engine began."""
+
+    request_id: str
+    engine: str
+    after_event: int | None
+    had_source: bool
+
+
+@dataclasses.dataclass(slots=True)
+class StandInBackend:
+    """One engine or endpoint and its faults.
+
+    Attributes:
+        endpoint: What it registers.
+        memory_tokens: Tokens that can be reserved at once.
+        events: Events of each of its answers.
+        event_ms: Time between them.
+        prefill_token_ms: Time to read a token.
+        work_ms: Time for a plain answer.
+        status: Status of its answers.
+        is_unreachable: No connection is made.
+        is_changing: It carries out an order and refuses runs.
+        is_replaced: Another engine has its address.
+        is_silent: It never answers a run that it began.
+        loses_answers: It runs a request and the answer is lost.
+        refuses_sources: Prefill results can't be fetched.
+        breaks_after: Its streams break after this event.
+        stalls_after: Its streams fall silent after this event.
+        held: Memory reserved now, by reservation.
+        at_work: Requests that it works on now.
+        orders: Orders that it accepted.
+        next_fault: Fault of the next order, once.
+    """
+
+    endpoint: resources.Endpoint
+    memory_tokens: int = 40_000
+    events: int = 5
+    event_ms: float = 50.0
+    prefill_token_ms: float = 0.02
+    work_ms: float = 20.0
+    status: int = 200
+    is_unreachable: bool = False
+    is_changing: bool = False
+    is_replaced: bool = False
+    is_silent: bool = False
+    loses_answers: bool = False
+    refuses_sources: bool = False
+    breaks_after: int | None = None
+    stalls_after: int | None = None
+    held: dict[str, int] = dataclasses.field(default_factory=dict)
+    at_work: set[str] = dataclasses.field(default_factory=set)
+    orders: list[ports.RoleOrder] = dataclasses.field(default_factory=list)
+    next_fault: client.EngineFault | None = None
+
+    @property
+    def name(self) -> str:
+        """Its registered name."""
+        return self.endpoint.name
+
+    def error(
+        self, fault: client.EngineFault, detail: str = ""
+    ) -> client.EngineError:
+        """A failure of a call to it."""
+        return client.EngineError(fault, self.name, detail)
+
+
+class StandInBackends:
+    """Implements ``ports.Backends`` over stand-ins.
+
+    Args:
+        clock: Time.
+        backends: The engines and endpoints.
+
+    Attributes:
+        by_name: The engines and endpoints by name.
+        runs: Runs that began, in order.
+        prefills: Prompts that were read, by request and engine.
+        dropped: Prefill results that were freed unused.
+        checks: Calls of ``is_changing``.
+    """
+
+    def __init__(
+        self, clock: clocks.Clock, backends: Iterable[StandInBackend]
+    ) -> None:
+        self.by_name = {backend.name: backend for backend in backends}
+        self.runs: list[Ran] = []
+        self.prefills: list[tuple[str, str]] = []
+        self.dropped: list[str] = []
+        self.checks = 0
+        self._clock = clock
+        self._sources: set[str] = set()
+        self._count = 0
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self, endpoint: resources.Endpoint, sending: calls.Sending
+    ) -> AsyncIterator[calls.Reply]:
+        """Runs a request; see ``ports.Backends``."""
+        backend = self._reached(endpoint)
+        self._check_takes_run(backend, sending)
+        held = backend.held.pop(sending.hold or "", 0)
+        request_id = sending.call.request_id
+        self.runs.append(
+            Ran(
+                request_id,
+                backend.name,
+                sending.after_event,
+                sending.source is not None,
+            )
+        )
+        slot = self._name("run")
+        backend.held[slot] = held
+        backend.at_work.add(request_id)
+        try:
+            if backend.loses_answers:
+                raise backend.error(client.EngineFault.LOST, "lost")
+            if backend.is_silent:
+                await self._clock.sleep_ms(1e9)
+            if backend.endpoint.role is resources.Role.PLAIN:
+                await self._clock.sleep_ms(backend.work_ms)
+                yield calls.Reply(
+                    backend.status, (PROOF,), _one(request_id.encode())
+                )
+            else:
+                body = self._events(backend, sending)
+                yield calls.Reply(backend.status, (PROOF,), body)
+        finally:
+            backend.at_work.discard(request_id)
+            backend.held.pop(slot, None)
+
+    def _check_takes_run(
+        self, backend: StandInBackend, sending: calls.Sending
+    ) -> None:
+        if backend.is_changing:
+            raise backend.error(client.EngineFault.REFUSED_FULL)
+        if backend.endpoint.role is resources.Role.PREFILL:
+            raise backend.error(client.EngineFault.REFUSED_ROLE)
+        if sending.source is None:
+            return
+        handle = sending.source.handle
+        if backend.refuses_sources or handle not in self._sources:
+            raise backend.error(client.EngineFault.REFUSED_FULL)
+        self._sources.discard(handle)
+
+    async def _events(
+        self, backend: StandInBackend, sending: calls.Sending
+    ) -> AsyncIterator[bytes]:
+        first = (sending.after_event or 0) + 1
+        for number in range(first, backend.events + 1):
+            await self._clock.sleep_ms(backend.event_ms)
+            yield event(sending.call.request_id, number)
+            if number == backend.breaks_after:
+                yield b"id: "
+                raise backend.error(client.EngineFault.LOST, "broke off")
+            if number == backend.stalls_after:
+                await self._clock.sleep_ms(1e9)
+
+    async def prefill(
+        self, endpoint: resources.Endpoint, sending: calls.Sending
+    ) -> calls.Source:
+        """Reads a prompt; see ``ports.Backends``."""
+        backend = self._reached(endpoint)
+        if backend.endpoint.role is not resources.Role.PREFILL:
+            raise backend.error(client.EngineFault.REFUSED_ROLE)
+        assert sending.call.work is not None
+        tokens = sending.call.work.prompt_tokens
+        await self._clock.sleep_ms(tokens * backend.prefill_token_ms)
+        self.prefills.append((sending.call.request_id, backend.name))
+        handle = self._name("source")
+        self._sources.add(handle)
+        return calls.Source(endpoint.address, handle)
+
+    async def drop_source(
+        self, endpoint: resources.Endpoint, source: calls.Source
+    ) -> None:
+        """Frees a prefill result; see ``ports.Backends``."""
+        self._reached(endpoint)
+        self._sources.discard(source.handle)
+        self.dropped.append(source.handle)
+
+    async def reserve(
+        self, endpoint: resources.Endpoint, *, tokens: int, ttl_ms: float
+    ) -> str:
+        """Reserves memory; see ``ports.Backends``."""
+        backend = self._reached(endpoint)
+        if sum(backend.held.values()) + tokens > backend.memory_tokens:
+            raise backend.error(client.EngineFault.REFUSED_FULL)
+        hold = self._name("hold")
+        backend.held[hold] = tokens
+        return hold
+
+    async def drop_reservation(
+        self, endpoint: resources.Endpoint, hold: str
+    ) -> None:
+        """Gives a reservation back; see ``ports.Backends``."""
+        self._reached(endpoint).held.pop(hold, None)
+
+    async def is_changing(self, endpoint: resources.Endpoint) -> bool:
+        """Whether an order is carried out; see ``ports.Backends``."""
+        self.checks += 1
+        return self._reached(endpoint).is_changing
+
+    async def order_role(
+        self, endpoint: resources.Endpoint, order: ports.RoleOrder
+    ) -> None:
+        """Takes an order; see ``ports.Backends``."""
+        backend = self._reached(endpoint)
+        fault, backend.next_fault = backend.next_fault, None
+        if fault is not None:
+            raise backend.error(fault)
+        backend.orders.append(order)
+
+    def _reached(self, endpoint: resources.Endpoint) -> StandInBackend:
+        backend = self.by_name[endpoint.name]
+        if backend.is_unreachable:
+            raise backend.error(client.EngineFault.UNREACHABLE)
+        if backend.is_replaced:
+            raise backend.error(client.EngineFault.REFUSED_IDENTITY)
+        return backend
+
+    def _name(self, kind: str) -> str:
+        self._count += 1
+        return f"{kind}{self._count}"
+
+
+def event(request_id: str, number: int) -> bytes:
+    """One event of a stand-in's answer."""
+    return f"id: {number}\ndata: {request_id}\n\n".encode()
+
+
+async def _one(part: bytes) -> AsyncIterator[bytes]:
+    yield part
--- /dev/null
+++ b/src/jujubewharf/standins/tables.py
@@ -0,0 +1,139 @@
+"""A table and a group of the platform's store, in memory."""
+
+from __future__ import annotations
+
+from typing import Generic
+from typing import TypeVar
+
+from jujubewharf import clock as clocks
+from jujubewharf.platform import groups
+from jujubewharf.platform import log
+from jujubewharf.platform import tables
+
+T = TypeVar("T")
+
+_POLL_MS = 10.0
+
+
+class StandInTable(Generic[T]):
+    """Implements ``tables.Table``.
+
+    Args:
+        clock: Time.
+
+    Attributes:
+        is_down: Calls are refused.
+        first_offset: Older changes are forgotten.
+        reads: Calls that were answered.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self.is_down = False
+        self.first_offset = 0
+        self.reads = 0
+        self._clock = clock
+        self._records: list[tables.TableRecord[T]] = []
+
+    def put(self, key: str, value: T | None) -> None:
+        """Writes a record; ``None`` removes the key."""
+        offset = len(self._records)
+        self._records.append(tables.TableRecord(key, offset, value))
+
+    def forget(self) -> None:
+        """Forgets all changes; the newest record of each key stays."""
+        self.first_offset = len(self._records)
+
+    async def newest(self) -> tables.TablePage[T]:
+        """The newest record of each key; see ``tables.Table``."""
+        self._check()
+        newest = {record.key: record for record in self._records}
+        kept = tuple(r for r in newest.values() if r.value is not None)
+        return tables.TablePage(kept, len(self._records))
+
+    async def changes(
+        self, from_offset: int, *, wait_ms: float
+    ) -> tables.TablePage[T]:
+        """Later records; see ``tables.Table``."""
+        until_ms = self._clock.now_ms() + wait_ms
+        while True:
+            self._check()
+            if from_offset < self.first_offset:
+                raise log.LogTruncatedError(self.first_offset)
+            found = tuple(self._records[from_offset:])
+            if found or self._clock.now_ms() >= until_ms:
+                return tables.TablePage(found, from_offset + len(found))
+            await self._clock.sleep_ms(_POLL_MS)
+
+    def _check(self) -> None:
+        if self.is_down:
+            raise log.LogUnavailableError("down")
+        self.reads += 1
+
+
+class StandInGroups:
+    """All members of one group; ``member`` gives each its own view.
+
+    Args:
+        clock: Time.
+        part_count: Parts that are dealt.
+        ttl_ms: Silence after which a member is out.
+
+    Attributes:
+        cut_off: Members whose calls fail.
+    """
+
+    def __init__(
+        self, clock: clocks.Clock, *, part_count: int = 24, ttl_ms: float = 3e3
+    ) -> None:
+        self.part_count = part_count
+        self.ttl_ms = ttl_ms
+        self.cut_off: set[str] = set()
+        self.generation = 0
+        self._clock = clock
+        self._heard_ms: dict[str, float] = {}
+
+    def member(self, name: str) -> StandInGroup:
+        """The group as one member speaks to it."""
+        return StandInGroup(self, name)
+
+    def join(self, name: str) -> groups.GroupShare:
+        """Takes note of a member and tells what it holds."""
+        now_ms = self._clock.now_ms()
+        for other, heard_ms in list(self._heard_ms.items()):
+            if now_ms - heard_ms >= self.ttl_ms:
+                self.leave(other)
+        if name not in self._heard_ms:
+            self.generation += 1
+        self._heard_ms[name] = now_ms
+        names = sorted(self._heard_ms)
+        parts = range(names.index(name), self.part_count, len(names))
+        return groups.GroupShare(self.generation, frozenset(parts))
+
+    def leave(self, name: str) -> None:
+        """Takes a member out."""
+        if self._heard_ms.pop(name, None) is not None:
+            self.generation += 1
+
+
+class StandInGroup:
+    """Implements ``groups.Group`` for one member."""
+
+    def __init__(self, group: StandInGroups, name: str) -> None:
+        self._group = group
+        self._name = name
+        self.part_count = group.part_count
+        self.ttl_ms = group.ttl_ms
+
+    async def join(self, generation: int) -> groups.GroupShare:
+        """Joins or stays; see ``groups.Group``."""
+        self._check()
+        return self._group.join(self._name)
+
+    async def leave(self) -> None:
+        """Gives all parts back; see ``groups.Group``."""
+        self._check()
+        self._group.leave(self._name)
+
+    def _check(self) -> None:
+        if self._name in self._group.cut_off:
+            raise log.LogUnavailableError("cut off")
--- /dev/null
+++ b/tests/forwarding/deployments.py
@@ -0,0 +1,267 @@
+"""Instances that forward, on stand-ins and a virtual clock."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+import contextlib
+import dataclasses
+import random
+from typing import Any
+
+from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf.configuration import resources
+from jujubewharf.experiments import virtual_time
+from jujubewharf.forwarding import calls
+from jujubewharf.forwarding import entry
+from jujubewharf.forwarding import routes
+from jujubewharf.forwarding import settings as all_settings
+from jujubewharf.standins import backends
+from jujubewharf.standins import tables
+
+HOST = "shop.example"
+ENGINES = "verdict-llm"
+PLAIN = "shop-api"
+
+STREAM = routes.Route(
+    "verdicts",
+    HOST,
+    "/verdicts/",
+    (routes.Share(ENGINES, 1.0),),
+    repeat=routes.Repeat.CONTINUE,
+    is_stream=True,
+    is_model=True,
+    timeout_ms=14_000.0,
+    target_ms=900.0,
+    max_attempts=2,
+)
+ONE_STREAM = dataclasses.replace(
+    STREAM,
+    name="once",
+    path_prefix="/once/",
+    repeat=routes.Repeat.NEVER,
+    max_attempts=1,
+)
+LOOKUP = routes.Route(
+    "lookups",
+    HOST,
+    "/lookup/",
+    (routes.Share(PLAIN, 1.0),),
+    repeat=routes.Repeat.AGAIN,
+    timeout_ms=2_000.0,
+    target_ms=300.0,
+    max_attempts=2,
+)
+SALE = dataclasses.replace(
+    LOOKUP,
+    name="sales",
+    path_prefix="/sale/",
+    repeat=routes.Repeat.NEVER,
+    max_attempts=1,
+)
+SERVICES = {
+    ENGINES: routes.RoutedService(
+        ENGINES, routes.EngineTraits(12, 40_000, 500.0, 6_000.0, 2_000.0)
+    ),
+    PLAIN: routes.RoutedService(PLAIN),
+}
+
+
+def engine(
+    name: str, role: resources.Role, domain: str = "a", **faults: Any
+) -> backends.StandInBackend:
+    """A stand-in engine."""
+    endpoint = resources.Endpoint(name, ENGINES, f"{name}:1", domain, role)
+    return backends.StandInBackend(endpoint, **faults)
+
+
+def reader(name: str, domain: str = "a", **faults: Any):
+    """A stand-in prefill engine."""
+    return engine(name, resources.Role.PREFILL, domain, **faults)
+
+
+def writer(name: str, domain: str = "a", **faults: Any):
+    """A stand-in decode engine."""
+    return engine(name, resources.Role.DECODE, domain, **faults)
+
+
+def shop(name: str, domain: str = "a", **faults: Any):
+    """A stand-in plain endpoint."""
+    endpoint = resources.Endpoint(
+        name, PLAIN, f"{name}:1", domain, resources.Role.PLAIN
+    )
+    return backends.StandInBackend(endpoint, **faults)
+
+
+def configuration(version: int, *all_routes: routes.Route):
+    """A configuration of these routes, or of all above."""
+    return routes.RoutingConfiguration(
+        version, all_routes or (STREAM, ONE_STREAM, LOOKUP, SALE), SERVICES
+    )
+
+
+@dataclasses.dataclass
+class Answer:
+    """What a caller saw.
+
+    Attributes:
+        status: Status of the answer; ``None`` without one.
+        body: What arrived of it.
+        error: How it ended, if not well.
+        first_ms: Time until its head came.
+        took_ms: Time until it was over.
+    """
+
+    status: int | None = None
+    body: bytes = b""
+    error: errors.WharfError | None = None
+    first_ms: float = 0.0
+    took_ms: float = 0.0
+
+    @property
+    def numbers(self) -> list[int]:
+        """Numbers of the events that arrived."""
+        return [
+            int(line[4:])
+            for line in self.body.split(b"\n")
+            if line.startswith(b"id: ")
+        ]
+
+
+class Deployment:
+    """Instances, their store and what stands behind them.
+
+    Attributes:
+        backends: The engines and endpoints.
+        configurations: What operators wrote.
+        endpoints: What endpoints registered.
+        groups: The group of the instances.
+        instances: The instances by name.
+    """
+
+    def __init__(self, *behind: backends.StandInBackend) -> None:
+        self.clock = clocks.Clock(wall_origin_ms=0.0)
+        self.backends = backends.StandInBackends(self.clock, behind)
+        self.configurations = tables.StandInTable(self.clock)
+        self.endpoints = tables.StandInTable(self.clock)
+        self.groups = tables.StandInGroups(self.clock)
+        self.instances: dict[str, entry.ForwardingEntry] = {}
+        self._ids = 0
+
+    async def start(
+        self, *names: str, domain: str = "a", declare: bool = True
+    ) -> None:
+        """Registers everything and starts instances, until they are ready."""
+        if declare:
+            self.configurations.put("config", configuration(1))
+            for backend in self.backends.by_name.values():
+                self.endpoints.put(backend.name, backend.endpoint)
+        for name in names or ("e1",):
+            settings = all_settings.ForwardingSettings(
+                instance=name,
+                domain=domain,
+                callers="127.0.0.1:0",
+                readiness="127.0.0.1:0",
+                store={
+                    "address": "127.0.0.1:1",
+                    "part_count": 24,
+                    "group_ttl_ms": 3_000,
+                },
+                retries={"ratio": 0.2, "slack": 40, "window_s": 10},
+                stop_within_s=8,
+            )
+            adapters = entry.Adapters(
+                self.backends,
+                self.configurations,
+                self.endpoints,
+                self.groups.member(name),
+            )
+            instance = entry.ForwardingEntry(
+                settings, self.clock, adapters, random.Random(name)
+            )
+            self.instances[name] = instance
+            await instance.start()
+        await self.clock.sleep_ms(1_100.0)
+
+    async def stop(self) -> None:
+        """Stops all instances."""
+        for instance in self.instances.values():
+            await instance.stop()
+
+    def register(self, backend: backends.StandInBackend, **changes: Any):
+        """Has an endpoint write its entry anew, with changes."""
+        backend.endpoint = dataclasses.replace(backend.endpoint, **changes)
+        self.endpoints.put(backend.name, backend.endpoint)
+
+    def call(self, path: str, **more: Any) -> calls.Call:
+        """A request as it arrives now."""
+        self._ids += 1
+        given = {
+            "request_id": f"r{self._ids}",
+            "method": "POST",
+            "host": HOST,
+            "path_query": path,
+            "headers": (),
+            "body": b"body",
+            "arrived_ms": self.clock.now_ms(),
+            "work": calls.ModelWork(5_000, 10_000, 5_000),
+        }
+        return calls.Call(**(given | more))
+
+    async def ask(
+        self,
+        path: str,
+        *,
+        instance: str = "e1",
+        leave_after_ms: float | None = None,
+        **more: Any,
+    ) -> Answer:
+        """Sends a request and reads its answer to the end.
+
+        Args:
+            path: Path asked for.
+            instance: Who is asked.
+            leave_after_ms: When the caller closes its connection.
+            **more: Fields of the call.
+        """
+        call = self.call(path, **more)
+        answer = Answer()
+        with contextlib.suppress(TimeoutError):
+            async with self.clock.timeout_ms(leave_after_ms):
+                await self._read(call, instance, answer)
+        answer.took_ms = self.clock.now_ms() - call.arrived_ms
+        return answer
+
+    async def _read(
+        self, call: calls.Call, instance: str, answer: Answer
+    ) -> None:
+        try:
+            async with self.instances[instance].run(call) as reply:
+                answer.status = reply.status
+                answer.first_ms = self.clock.now_ms() - call.arrived_ms
+                async for part in reply.body:
+                    answer.body += part
+        except errors.WharfError as error:
+            answer.error = error
+
+    async def ask_all(self, *paths: str, **more: Any) -> list[Answer]:
+        """Sends requests at the same moment."""
+        asked = [self.ask(path, **more) for path in paths]
+        return list(await asyncio.gather(*asked))
+
+
+def run(test: Coroutine[Any, Any, Any]) -> Any:
+    """Runs a test on a virtual clock."""
+    return virtual_time.run(test)
+
+
+@contextlib.asynccontextmanager
+async def deployed(*behind: backends.StandInBackend, names=("e1",)):
+    """A started deployment for the block."""
+    deployment = Deployment(*behind)
+    await deployment.start(*names)
+    try:
+        yield deployment
+    finally:
+        await deployment.stop()
--- /dev/null
+++ b/tests/forwarding/test_costs.py
@@ -0,0 +1,31 @@
+"""What a request costs is learned from those that ran alone."""
+
+from __future__ import annotations
+
+import pytest
+
+from jujubewharf.forwarding import costs
+
+
+def test_a_queue_before_the_engine_doesnt_make_reading_dear():
+    work = costs.WorkCosts()
+    for _ in range(20):
+        work.prefilled(100.0, prompt_tokens=5_000)
+    before_ms = work.prefill_ms
+    for _ in range(20):
+        work.prefilled(700.0, prompt_tokens=5_000)
+    assert work.prefill_ms < 1.2 * before_ms
+
+
+def test_engines_that_became_slower_are_noticed():
+    work = costs.WorkCosts()
+    for _ in range(400):
+        work.prefilled(300.0, prompt_tokens=5_000)
+    assert work.prefill_ms == pytest.approx(300.0, rel=0.1)
+
+
+def test_writing_counts_by_its_part_of_the_memory():
+    work = costs.WorkCosts()
+    for _ in range(200):
+        work.decoded(4_000.0, memory_part=0.25)
+    assert work.decode_ms == pytest.approx(1_000.0, rel=0.01)
--- /dev/null
+++ b/tests/forwarding/test_events.py
@@ -0,0 +1,33 @@
+"""Streams are cut at whole events, wherever the bytes are split."""
+
+from __future__ import annotations
+
+import itertools
+
+from hypothesis import given
+from hypothesis import strategies
+
+from jujubewharf.forwarding import events
+
+STREAM = b"id: 1\ndata: a\n\n: comment\n\nid: 2\ndata: b\ndata: c\n\n"
+
+
+@given(strategies.lists(strategies.integers(0, len(STREAM)), max_size=6))
+def test_any_split_gives_the_same_events(cuts):
+    places = [0, *sorted(cuts), len(STREAM)]
+    cutter = events.EventCutter()
+    found = [
+        event
+        for start, end in itertools.pairwise(places)
+        for event in cutter.feed(STREAM[start:end])
+    ]
+    assert [event.number for event in found] == [1, None, 2]
+    assert b"".join(event.data for event in found) == STREAM
+    assert not cutter.has_partial
+
+
+def test_a_part_of_an_event_is_kept_back():
+    cutter = events.EventCutter()
+    found = cutter.feed(b"id: 7\ndata: x\n\nid: 8\nda")
+    assert [event.number for event in found] == [7]
+    assert cutter.has_partial
--- /dev/null
+++ b/tests/forwarding/test_follower.py
@@ -0,0 +1,92 @@
+"""Following a table over outages and forgotten history."""
+
+from __future__ import annotations
+
+import random
+
+from jujubewharf import clock as clocks
+from jujubewharf.experiments import virtual_time
+from jujubewharf.forwarding import follower
+from jujubewharf.standins import tables
+
+PACE = follower.Pace(wait_ms=500.0, pause_ms=50.0)
+
+
+def _following(test):
+    async def main():
+        clock = clocks.Clock(wall_origin_ms=0.0)
+        table = tables.StandInTable(clock)
+        known = {}
+        lost = []
+
+        def on_page(page, is_whole):
+            known.update({r.key: r.value for r in page.records})
+
+        service = follower.TableFollower(
+            "t",
+            table,
+            PACE,
+            clock,
+            random.Random(1),
+            on_page=on_page,
+            on_lost=lambda: lost.append(clock.now_ms()),
+        )
+        await service.start()
+        await test(clock, table, known, lost)
+        await service.stop()
+
+    virtual_time.run(main())
+
+
+def test_changes_are_heard_of_within_a_read():
+    async def test(clock, table, known, lost):
+        table.put("a", 1)
+        await clock.sleep_ms(100.0)
+        table.put("a", 2)
+        await clock.sleep_ms(100.0)
+        assert known == {"a": 2}
+        assert not lost
+
+    _following(test)
+
+
+def test_an_outage_is_told_and_ends_by_itself():
+    async def test(clock, table, known, lost):
+        table.put("a", 1)
+        await clock.sleep_ms(100.0)
+        table.is_down = True
+        await clock.sleep_ms(5_000.0)
+        assert lost
+        table.put("a", 2)
+        table.is_down = False
+        await clock.sleep_ms(700.0)
+        assert known == {"a": 2}
+
+    _following(test)
+
+
+def test_forgotten_changes_are_read_from_the_whole_table():
+    """Nothing is skipped where the store has dropped the changes."""
+
+    async def test(clock, table, known, lost):
+        table.put("a", 1)
+        await clock.sleep_ms(100.0)
+        table.is_down = True
+        await clock.sleep_ms(1_000.0)
+        table.put("a", 2)
+        table.put("b", 3)
+        table.forget()
+        table.is_down = False
+        await clock.sleep_ms(1_000.0)
+        assert known == {"a": 2, "b": 3}
+
+    _following(test)
+
+
+def test_it_doesnt_ask_all_the_time_while_the_store_is_down():
+    async def test(clock, table, known, lost):
+        table.is_down = True
+        await clock.sleep_ms(10_000.0)
+        assert len(lost) < 10_000.0 / 125.0
+
+    _following(test)
--- /dev/null
+++ b/tests/forwarding/test_forwarder.py
@@ -0,0 +1,103 @@
+"""Routes, versions and the bounds of a request's life."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from jujubewharf import errors
+from jujubewharf.forwarding import forwarder
+from jujubewharf.forwarding import routes
+from tests.forwarding import deployments
+
+shop = deployments.shop
+
+
+def test_an_unknown_path_is_told_so():
+    async def main():
+        async with deployments.deployed(shop("s1")) as world:
+            answer = await world.ask("/nothing/1")
+            assert answer.error is not None
+            assert answer.error.kind is errors.ErrorKind.UNKNOWN_SERVICE
+
+    deployments.run(main())
+
+
+def test_before_any_configuration_callers_are_told_to_come_back():
+    """A path that this instance doesn't know yet is not one that isn't there.
+
+    "Not found" would end the caller's tries; it is served a moment later.
+    """
+
+    async def main():
+        world = deployments.Deployment(shop("s1"))
+        world.configurations.is_down = True
+        world.endpoints.is_down = True
+        await world.start()
+        instance = world.instances["e1"]
+        assert not instance.is_ready
+        answer = await world.ask("/sale/1")
+        assert answer.error is not None
+        assert answer.error.kind is errors.ErrorKind.NOT_READY
+        world.configurations.is_down = world.endpoints.is_down = False
+        await world.clock.sleep_ms(1_000.0)
+        assert instance.is_ready
+        assert (await world.ask("/sale/1")).status == 200
+        await world.stop()
+
+    deployments.run(main())
+
+
+def test_a_version_is_in_force_soon_and_never_left_for_an_older_one():
+    async def main():
+        async with deployments.deployed(shop("s1")) as world:
+            moved = dataclasses.replace(deployments.SALE, path_prefix="/moved/")
+            world.configurations.put(
+                "config", deployments.configuration(7, moved)
+            )
+            await world.clock.sleep_ms(100.0)
+            assert (await world.ask("/moved/1")).status == 200
+            # A stale read shows an older version after the newer one.
+            world.configurations.put(
+                "config", deployments.configuration(5, deployments.SALE)
+            )
+            await world.clock.sleep_ms(1_000.0)
+            assert (await world.ask("/moved/1")).status == 200
+
+    deployments.run(main())
+
+
+def test_the_same_version_changes_nothing():
+    source = forwarder.RouteSource()
+    assert source.take(deployments.configuration(3))
+    assert not source.take(deployments.configuration(3))
+    assert not source.take(deployments.configuration(2))
+    assert source.take(deployments.configuration(4))
+
+
+def test_the_callers_patience_bounds_the_wait():
+    async def main():
+        async with deployments.deployed(shop("s1", is_silent=True)) as world:
+            answer = await world.ask("/sale/1", patience_ms=500.0)
+            assert answer.took_ms <= 550.0
+
+    deployments.run(main())
+
+
+def test_services_are_picked_by_their_weights():
+    async def main():
+        split = dataclasses.replace(
+            deployments.SALE,
+            shares=(
+                routes.Share(deployments.PLAIN, 1.0),
+                routes.Share("gone", 0.0),
+            ),
+        )
+        async with deployments.deployed(shop("s1")) as world:
+            world.configurations.put(
+                "config", deployments.configuration(2, split)
+            )
+            await world.clock.sleep_ms(100.0)
+            for _ in range(20):
+                assert (await world.ask("/sale/1")).status == 200
+
+    deployments.run(main())
--- /dev/null
+++ b/tests/forwarding/test_ordering.py
@@ -0,0 +1,90 @@
+"""Orders: under the lease, one step at a time, not against an older one."""
+
+from __future__ import annotations
+
+from jujubewharf.configuration import resources
+from jujubewharf.engines import client
+from tests.forwarding import deployments
+
+reader = deployments.reader
+writer = deployments.writer
+
+
+def _crowded():
+    """Three engines read where one should."""
+    readers = [reader(f"p{i}") for i in range(3)]
+    return [*readers, *(writer(f"d{i}") for i in range(3))]
+
+
+def _orders(world):
+    return [
+        (backend.name, order)
+        for backend in world.backends.by_name.values()
+        for order in backend.orders
+    ]
+
+
+def test_the_holder_alone_gives_the_order():
+    async def main():
+        async with deployments.deployed(
+            *_crowded(), names=("e1", "e2", "e3")
+        ) as world:
+            await world.clock.sleep_ms(8_000.0)
+            given = _orders(world)
+            assert len(given) == 2
+            assert {order.role for _, order in given} == {resources.Role.DECODE}
+            assert {order.holder for _, order in given} == {"e1"}
+            for name, order in given:
+                world.register(world.backends.by_name[name], role=order.role)
+            await world.clock.sleep_ms(30_000.0)
+            assert _orders(world) == given
+
+    deployments.run(main())
+
+
+def test_an_order_without_answer_is_left_until_it_can_not_be_late():
+    """An older order that is carried out late would undo a newer one.
+
+    The engine gave no answer; for thirteen seconds it gets no other.
+    """
+
+    async def main():
+        engines = _crowded()
+        for engine in engines:
+            engine.next_fault = client.EngineFault.LOST
+        async with deployments.deployed(*engines) as world:
+            given = []
+            for _ in range(400):
+                await world.clock.sleep_ms(100.0)
+                if _orders(world) and not given:
+                    given.append(world.clock.now_ms())
+            assert given
+            # The lease is had after 3 s, the order lost soon after.
+            assert given[0] > 13_000.0
+
+    deployments.run(main())
+
+
+def test_no_orders_while_the_store_is_away():
+    async def main():
+        async with deployments.deployed(*_crowded()) as world:
+            world.endpoints.is_down = True
+            await world.clock.sleep_ms(20_000.0)
+            assert _orders(world) == []
+
+    deployments.run(main())
+
+
+def test_a_fenced_order_is_not_repeated_under_the_same_token():
+    async def main():
+        engines = _crowded()
+        async with deployments.deployed(*engines) as world:
+            for engine in engines:
+                engine.next_fault = client.EngineFault.REFUSED_FENCE
+            await world.clock.sleep_ms(30_000.0)
+            assert _orders(world) == []
+            fault = client.EngineFault.REFUSED_FENCE
+            asked = [e.name for e in engines if e.next_fault is not fault]
+            assert len(asked) == 1
+
+    deployments.run(main())
--- /dev/null
+++ b/tests/forwarding/test_plain.py
@@ -0,0 +1,199 @@
+"""Plain requests: once where asked, again where allowed, told truly."""
+
+from __future__ import annotations
+
+import asyncio
+
+from jujubewharf import errors
+from tests.forwarding import deployments
+
+shop = deployments.shop
+
+
+def test_the_answer_comes_through_as_it_was_given():
+    async def main():
+        async with deployments.deployed(shop("s1", status=404)) as world:
+            answer = await world.ask("/sale/1")
+            assert (answer.status, answer.body) == (404, b"r1")
+
+    deployments.run(main())
+
+
+def test_a_lost_answer_is_asked_for_again_where_that_is_allowed():
+    async def main():
+        async with deployments.deployed(
+            shop("s1", loses_answers=True), shop("s2", "b")
+        ) as world:
+            answer = await world.ask("/lookup/1")
+            assert answer.status == 200
+            assert [r.engine for r in world.backends.runs] == ["s1", "s2"]
+
+    deployments.run(main())
+
+
+def test_a_lost_answer_to_a_sale_is_unknown():
+    """The till learns that the sale may have been logged.
+
+    The endpoint ran it and its answer was lost. "Did not run" would have the
+    till send it again, and the stock would be logged twice.
+    """
+
+    async def main():
+        async with deployments.deployed(
+            shop("s1", loses_answers=True), shop("s2", "b")
+        ) as world:
+            answer = await world.ask("/sale/1")
+            assert answer.error is not None
+            assert answer.error.kind is errors.ErrorKind.OUTCOME_UNKNOWN
+            assert len(world.backends.runs) == 1
+
+    deployments.run(main())
+
+
+def test_a_sale_that_found_no_connection_goes_elsewhere():
+    async def main():
+        async with deployments.deployed(
+            shop("s1", is_unreachable=True), shop("s2", "b")
+        ) as world:
+            answer = await world.ask("/sale/1")
+            assert answer.status == 200
+            assert [r.engine for r in world.backends.runs] == ["s2"]
+
+    deployments.run(main())
+
+
+def test_nobody_there_is_told_as_not_run():
+    async def main():
+        async with deployments.deployed(
+            shop("s1", is_unreachable=True)
+        ) as world:
+            answer = await world.ask("/sale/1")
+            assert answer.error is not None
+            assert answer.error.ran is errors.Ran.NO
+            assert answer.error.answer.http_status == 503
+            assert answer.error.retry_after_ms is not None
+
+    deployments.run(main())
+
+
+def test_a_failure_is_tried_elsewhere_and_else_passed_on():
+    """The caller gets the endpoint's own failure, not one made up here."""
+
+    async def main():
+        async with deployments.deployed(
+            shop("s1", status=500), shop("s2", "b", status=500)
+        ) as world:
+            answer = await world.ask("/lookup/1")
+            assert (answer.status, answer.error) == (500, None)
+            assert len(world.backends.runs) == 2
+
+    deployments.run(main())
+
+
+def test_a_failure_of_a_sale_is_passed_on_at_once():
+    async def main():
+        async with deployments.deployed(
+            shop("s1", status=500), shop("s2", "b")
+        ) as world:
+            answer = await world.ask("/sale/1")
+            assert answer.status == 500
+            assert len(world.backends.runs) == 1
+
+    deployments.run(main())
+
+
+def test_a_slow_endpoint_is_given_up_before_the_target():
+    """The caller is served in time though its endpoint hangs.
+
+    Health checks see nothing of such an endpoint. The request may be repeated
+    and so goes elsewhere while its target can still be met.
+    """
+
+    async def main():
+        async with deployments.deployed(
+            shop("s1", is_silent=True), shop("s2", "b")
+        ) as world:
+            answer = await world.ask("/lookup/1")
+            assert answer.status == 200
+            assert answer.took_ms < deployments.LOOKUP.target_ms
+            assert not world.backends.by_name["s1"].at_work
+
+    deployments.run(main())
+
+
+def test_no_more_engines_than_the_route_allows():
+    async def main():
+        async with deployments.deployed(
+            *(shop(f"s{i}", loses_answers=True) for i in range(4))
+        ) as world:
+            answer = await world.ask("/lookup/1")
+            assert answer.error is not None
+            assert len(world.backends.runs) == deployments.LOOKUP.max_attempts
+
+    deployments.run(main())
+
+
+def test_retries_stop_with_the_fleets_budget():
+    """A sick service isn't asked twice for everything.
+
+    The instance holds the fleet's whole share: 40 in a window and a fifth of
+    its requests.
+    """
+
+    async def main():
+        async with deployments.deployed(
+            shop("s1", loses_answers=True), shop("s2", loses_answers=True)
+        ) as world:
+            for _ in range(200):
+                await world.ask("/lookup/1")
+                await world.clock.sleep_ms(10.0)
+            extra = len(world.backends.runs) - 200
+            assert 20 < extra <= 40 + 0.2 * 200
+
+    deployments.run(main())
+
+
+def test_the_deadline_gets_an_answer_at_once():
+    async def main():
+        async with deployments.deployed(shop("s1", is_silent=True)) as world:
+            answer = await world.ask("/sale/1")
+            assert answer.error is not None
+            assert answer.error.ran is errors.Ran.UNKNOWN
+            assert answer.took_ms <= deployments.SALE.timeout_ms + 50.0
+
+    deployments.run(main())
+
+
+def test_a_caller_that_leaves_ends_the_work():
+    async def main():
+        async with deployments.deployed(shop("s1", work_ms=1e3)) as world:
+            await world.ask("/sale/1", leave_after_ms=100.0)
+            assert not world.backends.by_name["s1"].at_work
+
+    deployments.run(main())
+
+
+def test_an_endpoint_that_leaves_gets_nothing_new():
+    async def main():
+        leaving = shop("s1")
+        async with deployments.deployed(leaving, shop("s2", "b")) as world:
+            world.register(leaving, drained=True)
+            await world.clock.sleep_ms(1_000.0)
+            for _ in range(3):
+                await world.ask("/sale/1")
+            assert {r.engine for r in world.backends.runs} == {"s2"}
+
+    deployments.run(main())
+
+
+def test_calls_go_on_while_the_store_is_away():
+    async def main():
+        async with deployments.deployed(shop("s1")) as world:
+            world.endpoints.is_down = True
+            world.configurations.is_down = True
+            world.groups.cut_off.add("e1")
+            await world.clock.sleep_ms(60_000.0)
+            answers = await asyncio.gather(*[world.ask("/sale/1")])
+            assert [a.status for a in answers] == [200]
+
+    deployments.run(main())
--- /dev/null
+++ b/tests/forwarding/test_refusals.py
@@ -0,0 +1,16 @@
+"""A status that promises that nothing ran is given only where it is true."""
+
+from __future__ import annotations
+
+import pytest
+
+from jujubewharf import errors
+from jujubewharf.forwarding import refusals
+
+
+@pytest.mark.parametrize("kind", list(errors.ErrorKind))
+@pytest.mark.parametrize("ran", list(errors.Ran))
+def test_promises_are_kept(kind, ran):
+    status = refusals.status_of(errors.WharfError(kind, ran=ran))
+    if status in refusals.PROMISES:
+        assert ran is errors.Ran.NO
--- /dev/null
+++ b/tests/forwarding/test_registry.py
@@ -0,0 +1,134 @@
+"""What the store shows of endpoints, over stale reads and outages."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from jujubewharf import clock as clocks
+from jujubewharf.configuration import resources
+from jujubewharf.experiments import virtual_time
+from jujubewharf.forwarding import registry as registries
+
+ENDPOINT = resources.Endpoint("s1", "shop", "s1:1", "a", resources.Role.PLAIN)
+LEAVING = dataclasses.replace(ENDPOINT, drained=True)
+
+
+def _record(offset: int, endpoint: resources.Endpoint | None = ENDPOINT):
+    return registries.Record("s1", offset, endpoint)
+
+
+def _on_clock(test):
+    async def main():
+        clock = clocks.Clock(wall_origin_ms=0.0)
+        await test(registries.Registry(clock), clock)
+
+    virtual_time.run(main())
+
+
+def test_an_older_word_doesnt_bring_a_leaving_endpoint_back():
+    async def test(registry, clock):
+        registry.take([_record(5, LEAVING)])
+        registry.take_all([_record(3)], end=4)
+        assert not registry.takes_work("s1")
+        assert registry.of_service("shop") == ()
+
+    _on_clock(test)
+
+
+def test_what_a_whole_reading_lacks_was_removed():
+    async def test(registry, clock):
+        registry.take([_record(3)])
+        registry.take_all([], end=9)
+        assert not registry.takes_work("s1")
+
+    _on_clock(test)
+
+
+def test_a_stale_whole_reading_removes_nothing_newer():
+    async def test(registry, clock):
+        registry.take([_record(8)])
+        registry.take_all([], end=6)
+        assert registry.takes_work("s1")
+
+    _on_clock(test)
+
+
+def test_entries_that_lapse_over_an_outage_are_kept_for_a_while():
+    """Callers are served on although the store lost the entries.
+
+    Endpoints can't renew their entries while the store is away, so it drops
+    them; those that live are back within two seconds of its return.
+    """
+
+    async def test(registry, clock):
+        registry.take([_record(3)])
+        registry.store_lost()
+        await clock.sleep_ms(8_000.0)
+        registry.store_back()
+        registry.take([_record(4, None)])
+        assert registry.takes_work("s1")
+        assert len(registry.of_service("shop")) == 1
+        await clock.sleep_ms(registries.LAPSE_GRACE_MS + 1.0)
+        assert not registry.takes_work("s1")
+        assert len(registry.of_service("shop")) == 0
+
+    _on_clock(test)
+
+
+def test_one_that_is_back_after_an_outage_stays():
+    async def test(registry, clock):
+        registry.take([_record(3)])
+        registry.store_lost()
+        registry.store_back()
+        registry.take([_record(4, None)])
+        registry.take([_record(5)])
+        await clock.sleep_ms(60_000.0)
+        assert registry.takes_work("s1")
+        assert len(registry.of_service("shop")) == 1
+
+    _on_clock(test)
+
+
+def test_one_that_said_it_leaves_is_not_kept_over_an_outage():
+    async def test(registry, clock):
+        registry.take([_record(3, LEAVING)])
+        registry.store_lost()
+        registry.store_back()
+        registry.take([_record(4, None)])
+        assert not registry.takes_work("s1")
+
+    _on_clock(test)
+
+
+def test_a_removal_in_calm_times_counts_at_once():
+    async def test(registry, clock):
+        await clock.sleep_ms(60_000.0)
+        registry.take([_record(3)])
+        registry.take([_record(4, None)])
+        assert not registry.takes_work("s1")
+
+    _on_clock(test)
+
+
+def test_a_replaced_endpoint_comes_back_by_its_own_word_only():
+    async def test(registry, clock):
+        registry.take([_record(3)])
+        registry.replaced("s1")
+        assert not registry.takes_work("s1")
+        registry.take_all([_record(3)], end=4)
+        assert not registry.takes_work("s1")
+        registry.take([_record(6)])
+        assert registry.takes_work("s1")
+
+    _on_clock(test)
+
+
+def test_listeners_hear_of_every_change():
+    async def test(registry, clock):
+        heard = []
+        registry.listen(lambda endpoints: heard.append(len(endpoints)))
+        registry.take([_record(3)])
+        registry.take([_record(4, LEAVING)])
+        assert heard == [1, 0]
+
+    _on_clock(test)
--- /dev/null
+++ b/tests/forwarding/test_role_plan.py
@@ -0,0 +1,58 @@
+"""How many engines read and how many write."""
+
+from __future__ import annotations
+
+import pytest
+
+from jujubewharf.configuration import resources
+from jujubewharf.forwarding import role_plan
+from tests.forwarding import deployments
+
+PREFILL = resources.Role.PREFILL
+DECODE = resources.Role.DECODE
+
+
+def _engines(readers: int, writers: int) -> list[resources.Endpoint]:
+    roles = [PREFILL] * readers + [DECODE] * writers
+    return [
+        deployments.engine(f"e{i}", role, "abc"[i % 3]).endpoint
+        for i, role in enumerate(roles)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("readers", "writers", "decode_ms", "expected"),
+    [
+        # Reading takes a fifth of the writing: one engine reads.
+        (3, 3, 480.0, 1),
+        (0, 6, 480.0, 1),
+        # A gain of a few in a hundred is not worth a change.
+        (2, 4, 480.0, 2),
+        # One reader would serve a little more, but its loss would cost half.
+        (2, 3, 300.0, 2),
+        # Where reading and writing take the same, half of the engines read.
+        (1, 7, 90.0, 4),
+        (7, 1, 90.0, 4),
+        # One engine alone must write.
+        (0, 1, 480.0, 0),
+    ],
+)
+def test_the_pools_are_kept_equally_busy(readers, writers, decode_ms, expected):
+    engines = _engines(readers, writers)
+    changes = role_plan.changes(engines, prefill_ms=90.0, decode_ms=decode_ms)
+    more = sum(c.role is PREFILL for c in changes)
+    less = sum(c.role is DECODE for c in changes)
+    assert readers + more - less == expected
+    assert not (more and less)
+
+
+def test_readers_are_spread_over_domains():
+    engines = [
+        deployments.reader("p1", "a").endpoint,
+        deployments.reader("p2", "a").endpoint,
+        deployments.reader("p3", "b").endpoint,
+        *(deployments.writer(f"d{i}", "c").endpoint for i in range(3)),
+    ]
+    found = role_plan.changes(engines, prefill_ms=90.0, decode_ms=480.0)
+    assert [change.engine.domain for change in found] == ["a", "a"]
+    assert {change.role for change in found} == {DECODE}
--- /dev/null
+++ b/tests/forwarding/test_sharing.py
@@ -0,0 +1,97 @@
+"""Parts of the fleet's whole, and the lease for orders."""
+
+from __future__ import annotations
+
+from jujubewharf import clock as clocks
+from jujubewharf.experiments import virtual_time
+from jujubewharf.forwarding import sharing
+from jujubewharf.standins import tables
+
+
+def _on_clock(test):
+    async def main():
+        clock = clocks.Clock(wall_origin_ms=0.0)
+        groups = tables.StandInGroups(clock)
+        members = {
+            name: sharing.FleetShare(
+                groups.member(name), clock, default_share=0.01
+            )
+            for name in "abc"
+        }
+        for member in members.values():
+            await member.start()
+        await test(clock, groups, members)
+        for member in members.values():
+            await member.stop()
+
+    virtual_time.run(main())
+
+
+def test_the_shares_of_all_are_one_whole():
+    async def test(clock, groups, members):
+        await clock.sleep_ms(3_000.0)
+        assert sum(m.fraction for m in members.values()) == 1.0
+
+    _on_clock(test)
+
+
+def test_one_may_give_orders_and_only_after_the_one_before_is_out():
+    """Engines never see two holders within one time to live.
+
+    Member a is cut off. It stops by itself when its last join is too old;
+    the next holder begins a whole time to live after it was dealt the part.
+    """
+
+    async def test(clock, groups, members):
+        await clock.sleep_ms(8_000.0)
+        assert [n for n, m in members.items() if m.fence is not None] == ["a"]
+        first = members["a"].fence
+        groups.cut_off.add("a")
+        last_ms = begins_ms = None
+        for _ in range(200):
+            await clock.sleep_ms(100.0)
+            if members["a"].fence is not None:
+                last_ms = clock.now_ms()
+            later = [
+                m.fence for n, m in members.items() if n != "a" and m.fence
+            ]
+            if later and begins_ms is None:
+                begins_ms = clock.now_ms()
+                assert later[0] > first
+        assert last_ms is not None
+        assert begins_ms is not None
+        assert begins_ms - last_ms >= groups.ttl_ms
+
+    _on_clock(test)
+
+
+def test_one_that_is_cut_off_takes_the_small_share():
+    async def test(clock, groups, members):
+        await clock.sleep_ms(3_000.0)
+        groups.cut_off.add("a")
+        await clock.sleep_ms(4_000.0)
+        assert members["a"].fraction == 0.01
+        assert not members["a"].is_current
+
+    _on_clock(test)
+
+
+def test_a_fence_that_was_refused_is_not_used_again():
+    async def test(clock, groups, members):
+        await clock.sleep_ms(8_000.0)
+        fence = members["a"].fence
+        members["a"].fenced(fence)
+        assert members["a"].fence is None
+
+    _on_clock(test)
+
+
+def test_one_that_leaves_is_replaced_without_waiting():
+    async def test(clock, groups, members):
+        await clock.sleep_ms(8_000.0)
+        await members["a"].leave()
+        assert members["a"].fence is None
+        await clock.sleep_ms(1_500.0 + groups.ttl_ms)
+        assert members["b"].fence is not None
+
+    _on_clock(test)
