--- /dev/null
+++ b/tests/users_platform/raw_server.py
@@ -0,0 +1,114 @@
+"""A TCP server that answers each request with bytes that a test gives."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import socket
+import struct
+
+HOST = "127.0.0.1"
+RESET = object()
+SILENCE = object()
+
+
+@dataclasses.dataclass(frozen=True)
+class Received:
+    """A request as it arrived.
+
+    Attributes:
+        line: Its first line.
+        headers: Its headers, names in lower case.
+        body: Its body.
+        connection: Number of the connection.
+    """
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+    connection: int
+
+
+Script = Callable[[Received], list[object]]
+
+
+class RawServer:
+    """Answers by a script: bytes, ``RESET`` or ``SILENCE``; then it closes."""
+
+    def __init__(self, script: Script) -> None:
+        self.received: list[Received] = []
+        self.connections = 0
+        self.ended = asyncio.Event()
+        self._script = script
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        try:
+            await self._answer(reader, writer, self.connections)
+        finally:
+            self.ended.set()
+            writer.close()
+
+    async def _answer(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        connection: int,
+    ) -> None:
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError:
+            return
+        line, *fields = head.decode().strip().split("\r\n")
+        headers = {
+            name.lower(): value
+            for name, _, value in (field.partition(": ") for field in fields)
+        }
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        request = Received(line, headers, body, connection)
+        self.received.append(request)
+        for step in self._script(request):
+            if step is RESET:
+                _reset(writer)
+                return
+            if step is SILENCE:
+                await reader.read()
+                return
+            assert isinstance(step, bytes)
+            writer.write(step)
+            await writer.drain()
+            await asyncio.sleep(0.01)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info("socket")
+    linger = struct.pack("ii", 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+@contextlib.asynccontextmanager
+async def serving(script: Script):
+    """A running server and its address."""
+    server = RawServer(script)
+    listener = await asyncio.start_server(server.serve, HOST, 0)
+    port = listener.sockets[0].getsockname()[1]
+    try:
+        yield server, f"{HOST}:{port}"
+    finally:
+        listener.close()
+
+
+def answer(
+    status: str = "200 OK", body: bytes = b"ok", *, length: bool = True, **more
+) -> bytes:
+    """An HTTP answer; keywords are headers with _ for -."""
+    lines = [f"HTTP/1.1 {status}"]
+    lines += [f"{n.replace('_', '-')}: {v}" for n, v in more.items()]
+    if length:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- /dev/null
+++ b/tests/users_platform/test_edge.py
@@ -0,0 +1,345 @@
+"""The caller edge: what is taken, passed on, refused and cut."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+from users_platform import edge
+
+from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf.forwarding import calls
+from jujubewharf.forwarding import routes
+
+HOST = "127.0.0.1"
+SEAL = ("Server-Seal", "s")
+
+
+class Forwarding:
+    """Stands in for the instance: answers by a script."""
+
+    def __init__(self, script) -> None:
+        self.calls: list[calls.Call] = []
+        self.is_ready = True
+        self.limits = routes.CallerLimits(max_body_bytes=100)
+        self.was_cancelled = asyncio.Event()
+        self._script = script
+
+    @contextlib.asynccontextmanager
+    async def run(self, call):
+        self.calls.append(call)
+        try:
+            yield await self._script(call)
+        except asyncio.CancelledError:
+            self.was_cancelled.set()
+            raise
+
+
+async def _parts(*parts):
+    for part in parts:
+        if isinstance(part, Exception):
+            raise part
+        yield part
+
+
+def _reply(*parts, status=200, length=None, headers=(SEAL,)):
+    async def script(call):
+        return calls.Reply(status, headers, _parts(*parts), length)
+
+    return script
+
+
+def _fail(kind, **more):
+    async def script(call):
+        raise errors.WharfError(kind, **more)
+
+    return script
+
+
+class Caller:
+    """A raw connection to the edge."""
+
+    def __init__(self, reader, writer, forwarding) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.forwarding = forwarding
+
+    async def send(self, text: bytes) -> None:
+        self.writer.write(text)
+        await self.writer.drain()
+
+    async def read(self) -> tuple[int, dict[str, str], bytes]:
+        """One answer with a length or in chunks."""
+        head = await self.reader.readuntil(b"\r\n\r\n")
+        line, *fields = head.decode().strip().split("\r\n")
+        pairs = (field.partition(": ") for field in fields)
+        headers = {name.lower(): value for name, _, value in pairs}
+        if "content-length" in headers:
+            size = int(headers["content-length"])
+            body = await self.reader.readexactly(size)
+        else:
+            body = await self._chunks()
+        return int(line.split()[1]), headers, body
+
+    async def _chunks(self) -> bytes:
+        body = b""
+        while size := int(await self._line(), 16):
+            body += await self.reader.readexactly(size)
+            await self.reader.readline()
+        await self.reader.readline()
+        return body
+
+    async def _line(self) -> bytes:
+        line = await self.reader.readline()
+        if not line.endswith(b"\n"):
+            raise asyncio.IncompleteReadError(line, None)
+        return line
+
+    async def is_closed(self) -> bool:
+        """Whether the edge has closed the connection."""
+        try:
+            return await self.reader.read() == b""
+        except ConnectionError:
+            return True
+
+
+@contextlib.asynccontextmanager
+async def _connected(script):
+    forwarding = Forwarding(script)
+    server = edge.CallerEdge(forwarding, clocks.Clock()).new_server()
+    loop = asyncio.get_running_loop()
+    listener = await loop.create_server(server, HOST, 0)
+    port = listener.sockets[0].getsockname()[1]
+    reader, writer = await asyncio.open_connection(HOST, port)
+    try:
+        yield Caller(reader, writer, forwarding)
+    finally:
+        writer.close()
+        listener.close()
+
+
+def _request(*fields: str, body: bytes = b"", line="POST /a/1?x=%2F HTTP/1.1"):
+    head = [line, "Host: Shop.example:80", "Request-Id: r1", *fields]
+    if body:
+        head.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(head).encode() + b"\r\n\r\n" + body
+
+
+async def test_a_request_becomes_a_call():
+    async with _connected(_reply(b"ok", length=2)) as caller:
+        await caller.send(
+            _request(
+                "Deadline-Ms: 1500",
+                "Token-Counts: 1460,80",
+                "Length-Hint: 60",
+                "Last-Event-Id: 12",
+                "X-Own: 1",
+                body=b"body",
+            )
+        )
+        status, headers, body = await caller.read()
+        assert (status, body) == (200, b"ok")
+        assert headers["server-seal"] == "s"
+        assert headers["request-id"] == "r1"
+        (call,) = caller.forwarding.calls
+        assert (call.method, call.path_query) == ("POST", "/a/1?x=%2F")
+        assert (call.path, call.host) == ("/a/1", "Shop.example:80")
+        assert (call.patience_ms, call.last_event) == (1_500.0, 12)
+        assert call.work == calls.ModelWork(1_460, 80, 60)
+        assert call.body == b"body"
+        assert ("X-Own", "1") in call.headers
+
+
+@pytest.mark.parametrize(
+    "forged",
+    [
+        "Kv-Source: 10.0.0.1:80/h",
+        "Kv-Hold: h",
+        "Kv-Backup: 10.0.0.1:80",
+        "Kv-Fetch: 10.0.0.1:80",
+        "Pin-Ms: 4000",
+        "Stage: prefill",
+        "Expect-Instance: i-1",
+        "Expect-Version: 3",
+        "Request-Priority: 0",
+    ],
+)
+async def test_what_the_system_sets_is_not_taken_from_callers(forged):
+    async with _connected(_reply(b"ok", length=2)) as caller:
+        await caller.send(_request(forged))
+        await caller.read()
+        name = forged.partition(":")[0].lower()
+        (call,) = caller.forwarding.calls
+        assert name not in {n.lower() for n, _ in call.headers}
+
+
+async def test_headers_of_one_connection_stay_there():
+    async with _connected(_reply(b"ok", length=2)) as caller:
+        await caller.send(_request("Connection: X-Hop", "X-Hop: 1", "TE: x"))
+        await caller.read()
+        (call,) = caller.forwarding.calls
+        names = {name.lower() for name, _ in call.headers}
+        assert not names & {"connection", "x-hop", "te", "host"}
+
+
+@pytest.mark.parametrize(
+    "smuggled",
+    [
+        ["Content-Length: 4", "Content-Length: 5"],
+        ["Content-Length: 4", "Transfer-Encoding: chunked"],
+        ["Content-Length: +4"],
+        ["Transfer-Encoding: chunked, identity"],
+        ["Content-Length : 4"],
+    ],
+)
+async def test_a_request_with_two_ends_is_refused_and_the_connection_closed(
+    smuggled,
+):
+    """Nothing of it reaches an engine.
+
+    Whoever reads the other length finds a second request in the body, which
+    no caller has sent.
+    """
+    inner = b"GET /a/2 HTTP/1.1\r\nHost: a\r\nRequest-Id: r2\r\n\r\n"
+    async with _connected(_reply(b"ok", length=2)) as caller:
+        await caller.send(_request(*smuggled) + b"0\r\n\r\n" + inner)
+        head = await caller.reader.readuntil(b"\r\n\r\n")
+        assert b" 400 " in head.split(b"\r\n")[0]
+        # A refusal's text, and then the end: no second answer.
+        assert b"HTTP/1.1" not in await caller.reader.read()
+        assert caller.forwarding.calls == []
+
+
+async def test_a_body_in_chunks_is_whole():
+    async with _connected(_reply(b"ok", length=2)) as caller:
+        await caller.send(
+            _request("Transfer-Encoding: chunked")
+            + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        )
+        await caller.read()
+        assert caller.forwarding.calls[0].body == b"abcde"
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        _request(body=b"x" * 101),
+        _request("Transfer-Encoding: chunked") + b"65\r\n" + b"x" * 101,
+    ],
+)
+async def test_a_body_over_the_limit_is_refused(sent):
+    async with _connected(_reply(b"ok", length=2)) as caller:
+        await caller.send(sent)
+        status, _, _ = await caller.read()
+        assert status == 413
+        assert caller.forwarding.calls == []
+
+
+async def test_headers_over_the_limit_are_refused():
+    async with _connected(_reply(b"ok", length=2)) as caller:
+        await caller.send(_request(f"X-Long: {'x' * 20_000}"))
+        head = await caller.reader.readuntil(b"\r\n\r\n")
+        assert head.split(b" ")[1] in (b"400", b"431")
+        assert caller.forwarding.calls == []
+
+
+async def test_a_request_without_id_is_refused():
+    async with _connected(_reply(b"ok", length=2)) as caller:
+        await caller.send(b"GET /a/1 HTTP/1.1\r\nHost: a\r\n\r\n")
+        status, _, _ = await caller.read()
+        assert status == 400
+        assert caller.forwarding.calls == []
+
+
+async def test_many_requests_on_one_connection():
+    async with _connected(_reply(b"ok", length=2)) as caller:
+        for _ in range(3):
+            await caller.send(_request(body=b"b"))
+            assert (await caller.read())[0] == 200
+
+
+async def test_a_refusal_says_when_to_come_back():
+    script = _fail(errors.ErrorKind.QUEUE_FULL, retry_after_ms=2_345.0)
+    async with _connected(script) as caller:
+        await caller.send(_request())
+        status, headers, _ = await caller.read()
+        assert status == 503
+        assert headers["retry-after"] == "2.35"
+        assert "server-seal" not in headers
+
+
+async def test_what_may_have_run_is_not_called_refused():
+    """A caller sends again what was answered 503, also a sale."""
+    script = _fail(
+        errors.ErrorKind.QUEUE_FULL,
+        retry_after_ms=500.0,
+        ran=errors.Ran.UNKNOWN,
+    )
+    async with _connected(script) as caller:
+        await caller.send(_request())
+        status, headers, _ = await caller.read()
+        assert status == 504
+        assert "retry-after" not in headers
+
+
+async def test_a_stream_is_passed_on_as_it_comes():
+    async with _connected(_reply(b"id: 1\n\n", b"id: 2\n\n")) as caller:
+        await caller.send(_request())
+        status, headers, body = await caller.read()
+        assert headers["transfer-encoding"] == "chunked"
+        assert (status, body) == (200, b"id: 1\n\nid: 2\n\n")
+
+
+async def test_a_broken_stream_doesnt_look_whole():
+    """The caller sees its connection break, not the end of an answer."""
+    broken = errors.WharfError(errors.ErrorKind.ANSWER_BROKEN)
+    async with _connected(_reply(b"id: 1\n\n", broken)) as caller:
+        await caller.send(_request())
+        with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+            await caller.read()
+
+
+async def test_a_caller_that_leaves_cancels_its_request():
+    has_begun = asyncio.Event()
+    was_cancelled = asyncio.Event()
+
+    async def script(call):
+        has_begun.set()
+        try:
+            await asyncio.sleep(60)
+        except asyncio.CancelledError:
+            was_cancelled.set()
+            raise
+
+    async with _connected(script) as caller:
+        await caller.send(_request())
+        await has_begun.wait()
+        caller.writer.close()
+        await asyncio.wait_for(was_cancelled.wait(), 5)
+
+
+async def test_a_caller_that_leaves_a_stream_cancels_it():
+    async def endless():
+        while True:
+            yield b"id: 1\n\n"
+            await asyncio.sleep(0.01)
+
+    async def script(call):
+        return calls.Reply(200, (SEAL,), endless())
+
+    async with _connected(script) as caller:
+        await caller.send(_request())
+        await caller.reader.readline()
+        caller.writer.transport.abort()
+        await asyncio.wait_for(caller.forwarding.was_cancelled.wait(), 5)
+
+
+async def test_before_a_shutdown_callers_are_asked_to_go_elsewhere():
+    async with _connected(_reply(b"ok", length=2)) as caller:
+        caller.forwarding.is_ready = False
+        await caller.send(_request())
+        _, headers, _ = await caller.read()
+        assert headers["connection"] == "close"
+        assert await caller.is_closed()
--- /dev/null
+++ b/tests/users_platform/test_engines.py
@@ -0,0 +1,259 @@
+"""Calls to engines: what is sent, and what each answer means."""
+
+from __future__ import annotations
+
+import contextlib
+
+import pytest
+from users_platform import engines
+
+from jujubewharf import clock as clocks
+from jujubewharf.configuration import resources
+from jujubewharf.engines import client
+from jujubewharf.forwarding import calls
+from jujubewharf.forwarding import ports
+from tests.users_platform import raw_server
+
+FAULT = client.EngineFault
+
+
+def _good(**more) -> bytes:
+    given = {"Request_Id": "r1", "Server_Seal": "s"} | more
+    return raw_server.answer(**given)
+
+
+def _endpoint(address: str) -> resources.Endpoint:
+    role = resources.Role.DECODE
+    return resources.Endpoint("i-1", "svc", address, "a", role)
+
+
+def _call(**more) -> calls.Call:
+    given = {
+        "request_id": "r1",
+        "method": "POST",
+        "host": "shop.example",
+        "path_query": "/a%20b/?x=%2F",
+        "headers": (("Model", "m"), ("X-Own", "1")),
+        "body": b"body",
+        "arrived_ms": 0.0,
+    }
+    return calls.Call(**(given | more))
+
+
+@contextlib.asynccontextmanager
+async def _engines():
+    async with engines.new_session() as session:
+        yield engines.Engines(session, clocks.Clock())
+
+
+async def _send(script, sending=None, *, count: int = 1):
+    """Sends a request; returns the server, and answers or faults."""
+    sending = sending or calls.Sending(_call(), 1_234.9)
+    found = []
+    async with raw_server.serving(script) as (server, address):
+        async with _engines() as backends:
+            for _ in range(count):
+                found.append(await _one(backends, address, sending))
+    return server, found
+
+
+async def _one(backends, address, sending):
+    try:
+        async with backends.send(_endpoint(address), sending) as reply:
+            body = b"".join([part async for part in reply.body])
+            return reply.status, body, dict(reply.headers)
+    except client.EngineError as error:
+        return error.fault
+
+
+async def test_a_request_is_sent_as_it_came():
+    server, _ = await _send(lambda r: [_good()])
+    (received,) = server.received
+    assert received.line == "POST /a%20b/?x=%2F HTTP/1.1"
+    assert received.body == b"body"
+    assert received.headers == {
+        "host": "shop.example",
+        "model": "m",
+        "x-own": "1",
+        "request-id": "r1",
+        "deadline-ms": "1234",
+        "expect-instance": "i-1",
+        "content-length": "4",
+        "connection": "close",
+    }
+
+
+async def test_what_the_system_sets():
+    sending = calls.Sending(
+        _call(),
+        500.0,
+        source=calls.Source("10.0.0.1:80", "h1"),
+        hold="hold1",
+        after_event=12,
+    )
+    server, _ = await _send(lambda r: [_good()], sending)
+    sent = server.received[0].headers
+    assert sent["kv-source"] == "10.0.0.1:80/h1"
+    assert sent["kv-hold"] == "hold1"
+    assert sent["last-event-id"] == "12"
+
+
+async def test_an_answer_comes_through_without_what_is_for_this_system():
+    good = _good(Engine_Load="1,0,8", Instance_Id="i-1", X_Other="y")
+    _, [(status, body, headers)] = await _send(lambda r: [good])
+    assert (status, body) == (200, b"ok")
+    assert headers["X-Other"] == "y"
+    assert headers["Server-Seal"] == "s"
+    assert not {"Engine-Load", "Instance-Id"} & set(headers)
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "fault"),
+    [
+        ("503 Busy", {"Not_Executed": "1"}, FAULT.REFUSED_FULL),
+        ("429 Busy", {"Not_Executed": "1"}, FAULT.REFUSED_FULL),
+        ("400 Bad", {"Not_Executed": "1"}, FAULT.UNSUPPORTED),
+        ("421 Other", {"Instance_Id": "i-2"}, FAULT.REFUSED_IDENTITY),
+        ("421 Other", {}, FAULT.REFUSED_IDENTITY),
+        ("421 Role", {"Instance_Id": "i-1"}, FAULT.REFUSED_ROLE),
+        # None of these is an engine's own answer to this request.
+        ("200 OK", {"Request_Id": "r0", "Server_Seal": "s"}, FAULT.LOST),
+        ("200 OK", {"Server_Seal": "s"}, FAULT.LOST),
+        ("200 OK", {"Request_Id": "r1"}, FAULT.LOST),
+        (
+            "200 OK",
+            {"Request_Id": "r1", "Server_Seal": "s", "Content_Encoding": "br"},
+            FAULT.LOST,
+        ),
+        # Without the engine's proof this promise is nobody's.
+        ("503 Busy", {"Request_Id": "r1"}, FAULT.LOST),
+    ],
+)
+async def test_what_refusals_and_foreign_answers_mean(status, headers, fault):
+    bad = raw_server.answer(status, **headers)
+    _, found = await _send(lambda r: [bad])
+    assert found == [fault]
+
+
+async def test_an_engines_own_failure_is_an_answer():
+    bad = _good(status="500 Oops")
+    _, [(status, body, _)] = await _send(lambda r: [bad])
+    assert (status, body) == (500, b"ok")
+
+
+async def test_an_answer_that_is_cut_short_is_lost():
+    _, found = await _send(lambda r: [_good()[:-1]])
+    assert found == [FAULT.LOST]
+
+
+async def test_an_answer_without_length_ends_with_its_connection():
+    whole = _good(length=False, body=b"all of it")
+    _, [(_, body, _)] = await _send(lambda r: [whole])
+    assert body == b"all of it"
+
+
+async def test_an_answer_without_length_that_is_reset_is_lost():
+    """The caller must not get a part that looks whole.
+
+    Only the way in which the connection ended tells the two apart.
+    """
+    part = _good(length=False, body=b"part of it")
+    _, found = await _send(lambda r: [part, raw_server.RESET])
+    assert found == [FAULT.LOST]
+
+
+async def test_a_second_answer_is_not_taken_for_the_next_ones():
+    """Each caller gets its own answer although an engine sends one twice."""
+    twice = _good() + _good(body=b"second")
+    server, found = await _send(lambda r: [twice], count=3)
+    assert [body for _, body, _ in found] == [b"ok"] * 3
+    assert server.connections == 3
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT", "DELETE", "POST"])
+async def test_a_closed_connection_is_never_sent_to_twice(method):
+    sending = calls.Sending(_call(method=method), 500.0)
+    server, found = await _send(lambda r: [raw_server.RESET], sending)
+    assert found == [FAULT.LOST]
+    assert len(server.received) == 1
+
+
+async def test_nobody_there_means_that_nothing_was_sent():
+    async with raw_server.serving(lambda r: []) as (_, address):
+        pass
+    async with _engines() as backends:
+        found = await _one(backends, address, calls.Sending(_call(), 500.0))
+    assert found is FAULT.UNREACHABLE
+
+
+async def test_leaving_the_block_ends_the_engines_connection():
+    async with raw_server.serving(
+        lambda r: [_good(length=False), raw_server.SILENCE]
+    ) as (server, address):
+        async with _engines() as backends:
+            sending = calls.Sending(_call(), 500.0)
+            async with backends.send(_endpoint(address), sending) as reply:
+                assert await anext(reply.body) == b"ok"
+            await server.ended.wait()
+
+
+async def _ask(answer: bytes, ask):
+    async with raw_server.serving(lambda r: [answer]) as (server, address):
+        async with _engines() as backends:
+            return await ask(backends, _endpoint(address)), server.received[0]
+
+
+async def test_a_prompt_is_read_apart():
+    answer = raw_server.answer(body=b'{"kvHandle":"h7","tokens":5}')
+    found, received = await _ask(
+        answer, lambda b, e: b.prefill(e, calls.Sending(_call(), 900.0))
+    )
+    assert found.handle == "h7"
+    assert received.headers["stage"] == "prefill"
+    assert received.headers["request-id"] == "r1"
+
+
+async def test_memory_is_reserved_at_the_engine_that_is_meant():
+    answer = raw_server.answer(body=b'{"hold":"x"}')
+    found, received = await _ask(
+        answer, lambda b, e: b.reserve(e, tokens=7, ttl_ms=900.0)
+    )
+    assert found == "x"
+    assert received.body == b'{"tokens":7,"ttlMs":900.0}'
+    assert received.headers["expect-instance"] == "i-1"
+
+
+@pytest.mark.parametrize(
+    ("status", "fault"),
+    [
+        ("503 Full", FAULT.REFUSED_FULL),
+        ("409 Busy", FAULT.REFUSED_FULL),
+        ("412 Old", FAULT.REFUSED_FENCE),
+        ("404 None", FAULT.LOST),
+        ("421 Other", FAULT.REFUSED_IDENTITY),
+    ],
+)
+async def test_orders_that_are_refused(status, fault):
+    order = ports.RoleOrder(resources.Role.PREFILL, "e1", 41)
+    with pytest.raises(client.EngineError) as caught:
+        await _ask(
+            raw_server.answer(status), lambda b, e: b.order_role(e, order)
+        )
+    assert caught.value.fault is fault
+
+
+async def test_an_order():
+    order = ports.RoleOrder(resources.Role.PREFILL, "e1", 41)
+    _, received = await _ask(
+        raw_server.answer("202 Accepted"), lambda b, e: b.order_role(e, order)
+    )
+    assert received.line == "POST /jujubewharf/order HTTP/1.1"
+    assert received.body == (
+        b'{"op":"stage","stage":"prefill","holder":"e1","fence":41}'
+    )
+
+
+async def test_an_engine_in_the_middle_of_an_order():
+    answer = raw_server.answer(body=b'{"busy":true}')
+    found, _ = await _ask(answer, lambda b, e: b.is_changing(e))
+    assert found is True
--- /dev/null
+++ b/tests/users_platform/test_store.py
@@ -0,0 +1,143 @@
+"""The store's tables and groups, as they stand on the wire."""
+
+from __future__ import annotations
+
+import base64
+import contextlib
+import json
+import struct
+
+import pytest
+from users_platform import store
+
+from jujubewharf import clock as clocks
+from jujubewharf.platform import log
+from jujubewharf.platform import tables
+from tests.users_platform import raw_server
+
+
+def _decode(key: str, value: bytes) -> str:
+    if value == b"bad":
+        raise ValueError("bad")
+    return value.decode()
+
+
+@contextlib.asynccontextmanager
+async def _table(script):
+    async with raw_server.serving(script) as (server, address):
+        async with store.new_session() as session:
+            calls = store.Store(address, session, clocks.Clock())
+            yield store.StoreTable(calls, "keyed.x", _decode), server
+
+
+def _json(value: object) -> bytes:
+    return raw_server.answer(body=json.dumps(value).encode())
+
+
+def _item(key: str, value: bytes, offset: int) -> dict[str, object]:
+    encoded = base64.b64encode(value).decode()
+    return {"key": key, "value": encoded, "offset": offset}
+
+
+def _changes(end: int, first: int, *records: bytes) -> bytes:
+    body = struct.pack(">QQ", end, first)
+    for record in records:
+        body += struct.pack(">I", len(record)) + record
+    return raw_server.answer(body=body)
+
+
+async def test_a_whole_table_is_read_over_its_pages():
+    pages = {
+        "": {"items": [_item("a", b"1", 3)], "hasMore": True, "end": 7},
+        "a": {"items": [_item("b", b"2", 9)], "hasMore": False, "end": 10},
+    }
+
+    def script(received):
+        after = received.line.partition("after=")[2].partition(" ")[0]
+        return [_json(pages[after])]
+
+    async with _table(script) as (table, _):
+        page = await table.newest()
+    assert page.records == (
+        tables.TableRecord("a", 3, "1"),
+        tables.TableRecord("b", 9, "2"),
+    )
+    # What came between the pages is read as a change.
+    assert page.end == 7
+
+
+async def test_changes_are_numbered_and_removals_told():
+    sent = _changes(9, 2, b"\x01a1", b"\x01b", b"\x02cc22")
+    async with _table(lambda r: [sent]) as (table, server):
+        page = await table.changes(5, wait_ms=300.0)
+    assert page.records == (
+        tables.TableRecord("a", 5, "1"),
+        tables.TableRecord("b", 6, None),
+        tables.TableRecord("cc", 7, "22"),
+    )
+    assert page.end == 8
+    assert "from=5" in server.received[0].line
+    assert "waitMs=300" in server.received[0].line
+
+
+async def test_a_record_that_is_cut_off_is_read_next_time():
+    whole = _changes(9, 2, b"\x01a1")
+    cut = whole.replace(b"Content-Length: 23", b"Content-Length: 27")
+    cut += struct.pack(">I", 50)
+    async with _table(lambda r: [cut]) as (table, _):
+        page = await table.changes(5, wait_ms=0.0)
+    assert page.end == 6
+
+
+async def test_a_record_that_isnt_understood_is_left_out():
+    sent = _changes(9, 2, b"\x01abad", b"", b"\x01b2")
+    async with _table(lambda r: [sent]) as (table, _):
+        page = await table.changes(5, wait_ms=0.0)
+    assert page.records == (tables.TableRecord("b", 7, "2"),)
+    assert page.end == 8
+
+
+async def test_forgotten_changes_are_told():
+    gone = raw_server.answer("410 Gone", b'{"first":44}')
+    async with _table(lambda r: [gone]) as (table, _):
+        with pytest.raises(log.LogTruncatedError) as caught:
+            await table.changes(5, wait_ms=0.0)
+    assert caught.value.first_offset == 44
+
+
+@pytest.mark.parametrize(
+    "steps",
+    [
+        [raw_server.answer("503 Busy")],
+        [raw_server.answer("429 Many")],
+        [raw_server.answer("500 Oops")],
+        [raw_server.answer("200 OK", b"[]")],
+        [raw_server.RESET],
+        [raw_server.answer()[:-1]],
+    ],
+)
+async def test_what_is_no_answer_is_unavailable(steps):
+    async with _table(lambda r: steps) as (table, _):
+        with pytest.raises(log.LogUnavailableError):
+            await table.newest()
+        with pytest.raises(log.LogUnavailableError):
+            await table.changes(0, wait_ms=0.0)
+
+
+async def test_a_silent_store_is_unavailable(monkeypatch):
+    monkeypatch.setattr(store, "_CALL_MS", 50.0)
+    async with _table(lambda r: [raw_server.SILENCE]) as (table, _):
+        with pytest.raises(log.LogUnavailableError):
+            await table.changes(0, wait_ms=0.0)
+
+
+async def test_joining_a_group():
+    answer = _json({"generation": 7, "ttlMs": 3, "parts": [["t", 3, 0]]})
+    async with raw_server.serving(lambda r: [answer]) as (server, address):
+        async with store.new_session() as session:
+            calls = store.Store(address, session, clocks.Clock())
+            group = store.StoreGroup(calls, "m", part_count=24, ttl_ms=3_000.0)
+            share = await group.join(6)
+    assert (share.generation, share.parts) == (7, frozenset({3}))
+    sent = json.loads(server.received[0].body)
+    assert (sent["member"], sent["generation"], sent["ttlMs"]) == ("m", 6, 3000)
