Logs that never block, metrics and explain for forwarded requests

Lines go through a bounded queue and a thread; one kind is bound to 200 a second; routine lines are a sample by id, or written when the request fails.

--- a/src/jujubewharf/commands/main.py
+++ b/src/jujubewharf/commands/main.py
@@ -18,6 +18,7 @@
 from jujubewharf.settings import models
 from jujubewharf.settings import reader
 from jujubewharf.telemetry import error_page as error_pages
+from jujubewharf.telemetry import explanation
 from jujubewharf.telemetry import logs
 from jujubewharf.telemetry import metrics
 
@@ -53,7 +54,10 @@
 async def _run(settings: models.EntrySettings) -> int:
     daemon = entries.Entry(settings, clocks.Clock())
     services: list[mode.Service] = [daemon]
-    metrics_edge = metrics.configure(settings)
+    metrics_edge = metrics.configure(
+        settings.telemetry,
+        metrics.Identity(settings.instance, settings.region, settings.domain),
+    )
     if metrics_edge is not None:
         services.append(metrics_edge)
     logs.handle_loop_errors(asyncio.get_running_loop())
@@ -66,6 +70,20 @@
     print(error_pages.page(), end="")
 
 
+@app.command()
+def explain(
+    request_id: Annotated[str, typer.Argument(help="As the caller sent it.")],
+    files: Annotated[list[pathlib.Path], typer.Argument(help="Log files.")],
+) -> None:
+    """Print one request's life from the logs of any number of instances.
+
+    Exit codes: 0 found, 1 no file has a line of the request.
+    """
+    story = explanation.read(request_id, files)
+    print(explanation.page(story), end="")
+    raise typer.Exit(0 if story.lines else 1)
+
+
 @settings_app.command("check")
 def settings_check(path: pathlib.Path) -> None:
     """Check a settings file; every error is named with its path."""
--- a/src/jujubewharf/forwarding/decisions.py
+++ b/src/jujubewharf/forwarding/decisions.py
@@ -3,13 +3,23 @@
 One function a decision, so that the events' names and fields are in one
 place; ``docs/operating/logs.md`` lists them. Each line carries the request's
 id, what decided, and how old that knowledge was.
+
+Refusals, failures, retries and changes of what is believed are always
+written. The routine lines of a request are written at once for a sample of
+the requests, the same ones at every instance; for the others they are kept
+with the request and written when it fails, with the time at which they were
+true.
 """
 
 from __future__ import annotations
 
+import asyncio
+import zlib
+
 from opentelemetry import metrics
 import structlog
 
+from jujubewharf import clock as clocks
 from jujubewharf import errors
 from jujubewharf.engines import client
 from jujubewharf.forwarding import routes
@@ -49,6 +59,36 @@
 
 _logger = structlog.get_logger()
 
+FINISHED = "finished"
+CANCELLED = "cancelled"
+_WELL_ENDED = frozenset({FINISHED, CANCELLED})
+
+# One request in this many has its routine lines written as it runs.
+SAMPLE_ONE_IN = 16
+# Routine lines kept with a request; a long life repeats itself.
+_MAX_TRAIL = 32
+
+
+def is_sampled(request_id: str) -> bool:
+    """Whether a request's routine lines are written as it runs."""
+    return zlib.crc32(request_id.encode()) % SAMPLE_ONE_IN == 0
+
+
+def _routine(run: runs.Run, event: str, **fields: object) -> None:
+    request_id = run.call.request_id
+    if is_sampled(request_id):
+        _logger.info(event, request=request_id, **fields)
+    elif len(run.trail) < _MAX_TRAIL:
+        at_ms = asyncio.get_running_loop().time() * clocks.MS_PER_S
+        since_ms = round(at_ms - run.call.arrived_ms)
+        run.trail.append({"event": event, "since_ms": since_ms, **fields})
+
+
+def _write_trail(run: runs.Run) -> None:
+    for line in run.trail:
+        _logger.info(request=run.call.request_id, is_late=True, **line)
+    run.trail.clear()
+
 
 def configuration_in_force(
     configuration: routes.RoutingConfiguration, *, offset: int
@@ -116,9 +156,9 @@
         left_ms: Time that the engine is given.
         age_ms: Age of the list of endpoints that the choice rests on.
     """
-    _logger.debug(
+    _routine(
+        run,
         "request_sent",
-        request=run.call.request_id,
         engine=engine,
         stage=stage,
         left_ms=round(left_ms),
@@ -174,9 +214,9 @@
 ) -> None:
     """A decode engine reserved memory for a request."""
     _WAIT_MS.record(waited_ms, {"service": run.service})
-    _logger.debug(
+    _routine(
+        run,
         "request_placed",
-        request=run.call.request_id,
         engine=engine,
         tokens=tokens,
         waited_ms=round(waited_ms),
@@ -197,9 +237,9 @@
 def answer_begun(run: runs.Run, *, status: int, took_ms: float) -> None:
     """An engine's answer is passed on from here."""
     _HEAD_MS.record(took_ms, {"service": run.service})
-    _logger.debug(
+    _routine(
+        run,
         "answer_begun",
-        request=run.call.request_id,
         status=status,
         took_ms=round(took_ms),
     )
@@ -209,9 +249,17 @@
     """A request's life is over."""
     _ENDED.add(1, {"service": run.service, "outcome": outcome})
     _WHOLE_MS.record(took_ms, {"service": run.service})
-    _logger.debug(
-        "request_ended",
-        request=run.call.request_id,
-        outcome=outcome,
-        took_ms=round(took_ms),
-    )
+    if outcome not in _WELL_ENDED:
+        _write_trail(run)
+        _logger.info(
+            "request_failed",
+            request=run.call.request_id,
+            outcome=outcome,
+            route=run.route.name,
+            service=run.service,
+            took_ms=round(took_ms),
+            tried=sorted(run.tried),
+            may_have_run=run.may_have_run,
+        )
+        return
+    _routine(run, "request_ended", outcome=outcome, took_ms=round(took_ms))
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -206,6 +206,10 @@
         ):
             yield reply
 
+    def retries_left(self) -> dict[str, float]:
+        """Retries that this instance may make now, by service."""
+        return {name: self._budget.left(name) for name in self._services()}
+
     def new_shutdown(self) -> shutdown.Shutdown:
         """A graceful shutdown of this instance; the caller runs it."""
         return shutdown.Shutdown(
--- a/src/jujubewharf/forwarding/follower.py
+++ b/src/jujubewharf/forwarding/follower.py
@@ -9,6 +9,7 @@
 from typing import TypeVar
 
 import mode
+from opentelemetry import metrics
 import structlog
 
 from jujubewharf import clock as clocks
@@ -17,6 +18,12 @@
 
 T = TypeVar("T")
 
+_STORE_CALL_MS = metrics.get_meter("jujubewharf").create_histogram(
+    "forwarding.store_call",
+    unit="ms",
+    description="Reads of the store's tables, by outcome.",
+)
+
 # Pause after a failed call, spread so that instances that lost the store
 # together don't come back to it together.
 _RETRY_MS = 250.0
@@ -95,19 +102,35 @@
                 self._offset = None
 
     async def _read(self) -> None:
+        began_ms = self._clock.now_ms()
+        outcome = "unavailable"
+        try:
+            page, is_whole = await self._next_page()
+            outcome = "read"
+        except log.LogTruncatedError:
+            outcome = "truncated"
+            raise
+        finally:
+            took_ms = self._clock.now_ms() - began_ms
+            labels = {"table": self._name, "outcome": outcome}
+            _STORE_CALL_MS.record(took_ms, labels)
+        self._take(page, is_whole=is_whole)
+        if not is_whole:
+            await self._clock.sleep_ms(self._pace.pause_ms)
+
+    async def _next_page(self) -> tuple[tables.TablePage[T], bool]:
+        """The next page, and whether it is the whole table."""
         now_ms = self._clock.now_ms()
         is_whole = self._offset is None
         if is_whole or now_ms - self._whole_ms > _WHOLE_EVERY_MS:
             page = await self._table.newest()
             self._whole_ms = now_ms
-            self._take(page, is_whole=True)
-            return
+            return page, True
         assert self._offset is not None
         page = await self._table.changes(
             self._offset, wait_ms=self._pace.wait_ms
         )
-        self._take(page, is_whole=False)
-        await self._clock.sleep_ms(self._pace.pause_ms)
+        return page, False
 
     def _take(self, page: tables.TablePage[T], *, is_whole: bool) -> None:
         if self._lost_ms is not None:
--- a/src/jujubewharf/forwarding/forwarder.py
+++ b/src/jujubewharf/forwarding/forwarder.py
@@ -103,7 +103,7 @@
         except errors.WharfError as error:
             decisions.refused(call.request_id, error, route="", held_ms=0.0)
             raise
-        outcome = "cancelled"
+        outcome = decisions.CANCELLED
         try:
             async with self._bounded(run), contextlib.AsyncExitStack() as stack:
                 reply = await self._begin(stack, run)
@@ -112,7 +112,7 @@
                     run, status=reply.status, took_ms=held_ms
                 )
                 yield reply
-            outcome = "finished"
+            outcome = decisions.FINISHED
         except errors.WharfError as error:
             held_ms = self._clock.now_ms() - call.arrived_ms
             outcome = error.kind.value
--- /dev/null
+++ b/src/jujubewharf/forwarding/gauges.py
@@ -0,0 +1,78 @@
+"""Gauges of what an instance that forwards believes."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable
+
+from opentelemetry import metrics
+
+from jujubewharf.forwarding import entry as entries
+
+_METER = metrics.get_meter("jujubewharf")
+_UNKNOWN_VERSION = -1
+
+
+def watch(entry: entries.ForwardingEntry) -> None:
+    """Tells what one instance believes; a process has one."""
+
+    def version(options: metrics.CallbackOptions) -> Iterable[_Seen]:
+        current = entry.source.current
+        yield _Seen(_UNKNOWN_VERSION if current is None else current.version)
+
+    def endpoints(options: metrics.CallbackOptions) -> Iterable[_Seen]:
+        counts = collections.Counter(
+            (e.service, e.role.value, "draining" if e.drained else "ready")
+            for e in entry.registry.present()
+        )
+        for (service, role, state), count in counts.items():
+            labels = {"service": service, "role": role, "state": state}
+            yield _Seen(count, labels)
+
+    def registry_age(options: metrics.CallbackOptions) -> Iterable[_Seen]:
+        yield _Seen(entry.registry.age_ms)
+
+    def share(options: metrics.CallbackOptions) -> Iterable[_Seen]:
+        yield _Seen(entry.share.fraction)
+
+    def retries(options: metrics.CallbackOptions) -> Iterable[_Seen]:
+        for service, left in entry.retries_left().items():
+            yield _Seen(left, {"service": service})
+
+    def in_flight(options: metrics.CallbackOptions) -> Iterable[_Seen]:
+        yield _Seen(entry.admission.in_flight)
+
+    _METER.create_observable_gauge(
+        "forwarding.configuration_version",
+        [version],
+        description="Version in force; -1 before the first.",
+    )
+    _METER.create_observable_gauge(
+        "forwarding.endpoints",
+        [endpoints],
+        description="Registered endpoints by service, role and state.",
+    )
+    _METER.create_observable_gauge(
+        "forwarding.registry_age",
+        [registry_age],
+        unit="ms",
+        description="Time since the list of endpoints was last read.",
+    )
+    _METER.create_observable_gauge(
+        "forwarding.fleet_share",
+        [share],
+        description="This instance's part of what the fleet shares.",
+    )
+    _METER.create_observable_gauge(
+        "forwarding.retries_left",
+        [retries],
+        description="Retries left to this instance, by service.",
+    )
+    _METER.create_observable_gauge(
+        "forwarding.in_flight",
+        [in_flight],
+        description="Requests that were taken and haven't ended.",
+    )
+
+
+_Seen = metrics.Observation
--- a/src/jujubewharf/forwarding/registry.py
+++ b/src/jujubewharf/forwarding/registry.py
@@ -76,6 +76,10 @@
             return float("inf")
         return self._clock.now_ms() - self._heard_ms
 
+    def present(self) -> list[resources.Endpoint]:
+        """All that are registered, those that leave included."""
+        return [r.endpoint for r in self._records.values() if r.endpoint]
+
     def listen(self, listener: Listener) -> None:
         """Calls back with all that take new work, whenever that may change."""
         self._listeners.append(listener)
@@ -187,7 +191,7 @@
 
     def _index(self) -> None:
         self._by_service = {}
-        present = [r.endpoint for r in self._records.values() if r.endpoint]
+        present = self.present()
         lapsed = [endpoint for endpoint, _ in self._lapsed.values()]
         for endpoint in (*present, *lapsed):
             if not endpoint.drained:
--- a/src/jujubewharf/forwarding/runs.py
+++ b/src/jujubewharf/forwarding/runs.py
@@ -29,6 +29,7 @@
         may_have_run: Whether any of them may have begun to work on it.
         refusals: Sendings that an engine said it did not run.
         lost_by: Engines that lost its answer, or a part of it.
+        trail: Routine log lines that are written only if it fails.
     """
 
     call: calls.Call
@@ -39,6 +40,7 @@
     may_have_run: bool = False
     refusals: int = 0
     lost_by: set[str] = dataclasses.field(default_factory=set)
+    trail: list[dict[str, object]] = dataclasses.field(default_factory=list)
 
     @property
     def ran(self) -> errors.Ran:
--- a/src/jujubewharf/forwarding/settings.py
+++ b/src/jujubewharf/forwarding/settings.py
@@ -80,6 +80,15 @@
     stop_within_s: Positive
     log_level: Literal["debug", "info", "warning", "error"] = "info"
 
+    def telemetry(self) -> models.TelemetrySettings:
+        """The metrics address as the metrics' own settings name it."""
+        if self.metrics is None:
+            return models.TelemetrySettings(log_level=self.log_level)
+        host, port = split_address(self.metrics)
+        return models.TelemetrySettings(
+            log_level=self.log_level, metrics_host=host, metrics_port=port
+        )
+
 
 def split_address(address: str) -> tuple[str, int]:
     """``IP:PORT`` as host and port."""
--- a/src/jujubewharf/telemetry/logs.py
+++ b/src/jujubewharf/telemetry/logs.py
@@ -14,21 +14,30 @@
 import traceback
 from typing import Any
 from typing import TextIO
+from typing import cast
 
 import structlog
 
+from jujubewharf.telemetry import line_writer
+from jujubewharf.telemetry import rate_bound
+
 _MAX_FRAMES = 12
 
 # Their records say what our own lines and counters say already, or quote
 # addresses and bodies of calls.
 _QUIET_LOGGERS = ("aiohttp.access", "urllib3", "opentelemetry")
 
+# The libraries' lines on each start and stop of a part say nothing that ours
+# don't; their warnings are kept.
+_WARNING_LOGGERS = ("jujubewharf", "mode", "users_platform")
+
 
 def configure(
     level: str = "info",
     *,
     instance: str = "",
-    stream: TextIO | None = None,
+    stream: TextIO | line_writer.LineWriter | None = None,
+    max_lines_per_s: int | None = None,
 ) -> None:
     """Sets up structlog for the process, and routes ``logging`` into it.
 
@@ -36,15 +45,19 @@
         level: Lowest level written.
         instance: Bound to every line.
         stream: Where lines go; ``None`` takes standard error.
+        max_lines_per_s: Bound of the lines of one kind; ``None`` for none.
     """
     stream = stream or sys.stderr
+    bounds: list[structlog.typing.Processor] = []
+    if max_lines_per_s is not None:
+        bounds.append(rate_bound.RateBound(max_per_s=max_lines_per_s))
     number = logging.getLevelNamesMapping()[level.upper()]
     structlog.configure(
-        processors=[*_shared(instance), _renderer()],
+        processors=[*bounds, *_shared(instance), _renderer()],
         wrapper_class=structlog.make_filtering_bound_logger(number),
-        logger_factory=structlog.PrintLoggerFactory(stream),
+        logger_factory=structlog.WriteLoggerFactory(cast(TextIO, stream)),
     )
-    handler = logging.StreamHandler(stream)
+    handler = logging.StreamHandler(cast(TextIO, stream))
     handler.setFormatter(
         structlog.stdlib.ProcessorFormatter(
             foreign_pre_chain=[
@@ -64,6 +77,8 @@
     root.setLevel(number)
     for name in _QUIET_LOGGERS:
         logging.getLogger(name).setLevel(logging.ERROR)
+    for name in _WARNING_LOGGERS:
+        logging.getLogger(name).setLevel(logging.WARNING)
 
 
 def handle_loop_errors(loop: asyncio.AbstractEventLoop) -> None:
--- a/src/jujubewharf/telemetry/metrics.py
+++ b/src/jujubewharf/telemetry/metrics.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from aiohttp import web
 import mode
 from opentelemetry import metrics
@@ -66,13 +68,29 @@
         return web.Response(body=body, headers=headers)
 
 
-def configure(settings: models.EntrySettings) -> MetricsEdge | None:
+@dataclasses.dataclass(frozen=True, slots=True)
+class Identity:
+    """Who counts.
+
+    Attributes:
+        instance: Name of the instance.
+        region: Its region.
+        domain: Its failure domain.
+    """
+
+    instance: str
+    region: str
+    domain: str
+
+
+def configure(
+    telemetry: models.TelemetrySettings, identity: Identity
+) -> MetricsEdge | None:
     """Makes the process's meter provider; called once, before the start.
 
     Returns:
         The Prometheus endpoint, where the settings ask for one.
     """
-    telemetry = settings.telemetry
     readers: list[export.MetricReader] = []
     edge: MetricsEdge | None = None
     if telemetry.metrics_port is not None:
@@ -83,7 +101,7 @@
         readers.append(_otlp_reader(telemetry))
     if readers:
         readers.append(tallies.make_reader())
-        metrics.set_meter_provider(_provider(settings, readers))
+        metrics.set_meter_provider(_provider(identity, readers))
     return edge
 
 
@@ -108,14 +126,14 @@
 
 
 def _provider(
-    settings: models.EntrySettings, readers: list[export.MetricReader]
+    identity: Identity, readers: list[export.MetricReader]
 ) -> sdk_metrics.MeterProvider:
     resource = sdk_resources.Resource.create(
         {
             "service.name": PREFIX,
-            "service.instance.id": settings.instance,
-            "cloud.region": settings.region,
-            "cloud.availability_zone": settings.domain,
+            "service.instance.id": identity.instance,
+            "cloud.region": identity.region,
+            "cloud.availability_zone": identity.domain,
         }
     )
     return sdk_metrics.MeterProvider(
--- /dev/null
+++ b/tests/forwarding/test_decisions.py
@@ -0,0 +1,101 @@
+"""Each decision has its line, and a failed request has all of its own."""
+
+from __future__ import annotations
+
+import ast
+import pathlib
+import re
+
+import pytest
+import structlog
+
+from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf.engines import client
+from jujubewharf.experiments import virtual_time
+from jujubewharf.forwarding import decisions
+from jujubewharf.forwarding import runs
+from tests.forwarding import deployments
+
+PAGE = pathlib.Path(__file__).parents[2] / "docs" / "operating" / "logs.md"
+
+
+def _run(request_id: str) -> runs.Run:
+    world = deployments.Deployment()
+    call = world.call("/verdicts/1", request_id=request_id)
+    return runs.Run(call, deployments.STREAM, deployments.ENGINES, 9_000.0)
+
+
+def _id(*, is_sampled: bool) -> str:
+    numbers = (f"r{n}" for n in range(1_000))
+    return next(i for i in numbers if decisions.is_sampled(i) is is_sampled)
+
+
+def _events(request_id: str, outcome: str) -> list[str]:
+    async def main():
+        clock = clocks.Clock(wall_origin_ms=0.0)
+        await clock.sleep_ms(1.0)
+        run = _run(request_id)
+        decisions.placed(run, "d1", tokens=7, waited_ms=3.0)
+        decisions.sent(run, "d1", stage="decode", left_ms=9.0, age_ms=4.0)
+        fault = client.EngineError(client.EngineFault.LOST, "d1")
+        decisions.engine_failed(run, fault, stage="decode", took_ms=1.0)
+        decisions.ended(run, outcome, took_ms=5.0)
+
+    with structlog.testing.capture_logs() as lines:
+        virtual_time.run(main())
+    return [line["event"] for line in lines]
+
+
+@pytest.mark.parametrize("is_sampled", [True, False])
+def test_a_failed_request_has_all_its_lines(is_sampled):
+    events = _events(_id(is_sampled=is_sampled), "engine_failed")
+    assert sorted(events) == [
+        "engine_call_failed",
+        "request_failed",
+        "request_placed",
+        "request_sent",
+    ]
+
+
+def test_routine_lines_of_an_answered_request_are_a_sample():
+    assert _events(_id(is_sampled=False), "finished") == ["engine_call_failed"]
+    assert "request_ended" in _events(_id(is_sampled=True), "finished")
+
+
+def test_one_in_sixteen_is_sampled_at_every_instance():
+    sampled = sum(decisions.is_sampled(f"id-{n}") for n in range(16_000))
+    assert 800 < sampled < 1_200
+
+
+def test_the_page_lists_every_event():
+    """An event that the page doesn't have is one that nobody looks for."""
+    source = pathlib.Path(decisions.__file__).parent
+    said = set()
+    for path in source.glob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.Call):
+                continue
+            called = ast.unparse(node.func)
+            place = 1 if called == "_routine" else 0
+            if re.search(r"logger\.(info|warning|error)$|^_routine$", called):
+                if len(node.args) > place:
+                    argument = node.args[place]
+                    if isinstance(argument, ast.Constant):
+                        said.add(argument.value)
+    listed = set(re.findall(r"^\| `(\w+)`", PAGE.read_text(), re.M))
+    assert said - listed == set()
+
+
+def test_no_line_holds_what_a_caller_sent():
+    async def main():
+        async with deployments.deployed(
+            deployments.shop("s1", loses_answers=True)
+        ) as world:
+            answer = await world.ask("/lookup/the-secret", body=b"the-secret")
+            assert isinstance(answer.error, errors.WharfError)
+
+    with structlog.testing.capture_logs() as lines:
+        deployments.run(main())
+    assert lines
+    assert "the-secret" not in repr(lines)
--- /dev/null
+++ b/tests/telemetry/test_rate_bound.py
@@ -0,0 +1,34 @@
+"""A storm of one kind of line is cut, counted, and hides no other kind."""
+
+from __future__ import annotations
+
+import pytest
+import structlog
+
+from jujubewharf.telemetry import rate_bound
+
+
+def _written(bound, event: str) -> dict | None:
+    try:
+        return bound(None, "info", {"event": event})
+    except structlog.DropEvent:
+        return None
+
+
+def test_a_storm_is_cut_and_counted():
+    now_s = [0.0]
+    bound = rate_bound.RateBound(max_per_s=3, now_s=lambda: now_s[0])
+    storm = [_written(bound, "refused") for _ in range(10)]
+    assert [line is not None for line in storm] == [True] * 3 + [False] * 7
+    assert _written(bound, "other") == {
+        "event": "other",
+        "left_out": {"refused": 7},
+    }
+    now_s[0] = 1.0
+    assert _written(bound, "refused") == {"event": "refused"}
+
+
+@pytest.mark.parametrize("count", [1, 200])
+def test_what_is_within_the_bound_is_all_written(count):
+    bound = rate_bound.RateBound(now_s=lambda: 0.0)
+    assert all(_written(bound, "refused") for _ in range(count))
