--- a/src/jujubewharf/forwarding/decisions.py
+++ b/src/jujubewharf/forwarding/decisions.py
@@ -51,6 +51,11 @@
     unit="ms",
     description="Time from arrival to an answer's end, by service.",
 )
+_GAP_MS = _METER.create_histogram(
+    "forwarding.longest_gap",
+    unit="ms",
+    description="Longest time between two events of a stream, by service.",
+)
 _WAIT_MS = _METER.create_histogram(
     "forwarding.place_wait",
     unit="ms",
@@ -249,6 +254,8 @@
     """A request's life is over."""
     _ENDED.add(1, {"service": run.service, "outcome": outcome})
     _WHOLE_MS.record(took_ms, {"service": run.service})
+    if run.event_ms is not None:
+        _GAP_MS.record(run.longest_gap_ms, {"service": run.service})
     if outcome not in _WELL_ENDED:
         _write_trail(run)
         _logger.info(
@@ -262,4 +269,10 @@
             may_have_run=run.may_have_run,
         )
         return
-    _routine(run, "request_ended", outcome=outcome, took_ms=round(took_ms))
+    _routine(
+        run,
+        "request_ended",
+        outcome=outcome,
+        took_ms=round(took_ms),
+        longest_gap_ms=round(run.longest_gap_ms),
+    )
--- a/src/jujubewharf/forwarding/ordering.py
+++ b/src/jujubewharf/forwarding/ordering.py
@@ -28,7 +28,7 @@
 _REFUSED_MS = 3_000.0
 # The plan must want a change this long: engines register one by one at a
 # start, and are missing for moments while the store is away.
-_SETTLED_MS = 1_500.0
+_SETTLED_MS = 1_000.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/jujubewharf/forwarding/pool.py
+++ b/src/jujubewharf/forwarding/pool.py
@@ -83,7 +83,8 @@
     ) -> list[resources.Endpoint]:
         """Engines worth asking for a decode slot, the best first.
 
-        Those that refused lately are left out, those that fail come last.
+        Those that refused lately or can't be reached are left out for a
+        while, those that lose answers come last.
 
         Args:
             engines: Those to choose from.
@@ -95,6 +96,7 @@
             engine
             for engine in engines
             if engine.can_decode
+            and not self.view(engine.name).breaker.is_open
             and self.view(engine.name).full_until_ms <= now_ms
             and self.view(engine.name).absent_until_ms <= now_ms
         ]
@@ -146,6 +148,11 @@
         until_ms = self._clock.now_ms() + CHANGING_MS
         self.view(name).absent_until_ms = until_ms
 
+    def refused_reading(self, name: str) -> None:
+        """Learns that a prefill engine takes no prompt now."""
+        until_ms = self._clock.now_ms() + ABSENT_MS
+        self.view(name).absent_until_ms = until_ms
+
     @contextlib.contextmanager
     def holding(self, name: str, tokens: int) -> Iterator[None]:
         """Counts memory of ours on an engine for the block."""
@@ -168,10 +175,9 @@
 
     def _decode_rank(
         self, engine: resources.Endpoint
-    ) -> tuple[bool, bool, bool, int, str]:
+    ) -> tuple[bool, bool, int, str]:
         view = self.view(engine.name)
         return (
-            view.breaker.is_open,
             view.breaker.is_doubtful,
             # Before load: an answer that crosses domains dies with a cut
             # between them, and engines with room are equally fast.
--- a/src/jujubewharf/forwarding/runs.py
+++ b/src/jujubewharf/forwarding/runs.py
@@ -29,6 +29,8 @@
         may_have_run: Whether any of them may have begun to work on it.
         refusals: Sendings that an engine said it did not run.
         lost_by: Engines that lost its answer, or a part of it.
+        event_ms: Clock reading when its last event was passed on.
+        longest_gap_ms: Longest time between two of its events.
         trail: Routine log lines that are written only if it fails.
     """
 
@@ -40,6 +42,8 @@
     may_have_run: bool = False
     refusals: int = 0
     lost_by: set[str] = dataclasses.field(default_factory=set)
+    event_ms: float | None = None
+    longest_gap_ms: float = 0.0
     trail: list[dict[str, object]] = dataclasses.field(default_factory=list)
 
     @property
@@ -62,6 +66,13 @@
         """Time until the final answer is due."""
         return self.deadline_at_ms - clock.now_ms()
 
+    def passed_on(self, now_ms: float) -> None:
+        """Notes that an event goes to the caller."""
+        if self.event_ms is not None:
+            gap_ms = now_ms - self.event_ms
+            self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
+        self.event_ms = now_ms
+
     def sent(self, engine: str) -> bool:
         """Notes a sending before it goes out.
 
--- a/src/jujubewharf/forwarding/stream.py
+++ b/src/jujubewharf/forwarding/stream.py
@@ -34,6 +34,9 @@
 SILENCE_MS = 1_000.0
 # The same for the first event, before which the prompt is fetched or read.
 FIRST_EVENT_MS = 1_500.0
+# Prefill engines that are asked for one request. A decode engine that reads
+# instead stops the answers that it writes for up to half a second.
+_MAX_READERS = 3
 
 
 @dataclasses.dataclass(slots=True)
@@ -215,18 +218,38 @@
         prefilled = _Prefilled()
         engines = self._registry.of_service(run.service)
         readers = self._pool.to_prefill(engines, near=place.engine.domain)
-        if readers:
-            with contextlib.suppress(client.EngineError):
-                # Logged where it failed. A second reader would count as a
-                # retry and take time; the decode engine can read it as well.
-                prefilled.source = await self._prefill(run, readers[0])
-                prefilled.reader = readers[0]
+        for reader in readers[:_MAX_READERS]:
+            try:
+                prefilled.source = await self._prefill(run, reader)
+            except client.EngineError as error:
+                if not self._may_read_again(run, error):
+                    break
+            else:
+                prefilled.reader = reader
+                break
         try:
             yield prefilled
         finally:
             if not prefilled.is_fetched:
                 await self._drop(prefilled)
 
+    def _may_read_again(self, run: runs.Run, error: client.EngineError) -> bool:
+        """Whether another engine may be asked to read the prompt.
+
+        A refused call counts as a retry, the first one that is accepted
+        doesn't; a call that found no connection was none.
+        """
+        if error.fault is client.EngineFault.UNREACHABLE:
+            return True
+        if error.fault is client.EngineFault.REFUSED_FULL:
+            self._pool.refused_reading(error.engine)
+        left = self._budget.left(run.service)
+        if not self._budget.take(run.service):
+            decisions.not_retried(run, "prefill_failed", budget_left=left)
+            return False
+        decisions.retried(run, "prefill_failed", budget_left=left)
+        return True
+
     async def _prefill(
         self, run: runs.Run, engine: resources.Endpoint
     ) -> calls.Source:
@@ -312,6 +335,7 @@
                         if event.number is not None:
                             _check_order(upstream.engine.name, last, event)
                             last = event.number
+                        run.passed_on(self._clock.now_ms())
                         yield event.data
                     return
                 except client.EngineError as error:
--- a/tests/forwarding/test_stream.py
+++ b/tests/forwarding/test_stream.py
@@ -323,3 +323,47 @@
             assert answer.numbers == [1, 2, 3, 4, 5]
 
     deployments.run(main())
+
+
+def test_a_prompt_that_one_engine_refuses_is_read_by_another():
+    """Other callers' answers go on without a pause.
+
+    The first prefill engine is changing its role and refuses. A decode engine
+    that read the prompt instead would stop the answers it writes meanwhile.
+    """
+
+    async def main():
+        changing = reader("p1")
+        async with deployments.deployed(
+            changing, reader("p2", "b"), writer("d1")
+        ) as world:
+            changing.endpoint = writer("p1").endpoint
+            for i in range(3):
+                answer = await world.ask(f"/verdicts/{i}")
+                assert answer.numbers == [1, 2, 3, 4, 5]
+            assert [r.had_source for r in world.backends.runs] == [True] * 3
+            assert {engine for _, engine in world.backends.prefills} == {"p2"}
+
+    deployments.run(main())
+
+
+def test_an_unreachable_decode_engine_is_not_asked_all_the_time():
+    """A dead engine costs a caller one try, not one in each round."""
+
+    async def main():
+        dead = writer("d1", is_unreachable=True)
+        full = writer("d2", memory_tokens=100)
+        async with deployments.deployed(reader("p1"), dead, full) as world:
+            asked = 0
+            reserve = world.backends.reserve
+
+            async def counted(endpoint, **more):
+                nonlocal asked
+                asked += endpoint.name == "d1"
+                return await reserve(endpoint, **more)
+
+            world.backends.reserve = counted
+            await world.ask("/verdicts/1")
+            assert asked <= 2
+
+    deployments.run(main())
