--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -48,7 +48,7 @@
 RESERVED_PART = 0.75
 # ... and this part of an engine's memory must be free besides, for those that
 # outgrow theirs.
-HEADROOM_PART = 0.12
+HEADROOM_PART = 0.2
 # The check of the headroom is a reservation that is given back at once.
 HEADROOM_MS = 300.0
 # When to come back after a refusal: a request keeps its memory for some
--- a/src/jujubewharf/forwarding/runs.py
+++ b/src/jujubewharf/forwarding/runs.py
@@ -28,6 +28,7 @@
         tried: Engines that it was sent to.
         may_have_run: Whether any of them may have begun to work on it.
         refusals: Sendings that an engine said it did not run.
+        was_read: Whether a prefill engine has read its prompt.
         lost_by: Engines that lost its answer, or a part of it.
         event_ms: Clock reading when its last event was passed on.
         longest_gap_ms: Longest time between two of its events.
@@ -41,6 +42,7 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
     refusals: int = 0
+    was_read: bool = False
     lost_by: set[str] = dataclasses.field(default_factory=set)
     event_ms: float | None = None
     longest_gap_ms: float = 0.0
--- a/src/jujubewharf/forwarding/stream.py
+++ b/src/jujubewharf/forwarding/stream.py
@@ -135,11 +135,9 @@
         """One sending to one engine, with memory reserved before."""
         async with contextlib.AsyncExitStack() as exits:
             place = await exits.enter_async_context(self._placement.place(run))
-            prefilled = _Prefilled()
-            if after_event is None:
-                prefilled = await exits.enter_async_context(
-                    self._prefilled(run, place)
-                )
+            prefilled = await exits.enter_async_context(
+                self._prefilled(run, place)
+            )
             sending = calls.Sending(
                 run.call,
                 run.left_ms(self._clock),
@@ -218,6 +216,9 @@
         prefilled = _Prefilled()
         engines = self._registry.of_service(run.service)
         readers = self._pool.to_prefill(engines, near=place.engine.domain)
+        if run.was_read and not self._budget.take(run.service):
+            # Only the first reading is no retry.
+            readers = []
         for reader in readers[:_MAX_READERS]:
             try:
                 prefilled.source = await self._prefill(run, reader)
@@ -226,6 +227,7 @@
                     break
             else:
                 prefilled.reader = reader
+                run.was_read = True
                 break
         try:
             yield prefilled
