--- a/src/jujubewharf/leaving/shutdown.py
+++ b/src/jujubewharf/leaving/shutdown.py
@@ -20,7 +20,8 @@
 from jujubewharf import errors
 
 _POLL_MS = 100.0
-_RETRY_AFTER_MS = 1_000.0
+# Any other instance takes the request, so there is nothing to wait for.
+_RETRY_AFTER_MS = 50.0
 
 
 class AdmissionState:
--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -51,7 +51,8 @@
         refuses_sources: Prefill results can't be fetched.
         breaks_after: Its streams break after this event.
         stalls_after: Its streams fall silent after this event.
-        held: Memory reserved now, by reservation.
+        held: Memory reserved now, by reservation or run.
+        lapses_ms: When reservations end that no run has taken.
         at_work: Requests that it works on now.
         orders: Orders that it accepted.
         next_fault: Fault of the next order, once.
@@ -73,6 +74,7 @@
     breaks_after: int | None = None
     stalls_after: int | None = None
     held: dict[str, int] = dataclasses.field(default_factory=dict)
+    lapses_ms: dict[str, float] = dataclasses.field(default_factory=dict)
     at_work: set[str] = dataclasses.field(default_factory=set)
     orders: list[ports.RoleOrder] = dataclasses.field(default_factory=list)
     next_fault: client.EngineFault | None = None
@@ -123,6 +125,7 @@
         """Runs a request; see ``ports.Backends``."""
         backend = self._reached(endpoint)
         self._check_takes_run(backend, sending)
+        self.lapse()
         held = backend.held.pop(sending.hold or "", 0)
         request_id = sending.call.request_id
         self.runs.append(
@@ -208,10 +211,12 @@
     ) -> str:
         """Reserves memory; see ``ports.Backends``."""
         backend = self._reached(endpoint)
+        self.lapse()
         if sum(backend.held.values()) + tokens > backend.memory_tokens:
             raise backend.error(client.EngineFault.REFUSED_FULL)
         hold = self._name("hold")
         backend.held[hold] = tokens
+        backend.lapses_ms[hold] = self._clock.now_ms() + ttl_ms
         return hold
 
     async def drop_reservation(
@@ -235,6 +240,15 @@
             raise backend.error(fault)
         backend.orders.append(order)
 
+    def lapse(self) -> None:
+        """Ends reservations whose time is over."""
+        now_ms = self._clock.now_ms()
+        for backend in self.by_name.values():
+            for hold, until_ms in list(backend.lapses_ms.items()):
+                if now_ms >= until_ms:
+                    del backend.lapses_ms[hold]
+                    backend.held.pop(hold, None)
+
     def _reached(self, endpoint: resources.Endpoint) -> StandInBackend:
         backend = self.by_name[endpoint.name]
         if backend.is_unreachable:
--- /dev/null
+++ b/tests/forwarding/test_random_faults.py
@@ -0,0 +1,149 @@
+"""Random faults and random callers; what must hold holds in every run.
+
+Callers see whole answers, broken connections, or errors; behind them engines
+die, fall silent, refuse, lose answers, change roles and leave, the store goes
+away, and instances lose it one by one. Each seed is one run on the virtual
+clock, so a seed that failed fails again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import random
+
+import pytest
+
+from jujubewharf import errors
+from jujubewharf.standins import backends
+from tests.forwarding import deployments
+
+RUN_MS = 20_000.0
+DOMAINS = "abc"
+PATHS = ("/verdicts/", "/once/", "/lookup/", "/sale/")
+ONCE = ("/once/", "/sale/")
+
+
+def _behind() -> list[backends.StandInBackend]:
+    found = []
+    for number, domain in enumerate(DOMAINS):
+        found.append(deployments.reader(f"p{number}", domain))
+        found.append(deployments.writer(f"d{number}", domain))
+        found.append(deployments.shop(f"s{number}", domain))
+    return found
+
+
+class _Chaos:
+    """Switches faults on and off."""
+
+    def __init__(self, world: deployments.Deployment, seed: int) -> None:
+        self._world = world
+        self._rng = random.Random(seed)
+
+    async def run(self) -> None:
+        clock = self._world.clock
+        until_ms = clock.now_ms() + RUN_MS
+        while clock.now_ms() < until_ms:
+            await clock.sleep_ms(self._rng.uniform(50.0, 900.0))
+            self._strike()
+
+    def _strike(self) -> None:
+        rng = self._rng
+        behind = list(self._world.backends.by_name.values())
+        victim = rng.choice(behind)
+        match rng.randrange(10):
+            case 0:
+                victim.is_unreachable = not victim.is_unreachable
+            case 1:
+                victim.is_silent = not victim.is_silent
+            case 2:
+                victim.loses_answers = not victim.loses_answers
+            case 3:
+                victim.breaks_after = rng.choice([None, 1, 3])
+            case 4:
+                victim.stalls_after = rng.choice([None, 2, 4])
+            case 5:
+                victim.is_changing = not victim.is_changing
+            case 6:
+                victim.refuses_sources = not victim.refuses_sources
+            case 7:
+                drained = not victim.endpoint.drained
+                self._world.register(victim, drained=drained)
+            case 8:
+                self._world.endpoints.is_down ^= True
+                self._world.configurations.is_down ^= True
+            case 9:
+                self._world.groups.cut_off ^= {rng.choice(["e1", "e2"])}
+
+
+async def _callers(world: deployments.Deployment, seed: int):
+    """Sends requests all the while; returns path, id and answer of each."""
+    rng = random.Random(seed + 1)
+    asked = []
+    began_ms = world.clock.now_ms()
+    while world.clock.now_ms() < began_ms + RUN_MS:
+        await world.clock.sleep_ms(rng.expovariate(1 / 120.0))
+        path = rng.choice(PATHS)
+        request_id = f"q{len(asked)}"
+        leaves = rng.choice([None, None, None, rng.uniform(10.0, 900.0)])
+        task = asyncio.create_task(
+            world.ask(
+                path,
+                instance=rng.choice(["e1", "e2"]),
+                request_id=request_id,
+                leave_after_ms=leaves,
+                patience_ms=14_000.0,
+            )
+        )
+        asked.append((path, request_id, task))
+    return [(path, rid, await task) for path, rid, task in asked]
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_what_must_hold_holds(seed):
+    async def main():
+        world = deployments.Deployment(*_behind())
+        await world.start("e1", "e2")
+        chaos = asyncio.create_task(_Chaos(world, seed).run())
+        asked = await _callers(world, seed)
+        await chaos
+        await world.clock.sleep_ms(20_000.0)
+        _check(world, asked)
+        await world.stop()
+
+    deployments.run(main())
+
+
+def _check(world, asked) -> None:
+    runs = collections.defaultdict(list)
+    for ran in world.backends.runs:
+        runs[ran.request_id].append(ran)
+    served = 0
+    for path, request_id, answer in asked:
+        ran = runs[request_id]
+        _check_repeats(path, ran)
+        _check_answer(path, request_id, ran, answer)
+        served += answer.status == 200 and answer.error is None
+    assert served > len(asked) / 10
+    world.backends.lapse()
+    for backend in world.backends.by_name.values():
+        # Nothing is worked on or held for callers that are gone.
+        assert not backend.at_work, backend.name
+        assert not backend.held, backend.name
+
+
+def _check_repeats(path: str, ran: list[backends.Ran]) -> None:
+    if path in ONCE:
+        assert len(ran) <= 1
+    assert len({r.engine for r in ran}) <= 2
+
+
+def _check_answer(path, request_id, ran, answer) -> None:
+    timeout_ms = 14_000.0 if path in PATHS[:2] else 2_000.0
+    assert answer.took_ms <= timeout_ms + 500.0
+    if answer.error is not None:
+        if answer.error.ran is errors.Ran.NO and path in ONCE:
+            assert ran == [], f"{request_id} was said not to have run"
+        return
+    numbers = answer.numbers
+    assert numbers == list(range(1, len(numbers) + 1))
--- /dev/null
+++ b/tests/forwarding/test_shutdown.py
@@ -0,0 +1,69 @@
+"""A shutdown cuts no request and sends nobody away while it can serve."""
+
+from __future__ import annotations
+
+import asyncio
+
+from jujubewharf import errors
+from tests.forwarding import deployments
+
+
+def test_streams_end_and_new_requests_are_served_for_the_balancers_time():
+    """Callers see whole answers; later ones are told to go elsewhere.
+
+    The balancer notices within two questions that the instance is not ready.
+    Until then its callers are still sent here.
+    """
+
+    async def main():
+        async with deployments.deployed(
+            deployments.reader("p1"),
+            deployments.writer("d1", events=60),
+            deployments.shop("s1"),
+        ) as world:
+            instance = world.instances["e1"]
+            stream = asyncio.create_task(world.ask("/verdicts/1"))
+            await world.clock.sleep_ms(200.0)
+            shutdown = asyncio.create_task(instance.new_shutdown().run())
+            await world.clock.sleep_ms(100.0)
+            assert not instance.is_ready
+            assert (await world.ask("/sale/1")).status == 200
+            await world.clock.sleep_ms(2_700.0)
+            late = await world.ask("/sale/2")
+            assert late.error is not None
+            assert late.error.kind is errors.ErrorKind.SHUTTING_DOWN
+            assert late.error.ran is errors.Ran.NO
+            assert len((await stream).numbers) == 60
+            assert (await shutdown).cut == 0
+
+    deployments.run(main())
+
+
+def test_it_ends_before_it_is_killed():
+    async def main():
+        endless = deployments.writer("d1", events=10_000)
+        async with deployments.deployed(
+            deployments.reader("p1"), endless
+        ) as world:
+            stream = asyncio.create_task(world.ask("/verdicts/1"))
+            await world.clock.sleep_ms(200.0)
+            summary = await world.instances["e1"].new_shutdown().run()
+            assert summary.cut == 1
+            assert summary.duration_ms < 8_000.0
+            stream.cancel()
+
+    deployments.run(main())
+
+
+def test_its_share_of_the_fleet_is_given_back():
+    async def main():
+        async with deployments.deployed(
+            deployments.shop("s1"), names=("e1", "e2")
+        ) as world:
+            await world.clock.sleep_ms(2_000.0)
+            await world.instances["e1"].new_shutdown().run()
+            await world.clock.sleep_ms(2_000.0)
+            assert world.instances["e1"].share.fraction < 0.1
+            assert world.instances["e2"].share.fraction == 1.0
+
+    deployments.run(main())
