No orders over engines that vanish for seconds, nor by prompts found in the cache

Cause 2: the fastest reading counted, and a prompt sent again is found in the cache: prefill_ms 1.9. Each with a test that failed first.

--- a/src/jujubewharf/forwarding/costs.py
+++ b/src/jujubewharf/forwarding/costs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+
 # Weight of one request in the running averages; some dozen requests, a few
 # seconds' worth, decide.
 _WEIGHT = 0.05
@@ -10,9 +12,12 @@
 _FIRST_PREFILL_TOKENS = 5_200.0
 _FIRST_TOKEN_MS = 0.018
 _FIRST_DECODE_MS = 480.0
-# The fastest reading seen is forgotten at this rate for each prompt, so that
-# engines that became slower are noticed within some hundred.
-_FORGET = 0.005
+# The assumed reading stands in for this many at first.
+_FIRST_READINGS = 8
+# Readings that are looked at, and the one that counts, from the fastest: slower
+# ones waited for others, faster ones found the prompt in the cache.
+_READINGS = 64
+_COUNTED_PART = 0.3
 
 
 class WorkCosts:
@@ -26,23 +31,27 @@
     def __init__(self) -> None:
         self.decode_ms = _FIRST_DECODE_MS
         self._prompt_tokens = _FIRST_PREFILL_TOKENS
-        self._token_ms = _FIRST_TOKEN_MS
+        self._token_ms: collections.deque[float] = collections.deque(
+            [_FIRST_TOKEN_MS] * _FIRST_READINGS, maxlen=_READINGS
+        )
 
     @property
     def prefill_ms(self) -> float:
         """Time for which a prompt keeps a prefill engine busy."""
-        return self._prompt_tokens * self._token_ms
+        ordered = sorted(self._token_ms)
+        counted = ordered[int(len(ordered) * _COUNTED_PART)]
+        return self._prompt_tokens * counted
 
     def prefilled(self, took_ms: float, *, prompt_tokens: int) -> None:
         """Learns how long a prompt took to be read.
 
         That includes the wait for others that were read before it. In a burst
         it would make reading look dear and call for another prefill engine,
-        which is then missing for writing; so the fastest reading counts.
+        which is then missing for writing. A prompt that a caller sends again
+        is found in the cache, and would make reading look free.
         """
         self._prompt_tokens += _WEIGHT * (prompt_tokens - self._prompt_tokens)
-        slower_ms = self._token_ms * (1.0 + _FORGET)
-        self._token_ms = min(slower_ms, took_ms / max(1, prompt_tokens))
+        self._token_ms.append(took_ms / max(1, prompt_tokens))
 
     def decoded(self, took_ms: float, *, memory_part: float) -> None:
         """Learns how long a request kept its part of a decode engine."""
--- a/src/jujubewharf/forwarding/ordering.py
+++ b/src/jujubewharf/forwarding/ordering.py
@@ -8,6 +8,7 @@
 import mode
 
 from jujubewharf import clock as clocks
+from jujubewharf.configuration import resources
 from jujubewharf.engines import client
 from jujubewharf.forwarding import costs
 from jujubewharf.forwarding import decisions
@@ -27,8 +28,12 @@
 # A refused order may be given again after this.
 _REFUSED_MS = 3_000.0
 # The plan must want a change this long: engines register one by one at a
-# start, and are missing for moments while the store is away.
+# start.
 _SETTLED_MS = 1_000.0
+# No orders for this long after engines vanished without having said that they
+# leave: those of a domain that is cut off, or that crashed, are mostly back
+# within seconds, and a change of role takes longer than that.
+_VANISHED_MS = 6_500.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -72,6 +77,8 @@
         self._clock = clock
         self._pending: dict[str, _Pending] = {}
         self._wanted_since_ms: dict[str, float] = {}
+        self._known: dict[str, dict[str, resources.Endpoint]] = {}
+        self._vanished_ms: dict[str, float] = {}
 
     @mode.Service.task
     async def _run(self) -> None:
@@ -87,6 +94,9 @@
             self._wanted_since_ms.pop(service, None)
             return
         self._settle()
+        if self._has_vanished(service):
+            self._wanted_since_ms.pop(service, None)
+            return
         changes = role_plan.changes(
             self._registry.of_service(service),
             prefill_ms=self._work.prefill_ms,
@@ -103,6 +113,22 @@
         for change in changes:
             await self._order(change, traits)
 
+    def _has_vanished(self, service: str) -> bool:
+        """Whether engines went without a word, a short while ago."""
+        now_ms = self._clock.now_ms()
+        known = self._known.get(service, {})
+        present = {
+            engine.name: engine
+            for engine in self._registry.present()
+            if engine.service == service
+        }
+        for name, engine in known.items():
+            if name not in present and not engine.drained:
+                self._vanished_ms[service] = now_ms
+        self._known[service] = present
+        since_ms = self._vanished_ms.get(service)
+        return since_ms is not None and now_ms - since_ms < _VANISHED_MS
+
     def _settle(self) -> None:
         """Forgets orders whose effect is seen or whose time is over."""
         now_ms = self._clock.now_ms()
--- a/src/jujubewharf/forwarding/role_plan.py
+++ b/src/jujubewharf/forwarding/role_plan.py
@@ -11,8 +11,10 @@
 # answers that it still writes. It must make the pools serve this much more.
 _MIN_GAIN = 0.2
 # A prompt that a decode engine reads takes twice the time that a prefill engine
-# needs, and stops the answers that the engine writes meanwhile.
-_DIRECT_COST = 4.0
+# needs. Meanwhile the answers that the engine writes pause, often for longer
+# than their callers take well: with no prefill engine left, a third of the
+# streams came late that would have been in time.
+_DIRECT_COST = 8.0
 # What the pools would serve without one of the prefill engines counts for this
 # part: until another has changed its role, decode engines would read.
 _LOSS_WEIGHT = 0.3
--- a/tests/forwarding/test_costs.py
+++ b/tests/forwarding/test_costs.py
@@ -17,6 +17,21 @@
     assert work.prefill_ms < 1.2 * before_ms
 
 
+def test_prompts_found_in_the_cache_dont_make_reading_look_free():
+    """Pools keep their sizes although callers send prompts again.
+
+    A prompt that was read shortly before takes 2 ms. Taken for the cost of
+    reading, it made the plan turn all prefill engines into decode engines.
+    """
+    work = costs.WorkCosts()
+    for _ in range(20):
+        work.prefilled(100.0, prompt_tokens=5_000)
+        work.prefilled(110.0, prompt_tokens=5_000)
+        work.prefilled(120.0, prompt_tokens=5_000)
+        work.prefilled(2.0, prompt_tokens=5_000)
+    assert work.prefill_ms > 90.0
+
+
 def test_engines_that_became_slower_are_noticed():
     work = costs.WorkCosts()
     for _ in range(400):
--- a/tests/forwarding/test_ordering.py
+++ b/tests/forwarding/test_ordering.py
@@ -88,3 +88,51 @@
             assert len(asked) == 1
 
     deployments.run(main())
+
+
+def _balanced():
+    """One engine reads and three write, as the plan wants."""
+    return [reader("p0", "a"), *(writer(f"d{i}", "b") for i in range(3))]
+
+
+def test_engines_that_vanish_for_some_seconds_cause_no_order():
+    """A cut of six seconds costs six seconds, not sixteen.
+
+    The engines of the domain that is cut off can't renew their entries. An
+    order to one of the others would take effect when they are back.
+    """
+
+    async def main():
+        async with deployments.deployed(*_balanced()) as world:
+            await world.clock.sleep_ms(8_000.0)
+            world.endpoints.put("p0", None)
+            await world.clock.sleep_ms(5_500.0)
+            world.register(world.backends.by_name["p0"])
+            await world.clock.sleep_ms(20_000.0)
+            assert _orders(world) == []
+
+    deployments.run(main())
+
+
+def test_the_last_prefill_engine_that_leaves_is_replaced_soon():
+    async def main():
+        async with deployments.deployed(*_balanced()) as world:
+            await world.clock.sleep_ms(8_000.0)
+            world.register(world.backends.by_name["p0"], drained=True)
+            await world.clock.sleep_ms(3_500.0)
+            ((_, order),) = _orders(world)
+            assert order.role is resources.Role.PREFILL
+
+    deployments.run(main())
+
+
+def test_one_that_stays_away_is_replaced_later():
+    async def main():
+        async with deployments.deployed(*_balanced()) as world:
+            await world.clock.sleep_ms(8_000.0)
+            world.endpoints.put("p0", None)
+            await world.clock.sleep_ms(10_000.0)
+            ((_, order),) = _orders(world)
+            assert order.role is resources.Role.PREFILL
+
+    deployments.run(main())
--- a/tests/forwarding/test_role_plan.py
+++ b/tests/forwarding/test_role_plan.py
@@ -33,6 +33,9 @@
         # Where reading and writing take the same, half of the engines read.
         (1, 7, 90.0, 4),
         (7, 1, 90.0, 4),
+        # With the last prefill engine gone another one must read.
+        (0, 4, 480.0, 1),
+        (0, 3, 400.0, 1),
         # One engine alone must write.
         (0, 1, 480.0, 0),
     ],
