--- a/src/jujubewharf/commands/main.py
+++ b/src/jujubewharf/commands/main.py
@@ -14,6 +14,7 @@
 from jujubewharf import clock as clocks
 from jujubewharf import entry as entries
 from jujubewharf.commands import lazy
+from jujubewharf.forwarding import settings as forwarding_settings
 from jujubewharf.leaving import process
 from jujubewharf.settings import models
 from jujubewharf.settings import reader
@@ -85,12 +86,28 @@
 
 
 @settings_app.command("check")
-def settings_check(path: pathlib.Path) -> None:
+def settings_check(
+    path: pathlib.Path,
+    forwarding: Annotated[
+        bool, typer.Option(help="Settings of an instance that forwards.")
+    ] = False,
+) -> None:
     """Check a settings file; every error is named with its path."""
-    _read_or_exit(path)
+    if forwarding:
+        _check_forwarding_or_exit(path)
+    else:
+        _read_or_exit(path)
     print("ok")
 
 
+def _check_forwarding_or_exit(path: pathlib.Path) -> None:
+    try:
+        forwarding_settings.read(path)
+    except (ValueError, OSError) as error:
+        print(error, file=sys.stderr)
+        raise typer.Exit(_EXIT_BAD_SETTINGS) from None
+
+
 @settings_app.command("schema")
 def settings_schema() -> None:
     """Print the JSON Schema of the settings file."""
--- a/src/jujubewharf/forwarding/decisions.py
+++ b/src/jujubewharf/forwarding/decisions.py
@@ -228,6 +228,23 @@
     )
 
 
+def not_placed(
+    run: runs.Run,
+    *,
+    tokens: int,
+    engines: dict[str, list[str]],
+    age_ms: float,
+) -> None:
+    """No decode engine had memory in the time that a request could wait."""
+    _logger.info(
+        "request_not_placed",
+        request=run.call.request_id,
+        tokens=tokens,
+        engines=engines,
+        registry_age_ms=round(age_ms),
+    )
+
+
 def resumed(run: runs.Run, engine: str, *, after_event: int) -> None:
     """A stream goes on at another engine."""
     _RETRIES.add(1, {"reason": "resumed"})
--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -208,6 +208,13 @@
 
     def _refusal(self, run: runs.Run) -> errors.WharfError:
         after_ms = COME_BACK_MS + COME_BACK_SPREAD_MS * self._rng.random()
+        engines = self._registry.of_service(run.service)
+        decisions.not_placed(
+            run,
+            tokens=_tokens(run.call),
+            engines=self._pool.why_left_out(engines),
+            age_ms=self._registry.age_ms,
+        )
         if run.may_have_run:
             return run.failure()
         return errors.WharfError(
--- a/src/jujubewharf/forwarding/pool.py
+++ b/src/jujubewharf/forwarding/pool.py
@@ -20,7 +20,7 @@
 # seconds. To ask sooner costs a prompt that is read for nothing.
 CHANGING_MS = 4_000.0
 # The same for a prefill engine whose results can't be fetched.
-UNFETCHED_MS = 1_500.0
+UNFETCHED_MS = 3_000.0
 # An engine that refused for want of room is left alone this long. Requests
 # last seconds, so asking sooner would mostly be refused again; asking later
 # would leave room unused that another request would have taken.
@@ -104,6 +104,26 @@
             asked, key=lambda e: (e.name in last, self._decode_rank(e))
         )
 
+    def why_left_out(
+        self, engines: Sequence[resources.Endpoint]
+    ) -> dict[str, list[str]]:
+        """Decode engines by why they aren't asked now; for log lines."""
+        now_ms = self._clock.now_ms()
+        found: dict[str, list[str]] = {}
+        for engine in engines:
+            if not engine.can_decode:
+                continue
+            view = self.view(engine.name)
+            reason = "asked"
+            if view.breaker.is_open:
+                reason = "unreachable"
+            elif view.absent_until_ms > now_ms:
+                reason = "other_role"
+            elif view.full_until_ms > now_ms:
+                reason = "full"
+            found.setdefault(reason, []).append(engine.name)
+        return found
+
     def to_prefill(
         self, engines: Sequence[resources.Endpoint], *, near: str
     ) -> list[resources.Endpoint]:
--- a/src/jujubewharf/forwarding/role_plan.py
+++ b/src/jujubewharf/forwarding/role_plan.py
@@ -16,8 +16,10 @@
 # streams came late that would have been in time.
 _DIRECT_COST = 8.0
 # What the pools would serve without one of the prefill engines counts for this
-# part: until another has changed its role, decode engines would read.
-_LOSS_WEIGHT = 0.3
+# part: until another has changed its role, decode engines would read. More
+# would keep a second prefill engine where memory is short: with 0.5 six small
+# engines served a fifth less.
+_LOSS_WEIGHT = 0.15
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/jujubewharf/telemetry/explanation.py
+++ b/src/jujubewharf/telemetry/explanation.py
@@ -116,10 +116,13 @@
 def _deciding(lines: Sequence[Line]) -> str:
     """The last line that says why it ended as it did."""
     for line in reversed(lines):
-        if line.event in ("request_refused", "retry_denied"):
+        if line.event in ("request_not_placed", "retry_denied"):
             return f"{line.event} {_said(line)}"
     for line in reversed(lines):
-        if line.event in ("engine_call_failed", "request_failed"):
+        if line.event == "engine_call_failed":
+            return f"{line.event} {_said(line)}"
+    for line in reversed(lines):
+        if line.event in ("request_refused", "request_failed"):
             return f"{line.event} {_said(line)}"
     return f"{lines[-1].event} {_said(lines[-1])}"
 
--- a/tests/commands/test_main.py
+++ b/tests/commands/test_main.py
@@ -91,3 +91,21 @@
     schema = json.loads(outcome.stdout)
     assert schema["additionalProperties"] is False
     assert set(GOOD) <= set(schema["properties"])
+
+
+def test_settings_of_an_instance_that_forwards(tmp_path):
+    path = tmp_path / "settings.json"
+    path.write_text('{"instance": ""}')
+    told = testing.CliRunner().invoke(
+        main.app, ["settings", "check", "--forwarding", str(path)]
+    )
+    assert told.exit_code == 2
+    assert "stop_within_s" in told.stderr
+
+
+def test_explain_says_that_a_request_isnt_there(tmp_path):
+    path = tmp_path / "one.log"
+    path.write_text("no line\n")
+    told = testing.CliRunner().invoke(main.app, ["explain", "r1", str(path)])
+    assert told.exit_code == 1
+    assert "no line of request r1" in told.stdout
