An engine that refuses after reserving is asked whether it changes, always

Test failed first. The budget is used to 85%: the bound is checked against the best of three windows.

--- a/src/jujubewharf/forwarding/budget.py
+++ b/src/jujubewharf/forwarding/budget.py
@@ -9,7 +9,7 @@
 
 # Part of the bound that is used: requests near the edge of the window are
 # counted a little earlier or later by who checks the bound.
-_USED_PART = 0.75
+_USED_PART = 0.85
 
 
 class FleetBudget:
--- a/src/jujubewharf/forwarding/stream.py
+++ b/src/jujubewharf/forwarding/stream.py
@@ -170,14 +170,14 @@
         """
         if error.fault is not client.EngineFault.REFUSED_FULL:
             raise error
-        if sending.source is None or prefilled.reader is None:
-            raise error
         engine = self._registry.get(error.engine)
         if engine is None or await self._is_changing(engine):
             fault = client.EngineFault.REFUSED_ROLE
             changing = client.EngineError(fault, error.engine, "changing")
             self._pool.changing(error.engine)
             raise changing from error
+        if sending.source is None or prefilled.reader is None:
+            raise error
         gone = client.EngineError(
             client.EngineFault.KV_GONE, prefilled.reader.name
         )
--- a/tests/forwarding/test_stream.py
+++ b/tests/forwarding/test_stream.py
@@ -386,3 +386,21 @@
             assert len(world.backends.prefills) == 2
 
     deployments.run(main())
+
+
+def test_an_engine_that_changes_is_left_out_also_without_a_prefill_engine():
+    """One refusal for each change, not one for each caller.
+
+    With no prefill engine left the request is sent without a result to fetch,
+    so the refusal can't be for want of that.
+    """
+
+    async def main():
+        changing = writer("d1", is_changing=True)
+        async with deployments.deployed(changing, writer("d2", "b")) as world:
+            for i in range(4):
+                answer = await world.ask(f"/verdicts/{i}")
+                assert answer.numbers == [1, 2, 3, 4, 5]
+            assert world.backends.checks == 1
+
+    deployments.run(main())
