--- a/src/jujubewharf/requests/plain_endpoints.py
+++ b/src/jujubewharf/requests/plain_endpoints.py
@@ -7,10 +7,13 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import contextlib
+from typing import TYPE_CHECKING
 
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
-from jujubewharf.configuration import state as states
+
+if TYPE_CHECKING:
+    from jujubewharf.configuration import state as states
 
 _SUSPECT_MS = 2_000.0
 
--- a/src/jujubewharf/telemetry/explanation.py
+++ b/src/jujubewharf/telemetry/explanation.py
@@ -121,12 +121,22 @@
     for line in reversed(lines):
         if line.event == "engine_call_failed":
             return f"{line.event} {_said(line)}"
+    sent = [line for line in lines if line.event == "request_sent"]
+    if sent and any(line.event == "request_failed" for line in lines):
+        # It ended while an engine that was sent to gave no answer.
+        last = max(sent, key=_since_ms)
+        return f"no answer to {last.event} {_said(last)}"
     for line in reversed(lines):
         if line.event in ("request_refused", "request_failed"):
             return f"{line.event} {_said(line)}"
     return f"{lines[-1].event} {_said(lines[-1])}"
 
 
+def _since_ms(line: Line) -> float:
+    since_ms = line.fields.get("since_ms", 0.0)
+    return float(since_ms) if isinstance(since_ms, int | float) else 0.0
+
+
 def _said(line: Line) -> str:
     shown = {n: v for n, v in line.fields.items() if n not in _IN_COLUMNS}
     return " ".join(f"{name}={value}" for name, value in shown.items())
--- a/tests/telemetry/test_explanation.py
+++ b/tests/telemetry/test_explanation.py
@@ -68,3 +68,18 @@
     story = explanation.read("r9", _files(tmp_path, _line(1.0, "x")))
     assert not story.lines
     assert explanation.page(story).startswith("no line of request r9")
+
+
+def test_a_silent_endpoint_is_named(tmp_path):
+    files = _files(
+        tmp_path,
+        "\n".join(
+            [
+                _line(2.0, "request_refused", request="r1"),
+                _line(2.0, "request_sent", request="r1", engine="s1"),
+                _line(2.0, "request_failed", request="r1", outcome="late"),
+            ]
+        ),
+    )
+    text = explanation.page(explanation.read("r1", files))
+    assert "decided by: no answer to request_sent engine=s1" in text
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pathlib
 import subprocess
 import sys
 
@@ -29,3 +30,42 @@
     loaded = done.stdout.split()
     assert "jujubewharf.entry" in loaded
     assert [name for name in _UNWANTED if name in loaded] == []
+
+
+_FORWARDING_UNWANTED = (
+    "cryptography",
+    "google.protobuf",
+    "grpc",
+    "jujubewharf.requests.claims",
+    "jujubewharf.operators",
+    "jujubewharf.peers.mesh",
+    "jujubewharf.requests.answers",
+    "looptime",
+    "numpy",
+    "opentelemetry.exporter.otlp",
+    "typer",
+)
+_FORWARDING_SCRIPT = """
+import sys
+sys.path.insert(0, sys.argv[1])
+from users_platform import program
+print(*sorted(sys.modules))
+"""
+
+
+def test_an_instance_that_forwards_loads_nothing_that_it_doesnt_serve():
+    """Each restart pays for what is imported, all instances at once.
+
+    Operator RPC, peers, claims and keys have no part in forwarding; grpc and
+    protobuf alone take a third of a second of a small machine.
+    """
+    platform = pathlib.Path(__file__).parents[1] / "platform"
+    done = subprocess.run(
+        [sys.executable, "-c", _FORWARDING_SCRIPT, str(platform)],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    loaded = done.stdout.split()
+    assert "jujubewharf.forwarding.entry" in loaded
+    assert [name for name in _FORWARDING_UNWANTED if name in loaded] == []
