--- a/src/jujubewharf/forwarding/role_plan.py
+++ b/src/jujubewharf/forwarding/role_plan.py
@@ -19,7 +19,7 @@
 # part: until another has changed its role, decode engines would read. More
 # would keep a second prefill engine where memory is short: with 0.5 six small
 # engines served a fifth less.
-_LOSS_WEIGHT = 0.15
+_LOSS_WEIGHT = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
