Streams: one sending apart from the relay; hop headers in one place

A stream that goes on elsewhere passes an unreachable engine over instead of staying broken (test failed first); one without a size is sent without a hand-over (it raised). The headers of one connection stood in callers/plain.py and in the adapter.

--- a/src/jujubewharf/callers/plain.py
+++ b/src/jujubewharf/callers/plain.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -14,6 +13,7 @@
 from jujubewharf.callers import accounts
 from jujubewharf.callers import answers
 from jujubewharf.callers import bodies
+from jujubewharf.callers import hops
 from jujubewharf.callers import marks as caller_marks
 from jujubewharf.callers import services
 from jujubewharf.callers import shapes
@@ -25,30 +25,19 @@
 if TYPE_CHECKING:
     from jujubewharf import core as cores
 
-# What concerns one connection only (RFC 9110, section 7.6.1), what the next
-# connection sets anew, and the caller's token, which is for this system.
-_HOP_HEADERS = frozenset(
+# What the next connection sets anew, and the caller's token, which is for this
+# system.
+_DROPPED = frozenset(
     {
         "authorization",
-        "connection",
         "expect",
         "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
         caller_marks.ATTEMPT_HEADER.lower(),
         caller_marks.REQUEST_HEADER.lower(),
     }
 )
 _IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
-Headers = tuple[tuple[str, str], ...]
-
 
 class PlainServices:
     """The handler of plain requests.
@@ -105,7 +94,7 @@
             path_query=request.rel_url.raw_path_qs.removeprefix(prefix),
             arrived_ms=arrived_ms,
             deadline_ms=marks.deadline_ms or service.deadline_ms,
-            headers=_end_to_end(request.headers.items()),
+            headers=hops.end_to_end(request.headers.items(), dropped=_DROPPED),
             body=body if request.can_read_body else None,
             account=accounts.name_of(account),
             key=marks.key,
@@ -147,22 +136,7 @@
     reply: endpoint_client.PlainReply, wanted: plain.PlainRequest
 ) -> web.StreamResponse:
     response = web.StreamResponse(status=reply.status)
-    for name, value in _end_to_end(reply.headers):
+    for name, value in hops.end_to_end(reply.headers, dropped=_DROPPED):
         response.headers.add(name, value)
     response.headers[caller_marks.REQUEST_HEADER] = wanted.request_id
     return response
-
-
-def _end_to_end(headers: Iterable[tuple[str, str]]) -> Headers:
-    items = tuple(headers)
-    named = {
-        token.strip().lower()
-        for name, value in items
-        if name.lower() == "connection"
-        for token in value.split(",")
-    }
-    return tuple(
-        (name, value)
-        for name, value in items
-        if name.lower() not in _HOP_HEADERS and name.lower() not in named
-    )
--- /dev/null
+++ b/src/jujubewharf/forwarding/attempts.py
@@ -0,0 +1,293 @@
+"""One sending of a streamed request: memory, prefill, decode.
+
+Memory on a decode engine is reserved before the prompt is read, since what was
+read is lost when no engine fetches it in time.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+
+from jujubewharf import clock as clocks
+from jujubewharf.configuration import resources
+from jujubewharf.engines import client
+from jujubewharf.forwarding import budget as budgets
+from jujubewharf.forwarding import calls
+from jujubewharf.forwarding import costs
+from jujubewharf.forwarding import decisions
+from jujubewharf.forwarding import placement
+from jujubewharf.forwarding import pool as pools
+from jujubewharf.forwarding import ports
+from jujubewharf.forwarding import registry as registries
+from jujubewharf.forwarding import runs
+
+# Prefill engines that are asked for one request. A decode engine that reads
+# instead stops the answers that it writes for up to half a second.
+_MAX_READERS = 3
+
+
+@dataclasses.dataclass(slots=True)
+class Upstream:
+    """One engine's answer while it is passed on.
+
+    Attributes:
+        engine: Who answers.
+        reply: Its answer.
+        exits: Ends the engine's work and gives back what was held for it.
+        has_begun: Whether any of the body has arrived.
+    """
+
+    engine: resources.Endpoint
+    reply: calls.Reply
+    exits: contextlib.AsyncExitStack
+    has_begun: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _Prefilled:
+    """A prompt that was read, or wasn't; ``is_fetched`` once it was used."""
+
+    source: calls.Source | None = None
+    reader: resources.Endpoint | None = None
+    is_fetched: bool = False
+
+
+class StreamAttempts:
+    """Sends streamed requests to engines.
+
+    Args:
+        backends: Calls engines.
+        registry: Tells which engines take work.
+        places: Finds memory for requests.
+        pool: What is known of the engines.
+        budget: Bounds retries over the fleet.
+        work: Learns what requests cost.
+        clock: Time.
+    """
+
+    def __init__(
+        self,
+        backends: ports.Backends,
+        registry: registries.Registry,
+        places: placement.Placement,
+        pool: pools.EnginePool,
+        budget: budgets.FleetBudget,
+        work: costs.WorkCosts,
+        clock: clocks.Clock,
+    ) -> None:
+        self._backends = backends
+        self._registry = registry
+        self._places = places
+        self._pool = pool
+        self._budget = budget
+        self._work = work
+        self._clock = clock
+
+    async def attempt(
+        self, run: runs.Run, *, after_event: int | None
+    ) -> Upstream:
+        """Sends a request to one engine, with memory reserved before.
+
+        Args:
+            run: The request.
+            after_event: Last event that its caller has.
+
+        Raises:
+            EngineError: The sending failed; another may help.
+            WharfError: There was no memory, or no retry is left.
+        """
+        async with contextlib.AsyncExitStack() as exits:
+            place = await exits.enter_async_context(self._places.place(run))
+            prefilled = await exits.enter_async_context(
+                self._prefilled(run, place)
+            )
+            sending = calls.Sending(
+                run.call,
+                run.left_ms(self._clock),
+                source=prefilled.source,
+                hold=place.take_hold(),
+                after_event=after_event,
+            )
+            try:
+                reply = await self._send(exits, run, place.engine, sending)
+            except client.EngineError as error:
+                sending = await self._instead(run, error, sending, prefilled)
+                reply = await self._send(exits, run, place.engine, sending)
+            prefilled.is_fetched = True
+            return Upstream(place.engine, reply, exits.pop_all())
+
+    async def _instead(
+        self,
+        run: runs.Run,
+        error: client.EngineError,
+        sending: calls.Sending,
+        prefilled: _Prefilled,
+    ) -> calls.Sending:
+        """What to send to an engine that refused although it had reserved.
+
+        Either it is carrying out an order, or it couldn't fetch the prefill
+        result. Then it can still read the prompt by itself.
+
+        Raises:
+            EngineError: It takes no work now; the fault says so.
+        """
+        if error.fault is not client.EngineFault.REFUSED_FULL:
+            raise error
+        engine = self._registry.get(error.engine)
+        if engine is None or await self._is_changing(engine):
+            fault = client.EngineFault.REFUSED_ROLE
+            changing = client.EngineError(fault, error.engine, "changing")
+            self._pool.changing(error.engine)
+            raise changing from error
+        if sending.source is None or prefilled.reader is None:
+            raise error
+        gone = client.EngineError(
+            client.EngineFault.KV_GONE, prefilled.reader.name
+        )
+        self._pool.failed(gone)
+        decisions.engine_failed(run, gone, stage="fetch", took_ms=0.0)
+        left = self._budget.left(run.service)
+        if not self._budget.take(run.service):
+            decisions.not_retried(run, "kv_gone", budget_left=left)
+            raise run.failure() from error
+        decisions.retried(run, "kv_gone", budget_left=left)
+        return dataclasses.replace(
+            sending, source=None, left_ms=run.left_ms(self._clock)
+        )
+
+    def _learn(self, error: client.EngineError) -> None:
+        if error.fault is client.EngineFault.REFUSED_IDENTITY:
+            self._registry.replaced(error.engine)
+        self._pool.failed(error)
+
+    async def _is_changing(self, engine: resources.Endpoint) -> bool:
+        try:
+            return await self._backends.is_changing(engine)
+        except client.EngineError as error:
+            self._pool.failed(error)
+            return True
+
+    @contextlib.asynccontextmanager
+    async def _prefilled(
+        self, run: runs.Run, place: placement.Place
+    ) -> AsyncIterator[_Prefilled]:
+        """Has the prompt read, and frees the result if nobody fetched it.
+
+        Where no engine reads it the block gets an empty one: the decode engine
+        then reads the prompt by itself, more slowly.
+        """
+        prefilled = _Prefilled()
+        engines = self._registry.of_service(run.service)
+        readers = self._pool.to_prefill(engines, near=place.engine.domain)
+        if run.call.work is None:
+            # Its size isn't known, so nothing says that a hand-over pays.
+            readers = []
+        elif run.was_read and not self._budget.take(run.service):
+            # Only the first reading is no retry.
+            readers = []
+        for reader in readers[:_MAX_READERS]:
+            try:
+                prefilled.source = await self._prefill(run, reader)
+            except client.EngineError as error:
+                if not self._may_read_again(run, error):
+                    break
+            else:
+                prefilled.reader = reader
+                run.was_read = True
+                break
+        try:
+            yield prefilled
+        finally:
+            if not prefilled.is_fetched:
+                await self._drop(prefilled)
+
+    def _may_read_again(self, run: runs.Run, error: client.EngineError) -> bool:
+        """Whether another engine may be asked to read the prompt.
+
+        A refused call counts as a retry, the first one that is accepted
+        doesn't; a call that found no connection was none.
+        """
+        if error.fault is client.EngineFault.UNREACHABLE:
+            return True
+        if error.fault is client.EngineFault.REFUSED_FULL:
+            self._pool.refused_reading(error.engine)
+        left = self._budget.left(run.service)
+        if not self._budget.take(run.service):
+            decisions.not_retried(run, "prefill_failed", budget_left=left)
+            return False
+        decisions.retried(run, "prefill_failed", budget_left=left)
+        return True
+
+    async def _prefill(
+        self, run: runs.Run, engine: resources.Endpoint
+    ) -> calls.Source:
+        assert run.call.work is not None
+        tokens = run.call.work.prompt_tokens
+        left_ms = run.left_ms(self._clock)
+        began_ms = self._clock.now_ms()
+        decisions.sent(
+            run,
+            engine.name,
+            stage="prefill",
+            left_ms=left_ms,
+            age_ms=self._registry.age_ms,
+        )
+        try:
+            with self._pool.reading(engine.name, tokens):
+                source = await self._backends.prefill(
+                    engine, calls.Sending(run.call, left_ms)
+                )
+        except client.EngineError as error:
+            self._learn(error)
+            took_ms = self._clock.now_ms() - began_ms
+            decisions.engine_failed(
+                run, error, stage="prefill", took_ms=took_ms
+            )
+            raise
+        self._pool.answered(engine.name)
+        took_ms = self._clock.now_ms() - began_ms
+        self._work.prefilled(took_ms, prompt_tokens=tokens)
+        return source
+
+    async def _drop(self, prefilled: _Prefilled) -> None:
+        if prefilled.source is None or prefilled.reader is None:
+            return
+        with contextlib.suppress(client.EngineError):
+            # The result dies by itself within a second; dropping it only
+            # frees the memory sooner, so a failure needs no repeat.
+            await self._backends.drop_source(prefilled.reader, prefilled.source)
+
+    async def _send(
+        self,
+        exits: contextlib.AsyncExitStack,
+        run: runs.Run,
+        engine: resources.Endpoint,
+        sending: calls.Sending,
+    ) -> calls.Reply:
+        if not self._registry.takes_work(engine.name):
+            # It began to leave while the prompt was read.
+            fault = client.EngineFault.REFUSED_LEAVING
+            raise client.EngineError(fault, engine.name)
+        began_ms = self._clock.now_ms()
+        before = run.sent(engine.name)
+        decisions.sent(
+            run,
+            engine.name,
+            stage="decode",
+            left_ms=sending.left_ms,
+            age_ms=self._registry.age_ms,
+        )
+        try:
+            reply = await exits.enter_async_context(
+                self._backends.send(engine, sending)
+            )
+        except client.EngineError as error:
+            run.learn(error, before=before)
+            self._learn(error)
+            took_ms = self._clock.now_ms() - began_ms
+            decisions.engine_failed(run, error, stage="decode", took_ms=took_ms)
+            raise
+        self._pool.answered(engine.name)
+        return reply
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -11,6 +11,7 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
+from jujubewharf.forwarding import attempts
 from jujubewharf.forwarding import budget
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import costs
@@ -149,20 +150,21 @@
             clock,
             rng,
         )
+        sender = attempts.StreamAttempts(
+            backends,
+            self.registry,
+            places,
+            engines,
+            self._budget,
+            work,
+            clock,
+        )
         return forwarder.Forwarder(
             self.source,
             plain.PlainForwarder(
                 backends, self.registry, chooser, self._budget, clock
             ),
-            stream.StreamForwarder(
-                backends,
-                self.registry,
-                places,
-                engines,
-                self._budget,
-                work,
-                clock,
-            ),
+            stream.StreamForwarder(sender, engines, self._budget, clock),
             self._budget,
             clock,
             rng,
--- a/src/jujubewharf/forwarding/stream.py
+++ b/src/jujubewharf/forwarding/stream.py
@@ -1,8 +1,7 @@
-"""Passes one streamed request on: memory, prefill, decode, and on elsewhere.
+"""Passes one streamed request on, and goes on elsewhere where it breaks.
 
-Memory on a decode engine is reserved before the prompt is read, since what was
-read is lost when no engine fetches it in time. A stream that breaks goes on at
-another engine where its route allows that.
+A stream that breaks goes on at another engine where its route allows that, as
+one stream for its caller.
 """
 
 from __future__ import annotations
@@ -14,17 +13,13 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
-from jujubewharf.configuration import resources
 from jujubewharf.engines import client
+from jujubewharf.forwarding import attempts
 from jujubewharf.forwarding import budget as budgets
 from jujubewharf.forwarding import calls
-from jujubewharf.forwarding import costs
 from jujubewharf.forwarding import decisions
 from jujubewharf.forwarding import events
-from jujubewharf.forwarding import placement
 from jujubewharf.forwarding import pool as pools
-from jujubewharf.forwarding import ports
-from jujubewharf.forwarding import registry as registries
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import runs
 
@@ -34,59 +29,28 @@
 SILENCE_MS = 1_000.0
 # The same for the first event, before which the prompt is fetched or read.
 FIRST_EVENT_MS = 1_500.0
-# Prefill engines that are asked for one request. A decode engine that reads
-# instead stops the answers that it writes for up to half a second.
-_MAX_READERS = 3
-
-
-@dataclasses.dataclass(slots=True)
-class _Upstream:
-    """One engine's answer while it is passed on."""
-
-    engine: resources.Endpoint
-    reply: calls.Reply
-    exits: contextlib.AsyncExitStack
-    has_begun: bool = False
-
-
-@dataclasses.dataclass(slots=True)
-class _Prefilled:
-    """A prompt that was read, or wasn't; ``is_fetched`` once it was used."""
-
-    source: calls.Source | None = None
-    reader: resources.Endpoint | None = None
-    is_fetched: bool = False
 
 
 class StreamForwarder:
     """Runs streamed requests.
 
     Args:
-        backends: Calls engines.
-        registry: Tells which engines take work.
-        placement: Finds memory for requests.
+        sender: Sends requests to engines.
         pool: What is known of the engines.
         budget: Bounds retries over the fleet.
-        work: Learns what requests cost.
         clock: Time.
     """
 
     def __init__(
         self,
-        backends: ports.Backends,
-        registry: registries.Registry,
-        placement: placement.Placement,
+        sender: attempts.StreamAttempts,
         pool: pools.EnginePool,
         budget: budgets.FleetBudget,
-        work: costs.WorkCosts,
         clock: clocks.Clock,
     ) -> None:
-        self._backends = backends
-        self._registry = registry
-        self._placement = placement
+        self._attempts = sender
         self._pool = pool
         self._budget = budget
-        self._work = work
         self._clock = clock
 
     async def begin(
@@ -105,11 +69,13 @@
         await stack.enter_async_context(contextlib.aclosing(body))
         return dataclasses.replace(upstream.reply, body=body, length=None)
 
-    async def _first(self, run: runs.Run) -> _Upstream:
+    async def _first(self, run: runs.Run) -> attempts.Upstream:
         """Sends it until an engine answers or nothing more may be tried."""
         while True:
             try:
-                return await self._attempt(run, after_event=run.call.last_event)
+                return await self._attempts.attempt(
+                    run, after_event=run.call.last_event
+                )
             except client.EngineError as error:
                 self._check_retry(run, error)
 
@@ -129,203 +95,8 @@
             raise run.failure() from error
         decisions.retried(run, reason, budget_left=left)
 
-    async def _attempt(
-        self, run: runs.Run, *, after_event: int | None
-    ) -> _Upstream:
-        """One sending to one engine, with memory reserved before."""
-        async with contextlib.AsyncExitStack() as exits:
-            place = await exits.enter_async_context(self._placement.place(run))
-            prefilled = await exits.enter_async_context(
-                self._prefilled(run, place)
-            )
-            sending = calls.Sending(
-                run.call,
-                run.left_ms(self._clock),
-                source=prefilled.source,
-                hold=place.take_hold(),
-                after_event=after_event,
-            )
-            try:
-                reply = await self._send(exits, run, place.engine, sending)
-            except client.EngineError as error:
-                sending = await self._instead(run, error, sending, prefilled)
-                reply = await self._send(exits, run, place.engine, sending)
-            prefilled.is_fetched = True
-            return _Upstream(place.engine, reply, exits.pop_all())
-
-    async def _instead(
-        self,
-        run: runs.Run,
-        error: client.EngineError,
-        sending: calls.Sending,
-        prefilled: _Prefilled,
-    ) -> calls.Sending:
-        """What to send to an engine that refused although it had reserved.
-
-        Either it is carrying out an order, or it couldn't fetch the prefill
-        result. Then it can still read the prompt by itself.
-
-        Raises:
-            EngineError: It takes no work now; the fault says so.
-        """
-        if error.fault is not client.EngineFault.REFUSED_FULL:
-            raise error
-        engine = self._registry.get(error.engine)
-        if engine is None or await self._is_changing(engine):
-            fault = client.EngineFault.REFUSED_ROLE
-            changing = client.EngineError(fault, error.engine, "changing")
-            self._pool.changing(error.engine)
-            raise changing from error
-        if sending.source is None or prefilled.reader is None:
-            raise error
-        gone = client.EngineError(
-            client.EngineFault.KV_GONE, prefilled.reader.name
-        )
-        self._pool.failed(gone)
-        decisions.engine_failed(run, gone, stage="fetch", took_ms=0.0)
-        left = self._budget.left(run.service)
-        if not self._budget.take(run.service):
-            decisions.not_retried(run, "kv_gone", budget_left=left)
-            raise run.failure() from error
-        decisions.retried(run, "kv_gone", budget_left=left)
-        return dataclasses.replace(
-            sending, source=None, left_ms=run.left_ms(self._clock)
-        )
-
-    def _learn(self, error: client.EngineError) -> None:
-        if error.fault is client.EngineFault.REFUSED_IDENTITY:
-            self._registry.replaced(error.engine)
-        self._pool.failed(error)
-
-    async def _is_changing(self, engine: resources.Endpoint) -> bool:
-        try:
-            return await self._backends.is_changing(engine)
-        except client.EngineError as error:
-            self._pool.failed(error)
-            return True
-
-    @contextlib.asynccontextmanager
-    async def _prefilled(
-        self, run: runs.Run, place: placement.Place
-    ) -> AsyncIterator[_Prefilled]:
-        """Has the prompt read, and frees the result if nobody fetched it.
-
-        Where no engine reads it the block gets an empty one: the decode engine
-        then reads the prompt by itself, more slowly.
-        """
-        prefilled = _Prefilled()
-        engines = self._registry.of_service(run.service)
-        readers = self._pool.to_prefill(engines, near=place.engine.domain)
-        if run.was_read and not self._budget.take(run.service):
-            # Only the first reading is no retry.
-            readers = []
-        for reader in readers[:_MAX_READERS]:
-            try:
-                prefilled.source = await self._prefill(run, reader)
-            except client.EngineError as error:
-                if not self._may_read_again(run, error):
-                    break
-            else:
-                prefilled.reader = reader
-                run.was_read = True
-                break
-        try:
-            yield prefilled
-        finally:
-            if not prefilled.is_fetched:
-                await self._drop(prefilled)
-
-    def _may_read_again(self, run: runs.Run, error: client.EngineError) -> bool:
-        """Whether another engine may be asked to read the prompt.
-
-        A refused call counts as a retry, the first one that is accepted
-        doesn't; a call that found no connection was none.
-        """
-        if error.fault is client.EngineFault.UNREACHABLE:
-            return True
-        if error.fault is client.EngineFault.REFUSED_FULL:
-            self._pool.refused_reading(error.engine)
-        left = self._budget.left(run.service)
-        if not self._budget.take(run.service):
-            decisions.not_retried(run, "prefill_failed", budget_left=left)
-            return False
-        decisions.retried(run, "prefill_failed", budget_left=left)
-        return True
-
-    async def _prefill(
-        self, run: runs.Run, engine: resources.Endpoint
-    ) -> calls.Source:
-        assert run.call.work is not None
-        tokens = run.call.work.prompt_tokens
-        left_ms = run.left_ms(self._clock)
-        began_ms = self._clock.now_ms()
-        decisions.sent(
-            run,
-            engine.name,
-            stage="prefill",
-            left_ms=left_ms,
-            age_ms=self._registry.age_ms,
-        )
-        try:
-            with self._pool.reading(engine.name, tokens):
-                source = await self._backends.prefill(
-                    engine, calls.Sending(run.call, left_ms)
-                )
-        except client.EngineError as error:
-            self._learn(error)
-            took_ms = self._clock.now_ms() - began_ms
-            decisions.engine_failed(
-                run, error, stage="prefill", took_ms=took_ms
-            )
-            raise
-        self._pool.answered(engine.name)
-        took_ms = self._clock.now_ms() - began_ms
-        self._work.prefilled(took_ms, prompt_tokens=tokens)
-        return source
-
-    async def _drop(self, prefilled: _Prefilled) -> None:
-        if prefilled.source is None or prefilled.reader is None:
-            return
-        with contextlib.suppress(client.EngineError):
-            # The result dies by itself within a second; dropping it only
-            # frees the memory sooner, so a failure needs no repeat.
-            await self._backends.drop_source(prefilled.reader, prefilled.source)
-
-    async def _send(
-        self,
-        exits: contextlib.AsyncExitStack,
-        run: runs.Run,
-        engine: resources.Endpoint,
-        sending: calls.Sending,
-    ) -> calls.Reply:
-        if not self._registry.takes_work(engine.name):
-            # It began to leave while the prompt was read.
-            fault = client.EngineFault.REFUSED_LEAVING
-            raise client.EngineError(fault, engine.name)
-        began_ms = self._clock.now_ms()
-        before = run.sent(engine.name)
-        decisions.sent(
-            run,
-            engine.name,
-            stage="decode",
-            left_ms=sending.left_ms,
-            age_ms=self._registry.age_ms,
-        )
-        try:
-            reply = await exits.enter_async_context(
-                self._backends.send(engine, sending)
-            )
-        except client.EngineError as error:
-            run.learn(error, before=before)
-            self._learn(error)
-            took_ms = self._clock.now_ms() - began_ms
-            decisions.engine_failed(run, error, stage="decode", took_ms=took_ms)
-            raise
-        self._pool.answered(engine.name)
-        return reply
-
     async def _relay(
-        self, run: runs.Run, upstream: _Upstream
+        self, run: runs.Run, upstream: attempts.Upstream
     ) -> AsyncGenerator[bytes, None]:
         """The whole stream, over as many engines as it takes."""
         last = run.call.last_event
@@ -346,7 +117,7 @@
 
     async def _go_on(
         self, run: runs.Run, error: client.EngineError, last: int | None
-    ) -> _Upstream:
+    ) -> attempts.Upstream:
         """Takes a broken stream up at another engine.
 
         The former engine's connection is closed by now, which ends its work.
@@ -357,26 +128,31 @@
         run.lost_by.add(error.engine)
         self._pool.failed(error)
         decisions.engine_failed(run, error, stage="stream", took_ms=0.0)
-        left = self._budget.left(run.service)
-        is_allowed = run.route.repeat is routes.Repeat.CONTINUE
-        if not is_allowed or not run.has_attempts:
-            decisions.not_retried(run, "stream_broken", budget_left=left)
-            raise _broken() from error
-        if not self._budget.take(run.service):
-            decisions.not_retried(run, "stream_broken", budget_left=left)
-            raise _broken() from error
-        try:
-            upstream = await self._attempt(run, after_event=last)
-        except client.EngineError as again:
-            raise _broken() from again
+        upstream = await self._elsewhere(run, error, last)
         if not upstream.reply.is_success:
             await upstream.exits.aclose()
             raise _broken()
         decisions.resumed(run, upstream.engine.name, after_event=last or 0)
         return upstream
 
+    async def _elsewhere(
+        self, run: runs.Run, error: client.EngineError, last: int | None
+    ) -> attempts.Upstream:
+        """The answer of another engine, from after the last event on."""
+        while True:
+            left = self._budget.left(run.service)
+            is_allowed = run.route.repeat is routes.Repeat.CONTINUE
+            may_send = is_allowed and run.has_attempts
+            if not may_send or not self._budget.take(run.service):
+                decisions.not_retried(run, "stream_broken", budget_left=left)
+                raise _broken() from error
+            try:
+                return await self._attempts.attempt(run, after_event=last)
+            except client.EngineError as again:
+                error = again
+
     async def _whole_events(
-        self, run: runs.Run, upstream: _Upstream
+        self, run: runs.Run, upstream: attempts.Upstream
     ) -> AsyncIterator[events.Event]:
         cutter = events.EventCutter()
         name = upstream.engine.name
@@ -398,7 +174,9 @@
             fault = client.EngineFault.LOST
             raise client.EngineError(fault, name, "ended inside an event")
 
-    def _silence_ms(self, run: runs.Run, upstream: _Upstream) -> float | None:
+    def _silence_ms(
+        self, run: runs.Run, upstream: attempts.Upstream
+    ) -> float | None:
         if run.route.repeat is not routes.Repeat.CONTINUE:
             return None
         return SILENCE_MS if upstream.has_begun else FIRST_EVENT_MS
--- a/tests/forwarding/test_stream.py
+++ b/tests/forwarding/test_stream.py
@@ -404,3 +404,34 @@
             assert world.backends.checks == 1
 
     deployments.run(main())
+
+
+def test_a_request_without_size_is_sent_all_the_same():
+    async def main():
+        async with deployments.deployed(reader("p1"), writer("d1")) as world:
+            answer = await world.ask("/verdicts/1", work=None)
+            assert answer.numbers == [1, 2, 3, 4, 5]
+            assert world.backends.prefills == []
+
+    deployments.run(main())
+
+
+def test_a_broken_stream_passes_an_unreachable_engine_over():
+    """The caller's stream goes on at the third engine.
+
+    The first breaks off, the second died with it and can't be reached, which
+    is no attempt.
+    """
+
+    async def main():
+        dying = writer("d1", breaks_after=2)
+        dead = writer("d2", "a")
+        async with deployments.deployed(
+            reader("p1"), dying, dead, writer("d3", "b")
+        ) as world:
+            dead.is_unreachable = True
+            answer = await world.ask("/verdicts/1")
+            assert answer.numbers == [1, 2, 3, 4, 5]
+            assert world.backends.runs[-1].engine == "d3"
+
+    deployments.run(main())
