--- a/tests/users_platform/test_edge.py
+++ b/tests/users_platform/test_edge.py
@@ -23,7 +23,9 @@
     def __init__(self, script) -> None:
         self.calls: list[calls.Call] = []
         self.is_ready = True
-        self.limits = routes.CallerLimits(max_body_bytes=100)
+        self.limits = routes.CallerLimits(
+            max_body_bytes=100, header_timeout_ms=100.0, idle_timeout_ms=600.0
+        )
         self.was_cancelled = asyncio.Event()
         self._script = script
 
@@ -343,3 +345,51 @@
         _, headers, _ = await caller.read()
         assert headers["connection"] == "close"
         assert await caller.is_closed()
+
+
+async def test_a_sender_that_stops_inside_a_head_is_let_go():
+    """Slow senders can't hold all descriptors; others are served on."""
+    async with _connected(_reply(b"ok", length=2)) as caller:
+        await caller.send(b"GET /a/1 HTTP/1.1\r\nHost: a\r\nX-Slow: ")
+        assert await asyncio.wait_for(caller.is_closed(), 5)
+        assert caller.forwarding.calls == []
+
+
+async def test_a_head_in_pieces_is_taken():
+    async with _connected(_reply(b"ok", length=2)) as caller:
+        sent = _request("X-Own: 1")
+        await caller.send(sent[:30])
+        await asyncio.sleep(0.02)
+        await caller.send(sent[30:])
+        assert (await caller.read())[0] == 200
+        # The bound of the head doesn't go on after it.
+        await asyncio.sleep(0.2)
+        await caller.send(_request())
+        assert (await caller.read())[0] == 200
+
+
+async def test_a_body_that_stops_is_refused():
+    async with _connected(_reply(b"ok", length=2)) as caller:
+        await caller.send(_request("Content-Length: 50") + b"part")
+        status, headers, _ = await caller.read()
+        assert status == 408
+        assert headers["connection"] == "close"
+        assert caller.forwarding.calls == []
+
+
+async def test_a_caller_that_waits_for_a_word_gets_it():
+    async with _connected(_reply(b"ok", length=2)) as caller:
+        await caller.send(_request("Content-Length: 4", "Expect: 100-continue"))
+        word = await caller.reader.readuntil(b"\r\n\r\n")
+        assert word == b"HTTP/1.1 100 Continue\r\n\r\n"
+        await caller.send(b"body")
+        assert (await caller.read())[0] == 200
+        assert caller.forwarding.calls[0].body == b"body"
+
+
+async def test_an_unknown_host_is_told_so():
+    script = _fail(errors.ErrorKind.UNKNOWN_SERVICE)
+    async with _connected(script) as caller:
+        await caller.send(_request())
+        status, _, body = await caller.read()
+        assert (status, body) == (404, b"unknown_service")
