--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -49,6 +49,7 @@
         is_silent: It never answers a run that it began.
         loses_answers: It runs a request and the answer is lost.
         refuses_sources: Prefill results can't be fetched.
+        skips: Its streams leave this event out.
         breaks_after: Its streams break after this event.
         stalls_after: Its streams fall silent after this event.
         held: Memory reserved now, by reservation or run.
@@ -71,6 +72,7 @@
     is_silent: bool = False
     loses_answers: bool = False
     refuses_sources: bool = False
+    skips: int | None = None
     breaks_after: int | None = None
     stalls_after: int | None = None
     held: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -176,6 +178,8 @@
         first = (sending.after_event or 0) + 1
         for number in range(first, backend.events + 1):
             await self._clock.sleep_ms(backend.event_ms)
+            if number == backend.skips:
+                continue
             yield event(sending.call.request_id, number)
             if number == backend.breaks_after:
                 yield b"id: "
--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 
 from jujubewharf import errors
 from tests.forwarding import deployments
@@ -197,3 +198,21 @@
             assert [a.status for a in answers] == [200]
 
     deployments.run(main())
+
+
+def test_a_sale_is_not_sent_again_whatever_attempts_are_left():
+    async def main():
+        async with deployments.deployed(
+            shop("s1", loses_answers=True), shop("s2", "b")
+        ) as world:
+            route = dataclasses.replace(deployments.SALE, max_attempts=3)
+            world.configurations.put(
+                "config", deployments.configuration(2, route)
+            )
+            await world.clock.sleep_ms(100.0)
+            answer = await world.ask("/sale/1")
+            assert answer.error is not None
+            assert answer.error.ran is errors.Ran.UNKNOWN
+            assert len(world.backends.runs) == 1
+
+    deployments.run(main())
--- a/tests/forwarding/test_stream.py
+++ b/tests/forwarding/test_stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -435,3 +436,41 @@
             assert world.backends.runs[-1].engine == "d3"
 
     deployments.run(main())
+
+
+def test_an_event_that_is_missing_breaks_the_stream():
+    """The caller gets the missing event from another engine, not a gap."""
+
+    async def main():
+        async with deployments.deployed(
+            reader("p1"), writer("d1", skips=3), writer("d2", "b")
+        ) as world:
+            answer = await world.ask("/verdicts/1")
+            assert answer.numbers == [1, 2, 3, 4, 5]
+            assert [r.after_event for r in world.backends.runs] == [None, 2]
+
+    deployments.run(main())
+
+
+def test_one_that_may_run_once_is_not_sent_again_whatever_attempts_are_left():
+    """The caller is told "unknown"; no second engine begins.
+
+    The route allows three engines, which is for those that refuse. A lost
+    answer may mean that the first one ran it.
+    """
+
+    async def main():
+        async with deployments.deployed(
+            reader("p1"), writer("d1", loses_answers=True), writer("d2", "b")
+        ) as world:
+            route = dataclasses.replace(deployments.ONE_STREAM, max_attempts=3)
+            world.configurations.put(
+                "config", deployments.configuration(2, route)
+            )
+            await world.clock.sleep_ms(100.0)
+            answer = await world.ask("/once/1")
+            assert answer.error is not None
+            assert answer.error.ran is errors.Ran.UNKNOWN
+            assert len(world.backends.runs) == 1
+
+    deployments.run(main())
