--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -113,12 +113,17 @@
     async def main():
         async with deployments.deployed(shop("s1")) as world:
             world.configurations.is_late = True
-            await world.clock.sleep_ms(1_010.0)
-            moved = dataclasses.replace(deployments.SALE, path_prefix="/moved/")
-            world.configurations.put(
-                "config", deployments.configuration(7, moved)
-            )
-            await world.clock.sleep_ms(1_700.0)
-            assert (await world.ask("/moved/1")).status == 200
+            for number in range(2, 12):
+                # At other places of the waiting read each time.
+                await world.clock.sleep_ms(330.0)
+                moved = dataclasses.replace(
+                    deployments.SALE, path_prefix=f"/moved-{number}/"
+                )
+                world.configurations.put(
+                    "config", deployments.configuration(number, moved)
+                )
+                await world.clock.sleep_ms(1_700.0)
+                answer = await world.ask(f"/moved-{number}/1")
+                assert answer.status == 200
 
     deployments.run(main())
