--- a/tests/telemetry/test_walks.py
+++ b/tests/telemetry/test_walks.py
@@ -1,4 +1,4 @@
-"""The three walks of docs/OPERATIONS.md, from the logs of the plays they show."""
+"""The three walks of docs/OPERATIONS.md, from the logs of their plays."""
 
 from __future__ import annotations
 
