A lease that ran out is waited for again; what vanished counts from when it did

An instance that took the lease at 29.3 s counted the loss from its first look, then its domain was cut off. Besides, an instance whose lease had run out and that held it again gave orders without waiting a time to live, although another may have given some.

--- a/src/jujubewharf/forwarding/ordering.py
+++ b/src/jujubewharf/forwarding/ordering.py
@@ -90,11 +90,14 @@
 
     async def _check(self, service: str, traits: routes.EngineTraits) -> None:
         """Gives the orders that are due for one service."""
+        # Looked at also while another instance holds the lease: what vanished
+        # then must not count from the moment at which this one takes over.
+        has_vanished = self._has_vanished(service)
         if self._share.fence is None or self._registry.is_away:
             self._wanted_since_ms.pop(service, None)
             return
         self._settle()
-        if self._has_vanished(service):
+        if has_vanished:
             self._wanted_since_ms.pop(service, None)
             return
         changes = role_plan.changes(
--- a/src/jujubewharf/forwarding/sharing.py
+++ b/src/jujubewharf/forwarding/sharing.py
@@ -99,6 +99,9 @@
                 if self._has_left:
                     # The answer to a call that was on its way.
                     return
+                if not self.is_current:
+                    # The lease had run out, so another may have held it since.
+                    self._holds_orders_since_ms = None
                 # From before the call: the group counts from its arrival.
                 self._until_ms = began_ms + self._group.ttl_ms
                 self._take(share)
--- a/tests/forwarding/test_ordering.py
+++ b/tests/forwarding/test_ordering.py
@@ -136,3 +136,25 @@
             assert order.role is resources.Role.PREFILL
 
     deployments.run(main())
+
+
+def test_what_vanished_before_an_instance_held_the_lease_counts_from_then():
+    """The last prefill engine is replaced as soon as the lease is had again.
+
+    It vanished while the lease was out. Counted from the first look of the
+    holder, the wait for its return would begin anew with each holder.
+    """
+
+    async def main():
+        async with deployments.deployed(*_balanced()) as world:
+            await world.clock.sleep_ms(8_000.0)
+            world.groups.cut_off.add("e1")
+            await world.clock.sleep_ms(4_000.0)
+            world.endpoints.put("p0", None)
+            await world.clock.sleep_ms(5_000.0)
+            world.groups.cut_off.clear()
+            await world.clock.sleep_ms(1_000.0 + 3_000.0 + 2_500.0)
+            ((_, order),) = _orders(world)
+            assert order.role is resources.Role.PREFILL
+
+    deployments.run(main())
--- a/tests/forwarding/test_sharing.py
+++ b/tests/forwarding/test_sharing.py
@@ -95,3 +95,29 @@
         assert members["b"].fence is not None
 
     _on_clock(test)
+
+
+def test_a_lease_that_ran_out_is_waited_for_again():
+    """Engines never see two holders within one time to live.
+
+    Member a is cut off long enough for b to hold the lease, and comes back.
+    What it held before says nothing of now.
+    """
+
+    async def test(clock, groups, members):
+        await clock.sleep_ms(8_000.0)
+        groups.cut_off.add("a")
+        await clock.sleep_ms(9_000.0)
+        assert members["b"].fence is not None
+        groups.cut_off.clear()
+        back_ms = None
+        for _ in range(100):
+            await clock.sleep_ms(100.0)
+            if members["a"].is_current and back_ms is None:
+                back_ms = clock.now_ms()
+            if members["a"].fence is not None:
+                break
+        assert back_ms is not None
+        assert clock.now_ms() - back_ms >= groups.ttl_ms - 200.0
+
+    _on_clock(test)
