The core no longer makes the operator interface

Cause: core.py built OperatorService on itself, so that core and operators needed each other: operators named the core only under TYPE_CHECKING, and whoever took the core loaded the interface. Ruled out: a protocol for the core in operators, which would stand beside the class it mirrors. Before: the new import test finds jujubewharf.operators loaded by jujubewharf.core. After: the daemon (and the test bench's instance) makes the interface; nothing of it is loaded by the core. Conclusion: the circle is cut.

--- a/src/jujubewharf/core.py
+++ b/src/jujubewharf/core.py
@@ -26,7 +26,6 @@
 from jujubewharf.leaving import shutdown
 from jujubewharf.membership import facts
 from jujubewharf.membership import membership as memberships
-from jujubewharf.operators import service as operator_service
 from jujubewharf.orders import leases
 from jujubewharf.orders import ownership
 from jujubewharf.orders import reconciler
@@ -94,7 +93,6 @@
         admission: Counts requests in flight; closed by a shutdown.
         leases: Leases on the log.
         orders: Orders to engines.
-        operators: Answers operators.
         accounts: Client accounts in force here.
         model_limits: Limits of model requests here.
         plain_limits: Limits of plain calls here.
@@ -221,7 +219,6 @@
             clock,
             self.runner.counters,
         )
-        self.operators = operator_service.OperatorService(self)
 
         self.accounts = accounts.Accounts()
         self.configuration.listen(self.accounts.on_configuration)
--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -17,6 +17,7 @@
 from jujubewharf.engines import http_endpoint
 from jujubewharf.leaving import shutdown
 from jujubewharf.operators import server as operator_server
+from jujubewharf.operators import service as operator_service
 from jujubewharf.peers import keys as peer_keys
 from jujubewharf.peers import streams
 from jujubewharf.platform import http_log
@@ -78,7 +79,9 @@
             ),
         )
         self.operators = operator_server.OperatorServer(
-            self._settings.operators, self.core.operators, self._clock
+            self._settings.operators,
+            operator_service.OperatorService(self.core),
+            self._clock,
         )
         await self.add_runtime_dependency(self.core)
         await self.add_runtime_dependency(self.operators)
--- a/src/jujubewharf/experiments/instances.py
+++ b/src/jujubewharf/experiments/instances.py
@@ -5,10 +5,12 @@
 import asyncio
 from collections.abc import AsyncGenerator
 import contextlib
+import functools
 
 from jujubewharf import core as cores
 from jujubewharf.experiments import adapters
 from jujubewharf.experiments import processes
+from jujubewharf.operators import service as operator_service
 from jujubewharf.requests import model_request
 from jujubewharf.requests import plain
 
@@ -48,6 +50,11 @@
         """Its failure domain."""
         return self.process.domain
 
+    @functools.cached_property
+    def operators(self) -> operator_service.OperatorService:
+        """Answers operators in this process."""
+        return operator_service.OperatorService(self.core)
+
     async def start(self) -> None:
         """Starts the core in its process."""
         await self.process.create_task(_start(self.core))
--- a/src/jujubewharf/operators/backend.py
+++ b/src/jujubewharf/operators/backend.py
@@ -6,10 +6,10 @@
 from collections.abc import AsyncIterator
 from collections.abc import Sequence
 import dataclasses
-from typing import TYPE_CHECKING
 from typing import Any
 from typing import Protocol
 
+from jujubewharf import core as cores
 from jujubewharf.configuration import border
 from jujubewharf.configuration import history as histories
 from jujubewharf.configuration import records
@@ -17,9 +17,6 @@
 from jujubewharf.configuration import state as states
 from jujubewharf.operators import values
 
-if TYPE_CHECKING:
-    from jujubewharf import core as cores
-
 # The history also holds changes of the fold's own rules.
 _KINDS = frozenset(kind.value for kind in resources.Kind)
 _STATES = {
--- a/src/jujubewharf/operators/inspection.py
+++ b/src/jujubewharf/operators/inspection.py
@@ -5,10 +5,10 @@
 import collections
 from collections.abc import Iterator
 import dataclasses
-from typing import TYPE_CHECKING
 
 import structlog
 
+from jujubewharf import core as cores
 from jujubewharf import errors
 from jujubewharf.configuration import resources
 from jujubewharf.operators import backend as backends
@@ -17,9 +17,6 @@
 from jujubewharf.routing import fleet as fleets
 from jujubewharf.telemetry import tallies
 
-if TYPE_CHECKING:
-    from jujubewharf import core as cores
-
 
 class Inspector:
     """Tells how the instance does.
--- a/src/jujubewharf/operators/service.py
+++ b/src/jujubewharf/operators/service.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
+from jujubewharf import core as cores
 from jujubewharf import errors
 from jujubewharf.operators import backend as backends
 from jujubewharf.operators import editing
@@ -12,9 +11,6 @@
 from jujubewharf.operators import queries
 from jujubewharf.operators import values
 
-if TYPE_CHECKING:
-    from jujubewharf import core as cores
-
 _RETRY_AFTER_MS = 1_000.0
 
 
--- a/tests/operators/deployments.py
+++ b/tests/operators/deployments.py
@@ -109,7 +109,7 @@
             await instance.core.configuration.caught_up.wait()
             server = servers.OperatorServer(
                 settings or models.OperatorSettings(),
-                instance.core.operators,
+                instance.operators,
                 bench.clock,
             )
             await server.start()
--- a/tests/operators/test_failures.py
+++ b/tests/operators/test_failures.py
@@ -173,7 +173,7 @@
         instance = await bench.start_instance(
             "e1", "norte-a", settings=deployments.core_settings()
         )
-        operators = instance.core.operators
+        operators = instance.operators
         with pytest.raises(errors.WharfError) as refused:
             operators.identify(deployments.BOOTSTRAP_TOKEN)
         assert refused.value.kind is errors.ErrorKind.NOT_READY
@@ -198,7 +198,7 @@
         bench = benches.Bench()
         instance = await bench.start_instance("e1", "norte-a")
         await bench.clock.sleep_ms(5_000)
-        operators: services.OperatorService = instance.core.operators
+        operators: services.OperatorService = instance.operators
         bench.log.lose_answers = 1
 
         async def go_down() -> None:
@@ -322,7 +322,7 @@
     as that takes. Another task must get its turn after each piece.
     """
     async with deployments.running("e1") as deployment:
-        operators = deployment.bench.instances["e1"].core.operators
+        operators = deployment.bench.instances["e1"].operators
         many = [
             dataclasses.replace(deployments.TILL, name=f"till-{number:04}")
             for number in range(40 * pacing.PIECE)
--- a/tests/scenarios/test_operators.py
+++ b/tests/scenarios/test_operators.py
@@ -39,7 +39,7 @@
     )
 
     def at(self, name: str) -> services.OperatorService:
-        return self.world.bench.instances[name].core.operators
+        return self.world.bench.instances[name].operators
 
     def held(self, name: str, key: tuple[resources.Kind, str]):
         core = self.world.bench.instances[name].core
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -68,3 +68,27 @@
     loaded = done.stdout.split()
     assert "jujubewharf.forwarding.entry" in loaded
     assert [name for name in _FORWARDING_UNWANTED if name in loaded] == []
+
+
+_CORE_SCRIPT = """
+import sys
+import jujubewharf.core
+print(*sorted(sys.modules))
+"""
+
+
+def test_the_core_loads_nothing_of_the_operator_interface():
+    """The operator interface is built on the core, not the other way round.
+
+    Each would need the other to be imported first, and whoever takes the core
+    without operators would load their interface all the same.
+    """
+    done = subprocess.run(
+        [sys.executable, "-c", _CORE_SCRIPT],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    loaded = done.stdout.split()
+    assert "jujubewharf.core" in loaded
+    assert [name for name in loaded if "operators" in name] == []
