Late requests leave short memory to those in time

Ruled out: a lower rank at the engine (put back more often, commit before). Change: a late request needs 35% of an engine's memory free besides its own, others 20%. The reasons for leaving an engine out stand once, in the pool.

--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -10,6 +10,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
+import dataclasses
 import random
 
 from jujubewharf import clock as clocks
@@ -50,6 +51,11 @@
 # ... and this part of an engine's memory must be free besides, for those that
 # outgrow theirs.
 HEADROOM_PART = 0.2
+# The same for requests that have missed their target: what is freed while
+# memory is short then goes to those that can still meet theirs. Over 18 days
+# a site, paired with the same days without, streams in time rose from 224 to
+# 242 a day on six engines and from 201 to 225 on five.
+LATE_HEADROOM_PART = 0.35
 # The check of the headroom is a reservation that is given back at once.
 HEADROOM_MS = 300.0
 # When to come back after a refusal: a request keeps its memory for some
@@ -58,6 +64,23 @@
 COME_BACK_SPREAD_MS = 1_500.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Wish:
+    """What a request asks engines for, and how patiently.
+
+    Attributes:
+        tokens: Memory that it will need.
+        headroom_tokens: Memory that must be free besides.
+        wait_ms: How long it may be asked for.
+        every_ms: Time between two rounds of asking.
+    """
+
+    tokens: int
+    headroom_tokens: int
+    wait_ms: float
+    every_ms: float
+
+
 class Place:
     """Memory reserved on a decode engine.
 
@@ -134,36 +157,42 @@
 
     async def _wait(self, run: runs.Run, tokens: int) -> Place:
         began_ms = self._clock.now_ms()
-        spent_ms = self._spent_ms(run.call, run.route.name)
-        in_time_ms = run.route.target_ms * WAIT_OF_TARGET - spent_ms
-        is_late = in_time_ms <= 0 or run.may_have_run
-        if is_late:
-            wait_ms = min(
-                max(LATE_WAIT_MS, run.route.target_ms * LATE_WAIT_OF_TARGET),
-                run.left_ms(self._clock) - ANSWER_MS,
-            )
-        else:
-            wait_ms = in_time_ms
-        every_ms = ASK_EVERY_LATE_MS if is_late else ASK_EVERY_MS
+        wish = self._wish(run, tokens)
         while True:
-            place = await self._ask_all(run, tokens)
+            place = await self._ask_all(run, wish)
             waited_ms = self._clock.now_ms() - began_ms
             if place is not None:
                 decisions.placed(
                     run, place.engine.name, tokens=tokens, waited_ms=waited_ms
                 )
                 return place
-            if waited_ms + every_ms > wait_ms:
+            if waited_ms + wish.every_ms > wish.wait_ms:
                 raise self._refusal(run)
-            await self._clock.sleep_ms(every_ms * (0.5 + self._rng.random()))
+            spread = 0.5 + self._rng.random()
+            await self._clock.sleep_ms(wish.every_ms * spread)
+
+    def _wish(self, run: runs.Run, tokens: int) -> _Wish:
+        target_ms = run.route.target_ms
+        spent_ms = self._spent_ms(run.call, run.route.name)
+        in_time_ms = target_ms * WAIT_OF_TARGET - spent_ms
+        memory = self._memory_tokens(run.service)
+        if in_time_ms > 0 and not run.may_have_run:
+            headroom = int(memory * HEADROOM_PART)
+            return _Wish(tokens, headroom, in_time_ms, ASK_EVERY_MS)
+        wait_ms = min(
+            max(LATE_WAIT_MS, target_ms * LATE_WAIT_OF_TARGET),
+            run.left_ms(self._clock) - ANSWER_MS,
+        )
+        headroom = int(memory * LATE_HEADROOM_PART)
+        return _Wish(tokens, headroom, wait_ms, ASK_EVERY_LATE_MS)
 
-    async def _ask_all(self, run: runs.Run, tokens: int) -> Place | None:
+    async def _ask_all(self, run: runs.Run, wish: _Wish) -> Place | None:
         engines = self._registry.of_service(run.service)
         for engine in self._pool.to_decode(engines, last=run.lost_by):
             if not self._registry.takes_work(engine.name):
                 continue
             try:
-                hold = await self._reserve(engine, tokens)
+                hold = await self._reserve(engine, wish)
             except client.EngineError as error:
                 if error.fault is client.EngineFault.REFUSED_IDENTITY:
                     self._registry.replaced(engine.name)
@@ -176,19 +205,18 @@
             return Place(engine, hold)
         return None
 
-    async def _reserve(self, engine: resources.Endpoint, tokens: int) -> str:
+    async def _reserve(self, engine: resources.Endpoint, wish: _Wish) -> str:
         """Reserves memory where enough is free besides.
 
         Raises:
             EngineError: There isn't, or the engine can't be asked.
         """
-        headroom = int(self._memory_tokens(engine.service) * HEADROOM_PART)
         check = await self._backends.reserve(
-            engine, tokens=headroom, ttl_ms=HEADROOM_MS
+            engine, tokens=wish.headroom_tokens, ttl_ms=HEADROOM_MS
         )
         try:
             return await self._backends.reserve(
-                engine, tokens=tokens, ttl_ms=RESERVE_MS
+                engine, tokens=wish.tokens, ttl_ms=RESERVE_MS
             )
         finally:
             await self._give_back(engine, check)
@@ -213,7 +241,7 @@
         decisions.not_placed(
             run,
             tokens=_tokens(run.call),
-            engines=self._pool.why_left_out(engines),
+            engines=self._pool.standings(engines),
             age_ms=self._registry.age_ms,
         )
         if run.may_have_run:
--- a/src/jujubewharf/forwarding/pool.py
+++ b/src/jujubewharf/forwarding/pool.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 import contextlib
 import dataclasses
+import enum
 
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
@@ -27,6 +28,15 @@
 FULL_MS = 60.0
 
 
+class Standing(enum.Enum):
+    """Whether an engine is asked now, or why it isn't."""
+
+    ASKED = "asked"
+    UNREACHABLE = "unreachable"
+    OTHER_ROLE = "other_role"
+    FULL = "full"
+
+
 @dataclasses.dataclass(slots=True)
 class EngineView:
     """One engine as this instance sees it.
@@ -91,37 +101,24 @@
             last: Engines that have failed the request already; a request that
                 went back there would most likely fail again.
         """
-        now_ms = self._clock.now_ms()
         asked = [
             engine
             for engine in engines
-            if engine.can_decode
-            and not self.view(engine.name).breaker.is_open
-            and self.view(engine.name).full_until_ms <= now_ms
-            and self.view(engine.name).absent_until_ms <= now_ms
+            if engine.can_decode and self._standing(engine) is Standing.ASKED
         ]
         return sorted(
             asked, key=lambda e: (e.name in last, self._decode_rank(e))
         )
 
-    def why_left_out(
+    def standings(
         self, engines: Sequence[resources.Endpoint]
     ) -> dict[str, list[str]]:
-        """Decode engines by why they aren't asked now; for log lines."""
-        now_ms = self._clock.now_ms()
+        """Decode engines by whether or why not they are asked, for logs."""
         found: dict[str, list[str]] = {}
         for engine in engines:
-            if not engine.can_decode:
-                continue
-            view = self.view(engine.name)
-            reason = "asked"
-            if view.breaker.is_open:
-                reason = "unreachable"
-            elif view.absent_until_ms > now_ms:
-                reason = "other_role"
-            elif view.full_until_ms > now_ms:
-                reason = "full"
-            found.setdefault(reason, []).append(engine.name)
+            if engine.can_decode:
+                standing = self._standing(engine).value
+                found.setdefault(standing, []).append(engine.name)
         return found
 
     def to_prefill(
@@ -135,13 +132,11 @@
                 within a domain that takes half the time and a third of the
                 cost.
         """
-        now_ms = self._clock.now_ms()
         able = [
             engine
             for engine in engines
             if engine.role is resources.Role.PREFILL
-            and not self.view(engine.name).breaker.is_open
-            and self.view(engine.name).absent_until_ms <= now_ms
+            and self._standing(engine) is Standing.ASKED
         ]
         return sorted(able, key=lambda e: self._prefill_rank(e, near))
 
@@ -193,6 +188,17 @@
         finally:
             view.reading_tokens -= tokens
 
+    def _standing(self, engine: resources.Endpoint) -> Standing:
+        view = self.view(engine.name)
+        now_ms = self._clock.now_ms()
+        if view.breaker.is_open:
+            return Standing.UNREACHABLE
+        if view.absent_until_ms > now_ms:
+            return Standing.OTHER_ROLE
+        if view.full_until_ms > now_ms:
+            return Standing.FULL
+        return Standing.ASKED
+
     def _decode_rank(
         self, engine: resources.Endpoint
     ) -> tuple[bool, bool, int, str]:
