Settings that may change take effect without a restart

Cause: SIGHUP was logged and ignored, and before the program's modules were loaded (half a second) it ended the process: test_start failed with exit by signal 1. Ruled out: reading the file in the signal handler, which would run in the middle of a request's step. Figures: none needed; nothing is read while the file stands still but 1 KB every 5 s.

--- a/src/jujubewharf/forwarding/budget.py
+++ b/src/jujubewharf/forwarding/budget.py
@@ -38,11 +38,17 @@
     ) -> None:
         self._share = share
         self._clock = clock
+        self._requests: dict[str, _Recent] = {}
+        self._retries: dict[str, _Recent] = {}
+        self.change(ratio=ratio, slack=slack, window_ms=window_ms)
+
+    def change(self, *, ratio: float, slack: float, window_ms: float) -> None:
+        """Takes other bounds; what was counted before still counts."""
         self._ratio = ratio
         self._slack = slack
         self._window_ms = window_ms
-        self._requests: dict[str, _Recent] = {}
-        self._retries: dict[str, _Recent] = {}
+        for recent in (*self._requests.values(), *self._retries.values()):
+            recent.window_ms = window_ms
 
     def accepted(self, service: str) -> None:
         """A request for a service came."""
@@ -74,7 +80,7 @@
     """Counts what happened within a window."""
 
     def __init__(self, window_ms: float) -> None:
-        self._window_ms = window_ms
+        self.window_ms = window_ms
         self._times_ms: collections.deque[float] = collections.deque()
 
     def add(self, now_ms: float) -> None:
@@ -86,5 +92,5 @@
         return len(self._times_ms)
 
     def _drop(self, now_ms: float) -> None:
-        while self._times_ms and self._times_ms[0] < now_ms - self._window_ms:
+        while self._times_ms and self._times_ms[0] < now_ms - self.window_ms:
             self._times_ms.popleft()
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -210,6 +210,15 @@
         ):
             yield reply
 
+    def take_settings(self, settings: all_settings.ForwardingSettings) -> None:
+        """Puts settings in force that may change while the process runs."""
+        self._settings = settings
+        self._budget.change(
+            ratio=settings.retries.ratio,
+            slack=settings.retries.slack,
+            window_ms=settings.retries.window_s * clocks.MS_PER_S,
+        )
+
     def retries_left(self) -> dict[str, float]:
         """Retries that this instance may make now, by service."""
         return {name: self._budget.left(name) for name in self._services()}
--- /dev/null
+++ b/tests/forwarding/test_reloading.py
@@ -0,0 +1,130 @@
+"""A changed settings file takes effect, a bad one does nothing."""
+
+from __future__ import annotations
+
+import json
+
+import structlog
+
+from jujubewharf import clock as clocks
+from jujubewharf.experiments import virtual_time
+from jujubewharf.forwarding import reloading
+from jujubewharf.forwarding import settings as all_settings
+from tests.forwarding import deployments
+from tests.forwarding import test_settings
+
+
+class _Watched:
+    """A settings file, who follows it and what came of it."""
+
+    def __init__(self, tmp_path):
+        self.path = tmp_path / "settings.json"
+        self.write({})
+        self.applied: list[all_settings.ForwardingSettings] = []
+        self.clock = clocks.Clock(wall_origin_ms=0.0)
+        self.reloader = reloading.SettingsReloader(
+            self.path,
+            all_settings.read(self.path),
+            self.clock,
+            apply=self.applied.append,
+        )
+
+    def write(self, changes) -> None:
+        self.path.write_text(json.dumps(test_settings.GOOD | changes))
+
+
+def _play(tmp_path, story):
+    """Runs a story; returns the events that were logged."""
+
+    async def main():
+        watched = _Watched(tmp_path)
+        await watched.reloader.start()
+        try:
+            with structlog.testing.capture_logs() as lines:
+                await story(watched)
+        finally:
+            await watched.reloader.stop()
+        return lines
+
+    return virtual_time.run(main())
+
+
+_RETRIES = {"retries": {"ratio": 0.1, "slack": 7, "window_s": 10}}
+
+
+def test_a_signal_puts_a_change_in_force_at_once(tmp_path):
+    """An operator lowers the retries of the fleet and sends SIGHUP.
+
+    The instance must not need a restart, which would cut off its callers for
+    a setting that is only read when a retry is wanted.
+    """
+
+    async def story(watched):
+        watched.write(_RETRIES)
+        watched.reloader.request()
+        await watched.clock.sleep_ms(10.0)
+        assert [s.retries.slack for s in watched.applied] == [7.0]
+
+    (line,) = _play(tmp_path, story)
+    assert line["event"] == "settings_reloaded"
+    assert line["changed"] == ["retries"]
+    assert line["needs_restart"] == []
+
+
+def test_a_change_without_a_signal_is_found(tmp_path):
+    async def story(watched):
+        watched.write(_RETRIES)
+        await watched.clock.sleep_ms(reloading.CHECK_MS + 10.0)
+        assert len(watched.applied) == 1
+        await watched.clock.sleep_ms(3 * reloading.CHECK_MS)
+        assert len(watched.applied) == 1
+
+    assert len(_play(tmp_path, story)) == 1
+
+
+def test_what_needs_a_restart_is_told_and_left(tmp_path):
+    async def story(watched):
+        watched.write({"domain": "b"})
+        watched.reloader.request()
+        await watched.clock.sleep_ms(10.0)
+        assert watched.applied == []
+        assert watched.reloader.settings.domain == "a"
+
+    (line,) = _play(tmp_path, story)
+    assert line["needs_restart"] == ["domain"]
+
+
+def test_a_file_that_is_half_written_changes_nothing(tmp_path):
+    """The file is read while it is replaced: first a half, then the whole.
+
+    The instance keeps what it has and says so, and takes the whole file at
+    its next look although no second signal comes.
+    """
+
+    async def story(watched):
+        watched.path.write_text('{"instance": "e1", "dom')
+        watched.reloader.request()
+        await watched.clock.sleep_ms(10.0)
+        assert watched.applied == []
+        watched.write(_RETRIES)
+        await watched.clock.sleep_ms(reloading.CHECK_MS + 10.0)
+        assert len(watched.applied) == 1
+
+    events = [line["event"] for line in _play(tmp_path, story)]
+    assert events == ["settings_rejected", "settings_reloaded"]
+
+
+def test_new_bounds_hold_for_what_was_counted_before():
+    async def main():
+        async with deployments.deployed(deployments.shop("s1")) as world:
+            instance = world.instances["e1"]
+            before = instance.retries_left()[deployments.PLAIN]
+            assert before > 5.0
+            settings = all_settings.ForwardingSettings.model_validate(
+                test_settings.GOOD
+                | {"retries": {"ratio": 0.0, "slack": 0.0, "window_s": 10}}
+            )
+            instance.take_settings(settings)
+            assert instance.retries_left()[deployments.PLAIN] <= 0.0
+
+    deployments.run(main())
--- a/tests/users_platform/test_program.py
+++ b/tests/users_platform/test_program.py
@@ -6,6 +6,7 @@
 import base64
 import contextlib
 import json
+import pathlib
 import socket
 import struct
 
@@ -93,7 +94,8 @@
                 retries={"ratio": 0.2, "slack": 40, "window_s": 10},
                 stop_within_s=8,
             )
-            running = program.Program(settings, clocks.Clock())
+            path = pathlib.Path("/nonexistent/settings.json")
+            running = program.Program(path, settings, clocks.Clock())
             await running.start()
             try:
                 yield settings, engine, running
--- /dev/null
+++ b/tests/users_platform/test_start.py
@@ -0,0 +1,39 @@
+"""What may come while the program is still being loaded."""
+
+from __future__ import annotations
+
+import pathlib
+import subprocess
+import sys
+
+_START = pathlib.Path(__file__).parents[2] / "platform" / "start.py"
+# Sends the signal at the first import of the program's own modules.
+_SCRIPT = """
+import os, runpy, signal, sys
+
+class Signals:
+    def find_spec(self, name, path=None, target=None):
+        if name == "users_platform":
+            os.kill(os.getpid(), signal.SIGHUP)
+        return None
+
+sys.meta_path.insert(0, Signals())
+sys.path.insert(0, os.path.dirname(sys.argv[1]))
+runpy.run_path(sys.argv[1], run_name="loaded")
+print("alive")
+"""
+
+
+def test_a_settings_signal_during_the_start_ends_nothing():
+    """An operator sends SIGHUP to all instances while one of them restarts.
+
+    Loading the modules takes half a second. Python ends a process on that
+    signal until a handler is set, so the instance would die and begin anew.
+    """
+    done = subprocess.run(
+        [sys.executable, "-c", _SCRIPT, str(_START)],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert (done.returncode, done.stdout.strip()) == (0, "alive")
