A broken stream isn't put behind where memory is short

Cause: since late requests need more free memory, a stream that broke counted as late too and was given up while others were admitted, although its caller holds a part of the answer. Ruled out: exempting all late ones, which is what the rule is for. Test: test_a_broken_stream_is_not_put_behind_where_memory_is_short failed before (endpoint_failed after 4.2 s).

--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -178,15 +178,19 @@
         target_ms = run.route.target_ms
         spent_ms = self._spent_ms(run.call, run.route.name)
         in_time_ms = target_ms * WAIT_OF_TARGET - spent_ms
+        is_late = in_time_ms <= 0 or run.may_have_run
+        # A stream that broke is late but not put behind: its caller has a part
+        # of the answer, which would be lost with the rest.
+        is_behind = is_late and not run.may_have_run
         memory = self._memory_tokens(run.service)
-        if in_time_ms > 0 and not run.may_have_run:
-            headroom = int(memory * HEADROOM_PART)
+        part = LATE_HEADROOM_PART if is_behind else HEADROOM_PART
+        headroom = int(memory * part)
+        if not is_late:
             return _Wish(tokens, headroom, in_time_ms, ASK_EVERY_MS)
         wait_ms = min(
             max(LATE_WAIT_MS, target_ms * LATE_WAIT_OF_TARGET),
             run.left_ms(self._clock) - ANSWER_MS,
         )
-        headroom = int(memory * LATE_HEADROOM_PART)
         return _Wish(tokens, headroom, wait_ms, ASK_EVERY_LATE_MS)
 
     async def _ask_all(self, run: runs.Run, wish: _Wish) -> Place | None:
--- a/tests/forwarding/test_stream.py
+++ b/tests/forwarding/test_stream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 
 import pytest
@@ -55,6 +56,26 @@
     deployments.run(main())
 
 
+def test_a_broken_stream_is_not_put_behind_where_memory_is_short():
+    """A stream breaks while the only other engine has little memory left.
+
+    A request that merely came back late would leave that memory to others.
+    This caller has a part of its answer already: it gets the rest of it.
+    """
+
+    async def main():
+        tight = writer("d2")
+        tight.held["others"] = tight.memory_tokens // 2
+        lost = writer("d1", stalls_after=2)
+        async with deployments.deployed(reader("p1"), lost, tight) as world:
+            asked = asyncio.ensure_future(world.ask("/verdicts/1"))
+            await world.clock.sleep_ms(800.0)
+            lost.is_unreachable = True
+            assert (await asked).numbers == [1, 2, 3, 4, 5]
+
+    deployments.run(main())
+
+
 def test_a_stream_that_may_run_once_stays_broken():
     """The caller sees a broken connection, never a second run's events."""
 
