--- /dev/null
+++ b/benchmarks/log_cost.py
@@ -0,0 +1,205 @@
+"""Processor time of the log lines of one request.
+
+Run: ``python -m benchmarks.log_cost``. An instance answers requests, or
+refuses them for want of memory, on stand-ins and a virtual clock; its HTTP
+sides are left out. Each kind is run with lines written to the null device and
+with none, in turn. The bound of lines a second, which is of real time, is off.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import enum
+import io
+import os
+import random
+import time
+
+from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf.configuration import resources
+from jujubewharf.experiments import virtual_time
+from jujubewharf.forwarding import calls
+from jujubewharf.forwarding import entry
+from jujubewharf.forwarding import routes
+from jujubewharf.forwarding import settings as all_settings
+from jujubewharf.standins import backends
+from jujubewharf.standins import tables
+from jujubewharf.telemetry import line_writer
+from jujubewharf.telemetry import logs
+
+_REQUESTS = 2_000
+_ROUNDS = 3
+_SETTLE_MS = 1_100.0
+_HOST = "shop.example"
+_SERVICE = "verdict-llm"
+_TRAITS = routes.EngineTraits(12, 80_000, 500.0, 6_000.0, 2_000.0)
+_ROUTE = routes.Route(
+    "verdicts",
+    _HOST,
+    "/verdicts/",
+    (routes.Share(_SERVICE, 1.0),),
+    repeat=routes.Repeat.CONTINUE,
+    is_stream=True,
+    is_model=True,
+    timeout_ms=14_000.0,
+    target_ms=900.0,
+    max_attempts=2,
+)
+_US_PER_S = 1e6
+
+
+class Outcome(enum.Enum):
+    """What becomes of all requests of one run."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cost:
+    """What one run took.
+
+    Attributes:
+        request_us: Processor time of a request.
+        lines: Log lines of a request.
+    """
+
+    request_us: float
+    lines: float
+
+
+class _CountedLines(io.TextIOBase):
+    """The null device, with a count of what it took."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self._file = open(os.devnull, "w")
+
+    def write(self, text: str) -> int:
+        self.count += text.count("\n")
+        return self._file.write(text)
+
+
+def measure(outcome: Outcome, *, has_lines: bool, requests: int) -> Cost:
+    """Runs requests one after the other.
+
+    Args:
+        outcome: What becomes of them.
+        has_lines: Whether lines are written, as an instance does.
+        requests: How many.
+    """
+    counted = _CountedLines()
+    writer = line_writer.LineWriter(counted, max_waiting=requests * 10)
+    logs.configure(
+        "info" if has_lines else "critical",
+        instance="e1",
+        stream=writer,
+    )
+    try:
+        took_s = virtual_time.run(_run(outcome, requests))
+    finally:
+        writer.close()
+        logs.configure()
+    return Cost(took_s / requests * _US_PER_S, counted.count / requests)
+
+
+async def _run(outcome: Outcome, requests: int) -> float:
+    clock = clocks.Clock(wall_origin_ms=0.0)
+    instance = _instance(outcome, clock)
+    await instance.start()
+    await clock.sleep_ms(_SETTLE_MS)
+    began_s = time.process_time()
+    for number in range(requests):
+        await _ask(instance, clock, number)
+    took_s = time.process_time() - began_s
+    await instance.stop()
+    return took_s
+
+
+async def _ask(
+    instance: entry.ForwardingEntry, clock: clocks.Clock, number: int
+) -> None:
+    call = calls.Call(
+        f"request-{number}",
+        "POST",
+        _HOST,
+        "/verdicts/1",
+        (),
+        b"body",
+        clock.now_ms(),
+        work=calls.ModelWork(5_000, 10_000, 5_000),
+    )
+    with contextlib.suppress(errors.WharfError):
+        async with instance.run(call) as reply:
+            async for _ in reply.body:
+                pass
+
+
+def _instance(outcome: Outcome, clock: clocks.Clock) -> entry.ForwardingEntry:
+    engines = [
+        backends.StandInBackend(
+            resources.Endpoint(name, _SERVICE, f"{name}:1", "a", role)
+        )
+        for name, role in (
+            ("p1", resources.Role.PREFILL),
+            ("d1", resources.Role.DECODE),
+        )
+    ]
+    if outcome is Outcome.REFUSED:
+        for engine in engines:
+            engine.memory_tokens = 0
+    configurations = tables.StandInTable[routes.RoutingConfiguration | None](
+        clock
+    )
+    services = {_SERVICE: routes.RoutedService(_SERVICE, _TRAITS)}
+    configurations.put(
+        "config", routes.RoutingConfiguration(1, (_ROUTE,), services)
+    )
+    endpoints = tables.StandInTable[resources.Endpoint](clock)
+    for engine in engines:
+        endpoints.put(engine.name, engine.endpoint)
+    adapters = entry.Adapters(
+        backends.StandInBackends(clock, engines),
+        configurations,
+        endpoints,
+        tables.StandInGroups(clock).member("e1"),
+    )
+    settings = all_settings.ForwardingSettings.model_validate(
+        {
+            "instance": "e1",
+            "domain": "a",
+            "callers": "127.0.0.1:0",
+            "readiness": "127.0.0.1:0",
+            "store": {
+                "address": "127.0.0.1:1",
+                "part_count": 24,
+                "group_ttl_ms": 3_000,
+            },
+            "retries": {"ratio": 0.2, "slack": 40, "window_s": 10},
+            "stop_within_s": 8,
+        }
+    )
+    return entry.ForwardingEntry(settings, clock, adapters, random.Random(1))
+
+
+def main() -> None:
+    """Prints the best round of each kind."""
+    for outcome in Outcome:
+        best: dict[bool, Cost] = {}
+        for _ in range(_ROUNDS):
+            for has_lines in (False, True):
+                cost = measure(outcome, has_lines=has_lines, requests=_REQUESTS)
+                known = best.get(has_lines)
+                if known is None or cost.request_us < known.request_us:
+                    best[has_lines] = cost
+        print(
+            f"{outcome.value}: {best[False].request_us:.0f} us a request "
+            f"without lines, {best[True].request_us:.0f} us with "
+            f"{best[True].lines:.2f} lines"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/benchmarks/test_log_cost.py
@@ -0,0 +1,23 @@
+"""The measurement of the log lines' cost runs and counts."""
+
+from __future__ import annotations
+
+import pytest
+
+from benchmarks import log_cost
+
+
+@pytest.mark.parametrize("outcome", list(log_cost.Outcome))
+def test_lines_are_counted_only_where_they_are_written(outcome):
+    silent = log_cost.measure(outcome, has_lines=False, requests=32)
+    spoken = log_cost.measure(outcome, has_lines=True, requests=32)
+    assert silent.lines == 0
+    assert spoken.lines > 0
+    assert silent.request_us > 0
+
+
+def test_a_refused_request_always_has_its_lines():
+    refused = log_cost.measure(
+        log_cost.Outcome.REFUSED, has_lines=True, requests=32
+    )
+    assert refused.lines >= 2
