Engines that began anew are not waited for before an order

Cause: no order is given for 6.5 s after engines vanished; each crash began that wait anew, also where the engine was back under another name at its old address, or its old entry went only after the new one had come. Ruled out: the lease, which the same instance held from 8.2 s on. Test: test_an_engine_that_began_anew_is_not_waited_for failed before.

--- a/src/jujubewharf/forwarding/ordering.py
+++ b/src/jujubewharf/forwarding/ordering.py
@@ -31,8 +31,8 @@
 # start.
 _SETTLED_MS = 1_000.0
 # No orders for this long after engines vanished without having said that they
-# leave: those of a domain that is cut off, or that crashed, are mostly back
-# within seconds, and a change of role takes longer than that.
+# leave, unless they are back before: those of a domain that is cut off, or that
+# crashed, mostly are, and a change of role takes longer than that.
 _VANISHED_MS = 6_500.0
 
 
@@ -78,7 +78,8 @@
         self._pending: dict[str, _Pending] = {}
         self._wanted_since_ms: dict[str, float] = {}
         self._known: dict[str, dict[str, resources.Endpoint]] = {}
-        self._vanished_ms: dict[str, float] = {}
+        # By service and address.
+        self._vanished_ms: dict[str, dict[str, float]] = {}
 
     @mode.Service.task
     async def _run(self) -> None:
@@ -117,7 +118,11 @@
             await self._order(change, traits)
 
     def _has_vanished(self, service: str) -> bool:
-        """Whether engines went without a word, a short while ago."""
+        """Whether engines went without a word, a short while ago.
+
+        One that crashed and began anew has another name at the old address.
+        Nobody waits for it any longer, nor for one that is back.
+        """
         now_ms = self._clock.now_ms()
         known = self._known.get(service, {})
         present = {
@@ -125,12 +130,16 @@
             for engine in self._registry.present()
             if engine.service == service
         }
+        vanished = self._vanished_ms.setdefault(service, {})
         for name, engine in known.items():
             if name not in present and not engine.drained:
-                self._vanished_ms[service] = now_ms
+                vanished[engine.address] = now_ms
+        addresses = {engine.address for engine in present.values()}
+        for address, since_ms in list(vanished.items()):
+            if address in addresses or now_ms - since_ms >= _VANISHED_MS:
+                del vanished[address]
         self._known[service] = present
-        since_ms = self._vanished_ms.get(service)
-        return since_ms is not None and now_ms - since_ms < _VANISHED_MS
+        return bool(vanished)
 
     def _settle(self) -> None:
         """Forgets orders whose effect is seen or whose time is over."""
--- a/tests/forwarding/test_ordering.py
+++ b/tests/forwarding/test_ordering.py
@@ -158,3 +158,28 @@
             assert order.role is resources.Role.PREFILL
 
     deployments.run(main())
+
+
+def test_an_engine_that_began_anew_is_not_waited_for():
+    """The last prefill engine crashes and is back within two seconds.
+
+    It has another name at the old address, and writes answers as engines do
+    when they begin. Nobody reads prompts, so the decode engines stop their
+    answers to do it; waiting on for the old name would prolong that. Its old
+    entry may go only after the new one has come, which starts no wait either.
+    """
+
+    async def main():
+        async with deployments.deployed(*_balanced()) as world:
+            await world.clock.sleep_ms(8_000.0)
+            old = world.backends.by_name.pop("p0")
+            world.endpoints.put("p0", None)
+            await world.clock.sleep_ms(2_000.0)
+            again = writer("d9")
+            world.backends.by_name["d9"] = again
+            world.register(again, address=old.endpoint.address)
+            await world.clock.sleep_ms(800.0 + 500.0 + 1_000.0 + 500.0)
+            ((_, order),) = _orders(world)
+            assert order.role is resources.Role.PREFILL
+
+    deployments.run(main())
