An engine that left without a word but still answers is not waited for

Cause: engines may take their entry out without having said that they leave. That looked like a crash or a cut, after which no order is given for 6.5 s; the last prefill engine was replaced that much later, or, where the lease changed hands meanwhile, 11 s later. Ruled out: the age of the entry's last renewal, which the store's history doesn't show. After: the holder of the lease asks such an engine for its state once; whoever answers is leaving. Tests: the new one failed before (no order in 3.5 s).

--- a/src/jujubewharf/forwarding/ordering.py
+++ b/src/jujubewharf/forwarding/ordering.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import contextlib
 import dataclasses
 
 import mode
@@ -44,6 +45,15 @@
     until_ms: float
 
 
+@dataclasses.dataclass(slots=True)
+class _Vanished:
+    """An engine whose entry went without a word of its own."""
+
+    engine: resources.Endpoint
+    since_ms: float
+    was_asked: bool = False
+
+
 class RoleOrders(mode.Service):
     """Gives orders while this instance holds the fleet's lease.
 
@@ -79,7 +89,7 @@
         self._wanted_since_ms: dict[str, float] = {}
         self._known: dict[str, dict[str, resources.Endpoint]] = {}
         # By service and address.
-        self._vanished_ms: dict[str, dict[str, float]] = {}
+        self._vanished: dict[str, dict[str, _Vanished]] = {}
 
     @mode.Service.task
     async def _run(self) -> None:
@@ -93,12 +103,12 @@
         """Gives the orders that are due for one service."""
         # Looked at also while another instance holds the lease: what vanished
         # then must not count from the moment at which this one takes over.
-        has_vanished = self._has_vanished(service)
+        self._note_vanished(service)
         if self._share.fence is None or self._registry.is_away:
             self._wanted_since_ms.pop(service, None)
             return
         self._settle()
-        if has_vanished:
+        if await self._is_waiting(service):
             self._wanted_since_ms.pop(service, None)
             return
         changes = role_plan.changes(
@@ -117,8 +127,8 @@
         for change in changes:
             await self._order(change, traits)
 
-    def _has_vanished(self, service: str) -> bool:
-        """Whether engines went without a word, a short while ago.
+    def _note_vanished(self, service: str) -> None:
+        """Notes which engines went without a word, and when.
 
         One that crashed and began anew has another name at the old address.
         Nobody waits for it any longer, nor for one that is back.
@@ -130,15 +140,32 @@
             for engine in self._registry.present()
             if engine.service == service
         }
-        vanished = self._vanished_ms.setdefault(service, {})
+        vanished = self._vanished.setdefault(service, {})
         for name, engine in known.items():
             if name not in present and not engine.drained:
-                vanished[engine.address] = now_ms
+                vanished[engine.address] = _Vanished(engine, now_ms)
         addresses = {engine.address for engine in present.values()}
-        for address, since_ms in list(vanished.items()):
-            if address in addresses or now_ms - since_ms >= _VANISHED_MS:
+        for address, gone in list(vanished.items()):
+            is_over = now_ms - gone.since_ms >= _VANISHED_MS
+            if address in addresses or is_over:
                 del vanished[address]
         self._known[service] = present
+
+    async def _is_waiting(self, service: str) -> bool:
+        """Whether engines that vanished may be back soon.
+
+        One that still answers has taken its own entry out: it is leaving, and
+        won't be back.
+        """
+        vanished = self._vanished.setdefault(service, {})
+        for address, gone in list(vanished.items()):
+            if gone.was_asked:
+                continue
+            gone.was_asked = True
+            with contextlib.suppress(client.EngineError):
+                # Without an answer it may have crashed or be cut off.
+                await self._backends.is_changing(gone.engine)
+                del vanished[address]
         return bool(vanished)
 
     def _settle(self) -> None:
--- a/tests/forwarding/test_ordering.py
+++ b/tests/forwarding/test_ordering.py
@@ -105,9 +105,12 @@
     async def main():
         async with deployments.deployed(*_balanced()) as world:
             await world.clock.sleep_ms(8_000.0)
+            cut_off = world.backends.by_name["p0"]
+            cut_off.is_unreachable = True
             world.endpoints.put("p0", None)
             await world.clock.sleep_ms(5_500.0)
-            world.register(world.backends.by_name["p0"])
+            cut_off.is_unreachable = False
+            world.register(cut_off)
             await world.clock.sleep_ms(20_000.0)
             assert _orders(world) == []
 
@@ -130,6 +133,7 @@
     async def main():
         async with deployments.deployed(*_balanced()) as world:
             await world.clock.sleep_ms(8_000.0)
+            world.backends.by_name["p0"].is_unreachable = True
             world.endpoints.put("p0", None)
             await world.clock.sleep_ms(10_000.0)
             ((_, order),) = _orders(world)
@@ -150,6 +154,7 @@
             await world.clock.sleep_ms(8_000.0)
             world.groups.cut_off.add("e1")
             await world.clock.sleep_ms(4_000.0)
+            world.backends.by_name["p0"].is_unreachable = True
             world.endpoints.put("p0", None)
             await world.clock.sleep_ms(5_000.0)
             world.groups.cut_off.clear()
@@ -172,7 +177,8 @@
     async def main():
         async with deployments.deployed(*_balanced()) as world:
             await world.clock.sleep_ms(8_000.0)
-            old = world.backends.by_name.pop("p0")
+            old = world.backends.by_name["p0"]
+            old.is_unreachable = True
             world.endpoints.put("p0", None)
             await world.clock.sleep_ms(2_000.0)
             again = writer("d9")
@@ -183,3 +189,21 @@
             assert order.role is resources.Role.PREFILL
 
     deployments.run(main())
+
+
+def test_one_that_takes_its_entry_out_and_still_answers_is_not_waited_for():
+    """The last prefill engine leaves without having said so before.
+
+    Its entry is gone while it goes on answering for some seconds. One that
+    crashed or is cut off may be back soon and is waited for; this one won't.
+    """
+
+    async def main():
+        async with deployments.deployed(*_balanced()) as world:
+            await world.clock.sleep_ms(8_000.0)
+            world.endpoints.put("p0", None)
+            await world.clock.sleep_ms(3_500.0)
+            ((_, order),) = _orders(world)
+            assert order.role is resources.Role.PREFILL
+
+    deployments.run(main())
