An engine that changes its role is left alone until it has the new one

Cause: an engine that carries out an order still gives reservations, and its change takes up to 13 s. Ruled out: the requests that it still worked on (the engine with the least running was tried and took as long; reverted, as two engines changed where the lease had changed hands). Test: test_an_engine_that_changes_is_left_alone_until_it_has_its_new_role failed before.

--- a/src/jujubewharf/forwarding/pool.py
+++ b/src/jujubewharf/forwarding/pool.py
@@ -17,9 +17,10 @@
 # An engine that has another role than is known here is left alone this long,
 # in which its new registration is read.
 ABSENT_MS = 1_000.0
-# One that is changing its role first ends its answers and then is away for
-# seconds. To ask sooner costs a prompt that is read for nothing.
-CHANGING_MS = 4_000.0
+# One that is changing its role first ends its answers, for up to seven seconds,
+# and then is away for six. To ask sooner costs a prompt that is read for
+# nothing. Its new registration ends this time.
+CHANGING_MS = 10_000.0
 # The same for a prefill engine whose results can't be fetched.
 UNFETCHED_MS = 3_000.0
 # An engine that refused for want of room is left alone this long. Requests
@@ -47,6 +48,7 @@
         reading_tokens: Prompt tokens that this instance has it read now.
         full_until_ms: Until when its last refusal is believed.
         absent_until_ms: Until when it is thought to take no work of its role.
+        role: Role that it had registered last.
     """
 
     breaker: breakers.Breaker
@@ -54,6 +56,7 @@
     reading_tokens: int = 0
     full_until_ms: float = 0.0
     absent_until_ms: float = 0.0
+    role: resources.Role | None = None
 
 
 class EnginePool:
@@ -78,7 +81,17 @@
         return view
 
     def take_over(self, engines: Sequence[resources.Endpoint]) -> None:
-        """Forgets engines that aren't among these and hold nothing of ours."""
+        """Learns which engines there are, and their roles.
+
+        Those that aren't among these and hold nothing of ours are forgotten.
+        """
+        for engine in engines:
+            if engine.role is resources.Role.PLAIN:
+                continue
+            view = self.view(engine.name)
+            if view.role is not engine.role:
+                view.role = engine.role
+                view.absent_until_ms = 0.0
         names = {engine.name for engine in engines}
         for name, view in list(self._views.items()):
             is_used = view.held_tokens or view.reading_tokens
--- a/tests/forwarding/test_attempts.py
+++ b/tests/forwarding/test_attempts.py
@@ -297,6 +297,30 @@
     deployments.run(main())
 
 
+def test_an_engine_that_changes_is_left_alone_until_it_has_its_new_role():
+    """A change takes up to thirteen seconds, and reservations are still given.
+
+    Asked again after four, the engine refuses the run after a prompt was read
+    for it, at each instance and over and over. Once it has registered its new
+    role it is used at once.
+    """
+
+    async def main():
+        changing = writer("d1", is_changing=True)
+        async with deployments.deployed(changing, writer("d2", "b")) as world:
+            await world.ask("/verdicts/1")
+            await world.clock.sleep_ms(8_000.0)
+            await world.ask("/verdicts/2")
+            assert world.backends.checks == 1
+            changing.is_changing = False
+            world.register(changing, role=resources.Role.PREFILL)
+            await world.clock.sleep_ms(1_000.0)
+            await world.ask("/verdicts/3")
+            assert world.backends.prefills == [("r3", "d1")]
+
+    deployments.run(main())
+
+
 def test_a_request_without_size_is_sent_all_the_same():
     async def main():
         async with deployments.deployed(reader("p1"), writer("d1")) as world:
