An engine that vanished is told in the log; a claim of a test is tested

Cause, found in reading: whether a vanished engine answered was asked and the failure dropped without a line, although it decides whether an order waits. A test's text said that an old entry which goes late starts no wait; no test did. The benchmark of log lines closes its file.

--- a/benchmarks/log_cost.py
+++ b/benchmarks/log_cost.py
@@ -75,12 +75,16 @@
 
     def __init__(self) -> None:
         self.count = 0
-        self._file = open(os.devnull, "w")
+        self._file = open(os.devnull, "w", encoding="utf-8")
 
     def write(self, text: str) -> int:
         self.count += text.count("\n")
         return self._file.write(text)
 
+    def close(self) -> None:
+        self._file.close()
+        super().close()
+
 
 def measure(outcome: Outcome, *, has_lines: bool, requests: int) -> Cost:
     """Runs requests one after the other.
@@ -101,6 +105,7 @@
         took_s = virtual_time.run(_run(outcome, requests))
     finally:
         writer.close()
+        counted.close()
         logs.configure()
     return Cost(took_s / requests * _US_PER_S, counted.count / requests)
 
--- a/src/jujubewharf/forwarding/decisions.py
+++ b/src/jujubewharf/forwarding/decisions.py
@@ -132,6 +132,16 @@
     )
 
 
+def vanished(engine: str, *, answers: bool, registry_age_ms: float) -> None:
+    """An engine's entry went without a word; one that answers is leaving."""
+    _logger.info(
+        "engine_vanished",
+        engine=engine,
+        answers=answers,
+        registry_age_ms=round(registry_age_ms),
+    )
+
+
 def refused(
     request_id: str, error: errors.WharfError, *, route: str, held_ms: float
 ) -> None:
--- a/src/jujubewharf/forwarding/ordering.py
+++ b/src/jujubewharf/forwarding/ordering.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import contextlib
 import dataclasses
 
 import mode
@@ -163,12 +162,24 @@
             if gone.was_asked:
                 continue
             gone.was_asked = True
-            with contextlib.suppress(client.EngineError):
-                # Without an answer it may have crashed or be cut off.
-                await self._backends.is_changing(gone.engine)
+            answers = await self._answers(gone.engine)
+            decisions.vanished(
+                gone.engine.name,
+                answers=answers,
+                registry_age_ms=self._registry.age_ms,
+            )
+            if answers:
                 del vanished[address]
         return bool(vanished)
 
+    async def _answers(self, engine: resources.Endpoint) -> bool:
+        """Whether it is there; if not, it crashed or is cut off."""
+        try:
+            await self._backends.is_changing(engine)
+        except client.EngineError:
+            return False
+        return True
+
     def _settle(self) -> None:
         """Forgets orders whose effect is seen or whose time is over."""
         now_ms = self._clock.now_ms()
--- a/src/jujubewharf/forwarding/reloading.py
+++ b/src/jujubewharf/forwarding/reloading.py
@@ -50,6 +50,7 @@
         super().__init__()
         self.settings = settings
         self._path = path
+        # Also what waits for a restart, so that it is told only once.
         self._seen = settings
         self._clock = clock
         self._apply = apply
--- a/src/jujubewharf/telemetry/explanation.py
+++ b/src/jujubewharf/telemetry/explanation.py
@@ -18,6 +18,7 @@
         "configuration_in_force",
         "endpoint_changed",
         "endpoint_gone_after_outage",
+        "engine_vanished",
         "instance_started",
         "instance_stopped",
         "log_lines_dropped",
--- a/tests/forwarding/test_ordering.py
+++ b/tests/forwarding/test_ordering.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import structlog
+
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
 from tests.forwarding import deployments
@@ -170,8 +172,7 @@
 
     It has another name at the old address, and writes answers as engines do
     when they begin. Nobody reads prompts, so the decode engines stop their
-    answers to do it; waiting on for the old name would prolong that. Its old
-    entry may go only after the new one has come, which starts no wait either.
+    answers to do it; waiting on for the old name would prolong that.
     """
 
     async def main():
@@ -191,6 +192,26 @@
     deployments.run(main())
 
 
+def test_an_old_entry_that_goes_after_the_new_one_came_starts_no_wait():
+    """The last prefill engine is back before its old entry has lapsed."""
+
+    async def main():
+        async with deployments.deployed(*_balanced()) as world:
+            await world.clock.sleep_ms(8_000.0)
+            old = world.backends.by_name["p0"]
+            old.is_unreachable = True
+            again = writer("d9")
+            world.backends.by_name["d9"] = again
+            world.register(again, address=old.endpoint.address)
+            await world.clock.sleep_ms(2_000.0)
+            world.endpoints.put("p0", None)
+            await world.clock.sleep_ms(800.0 + 500.0 + 1_000.0 + 500.0)
+            ((_, order),) = _orders(world)
+            assert order.role is resources.Role.PREFILL
+
+    deployments.run(main())
+
+
 def test_one_that_takes_its_entry_out_and_still_answers_is_not_waited_for():
     """The last prefill engine leaves without having said so before.
 
@@ -202,7 +223,10 @@
         async with deployments.deployed(*_balanced()) as world:
             await world.clock.sleep_ms(8_000.0)
             world.endpoints.put("p0", None)
-            await world.clock.sleep_ms(3_500.0)
+            with structlog.testing.capture_logs() as lines:
+                await world.clock.sleep_ms(3_500.0)
+            told = [x for x in lines if x["event"] == "engine_vanished"]
+            assert [(x["engine"], x["answers"]) for x in told] == [("p0", True)]
             ((_, order),) = _orders(world)
             assert order.role is resources.Role.PREFILL
 
