--- a/src/jujubewharf/forwarding/attempts.py
+++ b/src/jujubewharf/forwarding/attempts.py
@@ -15,10 +15,9 @@
 from jujubewharf.engines import client
 from jujubewharf.forwarding import budget as budgets
 from jujubewharf.forwarding import calls
-from jujubewharf.forwarding import costs
 from jujubewharf.forwarding import decisions
+from jujubewharf.forwarding import observations as observed
 from jujubewharf.forwarding import placement
-from jujubewharf.forwarding import pool as pools
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import registry as registries
 from jujubewharf.forwarding import runs
@@ -65,9 +64,8 @@
         backends: Calls engines.
         registry: Tells which engines take work.
         places: Finds memory for requests.
-        pool: What is known of the engines.
         budget: Bounds retries over the fleet.
-        work: Learns what requests cost.
+        observations: Learns how engines fare.
         clock: Time.
     """
 
@@ -75,18 +73,16 @@
         self,
         backends: ports.Backends,
         registry: registries.Registry,
-        places: placement.Placement,
-        pool: pools.EnginePool,
+        places: placement.Places,
         budget: budgets.FleetBudget,
-        work: costs.WorkCosts,
+        observations: observed.Observations,
         clock: clocks.Clock,
     ) -> None:
         self._backends = backends
         self._registry = registry
         self._places = places
-        self._pool = pool
         self._budget = budget
-        self._work = work
+        self._observations = observations
         self._clock = clock
 
     async def attempt(
@@ -149,14 +145,14 @@
         if engine is None or await self._is_changing(engine):
             fault = client.EngineFault.REFUSED_ROLE
             changing = client.EngineError(fault, error.engine, "changing")
-            self._pool.changing(error.engine)
+            self._observations.changing(error.engine)
             raise changing from error
         if sending.source is None or prefilled.reader is None:
             raise error
         gone = client.EngineError(
             client.EngineFault.KV_GONE, prefilled.reader.name
         )
-        self._pool.failed(gone)
+        self._observations.failed(gone)
         decisions.engine_failed(run, gone, stage="fetch", took_ms=0.0)
         left = self._budget.left(run.service)
         if not self._budget.take(run.service):
@@ -170,13 +166,13 @@
     def _learn(self, error: client.EngineError) -> None:
         if error.fault is client.EngineFault.REFUSED_IDENTITY:
             self._registry.replaced(error.engine)
-        self._pool.failed(error)
+        self._observations.failed(error)
 
     async def _is_changing(self, engine: resources.Endpoint) -> bool:
         try:
             return await self._backends.is_changing(engine)
         except client.EngineError as error:
-            self._pool.failed(error)
+            self._observations.failed(error)
             return True
 
     @contextlib.asynccontextmanager
@@ -189,14 +185,10 @@
         then reads the prompt by itself, more slowly.
         """
         prefilled = _Prefilled()
-        engines = self._registry.of_service(run.service)
-        readers = self._pool.to_prefill(engines, near=place.engine.domain)
-        if run.call.work is None:
-            # Its size isn't known, so nothing says that a hand-over pays.
-            readers = []
-        elif run.was_read and not self._budget.take(run.service):
+        readers = place.readers
+        if readers and run.was_read and not self._budget.take(run.service):
             # Only the first reading is no retry.
-            readers = []
+            readers = ()
         for reader in readers[:_MAX_READERS]:
             try:
                 prefilled.source = await self._prefill(run, reader)
@@ -214,6 +206,7 @@
                 prefilled.reader = reader
                 run.was_read = True
                 break
+        place.reading_ended()
         try:
             yield prefilled
         finally:
@@ -229,7 +222,7 @@
         if error.fault is client.EngineFault.UNREACHABLE:
             return True
         if error.fault is client.EngineFault.REFUSED_FULL:
-            self._pool.refused_reading(error.engine)
+            self._observations.refused_reading(error.engine)
         left = self._budget.left(run.service)
         if not self._budget.take(run.service):
             decisions.not_retried(run, "prefill_failed", budget_left=left)
@@ -252,10 +245,9 @@
             age_ms=self._registry.age_ms,
         )
         try:
-            with self._pool.reading(engine.name, tokens):
-                source = await self._backends.prefill(
-                    engine, calls.Sending(run.call, left_ms)
-                )
+            source = await self._backends.prefill(
+                engine, calls.Sending(run.call, left_ms)
+            )
         except client.EngineError as error:
             self._learn(error)
             took_ms = self._clock.now_ms() - began_ms
@@ -263,10 +255,8 @@
                 run, error, stage="prefill", took_ms=took_ms
             )
             raise
-        self._pool.answered(engine.name)
         took_ms = self._clock.now_ms() - began_ms
-        self._work.prefilled(took_ms, prompt_tokens=tokens)
-        self._pool.read(engine.name, took_ms=took_ms, tokens=tokens)
+        self._observations.prompt_read(engine.name, took_ms, tokens=tokens)
         return source
 
     async def _drop(self, prefilled: _Prefilled) -> None:
@@ -307,5 +297,5 @@
             took_ms = self._clock.now_ms() - began_ms
             decisions.engine_failed(run, error, stage="decode", took_ms=took_ms)
             raise
-        self._pool.answered(engine.name)
+        self._observations.answered(engine.name)
         return reply
--- a/src/jujubewharf/forwarding/costs.py
+++ b/src/jujubewharf/forwarding/costs.py
@@ -98,6 +98,38 @@
     return sum(min(n, _READINGS) * value for n, value in values) / total
 
 
+class ReportedCosts:
+    """What this instance and those that follow it have observed.
+
+    The load this answers: the first burst after a start or a change of leader,
+    with pools of the wrong size. A new leader has observed little itself, and
+    would know what requests cost only when the burst is over.
+
+    Args:
+        work: What this instance has observed, also by its followers' word.
+    """
+
+    def __init__(self, work: WorkCosts) -> None:
+        self._work = work
+        self._told: dict[str, CostReport] = {}
+
+    @property
+    def instances(self) -> int:
+        """Other instances that have told theirs."""
+        return len(self._told)
+
+    @property
+    def fleet(self) -> FleetCosts:
+        """All of it together."""
+        return FleetCosts.from_reports(
+            (*self._told.values(), self._work.report())
+        )
+
+    def told(self, instance: str, report: CostReport) -> None:
+        """Learns what another instance had observed before."""
+        self._told[instance] = report
+
+
 class WorkCosts:
     """Running averages of the engine time that requests take."""
 
--- a/src/jujubewharf/forwarding/decisions.py
+++ b/src/jujubewharf/forwarding/decisions.py
@@ -138,7 +138,7 @@
 
 
 def costs_known(fleet: costs.FleetCosts, *, reports: int) -> None:
-    """The holder of the lease has heard enough of costs to give orders."""
+    """The leader has heard enough of costs to give orders."""
     _logger.info(
         "costs_known",
         prefill_ms=_rounded(fleet.prefill_ms),
@@ -281,6 +281,29 @@
     )
 
 
+def placed_alone(run: runs.Run, reason: str, *, leader: str) -> None:
+    """The leader found no place, so this instance looks for one itself."""
+    _logger.info(
+        "request_placed_alone",
+        request=run.call.request_id,
+        reason=reason,
+        leader=leader,
+    )
+
+
+def refused_by_leader(
+    run: runs.Run, *, leader: str, waited_ms: float, come_back_ms: float
+) -> None:
+    """The leader found no memory in the time that a request could wait."""
+    _logger.info(
+        "request_refused_by_leader",
+        request=run.call.request_id,
+        leader=leader,
+        waited_ms=round(waited_ms),
+        come_back_ms=round(come_back_ms),
+    )
+
+
 def resumed(run: runs.Run, engine: str, *, after_event: int) -> None:
     """A stream goes on at another engine."""
     _RETRIES.add(1, {"reason": "resumed"})
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -14,12 +14,13 @@
 from jujubewharf.forwarding import attempts
 from jujubewharf.forwarding import budget
 from jujubewharf.forwarding import calls
-from jujubewharf.forwarding import cost_exchange
 from jujubewharf.forwarding import costs
 from jujubewharf.forwarding import decisions
 from jujubewharf.forwarding import follower
 from jujubewharf.forwarding import forwarder
+from jujubewharf.forwarding import lease as leases
 from jujubewharf.forwarding import margins
+from jujubewharf.forwarding import observations
 from jujubewharf.forwarding import ordering
 from jujubewharf.forwarding import placement
 from jujubewharf.forwarding import plain
@@ -30,6 +31,10 @@
 from jujubewharf.forwarding import settings as all_settings
 from jujubewharf.forwarding import sharing
 from jujubewharf.forwarding import stream
+from jujubewharf.leadership import feeds
+from jujubewharf.leadership import fleet as fleets
+from jujubewharf.leadership import leader_link
+from jujubewharf.leadership import leadership
 from jujubewharf.leaving import shutdown
 from jujubewharf.platform import groups
 from jujubewharf.platform import tables
@@ -45,6 +50,11 @@
 # which its entry is read again. Endpoints write all the time, so a read never
 # waits; twice in that time, and some for the calls themselves.
 _REGISTRY_PART = 0.4
+# The same for the instance that reads it for all.
+_LEADING_REGISTRY_PART = 0.2
+# Part of the fleet's retries that is split between the instances which a leader
+# has. The rest is dealt by the group, also to those that it hasn't.
+_LED_PART = 0.5
 # Share of the fleet's retries while the group can't be reached: small enough
 # for two dozen instances that are all cut off.
 _SHARE_ALONE = 1 / 24
@@ -62,7 +72,7 @@
     configurations: tables.Table[routes.RoutingConfiguration | None]
     endpoints: tables.Table[resources.Endpoint]
     group: groups.Group
-    costs: tables.WritableTable[costs.CostReport]
+    peers: ports.PeerAdapters | None = None
 
 
 class ForwardingEntry(mode.Service):
@@ -79,6 +89,8 @@
         source: Configuration in force.
         registry: Endpoints that have registered.
         share: Part of what the fleet shares.
+        fleet: The leader of this instance, or its followers.
+        lease: The right to give orders to engines.
         budget: Retries that this instance may make.
         work: What requests cost, as observed here.
     """
@@ -93,6 +105,7 @@
         super().__init__()
         self._settings = settings
         self._clock = clock
+        self._leadership: leadership.Leadership | None = None
         self.admission = shutdown.AdmissionState()
         self.source = forwarder.RouteSource()
         self.registry = registry.Registry(clock)
@@ -105,20 +118,30 @@
             ratio=settings.retries.ratio,
             slack=settings.retries.slack,
             window_ms=settings.retries.window_s * clocks.MS_PER_S,
-            share=lambda: self.share.fraction,
+            share=self._retry_share,
         )
-        self._exchange = cost_exchange.CostExchange(
-            settings.instance,
+        self._costs = costs.ReportedCosts(self.work)
+        self.fleet = fleets.Fleet(
+            self.registry,
             self.work,
-            adapters.costs,
-            self.share,
             clock,
-            rng,
+            in_force_within_ms=settings.store.in_force_within_ms,
+            leaving_within_ms=settings.store.leaving_within_ms,
+        )
+        peers = adapters.peers
+        # Who leads gives the orders; without peers, whoever holds the first
+        # part of the group of all instances.
+        self.lease = (
+            self.share.lease
+            if peers is None
+            else leases.GroupLease(peers.leaders, clock, name="leaders")
         )
-        self._forwarder = self._make_forwarder(adapters.backends, rng)
+        self._forwarder = self._make_forwarder(adapters, rng)
         self._configurations = follower.TableFollower(
             "configuration",
-            adapters.configurations,
+            feeds.FedTable(
+                adapters.configurations, self.fleet.feeds.configurations, clock
+            ),
             follower.Pace(
                 wait_ms=settings.store.in_force_within_ms * _CONFIGURATION_PART,
                 pause_ms=0.0,
@@ -126,39 +149,53 @@
             clock,
             rng,
             on_page=self._on_configurations,
+            is_watched=lambda: self.fleet.feeds.configurations.is_fresh,
         )
         self._endpoints = follower.TableFollower(
             "endpoints",
-            adapters.endpoints,
+            feeds.FedTable(
+                adapters.endpoints,
+                self.fleet.feeds.endpoints,
+                clock,
+                pause_ms=self._registry_pause_ms,
+            ),
             follower.Pace(
-                wait_ms=0.0,
-                pause_ms=settings.store.leaving_within_ms * _REGISTRY_PART,
+                wait_ms=settings.store.leaving_within_ms * _REGISTRY_PART,
+                pause_ms=0.0,
             ),
             clock,
             rng,
             on_page=self._on_endpoints,
             on_lost=self.registry.store_lost,
+            is_watched=lambda: self.fleet.feeds.endpoints.is_fresh,
         )
 
+    def _registry_pause_ms(self) -> float:
+        part = _REGISTRY_PART
+        if self.fleet.is_leading:
+            part = _LEADING_REGISTRY_PART
+        return self._settings.store.leaving_within_ms * part
+
     def _make_forwarder(
-        self, backends: ports.Backends, rng: random.Random
+        self, adapters: Adapters, rng: random.Random
     ) -> forwarder.Forwarder:
         clock = self._clock
+        backends = adapters.backends
         chooser = plain_endpoints.Chooser(
             self._settings.domain,
             clock,
             is_leaving=lambda name: not self.registry.takes_work(name),
         )
         self.registry.listen(chooser.take_over)
-        engines = pool.EnginePool(self._settings.domain, self.work, clock, rng)
+        engines = pool.EnginePool(self.work, clock, rng)
         lengths = margins.AnswerLengths()
         self.registry.listen(engines.take_over)
         self._orders = ordering.RoleOrders(
             self._settings.instance,
             backends,
             self.registry,
-            self.share,
-            lambda: self._exchange.fleet,
+            self.lease,
+            lambda: self._costs.fleet,
             self._services,
             clock,
         )
@@ -171,13 +208,25 @@
             clock,
             rng,
         )
+        local = observations.LocalObservations(self.work, lengths, engines)
+        observed = leader_link.FleetObservations(self.fleet.link, local)
+        if adapters.peers is not None:
+            self._leadership = self.fleet.new_leadership(
+                self._settings.instance,
+                self._settings.domain,
+                adapters.peers,
+                self.lease,
+                fleets.new_desk_of(
+                    places, local, self.source, self._costs, clock
+                ),
+                rng,
+            )
         sender = attempts.StreamAttempts(
             backends,
             self.registry,
-            places,
-            engines,
+            leader_link.FleetPlaces(self.fleet.link, places),
             self.budget,
-            self.work,
+            observed,
             clock,
         )
         return forwarder.Forwarder(
@@ -185,12 +234,11 @@
             plain.PlainForwarder(
                 backends, self.registry, chooser, self.budget, clock
             ),
-            stream.StreamForwarder(
-                sender, engines, self.budget, self.work, lengths, clock
-            ),
+            stream.StreamForwarder(sender, self.budget, observed, clock),
             self.budget,
             clock,
             rng,
+            domain=self._settings.domain,
         )
 
     async def on_start(self) -> None:
@@ -198,8 +246,23 @@
         await self.add_runtime_dependency(self._configurations)
         await self.add_runtime_dependency(self._endpoints)
         await self.add_runtime_dependency(self.share)
-        await self.add_runtime_dependency(self._exchange)
         await self.add_runtime_dependency(self._orders)
+        if self._leadership is not None:
+            await self.add_runtime_dependency(self._leadership)
+
+    def _retry_share(self) -> float:
+        """Part of the fleet's retries that this instance may make.
+
+        A group has too few parts for hundreds of instances, and an instance
+        that was dealt none could repeat nothing. So where there is a leader,
+        half of the whole is split between those that it has, and only the
+        other half by parts.
+        """
+        if self._leadership is None:
+            return self.share.fraction
+        instances = self.fleet.instances
+        led = 0.0 if instances is None else 1.0 / instances
+        return (1.0 - _LED_PART) * self.share.fraction + _LED_PART * led
 
     def _services(self) -> dict[str, routes.RoutedService]:
         current = self.source.current
@@ -252,6 +315,8 @@
 
     def _hand_over(self) -> None:
         self.add_future(self.share.leave())
+        if self._leadership is not None:
+            self.add_future(self._leadership.leave())
 
     def _on_configurations(
         self,
@@ -263,6 +328,8 @@
                 decisions.configuration_in_force(
                     record.value, offset=record.offset
                 )
+        if self.fleet.followers is not None:
+            self.fleet.followers.configurations_read(page.end)
 
     def _on_endpoints(
         self, page: tables.TablePage[resources.Endpoint], is_whole: bool
@@ -276,3 +343,7 @@
             self.registry.take_all(records, page.end)
         else:
             self.registry.take(records)
+        if self.fleet.followers is not None:
+            self.fleet.followers.endpoints_read(
+                page.records, page.end, is_whole=is_whole
+            )
--- a/src/jujubewharf/forwarding/follower.py
+++ b/src/jujubewharf/forwarding/follower.py
@@ -56,6 +56,8 @@
         rng: Spreads the pauses.
         on_page: Told each page; the flag says whether it is the whole table.
         on_lost: Told when the store can't be reached any more.
+        is_watched: Whether another instance makes sure now that no change is
+            left out, so that no whole reading is due.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         *,
         on_page: Callable[[tables.TablePage[T], bool], None],
         on_lost: Callable[[], None] = lambda: None,
+        is_watched: Callable[[], bool] = lambda: False,
     ) -> None:
         super().__init__()
         self._name = name
@@ -77,6 +80,7 @@
         self._rng = rng
         self._on_page = on_page
         self._on_lost = on_lost
+        self._is_watched = is_watched
         self._offset: int | None = None
         self._whole_ms = 0.0
         self._lost_ms: float | None = None
@@ -122,6 +126,8 @@
         """The next page, and whether it is the whole table."""
         now_ms = self._clock.now_ms()
         is_whole = self._offset is None
+        if not is_whole and self._is_watched():
+            self._whole_ms = now_ms
         if is_whole or now_ms - self._whole_ms > _WHOLE_EVERY_MS:
             page = await self._table.newest()
             self._whole_ms = now_ms
--- a/src/jujubewharf/forwarding/forwarder.py
+++ b/src/jujubewharf/forwarding/forwarder.py
@@ -73,6 +73,7 @@
         budget: Bounds retries over the fleet.
         clock: Time.
         rng: Splits routes between their services.
+        domain: Failure domain of this instance.
     """
 
     def __init__(
@@ -83,7 +84,10 @@
         budget: budgets.FleetBudget,
         clock: clocks.Clock,
         rng: random.Random,
+        *,
+        domain: str,
     ) -> None:
+        self._domain = domain
         self._source = source
         self._plain = plain_forwarder
         self._stream = stream_forwarder
@@ -131,7 +135,10 @@
         within_ms = route.timeout_ms
         if call.patience_ms is not None:
             within_ms = min(within_ms, call.patience_ms)
-        return runs.Run(call, route, service, call.arrived_ms + within_ms)
+        deadline_at_ms = call.arrived_ms + within_ms
+        return runs.Run(
+            call, route, service, deadline_at_ms, domain=self._domain
+        )
 
     def _pick(self, route: routes.Route) -> str:
         """One of the route's services, by their weights."""
--- a/src/jujubewharf/forwarding/ordering.py
+++ b/src/jujubewharf/forwarding/ordering.py
@@ -12,11 +12,11 @@
 from jujubewharf.engines import client
 from jujubewharf.forwarding import costs
 from jujubewharf.forwarding import decisions
+from jujubewharf.forwarding import lease as leases
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import registry as registries
 from jujubewharf.forwarding import role_plan
 from jujubewharf.forwarding import routes
-from jujubewharf.forwarding import sharing
 
 _CHECK_MS = 500.0
 # An order without answer may be carried out this much later. Until then no
@@ -60,7 +60,7 @@
         instance: Name of this instance.
         backends: Calls engines.
         registry: Tells the engines and their roles.
-        share: Holds the lease.
+        lease: The right to give orders.
         observed: Tells what requests cost.
         services: The services in force.
         clock: Time.
@@ -71,7 +71,7 @@
         instance: str,
         backends: ports.Backends,
         registry: registries.Registry,
-        share: sharing.FleetShare,
+        lease: leases.GroupLease,
         observed: Callable[[], costs.FleetCosts],
         services: Callable[[], dict[str, routes.RoutedService]],
         clock: clocks.Clock,
@@ -80,7 +80,7 @@
         self._instance = instance
         self._backends = backends
         self._registry = registry
-        self._share = share
+        self._lease = lease
         self._observed = observed
         self._services = services
         self._clock = clock
@@ -103,7 +103,7 @@
         # Looked at also while another instance holds the lease: what vanished
         # then must not count from the moment at which this one takes over.
         self._note_vanished(service)
-        if self._registry.is_away or not self._share.holds_orders:
+        if self._registry.is_away or not self._lease.holds_first:
             self._wanted_since_ms.pop(service, None)
             return
         self._settle()
@@ -119,7 +119,7 @@
         # Looked at while the lease is dealt but not yet to be used, so that the
         # order is given as soon as it may be.
         is_settled = self._is_settled(service, bool(changes))
-        if not is_settled or self._share.fence is None:
+        if not is_settled or self._lease.fence is None:
             return
         busy = any(
             p.change.engine.service == service for p in self._pending.values()
@@ -204,7 +204,7 @@
     async def _order(
         self, change: role_plan.Change, traits: routes.EngineTraits
     ) -> None:
-        fence = self._share.fence
+        fence = self._lease.fence
         if fence is None:
             # Looked up for each order: the one before may have taken seconds.
             return
@@ -219,7 +219,7 @@
             if error.fault is client.EngineFault.LOST:
                 lasts_ms = _UNKNOWN_MS
             if error.fault is client.EngineFault.REFUSED_FENCE:
-                self._share.fenced(fence)
+                self._lease.fenced(fence)
         until_ms = self._clock.now_ms() + lasts_ms
         self._pending[change.engine.name] = _Pending(change, until_ms)
         decisions.ordered(
--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -8,9 +8,13 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
+from collections.abc import Iterator
+from collections.abc import Sequence
 import contextlib
 import dataclasses
 import random
+from typing import Protocol
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
@@ -44,6 +48,10 @@
 _CHECK_MS = 300.0
 
 
+def _nothing() -> None:
+    pass
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Wish:
     """What a request asks engines for.
@@ -71,31 +79,57 @@
         engine: The engine.
         hold: Names the reservation.
         since_ms: When it was reserved.
+        tokens: Memory that is reserved.
         memory_part: Part of the engine's memory.
 
     Attributes:
         engine: The engine.
+        hold: Names the reservation.
         since_ms: When it was reserved.
+        tokens: Memory that is reserved.
         memory_part: Part of the engine's memory.
+        readers: Engines that may read the prompt, the best first.
+        reading_ended: Called once the prompt is read, or isn't going to be.
     """
 
     def __init__(
         self,
         engine: resources.Endpoint,
-        hold: str | None,
+        hold: str,
         *,
         since_ms: float,
+        tokens: int,
         memory_part: float,
     ) -> None:
         self.engine = engine
+        self.hold = hold
         self.since_ms = since_ms
+        self.tokens = tokens
         self.memory_part = memory_part
-        self._hold = hold
+        self.readers: Sequence[resources.Endpoint] = ()
+        self.reading_ended: Callable[[], None] = _nothing
+        self._is_taken = False
 
     def take_hold(self) -> str | None:
         """The reservation, which a sending uses up; given out once."""
-        hold, self._hold = self._hold, None
-        return hold
+        if self._is_taken:
+            return None
+        self._is_taken = True
+        return self.hold
+
+
+class Places(Protocol):
+    """Finds memory for requests."""
+
+    def place(
+        self, run: runs.Run
+    ) -> contextlib.AbstractAsyncContextManager[Place]:
+        """Waits for memory and holds it for the block.
+
+        Raises:
+            WharfError: There is none; nothing ran for this sending.
+        """
+        ...
 
 
 class Placement:
@@ -141,13 +175,14 @@
             WharfError: There is none; nothing ran for this sending.
         """
         place, wish = await self._wait(run)
-        began_ms = self._clock.now_ms()
         self._running += 1
         try:
-            with self._pool.holding(place.engine.name, wish.tokens):
+            with (
+                self._pool.holding(place.engine.name, wish.tokens),
+                self._reader_promised(run, place),
+            ):
                 yield place
-            took_ms = self._clock.now_ms() - began_ms
-            self._work.decoded(took_ms, memory_part=place.memory_part)
+            self.learn_stay(place)
         finally:
             self._running -= 1
             hold = place.take_hold()
@@ -155,6 +190,34 @@
                 await self._give_back(place.engine, hold)
             self._line(run.service).wake_first()
 
+    def learn_stay(self, place: Place) -> None:
+        """Learns how long an answer that is whole has kept its memory."""
+        took_ms = self._clock.now_ms() - place.since_ms
+        self._work.decoded(took_ms, memory_part=place.memory_part)
+
+    @contextlib.contextmanager
+    def _reader_promised(self, run: runs.Run, place: Place) -> Iterator[None]:
+        """Chooses who reads the prompt, and counts it until it is read.
+
+        Counted from now on, so that prompts that are placed in the same moment
+        don't all go to the engine that was free before.
+        """
+        work = run.call.work
+        if work is None:
+            # Its size isn't known, so nothing says that a hand-over pays.
+            yield
+            return
+        engines = self._registry.of_service(run.service)
+        place.readers = self._pool.to_prefill(engines, near=place.engine.domain)
+        with contextlib.ExitStack() as promises:
+            if place.readers:
+                first = place.readers[0].name
+                promises.enter_context(
+                    self._pool.reading(first, work.prompt_tokens)
+                )
+            place.reading_ended = promises.close
+            yield
+
     async def _wait(self, run: runs.Run) -> tuple[Place, _Wish]:
         began_ms = self._clock.now_ms()
         in_time_ms = self._patience.in_time_ms(run)
@@ -234,7 +297,7 @@
         """Asks the engines that may have room, ``count`` at most."""
         engines = self._registry.of_service(run.service)
         asked = self._pool.to_decode(
-            engines, tokens=wish.room, last=run.lost_by
+            engines, tokens=wish.room, near=run.domain, last=run.lost_by
         )
         for engine in asked[:count]:
             if not self._registry.takes_work(engine.name):
@@ -246,9 +309,13 @@
                 continue
             self._pool.has_room(engine.name)
             assert run.traits is not None
-            part = wish.tokens / run.traits.memory_tokens
-            now_ms = self._clock.now_ms()
-            return Place(engine, hold, since_ms=now_ms, memory_part=part)
+            return Place(
+                engine,
+                hold,
+                since_ms=self._clock.now_ms(),
+                tokens=wish.tokens,
+                memory_part=wish.tokens / run.traits.memory_tokens,
+            )
         return None
 
     def _learn(
--- a/src/jujubewharf/forwarding/pool.py
+++ b/src/jujubewharf/forwarding/pool.py
@@ -83,7 +83,6 @@
     """Orders engines by how promising a try is.
 
     Args:
-        domain: Failure domain of this instance.
         work: What requests cost.
         clock: Time.
         rng: Decides between engines that look alike; instances that all took
@@ -92,12 +91,10 @@
 
     def __init__(
         self,
-        domain: str,
         work: costs.WorkCosts,
         clock: clocks.Clock,
         rng: random.Random,
     ) -> None:
-        self._domain = domain
         self._work = work
         self._clock = clock
         self._rng = rng
@@ -134,6 +131,7 @@
         engines: Sequence[resources.Endpoint],
         *,
         tokens: int,
+        near: str,
         last: Collection[str] = (),
     ) -> list[resources.Endpoint]:
         """Engines worth asking for a decode slot, the best first.
@@ -144,6 +142,7 @@
         Args:
             engines: Those to choose from.
             tokens: Room that is needed.
+            near: Failure domain of the instance that passes the answer on.
             last: Engines that have failed the request already; a request that
                 went back there would most likely fail again.
         """
@@ -154,7 +153,7 @@
             and self._standing(engine, tokens) is Standing.ASKED
         ]
         return sorted(
-            asked, key=lambda e: (e.name in last, self._decode_rank(e))
+            asked, key=lambda e: (e.name in last, self._decode_rank(e, near))
         )
 
     def standings(
@@ -279,14 +278,14 @@
         return Standing.ASKED
 
     def _decode_rank(
-        self, engine: resources.Endpoint
+        self, engine: resources.Endpoint, near: str
     ) -> tuple[bool, bool, int, float]:
         view = self.view(engine.name)
         return (
             view.breaker.is_doubtful,
             # Before load: an answer that crosses domains dies with a cut
             # between them, and engines with room are equally fast.
-            engine.domain != self._domain,
+            engine.domain != near,
             view.held_tokens,
             self._rng.random(),
         )
--- a/src/jujubewharf/forwarding/ports.py
+++ b/src/jujubewharf/forwarding/ports.py
@@ -8,6 +8,8 @@
 
 from jujubewharf.configuration import resources
 from jujubewharf.forwarding import calls
+from jujubewharf.peers import streams
+from jujubewharf.platform import groups
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,6 +27,21 @@
     fence: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerAdapters:
+    """What an instance needs to lead others or follow one.
+
+    Attributes:
+        leaders: The group of those who may lead; its contacts are addresses.
+        transport: Dials and listens.
+        address: Where this instance is dialled.
+    """
+
+    leaders: groups.Group
+    transport: streams.Transport
+    address: str
+
+
 class Backends(Protocol):
     """Calls engines and plain endpoints.
 
--- a/src/jujubewharf/forwarding/registration.py
+++ b/src/jujubewharf/forwarding/registration.py
@@ -26,6 +26,15 @@
     registered_as: str = ""
     started_ms: int | None = None
 
+    @classmethod
+    def from_endpoint(cls, endpoint: resources.Endpoint) -> Registration:
+        """The registration of an endpoint that never started under its name."""
+        fields = {
+            field.name: getattr(endpoint, field.name)
+            for field in dataclasses.fields(endpoint)
+        }
+        return cls(**fields, registered_as=endpoint.name)
+
 
 def public_name(endpoint: resources.Endpoint) -> str:
     """Name by which an endpoint knows itself."""
--- a/src/jujubewharf/forwarding/runs.py
+++ b/src/jujubewharf/forwarding/runs.py
@@ -25,6 +25,7 @@
         route: Route that was matched.
         service: Service that was picked of the route's.
         deadline_at_ms: Clock reading at which it gets its final answer.
+        domain: Failure domain of the instance that takes the request.
         tried: Engines that it was sent to.
         may_have_run: Whether any of them may have begun to work on it.
         refusals: Sendings that an engine said it did not run.
@@ -41,6 +42,7 @@
     route: routes.Route
     service: str
     deadline_at_ms: float
+    domain: str = ""
     tried: set[str] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
     refusals: int = 0
--- a/src/jujubewharf/forwarding/settings.py
+++ b/src/jujubewharf/forwarding/settings.py
@@ -70,6 +70,8 @@
         callers: Where callers are listened to.
         readiness: Where the balancer asks.
         metrics: Where metrics are told.
+        peers: Where other instances are listened to; ``None`` for an instance
+            that neither leads nor follows.
         store: The platform's store.
         retries: Retries of the fleet.
         stop_within_s: Time from SIGTERM until the process is ended.
@@ -81,6 +83,7 @@
     callers: Address
     readiness: Address
     metrics: Address | None = None
+    peers: Address | None = None
     store: StoreSettings
     retries: RetrySettings
     stop_within_s: Positive
--- a/src/jujubewharf/forwarding/stream.py
+++ b/src/jujubewharf/forwarding/stream.py
@@ -17,11 +17,9 @@
 from jujubewharf.forwarding import attempts
 from jujubewharf.forwarding import budget as budgets
 from jujubewharf.forwarding import calls
-from jujubewharf.forwarding import costs
 from jujubewharf.forwarding import decisions
 from jujubewharf.forwarding import events
-from jujubewharf.forwarding import margins
-from jujubewharf.forwarding import pool as pools
+from jujubewharf.forwarding import observations as observed
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import runs
 
@@ -40,27 +38,21 @@
 
     Args:
         sender: Sends requests to engines.
-        pool: What is known of the engines.
         budget: Bounds retries over the fleet.
-        work: Learns how soon answers begin.
-        lengths: Learns how long they are.
+        observations: Learns how soon answers begin, and how long they are.
         clock: Time.
     """
 
     def __init__(
         self,
         sender: attempts.StreamAttempts,
-        pool: pools.EnginePool,
         budget: budgets.FleetBudget,
-        work: costs.WorkCosts,
-        lengths: margins.AnswerLengths,
+        observations: observed.Observations,
         clock: clocks.Clock,
     ) -> None:
         self._attempts = sender
-        self._pool = pool
         self._budget = budget
-        self._work = work
-        self._lengths = lengths
+        self._observations = observations
         self._clock = clock
 
     async def begin(
@@ -137,7 +129,7 @@
             WharfError: The stream stays broken.
         """
         run.lost_by.add(error.engine)
-        self._pool.failed(error)
+        self._observations.failed(error)
         decisions.engine_failed(run, error, stage="stream", took_ms=0.0)
         upstream = await self._elsewhere(run, error, last)
         if not upstream.reply.is_success:
@@ -168,7 +160,7 @@
         cutter = events.EventCutter()
         name = upstream.engine.name
         body = upstream.reply.body
-        pace = _Pace(self._work, run, upstream, self._clock)
+        pace = _Pace(self._observations, run, upstream, self._clock)
         while True:
             try:
                 limit_ms = self._silence_ms(run, upstream)
@@ -191,7 +183,7 @@
         if run.call.work is None or run.traits is None or last is None:
             return
         tokens = last * run.traits.event_tokens
-        self._lengths.ended(margins.Answer(run.call.work.answer_tokens, tokens))
+        self._observations.ended(run.call.work.answer_tokens, tokens)
 
     def _silence_ms(
         self, run: runs.Run, upstream: attempts.Upstream
@@ -205,7 +197,7 @@
     """Learns from the pace of one engine's events how long it will take.
 
     Args:
-        work: Learns what requests cost.
+        observations: Learns what requests cost.
         run: The request.
         upstream: The engine's answer.
         clock: Time.
@@ -213,12 +205,12 @@
 
     def __init__(
         self,
-        work: costs.WorkCosts,
+        observations: observed.Observations,
         run: runs.Run,
         upstream: attempts.Upstream,
         clock: clocks.Clock,
     ) -> None:
-        self._work = work
+        self._observations = observations
         self._run = run
         self._upstream = upstream
         self._clock = clock
@@ -230,7 +222,7 @@
         self._count += 1
         if self._count == 1:
             self._first_ms = self._clock.now_ms()
-            self._work.began(self._first_ms - self._upstream.placed_ms)
+            self._observations.began(self._first_ms - self._upstream.placed_ms)
         elif self._count == _PACE_EVENTS:
             self._project()
 
@@ -242,7 +234,7 @@
         event_ms = since_ms / (_PACE_EVENTS - 1)
         event_count = work.answer_tokens / traits.event_tokens
         begun_ms = self._first_ms - self._upstream.placed_ms
-        self._work.projected(
+        self._observations.projected(
             begun_ms + event_count * event_ms,
             memory_part=self._upstream.memory_part,
         )
--- /dev/null
+++ b/src/jujubewharf/leadership/desk.py
@@ -0,0 +1,252 @@
+"""The leader places requests of other instances beside its own."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf.engines import client
+from jujubewharf.forwarding import calls
+from jujubewharf.forwarding import costs
+from jujubewharf.forwarding import decisions
+from jujubewharf.forwarding import forwarder
+from jujubewharf.forwarding import observations as observed
+from jujubewharf.forwarding import placement as placements
+from jujubewharf.forwarding import runs
+from jujubewharf.peers import leader_messages
+from jujubewharf.peers import messages
+
+
+class _UnfinishedError(Exception):
+    """The answer for which a place was held broke off."""
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class _Held:
+    """One place that another instance waits for or holds."""
+
+    task: asyncio.Task[None] | None = None
+    place: placements.Place | None = None
+    ending: asyncio.Future[leader_messages.PlaceEnded] = dataclasses.field(
+        default_factory=asyncio.Future
+    )
+
+
+class Desk:
+    """What one follower asks of the leader's placement.
+
+    Args:
+        places: The leader's placement.
+        observations: Learns what the follower observes.
+        source: The configuration in force.
+        fleet_costs: Learns what the follower had observed before.
+        clock: Time.
+    """
+
+    def __init__(
+        self,
+        places: placements.Placement,
+        observations: observed.Observations,
+        source: forwarder.RouteSource,
+        fleet_costs: costs.ReportedCosts,
+        clock: clocks.Clock,
+    ) -> None:
+        self._fleet_costs = fleet_costs
+        self._places = places
+        self._observations = observations
+        self._source = source
+        self._clock = clock
+        self._held: dict[int, _Held] = {}
+
+    def close(self) -> None:
+        """Gives up whatever the follower waits for or holds.
+
+        Its engines count for themselves what it still runs there.
+        """
+        for held in list(self._held.values()):
+            if held.task is not None:
+                held.task.cancel()
+
+    async def handle(
+        self, peer: str, message: messages.Message
+    ) -> messages.Message | None:
+        """Answers one message; ``None`` refuses an ask."""
+        match message:
+            case leader_messages.PlaceAsk():
+                return await self._place(message)
+            case leader_messages.StillThere():
+                return leader_messages.Here()
+            case leader_messages.CostsObserved():
+                self._costs_told(peer, message)
+            case leader_messages.PlaceEnded():
+                self._ended(message)
+            case leader_messages.ReadingEnded():
+                self._reading_ended(message)
+            case leader_messages.PromptRead():
+                self._observations.prompt_read(
+                    message.engine, message.took_ms, tokens=message.tokens
+                )
+            case leader_messages.AnswerBegan(took_ms=took_ms):
+                self._observations.began(took_ms)
+            case leader_messages.AnswerProjected():
+                self._observations.projected(
+                    message.will_take_ms, memory_part=message.memory_part
+                )
+            case leader_messages.AnswerEnded():
+                self._observations.ended(
+                    message.expected_tokens, message.tokens
+                )
+            case leader_messages.EngineFailed():
+                self._failed(message)
+            case leader_messages.EngineChanging(engine=engine):
+                self._observations.changing(engine)
+            case leader_messages.ReadingRefused(engine=engine):
+                self._observations.refused_reading(engine)
+        return None
+
+    async def _place(
+        self, ask: leader_messages.PlaceAsk
+    ) -> messages.Message | None:
+        run = self._run_of(ask)
+        if run is None:
+            return None
+        held = _Held()
+        self._held[ask.number] = held
+        answer: asyncio.Future[messages.Message | None] = asyncio.Future()
+        held.task = asyncio.ensure_future(self._hold(ask, run, held, answer))
+        try:
+            return await answer
+        except asyncio.CancelledError:
+            held.task.cancel()
+            raise
+
+    async def _hold(
+        self,
+        ask: leader_messages.PlaceAsk,
+        run: runs.Run,
+        held: _Held,
+        answer: asyncio.Future[messages.Message | None],
+    ) -> None:
+        try:
+            async with self._places.place(run) as place:
+                held.place = place
+                _tell(answer, _placed(place))
+                ending = await held.ending
+                if ending.is_hold_used:
+                    place.take_hold()
+                if not ending.is_whole:
+                    raise _UnfinishedError
+        except errors.WharfError as error:
+            come_back_ms = error.retry_after_ms
+            if come_back_ms is None:
+                _tell(answer, None)
+            else:
+                _tell(answer, leader_messages.NotPlaced(come_back_ms))
+        except _UnfinishedError:
+            # Its time says nothing of how long answers take.
+            pass
+        finally:
+            _tell(answer, None)
+            self._held.pop(ask.number, None)
+
+    def _costs_told(
+        self, peer: str, message: leader_messages.CostsObserved
+    ) -> None:
+        was_known = self._fleet_costs.fleet.is_known
+        self._fleet_costs.told(peer, _report(message))
+        fleet = self._fleet_costs.fleet
+        if fleet.is_known and not was_known:
+            decisions.costs_known(fleet, reports=self._fleet_costs.instances)
+
+    def _ended(self, message: leader_messages.PlaceEnded) -> None:
+        held = self._held.get(message.number)
+        if held is None:
+            return
+        if held.place is None:
+            # It gave up while it waited in line.
+            if held.task is not None:
+                held.task.cancel()
+        elif not held.ending.done():
+            held.ending.set_result(message)
+
+    def _reading_ended(self, message: leader_messages.ReadingEnded) -> None:
+        held = self._held.get(message.number)
+        if held is not None and held.place is not None:
+            held.place.reading_ended()
+
+    def _failed(self, message: leader_messages.EngineFailed) -> None:
+        try:
+            fault = client.EngineFault(message.fault)
+        except ValueError:
+            # A fault that only newer instances know.
+            return
+        if fault is not client.EngineFault.UNREACHABLE:
+            # Who can't reach an engine may be cut off itself.
+            error = client.EngineError(fault, message.engine)
+            self._observations.failed(error)
+
+    def _run_of(self, ask: leader_messages.PlaceAsk) -> runs.Run | None:
+        """The request as if it had come here; ``None`` if it can't be known."""
+        current = self._source.current
+        if current is None:
+            return None
+        route = next((r for r in current.routes if r.name == ask.route), None)
+        service = current.services.get(ask.service)
+        if route is None or service is None or service.engine is None:
+            return None
+        now_ms = self._clock.now_ms()
+        work = None
+        if ask.prompt_tokens is not None:
+            work = calls.ModelWork(
+                ask.prompt_tokens, ask.output_tokens, ask.expected_tokens
+            )
+        call = calls.Call(
+            request_id=ask.request_id,
+            method="",
+            host="",
+            path_query="",
+            headers=(),
+            body=b"",
+            arrived_ms=now_ms - ask.waited_ms,
+            patience_ms=ask.patience_ms,
+            work=work,
+        )
+        return runs.Run(
+            call,
+            route,
+            ask.service,
+            now_ms + ask.left_ms,
+            domain=ask.domain,
+            may_have_run=ask.may_have_run,
+            traits=service.engine,
+            lost_by=set(ask.lost_by),
+        )
+
+
+def _tell(
+    answer: asyncio.Future[messages.Message | None],
+    message: messages.Message | None,
+) -> None:
+    if not answer.done():
+        answer.set_result(message)
+
+
+def _report(message: leader_messages.CostsObserved) -> costs.CostReport:
+    return costs.CostReport(
+        max(0, message.readings),
+        message.prefill_ms,
+        max(0, message.answers),
+        message.decode_ms,
+    )
+
+
+def _placed(place: placements.Place) -> leader_messages.Placed:
+    return leader_messages.Placed(
+        place.engine.name,
+        place.hold,
+        place.tokens,
+        place.memory_part,
+        tuple(reader.name for reader in place.readers),
+    )
--- /dev/null
+++ b/src/jujubewharf/leadership/fleet.py
@@ -0,0 +1,137 @@
+"""One instance's part in leading and following, put together."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random
+
+from jujubewharf import clock as clocks
+from jujubewharf.forwarding import costs
+from jujubewharf.forwarding import forwarder
+from jujubewharf.forwarding import lease as leases
+from jujubewharf.forwarding import observations as observed
+from jujubewharf.forwarding import placement as placements
+from jujubewharf.forwarding import ports
+from jujubewharf.forwarding import registry as registries
+from jujubewharf.leadership import desk as desks
+from jujubewharf.leadership import feeds as all_feeds
+from jujubewharf.leadership import followers as all_followers
+from jujubewharf.leadership import leader_link
+from jujubewharf.leadership import leadership
+from jujubewharf.peers import counters
+from jujubewharf.peers import link_messages
+
+# Parts of the times within which a change must count, up to which a leader's
+# reading is taken for this instance's own: what is left must do for a reading
+# of its own when the leader falls silent.
+_CONFIGURATION_PART = 0.75
+_ENDPOINTS_PART = 0.5
+
+
+class Fleet:
+    """What an instance knows of its leader, or of its followers.
+
+    Args:
+        registry: Tells engines by their names.
+        work: What this instance has observed of costs.
+        clock: Time.
+        in_force_within_ms: Time within which a configuration must be in force.
+        leaving_within_ms: Time after which an endpoint that leaves may get no
+            more work.
+
+    Attributes:
+        feeds: What the leader tells of the store.
+        link: The link to the leader.
+        followers: Those who follow this instance; ``None`` where it can't lead.
+    """
+
+    def __init__(
+        self,
+        registry: registries.Registry,
+        work: costs.WorkCosts,
+        clock: clocks.Clock,
+        *,
+        in_force_within_ms: float,
+        leaving_within_ms: float,
+    ) -> None:
+        self._clock = clock
+        self.feeds = leader_link.Feeds(
+            all_feeds.Feed(
+                clock,
+                fresh_ms=in_force_within_ms * _CONFIGURATION_PART,
+                has_records=False,
+            ),
+            all_feeds.Feed(
+                clock,
+                fresh_ms=leaving_within_ms * _ENDPOINTS_PART,
+                has_records=True,
+            ),
+        )
+        self.link = leader_link.LeaderLink(self.feeds, registry, work, clock)
+        self.followers: all_followers.Followers | None = None
+
+    @property
+    def is_leading(self) -> bool:
+        """Whether this instance leads."""
+        return self.followers is not None and self.followers.is_leading
+
+    @property
+    def instances(self) -> int | None:
+        """Instances that are led together; ``None`` for one without leader."""
+        if self.is_leading:
+            assert self.followers is not None
+            return len(self.followers) + 1
+        return self.link.instances
+
+    def new_leadership(
+        self,
+        name: str,
+        domain: str,
+        peers: ports.PeerAdapters,
+        lease: leases.GroupLease,
+        new_desk: Callable[[], desks.Desk],
+        rng: random.Random,
+    ) -> leadership.Leadership:
+        """The service that elects, leads and follows.
+
+        Args:
+            name: Name of this instance.
+            domain: Its failure domain.
+            peers: Reaches other instances.
+            lease: The right to lead.
+            new_desk: Makes the desk of one follower.
+            rng: Spreads elections.
+        """
+        hello = link_messages.Hello(
+            name, domain, peers.address, rng.getrandbits(_INCARNATION_BITS)
+        )
+        counts = counters.PeerCounters()
+        self.followers = all_followers.Followers(
+            hello, new_desk, counts, self._clock
+        )
+        return leadership.Leadership(
+            peers.leaders,
+            peers.transport,
+            hello,
+            self.followers,
+            self.link,
+            lease,
+            counts,
+            self._clock,
+            rng,
+        )
+
+
+# Two starts under one name never draw the same.
+_INCARNATION_BITS = 48
+
+
+def new_desk_of(
+    places: placements.Placement,
+    observations: observed.Observations,
+    source: forwarder.RouteSource,
+    fleet_costs: costs.ReportedCosts,
+    clock: clocks.Clock,
+) -> Callable[[], desks.Desk]:
+    """Makes a desk for each follower that comes."""
+    return lambda: desks.Desk(places, observations, source, fleet_costs, clock)
--- /dev/null
+++ b/src/jujubewharf/leadership/followers.py
@@ -0,0 +1,236 @@
+"""The leader's side: its followers, and what it tells them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from jujubewharf import clock as clocks
+from jujubewharf.configuration import resources
+from jujubewharf.forwarding import registration
+from jujubewharf.leadership import desk as desks
+from jujubewharf.peers import counters
+from jujubewharf.peers import handshake
+from jujubewharf.peers import leader_messages
+from jujubewharf.peers import link as links
+from jujubewharf.peers import link_messages
+from jujubewharf.peers import messages
+from jujubewharf.peers import streams
+from jujubewharf.platform import tables
+
+
+class _Progress:
+    """How far a table was read, and when that was confirmed last."""
+
+    def __init__(self) -> None:
+        self.end = 0
+        self.confirmed_ms: float | None = None
+
+    def read(self, end: int, now_ms: float) -> None:
+        self.end = max(self.end, end)
+        self.confirmed_ms = now_ms
+
+
+class Followers:
+    """Accepts instances that follow this one while it leads.
+
+    Args:
+        hello: What this instance says of itself.
+        new_desk: Makes the desk of one follower.
+        counts: Where to count.
+        clock: Time.
+
+    Attributes:
+        is_leading: Whether followers are accepted.
+    """
+
+    def __init__(
+        self,
+        hello: link_messages.Hello,
+        new_desk: Callable[[], desks.Desk],
+        counts: counters.PeerCounters,
+        clock: clocks.Clock,
+    ) -> None:
+        self.is_leading = False
+        self._hello = hello
+        self._new_desk = new_desk
+        self._counts = counts
+        self._clock = clock
+        self._links: set[links.Link] = set()
+        # Followers that came before this instance had read the endpoints.
+        self._untold: set[links.Link] = set()
+        self._endpoints: dict[str, leader_messages.EndpointRecord] = {}
+        self._endpoints_read = _Progress()
+        self._configurations_read = _Progress()
+
+    def __len__(self) -> int:
+        return len(self._links)
+
+    async def on_stream(
+        self, reader: asyncio.StreamReader, writer: streams.StreamWriter
+    ) -> None:
+        """Serves a stream that came in until it ends."""
+        greeting = handshake.Handshake(
+            reader, writer, self._hello, _no_incarnation, self._counts
+        )
+        try:
+            async with self._clock.timeout_ms(handshake.HELLO_TIMEOUT_MS):
+                hello = await greeting.accept()
+        except (handshake.RefusedHelloError, OSError, TimeoutError):
+            writer.close()
+            return
+        if not self.is_leading:
+            reason = link_messages.Goodbye.STOPPING.value
+            greeting.refuse(handshake.RefusedHelloError(reason))
+            writer.close()
+            return
+        await self._serve(hello, reader, writer)
+
+    async def _serve(
+        self,
+        hello: link_messages.Hello,
+        reader: asyncio.StreamReader,
+        writer: streams.StreamWriter,
+    ) -> None:
+        desk = self._new_desk()
+
+        async def dispatch(
+            peer: str, message: messages.Message
+        ) -> messages.Message | None:
+            return await desk.handle(peer, message)
+
+        link = links.Link(
+            hello,
+            is_dialled=False,
+            is_standing=True,
+            reader=reader,
+            writer=writer,
+            clock=self._clock,
+            counts=self._counts,
+            dispatch=dispatch,
+        )
+        self._links.add(link)
+        try:
+            self._untold.add(link)
+            if self._endpoints_read.confirmed_ms is not None:
+                self._tell_all_endpoints(link)
+            link.tell(self._seen())
+            await link.run()
+        finally:
+            self._links.discard(link)
+            self._untold.discard(link)
+            desk.close()
+
+    def begin_leading(self) -> None:
+        """Accepts followers; what was read before may be another's word."""
+        self._endpoints_read.confirmed_ms = None
+        self._configurations_read.confirmed_ms = None
+        self.is_leading = True
+
+    def stop_leading(self) -> None:
+        """Sends all followers away."""
+        self.is_leading = False
+        reason = link_messages.Goodbye.STOPPING.value
+        for link in list(self._links):
+            link.close(link_messages.Farewell(reason))
+
+    def beat(self) -> None:
+        """Tells all followers how far the store was read."""
+        seen = self._seen()
+        for link in self._links:
+            link.tell(seen)
+
+    def configurations_read(self, end: int) -> None:
+        """Learns how far this instance has read configurations."""
+        is_new = end > self._configurations_read.end
+        self._configurations_read.read(end, self._clock.now_ms())
+        if is_new:
+            self.beat()
+
+    def endpoints_read(
+        self,
+        records: Iterable[tables.TableRecord[resources.Endpoint]],
+        end: int,
+        *,
+        is_whole: bool,
+    ) -> None:
+        """Learns what this instance has read of endpoints.
+
+        Engines write anew every second or so; followers are told what differs.
+        """
+        now = [_record(record) for record in records]
+        if is_whole:
+            now.extend(self._missing({record.key for record in now}, end))
+        changed = [record for record in now if self._differs(record)]
+        for record in changed:
+            self._endpoints[record.key] = record
+        self._endpoints_read.read(end, self._clock.now_ms())
+        news = leader_messages.EndpointNews(tuple(changed), end)
+        for link in self._links:
+            if link in self._untold:
+                self._tell_all_endpoints(link)
+            elif changed:
+                link.tell(news)
+
+    def _missing(
+        self, present: set[str], end: int
+    ) -> list[leader_messages.EndpointRecord]:
+        """Removals that a whole table shows, and no change did."""
+        return [
+            leader_messages.EndpointRecord(key, end - 1, None)
+            for key, known in self._endpoints.items()
+            if key not in present and known.offset < end - 1
+        ]
+
+    def _differs(self, record: leader_messages.EndpointRecord) -> bool:
+        known = self._endpoints.get(record.key)
+        if known is None:
+            return True
+        if record.offset <= known.offset:
+            return False
+        return (record.endpoint, record.is_unreadable) != (
+            known.endpoint,
+            known.is_unreadable,
+        )
+
+    def _tell_all_endpoints(self, link: links.Link) -> None:
+        self._untold.discard(link)
+        records = tuple(self._endpoints.values())
+        end = self._endpoints_read.end
+        link.tell(leader_messages.EndpointNews(records, end))
+
+    def _seen(self) -> leader_messages.StoreSeen:
+        return leader_messages.StoreSeen(
+            configuration_end=self._configurations_read.end,
+            configuration_age_ms=self._age_ms(self._configurations_read),
+            endpoints_end=self._endpoints_read.end,
+            endpoints_age_ms=self._age_ms(self._endpoints_read),
+            instances=len(self._links) + 1,
+        )
+
+    def _age_ms(self, progress: _Progress) -> int:
+        if progress.confirmed_ms is None:
+            return _NEVER_MS
+        return int(self._clock.now_ms() - progress.confirmed_ms)
+
+
+# Age of a table that was never read; older than any that counts.
+_NEVER_MS = 2**31
+
+
+def _no_incarnation(instance: str) -> int:
+    return 0
+
+
+def _record(
+    record: tables.TableRecord[resources.Endpoint],
+) -> leader_messages.EndpointRecord:
+    endpoint = record.value
+    if endpoint is not None and not isinstance(
+        endpoint, registration.Registration
+    ):
+        endpoint = registration.Registration.from_endpoint(endpoint)
+    return leader_messages.EndpointRecord(
+        record.key, record.offset, endpoint, record.is_unreadable
+    )
--- /dev/null
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -0,0 +1,377 @@
+"""A follower's link to its leader: what it hears, what it asks."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import itertools
+
+from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf.configuration import resources
+from jujubewharf.engines import client
+from jujubewharf.forwarding import costs
+from jujubewharf.forwarding import decisions
+from jujubewharf.forwarding import observations as observed
+from jujubewharf.forwarding import placement as placements
+from jujubewharf.forwarding import registry as registries
+from jujubewharf.forwarding import routes
+from jujubewharf.forwarding import runs
+from jujubewharf.leadership import feeds as all_feeds
+from jujubewharf.peers import leader_messages
+from jujubewharf.peers import link as links
+from jujubewharf.peers import messages
+from jujubewharf.peers import network
+from jujubewharf.platform import tables
+
+# A leader tells how far it has read twice a second. After three that are
+# missing it is taken for gone, and what it was asked is done without it.
+BEAT_MS = 500.0
+SILENT_MS = 1_700.0
+# While an answer is awaited the leader is asked this often whether it is there,
+# and taken for gone without a word for the second time: so a request that waits
+# loses half a second to a frozen leader, which most targets allow.
+_CHECK_MS = 150.0
+_CHECKED_WITHIN_MS = 350.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Feeds:
+    """What a leader tells of the store's tables."""
+
+    configurations: all_feeds.Feed[routes.RoutingConfiguration | None]
+    endpoints: all_feeds.Feed[resources.Endpoint]
+
+
+class LeaderLink:
+    """An open link to the leader.
+
+    Args:
+        feeds: Learn what the leader has read.
+        registry: Tells engines by their names.
+        work: What this instance has observed of costs.
+        clock: Time.
+
+    Attributes:
+        instances: Instances that the leader has, itself included.
+    """
+
+    def __init__(
+        self,
+        feeds: Feeds,
+        registry: registries.Registry,
+        work: costs.WorkCosts,
+        clock: clocks.Clock,
+    ) -> None:
+        self.instances: int | None = None
+        self._feeds = feeds
+        self._registry = registry
+        self._work = work
+        self._clock = clock
+        self._link: links.Link | None = None
+        self._numbers = itertools.count(1)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the leader may be asked."""
+        return self._link is not None and not self._link.is_closed
+
+    async def run(self, link: links.Link) -> None:
+        """Follows a leader until the link ends or falls silent."""
+        self._link = link
+        self.forget()
+        report = self._work.report()
+        if report.count:
+            link.tell(
+                leader_messages.CostsObserved(
+                    report.readings,
+                    report.prefill_ms,
+                    report.answers,
+                    report.decode_ms,
+                )
+            )
+        running = asyncio.ensure_future(link.run())
+        try:
+            while not running.done():
+                await asyncio.wait([running], timeout=BEAT_MS / clocks.MS_PER_S)
+                if self._clock.now_ms() - link.last_heard_ms > SILENT_MS:
+                    break
+        finally:
+            link.close()
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+            self._link = None
+            self.instances = None
+
+    def forget(self) -> None:
+        """Relies no longer on what a leader has told."""
+        self._feeds.configurations.begin()
+        self._feeds.endpoints.begin()
+
+    async def handle(
+        self, peer: str, message: messages.Message
+    ) -> messages.Message | None:
+        """Takes what the leader tells."""
+        match message:
+            case leader_messages.StoreSeen():
+                self._seen(message)
+            case leader_messages.EndpointNews():
+                records = [_table_record(r) for r in message.records]
+                self._feeds.endpoints.take(records, message.end)
+        return None
+
+    def _seen(self, seen: leader_messages.StoreSeen) -> None:
+        self.instances = seen.instances
+        self._feeds.configurations.confirm(
+            seen.configuration_end, age_ms=seen.configuration_age_ms
+        )
+        self._feeds.endpoints.confirm(
+            seen.endpoints_end, age_ms=seen.endpoints_age_ms
+        )
+
+    def tell(self, message: messages.Message) -> None:
+        """Tells the leader something, if there is one."""
+        if self._link is not None:
+            self._link.tell(message)
+
+    @contextlib.asynccontextmanager
+    async def place(
+        self, run: runs.Run
+    ) -> AsyncIterator[placements.Place | None]:
+        """Has the leader find memory, and holds it for the block.
+
+        Yields:
+            ``None`` where the leader didn't answer, or named an engine that
+            isn't known here.
+
+        Raises:
+            WharfError: There is none.
+        """
+        number = next(self._numbers)
+        place: placements.Place | None = None
+        is_whole = False
+        try:
+            place = await self._ask(number, run)
+            yield place
+            is_whole = True
+        finally:
+            is_hold_used = place is not None and place.take_hold() is None
+            self.tell(
+                leader_messages.PlaceEnded(number, is_whole, is_hold_used)
+            )
+
+    async def _ask(self, number: int, run: runs.Run) -> placements.Place | None:
+        began_ms = self._clock.now_ms()
+        link = self._link
+        if link is None:
+            return None
+        try:
+            answer = await self._answer(link, number, run)
+        except network.PeerError as error:
+            decisions.placed_alone(run, error.fault.value, leader=error.peer)
+            return None
+        waited_ms = self._clock.now_ms() - began_ms
+        match answer:
+            case leader_messages.Placed():
+                place = self._place(number, answer)
+                if place is None:
+                    decisions.placed_alone(
+                        run, "unknown_engine", leader=link.peer
+                    )
+                    return None
+                decisions.placed(
+                    run,
+                    answer.engine,
+                    tokens=answer.tokens,
+                    free_tokens=0,
+                    waited_ms=waited_ms,
+                )
+                return place
+            case leader_messages.NotPlaced():
+                raise self._refusal(run, answer, waited_ms, leader=link.peer)
+            case _:
+                decisions.placed_alone(run, "not_understood", leader=link.peer)
+                return None
+
+    async def _answer(
+        self, link: links.Link, number: int, run: runs.Run
+    ) -> messages.Message:
+        """The leader's answer, while it is seen to be there.
+
+        Requests wait in its line for as long as they can meet their target. A
+        leader that is frozen or cut off would cost them that time, and then
+        they would only begin to look for memory by themselves.
+
+        Raises:
+            PeerError: The leader has fallen silent, or refuses.
+        """
+        left_ms = max(1.0, run.left_ms(self._clock))
+        question = self._question(number, run)
+        asking = asyncio.ensure_future(link.ask(question, timeout_ms=left_ms))
+        every_s = _CHECK_MS / clocks.MS_PER_S
+        try:
+            while not (await asyncio.wait([asking], timeout=every_s))[0]:
+                still = leader_messages.StillThere()
+                await link.ask(still, timeout_ms=_CHECKED_WITHIN_MS)
+        except network.PeerError:
+            link.close()
+            raise
+        finally:
+            if not asking.done():
+                asking.cancel()
+        return asking.result()
+
+    def _question(self, number: int, run: runs.Run) -> leader_messages.PlaceAsk:
+        work = run.call.work
+        return leader_messages.PlaceAsk(
+            number=number,
+            request_id=run.call.request_id,
+            domain=run.domain,
+            route=run.route.name,
+            service=run.service,
+            waited_ms=self._clock.now_ms() - run.call.arrived_ms,
+            left_ms=run.left_ms(self._clock),
+            patience_ms=run.call.patience_ms,
+            may_have_run=run.may_have_run,
+            lost_by=tuple(sorted(run.lost_by)),
+            prompt_tokens=None if work is None else work.prompt_tokens,
+            output_tokens=0 if work is None else work.output_tokens,
+            expected_tokens=None if work is None else work.expected_tokens,
+        )
+
+    def _place(
+        self, number: int, placed: leader_messages.Placed
+    ) -> placements.Place | None:
+        engine = self._registry.get(placed.engine)
+        if engine is None:
+            # Registered so lately that this instance hasn't heard of it, or
+            # left since.
+            return None
+        place = placements.Place(
+            engine,
+            placed.hold,
+            since_ms=self._clock.now_ms(),
+            tokens=placed.tokens,
+            memory_part=placed.memory_part,
+        )
+        known = [self._registry.get(name) for name in placed.readers]
+        place.readers = [reader for reader in known if reader is not None]
+        place.reading_ended = lambda: self.tell(
+            leader_messages.ReadingEnded(number)
+        )
+        return place
+
+    def _refusal(
+        self,
+        run: runs.Run,
+        answer: leader_messages.NotPlaced,
+        waited_ms: float,
+        *,
+        leader: str,
+    ) -> errors.WharfError:
+        decisions.refused_by_leader(
+            run,
+            leader=leader,
+            waited_ms=waited_ms,
+            come_back_ms=answer.come_back_ms,
+        )
+        if run.may_have_run:
+            return run.failure()
+        return errors.WharfError(
+            errors.ErrorKind.QUEUE_FULL, retry_after_ms=answer.come_back_ms
+        )
+
+
+class FleetPlaces:
+    """Implements ``placement.Places`` with the leader's help if there is one.
+
+    Args:
+        leader: The link to it.
+        alone: Places requests without a leader, or as the leader.
+    """
+
+    def __init__(self, leader: LeaderLink, alone: placements.Placement) -> None:
+        self._leader = leader
+        self._alone = alone
+
+    @contextlib.asynccontextmanager
+    async def place(self, run: runs.Run) -> AsyncIterator[placements.Place]:
+        """Waits for memory and holds it; see ``placement.Places``."""
+        async with contextlib.AsyncExitStack() as stack:
+            place: placements.Place | None = None
+            if self._leader.is_open:
+                place = await stack.enter_async_context(self._leader.place(run))
+            is_led = place is not None
+            if place is None:
+                place = await stack.enter_async_context(self._alone.place(run))
+            yield place
+            if is_led:
+                self._alone.learn_stay(place)
+
+
+class FleetObservations:
+    """Tells the leader what this instance observes, and learns it itself.
+
+    Args:
+        leader: The link to it.
+        local: Learns it here, for when there is no leader.
+    """
+
+    def __init__(
+        self, leader: LeaderLink, local: observed.Observations
+    ) -> None:
+        self._leader = leader
+        self._local = local
+
+    def prompt_read(self, engine: str, took_ms: float, *, tokens: int) -> None:
+        """See ``observations.Observations``."""
+        self._local.prompt_read(engine, took_ms, tokens=tokens)
+        self._leader.tell(leader_messages.PromptRead(engine, took_ms, tokens))
+
+    def began(self, took_ms: float) -> None:
+        """See ``observations.Observations``."""
+        self._local.began(took_ms)
+        self._leader.tell(leader_messages.AnswerBegan(took_ms))
+
+    def projected(self, will_take_ms: float, *, memory_part: float) -> None:
+        """See ``observations.Observations``."""
+        self._local.projected(will_take_ms, memory_part=memory_part)
+        self._leader.tell(
+            leader_messages.AnswerProjected(will_take_ms, memory_part)
+        )
+
+    def ended(self, expected_tokens: int, tokens: int) -> None:
+        """See ``observations.Observations``."""
+        self._local.ended(expected_tokens, tokens)
+        self._leader.tell(leader_messages.AnswerEnded(expected_tokens, tokens))
+
+    def failed(self, error: client.EngineError) -> None:
+        """See ``observations.Observations``."""
+        self._local.failed(error)
+        self._leader.tell(
+            leader_messages.EngineFailed(error.engine, error.fault.value)
+        )
+
+    def changing(self, engine: str) -> None:
+        """See ``observations.Observations``."""
+        self._local.changing(engine)
+        self._leader.tell(leader_messages.EngineChanging(engine))
+
+    def answered(self, engine: str) -> None:
+        """See ``observations.Observations``."""
+        self._local.answered(engine)
+
+    def refused_reading(self, engine: str) -> None:
+        """See ``observations.Observations``."""
+        self._local.refused_reading(engine)
+        self._leader.tell(leader_messages.ReadingRefused(engine))
+
+
+def _table_record(
+    record: leader_messages.EndpointRecord,
+) -> tables.TableRecord[resources.Endpoint]:
+    return tables.TableRecord(
+        record.key, record.offset, record.endpoint, record.is_unreadable
+    )
--- a/src/jujubewharf/peers/handshake.py
+++ b/src/jujubewharf/peers/handshake.py
@@ -65,15 +65,21 @@
     counts: counters.PeerCounters
 
     async def dial(self, expected: str) -> link_messages.Hello:
-        """The dialling side.
+        """The dialling side, which means to reach one instance.
 
         Raises:
             RefusedHelloError: Either side refused.
             OSError: The stream was lost.
         """
+        return await self.greet(expected=expected)
+
+    async def greet(
+        self, *, expected: str | None = None
+    ) -> link_messages.Hello:
+        """The dialling side, which may know only an address; as ``dial``."""
         self._send(self.hello)
         hello = await self._receive_hello()
-        if hello.instance != expected:
+        if expected is not None and hello.instance != expected:
             raise RefusedHelloError(_Goodbye.OTHER_INSTANCE.value)
         self._check(hello)
         self._send(link_messages.Heartbeat())
--- a/src/jujubewharf/platform/groups.py
+++ b/src/jujubewharf/platform/groups.py
@@ -41,6 +41,10 @@
         """Joins, or stays; tells the last generation that was received."""
         ...
 
+    async def contacts(self) -> dict[int, str]:
+        """What the holder of each part told as its contact."""
+        ...
+
     async def leave(self) -> None:
         """Gives all parts back."""
         ...
--- a/src/jujubewharf/platform/tables.py
+++ b/src/jujubewharf/platform/tables.py
@@ -41,21 +41,6 @@
     end: int
 
 
-class WritableTable(Protocol[T]):
-    """A table that the instances of this system write themselves.
-
-    Both calls raise ``log.LogUnavailableError``.
-    """
-
-    async def newest(self) -> TablePage[T]:
-        """The newest record of each key."""
-        ...
-
-    async def put(self, key: str, value: T) -> None:
-        """Writes a record; without an answer it may have been written."""
-        ...
-
-
 class Table(Protocol[T]):
     """A table that others write and this system follows.
 
--- a/src/jujubewharf/standins/network.py
+++ b/src/jujubewharf/standins/network.py
@@ -59,9 +59,17 @@
         self._changed = asyncio.Event()
         self._writers: dict[_MemoryWriter, None] = {}
 
-    def transport(self, instance: str, domain: str) -> MemoryTransport:
-        """The transport of one instance."""
-        return MemoryTransport(self, instance, domain)
+    def transport(
+        self, instance: str, domain: str, *, address: str | None = None
+    ) -> MemoryTransport:
+        """The transport of one instance.
+
+        Args:
+            instance: The instance.
+            domain: Its failure domain.
+            address: Where it listens; ``None`` takes a free one.
+        """
+        return MemoryTransport(self, instance, domain, address)
 
     def cut(self, domain: str, other: str, *, one_way: bool = False) -> None:
         """Holds back everything from one domain to another."""
@@ -108,10 +116,14 @@
                 writer.close()
 
     def add_site(
-        self, instance: str, domain: str, on_stream: streams.OnStream
+        self,
+        instance: str,
+        domain: str,
+        on_stream: streams.OnStream,
+        address: str | None = None,
     ) -> str:
-        """Opens a listening address."""
-        address = f"127.0.0.1:{next(self._ports)}"
+        """Opens a listening address, a free one where none is given."""
+        address = address or f"127.0.0.1:{next(self._ports)}"
         context = contextvars.copy_context()
         self._sites[address] = _Site(instance, domain, on_stream, context)
         return address
@@ -261,11 +273,16 @@
     """Speaks ``peers.streams.Transport`` in process."""
 
     def __init__(
-        self, network: MemoryNetwork, instance: str, domain: str
+        self,
+        network: MemoryNetwork,
+        instance: str,
+        domain: str,
+        address: str | None,
     ) -> None:
         self._network = network
         self._instance = instance
         self._domain = domain
+        self._address = address
 
     async def dial(
         self, address: str
@@ -278,6 +295,6 @@
     async def listen(self, on_stream: streams.OnStream) -> streams.Listener:
         """Listens; see ``streams.Transport``."""
         address = self._network.add_site(
-            self._instance, self._domain, on_stream
+            self._instance, self._domain, on_stream, self._address
         )
         return _MemoryListener(self._network, address)
--- a/src/jujubewharf/standins/tables.py
+++ b/src/jujubewharf/standins/tables.py
@@ -73,33 +73,6 @@
         self.reads += 1
 
 
-class StandInReports(Generic[T]):
-    """Implements ``tables.WritableTable``.
-
-    Args:
-        clock: Time.
-
-    Attributes:
-        table: What was written.
-        writes: Calls that wrote.
-    """
-
-    def __init__(self, clock: clocks.Clock) -> None:
-        self.table: StandInTable[T] = StandInTable(clock)
-        self.writes = 0
-
-    async def newest(self) -> tables.TablePage[T]:
-        """See ``tables.WritableTable``."""
-        return await self.table.newest()
-
-    async def put(self, key: str, value: T) -> None:
-        """See ``tables.WritableTable``."""
-        if self.table.is_down:
-            raise log.LogUnavailableError("down")
-        self.writes += 1
-        self.table.put(key, value)
-
-
 class StandInGroups:
     """All members of one group; ``member`` gives each its own view.
 
@@ -126,12 +99,24 @@
         """The group as one member speaks to it."""
         return StandInGroup(self, name)
 
-    def join(self, name: str) -> groups.GroupShare:
-        """Takes note of a member and tells what it holds."""
+    def contacts(self) -> dict[int, str]:
+        """The member that holds each part; its name is its contact."""
+        self._lapse()
+        names = sorted(self._heard_ms)
+        if not names:
+            return {}
+        return {p: names[p % len(names)] for p in range(self.part_count)}
+
+    def _lapse(self) -> None:
         now_ms = self._clock.now_ms()
         for other, heard_ms in list(self._heard_ms.items()):
             if now_ms - heard_ms >= self.ttl_ms:
                 self.leave(other)
+
+    def join(self, name: str) -> groups.GroupShare:
+        """Takes note of a member and tells what it holds."""
+        self._lapse()
+        now_ms = self._clock.now_ms()
         if name not in self._heard_ms:
             self.generation += 1
         self._heard_ms[name] = now_ms
@@ -159,6 +144,11 @@
         self._check()
         return self._group.join(self._name)
 
+    async def contacts(self) -> dict[int, str]:
+        """The members that hold parts; see ``groups.Group``."""
+        self._check()
+        return self._group.contacts()
+
     async def leave(self) -> None:
         """Gives all parts back; see ``groups.Group``."""
         self._check()
--- a/tests/forwarding/deployments.py
+++ b/tests/forwarding/deployments.py
@@ -15,9 +15,11 @@
 from jujubewharf.experiments import virtual_time
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import entry
+from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import settings as all_settings
 from jujubewharf.standins import backends
+from jujubewharf.standins import network
 from jujubewharf.standins import tables
 
 HOST = "shop.example"
@@ -137,7 +139,8 @@
         configurations: What operators wrote.
         endpoints: What endpoints registered.
         groups: The group of the instances.
-        costs: What the instances have told each other of costs.
+        leaders: The group of those who may lead.
+        network: The streams between instances.
         instances: The instances by name.
     """
 
@@ -146,15 +149,27 @@
         self.backends = backends.StandInBackends(self.clock, behind)
         self.configurations = tables.StandInTable(self.clock)
         self.endpoints = tables.StandInTable(self.clock)
-        self.costs = tables.StandInReports(self.clock)
+        self.leaders = tables.StandInGroups(self.clock)
+        self.network = network.MemoryNetwork(self.clock)
         self.groups = tables.StandInGroups(self.clock)
         self.instances: dict[str, entry.ForwardingEntry] = {}
         self._ids = 0
 
     async def start(
-        self, *names: str, domain: str = "a", declare: bool = True
+        self,
+        *names: str,
+        domain: str = "a",
+        declare: bool = True,
+        is_led: bool = False,
     ) -> None:
-        """Registers everything and starts instances, until they are ready."""
+        """Registers everything and starts instances, until they are ready.
+
+        Args:
+            *names: The instances.
+            domain: Their failure domain.
+            declare: Whether everything registers.
+            is_led: Whether they may lead and follow each other.
+        """
         if declare:
             self.configurations.put("config", configuration(1))
             for backend in self.backends.by_name.values():
@@ -178,7 +193,7 @@
                 self.configurations,
                 self.endpoints,
                 self.groups.member(name),
-                self.costs,
+                self._peers(name, domain) if is_led else None,
             )
             instance = entry.ForwardingEntry(
                 settings, self.clock, adapters, random.Random(name)
@@ -187,6 +202,22 @@
             await instance.start()
         await self.clock.sleep_ms(1_100.0)
 
+    def _peers(self, name: str, domain: str) -> ports.PeerAdapters:
+        address = f"{name}:1"
+        return ports.PeerAdapters(
+            self.leaders.member(address),
+            self.network.transport(name, domain, address=address),
+            address,
+        )
+
+    @property
+    def leader(self) -> str | None:
+        """The instance that leads."""
+        for name, instance in self.instances.items():
+            if instance.fleet.is_leading:
+                return name
+        return None
+
     async def stop(self) -> None:
         """Stops all instances."""
         for instance in self.instances.values():
@@ -260,10 +291,12 @@
 
 
 @contextlib.asynccontextmanager
-async def deployed(*behind: backends.StandInBackend, names=("e1",)):
+async def deployed(
+    *behind: backends.StandInBackend, names=("e1",), is_led: bool = False
+):
     """A started deployment for the block."""
     deployment = Deployment(*behind)
-    await deployment.start(*names)
+    await deployment.start(*names, is_led=is_led)
     try:
         yield deployment
     finally:
--- a/tests/forwarding/test_sharing.py
+++ b/tests/forwarding/test_sharing.py
@@ -44,16 +44,20 @@
 
     async def test(clock, groups, members):
         await clock.sleep_ms(8_000.0)
-        assert [n for n, m in members.items() if m.fence is not None] == ["a"]
-        first = members["a"].fence
+        assert [n for n, m in members.items() if m.lease.fence is not None] == [
+            "a"
+        ]
+        first = members["a"].lease.fence
         groups.cut_off.add("a")
         last_ms = begins_ms = None
         for _ in range(200):
             await clock.sleep_ms(100.0)
-            if members["a"].fence is not None:
+            if members["a"].lease.fence is not None:
                 last_ms = clock.now_ms()
             later = [
-                m.fence for n, m in members.items() if n != "a" and m.fence
+                m.lease.fence
+                for n, m in members.items()
+                if n != "a" and m.lease.fence
             ]
             if later and begins_ms is None:
                 begins_ms = clock.now_ms()
@@ -71,7 +75,7 @@
         groups.cut_off.add("a")
         await clock.sleep_ms(4_000.0)
         assert members["a"].fraction == 0.01
-        assert not members["a"].is_current
+        assert not members["a"].lease.is_current
 
     _on_clock(test)
 
@@ -79,9 +83,9 @@
 def test_a_fence_that_was_refused_is_not_used_again():
     async def test(clock, groups, members):
         await clock.sleep_ms(8_000.0)
-        fence = members["a"].fence
-        members["a"].fenced(fence)
-        assert members["a"].fence is None
+        fence = members["a"].lease.fence
+        members["a"].lease.fenced(fence)
+        assert members["a"].lease.fence is None
 
     _on_clock(test)
 
@@ -90,9 +94,9 @@
     async def test(clock, groups, members):
         await clock.sleep_ms(8_000.0)
         await members["a"].leave()
-        assert members["a"].fence is None
+        assert members["a"].lease.fence is None
         await clock.sleep_ms(1_500.0 + groups.ttl_ms)
-        assert members["b"].fence is not None
+        assert members["b"].lease.fence is not None
 
     _on_clock(test)
 
@@ -108,14 +112,14 @@
         await clock.sleep_ms(8_000.0)
         groups.cut_off.add("a")
         await clock.sleep_ms(9_000.0)
-        assert members["b"].fence is not None
+        assert members["b"].lease.fence is not None
         groups.cut_off.clear()
         back_ms = None
         for _ in range(100):
             await clock.sleep_ms(100.0)
-            if members["a"].is_current and back_ms is None:
+            if members["a"].lease.is_current and back_ms is None:
                 back_ms = clock.now_ms()
-            if members["a"].fence is not None:
+            if members["a"].lease.fence is not None:
                 break
         assert back_ms is not None
         assert clock.now_ms() - back_ms >= groups.ttl_ms - 200.0
@@ -136,7 +140,7 @@
             member._default_share = 0.9
         groups.cut_off.update("abc")
         await clock.sleep_ms(10_000.0)
-        assert not any(m.is_current for m in members.values())
+        assert not any(m.lease.is_current for m in members.values())
         assert sum(m.fraction for m in members.values()) <= 1.0
 
     _on_clock(test)
--- /dev/null
+++ b/tests/leadership/test_leadership.py
@@ -0,0 +1,342 @@
+"""Who leads, and what the others do without a leader."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from jujubewharf import errors
+from jujubewharf.configuration import resources
+from jujubewharf.forwarding import costs
+from tests.forwarding import deployments
+
+reader = deployments.reader
+writer = deployments.writer
+
+NAMES = ("e1", "e2", "e3", "e4")
+# Time until all instances have found a leader: the lease of one that is gone
+# lasts three seconds, and looks are up to some seconds apart.
+SETTLED_MS = 9_000.0
+
+
+def _led(*behind, names=NAMES):
+    return deployments.deployed(*behind, names=names, is_led=True)
+
+
+def _others(world):
+    return [i for n, i in world.instances.items() if n != world.leader]
+
+
+def test_one_leads_and_all_others_follow_it():
+    async def main():
+        async with _led(reader("p1"), writer("d1")) as world:
+            await world.clock.sleep_ms(2_000.0)
+            leading = [
+                name
+                for name, instance in world.instances.items()
+                if instance.fleet.is_leading
+            ]
+            assert len(leading) == 1
+            assert all(i.fleet.link.is_open for i in _others(world))
+            assert all(
+                i.fleet.instances == len(NAMES)
+                for i in world.instances.values()
+            )
+
+    deployments.run(main())
+
+
+def test_followers_hardly_read_the_store():
+    """What a fleet reads grows no longer with its instances.
+
+    Each instance by itself reads two tables about once a second.
+    """
+
+    async def main():
+        async with _led(reader("p1"), writer("d1")) as world:
+            await world.clock.sleep_ms(2_000.0)
+            before = world.endpoints.reads + world.configurations.reads
+            await world.clock.sleep_ms(10_000.0)
+            after = world.endpoints.reads + world.configurations.reads
+            alone = deployments.Deployment(reader("p1"), writer("d1"))
+            await alone.start(*NAMES)
+            await alone.clock.sleep_ms(2_000.0)
+            first = alone.endpoints.reads + alone.configurations.reads
+            await alone.clock.sleep_ms(10_000.0)
+            last = alone.endpoints.reads + alone.configurations.reads
+            await alone.stop()
+            assert after - before <= (last - first) * 0.45
+
+    deployments.run(main())
+
+
+def test_a_change_reaches_followers_at_once():
+    """A route that operators added is known everywhere within a second.
+
+    The leader reads it and tells; followers then read it once themselves.
+    """
+
+    async def main():
+        async with _led(reader("p1"), writer("d1")) as world:
+            await world.clock.sleep_ms(2_000.0)
+            world.configurations.put("config", deployments.configuration(9))
+            await world.clock.sleep_ms(1_000.0)
+            versions = {
+                i.source.current.version for i in world.instances.values()
+            }
+            assert versions == {9}
+
+    deployments.run(main())
+
+
+def test_an_engine_that_leaves_gets_no_work_from_followers():
+    async def main():
+        gone = writer("d1")
+        async with _led(reader("p1"), gone, writer("d2")) as world:
+            await world.clock.sleep_ms(2_000.0)
+            world.register(gone, drained=True)
+            await world.clock.sleep_ms(900.0)
+            assert not any(
+                i.registry.takes_work("d1") for i in world.instances.values()
+            )
+
+    deployments.run(main())
+
+
+def test_without_the_leader_everything_goes_on_and_another_leads():
+    """Callers of the others notice nothing when the leader dies.
+
+    Its links break, so each reads the store and places requests by itself,
+    until another has been dealt the lease.
+    """
+
+    async def main():
+        async with _led(reader("p1"), writer("d1")) as world:
+            await world.clock.sleep_ms(2_000.0)
+            old = world.leader
+            await world.instances.pop(old).stop()
+            world.network.drop_instance(old)
+            others = sorted(world.instances)
+            for name in others:
+                answer = await world.ask("/verdicts/1", instance=name)
+                assert answer.numbers == [1, 2, 3, 4, 5]
+            world.configurations.put("config", deployments.configuration(5))
+            await world.clock.sleep_ms(2_000.0)
+            assert all(
+                i.source.current.version == 5 for i in world.instances.values()
+            )
+            await world.clock.sleep_ms(SETTLED_MS)
+            assert world.leader in others
+            assert all(i.fleet.link.is_open for i in _others(world))
+
+    deployments.run(main())
+
+
+def test_a_leader_that_is_cut_off_is_passed_by():
+    """A caller is served in time though the leader has just fallen silent.
+
+    The leader stands in another failure domain, and a cut begins while it is
+    asked. No reset tells; the follower asks whether it is still there, hears
+    nothing and looks for memory by itself.
+    """
+
+    async def main():
+        world = deployments.Deployment(reader("p1"), writer("d1"))
+        await world.start("e1", domain="a", is_led=True)
+        await world.clock.sleep_ms(2_000.0)
+        assert world.leader == "e1"
+        await world.start("e2", domain="b", declare=False, is_led=True)
+        await world.clock.sleep_ms(2_000.0)
+        assert world.instances["e2"].fleet.link.is_open
+        world.network.cut("a", "b")
+        answer = await world.ask("/verdicts/1", instance="e2")
+        assert answer.numbers == [1, 2, 3, 4, 5]
+        assert answer.first_ms < deployments.STREAM.target_ms
+        await world.stop()
+
+    deployments.run(main())
+
+
+def test_a_leader_without_the_store_stops_leading():
+    """Nobody relies on a view of the store that its owner can't renew."""
+
+    async def main():
+        async with _led(reader("p1"), writer("d1")) as world:
+            await world.clock.sleep_ms(2_000.0)
+            old = world.leader
+            world.leaders.cut_off.add(f"{old}:1")
+            await world.clock.sleep_ms(SETTLED_MS)
+            assert world.leader not in (None, old)
+            leading = [
+                i for i in world.instances.values() if i.fleet.is_leading
+            ]
+            assert len(leading) == 1
+
+    deployments.run(main())
+
+
+def test_only_the_leader_gives_orders():
+    async def main():
+        behind = [writer(f"d{i}") for i in range(4)]
+        async with _led(*behind) as world:
+            await world.clock.sleep_ms(8_000.0)
+            orders = [
+                o for b in world.backends.by_name.values() for o in b.orders
+            ]
+            assert {o.holder for o in orders} == {world.leader}
+            assert {o.role for o in orders} == {resources.Role.PREFILL}
+
+    deployments.run(main())
+
+
+def _crowded():
+    readers = [reader(f"p{i}") for i in range(3)]
+    return [*readers, *(writer(f"d{i}") for i in range(3))]
+
+
+def _orders(world):
+    return [o for b in world.backends.by_name.values() for o in b.orders]
+
+
+def _observe(instance, count: int) -> None:
+    for _ in range(count):
+        instance.work.prefilled(94.0, prompt_tokens=5_200)
+        instance.work.decoded(4_000.0, memory_part=0.12)
+
+
+def test_what_all_have_seen_together_is_enough():
+    """Pools are put right although no instance has seen enough by itself.
+
+    Callers are spread over three instances, four each. The leader alone would
+    wait for twelve.
+    """
+
+    async def main():
+        world = deployments.Deployment(*_crowded())
+        await world.start("e1", is_led=True)
+        await world.clock.sleep_ms(1_000.0)
+        await world.start("e2", "e3", declare=False, is_led=True)
+        for instance in world.instances.values():
+            _observe(instance, 4)
+        old = world.leader
+        await world.instances.pop(old).stop()
+        await world.start("e4", declare=False, is_led=True)
+        _observe(world.instances["e4"], 4)
+        await world.clock.sleep_ms(16_000.0)
+        assert {o.role for o in _orders(world)} == {resources.Role.DECODE}
+        assert {o.holder for o in _orders(world)} == {world.leader}
+        await world.stop()
+
+    deployments.run(main())
+
+
+def test_what_followers_had_seen_is_known_to_a_new_leader():
+    """A leader that has just started can order, from what others had seen.
+
+    The other instance served while it couldn't reach the leader, and tells
+    what it had observed as soon as it follows.
+    """
+
+    async def main():
+        world = deployments.Deployment(*_crowded())
+        await world.start("e1", domain="a", is_led=True)
+        world.network.cut("a", "b")
+        await world.start("e2", domain="b", declare=False, is_led=True)
+        _observe(world.instances["e2"], 20)
+        await world.clock.sleep_ms(6_000.0)
+        assert world.leader == "e1"
+        assert not _orders(world)
+        world.network.heal()
+        await world.clock.sleep_ms(SETTLED_MS)
+        assert {o.holder for o in _orders(world)} == {"e1"}
+        await world.stop()
+
+    deployments.run(main())
+
+
+def test_an_instance_alone_goes_by_what_it_has_seen():
+    async def main():
+        async with deployments.deployed(*_crowded()) as world:
+            _observe(world.instances["e1"], 12)
+            await world.clock.sleep_ms(8_000.0)
+            assert _orders(world)
+
+    deployments.run(main())
+
+
+def test_reports_weigh_by_what_they_rest_on():
+    fleet = costs.FleetCosts.from_reports(
+        [
+            costs.CostReport(30, 100.0, 30, 400.0),
+            costs.CostReport(10, 200.0, 0, 0.0),
+        ]
+    )
+    assert fleet.prefill_ms == pytest.approx(125.0)
+    assert fleet.decode_ms == pytest.approx(400.0)
+    few = costs.FleetCosts.from_reports([costs.CostReport(5, 1.0, 11, 1.0)])
+    assert few == costs.FleetCosts()
+
+
+def test_retries_of_a_led_fleet_are_one_whole():
+    """An instance that was dealt no part can repeat a request all the same.
+
+    A group has 24 parts here; with more instances some hold none. Half of the
+    whole is split by the leader.
+    """
+
+    async def main():
+        names = tuple(f"e{i}" for i in range(30))
+        async with _led(reader("p1"), writer("d1"), names=names) as world:
+            await world.clock.sleep_ms(6_000.0)
+            shares = [i._retry_share() for i in world.instances.values()]
+            assert sum(shares) == pytest.approx(1.0)
+            assert min(shares) > 0.0
+
+    deployments.run(main())
+
+
+@pytest.mark.parametrize("route", ["/verdicts/1", "/once/1"])
+def test_a_caller_that_leaves_the_line_leaves_nothing_behind(route: str):
+    """No memory stays reserved for a caller that left while it waited."""
+
+    async def main():
+        small = writer("d1", memory_tokens=16_000, event_ms=200.0)
+        async with _led(reader("p1"), small) as world:
+            await world.clock.sleep_ms(2_000.0)
+            (other, *_) = sorted(set(world.instances) - {world.leader})
+            first = asyncio.ensure_future(world.ask(route, instance=other))
+            await world.clock.sleep_ms(200.0)
+            left = await world.ask(route, instance=other, leave_after_ms=150.0)
+            assert left.status is None
+            answer = await first
+            assert answer.numbers == [1, 2, 3, 4, 5]
+            await world.clock.sleep_ms(2_500.0)
+            world.backends.lapse()
+            assert not small.held
+
+    deployments.run(main())
+
+
+def test_a_full_fleet_tells_each_caller_another_time():
+    """Callers of different instances don't come back at the same moment.
+
+    Each is told by the one line that all of them wait in, whatever instance
+    took them.
+    """
+
+    async def main():
+        full = writer("d1", memory_tokens=100)
+        async with _led(reader("p1"), full) as world:
+            await world.clock.sleep_ms(2_000.0)
+            told = []
+            for name in NAMES:
+                answer = await world.ask(
+                    "/verdicts/1", instance=name, patience_ms=14_000.0
+                )
+                assert answer.error.kind is errors.ErrorKind.QUEUE_FULL
+                now_ms = world.clock.now_ms()
+                told.append(round(now_ms + answer.error.retry_after_ms))
+            assert len(set(told)) == len(told)
+
+    deployments.run(main())
--- a/tests/scenarios/test_forwarding.py
+++ b/tests/scenarios/test_forwarding.py
@@ -191,7 +191,7 @@
 
 async def _holders(story):
     return [
-        (name, instance.share.fence)
+        (name, instance.share.lease.fence)
         for name, instance in story.world.instances.items()
-        if instance.share.fence is not None
+        if instance.share.lease.fence is not None
     ]
--- a/tests/users_platform/test_engines.py
+++ b/tests/users_platform/test_engines.py
@@ -43,8 +43,11 @@
 
 @contextlib.asynccontextmanager
 async def _engines():
-    async with engines.new_session() as session:
-        yield engines.Engines(session, clocks.Clock())
+    async with (
+        engines.new_session() as session,
+        engines.new_session(is_kept=True) as kept,
+    ):
+        yield engines.Engines(session, kept, clocks.Clock())
 
 
 async def _send(script, sending=None, *, count: int = 1):
--- a/tests/users_platform/test_store.py
+++ b/tests/users_platform/test_store.py
@@ -140,8 +140,11 @@
     async with raw_server.serving(lambda r: [answer]) as (server, address):
         async with store.new_session() as session:
             calls = store.Store(address, session, clocks.Clock())
-            group = store.StoreGroup(calls, "m", part_count=24, ttl_ms=3_000.0)
+            group = store.StoreGroup(
+                calls, "g", "m", part_count=24, ttl_ms=3_000.0
+            )
             share = await group.join(6)
     assert (share.generation, share.parts) == (7, frozenset({3}))
     sent = json.loads(server.received[0].body)
-    assert (sent["member"], sent["generation"], sent["ttlMs"]) == ("m", 6, 3000)
+    assert sent["member"].rpartition("/")[0] == "m"
+    assert (sent["group"], sent["generation"], sent["ttlMs"]) == ("g", 6, 3000)
