--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -52,9 +52,6 @@
 _REGISTRY_PART = 0.4
 # The same for the instance that reads it for all.
 _LEADING_REGISTRY_PART = 0.2
-# Part of the fleet's retries that is split between the instances which a leader
-# has. The rest is dealt by the group, also to those that it hasn't.
-_LED_PART = 0.5
 # Share of the fleet's retries while the group can't be reached: small enough
 # for two dozen instances that are all cut off.
 _SHARE_ALONE = 1 / 24
@@ -88,7 +85,7 @@
         admission: Counts requests in flight; closed by a shutdown.
         source: Configuration in force.
         registry: Endpoints that have registered.
-        share: Part of what the fleet shares.
+        share: Part of what the fleet shares, where nobody leads.
         fleet: The leader of this instance, or its followers.
         lease: The right to give orders to engines.
         budget: Retries that this instance may make.
@@ -127,6 +124,7 @@
             clock,
             in_force_within_ms=settings.store.in_force_within_ms,
             leaving_within_ms=settings.store.leaving_within_ms,
+            count_within_ms=settings.retries.window_s * clocks.MS_PER_S,
         )
         peers = adapters.peers
         # Who leads gives the orders; without peers, whoever holds the first
@@ -245,24 +243,18 @@
         """Starts to follow the store."""
         await self.add_runtime_dependency(self._configurations)
         await self.add_runtime_dependency(self._endpoints)
-        await self.add_runtime_dependency(self.share)
+        if self._leadership is None:
+            await self.add_runtime_dependency(self.share)
         await self.add_runtime_dependency(self._orders)
         if self._leadership is not None:
             await self.add_runtime_dependency(self._leadership)
 
     def _retry_share(self) -> float:
-        """Part of the fleet's retries that this instance may make.
-
-        A group has too few parts for hundreds of instances, and an instance
-        that was dealt none could repeat nothing. So where there is a leader,
-        half of the whole is split between those that it has, and only the
-        other half by parts.
-        """
+        """Part of the fleet's retries that this instance may make."""
         if self._leadership is None:
             return self.share.fraction
-        instances = self.fleet.instances
-        led = 0.0 if instances is None else 1.0 / instances
-        return (1.0 - _LED_PART) * self.share.fraction + _LED_PART * led
+        window_ms = self._settings.retries.window_s * clocks.MS_PER_S
+        return self.fleet.retry_share(window_ms)
 
     def _services(self) -> dict[str, routes.RoutedService]:
         current = self.source.current
@@ -314,8 +306,9 @@
         )
 
     def _hand_over(self) -> None:
-        self.add_future(self.share.leave())
-        if self._leadership is not None:
+        if self._leadership is None:
+            self.add_future(self.share.leave())
+        else:
             self.add_future(self._leadership.leave())
 
     def _on_configurations(
--- a/src/jujubewharf/leadership/fleet.py
+++ b/src/jujubewharf/leadership/fleet.py
@@ -38,6 +38,7 @@
         in_force_within_ms: Time within which a configuration must be in force.
         leaving_within_ms: Time after which an endpoint that leaves may get no
             more work.
+        count_within_ms: Time for which followers count after their links ended.
 
     Attributes:
         feeds: What the leader tells of the store.
@@ -53,8 +54,10 @@
         *,
         in_force_within_ms: float,
         leaving_within_ms: float,
+        count_within_ms: float,
     ) -> None:
         self._clock = clock
+        self._count_within_ms = count_within_ms
         self.feeds = leader_link.Feeds(
             all_feeds.Feed(
                 clock,
@@ -69,6 +72,8 @@
         )
         self.link = leader_link.LeaderLink(self.feeds, registry, work, clock)
         self.followers: all_followers.Followers | None = None
+        self._counted: int | None = None
+        self._counted_ms = 0.0
 
     @property
     def is_leading(self) -> bool:
@@ -80,9 +85,28 @@
         """Instances that are led together; ``None`` for one without leader."""
         if self.is_leading:
             assert self.followers is not None
-            return len(self.followers) + 1
+            return self.followers.instances
         return self.link.instances
 
+    def retry_share(self, window_ms: float) -> float:
+        """Part of the fleet's retries that this instance may make, 0 to 1.
+
+        The leader counts its followers, those that it lost within the window
+        too. Without it an instance keeps its share for so long; after that it
+        has none, since those that are left may have all of it by then.
+
+        Args:
+            window_ms: Time over which retries are counted.
+        """
+        now_ms = self._clock.now_ms()
+        instances = self.instances
+        if instances is not None:
+            self._counted = instances
+            self._counted_ms = now_ms
+        if self._counted is None or now_ms - self._counted_ms > window_ms:
+            return 0.0
+        return 1.0 / self._counted
+
     def new_leadership(
         self,
         name: str,
@@ -107,7 +131,11 @@
         )
         counts = counters.PeerCounters()
         self.followers = all_followers.Followers(
-            hello, new_desk, counts, self._clock
+            hello,
+            new_desk,
+            counts,
+            self._clock,
+            count_within_ms=self._count_within_ms,
         )
         return leadership.Leadership(
             peers.leaders,
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -40,6 +40,7 @@
         new_desk: Makes the desk of one follower.
         counts: Where to count.
         clock: Time.
+        count_within_ms: Time for which a follower counts after its link ended.
 
     Attributes:
         is_leading: Whether followers are accepted.
@@ -51,8 +52,12 @@
         new_desk: Callable[[], desks.Desk],
         counts: counters.PeerCounters,
         clock: clocks.Clock,
+        *,
+        count_within_ms: float,
     ) -> None:
         self.is_leading = False
+        self._count_within_ms = count_within_ms
+        self._lost_ms: dict[str, float] = {}
         self._hello = hello
         self._new_desk = new_desk
         self._counts = counts
@@ -67,6 +72,16 @@
     def __len__(self) -> int:
         return len(self._links)
 
+    @property
+    def instances(self) -> int:
+        """This instance and its followers, those lost lately included."""
+        oldest_ms = self._clock.now_ms() - self._count_within_ms
+        for name, lost_ms in list(self._lost_ms.items()):
+            if lost_ms < oldest_ms:
+                del self._lost_ms[name]
+        present = {link.peer for link in self._links}
+        return 1 + len(present | set(self._lost_ms))
+
     async def on_stream(
         self, reader: asyncio.StreamReader, writer: streams.StreamWriter
     ) -> None:
@@ -120,6 +135,7 @@
         finally:
             self._links.discard(link)
             self._untold.discard(link)
+            self._lost_ms[link.peer] = self._clock.now_ms()
             desk.close()
 
     def begin_leading(self) -> None:
@@ -206,7 +222,7 @@
             configuration_age_ms=self._age_ms(self._configurations_read),
             endpoints_end=self._endpoints_read.end,
             endpoints_age_ms=self._age_ms(self._endpoints_read),
-            instances=len(self._links) + 1,
+            instances=self.instances,
         )
 
     def _age_ms(self, progress: _Progress) -> int:
