--- a/src/jujubewharf/leadership/feeds.py
+++ b/src/jujubewharf/leadership/feeds.py
@@ -21,16 +21,13 @@
     Args:
         clock: Time.
         fresh_ms: Age up to which the leader's word is as good as a reading.
-        has_records: Whether records come with it; else only how far the table
-            goes, and whoever wants to know more reads the store.
     """
 
-    def __init__(
-        self, clock: clocks.Clock, *, fresh_ms: float, has_records: bool
-    ) -> None:
+    def __init__(self, clock: clocks.Clock, *, fresh_ms: float) -> None:
         self._clock = clock
         self._fresh_ms = fresh_ms
-        self._has_records = has_records
+        # Offset of the newest record that the leader has read and not sent.
+        self._unsent: int | None = None
         self._records: dict[str, tables.TableRecord[T]] = {}
         self._end: int | None = None
         self._confirmed_ms = 0.0
@@ -48,15 +45,16 @@
     def begin(self) -> None:
         """Forgets what another leader has told."""
         self._records.clear()
+        self._unsent = None
         self._end = None
 
     def confirm(self, end: int, *, age_ms: float) -> None:
         """Learns how far the leader has read, and how long ago."""
-        if self._has_records and self._end is None:
+        if self._end is None:
             # The records come first.
             return
         self._confirmed_ms = self._clock.now_ms() - age_ms
-        if self._end is None or end > self._end:
+        if end > self._end:
             self._end = end
             self._wake()
 
@@ -69,6 +67,11 @@
         self._end = max(end, self._end or 0)
         self._wake()
 
+    def take_unsent(self, offset: int, end: int) -> None:
+        """Learns of a record that has to be read at the store."""
+        self._unsent = max(offset, self._unsent or 0)
+        self.take((), end)
+
     def _wake(self) -> None:
         news, self._news = self._news, asyncio.Event()
         news.set()
@@ -94,7 +97,7 @@
         while self.is_fresh:
             assert self._end is not None
             if self._end > offset:
-                return self._page(offset) if self._has_records else None
+                return None if self._lacks(offset) else self._page(offset)
             left_ms = min(until_ms - self._clock.now_ms(), self._left_ms)
             if until_ms <= self._clock.now_ms():
                 return tables.TablePage((), offset)
@@ -103,12 +106,16 @@
 
     def whole(self) -> tables.TablePage[T] | None:
         """The newest record of each key; ``None`` where it isn't known."""
-        if not self.is_fresh or not self._has_records:
+        if not self.is_fresh or self._unsent is not None:
             return None
         assert self._end is not None
         kept = [r for r in self._records.values() if _has_value(r)]
         return tables.TablePage(tuple(kept), self._end)
 
+    def _lacks(self, offset: int) -> bool:
+        """Whether a record from an offset on wasn't sent."""
+        return self._unsent is not None and self._unsent >= offset
+
     def _page(self, offset: int) -> tables.TablePage[T]:
         assert self._end is not None
         found = [r for r in self._records.values() if r.offset >= offset]
--- a/src/jujubewharf/leadership/fleet.py
+++ b/src/jujubewharf/leadership/fleet.py
@@ -62,12 +62,10 @@
             all_feeds.Feed(
                 clock,
                 fresh_ms=in_force_within_ms * _CONFIGURATION_PART,
-                has_records=False,
             ),
             all_feeds.Feed(
                 clock,
                 fresh_ms=leaving_within_ms * _ENDPOINTS_PART,
-                has_records=True,
             ),
         )
         self.link = leader_link.LeaderLink(self.feeds, registry, work, clock)
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -5,11 +5,14 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+import dataclasses
 
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
 from jujubewharf.forwarding import registration
+from jujubewharf.forwarding import routes
 from jujubewharf.leadership import desk as desks
+from jujubewharf.peers import codec
 from jujubewharf.peers import counters
 from jujubewharf.peers import handshake
 from jujubewharf.peers import leader_messages
@@ -19,6 +22,11 @@
 from jujubewharf.peers import streams
 from jujubewharf.platform import tables
 
+# A configuration goes to all followers at once, over a link of some Mbit/s: one
+# of this size reaches hundreds of them within a second. A larger one they read
+# at the store.
+_MAX_CONFIGURATION_BYTES = 6_000
+
 
 class _Progress:
     """How far a table was read, and when that was confirmed last."""
@@ -65,6 +73,9 @@
         self._links: set[links.Link] = set()
         # Followers that came before this instance had read the endpoints.
         self._untold: set[links.Link] = set()
+        # The same for configurations.
+        self._unconfigured: set[links.Link] = set()
+        self._configuration: leader_messages.ConfigurationNews | None = None
         self._endpoints: dict[str, leader_messages.EndpointRecord] = {}
         self._endpoints_read = _Progress()
         self._configurations_read = _Progress()
@@ -130,11 +141,19 @@
             self._untold.add(link)
             if self._endpoints_read.confirmed_ms is not None:
                 self._tell_all_endpoints(link)
+            self._unconfigured.add(link)
+            if (
+                self._configuration is not None
+                and self._configurations_read.confirmed_ms is not None
+            ):
+                self._unconfigured.discard(link)
+                self._tell_configuration(self._configuration, [link])
             link.tell(self._seen())
             await link.run()
         finally:
             self._links.discard(link)
             self._untold.discard(link)
+            self._unconfigured.discard(link)
             self._lost_ms[link.peer] = self._clock.now_ms()
             desk.close()
 
@@ -153,16 +172,51 @@
 
     def beat(self) -> None:
         """Tells all followers how far the store was read."""
-        seen = self._seen()
-        for link in self._links:
-            link.tell(seen)
+        self._tell(self._seen(), self._links)
 
-    def configurations_read(self, end: int) -> None:
-        """Learns how far this instance has read configurations."""
-        is_new = end > self._configurations_read.end
+    def configurations_read(
+        self,
+        records: Iterable[
+            tables.TableRecord[routes.RoutingConfiguration | None]
+        ],
+        end: int,
+    ) -> None:
+        """Learns what this instance has read of configurations."""
+        known = self._configuration
+        news = None
+        for record in records:
+            if record.value is None:
+                continue
+            if known is None or record.offset > known.offset:
+                known = news = leader_messages.ConfigurationNews(
+                    record.key, record.offset, end, record.value
+                )
+        self._configuration = known
         self._configurations_read.read(end, self._clock.now_ms())
-        if is_new:
-            self.beat()
+        if known is None:
+            return
+        told = {link for link in self._links if link not in self._unconfigured}
+        self._tell_configuration(known, self._unconfigured)
+        self._unconfigured.clear()
+        if news is not None:
+            self._tell_configuration(news, told)
+
+    def _tell_configuration(
+        self,
+        news: leader_messages.ConfigurationNews,
+        to: Iterable[links.Link],
+    ) -> None:
+        size_bytes = len(_encoded(news))
+        if size_bytes > _MAX_CONFIGURATION_BYTES:
+            news = dataclasses.replace(news, configuration=None)
+        self._tell(news, to)
+
+    def _tell(
+        self, message: messages.Message, to: Iterable[links.Link]
+    ) -> None:
+        data = _encoded(message)
+        for link in to:
+            link.tell_encoded(data)
 
     def endpoints_read(
         self,
@@ -183,11 +237,13 @@
             self._endpoints[record.key] = record
         self._endpoints_read.read(end, self._clock.now_ms())
         news = leader_messages.EndpointNews(tuple(changed), end)
+        told: list[links.Link] = []
         for link in self._links:
             if link in self._untold:
                 self._tell_all_endpoints(link)
             elif changed:
-                link.tell(news)
+                told.append(link)
+        self._tell(news, told)
 
     def _missing(
         self, present: set[str], end: int
@@ -235,6 +291,10 @@
 _NEVER_MS = 2**31
 
 
+def _encoded(message: messages.Message) -> bytes:
+    return codec.encode(codec.Frame(codec.FrameKind.TELL, 0, message))
+
+
 def _no_incarnation(instance: str) -> int:
     return 0
 
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -117,6 +117,15 @@
         match message:
             case leader_messages.StoreSeen():
                 self._seen(message)
+            case leader_messages.ConfigurationNews(configuration=None):
+                self._feeds.configurations.take_unsent(
+                    message.offset, message.end
+                )
+            case leader_messages.ConfigurationNews():
+                record = tables.TableRecord(
+                    message.key, message.offset, message.configuration
+                )
+                self._feeds.configurations.take([record], message.end)
             case leader_messages.EndpointNews():
                 records = [_table_record(r) for r in message.records]
                 self._feeds.endpoints.take(records, message.end)
--- a/src/jujubewharf/peers/leader_messages.py
+++ b/src/jujubewharf/peers/leader_messages.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from jujubewharf.forwarding import registration
+from jujubewharf.forwarding import routes
 from jujubewharf.peers import messages
 
 
@@ -62,6 +63,25 @@
     end: int
 
 
+@messages.message(87)
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationNews(messages.Message):
+    """The newest configuration.
+
+    Attributes:
+        key: Its key in the table.
+        offset: Its place in the table's log.
+        end: Offset up to which the table was read.
+        configuration: What operators declared; ``None`` for one that is too
+            large for all links at once, which followers read themselves.
+    """
+
+    key: str
+    offset: int
+    end: int
+    configuration: routes.RoutingConfiguration | None
+
+
 @messages.message(72)
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlaceAsk(messages.Message):
--- a/src/jujubewharf/peers/link.py
+++ b/src/jujubewharf/peers/link.py
@@ -146,6 +146,11 @@
         self.last_used_ms = self._clock.now_ms()
         return self._send(codec.Frame(codec.FrameKind.TELL, 0, message))
 
+    def tell_encoded(self, data: bytes) -> bool:
+        """Queues a told frame's bytes, encoded once for many links."""
+        self.last_used_ms = self._clock.now_ms()
+        return self._queue_up(data)
+
     def beat(self, heartbeat: link_messages.Heartbeat) -> None:
         """Queues a heartbeat, which doesn't count as use."""
         self._send(codec.Frame(codec.FrameKind.TELL, 0, heartbeat))
@@ -195,7 +200,11 @@
     def _send(self, frame: codec.Frame) -> bool:
         if self.is_closed:
             return False
-        data = codec.encode(frame)
+        return self._queue_up(codec.encode(frame))
+
+    def _queue_up(self, data: bytes) -> bool:
+        if self.is_closed:
+            return False
         if len(data) > codec.MAX_FRAME_BYTES:
             self._counts.drop(counters.Drop.TOO_LARGE_TO_SEND)
             return False
--- a/src/jujubewharf/standins/tables.py
+++ b/src/jujubewharf/standins/tables.py
@@ -48,6 +48,7 @@
     async def newest(self) -> tables.TablePage[T]:
         """The newest record of each key; see ``tables.Table``."""
         self._check()
+        self.reads += 1
         newest = {record.key: record for record in self._records}
         kept = tuple(r for r in newest.values() if r.value is not None)
         return tables.TablePage(kept, len(self._records))
@@ -64,13 +65,13 @@
             found = tuple(self._records[from_offset:])
             is_over = self._clock.now_ms() >= until_ms
             if is_over or (found and not self.is_late):
+                self.reads += 1
                 return tables.TablePage(found, from_offset + len(found))
             await self._clock.sleep_ms(_POLL_MS)
 
     def _check(self) -> None:
         if self.is_down:
             raise log.LogUnavailableError("down")
-        self.reads += 1
 
 
 class StandInGroups:
