--- a/src/jujubewharf/forwarding/costs.py
+++ b/src/jujubewharf/forwarding/costs.py
@@ -20,6 +20,8 @@
 # one to the next: with six, the mean was off by half, and pools of the wrong
 # size were ordered.
 _ENOUGH_STAYS = 12
+# Ends from which on they are no longer mostly those of short answers.
+_SETTLED_STAYS = 64
 # Readings that are looked at, and the one that counts, from the fastest: slower
 # ones waited for others.
 _READINGS = 64
@@ -159,13 +161,21 @@
         """Time for which a request would keep a decode engine's memory busy.
 
         Its own time there, times its part of the memory; ``None`` before
-        enough requests were seen. Until enough have ended, those that run
-        count with the time that they are going to take: the first answers end
-        only after seconds, in which pools of the wrong size lose most.
+        enough requests were seen. Until many have ended, those that run count
+        with the time that they are going to take: the first answers end only
+        after seconds, in which pools of the wrong size lose most, and of those
+        that run together the short ones end first. The first twelve ends told
+        229 ms where 342 to 405 were true, and a decode engine was ordered away.
         """
-        if self._decode.value is None:
-            return self._projected.value
-        return self._decode.value
+        return self._answers.value
+
+    @property
+    def _answers(self) -> _Average:
+        """What answers take, by whichever tells it best now."""
+        has_projected = self._projected.count > self._decode.count
+        if self._decode.count < _SETTLED_STAYS and has_projected:
+            return self._projected
+        return self._decode
 
     @property
     def stay_ms(self) -> float | None:
@@ -202,9 +212,7 @@
     def report(self) -> CostReport:
         """What was observed so far, for other instances."""
         readings = len(self._readings)
-        answers = self._decode
-        if answers.value is None and self._projected.count > answers.count:
-            answers = self._projected
+        answers = self._answers
         return CostReport(
             readings,
             self._reading_ms() if readings else 0.0,
--- a/src/jujubewharf/leadership/leadership.py
+++ b/src/jujubewharf/leadership/leadership.py
@@ -32,7 +32,7 @@
 # goes on meanwhile, so there is no hurry that would be worth a fleet's calls
 # at once.
 _LOOK_AGAIN_MS = 500.0
-_LONGEST_PAUSE_MS = 4_000.0
+_LONGEST_PAUSE_MS = 1_500.0
 _DIAL_MS = 1_000.0
 
 
@@ -121,6 +121,10 @@
         address = contacts.get(leases.FIRST_PART)
         if address is not None and address != self._hello.address:
             return await self._follow(address)
+        if address is not None:
+            # The process before this one led and was killed. Its lease would
+            # leave the whole fleet without a leader until it has run out.
+            await self._group.evict(address)
         await self._lease.renew()
         if self._is_leaving:
             await self._lease.leave()
--- a/src/jujubewharf/platform/groups.py
+++ b/src/jujubewharf/platform/groups.py
@@ -45,6 +45,10 @@
         """What the holder of each part told as its contact."""
         ...
 
+    async def evict(self, contact: str) -> None:
+        """Takes a member out that told this contact and is surely gone."""
+        ...
+
     async def leave(self) -> None:
         """Gives all parts back."""
         ...
--- a/src/jujubewharf/standins/tables.py
+++ b/src/jujubewharf/standins/tables.py
@@ -150,6 +150,11 @@
         self._check()
         return self._group.contacts()
 
+    async def evict(self, contact: str) -> None:
+        """Takes a member out; see ``groups.Group``."""
+        self._check()
+        self._group.leave(contact)
+
     async def leave(self) -> None:
         """Gives all parts back; see ``groups.Group``."""
         self._check()
--- a/tests/forwarding/test_costs.py
+++ b/tests/forwarding/test_costs.py
@@ -94,3 +94,20 @@
     for _ in range(30):
         work.prefilled(670.0, prompt_tokens=5_000, busy_ms=180.0)
     assert work.prefill_ms == pytest.approx(180.0)
+
+
+def test_short_answers_that_end_first_dont_make_writing_look_cheap():
+    """No decode engine is ordered away in the first burst.
+
+    Forty answers begin together. Twelve short ones have ended when the plan is
+    looked at; all of them together take twice as long.
+    """
+    work = costs.WorkCosts()
+    for _ in range(40):
+        work.projected(4_000.0, memory_part=0.1)
+    for _ in range(12):
+        work.decoded(2_000.0, memory_part=0.1)
+    assert work.decode_ms == pytest.approx(400.0)
+    for _ in range(200):
+        work.decoded(4_000.0, memory_part=0.1)
+    assert work.decode_ms == pytest.approx(400.0, rel=0.01)
--- a/tests/leadership/test_leadership.py
+++ b/tests/leadership/test_leadership.py
@@ -134,6 +134,30 @@
     deployments.run(main())
 
 
+def test_a_leader_that_was_killed_and_is_back_leads_at_once():
+    """A restart of all instances doesn't leave them alone for a whole lease.
+
+    The leader is killed without giving its lease back, and started again at
+    its address. It knows that the process before it is gone.
+    """
+
+    async def main():
+        async with _led(reader("p1"), writer("d1")) as world:
+            await world.clock.sleep_ms(2_000.0)
+            old = world.leader
+            killed = world.instances.pop(old)
+            killed.fleet.followers.is_leading = False
+            killed.lease._until_ms = 0.0
+            await killed.stop()
+            world.network.drop_instance(old)
+            await world.start(old, declare=False, is_led=True)
+            await world.clock.sleep_ms(1_000.0)
+            assert world.leader == old
+            assert world.leaders.generation > 1
+
+    deployments.run(main())
+
+
 def test_a_leader_that_is_cut_off_is_passed_by():
     """A caller is served in time though the leader has just fallen silent.
 
