--- a/tests/users_platform/test_engines.py
+++ b/tests/users_platform/test_engines.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
+import re
 
 import pytest
 from users_platform import engines
@@ -282,3 +284,96 @@
     with pytest.raises(client.EngineError) as caught:
         await _ask(answer, ask)
     assert caught.value.fault is FAULT.REFUSED_IDENTITY
+
+
+_STREAM_HEAD = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: s\r\n"
+    b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+_EVENTS = [f"id: {n}\ndata: x\n\n".encode() for n in range(1, 4)]
+_STREAM = (
+    _STREAM_HEAD
+    + b"".join(b"%x\r\n%b\r\n" % (len(e), e) for e in _EVENTS)
+    + b"0\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize("sent_bytes", range(0, len(_STREAM), 5))
+async def test_a_stream_that_is_reset_never_looks_whole(sent_bytes):
+    """A caller never takes a part of an answer for all of it.
+
+    The engine's connection is reset before the head, in it, between two
+    events, in one, or before the last byte that says that nothing follows.
+    """
+
+    def script(received):
+        return [_STREAM[:sent_bytes], raw_server.RESET]
+
+    async with raw_server.serving(script) as (_, address):
+        async with _engines() as backends:
+            sending = calls.Sending(_call(), 2_000.0)
+            body = b""
+            with pytest.raises(client.EngineError) as raised:
+                async with backends.send(_endpoint(address), sending) as reply:
+                    async for part in reply.body:
+                        body += part
+    assert raised.value.fault is FAULT.LOST
+    assert b"".join(_EVENTS).startswith(body)
+
+
+async def test_a_kept_connection_that_was_reset_says_nothing_of_the_engine():
+    """Memory is reserved although the engine had dropped an idle connection.
+
+    It answers the first call, and resets the connection when the second one
+    arrives on it. A new connection is made; no failure is told.
+    """
+    connections = 0
+
+    async def serve(reader, writer):
+        nonlocal connections
+        connections += 1
+        is_first = connections == 1
+        body = b'{"hold": "h%d"}' % connections
+        while True:
+            try:
+                head = await reader.readuntil(b"\r\n\r\n")
+            except (asyncio.IncompleteReadError, ConnectionResetError):
+                return
+            length = int(re.search(rb"Content-Length: (\d+)", head)[1])
+            await reader.readexactly(length)
+            writer.write(raw_server.answer(body=body))
+            await writer.drain()
+            if is_first:
+                await reader.read(1)
+                raw_server._reset(writer)
+                writer.close()
+                return
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    async with server, _engines() as backends:
+        endpoint = _endpoint(f"{host}:{port}")
+        first = await backends.reserve(endpoint, tokens=1, ttl_ms=1_000.0)
+        second = await backends.reserve(endpoint, tokens=1, ttl_ms=1_000.0)
+        third = await backends.reserve(endpoint, tokens=1, ttl_ms=1_000.0)
+    assert (first, second) == ("h1", "h2")
+    assert third in ("h2", "h3")
+
+
+async def test_a_late_answer_on_a_kept_connection_is_not_this_calls():
+    """A reservation is never taken for another one's.
+
+    What arrives names another call; whether this one was done isn't known.
+    """
+
+    def script(received):
+        body = b'{"hold": "old"}'
+        return [raw_server.answer(body=body, Request_Id="another")]
+
+    async with raw_server.serving(script) as (_, address):
+        async with _engines() as backends:
+            with pytest.raises(client.EngineError) as raised:
+                await backends.reserve(
+                    _endpoint(address), tokens=1, ttl_ms=1_000.0
+                )
+    assert raised.value.fault is FAULT.LOST
