--- a/src/jujubewharf/forwarding/line.py
+++ b/src/jujubewharf/forwarding/line.py
@@ -65,10 +65,6 @@
         finally:
             self._waiters.remove(waiter)
 
-    def ahead_of(self, waiter: Waiter) -> int:
-        """Requests that come before this one."""
-        return self._waiters.index(waiter)
-
     def wake_first(self) -> None:
         """Has the first one ask, since memory came free."""
         if self._waiters:
--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -44,10 +44,6 @@
 # One that has missed its target asks so many times more seldom: it waits for
 # seconds, and most calls to engines in a burst were those of late requests.
 _LATE_PACE = 4.0
-# A request is refused at once when those before it in line are expected to take
-# so many times the time that it can wait: the estimate is off by a third or so
-# either way, and a request that is refused in error may lose its answer.
-_HOPELESS = 1.5
 # The check of what is left free is a reservation that is given back at once.
 _CHECK_MS = 300.0
 
@@ -239,8 +235,6 @@
                 place = await self._ask(run, wish, count=count)
                 count = _ASKED_AGAIN
                 line.wake_after(waiter)
-                if place is None and self._is_hopeless(line, waiter):
-                    break
                 if place is not None:
                     waited_ms = self._clock.now_ms() - began_ms
                     decisions.placed(
@@ -258,20 +252,6 @@
             self._late_room.ended(was_refused=True)
         raise self._refusal(run, wish)
 
-    def _is_hopeless(self, line: lines.Line, waiter: lines.Waiter) -> bool:
-        """Whether memory surely comes free too late for this one.
-
-        It would only be refused when its time is over, and its caller would
-        look for another way so much later.
-        """
-        stay_ms = self._work.stay_ms
-        if stay_ms is None or not self._running:
-            return False
-        free_every_ms = stay_ms / self._running
-        expected_ms = line.ahead_of(waiter) * free_every_ms
-        left_ms = waiter.due_ms - self._clock.now_ms()
-        return expected_ms > left_ms * _HOPELESS
-
     async def _pause(self, waiter: lines.Waiter) -> None:
         """Waits until the request should ask again, or is given up."""
         every_ms = _FIRST_ASK_AGAIN_MS
--- a/src/jujubewharf/forwarding/pool.py
+++ b/src/jujubewharf/forwarding/pool.py
@@ -36,8 +36,6 @@
 _UNKNOWN_FREE_MS = 400.0
 # Prefill engines whose waits differ by less are alike; the nearer one is taken.
 _ALIKE_MS = 20.0
-# Engines whose load differs by less than so many mean prompts are alike.
-_ALIKE_PROMPTS = 2.0
 # Reading time of a token before it was observed; it only ranks engines.
 _UNKNOWN_TOKEN_MS = 0.05
 
@@ -289,26 +287,17 @@
 
     def _decode_rank(
         self, engine: resources.Endpoint, near: str
-    ) -> tuple[bool, float, bool, int, float]:
+    ) -> tuple[bool, bool, int, float]:
         view = self.view(engine.name)
         return (
             view.breaker.is_doubtful,
-            # Of engines that are loaded alike, one of the own domain: an answer
-            # that crosses domains dies with a cut between them.
-            view.held_tokens // self._alike_tokens,
+            # Before load: an answer that crosses domains dies with a cut
+            # between them, and engines with room are equally fast.
             engine.domain != near,
             view.held_tokens,
             self._rng.random(),
         )
 
-    @property
-    def _alike_tokens(self) -> float:
-        """Load by which decode engines may differ and still be alike."""
-        prompt_tokens = self._work.prompt_tokens
-        if prompt_tokens is None:
-            return float("inf")
-        return _ALIKE_PROMPTS * max(1.0, prompt_tokens)
-
     def _prefill_rank(
         self, engine: resources.Endpoint, near: str
     ) -> tuple[bool, float, bool, float]:
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -122,6 +122,7 @@
                     message.offset, message.end
                 )
             case leader_messages.ConfigurationNews():
+                record: tables.TableRecord[routes.RoutingConfiguration | None]
                 record = tables.TableRecord(
                     message.key, message.offset, message.configuration
                 )
--- a/tests/deploy/test_deploy.py
+++ b/tests/deploy/test_deploy.py
@@ -15,6 +15,7 @@
     "node": "front-a-1",
     "zone": "a",
     "ip": "10.0.0.1",
+    "portRange": [7000, 7015],
     "listen": {"front": "10.0.0.1:80", "ready": "10.0.0.1:81"},
     "platform": {"address": "10.0.0.9:1", "parts": 24},
     "bounds": {
@@ -32,6 +33,9 @@
 def _filled(match: re.Match[str]) -> str:
     value: object = FIELDS
     for name in match["path"].split("."):
+        if isinstance(value, list):
+            value = value[int(name)]
+            continue
         assert isinstance(value, dict)
         value = value[name]
     return json.dumps(value) if match["json"] else str(value)
@@ -44,6 +48,7 @@
     path.write_text(pattern.sub(_filled, template))
     read = settings.read(path)
     assert read.callers == "10.0.0.1:80"
+    assert read.peers == "10.0.0.1:7000"
     assert read.store.group_ttl_ms == 3_000.0
     assert read.retries.slack == 52.0
     assert read.stop_within_s == 8.0
