Late requests leave no room any more

Hypothesis: with one line for the whole fleet, those in time go first anyway; room that late ones leave besides is memory that nobody uses, and they are refused for it. One test asserted that a late request leaves free memory to whoever may come; it is replaced: both wait, the one in time goes first, and the late one is served and no longer refused. test_late_room goes with its module.

--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -22,7 +22,6 @@
 from jujubewharf.engines import client
 from jujubewharf.forwarding import costs
 from jujubewharf.forwarding import decisions
-from jujubewharf.forwarding import late_room
 from jujubewharf.forwarding import line as lines
 from jujubewharf.forwarding import margins
 from jujubewharf.forwarding import patience
@@ -164,7 +163,6 @@
         self._rng = rng
         self._patience = patience.Patience(work, clock)
         self._lines: dict[str, lines.Line] = {}
-        self._late_room = late_room.LateRoom()
         self._running = 0
 
     @contextlib.asynccontextmanager
@@ -226,7 +224,7 @@
         # A stream that broke is late but not put behind: its caller has a part
         # of the answer, which would be lost with the rest.
         is_behind = is_late and not run.may_have_run
-        wish = self._wish(run, is_behind=is_behind)
+        wish = self._wish(run)
         waiter = lines.Waiter(is_behind, began_ms + wait_ms)
         line = self._line(run.service)
         count = _ASKED_AT_FIRST
@@ -244,12 +242,8 @@
                         free_tokens=wish.free_tokens,
                         waited_ms=waited_ms,
                     )
-                    if is_behind:
-                        self._late_room.ended(was_refused=False)
                     return place, wish
                 await self._pause(waiter)
-        if is_behind:
-            self._late_room.ended(was_refused=True)
         raise self._refusal(run, wish)
 
     async def _pause(self, waiter: lines.Waiter) -> None:
@@ -265,13 +259,8 @@
             async with self._clock.timeout_ms(max(1.0, min(every_ms, left_ms))):
                 await waiter.woken()
 
-    def _wish(self, run: runs.Run, *, is_behind: bool) -> _Wish:
-        """What it asks for.
-
-        Args:
-            run: The request.
-            is_behind: Whether others go before it.
-        """
+    def _wish(self, run: runs.Run) -> _Wish:
+        """What it asks for."""
         traits = run.traits
         assert traits is not None
         work = run.call.work
@@ -283,13 +272,11 @@
             prompt_tokens=mean_tokens, memory_tokens=traits.memory_tokens
         )
         tokens = work.prompt_tokens + int(work.answer_tokens * margin.part)
-        free_tokens = margin.free_tokens
-        if is_behind:
-            free_tokens += int(tokens * self._late_room.requests)
         # One that is larger than what is left of an empty engine is asked for
         # all the same.
         most = max(0, traits.memory_tokens - tokens)
-        return _Wish(tokens, min(free_tokens, most), traits.hold_max_ms)
+        free_tokens = min(margin.free_tokens, most)
+        return _Wish(tokens, free_tokens, traits.hold_max_ms)
 
     async def _ask(
         self, run: runs.Run, wish: _Wish, *, count: int
