--- a/src/jujubewharf/standins/network.py
+++ b/src/jujubewharf/standins/network.py
@@ -111,6 +111,10 @@
         for address, site in list(self._sites.items()):
             if site.instance == instance:
                 del self._sites[address]
+        self.drop_streams(instance)
+
+    def drop_streams(self, instance: str) -> None:
+        """Closes all streams of an instance, which goes on listening."""
         for writer in list(self._writers):
             if writer.instance == instance:
                 writer.close()
--- a/tests/forwarding/test_random_faults.py
+++ b/tests/forwarding/test_random_faults.py
@@ -22,6 +22,8 @@
 DOMAINS = "abc"
 PATHS = ("/verdicts/", "/once/", "/lookup/", "/sale/")
 ONCE = ("/once/", "/sale/")
+# Part of the faults that strike whoever leads.
+LEADER_PART = 0.35
 
 
 def _behind() -> list[backends.StandInBackend]:
@@ -40,6 +42,32 @@
         self._world = world
         self._rng = random.Random(seed)
 
+    async def run_led(self) -> None:
+        """As ``run``, and leaders fare no better than engines."""
+        clock = self._world.clock
+        until_ms = clock.now_ms() + RUN_MS
+        while clock.now_ms() < until_ms:
+            await clock.sleep_ms(self._rng.uniform(50.0, 700.0))
+            if self._rng.random() < LEADER_PART:
+                self._strike_leader()
+            else:
+                self._strike()
+        self._world.network.heal()
+
+    def _strike_leader(self) -> None:
+        rng, world = self._rng, self._world
+        leader = world.leader or rng.choice(sorted(world.instances))
+        match rng.randrange(4):
+            case 0:
+                # All its connections are reset.
+                world.network.drop_streams(leader)
+            case 1:
+                world.network.cut("a", "b", one_way=rng.random() < 0.5)
+            case 2:
+                world.network.heal()
+            case 3:
+                world.leaders.cut_off ^= {f"{leader}:1"}
+
     async def run(self) -> None:
         clock = self._world.clock
         until_ms = clock.now_ms() + RUN_MS
@@ -76,7 +104,9 @@
                 self._world.groups.cut_off ^= {rng.choice(["e1", "e2"])}
 
 
-async def _callers(world: deployments.Deployment, seed: int):
+async def _callers(
+    world: deployments.Deployment, seed: int, names=("e1", "e2")
+):
     """Sends requests all the while; returns path, id and answer of each."""
     rng = random.Random(seed + 1)
     asked = []
@@ -89,7 +119,7 @@
         task = asyncio.create_task(
             world.ask(
                 path,
-                instance=rng.choice(["e1", "e2"]),
+                instance=rng.choice(names),
                 request_id=request_id,
                 leave_after_ms=leaves,
                 patience_ms=14_000.0,
@@ -114,6 +144,26 @@
     deployments.run(main())
 
 
+@pytest.mark.parametrize("seed", range(24))
+def test_what_must_hold_holds_with_a_leader(seed):
+    """The same while leaders are cut off, reset and lose their lease."""
+
+    async def main():
+        world = deployments.Deployment(*_behind())
+        await world.start("e1", "e2", is_led=True)
+        await world.start("e3", domain="b", declare=False, is_led=True)
+        chaos = asyncio.create_task(_Chaos(world, seed).run_led())
+        asked = await _callers(world, seed, names=("e1", "e2", "e3"))
+        await chaos
+        await world.clock.sleep_ms(20_000.0)
+        _check(world, asked)
+        leading = [i for i in world.instances.values() if i.fleet.is_leading]
+        assert len(leading) <= 1
+        await world.stop()
+
+    deployments.run(main())
+
+
 def _check(world, asked) -> None:
     runs = collections.defaultdict(list)
     for ran in world.backends.runs:
