--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -313,8 +313,15 @@
             return
         if error.fault is client.EngineFault.REFUSED_IDENTITY:
             self._registry.replaced(error.engine)
-        self._pool.failed(error)
         decisions.engine_failed(run, error, stage="reserve", took_ms=0.0)
+        if error.fault is client.EngineFault.LOST:
+            # It answers nothing, as if it weren't there. Each further call to
+            # it would cost the line the time of one that is never answered:
+            # 25 in five seconds, 0.7 s each, when two engines had gone silent.
+            error = client.EngineError(
+                client.EngineFault.UNREACHABLE, error.engine, error.detail
+            )
+        self._pool.failed(error)
 
     async def _reserve(self, engine: resources.Endpoint, wish: _Wish) -> str:
         """Reserves memory where enough is free besides.
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -312,7 +312,13 @@
         async with contextlib.AsyncExitStack() as stack:
             place: placements.Place | None = None
             if self._leader.is_open:
-                place = await stack.enter_async_context(self._leader.place(run))
+                led = self._leader.place(run)
+                place = await led.__aenter__()
+                # Ended at once where it is of no use here.
+                if place is None:
+                    await led.__aexit__(None, None, None)
+                else:
+                    stack.push_async_exit(led)
             is_led = place is not None
             if place is None:
                 place = await stack.enter_async_context(self._alone.place(run))
--- a/src/jujubewharf/leadership/leadership.py
+++ b/src/jujubewharf/leadership/leadership.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 
 import mode
@@ -141,18 +142,16 @@
         )
         self._leader.forget()
         self._followers.begin_leading()
-        renewed_ms = self._clock.now_ms()
-        every_ms = self._group.ttl_ms / leases.JOINS_PER_TTL
-        while self._lease.holds_first and not self.should_stop:
-            await self._clock.sleep_ms(leader_link.BEAT_MS)
-            self._followers.beat()
-            if self._clock.now_ms() - renewed_ms < every_ms:
-                continue
-            renewed_ms = self._clock.now_ms()
-            try:
-                await self._lease.renew()
-            except log.LogUnavailableError as error:
-                self._logger.debug("lease_not_renewed", detail=str(error))
+        # A renewal that gets no answer takes a second and a half. Followers
+        # would take a leader that is silent for so long for gone.
+        renewing = asyncio.ensure_future(self._renew())
+        try:
+            while self._lease.holds_first and not self.should_stop:
+                self._followers.beat()
+                await self._clock.sleep_ms(leader_link.BEAT_MS)
+        finally:
+            renewing.cancel()
+            await asyncio.gather(renewing, return_exceptions=True)
         self._logger.info("leading_ended", followers=len(self._followers))
         self._followers.stop_leading()
         if not self._is_leaving and self._lease.is_current:
@@ -160,6 +159,15 @@
             # would only have parts dealt anew by its comings and goings.
             await self._lease.leave()
 
+    async def _renew(self) -> None:
+        every_ms = self._group.ttl_ms / leases.JOINS_PER_TTL
+        while True:
+            await self._clock.sleep_ms(every_ms)
+            try:
+                await self._lease.renew()
+            except log.LogUnavailableError as error:
+                self._logger.debug("lease_not_renewed", detail=str(error))
+
     async def _follow(self, address: str) -> bool:
         try:
             async with self._clock.timeout_ms(_DIAL_MS):
--- a/tests/forwarding/test_attempts.py
+++ b/tests/forwarding/test_attempts.py
@@ -6,6 +6,7 @@
 
 from jujubewharf import errors
 from jujubewharf.configuration import resources
+from jujubewharf.engines import client
 from tests.forwarding import deployments
 
 reader = deployments.reader
@@ -380,3 +381,32 @@
             assert taken >= 2 - 0.2
 
     deployments.run(main())
+
+
+def test_an_engine_that_answers_no_reservation_is_not_asked_again():
+    """A silent engine costs the line one call, not one for each request.
+
+    It accepts connections and answers nothing. The first caller loses the time
+    of one call; those after it are placed elsewhere at once.
+    """
+
+    async def main():
+        dark, well = writer("d1"), writer("d2")
+        async with deployments.deployed(reader("p1"), dark, well) as world:
+            reserve = world.backends.reserve
+            asked = []
+
+            async def answer_nothing(endpoint, *, tokens, ttl_ms):
+                if endpoint.name != "d1":
+                    return await reserve(endpoint, tokens=tokens, ttl_ms=ttl_ms)
+                asked.append(endpoint.name)
+                await world.clock.sleep_ms(700.0)
+                raise client.EngineError(client.EngineFault.LOST, "d1")
+
+            world.backends.reserve = answer_nothing
+            for _ in range(4):
+                answer = await world.ask("/verdicts/1")
+                assert answer.numbers == [1, 2, 3, 4, 5]
+            assert len(asked) <= 2
+
+    deployments.run(main())
