--- a/src/jujubewharf/leadership/leadership.py
+++ b/src/jujubewharf/leadership/leadership.py
@@ -35,6 +35,8 @@
 _LOOK_AGAIN_MS = 500.0
 _LONGEST_PAUSE_MS = 1_500.0
 _DIAL_MS = 1_000.0
+# After a renewal that got no answer: most of the lease may be over by then.
+_RENEW_AGAIN_MS = 100.0
 
 
 class Leadership(mode.Service):
@@ -161,12 +163,15 @@
 
     async def _renew(self) -> None:
         every_ms = self._group.ttl_ms / leases.JOINS_PER_TTL
+        pause_ms = every_ms
         while True:
-            await self._clock.sleep_ms(every_ms)
+            await self._clock.sleep_ms(pause_ms)
+            pause_ms = every_ms
             try:
                 await self._lease.renew()
             except log.LogUnavailableError as error:
                 self._logger.debug("lease_not_renewed", detail=str(error))
+                pause_ms = _RENEW_AGAIN_MS
 
     async def _follow(self, address: str) -> bool:
         try:
