No prompt goes to an engine that has begun to leave, whoever named it

The leader was cut off from the store at 19.4 s and named an engine that said at 19.6 s that it leaves; the request had waited 1.3 s in its line, and its own instance, which had read the store by then, sent the prompt without asking its registry again. The test fails before.

--- a/src/jujubewharf/forwarding/attempts.py
+++ b/src/jujubewharf/forwarding/attempts.py
@@ -185,11 +185,16 @@
         then reads the prompt by itself, more slowly.
         """
         prefilled = _Prefilled()
-        readers = place.readers
+        readers = place.readers[:_MAX_READERS]
         if readers and run.was_read and not self._budget.take(run.service):
             # Only the first reading is no retry.
-            readers = ()
-        for reader in readers[:_MAX_READERS]:
+            readers = []
+        for reader in readers:
+            if not self._registry.takes_work(reader.name):
+                # Asked again at the moment of sending: it was chosen when the
+                # request was placed, by a leader that may be cut off from the
+                # store, or has begun to leave while another one was asked.
+                continue
             try:
                 prefilled.source = await self._prefill(run, reader)
             except client.EngineError as error:
--- a/tests/leadership/test_leadership.py
+++ b/tests/leadership/test_leadership.py
@@ -106,6 +106,33 @@
     deployments.run(main())
 
 
+def test_a_reader_that_leaves_gets_no_prompt_though_the_leader_names_it():
+    """A prompt reaches no engine later than it may after that said it leaves.
+
+    The leader is cut off from the store and still names the engine. A request
+    waits in its line meanwhile; its own instance has read the store by then,
+    and what it knows at the moment of sending counts.
+    """
+
+    async def main():
+        gone = reader("p1")
+        async with _led(gone, reader("p2"), writer("d1")) as world:
+            await world.clock.sleep_ms(2_000.0)
+            world.instances[world.leader].registry.take = lambda records: None
+            world.instances[world.leader].registry.take_all = (
+                lambda records, end: None
+            )
+            world.register(gone, drained=True)
+            await world.clock.sleep_ms(900.0)
+            (other, *_) = sorted(set(world.instances) - {world.leader})
+            for _ in range(6):
+                answer = await world.ask("/verdicts/1", instance=other)
+                assert answer.numbers == [1, 2, 3, 4, 5]
+            assert {name for _, name in world.backends.prefills} == {"p2"}
+
+    deployments.run(main())
+
+
 def test_without_the_leader_everything_goes_on_and_another_leads():
     """Callers of the others notice nothing when the leader dies.
 
