--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -137,7 +137,7 @@
         self._forwarder = self._make_forwarder(adapters, rng)
         self._configurations = follower.TableFollower(
             "configuration",
-            feeds.FedTable(
+            feeds.LeaderTable(
                 adapters.configurations, self.fleet.feeds.configurations, clock
             ),
             follower.Pace(
@@ -151,7 +151,7 @@
         )
         self._endpoints = follower.TableFollower(
             "endpoints",
-            feeds.FedTable(
+            feeds.LeaderTable(
                 adapters.endpoints,
                 self.fleet.feeds.endpoints,
                 clock,
@@ -214,7 +214,7 @@
                 self._settings.domain,
                 adapters.peers,
                 self.lease,
-                fleets.new_desk_of(
+                fleets.new_placement_server_of(
                     places, local, self.source, self._costs, clock
                 ),
                 rng,
--- a/src/jujubewharf/leadership/feeds.py
+++ b/src/jujubewharf/leadership/feeds.py
@@ -128,7 +128,7 @@
                 await self._news.wait()
 
 
-class FedTable(Generic[T]):
+class LeaderTable(Generic[T]):
     """Implements ``tables.Table`` from the leader's word, or the store.
 
     Args:
--- a/src/jujubewharf/leadership/fleet.py
+++ b/src/jujubewharf/leadership/fleet.py
@@ -13,11 +13,11 @@
 from jujubewharf.forwarding import placement as placements
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import registry as registries
-from jujubewharf.leadership import desk as desks
 from jujubewharf.leadership import feeds as all_feeds
 from jujubewharf.leadership import followers as all_followers
 from jujubewharf.leadership import leader_link
 from jujubewharf.leadership import leadership
+from jujubewharf.leadership import placement_server as servers
 from jujubewharf.peers import counters
 from jujubewharf.peers import link_messages
 
@@ -111,7 +111,7 @@
         domain: str,
         peers: ports.PeerAdapters,
         lease: leases.GroupLease,
-        new_desk: Callable[[], desks.Desk],
+        new_placement_server: Callable[[], servers.PlacementServer],
         rng: random.Random,
     ) -> leadership.Leadership:
         """The service that elects, leads and follows.
@@ -121,7 +121,7 @@
             domain: Its failure domain.
             peers: Reaches other instances.
             lease: The right to lead.
-            new_desk: Makes the desk of one follower.
+            new_placement_server: Makes the server of one follower.
             rng: Spreads elections.
         """
         hello = link_messages.Hello(
@@ -130,7 +130,7 @@
         counts = counters.PeerCounters()
         self.followers = all_followers.Followers(
             hello,
-            new_desk,
+            new_placement_server,
             counts,
             self._clock,
             count_within_ms=self._count_within_ms,
@@ -152,12 +152,14 @@
 _INCARNATION_BITS = 48
 
 
-def new_desk_of(
+def new_placement_server_of(
     places: placements.Placement,
     observations: observed.Observations,
     source: forwarder.RouteSource,
     fleet_costs: costs.ReportedCosts,
     clock: clocks.Clock,
-) -> Callable[[], desks.Desk]:
-    """Makes a desk for each follower that comes."""
-    return lambda: desks.Desk(places, observations, source, fleet_costs, clock)
+) -> Callable[[], servers.PlacementServer]:
+    """Makes a server for each follower that comes."""
+    return lambda: servers.PlacementServer(
+        places, observations, source, fleet_costs, clock
+    )
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -11,7 +11,7 @@
 from jujubewharf.configuration import resources
 from jujubewharf.forwarding import registration
 from jujubewharf.forwarding import routes
-from jujubewharf.leadership import desk as desks
+from jujubewharf.leadership import placement_server as servers
 from jujubewharf.peers import codec
 from jujubewharf.peers import counters
 from jujubewharf.peers import handshake
@@ -45,7 +45,7 @@
 
     Args:
         hello: What this instance says of itself.
-        new_desk: Makes the desk of one follower.
+        new_placement_server: Makes the server of one follower.
         counts: Where to count.
         clock: Time.
         count_within_ms: Time for which a follower counts after its link ended.
@@ -57,7 +57,7 @@
     def __init__(
         self,
         hello: link_messages.Hello,
-        new_desk: Callable[[], desks.Desk],
+        new_placement_server: Callable[[], servers.PlacementServer],
         counts: counters.PeerCounters,
         clock: clocks.Clock,
         *,
@@ -67,7 +67,7 @@
         self._count_within_ms = count_within_ms
         self._lost_ms: dict[str, float] = {}
         self._hello = hello
-        self._new_desk = new_desk
+        self._new_placement_server = new_placement_server
         self._counts = counts
         self._clock = clock
         self._links: set[links.Link] = set()
@@ -119,12 +119,12 @@
         reader: asyncio.StreamReader,
         writer: streams.StreamWriter,
     ) -> None:
-        desk = self._new_desk()
+        server = self._new_placement_server()
 
         async def dispatch(
             peer: str, message: messages.Message
         ) -> messages.Message | None:
-            return await desk.handle(peer, message)
+            return await server.handle(peer, message)
 
         link = links.Link(
             hello,
@@ -155,7 +155,7 @@
             self._untold.discard(link)
             self._unconfigured.discard(link)
             self._lost_ms[link.peer] = self._clock.now_ms()
-            desk.close()
+            server.close()
 
     def begin_leading(self) -> None:
         """Accepts followers; what was read before may be another's word."""
--- a/src/jujubewharf/leadership/desk.py
+++ b/src/jujubewharf/leadership/placement_server.py
@@ -34,8 +34,8 @@
     )
 
 
-class Desk:
-    """What one follower asks of the leader's placement.
+class PlacementServer:
+    """Answers what one follower asks of the leader.
 
     Args:
         places: The leader's placement.
--- a/tests/leadership/test_feeds.py
+++ b/tests/leadership/test_feeds.py
@@ -18,7 +18,7 @@
         clock = clocks.Clock(wall_origin_ms=0.0)
         table = tables.StandInTable(clock)
         feed = feeds.Feed(clock, fresh_ms=FRESH_MS)
-        await test(clock, table, feed, feeds.FedTable(table, feed, clock))
+        await test(clock, table, feed, feeds.LeaderTable(table, feed, clock))
 
     virtual_time.run(main())
 
@@ -116,7 +116,7 @@
 
 def test_alone_readings_of_a_busy_table_are_paced():
     async def test(clock, table, feed, fed):
-        paced = feeds.FedTable(table, feed, clock, pause_ms=lambda: 800.0)
+        paced = feeds.LeaderTable(table, feed, clock, pause_ms=lambda: 800.0)
         for _ in range(5):
             await paced.changes(0, wait_ms=0.0)
         assert 3_100.0 <= clock.now_ms() <= 3_300.0
