A test of engines depended on the machine's load; traced and mended

test_a_second_answer_is_not_taken_for_the_next_ones failed once beside a load of 9 to 14: one of three sendings ended with a fault. Which fault it was isn't in the log of the failure. The tests now allow 30 s; a test pauses the process and fails with 0.25 s.

--- a/tests/users_platform/test_engines.py
+++ b/tests/users_platform/test_engines.py
@@ -5,6 +5,8 @@
 import asyncio
 import contextlib
 import re
+import time
+from unittest import mock
 
 import pytest
 from users_platform import engines
@@ -43,12 +45,18 @@
     return calls.Call(**(given | more))
 
 
+# A process that gets no processor for a quarter of a second in the middle of a
+# connect would take the engine for unreachable, which is right in the daemon.
+# Here the time must not depend on what else the machine does.
+_CONNECT_S = 30.0
+
+
 @contextlib.asynccontextmanager
 async def _engines():
-    async with (
-        engines.new_session() as session,
-        engines.new_session(is_kept=True) as kept,
-    ):
+    with mock.patch.object(engines, "_CONNECT_S", _CONNECT_S):
+        kept = engines.new_session(is_kept=True)
+        session = engines.new_session()
+    async with session, kept:
         yield engines.Engines(session, kept, clocks.Clock())
 
 
@@ -377,3 +385,15 @@
                     _endpoint(address), tokens=1, ttl_ms=1_000.0
                 )
     assert raised.value.fault is FAULT.LOST
+
+
+async def test_a_pause_of_this_process_in_a_connect_changes_no_answer():
+    """What these tests see doesn't depend on what else the machine does.
+
+    One of them failed beside a full machine: with the daemon's bound on a
+    connect, a pause of 0.3 s in it looks like an engine that isn't there.
+    """
+    twice = _good() + _good(body=b"second")
+    asyncio.get_running_loop().call_soon(time.sleep, 0.3)
+    _, found = await _send(lambda r: [twice])
+    assert [body for _, body, _ in found] == [b"ok"]
