--- a/src/jujubewharf/callers/accounts.py
+++ b/src/jujubewharf/callers/accounts.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import hashlib
-import hmac
 from typing import TYPE_CHECKING
 
+from jujubewharf import bearer
 from jujubewharf import errors
 from jujubewharf.configuration import resources
 
@@ -14,7 +13,6 @@
 
     from jujubewharf.configuration import state as states
 
-_SCHEME = "bearer"
 ANONYMOUS = ""
 
 
@@ -26,7 +24,8 @@
     """
 
     def __init__(self) -> None:
-        self._by_digest: dict[str, resources.Account] = {}
+        self._by_token: bearer.DigestTable[resources.Account]
+        self._by_token = bearer.DigestTable(())
         self._by_name: dict[str, resources.Account] = {}
 
     def on_configuration(self, state: states.State) -> None:
@@ -36,9 +35,9 @@
             for entry in state.of_kind(resources.Kind.ACCOUNT)
             if isinstance(entry.resource, resources.Account)
         ]
-        self._by_digest = {
-            account.token_sha256.lower(): account for account in accounts
-        }
+        self._by_token = bearer.DigestTable(
+            (account.token_sha256, account) for account in accounts
+        )
         self._by_name = {account.name: account for account in accounts}
 
     def get(self, name: str) -> resources.Account | None:
@@ -48,20 +47,15 @@
     def identify(self, headers: Mapping[str, str]) -> resources.Account | None:
         """The caller's account; ``None`` for an anonymous caller.
 
-        The token itself is never compared: its digest is looked up, and a
-        digest can't be steered byte by byte by who doesn't know the token.
-        The last comparison takes the same time for every digest.
-
         Raises:
             WharfError: ``UNAUTHENTICATED``.
         """
-        if not self._by_digest:
+        if not self._by_name:
             return None
-        token = _token(headers)
-        digest = hashlib.sha256(token.encode()).hexdigest()
-        account = self._by_digest.get(digest)
-        stored = account.token_sha256.lower() if account else ""
-        if account is None or not hmac.compare_digest(stored, digest):
+        given = headers.get(bearer.HEADER)
+        token = bearer.token_of(() if given is None else (given,))
+        account = self._by_token.find(token)
+        if account is None:
             raise errors.WharfError(errors.ErrorKind.UNAUTHENTICATED)
         return account
 
@@ -88,10 +82,3 @@
 def name_of(account: resources.Account | None) -> str:
     """The account's name, as requests carry it."""
     return ANONYMOUS if account is None else account.name
-
-
-def _token(headers: Mapping[str, str]) -> str:
-    scheme, _, token = headers.get("Authorization", "").partition(" ")
-    if scheme.lower() != _SCHEME or not token.strip():
-        raise errors.WharfError(errors.ErrorKind.UNAUTHENTICATED)
-    return token.strip()
--- a/src/jujubewharf/commands/ctl_tokens.py
+++ b/src/jujubewharf/commands/ctl_tokens.py
@@ -12,8 +12,8 @@
 
 import typer
 
+from jujubewharf import bearer
 from jujubewharf.commands import ctl_session
-from jujubewharf.operators import identities
 
 _TOKEN_BYTES = 32
 _OWNER_ONLY = 0o600
@@ -32,7 +32,7 @@
     except OSError as error:
         message = f"{file}: {error.strerror}"
         ctl_session.fail(ctl_session.ExitCode.BAD_INPUT, message)
-    print(identities.token_sha256(token))
+    print(bearer.digest_of(token))
 
 
 @app.command("hash")
@@ -43,4 +43,4 @@
     except OSError as error:
         message = f"{file}: {error.strerror}"
         ctl_session.fail(ctl_session.ExitCode.BAD_INPUT, message)
-    print(identities.token_sha256(token))
+    print(bearer.digest_of(token))
--- a/src/jujubewharf/experiments/operator_rpc.py
+++ b/src/jujubewharf/experiments/operator_rpc.py
@@ -25,12 +25,12 @@
 from rich import table as tables
 import typer
 
+from jujubewharf import bearer
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
 from jujubewharf.demo import processes
 from jujubewharf.operators import client as clients
 from jujubewharf.operators import faults
-from jujubewharf.operators import identities
 
 _TOKEN = "measuring"
 _NO_BOUND_PER_S = 1e6
@@ -213,7 +213,7 @@
             },
             "operators": {
                 "port": port,
-                "bootstrap_token_sha256": identities.token_sha256(_TOKEN),
+                "bootstrap_token_sha256": bearer.digest_of(_TOKEN),
                 "max_changes_per_s": _NO_BOUND_PER_S,
                 "max_reads_per_s": _NO_BOUND_PER_S,
             },
--- a/src/jujubewharf/operators/identities.py
+++ b/src/jujubewharf/operators/identities.py
@@ -8,9 +8,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import hashlib
 import hmac
 
+from jujubewharf import bearer
 from jujubewharf import errors
 from jujubewharf.configuration import resources
 from jujubewharf.configuration import state as states
@@ -27,11 +27,6 @@
 }
 
 
-def token_sha256(token: str) -> str:
-    """What the configuration holds of a token."""
-    return hashlib.sha256(token.encode()).hexdigest()
-
-
 class Identities:
     """Finds the identity behind a token.
 
@@ -55,7 +50,7 @@
         Raises:
             WharfError: ``UNAUTHENTICATED``.
         """
-        digest = token_sha256(token).encode()
+        digest = bearer.digest_of(token).encode()
         found: values.Identity | None = None
         # No early exit: the time must not tell which digest came close.
         if self._bootstrap and _same(self._bootstrap, digest):
--- a/tests/commands/test_ctl.py
+++ b/tests/commands/test_ctl.py
@@ -14,6 +14,7 @@
 from structlog import testing as structlog_testing
 from typer import testing
 
+from jujubewharf import bearer
 from jujubewharf import errors
 from jujubewharf.commands import ctl_session
 from jujubewharf.commands import ctl_tables
@@ -223,7 +224,7 @@
     path = tmp_path / "token"
     made = ctl("token", "new", str(path))
     token = path.read_text().strip()
-    assert made.output.strip() == identities.token_sha256(token)
+    assert made.output.strip() == bearer.digest_of(token)
     assert token not in made.output
     assert path.stat().st_mode & 0o777 == 0o600
     assert ctl("token", "hash", str(path)).output == made.output
--- a/tests/operators/deployments.py
+++ b/tests/operators/deployments.py
@@ -7,10 +7,10 @@
 import contextlib
 import dataclasses
 
+from jujubewharf import bearer
 from jujubewharf.configuration import resources
 from jujubewharf.experiments import bench as benches
 from jujubewharf.operators import client as clients
-from jujubewharf.operators import identities
 from jujubewharf.operators import server as servers
 from jujubewharf.settings import models
 from jujubewharf.standins import engine as engines
@@ -34,7 +34,7 @@
     "till-1", "shop-api", "127.0.0.1:7002", "norte-a", resources.Role.PLAIN
 )
 ACCOUNT = resources.Account(
-    "shops", identities.token_sha256("shops"), services=("shop-api",)
+    "shops", bearer.digest_of("shops"), services=("shop-api",)
 )
 ALL = (MODEL, SERVICE, SHOP, ENDPOINT, TILL, ACCOUNT)
 
@@ -46,7 +46,7 @@
 ) -> resources.Operator:
     """An operator whose token is its name."""
     return resources.Operator(
-        name, identities.token_sha256(name), role, tuple(services)
+        name, bearer.digest_of(name), role, tuple(services)
     )
 
 
@@ -77,7 +77,7 @@
 
 def core_settings() -> dict[str, object]:
     """Settings under which the bootstrap token is valid."""
-    digest = identities.token_sha256(BOOTSTRAP_TOKEN)
+    digest = bearer.digest_of(BOOTSTRAP_TOKEN)
     platform = {
         "log_url": _NOWHERE,
         "live_list_url": _NOWHERE,
--- /dev/null
+++ b/tests/test_bearer.py
@@ -0,0 +1,54 @@
+"""Bearer tokens: what is taken for one, and how one is found."""
+
+from __future__ import annotations
+
+import pytest
+
+from jujubewharf import bearer
+from jujubewharf import errors
+
+
+@pytest.mark.parametrize(
+    "values",
+    [
+        (),
+        ("",),
+        ("Bearer",),
+        ("Bearer  ",),
+        ("Basic abc",),
+        ("abc",),
+        ("Bearer one", "Bearer one"),
+    ],
+)
+def test_anything_but_one_token_is_refused(values):
+    with pytest.raises(errors.WharfError) as refused:
+        bearer.token_of(values)
+    assert refused.value.kind is errors.ErrorKind.UNAUTHENTICATED
+
+
+@pytest.mark.parametrize("scheme", ["Bearer", "bearer", "BEARER"])
+def test_the_scheme_is_read_in_any_case(scheme):
+    assert bearer.token_of((f"{scheme} abc ",)) == "abc"
+
+
+@pytest.mark.parametrize(
+    "token",
+    ["k" * 100_000, "ключ", "a\x01b", "\udcff\udcfe", "a b", "key, other"],
+)
+def test_odd_tokens_are_just_unknown(token):
+    """A caller that sends bytes that are no text is told 401 and not 500.
+
+    Such bytes arrive as lone surrogates, which can't be encoded as they are.
+    """
+    table = bearer.DigestTable([(bearer.digest_of("known"), 1)])
+    assert table.find(token) is None
+    assert table.find("known") == 1
+
+
+def test_a_token_of_two_owners_finds_neither():
+    digest = bearer.digest_of("same")
+    other = bearer.digest_of("other")
+    table = bearer.DigestTable([(digest, 1), (digest.upper(), 2), (other, 3)])
+    assert table.find("same") is None
+    assert table.find("other") == 3
+    assert table.ambiguous == 1
