--- a/src/jujubewharf/forwarding/budget.py
+++ b/src/jujubewharf/forwarding/budget.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import collections
 from collections.abc import Callable
 
 from jujubewharf import clock as clocks
+from jujubewharf.forwarding import recent
 
 # Part of the bound that is used: requests near the edge of the window are
 # counted a little earlier or later by who checks the bound.
@@ -38,8 +38,8 @@
     ) -> None:
         self._share = share
         self._clock = clock
-        self._requests: dict[str, _Recent] = {}
-        self._retries: dict[str, _Recent] = {}
+        self._requests: dict[str, recent.RecentSum] = {}
+        self._retries: dict[str, recent.RecentSum] = {}
         self.change(ratio=ratio, slack=slack, window_ms=window_ms)
 
     def change(self, *, ratio: float, slack: float, window_ms: float) -> None:
@@ -47,8 +47,8 @@
         self._ratio = ratio
         self._slack = slack
         self._window_ms = window_ms
-        for recent in (*self._requests.values(), *self._retries.values()):
-            recent.window_ms = window_ms
+        for counted in (*self._requests.values(), *self._retries.values()):
+            counted.window_ms = window_ms
 
     def accepted(self, service: str) -> None:
         """A request for a service came."""
@@ -57,8 +57,8 @@
     def left(self, service: str) -> float:
         """Retries that may be made now; below 1 there is none."""
         now_ms = self._clock.now_ms()
-        requests = self._of(self._requests, service).count(now_ms)
-        retries = self._of(self._retries, service).count(now_ms)
+        requests = self._of(self._requests, service).total(now_ms)
+        retries = self._of(self._retries, service).total(now_ms)
         allowed = self._ratio * requests + self._slack * self._share()
         return _USED_PART * allowed - retries
 
@@ -69,28 +69,10 @@
         self._of(self._retries, service).add(self._clock.now_ms())
         return True
 
-    def _of(self, table: dict[str, _Recent], service: str) -> _Recent:
-        recent = table.get(service)
-        if recent is None:
-            recent = table[service] = _Recent(self._window_ms)
-        return recent
-
-
-class _Recent:
-    """Counts what happened within a window."""
-
-    def __init__(self, window_ms: float) -> None:
-        self.window_ms = window_ms
-        self._times_ms: collections.deque[float] = collections.deque()
-
-    def add(self, now_ms: float) -> None:
-        self._times_ms.append(now_ms)
-        self._drop(now_ms)
-
-    def count(self, now_ms: float) -> int:
-        self._drop(now_ms)
-        return len(self._times_ms)
-
-    def _drop(self, now_ms: float) -> None:
-        while self._times_ms and self._times_ms[0] < now_ms - self.window_ms:
-            self._times_ms.popleft()
+    def _of(
+        self, table: dict[str, recent.RecentSum], service: str
+    ) -> recent.RecentSum:
+        counted = table.get(service)
+        if counted is None:
+            counted = table[service] = recent.RecentSum(self._window_ms)
+        return counted
--- a/src/jujubewharf/forwarding/calls.py
+++ b/src/jujubewharf/forwarding/calls.py
@@ -46,6 +46,8 @@
             didn't say.
         work: Size of a model request; ``None`` for plain ones.
         last_event: Last event that the caller has of an earlier sending.
+        account: Name of the client account, which endpoints are told; ``None``
+            where no key was shown or none is asked for.
     """
 
     request_id: str
@@ -58,6 +60,7 @@
     patience_ms: float | None = None
     work: ModelWork | None = None
     last_event: int | None = None
+    account: str | None = None
 
     @property
     def path(self) -> str:
--- a/src/jujubewharf/forwarding/decisions.py
+++ b/src/jujubewharf/forwarding/decisions.py
@@ -110,6 +110,7 @@
         offset=offset,
         routes=len(configuration.routes),
         services=len(configuration.services),
+        accounts=len(configuration.accounts or ()),
     )
 
 
@@ -292,15 +293,43 @@
 
 
 def refused_by_leader(
-    run: runs.Run, *, leader: str, waited_ms: float, come_back_ms: float
+    run: runs.Run,
+    *,
+    leader: str,
+    waited_ms: float,
+    come_back_ms: float,
+    is_over_quota: bool,
 ) -> None:
-    """The leader found no memory in the time that a request could wait."""
+    """The leader gave a request no place, for want of memory or of quota."""
     _logger.info(
         "request_refused_by_leader",
         request=run.call.request_id,
         leader=leader,
         waited_ms=round(waited_ms),
         come_back_ms=round(come_back_ms),
+        is_over_quota=is_over_quota,
+    )
+
+
+def over_quota(
+    run: runs.Run, account: str, *, wait_ms: float, counted_by: str
+) -> None:
+    """An account has used its quota up.
+
+    Args:
+        run: The request.
+        account: The account.
+        wait_ms: Time until a request that is told so finds what it needs.
+        counted_by: Whose count decided: that of an instance that is
+            ``leading``, ``following`` or ``alone``.
+    """
+    _logger.info(
+        "request_over_quota",
+        request=run.call.request_id,
+        account=account,
+        units=round(run.units),
+        wait_ms=round(wait_ms),
+        counted_by=counted_by,
     )
 
 
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -33,6 +33,7 @@
 from jujubewharf.forwarding import stream
 from jujubewharf.leadership import feeds
 from jujubewharf.leadership import fleet as fleets
+from jujubewharf.leadership import fleet_quotas
 from jujubewharf.leadership import leader_link
 from jujubewharf.leadership import leadership
 from jujubewharf.leaving import shutdown
@@ -89,6 +90,7 @@
         fleet: The leader of this instance, or its followers.
         lease: The right to give orders to engines.
         budget: Retries that this instance may make.
+        quotas: What accounts may use.
         work: What requests cost, as observed here.
     """
 
@@ -127,6 +129,9 @@
             leaving_within_ms=settings.store.leaving_within_ms,
             count_within_ms=settings.retries.window_s * clocks.MS_PER_S,
         )
+        self.quotas = fleet_quotas.FleetQuotas(
+            self.fleet, self.source, self._retry_share, clock
+        )
         peers = adapters.peers
         # Who leads gives the orders; without peers, whoever holds the first
         # part of the group of all instances.
@@ -204,6 +209,7 @@
             engines,
             self.work,
             lengths,
+            self.quotas,
             clock,
             rng,
         )
@@ -216,7 +222,12 @@
                 adapters.peers,
                 self.lease,
                 fleets.new_placement_server_of(
-                    places, local, self.source, self._costs, clock
+                    places,
+                    local,
+                    self.source,
+                    self._costs,
+                    self.quotas,
+                    clock,
                 ),
                 rng,
                 cores=self._settings.processor.cores,
@@ -236,6 +247,7 @@
             ),
             stream.StreamForwarder(sender, self.budget, observed, clock),
             self.budget,
+            self.quotas,
             clock,
             rng,
             domain=self._settings.domain,
@@ -243,6 +255,7 @@
 
     async def on_start(self) -> None:
         """Starts to follow the store."""
+        await self.add_runtime_dependency(self.quotas)
         await self.add_runtime_dependency(self._configurations)
         await self.add_runtime_dependency(self._endpoints)
         if self._leadership is None:
@@ -320,6 +333,7 @@
     ) -> None:
         for record in page.records:
             if record.value is not None and self.source.take(record.value):
+                self.quotas.forget_others()
                 decisions.configuration_in_force(
                     record.value, offset=record.offset
                 )
--- a/src/jujubewharf/forwarding/forwarder.py
+++ b/src/jujubewharf/forwarding/forwarder.py
@@ -4,15 +4,19 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import dataclasses
 import random
 
+from jujubewharf import bearer
 from jujubewharf import clock as clocks
 from jujubewharf import errors
 from jujubewharf.engines import client
+from jujubewharf.forwarding import accounts
 from jujubewharf.forwarding import budget as budgets
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import decisions
 from jujubewharf.forwarding import plain
+from jujubewharf.forwarding import quotas as all_quotas
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import runs
 from jujubewharf.forwarding import stream
@@ -21,14 +25,16 @@
 
 
 class RouteSource:
-    """The configuration in force, and its table of routes.
+    """The configuration in force, and its tables of routes and accounts.
 
     Attributes:
         current: The configuration; ``None`` before the first.
+        accounts: Its client accounts.
     """
 
     def __init__(self) -> None:
         self.current: routes.RoutingConfiguration | None = None
+        self.accounts = accounts.AccountTable(None)
         self._table = routes.RouteTable(())
 
     def take(self, configuration: routes.RoutingConfiguration) -> bool:
@@ -44,6 +50,7 @@
             if configuration.version <= self.current.version:
                 return False
         self.current = configuration
+        self.accounts = accounts.AccountTable(configuration.accounts)
         self._table = routes.RouteTable(configuration.routes)
         return True
 
@@ -62,6 +69,30 @@
             raise errors.WharfError(errors.ErrorKind.UNKNOWN_SERVICE)
         return route
 
+    def account_of(
+        self, route: routes.Route, headers: calls.Headers
+    ) -> accounts.Account | None:
+        """The account whose key a request shows.
+
+        Returns:
+            ``None`` where none is asked for and none is shown.
+
+        Raises:
+            WharfError: ``UNAUTHENTICATED``; its detail names the version that
+                decided.
+        """
+        if self.accounts.is_open:
+            return None
+        assert self.current is not None
+        given = [v for name, v in headers if _is_authorization(name)]
+        try:
+            return self.accounts.identify(given)
+        except errors.WharfError as error:
+            if route.is_public:
+                return None
+            detail = f"{error.detail}, configuration {self.current.version}"
+            raise errors.WharfError(error.kind, detail) from None
+
 
 class Forwarder:
     """Passes requests on.
@@ -71,6 +102,7 @@
         plain_forwarder: Runs plain requests.
         stream_forwarder: Runs streams on engines.
         budget: Bounds retries over the fleet.
+        quotas: Bound what accounts use over the fleet.
         clock: Time.
         rng: Splits routes between their services.
         domain: Failure domain of this instance.
@@ -82,6 +114,7 @@
         plain_forwarder: plain.PlainForwarder,
         stream_forwarder: stream.StreamForwarder,
         budget: budgets.FleetBudget,
+        quotas: all_quotas.Quotas,
         clock: clocks.Clock,
         rng: random.Random,
         *,
@@ -92,6 +125,7 @@
         self._plain = plain_forwarder
         self._stream = stream_forwarder
         self._budget = budget
+        self._quotas = quotas
         self._clock = clock
         self._rng = rng
 
@@ -111,6 +145,7 @@
         try:
             async with self._bounded(run), contextlib.AsyncExitStack() as stack:
                 reply = await self._begin(stack, run)
+                self._quotas.admitted(run)
                 held_ms = self._clock.now_ms() - call.arrived_ms
                 decisions.answer_begun(
                     run, status=reply.status, took_ms=held_ms
@@ -125,11 +160,15 @@
             )
             raise
         finally:
+            if not run.may_have_run:
+                self._quotas.give_back(run)
             took_ms = self._clock.now_ms() - call.arrived_ms
             decisions.ended(run, outcome, took_ms=took_ms)
 
     def _new_run(self, call: calls.Call) -> runs.Run:
         route = self._source.match(call.host, call.path)
+        account = self._source.account_of(route, call.headers)
+        call = self._without_key(call, account)
         service = self._pick(route)
         self._budget.accepted(service)
         within_ms = route.timeout_ms
@@ -137,9 +176,28 @@
             within_ms = min(within_ms, call.patience_ms)
         deadline_at_ms = call.arrived_ms + within_ms
         return runs.Run(
-            call, route, service, deadline_at_ms, domain=self._domain
+            call,
+            route,
+            service,
+            deadline_at_ms,
+            domain=self._domain,
+            account=account,
         )
 
+    def _without_key(
+        self, call: calls.Call, account: accounts.Account | None
+    ) -> calls.Call:
+        """The request as endpoints get it: with an account, without its key.
+
+        Where no keys are configured a token is none of this system's, and goes
+        on to the endpoint that may ask for it.
+        """
+        if self._source.accounts.is_open:
+            return call
+        kept = tuple(h for h in call.headers if not _is_authorization(h[0]))
+        name = None if account is None else account.name
+        return dataclasses.replace(call, headers=kept, account=name)
+
     def _pick(self, route: routes.Route) -> str:
         """One of the route's services, by their weights."""
         names = [share.service for share in route.shares]
@@ -169,5 +227,12 @@
             # Kept with the request: a later configuration may drop the service
             # while it runs.
             run.traits = service.engine
+            # Counted against its quota when it is placed, where all requests of
+            # the fleet are.
             return await self._stream.begin(stack, run)
+        self._quotas.take(run)
         return await self._plain.begin(stack, run)
+
+
+def _is_authorization(name: str) -> bool:
+    return name.lower() == bearer.HEADER.lower()
--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -27,6 +27,7 @@
 from jujubewharf.forwarding import patience
 from jujubewharf.forwarding import pool as pools
 from jujubewharf.forwarding import ports
+from jujubewharf.forwarding import quotas as all_quotas
 from jujubewharf.forwarding import registry as registries
 from jujubewharf.forwarding import runs
 
@@ -140,6 +141,7 @@
         pool: What is known of the engines.
         work: Learns what requests cost.
         lengths: How long answers are.
+        quotas: Bound what accounts use.
         clock: Time.
         rng: Spreads the times at which engines are asked.
     """
@@ -151,6 +153,7 @@
         pool: pools.EnginePool,
         work: costs.WorkCosts,
         lengths: margins.AnswerLengths,
+        quotas: all_quotas.Quotas,
         clock: clocks.Clock,
         rng: random.Random,
     ) -> None:
@@ -159,6 +162,7 @@
         self._pool = pool
         self._work = work
         self._lengths = lengths
+        self._quotas = quotas
         self._clock = clock
         self._rng = rng
         self._patience = patience.Patience(work, clock)
@@ -170,9 +174,11 @@
         """Waits for memory and holds it for the block.
 
         Raises:
-            WharfError: There is none; nothing ran for this sending.
+            WharfError: There is none, or the account's quota is used up;
+                nothing ran for this sending.
         """
-        place, wish = await self._wait(run)
+        with all_quotas.counted(self._quotas, run):
+            place, wish = await self._wait(run)
         self._running += 1
         try:
             with (
--- /dev/null
+++ b/src/jujubewharf/forwarding/recent.py
@@ -0,0 +1,38 @@
+"""Sums over a window that slides."""
+
+from __future__ import annotations
+
+import collections
+
+
+class RecentSum:
+    """Adds up what happened within a window.
+
+    Args:
+        window_ms: Length of the window.
+    """
+
+    def __init__(self, window_ms: float) -> None:
+        self.window_ms = window_ms
+        self._amounts: collections.deque[tuple[float, float]]
+        self._amounts = collections.deque()
+        self._sum = 0.0
+
+    def add(self, now_ms: float, amount: float = 1.0) -> None:
+        """Adds something that happens now."""
+        self._amounts.append((now_ms, amount))
+        self._sum += amount
+        self._drop(now_ms)
+
+    def total(self, now_ms: float) -> float:
+        """All that happened within the window."""
+        self._drop(now_ms)
+        return self._sum
+
+    def _drop(self, now_ms: float) -> None:
+        oldest_ms = now_ms - self.window_ms
+        while self._amounts and self._amounts[0][0] < oldest_ms:
+            self._sum -= self._amounts.popleft()[1]
+        if not self._amounts:
+            # What rounding has left over.
+            self._sum = 0.0
--- a/src/jujubewharf/forwarding/refusals.py
+++ b/src/jujubewharf/forwarding/refusals.py
@@ -1,7 +1,11 @@
-"""The status of an error answer; some statuses promise that nothing ran."""
+"""Status and headers of an error answer.
+
+Some statuses promise that nothing ran.
+"""
 
 from __future__ import annotations
 
+from jujubewharf import clock as clocks
 from jujubewharf import errors
 
 # Callers take these for the word that the request has not run and never will,
@@ -20,3 +24,18 @@
     if status in PROMISES and error.ran is not errors.Ran.NO:
         return _UNKNOWN_OUTCOME
     return status
+
+
+def headers_of(error: errors.WharfError) -> dict[str, str]:
+    """HTTP headers that tell a caller what to do about a failure.
+
+    When to come back is told only where nothing ran: a caller that came back
+    after a request of unknown outcome might have it run twice.
+    """
+    found: dict[str, str] = {}
+    if error.retry_after_ms is not None and error.ran is errors.Ran.NO:
+        seconds = error.retry_after_ms / clocks.MS_PER_S
+        found["Retry-After"] = f"{seconds:.2f}"
+    if error.kind is errors.ErrorKind.UNAUTHENTICATED:
+        found["WWW-Authenticate"] = "Bearer"
+    return found
--- a/src/jujubewharf/forwarding/routes.py
+++ b/src/jujubewharf/forwarding/routes.py
@@ -6,6 +6,8 @@
 import dataclasses
 import enum
 
+from jujubewharf.forwarding import accounts as client_accounts
+
 
 class Repeat(enum.Enum):
     """What may be done a second time for one sending of a caller.
@@ -45,6 +47,7 @@
             which the caller is served well.
         priority: 0 is served first.
         max_attempts: Engines that one request may be sent to.
+        is_public: Whether its callers need no key.
     """
 
     name: str
@@ -58,6 +61,7 @@
     target_ms: float = 1_000.0
     priority: int = 5
     max_attempts: int = 1
+    is_public: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,12 +112,14 @@
         routes: All routes.
         services: All services, by name.
         limits: Bounds of what callers send.
+        accounts: Client accounts; ``None`` where callers need no key.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, RoutedService]
     limits: CallerLimits = CallerLimits()
+    accounts: tuple[client_accounts.Account, ...] | None = None
 
 
 class RouteTable:
--- a/src/jujubewharf/forwarding/runs.py
+++ b/src/jujubewharf/forwarding/runs.py
@@ -7,6 +7,7 @@
 from jujubewharf import clock as clocks
 from jujubewharf import errors
 from jujubewharf.engines import client
+from jujubewharf.forwarding import accounts
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import routes
 from jujubewharf.requests import retries
@@ -36,6 +37,8 @@
         event_ms: Clock reading when its last event was passed on.
         longest_gap_ms: Longest time between two of its events.
         trail: Routine log lines that are written only if it fails.
+        account: Client account that it belongs to.
+        is_counted: Whether it was counted against the account's quota.
     """
 
     call: calls.Call
@@ -52,6 +55,22 @@
     event_ms: float | None = None
     longest_gap_ms: float = 0.0
     trail: list[dict[str, object]] = dataclasses.field(default_factory=list)
+    account: accounts.Account | None = None
+    is_counted: bool = False
+
+    @property
+    def priority(self) -> int:
+        """Rank, 0 first; that of its account goes before that of its route."""
+        if self.account is None or self.account.priority is None:
+            return self.route.priority
+        return self.account.priority
+
+    @property
+    def units(self) -> float:
+        """What it counts against its account's quota."""
+        if self.account is None or self.account.quota is None:
+            return 0.0
+        return self.account.quota.units_of(self.call.work)
 
     @property
     def ran(self) -> errors.Ran:
--- a/src/jujubewharf/leadership/feeds.py
+++ b/src/jujubewharf/leadership/feeds.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
 import contextlib
@@ -10,6 +11,7 @@
 from typing import TypeVar
 
 from jujubewharf import clock as clocks
+from jujubewharf.platform import log
 from jujubewharf.platform import tables
 
 T = TypeVar("T")
@@ -21,9 +23,14 @@
     Args:
         clock: Time.
         fresh_ms: Age up to which the leader's word is as good as a reading.
+
+    Attributes:
+        fetch: Has the leader send what it left to be read at the store; tells
+            whether it did.
     """
 
     def __init__(self, clock: clocks.Clock, *, fresh_ms: float) -> None:
+        self.fetch: Callable[[], Awaitable[bool]] | None = None
         self._clock = clock
         self._fresh_ms = fresh_ms
         # Offset of the newest record that the leader has read and not sent.
@@ -64,6 +71,8 @@
             self._confirmed_ms = self._clock.now_ms()
         for record in records:
             self._records[record.key] = record
+            if self._unsent is not None and record.offset >= self._unsent:
+                self._unsent = None
         self._end = max(end, self._end or 0)
         self._wake()
 
@@ -158,7 +167,7 @@
         if page is not None:
             return page
         if self._feed.is_fresh:
-            return await self._read(from_offset, wait_ms=0.0)
+            return await self._read_unsent(from_offset)
         if self._pause_ms is None:
             return await self._read(from_offset, wait_ms=wait_ms)
         if self._read_ms is not None:
@@ -166,6 +175,22 @@
             await self._feed.freshened(due_ms - self._clock.now_ms())
         return await self._read(from_offset, wait_ms=0.0)
 
+    async def _read_unsent(self, from_offset: int) -> tables.TablePage[T]:
+        """Reads what the leader has read and not sent.
+
+        The store may turn this instance away while it serves the leader. A
+        caller's key that was withdrawn would go on to be taken here, so the
+        leader is asked then.
+        """
+        try:
+            return await self._read(from_offset, wait_ms=0.0)
+        except log.LogUnavailableError:
+            fetch = self._feed.fetch
+            if fetch is None or not await fetch():
+                raise
+        page = await self._feed.after(from_offset, wait_ms=0.0)
+        return page or tables.TablePage((), from_offset)
+
     async def _read(
         self, from_offset: int, *, wait_ms: float
     ) -> tables.TablePage[T]:
--- a/src/jujubewharf/leadership/fleet.py
+++ b/src/jujubewharf/leadership/fleet.py
@@ -13,6 +13,7 @@
 from jujubewharf.forwarding import placement as placements
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import registry as registries
+from jujubewharf.leadership import account_feed
 from jujubewharf.leadership import feeds as all_feeds
 from jujubewharf.leadership import followers as all_followers
 from jujubewharf.leadership import leader_link
@@ -69,10 +70,12 @@
                 clock,
                 fresh_ms=leaving_within_ms * _ENDPOINTS_PART,
             ),
+            account_feed.AccountFeed(clock),
         )
         self.link = leader_link.LeaderLink(
             self.feeds, registry, work, endpoints_end, clock
         )
+        self.feeds.configurations.fetch = self.link.fetch_configuration
         self.followers: all_followers.Followers | None = None
         self._counted: int | None = None
         self._counted_ms = 0.0
@@ -115,7 +118,7 @@
         domain: str,
         peers: ports.PeerAdapters,
         lease: leases.GroupLease,
-        new_placement_server: Callable[[], servers.PlacementServer],
+        new_placement_server: servers.NewPlacementServer,
         rng: random.Random,
         *,
         cores: float,
@@ -165,9 +168,16 @@
     observations: observed.Observations,
     source: forwarder.RouteSource,
     fleet_costs: costs.ReportedCosts,
+    quotas: servers.FollowerQuotas,
     clock: clocks.Clock,
-) -> Callable[[], servers.PlacementServer]:
+) -> servers.NewPlacementServer:
     """Makes a server for each follower that comes."""
-    return lambda: servers.PlacementServer(
-        places, observations, source, fleet_costs, clock
+    return lambda peer, tell: servers.PlacementServer(
+        places,
+        observations,
+        source,
+        fleet_costs,
+        quotas,
+        clock,
+        use=quotas.follower(peer, tell),
     )
--- /dev/null
+++ b/src/jujubewharf/leadership/fleet_quotas.py
@@ -0,0 +1,303 @@
+"""Quotas of accounts over the whole fleet.
+
+The leader counts what accounts use. It places all model requests, so of these
+it knows before they run; of plain ones its followers tell it a little later,
+and it tells them which accounts have little left. So no request waits for a
+question to the leader, and what runs beyond a quota is what comes in the time
+between two messages.
+
+The leader also tells each follower which part of an account's use comes there.
+An instance without a leader grants that part of the quota; all of them together
+then grant the whole, wherever the account's callers are connected. Equal parts
+for all instances would refuse nearly everything of an account whose few
+connections end at a few instances.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+import contextlib
+import enum
+
+import mode
+
+from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf.forwarding import accounts
+from jujubewharf.forwarding import decisions
+from jujubewharf.forwarding import forwarder
+from jujubewharf.forwarding import quotas
+from jujubewharf.forwarding import runs
+from jujubewharf.leadership import account_pace
+from jujubewharf.leadership import fleet as fleets
+from jujubewharf.peers import messages
+from jujubewharf.peers import quota_messages
+
+# Time for which use is gathered before it is told. What plain requests may
+# exceed a quota by grows with it; a tenth of a second's use is a hundredth of
+# what an account may use in ten seconds.
+_GATHER_MS = 100.0
+# An account with less than this part of its burst left is told to followers.
+_LOW_PART = 0.25
+# Time between two words on which part of an account's use comes to a follower.
+_SHARES_EVERY_MS = 1_000.0
+# A change of role is noticed within this time though no request comes: what
+# accounts gain counts from then on.
+_ROLE_SEEN_WITHIN_MS = 1_000.0
+# Time for which the part of a follower that was lost is kept for it: it may be
+# cut off and grant that part by itself. Longer than most cuts.
+_KEPT_FOR_LOST_MS = 10_000.0
+# Part of each quota at an instance that knows neither a leader nor how many
+# instances there are: a start of all at once, for the seconds until one leads.
+_LEAST_PART = 1 / 64
+
+
+class Role(enum.Enum):
+    """Who counts what this instance admits."""
+
+    LEADING = "leading"
+    FOLLOWING = "following"
+    ALONE = "alone"
+
+
+class FleetQuotas(mode.Service):
+    """Implements ``quotas.Quotas`` over all instances.
+
+    Args:
+        fleet: The leader of this instance, or its followers.
+        source: Tells the accounts in force.
+        share: Part of what the fleet shares that is this instance's while it
+            has no leader, 0 to 1.
+        clock: Time.
+    """
+
+    def __init__(
+        self,
+        fleet: fleets.Fleet,
+        source: forwarder.RouteSource,
+        share: Callable[[], float],
+        clock: clocks.Clock,
+    ) -> None:
+        super().__init__()
+        self._fleet = fleet
+        self._source = source
+        self._share = share
+        self._clock = clock
+        self._role = Role.ALONE
+        self._led = quotas.QuotaLedger(clock.now_ms())
+        self._alone = quotas.QuotaLedger(clock.now_ms())
+        # Use that the leader hasn't been told of.
+        self._untold: dict[str, float] = collections.defaultdict(float)
+        self._has_news = asyncio.Event()
+        # Of this instance's own callers, and as the leader of all.
+        self._own_pace = account_pace.AccountPace()
+        self._whole_pace = account_pace.AccountPace()
+        # Part of each account's use that comes to this instance.
+        self._parts: dict[str, float] = {}
+        self._parts_told_ms = 0.0
+        self._followers: set[account_pace.FollowerUse] = set()
+        # Until when which parts are kept for followers that were lost.
+        self._lost: dict[str, tuple[float, dict[str, float]]] = {}
+        fleet.link.on_account_parts = self.parts_told
+
+    @property
+    def role(self) -> Role:
+        """Who counts now."""
+        if self._fleet.is_leading:
+            role = Role.LEADING
+        elif self._fleet.link.is_open:
+            role = Role.FOLLOWING
+        else:
+            role = Role.ALONE
+        if role is not self._role:
+            self._role = role
+            self._ledger.resume(self._clock.now_ms())
+            self._untold.clear()
+        return role
+
+    @property
+    def _ledger(self) -> quotas.QuotaLedger:
+        """What is counted here in the present role."""
+        return self._led if self._role is Role.LEADING else self._alone
+
+    def take(self, run: runs.Run) -> None:
+        """Counts a request; see ``quotas.Quotas``."""
+        if run.account is None or run.account.quota is None or run.is_counted:
+            return
+        wait_ms = self._take(run.account.name, run.account.quota, run.units)
+        if wait_ms > 0.0:
+            raise self._refusal(run, run.account.name, wait_ms)
+        run.is_counted = True
+        self._has_news.set()
+
+    def give_back(self, run: runs.Run) -> None:
+        """Takes back what was counted; see ``quotas.Quotas``."""
+        if run.account is None or run.account.quota is None:
+            return
+        if not run.is_counted:
+            return
+        run.is_counted = False
+        self._charge(run.account.name, run.account.quota, -run.units)
+        self._has_news.set()
+
+    def admitted(self, run: runs.Run) -> None:
+        """Learns that a request of this instance's own callers runs."""
+        if run.account is None or run.account.quota is None:
+            return
+        now_ms = self._clock.now_ms()
+        self._own_pace.add(run.account.name, run.units, now_ms)
+        self._whole_pace.add(run.account.name, run.units, now_ms)
+
+    def follower(
+        self, peer: str, tell: Callable[[messages.Message], object]
+    ) -> account_pace.FollowerUse:
+        """Begins to count for a follower."""
+        self._lost.pop(peer, None)
+        use = account_pace.FollowerUse(peer, tell)
+        self._followers.add(use)
+        return use
+
+    def follower_lost(self, use: account_pace.FollowerUse) -> None:
+        """Keeps its part for a follower whose link ended."""
+        self._followers.discard(use)
+        now_ms = self._clock.now_ms()
+        parts = use.pace.parts_of(self._whole_pace, now_ms)
+        if parts:
+            self._lost[use.peer] = (now_ms + _KEPT_FOR_LOST_MS, parts)
+
+    def follower_admitted(
+        self, use: account_pace.FollowerUse, run: runs.Run
+    ) -> None:
+        """Learns that a model request of a follower was placed."""
+        if run.account is not None and run.account.quota is not None:
+            self._note(use, run.account.name, run.units)
+
+    def follower_used(
+        self,
+        use: account_pace.FollowerUse,
+        uses: Iterable[quota_messages.AccountUse],
+    ) -> None:
+        """Learns what a follower has admitted by itself."""
+        if self.role is not Role.LEADING:
+            return
+        for told in uses:
+            account = self._source.accounts.by_name.get(told.account)
+            if account is None or account.quota is None:
+                continue
+            self._charge(account.name, account.quota, told.units)
+            self._note(use, account.name, told.units)
+        self._has_news.set()
+
+    def _note(
+        self, use: account_pace.FollowerUse, account: str, units: float
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        use.pace.add(account, units, now_ms)
+        self._whole_pace.add(account, units, now_ms)
+
+    def forget_others(self) -> None:
+        """Forgets accounts that are no longer configured."""
+        names = self._source.accounts.by_name
+        self._led.keep_only(names)
+        self._alone.keep_only(names)
+
+    def _take(self, name: str, quota: accounts.Quota, units: float) -> float:
+        if self.role is Role.FOLLOWING:
+            wait_ms = self._fleet.feeds.accounts.take(name, quota, units)
+            if wait_ms <= 0.0:
+                self._untold[name] += units
+            return wait_ms
+        here = self._part_of(name, quota)
+        return self._ledger.take(name, here, units, self._clock.now_ms())
+
+    def _charge(self, name: str, quota: accounts.Quota, units: float) -> None:
+        if self.role is Role.FOLLOWING:
+            self._untold[name] += units
+            return
+        here = self._part_of(name, quota)
+        self._ledger.charge(name, here, units, self._clock.now_ms())
+
+    def _part_of(self, name: str, quota: accounts.Quota) -> accounts.Quota:
+        """What this instance may grant of a quota by itself."""
+        if self._role is Role.LEADING:
+            return quota.part(max(_LEAST_PART, 1.0 - self._lost_part(name)))
+        told = self._parts.get(name, 0.0)
+        return quota.part(max(told, self._share(), _LEAST_PART))
+
+    def _lost_part(self, name: str) -> float:
+        """What followers that were lost may grant by themselves."""
+        now_ms = self._clock.now_ms()
+        part = 0.0
+        for peer, (until_ms, parts) in list(self._lost.items()):
+            if until_ms < now_ms:
+                del self._lost[peer]
+            part += parts.get(name, 0.0)
+        return part
+
+    def _refusal(
+        self, run: runs.Run, account: str, wait_ms: float
+    ) -> errors.WharfError:
+        decisions.over_quota(
+            run, account, wait_ms=wait_ms, counted_by=self._role.value
+        )
+        return errors.WharfError(
+            errors.ErrorKind.RATE_LIMITED, retry_after_ms=wait_ms
+        )
+
+    @mode.Service.task
+    async def _tell(self) -> None:
+        while not self.should_stop:
+            await self._news()
+            match self.role:
+                case Role.LEADING:
+                    self._tell_left()
+                    self._tell_parts()
+                case Role.FOLLOWING:
+                    self._tell_used()
+
+    async def _news(self) -> None:
+        """Waits for use, and gathers what follows at once."""
+        with contextlib.suppress(TimeoutError):
+            async with self._clock.timeout_ms(_ROLE_SEEN_WITHIN_MS):
+                await self._has_news.wait()
+                self._has_news.clear()
+                await self._clock.sleep_ms(_GATHER_MS)
+
+    def _tell_used(self) -> None:
+        uses = tuple(
+            quota_messages.AccountUse(name, units)
+            for name, units in self._untold.items()
+        )
+        self._untold.clear()
+        if uses:
+            self._fleet.link.tell(quota_messages.AccountsUsed(uses))
+
+    def _tell_left(self) -> None:
+        assert self._fleet.followers is not None
+        now_ms = self._clock.now_ms()
+        low: list[quota_messages.AccountLeft] = []
+        for name, account in self._source.accounts.by_name.items():
+            if account.quota is None:
+                continue
+            here = self._part_of(name, account.quota)
+            left = self._ledger.left(name, here, now_ms)
+            if left < here.burst * _LOW_PART:
+                low.append(quota_messages.AccountLeft(name, left))
+        self._fleet.followers.tell_left(tuple(low))
+
+    def _tell_parts(self) -> None:
+        now_ms = self._clock.now_ms()
+        if now_ms - self._parts_told_ms < _SHARES_EVERY_MS:
+            return
+        self._parts_told_ms = now_ms
+        self._parts = self._own_pace.parts_of(self._whole_pace, now_ms)
+        for use in self._followers:
+            parts = use.pace.parts_of(self._whole_pace, now_ms)
+            use.tell(quota_messages.AccountParts.from_parts(parts))
+
+    def parts_told(self, parts: dict[str, float]) -> None:
+        """Learns which part of each account's use comes to this instance."""
+        self._parts = parts
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 
@@ -19,6 +18,7 @@
 from jujubewharf.peers import link as links
 from jujubewharf.peers import link_messages
 from jujubewharf.peers import messages
+from jujubewharf.peers import quota_messages
 from jujubewharf.peers import streams
 from jujubewharf.platform import tables
 
@@ -57,7 +57,7 @@
     def __init__(
         self,
         hello: link_messages.Hello,
-        new_placement_server: Callable[[], servers.PlacementServer],
+        new_placement_server: servers.NewPlacementServer,
         counts: counters.PeerCounters,
         clock: clocks.Clock,
         *,
@@ -79,6 +79,7 @@
         self._unconfigured: set[links.Link] = set()
         self._configuration: leader_messages.ConfigurationNews | None = None
         self._endpoints: dict[str, leader_messages.EndpointRecord] = {}
+        self._left = quota_messages.AccountsLeft(())
         self._endpoints_read = _Progress()
         self._configurations_read = _Progress()
 
@@ -121,7 +122,9 @@
         reader: asyncio.StreamReader,
         writer: streams.StreamWriter,
     ) -> None:
-        server = self._new_placement_server()
+        server = self._new_placement_server(
+            hello.instance, lambda message: link.tell(message)
+        )
 
         async def dispatch(
             peer: str, message: messages.Message
@@ -130,6 +133,8 @@
                 case leader_messages.Following(endpoints_end=end):
                     self._follows(link, end)
                     return None
+                case leader_messages.ConfigurationAsk():
+                    return self._configuration
                 case _:
                     return await server.handle(peer, message)
 
@@ -153,6 +158,7 @@
                 self._unconfigured.discard(link)
                 self._tell_configuration(self._configuration, [link])
             link.tell(self._seen())
+            link.tell(self._left)
             await link.run()
         finally:
             self._links.discard(link)
@@ -166,6 +172,7 @@
         """Accepts followers; what was read before may be another's word."""
         self._endpoints_read.confirmed_ms = None
         self._configurations_read.confirmed_ms = None
+        self._left = quota_messages.AccountsLeft(())
         self.is_leading = True
 
     def stop_leading(self) -> None:
@@ -175,6 +182,14 @@
         for link in list(self._links):
             link.close(link_messages.Farewell(reason))
 
+    def tell_left(
+        self, accounts: tuple[quota_messages.AccountLeft, ...]
+    ) -> None:
+        """Tells all followers which accounts have little left."""
+        if accounts or self._left.accounts:
+            self._left = quota_messages.AccountsLeft(accounts)
+            self._tell(self._left, self._links)
+
     def beat(self) -> None:
         """Tells all followers how far the store was read."""
         self._tell(self._seen(), self._links)
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -20,11 +20,13 @@
 from jujubewharf.forwarding import registry as registries
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import runs
+from jujubewharf.leadership import account_feed
 from jujubewharf.leadership import feeds as all_feeds
 from jujubewharf.peers import leader_messages
 from jujubewharf.peers import link as links
 from jujubewharf.peers import messages
 from jujubewharf.peers import network
+from jujubewharf.peers import quota_messages
 from jujubewharf.platform import tables
 
 # A leader tells how far it has read twice a second. After three that are
@@ -36,14 +38,17 @@
 # loses half a second to a frozen leader, which most targets allow.
 _CHECK_MS = 150.0
 _CHECKED_WITHIN_MS = 350.0
+# A whole configuration is some tens of kilobytes, over links of some Mbit/s.
+_FETCHED_WITHIN_MS = 1_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Feeds:
-    """What a leader tells of the store's tables."""
+    """What a leader tells of the store's tables, and of accounts' use."""
 
     configurations: all_feeds.Feed[routes.RoutingConfiguration | None]
     endpoints: all_feeds.Feed[resources.Endpoint]
+    accounts: account_feed.AccountFeed
 
 
 class LeaderLink:
@@ -58,6 +63,7 @@
 
     Attributes:
         instances: Instances that the leader has, itself included.
+        on_account_parts: Told which part of each account's use comes here.
     """
 
     def __init__(
@@ -70,6 +76,8 @@
     ) -> None:
         self._endpoints_end = endpoints_end
         self.instances: int | None = None
+        self.on_account_parts: Callable[[dict[str, float]], None]
+        self.on_account_parts = lambda parts: None
         self._feeds = feeds
         self._registry = registry
         self._work = work
@@ -114,6 +122,7 @@
         """Relies no longer on what a leader has told."""
         self._feeds.configurations.begin()
         self._feeds.endpoints.begin()
+        self._feeds.accounts.begin()
 
     async def handle(
         self, peer: str, message: messages.Message
@@ -132,6 +141,10 @@
                     message.key, message.offset, message.configuration
                 )
                 self._feeds.configurations.take([record], message.end)
+            case quota_messages.AccountsLeft(accounts=left):
+                self._feeds.accounts.told(left)
+            case quota_messages.AccountParts():
+                self.on_account_parts(message.by_account)
             case leader_messages.EndpointNews():
                 records = [_table_record(r) for r in message.records]
                 self._feeds.endpoints.take(records, message.end)
@@ -146,6 +159,25 @@
             seen.endpoints_end, age_ms=seen.endpoints_age_ms
         )
 
+    async def fetch_configuration(self) -> bool:
+        """Has the leader send the newest configuration, however large.
+
+        Returns:
+            Whether it came.
+        """
+        link = self._link
+        if link is None:
+            return False
+        question = leader_messages.ConfigurationAsk()
+        try:
+            news = await link.ask(question, timeout_ms=_FETCHED_WITHIN_MS)
+        except network.PeerError:
+            return False
+        if not isinstance(news, leader_messages.ConfigurationNews):
+            return False
+        await self.handle(link.peer, news)
+        return news.configuration is not None
+
     def tell(self, message: messages.Message) -> None:
         """Tells the leader something, if there is one."""
         if self._link is not None:
@@ -190,6 +222,8 @@
         waited_ms = self._clock.now_ms() - began_ms
         match answer:
             case leader_messages.Placed():
+                # The leader has counted it.
+                run.is_counted = True
                 place = self._place(number, answer)
                 if place is None:
                     decisions.placed_alone(
@@ -254,6 +288,8 @@
             prompt_tokens=None if work is None else work.prompt_tokens,
             output_tokens=0 if work is None else work.output_tokens,
             expected_tokens=None if work is None else work.expected_tokens,
+            account=run.call.account,
+            is_counted=run.is_counted,
         )
 
     def _place(
@@ -291,12 +327,14 @@
             leader=leader,
             waited_ms=waited_ms,
             come_back_ms=answer.come_back_ms,
+            is_over_quota=answer.is_over_quota,
         )
         if run.may_have_run:
             return run.failure()
-        return errors.WharfError(
-            errors.ErrorKind.QUEUE_FULL, retry_after_ms=answer.come_back_ms
-        )
+        kind = errors.ErrorKind.QUEUE_FULL
+        if answer.is_over_quota:
+            kind = errors.ErrorKind.RATE_LIMITED
+        return errors.WharfError(kind, retry_after_ms=answer.come_back_ms)
 
 
 class FleetPlaces:
--- a/src/jujubewharf/leadership/placement_server.py
+++ b/src/jujubewharf/leadership/placement_server.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
+from typing import Protocol
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
@@ -15,8 +18,38 @@
 from jujubewharf.forwarding import observations as observed
 from jujubewharf.forwarding import placement as placements
 from jujubewharf.forwarding import runs
+from jujubewharf.leadership import account_pace
 from jujubewharf.peers import leader_messages
 from jujubewharf.peers import messages
+from jujubewharf.peers import quota_messages
+
+
+class FollowerQuotas(Protocol):
+    """Counts what accounts use at followers."""
+
+    def follower(
+        self, peer: str, tell: Callable[[messages.Message], object]
+    ) -> account_pace.FollowerUse:
+        """Begins to count for a follower."""
+        ...
+
+    def follower_lost(self, use: account_pace.FollowerUse) -> None:
+        """Keeps its part for a follower whose link ended."""
+        ...
+
+    def follower_admitted(
+        self, use: account_pace.FollowerUse, run: runs.Run
+    ) -> None:
+        """Learns that a model request of a follower was placed."""
+        ...
+
+    def follower_used(
+        self,
+        use: account_pace.FollowerUse,
+        uses: Iterable[quota_messages.AccountUse],
+    ) -> None:
+        """Learns what a follower has admitted by itself."""
+        ...
 
 
 class _UnfinishedError(Exception):
@@ -42,7 +75,9 @@
         observations: Learns what the follower observes.
         source: The configuration in force.
         fleet_costs: Learns what the follower had observed before.
+        quotas: Count what accounts use.
         clock: Time.
+        use: What accounts use at the follower.
     """
 
     def __init__(
@@ -51,8 +86,13 @@
         observations: observed.Observations,
         source: forwarder.RouteSource,
         fleet_costs: costs.ReportedCosts,
+        quotas: FollowerQuotas,
         clock: clocks.Clock,
+        *,
+        use: account_pace.FollowerUse,
     ) -> None:
+        self._quotas = quotas
+        self._use = use
         self._fleet_costs = fleet_costs
         self._places = places
         self._observations = observations
@@ -65,6 +105,7 @@
 
         Its engines count for themselves what it still runs there.
         """
+        self._quotas.follower_lost(self._use)
         for held in list(self._held.values()):
             if held.task is not None:
                 held.task.cancel()
@@ -80,6 +121,8 @@
                 return leader_messages.Here()
             case leader_messages.CostsObserved():
                 self._costs_told(peer, message)
+            case quota_messages.AccountsUsed(uses=uses):
+                self._quotas.follower_used(self._use, uses)
             case leader_messages.PlaceEnded():
                 self._ended(message)
             case leader_messages.ReadingEnded():
@@ -132,6 +175,8 @@
         try:
             async with self._places.place(run) as place:
                 held.place = place
+                if not ask.is_counted:
+                    self._quotas.follower_admitted(self._use, run)
                 _tell(answer, _placed(place))
                 ending = await held.ending
                 if ending.is_hold_used:
@@ -143,7 +188,9 @@
             if come_back_ms is None:
                 _tell(answer, None)
             else:
-                _tell(answer, leader_messages.NotPlaced(come_back_ms))
+                is_over_quota = error.kind is errors.ErrorKind.RATE_LIMITED
+                refusal = leader_messages.NotPlaced(come_back_ms, is_over_quota)
+                _tell(answer, refusal)
         except _UnfinishedError:
             # Its time says nothing of how long answers take.
             pass
@@ -212,6 +259,7 @@
             arrived_ms=now_ms - ask.waited_ms,
             patience_ms=ask.patience_ms,
             work=work,
+            account=ask.account,
         )
         return runs.Run(
             call,
@@ -222,6 +270,8 @@
             may_have_run=ask.may_have_run,
             traits=service.engine,
             lost_by=set(ask.lost_by),
+            account=self._source.accounts.by_name.get(ask.account or ""),
+            is_counted=ask.is_counted,
         )
 
 
@@ -250,3 +300,9 @@
         place.memory_part,
         tuple(reader.name for reader in place.readers),
     )
+
+
+# Makes the server of a follower, from its name and a way to tell it something.
+NewPlacementServer = Callable[
+    [str, Callable[[messages.Message], object]], PlacementServer
+]
--- a/src/jujubewharf/peers/leader_messages.py
+++ b/src/jujubewharf/peers/leader_messages.py
@@ -102,6 +102,8 @@
         prompt_tokens: Tokens to read; ``None`` where its size isn't known.
         output_tokens: Most tokens that the answer has.
         expected_tokens: The caller's estimate of them.
+        account: Client account; ``None`` where there is none.
+        is_counted: Whether it was counted against the account's quota before.
     """
 
     number: int
@@ -117,6 +119,8 @@
     prompt_tokens: int | None = None
     output_tokens: int = 0
     expected_tokens: int | None = None
+    account: str | None = None
+    is_counted: bool = False
 
 
 @messages.message(73)
@@ -142,13 +146,16 @@
 @messages.message(74)
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotPlaced(messages.Message):
-    """There was no memory in the time that the request could wait.
+    """The request got no place.
 
     Attributes:
         come_back_ms: When its caller should come back.
+        is_over_quota: Whether its account has used its quota up; else there
+            was no memory in the time that it could wait.
     """
 
     come_back_ms: float
+    is_over_quota: bool = False
 
 
 @messages.message(75)
@@ -282,6 +289,12 @@
     """The leader is there."""
 
 
+@messages.message(89)
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationAsk(messages.Message):
+    """Asks for the newest configuration, whole; the answer is news."""
+
+
 @messages.message(83)
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadingEnded(messages.Message):
--- a/src/jujubewharf/peers/streams.py
+++ b/src/jujubewharf/peers/streams.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import socket
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import Protocol
@@ -20,6 +21,10 @@
     from jujubewharf.peers import tls
 
 _TLS_TIMEOUT_S = 5.0
+# A peer that acknowledges nothing for so long is cut off. Without it the kernel
+# tries for minutes, and a leader would count an instance that it lost as one
+# that follows it.
+_UNANSWERED_MS = 3_000
 
 
 class StreamWriter(Protocol):
@@ -80,6 +85,15 @@
         ...
 
 
+def _bound_silence(writer: asyncio.StreamWriter) -> None:
+    """Ends a stream whose peer acknowledges nothing."""
+    found = writer.get_extra_info("socket")
+    if found is not None:
+        found.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNANSWERED_MS
+        )
+
+
 class _TcpListener:
     def __init__(self, server: asyncio.Server) -> None:
         self._server = server
@@ -128,13 +142,16 @@
         """Opens a stream; see ``Transport``."""
         host, _, port = address.rpartition(":")
         if self._contexts is None:
-            return await asyncio.open_connection(host, int(port))
-        return await asyncio.open_connection(
-            host,
-            int(port),
-            ssl=self._contexts.client,
-            ssl_handshake_timeout=_TLS_TIMEOUT_S,
-        )
+            reader, writer = await asyncio.open_connection(host, int(port))
+        else:
+            reader, writer = await asyncio.open_connection(
+                host,
+                int(port),
+                ssl=self._contexts.client,
+                ssl_handshake_timeout=_TLS_TIMEOUT_S,
+            )
+        _bound_silence(writer)
+        return reader, writer
 
     async def listen(self, on_stream: OnStream) -> Listener:
         """Listens; see ``Transport``."""
@@ -142,6 +159,7 @@
         async def on_raw(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
+            _bound_silence(writer)
             if await self._secure(writer):
                 await on_stream(reader, writer)
 
--- a/src/jujubewharf/requests/limits.py
+++ b/src/jujubewharf/requests/limits.py
@@ -11,7 +11,6 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
-import dataclasses
 import heapq
 import math
 
@@ -20,6 +19,7 @@
 from jujubewharf import clock as clocks
 from jujubewharf import errors
 from jujubewharf.configuration import resources
+from jujubewharf.requests import buckets
 
 # A balancer spreads one account's requests unevenly; a share has to take a
 # clump of them without refusing an account that is within its total.
@@ -45,30 +45,12 @@
     return 1
 
 
-@dataclasses.dataclass(slots=True)
-class _Bucket:
-    """A token bucket that tells when the next token comes."""
-
-    tokens: float
-    filled_at_ms: float
-
-    def fill(self, now_ms: float, rate_per_s: float, burst: float) -> None:
-        gained = (now_ms - self.filled_at_ms) * rate_per_s / clocks.MS_PER_S
-        self.tokens = min(burst, self.tokens + gained)
-        self.filled_at_ms = now_ms
-
-    def wait_ms(self, rate_per_s: float) -> float:
-        """Time until a token is there."""
-        missing = max(0.0, 1.0 - self.tokens)
-        return missing / rate_per_s * clocks.MS_PER_S
-
-
 class _AccountShare:
     """What one account uses at this instance."""
 
     def __init__(self, burst: float, now_ms: float) -> None:
         self.in_flight = 0
-        self.bucket = _Bucket(burst, now_ms)
+        self.bucket = buckets.TokenBucket(burst, now_ms)
 
 
 class _ServiceGate:
--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -23,12 +23,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ran:
-    """One run that an engine began."""
+    """One run that an engine began, and what it was told of the caller."""
 
     request_id: str
     engine: str
     after_event: int | None
     had_source: bool
+    at_ms: float = 0.0
+    account: str | None = None
+    headers: calls.Headers = ()
 
 
 @dataclasses.dataclass(slots=True)
@@ -140,6 +143,9 @@
                 backend.name,
                 sending.after_event,
                 sending.source is not None,
+                self._clock.now_ms(),
+                sending.call.account,
+                sending.call.headers,
             )
         )
         slot = self._name("run")
--- /dev/null
+++ b/tests/forwarding/test_quotas.py
@@ -0,0 +1,150 @@
+"""Buckets of what accounts may use, and requests counted for a block."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from jujubewharf.forwarding import accounts
+from jujubewharf.forwarding import quotas
+
+QUOTA = accounts.Quota(rate_per_s=1_000.0, burst=2_000.0)
+NAME = "shop"
+
+
+def _full() -> quotas.QuotaLedger:
+    ledger = quotas.QuotaLedger()
+    ledger.put(NAME, QUOTA.burst, 0.0)
+    return ledger
+
+
+def test_an_account_may_use_its_burst_and_then_its_rate():
+    ledger = _full()
+    assert ledger.take(NAME, QUOTA, 1_500.0, 0.0) == 0.0
+    assert ledger.take(NAME, QUOTA, 500.0, 0.0) == 0.0
+    assert ledger.take(NAME, QUOTA, 500.0, 0.0) > 0.0
+    assert ledger.take(NAME, QUOTA, 500.0, 501.0) == 0.0
+
+
+def test_a_request_larger_than_the_burst_runs_and_is_paid_for_after():
+    ledger = _full()
+    assert ledger.take(NAME, QUOTA, 5_000.0, 0.0) == 0.0
+    assert ledger.take(NAME, QUOTA, 1.0, 2_900.0) > 0.0
+    assert ledger.take(NAME, QUOTA, 1.0, 3_001.0) == 0.0
+
+
+def test_a_refused_request_that_comes_back_when_told_is_admitted():
+    ledger = _full()
+    ledger.charge(NAME, QUOTA, 2_600.0, 0.0)
+    told = [ledger.take(NAME, QUOTA, 400.0, 0.0) for _ in range(5)]
+    # Told one after the other, by what each needs.
+    assert told == sorted(told)
+    assert len(set(told)) == len(told)
+    for wait_ms in told:
+        assert ledger.take(NAME, QUOTA, 400.0, wait_ms) == 0.0
+
+
+def test_what_didnt_run_is_given_back():
+    ledger = _full()
+    ledger.take(NAME, QUOTA, 2_000.0, 0.0)
+    ledger.charge(NAME, QUOTA, -2_000.0, 0.0)
+    assert ledger.left(NAME, QUOTA, 0.0) == QUOTA.burst
+
+
+def test_a_lower_quota_binds_at_once():
+    ledger = _full()
+    lower = accounts.Quota(rate_per_s=10.0, burst=20.0)
+    assert ledger.left(NAME, lower, 0.0) == 20.0
+    assert ledger.left(NAME, QUOTA, 0.0) == 20.0
+
+
+def test_a_count_begun_anew_grants_no_second_burst():
+    ledger = quotas.QuotaLedger(5_000.0)
+    assert ledger.left(NAME, QUOTA, 5_000.0) < QUOTA.burst / 2
+    # Seen for the first time long after the count began: all of it is there.
+    assert ledger.left("other", QUOTA, 9_000.0) == QUOTA.burst
+    ledger.put(NAME, QUOTA.burst, 5_000.0)
+    ledger.resume(9_000.0)
+    assert ledger.left(NAME, QUOTA, 9_000.0) < QUOTA.burst / 2
+    assert ledger.left(NAME, QUOTA, 12_000.0) == QUOTA.burst
+
+
+def test_a_count_that_goes_on_keeps_its_debts():
+    """Two instances that take turns in counting grant no burst each time."""
+    ledger = _full()
+    ledger.charge(NAME, QUOTA, 5_000.0, 0.0)
+    ledger.resume(1_000.0)
+    assert ledger.left(NAME, QUOTA, 1_000.0) == -2_000.0
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.floats(0.0, 400.0), strategies.floats(1.0, 900.0)
+        ),
+        max_size=120,
+    )
+)
+def test_no_window_holds_more_than_rate_burst_and_one_request(asked):
+    """Whatever comes and whenever, over any window that slides."""
+    ledger = _full()
+    admitted: list[tuple[float, float]] = []
+    now_ms = 0.0
+    for gap_ms, units in asked:
+        now_ms += gap_ms
+        if ledger.take(NAME, QUOTA, units, now_ms) == 0.0:
+            admitted.append((now_ms, units))
+    window_ms = 4_000.0
+    bound = QUOTA.burst + QUOTA.rate_per_s * window_ms / 1_000.0 + 900.0
+    for start_ms, _ in admitted:
+        used = sum(
+            units
+            for at_ms, units in admitted
+            if start_ms <= at_ms <= start_ms + window_ms
+        )
+        assert used <= bound + 1e-6
+
+
+class _Counted:
+    """Stands in for quotas: notes what is taken and given back."""
+
+    def __init__(self) -> None:
+        self.notes: list[str] = []
+
+    def take(self, run) -> None:
+        run.is_counted = True
+        self.notes.append("take")
+
+    def give_back(self, run) -> None:
+        run.is_counted = False
+        self.notes.append("give back")
+
+
+class _Run:
+    is_counted = False
+
+
+def test_a_block_that_fails_gives_back_what_it_took():
+    counts, run = _Counted(), _Run()
+    with (
+        pytest.raises(ZeroDivisionError),
+        quotas.counted(counts, run),
+    ):
+        raise ZeroDivisionError
+    assert counts.notes == ["take", "give back"]
+
+
+def test_a_second_try_that_fails_keeps_the_first_ones_count():
+    """A stream that broke ran, so its tokens stay counted.
+
+    Only the place for going on elsewhere wasn't found.
+    """
+    counts, run = _Counted(), _Run()
+    run.is_counted = True
+    with (
+        pytest.raises(ZeroDivisionError),
+        quotas.counted(counts, run),
+    ):
+        raise ZeroDivisionError
+    assert counts.notes == ["take"]
--- a/tests/leadership/test_feeds.py
+++ b/tests/leadership/test_feeds.py
@@ -102,6 +102,29 @@
     _run(test)
 
 
+def test_what_the_store_wont_tell_is_asked_of_the_leader():
+    """The store turns this instance away while it serves the leader.
+
+    Operators have withdrawn a key. The new configuration was too large to be
+    sent to all at once, so this instance has to read it, and can't.
+    """
+
+    async def test(clock, table, feed, fed):
+        table.put("k", "large")
+        feed.take_unsent(0, 1)
+        table.is_down = True
+
+        async def fetch() -> bool:
+            feed.take([_record(0, "large")], 1)
+            return True
+
+        feed.fetch = fetch
+        page = await fed.changes(0, wait_ms=500.0)
+        assert [r.value for r in page.records] == ["large"]
+
+    _run(test)
+
+
 def test_what_another_leader_told_is_forgotten():
     async def test(clock, table, feed, fed):
         feed.take([_record(0)], 1)
--- a/tests/users_platform/test_edge.py
+++ b/tests/users_platform/test_edge.py
@@ -166,6 +166,8 @@
         "Expect-Instance: i-1",
         "Expect-Version: 3",
         "Request-Priority: 0",
+        "Tenant: other",
+        "TENANT: other\r\ntenant: other",
     ],
 )
 async def test_what_the_system_sets_is_not_taken_from_callers(forged):
@@ -177,6 +179,50 @@
         assert name not in {n.lower() for n, _ in call.headers}
 
 
+async def test_what_a_trailer_says_of_the_account_is_left_out():
+    async with _connected(_reply(b"ok", length=2)) as caller:
+        await caller.send(
+            _request("Transfer-Encoding: chunked", "Trailer: Tenant")
+            + b"4\r\nbody\r\n0\r\nTenant: other\r\n\r\n"
+        )
+        await caller.read()
+        (call,) = caller.forwarding.calls
+        assert call.body == b"body"
+        assert call.account is None
+        assert "tenant" not in {n.lower() for n, _ in call.headers}
+
+
+@pytest.mark.parametrize(
+    "sizes",
+    ["", ",", "5", "-1,5", "1,-5", "a,b", "1.5,2", "²,5", "9" * 5_000 + ",1"],
+)
+async def test_a_malformed_size_is_no_size(sizes):
+    async with _connected(_reply(b"ok", length=2)) as caller:
+        await caller.send(_request(f"Token-Counts: {sizes}"))
+        status, _, _ = await caller.read()
+        assert status == 200
+        (call,) = caller.forwarding.calls
+        assert call.work is None
+
+
+@pytest.mark.parametrize("key", ["k" * 100_000, "\x01", "ключ"])
+async def test_an_odd_key_ends_in_an_answer(key):
+    """The connection is answered, and the instance goes on with the next."""
+    fail = _fail(errors.ErrorKind.UNAUTHENTICATED)
+    async with _connected(fail) as caller:
+        await caller.send(_request(f"Authorization: Bearer {key}"))
+        status, _, _ = await caller.read()
+        assert status in (400, 401)
+
+
+async def test_a_caller_without_a_key_is_told_which_kind_is_asked_for():
+    async with _connected(_fail(errors.ErrorKind.UNAUTHENTICATED)) as caller:
+        await caller.send(_request())
+        status, headers, body = await caller.read()
+        assert (status, body) == (401, b"unauthenticated")
+        assert headers["www-authenticate"] == "Bearer"
+
+
 async def test_headers_of_one_connection_stay_there():
     async with _connected(_reply(b"ok", length=2)) as caller:
         await caller.send(_request("Connection: X-Hop", "X-Hop: 1", "TE: x"))
--- a/tests/users_platform/test_engines.py
+++ b/tests/users_platform/test_engines.py
@@ -14,6 +14,7 @@
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
+from jujubewharf.engines import sessions
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import registration
@@ -53,9 +54,9 @@
 
 @contextlib.asynccontextmanager
 async def _engines():
-    with mock.patch.object(engines, "_CONNECT_S", _CONNECT_S):
-        kept = engines.new_session(is_kept=True)
-        session = engines.new_session()
+    with mock.patch.object(sessions, "_CONNECT_S", _CONNECT_S):
+        kept = sessions.new_session(is_kept=True)
+        session = sessions.new_session()
     async with session, kept:
         yield engines.Engines(session, kept, clocks.Clock())
 
@@ -112,6 +113,12 @@
     assert sent["last-event-id"] == "12"
 
 
+async def test_an_engine_is_told_the_account():
+    sending = calls.Sending(_call(account="huka"), 500.0)
+    server, _ = await _send(lambda r: [_good()], sending)
+    assert server.received[0].headers["tenant"] == "huka"
+
+
 async def test_an_answer_comes_through_without_what_is_for_this_system():
     good = _good(Engine_Load="1,0,8", Instance_Id="i-1", X_Other="y")
     _, [(status, body, headers)] = await _send(lambda r: [good])
--- a/tests/users_platform/test_records.py
+++ b/tests/users_platform/test_records.py
@@ -9,7 +9,9 @@
 import pytest
 from users_platform import records
 
+from jujubewharf import bearer
 from jujubewharf.configuration import resources
+from jujubewharf.forwarding import accounts
 from jujubewharf.forwarding import registration
 from jujubewharf.forwarding import routes
 
@@ -94,6 +96,8 @@
         12, 81_432, 500.0, 6_000.0, 2_000.0
     )
     assert found.services["p"].engine is None
+    assert not route.is_public
+    assert _configuration(public=True).routes[0].is_public
     assert found.limits == routes.CallerLimits(1, 2, 3.0, 4.0)
 
 
@@ -122,6 +126,76 @@
     )
 
 
+TENANT = {
+    "name": "huka",
+    "apiKeys": ["one", "two"],
+    "priority": 1,
+    "unit": "tokens",
+    "uncachedTokens": 200,
+    "ratePerS": 111424,
+    "burst": 50000,
+}
+
+
+def _accounts(*tenants):
+    value = CONFIGURATION | {"tenants": tenants}
+    found = records.configuration("config", json.dumps(value).encode())
+    return found.accounts
+
+
+def test_client_accounts():
+    assert _accounts(TENANT) == (
+        accounts.Account(
+            "huka",
+            (bearer.digest_of("one"), bearer.digest_of("two")),
+            1,
+            accounts.Quota(
+                111_424.0, 50_000.0, accounts.QuotaUnit.TOKENS, 200.0
+            ),
+        ),
+    )
+
+
+def test_callers_need_a_key_where_accounts_are_declared_if_only_none():
+    """An operator that takes the last account away lets nobody in.
+
+    Without the list no key was ever asked for, and none is.
+    """
+    assert _configuration().accounts is None
+    assert _accounts() == ()
+
+
+@pytest.mark.parametrize(
+    "limits",
+    [
+        {"ratePerS": 0},
+        {"ratePerS": -5},
+        {"ratePerS": None},
+    ],
+)
+def test_a_limit_that_bounds_nothing(limits):
+    tenant = TENANT | limits
+    if tenant["ratePerS"] is None:
+        del tenant["ratePerS"]
+    (found,) = _accounts(tenant)
+    assert found.quota is None
+
+
+def test_huge_limits_and_missing_bursts_are_taken():
+    huge = TENANT | {"ratePerS": 2**60, "burst": 2**61}
+    (found,) = _accounts(huge)
+    assert found.quota.rate_per_s == 2.0**60
+    del huge["burst"]
+    (found,) = _accounts(huge)
+    assert found.quota.burst > 0.0
+
+
+def test_a_configuration_that_cant_be_understood_tells_no_key():
+    with pytest.raises(ValueError, match="validation error") as refused:
+        _accounts(TENANT | {"name": 7, "apiKeys": ["very-secret", 3]})
+    assert "very-secret" not in str(refused.value)
+
+
 def test_records_of_other_matters_are_none():
     assert records.configuration("other", b"{}") is None
 
