--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -130,7 +130,11 @@
             count_within_ms=settings.retries.window_s * clocks.MS_PER_S,
         )
         self.quotas = fleet_quotas.FleetQuotas(
-            self.fleet, self.source, self._retry_share, clock
+            self.fleet,
+            self.source,
+            self._retry_share,
+            settings.quotas,
+            clock,
         )
         peers = adapters.peers
         # Who leads gives the orders; without peers, whoever holds the first
@@ -202,6 +206,7 @@
             lambda: self._costs.fleet,
             self._services,
             clock,
+            on_accepted=engines.changing,
         )
         places = placement.Placement(
             backends,
@@ -299,6 +304,7 @@
     def take_settings(self, settings: all_settings.ForwardingSettings) -> None:
         """Puts settings in force that may change while the process runs."""
         self._settings = settings
+        self.quotas.tolerated = settings.quotas
         self.budget.change(
             ratio=settings.retries.ratio,
             slack=settings.retries.slack,
--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -44,6 +44,9 @@
 # One that has missed its target asks so many times more seldom: it waits for
 # seconds, and most calls to engines in a burst were those of late requests.
 _LATE_PACE = 4.0
+# Engines have room for all while less than this part of their memory is held:
+# a burst of twice the usual still fits.
+_FREE_PART = 0.5
 # The check of what is left free is a reservation that is given back at once.
 _CHECK_MS = 300.0
 
@@ -177,7 +180,8 @@
             WharfError: There is none, or the account's quota is used up;
                 nothing ran for this sending.
         """
-        with all_quotas.counted(self._quotas, run):
+        may_owe = self._may_owe(run)
+        with all_quotas.counted(self._quotas, run, may_owe=may_owe):
             place, wish = await self._wait(run)
         self._running += 1
         try:
@@ -194,6 +198,21 @@
                 await self._give_back(place.engine, hold)
             self._line(run.service).wake_first()
 
+    def _may_owe(self, run: runs.Run) -> bool:
+        """Whether a request over its account's quota runs as far as tolerated.
+
+        It does where engines have room for all, so that it takes nothing from
+        other accounts, and where it was refused before: a caller that comes
+        back when it was told to should find what it needs.
+        """
+        if self._patience.has_come_back(run):
+            return True
+        if run.traits is None:
+            return False
+        engines = self._registry.of_service(run.service)
+        used = self._pool.used_part(engines, run.traits.memory_tokens)
+        return used < _FREE_PART
+
     def learn_stay(self, place: Place) -> None:
         """Learns how long an answer that is whole has kept its memory."""
         took_ms = self._clock.now_ms() - place.since_ms
@@ -288,9 +307,14 @@
         self, run: runs.Run, wish: _Wish, *, count: int
     ) -> Place | None:
         """Asks the engines that may have room, ``count`` at most."""
+        assert run.traits is not None
         engines = self._registry.of_service(run.service)
         asked = self._pool.to_decode(
-            engines, tokens=wish.room, near=run.domain, last=run.lost_by
+            engines,
+            tokens=wish.room,
+            memory_tokens=run.traits.memory_tokens,
+            near=run.domain,
+            last=run.lost_by,
         )
         for engine in asked[:count]:
             if not self._registry.takes_work(engine.name):
@@ -301,7 +325,6 @@
                 self._learn(run, error, wish)
                 continue
             self._pool.has_room(engine.name)
-            assert run.traits is not None
             return Place(
                 engine,
                 hold,
--- a/src/jujubewharf/forwarding/pool.py
+++ b/src/jujubewharf/forwarding/pool.py
@@ -34,6 +34,9 @@
 _LONGEST_PAUSE = 1 / 2
 # That time before it was observed.
 _UNKNOWN_FREE_MS = 400.0
+# Part of an engine's memory by which another one has to hold less to be asked
+# before an engine of the request's own domain.
+_LOAD_STEP = 1 / 4
 # Prefill engines whose waits differ by less are alike; the nearer one is taken.
 _ALIKE_MS = 20.0
 # Reading time of a token before it was observed; it only ranks engines.
@@ -133,6 +136,7 @@
         engines: Sequence[resources.Endpoint],
         *,
         tokens: int,
+        memory_tokens: int,
         near: str,
         last: Collection[str] = (),
     ) -> list[resources.Endpoint]:
@@ -144,6 +148,7 @@
         Args:
             engines: Those to choose from.
             tokens: Room that is needed.
+            memory_tokens: Tokens that one engine's memory holds.
             near: Failure domain of the instance that passes the answer on.
             last: Engines that have failed the request already; a request that
                 went back there would most likely fail again.
@@ -154,10 +159,22 @@
             if engine.can_decode
             and self._standing(engine, tokens) is Standing.ASKED
         ]
+        step = max(1.0, memory_tokens * _LOAD_STEP)
         return sorted(
-            asked, key=lambda e: (e.name in last, self._decode_rank(e, near))
+            asked,
+            key=lambda e: (e.name in last, self._decode_rank(e, near, step)),
         )
 
+    def used_part(
+        self, engines: Sequence[resources.Endpoint], memory_tokens: int
+    ) -> float:
+        """Part of the decode engines' memory that is held from here."""
+        writers = [engine for engine in engines if engine.can_decode]
+        if not writers:
+            return 1.0
+        held = sum(self.view(engine.name).held_tokens for engine in writers)
+        return held / (len(writers) * memory_tokens)
+
     def standings(
         self, engines: Sequence[resources.Endpoint], *, tokens: int
     ) -> dict[str, list[str]]:
@@ -286,13 +303,15 @@
         return Standing.ASKED
 
     def _decode_rank(
-        self, engine: resources.Endpoint, near: str
-    ) -> tuple[bool, bool, int, float]:
+        self, engine: resources.Endpoint, near: str, step: float
+    ) -> tuple[bool, int, bool, int, float]:
         view = self.view(engine.name)
         return (
             view.breaker.is_doubtful,
-            # Before load: an answer that crosses domains dies with a cut
-            # between them, and engines with room are equally fast.
+            int(view.held_tokens // step),
+            # Before finer differences of load: an answer that crosses domains
+            # dies with a cut between them, and engines with room are equally
+            # fast.
             engine.domain != near,
             view.held_tokens,
             self._rng.random(),
--- a/src/jujubewharf/forwarding/quotas.py
+++ b/src/jujubewharf/forwarding/quotas.py
@@ -26,9 +26,13 @@
 class Quotas(Protocol):
     """Admits requests within the quotas of their accounts."""
 
-    def take(self, run: runs.Run) -> None:
+    def take(self, run: runs.Run, *, may_owe: bool = False) -> None:
         """Counts a request against its account's quota, once for each run.
 
+        Args:
+            run: The request.
+            may_owe: Whether it is admitted in a debt that is tolerated.
+
         Raises:
             WharfError: ``RATE_LIMITED``: the account has used it up.
         """
@@ -44,17 +48,24 @@
 
 
 @contextlib.contextmanager
-def counted(quotas: Quotas, run: runs.Run) -> Iterator[None]:
+def counted(
+    quotas: Quotas, run: runs.Run, *, may_owe: bool = False
+) -> Iterator[None]:
     """Counts a request for a block that places it.
 
     What was counted here is given back where the block fails or is left, since
     the request didn't run.
 
+    Args:
+        quotas: Count it.
+        run: The request.
+        may_owe: Whether it is admitted in a debt that is tolerated.
+
     Raises:
         WharfError: ``RATE_LIMITED``.
     """
     was_counted = run.is_counted
-    quotas.take(run)
+    quotas.take(run, may_owe=may_owe)
     try:
         yield
     except BaseException:
@@ -92,6 +103,7 @@
     def __init__(self, now_ms: float = 0.0) -> None:
         self._uses: dict[str, _Use] = {}
         self._since_ms = now_ms
+        self._unsure: Collection[str] | None = None
 
     def left(self, account: str, quota: accounts.Quota, now_ms: float) -> float:
         """Units that may be used now; less than nothing in debt."""
@@ -103,15 +115,24 @@
         quota: accounts.Quota,
         units: float,
         now_ms: float,
+        *,
+        debt: float = 0.0,
     ) -> float:
         """Takes units if the account has anything left.
 
+        Args:
+            account: Name of the account.
+            quota: What it may use.
+            units: What the request counts.
+            now_ms: Now.
+            debt: Debt up to which this request is admitted all the same.
+
         Returns:
             0 where they were taken; else the time in ms until a request that
             is told so now finds what it needs.
         """
         use = self._filled(account, quota, now_ms)
-        if use.bucket.tokens > 0.0:
+        if use.bucket.tokens > -debt:
             use.bucket.tokens -= units
             return 0.0
         return self._promise(use, quota, units, now_ms)
@@ -126,6 +147,11 @@
         """Counts what was used already, or gives back what wasn't (below 0)."""
         self._filled(account, quota, now_ms).bucket.tokens -= units
 
+    @property
+    def names(self) -> frozenset[str]:
+        """Accounts whose use is known."""
+        return frozenset(self._uses)
+
     def knows(self, account: str) -> bool:
         """Whether anything is known of an account's use."""
         return account in self._uses
@@ -144,20 +170,30 @@
         """Forgets all use."""
         self._uses.clear()
 
-    def resume(self, now_ms: float) -> None:
+    def resume(
+        self, now_ms: float, *, unsure: Collection[str] | None = None
+    ) -> None:
         """Counts again after somebody else has counted for a while.
 
         What accounts have saved up meanwhile they may have used there. Debts
         stay: without them a count that changes hands often would grant each
         time what it grants to an account of which it knows nothing.
+
+        Args:
+            now_ms: When the count begins again.
+            unsure: Accounts that had little left there; ``None`` if that
+                isn't known and so may be any.
         """
         self._since_ms = now_ms
+        self._unsure = unsure
 
     def _filled(
         self, account: str, quota: accounts.Quota, now_ms: float
     ) -> _Use:
         use = self._uses.get(account)
-        most = quota.burst * _UNKNOWN_PART
+        most = quota.burst
+        if self._unsure is None or account in self._unsure:
+            most *= _UNKNOWN_PART
         if use is None:
             bucket = buckets.TokenBucket(most, self._since_ms)
             use = self._uses[account] = _Use(bucket)
--- a/src/jujubewharf/forwarding/settings.py
+++ b/src/jujubewharf/forwarding/settings.py
@@ -61,6 +61,17 @@
     window_s: Positive
 
 
+class QuotaSettings(_Model):
+    """What accounts may use beyond their quotas, by the operators' word.
+
+    Attributes:
+        slack: Units that an account may use besides in some seconds, whatever
+            its quota is.
+    """
+
+    slack: Annotated[float, pydantic.Field(ge=0)] = 0.0
+
+
 class ProcessorSettings(_Model):
     """What an instance has of a processor.
 
@@ -92,6 +103,7 @@
         processor: The processor of the instance.
         store: The platform's store.
         retries: Retries of the fleet.
+        quotas: What is tolerated beyond accounts' quotas.
         stop_within_s: Time from SIGTERM until the process is ended.
         log_level: Lowest level written.
     """
@@ -105,6 +117,7 @@
     processor: ProcessorSettings = ProcessorSettings()
     store: StoreSettings
     retries: RetrySettings
+    quotas: QuotaSettings = QuotaSettings()
     stop_within_s: Positive
     log_level: Literal["debug", "info", "warning", "error"] = "info"
 
--- a/src/jujubewharf/leadership/account_feed.py
+++ b/src/jujubewharf/leadership/account_feed.py
@@ -24,6 +24,11 @@
         self._clock = clock
         self._ledger = quotas.QuotaLedger()
 
+    @property
+    def low(self) -> frozenset[str]:
+        """Accounts that have little left."""
+        return self._ledger.names
+
     def begin(self) -> None:
         """Forgets what another leader has told."""
         self._ledger.forget()
@@ -35,8 +40,11 @@
         for account in left:
             self._ledger.put(account.account, account.units, now_ms)
 
-    def take(self, name: str, quota: accounts.Quota, units: float) -> float:
+    def take(
+        self, name: str, quota: accounts.Quota, units: float, *, debt: float
+    ) -> float:
         """Takes units here; see ``quotas.QuotaLedger.take``."""
         if not self._ledger.knows(name):
             return 0.0
-        return self._ledger.take(name, quota, units, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        return self._ledger.take(name, quota, units, now_ms, debt=debt)
--- a/src/jujubewharf/leadership/fleet_quotas.py
+++ b/src/jujubewharf/leadership/fleet_quotas.py
@@ -31,6 +31,7 @@
 from jujubewharf.forwarding import forwarder
 from jujubewharf.forwarding import quotas
 from jujubewharf.forwarding import runs
+from jujubewharf.forwarding import settings
 from jujubewharf.leadership import account_pace
 from jujubewharf.leadership import fleet as fleets
 from jujubewharf.peers import messages
@@ -50,6 +51,13 @@
 # Time for which the part of a follower that was lost is kept for it: it may be
 # cut off and grant that part by itself. Longer than most cuts.
 _KEPT_FOR_LOST_MS = 10_000.0
+# A request of no more than this part of an account's burst may run in debt. A
+# large one leaves a debt of some tenths of a second, in which all of the
+# account's small ones would be refused though they hardly count.
+_SMALL_PART = 1 / 50
+# Part of what operators tolerate beyond a quota that may be owed. The rest is
+# for what instances without a leader grant by themselves.
+_DEBT_PART = 0.25
 # Part of each quota at an instance that knows neither a leader nor how many
 # instances there are: a start of all at once, for the seconds until one leads.
 _LEAST_PART = 1 / 64
@@ -71,6 +79,7 @@
         source: Tells the accounts in force.
         share: Part of what the fleet shares that is this instance's while it
             has no leader, 0 to 1.
+        tolerated: What may be used beyond quotas.
         clock: Time.
     """
 
@@ -79,8 +88,10 @@
         fleet: fleets.Fleet,
         source: forwarder.RouteSource,
         share: Callable[[], float],
+        tolerated: settings.QuotaSettings,
         clock: clocks.Clock,
     ) -> None:
+        self.tolerated = tolerated
         super().__init__()
         self._fleet = fleet
         self._source = source
@@ -113,21 +124,37 @@
         else:
             role = Role.ALONE
         if role is not self._role:
-            self._role = role
-            self._ledger.resume(self._clock.now_ms())
-            self._untold.clear()
+            self._begin(role)
         return role
 
+    def _begin(self, role: Role) -> None:
+        """Counts in another role from now on.
+
+        Who followed until now has the leader's word of which accounts had
+        little left. All others have their part of the burst, so that callers
+        within their quota notice nothing of the seconds without a leader.
+        """
+        now_ms = self._clock.now_ms()
+        had_word = self._role is Role.FOLLOWING
+        self._role = role
+        self._untold.clear()
+        if role is Role.ALONE and had_word:
+            self._ledger.resume(now_ms, unsure=self._fleet.feeds.accounts.low)
+        else:
+            self._ledger.resume(now_ms)
+
     @property
     def _ledger(self) -> quotas.QuotaLedger:
         """What is counted here in the present role."""
         return self._led if self._role is Role.LEADING else self._alone
 
-    def take(self, run: runs.Run) -> None:
+    def take(self, run: runs.Run, *, may_owe: bool = False) -> None:
         """Counts a request; see ``quotas.Quotas``."""
         if run.account is None or run.account.quota is None or run.is_counted:
             return
-        wait_ms = self._take(run.account.name, run.account.quota, run.units)
+        wait_ms = self._take(
+            run.account.name, run.account.quota, run.units, may_owe=may_owe
+        )
         if wait_ms > 0.0:
             raise self._refusal(run, run.account.name, wait_ms)
         run.is_counted = True
@@ -204,14 +231,22 @@
         self._led.keep_only(names)
         self._alone.keep_only(names)
 
-    def _take(self, name: str, quota: accounts.Quota, units: float) -> float:
-        if self.role is Role.FOLLOWING:
-            wait_ms = self._fleet.feeds.accounts.take(name, quota, units)
+    def _take(
+        self, name: str, quota: accounts.Quota, units: float, *, may_owe: bool
+    ) -> float:
+        role = self.role
+        here = self._part_of(name, quota)
+        debt = 0.0
+        if may_owe or units <= quota.burst * _SMALL_PART:
+            debt = self.tolerated.slack * _DEBT_PART * self._part(name)
+        if role is Role.FOLLOWING:
+            feed = self._fleet.feeds.accounts
+            wait_ms = feed.take(name, here, units, debt=debt)
             if wait_ms <= 0.0:
                 self._untold[name] += units
             return wait_ms
-        here = self._part_of(name, quota)
-        return self._ledger.take(name, here, units, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        return self._ledger.take(name, here, units, now_ms, debt=debt)
 
     def _charge(self, name: str, quota: accounts.Quota, units: float) -> None:
         if self.role is Role.FOLLOWING:
@@ -222,10 +257,18 @@
 
     def _part_of(self, name: str, quota: accounts.Quota) -> accounts.Quota:
         """What this instance may grant of a quota by itself."""
-        if self._role is Role.LEADING:
-            return quota.part(max(_LEAST_PART, 1.0 - self._lost_part(name)))
-        told = self._parts.get(name, 0.0)
-        return quota.part(max(told, self._share(), _LEAST_PART))
+        return quota.part(self._part(name))
+
+    def _part(self, name: str) -> float:
+        """Which part of a quota that is."""
+        match self._role:
+            case Role.LEADING:
+                part = 1.0 - self._lost_part(name)
+            case Role.FOLLOWING:
+                return 1.0
+            case Role.ALONE:
+                part = max(self._parts.get(name, 0.0), self._share())
+        return max(part, _LEAST_PART)
 
     def _lost_part(self, name: str) -> float:
         """What followers that were lost may grant by themselves."""
--- /dev/null
+++ b/tests/forwarding/test_pool.py
@@ -0,0 +1,73 @@
+"""Which engine is asked first."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+
+from jujubewharf import clock as clocks
+from jujubewharf.experiments import virtual_time
+from jujubewharf.forwarding import costs
+from jujubewharf.forwarding import pool as pools
+from tests.forwarding import deployments
+
+MEMORY = 40_000
+NEAR = [deployments.writer(f"near{n}", "a").endpoint for n in range(2)]
+FAR = [deployments.writer(f"far{n}", "b").endpoint for n in range(2)]
+
+
+def _on_pool(test):
+    async def main():
+        clock = clocks.Clock(wall_origin_ms=0.0)
+        pool = pools.EnginePool(costs.WorkCosts(), clock, random.Random(1))
+        pool.take_over([*NEAR, *FAR])
+        with contextlib.ExitStack() as held:
+            test(pool, held)
+
+    virtual_time.run(main())
+
+
+def _first(pool) -> str:
+    asked = pool.to_decode(
+        [*NEAR, *FAR], tokens=8_000, memory_tokens=MEMORY, near="a"
+    )
+    return asked[0].name
+
+
+def test_engines_of_the_own_domain_come_first_while_load_is_alike():
+    def test(pool, held):
+        held.enter_context(pool.holding("near0", 5_000))
+        held.enter_context(pool.holding("near1", 6_000))
+        assert _first(pool) == "near0"
+
+    _on_pool(test)
+
+
+def test_a_burst_of_one_domain_spreads_over_the_engines_of_all():
+    """Callers of one domain come in a burst; the other domain is quiet.
+
+    Placed by domain alone they fill its engines to the brim, where answers
+    that outgrow what was reserved are put back and read again, while memory
+    lies idle in the other domain. Their callers wait in mid-answer.
+    """
+
+    def test(pool, held):
+        load = dict.fromkeys(("near0", "near1", "far0", "far1"), 0)
+        for _ in range(12):
+            name = _first(pool)
+            held.enter_context(pool.holding(name, 8_000))
+            load[name] += 8_000
+        assert max(load.values()) - min(load.values()) <= 10_000
+
+    _on_pool(test)
+
+
+def test_what_is_used_of_all_memory():
+    def test(pool, held):
+        engines = [*NEAR, *FAR]
+        assert pool.used_part(engines, MEMORY) == 0.0
+        held.enter_context(pool.holding("near0", MEMORY))
+        assert pool.used_part(engines, MEMORY) == 0.25
+        assert pool.used_part([], MEMORY) == 1.0
+
+    _on_pool(test)
--- a/tests/forwarding/test_quotas.py
+++ b/tests/forwarding/test_quotas.py
@@ -52,6 +52,21 @@
     assert ledger.left(NAME, QUOTA, 0.0) == QUOTA.burst
 
 
+def test_a_small_request_is_admitted_in_a_debt_that_is_tolerated():
+    """A large request has left a debt; a small one of the account comes.
+
+    It hardly counts, so it is admitted up to the debt that is tolerated, and
+    what it takes is paid back like the rest.
+    """
+    ledger = _full()
+    ledger.charge(NAME, QUOTA, 2_300.0, 0.0)
+    assert ledger.take(NAME, QUOTA, 20.0, 0.0) > 0.0
+    for _ in range(10):
+        assert ledger.take(NAME, QUOTA, 20.0, 0.0, debt=500.0) == 0.0
+    assert ledger.take(NAME, QUOTA, 20.0, 0.0, debt=500.0) > 0.0
+    assert ledger.left(NAME, QUOTA, 0.0) == -500.0
+
+
 def test_a_lower_quota_binds_at_once():
     ledger = _full()
     lower = accounts.Quota(rate_per_s=10.0, burst=20.0)
@@ -112,7 +127,7 @@
     def __init__(self) -> None:
         self.notes: list[str] = []
 
-    def take(self, run) -> None:
+    def take(self, run, *, may_owe=False) -> None:
         run.is_counted = True
         self.notes.append("take")
 
--- a/tests/leadership/test_fleet_quotas.py
+++ b/tests/leadership/test_fleet_quotas.py
@@ -12,12 +12,16 @@
 from jujubewharf import errors
 from jujubewharf.forwarding import accounts
 from jujubewharf.forwarding import calls
+from jujubewharf.forwarding import settings
 from jujubewharf.leadership import fleet_quotas
 from tests.forwarding import deployments
 
 NAMES = ("e1", "e2", "e3", "e4")
 SMALL = accounts.Quota(20_000.0, 20_000.0, accounts.QuotaUnit.TOKENS, 200.0)
 USUAL = dataclasses.replace(SMALL, rate_per_s=90_000.0, burst=90_000.0)
+LARGE = dataclasses.replace(SMALL, rate_per_s=1e9, burst=1e9)
+# A few requests use it up.
+QUICK = dataclasses.replace(SMALL, rate_per_s=5_000.0, burst=10_000.0)
 # Tokens that the users allow besides, whatever the quota.
 SLACK = 120_000.0
 WINDOW_MS = 8_000.0
@@ -248,6 +252,55 @@
     deployments.run(main())
 
 
+def test_what_is_tolerated_is_granted_while_engines_are_free():
+    """An account is over its quota for a moment, and engines are idle.
+
+    Its requests take nothing from others, so they run as far as operators
+    tolerate. Where engines are busy they are refused at the quota.
+    """
+
+    async def main():
+        refused = {}
+        for name, busy in (("idle", 0), ("busy", 5)):
+            async with deployments.deployed(
+                deployments.reader("p1"),
+                deployments.writer("d1", events=40),
+                deployments.writer("d2", events=40),
+                names=NAMES,
+                is_led=True,
+            ) as world:
+                await _started(world, ("hot", QUICK), ("calm", LARGE))
+                for instance in world.instances.values():
+                    instance.quotas.tolerated = settings.QuotaSettings(
+                        slack=SLACK
+                    )
+                for _ in range(busy):
+                    asyncio.ensure_future(
+                        _ask(
+                            world,
+                            "calm",
+                            "/verdicts/1",
+                            "e1",
+                            work=calls.ModelWork(9_000, 2_000, 1_000),
+                        )
+                    )
+                await world.clock.sleep_ms(300.0)
+                answers = await _flood(
+                    world,
+                    "hot",
+                    "/verdicts/1",
+                    for_ms=600.0,
+                    every_ms=100.0,
+                    units_work=WORK,
+                )
+                kinds = [a.error and a.error.kind for a in answers]
+                refused[name] = kinds.count(errors.ErrorKind.RATE_LIMITED)
+        assert refused["idle"] == 0
+        assert refused["busy"] > 0
+
+    deployments.run(main())
+
+
 def test_an_instance_without_a_leader_grants_the_pace_it_saw():
     """An account's few connections end at one instance, which is cut off.
 
