Configurations go to followers packed, and none reads the store for one

13 KB with 44 routes and 16 accounts, 3 KB packed: under the bound up to which the leader sends it to all.

--- a/src/jujubewharf/forwarding/reloading.py
+++ b/src/jujubewharf/forwarding/reloading.py
@@ -17,7 +17,7 @@
 CHECK_MS = 5_000.0
 # Fields that take effect at once. The others name what the process listens on
 # or is known by.
-LIVE_FIELDS = frozenset({"retries", "stop_within_s"})
+LIVE_FIELDS = frozenset({"quotas", "retries", "stop_within_s"})
 # A file with many errors is told in part; `jujubewharf settings check` tells
 # all of them.
 _MAX_DETAIL = 500
--- a/src/jujubewharf/leadership/account_pace.py
+++ b/src/jujubewharf/leadership/account_pace.py
@@ -10,7 +10,7 @@
 
 # Time over which a pace is measured. Requests of a big account come several
 # times a second at an instance, those of a small one every few seconds.
-PACE_MS = 4_000.0
+PACE_MS = 10_000.0
 
 
 class AccountPace:
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -10,6 +10,7 @@
 from jujubewharf.configuration import resources
 from jujubewharf.forwarding import registration
 from jujubewharf.forwarding import routes
+from jujubewharf.leadership import packing
 from jujubewharf.leadership import placement_server as servers
 from jujubewharf.peers import codec
 from jujubewharf.peers import counters
@@ -226,9 +227,11 @@
         news: leader_messages.ConfigurationNews,
         to: Iterable[links.Link],
     ) -> None:
-        size_bytes = len(_encoded(news))
-        if size_bytes > _MAX_CONFIGURATION_BYTES:
-            news = dataclasses.replace(news, configuration=None)
+        if len(_encoded(news)) > _MAX_CONFIGURATION_BYTES:
+            packed: bytes | None = packing.pack(news)
+            if packed is not None and len(packed) > _MAX_CONFIGURATION_BYTES:
+                packed = None
+            news = dataclasses.replace(news, configuration=None, packed=packed)
         self._tell(news, to)
 
     def _tell(
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -22,6 +22,7 @@
 from jujubewharf.forwarding import runs
 from jujubewharf.leadership import account_feed
 from jujubewharf.leadership import feeds as all_feeds
+from jujubewharf.leadership import packing
 from jujubewharf.peers import leader_messages
 from jujubewharf.peers import link as links
 from jujubewharf.peers import messages
@@ -131,6 +132,11 @@
         match message:
             case leader_messages.StoreSeen():
                 self._seen(message)
+            case leader_messages.ConfigurationNews(packed=bytes() as packed):
+                news = packing.unpack(packed)
+                if news is None:
+                    news = dataclasses.replace(message, packed=None)
+                await self.handle(peer, news)
             case leader_messages.ConfigurationNews(configuration=None):
                 self._feeds.configurations.take_unsent(
                     message.offset, message.end
--- a/src/jujubewharf/peers/codec.py
+++ b/src/jujubewharf/peers/codec.py
@@ -158,6 +158,11 @@
         raise BrokenStreamError(None) from error
 
 
+def body_of(data: bytes) -> bytes:
+    """The body of one encoded frame, without its length."""
+    return data[_LENGTH.size :]
+
+
 def frame_bytes(body: bytes) -> int:
     """Size of a frame on the stream."""
     return _LENGTH.size + len(body)
--- a/src/jujubewharf/peers/leader_messages.py
+++ b/src/jujubewharf/peers/leader_messages.py
@@ -74,13 +74,16 @@
         offset: Its place in the table's log.
         end: Offset up to which the table was read.
         configuration: What operators declared; ``None`` for one that is too
-            large for all links at once, which followers read themselves.
+            large for all links at once.
+        packed: That one in fewer bytes, see ``leadership.packing``; ``None``
+            where that is too large as well, and followers read it themselves.
     """
 
     key: str
     offset: int
     end: int
     configuration: routes.RoutingConfiguration | None
+    packed: bytes | None = None
 
 
 @messages.message(72)
