One call to an engine with clear room; large requests owe nothing

The leader skips the check of free memory where it placed all that an engine holds and under 0.7 of its memory is held.

--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -215,6 +215,7 @@
             self.work,
             lengths,
             self.quotas,
+            lambda: self.fleet.counts_all,
             clock,
             rng,
         )
--- a/src/jujubewharf/forwarding/patience.py
+++ b/src/jujubewharf/forwarding/patience.py
@@ -101,18 +101,6 @@
         self._promised_ms = max(self._promised_ms, at_ms)
         return max(_SHORTEST_COME_BACK_MS, at_ms - now_ms)
 
-    def has_come_back(self, run: runs.Run) -> bool:
-        """Whether its caller was refused before, by the patience it has left.
-
-        A caller that is refused comes back after a good part of a second;
-        patience that differs by less is that of another kind of caller.
-        """
-        self._spent_ms(run)
-        longest_ms = self._longest_ms.get(run.route.name)
-        if longest_ms is None or run.call.patience_ms is None:
-            return False
-        return longest_ms - run.call.patience_ms > _SHORTEST_COME_BACK_MS
-
     def _answer_ms(self, run: runs.Run) -> float:
         stay_ms = self._work.stay_ms
         if stay_ms is not None:
--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -29,6 +29,7 @@
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import quotas as all_quotas
 from jujubewharf.forwarding import registry as registries
+from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import runs
 
 # Engines that one request asks in a row, at first and while it waits. With so
@@ -44,9 +45,6 @@
 # One that has missed its target asks so many times more seldom: it waits for
 # seconds, and most calls to engines in a burst were those of late requests.
 _LATE_PACE = 4.0
-# Engines have room for all while less than this part of their memory is held:
-# a burst of twice the usual still fits.
-_FREE_PART = 0.5
 # The check of what is left free is a reservation that is given back at once.
 _CHECK_MS = 300.0
 
@@ -145,6 +143,7 @@
         work: Learns what requests cost.
         lengths: How long answers are.
         quotas: Bound what accounts use.
+        counts_all: Tells whether all that engines hold now was placed here.
         clock: Time.
         rng: Spreads the times at which engines are asked.
     """
@@ -157,6 +156,7 @@
         work: costs.WorkCosts,
         lengths: margins.AnswerLengths,
         quotas: all_quotas.Quotas,
+        counts_all: Callable[[], bool],
         clock: clocks.Clock,
         rng: random.Random,
     ) -> None:
@@ -166,6 +166,7 @@
         self._work = work
         self._lengths = lengths
         self._quotas = quotas
+        self._counts_all = counts_all
         self._clock = clock
         self._rng = rng
         self._patience = patience.Patience(work, clock)
@@ -180,8 +181,7 @@
             WharfError: There is none, or the account's quota is used up;
                 nothing ran for this sending.
         """
-        may_owe = self._may_owe(run)
-        with all_quotas.counted(self._quotas, run, may_owe=may_owe):
+        with all_quotas.counted(self._quotas, run):
             place, wish = await self._wait(run)
         self._running += 1
         try:
@@ -198,21 +198,6 @@
                 await self._give_back(place.engine, hold)
             self._line(run.service).wake_first()
 
-    def _may_owe(self, run: runs.Run) -> bool:
-        """Whether a request over its account's quota runs as far as tolerated.
-
-        It does where engines have room for all, so that it takes nothing from
-        other accounts, and where it was refused before: a caller that comes
-        back when it was told to should find what it needs.
-        """
-        if self._patience.has_come_back(run):
-            return True
-        if run.traits is None:
-            return False
-        engines = self._registry.of_service(run.service)
-        used = self._pool.used_part(engines, run.traits.memory_tokens)
-        return used < _FREE_PART
-
     def learn_stay(self, place: Place) -> None:
         """Learns how long an answer that is whole has kept its memory."""
         took_ms = self._clock.now_ms() - place.since_ms
@@ -320,7 +305,7 @@
             if not self._registry.takes_work(engine.name):
                 continue
             try:
-                hold = await self._reserve(engine, wish)
+                hold = await self._reserve(run.traits, engine, wish)
             except client.EngineError as error:
                 self._learn(run, error, wish)
                 continue
@@ -352,13 +337,26 @@
             )
         self._pool.failed(error)
 
-    async def _reserve(self, engine: resources.Endpoint, wish: _Wish) -> str:
+    async def _reserve(
+        self,
+        traits: routes.EngineTraits,
+        engine: resources.Endpoint,
+        wish: _Wish,
+    ) -> str:
         """Reserves memory where enough is free besides.
 
         Raises:
             EngineError: There isn't, or the engine can't be asked.
         """
-        if wish.free_tokens:
+        # A leader places a hundred requests a second and more; where it knows
+        # that there is room, one call to the engine does instead of three. On
+        # an engine that is nearly full only the engine knows how far answers
+        # have outgrown what was reserved: without its word 31 of 640 answers
+        # were put back in a burst, with it 12.
+        is_clear = self._counts_all() and self._pool.has_clear_room(
+            engine.name, tokens=wish.room, memory_tokens=traits.memory_tokens
+        )
+        if wish.free_tokens and not is_clear:
             # All of it in one call, so that a full engine costs one and not
             # three.
             check = await self._backends.reserve(
--- a/src/jujubewharf/forwarding/pool.py
+++ b/src/jujubewharf/forwarding/pool.py
@@ -34,6 +34,9 @@
 _LONGEST_PAUSE = 1 / 2
 # That time before it was observed.
 _UNKNOWN_FREE_MS = 400.0
+# Part of an engine's memory up to which its room needn't be checked. What is
+# left takes up all by which answers outgrow what was reserved for them.
+_CLEAR_PART = 0.7
 # Part of an engine's memory by which another one has to hold less to be asked
 # before an engine of the request's own domain.
 _LOAD_STEP = 1 / 4
@@ -165,15 +168,20 @@
             key=lambda e: (e.name in last, self._decode_rank(e, near, step)),
         )
 
-    def used_part(
-        self, engines: Sequence[resources.Endpoint], memory_tokens: int
-    ) -> float:
-        """Part of the decode engines' memory that is held from here."""
-        writers = [engine for engine in engines if engine.can_decode]
-        if not writers:
-            return 1.0
-        held = sum(self.view(engine.name).held_tokens for engine in writers)
-        return held / (len(writers) * memory_tokens)
+    def has_clear_room(
+        self, name: str, *, tokens: int, memory_tokens: int
+    ) -> bool:
+        """Whether an engine has far more room than is needed.
+
+        Only who has placed all that the engine holds can tell.
+
+        Args:
+            name: The engine.
+            tokens: Room that is needed.
+            memory_tokens: Memory of the engine.
+        """
+        held = self.view(name).held_tokens
+        return held + tokens <= memory_tokens * _CLEAR_PART
 
     def standings(
         self, engines: Sequence[resources.Endpoint], *, tokens: int
--- a/src/jujubewharf/forwarding/quotas.py
+++ b/src/jujubewharf/forwarding/quotas.py
@@ -26,13 +26,9 @@
 class Quotas(Protocol):
     """Admits requests within the quotas of their accounts."""
 
-    def take(self, run: runs.Run, *, may_owe: bool = False) -> None:
+    def take(self, run: runs.Run) -> None:
         """Counts a request against its account's quota, once for each run.
 
-        Args:
-            run: The request.
-            may_owe: Whether it is admitted in a debt that is tolerated.
-
         Raises:
             WharfError: ``RATE_LIMITED``: the account has used it up.
         """
@@ -48,24 +44,17 @@
 
 
 @contextlib.contextmanager
-def counted(
-    quotas: Quotas, run: runs.Run, *, may_owe: bool = False
-) -> Iterator[None]:
+def counted(quotas: Quotas, run: runs.Run) -> Iterator[None]:
     """Counts a request for a block that places it.
 
     What was counted here is given back where the block fails or is left, since
     the request didn't run.
 
-    Args:
-        quotas: Count it.
-        run: The request.
-        may_owe: Whether it is admitted in a debt that is tolerated.
-
     Raises:
         WharfError: ``RATE_LIMITED``.
     """
     was_counted = run.is_counted
-    quotas.take(run, may_owe=may_owe)
+    quotas.take(run)
     try:
         yield
     except BaseException:
--- a/src/jujubewharf/leadership/fleet.py
+++ b/src/jujubewharf/leadership/fleet.py
@@ -27,6 +27,8 @@
 # of its own when the leader falls silent.
 _CONFIGURATION_PART = 0.75
 _ENDPOINTS_PART = 0.5
+# Mean stays of an answer after which nearly all that ran before have ended.
+_ENDED_AFTER_STAYS = 2.0
 
 
 class Fleet:
@@ -60,6 +62,7 @@
         count_within_ms: float,
     ) -> None:
         self._clock = clock
+        self._work = work
         self._count_within_ms = count_within_ms
         self.feeds = leader_link.Feeds(
             all_feeds.Feed(
@@ -93,6 +96,18 @@
             return self.followers.instances
         return self.link.instances
 
+    @property
+    def counts_all(self) -> bool:
+        """Whether this instance has placed all that engines hold now.
+
+        A new leader doesn't know what was placed before it led until that has
+        ended; and nobody knows how long that takes before it was observed.
+        """
+        stay_ms = self._work.stay_ms
+        if self.followers is None or stay_ms is None:
+            return False
+        return self.followers.led_ms > stay_ms * _ENDED_AFTER_STAYS
+
     def retry_share(self, window_ms: float) -> float:
         """Part of the fleet's retries that this instance may make, 0 to 1.
 
--- a/src/jujubewharf/leadership/fleet_quotas.py
+++ b/src/jujubewharf/leadership/fleet_quotas.py
@@ -55,8 +55,11 @@
 # large one leaves a debt of some tenths of a second, in which all of the
 # account's small ones would be refused though they hardly count.
 _SMALL_PART = 1 / 50
-# Part of what operators tolerate beyond a quota that may be owed. The rest is
-# for what instances without a leader grant by themselves.
+# Part of what operators tolerate beyond a quota that small requests may owe.
+# The rest is for what instances without a leader grant by themselves. Large
+# ones may owe nothing: where those of callers that came back, or that found
+# engines free, could, they used it up, and of 6,000 small requests in a day of
+# one account's flood 374 were refused instead of 2.
 _DEBT_PART = 0.25
 # Part of each quota at an instance that knows neither a leader nor how many
 # instances there are: a start of all at once, for the seconds until one leads.
@@ -148,13 +151,11 @@
         """What is counted here in the present role."""
         return self._led if self._role is Role.LEADING else self._alone
 
-    def take(self, run: runs.Run, *, may_owe: bool = False) -> None:
+    def take(self, run: runs.Run) -> None:
         """Counts a request; see ``quotas.Quotas``."""
         if run.account is None or run.account.quota is None or run.is_counted:
             return
-        wait_ms = self._take(
-            run.account.name, run.account.quota, run.units, may_owe=may_owe
-        )
+        wait_ms = self._take(run.account.name, run.account.quota, run.units)
         if wait_ms > 0.0:
             raise self._refusal(run, run.account.name, wait_ms)
         run.is_counted = True
@@ -231,13 +232,11 @@
         self._led.keep_only(names)
         self._alone.keep_only(names)
 
-    def _take(
-        self, name: str, quota: accounts.Quota, units: float, *, may_owe: bool
-    ) -> float:
+    def _take(self, name: str, quota: accounts.Quota, units: float) -> float:
         role = self.role
         here = self._part_of(name, quota)
         debt = 0.0
-        if may_owe or units <= quota.burst * _SMALL_PART:
+        if units <= quota.burst * _SMALL_PART:
             debt = self.tolerated.slack * _DEBT_PART * self._part(name)
         if role is Role.FOLLOWING:
             feed = self._fleet.feeds.accounts
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -65,6 +65,7 @@
         count_within_ms: float,
     ) -> None:
         self.is_leading = False
+        self._led_since_ms = 0.0
         self._count_within_ms = count_within_ms
         self._lost_ms: dict[str, float] = {}
         self._hello = hello
@@ -97,6 +98,13 @@
         present = {link.peer for link in self._links}
         return 1 + len(present | set(self._lost_ms))
 
+    @property
+    def led_ms(self) -> float:
+        """How long this instance has led."""
+        if not self.is_leading:
+            return 0.0
+        return self._clock.now_ms() - self._led_since_ms
+
     async def on_stream(
         self, reader: asyncio.StreamReader, writer: streams.StreamWriter
     ) -> None:
@@ -175,6 +183,7 @@
         self._configurations_read.confirmed_ms = None
         self._left = quota_messages.AccountsLeft(())
         self.is_leading = True
+        self._led_since_ms = self._clock.now_ms()
 
     def stop_leading(self) -> None:
         """Sends all followers away."""
--- a/tests/forwarding/test_pool.py
+++ b/tests/forwarding/test_pool.py
@@ -60,14 +60,3 @@
         assert max(load.values()) - min(load.values()) <= 10_000
 
     _on_pool(test)
-
-
-def test_what_is_used_of_all_memory():
-    def test(pool, held):
-        engines = [*NEAR, *FAR]
-        assert pool.used_part(engines, MEMORY) == 0.0
-        held.enter_context(pool.holding("near0", MEMORY))
-        assert pool.used_part(engines, MEMORY) == 0.25
-        assert pool.used_part([], MEMORY) == 1.0
-
-    _on_pool(test)
--- a/tests/forwarding/test_quotas.py
+++ b/tests/forwarding/test_quotas.py
@@ -127,7 +127,7 @@
     def __init__(self) -> None:
         self.notes: list[str] = []
 
-    def take(self, run, *, may_owe=False) -> None:
+    def take(self, run) -> None:
         run.is_counted = True
         self.notes.append("take")
 
--- a/tests/leadership/test_fleet_quotas.py
+++ b/tests/leadership/test_fleet_quotas.py
@@ -20,8 +20,6 @@
 SMALL = accounts.Quota(20_000.0, 20_000.0, accounts.QuotaUnit.TOKENS, 200.0)
 USUAL = dataclasses.replace(SMALL, rate_per_s=90_000.0, burst=90_000.0)
 LARGE = dataclasses.replace(SMALL, rate_per_s=1e9, burst=1e9)
-# A few requests use it up.
-QUICK = dataclasses.replace(SMALL, rate_per_s=5_000.0, burst=10_000.0)
 # Tokens that the users allow besides, whatever the quota.
 SLACK = 120_000.0
 WINDOW_MS = 8_000.0
@@ -252,51 +250,36 @@
     deployments.run(main())
 
 
-def test_what_is_tolerated_is_granted_while_engines_are_free():
-    """An account is over its quota for a moment, and engines are idle.
+def test_small_requests_dont_wait_for_a_large_ones_debt():
+    """One account has streams and lookups; it is a little over its quota.
 
-    Its requests take nothing from others, so they run as far as operators
-    tolerate. Where engines are busy they are refused at the quota.
+    Each of its streams leaves a debt of tenths of a second. Its lookups hardly
+    count, and are served all the same as far as operators tolerate.
     """
 
     async def main():
-        refused = {}
-        for name, busy in (("idle", 0), ("busy", 5)):
-            async with deployments.deployed(
-                deployments.reader("p1"),
-                deployments.writer("d1", events=40),
-                deployments.writer("d2", events=40),
-                names=NAMES,
-                is_led=True,
-            ) as world:
-                await _started(world, ("hot", QUICK), ("calm", LARGE))
-                for instance in world.instances.values():
-                    instance.quotas.tolerated = settings.QuotaSettings(
-                        slack=SLACK
-                    )
-                for _ in range(busy):
-                    asyncio.ensure_future(
-                        _ask(
-                            world,
-                            "calm",
-                            "/verdicts/1",
-                            "e1",
-                            work=calls.ModelWork(9_000, 2_000, 1_000),
-                        )
-                    )
-                await world.clock.sleep_ms(300.0)
-                answers = await _flood(
+        async with deployments.deployed(
+            *_shops(), *_engines(), names=NAMES, is_led=True
+        ) as world:
+            await _started(world, ("hot", USUAL))
+            for instance in world.instances.values():
+                instance.quotas.tolerated = settings.QuotaSettings(slack=SLACK)
+            streams = asyncio.ensure_future(
+                _flood(
                     world,
                     "hot",
                     "/verdicts/1",
-                    for_ms=600.0,
-                    every_ms=100.0,
+                    for_ms=6_000.0,
+                    every_ms=40.0,
                     units_work=WORK,
                 )
-                kinds = [a.error and a.error.kind for a in answers]
-                refused[name] = kinds.count(errors.ErrorKind.RATE_LIMITED)
-        assert refused["idle"] == 0
-        assert refused["busy"] > 0
+            )
+            lookups = await _flood(
+                world, "hot", "/sale/1", for_ms=6_000.0, every_ms=50.0
+            )
+            assert all(answer.status == 200 for answer in lookups)
+            limited = [a for a in await streams if a.error is not None]
+            assert limited
 
     deployments.run(main())
 
