--- a/src/jujubewharf/forwarding/attempts.py
+++ b/src/jujubewharf/forwarding/attempts.py
@@ -17,7 +17,7 @@
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import decisions
 from jujubewharf.forwarding import observations as observed
-from jujubewharf.forwarding import placement
+from jujubewharf.forwarding import places as all_places
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import registry as registries
 from jujubewharf.forwarding import runs
@@ -73,7 +73,7 @@
         self,
         backends: ports.Backends,
         registry: registries.Registry,
-        places: placement.Places,
+        places: all_places.Places,
         budget: budgets.FleetBudget,
         observations: observed.Observations,
         clock: clocks.Clock,
@@ -177,7 +177,7 @@
 
     @contextlib.asynccontextmanager
     async def _prefilled(
-        self, run: runs.Run, place: placement.Place
+        self, run: runs.Run, place: all_places.Place
     ) -> AsyncIterator[_Prefilled]:
         """Has the prompt read, and frees the result if nobody fetched it.
 
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -34,8 +34,8 @@
 from jujubewharf.leadership import feeds
 from jujubewharf.leadership import fleet as fleets
 from jujubewharf.leadership import fleet_quotas
-from jujubewharf.leadership import leader_link
 from jujubewharf.leadership import leadership
+from jujubewharf.leadership import led
 from jujubewharf.leaving import shutdown
 from jujubewharf.platform import groups
 from jujubewharf.platform import tables
@@ -220,7 +220,7 @@
             rng,
         )
         local = observations.LocalObservations(self.work, lengths, engines)
-        observed = leader_link.FleetObservations(self.fleet.link, local)
+        observed = led.FleetObservations(self.fleet.link, local)
         if adapters.peers is not None:
             self._leadership = self.fleet.new_leadership(
                 self._settings.instance,
@@ -241,7 +241,7 @@
         sender = attempts.StreamAttempts(
             backends,
             self.registry,
-            leader_link.FleetPlaces(self.fleet.link, places),
+            led.FleetPlaces(self.fleet.link, places),
             self.budget,
             observed,
             clock,
--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -10,11 +10,9 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Iterator
-from collections.abc import Sequence
 import contextlib
 import dataclasses
 import random
-from typing import Protocol
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
@@ -25,6 +23,7 @@
 from jujubewharf.forwarding import line as lines
 from jujubewharf.forwarding import margins
 from jujubewharf.forwarding import patience
+from jujubewharf.forwarding import places
 from jujubewharf.forwarding import pool as pools
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import quotas as all_quotas
@@ -49,10 +48,6 @@
 _CHECK_MS = 300.0
 
 
-def _nothing() -> None:
-    pass
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Wish:
     """What a request asks engines for.
@@ -73,66 +68,6 @@
         return self.tokens + self.free_tokens
 
 
-class Place:
-    """Memory reserved on a decode engine.
-
-    Args:
-        engine: The engine.
-        hold: Names the reservation.
-        since_ms: When it was reserved.
-        tokens: Memory that is reserved.
-        memory_part: Part of the engine's memory.
-
-    Attributes:
-        engine: The engine.
-        hold: Names the reservation.
-        since_ms: When it was reserved.
-        tokens: Memory that is reserved.
-        memory_part: Part of the engine's memory.
-        readers: Engines that may read the prompt, the best first.
-        reading_ended: Called once the prompt is read, or isn't going to be.
-    """
-
-    def __init__(
-        self,
-        engine: resources.Endpoint,
-        hold: str,
-        *,
-        since_ms: float,
-        tokens: int,
-        memory_part: float,
-    ) -> None:
-        self.engine = engine
-        self.hold = hold
-        self.since_ms = since_ms
-        self.tokens = tokens
-        self.memory_part = memory_part
-        self.readers: Sequence[resources.Endpoint] = ()
-        self.reading_ended: Callable[[], None] = _nothing
-        self._is_taken = False
-
-    def take_hold(self) -> str | None:
-        """The reservation, which a sending uses up; given out once."""
-        if self._is_taken:
-            return None
-        self._is_taken = True
-        return self.hold
-
-
-class Places(Protocol):
-    """Finds memory for requests."""
-
-    def place(
-        self, run: runs.Run
-    ) -> contextlib.AbstractAsyncContextManager[Place]:
-        """Waits for memory and holds it for the block.
-
-        Raises:
-            WharfError: There is none; nothing ran for this sending.
-        """
-        ...
-
-
 class Placement:
     """Reserves memory for requests.
 
@@ -174,7 +109,7 @@
         self._running = 0
 
     @contextlib.asynccontextmanager
-    async def place(self, run: runs.Run) -> AsyncIterator[Place]:
+    async def place(self, run: runs.Run) -> AsyncIterator[places.Place]:
         """Waits for memory and holds it for the block.
 
         Raises:
@@ -198,13 +133,15 @@
                 await self._give_back(place.engine, hold)
             self._line(run.service).wake_first()
 
-    def learn_stay(self, place: Place) -> None:
+    def learn_stay(self, place: places.Place) -> None:
         """Learns how long an answer that is whole has kept its memory."""
         took_ms = self._clock.now_ms() - place.since_ms
         self._work.decoded(took_ms, memory_part=place.memory_part)
 
     @contextlib.contextmanager
-    def _reader_promised(self, run: runs.Run, place: Place) -> Iterator[None]:
+    def _reader_promised(
+        self, run: runs.Run, place: places.Place
+    ) -> Iterator[None]:
         """Chooses who reads the prompt, and counts it until it is read.
 
         Counted from now on, so that prompts that are placed in the same moment
@@ -226,7 +163,7 @@
             place.reading_ended = promises.close
             yield
 
-    async def _wait(self, run: runs.Run) -> tuple[Place, _Wish]:
+    async def _wait(self, run: runs.Run) -> tuple[places.Place, _Wish]:
         began_ms = self._clock.now_ms()
         in_time_ms = self._patience.in_time_ms(run)
         is_late = in_time_ms <= 0.0
@@ -290,7 +227,7 @@
 
     async def _ask(
         self, run: runs.Run, wish: _Wish, *, count: int
-    ) -> Place | None:
+    ) -> places.Place | None:
         """Asks the engines that may have room, ``count`` at most."""
         assert run.traits is not None
         engines = self._registry.of_service(run.service)
@@ -310,7 +247,7 @@
                 self._learn(run, error, wish)
                 continue
             self._pool.has_room(engine.name)
-            return Place(
+            return places.Place(
                 engine,
                 hold,
                 since_ms=self._clock.now_ms(),
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -12,11 +12,9 @@
 from jujubewharf import clock as clocks
 from jujubewharf import errors
 from jujubewharf.configuration import resources
-from jujubewharf.engines import client
 from jujubewharf.forwarding import costs
 from jujubewharf.forwarding import decisions
-from jujubewharf.forwarding import observations as observed
-from jujubewharf.forwarding import placement as placements
+from jujubewharf.forwarding import places as all_places
 from jujubewharf.forwarding import registry as registries
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import runs
@@ -192,7 +190,7 @@
     @contextlib.asynccontextmanager
     async def place(
         self, run: runs.Run
-    ) -> AsyncIterator[placements.Place | None]:
+    ) -> AsyncIterator[all_places.Place | None]:
         """Has the leader find memory, and holds it for the block.
 
         Yields:
@@ -203,7 +201,7 @@
             WharfError: There is none.
         """
         number = next(self._numbers)
-        place: placements.Place | None = None
+        place: all_places.Place | None = None
         is_whole = False
         try:
             place = await self._ask(number, run)
@@ -215,7 +213,7 @@
                 leader_messages.PlaceEnded(number, is_whole, is_hold_used)
             )
 
-    async def _ask(self, number: int, run: runs.Run) -> placements.Place | None:
+    async def _ask(self, number: int, run: runs.Run) -> all_places.Place | None:
         began_ms = self._clock.now_ms()
         link = self._link
         if link is None:
@@ -300,13 +298,13 @@
 
     def _place(
         self, number: int, placed: leader_messages.Placed
-    ) -> placements.Place | None:
+    ) -> all_places.Place | None:
         engine = self._registry.get(placed.engine)
         if engine is None:
             # Registered so lately that this instance hasn't heard of it, or
             # left since.
             return None
-        place = placements.Place(
+        place = all_places.Place(
             engine,
             placed.hold,
             since_ms=self._clock.now_ms(),
@@ -343,97 +341,6 @@
         return errors.WharfError(kind, retry_after_ms=answer.come_back_ms)
 
 
-class FleetPlaces:
-    """Implements ``placement.Places`` with the leader's help if there is one.
-
-    Args:
-        leader: The link to it.
-        alone: Places requests without a leader, or as the leader.
-    """
-
-    def __init__(self, leader: LeaderLink, alone: placements.Placement) -> None:
-        self._leader = leader
-        self._alone = alone
-
-    @contextlib.asynccontextmanager
-    async def place(self, run: runs.Run) -> AsyncIterator[placements.Place]:
-        """Waits for memory and holds it; see ``placement.Places``."""
-        async with contextlib.AsyncExitStack() as stack:
-            place: placements.Place | None = None
-            if self._leader.is_open:
-                led = self._leader.place(run)
-                place = await led.__aenter__()
-                # Ended at once where it is of no use here.
-                if place is None:
-                    await led.__aexit__(None, None, None)
-                else:
-                    stack.push_async_exit(led)
-            is_led = place is not None
-            if place is None:
-                place = await stack.enter_async_context(self._alone.place(run))
-            yield place
-            if is_led:
-                self._alone.learn_stay(place)
-
-
-class FleetObservations:
-    """Tells the leader what this instance observes, and learns it itself.
-
-    Args:
-        leader: The link to it.
-        local: Learns it here, for when there is no leader.
-    """
-
-    def __init__(
-        self, leader: LeaderLink, local: observed.Observations
-    ) -> None:
-        self._leader = leader
-        self._local = local
-
-    def prompt_read(self, engine: str, took_ms: float, *, tokens: int) -> None:
-        """See ``observations.Observations``."""
-        self._local.prompt_read(engine, took_ms, tokens=tokens)
-        self._leader.tell(leader_messages.PromptRead(engine, took_ms, tokens))
-
-    def began(self, took_ms: float) -> None:
-        """See ``observations.Observations``."""
-        self._local.began(took_ms)
-        self._leader.tell(leader_messages.AnswerBegan(took_ms))
-
-    def projected(self, will_take_ms: float, *, memory_part: float) -> None:
-        """See ``observations.Observations``."""
-        self._local.projected(will_take_ms, memory_part=memory_part)
-        self._leader.tell(
-            leader_messages.AnswerProjected(will_take_ms, memory_part)
-        )
-
-    def ended(self, expected_tokens: int, tokens: int) -> None:
-        """See ``observations.Observations``."""
-        self._local.ended(expected_tokens, tokens)
-        self._leader.tell(leader_messages.AnswerEnded(expected_tokens, tokens))
-
-    def failed(self, error: client.EngineError) -> None:
-        """See ``observations.Observations``."""
-        self._local.failed(error)
-        self._leader.tell(
-            leader_messages.EngineFailed(error.engine, error.fault.value)
-        )
-
-    def changing(self, engine: str) -> None:
-        """See ``observations.Observations``."""
-        self._local.changing(engine)
-        self._leader.tell(leader_messages.EngineChanging(engine))
-
-    def answered(self, engine: str) -> None:
-        """See ``observations.Observations``."""
-        self._local.answered(engine)
-
-    def refused_reading(self, engine: str) -> None:
-        """See ``observations.Observations``."""
-        self._local.refused_reading(engine)
-        self._leader.tell(leader_messages.ReadingRefused(engine))
-
-
 def _table_record(
     record: leader_messages.EndpointRecord,
 ) -> tables.TableRecord[resources.Endpoint]:
--- /dev/null
+++ b/src/jujubewharf/leadership/led.py
@@ -0,0 +1,107 @@
+"""Placement and observations with the leader's help, where there is one."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+import contextlib
+
+from jujubewharf.engines import client
+from jujubewharf.forwarding import observations as observed
+from jujubewharf.forwarding import placement as placements
+from jujubewharf.forwarding import places as all_places
+from jujubewharf.forwarding import runs
+from jujubewharf.leadership import leader_link
+from jujubewharf.peers import leader_messages
+
+
+class FleetPlaces:
+    """Implements ``all_places.Places`` with the leader's help if there is one.
+
+    Args:
+        leader: The link to it.
+        alone: Places requests without a leader, or as the leader.
+    """
+
+    def __init__(
+        self, leader: leader_link.LeaderLink, alone: placements.Placement
+    ) -> None:
+        self._leader = leader
+        self._alone = alone
+
+    @contextlib.asynccontextmanager
+    async def place(self, run: runs.Run) -> AsyncIterator[all_places.Place]:
+        """Waits for memory and holds it; see ``all_places.Places``."""
+        async with contextlib.AsyncExitStack() as stack:
+            place: all_places.Place | None = None
+            if self._leader.is_open:
+                led = self._leader.place(run)
+                place = await led.__aenter__()
+                # Ended at once where it is of no use here.
+                if place is None:
+                    await led.__aexit__(None, None, None)
+                else:
+                    stack.push_async_exit(led)
+            is_led = place is not None
+            if place is None:
+                place = await stack.enter_async_context(self._alone.place(run))
+            yield place
+            if is_led:
+                self._alone.learn_stay(place)
+
+
+class FleetObservations:
+    """Tells the leader what this instance observes, and learns it itself.
+
+    Args:
+        leader: The link to it.
+        local: Learns it here, for when there is no leader.
+    """
+
+    def __init__(
+        self, leader: leader_link.LeaderLink, local: observed.Observations
+    ) -> None:
+        self._leader = leader
+        self._local = local
+
+    def prompt_read(self, engine: str, took_ms: float, *, tokens: int) -> None:
+        """See ``observations.Observations``."""
+        self._local.prompt_read(engine, took_ms, tokens=tokens)
+        self._leader.tell(leader_messages.PromptRead(engine, took_ms, tokens))
+
+    def began(self, took_ms: float) -> None:
+        """See ``observations.Observations``."""
+        self._local.began(took_ms)
+        self._leader.tell(leader_messages.AnswerBegan(took_ms))
+
+    def projected(self, will_take_ms: float, *, memory_part: float) -> None:
+        """See ``observations.Observations``."""
+        self._local.projected(will_take_ms, memory_part=memory_part)
+        self._leader.tell(
+            leader_messages.AnswerProjected(will_take_ms, memory_part)
+        )
+
+    def ended(self, expected_tokens: int, tokens: int) -> None:
+        """See ``observations.Observations``."""
+        self._local.ended(expected_tokens, tokens)
+        self._leader.tell(leader_messages.AnswerEnded(expected_tokens, tokens))
+
+    def failed(self, error: client.EngineError) -> None:
+        """See ``observations.Observations``."""
+        self._local.failed(error)
+        self._leader.tell(
+            leader_messages.EngineFailed(error.engine, error.fault.value)
+        )
+
+    def changing(self, engine: str) -> None:
+        """See ``observations.Observations``."""
+        self._local.changing(engine)
+        self._leader.tell(leader_messages.EngineChanging(engine))
+
+    def answered(self, engine: str) -> None:
+        """See ``observations.Observations``."""
+        self._local.answered(engine)
+
+    def refused_reading(self, engine: str) -> None:
+        """See ``observations.Observations``."""
+        self._local.refused_reading(engine)
+        self._leader.tell(leader_messages.ReadingRefused(engine))
--- a/src/jujubewharf/leadership/placement_server.py
+++ b/src/jujubewharf/leadership/placement_server.py
@@ -17,6 +17,7 @@
 from jujubewharf.forwarding import forwarder
 from jujubewharf.forwarding import observations as observed
 from jujubewharf.forwarding import placement as placements
+from jujubewharf.forwarding import places as all_places
 from jujubewharf.forwarding import runs
 from jujubewharf.leadership import account_pace
 from jujubewharf.peers import leader_messages
@@ -61,7 +62,7 @@
     """One place that another instance waits for or holds."""
 
     task: asyncio.Task[None] | None = None
-    place: placements.Place | None = None
+    place: all_places.Place | None = None
     ending: asyncio.Future[leader_messages.PlaceEnded] = dataclasses.field(
         default_factory=asyncio.Future
     )
@@ -292,7 +293,7 @@
     )
 
 
-def _placed(place: placements.Place) -> leader_messages.Placed:
+def _placed(place: all_places.Place) -> leader_messages.Placed:
     return leader_messages.Placed(
         place.engine.name,
         place.hold,
