--- /dev/null
+++ b/benchmarks/request_profile.py
@@ -0,0 +1,219 @@
+"""Where the processor time of a placed request goes, by module.
+
+Run: ``python -m benchmarks.request_profile``. A leader and three followers
+place streams of client accounts on stand-ins and a virtual clock, under the
+profiler; their HTTP sides are left out. The profiler itself makes short
+functions look dear, so the parts compare and their sum is no cost.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+import cProfile
+import dataclasses
+import pathlib
+import pstats
+import random
+
+from jujubewharf import bearer
+from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf.configuration import resources
+from jujubewharf.experiments import virtual_time
+from jujubewharf.forwarding import accounts
+from jujubewharf.forwarding import calls
+from jujubewharf.forwarding import entry
+from jujubewharf.forwarding import ports
+from jujubewharf.forwarding import routes
+from jujubewharf.forwarding import settings as all_settings
+from jujubewharf.standins import backends
+from jujubewharf.standins import network
+from jujubewharf.standins import tables
+from jujubewharf.telemetry import logs
+
+_INSTANCES = ("e1", "e2", "e3", "e4")
+_ACCOUNTS = 16
+_REQUESTS = 1_000
+_EVERY_MS = 40.0
+_SETTLE_MS = 4_000.0
+_MOST_ROWS = 16
+_MS_PER_S = 1e3
+_SERVICE = "verdict-llm"
+_TRAITS = routes.EngineTraits(12, 60_000, 500.0, 6_000.0, 2_000.0)
+_ROUTE = routes.Route(
+    "verdicts",
+    "shop.example",
+    "/verdicts/",
+    (routes.Share(_SERVICE, 1.0),),
+    repeat=routes.Repeat.CONTINUE,
+    is_stream=True,
+    is_model=True,
+    timeout_ms=14_000.0,
+    target_ms=900.0,
+    max_attempts=2,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModuleTime:
+    """What one module took.
+
+    Attributes:
+        module: Name of the module, or of the library.
+        request_ms: Processor time of a request, under the profiler.
+    """
+
+    module: str
+    request_ms: float
+
+
+def measure(requests: int = _REQUESTS) -> list[ModuleTime]:
+    """Runs requests and tells what each module took, the dearest first."""
+    logs.configure("critical")
+    profile = cProfile.Profile()
+    try:
+        virtual_time.run(_run(profile, requests))
+    finally:
+        logs.configure()
+    took_s: dict[str, float] = collections.defaultdict(float)
+    rows = pstats.Stats(profile).stats  # type: ignore[attr-defined]
+    for (path, _, _), (_, _, own_s, _, _) in rows.items():
+        took_s[_module(path)] += own_s
+    found = [
+        ModuleTime(name, own_s * _MS_PER_S / requests)
+        for name, own_s in took_s.items()
+    ]
+    return sorted(found, key=lambda row: -row.request_ms)
+
+
+def _module(path: str) -> str:
+    parts = pathlib.Path(path).parts
+    if "jujubewharf" in parts:
+        inside = parts[parts.index("jujubewharf") + 1 :]
+        return "/".join(inside).removesuffix(".py")
+    if "site-packages" in parts:
+        return parts[parts.index("site-packages") + 1]
+    return "python"
+
+
+async def _run(profile: cProfile.Profile, requests: int) -> None:
+    clock = clocks.Clock(wall_origin_ms=0.0)
+    instances = await _start(clock)
+    await clock.sleep_ms(_SETTLE_MS)
+    asked: list[asyncio.Task[None]] = []
+    profile.enable()
+    for number in range(requests):
+        instance = instances[number % len(instances)]
+        asking = asyncio.ensure_future(_ask(instance, clock, number))
+        asked.append(asking)
+        await clock.sleep_ms(_EVERY_MS)
+    await asyncio.gather(*asked)
+    profile.disable()
+    for instance in instances:
+        await instance.stop()
+
+
+async def _start(clock: clocks.Clock) -> list[entry.ForwardingEntry]:
+    engines = [_engine("p1", resources.Role.PREFILL)]
+    engines += [_engine(f"d{n}", resources.Role.DECODE) for n in range(6)]
+    behind = backends.StandInBackends(clock, engines)
+    configurations = tables.StandInTable(clock)
+    configurations.put(
+        "config",
+        routes.RoutingConfiguration(
+            1,
+            (_ROUTE,),
+            {_SERVICE: routes.RoutedService(_SERVICE, _TRAITS)},
+            accounts=tuple(_account(n) for n in range(_ACCOUNTS)),
+        ),
+    )
+    endpoints = tables.StandInTable(clock)
+    for engine in engines:
+        endpoints.put(engine.name, engine.endpoint)
+    leaders = tables.StandInGroups(clock)
+    wires = network.MemoryNetwork(clock)
+    instances: list[entry.ForwardingEntry] = []
+    for name in _INSTANCES:
+        address = f"{name}:1"
+        peers = ports.PeerAdapters(
+            leaders.member(address),
+            wires.transport(name, "a", address=address),
+            address,
+        )
+        adapters = entry.Adapters(
+            behind,
+            configurations,
+            endpoints,
+            tables.StandInGroups(clock).member(name),
+            peers,
+        )
+        instance = entry.ForwardingEntry(
+            _settings(name), clock, adapters, random.Random(name)
+        )
+        await instance.start()
+        instances.append(instance)
+    return instances
+
+
+def _engine(name: str, role: resources.Role) -> backends.StandInBackend:
+    endpoint = resources.Endpoint(name, _SERVICE, f"{name}:1", "a", role)
+    return backends.StandInBackend(endpoint, events=40, memory_tokens=60_000)
+
+
+def _account(number: int) -> accounts.Account:
+    name = f"account-{number}"
+    quota = accounts.Quota(1e6, 1e6, accounts.QuotaUnit.TOKENS, 200.0)
+    return accounts.Account(name, (bearer.digest_of(name),), quota=quota)
+
+
+def _settings(name: str) -> all_settings.ForwardingSettings:
+    return all_settings.ForwardingSettings.model_validate(
+        {
+            "instance": name,
+            "domain": "a",
+            "callers": "127.0.0.1:0",
+            "readiness": "127.0.0.1:0",
+            "store": {
+                "address": "127.0.0.1:1",
+                "part_count": 24,
+                "group_ttl_ms": 3_000,
+            },
+            "retries": {"ratio": 0.2, "slack": 40, "window_s": 10},
+            "stop_within_s": 8,
+        }
+    )
+
+
+async def _ask(
+    instance: entry.ForwardingEntry, clock: clocks.Clock, number: int
+) -> None:
+    account = f"account-{number % _ACCOUNTS}"
+    call = calls.Call(
+        f"request-{number}",
+        "POST",
+        _ROUTE.host,
+        "/verdicts/1",
+        (("Authorization", f"Bearer {account}"),),
+        b"body",
+        clock.now_ms(),
+        work=calls.ModelWork(3_000, 9_000, 6_000),
+    )
+    with contextlib.suppress(errors.WharfError):
+        async with instance.run(call) as reply:
+            async for _ in reply.body:
+                pass
+
+
+def main() -> None:
+    """Prints the dearest modules."""
+    rows = measure()
+    whole_ms = sum(row.request_ms for row in rows)
+    print(f"{whole_ms:.2f} ms a request under the profiler")
+    for row in rows[:_MOST_ROWS]:
+        print(f"{row.request_ms:7.3f} ms  {row.module}")
+
+
+if __name__ == "__main__":
+    main()
