An account at its quota gets no request an instance more when the leader goes

Now accounts that the leader had told as low begin in a debt drawn up to their largest request, and whoever leads next goes on from what the leader told.

--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -135,6 +135,7 @@
             self._retry_share,
             settings.quotas,
             clock,
+            rng,
         )
         peers = adapters.peers
         # Who leads gives the orders; without peers, whoever holds the first
--- a/src/jujubewharf/leadership/account_feed.py
+++ b/src/jujubewharf/leadership/account_feed.py
@@ -40,6 +40,10 @@
         for account in left:
             self._ledger.put(account.account, account.units, now_ms)
 
+    def left(self, name: str, quota: accounts.Quota) -> float:
+        """What an account that has little left has now."""
+        return self._ledger.left(name, quota, self._clock.now_ms())
+
     def take(
         self, name: str, quota: accounts.Quota, units: float, *, debt: float
     ) -> float:
--- a/src/jujubewharf/leadership/fleet_quotas.py
+++ b/src/jujubewharf/leadership/fleet_quotas.py
@@ -21,6 +21,7 @@
 from collections.abc import Iterable
 import contextlib
 import enum
+import random
 
 import mode
 
@@ -84,6 +85,7 @@
             has no leader, 0 to 1.
         tolerated: What may be used beyond quotas.
         clock: Time.
+        rng: Spreads what instances grant that lost their leader together.
     """
 
     def __init__(
@@ -93,6 +95,7 @@
         share: Callable[[], float],
         tolerated: settings.QuotaSettings,
         clock: clocks.Clock,
+        rng: random.Random,
     ) -> None:
         self.tolerated = tolerated
         super().__init__()
@@ -100,6 +103,7 @@
         self._source = source
         self._share = share
         self._clock = clock
+        self._rng = rng
         self._role = Role.ALONE
         self._led = quotas.QuotaLedger(clock.now_ms())
         self._alone = quotas.QuotaLedger(clock.now_ms())
@@ -109,6 +113,8 @@
         # Of this instance's own callers, and as the leader of all.
         self._own_pace = account_pace.AccountPace()
         self._whole_pace = account_pace.AccountPace()
+        # Units of the largest request of each account here.
+        self._largest: dict[str, float] = {}
         # Part of each account's use that comes to this instance.
         self._parts: dict[str, float] = {}
         self._parts_told_ms = 0.0
@@ -134,17 +140,36 @@
         """Counts in another role from now on.
 
         Who followed until now has the leader's word of which accounts had
-        little left. All others have their part of the burst, so that callers
-        within their quota notice nothing of the seconds without a leader.
+        little left, and goes on from it. All others have their part of the
+        burst, so that callers within their quota notice nothing of the seconds
+        without a leader.
         """
         now_ms = self._clock.now_ms()
         had_word = self._role is Role.FOLLOWING
         self._role = role
         self._untold.clear()
-        if role is Role.ALONE and had_word:
-            self._ledger.resume(now_ms, unsure=self._fleet.feeds.accounts.low)
-        else:
+        if not had_word or role is Role.FOLLOWING:
             self._ledger.resume(now_ms)
+            return
+        self._ledger.resume(now_ms, is_sure=True)
+        for name in self._fleet.feeds.accounts.low:
+            self._ledger.put(name, self._level_of_low(name), now_ms)
+
+    def _level_of_low(self, name: str) -> float:
+        """What an account begins with that had little left.
+
+        Without a leader each instance would else admit one request of it at
+        once, as there is no debt yet: ten instances, ten requests, and in one
+        case 360,146 tokens ran where 346,833 were allowed. From a debt drawn
+        up to one request each admits its first one as its part of the rate
+        allows, some sooner and some later.
+        """
+        if self._role is Role.ALONE:
+            return -self._rng.random() * self._largest.get(name, 0.0)
+        account = self._source.accounts.by_name.get(name)
+        if account is None or account.quota is None:
+            return 0.0
+        return self._fleet.feeds.accounts.left(name, account.quota)
 
     @property
     def _ledger(self) -> quotas.QuotaLedger:
@@ -176,8 +201,10 @@
         if run.account is None or run.account.quota is None:
             return
         now_ms = self._clock.now_ms()
-        self._own_pace.add(run.account.name, run.units, now_ms)
-        self._whole_pace.add(run.account.name, run.units, now_ms)
+        name = run.account.name
+        self._largest[name] = max(run.units, self._largest.get(name, 0.0))
+        self._own_pace.add(name, run.units, now_ms)
+        self._whole_pace.add(name, run.units, now_ms)
 
     def follower(
         self, peer: str, tell: Callable[[messages.Message], object]
@@ -231,6 +258,8 @@
         names = self._source.accounts.by_name
         self._led.keep_only(names)
         self._alone.keep_only(names)
+        for name in set(self._largest) - set(names):
+            del self._largest[name]
 
     def _take(self, name: str, quota: accounts.Quota, units: float) -> float:
         role = self.role
--- a/tests/leadership/test_fleet_quotas.py
+++ b/tests/leadership/test_fleet_quotas.py
@@ -310,6 +310,47 @@
     deployments.run(main())
 
 
+def test_an_account_that_is_low_gets_no_request_an_instance_more():
+    """The leader is gone, and an account is at its quota on all instances.
+
+    Each instance has its part of the rate and no debt yet. If each admitted a
+    request at once, a fleet would run as many requests beyond the quota as it
+    has instances, whenever its leader changes.
+    """
+
+    async def main():
+        names = tuple(f"e{n}" for n in range(12))
+        async with deployments.deployed(
+            *_shops(), *_engines(), names=names, is_led=True
+        ) as world:
+            await _started(world, ("hot", SMALL))
+            flood = asyncio.ensure_future(
+                _flood(
+                    world,
+                    "hot",
+                    "/verdicts/1",
+                    for_ms=12_000.0,
+                    every_ms=25.0,
+                    units_work=WORK,
+                )
+            )
+            await world.clock.sleep_ms(7_000.0)
+            await world.instances.pop(world.leader).stop()
+            since_ms = world.clock.now_ms()
+            await world.clock.sleep_ms(900.0)
+            until_ms = world.clock.now_ms()
+            ran = [
+                run
+                for run in world.backends.runs
+                if since_ms <= run.at_ms <= until_ms
+            ]
+            await flood
+            # A second of the rate is four requests; eleven instances are left.
+            assert len(ran) <= 8
+
+    deployments.run(main())
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_no_history_of_leaders_exceeds_the_quota(seed):
     """Leaders are killed, instances cut off and started anew, in any order.
