--- a/src/jujubewharf/callers/accounts.py
+++ b/src/jujubewharf/callers/accounts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import TYPE_CHECKING
 
 from jujubewharf import bearer
@@ -53,8 +54,11 @@
         if not self._by_name:
             return None
         given = headers.get(bearer.HEADER)
-        token = bearer.token_of(() if given is None else (given,))
-        account = self._by_token.find(token)
+        account = None
+        with contextlib.suppress(errors.WharfError):
+            # Callers here are told one thing for every token that isn't taken.
+            token = bearer.token_of(() if given is None else (given,))
+            account = self._by_token.find(token)
         if account is None:
             raise errors.WharfError(errors.ErrorKind.UNAUTHENTICATED)
         return account
--- a/tests/deploy/test_deploy.py
+++ b/tests/deploy/test_deploy.py
@@ -33,23 +33,54 @@
 }
 
 
-def _filled(match: re.Match[str]) -> str:
-    value: object = FIELDS
-    for name in match["path"].split("."):
+QUOTAS = {"quotaWindowS": 8, "quotaOver": 0.1, "quotaSlack": 120_000}
+SECTION = re.compile(
+    r"\{\{#(?P<path>[\w.]+)\}\}(?P<inside>.*?)\{\{/(?P=path)\}\}", re.DOTALL
+)
+VALUE = re.compile(r"\{\{(?P<path>[\w.]+)(?P<json>\|json)?\}\}")
+
+
+def _found(fields: object, path: str) -> object:
+    value = fields
+    for name in path.split("."):
         if isinstance(value, list):
             value = value[int(name)]
             continue
         assert isinstance(value, dict)
         value = value[name]
-    return json.dumps(value) if match["json"] else str(value)
+    return value
 
 
-def test_the_template_gives_good_settings(tmp_path):
+def _read(tmp_path, fields) -> settings.ForwardingSettings:
+    """The settings as the platform fills them in from its fields."""
+
+    def section(match: re.Match[str]) -> str:
+        try:
+            _found(fields, match["path"])
+        except KeyError:
+            return ""
+        return match["inside"]
+
+    def value(match: re.Match[str]) -> str:
+        found = _found(fields, match["path"])
+        return json.dumps(found) if match["json"] else str(found)
+
     template = (DEPLOY / "settings.json.template").read_text()
-    pattern = re.compile(r"\{\{(?P<path>[\w.]+)(?P<json>\|json)?\}\}")
     path = tmp_path / "settings.json"
-    path.write_text(pattern.sub(_filled, template))
-    read = settings.read(path)
+    path.write_text(VALUE.sub(value, SECTION.sub(section, template)))
+    return settings.read(path)
+
+
+def test_what_is_tolerated_beyond_quotas_is_read_where_it_is_told(tmp_path):
+    assert _read(tmp_path, FIELDS).quotas.slack == 0.0
+    bounds = FIELDS["bounds"] | QUOTAS
+    read = _read(tmp_path, FIELDS | {"bounds": bounds})
+    assert read.quotas.slack == 120_000.0
+    assert read.stop_within_s == 8.0
+
+
+def test_the_template_gives_good_settings(tmp_path):
+    read = _read(tmp_path, FIELDS)
     assert read.callers == "10.0.0.1:80"
     assert read.processor.cores == pytest.approx(1.074)
     assert read.peers == "10.0.0.1:7000"
