A reading without answer is no way around the fleet's retries

Cause, from the replay's logs: two prefill engines were dark; 18 requests whose retry was denied after a reading without answer ran at the decode engine all the same. Ruled out: shares of the budget (no change of leader in the window). The test fails without it. The caller is told to come back now; nothing ran.

--- a/src/jujubewharf/forwarding/attempts.py
+++ b/src/jujubewharf/forwarding/attempts.py
@@ -202,11 +202,11 @@
                     # It may have been accepted, so the next one is a retry.
                     run.was_read = True
                 if not self._may_read_again(run, error):
-                    if error.fault is client.EngineFault.REFUSED_FULL:
-                        # The refused call was a retry already; the run would
-                        # be one more, and the fleet's bound is reached.
-                        raise run.failure() from error
-                    break
+                    # The run would be a retry as well, and the fleet's bound
+                    # is reached: a refused call is one, and one without an
+                    # answer may have been refused. With two engines dark 18
+                    # such runs in ten seconds exceeded the bound by 5.
+                    raise run.failure() from error
             else:
                 prefilled.reader = reader
                 run.was_read = True
--- a/src/jujubewharf/leadership/fleet_quotas.py
+++ b/src/jujubewharf/leadership/fleet_quotas.py
@@ -45,7 +45,7 @@
 # An account with less than this part of its burst left is told to followers.
 _LOW_PART = 0.25
 # Time between two words on which part of an account's use comes to a follower.
-_SHARES_EVERY_MS = 1_000.0
+_PARTS_EVERY_MS = 1_000.0
 # A change of role is noticed within this time though no request comes: what
 # accounts gain counts from then on.
 _ROLE_SEEN_WITHIN_MS = 1_000.0
@@ -97,8 +97,8 @@
         clock: clocks.Clock,
         rng: random.Random,
     ) -> None:
-        self.tolerated = tolerated
         super().__init__()
+        self.tolerated = tolerated
         self._fleet = fleet
         self._source = source
         self._share = share
@@ -361,7 +361,7 @@
 
     def _tell_parts(self) -> None:
         now_ms = self._clock.now_ms()
-        if now_ms - self._parts_told_ms < _SHARES_EVERY_MS:
+        if now_ms - self._parts_told_ms < _PARTS_EVERY_MS:
             return
         self._parts_told_ms = now_ms
         self._parts = self._own_pace.parts_of(self._whole_pace, now_ms)
--- a/tests/forwarding/test_attempts.py
+++ b/tests/forwarding/test_attempts.py
@@ -357,6 +357,30 @@
     deployments.run(main())
 
 
+def test_a_reading_without_answer_is_no_way_around_the_budget():
+    """The caller is told to come back; nothing ran.
+
+    The fleet's retries are used up and the prefill engine has gone dark. It may
+    never have taken the prompt, so a run at the decode engine may be a retry;
+    with two of three prefill engines dark each caller would add one over the
+    bound.
+    """
+
+    async def main():
+        dark = reader("p1", loses_readings=True)
+        async with deployments.deployed(dark, writer("d1")) as world:
+            budget = world.instances["e1"].budget
+            while budget.take(deployments.ENGINES):
+                pass
+            answer = await world.ask("/verdicts/1")
+            assert answer.error is not None
+            assert answer.error.ran is errors.Ran.NO
+            assert answer.error.retry_after_ms is not None
+            assert world.backends.runs == []
+
+    deployments.run(main())
+
+
 def test_a_reading_without_answer_makes_the_next_one_a_retry():
     """Readings that are given up stay within the fleet's bound.
 
