Instances without a leader begin in a drawn debt for every account

A third of the instances was cut off, and an account that was calm began to send six times its usual: each admitted a request in debt at once.

--- a/src/jujubewharf/forwarding/quotas.py
+++ b/src/jujubewharf/forwarding/quotas.py
@@ -92,7 +92,6 @@
     def __init__(self, now_ms: float = 0.0) -> None:
         self._uses: dict[str, _Use] = {}
         self._since_ms = now_ms
-        self._is_sure = False
 
     def left(self, account: str, quota: accounts.Quota, now_ms: float) -> float:
         """Units that may be used now; less than nothing in debt."""
@@ -159,28 +158,20 @@
         """Forgets all use."""
         self._uses.clear()
 
-    def resume(self, now_ms: float, *, is_sure: bool = False) -> None:
+    def resume(self, now_ms: float) -> None:
         """Counts again after somebody else has counted for a while.
 
         What accounts have saved up meanwhile they may have used there. Debts
         stay: without them a count that changes hands often would grant each
         time what it grants to an account of which it knows nothing.
-
-        Args:
-            now_ms: When the count begins again.
-            is_sure: Whether accounts are known to have had enough left there,
-                but for those that are put in with what they had.
         """
         self._since_ms = now_ms
-        self._is_sure = is_sure
 
     def _filled(
         self, account: str, quota: accounts.Quota, now_ms: float
     ) -> _Use:
         use = self._uses.get(account)
-        most = quota.burst
-        if not self._is_sure:
-            most *= _UNKNOWN_PART
+        most = quota.burst * _UNKNOWN_PART
         if use is None:
             bucket = buckets.TokenBucket(most, self._since_ms)
             use = self._uses[account] = _Use(bucket)
--- a/src/jujubewharf/leadership/fleet_quotas.py
+++ b/src/jujubewharf/leadership/fleet_quotas.py
@@ -56,6 +56,9 @@
 # large one leaves a debt of some tenths of a second, in which all of the
 # account's small ones would be refused though they hardly count.
 _SMALL_PART = 1 / 50
+# A large request is taken to have this part of its account's burst where none
+# was seen: with a burst of a second and requests of a tenth of one.
+_LARGE_PART = 1 / 8
 # Part of what operators tolerate beyond a quota that small requests may owe.
 # The rest is for what instances without a leader grant by themselves. Large
 # ones may owe nothing: where those of callers that came back, or that found
@@ -148,28 +151,33 @@
         had_word = self._role is Role.FOLLOWING
         self._role = role
         self._untold.clear()
+        self._ledger.resume(now_ms)
         if not had_word or role is Role.FOLLOWING:
-            self._ledger.resume(now_ms)
             return
-        self._ledger.resume(now_ms, is_sure=True)
-        for name in self._fleet.feeds.accounts.low:
-            self._ledger.put(name, self._level_of_low(name), now_ms)
-
-    def _level_of_low(self, name: str) -> float:
-        """What an account begins with that had little left.
-
-        Without a leader each instance would else admit one request of it at
-        once, as there is no debt yet: ten instances, ten requests, and in one
-        case 360,146 tokens ran where 346,833 were allowed. From a debt drawn
-        up to one request each admits its first one as its part of the rate
-        allows, some sooner and some later.
+        for name, account in self._source.accounts.by_name.items():
+            if account.quota is not None:
+                level = self._first_level(name, account.quota)
+                self._ledger.put(name, level, now_ms)
+
+    def _first_level(self, name: str, quota: accounts.Quota) -> float:
+        """What an account begins with, by the leader's last word."""
+        feed = self._fleet.feeds.accounts
+        is_low = name in feed.low
+        if self._role is Role.LEADING:
+            return feed.left(name, quota) if is_low else quota.burst
+        saved = 0.0 if is_low else self._part_of(name, quota).burst
+        return saved - self._rng.random() * self._large(name, quota)
+
+    def _large(self, name: str, quota: accounts.Quota) -> float:
+        """Units of a large request of an account.
+
+        Without a leader each instance would admit one at once, as there is no
+        debt yet: twenty instances, twenty requests, and in one case 360,146
+        tokens ran where 346,833 were allowed. From a debt drawn up to one
+        request each admits its first one as its part of the quota allows, some
+        sooner and some later.
         """
-        if self._role is Role.ALONE:
-            return -self._rng.random() * self._largest.get(name, 0.0)
-        account = self._source.accounts.by_name.get(name)
-        if account is None or account.quota is None:
-            return 0.0
-        return self._fleet.feeds.accounts.left(name, account.quota)
+        return max(self._largest.get(name, 0.0), quota.burst * _LARGE_PART)
 
     @property
     def _ledger(self) -> quotas.QuotaLedger:
--- a/tests/leadership/test_fleet_quotas.py
+++ b/tests/leadership/test_fleet_quotas.py
@@ -351,6 +351,42 @@
     deployments.run(main())
 
 
+def test_a_flood_without_a_leader_gets_no_request_an_instance():
+    """An account that was calm floods all instances while they have no leader.
+
+    Each has a twelfth of its burst, less than one request. If each admitted
+    one in debt, the fleet would run as many at once as it has instances.
+    """
+
+    async def main():
+        names = tuple(f"e{n}" for n in range(12))
+        async with deployments.deployed(
+            *_shops(), *_engines(), names=names, is_led=True
+        ) as world:
+            await _started(world, ("hot", SMALL))
+            for name in names:
+                await _ask(world, "hot", "/verdicts/1", name, work=WORK)
+            await world.clock.sleep_ms(12_000.0)
+            await world.instances.pop(world.leader).stop()
+            since_ms = world.clock.now_ms()
+            flood = asyncio.ensure_future(
+                _flood(
+                    world,
+                    "hot",
+                    "/verdicts/1",
+                    for_ms=900.0,
+                    every_ms=15.0,
+                    units_work=WORK,
+                )
+            )
+            await flood
+            ran = [r for r in world.backends.runs if r.at_ms >= since_ms]
+            # Burst and rate of a second are eight requests.
+            assert len(ran) <= 8
+
+    deployments.run(main())
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_no_history_of_leaders_exceeds_the_quota(seed):
     """Leaders are killed, instances cut off and started anew, in any order.
