What endpoints say in their answers is read, told and logged

Callers saw an endpoint that had named a limit get everything, and no line told that any instance had heard of it. The adapter now translates each answer's word (rate limit, leaving, stay away) into a typed notice, from every call to an engine, and instances log each change of it as endpoint_said with a counter by kind and teller.

Stand-ins learn to name limits, to leave and to ask to be left alone, and know which instance calls.

--- a/src/jujubewharf/forwarding/decisions.py
+++ b/src/jujubewharf/forwarding/decisions.py
@@ -42,6 +42,10 @@
 _ORDERS = _METER.create_counter(
     "forwarding.orders", description="Orders to engines, by outcome."
 )
+_SAID = _METER.create_counter(
+    "forwarding.endpoint_notices",
+    description="Changes of what endpoints want, by kind and who told.",
+)
 _HEAD_MS = _METER.create_histogram(
     "forwarding.first_answer",
     unit="ms",
@@ -158,6 +162,39 @@
     )
 
 
+def endpoint_said(
+    endpoint: str,
+    *,
+    rate_limit_per_s: float | None,
+    is_leaving: bool,
+    stay_away_ms: float,
+    told_by: str,
+) -> None:
+    """It became known what an endpoint wants.
+
+    Args:
+        endpoint: The endpoint.
+        rate_limit_per_s: What it takes from all instances; ``None`` for any.
+        is_leaving: Whether it takes no new work any more.
+        stay_away_ms: How long it wants nothing of this instance.
+        told_by: ``answer`` for its own answer, ``peer`` for another instance.
+    """
+    kind = "no_limit" if rate_limit_per_s is None else "rate_limit"
+    if is_leaving:
+        kind = "leaving"
+    elif stay_away_ms > 0.0:
+        kind = "stay_away"
+    _SAID.add(1, {"kind": kind, "told_by": told_by})
+    _logger.info(
+        "endpoint_said",
+        endpoint=endpoint,
+        rate_limit_per_s=rate_limit_per_s,
+        is_leaving=is_leaving,
+        stay_away_ms=round(stay_away_ms),
+        told_by=told_by,
+    )
+
+
 def refused(
     request_id: str, error: errors.WharfError, *, route: str, held_ms: float
 ) -> None:
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -27,6 +27,7 @@
 from jujubewharf.forwarding import pool
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import registry
+from jujubewharf.forwarding import restraints
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import settings as all_settings
 from jujubewharf.forwarding import sharing
@@ -86,6 +87,7 @@
         admission: Counts requests in flight; closed by a shutdown.
         source: Configuration in force.
         registry: Endpoints that have registered.
+        restraints: What endpoints have said that they want.
         share: Part of what the fleet shares, where nobody leads.
         fleet: The leader of this instance, or its followers.
         lease: The right to give orders to engines.
@@ -108,6 +110,8 @@
         self.admission = shutdown.AdmissionState()
         self.source = forwarder.RouteSource()
         self.registry = registry.Registry(clock)
+        self.restraints = restraints.Restraints(clock)
+        adapters.backends.listen(self.restraints.heard)
         self.share = sharing.FleetShare(
             adapters.group, clock, default_share=_SHARE_ALONE
         )
--- a/src/jujubewharf/forwarding/ports.py
+++ b/src/jujubewharf/forwarding/ports.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from jujubewharf.configuration import resources
+from jujubewharf.engines import notices
 from jujubewharf.forwarding import calls
 from jujubewharf.peers import streams
 from jujubewharf.platform import groups
@@ -49,6 +50,14 @@
     endpoint may have begun to work.
     """
 
+    def listen(self, listener: notices.Listener) -> None:
+        """Calls back with what each answer says of its endpoint.
+
+        Every answer counts, those to refused requests and to calls about an
+        engine's state too. The listener hears of it before whoever asked.
+        """
+        ...
+
     def send(
         self, endpoint: resources.Endpoint, sending: calls.Sending
     ) -> contextlib.AbstractAsyncContextManager[calls.Reply]:
--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -10,11 +10,14 @@
 from collections.abc import AsyncIterator
 from collections.abc import Iterable
 import contextlib
+import copy
 import dataclasses
+import itertools
 
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
+from jujubewharf.engines import notices
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import ports
 
@@ -34,6 +37,14 @@
     headers: calls.Headers = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Asked:
+    """A request or a prompt that reached a backend, also one it refused."""
+
+    instance: str
+    at_ms: float
+
+
 @dataclasses.dataclass(slots=True)
 class StandInBackend:
     """One engine or endpoint and its faults.
@@ -64,6 +75,11 @@
         next_fault: Fault of the next order, once.
         refused_readings: Prompts that it was asked to read and had no room
             for.
+        rate_limit_per_s: Limit that it names in its answers.
+        is_leaving: It says in its answers that it leaves.
+        stay_away_ms: It refuses all, and says to stay away for so long.
+        asked: Requests and prompts that reached it, in order.
+        told_ms: When it first answered each instance with such a word.
     """
 
     endpoint: resources.Endpoint
@@ -90,6 +106,11 @@
     orders: list[ports.RoleOrder] = dataclasses.field(default_factory=list)
     next_fault: client.EngineFault | None = None
     refused_readings: int = 0
+    rate_limit_per_s: float | None = None
+    is_leaving: bool = False
+    stay_away_ms: float = 0.0
+    asked: list[Asked] = dataclasses.field(default_factory=list)
+    told_ms: dict[str, float] = dataclasses.field(default_factory=dict)
 
     @property
     def name(self) -> str:
@@ -115,7 +136,7 @@
         runs: Runs that began, in order.
         prefills: Prompts that were read, by request and engine.
         dropped: Prefill results that were freed unused.
-        checks: Calls of ``is_changing``.
+        instance: Whose calls these are.
     """
 
     def __init__(
@@ -125,10 +146,27 @@
         self.runs: list[Ran] = []
         self.prefills: list[tuple[str, str]] = []
         self.dropped: list[str] = []
-        self.checks = 0
+        self.instance = ""
         self._clock = clock
         self._sources: set[str] = set()
-        self._count = 0
+        self._numbers = itertools.count(1)
+        self._checked: list[str] = []
+        self._listener: notices.Listener = notices.nobody_listens
+
+    @property
+    def checks(self) -> int:
+        """Calls of ``is_changing``."""
+        return len(self._checked)
+
+    def called_by(self, instance: str) -> StandInBackends:
+        """The same backends as one instance of several calls them."""
+        seen = copy.copy(self)
+        seen.instance = instance
+        return seen
+
+    def listen(self, listener: notices.Listener) -> None:
+        """Tells what answers say; see ``ports.Backends``."""
+        self._listener = listener
 
     @contextlib.asynccontextmanager
     async def send(
@@ -136,6 +174,7 @@
     ) -> AsyncIterator[calls.Reply]:
         """Runs a request; see ``ports.Backends``."""
         backend = self._reached(endpoint)
+        asked_ms = self._asked(backend)
         self._check_takes_run(backend, sending)
         self.lapse()
         held = backend.held.pop(sending.hold or "", 0)
@@ -161,10 +200,12 @@
                 await self._clock.sleep_ms(1e9)
             if backend.endpoint.role is resources.Role.PLAIN:
                 await self._clock.sleep_ms(backend.work_ms)
+                self._say(backend, asked_ms, ends_limit=True)
                 yield calls.Reply(
                     backend.status, (PROOF,), _one(request_id.encode())
                 )
             else:
+                self._say(backend, asked_ms, ends_limit=True)
                 body = self._events(backend, sending)
                 yield calls.Reply(backend.status, (PROOF,), body)
         finally:
@@ -207,12 +248,14 @@
         backend = self._reached(endpoint)
         if backend.endpoint.role is not resources.Role.PREFILL:
             raise backend.error(client.EngineFault.REFUSED_ROLE)
+        asked_ms = self._asked(backend)
         if backend.refuses_readings or backend.is_changing:
             backend.refused_readings += 1
             raise backend.error(client.EngineFault.REFUSED_FULL)
         assert sending.call.work is not None
         tokens = sending.call.work.prompt_tokens
         await self._clock.sleep_ms(tokens * backend.prefill_token_ms)
+        self._say(backend, asked_ms)
         self.prefills.append((sending.call.request_id, backend.name))
         if backend.loses_readings:
             raise backend.error(client.EngineFault.LOST, "lost")
@@ -233,6 +276,8 @@
     ) -> str:
         """Reserves memory; see ``ports.Backends``."""
         backend = self._reached(endpoint)
+        self._turn_away(backend)
+        self._say(backend, self._clock.now_ms())
         self.lapse()
         if sum(backend.held.values()) + tokens > backend.memory_tokens:
             raise backend.error(client.EngineFault.REFUSED_FULL)
@@ -249,7 +294,7 @@
 
     async def is_changing(self, endpoint: resources.Endpoint) -> bool:
         """Whether an order is carried out; see ``ports.Backends``."""
-        self.checks += 1
+        self._checked.append(endpoint.name)
         return self._reached(endpoint).is_changing
 
     async def order_role(
@@ -279,9 +324,44 @@
             raise backend.error(client.EngineFault.REFUSED_IDENTITY)
         return backend
 
+    def _asked(self, backend: StandInBackend) -> float:
+        """Notes that a request reached a backend, which may turn it away."""
+        now_ms = self._clock.now_ms()
+        backend.asked.append(Asked(self.instance, now_ms))
+        self._turn_away(backend)
+        return now_ms
+
+    def _turn_away(self, backend: StandInBackend) -> None:
+        if backend.stay_away_ms <= 0.0:
+            return
+        self._say(
+            backend, self._clock.now_ms(), stay_away_ms=backend.stay_away_ms
+        )
+        raise backend.error(client.EngineFault.REFUSED_FULL)
+
+    def _say(
+        self,
+        backend: StandInBackend,
+        asked_ms: float,
+        *,
+        ends_limit: bool = False,
+        stay_away_ms: float = 0.0,
+    ) -> None:
+        limit = backend.rate_limit_per_s
+        notice = notices.Notice(
+            asked_ms,
+            rate_limit_per_s=limit,
+            ends_limit=ends_limit and limit is None,
+            is_leaving=backend.is_leaving,
+            stay_away_ms=stay_away_ms,
+        )
+        if limit is not None or backend.is_leaving or stay_away_ms:
+            now_ms = self._clock.now_ms()
+            backend.told_ms.setdefault(self.instance, now_ms)
+        self._listener(backend.endpoint, notice)
+
     def _name(self, kind: str) -> str:
-        self._count += 1
-        return f"{kind}{self._count}"
+        return f"{kind}{next(self._numbers)}"
 
 
 def event(request_id: str, number: int) -> bytes:
--- a/tests/forwarding/deployments.py
+++ b/tests/forwarding/deployments.py
@@ -192,7 +192,7 @@
                 processor={"share": self.cores.get(name, 0.5)},
             )
             adapters = entry.Adapters(
-                self.backends,
+                self.backends.called_by(name),
                 self.configurations,
                 self.endpoints,
                 self.groups.member(name),
--- /dev/null
+++ b/tests/users_platform/engine_calls.py
@@ -0,0 +1,56 @@
+"""An adapter to engines and a request, for tests of what is said."""
+
+from __future__ import annotations
+
+import contextlib
+from unittest import mock
+
+from users_platform import engines
+
+from jujubewharf import clock as clocks
+from jujubewharf.configuration import resources
+from jujubewharf.engines import sessions
+from jujubewharf.forwarding import calls
+from tests.users_platform import raw_server
+
+
+def good(**more) -> bytes:
+    """An engine's whole answer, with these headers."""
+    given = {"Request_Id": "r1", "Server_Seal": "s"} | more
+    return raw_server.answer(**given)
+
+
+def endpoint(address: str) -> resources.Endpoint:
+    """The engine at an address."""
+    role = resources.Role.DECODE
+    return resources.Endpoint("i-1", "svc", address, "a", role)
+
+
+def call(**more) -> calls.Call:
+    """A request, with these fields."""
+    given = {
+        "request_id": "r1",
+        "method": "POST",
+        "host": "shop.example",
+        "path_query": "/a%20b/?x=%2F",
+        "headers": (("Model", "m"), ("X-Own", "1")),
+        "body": b"body",
+        "arrived_ms": 0.0,
+    }
+    return calls.Call(**(given | more))
+
+
+# A process that gets no processor for a quarter of a second in the middle of a
+# connect would take the engine for unreachable, which is right in the daemon.
+# Here the time must not depend on what else the machine does.
+_CONNECT_S = 30.0
+
+
+@contextlib.asynccontextmanager
+async def connected():
+    """The adapter, on sessions that end with the block."""
+    with mock.patch.object(sessions, "_CONNECT_S", _CONNECT_S):
+        kept = sessions.new_session(is_kept=True)
+        session = sessions.new_session()
+    async with session, kept:
+        yield engines.Engines(session, kept, clocks.Clock())
--- /dev/null
+++ b/tests/users_platform/test_endpoint_notices.py
@@ -0,0 +1,100 @@
+"""What is told of an engine by the headers of its answers."""
+
+from __future__ import annotations
+
+import contextlib
+
+import pytest
+
+from jujubewharf.engines import client
+from jujubewharf.engines import notices
+from jujubewharf.forwarding import calls
+from tests.users_platform import engine_calls
+from tests.users_platform import raw_server
+
+
+async def _noticed(answer: bytes) -> list[notices.Notice]:
+    """What is told of an engine after one answer to a request."""
+    told: list[notices.Notice] = []
+    async with raw_server.serving(lambda _: [answer]) as (_, address):
+        async with engine_calls.connected() as backends:
+            backends.listen(lambda _, notice: told.append(notice))
+            sending = calls.Sending(engine_calls.call(), 1_000.0)
+            with contextlib.suppress(client.EngineError):
+                async with backends.send(
+                    engine_calls.endpoint(address), sending
+                ):
+                    pass
+    return told
+
+
+@pytest.mark.parametrize(
+    ("answer", "limit", "ends_limit"),
+    [
+        (engine_calls.good(Server_Limit="1.8"), 1.8, False),
+        (engine_calls.good(Server_Limit=" 0 "), 0.0, False),
+        (engine_calls.good(Server_Limit="-1"), None, False),
+        (engine_calls.good(Server_Limit="nan"), None, False),
+        (engine_calls.good(Server_Limit="some"), None, False),
+        (engine_calls.good(), None, True),
+        (raw_server.answer("503 Busy", Request_Id="r1"), None, False),
+        (raw_server.answer("500 Failed", Request_Id="r1"), None, False),
+    ],
+)
+async def test_a_limit_is_told_as_the_engine_names_it(
+    answer, limit, ends_limit
+):
+    """A limit ends only by an engine's own whole answer without one.
+
+    One that can't be read, or an answer that may not be the engine's, would
+    else let all instances loose on an engine that is still in need.
+    """
+    (notice,) = await _noticed(answer)
+    assert (notice.rate_limit_per_s, notice.ends_limit) == (limit, ends_limit)
+
+
+@pytest.mark.parametrize(
+    ("status", "retry_after", "stay_away_ms"),
+    [
+        ("503 Busy", "1.5", 1_500.0),
+        ("429 Busy", "2", 2_000.0),
+        ("503 Busy", "Wed, 21 Oct 2026 07:28:00 GMT", 0.0),
+        ("503 Busy", "-3", 0.0),
+        ("200 OK", "2", 0.0),
+    ],
+)
+async def test_how_long_an_engine_wants_nothing(
+    status, retry_after, stay_away_ms
+):
+    answer = raw_server.answer(
+        status, Request_Id="r1", Not_Executed="1", Retry_After=retry_after
+    )
+    (notice,) = await _noticed(answer)
+    assert notice.stay_away_ms == stay_away_ms
+
+
+@pytest.mark.parametrize(
+    "status", ["200 OK", "421 Other", "500 Failed", "503 Busy"]
+)
+async def test_every_answer_says_whether_its_engine_leaves(status):
+    more = {"Instance_Id": "i-1"} if status == "421 Other" else {}
+    answer = raw_server.answer(
+        status, Request_Id="r1", Server_Leaving="1", **more
+    )
+    (notice,) = await _noticed(answer)
+    assert notice.is_leaving
+
+
+@pytest.mark.parametrize(
+    "more", [{"Request_Id": "r2"}, {"Instance_Id": "i-2"}, {}]
+)
+async def test_nothing_is_told_of_an_engine_by_another(more):
+    """An engine that is well would lose its work by another's word.
+
+    Another engine has the address and answers 421, or an answer belongs to
+    another request. What it says of itself is nothing of the one asked.
+    """
+    is_foreign = "Request_Id" in more
+    status = "200 OK" if is_foreign else "421 Other"
+    given = {"Request_Id": "r1", "Server_Leaving": "1"} | more
+    assert await _noticed(raw_server.answer(status, **given)) == []
--- a/tests/users_platform/test_engines.py
+++ b/tests/users_platform/test_engines.py
@@ -3,70 +3,28 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import re
 import time
-from unittest import mock
 
 import pytest
-from users_platform import engines
 
-from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
-from jujubewharf.engines import sessions
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import registration
+from tests.users_platform import engine_calls
 from tests.users_platform import raw_server
 
 FAULT = client.EngineFault
 
 
-def _good(**more) -> bytes:
-    given = {"Request_Id": "r1", "Server_Seal": "s"} | more
-    return raw_server.answer(**given)
-
-
-def _endpoint(address: str) -> resources.Endpoint:
-    role = resources.Role.DECODE
-    return resources.Endpoint("i-1", "svc", address, "a", role)
-
-
-def _call(**more) -> calls.Call:
-    given = {
-        "request_id": "r1",
-        "method": "POST",
-        "host": "shop.example",
-        "path_query": "/a%20b/?x=%2F",
-        "headers": (("Model", "m"), ("X-Own", "1")),
-        "body": b"body",
-        "arrived_ms": 0.0,
-    }
-    return calls.Call(**(given | more))
-
-
-# A process that gets no processor for a quarter of a second in the middle of a
-# connect would take the engine for unreachable, which is right in the daemon.
-# Here the time must not depend on what else the machine does.
-_CONNECT_S = 30.0
-
-
-@contextlib.asynccontextmanager
-async def _engines():
-    with mock.patch.object(sessions, "_CONNECT_S", _CONNECT_S):
-        kept = sessions.new_session(is_kept=True)
-        session = sessions.new_session()
-    async with session, kept:
-        yield engines.Engines(session, kept, clocks.Clock())
-
-
 async def _send(script, sending=None, *, count: int = 1):
     """Sends a request; returns the server, and answers or faults."""
-    sending = sending or calls.Sending(_call(), 1_234.9)
+    sending = sending or calls.Sending(engine_calls.call(), 1_234.9)
     found = []
     async with raw_server.serving(script) as (server, address):
-        async with _engines() as backends:
+        async with engine_calls.connected() as backends:
             for _ in range(count):
                 found.append(await _one(backends, address, sending))
     return server, found
@@ -74,7 +32,9 @@
 
 async def _one(backends, address, sending):
     try:
-        async with backends.send(_endpoint(address), sending) as reply:
+        async with backends.send(
+            engine_calls.endpoint(address), sending
+        ) as reply:
             body = b"".join([part async for part in reply.body])
             return reply.status, body, dict(reply.headers)
     except client.EngineError as error:
@@ -82,7 +42,7 @@
 
 
 async def test_a_request_is_sent_as_it_came():
-    server, _ = await _send(lambda r: [_good()])
+    server, _ = await _send(lambda r: [engine_calls.good()])
     (received,) = server.received
     assert received.line == "POST /a%20b/?x=%2F HTTP/1.1"
     assert received.body == b"body"
@@ -100,13 +60,13 @@
 
 async def test_what_the_system_sets():
     sending = calls.Sending(
-        _call(),
+        engine_calls.call(),
         500.0,
         source=calls.Source("10.0.0.1:80", "h1"),
         hold="hold1",
         after_event=12,
     )
-    server, _ = await _send(lambda r: [_good()], sending)
+    server, _ = await _send(lambda r: [engine_calls.good()], sending)
     sent = server.received[0].headers
     assert sent["kv-source"] == "10.0.0.1:80/h1"
     assert sent["kv-hold"] == "hold1"
@@ -114,13 +74,15 @@
 
 
 async def test_an_engine_is_told_the_account():
-    sending = calls.Sending(_call(account="huka"), 500.0)
-    server, _ = await _send(lambda r: [_good()], sending)
+    sending = calls.Sending(engine_calls.call(account="huka"), 500.0)
+    server, _ = await _send(lambda r: [engine_calls.good()], sending)
     assert server.received[0].headers["tenant"] == "huka"
 
 
 async def test_an_answer_comes_through_without_what_is_for_this_system():
-    good = _good(Engine_Load="1,0,8", Instance_Id="i-1", X_Other="y")
+    good = engine_calls.good(
+        Engine_Load="1,0,8", Instance_Id="i-1", X_Other="y"
+    )
     _, [(status, body, headers)] = await _send(lambda r: [good])
     assert (status, body) == (200, b"ok")
     assert headers["X-Other"] == "y"
@@ -157,18 +119,18 @@
 
 
 async def test_an_engines_own_failure_is_an_answer():
-    bad = _good(status="500 Oops")
+    bad = engine_calls.good(status="500 Oops")
     _, [(status, body, _)] = await _send(lambda r: [bad])
     assert (status, body) == (500, b"ok")
 
 
 async def test_an_answer_that_is_cut_short_is_lost():
-    _, found = await _send(lambda r: [_good()[:-1]])
+    _, found = await _send(lambda r: [engine_calls.good()[:-1]])
     assert found == [FAULT.LOST]
 
 
 async def test_an_answer_without_length_ends_with_its_connection():
-    whole = _good(length=False, body=b"all of it")
+    whole = engine_calls.good(length=False, body=b"all of it")
     _, [(_, body, _)] = await _send(lambda r: [whole])
     assert body == b"all of it"
 
@@ -178,14 +140,14 @@
 
     Only the way in which the connection ended tells the two apart.
     """
-    part = _good(length=False, body=b"part of it")
+    part = engine_calls.good(length=False, body=b"part of it")
     _, found = await _send(lambda r: [part, raw_server.RESET])
     assert found == [FAULT.LOST]
 
 
 async def test_a_second_answer_is_not_taken_for_the_next_ones():
     """Each caller gets its own answer although an engine sends one twice."""
-    twice = _good() + _good(body=b"second")
+    twice = engine_calls.good() + engine_calls.good(body=b"second")
     server, found = await _send(lambda r: [twice], count=3)
     assert [body for _, body, _ in found] == [b"ok"] * 3
     assert server.connections == 3
@@ -193,7 +155,7 @@
 
 @pytest.mark.parametrize("method", ["GET", "PUT", "DELETE", "POST"])
 async def test_a_closed_connection_is_never_sent_to_twice(method):
-    sending = calls.Sending(_call(method=method), 500.0)
+    sending = calls.Sending(engine_calls.call(method=method), 500.0)
     server, found = await _send(lambda r: [raw_server.RESET], sending)
     assert found == [FAULT.LOST]
     assert len(server.received) == 1
@@ -202,32 +164,39 @@
 async def test_nobody_there_means_that_nothing_was_sent():
     async with raw_server.serving(lambda r: []) as (_, address):
         pass
-    async with _engines() as backends:
-        found = await _one(backends, address, calls.Sending(_call(), 500.0))
+    async with engine_calls.connected() as backends:
+        found = await _one(
+            backends, address, calls.Sending(engine_calls.call(), 500.0)
+        )
     assert found is FAULT.UNREACHABLE
 
 
 async def test_leaving_the_block_ends_the_engines_connection():
     async with raw_server.serving(
-        lambda r: [_good(length=False), raw_server.SILENCE]
+        lambda r: [engine_calls.good(length=False), raw_server.SILENCE]
     ) as (server, address):
-        async with _engines() as backends:
-            sending = calls.Sending(_call(), 500.0)
-            async with backends.send(_endpoint(address), sending) as reply:
+        async with engine_calls.connected() as backends:
+            sending = calls.Sending(engine_calls.call(), 500.0)
+            async with backends.send(
+                engine_calls.endpoint(address), sending
+            ) as reply:
                 assert await anext(reply.body) == b"ok"
             await server.ended.wait()
 
 
 async def _ask(answer: bytes, ask):
     async with raw_server.serving(lambda r: [answer]) as (server, address):
-        async with _engines() as backends:
-            return await ask(backends, _endpoint(address)), server.received[0]
+        async with engine_calls.connected() as backends:
+            return await ask(
+                backends, engine_calls.endpoint(address)
+            ), server.received[0]
 
 
 async def test_a_prompt_is_read_apart():
     answer = raw_server.answer(body=b'{"kvHandle":"h7","tokens":5}')
     found, received = await _ask(
-        answer, lambda b, e: b.prefill(e, calls.Sending(_call(), 900.0))
+        answer,
+        lambda b, e: b.prefill(e, calls.Sending(engine_calls.call(), 900.0)),
     )
     assert found.handle == "h7"
     assert received.headers["stage"] == "prefill"
@@ -325,11 +294,13 @@
         return [_STREAM[:sent_bytes], raw_server.RESET]
 
     async with raw_server.serving(script) as (_, address):
-        async with _engines() as backends:
-            sending = calls.Sending(_call(), 2_000.0)
+        async with engine_calls.connected() as backends:
+            sending = calls.Sending(engine_calls.call(), 2_000.0)
             body = b""
             with pytest.raises(client.EngineError) as raised:
-                async with backends.send(_endpoint(address), sending) as reply:
+                async with backends.send(
+                    engine_calls.endpoint(address), sending
+                ) as reply:
                     async for part in reply.body:
                         body += part
     assert raised.value.fault is FAULT.LOST
@@ -366,8 +337,8 @@
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
-    async with server, _engines() as backends:
-        endpoint = _endpoint(f"{host}:{port}")
+    async with server, engine_calls.connected() as backends:
+        endpoint = engine_calls.endpoint(f"{host}:{port}")
         first = await backends.reserve(endpoint, tokens=1, ttl_ms=1_000.0)
         second = await backends.reserve(endpoint, tokens=1, ttl_ms=1_000.0)
         third = await backends.reserve(endpoint, tokens=1, ttl_ms=1_000.0)
@@ -386,10 +357,10 @@
         return [raw_server.answer(body=body, Request_Id="another")]
 
     async with raw_server.serving(script) as (_, address):
-        async with _engines() as backends:
+        async with engine_calls.connected() as backends:
             with pytest.raises(client.EngineError) as raised:
                 await backends.reserve(
-                    _endpoint(address), tokens=1, ttl_ms=1_000.0
+                    engine_calls.endpoint(address), tokens=1, ttl_ms=1_000.0
                 )
     assert raised.value.fault is FAULT.LOST
 
@@ -400,9 +371,12 @@
     One of them failed beside a full machine: with the daemon's bound on a
     connect, a pause of 0.3 s in it looks like an engine that isn't there.
     """
-    sending = calls.Sending(_call(), 1_234.9)
-    async with raw_server.serving(lambda r: [_good()]) as (_, address):
-        async with _engines() as backends:
+    sending = calls.Sending(engine_calls.call(), 1_234.9)
+    async with raw_server.serving(lambda r: [engine_calls.good()]) as (
+        _,
+        address,
+    ):
+        async with engine_calls.connected() as backends:
             asyncio.get_running_loop().call_soon(time.sleep, 0.3)
             found = await _one(backends, address, sending)
     assert found[1] == b"ok"
