Rate limits that endpoints name hold over all instances

What callers saw: endpoints in need, which had named 1.8 and 1.5 requests a second, got 48 and 23 in four seconds, and answered late.

Cause: no instance read the word; and had each kept to it by itself, six would have sent six times as much. The class is news that one instance hears and all must heed.

Mend: who hears an endpoint's terms tells the leader, who tells all, new followers too; the leader counts and gives out a permit for each request, prompt or reservation to a limited endpoint. Without a leader an instance gives out half of an equal part, from a drawn beginning, so that all and a part that is cut off together stay within half as much again. A new leader hears the terms from its followers and begins with no permit. A limit ends only by an endpoint's own whole answer to a request from after it was heard. Callers that no endpoint may take are refused at once, each told another time; a stream too where no permit comes within its target.

Ruled out: parts of each limit for each instance (at 300 instances one request in 200 s each, most of the limit lost); waiting for permits (callers are held).

--- a/src/jujubewharf/engines/notices.py
+++ b/src/jujubewharf/engines/notices.py
@@ -36,3 +36,37 @@
 
 def nobody_listens(endpoint: resources.Endpoint, notice: Notice) -> None:
     """Stands in where nobody wants to know."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Terms:
+    """On which terms an endpoint takes work, from all instances alike.
+
+    Attributes:
+        endpoint: Its name.
+        rate_limit_per_s: Requests a second from all instances together;
+            ``None`` for any number.
+        is_leaving: Whether it takes no new work any more.
+    """
+
+    endpoint: str
+    rate_limit_per_s: float | None = None
+    is_leaving: bool = False
+
+    @property
+    def restrains(self) -> bool:
+        """Whether they keep any work away."""
+        return self.rate_limit_per_s is not None or self.is_leaving
+
+    def stricter(self, other: Terms) -> Terms:
+        """Those that hold where two instances know different ones."""
+        limits = [
+            limit
+            for limit in (self.rate_limit_per_s, other.rate_limit_per_s)
+            if limit is not None
+        ]
+        return Terms(
+            self.endpoint,
+            min(limits, default=None),
+            self.is_leaving or other.is_leaving,
+        )
--- a/src/jujubewharf/forwarding/attempts.py
+++ b/src/jujubewharf/forwarding/attempts.py
@@ -16,10 +16,12 @@
 from jujubewharf.forwarding import budget as budgets
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import decisions
+from jujubewharf.forwarding import limits as all_limits
 from jujubewharf.forwarding import observations as observed
 from jujubewharf.forwarding import places as all_places
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import registry as registries
+from jujubewharf.forwarding import restraints as all_restraints
 from jujubewharf.forwarding import runs
 
 # Prefill engines that are asked for one request. A decode engine that reads
@@ -66,6 +68,8 @@
         places: Finds memory for requests.
         budget: Bounds retries over the fleet.
         observations: Learns how engines fare.
+        limits: Bound what engines get that name limits.
+        restraints: What engines want.
         clock: Time.
     """
 
@@ -76,8 +80,12 @@
         places: all_places.Places,
         budget: budgets.FleetBudget,
         observations: observed.Observations,
+        limits: all_limits.Permits,
+        restraints: all_restraints.Restraints,
         clock: clocks.Clock,
     ) -> None:
+        self._limits = limits
+        self._restraints = restraints
         self._backends = backends
         self._registry = registry
         self._places = places
@@ -149,6 +157,8 @@
             raise changing from error
         if sending.source is None or prefilled.reader is None:
             raise error
+        if not await self._limits.take(error.engine):
+            raise error
         gone = client.EngineError(
             client.EngineFault.KV_GONE, prefilled.reader.name
         )
@@ -190,7 +200,7 @@
             # Only the first reading is no retry.
             readers = []
         for reader in readers:
-            if not self._registry.takes_work(reader.name):
+            if not await self._may_read(reader):
                 # Asked again at the moment of sending: it was chosen when the
                 # request was placed, by a leader that may be cut off from the
                 # store, or has begun to leave while another one was asked.
@@ -218,6 +228,14 @@
             if not prefilled.is_fetched:
                 await self._drop(prefilled)
 
+    async def _may_read(self, reader: resources.Endpoint) -> bool:
+        """Whether an engine takes a prompt at this moment."""
+        if self._restraints.keeps_off(reader.name):
+            return False
+        if not await self._limits.take(reader.name):
+            return False
+        return self._registry.takes_work(reader.name)
+
     def _may_read_again(self, run: runs.Run, error: client.EngineError) -> bool:
         """Whether another engine may be asked to read the prompt.
 
--- a/src/jujubewharf/forwarding/decisions.py
+++ b/src/jujubewharf/forwarding/decisions.py
@@ -46,6 +46,10 @@
     "forwarding.endpoint_notices",
     description="Changes of what endpoints want, by kind and who told.",
 )
+_PERMITS = _METER.create_counter(
+    "forwarding.permits",
+    description="Requests to limited endpoints, by outcome and who counts.",
+)
 _HEAD_MS = _METER.create_histogram(
     "forwarding.first_answer",
     unit="ms",
@@ -195,6 +199,12 @@
     )
 
 
+def permit_asked(*, is_granted: bool, counted_by: str) -> None:
+    """An endpoint with a rate limit was to be sent a request."""
+    outcome = "granted" if is_granted else "denied"
+    _PERMITS.add(1, {"outcome": outcome, "counted_by": counted_by})
+
+
 def refused(
     request_id: str, error: errors.WharfError, *, route: str, held_ms: float
 ) -> None:
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -34,6 +34,7 @@
 from jujubewharf.forwarding import stream
 from jujubewharf.leadership import feeds
 from jujubewharf.leadership import fleet as fleets
+from jujubewharf.leadership import fleet_limits
 from jujubewharf.leadership import fleet_quotas
 from jujubewharf.leadership import leadership
 from jujubewharf.leadership import led
@@ -93,6 +94,7 @@
         lease: The right to give orders to engines.
         budget: Retries that this instance may make.
         quotas: What accounts may use.
+        endpoint_limits: What endpoints take that name limits.
         work: What requests cost, as observed here.
     """
 
@@ -127,12 +129,16 @@
         self.fleet = fleets.Fleet(
             self.registry,
             self.work,
+            self.restraints,
             lambda: self._endpoints.offset,
             clock,
             in_force_within_ms=settings.store.in_force_within_ms,
             leaving_within_ms=settings.store.leaving_within_ms,
             count_within_ms=settings.retries.window_s * clocks.MS_PER_S,
         )
+        self.endpoint_limits = fleet_limits.FleetLimits(
+            self.fleet, self.restraints, self._limit_share, clock, rng
+        )
         self.quotas = fleet_quotas.FleetQuotas(
             self.fleet,
             self.source,
@@ -197,10 +203,10 @@
         chooser = plain_endpoints.Chooser(
             self._settings.domain,
             clock,
-            is_leaving=lambda name: not self.registry.takes_work(name),
+            is_leaving=self._is_shut,
         )
         self.registry.listen(chooser.take_over)
-        engines = pool.EnginePool(self.work, clock, rng)
+        engines = pool.EnginePool(self.work, self.restraints, clock, rng)
         lengths = margins.AnswerLengths()
         self.registry.listen(engines.take_over)
         self._orders = ordering.RoleOrders(
@@ -220,6 +226,8 @@
             self.work,
             lengths,
             self.quotas,
+            self.endpoint_limits,
+            self.restraints,
             lambda: self.fleet.counts_all,
             clock,
             rng,
@@ -238,6 +246,7 @@
                     self.source,
                     self._costs,
                     self.quotas,
+                    self.endpoint_limits,
                     clock,
                 ),
                 rng,
@@ -249,12 +258,21 @@
             led.FleetPlaces(self.fleet.link, places),
             self.budget,
             observed,
+            self.endpoint_limits,
+            self.restraints,
             clock,
         )
         return forwarder.Forwarder(
             self.source,
             plain.PlainForwarder(
-                backends, self.registry, chooser, self.budget, clock
+                backends,
+                self.registry,
+                chooser,
+                self.budget,
+                self.endpoint_limits,
+                self.restraints,
+                clock,
+                rng,
             ),
             stream.StreamForwarder(sender, self.budget, observed, clock),
             self.budget,
@@ -275,6 +293,18 @@
         if self._leadership is not None:
             await self.add_runtime_dependency(self._leadership)
 
+    def _is_shut(self, name: str) -> bool:
+        """Whether an endpoint gets no work at this moment."""
+        if not self.registry.takes_work(name):
+            return True
+        return self.restraints.keeps_off(name)
+
+    def _limit_share(self) -> float:
+        """Equal part of what the fleet shares, where nobody counts for all."""
+        if self._leadership is None:
+            return self.share.fraction
+        return self.fleet.equal_share() or _SHARE_ALONE
+
     def _retry_share(self) -> float:
         """Part of the fleet's retries that this instance may make."""
         if self._leadership is None:
--- a/src/jujubewharf/forwarding/patience.py
+++ b/src/jujubewharf/forwarding/patience.py
@@ -10,6 +10,7 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf.forwarding import calls
+from jujubewharf.forwarding import come_back
 from jujubewharf.forwarding import costs
 from jujubewharf.forwarding import runs
 
@@ -32,9 +33,6 @@
 # A refused caller comes back when this part of a mean stay is over: most of
 # what fills the engines now has ended by then.
 _COME_BACK_OF_STAY = 0.8
-# Callers come back within this part of the time that they have left; told
-# more, they come sooner or not at all.
-_COME_BACK_OF_PATIENCE = 0.33
 # Part of the memory that comes free which is promised to callers that come
 # back, so that as many new ones still find room.
 _PROMISED_PART = 1 / 3
@@ -91,7 +89,7 @@
             running: Answers that this instance has running.
         """
         patience_ms = call.patience_ms or _UNKNOWN_PATIENCE_MS
-        longest_ms = patience_ms * _COME_BACK_OF_PATIENCE
+        longest_ms = patience_ms * come_back.OF_PATIENCE
         stay_ms = self._work.stay_ms or patience_ms * _STAY_OF_PATIENCE
         now_ms = self._clock.now_ms()
         earliest_ms = now_ms + stay_ms * _COME_BACK_OF_STAY
--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -20,6 +20,7 @@
 from jujubewharf.engines import client
 from jujubewharf.forwarding import costs
 from jujubewharf.forwarding import decisions
+from jujubewharf.forwarding import limits as all_limits
 from jujubewharf.forwarding import line as lines
 from jujubewharf.forwarding import margins
 from jujubewharf.forwarding import patience
@@ -28,6 +29,7 @@
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import quotas as all_quotas
 from jujubewharf.forwarding import registry as registries
+from jujubewharf.forwarding import restraints as all_restraints
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import runs
 
@@ -78,6 +80,8 @@
         work: Learns what requests cost.
         lengths: How long answers are.
         quotas: Bound what accounts use.
+        limits: Bound what engines get that name limits.
+        restraints: What engines want.
         counts_all: Tells whether all that engines hold now was placed here.
         clock: Time.
         rng: Spreads the times at which engines are asked.
@@ -91,6 +95,8 @@
         work: costs.WorkCosts,
         lengths: margins.AnswerLengths,
         quotas: all_quotas.Quotas,
+        limits: all_limits.Permits,
+        restraints: all_restraints.Restraints,
         counts_all: Callable[[], bool],
         clock: clocks.Clock,
         rng: random.Random,
@@ -101,6 +107,8 @@
         self._work = work
         self._lengths = lengths
         self._quotas = quotas
+        self._limits = limits
+        self._restraints = restraints
         self._counts_all = counts_all
         self._clock = clock
         self._rng = rng
@@ -190,9 +198,26 @@
                         waited_ms=waited_ms,
                     )
                     return place, wish
+                if self._all_stay_shut(run.service, waiter.due_ms):
+                    break
                 await self._pause(waiter)
         raise self._refusal(run, wish)
 
+    def _all_stay_shut(self, service: str, due_ms: float) -> bool:
+        """Whether limits leave no engine to ask until a request is given up."""
+        back_in_ms = self._back_in_ms(service)
+        return (
+            back_in_ms is not None
+            and self._clock.now_ms() + back_in_ms > due_ms
+        )
+
+    def _back_in_ms(self, service: str) -> float | None:
+        """Time until any engine may be asked again; see ``Restraints``."""
+        engines = self._registry.of_service(service)
+        return self._restraints.back_in_ms(
+            engine.name for engine in engines if engine.can_decode
+        )
+
     async def _pause(self, waiter: lines.Waiter) -> None:
         """Waits until the request should ask again, or is given up."""
         every_ms = _FIRST_ASK_AGAIN_MS
@@ -239,6 +264,10 @@
             last=run.lost_by,
         )
         for engine in asked[:count]:
+            # One permit for the reservation and the run that uses it; without
+            # one the engine isn't asked for its memory either.
+            if not await self._limits.take(engine.name):
+                continue
             if not self._registry.takes_work(engine.name):
                 continue
             try:
@@ -317,6 +346,7 @@
         if run.may_have_run:
             return run.failure()
         after_ms = self._patience.come_back_ms(run.call, self._running)
+        after_ms = max(after_ms, self._back_in_ms(run.service) or 0.0)
         return errors.WharfError(
             errors.ErrorKind.QUEUE_FULL, retry_after_ms=after_ms
         )
--- a/src/jujubewharf/forwarding/plain.py
+++ b/src/jujubewharf/forwarding/plain.py
@@ -3,17 +3,23 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+from collections.abc import Collection
 import contextlib
 import dataclasses
+import random
 
 from jujubewharf import clock as clocks
+from jujubewharf import errors
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
 from jujubewharf.forwarding import budget as budgets
 from jujubewharf.forwarding import calls
+from jujubewharf.forwarding import come_back
 from jujubewharf.forwarding import decisions
+from jujubewharf.forwarding import limits as all_limits
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import registry as registries
+from jujubewharf.forwarding import restraints as all_restraints
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import runs
 from jujubewharf.requests import plain_endpoints
@@ -38,7 +44,10 @@
         registry: Tells which of them take work.
         chooser: Picks one.
         budget: Bounds retries over the fleet.
+        limits: Bound what endpoints get that name limits.
+        restraints: What endpoints want.
         clock: Time.
+        rng: Spreads the times at which refused callers come back.
     """
 
     def __init__(
@@ -47,12 +56,18 @@
         registry: registries.Registry,
         chooser: plain_endpoints.Chooser,
         budget: budgets.FleetBudget,
+        limits: all_limits.Permits,
+        restraints: all_restraints.Restraints,
         clock: clocks.Clock,
+        rng: random.Random,
     ) -> None:
+        self._come_back = come_back.ComeBackTimes(clock, rng)
         self._backends = backends
         self._registry = registry
         self._chooser = chooser
         self._budget = budget
+        self._limits = limits
+        self._restraints = restraints
         self._clock = clock
 
     async def begin(
@@ -66,13 +81,11 @@
         failed: set[str] = set()
         answered: calls.Reply | None = None
         while True:
-            endpoint = self._chooser.choose(
-                run.service, excluded=frozenset(failed)
-            )
+            endpoint = await self._choose(run, failed)
             if endpoint is None:
                 if answered is not None:
                     return answered
-                raise run.failure()
+                raise self._nobody(run)
             failed.add(endpoint.name)
             try:
                 reply = await self._attempt(
@@ -91,6 +104,38 @@
             if not self._may_repeat(run, "failed"):
                 return reply
 
+    async def _choose(
+        self, run: runs.Run, failed: Collection[str]
+    ) -> resources.Endpoint | None:
+        """An endpoint that takes one more request at this moment."""
+        while True:
+            endpoint = self._chooser.choose(
+                run.service, excluded=frozenset(failed)
+            )
+            if endpoint is None:
+                return None
+            if not await self._limits.take(endpoint.name):
+                # Left alone from now on, so the next choice is another.
+                continue
+            if self._chooser.may_get_work(endpoint.name):
+                # It may have begun to leave while the leader was asked.
+                return endpoint
+
+    def _nobody(self, run: runs.Run) -> errors.WharfError:
+        """The error where no endpoint takes the request now."""
+        names = [e.name for e in self._registry.of_service(run.service)]
+        back_in_ms = self._restraints.back_in_ms(names)
+        if back_in_ms is None:
+            return run.failure()
+        left_ms = run.left_ms(self._clock)
+        after_ms = self._come_back.next_ms(
+            run.service,
+            free_in_ms=back_in_ms,
+            apart_ms=self._restraints.apart_ms(names),
+            longest_ms=left_ms * come_back.OF_PATIENCE,
+        )
+        return run.failure("all endpoints left alone", retry_after_ms=after_ms)
+
     def _may_repeat(self, run: runs.Run, reason: str) -> bool:
         left = self._budget.left(run.service)
         if not run.tried:
--- a/src/jujubewharf/forwarding/pool.py
+++ b/src/jujubewharf/forwarding/pool.py
@@ -14,6 +14,7 @@
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
 from jujubewharf.forwarding import costs
+from jujubewharf.forwarding import restraints as all_restraints
 from jujubewharf.routing import breaker as breakers
 
 # An engine that has another role than is known here is left alone this long,
@@ -53,6 +54,7 @@
     UNREACHABLE = "unreachable"
     OTHER_ROLE = "other_role"
     FULL = "full"
+    LEFT_ALONE = "left_alone"
 
 
 @dataclasses.dataclass(slots=True)
@@ -92,6 +94,7 @@
 
     Args:
         work: What requests cost.
+        restraints: What engines want.
         clock: Time.
         rng: Decides between engines that look alike; instances that all took
             the first by name would meet at one engine.
@@ -100,10 +103,12 @@
     def __init__(
         self,
         work: costs.WorkCosts,
+        restraints: all_restraints.Restraints,
         clock: clocks.Clock,
         rng: random.Random,
     ) -> None:
         self._work = work
+        self._restraints = restraints
         self._clock = clock
         self._rng = rng
         self._views: dict[str, EngineView] = {}
@@ -304,6 +309,8 @@
         now_ms = self._clock.now_ms()
         if view.breaker.is_open:
             return Standing.UNREACHABLE
+        if self._restraints.keeps_off(engine.name):
+            return Standing.LEFT_ALONE
         if view.absent_until_ms > now_ms:
             return Standing.OTHER_ROLE
         if view.full_until_ms > now_ms and tokens >= view.refused_tokens:
--- a/src/jujubewharf/forwarding/restraints.py
+++ b/src/jujubewharf/forwarding/restraints.py
@@ -1,11 +1,15 @@
 """What endpoints have said in their answers of the work that they want.
 
 An answer can name a rate limit, say that its endpoint leaves, or ask the
-instance that it goes to to stay away for a while.
+instance that it goes to to stay away for a while. The first two are terms for
+all instances: whoever hears them tells the others, see
+``leadership.fleet_limits``. The last concerns this instance alone.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 
 from jujubewharf import clock as clocks
@@ -15,73 +19,174 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Restraint:
+class _Restraint:
     """What one endpoint wants.
 
     Attributes:
-        rate_limit_per_s: Requests a second that it takes from all instances
-            together; ``None`` for any number.
-        limit_heard_ms: When that was heard last.
-        is_leaving: Whether it takes no new work any more.
+        terms: Its terms for all instances.
+        limit_heard_ms: When its limit was heard last.
         away_until_ms: Until when it wants no request of this instance.
+        deferred_until_ms: Until when its limit leaves nothing for this one.
+        deferred_for_ms: Length of that time from its beginning on.
     """
 
-    rate_limit_per_s: float | None = None
+    terms: notices.Terms
     limit_heard_ms: float = 0.0
-    is_leaving: bool = False
     away_until_ms: float = 0.0
+    deferred_until_ms: float = 0.0
+    deferred_for_ms: float = 0.0
+
+
+def _nobody(terms: notices.Terms) -> None:
+    """Stands in where nobody is to be told."""
 
 
 class Restraints:
-    """Learns what endpoints want.
+    """Learns what endpoints want, and tells which are left alone now.
 
     Args:
         clock: Time.
+
+    Attributes:
+        on_news: Told what an answer to this instance has changed for all.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
+        self.on_news: Callable[[notices.Terms], None] = _nobody
         self._clock = clock
-        self._by_name: dict[str, Restraint] = {}
+        self._by_name: dict[str, _Restraint] = {}
 
     def heard(
         self, endpoint: resources.Endpoint, notice: notices.Notice
     ) -> None:
         """Learns what an answer to this instance says."""
-        known = self._by_name.get(endpoint.name, Restraint())
+        known = self._of(endpoint.name)
+        terms = notices.Terms(
+            endpoint.name,
+            self._limit_after(known, notice),
+            known.terms.is_leaving or notice.is_leaving,
+        )
         now_ms = self._clock.now_ms()
-        limit = known.rate_limit_per_s
-        heard_ms = known.limit_heard_ms
         if notice.rate_limit_per_s is not None:
-            limit = notice.rate_limit_per_s
-            heard_ms = now_ms
-        elif notice.ends_limit and notice.asked_ms > heard_ms:
-            # The answer to an earlier request may be from before the limit.
-            limit = None
-        away_until_ms = known.away_until_ms
-        if notice.stay_away_ms > 0.0:
-            away_until_ms = max(away_until_ms, now_ms + notice.stay_away_ms)
-        now = Restraint(
-            limit,
-            heard_ms,
-            known.is_leaving or notice.is_leaving,
-            away_until_ms,
+            known.limit_heard_ms = now_ms
+        away_until_ms = now_ms + notice.stay_away_ms
+        is_sent_away = notice.stay_away_ms > 0.0
+        if is_sent_away:
+            known.away_until_ms = max(known.away_until_ms, away_until_ms)
+        is_news = terms != known.terms
+        if is_news or is_sent_away:
+            self._take(known, terms)
+            _log(terms, told_by="answer", stay_away_ms=notice.stay_away_ms)
+        if is_news:
+            self.on_news(terms)
+
+    def told(self, terms: notices.Terms, *, is_news: bool) -> bool:
+        """Learns terms from another instance.
+
+        Args:
+            terms: The terms.
+            is_news: Whether they have just changed. Of what the other one has
+                known for a while the stricter holds: it may have been cut off
+                since, and the endpoint's next answer tells.
+
+        Returns:
+            Whether they were not known before.
+        """
+        known = self._of(terms.endpoint)
+        if not is_news:
+            terms = terms.stricter(known.terms)
+        elif known.terms.is_leaving:
+            terms = dataclasses.replace(terms, is_leaving=True)
+        known.limit_heard_ms = self._clock.now_ms()
+        if terms == known.terms:
+            return False
+        self._take(known, terms)
+        _log(terms, told_by="peer")
+        return True
+
+    @property
+    def terms(self) -> tuple[notices.Terms, ...]:
+        """All terms that keep any work away."""
+        return tuple(
+            known.terms
+            for known in self._by_name.values()
+            if known.terms.restrains
         )
-        if now == Restraint() and endpoint.name not in self._by_name:
-            return
-        self._by_name[endpoint.name] = now
-        if _differs(known, now):
-            decisions.endpoint_said(
-                endpoint.name,
-                rate_limit_per_s=now.rate_limit_per_s,
-                is_leaving=now.is_leaving,
-                stay_away_ms=notice.stay_away_ms,
-                told_by="answer",
-            )
-
-
-def _differs(known: Restraint, now: Restraint) -> bool:
-    return (
-        known.rate_limit_per_s != now.rate_limit_per_s
-        or known.is_leaving != now.is_leaving
-        or known.away_until_ms != now.away_until_ms
+
+    def rate_limit_per_s(self, name: str) -> float | None:
+        """What an endpoint takes from all instances; ``None`` for any."""
+        known = self._by_name.get(name)
+        return None if known is None else known.terms.rate_limit_per_s
+
+    def defer(self, name: str, wait_ms: float) -> None:
+        """Learns that an endpoint's limit leaves nothing for so long."""
+        known = self._of(name)
+        known.deferred_until_ms = self._clock.now_ms() + wait_ms
+        known.deferred_for_ms = wait_ms
+
+    def keeps_off(self, name: str) -> bool:
+        """Whether an endpoint is left alone now."""
+        return self._back_in_ms(name) > 0.0
+
+    def back_in_ms(self, names: Iterable[str]) -> float | None:
+        """Time until one of some endpoints may be asked again.
+
+        Returns:
+            ``None`` where one may be asked now, or there is none.
+        """
+        waits = [self._back_in_ms(name) for name in names]
+        return min(waits) if waits and min(waits) > 0.0 else None
+
+    def apart_ms(self, names: Iterable[str]) -> float:
+        """Time between two requests that limited endpoints take from here.
+
+        Each takes about one in the time for which it is deferred; 0 where none
+        is.
+        """
+        waits = [
+            self._by_name[name].deferred_for_ms
+            for name in names
+            if name in self._by_name
+        ]
+        per_ms = sum(1.0 / wait_ms for wait_ms in waits if wait_ms > 0.0)
+        return 1.0 / per_ms if per_ms else 0.0
+
+    def _back_in_ms(self, name: str) -> float:
+        known = self._by_name.get(name)
+        if known is None:
+            return 0.0
+        return known.deferred_until_ms - self._clock.now_ms()
+
+    def _limit_after(
+        self, known: _Restraint, notice: notices.Notice
+    ) -> float | None:
+        if notice.rate_limit_per_s is not None:
+            return notice.rate_limit_per_s
+        if notice.ends_limit and notice.asked_ms > known.limit_heard_ms:
+            return None
+        # An answer to an earlier request may be from before the limit.
+        return known.terms.rate_limit_per_s
+
+    def _of(self, name: str) -> _Restraint:
+        known = self._by_name.get(name)
+        return known or _Restraint(notices.Terms(name))
+
+    def _take(self, known: _Restraint, terms: notices.Terms) -> None:
+        if terms.rate_limit_per_s != known.terms.rate_limit_per_s:
+            # How long to wait was reckoned by the former limit.
+            known.deferred_until_ms = 0.0
+            known.deferred_for_ms = 0.0
+        known.terms = terms
+        self._by_name[terms.endpoint] = known
+
+
+def _log(
+    terms: notices.Terms, *, told_by: str, stay_away_ms: float = 0.0
+) -> None:
+    decisions.endpoint_said(
+        terms.endpoint,
+        rate_limit_per_s=terms.rate_limit_per_s,
+        is_leaving=terms.is_leaving,
+        stay_away_ms=stay_away_ms,
+        told_by=told_by,
     )
--- a/src/jujubewharf/forwarding/runs.py
+++ b/src/jujubewharf/forwarding/runs.py
@@ -127,12 +127,13 @@
             self.tried.discard(error.engine)
 
     def failure(
-        self, *, retry_after_ms: float = RETRY_AFTER_MS
+        self, detail: str = "", *, retry_after_ms: float = RETRY_AFTER_MS
     ) -> errors.WharfError:
         """The error for a request that no engine answers."""
         if not self.may_have_run:
             return errors.WharfError(
                 errors.ErrorKind.NO_FITTING_ENGINE,
+                detail,
                 retry_after_ms=retry_after_ms,
             )
         if self.route.repeat is routes.Repeat.NEVER:
--- a/src/jujubewharf/leadership/fleet.py
+++ b/src/jujubewharf/leadership/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import enum
 import random
 
 from jujubewharf import clock as clocks
@@ -13,6 +14,7 @@
 from jujubewharf.forwarding import placement as placements
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import registry as registries
+from jujubewharf.forwarding import restraints as all_restraints
 from jujubewharf.leadership import account_feed
 from jujubewharf.leadership import feeds as all_feeds
 from jujubewharf.leadership import followers as all_followers
@@ -31,12 +33,21 @@
 _ENDED_AFTER_STAYS = 2.0
 
 
+class Role(enum.Enum):
+    """Who counts what the fleet shares."""
+
+    LEADING = "leading"
+    FOLLOWING = "following"
+    ALONE = "alone"
+
+
 class Fleet:
     """What an instance knows of its leader, or of its followers.
 
     Args:
         registry: Tells engines by their names.
         work: What this instance has observed of costs.
+        restraints: What endpoints want.
         endpoints_end: Tells how far this instance has read endpoints.
         clock: Time.
         in_force_within_ms: Time within which a configuration must be in force.
@@ -54,6 +65,7 @@
         self,
         registry: registries.Registry,
         work: costs.WorkCosts,
+        restraints: all_restraints.Restraints,
         endpoints_end: Callable[[], int],
         clock: clocks.Clock,
         *,
@@ -63,6 +75,7 @@
     ) -> None:
         self._clock = clock
         self._work = work
+        self._restraints = restraints
         self._count_within_ms = count_within_ms
         self.feeds = leader_link.Feeds(
             all_feeds.Feed(
@@ -76,7 +89,7 @@
             account_feed.AccountFeed(clock),
         )
         self.link = leader_link.LeaderLink(
-            self.feeds, registry, work, endpoints_end, clock
+            self.feeds, registry, work, restraints, endpoints_end, clock
         )
         self.feeds.configurations.fetch = self.link.fetch_configuration
         self.followers: all_followers.Followers | None = None
@@ -88,6 +101,13 @@
         """Whether this instance leads."""
         return self.followers is not None and self.followers.is_leading
 
+    @property
+    def role(self) -> Role:
+        """Whether this instance leads, follows or is alone."""
+        if self.is_leading:
+            return Role.LEADING
+        return Role.FOLLOWING if self.link.is_open else Role.ALONE
+
     @property
     def instances(self) -> int | None:
         """Instances that are led together; ``None`` for one without leader."""
@@ -118,14 +138,21 @@
         Args:
             window_ms: Time over which retries are counted.
         """
-        now_ms = self._clock.now_ms()
+        share = self.equal_share()
+        if self._clock.now_ms() - self._counted_ms > window_ms:
+            return 0.0
+        return share
+
+    def equal_share(self) -> float:
+        """This instance's part among all that were counted last, 0 to 1.
+
+        0 for one that has never had a leader.
+        """
         instances = self.instances
         if instances is not None:
             self._counted = instances
-            self._counted_ms = now_ms
-        if self._counted is None or now_ms - self._counted_ms > window_ms:
-            return 0.0
-        return 1.0 / self._counted
+            self._counted_ms = self._clock.now_ms()
+        return 0.0 if self._counted is None else 1.0 / self._counted
 
     def new_leadership(
         self,
@@ -158,6 +185,7 @@
             new_placement_server,
             counts,
             self._clock,
+            self._restraints,
             count_within_ms=self._count_within_ms,
         )
         return leadership.Leadership(
@@ -184,6 +212,7 @@
     source: forwarder.RouteSource,
     fleet_costs: costs.ReportedCosts,
     quotas: servers.FollowerQuotas,
+    limits: servers.FollowerLimits,
     clock: clocks.Clock,
 ) -> servers.NewPlacementServer:
     """Makes a server for each follower that comes."""
@@ -193,6 +222,7 @@
         source,
         fleet_costs,
         quotas,
+        limits,
         clock,
         use=quotas.follower(peer, tell),
     )
--- a/src/jujubewharf/leadership/fleet_quotas.py
+++ b/src/jujubewharf/leadership/fleet_quotas.py
@@ -20,7 +20,6 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import contextlib
-import enum
 import random
 
 import mode
@@ -70,14 +69,6 @@
 _LEAST_PART = 1 / 64
 
 
-class Role(enum.Enum):
-    """Who counts what this instance admits."""
-
-    LEADING = "leading"
-    FOLLOWING = "following"
-    ALONE = "alone"
-
-
 class FleetQuotas(mode.Service):
     """Implements ``quotas.Quotas`` over all instances.
 
@@ -107,7 +98,7 @@
         self._share = share
         self._clock = clock
         self._rng = rng
-        self._role = Role.ALONE
+        self._role = fleets.Role.ALONE
         self._led = quotas.QuotaLedger(clock.now_ms())
         self._alone = quotas.QuotaLedger(clock.now_ms())
         # Use that the leader hasn't been told of.
@@ -127,19 +118,14 @@
         fleet.link.on_account_parts = self.parts_told
 
     @property
-    def role(self) -> Role:
+    def role(self) -> fleets.Role:
         """Who counts now."""
-        if self._fleet.is_leading:
-            role = Role.LEADING
-        elif self._fleet.link.is_open:
-            role = Role.FOLLOWING
-        else:
-            role = Role.ALONE
+        role = self._fleet.role
         if role is not self._role:
             self._begin(role)
         return role
 
-    def _begin(self, role: Role) -> None:
+    def _begin(self, role: fleets.Role) -> None:
         """Counts in another role from now on.
 
         Who followed until now has the leader's word of which accounts had
@@ -148,11 +134,11 @@
         without a leader.
         """
         now_ms = self._clock.now_ms()
-        had_word = self._role is Role.FOLLOWING
+        had_word = self._role is fleets.Role.FOLLOWING
         self._role = role
         self._untold.clear()
         self._ledger.resume(now_ms)
-        if not had_word or role is Role.FOLLOWING:
+        if not had_word or role is fleets.Role.FOLLOWING:
             return
         for name, account in self._source.accounts.by_name.items():
             if account.quota is not None:
@@ -163,7 +149,7 @@
         """What an account begins with, by the leader's last word."""
         feed = self._fleet.feeds.accounts
         is_low = name in feed.low
-        if self._role is Role.LEADING:
+        if self._role is fleets.Role.LEADING:
             return feed.left(name, quota) if is_low else quota.burst
         saved = 0.0 if is_low else self._part_of(name, quota).burst
         return saved - self._rng.random() * self._large(name, quota)
@@ -182,7 +168,7 @@
     @property
     def _ledger(self) -> quotas.QuotaLedger:
         """What is counted here in the present role."""
-        return self._led if self._role is Role.LEADING else self._alone
+        return self._led if self._role is fleets.Role.LEADING else self._alone
 
     def take(self, run: runs.Run) -> None:
         """Counts a request; see ``quotas.Quotas``."""
@@ -244,7 +230,7 @@
         uses: Iterable[quota_messages.AccountUse],
     ) -> None:
         """Learns what a follower has admitted by itself."""
-        if self.role is not Role.LEADING:
+        if self.role is not fleets.Role.LEADING:
             return
         for told in uses:
             account = self._source.accounts.by_name.get(told.account)
@@ -275,7 +261,7 @@
         debt = 0.0
         if units <= quota.burst * _SMALL_PART:
             debt = self.tolerated.slack * _DEBT_PART * self._part(name)
-        if role is Role.FOLLOWING:
+        if role is fleets.Role.FOLLOWING:
             feed = self._fleet.feeds.accounts
             wait_ms = feed.take(name, here, units, debt=debt)
             if wait_ms <= 0.0:
@@ -285,7 +271,7 @@
         return self._ledger.take(name, here, units, now_ms, debt=debt)
 
     def _charge(self, name: str, quota: accounts.Quota, units: float) -> None:
-        if self.role is Role.FOLLOWING:
+        if self.role is fleets.Role.FOLLOWING:
             self._untold[name] += units
             return
         here = self._part_of(name, quota)
@@ -298,11 +284,11 @@
     def _part(self, name: str) -> float:
         """Which part of a quota that is."""
         match self._role:
-            case Role.LEADING:
+            case fleets.Role.LEADING:
                 part = 1.0 - self._lost_part(name)
-            case Role.FOLLOWING:
+            case fleets.Role.FOLLOWING:
                 return 1.0
-            case Role.ALONE:
+            case fleets.Role.ALONE:
                 part = max(self._parts.get(name, 0.0), self._share())
         return max(part, _LEAST_PART)
 
@@ -331,10 +317,10 @@
         while not self.should_stop:
             await self._news()
             match self.role:
-                case Role.LEADING:
+                case fleets.Role.LEADING:
                     self._tell_left()
                     self._tell_parts()
-                case Role.FOLLOWING:
+                case fleets.Role.FOLLOWING:
                     self._tell_used()
 
     async def _news(self) -> None:
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -9,6 +9,7 @@
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
 from jujubewharf.forwarding import registration
+from jujubewharf.forwarding import restraints as all_restraints
 from jujubewharf.forwarding import routes
 from jujubewharf.leadership import packing
 from jujubewharf.leadership import placement_server as servers
@@ -16,6 +17,7 @@
 from jujubewharf.peers import counters
 from jujubewharf.peers import handshake
 from jujubewharf.peers import leader_messages
+from jujubewharf.peers import limit_messages
 from jujubewharf.peers import link as links
 from jujubewharf.peers import link_messages
 from jujubewharf.peers import messages
@@ -49,6 +51,7 @@
         new_placement_server: Makes the server of one follower.
         counts: Where to count.
         clock: Time.
+        restraints: What endpoints want.
         count_within_ms: Time for which a follower counts after its link ended.
 
     Attributes:
@@ -61,6 +64,7 @@
         new_placement_server: servers.NewPlacementServer,
         counts: counters.PeerCounters,
         clock: clocks.Clock,
+        restraints: all_restraints.Restraints,
         *,
         count_within_ms: float,
     ) -> None:
@@ -72,6 +76,7 @@
         self._new_placement_server = new_placement_server
         self._counts = counts
         self._clock = clock
+        self._restraints = restraints
         self._links: set[links.Link] = set()
         # How far followers had read the endpoints that weren't told since.
         self._untold: dict[links.Link, int] = {}
@@ -168,6 +173,8 @@
                 self._tell_configuration(self._configuration, [link])
             link.tell(self._seen())
             link.tell(self._left)
+            terms = self._restraints.terms
+            link.tell(limit_messages.TermsKnown(terms, is_news=False))
             await link.run()
         finally:
             self._links.discard(link)
@@ -200,6 +207,10 @@
             self._left = quota_messages.AccountsLeft(accounts)
             self._tell(self._left, self._links)
 
+    def tell_all(self, message: messages.Message) -> None:
+        """Tells all followers something."""
+        self._tell(message, self._links)
+
     def beat(self) -> None:
         """Tells all followers how far the store was read."""
         self._tell(self._seen(), self._links)
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -16,12 +16,14 @@
 from jujubewharf.forwarding import decisions
 from jujubewharf.forwarding import places as all_places
 from jujubewharf.forwarding import registry as registries
+from jujubewharf.forwarding import restraints as all_restraints
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import runs
 from jujubewharf.leadership import account_feed
 from jujubewharf.leadership import feeds as all_feeds
 from jujubewharf.leadership import packing
 from jujubewharf.peers import leader_messages
+from jujubewharf.peers import limit_messages
 from jujubewharf.peers import link as links
 from jujubewharf.peers import messages
 from jujubewharf.peers import network
@@ -57,6 +59,7 @@
         feeds: Learn what the leader has read.
         registry: Tells engines by their names.
         work: What this instance has observed of costs.
+        restraints: What endpoints want.
         endpoints_end: Tells how far this instance has read endpoints.
         clock: Time.
 
@@ -70,6 +73,7 @@
         feeds: Feeds,
         registry: registries.Registry,
         work: costs.WorkCosts,
+        restraints: all_restraints.Restraints,
         endpoints_end: Callable[[], int],
         clock: clocks.Clock,
     ) -> None:
@@ -80,6 +84,7 @@
         self._feeds = feeds
         self._registry = registry
         self._work = work
+        self._restraints = restraints
         self._clock = clock
         self._link: links.Link | None = None
         self._numbers = itertools.count(1)
@@ -94,6 +99,8 @@
         self._link = link
         self.forget()
         link.tell(leader_messages.Following(self._endpoints_end()))
+        terms = self._restraints.terms
+        link.tell(limit_messages.TermsKnown(terms, is_news=False))
         report = self._work.report()
         if report.count:
             link.tell(
@@ -149,6 +156,9 @@
                 self._feeds.accounts.told(left)
             case quota_messages.AccountParts():
                 self.on_account_parts(message.by_account)
+            case limit_messages.TermsKnown():
+                for terms in message.terms:
+                    self._restraints.told(terms, is_news=message.is_news)
             case leader_messages.EndpointNews():
                 records = [_table_record(r) for r in message.records]
                 self._feeds.endpoints.take(records, message.end)
@@ -182,6 +192,25 @@
         await self.handle(link.peer, news)
         return news.configuration is not None
 
+    async def permit(self, endpoint: str) -> float | None:
+        """Asks the leader whether an endpoint's limit allows a request.
+
+        Returns:
+            0 where it does, else the time in ms until it is worth to ask
+            again; ``None`` where the leader didn't answer.
+        """
+        link = self._link
+        if link is None:
+            return None
+        question = limit_messages.PermitAsk(endpoint)
+        try:
+            answer = await link.ask(question, timeout_ms=_CHECKED_WITHIN_MS)
+        except network.PeerError:
+            return None
+        if not isinstance(answer, limit_messages.Permit):
+            return None
+        return answer.wait_ms
+
     def tell(self, message: messages.Message) -> None:
         """Tells the leader something, if there is one."""
         if self._link is not None:
--- a/src/jujubewharf/leadership/placement_server.py
+++ b/src/jujubewharf/leadership/placement_server.py
@@ -21,6 +21,7 @@
 from jujubewharf.forwarding import runs
 from jujubewharf.leadership import account_pace
 from jujubewharf.peers import leader_messages
+from jujubewharf.peers import limit_messages
 from jujubewharf.peers import messages
 from jujubewharf.peers import quota_messages
 
@@ -53,6 +54,18 @@
         ...
 
 
+class FollowerLimits(Protocol):
+    """Counts what followers send to endpoints that name limits."""
+
+    def told(self, message: limit_messages.TermsKnown) -> None:
+        """Learns terms from a follower."""
+        ...
+
+    def grant(self, endpoint: str) -> float:
+        """Gives out a permit; 0, or the time until it is worth to ask."""
+        ...
+
+
 class _UnfinishedError(Exception):
     """The answer for which a place was held broke off."""
 
@@ -77,6 +90,7 @@
         source: The configuration in force.
         fleet_costs: Learns what the follower had observed before.
         quotas: Count what accounts use.
+        limits: Count what endpoints get that name limits.
         clock: Time.
         use: What accounts use at the follower.
     """
@@ -88,11 +102,13 @@
         source: forwarder.RouteSource,
         fleet_costs: costs.ReportedCosts,
         quotas: FollowerQuotas,
+        limits: FollowerLimits,
         clock: clocks.Clock,
         *,
         use: account_pace.FollowerUse,
     ) -> None:
         self._quotas = quotas
+        self._limits = limits
         self._use = use
         self._fleet_costs = fleet_costs
         self._places = places
@@ -120,6 +136,10 @@
                 return await self._place(message)
             case leader_messages.StillThere():
                 return leader_messages.Here()
+            case limit_messages.PermitAsk(endpoint=endpoint):
+                return limit_messages.Permit(self._limits.grant(endpoint))
+            case limit_messages.TermsKnown():
+                self._limits.told(message)
             case leader_messages.CostsObserved():
                 self._costs_told(peer, message)
             case quota_messages.AccountsUsed(uses=uses):
--- a/src/jujubewharf/requests/plain_endpoints.py
+++ b/src/jujubewharf/requests/plain_endpoints.py
@@ -98,6 +98,10 @@
         """Whether ``choose`` would find one."""
         return bool(self._usable(service, excluded))
 
+    def may_get_work(self, endpoint: str) -> bool:
+        """Whether an endpoint may be sent work at this moment."""
+        return not self._is_leaving(endpoint)
+
     @contextlib.contextmanager
     def counted(self, endpoint: resources.Endpoint) -> Iterator[None]:
         """Counts a call to an endpoint for the block."""
--- /dev/null
+++ b/tests/forwarding/test_come_back.py
@@ -0,0 +1,27 @@
+"""Refused callers are told times that are of use to them."""
+
+from __future__ import annotations
+
+import random
+
+from jujubewharf import clock as clocks
+from jujubewharf.experiments import virtual_time
+from jujubewharf.forwarding import come_back
+
+
+def test_each_caller_is_told_a_later_time_as_far_as_it_waits():
+    async def main():
+        times = come_back.ComeBackTimes(
+            clocks.Clock(wall_origin_ms=0.0), random.Random(1)
+        )
+        told = [
+            times.next_ms(
+                "svc", free_in_ms=300.0, apart_ms=200.0, longest_ms=1_000.0
+            )
+            for _ in range(8)
+        ]
+        assert told[:4] == [300.0, 500.0, 700.0, 900.0]
+        assert all(500.0 <= ms <= 1_000.0 for ms in told[4:])
+        assert len(set(told[4:])) == 4
+
+    virtual_time.run(main())
--- /dev/null
+++ b/tests/forwarding/test_limits.py
@@ -0,0 +1,68 @@
+"""Permits of a limited endpoint: how many in a window, and who comes when."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from jujubewharf.forwarding import limits
+
+WINDOW_MS = 4_000.0
+
+
+def _granted(
+    ledger, rate_per_s: float, *, every_ms: float, part: float = 1.0
+) -> list[float]:
+    """When requests that come all the time get a permit."""
+    times = []
+    now_ms = 0.0
+    while now_ms < 60_000.0:
+        if ledger.take("s1", rate_per_s, now_ms, part=part) <= 0.0:
+            times.append(now_ms)
+        now_ms += every_ms
+    return times
+
+
+def _most(times: list[float]) -> int:
+    return max(sum(t <= u < t + WINDOW_MS for u in times) for t in times)
+
+
+@pytest.mark.parametrize("rate_per_s", [0.5, 1.8, 7.0, 60.0])
+def test_no_window_has_more_than_the_limit_and_what_was_saved(rate_per_s):
+    """Most of the limit is given out, and one or a quarter second's at once."""
+    ledger = limits.LimitLedger(lambda: 0.0)
+    times = _granted(ledger, rate_per_s, every_ms=7.0)
+    allowed = rate_per_s * WINDOW_MS / 1_000.0
+    assert _most(times) <= allowed + max(1.0, rate_per_s / 4.0) + 1.0
+    assert len(times) >= 0.85 * rate_per_s * 60.0
+
+
+@pytest.mark.parametrize("instances", [6, 60, 380])
+def test_instances_that_count_alone_together_stay_within_the_limit(instances):
+    """Each gives out its part; none of them begins with a whole permit."""
+    rng = random.Random(instances)
+    rate_per_s = 1.5
+    times = []
+    for _ in range(instances):
+        ledger = limits.LimitLedger(rng.random)
+        times += _granted(
+            ledger,
+            rate_per_s,
+            every_ms=28.0 * instances,
+            part=1.0 / instances / 2,
+        )
+    assert _most(sorted(times)) <= 1.5 * rate_per_s * 4.0 + 5
+
+
+def test_who_gets_no_permit_is_told_another_time_each():
+    ledger = limits.LimitLedger(lambda: 0.0)
+    waits = [ledger.take("s1", 2.0, 0.0) for _ in range(5)]
+    assert waits == [500.0, 1_000.0, 1_500.0, 2_000.0, 2_500.0]
+
+
+def test_a_limit_of_nothing_is_tried_now_and_then():
+    """Nobody would else ever hear that it has ended."""
+    ledger = limits.LimitLedger(lambda: 0.0)
+    times = _granted(ledger, 0.0, every_ms=100.0)
+    assert 4 <= len(times) <= 6
--- a/tests/forwarding/test_pool.py
+++ b/tests/forwarding/test_pool.py
@@ -9,6 +9,7 @@
 from jujubewharf.experiments import virtual_time
 from jujubewharf.forwarding import costs
 from jujubewharf.forwarding import pool as pools
+from jujubewharf.forwarding import restraints
 from tests.forwarding import deployments
 
 MEMORY = 40_000
@@ -19,7 +20,12 @@
 def _on_pool(test):
     async def main():
         clock = clocks.Clock(wall_origin_ms=0.0)
-        pool = pools.EnginePool(costs.WorkCosts(), clock, random.Random(1))
+        pool = pools.EnginePool(
+            costs.WorkCosts(),
+            restraints.Restraints(clock),
+            clock,
+            random.Random(1),
+        )
         pool.take_over([*NEAR, *FAR])
         with contextlib.ExitStack() as held:
             test(pool, held)
--- /dev/null
+++ b/tests/forwarding/test_restraints.py
@@ -0,0 +1,104 @@
+"""What is believed of an endpoint's word, and for how long."""
+
+from __future__ import annotations
+
+from jujubewharf import clock as clocks
+from jujubewharf.engines import notices
+from jujubewharf.experiments import virtual_time
+from jujubewharf.forwarding import restraints
+from tests.forwarding import deployments
+
+ENDPOINT = deployments.shop("s1").endpoint
+
+
+def _run(test):
+    async def main():
+        clock = clocks.Clock(wall_origin_ms=0.0)
+        await clock.sleep_ms(1_000.0)
+        await test(restraints.Restraints(clock), clock)
+
+    virtual_time.run(main())
+
+
+def _notice(clock, *, asked_ago_ms=10.0, **more) -> notices.Notice:
+    return notices.Notice(clock.now_ms() - asked_ago_ms, **more)
+
+
+def test_an_answer_from_before_the_limit_does_not_end_it():
+    """An endpoint in need isn't let loose on by an answer that was slow.
+
+    It began to name a limit while an earlier request ran, whose answer comes
+    last and names none.
+    """
+
+    async def test(known, clock):
+        known.heard(ENDPOINT, _notice(clock, rate_limit_per_s=1.5))
+        await clock.sleep_ms(100.0)
+        old = _notice(clock, asked_ago_ms=200.0, ends_limit=True)
+        known.heard(ENDPOINT, old)
+        assert known.rate_limit_per_s("s1") == 1.5
+        known.heard(ENDPOINT, _notice(clock, ends_limit=True))
+        assert known.rate_limit_per_s("s1") is None
+
+    _run(test)
+
+
+def test_a_refusal_without_a_limit_does_not_end_it():
+    async def test(known, clock):
+        known.heard(ENDPOINT, _notice(clock, rate_limit_per_s=1.5))
+        await clock.sleep_ms(100.0)
+        known.heard(ENDPOINT, _notice(clock))
+        assert known.rate_limit_per_s("s1") == 1.5
+
+    _run(test)
+
+
+def test_of_what_two_instances_know_the_stricter_holds():
+    """A link begins after a cut, and either side may have the newer word."""
+
+    async def test(known, clock):
+        known.heard(ENDPOINT, _notice(clock, rate_limit_per_s=3.0))
+        known.told(notices.Terms("s1", 1.5), is_news=False)
+        assert known.rate_limit_per_s("s1") == 1.5
+        known.told(notices.Terms("s1", 4.0), is_news=False)
+        assert known.rate_limit_per_s("s1") == 1.5
+        known.told(notices.Terms("s1", None), is_news=False)
+        assert known.rate_limit_per_s("s1") == 1.5
+
+    _run(test)
+
+
+def test_news_of_another_instance_count_as_they_are():
+    async def test(known, clock):
+        known.heard(ENDPOINT, _notice(clock, rate_limit_per_s=3.0))
+        assert known.told(notices.Terms("s1", 4.0), is_news=True)
+        assert not known.told(notices.Terms("s1", 4.0), is_news=True)
+        assert known.rate_limit_per_s("s1") == 4.0
+        known.told(notices.Terms("s1"), is_news=True)
+        assert known.terms == ()
+
+    _run(test)
+
+
+def test_a_new_limit_ends_the_wait_that_the_former_one_asked_for():
+    async def test(known, clock):
+        known.heard(ENDPOINT, _notice(clock, rate_limit_per_s=0.2))
+        known.defer("s1", 5_000.0)
+        assert known.back_in_ms(["s1"]) == 5_000.0
+        assert known.back_in_ms(["s1", "s2"]) is None
+        known.heard(ENDPOINT, _notice(clock, rate_limit_per_s=50.0))
+        assert not known.keeps_off("s1")
+
+    _run(test)
+
+
+def test_only_news_are_told_on():
+    async def test(known, clock):
+        told = []
+        known.on_news = told.append
+        for limit in (1.5, 1.5, 2.0):
+            known.heard(ENDPOINT, _notice(clock, rate_limit_per_s=limit))
+        known.heard(ENDPOINT, _notice(clock, stay_away_ms=100.0))
+        assert told == [notices.Terms("s1", 1.5), notices.Terms("s1", 2.0)]
+
+    _run(test)
--- a/tests/leadership/test_endpoint_limits.py
+++ b/tests/leadership/test_endpoint_limits.py
@@ -170,6 +170,25 @@
     deployments.run(main())
 
 
+def test_a_stream_that_no_engine_may_take_is_refused_at_once():
+    """A caller isn't kept waiting for a permit that comes after its target."""
+
+    async def main():
+        engines = [reader("p1"), writer("d1", rate_limit_per_s=0.5)]
+        async with _deployed(*engines) as world:
+            await world.clock.sleep_ms(2_000.0)
+            await world.ask("/verdicts/1")
+            answers = await world.ask_all(*["/verdicts/1"] * 4)
+            refused = [a for a in answers if a.error is not None]
+            assert refused
+            for answer in refused:
+                assert answer.took_ms < 100.0
+                assert answer.error.ran is errors.Ran.NO
+                assert answer.error.retry_after_ms > 500.0
+
+    deployments.run(main())
+
+
 def test_a_limit_ends_when_the_endpoint_no_longer_names_it():
     async def main():
         weak = shop("s1", rate_limit_per_s=1.5)
--- a/tests/leadership/test_fleet_quotas.py
+++ b/tests/leadership/test_fleet_quotas.py
@@ -13,7 +13,7 @@
 from jujubewharf.forwarding import accounts
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import settings
-from jujubewharf.leadership import fleet_quotas
+from jujubewharf.leadership import fleet as fleets
 from tests.forwarding import deployments
 
 NAMES = ("e1", "e2", "e3", "e4")
@@ -303,7 +303,7 @@
             instance = world.instances[other]
             instance.fleet.link._link.close()
             instance.fleet.link._link = None
-            assert instance.quotas.role is fleet_quotas.Role.ALONE
+            assert instance.quotas.role is fleets.Role.ALONE
             granted = instance.quotas._part_of("shop", SMALL).rate_per_s
             assert granted >= SMALL.rate_per_s * 0.4
 
