--- /dev/null
+++ b/tests/leadership/test_leaving_endpoints.py
@@ -0,0 +1,245 @@
+"""An endpoint that says in its answers that it leaves gets no new work.
+
+While the store was away an endpoint said in all its answers that it leaves,
+and its entry went on to say that it is ready. An instance that had passed such
+an answer on sent it requests 2.2 s and 2.7 s later, where 2 s are allowed; the
+caller's answer would have been cut by the endpoint's end. Its log told the
+cause: request_sent with registry_age_ms of 4135 and 5514 and all of the
+request's time left, so it was sent as it came, by what the store had said.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+
+import pytest
+
+from jujubewharf import errors
+from tests.forwarding import deployments
+
+shop = deployments.shop
+reader = deployments.reader
+writer = deployments.writer
+
+NAMES = ("e1", "e2", "e3", "e4")
+# Within this an instance that has heard it sends no more.
+HEEDED_MS = 2_000.0
+# Within this all instances have heard it of each other.
+SPREAD_MS = 100.0
+
+
+def _deployed(*behind, names=NAMES):
+    return deployments.deployed(*behind, names=names, is_led=True)
+
+
+async def _flood(world, path: str, *, for_ms: float, every_ms: float = 28.0):
+    asked = []
+    until_ms = world.clock.now_ms() + for_ms
+    while world.clock.now_ms() < until_ms:
+        names = sorted(world.instances)
+        name = names[len(asked) % len(names)]
+        asked.append(asyncio.ensure_future(world.ask(path, instance=name)))
+        await world.clock.sleep_ms(every_ms)
+    return await asyncio.gather(*asked)
+
+
+def _since(backend, at_ms: float) -> list:
+    return [asked for asked in backend.asked if asked.at_ms > at_ms]
+
+
+@pytest.mark.parametrize(
+    ("path", "leaving"),
+    [("/sale/1", "s1"), ("/verdicts/1", "p1"), ("/verdicts/1", "d1")],
+)
+def test_no_instance_sends_it_more_once_one_has_heard(path, leaving):
+    """Plain requests, prompts and answers go to the others from then on."""
+
+    async def main():
+        behind = [shop("s1"), shop("s2"), reader("p1"), reader("p2")]
+        behind += [writer("d1"), writer("d2")]
+        for backend in behind:
+            backend.memory_tokens = 400_000
+        async with _deployed(*behind) as world:
+            await world.clock.sleep_ms(2_000.0)
+            gone = world.backends.by_name[leaving]
+            gone.is_leaving = True
+            answers = await _flood(world, path, for_ms=6_000.0)
+            heard_ms = min(gone.told_ms.values())
+            assert _since(gone, heard_ms + SPREAD_MS) == []
+            assert {a.status for a in answers} == {200}
+
+    deployments.run(main())
+
+
+def test_an_instance_without_a_leader_heeds_it_by_itself():
+    async def main():
+        gone = shop("s1")
+        async with deployments.deployed(gone, shop("s2")) as world:
+            gone.is_leaving = True
+            await _flood(world, "/sale/1", for_ms=4_000.0)
+            assert _since(gone, min(gone.told_ms.values())) == []
+
+    deployments.run(main())
+
+
+def test_what_waits_for_memory_is_not_sent_to_it():
+    """A request in line was to be placed there when the word came.
+
+    Its memory came free just before the engine said that it leaves; the word
+    is heard while the prompt is read elsewhere.
+    """
+
+    async def main():
+        gone = writer("d1")
+        slow = reader("p1", prefill_token_ms=0.1)
+        async with _deployed(slow, gone, names=("e1",)) as world:
+            await world.clock.sleep_ms(2_000.0)
+            asked = asyncio.ensure_future(world.ask("/verdicts/1"))
+            await world.clock.sleep_ms(100.0)
+            gone.is_leaving = True
+            await world.ask("/verdicts/2", instance="e1")
+            await asked
+            heard_ms = min(gone.told_ms.values())
+            assert _since(gone, heard_ms) == []
+
+    deployments.run(main())
+
+
+def test_callers_are_refused_at_once_when_the_last_one_leaves():
+    async def main():
+        gone = shop("s1")
+        async with _deployed(gone) as world:
+            await world.clock.sleep_ms(2_000.0)
+            gone.is_leaving = True
+            await world.ask("/sale/1")
+            await world.clock.sleep_ms(SPREAD_MS)
+            answers = await _flood(world, "/sale/1", for_ms=1_000.0)
+            for answer in answers:
+                assert answer.error is not None
+                assert answer.error.kind is errors.ErrorKind.NO_FITTING_ENGINE
+                assert answer.error.ran is errors.Ran.NO
+                assert answer.took_ms < 50.0
+
+    deployments.run(main())
+
+
+def test_the_store_does_not_take_its_word_back():
+    """Its heartbeat, written before it knew, arrives after its answer."""
+
+    async def main():
+        gone = shop("s1")
+        async with _deployed(gone, shop("s2")) as world:
+            await world.clock.sleep_ms(2_000.0)
+            gone.is_leaving = True
+            await _flood(world, "/sale/1", for_ms=500.0)
+            world.register(gone, slots=7)
+            await world.clock.sleep_ms(1_000.0)
+            await _flood(world, "/sale/1", for_ms=3_000.0)
+            heard_ms = min(gone.told_ms.values())
+            assert _since(gone, heard_ms + SPREAD_MS) == []
+
+    deployments.run(main())
+
+
+def test_an_instance_that_starts_hears_it_of_the_others():
+    """A process that knows nothing finds the entry that says ready."""
+
+    async def main():
+        gone = shop("s1")
+        async with _deployed(gone, shop("s2")) as world:
+            await world.clock.sleep_ms(2_000.0)
+            gone.is_leaving = True
+            await _flood(world, "/sale/1", for_ms=500.0)
+            await world.start("e5", declare=False, is_led=True)
+            await world.clock.sleep_ms(2_000.0)
+            await _flood(world, "/sale/1", for_ms=3_000.0)
+            heard_ms = min(gone.told_ms.values())
+            assert _since(gone, heard_ms + SPREAD_MS) == []
+
+    deployments.run(main())
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_no_history_of_cuts_and_restarts_brings_it_work(seed):
+    """Endpoints leave one by one while the store is away and links break.
+
+    An instance that was told sends nothing later than users allow; a process
+    that was started anew counts from its own first answer on.
+    """
+
+    async def main():
+        rng = random.Random(seed)
+        behind = [shop(f"s{n}", "abcd"[n % 4]) for n in range(6)]
+        world = deployments.Deployment(*behind)
+        for number, name in enumerate(NAMES):
+            await world.start(
+                name,
+                domain="abcd"[number % 4],
+                declare=number == 0,
+                is_led=True,
+            )
+        await world.clock.sleep_ms(2_000.0)
+        flood = asyncio.ensure_future(_flood(world, "/sale/1", for_ms=30_000.0))
+        for leaving in behind[:4]:
+            await world.clock.sleep_ms(rng.uniform(1_000.0, 4_000.0))
+            leaving.is_leaving = True
+            await world.clock.sleep_ms(rng.uniform(100.0, 2_000.0))
+            await _trouble(world, rng, behind[:4])
+        await flood
+        for backend in behind[:4]:
+            for asked in backend.asked:
+                told_ms = backend.told_ms.get(asked.instance, float("inf"))
+                assert asked.at_ms <= told_ms + HEEDED_MS
+        await world.stop()
+
+    deployments.run(main())
+
+
+async def _trouble(world, rng: random.Random, behind) -> None:
+    name = rng.choice(sorted(world.instances))
+    match rng.choice(["kill", "cut", "unlink", "entry", "heal"]):
+        case "kill":
+            domain = world.instances[name]._settings.domain
+            await world.instances.pop(name).stop()
+            world.network.drop_instance(name)
+            for backend in behind:
+                backend.told_ms.pop(name, None)
+            await world.start(name, domain=domain, declare=False, is_led=True)
+        case "cut":
+            world.network.cut("a", rng.choice("bcd"))
+        case "unlink":
+            link = world.instances[name].fleet.link._link
+            if link is not None:
+                link.close()
+        case "entry":
+            backend = rng.choice(behind)
+            # It lapses, and comes back as it was.
+            world.endpoints.put(backend.name, None)
+            await world.clock.sleep_ms(rng.uniform(0.0, 1_500.0))
+            world.register(backend)
+        case "heal":
+            world.network.heal()
+
+
+def test_another_start_under_its_key_takes_work():
+    """What was said by one start says nothing of the next."""
+
+    async def main():
+        gone = shop("s1")
+        async with _deployed(gone, shop("s2")) as world:
+            await world.clock.sleep_ms(2_000.0)
+            gone.is_leaving = True
+            await _flood(world, "/sale/1", for_ms=500.0)
+            next_start = shop("s1-next")
+            next_start.endpoint = dataclasses.replace(
+                next_start.endpoint, name="s1-next"
+            )
+            world.backends.by_name["s1-next"] = next_start
+            world.endpoints.put("s1", next_start.endpoint)
+            await world.clock.sleep_ms(1_500.0)
+            await _flood(world, "/sale/1", for_ms=1_000.0)
+            assert next_start.asked
+
+    deployments.run(main())
