An endpoint's own word that it leaves counts at all instances

What callers saw: an endpoint that had said in its answers that it leaves got requests 2.2 s and 2.7 s later, from the instance that had heard it.

Cause: only the store told who leaves, and it was away: registry_age_ms was 4135 and 5514 at the sendings, and the entry said ready.

Mend: the registry shows an endpoint as draining once any of its answers said so, at the instance that heard it, its leader and all that follow, new ones too. The word holds for that start for good, whatever its entry says later or when it comes back; the next start has another name. Memory that was granted with the word is given back and not used. Role orders, gauges and logs see it as draining as well.

Ruled out: waiting in a line (the requests had all of their time left).

--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -111,8 +111,10 @@
         self._leadership: leadership.Leadership | None = None
         self.admission = shutdown.AdmissionState()
         self.source = forwarder.RouteSource()
-        self.registry = registry.Registry(clock)
         self.restraints = restraints.Restraints(clock)
+        self.registry = registry.Registry(clock, self.restraints.is_leaving)
+        self.restraints.on_leaving = self.registry.begins_to_leave
+        self.restraints.is_registered = self.registry.knows
         adapters.backends.listen(self.restraints.heard)
         self.share = sharing.FleetShare(
             adapters.group, clock, default_share=_SHARE_ALONE
--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -276,6 +276,10 @@
                 self._learn(run, error, wish)
                 continue
             self._pool.has_room(engine.name)
+            if not self._registry.takes_work(engine.name):
+                # It said with the reservation that it leaves.
+                await self._give_back(engine, hold)
+                continue
             return places.Place(
                 engine,
                 hold,
--- a/src/jujubewharf/forwarding/registry.py
+++ b/src/jujubewharf/forwarding/registry.py
@@ -54,12 +54,22 @@
     start is taken for its own. A word of the earlier start that arrives after
     one of the later start is left out.
 
+    The store may be away while an endpoint begins to leave, and its entry goes
+    on to say that it is ready. Its own word in an answer counts before that.
+
     Args:
         clock: Time.
+        says_it_leaves: Tells of an endpoint's start, by its name, whether it
+            has said in an answer that it leaves.
     """
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        says_it_leaves: Callable[[str], bool] = lambda name: False,
+    ) -> None:
         self._clock = clock
+        self._says_it_leaves = says_it_leaves
         self._records: dict[str, Record] = {}
         self._lapsed: dict[str, tuple[resources.Endpoint, float]] = {}
         self._started_ms: dict[str, int] = {}
@@ -90,7 +100,11 @@
 
     def present(self) -> list[resources.Endpoint]:
         """All that are registered, those that leave included."""
-        return [r.endpoint for r in self._records.values() if r.endpoint]
+        return [
+            self._as_it_says(record.endpoint)
+            for record in self._records.values()
+            if record.endpoint
+        ]
 
     def listen(self, listener: Listener) -> None:
         """Calls back with all that take new work, whenever that may change."""
@@ -111,6 +125,14 @@
         endpoint = self._by_name.get(name)
         return endpoint is not None and not endpoint.drained
 
+    def knows(self, name: str) -> bool:
+        """Whether an endpoint is registered, or was before an outage."""
+        return name in self._by_name
+
+    def begins_to_leave(self) -> None:
+        """Learns that some endpoint has just said that it leaves."""
+        self._index()
+
     def get(self, name: str) -> resources.Endpoint | None:
         """An endpoint's newest registration, also when it leaves."""
         endpoint = self._by_name.get(name)
@@ -220,10 +242,16 @@
         if over:
             self._index()
 
+    def _as_it_says(self, endpoint: resources.Endpoint) -> resources.Endpoint:
+        """A registration, leaving where the endpoint has said so itself."""
+        if endpoint.drained or not self._says_it_leaves(endpoint.name):
+            return endpoint
+        return dataclasses.replace(endpoint, drained=True)
+
     def _index(self) -> None:
         self._by_service = {}
         present = self.present()
-        lapsed = [endpoint for endpoint, _ in self._lapsed.values()]
+        lapsed = [self._as_it_says(e) for e, _ in self._lapsed.values()]
         self._by_name = {e.name: e for e in (*present, *lapsed)}
         for endpoint in (*present, *lapsed):
             if not endpoint.drained:
--- a/src/jujubewharf/forwarding/restraints.py
+++ b/src/jujubewharf/forwarding/restraints.py
@@ -17,6 +17,10 @@
 from jujubewharf.engines import notices
 from jujubewharf.forwarding import decisions
 
+# What is known of an endpoint that isn't registered is kept for this long. Its
+# entry may be missing for an outage of the store and come back as it was.
+_KEPT_MS = 600_000.0
+
 
 @dataclasses.dataclass(slots=True)
 class _Restraint:
@@ -24,6 +28,7 @@
 
     Attributes:
         terms: Its terms for all instances.
+        since_ms: When its terms changed last.
         limit_heard_ms: When its limit was heard last.
         away_until_ms: Until when it wants no request of this instance.
         deferred_until_ms: Until when its limit leaves nothing for this one.
@@ -31,6 +36,7 @@
     """
 
     terms: notices.Terms
+    since_ms: float = 0.0
     limit_heard_ms: float = 0.0
     away_until_ms: float = 0.0
     deferred_until_ms: float = 0.0
@@ -44,15 +50,22 @@
 class Restraints:
     """Learns what endpoints want, and tells which are left alone now.
 
+    That an endpoint leaves is never taken back: its next start is another
+    endpoint, with a name of its own.
+
     Args:
         clock: Time.
 
     Attributes:
         on_news: Told what an answer to this instance has changed for all.
+        on_leaving: Told that some endpoint has said that it leaves.
+        is_registered: Tells which endpoints must not be forgotten.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
         self.on_news: Callable[[notices.Terms], None] = _nobody
+        self.on_leaving: Callable[[], None] = lambda: None
+        self.is_registered: Callable[[str], bool] = lambda name: True
         self._clock = clock
         self._by_name: dict[str, _Restraint] = {}
 
@@ -113,6 +126,11 @@
             if known.terms.restrains
         )
 
+    def is_leaving(self, name: str) -> bool:
+        """Whether an endpoint has said that it takes no new work."""
+        known = self._by_name.get(name)
+        return known is not None and known.terms.is_leaving
+
     def rate_limit_per_s(self, name: str) -> float | None:
         """What an endpoint takes from all instances; ``None`` for any."""
         known = self._by_name.get(name)
@@ -176,8 +194,20 @@
             # How long to wait was reckoned by the former limit.
             known.deferred_until_ms = 0.0
             known.deferred_for_ms = 0.0
+        begins_to_leave = terms.is_leaving and not known.terms.is_leaving
         known.terms = terms
+        known.since_ms = self._clock.now_ms()
+        if terms.endpoint not in self._by_name:
+            self._forget_gone()
         self._by_name[terms.endpoint] = known
+        if begins_to_leave:
+            self.on_leaving()
+
+    def _forget_gone(self) -> None:
+        oldest_ms = self._clock.now_ms() - _KEPT_MS
+        for name, known in list(self._by_name.items()):
+            if known.since_ms < oldest_ms and not self.is_registered(name):
+                del self._by_name[name]
 
 
 def _log(
