Failing test: who was asked to stay away comes back at once

An endpoint that refuses a request and says for how long it wants nothing from that instance is asked again within milliseconds: plain requests, prompts, answers, second tries, requests that wait for memory, and by the leader on behalf of others.

--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -79,6 +79,7 @@
         is_leaving: It says in its answers that it leaves.
         stay_away_ms: It refuses all, and says to stay away for so long.
         asked: Requests and prompts that reached it, in order.
+        asked_memory: Calls that asked it for memory.
         told_ms: When it first answered each instance with such a word.
     """
 
@@ -110,6 +111,7 @@
     is_leaving: bool = False
     stay_away_ms: float = 0.0
     asked: list[Asked] = dataclasses.field(default_factory=list)
+    asked_memory: list[Asked] = dataclasses.field(default_factory=list)
     told_ms: dict[str, float] = dataclasses.field(default_factory=dict)
 
     @property
@@ -276,8 +278,10 @@
     ) -> str:
         """Reserves memory; see ``ports.Backends``."""
         backend = self._reached(endpoint)
+        now_ms = self._clock.now_ms()
+        backend.asked_memory.append(Asked(self.instance, now_ms))
         self._turn_away(backend)
-        self._say(backend, self._clock.now_ms())
+        self._say(backend, now_ms)
         self.lapse()
         if sum(backend.held.values()) + tokens > backend.memory_tokens:
             raise backend.error(client.EngineFault.REFUSED_FULL)
--- /dev/null
+++ b/tests/leadership/test_stay_away.py
@@ -0,0 +1,224 @@
+"""An endpoint that asks an instance to stay away gets nothing from it.
+
+An endpoint that is overloaded refuses a request and says for how many seconds
+it wants nothing from that instance. Instances took that for a refusal like any
+other and came back with the next request, a few milliseconds later: with four
+instances and a request every 28 ms it was asked some nine times a second by
+each while it asked for rest. Only the instance that was answered owes this; but
+another one places its requests, and has to be told.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from jujubewharf import errors
+from jujubewharf.engines import notices
+from tests.forwarding import deployments
+
+shop = deployments.shop
+reader = deployments.reader
+writer = deployments.writer
+
+NAMES = ("e1", "e2", "e3", "e4")
+AWAY_MS = 3_000.0
+# Requests that were on their way when the answer came.
+ON_THE_WAY_MS = 500.0
+
+
+def _deployed(*behind, names=NAMES):
+    return deployments.deployed(*behind, names=names, is_led=True)
+
+
+async def _flood(world, path: str, *, for_ms: float, every_ms: float = 28.0):
+    asked = []
+    until_ms = world.clock.now_ms() + for_ms
+    while world.clock.now_ms() < until_ms:
+        names = sorted(world.instances)
+        name = names[len(asked) % len(names)]
+        asked.append(
+            asyncio.ensure_future(
+                world.ask(path, instance=name, patience_ms=8_000.0)
+            )
+        )
+        await world.clock.sleep_ms(every_ms)
+    return await asyncio.gather(*asked)
+
+
+def _too_soon(backend, away_ms: float = AWAY_MS) -> list:
+    """Requests of instances that it had sent away, within that time."""
+    found = []
+    for asked in (*backend.asked, *backend.asked_memory):
+        told_ms = backend.told_ms.get(asked.instance)
+        if told_ms is None:
+            continue
+        if told_ms + ON_THE_WAY_MS <= asked.at_ms < told_ms + away_ms:
+            found.append(asked)
+    return found
+
+
+@pytest.mark.parametrize(
+    ("path", "busy"),
+    [("/sale/1", "s1"), ("/lookup/1", "s1"), ("/verdicts/1", "d1")],
+)
+def test_who_was_sent_away_asks_no_more(path, busy):
+    """Nothing reaches it before its time is over; it takes work after that."""
+
+    async def main():
+        behind = [shop("s1"), shop("s2"), reader("p1"), reader("p2")]
+        behind += [writer("d1"), writer("d2")]
+        for backend in behind:
+            backend.memory_tokens = 400_000
+        async with _deployed(*behind) as world:
+            await world.clock.sleep_ms(2_000.0)
+            away = world.backends.by_name[busy]
+            away.stay_away_ms = AWAY_MS
+            flood = asyncio.ensure_future(_flood(world, path, for_ms=6_000.0))
+            await world.clock.sleep_ms(1_000.0)
+            away.stay_away_ms = 0.0
+            answers = await flood
+            assert away.told_ms
+            assert _too_soon(away) == []
+            assert {a.status for a in answers} == {200}
+            last_ms = max(away.told_ms.values()) + AWAY_MS
+            assert any(a.at_ms >= last_ms for a in away.asked)
+
+    deployments.run(main())
+
+
+def test_an_engine_that_reads_prompts_is_left_alone_by_whoever_it_sent_away():
+    """The leader names it as a reader to all; each heeds what it was told."""
+
+    async def main():
+        away = reader("p1")
+        behind = [away, reader("p2"), writer("d1")]
+        behind[2].memory_tokens = 400_000
+        async with _deployed(*behind, names=NAMES[:3]) as world:
+            await world.clock.sleep_ms(2_000.0)
+            flood = asyncio.ensure_future(
+                _flood(world, "/verdicts/1", for_ms=6_000.0, every_ms=47.0)
+            )
+            await world.clock.sleep_ms(500.0)
+            away.stay_away_ms = AWAY_MS
+            await world.clock.sleep_ms(1_000.0)
+            away.stay_away_ms = 0.0
+            await flood
+            assert away.told_ms
+            assert _too_soon(away) == []
+
+    deployments.run(main())
+
+
+def test_the_leader_places_nobody_where_he_was_sent_away():
+    """A follower's own run was refused; the leader was never told.
+
+    It would go on to reserve memory there for that follower, which then would
+    have to break its word or lose the place.
+    """
+
+    async def main():
+        behind = [reader("p1"), writer("d1"), writer("d2")]
+        for backend in behind:
+            backend.memory_tokens = 400_000
+        async with _deployed(*behind) as world:
+            await world.clock.sleep_ms(2_000.0)
+            follower = next(n for n in NAMES if n != world.leader)
+            # What its own sending had told it.
+            instance = world.instances[follower]
+            instance.restraints.heard(
+                behind[1].endpoint,
+                notices.Notice(world.clock.now_ms(), stay_away_ms=AWAY_MS),
+            )
+            answers = await world.ask_all(
+                *["/verdicts/1"] * 8, instance=follower
+            )
+            assert {a.status for a in answers} == {200}
+            asked = [a.instance for a in behind[1].asked]
+            assert follower not in asked
+            assert len(behind[2].asked) == 8
+
+    deployments.run(main())
+
+
+@pytest.mark.parametrize("path", ["/sale/1", "/lookup/1"])
+def test_callers_are_refused_at_once_while_all_stay_away(path):
+    """They are told when the first endpoint takes requests again."""
+
+    async def main():
+        behind = [shop("s1", stay_away_ms=2_000.0)]
+        async with _deployed(*behind, names=("e1",)) as world:
+            await world.clock.sleep_ms(2_000.0)
+            await world.ask(path)
+            await world.clock.sleep_ms(500.0)
+            answer = await world.ask(path, patience_ms=8_000.0)
+            assert answer.error is not None
+            assert answer.error.kind is errors.ErrorKind.NO_FITTING_ENGINE
+            assert answer.error.ran is errors.Ran.NO
+            assert answer.took_ms < 50.0
+            assert 1_400.0 <= answer.error.retry_after_ms <= 1_600.0
+            assert len(behind[0].asked) == 1
+
+    deployments.run(main())
+
+
+def test_a_stream_is_refused_at_once_while_all_engines_stay_away():
+    async def main():
+        behind = [reader("p1"), writer("d1", stay_away_ms=5_000.0)]
+        async with _deployed(*behind) as world:
+            await world.clock.sleep_ms(2_000.0)
+            await world.ask("/verdicts/1")
+            answers = await world.ask_all(*["/verdicts/1"] * 4)
+            for answer in answers:
+                assert answer.error is not None
+                assert answer.error.ran is errors.Ran.NO
+                assert answer.took_ms < 100.0
+                assert answer.error.retry_after_ms > 4_000.0
+
+    deployments.run(main())
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_no_history_brings_it_requests_too_soon(seed):
+    """Endpoints send instances away in turn, some lose answers meanwhile.
+
+    Repeats, and requests that wait for memory, go elsewhere as well.
+    """
+
+    async def main():
+        rng = random.Random(seed)
+        behind = [shop(f"s{n}") for n in range(4)]
+        behind += [reader("p1"), reader("p2")]
+        behind += [writer(f"d{n}") for n in range(3)]
+        async with _deployed(*behind) as world:
+            await world.clock.sleep_ms(2_000.0)
+            floods = [
+                asyncio.ensure_future(_flood(world, path, for_ms=24_000.0))
+                for path in ("/lookup/1", "/sale/1")
+            ]
+            floods.append(
+                asyncio.ensure_future(
+                    _flood(
+                        world, "/verdicts/1", for_ms=24_000.0, every_ms=150.0
+                    )
+                )
+            )
+            for _ in range(5):
+                away = rng.choice(behind)
+                away.told_ms.clear()
+                away.asked.clear()
+                away.asked_memory.clear()
+                away_ms = rng.choice([1_000.0, 2_000.0, 4_000.0])
+                away.stay_away_ms = away_ms
+                await world.clock.sleep_ms(rng.uniform(50.0, 400.0))
+                away.stay_away_ms = 0.0
+                lossy = rng.choice(behind[:4])
+                lossy.loses_answers = True
+                await world.clock.sleep_ms(away_ms)
+                lossy.loses_answers = False
+                assert _too_soon(away, away_ms) == []
+            await asyncio.gather(*floods)
+
+    deployments.run(main())
