An instance that an endpoint sends away stays away for that time

What callers saw: an endpoint that refused a request and asked to be left alone for some seconds was asked again within milliseconds, and refused again.

Cause: the time was not read; a refusal was like any other.

Mend: an answer that turns a request away with a time keeps this instance off that endpoint for all of it: plain requests, prompts, runs, second tries, requests whose memory was reserved before, calls for memory, role orders. A follower tells the leader with each request where it may not go, as the leader places it and wasn't told itself. With all endpoints away callers are refused at once, and told when the first one is back, as far as they wait.

--- a/src/jujubewharf/engines/client.py
+++ b/src/jujubewharf/engines/client.py
@@ -17,7 +17,9 @@
     """Why an engine call failed.
 
     ``REFUSED_*`` faults are the engine's own word that it did nothing;
-    ``REFUSED_IDENTITY`` says that another engine has the address now.
+    ``REFUSED_IDENTITY`` says that another engine has the address now;
+    ``SENT_AWAY`` that it wants no call of this instance for a while, and none
+    was made.
     """
 
     UNREACHABLE = "unreachable"
@@ -28,6 +30,7 @@
     REFUSED_FENCE = "refused_fence"
     REFUSED_IDENTITY = "refused_identity"
     REFUSED_ROLE = "refused_role"
+    SENT_AWAY = "sent_away"
     KV_GONE = "kv_gone"
     UNKNOWN_ATTEMPT = "unknown_attempt"
     UNSUPPORTED = "unsupported"
--- a/src/jujubewharf/engines/notices.py
+++ b/src/jujubewharf/engines/notices.py
@@ -30,6 +30,12 @@
     is_leaving: bool = False
     stay_away_ms: float = 0.0
 
+    @property
+    def restrains(self) -> bool:
+        """Whether it keeps any work away."""
+        has_limit = self.rate_limit_per_s is not None
+        return has_limit or self.is_leaving or self.stay_away_ms > 0.0
+
 
 Listener = Callable[[resources.Endpoint, Notice], None]
 
--- a/src/jujubewharf/forwarding/attempts.py
+++ b/src/jujubewharf/forwarding/attempts.py
@@ -149,6 +149,8 @@
         """
         if error.fault is not client.EngineFault.REFUSED_FULL:
             raise error
+        if self._restraints.is_sent_away(error.engine):
+            raise error
         engine = self._registry.get(error.engine)
         if engine is None or await self._is_changing(engine):
             fault = client.EngineFault.REFUSED_ROLE
@@ -301,6 +303,10 @@
             # It began to leave while the prompt was read.
             fault = client.EngineFault.REFUSED_LEAVING
             raise client.EngineError(fault, engine.name)
+        if self._restraints.is_sent_away(engine.name):
+            # Its answer to another request said so meanwhile.
+            fault = client.EngineFault.SENT_AWAY
+            raise client.EngineError(fault, engine.name)
         began_ms = self._clock.now_ms()
         before = run.sent(engine.name)
         decisions.sent(
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -220,6 +220,7 @@
             self._services,
             clock,
             on_accepted=engines.changing,
+            is_left_alone=self.restraints.is_sent_away,
         )
         places = placement.Placement(
             backends,
--- a/src/jujubewharf/forwarding/ordering.py
+++ b/src/jujubewharf/forwarding/ordering.py
@@ -68,6 +68,8 @@
         services: The services in force.
         clock: Time.
         on_accepted: Told the name of an engine that is going to change.
+        is_left_alone: Tells of an engine that it wants no call of this instance
+            now.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         clock: clocks.Clock,
         *,
         on_accepted: Callable[[str], None] = lambda engine: None,
+        is_left_alone: Callable[[str], bool] = lambda engine: False,
     ) -> None:
         super().__init__()
         self._instance = instance
@@ -91,6 +94,7 @@
         self._services = services
         self._clock = clock
         self._on_accepted = on_accepted
+        self._is_left_alone = is_left_alone
         self._pending: dict[str, _Pending] = {}
         self._wanted_since_ms: dict[str, float] = {}
         self._known: dict[str, dict[str, resources.Endpoint]] = {}
@@ -135,7 +139,8 @@
             # One step at a time: an engine that changes does no work.
             return
         for change in changes[: self._most_at_once(service)]:
-            await self._order(change, traits)
+            if not self._is_left_alone(change.engine.name):
+                await self._order(change, traits)
 
     def _most_at_once(self, service: str) -> int:
         """Engines that may change at the same time.
--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -10,6 +10,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Sequence
 import contextlib
 import dataclasses
 import random
@@ -160,7 +161,7 @@
             # Its size isn't known, so nothing says that a hand-over pays.
             yield
             return
-        engines = self._registry.of_service(run.service)
+        engines = self._open_to(run)
         place.readers = self._pool.to_prefill(engines, near=place.engine.domain)
         with contextlib.ExitStack() as promises:
             if place.readers:
@@ -198,25 +199,40 @@
                         waited_ms=waited_ms,
                     )
                     return place, wish
-                if self._all_stay_shut(run.service, waiter.due_ms):
+                if self._all_stay_shut(run, waiter.due_ms):
                     break
                 await self._pause(waiter)
         raise self._refusal(run, wish)
 
-    def _all_stay_shut(self, service: str, due_ms: float) -> bool:
-        """Whether limits leave no engine to ask until a request is given up."""
-        back_in_ms = self._back_in_ms(service)
+    def _open_to(self, run: runs.Run) -> Sequence[resources.Endpoint]:
+        """Engines of its service to which a request may be sent."""
+        engines = self._registry.of_service(run.service)
+        if not run.away_until_ms:
+            return engines
+        return [e for e in engines if run.may_go_to(e.name, self._clock)]
+
+    def _all_stay_shut(self, run: runs.Run, due_ms: float) -> bool:
+        """Whether no engine may be asked until a request is given up."""
+        back_in_ms = self._back_in_ms(run)
         return (
             back_in_ms is not None
             and self._clock.now_ms() + back_in_ms > due_ms
         )
 
-    def _back_in_ms(self, service: str) -> float | None:
+    def _back_in_ms(self, run: runs.Run) -> float | None:
         """Time until any engine may be asked again; see ``Restraints``."""
-        engines = self._registry.of_service(service)
-        return self._restraints.back_in_ms(
-            engine.name for engine in engines if engine.can_decode
-        )
+        if not run.away_until_ms and not self._restraints.has_any:
+            return None
+        now_ms = self._clock.now_ms()
+        waits = [
+            max(
+                self._restraints.back_in_ms([engine.name]) or 0.0,
+                run.away_until_ms.get(engine.name, now_ms) - now_ms,
+            )
+            for engine in self._registry.of_service(run.service)
+            if engine.can_decode
+        ]
+        return min(waits, default=0.0) or None
 
     async def _pause(self, waiter: lines.Waiter) -> None:
         """Waits until the request should ask again, or is given up."""
@@ -255,9 +271,8 @@
     ) -> places.Place | None:
         """Asks the engines that may have room, ``count`` at most."""
         assert run.traits is not None
-        engines = self._registry.of_service(run.service)
         asked = self._pool.to_decode(
-            engines,
+            self._open_to(run),
             tokens=wish.room,
             memory_tokens=run.traits.memory_tokens,
             near=run.domain,
@@ -350,7 +365,7 @@
         if run.may_have_run:
             return run.failure()
         after_ms = self._patience.come_back_ms(run.call, self._running)
-        after_ms = max(after_ms, self._back_in_ms(run.service) or 0.0)
+        after_ms = max(after_ms, self._back_in_ms(run) or 0.0)
         return errors.WharfError(
             errors.ErrorKind.QUEUE_FULL, retry_after_ms=after_ms
         )
--- a/src/jujubewharf/forwarding/plain.py
+++ b/src/jujubewharf/forwarding/plain.py
@@ -127,12 +127,12 @@
         back_in_ms = self._restraints.back_in_ms(names)
         if back_in_ms is None:
             return run.failure()
-        left_ms = run.left_ms(self._clock)
+        patience_ms = run.call.patience_ms or run.left_ms(self._clock)
         after_ms = self._come_back.next_ms(
             run.service,
             free_in_ms=back_in_ms,
             apart_ms=self._restraints.apart_ms(names),
-            longest_ms=left_ms * come_back.OF_PATIENCE,
+            longest_ms=patience_ms * come_back.OF_PATIENCE,
         )
         return run.failure("all endpoints left alone", retry_after_ms=after_ms)
 
--- a/src/jujubewharf/forwarding/restraints.py
+++ b/src/jujubewharf/forwarding/restraints.py
@@ -73,6 +73,8 @@
         self, endpoint: resources.Endpoint, notice: notices.Notice
     ) -> None:
         """Learns what an answer to this instance says."""
+        if endpoint.name not in self._by_name and not notice.restrains:
+            return
         known = self._of(endpoint.name)
         terms = notices.Terms(
             endpoint.name,
@@ -126,6 +128,11 @@
             if known.terms.restrains
         )
 
+    @property
+    def has_any(self) -> bool:
+        """Whether any endpoint wants anything; for most fleets none does."""
+        return bool(self._by_name)
+
     def is_leaving(self, name: str) -> bool:
         """Whether an endpoint has said that it takes no new work."""
         known = self._by_name.get(name)
@@ -136,6 +143,20 @@
         known = self._by_name.get(name)
         return None if known is None else known.terms.rate_limit_per_s
 
+    def is_sent_away(self, name: str) -> bool:
+        """Whether an endpoint wants no request of this instance now."""
+        known = self._by_name.get(name)
+        return known is not None and known.away_until_ms > self._clock.now_ms()
+
+    def sent_away_ms(self) -> dict[str, float]:
+        """Time for which endpoints want nothing of this instance, by name."""
+        now_ms = self._clock.now_ms()
+        return {
+            name: known.away_until_ms - now_ms
+            for name, known in self._by_name.items()
+            if known.away_until_ms > now_ms
+        }
+
     def defer(self, name: str, wait_ms: float) -> None:
         """Learns that an endpoint's limit leaves nothing for so long."""
         known = self._of(name)
@@ -152,8 +173,8 @@
         Returns:
             ``None`` where one may be asked now, or there is none.
         """
-        waits = [self._back_in_ms(name) for name in names]
-        return min(waits) if waits and min(waits) > 0.0 else None
+        first_ms = min(map(self._back_in_ms, names), default=0.0)
+        return first_ms if first_ms > 0.0 else None
 
     def apart_ms(self, names: Iterable[str]) -> float:
         """Time between two requests that limited endpoints take from here.
@@ -173,7 +194,8 @@
         known = self._by_name.get(name)
         if known is None:
             return 0.0
-        return known.deferred_until_ms - self._clock.now_ms()
+        until_ms = max(known.deferred_until_ms, known.away_until_ms)
+        return until_ms - self._clock.now_ms()
 
     def _limit_after(
         self, known: _Restraint, notice: notices.Notice
--- a/src/jujubewharf/forwarding/runs.py
+++ b/src/jujubewharf/forwarding/runs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 import dataclasses
 
 from jujubewharf import clock as clocks
@@ -39,6 +40,8 @@
         trail: Routine log lines that are written only if it fails.
         account: Client account that it belongs to.
         is_counted: Whether it was counted against the account's quota.
+        away_until_ms: Clock readings until which engines want nothing of the
+            instance that sends it, where that isn't the one that places it.
     """
 
     call: calls.Call
@@ -57,6 +60,7 @@
     trail: list[dict[str, object]] = dataclasses.field(default_factory=list)
     account: accounts.Account | None = None
     is_counted: bool = False
+    away_until_ms: Mapping[str, float] = dataclasses.field(default_factory=dict)
 
     @property
     def priority(self) -> int:
@@ -88,6 +92,10 @@
         is_once = self.route.repeat is routes.Repeat.NEVER
         return not (is_once and self.may_have_run)
 
+    def may_go_to(self, engine: str, clock: clocks.Clock) -> bool:
+        """Whether the instance that sends it may send it there."""
+        return self.away_until_ms.get(engine, 0.0) <= clock.now_ms()
+
     def left_ms(self, clock: clocks.Clock) -> float:
         """Time until the final answer is due."""
         return self.deadline_at_ms - clock.now_ms()
--- a/src/jujubewharf/header_values.py
+++ b/src/jujubewharf/header_values.py
@@ -10,8 +10,10 @@
 
 def amount(text: str | None) -> float | None:
     """A decimal number that isn't negative; ``None`` for all else."""
+    if not text:
+        return None
     try:
-        value = float(text or "")
+        value = float(text)
     except ValueError:
         return None
     return value if math.isfinite(value) and value >= 0.0 else None
--- a/src/jujubewharf/peers/leader_messages.py
+++ b/src/jujubewharf/peers/leader_messages.py
@@ -86,6 +86,14 @@
     packed: bytes | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineAway:
+    """An engine that wants nothing of one instance, and for how long."""
+
+    engine: str
+    for_ms: float
+
+
 @messages.message(72)
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlaceAsk(messages.Message):
@@ -107,6 +115,7 @@
         expected_tokens: The caller's estimate of them.
         account: Client account; ``None`` where there is none.
         is_counted: Whether it was counted against the account's quota before.
+        sent_away: Engines that want nothing of the asking instance now.
     """
 
     number: int
@@ -124,6 +133,7 @@
     expected_tokens: int | None = None
     account: str | None = None
     is_counted: bool = False
+    sent_away: tuple[EngineAway, ...] = ()
 
 
 @messages.message(73)
