Lines of beliefs, and what is followed, in modules of their own

Lines and counters beside requests are in beliefs.py, the followed tables in following.py; the tests of limits, leaving and staying away share flood, start_in and restart of the test deployments.

--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -12,11 +12,11 @@
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
 from jujubewharf.forwarding import attempts
+from jujubewharf.forwarding import beliefs
 from jujubewharf.forwarding import budget
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import costs
-from jujubewharf.forwarding import decisions
-from jujubewharf.forwarding import follower
+from jujubewharf.forwarding import following
 from jujubewharf.forwarding import forwarder
 from jujubewharf.forwarding import lease as leases
 from jujubewharf.forwarding import margins
@@ -32,7 +32,6 @@
 from jujubewharf.forwarding import settings as all_settings
 from jujubewharf.forwarding import sharing
 from jujubewharf.forwarding import stream
-from jujubewharf.leadership import feeds
 from jujubewharf.leadership import fleet as fleets
 from jujubewharf.leadership import fleet_limits
 from jujubewharf.leadership import fleet_quotas
@@ -43,18 +42,6 @@
 from jujubewharf.platform import tables
 from jujubewharf.requests import plain_endpoints
 
-# Part of the time within which a change must be in force that a read waits at
-# the store. One that waits hears of a change at once, but for one that arrives
-# in the same instant: that is answered only when its wait is over. With more
-# than the whole time a new route was refused 2.2 s after it was acknowledged,
-# where 2 s were allowed.
-_CONFIGURATION_PART = 0.5
-# Part of the time within which no work may go to an endpoint that leaves, after
-# which its entry is read again. Endpoints write all the time, so a read never
-# waits; twice in that time, and some for the calls themselves.
-_REGISTRY_PART = 0.4
-# The same for the instance that reads it for all.
-_LEADING_REGISTRY_PART = 0.2
 # Share of the fleet's retries while the group can't be reached: small enough
 # for two dozen instances that are all cut off.
 _SHARE_ALONE = 1 / 24
@@ -158,45 +145,24 @@
             else leases.GroupLease(peers.leaders, clock, name="leaders")
         )
         self._forwarder = self._make_forwarder(adapters, rng)
-        self._configurations = follower.TableFollower(
-            "configuration",
-            feeds.LeaderTable(
-                adapters.configurations, self.fleet.feeds.configurations, clock
-            ),
-            follower.Pace(
-                wait_ms=settings.store.in_force_within_ms * _CONFIGURATION_PART,
-                pause_ms=0.0,
-            ),
+        self._configurations = following.configurations(
+            adapters.configurations,
+            self.fleet,
+            settings.store,
             clock,
             rng,
             on_page=self._on_configurations,
-            is_watched=lambda: self.fleet.feeds.configurations.is_fresh,
         )
-        self._endpoints = follower.TableFollower(
-            "endpoints",
-            feeds.LeaderTable(
-                adapters.endpoints,
-                self.fleet.feeds.endpoints,
-                clock,
-                pause_ms=self._registry_pause_ms,
-            ),
-            follower.Pace(
-                wait_ms=settings.store.leaving_within_ms * _REGISTRY_PART,
-                pause_ms=0.0,
-            ),
+        self._endpoints = following.endpoints(
+            adapters.endpoints,
+            self.fleet,
+            settings.store,
             clock,
             rng,
             on_page=self._on_endpoints,
             on_lost=self.registry.store_lost,
-            is_watched=lambda: self.fleet.feeds.endpoints.is_fresh,
         )
 
-    def _registry_pause_ms(self) -> float:
-        part = _REGISTRY_PART
-        if self.fleet.is_leading:
-            part = _LEADING_REGISTRY_PART
-        return self._settings.store.leaving_within_ms * part
-
     def _make_forwarder(
         self, adapters: Adapters, rng: random.Random
     ) -> forwarder.Forwarder:
@@ -320,6 +286,11 @@
         current = self.source.current
         return {} if current is None else current.services
 
+    @property
+    def domain(self) -> str:
+        """Failure domain of this instance."""
+        return self._settings.domain
+
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send callers here."""
@@ -380,7 +351,7 @@
         for record in page.records:
             if record.value is not None and self.source.take(record.value):
                 self.quotas.forget_others()
-                decisions.configuration_in_force(
+                beliefs.configuration_in_force(
                     record.value, offset=record.offset
                 )
         if self.fleet.followers is not None:
--- a/src/jujubewharf/forwarding/ordering.py
+++ b/src/jujubewharf/forwarding/ordering.py
@@ -10,8 +10,8 @@
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
+from jujubewharf.forwarding import beliefs
 from jujubewharf.forwarding import costs
-from jujubewharf.forwarding import decisions
 from jujubewharf.forwarding import lease as leases
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import registry as registries
@@ -188,7 +188,7 @@
                 continue
             gone.was_asked = True
             answers = await self._answers(gone.engine)
-            decisions.vanished(
+            beliefs.vanished(
                 gone.engine.name,
                 answers=answers,
                 registry_age_ms=self._registry.age_ms,
@@ -248,7 +248,7 @@
                 self._lease.fenced(fence)
         until_ms = self._clock.now_ms() + lasts_ms
         self._pending[change.engine.name] = _Pending(change, until_ms)
-        decisions.ordered(
+        beliefs.ordered(
             change.engine.name,
             role=change.role.value,
             fence=fence,
--- a/src/jujubewharf/forwarding/restraints.py
+++ b/src/jujubewharf/forwarding/restraints.py
@@ -15,7 +15,7 @@
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
 from jujubewharf.engines import notices
-from jujubewharf.forwarding import decisions
+from jujubewharf.forwarding import beliefs
 
 # What is known of an endpoint that isn't registered is kept for this long. Its
 # entry may be missing for an outage of the store and come back as it was.
@@ -239,7 +239,7 @@
 def _log(
     terms: notices.Terms, *, told_by: str, stay_away_ms: float = 0.0
 ) -> None:
-    decisions.endpoint_said(
+    beliefs.endpoint_said(
         terms.endpoint,
         rate_limit_per_s=terms.rate_limit_per_s,
         is_leaving=terms.is_leaving,
--- a/src/jujubewharf/leadership/fleet_limits.py
+++ b/src/jujubewharf/leadership/fleet_limits.py
@@ -18,7 +18,7 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf.engines import notices
-from jujubewharf.forwarding import decisions
+from jujubewharf.forwarding import beliefs
 from jujubewharf.forwarding import limits
 from jujubewharf.forwarding import restraints as all_restraints
 from jujubewharf.leadership import fleet as fleets
@@ -72,7 +72,7 @@
         is_granted = wait_ms <= 0.0
         if not is_granted:
             self._restraints.defer(endpoint, wait_ms)
-        decisions.permit_asked(is_granted=is_granted, counted_by=role.value)
+        beliefs.permit_asked(is_granted=is_granted, counted_by=role.value)
         return is_granted
 
     def grant(self, endpoint: str) -> float:
--- a/src/jujubewharf/leadership/placement_server.py
+++ b/src/jujubewharf/leadership/placement_server.py
@@ -11,9 +11,9 @@
 from jujubewharf import clock as clocks
 from jujubewharf import errors
 from jujubewharf.engines import client
+from jujubewharf.forwarding import beliefs
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import costs
-from jujubewharf.forwarding import decisions
 from jujubewharf.forwarding import forwarder
 from jujubewharf.forwarding import observations as observed
 from jujubewharf.forwarding import placement as placements
@@ -226,7 +226,7 @@
         self._fleet_costs.told(peer, _report(message))
         fleet = self._fleet_costs.fleet
         if fleet.is_known and not was_known:
-            decisions.costs_known(fleet, reports=self._fleet_costs.instances)
+            beliefs.costs_known(fleet, reports=self._fleet_costs.instances)
 
     def _ended(self, message: leader_messages.PlaceEnded) -> None:
         held = self._held.get(message.number)
--- a/tests/forwarding/deployments.py
+++ b/tests/forwarding/deployments.py
@@ -287,6 +287,51 @@
         asked = [self.ask(path, **more) for path in paths]
         return list(await asyncio.gather(*asked))
 
+    async def flood(
+        self,
+        path: str,
+        *,
+        for_ms: float,
+        every_ms: float = 28.0,
+        patience_ms: float = 8_000.0,
+    ) -> list[Answer]:
+        """Sends requests to all instances in turn; returns the answers."""
+        asked: list[asyncio.Task[Answer]] = []
+        until_ms = self.clock.now_ms() + for_ms
+        while self.clock.now_ms() < until_ms:
+            names = sorted(self.instances)
+            name = names[len(asked) % len(names)]
+            asked.append(
+                asyncio.ensure_future(
+                    self.ask(path, instance=name, patience_ms=patience_ms)
+                )
+            )
+            await self.clock.sleep_ms(every_ms)
+        return list(await asyncio.gather(*asked))
+
+    async def start_in(self, domains: str, *names: str) -> None:
+        """Starts instances that lead and follow, one domain after the other.
+
+        Args:
+            domains: The domains, a letter each.
+            *names: The instances.
+        """
+        for number, name in enumerate(names):
+            domain = domains[number % len(domains)]
+            await self.start(
+                name, domain=domain, declare=number == 0, is_led=True
+            )
+
+    async def restart(self, name: str) -> None:
+        """Ends an instance and starts it anew, with nothing that it knew."""
+        instance = self.instances.pop(name)
+        await instance.stop()
+        self.network.drop_instance(name)
+        for backend in self.backends.by_name.values():
+            backend.told_ms.pop(name, None)
+        domain = instance.domain
+        await self.start(name, domain=domain, declare=False, is_led=True)
+
 
 def run(test: Coroutine[Any, Any, Any]) -> Any:
     """Runs a test on a virtual clock."""
--- a/tests/leadership/test_endpoint_limits.py
+++ b/tests/leadership/test_endpoint_limits.py
@@ -57,22 +57,6 @@
     ]
 
 
-async def _flood(world, path: str, *, for_ms: float, every_ms: float):
-    """Sends requests to all instances in turn; the answers are returned."""
-    asked = []
-    until_ms = world.clock.now_ms() + for_ms
-    while world.clock.now_ms() < until_ms:
-        names = sorted(world.instances)
-        name = names[len(asked) % len(names)]
-        asked.append(
-            asyncio.ensure_future(
-                world.ask(path, instance=name, patience_ms=2_000.0)
-            )
-        )
-        await world.clock.sleep_ms(every_ms)
-    return await asyncio.gather(*asked)
-
-
 def _deployed(*behind, names=NAMES):
     return deployments.deployed(*behind, names=names, is_led=True)
 
@@ -85,7 +69,7 @@
             await w.clock.sleep_ms(2_000.0)
             weak.rate_limit_per_s = 1.8
             weaker.rate_limit_per_s = 1.5
-            answers = await _flood(w, path, for_ms=20_000.0, every_ms=28.0)
+            answers = await w.flood(path, for_ms=20_000.0)
             for backend in (weak, weaker):
                 limit = backend.rate_limit_per_s
                 assert _most(_of_all(backend)) <= _allowed(limit)
@@ -110,8 +94,8 @@
             await world.clock.sleep_ms(2_000.0)
             weak = world.backends.by_name[limited]
             weak.rate_limit_per_s = 1.5
-            answers = await _flood(
-                world, "/verdicts/1", for_ms=20_000.0, every_ms=60.0
+            answers = await world.flood(
+                "/verdicts/1", for_ms=20_000.0, every_ms=60.0
             )
             assert _most(_of_all(weak)) <= _allowed(1.5)
             assert {a.status for a in answers} == {200}
@@ -132,7 +116,7 @@
             shop("s1", loses_answers=True), shop("s2", "b"), weak
         ) as world:
             await world.clock.sleep_ms(2_000.0)
-            await _flood(world, "/lookup/1", for_ms=12_000.0, every_ms=40.0)
+            await world.flood("/lookup/1", for_ms=12_000.0, every_ms=40.0)
             assert _most(_of_all(weak)) <= _allowed(1.5)
 
     deployments.run(main())
@@ -150,10 +134,8 @@
         weak[1].rate_limit_per_s = 5.0
         async with _deployed(*weak) as world:
             await world.clock.sleep_ms(2_000.0)
-            await _flood(world, "/sale/1", for_ms=3_000.0, every_ms=28.0)
-            answers = await _flood(
-                world, "/sale/1", for_ms=10_000.0, every_ms=28.0
-            )
+            await world.flood("/sale/1", for_ms=3_000.0)
+            answers = await world.flood("/sale/1", for_ms=10_000.0)
             for backend in weak:
                 assert _most(_of_all(backend)) <= _allowed(5.0)
             served = sum(a.status == 200 for a in answers)
@@ -194,13 +176,11 @@
         weak = shop("s1", rate_limit_per_s=1.5)
         async with _deployed(weak) as world:
             await world.clock.sleep_ms(2_000.0)
-            await _flood(world, "/sale/1", for_ms=3_000.0, every_ms=28.0)
+            await world.flood("/sale/1", for_ms=3_000.0)
             weak.rate_limit_per_s = None
             await world.clock.sleep_ms(2_000.0)
-            await _flood(world, "/sale/1", for_ms=1_000.0, every_ms=50.0)
-            answers = await _flood(
-                world, "/sale/1", for_ms=3_000.0, every_ms=28.0
-            )
+            await world.flood("/sale/1", for_ms=1_000.0, every_ms=50.0)
+            answers = await world.flood("/sale/1", for_ms=3_000.0)
             assert {a.status for a in answers} == {200}
 
     deployments.run(main())
@@ -229,10 +209,10 @@
         weak = shop("s1", rate_limit_per_s=1.5)
         async with _deployed(weak, shop("s2")) as world:
             await world.clock.sleep_ms(2_000.0)
-            await _flood(world, "/sale/1", for_ms=3_000.0, every_ms=28.0)
+            await world.flood("/sale/1", for_ms=3_000.0)
             await world.start("e7", declare=False, is_led=True)
             await world.clock.sleep_ms(2_000.0)
-            await _flood(world, "/sale/1", for_ms=8_000.0, every_ms=28.0)
+            await world.flood("/sale/1", for_ms=8_000.0)
             assert _most(_of_all(weak)) <= _allowed(1.5)
 
     deployments.run(main())
@@ -246,7 +226,7 @@
         async with _deployed(weak, shop("s2", "b")) as world:
             await world.clock.sleep_ms(2_000.0)
             flood = asyncio.ensure_future(
-                _flood(world, "/sale/1", for_ms=24_000.0, every_ms=28.0)
+                world.flood("/sale/1", for_ms=24_000.0)
             )
             await world.clock.sleep_ms(6_000.0)
             old = world.leader
@@ -274,19 +254,11 @@
         behind = [shop(f"s{n}", "abcd"[n % 4]) for n in range(3)]
         limits = [rng.choice([0.5, 1.5, 4.0]) for _ in behind[:limited]]
         world = deployments.Deployment(*behind)
-        for number, name in enumerate(NAMES):
-            await world.start(
-                name,
-                domain="abcd"[number % 4],
-                declare=number == 0,
-                is_led=True,
-            )
+        await world.start_in("abcd", *NAMES)
         await world.clock.sleep_ms(2_000.0)
         for backend, limit in zip(behind, limits, strict=False):
             backend.rate_limit_per_s = limit
-        flood = asyncio.ensure_future(
-            _flood(world, "/sale/1", for_ms=40_000.0, every_ms=28.0)
-        )
+        flood = asyncio.ensure_future(world.flood("/sale/1", for_ms=40_000.0))
         for _ in range(8):
             await world.clock.sleep_ms(rng.uniform(1_000.0, 5_000.0))
             await _trouble(world, rng)
@@ -303,12 +275,7 @@
     name = rng.choice(sorted(world.instances))
     match rng.choice(["kill", "cut", "store", "unlink", "heal"]):
         case "kill":
-            domain = world.instances[name]._settings.domain
-            await world.instances.pop(name).stop()
-            world.network.drop_instance(name)
-            for backend in world.backends.by_name.values():
-                backend.told_ms.pop(name, None)
-            await world.start(name, domain=domain, declare=False, is_led=True)
+            await world.restart(name)
         case "cut":
             world.network.cut("a", rng.choice("bcd"))
         case "store":
--- a/tests/leadership/test_leaving_endpoints.py
+++ b/tests/leadership/test_leaving_endpoints.py
@@ -34,17 +34,6 @@
     return deployments.deployed(*behind, names=names, is_led=True)
 
 
-async def _flood(world, path: str, *, for_ms: float, every_ms: float = 28.0):
-    asked = []
-    until_ms = world.clock.now_ms() + for_ms
-    while world.clock.now_ms() < until_ms:
-        names = sorted(world.instances)
-        name = names[len(asked) % len(names)]
-        asked.append(asyncio.ensure_future(world.ask(path, instance=name)))
-        await world.clock.sleep_ms(every_ms)
-    return await asyncio.gather(*asked)
-
-
 def _since(backend, at_ms: float) -> list:
     return [asked for asked in backend.asked if asked.at_ms > at_ms]
 
@@ -65,7 +54,7 @@
             await world.clock.sleep_ms(2_000.0)
             gone = world.backends.by_name[leaving]
             gone.is_leaving = True
-            answers = await _flood(world, path, for_ms=6_000.0)
+            answers = await world.flood(path, for_ms=6_000.0)
             heard_ms = min(gone.told_ms.values())
             assert _since(gone, heard_ms + SPREAD_MS) == []
             assert {a.status for a in answers} == {200}
@@ -78,7 +67,7 @@
         gone = shop("s1")
         async with deployments.deployed(gone, shop("s2")) as world:
             gone.is_leaving = True
-            await _flood(world, "/sale/1", for_ms=4_000.0)
+            await world.flood("/sale/1", for_ms=4_000.0)
             assert _since(gone, min(gone.told_ms.values())) == []
 
     deployments.run(main())
@@ -115,7 +104,7 @@
             gone.is_leaving = True
             await world.ask("/sale/1")
             await world.clock.sleep_ms(SPREAD_MS)
-            answers = await _flood(world, "/sale/1", for_ms=1_000.0)
+            answers = await world.flood("/sale/1", for_ms=1_000.0)
             for answer in answers:
                 assert answer.error is not None
                 assert answer.error.kind is errors.ErrorKind.NO_FITTING_ENGINE
@@ -133,10 +122,10 @@
         async with _deployed(gone, shop("s2")) as world:
             await world.clock.sleep_ms(2_000.0)
             gone.is_leaving = True
-            await _flood(world, "/sale/1", for_ms=500.0)
+            await world.flood("/sale/1", for_ms=500.0)
             world.register(gone, slots=7)
             await world.clock.sleep_ms(1_000.0)
-            await _flood(world, "/sale/1", for_ms=3_000.0)
+            await world.flood("/sale/1", for_ms=3_000.0)
             heard_ms = min(gone.told_ms.values())
             assert _since(gone, heard_ms + SPREAD_MS) == []
 
@@ -151,10 +140,10 @@
         async with _deployed(gone, shop("s2")) as world:
             await world.clock.sleep_ms(2_000.0)
             gone.is_leaving = True
-            await _flood(world, "/sale/1", for_ms=500.0)
+            await world.flood("/sale/1", for_ms=500.0)
             await world.start("e5", declare=False, is_led=True)
             await world.clock.sleep_ms(2_000.0)
-            await _flood(world, "/sale/1", for_ms=3_000.0)
+            await world.flood("/sale/1", for_ms=3_000.0)
             heard_ms = min(gone.told_ms.values())
             assert _since(gone, heard_ms + SPREAD_MS) == []
 
@@ -173,15 +162,9 @@
         rng = random.Random(seed)
         behind = [shop(f"s{n}", "abcd"[n % 4]) for n in range(6)]
         world = deployments.Deployment(*behind)
-        for number, name in enumerate(NAMES):
-            await world.start(
-                name,
-                domain="abcd"[number % 4],
-                declare=number == 0,
-                is_led=True,
-            )
+        await world.start_in("abcd", *NAMES)
         await world.clock.sleep_ms(2_000.0)
-        flood = asyncio.ensure_future(_flood(world, "/sale/1", for_ms=30_000.0))
+        flood = asyncio.ensure_future(world.flood("/sale/1", for_ms=30_000.0))
         for leaving in behind[:4]:
             await world.clock.sleep_ms(rng.uniform(1_000.0, 4_000.0))
             leaving.is_leaving = True
@@ -201,12 +184,7 @@
     name = rng.choice(sorted(world.instances))
     match rng.choice(["kill", "cut", "unlink", "entry", "heal"]):
         case "kill":
-            domain = world.instances[name]._settings.domain
-            await world.instances.pop(name).stop()
-            world.network.drop_instance(name)
-            for backend in behind:
-                backend.told_ms.pop(name, None)
-            await world.start(name, domain=domain, declare=False, is_led=True)
+            await world.restart(name)
         case "cut":
             world.network.cut("a", rng.choice("bcd"))
         case "unlink":
@@ -231,7 +209,7 @@
         async with _deployed(gone, shop("s2")) as world:
             await world.clock.sleep_ms(2_000.0)
             gone.is_leaving = True
-            await _flood(world, "/sale/1", for_ms=500.0)
+            await world.flood("/sale/1", for_ms=500.0)
             next_start = shop("s1-next")
             next_start.endpoint = dataclasses.replace(
                 next_start.endpoint, name="s1-next"
@@ -239,7 +217,7 @@
             world.backends.by_name["s1-next"] = next_start
             world.endpoints.put("s1", next_start.endpoint)
             await world.clock.sleep_ms(1_500.0)
-            await _flood(world, "/sale/1", for_ms=1_000.0)
+            await world.flood("/sale/1", for_ms=1_000.0)
             assert next_start.asked
 
     deployments.run(main())
--- a/tests/leadership/test_stay_away.py
+++ b/tests/leadership/test_stay_away.py
@@ -33,21 +33,6 @@
     return deployments.deployed(*behind, names=names, is_led=True)
 
 
-async def _flood(world, path: str, *, for_ms: float, every_ms: float = 28.0):
-    asked = []
-    until_ms = world.clock.now_ms() + for_ms
-    while world.clock.now_ms() < until_ms:
-        names = sorted(world.instances)
-        name = names[len(asked) % len(names)]
-        asked.append(
-            asyncio.ensure_future(
-                world.ask(path, instance=name, patience_ms=8_000.0)
-            )
-        )
-        await world.clock.sleep_ms(every_ms)
-    return await asyncio.gather(*asked)
-
-
 def _too_soon(backend, away_ms: float = AWAY_MS) -> list:
     """Requests of instances that it had sent away, within that time."""
     found = []
@@ -76,7 +61,7 @@
             await world.clock.sleep_ms(2_000.0)
             away = world.backends.by_name[busy]
             away.stay_away_ms = AWAY_MS
-            flood = asyncio.ensure_future(_flood(world, path, for_ms=6_000.0))
+            flood = asyncio.ensure_future(world.flood(path, for_ms=6_000.0))
             await world.clock.sleep_ms(1_000.0)
             away.stay_away_ms = 0.0
             answers = await flood
@@ -103,7 +88,7 @@
         async with _deployed(*behind, names=NAMES[:3]) as world:
             await world.clock.sleep_ms(2_000.0)
             flood = asyncio.ensure_future(
-                _flood(world, "/verdicts/1", for_ms=6_000.0, every_ms=47.0)
+                world.flood("/verdicts/1", for_ms=6_000.0, every_ms=47.0)
             )
             await world.clock.sleep_ms(500.0)
             away.stay_away_ms = AWAY_MS
@@ -199,14 +184,12 @@
         async with _deployed(*behind) as world:
             await world.clock.sleep_ms(2_000.0)
             floods = [
-                asyncio.ensure_future(_flood(world, path, for_ms=24_000.0))
+                asyncio.ensure_future(world.flood(path, for_ms=24_000.0))
                 for path in ("/lookup/1", "/sale/1")
             ]
             floods.append(
                 asyncio.ensure_future(
-                    _flood(
-                        world, "/verdicts/1", for_ms=24_000.0, every_ms=150.0
-                    )
+                    world.flood("/verdicts/1", for_ms=24_000.0, every_ms=150.0)
                 )
             )
             for _ in range(5):
