Only a later answer raises an endpoint's limit

Two answers that cross, the older one last, would have all instances believe the limit from before until the next answer. As for its end, a higher limit now counts only from a request that went out after the last word was heard; a lower one always. Two tests of mine let no time pass between their answers, which is just that case; they let 0.1 s pass now.

--- a/src/jujubewharf/forwarding/restraints.py
+++ b/src/jujubewharf/forwarding/restraints.py
@@ -204,12 +204,19 @@
     def _limit_after(
         self, known: _Restraint, notice: notices.Notice
     ) -> float | None:
-        if notice.rate_limit_per_s is not None:
-            return notice.rate_limit_per_s
-        if notice.ends_limit and notice.asked_ms > known.limit_heard_ms:
-            return None
-        # An answer to an earlier request may be from before the limit.
-        return known.terms.rate_limit_per_s
+        """The limit that is believed after an answer.
+
+        An answer to an earlier request may be from before the word that was
+        heard last. It would let all instances loose on an endpoint in need, so
+        only a later one raises a limit or ends it.
+        """
+        limit, named = known.terms.rate_limit_per_s, notice.rate_limit_per_s
+        if named is not None and (limit is None or named < limit):
+            return named
+        is_later = notice.asked_ms > known.limit_heard_ms
+        if is_later and (named is not None or notice.ends_limit):
+            return named
+        return limit
 
     def _of(self, name: str) -> _Restraint:
         known = self._by_name.get(name)
--- a/tests/forwarding/test_restraints.py
+++ b/tests/forwarding/test_restraints.py
@@ -43,6 +43,27 @@
     _run(test)
 
 
+def test_an_answer_from_before_does_not_raise_the_limit():
+    """Two answers cross; the one that was asked for first arrives last."""
+
+    async def test(known, clock):
+        known.heard(ENDPOINT, _notice(clock, rate_limit_per_s=1.5))
+        await clock.sleep_ms(100.0)
+        old = _notice(clock, asked_ago_ms=200.0, rate_limit_per_s=6.0)
+        known.heard(ENDPOINT, old)
+        assert known.rate_limit_per_s("s1") == 1.5
+        known.heard(
+            ENDPOINT,
+            _notice(clock, asked_ago_ms=200.0, rate_limit_per_s=1.0),
+        )
+        assert known.rate_limit_per_s("s1") == 1.0
+        await clock.sleep_ms(100.0)
+        known.heard(ENDPOINT, _notice(clock, rate_limit_per_s=6.0))
+        assert known.rate_limit_per_s("s1") == 6.0
+
+    _run(test)
+
+
 def test_a_refusal_without_a_limit_does_not_end_it():
     async def test(known, clock):
         known.heard(ENDPOINT, _notice(clock, rate_limit_per_s=1.5))
@@ -86,6 +107,7 @@
         known.defer("s1", 5_000.0)
         assert known.back_in_ms(["s1"]) == 5_000.0
         assert known.back_in_ms(["s1", "s2"]) is None
+        await clock.sleep_ms(100.0)
         known.heard(ENDPOINT, _notice(clock, rate_limit_per_s=50.0))
         assert not known.keeps_off("s1")
 
@@ -98,6 +120,7 @@
         known.on_news = told.append
         for limit in (1.5, 1.5, 2.0):
             known.heard(ENDPOINT, _notice(clock, rate_limit_per_s=limit))
+            await clock.sleep_ms(100.0)
         known.heard(ENDPOINT, _notice(clock, stay_away_ms=100.0))
         assert told == [notices.Terms("s1", 1.5), notices.Terms("s1", 2.0)]
 
