A run that was placed before its engine named a limit needs a permit

Prompts were being read when the engine named its first limit; their runs had been placed without a permit, and 26 reached it in four seconds where 8 are allowed, from instances that knew the limit. A place now says whether a permit was taken for it, and the sending takes one if not; without one the request is placed anew. The same check, at the moment of sending, covers an engine that asked meanwhile to be left alone, and readers too.

--- a/src/jujubewharf/engines/client.py
+++ b/src/jujubewharf/engines/client.py
@@ -18,8 +18,8 @@
 
     ``REFUSED_*`` faults are the engine's own word that it did nothing;
     ``REFUSED_IDENTITY`` says that another engine has the address now;
-    ``SENT_AWAY`` that it wants no call of this instance for a while, and none
-    was made.
+    ``LEFT_ALONE`` that no call was made, since the engine has asked for none
+    now.
     """
 
     UNREACHABLE = "unreachable"
@@ -30,7 +30,7 @@
     REFUSED_FENCE = "refused_fence"
     REFUSED_IDENTITY = "refused_identity"
     REFUSED_ROLE = "refused_role"
-    SENT_AWAY = "sent_away"
+    LEFT_ALONE = "left_alone"
     KV_GONE = "kv_gone"
     UNKNOWN_ATTEMPT = "unknown_attempt"
     UNSUPPORTED = "unsupported"
--- a/src/jujubewharf/forwarding/attempts.py
+++ b/src/jujubewharf/forwarding/attempts.py
@@ -119,6 +119,7 @@
                 after_event=after_event,
             )
             try:
+                await self._check_wanted(place)
                 reply = await self._send(exits, run, place.engine, sending)
             except client.EngineError as error:
                 sending = await self._instead(run, error, sending, prefilled)
@@ -236,6 +237,8 @@
             return False
         if not await self._limits.take(reader.name):
             return False
+        if self._restraints.is_sent_away(reader.name):
+            return False
         return self._registry.takes_work(reader.name)
 
     def _may_read_again(self, run: runs.Run, error: client.EngineError) -> bool:
@@ -292,6 +295,22 @@
             # frees the memory sooner, so a failure needs no repeat.
             await self._backends.drop_source(prefilled.reader, prefilled.source)
 
+    async def _check_wanted(self, place: all_places.Place) -> None:
+        """Passes where an engine wants the run for which it reserved memory.
+
+        Its answers to others may have said since that it wants none now, or
+        have named its first limit. The prompt may have been read in vain then,
+        but a second and a half of such runs would still come to an engine in
+        need.
+
+        Raises:
+            EngineError: It is left alone.
+        """
+        name = place.engine.name
+        has_permit = place.has_permit or await self._limits.take(name)
+        if not has_permit or self._restraints.is_sent_away(name):
+            raise client.EngineError(client.EngineFault.LEFT_ALONE, name)
+
     async def _send(
         self,
         exits: contextlib.AsyncExitStack,
@@ -303,10 +322,6 @@
             # It began to leave while the prompt was read.
             fault = client.EngineFault.REFUSED_LEAVING
             raise client.EngineError(fault, engine.name)
-        if self._restraints.is_sent_away(engine.name):
-            # Its answer to another request said so meanwhile.
-            fault = client.EngineFault.SENT_AWAY
-            raise client.EngineError(fault, engine.name)
         began_ms = self._clock.now_ms()
         before = run.sent(engine.name)
         decisions.sent(
--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -281,6 +281,7 @@
         for engine in asked[:count]:
             # One permit for the reservation and the run that uses it; without
             # one the engine isn't asked for its memory either.
+            has_limit = self._restraints.is_limited(engine.name)
             if not await self._limits.take(engine.name):
                 continue
             if not self._registry.takes_work(engine.name):
@@ -301,6 +302,7 @@
                 since_ms=self._clock.now_ms(),
                 tokens=wish.tokens,
                 memory_part=wish.tokens / run.traits.memory_tokens,
+                has_permit=has_limit,
             )
         return None
 
--- a/src/jujubewharf/forwarding/places.py
+++ b/src/jujubewharf/forwarding/places.py
@@ -24,6 +24,7 @@
         since_ms: When it was reserved.
         tokens: Memory that is reserved.
         memory_part: Part of the engine's memory.
+        has_permit: Whether a permit was taken, as the engine names a limit.
 
     Attributes:
         engine: The engine.
@@ -31,6 +32,7 @@
         since_ms: When it was reserved.
         tokens: Memory that is reserved.
         memory_part: Part of the engine's memory.
+        has_permit: Whether a permit was taken, as the engine names a limit.
         readers: Engines that may read the prompt, the best first.
         reading_ended: Called once the prompt is read, or isn't going to be.
     """
@@ -43,12 +45,14 @@
         since_ms: float,
         tokens: int,
         memory_part: float,
+        has_permit: bool = False,
     ) -> None:
         self.engine = engine
         self.hold = hold
         self.since_ms = since_ms
         self.tokens = tokens
         self.memory_part = memory_part
+        self.has_permit = has_permit
         self.readers: Sequence[resources.Endpoint] = ()
         self.reading_ended: Callable[[], None] = _nothing
         self._is_taken = False
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -347,6 +347,7 @@
             since_ms=self._clock.now_ms(),
             tokens=placed.tokens,
             memory_part=placed.memory_part,
+            has_permit=placed.has_permit,
         )
         known = [self._registry.get(name) for name in placed.readers]
         place.readers = [reader for reader in known if reader is not None]
--- a/src/jujubewharf/leadership/placement_server.py
+++ b/src/jujubewharf/leadership/placement_server.py
@@ -323,6 +323,7 @@
         place.tokens,
         place.memory_part,
         tuple(reader.name for reader in place.readers),
+        place.has_permit,
     )
 
 
--- a/src/jujubewharf/peers/leader_messages.py
+++ b/src/jujubewharf/peers/leader_messages.py
@@ -147,6 +147,7 @@
         tokens: Memory that is reserved.
         memory_part: Part of the engine's memory.
         readers: Engines that may read the prompt, the best first.
+        has_permit: Whether the engine's limit allows the run.
     """
 
     engine: str
@@ -154,6 +155,7 @@
     tokens: int
     memory_part: float
     readers: tuple[str, ...] = ()
+    has_permit: bool = False
 
 
 @messages.message(74)
--- a/tests/leadership/test_endpoint_limits.py
+++ b/tests/leadership/test_endpoint_limits.py
@@ -103,6 +103,32 @@
     deployments.run(main())
 
 
+def test_what_was_placed_before_the_limit_needs_a_permit_too():
+    """Prompts are being read for a second when the engine names its limit.
+
+    Their runs were placed without a permit, and would all reach the engine
+    after every instance knows of the limit.
+    """
+
+    async def main():
+        slow = reader("p1", prefill_token_ms=0.3)
+        weak, other = writer("d1"), writer("d2")
+        for engine in (slow, weak, other):
+            engine.memory_tokens = 4_000_000
+        async with _deployed(slow, weak, other) as world:
+            await world.clock.sleep_ms(2_000.0)
+            flood = asyncio.ensure_future(
+                world.flood("/verdicts/1", for_ms=4_000.0, every_ms=20.0)
+            )
+            await world.clock.sleep_ms(1_600.0)
+            weak.rate_limit_per_s = 0.5
+            answers = await flood
+            assert _most(_of_all(weak)) <= _allowed(0.5)
+            assert {a.status for a in answers} == {200}
+
+    deployments.run(main())
+
+
 def test_second_tries_count_as_well():
     """The endpoints that are well lose answers, and repeats look elsewhere.
 
