--- a/src/jujubewharf/engines/client.py
+++ b/src/jujubewharf/engines/client.py
@@ -18,7 +18,7 @@
 
     ``REFUSED_*`` faults are the engine's own word that it did nothing;
     ``REFUSED_IDENTITY`` says that another engine has the address now;
-    ``LEFT_ALONE`` that no call was made, since the engine has asked for none
+    ``DEFERRED`` that no call was made, since the engine has asked for none
     now.
     """
 
@@ -30,7 +30,7 @@
     REFUSED_FENCE = "refused_fence"
     REFUSED_IDENTITY = "refused_identity"
     REFUSED_ROLE = "refused_role"
-    LEFT_ALONE = "left_alone"
+    DEFERRED = "deferred"
     KV_GONE = "kv_gone"
     UNKNOWN_ATTEMPT = "unknown_attempt"
     UNSUPPORTED = "unsupported"
--- a/src/jujubewharf/engines/notices.py
+++ b/src/jujubewharf/engines/notices.py
@@ -20,7 +20,7 @@
             endpoint's own whole answer says that, and not one that is made up
             on the way.
         is_leaving: Whether the endpoint leaves and takes no new work.
-        stay_away_ms: Time for which it wants no request of the instance that
+        backoff_ms: Time for which it wants no request of the instance that
             is answered; 0 for none.
     """
 
@@ -28,13 +28,13 @@
     rate_limit_per_s: float | None = None
     ends_limit: bool = False
     is_leaving: bool = False
-    stay_away_ms: float = 0.0
+    backoff_ms: float = 0.0
 
     @property
     def restrains(self) -> bool:
         """Whether it keeps any work away."""
         has_limit = self.rate_limit_per_s is not None
-        return has_limit or self.is_leaving or self.stay_away_ms > 0.0
+        return has_limit or self.is_leaving or self.backoff_ms > 0.0
 
 
 Listener = Callable[[resources.Endpoint, Notice], None]
--- a/src/jujubewharf/forwarding/attempts.py
+++ b/src/jujubewharf/forwarding/attempts.py
@@ -150,7 +150,7 @@
         """
         if error.fault is not client.EngineFault.REFUSED_FULL:
             raise error
-        if self._restraints.is_sent_away(error.engine):
+        if self._restraints.is_backing_off(error.engine):
             raise error
         engine = self._registry.get(error.engine)
         if engine is None or await self._is_changing(engine):
@@ -233,11 +233,11 @@
 
     async def _may_read(self, reader: resources.Endpoint) -> bool:
         """Whether an engine takes a prompt at this moment."""
-        if self._restraints.keeps_off(reader.name):
+        if self._restraints.must_wait(reader.name):
             return False
         if not await self._limits.take(reader.name):
             return False
-        if self._restraints.is_sent_away(reader.name):
+        if self._restraints.is_backing_off(reader.name):
             return False
         return self._registry.takes_work(reader.name)
 
@@ -304,12 +304,12 @@
         need.
 
         Raises:
-            EngineError: It is left alone.
+            EngineError: It wants none now.
         """
         name = place.engine.name
         has_permit = place.has_permit or await self._limits.take(name)
-        if not has_permit or self._restraints.is_sent_away(name):
-            raise client.EngineError(client.EngineFault.LEFT_ALONE, name)
+        if not has_permit or self._restraints.is_backing_off(name):
+            raise client.EngineError(client.EngineFault.DEFERRED, name)
 
     async def _send(
         self,
--- a/src/jujubewharf/forwarding/beliefs.py
+++ b/src/jujubewharf/forwarding/beliefs.py
@@ -92,7 +92,7 @@
     *,
     rate_limit_per_s: float | None,
     is_leaving: bool,
-    stay_away_ms: float,
+    backoff_ms: float,
     told_by: str,
 ) -> None:
     """It became known what an endpoint wants.
@@ -101,21 +101,21 @@
         endpoint: The endpoint.
         rate_limit_per_s: What it takes from all instances; ``None`` for any.
         is_leaving: Whether it takes no new work any more.
-        stay_away_ms: How long it wants nothing of this instance.
+        backoff_ms: How long it wants nothing of this instance.
         told_by: ``answer`` for its own answer, ``peer`` for another instance.
     """
     kind = "no_limit" if rate_limit_per_s is None else "rate_limit"
     if is_leaving:
         kind = "leaving"
-    elif stay_away_ms > 0.0:
-        kind = "stay_away"
+    elif backoff_ms > 0.0:
+        kind = "backoff"
     _SAID.add(1, {"kind": kind, "told_by": told_by})
     _logger.info(
         "endpoint_said",
         endpoint=endpoint,
         rate_limit_per_s=rate_limit_per_s,
         is_leaving=is_leaving,
-        stay_away_ms=round(stay_away_ms),
+        backoff_ms=round(backoff_ms),
         told_by=told_by,
     )
 
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -187,7 +187,7 @@
             self._services,
             clock,
             on_accepted=engines.changing,
-            is_left_alone=self.restraints.is_sent_away,
+            is_backing_off=self.restraints.is_backing_off,
         )
         places = placement.Placement(
             backends,
@@ -267,7 +267,7 @@
         """Whether an endpoint gets no work at this moment."""
         if not self.registry.takes_work(name):
             return True
-        return self.restraints.keeps_off(name)
+        return self.restraints.must_wait(name)
 
     def _limit_share(self) -> float:
         """Equal part of what the fleet shares, where nobody counts for all."""
--- a/src/jujubewharf/forwarding/limits.py
+++ b/src/jujubewharf/forwarding/limits.py
@@ -31,7 +31,7 @@
         """Takes a permit for one request.
 
         Returns:
-            Whether there was one. If not the endpoint is left alone by
+            Whether there was one. If not the endpoint is not asked, by
             ``restraints.Restraints`` until it is worth to ask again.
         """
         ...
--- a/src/jujubewharf/forwarding/ordering.py
+++ b/src/jujubewharf/forwarding/ordering.py
@@ -68,8 +68,8 @@
         services: The services in force.
         clock: Time.
         on_accepted: Told the name of an engine that is going to change.
-        is_left_alone: Tells of an engine that it wants no call of this instance
-            now.
+        is_backing_off: Tells of an engine that it has asked this instance to
+            back off.
     """
 
     def __init__(
@@ -83,7 +83,7 @@
         clock: clocks.Clock,
         *,
         on_accepted: Callable[[str], None] = lambda engine: None,
-        is_left_alone: Callable[[str], bool] = lambda engine: False,
+        is_backing_off: Callable[[str], bool] = lambda engine: False,
     ) -> None:
         super().__init__()
         self._instance = instance
@@ -94,7 +94,7 @@
         self._services = services
         self._clock = clock
         self._on_accepted = on_accepted
-        self._is_left_alone = is_left_alone
+        self._is_backing_off = is_backing_off
         self._pending: dict[str, _Pending] = {}
         self._wanted_since_ms: dict[str, float] = {}
         self._known: dict[str, dict[str, resources.Endpoint]] = {}
@@ -139,7 +139,7 @@
             # One step at a time: an engine that changes does no work.
             return
         for change in changes[: self._most_at_once(service)]:
-            if not self._is_left_alone(change.engine.name):
+            if not self._is_backing_off(change.engine.name):
                 await self._order(change, traits)
 
     def _most_at_once(self, service: str) -> int:
--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -207,27 +207,24 @@
     def _open_to(self, run: runs.Run) -> Sequence[resources.Endpoint]:
         """Engines of its service to which a request may be sent."""
         engines = self._registry.of_service(run.service)
-        if not run.away_until_ms:
+        if not run.backoff_until_ms:
             return engines
         return [e for e in engines if run.may_go_to(e.name, self._clock)]
 
     def _all_stay_shut(self, run: runs.Run, due_ms: float) -> bool:
         """Whether no engine may be asked until a request is given up."""
-        back_in_ms = self._back_in_ms(run)
-        return (
-            back_in_ms is not None
-            and self._clock.now_ms() + back_in_ms > due_ms
-        )
+        wait_ms = self._wait_ms(run)
+        return wait_ms is not None and self._clock.now_ms() + wait_ms > due_ms
 
-    def _back_in_ms(self, run: runs.Run) -> float | None:
+    def _wait_ms(self, run: runs.Run) -> float | None:
         """Time until any engine may be asked again; see ``Restraints``."""
-        if not run.away_until_ms and not self._restraints.has_any:
+        if not run.backoff_until_ms and not self._restraints.has_any:
             return None
         now_ms = self._clock.now_ms()
         waits = [
             max(
-                self._restraints.back_in_ms([engine.name]) or 0.0,
-                run.away_until_ms.get(engine.name, now_ms) - now_ms,
+                self._restraints.wait_ms([engine.name]) or 0.0,
+                run.backoff_until_ms.get(engine.name, now_ms) - now_ms,
             )
             for engine in self._registry.of_service(run.service)
             if engine.can_decode
@@ -367,7 +364,7 @@
         if run.may_have_run:
             return run.failure()
         after_ms = self._patience.come_back_ms(run.call, self._running)
-        after_ms = max(after_ms, self._back_in_ms(run) or 0.0)
+        after_ms = max(after_ms, self._wait_ms(run) or 0.0)
         return errors.WharfError(
             errors.ErrorKind.QUEUE_FULL, retry_after_ms=after_ms
         )
--- a/src/jujubewharf/forwarding/plain.py
+++ b/src/jujubewharf/forwarding/plain.py
@@ -115,7 +115,7 @@
             if endpoint is None:
                 return None
             if not await self._limits.take(endpoint.name):
-                # Left alone from now on, so the next choice is another.
+                # Deferred from now on, so the next choice is another.
                 continue
             if self._chooser.may_get_work(endpoint.name):
                 # It may have begun to leave while the leader was asked.
@@ -124,17 +124,17 @@
     def _nobody(self, run: runs.Run) -> errors.WharfError:
         """The error where no endpoint takes the request now."""
         names = [e.name for e in self._registry.of_service(run.service)]
-        back_in_ms = self._restraints.back_in_ms(names)
-        if back_in_ms is None:
+        wait_ms = self._restraints.wait_ms(names)
+        if wait_ms is None:
             return run.failure()
         patience_ms = run.call.patience_ms or run.left_ms(self._clock)
         after_ms = self._come_back.next_ms(
             run.service,
-            free_in_ms=back_in_ms,
+            free_in_ms=wait_ms,
             apart_ms=self._restraints.apart_ms(names),
             longest_ms=patience_ms * come_back.OF_PATIENCE,
         )
-        return run.failure("all endpoints left alone", retry_after_ms=after_ms)
+        return run.failure("all endpoints deferred", retry_after_ms=after_ms)
 
     def _may_repeat(self, run: runs.Run, reason: str) -> bool:
         left = self._budget.left(run.service)
--- a/src/jujubewharf/forwarding/pool.py
+++ b/src/jujubewharf/forwarding/pool.py
@@ -54,7 +54,7 @@
     UNREACHABLE = "unreachable"
     OTHER_ROLE = "other_role"
     FULL = "full"
-    LEFT_ALONE = "left_alone"
+    DEFERRED = "deferred"
 
 
 @dataclasses.dataclass(slots=True)
@@ -309,8 +309,8 @@
         now_ms = self._clock.now_ms()
         if view.breaker.is_open:
             return Standing.UNREACHABLE
-        if self._restraints.keeps_off(engine.name):
-            return Standing.LEFT_ALONE
+        if self._restraints.must_wait(engine.name):
+            return Standing.DEFERRED
         if view.absent_until_ms > now_ms:
             return Standing.OTHER_ROLE
         if view.full_until_ms > now_ms and tokens >= view.refused_tokens:
--- a/src/jujubewharf/forwarding/restraints.py
+++ b/src/jujubewharf/forwarding/restraints.py
@@ -1,7 +1,7 @@
 """What endpoints have said in their answers of the work that they want.
 
 An answer can name a rate limit, say that its endpoint leaves, or ask the
-instance that it goes to to stay away for a while. The first two are terms for
+instance that it goes to to back off for a while. The first two are terms for
 all instances: whoever hears them tells the others, see
 ``leadership.fleet_limits``. The last concerns this instance alone.
 """
@@ -30,7 +30,7 @@
         terms: Its terms for all instances.
         since_ms: When its terms changed last.
         limit_heard_ms: When its limit was heard last.
-        away_until_ms: Until when it wants no request of this instance.
+        backoff_until_ms: Until when it wants no request of this instance.
         deferred_until_ms: Until when its limit leaves nothing for this one.
         deferred_for_ms: Length of that time from its beginning on.
     """
@@ -38,7 +38,7 @@
     terms: notices.Terms
     since_ms: float = 0.0
     limit_heard_ms: float = 0.0
-    away_until_ms: float = 0.0
+    backoff_until_ms: float = 0.0
     deferred_until_ms: float = 0.0
     deferred_for_ms: float = 0.0
 
@@ -48,7 +48,7 @@
 
 
 class Restraints:
-    """Learns what endpoints want, and tells which are left alone now.
+    """Learns what endpoints want, and tells which are not to be asked now.
 
     That an endpoint leaves is never taken back: its next start is another
     endpoint, with a name of its own.
@@ -84,14 +84,12 @@
         now_ms = self._clock.now_ms()
         if notice.rate_limit_per_s is not None:
             known.limit_heard_ms = now_ms
-        away_until_ms = now_ms + notice.stay_away_ms
-        is_sent_away = notice.stay_away_ms > 0.0
-        if is_sent_away:
-            known.away_until_ms = max(known.away_until_ms, away_until_ms)
+        until_ms = now_ms + notice.backoff_ms
+        known.backoff_until_ms = max(known.backoff_until_ms, until_ms)
         is_news = terms != known.terms
-        if is_news or is_sent_away:
+        if is_news or notice.backoff_ms > 0.0:
             self._take(known, terms)
-            _log(terms, told_by="answer", stay_away_ms=notice.stay_away_ms)
+            _log(terms, told_by="answer", backoff_ms=notice.backoff_ms)
         if is_news:
             self.on_news(terms)
 
@@ -147,18 +145,20 @@
         known = self._by_name.get(name)
         return None if known is None else known.terms.rate_limit_per_s
 
-    def is_sent_away(self, name: str) -> bool:
+    def is_backing_off(self, name: str) -> bool:
         """Whether an endpoint wants no request of this instance now."""
         known = self._by_name.get(name)
-        return known is not None and known.away_until_ms > self._clock.now_ms()
+        return (
+            known is not None and known.backoff_until_ms > self._clock.now_ms()
+        )
 
-    def sent_away_ms(self) -> dict[str, float]:
+    def backoffs_ms(self) -> dict[str, float]:
         """Time for which endpoints want nothing of this instance, by name."""
         now_ms = self._clock.now_ms()
         return {
-            name: known.away_until_ms - now_ms
+            name: known.backoff_until_ms - now_ms
             for name, known in self._by_name.items()
-            if known.away_until_ms > now_ms
+            if known.backoff_until_ms > now_ms
         }
 
     def defer(self, name: str, wait_ms: float) -> None:
@@ -167,17 +167,17 @@
         known.deferred_until_ms = self._clock.now_ms() + wait_ms
         known.deferred_for_ms = wait_ms
 
-    def keeps_off(self, name: str) -> bool:
-        """Whether an endpoint is left alone now."""
-        return self._back_in_ms(name) > 0.0
+    def must_wait(self, name: str) -> bool:
+        """Whether an endpoint is not to be asked now."""
+        return self._wait_ms(name) > 0.0
 
-    def back_in_ms(self, names: Iterable[str]) -> float | None:
+    def wait_ms(self, names: Iterable[str]) -> float | None:
         """Time until one of some endpoints may be asked again.
 
         Returns:
             ``None`` where one may be asked now, or there is none.
         """
-        first_ms = min(map(self._back_in_ms, names), default=0.0)
+        first_ms = min(map(self._wait_ms, names), default=0.0)
         return first_ms if first_ms > 0.0 else None
 
     def apart_ms(self, names: Iterable[str]) -> float:
@@ -194,11 +194,11 @@
         per_ms = sum(1.0 / wait_ms for wait_ms in waits if wait_ms > 0.0)
         return 1.0 / per_ms if per_ms else 0.0
 
-    def _back_in_ms(self, name: str) -> float:
+    def _wait_ms(self, name: str) -> float:
         known = self._by_name.get(name)
         if known is None:
             return 0.0
-        until_ms = max(known.deferred_until_ms, known.away_until_ms)
+        until_ms = max(known.deferred_until_ms, known.backoff_until_ms)
         return until_ms - self._clock.now_ms()
 
     def _limit_after(
@@ -244,12 +244,12 @@
 
 
 def _log(
-    terms: notices.Terms, *, told_by: str, stay_away_ms: float = 0.0
+    terms: notices.Terms, *, told_by: str, backoff_ms: float = 0.0
 ) -> None:
     beliefs.endpoint_said(
         terms.endpoint,
         rate_limit_per_s=terms.rate_limit_per_s,
         is_leaving=terms.is_leaving,
-        stay_away_ms=stay_away_ms,
+        backoff_ms=backoff_ms,
         told_by=told_by,
     )
--- a/src/jujubewharf/forwarding/runs.py
+++ b/src/jujubewharf/forwarding/runs.py
@@ -40,7 +40,7 @@
         trail: Routine log lines that are written only if it fails.
         account: Client account that it belongs to.
         is_counted: Whether it was counted against the account's quota.
-        away_until_ms: Clock readings until which engines want nothing of the
+        backoff_until_ms: Clock readings until which engines want nothing of the
             instance that sends it, where that isn't the one that places it.
     """
 
@@ -60,7 +60,9 @@
     trail: list[dict[str, object]] = dataclasses.field(default_factory=list)
     account: accounts.Account | None = None
     is_counted: bool = False
-    away_until_ms: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    backoff_until_ms: Mapping[str, float] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def priority(self) -> int:
@@ -94,7 +96,7 @@
 
     def may_go_to(self, engine: str, clock: clocks.Clock) -> bool:
         """Whether the instance that sends it may send it there."""
-        return self.away_until_ms.get(engine, 0.0) <= clock.now_ms()
+        return self.backoff_until_ms.get(engine, 0.0) <= clock.now_ms()
 
     def left_ms(self, clock: clocks.Clock) -> float:
         """Time until the final answer is due."""
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -327,9 +327,9 @@
             expected_tokens=None if work is None else work.expected_tokens,
             account=run.call.account,
             is_counted=run.is_counted,
-            sent_away=tuple(
-                leader_messages.EngineAway(engine, for_ms)
-                for engine, for_ms in self._restraints.sent_away_ms().items()
+            backoffs=tuple(
+                leader_messages.EngineBackoff(engine, for_ms)
+                for engine, for_ms in self._restraints.backoffs_ms().items()
             ),
         )
 
--- a/src/jujubewharf/leadership/placement_server.py
+++ b/src/jujubewharf/leadership/placement_server.py
@@ -293,8 +293,9 @@
             lost_by=set(ask.lost_by),
             account=self._source.accounts.by_name.get(ask.account or ""),
             is_counted=ask.is_counted,
-            away_until_ms={
-                away.engine: now_ms + away.for_ms for away in ask.sent_away
+            backoff_until_ms={
+                backoff.engine: now_ms + backoff.for_ms
+                for backoff in ask.backoffs
             },
         )
 
--- a/src/jujubewharf/peers/leader_messages.py
+++ b/src/jujubewharf/peers/leader_messages.py
@@ -87,7 +87,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class EngineAway:
+class EngineBackoff:
     """An engine that wants nothing of one instance, and for how long."""
 
     engine: str
@@ -115,7 +115,7 @@
         expected_tokens: The caller's estimate of them.
         account: Client account; ``None`` where there is none.
         is_counted: Whether it was counted against the account's quota before.
-        sent_away: Engines that want nothing of the asking instance now.
+        backoffs: Engines that want nothing of the asking instance now.
     """
 
     number: int
@@ -133,7 +133,7 @@
     expected_tokens: int | None = None
     account: str | None = None
     is_counted: bool = False
-    sent_away: tuple[EngineAway, ...] = ()
+    backoffs: tuple[EngineBackoff, ...] = ()
 
 
 @messages.message(73)
--- a/src/jujubewharf/requests/retries.py
+++ b/src/jujubewharf/requests/retries.py
@@ -24,7 +24,7 @@
         client.EngineFault.REFUSED_FENCE,
         client.EngineFault.REFUSED_IDENTITY,
         client.EngineFault.REFUSED_ROLE,
-        client.EngineFault.LEFT_ALONE,
+        client.EngineFault.DEFERRED,
         client.EngineFault.UNSUPPORTED,
         client.EngineFault.UNKNOWN_ATTEMPT,
     }
--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -77,7 +77,7 @@
             for.
         rate_limit_per_s: Limit that it names in its answers.
         is_leaving: It says in its answers that it leaves.
-        stay_away_ms: It refuses all, and says to stay away for so long.
+        backoff_ms: It refuses all, and asks to back off for so long.
         asked: Requests and prompts that reached it, in order.
         asked_memory: Calls that asked it for memory.
         told_ms: When it first answered each instance with such a word.
@@ -109,7 +109,7 @@
     refused_readings: int = 0
     rate_limit_per_s: float | None = None
     is_leaving: bool = False
-    stay_away_ms: float = 0.0
+    backoff_ms: float = 0.0
     asked: list[Asked] = dataclasses.field(default_factory=list)
     asked_memory: list[Asked] = dataclasses.field(default_factory=list)
     told_ms: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -280,7 +280,7 @@
         backend = self._reached(endpoint)
         now_ms = self._clock.now_ms()
         backend.asked_memory.append(Asked(self.instance, now_ms))
-        self._turn_away(backend)
+        self._refuse(backend)
         self._say(backend, now_ms)
         self.lapse()
         if sum(backend.held.values()) + tokens > backend.memory_tokens:
@@ -329,18 +329,16 @@
         return backend
 
     def _asked(self, backend: StandInBackend) -> float:
-        """Notes that a request reached a backend, which may turn it away."""
+        """Notes that a request reached a backend, which may refuse it."""
         now_ms = self._clock.now_ms()
         backend.asked.append(Asked(self.instance, now_ms))
-        self._turn_away(backend)
+        self._refuse(backend)
         return now_ms
 
-    def _turn_away(self, backend: StandInBackend) -> None:
-        if backend.stay_away_ms <= 0.0:
+    def _refuse(self, backend: StandInBackend) -> None:
+        if backend.backoff_ms <= 0.0:
             return
-        self._say(
-            backend, self._clock.now_ms(), stay_away_ms=backend.stay_away_ms
-        )
+        self._say(backend, self._clock.now_ms(), backoff_ms=backend.backoff_ms)
         raise backend.error(client.EngineFault.REFUSED_FULL)
 
     def _say(
@@ -349,7 +347,7 @@
         asked_ms: float,
         *,
         ends_limit: bool = False,
-        stay_away_ms: float = 0.0,
+        backoff_ms: float = 0.0,
     ) -> None:
         limit = backend.rate_limit_per_s
         notice = notices.Notice(
@@ -357,9 +355,9 @@
             rate_limit_per_s=limit,
             ends_limit=ends_limit and limit is None,
             is_leaving=backend.is_leaving,
-            stay_away_ms=stay_away_ms,
+            backoff_ms=backoff_ms,
         )
-        if limit is not None or backend.is_leaving or stay_away_ms:
+        if limit is not None or backend.is_leaving or backoff_ms:
             now_ms = self._clock.now_ms()
             backend.told_ms.setdefault(self.instance, now_ms)
         self._listener(backend.endpoint, notice)
--- a/tests/forwarding/test_restraints.py
+++ b/tests/forwarding/test_restraints.py
@@ -105,11 +105,11 @@
     async def test(known, clock):
         known.heard(ENDPOINT, _notice(clock, rate_limit_per_s=0.2))
         known.defer("s1", 5_000.0)
-        assert known.back_in_ms(["s1"]) == 5_000.0
-        assert known.back_in_ms(["s1", "s2"]) is None
+        assert known.wait_ms(["s1"]) == 5_000.0
+        assert known.wait_ms(["s1", "s2"]) is None
         await clock.sleep_ms(100.0)
         known.heard(ENDPOINT, _notice(clock, rate_limit_per_s=50.0))
-        assert not known.keeps_off("s1")
+        assert not known.must_wait("s1")
 
     _run(test)
 
@@ -121,7 +121,7 @@
         for limit in (1.5, 1.5, 2.0):
             known.heard(ENDPOINT, _notice(clock, rate_limit_per_s=limit))
             await clock.sleep_ms(100.0)
-        known.heard(ENDPOINT, _notice(clock, stay_away_ms=100.0))
+        known.heard(ENDPOINT, _notice(clock, backoff_ms=100.0))
         assert told == [notices.Terms("s1", 1.5), notices.Terms("s1", 2.0)]
 
     _run(test)
--- a/tests/leadership/test_stay_away.py
+++ b/tests/leadership/test_backoff.py
@@ -1,4 +1,4 @@
-"""An endpoint that asks an instance to stay away gets nothing from it.
+"""An endpoint that asks an instance to back off gets nothing from it.
 
 An endpoint that is overloaded refuses a request and says for how many seconds
 it wants nothing from that instance. Instances took that for a refusal like any
@@ -24,7 +24,7 @@
 writer = deployments.writer
 
 NAMES = ("e1", "e2", "e3", "e4")
-AWAY_MS = 3_000.0
+BACKOFF_MS = 3_000.0
 # Requests that were on their way when the answer came.
 ON_THE_WAY_MS = 500.0
 
@@ -33,14 +33,14 @@
     return deployments.deployed(*behind, names=names, is_led=True)
 
 
-def _too_soon(backend, away_ms: float = AWAY_MS) -> list:
-    """Requests of instances that it had sent away, within that time."""
+def _too_soon(backend, backoff_ms: float = BACKOFF_MS) -> list:
+    """Requests of instances that it had sent weak, within that time."""
     found = []
     for asked in (*backend.asked, *backend.asked_memory):
         told_ms = backend.told_ms.get(asked.instance)
         if told_ms is None:
             continue
-        if told_ms + ON_THE_WAY_MS <= asked.at_ms < told_ms + away_ms:
+        if told_ms + ON_THE_WAY_MS <= asked.at_ms < told_ms + backoff_ms:
             found.append(asked)
     return found
 
@@ -49,7 +49,7 @@
     ("path", "busy"),
     [("/sale/1", "s1"), ("/lookup/1", "s1"), ("/verdicts/1", "d1")],
 )
-def test_who_was_sent_away_asks_no_more(path, busy):
+def test_who_was_asked_to_back_off_does(path, busy):
     """Nothing reaches it before its time is over; it takes work after that."""
 
     async def main():
@@ -59,31 +59,31 @@
             backend.memory_tokens = 400_000
         async with _deployed(*behind) as world:
             await world.clock.sleep_ms(2_000.0)
-            away = world.backends.by_name[busy]
-            away.stay_away_ms = AWAY_MS
+            weak = world.backends.by_name[busy]
+            weak.backoff_ms = BACKOFF_MS
             flood = asyncio.ensure_future(world.flood(path, for_ms=6_000.0))
             await world.clock.sleep_ms(1_000.0)
-            away.stay_away_ms = 0.0
+            weak.backoff_ms = 0.0
             answers = await flood
-            assert away.told_ms
-            assert _too_soon(away) == []
+            assert weak.told_ms
+            assert _too_soon(weak) == []
             # A sale has one attempt, which the refusal uses up: one caller of
             # each instance at most, and told the truth.
             refused = [a.error for a in answers if a.error is not None]
             assert len(refused) <= (len(NAMES) if path == "/sale/1" else 0)
             assert all(error.ran is errors.Ran.NO for error in refused)
-            last_ms = max(away.told_ms.values()) + AWAY_MS
-            assert any(a.at_ms >= last_ms for a in away.asked)
+            last_ms = max(weak.told_ms.values()) + BACKOFF_MS
+            assert any(a.at_ms >= last_ms for a in weak.asked)
 
     deployments.run(main())
 
 
-def test_an_engine_that_reads_prompts_is_left_alone_by_whoever_it_sent_away():
+def test_readers_are_not_asked_by_who_is_to_back_off():
     """The leader names it as a reader to all; each heeds what it was told."""
 
     async def main():
-        away = reader("p1")
-        behind = [away, reader("p2"), writer("d1")]
+        weak = reader("p1")
+        behind = [weak, reader("p2"), writer("d1")]
         behind[2].memory_tokens = 400_000
         async with _deployed(*behind, names=NAMES[:3]) as world:
             await world.clock.sleep_ms(2_000.0)
@@ -91,17 +91,17 @@
                 world.flood("/verdicts/1", for_ms=6_000.0, every_ms=47.0)
             )
             await world.clock.sleep_ms(500.0)
-            away.stay_away_ms = AWAY_MS
+            weak.backoff_ms = BACKOFF_MS
             await world.clock.sleep_ms(1_000.0)
-            away.stay_away_ms = 0.0
+            weak.backoff_ms = 0.0
             await flood
-            assert away.told_ms
-            assert _too_soon(away) == []
+            assert weak.told_ms
+            assert _too_soon(weak) == []
 
     deployments.run(main())
 
 
-def test_the_leader_places_nobody_where_he_was_sent_away():
+def test_the_leader_places_nobody_where_he_is_to_back_off():
     """A follower's own run was refused; the leader was never told.
 
     It would go on to reserve memory there for that follower, which then would
@@ -119,7 +119,7 @@
             instance = world.instances[follower]
             instance.restraints.heard(
                 behind[1].endpoint,
-                notices.Notice(world.clock.now_ms(), stay_away_ms=AWAY_MS),
+                notices.Notice(world.clock.now_ms(), backoff_ms=BACKOFF_MS),
             )
             answers = await world.ask_all(
                 *["/verdicts/1"] * 8, instance=follower
@@ -133,11 +133,11 @@
 
 
 @pytest.mark.parametrize("path", ["/sale/1", "/lookup/1"])
-def test_callers_are_refused_at_once_while_all_stay_away(path):
+def test_callers_are_refused_at_once_while_all_want_none(path):
     """They are told when the first endpoint takes requests again."""
 
     async def main():
-        behind = [shop("s1", stay_away_ms=2_000.0)]
+        behind = [shop("s1", backoff_ms=2_000.0)]
         async with _deployed(*behind, names=("e1",)) as world:
             await world.clock.sleep_ms(2_000.0)
             await world.ask(path)
@@ -153,9 +153,9 @@
     deployments.run(main())
 
 
-def test_a_stream_is_refused_at_once_while_all_engines_stay_away():
+def test_a_stream_is_refused_at_once_while_all_engines_want_none():
     async def main():
-        behind = [reader("p1"), writer("d1", stay_away_ms=5_000.0)]
+        behind = [reader("p1"), writer("d1", backoff_ms=5_000.0)]
         async with _deployed(*behind) as world:
             await world.clock.sleep_ms(2_000.0)
             await world.ask("/verdicts/1")
@@ -171,7 +171,7 @@
 
 @pytest.mark.parametrize("seed", range(6))
 def test_no_history_brings_it_requests_too_soon(seed):
-    """Endpoints send instances away in turn, some lose answers meanwhile.
+    """Endpoints ask to back off in turn, some lose answers meanwhile.
 
     Repeats, and requests that wait for memory, go elsewhere as well.
     """
@@ -193,19 +193,19 @@
                 )
             )
             for _ in range(5):
-                away = rng.choice(behind)
-                away.told_ms.clear()
-                away.asked.clear()
-                away.asked_memory.clear()
-                away_ms = rng.choice([1_000.0, 2_000.0, 4_000.0])
-                away.stay_away_ms = away_ms
+                weak = rng.choice(behind)
+                weak.told_ms.clear()
+                weak.asked.clear()
+                weak.asked_memory.clear()
+                backoff_ms = rng.choice([1_000.0, 2_000.0, 4_000.0])
+                weak.backoff_ms = backoff_ms
                 await world.clock.sleep_ms(rng.uniform(50.0, 400.0))
-                away.stay_away_ms = 0.0
+                weak.backoff_ms = 0.0
                 lossy = rng.choice(behind[:4])
                 lossy.loses_answers = True
-                await world.clock.sleep_ms(away_ms)
+                await world.clock.sleep_ms(backoff_ms)
                 lossy.loses_answers = False
-                assert _too_soon(away, away_ms) == []
+                assert _too_soon(weak, backoff_ms) == []
             await asyncio.gather(*floods)
 
     deployments.run(main())
--- a/tests/users_platform/test_endpoint_notices.py
+++ b/tests/users_platform/test_endpoint_notices.py
@@ -54,7 +54,7 @@
 
 
 @pytest.mark.parametrize(
-    ("status", "retry_after", "stay_away_ms"),
+    ("status", "retry_after", "backoff_ms"),
     [
         ("503 Busy", "1.5", 1_500.0),
         ("429 Busy", "2", 2_000.0),
@@ -64,13 +64,13 @@
     ],
 )
 async def test_how_long_an_engine_wants_nothing(
-    status, retry_after, stay_away_ms
+    status, retry_after, backoff_ms
 ):
     answer = raw_server.answer(
         status, Request_Id="r1", Not_Executed="1", Retry_After=retry_after
     )
     (notice,) = await _noticed(answer)
-    assert notice.stay_away_ms == stay_away_ms
+    assert notice.backoff_ms == backoff_ms
 
 
 @pytest.mark.parametrize(
