--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -279,7 +279,7 @@
             # One permit for the reservation and the run that uses it; without
             # one the engine isn't asked for its memory either.
             has_limit = self._restraints.is_limited(engine.name)
-            if not await self._limits.take(engine.name):
+            if has_limit and not await self._limits.take(engine.name):
                 continue
             if not self._registry.takes_work(engine.name):
                 continue
--- a/src/jujubewharf/forwarding/pool.py
+++ b/src/jujubewharf/forwarding/pool.py
@@ -161,16 +161,24 @@
             last: Engines that have failed the request already; a request that
                 went back there would most likely fail again.
         """
+        # Looked up once: most fleets have none, and hundreds of engines are
+        # ranked for each request.
+        waiting = self._restraints.waiting_names()
+        limited = self._restraints.limited_names()
         asked = [
             engine
             for engine in engines
             if engine.can_decode
+            and engine.name not in waiting
             and self._standing(engine, tokens) is Standing.ASKED
         ]
         step = max(1.0, memory_tokens * _LOAD_STEP)
         return sorted(
             asked,
-            key=lambda e: (e.name in last, self._decode_rank(e, near, step)),
+            key=lambda e: (
+                e.name in last,
+                self._decode_rank(e, near, step, limited),
+            ),
         )
 
     def has_clear_room(
@@ -195,8 +203,10 @@
         found: dict[str, list[str]] = {}
         for engine in engines:
             if engine.can_decode:
-                standing = self._standing(engine, tokens).value
-                found.setdefault(standing, []).append(engine.name)
+                standing = self._standing(engine, tokens)
+                if self._restraints.must_wait(engine.name):
+                    standing = Standing.DEFERRED
+                found.setdefault(standing.value, []).append(engine.name)
         return found
 
     def to_prefill(
@@ -210,13 +220,16 @@
                 within a domain that takes half the time and a third of the
                 cost.
         """
+        waiting = self._restraints.waiting_names()
         able = [
             engine
             for engine in engines
             if engine.role is resources.Role.PREFILL
+            and engine.name not in waiting
             and self._standing(engine) is Standing.ASKED
         ]
-        return sorted(able, key=lambda e: self._prefill_rank(e, near))
+        limited = self._restraints.limited_names()
+        return sorted(able, key=lambda e: self._prefill_rank(e, near, limited))
 
     def failed(self, error: client.EngineError) -> None:
         """Learns that a call to an engine failed."""
@@ -309,8 +322,6 @@
         now_ms = self._clock.now_ms()
         if view.breaker.is_open:
             return Standing.UNREACHABLE
-        if self._restraints.must_wait(engine.name):
-            return Standing.DEFERRED
         if view.absent_until_ms > now_ms:
             return Standing.OTHER_ROLE
         if view.full_until_ms > now_ms and tokens >= view.refused_tokens:
@@ -318,14 +329,18 @@
         return Standing.ASKED
 
     def _decode_rank(
-        self, engine: resources.Endpoint, near: str, step: float
+        self,
+        engine: resources.Endpoint,
+        near: str,
+        step: float,
+        limited: frozenset[str],
     ) -> tuple[bool, int, bool, bool, int, float]:
         view = self.view(engine.name)
         return (
             view.breaker.is_doubtful,
             int(view.held_tokens // step),
             # It is in need; the others serve callers as well.
-            self._restraints.is_limited(engine.name),
+            engine.name in limited,
             # Before finer differences of load: an answer that crosses domains
             # dies with a cut between them, and engines with room are equally
             # fast.
@@ -335,12 +350,12 @@
         )
 
     def _prefill_rank(
-        self, engine: resources.Endpoint, near: str
+        self, engine: resources.Endpoint, near: str, limited: frozenset[str]
     ) -> tuple[bool, bool, float, bool, float]:
         view = self.view(engine.name)
         return (
             view.breaker.is_doubtful,
-            self._restraints.is_limited(engine.name),
+            engine.name in limited,
             self._read_ms(view),
             engine.domain != near,
             self._rng.random(),
--- a/src/jujubewharf/forwarding/restraints.py
+++ b/src/jujubewharf/forwarding/restraints.py
@@ -131,6 +131,14 @@
         """Whether any endpoint wants anything; for most fleets none does."""
         return bool(self._by_name)
 
+    def limited_names(self) -> frozenset[str]:
+        """Endpoints that take a bounded number of requests."""
+        return frozenset(filter(self.is_limited, self._by_name))
+
+    def waiting_names(self) -> frozenset[str]:
+        """Endpoints that are not to be asked now."""
+        return frozenset(filter(self.must_wait, self._by_name))
+
     def is_leaving(self, name: str) -> bool:
         """Whether an endpoint has said that it takes no new work."""
         known = self._by_name.get(name)
