A question that is lost with its link leaves no error behind

Seen once in three runs of the tests: "Task exception was never retrieved", a question to the leader. The question whether the leader is still there failed with the link, and so did the one that it was asked for, which nobody awaited any more. It is awaited now; the test failed before.

--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -305,8 +305,9 @@
             link.close()
             raise
         finally:
-            if not asking.done():
-                asking.cancel()
+            asking.cancel()
+            # It may have failed with the link as well; nobody else looks.
+            await asyncio.gather(asking, return_exceptions=True)
         return asking.result()
 
     def _question(self, number: int, run: runs.Run) -> leader_messages.PlaceAsk:
--- a/tests/leadership/test_leadership.py
+++ b/tests/leadership/test_leadership.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import gc
 
 import pytest
 
@@ -209,6 +210,42 @@
     deployments.run(main())
 
 
+def test_a_question_that_is_lost_with_its_link_leaves_no_error_behind():
+    """The log stays free of errors that nobody can act on.
+
+    A request waits in the leader's line and its instance asks whether the
+    leader is still there when the link breaks. Both questions fail; the second
+    failure was raised, and the first one was reported as never retrieved.
+    """
+
+    async def main():
+        reported = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(
+            lambda loop, context: reported.append(context["message"])
+        )
+        engines = [reader("p1"), writer("d1", memory_tokens=0)]
+        async with _led(*engines) as world:
+            await world.clock.sleep_ms(2_000.0)
+            follower = _others(world)[0]
+            name = next(n for n, i in world.instances.items() if i is follower)
+            link = follower.fleet.link._link
+            ask = link.ask
+
+            async def ask_and_lose(message, *, timeout_ms):
+                if type(message).__name__ == "StillThere":
+                    loop.call_soon(link.close)
+                return await ask(message, timeout_ms=timeout_ms)
+
+            link.ask = ask_and_lose
+            await world.ask("/verdicts/1", instance=name)
+            gc.collect()
+            await world.clock.sleep_ms(10.0)
+        assert reported == []
+
+    deployments.run(main())
+
+
 def test_a_leader_without_the_store_stops_leading():
     """Nobody relies on a view of the store that its owner can't renew."""
 
