Benchmarks of forwarding share their route, settings and request

They stood in both, and each instance calls the stand-ins as itself now, so that what they say reaches all of them.

--- a/benchmarks/log_cost.py
+++ b/benchmarks/log_cost.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import dataclasses
 import enum
 import io
@@ -16,14 +15,13 @@
 import random
 import time
 
+from benchmarks import forwarding_parts
 from jujubewharf import clock as clocks
-from jujubewharf import errors
 from jujubewharf.configuration import resources
 from jujubewharf.experiments import virtual_time
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import entry
 from jujubewharf.forwarding import routes
-from jujubewharf.forwarding import settings as all_settings
 from jujubewharf.standins import backends
 from jujubewharf.standins import tables
 from jujubewharf.telemetry import line_writer
@@ -32,21 +30,8 @@
 _REQUESTS = 2_000
 _ROUNDS = 3
 _SETTLE_MS = 1_100.0
-_HOST = "shop.example"
-_SERVICE = "verdict-llm"
+_WORK = calls.ModelWork(5_000, 10_000, 5_000)
 _TRAITS = routes.EngineTraits(12, 80_000, 500.0, 6_000.0, 2_000.0)
-_ROUTE = routes.Route(
-    "verdicts",
-    _HOST,
-    "/verdicts/",
-    (routes.Share(_SERVICE, 1.0),),
-    repeat=routes.Repeat.CONTINUE,
-    is_stream=True,
-    is_model=True,
-    timeout_ms=14_000.0,
-    target_ms=900.0,
-    max_attempts=2,
-)
 _US_PER_S = 1e6
 
 
@@ -117,35 +102,20 @@
     await clock.sleep_ms(_SETTLE_MS)
     began_s = time.process_time()
     for number in range(requests):
-        await _ask(instance, clock, number)
+        await forwarding_parts.ask(
+            instance, number, arrived_ms=clock.now_ms(), work=_WORK
+        )
     took_s = time.process_time() - began_s
     await instance.stop()
     return took_s
 
 
-async def _ask(
-    instance: entry.ForwardingEntry, clock: clocks.Clock, number: int
-) -> None:
-    call = calls.Call(
-        f"request-{number}",
-        "POST",
-        _HOST,
-        "/verdicts/1",
-        (),
-        b"body",
-        clock.now_ms(),
-        work=calls.ModelWork(5_000, 10_000, 5_000),
-    )
-    with contextlib.suppress(errors.WharfError):
-        async with instance.run(call) as reply:
-            async for _ in reply.body:
-                pass
-
-
 def _instance(outcome: Outcome, clock: clocks.Clock) -> entry.ForwardingEntry:
     engines = [
         backends.StandInBackend(
-            resources.Endpoint(name, _SERVICE, f"{name}:1", "a", role)
+            resources.Endpoint(
+                name, forwarding_parts.SERVICE, f"{name}:1", "a", role
+            )
         )
         for name, role in (
             ("p1", resources.Role.PREFILL),
@@ -158,9 +128,14 @@
     configurations = tables.StandInTable[routes.RoutingConfiguration | None](
         clock
     )
-    services = {_SERVICE: routes.RoutedService(_SERVICE, _TRAITS)}
+    services = {
+        forwarding_parts.SERVICE: routes.RoutedService(
+            forwarding_parts.SERVICE, _TRAITS
+        )
+    }
     configurations.put(
-        "config", routes.RoutingConfiguration(1, (_ROUTE,), services)
+        "config",
+        routes.RoutingConfiguration(1, (forwarding_parts.ROUTE,), services),
     )
     endpoints = tables.StandInTable[resources.Endpoint](clock)
     for engine in engines:
@@ -171,22 +146,9 @@
         endpoints,
         tables.StandInGroups(clock).member("e1"),
     )
-    settings = all_settings.ForwardingSettings.model_validate(
-        {
-            "instance": "e1",
-            "domain": "a",
-            "callers": "127.0.0.1:0",
-            "readiness": "127.0.0.1:0",
-            "store": {
-                "address": "127.0.0.1:1",
-                "part_count": 24,
-                "group_ttl_ms": 3_000,
-            },
-            "retries": {"ratio": 0.2, "slack": 40, "window_s": 10},
-            "stop_within_s": 8,
-        }
+    return entry.ForwardingEntry(
+        forwarding_parts.settings("e1"), clock, adapters, random.Random(1)
     )
-    return entry.ForwardingEntry(settings, clock, adapters, random.Random(1))
 
 
 def main() -> None:
--- a/benchmarks/request_profile.py
+++ b/benchmarks/request_profile.py
@@ -10,16 +10,15 @@
 
 import asyncio
 import collections
-import contextlib
 import cProfile
 import dataclasses
 import pathlib
 import pstats
 import random
 
+from benchmarks import forwarding_parts
 from jujubewharf import bearer
 from jujubewharf import clock as clocks
-from jujubewharf import errors
 from jujubewharf.configuration import resources
 from jujubewharf.experiments import virtual_time
 from jujubewharf.forwarding import accounts
@@ -27,7 +26,6 @@
 from jujubewharf.forwarding import entry
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import routes
-from jujubewharf.forwarding import settings as all_settings
 from jujubewharf.standins import backends
 from jujubewharf.standins import network
 from jujubewharf.standins import tables
@@ -38,22 +36,10 @@
 _REQUESTS = 1_000
 _EVERY_MS = 40.0
 _SETTLE_MS = 4_000.0
+_WORK = calls.ModelWork(3_000, 9_000, 6_000)
 _MOST_ROWS = 16
 _MS_PER_S = 1e3
-_SERVICE = "verdict-llm"
 _TRAITS = routes.EngineTraits(12, 60_000, 500.0, 6_000.0, 2_000.0)
-_ROUTE = routes.Route(
-    "verdicts",
-    "shop.example",
-    "/verdicts/",
-    (routes.Share(_SERVICE, 1.0),),
-    repeat=routes.Repeat.CONTINUE,
-    is_stream=True,
-    is_model=True,
-    timeout_ms=14_000.0,
-    target_ms=900.0,
-    max_attempts=2,
-)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,8 +92,15 @@
     profile.enable()
     for number in range(requests):
         instance = instances[number % len(instances)]
-        asking = asyncio.ensure_future(_ask(instance, clock, number))
-        asked.append(asking)
+        account = f"account-{number % _ACCOUNTS}"
+        asking = forwarding_parts.ask(
+            instance,
+            number,
+            arrived_ms=clock.now_ms(),
+            work=_WORK,
+            headers=(("Authorization", f"Bearer {account}"),),
+        )
+        asked.append(asyncio.ensure_future(asking))
         await clock.sleep_ms(_EVERY_MS)
     await asyncio.gather(*asked)
     profile.disable()
@@ -124,8 +117,12 @@
         "config",
         routes.RoutingConfiguration(
             1,
-            (_ROUTE,),
-            {_SERVICE: routes.RoutedService(_SERVICE, _TRAITS)},
+            (forwarding_parts.ROUTE,),
+            {
+                forwarding_parts.SERVICE: routes.RoutedService(
+                    forwarding_parts.SERVICE, _TRAITS
+                )
+            },
             accounts=tuple(_account(n) for n in range(_ACCOUNTS)),
         ),
     )
@@ -143,14 +140,17 @@
             address,
         )
         adapters = entry.Adapters(
-            behind,
+            behind.called_by(name),
             configurations,
             endpoints,
             tables.StandInGroups(clock).member(name),
             peers,
         )
         instance = entry.ForwardingEntry(
-            _settings(name), clock, adapters, random.Random(name)
+            forwarding_parts.settings(name),
+            clock,
+            adapters,
+            random.Random(name),
         )
         await instance.start()
         instances.append(instance)
@@ -158,7 +158,9 @@
 
 
 def _engine(name: str, role: resources.Role) -> backends.StandInBackend:
-    endpoint = resources.Endpoint(name, _SERVICE, f"{name}:1", "a", role)
+    endpoint = resources.Endpoint(
+        name, forwarding_parts.SERVICE, f"{name}:1", "a", role
+    )
     return backends.StandInBackend(endpoint, events=40, memory_tokens=60_000)
 
 
@@ -168,44 +170,6 @@
     return accounts.Account(name, (bearer.digest_of(name),), quota=quota)
 
 
-def _settings(name: str) -> all_settings.ForwardingSettings:
-    return all_settings.ForwardingSettings.model_validate(
-        {
-            "instance": name,
-            "domain": "a",
-            "callers": "127.0.0.1:0",
-            "readiness": "127.0.0.1:0",
-            "store": {
-                "address": "127.0.0.1:1",
-                "part_count": 24,
-                "group_ttl_ms": 3_000,
-            },
-            "retries": {"ratio": 0.2, "slack": 40, "window_s": 10},
-            "stop_within_s": 8,
-        }
-    )
-
-
-async def _ask(
-    instance: entry.ForwardingEntry, clock: clocks.Clock, number: int
-) -> None:
-    account = f"account-{number % _ACCOUNTS}"
-    call = calls.Call(
-        f"request-{number}",
-        "POST",
-        _ROUTE.host,
-        "/verdicts/1",
-        (("Authorization", f"Bearer {account}"),),
-        b"body",
-        clock.now_ms(),
-        work=calls.ModelWork(3_000, 9_000, 6_000),
-    )
-    with contextlib.suppress(errors.WharfError):
-        async with instance.run(call) as reply:
-            async for _ in reply.body:
-                pass
-
-
 def main() -> None:
     """Prints the dearest modules."""
     rows = measure()
