--- a/src/jujubewharf/forwarding/limits.py
+++ b/src/jujubewharf/forwarding/limits.py
@@ -31,8 +31,8 @@
         """Takes a permit for one request.
 
         Returns:
-            Whether there was one. If not the endpoint is not asked, by
-            ``restraints.Restraints`` until it is worth to ask again.
+            Whether there was one. If not, ``restraints.Restraints`` has the
+            endpoint wait until it is worth to ask again.
         """
         ...
 
--- a/tests/leadership/test_backoff.py
+++ b/tests/leadership/test_backoff.py
@@ -2,10 +2,10 @@
 
 An endpoint that is overloaded refuses a request and says for how many seconds
 it wants nothing from that instance. Instances took that for a refusal like any
-other and came back with the next request, a few milliseconds later: with four
-instances and a request every 28 ms it was asked some nine times a second by
-each while it asked for rest. Only the instance that was answered owes this; but
-another one places its requests, and has to be told.
+other and came back with one of their next requests, so that an endpoint that
+asked for three seconds of rest was asked again in the first. Only the instance
+that was answered owes this; but another one places its requests, and has to be
+told.
 """
 
 from __future__ import annotations
@@ -34,7 +34,7 @@
 
 
 def _too_soon(backend, backoff_ms: float = BACKOFF_MS) -> list:
-    """Requests of instances that it had sent weak, within that time."""
+    """Requests of instances that it had asked to back off, within that time."""
     found = []
     for asked in (*backend.asked, *backend.asked_memory):
         told_ms = backend.told_ms.get(asked.instance)
