--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -280,7 +280,7 @@
         backend = self._reached(endpoint)
         now_ms = self._clock.now_ms()
         backend.asked_memory.append(Asked(self.instance, now_ms))
-        self._refuse(backend)
+        self._check_backoff(backend)
         self._say(backend, now_ms)
         self.lapse()
         if sum(backend.held.values()) + tokens > backend.memory_tokens:
@@ -332,10 +332,10 @@
         """Notes that a request reached a backend, which may refuse it."""
         now_ms = self._clock.now_ms()
         backend.asked.append(Asked(self.instance, now_ms))
-        self._refuse(backend)
+        self._check_backoff(backend)
         return now_ms
 
-    def _refuse(self, backend: StandInBackend) -> None:
+    def _check_backoff(self, backend: StandInBackend) -> None:
         if backend.backoff_ms <= 0.0:
             return
         self._say(backend, self._clock.now_ms(), backoff_ms=backend.backoff_ms)
