--- a/tests/leadership/test_endpoint_limits.py
+++ b/tests/leadership/test_endpoint_limits.py
@@ -1,10 +1,10 @@
 """An endpoint that names a rate limit gets no more from all instances.
 
 Two of four endpoints of a plain service named limits of 1.8 and 1.5 requests a
-second in all their answers, and went on to get ten a second from six instances
-that had passed such answers on: 48 and 23 requests in four seconds. Endpoints
-in need were pushed further, and callers there waited for up to a second. The
-first fault was that no instance read the word: arrivals were 3 to 13 a second
+second in all their answers, and went on to get some ten a second from instances
+that had passed such answers on: 48 and 23 requests in four seconds. An
+endpoint in need would be pushed further by what it had asked to be spared. The
+first fault was that no instance read the word: arrivals were 1 to 13 a second
 before and 2 to 14 after, and no log line told of a limit. An instance that
 kept to the limit by itself would still let six times as much through.
 """
--- a/tests/leadership/test_leaving_endpoints.py
+++ b/tests/leadership/test_leaving_endpoints.py
@@ -3,9 +3,9 @@
 While the store was away an endpoint said in all its answers that it leaves,
 and its entry went on to say that it is ready. An instance that had passed such
 an answer on sent it requests 2.2 s and 2.7 s later, where 2 s are allowed; the
-caller's answer would have been cut by the endpoint's end. Its log told the
-cause: request_sent with registry_age_ms of 4135 and 5514 and all of the
-request's time left, so it was sent as it came, by what the store had said.
+caller's answer would be cut by the endpoint's end. They reached it 2 and 3 ms
+after their callers had sent them, so they had not waited anywhere; another
+instance's request_sent in the same outage had registry_age_ms of 4135 and 5514.
 """
 
 from __future__ import annotations
