Sight: log line and counter of engines that crash under a request

Callers' requests crashed engine after engine, and no line told that two tries were the same request, how many engines had ended under it, or whether an engine had ended at all: a broken connection looks the same as a crash.

Each sending is watched in one place. When an engine loses a request, a connection is tried: a refused one tells a crash from a reset, a spoilt answer or a cut. The line engine_crashed names the try, the engine, how many engines have crashed under all tries of the request, and one try's id as a label by which lines of all instances are found together. No body and no digest of one is logged. The history is kept by each instance alone, and decides nothing yet.

--- a/src/jujubewharf/forwarding/beliefs.py
+++ b/src/jujubewharf/forwarding/beliefs.py
@@ -25,6 +25,10 @@
     "forwarding.permits",
     description="Requests to limited endpoints, by outcome and who counts.",
 )
+_CRASHES = _METER.create_counter(
+    "forwarding.engine_crashes",
+    description="Requests under which an engine crashed, by stage.",
+)
 
 _logger = structlog.get_logger()
 
@@ -120,6 +124,29 @@
     )
 
 
+def engine_crashed(
+    request: str, engine: str, *, stage: str, crashes: int, label: str
+) -> None:
+    """An engine crashed while it worked on a request.
+
+    Args:
+        request: Id of the try under which it crashed.
+        engine: The engine.
+        stage: What it was asked for: ``prefill`` or ``run``.
+        crashes: Engines that crashed under all tries of the request.
+        label: Id of one of these tries, by which they are found together.
+    """
+    _CRASHES.add(1, {"stage": stage})
+    _logger.info(
+        "engine_crashed",
+        request=request,
+        engine=engine,
+        stage=stage,
+        crashes=crashes,
+        label=label,
+    )
+
+
 def permit_asked(*, is_granted: bool, counted_by: str) -> None:
     """An endpoint with a rate limit was to be sent a request."""
     outcome = "granted" if is_granted else "denied"
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -16,6 +16,7 @@
 from jujubewharf.forwarding import budget
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import costs
+from jujubewharf.forwarding import crashes
 from jujubewharf.forwarding import following
 from jujubewharf.forwarding import forwarder
 from jujubewharf.forwarding import lease as leases
@@ -32,6 +33,7 @@
 from jujubewharf.forwarding import settings as all_settings
 from jujubewharf.forwarding import sharing
 from jujubewharf.forwarding import stream
+from jujubewharf.forwarding import watched_backends
 from jujubewharf.leadership import fleet as fleets
 from jujubewharf.leadership import fleet_limits
 from jujubewharf.leadership import fleet_quotas
@@ -83,6 +85,7 @@
         quotas: What accounts may use.
         endpoint_limits: What endpoints take that name limits.
         work: What requests cost, as observed here.
+        crashes: Which engines crashed under which requests.
     """
 
     def __init__(
@@ -107,6 +110,7 @@
             adapters.group, clock, default_share=_SHARE_ALONE
         )
         self.work = costs.WorkCosts()
+        self.crashes = crashes.CrashHistory(clock)
         self.budget = budget.FleetBudget(
             clock,
             ratio=settings.retries.ratio,
@@ -222,8 +226,9 @@
                 rng,
                 cores=self._settings.processor.cores,
             )
+        watched = watched_backends.WatchedBackends(backends, self.crashes)
         sender = attempts.StreamAttempts(
-            backends,
+            watched,
             self.registry,
             led.FleetPlaces(self.fleet.link, places),
             self.budget,
@@ -235,7 +240,7 @@
         return forwarder.Forwarder(
             self.source,
             plain.PlainForwarder(
-                backends,
+                watched,
                 self.registry,
                 chooser,
                 self.budget,
@@ -247,6 +252,7 @@
             stream.StreamForwarder(sender, self.budget, observed, clock),
             self.budget,
             self.quotas,
+            self.crashes,
             clock,
             rng,
             domain=self._settings.domain,
--- a/src/jujubewharf/forwarding/forwarder.py
+++ b/src/jujubewharf/forwarding/forwarder.py
@@ -14,6 +14,7 @@
 from jujubewharf.forwarding import accounts
 from jujubewharf.forwarding import budget as budgets
 from jujubewharf.forwarding import calls
+from jujubewharf.forwarding import crashes
 from jujubewharf.forwarding import decisions
 from jujubewharf.forwarding import plain
 from jujubewharf.forwarding import quotas as all_quotas
@@ -103,6 +104,7 @@
         stream_forwarder: Runs streams on engines.
         budget: Bounds retries over the fleet.
         quotas: Bound what accounts use over the fleet.
+        history: Tells under which requests engines crashed.
         clock: Time.
         rng: Splits routes between their services.
         domain: Failure domain of this instance.
@@ -115,6 +117,7 @@
         stream_forwarder: stream.StreamForwarder,
         budget: budgets.FleetBudget,
         quotas: all_quotas.Quotas,
+        history: crashes.CrashHistory,
         clock: clocks.Clock,
         rng: random.Random,
         *,
@@ -126,6 +129,7 @@
         self._stream = stream_forwarder
         self._budget = budget
         self._quotas = quotas
+        self._history = history
         self._clock = clock
         self._rng = rng
 
@@ -152,6 +156,8 @@
                 )
                 yield reply
             outcome = decisions.FINISHED
+            if reply.is_success:
+                self._history.came_through(run.call)
         except errors.WharfError as error:
             held_ms = self._clock.now_ms() - call.arrived_ms
             outcome = error.kind.value
--- a/src/jujubewharf/forwarding/ports.py
+++ b/src/jujubewharf/forwarding/ports.py
@@ -96,6 +96,13 @@
         """Whether an engine is carrying out an order, and so takes no work."""
         ...
 
+    async def has_crashed(self, endpoint: resources.Endpoint) -> bool:
+        """Whether no process is at an endpoint's address any more.
+
+        ``False`` where that can't be told. Raises nothing.
+        """
+        ...
+
     async def order_role(
         self, endpoint: resources.Endpoint, order: RoleOrder
     ) -> None:
--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -7,7 +7,9 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from collections.abc import Iterable
 import contextlib
 import copy
@@ -22,6 +24,7 @@
 from jujubewharf.forwarding import ports
 
 PROOF = ("Proof", "engine")
+_ENDLESS_MS = 1e9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,6 +46,16 @@
 
     instance: str
     at_ms: float
+    body: bytes = b""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crashed:
+    """A backend that crashed under a request."""
+
+    body: bytes
+    engine: str
+    at_ms: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -81,6 +94,7 @@
         asked: Requests and prompts that reached it, in order.
         asked_memory: Calls that asked it for memory.
         told_ms: When it first answered each instance with such a word.
+        has_crashed: Its process is gone, with all that it ran.
     """
 
     endpoint: resources.Endpoint
@@ -113,6 +127,9 @@
     asked: list[Asked] = dataclasses.field(default_factory=list)
     asked_memory: list[Asked] = dataclasses.field(default_factory=list)
     told_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+    has_crashed: asyncio.Event = dataclasses.field(
+        default_factory=asyncio.Event
+    )
 
     @property
     def name(self) -> str:
@@ -139,6 +156,10 @@
         prefills: Prompts that were read, by request and engine.
         dropped: Prefill results that were freed unused.
         instance: Whose calls these are.
+        crashing: Bodies that crash each engine that begins to run them.
+        crash_after_ms: How long after it has begun.
+        crashes: Crashes under such bodies, in order.
+        on_crash: Told of each backend that crashed.
     """
 
     def __init__(
@@ -149,6 +170,10 @@
         self.prefills: list[tuple[str, str]] = []
         self.dropped: list[str] = []
         self.instance = ""
+        self.crashing: set[bytes] = set()
+        self.crash_after_ms = 60.0
+        self.crashes: list[Crashed] = []
+        self.on_crash: list[Callable[[StandInBackend], object]] = []
         self._clock = clock
         self._sources: set[str] = set()
         self._numbers = itertools.count(1)
@@ -176,7 +201,7 @@
     ) -> AsyncIterator[calls.Reply]:
         """Runs a request; see ``ports.Backends``."""
         backend = self._reached(endpoint)
-        asked_ms = self._asked(backend)
+        asked_ms = self._asked(backend, sending)
         self._check_takes_run(backend, sending)
         self.lapse()
         held = backend.held.pop(sending.hold or "", 0)
@@ -195,13 +220,17 @@
         slot = self._name("run")
         backend.held[slot] = held
         backend.at_work.add(request_id)
+        if sending.call.body in self.crashing:
+            self._crash_soon(backend, sending.call.body)
         try:
             if backend.loses_answers:
                 raise backend.error(client.EngineFault.LOST, "lost")
             if backend.is_silent:
-                await self._clock.sleep_ms(1e9)
+                await self._clock.sleep_ms(_ENDLESS_MS)
             if backend.endpoint.role is resources.Role.PLAIN:
-                await self._clock.sleep_ms(backend.work_ms)
+                await self._pass_time(
+                    backend, self._work_ms(backend, sending.call)
+                )
                 self._say(backend, asked_ms, ends_limit=True)
                 yield calls.Reply(
                     backend.status, (PROOF,), _one(request_id.encode())
@@ -233,7 +262,9 @@
     ) -> AsyncIterator[bytes]:
         first = (sending.after_event or 0) + 1
         for number in range(first, backend.events + 1):
-            await self._clock.sleep_ms(backend.event_ms)
+            await self._pass_time(backend, backend.event_ms)
+            if number == backend.events and sending.call.body in self.crashing:
+                await self._pass_time(backend, _ENDLESS_MS)
             if number == backend.skips:
                 continue
             yield event(sending.call.request_id, number)
@@ -241,7 +272,7 @@
                 yield b"id: "
                 raise backend.error(client.EngineFault.LOST, "broke off")
             if number == backend.stalls_after:
-                await self._clock.sleep_ms(1e9)
+                await self._clock.sleep_ms(_ENDLESS_MS)
 
     async def prefill(
         self, endpoint: resources.Endpoint, sending: calls.Sending
@@ -250,13 +281,13 @@
         backend = self._reached(endpoint)
         if backend.endpoint.role is not resources.Role.PREFILL:
             raise backend.error(client.EngineFault.REFUSED_ROLE)
-        asked_ms = self._asked(backend)
+        asked_ms = self._asked(backend, sending)
         if backend.refuses_readings or backend.is_changing:
             backend.refused_readings += 1
             raise backend.error(client.EngineFault.REFUSED_FULL)
         assert sending.call.work is not None
         tokens = sending.call.work.prompt_tokens
-        await self._clock.sleep_ms(tokens * backend.prefill_token_ms)
+        await self._pass_time(backend, tokens * backend.prefill_token_ms)
         self._say(backend, asked_ms)
         self.prefills.append((sending.call.request_id, backend.name))
         if backend.loses_readings:
@@ -311,6 +342,43 @@
             raise backend.error(fault)
         backend.orders.append(order)
 
+    async def has_crashed(self, endpoint: resources.Endpoint) -> bool:
+        """Whether its process is gone; see ``ports.Backends``."""
+        return self.by_name[endpoint.name].has_crashed.is_set()
+
+    def crash(self, backend: StandInBackend) -> None:
+        """Ends a backend's process, with all that it works on."""
+        if backend.has_crashed.is_set():
+            return
+        backend.has_crashed.set()
+        for told in self.on_crash:
+            told(backend)
+
+    def _work_ms(self, backend: StandInBackend, call: calls.Call) -> float:
+        """Time for a plain answer; one that crashes its endpoint has none."""
+        return _ENDLESS_MS if call.body in self.crashing else backend.work_ms
+
+    def _crash_soon(self, backend: StandInBackend, body: bytes) -> None:
+        def crash() -> None:
+            if not backend.has_crashed.is_set():
+                now_ms = self._clock.now_ms()
+                self.crashes.append(Crashed(body, backend.name, now_ms))
+                self.crash(backend)
+
+        at_ms = self._clock.now_ms() + self.crash_after_ms
+        self._clock.call_at_ms(at_ms, crash)
+
+    async def _pass_time(self, backend: StandInBackend, for_ms: float) -> None:
+        """Works for a while, unless the backend crashes meanwhile.
+
+        Raises:
+            EngineError: It has crashed.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with self._clock.timeout_ms(for_ms):
+                await backend.has_crashed.wait()
+            raise backend.error(client.EngineFault.LOST, "crashed")
+
     def lapse(self) -> None:
         """Ends reservations whose time is over."""
         now_ms = self._clock.now_ms()
@@ -322,16 +390,17 @@
 
     def _reached(self, endpoint: resources.Endpoint) -> StandInBackend:
         backend = self.by_name[endpoint.name]
-        if backend.is_unreachable:
+        if backend.is_unreachable or backend.has_crashed.is_set():
             raise backend.error(client.EngineFault.UNREACHABLE)
         if backend.is_replaced:
             raise backend.error(client.EngineFault.REFUSED_IDENTITY)
         return backend
 
-    def _asked(self, backend: StandInBackend) -> float:
+    def _asked(self, backend: StandInBackend, sending: calls.Sending) -> float:
         """Notes that a request reached a backend, which may refuse it."""
         now_ms = self._clock.now_ms()
-        backend.asked.append(Asked(self.instance, now_ms))
+        body = sending.call.body
+        backend.asked.append(Asked(self.instance, now_ms, body))
         self._check_backoff(backend)
         return now_ms
 
--- /dev/null
+++ b/tests/engines/test_liveness.py
@@ -0,0 +1,37 @@
+"""An engine that crashed is told from one whose connection merely broke."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from unittest import mock
+
+from jujubewharf import clock as clocks
+from jujubewharf.engines import liveness
+
+HOST = "127.0.0.1"
+
+
+async def test_nobody_listens_where_a_process_is_gone():
+    with socket.socket() as bound:
+        bound.bind((HOST, 0))
+        port = bound.getsockname()[1]
+    assert await liveness.is_refused(f"{HOST}:{port}", clocks.Clock())
+
+
+async def test_an_engine_that_closes_connections_has_not_crashed():
+    server = await asyncio.start_server(lambda r, w: w.close(), HOST, 0)
+    async with server:
+        port = server.sockets[0].getsockname()[1]
+        assert not await liveness.is_refused(f"{HOST}:{port}", clocks.Clock())
+
+
+async def test_silence_tells_nothing():
+    """Behind a cut each engine would else count as crashed."""
+
+    async def silent(host, port):
+        await asyncio.sleep(1e9)
+
+    with mock.patch.object(liveness, "_CONNECT_MS", 10.0):
+        with mock.patch.object(asyncio, "open_connection", silent):
+            assert not await liveness.is_refused("10.0.0.1:1", clocks.Clock())
--- /dev/null
+++ b/tests/forwarding/test_watched_backends.py
@@ -0,0 +1,94 @@
+"""What is seen of engines that crash under requests."""
+
+from __future__ import annotations
+
+import asyncio
+
+import structlog
+
+from tests.forwarding import deployments
+
+CRASHING = b"a body that crashes engines"
+
+
+def _crash_lines(lines) -> list[dict]:
+    return [line for line in lines if line["event"] == "engine_crashed"]
+
+
+def test_a_line_names_the_request_the_engine_and_how_often():
+    """Without it no line says that two tries are the same request."""
+
+    async def main():
+        async with deployments.deployed(
+            deployments.reader("p1"),
+            deployments.writer("d1"),
+            deployments.writer("d2"),
+        ) as world:
+            world.backends.crashing.add(CRASHING)
+            with structlog.testing.capture_logs() as lines:
+                await world.ask("/once/1", body=CRASHING, request_id="first")
+                await world.ask("/once/1", body=CRASHING, request_id="second")
+            found = _crash_lines(lines)
+            assert [line["request"] for line in found] == ["first", "second"]
+            assert [line["crashes"] for line in found] == [1, 2]
+            assert {line["label"] for line in found} == {"first"}
+            assert {line["engine"] for line in found} == {"d1", "d2"}
+            for line in lines:
+                assert "crashes engines" not in str(line)
+
+    deployments.run(main())
+
+
+def test_all_that_an_engine_ran_has_a_line():
+    async def main():
+        async with deployments.deployed(
+            deployments.shop("s1", work_ms=100.0), deployments.shop("s2")
+        ) as world:
+            world.backends.by_name["s2"].is_leaving = True
+            await world.ask("/sale/0")
+            await world.ask("/sale/0")
+            world.backends.crashing.add(CRASHING)
+            with structlog.testing.capture_logs() as lines:
+                await asyncio.gather(
+                    world.ask("/sale/1", body=CRASHING),
+                    world.ask("/sale/2"),
+                )
+            assert [li["crashes"] for li in _crash_lines(lines)] == [1, 1]
+
+    deployments.run(main())
+
+
+def test_a_connection_that_broke_is_no_crash():
+    """Endpoints reset connections and spoil answers, and live on."""
+
+    async def main():
+        shop = deployments.shop("s1", loses_answers=True)
+        async with deployments.deployed(shop) as world:
+            with structlog.testing.capture_logs() as lines:
+                await world.ask("/sale/1")
+            assert _crash_lines(lines) == []
+            assert len(world.instances["e1"].crashes) == 0
+
+    deployments.run(main())
+
+
+def test_a_caller_that_leaves_at_once_hides_no_crash():
+    """It comes back with the same request; the next engine would crash."""
+
+    async def main():
+        async with deployments.deployed(deployments.shop("s1")) as world:
+            world.backends.crashing.add(CRASHING)
+            backends = world.instances["e1"]._forwarder._plain._backends
+            look = backends.has_crashed
+
+            async def slowly(endpoint):
+                await world.clock.sleep_ms(50.0)
+                return await look(endpoint)
+
+            backends._backends.has_crashed = slowly
+            await world.ask("/sale/1", body=CRASHING, leave_after_ms=70.0)
+            await world.clock.sleep_ms(100.0)
+            call = world.call("/sale/1", body=CRASHING)
+            assert world.instances["e1"].crashes.count(call) == 1
+
+    deployments.run(main())
