A request that crashes engines goes to none after the third

What callers saw: one caller's request crashed an engine, came again with a new id to any instance, and crashed the next one; 12 and 17 engines ended under two such requests, and the answers that ran beside broke.

Cause: nothing was remembered of a request beyond its own try. Its bound of attempts holds within one try, and a broken stream is resumed at the next engine a few milliseconds after it has ended the one before.

Mend: a request is known by caller, host, method, path and body. Who sees an engine crash under it tells the leader, who tells all; as links begin, each side tells all it knows, and reports join in any order. After three engines a request is refused as it arrives and at the moment of each sending, in the one place through which all sendings go, so that first tries, second ones, resumed streams and prompts are all held to it. It is told as a final 500, neither a promise nor an invitation.

Why it holds: engines count by their starts, so copies of a request that ran on one engine count once. An engine ends under all that it runs: whoever is answered whole after a crash is cleared everywhere. Each crash lapses after ten minutes, and memory is bounded, with the account that has the most giving way first.

--- a/src/jujubewharf/errors.py
+++ b/src/jujubewharf/errors.py
@@ -45,6 +45,7 @@
     ENGINE_FAILED = "engine_failed"
     ENDPOINT_FAILED = "endpoint_failed"
     ANSWER_BROKEN = "answer_broken"
+    QUARANTINED = "quarantined"
     CANCELLED = "cancelled"
     CONFIG_INVALID = "config_invalid"
     CONFIG_CONFLICT = "config_conflict"
@@ -165,6 +166,11 @@
     ErrorKind.ANSWER_BROKEN: Answer(
         502, "DATA_LOSS", _YES, True, "The answer's digest did not match."
     ),
+    # Neither a promise that nothing ran nor an invitation to come back: each
+    # further run would crash an engine.
+    ErrorKind.QUARANTINED: Answer(
+        500, "INTERNAL", _YES, False, "Engines crash while they run it."
+    ),
     ErrorKind.CANCELLED: Answer(
         499, "CANCELLED", _UNKNOWN, False, "The caller cancelled."
     ),
--- a/src/jujubewharf/forwarding/crashes.py
+++ b/src/jujubewharf/forwarding/crashes.py
@@ -1,19 +1,28 @@
 """Which engines crashed while they worked on a request, over all its tries.
 
 An engine ends under all that it runs, so most of the requests that it ran are
-innocent. One that an engine has answered whole is: its record is cleared.
+innocent. One that an engine has answered whole is: its record is cleared. One
+under which three engines have crashed, with no whole answer since, is in
+quarantine and goes to no further engine.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
 
 from jujubewharf import clock as clocks
+from jujubewharf import errors
 from jujubewharf.forwarding import beliefs
 from jujubewharf.forwarding import calls
+from jujubewharf.forwarding import crash_reports
 from jujubewharf.forwarding import fingerprints
 
+# An innocent request is beside a crash now and then, and beside three in a row
+# hardly ever; each crash costs an engine and all that it ran.
+QUARANTINE_CRASHES = 3
 # A crash counts for this long, so that one wrong suspicion of an innocent
 # request ends by itself.
 KEPT_MS = 600_000.0
@@ -22,6 +31,12 @@
 MOST_RECORDS = 1_024
 _MOST_CRASHES = 8
 _MOST_LABEL_CHARS = 64
+# Two instances that tell each other of one moment reckon it a little apart.
+_SAME_MS = 1_000.0
+
+
+def _nobody(fingerprint: fingerprints.Fingerprint) -> None:
+    """Stands in where nobody is to be told."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,6 +54,11 @@
     crashes_ms: dict[str, float] = dataclasses.field(default_factory=dict)
     cleared_ms: float = float("-inf")
 
+    @property
+    def was_cleared(self) -> bool:
+        """Whether an engine has answered it whole."""
+        return self.cleared_ms > float("-inf")
+
     @property
     def changed_ms(self) -> float:
         """When anything of it was last seen."""
@@ -60,9 +80,13 @@
 
     Args:
         clock: Time.
+
+    Attributes:
+        on_seen: Told of which request this instance has seen something new.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
+        self.on_seen: Callable[[fingerprints.Fingerprint], None] = _nobody
         self._clock = clock
         self._records: dict[fingerprints.Fingerprint, _Record] = {}
         # How many of them have an outline.
@@ -82,8 +106,9 @@
             engine: Name of the engine's start.
             stage: What it was asked for: ``prefill`` or ``run``.
         """
-        record = self._of(fingerprints.Fingerprint.from_call(call))
-        record = record or self._add(call)
+        fingerprint = fingerprints.Fingerprint.from_call(call)
+        record = self._of(fingerprint, label=call.request_id)
+        is_news = engine not in record.crashes_ms
         record.crashes_ms.setdefault(engine, self._clock.now_ms())
         record.drop(self._clock.now_ms() - KEPT_MS)
         beliefs.engine_crashed(
@@ -93,13 +118,65 @@
             crashes=len(record.crashes_ms),
             label=record.label,
         )
+        if is_news:
+            self.on_seen(fingerprint)
 
     def came_through(self, call: calls.Call) -> None:
         """Learns that an engine has answered a request whole."""
         record = self._find(call)
-        if record is not None:
-            record.cleared_ms = self._clock.now_ms()
-            record.drop(record.cleared_ms)
+        if record is None or not record.crashes_ms:
+            return
+        record.cleared_ms = self._clock.now_ms()
+        record.drop(record.cleared_ms)
+        self.on_seen(fingerprints.Fingerprint.from_call(call))
+
+    def learn(self, report: crash_reports.CrashReport) -> bool:
+        """Learns what another instance knows of a request.
+
+        Returns:
+            Whether any of it is new, and counts.
+        """
+        record = self._of(report.fingerprint, label=report.label)
+        before = (set(record.crashes_ms), record.cleared_ms)
+        # The same name for it at all instances, in whichever order they heard.
+        record.label = min(record.label, report.label)
+        now_ms = self._clock.now_ms()
+        if report.cleared_age_ms is not None:
+            cleared_ms = now_ms - report.cleared_age_ms
+            if cleared_ms > record.cleared_ms + _SAME_MS:
+                record.cleared_ms = cleared_ms
+        for crash in report.crashes:
+            record.crashes_ms.setdefault(crash.engine, now_ms - crash.age_ms)
+        record.drop(now_ms - KEPT_MS)
+        return (set(record.crashes_ms), record.cleared_ms) != before
+
+    def reports(
+        self, wanted: Iterable[fingerprints.Fingerprint] | None = None
+    ) -> tuple[crash_reports.CrashReport, ...]:
+        """What is known, of some requests or of all.
+
+        Args:
+            wanted: The requests; those that aren't known are left out.
+        """
+        self._forget_old()
+        chosen = self._records if wanted is None else wanted
+        return tuple(self._report(f) for f in chosen if f in self._records)
+
+    def _report(
+        self, fingerprint: fingerprints.Fingerprint
+    ) -> crash_reports.CrashReport:
+        record = self._records[fingerprint]
+        now_ms = self._clock.now_ms()
+        found = tuple(
+            crash_reports.Crash(engine, now_ms - at_ms)
+            for engine, at_ms in record.crashes_ms.items()
+        )
+        cleared_age_ms = None
+        if record.was_cleared:
+            cleared_age_ms = now_ms - record.cleared_ms
+        return crash_reports.CrashReport(
+            fingerprint, record.label, found, cleared_age_ms
+        )
 
     def count(self, call: calls.Call) -> int:
         """Engines that crashed under a request, and count against it."""
@@ -109,20 +186,40 @@
         record.drop(self._clock.now_ms() - KEPT_MS)
         return len(record.crashes_ms)
 
+    def check(self, call: calls.Call) -> None:
+        """Passes where a request may be sent to an engine.
+
+        Asked when a request arrives and right before each sending: another try
+        of it may have crashed an engine meanwhile.
+
+        Raises:
+            WharfError: ``QUARANTINED``.
+        """
+        count = self.count(call)
+        if count >= QUARANTINE_CRASHES:
+            detail = f"{count} engines crashed, see {self._label(call)}"
+            raise errors.WharfError(errors.ErrorKind.QUARANTINED, detail)
+
+    def _label(self, call: calls.Call) -> str:
+        record = self._find(call)
+        return "" if record is None else record.label
+
     def _find(self, call: calls.Call) -> _Record | None:
         """The record of a request; its body is read only for a likely one."""
         if not self._outlines:
             return None
         if fingerprints.Outline.from_call(call) not in self._outlines:
             return None
-        return self._of(fingerprints.Fingerprint.from_call(call))
+        return self._records.get(fingerprints.Fingerprint.from_call(call))
 
-    def _of(self, fingerprint: fingerprints.Fingerprint) -> _Record | None:
-        return self._records.get(fingerprint)
-
-    def _add(self, call: calls.Call) -> _Record:
-        record = _Record(call.request_id[:_MOST_LABEL_CHARS])
-        fingerprint = fingerprints.Fingerprint.from_call(call)
+    def _of(
+        self, fingerprint: fingerprints.Fingerprint, *, label: str
+    ) -> _Record:
+        """The record of a request, a new one where there is none."""
+        record = self._records.get(fingerprint)
+        if record is not None:
+            return record
+        record = _Record(label[:_MOST_LABEL_CHARS])
         self._make_room()
         self._records[fingerprint] = record
         count = self._outlines.get(fingerprint.outline, 0)
@@ -136,15 +233,18 @@
         the fewest crashes: a caller that makes up thousands of them pushes out
         none of another caller's, nor its own that are sure to crash engines.
         """
-        oldest_ms = self._clock.now_ms() - KEPT_MS
         if len(self._records) < MOST_RECORDS:
             return
+        self._forget_old()
+        while len(self._records) >= MOST_RECORDS:
+            self._remove(self._least())
+
+    def _forget_old(self) -> None:
+        oldest_ms = self._clock.now_ms() - KEPT_MS
         for fingerprint, record in list(self._records.items()):
             record.drop(oldest_ms)
             if record.changed_ms <= oldest_ms:
                 self._remove(fingerprint)
-        while len(self._records) >= MOST_RECORDS:
-            self._remove(self._least())
 
     def _least(self) -> fingerprints.Fingerprint:
         counts: dict[str, int] = {}
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -35,8 +35,10 @@
 from jujubewharf.forwarding import stream
 from jujubewharf.forwarding import watched_backends
 from jujubewharf.leadership import fleet as fleets
+from jujubewharf.leadership import fleet_crashes
 from jujubewharf.leadership import fleet_limits
 from jujubewharf.leadership import fleet_quotas
+from jujubewharf.leadership import knowledge
 from jujubewharf.leadership import leadership
 from jujubewharf.leadership import led
 from jujubewharf.leaving import shutdown
@@ -86,6 +88,7 @@
         endpoint_limits: What endpoints take that name limits.
         work: What requests cost, as observed here.
         crashes: Which engines crashed under which requests.
+        fleet_crashes: Has all instances know it.
     """
 
     def __init__(
@@ -122,7 +125,7 @@
         self.fleet = fleets.Fleet(
             self.registry,
             self.work,
-            self.restraints,
+            knowledge.Knowledge(self.restraints, self.crashes),
             lambda: self._endpoints.offset,
             clock,
             in_force_within_ms=settings.store.in_force_within_ms,
@@ -132,6 +135,9 @@
         self.endpoint_limits = fleet_limits.FleetLimits(
             self.fleet, self.restraints, self._limit_share, clock, rng
         )
+        self.fleet_crashes = fleet_crashes.FleetCrashes(
+            self.fleet, self.crashes, clock
+        )
         self.quotas = fleet_quotas.FleetQuotas(
             self.fleet,
             self.source,
@@ -221,6 +227,7 @@
                     self._costs,
                     self.quotas,
                     self.endpoint_limits,
+                    self.fleet_crashes,
                     clock,
                 ),
                 rng,
--- a/src/jujubewharf/forwarding/forwarder.py
+++ b/src/jujubewharf/forwarding/forwarder.py
@@ -175,6 +175,8 @@
         route = self._source.match(call.host, call.path)
         account = self._source.account_of(route, call.headers)
         call = self._without_key(call, account)
+        # Before it waits for memory or uses up any quota.
+        self._history.check(call)
         service = self._pick(route)
         self._budget.accepted(service)
         within_ms = route.timeout_ms
--- a/src/jujubewharf/forwarding/watched_backends.py
+++ b/src/jujubewharf/forwarding/watched_backends.py
@@ -1,4 +1,7 @@
-"""Calls of engines and endpoints, watched for those that crash meanwhile."""
+"""Calls of engines and endpoints, watched for those that crash meanwhile.
+
+A request that crashes engines goes to no more of them.
+"""
 
 from __future__ import annotations
 
@@ -43,7 +46,12 @@
     async def send(
         self, endpoint: resources.Endpoint, sending: calls.Sending
     ) -> AsyncIterator[calls.Reply]:
-        """Sends a request; see ``ports.Backends``."""
+        """Sends a request; see ``ports.Backends``.
+
+        Raises:
+            WharfError: It has crashed engines.
+        """
+        self._history.check(sending.call)
         async with contextlib.AsyncExitStack() as stack:
             try:
                 reply = await stack.enter_async_context(
@@ -71,7 +79,12 @@
     async def prefill(
         self, endpoint: resources.Endpoint, sending: calls.Sending
     ) -> calls.Source:
-        """Reads a prompt; see ``ports.Backends``."""
+        """Reads a prompt; see ``ports.Backends``.
+
+        Raises:
+            WharfError: It has crashed engines.
+        """
+        self._history.check(sending.call)
         try:
             return await self._backends.prefill(endpoint, sending)
         except client.EngineError as error:
--- a/src/jujubewharf/leadership/fleet.py
+++ b/src/jujubewharf/leadership/fleet.py
@@ -14,10 +14,10 @@
 from jujubewharf.forwarding import placement as placements
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import registry as registries
-from jujubewharf.forwarding import restraints as all_restraints
 from jujubewharf.leadership import account_feed
 from jujubewharf.leadership import feeds as all_feeds
 from jujubewharf.leadership import followers as all_followers
+from jujubewharf.leadership import knowledge as all_knowledge
 from jujubewharf.leadership import leader_link
 from jujubewharf.leadership import leadership
 from jujubewharf.leadership import placement_server as servers
@@ -47,7 +47,7 @@
     Args:
         registry: Tells engines by their names.
         work: What this instance has observed of costs.
-        restraints: What endpoints want.
+        knowledge: What all instances must know alike.
         endpoints_end: Tells how far this instance has read endpoints.
         clock: Time.
         in_force_within_ms: Time within which a configuration must be in force.
@@ -65,7 +65,7 @@
         self,
         registry: registries.Registry,
         work: costs.WorkCosts,
-        restraints: all_restraints.Restraints,
+        knowledge: all_knowledge.Knowledge,
         endpoints_end: Callable[[], int],
         clock: clocks.Clock,
         *,
@@ -75,7 +75,7 @@
     ) -> None:
         self._clock = clock
         self._work = work
-        self._restraints = restraints
+        self._knowledge = knowledge
         self._count_within_ms = count_within_ms
         self.feeds = leader_link.Feeds(
             all_feeds.Feed(
@@ -89,7 +89,7 @@
             account_feed.AccountFeed(clock),
         )
         self.link = leader_link.LeaderLink(
-            self.feeds, registry, work, restraints, endpoints_end, clock
+            self.feeds, registry, work, knowledge, endpoints_end, clock
         )
         self.feeds.configurations.fetch = self.link.fetch_configuration
         self.followers: all_followers.Followers | None = None
@@ -185,7 +185,7 @@
             new_placement_server,
             counts,
             self._clock,
-            self._restraints,
+            self._knowledge,
             count_within_ms=self._count_within_ms,
         )
         return leadership.Leadership(
@@ -213,6 +213,7 @@
     fleet_costs: costs.ReportedCosts,
     quotas: servers.FollowerQuotas,
     limits: servers.FollowerLimits,
+    crashes: servers.FollowerCrashes,
     clock: clocks.Clock,
 ) -> servers.NewPlacementServer:
     """Makes a server for each follower that comes."""
@@ -223,6 +224,7 @@
         fleet_costs,
         quotas,
         limits,
+        crashes,
         clock,
         use=quotas.follower(peer, tell),
     )
--- /dev/null
+++ b/src/jujubewharf/leadership/fleet_crashes.py
@@ -0,0 +1,66 @@
+"""Has all instances know which requests crash engines.
+
+A request that crashed an engine comes again to any instance. Who sees a crash,
+or a whole answer after one, tells the leader, who tells all. An instance
+without a leader goes by what it knows, and tells it as its next link begins.
+"""
+
+from __future__ import annotations
+
+from jujubewharf import clock as clocks
+from jujubewharf.forwarding import crashes
+from jujubewharf.forwarding import fingerprints
+from jujubewharf.leadership import fleet as fleets
+from jujubewharf.peers import crash_messages
+
+# An engine crashes under dozens of requests at once; what is seen within this
+# time is told together, and is known everywhere before a caller comes back.
+_TELL_AFTER_MS = 15.0
+
+
+class FleetCrashes:
+    """Spreads what is known of requests that crash engines.
+
+    Args:
+        fleet: The leader of this instance, or its followers.
+        history: What this instance knows.
+        clock: Time.
+    """
+
+    def __init__(
+        self,
+        fleet: fleets.Fleet,
+        history: crashes.CrashHistory,
+        clock: clocks.Clock,
+    ) -> None:
+        self._fleet = fleet
+        self._history = history
+        self._clock = clock
+        self._untold: set[fingerprints.Fingerprint] = set()
+        history.on_seen = self._tell_soon
+
+    def told(self, message: crash_messages.CrashesKnown) -> None:
+        """Learns from a follower, and tells the others what is new."""
+        for report in message.reports:
+            if self._history.learn(report):
+                self._tell_soon(report.fingerprint)
+
+    def _tell_soon(self, fingerprint: fingerprints.Fingerprint) -> None:
+        if not self._untold:
+            at_ms = self._clock.now_ms() + _TELL_AFTER_MS
+            self._clock.call_at_ms(at_ms, self._tell)
+        self._untold.add(fingerprint)
+
+    def _tell(self) -> None:
+        reports = self._history.reports(self._untold)
+        self._untold.clear()
+        news = crash_messages.CrashesKnown(reports)
+        match self._fleet.role:
+            case fleets.Role.LEADING:
+                assert self._fleet.followers is not None
+                self._fleet.followers.tell_all(news)
+            case fleets.Role.FOLLOWING:
+                self._fleet.link.tell(news)
+            case fleets.Role.ALONE:
+                # Told as the next link begins.
+                pass
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -9,15 +9,14 @@
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
 from jujubewharf.forwarding import registration
-from jujubewharf.forwarding import restraints as all_restraints
 from jujubewharf.forwarding import routes
+from jujubewharf.leadership import knowledge as all_knowledge
 from jujubewharf.leadership import packing
 from jujubewharf.leadership import placement_server as servers
 from jujubewharf.peers import codec
 from jujubewharf.peers import counters
 from jujubewharf.peers import handshake
 from jujubewharf.peers import leader_messages
-from jujubewharf.peers import limit_messages
 from jujubewharf.peers import link as links
 from jujubewharf.peers import link_messages
 from jujubewharf.peers import messages
@@ -51,7 +50,7 @@
         new_placement_server: Makes the server of one follower.
         counts: Where to count.
         clock: Time.
-        restraints: What endpoints want.
+        knowledge: What all instances must know alike.
         count_within_ms: Time for which a follower counts after its link ended.
 
     Attributes:
@@ -64,7 +63,7 @@
         new_placement_server: servers.NewPlacementServer,
         counts: counters.PeerCounters,
         clock: clocks.Clock,
-        restraints: all_restraints.Restraints,
+        knowledge: all_knowledge.Knowledge,
         *,
         count_within_ms: float,
     ) -> None:
@@ -76,7 +75,7 @@
         self._new_placement_server = new_placement_server
         self._counts = counts
         self._clock = clock
-        self._restraints = restraints
+        self._knowledge = knowledge
         self._links: set[links.Link] = set()
         # How far followers had read the endpoints that weren't told since.
         self._untold: dict[links.Link, int] = {}
@@ -173,8 +172,8 @@
                 self._tell_configuration(self._configuration, [link])
             link.tell(self._seen())
             link.tell(self._left)
-            terms = self._restraints.terms
-            link.tell(limit_messages.TermsKnown(terms, is_news=False))
+            for known in self._knowledge.greeting():
+                link.tell(known)
             await link.run()
         finally:
             self._links.discard(link)
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -16,12 +16,13 @@
 from jujubewharf.forwarding import decisions
 from jujubewharf.forwarding import places as all_places
 from jujubewharf.forwarding import registry as registries
-from jujubewharf.forwarding import restraints as all_restraints
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import runs
 from jujubewharf.leadership import account_feed
 from jujubewharf.leadership import feeds as all_feeds
+from jujubewharf.leadership import knowledge as all_knowledge
 from jujubewharf.leadership import packing
+from jujubewharf.peers import crash_messages
 from jujubewharf.peers import leader_messages
 from jujubewharf.peers import limit_messages
 from jujubewharf.peers import link as links
@@ -63,7 +64,7 @@
         feeds: Learn what the leader has read.
         registry: Tells engines by their names.
         work: What this instance has observed of costs.
-        restraints: What endpoints want.
+        knowledge: What all instances must know alike.
         endpoints_end: Tells how far this instance has read endpoints.
         clock: Time.
 
@@ -77,7 +78,7 @@
         feeds: Feeds,
         registry: registries.Registry,
         work: costs.WorkCosts,
-        restraints: all_restraints.Restraints,
+        knowledge: all_knowledge.Knowledge,
         endpoints_end: Callable[[], int],
         clock: clocks.Clock,
     ) -> None:
@@ -88,7 +89,7 @@
         self._feeds = feeds
         self._registry = registry
         self._work = work
-        self._restraints = restraints
+        self._knowledge = knowledge
         self._clock = clock
         self._link: links.Link | None = None
         self._numbers = itertools.count(1)
@@ -103,8 +104,8 @@
         self._link = link
         self.forget()
         link.tell(leader_messages.Following(self._endpoints_end()))
-        terms = self._restraints.terms
-        link.tell(limit_messages.TermsKnown(terms, is_news=False))
+        for known in self._knowledge.greeting():
+            link.tell(known)
         report = self._work.report()
         if report.count:
             link.tell(
@@ -160,9 +161,8 @@
                 self._feeds.accounts.told(left)
             case quota_messages.AccountParts():
                 self.on_account_parts(message.by_account)
-            case limit_messages.TermsKnown():
-                for terms in message.terms:
-                    self._restraints.told(terms, is_news=message.is_news)
+            case limit_messages.TermsKnown() | crash_messages.CrashesKnown():
+                self._knowledge.told_by_leader(message)
             case leader_messages.EndpointNews():
                 records = [_table_record(r) for r in message.records]
                 self._feeds.endpoints.take(records, message.end)
@@ -312,6 +312,7 @@
 
     def _question(self, number: int, run: runs.Run) -> leader_messages.PlaceAsk:
         work = run.call.work
+        backoffs_ms = self._knowledge.restraints.backoffs_ms()
         return leader_messages.PlaceAsk(
             number=number,
             request_id=run.call.request_id,
@@ -330,7 +331,7 @@
             is_counted=run.is_counted,
             backoffs=tuple(
                 leader_messages.EngineBackoff(engine, for_ms)
-                for engine, for_ms in self._restraints.backoffs_ms().items()
+                for engine, for_ms in backoffs_ms.items()
             ),
         )
 
--- a/src/jujubewharf/leadership/placement_server.py
+++ b/src/jujubewharf/leadership/placement_server.py
@@ -20,6 +20,7 @@
 from jujubewharf.forwarding import places as all_places
 from jujubewharf.forwarding import runs
 from jujubewharf.leadership import account_pace
+from jujubewharf.peers import crash_messages
 from jujubewharf.peers import leader_messages
 from jujubewharf.peers import limit_messages
 from jujubewharf.peers import messages
@@ -66,6 +67,14 @@
         ...
 
 
+class FollowerCrashes(Protocol):
+    """Knows which requests crash engines."""
+
+    def told(self, message: crash_messages.CrashesKnown) -> None:
+        """Learns it from a follower."""
+        ...
+
+
 class _UnfinishedError(Exception):
     """The answer for which a place was held broke off."""
 
@@ -91,6 +100,7 @@
         fleet_costs: Learns what the follower had observed before.
         quotas: Count what accounts use.
         limits: Count what endpoints get that name limits.
+        crashes: Knows which requests crash engines.
         clock: Time.
         use: What accounts use at the follower.
     """
@@ -103,12 +113,14 @@
         fleet_costs: costs.ReportedCosts,
         quotas: FollowerQuotas,
         limits: FollowerLimits,
+        crashes: FollowerCrashes,
         clock: clocks.Clock,
         *,
         use: account_pace.FollowerUse,
     ) -> None:
         self._quotas = quotas
         self._limits = limits
+        self._crashes = crashes
         self._use = use
         self._fleet_costs = fleet_costs
         self._places = places
@@ -140,6 +152,8 @@
                 return limit_messages.Permit(self._limits.grant(endpoint))
             case limit_messages.TermsKnown():
                 self._limits.told(message)
+            case crash_messages.CrashesKnown():
+                self._crashes.told(message)
             case leader_messages.CostsObserved():
                 self._costs_told(peer, message)
             case quota_messages.AccountsUsed(uses=uses):
--- /dev/null
+++ b/src/jujubewharf/peers/crash_messages.py
@@ -0,0 +1,20 @@
+"""Messages about requests that crash engines; numbers 110 to 119."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from jujubewharf.forwarding import crash_reports
+from jujubewharf.peers import messages
+
+
+@messages.message(110)
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashesKnown(messages.Message):
+    """What the sender knows of requests under which engines crashed.
+
+    Attributes:
+        reports: Those that have changed; as a link begins, all of them.
+    """
+
+    reports: tuple[crash_reports.CrashReport, ...]
--- /dev/null
+++ b/tests/forwarding/test_crashes.py
@@ -0,0 +1,233 @@
+"""Which requests go to no further engine, and what is remembered of them."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf.experiments import virtual_time
+from jujubewharf.forwarding import crashes
+from jujubewharf.forwarding import fingerprints
+from jujubewharf.peers import codec
+from jujubewharf.peers import crash_messages
+from tests.forwarding import deployments
+
+
+class _World:
+    def __init__(self) -> None:
+        self.deployment = deployments.Deployment()
+        self.clock = self.deployment.clock
+
+    def history(self) -> crashes.CrashHistory:
+        return crashes.CrashHistory(self.clock)
+
+    def call(self, body: bytes = b"body", **more):
+        return self.deployment.call("/verdicts/1", body=body, **more)
+
+
+def _run(test) -> None:
+    async def main():
+        await clocks.Clock(wall_origin_ms=0.0).sleep_ms(1_000.0)
+        await test(_World())
+
+    virtual_time.run(main())
+
+
+def _crash(history, call, *engines: str) -> None:
+    for engine in engines:
+        history.crashed(call, engine, stage="run")
+
+
+def _is_quarantined(history, call) -> bool:
+    try:
+        history.check(call)
+    except errors.WharfError as error:
+        assert error.kind is errors.ErrorKind.QUARANTINED
+        return True
+    return False
+
+
+def test_three_engines_make_a_quarantine_and_two_do_not():
+    async def test(world):
+        history = world.history()
+        _crash(history, world.call(), "a", "b")
+        assert not _is_quarantined(history, world.call())
+        _crash(history, world.call(), "c")
+        assert _is_quarantined(history, world.call())
+        assert not _is_quarantined(history, world.call(b"other"))
+
+    _run(test)
+
+
+def test_an_engine_counts_once_however_many_tries_it_ran():
+    async def test(world):
+        history = world.history()
+        _crash(history, world.call(), "a", "a", "a", "a")
+        assert not _is_quarantined(history, world.call())
+
+    _run(test)
+
+
+def test_a_whole_answer_ends_a_quarantine():
+    """A popular request ran on each of three engines that were lost."""
+
+    async def test(world):
+        history = world.history()
+        _crash(history, world.call(), "a", "b", "c")
+        history.came_through(world.call())
+        assert not _is_quarantined(history, world.call())
+        await world.clock.sleep_ms(1.0)
+        _crash(history, world.call(), "d", "e")
+        assert not _is_quarantined(history, world.call())
+        _crash(history, world.call(), "f")
+        assert _is_quarantined(history, world.call())
+
+    _run(test)
+
+
+def test_it_ends_with_its_time_and_one_more_crash_brings_it_back():
+    async def test(world):
+        history = world.history()
+        _crash(history, world.call(), "a")
+        await world.clock.sleep_ms(1_000.0)
+        _crash(history, world.call(), "b", "c")
+        await world.clock.sleep_ms(crashes.KEPT_MS - 500.0)
+        assert not _is_quarantined(history, world.call())
+        _crash(history, world.call(), "d")
+        assert _is_quarantined(history, world.call())
+
+    _run(test)
+
+
+def test_a_caller_that_makes_up_thousands_pushes_out_no_other_one():
+    """Memory stays bounded, and only its own least sure ones give way."""
+
+    async def test(world):
+        history = world.history()
+        known = world.call(b"known", account="small")
+        _crash(history, known, "a", "b", "c")
+        sure = world.call(b"sure", account="large")
+        _crash(history, sure, "a", "b", "c")
+        for number in range(3 * crashes.MOST_RECORDS):
+            made_up = world.call(b"%d" % number, account="large")
+            _crash(history, made_up, f"e{number}")
+        assert len(history) <= crashes.MOST_RECORDS
+        assert _is_quarantined(history, known)
+        assert _is_quarantined(history, sure)
+
+    _run(test)
+
+
+def test_another_callers_request_with_the_same_body_is_sent():
+    async def test(world):
+        history = world.history()
+        _crash(history, world.call(account="acme"), "a", "b", "c")
+        assert not _is_quarantined(history, world.call(account="other"))
+
+    _run(test)
+
+
+def test_bodies_are_read_only_for_requests_that_look_alike(monkeypatch):
+    """Each request would else pay for a few, megabytes of them."""
+
+    async def test(world):
+        history = world.history()
+        _crash(history, world.call(b"body"), "a")
+        read = []
+        fingerprint = fingerprints.Fingerprint
+
+        def from_call(call):
+            read.append(call.body)
+            return fingerprint(fingerprints.Outline.from_call(call), b"d")
+
+        monkeypatch.setattr(fingerprint, "from_call", from_call)
+        history.check(world.call(b"another length"))
+        assert read == []
+        history.check(world.call(b"BODY"))
+        assert read == [b"BODY"]
+
+    _run(test)
+
+
+def test_what_is_told_arrives_whole():
+    async def test(world):
+        teller, hearer = world.history(), world.history()
+        _crash(teller, world.call(), "a", "b", "c")
+        news = crash_messages.CrashesKnown(teller.reports())
+        frame = codec.Frame(codec.FrameKind.TELL, 0, news)
+        (report,) = codec.decode(codec.encode(frame)[4:]).message.reports
+        assert hearer.learn(report)
+        assert not hearer.learn(report)
+        assert _is_quarantined(hearer, world.call())
+
+    _run(test)
+
+
+def test_an_old_word_does_not_undo_a_whole_answer():
+    """An instance that was cut off tells what it knew as its link begins."""
+
+    async def test(world):
+        cut, others = world.history(), world.history()
+        _crash(cut, world.call(), "a", "b", "c")
+        for report in cut.reports():
+            others.learn(report)
+        await world.clock.sleep_ms(2_000.0)
+        others.came_through(world.call())
+        await world.clock.sleep_ms(2_000.0)
+        for report in cut.reports():
+            others.learn(report)
+        assert not _is_quarantined(others, world.call())
+        for report in others.reports():
+            cut.learn(report)
+        assert not _is_quarantined(cut, world.call())
+
+    _run(test)
+
+
+def test_a_round_of_telling_keeps_nothing_alive():
+    """Two instances that remind each other would never forget."""
+
+    async def test(world):
+        first, second = world.history(), world.history()
+        _crash(first, world.call(), "a", "b", "c")
+        for _ in range(40):
+            for report in first.reports():
+                second.learn(report)
+            for report in second.reports():
+                first.learn(report)
+            await world.clock.sleep_ms(crashes.KEPT_MS / 20)
+        assert len(first) == len(second) == 0
+
+    _run(test)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_all_come_to_know_the_same_in_whatever_order_they_hear(seed):
+    async def test(world):
+        rng = random.Random(seed)
+        histories = [world.history() for _ in range(4)]
+        bodies = [b"%d" % n for n in range(5)]
+        for number in range(40):
+            history, body = rng.choice(histories), rng.choice(bodies)
+            if rng.random() < 0.2:
+                history.came_through(world.call(body))
+            else:
+                _crash(history, world.call(body), f"e{number % 9}")
+            if rng.random() < 0.3:
+                teller, hearer = rng.sample(histories, 2)
+                for report in teller.reports():
+                    hearer.learn(report)
+            await world.clock.sleep_ms(2_000.0)
+        for _ in range(2):
+            for teller in histories:
+                for hearer in histories:
+                    for report in teller.reports():
+                        hearer.learn(report)
+        for body in bodies:
+            counts = {h.count(world.call(body)) for h in histories}
+            assert len(counts) == 1
+
+    _run(test)
--- a/tests/leadership/test_crashing_requests.py
+++ b/tests/leadership/test_crashing_requests.py
@@ -6,7 +6,9 @@
 broke at all six instances, 13 to 54 at each, so no instance knew what it had
 seen itself; one try was resumed at a second engine 160 ms after the first had
 ended, and crashed it 80 ms later. Connections to a crashed engine were refused
-within 4 ms, while prefill engines that read the same prompt lived on.
+within 4 ms, while prefill engines that read the same prompt lived on. The cause
+was that nothing was remembered of a request beyond its own try, neither where
+an engine had crashed under it nor anywhere else.
 """
 
 from __future__ import annotations
@@ -17,6 +19,8 @@
 
 import pytest
 
+from jujubewharf import errors
+from jujubewharf.forwarding import refusals
 from tests.forwarding import deployments
 
 shop = deployments.shop
@@ -101,10 +105,17 @@
 
     async def main():
         async with _deployed() as world:
-            await _insist(world, path, for_ms=20_000.0)
+            answers = await _insist(world, path, for_ms=20_000.0)
             third_ms = _third_ms(world)
             assert _arrivals(world, after_ms=third_ms + SPREAD_MS) == []
             assert len(_crashed_ms(world)) <= MOST_CRASHES + 1
+            for answer in answers[-10:]:
+                assert answer.error is not None
+                assert answer.error.kind is errors.ErrorKind.QUARANTINED
+                assert answer.error.ran is not errors.Ran.NO
+                assert refusals.status_of(answer.error) == 500
+                assert refusals.headers_of(answer.error) == {}
+                assert answer.took_ms < 50.0
 
     deployments.run(main())
 
@@ -150,8 +161,8 @@
     deployments.run(main())
 
 
-def test_what_waits_for_memory_is_told_at_once():
-    """A try that stands in line when the third engine crashes is hopeless."""
+def test_what_waits_for_memory_is_not_placed():
+    """Memory comes free just after the third engine has crashed."""
 
     async def main():
         async with _deployed() as world:
@@ -176,6 +187,39 @@
     deployments.run(main())
 
 
+@pytest.mark.parametrize("instance", NAMES[:2])
+def test_what_waits_for_memory_is_told_at_once(instance):
+    """A try that stands in the line of an instance or its leader is hopeless.
+
+    Its caller would wait for seconds, for an answer that can only be a refusal.
+    """
+
+    async def main():
+        async with _deployed() as world:
+            for backend in world.backends.by_name.values():
+                backend.memory_tokens = 0
+            waiting = asyncio.ensure_future(
+                world.ask(
+                    "/verdicts/1",
+                    instance=instance,
+                    body=CRASHING,
+                    patience_ms=14_000.0,
+                )
+            )
+            await world.clock.sleep_ms(50.0)
+            waiting_ms = world.clock.now_ms()
+            history = world.instances["e3"].crashes
+            call = world.call("/verdicts/1", body=CRASHING)
+            for engine in ("x1", "x2", "x3"):
+                history.crashed(call, engine, stage="run")
+            answer = await waiting
+            assert answer.error is not None
+            assert answer.error.kind is errors.ErrorKind.QUARANTINED
+            assert world.clock.now_ms() - waiting_ms < SPREAD_MS
+
+    deployments.run(main())
+
+
 @pytest.mark.parametrize("path", PATHS)
 def test_innocent_requests_beside_it_are_served(path):
     """An engine ends under all that it runs; one of them is to blame."""
