--- a/src/jujubewharf/commands/main.py
+++ b/src/jujubewharf/commands/main.py
@@ -8,7 +8,6 @@
 import sys
 from typing import Annotated
 
-import mode
 import typer
 
 from jujubewharf import clock as clocks
@@ -54,15 +53,10 @@
 
 async def _run(settings: models.EntrySettings) -> int:
     daemon = entries.Entry(settings, clocks.Clock())
-    services: list[mode.Service] = [daemon]
-    metrics_edge = metrics.configure(
-        settings.telemetry,
-        metrics.Identity(settings.instance, settings.region, settings.domain),
+    identity = metrics.Identity(
+        settings.instance, settings.region, settings.domain
     )
-    if metrics_edge is not None:
-        services.append(metrics_edge)
-    logs.handle_loop_errors(asyncio.get_running_loop())
-    return await process.Runner(daemon, services).run()
+    return await process.run_daemon(daemon, settings.telemetry, identity)
 
 
 @app.command("errors")
--- a/src/jujubewharf/leaving/process.py
+++ b/src/jujubewharf/leaving/process.py
@@ -7,11 +7,15 @@
 import enum
 import signal
 from typing import Protocol
+from typing import cast
 
 import mode
 import structlog
 
 from jujubewharf.leaving import shutdown
+from jujubewharf.settings import models
+from jujubewharf.telemetry import logs
+from jujubewharf.telemetry import metrics
 
 
 class ExitCode(enum.IntEnum):
@@ -35,6 +39,26 @@
         ...
 
 
+async def run_daemon(
+    daemon: Daemon,
+    telemetry: models.TelemetrySettings,
+    identity: metrics.Identity,
+) -> ExitCode:
+    """Runs a daemon, and its metrics, until it has drained.
+
+    Args:
+        daemon: What serves callers.
+        telemetry: Where metrics go.
+        identity: Names the instance in them.
+    """
+    logs.handle_loop_errors(asyncio.get_running_loop())
+    services: list[mode.Service] = [cast(mode.Service, daemon)]
+    metrics_edge = metrics.configure(telemetry, identity)
+    if metrics_edge is not None:
+        services.append(metrics_edge)
+    return await Runner(daemon, services).run()
+
+
 class Runner:
     """Starts services, waits for SIGTERM or SIGINT, drains and stops.
 
