What is known of crashing requests outlives all instances

What callers saw: after a loss of power everywhere a request that was refused before was sent to engines again, and crashed three more with each restart.

Cause: each instance knew it in memory alone, and a restart of all leaves nobody to tell it.

Mend: the leader, and who has none, writes reports to a table of this system's own in the platform's store; whoever starts or begins to lead reads it. Each start of an instance writes under keys of its own, so none overwrites another's, and reports join in any order. Records hold ages and the time of writing, lapse with what they tell, and are then removed. A store that is away gets them later.

Ruled out: a record for each request that all write, where the last writer wins: an instance behind a cut would undo what the others know.

--- a/src/jujubewharf/forwarding/crashes.py
+++ b/src/jujubewharf/forwarding/crashes.py
@@ -150,6 +150,11 @@
         record.drop(now_ms - KEPT_MS)
         return (set(record.crashes_ms), record.cleared_ms) != before
 
+    def known(self) -> tuple[fingerprints.Fingerprint, ...]:
+        """Requests of which anything is remembered."""
+        self._forget_old()
+        return tuple(self._records)
+
     def reports(
         self, wanted: Iterable[fingerprints.Fingerprint] | None = None
     ) -> tuple[crash_reports.CrashReport, ...]:
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -34,6 +34,7 @@
 from jujubewharf.forwarding import sharing
 from jujubewharf.forwarding import stream
 from jujubewharf.forwarding import watched_backends
+from jujubewharf.leadership import crash_keeper
 from jujubewharf.leadership import fleet as fleets
 from jujubewharf.leadership import fleet_crashes
 from jujubewharf.leadership import fleet_limits
@@ -64,6 +65,7 @@
     endpoints: tables.Table[resources.Endpoint]
     group: groups.Group
     peers: ports.PeerAdapters | None = None
+    crashes: tables.KeptTable | None = None
 
 
 class ForwardingEntry(mode.Service):
@@ -138,6 +140,17 @@
         self.fleet_crashes = fleet_crashes.FleetCrashes(
             self.fleet, self.crashes, clock
         )
+        self._crash_keeper = (
+            None
+            if adapters.crashes is None
+            else crash_keeper.CrashKeeper(
+                adapters.crashes,
+                self.fleet,
+                self.crashes,
+                self.fleet_crashes,
+                clock,
+            )
+        )
         self.quotas = fleet_quotas.FleetQuotas(
             self.fleet,
             self.source,
@@ -270,6 +283,8 @@
         await self.add_runtime_dependency(self.quotas)
         await self.add_runtime_dependency(self._configurations)
         await self.add_runtime_dependency(self._endpoints)
+        if self._crash_keeper is not None:
+            await self.add_runtime_dependency(self._crash_keeper)
         if self._leadership is None:
             await self.add_runtime_dependency(self.share)
         await self.add_runtime_dependency(self._orders)
--- /dev/null
+++ b/src/jujubewharf/leadership/crash_keeper.py
@@ -0,0 +1,194 @@
+"""Keeps what is known of requests that crash engines in the platform's store.
+
+A loss of power everywhere would else let each of them crash three engines more.
+The leader writes for all, and so does who has no leader; whoever starts or
+begins to lead reads. Each writer has keys of its own, so that none overwrites
+what another one knows, and reports join in any order.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import secrets
+
+import mode
+import structlog
+
+from jujubewharf import clock as clocks
+from jujubewharf.forwarding import crash_records
+from jujubewharf.forwarding import crashes
+from jujubewharf.forwarding import fingerprints
+from jujubewharf.leadership import fleet as fleets
+from jujubewharf.leadership import fleet_crashes
+from jujubewharf.platform import log
+from jujubewharf.platform import record_errors
+from jujubewharf.platform import tables
+
+# What changes within this time is written together.
+_GATHER_MS = 50.0
+# Pause between two looks where nothing changes, and after a failed call.
+_LOOK_MS = 500.0
+# Records of requests that nobody remembers are removed this often.
+_CLEAN_MS = 60_000.0
+_WRITER_BYTES = 6
+# Names the table in log lines.
+_TABLE = "crashes"
+
+
+class CrashKeeper(mode.Service):
+    """Reads and writes the table of crash reports.
+
+    Args:
+        table: The store's table.
+        fleet: The leader of this instance, or its followers.
+        history: What this instance knows.
+        spread: Learns what the store has, and tells it to the others.
+        clock: Time.
+    """
+
+    def __init__(
+        self,
+        table: tables.KeptTable,
+        fleet: fleets.Fleet,
+        history: crashes.CrashHistory,
+        spread: fleet_crashes.FleetCrashes,
+        clock: clocks.Clock,
+    ) -> None:
+        super().__init__()
+        self._table = table
+        self._fleet = fleet
+        self._history = history
+        self._spread = spread
+        self._clock = clock
+        # Another one for each start, which must not overwrite the one before.
+        self._writer = secrets.token_hex(_WRITER_BYTES)
+        self._numbers = itertools.count(1)
+        self._own_keys: dict[fingerprints.Fingerprint, str] = {}
+        self._lost_ms: float | None = None
+        self._errors = record_errors.RecordErrors(_TABLE)
+        self._logger = structlog.get_logger()
+        self._role: fleets.Role | None = None
+        self._has_read = False
+        self._keys: dict[str, fingerprints.Fingerprint] = {}
+        self._unwritten: set[fingerprints.Fingerprint] = set()
+        self._cleaned_ms = 0.0
+        self._changed = asyncio.Event()
+        spread.on_change = self._note
+
+    def _note(self, fingerprint: fingerprints.Fingerprint) -> None:
+        self._unwritten.add(fingerprint)
+        self._changed.set()
+
+    @mode.Service.task
+    async def _keep(self) -> None:
+        while not self.should_stop:
+            try:
+                await self._look()
+            except log.LogUnavailableError as error:
+                self._lost(str(error))
+                await self._clock.sleep_ms(_LOOK_MS)
+            else:
+                self._regained()
+            await self._wait()
+
+    def _lost(self, detail: str) -> None:
+        if self._lost_ms is None:
+            self._lost_ms = self._clock.now_ms()
+            self._logger.warning("store_lost", table=_TABLE, detail=detail)
+
+    def _regained(self) -> None:
+        if self._lost_ms is not None:
+            away_ms = round(self._clock.now_ms() - self._lost_ms)
+            self._logger.info("store_regained", table=_TABLE, away_ms=away_ms)
+            self._lost_ms = None
+
+    async def _wait(self) -> None:
+        try:
+            async with self._clock.timeout_ms(_LOOK_MS):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+        self._changed.clear()
+        await self._clock.sleep_ms(_GATHER_MS)
+
+    async def _look(self) -> None:
+        """Does what is due in the role that this instance has now."""
+        role = self._fleet.role
+        if role is fleets.Role.FOLLOWING:
+            # The leader has told all it knows, and writes for all.
+            self._has_read = True
+            self._unwritten.clear()
+        elif role is fleets.Role.LEADING and self._role is not role:
+            # Whoever led before may have failed to write, or written what it
+            # could tell nobody.
+            self._has_read = False
+            self._unwritten.update(self._history.known())
+        self._role = role
+        if not self._has_read:
+            await self._read()
+        if self._unwritten:
+            await self._write()
+        if role is fleets.Role.LEADING:
+            await self._clean()
+
+    async def _read(self) -> None:
+        page = await self._table.newest()
+        wall_ms = self._clock.wall_ms()
+        for record in page.records:
+            if record.value is None:
+                continue
+            try:
+                report = crash_records.decode(record.value, wall_ms=wall_ms)
+            except ValueError as error:
+                self._errors.note(record.key, record.offset, error)
+                continue
+            try:
+                report = crash_records.decode(record.value, wall_ms=wall_ms)
+            except ValueError as error:
+                self._logger.error(
+                    "record_not_understood",
+                    table=_TABLE,
+                    key=record.key,
+                    offset=record.offset,
+                    error=type(error).__name__,
+                    detail="",
+                )
+                continue
+            self._keys[record.key] = report.fingerprint
+            self._spread.found(report)
+        self._has_read = True
+
+    async def _write(self) -> None:
+        written = set(self._unwritten)
+        wall_ms = self._clock.wall_ms()
+        values: dict[str, bytes | None] = {}
+        for report in self._history.reports(written):
+            key = self._own_key(report.fingerprint)
+            values[key] = crash_records.encode(report, wall_ms=wall_ms)
+            self._keys[key] = report.fingerprint
+        if values:
+            await self._table.write(values)
+        self._unwritten -= written
+
+    def _own_key(self, fingerprint: fingerprints.Fingerprint) -> str:
+        """The key under which this writer keeps a request; it tells nothing."""
+        key = self._own_keys.get(fingerprint)
+        if key is None:
+            key = f"{self._writer}-{next(self._numbers)}"
+            self._own_keys[fingerprint] = key
+        return key
+
+    async def _clean(self) -> None:
+        now_ms = self._clock.now_ms()
+        if now_ms - self._cleaned_ms < _CLEAN_MS:
+            return
+        self._cleaned_ms = now_ms
+        known = set(self._history.known())
+        gone = [key for key, f in self._keys.items() if f not in known]
+        if gone:
+            await self._table.write(dict.fromkeys(gone))
+        for key in gone:
+            del self._keys[key]
+        for fingerprint in set(self._own_keys) - known:
+            del self._own_keys[fingerprint]
--- a/src/jujubewharf/leadership/fleet_crashes.py
+++ b/src/jujubewharf/leadership/fleet_crashes.py
@@ -7,7 +7,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from jujubewharf import clock as clocks
+from jujubewharf.forwarding import crash_reports
 from jujubewharf.forwarding import crashes
 from jujubewharf.forwarding import fingerprints
 from jujubewharf.leadership import fleet as fleets
@@ -25,6 +28,10 @@
         fleet: The leader of this instance, or its followers.
         history: What this instance knows.
         clock: Time.
+
+    Attributes:
+        on_change: Told which request more is known of, unless the leader or the
+            store told it.
     """
 
     def __init__(
@@ -37,13 +44,24 @@
         self._history = history
         self._clock = clock
         self._untold: set[fingerprints.Fingerprint] = set()
-        history.on_seen = self._tell_soon
+        self.on_change: Callable[[fingerprints.Fingerprint], None]
+        self.on_change = lambda fingerprint: None
+        history.on_seen = self._spread
 
     def told(self, message: crash_messages.CrashesKnown) -> None:
         """Learns from a follower, and tells the others what is new."""
         for report in message.reports:
             if self._history.learn(report):
-                self._tell_soon(report.fingerprint)
+                self._spread(report.fingerprint)
+
+    def found(self, report: crash_reports.CrashReport) -> None:
+        """Learns what the store has kept, and tells the others what is new."""
+        if self._history.learn(report):
+            self._tell_soon(report.fingerprint)
+
+    def _spread(self, fingerprint: fingerprints.Fingerprint) -> None:
+        self._tell_soon(fingerprint)
+        self.on_change(fingerprint)
 
     def _tell_soon(self, fingerprint: fingerprints.Fingerprint) -> None:
         if not self._untold:
--- a/src/jujubewharf/platform/tables.py
+++ b/src/jujubewharf/platform/tables.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 import dataclasses
 from typing import Generic
 from typing import Protocol
@@ -60,3 +61,19 @@
             LogTruncatedError: Records from the offset on are gone.
         """
         ...
+
+
+class KeptTable(Protocol):
+    """A table of this system's own, for what outlives all instances.
+
+    Both calls raise ``log.LogUnavailableError``; a write that raises may take
+    effect all the same, and later.
+    """
+
+    async def newest(self) -> TablePage[bytes]:
+        """The newest record of each key."""
+        ...
+
+    async def write(self, values: Mapping[str, bytes | None]) -> None:
+        """Writes records, all or none; ``None`` removes a key."""
+        ...
--- a/src/jujubewharf/standins/tables.py
+++ b/src/jujubewharf/standins/tables.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Generic
 from typing import TypeVar
 
@@ -26,6 +27,7 @@
         first_offset: Older changes are forgotten.
         is_late: A waiting read hears of changes only when its wait is over.
         reads: Calls that were answered.
+        writes: Writing calls of instances that were answered.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
@@ -33,6 +35,7 @@
         self.first_offset = 0
         self.is_late = False
         self.reads = 0
+        self.writes = 0
         self._clock = clock
         self._records: list[tables.TableRecord[T]] = []
 
@@ -41,6 +44,13 @@
         offset = len(self._records)
         self._records.append(tables.TableRecord(key, offset, value))
 
+    async def write(self, values: Mapping[str, T | None]) -> None:
+        """Writes records; see ``tables.KeptTable``."""
+        self._check()
+        self.writes += 1
+        for key, value in values.items():
+            self.put(key, value)
+
     def forget(self) -> None:
         """Forgets all changes; the newest record of each key stays."""
         self.first_offset = len(self._records)
--- /dev/null
+++ b/tests/forwarding/test_crash_records.py
@@ -0,0 +1,45 @@
+"""Crash reports outlive the processes that wrote them."""
+
+from __future__ import annotations
+
+import pytest
+
+from jujubewharf.forwarding import crash_records
+from jujubewharf.forwarding import crash_reports
+from jujubewharf.forwarding import fingerprints
+
+REPORT = crash_reports.CrashReport(
+    fingerprints.Fingerprint(fingerprints.Outline("acme", 2**64 - 1), b"\xff1"),
+    "r\u00e9",
+    (crash_reports.Crash("d1", 100.0), crash_reports.Crash("d2", 20.0)),
+    7.0,
+)
+
+
+def test_a_report_is_older_by_the_time_since_it_was_written():
+    data = crash_records.encode(REPORT, wall_ms=5_000.0)
+    read = crash_records.decode(data, wall_ms=6_000.0)
+    assert read.fingerprint == REPORT.fingerprint
+    assert read.label == REPORT.label
+    assert [c.age_ms for c in read.crashes] == [1_100.0, 1_020.0]
+    assert read.cleared_age_ms == 1_007.0
+
+
+def test_a_clock_that_is_behind_makes_it_no_younger_than_it_was():
+    data = crash_records.encode(REPORT, wall_ms=9_000.0)
+    assert crash_records.decode(data, wall_ms=5_000.0) == REPORT
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"[]", b"{}", b'{"digest": "zz"}', b"\xff\x00"]
+)
+def test_what_others_wrote_is_an_error_that_shows_none_of_it(data):
+    with pytest.raises(ValueError) as caught:
+        crash_records.decode(data, wall_ms=0.0)
+    assert "zz" not in str(caught.value)
+
+
+def test_a_digest_that_is_no_hexadecimal_is_an_error():
+    data = crash_records.encode(REPORT, wall_ms=0.0)
+    with pytest.raises(ValueError):
+        crash_records.decode(data.replace(b"ff31", b"zz31"), wall_ms=0.0)
--- a/tests/users_platform/test_store.py
+++ b/tests/users_platform/test_store.py
@@ -148,3 +148,31 @@
     sent = json.loads(server.received[0].body)
     assert sent["member"].rpartition("/")[0] == "m"
     assert (sent["group"], sent["generation"], sent["ttlMs"]) == ("g", 6, 3000)
+
+
+async def test_records_are_written_under_their_keys_in_one_call():
+    async with _table(lambda r: [_json({"offset": 0, "end": 2})]) as (
+        table,
+        server,
+    ):
+        await table.write({"a": b"1", "bb": None})
+    (received,) = server.received
+    assert received.line.startswith("POST /jujubewharf/log-append?")
+    assert "topic=keyed.x" in received.line
+    assert "part=0" in received.line
+    first, second = b"\x01a1", b"\x02bb"
+    packed = [struct.pack(">I", len(r)) + r for r in (first, second)]
+    assert received.body == b"".join(packed)
+
+
+@pytest.mark.parametrize("status", ["503 Busy", "507 Full", "404 None"])
+async def test_a_write_that_is_refused_is_an_error(status):
+    async with _table(lambda r: [raw_server.answer(status)]) as (table, _):
+        with pytest.raises(log.LogUnavailableError):
+            await table.write({"a": b"1"})
+
+
+async def test_a_table_that_nobody_wrote_is_empty():
+    absent = raw_server.answer("404 Not Found", b"{}")
+    async with _table(lambda r: [absent]) as (table, _):
+        assert await table.newest() == tables.TablePage((), 0)
