A try that waits for memory ends as soon as its request is in quarantine

What callers saw: a try that stood in line while other tries of the same request crashed engines was told after half a second that the queue is full and when to come back, though no engine would ever be given it.

Cause: the check was made on arrival and at the moment of sending, and a wait in line lies between the two.

Mend: waits are watched, and the news that a request goes to no further engine ends those of its tries, in the line of this instance and of the leader.

--- a/src/jujubewharf/forwarding/crashes.py
+++ b/src/jujubewharf/forwarding/crashes.py
@@ -83,10 +83,12 @@
 
     Attributes:
         on_seen: Told of which request this instance has seen something new.
+        on_quarantine: Told which request goes to no further engine.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
         self.on_seen: Callable[[fingerprints.Fingerprint], None] = _nobody
+        self.on_quarantine: Callable[[fingerprints.Fingerprint], None] = _nobody
         self._clock = clock
         self._records: dict[fingerprints.Fingerprint, _Record] = {}
         # How many of them have an outline.
@@ -120,6 +122,7 @@
         )
         if is_news:
             self.on_seen(fingerprint)
+            self._tell_quarantine(fingerprint)
 
     def came_through(self, call: calls.Call) -> None:
         """Learns that an engine has answered a request whole."""
@@ -148,7 +151,10 @@
         for crash in report.crashes:
             record.crashes_ms.setdefault(crash.engine, now_ms - crash.age_ms)
         record.drop(now_ms - KEPT_MS)
-        return (set(record.crashes_ms), record.cleared_ms) != before
+        if (set(record.crashes_ms), record.cleared_ms) == before:
+            return False
+        self._tell_quarantine(report.fingerprint)
+        return True
 
     def known(self) -> tuple[fingerprints.Fingerprint, ...]:
         """Requests of which anything is remembered."""
@@ -205,6 +211,11 @@
             detail = f"{count} engines crashed, see {self._label(call)}"
             raise errors.WharfError(errors.ErrorKind.QUARANTINED, detail)
 
+    def _tell_quarantine(self, fingerprint: fingerprints.Fingerprint) -> None:
+        count = len(self._records[fingerprint].crashes_ms)
+        if count >= QUARANTINE_CRASHES:
+            self.on_quarantine(fingerprint)
+
     def _label(self, call: calls.Call) -> str:
         record = self._find(call)
         return "" if record is None else record.label
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -34,6 +34,7 @@
 from jujubewharf.forwarding import sharing
 from jujubewharf.forwarding import stream
 from jujubewharf.forwarding import watched_backends
+from jujubewharf.forwarding import watched_places
 from jujubewharf.leadership import crash_keeper
 from jujubewharf.leadership import fleet as fleets
 from jujubewharf.leadership import fleet_crashes
@@ -250,7 +251,9 @@
         sender = attempts.StreamAttempts(
             watched,
             self.registry,
-            led.FleetPlaces(self.fleet.link, places),
+            watched_places.WatchedPlaces(
+                led.FleetPlaces(self.fleet.link, places), self.crashes
+            ),
             self.budget,
             observed,
             self.endpoint_limits,
