--- a/benchmarks/log_cost.py
+++ b/benchmarks/log_cost.py
@@ -22,6 +22,7 @@
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import entry
 from jujubewharf.forwarding import routes
+from jujubewharf.standins import backend_state
 from jujubewharf.standins import backends
 from jujubewharf.standins import tables
 from jujubewharf.telemetry import line_writer
@@ -112,7 +113,7 @@
 
 def _instance(outcome: Outcome, clock: clocks.Clock) -> entry.ForwardingEntry:
     engines = [
-        backends.StandInBackend(
+        backend_state.StandInBackend(
             resources.Endpoint(
                 name, forwarding_parts.SERVICE, f"{name}:1", "a", role
             )
--- a/benchmarks/request_profile.py
+++ b/benchmarks/request_profile.py
@@ -26,6 +26,7 @@
 from jujubewharf.forwarding import entry
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import routes
+from jujubewharf.standins import backend_state
 from jujubewharf.standins import backends
 from jujubewharf.standins import network
 from jujubewharf.standins import tables
@@ -157,11 +158,13 @@
     return instances
 
 
-def _engine(name: str, role: resources.Role) -> backends.StandInBackend:
+def _engine(name: str, role: resources.Role) -> backend_state.StandInBackend:
     endpoint = resources.Endpoint(
         name, forwarding_parts.SERVICE, f"{name}:1", "a", role
     )
-    return backends.StandInBackend(endpoint, events=40, memory_tokens=60_000)
+    return backend_state.StandInBackend(
+        endpoint, events=40, memory_tokens=60_000
+    )
 
 
 def _account(number: int) -> accounts.Account:
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -141,17 +141,7 @@
         self.fleet_crashes = fleet_crashes.FleetCrashes(
             self.fleet, self.crashes, clock
         )
-        self._crash_keeper = (
-            None
-            if adapters.crashes is None
-            else crash_keeper.CrashKeeper(
-                adapters.crashes,
-                self.fleet,
-                self.crashes,
-                self.fleet_crashes,
-                clock,
-            )
-        )
+        self._crash_keeper = self._new_crash_keeper(adapters.crashes)
         self.quotas = fleet_quotas.FleetQuotas(
             self.fleet,
             self.source,
@@ -187,6 +177,15 @@
             on_lost=self.registry.store_lost,
         )
 
+    def _new_crash_keeper(
+        self, table: tables.KeptTable | None
+    ) -> crash_keeper.CrashKeeper | None:
+        if table is None:
+            return None
+        return crash_keeper.CrashKeeper(
+            table, self.fleet, self.crashes, self.fleet_crashes, self._clock
+        )
+
     def _make_forwarder(
         self, adapters: Adapters, rng: random.Random
     ) -> forwarder.Forwarder:
--- a/src/jujubewharf/forwarding/watched_backends.py
+++ b/src/jujubewharf/forwarding/watched_backends.py
@@ -34,6 +34,7 @@
         self._backends = backends
         self._history = history
         self._looking: set[asyncio.Task[None]] = set()
+        # These carry no request of a caller.
         self.listen = backends.listen
         self.drop_source = backends.drop_source
         self.reserve = backends.reserve
--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -7,13 +7,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Iterable
 import contextlib
 import copy
-import dataclasses
 import itertools
 
 from jujubewharf import clock as clocks
@@ -22,127 +20,11 @@
 from jujubewharf.engines import notices
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import ports
+from jujubewharf.standins import backend_state
 
-PROOF = ("Proof", "engine")
 _ENDLESS_MS = 1e9
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ran:
-    """One run that an engine began, and what it was told of the caller."""
-
-    request_id: str
-    engine: str
-    after_event: int | None
-    had_source: bool
-    at_ms: float = 0.0
-    account: str | None = None
-    headers: calls.Headers = ()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Asked:
-    """A request or a prompt that reached a backend, also one it refused."""
-
-    instance: str
-    at_ms: float
-    body: bytes = b""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Crashed:
-    """A backend that crashed under a request."""
-
-    body: bytes
-    engine: str
-    at_ms: float
-
-
-@dataclasses.dataclass(slots=True)
-class StandInBackend:
-    """One engine or endpoint and its faults.
-
-    Attributes:
-        endpoint: What it registers.
-        memory_tokens: Tokens that can be reserved at once.
-        events: Events of each of its answers.
-        event_ms: Time between them.
-        prefill_token_ms: Time to read a token.
-        work_ms: Time for a plain answer.
-        status: Status of its answers.
-        is_unreachable: No connection is made.
-        is_changing: It carries out an order and refuses runs.
-        is_replaced: Another engine has its address.
-        is_silent: It never answers a run that it began.
-        loses_answers: It runs a request and the answer is lost.
-        refuses_sources: Prefill results can't be fetched.
-        refuses_readings: It has no room to read a prompt.
-        loses_readings: It reads prompts and the results are lost.
-        skips: Its streams leave this event out.
-        breaks_after: Its streams break after this event.
-        stalls_after: Its streams fall silent after this event.
-        held: Memory reserved now, by reservation or run.
-        lapses_ms: When reservations end that no run has taken.
-        at_work: Requests that it works on now.
-        orders: Orders that it accepted.
-        next_fault: Fault of the next order, once.
-        refused_readings: Prompts that it was asked to read and had no room
-            for.
-        rate_limit_per_s: Limit that it names in its answers.
-        is_leaving: It says in its answers that it leaves.
-        backoff_ms: It refuses all, and asks to back off for so long.
-        asked: Requests and prompts that reached it, in order.
-        asked_memory: Calls that asked it for memory.
-        told_ms: When it first answered each instance with such a word.
-        has_crashed: Its process is gone, with all that it ran.
-    """
-
-    endpoint: resources.Endpoint
-    memory_tokens: int = 40_000
-    events: int = 5
-    event_ms: float = 50.0
-    prefill_token_ms: float = 0.02
-    work_ms: float = 20.0
-    status: int = 200
-    is_unreachable: bool = False
-    is_changing: bool = False
-    is_replaced: bool = False
-    is_silent: bool = False
-    loses_answers: bool = False
-    refuses_sources: bool = False
-    refuses_readings: bool = False
-    loses_readings: bool = False
-    skips: int | None = None
-    breaks_after: int | None = None
-    stalls_after: int | None = None
-    held: dict[str, int] = dataclasses.field(default_factory=dict)
-    lapses_ms: dict[str, float] = dataclasses.field(default_factory=dict)
-    at_work: set[str] = dataclasses.field(default_factory=set)
-    orders: list[ports.RoleOrder] = dataclasses.field(default_factory=list)
-    next_fault: client.EngineFault | None = None
-    refused_readings: int = 0
-    rate_limit_per_s: float | None = None
-    is_leaving: bool = False
-    backoff_ms: float = 0.0
-    asked: list[Asked] = dataclasses.field(default_factory=list)
-    asked_memory: list[Asked] = dataclasses.field(default_factory=list)
-    told_ms: dict[str, float] = dataclasses.field(default_factory=dict)
-    has_crashed: asyncio.Event = dataclasses.field(
-        default_factory=asyncio.Event
-    )
-
-    @property
-    def name(self) -> str:
-        """Its registered name."""
-        return self.endpoint.name
-
-    def error(
-        self, fault: client.EngineFault, detail: str = ""
-    ) -> client.EngineError:
-        """A failure of a call to it."""
-        return client.EngineError(fault, self.name, detail)
-
-
 class StandInBackends:
     """Implements ``ports.Backends`` over stand-ins.
 
@@ -163,17 +45,21 @@
     """
 
     def __init__(
-        self, clock: clocks.Clock, backends: Iterable[StandInBackend]
+        self,
+        clock: clocks.Clock,
+        backends: Iterable[backend_state.StandInBackend],
     ) -> None:
         self.by_name = {backend.name: backend for backend in backends}
-        self.runs: list[Ran] = []
+        self.runs: list[backend_state.Ran] = []
         self.prefills: list[tuple[str, str]] = []
         self.dropped: list[str] = []
         self.instance = ""
         self.crashing: set[bytes] = set()
         self.crash_after_ms = 60.0
-        self.crashes: list[Crashed] = []
-        self.on_crash: list[Callable[[StandInBackend], object]] = []
+        self.crashes: list[backend_state.Crashed] = []
+        self.on_crash: list[
+            Callable[[backend_state.StandInBackend], object]
+        ] = []
         self._clock = clock
         self._sources: set[str] = set()
         self._numbers = itertools.count(1)
@@ -207,7 +93,7 @@
         held = backend.held.pop(sending.hold or "", 0)
         request_id = sending.call.request_id
         self.runs.append(
-            Ran(
+            backend_state.Ran(
                 request_id,
                 backend.name,
                 sending.after_event,
@@ -233,18 +119,20 @@
                 )
                 self._say(backend, asked_ms, ends_limit=True)
                 yield calls.Reply(
-                    backend.status, (PROOF,), _one(request_id.encode())
+                    backend.status,
+                    (backend_state.PROOF,),
+                    _one(request_id.encode()),
                 )
             else:
                 self._say(backend, asked_ms, ends_limit=True)
                 body = self._events(backend, sending)
-                yield calls.Reply(backend.status, (PROOF,), body)
+                yield calls.Reply(backend.status, (backend_state.PROOF,), body)
         finally:
             backend.at_work.discard(request_id)
             backend.held.pop(slot, None)
 
     def _check_takes_run(
-        self, backend: StandInBackend, sending: calls.Sending
+        self, backend: backend_state.StandInBackend, sending: calls.Sending
     ) -> None:
         if backend.is_changing:
             raise backend.error(client.EngineFault.REFUSED_FULL)
@@ -258,7 +146,7 @@
         self._sources.discard(handle)
 
     async def _events(
-        self, backend: StandInBackend, sending: calls.Sending
+        self, backend: backend_state.StandInBackend, sending: calls.Sending
     ) -> AsyncIterator[bytes]:
         first = (sending.after_event or 0) + 1
         for number in range(first, backend.events + 1):
@@ -310,7 +198,7 @@
         """Reserves memory; see ``ports.Backends``."""
         backend = self._reached(endpoint)
         now_ms = self._clock.now_ms()
-        backend.asked_memory.append(Asked(self.instance, now_ms))
+        backend.asked_memory.append(backend_state.Asked(self.instance, now_ms))
         self._check_backoff(backend)
         self._say(backend, now_ms)
         self.lapse()
@@ -346,7 +234,7 @@
         """Whether its process is gone; see ``ports.Backends``."""
         return self.by_name[endpoint.name].has_crashed.is_set()
 
-    def crash(self, backend: StandInBackend) -> None:
+    def crash(self, backend: backend_state.StandInBackend) -> None:
         """Ends a backend's process, with all that it works on."""
         if backend.has_crashed.is_set():
             return
@@ -354,21 +242,29 @@
         for told in self.on_crash:
             told(backend)
 
-    def _work_ms(self, backend: StandInBackend, call: calls.Call) -> float:
+    def _work_ms(
+        self, backend: backend_state.StandInBackend, call: calls.Call
+    ) -> float:
         """Time for a plain answer; one that crashes its endpoint has none."""
         return _ENDLESS_MS if call.body in self.crashing else backend.work_ms
 
-    def _crash_soon(self, backend: StandInBackend, body: bytes) -> None:
+    def _crash_soon(
+        self, backend: backend_state.StandInBackend, body: bytes
+    ) -> None:
         def crash() -> None:
             if not backend.has_crashed.is_set():
                 now_ms = self._clock.now_ms()
-                self.crashes.append(Crashed(body, backend.name, now_ms))
+                self.crashes.append(
+                    backend_state.Crashed(body, backend.name, now_ms)
+                )
                 self.crash(backend)
 
         at_ms = self._clock.now_ms() + self.crash_after_ms
         self._clock.call_at_ms(at_ms, crash)
 
-    async def _pass_time(self, backend: StandInBackend, for_ms: float) -> None:
+    async def _pass_time(
+        self, backend: backend_state.StandInBackend, for_ms: float
+    ) -> None:
         """Works for a while, unless the backend crashes meanwhile.
 
         Raises:
@@ -388,7 +284,9 @@
                     del backend.lapses_ms[hold]
                     backend.held.pop(hold, None)
 
-    def _reached(self, endpoint: resources.Endpoint) -> StandInBackend:
+    def _reached(
+        self, endpoint: resources.Endpoint
+    ) -> backend_state.StandInBackend:
         backend = self.by_name[endpoint.name]
         if backend.is_unreachable or backend.has_crashed.is_set():
             raise backend.error(client.EngineFault.UNREACHABLE)
@@ -396,15 +294,17 @@
             raise backend.error(client.EngineFault.REFUSED_IDENTITY)
         return backend
 
-    def _asked(self, backend: StandInBackend, sending: calls.Sending) -> float:
+    def _asked(
+        self, backend: backend_state.StandInBackend, sending: calls.Sending
+    ) -> float:
         """Notes that a request reached a backend, which may refuse it."""
         now_ms = self._clock.now_ms()
         body = sending.call.body
-        backend.asked.append(Asked(self.instance, now_ms, body))
+        backend.asked.append(backend_state.Asked(self.instance, now_ms, body))
         self._check_backoff(backend)
         return now_ms
 
-    def _check_backoff(self, backend: StandInBackend) -> None:
+    def _check_backoff(self, backend: backend_state.StandInBackend) -> None:
         if backend.backoff_ms <= 0.0:
             return
         self._say(backend, self._clock.now_ms(), backoff_ms=backend.backoff_ms)
@@ -412,7 +312,7 @@
 
     def _say(
         self,
-        backend: StandInBackend,
+        backend: backend_state.StandInBackend,
         asked_ms: float,
         *,
         ends_limit: bool = False,
--- a/tests/forwarding/deployments.py
+++ b/tests/forwarding/deployments.py
@@ -18,6 +18,7 @@
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import settings as all_settings
+from jujubewharf.standins import backend_state
 from jujubewharf.standins import backends
 from jujubewharf.standins import network
 from jujubewharf.standins import tables
@@ -72,10 +73,10 @@
 
 def engine(
     name: str, role: resources.Role, domain: str = "a", **faults: Any
-) -> backends.StandInBackend:
+) -> backend_state.StandInBackend:
     """A stand-in engine."""
     endpoint = resources.Endpoint(name, ENGINES, f"{name}:1", domain, role)
-    return backends.StandInBackend(endpoint, **faults)
+    return backend_state.StandInBackend(endpoint, **faults)
 
 
 def reader(name: str, domain: str = "a", **faults: Any):
@@ -93,7 +94,7 @@
     endpoint = resources.Endpoint(
         name, PLAIN, f"{name}:1", domain, resources.Role.PLAIN
     )
-    return backends.StandInBackend(endpoint, **faults)
+    return backend_state.StandInBackend(endpoint, **faults)
 
 
 def configuration(version: int, *all_routes: routes.Route):
@@ -146,7 +147,7 @@
         cores: Processor of each; half a core for those that aren't named.
     """
 
-    def __init__(self, *behind: backends.StandInBackend) -> None:
+    def __init__(self, *behind: backend_state.StandInBackend) -> None:
         self.clock = clocks.Clock(wall_origin_ms=0.0)
         self.backends = backends.StandInBackends(self.clock, behind)
         self.configurations = tables.StandInTable(self.clock)
@@ -230,7 +231,7 @@
         for instance in self.instances.values():
             await instance.stop()
 
-    def register(self, backend: backends.StandInBackend, **changes: Any):
+    def register(self, backend: backend_state.StandInBackend, **changes: Any):
         """Has an endpoint write its entry anew, with changes."""
         backend.endpoint = dataclasses.replace(backend.endpoint, **changes)
         self.endpoints.put(backend.name, backend.endpoint)
@@ -242,17 +243,17 @@
             after_ms: How long they are away.
         """
 
-        def revive(backend: backends.StandInBackend) -> None:
+        def revive(backend: backend_state.StandInBackend) -> None:
             at_ms = self.clock.now_ms() + after_ms
             self.clock.call_at_ms(at_ms, lambda: self._start_next(backend))
 
         self.backends.on_crash.append(revive)
 
-    def _start_next(self, crashed: backends.StandInBackend) -> None:
+    def _start_next(self, crashed: backend_state.StandInBackend) -> None:
         self._starts += 1
         name = f"{crashed.name.partition('+')[0]}+{self._starts}"
         endpoint = dataclasses.replace(crashed.endpoint, name=name)
-        started = backends.StandInBackend(
+        started = backend_state.StandInBackend(
             endpoint,
             memory_tokens=crashed.memory_tokens,
             work_ms=crashed.work_ms,
@@ -374,7 +375,7 @@
 
 @contextlib.asynccontextmanager
 async def deployed(
-    *behind: backends.StandInBackend, names=("e1",), is_led: bool = False
+    *behind: backend_state.StandInBackend, names=("e1",), is_led: bool = False
 ):
     """A started deployment for the block."""
     deployment = Deployment(*behind)
--- a/tests/forwarding/test_random_faults.py
+++ b/tests/forwarding/test_random_faults.py
@@ -15,7 +15,7 @@
 import pytest
 
 from jujubewharf import errors
-from jujubewharf.standins import backends
+from jujubewharf.standins import backend_state
 from tests.forwarding import deployments
 
 RUN_MS = 20_000.0
@@ -26,7 +26,7 @@
 LEADER_PART = 0.35
 
 
-def _behind() -> list[backends.StandInBackend]:
+def _behind() -> list[backend_state.StandInBackend]:
     found = []
     for number, domain in enumerate(DOMAINS):
         found.append(deployments.reader(f"p{number}", domain))
@@ -182,7 +182,7 @@
         assert not backend.held, backend.name
 
 
-def _check_repeats(path: str, ran: list[backends.Ran]) -> None:
+def _check_repeats(path: str, ran: list[backend_state.Ran]) -> None:
     if path in ONCE:
         assert len(ran) <= 1
     assert len({r.engine for r in ran}) <= 2
