What changes while crash reports are written is written as well

A crash that was seen during the call was taken off the list of what is to be written together with what the call had written, so a restart of all forgot it; the new test has two engines crash during a write of 200 ms, and fails before. A record was decoded twice, left from an edit.

--- a/src/jujubewharf/forwarding/crashes.py
+++ b/src/jujubewharf/forwarding/crashes.py
@@ -70,8 +70,8 @@
         for engine, at_ms in list(self.crashes_ms.items()):
             if at_ms <= oldest_ms:
                 del self.crashes_ms[engine]
-        latest = sorted(self.crashes_ms, key=lambda e: self.crashes_ms[e])
-        for engine in latest[:-_MOST_CRASHES]:
+        oldest_first = sorted(self.crashes_ms, key=self.crashes_ms.__getitem__)
+        for engine in oldest_first[:-_MOST_CRASHES]:
             del self.crashes_ms[engine]
 
 
--- a/src/jujubewharf/leadership/crash_keeper.py
+++ b/src/jujubewharf/leadership/crash_keeper.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Collection
 import itertools
 import secrets
 
@@ -143,24 +144,22 @@
             except ValueError as error:
                 self._errors.note(record.key, record.offset, error)
                 continue
-            try:
-                report = crash_records.decode(record.value, wall_ms=wall_ms)
-            except ValueError as error:
-                self._logger.error(
-                    "record_not_understood",
-                    table=_TABLE,
-                    key=record.key,
-                    offset=record.offset,
-                    error=type(error).__name__,
-                    detail="",
-                )
-                continue
             self._keys[record.key] = report.fingerprint
             self._spread.found(report)
         self._has_read = True
 
     async def _write(self) -> None:
-        written = set(self._unwritten)
+        # What changes during the call is written by the next one.
+        written, self._unwritten = self._unwritten, set()
+        try:
+            await self._write_all(written)
+        except log.LogUnavailableError:
+            self._unwritten |= written
+            raise
+
+    async def _write_all(
+        self, written: Collection[fingerprints.Fingerprint]
+    ) -> None:
         wall_ms = self._clock.wall_ms()
         values: dict[str, bytes | None] = {}
         for report in self._history.reports(written):
@@ -169,7 +168,6 @@
             self._keys[key] = report.fingerprint
         if values:
             await self._table.write(values)
-        self._unwritten -= written
 
     def _own_key(self, fingerprint: fingerprints.Fingerprint) -> str:
         """The key under which this writer keeps a request; it tells nothing."""
--- a/tests/leadership/test_crash_keeper.py
+++ b/tests/leadership/test_crash_keeper.py
@@ -74,6 +74,28 @@
     deployments.run(main())
 
 
+def test_what_changes_during_a_write_is_written_as_well():
+    """The call takes a while, and another engine crashes meanwhile."""
+
+    async def main():
+        async with _world() as world:
+            write = world.crashes.write
+
+            async def slowly(values):
+                await world.clock.sleep_ms(200.0)
+                await write(values)
+
+            world.crashes.write = slowly
+            _crash(world, "a")
+            await world.clock.sleep_ms(200.0)
+            _crash(world, "b", "c")
+            await world.clock.sleep_ms(2_000.0)
+            await _restart_all(world)
+            assert _counts(world) == {3}
+
+    deployments.run(main())
+
+
 def test_instances_that_start_while_it_is_away_read_it_later():
     async def main():
         async with _world() as world:
