Failing test: on the product's own protocol one request crashes all engines

The same cause elsewhere: a request's attempts go on from one engine to the next for as long as its service has retries, up to 24 of them. Where each engine crashes that writes its answer, eight of eight end under a single request.

--- /dev/null
+++ b/tests/requests/test_crashing_requests.py
@@ -0,0 +1,39 @@
+"""A request that crashes engines, on the product's own engine protocol."""
+
+from __future__ import annotations
+
+import asyncio
+
+from jujubewharf.experiments import virtual_time
+from tests.requests import deployments
+
+MOST_CRASHES = 3
+_DECODERS = 8
+_LOOK_MS = 5.0
+
+
+async def _crash_what_runs(d, crashed: set[str]) -> None:
+    """Ends each decode engine soon after it has begun to write an answer."""
+    while True:
+        for number in range(1, _DECODERS + 1):
+            name = f"d{number}"
+            engine = d.engine(name)
+            if name not in crashed and sum(engine.counts.dispatches.values()):
+                crashed.add(name)
+                await engine.die()
+        await d.clock.sleep_ms(_LOOK_MS)
+
+
+def test_one_request_crashes_three_engines_at_most():
+    """Its attempts go from one engine to the next, and each crashes."""
+
+    async def main():
+        d = await deployments.Deployment(decoders=_DECODERS).start()
+        crashed: set[str] = set()
+        crashing = asyncio.ensure_future(_crash_what_runs(d, crashed))
+        await d.ask(d.request(tokens=2_000, deadline_ms=15_000))
+        crashing.cancel()
+        await d.bench.stop()
+        assert len(crashed) <= MOST_CRASHES
+
+    virtual_time.run(main())
