A request's life ends with the third engine that it loses

What callers saw: on the product's own engine protocol one request that crashes engines went from one to the next within a single life, and eight of eight ended.

Cause: its attempts were bounded by the service's retries alone, up to 24.

Mend: engines that were lost after its answer was begun are counted, and with the third it ends with the same final error as a forwarded request. Refusals, engines that can't be reached and prompts that were lost before still lead on to others.

Before: 8 engines. Not mended: on that protocol another life of the same request, with a new key or at another instance, begins to count anew.

--- a/src/jujubewharf/requests/attempt.py
+++ b/src/jujubewharf/requests/attempt.py
@@ -48,6 +48,7 @@
         is_read: Whether any engine may have been given its prompt to read.
         attempts: Attempts so far.
         exclusions: Engines that failed it.
+        lost_engines: Engines that were lost once its answer was begun.
     """
 
     answer: answers.Answer
@@ -57,6 +58,7 @@
     exclusions: retries.Exclusions = dataclasses.field(
         default_factory=retries.Exclusions
     )
+    lost_engines: set[str] = dataclasses.field(default_factory=set)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/jujubewharf/requests/life.py
+++ b/src/jujubewharf/requests/life.py
@@ -204,6 +204,10 @@
         is_dispatched = progress.dispatch is not attempts.Dispatch.NO
         if is_dispatched and not request.is_repeatable:
             raise errors.WharfError(errors.ErrorKind.OUTCOME_UNKNOWN)
+        if is_dispatched and error.fault is client.EngineFault.LOST:
+            progress.lost_engines.add(error.engine)
+        if len(progress.lost_engines) >= retries.MAX_LOST_ENGINES:
+            raise errors.WharfError(errors.ErrorKind.QUARANTINED)
         if progress.attempts >= retries.MAX_ATTEMPTS:
             raise self._given_up(error)
         # A refusal cost the engines nothing, so it takes no retry budget.
--- a/src/jujubewharf/requests/retries.py
+++ b/src/jujubewharf/requests/retries.py
@@ -8,6 +8,9 @@
 from jujubewharf.engines import client
 
 MAX_ATTEMPTS = 24
+# Engines that one request may lose while they write its answer. It may be what
+# they crash of, and each takes with it all that it runs.
+MAX_LOST_ENGINES = 3
 _FIRST_DELAY_MS = 20.0
 _LONGEST_DELAY_MS = 1_000.0
 _BURST_RETRIES = 10.0
