--- a/src/jujubewharf/forwarding/crashes.py
+++ b/src/jujubewharf/forwarding/crashes.py
@@ -26,8 +26,8 @@
 # A crash counts for this long, so that one wrong suspicion of an innocent
 # request ends by itself.
 KEPT_MS = 600_000.0
-# Requests that are remembered, and crashes of each. Within these bounds a
-# caller that makes up crashing requests costs an instance half a megabyte.
+# Requests that are remembered, and crashes of each: a caller may make up any
+# number of requests, and no instance's memory may grow with them.
 MOST_RECORDS = 1_024
 _MOST_CRASHES = 8
 _MOST_LABEL_CHARS = 64
