--- a/src/jujubewharf/leadership/fleet.py
+++ b/src/jujubewharf/leadership/fleet.py
@@ -23,6 +23,7 @@
 from jujubewharf.leadership import placement_server as servers
 from jujubewharf.peers import counters
 from jujubewharf.peers import link_messages
+from jujubewharf.peers import messages
 
 # Parts of the times within which a change must count, up to which a leader's
 # reading is taken for this instance's own: what is left must do for a reading
@@ -108,6 +109,21 @@
             return Role.LEADING
         return Role.FOLLOWING if self.link.is_open else Role.ALONE
 
+    def tell(self, message: messages.Message) -> None:
+        """Tells the followers something, or the leader.
+
+        Nobody where there is neither: each side of a link that begins tells all
+        that it knows.
+        """
+        match self.role:
+            case Role.LEADING:
+                assert self.followers is not None
+                self.followers.tell_all(message)
+            case Role.FOLLOWING:
+                self.link.tell(message)
+            case Role.ALONE:
+                pass
+
     @property
     def instances(self) -> int | None:
         """Instances that are led together; ``None`` for one without leader."""
--- a/src/jujubewharf/leadership/fleet_crashes.py
+++ b/src/jujubewharf/leadership/fleet_crashes.py
@@ -73,12 +73,4 @@
         reports = self._history.reports(self._untold)
         self._untold.clear()
         news = crash_messages.CrashesKnown(reports)
-        match self._fleet.role:
-            case fleets.Role.LEADING:
-                assert self._fleet.followers is not None
-                self._fleet.followers.tell_all(news)
-            case fleets.Role.FOLLOWING:
-                self._fleet.link.tell(news)
-            case fleets.Role.ALONE:
-                # Told as the next link begins.
-                pass
+        self._fleet.tell(news)
--- a/src/jujubewharf/leadership/fleet_limits.py
+++ b/src/jujubewharf/leadership/fleet_limits.py
@@ -115,12 +115,4 @@
 
     def _spread(self, terms: notices.Terms) -> None:
         news = limit_messages.TermsKnown((terms,), is_news=True)
-        match self._fleet.role:
-            case fleets.Role.LEADING:
-                assert self._fleet.followers is not None
-                self._fleet.followers.tell_all(news)
-            case fleets.Role.FOLLOWING:
-                self._fleet.link.tell(news)
-            case fleets.Role.ALONE:
-                # Told as the next link begins.
-                pass
+        self._fleet.tell(news)
