No innocent request is told of a quarantine, alike or each of its own

The tests of what runs beside a crashing request look at all its answers, not only at those after it, with one body for all callers and one for each; so do the seeded histories, half of them with each.

--- a/tests/forwarding/deployments.py
+++ b/tests/forwarding/deployments.py
@@ -329,18 +329,27 @@
         for_ms: float,
         every_ms: float = 28.0,
         patience_ms: float = 8_000.0,
+        are_alike: bool = True,
     ) -> list[Answer]:
-        """Sends requests to all instances in turn; returns the answers."""
+        """Sends requests to all instances in turn; returns the answers.
+
+        Args:
+            path: Path asked for.
+            for_ms: For how long.
+            every_ms: Time between two requests.
+            patience_ms: How long each caller waits.
+            are_alike: Whether all have the same body.
+        """
         asked: list[asyncio.Task[Answer]] = []
         until_ms = self.clock.now_ms() + for_ms
         while self.clock.now_ms() < until_ms:
             names = sorted(self.instances)
             name = names[len(asked) % len(names)]
-            asked.append(
-                asyncio.ensure_future(
-                    self.ask(path, instance=name, patience_ms=patience_ms)
-                )
+            body = b"body" if are_alike else b"body %d" % len(asked)
+            ask = self.ask(
+                path, instance=name, patience_ms=patience_ms, body=body
             )
+            asked.append(asyncio.ensure_future(ask))
             await self.clock.sleep_ms(every_ms)
         return list(await asyncio.gather(*asked))
 
--- a/tests/leadership/test_crashing_requests.py
+++ b/tests/leadership/test_crashing_requests.py
@@ -96,6 +96,11 @@
     return times[MOST_CRASHES - 1] if len(times) >= MOST_CRASHES else 1e12
 
 
+def _quarantined(answers: list[deployments.Answer]) -> list:
+    kind = errors.ErrorKind.QUARANTINED
+    return [a for a in answers if a.error is not None and a.error.kind is kind]
+
+
 PATHS = ("/verdicts/1", "/once/1", "/lookup/1", "/sale/1")
 
 
@@ -220,20 +225,29 @@
     deployments.run(main())
 
 
+@pytest.mark.parametrize("are_alike", [True, False])
 @pytest.mark.parametrize("path", PATHS)
-def test_innocent_requests_beside_it_are_served(path):
-    """An engine ends under all that it runs; one of them is to blame."""
+def test_innocent_requests_beside_it_are_served(path, are_alike):
+    """An engine ends under all that it runs; one of them is to blame.
+
+    Many callers send the same body, or each one of its own.
+    """
 
     async def main():
         async with _deployed() as world:
             insisting = asyncio.ensure_future(
                 _insist(world, path, for_ms=12_000.0)
             )
-            await world.flood(path, for_ms=12_000.0)
+            beside = await world.flood(
+                path, for_ms=12_000.0, are_alike=are_alike
+            )
+            assert _quarantined(beside) == []
             await insisting
             await world.clock.sleep_ms(SETTLED_MS)
             # The same requests as before: all that ran beside it is cleared.
-            answers = await world.flood(path, for_ms=2_000.0)
+            answers = await world.flood(
+                path, for_ms=2_000.0, are_alike=are_alike
+            )
             assert {a.status for a in answers} == {200}
 
     deployments.run(main())
@@ -275,7 +289,12 @@
                 _insist(world, path, for_ms=60_000.0, every_ms=211.0)
             )
             flood = asyncio.ensure_future(
-                world.flood("/lookup/2", for_ms=60_000.0, every_ms=90.0)
+                world.flood(
+                    "/lookup/2",
+                    for_ms=60_000.0,
+                    every_ms=90.0,
+                    are_alike=seed % 2 == 0,
+                )
             )
             while not insisting.done():
                 await world.clock.sleep_ms(rng.uniform(3_000.0, 9_000.0))
@@ -290,7 +309,7 @@
             ]
             assert len(later) <= MOST_LATER
             world.network.heal()
-            await flood
+            assert _quarantined(await flood) == []
             await world.clock.sleep_ms(SETTLED_MS)
             answers = await world.flood("/lookup/2", for_ms=1_000.0)
             assert {a.status for a in answers} == {200}
