A store that knows no such table is no empty one

The adapter took a 404 for an empty table, so that the table of crash reports could be read before anybody had written to it. It would have taken one for the tables of operators and endpoints as well, and all endpoints for gone.

--- a/tests/users_platform/test_store.py
+++ b/tests/users_platform/test_store.py
@@ -172,7 +172,9 @@
             await table.write({"a": b"1"})
 
 
-async def test_a_table_that_nobody_wrote_is_empty():
+async def test_a_store_that_knows_no_such_table_is_no_empty_one():
+    """All endpoints would be taken for gone."""
     absent = raw_server.answer("404 Not Found", b"{}")
     async with _table(lambda r: [absent]) as (table, _):
-        assert await table.newest() == tables.TablePage((), 0)
+        with pytest.raises(log.LogUnavailableError):
+            await table.newest()
