Failing test: without a leader instances hear nothing of each other's crashes

A leader that falls silent, or a cut between domains, leaves instances that each reach the store. One of them has seen three engines crash under a request; the others know nothing three seconds later, and let it crash three more each.

--- a/tests/leadership/test_crash_keeper.py
+++ b/tests/leadership/test_crash_keeper.py
@@ -9,6 +9,8 @@
 
 CRASHING = b"crashes each engine that runs it"
 NAMES = ("e1", "e2", "e3")
+# Within this all instances have to know, with or without a leader.
+SETTLED_MS = 3_000.0
 
 
 def _world():
@@ -162,3 +164,42 @@
             assert _counts(world) == {3}
 
     deployments.run(main())
+
+
+def test_instances_without_a_leader_hear_of_each_other_by_the_store():
+    """All domains are cut from each other, and each still reaches the store."""
+
+    async def main():
+        behind = [deployments.shop("s1")]
+        world = deployments.Deployment(*behind)
+        await world.start_in("abc", *NAMES)
+        await world.clock.sleep_ms(2_000.0)
+        for first, second in ("ab", "ac", "bc"):
+            world.network.cut(first, second)
+        await world.clock.sleep_ms(500.0)
+        # The links look open still; whoever is told this way isn't told.
+        _crash(world, "a", "b", "c")
+        await world.clock.sleep_ms(SETTLED_MS)
+        assert _counts(world) == {3}
+        await world.stop()
+
+    deployments.run(main())
+
+
+def test_instances_without_a_leader_for_long_read_now_and_then():
+    """A minute of a cut is some calls an instance, not a flood of them."""
+
+    async def main():
+        world = deployments.Deployment(deployments.shop("s1"))
+        await world.start_in("abc", *NAMES)
+        await world.clock.sleep_ms(2_000.0)
+        for first, second in ("ab", "ac", "bc"):
+            world.network.cut(first, second)
+        await world.clock.sleep_ms(5_000.0)
+        reads, writes = world.crashes.reads, world.crashes.writes
+        await world.clock.sleep_ms(60_000.0)
+        assert world.crashes.reads - reads <= len(NAMES) * 60
+        assert world.crashes.writes == writes
+        await world.stop()
+
+    deployments.run(main())
