Failing test: an innocent request is shut out after three crashes beside it

What callers see: an engine ends under all that it runs. A request that ran beside a crashing one three times in a row, or whose engines were killed or lost with their domain three times, with no whole answer between, is told quarantined for ten minutes, though nothing is wrong with it.

--- /dev/null
+++ b/tests/leadership/test_innocent_requests.py
@@ -0,0 +1,126 @@
+"""A request under which engines end for another reason is still served."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+
+from tests.forwarding import deployments
+
+CRASHING = b"crashes each engine that runs it"
+INNOCENT = b"runs beside it"
+NAMES = ("e1", "e2", "e3")
+ENDS = 3
+PATHS = ("/once/1", "/sale/1")
+
+
+@contextlib.asynccontextmanager
+async def _deployed():
+    behind = [deployments.reader("p1")]
+    behind += [deployments.writer(f"d{n}", "abc"[n % 3]) for n in range(6)]
+    behind += [deployments.shop(f"s{n}", "abc"[n % 3]) for n in range(6)]
+    for backend in behind:
+        backend.memory_tokens = 400_000
+        # Long enough for whatever ends an engine to end it meanwhile.
+        backend.work_ms = 300.0
+        backend.event_ms = 60.0
+    world = deployments.Deployment(*behind)
+    world.revive_crashed()
+    world.backends.crashing.add(CRASHING)
+    await world.start_in("abc", *NAMES)
+    await world.clock.sleep_ms(2_000.0)
+    try:
+        yield world
+    finally:
+        await world.stop()
+
+
+def _runs_innocent(world):
+    """The engine that runs the innocent request now, by its latest arrival."""
+    return max(
+        world.backends.by_name.values(),
+        key=lambda b: max(
+            (a.at_ms for a in b.asked if a.body == INNOCENT and b.at_work),
+            default=-1.0,
+        ),
+    )
+
+
+async def _ended_under_it(world, path: str, end) -> None:
+    """One try of the innocent request, whose engine ends while it runs."""
+    trying = asyncio.ensure_future(
+        world.ask(path, instance="e1", body=INNOCENT)
+    )
+    await world.clock.sleep_ms(150.0)
+    await end(world, _runs_innocent(world))
+    answer = await trying
+    assert answer.error is not None
+    # Engines are back.
+    await world.clock.sleep_ms(4_000.0)
+
+
+async def _served(world, path: str) -> None:
+    answer = await world.ask(path, instance="e2", body=INNOCENT)
+    assert answer.error is None
+    assert answer.status == 200
+
+
+async def _by_the_crashing_request(world, engine) -> None:
+    """Has the crashing request run where the innocent one runs."""
+    call = world.call("/crashing", body=CRASHING)
+    history = world.instances["e3"].crashes
+    world.backends.crash(engine)
+    history.crashed(call, engine.name, stage="run")
+
+
+async def _alone(world, engine) -> None:
+    world.backends.crash(engine)
+
+
+async def _with_its_domain(world, engine) -> None:
+    for backend in list(world.backends.by_name.values()):
+        if backend.endpoint.domain == engine.endpoint.domain:
+            world.backends.crash(backend)
+
+
+@pytest.mark.parametrize("path", PATHS)
+@pytest.mark.parametrize(
+    "end", [_by_the_crashing_request, _alone, _with_its_domain]
+)
+def test_it_is_served_after_three_engines_have_ended_under_it(path, end):
+    """Beside a crashing request, killed, or lost with their domain."""
+
+    async def main():
+        async with _deployed() as world:
+            for _ in range(ENDS):
+                await _ended_under_it(world, path, end)
+            await _served(world, path)
+
+    deployments.run(main())
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_it_is_served_after_its_engines_were_cut_off_three_times(path):
+    """Nobody can tell whether an engine behind a cut still lives."""
+
+    async def main():
+        async with _deployed() as world:
+
+            async def cut(world, engine):
+                engine.is_unreachable = True
+                engine.has_crashed.set()
+
+            look = world.instances["e1"]._forwarder._plain._backends
+
+            async def unknown(endpoint):
+                return False
+
+            look.has_crashed = unknown
+            look._backends.has_crashed = unknown
+            for _ in range(ENDS):
+                await _ended_under_it(world, path, cut)
+            await _served(world, path)
+
+    deployments.run(main())
