One try of a request in quarantine is let through, and tells

What callers saw: a request that was beside crashes three times in a row, or whose engines were killed or lost with their domain, was told quarantined for ten minutes, though nothing is wrong with it.

Cause: three crashes without a whole answer between are no proof. What an engine crashed of shows only in a run.

Mend: the next try of a request in quarantine is let through, one over all instances: the leader grants it, who has none grants it alone, and that it was granted is told, kept and read like the crashes. It goes to one engine. When that crashes as well nothing more is let through; a whole answer clears the request. A try that tells nothing is followed by another one after 15 s.

Ruled out: to put crashes down to another request that ran on the same engine. It doesn't help one whose engines were killed, and two crashing requests would excuse each other.

What it costs: a fourth engine for each request that does crash them.

--- a/src/jujubewharf/forwarding/calls.py
+++ b/src/jujubewharf/forwarding/calls.py
@@ -48,6 +48,8 @@
         last_event: Last event that the caller has of an earlier sending.
         account: Name of the client account, which endpoints are told; ``None``
             where no key was shown or none is asked for.
+        is_trial: Whether this try is let through although others of the same
+            request have crashed engines.
     """
 
     request_id: str
@@ -61,6 +63,7 @@
     work: ModelWork | None = None
     last_event: int | None = None
     account: str | None = None
+    is_trial: bool = False
 
     @property
     def path(self) -> str:
--- a/src/jujubewharf/forwarding/crash_records.py
+++ b/src/jujubewharf/forwarding/crash_records.py
@@ -26,6 +26,7 @@
     label: str
     crashes: list[_Crash]
     cleared_age_ms: float | None = pydantic.Field(default=None, ge=0)
+    trial_age_ms: float | None = pydantic.Field(default=None, ge=0)
 
 
 def encode(report: crash_reports.CrashReport, *, wall_ms: float) -> bytes:
@@ -46,6 +47,7 @@
             for crash in report.crashes
         ],
         cleared_age_ms=report.cleared_age_ms,
+        trial_age_ms=report.trial_age_ms,
     )
     return record.model_dump_json().encode()
 
@@ -64,9 +66,6 @@
     record = _Record.model_validate_json(data)
     since_ms = max(0.0, wall_ms - record.written_unix_ms)
     outline = fingerprints.Outline(record.account, record.shape)
-    cleared_age_ms = record.cleared_age_ms
-    if cleared_age_ms is not None:
-        cleared_age_ms += since_ms
     return crash_reports.CrashReport(
         fingerprints.Fingerprint(outline, bytes.fromhex(record.digest)),
         record.label,
@@ -74,5 +73,10 @@
             crash_reports.Crash(crash.engine, crash.age_ms + since_ms)
             for crash in record.crashes
         ),
-        cleared_age_ms,
+        _older(record.cleared_age_ms, since_ms),
+        _older(record.trial_age_ms, since_ms),
     )
+
+
+def _older(age_ms: float | None, by_ms: float) -> float | None:
+    return None if age_ms is None else age_ms + by_ms
--- a/src/jujubewharf/forwarding/crashes.py
+++ b/src/jujubewharf/forwarding/crashes.py
@@ -3,7 +3,8 @@
 An engine ends under all that it runs, so most of the requests that it ran are
 innocent. One that an engine has answered whole is: its record is cleared. One
 under which three engines have crashed, with no whole answer since, is in
-quarantine and goes to no further engine.
+quarantine and goes to no further engine, but for one try: it may have been
+beside crashes each time, and only a run tells.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
+from typing import Protocol
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
@@ -23,6 +25,8 @@
 # An innocent request is beside a crash now and then, and beside three in a row
 # hardly ever; each crash costs an engine and all that it ran.
 QUARANTINE_CRASHES = 3
+# A try that was let through has come to its end by then, one way or another.
+TRIAL_MS = 15_000.0
 # A crash counts for this long, so that one wrong suspicion of an innocent
 # request ends by itself.
 KEPT_MS = 600_000.0
@@ -35,6 +39,9 @@
 _SAME_MS = 1_000.0
 
 
+_NEVER_MS = float("-inf")
+
+
 def _nobody(fingerprint: fingerprints.Fingerprint) -> None:
     """Stands in where nobody is to be told."""
 
@@ -48,22 +55,28 @@
         crashes_ms: Engines that crashed under it, and when.
         cleared_ms: When an engine last answered it whole; crashes up to then
             don't count.
+        trial_ms: When a try was let through in quarantine.
     """
 
     label: str
     crashes_ms: dict[str, float] = dataclasses.field(default_factory=dict)
-    cleared_ms: float = float("-inf")
+    cleared_ms: float = _NEVER_MS
+    trial_ms: float = _NEVER_MS
 
     @property
-    def was_cleared(self) -> bool:
-        """Whether an engine has answered it whole."""
-        return self.cleared_ms > float("-inf")
+    def is_quarantined(self) -> bool:
+        """Whether it goes to no further engine."""
+        return len(self.crashes_ms) >= QUARANTINE_CRASHES
 
     @property
     def changed_ms(self) -> float:
         """When anything of it was last seen."""
         return max((self.cleared_ms, *self.crashes_ms.values()))
 
+    def state(self) -> tuple[frozenset[str], float, float]:
+        """What makes it differ from what was known before."""
+        return frozenset(self.crashes_ms), self.cleared_ms, self.trial_ms
+
     def drop(self, oldest_ms: float) -> None:
         """Forgets what doesn't count any more."""
         oldest_ms = max(oldest_ms, self.cleared_ms)
@@ -140,18 +153,18 @@
             Whether any of it is new, and counts.
         """
         record = self._of(report.fingerprint, label=report.label)
-        before = (set(record.crashes_ms), record.cleared_ms)
+        before = record.state()
         # The same name for it at all instances, in whichever order they heard.
         record.label = min(record.label, report.label)
         now_ms = self._clock.now_ms()
-        if report.cleared_age_ms is not None:
-            cleared_ms = now_ms - report.cleared_age_ms
-            if cleared_ms > record.cleared_ms + _SAME_MS:
-                record.cleared_ms = cleared_ms
+        record.cleared_ms = _later(
+            record.cleared_ms, report.cleared_age_ms, now_ms
+        )
+        record.trial_ms = _later(record.trial_ms, report.trial_age_ms, now_ms)
         for crash in report.crashes:
             record.crashes_ms.setdefault(crash.engine, now_ms - crash.age_ms)
         record.drop(now_ms - KEPT_MS)
-        if (set(record.crashes_ms), record.cleared_ms) == before:
+        if record.state() == before:
             return False
         self._tell_quarantine(report.fingerprint)
         return True
@@ -182,11 +195,12 @@
             crash_reports.Crash(engine, now_ms - at_ms)
             for engine, at_ms in record.crashes_ms.items()
         )
-        cleared_age_ms = None
-        if record.was_cleared:
-            cleared_age_ms = now_ms - record.cleared_ms
         return crash_reports.CrashReport(
-            fingerprint, record.label, found, cleared_age_ms
+            fingerprint,
+            record.label,
+            found,
+            _age_ms(record.cleared_ms, now_ms),
+            _age_ms(record.trial_ms, now_ms),
         )
 
     def count(self, call: calls.Call) -> int:
@@ -197,23 +211,47 @@
         record.drop(self._clock.now_ms() - KEPT_MS)
         return len(record.crashes_ms)
 
+    def is_quarantined(self, call: calls.Call) -> bool:
+        """Whether a request goes to no further engine."""
+        return self.count(call) >= QUARANTINE_CRASHES
+
+    def begin_trial(self, fingerprint: fingerprints.Fingerprint) -> bool:
+        """Lets one try of a request through all the same, if none was.
+
+        Another one may follow where it neither crashed an engine nor came
+        through in its time, for then it has told nothing.
+        """
+        record = self._records.get(fingerprint)
+        if record is None:
+            # More is known where the try arrived than here.
+            return False
+        now_ms = self._clock.now_ms()
+        record.drop(now_ms - KEPT_MS)
+        if len(record.crashes_ms) > QUARANTINE_CRASHES:
+            return False
+        if now_ms - record.trial_ms < TRIAL_MS:
+            return False
+        record.trial_ms = now_ms
+        self.on_seen(fingerprint)
+        return True
+
     def check(self, call: calls.Call) -> None:
         """Passes where a request may be sent to an engine.
 
         Asked when a request arrives and right before each sending: another try
-        of it may have crashed an engine meanwhile.
+        of it may have crashed an engine meanwhile. The one that is let through
+        passes until one more has crashed.
 
         Raises:
             WharfError: ``QUARANTINED``.
         """
         count = self.count(call)
-        if count >= QUARANTINE_CRASHES:
+        if count >= QUARANTINE_CRASHES + call.is_trial:
             detail = f"{count} engines crashed, see {self._label(call)}"
             raise errors.WharfError(errors.ErrorKind.QUARANTINED, detail)
 
     def _tell_quarantine(self, fingerprint: fingerprints.Fingerprint) -> None:
-        count = len(self._records[fingerprint].crashes_ms)
-        if count >= QUARANTINE_CRASHES:
+        if self._records[fingerprint].is_quarantined:
             self.on_quarantine(fingerprint)
 
     def _label(self, call: calls.Call) -> str:
@@ -282,3 +320,22 @@
         self._outlines[fingerprint.outline] -= 1
         if not self._outlines[fingerprint.outline]:
             del self._outlines[fingerprint.outline]
+
+
+def _later(known_ms: float, age_ms: float | None, now_ms: float) -> float:
+    """The later of two moments, one of which is told by its age."""
+    if age_ms is None or now_ms - age_ms <= known_ms + _SAME_MS:
+        return known_ms
+    return now_ms - age_ms
+
+
+def _age_ms(at_ms: float, now_ms: float) -> float | None:
+    return None if at_ms == _NEVER_MS else now_ms - at_ms
+
+
+class Trials(Protocol):
+    """Lets one try of a request in quarantine through, over all instances."""
+
+    async def take(self, call: calls.Call) -> bool:
+        """Whether this try is the one."""
+        ...
--- a/src/jujubewharf/forwarding/decisions.py
+++ b/src/jujubewharf/forwarding/decisions.py
@@ -288,6 +288,11 @@
     )
 
 
+def let_through(run: runs.Run) -> None:
+    """A request in quarantine goes to one engine more, which will tell."""
+    _logger.info("quarantine_trial", request=run.call.request_id)
+
+
 def ended(run: runs.Run, outcome: str, *, took_ms: float) -> None:
     """A request's life is over."""
     _ENDED.add(1, {"service": run.service, "outcome": outcome})
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -275,6 +275,7 @@
             self.budget,
             self.quotas,
             self.crashes,
+            self.fleet_crashes,
             clock,
             rng,
             domain=self._settings.domain,
--- a/src/jujubewharf/forwarding/forwarder.py
+++ b/src/jujubewharf/forwarding/forwarder.py
@@ -105,6 +105,7 @@
         budget: Bounds retries over the fleet.
         quotas: Bound what accounts use over the fleet.
         history: Tells under which requests engines crashed.
+        trials: Let one try of such a request through.
         clock: Time.
         rng: Splits routes between their services.
         domain: Failure domain of this instance.
@@ -118,6 +119,7 @@
         budget: budgets.FleetBudget,
         quotas: all_quotas.Quotas,
         history: crashes.CrashHistory,
+        trials: crashes.Trials,
         clock: clocks.Clock,
         rng: random.Random,
         *,
@@ -130,6 +132,7 @@
         self._budget = budget
         self._quotas = quotas
         self._history = history
+        self._trials = trials
         self._clock = clock
         self._rng = rng
 
@@ -148,6 +151,7 @@
         outcome = decisions.CANCELLED
         try:
             async with self._bounded(run), contextlib.AsyncExitStack() as stack:
+                await self._admit(run)
                 reply = await self._begin(stack, run)
                 self._quotas.admitted(run)
                 held_ms = self._clock.now_ms() - call.arrived_ms
@@ -171,12 +175,23 @@
             took_ms = self._clock.now_ms() - call.arrived_ms
             decisions.ended(run, outcome, took_ms=took_ms)
 
+    async def _admit(self, run: runs.Run) -> None:
+        """Refuses a request that crashes engines, before it uses up anything.
+
+        Raises:
+            WharfError: ``QUARANTINED``.
+        """
+        if not self._history.is_quarantined(run.call):
+            return
+        if await self._trials.take(run.call):
+            decisions.let_through(run)
+            run.call = dataclasses.replace(run.call, is_trial=True)
+        self._history.check(run.call)
+
     def _new_run(self, call: calls.Call) -> runs.Run:
         route = self._source.match(call.host, call.path)
         account = self._source.account_of(route, call.headers)
         call = self._without_key(call, account)
-        # Before it waits for memory or uses up any quota.
-        self._history.check(call)
         service = self._pick(route)
         self._budget.accepted(service)
         within_ms = route.timeout_ms
--- a/src/jujubewharf/leadership/fleet_crashes.py
+++ b/src/jujubewharf/leadership/fleet_crashes.py
@@ -1,5 +1,7 @@
 """Has all instances know which requests crash engines.
 
+The leader also lets one try of each through, where that is to tell.
+
 A request that crashed an engine comes again to any instance. Who sees a crash,
 or a whole answer after one, tells the leader, who tells all. An instance
 without a leader goes by what it knows, and tells it as its next link begins.
@@ -10,6 +12,7 @@
 from collections.abc import Callable
 
 from jujubewharf import clock as clocks
+from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import crash_reports
 from jujubewharf.forwarding import crashes
 from jujubewharf.forwarding import fingerprints
@@ -48,6 +51,17 @@
         self.on_change = lambda fingerprint: None
         history.on_seen = self._spread
 
+    async def take(self, call: calls.Call) -> bool:
+        """Whether this try is let through; see ``crashes.Trials``."""
+        fingerprint = fingerprints.Fingerprint.from_call(call)
+        if self._fleet.role is fleets.Role.FOLLOWING:
+            return await self._fleet.link.trial(fingerprint)
+        return self.grant(fingerprint)
+
+    def grant(self, fingerprint: fingerprints.Fingerprint) -> bool:
+        """Lets one try of a request through that is in quarantine here."""
+        return self._history.begin_trial(fingerprint)
+
     def told(self, message: crash_messages.CrashesKnown) -> None:
         """Learns from a follower, and tells the others what is new."""
         for report in message.reports:
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -14,6 +14,7 @@
 from jujubewharf.configuration import resources
 from jujubewharf.forwarding import costs
 from jujubewharf.forwarding import decisions
+from jujubewharf.forwarding import fingerprints
 from jujubewharf.forwarding import places as all_places
 from jujubewharf.forwarding import registry as registries
 from jujubewharf.forwarding import routes
@@ -215,6 +216,22 @@
             return None
         return answer.wait_ms
 
+    async def trial(self, fingerprint: fingerprints.Fingerprint) -> bool:
+        """Asks the leader to let one try of a request through.
+
+        Returns:
+            Whether it does; no where it didn't answer.
+        """
+        link = self._link
+        if link is None:
+            return False
+        question = crash_messages.TrialAsk(fingerprint)
+        try:
+            answer = await link.ask(question, timeout_ms=_PERMIT_WITHIN_MS)
+        except network.PeerError:
+            return False
+        return isinstance(answer, crash_messages.Trial) and answer.is_granted
+
     def tell(self, message: messages.Message) -> None:
         """Tells the leader something, if there is one."""
         if self._link is not None:
--- a/src/jujubewharf/leadership/placement_server.py
+++ b/src/jujubewharf/leadership/placement_server.py
@@ -14,6 +14,7 @@
 from jujubewharf.forwarding import beliefs
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import costs
+from jujubewharf.forwarding import fingerprints
 from jujubewharf.forwarding import forwarder
 from jujubewharf.forwarding import observations as observed
 from jujubewharf.forwarding import placement as placements
@@ -74,6 +75,10 @@
         """Learns it from a follower."""
         ...
 
+    def grant(self, fingerprint: fingerprints.Fingerprint) -> bool:
+        """Lets one try of such a request through, if none was."""
+        ...
+
 
 class _UnfinishedError(Exception):
     """The answer for which a place was held broke off."""
@@ -152,6 +157,9 @@
                 return limit_messages.Permit(self._limits.grant(endpoint))
             case limit_messages.TermsKnown():
                 self._limits.told(message)
+            case crash_messages.TrialAsk(fingerprint=fingerprint):
+                is_granted = self._crashes.grant(fingerprint)
+                return crash_messages.Trial(is_granted)
             case crash_messages.CrashesKnown():
                 self._crashes.told(message)
             case leader_messages.CostsObserved():
--- a/src/jujubewharf/peers/crash_messages.py
+++ b/src/jujubewharf/peers/crash_messages.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from jujubewharf.forwarding import crash_reports
+from jujubewharf.forwarding import fingerprints
 from jujubewharf.peers import messages
 
 
@@ -18,3 +19,19 @@
     """
 
     reports: tuple[crash_reports.CrashReport, ...]
+
+
+@messages.message(111)
+@dataclasses.dataclass(frozen=True, slots=True)
+class TrialAsk(messages.Message):
+    """A follower asks to let one try of a request in quarantine through."""
+
+    fingerprint: fingerprints.Fingerprint
+
+
+@messages.message(112)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Trial(messages.Message):
+    """The leader's answer."""
+
+    is_granted: bool
--- a/src/jujubewharf/standins/backend_state.py
+++ b/src/jujubewharf/standins/backend_state.py
@@ -33,6 +33,7 @@
     instance: str
     at_ms: float
     body: bytes = b""
+    request_id: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -299,8 +299,12 @@
     ) -> float:
         """Notes that a request reached a backend, which may refuse it."""
         now_ms = self._clock.now_ms()
-        body = sending.call.body
-        backend.asked.append(backend_state.Asked(self.instance, now_ms, body))
+        call = sending.call
+        backend.asked.append(
+            backend_state.Asked(
+                self.instance, now_ms, call.body, call.request_id
+            )
+        )
         self._check_backoff(backend)
         return now_ms
 
