Instances that are cut from each other hear of crashes by the store

What callers saw: where the leader had fallen silent or domains were cut from each other, a request that one instance had seen crash three engines was sent on by the others, three times more on each side, though all reached the store.

Cause: the table was read as an instance starts or begins to lead, and who followed forgot what it had told its leader at once, whether that wrote it or not.

Mend: who leads and who has no leader follow the table of crash reports with reads that wait at the store; a follower only when it has lost its leader, from where it stopped. What it has told its leader is remembered for five seconds, and written by itself should the leader fall silent. Reading is a service of its own on the follower of tables that is there, so the keeper only writes.

Ruled out: reading again and again only while followers are lost, since a leader behind a cut doesn't see that they are (tried, the leader still knew nothing).

Before: two of three instances know nothing after 3 s. After: all know.

--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -35,6 +35,7 @@
 from jujubewharf.forwarding import stream
 from jujubewharf.forwarding import watched_backends
 from jujubewharf.forwarding import watched_places
+from jujubewharf.leadership import crash_follower
 from jujubewharf.leadership import crash_keeper
 from jujubewharf.leadership import fleet as fleets
 from jujubewharf.leadership import fleet_crashes
@@ -141,7 +142,7 @@
         self.fleet_crashes = fleet_crashes.FleetCrashes(
             self.fleet, self.crashes, clock
         )
-        self._crash_keeper = self._new_crash_keeper(adapters.crashes)
+        self._crash_services = self._new_crash_services(adapters.crashes, rng)
         self.quotas = fleet_quotas.FleetQuotas(
             self.fleet,
             self.source,
@@ -177,14 +178,20 @@
             on_lost=self.registry.store_lost,
         )
 
-    def _new_crash_keeper(
-        self, table: tables.KeptTable | None
-    ) -> crash_keeper.CrashKeeper | None:
+    def _new_crash_services(
+        self, table: tables.KeptTable | None, rng: random.Random
+    ) -> tuple[mode.Service, ...]:
+        """What keeps crashes in the store, and reads them there."""
         if table is None:
-            return None
-        return crash_keeper.CrashKeeper(
-            table, self.fleet, self.crashes, self.fleet_crashes, self._clock
+            return ()
+        fleet, spread = self.fleet, self.fleet_crashes
+        keeper = crash_keeper.CrashKeeper(
+            table, fleet, self.crashes, spread, self._clock
         )
+        reader = crash_follower.new_crash_follower(
+            table, fleet, spread, self._clock, rng, on_record=keeper.found
+        )
+        return keeper, reader
 
     def _make_forwarder(
         self, adapters: Adapters, rng: random.Random
@@ -286,8 +293,8 @@
         await self.add_runtime_dependency(self.quotas)
         await self.add_runtime_dependency(self._configurations)
         await self.add_runtime_dependency(self._endpoints)
-        if self._crash_keeper is not None:
-            await self.add_runtime_dependency(self._crash_keeper)
+        for service in self._crash_services:
+            await self.add_runtime_dependency(service)
         if self._leadership is None:
             await self.add_runtime_dependency(self.share)
         await self.add_runtime_dependency(self._orders)
--- a/src/jujubewharf/leadership/crash_keeper.py
+++ b/src/jujubewharf/leadership/crash_keeper.py
@@ -1,9 +1,9 @@
 """Keeps what is known of requests that crash engines in the platform's store.
 
 A loss of power everywhere would else let each of them crash three engines more.
-The leader writes for all, and so does who has no leader; whoever starts or
-begins to lead reads. Each writer has keys of its own, so that none overwrites
-what another one knows, and reports join in any order.
+The leader writes for all, and so does who has no leader; ``crash_follower``
+reads. Each writer has keys of its own, so that none overwrites what another one
+knows, and reports join in any order.
 """
 
 from __future__ import annotations
@@ -23,28 +23,28 @@
 from jujubewharf.leadership import fleet as fleets
 from jujubewharf.leadership import fleet_crashes
 from jujubewharf.platform import log
-from jujubewharf.platform import record_errors
 from jujubewharf.platform import tables
 
 # What changes within this time is written together.
 _GATHER_MS = 50.0
 # Pause between two looks where nothing changes, and after a failed call.
-_LOOK_MS = 500.0
+_LOOK_MS = 250.0
+# What a follower has told its leader is written by that one, unless it has
+# fallen silent meanwhile; the follower knows that after less than this time.
+_LEADER_WRITES_MS = 5_000.0
 # Records of requests that nobody remembers are removed this often.
 _CLEAN_MS = 60_000.0
 _WRITER_BYTES = 6
-# Names the table in log lines.
-_TABLE = "crashes"
 
 
 class CrashKeeper(mode.Service):
-    """Reads and writes the table of crash reports.
+    """Writes the table of crash reports.
 
     Args:
         table: The store's table.
         fleet: The leader of this instance, or its followers.
         history: What this instance knows.
-        spread: Learns what the store has, and tells it to the others.
+        spread: Tells what has become known here.
         clock: Time.
     """
 
@@ -66,44 +66,37 @@
         self._writer = secrets.token_hex(_WRITER_BYTES)
         self._numbers = itertools.count(1)
         self._own_keys: dict[fingerprints.Fingerprint, str] = {}
-        self._lost_ms: float | None = None
-        self._errors = record_errors.RecordErrors(_TABLE)
         self._logger = structlog.get_logger()
         self._role: fleets.Role | None = None
-        self._has_read = False
         self._keys: dict[str, fingerprints.Fingerprint] = {}
-        self._unwritten: set[fingerprints.Fingerprint] = set()
+        # What is to be written, and since when.
+        self._unwritten: dict[fingerprints.Fingerprint, float] = {}
         self._cleaned_ms = 0.0
         self._changed = asyncio.Event()
         spread.on_change = self._note
 
     def _note(self, fingerprint: fingerprints.Fingerprint) -> None:
-        self._unwritten.add(fingerprint)
+        self._unwritten[fingerprint] = self._clock.now_ms()
         self._changed.set()
 
+    def found(self, key: str, fingerprint: fingerprints.Fingerprint) -> None:
+        """Learns that the table has a record under a key."""
+        self._keys[key] = fingerprint
+
     @mode.Service.task
     async def _keep(self) -> None:
         while not self.should_stop:
             try:
                 await self._look()
             except log.LogUnavailableError as error:
-                self._lost(str(error))
+                self._logger.info(
+                    "crashes_not_written",
+                    detail=str(error),
+                    requests=len(self._unwritten),
+                )
                 await self._clock.sleep_ms(_LOOK_MS)
-            else:
-                self._regained()
             await self._wait()
 
-    def _lost(self, detail: str) -> None:
-        if self._lost_ms is None:
-            self._lost_ms = self._clock.now_ms()
-            self._logger.warning("store_lost", table=_TABLE, detail=detail)
-
-    def _regained(self) -> None:
-        if self._lost_ms is not None:
-            away_ms = round(self._clock.now_ms() - self._lost_ms)
-            self._logger.info("store_regained", table=_TABLE, away_ms=away_ms)
-            self._lost_ms = None
-
     async def _wait(self) -> None:
         try:
             async with self._clock.timeout_ms(_LOOK_MS):
@@ -115,46 +108,35 @@
 
     async def _look(self) -> None:
         """Does what is due in the role that this instance has now."""
-        role = self._fleet.role
+        role, was = self._fleet.role, self._role
+        self._role = role
         if role is fleets.Role.FOLLOWING:
-            # The leader has told all it knows, and writes for all.
-            self._has_read = True
-            self._unwritten.clear()
-        elif role is fleets.Role.LEADING and self._role is not role:
+            self._leave_to_leader()
+            return
+        if role is fleets.Role.LEADING and was is not role:
             # Whoever led before may have failed to write, or written what it
             # could tell nobody.
-            self._has_read = False
-            self._unwritten.update(self._history.known())
-        self._role = role
-        if not self._has_read:
-            await self._read()
+            now_ms = self._clock.now_ms()
+            self._unwritten = dict.fromkeys(self._history.known(), now_ms)
         if self._unwritten:
             await self._write()
         if role is fleets.Role.LEADING:
             await self._clean()
 
-    async def _read(self) -> None:
-        page = await self._table.newest()
-        wall_ms = self._clock.wall_ms()
-        for record in page.records:
-            if record.value is None:
-                continue
-            try:
-                report = crash_records.decode(record.value, wall_ms=wall_ms)
-            except ValueError as error:
-                self._errors.note(record.key, record.offset, error)
-                continue
-            self._keys[record.key] = report.fingerprint
-            self._spread.found(report)
-        self._has_read = True
+    def _leave_to_leader(self) -> None:
+        """Forgets what the leader has been told, once it must have written."""
+        oldest_ms = self._clock.now_ms() - _LEADER_WRITES_MS
+        for fingerprint, since_ms in list(self._unwritten.items()):
+            if since_ms < oldest_ms:
+                del self._unwritten[fingerprint]
 
     async def _write(self) -> None:
         # What changes during the call is written by the next one.
-        written, self._unwritten = self._unwritten, set()
+        written, self._unwritten = self._unwritten, {}
         try:
             await self._write_all(written)
         except log.LogUnavailableError:
-            self._unwritten |= written
+            self._unwritten = written | self._unwritten
             raise
 
     async def _write_all(
--- a/src/jujubewharf/platform/tables.py
+++ b/src/jujubewharf/platform/tables.py
@@ -63,17 +63,14 @@
         ...
 
 
-class KeptTable(Protocol):
-    """A table of this system's own, for what outlives all instances.
-
-    Both calls raise ``log.LogUnavailableError``; a write that raises may take
-    effect all the same, and later.
-    """
-
-    async def newest(self) -> TablePage[bytes]:
-        """The newest record of each key."""
-        ...
+class KeptTable(Table[bytes], Protocol):
+    """A table of this system's own, for what outlives all instances."""
 
     async def write(self, values: Mapping[str, bytes | None]) -> None:
-        """Writes records, all or none; ``None`` removes a key."""
+        """Writes records, all or none; ``None`` removes a key.
+
+        Raises:
+            LogUnavailableError: There was no answer; it may take effect all
+                the same, and later.
+        """
         ...
