Failing test: a stream breaks off with the third engine that crashes under it

What callers see: an innocent stream whose third engine is killed in the middle of the answer breaks off, though its caller has a part of it and another engine could go on. The one try that is let through is granted on arrival only.

--- a/tests/leadership/test_innocent_requests.py
+++ b/tests/leadership/test_innocent_requests.py
@@ -101,6 +101,27 @@
     deployments.run(main())
 
 
+def test_a_stream_goes_on_at_another_engine_after_the_third():
+    """Its caller has a part of the answer, and comes back with no other try."""
+
+    async def main():
+        async with _deployed() as world:
+            call = world.call("/verdicts/1", body=INNOCENT)
+            for engine in ("x1", "x2"):
+                world.instances["e2"].crashes.crashed(call, engine, stage="run")
+            await world.clock.sleep_ms(100.0)
+            trying = asyncio.ensure_future(
+                world.ask("/verdicts/1", instance="e1", body=INNOCENT)
+            )
+            await world.clock.sleep_ms(250.0)
+            world.backends.crash(_runs_innocent(world))
+            answer = await trying
+            assert answer.error is None
+            assert answer.numbers == [1, 2, 3, 4, 5]
+
+    deployments.run(main())
+
+
 @pytest.mark.parametrize("path", PATHS)
 def test_it_is_served_after_its_engines_were_cut_off_three_times(path):
     """Nobody can tell whether an engine behind a cut still lives."""
