One way to ask the leader for leave, and other things that stood twice

A permit and a trial were asked for alike; three modules had a constant each for when to come back; two test files made the same stand-ins, two tests the same crashes. The services between crash reports and the store are put together in a module of their own, so the entry has fewer lines.

--- a/src/jujubewharf/experiments/callers.py
+++ b/src/jujubewharf/experiments/callers.py
@@ -25,11 +25,11 @@
 from jujubewharf.experiments import processes
 from jujubewharf.requests import model_request
 from jujubewharf.requests import plain
+from jujubewharf.requests import retries
 from jujubewharf.standins import generation
 
 _SILENCE_MS = 10_000.0
 _NOBODY_MS = 100.0
-_COME_BACK_MS = 1_000.0
 _CONNECTION_LOST = "connection_lost"
 _IMPATIENT = "impatient"
 
@@ -113,7 +113,7 @@
                 if come_backs == 0 or not _may_come_back(refused):
                     return
                 come_backs -= 1
-                wait_ms = refused.retry_after_ms or _COME_BACK_MS
+                wait_ms = refused.retry_after_ms or retries.COME_BACK_MS
                 wait_ms *= 1 + self._rng.random() / 2
                 outcome.retries[refused.kind.value] += 1
             if self._clock.now_ms() + wait_ms > give_up_at_ms:
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -35,8 +35,7 @@
 from jujubewharf.forwarding import stream
 from jujubewharf.forwarding import watched_backends
 from jujubewharf.forwarding import watched_places
-from jujubewharf.leadership import crash_follower
-from jujubewharf.leadership import crash_keeper
+from jujubewharf.leadership import crash_services
 from jujubewharf.leadership import fleet as fleets
 from jujubewharf.leadership import fleet_crashes
 from jujubewharf.leadership import fleet_limits
@@ -142,7 +141,14 @@
         self.fleet_crashes = fleet_crashes.FleetCrashes(
             self.fleet, self.crashes, clock
         )
-        self._crash_services = self._new_crash_services(adapters.crashes, rng)
+        self._crash_services = crash_services.new_crash_services(
+            adapters.crashes,
+            self.fleet,
+            self.crashes,
+            self.fleet_crashes,
+            clock,
+            rng,
+        )
         self.quotas = fleet_quotas.FleetQuotas(
             self.fleet,
             self.source,
@@ -178,21 +184,6 @@
             on_lost=self.registry.store_lost,
         )
 
-    def _new_crash_services(
-        self, table: tables.KeptTable | None, rng: random.Random
-    ) -> tuple[mode.Service, ...]:
-        """What keeps crashes in the store, and reads them there."""
-        if table is None:
-            return ()
-        fleet, spread = self.fleet, self.fleet_crashes
-        keeper = crash_keeper.CrashKeeper(
-            table, fleet, self.crashes, spread, self._clock
-        )
-        reader = crash_follower.new_crash_follower(
-            table, fleet, spread, self._clock, rng, on_record=keeper.found
-        )
-        return keeper, reader
-
     def _make_forwarder(
         self, adapters: Adapters, rng: random.Random
     ) -> forwarder.Forwarder:
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -41,10 +41,10 @@
 # loses half a second to a frozen leader, which most targets allow.
 _CHECK_MS = 150.0
 _CHECKED_WITHIN_MS = 350.0
-# A request whose endpoint names a limit waits so long for the leader's permit.
-# Another endpoint may serve it sooner; the targets of plain requests are some
-# tenths of a second.
-_PERMIT_WITHIN_MS = 100.0
+# A request that needs the leader's leave waits so long for it, be it a permit
+# of an endpoint that names a limit: another endpoint may serve it sooner, and
+# the targets of plain requests are some tenths of a second.
+_GRANTED_WITHIN_MS = 100.0
 # A whole configuration is some tens of kilobytes, over links of some Mbit/s.
 _FETCHED_WITHIN_MS = 1_000.0
 
@@ -204,14 +204,7 @@
             0 where it does, else the time in ms until it is worth to ask
             again; ``None`` where the leader didn't answer.
         """
-        link = self._link
-        if link is None:
-            return None
-        question = limit_messages.PermitAsk(endpoint)
-        try:
-            answer = await link.ask(question, timeout_ms=_PERMIT_WITHIN_MS)
-        except network.PeerError:
-            return None
+        answer = await self._granted(limit_messages.PermitAsk(endpoint))
         if not isinstance(answer, limit_messages.Permit):
             return None
         return answer.wait_ms
@@ -222,15 +215,19 @@
         Returns:
             Whether it does; no where it didn't answer.
         """
-        link = self._link
-        if link is None:
-            return False
-        question = crash_messages.TrialAsk(fingerprint)
+        answer = await self._granted(crash_messages.TrialAsk(fingerprint))
+        return isinstance(answer, crash_messages.Trial) and answer.is_granted
+
+    async def _granted(
+        self, question: messages.Message
+    ) -> messages.Message | None:
+        """The leader's word on what a request must not wait for long."""
+        if self._link is None:
+            return None
         try:
-            answer = await link.ask(question, timeout_ms=_PERMIT_WITHIN_MS)
+            return await self._link.ask(question, timeout_ms=_GRANTED_WITHIN_MS)
         except network.PeerError:
-            return False
-        return isinstance(answer, crash_messages.Trial) and answer.is_granted
+            return None
 
     def tell(self, message: messages.Message) -> None:
         """Tells the leader something, if there is one."""
--- a/src/jujubewharf/requests/claims.py
+++ b/src/jujubewharf/requests/claims.py
@@ -25,12 +25,12 @@
 from jujubewharf.requests import claim_records
 from jujubewharf.requests import claim_shard
 from jujubewharf.requests import keys
+from jujubewharf.requests import retries
 
 _ASK_MS = 1_500.0
 _ASK_ABANDONED_MS = 1_000.0
 _THIS_DID_NOT = "This sending did not run; an earlier one of its key may have."
 _FIRST_CARRY_MS = 1_000.0
-_COME_BACK_MS = 1_000.0
 _MAX_TRIES = 3
 _MAX_ABANDONED = 20_000
 _FUTURE_MS = 60_000.0
@@ -364,6 +364,6 @@
     return errors.WharfError(
         errors.ErrorKind.CLAIM_UNAVAILABLE,
         "" if is_new else _THIS_DID_NOT,
-        retry_after_ms=_COME_BACK_MS,
+        retry_after_ms=retries.COME_BACK_MS,
         ran=errors.Ran.NO if is_new else errors.Ran.UNKNOWN,
     )
--- a/src/jujubewharf/requests/life.py
+++ b/src/jujubewharf/requests/life.py
@@ -29,8 +29,6 @@
 from jujubewharf.routing import jobs
 from jujubewharf.routing import placer as placers
 
-_COME_BACK_MS = 1_000.0
-
 
 class TakenOverError(Exception):
     """Another instance runs this request now.
@@ -220,7 +218,7 @@
         return errors.WharfError(
             errors.ErrorKind.ENGINE_FAILED,
             error.fault.value,
-            retry_after_ms=_COME_BACK_MS,
+            retry_after_ms=retries.COME_BACK_MS,
         )
 
     async def _wait_for_excluded(
--- a/src/jujubewharf/requests/retries.py
+++ b/src/jujubewharf/requests/retries.py
@@ -8,6 +8,9 @@
 from jujubewharf.engines import client
 
 MAX_ATTEMPTS = 24
+# When a caller may come back where nothing tells how soon that helps: engines
+# that failed and claims that can't be made mostly take a second or two.
+COME_BACK_MS = 1_000.0
 # Engines that one request may lose while they write its answer. It may be what
 # they crash of, and each takes with it all that it runs.
 MAX_LOST_ENGINES = 3
--- a/tests/forwarding/deployments.py
+++ b/tests/forwarding/deployments.py
@@ -97,6 +97,15 @@
     return backend_state.StandInBackend(endpoint, **faults)
 
 
+def of_both_kinds(*, memory_tokens: int = 400_000):
+    """Two stand-ins each of plain endpoints, readers and writers."""
+    behind = [shop("s1"), shop("s2"), reader("p1"), reader("p2")]
+    behind += [writer("d1"), writer("d2")]
+    for backend in behind:
+        backend.memory_tokens = memory_tokens
+    return behind
+
+
 def configuration(version: int, *all_routes: routes.Route):
     """A configuration of these routes, or of all above."""
     return routes.RoutingConfiguration(
--- a/tests/leadership/test_backoff.py
+++ b/tests/leadership/test_backoff.py
@@ -53,11 +53,7 @@
     """Nothing reaches it before its time is over; it takes work after that."""
 
     async def main():
-        behind = [shop("s1"), shop("s2"), reader("p1"), reader("p2")]
-        behind += [writer("d1"), writer("d2")]
-        for backend in behind:
-            backend.memory_tokens = 400_000
-        async with _deployed(*behind) as world:
+        async with _deployed(*deployments.of_both_kinds()) as world:
             await world.clock.sleep_ms(2_000.0)
             weak = world.backends.by_name[busy]
             weak.backoff_ms = BACKOFF_MS
--- a/tests/leadership/test_crashing_requests.py
+++ b/tests/leadership/test_crashing_requests.py
@@ -110,6 +110,13 @@
     return [a for a in answers if a.error is not None and a.error.kind is kind]
 
 
+def _crash_elsewhere(world) -> None:
+    """Has another instance see three engines crash under the request."""
+    call = world.call("/verdicts/1", body=CRASHING)
+    for engine in ("x1", "x2", "x3"):
+        world.instances["e3"].crashes.crashed(call, engine, stage="run")
+
+
 PATHS = ("/verdicts/1", "/once/1", "/lookup/1", "/sale/1")
 
 
@@ -191,10 +198,7 @@
             for backend in world.backends.by_name.values():
                 backend.memory_tokens = 400_000 if backend.name == "d0" else 0
             waiting_ms = world.clock.now_ms()
-            history = world.instances["e2"].crashes
-            call = world.call("/verdicts/1", body=CRASHING)
-            for engine in ("x1", "x2", "x3"):
-                history.crashed(call, engine, stage="run")
+            _crash_elsewhere(world)
             answer = await waiting
             assert answer.error is not None
             assert world.clock.now_ms() - waiting_ms < SPREAD_MS
@@ -224,10 +228,7 @@
             )
             await world.clock.sleep_ms(50.0)
             waiting_ms = world.clock.now_ms()
-            history = world.instances["e3"].crashes
-            call = world.call("/verdicts/1", body=CRASHING)
-            for engine in ("x1", "x2", "x3"):
-                history.crashed(call, engine, stage="run")
+            _crash_elsewhere(world)
             answer = await waiting
             assert answer.error is not None
             assert answer.error.kind is errors.ErrorKind.QUARANTINED
--- a/tests/leadership/test_leaving_endpoints.py
+++ b/tests/leadership/test_leaving_endpoints.py
@@ -46,11 +46,7 @@
     """Plain requests, prompts and answers go to the others from then on."""
 
     async def main():
-        behind = [shop("s1"), shop("s2"), reader("p1"), reader("p2")]
-        behind += [writer("d1"), writer("d2")]
-        for backend in behind:
-            backend.memory_tokens = 400_000
-        async with _deployed(*behind) as world:
+        async with _deployed(*deployments.of_both_kinds()) as world:
             await world.clock.sleep_ms(2_000.0)
             gone = world.backends.by_name[leaving]
             gone.is_leaving = True
