A stream goes on at another engine after the third that crashed

What callers saw: an innocent stream whose third engine was killed in the middle of its answer broke off, and had no other try.

Cause: the one try that is let through was granted on arrival only, and a stream that goes on elsewhere was refused like any other sending.

Mend: whether a request may go to an engine, or to one more, is decided in one place, asked on arrival and before each wait for memory, so a stream that goes on may be the one try. A try that already waits when others crash the third engine is still told at once.

--- a/src/jujubewharf/forwarding/crashes.py
+++ b/src/jujubewharf/forwarding/crashes.py
@@ -13,7 +13,6 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
-from typing import Protocol
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
@@ -331,11 +330,3 @@
 
 def _age_ms(at_ms: float, now_ms: float) -> float | None:
     return None if at_ms == _NEVER_MS else now_ms - at_ms
-
-
-class Trials(Protocol):
-    """Lets one try of a request in quarantine through, over all instances."""
-
-    async def take(self, call: calls.Call) -> bool:
-        """Whether this try is the one."""
-        ...
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -27,6 +27,7 @@
 from jujubewharf.forwarding import plain
 from jujubewharf.forwarding import pool
 from jujubewharf.forwarding import ports
+from jujubewharf.forwarding import quarantine
 from jujubewharf.forwarding import registry
 from jujubewharf.forwarding import restraints
 from jujubewharf.forwarding import routes
@@ -244,12 +245,15 @@
                 rng,
                 cores=self._settings.processor.cores,
             )
+        admitted = quarantine.Quarantine(self.crashes, self.fleet_crashes)
         watched = watched_backends.WatchedBackends(backends, self.crashes)
         sender = attempts.StreamAttempts(
             watched,
             self.registry,
             watched_places.WatchedPlaces(
-                led.FleetPlaces(self.fleet.link, places), self.crashes
+                led.FleetPlaces(self.fleet.link, places),
+                admitted,
+                self.crashes,
             ),
             self.budget,
             observed,
@@ -273,7 +277,7 @@
             self.budget,
             self.quotas,
             self.crashes,
-            self.fleet_crashes,
+            admitted,
             clock,
             rng,
             domain=self._settings.domain,
--- a/src/jujubewharf/forwarding/forwarder.py
+++ b/src/jujubewharf/forwarding/forwarder.py
@@ -17,6 +17,7 @@
 from jujubewharf.forwarding import crashes
 from jujubewharf.forwarding import decisions
 from jujubewharf.forwarding import plain
+from jujubewharf.forwarding import quarantine as quarantines
 from jujubewharf.forwarding import quotas as all_quotas
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import runs
@@ -104,8 +105,8 @@
         stream_forwarder: Runs streams on engines.
         budget: Bounds retries over the fleet.
         quotas: Bound what accounts use over the fleet.
-        history: Tells under which requests engines crashed.
-        trials: Let one try of such a request through.
+        history: Learns which requests came through.
+        quarantine: Admits none that crash engines.
         clock: Time.
         rng: Splits routes between their services.
         domain: Failure domain of this instance.
@@ -119,7 +120,7 @@
         budget: budgets.FleetBudget,
         quotas: all_quotas.Quotas,
         history: crashes.CrashHistory,
-        trials: crashes.Trials,
+        quarantine: quarantines.Quarantine,
         clock: clocks.Clock,
         rng: random.Random,
         *,
@@ -132,7 +133,7 @@
         self._budget = budget
         self._quotas = quotas
         self._history = history
-        self._trials = trials
+        self._quarantine = quarantine
         self._clock = clock
         self._rng = rng
 
@@ -151,7 +152,7 @@
         outcome = decisions.CANCELLED
         try:
             async with self._bounded(run), contextlib.AsyncExitStack() as stack:
-                await self._admit(run)
+                await self._quarantine.admit(run)
                 reply = await self._begin(stack, run)
                 self._quotas.admitted(run)
                 held_ms = self._clock.now_ms() - call.arrived_ms
@@ -175,19 +176,6 @@
             took_ms = self._clock.now_ms() - call.arrived_ms
             decisions.ended(run, outcome, took_ms=took_ms)
 
-    async def _admit(self, run: runs.Run) -> None:
-        """Refuses a request that crashes engines, before it uses up anything.
-
-        Raises:
-            WharfError: ``QUARANTINED``.
-        """
-        if not self._history.is_quarantined(run.call):
-            return
-        if await self._trials.take(run.call):
-            decisions.let_through(run)
-            run.call = dataclasses.replace(run.call, is_trial=True)
-        self._history.check(run.call)
-
     def _new_run(self, call: calls.Call) -> runs.Run:
         route = self._source.match(call.host, call.path)
         account = self._source.account_of(route, call.headers)
--- a/src/jujubewharf/forwarding/watched_places.py
+++ b/src/jujubewharf/forwarding/watched_places.py
@@ -10,6 +10,7 @@
 from jujubewharf.forwarding import crashes
 from jujubewharf.forwarding import fingerprints
 from jujubewharf.forwarding import places
+from jujubewharf.forwarding import quarantine as quarantines
 from jujubewharf.forwarding import runs
 
 
@@ -22,13 +23,18 @@
 
     Args:
         finder: Finds memory for requests.
-        history: Tells which requests crash engines.
+        quarantine: Admits none that crash engines.
+        history: Tells which have begun to do so.
     """
 
     def __init__(
-        self, finder: places.Places, history: crashes.CrashHistory
+        self,
+        finder: places.Places,
+        quarantine: quarantines.Quarantine,
+        history: crashes.CrashHistory,
     ) -> None:
         self._finder = finder
+        self._quarantine = quarantine
         self._history = history
         self._waiting: dict[asyncio.Timeout, calls.Call] = {}
         history.on_quarantine = self._end
@@ -42,8 +48,8 @@
     async def _wait(
         self, stack: contextlib.AsyncExitStack, run: runs.Run
     ) -> places.Place:
+        await self._quarantine.admit(run)
         while True:
-            self._history.check(run.call)
             scope = asyncio.timeout(None)
             self._waiting[scope] = run.call
             try:
@@ -54,6 +60,8 @@
             except TimeoutError:
                 if not scope.expired():
                     raise
+                # It goes on where it has been cleared meanwhile.
+                self._history.check(run.call)
             finally:
                 self._waiting.pop(scope, None)
 
