At most two tries of a request in quarantine are let through

A try that told nothing was followed by another one each 15 s, without end, and each may reach an engine: callers that leave early, or are made to, could have 20 in five minutes, where users allow three. Two at most now, until the request is cleared or its crashes are forgotten; that also lets a request that was cleared have a try of its own at once when three more engines crash.

--- a/src/jujubewharf/forwarding/crash_records.py
+++ b/src/jujubewharf/forwarding/crash_records.py
@@ -26,6 +26,7 @@
     label: str
     crashes: list[_Crash]
     cleared_age_ms: float | None = pydantic.Field(default=None, ge=0)
+    trials: int = pydantic.Field(default=0, ge=0)
     trial_age_ms: float | None = pydantic.Field(default=None, ge=0)
 
 
@@ -47,6 +48,7 @@
             for crash in report.crashes
         ],
         cleared_age_ms=report.cleared_age_ms,
+        trials=report.trials,
         trial_age_ms=report.trial_age_ms,
     )
     return record.model_dump_json().encode()
@@ -74,6 +76,7 @@
             for crash in record.crashes
         ),
         _older(record.cleared_age_ms, since_ms),
+        record.trials,
         _older(record.trial_age_ms, since_ms),
     )
 
--- a/src/jujubewharf/forwarding/crash_reports.py
+++ b/src/jujubewharf/forwarding/crash_reports.py
@@ -33,12 +33,14 @@
         crashes: Engines that crashed under it.
         cleared_age_ms: How long ago an engine answered it whole; ``None`` where
             none has.
-        trial_age_ms: How long ago one try was let through all the same;
-            ``None`` where none was.
+        trials: Tries that were let through all the same.
+        trial_age_ms: How long ago the last of them was; ``None`` where none
+            was.
     """
 
     fingerprint: fingerprints.Fingerprint
     label: str
     crashes: tuple[Crash, ...] = ()
     cleared_age_ms: float | None = None
+    trials: int = 0
     trial_age_ms: float | None = None
--- a/src/jujubewharf/forwarding/crashes.py
+++ b/src/jujubewharf/forwarding/crashes.py
@@ -24,8 +24,11 @@
 # An innocent request is beside a crash now and then, and beside three in a row
 # hardly ever; each crash costs an engine and all that it ran.
 QUARANTINE_CRASHES = 3
-# A try that was let through has come to its end by then, one way or another.
+# A try that was let through has come to its end by then, one way or another. If
+# it neither came through nor crashed an engine, it told nothing.
 TRIAL_MS = 15_000.0
+# Each may reach an engine, and one that tells nothing may be by intent.
+_MOST_TRIALS = 2
 # A crash counts for this long, so that one wrong suspicion of an innocent
 # request ends by itself.
 KEPT_MS = 600_000.0
@@ -36,8 +39,6 @@
 _MOST_LABEL_CHARS = 64
 # Two instances that tell each other of one moment reckon it a little apart.
 _SAME_MS = 1_000.0
-
-
 _NEVER_MS = float("-inf")
 
 
@@ -54,12 +55,14 @@
         crashes_ms: Engines that crashed under it, and when.
         cleared_ms: When an engine last answered it whole; crashes up to then
             don't count.
-        trial_ms: When a try was let through in quarantine.
+        trials: Tries that were let through in quarantine.
+        trial_ms: When the last of them was.
     """
 
     label: str
     crashes_ms: dict[str, float] = dataclasses.field(default_factory=dict)
     cleared_ms: float = _NEVER_MS
+    trials: int = 0
     trial_ms: float = _NEVER_MS
 
     @property
@@ -72,13 +75,16 @@
         """When anything of it was last seen."""
         return max((self.cleared_ms, *self.crashes_ms.values()))
 
-    def state(self) -> tuple[frozenset[str], float, float]:
+    def state(self) -> tuple[object, ...]:
         """What makes it differ from what was known before."""
-        return frozenset(self.crashes_ms), self.cleared_ms, self.trial_ms
+        crashed = frozenset(self.crashes_ms)
+        return crashed, self.cleared_ms, self.trials, self.trial_ms
 
     def drop(self, oldest_ms: float) -> None:
         """Forgets what doesn't count any more."""
         oldest_ms = max(oldest_ms, self.cleared_ms)
+        if self.trial_ms <= oldest_ms:
+            self.trials = 0
         for engine, at_ms in list(self.crashes_ms.items()):
             if at_ms <= oldest_ms:
                 del self.crashes_ms[engine]
@@ -160,6 +166,7 @@
             record.cleared_ms, report.cleared_age_ms, now_ms
         )
         record.trial_ms = _later(record.trial_ms, report.trial_age_ms, now_ms)
+        record.trials = max(record.trials, report.trials)
         for crash in report.crashes:
             record.crashes_ms.setdefault(crash.engine, now_ms - crash.age_ms)
         record.drop(now_ms - KEPT_MS)
@@ -199,6 +206,7 @@
             record.label,
             found,
             _age_ms(record.cleared_ms, now_ms),
+            record.trials,
             _age_ms(record.trial_ms, now_ms),
         )
 
@@ -217,8 +225,7 @@
     def begin_trial(self, fingerprint: fingerprints.Fingerprint) -> bool:
         """Lets one try of a request through all the same, if none was.
 
-        Another one may follow where it neither crashed an engine nor came
-        through in its time, for then it has told nothing.
+        A second one may follow where it told nothing.
         """
         record = self._records.get(fingerprint)
         if record is None:
@@ -228,8 +235,11 @@
         record.drop(now_ms - KEPT_MS)
         if len(record.crashes_ms) > QUARANTINE_CRASHES:
             return False
-        if now_ms - record.trial_ms < TRIAL_MS:
+        if record.trials and now_ms - record.trial_ms < TRIAL_MS:
+            return False
+        if record.trials >= _MOST_TRIALS:
             return False
+        record.trials += 1
         record.trial_ms = now_ms
         self.on_seen(fingerprint)
         return True
--- a/tests/forwarding/test_crashes.py
+++ b/tests/forwarding/test_crashes.py
@@ -9,6 +9,7 @@
 from jujubewharf import clock as clocks
 from jujubewharf import errors
 from jujubewharf.experiments import virtual_time
+from jujubewharf.forwarding import crash_records
 from jujubewharf.forwarding import crashes
 from jujubewharf.forwarding import fingerprints
 from jujubewharf.peers import codec
@@ -231,3 +232,66 @@
             assert len(counts) == 1
 
     _run(test)
+
+
+def test_tries_that_tell_nothing_are_two_at_most():
+    """Their callers leave, or they find no memory, and more of them insist.
+
+    Each may reach an engine, and users allow three tries after the third crash.
+    """
+
+    async def test(world):
+        history = world.history()
+        _crash(history, world.call(), "a", "b", "c")
+        fingerprint = fingerprints.Fingerprint.from_call(world.call())
+        granted = 0
+        for _ in range(300):
+            granted += history.begin_trial(fingerprint)
+            await world.clock.sleep_ms(1_000.0)
+        assert granted == 2
+
+    _run(test)
+
+
+def test_a_whole_answer_gives_new_tries_as_well():
+    async def test(world):
+        history = world.history()
+        fingerprint = fingerprints.Fingerprint.from_call(world.call())
+        for engines in ("abc", "def"):
+            _crash(history, world.call(), *engines)
+            assert history.begin_trial(fingerprint)
+            assert not history.begin_trial(fingerprint)
+            await world.clock.sleep_ms(1_000.0)
+            history.came_through(world.call())
+            await world.clock.sleep_ms(1_000.0)
+
+    _run(test)
+
+
+def test_that_a_try_was_let_through_is_told_and_kept():
+    """A new leader or a restart of all would else let through another one."""
+
+    async def test(world):
+        teller, hearer = world.history(), world.history()
+        _crash(teller, world.call(), "a", "b", "c")
+        fingerprint = fingerprints.Fingerprint.from_call(world.call())
+        assert teller.begin_trial(fingerprint)
+        (report,) = teller.reports()
+        data = crash_records.encode(report, wall_ms=0.0)
+        hearer.learn(crash_records.decode(data, wall_ms=0.0))
+        assert not hearer.begin_trial(fingerprint)
+
+    _run(test)
+
+
+def test_nothing_is_let_through_after_a_fourth_crash():
+    async def test(world):
+        history = world.history()
+        _crash(history, world.call(), "a", "b", "c")
+        fingerprint = fingerprints.Fingerprint.from_call(world.call())
+        assert history.begin_trial(fingerprint)
+        _crash(history, world.call(), "d")
+        await world.clock.sleep_ms(60_000.0)
+        assert not history.begin_trial(fingerprint)
+
+    _run(test)
