Sight: lines for a restored store, sent and received configurations

What the lines of the incident lacked: nothing said that the store had gone back, what the leader sent of what it read, or by which version a request was decided.

- configuration_sent at the leader, configuration_received at followers, told_by in configuration_in_force: a version that is in force at the leader without configuration_sent was never offered to followers
- the version in request_sent, request_refused and request_failed

The decoding of keyed records moved from the adapter to the product, to make room for the header there. No logic changed.

--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -402,7 +402,9 @@
             if record.value is not None and self.source.apply(record.value):
                 self.quotas.remove_unconfigured()
                 state_log.log_active_configuration(
-                    record.value, offset=record.offset
+                    record.value,
+                    offset=record.offset,
+                    told_by="leader" if page.is_from_leader else "store",
                 )
         if self.fleet.followers is not None:
             self.fleet.followers.publish_configurations(page.records, page.end)
--- a/src/jujubewharf/forwarding/forwarder.py
+++ b/src/jujubewharf/forwarding/forwarder.py
@@ -39,6 +39,11 @@
         self.accounts = accounts.AccountTable(None)
         self._table = routes.RouteTable(())
 
+    @property
+    def version(self) -> int | None:
+        """Version in force; ``None`` before the first configuration."""
+        return None if self.current is None else self.current.version
+
     def apply(self, configuration: routes.RoutingConfiguration) -> bool:
         """Puts a configuration in force if it is newer than the current one.
 
@@ -151,7 +156,11 @@
             run = self._new_run(call)
         except errors.WharfError as error:
             request_log.log_refusal(
-                call.request_id, error, route="", held_ms=0.0
+                call.request_id,
+                error,
+                route="",
+                held_ms=0.0,
+                configuration=self._source.version,
             )
             raise
         outcome = request_log.CANCELLED
@@ -175,7 +184,11 @@
             held_ms = self._clock.now_ms() - call.arrived_ms
             outcome = error.kind.value
             request_log.log_refusal(
-                call.request_id, error, route=run.route.name, held_ms=held_ms
+                call.request_id,
+                error,
+                route=run.route.name,
+                held_ms=held_ms,
+                configuration=run.configuration_version,
             )
             raise
         finally:
@@ -201,6 +214,7 @@
             deadline_at_ms,
             domain=self._domain,
             account=account,
+            configuration_version=self._source.version,
         )
 
     def _without_key(
--- a/src/jujubewharf/forwarding/request_log.py
+++ b/src/jujubewharf/forwarding/request_log.py
@@ -93,7 +93,12 @@
 
 
 def log_refusal(
-    request_id: str, error: errors.WharfError, *, route: str, held_ms: float
+    request_id: str,
+    error: errors.WharfError,
+    *,
+    route: str,
+    held_ms: float,
+    configuration: int | None,
 ) -> None:
     """Logs a request that this system refused itself."""
     _REFUSALS.add(1, {"reason": error.kind.value})
@@ -108,6 +113,7 @@
         else round(retry_after_ms),
         route=route,
         held_ms=round(held_ms),
+        configuration=configuration,
         detail=error.detail,
     )
 
@@ -131,6 +137,7 @@
         stage=stage,
         left_ms=round(left_ms),
         registry_age_ms=round(age_ms),
+        configuration=run.configuration_version,
         tried=len(run.tried),
     )
 
@@ -310,6 +317,7 @@
             outcome=outcome,
             route=run.route.name,
             service=run.service,
+            configuration=run.configuration_version,
             took_ms=round(took_ms),
             tried=sorted(run.tried),
             may_have_run=run.may_have_run,
--- a/src/jujubewharf/forwarding/runs.py
+++ b/src/jujubewharf/forwarding/runs.py
@@ -41,6 +41,8 @@
             request fails.
         account: Client account of the caller.
         is_counted: Whether the account's quota was charged.
+        configuration_version: Version of the configuration that matched the
+            request.
         backoff_until_ms: Ends of backoffs by engine, of the instance that sends
             the request, if another instance places it.
     """
@@ -63,6 +65,7 @@
     )
     account: accounts.Account | None = None
     is_counted: bool = False
+    configuration_version: int | None = None
     backoff_until_ms: Mapping[str, float] = dataclasses.field(
         default_factory=dict
     )
--- a/src/jujubewharf/forwarding/state_log.py
+++ b/src/jujubewharf/forwarding/state_log.py
@@ -34,19 +34,52 @@
 
 
 def log_active_configuration(
-    configuration: routes.RoutingConfiguration, *, offset: int
+    configuration: routes.RoutingConfiguration, *, offset: int, told_by: str
 ) -> None:
-    """Logs that a configuration version was activated."""
+    """Logs that a configuration version was activated.
+
+    Args:
+        configuration: The configuration.
+        offset: Offset of its record in the store.
+        told_by: Source: ``store`` or ``leader``.
+    """
     _logger.info(
         "configuration_in_force",
         version=configuration.version,
         offset=offset,
+        told_by=told_by,
         routes=len(configuration.routes),
         services=len(configuration.services),
         accounts=len(configuration.accounts or ()),
     )
 
 
+def log_sent_configuration(
+    version: int, *, offset: int, end: int, followers: int
+) -> None:
+    """Logs that the leader sent a configuration to some of its followers."""
+    _logger.info(
+        "configuration_sent",
+        version=version,
+        offset=offset,
+        end=end,
+        followers=followers,
+    )
+
+
+def log_received_configuration(
+    version: int | None, *, offset: int, end: int, leader: str
+) -> None:
+    """Logs a leader's configuration; ``None`` if it must be read instead."""
+    _logger.info(
+        "configuration_received",
+        version=version,
+        offset=offset,
+        end=end,
+        leader=leader,
+    )
+
+
 def log_role_order(
     engine: str,
     *,
--- a/src/jujubewharf/leadership/feeds.py
+++ b/src/jujubewharf/leadership/feeds.py
@@ -132,7 +132,9 @@
         assert self._end_offset is not None
         page_records = [r for r in self._records.values() if r.offset >= offset]
         page_records.sort(key=lambda record: record.offset)
-        return tables.TablePage(tuple(page_records), self._end_offset)
+        return tables.TablePage(
+            tuple(page_records), self._end_offset, is_from_leader=True
+        )
 
     async def _wait_for_update(self, timeout_ms: float) -> None:
         with contextlib.suppress(TimeoutError):
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -10,6 +10,7 @@
 from jujubewharf.configuration import resources
 from jujubewharf.forwarding import registration
 from jujubewharf.forwarding import routes
+from jujubewharf.forwarding import state_log
 from jujubewharf.leadership import packing
 from jujubewharf.leadership import placement_server as servers
 from jujubewharf.leadership import shared_state
@@ -249,6 +250,16 @@
         update: leader_messages.ConfigurationUpdate,
         to: Iterable[links.Link],
     ) -> None:
+        recipients = list(to)
+        if not recipients:
+            return
+        if update.configuration is not None:
+            state_log.log_sent_configuration(
+                update.configuration.version,
+                offset=update.offset,
+                end=update.end,
+                followers=len(recipients),
+            )
         if len(_encode(update)) > _MAX_CONFIGURATION_BYTES:
             packed: bytes | None = packing.pack(update)
             if packed is not None and len(packed) > _MAX_CONFIGURATION_BYTES:
@@ -256,7 +267,7 @@
             update = dataclasses.replace(
                 update, configuration=None, packed=packed
             )
-        self._send(update, to)
+        self._send(update, recipients)
 
     def _send(
         self, message: messages.Message, to: Iterable[links.Link]
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -19,6 +19,7 @@
 from jujubewharf.forwarding import request_log
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import runs
+from jujubewharf.forwarding import state_log
 from jujubewharf.leadership import feeds as all_feeds
 from jujubewharf.leadership import low_accounts
 from jujubewharf.leadership import packing
@@ -155,17 +156,9 @@
                 update = packing.unpack(packed)
                 if update is None:
                     update = dataclasses.replace(message, packed=None)
-                await self.handle(peer, update)
-            case leader_messages.ConfigurationUpdate(configuration=None):
-                self._feeds.configurations.note_unsent(
-                    message.offset, message.end
-                )
+                self._on_configuration(peer, update)
             case leader_messages.ConfigurationUpdate():
-                record: tables.TableRecord[routes.RoutingConfiguration | None]
-                record = tables.TableRecord(
-                    message.key, message.offset, message.configuration
-                )
-                self._feeds.configurations.apply([record], message.end)
+                self._on_configuration(peer, message)
             case quota_messages.LowAccounts(accounts=left):
                 self._feeds.low_accounts.update(left)
             case quota_messages.UsageShares():
@@ -177,6 +170,24 @@
                 self._feeds.endpoints.apply(records, message.end)
         return None
 
+    def _on_configuration(
+        self, peer: str, update: leader_messages.ConfigurationUpdate
+    ) -> None:
+        sent = update.configuration
+        state_log.log_received_configuration(
+            None if sent is None else sent.version,
+            offset=update.offset,
+            end=update.end,
+            leader=peer,
+        )
+        feed = self._feeds.configurations
+        if sent is None:
+            feed.note_unsent(update.offset, update.end)
+            return
+        record: tables.TableRecord[routes.RoutingConfiguration | None]
+        record = tables.TableRecord(update.key, update.offset, sent)
+        feed.apply([record], update.end)
+
     def _on_heartbeat(self, heartbeat: leader_messages.LeaderHeartbeat) -> None:
         self.instances = heartbeat.instances
         self._feeds.configurations.confirm(
--- /dev/null
+++ b/src/jujubewharf/platform/record_decoder.py
@@ -0,0 +1,46 @@
+"""Decodes records of a table, and logs those that can't be decoded."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Generic
+from typing import TypeVar
+
+from jujubewharf.platform import record_errors
+from jujubewharf.platform import tables
+
+T = TypeVar("T")
+
+
+class RecordDecoder(Generic[T]):
+    """Decodes the records of one table.
+
+    Args:
+        table: Name of the table in log lines.
+        decode: Converts key and bytes of a record to its value. Records for
+            which it raises ``ValueError`` are logged and marked unreadable.
+    """
+
+    def __init__(self, table: str, decode: Callable[[str, bytes], T]) -> None:
+        self._decode = decode
+        self._errors = record_errors.RecordErrors(table)
+
+    def decode(
+        self, key: str, offset: int, value: bytes
+    ) -> tables.TableRecord[T]:
+        """Decodes a record; one without a value removes its key."""
+        if not value:
+            return tables.TableRecord(key, offset, None)
+        try:
+            decoded = self._decode(key, value)
+        except ValueError as error:
+            return self.reject(key, offset, error)
+        self._errors.clear(key)
+        return tables.TableRecord(key, offset, decoded)
+
+    def reject(
+        self, key: str, offset: int, error: Exception
+    ) -> tables.TableRecord[T]:
+        """Logs a record that can't be decoded and marks it unreadable."""
+        self._errors.log_once(key, offset, error)
+        return tables.TableRecord(key, offset, None, is_unreadable=True)
--- a/src/jujubewharf/platform/tables.py
+++ b/src/jujubewharf/platform/tables.py
@@ -37,10 +37,12 @@
     Attributes:
         records: Changes in offset order, or a whole table in any order.
         end: Offset from which to read later changes.
+        is_from_leader: Whether another instance has read the records.
     """
 
     records: tuple[TableRecord[T], ...]
     end: int
+    is_from_leader: bool = False
 
 
 class Table(Protocol[T]):
--- a/src/jujubewharf/telemetry/explanation.py
+++ b/src/jujubewharf/telemetry/explanation.py
@@ -15,6 +15,8 @@
 _STATE_EVENTS = frozenset(
     {
         "configuration_in_force",
+        "configuration_received",
+        "configuration_sent",
         "endpoint_changed",
         "endpoint_gone_after_outage",
         "engine_vanished",
@@ -31,6 +33,7 @@
         "store_history_lost",
         "store_lost",
         "store_regained",
+        "store_restored",
     }
 )
 # Fields that are shown in columns of their own, or are the same in all lines.
--- a/tests/users_platform/test_boundary.py
+++ b/tests/users_platform/test_boundary.py
@@ -14,7 +14,7 @@
 
 # Headers, calls and fields that are specific to the platform.
 WORDS = re.compile(
-    r"Server-(Seal|Limit|Leaving)|Not-Executed|Kv-[A-Z]|Expect-Instance|Expect-Version"
+    r"Server-(Seal|Limit|Leaving)|Store-Era|Not-Executed|Kv-[A-Z]|Expect-Instance|Expect-Version"
     r"|Engine-Load|Instance-Id|Token-Counts|Prompt-Prefix|Length-Hint"
     r"|(?<!X-)Deadline-Ms|Pin-Ms|Request-Priority|Weight-Versions"
     r"|log-(append|read|newest|join|leave|commit|owners|trim)"
--- a/tests/users_platform/test_store.py
+++ b/tests/users_platform/test_store.py
@@ -11,6 +11,7 @@
 from users_platform import store
 
 from jujubewharf import clock as clocks
+from jujubewharf.platform import epochs
 from jujubewharf.platform import log
 from jujubewharf.platform import tables
 from tests.users_platform import raw_server
@@ -26,7 +27,9 @@
 async def _table(script):
     async with raw_server.serving(script) as (server, address):
         async with store.new_session() as session:
-            calls = store.Store(address, session, clocks.Clock())
+            calls = store.Store(
+                address, session, clocks.Clock(), epochs.StoreEpoch()
+            )
             yield store.StoreTable(calls, "keyed.x", _decode), server
 
 
@@ -139,7 +142,9 @@
     answer = _json({"generation": 7, "ttlMs": 3, "parts": [["t", 3, 0]]})
     async with raw_server.serving(lambda r: [answer]) as (server, address):
         async with store.new_session() as session:
-            calls = store.Store(address, session, clocks.Clock())
+            calls = store.Store(
+                address, session, clocks.Clock(), epochs.StoreEpoch()
+            )
             group = store.StoreGroup(
                 calls, "g", "m", part_count=24, ttl_ms=3_000.0
             )
