Failing test: a version written after a restore is at the leader only

What callers saw: a route that a newer version had moved was served by the service of the older one. The store's stand-in learns to be restored from a copy (epoch, offsets assigned again, refused reads past the end).

The stand-in's table refuses a read past its end, as the store does; it returned nothing before.

--- a/src/jujubewharf/standins/tables.py
+++ b/src/jujubewharf/standins/tables.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Mapping
+import dataclasses
+from typing import Any
 from typing import Generic
 from typing import TypeVar
 
@@ -16,6 +20,26 @@
 _POLL_MS = 10.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableCopy:
+    """State of a table at one moment."""
+
+    records: tuple[tables.TableRecord[Any], ...]
+    first_offset: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupCopy:
+    """Generation and members of a group at one moment."""
+
+    generation: int
+    members: tuple[str, ...]
+
+
+async def _always_available() -> None:
+    """Checks nothing."""
+
+
 class StandInTable(Generic[T]):
     """In-memory implementation of ``tables.Table``.
 
@@ -55,6 +79,21 @@
         """Truncates the changes; the newest record of each key is kept."""
         self.first_offset = len(self._records)
 
+    def copy(self) -> TableCopy:
+        """Returns the current state."""
+        return TableCopy(tuple(self._records), self.first_offset)
+
+    def restore(self, copy: TableCopy) -> tuple[tables.TableRecord[T], ...]:
+        """Returns to a former state.
+
+        Returns:
+            The lost records. Their offsets are assigned again.
+        """
+        lost = tuple(self._records[len(copy.records) :])
+        self._records = list(copy.records)
+        self.first_offset = copy.first_offset
+        return lost
+
     async def newest(self) -> tables.TablePage[T]:
         """Returns the newest record of each key; see ``tables.Table``."""
         self._check()
@@ -64,13 +103,24 @@
         return tables.TablePage(kept, len(self._records))
 
     async def changes(
-        self, from_offset: int, *, wait_ms: float
+        self,
+        from_offset: int,
+        *,
+        wait_ms: float,
+        check: Callable[[], Awaitable[None]] = _always_available,
     ) -> tables.TablePage[T]:
-        """Returns records from an offset on; see ``tables.Table``."""
+        """Returns records from an offset on; see ``tables.Table``.
+
+        Args:
+            from_offset: Offset of the first record to return.
+            wait_ms: Milliseconds to wait for a record if there is none yet.
+            check: Raises if the reader is no longer served.
+        """
         until_ms = self._clock.now_ms() + wait_ms
         while True:
             self._check()
-            if from_offset < self.first_offset:
+            await check()
+            if not self.first_offset <= from_offset <= len(self._records):
                 raise log.LogTruncatedError(self.first_offset)
             found = tuple(self._records[from_offset:])
             is_over = self._clock.now_ms() >= until_ms
@@ -106,6 +156,16 @@
         self._clock = clock
         self._heartbeats_ms: dict[str, float] = {}
 
+    def copy(self) -> GroupCopy:
+        """Returns the current state."""
+        return GroupCopy(self.generation, tuple(self._heartbeats_ms))
+
+    def restore(self, copy: GroupCopy) -> None:
+        """Returns to a former state, with a whole time to live left."""
+        self.generation = copy.generation
+        now_ms = self._clock.now_ms()
+        self._heartbeats_ms = dict.fromkeys(copy.members, now_ms)
+
     def member(self, name: str) -> StandInGroup:
         """Returns the group as seen by one member."""
         return StandInGroup(self, name)
--- a/tests/forwarding/deployments.py
+++ b/tests/forwarding/deployments.py
@@ -18,10 +18,11 @@
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import settings as all_settings
+from jujubewharf.platform import epochs
 from jujubewharf.standins import backend_state
 from jujubewharf.standins import backends
 from jujubewharf.standins import network
-from jujubewharf.standins import tables
+from jujubewharf.standins import store as stores
 
 HOST = "shop.example"
 ENGINES = "verdict-llm"
@@ -151,6 +152,7 @@
 
     Attributes:
         backends: Stand-in engines and endpoints.
+        store: The store, which holds the tables and groups.
         configurations: Table of routing configurations.
         endpoints: Table of endpoint registrations.
         crashes: Table of crash reports.
@@ -164,12 +166,13 @@
     def __init__(self, *behind: backend_state.StandInBackend) -> None:
         self.clock = clocks.Clock(wall_origin_ms=0.0)
         self.backends = backends.StandInBackends(self.clock, behind)
-        self.configurations = tables.StandInTable(self.clock)
-        self.endpoints = tables.StandInTable(self.clock)
-        self.crashes = tables.StandInTable(self.clock)
-        self.leaders = tables.StandInGroups(self.clock)
+        self.store = stores.StandInStore(self.clock)
+        self.configurations = self.store.table("configurations")
+        self.endpoints = self.store.table("endpoints")
+        self.crashes = self.store.table("crashes")
+        self.leaders = self.store.group("leaders")
         self.network = network.MemoryNetwork(self.clock)
-        self.groups = tables.StandInGroups(self.clock)
+        self.groups = self.store.group("instances")
         self.instances: dict[str, entry.ForwardingEntry] = {}
         self.cores: dict[str, float] = {}
         self._ids = 0
@@ -209,13 +212,14 @@
                 stop_within_s=8,
                 processor={"share": self.cores.get(name, 0.5)},
             )
+            view = self.store.view(name, epochs.StoreEpoch())
             adapters = entry.Adapters(
                 self.backends.for_instance(name),
-                self.configurations,
-                self.endpoints,
-                self.groups.member(name),
-                self._peers(name, domain) if is_led else None,
-                self.crashes,
+                view.table("configurations"),
+                view.table("endpoints"),
+                view.group("instances", name),
+                self._peers(view, name, domain) if is_led else None,
+                view.table("crashes"),
             )
             instance = entry.ForwardingEntry(
                 settings, self.clock, adapters, random.Random(name)
@@ -224,10 +228,12 @@
             await instance.start()
         await self.clock.sleep_ms(1_100.0)
 
-    def _peers(self, name: str, domain: str) -> ports.PeerAdapters:
+    def _peers(
+        self, view: stores.StoreView, name: str, domain: str
+    ) -> ports.PeerAdapters:
         address = f"{name}:1"
         return ports.PeerAdapters(
-            self.leaders.member(address),
+            view.group("leaders", address),
             self.network.transport(name, domain, address=address),
             address,
         )
--- /dev/null
+++ b/tests/leadership/test_restored_store.py
@@ -0,0 +1,55 @@
+"""The store comes back from a copy and has lost what it acknowledged."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.forwarding import deployments
+
+prefill_engine = deployments.prefill_engine
+decode_engine = deployments.decode_engine
+
+NAMES = ("e1", "e2", "e3", "e4")
+# Time in ms within which a change must be in force.
+IN_FORCE_MS = 2_000.0
+# Time in ms until all instances follow a leader again.
+SETTLED_MS = 9_000.0
+
+
+def _deployed(names=NAMES):
+    return deployments.deployed(
+        prefill_engine("p1"), decode_engine("d1"), names=names, is_led=True
+    )
+
+
+def _versions(world):
+    return {n: i.source.version for n, i in world.instances.items()}
+
+
+async def _write(world, *versions):
+    """Writes configurations as an operator does, some time apart."""
+    for version in versions:
+        world.configurations.put("config", deployments.configuration(version))
+        await world.clock.sleep_ms(IN_FORCE_MS)
+
+
+@pytest.mark.parametrize("rewritten", [1, 2, 3, 5])
+def test_version_written_after_a_restore_is_in_force_everywhere(rewritten):
+    """Followers keep an old version while their leader has the newest.
+
+    The store's offsets have gone back, and those of newer versions are lower
+    than, equal to or higher than what the leader sent before.
+    """
+
+    async def main():
+        async with _deployed() as world:
+            await _write(world, 2)
+            copy = world.store.copy()
+            await _write(world, 3, 4, 5)
+            world.store.restore(copy)
+            await world.clock.sleep_ms(SETTLED_MS)
+            for version in range(6, 6 + rewritten):
+                await _write(world, version)
+                assert set(_versions(world).values()) == {version}
+
+    deployments.run(main())
