Order positions across a restore of the store

Callers saw: a route that a newer version had moved was served by the service of the older one, at all instances but the leader. Cause: an offset orders records within one history of the store only. After the restore the leader read the newer versions at lower offsets than it had sent before, so it sent none, and its heartbeats confirmed that followers had missed nothing. Why this holds: every offset is combined with the store's epoch in one number as soon as an answer is decoded, the epoch in the upper bits, as ZooKeeper does it with its transaction ids. All comparisons, of leaders, followers, feeds and the registry, and all messages stay as they are, so older builds go on to understand them; a position of a newer epoch is higher than any before.

--- a/src/jujubewharf/forwarding/follower.py
+++ b/src/jujubewharf/forwarding/follower.py
@@ -13,6 +13,7 @@
 import structlog
 
 from jujubewharf import clock as clocks
+from jujubewharf.platform import epochs
 from jujubewharf.platform import log
 from jujubewharf.platform import tables
 
@@ -102,10 +103,12 @@
                     _RETRY_PAUSE_MS * (0.5 + self._rng.random())
                 )
             except log.LogTruncatedError as error:
+                wanted = epochs.split(self.offset)
                 self._logger.info(
                     "store_history_lost",
                     table=self._name,
-                    wanted=self._offset,
+                    epoch=wanted.epoch,
+                    wanted=wanted.offset,
                     first=error.first_offset,
                 )
                 self._offset = None
--- a/src/jujubewharf/forwarding/registry.py
+++ b/src/jujubewharf/forwarding/registry.py
@@ -13,6 +13,7 @@
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
 from jujubewharf.forwarding import registration
+from jujubewharf.platform import epochs
 
 # Time after an outage of the store within which running endpoints register
 # again, excluding this instance's polling interval.
@@ -225,7 +226,7 @@
             self._logger.info(
                 "endpoint_changed",
                 endpoint=known.name,
-                offset=record.offset,
+                **dataclasses.asdict(epochs.split(record.offset)),
                 is_lapsed=record.key in self._lapsed,
                 service=known.service,
                 address=known.address,
--- a/src/jujubewharf/forwarding/state_log.py
+++ b/src/jujubewharf/forwarding/state_log.py
@@ -7,11 +7,14 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from opentelemetry import metrics
 import structlog
 
 from jujubewharf.forwarding import costs
 from jujubewharf.forwarding import routes
+from jujubewharf.platform import epochs
 
 _METER = metrics.get_meter("jujubewharf")
 _ROLE_ORDERS = _METER.create_counter(
@@ -40,13 +43,13 @@
 
     Args:
         configuration: The configuration.
-        offset: Offset of its record in the store.
+        offset: Position of its record in the store.
         told_by: Source: ``store`` or ``leader``.
     """
     _logger.info(
         "configuration_in_force",
         version=configuration.version,
-        offset=offset,
+        **_position(offset),
         told_by=told_by,
         routes=len(configuration.routes),
         services=len(configuration.services),
@@ -61,8 +64,8 @@
     _logger.info(
         "configuration_sent",
         version=version,
-        offset=offset,
-        end=end,
+        **_position(offset),
+        end=epochs.split(end).offset,
         followers=followers,
     )
 
@@ -74,8 +77,8 @@
     _logger.info(
         "configuration_received",
         version=version,
-        offset=offset,
-        end=end,
+        **_position(offset),
+        end=epochs.split(end).offset,
         leader=leader,
     )
 
@@ -194,5 +197,9 @@
     _PERMITS.add(1, {"outcome": outcome, "counted_by": counted_by})
 
 
+def _position(offset: int) -> dict[str, int]:
+    return dataclasses.asdict(epochs.split(offset))
+
+
 def _rounded(value: float | None) -> float | None:
     return None if value is None else round(value, 1)
--- a/src/jujubewharf/platform/epochs.py
+++ b/src/jujubewharf/platform/epochs.py
@@ -1,10 +1,16 @@
 """Epoch of the platform's store, which rises when it is restored from a copy.
 
 A restored store has lost its newest records, and assigns their offsets again.
+An offset therefore orders records within one epoch only. All offsets inside the
+router are positions: epoch and offset in one number, the epoch in the upper
+bits, so that positions of different epochs compare as well. Group generations
+are combined with the epoch in the same way.
 """
 
 from __future__ import annotations
 
+import dataclasses
+
 from opentelemetry import metrics
 import structlog
 
@@ -14,6 +20,29 @@
 )
 
 
+_OFFSET_BITS = 32
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Position:
+    """Epoch and offset of a record, as shown in log lines."""
+
+    epoch: int
+    offset: int
+
+
+def combine(epoch: int, offset: int) -> int:
+    """Returns the position of an offset in an epoch."""
+    return epoch << _OFFSET_BITS | offset
+
+
+def split(position: int) -> Position:
+    """Returns the epoch and the offset of a position."""
+    return Position(
+        position >> _OFFSET_BITS, position & ((1 << _OFFSET_BITS) - 1)
+    )
+
+
 class StoreEpoch:
     """Highest epoch of the store that this instance has seen.
 
--- a/src/jujubewharf/platform/record_errors.py
+++ b/src/jujubewharf/platform/record_errors.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import structlog
 
+from jujubewharf.platform import epochs
+
 _MOST_DETAIL_CHARS = 300
 
 
@@ -35,7 +39,7 @@
             "record_not_understood",
             table=self._table,
             key=key,
-            offset=offset,
+            **dataclasses.asdict(epochs.split(offset)),
             error=type(error).__name__,
             detail=str(error)[:_MOST_DETAIL_CHARS],
         )
--- a/src/jujubewharf/platform/tables.py
+++ b/src/jujubewharf/platform/tables.py
@@ -17,8 +17,8 @@
 
     Attributes:
         key: Key of the record.
-        offset: Offset in the table's log; the record with the highest offset
-            is in force.
+        offset: Position in the table's log, see ``epochs``; the record with
+            the highest one is in force.
         value: Decoded value; ``None`` if the key was removed.
         is_unreadable: Whether the record can't be decoded; ``value`` is
             ``None`` then.
@@ -36,7 +36,7 @@
 
     Attributes:
         records: Changes in offset order, or a whole table in any order.
-        end: Offset from which to read later changes.
+        end: Position from which to read later changes.
         is_from_leader: Whether another instance has read the records.
     """
 
@@ -61,7 +61,7 @@
         """Reads changes.
 
         Args:
-            from_offset: Offset of the first change to return.
+            from_offset: Position of the first change to return.
             wait_ms: Milliseconds to wait for a change if there is none yet.
 
         Raises:
--- a/src/jujubewharf/standins/store.py
+++ b/src/jujubewharf/standins/store.py
@@ -179,7 +179,7 @@
         epoch = self._view.store.epoch
         page = await self._table.newest()
         await self._view.receive(epoch, "newest")
-        return page
+        return _in_epoch(page, epoch)
 
     async def changes(
         self, from_offset: int, *, wait_ms: float
@@ -188,14 +188,17 @@
         await self._view.check()
         try:
             page = await self._table.changes(
-                from_offset, wait_ms=wait_ms, check=self._view.check
+                epochs.split(from_offset).offset,
+                wait_ms=wait_ms,
+                check=self._view.check,
             )
         except log.LogTruncatedError:
             self._view.store.refused_reads += 1
             await self._view.receive(self._view.store.epoch, "read")
             raise
-        await self._view.receive(self._view.store.epoch, "read")
-        return page
+        epoch = self._view.store.epoch
+        await self._view.receive(epoch, "read")
+        return _in_epoch(page, epoch)
 
     async def write(self, values: Mapping[str, T | None]) -> None:
         """Writes records; see ``tables.WritableTable``."""
@@ -205,6 +208,15 @@
         await self._view.receive(epoch, "append")
 
 
+def _in_epoch(page: tables.TablePage[T], epoch: int) -> tables.TablePage[T]:
+    """Returns a page with positions in place of the store's offsets."""
+    records = tuple(
+        dataclasses.replace(r, offset=epochs.combine(epoch, r.offset))
+        for r in page.records
+    )
+    return tables.TablePage(records, epochs.combine(epoch, page.end))
+
+
 class GroupView:
     """Implements ``groups.Group`` for one member."""
 
