Read a restored table anew, whatever its end is

Callers saw: nothing yet; found by asking what happens when as much or more is written again than was lost before a reader asks. Cause: a reader asked from its former end, got what lay behind it, and skipped what had been written below it in the new history. No answer told. Why this holds: a read from a position of another epoch than the answer's is refused by the adapter (LogRestoredError) and the whole table is read. A restore that any call notices ends a long poll that began before. Who gets the changes from its leader goes on with them and reads the table itself within five seconds, spread, for what the leader had not known.

table_restored says what each table's reader had and what it found.

--- a/benchmarks/log_cost.py
+++ b/benchmarks/log_cost.py
@@ -22,6 +22,7 @@
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import entry
 from jujubewharf.forwarding import routes
+from jujubewharf.platform import epochs
 from jujubewharf.standins import backend_state
 from jujubewharf.standins import backends
 from jujubewharf.standins import tables
@@ -146,6 +147,7 @@
         configurations,
         endpoints,
         tables.StandInGroups(clock).member("e1"),
+        epochs.StoreEpoch(),
     )
     return entry.ForwardingEntry(
         forwarding_parts.settings("e1"), clock, adapters, random.Random(1)
--- a/benchmarks/request_profile.py
+++ b/benchmarks/request_profile.py
@@ -26,6 +26,7 @@
 from jujubewharf.forwarding import entry
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import routes
+from jujubewharf.platform import epochs
 from jujubewharf.standins import backend_state
 from jujubewharf.standins import backends
 from jujubewharf.standins import network
@@ -145,6 +146,7 @@
             configurations,
             endpoints,
             tables.StandInGroups(clock).member(name),
+            epochs.StoreEpoch(),
             peers,
         )
         instance = entry.ForwardingEntry(
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -45,6 +45,7 @@
 from jujubewharf.leadership import led
 from jujubewharf.leadership import shared_state
 from jujubewharf.leaving import shutdown
+from jujubewharf.platform import epochs
 from jujubewharf.platform import groups
 from jujubewharf.platform import tables
 from jujubewharf.requests import plain_endpoints
@@ -68,6 +69,7 @@
         configurations: Table of routing configurations.
         endpoints: Table of endpoint registrations.
         group: Group of all instances.
+        epoch: Epoch of the store that holds tables and groups.
         peers: Connections between instances; ``None`` without a leader.
         crashes: Table of crash reports; ``None`` if they are not stored.
     """
@@ -76,6 +78,7 @@
     configurations: tables.Table[routes.RoutingConfiguration | None]
     endpoints: tables.Table[resources.Endpoint]
     group: groups.Group
+    epoch: epochs.StoreEpoch
     peers: ports.PeerAdapters | None = None
     crashes: tables.WritableTable | None = None
 
@@ -157,6 +160,7 @@
             self.fleet,
             self.crashes,
             self.fleet_crashes,
+            adapters.epoch,
             clock,
             rng,
         )
@@ -181,6 +185,7 @@
             adapters.configurations,
             self.fleet,
             settings.store,
+            adapters.epoch,
             clock,
             rng,
             on_page=self._on_configurations,
@@ -189,6 +194,7 @@
             adapters.endpoints,
             self.fleet,
             settings.store,
+            adapters.epoch,
             clock,
             rng,
             on_page=self._on_endpoints,
--- a/src/jujubewharf/forwarding/follower.py
+++ b/src/jujubewharf/forwarding/follower.py
@@ -31,6 +31,9 @@
 # Interval of full reads. They find changes that incremental reads missed
 # because the store dropped them or returned an outdated end offset.
 _FULL_READ_INTERVAL_MS = 15_000.0
+# Time within which instances that a leader informed read a restored table
+# themselves, so that hundreds of them don't read it at the same moment.
+_VERIFY_SPREAD_MS = 5_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,6 +56,7 @@
         name: Name of the table in log lines.
         table: The table.
         pace: Polling parameters.
+        epoch: Epoch of the store.
         clock: Time source.
         rng: Jitter of the pauses.
         on_page: Called with each page and whether it is the whole table.
@@ -66,6 +70,7 @@
         name: str,
         table: tables.Table[T],
         pace: PollIntervals,
+        epoch: epochs.StoreEpoch,
         clock: clocks.Clock,
         rng: random.Random,
         *,
@@ -77,6 +82,7 @@
         self._name = name
         self._table = table
         self._pace = pace
+        self._epoch = epoch
         self._clock = clock
         self._rng = rng
         self._on_page = on_page
@@ -84,12 +90,14 @@
         self._is_watched = is_watched
         self._offset: int | None = None
         self._last_full_read_ms = 0.0
+        # Time from which a full read is required, besides the periodic ones.
+        self._required_at_ms: float | None = 0.0
         self._unavailable_since_ms: float | None = None
         self._logger = structlog.get_logger()
 
     @property
     def offset(self) -> int:
-        """Offset up to which the table was read; 0 before the first read."""
+        """Position up to which the table was read; 0 before the first read."""
         return self._offset or 0
 
     @mode.Service.task
@@ -111,7 +119,9 @@
                     wanted=wanted.offset,
                     first=error.first_offset,
                 )
-                self._offset = None
+                self._required_at_ms = 0.0
+            except log.LogRestoredError:
+                self._required_at_ms = 0.0
 
     async def _read(self) -> None:
         began_ms = self._clock.now_ms()
@@ -122,6 +132,9 @@
         except log.LogTruncatedError:
             outcome = "truncated"
             raise
+        except log.LogRestoredError:
+            outcome = "restored"
+            raise
         finally:
             took_ms = self._clock.now_ms() - began_ms
             labels = {"table": self._name, "outcome": outcome}
@@ -133,21 +146,52 @@
     async def _next_page(self) -> tuple[tables.TablePage[T], bool]:
         """Returns the next page and whether it is the whole table."""
         now_ms = self._clock.now_ms()
-        is_full_read = self._offset is None
-        if not is_full_read and self._is_watched():
+        is_required = (
+            self._required_at_ms is not None and now_ms >= self._required_at_ms
+        )
+        if self._offset is not None and self._is_watched():
             self._last_full_read_ms = now_ms
-        if (
-            is_full_read
+            if is_required:
+                page = await self._verify()
+                if page is not None:
+                    return page, True
+        elif (
+            is_required
             or now_ms - self._last_full_read_ms > _FULL_READ_INTERVAL_MS
         ):
-            page = await self._table.newest()
-            self._last_full_read_ms = now_ms
-            return page, True
+            return await self._read_all(), True
         assert self._offset is not None
-        page = await self._table.changes(
-            self._offset, wait_ms=self._pace.wait_ms
-        )
-        return page, False
+        changes = self._table.changes(self._offset, wait_ms=self._pace.wait_ms)
+        return await self._epoch.until_restored(changes), False
+
+    async def _read_all(self) -> tables.TablePage[T]:
+        began_ms = self._clock.now_ms()
+        page = await self._table.newest()
+        self._last_full_read_ms = began_ms
+        self._required_at_ms = None
+        return page
+
+    async def _verify(self) -> tables.TablePage[T] | None:
+        """Reads the whole table although the leader sends its changes.
+
+        After a restore the leader may not have known all that this instance
+        knew, and so sends no change that removes it.
+
+        Returns:
+            ``None`` if the store did not answer; it is read again later.
+        """
+        try:
+            return await self._read_all()
+        except (log.LogUnavailableError, log.LogRestoredError) as error:
+            self._logger.info(
+                "table_not_verified", table=self._name, detail=str(error)
+            )
+            self._schedule_verification()
+            return None
+
+    def _schedule_verification(self) -> None:
+        delay_ms = _VERIFY_SPREAD_MS * self._rng.random()
+        self._required_at_ms = self._clock.now_ms() + delay_ms
 
     def _handle_page(
         self, page: tables.TablePage[T], *, is_full_read: bool
@@ -158,10 +202,32 @@
                 "store_regained", table=self._name, away_ms=away_ms
             )
             self._unavailable_since_ms = None
+        if self._offset is not None:
+            self._note_restore(self._offset, page, is_full_read=is_full_read)
         # A full read can be older than changes that were already read.
         self._offset = max(page.end, self._offset or 0)
         self._on_page(page, is_full_read)
 
+    def _note_restore(
+        self, former_end: int, page: tables.TablePage[T], *, is_full_read: bool
+    ) -> None:
+        """Logs the first page of a new epoch."""
+        former, end = epochs.split(former_end), epochs.split(page.end)
+        if end.epoch <= former.epoch:
+            return
+        self._logger.warning(
+            "table_restored",
+            table=self._name,
+            epoch=end.epoch,
+            end=end.offset,
+            former_epoch=former.epoch,
+            former_end=former.offset,
+            records=len(page.records),
+            told_by="leader" if page.is_from_leader else "store",
+        )
+        if not is_full_read:
+            self._schedule_verification()
+
     def _handle_outage(self, detail: str) -> None:
         if self._unavailable_since_ms is None:
             self._unavailable_since_ms = self._clock.now_ms()
--- a/src/jujubewharf/forwarding/store_followers.py
+++ b/src/jujubewharf/forwarding/store_followers.py
@@ -13,6 +13,7 @@
 from jujubewharf.forwarding import settings as all_settings
 from jujubewharf.leadership import feeds
 from jujubewharf.leadership import fleet as fleets
+from jujubewharf.platform import epochs
 from jujubewharf.platform import tables
 
 T = TypeVar("T")
@@ -35,6 +36,7 @@
     table: tables.Table[_Configuration],
     fleet: fleets.Fleet,
     store: all_settings.StoreSettings,
+    epoch: epochs.StoreEpoch,
     clock: clocks.Clock,
     rng: random.Random,
     *,
@@ -46,6 +48,7 @@
         table: Table of configurations.
         fleet: Link to the leader or the followers.
         store: Settings of the store.
+        epoch: Epoch of the store.
         clock: Time source.
         rng: Jitter of the pauses.
         on_page: Called with each page and whether it is the whole table.
@@ -59,6 +62,7 @@
         "configuration",
         feeds.LeaderTable(table, feed, clock),
         pace,
+        epoch,
         clock,
         rng,
         on_page=on_page,
@@ -70,6 +74,7 @@
     table: tables.Table[resources.Endpoint],
     fleet: fleets.Fleet,
     store: all_settings.StoreSettings,
+    epoch: epochs.StoreEpoch,
     clock: clocks.Clock,
     rng: random.Random,
     *,
@@ -82,6 +87,7 @@
         table: Table of endpoint registrations.
         fleet: Link to the leader or the followers.
         store: Settings of the store.
+        epoch: Epoch of the store.
         clock: Time source.
         rng: Jitter of the pauses.
         on_page: Called with each page and whether it is the whole table.
@@ -104,6 +110,7 @@
         "endpoints",
         feeds.LeaderTable(table, feed, clock, pause_ms=pause_ms),
         pace,
+        epoch,
         clock,
         rng,
         on_page=on_page,
--- a/src/jujubewharf/leadership/crash_follower.py
+++ b/src/jujubewharf/leadership/crash_follower.py
@@ -18,6 +18,7 @@
 from jujubewharf.forwarding import follower
 from jujubewharf.leadership import fleet as fleets
 from jujubewharf.leadership import fleet_crashes
+from jujubewharf.platform import epochs
 from jujubewharf.platform import record_errors
 from jujubewharf.platform import tables
 
@@ -35,6 +36,7 @@
     table: tables.WritableTable,
     fleet: fleets.Fleet,
     shared_crashes: fleet_crashes.FleetCrashes,
+    epoch: epochs.StoreEpoch,
     clock: clocks.Clock,
     rng: random.Random,
     *,
@@ -46,6 +48,7 @@
         table: The store's table.
         fleet: Role of this instance.
         shared_crashes: Applies the reports and broadcasts them.
+        epoch: Epoch of the store.
         clock: Clock.
         rng: Random jitter of reads.
         on_record: Called with the key and fingerprint of each record.
@@ -54,6 +57,7 @@
         _TABLE,
         _TableWithoutLeader(table, fleet, clock),
         follower.PollIntervals(wait_ms=_LONG_POLL_MS, pause_ms=0.0),
+        epoch,
         clock,
         rng,
         on_page=_ReportReader(shared_crashes, clock, on_record).take,
--- a/src/jujubewharf/leadership/crash_services.py
+++ b/src/jujubewharf/leadership/crash_services.py
@@ -12,6 +12,7 @@
 from jujubewharf.leadership import crash_writer
 from jujubewharf.leadership import fleet as fleets
 from jujubewharf.leadership import fleet_crashes
+from jujubewharf.platform import epochs
 from jujubewharf.platform import tables
 
 
@@ -20,6 +21,7 @@
     fleet: fleets.Fleet,
     history: crashes.CrashHistory,
     shared_crashes: fleet_crashes.FleetCrashes,
+    epoch: epochs.StoreEpoch,
     clock: clocks.Clock,
     rng: random.Random,
 ) -> tuple[mode.Service, ...]:
@@ -30,6 +32,7 @@
         fleet: Role of this instance.
         history: Crash history of this instance.
         shared_crashes: Broadcasts changes of the history.
+        epoch: Epoch of the store.
         clock: Clock.
         rng: Random jitter of reads.
     """
@@ -39,6 +42,12 @@
         table, fleet, history, shared_crashes, clock
     )
     reader = crash_follower.new_crash_follower(
-        table, fleet, shared_crashes, clock, rng, on_record=writer.note_record
+        table,
+        fleet,
+        shared_crashes,
+        epoch,
+        clock,
+        rng,
+        on_record=writer.note_record,
     )
     return writer, reader
--- a/src/jujubewharf/platform/epochs.py
+++ b/src/jujubewharf/platform/epochs.py
@@ -9,11 +9,18 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Awaitable
 import dataclasses
+from typing import TypeVar
 
 from opentelemetry import metrics
 import structlog
 
+from jujubewharf.platform import log
+
+T = TypeVar("T")
+
 _RESTORES = metrics.get_meter("jujubewharf").create_counter(
     "forwarding.store_restores",
     description="Restores of the store from a copy that were noticed.",
@@ -53,6 +60,7 @@
     def __init__(self) -> None:
         self.current = 0
         self._is_known = False
+        self._restored = asyncio.Event()
         self._logger = structlog.get_logger()
 
     def observe(self, epoch: int | None, *, call: str) -> None:
@@ -70,4 +78,38 @@
             self._logger.warning(
                 "store_restored", epoch=epoch, former=former, noticed_by=call
             )
+            self._restored.set()
+            self._restored = asyncio.Event()
         self._is_known = True
+
+    def require(self, position: int) -> None:
+        """Checks that a position is of the current epoch.
+
+        Raises:
+            LogRestoredError: It is of another one.
+        """
+        if split(position).epoch != self.current:
+            raise log.LogRestoredError(f"epoch is {self.current}")
+
+    async def until_restored(self, reading: Awaitable[T]) -> T:
+        """Awaits a read, which a restore ends at once.
+
+        A long poll that the store held open when it went away may otherwise
+        hang until its timeout.
+
+        Raises:
+            LogRestoredError: The store was restored meanwhile.
+        """
+        read = asyncio.ensure_future(reading)
+        restored = asyncio.ensure_future(self._restored.wait())
+        try:
+            await asyncio.wait(
+                [read, restored], return_when=asyncio.FIRST_COMPLETED
+            )
+            if not read.done():
+                raise log.LogRestoredError(f"epoch is {self.current}")
+            return read.result()
+        finally:
+            restored.cancel()
+            read.cancel()
+            await asyncio.gather(read, restored, return_exceptions=True)
--- a/src/jujubewharf/platform/log.py
+++ b/src/jujubewharf/platform/log.py
@@ -34,6 +34,10 @@
         self.first_offset = first_offset
 
 
+class LogRestoredError(Exception):
+    """A position belongs to an epoch before the log was restored."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LogRecord:
     """A record with the offset that the log assigned to it."""
--- a/src/jujubewharf/platform/tables.py
+++ b/src/jujubewharf/platform/tables.py
@@ -66,6 +66,7 @@
 
         Raises:
             LogTruncatedError: ``from_offset`` is no longer retained.
+            LogRestoredError: ``from_offset`` is of an earlier epoch.
         """
         ...
 
--- a/src/jujubewharf/standins/store.py
+++ b/src/jujubewharf/standins/store.py
@@ -129,7 +129,7 @@
     ) -> None:
         self.store = store
         self._instance = instance
-        self._epoch = epoch
+        self.epoch = epoch
         self._clock = clock
 
     def table(self, name: str) -> TableView[Any]:
@@ -163,7 +163,7 @@
         delay_ms = self.store.delays_ms.get(self._instance, 0.0)
         if delay_ms > 0.0:
             await self._clock.sleep_ms(delay_ms)
-        self._epoch.observe(epoch, call=call)
+        self.epoch.observe(epoch, call=call)
 
 
 class TableView(Generic[T]):
@@ -195,9 +195,11 @@
         except log.LogTruncatedError:
             self._view.store.refused_reads += 1
             await self._view.receive(self._view.store.epoch, "read")
+            self._view.epoch.require(from_offset)
             raise
         epoch = self._view.store.epoch
         await self._view.receive(epoch, "read")
+        self._view.epoch.require(from_offset)
         return _in_epoch(page, epoch)
 
     async def write(self, values: Mapping[str, T | None]) -> None:
--- a/tests/forwarding/deployments.py
+++ b/tests/forwarding/deployments.py
@@ -212,12 +212,14 @@
                 stop_within_s=8,
                 processor={"share": self.cores.get(name, 0.5)},
             )
-            view = self.store.view(name, epochs.StoreEpoch())
+            epoch = epochs.StoreEpoch()
+            view = self.store.view(name, epoch)
             adapters = entry.Adapters(
                 self.backends.for_instance(name),
                 view.table("configurations"),
                 view.table("endpoints"),
                 view.group("instances", name),
+                epoch,
                 self._peers(view, name, domain) if is_led else None,
                 view.table("crashes"),
             )
--- a/tests/forwarding/test_follower.py
+++ b/tests/forwarding/test_follower.py
@@ -7,6 +7,7 @@
 from jujubewharf import clock as clocks
 from jujubewharf.experiments import virtual_time
 from jujubewharf.forwarding import follower
+from jujubewharf.platform import epochs
 from jujubewharf.standins import tables
 
 PACE = follower.PollIntervals(wait_ms=500.0, pause_ms=50.0)
@@ -26,6 +27,7 @@
             "t",
             table,
             PACE,
+            epochs.StoreEpoch(),
             clock,
             random.Random(1),
             on_page=on_page,
--- a/tests/leadership/test_restored_store.py
+++ b/tests/leadership/test_restored_store.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from jujubewharf.standins import store as stores
 from tests.forwarding import deployments
 
 prefill_engine = deployments.prefill_engine
@@ -26,6 +27,10 @@
     return {n: i.source.version for n, i in world.instances.items()}
 
 
+def _shop(name):
+    return deployments.plain_endpoint(name).endpoint
+
+
 async def _write(world, *versions):
     """Writes configurations as an operator does, some time apart."""
     for version in versions:
@@ -53,3 +58,35 @@
                 assert set(_versions(world).values()) == {version}
 
     deployments.run(main())
+
+
+@pytest.mark.parametrize("lost", [1, 3])
+@pytest.mark.parametrize("more", [0, 1, 4])
+def test_change_below_the_former_end_is_not_skipped(lost, more):
+    """A reader goes on at its former end and skips what lies below it.
+
+    As much or more is written again before it reads, so that the store has
+    the position and refuses nothing.
+    """
+
+    async def main():
+        async with _deployed() as world:
+            copy = world.store.copy()
+            for number in range(lost):
+                name = f"lost{number}"
+                world.endpoints.put(name, _shop(name))
+            await world.clock.sleep_ms(IN_FORCE_MS)
+            world.store.outage = stores.Outage.RESET
+            await world.clock.sleep_ms(500.0)
+            world.store.restore(copy)
+            for number in range(lost + more):
+                name = f"new{number}"
+                world.endpoints.put(name, _shop(name))
+            await world.clock.sleep_ms(IN_FORCE_MS)
+            refused = world.store.refused_reads
+            for instance in world.instances.values():
+                for number in range(lost + more):
+                    assert instance.registry.takes_work(f"new{number}")
+            assert not refused
+
+    deployments.run(main())
