Reject answers of the store that a restore has overtaken

An answer from before the restore that arrives after one from after it was taken for news, the pages of a table read across a restore were joined, and a follower went on relying on a leader that had not noticed the restore. Why this holds: the epoch is compared in one place, as each answer is decoded. Lower ones fail the call, a table's pages must be of one epoch, an answer that states none leaves the epoch as it is. Leaders and followers learn it from each other's positions; a leader's confirmations count only in the epoch that its follower knows.

--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -144,6 +144,7 @@
             self.work,
             shared_state.SharedState(self.backpressure, self.crashes),
             lambda: self._endpoints.offset,
+            adapters.epoch,
             clock,
             in_force_within_ms=settings.store.in_force_within_ms,
             leaving_within_ms=settings.store.leaving_within_ms,
--- a/src/jujubewharf/leadership/feeds.py
+++ b/src/jujubewharf/leadership/feeds.py
@@ -11,6 +11,7 @@
 from typing import TypeVar
 
 from jujubewharf import clock as clocks
+from jujubewharf.platform import epochs
 from jujubewharf.platform import log
 from jujubewharf.platform import tables
 
@@ -21,6 +22,8 @@
     """Records of one table, as received from the leader.
 
     Args:
+        epoch: Epoch of the store. A leader that still reads an earlier one
+            has not noticed the restore, and its confirmations don't count.
         clock: Clock.
         fresh_ms: Age in ms up to which the leader's confirmation counts as a
             read of the store.
@@ -30,8 +33,11 @@
             whether they arrived.
     """
 
-    def __init__(self, clock: clocks.Clock, *, fresh_ms: float) -> None:
+    def __init__(
+        self, epoch: epochs.StoreEpoch, clock: clocks.Clock, *, fresh_ms: float
+    ) -> None:
         self.fetch: Callable[[], Awaitable[bool]] | None = None
+        self._epoch = epoch
         self._clock = clock
         self._fresh_ms = fresh_ms
         # Offset of the newest record that the leader has read but not sent.
@@ -44,7 +50,10 @@
     @property
     def is_fresh(self) -> bool:
         """Whether the records are recent enough to skip the store."""
-        return self._end_offset is not None and self._fresh_for_ms > 0.0
+        if self._end_offset is None:
+            return False
+        is_current = epochs.split(self._end_offset).epoch >= self._epoch.current
+        return is_current and self._fresh_for_ms > 0.0
 
     @property
     def _fresh_for_ms(self) -> float:
@@ -63,6 +72,7 @@
             end: Offset up to which the leader has read the table.
             age_ms: Time in ms since that read.
         """
+        self._epoch.learn(end)
         if self._end_offset is None:
             # The first records have not arrived yet.
             return
@@ -73,6 +83,7 @@
 
     def apply(self, records: Iterable[tables.TableRecord[T]], end: int) -> None:
         """Applies changed records."""
+        self._epoch.learn(end)
         if self._end_offset is None:
             self._confirmed_ms = self._clock.now_ms()
         for record in records:
--- a/src/jujubewharf/leadership/fleet.py
+++ b/src/jujubewharf/leadership/fleet.py
@@ -24,6 +24,7 @@
 from jujubewharf.peers import counters
 from jujubewharf.peers import link_messages
 from jujubewharf.peers import messages
+from jujubewharf.platform import epochs
 
 # Shares of the time limits for a change to take effect during which the
 # leader's read counts as this instance's own. The rest leaves time for an own
@@ -52,6 +53,7 @@
         state: State that all instances share.
         endpoints_end: Returns the offset up to which this instance has read the
             endpoints.
+        epoch: Epoch of the store.
         clock: Clock.
         in_force_within_ms: Time limit in ms for a configuration to take effect.
         leaving_within_ms: Time limit in ms after which a leaving endpoint may
@@ -71,22 +73,26 @@
         work: costs.CostEstimates,
         state: shared_state.SharedState,
         endpoints_end: Callable[[], int],
+        epoch: epochs.StoreEpoch,
         clock: clocks.Clock,
         *,
         in_force_within_ms: float,
         leaving_within_ms: float,
         count_within_ms: float,
     ) -> None:
+        self._epoch = epoch
         self._clock = clock
         self._work = work
         self._state = state
         self._count_within_ms = count_within_ms
         self.feeds = leader_link.Feeds(
             all_feeds.Feed(
+                epoch,
                 clock,
                 fresh_ms=in_force_within_ms * _CONFIGURATION_FRESH_SHARE,
             ),
             all_feeds.Feed(
+                epoch,
                 clock,
                 fresh_ms=leaving_within_ms * _ENDPOINTS_FRESH_SHARE,
             ),
@@ -207,6 +213,7 @@
             hello,
             new_placement_server,
             counts,
+            self._epoch,
             self._clock,
             self._state,
             count_within_ms=self._count_within_ms,
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -23,6 +23,7 @@
 from jujubewharf.peers import messages
 from jujubewharf.peers import quota_messages
 from jujubewharf.peers import streams
+from jujubewharf.platform import epochs
 from jujubewharf.platform import tables
 
 # Size limit in bytes of a configuration that is sent to all followers at once
@@ -49,6 +50,7 @@
         hello: Identity of this instance.
         new_placement_server: Creates the placement server of one follower.
         counts: Counters of links.
+        epoch: Epoch of the store.
         clock: Clock.
         state: State that all instances share.
         count_within_ms: Time in ms for which a follower is counted after its
@@ -63,6 +65,7 @@
         hello: link_messages.Hello,
         new_placement_server: servers.PlacementServerFactory,
         counts: counters.PeerCounters,
+        epoch: epochs.StoreEpoch,
         clock: clocks.Clock,
         state: shared_state.SharedState,
         *,
@@ -75,6 +78,7 @@
         self._hello = hello
         self._new_placement_server = new_placement_server
         self._counts = counts
+        self._epoch = epoch
         self._clock = clock
         self._state = state
         self._links: set[links.Link] = set()
@@ -146,6 +150,7 @@
         ) -> messages.Message | None:
             match message:
                 case leader_messages.FollowerHello(endpoints_end=end):
+                    self._epoch.learn(end)
                     self._add_follower(link, end)
                     return None
                 case leader_messages.ConfigurationRequest():
--- a/src/jujubewharf/platform/epochs.py
+++ b/src/jujubewharf/platform/epochs.py
@@ -11,6 +11,7 @@
 
 import asyncio
 from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
 from typing import TypeVar
 
@@ -28,6 +29,8 @@
 
 
 _OFFSET_BITS = 32
+# Positions fit into 64 bits with epochs of so many digits.
+_MAX_EPOCH_DIGITS = 9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +53,13 @@
     )
 
 
+def parse(text: str) -> int | None:
+    """Parses an epoch; returns ``None`` for anything but a small number."""
+    if not text.isdecimal() or len(text) > _MAX_EPOCH_DIGITS:
+        return None
+    return int(text)
+
+
 class StoreEpoch:
     """Highest epoch of the store that this instance has seen.
 
@@ -61,6 +71,7 @@
         self.current = 0
         self._is_known = False
         self._restored = asyncio.Event()
+        self._listeners: list[Callable[[], None]] = []
         self._logger = structlog.get_logger()
 
     def observe(self, epoch: int | None, *, call: str) -> None:
@@ -69,17 +80,41 @@
         Args:
             epoch: The epoch; ``None`` if the answer states none.
             call: Name of the call, for the log line.
+
+        Raises:
+            LogUnavailableError: The answer is from before a restore, and was
+                overtaken by one from after it.
         """
-        if epoch is None or (self._is_known and epoch <= self.current):
+        if epoch is None:
+            return
+        if epoch < self.current:
+            raise log.LogUnavailableError(f"answer of epoch {epoch}")
+        self._raise_to(epoch, call)
+
+    def learn(self, position: int) -> None:
+        """Records the epoch of a position that another instance has read."""
+        self._raise_to(split(position).epoch, "peer")
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Registers a callback for each restore that is noticed."""
+        self._listeners.append(listener)
+
+    def _raise_to(self, epoch: int, noticed_by: str) -> None:
+        if self._is_known and epoch <= self.current:
             return
-        former, self.current = self.current, epoch
+        former, self.current = self.current, max(epoch, self.current)
         if self._is_known:
             _RESTORES.add(1)
             self._logger.warning(
-                "store_restored", epoch=epoch, former=former, noticed_by=call
+                "store_restored",
+                epoch=epoch,
+                former=former,
+                noticed_by=noticed_by,
             )
             self._restored.set()
             self._restored = asyncio.Event()
+            for listener in self._listeners:
+                listener()
         self._is_known = True
 
     def require(self, position: int) -> None:
--- a/tests/leadership/test_feeds.py
+++ b/tests/leadership/test_feeds.py
@@ -7,6 +7,7 @@
 from jujubewharf import clock as clocks
 from jujubewharf.experiments import virtual_time
 from jujubewharf.leadership import feeds
+from jujubewharf.platform import epochs
 from jujubewharf.platform import tables as platform_tables
 from jujubewharf.standins import tables
 
@@ -17,7 +18,7 @@
     async def main():
         clock = clocks.Clock(wall_origin_ms=0.0)
         table = tables.StandInTable(clock)
-        feed = feeds.Feed(clock, fresh_ms=FRESH_MS)
+        feed = feeds.Feed(epochs.StoreEpoch(), clock, fresh_ms=FRESH_MS)
         await test(clock, table, feed, feeds.LeaderTable(table, feed, clock))
 
     virtual_time.run(main())
--- a/tests/users_platform/test_store.py
+++ b/tests/users_platform/test_store.py
@@ -138,6 +138,58 @@
             await table.changes(0, wait_ms=0.0)
 
 
+def _in_era(era: str, body: bytes, status: str = "200 OK") -> bytes:
+    return raw_server.answer(status, body, Store_Era=era)
+
+
+def _page(end: int, *, more: bool, item: dict[str, object]) -> bytes:
+    page = {"items": [item], "hasMore": more, "end": end}
+    return json.dumps(page).encode()
+
+
+async def test_positions_name_the_epoch():
+    sent = _in_era("3", _page(7, more=False, item=_item("a", b"1", 2)))
+    async with _table(lambda r: [sent]) as (table, _):
+        page = await table.newest()
+    assert page.end == epochs.combine(3, 7)
+    assert page.records[0].offset == epochs.combine(3, 2)
+
+
+@pytest.mark.parametrize("status", ["200 OK", "410 Gone"])
+async def test_read_from_before_a_restore_is_refused(status):
+    """The restored store has the offset again, with other records."""
+    body = struct.pack(">QQ", 9, 0) + struct.pack(">I", 3) + b"\x01a1"
+    sent = _in_era("4", body, status)
+    async with _table(lambda r: [sent]) as (table, server):
+        with pytest.raises(log.LogRestoredError):
+            await table.changes(epochs.combine(3, 5), wait_ms=0.0)
+    assert "from=5" in server.received[0].line
+
+
+async def test_table_read_across_a_restore_is_refused():
+    """Pages of two epochs don't make up one table."""
+    pages = {
+        "": _in_era("3", _page(7, more=True, item=_item("a", b"1", 3))),
+        "a": _in_era("4", _page(2, more=False, item=_item("b", b"2", 1))),
+    }
+
+    def script(received):
+        after = received.line.partition("after=")[2].partition(" ")[0]
+        return [pages[after]]
+
+    async with _table(script) as (table, _):
+        with pytest.raises(log.LogRestoredError):
+            await table.newest()
+
+
+@pytest.mark.parametrize("era", ["", "x", "-1", "9" * 400])
+async def test_unreadable_epoch_changes_nothing(era):
+    sent = _in_era(era, _page(7, more=False, item=_item("a", b"1", 2)))
+    async with _table(lambda r: [sent]) as (table, _):
+        page = await table.newest()
+    assert page.end == 7
+
+
 async def test_joining_a_group():
     answer = _json({"generation": 7, "ttlMs": 3, "parts": [["t", 3, 0]]})
     async with raw_server.serving(lambda r: [answer]) as (server, address):
