Let generations rise across a restore

Members ignored an assignment of a lower generation and went on extending their lease by it, so that two could lead for as long as the restored store's generations stayed lower, and engines refused the new leader's orders for their fencing token. Why this holds: a generation is combined with the epoch as positions are, so the lease, the fencing token and what engines have seen rise together, also for an instance that knows nothing of before. A generation of another epoch acknowledges nothing when it is sent back. The new holder waits for a whole time to live before it orders, as before; the former one's lease ends within that time, without an answer of the store.

--- a/src/jujubewharf/forwarding/lease.py
+++ b/src/jujubewharf/forwarding/lease.py
@@ -10,6 +10,7 @@
 import structlog
 
 from jujubewharf import clock as clocks
+from jujubewharf.platform import epochs
 from jujubewharf.platform import groups
 from jujubewharf.platform import log
 
@@ -110,9 +111,11 @@
         elif not holds_first:
             self._holds_first_since_ms = None
         if share != self._share:
+            generation = epochs.split(share.generation)
             self._logger.info(
                 "share_changed",
-                generation=share.generation,
+                epoch=generation.epoch,
+                generation=generation.offset,
                 parts=len(share.parts),
                 holds_first=holds_first,
             )
--- a/src/jujubewharf/leadership/leadership.py
+++ b/src/jujubewharf/leadership/leadership.py
@@ -24,6 +24,7 @@
 from jujubewharf.peers import link as links
 from jujubewharf.peers import link_messages
 from jujubewharf.peers import streams
+from jujubewharf.platform import epochs
 from jujubewharf.platform import groups
 from jujubewharf.platform import log
 
@@ -157,8 +158,11 @@
         return True
 
     async def _lead(self) -> None:
+        generation = epochs.split(self._lease.share.generation)
         self._logger.info(
-            "leading_began", generation=self._lease.share.generation
+            "leading_began",
+            epoch=generation.epoch,
+            generation=generation.offset,
         )
         self._leader_link.discard_received()
         self._followers.begin_leading()
--- a/src/jujubewharf/platform/epochs.py
+++ b/src/jujubewharf/platform/epochs.py
@@ -126,6 +126,11 @@
         if split(position).epoch != self.current:
             raise log.LogRestoredError(f"epoch is {self.current}")
 
+    def current_offset(self, position: int) -> int:
+        """Returns the offset of a position; 0 if it is of another epoch."""
+        parts = split(position)
+        return parts.offset if parts.epoch == self.current else 0
+
     async def until_restored(self, reading: Awaitable[T]) -> T:
         """Awaits a read, which a restore ends at once.
 
--- a/src/jujubewharf/platform/groups.py
+++ b/src/jujubewharf/platform/groups.py
@@ -11,7 +11,9 @@
     """Partitions assigned to one member.
 
     Attributes:
-        generation: Increases whenever partitions are reassigned.
+        generation: Increases whenever partitions are reassigned, also across a
+            restore of the store: its epoch is in the upper bits, see
+            ``epochs``.
         parts: Partitions assigned to this member.
     """
 
@@ -42,7 +44,8 @@
 
         Args:
             generation: Last generation that this member has received, which
-                it thereby acknowledges.
+                it thereby acknowledges; one of an earlier epoch acknowledges
+                nothing.
 
         Returns:
             The current assignment of this member.
--- a/src/jujubewharf/standins/store.py
+++ b/src/jujubewharf/standins/store.py
@@ -236,7 +236,9 @@
         epoch = self._view.store.epoch
         assignment = await self._member.join(generation)
         await self._view.receive(epoch, "join")
-        return assignment
+        return groups.GroupAssignment(
+            epochs.combine(epoch, assignment.generation), assignment.parts
+        )
 
     async def contacts(self) -> dict[int, str]:
         """Returns the contact of each partition; see ``groups.Group``."""
--- a/tests/leadership/test_restored_store.py
+++ b/tests/leadership/test_restored_store.py
@@ -90,3 +90,56 @@
             assert not refused
 
     deployments.run(main())
+
+
+@pytest.mark.parametrize("age_ms", [500.0, 4_000.0])
+def test_one_instance_leads_after_generations_have_gone_back(age_ms):
+    """A member keeps the lease that the restored store gave to another one.
+
+    The generation that it is told is lower than the one that it has seen.
+    """
+
+    async def main():
+        async with _deployed() as world:
+            copy = world.store.copy()
+            for name in ("x", "y", "z"):
+                world.leaders.join(name)
+                world.leaders.leave(name)
+            await world.clock.sleep_ms(age_ms)
+            former = world.leader
+            world.store.restore(copy)
+            # The copy has another member, which holds the first part.
+            world.leaders.leave(f"{former}:1")
+            world.leaders.join("a:1")
+            world.leaders.join(f"{former}:1")
+            await world.clock.sleep_ms(1_500.0)
+            assert not world.instances[former].lease.holds_first_part
+            await world.clock.sleep_ms(SETTLED_MS)
+            leading = [
+                name
+                for name, instance in world.instances.items()
+                if instance.fleet.is_leading
+            ]
+            assert len(leading) == 1
+
+    deployments.run(main())
+
+
+def test_fence_rises_across_a_restore():
+    """Engines refuse the orders of a leader whose generation has gone back."""
+
+    async def main():
+        async with _deployed() as world:
+            copy = world.store.copy()
+            for name in ("x", "y", "z"):
+                world.leaders.join(name)
+                world.leaders.leave(name)
+            await world.clock.sleep_ms(5_000.0)
+            before = world.instances[world.leader].lease.fence
+            assert before is not None
+            world.store.restore(copy)
+            await world.clock.sleep_ms(SETTLED_MS)
+            after = world.instances[world.leader].lease.fence
+            assert after is not None and after > before
+
+    deployments.run(main())
--- a/tests/users_platform/test_store.py
+++ b/tests/users_platform/test_store.py
@@ -139,7 +139,7 @@
 
 
 def _in_era(era: str, body: bytes, status: str = "200 OK") -> bytes:
-    return raw_server.answer(status, body, Store_Era=era)
+    return raw_server.answer(status, body, Store_Era=era, Connection="close")
 
 
 def _page(end: int, *, more: bool, item: dict[str, object]) -> bytes:
@@ -207,6 +207,33 @@
     assert (sent["group"], sent["generation"], sent["ttlMs"]) == ("g", 6, 3000)
 
 
+async def test_generation_rises_across_a_restore():
+    """A restored store deals out lower generations than before.
+
+    The last one received must not acknowledge those that are yet to come.
+    """
+    answers = iter([("1", 7), ("2", 3)])
+
+    def script(received):
+        era, generation = next(answers)
+        body = {"generation": generation, "parts": [["t", 0, 0]]}
+        return [_in_era(era, json.dumps(body).encode())]
+
+    async with raw_server.serving(script) as (server, address):
+        async with store.new_session() as session:
+            calls = store.Store(
+                address, session, clocks.Clock(), epochs.StoreEpoch()
+            )
+            group = store.StoreGroup(
+                calls, "g", "m", part_count=24, ttl_ms=3_000.0
+            )
+            first = await group.join(0)
+            calls.epoch.learn(epochs.combine(2, 0))
+            second = await group.join(first.generation)
+    assert second.generation > first.generation
+    assert json.loads(server.received[1].body)["generation"] == 0
+
+
 async def test_records_are_written_in_one_call():
     async with _table(lambda r: [_json({"offset": 0, "end": 2})]) as (
         table,
