Keep what was known of endpoints when the store's copy is older

After a restore all instances believed the copy: an endpoint that had begun to drain was ready again and got requests, one that had left got them for some seconds, one that had registered since was dropped at once although it was serving. Why this holds: an endpoint start that has been seen draining goes on draining for good, as if it had said so itself in an answer; that goes to all instances and to those that start later. One that was known to be gone stays away for five seconds, in which the store drops the entries of those that are gone (three of their heartbeats); a later start, or a later entry, ends that. One that the copy lacks is kept as after an outage, 2.4 s. Bound: an endpoint that was away from the store only, was back and is in the copy waits for these five seconds.

--- a/src/jujubewharf/forwarding/backpressure.py
+++ b/src/jujubewharf/forwarding/backpressure.py
@@ -119,6 +119,19 @@
         _log(terms, told_by="peer")
         return True
 
+    def mark_leaving(self, name: str) -> None:
+        """Records that an endpoint leaves, as its entry said before a restore.
+
+        The restored store may show the entry from before.
+        """
+        state = self._get(name)
+        if state.terms.is_leaving:
+            return
+        terms = dataclasses.replace(state.terms, is_leaving=True)
+        self._set_terms(state, terms)
+        _log(terms, told_by="entry")
+        self.on_terms_changed(terms)
+
     @property
     def terms(self) -> tuple[notices.Terms, ...]:
         """Terms of all endpoints that limit their requests."""
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -125,6 +125,7 @@
         self.registry = registry.Registry(clock, self.backpressure.is_leaving)
         self.backpressure.on_drain_notice = self.registry.handle_drain_notice
         self.backpressure.is_registered = self.registry.is_registered
+        self.registry.on_drained_before_restore = self.backpressure.mark_leaving
         adapters.backends.listen(self.backpressure.apply_notice)
         self.share = fleet_share.FleetShare(
             adapters.group, clock, default_share=_ISOLATED_SHARE
--- a/src/jujubewharf/forwarding/registry.py
+++ b/src/jujubewharf/forwarding/registry.py
@@ -18,6 +18,10 @@
 # Time after an outage of the store within which running endpoints register
 # again, excluding this instance's polling interval.
 LAPSE_GRACE_MS = 2_400.0
+# Time after a restore of the store for which an endpoint that was known to be
+# gone stays so, although the copy shows it as ready. The store drops the
+# entries of endpoints that are gone within that time.
+RESTORE_HOLD_MS = 5_000.0
 
 Listener = Callable[[Sequence[resources.Endpoint]], None]
 
@@ -29,7 +33,7 @@
     Attributes:
         key: Name under which the endpoint registered; earlier starts may have
             used it too.
-        offset: Offset in the store; the higher one is newer.
+        offset: Position in the store; the higher one is newer.
         endpoint: The endpoint; ``None`` if the entry was removed. ``drained``
             is set if the entry says that the endpoint drains.
         is_unreadable: Whether the entry could not be decoded.
@@ -53,6 +57,11 @@
     own endpoint name, and records of an earlier start are ignored once a later
     one is known.
 
+    A store that was restored from a copy shows an older state than was known
+    before. Endpoints that have registered since are kept like those that vanish
+    in an outage; those that have begun to drain go on draining, and those that
+    have left stay away until the store has had time to drop them again.
+
     While the store is unavailable, an endpoint that drains is still stored as
     ready. Drain notices in the endpoint's answers take precedence.
 
@@ -60,6 +69,10 @@
         clock: Time source.
         sent_drain_notice: Returns whether the endpoint of this name has sent a
             drain notice.
+
+    Attributes:
+        on_drained_before_restore: Called with the name of each endpoint that
+            drained when the store was restored.
     """
 
     def __init__(
@@ -67,10 +80,16 @@
         clock: clocks.Clock,
         sent_drain_notice: Callable[[str], bool] = lambda name: False,
     ) -> None:
+        self.on_drained_before_restore: Callable[[str], None]
+        self.on_drained_before_restore = lambda name: None
         self._clock = clock
         self._says_it_leaves = sent_drain_notice
         self._records: dict[str, Record] = {}
         self._lapsed: dict[str, tuple[resources.Endpoint, float]] = {}
+        # Entries of the copy that are not believed yet, and until when.
+        self._held: dict[str, tuple[Record, float]] = {}
+        self._epoch: int | None = None
+        self._held_until_ms = 0.0
         self._started_ms: dict[str, int] = {}
         self._by_name: dict[str, resources.Endpoint] = {}
         self._by_service: dict[str, list[resources.Endpoint]] = {}
@@ -111,7 +130,7 @@
 
     def of_service(self, service: str) -> Sequence[resources.Endpoint]:
         """Returns the endpoints of a service that accept work."""
-        self._remove_lapsed()
+        self._settle()
         return self._by_service.get(service, ())
 
     def takes_work(self, name: str) -> bool:
@@ -120,7 +139,7 @@
         Checked again right before each attempt, because the endpoint may have
         started to drain while the request waited.
         """
-        self._remove_lapsed()
+        self._settle()
         endpoint = self._by_name.get(name)
         return endpoint is not None and not endpoint.drained
 
@@ -175,10 +194,22 @@
     def apply(self, records: Iterable[Record]) -> None:
         """Applies changed records."""
         for record in records:
+            self._note_epoch(record.offset)
             known = self._records.get(record.key)
             is_later = known is None or record.offset > known.offset
-            if is_later and not self._is_of_earlier_start(record):
-                self._replace(known, record)
+            latest_start_ms = self._started_ms.get(record.key)
+            if not is_later or self._is_of_earlier_start(record):
+                continue
+            is_new_start = self._started_ms.get(record.key) != latest_start_ms
+            if (
+                known is not None
+                and not is_new_start
+                and self._contradicts(known, record)
+            ):
+                self._hold(record)
+                continue
+            self._held.pop(record.key, None)
+            self._replace(known, record)
         self._rebuild_index()
 
     def apply_all(self, records: Sequence[Record], end: int) -> None:
@@ -189,6 +220,7 @@
             end: End offset of the store before the read. Older known records
                 that are not among the entries were removed.
         """
+        self._note_epoch(end)
         self.apply(records)
         keys = {record.key for record in records}
         for key, known in list(self._records.items()):
@@ -197,6 +229,43 @@
                 self._replace(known, Record(key, end - 1, None))
         self._rebuild_index()
 
+    def _note_epoch(self, position: int) -> None:
+        """Prepares for older entries if the store was restored."""
+        epoch = epochs.split(position).epoch
+        if self._epoch is not None and epoch > self._epoch:
+            now_ms = self._clock.now_ms()
+            self._available_since_ms = now_ms
+            self._held_until_ms = now_ms + RESTORE_HOLD_MS
+            for record in list(self._records.values()):
+                if record.endpoint is not None and record.endpoint.drained:
+                    self.on_drained_before_restore(record.endpoint.name)
+        self._epoch = max(epoch, self._epoch or 0)
+
+    def _hold(self, record: Record) -> None:
+        """Keeps an endpoint away although the copy shows its entry."""
+        self._records[record.key] = Record(record.key, record.offset, None)
+        self._held[record.key] = (record, self._held_until_ms)
+        assert record.endpoint is not None
+        self._logger.info(
+            "endpoint_held",
+            endpoint=record.endpoint.name,
+            **dataclasses.asdict(epochs.split(record.offset)),
+            for_ms=round(self._held_until_ms - self._clock.now_ms()),
+        )
+
+    def _contradicts(self, known: Record, record: Record) -> bool:
+        """Returns whether a copy shows an endpoint that is known to be gone."""
+        is_from_copy = (
+            epochs.split(record.offset).epoch > epochs.split(known.offset).epoch
+        )
+        return (
+            is_from_copy
+            and known.endpoint is None
+            and not known.is_unreadable
+            and record.endpoint is not None
+            and self._clock.now_ms() < self._held_until_ms
+        )
+
     def _is_of_earlier_start(self, record: Record) -> bool:
         """Returns whether a later start of the record's endpoint is known."""
         if record.endpoint is None:
@@ -237,9 +306,23 @@
     def _is_after_outage(self) -> bool:
         return self._clock.now_ms() < self._available_since_ms + LAPSE_GRACE_MS
 
+    def _settle(self) -> None:
+        """Applies what was only held or kept for a time that is over."""
+        if self._held:
+            self._release_held()
+        if self._lapsed:
+            self._remove_lapsed()
+
+    def _release_held(self) -> None:
+        now_ms = self._clock.now_ms()
+        due = [r for r, until_ms in self._held.values() if now_ms >= until_ms]
+        for record in due:
+            del self._held[record.key]
+            self._replace(self._records[record.key], record)
+        if due:
+            self._rebuild_index()
+
     def _remove_lapsed(self) -> None:
-        if not self._lapsed:
-            return
         now_ms = self._clock.now_ms()
         expired = [
             n for n, (_, until) in self._lapsed.items() if now_ms >= until
--- a/src/jujubewharf/forwarding/state_log.py
+++ b/src/jujubewharf/forwarding/state_log.py
@@ -149,7 +149,8 @@
         is_leaving: Whether it drains and accepts no new requests.
         backoff_ms: Backoff that it asked of this instance, in milliseconds.
         told_by: Source: ``answer`` for a response of the endpoint, ``peer``
-            for another instance.
+            for another instance, ``entry`` for its entry in the store before a
+            restore.
     """
     kind = "no_limit" if rate_limit_per_s is None else "rate_limit"
     if is_leaving:
--- a/src/jujubewharf/telemetry/explanation.py
+++ b/src/jujubewharf/telemetry/explanation.py
@@ -19,6 +19,7 @@
         "configuration_sent",
         "endpoint_changed",
         "endpoint_gone_after_outage",
+        "endpoint_held",
         "engine_vanished",
         "following_began",
         "following_ended",
--- a/tests/forwarding/test_registry.py
+++ b/tests/forwarding/test_registry.py
@@ -9,6 +9,7 @@
 from jujubewharf.experiments import virtual_time
 from jujubewharf.forwarding import registration
 from jujubewharf.forwarding import registry as registries
+from jujubewharf.platform import epochs
 
 ENDPOINT = resources.Endpoint("s1", "shop", "s1:1", "a", resources.Role.PLAIN)
 LEAVING = dataclasses.replace(ENDPOINT, drained=True)
@@ -191,3 +192,81 @@
         assert registry.of_service("shop") == ()
 
     _run(test)
+
+
+def _restored(offset: int, endpoint: resources.Endpoint | None = ENDPOINT):
+    return _record(epochs.combine(1, offset), endpoint)
+
+
+def _start(started_ms: int) -> registration.Registration:
+    first = registration.Registration.from_endpoint(ENDPOINT)
+    return dataclasses.replace(
+        first, name=f"s1@{started_ms}", started_ms=started_ms
+    )
+
+
+def test_copy_shows_an_earlier_start():
+    """The restart was lost in a restore; the former process is gone."""
+
+    async def test(registry, clock):
+        registry.apply([_record(3, _start(100))])
+        registry.apply([_record(7, _start(200))])
+        registry.apply_all([_restored(3, _start(100))], epochs.combine(1, 4))
+        assert registry.takes_work("s1@200")
+        assert not registry.takes_work("s1@100")
+
+    _run(test)
+
+
+def test_new_start_after_a_restore_is_not_held():
+    """An endpoint that had left has started again, and gets work at once."""
+
+    async def test(registry, clock):
+        registry.apply([_record(3, _start(100))])
+        registry.apply([_record(7, None)])
+        end = epochs.combine(1, 4)
+        registry.apply_all([_restored(3, _start(100))], end)
+        assert not registry.takes_work("s1@100")
+        registry.apply([_restored(4, _start(200))])
+        assert registry.takes_work("s1@200")
+
+    _run(test)
+
+
+def test_held_entry_is_dropped_when_the_store_drops_it():
+    async def test(registry, clock):
+        registry.apply([_record(3)])
+        registry.apply([_record(7, None)])
+        registry.apply_all([_restored(3)], epochs.combine(1, 4))
+        registry.apply([_restored(5, None)])
+        await clock.sleep_ms(registries.RESTORE_HOLD_MS + 1.0)
+        assert not registry.takes_work("s1")
+
+    _run(test)
+
+
+def test_second_restore_holds_an_entry_again():
+    async def test(registry, clock):
+        registry.apply([_record(3)])
+        registry.apply([_record(7, None)])
+        registry.apply_all([_restored(3)], epochs.combine(1, 4))
+        await clock.sleep_ms(registries.RESTORE_HOLD_MS - 100.0)
+        again = _record(epochs.combine(2, 3))
+        registry.apply_all([again], epochs.combine(2, 4))
+        await clock.sleep_ms(200.0)
+        assert not registry.takes_work("s1")
+        await clock.sleep_ms(registries.RESTORE_HOLD_MS)
+        assert registry.takes_work("s1")
+
+    _run(test)
+
+
+def test_draining_endpoint_is_reported_at_a_restore():
+    async def test(registry, clock):
+        reported = []
+        registry.on_drained_before_restore = reported.append
+        registry.apply([_record(3, LEAVING)])
+        registry.apply_all([_restored(3)], epochs.combine(1, 4))
+        assert reported == ["s1"]
+
+    _run(test)
--- a/tests/leadership/test_restored_store.py
+++ b/tests/leadership/test_restored_store.py
@@ -143,3 +143,124 @@
             assert after is not None and after > before
 
     deployments.run(main())
+
+
+async def _lose(world, change):
+    """Makes a change that reaches all instances and is lost in a restore."""
+    copy = world.store.copy()
+    change()
+    await world.clock.sleep_ms(IN_FORCE_MS)
+    world.store.outage = stores.Outage.RESET
+    await world.clock.sleep_ms(400.0)
+    world.store.restore(copy)
+
+
+async def _serves(world, name, *, for_ms, every_ms=50.0):
+    """Returns, by instance, how often it would have sent work to a name."""
+    counts = dict.fromkeys(world.instances, 0)
+    until_ms = world.clock.now_ms() + for_ms
+    while world.clock.now_ms() < until_ms:
+        for instance_name, instance in world.instances.items():
+            counts[instance_name] += instance.registry.takes_work(name)
+        await world.clock.sleep_ms(every_ms)
+    return counts
+
+
+def test_endpoint_that_drains_gets_no_work_after_a_restore():
+    """The copy shows an endpoint as ready that has said that it leaves."""
+
+    async def main():
+        leaving = decode_engine("d2")
+        async with deployments.deployed(
+            prefill_engine("p1"),
+            decode_engine("d1"),
+            leaving,
+            names=NAMES,
+            is_led=True,
+        ) as world:
+            await _lose(world, lambda: world.register(leaving, drained=True))
+            counts = await _serves(world, "d2", for_ms=9_000.0)
+            assert set(counts.values()) == {0}
+
+    deployments.run(main())
+
+
+def test_instance_that_starts_learns_who_drains():
+    """An instance that starts after the restore reads the older entry only."""
+
+    async def main():
+        leaving = decode_engine("d2")
+        async with deployments.deployed(
+            prefill_engine("p1"),
+            decode_engine("d1"),
+            leaving,
+            names=NAMES,
+            is_led=True,
+        ) as world:
+            await _lose(world, lambda: world.register(leaving, drained=True))
+            await world.clock.sleep_ms(2_000.0)
+            await world.start("e5", declare=False, is_led=True)
+            assert world.instances["e5"].fleet.link.is_open
+            counts = await _serves(world, "d2", for_ms=3_000.0)
+            assert set(counts.values()) == {0}
+
+    deployments.run(main())
+
+
+def test_endpoint_that_is_gone_gets_no_work_after_a_restore():
+    """The copy shows an endpoint that has left; its entry expires again."""
+
+    async def main():
+        async with _deployed() as world:
+            world.endpoints.put("s1", _shop("s1"))
+            await world.clock.sleep_ms(1_000.0)
+            await _lose(world, lambda: world.endpoints.put("s1", None))
+            counts = await _serves(world, "s1", for_ms=3_600.0)
+            world.endpoints.put("s1", None)
+            later = await _serves(world, "s1", for_ms=9_000.0)
+            assert set(counts.values()) | set(later.values()) == {0}
+
+    deployments.run(main())
+
+
+def test_endpoint_that_the_store_goes_on_showing_gets_work_again():
+    """An endpoint was away from the store only, and is in the copy."""
+
+    async def main():
+        async with _deployed() as world:
+            world.endpoints.put("s1", _shop("s1"))
+            await world.clock.sleep_ms(1_000.0)
+            await _lose(world, lambda: world.endpoints.put("s1", None))
+            await world.clock.sleep_ms(9_000.0)
+            counts = await _serves(world, "s1", for_ms=500.0)
+            assert min(counts.values()) > 0
+
+    deployments.run(main())
+
+
+@pytest.mark.parametrize("back_after_ms", [100.0, 1_900.0])
+def test_lost_registration_is_kept_until_it_is_written_again(back_after_ms):
+    """An endpoint that registered since the copy goes on being served from."""
+
+    async def main():
+        async with _deployed() as world:
+            await _lose(world, lambda: world.endpoints.put("s1", _shop("s1")))
+            before = await _serves(world, "s1", for_ms=back_after_ms)
+            world.endpoints.put("s1", _shop("s1"))
+            after = await _serves(world, "s1", for_ms=5_000.0)
+            expected = back_after_ms / 50.0 + 100
+            served = [before[n] + after[n] for n in world.instances]
+            assert min(served) >= expected - 1
+
+    deployments.run(main())
+
+
+def test_lost_registration_that_is_not_written_again_is_dropped():
+    async def main():
+        async with _deployed() as world:
+            await _lose(world, lambda: world.endpoints.put("s1", _shop("s1")))
+            await world.clock.sleep_ms(9_000.0)
+            counts = await _serves(world, "s1", for_ms=500.0)
+            assert set(counts.values()) == {0}
+
+    deployments.run(main())
