Write crash reports again that a restore of the store has lost

Callers saw: nothing yet. Reports that the store had confirmed were gone after a restore and nobody wrote them again, so that a restart of all instances let a request that crashes engines crash three more. Evidence: three of the four new tests of tests/leadership/test_crash_writer.py failed before; the fourth holds since overtaken answers are rejected. Why this holds: the first answer, or peer, that tells of a new epoch schedules them: at the leader all that the fleet knows, in one call; without a leader those that the instance had written itself. Records are merged, so a doubled or late one does nothing.

--- a/src/jujubewharf/leadership/crash_services.py
+++ b/src/jujubewharf/leadership/crash_services.py
@@ -39,7 +39,7 @@
     if table is None:
         return ()
     writer = crash_writer.CrashWriter(
-        table, fleet, history, shared_crashes, clock
+        table, fleet, history, shared_crashes, epoch, clock
     )
     reader = crash_follower.new_crash_follower(
         table,
--- a/src/jujubewharf/leadership/crash_writer.py
+++ b/src/jujubewharf/leadership/crash_writer.py
@@ -23,6 +23,7 @@
 from jujubewharf.forwarding import fingerprints
 from jujubewharf.leadership import fleet as fleets
 from jujubewharf.leadership import fleet_crashes
+from jujubewharf.platform import epochs
 from jujubewharf.platform import log
 from jujubewharf.platform import tables
 
@@ -46,6 +47,7 @@
         fleet: Role of this instance.
         history: Crash history of this instance.
         shared_crashes: Reports changes of the history.
+        epoch: Epoch of the store.
         clock: Clock.
     """
 
@@ -55,6 +57,7 @@
         fleet: fleets.Fleet,
         history: crashes.CrashHistory,
         shared_crashes: fleet_crashes.FleetCrashes,
+        epoch: epochs.StoreEpoch,
         clock: clocks.Clock,
     ) -> None:
         super().__init__()
@@ -76,11 +79,27 @@
         self._last_cleanup_ms = 0.0
         self._changed = asyncio.Event()
         shared_crashes.on_change = self._on_change
+        epoch.add_listener(self._on_restored)
 
     def _on_change(self, fingerprint: fingerprints.Fingerprint) -> None:
         self._unwritten_ms[fingerprint] = self._clock.now_ms()
         self._changed.set()
 
+    def _on_restored(self) -> None:
+        """Schedules the records that the store may have lost.
+
+        The leader writes all that the fleet knows. An instance without one
+        writes again what it wrote.
+        """
+        lost = (
+            self._history.known_fingerprints()
+            if self._fleet.role is fleets.Role.LEADING
+            else self._own_keys
+        )
+        self._unwritten_ms |= dict.fromkeys(lost, self._clock.now_ms())
+        if self._unwritten_ms:
+            self._changed.set()
+
     def note_record(
         self, key: str, fingerprint: fingerprints.Fingerprint
     ) -> None:
--- a/tests/leadership/test_crash_writer.py
+++ b/tests/leadership/test_crash_writer.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from jujubewharf.forwarding import crashes
+from jujubewharf.standins import store as stores
 from tests.forwarding import deployments
 
 CRASHING = b"crashes each engine that runs it"
@@ -205,3 +206,81 @@
         await world.stop()
 
     deployments.run(main())
+
+
+async def _restore(world, copy):
+    world.store.outage = stores.Outage.RESET
+    await world.clock.sleep_ms(400.0)
+    world.store.restore(copy)
+    await world.clock.sleep_ms(2_000.0)
+
+
+def test_history_survives_a_restore_and_a_restart_of_all():
+    """The reports were acknowledged, and the copy is from before them."""
+
+    async def main():
+        async with _deployed() as world:
+            copy = world.store.copy()
+            _crash(world, "a", "b", "c")
+            await world.clock.sleep_ms(300.0)
+            await _restore(world, copy)
+            writes = world.crashes.writes
+            await _restart_all(world)
+            assert _counts(world) == {3}
+            assert writes <= 2
+
+    deployments.run(main())
+
+
+def test_history_survives_a_restore_without_a_leader():
+    """Instances that are cut off from each other write theirs again."""
+
+    async def main():
+        world = deployments.Deployment(deployments.plain_endpoint("s1"))
+        await world.start_in("abc", *NAMES)
+        await world.clock.sleep_ms(2_000.0)
+        for first, second in ("ab", "ac", "bc"):
+            world.network.cut(first, second)
+        await world.clock.sleep_ms(5_000.0)
+        copy = world.store.copy()
+        _crash(world, "a", "b", "c")
+        await world.clock.sleep_ms(SETTLED_MS)
+        await _restore(world, copy)
+        await _restart_all(world)
+        assert _counts(world) == {3}
+        await world.stop()
+
+    deployments.run(main())
+
+
+def test_history_survives_two_restores_of_one_copy():
+    async def main():
+        async with _deployed() as world:
+            copy = world.store.copy()
+            _crash(world, "a", "b", "c")
+            await world.clock.sleep_ms(300.0)
+            await _restore(world, copy)
+            await _restore(world, copy)
+            await _restart_all(world)
+            assert _counts(world) == {3}
+
+    deployments.run(main())
+
+
+def test_write_that_the_former_store_confirms_late_is_repeated():
+    """The confirmation of a lost write arrives after the restore."""
+
+    async def main():
+        async with _deployed() as world:
+            copy = world.store.copy()
+            world.store.delays_ms[world.leader] = 700.0
+            _crash(world, "a", "b", "c")
+            await world.clock.sleep_ms(200.0)
+            assert world.crashes.writes == 1
+            world.store.restore(copy)
+            world.store.delays_ms.clear()
+            await world.clock.sleep_ms(3_000.0)
+            await _restart_all(world)
+            assert _counts(world) == {3}
+
+    deployments.run(main())
