Tell each other of versions that a restore of the store has lost

Callers saw: nothing yet. An instance that started between the restore and the operators' next write read the older version from the store, served by it and, if it came to lead, handed it to others that start. Why this holds: versions decide, not positions. A leader sends the newest version that it knows; a follower that knows a newer one sends it back. What a leader sends is put in force as it arrives, for the reader of the table may be waiting for the store. An instance that starts looks for a leader before anything else and isn't ready before it has heard from it, for 1.5 s at most. Bound: where nobody that knows the newest version is left, or can be reached, the older one is served until operators write again.

--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -58,6 +58,8 @@
 _BALANCER_GRACE_MS = 2_600.0
 # Reserve for closing connections before SIGKILL.
 _CLOSE_RESERVE_MS = 500.0
+# Time after the start within which a leader must have told what it knows.
+_LOOK_TIMEOUT_MS = 1_500.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -119,8 +121,11 @@
         self._settings = settings
         self._clock = clock
         self._leadership: leadership.Leadership | None = None
+        self._started_at_ms = clock.now_ms()
+        self._is_settled = False
         self.admission = shutdown.AdmissionState()
         self.source = forwarder.ActiveConfiguration()
+        self.source.on_applied = self._on_applied
         self.backpressure = backpressure.Backpressure(clock)
         self.registry = registry.Registry(clock, self.backpressure.is_leaving)
         self.backpressure.on_drain_notice = self.registry.handle_drain_notice
@@ -143,7 +148,9 @@
         self.fleet = fleets.Fleet(
             self.registry,
             self.work,
-            shared_state.SharedState(self.backpressure, self.crashes),
+            shared_state.SharedState(
+                self.backpressure, self.crashes, self.source
+            ),
             lambda: self._endpoints.offset,
             adapters.epoch,
             clock,
@@ -352,7 +359,26 @@
         is_initialized = (
             self.source.current is not None and self.registry.is_loaded
         )
-        return self.admission.is_ready and is_initialized
+        return (
+            self.admission.is_ready
+            and is_initialized
+            and self._has_looked_for_leader()
+        )
+
+    def _has_looked_for_leader(self) -> bool:
+        """Returns whether a leader has told what it knows, if there is one.
+
+        A store that was restored shows older versions than are in force.
+        """
+        if self._leadership is None or self._is_settled:
+            return True
+        waited_ms = self._clock.now_ms() - self._started_at_ms
+        self._is_settled = (
+            self._leadership.has_looked
+            or self.fleet.feeds.configurations.has_begun
+            or waited_ms > _LOOK_TIMEOUT_MS
+        )
+        return self._is_settled
 
     @property
     def limits(self) -> routes.CallerLimits:
@@ -401,17 +427,27 @@
         else:
             self.add_future(self._leadership.leave())
 
+    def _on_applied(
+        self,
+        configuration: routes.RoutingConfiguration,
+        position: int,
+        told_by: str,
+    ) -> None:
+        self.quotas.remove_unconfigured()
+        state_log.log_active_configuration(
+            configuration, offset=position, told_by=told_by
+        )
+
     def _on_configurations(
         self,
         page: tables.TablePage[routes.RoutingConfiguration | None],
         is_full_read: bool,
     ) -> None:
         for record in page.records:
-            if record.value is not None and self.source.apply(record.value):
-                self.quotas.remove_unconfigured()
-                state_log.log_active_configuration(
+            if record.value is not None:
+                self.source.apply(
                     record.value,
-                    offset=record.offset,
+                    position=record.offset,
                     told_by="leader" if page.is_from_leader else "store",
                 )
         if self.fleet.followers is not None:
--- a/src/jujubewharf/forwarding/forwarder.py
+++ b/src/jujubewharf/forwarding/forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 import dataclasses
 import random
@@ -32,11 +33,17 @@
     Attributes:
         current: The configuration; ``None`` before the first one.
         accounts: Client accounts of the configuration.
+        on_applied: Called after a configuration was put in force, with its
+            position in the store and who told it: ``store``, ``leader`` or
+            ``follower``.
     """
 
     def __init__(self) -> None:
         self.current: routes.RoutingConfiguration | None = None
         self.accounts = accounts.AccountTable(None)
+        self.on_applied: Callable[
+            [routes.RoutingConfiguration, int, str], None
+        ] = lambda configuration, position, told_by: None
         self._table = routes.RouteTable(())
 
     @property
@@ -44,12 +51,23 @@
         """Version in force; ``None`` before the first configuration."""
         return None if self.current is None else self.current.version
 
-    def apply(self, configuration: routes.RoutingConfiguration) -> bool:
+    def apply(
+        self,
+        configuration: routes.RoutingConfiguration,
+        *,
+        position: int = 0,
+        told_by: str = "store",
+    ) -> bool:
         """Puts a configuration in force if it is newer than the current one.
 
         The store can return an older state after a newer one, and a version
         that was in force must not be rolled back.
 
+        Args:
+            configuration: The configuration.
+            position: Position of its record in the store.
+            told_by: Who told it.
+
         Returns:
             Whether the configuration was put in force.
         """
@@ -59,6 +77,7 @@
         self.current = configuration
         self.accounts = accounts.AccountTable(configuration.accounts)
         self._table = routes.RouteTable(configuration.routes)
+        self.on_applied(configuration, position, told_by)
         return True
 
     def match(self, host: str, path: str) -> routes.Route:
--- a/src/jujubewharf/forwarding/state_log.py
+++ b/src/jujubewharf/forwarding/state_log.py
@@ -44,7 +44,7 @@
     Args:
         configuration: The configuration.
         offset: Position of its record in the store.
-        told_by: Source: ``store`` or ``leader``.
+        told_by: Source: ``store``, ``leader`` or ``follower``.
     """
     _logger.info(
         "configuration_in_force",
--- a/src/jujubewharf/leadership/feeds.py
+++ b/src/jujubewharf/leadership/feeds.py
@@ -47,6 +47,11 @@
         self._confirmed_ms = 0.0
         self._update_event = asyncio.Event()
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the leader has sent its first records."""
+        return self._end_offset is not None
+
     @property
     def is_fresh(self) -> bool:
         """Whether the records are recent enough to skip the store."""
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -155,6 +155,9 @@
                     return None
                 case leader_messages.ConfigurationRequest():
                     return self._configuration
+                case leader_messages.ConfigurationUpdate():
+                    self._on_follower_configuration(message)
+                    return None
                 case _:
                     return await server.handle(peer, message)
 
@@ -234,9 +237,19 @@
         for record in records:
             if record.value is None:
                 continue
-            if known is None or record.offset > known.offset:
+            # A restored store shows an older version than was in force.
+            version = record.value.version
+            if (
+                known is None
+                or known.version is None
+                or version > known.version
+            ):
                 known = update = leader_messages.ConfigurationUpdate(
-                    record.key, record.offset, end, record.value
+                    record.key,
+                    record.offset,
+                    end,
+                    record.value,
+                    version=version,
                 )
         self._configuration = known
         self._configurations_read.read(end, self._clock.now_ms())
@@ -250,6 +263,21 @@
         if update is not None:
             self._send_configuration(update, recipients)
 
+    def _on_follower_configuration(
+        self, update: leader_messages.ConfigurationUpdate
+    ) -> None:
+        """Applies a version that the store has lost and a follower knows."""
+        sent = update.configuration
+        if sent is None:
+            return
+        self._state.source.apply(
+            sent, position=update.offset, told_by="follower"
+        )
+        record: tables.TableRecord[routes.RoutingConfiguration | None]
+        record = tables.TableRecord(update.key, update.offset, sent)
+        if self._configurations_read.confirmed_ms is not None:
+            self.publish_configurations([record], self._configurations_read.end)
+
     def _send_configuration(
         self,
         update: leader_messages.ConfigurationUpdate,
@@ -258,6 +286,7 @@
         recipients = list(to)
         if not recipients:
             return
+        update = dataclasses.replace(update, end=self._configurations_read.end)
         if update.configuration is not None:
             state_log.log_sent_configuration(
                 update.configuration.version,
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -180,14 +180,39 @@
             end=update.end,
             leader=peer,
         )
+        self._correct_leader(update)
         feed = self._feeds.configurations
         if sent is None:
             feed.note_unsent(update.offset, update.end)
             return
+        # Not left to the reader of the table: it may be waiting for the store.
+        self._state.source.apply(sent, position=update.offset, told_by="leader")
         record: tables.TableRecord[routes.RoutingConfiguration | None]
         record = tables.TableRecord(update.key, update.offset, sent)
         feed.apply([record], update.end)
 
+    def _correct_leader(
+        self, update: leader_messages.ConfigurationUpdate
+    ) -> None:
+        """Sends the leader the version in force here if it is newer.
+
+        The leader may have started since the store was restored, and so know
+        an older version only.
+        """
+        current = self._state.source.current
+        if current is None or update.version is None:
+            return
+        if update.version < current.version:
+            self.tell(
+                leader_messages.ConfigurationUpdate(
+                    update.key,
+                    update.offset,
+                    update.end,
+                    current,
+                    version=current.version,
+                )
+            )
+
     def _on_heartbeat(self, heartbeat: leader_messages.LeaderHeartbeat) -> None:
         self.instances = heartbeat.instances
         self._feeds.configurations.confirm(
--- a/src/jujubewharf/leadership/leadership.py
+++ b/src/jujubewharf/leadership/leadership.py
@@ -59,6 +59,10 @@
         clock: Clock.
         rng: Random jitter of election attempts.
         cores: Processor capacity of this instance, in reference cores.
+
+    Attributes:
+        has_looked: Whether no leader was found yet, or the first link to one
+            has ended.
     """
 
     def __init__(
@@ -90,6 +94,7 @@
         self._rng = rng
         self._listener: streams.Listener | None = None
         self._is_resigning = False
+        self.has_looked = False
         self._logger = structlog.get_logger()
 
     async def on_start(self) -> None:
@@ -112,6 +117,8 @@
 
     @mode.Service.task
     async def _run_elections(self) -> None:
+        await self._look_for_leader()
+        self.has_looked = True
         await self._clock.sleep_ms(_FIRST_ATTEMPT_MS * self._draw_delay())
         pause_ms = _FIRST_PAUSE_MS
         while not self.should_stop and not self._is_resigning:
@@ -126,6 +133,20 @@
                 pause_ms = min(_MAX_PAUSE_MS, 1.5 * pause_ms)
             await self._clock.sleep_ms(pause_ms * (0.5 + self._draw_delay()))
 
+    async def _look_for_leader(self) -> None:
+        """Follows an existing leader at once.
+
+        It may know newer versions than a store that was just restored.
+        """
+        try:
+            contacts = await self._group.contacts()
+        except log.LogUnavailableError as error:
+            self._logger.debug("leader_unknown", detail=str(error))
+            return
+        address = contacts.get(leases.FIRST_PART)
+        if address is not None and address != self._hello.address:
+            await self._follow(address)
+
     def _draw_delay(self) -> float:
         """Returns a delay, 0 to 1; instances with many cores get short ones."""
         jitter = self._rng.random()
--- a/src/jujubewharf/leadership/shared_state.py
+++ b/src/jujubewharf/leadership/shared_state.py
@@ -6,6 +6,7 @@
 
 from jujubewharf.forwarding import backpressure
 from jujubewharf.forwarding import crashes
+from jujubewharf.forwarding import forwarder
 from jujubewharf.peers import crash_messages
 from jujubewharf.peers import limit_messages
 from jujubewharf.peers import messages
@@ -18,10 +19,12 @@
     Attributes:
         backpressure: Limits, backoffs and leaving notices of endpoints.
         history: Engines that crashed while running which requests.
+        source: Configuration in force.
     """
 
     backpressure: backpressure.Backpressure
     history: crashes.CrashHistory
+    source: forwarder.ActiveConfiguration
 
     def initial_messages(self) -> tuple[messages.Message, ...]:
         """Returns the messages that each side of a new link sends first."""
--- a/src/jujubewharf/peers/leader_messages.py
+++ b/src/jujubewharf/peers/leader_messages.py
@@ -72,15 +72,19 @@
 class ConfigurationUpdate(messages.Message):
     """Update with the newest configuration.
 
+    A follower sends one to a leader that has an older version.
+
     Attributes:
         key: Key of the configuration's record in the table.
-        offset: Offset of the record in the table's log.
-        end: End offset up to which the leader has read the table.
+        offset: Position of the record in the table's log.
+        end: End position up to which the leader has read the table.
         configuration: The configuration; ``None`` if it is too large to send
             on all links.
         packed: The compressed form of a configuration that is too large, see
             ``leadership.packing``; ``None`` if that is too large as well, in
             which case followers read the table themselves.
+        version: Version of the configuration, also if it is not sent; ``None``
+            from an older build.
     """
 
     key: str
@@ -88,6 +92,7 @@
     end: int
     configuration: routes.RoutingConfiguration | None
     packed: bytes | None = None
+    version: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/leadership/test_restored_store.py
+++ b/tests/leadership/test_restored_store.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from jujubewharf.standins import store as stores
@@ -264,3 +266,66 @@
             assert set(counts.values()) == {0}
 
     deployments.run(main())
+
+
+def test_instance_that_starts_gets_the_newest_version_from_the_leader():
+    """The store has an older version only, until it is written again."""
+
+    async def main():
+        async with _deployed() as world:
+            await _write(world, 2)
+            copy = world.store.copy()
+            await _write(world, 3, 4)
+            world.store.restore(copy)
+            await world.clock.sleep_ms(SETTLED_MS)
+            starting = asyncio.ensure_future(
+                world.start("e5", declare=False, is_led=True)
+            )
+            seen = set()
+            while not starting.done():
+                await world.clock.sleep_ms(10.0)
+                instance = world.instances.get("e5")
+                if instance is not None and instance.is_ready:
+                    seen.add(instance.source.version)
+            assert seen == {4}
+
+    deployments.run(main())
+
+
+def test_leader_that_knows_an_older_version_gets_the_newest():
+    """The new leader has just started, and the store has lost the newest."""
+
+    async def main():
+        async with _deployed() as world:
+            await _write(world, 2)
+            copy = world.store.copy()
+            await _write(world, 3, 4)
+            restarted = world.leader
+            world.cores[restarted] = 16.0
+            world.store.outage = stores.Outage.RESET
+            world.store.restore(copy)
+            await world.restart(restarted)
+            await world.clock.sleep_ms(SETTLED_MS)
+            assert world.leader is not None
+            assert set(_versions(world).values()) == {4}
+            await _write(world, 7)
+            assert set(_versions(world).values()) == {7}
+
+    deployments.run(main())
+
+
+def test_no_instance_returns_to_the_copys_version():
+    """The version that was in force stays so, however often the store goes."""
+
+    async def main():
+        async with _deployed() as world:
+            await _write(world, 2)
+            copy = world.store.copy()
+            await _write(world, 3, 4)
+            for _ in range(3):
+                world.store.restore(copy)
+                for _ in range(50):
+                    await world.clock.sleep_ms(100.0)
+                    assert set(_versions(world).values()) == {4}
+
+    deployments.run(main())
