Don't rely on a leader of an older build for missing no restore

Callers saw: nothing yet. A follower of the new build under a leader of an older one had the incident's fault: the leader confirms that nothing was missed and sends nothing. Evidence: test_follower_of_an_older_leader_reads_the_store, with a leader that does what the older build does, failed before (versions of before the restore). Why this holds: the heartbeat names the epoch; a leader that names none confirms no read, so that its followers read the store themselves, as without a leader, until it is replaced.

A refused read within one epoch starts anew from nothing again: with the former end kept, a reader asked for it for ever.

--- a/src/jujubewharf/forwarding/follower.py
+++ b/src/jujubewharf/forwarding/follower.py
@@ -119,6 +119,7 @@
                     wanted=wanted.offset,
                     first=error.first_offset,
                 )
+                self._offset = None
                 self._required_at_ms = 0.0
             except log.LogRestoredError:
                 self._required_at_ms = 0.0
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -392,6 +392,7 @@
             endpoints_end=self._endpoints_read.end,
             endpoints_age_ms=self._age_ms(self._endpoints_read),
             instances=self.instances,
+            epoch=self._epoch.current,
         )
 
     def _age_ms(self, progress: _ReadProgress) -> int:
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -215,6 +215,8 @@
 
     def _on_heartbeat(self, heartbeat: leader_messages.LeaderHeartbeat) -> None:
         self.instances = heartbeat.instances
+        if heartbeat.epoch is None:
+            return
         self._feeds.configurations.confirm(
             heartbeat.configuration_end, age_ms=heartbeat.configuration_age_ms
         )
--- a/src/jujubewharf/peers/leader_messages.py
+++ b/src/jujubewharf/peers/leader_messages.py
@@ -26,6 +26,8 @@
         endpoints_end: End offset up to which it has read the endpoint table.
         endpoints_age_ms: Time since that offset was last confirmed, in ms.
         instances: Number of instances that share the fleet's quotas.
+        epoch: Epoch of the store that the leader reads; ``None`` from an older
+            build, which can't tell whether its reads missed a restore.
     """
 
     configuration_end: int
@@ -33,6 +35,7 @@
     endpoints_end: int
     endpoints_age_ms: int
     instances: int
+    epoch: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/jujubewharf/standins/store.py
+++ b/src/jujubewharf/standins/store.py
@@ -107,14 +107,23 @@
             group.restore(copy.groups[name])
         return lost
 
-    def view(self, instance: str, epoch: epochs.StoreEpoch) -> StoreView:
+    def view(
+        self,
+        instance: str,
+        epoch: epochs.StoreEpoch,
+        *,
+        knows_epochs: bool = True,
+    ) -> StoreView:
         """Returns the store as seen by one instance.
 
         Args:
             instance: Name of the instance.
             epoch: Records the epoch of each answer.
+            knows_epochs: Whether the instance's build reads the epoch.
         """
-        return StoreView(self, instance, epoch, self._clock)
+        return StoreView(
+            self, instance, epoch, self._clock, knows_epochs=knows_epochs
+        )
 
 
 class StoreView:
@@ -126,8 +135,11 @@
         instance: str,
         epoch: epochs.StoreEpoch,
         clock: clocks.Clock,
+        *,
+        knows_epochs: bool,
     ) -> None:
         self.store = store
+        self._knows_epochs = knows_epochs
         self._instance = instance
         self.epoch = epoch
         self._clock = clock
@@ -140,6 +152,17 @@
         """Returns a group as seen by one of its members."""
         return GroupView(self, self.store.group(name).member(member))
 
+    @property
+    def stated_epoch(self) -> int:
+        """Epoch of the store, as far as the instance's build knows of it."""
+        return self.store.epoch if self._knows_epochs else 0
+
+    def offset(self, position: int) -> int:
+        """Returns the offset that the instance's build asks the store for."""
+        if not self._knows_epochs:
+            return position
+        return epochs.split(position).offset
+
     @property
     def outage(self) -> Outage | None:
         """How the instance's calls fail; ``None`` if they are answered."""
@@ -176,7 +199,7 @@
     async def newest(self) -> tables.TablePage[T]:
         """Reads the newest record of each key; see ``tables.Table``."""
         await self._view.check()
-        epoch = self._view.store.epoch
+        epoch = self._view.stated_epoch
         page = await self._table.newest()
         await self._view.receive(epoch, "newest")
         return _in_epoch(page, epoch)
@@ -188,16 +211,16 @@
         await self._view.check()
         try:
             page = await self._table.changes(
-                epochs.split(from_offset).offset,
+                self._view.offset(from_offset),
                 wait_ms=wait_ms,
                 check=self._view.check,
             )
         except log.LogTruncatedError:
             self._view.store.refused_reads += 1
-            await self._view.receive(self._view.store.epoch, "read")
+            await self._view.receive(self._view.stated_epoch, "read")
             self._view.epoch.require(from_offset)
             raise
-        epoch = self._view.store.epoch
+        epoch = self._view.stated_epoch
         await self._view.receive(epoch, "read")
         self._view.epoch.require(from_offset)
         return _in_epoch(page, epoch)
@@ -205,7 +228,7 @@
     async def write(self, values: Mapping[str, T | None]) -> None:
         """Writes records; see ``tables.WritableTable``."""
         await self._view.check()
-        epoch = self._view.store.epoch
+        epoch = self._view.stated_epoch
         await self._table.write(values)
         await self._view.receive(epoch, "append")
 
@@ -233,7 +256,7 @@
     async def join(self, generation: int) -> groups.GroupAssignment:
         """Joins or renews the membership; see ``groups.Group``."""
         await self._view.check()
-        epoch = self._view.store.epoch
+        epoch = self._view.stated_epoch
         assignment = await self._member.join(generation)
         await self._view.receive(epoch, "join")
         return groups.GroupAssignment(
@@ -243,7 +266,7 @@
     async def contacts(self) -> dict[int, str]:
         """Returns the contact of each partition; see ``groups.Group``."""
         await self._view.check()
-        epoch = self._view.store.epoch
+        epoch = self._view.stated_epoch
         contacts = await self._member.contacts()
         await self._view.receive(epoch, "owners")
         return contacts
--- a/tests/forwarding/deployments.py
+++ b/tests/forwarding/deployments.py
@@ -160,6 +160,7 @@
         leaders: Group of the instances that can lead.
         network: Connections between instances.
         instances: Instances by name.
+        older_builds: Instances whose build doesn't read the store's epoch.
         cores: Processor share by instance name; half a core by default.
     """
 
@@ -175,6 +176,7 @@
         self.groups = self.store.group("instances")
         self.instances: dict[str, entry.ForwardingEntry] = {}
         self.cores: dict[str, float] = {}
+        self.older_builds: set[str] = set()
         self._ids = 0
         self._starts = 0
 
@@ -213,7 +215,9 @@
                 processor={"share": self.cores.get(name, 0.5)},
             )
             epoch = epochs.StoreEpoch()
-            view = self.store.view(name, epoch)
+            view = self.store.view(
+                name, epoch, knows_epochs=name not in self.older_builds
+            )
             adapters = entry.Adapters(
                 self.backends.for_instance(name),
                 view.table("configurations"),
