--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -457,6 +457,7 @@
         self, page: tables.TablePage[resources.Endpoint], is_full_read: bool
     ) -> None:
         self.registry.mark_store_available()
+        self.registry.mark_read_up_to(page.end)
         records = [
             registry.Record(r.key, r.offset, r.value, r.is_unreadable)
             for r in page.records
--- a/src/jujubewharf/forwarding/registry.py
+++ b/src/jujubewharf/forwarding/registry.py
@@ -190,6 +190,15 @@
         if self._is_unavailable:
             self._is_unavailable = False
             self._available_since_ms = self._clock.now_ms()
+            self._extend_waits()
+
+    def mark_read_up_to(self, end: int) -> None:
+        """Records the end position of a read, before its records are applied.
+
+        The time of a restore counts from the first read after it, which may
+        have no records.
+        """
+        self._note_epoch(end)
 
     def apply(self, records: Iterable[Record]) -> None:
         """Applies changed records."""
@@ -220,12 +229,15 @@
             end: End offset of the store before the read. Older known records
                 that are not among the entries were removed.
         """
-        self._note_epoch(end)
+        self.mark_read_up_to(end)
         self.apply(records)
         keys = {record.key for record in records}
         for key, known in list(self._records.items()):
             was_there = known.offset < end
-            if key not in keys and was_there and known.endpoint is not None:
+            if key in keys or not was_there:
+                continue
+            self._held.pop(key, None)
+            if known.endpoint is not None:
                 self._replace(known, Record(key, end - 1, None))
         self._rebuild_index()
 
@@ -236,11 +248,20 @@
             now_ms = self._clock.now_ms()
             self._available_since_ms = now_ms
             self._held_until_ms = now_ms + RESTORE_HOLD_MS
+            self._extend_waits()
             for record in list(self._records.values()):
                 if record.endpoint is not None and record.endpoint.drained:
                     self.on_drained_before_restore(record.endpoint.name)
         self._epoch = max(epoch, self._epoch or 0)
 
+    def _extend_waits(self) -> None:
+        """Gives the store and endpoints the whole time after its return."""
+        now_ms = self._clock.now_ms()
+        for key, (endpoint, _) in list(self._lapsed.items()):
+            self._lapsed[key] = (endpoint, now_ms + LAPSE_GRACE_MS)
+        for key, (record, _) in list(self._held.items()):
+            self._held[key] = (record, now_ms + RESTORE_HOLD_MS)
+
     def _hold(self, record: Record) -> None:
         """Keeps an endpoint away although the copy shows its entry."""
         self._records[record.key] = Record(record.key, record.offset, None)
@@ -261,6 +282,7 @@
         return (
             is_from_copy
             and known.endpoint is None
+            and record.key not in self._lapsed
             and not known.is_unreadable
             and record.endpoint is not None
             and self._clock.now_ms() < self._held_until_ms
@@ -308,6 +330,9 @@
 
     def _settle(self) -> None:
         """Applies what was only held or kept for a time that is over."""
+        if self._is_unavailable:
+            # Nobody can register or be dropped meanwhile.
+            return
         if self._held:
             self._release_held()
         if self._lapsed:
--- a/tests/forwarding/test_registry.py
+++ b/tests/forwarding/test_registry.py
@@ -270,3 +270,60 @@
         assert reported == ["s1"]
 
     _run(test)
+
+
+def test_lapsed_entry_that_a_second_copy_shows_is_used():
+    """The first copy lacked a live endpoint, and the second one has it."""
+
+    async def test(registry, clock):
+        registry.apply([_record(3)])
+        registry.apply_all([], epochs.combine(1, 1))
+        again = _record(epochs.combine(2, 3))
+        registry.apply_all([again], epochs.combine(2, 4))
+        await clock.sleep_ms(registries.LAPSE_GRACE_MS + 1.0)
+        assert registry.takes_work("s1")
+
+    _run(test)
+
+
+def test_held_entry_that_a_second_copy_lacks_is_dropped():
+    async def test(registry, clock):
+        registry.apply([_record(3)])
+        registry.apply([_record(7, None)])
+        registry.apply_all([_restored(3)], epochs.combine(1, 4))
+        registry.apply_all([], epochs.combine(2, 9))
+        await clock.sleep_ms(registries.RESTORE_HOLD_MS + 1.0)
+        assert not registry.takes_work("s1")
+
+    _run(test)
+
+
+def test_second_outage_extends_the_grace():
+    """A live endpoint can't register while the store is away again."""
+
+    async def test(registry, clock):
+        registry.apply([_record(3)])
+        registry.apply_all([], epochs.combine(1, 1))
+        registry.mark_store_unavailable()
+        await clock.sleep_ms(3 * registries.LAPSE_GRACE_MS)
+        assert registry.takes_work("s1")
+        registry.mark_store_available()
+        await clock.sleep_ms(registries.LAPSE_GRACE_MS - 1.0)
+        assert registry.takes_work("s1")
+        await clock.sleep_ms(2.0)
+        assert not registry.takes_work("s1")
+
+    _run(test)
+
+
+def test_restore_counts_from_the_first_read_without_records():
+    """An entry that vanishes long after the restore is no lapsed one."""
+
+    async def test(registry, clock):
+        registry.apply([_record(3)])
+        registry.mark_read_up_to(epochs.combine(1, 4))
+        await clock.sleep_ms(registries.LAPSE_GRACE_MS + 1.0)
+        registry.apply([_restored(4, None)])
+        assert not registry.takes_work("s1")
+
+    _run(test)
