Use a restored log no more at the own edge

Callers saw: nothing yet; the same cause elsewhere. A claim that the log had acknowledged was lost in a restore, and an instance that had read the log before won it again, so that a request that may run once ran twice; replicas of the configuration that had read different records at one offset would have gone apart. Evidence: test_lost_claim_is_not_won_again (as much, more and nothing appended again) and test_append_to_a_restored_log_is_of_unknown_outcome fail with the check taken out. Why this holds: the log's answers state its epoch; a process that has seen one takes any other for a log that is down, in the one client that all parts use. Claims and changes are refused then, what is in force stays, no orders are given, as docs/operating/log-outage.md says. Not mended: an instance that starts after the restore knows nothing of what was lost; its test is in KNOWN-RED.txt.

--- a/src/jujubewharf/forwarding/follower.py
+++ b/src/jujubewharf/forwarding/follower.py
@@ -105,6 +105,8 @@
         while not self.should_stop:
             try:
                 await self._read()
+            except log.LogRestoredError:
+                self._required_at_ms = 0.0
             except log.LogUnavailableError as error:
                 self._handle_outage(str(error))
                 await self._clock.sleep_ms(
@@ -121,8 +123,6 @@
                 )
                 self._offset = None
                 self._required_at_ms = 0.0
-            except log.LogRestoredError:
-                self._required_at_ms = 0.0
 
     async def _read(self) -> None:
         began_ms = self._clock.now_ms()
@@ -183,7 +183,7 @@
         """
         try:
             return await self._read_all()
-        except (log.LogUnavailableError, log.LogRestoredError) as error:
+        except log.LogUnavailableError as error:
             self._logger.info(
                 "table_not_verified", table=self._name, detail=str(error)
             )
--- a/src/jujubewharf/platform/http_log.py
+++ b/src/jujubewharf/platform/http_log.py
@@ -1,4 +1,10 @@
-"""HTTP client for the platform's log, with msgpack bodies."""
+"""HTTP client for the platform's log, with msgpack bodies.
+
+A log that is restored from a copy has lost acknowledged records. What this
+process has read and promised may rest on them, so it uses the restored log no
+more: claims and changes are refused as with a log that is down, and what is in
+force stays so, until the process is started again.
+"""
 
 from __future__ import annotations
 
@@ -6,10 +12,15 @@
 
 import aiohttp
 import msgpack
+import structlog
 
 from jujubewharf import clock as clocks
+from jujubewharf.platform import epochs
 from jujubewharf.platform import log
 
+# Header of all answers: number of times that the log was restored.
+EPOCH_HEADER = "Log-Epoch"
+
 _REQUEST_TIMEOUT_MS = 3_000.0
 _OK = 200
 _GONE = 410
@@ -32,6 +43,8 @@
         self._url = url
         self._session = session
         self._clock = clock
+        self._epoch: int | None = None
+        self._logger = structlog.get_logger()
 
     async def append(self, stream: str, payloads: Sequence[bytes]) -> list[int]:
         """Appends records; see ``log.Log``."""
@@ -44,6 +57,8 @@
                     data=body,
                 ) as response:
                     _check_append(response.status)
+                    if not self._is_same_log(response):
+                        raise log.AppendUnknownError("log was restored")
                     return list(msgpack.unpackb(await response.read()))
         except aiohttp.ClientConnectorError as error:
             raise log.LogUnavailableError(str(error)) from error
@@ -70,10 +85,24 @@
                 async with self._session.get(
                     f"{self._url}/read", params=query
                 ) as response:
+                    if not self._is_same_log(response):
+                        raise log.LogRestoredError("log was restored")
                     return await _page(response)
         except (aiohttp.ClientError, TimeoutError) as error:
             raise log.LogUnavailableError(str(error)) from error
 
+    def _is_same_log(self, response: aiohttp.ClientResponse) -> bool:
+        """Returns whether an answer is of the log that was first read."""
+        epoch = epochs.parse(response.headers.get(EPOCH_HEADER, ""))
+        if epoch is None:
+            return True
+        if self._epoch is None:
+            self._epoch = epoch
+        if epoch == self._epoch:
+            return True
+        self._logger.error("log_restored", epoch=epoch, former=self._epoch)
+        return False
+
 
 def _check_append(status: int) -> None:
     """Raises unless the append succeeded.
--- a/src/jujubewharf/platform/log.py
+++ b/src/jujubewharf/platform/log.py
@@ -34,8 +34,8 @@
         self.first_offset = first_offset
 
 
-class LogRestoredError(Exception):
-    """A position belongs to an epoch before the log was restored."""
+class LogRestoredError(LogUnavailableError):
+    """The log was restored from a copy since the caller's position was read."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/jujubewharf/standins/log.py
+++ b/src/jujubewharf/standins/log.py
@@ -5,11 +5,13 @@
 import asyncio
 import collections
 from collections.abc import Sequence
+import copy
 
 from aiohttp import web
 import msgpack
 
 from jujubewharf import clock as clocks
+from jujubewharf.platform import http_log
 from jujubewharf.platform import log
 
 # Virtual time is rounded, so shorter waits would never end.
@@ -29,6 +31,9 @@
         return self.first_offset + len(self.records)
 
 
+LogCopy = dict[str, _Stream]
+
+
 class MemoryLog:
     """In-process implementation of ``platform.log.Log``.
 
@@ -46,6 +51,7 @@
         fails_after_next_append: Whether the log goes down right after the next
             append, before anyone can read it; its answer is lost.
         appends: Number of appends that took effect, by stream.
+        epoch: Number of times that the log was restored from a copy.
     """
 
     def __init__(
@@ -57,6 +63,7 @@
     ) -> None:
         self.is_down = False
         self.lose_answers = 0
+        self.epoch = 0
         self.appends: collections.Counter[str] = collections.Counter()
         self._clock = clock
         self.retention_ms = retention_ms
@@ -118,6 +125,16 @@
         del stored.appended_at_ms[:count]
         stored.first_offset += count
 
+    def copy(self) -> LogCopy:
+        """Returns the current state of all streams."""
+        return copy.deepcopy(dict(self._streams))
+
+    def restore(self, former: LogCopy) -> None:
+        """Returns to a former state; lost offsets are assigned again."""
+        self.epoch += 1
+        self._streams.clear()
+        self._streams.update(copy.deepcopy(former))
+
     def wipe(self) -> None:
         """Drops all streams; offsets restart at 0."""
         self._streams.clear()
@@ -156,11 +173,17 @@
     def app(self) -> web.Application:
         """Returns the application; ``POST /control`` sets faults."""
         app = web.Application(client_max_size=64_000_000)
+        app.on_response_prepare.append(self._state_epoch)
         app.router.add_post("/append", self._append)
         app.router.add_get("/read", self._read)
         app.router.add_post("/control", self._control)
         return app
 
+    async def _state_epoch(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        response.headers[http_log.EPOCH_HEADER] = str(self._log.epoch)
+
     async def _append(self, request: web.Request) -> web.Response:
         payloads = msgpack.unpackb(await request.read())
         try:
