--- a/tests/leadership/restored_histories.py
+++ b/tests/leadership/restored_histories.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import random
 
@@ -212,7 +213,14 @@
         self._used[name].clear()
         self._avoided[name].clear()
         self._fences.pop(name, None)
-        await self._world.restart(name)
+        restarting = asyncio.ensure_future(self._world.restart(name))
+        while not restarting.done():
+            # The others go on registering meanwhile.
+            await self._world.clock.sleep_ms(_STEP_MS)
+            self._write_due()
+            self._disturb(name)
+            self._check()
+        await restarting
         self._disturb(name)
 
     def _disturb(self, *names: str) -> None:
