Keep an endpoint until a read after the grace still lacks its entry

Cause: after an outage of the store, endpoints whose entries vanished were dropped when a timer ended. If the store had gone away again without a failed read yet, live endpoints that could not register were dropped, and came back with the next read.

Change: an endpoint is dropped only once a read that ended after the grace still lacks it. Two tests let time pass without any read and then expected the endpoint to be gone; they now read once more, as a follower does at least each second, and a new test asserts both sides of that read.

--- a/src/jujubewharf/forwarding/registry.py
+++ b/src/jujubewharf/forwarding/registry.py
@@ -51,7 +51,8 @@
     The store can return an old state after a newer one, and drops the entries
     of running endpoints during an outage. Records are therefore only applied if
     they are newer than the known one, and entries that vanish during an outage
-    are kept until running endpoints must have registered again.
+    are kept until running endpoints must have registered again and a later
+    read still lacks them.
 
     Endpoints that restart may register under the same key. Each start has its
     own endpoint name, and records of an earlier start are ignored once a later
@@ -348,9 +349,11 @@
             self._rebuild_index()
 
     def _remove_lapsed(self) -> None:
-        now_ms = self._clock.now_ms()
+        # The store may be away again without a failed read yet, so only a read
+        # that ended after the grace shows that the entry is still missing.
+        read_ms = self._last_read_ms or 0.0
         expired = [
-            n for n, (_, until) in self._lapsed.items() if now_ms >= until
+            n for n, (_, until) in self._lapsed.items() if read_ms >= until
         ]
         for name in expired:
             del self._lapsed[name]
--- a/tests/forwarding/test_registry.py
+++ b/tests/forwarding/test_registry.py
@@ -71,12 +71,31 @@
         assert registry.takes_work("s1")
         assert len(registry.of_service("shop")) == 1
         await clock.sleep_ms(registries.LAPSE_GRACE_MS + 1.0)
+        registry.mark_store_available()
         assert not registry.takes_work("s1")
         assert len(registry.of_service("shop")) == 0
 
     _run(test)
 
 
+def test_live_endpoint_is_kept_while_reads_have_stopped_again():
+    """No read fails yet, but none shows either that the entry is missing."""
+
+    async def test(registry, clock):
+        registry.apply([_record(3)])
+        registry.mark_store_unavailable()
+        registry.mark_store_available()
+        registry.apply([_record(4, None)])
+        await clock.sleep_ms(registries.LAPSE_GRACE_MS - 1.0)
+        registry.mark_store_available()
+        await clock.sleep_ms(3 * registries.LAPSE_GRACE_MS)
+        assert registry.takes_work("s1")
+        registry.mark_store_available()
+        assert not registry.takes_work("s1")
+
+    _run(test)
+
+
 def test_endpoint_that_returns_after_an_outage_is_kept():
     async def test(registry, clock):
         registry.apply([_record(3)])
@@ -311,6 +330,7 @@
         await clock.sleep_ms(registries.LAPSE_GRACE_MS - 1.0)
         assert registry.takes_work("s1")
         await clock.sleep_ms(2.0)
+        registry.mark_store_available()
         assert not registry.takes_work("s1")
 
     _run(test)
