--- /dev/null
+++ b/src/jujubewharf/engines/http_calls.py
@@ -0,0 +1,119 @@
+"""Sends HTTP calls to endpoints and reports their failures as engine faults."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+from typing import TypeVar
+
+import aiohttp
+import yarl
+
+from jujubewharf import clock as clocks
+from jujubewharf.configuration import resources
+from jujubewharf.engines import client
+from jujubewharf.engines import http_endpoint
+
+_Answer = TypeVar("_Answer")
+
+
+def lost(endpoint: resources.Endpoint, detail: str) -> client.EngineError:
+    """Returns the error of a call that may have run; the answer is lost."""
+    return client.EngineError(client.EngineFault.LOST, endpoint.name, detail)
+
+
+async def send(
+    session: aiohttp.ClientSession,
+    endpoint: resources.Endpoint,
+    method: str,
+    path_query: str,
+    pairs: list[tuple[str, str]],
+    body: bytes,
+) -> aiohttp.ClientResponse:
+    """Sends a call at most once and returns the open response.
+
+    Args:
+        session: Client session to send with.
+        endpoint: Endpoint to call.
+        method: HTTP method.
+        path_query: Path and query, already encoded.
+        pairs: Headers.
+        body: Body; empty for none.
+
+    Raises:
+        client.EngineError: No connection was made, or it broke.
+    """
+    try:
+        return await session.request(
+            method,
+            yarl.URL(f"http://{endpoint.address}{path_query}", encoded=True),
+            headers=pairs,
+            data=body or None,
+            allow_redirects=False,
+            skip_auto_headers=("Content-Type",),
+            middlewares=(http_endpoint.SendOnce(),),
+        )
+    except http_endpoint.CONNECT_ERRORS as error:
+        fault = client.EngineFault.UNREACHABLE
+        raise client.EngineError(
+            fault, endpoint.name, type(error).__name__
+        ) from error
+    except (aiohttp.ClientError, OSError) as error:
+        raise lost(endpoint, type(error).__name__) from error
+
+
+async def read_body(
+    response: aiohttp.ClientResponse, endpoint: resources.Endpoint
+) -> AsyncIterator[bytes]:
+    """Yields the parts of a body as they arrive.
+
+    Raises:
+        client.EngineError: The connection broke.
+    """
+    try:
+        async for part in response.content.iter_any():
+            yield part
+    except (aiohttp.ClientError, OSError) as error:
+        raise lost(endpoint, type(error).__name__) from error
+
+
+@contextlib.asynccontextmanager
+async def time_limit(
+    clock: clocks.Clock,
+    limit_ms: float,
+    endpoint: resources.Endpoint,
+    path: str,
+) -> AsyncIterator[None]:
+    """Limits the time of a call; beyond it, the answer counts as lost."""
+    try:
+        async with clock.timeout_ms(limit_ms):
+            yield
+    except TimeoutError:
+        raise lost(endpoint, f"no answer to {path} in time") from None
+
+
+async def retry_broken_connection(
+    call: Callable[[aiohttp.ClientSession], Awaitable[_Answer]],
+    keep_alive: aiohttp.ClientSession,
+    fresh: aiohttp.ClientSession,
+) -> _Answer:
+    """Makes a state call on a keep-alive connection.
+
+    The engine may have closed the idle connection, which is no failure. So a
+    call whose connection breaks is retried once on a new one; if this reserves
+    memory twice, the extra reservation expires by its TTL.
+
+    Args:
+        call: Makes the call with the given session.
+        keep_alive: Session that reuses connections.
+        fresh: Session that opens a connection for each call.
+    """
+    try:
+        return await call(keep_alive)
+    except client.EngineError as error:
+        # The cause is the error of the connection; a time-out has none.
+        if error.fault is not client.EngineFault.LOST or not error.__cause__:
+            raise
+    return await call(fresh)
