Record the load that endpoints report in their answers

Each instance chose among endpoints by its own calls only; what an endpoint says about its load in each answer was dropped with the header. The adapter now reads the header into Notice.load, endpoint_load.reports checks the values and counts invalid ones by reason, and EndpointState records valid ones in the instance's LoadTable. Nothing reads the table yet, so no decision changes.

Tests of the touched packages pass (774).

--- /dev/null
+++ b/src/jujubewharf/endpoint_load/__init__.py
@@ -0,0 +1,1 @@
+"""Load that endpoints report in their answers."""
--- a/src/jujubewharf/engines/notices.py
+++ b/src/jujubewharf/engines/notices.py
@@ -6,6 +6,7 @@
 import dataclasses
 
 from jujubewharf.configuration import resources
+from jujubewharf.endpoint_load import reports
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -22,6 +23,8 @@
         is_leaving: Whether the endpoint is leaving and accepts no new work.
         backoff_ms: Time for which the endpoint wants no requests from the
             receiving instance; 0 for none.
+        load: Load of the endpoint; ``None`` if the response states none or an
+            invalid one.
     """
 
     requested_ms: float
@@ -29,6 +32,7 @@
     ends_limit: bool = False
     is_leaving: bool = False
     backoff_ms: float = 0.0
+    load: reports.LoadReport | None = None
 
     @property
     def is_restrictive(self) -> bool:
--- /dev/null
+++ b/src/jujubewharf/forwarding/endpoint_state.py
@@ -0,0 +1,76 @@
+"""What an instance knows about endpoints: registrations, limits and load."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from jujubewharf import clock as clocks
+from jujubewharf.configuration import resources
+from jujubewharf.endpoint_load import table
+from jujubewharf.engines import notices
+from jujubewharf.forwarding import backpressure
+from jujubewharf.forwarding import ports
+from jujubewharf.forwarding import registry
+from jujubewharf.platform import tables
+
+
+class EndpointState:
+    """Registry, backpressure and load table, and what they tell each other.
+
+    Args:
+        clock: Time source.
+        backends: Client whose notices are applied.
+
+    Attributes:
+        registry: Registered endpoints.
+        backpressure: Rate limits, backoffs and drain notices of endpoints.
+        loads: Load that endpoints have reported.
+    """
+
+    def __init__(self, clock: clocks.Clock, backends: ports.Backends) -> None:
+        self.loads = table.LoadTable(clock)
+        self.backpressure = backpressure.Backpressure(clock)
+        self.registry = registry.Registry(clock, self.backpressure.is_leaving)
+        self.registry.add_listener(self._drop_unregistered)
+        self.registry.on_drained_before_restore = self.backpressure.mark_leaving
+        self.backpressure.on_drain_notice = self.registry.handle_drain_notice
+        self.backpressure.is_registered = self.registry.is_registered
+        backends.listen(self._apply_notice)
+
+    def rejects_work(self, name: str) -> bool:
+        """Returns whether an endpoint accepts no requests at the moment."""
+        if not self.registry.takes_work(name):
+            return True
+        return self.backpressure.is_deferred(name)
+
+    def apply_page(
+        self, page: tables.TablePage[resources.Endpoint], *, is_full_read: bool
+    ) -> None:
+        """Applies a page of the endpoint table.
+
+        Args:
+            page: The page.
+            is_full_read: Whether the whole table was read.
+        """
+        self.registry.mark_store_available()
+        self.registry.mark_read_up_to(page.end)
+        records = [
+            registry.Record(r.key, r.offset, r.value, r.is_unreadable)
+            for r in page.records
+        ]
+        if is_full_read:
+            self.registry.apply_all(records, page.end)
+        else:
+            self.registry.apply(records)
+
+    def _apply_notice(
+        self, endpoint: resources.Endpoint, notice: notices.Notice
+    ) -> None:
+        if notice.load is not None:
+            self.loads.record(endpoint.name, notice.load)
+        self.backpressure.apply_notice(endpoint, notice)
+
+    def _drop_unregistered(
+        self, endpoints: Sequence[resources.Endpoint]
+    ) -> None:
+        self.loads.retain(self.registry.names)
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -12,12 +12,12 @@
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
 from jujubewharf.forwarding import attempts
-from jujubewharf.forwarding import backpressure
 from jujubewharf.forwarding import budget
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import costs
 from jujubewharf.forwarding import crash_detection
 from jujubewharf.forwarding import crashes
+from jujubewharf.forwarding import endpoint_state
 from jujubewharf.forwarding import fleet_share
 from jujubewharf.forwarding import forwarder
 from jujubewharf.forwarding import lease as leases
@@ -29,7 +29,6 @@
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import quarantine
 from jujubewharf.forwarding import quarantine_waits
-from jujubewharf.forwarding import registry
 from jujubewharf.forwarding import role_controller
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import settings as all_settings
@@ -99,6 +98,7 @@
         source: Configuration in force.
         registry: Registered endpoints.
         backpressure: Rate limits, backoffs and drain notices of endpoints.
+        loads: Load that endpoints have reported.
         share: This instance's share of fleet-wide limits if there is no leader.
         fleet: Link to the leader, or to the followers if this instance leads.
         lease: Lease that is required to send orders to engines.
@@ -126,12 +126,12 @@
         self.admission = shutdown.AdmissionState()
         self.source = forwarder.ActiveConfiguration()
         self.source.on_applied = self._on_applied
-        self.backpressure = backpressure.Backpressure(clock)
-        self.registry = registry.Registry(clock, self.backpressure.is_leaving)
-        self.backpressure.on_drain_notice = self.registry.handle_drain_notice
-        self.backpressure.is_registered = self.registry.is_registered
-        self.registry.on_drained_before_restore = self.backpressure.mark_leaving
-        adapters.backends.listen(self.backpressure.apply_notice)
+        self._endpoint_state = endpoint_state.EndpointState(
+            clock, adapters.backends
+        )
+        self.backpressure = self._endpoint_state.backpressure
+        self.registry = self._endpoint_state.registry
+        self.loads = self._endpoint_state.loads
         self.share = fleet_share.FleetShare(
             adapters.group, clock, default_share=_ISOLATED_SHARE
         )
@@ -218,7 +218,7 @@
         chooser = plain_endpoints.EndpointChooser(
             self._settings.domain,
             clock,
-            is_leaving=self._rejects_work,
+            is_leaving=self._endpoint_state.rejects_work,
             is_limited=self.backpressure.is_limited,
         )
         self.registry.add_listener(chooser.set_endpoints)
@@ -325,12 +325,6 @@
         if self._leadership is not None:
             await self.add_runtime_dependency(self._leadership)
 
-    def _rejects_work(self, name: str) -> bool:
-        """Returns whether an endpoint accepts no requests at the moment."""
-        if not self.registry.takes_work(name):
-            return True
-        return self.backpressure.is_deferred(name)
-
     def _limit_share(self) -> float:
         """Returns this instance's share of rate limits without a leader."""
         if self._leadership is None:
@@ -456,16 +450,7 @@
     def _on_endpoints(
         self, page: tables.TablePage[resources.Endpoint], is_full_read: bool
     ) -> None:
-        self.registry.mark_store_available()
-        self.registry.mark_read_up_to(page.end)
-        records = [
-            registry.Record(r.key, r.offset, r.value, r.is_unreadable)
-            for r in page.records
-        ]
-        if is_full_read:
-            self.registry.apply_all(records, page.end)
-        else:
-            self.registry.apply(records)
+        self._endpoint_state.apply_page(page, is_full_read=is_full_read)
         if self.fleet.followers is not None:
             self.fleet.followers.publish_endpoints(
                 page.records, page.end, is_full_read=is_full_read
--- a/src/jujubewharf/forwarding/registry.py
+++ b/src/jujubewharf/forwarding/registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Container
 from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
@@ -125,6 +126,11 @@
             if record.endpoint
         ]
 
+    @property
+    def names(self) -> Container[str]:
+        """Names of the endpoints for which ``is_registered`` is true."""
+        return self._by_name.keys()
+
     def add_listener(self, listener: Listener) -> None:
         """Registers a callback that gets all endpoints that accept work."""
         self._listeners.append(listener)
--- a/src/jujubewharf/header_values.py
+++ b/src/jujubewharf/header_values.py
@@ -19,6 +19,20 @@
     return value if math.isfinite(value) and value >= 0.0 else None
 
 
+def parse_number(text: str) -> float | None:
+    """Parses a number of any sign and size.
+
+    Returns:
+        ``None`` for blank text, NaN for text that is not a number.
+    """
+    if not text.strip():
+        return None
+    try:
+        return float(text)
+    except ValueError:
+        return math.nan
+
+
 def parse_integer(text: str | None) -> int | None:
     """Parses an integer of ASCII digits; returns ``None`` otherwise."""
     text = (text or "").strip()
--- a/src/jujubewharf/standins/backend_state.py
+++ b/src/jujubewharf/standins/backend_state.py
@@ -6,6 +6,7 @@
 import dataclasses
 
 from jujubewharf.configuration import resources
+from jujubewharf.endpoint_load import reports
 from jujubewharf.engines import client
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import ports
@@ -78,6 +79,7 @@
         is_leaving: Whether its answers announce that it is leaving.
         backoff_ms: Backoff requested with a rejection of every call; 0 to
             accept calls.
+        load: Load that its answers report; ``None`` to report none.
         received_requests: Requests and prefills that reached it, in order.
         received_reservations: Reservation calls that reached it, in order.
         announced_ms: Clock time of the first announcement to each instance.
@@ -113,6 +115,7 @@
     rate_limit_per_s: float | None = None
     is_leaving: bool = False
     backoff_ms: float = 0.0
+    load: reports.LoadReport | None = None
     received_requests: list[ReceivedRequest] = dataclasses.field(
         default_factory=list
     )
--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -354,6 +354,7 @@
             ends_limit=ends_limit and limit is None,
             is_leaving=backend.is_leaving,
             backoff_ms=backoff_ms,
+            load=backend.load,
         )
         if limit is not None or backend.is_leaving or backoff_ms:
             now_ms = self._clock.now_ms()
--- a/tests/test_header_values.py
+++ b/tests/test_header_values.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 
 from jujubewharf import header_values
@@ -24,6 +26,20 @@
     assert header_values.parse_decimal(text) == amount
 
 
+@pytest.mark.parametrize(
+    ("text", "number"),
+    [("3", 3.0), (" 2 ", 2.0), ("-1", -1.0), ("1e400", math.inf)],
+)
+def test_parse_number(text, number):
+    assert header_values.parse_number(text) == number
+
+
+def test_parse_number_tells_missing_from_malformed():
+    assert header_values.parse_number(" ") is None
+    assert math.isnan(header_values.parse_number("some"))
+    assert math.isnan(header_values.parse_number("nan"))
+
+
 @pytest.mark.parametrize(
     ("text", "whole"),
     [("12", 12), (" 7 ", 7), ("-1", None), ("1.5", None), ("9" * 16, None)],
--- a/tests/users_platform/test_endpoint_notices.py
+++ b/tests/users_platform/test_endpoint_notices.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from jujubewharf.endpoint_load import reports
 from jujubewharf.engines import client
 from jujubewharf.engines import notices
 from jujubewharf.forwarding import calls
@@ -80,15 +81,63 @@
     assert notice.is_leaving
 
 
+@pytest.mark.parametrize(
+    ("text", "load"),
+    [
+        ("3,0,8", reports.LoadReport(3, 0, 8)),
+        (" 3 , 0 , 8 , 250 ", reports.LoadReport(3, 0, 8, 2.5)),
+        # An empty value is missing, and values of a newer platform are ignored.
+        ("3,0,8,", reports.LoadReport(3, 0, 8)),
+        ("3,0,8,250,7,x", reports.LoadReport(3, 0, 8, 2.5)),
+        ("", None),
+        ("3", None),
+        ("3,0", None),
+        (",,,", None),
+        ("3,,8", None),
+        ("-3,0,8", None),
+        ("3,0,0", None),
+        ("3,0,nan", None),
+        ("3,0,8,inf", None),
+        ("3;0;8", None),
+        ("3,0,8,fast", None),
+        ("3,0," + "9" * 1_000, None),
+    ],
+)
+async def test_load_notices(text, load):
+    """A malformed load is ignored; the answer itself is not affected."""
+    (notice,) = await _noticed(engine_calls.good(Engine_Load=text))
+    assert notice.load == load
+    assert notice.ends_limit
+
+
+async def test_answer_without_load_reports_none():
+    (notice,) = await _noticed(engine_calls.good())
+    assert notice.load is None
+
+
+async def test_refusal_reports_load():
+    """A full endpoint's load matters most."""
+    refusal = raw_server.answer(
+        "503 Busy", Request_Id="r1", Not_Executed="1", Engine_Load="6,24,6"
+    )
+    (notice,) = await _noticed(refusal)
+    assert notice.load == reports.LoadReport(6, 24, 6)
+
+
 @pytest.mark.parametrize(
     "more", [{"Request_Id": "r2"}, {"Instance_Id": "i-2"}, {}]
 )
 async def test_no_notice_from_another_engine(more):
     """Responses of another engine or to another request give no notice.
 
-    Otherwise a healthy engine would be taken for one that is leaving.
+    Otherwise a healthy engine would be taken for one that is leaving, or the
+    load of one engine for that of another.
     """
     is_foreign = "Request_Id" in more
     status = "200 OK" if is_foreign else "421 Other"
-    given = {"Request_Id": "r1", "Server_Leaving": "1"} | more
+    given = {
+        "Request_Id": "r1",
+        "Server_Leaving": "1",
+        "Engine_Load": "6,24,6",
+    } | more
     assert await _noticed(raw_server.answer(status, **given)) == []
