Send followers a digest of plain endpoints' load with the heartbeat

A follower knew the load of the endpoints that it had called itself only, so after the loss of its leader it would choose with next to no figures. Followers keep each report with its age; they leave out invalid reports and endpoints that they don't know.

--- a/src/jujubewharf/endpoint_load/table.py
+++ b/src/jujubewharf/endpoint_load/table.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Container
 import dataclasses
+import math
 
 from jujubewharf import clock as clocks
 from jujubewharf.endpoint_load import reports
@@ -67,6 +68,14 @@
         """Returns the newest report; ``None`` if unknown or outdated."""
         return self._get_within(endpoint, MAX_AGE_MS)
 
+    def received_ms(self, endpoint: str) -> float:
+        """Returns the clock reading of the newest report's receipt.
+
+        Negative infinity if the endpoint never reported its load.
+        """
+        known = self._newest.get(endpoint)
+        return -math.inf if known is None else known[1]
+
     def slowdown(self, endpoint: str) -> float:
         """Returns the factor by which work takes longer than usual.
 
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -42,6 +42,7 @@
 from jujubewharf.leadership import fleet_quotas
 from jujubewharf.leadership import leadership
 from jujubewharf.leadership import led
+from jujubewharf.leadership import load_digests
 from jujubewharf.leadership import shared_state
 from jujubewharf.leaving import shutdown
 from jujubewharf.platform import epochs
@@ -145,11 +146,13 @@
             share=self._retry_share,
         )
         self._costs = costs.FleetCostEstimator(self.work)
+        digests = load_digests.LoadDigests(self.loads)
+        self.registry.add_listener(digests.set_endpoints)
         self.fleet = fleets.Fleet(
             self.registry,
             self.work,
             shared_state.SharedState(
-                self.backpressure, self.crashes, self.source
+                self.backpressure, self.crashes, self.source, digests
             ),
             lambda: self._endpoints.offset,
             adapters.epoch,
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -221,8 +221,14 @@
         self._send(message, self._links)
 
     def send_heartbeat(self) -> None:
-        """Sends all followers a heartbeat with the store's read offsets."""
+        """Sends all followers a heartbeat, and newer loads of endpoints.
+
+        The heartbeat has the store's read offsets.
+        """
         self._send(self._heartbeat(), self._links)
+        digest = self._state.loads.next_digest()
+        if digest is not None:
+            self._send(digest, self._links)
 
     def publish_configurations(
         self,
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -28,6 +28,7 @@
 from jujubewharf.peers import leader_messages
 from jujubewharf.peers import limit_messages
 from jujubewharf.peers import link as links
+from jujubewharf.peers import load_messages
 from jujubewharf.peers import messages
 from jujubewharf.peers import network
 from jujubewharf.peers import quota_messages
@@ -163,7 +164,11 @@
                 self._feeds.low_accounts.update(left)
             case quota_messages.UsageShares():
                 self.on_usage_shares(message.by_account)
-            case limit_messages.EndpointTerms() | crash_messages.CrashReports():
+            case (
+                limit_messages.EndpointTerms()
+                | crash_messages.CrashReports()
+                | load_messages.LoadDigest()
+            ):
                 self._state.apply(message)
             case leader_messages.EndpointUpdate():
                 records = [_table_record(r) for r in message.records]
--- a/src/jujubewharf/leadership/shared_state.py
+++ b/src/jujubewharf/leadership/shared_state.py
@@ -7,8 +7,10 @@
 from jujubewharf.forwarding import backpressure
 from jujubewharf.forwarding import crashes
 from jujubewharf.forwarding import forwarder
+from jujubewharf.leadership import load_digests
 from jujubewharf.peers import crash_messages
 from jujubewharf.peers import limit_messages
+from jujubewharf.peers import load_messages
 from jujubewharf.peers import messages
 
 
@@ -20,11 +22,13 @@
         backpressure: Limits, backoffs and leaving notices of endpoints.
         history: Engines that crashed while running which requests.
         source: Configuration in force.
+        loads: Load of plain endpoints.
     """
 
     backpressure: backpressure.Backpressure
     history: crashes.CrashHistory
     source: forwarder.ActiveConfiguration
+    loads: load_digests.LoadDigests
 
     def initial_messages(self) -> tuple[messages.Message, ...]:
         """Returns the messages that each side of a new link sends first."""
@@ -44,6 +48,8 @@
                     self.backpressure.apply_terms(
                         terms, is_news=message.is_news
                     )
+            case load_messages.LoadDigest():
+                self.loads.apply(message.loads())
             case crash_messages.CrashReports():
                 for report in message.reports:
                     self.history.merge(report)
