Add the order of waiting requests by class and account

Waiting requests were ordered by lateness and due time only, so a patient class or a greedy account competed with urgent requests on equal terms. Nothing uses the package yet.

--- /dev/null
+++ b/src/jujubewharf/admission/fair_share.py
@@ -0,0 +1,136 @@
+"""Which client account of a class is served first.
+
+Handles accounts of which one offers many times its usual load for seconds,
+within its quota. Start-time fair queueing: the account that has been served
+least, by cost and weight, comes first. Only what is served while requests wait
+counts; neither idle time nor the use of idle capacity is carried over.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import dataclasses
+
+from jujubewharf.admission import tickets
+
+DEFAULT_WEIGHT = 1.0
+# Accounts without waiting requests that a class keeps before it drops those
+# whose virtual time has passed.
+_MAX_IDLE_ACCOUNTS = 64
+
+
+@dataclasses.dataclass(slots=True)
+class _AccountState:
+    """Virtual time of an account, and the number of its waiting requests."""
+
+    virtual_time: float
+    waiting: int = 0
+
+
+class _ClassShares:
+    """Accounts of one priority class."""
+
+    def __init__(self) -> None:
+        self.accounts: dict[str | None, _AccountState] = {}
+        self._virtual_time = 0.0
+
+    def queued(self, account: str | None) -> None:
+        """Counts a request that begins to wait."""
+        state = self.accounts.get(account)
+        if state is None:
+            state = _AccountState(self._smallest_time())
+            self.accounts[account] = state
+        elif not state.waiting:
+            state.virtual_time = max(state.virtual_time, self._smallest_time())
+        state.waiting += 1
+
+    def served(self, account: str | None, amount: float) -> None:
+        """Raises the virtual time of an account with a waiting request."""
+        self._virtual_time = max(self._virtual_time, self._smallest_time())
+        self.accounts[account].virtual_time += amount
+
+    def left(self, account: str | None) -> None:
+        """Removes a request that no longer waits."""
+        state = self.accounts[account]
+        state.waiting -= 1
+        if state.waiting:
+            return
+        waiting = sum(1 for s in self.accounts.values() if s.waiting)
+        if not waiting:
+            # Nobody competes any more, so all begin equal again.
+            self._virtual_time = max(
+                s.virtual_time for s in self.accounts.values()
+            )
+            self.accounts.clear()
+        elif len(self.accounts) > 2 * waiting + _MAX_IDLE_ACCOUNTS:
+            self._drop_passed()
+
+    def _smallest_time(self) -> float:
+        """Returns the smallest virtual time of the waiting accounts."""
+        return min(
+            (s.virtual_time for s in self.accounts.values() if s.waiting),
+            default=self._virtual_time,
+        )
+
+    def _drop_passed(self) -> None:
+        smallest_time = self._smallest_time()
+        self.accounts = {
+            name: state
+            for name, state in self.accounts.items()
+            if state.waiting or state.virtual_time > smallest_time
+        }
+
+
+class FairShare:
+    """Virtual times of the accounts of one service, by priority class.
+
+    Args:
+        weights: Weights of accounts by name; others have the default weight.
+
+    Attributes:
+        weights: See above; may be replaced at any time.
+    """
+
+    def __init__(self, weights: Mapping[str, float] | None = None) -> None:
+        self.weights: Mapping[str, float] = weights or {}
+        self._classes: dict[int, _ClassShares] = {}
+
+    @property
+    def is_active(self) -> bool:
+        """Whether more than one account competes within a class."""
+        return any(len(c.accounts) > 1 for c in self._classes.values())
+
+    @property
+    def account_count(self) -> int:
+        """Number of accounts that are kept."""
+        return sum(len(c.accounts) for c in self._classes.values())
+
+    def queued(self, ticket: tickets.Ticket) -> None:
+        """Counts a request that begins to wait."""
+        shares = self._classes.setdefault(ticket.priority, _ClassShares())
+        shares.queued(ticket.account)
+
+    def served(self, ticket: tickets.Ticket) -> None:
+        """Charges a waiting request to its account and removes it."""
+        shares = self._classes[ticket.priority]
+        shares.served(ticket.account, ticket.cost / self._weight(ticket))
+        shares.left(ticket.account)
+
+    def left(self, ticket: tickets.Ticket) -> None:
+        """Removes a request that no longer waits."""
+        self._classes[ticket.priority].left(ticket.account)
+
+    def virtual_time(self, ticket: tickets.Ticket) -> float:
+        """Returns the virtual time of a waiting request's account.
+
+        0 while no other account of its class competes.
+        """
+        accounts = self._classes[ticket.priority].accounts
+        if len(accounts) < 2:
+            return 0.0
+        return accounts[ticket.account].virtual_time
+
+    def _weight(self, ticket: tickets.Ticket) -> float:
+        if ticket.account is None:
+            return DEFAULT_WEIGHT
+        return self.weights.get(ticket.account, DEFAULT_WEIGHT)
--- /dev/null
+++ b/src/jujubewharf/admission/tickets.py
@@ -0,0 +1,27 @@
+"""Waiting requests, as far as their order is concerned."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+# Compared by identity: two requests may have equal fields.
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class Ticket:
+    """A waiting request.
+
+    Attributes:
+        priority: Priority; 0 is the highest.
+        account: Name of the client account; ``None`` if there is none.
+        cost: Tokens of prompt and expected output; 1 for a plain call.
+        is_late: Whether it has missed its latency target.
+        is_resumed: Whether its caller already has a part of the answer.
+        due_ms: Clock reading at which it is given up, in milliseconds.
+    """
+
+    priority: int
+    account: str | None
+    cost: float
+    is_late: bool
+    is_resumed: bool
+    due_ms: float
--- /dev/null
+++ b/tests/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the order of waiting requests."""
