Order the wait queue for memory by class and account

The queue ranked requests by lateness and due time, and any request that arrived or whose interval ended could take memory that another one was woken for. While classes or accounts compete, requests now ask in rounds in the order of the admission package, and a resumed stream goes first. Otherwise the queue decides as before. A request is rejected early only where those before it in its class certainly use all memory until it is due, and retry-after times of a class follow those of the higher ones.

--- a/src/jujubewharf/admission/fair_share.py
+++ b/src/jujubewharf/admission/fair_share.py
@@ -32,6 +32,7 @@
 
     def __init__(self) -> None:
         self.accounts: dict[str | None, _AccountState] = {}
+        self.is_contended = False
         self._virtual_time = 0.0
 
     def queued(self, account: str | None) -> None:
@@ -89,16 +90,19 @@
 
     Attributes:
         weights: See above; may be replaced at any time.
+        version: Grows whenever virtual times of waiting requests change.
     """
 
     def __init__(self, weights: Mapping[str, float] | None = None) -> None:
         self.weights: Mapping[str, float] = weights or {}
+        self.version = 0
         self._classes: dict[int, _ClassShares] = {}
+        self._contended_classes = 0
 
     @property
     def is_active(self) -> bool:
         """Whether more than one account competes within a class."""
-        return any(len(c.accounts) > 1 for c in self._classes.values())
+        return self._contended_classes > 0
 
     @property
     def account_count(self) -> int:
@@ -109,26 +113,39 @@
         """Counts a request that begins to wait."""
         shares = self._classes.setdefault(ticket.priority, _ClassShares())
         shares.queued(ticket.account)
+        self._update(ticket.priority)
 
     def served(self, ticket: tickets.Ticket) -> None:
         """Charges a waiting request to its account and removes it."""
         shares = self._classes[ticket.priority]
         shares.served(ticket.account, ticket.cost / self._weight(ticket))
-        shares.left(ticket.account)
+        if shares.is_contended:
+            self.version += 1
+        self.left(ticket)
 
     def left(self, ticket: tickets.Ticket) -> None:
         """Removes a request that no longer waits."""
         self._classes[ticket.priority].left(ticket.account)
+        self._update(ticket.priority)
 
     def virtual_time(self, ticket: tickets.Ticket) -> float:
         """Returns the virtual time of a waiting request's account.
 
         0 while no other account of its class competes.
         """
-        accounts = self._classes[ticket.priority].accounts
-        if len(accounts) < 2:
+        shares = self._classes[ticket.priority]
+        if not shares.is_contended:
             return 0.0
-        return accounts[ticket.account].virtual_time
+        return shares.accounts[ticket.account].virtual_time
+
+    def _update(self, priority: int) -> None:
+        """Updates whether accounts of a class compete."""
+        shares = self._classes[priority]
+        is_contended = len(shares.accounts) > 1
+        if is_contended != shares.is_contended:
+            shares.is_contended = is_contended
+            self._contended_classes += 1 if is_contended else -1
+            self.version += 1
 
     def _weight(self, ticket: tickets.Ticket) -> float:
         if ticket.account is None:
--- a/src/jujubewharf/admission/order.py
+++ b/src/jujubewharf/admission/order.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Hashable
 from collections.abc import Mapping
 import dataclasses
 
@@ -91,10 +92,7 @@
         """Returns the sort key of a waiting request."""
         if ticket not in self._waiting:
             self.queued(ticket, now_ms)
-        if self._is_changed or now_ms != self._now_ms:
-            self._now_ms = now_ms
-            self._is_changed = False
-            self._classes.update(now_ms)
+        self._update(now_ms)
         if not self.is_active:
             return (False, False, ticket.is_late, 0, 0.0, ticket.due_ms)
         is_starving = ticket.priority == self._classes.starving
@@ -110,6 +108,20 @@
             ticket.due_ms,
         )
 
+    def version(self, now_ms: float) -> Hashable:
+        """Returns a value that differs once ranks of tickets have changed.
+
+        Until then, a queue that is sorted needn't be sorted again.
+        """
+        self._update(now_ms)
+        if not self.is_active:
+            return False
+        return (
+            self._classes.starving,
+            self._classes.is_class_first,
+            self._shares.version,
+        )
+
     def served(self, ticket: tickets.Ticket) -> None:
         """Counts a request that was served."""
         self._ensure_queued(ticket)
@@ -132,6 +144,12 @@
         self._shares.left(ticket)
         self._is_changed = True
 
+    def _update(self, now_ms: float) -> None:
+        if self._is_changed or now_ms != self._now_ms:
+            self._now_ms = now_ms
+            self._is_changed = False
+            self._classes.update(now_ms)
+
     def _ensure_queued(self, ticket: tickets.Ticket) -> None:
         if ticket not in self._waiting:
             self.queued(ticket, self._now_ms)
--- a/src/jujubewharf/forwarding/backpressure.py
+++ b/src/jujubewharf/forwarding/backpressure.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 
 from jujubewharf import clock as clocks
@@ -203,6 +204,35 @@
         first_ms = min(map(self._wait_ms, names), default=0.0)
         return first_ms if first_ms > 0.0 else None
 
+    def available_in_ms(
+        self,
+        engines: Iterable[resources.Endpoint],
+        backoff_until_ms: Mapping[str, float],
+    ) -> float | None:
+        """Returns the time until a decode engine may be called.
+
+        Covers rate limits and backoffs.
+
+        Args:
+            engines: Engines to choose from.
+            backoff_until_ms: Ends of further backoffs, by engine.
+
+        Returns:
+            The time in milliseconds; ``None`` if one may be called now.
+        """
+        if not backoff_until_ms and not self.has_any:
+            return None
+        now_ms = self._clock.now_ms()
+        waits = [
+            max(
+                self.wait_ms([engine.name]) or 0.0,
+                backoff_until_ms.get(engine.name, now_ms) - now_ms,
+            )
+            for engine in engines
+            if engine.can_decode
+        ]
+        return min(waits, default=0.0) or None
+
     def request_interval_ms(self, names: Iterable[str]) -> float:
         """Returns the mean interval of requests to endpoints with rate limits.
 
--- a/src/jujubewharf/forwarding/margins.py
+++ b/src/jujubewharf/forwarding/margins.py
@@ -19,6 +19,9 @@
 import math
 import statistics
 
+from jujubewharf.forwarding import calls
+from jujubewharf.forwarding import routes
+
 # Number of latest responses that are considered.
 _SAMPLE_SIZE = 64
 # Number of completed responses below which callers' estimates are used. Short
@@ -62,6 +65,26 @@
     free_tokens: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemoryDemand:
+    """Memory that a request needs on an engine.
+
+    Attributes:
+        tokens: Memory to reserve, in tokens.
+        free_tokens: Memory that must stay free in addition, in tokens.
+        ttl_ms: Lifetime of the reservation, in milliseconds.
+    """
+
+    tokens: int
+    free_tokens: int
+    ttl_ms: float
+
+    @property
+    def total_tokens(self) -> int:
+        """Memory that must be free before the reservation, in tokens."""
+        return self.tokens + self.free_tokens
+
+
 class ResponseLengths:
     """Statistics of response lengths and of callers' estimates."""
 
@@ -100,6 +123,36 @@
             self._margins[memory_tokens] = margin
         return margin
 
+    def demand(
+        self,
+        work: calls.ModelWork | None,
+        traits: routes.EngineTraits,
+        *,
+        prompt_tokens: float | None,
+    ) -> MemoryDemand:
+        """Returns the memory that a request needs, and records its estimate.
+
+        Args:
+            work: Size of the request, if known.
+            traits: Properties of the service's engines.
+            prompt_tokens: Mean prompt size, in tokens; ``None`` if unknown.
+        """
+        if work is None:
+            return MemoryDemand(1, 0, traits.hold_max_ms)
+        mean_tokens = prompt_tokens or float(work.prompt_tokens)
+        self.record_estimate(work.answer_tokens)
+        margin = self.margin(
+            prompt_tokens=mean_tokens, memory_tokens=traits.memory_tokens
+        )
+        tokens = work.prompt_tokens + int(
+            work.answer_tokens * margin.reserved_share
+        )
+        # A request that doesn't fit into an empty engine with its headroom is
+        # still placed, with less headroom.
+        max_free_tokens = max(0, traits.memory_tokens - tokens)
+        free_tokens = min(margin.free_tokens, max_free_tokens)
+        return MemoryDemand(tokens, free_tokens, traits.hold_max_ms)
+
     def _count_sample(self) -> None:
         self._count += 1
         if (
--- a/src/jujubewharf/forwarding/patience.py
+++ b/src/jujubewharf/forwarding/patience.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from jujubewharf import clock as clocks
+from jujubewharf.admission import tickets
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import come_back
 from jujubewharf.forwarding import costs
@@ -39,6 +40,18 @@
 # Timeout assumed for callers that don't send one.
 _DEFAULT_CALLER_TIMEOUT_MS = 10_000.0
 _MIN_RETRY_AFTER_MS = 300.0
+# Interval at which a waiting request asks again, as a share of the mean time
+# between releases of memory on an engine. Memory that requests of other
+# instances release is only found by asking.
+_ASK_INTERVAL_SHARE = 1 / 6
+_DEFAULT_ASK_INTERVAL_MS = 70.0
+# Factor by which the interval is longer for requests that have missed their
+# latency target. They wait for seconds and would otherwise make most of the
+# calls to engines during a burst.
+_LATE_INTERVAL_FACTOR = 4.0
+# Factor by which memory may come free faster than the mean hold time says
+# before a request that waits for it is refused wrongly.
+_RELEASE_SPEED_FACTOR = 3.0
 
 
 class WaitPolicy:
@@ -55,7 +68,55 @@
         self._cost_estimates = cost_estimates
         self._clock = clock
         self._longest_timeout_ms: dict[str, float] = {}
-        self._last_retry_at_ms = 0.0
+        self._last_retry_at_ms: dict[int, float] = {}
+
+    def new_ticket(self, run: runs.Run, cost: float) -> tickets.Ticket:
+        """Returns the ticket of a request that begins to wait.
+
+        A stream that is resumed is late but keeps its place among those in
+        time: its caller already has part of the response, which a failure would
+        waste.
+        """
+        on_time_wait_ms = self.on_time_wait_ms(run)
+        is_late = on_time_wait_ms <= 0.0
+        wait_ms = self.late_wait_ms(run) if is_late else on_time_wait_ms
+        return tickets.Ticket(
+            run.priority,
+            run.call.account,
+            cost,
+            is_late=is_late and not run.may_have_run,
+            is_resumed=run.may_have_run,
+            due_ms=self._clock.now_ms() + wait_ms,
+        )
+
+    def ask_interval_ms(self, *, is_late: bool) -> float:
+        """Returns the mean interval at which a waiting request asks again."""
+        interval_ms = _DEFAULT_ASK_INTERVAL_MS
+        if self._cost_estimates.decode_ms is not None:
+            interval_ms = self._cost_estimates.decode_ms * _ASK_INTERVAL_SHARE
+        return interval_ms * (_LATE_INTERVAL_FACTOR if is_late else 1.0)
+
+    def is_hopeless(
+        self, blocking_tokens: int, *, held_tokens: int, due_ms: float
+    ) -> bool:
+        """Returns whether a request certainly gets no memory until it is due.
+
+        Args:
+            blocking_tokens: Memory that goes to other requests before it.
+            held_tokens: Memory that requests of its service hold.
+            due_ms: Clock reading at which it is given up.
+        """
+        hold_ms = self._cost_estimates.memory_hold_ms
+        if hold_ms is None:
+            return False
+        left_ms = due_ms - self._clock.now_ms()
+        released_tokens = held_tokens * left_ms / hold_ms
+        return blocking_tokens > released_tokens * _RELEASE_SPEED_FACTOR
+
+    def expected_release_ms(self, held_tokens: int, tokens: int) -> float:
+        """Returns the expected time in which some memory comes free."""
+        hold_ms = self._cost_estimates.memory_hold_ms or 0.0
+        return hold_ms * tokens / max(1, held_tokens)
 
     def on_time_wait_ms(self, run: runs.Run) -> float:
         """Returns how long a request can wait and still meet its target.
@@ -84,16 +145,27 @@
             max_wait_ms, run.left_ms(self._clock) - self._response_ms(run)
         )
 
-    def retry_after_ms(self, call: calls.Call, running_count: int) -> float:
+    def retry_after_ms(
+        self,
+        call: calls.Call,
+        running_count: int,
+        *,
+        priority: int = 0,
+        min_wait_ms: float = 0.0,
+    ) -> float:
         """Returns the retry-after of a refused request, in milliseconds.
 
         Each call returns a later time than the one before, spaced by the time
         in which memory for one request comes free. With equal times the
-        callers would fill the engines together again.
+        callers would fill the engines together again. Times of a class come
+        after those of the higher classes, and don't delay theirs.
 
         Args:
             call: The refused request.
             running_count: Number of responses that this instance is running.
+            priority: Priority of the request.
+            min_wait_ms: Time for which the requests that precede it use all
+                memory that comes free.
         """
         timeout_ms = call.caller_timeout_ms or _DEFAULT_CALLER_TIMEOUT_MS
         max_retry_after_ms = timeout_ms * come_back.MAX_TIMEOUT_SHARE
@@ -102,13 +174,19 @@
             or timeout_ms * _DEFAULT_RESPONSE_SHARE
         )
         now_ms = self._clock.now_ms()
-        earliest_ms = now_ms + memory_hold_ms * _EARLIEST_RETRY_SHARE
+        earliest_ms = now_ms + max(
+            memory_hold_ms * _EARLIEST_RETRY_SHARE, min_wait_ms
+        )
         interval_ms = (
             memory_hold_ms / max(1, running_count) / _RETRY_MEMORY_SHARE
         )
-        retry_at_ms = max(earliest_ms, self._last_retry_at_ms + interval_ms)
+        last_retry_at_ms = max(
+            (t for p, t in self._last_retry_at_ms.items() if p <= priority),
+            default=0.0,
+        )
+        retry_at_ms = max(earliest_ms, last_retry_at_ms + interval_ms)
         retry_at_ms = min(retry_at_ms, now_ms + max_retry_after_ms)
-        self._last_retry_at_ms = max(self._last_retry_at_ms, retry_at_ms)
+        self._last_retry_at_ms[priority] = max(last_retry_at_ms, retry_at_ms)
         return max(_MIN_RETRY_AFTER_MS, retry_at_ms - now_ms)
 
     def _response_ms(self, run: runs.Run) -> float:
--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -12,11 +12,11 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 import contextlib
-import dataclasses
 import random
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
+from jujubewharf.admission import order as orders
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
 from jujubewharf.forwarding import backpressure as all_backpressure
@@ -32,6 +32,7 @@
 from jujubewharf.forwarding import request_log
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import runs
+from jujubewharf.forwarding import state_log
 from jujubewharf.forwarding import wait_queue as wait_queues
 
 # Number of engines that a request asks in its first round and in each later
@@ -39,40 +40,11 @@
 # every engine would not scale with the size of the fleet.
 _FIRST_ROUND_ENGINES = 4
 _LATER_ROUND_ENGINES = 2
-# Interval at which a waiting request asks again, as a share of the mean time
-# between releases of memory on an engine. Memory that requests of other
-# instances release is only found by asking.
-_ASK_INTERVAL_SHARE = 1 / 6
-_DEFAULT_ASK_INTERVAL_MS = 70.0
-# Factor by which the interval is longer for requests that have missed their
-# latency target. They wait for seconds and would otherwise make most of the
-# calls to engines during a burst.
-_LATE_INTERVAL_FACTOR = 4.0
 # Lifetime of the reservation that checks for free memory. It is dropped at
 # once.
 _CHECK_TTL_MS = 300.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _MemoryDemand:
-    """Memory that a request needs on an engine.
-
-    Attributes:
-        tokens: Memory to reserve, in tokens.
-        free_tokens: Memory that must stay free in addition, in tokens.
-        ttl_ms: Lifetime of the reservation, in milliseconds.
-    """
-
-    tokens: int
-    free_tokens: int
-    ttl_ms: float
-
-    @property
-    def total_tokens(self) -> int:
-        """Memory that must be free before the reservation, in tokens."""
-        return self.tokens + self.free_tokens
-
-
 class Placement:
     """Reserves memory on decode engines and queues requests until it is free.
 
@@ -118,8 +90,15 @@
         self._rng = rng
         self._wait_policy = patience.WaitPolicy(cost_estimates, clock)
         self._queues: dict[str, wait_queues.WaitQueue] = {}
+        self._policy = orders.AdmissionPolicy()
         self._running = 0
 
+    def apply_policy(self, policy: orders.AdmissionPolicy) -> None:
+        """Applies changed settings; waiting requests are ranked again."""
+        self._policy = policy
+        for queue in self._queues.values():
+            queue.order.apply(policy)
+
     @contextlib.asynccontextmanager
     async def place(self, run: runs.Run) -> AsyncIterator[places.Reservation]:
         """Waits for a reservation and holds it while the block runs.
@@ -130,7 +109,9 @@
         """
         with all_quotas.charged(self._quotas, run):
             reservation, demand = await self._wait_for_reservation(run)
+        queue = self._queue_of(run.service)
         self._running += 1
+        queue.held_tokens += demand.tokens
         try:
             with (
                 self._pool.holding_memory(
@@ -142,10 +123,11 @@
             self.record_hold_time(reservation)
         finally:
             self._running -= 1
+            queue.held_tokens -= demand.tokens
             reservation_id = reservation.take_id()
             if reservation_id is not None:
                 await self._release(reservation.engine, reservation_id)
-            self._queue_of(run.service).wake_first()
+            queue.wake_first()
 
     def record_hold_time(self, reservation: places.Reservation) -> None:
         """Records how long a completed response held its memory."""
@@ -184,41 +166,89 @@
 
     async def _wait_for_reservation(
         self, run: runs.Run
-    ) -> tuple[places.Reservation, _MemoryDemand]:
+    ) -> tuple[places.Reservation, margins.MemoryDemand]:
+        assert run.traits is not None
+        work = run.call.work
+        demand = self._lengths.demand(
+            work,
+            run.traits,
+            prompt_tokens=self._cost_estimates.prompt_tokens,
+        )
+        queue = self._queue_of(run.service)
+        cost = 1.0 if work is None else work.prompt_tokens + work.answer_tokens
+        ticket = self._wait_policy.new_ticket(run, float(cost))
+        waiter = wait_queues.Waiter(ticket, demand.tokens)
         started_ms = self._clock.now_ms()
-        on_time_wait_ms = self._wait_policy.on_time_wait_ms(run)
-        is_late = on_time_wait_ms <= 0.0
-        wait_ms = (
-            self._wait_policy.late_wait_ms(run) if is_late else on_time_wait_ms
+        with queue.enqueued(waiter):
+            reservation = await self._ask_until_due(run, demand, waiter)
+            if reservation is None:
+                refusal = self._refusal(run, demand, waiter)
+                queue.order.rejected(ticket)
+                state_log.count_rejected_wait(run.priority, waiter.rejected_by)
+                raise refusal
+        state_log.count_served_wait(
+            run.priority, is_late=ticket.is_late, has_waited=waiter.has_waited
+        )
+        request_log.log_placement(
+            run,
+            reservation.engine.name,
+            tokens=demand.tokens,
+            free_tokens=demand.free_tokens,
+            waited_ms=self._clock.now_ms() - started_ms,
+            preceded_by=waiter.preceded_by,
         )
-        # A stream that is resumed is late but keeps its priority: its caller
-        # already has part of the response, which a failure would waste.
-        is_deprioritized = is_late and not run.may_have_run
-        demand = self._demand_of(run)
-        waiter = wait_queues.Waiter(is_deprioritized, started_ms + wait_ms)
+        return reservation, demand
+
+    async def _ask_until_due(
+        self,
+        run: runs.Run,
+        demand: margins.MemoryDemand,
+        waiter: wait_queues.Waiter,
+    ) -> places.Reservation | None:
+        """Asks engines whenever it is the request's turn, until it is due."""
         queue = self._queue_of(run.service)
+        due_ms = waiter.ticket.due_ms
         max_engines = _FIRST_ROUND_ENGINES
-        with queue.enqueued(waiter):
-            while self._clock.now_ms() <= waiter.due_ms:
+        has_turn = True
+        if self._clock.now_ms() > due_ms:
+            waiter.rejected_by = wait_queues.Rejection.NO_TIME
+        while self._clock.now_ms() <= due_ms:
+            has_turn = queue.begin_ask(waiter)
+            if has_turn:
                 reservation = await self._try_engines(
                     run, demand, max_engines=max_engines
                 )
                 max_engines = _LATER_ROUND_ENGINES
-                queue.wake_after(waiter)
+                queue.end_ask(waiter, is_served=reservation is not None)
                 if reservation is not None:
-                    waited_ms = self._clock.now_ms() - started_ms
-                    request_log.log_placement(
-                        run,
-                        reservation.engine.name,
-                        tokens=demand.tokens,
-                        free_tokens=demand.free_tokens,
-                        waited_ms=waited_ms,
-                    )
-                    return reservation, demand
-                if self._is_unavailable_until(run, waiter.due_ms):
-                    break
-                await self._pause(waiter)
-        raise self._refusal(run, demand)
+                    return reservation
+                if self._is_unavailable_until(run, due_ms):
+                    waiter.rejected_by = wait_queues.Rejection.UNAVAILABLE
+                    return None
+                if self._is_hopeless(queue, waiter):
+                    waiter.rejected_by = wait_queues.Rejection.ORDER
+                    return None
+            await self._pause(queue, waiter)
+        if has_turn:
+            return None
+        # It became due before its turn in this round; memory that none of the
+        # requests before it has taken must not stay free.
+        reservation = await self._try_engines(
+            run, demand, max_engines=max_engines
+        )
+        queue.end_ask(waiter, is_served=reservation is not None)
+        return reservation
+
+    def _is_hopeless(
+        self, queue: wait_queues.WaitQueue, waiter: wait_queues.Waiter
+    ) -> bool:
+        """Returns whether requests before it use all memory until it is due."""
+        # Releases of other instances' requests would be unknown here.
+        return self._knows_all_reservations() and self._wait_policy.is_hopeless(
+            queue.blocking_tokens(waiter),
+            held_tokens=queue.held_tokens,
+            due_ms=waiter.ticket.due_ms,
+        )
 
     def _permitted_engines(self, run: runs.Run) -> Sequence[resources.Endpoint]:
         """Returns the service's engines to which the request may be sent."""
@@ -233,63 +263,22 @@
         return wait_ms is not None and self._clock.now_ms() + wait_ms > due_ms
 
     def _available_in_ms(self, run: runs.Run) -> float | None:
-        """Returns the time until an engine may be asked, or ``None`` for now.
-
-        Covers rate limits and backoffs; see ``Backpressure``.
-        """
-        if not run.backoff_until_ms and not self._backpressure.has_any:
-            return None
-        now_ms = self._clock.now_ms()
-        waits = [
-            max(
-                self._backpressure.wait_ms([engine.name]) or 0.0,
-                run.backoff_until_ms.get(engine.name, now_ms) - now_ms,
-            )
-            for engine in self._registry.of_service(run.service)
-            if engine.can_decode
-        ]
-        return min(waits, default=0.0) or None
+        """Returns the time until an engine may be asked; ``None`` for now."""
+        return self._backpressure.available_in_ms(
+            self._registry.of_service(run.service), run.backoff_until_ms
+        )
 
-    async def _pause(self, waiter: wait_queues.Waiter) -> None:
+    async def _pause(
+        self, queue: wait_queues.WaitQueue, waiter: wait_queues.Waiter
+    ) -> None:
         """Waits until the request is woken, should ask again, or is due."""
-        interval_ms = _DEFAULT_ASK_INTERVAL_MS
-        if self._cost_estimates.decode_ms is not None:
-            interval_ms = self._cost_estimates.decode_ms * _ASK_INTERVAL_SHARE
-        if waiter.is_late:
-            interval_ms *= _LATE_INTERVAL_FACTOR
-        interval_ms *= 0.5 + self._rng.random()
-        remaining_ms = waiter.due_ms - self._clock.now_ms()
-        with contextlib.suppress(TimeoutError):
-            async with self._clock.timeout_ms(
-                max(1.0, min(interval_ms, remaining_ms))
-            ):
-                await waiter.wait_until_woken()
-
-    def _demand_of(self, run: runs.Run) -> _MemoryDemand:
-        """Returns the memory that the request needs."""
-        traits = run.traits
-        assert traits is not None
-        work = run.call.work
-        if work is None:
-            return _MemoryDemand(1, 0, traits.hold_max_ms)
-        mean_tokens = self._cost_estimates.prompt_tokens or float(
-            work.prompt_tokens
-        )
-        self._lengths.record_estimate(work.answer_tokens)
-        margin = self._lengths.margin(
-            prompt_tokens=mean_tokens, memory_tokens=traits.memory_tokens
+        interval_ms = self._wait_policy.ask_interval_ms(
+            is_late=waiter.ticket.is_late
         )
-        tokens = work.prompt_tokens + int(
-            work.answer_tokens * margin.reserved_share
-        )
-        # A request that doesn't fit into an empty engine with its headroom is
-        # still placed, with less headroom.
-        max_free_tokens = max(0, traits.memory_tokens - tokens)
-        free_tokens = min(margin.free_tokens, max_free_tokens)
-        return _MemoryDemand(tokens, free_tokens, traits.hold_max_ms)
+        await queue.pause(waiter, interval_ms * (0.5 + self._rng.random()))
 
     async def _try_engines(
-        self, run: runs.Run, demand: _MemoryDemand, *, max_engines: int
+        self, run: runs.Run, demand: margins.MemoryDemand, *, max_engines: int
     ) -> places.Reservation | None:
         """Asks at most ``max_engines`` engines that may have enough memory."""
         assert run.traits is not None
@@ -329,7 +318,10 @@
         return None
 
     def _record_failure(
-        self, run: runs.Run, error: client.EngineError, demand: _MemoryDemand
+        self,
+        run: runs.Run,
+        error: client.EngineError,
+        demand: margins.MemoryDemand,
     ) -> None:
         if error.fault is client.EngineFault.REFUSED_FULL:
             self._pool.record_memory_refusal(error.engine, demand.total_tokens)
@@ -350,7 +342,7 @@
         self,
         traits: routes.EngineTraits,
         engine: resources.Endpoint,
-        demand: _MemoryDemand,
+        demand: margins.MemoryDemand,
     ) -> str:
         """Reserves memory if the required headroom is free as well.
 
@@ -381,8 +373,12 @@
         )
 
     def _refusal(
-        self, run: runs.Run, demand: _MemoryDemand
+        self,
+        run: runs.Run,
+        demand: margins.MemoryDemand,
+        waiter: wait_queues.Waiter,
     ) -> errors.WharfError:
+        queue = self._queue_of(run.service)
         engines = self._registry.of_service(run.service)
         request_log.log_failed_placement(
             run,
@@ -391,13 +387,20 @@
             engines=self._pool.names_by_availability(
                 engines, tokens=demand.total_tokens
             ),
-            waiting=len(self._queue_of(run.service)),
+            waiting=len(queue) - 1,
             age_ms=self._registry.age_ms,
+            rejected_by=waiter.rejected_by.value,
+            preceded_by=waiter.preceded_by,
         )
         if run.may_have_run:
             return run.failure()
         retry_after_ms = self._wait_policy.retry_after_ms(
-            run.call, self._running
+            run.call,
+            self._running,
+            priority=run.priority if self._policy.is_enabled else 0,
+            min_wait_ms=self._wait_policy.expected_release_ms(
+                queue.held_tokens, queue.blocking_tokens(waiter)
+            ),
         )
         retry_after_ms = max(retry_after_ms, self._available_in_ms(run) or 0.0)
         return errors.WharfError(
@@ -405,7 +408,12 @@
         )
 
     def _queue_of(self, service: str) -> wait_queues.WaitQueue:
-        return self._queues.setdefault(service, wait_queues.WaitQueue())
+        queue = self._queues.get(service)
+        if queue is None:
+            order = orders.AdmissionOrder.from_policy(self._policy)
+            queue = wait_queues.WaitQueue(order, self._clock)
+            self._queues[service] = queue
+        return queue
 
     async def _release(
         self, engine: resources.Endpoint, reservation_id: str
--- a/src/jujubewharf/forwarding/request_log.py
+++ b/src/jujubewharf/forwarding/request_log.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 import zlib
 
 from opentelemetry import metrics
@@ -191,8 +192,19 @@
     tokens: int,
     free_tokens: int,
     waited_ms: float,
+    preceded_by: Mapping[int, int] | None = None,
 ) -> None:
-    """Logs that a decode engine reserved memory for a request."""
+    """Logs that a decode engine reserved memory for a request.
+
+    Args:
+        run: The request.
+        engine: Name of the engine.
+        tokens: Reserved memory.
+        free_tokens: Memory that had to be free in addition.
+        waited_ms: Time in the wait queue.
+        preceded_by: Requests that preceded it in the queue, by priority;
+            ``None`` if the leader placed it, whose own line tells.
+    """
     _WAIT_MS.record(waited_ms, {"service": run.service})
     _log_routine(
         run,
@@ -201,6 +213,7 @@
         tokens=tokens,
         free_tokens=free_tokens,
         waited_ms=round(waited_ms),
+        **_order_fields(run, preceded_by),
     )
 
 
@@ -212,8 +225,21 @@
     engines: dict[str, list[str]],
     waiting: int,
     age_ms: float,
+    rejected_by: str,
+    preceded_by: Mapping[int, int],
 ) -> None:
-    """Logs that no decode engine had memory while a request waited."""
+    """Logs that no decode engine had memory while a request waited.
+
+    Args:
+        run: The request.
+        tokens: Required memory.
+        free_tokens: Memory that had to be free in addition.
+        engines: Names of the engines by availability.
+        waiting: Number of other requests in the queue.
+        age_ms: Age of the endpoint list.
+        rejected_by: Rule that ended the wait.
+        preceded_by: Requests that preceded it in the queue, by priority.
+    """
     _logger.info(
         "request_not_placed",
         request=run.call.request_id,
@@ -222,9 +248,25 @@
         engines=engines,
         waiting=waiting,
         registry_age_ms=round(age_ms),
+        rejected_by=rejected_by,
+        **_order_fields(run, preceded_by),
     )
 
 
+def _order_fields(
+    run: runs.Run, preceded_by: Mapping[int, int] | None
+) -> dict[str, object]:
+    """Returns the fields that tell the place of a request in its queue."""
+    fields: dict[str, object] = {
+        "priority": run.priority,
+        "account": run.call.account,
+    }
+    if preceded_by is not None:
+        counts = sorted(preceded_by.items())
+        fields["preceded_by"] = {str(p): count for p, count in counts}
+    return fields
+
+
 def log_local_placement(run: runs.Run, reason: str, *, leader: str) -> None:
     """Logs that this instance places a request that the leader couldn't."""
     _logger.info(
--- a/src/jujubewharf/forwarding/state_log.py
+++ b/src/jujubewharf/forwarding/state_log.py
@@ -14,6 +14,7 @@
 
 from jujubewharf.forwarding import costs
 from jujubewharf.forwarding import routes
+from jujubewharf.forwarding import wait_queue
 from jujubewharf.platform import epochs
 
 _METER = metrics.get_meter("jujubewharf")
@@ -32,6 +33,10 @@
     "forwarding.engine_crashes",
     description="Requests under which an engine crashed, by stage.",
 )
+_ADMISSIONS = _METER.create_counter(
+    "forwarding.admissions",
+    description="Model requests that waited for memory, by class and outcome.",
+)
 
 _logger = structlog.get_logger()
 
@@ -198,6 +203,22 @@
     _PERMITS.add(1, {"outcome": outcome, "counted_by": counted_by})
 
 
+def count_served_wait(
+    priority: int, *, is_late: bool, has_waited: bool
+) -> None:
+    """Counts a model request for which memory was reserved."""
+    outcome = "late" if is_late else "in_time"
+    _ADMISSIONS.add(1, {"priority": priority, "outcome": outcome})
+    if has_waited:
+        _ADMISSIONS.add(1, {"priority": priority, "outcome": "waited"})
+
+
+def count_rejected_wait(priority: int, rule: wait_queue.Rejection) -> None:
+    """Counts a model request for which no memory was reserved."""
+    outcome = f"rejected_{rule.value}"
+    _ADMISSIONS.add(1, {"priority": priority, "outcome": outcome})
+
+
 def _position(offset: int) -> dict[str, int]:
     return dataclasses.asdict(epochs.split(offset))
 
--- a/src/jujubewharf/forwarding/wait_queue.py
+++ b/src/jujubewharf/forwarding/wait_queue.py
@@ -2,17 +2,49 @@
 
 In a burst that fills all engines, polling by every request would grow with
 requests times engines, and memory would go to whichever request asked at the
-right moment. Instead, an instance queues its requests, those that can still
-meet their latency target first, and wakes the first one whenever one of its
-own responses has ended and released memory.
+right moment. Instead, an instance queues its requests in the order of
+``admission.order`` and wakes the first one whenever one of its own responses
+has ended and released memory. Handles hundreds of waiting requests.
+
+While classes or accounts compete, requests ask in rounds: memory that comes
+free begins a round, in which each request asks after those that precede it.
+A request that arrives or whose interval ends takes its turn in the round, so
+that it can't take memory that another one was woken for.
 """
 
 from __future__ import annotations
 
 import asyncio
+import bisect
+import collections
+from collections.abc import Hashable
 from collections.abc import Iterator
 import contextlib
 import dataclasses
+import enum
+import itertools
+
+from jujubewharf import clock as clocks
+from jujubewharf.admission import order as orders
+from jujubewharf.admission import tickets
+
+# Least age of a round at which the end of an interval begins another one, as a
+# share of that interval.
+_ROUND_INTERVAL_SHARE = 0.5
+
+
+class Rejection(enum.Enum):
+    """Rule by which a queued request is rejected.
+
+    ``DUE``: no memory came free in time. ``NO_TIME``: it could not complete
+    before its deadline when it arrived. ``UNAVAILABLE``: no engine may be asked
+    in time. ``ORDER``: the requests before it use all memory until it is due.
+    """
+
+    DUE = "due"
+    NO_TIME = "no_time"
+    UNAVAILABLE = "unavailable"
+    ORDER = "order"
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -20,59 +52,210 @@
     """A queued request.
 
     Attributes:
-        is_late: Whether it has missed its latency target; late requests come
-            after all others.
-        due_ms: Clock reading at which it is given up, in milliseconds; earlier
-            ones come first.
+        ticket: What its rank depends on.
+        tokens: Memory that it needs, in tokens.
+        preceded_by: Number of requests that preceded it when it was queued, by
+            priority.
+        has_waited: Whether it was not placed at once.
+        rejected_by: Rule that applies if it is rejected.
+        asked_round: Last round in which it asked.
+        is_asking: Whether it is asking engines.
     """
 
-    is_late: bool
-    due_ms: float
+    ticket: tickets.Ticket
+    tokens: int = 0
+    preceded_by: dict[int, int] = dataclasses.field(default_factory=dict)
+    has_waited: bool = False
+    rejected_by: Rejection = Rejection.DUE
+    asked_round: int = -1
+    is_asking: bool = False
     _wake_event: asyncio.Event = dataclasses.field(
         default_factory=asyncio.Event
     )
 
-    @property
-    def rank(self) -> tuple[bool, float]:
-        """Sort key; the lowest comes first."""
-        return (self.is_late, self.due_ms)
-
     def wake(self) -> None:
         """Wakes the request so that it asks engines again."""
         self._wake_event.set()
 
+    def drop_wake(self) -> None:
+        """Makes the next wait last until the request is woken again."""
+        self._wake_event.clear()
+
     async def wait_until_woken(self) -> None:
         """Waits until the request is woken."""
         await self._wake_event.wait()
         self._wake_event.clear()
 
 
+# A queued request with its rank; the number keeps the order of equal ranks.
+_Entry = tuple[orders.Rank, int, Waiter]
+
+
 class WaitQueue:
-    """Queued requests of one service, in order of rank."""
+    """Queued requests of one service, in order of rank.
+
+    Args:
+        order: Order of the requests.
+        clock: Clock.
 
-    def __init__(self) -> None:
-        self._waiters: list[Waiter] = []
+    Attributes:
+        order: See above.
+        held_tokens: Memory that the service's requests hold, in tokens.
+    """
+
+    def __init__(
+        self, order: orders.AdmissionOrder, clock: clocks.Clock
+    ) -> None:
+        self.order = order
+        self.held_tokens = 0
+        self._clock = clock
+        self._entries: list[_Entry] = []
+        self._version: Hashable = None
+        self._numbers = itertools.count()
+        self._round = 0
+        self._round_at_ms = 0.0
 
     def __len__(self) -> int:
-        return len(self._waiters)
+        return len(self._entries)
 
     @contextlib.contextmanager
     def enqueued(self, waiter: Waiter) -> Iterator[None]:
-        """Keeps a request in the queue while the block runs."""
-        self._waiters.append(waiter)
-        self._waiters.sort(key=lambda w: w.rank)
+        """Keeps a request in the queue while the block runs.
+
+        Its ticket is withdrawn unless the block has reported an outcome.
+        """
+        now_ms = self._clock.now_ms()
+        self.order.queued(waiter.ticket, now_ms)
+        entries = self._sorted()
+        rank = self.order.rank(waiter.ticket, now_ms)
+        entry = (rank, next(self._numbers), waiter)
+        bisect.insort(entries, entry)
+        preceding = entries[: bisect.bisect_left(entries, entry)]
+        waiter.preceded_by = dict(
+            collections.Counter(e[2].ticket.priority for e in preceding)
+        )
         try:
             yield
         finally:
-            self._waiters.remove(waiter)
+            self._remove(waiter)
+            self.order.withdrawn(waiter.ticket)
+            if self.order.is_active:
+                self._wake_next()
 
     def wake_first(self) -> None:
         """Wakes the first request after memory came free."""
-        if self._waiters:
-            self._waiters[0].wake()
+        self._round += 1
+        self._round_at_ms = self._clock.now_ms()
+        if self.order.is_active:
+            self._wake_next()
+        elif self._entries:
+            self._sorted()[0][2].wake()
+
+    def begin_ask(self, waiter: Waiter) -> bool:
+        """Returns whether it is the request's turn to ask engines.
+
+        If it isn't, the request that must ask before it is woken.
+        """
+        if self.order.is_active:
+            if not self._is_turn(waiter):
+                return False
+            # Woken for this turn, or for one that it has had.
+            waiter.drop_wake()
+        waiter.asked_round = self._round
+        waiter.is_asking = True
+        return True
 
-    def wake_after(self, waiter: Waiter) -> None:
+    def end_ask(self, waiter: Waiter, *, is_served: bool) -> None:
         """Wakes the request after this one, which has finished asking."""
-        position = self._waiters.index(waiter) + 1
-        if position < len(self._waiters):
-            self._waiters[position].wake()
+        waiter.is_asking = False
+        if self.order.is_active:
+            # Before the next one is chosen, so that the account's share counts.
+            if is_served:
+                self._remove_served(waiter)
+            self._wake_next()
+            return
+        waiters = [entry[2] for entry in self._sorted()]
+        position = waiters.index(waiter) + 1
+        if position < len(waiters):
+            waiters[position].wake()
+        if is_served:
+            self._remove_served(waiter)
+
+    async def pause(self, waiter: Waiter, interval_ms: float) -> None:
+        """Waits until a request is woken, is due, or an interval has passed.
+
+        Memory that requests of other instances release is only found by
+        asking. Where requests ask in rounds, the end of an interval begins one,
+        in which the request that noticed takes its turn.
+        """
+        waiter.has_waited = True
+        remaining_ms = waiter.ticket.due_ms - self._clock.now_ms()
+        try:
+            async with self._clock.timeout_ms(
+                max(1.0, min(interval_ms, remaining_ms))
+            ):
+                await waiter.wait_until_woken()
+        except TimeoutError:
+            age_ms = self._clock.now_ms() - self._round_at_ms
+            is_old = age_ms >= interval_ms * _ROUND_INTERVAL_SHARE
+            if self.order.is_active and is_old:
+                self.wake_first()
+
+    def blocking_tokens(self, waiter: Waiter) -> int:
+        """Returns the memory that certainly goes to others before a request.
+
+        These are requests of its class that precede it, wait at least as long
+        and need no more memory than it does. 0 while nothing competes.
+
+        Requests of higher classes don't count: the class may be given a turn
+        before them.
+        """
+        if not self.order.is_active:
+            return 0
+        tokens = 0
+        ticket = waiter.ticket
+        for _, _, other in self._sorted():
+            if other is waiter:
+                break
+            if (
+                other.ticket.priority == ticket.priority
+                and other.ticket.due_ms >= ticket.due_ms
+                and other.tokens <= waiter.tokens
+            ):
+                tokens += other.tokens
+        return tokens
+
+    def _sorted(self) -> list[_Entry]:
+        """Returns the entries in order, ranked again if ranks have changed."""
+        now_ms = self._clock.now_ms()
+        version = self.order.version(now_ms)
+        if version != self._version:
+            self._version = version
+            self._entries = sorted(
+                (self.order.rank(waiter.ticket, now_ms), number, waiter)
+                for _, number, waiter in self._entries
+            )
+        return self._entries
+
+    def _remove(self, waiter: Waiter) -> None:
+        self._entries = [e for e in self._entries if e[2] is not waiter]
+
+    def _remove_served(self, waiter: Waiter) -> None:
+        self._remove(waiter)
+        self.order.served(waiter.ticket)
+
+    def _is_turn(self, waiter: Waiter) -> bool:
+        for _, _, other in self._sorted():
+            if other is waiter:
+                return True
+            if not other.is_asking and other.asked_round < self._round:
+                other.wake()
+                return False
+        return True
+
+    def _wake_next(self) -> None:
+        """Wakes the first request that hasn't asked in this round."""
+        for _, _, waiter in self._sorted():
+            if not waiter.is_asking and waiter.asked_round < self._round:
+                waiter.wake()
+                return
