--- a/tests/forwarding/test_patience.py
+++ b/tests/forwarding/test_patience.py
@@ -87,3 +87,56 @@
         assert policy.retry_after_ms(hasty, 10) <= 1_000.0
 
     _with_policy(test)
+
+
+def test_retries_of_higher_classes_come_first():
+    """A refused patient request must not retry before an urgent one."""
+
+    async def test(policy, estimates, clock):
+        for _ in range(20):
+            estimates.record_decode(3_000.0, memory_share=0.1)
+        call = _run(clock, caller_timeout_ms=60_000.0).call
+        urgent_ms = [policy.retry_after_ms(call, 10) for _ in range(3)]
+        patient_ms = [
+            policy.retry_after_ms(call, 10, priority=5) for _ in range(3)
+        ]
+        assert max(urgent_ms) < min(patient_ms)
+        assert patient_ms == sorted(set(patient_ms))
+        # Patient retries don't push an urgent one back.
+        later_ms = policy.retry_after_ms(call, 10)
+        assert max(urgent_ms) < later_ms < max(patient_ms)
+
+    _with_policy(test)
+
+
+def test_retry_after_covers_the_requests_before():
+    """A retry that is too early would be refused again."""
+
+    async def test(policy, estimates, clock):
+        for _ in range(20):
+            estimates.record_decode(3_000.0, memory_share=0.1)
+        call = _run(clock, caller_timeout_ms=60_000.0).call
+        wait_ms = policy.expected_release_ms(100_000, 300_000)
+        assert wait_ms == 9_000.0
+        retry_ms = policy.retry_after_ms(call, 10, min_wait_ms=wait_ms)
+        assert retry_ms >= wait_ms
+
+    _with_policy(test)
+
+
+def test_only_certain_lack_of_memory_is_hopeless():
+    """A wait that may succeed must not be ended by a prediction."""
+
+    async def test(policy, estimates, clock):
+        due_ms = clock.now_ms() + 600.0
+        assert not policy.is_hopeless(10**9, held_tokens=1, due_ms=due_ms)
+        for _ in range(20):
+            estimates.record_decode(3_000.0, memory_share=0.1)
+        # A fifth of the held memory is expected until then.
+        assert not policy.is_hopeless(0, held_tokens=0, due_ms=due_ms)
+        assert not policy.is_hopeless(
+            55_000, held_tokens=100_000, due_ms=due_ms
+        )
+        assert policy.is_hopeless(65_000, held_tokens=100_000, due_ms=due_ms)
+
+    _with_policy(test)
