Add the admission settings

Operators need to weigh accounts and to switch the order off. Weights, the starving share and the switch are validated, take effect without a restart and rank waiting requests again; an invalid value leaves the old settings in force. Weights of accounts that aren't configured are accepted and logged.

--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -123,6 +123,7 @@
         self._leadership: leadership.Leadership | None = None
         self._started_at_ms = clock.now_ms()
         self._is_settled = False
+        self._unknown_accounts: set[str] = set()
         self.admission = shutdown.AdmissionState()
         self.source = forwarder.ActiveConfiguration()
         self.source.on_applied = self._on_applied
@@ -236,7 +237,7 @@
             on_accepted=engines.record_role_change,
             is_backing_off=self.backpressure.is_backing_off,
         )
-        places = placement.Placement(
+        self._placement = places = placement.Placement(
             backends,
             self.registry,
             engines,
@@ -249,6 +250,7 @@
             clock,
             rng,
         )
+        places.apply_policy(self._settings.admission.policy)
         local = observations.LocalObserver(self.work, lengths, engines)
         observed = led.FleetObserver(self.fleet.link, local)
         if adapters.peers is not None:
@@ -398,6 +400,8 @@
     def apply_settings(self, settings: all_settings.ForwardingSettings) -> None:
         """Applies settings that can change while the process runs."""
         self._settings = settings
+        self._placement.apply_policy(settings.admission.policy)
+        self._log_unknown_accounts()
         self.quotas.quota_settings = settings.quotas
         self.budget.change(
             ratio=settings.retries.ratio,
@@ -405,6 +409,14 @@
             window_ms=settings.retries.window_s * clocks.MS_PER_S,
         )
 
+    def _log_unknown_accounts(self) -> None:
+        """Logs the accounts with a weight that aren't configured."""
+        weights = self._settings.admission.account_weights
+        unknown = weights.keys() - self.source.accounts.by_name.keys()
+        if unknown != self._unknown_accounts:
+            self._unknown_accounts = unknown
+            state_log.log_unknown_accounts(unknown)
+
     def retries_left(self) -> dict[str, float]:
         """Returns the remaining retries of this instance by service."""
         return {name: self.budget.remaining(name) for name in self._services()}
@@ -434,6 +446,7 @@
         told_by: str,
     ) -> None:
         self.quotas.remove_unconfigured()
+        self._log_unknown_accounts()
         state_log.log_active_configuration(
             configuration, offset=position, told_by=told_by
         )
--- a/src/jujubewharf/forwarding/settings.py
+++ b/src/jujubewharf/forwarding/settings.py
@@ -8,8 +8,13 @@
 
 import pydantic
 
+from jujubewharf.admission import classes
+from jujubewharf.admission import order
 from jujubewharf.settings import models
 
+_MAX_WEIGHTS = 10_000
+_MAX_WEIGHT = 1_000.0
+
 
 def _check_address(value: str) -> str:
     host, _, port = value.rpartition(":")
@@ -21,6 +26,9 @@
 
 Address = Annotated[str, pydantic.AfterValidator(_check_address)]
 Positive = Annotated[float, pydantic.Field(gt=0)]
+Weight = Annotated[
+    float, pydantic.Field(gt=0, le=_MAX_WEIGHT, allow_inf_nan=False)
+]
 
 
 class _Model(pydantic.BaseModel):
@@ -72,6 +80,33 @@
     slack: Annotated[float, pydantic.Field(ge=0)] = 0.0
 
 
+class AdmissionSettings(_Model):
+    """Order of waiting requests by priority class and client account.
+
+    Attributes:
+        account_weights: Weights of accounts by name; others have weight 1. An
+            account needn't be configured yet.
+        starving_share: A class gets single turns before a higher one while it
+            is served less often than this share of how often the higher one is.
+        is_enabled: Whether classes and accounts are told apart.
+    """
+
+    account_weights: Annotated[
+        dict[str, Weight], pydantic.Field(max_length=_MAX_WEIGHTS)
+    ] = {}
+    starving_share: Annotated[float, pydantic.Field(gt=0, le=1)] = (
+        classes.DEFAULT_STARVING_SHARE
+    )
+    is_enabled: bool = True
+
+    @property
+    def policy(self) -> order.AdmissionPolicy:
+        """The settings as the wait queues use them."""
+        return order.AdmissionPolicy(
+            self.account_weights, self.starving_share, self.is_enabled
+        )
+
+
 class ProcessorSettings(_Model):
     """Processor capacity of an instance.
 
@@ -104,6 +139,7 @@
         store: The platform's store.
         retries: Retry budget of the fleet.
         quotas: Tolerated use beyond account quotas.
+        admission: Order of waiting requests.
         stop_within_s: Time from SIGTERM to SIGKILL in seconds.
         log_level: Minimum level of log lines.
     """
@@ -118,6 +154,7 @@
     store: StoreSettings
     retries: RetrySettings
     quotas: QuotaSettings = QuotaSettings()
+    admission: AdmissionSettings = AdmissionSettings()
     stop_within_s: Positive
     log_level: Literal["debug", "info", "warning", "error"] = "info"
 
--- a/src/jujubewharf/forwarding/state_log.py
+++ b/src/jujubewharf/forwarding/state_log.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 import dataclasses
 
 from opentelemetry import metrics
@@ -38,6 +39,8 @@
     description="Model requests that waited for memory, by class and outcome.",
 )
 
+_MAX_LOGGED_ACCOUNTS = 10
+
 _logger = structlog.get_logger()
 
 
@@ -203,6 +206,15 @@
     _PERMITS.add(1, {"outcome": outcome, "counted_by": counted_by})
 
 
+def log_unknown_accounts(accounts: Collection[str]) -> None:
+    """Logs the accounts with a weight that the configuration doesn't have."""
+    _logger.info(
+        "weights_of_unknown_accounts",
+        count=len(accounts),
+        accounts=sorted(accounts)[:_MAX_LOGGED_ACCOUNTS],
+    )
+
+
 def count_served_wait(
     priority: int, *, is_late: bool, has_waited: bool
 ) -> None:
--- a/tests/forwarding/test_reloading.py
+++ b/tests/forwarding/test_reloading.py
@@ -125,3 +125,45 @@
             assert instance.retries_left()[deployments.PLAIN] <= 0.0
 
     deployments.run(main())
+
+
+def test_invalid_weight_leaves_the_old_settings_in_force(tmp_path):
+    """One bad weight must not reset the order of waiting requests."""
+
+    async def scenario(watched):
+        watched.write({"admission": {"account_weights": {"a": 3}}})
+        watched.reloader.request()
+        await watched.clock.sleep_ms(10.0)
+        watched.write({"admission": {"account_weights": {"a": 0}}})
+        watched.reloader.request()
+        await watched.clock.sleep_ms(10.0)
+        (applied,) = watched.applied
+        assert applied.admission.account_weights == {"a": 3.0}
+        assert watched.reloader.settings.admission == applied.admission
+
+    reloaded, rejected = _run(tmp_path, scenario)
+    assert reloaded["changed"] == ["admission"]
+    assert rejected["event"] == "settings_rejected"
+    assert "admission.account_weights.a" in rejected["detail"]
+
+
+def test_weights_of_unknown_accounts_are_shown():
+    """A misspelt account would otherwise have weight 1 unnoticed."""
+
+    async def main():
+        async with deployments.deployed(
+            deployments.plain_endpoint("s1")
+        ) as world:
+            instance = world.instances["e1"]
+            settings = all_settings.ForwardingSettings.model_validate(
+                test_settings.GOOD
+                | {"admission": {"account_weights": {"nobody": 2}}}
+            )
+            with structlog.testing.capture_logs() as lines:
+                instance.apply_settings(settings)
+                instance.apply_settings(settings)
+            (line,) = (x for x in lines if "accounts" in x)
+            assert line["event"] == "weights_of_unknown_accounts"
+            assert line["accounts"] == ["nobody"]
+
+    deployments.run(main())
--- a/tests/forwarding/test_settings.py
+++ b/tests/forwarding/test_settings.py
@@ -40,8 +40,26 @@
         ("instance", ""),
         ("log_level", "loud"),
         ("unknown", 1),
+        ("admission", {"account_weights": {"a": 0}}),
+        ("admission", {"account_weights": {"a": -1}}),
+        ("admission", {"account_weights": {"a": 1_000.5}}),
+        ("admission", {"account_weights": {"a": "many"}}),
+        ("admission", {"account_weights": {f"a{n}": 1 for n in range(10_001)}}),
+        ("admission", {"starving_share": 0}),
+        ("admission", {"starving_share": 1.5}),
+        ("admission", {"weights": {}}),
     ],
 )
 def test_invalid_value_is_named(tmp_path, name, value):
     with pytest.raises(ValueError, match=name):
         _read(tmp_path, GOOD | {name: value})
+
+
+def test_admission_settings(tmp_path):
+    """Settings must reach the wait queues as they were written."""
+    weights = {f"a{n}": 1_000 for n in range(10_000)}
+    admission = {"account_weights": weights, "is_enabled": False}
+    policy = _read(tmp_path, GOOD | {"admission": admission}).admission.policy
+    assert policy.account_weights == weights
+    assert policy.starving_share == 0.5
+    assert not policy.is_enabled
