--- a/src/jujubewharf/admission/classes.py
+++ b/src/jujubewharf/admission/classes.py
@@ -2,8 +2,8 @@
 
 Handles a service whose classes together, or one of them alone, offer several
 times what it can serve for seconds or minutes. The highest class comes first;
-a lower one that starves gets single turns, so that the highest class keeps at
-least every second turn.
+a lower one that starves gets single turns, at most one for as many requests of
+higher classes as the starving share says.
 """
 
 from __future__ import annotations
@@ -20,6 +20,8 @@
 # Share of its wait after which a request of a starving class is served first.
 _STARVING_WAIT_SHARE = 0.5
 DEFAULT_STARVING_SHARE = 0.5
+# Rounding error of the sum of some starving shares.
+_ROUNDING = 1e-9
 
 
 @dataclasses.dataclass(slots=True)
@@ -104,7 +106,8 @@
         self.starving: int | None = None
         self.is_class_first = False
         self._states: dict[int, _ClassState] = {}
-        self._has_given_turn = False
+        # Part of the next turn of a starving class that is earned.
+        self._turn_credit = 1.0
 
     @property
     def is_active(self) -> bool:
@@ -122,9 +125,11 @@
         state = self._states[ticket.priority]
         state.counts(_part(now_ms)).served += 1
         if ticket.priority == self.starving:
-            self._has_given_turn = True
-        elif any(p > ticket.priority for p in self._states):
-            self._has_given_turn = False
+            self._turn_credit = 0.0
+        elif ticket.priority != max(self._states):
+            self._turn_credit = min(
+                1.0, self._turn_credit + self.starving_share
+            )
         self.left(ticket)
 
     def left(self, ticket: tickets.Ticket) -> None:
@@ -143,7 +148,7 @@
         self.starving = None
         self.is_class_first = False
         if len(self._states) < 2:
-            self._has_given_turn = False
+            self._turn_credit = 1.0
             return
         shares = list(self._shares())
         self.is_class_first = any(
@@ -151,7 +156,7 @@
             for index, (_, higher) in enumerate(shares)
             for _, lower in shares[index + 1 :]
         )
-        if not self._has_given_turn or not self._has_higher_waiting():
+        if self._turn_credit >= 1.0 - _ROUNDING:
             self.starving = self._starving(shares, now_ms)
 
     def _shares(self) -> Iterator[tuple[int, float]]:
@@ -161,15 +166,6 @@
             if share is not None:
                 yield priority, share
 
-    def _has_higher_waiting(self) -> bool:
-        """Returns whether requests wait in any but the lowest class."""
-        lowest = max(self._states)
-        return any(
-            state.waiting
-            for priority, state in self._states.items()
-            if priority != lowest
-        )
-
     def _starving(
         self, shares: list[tuple[int, float]], now_ms: float
     ) -> int | None:
--- a/src/jujubewharf/admission/fair_share.py
+++ b/src/jujubewharf/admission/fair_share.py
@@ -14,9 +14,8 @@
 from jujubewharf.admission import tickets
 
 DEFAULT_WEIGHT = 1.0
-# Accounts without waiting requests that a class keeps before it drops those
-# whose virtual time has passed.
-_MAX_IDLE_ACCOUNTS = 64
+# Number of accounts of a class up to which none are dropped.
+_MIN_SWEPT_ACCOUNTS = 64
 
 
 @dataclasses.dataclass(slots=True)
@@ -33,53 +32,61 @@
     def __init__(self) -> None:
         self.accounts: dict[str | None, _AccountState] = {}
         self.is_contended = False
+        self._waiting: dict[str | None, _AccountState] = {}
         self._virtual_time = 0.0
+        self._max_accounts = _MIN_SWEPT_ACCOUNTS
 
     def queued(self, account: str | None) -> None:
         """Counts a request that begins to wait."""
-        state = self.accounts.get(account)
+        state = self._waiting.get(account)
         if state is None:
-            state = _AccountState(self._smallest_time())
-            self.accounts[account] = state
-        elif not state.waiting:
-            state.virtual_time = max(state.virtual_time, self._smallest_time())
+            now = self._smallest_time()
+            state = self.accounts.setdefault(account, _AccountState(now))
+            state.virtual_time = max(state.virtual_time, now)
+            self._waiting[account] = state
         state.waiting += 1
 
     def served(self, account: str | None, amount: float) -> None:
         """Raises the virtual time of an account with a waiting request."""
         self._virtual_time = max(self._virtual_time, self._smallest_time())
-        self.accounts[account].virtual_time += amount
+        self._waiting[account].virtual_time += amount
 
     def left(self, account: str | None) -> None:
         """Removes a request that no longer waits."""
-        state = self.accounts[account]
+        state = self._waiting[account]
         state.waiting -= 1
         if state.waiting:
             return
-        waiting = sum(1 for s in self.accounts.values() if s.waiting)
-        if not waiting:
+        del self._waiting[account]
+        if not self._waiting:
             # Nobody competes any more, so all begin equal again.
             self._virtual_time = max(
                 s.virtual_time for s in self.accounts.values()
             )
             self.accounts.clear()
-        elif len(self.accounts) > 2 * waiting + _MAX_IDLE_ACCOUNTS:
+        elif len(self.accounts) > self._max_accounts:
             self._drop_passed()
 
     def _smallest_time(self) -> float:
         """Returns the smallest virtual time of the waiting accounts."""
         return min(
-            (s.virtual_time for s in self.accounts.values() if s.waiting),
+            (state.virtual_time for state in self._waiting.values()),
             default=self._virtual_time,
         )
 
     def _drop_passed(self) -> None:
+        """Drops idle accounts that would begin at the same time if forgotten.
+
+        The next time is when their number has doubled, so that the cost of
+        looking through them is shared by as many requests.
+        """
         smallest_time = self._smallest_time()
         self.accounts = {
             name: state
             for name, state in self.accounts.items()
             if state.waiting or state.virtual_time > smallest_time
         }
+        self._max_accounts = max(_MIN_SWEPT_ACCOUNTS, 2 * len(self.accounts))
 
 
 class FairShare:
