Test early rejections, and refusals beside free memory exactly

They now take what the refused request needed from its log line. A new test guards that early rejections cost no served request and never reach an account within its share.

--- a/tests/forwarding/class_loads.py
+++ b/tests/forwarding/class_loads.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 import contextlib
 import dataclasses
+import itertools
 import random
 
 import structlog
@@ -16,6 +17,7 @@
 from jujubewharf.forwarding import accounts
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import settings as all_settings
+from jujubewharf.standins import backend_state
 from tests.forwarding import deployments
 from tests.forwarding import test_settings
 
@@ -42,8 +44,6 @@
 # Time after a refusal at which memory that was released with it has been taken
 # by the request that was woken for it.
 _SETTLE_MS = 2.0
-# Memory that a request of these loads needs at most.
-_MOST_TOKENS = 12_000
 
 
 @dataclasses.dataclass
@@ -71,7 +71,19 @@
         return self.answer.error is None and self.answer.status == 200
 
 
-def new_deployment() -> deployments.Deployment:
+class World(deployments.Deployment):
+    """A deployment that keeps its log lines.
+
+    Attributes:
+        lines: Log lines, in order.
+    """
+
+    def __init__(self, *behind: backend_state.StandInBackend) -> None:
+        super().__init__(*behind)
+        self.lines: list[structlog.typing.EventDict] = []
+
+
+def new_deployment() -> World:
     """A deployment whose engines serve a bounded number of requests."""
     behind = [deployments.prefill_engine(f"p{n}") for n in range(2)]
     for number in range(3):
@@ -81,7 +93,7 @@
         behind.append(engine)
     for backend in behind:
         backend.memory_tokens = 80_000
-    return deployments.Deployment(*behind)
+    return World(*behind)
 
 
 def configuration(
@@ -121,11 +133,12 @@
     )
     for backend in world.backends.by_name.values():
         world.endpoints.put(backend.name, backend.endpoint)
-    await world.start(*(names or ("e1",)), declare=False, is_led=is_led)
-    try:
-        yield world
-    finally:
-        await world.stop()
+    with structlog.testing.capture_logs() as world.lines:
+        await world.start(*(names or ("e1",)), declare=False, is_led=is_led)
+        try:
+            yield world
+        finally:
+            await world.stop()
 
 
 def apply_admission(world: deployments.Deployment, **admission) -> None:
@@ -144,11 +157,12 @@
         asked: All requests, in the order of their outcomes.
     """
 
-    def __init__(self, world: deployments.Deployment, seed: int) -> None:
+    def __init__(self, world: World, seed: int) -> None:
         self.asked: list[Asked] = []
         self._world = world
         self._rng = random.Random(seed)
         self._tasks: set[asyncio.Task[None]] = set()
+        self._ids = itertools.count()
 
     async def send(
         self,
@@ -201,8 +215,10 @@
         if account is not None:
             headers = (("Authorization", f"Bearer key-{account}"),)
         at_ms = self._world.clock.now_ms()
+        request_id = f"load-{next(self._ids)}"
         answer = await self._world.ask(
             f"{route.path_prefix}1",
+            request_id=request_id,
             instance=instance,
             headers=headers,
             caller_timeout_ms=caller_timeout_ms,
@@ -211,15 +227,25 @@
         asked = Asked(route.name, name, at_ms, answer)
         error = answer.error
         if error is not None and error.kind is errors.ErrorKind.QUEUE_FULL:
-            had_room = self._has_room()
+            tokens = self._needed_tokens(request_id)
+            had_room = self._has_room(tokens)
             await self._world.clock.sleep_ms(_SETTLE_MS)
-            asked.is_refused_beside_room = had_room and self._has_room()
+            asked.is_refused_beside_room = had_room and self._has_room(tokens)
         self.asked.append(asked)
 
-    def _has_room(self) -> bool:
+    def _needed_tokens(self, request_id: str) -> int:
+        """Returns the memory that a refused request needed."""
+        return next(
+            line["tokens"] + line["free_tokens"]
+            for line in reversed(self._world.lines)
+            if line["event"] == "request_not_placed"
+            and line["request"] == request_id
+        )
+
+    def _has_room(self, tokens: int) -> bool:
         """Whether a decode engine has memory for a request."""
         return any(
-            backend.memory_tokens - sum(backend.held.values()) >= _MOST_TOKENS
+            backend.memory_tokens - sum(backend.held.values()) >= tokens
             for backend in self._world.backends.by_name.values()
             if backend.endpoint.role is resources.Role.DECODE
         )
@@ -233,8 +259,3 @@
 def of_route(asked: Sequence[Asked], route: routes.Route) -> list[Asked]:
     """Returns the requests of a route."""
     return [a for a in asked if a.route == route.name]
-
-
-def quiet():
-    """Keeps log lines of a load out of the test's output."""
-    return structlog.testing.capture_logs()
--- a/tests/forwarding/test_class_loads.py
+++ b/tests/forwarding/test_class_loads.py
@@ -8,6 +8,7 @@
 import pytest
 
 from jujubewharf import errors
+from jujubewharf.forwarding import patience
 from tests.forwarding import class_loads
 from tests.forwarding import deployments
 
@@ -16,11 +17,8 @@
 # Delivery of an event and the request's way over a peer link.
 _TOLERANCE_MS = 100.0
 _CALLER_TIMEOUT_MS = 8_000.0
-
-
-def _run(scenario):
-    with class_loads.quiet():
-        return deployments.run(scenario)
+# Accounts that offer less than an equal share beside greedy ones.
+_WITHIN_SHARE = range(4)
 
 
 async def _burst(load, times_room, *, for_ms=6_000.0):
@@ -44,7 +42,7 @@
             class_loads.apply_admission(world, is_enabled=is_enabled)
             return await _burst(class_loads.Load(world, seed=3), times_room)
 
-    return _run(main())
+    return deployments.run(main())
 
 
 @pytest.mark.parametrize("times_room", [1, 2, 4])
@@ -106,7 +104,7 @@
             others = [a for a in asked if a.account != "a15"]
             return class_loads.served_share(others)
 
-    return _run(main())
+    return deployments.run(main())
 
 
 def test_greedy_account_costs_the_others_less_than_a_tenth():
@@ -116,6 +114,59 @@
     assert _run_accounts(6, is_enabled=False) < 0.9 * without
 
 
+def _run_over_share(monkeypatch, *, rejects_early):
+    """Returns all requests, and the lines of those that the leader refused."""
+    if not rejects_early:
+        monkeypatch.setattr(
+            patience.WaitPolicy, "is_hopeless", lambda *args, **more: False
+        )
+
+    async def main():
+        async with class_loads.deployed(
+            "e1", "e2", all_accounts=class_loads.ACCOUNTS, is_led=True
+        ) as world:
+            # Until the leader has placed all requests that hold memory.
+            await world.clock.sleep_ms(12_000.0)
+            load = class_loads.Load(world, seed=5)
+            await asyncio.gather(
+                *(
+                    load.send(
+                        URGENT,
+                        per_s=ROOM_PER_S / (32 if n in _WITHIN_SHARE else 4),
+                        for_ms=8_000.0,
+                        account=n,
+                    )
+                    for n in range(8)
+                ),
+                load.send(
+                    URGENT, per_s=ROOM_PER_S * 4, for_ms=8_000.0, account=15
+                ),
+            )
+            asked = await load.finish()
+            lines = [
+                line
+                for line in world.lines
+                if line["event"] == "request_not_placed"
+            ]
+            return asked, lines
+
+    return deployments.run(main())
+
+
+def test_early_rejection_costs_no_served_request(monkeypatch):
+    """Ending waits on wrong predictions would leave memory unused."""
+    asked, lines = _run_over_share(monkeypatch, rejects_early=True)
+    early = [line for line in lines if line["rejected_by"] == "order"]
+    assert len(early) > 100
+    assert not any(a.is_refused_beside_room for a in asked)
+    within_share = {f"a{n}" for n in _WITHIN_SHARE}
+    assert not within_share & {line["account"] for line in early}
+    without, _ = _run_over_share(monkeypatch, rejects_early=False)
+    assert sum(a.is_served for a in asked) >= 0.98 * sum(
+        a.is_served for a in without
+    )
+
+
 def test_weights_changed_within_a_burst():
     """No waiting request is lost, and the new weights count at once."""
 
@@ -141,7 +192,7 @@
             )
             return change_ms, await load.finish()
 
-    change_ms, asked = _run(main())
+    change_ms, asked = deployments.run(main())
     for one in asked:
         error = one.answer.error
         assert one.is_served or error.kind is errors.ErrorKind.QUEUE_FULL
@@ -182,7 +233,7 @@
             removed_ms = world.clock.now_ms()
             return removed_ms, await load.finish()
 
-    removed_ms, asked = _run(main())
+    removed_ms, asked = deployments.run(main())
     kinds = {a.answer.error.kind for a in asked if a.answer.error is not None}
     assert kinds <= {errors.ErrorKind.QUEUE_FULL}
     counts = {
@@ -216,7 +267,7 @@
             await lost.stop()
             return waiting, lost_ms, await burst
 
-    waiting, lost_ms, asked = _run(main())
+    waiting, lost_ms, asked = deployments.run(main())
     assert waiting >= 200
     for one in asked:
         error = one.answer.error
