Add the decisions about plain calls in a burst

With 73 instances each chose an endpoint by its own calls, and the endpoints processed their queues in order, so in a burst every second call was late. PermitQueue keeps the calls at each endpoint near its slots, orders the others, and rejects what can't be served before its deadline.

--- /dev/null
+++ b/src/jujubewharf/plain_calls/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about plain calls when many arrive at the same time."""
--- /dev/null
+++ b/src/jujubewharf/plain_calls/endpoint_grants.py
@@ -0,0 +1,99 @@
+"""Granted calls of one endpoint."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from jujubewharf.configuration import resources
+from jujubewharf.plain_calls import capacity as capacities
+
+
+@dataclasses.dataclass(slots=True)
+class Grant:
+    """A granted call.
+
+    Attributes:
+        number: Number of the call.
+        granted_ms: Clock reading when it was granted.
+        deadline_ms: Clock reading from which it is no longer counted.
+        is_orphaned: Whether its instance can't release it any more.
+    """
+
+    number: int
+    granted_ms: float
+    deadline_ms: float
+    is_orphaned: bool = False
+
+
+class EndpointGrants:
+    """Granted calls and concurrency limit of one endpoint.
+
+    Args:
+        endpoint: The endpoint.
+        max_age_ms: Age from which its reports are ignored.
+
+    Attributes:
+        endpoint: The endpoint.
+        capacity: Its concurrency limit.
+        last_grant: Number of the last grant, to use equal endpoints in turn.
+    """
+
+    def __init__(
+        self, endpoint: resources.Endpoint, *, max_age_ms: float
+    ) -> None:
+        self.endpoint = endpoint
+        self.capacity = capacities.EndpointCapacity(
+            endpoint.slots, max_age_ms=max_age_ms
+        )
+        self.last_grant = 0
+        self._grants: dict[int, Grant] = {}
+
+    @property
+    def name(self) -> str:
+        """Name of the endpoint."""
+        return self.endpoint.name
+
+    def __len__(self) -> int:
+        return len(self._grants)
+
+    def has_room(self, now_ms: float) -> bool:
+        """Whether one more call may be sent there."""
+        return self.capacity.has_room(len(self._grants), now_ms)
+
+    def in_flight(self, now_ms: float) -> int:
+        """Returns the number of calls there, with those of others."""
+        return len(self._grants) + self.capacity.foreign(now_ms)
+
+    def add(self, grant: Grant) -> None:
+        """Counts a granted call."""
+        self._grants[grant.number] = grant
+
+    def pop(self, number: int) -> Grant | None:
+        """Stops counting a granted call."""
+        return self._grants.pop(number, None)
+
+    def get(self, number: int) -> Grant | None:
+        """Returns a granted call."""
+        return self._grants.get(number)
+
+    def ended_orphans(
+        self, total: int, now_ms: float, *, min_age_ms: float
+    ) -> list[int]:
+        """Returns orphaned calls that a report shows to have ended.
+
+        Args:
+            total: Calls that run or wait at the endpoint.
+            now_ms: Current clock reading.
+            min_age_ms: Age from which a call has ended most likely.
+        """
+        excess = len(self._grants) - total
+        if excess <= 0:
+            return []
+        oldest_ms = now_ms - min_age_ms
+        orphans = [
+            grant
+            for grant in self._grants.values()
+            if grant.is_orphaned and grant.granted_ms <= oldest_ms
+        ]
+        orphans.sort(key=lambda grant: grant.granted_ms)
+        return [grant.number for grant in orphans[:excess]]
--- /dev/null
+++ b/src/jujubewharf/plain_calls/permit_queue.py
@@ -0,0 +1,375 @@
+"""Decides which plain call of a service is sent to which endpoint, and when.
+
+Handles bursts of several times the capacity that last for seconds: as many
+calls as an endpoint processes at the same time are sent to it, the others
+wait here. A call that can still be in time is served while there is enough
+time for nearly all of its answers; late calls get the capacity that is left;
+calls that can't be served before their deadline are rejected at once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from collections.abc import Sequence
+import heapq
+
+from jujubewharf.admission import order as orders
+from jujubewharf.admission import tickets
+from jujubewharf.configuration import resources
+from jujubewharf.plain_calls import arrival_rate
+from jujubewharf.plain_calls import decisions
+from jujubewharf.plain_calls import endpoint_grants
+from jujubewharf.plain_calls import endpoint_group
+from jujubewharf.plain_calls import retry_times
+from jujubewharf.plain_calls import service_times
+from jujubewharf.plain_calls import waiting_calls
+
+# Calls that wait for one service. More can't be served within any deadline
+# that callers set; the memory of the leader stays bounded.
+MAX_WAITING = 4_096
+# Smallest share of the capacity that late calls are expected to get, because a
+# burst may end at any time.
+_MIN_LATE_SHARE = 0.25
+
+
+class PermitQueue:
+    """Grants the calls of one plain service.
+
+    Args:
+        times: Observed times of calls at the endpoints.
+        order: Order of waiting calls.
+        report_max_age_ms: Age from which reports of endpoints are ignored.
+    """
+
+    def __init__(
+        self,
+        times: service_times.ServiceTimes,
+        order: orders.AdmissionOrder,
+        *,
+        report_max_age_ms: float,
+    ) -> None:
+        self.times = times
+        self._order = order
+        self._endpoints = endpoint_group.EndpointGroup(
+            times, report_max_age_ms=report_max_age_ms
+        )
+        self._retry_times = retry_times.RetryTimes()
+        self._waiting = waiting_calls.WaitingCalls(order)
+        self._arrivals = arrival_rate.ArrivalRate()
+        # Times at which waiting and granted calls must be looked at.
+        self._events: list[tuple[float, int]] = []
+
+    @property
+    def waiting(self) -> int:
+        """Number of waiting calls."""
+        return len(self._waiting)
+
+    @property
+    def in_flight(self) -> int:
+        """Number of granted calls that were not released."""
+        return self._endpoints.in_flight
+
+    def in_flight_at(self, endpoint: str) -> int:
+        """Returns the number of granted calls of one endpoint."""
+        known = self._endpoints.get(endpoint)
+        return 0 if known is None else len(known)
+
+    @property
+    def next_event_ms(self) -> float | None:
+        """Clock reading at which ``expire`` has something to decide."""
+        while self._events:
+            at_ms, number = self._events[0]
+            is_waiting = self._waiting.get(number) is not None
+            if is_waiting or self._endpoints.is_granted(number):
+                return at_ms
+            heapq.heappop(self._events)
+        return None
+
+    def set_endpoints(
+        self, endpoints: Sequence[resources.Endpoint], now_ms: float
+    ) -> list[decisions.Decision]:
+        """Replaces the endpoints that accept work."""
+        self._endpoints.set_endpoints(endpoints)
+        decided: list[decisions.Decision] = []
+        for entry in self._waiting:
+            if not self._endpoints.accepting(entry.call.excluded):
+                reason = decisions.RejectReason.NO_ENDPOINT
+                decided.append(self._reject_waiting(entry, reason, now_ms))
+        decided.extend(self._fill(now_ms))
+        return decided
+
+    def record_report(
+        self, endpoint: str, *, total: int, slots: int, now_ms: float
+    ) -> list[decisions.Decision]:
+        """Records the load that an endpoint reports.
+
+        A report that a released call brings is recorded before the release.
+        """
+        self._endpoints.record_report(
+            endpoint, total=total, slots=slots, now_ms=now_ms
+        )
+        return self._fill(now_ms)
+
+    def request(
+        self, call: decisions.WaitingCall, now_ms: float
+    ) -> decisions.Decision | decisions.Waiting:
+        """Decides about a new call.
+
+        Returns:
+            ``Waiting`` if a later ``release`` or ``expire`` decides.
+        """
+        self._arrivals.add(now_ms)
+        ticket = waiting_calls.new_ticket(call)
+        accepting = self._endpoints.accepting(call.excluded)
+        if not accepting:
+            reason = decisions.RejectReason.NO_ENDPOINT
+            return self._reject(call, ticket, reason, now_ms)
+        late_before_ms = now_ms + self._endpoints.min_high_ms(accepting)
+        ahead = self._waiting.count_ahead(call, late_before_ms)
+        is_soon = self._is_in_time_after(ahead, call, accepting, now_ms)
+        found = self._endpoints.best_with_room(
+            accepting, call, now_ms, must_be_in_time=is_soon
+        )
+        if found is not None:
+            return self._grant(call, ticket, found, now_ms)
+        if len(self._waiting) >= MAX_WAITING:
+            reason = decisions.RejectReason.TOO_MANY
+            return self._reject(call, ticket, reason, now_ms)
+        if not is_soon and not self._has_time_if_late(call, accepting, now_ms):
+            reason = decisions.RejectReason.NO_TIME
+            return self._reject(
+                call, ticket, reason, now_ms, ahead=len(self._waiting)
+            )
+        entry = waiting_calls.Entry(call, ticket, now_ms, ahead)
+        self._waiting.add(entry)
+        self._order.queued(ticket, now_ms)
+        self._schedule(
+            call.due_ms - self._endpoints.min_high_ms(accepting), call.number
+        )
+        return decisions.Waiting(call.number, ahead)
+
+    def release(
+        self,
+        number: int,
+        now_ms: float,
+        *,
+        outcome: decisions.Outcome = decisions.Outcome.COMPLETED,
+        took_ms: float | None = None,
+    ) -> list[decisions.Decision]:
+        """Ends a granted call; returns decisions about waiting ones.
+
+        Args:
+            number: Number of the call.
+            now_ms: Current clock reading.
+            outcome: How it ended.
+            took_ms: Time at the endpoint; ``None`` if it ended just now.
+        """
+        is_counted = self._endpoints.release(
+            number, now_ms, outcome=outcome, took_ms=took_ms
+        )
+        return self._fill(now_ms) if is_counted else []
+
+    def cancel(self, number: int, now_ms: float) -> list[decisions.Decision]:
+        """Removes a call, whether it waits or was granted."""
+        entry = self._waiting.get(number)
+        if entry is None:
+            outcome = decisions.Outcome.CANCELLED
+            return self.release(number, now_ms, outcome=outcome)
+        self._waiting.remove(entry)
+        self._order.withdrawn(entry.ticket)
+        return []
+
+    def orphan(self, numbers: Collection[int]) -> None:
+        """Marks granted calls whose instance can't release them any more."""
+        self._endpoints.orphan(numbers)
+
+    def expire(self, now_ms: float) -> list[decisions.Decision]:
+        """Decides what depends on time alone.
+
+        Calls that became late get capacity that is left or are rejected, and
+        granted calls are no longer counted after their deadline.
+        """
+        decided: list[decisions.Decision] = []
+        while self._events and self._events[0][0] <= now_ms:
+            _, number = heapq.heappop(self._events)
+            self._endpoints.drop_expired(number, now_ms)
+            entry = self._waiting.get(number)
+            if entry is not None:
+                decided.extend(self._expire_waiting(entry, now_ms))
+        decided.extend(self._fill(now_ms))
+        return decided
+
+    def _expire_waiting(
+        self, entry: waiting_calls.Entry, now_ms: float
+    ) -> list[decisions.Decision]:
+        call = entry.call
+        accepting = self._endpoints.accepting(call.excluded)
+        high_ms = self._endpoints.min_high_ms(accepting)
+        if call.due_ms - high_ms > now_ms:
+            # Calls take less time than when it began to wait.
+            self._schedule(call.due_ms - high_ms, call.number)
+            return []
+        self._waiting.update_ticket(entry, is_late=True, now_ms=now_ms)
+        found = self._endpoints.best_with_room(
+            accepting, call, now_ms, must_be_in_time=False
+        )
+        if found is not None:
+            return [self._grant_waiting(entry, found, now_ms)]
+        if not self._has_time_if_late(call, accepting, now_ms):
+            reason = decisions.RejectReason.NO_TIME
+            return [self._reject_waiting(entry, reason, now_ms)]
+        self._schedule(
+            max(now_ms + 1.0, call.deadline_ms - high_ms), call.number
+        )
+        return []
+
+    def _fill(self, now_ms: float) -> list[decisions.Decision]:
+        """Grants waiting calls while endpoints have room for them."""
+        decided: list[decisions.Decision] = []
+        if not len(self._waiting):
+            return decided
+        late_before_ms = now_ms + self._endpoints.min_high_ms(
+            self._endpoints.accepting()
+        )
+        for endpoint in sorted(
+            self._endpoints.accepting(),
+            key=lambda e: self._endpoints.end_ms(e, now_ms),
+        ):
+            high_ms = self.times.high_ms(endpoint.name)
+            while len(self._waiting) and endpoint.has_room(now_ms):
+                entry = self._waiting.first_for(
+                    endpoint.name,
+                    now_ms,
+                    in_time_from_ms=now_ms + high_ms,
+                    late_before_ms=late_before_ms,
+                )
+                if entry is None:
+                    break
+                decided.append(self._grant_waiting(entry, endpoint, now_ms))
+        return decided
+
+    def _is_in_time_after(
+        self,
+        ahead: int,
+        call: decisions.WaitingCall,
+        accepting: endpoint_group.Endpoints,
+        now_ms: float,
+    ) -> bool:
+        """Returns whether a call is expected to be in time if it waits."""
+        wait_ms = (ahead + 1) / self._endpoints.served_per_ms(accepting, now_ms)
+        high_ms = self._endpoints.min_high_ms(accepting)
+        return now_ms + wait_ms + high_ms <= call.due_ms
+
+    def _has_time_if_late(
+        self,
+        call: decisions.WaitingCall,
+        accepting: endpoint_group.Endpoints,
+        now_ms: float,
+    ) -> bool:
+        """Returns whether a late call may get capacity before its deadline."""
+        if not accepting:
+            return False
+        high_ms = self._endpoints.min_high_ms(accepting)
+        per_ms = self._endpoints.served_per_ms(accepting, now_ms)
+        late_before_ms = now_ms + high_ms
+        late = self._waiting.count_late(late_before_ms)
+        in_time = len(self._waiting) - late
+        late_ahead = self._waiting.count_late(min(late_before_ms, call.due_ms))
+        # Of the calls that precede this one while it is in time, those that
+        # can't all be served before it is late will be late as well.
+        in_time_ms = max(0.0, call.due_ms - late_before_ms)
+        ahead = self._waiting.count_ahead(call, late_before_ms)
+        will_be_late = max(0.0, ahead - in_time_ms * per_ms)
+        left_over = 1.0 - self._arrivals.per_ms(now_ms) / per_ms
+        share = max(_MIN_LATE_SHARE, left_over)
+        # It is served as a late call only after it has become late.
+        wait_ms = (
+            in_time_ms
+            + (in_time - will_be_late) / per_ms
+            + (late_ahead + will_be_late + 1) / share / per_ms
+        )
+        return now_ms + wait_ms + high_ms <= call.deadline_ms
+
+    def _grant(
+        self,
+        call: decisions.WaitingCall,
+        ticket: tickets.Ticket,
+        endpoint: endpoint_grants.EndpointGrants,
+        now_ms: float,
+        *,
+        waited_ms: float = 0.0,
+        ahead: int = 0,
+    ) -> decisions.Granted:
+        self._order.served(ticket)
+        deadline_ms = max(now_ms, call.deadline_ms)
+        self._endpoints.add_grant(
+            endpoint, call.number, now_ms, deadline_ms=deadline_ms
+        )
+        self._schedule(deadline_ms, call.number)
+        return decisions.Granted(
+            call.number, endpoint.name, waited_ms=waited_ms, ahead=ahead
+        )
+
+    def _grant_waiting(
+        self,
+        entry: waiting_calls.Entry,
+        endpoint: endpoint_grants.EndpointGrants,
+        now_ms: float,
+    ) -> decisions.Granted:
+        self._waiting.remove(entry)
+        return self._grant(
+            entry.call,
+            entry.ticket,
+            endpoint,
+            now_ms,
+            waited_ms=now_ms - entry.queued_ms,
+            ahead=entry.ahead,
+        )
+
+    def _reject(
+        self,
+        call: decisions.WaitingCall,
+        ticket: tickets.Ticket,
+        reason: decisions.RejectReason,
+        now_ms: float,
+        *,
+        waited_ms: float = 0.0,
+        ahead: int = 0,
+    ) -> decisions.Rejected:
+        self._order.rejected(ticket)
+        accepting = self._endpoints.accepting(call.excluded)
+        interval_ms = free_in_ms = 0.0
+        if accepting:
+            interval_ms = 1.0 / self._endpoints.served_per_ms(accepting, now_ms)
+            # A call that comes back precedes the late ones.
+            late_before_ms = now_ms + self._endpoints.min_high_ms(accepting)
+            late = self._waiting.count_late(late_before_ms)
+            free_in_ms = (len(self._waiting) - late + 1) * interval_ms
+        retry_after_ms = self._retry_times.next_ms(
+            now_ms,
+            free_in_ms=free_in_ms,
+            interval_ms=interval_ms,
+            left_ms=call.deadline_ms - now_ms,
+        )
+        return decisions.Rejected(
+            call.number, retry_after_ms, reason, waited_ms, ahead
+        )
+
+    def _reject_waiting(
+        self,
+        entry: waiting_calls.Entry,
+        reason: decisions.RejectReason,
+        now_ms: float,
+    ) -> decisions.Rejected:
+        self._waiting.remove(entry)
+        return self._reject(
+            entry.call,
+            entry.ticket,
+            reason,
+            now_ms,
+            waited_ms=now_ms - entry.queued_ms,
+            ahead=entry.ahead,
+        )
+
+    def _schedule(self, at_ms: float, number: int) -> None:
+        heapq.heappush(self._events, (at_ms, number))
