--- a/src/jujubewharf/forwarding/state_log.py
+++ b/src/jujubewharf/forwarding/state_log.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 import dataclasses
 
 from opentelemetry import metrics
@@ -14,6 +15,7 @@
 
 from jujubewharf.forwarding import costs
 from jujubewharf.forwarding import routes
+from jujubewharf.forwarding import wait_queue
 from jujubewharf.platform import epochs
 
 _METER = metrics.get_meter("jujubewharf")
@@ -32,6 +34,12 @@
     "forwarding.engine_crashes",
     description="Requests under which an engine crashed, by stage.",
 )
+_ADMISSIONS = _METER.create_counter(
+    "forwarding.admissions",
+    description="Model requests that waited for memory, by class and outcome.",
+)
+
+_MAX_LOGGED_ACCOUNTS = 10
 
 _logger = structlog.get_logger()
 
@@ -198,6 +206,31 @@
     _PERMITS.add(1, {"outcome": outcome, "counted_by": counted_by})
 
 
+def log_unknown_accounts(accounts: Collection[str]) -> None:
+    """Logs the accounts with a weight that the configuration doesn't have."""
+    _logger.info(
+        "weights_of_unknown_accounts",
+        count=len(accounts),
+        accounts=sorted(accounts)[:_MAX_LOGGED_ACCOUNTS],
+    )
+
+
+def count_served_wait(
+    priority: int, *, is_late: bool, has_waited: bool
+) -> None:
+    """Counts a model request for which memory was reserved."""
+    outcome = "late" if is_late else "in_time"
+    _ADMISSIONS.add(1, {"priority": priority, "outcome": outcome})
+    if has_waited:
+        _ADMISSIONS.add(1, {"priority": priority, "outcome": "waited"})
+
+
+def count_rejected_wait(priority: int, rule: wait_queue.Rejection) -> None:
+    """Counts a model request for which no memory was reserved."""
+    outcome = f"rejected_{rule.value}"
+    _ADMISSIONS.add(1, {"priority": priority, "outcome": outcome})
+
+
 def _position(offset: int) -> dict[str, int]:
     return dataclasses.asdict(epochs.split(offset))
 
