Grant plain calls at the leader, in one queue for all instances

Each instance saw its own calls only. Followers now ask the leader for a permit (one ask and one tell a call); the leader's queue keeps the calls at each endpoint at its slots and one more, orders the others and rejects what can't be served. A released permit carries the endpoint's newest load report. Without a leader, or if it is silent or of an older build, an instance chooses among two endpoints by the loads that it knows.

--- a/src/jujubewharf/endpoint_load/table.py
+++ b/src/jujubewharf/endpoint_load/table.py
@@ -90,6 +90,14 @@
         """Returns whether an endpoint has ever reported its load."""
         return endpoint in self._newest
 
+    def slots(self, endpoint: str) -> int | None:
+        """Returns the slots of the newest report, however old it is.
+
+        ``None`` if the endpoint never reported its load.
+        """
+        known = self._newest.get(endpoint)
+        return None if known is None else known[0].slots
+
     def retain(self, names: Container[str]) -> None:
         """Drops the reports of all other endpoints."""
         for name in [name for name in self._newest if name not in names]:
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -43,6 +43,7 @@
 from jujubewharf.leadership import leadership
 from jujubewharf.leadership import led
 from jujubewharf.leadership import load_digests
+from jujubewharf.leadership import plain_permits
 from jujubewharf.leadership import shared_state
 from jujubewharf.leaving import shutdown
 from jujubewharf.platform import epochs
@@ -109,6 +110,7 @@
         work: Observed costs of requests.
         crashes: Crash history of requests.
         fleet_crashes: Shares the crash history between instances.
+        plain_permits: Permits of plain calls.
     """
 
     def __init__(
@@ -149,12 +151,13 @@
         self._costs = costs.FleetCostEstimator(self.work)
         digests = load_digests.LoadDigests(self.loads)
         self.registry.add_listener(digests.set_endpoints)
+        shared = shared_state.SharedState(
+            self.backpressure, self.crashes, self.source, digests
+        )
         self.fleet = fleets.Fleet(
             self.registry,
             self.work,
-            shared_state.SharedState(
-                self.backpressure, self.crashes, self.source, digests
-            ),
+            shared,
             lambda: self._endpoints.offset,
             adapters.epoch,
             clock,
@@ -193,7 +196,7 @@
             if peers is None
             else leases.GroupLease(peers.leaders, clock, name="leaders")
         )
-        self._forwarder = self._make_forwarder(adapters, rng)
+        self._forwarder = self._make_forwarder(adapters, shared, rng)
         self._configurations = store_followers.new_configuration_follower(
             adapters.configurations,
             self.fleet,
@@ -215,7 +218,10 @@
         )
 
     def _make_forwarder(
-        self, adapters: Adapters, rng: random.Random
+        self,
+        adapters: Adapters,
+        shared: shared_state.SharedState,
+        rng: random.Random,
     ) -> forwarder.Forwarder:
         clock = self._clock
         backends = adapters.backends
@@ -253,7 +259,19 @@
             clock,
             rng,
         )
-        places.apply_policy(self._settings.admission.policy)
+        self.plain_permits = plain_permits.FleetPlainPermits(
+            self.fleet,
+            self.registry,
+            self.loads,
+            shared,
+            chooser,
+            self.endpoint_limits,
+            self.source,
+            clock,
+            rng,
+            domain=self._settings.domain,
+        )
+        self._apply_admission()
         local = observations.LocalObserver(self.work, lengths, engines)
         observed = led.FleetObserver(self.fleet.link, local)
         if adapters.peers is not None:
@@ -270,11 +288,16 @@
                     self.quotas,
                     self.endpoint_limits,
                     self.fleet_crashes,
+                    self.plain_permits.new_server,
                     clock,
                 ),
                 rng,
                 cores=self._settings.processor.cores,
             )
+            assert self.fleet.followers is not None
+            self.fleet.followers.on_leading_changed = (
+                self.plain_permits.queues.reset
+            )
         request_quarantine = quarantine.Quarantine(
             self.crashes, self.fleet_crashes
         )
@@ -301,6 +324,7 @@
                 crash_detecting_backends,
                 self.registry,
                 chooser,
+                self.plain_permits,
                 self.budget,
                 self.endpoint_limits,
                 self.backpressure,
@@ -397,7 +421,7 @@
     def apply_settings(self, settings: all_settings.ForwardingSettings) -> None:
         """Applies settings that can change while the process runs."""
         self._settings = settings
-        self._placement.apply_policy(settings.admission.policy)
+        self._apply_admission()
         self._log_unknown_accounts()
         self.quotas.quota_settings = settings.quotas
         self.budget.change(
@@ -406,6 +430,13 @@
             window_ms=settings.retries.window_s * clocks.MS_PER_S,
         )
 
+    def _apply_admission(self) -> None:
+        policy = self._settings.admission.policy
+        self._placement.apply_policy(policy)
+        self.plain_permits.apply_settings(
+            is_enabled=self._settings.plain_calls.queue, policy=policy
+        )
+
     def _log_unknown_accounts(self) -> None:
         """Logs the accounts with a weight that aren't configured."""
         weights = self._settings.admission.account_weights
--- a/src/jujubewharf/forwarding/plain.py
+++ b/src/jujubewharf/forwarding/plain.py
@@ -22,6 +22,8 @@
 from jujubewharf.forwarding import request_log
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import runs
+from jujubewharf.plain_calls import decisions
+from jujubewharf.plain_calls import permits as all_permits
 from jujubewharf.requests import plain_endpoints
 
 # Answers up to this size are buffered before their first byte is forwarded, so
@@ -41,7 +43,8 @@
     Args:
         backends: Client for endpoints.
         registry: Registered endpoints.
-        chooser: Selects endpoints.
+        chooser: Selects endpoints where calls need no permit.
+        permits: Permits of calls where endpoints report their load.
         budget: Retry budget of the fleet.
         limits: Rate limits set by endpoints.
         backpressure: Rate limits, backoffs and drain notices sent by endpoints.
@@ -54,6 +57,7 @@
         backends: ports.Backends,
         registry: registries.Registry,
         chooser: plain_endpoints.EndpointChooser,
+        permits: all_permits.PlainPermits,
         budget: budgets.FleetRetryBudget,
         limits: all_limits.Permits,
         backpressure: all_backpressure.Backpressure,
@@ -64,6 +68,7 @@
         self._backends = backends
         self._registry = registry
         self._chooser = chooser
+        self._permits = permits
         self._budget = budget
         self._limits = limits
         self._backpressure = backpressure
@@ -80,19 +85,28 @@
         failed: set[str] = set()
         error_reply: calls.Reply | None = None
         while True:
-            endpoint = await self._choose(run, failed)
-            if endpoint is None:
+            try:
+                async with contextlib.AsyncExitStack() as held:
+                    permit = await self._acquire(held, run, failed)
+                    failed.add(permit.endpoint.name)
+                    reply = await self._attempt(
+                        stack,
+                        held,
+                        run,
+                        permit,
+                        has_error_reply=error_reply is not None,
+                    )
+            except all_permits.NoEndpointError:
                 if error_reply is not None:
                     return error_reply
-                raise self._no_endpoint_error(run)
-            failed.add(endpoint.name)
-            try:
-                reply = await self._attempt(
-                    stack,
-                    run,
-                    endpoint,
-                    has_error_reply=error_reply is not None,
-                )
+                raise self._no_endpoint_error(run) from None
+            except errors.WharfError as error:
+                if (
+                    error_reply is not None
+                    and error.kind is errors.ErrorKind.QUEUE_FULL
+                ):
+                    return error_reply
+                raise
             except client.EngineError as error:
                 reason = error.fault.value
                 if self._may_retry(run, reason):
@@ -106,6 +120,27 @@
             if not self._may_retry(run, "failed"):
                 return reply
 
+    async def _acquire(
+        self,
+        held: contextlib.AsyncExitStack,
+        run: runs.Run,
+        failed: Collection[str],
+    ) -> all_permits.Permit:
+        """Returns a permit, which ``held`` returns.
+
+        Raises:
+            NoEndpointError: No endpoint accepts the request now.
+            WharfError: The request can't be served in time.
+        """
+        if self._permits.applies_to(run.service):
+            return await held.enter_async_context(
+                self._permits.acquire(run, excluded=frozenset(failed))
+            )
+        endpoint = await self._choose(run, failed)
+        if endpoint is None:
+            raise all_permits.NoEndpointError
+        return all_permits.Permit(endpoint)
+
     async def _choose(
         self, run: runs.Run, failed: Collection[str]
     ) -> resources.Endpoint | None:
@@ -156,11 +191,17 @@
     async def _attempt(
         self,
         stack: contextlib.AsyncExitStack,
+        held: contextlib.AsyncExitStack,
         run: runs.Run,
-        endpoint: resources.Endpoint,
+        permit: all_permits.Permit,
         *,
         has_error_reply: bool,
     ) -> calls.Reply:
+        """Sends the request once.
+
+        ``held`` is emptied into ``stack`` if the answer has not yet ended.
+        """
+        endpoint = permit.endpoint
         began_ms = self._clock.now_ms()
         before = run.record_attempt(endpoint.name)
         request_log.log_attempt(
@@ -174,12 +215,15 @@
             timeout_ms = self._attempt_timeout_ms(
                 run, has_error_reply=has_error_reply
             )
-            return await self._exchange(stack, run, endpoint, timeout_ms)
+            return await self._exchange(stack, held, run, permit, timeout_ms)
         except client.EngineError as error:
+            permit.outcome = decisions.Outcome.FAILED
             run.record_failure(error, before=before)
             if error.fault is client.EngineFault.REFUSED_IDENTITY:
                 self._registry.remove_replaced(endpoint.name)
-            if error.fault is not client.EngineFault.REFUSED_FULL:
+            if error.fault is client.EngineFault.REFUSED_FULL:
+                permit.outcome = decisions.Outcome.FULL
+            else:
                 self._chooser.failed(endpoint.name)
             took_ms = self._clock.now_ms() - began_ms
             request_log.log_engine_failure(
@@ -190,15 +234,18 @@
     async def _exchange(
         self,
         stack: contextlib.AsyncExitStack,
+        held: contextlib.AsyncExitStack,
         run: runs.Run,
-        endpoint: resources.Endpoint,
+        permit: all_permits.Permit,
         timeout_ms: float | None,
     ) -> calls.Reply:
+        endpoint = permit.endpoint
         outbound = calls.OutboundRequest(
             run.call,
             run.left_ms(self._clock),
             after_event=run.call.last_event,
         )
+        is_complete = False
         async with contextlib.AsyncExitStack() as attempt:
             attempt.enter_context(self._chooser.track_call(endpoint))
             try:
@@ -207,12 +254,19 @@
                         self._backends.send(endpoint, outbound)
                     )
                     if not run.route.is_stream:
-                        reply = await _buffered(reply)
+                        reply, is_complete = await _buffered(reply)
             except TimeoutError:
                 fault = client.EngineFault.LOST
                 raise client.EngineError(
                     fault, endpoint.name, "no answer in time"
                 ) from None
+            permit.outcome = decisions.Outcome.COMPLETED
+            if reply.status >= _SERVER_ERROR:
+                permit.outcome = decisions.Outcome.ERROR
+            elif not is_complete:
+                # The endpoint goes on working until the body has ended.
+                permit.outcome = decisions.Outcome.STREAMED
+                stack.push_async_exit(held.pop_all())
             stack.push_async_exit(attempt.pop_all())
         return reply
 
@@ -238,20 +292,26 @@
         return run.route.target_ms * _TIMEOUT_SHARE_OF_TARGET
 
 
-async def _buffered(reply: calls.Reply) -> calls.Reply:
-    """Buffers a body up to ``MAX_BUFFERED_BYTES`` and streams the rest."""
+async def _buffered(reply: calls.Reply) -> tuple[calls.Reply, bool]:
+    """Buffers a body up to ``MAX_BUFFERED_BYTES`` and streams the rest.
+
+    Returns:
+        The answer, and whether its whole body is buffered.
+    """
     parts: list[bytes] = []
     size = 0
     async for part in reply.body:
         parts.append(part)
         size += len(part)
         if size > MAX_BUFFERED_BYTES:
-            return dataclasses.replace(
+            streamed = dataclasses.replace(
                 reply, body=_concatenated(parts, reply.body)
             )
-    return dataclasses.replace(
+            return streamed, False
+    buffered = dataclasses.replace(
         reply, body=_concatenated(parts, None), length=size
     )
+    return buffered, True
 
 
 async def _concatenated(
--- a/src/jujubewharf/forwarding/reloading.py
+++ b/src/jujubewharf/forwarding/reloading.py
@@ -16,7 +16,9 @@
 CHECK_MS = 5_000.0
 # Fields that can change without a restart. The others define listeners and the
 # identity of the process.
-LIVE_FIELDS = frozenset({"admission", "quotas", "retries", "stop_within_s"})
+LIVE_FIELDS = frozenset(
+    {"admission", "plain_calls", "quotas", "retries", "stop_within_s"}
+)
 # Maximum length of a logged error; `jujubewharf settings check` prints all.
 _MAX_DETAIL = 500
 
--- a/src/jujubewharf/forwarding/settings.py
+++ b/src/jujubewharf/forwarding/settings.py
@@ -107,6 +107,17 @@
         )
 
 
+class PlainCallSettings(_Model):
+    """Plain calls.
+
+    Attributes:
+        queue: Whether calls wait in the router, where endpoints report their
+            load; otherwise each instance chooses by its own calls.
+    """
+
+    queue: bool = True
+
+
 class ProcessorSettings(_Model):
     """Processor capacity of an instance.
 
@@ -140,6 +151,7 @@
         retries: Retry budget of the fleet.
         quotas: Tolerated use beyond account quotas.
         admission: Order of waiting requests.
+        plain_calls: Plain calls.
         stop_within_s: Time from SIGTERM to SIGKILL in seconds.
         log_level: Minimum level of log lines.
     """
@@ -155,6 +167,7 @@
     retries: RetrySettings
     quotas: QuotaSettings = QuotaSettings()
     admission: AdmissionSettings = AdmissionSettings()
+    plain_calls: PlainCallSettings = PlainCallSettings()
     stop_within_s: Positive
     log_level: Literal["debug", "info", "warning", "error"] = "info"
 
--- a/src/jujubewharf/leadership/fleet.py
+++ b/src/jujubewharf/leadership/fleet.py
@@ -20,6 +20,7 @@
 from jujubewharf.leadership import leadership
 from jujubewharf.leadership import low_accounts
 from jujubewharf.leadership import placement_server as servers
+from jujubewharf.leadership import plain_permit_server
 from jujubewharf.leadership import shared_state
 from jujubewharf.peers import counters
 from jujubewharf.peers import link_messages
@@ -244,6 +245,7 @@
     quotas: servers.FollowerQuotas,
     limits: servers.FollowerLimits,
     crashes: servers.FollowerCrashes,
+    new_plain_server: Callable[[], plain_permit_server.PlainPermitServer],
     clock: clocks.Clock,
 ) -> servers.PlacementServerFactory:
     """Returns a function that creates the placement server of a follower."""
@@ -255,6 +257,7 @@
         quotas,
         limits,
         crashes,
+        new_plain_server(),
         clock,
         use=quotas.add_follower(peer, tell),
     )
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 
@@ -58,6 +59,7 @@
 
     Attributes:
         is_leading: Whether followers are accepted.
+        on_leading_changed: Called when this instance begins or stops to lead.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         count_within_ms: float,
     ) -> None:
         self.is_leading = False
+        self.on_leading_changed: Callable[[], None] = lambda: None
         self._leading_since_ms = 0.0
         self._count_within_ms = count_within_ms
         self._lost_at_ms: dict[str, float] = {}
@@ -200,10 +203,12 @@
         self._low_accounts = quota_messages.LowAccounts(())
         self.is_leading = True
         self._leading_since_ms = self._clock.now_ms()
+        self.on_leading_changed()
 
     def stop_leading(self) -> None:
         """Closes the links of all followers."""
         self.is_leading = False
+        self.on_leading_changed()
         reason = link_messages.CloseReason.STOPPING.value
         for link in list(self._links):
             link.close(link_messages.Farewell(reason))
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -105,6 +105,11 @@
         """Whether there is an open link to a leader."""
         return self._link is not None and not self._link.is_closed
 
+    @property
+    def link(self) -> links.Link | None:
+        """The link to the leader, if there is one."""
+        return self._link
+
     async def run(self, link: links.Link) -> None:
         """Follows a leader until the link closes or heartbeats stop."""
         self._link = link
--- a/src/jujubewharf/leadership/placement_server.py
+++ b/src/jujubewharf/leadership/placement_server.py
@@ -21,10 +21,12 @@
 from jujubewharf.forwarding import runs
 from jujubewharf.forwarding import state_log
 from jujubewharf.leadership import account_pace
+from jujubewharf.leadership import plain_permit_server
 from jujubewharf.peers import crash_messages
 from jujubewharf.peers import leader_messages
 from jujubewharf.peers import limit_messages
 from jujubewharf.peers import messages
+from jujubewharf.peers import plain_messages
 from jujubewharf.peers import quota_messages
 
 
@@ -106,6 +108,7 @@
         quotas: Counts the use of accounts.
         limits: Counts requests to rate-limited endpoints.
         crashes: Crash history of requests.
+        plain: Grants the follower's plain calls.
         clock: Clock.
         use: Recent use of accounts at the follower.
     """
@@ -119,6 +122,7 @@
         quotas: FollowerQuotas,
         limits: FollowerLimits,
         crashes: FollowerCrashes,
+        plain: plain_permit_server.PlainPermitServer,
         clock: clocks.Clock,
         *,
         use: account_pace.FollowerUsage,
@@ -126,6 +130,7 @@
         self._quotas = quotas
         self._limits = limits
         self._crashes = crashes
+        self._plain = plain
         self._usage = use
         self._fleet_costs = fleet_costs
         self._placement = placement
@@ -139,6 +144,7 @@
 
         Engines still count what the follower runs on them.
         """
+        self._plain.close()
         self._quotas.remove_follower(self._usage)
         for held in list(self._held_reservations.values()):
             if held.task is not None:
@@ -151,6 +157,10 @@
         match message:
             case leader_messages.PlacementRequest():
                 return await self._place_request(message)
+            case plain_messages.PlainPermitRequest():
+                return await self._plain.request(message)
+            case plain_messages.PlainPermitReleased():
+                self._plain.on_released(message)
             case leader_messages.LivenessRequest():
                 return leader_messages.LivenessReply()
             case limit_messages.PermitRequest(endpoint=endpoint):
--- /dev/null
+++ b/src/jujubewharf/leadership/plain_queues.py
@@ -0,0 +1,237 @@
+"""The leader's queues of plain calls, one a service.
+
+Handles the calls of all instances, some hundred a second: one timer a service,
+and no task that polls.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import itertools
+
+from jujubewharf import clock as clocks
+from jujubewharf.admission import order as orders
+from jujubewharf.configuration import resources
+from jujubewharf.endpoint_load import table
+from jujubewharf.forwarding import registry as registries
+from jujubewharf.plain_calls import decisions
+from jujubewharf.plain_calls import permit_queue
+from jujubewharf.plain_calls import service_times
+
+# ``None`` if this instance has stopped leading.
+Verdict = decisions.Decision | None
+
+
+@dataclasses.dataclass(slots=True)
+class _ServiceQueue:
+    """Queue of one service, and who waits for its decisions."""
+
+    queue: permit_queue.PermitQueue
+    order: orders.AdmissionOrder
+    waiters: dict[int, asyncio.Future[Verdict]] = dataclasses.field(
+        default_factory=dict
+    )
+    timer: asyncio.TimerHandle | None = None
+    timer_ms: float = 0.0
+
+
+class PlainQueues:
+    """Decides about plain calls while this instance leads.
+
+    Args:
+        registry: Registered endpoints.
+        loads: Load that endpoints have reported.
+        times: Returns the observed times of a service's calls.
+        clock: Time source.
+    """
+
+    def __init__(
+        self,
+        registry: registries.Registry,
+        loads: table.LoadTable,
+        times: Callable[[str], service_times.ServiceTimes],
+        clock: clocks.Clock,
+    ) -> None:
+        self._registry = registry
+        self._loads = loads
+        self._times = times
+        self._clock = clock
+        self._policy = orders.AdmissionPolicy()
+        self._by_service: dict[str, _ServiceQueue] = {}
+        self._service_of: dict[int, _ServiceQueue] = {}
+        self._numbers = itertools.count(1)
+        registry.add_listener(lambda endpoints: self._update_endpoints())
+
+    @property
+    def waiting(self) -> int:
+        """Number of waiting calls."""
+        return sum(s.queue.waiting for s in self._by_service.values())
+
+    @property
+    def in_flight(self) -> int:
+        """Number of granted calls that were not released."""
+        return sum(s.queue.in_flight for s in self._by_service.values())
+
+    def next_number(self) -> int:
+        """Returns a number for a call."""
+        return next(self._numbers)
+
+    def apply_policy(self, policy: orders.AdmissionPolicy) -> None:
+        """Applies changed settings; waiting calls are ranked again."""
+        self._policy = policy
+        for service in self._by_service.values():
+            service.order.apply(policy)
+
+    def reset(self) -> None:
+        """Drops all state when this instance begins or stops to lead."""
+        services = list(self._by_service.values())
+        self._by_service = {}
+        self._service_of = {}
+        for service in services:
+            if service.timer is not None:
+                service.timer.cancel()
+            for waiter in service.waiters.values():
+                if not waiter.done():
+                    waiter.set_result(None)
+
+    async def decide(
+        self, service: str, call: decisions.WaitingCall
+    ) -> Verdict:
+        """Returns the decision about a call, when it is made.
+
+        A cancelled call is removed, whatever has been decided about it.
+        """
+        queued = self._queue_of(service)
+        self._service_of[call.number] = queued
+        decision = queued.queue.request(call, self._clock.now_ms())
+        self._arm(queued)
+        match decision:
+            case decisions.Granted():
+                return decision
+            case decisions.Rejected():
+                del self._service_of[call.number]
+                return decision
+        waiter: asyncio.Future[Verdict] = asyncio.Future()
+        queued.waiters[call.number] = waiter
+        try:
+            return await waiter
+        except asyncio.CancelledError:
+            self.cancel(call.number)
+            raise
+        finally:
+            queued.waiters.pop(call.number, None)
+
+    def release(
+        self,
+        number: int,
+        outcome: decisions.Outcome,
+    ) -> None:
+        """Ends a granted call."""
+        service = self._service_of.pop(number, None)
+        if service is None:
+            return
+        decided = service.queue.release(
+            number, self._clock.now_ms(), outcome=outcome
+        )
+        self._deliver(service, decided)
+
+    def cancel(self, number: int) -> None:
+        """Removes a call, whether it waits or was granted."""
+        service = self._service_of.pop(number, None)
+        if service is None:
+            return
+        decided = service.queue.cancel(number, self._clock.now_ms())
+        self._deliver(service, decided)
+
+    def orphan(self, numbers: Iterable[int]) -> None:
+        """Marks granted calls whose instance can't release them any more."""
+        for number in numbers:
+            service = self._service_of.pop(number, None)
+            if service is not None:
+                service.queue.orphan([number])
+
+    def record_report(self, endpoint: str) -> None:
+        """Uses the newest report of an endpoint, which has just arrived."""
+        registered = self._registry.get(endpoint)
+        known = self._loads.get(endpoint)
+        if registered is None or known is None:
+            return
+        service = self._by_service.get(registered.service)
+        if service is not None:
+            self._deliver(service, self._report(service, endpoint, known))
+
+    def _report(
+        self, service: _ServiceQueue, endpoint: str, known: table.KnownLoad
+    ) -> list[decisions.Decision]:
+        return service.queue.record_report(
+            endpoint,
+            total=known.report.running + known.report.waiting,
+            slots=known.report.slots,
+            now_ms=self._clock.now_ms() - known.age_ms,
+        )
+
+    def _queue_of(self, name: str) -> _ServiceQueue:
+        service = self._by_service.get(name)
+        if service is not None:
+            return service
+        order = orders.AdmissionOrder.from_policy(self._policy)
+        queue = permit_queue.PermitQueue(
+            self._times(name), order, report_max_age_ms=table.MAX_AGE_MS
+        )
+        service = self._by_service[name] = _ServiceQueue(queue, order)
+        endpoints = self._endpoints(name)
+        queue.set_endpoints(endpoints, self._clock.now_ms())
+        for endpoint in endpoints:
+            known = self._loads.get(endpoint.name)
+            if known is not None:
+                self._report(service, endpoint.name, known)
+        return service
+
+    def _endpoints(self, service: str) -> list[resources.Endpoint]:
+        """Returns the endpoints that accept work, with reported slots."""
+        return [
+            dataclasses.replace(
+                endpoint,
+                slots=self._loads.slots(endpoint.name) or endpoint.slots,
+            )
+            for endpoint in self._registry.of_service(service)
+        ]
+
+    def _update_endpoints(self) -> None:
+        for name, service in list(self._by_service.items()):
+            decided = service.queue.set_endpoints(
+                self._endpoints(name), self._clock.now_ms()
+            )
+            self._deliver(service, decided)
+
+    def _deliver(
+        self, service: _ServiceQueue, decided: Iterable[decisions.Decision]
+    ) -> None:
+        for decision in decided:
+            if isinstance(decision, decisions.Rejected):
+                self._service_of.pop(decision.number, None)
+            waiter = service.waiters.get(decision.number)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(decision)
+        self._arm(service)
+
+    def _arm(self, service: _ServiceQueue) -> None:
+        """Sets the timer to the next event of the queue."""
+        next_ms = service.queue.next_event_ms
+        if next_ms is None:
+            return
+        if service.timer is not None:
+            if service.timer_ms <= next_ms:
+                return
+            service.timer.cancel()
+        service.timer_ms = next_ms
+        service.timer = self._clock.call_at_ms(
+            next_ms, lambda: self._expire(service)
+        )
+
+    def _expire(self, service: _ServiceQueue) -> None:
+        service.timer = None
+        self._deliver(service, service.queue.expire(self._clock.now_ms()))
--- a/src/jujubewharf/plain_calls/decisions.py
+++ b/src/jujubewharf/plain_calls/decisions.py
@@ -10,12 +10,14 @@
     """How a granted call ended.
 
     ``STREAMED``: its answer was passed on while it was still arriving, so the
-    time until the release isn't the endpoint's alone. ``UNUSED``: nothing was
-    sent.
+    time until the release isn't the endpoint's alone. ``ERROR``: the endpoint
+    answered with an error. ``FAILED``: there was no answer. ``FULL``: the
+    endpoint rejected it. ``UNUSED``: nothing was sent.
     """
 
     COMPLETED = "completed"
     STREAMED = "streamed"
+    ERROR = "error"
     FAILED = "failed"
     FULL = "full"
     CANCELLED = "cancelled"
--- a/src/jujubewharf/plain_calls/endpoint_grants.py
+++ b/src/jujubewharf/plain_calls/endpoint_grants.py
@@ -7,6 +7,12 @@
 from jujubewharf.configuration import resources
 from jujubewharf.plain_calls import capacity as capacities
 
+# Pause of an endpoint after calls that failed without any success between
+# them, doubled with each. An unreachable endpoint ends calls at once and would
+# otherwise get all of them.
+_FIRST_PAUSE_MS = 20.0
+_MAX_PAUSE_MS = 2_000.0
+
 
 @dataclasses.dataclass(slots=True)
 class Grant:
@@ -36,6 +42,7 @@
         endpoint: The endpoint.
         capacity: Its concurrency limit.
         last_grant: Number of the last grant, to use equal endpoints in turn.
+        paused_until_ms: Until when it gets no calls after failed ones.
     """
 
     def __init__(
@@ -46,6 +53,8 @@
             endpoint.slots, max_age_ms=max_age_ms
         )
         self.last_grant = 0
+        self.paused_until_ms = 0.0
+        self._failures = 0
         self._grants: dict[int, Grant] = {}
 
     @property
@@ -60,6 +69,21 @@
         """Whether one more call may be sent there."""
         return self.capacity.has_room(len(self._grants), now_ms)
 
+    def is_paused(self, now_ms: float) -> bool:
+        """Whether it gets no calls because the last ones failed."""
+        return now_ms < self.paused_until_ms
+
+    def record_answer(self) -> None:
+        """Records that the endpoint has answered a call."""
+        self._failures = 0
+        self.paused_until_ms = 0.0
+
+    def record_failure(self, now_ms: float) -> None:
+        """Records that a call got no answer."""
+        pause_ms = min(_MAX_PAUSE_MS, _FIRST_PAUSE_MS * 2.0**self._failures)
+        self._failures = min(self._failures + 1, 16)
+        self.paused_until_ms = now_ms + pause_ms
+
     def in_flight(self, now_ms: float) -> int:
         """Returns the number of calls there, with those of others."""
         return len(self._grants) + self.capacity.foreign(now_ms)
--- a/src/jujubewharf/plain_calls/endpoint_group.py
+++ b/src/jujubewharf/plain_calls/endpoint_group.py
@@ -107,7 +107,6 @@
         now_ms: float,
         *,
         outcome: decisions.Outcome,
-        took_ms: float | None,
     ) -> bool:
         """Stops counting a call and learns from how it ended.
 
@@ -119,13 +118,21 @@
         if endpoint is None or grant is None:
             return False
         match outcome:
-            case decisions.Outcome.COMPLETED | decisions.Outcome.STREAMED:
+            case decisions.Outcome.COMPLETED:
+                endpoint.record_answer()
+                endpoint.capacity.on_completed()
+                self._times.record(
+                    endpoint.name,
+                    now_ms - grant.granted_ms,
+                    slowdown=self._times.slowdown(endpoint.name),
+                )
+            case decisions.Outcome.STREAMED | decisions.Outcome.ERROR:
+                endpoint.record_answer()
                 endpoint.capacity.on_completed()
-                if took_ms is None:
-                    took_ms = now_ms - grant.granted_ms
-                self._times.record(endpoint.name, took_ms)
             case decisions.Outcome.FULL:
                 endpoint.capacity.on_rejected_as_full()
+            case decisions.Outcome.FAILED:
+                endpoint.record_failure(now_ms)
         return True
 
     def pop_grant(self, number: int) -> endpoint_grants.Grant | None:
@@ -153,6 +160,29 @@
             if grant is not None:
                 grant.is_orphaned = True
 
+    def has_room(
+        self, endpoint: endpoint_grants.EndpointGrants, now_ms: float
+    ) -> bool:
+        """Whether a call may be sent to an endpoint now.
+
+        Endpoints whose last calls failed are used if no other is left.
+        """
+        if not endpoint.has_room(now_ms):
+            return False
+        return not endpoint.is_paused(now_ms) or all(
+            other.is_paused(now_ms) for other in self._open.values()
+        )
+
+    def paused_until_ms(self, endpoint: str) -> float:
+        """Returns when the pause of an endpoint ends."""
+        known = self._known.get(endpoint)
+        return 0.0 if known is None else known.paused_until_ms
+
+    def endpoint_of(self, number: int) -> str | None:
+        """Returns the endpoint of a granted call."""
+        endpoint = self._endpoint_of.get(number)
+        return None if endpoint is None else endpoint.name
+
     def best_with_room(
         self,
         accepting: Endpoints,
@@ -172,7 +202,7 @@
         """
         ends: list[tuple[float, endpoint_grants.EndpointGrants]] = []
         for endpoint in accepting:
-            if not endpoint.has_room(now_ms):
+            if not self.has_room(endpoint, now_ms):
                 continue
             high_ms = self._times.high_ms(endpoint.name)
             if must_be_in_time and now_ms + high_ms > call.due_ms:
--- a/src/jujubewharf/plain_calls/permit_queue.py
+++ b/src/jujubewharf/plain_calls/permit_queue.py
@@ -30,6 +30,8 @@
 # Smallest share of the capacity that late calls are expected to get, because a
 # burst may end at any time.
 _MIN_LATE_SHARE = 0.25
+# Stands for a call's number in the event of an endpoint's pause that ends.
+_PAUSE_END = -1
 
 
 class PermitQueue:
@@ -79,8 +81,12 @@
         """Clock reading at which ``expire`` has something to decide."""
         while self._events:
             at_ms, number = self._events[0]
-            is_waiting = self._waiting.get(number) is not None
-            if is_waiting or self._endpoints.is_granted(number):
+            is_needed = (
+                number == _PAUSE_END
+                or self._waiting.get(number) is not None
+                or self._endpoints.is_granted(number)
+            )
+            if is_needed:
                 return at_ms
             heapq.heappop(self._events)
         return None
@@ -154,7 +160,6 @@
         now_ms: float,
         *,
         outcome: decisions.Outcome = decisions.Outcome.COMPLETED,
-        took_ms: float | None = None,
     ) -> list[decisions.Decision]:
         """Ends a granted call; returns decisions about waiting ones.
 
@@ -162,12 +167,15 @@
             number: Number of the call.
             now_ms: Current clock reading.
             outcome: How it ended.
-            took_ms: Time at the endpoint; ``None`` if it ended just now.
         """
-        is_counted = self._endpoints.release(
-            number, now_ms, outcome=outcome, took_ms=took_ms
-        )
-        return self._fill(now_ms) if is_counted else []
+        endpoint = self._endpoints.endpoint_of(number)
+        is_counted = self._endpoints.release(number, now_ms, outcome=outcome)
+        if endpoint is None or not is_counted:
+            return []
+        if outcome is decisions.Outcome.FAILED:
+            paused_until_ms = self._endpoints.paused_until_ms(endpoint)
+            self._schedule(paused_until_ms, _PAUSE_END)
+        return self._fill(now_ms)
 
     def cancel(self, number: int, now_ms: float) -> list[decisions.Decision]:
         """Removes a call, whether it waits or was granted."""
@@ -236,7 +244,9 @@
             key=lambda e: self._endpoints.end_ms(e, now_ms),
         ):
             high_ms = self.times.high_ms(endpoint.name)
-            while len(self._waiting) and endpoint.has_room(now_ms):
+            while len(self._waiting) and self._endpoints.has_room(
+                endpoint, now_ms
+            ):
                 entry = self._waiting.first_for(
                     endpoint.name,
                     now_ms,
--- a/src/jujubewharf/plain_calls/service_times.py
+++ b/src/jujubewharf/plain_calls/service_times.py
@@ -59,12 +59,15 @@
     Args:
         slowdown: Returns the present slowdown of an endpoint; 1.0 is usual.
         prior_ms: Time of a call before the first observation.
+
+    Attributes:
+        slowdown: See above.
     """
 
     def __init__(
         self, slowdown: Callable[[str], float], *, prior_ms: float
     ) -> None:
-        self._slowdown = slowdown
+        self.slowdown = slowdown
         self._prior_ms = prior_ms
         self._by_endpoint: dict[str, _Window] = {}
         self._spread = _Window(_SPREAD_OBSERVATIONS)
@@ -99,7 +102,7 @@
 
     def median_ms(self, endpoint: str) -> float:
         """Returns the median time of a call at an endpoint at present."""
-        return self._usual(endpoint) * self._slowdown(endpoint)
+        return self._usual(endpoint) * self.slowdown(endpoint)
 
     def high_ms(self, endpoint: str) -> float:
         """Returns the time within which nearly all calls end there."""
--- a/src/jujubewharf/requests/plain_endpoints.py
+++ b/src/jujubewharf/requests/plain_endpoints.py
@@ -101,6 +101,17 @@
         """Whether ``choose`` would return an endpoint."""
         return bool(self._usable(service, excluded))
 
+    def avoided(self, service: str, excluded: frozenset[str]) -> frozenset[str]:
+        """Returns the endpoints that a call must not go to.
+
+        Those that failed recently are among them unless no other is left.
+        """
+        usable = self._usable(service, excluded)
+        trusted = [e for e in usable if not self._is_suspect(e.name)]
+        kept = {endpoint.name for endpoint in trusted or usable}
+        names = {e.name for e in self._by_service.get(service, ())}
+        return excluded | (names - kept)
+
     def accepts_work(self, endpoint: str) -> bool:
         """Whether an endpoint currently accepts new work."""
         return not self._is_leaving(endpoint)
--- a/src/jujubewharf/standins/backend_state.py
+++ b/src/jujubewharf/standins/backend_state.py
@@ -10,6 +10,7 @@
 from jujubewharf.engines import client
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import ports
+from jujubewharf.standins import plain_slots
 
 PROOF_HEADER = ("Proof", "engine")
 
@@ -80,6 +81,8 @@
         backoff_ms: Backoff requested with a rejection of every call; 0 to
             accept calls.
         load: Load that its answers report; ``None`` to report none.
+        slots: Slots of a plain endpoint, whose load is then reported instead;
+            ``None`` to process all calls at once.
         received_requests: Requests and prefills that reached it, in order.
         received_reservations: Reservation calls that reached it, in order.
         announced_ms: Clock time of the first announcement to each instance.
@@ -116,6 +119,7 @@
     is_leaving: bool = False
     backoff_ms: float = 0.0
     load: reports.LoadReport | None = None
+    slots: plain_slots.PlainSlots | None = None
     received_requests: list[ReceivedRequest] = dataclasses.field(
         default_factory=list
     )
@@ -133,6 +137,11 @@
         """Name of the endpoint."""
         return self.endpoint.name
 
+    @property
+    def reported_load(self) -> reports.LoadReport | None:
+        """The load that an answer reports now."""
+        return self.load if self.slots is None else self.slots.load
+
     def error(
         self, fault: client.EngineFault, detail: str = ""
     ) -> client.EngineError:
--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -113,9 +113,7 @@
             if backend.is_silent:
                 await self._clock.sleep_ms(_ENDLESS_MS)
             if backend.endpoint.role is resources.Role.PLAIN:
-                await self._sleep_unless_crashed(
-                    backend, self._response_ms(backend, sending.call)
-                )
+                await self._process(backend, sending.call)
                 self._notify(backend, received_ms, ends_limit=True)
                 yield calls.Reply(
                     backend.status,
@@ -141,6 +139,10 @@
             raise backend.error(client.EngineFault.REFUSED_FULL)
         if backend.endpoint.role is resources.Role.PREFILL:
             raise backend.error(client.EngineFault.REFUSED_ROLE)
+        if backend.slots is not None and backend.slots.is_full:
+            backend.slots.rejected += 1
+            self._notify(backend, self._clock.now_ms())
+            raise backend.error(client.EngineFault.REFUSED_FULL)
         if sending.source is None:
             return
         handle = sending.source.handle
@@ -265,6 +267,18 @@
             else backend.work_ms
         )
 
+    async def _process(
+        self, backend: backend_state.StandInBackend, call: calls.Call
+    ) -> None:
+        """Takes the response time of a plain endpoint, in a slot if any."""
+        work_ms = self._response_ms(backend, call)
+        if backend.slots is None:
+            await self._sleep_unless_crashed(backend, work_ms)
+            return
+        async with backend.slots.occupied():
+            work_ms *= backend.slots.slowdown
+            await self._sleep_unless_crashed(backend, work_ms)
+
     def _schedule_crash(
         self, backend: backend_state.StandInBackend, body: bytes
     ) -> None:
@@ -354,7 +368,7 @@
             ends_limit=ends_limit and limit is None,
             is_leaving=backend.is_leaving,
             backoff_ms=backoff_ms,
-            load=backend.load,
+            load=backend.reported_load,
         )
         if limit is not None or backend.is_leaving or backoff_ms:
             now_ms = self._clock.now_ms()
