--- a/src/jujubewharf/leadership/plain_permit_server.py
+++ b/src/jujubewharf/leadership/plain_permit_server.py
@@ -42,6 +42,9 @@
         self._loads = loads
         self._applies_to = applies_to
         self._clock = clock
+        # Routes by name, and the configuration that they are from.
+        self._routes: dict[str, routes.Route] = {}
+        self._routes_of: routes.RoutingConfiguration | None = None
         # Numbers in the leader's queues by the follower's numbers.
         self._numbers: dict[int, int] = {}
 
@@ -52,11 +55,14 @@
 
         The follower then chooses by itself.
         """
-        call = self._waiting_call(request)
-        if call is None:
+        route = self._route(request.route)
+        if route is None or not self._applies_to(request.service):
             return None
+        call = self._waiting_call(request, route)
         self._numbers[request.number] = call.number
-        verdict = await self._queues.decide(request.service, call)
+        verdict = await self._queues.decide(
+            request.service, call, target_ms=route.target_ms
+        )
         match verdict:
             case decisions.Granted():
                 known = self._loads.get(verdict.endpoint)
@@ -105,11 +111,10 @@
         self._numbers.clear()
 
     def _waiting_call(
-        self, request: plain_messages.PlainPermitRequest
-    ) -> decisions.WaitingCall | None:
-        route = self._route(request.route)
-        if route is None or not self._applies_to(request.service):
-            return None
+        self,
+        request: plain_messages.PlainPermitRequest,
+        route: routes.Route,
+    ) -> decisions.WaitingCall:
         account = self._source.accounts.by_name.get(request.account or "")
         priority = route.priority
         if account is not None and account.priority is not None:
@@ -127,6 +132,8 @@
 
     def _route(self, name: str) -> routes.Route | None:
         current = self._source.current
-        if current is None:
-            return None
-        return next((r for r in current.routes if r.name == name), None)
+        if current is not self._routes_of:
+            self._routes_of = current
+            known = () if current is None else current.routes
+            self._routes = {route.name: route for route in known}
+        return self._routes.get(name)
--- a/src/jujubewharf/leadership/plain_permits.py
+++ b/src/jujubewharf/leadership/plain_permits.py
@@ -121,7 +121,6 @@
         self._source = source
         self._clock = clock
         self._times: dict[str, service_times.ServiceTimes] = {}
-        self._prior_ms = 0.0
         self._choice = local_choice.LocalChoice(domain, _Loads(loads), rng)
         self.queues = plain_queues.PlainQueues(
             registry, loads, self._times_of, clock
@@ -179,7 +178,6 @@
         self, run: runs.Run, excluded: frozenset[str]
     ) -> tuple[permits.Permit, _Choice]:
         started_ms = self._clock.now_ms()
-        self._prior_ms = run.route.target_ms * _PRIOR_SHARE_OF_TARGET
         unusable: set[str] = set()
         while True:
             avoided = self._chooser.avoided(run.service, excluded | unusable)
@@ -241,7 +239,9 @@
             run.call.account,
             avoided,
         )
-        verdict = await self.queues.decide(run.service, call)
+        verdict = await self.queues.decide(
+            run.service, call, target_ms=run.route.target_ms
+        )
         match verdict:
             case decisions.Granted(endpoint=name):
                 known = self._loads.get(name)
@@ -283,7 +283,7 @@
 
                 def release(outcome: decisions.Outcome, took_ms: float) -> None:
                     self._client.release(answer, name, outcome, took_ms)
-                    self._record(run.service, name, outcome, took_ms)
+                    self._record(run, name, outcome, took_ms)
 
                 return _Choice(
                     name,
@@ -309,7 +309,7 @@
         due_ms = run.call.arrived_ms + run.route.target_ms
         chosen = self._choice.choose(
             endpoints,
-            self._times_of(run.service),
+            self._times_of(run.service, run.route.target_ms),
             due_in_ms=due_ms - self._clock.now_ms(),
         )
         assert chosen is not None
@@ -318,9 +318,7 @@
         return _Choice(
             name,
             fleets.Role.ALONE.value,
-            lambda outcome, took_ms: self._record(
-                run.service, name, outcome, took_ms
-            ),
+            lambda outcome, took_ms: self._record(run, name, outcome, took_ms),
             load_age_ms=None if known is None else known.age_ms,
         )
 
@@ -352,21 +350,24 @@
 
     def _record(
         self,
-        service: str,
+        run: runs.Run,
         endpoint: str,
         outcome: decisions.Outcome,
         took_ms: float,
     ) -> None:
         if outcome is decisions.Outcome.COMPLETED:
-            self._times_of(service).record(
-                endpoint, took_ms, slowdown=self._loads.slowdown(endpoint)
-            )
+            times = self._times_of(run.service, run.route.target_ms)
+            slowdown = self._loads.slowdown(endpoint)
+            times.record(endpoint, took_ms, slowdown=slowdown)
 
-    def _times_of(self, service: str) -> service_times.ServiceTimes:
+    def _times_of(
+        self, service: str, target_ms: float
+    ) -> service_times.ServiceTimes:
         times = self._times.get(service)
         if times is None:
             times = service_times.ServiceTimes(
-                self._loads.slowdown, prior_ms=max(1.0, self._prior_ms)
+                self._loads.slowdown,
+                prior_ms=target_ms * _PRIOR_SHARE_OF_TARGET,
             )
             self._times[service] = times
         return times
--- a/src/jujubewharf/leadership/plain_queues.py
+++ b/src/jujubewharf/leadership/plain_queues.py
@@ -21,7 +21,7 @@
 from jujubewharf.plain_calls import permit_queue
 from jujubewharf.plain_calls import service_times
 
-# ``None`` if this instance has stopped leading.
+# ``None`` if the call was cancelled, or this instance has stopped leading.
 Verdict = decisions.Decision | None
 
 
@@ -44,7 +44,8 @@
     Args:
         registry: Registered endpoints.
         loads: Load that endpoints have reported.
-        times: Returns the observed times of a service's calls.
+        times: Returns the observed times of a service's calls; the second
+            argument is a target of its calls, for the prior.
         clock: Time source.
     """
 
@@ -52,7 +53,7 @@
         self,
         registry: registries.Registry,
         loads: table.LoadTable,
-        times: Callable[[str], service_times.ServiceTimes],
+        times: Callable[[str, float], service_times.ServiceTimes],
         clock: clocks.Clock,
     ) -> None:
         self._registry = registry
@@ -98,13 +99,13 @@
                     waiter.set_result(None)
 
     async def decide(
-        self, service: str, call: decisions.WaitingCall
+        self, service: str, call: decisions.WaitingCall, *, target_ms: float
     ) -> Verdict:
         """Returns the decision about a call, when it is made.
 
         A cancelled call is removed, whatever has been decided about it.
         """
-        queued = self._queue_of(service)
+        queued = self._queue_of(service, target_ms)
         self._service_of[call.number] = queued
         decision = queued.queue.request(call, self._clock.now_ms())
         self._arm(queued)
@@ -143,6 +144,9 @@
         service = self._service_of.pop(number, None)
         if service is None:
             return
+        waiter = service.waiters.pop(number, None)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
         decided = service.queue.cancel(number, self._clock.now_ms())
         self._deliver(service, decided)
 
@@ -173,13 +177,15 @@
             now_ms=self._clock.now_ms() - known.age_ms,
         )
 
-    def _queue_of(self, name: str) -> _ServiceQueue:
+    def _queue_of(self, name: str, target_ms: float) -> _ServiceQueue:
         service = self._by_service.get(name)
         if service is not None:
             return service
         order = orders.AdmissionOrder.from_policy(self._policy)
         queue = permit_queue.PermitQueue(
-            self._times(name), order, report_max_age_ms=table.MAX_AGE_MS
+            self._times(name, target_ms),
+            order,
+            report_max_age_ms=table.MAX_AGE_MS,
         )
         service = self._by_service[name] = _ServiceQueue(queue, order)
         endpoints = self._endpoints(name)
--- a/src/jujubewharf/plain_calls/capacity.py
+++ b/src/jujubewharf/plain_calls/capacity.py
@@ -80,7 +80,4 @@
 
     def has_room(self, own: int, now_ms: float) -> bool:
         """Whether one more call may be sent besides ``own`` calls."""
-        if own == 0:
-            # Without any call there is no answer that corrects a wrong report.
-            return True
         return own + self.foreign(now_ms) + 1 <= self._limit
--- a/src/jujubewharf/plain_calls/endpoint_grants.py
+++ b/src/jujubewharf/plain_calls/endpoint_grants.py
@@ -67,6 +67,10 @@
 
     def has_room(self, now_ms: float) -> bool:
         """Whether one more call may be sent there."""
+        if all(grant.is_orphaned for grant in self._grants.values()):
+            # Without any call there is no answer whose report corrects what
+            # is known of the others.
+            return True
         return self.capacity.has_room(len(self._grants), now_ms)
 
     def is_paused(self, now_ms: float) -> bool:
--- a/tests/forwarding/test_reloading.py
+++ b/tests/forwarding/test_reloading.py
@@ -52,6 +52,28 @@
 _RETRIES = {"retries": {"ratio": 0.1, "slack": 7, "window_s": 10}}
 
 
+def test_plain_queue_is_switched_without_a_restart(tmp_path):
+    async def scenario(watched):
+        watched.write({"plain_calls": {"queue": False}})
+        watched.reloader.request()
+        await watched.clock.sleep_ms(1.0)
+        assert [s.plain_calls.queue for s in watched.applied] == [False]
+
+    _run(tmp_path, scenario)
+
+
+def test_wrong_plain_queue_is_rejected(tmp_path):
+    async def scenario(watched):
+        watched.write({"plain_calls": {"queue": "sometimes"}})
+        watched.reloader.request()
+        await watched.clock.sleep_ms(1.0)
+        assert not watched.applied
+        assert watched.reloader.settings.plain_calls.queue
+
+    lines = _run(tmp_path, scenario)
+    assert any(line["event"] == "settings_rejected" for line in lines)
+
+
 def test_signal_applies_changes_immediately(tmp_path):
     """Live settings take effect without a restart."""
 
--- a/tests/leadership/plain_bursts.py
+++ b/tests/leadership/plain_bursts.py
@@ -6,6 +6,7 @@
 import dataclasses
 import random
 
+from jujubewharf.experiments import virtual_time
 from jujubewharf.standins import plain_slots
 from tests.forwarding import deployments
 
@@ -37,16 +38,20 @@
     world = deployments.Deployment(*behind)
     world.cores[leader] = 16.0
     names = [f"e{i}" for i in range(count)]
+    # ``VirtualLoop.hold`` can freeze the leader by its name.
+    token = virtual_time.OWNER.set(leader)
     await world.start(leader, domain=domains[0], is_led=True)
+    virtual_time.OWNER.reset(token)
     for position, name in enumerate(names):
         if name != leader:
             domain = domains[position % len(domains)]
             await _start(world, name, domain)
     await world.clock.sleep_ms(SETTLED_MS)
     assert world.leader == leader
-    # The first answers, and the next digest, tell all instances of the loads.
-    await asyncio.gather(*(world.ask("/sale/1", instance=n) for n in names))
-    await world.clock.sleep_ms(700.0)
+    # The first answers, and the next digests, tell all instances of the loads.
+    for _ in range(2):
+        await asyncio.gather(*(world.ask("/sale/1", instance=n) for n in names))
+        await world.clock.sleep_ms(700.0)
     return world
 
 
--- a/tests/leadership/test_plain_unchanged.py
+++ b/tests/leadership/test_plain_unchanged.py
@@ -8,7 +8,10 @@
 
 import pytest
 
+from jujubewharf.endpoint_load import reports
+from jujubewharf.forwarding import settings as all_settings
 from tests.forwarding import deployments
+from tests.leadership import plain_bursts
 
 # Digests of what each instance sent to which endpoint, and when, before there
 # was a permit queue.
@@ -53,3 +56,53 @@
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_decisions_without_load_reports_are_as_before(seed):
     assert deployments.run(_digest(seed)) == BEFORE[seed]
+
+
+def _report_loads(world):
+    for backend in world.backends.by_name.values():
+        backend.load = reports.LoadReport(1, 0, 6)
+
+
+def _switch_off(world):
+    _report_loads(world)
+    for instance in world.instances.values():
+        settings = instance._settings.model_copy(
+            update={"plain_calls": all_settings.PlainCallSettings(queue=False)}
+        )
+        instance.apply_settings(settings)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_decisions_with_the_queue_switched_off_are_as_before(seed):
+    digest = deployments.run(_digest(seed, prepare=_switch_off))
+    assert digest == BEFORE[seed]
+
+
+def test_load_reports_alone_change_the_decisions():
+    """The digests above would not show that the queue is used."""
+    digest = deployments.run(_digest(1, prepare=_report_loads))
+    assert digest != BEFORE[1]
+
+
+def test_queue_is_switched_while_calls_wait():
+    """Calls that wait are decided; later ones are sent without a permit."""
+
+    async def main():
+        world = await plain_bursts.started(*plain_bursts.endpoints())
+        calls = plain_bursts.burst(
+            world, per_s=2 * plain_bursts.CAPACITY_PER_S, for_ms=1_000.0
+        )
+        await world.clock.sleep_ms(500.0)
+        queues = world.instances["e0"].plain_permits.queues
+        assert queues.waiting
+        _switch_off(world)
+        assert not any(
+            i.plain_permits.applies_to(deployments.PLAIN)
+            for i in world.instances.values()
+        )
+        plain_bursts.check_answers(world, await calls)
+        await world.clock.sleep_ms(3_000.0)
+        plain_bursts.check_nothing_left(world)
+        await world.stop()
+
+    deployments.run(main())
--- a/tests/plain_calls/test_permit_queue.py
+++ b/tests/plain_calls/test_permit_queue.py
@@ -217,3 +217,39 @@
     queue = _queue(simulation.endpoint("s1"))
     assert queue.release(77, 0.0) == []
     assert queue.cancel(77, 0.0) == []
+
+
+def test_endpoint_that_fails_at_once_gets_a_pause():
+    """It always has room and would get all calls."""
+    queue = _queue(simulation.endpoint("s1"), simulation.endpoint("s2", "b"))
+    failed = decisions.Outcome.FAILED
+    assert queue.request(_call(0), 0.0).endpoint == "s1"
+    queue.release(0, 1.0, outcome=failed)
+    assert queue.request(_call(1), 2.0).endpoint == "s2"
+    granted = queue.request(_call(2), 25.0)
+    assert granted.endpoint == "s1"
+    queue.release(2, 26.0, outcome=failed)
+    # The second pause is longer, and ends with an answer.
+    assert queue.request(_call(3), 50.0).endpoint == "s2"
+    granted = queue.request(_call(4), 70.0)
+    assert granted.endpoint == "s1"
+    queue.release(4, 150.0)
+    assert queue.request(_call(5), 150.0).endpoint == "s1"
+
+
+def test_calls_that_wait_are_granted_when_a_pause_ends():
+    queue = _queue(
+        simulation.endpoint("s1", slots=1), simulation.endpoint("s2", slots=1)
+    )
+    _fill(queue, 5)
+    queue.release(0, 1.0, outcome=decisions.Outcome.FAILED)
+    assert queue.waiting == 1
+    (granted,) = queue.expire(queue.next_event_ms)
+    assert granted.number == 4
+
+
+def test_paused_endpoints_are_used_if_no_other_is_left():
+    queue = _queue(simulation.endpoint("s1"))
+    queue.request(_call(0), 0.0)
+    queue.release(0, 1.0, outcome=decisions.Outcome.FAILED)
+    assert queue.request(_call(1), 2.0).endpoint == "s1"
