--- a/src/jujubewharf/plain_calls/permit_queue.py
+++ b/src/jujubewharf/plain_calls/permit_queue.py
@@ -236,13 +236,13 @@
         decided: list[decisions.Decision] = []
         if not len(self._waiting):
             return decided
-        late_before_ms = now_ms + self._endpoints.min_high_ms(
-            self._endpoints.accepting()
-        )
-        for endpoint in sorted(
-            self._endpoints.accepting(),
-            key=lambda e: self._endpoints.end_ms(e, now_ms),
-        ):
+        accepting = self._endpoints.accepting()
+        free = [e for e in accepting if self._endpoints.has_room(e, now_ms)]
+        if not free:
+            return decided
+        late_before_ms = now_ms + self._endpoints.min_high_ms(accepting)
+        free.sort(key=lambda e: self._endpoints.end_ms(e, now_ms))
+        for endpoint in free:
             high_ms = self.times.high_ms(endpoint.name)
             while len(self._waiting) and self._endpoints.has_room(
                 endpoint, now_ms
--- a/src/jujubewharf/plain_calls/service_times.py
+++ b/src/jujubewharf/plain_calls/service_times.py
@@ -70,7 +70,8 @@
         self.slowdown = slowdown
         self._prior_ms = prior_ms
         self._by_endpoint: dict[str, _Window] = {}
-        self._spread = _Window(_SPREAD_OBSERVATIONS)
+        self._ratios = _Window(_SPREAD_OBSERVATIONS)
+        self._spread = _PRIOR_SPREAD
         self._usual_ms: dict[str, float] = {}
         self._service_ms: float | None = None
 
@@ -85,7 +86,9 @@
             slowdown: Slowdown that the endpoint reported during the call.
         """
         usual_ms = took_ms / slowdown
-        self._spread.add(usual_ms / self._usual(endpoint))
+        self._ratios.add(usual_ms / self._usual(endpoint))
+        if len(self._ratios) >= _PRIOR_SPREAD_OBSERVATIONS:
+            self._spread = max(1.0, self._ratios.quantile(_HIGH_QUANTILE))
         window = self._by_endpoint.get(endpoint)
         if window is None:
             window = _Window(_ENDPOINT_OBSERVATIONS)
@@ -111,9 +114,7 @@
     @property
     def spread(self) -> float:
         """Ratio of the high quantile to the median."""
-        if len(self._spread) < _PRIOR_SPREAD_OBSERVATIONS:
-            return _PRIOR_SPREAD
-        return max(1.0, self._spread.quantile(_HIGH_QUANTILE))
+        return self._spread
 
     def _usual(self, endpoint: str) -> float:
         """Returns the median at usual speed, drawn towards the service's."""
