--- /dev/null
+++ b/src/jujubewharf/engine_speeds/__init__.py
@@ -0,0 +1,1 @@
+"""Observed speeds of engines, and the choice of engines by them."""
