Rank engines by speed as well as by load

Prompts went to a slow prefill engine as often as to a fast one, and streams took slow decode engines while fast ones had free memory.

Prefill engines are ranked by the expected end of the prompt, decode engines with ample memory by speed before small differences in load. Late requests and those of a patient class take idle slow engines first, unless that makes them late; nobody takes an engine that is slowed at the moment first. Costs are those of a median engine, a late request waits as long as the fastest engine can still complete it, and a full slow engine is asked again later. ResponseProjected names the engine and its time between events, PrefillCompleted the slowdown; both fields have defaults.

--- a/src/jujubewharf/forwarding/costs.py
+++ b/src/jujubewharf/forwarding/costs.py
@@ -148,6 +148,7 @@
         self._decode = _Average(_MIN_RESPONSES)
         self._projected = _Average(_MIN_RESPONSES)
         self._hold_time = _Average(_MIN_RESPONSES)
+        self._reference_hold_time = _Average(_MIN_RESPONSES)
         self._first_event_ms: collections.deque[float] = collections.deque(
             maxlen=_MAX_FIRST_EVENTS
         )
@@ -160,8 +161,9 @@
     def decode_ms(self) -> float | None:
         """Time that a request would hold a decode engine's whole memory.
 
-        The duration of the response times its share of the memory; ``None``
-        before enough requests were observed. Until many responses have
+        On an engine of median speed: the duration of the response times its
+        share of the memory. ``None`` before enough requests were observed.
+        Until many responses have
         completed, projected durations of running ones are used instead: short
         responses complete first and would make the estimate too low.
         """
@@ -180,6 +182,11 @@
         """Mean time that a response holds its memory, or ``None``."""
         return self._hold_time.value
 
+    @property
+    def reference_hold_ms(self) -> float | None:
+        """Mean hold time on an engine of median speed, or ``None``."""
+        return self._reference_hold_time.value
+
     @property
     def first_event_ms(self) -> float | None:
         """Upper quartile of the time from reservation to first event."""
@@ -268,16 +275,40 @@
         self._prompt_tokens.add(prompt_tokens)
         self._prefills.append(_Prefill(prompt_tokens, took_ms, busy_ms))
 
-    def record_decode(self, took_ms: float, *, memory_share: float) -> None:
-        """Records how long a response held its share of engine memory."""
-        self._decode.add(took_ms * memory_share)
+    def record_decode(
+        self,
+        took_ms: float,
+        *,
+        memory_share: float,
+        relative_time: float = 1.0,
+    ) -> None:
+        """Records how long a response held its share of engine memory.
+
+        Args:
+            took_ms: Time for which it held its memory.
+            memory_share: Its share of the engine's memory.
+            relative_time: The engine's time relative to the median engine's.
+        """
+        reference_ms = took_ms / relative_time
+        self._decode.add(reference_ms * memory_share)
         self._hold_time.add(took_ms)
+        self._reference_hold_time.add(reference_ms)
 
     def record_projection(
-        self, projected_ms: float, *, memory_share: float
+        self,
+        projected_ms: float,
+        *,
+        memory_share: float,
+        relative_time: float = 1.0,
     ) -> None:
-        """Records the projected duration of a running response."""
-        self._projected.add(projected_ms * memory_share)
+        """Records the projected duration of a running response.
+
+        Args:
+            projected_ms: Projected duration.
+            memory_share: See ``record_decode``.
+            relative_time: See ``record_decode``.
+        """
+        self._projected.add(projected_ms / relative_time * memory_share)
 
     def record_first_event(self, took_ms: float) -> None:
         """Records the time from reservation to first event."""
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -11,6 +11,7 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
+from jujubewharf.engine_speeds import speeds
 from jujubewharf.forwarding import attempts
 from jujubewharf.forwarding import budget
 from jujubewharf.forwarding import calls
@@ -225,7 +226,13 @@
             is_limited=self.backpressure.is_limited,
         )
         self.registry.add_listener(chooser.set_endpoints)
-        engines = pool.EnginePool(self.work, self.backpressure, clock, rng)
+        engines = pool.EnginePool(
+            self.work,
+            self.backpressure,
+            clock,
+            rng,
+            speeds.EngineSpeeds(clock, self.loads.slowdown),
+        )
         lengths = margins.ResponseLengths()
         self.registry.add_listener(engines.update_engines)
         self._orders = role_controller.RoleController(
@@ -253,7 +260,9 @@
             rng,
         )
         local = observations.LocalObserver(self.work, lengths, engines)
-        observed = led.FleetObserver(self.fleet.link, local)
+        observed = led.FleetObserver(
+            self.fleet.link, local, self.loads.slowdown
+        )
         if adapters.peers is not None:
             self._leadership = self.fleet.new_leadership(
                 self._settings.instance,
--- a/src/jujubewharf/forwarding/patience.py
+++ b/src/jujubewharf/forwarding/patience.py
@@ -71,17 +71,24 @@
         start_ms = min(start_ms, target_ms * _MAX_START_SHARE)
         return max(0.0, target_ms - start_ms - self._elapsed_ms(run))
 
-    def late_wait_ms(self, run: runs.Run) -> float:
+    def late_wait_ms(self, run: runs.Run, *, fastest: float = 1.0) -> float:
         """Returns how long a request waits that has missed its target.
 
         0 or less if the response can't complete before the deadline; the
         request is then refused without a wait.
+
+        Args:
+            run: The request.
+            fastest: Time of a response on the fastest engine, relative to the
+                median one. Slower engines come last once the response can't
+                complete there.
         """
         max_wait_ms = max(
             _LATE_WAIT_MS, run.route.target_ms * _LATE_WAIT_TARGET_FACTOR
         )
         return min(
-            max_wait_ms, run.left_ms(self._clock) - self._response_ms(run)
+            max_wait_ms,
+            run.left_ms(self._clock) - self._response_ms(run, fastest),
         )
 
     def retry_after_ms(self, call: calls.Call, running_count: int) -> float:
@@ -111,10 +118,10 @@
         self._last_retry_at_ms = max(self._last_retry_at_ms, retry_at_ms)
         return max(_MIN_RETRY_AFTER_MS, retry_at_ms - now_ms)
 
-    def _response_ms(self, run: runs.Run) -> float:
-        memory_hold_ms = self._cost_estimates.memory_hold_ms
+    def _response_ms(self, run: runs.Run, fastest: float) -> float:
+        memory_hold_ms = self._cost_estimates.reference_hold_ms
         if memory_hold_ms is not None:
-            return memory_hold_ms * _RESPONSE_TIME_FACTOR
+            return memory_hold_ms * fastest * _RESPONSE_TIME_FACTOR
         timeout_ms = run.call.caller_timeout_ms or run.route.timeout_ms
         return timeout_ms * _DEFAULT_RESPONSE_SHARE
 
--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -12,12 +12,13 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 import contextlib
-import dataclasses
 import random
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
 from jujubewharf.configuration import resources
+from jujubewharf.engine_speeds import demands
+from jujubewharf.engine_speeds import urgency as urgencies
 from jujubewharf.engines import client
 from jujubewharf.forwarding import backpressure as all_backpressure
 from jujubewharf.forwarding import costs
@@ -53,26 +54,6 @@
 _CHECK_TTL_MS = 300.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _MemoryDemand:
-    """Memory that a request needs on an engine.
-
-    Attributes:
-        tokens: Memory to reserve, in tokens.
-        free_tokens: Memory that must stay free in addition, in tokens.
-        ttl_ms: Lifetime of the reservation, in milliseconds.
-    """
-
-    tokens: int
-    free_tokens: int
-    ttl_ms: float
-
-    @property
-    def total_tokens(self) -> int:
-        """Memory that must be free before the reservation, in tokens."""
-        return self.tokens + self.free_tokens
-
-
 class Placement:
     """Reserves memory on decode engines and queues requests until it is free.
 
@@ -117,6 +98,7 @@
         self._clock = clock
         self._rng = rng
         self._wait_policy = patience.WaitPolicy(cost_estimates, clock)
+        self._classes = urgencies.PriorityClasses(clock)
         self._queues: dict[str, wait_queues.WaitQueue] = {}
         self._running = 0
 
@@ -136,7 +118,7 @@
                 self._pool.holding_memory(
                     reservation.engine.name, demand.tokens
                 ),
-                self._prefill_assigned(run, reservation),
+                self._prefill_assigned(run, reservation, demand.urgency),
             ):
                 yield reservation
             self.record_hold_time(reservation)
@@ -151,12 +133,17 @@
         """Records how long a completed response held its memory."""
         took_ms = self._clock.now_ms() - reservation.reserved_at_ms
         self._cost_estimates.record_decode(
-            took_ms, memory_share=reservation.memory_share
+            took_ms,
+            memory_share=reservation.memory_share,
+            relative_time=self._pool.decode_time(reservation.engine.name),
         )
 
     @contextlib.contextmanager
     def _prefill_assigned(
-        self, run: runs.Run, reservation: places.Reservation
+        self,
+        run: runs.Run,
+        reservation: places.Reservation,
+        urgency: urgencies.Urgency,
     ) -> Iterator[None]:
         """Chooses prefill engines and tracks the prompt until it is prefilled.
 
@@ -171,7 +158,10 @@
             return
         engines = self._permitted_engines(run)
         reservation.prefill_engines = self._pool.prefill_candidates(
-            engines, preferred_domain=reservation.engine.domain
+            engines,
+            preferred_domain=reservation.engine.domain,
+            tokens=work.prompt_tokens,
+            urgency=urgency,
         )
         with contextlib.ExitStack() as exits:
             if reservation.prefill_engines:
@@ -184,17 +174,24 @@
 
     async def _wait_for_reservation(
         self, run: runs.Run
-    ) -> tuple[places.Reservation, _MemoryDemand]:
+    ) -> tuple[places.Reservation, demands.Demand]:
         started_ms = self._clock.now_ms()
         on_time_wait_ms = self._wait_policy.on_time_wait_ms(run)
         is_late = on_time_wait_ms <= 0.0
-        wait_ms = (
-            self._wait_policy.late_wait_ms(run) if is_late else on_time_wait_ms
-        )
+        wait_ms = on_time_wait_ms
+        if is_late:
+            fastest = self._pool.speeds.fastest_decode(run.service)
+            wait_ms = self._wait_policy.late_wait_ms(run, fastest=fastest)
         # A stream that is resumed is late but keeps its priority: its caller
         # already has part of the response, which a failure would waste.
         is_deprioritized = is_late and not run.may_have_run
-        demand = self._demand_of(run)
+        urgency = self._classes.urgency_of(
+            run,
+            is_late=is_late,
+            is_deprioritized=is_deprioritized,
+            on_time_wait_ms=on_time_wait_ms,
+        )
+        demand = self._demand_of(run, urgency)
         waiter = wait_queues.Waiter(is_deprioritized, started_ms + wait_ms)
         queue = self._queue_of(run.service)
         max_engines = _FIRST_ROUND_ENGINES
@@ -265,13 +262,15 @@
             ):
                 await waiter.wait_until_woken()
 
-    def _demand_of(self, run: runs.Run) -> _MemoryDemand:
-        """Returns the memory that the request needs."""
+    def _demand_of(
+        self, run: runs.Run, urgency: urgencies.Urgency
+    ) -> demands.Demand:
+        """Returns the memory and speed that the request needs."""
         traits = run.traits
         assert traits is not None
         work = run.call.work
         if work is None:
-            return _MemoryDemand(1, 0, traits.hold_max_ms)
+            return demands.Demand(1, 0, traits.hold_max_ms, urgency)
         mean_tokens = self._cost_estimates.prompt_tokens or float(
             work.prompt_tokens
         )
@@ -286,10 +285,10 @@
         # still placed, with less headroom.
         max_free_tokens = max(0, traits.memory_tokens - tokens)
         free_tokens = min(margin.free_tokens, max_free_tokens)
-        return _MemoryDemand(tokens, free_tokens, traits.hold_max_ms)
+        return demands.Demand(tokens, free_tokens, traits.hold_max_ms, urgency)
 
     async def _try_engines(
-        self, run: runs.Run, demand: _MemoryDemand, *, max_engines: int
+        self, run: runs.Run, demand: demands.Demand, *, max_engines: int
     ) -> places.Reservation | None:
         """Asks at most ``max_engines`` engines that may have enough memory."""
         assert run.traits is not None
@@ -299,6 +298,7 @@
             memory_tokens=run.traits.memory_tokens,
             preferred_domain=run.domain,
             failed_names=run.lost_by,
+            urgency=demand.urgency,
         )
         for engine in candidates[:max_engines]:
             # One permit covers the reservation and the run that uses it.
@@ -329,7 +329,7 @@
         return None
 
     def _record_failure(
-        self, run: runs.Run, error: client.EngineError, demand: _MemoryDemand
+        self, run: runs.Run, error: client.EngineError, demand: demands.Demand
     ) -> None:
         if error.fault is client.EngineFault.REFUSED_FULL:
             self._pool.record_memory_refusal(error.engine, demand.total_tokens)
@@ -350,7 +350,7 @@
         self,
         traits: routes.EngineTraits,
         engine: resources.Endpoint,
-        demand: _MemoryDemand,
+        demand: demands.Demand,
     ) -> str:
         """Reserves memory if the required headroom is free as well.
 
@@ -381,7 +381,7 @@
         )
 
     def _refusal(
-        self, run: runs.Run, demand: _MemoryDemand
+        self, run: runs.Run, demand: demands.Demand
     ) -> errors.WharfError:
         engines = self._registry.of_service(run.service)
         request_log.log_failed_placement(
--- a/src/jujubewharf/forwarding/pool.py
+++ b/src/jujubewharf/forwarding/pool.py
@@ -6,12 +6,15 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 import contextlib
-import dataclasses
 import enum
 import random
 
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
+from jujubewharf.engine_speeds import engine_state
+from jujubewharf.engine_speeds import ranking as rankings
+from jujubewharf.engine_speeds import speeds as all_speeds
+from jujubewharf.engine_speeds import urgency as urgencies
 from jujubewharf.engines import client
 from jujubewharf.forwarding import backpressure as all_backpressure
 from jujubewharf.forwarding import costs
@@ -34,18 +37,6 @@
 _MAX_PAUSE_SHARE = 1 / 2
 # Time between releases of memory that is assumed before it was observed.
 _DEFAULT_RELEASE_INTERVAL_MS = 400.0
-# Share of an engine's memory below which no check for headroom is needed. The
-# rest absorbs responses that outgrow their reservations.
-_AMPLE_MEMORY_SHARE = 0.7
-# Difference in reserved memory, as a share of an engine's memory, from which
-# a less loaded engine is preferred to one of the request's own domain.
-_LOAD_STEP_SHARE = 1 / 4
-# Prefill engines whose expected waits differ by less than this count as equal;
-# the domain then decides.
-_EQUAL_WAIT_MS = 20.0
-# Prefill time per token that is assumed before it was observed. Only affects
-# the ranking of engines.
-_DEFAULT_TOKEN_MS = 0.05
 
 
 class Availability(enum.Enum):
@@ -58,41 +49,6 @@
     DEFERRED = "deferred"
 
 
-@dataclasses.dataclass(slots=True)
-class EngineState:
-    """State of one engine as this instance knows it.
-
-    Attributes:
-        breaker: Circuit breaker for calls to the engine.
-        reserved_tokens: Memory reserved there by this instance, in tokens.
-        prefill_tokens: Prompt tokens of this instance in prefill there.
-        full_until_ms: Clock reading until which the last refusal for lack of
-            memory applies.
-        refused_tokens: Smallest refused amount within that time, in tokens;
-            smaller requests may still fit.
-        refusals: Number of consecutive refusals for lack of memory.
-        prefill_wait_ms: Time that the last prompt was queued before prefill.
-        prefill_wait_at_ms: Clock reading at which ``prefill_wait_ms`` was
-            recorded.
-        prefill_ended_ms: Clock reading at which the last prefill ended.
-        unavailable_until_ms: Clock reading until which the engine is expected
-            to refuse requests for its registered role.
-        role: Last registered role.
-    """
-
-    breaker: breakers.Breaker
-    reserved_tokens: int = 0
-    prefill_tokens: int = 0
-    full_until_ms: float = 0.0
-    refused_tokens: int = 0
-    refusals: int = 0
-    prefill_wait_ms: float = 0.0
-    prefill_wait_at_ms: float = 0.0
-    prefill_ended_ms: float = float("-inf")
-    unavailable_until_ms: float = 0.0
-    role: resources.Role | None = None
-
-
 class EnginePool:
     """Tracks the state of engines and ranks them for requests.
 
@@ -102,6 +58,10 @@
         clock: Clock for pauses and circuit breakers.
         rng: Breaks ties at random, so that instances don't all select the
             same engine.
+        speeds: Observed speeds of engines; shared with the role controller.
+
+    Attributes:
+        speeds: Observed speeds of engines.
     """
 
     def __init__(
@@ -110,18 +70,22 @@
         backpressure: all_backpressure.Backpressure,
         clock: clocks.Clock,
         rng: random.Random,
+        speeds: all_speeds.EngineSpeeds | None = None,
     ) -> None:
+        self.speeds = speeds or all_speeds.EngineSpeeds(clock)
         self._cost_estimates = cost_estimates
         self._backpressure = backpressure
         self._clock = clock
-        self._rng = rng
-        self._states: dict[str, EngineState] = {}
+        self._ranking = rankings.EngineRanking(
+            cost_estimates, self.speeds, self.state, clock, rng
+        )
+        self._states: dict[str, engine_state.EngineState] = {}
 
-    def state(self, name: str) -> EngineState:
+    def state(self, name: str) -> engine_state.EngineState:
         """Returns the state of an engine; a new one is assumed healthy."""
         state = self._states.get(name)
         if state is None:
-            state = EngineState(breakers.Breaker(self._clock))
+            state = engine_state.EngineState(breakers.Breaker(self._clock))
             self._states[name] = state
         return state
 
@@ -138,6 +102,7 @@
             if state.role is not engine.role:
                 state.role = engine.role
                 state.unavailable_until_ms = 0.0
+        self.speeds.update_engines(engines)
         names = {engine.name for engine in engines}
         for name, state in list(self._states.items()):
             is_in_use = state.reserved_tokens or state.prefill_tokens
@@ -152,6 +117,7 @@
         memory_tokens: int,
         preferred_domain: str,
         failed_names: Collection[str] = (),
+        urgency: urgencies.Urgency = urgencies.UNKNOWN,
     ) -> list[resources.Endpoint]:
         """Returns the decode engines to ask, the preferred one first.
 
@@ -166,6 +132,7 @@
                 response.
             failed_names: Names of engines that have already failed the request
                 and are likely to fail it again.
+            urgency: How urgent the request is.
         """
         # Looked up once per call: most fleets have none, while hundreds of
         # engines are ranked for each request.
@@ -178,13 +145,14 @@
             and engine.name not in deferred
             and self._availability(engine, tokens) is Availability.AVAILABLE
         ]
-        step_tokens = max(1.0, memory_tokens * _LOAD_STEP_SHARE)
-        return sorted(
+        return self._ranking.sorted_for_decode(
             candidates,
-            key=lambda e: (
-                e.name in failed_names,
-                self._decode_rank(e, preferred_domain, step_tokens, limited),
-            ),
+            tokens=tokens,
+            memory_tokens=memory_tokens,
+            preferred_domain=preferred_domain,
+            failed_names=failed_names,
+            limited=limited,
+            urgency=urgency,
         )
 
     def has_ample_memory(
@@ -200,7 +168,9 @@
             memory_tokens: Memory of the engine, in tokens.
         """
         reserved_tokens = self.state(name).reserved_tokens
-        return reserved_tokens + tokens <= memory_tokens * _AMPLE_MEMORY_SHARE
+        return reserved_tokens + tokens <= (
+            memory_tokens * rankings.AMPLE_MEMORY_SHARE
+        )
 
     def names_by_availability(
         self, engines: Sequence[resources.Endpoint], *, tokens: int
@@ -216,7 +186,12 @@
         return names
 
     def prefill_candidates(
-        self, engines: Sequence[resources.Endpoint], *, preferred_domain: str
+        self,
+        engines: Sequence[resources.Endpoint],
+        *,
+        preferred_domain: str,
+        tokens: int = 0,
+        urgency: urgencies.Urgency = urgencies.UNKNOWN,
     ) -> list[resources.Endpoint]:
         """Returns the prefill engines to ask, the preferred one first.
 
@@ -224,6 +199,8 @@
             engines: Engines to choose from.
             preferred_domain: Failure domain of the engine that will fetch the
                 result; transfers within a domain are faster and cheaper.
+            tokens: Prompt size, in tokens.
+            urgency: How urgent the request is.
         """
         deferred = self._backpressure.deferred_names()
         candidates = [
@@ -234,9 +211,12 @@
             and self._availability(engine) is Availability.AVAILABLE
         ]
         limited = self._backpressure.limited_names()
-        return sorted(
+        return self._ranking.sorted_for_prefill(
             candidates,
-            key=lambda e: self._prefill_rank(e, preferred_domain, limited),
+            tokens=tokens,
+            preferred_domain=preferred_domain,
+            limited=limited,
+            urgency=urgency,
         )
 
     def record_failure(self, error: client.EngineError) -> None:
@@ -260,7 +240,7 @@
             return
         release_interval_ms = (
             self._cost_estimates.decode_ms or _DEFAULT_RELEASE_INTERVAL_MS
-        )
+        ) * self.decode_time(name)
         pause_share = min(
             _MAX_PAUSE_SHARE, _FIRST_PAUSE_SHARE * 2**state.refusals
         )
@@ -289,12 +269,28 @@
         now_ms = self._clock.now_ms()
         busy_ms = min(took_ms, now_ms - state.prefill_ended_ms)
         state.prefill_ended_ms = now_ms
+        time = self.speeds.at_present(name, all_speeds.Stage.PREFILL)
+        self.speeds.record_prefill(
+            name, took_ms, tokens=tokens, busy_ms=busy_ms
+        )
         token_ms = self._cost_estimates.token_ms
         if token_ms is not None:
-            state.prefill_wait_ms = max(0.0, took_ms - tokens * token_ms)
+            expected_ms = tokens * token_ms * time
+            state.prefill_wait_ms = max(0.0, took_ms - expected_ms)
             state.prefill_wait_at_ms = now_ms
         return busy_ms
 
+    def decode_time(self, name: str) -> float:
+        """Returns a response's time on an engine, relative to the median."""
+        return self.speeds.lasting(name, all_speeds.Stage.DECODE)
+
+    def record_event_time(self, name: str, event_ms: float) -> None:
+        """Records the mean time between the first events of a stream."""
+        reserved_tokens = self.state(name).reserved_tokens
+        self.speeds.record_event_time(
+            name, event_ms, reserved_tokens=reserved_tokens
+        )
+
     def record_success(self, name: str) -> None:
         """Records a successful call to an engine."""
         self.state(name).breaker.record_success()
@@ -342,51 +338,3 @@
         if state.full_until_ms > now_ms and tokens >= state.refused_tokens:
             return Availability.FULL
         return Availability.AVAILABLE
-
-    def _decode_rank(
-        self,
-        engine: resources.Endpoint,
-        preferred_domain: str,
-        step_tokens: float,
-        limited: frozenset[str],
-    ) -> tuple[bool, int, bool, bool, int, float]:
-        state = self.state(engine.name)
-        return (
-            state.breaker.is_degraded,
-            int(state.reserved_tokens // step_tokens),
-            # Engines with a rate limit are overloaded, so others go first.
-            engine.name in limited,
-            # Ranked before small differences in load: a response that crosses
-            # domains fails with a partition between them, and all engines with
-            # free memory are equally fast.
-            engine.domain != preferred_domain,
-            state.reserved_tokens,
-            self._rng.random(),
-        )
-
-    def _prefill_rank(
-        self,
-        engine: resources.Endpoint,
-        preferred_domain: str,
-        limited: frozenset[str],
-    ) -> tuple[bool, bool, float, bool, float]:
-        state = self.state(engine.name)
-        return (
-            state.breaker.is_degraded,
-            engine.name in limited,
-            self._expected_wait_ms(state),
-            engine.domain != preferred_domain,
-            self._rng.random(),
-        )
-
-    def _expected_wait_ms(self, state: EngineState) -> float:
-        """Returns the expected time until a prefill engine starts a prompt.
-
-        Prompts of this instance are known. Those of other instances are
-        estimated from how long the last prompt was queued, less the time since.
-        """
-        token_ms = self._cost_estimates.token_ms or _DEFAULT_TOKEN_MS
-        elapsed_ms = self._clock.now_ms() - state.prefill_wait_at_ms
-        other_instances_ms = max(0.0, state.prefill_wait_ms - elapsed_ms)
-        expected_ms = max(state.prefill_tokens * token_ms, other_instances_ms)
-        return expected_ms // _EQUAL_WAIT_MS
--- a/src/jujubewharf/forwarding/stream.py
+++ b/src/jujubewharf/forwarding/stream.py
@@ -251,6 +251,8 @@
         self._observations.record_projection(
             begun_ms + event_count * event_ms,
             memory_share=self._upstream.memory_part,
+            engine=self._upstream.engine.name,
+            event_ms=event_ms,
         )
 
 
--- a/src/jujubewharf/leadership/led.py
+++ b/src/jujubewharf/leadership/led.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 
 from jujubewharf.engines import client
@@ -59,21 +60,35 @@
     Args:
         leader: The link to the leader.
         local: Local observations, for use without a leader.
+        slowdown: Returns the slowdown that an engine reported here. The leader
+            gets no answers of prefill engines that work for its followers.
     """
 
     def __init__(
-        self, leader: leader_link.LeaderLink, local: observed.Observer
+        self,
+        leader: leader_link.LeaderLink,
+        local: observed.Observer,
+        slowdown: Callable[[str], float] = lambda engine: 1.0,
     ) -> None:
         self._leader = leader
         self._local = local
+        self._slowdown = slowdown
 
     def record_prefill(
-        self, engine: str, took_ms: float, *, tokens: int
+        self,
+        engine: str,
+        took_ms: float,
+        *,
+        tokens: int,
+        slowdown: float = 1.0,
     ) -> None:
         """See ``observations.Observer``."""
-        self._local.record_prefill(engine, took_ms, tokens=tokens)
+        slowdown = self._slowdown(engine)
+        self._local.record_prefill(
+            engine, took_ms, tokens=tokens, slowdown=slowdown
+        )
         self._leader.tell(
-            leader_messages.PrefillCompleted(engine, took_ms, tokens)
+            leader_messages.PrefillCompleted(engine, took_ms, tokens, slowdown)
         )
 
     def record_first_event(self, took_ms: float) -> None:
@@ -82,12 +97,24 @@
         self._leader.tell(leader_messages.FirstEventReceived(took_ms))
 
     def record_projection(
-        self, projected_ms: float, *, memory_share: float
+        self,
+        projected_ms: float,
+        *,
+        memory_share: float,
+        engine: str | None = None,
+        event_ms: float | None = None,
     ) -> None:
         """See ``observations.Observer``."""
-        self._local.record_projection(projected_ms, memory_share=memory_share)
+        self._local.record_projection(
+            projected_ms,
+            memory_share=memory_share,
+            engine=engine,
+            event_ms=event_ms,
+        )
         self._leader.tell(
-            leader_messages.ResponseProjected(projected_ms, memory_share)
+            leader_messages.ResponseProjected(
+                projected_ms, memory_share, engine, event_ms
+            )
         )
 
     def record_length(self, expected_tokens: int, tokens: int) -> None:
--- a/src/jujubewharf/leadership/placement_server.py
+++ b/src/jujubewharf/leadership/placement_server.py
@@ -172,13 +172,19 @@
                 self._on_reading_ended(message)
             case leader_messages.PrefillCompleted():
                 self._observations.record_prefill(
-                    message.engine, message.took_ms, tokens=message.tokens
+                    message.engine,
+                    message.took_ms,
+                    tokens=message.tokens,
+                    slowdown=message.slowdown,
                 )
             case leader_messages.FirstEventReceived(took_ms=took_ms):
                 self._observations.record_first_event(took_ms)
             case leader_messages.ResponseProjected():
                 self._observations.record_projection(
-                    message.projected_ms, memory_share=message.memory_share
+                    message.projected_ms,
+                    memory_share=message.memory_share,
+                    engine=message.engine,
+                    event_ms=message.event_ms,
                 )
             case leader_messages.ResponseLengthMeasured():
                 self._observations.record_length(
--- a/src/jujubewharf/peers/leader_messages.py
+++ b/src/jujubewharf/peers/leader_messages.py
@@ -213,11 +213,14 @@
         engine: Name of the prefill engine.
         took_ms: Duration of the prefill, in ms.
         tokens: Number of prompt tokens.
+        slowdown: Slowdown that the engine reported with its answer; 1.0 is
+            usual.
     """
 
     engine: str
     took_ms: float
     tokens: int
+    slowdown: float = 1.0
 
 
 @messages.message(77)
@@ -240,10 +243,15 @@
     Attributes:
         projected_ms: Projected duration, in ms.
         memory_share: Share of the engine's memory that it holds.
+        engine: Name of the engine; ``None`` from an older build.
+        event_ms: Mean time between two events, in ms; ``None`` from an older
+            build.
     """
 
     projected_ms: float
     memory_share: float
+    engine: str | None = None
+    event_ms: float | None = None
 
 
 @messages.message(79)
