Plan engines' roles by their speed

The plan counted engines, so two prefill engines at half the speed counted as two, and which engine changed its role depended on domains and names only.

The plan adds up the engines' rates. The engine changes whose rate in its present role is lowest relative to its rate in the new one; among equals the slowest becomes a decode engine and the fastest a prefill engine.

--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -245,6 +245,7 @@
             clock,
             on_accepted=engines.record_role_change,
             is_backing_off=self.backpressure.is_backing_off,
+            work_rate=engines.speeds.work_rate,
         )
         places = placement.Placement(
             backends,
--- a/src/jujubewharf/forwarding/role_controller.py
+++ b/src/jujubewharf/forwarding/role_controller.py
@@ -70,6 +70,8 @@
         on_accepted: Called with the name of an engine that accepted an order.
         is_backing_off: Returns whether an engine has asked this instance to
             back off.
+        work_rate: Returns how much work an engine does in a role, relative to
+            the median engine of its service.
     """
 
     def __init__(
@@ -84,6 +86,7 @@
         *,
         on_accepted: Callable[[str], None] = lambda engine: None,
         is_backing_off: Callable[[str], bool] = lambda engine: False,
+        work_rate: role_plan.WorkRate = lambda engine, role: 1.0,
     ) -> None:
         super().__init__()
         self._instance = instance
@@ -95,6 +98,7 @@
         self._clock = clock
         self._on_accepted = on_accepted
         self._is_backing_off = is_backing_off
+        self._work_rate = work_rate
         self._pending: dict[str, _PendingOrder] = {}
         self._wanted_since_ms: dict[str, float] = {}
         self._registered: dict[str, dict[str, resources.Endpoint]] = {}
@@ -129,6 +133,7 @@
             self._registry.of_service(service),
             prefill_ms=estimates.prefill_ms,
             decode_ms=estimates.decode_ms,
+            work_rate=self._work_rate,
         )
         # Evaluated before the fencing token may be used, so that the order can
         # be sent as soon as it is.
--- a/src/jujubewharf/forwarding/role_plan.py
+++ b/src/jujubewharf/forwarding/role_plan.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
+import itertools
 
 from jujubewharf.configuration import resources
 
@@ -18,6 +20,12 @@
 # memory is scarce.
 _LOSS_WEIGHT = 0.3
 
+_PREFILL = resources.Role.PREFILL
+_DECODE = resources.Role.DECODE
+
+# Returns how much work an engine does in a role, relative to the median one.
+WorkRate = Callable[[resources.Endpoint, resources.Role], float]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RoleChange:
@@ -27,52 +35,80 @@
     role: resources.Role
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Rates:
+    """Work that one engine does in each role, see ``WorkRate``."""
+
+    prefill: float
+    decode: float
+
+
+def _equal_rate(engine: resources.Endpoint, role: resources.Role) -> float:
+    return 1.0
+
+
 def plan_changes(
     engines: Sequence[resources.Endpoint],
     *,
     prefill_ms: float | None,
     decode_ms: float | None,
+    work_rate: WorkRate = _equal_rate,
 ) -> list[RoleChange]:
     """Returns role changes that balance the load of both pools.
 
     Args:
         engines: All engines of one service that accept requests.
-        prefill_ms: Time that a prompt keeps a prefill engine busy; ``None``
-            before it was observed.
-        decode_ms: Time that a response would hold a decode engine's whole
-            memory; ``None`` before it was observed.
+        prefill_ms: Time that a prompt keeps a prefill engine of median speed
+            busy; ``None`` before it was observed.
+        decode_ms: Time that a response would hold a whole memory of a decode
+            engine of median speed; ``None`` before it was observed.
+        work_rate: Returns how much work an engine does in a role, relative to
+            the median engine.
 
     Returns:
         The changes, the most important one first.
     """
-    prefill_engines = [e for e in engines if e.role is resources.Role.PREFILL]
-    decode_engines = [e for e in engines if e.role is resources.Role.DECODE]
-    total = len(prefill_engines) + len(decode_engines)
+    prefill_engines = [e for e in engines if e.role is _PREFILL]
+    decode_engines = [e for e in engines if e.role is _DECODE]
+    rates = {
+        e.name: _Rates(work_rate(e, _PREFILL), work_rate(e, _DECODE))
+        for e in (*prefill_engines, *decode_engines)
+    }
+
+    def prefill_merit(engine: resources.Endpoint) -> tuple[float, ...]:
+        """Returns a key; engines with low ones are decode engines first.
+
+        The loss in the present role counts against the gain in the new one.
+        Where they are equal, the slowest engine changes, because the prompts
+        of its requests delay their first events.
+        """
+        rate = rates[engine.name]
+        return (rate.prefill / rate.decode, rate.prefill)
+
+    surplus = sorted(
+        prefill_engines,
+        key=lambda e: _domain_count(e, prefill_engines),
+        reverse=True,
+    )
+    surplus.sort(key=prefill_merit)
+    candidates = sorted(
+        decode_engines, key=lambda e: _domain_count(e, prefill_engines)
+    )
+    candidates.sort(key=prefill_merit, reverse=True)
+    current = len(prefill_engines)
     if prefill_ms is None or decode_ms is None:
-        target = _target_without_costs(total, len(prefill_engines))
+        target = _target_without_costs(len(rates), current)
     else:
-        target = _target_count(
-            total, len(prefill_engines), prefill_ms, decode_ms
-        )
-    if target < len(prefill_engines):
-        surplus = sorted(
-            prefill_engines,
-            key=lambda e: _domain_count(e, prefill_engines),
-            reverse=True,
-        )
-        return [
-            RoleChange(engine, resources.Role.DECODE)
-            for engine in surplus[: len(prefill_engines) - target]
-        ]
-    if target > len(prefill_engines):
-        candidates = sorted(
-            decode_engines, key=lambda e: _domain_count(e, prefill_engines)
-        )
-        return [
-            RoleChange(engine, resources.Role.PREFILL)
-            for engine in candidates[: target - len(prefill_engines)]
-        ]
-    return []
+        # In the order in which they become prefill engines.
+        order = [rates[e.name] for e in (*reversed(surplus), *candidates)]
+        target = _target_count(order, current, prefill_ms, decode_ms)
+    return [
+        *(RoleChange(e, _DECODE) for e in surplus[: max(0, current - target)]),
+        *(
+            RoleChange(e, _PREFILL)
+            for e in candidates[: max(0, target - current)]
+        ),
+    ]
 
 
 def _target_without_costs(total: int, current: int) -> int:
@@ -87,42 +123,65 @@
 
 
 def _target_count(
-    total: int, current: int, prefill_ms: float, decode_ms: float
+    order: Sequence[_Rates], current: int, prefill_ms: float, decode_ms: float
 ) -> int:
-    """Returns the number of prefill engines with the highest capacity."""
+    """Returns the number of prefill engines with the highest capacity.
+
+    Args:
+        order: Rates of all engines; the first ones are prefill engines.
+        current: Number of prefill engines at present.
+        prefill_ms: See ``plan_changes``.
+        decode_ms: See ``plan_changes``.
+    """
+    prefill_rates = [0.0, *itertools.accumulate(r.prefill for r in order)]
+    decode_rates = [0.0, *itertools.accumulate(r.decode for r in order)]
 
     def capacity(prefill_count: int) -> float:
-        decode_count = total - prefill_count
+        prefill_rate = prefill_rates[prefill_count]
+        decode_rate = decode_rates[-1] - decode_rates[prefill_count]
         full_rate = _requests_per_ms(
-            prefill_count, decode_count, prefill_ms, decode_ms
+            prefill_rate, decode_rate, prefill_ms, decode_ms
         )
         if not prefill_count:
             return full_rate
         reduced_rate = _requests_per_ms(
-            prefill_count - 1, decode_count, prefill_ms, decode_ms
+            prefill_rate * (prefill_count - 1) / prefill_count,
+            decode_rate,
+            prefill_ms,
+            decode_ms,
         )
         return full_rate * (1.0 - _LOSS_WEIGHT) + reduced_rate * _LOSS_WEIGHT
 
-    best = max(range(total + 1), key=capacity)
+    best = max(range(len(order) + 1), key=capacity)
     if capacity(best) < capacity(current) * (1.0 + _MIN_GAIN):
         return current
     return best
 
 
 def _requests_per_ms(
-    prefill_count: int, decode_count: int, prefill_ms: float, decode_ms: float
+    prefill_rate: float,
+    decode_rate: float,
+    prefill_ms: float,
+    decode_ms: float,
 ) -> float:
     """Returns the request rate that the pools can sustain.
 
     Decode engines also take the prefills that exceed the prefill pool.
+
+    Args:
+        prefill_rate: Work that the prefill engines do, in engines of median
+            speed.
+        decode_rate: The same for the decode engines.
+        prefill_ms: See ``plan_changes``.
+        decode_ms: See ``plan_changes``.
     """
-    decode_rate = decode_count / decode_ms
-    prefill_rate = prefill_count / prefill_ms
-    if decode_rate <= prefill_rate:
-        return decode_rate
+    decoded = decode_rate / decode_ms
+    prefilled = prefill_rate / prefill_ms
+    if decoded <= prefilled:
+        return decoded
     direct_ms = prefill_ms * _DECODE_ENGINE_PREFILL_COST
-    spare_ms = decode_count - prefill_rate * decode_ms
-    return prefill_rate + spare_ms / (decode_ms + direct_ms)
+    spare_ms = decode_rate - prefilled * decode_ms
+    return prefilled + spare_ms / (decode_ms + direct_ms)
 
 
 def _domain_count(
--- a/tests/forwarding/test_role_plan.py
+++ b/tests/forwarding/test_role_plan.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
 from jujubewharf.configuration import resources
 from jujubewharf.forwarding import role_plan
+from tests.engine_speeds import former_ranks
 from tests.forwarding import deployments
 
 PREFILL = resources.Role.PREFILL
@@ -77,3 +80,76 @@
     more = sum(c.role is PREFILL for c in changes)
     less = sum(c.role is DECODE for c in changes)
     assert prefill_count + more - less == expected
+
+
+def _rates(by_name: dict[str, float]):
+    return lambda engine, role: by_name.get(engine.name, 1.0)
+
+
+@pytest.mark.parametrize("seed", range(50))
+def test_equal_speeds_leave_the_plan_as_it_was(seed):
+    """Deployments with equal engines must see no other order."""
+    rng = random.Random(seed)
+    engines = [
+        deployments.engine(
+            f"e{n}", rng.choice((PREFILL, DECODE)), rng.choice("abcd")
+        ).endpoint
+        for n in range(rng.randrange(1, 30))
+    ]
+    for _ in range(20):
+        prefill_ms = rng.choice((None, rng.uniform(10.0, 2_000.0)))
+        decode_ms = rng.choice((None, rng.uniform(10.0, 2_000.0)))
+        changes = role_plan.plan_changes(
+            engines, prefill_ms=prefill_ms, decode_ms=decode_ms
+        )
+        found = [(change.engine.name, change.role) for change in changes]
+        assert found == former_ranks.planned_changes(
+            engines, prefill_ms, decode_ms
+        )
+
+
+def test_slowest_prefill_engine_becomes_decode_engine():
+    """It delays the first events of its prompts as a prefill engine."""
+    engines = _engines(3, 3)
+    changes = role_plan.plan_changes(
+        engines,
+        prefill_ms=90.0,
+        decode_ms=480.0,
+        work_rate=_rates({"e1": 0.5}),
+    )
+    assert changes[0].engine.name == "e1"
+
+
+def test_slow_decode_engine_keeps_its_role():
+    engines = _engines(1, 7)
+    changes = role_plan.plan_changes(
+        engines,
+        prefill_ms=90.0,
+        decode_ms=90.0,
+        work_rate=_rates({"e1": 0.5, "e2": 0.5}),
+    )
+    assert changes
+    assert {"e1", "e2"}.isdisjoint(c.engine.name for c in changes)
+
+
+def test_engine_that_is_slow_at_one_kind_of_work_does_the_other():
+    engines = _engines(3, 3)
+
+    def rate(engine, role):
+        return 0.5 if engine.name == "e0" and role is DECODE else 1.0
+
+    changes = role_plan.plan_changes(
+        engines, prefill_ms=90.0, decode_ms=480.0, work_rate=rate
+    )
+    assert changes
+    assert "e0" not in [change.engine.name for change in changes]
+
+
+def test_pools_are_sized_by_speed_and_not_by_number():
+    """Two prefill engines at half the speed do the work of one."""
+    engines = _engines(2, 4)
+    slow = _rates({"e0": 0.4, "e1": 0.4})
+    costs = {"prefill_ms": 240.0, "decode_ms": 480.0}
+    assert not role_plan.plan_changes(engines, **costs)
+    changes = role_plan.plan_changes(engines, work_rate=slow, **costs)
+    assert [change.role for change in changes] == [PREFILL]
