--- a/src/jujubewharf/forwarding/margins.py
+++ b/src/jujubewharf/forwarding/margins.py
@@ -19,6 +19,8 @@
 import math
 import statistics
 
+from jujubewharf.engine_speeds import demands
+from jujubewharf.engine_speeds import urgency as urgencies
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import routes
 
@@ -65,26 +67,6 @@
     free_tokens: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class MemoryDemand:
-    """Memory that a request needs on an engine.
-
-    Attributes:
-        tokens: Memory to reserve, in tokens.
-        free_tokens: Memory that must stay free in addition, in tokens.
-        ttl_ms: Lifetime of the reservation, in milliseconds.
-    """
-
-    tokens: int
-    free_tokens: int
-    ttl_ms: float
-
-    @property
-    def total_tokens(self) -> int:
-        """Memory that must be free before the reservation, in tokens."""
-        return self.tokens + self.free_tokens
-
-
 class ResponseLengths:
     """Statistics of response lengths and of callers' estimates."""
 
@@ -129,16 +111,18 @@
         traits: routes.EngineTraits,
         *,
         prompt_tokens: float | None,
-    ) -> MemoryDemand:
-        """Returns the memory that a request needs, and records its estimate.
+        urgency: urgencies.Urgency = urgencies.UNKNOWN,
+    ) -> demands.Demand:
+        """Returns what a request needs, and records its estimate.
 
         Args:
             work: Size of the request, if known.
             traits: Properties of the service's engines.
             prompt_tokens: Mean prompt size, in tokens; ``None`` if unknown.
+            urgency: How urgent the request is.
         """
         if work is None:
-            return MemoryDemand(1, 0, traits.hold_max_ms)
+            return demands.Demand(1, 0, traits.hold_max_ms, urgency)
         mean_tokens = prompt_tokens or float(work.prompt_tokens)
         self.record_estimate(work.answer_tokens)
         margin = self.margin(
@@ -151,7 +135,7 @@
         # still placed, with less headroom.
         max_free_tokens = max(0, traits.memory_tokens - tokens)
         free_tokens = min(margin.free_tokens, max_free_tokens)
-        return MemoryDemand(tokens, free_tokens, traits.hold_max_ms)
+        return demands.Demand(tokens, free_tokens, traits.hold_max_ms, urgency)
 
     def _count_sample(self) -> None:
         self._count += 1
--- a/src/jujubewharf/forwarding/patience.py
+++ b/src/jujubewharf/forwarding/patience.py
@@ -70,16 +70,24 @@
         self._longest_timeout_ms: dict[str, float] = {}
         self._last_retry_at_ms: dict[int, float] = {}
 
-    def new_ticket(self, run: runs.Run, cost: float) -> tickets.Ticket:
+    def new_ticket(
+        self, run: runs.Run, cost: float, *, fastest: float = 1.0
+    ) -> tickets.Ticket:
         """Returns the ticket of a request that begins to wait.
 
         A stream that is resumed is late but keeps its place among those in
         time: its caller already has part of the response, which a failure would
         waste.
+
+        Args:
+            run: The request.
+            cost: Tokens that count towards the account's share.
+            fastest: See ``late_wait_ms``.
         """
-        on_time_wait_ms = self.on_time_wait_ms(run)
-        is_late = on_time_wait_ms <= 0.0
-        wait_ms = self.late_wait_ms(run) if is_late else on_time_wait_ms
+        wait_ms = self.on_time_wait_ms(run)
+        is_late = wait_ms <= 0.0
+        if is_late:
+            wait_ms = self.late_wait_ms(run, fastest=fastest)
         return tickets.Ticket(
             run.priority,
             run.call.account,
@@ -132,17 +140,24 @@
         start_ms = min(start_ms, target_ms * _MAX_START_SHARE)
         return max(0.0, target_ms - start_ms - self._elapsed_ms(run))
 
-    def late_wait_ms(self, run: runs.Run) -> float:
+    def late_wait_ms(self, run: runs.Run, *, fastest: float = 1.0) -> float:
         """Returns how long a request waits that has missed its target.
 
         0 or less if the response can't complete before the deadline; the
         request is then refused without a wait.
+
+        Args:
+            run: The request.
+            fastest: Time of a response on the fastest engine, relative to the
+                median one. Slower engines come last once the response can't
+                complete there.
         """
         max_wait_ms = max(
             _LATE_WAIT_MS, run.route.target_ms * _LATE_WAIT_TARGET_FACTOR
         )
         return min(
-            max_wait_ms, run.left_ms(self._clock) - self._response_ms(run)
+            max_wait_ms,
+            run.left_ms(self._clock) - self._response_ms(run, fastest),
         )
 
     def retry_after_ms(
@@ -189,10 +204,10 @@
         self._last_retry_at_ms[priority] = max(last_retry_at_ms, retry_at_ms)
         return max(_MIN_RETRY_AFTER_MS, retry_at_ms - now_ms)
 
-    def _response_ms(self, run: runs.Run) -> float:
-        memory_hold_ms = self._cost_estimates.memory_hold_ms
+    def _response_ms(self, run: runs.Run, fastest: float) -> float:
+        memory_hold_ms = self._cost_estimates.reference_hold_ms
         if memory_hold_ms is not None:
-            return memory_hold_ms * _RESPONSE_TIME_FACTOR
+            return memory_hold_ms * fastest * _RESPONSE_TIME_FACTOR
         timeout_ms = run.call.caller_timeout_ms or run.route.timeout_ms
         return timeout_ms * _DEFAULT_RESPONSE_SHARE
 
--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -18,6 +18,8 @@
 from jujubewharf import errors
 from jujubewharf.admission import order as orders
 from jujubewharf.configuration import resources
+from jujubewharf.engine_speeds import demands
+from jujubewharf.engine_speeds import urgency as urgencies
 from jujubewharf.engines import client
 from jujubewharf.forwarding import backpressure as all_backpressure
 from jujubewharf.forwarding import costs
@@ -89,6 +91,7 @@
         self._clock = clock
         self._rng = rng
         self._wait_policy = patience.WaitPolicy(cost_estimates, clock)
+        self._classes = urgencies.PriorityClasses(clock)
         self._queues: dict[str, wait_queues.WaitQueue] = {}
         self._policy = orders.AdmissionPolicy()
         self._running = 0
@@ -117,7 +120,7 @@
                 self._pool.holding_memory(
                     reservation.engine.name, demand.tokens
                 ),
-                self._prefill_assigned(run, reservation),
+                self._prefill_assigned(run, reservation, demand.urgency),
             ):
                 yield reservation
             self.record_hold_time(reservation)
@@ -133,12 +136,17 @@
         """Records how long a completed response held its memory."""
         took_ms = self._clock.now_ms() - reservation.reserved_at_ms
         self._cost_estimates.record_decode(
-            took_ms, memory_share=reservation.memory_share
+            took_ms,
+            memory_share=reservation.memory_share,
+            relative_time=self._pool.decode_time(reservation.engine.name),
         )
 
     @contextlib.contextmanager
     def _prefill_assigned(
-        self, run: runs.Run, reservation: places.Reservation
+        self,
+        run: runs.Run,
+        reservation: places.Reservation,
+        urgency: urgencies.Urgency,
     ) -> Iterator[None]:
         """Chooses prefill engines and tracks the prompt until it is prefilled.
 
@@ -153,7 +161,10 @@
             return
         engines = self._permitted_engines(run)
         reservation.prefill_engines = self._pool.prefill_candidates(
-            engines, preferred_domain=reservation.engine.domain
+            engines,
+            preferred_domain=reservation.engine.domain,
+            tokens=work.prompt_tokens,
+            urgency=urgency,
         )
         with contextlib.ExitStack() as exits:
             if reservation.prefill_engines:
@@ -166,17 +177,22 @@
 
     async def _wait_for_reservation(
         self, run: runs.Run
-    ) -> tuple[places.Reservation, margins.MemoryDemand]:
+    ) -> tuple[places.Reservation, demands.Demand]:
         assert run.traits is not None
         work = run.call.work
+        cost = 1.0 if work is None else work.prompt_tokens + work.answer_tokens
+        ticket = self._wait_policy.new_ticket(
+            run,
+            float(cost),
+            fastest=self._pool.speeds.fastest_decode(run.service),
+        )
         demand = self._lengths.demand(
             work,
             run.traits,
             prompt_tokens=self._cost_estimates.prompt_tokens,
+            urgency=self._classes.urgency_of(run, ticket),
         )
         queue = self._queue_of(run.service)
-        cost = 1.0 if work is None else work.prompt_tokens + work.answer_tokens
-        ticket = self._wait_policy.new_ticket(run, float(cost))
         waiter = wait_queues.Waiter(ticket, demand.tokens)
         started_ms = self._clock.now_ms()
         with queue.enqueued(waiter):
@@ -202,7 +218,7 @@
     async def _ask_until_due(
         self,
         run: runs.Run,
-        demand: margins.MemoryDemand,
+        demand: demands.Demand,
         waiter: wait_queues.Waiter,
     ) -> places.Reservation | None:
         """Asks engines whenever it is the request's turn, until it is due."""
@@ -278,7 +294,7 @@
         await queue.pause(waiter, interval_ms * (0.5 + self._rng.random()))
 
     async def _try_engines(
-        self, run: runs.Run, demand: margins.MemoryDemand, *, max_engines: int
+        self, run: runs.Run, demand: demands.Demand, *, max_engines: int
     ) -> places.Reservation | None:
         """Asks at most ``max_engines`` engines that may have enough memory."""
         assert run.traits is not None
@@ -288,6 +304,7 @@
             memory_tokens=run.traits.memory_tokens,
             preferred_domain=run.domain,
             failed_names=run.lost_by,
+            urgency=demand.urgency,
         )
         for engine in candidates[:max_engines]:
             # One permit covers the reservation and the run that uses it.
@@ -318,10 +335,7 @@
         return None
 
     def _record_failure(
-        self,
-        run: runs.Run,
-        error: client.EngineError,
-        demand: margins.MemoryDemand,
+        self, run: runs.Run, error: client.EngineError, demand: demands.Demand
     ) -> None:
         if error.fault is client.EngineFault.REFUSED_FULL:
             self._pool.record_memory_refusal(error.engine, demand.total_tokens)
@@ -342,7 +356,7 @@
         self,
         traits: routes.EngineTraits,
         engine: resources.Endpoint,
-        demand: margins.MemoryDemand,
+        demand: demands.Demand,
     ) -> str:
         """Reserves memory if the required headroom is free as well.
 
@@ -375,7 +389,7 @@
     def _refusal(
         self,
         run: runs.Run,
-        demand: margins.MemoryDemand,
+        demand: demands.Demand,
         waiter: wait_queues.Waiter,
     ) -> errors.WharfError:
         queue = self._queue_of(run.service)
