Give late calls up with half of their time left

A late call waited until nearly its deadline: of the calls rejected at 1.2 times the capacity half had been held for 1.88 of 2 s.

--- a/src/jujubewharf/plain_calls/decisions.py
+++ b/src/jujubewharf/plain_calls/decisions.py
@@ -5,6 +5,10 @@
 import dataclasses
 import enum
 
+# Share of the time between target and deadline for which a late call waits.
+# The rest is for its caller to come back.
+_LATE_WAIT_SHARE = 0.5
+
 
 class Outcome(enum.Enum):
     """How a granted call ended.
@@ -58,6 +62,16 @@
     account: str | None = None
     excluded: frozenset[str] = frozenset()
 
+    def latest_start_ms(self, high_ms: float) -> float:
+        """Returns until when the call waits.
+
+        Args:
+            high_ms: Time within which nearly all calls end.
+        """
+        between_ms = max(0.0, self.deadline_ms - self.due_ms)
+        give_up_ms = self.due_ms + between_ms * _LATE_WAIT_SHARE
+        return min(self.deadline_ms - high_ms, give_up_ms)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Granted:
--- a/src/jujubewharf/plain_calls/permit_queue.py
+++ b/src/jujubewharf/plain_calls/permit_queue.py
@@ -227,7 +227,7 @@
             reason = decisions.RejectReason.NO_TIME
             return [self._reject_waiting(entry, reason, now_ms)]
         self._schedule(
-            max(now_ms + 1.0, call.deadline_ms - high_ms), call.number
+            max(now_ms + 1.0, call.latest_start_ms(high_ms)), call.number
         )
         return []
 
@@ -298,7 +298,7 @@
             + (in_time - will_be_late) / per_ms
             + (late_ahead + will_be_late + 1) / share / per_ms
         )
-        return now_ms + wait_ms + high_ms <= call.deadline_ms
+        return now_ms + wait_ms <= call.latest_start_ms(high_ms)
 
     def _grant(
         self,
