--- a/src/jujubewharf/standins/plain_slots.py
+++ b/src/jujubewharf/standins/plain_slots.py
@@ -71,7 +71,9 @@
 
     def _pass_on(self) -> None:
         """Gives the slot to the call that has waited longest."""
-        if self._waiting:
-            self._waiting.popleft().set_result(None)
-        else:
-            self._running -= 1
+        while self._waiting:
+            turn = self._waiting.popleft()
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self._running -= 1
