Hold a restored entry until a read after the hold still shows it

An endpoint that has left stays away for five seconds after a restore of the store that shows its entry again. The hold ended by the clock. When the store went away a second time and the read in progress got no answer, the instance had not noticed the outage yet, so the hold ran out while nobody could drop the entry, and the endpoint got work again.

The hold now ends with the first read that succeeds after it, as the grace of vanished entries does. The unit test of a second restore reads once more before it expects the entry, and also checks that it is not used without that read.

--- a/src/jujubewharf/forwarding/registry.py
+++ b/src/jujubewharf/forwarding/registry.py
@@ -340,8 +340,10 @@
             self._remove_lapsed()
 
     def _release_held(self) -> None:
-        now_ms = self._clock.now_ms()
-        due = [r for r, until_ms in self._held.values() if now_ms >= until_ms]
+        # An instance may not have noticed yet that the store is away again. A
+        # read that ended after the hold includes what the store has dropped.
+        read_ms = self._last_read_ms or 0.0
+        due = [r for r, until_ms in self._held.values() if read_ms >= until_ms]
         for record in due:
             del self._held[record.key]
             self._replace(self._records[record.key], record)
--- a/tests/forwarding/test_registry.py
+++ b/tests/forwarding/test_registry.py
@@ -273,13 +273,34 @@
         again = _record(epochs.combine(2, 3))
         registry.apply_all([again], epochs.combine(2, 4))
         await clock.sleep_ms(200.0)
+        registry.mark_store_available()
         assert not registry.takes_work("s1")
         await clock.sleep_ms(registries.RESTORE_HOLD_MS)
+        assert not registry.takes_work("s1")
+        registry.mark_store_available()
         assert registry.takes_work("s1")
 
     _run(test)
 
 
+def test_held_entry_is_not_used_while_the_store_is_away_unnoticed():
+    """A gone endpoint got work when a read hung past the end of its hold."""
+
+    async def test(registry, clock):
+        registry.apply([_record(3)])
+        registry.apply([_record(7, None)])
+        registry.apply_all([_restored(3)], epochs.combine(1, 4))
+        await clock.sleep_ms(registries.RESTORE_HOLD_MS + 1.0)
+        assert not registry.takes_work("s1")
+        registry.mark_store_unavailable()
+        registry.mark_store_available()
+        await clock.sleep_ms(registries.RESTORE_HOLD_MS - 1.0)
+        registry.mark_store_available()
+        assert not registry.takes_work("s1")
+
+    _run(test)
+
+
 def test_draining_endpoint_is_reported_at_a_restore():
     async def test(registry, clock):
         reported = []
