--- a/src/jujubewharf/forwarding/endpoint_state.py
+++ b/src/jujubewharf/forwarding/endpoint_state.py
@@ -52,7 +52,7 @@
             page: The page.
             is_full_read: Whether the whole table was read.
         """
-        self.registry.mark_store_available()
+        self.registry.mark_store_available(age_ms=page.age_ms)
         self.registry.mark_read_up_to(page.end)
         records = [
             registry.Record(r.key, r.offset, r.value, r.is_unreadable)
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -41,12 +41,14 @@
 from jujubewharf.leadership import fleet_crashes
 from jujubewharf.leadership import fleet_limits
 from jujubewharf.leadership import fleet_quotas
+from jujubewharf.leadership import fleet_retries
 from jujubewharf.leadership import leadership
 from jujubewharf.leadership import led
 from jujubewharf.leadership import load_digests
 from jujubewharf.leadership import plain_permits
 from jujubewharf.leadership import shared_state
 from jujubewharf.leaving import shutdown
+from jujubewharf.platform import availability as availabilities
 from jujubewharf.platform import epochs
 from jujubewharf.platform import groups
 from jujubewharf.platform import tables
@@ -124,6 +126,7 @@
         super().__init__()
         self._settings = settings
         self._clock = clock
+        self._availability = availabilities.StoreAvailability(clock)
         self._leadership: leadership.Leadership | None = None
         self._started_at_ms = clock.now_ms()
         self._is_settled = False
@@ -147,7 +150,7 @@
             ratio=settings.retries.ratio,
             slack=settings.retries.slack,
             window_ms=settings.retries.window_s * clocks.MS_PER_S,
-            share=self._retry_share,
+            share=self._slack_share,
         )
         self._costs = costs.FleetCostEstimator(self.work)
         digests = load_digests.LoadDigests(self.loads)
@@ -169,6 +172,13 @@
         self.endpoint_limits = fleet_limits.FleetLimits(
             self.fleet, self.backpressure, self._limit_share, clock, rng
         )
+        self.fleet_retries = fleet_retries.FleetRetries(
+            self.fleet,
+            self.budget,
+            clock,
+            window_ms=settings.retries.window_s * clocks.MS_PER_S,
+            name=settings.instance,
+        )
         self.fleet_crashes = fleet_crashes.FleetCrashes(
             self.fleet, self.crashes, clock
         )
@@ -180,6 +190,7 @@
             adapters.epoch,
             clock,
             rng,
+            self._availability,
         )
         self.quotas = fleet_quotas.FleetQuotas(
             self.fleet,
@@ -205,6 +216,7 @@
             adapters.epoch,
             clock,
             rng,
+            self._availability,
             on_page=self._on_configurations,
         )
         self._endpoints = store_followers.new_endpoint_follower(
@@ -214,6 +226,7 @@
             adapters.epoch,
             clock,
             rng,
+            self._availability,
             on_page=self._on_endpoints,
             on_lost=self.registry.mark_store_unavailable,
         )
@@ -303,11 +316,13 @@
                 ),
                 rng,
                 cores=self._settings.processor.cores,
+                availability=self._availability,
             )
             assert self.fleet.followers is not None
             self.fleet.followers.on_leading_changed = (
                 self.plain_permits.queues.reset
             )
+            self.fleet_retries.attach(self.fleet.followers)
         request_quarantine = quarantine.Quarantine(
             self.crashes, self.fleet_crashes
         )
@@ -362,6 +377,7 @@
             await self.add_runtime_dependency(self.share)
         await self.add_runtime_dependency(self._orders)
         if self._leadership is not None:
+            await self.add_runtime_dependency(self.fleet_retries)
             await self.add_runtime_dependency(self._leadership)
 
     def _limit_share(self) -> float:
@@ -371,12 +387,18 @@
         return self.fleet.equal_share() or _ISOLATED_SHARE
 
     def _retry_share(self) -> float:
-        """Returns this instance's share of the retry budget."""
+        """Returns this instance's share of account quotas without a leader."""
         if self._leadership is None:
             return self.share.fraction
         window_ms = self._settings.retries.window_s * clocks.MS_PER_S
         return self.fleet.retry_share(window_ms)
 
+    def _slack_share(self) -> float:
+        """Returns this instance's share of the retry budget's allowance."""
+        if self._leadership is None:
+            return self.share.fraction
+        return self.fleet_retries.share()
+
     def _services(self) -> dict[str, routes.RoutedService]:
         current = self.source.current
         return {} if current is None else current.services
@@ -439,6 +461,9 @@
             slack=settings.retries.slack,
             window_ms=settings.retries.window_s * clocks.MS_PER_S,
         )
+        self.fleet_retries.change_window(
+            settings.retries.window_s * clocks.MS_PER_S
+        )
 
     def _apply_admission(self) -> None:
         policy = self._settings.admission.policy
