--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -11,6 +11,7 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
+from jujubewharf.engine_speeds import speeds
 from jujubewharf.forwarding import attempts
 from jujubewharf.forwarding import budget
 from jujubewharf.forwarding import calls
@@ -40,11 +41,14 @@
 from jujubewharf.leadership import fleet_crashes
 from jujubewharf.leadership import fleet_limits
 from jujubewharf.leadership import fleet_quotas
+from jujubewharf.leadership import fleet_retries
 from jujubewharf.leadership import leadership
 from jujubewharf.leadership import led
 from jujubewharf.leadership import load_digests
+from jujubewharf.leadership import plain_permits
 from jujubewharf.leadership import shared_state
 from jujubewharf.leaving import shutdown
+from jujubewharf.platform import availability as availabilities
 from jujubewharf.platform import epochs
 from jujubewharf.platform import groups
 from jujubewharf.platform import tables
@@ -109,6 +113,7 @@
         work: Observed costs of requests.
         crashes: Crash history of requests.
         fleet_crashes: Shares the crash history between instances.
+        plain_permits: Permits of plain calls.
     """
 
     def __init__(
@@ -121,9 +126,11 @@
         super().__init__()
         self._settings = settings
         self._clock = clock
+        self._availability = availabilities.StoreAvailability(clock)
         self._leadership: leadership.Leadership | None = None
         self._started_at_ms = clock.now_ms()
         self._is_settled = False
+        self._unknown_accounts: set[str] = set()
         self.admission = shutdown.AdmissionState()
         self.source = forwarder.ActiveConfiguration()
         self.source.on_applied = self._on_applied
@@ -143,17 +150,18 @@
             ratio=settings.retries.ratio,
             slack=settings.retries.slack,
             window_ms=settings.retries.window_s * clocks.MS_PER_S,
-            share=self._retry_share,
+            share=self._slack_share,
         )
         self._costs = costs.FleetCostEstimator(self.work)
         digests = load_digests.LoadDigests(self.loads)
         self.registry.add_listener(digests.set_endpoints)
+        shared = shared_state.SharedState(
+            self.backpressure, self.crashes, self.source, digests
+        )
         self.fleet = fleets.Fleet(
             self.registry,
             self.work,
-            shared_state.SharedState(
-                self.backpressure, self.crashes, self.source, digests
-            ),
+            shared,
             lambda: self._endpoints.offset,
             adapters.epoch,
             clock,
@@ -164,6 +172,13 @@
         self.endpoint_limits = fleet_limits.FleetLimits(
             self.fleet, self.backpressure, self._limit_share, clock, rng
         )
+        self.fleet_retries = fleet_retries.FleetRetries(
+            self.fleet,
+            self.budget,
+            clock,
+            window_ms=settings.retries.window_s * clocks.MS_PER_S,
+            name=settings.instance,
+        )
         self.fleet_crashes = fleet_crashes.FleetCrashes(
             self.fleet, self.crashes, clock
         )
@@ -175,6 +190,7 @@
             adapters.epoch,
             clock,
             rng,
+            self._availability,
         )
         self.quotas = fleet_quotas.FleetQuotas(
             self.fleet,
@@ -192,7 +208,7 @@
             if peers is None
             else leases.GroupLease(peers.leaders, clock, name="leaders")
         )
-        self._forwarder = self._make_forwarder(adapters, rng)
+        self._forwarder = self._make_forwarder(adapters, shared, rng)
         self._configurations = store_followers.new_configuration_follower(
             adapters.configurations,
             self.fleet,
@@ -200,6 +216,7 @@
             adapters.epoch,
             clock,
             rng,
+            self._availability,
             on_page=self._on_configurations,
         )
         self._endpoints = store_followers.new_endpoint_follower(
@@ -209,12 +226,16 @@
             adapters.epoch,
             clock,
             rng,
+            self._availability,
             on_page=self._on_endpoints,
             on_lost=self.registry.mark_store_unavailable,
         )
 
     def _make_forwarder(
-        self, adapters: Adapters, rng: random.Random
+        self,
+        adapters: Adapters,
+        shared: shared_state.SharedState,
+        rng: random.Random,
     ) -> forwarder.Forwarder:
         clock = self._clock
         backends = adapters.backends
@@ -225,7 +246,13 @@
             is_limited=self.backpressure.is_limited,
         )
         self.registry.add_listener(chooser.set_endpoints)
-        engines = pool.EnginePool(self.work, self.backpressure, clock, rng)
+        engines = pool.EnginePool(
+            self.work,
+            self.backpressure,
+            clock,
+            rng,
+            speeds.EngineSpeeds(clock, self.loads.slowdown),
+        )
         lengths = margins.ResponseLengths()
         self.registry.add_listener(engines.update_engines)
         self._orders = role_controller.RoleController(
@@ -238,8 +265,9 @@
             clock,
             on_accepted=engines.record_role_change,
             is_backing_off=self.backpressure.is_backing_off,
+            work_rate=engines.speeds.work_rate,
         )
-        places = placement.Placement(
+        self._placement = places = placement.Placement(
             backends,
             self.registry,
             engines,
@@ -252,8 +280,23 @@
             clock,
             rng,
         )
+        self.plain_permits = plain_permits.FleetPlainPermits(
+            self.fleet,
+            self.registry,
+            self.loads,
+            shared,
+            chooser,
+            self.endpoint_limits,
+            self.source,
+            clock,
+            rng,
+            domain=self._settings.domain,
+        )
+        self._apply_admission()
         local = observations.LocalObserver(self.work, lengths, engines)
-        observed = led.FleetObserver(self.fleet.link, local)
+        observed = led.FleetObserver(
+            self.fleet.link, local, self.loads.slowdown
+        )
         if adapters.peers is not None:
             self._leadership = self.fleet.new_leadership(
                 self._settings.instance,
@@ -268,11 +311,18 @@
                     self.quotas,
                     self.endpoint_limits,
                     self.fleet_crashes,
+                    self.plain_permits.new_server,
                     clock,
                 ),
                 rng,
                 cores=self._settings.processor.cores,
+                availability=self._availability,
             )
+            assert self.fleet.followers is not None
+            self.fleet.followers.on_leading_changed = (
+                self.plain_permits.queues.reset
+            )
+            self.fleet_retries.attach(self.fleet.followers)
         request_quarantine = quarantine.Quarantine(
             self.crashes, self.fleet_crashes
         )
@@ -299,6 +349,7 @@
                 crash_detecting_backends,
                 self.registry,
                 chooser,
+                self.plain_permits,
                 self.budget,
                 self.endpoint_limits,
                 self.backpressure,
@@ -326,6 +377,7 @@
             await self.add_runtime_dependency(self.share)
         await self.add_runtime_dependency(self._orders)
         if self._leadership is not None:
+            await self.add_runtime_dependency(self.fleet_retries)
             await self.add_runtime_dependency(self._leadership)
 
     def _limit_share(self) -> float:
@@ -335,12 +387,18 @@
         return self.fleet.equal_share() or _ISOLATED_SHARE
 
     def _retry_share(self) -> float:
-        """Returns this instance's share of the retry budget."""
+        """Returns this instance's share of account quotas without a leader."""
         if self._leadership is None:
             return self.share.fraction
         window_ms = self._settings.retries.window_s * clocks.MS_PER_S
         return self.fleet.retry_share(window_ms)
 
+    def _slack_share(self) -> float:
+        """Returns this instance's share of the retry budget's allowance."""
+        if self._leadership is None:
+            return self.share.fraction
+        return self.fleet_retries.share()
+
     def _services(self) -> dict[str, routes.RoutedService]:
         current = self.source.current
         return {} if current is None else current.services
@@ -395,12 +453,32 @@
     def apply_settings(self, settings: all_settings.ForwardingSettings) -> None:
         """Applies settings that can change while the process runs."""
         self._settings = settings
+        self._apply_admission()
+        self._log_unknown_accounts()
         self.quotas.quota_settings = settings.quotas
         self.budget.change(
             ratio=settings.retries.ratio,
             slack=settings.retries.slack,
             window_ms=settings.retries.window_s * clocks.MS_PER_S,
         )
+        self.fleet_retries.change_window(
+            settings.retries.window_s * clocks.MS_PER_S
+        )
+
+    def _apply_admission(self) -> None:
+        policy = self._settings.admission.policy
+        self._placement.apply_policy(policy)
+        self.plain_permits.apply_settings(
+            is_enabled=self._settings.plain_calls.queue, policy=policy
+        )
+
+    def _log_unknown_accounts(self) -> None:
+        """Logs the accounts with a weight that aren't configured."""
+        weights = self._settings.admission.account_weights
+        unknown = weights.keys() - self.source.accounts.by_name.keys()
+        if unknown != self._unknown_accounts:
+            self._unknown_accounts = unknown
+            state_log.log_unknown_accounts(unknown)
 
     def retries_left(self) -> dict[str, float]:
         """Returns the remaining retries of this instance by service."""
@@ -431,6 +509,7 @@
         told_by: str,
     ) -> None:
         self.quotas.remove_unconfigured()
+        self._log_unknown_accounts()
         state_log.log_active_configuration(
             configuration, offset=position, told_by=told_by
         )
--- a/src/jujubewharf/forwarding/margins.py
+++ b/src/jujubewharf/forwarding/margins.py
@@ -19,6 +19,11 @@
 import math
 import statistics
 
+from jujubewharf.engine_speeds import demands
+from jujubewharf.engine_speeds import urgency as urgencies
+from jujubewharf.forwarding import calls
+from jujubewharf.forwarding import routes
+
 # Number of latest responses that are considered.
 _SAMPLE_SIZE = 64
 # Number of completed responses below which callers' estimates are used. Short
@@ -100,6 +105,38 @@
             self._margins[memory_tokens] = margin
         return margin
 
+    def demand(
+        self,
+        work: calls.ModelWork | None,
+        traits: routes.EngineTraits,
+        *,
+        prompt_tokens: float | None,
+        urgency: urgencies.Urgency = urgencies.UNKNOWN,
+    ) -> demands.Demand:
+        """Returns what a request needs, and records its estimate.
+
+        Args:
+            work: Size of the request, if known.
+            traits: Properties of the service's engines.
+            prompt_tokens: Mean prompt size, in tokens; ``None`` if unknown.
+            urgency: How urgent the request is.
+        """
+        if work is None:
+            return demands.Demand(1, 0, traits.hold_max_ms, urgency)
+        mean_tokens = prompt_tokens or float(work.prompt_tokens)
+        self.record_estimate(work.answer_tokens)
+        margin = self.margin(
+            prompt_tokens=mean_tokens, memory_tokens=traits.memory_tokens
+        )
+        tokens = work.prompt_tokens + int(
+            work.answer_tokens * margin.reserved_share
+        )
+        # A request that doesn't fit into an empty engine with its headroom is
+        # still placed, with less headroom.
+        max_free_tokens = max(0, traits.memory_tokens - tokens)
+        free_tokens = min(margin.free_tokens, max_free_tokens)
+        return demands.Demand(tokens, free_tokens, traits.hold_max_ms, urgency)
+
     def _count_sample(self) -> None:
         self._count += 1
         if (
--- a/src/jujubewharf/forwarding/registry.py
+++ b/src/jujubewharf/forwarding/registry.py
@@ -191,9 +191,14 @@
         """Records that the store is unavailable."""
         self._is_unavailable = True
 
-    def mark_store_available(self) -> None:
-        """Records that the store answers."""
-        self._last_read_ms = self._clock.now_ms()
+    def mark_store_available(self, *, age_ms: float = 0.0) -> None:
+        """Records that the store answers.
+
+        Args:
+            age_ms: Time in ms since the answer, which the leader may have got.
+        """
+        read_ms = self._clock.now_ms() - age_ms
+        self._last_read_ms = max(read_ms, self._last_read_ms or 0.0)
         if self._is_unavailable:
             self._is_unavailable = False
             self._available_since_ms = self._clock.now_ms()
@@ -346,8 +351,10 @@
             self._remove_lapsed()
 
     def _release_held(self) -> None:
-        now_ms = self._clock.now_ms()
-        due = [r for r, until_ms in self._held.values() if now_ms >= until_ms]
+        # An instance may not have noticed yet that the store is away again. A
+        # read that ended after the hold includes what the store has dropped.
+        read_ms = self._last_read_ms or 0.0
+        due = [r for r, until_ms in self._held.values() if read_ms >= until_ms]
         for record in due:
             del self._held[record.key]
             self._replace(self._records[record.key], record)
--- a/src/jujubewharf/forwarding/request_log.py
+++ b/src/jujubewharf/forwarding/request_log.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 import zlib
 
 from opentelemetry import metrics
@@ -56,6 +57,15 @@
     unit="ms",
     description="Time until a decode engine had reserved a place.",
 )
+_PERMITS = _METER.create_counter(
+    "forwarding.plain_permits",
+    description="Permits of plain calls, by outcome and who decided.",
+)
+_PERMIT_WAIT_MS = _METER.create_histogram(
+    "forwarding.permit_wait",
+    unit="ms",
+    description="Time until a plain call was granted a permit.",
+)
 
 _logger = structlog.get_logger()
 
@@ -191,8 +201,19 @@
     tokens: int,
     free_tokens: int,
     waited_ms: float,
+    preceded_by: Mapping[int, int] | None = None,
 ) -> None:
-    """Logs that a decode engine reserved memory for a request."""
+    """Logs that a decode engine reserved memory for a request.
+
+    Args:
+        run: The request.
+        engine: Name of the engine.
+        tokens: Reserved memory.
+        free_tokens: Memory that had to be free in addition.
+        waited_ms: Time in the wait queue.
+        preceded_by: Requests that preceded it in the queue, by priority;
+            ``None`` if the leader placed it, whose own line tells.
+    """
     _WAIT_MS.record(waited_ms, {"service": run.service})
     _log_routine(
         run,
@@ -201,6 +222,63 @@
         tokens=tokens,
         free_tokens=free_tokens,
         waited_ms=round(waited_ms),
+        **_order_fields(run, preceded_by),
+    )
+
+
+def log_plain_permit(
+    run: runs.Run,
+    endpoint: str,
+    *,
+    decided_by: str,
+    waited_ms: float,
+    ahead: int,
+    load_age_ms: float | None,
+) -> None:
+    """Logs that a plain call may be sent to an endpoint.
+
+    Args:
+        run: The request.
+        endpoint: Name of the endpoint.
+        decided_by: Role of the instance that has the call: ``leading``,
+            ``following`` where the leader decided, or ``alone``.
+        waited_ms: Time that it waited.
+        ahead: Calls that waited before it.
+        load_age_ms: Age of the endpoint's load report; ``None`` if unknown.
+    """
+    _PERMITS.add(1, {"outcome": "granted", "decided_by": decided_by})
+    _PERMIT_WAIT_MS.record(waited_ms, {"service": run.service})
+    _log_routine(
+        run,
+        "plain_call_granted",
+        endpoint=endpoint,
+        decided_by=decided_by,
+        waited_ms=round(waited_ms),
+        ahead=ahead,
+        load_age_ms=None if load_age_ms is None else round(load_age_ms),
+    )
+
+
+def log_plain_rejection(
+    run: runs.Run,
+    reason: str,
+    *,
+    decided_by: str,
+    waited_ms: float,
+    ahead: int,
+    retry_after_ms: float,
+) -> None:
+    """Logs that a plain call can't be served before its deadline."""
+    _PERMITS.add(1, {"outcome": reason, "decided_by": decided_by})
+    _logger.info(
+        "plain_call_rejected",
+        request=run.call.request_id,
+        reason=reason,
+        decided_by=decided_by,
+        waited_ms=round(waited_ms),
+        ahead=ahead,
+        retry_after_ms=round(retry_after_ms),
+        route=run.route.name,
     )
 
 
@@ -212,8 +290,21 @@
     engines: dict[str, list[str]],
     waiting: int,
     age_ms: float,
+    rejected_by: str,
+    preceded_by: Mapping[int, int],
 ) -> None:
-    """Logs that no decode engine had memory while a request waited."""
+    """Logs that no decode engine had memory while a request waited.
+
+    Args:
+        run: The request.
+        tokens: Required memory.
+        free_tokens: Memory that had to be free in addition.
+        engines: Names of the engines by availability.
+        waiting: Number of other requests in the queue.
+        age_ms: Age of the endpoint list.
+        rejected_by: Rule that ended the wait.
+        preceded_by: Requests that preceded it in the queue, by priority.
+    """
     _logger.info(
         "request_not_placed",
         request=run.call.request_id,
@@ -222,9 +313,25 @@
         engines=engines,
         waiting=waiting,
         registry_age_ms=round(age_ms),
+        rejected_by=rejected_by,
+        **_order_fields(run, preceded_by),
     )
 
 
+def _order_fields(
+    run: runs.Run, preceded_by: Mapping[int, int] | None
+) -> dict[str, object]:
+    """Returns the fields that tell the place of a request in its queue."""
+    fields: dict[str, object] = {
+        "priority": run.priority,
+        "account": run.call.account,
+    }
+    if preceded_by is not None:
+        counts = sorted(preceded_by.items())
+        fields["preceded_by"] = {str(p): count for p, count in counts}
+    return fields
+
+
 def log_local_placement(run: runs.Run, reason: str, *, leader: str) -> None:
     """Logs that this instance places a request that the leader couldn't."""
     _logger.info(
--- a/src/jujubewharf/leadership/fleet.py
+++ b/src/jujubewharf/leadership/fleet.py
@@ -20,10 +20,12 @@
 from jujubewharf.leadership import leadership
 from jujubewharf.leadership import low_accounts
 from jujubewharf.leadership import placement_server as servers
+from jujubewharf.leadership import plain_permit_server
 from jujubewharf.leadership import shared_state
 from jujubewharf.peers import counters
 from jujubewharf.peers import link_messages
 from jujubewharf.peers import messages
+from jujubewharf.platform import availability as availabilities
 from jujubewharf.platform import epochs
 
 # Shares of the time limits for a change to take effect during which the
@@ -116,7 +118,10 @@
         """Whether this instance leads, follows or has no leader."""
         if self.is_leading:
             return Role.LEADING
-        return Role.FOLLOWING if self.link.is_open else Role.ALONE
+        # An instance that doesn't lead refuses the link only after the
+        # handshake, and a leader sends a heartbeat first.
+        is_led = self.link.is_open and self.link.instances is not None
+        return Role.FOLLOWING if is_led else Role.ALONE
 
     def tell(self, message: messages.Message) -> None:
         """Sends a message to all followers, or to the leader.
@@ -131,7 +136,8 @@
             case Role.FOLLOWING:
                 self.link.tell(message)
             case Role.ALONE:
-                pass
+                # There may be a link whose first heartbeat is on its way.
+                self.link.tell(message)
 
     @property
     def instances(self) -> int | None:
@@ -193,6 +199,7 @@
         rng: random.Random,
         *,
         cores: float,
+        availability: availabilities.StoreAvailability,
     ) -> leadership.Leadership:
         """Creates the service that elects, leads and follows.
 
@@ -204,6 +211,7 @@
             new_placement_server: Creates the placement server of one follower.
             rng: Random jitter of elections.
             cores: Processor capacity of this instance, in reference cores.
+            availability: Whether the store answers this instance.
         """
         hello = link_messages.Hello(
             name, domain, peers.address, rng.getrandbits(_INCARNATION_BITS)
@@ -229,6 +237,7 @@
             self._clock,
             rng,
             cores=cores,
+            availability=availability,
         )
 
 
@@ -244,6 +253,7 @@
     quotas: servers.FollowerQuotas,
     limits: servers.FollowerLimits,
     crashes: servers.FollowerCrashes,
+    new_plain_server: Callable[[], plain_permit_server.PlainPermitServer],
     clock: clocks.Clock,
 ) -> servers.PlacementServerFactory:
     """Returns a function that creates the placement server of a follower."""
@@ -255,6 +265,7 @@
         quotas,
         limits,
         crashes,
+        new_plain_server(),
         clock,
         use=quotas.add_follower(peer, tell),
     )
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
 
@@ -16,6 +18,7 @@
 from jujubewharf.leadership import shared_state
 from jujubewharf.peers import codec
 from jujubewharf.peers import counters
+from jujubewharf.peers import demand_messages
 from jujubewharf.peers import handshake
 from jujubewharf.peers import leader_messages
 from jujubewharf.peers import link as links
@@ -58,6 +61,12 @@
 
     Attributes:
         is_leading: Whether followers are accepted.
+        on_leading_changed: Called when this instance begins or stops to lead.
+        on_announcement: Called with the hello of each instance that announces
+            a new leader.
+        on_link_begin: Called with the link of each new follower.
+        on_link_end: Called with each link that ended.
+        on_retry_demand: Called with a follower's demand for retries.
     """
 
     def __init__(
@@ -72,6 +81,15 @@
         count_within_ms: float,
     ) -> None:
         self.is_leading = False
+        self.on_leading_changed: Callable[[], None] = lambda: None
+        self.on_announcement: Callable[[link_messages.Hello], None]
+        self.on_announcement = lambda hello: None
+        self.on_link_begin: Callable[[links.Link], None] = lambda link: None
+        self.on_link_end: Callable[[links.Link], None] = lambda link: None
+        self.on_retry_demand: Callable[
+            [links.Link, demand_messages.RetryDemand], None
+        ]
+        self.on_retry_demand = lambda link, message: None
         self._leading_since_ms = 0.0
         self._count_within_ms = count_within_ms
         self._lost_at_ms: dict[str, float] = {}
@@ -98,6 +116,11 @@
     def __len__(self) -> int:
         return len(self._links)
 
+    @property
+    def follower_links(self) -> Collection[links.Link]:
+        """Links of all followers."""
+        return self._links
+
     @property
     def instances(self) -> int:
         """Number of instances, including recently lost followers."""
@@ -128,7 +151,9 @@
         except (handshake.RefusedHelloError, OSError, TimeoutError):
             writer.close()
             return
-        if not self.is_leading:
+        if hello.leader is not None:
+            self.on_announcement(hello)
+        if not self.is_leading or hello.leader is not None:
             reason = link_messages.CloseReason.STOPPING.value
             link_handshake.refuse(handshake.RefusedHelloError(reason))
             writer.close()
@@ -153,6 +178,9 @@
                     self._epoch.learn(end)
                     self._add_follower(link, end)
                     return None
+                case demand_messages.RetryDemand():
+                    self.on_retry_demand(link, message)
+                    return None
                 case leader_messages.ConfigurationRequest():
                     return self._configuration
                 case leader_messages.ConfigurationUpdate():
@@ -173,6 +201,7 @@
         )
         self._links.add(link)
         try:
+            self.on_link_begin(link)
             self._unconfigured.add(link)
             if (
                 self._configuration is not None
@@ -191,6 +220,7 @@
             self._unsent_since.pop(link, None)
             self._unconfigured.discard(link)
             self._lost_at_ms[link.peer] = self._clock.now_ms()
+            self.on_link_end(link)
             server.close()
 
     def begin_leading(self) -> None:
@@ -200,10 +230,12 @@
         self._low_accounts = quota_messages.LowAccounts(())
         self.is_leading = True
         self._leading_since_ms = self._clock.now_ms()
+        self.on_leading_changed()
 
     def stop_leading(self) -> None:
         """Closes the links of all followers."""
         self.is_leading = False
+        self.on_leading_changed()
         reason = link_messages.CloseReason.STOPPING.value
         for link in list(self._links):
             link.close(link_messages.Farewell(reason))
@@ -333,9 +365,12 @@
             current.extend(
                 self._removals({record.key for record in current}, end)
             )
-        changed = [record for record in current if self._is_changed(record)]
-        for record in changed:
-            self._endpoints[record.key] = record
+        changed: list[leader_messages.EndpointRecord] = []
+        for record in current:
+            # A page may have several records of a key.
+            if self._is_changed(record):
+                self._endpoints[record.key] = record
+                changed.append(record)
         self._endpoints_read.read(end, self._clock.now_ms())
         update = leader_messages.EndpointUpdate(tuple(changed), end)
         recipients: list[links.Link] = []
