Let a follower become leader while only the tables can't be read

Cause: an instance whose reads of the tables failed tried only its last leader, so after that leader was killed nobody asked the group, and the fleet stayed without a leader for as long as the reads failed.

Change: every other attempt asks the group.

Result: test_store_down_while_a_follower_becomes_leader failed on the merged code before and passes.

--- a/src/jujubewharf/leadership/leadership.py
+++ b/src/jujubewharf/leadership/leadership.py
@@ -108,6 +108,8 @@
         self._rng = rng
         self._listener: streams.Listener | None = None
         self._is_resigning = False
+        # Whether the last attempt tried the last leader without the group.
+        self._skips_group = False
         self.has_looked = False
         self._logger = structlog.get_logger()
 
@@ -171,8 +173,12 @@
         if announced is not None and await self._follow(announced):
             return True
         if self._availability.is_away and self._last_leader is not None:
-            # The leader may be reachable again although the store is not.
-            return await self._follow(self._last_leader)
+            # The leader may be reachable again although the store is not. The
+            # group may also answer although the tables don't, so every other
+            # attempt asks it: otherwise nobody would replace a killed leader.
+            self._skips_group = not self._skips_group
+            if self._skips_group:
+                return await self._follow(self._last_leader)
         contacts = await self._group.contacts()
         address = contacts.get(leases.FIRST_PART)
         if address is not None and address != self._hello.address:
