Rank decode engines by speed only after load and domain

Change: an engine's lasting speed decides after steps of load and the domain. An engine that reports a slowdown still comes last meanwhile.

--- a/src/jujubewharf/engine_speeds/ranking.py
+++ b/src/jujubewharf/engine_speeds/ranking.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Sequence
+import dataclasses
 import random
 
 from jujubewharf import clock as clocks
@@ -39,6 +40,23 @@
 _DECODE = all_speeds.Stage.DECODE
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _DecodeSpeed:
+    """Speed of a decode engine as it counts for one request.
+
+    Attributes:
+        is_too_slow: Whether it can't complete a response before the request's
+            deadline.
+        is_slowed: Whether it reports that it is slower than usual now.
+        relative_time: Sort key; its time relative to the median engine, or the
+            negative of that for requests that can wait.
+    """
+
+    is_too_slow: bool = False
+    is_slowed: bool = False
+    relative_time: float = 1.0
+
+
 class EngineRanking:
     """Sorts engines for a request, the preferred one first.
 
@@ -91,28 +109,24 @@
             urgency: How urgent the request is.
         """
         step_tokens = max(1.0, memory_tokens * _LOAD_STEP_SHARE)
-        ample_tokens = memory_tokens * AMPLE_MEMORY_SHARE
-        speed_keys = self._decode_speed_keys(engines, urgency)
+        decode_speeds = self._decode_speeds(engines, urgency)
 
         def rank(engine: resources.Endpoint) -> tuple[object, ...]:
             state = self._state_of(engine.name)
-            speed_key: tuple[object, ...] = ()
-            if speed_keys is not None:
-                # Fast engines are filled only as far as they need no headroom
-                # before slower ones are asked.
-                is_ample = state.reserved_tokens + tokens <= ample_tokens
-                is_too_slow, speed = speed_keys[engine.name]
-                is_limited = engine.name in limited
-                speed_key = (is_too_slow, is_limited, not is_ample, speed)
+            speed = decode_speeds.get(engine.name, _DecodeSpeed())
             return (
                 engine.name in failed_names,
                 state.breaker.is_degraded,
-                *speed_key,
+                speed.is_too_slow,
+                speed.is_slowed,
                 int(state.reserved_tokens // step_tokens),
                 engine.name in limited,
                 # Ranked before small differences in load: a response that
                 # crosses domains fails with a partition between them.
                 engine.domain != preferred_domain,
+                # After load: filling fast engines first makes each of their
+                # responses slower and concentrates what a crash loses.
+                speed.relative_time,
                 state.reserved_tokens,
                 self._rng.random(),
             )
@@ -171,32 +185,28 @@
 
         return sorted(engines, key=rank)
 
-    def _decode_speed_keys(
+    def _decode_speeds(
         self,
         engines: Sequence[resources.Endpoint],
         urgency: urgencies.Urgency,
-    ) -> dict[str, tuple[bool, float]] | None:
-        """Returns ranks by speed; ``None`` if all engines count as equal.
-
-        The first part is whether an engine is too slow to complete a response
-        before the request's deadline.
-        """
+    ) -> dict[str, _DecodeSpeed]:
+        """Returns the speeds by engine; empty if all count as equal."""
         hold_ms = self._cost_estimates.reference_hold_ms or 0.0
         left_ms = urgency.deadline_at_ms - self._clock.now_ms()
-        keys: dict[str, tuple[bool, float]] = {}
+        keys: dict[str, _DecodeSpeed] = {}
         has_unequal = False
         for engine in engines:
             lasting = self._speeds.lasting(engine.name, _DECODE)
             slowdown = self._speeds.slowdown(engine.name)
             has_unequal = has_unequal or lasting != 1.0 or slowdown != 1.0
-            is_too_slow = hold_ms * lasting > left_ms
-            # An engine that is slowed for the moment is soon better, so even
-            # requests that can wait leave it alone.
-            speed = lasting * slowdown
-            if urgency.can_wait and slowdown == 1.0:
-                speed = -lasting
-            keys[engine.name] = (is_too_slow, round(speed, _SPEED_DIGITS))
-        return keys if has_unequal else None
+            # The key puts slow engines first for requests that can wait.
+            relative_time = -lasting if urgency.can_wait else lasting
+            keys[engine.name] = _DecodeSpeed(
+                is_too_slow=hold_ms * lasting > left_ms,
+                is_slowed=slowdown != 1.0,
+                relative_time=round(relative_time, _SPEED_DIGITS),
+            )
+        return keys if has_unequal else {}
 
     def _slow_first(self, name: str, is_wanted: bool) -> tuple[bool, float]:
         """Returns a key that puts slow idle engines first if wanted."""
