Share role orders with followers

Cause: a new leader didn't know which orders of its predecessor were still in progress, as an engine registers its new role seconds later. Result: every instance can count the orders of former leaders.

--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -47,10 +47,12 @@
 from jujubewharf.leadership import plain_permits
 from jujubewharf.leadership import shared_state
 from jujubewharf.leaving import shutdown
+from jujubewharf.peers import role_messages
 from jujubewharf.platform import epochs
 from jujubewharf.platform import groups
 from jujubewharf.platform import tables
 from jujubewharf.requests import plain_endpoints
+from jujubewharf.role_orders import ledger
 
 # Share of the retry budget while the group is unreachable. Small enough for two
 # dozen isolated instances to stay within the fleet's budget.
@@ -152,8 +154,13 @@
         self._costs = costs.FleetCostEstimator(self.work)
         digests = load_digests.LoadDigests(self.loads)
         self.registry.add_listener(digests.set_endpoints)
+        self._role_orders = ledger.OrderLedger(clock)
         shared = shared_state.SharedState(
-            self.backpressure, self.crashes, self.source, digests
+            self.backpressure,
+            self.crashes,
+            self.source,
+            digests,
+            self._role_orders,
         )
         self.fleet = fleets.Fleet(
             self.registry,
@@ -254,6 +261,9 @@
             is_backing_off=self.backpressure.is_backing_off,
             work_rate=engines.speeds.work_rate,
         )
+        self._role_orders.on_recorded = lambda order: self.fleet.tell(
+            role_messages.RoleOrders.from_known([order], clock.now_ms())
+        )
         self._placement = places = placement.Placement(
             backends,
             self.registry,
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -23,6 +23,7 @@
 from jujubewharf.peers import link_messages
 from jujubewharf.peers import messages
 from jujubewharf.peers import quota_messages
+from jujubewharf.peers import role_messages
 from jujubewharf.peers import streams
 from jujubewharf.platform import epochs
 from jujubewharf.platform import tables
@@ -161,6 +162,9 @@
                 case leader_messages.ConfigurationUpdate():
                     self._on_follower_configuration(message)
                     return None
+                case role_messages.RoleOrders():
+                    self._state.apply(message)
+                    return None
                 case _:
                     return await server.handle(peer, message)
 
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -32,6 +32,7 @@
 from jujubewharf.peers import messages
 from jujubewharf.peers import network
 from jujubewharf.peers import quota_messages
+from jujubewharf.peers import role_messages
 from jujubewharf.platform import tables
 
 # Interval of the leader's heartbeats, and the silence after which a follower
@@ -173,6 +174,7 @@
                 limit_messages.EndpointTerms()
                 | crash_messages.CrashReports()
                 | load_messages.LoadDigest()
+                | role_messages.RoleOrders()
             ):
                 self._state.apply(message)
             case leader_messages.EndpointUpdate():
--- /dev/null
+++ b/src/jujubewharf/role_orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to change engines' roles that are in progress, across leaders."""
