Count orders in progress before sending new ones

Cause: each leader ordered engines away as if no order were in progress, and replaced an order whose answer was lost by one to another engine. Change: a leader counts orders of its predecessors and orders without an answer with the ordered role. Before its first order it asks each engine once whether it is changing. An order without an answer is sent to the same engine again, unless the engine is changing or the plan has turned; a change is not reversed before its end is known. Orders taken over are logged (role_orders_taken_over).

--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -260,6 +260,7 @@
             on_accepted=engines.record_role_change,
             is_backing_off=self.backpressure.is_backing_off,
             work_rate=engines.speeds.work_rate,
+            ledger=self._role_orders,
         )
         self._role_orders.on_recorded = lambda order: self.fleet.tell(
             role_messages.RoleOrders.from_known([order], clock.now_ms())
--- a/src/jujubewharf/forwarding/lease.py
+++ b/src/jujubewharf/forwarding/lease.py
@@ -59,6 +59,11 @@
         """Whether this member holds the first part under a valid lease."""
         return self.is_valid and self._holds_first_since_ms is not None
 
+    @property
+    def first_part_since_ms(self) -> float | None:
+        """Time since which the first part is held; ``None`` without it."""
+        return self._holds_first_since_ms if self.is_valid else None
+
     @property
     def fence(self) -> int | None:
         """Fencing token; ``None`` while another member may use the first part.
--- a/src/jujubewharf/forwarding/role_controller.py
+++ b/src/jujubewharf/forwarding/role_controller.py
@@ -17,16 +17,10 @@
 from jujubewharf.forwarding import role_plan
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import state_log
+from jujubewharf.role_orders import ledger as ledgers
+from jujubewharf.role_orders import sender as senders
 
 _CHECK_INTERVAL_MS = 500.0
-# Time for which an engine gets no further order after one that wasn't
-# acknowledged. The lost order may still be carried out and undo a newer one.
-_UNACKNOWLEDGED_MS = 13_000.0
-# Time to allow for an engine's new registration to be read, in addition to the
-# duration of the role change.
-_REGISTRATION_MS = 3_000.0
-# Time after which a refused order may be repeated.
-_REFUSED_RETRY_MS = 3_000.0
 # Time for which the plan must keep asking for a change before it is ordered.
 # Engines register one by one at a start.
 _SETTLING_MS = 1_000.0
@@ -39,14 +33,6 @@
 _RETURN_TIMEOUT_MS = 6_500.0
 
 
-@dataclasses.dataclass(slots=True)
-class _PendingOrder:
-    """An order whose effect hasn't been observed yet."""
-
-    change: role_plan.RoleChange
-    until_ms: float
-
-
 @dataclasses.dataclass(slots=True)
 class _MissingEngine:
     """An engine whose entry disappeared without an announced drain."""
@@ -72,6 +58,8 @@
             back off.
         work_rate: Returns how much work an engine does in a role, relative to
             the median engine of its service.
+        ledger: Orders that other instances share with this one; ``None`` if
+            there are none.
     """
 
     def __init__(
@@ -87,19 +75,27 @@
         on_accepted: Callable[[str], None] = lambda engine: None,
         is_backing_off: Callable[[str], bool] = lambda engine: False,
         work_rate: role_plan.WorkRate = lambda engine, role: 1.0,
+        ledger: ledgers.OrderLedger | None = None,
     ) -> None:
         super().__init__()
-        self._instance = instance
         self._backends = backends
         self._registry = registry
         self._lease = lease
         self._cost_estimates = cost_estimates
         self._services = services
         self._clock = clock
-        self._on_accepted = on_accepted
         self._is_backing_off = is_backing_off
         self._work_rate = work_rate
-        self._pending: dict[str, _PendingOrder] = {}
+        self._sender = senders.OrderSender(
+            instance,
+            backends,
+            registry,
+            lease,
+            ledger or ledgers.OrderLedger(clock),
+            cost_estimates,
+            clock,
+            on_accepted=on_accepted,
+        )
         self._wanted_since_ms: dict[str, float] = {}
         self._registered: dict[str, dict[str, resources.Endpoint]] = {}
         # By service, then by address.
@@ -124,32 +120,34 @@
         ):
             self._wanted_since_ms.pop(service, None)
             return
-        self._drop_settled_orders()
+        self._sender.begin_check()
+        await self._sender.settle(service, traits)
         if await self._awaits_return(service):
             self._wanted_since_ms.pop(service, None)
             return
         estimates = self._cost_estimates()
         changes = role_plan.plan_changes(
-            self._registry.of_service(service),
+            self._sender.planned_engines(service),
             prefill_ms=estimates.prefill_ms,
             decode_ms=estimates.decode_ms,
             work_rate=self._work_rate,
         )
+        if self._lease.fence is not None:
+            await self._sender.repeat_lost(service, changes, traits)
         # Evaluated before the fencing token may be used, so that the order can
         # be sent as soon as it is.
         is_settled = self._is_settled(service, bool(changes))
         if not is_settled or self._lease.fence is None:
             return
-        is_busy = any(
-            pending.change.engine.service == service
-            for pending in self._pending.values()
-        )
-        if is_busy:
-            # One batch at a time: an engine that changes roles does no work.
+        if await self._sender.find_changing(service, traits):
+            return
+        if self._sender.is_busy(service):
             return
         for change in changes[: self._max_concurrent_changes(service)]:
-            if not self._is_backing_off(change.engine.name):
-                await self._send_order(change, traits)
+            if not self._is_backing_off(
+                change.engine.name
+            ) and self._sender.is_allowed(change):
+                await self._sender.send(change, traits)
 
     def _max_concurrent_changes(self, service: str) -> int:
         """Returns how many engines may change roles at the same time.
@@ -213,17 +211,6 @@
             return False
         return True
 
-    def _drop_settled_orders(self) -> None:
-        """Drops orders that took effect or timed out."""
-        now_ms = self._clock.now_ms()
-        for name, pending in list(self._pending.items()):
-            engine = self._registry.get(name)
-            has_taken_effect = (
-                engine is None or engine.role is pending.change.role
-            )
-            if has_taken_effect or now_ms >= pending.until_ms:
-                del self._pending[name]
-
     def _is_settled(self, service: str, is_wanted: bool) -> bool:
         if not is_wanted:
             self._wanted_since_ms.pop(service, None)
@@ -231,37 +218,3 @@
         now_ms = self._clock.now_ms()
         since_ms = self._wanted_since_ms.setdefault(service, now_ms)
         return now_ms - since_ms >= _SETTLING_MS
-
-    async def _send_order(
-        self, change: role_plan.RoleChange, traits: routes.EngineTraits
-    ) -> None:
-        fence = self._lease.fence
-        if fence is None:
-            # Read for each order: the previous one may have taken seconds.
-            return
-        order = ports.RoleOrder(change.role, self._instance, fence)
-        timeout_ms = traits.role_switch_ms + _REGISTRATION_MS
-        outcome = "accepted"
-        try:
-            await self._backends.order_role(change.engine, order)
-            # Marks the engine as changing before its registration does, so that
-            # requests aren't sent there only to be refused.
-            self._on_accepted(change.engine.name)
-        except client.EngineError as error:
-            outcome = error.fault.value
-            timeout_ms = _REFUSED_RETRY_MS
-            if error.fault is client.EngineFault.LOST:
-                timeout_ms = _UNACKNOWLEDGED_MS
-            if error.fault is client.EngineFault.REFUSED_FENCE:
-                self._lease.reject_fence(fence)
-        until_ms = self._clock.now_ms() + timeout_ms
-        self._pending[change.engine.name] = _PendingOrder(change, until_ms)
-        state_log.log_role_order(
-            change.engine.name,
-            role=change.role.value,
-            fence=fence,
-            outcome=outcome,
-            prefill_ms=self._cost_estimates().prefill_ms,
-            decode_ms=self._cost_estimates().decode_ms,
-            registry_age_ms=self._registry.age_ms,
-        )
--- a/src/jujubewharf/forwarding/state_log.py
+++ b/src/jujubewharf/forwarding/state_log.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+from collections.abc import Mapping
 import dataclasses
 
 from opentelemetry import metrics
@@ -40,6 +41,7 @@
 )
 
 _MAX_LOGGED_ACCOUNTS = 10
+_MAX_LOGGED_ORDERS = 20
 
 _logger = structlog.get_logger()
 
@@ -115,6 +117,29 @@
     )
 
 
+def log_role_orders_taken_over(
+    service: str, roles: Mapping[str, str], *, source: str
+) -> None:
+    """Logs role orders of a predecessor that this leader counts as pending.
+
+    Args:
+        service: Service of the engines.
+        roles: Ordered role of each engine; nothing is logged without any.
+        source: ``ledger`` if the predecessor reported them, ``engines`` if
+            the engines were found changing.
+    """
+    if not roles:
+        return
+    names = sorted(roles)
+    _logger.info(
+        "role_orders_taken_over",
+        service=service,
+        source=source,
+        count=len(names),
+        orders=[f"{name}={roles[name]}" for name in names[:_MAX_LOGGED_ORDERS]],
+    )
+
+
 def log_known_costs(fleet: costs.FleetCosts, *, reports: int) -> None:
     """Logs that the leader's cost estimates are sufficient for orders."""
     _logger.info(
--- a/tests/role_orders/fleets.py
+++ b/tests/role_orders/fleets.py
@@ -13,6 +13,8 @@
 from jujubewharf.forwarding import registry as registries
 from jujubewharf.forwarding import role_controller
 from jujubewharf.forwarding import routes
+from jujubewharf.peers import role_messages
+from jujubewharf.role_orders import ledger as ledgers
 
 PREFILL = resources.Role.PREFILL
 DECODE = resources.Role.DECODE
@@ -105,6 +107,7 @@
         self.engines: dict[str, Engine] = {}
         self.orders: list[tuple[float, str, ports.RoleOrder]] = []
         self.state_calls: list[str] = []
+        self.ledgers: dict[str, ledgers.OrderLedger] = {}
         self.leases: dict[str, FakeLease] = {}
         self.controllers: dict[str, role_controller.RoleController] = {}
         self.costs = costs.FleetCosts(90.0, 480.0)
@@ -151,7 +154,26 @@
         """Number of engines that have a role or are changing to it."""
         return sum(e.role is role for e in self.engines.values())
 
-    async def add(self, name: str, **options) -> None:
+    async def add(self, name: str, *, is_cut: bool = False, **options) -> None:
+        """Starts an instance.
+
+        Args:
+            name: Name of the instance.
+            is_cut: Whether it exchanges no messages with other instances.
+            **options: Options of the role controller.
+        """
+        ledger = self.ledgers[name] = ledgers.OrderLedger(self.clock)
+
+        def send(order: ledgers.KnownOrder) -> None:
+            now_ms = self.clock.now_ms()
+            message = role_messages.RoleOrders.from_known([order], now_ms)
+            for other, known in self.ledgers.items():
+                if other != name:
+                    for received in message.known_orders(now_ms):
+                        known.merge(received)
+
+        if not is_cut:
+            ledger.on_recorded = send
         lease = self.leases[name] = FakeLease(self.clock)
         controller = role_controller.RoleController(
             name,
@@ -161,6 +183,7 @@
             lambda: self.costs,
             lambda: SERVICES,
             self.clock,
+            ledger=ledger,
             **options,
         )
         self.controllers[name] = controller
--- a/tests/role_orders/test_leader_changes.py
+++ b/tests/role_orders/test_leader_changes.py
@@ -44,7 +44,10 @@
 
 @pytest.mark.parametrize("late_ms", [0.0, 2_000.0, 4_500.0])
 @pytest.mark.parametrize("lost", [0, 2, 4])
-def test_leader_changes_order_no_more_than_the_plan_wants(late_ms, lost):
+@pytest.mark.parametrize("is_cut", [False, True])
+def test_leader_changes_order_no_more_than_the_plan_wants(
+    late_ms, lost, is_cut
+):
     """A new leader must not order a second set of engines away.
 
     The predecessor's orders take 6 s and more, some answers are lost, and
@@ -59,8 +62,8 @@
             fleet.engines[name].late_ms = late_ms
         for name in names[:lost]:
             fleet.engines[name].loses_answers = 1
-        await fleet.add("i1", work_rate=_first_engines_slower)
-        await fleet.add("i2", work_rate=_last_engines_slower)
+        await fleet.add("i1", is_cut=is_cut, work_rate=_first_engines_slower)
+        await fleet.add("i2", is_cut=is_cut, work_rate=_last_engines_slower)
         await _change_leaders(fleet)
         assert fleet.fewest_prefill >= wanted
         assert fleet.count(fleets.PREFILL) == wanted
