Require a larger gain for a change of roles back

Cause: cost estimates vary, and a plan that follows them moves engines back and forth; each move takes an engine out of work for its duration. Change: for three durations of a role change after an order in one direction, by any leader, the other direction needs a gain of 0.35 instead of 0.1. The loss of a third of a pool, or an empty pool, acts as before, also while orders of a predecessor are pending.

--- a/src/jujubewharf/forwarding/role_controller.py
+++ b/src/jujubewharf/forwarding/role_controller.py
@@ -17,6 +17,7 @@
 from jujubewharf.forwarding import role_plan
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import state_log
+from jujubewharf.role_orders import damping as dampings
 from jujubewharf.role_orders import ledger as ledgers
 from jujubewharf.role_orders import sender as senders
 
@@ -86,12 +87,14 @@
         self._clock = clock
         self._is_backing_off = is_backing_off
         self._work_rate = work_rate
+        ledger = ledger or ledgers.OrderLedger(clock)
+        self._damping = dampings.ReversalDamping(ledger, clock)
         self._sender = senders.OrderSender(
             instance,
             backends,
             registry,
             lease,
-            ledger or ledgers.OrderLedger(clock),
+            ledger,
             cost_estimates,
             clock,
             on_accepted=on_accepted,
@@ -114,6 +117,7 @@
         # Tracked without the lease as well, so that the wait for an engine's
         # return doesn't start over when this instance acquires it.
         self._track_missing(service)
+        self._damping.track(service, self._registry.of_service(service))
         if (
             self._registry.is_store_unavailable
             or not self._lease.holds_first_part
@@ -131,6 +135,9 @@
             prefill_ms=estimates.prefill_ms,
             decode_ms=estimates.decode_ms,
             work_rate=self._work_rate,
+            min_gain=lambda role: self._damping.min_gain(
+                service, role, change_ms=senders.change_ms(traits)
+            ),
         )
         if self._lease.fence is not None:
             await self._sender.repeat_lost(service, changes, traits)
@@ -141,7 +148,10 @@
             return
         if await self._sender.find_changing(service, traits):
             return
-        if self._sender.is_busy(service):
+        is_urgent = self._damping.is_urgent(
+            service, change_ms=senders.change_ms(traits)
+        )
+        if self._sender.is_busy(service, is_urgent=is_urgent):
             return
         for change in changes[: self._max_concurrent_changes(service)]:
             if not self._is_backing_off(
--- a/src/jujubewharf/forwarding/role_plan.py
+++ b/src/jujubewharf/forwarding/role_plan.py
@@ -8,10 +8,8 @@
 import itertools
 
 from jujubewharf.configuration import resources
+from jujubewharf.role_orders import damping
 
-# Smallest relative gain in capacity that justifies a change. While an engine
-# changes roles it does no work for ten seconds or more.
-_MIN_GAIN = 0.1
 # Cost of a prefill on a decode engine relative to one on a prefill engine. It
 # is slower there and stalls the responses that the engine is generating.
 _DECODE_ENGINE_PREFILL_COST = 8.0
@@ -25,6 +23,9 @@
 
 # Returns how much work an engine does in a role, relative to the median one.
 WorkRate = Callable[[resources.Endpoint, resources.Role], float]
+# Returns the smallest relative gain in capacity that justifies changes to a
+# role.
+MinGain = Callable[[resources.Role], float]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,12 +48,17 @@
     return 1.0
 
 
+def _usual_min_gain(role: resources.Role) -> float:
+    return damping.MIN_GAIN
+
+
 def plan_changes(
     engines: Sequence[resources.Endpoint],
     *,
     prefill_ms: float | None,
     decode_ms: float | None,
     work_rate: WorkRate = _equal_rate,
+    min_gain: MinGain = _usual_min_gain,
 ) -> list[RoleChange]:
     """Returns role changes that balance the load of both pools.
 
@@ -64,6 +70,8 @@
             engine of median speed; ``None`` before it was observed.
         work_rate: Returns how much work an engine does in a role, relative to
             the median engine.
+        min_gain: Returns the smallest relative gain in capacity that justifies
+            changes to a role.
 
     Returns:
         The changes, the most important one first.
@@ -101,7 +109,7 @@
     else:
         # In the order in which they become prefill engines.
         order = [rates[e.name] for e in (*reversed(surplus), *candidates)]
-        target = _target_count(order, current, prefill_ms, decode_ms)
+        target = _target_count(order, current, prefill_ms, decode_ms, min_gain)
     return [
         *(RoleChange(e, _DECODE) for e in surplus[: max(0, current - target)]),
         *(
@@ -123,7 +131,11 @@
 
 
 def _target_count(
-    order: Sequence[_Rates], current: int, prefill_ms: float, decode_ms: float
+    order: Sequence[_Rates],
+    current: int,
+    prefill_ms: float,
+    decode_ms: float,
+    min_gain: MinGain,
 ) -> int:
     """Returns the number of prefill engines with the highest capacity.
 
@@ -132,6 +144,7 @@
         current: Number of prefill engines at present.
         prefill_ms: See ``plan_changes``.
         decode_ms: See ``plan_changes``.
+        min_gain: See ``plan_changes``.
     """
     prefill_rates = [0.0, *itertools.accumulate(r.prefill for r in order)]
     decode_rates = [0.0, *itertools.accumulate(r.decode for r in order)]
@@ -153,7 +166,8 @@
         return full_rate * (1.0 - _LOSS_WEIGHT) + reduced_rate * _LOSS_WEIGHT
 
     best = max(range(len(order) + 1), key=capacity)
-    if capacity(best) < capacity(current) * (1.0 + _MIN_GAIN):
+    needed = min_gain(_PREFILL if best > current else _DECODE)
+    if capacity(best) < capacity(current) * (1.0 + needed):
         return current
     return best
 
--- a/src/jujubewharf/role_orders/sender.py
+++ b/src/jujubewharf/role_orders/sender.py
@@ -134,12 +134,17 @@
             for e in engines
         ]
 
-    def is_busy(self, service: str) -> bool:
-        """Returns whether orders are in progress.
+    def is_busy(self, service: str, *, is_urgent: bool) -> bool:
+        """Returns whether orders are in progress that new ones must wait for.
 
-        One batch at a time: an engine that changes roles does no work.
+        One batch at a time: an engine that changes roles does no work. If it
+        is urgent, only an own batch that was acknowledged is waited for; the
+        plan counts with the others.
         """
-        return bool(self._ledger.pending(service))
+        return any(
+            not is_urgent or (order.is_own and not order.is_uncertain)
+            for order in self._ledger.pending(service)
+        )
 
     async def find_changing(
         self, service: str, traits: routes.EngineTraits
@@ -185,7 +190,7 @@
                     ledgers.Outcome.OBSERVED,
                     self._lease.fence or 0,
                     now_ms,
-                    now_ms + _change_ms(traits),
+                    now_ms + change_ms(traits),
                 )
             )
         state_log.log_role_orders_taken_over(service, found, source="engines")
@@ -226,7 +231,7 @@
     def _record_changing(
         self, order: ledgers.KnownOrder, traits: routes.EngineTraits
     ) -> None:
-        until_ms = self._clock.now_ms() + _change_ms(traits)
+        until_ms = self._clock.now_ms() + change_ms(traits)
         self._checked_ms.pop(order.engine, None)
         self._ledger.record(
             dataclasses.replace(
@@ -236,7 +241,14 @@
 
     def is_allowed(self, change: role_plan.RoleChange) -> bool:
         """Returns whether an engine's state is certain enough for an order."""
-        return not self._ledger.may_be_undone(change.engine.name, change.role)
+        name = change.engine.name
+        is_pending = any(
+            order.engine == name
+            for order in self._ledger.pending(change.engine.service)
+        )
+        return not is_pending and not self._ledger.may_be_undone(
+            name, change.role
+        )
 
     async def send(
         self,
@@ -268,7 +280,7 @@
         self._ledger.record(sent)
         fault = await self._order(engine, change.role, fence)
         state = ledgers.Outcome.ACCEPTED
-        timeout_ms = _change_ms(traits)
+        timeout_ms = change_ms(traits)
         if fault is client.EngineFault.LOST:
             state, timeout_ms = ledgers.Outcome.LOST, UNACKNOWLEDGED_MS
         elif fault is not None and repeated is not None:
@@ -309,6 +321,6 @@
         return None
 
 
-def _change_ms(traits: routes.EngineTraits) -> float:
+def change_ms(traits: routes.EngineTraits) -> float:
     """Returns the time until a role change shows in the registration."""
     return traits.role_switch_ms + REGISTRATION_MS
