--- a/src/jujubewharf/forwarding/role_controller.py
+++ b/src/jujubewharf/forwarding/role_controller.py
@@ -130,8 +130,9 @@
             self._wanted_since_ms.pop(service, None)
             return
         estimates = self._cost_estimates()
+        engines = self._sender.planned_engines(service)
         changes = role_plan.plan_changes(
-            self._sender.planned_engines(service),
+            engines,
             prefill_ms=estimates.prefill_ms,
             decode_ms=estimates.decode_ms,
             work_rate=self._work_rate,
@@ -153,10 +154,9 @@
         )
         if self._sender.is_busy(service, is_urgent=is_urgent):
             return
-        for change in changes[: self._max_concurrent_changes(service)]:
-            if not self._is_backing_off(
-                change.engine.name
-            ) and self._sender.is_allowed(change):
+        changes = changes[: self._max_concurrent_changes(service)]
+        for change in self._sender.allowed_changes(changes, engines):
+            if not self._is_backing_off(change.engine.name):
                 await self._sender.send(change, traits)
 
     def _max_concurrent_changes(self, service: str) -> int:
--- a/src/jujubewharf/role_orders/damping.py
+++ b/src/jujubewharf/role_orders/damping.py
@@ -29,11 +29,6 @@
 # Share of a pool whose loss makes a change back urgent.
 _URGENT_LOST_SHARE = 1 / 3
 
-_OTHER_ROLE = {
-    resources.Role.PREFILL: resources.Role.DECODE,
-    resources.Role.DECODE: resources.Role.PREFILL,
-}
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _LostEngine:
@@ -84,7 +79,9 @@
         """
         now_ms = self._clock.now_ms()
         window_ms = _REVERSAL_CHANGES * change_ms
-        reversed_ms = self._ledger.last_change_ms(service, _OTHER_ROLE[role])
+        reversed_ms = self._ledger.last_change_ms(
+            service, ledgers.OTHER_ROLE[role]
+        )
         if now_ms - reversed_ms >= window_ms:
             return MIN_GAIN
         if self.is_urgent(service, change_ms=change_ms):
@@ -99,7 +96,7 @@
             if engine.at_ms < since_ms:
                 del lost[address]
         present = list(self._present.get(service, {}).values())
-        for role in _OTHER_ROLE:
+        for role in ledgers.OTHER_ROLE:
             count = sum(engine.role is role for engine in present)
             lost_count = sum(engine.role is role for engine in lost.values())
             if not count or lost_count >= _URGENT_LOST_SHARE * (
--- a/src/jujubewharf/role_orders/ledger.py
+++ b/src/jujubewharf/role_orders/ledger.py
@@ -22,6 +22,12 @@
 # because of latency.
 _SAME_ORDER_MS = 500.0
 
+# The role that an engine leaves when it changes to another.
+OTHER_ROLE = {
+    resources.Role.PREFILL: resources.Role.DECODE,
+    resources.Role.DECODE: resources.Role.PREFILL,
+}
+
 
 class Outcome(enum.Enum):
     """What is known about an order."""
--- a/src/jujubewharf/role_orders/sender.py
+++ b/src/jujubewharf/role_orders/sender.py
@@ -38,11 +38,6 @@
 # plan chooses anew.
 _MAX_SENDS = 3
 
-_OTHER_ROLE = {
-    resources.Role.PREFILL: resources.Role.DECODE,
-    resources.Role.DECODE: resources.Role.PREFILL,
-}
-
 
 class OrderSender:
     """Orders of the leader and of its predecessors, for all services.
@@ -170,7 +165,7 @@
         unknown = [
             engine
             for engine in self._registry.of_service(service)
-            if engine.role in _OTHER_ROLE
+            if engine.role in ledgers.OTHER_ROLE
             and (engine.name not in known or known[engine.name].is_uncertain)
         ]
         found: dict[str, str] = {}
@@ -180,7 +175,7 @@
                 self._record_changing(order, traits)
                 continue
             now_ms = self._clock.now_ms()
-            role = _OTHER_ROLE[engine.role]
+            role = ledgers.OTHER_ROLE[engine.role]
             found[engine.name] = role.value
             self._ledger.record(
                 ledgers.KnownOrder(
@@ -239,15 +234,47 @@
             )
         )
 
-    def is_allowed(self, change: role_plan.RoleChange) -> bool:
+    def allowed_changes(
+        self,
+        changes: Sequence[role_plan.RoleChange],
+        engines: Sequence[resources.Endpoint],
+    ) -> list[role_plan.RoleChange]:
+        """Replaces engines whose state is too uncertain for an order.
+
+        Args:
+            changes: Planned changes.
+            engines: The engines that the plan was made of.
+
+        Returns:
+            The changes; those without a replacement are left out.
+        """
+        taken = {change.engine.name for change in changes}
+        allowed: list[role_plan.RoleChange] = []
+        for change in changes:
+            if self._is_allowed(change.engine, change.role):
+                allowed.append(change)
+                continue
+            for engine in engines:
+                if (
+                    engine.name not in taken
+                    and engine.role is change.engine.role
+                    and self._is_allowed(engine, change.role)
+                ):
+                    taken.add(engine.name)
+                    allowed.append(role_plan.RoleChange(engine, change.role))
+                    break
+        return allowed
+
+    def _is_allowed(
+        self, engine: resources.Endpoint, role: resources.Role
+    ) -> bool:
         """Returns whether an engine's state is certain enough for an order."""
-        name = change.engine.name
         is_pending = any(
-            order.engine == name
-            for order in self._ledger.pending(change.engine.service)
+            order.engine == engine.name
+            for order in self._ledger.pending(engine.service)
         )
         return not is_pending and not self._ledger.may_be_undone(
-            name, change.role
+            engine.name, role
         )
 
     async def send(
--- a/tests/role_orders/fleets.py
+++ b/tests/role_orders/fleets.py
@@ -34,6 +34,7 @@
 
     endpoint: resources.Endpoint
     late_ms: float = 0.0
+    answer_ms: float = 0.0
     loses_answers: int = 0
     loses_orders: int = 0
     is_changing: bool = False
@@ -92,6 +93,7 @@
             raise error
         at_ms = fleet.clock.now_ms() + engine.late_ms
         fleet.clock.call_at_ms(at_ms, lambda: fleet.begin(engine, order.role))
+        await fleet.clock.sleep_ms(engine.answer_ms)
         if engine.loses_answers:
             engine.loses_answers -= 1
             raise error
--- a/tests/role_orders/test_leader_changes.py
+++ b/tests/role_orders/test_leader_changes.py
@@ -69,3 +69,55 @@
         assert fleet.count(fleets.PREFILL) == wanted
 
     fleets.run(check, prefill=11, decode=12)
+
+
+def test_order_of_a_leader_that_fails_during_the_call_counts():
+    """Its successor must know the order although no outcome was reported."""
+
+    async def check(fleet):
+        for engine in fleet.engines.values():
+            engine.answer_ms = 60_000.0
+            engine.late_ms = 8_000.0
+        await fleet.add("i1")
+        await fleet.add("i2")
+        fleet.leases["i1"].grant(1)
+        await fleet.sleep_until(3_200.0)
+        (ordered,) = {name for _, name, _ in fleet.orders}
+        fleet.leases["i1"].withdraw()
+        (pending,) = fleet.ledgers["i2"].pending(fleets.SERVICE)
+        assert pending.engine == ordered
+        for engine in fleet.engines.values():
+            engine.answer_ms = 0.0
+        fleet.leases["i2"].grant(2)
+        await fleet.sleep_until(40_000.0)
+        # With two prefill engines the plan wants no further change.
+        assert {name for _, name, _ in fleet.orders} == {ordered}
+        assert fleet.count(fleets.PREFILL) == fleet.fewest_prefill == 2
+
+    fleets.run(check, prefill=3, decode=3)
+
+
+def test_empty_pool_does_not_wait_for_orders_of_the_former_leader():
+    """The pending orders may take 13 s; an empty pool can't wait for them."""
+
+    async def check(fleet):
+        for engine in fleet.engines.values():
+            engine.loses_orders = 9
+        await fleet.add("i1")
+        await fleet.add("i2")
+        fleet.leases["i1"].grant(1)
+        await fleet.sleep_until(4_000.0)
+        assert len(fleet.orders) == 2
+        fleet.leases["i1"].withdraw()
+        lost = {name for _, name, _ in fleet.orders}
+        for name, engine in fleet.engines.items():
+            engine.loses_orders = 0
+            if engine.role is fleets.PREFILL and name not in lost:
+                fleet.remove(name)
+        fleet.leases["i2"].grant(2)
+        # An engine that disappears is awaited for 6.5 s.
+        await fleet.sleep_until(12_500.0)
+        roles = {n: o.role for _, n, o in fleet.orders if o.holder == "i2"}
+        assert fleets.PREFILL in roles.values()
+
+    fleets.run(check, prefill=3, decode=3)
