Don't ask engines if there was no earlier leader

Cause: the first leader of a deployment asked each engine whether it was changing, which test_attempts.py showed as two calls more. Change: the lease tells whether the first part may have been held before; it wasn't if it was assigned in the group's first generation, in a store that was never restored. Result: a deployment without leader changes makes the same calls as before.

--- a/src/jujubewharf/forwarding/lease.py
+++ b/src/jujubewharf/forwarding/lease.py
@@ -17,6 +17,7 @@
 # Joins per time to live, so that two in a row may be lost.
 JOINS_PER_TTL = 3.0
 FIRST_PART = 0
+_FIRST_GENERATION = 1
 
 
 class GroupLease:
@@ -42,6 +43,7 @@
         self._rejected_fence = -1
         self._has_left = False
         self._holds_first_since_ms: float | None = None
+        self._holds_first_from = 0
         self._logger = structlog.get_logger(group=name)
 
     @property
@@ -64,6 +66,15 @@
         """Time since which the first part is held; ``None`` without it."""
         return self._holds_first_since_ms if self.is_valid else None
 
+    @property
+    def may_have_predecessor(self) -> bool:
+        """Whether the first part may have been held before this time.
+
+        Only the group's first assignment, in a store that was never restored,
+        has none before it.
+        """
+        return self._holds_first_from != _FIRST_GENERATION
+
     @property
     def fence(self) -> int | None:
         """Fencing token; ``None`` while another member may use the first part.
@@ -113,6 +124,7 @@
         held_first = self._holds_first_since_ms is not None
         if holds_first and not held_first:
             self._holds_first_since_ms = self._clock.now_ms()
+            self._holds_first_from = share.generation
         elif not holds_first:
             self._holds_first_since_ms = None
         if share != self._share:
--- a/src/jujubewharf/role_orders/sender.py
+++ b/src/jujubewharf/role_orders/sender.py
@@ -146,14 +146,15 @@
     ) -> bool:
         """Asks the engines once per leadership whether they are changing.
 
-        Called before the first order, so a leadership without orders asks
+        Without a predecessor there are no orders in progress to find. Called
+        before the first order, so a leadership without orders asks
         nothing. The later the engines are asked, the more of the predecessor's
         late orders are seen.
 
         Returns:
             Whether orders were found that weren't known.
         """
-        if service in self._asked:
+        if service in self._asked or not self._lease.may_have_predecessor:
             return False
         self._asked.add(service)
         known = {order.engine: order for order in self._ledger.pending(service)}
--- a/tests/role_orders/fleets.py
+++ b/tests/role_orders/fleets.py
@@ -60,6 +60,10 @@
     def holds_first_part(self) -> bool:
         return self.first_part_since_ms is not None
 
+    @property
+    def may_have_predecessor(self) -> bool:
+        return self._fence > 1
+
     @property
     def fence(self) -> int | None:
         since_ms = self.first_part_since_ms
--- a/tests/role_orders/test_followers.py
+++ b/tests/role_orders/test_followers.py
@@ -18,6 +18,7 @@
         ordered = {b.name for b in world.backends.by_name.values() if b.orders}
         assert ordered
         assert old is not None
+        assert not world.instances[old].lease.may_have_predecessor
         for instance in world.instances.values():
             known = instance._role_orders.pending(deployments.ENGINES)
             assert {o.engine for o in known} == ordered
@@ -25,6 +26,8 @@
         # A later instance learns them from the link to the new leader.
         await world.start("e4", declare=False, is_led=True)
         await world.clock.sleep_ms(6_000.0)
+        assert world.leader is not None
+        assert world.instances[world.leader].lease.may_have_predecessor
         known = world.instances["e4"]._role_orders.recent()
         assert {o.engine for o in known} == ordered
         await world.stop()
--- a/tests/role_orders/test_sender.py
+++ b/tests/role_orders/test_sender.py
@@ -66,13 +66,13 @@
 
     async def check(fleet):
         await fleet.add("i1")
-        fleet.leases["i1"].grant(1)
+        fleet.leases["i1"].grant(2)
         await fleet.sleep_until(30_000.0)
         assert sorted(fleet.state_calls) == sorted(fleet.engines)
         fleet.state_calls.clear()
         fleet.leases["i1"].withdraw()
         await fleet.sleep_until(31_000.0)
-        fleet.leases["i1"].grant(2)
+        fleet.leases["i1"].grant(3)
         await fleet.sleep_until(60_000.0)
         assert fleet.state_calls == []
 
@@ -86,8 +86,21 @@
         for name in ("g00", "g01"):
             fleet.begin(fleet.engines[name], fleets.DECODE)
         await fleet.add("i1", is_cut=True)
-        fleet.leases["i1"].grant(1)
+        fleet.leases["i1"].grant(2)
         await fleet.sleep_until(40_000.0)
         assert fleet.orders == []
 
     fleets.run(check, prefill=3, decode=3)
+
+
+def test_first_leader_asks_no_engine():
+    """A deployment without leader changes must make no further calls."""
+
+    async def check(fleet):
+        await fleet.add("i1")
+        fleet.leases["i1"].grant(1)
+        await fleet.sleep_until(30_000.0)
+        assert fleet.count(fleets.PREFILL) == 1
+        assert fleet.state_calls == []
+
+    fleets.run(check, prefill=3, decode=3)
