Forward the error response if the retry gets no permit

A repeatable call whose first endpoint answered with status 500 asks for another permit. If it was rejected, the error was the one of a call that may have run (endpoint_failed), and only queue_full led back to the answer at hand. In a burst the endpoint's own answer was dropped for a router error.

The answer at hand is now forwarded whatever error ends the retry. The new test fails before the change for the leader and for a follower.

--- a/src/jujubewharf/forwarding/plain.py
+++ b/src/jujubewharf/forwarding/plain.py
@@ -100,11 +100,10 @@
                 if error_reply is not None:
                     return error_reply
                 raise self._no_endpoint_error(run) from None
-            except errors.WharfError as error:
-                if (
-                    error_reply is not None
-                    and error.kind is errors.ErrorKind.QUEUE_FULL
-                ):
+            except errors.WharfError:
+                # The retry was rejected. Its error says that the call may have
+                # run, so its kind isn't the one of a call that was not sent.
+                if error_reply is not None:
                     return error_reply
                 raise
             except client.EngineError as error:
--- a/tests/leadership/test_plain_failures.py
+++ b/tests/leadership/test_plain_failures.py
@@ -12,6 +12,7 @@
 from jujubewharf.leadership import plain_permit_client
 from jujubewharf.leadership import plain_permit_server
 from jujubewharf.peers import plain_messages
+from jujubewharf.plain_calls import decisions
 from jujubewharf.standins import backend_state
 from jujubewharf.standins import plain_slots
 from tests.forwarding import deployments
@@ -462,6 +463,29 @@
     _run(scenario)
 
 
+@pytest.mark.parametrize("instance", ["e0", "e1"])
+def test_error_response_is_forwarded_if_the_retry_is_rejected(instance):
+    """The answer of the first endpoint would be dropped for a router error."""
+
+    async def scenario(world):
+        queues = world.instances["e0"].plain_permits.queues
+        decide = queues.decide
+
+        async def reject_retries(service, call, *, target_ms):
+            if call.excluded:
+                reason = decisions.RejectReason.NO_TIME
+                return decisions.Rejected(call.number, 50.0, reason)
+            return await decide(service, call, target_ms=target_ms)
+
+        queues.decide = reject_retries
+        for behind in world.backends.by_name.values():
+            behind.status = 500
+        answer = await world.ask("/lookup/1", instance=instance)
+        assert (answer.status, answer.error) == (500, None)
+
+    _run(scenario, count=3)
+
+
 def test_two_messages_a_call():
     async def scenario(world):
         sent = []
