Grant plain calls of followers before the leader has a load report

The leader refused a permit while none of its own answers had carried a load report. Reports of followers reach it only with releases of permits, which followers don't send after a refusal. With a leader that gets no calls of a service itself, no permits were granted at all: endpoints rejected calls as full and nothing waited or was ordered.

A follower asks once it has a report, so the leader now grants permits for every service with endpoints unless the setting is off. The new test fails before the change: nobody ever waits at the leader.

--- a/src/jujubewharf/leadership/plain_permit_server.py
+++ b/src/jujubewharf/leadership/plain_permit_server.py
@@ -23,7 +23,7 @@
         source: The current configuration.
         state: State that all instances share, for the loads in messages.
         loads: Load that endpoints have reported.
-        applies_to: Whether calls of a service need a permit.
+        grants_permits_of: Whether permits are granted for calls of a service.
         clock: Time source.
     """
 
@@ -33,14 +33,14 @@
         source: forwarder.ActiveConfiguration,
         state: shared_state.SharedState,
         loads: table.LoadTable,
-        applies_to: Callable[[str], bool],
+        grants_permits_of: Callable[[str], bool],
         clock: clocks.Clock,
     ) -> None:
         self._queues = queues
         self._source = source
         self._state = state
         self._loads = loads
-        self._applies_to = applies_to
+        self._grants_permits_of = grants_permits_of
         self._clock = clock
         # Routes by name, and the configuration that they are from.
         self._routes: dict[str, routes.Route] = {}
@@ -56,7 +56,7 @@
         The follower then chooses by itself.
         """
         route = self._route(request.route)
-        if route is None or not self._applies_to(request.service):
+        if route is None or not self._grants_permits_of(request.service):
             return None
         call = self._waiting_call(request, route)
         self._numbers[request.number] = call.number
--- a/src/jujubewharf/leadership/plain_permits.py
+++ b/src/jujubewharf/leadership/plain_permits.py
@@ -142,6 +142,14 @@
             for endpoint in self._registry.of_service(service)
         )
 
+    def _grants_permits_of(self, service: str) -> bool:
+        """Whether followers get permits for the calls of a service.
+
+        A follower asks once it has a load report. This instance may have none:
+        reports reach it only with its own calls and with releases of permits.
+        """
+        return self.is_enabled and bool(self._registry.of_service(service))
+
     def apply_settings(
         self, *, is_enabled: bool, policy: orders.AdmissionPolicy
     ) -> None:
@@ -156,7 +164,7 @@
             self._source,
             self._state,
             self._loads,
-            self.applies_to,
+            self._grants_permits_of,
             self._clock,
         )
 
--- a/tests/leadership/plain_bursts.py
+++ b/tests/leadership/plain_bursts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+from collections.abc import Sequence
 import dataclasses
 import random
 
@@ -33,9 +34,21 @@
 
 
 async def started(
-    *behind, count: int = 12, domains: str = "ab", leader: str = "e0"
+    *behind,
+    count: int = 12,
+    domains: str = "ab",
+    leader: str = "e0",
+    first_callers: Sequence[str] | None = None,
 ) -> deployments.Deployment:
-    """Instances with a leader that know that endpoints report their load."""
+    """Instances with a leader that know that endpoints report their load.
+
+    Args:
+        *behind: Endpoints.
+        count: Number of instances.
+        domains: Failure domains of the instances, in turn.
+        leader: Name of the leader.
+        first_callers: Instances that send the first calls; all by default.
+    """
     world = deployments.Deployment(*behind)
     world.cores[leader] = 16.0
     names = [f"e{i}" for i in range(count)]
@@ -51,7 +64,12 @@
     assert world.leader == leader
     # The first answers, and the next digests, tell all instances of the loads.
     for _ in range(2):
-        await asyncio.gather(*(world.ask("/sale/1", instance=n) for n in names))
+        await asyncio.gather(
+            *(
+                world.ask("/sale/1", instance=name)
+                for name in first_callers or names
+            )
+        )
         await world.clock.sleep_ms(700.0)
     return world
 
--- a/tests/leadership/test_plain_failures.py
+++ b/tests/leadership/test_plain_failures.py
@@ -486,6 +486,34 @@
     _run(scenario, count=3)
 
 
+def test_leader_without_calls_of_its_own_grants_permits():
+    """It learns of loads by releases only, so it would refuse for ever."""
+
+    async def scenario(world):
+        queues = world.instances["e0"].plain_permits.queues
+        for seed in range(3):
+            answers = await plain_bursts.burst(
+                world,
+                per_s=0.5 * plain_bursts.CAPACITY_PER_S,
+                for_ms=500.0,
+                instances=["e1", "e2"],
+                seed=seed,
+            )
+            plain_bursts.check_answers(world, answers)
+        calls = plain_bursts.burst(
+            world,
+            per_s=OVERLOAD_PER_S,
+            for_ms=1_500.0,
+            instances=["e1", "e2"],
+            seed=9,
+        )
+        await _wait_for_waiting(world, least=10)
+        assert queues.in_flight > 0
+        plain_bursts.check_answers(world, await calls)
+
+    _run(scenario, count=3, first_callers=["e1", "e2"])
+
+
 def test_two_messages_a_call():
     async def scenario(world):
         sent = []
