Grant calls at the present time when an older report arrives

The queue was given the time at which a report was received as the current time. The end of a stream brings a report from its beginning: calls granted by it counted as granted up to a second earlier, so their observed time grew by that age, later calls were taken to be late and rejected, and waits were logged as negative.

The age of the report is now passed beside the current time and applies to the report only.

--- a/src/jujubewharf/leadership/plain_queues.py
+++ b/src/jujubewharf/leadership/plain_queues.py
@@ -174,7 +174,8 @@
             endpoint,
             total=known.report.running + known.report.waiting,
             slots=known.report.slots,
-            now_ms=self._clock.now_ms() - known.age_ms,
+            now_ms=self._clock.now_ms(),
+            age_ms=known.age_ms,
         )
 
     def _queue_of(self, name: str, target_ms: float) -> _ServiceQueue:
--- a/src/jujubewharf/plain_calls/capacity.py
+++ b/src/jujubewharf/plain_calls/capacity.py
@@ -61,15 +61,15 @@
         """Raises the limit after a call has completed."""
         self._limit = min(float(self._ceiling), self._limit + 1.0 / self._limit)
 
-    def on_report(self, total: int, own: int, now_ms: float) -> None:
+    def on_report(self, total: int, own: int, received_ms: float) -> None:
         """Records how many calls an endpoint has.
 
         Args:
             total: Calls that run or wait at the endpoint.
             own: Calls that were granted and not released before the report.
-            now_ms: Current clock reading.
+            received_ms: Clock reading when the report was received.
         """
-        self._foreign.append((now_ms, max(0, total - own)))
+        self._foreign.append((received_ms, max(0, total - own)))
 
     def foreign(self, now_ms: float) -> int:
         """Returns the estimated number of calls that no permit counts."""
--- a/src/jujubewharf/plain_calls/endpoint_grants.py
+++ b/src/jujubewharf/plain_calls/endpoint_grants.py
@@ -105,23 +105,23 @@
         return self._grants.get(number)
 
     def ended_orphans(
-        self, total: int, now_ms: float, *, min_age_ms: float
+        self, total: int, received_ms: float, *, min_age_ms: float
     ) -> list[int]:
         """Returns orphaned calls that a report shows to have ended.
 
         Args:
             total: Calls that run or wait at the endpoint.
-            now_ms: Current clock reading.
+            received_ms: Clock reading when the report was received.
             min_age_ms: Age from which a call has ended most likely.
         """
         excess = len(self._grants) - total
         if excess <= 0:
             return []
-        oldest_ms = now_ms - min_age_ms
+        newest_ms = received_ms - min_age_ms
         orphans = [
             grant
             for grant in self._grants.values()
-            if grant.is_orphaned and grant.granted_ms <= oldest_ms
+            if grant.is_orphaned and grant.granted_ms <= newest_ms
         ]
         orphans.sort(key=lambda grant: grant.granted_ms)
         return [grant.number for grant in orphans[:excess]]
--- a/src/jujubewharf/plain_calls/endpoint_group.py
+++ b/src/jujubewharf/plain_calls/endpoint_group.py
@@ -73,16 +73,16 @@
         return [e for e in self._open.values() if e.name not in excluded]
 
     def record_report(
-        self, endpoint: str, *, total: int, slots: int, now_ms: float
+        self, endpoint: str, *, total: int, slots: int, received_ms: float
     ) -> None:
-        """Records the load that an endpoint reports."""
+        """Records the load that an endpoint reported at some time."""
         known = self._known.get(endpoint)
         if known is None:
             return
         known.capacity.set_slots(slots)
-        known.capacity.on_report(total, len(known), now_ms)
+        known.capacity.on_report(total, len(known), received_ms)
         ended = known.ended_orphans(
-            total, now_ms, min_age_ms=self._times.high_ms(endpoint)
+            total, received_ms, min_age_ms=self._times.high_ms(endpoint)
         )
         for number in ended:
             self.pop_grant(number)
--- a/src/jujubewharf/plain_calls/permit_queue.py
+++ b/src/jujubewharf/plain_calls/permit_queue.py
@@ -105,14 +105,27 @@
         return decided
 
     def record_report(
-        self, endpoint: str, *, total: int, slots: int, now_ms: float
+        self,
+        endpoint: str,
+        *,
+        total: int,
+        slots: int,
+        now_ms: float,
+        age_ms: float = 0.0,
     ) -> list[decisions.Decision]:
         """Records the load that an endpoint reports.
 
         A report that a released call brings is recorded before the release.
+
+        Args:
+            endpoint: Name of the endpoint.
+            total: Calls that run or wait there.
+            slots: Calls that it processes concurrently.
+            now_ms: Current clock reading.
+            age_ms: Time since the report was received from the endpoint.
         """
         self._endpoints.record_report(
-            endpoint, total=total, slots=slots, now_ms=now_ms
+            endpoint, total=total, slots=slots, received_ms=now_ms - age_ms
         )
         return self._fill(now_ms)
 
