Bound the check of a silent leader by each call's own target

All calls of an instance share one check whether the leader is there.

Each call now waits for the shared check for an eighth of its own target, and each link has its own check.

--- a/src/jujubewharf/leadership/plain_permit_client.py
+++ b/src/jujubewharf/leadership/plain_permit_client.py
@@ -72,7 +72,8 @@
         self._avoided_link: links.Link | None = None
         self._silent_since_ms: float | None = None
         self._refused_until_ms = 0.0
-        self._check: asyncio.Future[bool] | None = None
+        # Checks in progress. A new link begins without that of the last one.
+        self._checks: dict[links.Link, asyncio.Future[bool]] = {}
 
     @property
     def is_usable(self) -> bool:
@@ -205,23 +206,31 @@
             await asyncio.gather(reply, return_exceptions=True)
 
     async def _is_there(self, link: links.Link, timeout_ms: float) -> bool:
-        """Returns whether the leader responds, with one check for all."""
-        if self._check is None:
-            self._check = asyncio.ensure_future(
-                self._check_leader(link, timeout_ms)
-            )
-        return await asyncio.shield(self._check)
+        """Returns whether the leader responds, with one check for all.
 
-    async def _check_leader(self, link: links.Link, timeout_ms: float) -> bool:
+        Calls with a short target don't wait for the end of a check that a call
+        with a long one has begun.
+        """
         since_ms = link.last_heard_ms
+        check = self._checks.get(link)
+        if check is None:
+            check = asyncio.ensure_future(self._check_leader(link, timeout_ms))
+            self._checks[link] = check
+        timeout_s = timeout_ms / clocks.MS_PER_S
+        done, _ = await asyncio.wait([check], timeout=timeout_s)
+        if (done and check.result()) or link.last_heard_ms > since_ms:
+            return True
+        self._avoided_link = link
+        self._silent_since_ms = since_ms
+        return False
+
+    async def _check_leader(self, link: links.Link, timeout_ms: float) -> bool:
         try:
             with contextlib.suppress(network.PeerError):
                 await link.ask(
                     leader_messages.LivenessRequest(), timeout_ms=timeout_ms
                 )
                 return True
-            self._avoided_link = link
-            self._silent_since_ms = since_ms
-            return link.last_heard_ms > since_ms
+            return False
         finally:
-            self._check = None
+            del self._checks[link]
--- a/tests/leadership/test_plain_failures.py
+++ b/tests/leadership/test_plain_failures.py
@@ -112,6 +112,29 @@
     _run(scenario)
 
 
+def test_silent_leader_holds_short_calls_no_longer_than_their_own_check():
+    """A check that a call with a long target began would hold all others."""
+
+    async def scenario(world):
+        loop = asyncio.get_running_loop()
+        sender = world.instances["e1"]
+        client = sender.plain_permits._client
+        loop.hold("e0")
+        await world.clock.sleep_ms(5.0)
+        check = asyncio.ensure_future(
+            client._is_there(sender.fleet.link.link, 1_000.0)
+        )
+        await world.clock.sleep_ms(1.0)
+        short = await world.ask("/sale/1", instance="e1")
+        loop.release("e0")
+        await check
+        assert short.status == 200
+        # A quarter of the target, the work and the way to the endpoint.
+        assert short.took_ms <= 0.25 * deployments.SALE.target_ms + 85.0
+
+    _run(scenario, count=3)
+
+
 def test_leader_cut_off_with_calls_waiting():
     async def scenario(world):
         far = [n for n, i in world.instances.items() if i.domain == "b"]
