Handle releases while many requests of a link wait

A permit request occupies one of a link's 256 handlers until it is decided.

Requests and one-way messages are now limited separately.

--- a/src/jujubewharf/peers/link.py
+++ b/src/jujubewharf/peers/link.py
@@ -27,6 +27,8 @@
     from jujubewharf.peers import streams
 
 MAX_QUEUED_BYTES = 8_000_000
+# Largest number of requests, and of one-way messages, that are handled at the
+# same time.
 MAX_HANDLERS = 256
 
 _CORRELATION_MODULUS = 2**32
@@ -97,6 +99,8 @@
         self._correlations = itertools.count(1)
         self._pending_replies: dict[int, asyncio.Future[messages.Message]] = {}
         self._handler_tasks: dict[asyncio.Task[None], codec.FrameKind] = {}
+        self._handler_counts: collections.Counter[codec.FrameKind]
+        self._handler_counts = collections.Counter()
         self._queue: collections.deque[bytes] = collections.deque()
         self._queued_bytes = 0
         self._has_queued = asyncio.Event()
@@ -307,14 +311,21 @@
     def _start_handler(self, frame: codec.Frame) -> None:
         """Runs the handler in a task, so that it does not block reading."""
         self.last_used_ms = self._clock.now_ms()
-        if len(self._handler_tasks) >= MAX_HANDLERS:
+        # Requests that wait for a decision must not keep out the one-way
+        # messages, such as releases, that the decision depends on.
+        if self._handler_counts[frame.kind] >= MAX_HANDLERS:
             self._counts.count_drop(counters.DropReason.BUSY)
             if frame.kind is codec.FrameKind.ASK:
                 self._refuse(frame.correlation)
             return
         task = asyncio.ensure_future(self._handle(frame))
         self._handler_tasks[task] = frame.kind
-        task.add_done_callback(self._handler_tasks.pop)
+        self._handler_counts[frame.kind] += 1
+        task.add_done_callback(self._on_handler_done)
+
+    def _on_handler_done(self, task: asyncio.Task[None]) -> None:
+        kind = self._handler_tasks.pop(task)
+        self._handler_counts[kind] -= 1
 
     async def _handle(self, frame: codec.Frame) -> None:
         assert frame.message is not None
--- a/tests/leadership/test_plain_failures.py
+++ b/tests/leadership/test_plain_failures.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 
 import pytest
@@ -11,6 +12,9 @@
 from jujubewharf.forwarding import registration
 from jujubewharf.leadership import plain_permit_client
 from jujubewharf.leadership import plain_permit_server
+from jujubewharf.peers import codec
+from jujubewharf.peers import counters
+from jujubewharf.peers import link as peer_link
 from jujubewharf.peers import plain_messages
 from jujubewharf.plain_calls import decisions
 from jujubewharf.standins import backend_state
@@ -155,6 +159,37 @@
     _run(scenario)
 
 
+def test_releases_arrive_while_many_calls_of_the_instance_wait(monkeypatch):
+    """With all handlers occupied by waiting calls, releases were dropped."""
+    monkeypatch.setattr(peer_link, "MAX_HANDLERS", 16)
+
+    async def scenario(world):
+        calls = plain_bursts.burst(
+            world,
+            per_s=OVERLOAD_PER_S,
+            for_ms=1_000.0,
+            instances=["e1"],
+        )
+        dropped = collections.Counter()
+        for link in world.instances["e0"].fleet.followers.follower_links:
+            link._counts.count_drop = lambda reason: dropped.update([reason])
+            start_handler = link._start_handler
+
+            def start(frame, start_handler=start_handler):
+                before = dropped[counters.DropReason.BUSY]
+                start_handler(frame)
+                if dropped[counters.DropReason.BUSY] > before:
+                    dropped[frame.kind] += 1
+
+            link._start_handler = start
+        plain_bursts.check_answers(world, await calls)
+        # Requests are refused beyond the limit, releases aren't.
+        assert dropped[codec.FrameKind.ASK] > 0
+        assert dropped[codec.FrameKind.TELL] == 0
+
+    _run(scenario, count=3)
+
+
 def test_lost_releases_are_not_counted_for_ever(monkeypatch):
     async def scenario(world):
         lost = []
