Count a plain call that becomes late as offered once

A call that became late was withdrawn from the order and queued anew, so its class counted it as offered twice and seemed to be served half as often as it was: a higher class then preceded the lower one without need (is_class_first), or a class counted as starving. Its wait began anew, too, and an account alone in its class lost its virtual time.

AdmissionOrder.replaced changes the ticket of a waiting request in place.

--- a/src/jujubewharf/admission/classes.py
+++ b/src/jujubewharf/admission/classes.py
@@ -120,6 +120,11 @@
         state.waiting[ticket] = now_ms
         state.counts(_part(now_ms)).offered += 1
 
+    def replaced(self, ticket: tickets.Ticket, by: tickets.Ticket) -> None:
+        """Replaces the ticket of a waiting request."""
+        waiting = self._states[ticket.priority].waiting
+        waiting[by] = waiting.pop(ticket)
+
     def served(self, ticket: tickets.Ticket, now_ms: float) -> None:
         """Counts a request that was served."""
         state = self._states[ticket.priority]
--- a/src/jujubewharf/admission/order.py
+++ b/src/jujubewharf/admission/order.py
@@ -88,6 +88,17 @@
         self._shares.queued(ticket)
         self._is_changed = True
 
+    def replaced(self, ticket: tickets.Ticket, by: tickets.Ticket) -> None:
+        """Replaces the ticket of a waiting request, for example a late one.
+
+        The request isn't counted again, and keeps the time since which it
+        waits. Both tickets have the same priority and account.
+        """
+        self._waiting.remove(ticket)
+        self._waiting.add(by)
+        self._classes.replaced(ticket, by)
+        self._is_changed = True
+
     def rank(self, ticket: tickets.Ticket, now_ms: float) -> Rank:
         """Returns the sort key of a waiting request."""
         if ticket not in self._waiting:
--- a/src/jujubewharf/plain_calls/permit_queue.py
+++ b/src/jujubewharf/plain_calls/permit_queue.py
@@ -230,7 +230,7 @@
             # Calls take less time than when it began to wait.
             self._schedule(call.due_ms - high_ms, call.number)
             return []
-        self._waiting.update_ticket(entry, is_late=True, now_ms=now_ms)
+        self._waiting.update_ticket(entry, is_late=True)
         found = self._endpoints.best_with_room(
             accepting, call, now_ms, must_be_in_time=False
         )
--- a/src/jujubewharf/plain_calls/waiting_calls.py
+++ b/src/jujubewharf/plain_calls/waiting_calls.py
@@ -122,23 +122,19 @@
                 entry = _first_accepting(bucket, endpoint, start, end)
                 if entry is None:
                     continue
-                self.update_ticket(
-                    entry, is_late=end is not None, now_ms=now_ms
-                )
+                self.update_ticket(entry, is_late=end is not None)
                 rank = self._order.rank(entry.ticket, now_ms)
                 if best_rank is None or rank < best_rank:
                     best, best_rank = entry, rank
         return best
 
-    def update_ticket(
-        self, entry: Entry, *, is_late: bool, now_ms: float
-    ) -> None:
+    def update_ticket(self, entry: Entry, *, is_late: bool) -> None:
         """Replaces the ticket of a call that became late."""
         if entry.ticket.is_late == is_late:
             return
-        self._order.withdrawn(entry.ticket)
-        entry.ticket = new_ticket(entry.call, is_late=is_late)
-        self._order.queued(entry.ticket, now_ms)
+        ticket = new_ticket(entry.call, is_late=is_late)
+        self._order.replaced(entry.ticket, ticket)
+        entry.ticket = ticket
 
     def count_late(self, late_before_ms: float) -> int:
         """Returns how many calls would be late everywhere."""
--- a/tests/admission/test_order.py
+++ b/tests/admission/test_order.py
@@ -80,3 +80,24 @@
     order.withdrawn(ticket)
     order.rejected(_ticket())
     assert not order.is_active
+
+
+def test_replaced_ticket_keeps_the_time_since_which_it_waits():
+    """A starving request would wait anew whenever its ticket changes."""
+    order = _new()
+    in_time = _ticket(2_000.0, priority=5)
+    late = dataclasses.replace(in_time, is_late=True)
+    order.queued(in_time, 0.0)
+    for _ in range(4):
+        urgent = _ticket(1_000.0)
+        order.queued(urgent, 0.0)
+        order.rank(urgent, 1.0)
+        order.served(urgent)
+    order.replaced(in_time, late)
+    urgent = _ticket(3_000.0)
+    order.queued(urgent, 1_100.0)
+    assert order.rank(late, 1_100.0) < order.rank(urgent, 1_100.0)
+    order.withdrawn(in_time)
+    order.withdrawn(late)
+    order.withdrawn(urgent)
+    assert not order._waiting
--- a/tests/plain_calls/test_parts.py
+++ b/tests/plain_calls/test_parts.py
@@ -6,11 +6,16 @@
 
 import pytest
 
+from jujubewharf.admission import classes as all_classes
+from jujubewharf.admission import fair_share
+from jujubewharf.admission import order as orders
 from jujubewharf.plain_calls import capacity
+from jujubewharf.plain_calls import decisions
 from jujubewharf.plain_calls import endpoint_grants
 from jujubewharf.plain_calls import local_choice
 from jujubewharf.plain_calls import retry_times
 from jujubewharf.plain_calls import service_times
+from jujubewharf.plain_calls import waiting_calls
 from tests.plain_calls import simulation
 
 
@@ -171,3 +176,32 @@
     names = [choice.choose(many, times, due_in_ms=1e3).name for _ in range(80)]
     assert set(names) == {"s0", "s1", "s2", "s3"}
     assert choice.choose((), times, due_in_ms=1e3) is None
+
+
+def test_call_that_becomes_late_is_counted_as_offered_once():
+    """The served share of its class would seem half as large as it is."""
+    classes = all_classes.ClassBalance()
+    order = orders.AdmissionOrder(classes, fair_share.FairShare())
+    waiting = waiting_calls.WaitingCalls(order)
+
+    def added(number, priority):
+        call = decisions.WaitingCall(
+            number, "a", 400.0, 2_000.0, priority=priority
+        )
+        ticket = waiting_calls.new_ticket(call)
+        entry = waiting_calls.Entry(call, ticket, 0.0)
+        waiting.add(entry)
+        order.queued(ticket, 0.0)
+        return entry
+
+    urgent = [added(number, 0) for number in range(4)]
+    patient = [added(number, 5) for number in range(4, 8)]
+    for entry in urgent:
+        waiting.update_ticket(entry, is_late=True)
+    # All urgent calls are served, and three of four patient ones.
+    for entry in urgent + patient[:3]:
+        waiting.remove(entry)
+        order.rank(entry.ticket, 301.0)
+        order.served(entry.ticket)
+    order.rank(patient[3].ticket, 302.0)
+    assert not classes.is_class_first
