Count plain calls granted at once at the time of their arrival

Only ranking moved the order's clock on, and below the capacity nothing is ranked. Calls granted or rejected at once were counted at the time of the last rank, so their class had no served calls on record when a burst began.

The permit queue announces each call with the current time, and announcing moves the order's clock on.

--- a/src/jujubewharf/admission/order.py
+++ b/src/jujubewharf/admission/order.py
@@ -83,6 +83,7 @@
 
     def queued(self, ticket: tickets.Ticket, now_ms: float) -> None:
         """Counts a request that begins to wait."""
+        self._now_ms = now_ms
         self._waiting.add(ticket)
         self._classes.queued(ticket, now_ms)
         self._shares.queued(ticket)
--- a/src/jujubewharf/plain_calls/permit_queue.py
+++ b/src/jujubewharf/plain_calls/permit_queue.py
@@ -139,6 +139,7 @@
         """
         self._arrivals.add(now_ms)
         ticket = waiting_calls.new_ticket(call)
+        self._order.queued(ticket, now_ms)
         accepting = self._endpoints.accepting(call.excluded)
         if not accepting:
             reason = decisions.RejectReason.NO_ENDPOINT
@@ -161,7 +162,6 @@
             )
         entry = waiting_calls.Entry(call, ticket, now_ms, ahead)
         self._waiting.add(entry)
-        self._order.queued(ticket, now_ms)
         self._schedule(
             call.due_ms - self._endpoints.min_high_ms(accepting), call.number
         )
--- a/tests/plain_calls/test_permit_queue.py
+++ b/tests/plain_calls/test_permit_queue.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from jujubewharf.admission import classes as all_classes
+from jujubewharf.admission import fair_share
 from jujubewharf.admission import order as orders
 from jujubewharf.plain_calls import decisions
 from jujubewharf.plain_calls import permit_queue
@@ -253,3 +255,21 @@
     queue.request(_call(0), 0.0)
     queue.release(0, 1.0, outcome=decisions.Outcome.FAILED)
     assert queue.request(_call(1), 2.0).endpoint == "s1"
+
+
+def test_calls_granted_at_once_are_counted_when_they_arrive():
+    """Below the capacity nothing is ranked, which alone moved the time on."""
+    classes = all_classes.ClassBalance()
+    order = orders.AdmissionOrder(classes, fair_share.FairShare())
+    queue = permit_queue.PermitQueue(
+        service_times.ServiceTimes(lambda name: 1.0, prior_ms=WORK_MS),
+        order,
+        report_max_age_ms=1_000.0,
+    )
+    queue.set_endpoints([simulation.endpoint("s1")], 0.0)
+    for number, priority in ((1, 0), (2, 5)):
+        call = _call(number, at_ms=100_000.0, priority=priority)
+        decision = queue.request(call, 100_000.0)
+        assert isinstance(decision, decisions.Granted)
+    classes.update(100_500.0)
+    assert classes.is_active
