Drop the median of a service with the endpoints it came from

The median over the endpoints was kept until the next observation, so an endpoint that started was expected to take as long as one that was gone. The test passed only because nothing had asked for a time before; it now asks.

--- a/src/jujubewharf/plain_calls/service_times.py
+++ b/src/jujubewharf/plain_calls/service_times.py
@@ -102,6 +102,7 @@
         for name in [n for n in self._by_endpoint if n not in endpoints]:
             del self._by_endpoint[name]
         self._usual_ms.clear()
+        self._service_ms = None
 
     def median_ms(self, endpoint: str) -> float:
         """Returns the median time of a call at an endpoint at present."""
--- a/tests/plain_calls/test_parts.py
+++ b/tests/plain_calls/test_parts.py
@@ -117,6 +117,7 @@
     times = _times()
     for _ in range(20):
         times.record("s1", 500.0)
+    assert times.median_ms("s1") > 400.0
     times.retain(())
     assert times.median_ms("s1") == 100.0
 
