Drop events of ended plain calls before their deadlines

Each granted call leaves an event at its deadline in the leader's queue, also after its release. With deadlines of minutes that is some 100,000 entries for some hundred calls a second, and the memory of an instance is limited.

The new test kept 5,000 before.

--- a/src/jujubewharf/plain_calls/permit_queue.py
+++ b/src/jujubewharf/plain_calls/permit_queue.py
@@ -11,7 +11,6 @@
 
 from collections.abc import Collection
 from collections.abc import Sequence
-import heapq
 
 from jujubewharf.admission import order as orders
 from jujubewharf.admission import tickets
@@ -20,6 +19,7 @@
 from jujubewharf.plain_calls import decisions
 from jujubewharf.plain_calls import endpoint_grants
 from jujubewharf.plain_calls import endpoint_group
+from jujubewharf.plain_calls import queue_events
 from jujubewharf.plain_calls import retry_times
 from jujubewharf.plain_calls import service_times
 from jujubewharf.plain_calls import waiting_calls
@@ -58,8 +58,7 @@
         self._retry_times = retry_times.RetryTimes()
         self._waiting = waiting_calls.WaitingCalls(order)
         self._arrivals = arrival_rate.ArrivalRate()
-        # Times at which waiting and granted calls must be looked at.
-        self._events: list[tuple[float, int]] = []
+        self._events = queue_events.QueueEvents(self._is_needed)
 
     @property
     def waiting(self) -> int:
@@ -79,17 +78,7 @@
     @property
     def next_event_ms(self) -> float | None:
         """Clock reading at which ``expire`` has something to decide."""
-        while self._events:
-            at_ms, number = self._events[0]
-            is_needed = (
-                number == _PAUSE_END
-                or self._waiting.get(number) is not None
-                or self._endpoints.is_granted(number)
-            )
-            if is_needed:
-                return at_ms
-            heapq.heappop(self._events)
-        return None
+        return self._events.next_ms
 
     def set_endpoints(
         self, endpoints: Sequence[resources.Endpoint], now_ms: float
@@ -162,7 +151,7 @@
             )
         entry = waiting_calls.Entry(call, ticket, now_ms, ahead)
         self._waiting.add(entry)
-        self._schedule(
+        self._events.schedule(
             call.due_ms - self._endpoints.min_high_ms(accepting), call.number
         )
         return decisions.Waiting(call.number, ahead)
@@ -187,7 +176,7 @@
             return []
         if outcome is decisions.Outcome.FAILED:
             paused_until_ms = self._endpoints.paused_until_ms(endpoint)
-            self._schedule(paused_until_ms, _PAUSE_END)
+            self._events.schedule(paused_until_ms, _PAUSE_END)
         return self._fill(now_ms)
 
     def cancel(self, number: int, now_ms: float) -> list[decisions.Decision]:
@@ -211,8 +200,7 @@
         granted calls are no longer counted after their deadline.
         """
         decided: list[decisions.Decision] = []
-        while self._events and self._events[0][0] <= now_ms:
-            _, number = heapq.heappop(self._events)
+        while (number := self._events.pop_due(now_ms)) is not None:
             self._endpoints.drop_expired(number, now_ms)
             entry = self._waiting.get(number)
             if entry is not None:
@@ -228,7 +216,7 @@
         high_ms = self._endpoints.min_high_ms(accepting)
         if call.due_ms - high_ms > now_ms:
             # Calls take less time than when it began to wait.
-            self._schedule(call.due_ms - high_ms, call.number)
+            self._events.schedule(call.due_ms - high_ms, call.number)
             return []
         self._waiting.update_ticket(entry, is_late=True)
         found = self._endpoints.best_with_room(
@@ -239,7 +227,7 @@
         if not self._has_time_if_late(call, accepting, now_ms):
             reason = decisions.RejectReason.NO_TIME
             return [self._reject_waiting(entry, reason, now_ms)]
-        self._schedule(
+        self._events.schedule(
             max(now_ms + 1.0, call.latest_start_ms(high_ms)), call.number
         )
         return []
@@ -328,7 +316,7 @@
         self._endpoints.add_grant(
             endpoint, call.number, now_ms, deadline_ms=deadline_ms
         )
-        self._schedule(deadline_ms, call.number)
+        self._events.schedule(deadline_ms, call.number)
         return decisions.Granted(
             call.number, endpoint.name, waited_ms=waited_ms, ahead=ahead
         )
@@ -394,5 +382,10 @@
             ahead=entry.ahead,
         )
 
-    def _schedule(self, at_ms: float, number: int) -> None:
-        heapq.heappush(self._events, (at_ms, number))
+    def _is_needed(self, number: int) -> bool:
+        """Returns whether an event still has something to decide."""
+        return (
+            number == _PAUSE_END
+            or self._waiting.get(number) is not None
+            or self._endpoints.is_granted(number)
+        )
--- a/tests/plain_calls/test_permit_queue.py
+++ b/tests/plain_calls/test_permit_queue.py
@@ -273,3 +273,15 @@
         assert isinstance(decision, decisions.Granted)
     classes.update(100_500.0)
     assert classes.is_active
+
+
+def test_events_of_ended_calls_are_dropped():
+    """With long deadlines they would take memory for minutes."""
+    queue = _queue(simulation.endpoint("s1"))
+    for number in range(5_000):
+        queue.request(_call(number, deadline_ms=600_000.0), float(number))
+        queue.release(number, number + 0.5)
+    assert len(queue._events) < 300
+    # Events of calls that remain are kept.
+    queue.request(_call(9_999, deadline_ms=9_000.0), 5_000.0)
+    assert queue.next_event_ms == 9_000.0
