Elect a leader while only some tables of the store are away

An instance that the store refused a table dialled its last leader instead of reading the leaders group, for as long as that lasted.

Every second attempt now reads the group.

--- a/src/jujubewharf/leadership/leadership.py
+++ b/src/jujubewharf/leadership/leadership.py
@@ -94,6 +94,7 @@
         leader.on_addresses = self._announcements.set_addresses
         # Address of the leader that this instance followed last.
         self._last_leader: str | None = None
+        self._has_dialled_last = False
         # Instances with more cores attempt first and so mostly lead: leading
         # needs more processor time than following.
         self._delay_share = min(1.0, _WEAK_CORES / cores)
@@ -170,8 +171,8 @@
         announced = self._announcements.take()
         if announced is not None and await self._follow(announced):
             return True
-        if self._availability.is_away and self._last_leader is not None:
-            # The leader may be reachable again although the store is not.
+        if self._should_dial_last_leader():
+            assert self._last_leader is not None
             return await self._follow(self._last_leader)
         contacts = await self._group.contacts()
         address = contacts.get(leases.FIRST_PART)
@@ -192,6 +193,19 @@
         await self._lead()
         return True
 
+    def _should_dial_last_leader(self) -> bool:
+        """Returns whether to dial the last leader rather than read the group.
+
+        It may be reachable again although the store is not. Every second
+        attempt reads the group nevertheless: the leader may have ended, and the
+        group may answer while other tables of the store don't.
+        """
+        if not self._availability.is_away or self._last_leader is None:
+            self._has_dialled_last = False
+            return False
+        self._has_dialled_last = not self._has_dialled_last
+        return self._has_dialled_last
+
     async def _lead(self) -> None:
         generation = epochs.split(self._lease.share.generation)
         self._logger.info(
