Forget retry-after times once their callers have come back

Each rejected call moves the last told time on by one served call. Retries of the same callers are counted too, so after a burst of several times the capacity it was many seconds ahead, and the next rejected caller was told the longest time (297 ms instead of 20 in the new test) for as long.

The last told time is dropped once every caller that was told one is back.

--- a/src/jujubewharf/plain_calls/retry_times.py
+++ b/src/jujubewharf/plain_calls/retry_times.py
@@ -22,6 +22,8 @@
 
     def __init__(self) -> None:
         self._last_ms = 0.0
+        # Time by which all callers that were told a time have come back.
+        self._told_until_ms = 0.0
 
     def next_ms(
         self,
@@ -39,11 +41,15 @@
             interval_ms: Mean time between two calls that are served.
             left_ms: Time for which the caller will wait.
         """
+        if now_ms >= self._told_until_ms:
+            self._last_ms = 0.0
         self._last_ms = max(now_ms + free_in_ms, self._last_ms + interval_ms)
         wait_ms = max(_MIN_MS, self._last_ms - now_ms)
         max_ms = max(_MIN_MS, left_ms * _MAX_SHARE)
         exact_ms = max_ms * _EXACT_SHARE
-        if wait_ms <= exact_ms:
-            return wait_ms
-        rest_ms = max_ms - exact_ms
-        return max_ms - rest_ms * math.exp((exact_ms - wait_ms) / rest_ms)
+        if wait_ms > exact_ms:
+            rest_ms = max_ms - exact_ms
+            late_share = math.exp((exact_ms - wait_ms) / rest_ms)
+            wait_ms = max_ms - rest_ms * late_share
+        self._told_until_ms = max(self._told_until_ms, now_ms + wait_ms)
+        return wait_ms
--- a/tests/plain_calls/test_parts.py
+++ b/tests/plain_calls/test_parts.py
@@ -133,6 +133,18 @@
     assert max(found) <= 0.33 * 900.0
 
 
+def test_retry_times_of_an_ended_burst_are_forgotten():
+    """A later caller would be told a time far beyond the next free slot."""
+    times = retry_times.RetryTimes()
+    for _ in range(1_000):
+        times.next_ms(0.0, free_in_ms=50.0, interval_ms=10.0, left_ms=900.0)
+    # All callers of the burst have come back after a third of their time.
+    after_ms = times.next_ms(
+        400.0, free_in_ms=20.0, interval_ms=10.0, left_ms=900.0
+    )
+    assert after_ms == 20.0
+
+
 class _Loads:
     def __init__(self, **totals):
         self.totals = totals
