Remember refused permits by route

A leader that refused one request wasn't asked for any call for a second. One route that its configuration doesn't have yet sent the calls of all services past its queue, again with each request of that route.

The refusal now applies to the route on that link; the silence of a leader is kept apart from it. In the new test the leader saw no call of the other route before.

--- a/src/jujubewharf/leadership/plain_permit_client.py
+++ b/src/jujubewharf/leadership/plain_permit_client.py
@@ -27,8 +27,9 @@
 # Share of a call's target after which it is checked whether the leader is
 # there, and for which an answer to the check is waited for.
 _CHECK_SHARE = 1 / 8
-# Time for which a leader that has refused a request isn't asked again. It is
-# of an older build, or its configuration is older than this instance's.
+# Time for which a leader that has refused a request isn't asked for calls of
+# that route again. It is of an older build, or its configuration is older than
+# this instance's.
 _REFUSED_MS = 1_000.0
 
 
@@ -66,28 +67,29 @@
         self._loads = loads
         self._clock = clock
         self._numbers = itertools.count(1)
-        # Link on which the leader was silent or refused, and until when it
-        # isn't asked: until it is heard later than at the first time, or
-        # until the second time.
-        self._avoided_link: links.Link | None = None
-        self._silent_since_ms: float | None = None
-        self._refused_until_ms = 0.0
+        # Link on which the leader was silent, and since when. It isn't asked
+        # until it is heard later than that.
+        self._silent_link: links.Link | None = None
+        self._silent_since_ms = 0.0
+        # Until when the leader isn't asked for calls of a route, and the link
+        # on which it refused them.
+        self._refused_until_ms: dict[str, float] = {}
+        self._refusing_link: links.Link | None = None
         # Checks in progress. A new link begins without that of the last one.
         self._checks: dict[links.Link, asyncio.Future[bool]] = {}
 
-    @property
-    def is_usable(self) -> bool:
-        """Whether the leader can be asked now."""
+    def is_usable(self, route: str) -> bool:
+        """Returns whether the leader can be asked for calls of a route now."""
         link = self._leader.link
         if link is None or link.is_closed:
             return False
-        if link is not self._avoided_link:
-            return True
-        if self._silent_since_ms is not None:
+        if link is self._silent_link:
             if link.last_heard_ms <= self._silent_since_ms:
                 return False
-            self._silent_since_ms = None
-        return self._clock.now_ms() >= self._refused_until_ms
+            self._silent_link = None
+        if link is not self._refusing_link:
+            return True
+        return self._clock.now_ms() >= self._refused_until_ms.get(route, 0.0)
 
     async def ask(
         self, run: runs.Run, *, excluded: frozenset[str], left_ms: float
@@ -107,14 +109,19 @@
             )
         except network.PeerError as error:
             if error.fault is network.PeerFault.REFUSED:
-                self._avoided_link = link
-                self._refused_until_ms = self._clock.now_ms() + _REFUSED_MS
+                self._on_refused(link, run.route.name)
         finally:
             if message is None:
                 outcome = decisions.Outcome.CANCELLED
                 self._tell_released(link, number, outcome)
         return None if message is None else Answer(number, link, message)
 
+    def _on_refused(self, link: links.Link, route: str) -> None:
+        if link is not self._refusing_link:
+            self._refusing_link = link
+            self._refused_until_ms.clear()
+        self._refused_until_ms[route] = self._clock.now_ms() + _REFUSED_MS
+
     def release(
         self,
         answer: Answer,
@@ -220,7 +227,7 @@
         done, _ = await asyncio.wait([check], timeout=timeout_s)
         if (done and check.result()) or link.last_heard_ms > since_ms:
             return True
-        self._avoided_link = link
+        self._silent_link = link
         self._silent_since_ms = since_ms
         return False
 
--- a/src/jujubewharf/leadership/plain_permits.py
+++ b/src/jujubewharf/leadership/plain_permits.py
@@ -231,7 +231,9 @@
         role = self._fleet.role
         if role is fleets.Role.LEADING:
             choice = await self._choose_leading(run, avoided, started_ms)
-        elif role is fleets.Role.FOLLOWING and self._client.is_usable:
+        elif role is fleets.Role.FOLLOWING and self._client.is_usable(
+            run.route.name
+        ):
             choice = await self._choose_following(run, avoided, started_ms)
         return choice or self._choose_alone(run, endpoints)
 
--- a/tests/leadership/test_plain_failures.py
+++ b/tests/leadership/test_plain_failures.py
@@ -404,6 +404,31 @@
     _run(scenario)
 
 
+def test_refused_route_leaves_the_calls_of_others_in_the_queue(monkeypatch):
+    """A route that the leader doesn't know yet sent all calls past it."""
+    request = plain_permit_server.PlainPermitServer.request
+
+    async def refuse_lookups(self, message):
+        if message.route == deployments.LOOKUP.name:
+            return None
+        return await request(self, message)
+
+    monkeypatch.setattr(
+        plain_permit_server.PlainPermitServer, "request", refuse_lookups
+    )
+
+    async def scenario(world):
+        queues = world.instances["e0"].plain_permits.queues
+        lookup = await world.ask("/lookup/1", instance="e1")
+        assert lookup.status == 200
+        sale = asyncio.ensure_future(world.ask("/sale/1", instance="e1"))
+        await world.clock.sleep_ms(40.0)
+        assert queues.in_flight == 1
+        assert (await sale).status == 200
+
+    _run(scenario, count=3)
+
+
 def test_followers_of_an_older_build_are_known_from_reports():
     """Their calls take room that the leader must not grant again."""
 
