--- a/src/jujubewharf/leadership/leadership.py
+++ b/src/jujubewharf/leadership/leadership.py
@@ -94,6 +94,7 @@
         leader.on_addresses = self._announcements.set_addresses
         # Address of the leader that this instance followed last.
         self._last_leader: str | None = None
+        self._has_dialled_last = False
         # Instances with more cores attempt first and so mostly lead: leading
         # needs more processor time than following.
         self._delay_share = min(1.0, _WEAK_CORES / cores)
@@ -108,8 +109,6 @@
         self._rng = rng
         self._listener: streams.Listener | None = None
         self._is_resigning = False
-        # Whether the last attempt tried the last leader without the group.
-        self._skips_group = False
         self.has_looked = False
         self._logger = structlog.get_logger()
 
@@ -172,13 +171,9 @@
         announced = self._announcements.take()
         if announced is not None and await self._follow(announced):
             return True
-        if self._availability.is_away and self._last_leader is not None:
-            # The leader may be reachable again although the store is not. The
-            # group may also answer although the tables don't, so every other
-            # attempt asks it: otherwise nobody would replace a killed leader.
-            self._skips_group = not self._skips_group
-            if self._skips_group:
-                return await self._follow(self._last_leader)
+        if self._should_dial_last_leader():
+            assert self._last_leader is not None
+            return await self._follow(self._last_leader)
         contacts = await self._group.contacts()
         address = contacts.get(leases.FIRST_PART)
         if address is not None and address != self._hello.address:
@@ -198,6 +193,19 @@
         await self._lead()
         return True
 
+    def _should_dial_last_leader(self) -> bool:
+        """Returns whether to dial the last leader rather than read the group.
+
+        It may be reachable again although the store is not. Every second
+        attempt reads the group nevertheless: the leader may have ended, and the
+        group may answer while other tables of the store don't.
+        """
+        if not self._availability.is_away or self._last_leader is None:
+            self._has_dialled_last = False
+            return False
+        self._has_dialled_last = not self._has_dialled_last
+        return self._has_dialled_last
+
     async def _lead(self) -> None:
         generation = epochs.split(self._lease.share.generation)
         self._logger.info(
--- a/src/jujubewharf/leadership/plain_permits.py
+++ b/src/jujubewharf/leadership/plain_permits.py
@@ -142,6 +142,14 @@
             for endpoint in self._registry.of_service(service)
         )
 
+    def _grants_permits_of(self, service: str) -> bool:
+        """Whether followers get permits for the calls of a service.
+
+        A follower asks once it has a load report. This instance may have none:
+        reports reach it only with its own calls and with releases of permits.
+        """
+        return self.is_enabled and bool(self._registry.of_service(service))
+
     def apply_settings(
         self, *, is_enabled: bool, policy: orders.AdmissionPolicy
     ) -> None:
@@ -156,7 +164,7 @@
             self._source,
             self._state,
             self._loads,
-            self.applies_to,
+            self._grants_permits_of,
             self._clock,
         )
 
@@ -223,7 +231,9 @@
         role = self._fleet.role
         if role is fleets.Role.LEADING:
             choice = await self._choose_leading(run, avoided, started_ms)
-        elif role is fleets.Role.FOLLOWING and self._client.is_usable:
+        elif role is fleets.Role.FOLLOWING and self._client.is_usable(
+            run.route.name
+        ):
             choice = await self._choose_following(run, avoided, started_ms)
         return choice or self._choose_alone(run, endpoints)
 
--- a/tests/leadership/test_plain_failures.py
+++ b/tests/leadership/test_plain_failures.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 
 import pytest
@@ -11,7 +12,11 @@
 from jujubewharf.forwarding import registration
 from jujubewharf.leadership import plain_permit_client
 from jujubewharf.leadership import plain_permit_server
+from jujubewharf.peers import codec
+from jujubewharf.peers import counters
+from jujubewharf.peers import link as peer_link
 from jujubewharf.peers import plain_messages
+from jujubewharf.plain_calls import decisions
 from jujubewharf.standins import backend_state
 from jujubewharf.standins import plain_slots
 from tests.forwarding import deployments
@@ -111,6 +116,29 @@
     _run(scenario)
 
 
+def test_silent_leader_holds_short_calls_no_longer_than_their_own_check():
+    """A check that a call with a long target began would hold all others."""
+
+    async def scenario(world):
+        loop = asyncio.get_running_loop()
+        sender = world.instances["e1"]
+        client = sender.plain_permits._client
+        loop.hold("e0")
+        await world.clock.sleep_ms(5.0)
+        check = asyncio.ensure_future(
+            client._is_there(sender.fleet.link.link, 1_000.0)
+        )
+        await world.clock.sleep_ms(1.0)
+        short = await world.ask("/sale/1", instance="e1")
+        loop.release("e0")
+        await check
+        assert short.status == 200
+        # A quarter of the target, the work and the way to the endpoint.
+        assert short.took_ms <= 0.25 * deployments.SALE.target_ms + 85.0
+
+    _run(scenario, count=3)
+
+
 def test_leader_cut_off_with_calls_waiting():
     async def scenario(world):
         far = [n for n, i in world.instances.items() if i.domain == "b"]
@@ -131,6 +159,37 @@
     _run(scenario)
 
 
+def test_releases_arrive_while_many_calls_of_the_instance_wait(monkeypatch):
+    """With all handlers occupied by waiting calls, releases were dropped."""
+    monkeypatch.setattr(peer_link, "MAX_HANDLERS", 16)
+
+    async def scenario(world):
+        calls = plain_bursts.burst(
+            world,
+            per_s=OVERLOAD_PER_S,
+            for_ms=1_000.0,
+            instances=["e1"],
+        )
+        dropped = collections.Counter()
+        for link in world.instances["e0"].fleet.followers.follower_links:
+            link._counts.count_drop = lambda reason: dropped.update([reason])
+            start_handler = link._start_handler
+
+            def start(frame, start_handler=start_handler):
+                before = dropped[counters.DropReason.BUSY]
+                start_handler(frame)
+                if dropped[counters.DropReason.BUSY] > before:
+                    dropped[frame.kind] += 1
+
+            link._start_handler = start
+        plain_bursts.check_answers(world, await calls)
+        # Requests are refused beyond the limit, releases aren't.
+        assert dropped[codec.FrameKind.ASK] > 0
+        assert dropped[codec.FrameKind.TELL] == 0
+
+    _run(scenario, count=3)
+
+
 def test_lost_releases_are_not_counted_for_ever(monkeypatch):
     async def scenario(world):
         lost = []
@@ -345,6 +404,31 @@
     _run(scenario)
 
 
+def test_refused_route_leaves_the_calls_of_others_in_the_queue(monkeypatch):
+    """A route that the leader doesn't know yet sent all calls past it."""
+    request = plain_permit_server.PlainPermitServer.request
+
+    async def refuse_lookups(self, message):
+        if message.route == deployments.LOOKUP.name:
+            return None
+        return await request(self, message)
+
+    monkeypatch.setattr(
+        plain_permit_server.PlainPermitServer, "request", refuse_lookups
+    )
+
+    async def scenario(world):
+        queues = world.instances["e0"].plain_permits.queues
+        lookup = await world.ask("/lookup/1", instance="e1")
+        assert lookup.status == 200
+        sale = asyncio.ensure_future(world.ask("/sale/1", instance="e1"))
+        await world.clock.sleep_ms(40.0)
+        assert queues.in_flight == 1
+        assert (await sale).status == 200
+
+    _run(scenario, count=3)
+
+
 def test_followers_of_an_older_build_are_known_from_reports():
     """Their calls take room that the leader must not grant again."""
 
@@ -462,6 +546,57 @@
     _run(scenario)
 
 
+@pytest.mark.parametrize("instance", ["e0", "e1"])
+def test_error_response_is_forwarded_if_the_retry_is_rejected(instance):
+    """The answer of the first endpoint would be dropped for a router error."""
+
+    async def scenario(world):
+        queues = world.instances["e0"].plain_permits.queues
+        decide = queues.decide
+
+        async def reject_retries(service, call, *, target_ms):
+            if call.excluded:
+                reason = decisions.RejectReason.NO_TIME
+                return decisions.Rejected(call.number, 50.0, reason)
+            return await decide(service, call, target_ms=target_ms)
+
+        queues.decide = reject_retries
+        for behind in world.backends.by_name.values():
+            behind.status = 500
+        answer = await world.ask("/lookup/1", instance=instance)
+        assert (answer.status, answer.error) == (500, None)
+
+    _run(scenario, count=3)
+
+
+def test_leader_without_calls_of_its_own_grants_permits():
+    """It learns of loads by releases only, so it would refuse for ever."""
+
+    async def scenario(world):
+        queues = world.instances["e0"].plain_permits.queues
+        for seed in range(3):
+            answers = await plain_bursts.burst(
+                world,
+                per_s=0.5 * plain_bursts.CAPACITY_PER_S,
+                for_ms=500.0,
+                instances=["e1", "e2"],
+                seed=seed,
+            )
+            plain_bursts.check_answers(world, answers)
+        calls = plain_bursts.burst(
+            world,
+            per_s=OVERLOAD_PER_S,
+            for_ms=1_500.0,
+            instances=["e1", "e2"],
+            seed=9,
+        )
+        await _wait_for_waiting(world, least=10)
+        assert queues.in_flight > 0
+        plain_bursts.check_answers(world, await calls)
+
+    _run(scenario, count=3, first_callers=["e1", "e2"])
+
+
 def test_two_messages_a_call():
     async def scenario(world):
         sent = []
--- a/tests/plain_calls/test_parts.py
+++ b/tests/plain_calls/test_parts.py
@@ -6,11 +6,16 @@
 
 import pytest
 
+from jujubewharf.admission import classes as all_classes
+from jujubewharf.admission import fair_share
+from jujubewharf.admission import order as orders
 from jujubewharf.plain_calls import capacity
+from jujubewharf.plain_calls import decisions
 from jujubewharf.plain_calls import endpoint_grants
 from jujubewharf.plain_calls import local_choice
 from jujubewharf.plain_calls import retry_times
 from jujubewharf.plain_calls import service_times
+from jujubewharf.plain_calls import waiting_calls
 from tests.plain_calls import simulation
 
 
@@ -112,6 +117,7 @@
     times = _times()
     for _ in range(20):
         times.record("s1", 500.0)
+    assert times.median_ms("s1") > 400.0
     times.retain(())
     assert times.median_ms("s1") == 100.0
 
@@ -127,6 +133,18 @@
     assert max(found) <= 0.33 * 900.0
 
 
+def test_retry_times_of_an_ended_burst_are_forgotten():
+    """A later caller would be told a time far beyond the next free slot."""
+    times = retry_times.RetryTimes()
+    for _ in range(1_000):
+        times.next_ms(0.0, free_in_ms=50.0, interval_ms=10.0, left_ms=900.0)
+    # All callers of the burst have come back after a third of their time.
+    after_ms = times.next_ms(
+        400.0, free_in_ms=20.0, interval_ms=10.0, left_ms=900.0
+    )
+    assert after_ms == 20.0
+
+
 class _Loads:
     def __init__(self, **totals):
         self.totals = totals
@@ -171,3 +189,32 @@
     names = [choice.choose(many, times, due_in_ms=1e3).name for _ in range(80)]
     assert set(names) == {"s0", "s1", "s2", "s3"}
     assert choice.choose((), times, due_in_ms=1e3) is None
+
+
+def test_call_that_becomes_late_is_counted_as_offered_once():
+    """The served share of its class would seem half as large as it is."""
+    classes = all_classes.ClassBalance()
+    order = orders.AdmissionOrder(classes, fair_share.FairShare())
+    waiting = waiting_calls.WaitingCalls(order)
+
+    def added(number, priority):
+        call = decisions.WaitingCall(
+            number, "a", 400.0, 2_000.0, priority=priority
+        )
+        ticket = waiting_calls.new_ticket(call)
+        entry = waiting_calls.Entry(call, ticket, 0.0)
+        waiting.add(entry)
+        order.queued(ticket, 0.0)
+        return entry
+
+    urgent = [added(number, 0) for number in range(4)]
+    patient = [added(number, 5) for number in range(4, 8)]
+    for entry in urgent:
+        waiting.update_ticket(entry, is_late=True)
+    # All urgent calls are served, and three of four patient ones.
+    for entry in urgent + patient[:3]:
+        waiting.remove(entry)
+        order.rank(entry.ticket, 301.0)
+        order.served(entry.ticket)
+    order.rank(patient[3].ticket, 302.0)
+    assert not classes.is_class_first
