Look for the next waiting request from the last one on

Each request that asked in a round looked through all that precede it, so a release with n waiting requests took n * n / 2 steps. The queue now counts the entries at its front that have asked, and finds requests by their key.

--- a/src/jujubewharf/forwarding/wait_queue.py
+++ b/src/jujubewharf/forwarding/wait_queue.py
@@ -33,6 +33,10 @@
 _ROUND_INTERVAL_SHARE = 0.5
 
 
+# Rank of a queued request; the number keeps the order of equal ranks.
+_Key = tuple[orders.Rank, int]
+
+
 class Rejection(enum.Enum):
     """Rule by which a queued request is rejected.
 
@@ -60,6 +64,7 @@
         rejected_by: Rule that applies if it is rejected.
         asked_round: Last round in which it asked.
         is_asking: Whether it is asking engines.
+        key: Its rank when the queue was last sorted, and its number.
     """
 
     ticket: tickets.Ticket
@@ -69,6 +74,7 @@
     rejected_by: Rejection = Rejection.DUE
     asked_round: int = -1
     is_asking: bool = False
+    key: _Key | None = None
     _wake_event: asyncio.Event = dataclasses.field(
         default_factory=asyncio.Event
     )
@@ -87,7 +93,7 @@
         self._wake_event.clear()
 
 
-# A queued request with its rank; the number keeps the order of equal ranks.
+# A queued request with its key.
 _Entry = tuple[orders.Rank, int, Waiter]
 
 
@@ -114,6 +120,10 @@
         self._numbers = itertools.count()
         self._round = 0
         self._round_at_ms = 0.0
+        # Number of entries at the front that have asked in this round or are
+        # asking. Without it each request of a round would look through all
+        # that precede it.
+        self._asked_count = 0
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -128,9 +138,11 @@
         self.order.queued(waiter.ticket, now_ms)
         entries = self._sorted()
         rank = self.order.rank(waiter.ticket, now_ms)
-        entry = (rank, next(self._numbers), waiter)
-        bisect.insort(entries, entry)
-        preceding = entries[: bisect.bisect_left(entries, entry)]
+        waiter.key = (rank, next(self._numbers))
+        position = bisect.bisect_left(entries, waiter.key)
+        entries.insert(position, (*waiter.key, waiter))
+        self._asked_count = min(position, self._asked_count)
+        preceding = entries[:position]
         waiter.preceded_by = dict(
             collections.Counter(e[2].ticket.priority for e in preceding)
         )
@@ -146,6 +158,7 @@
         """Wakes the first request after memory came free."""
         self._round += 1
         self._round_at_ms = self._clock.now_ms()
+        self._asked_count = 0
         if self.order.is_active:
             self._wake_next()
         elif self._entries:
@@ -161,23 +174,30 @@
                 return False
             # Woken for this turn, or for one that it has had.
             waiter.drop_wake()
+        self.begin_last_ask(waiter)
+        return True
+
+    def begin_last_ask(self, waiter: Waiter) -> None:
+        """Notes that a request that is due asks without regard to its turn."""
         waiter.asked_round = self._round
         waiter.is_asking = True
-        return True
 
     def end_ask(self, waiter: Waiter, *, is_served: bool) -> None:
         """Wakes the request after this one, which has finished asking."""
         waiter.is_asking = False
+        if waiter.asked_round < self._round:
+            # A round has begun meanwhile, in which it has yet to ask.
+            self._asked_count = 0
         if self.order.is_active:
             # Before the next one is chosen, so that the account's share counts.
             if is_served:
                 self._remove_served(waiter)
             self._wake_next()
             return
-        waiters = [entry[2] for entry in self._sorted()]
-        position = waiters.index(waiter) + 1
-        if position < len(waiters):
-            waiters[position].wake()
+        entries = self._sorted()
+        position = self._position(waiter) + 1
+        if position < len(entries):
+            entries[position][2].wake()
         if is_served:
             self._remove_served(waiter)
 
@@ -231,31 +251,56 @@
         version = self.order.version(now_ms)
         if version != self._version:
             self._version = version
-            self._entries = sorted(
-                (self.order.rank(waiter.ticket, now_ms), number, waiter)
-                for _, number, waiter in self._entries
-            )
+            self._asked_count = 0
+            for _, number, waiter in self._entries:
+                waiter.key = (self.order.rank(waiter.ticket, now_ms), number)
+            self._entries.sort(key=_key_of)
+            self._entries = [(*_key_of(e), e[2]) for e in self._entries]
         return self._entries
 
+    def _position(self, waiter: Waiter) -> int:
+        return bisect.bisect_left(self._entries, _key(waiter))
+
     def _remove(self, waiter: Waiter) -> None:
-        self._entries = [e for e in self._entries if e[2] is not waiter]
+        position = self._position(waiter)
+        entries = self._entries
+        if position < len(entries) and entries[position][2] is waiter:
+            del entries[position]
+            if position < self._asked_count:
+                self._asked_count -= 1
 
     def _remove_served(self, waiter: Waiter) -> None:
         self._remove(waiter)
         self.order.served(waiter.ticket)
 
     def _is_turn(self, waiter: Waiter) -> bool:
-        for _, _, other in self._sorted():
-            if other is waiter:
-                return True
-            if not other.is_asking and other.asked_round < self._round:
-                other.wake()
-                return False
-        return True
+        first = self._first_to_ask()
+        if first is None or _key(first) >= _key(waiter):
+            return True
+        first.wake()
+        return False
 
     def _wake_next(self) -> None:
         """Wakes the first request that hasn't asked in this round."""
-        for _, _, waiter in self._sorted():
+        first = self._first_to_ask()
+        if first is not None:
+            first.wake()
+
+    def _first_to_ask(self) -> Waiter | None:
+        """Returns the first request that hasn't asked in this round."""
+        entries = self._sorted()
+        while self._asked_count < len(entries):
+            waiter = entries[self._asked_count][2]
             if not waiter.is_asking and waiter.asked_round < self._round:
-                waiter.wake()
-                return
+                return waiter
+            self._asked_count += 1
+        return None
+
+
+def _key(waiter: Waiter) -> _Key:
+    assert waiter.key is not None
+    return waiter.key
+
+
+def _key_of(entry: _Entry) -> _Key:
+    return _key(entry[2])
--- a/tests/forwarding/test_wait_queue.py
+++ b/tests/forwarding/test_wait_queue.py
@@ -214,3 +214,39 @@
             assert queue.blocking_tokens(waiter) == 7
 
     deployments.run(main())
+
+
+class _CountingWaiter(wait_queues.Waiter):
+    """Counts how often queues look at a request's round."""
+
+    looks = 0
+
+    @property
+    def asked_round(self):
+        _CountingWaiter.looks += 1
+        return self._asked_round
+
+    @asked_round.setter
+    def asked_round(self, value):
+        self._asked_round = value
+
+
+def test_work_of_a_round_does_not_grow_with_the_square_of_the_waiters():
+    """With hundreds of waiters each release kept the leader busy for long."""
+
+    async def main():
+        queue = _queue()
+        count = 200
+        with contextlib.ExitStack() as exits:
+            for number in range(count):
+                waiter = _waiter(9e5 + number, account="ab"[number % 2])
+                counting = _CountingWaiter(waiter.ticket, waiter.tokens)
+                exits.enter_context(queue.enqueued(counting))
+            _CountingWaiter.looks = 0
+            queue.wake_first()
+            for _, _, waiter in list(queue._sorted()):
+                assert queue.begin_ask(waiter)
+                queue.end_ask(waiter, is_served=False)
+            assert _CountingWaiter.looks <= 8 * count
+
+    deployments.run(main())
