Let others ask while a request that is due asks a last time

A request that became due before its turn asked engines without being marked as asking. Requests after it found it pending and waited for it, up to the timeout of a silent engine. It is now marked like any request that asks.

--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -249,6 +249,7 @@
             return None
         # It became due before its turn in this round; memory that none of the
         # requests before it has taken must not stay free.
+        queue.begin_last_ask(waiter)
         reservation = await self._try_engines(
             run, demand, max_engines=max_engines
         )
--- a/tests/forwarding/test_wait_queue.py
+++ b/tests/forwarding/test_wait_queue.py
@@ -216,6 +216,19 @@
     deployments.run(main())
 
 
+def test_last_request_to_a_silent_engine_does_not_hold_up_the_others():
+    """A request that is due asks out of turn; the next one waited for it."""
+
+    async def main():
+        queue = _queue()
+        due, next_one = _waiter(900.0), _waiter(990.0, priority=5)
+        with queue.enqueued(due), queue.enqueued(next_one):
+            queue.begin_last_ask(due)
+            assert queue.begin_ask(next_one)
+
+    deployments.run(main())
+
+
 class _CountingWaiter(wait_queues.Waiter):
     """Counts how often queues look at a request's round."""
 
