Divide the whole allowance at once under the first leader only

A leader whose followers had all just started took the fleet for new and divided the whole retry allowance after 2.4 s. After a restart of all instances, or of a domain that was cut off, former processes had used their shares within the same window: the sum of the shares reached 1.81 in a restart of six instances. The generation of the leader's lease now shows whether anybody has led before. If so, the shares of former processes expire first, and the sum stays within 1.

--- a/src/jujubewharf/leadership/fleet_retries.py
+++ b/src/jujubewharf/leadership/fleet_retries.py
@@ -25,6 +25,8 @@
 # Time after its start within which an instance without a share may be part of a
 # fleet that has just started.
 _NEW_MS = 10_000.0
+# Generation of the lease of the first leader of a fleet.
+_FIRST_TERM = 1
 # Time without a check of the role after which the process was suspended, and
 # time within which it notices that its link or lease has ended meanwhile.
 _SUSPENDED_MS = 3_000.0
@@ -60,6 +62,7 @@
         self._shares = retry_shares.RetryShares(window_ms)
         self._holders: dict[links.Link, retry_shares.Holder] = {}
         self._own: retry_shares.Holder | None = None
+        self._followers: all_followers.Followers | None = None
         self._number = 0
         self._share: float | None = None
         # Time until which the share may be used, and shares used of late.
@@ -75,6 +78,7 @@
 
     def attach(self, followers: all_followers.Followers) -> None:
         """Divides the allowance among the followers while this one leads."""
+        self._followers = followers
         followers.on_link_begin = self._on_link_begin
         followers.on_link_end = self._on_link_end
         followers.on_retry_demand = self._on_demand
@@ -126,11 +130,22 @@
             case fleets.Role.LEADING:
                 self._own = retry_shares.Holder(self._name)
                 self._holders.clear()
-                self._shares.begin(self._own, self._held(now_ms), now_ms)
+                self._shares.begin(
+                    self._own,
+                    self._held(now_ms),
+                    now_ms,
+                    is_first_term=self._is_first_term,
+                )
             case fleets.Role.FOLLOWING:
                 self._following_since_ms = now_ms
         return role
 
+    @property
+    def _is_first_term(self) -> bool:
+        """Whether no instance has led before in the present store."""
+        followers = self._followers
+        return followers is not None and followers.term == _FIRST_TERM
+
     def _use(self, share: float, now_ms: float) -> None:
         if self._share is not None and self._share > share:
             self._used.append((now_ms + self._window_ms, self._share))
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -61,6 +61,7 @@
 
     Attributes:
         is_leading: Whether followers are accepted.
+        term: Generation of the lease by which this instance last led.
         on_leading_changed: Called when this instance begins or stops to lead.
         on_announcement: Called with the hello of each instance that announces
             a new leader.
@@ -81,6 +82,7 @@
         count_within_ms: float,
     ) -> None:
         self.is_leading = False
+        self.term = 0
         self.on_leading_changed: Callable[[], None] = lambda: None
         self.on_announcement: Callable[[link_messages.Hello], None]
         self.on_announcement = lambda hello: None
@@ -223,8 +225,13 @@
             self.on_link_end(link)
             server.close()
 
-    def begin_leading(self) -> None:
-        """Starts to accept followers, with no tables confirmed as read yet."""
+    def begin_leading(self, term: int) -> None:
+        """Starts to accept followers, with no tables confirmed as read yet.
+
+        Args:
+            term: Generation of the lease.
+        """
+        self.term = term
         self._endpoints_read.confirmed_ms = None
         self._configurations_read.confirmed_ms = None
         self._low_accounts = quota_messages.LowAccounts(())
--- a/src/jujubewharf/leadership/leadership.py
+++ b/src/jujubewharf/leadership/leadership.py
@@ -200,7 +200,7 @@
             generation=generation.offset,
         )
         self._leader_link.discard_received()
-        self._followers.begin_leading()
+        self._followers.begin_leading(self._lease.share.generation)
         self._announcements.announce(self._lease.share.generation)
         # Renewals run beside the heartbeats: a renewal that gets no answer
         # takes longer than followers wait for a heartbeat.
--- a/src/jujubewharf/leadership/retry_shares.py
+++ b/src/jujubewharf/leadership/retry_shares.py
@@ -119,7 +119,14 @@
         """Time at which all shares of former leaders have expired."""
         return self._began_ms + 2.0 * self.window_ms + _LINK_TIMEOUT_MS
 
-    def begin(self, own: Holder, held: float | None, now_ms: float) -> None:
+    def begin(
+        self,
+        own: Holder,
+        held: float | None,
+        now_ms: float,
+        *,
+        is_first_term: bool,
+    ) -> None:
         """Begins to divide the allowance as the leader.
 
         Args:
@@ -127,13 +134,16 @@
             held: Highest share that it used within the last window; ``None``
                 if it never had one.
             now_ms: Current time in ms.
+            is_first_term: Whether nobody has led before. Otherwise processes
+                that this leader doesn't see, or that have just been killed,
+                may have used shares within the window.
         """
         self._present, self._lost = [], []
         self._began_ms = now_ms
         self._own = own
         self._inherited = 0.0
         self._names = set()
-        self._is_first = True
+        self._is_first = is_first_term
         self.add(own)
         self.report(own, 0, held, 0.0, now_ms)
 
--- a/src/jujubewharf/platform/groups.py
+++ b/src/jujubewharf/platform/groups.py
@@ -11,9 +11,9 @@
     """Partitions assigned to one member.
 
     Attributes:
-        generation: Increases whenever partitions are reassigned, also across a
-            restore of the store: its epoch is in the upper bits, see
-            ``epochs``.
+        generation: 1 for the first assignment of a new group. Increases
+            whenever partitions are reassigned, also across a restore of the
+            store: its epoch is in the upper bits, see ``epochs``.
         parts: Partitions assigned to this member.
     """
 
--- a/tests/leadership/retry_histories.py
+++ b/tests/leadership/retry_histories.py
@@ -74,7 +74,12 @@
         self.world = deployments.Deployment(deployments.plain_endpoint("s1"))
         self.seen = Seen()
 
-    async def run(self, *, for_ms: float = 90_000.0) -> Seen:
+    async def run(
+        self,
+        *,
+        for_ms: float = 90_000.0,
+        restart_all_after_ms: float = float("inf"),
+    ) -> Seen:
         """Plays the history and returns what endpoints saw."""
         world = self.world
         await world.start_together(DOMAINS, *self._names)
@@ -83,10 +88,13 @@
                 instance.fleet_retries.share = lambda: 1.0 / len(self._names)
         now_ms = world.clock.now_ms
         until_ms = now_ms() + for_ms
+        restart_all_at_ms = now_ms() + restart_all_after_ms
         demand_ms = fault_ms = now_ms()
         restarting: asyncio.Future[None] | None = None
         while now_ms() < until_ms:
-            if now_ms() >= demand_ms:
+            if restart_all_after_ms < float("inf"):
+                self._busy = self._names
+            elif now_ms() >= demand_ms:
                 count = self._rng.choice((1, 1, 2, 3))
                 self._busy = self._rng.sample(self._names, count)
                 demand_ms = now_ms() + self._rng.uniform(3_000.0, 25_000.0)
@@ -94,6 +102,9 @@
                 if restarting is None or restarting.done():
                     restarting = self._act()
                 fault_ms = now_ms() + self._rng.uniform(500.0, 12_000.0)
+            if now_ms() >= restart_all_at_ms:
+                restart_all_at_ms = float("inf")
+                await asyncio.gather(*(world.restart(n) for n in self._names))
             self._request()
             self._sum_shares()
             await world.clock.sleep_ms(_STEP_MS)
--- a/tests/leadership/test_fleet_retries.py
+++ b/tests/leadership/test_fleet_retries.py
@@ -23,6 +23,18 @@
     assert seen.highest_sum <= 1.0 + 1e-9
 
 
+def test_restart_of_all_instances_adds_no_retries():
+    """Each process of the restarted fleet had its share a second time."""
+    seen = deployments.run(
+        retry_histories.History(1, 6, has_faults=False).run(
+            for_ms=60_000.0, restart_all_after_ms=30_000.0
+        )
+    )
+    assert seen.denied > 100
+    seen.check()
+    assert seen.highest_sum <= 1.0 + 1e-9
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_busy_instances_use_the_allowance_of_idle_ones(seed):
     """With equal shares, busy instances were denied what others had unused.
--- a/tests/leadership/test_retry_shares.py
+++ b/tests/leadership/test_retry_shares.py
@@ -13,12 +13,17 @@
 class Fleet:
     """A leader's division, and followers that confirm each share at once."""
 
-    def __init__(self, *names: str, held: float | None = None) -> None:
+    def __init__(
+        self,
+        *names: str,
+        held: float | None = None,
+        is_first_term: bool = True,
+    ) -> None:
         self.shares = retry_shares.RetryShares(WINDOW_MS)
         self.holders = {name: retry_shares.Holder(name) for name in names}
         self.now_ms = 0.0
         own, *others = self.holders.values()
-        self.shares.begin(own, held, self.now_ms)
+        self.shares.begin(own, held, self.now_ms, is_first_term=is_first_term)
         for holder in others:
             self.shares.add(holder)
             self.shares.report(holder, 0, held, 0.0, self.now_ms)
@@ -57,6 +62,18 @@
     )
 
 
+def test_restarted_fleet_waits_for_the_shares_of_former_processes():
+    """A restarted domain that is cut off took itself for a new fleet.
+
+    Instances elsewhere, or the killed processes, may have used all shares.
+    """
+    fleet = Fleet("e1", "e2", "e3", is_first_term=False)
+    fleet.run(SETTLED_MS - 1_500.0, e1=30.0)
+    assert fleet.total == 0.0
+    fleet.run(4_000.0, e1=30.0)
+    assert fleet.total > 0.8
+
+
 def test_share_follows_demand():
     """Instances with few callers kept retries that others were denied."""
     fleet = Fleet("e1", "e2", "e3", "e4")
