Count shares of a killed process beside those of the next one

When a restarted instance lost its link and came back, the shares of its former process were taken for its own, so only the higher of the two counted. The rest was given to others while both had been used: shares of 1.15 in one window. Holders that a later process has replaced now count until they expire.

--- a/src/jujubewharf/leadership/retry_shares.py
+++ b/src/jujubewharf/leadership/retry_shares.py
@@ -49,12 +49,14 @@
     Attributes:
         wanted: Retries that it wanted within the window.
         has_reported: Whether it has reported; older builds never do.
+        is_replaced: Whether a later process of this name has reported.
     """
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.wanted = 0.0
         self.has_reported = False
+        self.is_replaced = False
         self._shares: list[_Share] = []
         self._number = 0
 
@@ -179,14 +181,19 @@
     def _inherit(
         self, holder: Holder, held: float | None, now_ms: float
     ) -> None:
+        former = [lost for lost in self._lost if lost.name == holder.name]
         if held is None:
-            # A new process: shares of its predecessor count until they expire.
+            # A new process: shares of its predecessor count until they expire,
+            # beside its own.
+            for lost in former:
+                lost.is_replaced = True
             return
         self._is_first = False
         held = min(1.0, max(0.0, held))
         holder.hold(held)
-        former = [lost for lost in self._lost if lost.name == holder.name]
         for lost in former:
+            if lost.is_replaced:
+                continue
             holder.hold(lost.counted(now_ms))
             self._lost.remove(lost)
         if holder.name not in self._names:
--- a/tests/leadership/test_retry_shares.py
+++ b/tests/leadership/test_retry_shares.py
@@ -155,6 +155,28 @@
     assert lost.counted(fleet.now_ms) == pytest.approx(0.85 * 0.5)
 
 
+def test_share_of_a_killed_process_counts_beside_that_of_the_next_one():
+    """Both may have retried within the window; only the higher one counted."""
+    fleet = Fleet("e1", "e2", held=0.5)
+    fleet.run(SETTLED_MS + 5_000.0, e2=30.0)
+    killed = fleet.holders.pop("e2")
+    fleet.shares.remove(killed, fleet.now_ms)
+    restarted = fleet.holders["e2"] = retry_shares.Holder("e2")
+    fleet.shares.add(restarted)
+    fleet.run(3_000.0, e2=30.0)
+    held = restarted.share
+    assert held > 0.0
+    fleet.shares.remove(restarted, fleet.now_ms)
+    again = retry_shares.Holder("e2")
+    fleet.shares.add(again)
+    fleet.shares.report(again, 0, held, 30.0, fleet.now_ms)
+    fleet.holders["e2"] = again
+    for _ in range(8):
+        fleet.run(1_000.0, e1=30.0)
+        used = killed.counted(fleet.now_ms) + held
+        assert fleet.share("e1") + used <= 1.0 + 1e-9
+
+
 def test_new_instance_has_a_share_at_once():
     """It could not retry until a window after it joined."""
     fleet = Fleet("e1", "e2", "e3")
