Raise no share under an older leader before others have expired

Four seconds after an older build began to lead, each instance used an equal share, though others had used higher ones within the window. A share is now only lowered to the equal one, and raised once all shares by demand have expired.

--- a/src/jujubewharf/leadership/fleet_retries.py
+++ b/src/jujubewharf/leadership/fleet_retries.py
@@ -100,15 +100,25 @@
             return 0.0
         if role is not fleets.Role.ALONE:
             self._valid_until_ms = now_ms + self._window_ms
-            is_older = (
-                role is fleets.Role.FOLLOWING
-                and self._number == 0
-                and now_ms - self._following_since_ms > _OLDER_BUILD_MS
-            )
-            if is_older:
-                self._use(self._fleet.equal_share(), now_ms)
+            if role is fleets.Role.FOLLOWING and self._number == 0:
+                self._follow_older_build(now_ms)
         return self._share or 0.0
 
+    def _follow_older_build(self, now_ms: float) -> None:
+        """Uses an equal share if the leader sends none.
+
+        Shares that the former leader divided by demand count until they have
+        expired, so this instance's share isn't raised before.
+        """
+        following_ms = now_ms - self._following_since_ms
+        if following_ms <= _OLDER_BUILD_MS:
+            return
+        share = self._fleet.equal_share()
+        if following_ms <= retry_shares.expiry_ms(self._window_ms):
+            share = min(share, self._share or 0.0)
+        if share != self._share:
+            self._use(share, now_ms)
+
     def _drop_expired(self, now_ms: float) -> None:
         """Gives the share up, also if there is a leader again by now."""
         if self._share is not None and now_ms > self._valid_until_ms:
--- a/src/jujubewharf/leadership/retry_shares.py
+++ b/src/jujubewharf/leadership/retry_shares.py
@@ -31,6 +31,11 @@
 _MIN_CHANGE = 0.1
 
 
+def expiry_ms(window_ms: float) -> float:
+    """Returns the time after which no share of a lost link is in a window."""
+    return 2.0 * window_ms + _LINK_TIMEOUT_MS
+
+
 @dataclasses.dataclass(slots=True)
 class _Share:
     """A share that an instance may use or may have used within the window."""
@@ -119,7 +124,7 @@
     @property
     def _settled_ms(self) -> float:
         """Time at which all shares of former leaders have expired."""
-        return self._began_ms + 2.0 * self.window_ms + _LINK_TIMEOUT_MS
+        return self._began_ms + expiry_ms(self.window_ms)
 
     def begin(
         self,
@@ -160,7 +165,7 @@
         self._present.remove(holder)
         if not holder.has_reported:
             holder.hold(1.0 / (1.0 + len(self._present)))
-        holder.expire(now_ms + 2.0 * self.window_ms + _LINK_TIMEOUT_MS)
+        holder.expire(now_ms + expiry_ms(self.window_ms))
         self._lost.append(holder)
 
     def report(
--- a/tests/leadership/test_fleet_retries.py
+++ b/tests/leadership/test_fleet_retries.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import types
+
 import pytest
 
+from jujubewharf.leadership import fleet as fleets
+from jujubewharf.leadership import fleet_retries
+from jujubewharf.peers import demand_messages
 from tests.forwarding import deployments
 from tests.leadership import retry_histories
 
@@ -23,6 +28,51 @@
     assert seen.highest_sum <= 1.0 + 1e-9
 
 
+class _Follower:
+    """An instance whose leader divides among four instances."""
+
+    def __init__(self):
+        self.at_ms = 0.0
+        self.link = types.SimpleNamespace(link_count=1, tell=lambda m: None)
+        self.fleet = types.SimpleNamespace(
+            link=self.link,
+            role=fleets.Role.FOLLOWING,
+            equal_share=lambda: 0.25,
+        )
+        self.retries = fleet_retries.FleetRetries(
+            self.fleet,
+            types.SimpleNamespace(wanted=lambda: 0.0),
+            types.SimpleNamespace(now_ms=lambda: self.at_ms),
+            window_ms=10_000.0,
+            name="e1",
+        )
+
+    def run(self, for_ms):
+        until_ms = self.at_ms + for_ms
+        while self.at_ms < until_ms:
+            self.at_ms += 1_000.0
+            share = self.retries.share()
+        return share
+
+    def change_leader(self):
+        self.link.link_count += 1
+
+
+@pytest.mark.parametrize(("held", "at_first"), [(0.01, 0.01), (0.9, 0.25)])
+def test_equal_share_of_an_older_leader_waits_for_shares_by_demand(
+    held, at_first
+):
+    """Rising at once added to what others had used within the window."""
+    follower = _Follower()
+    follower.run(1_000.0)
+    follower.link.on_retry_share(demand_messages.RetryShare(1, held))
+    assert follower.run(2_000.0) == held
+    follower.change_leader()
+    assert follower.run(6_000.0) == at_first
+    assert follower.run(16_000.0) == at_first
+    assert follower.run(4_000.0) == 0.25
+
+
 def test_restart_of_all_instances_adds_no_retries():
     """Each process of the restarted fleet had its share a second time."""
     seen = deployments.run(
