Keep no reserve for moving demand while demand is even

Of the retry allowance, 0.15 was always kept for demand that moves, so a fleet with equal demand got 0.85 of its former equal share. While demand is even, shares are now equal and only the equal part of one further instance is kept. Shares then follow each change of the fleet, since no reserve covers the difference for an instance that joins. 12 instances use more than 0.98 of the allowance; the sum of the shares stays within 1.

--- a/src/jujubewharf/leadership/retry_shares.py
+++ b/src/jujubewharf/leadership/retry_shares.py
@@ -21,14 +21,22 @@
 # Part that is divided only while it is lacking, so that a new instance gets a
 # share before those of the others have expired.
 _RESERVE = 0.15
+# Parts of the demand above the mean up to which it counts as even, and from
+# which it no longer does. Even demand doesn't move, so shares are equal and
+# only the equal part of one further instance is reserved.
+_EVEN_PART = 0.1
+_UNEVEN_PART = 0.2
 # Time in which a message is received, or its link is found broken.
 _LINK_TIMEOUT_MS = 2_500.0
 # Times after which the followers of a first leader have reported, and after
 # which a fleet without shares no longer counts as just started.
 _REPORTED_MS = 2_400.0
 _FIRST_UNTIL_MS = 6_000.0
-# Smallest relative change of a share that is worth a message.
+# Smallest relative change of a share that is worth a message. While demand is
+# even, shares change only with the instances, and must follow exactly, as no
+# reserve covers the difference.
 _MIN_CHANGE = 0.1
+_MIN_EVEN_CHANGE = 0.001
 
 
 def expiry_ms(window_ms: float) -> float:
@@ -118,6 +126,8 @@
         # Sum of the shares that instances held under the former leader.
         self._inherited = 0.0
         self._names: set[str] = set()
+        # Whether all instances want about as many retries.
+        self._is_even = False
         # Whether no instance is known to have had a share before.
         self._is_first = True
 
@@ -234,11 +244,15 @@
         older = len(self._present) - len(sharing)
         reserved = sum(h.counted(now_ms) for h in self._lost)
         reserved += older / len(self._present)
-        usable = (1.0 - _RESERVE) * max(0.0, total - reserved)
+        self._update_is_even(sharing)
+        reserve = _RESERVE
+        if self._is_even:
+            reserve = min(_RESERVE, _EQUAL_PART / (1 + len(sharing)))
+        usable = (1.0 - reserve) * max(0.0, total - reserved)
         targets = self._targets(sharing, usable)
         changed: list[Holder] = []
         for holder, target in zip(sharing, targets, strict=True):
-            is_less = target < holder.share * (1.0 - _MIN_CHANGE)
+            is_less = target < holder.share * (1.0 - self._min_change)
             # A first share also shows that the leader divides by demand.
             if is_less or holder.number == 0:
                 holder.set_share(min(target, holder.share))
@@ -246,6 +260,20 @@
         free = total - reserved - sum(h.counted(now_ms) for h in sharing)
         return changed + self._raise_shares(sharing, targets, free, now_ms)
 
+    @property
+    def _min_change(self) -> float:
+        return _MIN_EVEN_CHANGE if self._is_even else _MIN_CHANGE
+
+    def _update_is_even(self, sharing: list[Holder]) -> None:
+        wanted = sum(holder.wanted for holder in sharing)
+        if wanted <= 0.0:
+            self._is_even = False
+            return
+        mean = wanted / len(sharing)
+        above = sum(max(0.0, holder.wanted - mean) for holder in sharing)
+        limit = _UNEVEN_PART if self._is_even else _EVEN_PART
+        self._is_even = above <= limit * wanted
+
     def _raise_shares(
         self,
         sharing: list[Holder],
@@ -257,14 +285,14 @@
         lacks: list[tuple[Holder, float, float]] = []
         for holder, target in zip(sharing, targets, strict=True):
             counted = holder.counted(now_ms)
-            if target > holder.share * (1.0 + _MIN_CHANGE):
+            if target > holder.share * (1.0 + self._min_change):
                 lacks.append((holder, target, max(0.0, target - counted)))
         needed = sum(lack for _, _, lack in lacks)
         part = 0.0 if needed <= 0.0 else min(1.0, max(0.0, free) / needed)
         raised: list[Holder] = []
         for holder, target, lack in lacks:
             share = target - lack + lack * part
-            if share > holder.share * (1.0 + _MIN_CHANGE):
+            if share > holder.share * (1.0 + self._min_change):
                 holder.set_share(share)
                 raised.append(holder)
         return raised
@@ -272,7 +300,7 @@
     def _targets(self, sharing: list[Holder], total: float) -> list[float]:
         wanted = sum(holder.wanted for holder in sharing)
         equal = total / len(sharing) if sharing else 0.0
-        if wanted <= 0.0:
+        if wanted <= 0.0 or self._is_even:
             return [equal] * len(sharing)
         rest = (1.0 - _EQUAL_PART) * total
         return [
--- a/tests/leadership/test_retry_shares.py
+++ b/tests/leadership/test_retry_shares.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
 from jujubewharf.leadership import retry_shares
@@ -87,6 +89,39 @@
     assert fleet.share("e2") < 0.1
 
 
+def test_even_demand_gets_nearly_the_whole_allowance():
+    """The reserve for demand that moves was denied to demand that doesn't."""
+    names = [f"e{number}" for number in range(12)]
+    fleet = Fleet(*names)
+    rng = random.Random(1)
+    for _ in range(40):
+        fleet.run(1_000.0, **{n: rng.uniform(25.0, 35.0) for n in names})
+    assert fleet.total > 0.98
+    assert max(map(fleet.share, names)) == min(map(fleet.share, names))
+
+
+def test_instance_that_joins_even_demand_gets_an_equal_share():
+    """Without a reserve it got nothing, as each other share changes little."""
+    names = [f"e{number}" for number in range(12)]
+    fleet = Fleet(*names)
+    fleet.run(30_000.0, **dict.fromkeys(names, 30.0))
+    fleet.holders["new"] = retry_shares.Holder("new")
+    fleet.shares.add(fleet.holders["new"])
+    names.append("new")
+    fleet.run(1_000.0, **dict.fromkeys(names, 30.0))
+    assert fleet.share("new") >= 0.2 / 13
+    fleet.run(14_000.0, **dict.fromkeys(names, 30.0))
+    assert fleet.share("new") == pytest.approx(1.0 / 13, rel=0.03)
+
+
+def test_allowance_moves_once_demand_is_no_longer_even():
+    fleet = Fleet("e1", "e2", "e3", "e4")
+    fleet.run(30_000.0, e1=30.0, e2=30.0, e3=30.0, e4=30.0)
+    assert fleet.share("e1") == pytest.approx(0.95 / 4)
+    fleet.run(15_000.0, e1=30.0)
+    assert fleet.share("e1") > 0.6
+
+
 def test_share_is_not_raised_before_the_former_holder_window_is_over():
     """Retries of the former holder still count in the window."""
     fleet = Fleet("e1", "e2")
