Count the first records of a leader as old as its read of them

The first endpoint records on a link counted as read at that moment, though a leader that the store refuses sends what it read seconds ago. The follower read nothing itself until a heartbeat told the age, and a long poll begun meanwhile went on. The heartbeat that precedes the records now gives their age.

--- a/src/jujubewharf/leadership/feeds.py
+++ b/src/jujubewharf/leadership/feeds.py
@@ -11,6 +11,7 @@
 from typing import TypeVar
 
 from jujubewharf import clock as clocks
+from jujubewharf.peers import leader_messages
 from jujubewharf.platform import epochs
 from jujubewharf.platform import log
 from jujubewharf.platform import tables
@@ -45,6 +46,9 @@
         self._records: dict[str, tables.TableRecord[T]] = {}
         self._end_offset: int | None = None
         self._confirmed_ms = 0.0
+        # End offset and time in ms of the leader's last read, as it said before
+        # it sent the first records.
+        self._told_read: tuple[int, float] | None = None
         self._update_event = asyncio.Event()
 
     @property
@@ -69,6 +73,7 @@
         self._records.clear()
         self._unsent_offset = None
         self._end_offset = None
+        self._told_read = None
 
     def confirm(self, end: int, *, age_ms: float) -> None:
         """Extends freshness to a confirmed end offset.
@@ -78,10 +83,13 @@
             age_ms: Time in ms since that read.
         """
         self._epoch.learn(end)
+        read_ms = self._clock.now_ms() - age_ms
         if self._end_offset is None:
             # The first records have not arrived yet.
+            has_read = age_ms < leader_messages.NEVER_READ_AGE_MS
+            self._told_read = (end, read_ms) if has_read else None
             return
-        self._confirmed_ms = self._clock.now_ms() - age_ms
+        self._confirmed_ms = read_ms
         if end > self._end_offset:
             self._end_offset = end
             self._notify()
@@ -91,6 +99,9 @@
         self._epoch.learn(end)
         if self._end_offset is None:
             self._confirmed_ms = self._clock.now_ms()
+            if self._told_read is not None and end <= self._told_read[0]:
+                # Records of a read before the link began, possibly long ago.
+                self._confirmed_ms = self._told_read[1]
         for record in records:
             self._records[record.key] = record
             if (
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -445,14 +445,10 @@
 
     def _age_ms(self, progress: _ReadProgress) -> int:
         if progress.confirmed_ms is None:
-            return _NEVER_READ_AGE_MS
+            return leader_messages.NEVER_READ_AGE_MS
         return int(self._clock.now_ms() - progress.confirmed_ms)
 
 
-# Age in ms that stands for a table that was never read; older than any limit.
-_NEVER_READ_AGE_MS = 2**31
-
-
 def _encode(message: messages.Message) -> bytes:
     return codec.encode(codec.Frame(codec.FrameKind.TELL, 0, message))
 
--- a/src/jujubewharf/peers/leader_messages.py
+++ b/src/jujubewharf/peers/leader_messages.py
@@ -12,6 +12,9 @@
 from jujubewharf.forwarding import routes
 from jujubewharf.peers import messages
 
+# Age in ms that stands for a table that was never read; older than any limit.
+NEVER_READ_AGE_MS = 2**31
+
 
 @messages.message(70)
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/leadership/test_feeds.py
+++ b/tests/leadership/test_feeds.py
@@ -7,6 +7,7 @@
 from jujubewharf import clock as clocks
 from jujubewharf.experiments import virtual_time
 from jujubewharf.leadership import feeds
+from jujubewharf.peers import leader_messages
 from jujubewharf.platform import epochs
 from jujubewharf.platform import tables as platform_tables
 from jujubewharf.standins import tables
@@ -70,6 +71,32 @@
     _run(test)
 
 
+def test_first_records_of_an_old_read_are_not_fresh():
+    """A follower of a leader that the store refuses counted them as new.
+
+    It read nothing itself until the next heartbeat, so a draining endpoint got
+    work for longer than allowed.
+    """
+
+    async def test(clock, table, feed, leader_table):
+        feed.confirm(1, age_ms=FRESH_MS)
+        feed.apply([_record(0)], 1)
+        assert not feed.is_fresh
+
+    _run(test)
+
+
+def test_first_records_of_a_read_after_the_first_heartbeat_are_fresh():
+    """All followers of a new leader would read the store once more."""
+
+    async def test(clock, table, feed, leader_table):
+        feed.confirm(1, age_ms=leader_messages.NEVER_READ_AGE_MS)
+        feed.apply([_record(0)], 1)
+        assert feed.is_fresh
+
+    _run(test)
+
+
 def test_freshness_depends_on_confirmed_age():
     """The leader is connected but has not read the store recently."""
 
