Send each endpoint once after a restore of the store

A follower that the store refuses had read the restored table before an endpoint registered again, the leader only after it. The leader saw no change and sent none, so the follower dropped a live endpoint. A record of a later epoch now counts as changed, which sends the table once after a restore.

--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -404,6 +404,9 @@
             return True
         if record.offset <= known.offset:
             return False
+        if epochs.split(record.offset).epoch > epochs.split(known.offset).epoch:
+            # Followers may have read the restored table without it.
+            return True
         return (record.endpoint, record.is_unreadable) != (
             known.endpoint,
             known.is_unreadable,
