--- a/src/jujubewharf/leadership/fleet_retries.py
+++ b/src/jujubewharf/leadership/fleet_retries.py
@@ -25,6 +25,8 @@
 # Time after its start within which an instance without a share may be part of a
 # fleet that has just started.
 _NEW_MS = 10_000.0
+# Generation of the lease of the first leader of a fleet.
+_FIRST_TERM = 1
 # Time without a check of the role after which the process was suspended, and
 # time within which it notices that its link or lease has ended meanwhile.
 _SUSPENDED_MS = 3_000.0
@@ -60,6 +62,7 @@
         self._shares = retry_shares.RetryShares(window_ms)
         self._holders: dict[links.Link, retry_shares.Holder] = {}
         self._own: retry_shares.Holder | None = None
+        self._followers: all_followers.Followers | None = None
         self._number = 0
         self._share: float | None = None
         # Time until which the share may be used, and shares used of late.
@@ -75,6 +78,7 @@
 
     def attach(self, followers: all_followers.Followers) -> None:
         """Divides the allowance among the followers while this one leads."""
+        self._followers = followers
         followers.on_link_begin = self._on_link_begin
         followers.on_link_end = self._on_link_end
         followers.on_retry_demand = self._on_demand
@@ -96,15 +100,25 @@
             return 0.0
         if role is not fleets.Role.ALONE:
             self._valid_until_ms = now_ms + self._window_ms
-            is_older = (
-                role is fleets.Role.FOLLOWING
-                and self._number == 0
-                and now_ms - self._following_since_ms > _OLDER_BUILD_MS
-            )
-            if is_older:
-                self._use(self._fleet.equal_share(), now_ms)
+            if role is fleets.Role.FOLLOWING and self._number == 0:
+                self._follow_older_build(now_ms)
         return self._share or 0.0
 
+    def _follow_older_build(self, now_ms: float) -> None:
+        """Uses an equal share if the leader sends none.
+
+        Shares that the former leader divided by demand count until they have
+        expired, so this instance's share isn't raised before.
+        """
+        following_ms = now_ms - self._following_since_ms
+        if following_ms <= _OLDER_BUILD_MS:
+            return
+        share = self._fleet.equal_share()
+        if following_ms <= retry_shares.expiry_ms(self._window_ms):
+            share = min(share, self._share or 0.0)
+        if share != self._share:
+            self._use(share, now_ms)
+
     def _drop_expired(self, now_ms: float) -> None:
         """Gives the share up, also if there is a leader again by now."""
         if self._share is not None and now_ms > self._valid_until_ms:
@@ -126,11 +140,22 @@
             case fleets.Role.LEADING:
                 self._own = retry_shares.Holder(self._name)
                 self._holders.clear()
-                self._shares.begin(self._own, self._held(now_ms), now_ms)
+                self._shares.begin(
+                    self._own,
+                    self._held(now_ms),
+                    now_ms,
+                    is_first_term=self._is_first_term,
+                )
             case fleets.Role.FOLLOWING:
                 self._following_since_ms = now_ms
         return role
 
+    @property
+    def _is_first_term(self) -> bool:
+        """Whether no instance has led before in the present store."""
+        followers = self._followers
+        return followers is not None and followers.term == _FIRST_TERM
+
     def _use(self, share: float, now_ms: float) -> None:
         if self._share is not None and self._share > share:
             self._used.append((now_ms + self._window_ms, self._share))
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -62,6 +62,7 @@
 
     Attributes:
         is_leading: Whether followers are accepted.
+        term: Generation of the lease by which this instance last led.
         on_leading_changed: Called when this instance begins or stops to lead.
         on_announcement: Called with the hello of each instance that announces
             a new leader.
@@ -82,6 +83,7 @@
         count_within_ms: float,
     ) -> None:
         self.is_leading = False
+        self.term = 0
         self.on_leading_changed: Callable[[], None] = lambda: None
         self.on_announcement: Callable[[link_messages.Hello], None]
         self.on_announcement = lambda hello: None
@@ -227,8 +229,13 @@
             self.on_link_end(link)
             server.close()
 
-    def begin_leading(self) -> None:
-        """Starts to accept followers, with no tables confirmed as read yet."""
+    def begin_leading(self, term: int) -> None:
+        """Starts to accept followers, with no tables confirmed as read yet.
+
+        Args:
+            term: Generation of the lease.
+        """
+        self.term = term
         self._endpoints_read.confirmed_ms = None
         self._configurations_read.confirmed_ms = None
         self._low_accounts = quota_messages.LowAccounts(())
@@ -401,6 +408,9 @@
             return True
         if record.offset <= known.offset:
             return False
+        if epochs.split(record.offset).epoch > epochs.split(known.offset).epoch:
+            # Followers may have read the restored table without it.
+            return True
         return (record.endpoint, record.is_unreadable) != (
             known.endpoint,
             known.is_unreadable,
@@ -442,14 +452,10 @@
 
     def _age_ms(self, progress: _ReadProgress) -> int:
         if progress.confirmed_ms is None:
-            return _NEVER_READ_AGE_MS
+            return leader_messages.NEVER_READ_AGE_MS
         return int(self._clock.now_ms() - progress.confirmed_ms)
 
 
-# Age in ms that stands for a table that was never read; older than any limit.
-_NEVER_READ_AGE_MS = 2**31
-
-
 def _encode(message: messages.Message) -> bytes:
     return codec.encode(codec.Frame(codec.FrameKind.TELL, 0, message))
 
--- a/src/jujubewharf/leadership/retry_shares.py
+++ b/src/jujubewharf/leadership/retry_shares.py
@@ -21,14 +21,27 @@
 # Part that is divided only while it is lacking, so that a new instance gets a
 # share before those of the others have expired.
 _RESERVE = 0.15
+# Parts of the demand above the mean up to which it counts as even, and from
+# which it no longer does. Even demand doesn't move, so shares are equal and
+# only the equal part of one further instance is reserved.
+_EVEN_PART = 0.1
+_UNEVEN_PART = 0.2
 # Time in which a message is received, or its link is found broken.
 _LINK_TIMEOUT_MS = 2_500.0
 # Times after which the followers of a first leader have reported, and after
 # which a fleet without shares no longer counts as just started.
 _REPORTED_MS = 2_400.0
 _FIRST_UNTIL_MS = 6_000.0
-# Smallest relative change of a share that is worth a message.
+# Smallest relative change of a share that is worth a message. While demand is
+# even, shares change only with the instances, and must follow exactly, as no
+# reserve covers the difference.
 _MIN_CHANGE = 0.1
+_MIN_EVEN_CHANGE = 0.001
+
+
+def expiry_ms(window_ms: float) -> float:
+    """Returns the time after which no share of a lost link is in a window."""
+    return 2.0 * window_ms + _LINK_TIMEOUT_MS
 
 
 @dataclasses.dataclass(slots=True)
@@ -49,12 +62,14 @@
     Attributes:
         wanted: Retries that it wanted within the window.
         has_reported: Whether it has reported; older builds never do.
+        is_replaced: Whether a later process of this name has reported.
     """
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.wanted = 0.0
         self.has_reported = False
+        self.is_replaced = False
         self._shares: list[_Share] = []
         self._number = 0
 
@@ -111,15 +126,24 @@
         # Sum of the shares that instances held under the former leader.
         self._inherited = 0.0
         self._names: set[str] = set()
+        # Whether all instances want about as many retries.
+        self._is_even = False
         # Whether no instance is known to have had a share before.
         self._is_first = True
 
     @property
     def _settled_ms(self) -> float:
         """Time at which all shares of former leaders have expired."""
-        return self._began_ms + 2.0 * self.window_ms + _LINK_TIMEOUT_MS
+        return self._began_ms + expiry_ms(self.window_ms)
 
-    def begin(self, own: Holder, held: float | None, now_ms: float) -> None:
+    def begin(
+        self,
+        own: Holder,
+        held: float | None,
+        now_ms: float,
+        *,
+        is_first_term: bool,
+    ) -> None:
         """Begins to divide the allowance as the leader.
 
         Args:
@@ -127,13 +151,16 @@
             held: Highest share that it used within the last window; ``None``
                 if it never had one.
             now_ms: Current time in ms.
+            is_first_term: Whether nobody has led before. Otherwise processes
+                that this leader doesn't see, or that have just been killed,
+                may have used shares within the window.
         """
         self._present, self._lost = [], []
         self._began_ms = now_ms
         self._own = own
         self._inherited = 0.0
         self._names = set()
-        self._is_first = True
+        self._is_first = is_first_term
         self.add(own)
         self.report(own, 0, held, 0.0, now_ms)
 
@@ -148,7 +175,7 @@
         self._present.remove(holder)
         if not holder.has_reported:
             holder.hold(1.0 / (1.0 + len(self._present)))
-        holder.expire(now_ms + 2.0 * self.window_ms + _LINK_TIMEOUT_MS)
+        holder.expire(now_ms + expiry_ms(self.window_ms))
         self._lost.append(holder)
 
     def report(
@@ -169,14 +196,19 @@
     def _inherit(
         self, holder: Holder, held: float | None, now_ms: float
     ) -> None:
+        former = [lost for lost in self._lost if lost.name == holder.name]
         if held is None:
-            # A new process: shares of its predecessor count until they expire.
+            # A new process: shares of its predecessor count until they expire,
+            # beside its own.
+            for lost in former:
+                lost.is_replaced = True
             return
         self._is_first = False
         held = min(1.0, max(0.0, held))
         holder.hold(held)
-        former = [lost for lost in self._lost if lost.name == holder.name]
         for lost in former:
+            if lost.is_replaced:
+                continue
             holder.hold(lost.counted(now_ms))
             self._lost.remove(lost)
         if holder.name not in self._names:
@@ -212,11 +244,15 @@
         older = len(self._present) - len(sharing)
         reserved = sum(h.counted(now_ms) for h in self._lost)
         reserved += older / len(self._present)
-        usable = (1.0 - _RESERVE) * max(0.0, total - reserved)
+        self._update_is_even(sharing)
+        reserve = _RESERVE
+        if self._is_even:
+            reserve = min(_RESERVE, _EQUAL_PART / (1 + len(sharing)))
+        usable = (1.0 - reserve) * max(0.0, total - reserved)
         targets = self._targets(sharing, usable)
         changed: list[Holder] = []
         for holder, target in zip(sharing, targets, strict=True):
-            is_less = target < holder.share * (1.0 - _MIN_CHANGE)
+            is_less = target < holder.share * (1.0 - self._min_change)
             # A first share also shows that the leader divides by demand.
             if is_less or holder.number == 0:
                 holder.set_share(min(target, holder.share))
@@ -224,6 +260,20 @@
         free = total - reserved - sum(h.counted(now_ms) for h in sharing)
         return changed + self._raise_shares(sharing, targets, free, now_ms)
 
+    @property
+    def _min_change(self) -> float:
+        return _MIN_EVEN_CHANGE if self._is_even else _MIN_CHANGE
+
+    def _update_is_even(self, sharing: list[Holder]) -> None:
+        wanted = sum(holder.wanted for holder in sharing)
+        if wanted <= 0.0:
+            self._is_even = False
+            return
+        mean = wanted / len(sharing)
+        above = sum(max(0.0, holder.wanted - mean) for holder in sharing)
+        limit = _UNEVEN_PART if self._is_even else _EVEN_PART
+        self._is_even = above <= limit * wanted
+
     def _raise_shares(
         self,
         sharing: list[Holder],
@@ -235,14 +285,14 @@
         lacks: list[tuple[Holder, float, float]] = []
         for holder, target in zip(sharing, targets, strict=True):
             counted = holder.counted(now_ms)
-            if target > holder.share * (1.0 + _MIN_CHANGE):
+            if target > holder.share * (1.0 + self._min_change):
                 lacks.append((holder, target, max(0.0, target - counted)))
         needed = sum(lack for _, _, lack in lacks)
         part = 0.0 if needed <= 0.0 else min(1.0, max(0.0, free) / needed)
         raised: list[Holder] = []
         for holder, target, lack in lacks:
             share = target - lack + lack * part
-            if share > holder.share * (1.0 + _MIN_CHANGE):
+            if share > holder.share * (1.0 + self._min_change):
                 holder.set_share(share)
                 raised.append(holder)
         return raised
@@ -250,7 +300,7 @@
     def _targets(self, sharing: list[Holder], total: float) -> list[float]:
         wanted = sum(holder.wanted for holder in sharing)
         equal = total / len(sharing) if sharing else 0.0
-        if wanted <= 0.0:
+        if wanted <= 0.0 or self._is_even:
             return [equal] * len(sharing)
         rest = (1.0 - _EQUAL_PART) * total
         return [
--- a/tests/forwarding/test_wait_queue.py
+++ b/tests/forwarding/test_wait_queue.py
@@ -214,3 +214,52 @@
             assert queue.blocking_tokens(waiter) == 7
 
     deployments.run(main())
+
+
+def test_last_request_to_a_silent_engine_does_not_hold_up_the_others():
+    """A request that is due asks out of turn; the next one waited for it."""
+
+    async def main():
+        queue = _queue()
+        due, next_one = _waiter(900.0), _waiter(990.0, priority=5)
+        with queue.enqueued(due), queue.enqueued(next_one):
+            queue.begin_last_ask(due)
+            assert queue.begin_ask(next_one)
+
+    deployments.run(main())
+
+
+class _CountingWaiter(wait_queues.Waiter):
+    """Counts how often queues look at a request's round."""
+
+    looks = 0
+
+    @property
+    def asked_round(self):
+        _CountingWaiter.looks += 1
+        return self._asked_round
+
+    @asked_round.setter
+    def asked_round(self, value):
+        self._asked_round = value
+
+
+def test_work_of_a_round_does_not_grow_with_the_square_of_the_waiters():
+    """With hundreds of waiters each release kept the leader busy for long."""
+
+    async def main():
+        queue = _queue()
+        count = 200
+        with contextlib.ExitStack() as exits:
+            for number in range(count):
+                waiter = _waiter(9e5 + number, account="ab"[number % 2])
+                counting = _CountingWaiter(waiter.ticket, waiter.tokens)
+                exits.enter_context(queue.enqueued(counting))
+            _CountingWaiter.looks = 0
+            queue.wake_first()
+            for _, _, waiter in list(queue._sorted()):
+                assert queue.begin_ask(waiter)
+                queue.end_ask(waiter, is_served=False)
+            assert _CountingWaiter.looks <= 8 * count
+
+    deployments.run(main())
