Explain waits, rejections and late answers from the log lines

Cause: `explain` showed the lines of plain calls and waiting requests, but not who decided, on which figures and where the time went. Lines of most late requests were never written, as only failed ones had theirs flushed, and a follower's line didn't tell how many requests were before its own.

Change: the lines of permits and placements name class, account, who decided and the age of the load reports; a request that is answered later than its target has all its lines written. PlacementGranted and PlainPermitRejected each carry one more field for logs, with a default. `explain` ends with the class, each decision and its rule, the time by phase, and the longest phase of a late answer. Events of settings and of engine speeds are shown beside the request.

--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -277,6 +277,7 @@
             self.endpoint_limits,
             self.backpressure,
             lambda: self.fleet.has_placed_all,
+            lambda: self.fleet.role.value,
             clock,
             rng,
         )
--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -61,6 +61,7 @@
         backpressure: Rate limits, backoffs and drains that engines announced.
         knows_all_reservations: Returns whether this instance made all
             reservations that engines hold at present.
+        role: Returns the role of this instance, for logs.
         clock: Clock for waits and timeouts.
         rng: Source of jitter for the times at which engines are asked.
     """
@@ -76,6 +77,7 @@
         limits: all_limits.Permits,
         backpressure: all_backpressure.Backpressure,
         knows_all_reservations: Callable[[], bool],
+        role: Callable[[], str],
         clock: clocks.Clock,
         rng: random.Random,
     ) -> None:
@@ -88,6 +90,7 @@
         self._limits = limits
         self._backpressure = backpressure
         self._knows_all_reservations = knows_all_reservations
+        self._role = role
         self._clock = clock
         self._rng = rng
         self._wait_policy = patience.WaitPolicy(cost_estimates, clock)
@@ -198,7 +201,8 @@
         with queue.enqueued(waiter):
             reservation = await self._ask_until_due(run, demand, waiter)
             if reservation is None:
-                refusal = self._refusal(run, demand, waiter)
+                waited_ms = self._clock.now_ms() - started_ms
+                refusal = self._refusal(run, demand, waiter, waited_ms)
                 queue.order.rejected(ticket)
                 state_log.count_rejected_wait(run.priority, waiter.rejected_by)
                 raise refusal
@@ -211,8 +215,10 @@
             tokens=demand.tokens,
             free_tokens=demand.free_tokens,
             waited_ms=self._clock.now_ms() - started_ms,
+            decided_by=self._role(),
             preceded_by=waiter.preceded_by,
         )
+        reservation.ahead = sum(waiter.preceded_by.values())
         return reservation, demand
 
     async def _ask_until_due(
@@ -391,6 +397,7 @@
         run: runs.Run,
         demand: demands.Demand,
         waiter: wait_queues.Waiter,
+        waited_ms: float,
     ) -> errors.WharfError:
         queue = self._queue_of(run.service)
         engines = self._registry.of_service(run.service)
@@ -404,6 +411,8 @@
             waiting=len(queue) - 1,
             age_ms=self._registry.age_ms,
             rejected_by=waiter.rejected_by.value,
+            decided_by=self._role(),
+            waited_ms=waited_ms,
             preceded_by=waiter.preceded_by,
         )
         if run.may_have_run:
--- a/src/jujubewharf/forwarding/places.py
+++ b/src/jujubewharf/forwarding/places.py
@@ -35,6 +35,8 @@
         has_permit: Whether a rate limit permit was taken for the engine.
         prefill_engines: Prefill engines for the prompt, the preferred one
             first.
+        ahead: Number of requests that preceded it in the wait queue, for logs;
+            ``None`` if unknown.
         on_prefill_done: Called when the prompt is prefilled or prefill is
             skipped.
     """
@@ -56,6 +58,7 @@
         self.memory_share = memory_share
         self.has_permit = has_permit
         self.prefill_engines: Sequence[resources.Endpoint] = ()
+        self.ahead: int | None = None
         self.on_prefill_done: Callable[[], None] = _do_nothing
         self._is_taken = False
 
--- a/src/jujubewharf/forwarding/request_log.py
+++ b/src/jujubewharf/forwarding/request_log.py
@@ -4,10 +4,10 @@
 ``docs/operating/logs.md`` lists them. Each line has the request's id, what
 decided, and the age of the data that the decision was based on.
 
-Refusals, failures, retries and changes of state are always logged. Routine
-lines are logged at once for a sample of the requests, which is the same at
-every instance. Those of other requests are buffered and logged only if the
-request fails, with the time at which they occurred.
+Refusals, failures, retries, late answers and changes of state are always
+logged. Routine lines are logged at once for a sample of the requests, which is
+the same at every instance. Those of other requests are buffered and logged only
+if the request fails or misses its target, with the time at which they occurred.
 """
 
 from __future__ import annotations
@@ -201,7 +201,9 @@
     tokens: int,
     free_tokens: int,
     waited_ms: float,
+    decided_by: str,
     preceded_by: Mapping[int, int] | None = None,
+    ahead: int | None = None,
 ) -> None:
     """Logs that a decode engine reserved memory for a request.
 
@@ -211,8 +213,11 @@
         tokens: Reserved memory.
         free_tokens: Memory that had to be free in addition.
         waited_ms: Time in the wait queue.
+        decided_by: Role of the instance that logs the line: ``leading``,
+            ``following`` where the leader decided, or ``alone``.
         preceded_by: Requests that preceded it in the queue, by priority;
             ``None`` if the leader placed it, whose own line tells.
+        ahead: Their number, if the leader told it.
     """
     _WAIT_MS.record(waited_ms, {"service": run.service})
     _log_routine(
@@ -222,6 +227,8 @@
         tokens=tokens,
         free_tokens=free_tokens,
         waited_ms=round(waited_ms),
+        decided_by=decided_by,
+        **({} if ahead is None else {"ahead": ahead}),
         **_order_fields(run, preceded_by),
     )
 
@@ -256,6 +263,7 @@
         waited_ms=round(waited_ms),
         ahead=ahead,
         load_age_ms=None if load_age_ms is None else round(load_age_ms),
+        **_order_fields(run, None),
     )
 
 
@@ -266,9 +274,21 @@
     decided_by: str,
     waited_ms: float,
     ahead: int,
+    load_age_ms: float | None,
     retry_after_ms: float,
 ) -> None:
-    """Logs that a plain call can't be served before its deadline."""
+    """Logs that a plain call can't be served before its deadline.
+
+    Args:
+        run: The request.
+        reason: Rule by which it was rejected.
+        decided_by: See ``log_plain_permit``.
+        waited_ms: Time that it waited.
+        ahead: Calls that waited before it.
+        load_age_ms: Age of the oldest load report of the service's endpoints
+            at the instance that decided; ``None`` if one is unknown.
+        retry_after_ms: Time after which the caller may come back.
+    """
     _PERMITS.add(1, {"outcome": reason, "decided_by": decided_by})
     _logger.info(
         "plain_call_rejected",
@@ -277,8 +297,11 @@
         decided_by=decided_by,
         waited_ms=round(waited_ms),
         ahead=ahead,
+        load_age_ms=None if load_age_ms is None else round(load_age_ms),
         retry_after_ms=round(retry_after_ms),
         route=run.route.name,
+        target_ms=round(run.route.target_ms),
+        **_order_fields(run, None),
     )
 
 
@@ -291,6 +314,8 @@
     waiting: int,
     age_ms: float,
     rejected_by: str,
+    decided_by: str,
+    waited_ms: float,
     preceded_by: Mapping[int, int],
 ) -> None:
     """Logs that no decode engine had memory while a request waited.
@@ -303,6 +328,8 @@
         waiting: Number of other requests in the queue.
         age_ms: Age of the endpoint list.
         rejected_by: Rule that ended the wait.
+        decided_by: Role of the instance that decided.
+        waited_ms: Time in the wait queue.
         preceded_by: Requests that preceded it in the queue, by priority.
     """
     _logger.info(
@@ -314,6 +341,8 @@
         waiting=waiting,
         registry_age_ms=round(age_ms),
         rejected_by=rejected_by,
+        decided_by=decided_by,
+        waited_ms=round(waited_ms),
         **_order_fields(run, preceded_by),
     )
 
@@ -397,6 +426,7 @@
 def log_response_start(run: runs.Run, *, status: int, took_ms: float) -> None:
     """Logs the start of a response from an engine."""
     _FIRST_RESPONSE_MS.record(took_ms, {"service": run.service})
+    run.first_response_ms = took_ms
     _log_routine(
         run,
         "answer_begun",
@@ -430,10 +460,33 @@
             may_have_run=run.may_have_run,
         )
         return
-    _log_routine(
-        run,
+    is_late = outcome == FINISHED and _has_missed_target(run, took_ms)
+    fields: dict[str, object] = {
+        "outcome": outcome,
+        "took_ms": round(took_ms),
+        "longest_gap_ms": round(run.longest_gap_ms),
+    }
+    if not is_late:
+        _log_routine(run, "request_ended", **fields)
+        return
+    _flush_trail(run)
+    _logger.info(
         "request_ended",
-        outcome=outcome,
-        took_ms=round(took_ms),
-        longest_gap_ms=round(run.longest_gap_ms),
+        request=run.call.request_id,
+        **fields,
+        has_missed_target=True,
+        target_ms=round(run.route.target_ms),
+        route=run.route.name,
+        service=run.service,
+        **_order_fields(run, None),
     )
+
+
+def _has_missed_target(run: runs.Run, took_ms: float) -> bool:
+    """Returns whether an answer was late.
+
+    The target of a stream is the time to its first event.
+    """
+    if run.route.is_stream and run.first_response_ms is not None:
+        took_ms = run.first_response_ms
+    return took_ms > run.route.target_ms
--- a/src/jujubewharf/forwarding/runs.py
+++ b/src/jujubewharf/forwarding/runs.py
@@ -35,10 +35,11 @@
         traits: Properties of the service's engines; ``None`` for plain
             services.
         lost_by: Engines that lost the answer or a part of it.
+        first_response_ms: Time from arrival to the answer's start.
         event_ms: Clock reading when the last event was forwarded.
         longest_gap_ms: Longest time between two events.
         deferred_log_lines: Routine log lines, which are only written if the
-            request fails.
+            request fails or misses its target.
         account: Client account of the caller.
         is_counted: Whether the account's quota was charged.
         configuration_version: Version of the configuration that matched the
@@ -58,6 +59,7 @@
     was_prefilled: bool = False
     traits: routes.EngineTraits | None = None
     lost_by: set[str] = dataclasses.field(default_factory=set)
+    first_response_ms: float | None = None
     event_ms: float | None = None
     longest_gap_ms: float = 0.0
     deferred_log_lines: list[dict[str, object]] = dataclasses.field(
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -380,6 +380,8 @@
                     tokens=answer.tokens,
                     free_tokens=0,
                     waited_ms=waited_ms,
+                    decided_by="following",
+                    ahead=answer.ahead,
                 )
                 return reservation
             case leader_messages.PlacementRejected():
--- a/src/jujubewharf/leadership/placement_server.py
+++ b/src/jujubewharf/leadership/placement_server.py
@@ -380,6 +380,7 @@
         reservation.memory_share,
         tuple(engine.name for engine in reservation.prefill_engines),
         reservation.has_permit,
+        reservation.ahead,
     )
 
 
--- a/src/jujubewharf/leadership/plain_permit_server.py
+++ b/src/jujubewharf/leadership/plain_permit_server.py
@@ -77,6 +77,7 @@
                     round(verdict.retry_after_ms),
                     verdict.reason.value,
                     verdict.ahead,
+                    self._queues.oldest_load_ms(request.service),
                 )
             case None:
                 self._numbers.pop(request.number, None)
--- a/src/jujubewharf/leadership/plain_permits.py
+++ b/src/jujubewharf/leadership/plain_permits.py
@@ -267,6 +267,7 @@
                     fleets.Role.LEADING,
                     started_ms,
                     ahead=verdict.ahead,
+                    load_age_ms=self.queues.oldest_load_ms(run.service),
                 )
         return None
 
@@ -300,6 +301,7 @@
                     fleets.Role.FOLLOWING,
                     started_ms,
                     ahead=rejected.ahead,
+                    load_age_ms=rejected.load_age_ms,
                 )
         return None
 
@@ -331,6 +333,7 @@
         started_ms: float,
         *,
         ahead: int,
+        load_age_ms: float | None,
     ) -> Exception:
         request_log.log_plain_rejection(
             run,
@@ -338,6 +341,7 @@
             decided_by=decided_by.value,
             waited_ms=self._clock.now_ms() - started_ms,
             ahead=ahead,
+            load_age_ms=load_age_ms,
             retry_after_ms=retry_after_ms,
         )
         if reason == decisions.RejectReason.NO_ENDPOINT.value:
--- a/src/jujubewharf/leadership/plain_queues.py
+++ b/src/jujubewharf/leadership/plain_queues.py
@@ -76,6 +76,19 @@
         """Number of granted calls that were not released."""
         return sum(s.queue.in_flight for s in self._by_service.values())
 
+    def oldest_load_ms(self, service: str) -> int | None:
+        """Returns the age of the oldest report of a service's endpoints.
+
+        ``None`` if an endpoint's load is unknown, or there is no endpoint.
+        """
+        ages_ms: list[float] = []
+        for endpoint in self._registry.of_service(service):
+            known = self._loads.get(endpoint.name)
+            if known is None:
+                return None
+            ages_ms.append(known.age_ms)
+        return round(max(ages_ms)) if ages_ms else None
+
     def next_number(self) -> int:
         """Returns a number for a call."""
         return next(self._numbers)
--- a/src/jujubewharf/peers/leader_messages.py
+++ b/src/jujubewharf/peers/leader_messages.py
@@ -163,6 +163,8 @@
         memory_share: Reserved share of the engine's memory.
         prefill_engines: Prefill engines for the prompt, in order of preference.
         has_permit: Whether the engine's rate limit admits the request.
+        ahead: Requests that preceded it in the wait queue, for logs; ``None``
+            from a leader that doesn't tell.
     """
 
     engine: str
@@ -171,6 +173,7 @@
     memory_share: float
     prefill_engines: tuple[str, ...] = ()
     has_permit: bool = False
+    ahead: int | None = None
 
 
 @messages.message(74)
--- a/src/jujubewharf/peers/plain_messages.py
+++ b/src/jujubewharf/peers/plain_messages.py
@@ -65,11 +65,14 @@
         retry_after_ms: Time until capacity is expected for it.
         reason: Why, for logs; a value of ``decisions.RejectReason``.
         ahead: Calls that waited before it, for logs.
+        load_age_ms: Age of the oldest load report of the service's endpoints,
+            for logs; ``None`` if one is unknown.
     """
 
     retry_after_ms: int
     reason: str = ""
     ahead: int = 0
+    load_age_ms: int | None = None
 
 
 @messages.message(133)
--- a/src/jujubewharf/telemetry/explanation.py
+++ b/src/jujubewharf/telemetry/explanation.py
@@ -5,10 +5,11 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 import dataclasses
-import datetime
-import json
 import pathlib
 
+from jujubewharf.telemetry import log_lines
+from jujubewharf.telemetry import request_summary
+
 # State changes are shown up to this long before and after the request.
 _CONTEXT_S = 10.0
 # Events of an instance's state rather than of a single request.
@@ -20,15 +21,23 @@
         "endpoint_changed",
         "endpoint_gone_after_outage",
         "endpoint_held",
+        "endpoint_said",
+        "engine_speed_changed",
         "engine_vanished",
         "following_began",
         "following_ended",
         "instance_started",
         "instance_stopped",
+        "leader_not_reached",
         "leading_began",
         "leading_ended",
         "log_lines_dropped",
+        "part_became_active",
+        "part_became_inactive",
         "role_ordered",
+        "settings_in_force",
+        "settings_rejected",
+        "settings_reloaded",
         "share_changed",
         "shutdown_began",
         "store_history_lost",
@@ -37,29 +46,21 @@
         "store_restored",
     }
 )
+# Events that decide that a request isn't served, or not sent again.
+_DECIDING_EVENTS = frozenset(
+    {
+        "plain_call_rejected",
+        "request_not_placed",
+        "request_over_quota",
+        "retry_denied",
+    }
+)
 # Fields that are shown in columns of their own, or are the same in all lines.
 _COLUMN_FIELDS = frozenset(
     {"event", "instance", "level", "request", "timestamp"}
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Line:
-    """A parsed log line.
-
-    Attributes:
-        at_s: Unix time of the line in seconds.
-        instance: Name of the instance that wrote it.
-        event: Name of the event.
-        fields: All fields of the line.
-    """
-
-    at_s: float
-    instance: str
-    event: str
-    fields: dict[str, object]
-
-
 @dataclasses.dataclass(slots=True)
 class RequestHistory:
     """Log lines that concern one request.
@@ -72,8 +73,8 @@
     """
 
     request_id: str
-    lines: list[Line]
-    state_changes: list[Line]
+    lines: list[log_lines.Line]
+    state_changes: list[log_lines.Line]
     skipped: int = 0
 
 
@@ -90,7 +91,11 @@
     history.lines.sort(key=lambda line: line.at_s)
     if not history.lines:
         return history
-    engines = {str(line.fields.get("engine", "")) for line in history.lines}
+    engines = {
+        str(line.fields.get(field, ""))
+        for line in history.lines
+        for field in ("engine", "endpoint")
+    }
     instances = {line.instance for line in history.lines}
     first_s = history.lines[0].at_s - _CONTEXT_S
     last_s = history.lines[-1].at_s + _CONTEXT_S
@@ -102,6 +107,8 @@
             and line.instance in instances
         ):
             endpoint = line.fields.get("endpoint")
+            if line.event == "engine_speed_changed":
+                endpoint = line.fields.get("engine")
             if endpoint is None or endpoint in engines:
                 history.state_changes.append(line)
     return history
@@ -128,18 +135,20 @@
             f"{mark} {ms:+9.0f} ms {line.instance:<24} {line.event:<24} {rest}"
         )
     text.append(f"decided by: {_deciding_line(history.lines)}")
+    text += request_summary.summarize(history.lines)
     if history.skipped:
         text.append(f"{history.skipped} lines skipped")
     return "\n".join(text) + "\n"
 
 
-def _deciding_line(lines: Sequence[Line]) -> str:
+def _deciding_line(lines: Sequence[log_lines.Line]) -> str:
     """Returns the log line that decided the outcome of the request."""
     for line in reversed(lines):
-        if line.event in ("request_not_placed", "retry_denied"):
+        if line.event in _DECIDING_EVENTS:
             return f"{line.event} {_format_fields(line)}"
     for line in reversed(lines):
-        if line.event == "engine_call_failed":
+        # The leader's own line says more, but its file may not be given.
+        if line.event in ("engine_call_failed", "request_refused_by_leader"):
             return f"{line.event} {_format_fields(line)}"
     sent = [line for line in lines if line.event == "request_sent"]
     if sent and any(line.event == "request_failed" for line in lines):
@@ -152,38 +161,24 @@
     return f"{lines[-1].event} {_format_fields(lines[-1])}"
 
 
-def _since_ms(line: Line) -> float:
+def _since_ms(line: log_lines.Line) -> float:
     since_ms = line.fields.get("since_ms", 0.0)
     return float(since_ms) if isinstance(since_ms, int | float) else 0.0
 
 
-def _format_fields(line: Line) -> str:
+def _format_fields(line: log_lines.Line) -> str:
     shown = {n: v for n, v in line.fields.items() if n not in _COLUMN_FIELDS}
     return " ".join(f"{name}={value}" for name, value in shown.items())
 
 
 def _parse_files(
     files: Sequence[pathlib.Path], history: RequestHistory | None
-) -> Iterator[Line]:
+) -> Iterator[log_lines.Line]:
     for file in files:
         with file.open(encoding="utf-8", errors="replace") as text:
             for raw in text:
-                line = _parse_line(raw)
+                line = log_lines.parse(raw)
                 if line is not None:
                     yield line
                 elif history is not None and raw.strip():
                     history.skipped += 1
-
-
-def _parse_line(raw: str) -> Line | None:
-    """Parses a JSON line, which may have a prefix from a log collector."""
-    _, brace, rest = raw.partition("{")
-    if not brace:
-        return None
-    try:
-        fields = json.loads(brace + rest)
-        at = datetime.datetime.fromisoformat(fields["timestamp"])
-        event = str(fields["event"])
-    except (ValueError, KeyError, TypeError):
-        return None
-    return Line(at.timestamp(), str(fields.get("instance", "")), event, fields)
--- a/tests/forwarding/test_request_log.py
+++ b/tests/forwarding/test_request_log.py
@@ -37,7 +37,13 @@
         await clock.sleep_ms(1.0)
         run = _run(request_id)
         request_log.log_placement(
-            run, "d1", tokens=7, free_tokens=0, waited_ms=3.0, preceded_by={}
+            run,
+            "d1",
+            tokens=7,
+            free_tokens=0,
+            waited_ms=3.0,
+            decided_by="alone",
+            preceded_by={},
         )
         request_log.log_attempt(
             run, "d1", stage="decode", left_ms=9.0, age_ms=4.0
