Count decisions by class and account group; add gauges of queues

Cause: the metrics told neither how many requests wait, for how long and of which class, nor whether answers are in time by class, nor how plain endpoints and unequal engines are used.

Change: gauges of waiting requests and the oldest wait by service and class, of limit and calls of plain endpoints, and of engines' relative times; counters of plain calls decided by the leader and of answers in time or late; admissions get the group of the account.

--- a/src/jujubewharf/admission/classes.py
+++ b/src/jujubewharf/admission/classes.py
@@ -138,6 +138,16 @@
         if state is not None:
             state.waiting.pop(ticket, None)
 
+    def waits(self, now_ms: float) -> dict[int, tickets.Waits]:
+        """Returns the waiting requests by priority."""
+        return {
+            priority: tickets.Waits(
+                len(state.waiting), now_ms - min(state.waiting.values())
+            )
+            for priority, state in self._states.items()
+            if state.waiting
+        }
+
     def update(self, now_ms: float) -> None:
         """Decides anew which class comes first."""
         part = _part(now_ms)
--- a/src/jujubewharf/admission/fair_share.py
+++ b/src/jujubewharf/admission/fair_share.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Mapping
 import dataclasses
+import enum
 
 from jujubewharf.admission import tickets
 
@@ -18,6 +19,18 @@
 _MIN_SWEPT_ACCOUNTS = 64
 
 
+class AccountGroup(enum.Enum):
+    """What an account asks for compared with its share, for metrics.
+
+    ``OVER_SHARE``: of the waiting requests of its class, it has more than its
+    weight's part. ``NONE``: no other account waits in its class.
+    """
+
+    OVER_SHARE = "over_share"
+    WITHIN_SHARE = "within_share"
+    NONE = "none"
+
+
 @dataclasses.dataclass(slots=True)
 class _AccountState:
     """Virtual time of an account, and the number of its waiting requests."""
@@ -67,6 +80,10 @@
         elif len(self.accounts) > self._max_accounts:
             self._drop_passed()
 
+    def waiting_counts(self) -> dict[str | None, int]:
+        """Returns the number of waiting requests by account."""
+        return {name: state.waiting for name, state in self._waiting.items()}
+
     def _smallest_time(self) -> float:
         """Returns the smallest virtual time of the waiting accounts."""
         return min(
@@ -145,6 +162,22 @@
             return 0.0
         return shares.accounts[ticket.account].virtual_time
 
+    def group(self, ticket: tickets.Ticket) -> AccountGroup:
+        """Returns the group of a request's account.
+
+        The request itself counts, whether it waits already or not.
+        """
+        shares = self._classes.get(ticket.priority)
+        counts = {} if shares is None else shares.waiting_counts()
+        own = counts.setdefault(ticket.account, 1)
+        if len(counts) < 2:
+            return AccountGroup.NONE
+        weights = {name: self._weight_of(name) for name in counts}
+        part = weights[ticket.account] / sum(weights.values())
+        if own > part * sum(counts.values()):
+            return AccountGroup.OVER_SHARE
+        return AccountGroup.WITHIN_SHARE
+
     def _update(self, priority: int) -> None:
         """Updates whether accounts of a class compete."""
         shares = self._classes[priority]
@@ -155,6 +188,9 @@
             self.version += 1
 
     def _weight(self, ticket: tickets.Ticket) -> float:
-        if ticket.account is None:
+        return self._weight_of(ticket.account)
+
+    def _weight_of(self, account: str | None) -> float:
+        if account is None:
             return DEFAULT_WEIGHT
-        return self.weights.get(ticket.account, DEFAULT_WEIGHT)
+        return self.weights.get(account, DEFAULT_WEIGHT)
--- a/src/jujubewharf/admission/order.py
+++ b/src/jujubewharf/admission/order.py
@@ -108,6 +108,16 @@
             ticket.due_ms,
         )
 
+    def waits(self, now_ms: float) -> dict[int, tickets.Waits]:
+        """Returns the waiting requests by priority."""
+        return self._classes.waits(now_ms)
+
+    def account_group(self, ticket: tickets.Ticket) -> fair_share.AccountGroup:
+        """Returns whether a request's account has more than its share."""
+        if not self.is_enabled:
+            return fair_share.AccountGroup.NONE
+        return self._shares.group(ticket)
+
     def version(self, now_ms: float) -> Hashable:
         """Returns a value that differs once ranks of tickets have changed.
 
--- a/src/jujubewharf/admission/tickets.py
+++ b/src/jujubewharf/admission/tickets.py
@@ -4,6 +4,30 @@
 
 import dataclasses
 
+# Priorities from this one on share a label, so that their number in metrics
+# doesn't follow the configuration.
+_FIRST_SHARED_PRIORITY = 10
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waits:
+    """Waiting requests of one class.
+
+    Attributes:
+        count: Their number.
+        oldest_ms: How long the oldest one has waited.
+    """
+
+    count: int
+    oldest_ms: float
+
+
+def priority_label(priority: int) -> str:
+    """Returns the label of a class in metrics."""
+    if priority >= _FIRST_SHARED_PRIORITY:
+        return f"{_FIRST_SHARED_PRIORITY}+"
+    return str(max(0, priority))
+
 
 # Compared by identity: two requests may have equal fields.
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
--- a/src/jujubewharf/engine_speeds/speeds.py
+++ b/src/jujubewharf/engine_speeds/speeds.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import dataclasses
 import enum
 import math
 import statistics
@@ -45,6 +46,25 @@
     DECODE = "decode"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SpeedSpread:
+    """Lasting relative times of a service's engines at one kind of work.
+
+    Attributes:
+        faster: Number of engines that are faster than the median engine.
+        usual: Number of engines that count as equal to it, or are unknown.
+        slower: Number of engines that are slower.
+        least: Smallest relative time.
+        greatest: Greatest relative time.
+    """
+
+    faster: int
+    usual: int
+    slower: int
+    least: float
+    greatest: float
+
+
 class EngineSpeeds:
     """Observed relative times of engines.
 
@@ -77,6 +97,20 @@
         """Whether any engine's lasting speed differs from the others'."""
         return any(self._unequal.values())
 
+    def spread(self, service: str, stage: Stage) -> SpeedSpread | None:
+        """Returns how engines' speeds differ; ``None`` without engines."""
+        times = [
+            self.lasting(name, stage)
+            for name, engine in self._engines.items()
+            if engine.service == service
+        ]
+        if not times:
+            return None
+        faster = sum(time < 1.0 for time in times)
+        slower = sum(time > 1.0 for time in times)
+        usual = len(times) - faster - slower
+        return SpeedSpread(faster, usual, slower, min(times), max(times))
+
     def update_engines(self, engines: Iterable[resources.Endpoint]) -> None:
         """Updates the set of engines; others' figures are dropped.
 
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -48,6 +48,7 @@
 from jujubewharf.leadership import plain_permits
 from jujubewharf.leadership import shared_state
 from jujubewharf.leaving import shutdown
+from jujubewharf.overload import view
 from jujubewharf.platform import availability as availabilities
 from jujubewharf.platform import epochs
 from jujubewharf.platform import groups
@@ -114,6 +115,7 @@
         crashes: Crash history of requests.
         fleet_crashes: Shares the crash history between instances.
         plain_permits: Permits of plain calls.
+        overload: What this instance knows about the load of services.
     """
 
     def __init__(
@@ -293,6 +295,9 @@
             rng,
             domain=self._settings.domain,
         )
+        self.overload = view.OverloadView(
+            places, self.plain_permits.queues, engines.speeds, self._services
+        )
         self._apply_admission()
         local = observations.LocalObserver(self.work, lengths, engines)
         observed = led.FleetObserver(
--- a/src/jujubewharf/forwarding/gauges.py
+++ b/src/jujubewharf/forwarding/gauges.py
@@ -8,6 +8,7 @@
 from opentelemetry import metrics
 
 from jujubewharf.forwarding import entry as entries
+from jujubewharf.overload import gauges as overload_gauges
 
 _METER = metrics.get_meter("jujubewharf")
 _UNKNOWN_VERSION = -1
@@ -77,6 +78,7 @@
         [in_flight],
         description="Requests that were taken and haven't ended.",
     )
+    overload_gauges.register_gauges(entry.overload)
 
 
 _Observation = metrics.Observation
--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -17,6 +17,7 @@
 from jujubewharf import clock as clocks
 from jujubewharf import errors
 from jujubewharf.admission import order as orders
+from jujubewharf.admission import tickets
 from jujubewharf.configuration import resources
 from jujubewharf.engine_speeds import demands
 from jujubewharf.engine_speeds import urgency as urgencies
@@ -105,6 +106,14 @@
         for queue in self._queues.values():
             queue.order.apply(policy)
 
+    def waits(self) -> dict[str, dict[int, tickets.Waits]]:
+        """Returns the waiting requests by service and priority."""
+        now_ms = self._clock.now_ms()
+        return {
+            service: queue.order.waits(now_ms)
+            for service, queue in self._queues.items()
+        }
+
     @contextlib.asynccontextmanager
     async def place(self, run: runs.Run) -> AsyncIterator[places.Reservation]:
         """Waits for a reservation and holds it while the block runs.
@@ -203,12 +212,10 @@
             if reservation is None:
                 waited_ms = self._clock.now_ms() - started_ms
                 refusal = self._refusal(run, demand, waiter, waited_ms)
-                queue.order.rejected(ticket)
-                state_log.count_rejected_wait(run.priority, waiter.rejected_by)
+                queue.reject(waiter)
+                state_log.count_rejected_wait(waiter)
                 raise refusal
-        state_log.count_served_wait(
-            run.priority, is_late=ticket.is_late, has_waited=waiter.has_waited
-        )
+        state_log.count_served_wait(waiter)
         request_log.log_placement(
             run,
             reservation.engine.name,
--- a/src/jujubewharf/forwarding/request_log.py
+++ b/src/jujubewharf/forwarding/request_log.py
@@ -21,6 +21,7 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
+from jujubewharf.admission import tickets
 from jujubewharf.engines import client
 from jujubewharf.forwarding import runs
 
@@ -37,6 +38,10 @@
 _FAULTS = _METER.create_counter(
     "forwarding.faults", description="Failed calls to engines, by fault."
 )
+_ANSWERS = _METER.create_counter(
+    "forwarding.answers",
+    description="Whole answers by class, in time or late.",
+)
 _FIRST_RESPONSE_MS = _METER.create_histogram(
     "forwarding.first_answer",
     unit="ms",
@@ -461,6 +466,13 @@
         )
         return
     is_late = outcome == FINISHED and _has_missed_target(run, took_ms)
+    if outcome == FINISHED:
+        labels = {
+            "service": run.service,
+            "priority": tickets.priority_label(run.priority),
+            "outcome": "late" if is_late else "in_time",
+        }
+        _ANSWERS.add(1, labels)
     fields: dict[str, object] = {
         "outcome": outcome,
         "took_ms": round(took_ms),
--- a/src/jujubewharf/forwarding/state_log.py
+++ b/src/jujubewharf/forwarding/state_log.py
@@ -13,9 +13,11 @@
 from opentelemetry import metrics
 import structlog
 
+from jujubewharf.admission import tickets
 from jujubewharf.forwarding import costs
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import wait_queue
+from jujubewharf.plain_calls import decisions as plain_decisions
 from jujubewharf.platform import epochs
 
 _METER = metrics.get_meter("jujubewharf")
@@ -39,6 +41,11 @@
     description="Model requests that waited for memory, by class and outcome.",
 )
 
+_PLAIN_DECISIONS = _METER.create_counter(
+    "plain_calls.decisions",
+    description="Plain calls that were decided here, by class and outcome.",
+)
+
 _MAX_LOGGED_ACCOUNTS = 10
 
 _logger = structlog.get_logger()
@@ -215,20 +222,43 @@
     )
 
 
-def count_served_wait(
-    priority: int, *, is_late: bool, has_waited: bool
-) -> None:
+def count_served_wait(waiter: wait_queue.Waiter) -> None:
     """Counts a model request for which memory was reserved."""
-    outcome = "late" if is_late else "in_time"
-    _ADMISSIONS.add(1, {"priority": priority, "outcome": outcome})
-    if has_waited:
-        _ADMISSIONS.add(1, {"priority": priority, "outcome": "waited"})
+    outcome = "late" if waiter.ticket.is_late else "in_time"
+    _count_admission(waiter, outcome)
+    if waiter.has_waited:
+        _count_admission(waiter, "waited")
 
 
-def count_rejected_wait(priority: int, rule: wait_queue.Rejection) -> None:
+def count_rejected_wait(waiter: wait_queue.Waiter) -> None:
     """Counts a model request for which no memory was reserved."""
-    outcome = f"rejected_{rule.value}"
-    _ADMISSIONS.add(1, {"priority": priority, "outcome": outcome})
+    _count_admission(waiter, f"rejected_{waiter.rejected_by.value}")
+
+
+def _count_admission(waiter: wait_queue.Waiter, outcome: str) -> None:
+    labels = {
+        "priority": tickets.priority_label(waiter.ticket.priority),
+        "accounts": waiter.account_group.value,
+        "outcome": outcome,
+    }
+    _ADMISSIONS.add(1, labels)
+
+
+def count_plain_decision(
+    priority: int, decision: plain_decisions.Decision
+) -> None:
+    """Counts a plain call that this instance granted or rejected."""
+    match decision:
+        case plain_decisions.Granted():
+            outcome = "granted"
+        case plain_decisions.Rejected(reason=reason):
+            outcome = reason.value
+    labels = {
+        "priority": tickets.priority_label(priority),
+        "accounts": decision.account_group.value,
+        "outcome": outcome,
+    }
+    _PLAIN_DECISIONS.add(1, labels)
 
 
 def _position(offset: int) -> dict[str, int]:
--- a/src/jujubewharf/forwarding/wait_queue.py
+++ b/src/jujubewharf/forwarding/wait_queue.py
@@ -25,6 +25,7 @@
 import itertools
 
 from jujubewharf import clock as clocks
+from jujubewharf.admission import fair_share
 from jujubewharf.admission import order as orders
 from jujubewharf.admission import tickets
 
@@ -58,6 +59,7 @@
             priority.
         has_waited: Whether it was not placed at once.
         rejected_by: Rule that applies if it is rejected.
+        account_group: Group of its account when it was served or rejected.
         asked_round: Last round in which it asked.
         is_asking: Whether it is asking engines.
     """
@@ -67,6 +69,7 @@
     preceded_by: dict[int, int] = dataclasses.field(default_factory=dict)
     has_waited: bool = False
     rejected_by: Rejection = Rejection.DUE
+    account_group: fair_share.AccountGroup = fair_share.AccountGroup.NONE
     asked_round: int = -1
     is_asking: bool = False
     _wake_event: asyncio.Event = dataclasses.field(
@@ -240,7 +243,13 @@
     def _remove(self, waiter: Waiter) -> None:
         self._entries = [e for e in self._entries if e[2] is not waiter]
 
+    def reject(self, waiter: Waiter) -> None:
+        """Counts a request that is refused."""
+        waiter.account_group = self.order.account_group(waiter.ticket)
+        self.order.rejected(waiter.ticket)
+
     def _remove_served(self, waiter: Waiter) -> None:
+        waiter.account_group = self.order.account_group(waiter.ticket)
         self._remove(waiter)
         self.order.served(waiter.ticket)
 
--- a/src/jujubewharf/leadership/plain_queues.py
+++ b/src/jujubewharf/leadership/plain_queues.py
@@ -14,10 +14,13 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf.admission import order as orders
+from jujubewharf.admission import tickets
 from jujubewharf.configuration import resources
 from jujubewharf.endpoint_load import table
 from jujubewharf.forwarding import registry as registries
+from jujubewharf.forwarding import state_log
 from jujubewharf.plain_calls import decisions
+from jujubewharf.plain_calls import endpoint_group
 from jujubewharf.plain_calls import permit_queue
 from jujubewharf.plain_calls import service_times
 
@@ -111,6 +114,20 @@
                 if not waiter.done():
                     waiter.set_result(None)
 
+    def waits(self) -> dict[str, dict[int, tickets.Waits]]:
+        """Returns the waiting calls by service and priority."""
+        now_ms = self._clock.now_ms()
+        return {n: s.queue.waits(now_ms) for n, s in self._by_service.items()}
+
+    def endpoint_loads(self) -> list[endpoint_group.Load]:
+        """Returns limit and calls of each endpoint that accepts work."""
+        now_ms = self._clock.now_ms()
+        return [
+            load
+            for service in self._by_service.values()
+            for load in service.queue.endpoint_loads(now_ms)
+        ]
+
     async def decide(
         self, service: str, call: decisions.WaitingCall, *, target_ms: float
     ) -> Verdict:
@@ -118,6 +135,14 @@
 
         A cancelled call is removed, whatever has been decided about it.
         """
+        verdict = await self._decide(service, call, target_ms=target_ms)
+        if verdict is not None:
+            state_log.count_plain_decision(call.priority, verdict)
+        return verdict
+
+    async def _decide(
+        self, service: str, call: decisions.WaitingCall, *, target_ms: float
+    ) -> Verdict:
         queued = self._queue_of(service, target_ms)
         self._service_of[call.number] = queued
         decision = queued.queue.request(call, self._clock.now_ms())
--- /dev/null
+++ b/src/jujubewharf/overload/__init__.py
@@ -0,0 +1,1 @@
+"""What operators see of an instance whose services are overloaded."""
--- a/src/jujubewharf/plain_calls/decisions.py
+++ b/src/jujubewharf/plain_calls/decisions.py
@@ -5,6 +5,8 @@
 import dataclasses
 import enum
 
+from jujubewharf.admission import fair_share
+
 # Share of the time between target and deadline for which a late call waits.
 # The rest is for its caller to come back.
 _LATE_WAIT_SHARE = 0.5
@@ -82,12 +84,14 @@
         endpoint: Name of the endpoint.
         waited_ms: How long it waited.
         ahead: Number of calls that waited before it.
+        account_group: Group of its account, for metrics.
     """
 
     number: int
     endpoint: str
     waited_ms: float = 0.0
     ahead: int = 0
+    account_group: fair_share.AccountGroup = fair_share.AccountGroup.NONE
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -113,6 +117,7 @@
         reason: Why it was rejected.
         waited_ms: How long it waited.
         ahead: Number of calls that waited before it.
+        account_group: Group of its account, for metrics.
     """
 
     number: int
@@ -120,6 +125,7 @@
     reason: RejectReason
     waited_ms: float = 0.0
     ahead: int = 0
+    account_group: fair_share.AccountGroup = fair_share.AccountGroup.NONE
 
 
 Decision = Granted | Rejected
--- a/src/jujubewharf/plain_calls/endpoint_group.py
+++ b/src/jujubewharf/plain_calls/endpoint_group.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Collection
 from collections.abc import Sequence
+import dataclasses
 
 from jujubewharf.configuration import resources
 from jujubewharf.plain_calls import decisions
@@ -17,6 +18,23 @@
 Endpoints = Sequence[endpoint_grants.EndpointGrants]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """Limit and calls of one endpoint.
+
+    Attributes:
+        endpoint: The endpoint.
+        limit: Maximum number of concurrent calls.
+        granted: Granted calls that were not released.
+        foreign: Estimated number of calls that no permit counts.
+    """
+
+    endpoint: resources.Endpoint
+    limit: float
+    granted: int
+    foreign: int
+
+
 class EndpointGroup:
     """Chooses endpoints of one service, and counts granted calls.
 
@@ -41,6 +59,18 @@
         """Number of granted calls that were not released."""
         return len(self._endpoint_of)
 
+    def loads(self, now_ms: float) -> list[Load]:
+        """Returns limit and calls of each endpoint that accepts work."""
+        return [
+            Load(
+                known.endpoint,
+                known.capacity.limit,
+                len(known),
+                known.capacity.foreign(now_ms),
+            )
+            for known in self._open.values()
+        ]
+
     def is_granted(self, number: int) -> bool:
         """Whether a call was granted and not released."""
         return number in self._endpoint_of
--- a/src/jujubewharf/plain_calls/permit_queue.py
+++ b/src/jujubewharf/plain_calls/permit_queue.py
@@ -71,6 +71,14 @@
         """Number of granted calls that were not released."""
         return self._endpoints.in_flight
 
+    def waits(self, now_ms: float) -> dict[int, tickets.Waits]:
+        """Returns the waiting calls by priority."""
+        return self._waiting.waits(now_ms)
+
+    def endpoint_loads(self, now_ms: float) -> list[endpoint_group.Load]:
+        """Returns limit and calls of each endpoint that accepts work."""
+        return self._endpoints.loads(now_ms)
+
     def in_flight_at(self, endpoint: str) -> int:
         """Returns the number of granted calls of one endpoint."""
         known = self._endpoints.get(endpoint)
@@ -310,6 +318,7 @@
         waited_ms: float = 0.0,
         ahead: int = 0,
     ) -> decisions.Granted:
+        account_group = self._order.account_group(ticket)
         self._order.served(ticket)
         deadline_ms = max(now_ms, call.deadline_ms)
         self._endpoints.add_grant(
@@ -317,7 +326,7 @@
         )
         self._schedule(deadline_ms, call.number)
         return decisions.Granted(
-            call.number, endpoint.name, waited_ms=waited_ms, ahead=ahead
+            call.number, endpoint.name, waited_ms, ahead, account_group
         )
 
     def _grant_waiting(
@@ -346,6 +355,7 @@
         waited_ms: float = 0.0,
         ahead: int = 0,
     ) -> decisions.Rejected:
+        account_group = self._order.account_group(ticket)
         self._order.rejected(ticket)
         accepting = self._endpoints.accepting(call.excluded)
         interval_ms = free_in_ms = 0.0
@@ -362,7 +372,12 @@
             left_ms=call.deadline_ms - now_ms,
         )
         return decisions.Rejected(
-            call.number, retry_after_ms, reason, waited_ms, ahead
+            call.number,
+            retry_after_ms,
+            reason,
+            waited_ms,
+            ahead,
+            account_group,
         )
 
     def _reject_waiting(
--- a/src/jujubewharf/plain_calls/waiting_calls.py
+++ b/src/jujubewharf/plain_calls/waiting_calls.py
@@ -140,6 +140,20 @@
         entry.ticket = new_ticket(entry.call, is_late=is_late)
         self._order.queued(entry.ticket, now_ms)
 
+    def waits(self, now_ms: float) -> dict[int, tickets.Waits]:
+        """Returns the waiting calls by priority."""
+        counts: dict[int, int] = {}
+        oldest: dict[int, float] = {}
+        for entry in self._by_number.values():
+            priority = entry.call.priority
+            counts[priority] = counts.get(priority, 0) + 1
+            waited_ms = now_ms - entry.queued_ms
+            oldest[priority] = max(oldest.get(priority, 0.0), waited_ms)
+        return {
+            priority: tickets.Waits(count, oldest[priority])
+            for priority, count in counts.items()
+        }
+
     def count_late(self, late_before_ms: float) -> int:
         """Returns how many calls would be late everywhere."""
         return sum(
--- /dev/null
+++ b/tests/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what operators see of overloaded services."""
