Log the settings for overload in force and the parts that are active

Cause: operators couldn't see which settings apply, nor for which service classes, accounts, the queue of plain calls and the ranks by speed take effect; an invalid setting was refused with half of its accepted range or none.

Change: settings_in_force is logged at the start and whenever changed settings take effect; part_became_active and part_became_inactive tell the service and the reason. Each error has one line with the field, the value and what is accepted; infinite numbers are refused in all fields.

--- a/src/jujubewharf/commands/main.py
+++ b/src/jujubewharf/commands/main.py
@@ -15,6 +15,7 @@
 from jujubewharf.commands import lazy
 from jujubewharf.forwarding import settings as forwarding_settings
 from jujubewharf.leaving import process
+from jujubewharf.overload import settings_view
 from jujubewharf.settings import models
 from jujubewharf.settings import reader
 from jujubewharf.telemetry import error_page as error_pages
@@ -86,7 +87,10 @@
         bool, typer.Option(help="Settings file of a forwarding instance.")
     ] = False,
 ) -> None:
-    """Check a settings file; prints every error with its path."""
+    """Check a settings file; prints every error with its path.
+
+    Of a forwarding instance's file it prints what is set for overload.
+    """
     if forwarding:
         _check_forwarding_or_exit(path)
     else:
@@ -96,10 +100,12 @@
 
 def _check_forwarding_or_exit(path: pathlib.Path) -> None:
     try:
-        forwarding_settings.read(path)
+        settings = forwarding_settings.read(path)
     except (ValueError, OSError) as error:
         print(error, file=sys.stderr)
         raise typer.Exit(_EXIT_BAD_SETTINGS) from None
+    for line in settings_view.describe(settings):
+        print(line)
 
 
 @settings_app.command("schema")
--- a/src/jujubewharf/engine_speeds/speeds.py
+++ b/src/jujubewharf/engine_speeds/speeds.py
@@ -97,6 +97,15 @@
         """Whether any engine's lasting speed differs from the others'."""
         return any(self._unequal.values())
 
+    def differ(self, service: str) -> bool:
+        """Whether the lasting speeds of a service's engines differ."""
+        return any(
+            self._engines[name].service == service
+            for unequal in self._unequal.values()
+            for name in unequal
+            if name in self._engines
+        )
+
     def spread(self, service: str, stage: Stage) -> SpeedSpread | None:
         """Returns how engines' speeds differ; ``None`` without engines."""
         times = [
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -48,6 +48,8 @@
 from jujubewharf.leadership import plain_permits
 from jujubewharf.leadership import shared_state
 from jujubewharf.leaving import shutdown
+from jujubewharf.overload import part_log
+from jujubewharf.overload import parts
 from jujubewharf.overload import view
 from jujubewharf.platform import availability as availabilities
 from jujubewharf.platform import epochs
@@ -298,6 +300,14 @@
         self.overload = view.OverloadView(
             places, self.plain_permits.queues, engines.speeds, self._services
         )
+        self._parts = part_log.PartLog(
+            self._settings,
+            lambda: self.source.current,
+            parts.Observed(
+                self.plain_permits.reports_load, engines.speeds.differ
+            ),
+            clock,
+        )
         self._apply_admission()
         local = observations.LocalObserver(self.work, lengths, engines)
         observed = led.FleetObserver(
@@ -382,6 +392,7 @@
         if self._leadership is None:
             await self.add_runtime_dependency(self.share)
         await self.add_runtime_dependency(self._orders)
+        await self.add_runtime_dependency(self._parts)
         if self._leadership is not None:
             await self.add_runtime_dependency(self.fleet_retries)
             await self.add_runtime_dependency(self._leadership)
@@ -460,6 +471,7 @@
         """Applies settings that can change while the process runs."""
         self._settings = settings
         self._apply_admission()
+        self._parts.apply_settings(settings)
         self._log_unknown_accounts()
         self.quotas.quota_settings = settings.quotas
         self.budget.change(
--- a/src/jujubewharf/forwarding/settings.py
+++ b/src/jujubewharf/forwarding/settings.py
@@ -10,6 +10,7 @@
 
 from jujubewharf.admission import classes
 from jujubewharf.admission import order
+from jujubewharf.settings import field_errors
 from jujubewharf.settings import models
 
 _MAX_WEIGHTS = 10_000
@@ -32,7 +33,9 @@
 
 
 class _Model(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    model_config = pydantic.ConfigDict(
+        extra="forbid", frozen=True, allow_inf_nan=False
+    )
 
 
 class StoreSettings(_Model):
@@ -191,7 +194,12 @@
     """Reads a settings file.
 
     Raises:
-        ValueError: The file is not valid; all errors are included.
+        ValueError: The file is not valid; there is a line for each error, with
+            the field's path and what it accepts.
         OSError: The file cannot be read.
     """
-    return ForwardingSettings.model_validate_json(path.read_bytes())
+    try:
+        return ForwardingSettings.model_validate_json(path.read_bytes())
+    except pydantic.ValidationError as error:
+        lines = field_errors.lines(ForwardingSettings, error)
+        raise ValueError("\n".join(lines)) from None
--- a/src/jujubewharf/forwarding/state_log.py
+++ b/src/jujubewharf/forwarding/state_log.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+from collections.abc import Mapping
 import dataclasses
 
 from opentelemetry import metrics
@@ -47,6 +48,7 @@
 )
 
 _MAX_LOGGED_ACCOUNTS = 10
+_MAX_LOGGED_SERVICES = 20
 
 _logger = structlog.get_logger()
 
@@ -222,6 +224,48 @@
     )
 
 
+def log_settings(
+    *,
+    weights: Mapping[str, float],
+    starving_share: float,
+    is_enabled: bool,
+    plain_queue: bool,
+    parts: Mapping[str, Mapping[str, str]],
+) -> None:
+    """Logs the settings in force that concern overload.
+
+    Args:
+        weights: Weights of accounts by name.
+        starving_share: See ``settings.AdmissionSettings``.
+        is_enabled: Whether classes and accounts are told apart.
+        plain_queue: Whether plain calls may wait in the router.
+        parts: State of each part, with its reason, by service.
+    """
+    largest = sorted(weights.items(), key=lambda item: (-item[1], item[0]))
+    _logger.info(
+        "settings_in_force",
+        account_weights=dict(largest[:_MAX_LOGGED_ACCOUNTS]),
+        weight_count=len(weights),
+        starving_share=starving_share,
+        is_enabled=is_enabled,
+        plain_queue=plain_queue,
+        parts=dict(list(parts.items())[:_MAX_LOGGED_SERVICES]),
+        service_count=len(parts),
+    )
+
+
+def log_part(part: str, service: str, *, is_active: bool, reason: str) -> None:
+    """Logs a part that has become active or inactive for a service."""
+    if is_active:
+        _logger.info(
+            "part_became_active", part=part, service=service, reason=reason
+        )
+    else:
+        _logger.info(
+            "part_became_inactive", part=part, service=service, reason=reason
+        )
+
+
 def count_served_wait(waiter: wait_queue.Waiter) -> None:
     """Counts a model request for which memory was reserved."""
     outcome = "late" if waiter.ticket.is_late else "in_time"
--- a/src/jujubewharf/leadership/plain_permits.py
+++ b/src/jujubewharf/leadership/plain_permits.py
@@ -137,7 +137,11 @@
 
     def applies_to(self, service: str) -> bool:
         """Whether calls of a service need a permit."""
-        return self.is_enabled and any(
+        return self.is_enabled and self.reports_load(service)
+
+    def reports_load(self, service: str) -> bool:
+        """Whether any endpoint of a service has reported its load."""
+        return any(
             self._loads.reports_load(endpoint.name)
             for endpoint in self._registry.of_service(service)
         )
