Describe overload for operators, with examples from real lines

Cause: the pages told neither how to get from a rejected or late plain call, or a refused request of the patient class, to its cause, nor when to change weights, starving_share or plain_calls.queue.

Result: a test holds the shown explanations against what the command prints.

--- a/tests/telemetry/test_overload_walks.py
+++ b/tests/telemetry/test_overload_walks.py
@@ -13,6 +13,13 @@
 from tests.telemetry import overload_walks
 
 WALKS = overload_walks.WALKS
+PAGE = pathlib.Path(__file__).parents[2] / "docs" / "OPERATIONS.md"
+# Logs of which docs/OPERATIONS.md shows the explanation.
+_DOCUMENTED = {
+    "overload-plain-rejected",
+    "overload-plain-late",
+    "overload-patient-refused",
+}
 _EXAMPLES = overload_walks.PLAIN_EXAMPLES + overload_walks.MODEL_EXAMPLES
 
 
@@ -107,3 +114,14 @@
         took_ms = int(summary["late"].split()[1])
         # Each part is rounded.
         assert abs(sum(parts) - took_ms) <= len(parts)
+
+
+@pytest.mark.parametrize("name", sorted(_DOCUMENTED))
+def test_documented_explanations_are_real(name):
+    """The pages must show what the command prints for real lines."""
+    request = _request_of(name)
+    page = PAGE.read_text()
+    assert f"explain {request}" in page
+    text = _explained(request, WALKS / f"{name}.log")
+    for about, said in _summary(text).items():
+        assert f"{about}: {said}" in " ".join(page.split())
