--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -48,6 +48,9 @@
 from jujubewharf.leadership import plain_permits
 from jujubewharf.leadership import shared_state
 from jujubewharf.leaving import shutdown
+from jujubewharf.overload import part_log
+from jujubewharf.overload import parts
+from jujubewharf.overload import view
 from jujubewharf.peers import role_messages
 from jujubewharf.platform import availability as availabilities
 from jujubewharf.platform import epochs
@@ -116,6 +119,7 @@
         crashes: Crash history of requests.
         fleet_crashes: Shares the crash history between instances.
         plain_permits: Permits of plain calls.
+        overload: What this instance knows about the load of services.
     """
 
     def __init__(
@@ -288,6 +292,7 @@
             self.endpoint_limits,
             self.backpressure,
             lambda: self.fleet.has_placed_all,
+            lambda: self.fleet.role.value,
             clock,
             rng,
         )
@@ -303,6 +308,17 @@
             rng,
             domain=self._settings.domain,
         )
+        self.overload = view.OverloadView(
+            places, self.plain_permits.queues, engines.speeds, self._services
+        )
+        self._parts = part_log.PartLog(
+            self._settings,
+            lambda: self.source.current,
+            parts.Observed(
+                self.plain_permits.reports_load, engines.speeds.differ
+            ),
+            clock,
+        )
         self._apply_admission()
         local = observations.LocalObserver(self.work, lengths, engines)
         observed = led.FleetObserver(
@@ -387,6 +403,7 @@
         if self._leadership is None:
             await self.add_runtime_dependency(self.share)
         await self.add_runtime_dependency(self._orders)
+        await self.add_runtime_dependency(self._parts)
         if self._leadership is not None:
             await self.add_runtime_dependency(self.fleet_retries)
             await self.add_runtime_dependency(self._leadership)
@@ -465,6 +482,7 @@
         """Applies settings that can change while the process runs."""
         self._settings = settings
         self._apply_admission()
+        self._parts.apply_settings(settings)
         self._log_unknown_accounts()
         self.quotas.quota_settings = settings.quotas
         self.budget.change(
--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -17,6 +17,7 @@
 from jujubewharf import clock as clocks
 from jujubewharf import errors
 from jujubewharf.admission import order as orders
+from jujubewharf.admission import tickets
 from jujubewharf.configuration import resources
 from jujubewharf.engine_speeds import demands
 from jujubewharf.engine_speeds import urgency as urgencies
@@ -61,6 +62,7 @@
         backpressure: Rate limits, backoffs and drains that engines announced.
         knows_all_reservations: Returns whether this instance made all
             reservations that engines hold at present.
+        role: Returns the role of this instance, for logs.
         clock: Clock for waits and timeouts.
         rng: Source of jitter for the times at which engines are asked.
     """
@@ -76,6 +78,7 @@
         limits: all_limits.Permits,
         backpressure: all_backpressure.Backpressure,
         knows_all_reservations: Callable[[], bool],
+        role: Callable[[], str],
         clock: clocks.Clock,
         rng: random.Random,
     ) -> None:
@@ -88,6 +91,7 @@
         self._limits = limits
         self._backpressure = backpressure
         self._knows_all_reservations = knows_all_reservations
+        self._role = role
         self._clock = clock
         self._rng = rng
         self._wait_policy = patience.WaitPolicy(cost_estimates, clock)
@@ -102,6 +106,14 @@
         for queue in self._queues.values():
             queue.order.apply(policy)
 
+    def waits(self) -> dict[str, dict[int, tickets.Waits]]:
+        """Returns the waiting requests by service and priority."""
+        now_ms = self._clock.now_ms()
+        return {
+            service: queue.order.waits(now_ms)
+            for service, queue in self._queues.items()
+        }
+
     @contextlib.asynccontextmanager
     async def place(self, run: runs.Run) -> AsyncIterator[places.Reservation]:
         """Waits for a reservation and holds it while the block runs.
@@ -198,21 +210,22 @@
         with queue.enqueued(waiter):
             reservation = await self._ask_until_due(run, demand, waiter)
             if reservation is None:
-                refusal = self._refusal(run, demand, waiter)
-                queue.order.rejected(ticket)
-                state_log.count_rejected_wait(run.priority, waiter.rejected_by)
+                waited_ms = self._clock.now_ms() - started_ms
+                refusal = self._refusal(run, demand, waiter, waited_ms)
+                queue.reject(waiter)
+                state_log.count_rejected_wait(waiter)
                 raise refusal
-        state_log.count_served_wait(
-            run.priority, is_late=ticket.is_late, has_waited=waiter.has_waited
-        )
+        state_log.count_served_wait(waiter)
         request_log.log_placement(
             run,
             reservation.engine.name,
             tokens=demand.tokens,
             free_tokens=demand.free_tokens,
             waited_ms=self._clock.now_ms() - started_ms,
+            decided_by=self._role(),
             preceded_by=waiter.preceded_by,
         )
+        reservation.ahead = sum(waiter.preceded_by.values())
         return reservation, demand
 
     async def _ask_until_due(
@@ -392,6 +405,7 @@
         run: runs.Run,
         demand: demands.Demand,
         waiter: wait_queues.Waiter,
+        waited_ms: float,
     ) -> errors.WharfError:
         queue = self._queue_of(run.service)
         engines = self._registry.of_service(run.service)
@@ -405,6 +419,8 @@
             waiting=len(queue) - 1,
             age_ms=self._registry.age_ms,
             rejected_by=waiter.rejected_by.value,
+            decided_by=self._role(),
+            waited_ms=waited_ms,
             preceded_by=waiter.preceded_by,
         )
         if run.may_have_run:
--- a/src/jujubewharf/leadership/plain_permits.py
+++ b/src/jujubewharf/leadership/plain_permits.py
@@ -137,7 +137,11 @@
 
     def applies_to(self, service: str) -> bool:
         """Whether calls of a service need a permit."""
-        return self.is_enabled and any(
+        return self.is_enabled and self.reports_load(service)
+
+    def reports_load(self, service: str) -> bool:
+        """Whether any endpoint of a service has reported its load."""
+        return any(
             self._loads.reports_load(endpoint.name)
             for endpoint in self._registry.of_service(service)
         )
@@ -277,6 +281,7 @@
                     fleets.Role.LEADING,
                     started_ms,
                     ahead=verdict.ahead,
+                    load_age_ms=self.queues.oldest_load_ms(run.service),
                 )
         return None
 
@@ -310,6 +315,7 @@
                     fleets.Role.FOLLOWING,
                     started_ms,
                     ahead=rejected.ahead,
+                    load_age_ms=rejected.load_age_ms,
                 )
         return None
 
@@ -341,6 +347,7 @@
         started_ms: float,
         *,
         ahead: int,
+        load_age_ms: float | None,
     ) -> Exception:
         request_log.log_plain_rejection(
             run,
@@ -348,6 +355,7 @@
             decided_by=decided_by.value,
             waited_ms=self._clock.now_ms() - started_ms,
             ahead=ahead,
+            load_age_ms=load_age_ms,
             retry_after_ms=retry_after_ms,
         )
         if reason == decisions.RejectReason.NO_ENDPOINT.value:
