Read the leaders group when the last leader can't be reached

While reads of the tables failed, an instance dialled its last leader and never read the group. If that leader was gone and the store refused the tables only, nobody led until the store's return (test_store_down_while_a_follower_becomes_leader). The group is now read after the dial has failed.

--- a/src/jujubewharf/leadership/leadership.py
+++ b/src/jujubewharf/leadership/leadership.py
@@ -172,7 +172,9 @@
             return True
         if self._availability.is_away and self._last_leader is not None:
             # The leader may be reachable again although the store is not.
-            return await self._follow(self._last_leader)
+            if await self._follow(self._last_leader):
+                return True
+            # The store may refuse reads of the tables only.
         contacts = await self._group.contacts()
         address = contacts.get(leases.FIRST_PART)
         if address is not None and address != self._hello.address:
