--- a/src/jujubewharf/admission/classes.py
+++ b/src/jujubewharf/admission/classes.py
@@ -37,9 +37,22 @@
     """Counts and waiting requests of one class."""
 
     def __init__(self) -> None:
-        self.waiting: dict[tickets.Ticket, float] = {}
+        # Times at which requests in time and late ones began to wait, the
+        # oldest first. Kept apart so that the oldest one is found at once.
+        self._in_time: dict[tickets.Ticket, float] = {}
+        self._late: dict[tickets.Ticket, float] = {}
         self._parts: list[_Counts] = []
 
+    def add(self, ticket: tickets.Ticket, now_ms: float) -> None:
+        """Adds a request that begins to wait."""
+        waiting = self._late if ticket.is_late else self._in_time
+        waiting[ticket] = now_ms
+
+    def remove(self, ticket: tickets.Ticket) -> None:
+        """Removes a request that no longer waits."""
+        waiting = self._late if ticket.is_late else self._in_time
+        waiting.pop(ticket, None)
+
     def counts(self, part: int) -> _Counts:
         """Returns the counts of the present part of the window."""
         if not self._parts or self._parts[-1].part != part:
@@ -55,7 +68,7 @@
     @property
     def is_empty(self) -> bool:
         """Whether nothing waits and nothing was counted within the window."""
-        return not self.waiting and not self._parts
+        return not (self._in_time or self._late or self._parts)
 
     @property
     def offered(self) -> int:
@@ -75,13 +88,10 @@
 
         Requests that can still meet their target precede late ones.
         """
-        oldest = next(
-            (item for item in self.waiting.items() if not item[0].is_late),
-            next(iter(self.waiting.items()), None),
-        )
-        if oldest is None:
+        waiting = self._in_time or self._late
+        if not waiting:
             return False
-        ticket, queued_ms = oldest
+        ticket, queued_ms = next(iter(waiting.items()))
         wait_ms = ticket.due_ms - queued_ms
         return now_ms - queued_ms >= wait_ms * _STARVING_WAIT_SHARE
 
@@ -117,7 +127,7 @@
     def queued(self, ticket: tickets.Ticket, now_ms: float) -> None:
         """Counts a request that begins to wait."""
         state = self._states.setdefault(ticket.priority, _ClassState())
-        state.waiting[ticket] = now_ms
+        state.add(ticket, now_ms)
         state.counts(_part(now_ms)).offered += 1
 
     def served(self, ticket: tickets.Ticket, now_ms: float) -> None:
@@ -136,7 +146,7 @@
         """Removes a request that no longer waits."""
         state = self._states.get(ticket.priority)
         if state is not None:
-            state.waiting.pop(ticket, None)
+            state.remove(ticket)
 
     def update(self, now_ms: float) -> None:
         """Decides anew which class comes first."""
--- a/tests/admission/test_order.py
+++ b/tests/admission/test_order.py
@@ -71,6 +71,30 @@
             rng.choice((order.served, order.rejected, order.withdrawn))(leaving)
 
 
+def test_starving_class_is_found_without_a_look_at_each_late_request():
+    """With hundreds of late requests each rank looked through all of them."""
+    looks = 0
+
+    class CountingTicket(tickets.Ticket):
+        def __getattribute__(self, name):
+            nonlocal looks
+            looks += name == "is_late"
+            return super().__getattribute__(name)
+
+    order = _new()
+    for number in range(200):
+        order.queued(
+            CountingTicket(5, "a", 1.0, True, False, 1e4 + number), 0.0
+        )
+    urgent = _ticket()
+    order.queued(urgent, 0.0)
+    order.served(urgent)
+    looks = 0
+    for step in range(100):
+        order.version(9.0 + step)
+    assert looks == 0
+
+
 def test_ranked_ticket_counts_as_waiting():
     """A queue that only ranks must not fail when it reports the outcome."""
     order = _new()
