--- a/src/jujubewharf/admission/classes.py
+++ b/src/jujubewharf/admission/classes.py
@@ -37,8 +37,9 @@
     """Counts and waiting requests of one class."""
 
     def __init__(self) -> None:
-        # Times at which requests in time and late ones began to wait, the
-        # oldest first. Kept apart so that the oldest one is found at once.
+        # Times at which requests in time and late ones began to wait, in the
+        # order in which they became so. Kept apart so that the oldest request
+        # in time is found at once.
         self._in_time: dict[tickets.Ticket, float] = {}
         self._late: dict[tickets.Ticket, float] = {}
         self._parts: list[_Counts] = []
@@ -48,10 +49,17 @@
         waiting = self._late if ticket.is_late else self._in_time
         waiting[ticket] = now_ms
 
-    def remove(self, ticket: tickets.Ticket) -> None:
-        """Removes a request that no longer waits."""
+    def remove(self, ticket: tickets.Ticket) -> float | None:
+        """Removes a request; returns when it began to wait, if it did."""
         waiting = self._late if ticket.is_late else self._in_time
-        waiting.pop(ticket, None)
+        return waiting.pop(ticket, None)
+
+    def waits(self, now_ms: float) -> tickets.Waits | None:
+        """Returns the number of waiting requests and the longest wait."""
+        queued_ms = [*self._in_time.values(), *self._late.values()]
+        if not queued_ms:
+            return None
+        return tickets.Waits(len(queued_ms), now_ms - min(queued_ms))
 
     def counts(self, part: int) -> _Counts:
         """Returns the counts of the present part of the window."""
@@ -132,8 +140,10 @@
 
     def replaced(self, ticket: tickets.Ticket, by: tickets.Ticket) -> None:
         """Replaces the ticket of a waiting request."""
-        waiting = self._states[ticket.priority].waiting
-        waiting[by] = waiting.pop(ticket)
+        state = self._states[ticket.priority]
+        queued_ms = state.remove(ticket)
+        assert queued_ms is not None
+        state.add(by, queued_ms)
 
     def served(self, ticket: tickets.Ticket, now_ms: float) -> None:
         """Counts a request that was served."""
@@ -156,11 +166,9 @@
     def waits(self, now_ms: float) -> dict[int, tickets.Waits]:
         """Returns the waiting requests by priority."""
         return {
-            priority: tickets.Waits(
-                len(state.waiting), now_ms - min(state.waiting.values())
-            )
+            priority: waits
             for priority, state in self._states.items()
-            if state.waiting
+            if (waits := state.waits(now_ms)) is not None
         }
 
     def update(self, now_ms: float) -> None:
