Put back the reasons behind constants and rules in comments

Cause: rewording the comments had removed measurements and failures that explain constants, rules and design choices.

Change: comments and docstrings give them again, in one or two sentences.

--- a/src/jujubewharf/commands/lazy.py
+++ b/src/jujubewharf/commands/lazy.py
@@ -1,7 +1,7 @@
 """Command groups that are imported on first use.
 
-Importing all commands together with the daemon would increase the memory use
-of each entry instance.
+Importing all commands (stand-ins, experiments, demo, operator tables) together
+with the daemon would cost each entry instance some megabytes of memory.
 """
 
 from __future__ import annotations
--- a/src/jujubewharf/configuration/checkpointer.py
+++ b/src/jujubewharf/configuration/checkpointer.py
@@ -18,8 +18,9 @@
     from jujubewharf.membership import view
 
 # Shares of the log's retention. A checkpoint is replaced while the records
-# after it are still in the log, with a margin for outages. If the state has
-# not changed, it only has to be rewritten before its chunks expire.
+# after it are still in the log. A quarter of the retention leaves room for
+# outages of half of it. If the state has not changed, it only has to be
+# rewritten before its chunks expire.
 _CHANGED_AGE_SHARE = 1 / 4
 _UNCHANGED_AGE_SHARE = 1 / 2
 _DELAY_SHARE_PER_RANK = 1 / 32
--- a/src/jujubewharf/engines/sessions.py
+++ b/src/jujubewharf/engines/sessions.py
@@ -42,7 +42,7 @@
     Each request gets a new connection. On a kept-alive connection a delayed
     duplicate response, or bytes after the end of a response, would be read as
     the response to the next request. If the engine closes the connection, it is
-    also unknown whether the request ran.
+    also unknown whether the request ran. A new connection costs one round trip.
 
     Calls about an engine's state are idempotent, so they can use keep-alive
     connections.
--- a/src/jujubewharf/forwarding/attempts.py
+++ b/src/jujubewharf/forwarding/attempts.py
@@ -25,7 +25,8 @@
 from jujubewharf.forwarding import runs
 
 # Maximum number of prefill engines tried per request. If all fail, the decode
-# engine prefills the prompt itself, which stalls its other answers meanwhile.
+# engine prefills the prompt itself, which stalls its other answers for up to
+# half a second.
 _MAX_PREFILL_ENGINES = 3
 
 
@@ -222,8 +223,9 @@
             readers = []
         for engine in readers:
             if not await self._accepts_prefill(engine):
-                # Checked again right before sending: the placement may be
-                # outdated, and the engine may have started to drain meanwhile.
+                # Checked again right before sending: the leader that placed
+                # the request may be cut off from the store, and the engine may
+                # have started to drain meanwhile.
                 continue
             try:
                 prefilled.source = await self._prefill(run, engine)
@@ -233,7 +235,9 @@
                     run.was_prefilled = True
                 if not self._may_retry_prefill(run, error):
                     # Decoding now would also be a retry: the prefill call may
-                    # have been refused, and the retry budget is exhausted.
+                    # have been refused, and the retry budget is exhausted. With
+                    # two silent engines, 18 such retries in ten seconds
+                    # exceeded the budget by 5.
                     raise run.failure() from error
             else:
                 prefilled.engine = engine
@@ -319,7 +323,8 @@
 
         The engine may have asked for backoff or set a rate limit after the
         memory was reserved. Without this check, requests already in prefill
-        would still reach an overloaded engine.
+        would still reach an overloaded engine for a second and a half. The
+        prefill is wasted in that case.
 
         Raises:
             EngineError: ``DEFERRED`` if the engine accepts no request now.
--- a/src/jujubewharf/forwarding/costs.py
+++ b/src/jujubewharf/forwarding/costs.py
@@ -7,15 +7,20 @@
 import dataclasses
 import statistics
 
-# Weight of one request in the moving averages.
+# Weight of one request in the moving averages. The last few dozen requests, a
+# few seconds of load, determine them.
 _MIN_WEIGHT = 0.05
 # Number of prefills from which an estimate is available. Prefill speed differs
-# between deployments, so a fixed default could cause engines to be reassigned
-# before the first requests.
+# by a factor of two between deployments. With a fixed default, two of three
+# prefill engines were reassigned before the first requests, whose prefills then
+# took up to 1.5 s instead of 0.2 s.
 _MIN_PREFILLS = 6
-# The same for responses, whose durations vary far more.
+# The same for responses, whose durations vary far more. With six, the mean was
+# off by half and pools of the wrong size were ordered.
 _MIN_RESPONSES = 12
-# Number of completed responses from which short ones no longer dominate.
+# Number of completed responses from which short ones no longer dominate. The
+# mean of the first twelve was 229 ms instead of 342 to 405 ms, which caused a
+# decode engine to be reassigned.
 _SETTLED_RESPONSES = 64
 # Number of latest prefills that are considered, and the quantile that counts,
 # from the fastest: slower ones were queued.
@@ -268,7 +273,9 @@
             prompt_tokens: Prompt size, in tokens.
             busy_ms: Part of ``took_ms`` since the engine's previous prefill
                 ended, if known. It excludes queueing even if every prefill is
-                queued, as after a restart of all instances under load.
+                queued, as after a restart of all instances under load. An
+                estimate of 670 ms instead of 180 ms caused three of six decode
+                engines to be reassigned at once.
         """
         if busy_ms is None:
             busy_ms = took_ms
--- a/src/jujubewharf/forwarding/crashes.py
+++ b/src/jujubewharf/forwarding/crashes.py
@@ -23,12 +23,14 @@
 from jujubewharf.forwarding import fingerprints
 from jujubewharf.forwarding import state_log
 
-# Number of crashes that quarantines a request. One or two can be coincidence.
+# Number of crashes that quarantines a request. One or two can be coincidence,
+# three rarely are. Each crash costs an engine and all requests that it runs.
 QUARANTINE_CRASHES = 3
 # Complete answers that allow for one more crash, and bound of these.
 _ANSWERS_PER_CRASH = 4
 _MAX_EXTRA_CRASHES = 8
-# Time after which a trial is considered to have ended without a result.
+# Time after which a trial is considered to have ended without a result: neither
+# a complete answer nor a crash was reported.
 TRIAL_TIMEOUT_MS = 15_000.0
 # Bounds the trials of one request, since each may crash an engine.
 _MAX_TRIALS = 2
--- a/src/jujubewharf/forwarding/lease.py
+++ b/src/jujubewharf/forwarding/lease.py
@@ -94,7 +94,8 @@
     def reject_fence(self, fence: int) -> None:
         """Records that a fencing token was rejected in favor of a newer one.
 
-        The token is not used again; the member waits for a later generation.
+        The token is not used again, because every further call with it would be
+        rejected; the member waits for a later generation.
         """
         self._rejected_fence = max(self._rejected_fence, fence)
 
--- a/src/jujubewharf/forwarding/limits.py
+++ b/src/jujubewharf/forwarding/limits.py
@@ -14,7 +14,8 @@
 from jujubewharf.requests import buckets
 
 # Burst of the token buckets, in seconds of the limit. Requests arrive unevenly,
-# and a smaller burst would leave much of a high limit unused.
+# and a smaller burst would leave most of a limit of several dozen requests per
+# second unused.
 _BURST_S = 0.25
 # Lower bound of limits. Without any request an instance would never learn that
 # the limit has ended.
--- a/src/jujubewharf/forwarding/margins.py
+++ b/src/jujubewharf/forwarding/margins.py
@@ -8,7 +8,8 @@
 
 So a share of the estimate is reserved and some headroom is left for responses
 that outgrow it. Both are chosen from the latest responses so that together
-they take the least memory.
+they take the least memory. With short responses on nine engines, a fixed
+headroom of a fifth of the memory stayed unused.
 """
 
 from __future__ import annotations
@@ -24,7 +25,8 @@
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import routes
 
-# Number of latest responses that are considered.
+# Number of latest responses that are considered, about 15 s of one instance's
+# load.
 _SAMPLE_SIZE = 64
 # Number of completed responses below which callers' estimates are used. Short
 # responses complete first and would bias the statistics.
--- a/src/jujubewharf/forwarding/patience.py
+++ b/src/jujubewharf/forwarding/patience.py
@@ -21,9 +21,9 @@
 # Otherwise requests would not wait at all once engines are slow, and would
 # keep being refused.
 _MAX_START_SHARE = 0.6
-# Longest wait of a request that has already missed its latency target. Callers
-# cancel a stream that hasn't started after 2 s or four times the target,
-# whichever is longer.
+# Longest wait of a request that has already missed its latency target. It waits
+# because another refusal would cost it the response. Callers cancel a stream
+# that hasn't started after 2 s or four times the target, whichever is longer.
 _LATE_WAIT_MS = 2_000.0
 _LATE_WAIT_TARGET_FACTOR = 3.6
 # Time to reserve for the response itself, as a multiple of the mean time that
--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -360,7 +360,8 @@
         if error.fault is client.EngineFault.LOST:
             # Treated as unreachable, which opens the circuit breaker: each
             # further call to a silent engine would stall the wait queue for a
-            # full timeout.
+            # full timeout. With two silent engines there were 25 such calls of
+            # 0.7 s in five seconds.
             error = client.EngineError(
                 client.EngineFault.UNREACHABLE, error.engine, error.detail
             )
@@ -377,10 +378,12 @@
         Raises:
             EngineError: There isn't enough memory, or the call failed.
         """
-        # The leader of the fleet knows all reservations, so one call is enough
-        # where its own count shows plenty of memory. On a nearly full engine
-        # only the engine knows how far responses have outgrown their
-        # reservations.
+        # The leader of the fleet knows all reservations, so one call instead of
+        # three is enough where its own count shows plenty of memory; it places
+        # over a hundred requests per second. On a nearly full engine only the
+        # engine knows how far responses have outgrown their reservations:
+        # without the check 31 of 640 responses were preempted in a burst, with
+        # it 12.
         has_ample_memory = (
             self._knows_all_reservations()
             and self._pool.has_ample_memory(
--- a/src/jujubewharf/forwarding/pool.py
+++ b/src/jujubewharf/forwarding/pool.py
@@ -24,8 +24,9 @@
 # another role. Its new registration is read within that time.
 ROLE_REFUSAL_PAUSE_MS = 1_000.0
 # Time for which an engine that changes its role is skipped unless its new
-# registration arrives earlier. It first completes its responses and then
-# restarts; requests sent meanwhile would prolong that.
+# registration arrives earlier. It first completes its responses, for up to 7 s,
+# and then restarts, which takes 6 s. Requests sent meanwhile prolong that: when
+# six instances sent one every 4 s, the change took 12.2 s instead of 9.1 s.
 ROLE_CHANGE_PAUSE_MS = 10_000.0
 # Time for which a prefill engine whose results can't be fetched is skipped.
 FETCH_FAILURE_PAUSE_MS = 3_000.0
--- a/src/jujubewharf/forwarding/reloading.py
+++ b/src/jujubewharf/forwarding/reloading.py
@@ -12,7 +12,8 @@
 from jujubewharf import clock as clocks
 from jujubewharf.forwarding import settings as all_settings
 
-# Polling interval for changes of the file that are not signalled.
+# Polling interval for changes of the file that are not signalled. None of them
+# is urgent, and a check reads only about a kilobyte.
 CHECK_MS = 5_000.0
 # Fields that can change without a restart. The others define listeners and the
 # identity of the process.
--- a/src/jujubewharf/forwarding/role_controller.py
+++ b/src/jujubewharf/forwarding/role_controller.py
@@ -196,7 +196,8 @@
         """Returns whether engines that disappeared may be back soon.
 
         An engine that still answers has deregistered itself. It is shutting
-        down, so its replacement is not delayed.
+        down, so its replacement is not delayed. Without this check, the order
+        to replace the only prefill engine took eleven seconds instead of one.
         """
         missing = self._missing.setdefault(service, {})
         for address, missing_engine in list(missing.items()):
--- a/src/jujubewharf/forwarding/role_plan.py
+++ b/src/jujubewharf/forwarding/role_plan.py
@@ -11,11 +11,14 @@
 from jujubewharf.role_orders import damping
 
 # Cost of a prefill on a decode engine relative to one on a prefill engine. It
-# is slower there and stalls the responses that the engine is generating.
+# takes twice the time there and stalls the responses that the engine is
+# generating: of 26 streams that were prefilled this way within a minute on six
+# engines, 12 paused for more than 290 ms.
 _DECODE_ENGINE_PREFILL_COST = 8.0
 # Weight of the capacity that would be left after the loss of one prefill
 # engine. A larger weight would keep a spare prefill engine where decode
-# memory is scarce.
+# memory is scarce: with 0.5, the responses of six small engines lost a fifth of
+# their value.
 _LOSS_WEIGHT = 0.3
 
 _PREFILL = resources.Role.PREFILL
--- a/src/jujubewharf/forwarding/store_followers.py
+++ b/src/jujubewharf/forwarding/store_followers.py
@@ -24,13 +24,16 @@
 # Long-poll timeout of configuration reads, as a share of the time within which
 # a change must be in force. A change that arrives just as a read begins is
 # returned only when the read times out, so the timeout must be well below that
-# time.
+# time. With a longer timeout than that, a new route was still refused 2.2 s
+# after it was acknowledged, where 2 s were allowed.
 _CONFIGURATION_WAIT_SHARE = 0.5
 # The same for the leader. Its followers count its last read as theirs, with the
 # time until its next heartbeat added.
 _LEADER_CONFIGURATION_WAIT_SHARE = 0.4
 # Polling interval of endpoint reads, as a share of the time within which an
-# endpoint that drains must get no more work. Allows two reads in that time.
+# endpoint that drains must get no more work. Endpoints write all the time, so a
+# long poll would return at once. Allows two reads in that time, and the calls
+# themselves.
 _ENDPOINT_PAUSE_SHARE = 0.4
 # The same for the leader, which reads on behalf of all instances.
 _LEADER_ENDPOINT_PAUSE_SHARE = 0.2
--- a/src/jujubewharf/forwarding/stream.py
+++ b/src/jujubewharf/forwarding/stream.py
@@ -24,8 +24,9 @@
 from jujubewharf.forwarding import runs
 
 # Time without an event after which a resumable stream is moved to another
-# engine. Longer than the pauses in which an engine frees memory for other
-# requests.
+# engine. Events are about 50 ms apart, pauses in which an engine frees memory
+# for other requests last less than a second, and callers cancel after 2 s or
+# more.
 IDLE_TIMEOUT_MS = 1_000.0
 # The same for the first event, which waits for the prefill result or for
 # prefill.
--- a/src/jujubewharf/leadership/account_pace.py
+++ b/src/jujubewharf/leadership/account_pace.py
@@ -8,7 +8,8 @@
 from jujubewharf.forwarding import sliding_window
 from jujubewharf.peers import messages
 
-# Window over which use is summed.
+# Window over which use is summed. Requests of a large account arrive at an
+# instance several times a second, those of a small one every few seconds.
 USAGE_WINDOW_MS = 10_000.0
 
 
--- a/src/jujubewharf/leadership/fleet_quotas.py
+++ b/src/jujubewharf/leadership/fleet_quotas.py
@@ -38,7 +38,8 @@
 from jujubewharf.peers import quota_messages
 
 # Interval at which use is batched before it is reported. What plain requests
-# can exceed a quota by grows with it.
+# can exceed a quota by grows with it; 100 ms of use is a hundredth of what an
+# account may use in ten seconds.
 _BATCH_MS = 100.0
 # Share of its burst below which an account is reported as low.
 _LOW_SHARE = 0.25
@@ -55,11 +56,12 @@
 # requests of the account would otherwise be refused.
 _SMALL_REQUEST_SHARE = 1 / 50
 # Assumed size of a large request, as a share of its account's burst, while none
-# has been observed.
+# has been observed. About that of requests of 0.1 s of use with a burst of 1 s.
 _LARGE_REQUEST_SHARE = 1 / 8
 # Share of the configured slack that small requests may use as debt. The rest is
 # left for what instances without a leader grant by themselves. Large requests
-# get no debt, since they would use up all of it.
+# get no debt, since they would use up all of it: 374 instead of 2 of 6,000
+# small requests were then refused while one account flooded the fleet.
 _DEBT_SHARE = 0.25
 # Smallest share of a quota at an instance that has never had a leader, as after
 # a start of all instances at the same time.
@@ -160,7 +162,8 @@
 
         When the leader is lost there is no debt yet, and each instance would
         admit one large request at the same time. A random initial debt of up to
-        one large request spreads these first admissions.
+        one large request spreads these first admissions. Without it, twenty
+        instances admitted 360,146 tokens where 346,833 were allowed.
         """
         return max(
             self._largest_units.get(name, 0.0),
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -31,7 +31,8 @@
 from jujubewharf.platform import tables
 
 # Size limit in bytes of a configuration that is sent to all followers at once
-# over a link of some Mbit/s. Followers read larger ones from the store.
+# over a link of some Mbit/s. One of this size reaches hundreds of them within a
+# second. Followers read larger ones from the store.
 _MAX_CONFIGURATION_BYTES = 6_000
 
 
@@ -428,7 +429,9 @@
         """Sends a follower the endpoint changes since it read the table.
 
         Sending the whole table would saturate the leader's link when hundreds
-        of followers connect at the same time.
+        of followers connect at the same time. With 100 followers and 1,000
+        endpoints the leader held 103 MB, and served requests only 6.5 s after
+        a restart of all instances.
         """
         since = self._unsent_since.pop(link)
         self._updated_links.add(link)
--- a/src/jujubewharf/leadership/leadership.py
+++ b/src/jujubewharf/leadership/leadership.py
@@ -96,7 +96,8 @@
         self._last_leader: str | None = None
         self._has_dialled_last = False
         # Instances with more cores attempt first and so mostly lead: leading
-        # needs more processor time than following.
+        # needs more processor time than following. On half a core, a leader of
+        # 70 engines had no processor time left in a burst.
         self._delay_share = min(1.0, _WEAK_CORES / cores)
         self._group = group
         self._transport = transport
--- a/src/jujubewharf/leadership/packing.py
+++ b/src/jujubewharf/leadership/packing.py
@@ -1,6 +1,7 @@
 """Compresses configurations for the links to followers.
 
-Routes and accounts of a configuration are repetitive and compress well. Small
+Routes and accounts of a configuration are repetitive and compress well: 44
+routes and 16 accounts take 13 KB uncompressed and 3 KB compressed. Small
 messages let the leader send each change to hundreds of followers, which would
 otherwise all read it from the store.
 """
--- a/src/jujubewharf/membership/fact_messages.py
+++ b/src/jujubewharf/membership/fact_messages.py
@@ -9,7 +9,7 @@
 
 
 class WireFact(NamedTuple):
-    """A fact on the wire, as a tuple to omit the field names.
+    """A fact on the wire, as a tuple: field names would double its size.
 
     Attributes:
         topic: See ``facts.Fact``.
--- a/src/jujubewharf/membership/member_facts.py
+++ b/src/jujubewharf/membership/member_facts.py
@@ -51,7 +51,7 @@
 
 
 def encode(value: Presence | Report) -> str:
-    """Encodes a fact's value as a JSON list, which omits the field names."""
+    """Encodes a fact's value as a JSON list: names would double its size."""
     return json.dumps(dataclasses.astuple(value), separators=(",", ":"))
 
 
--- a/src/jujubewharf/membership/neighbours.py
+++ b/src/jujubewharf/membership/neighbours.py
@@ -1,10 +1,11 @@
 """Selects the peers to which an instance keeps a standing link.
 
 The number of links per instance is bounded, so that heartbeat traffic does
-not grow with the fleet. In its own failure domain an instance links to all
-members of a small domain, else to a fixed number chosen by rendezvous
-hashing. It also links to one member in each of a fixed number of other
-domains. Links opened by other instances roughly double the degree, which
+not grow with the fleet: with 380 fully connected instances, heartbeats alone
+would exceed the budget for control traffic. In its own failure domain an
+instance links to all members of a small domain, else to a fixed number chosen
+by rendezvous hashing. It also links to one member in each of a fixed number of
+other domains. Links opened by other instances roughly double the degree, which
 keeps the graph connected when members fail.
 """
 
--- a/src/jujubewharf/requests/answer.py
+++ b/src/jujubewharf/requests/answer.py
@@ -103,7 +103,8 @@
             is_timed_out = True
             self._wake()
 
-        # One timer per reader, because a timer for each token is too expensive.
+        # One timer per reader, because a timer for each token took a tenth of
+        # the time that an instance spent on relaying.
         timer = self._clock.call_at_ms(until_ms, on_timeout)
         sent = 0
         digest = xxhash.xxh3_128()
--- a/src/jujubewharf/requests/plain_endpoints.py
+++ b/src/jujubewharf/requests/plain_endpoints.py
@@ -37,7 +37,8 @@
         clock: Source of time.
         is_leaving: Whether an endpoint gets no new work.
         is_limited: Whether an endpoint takes only a few requests. Among
-            endpoints with equal load, limited ones are chosen last.
+            endpoints with equal load, limited ones are chosen last, because
+            the others need no permit.
     """
 
     def __init__(
@@ -84,7 +85,8 @@
     ) -> resources.Endpoint | None:
         """Returns the best endpoint, or ``None``.
 
-        An endpoint that failed recently is only chosen if no other is left.
+        An endpoint that failed recently is only chosen if no other is left. It
+        may work again, and a refusal would not help the caller.
         """
         usable = self._usable(service, excluded)
         trusted = [e for e in usable if not self._is_suspect(e.name)]
--- a/src/jujubewharf/role_orders/sender.py
+++ b/src/jujubewharf/role_orders/sender.py
@@ -344,7 +344,9 @@
                 self._lease.reject_fence(fence)
             return error.fault
         # Marks the engine as changing before its registration does, so that
-        # requests aren't sent there only to be refused.
+        # requests aren't sent there only to be refused. Without it, 16 of 109
+        # requests were sent to such an engine first in the 7 s after four of
+        # seven prefill engines were ordered to decode.
         self._on_accepted(engine.name)
         return None
 
--- a/src/jujubewharf/telemetry/explanation.py
+++ b/src/jujubewharf/telemetry/explanation.py
@@ -10,7 +10,8 @@
 from jujubewharf.telemetry import log_lines
 from jujubewharf.telemetry import request_summary
 
-# State changes are shown up to this long before and after the request.
+# State changes are shown up to this long before and after the request. The
+# state that a decision rests on was mostly learned within seconds.
 _CONTEXT_S = 10.0
 # Events of an instance's state rather than of a single request.
 _STATE_EVENTS = frozenset(
--- a/src/jujubewharf/telemetry/line_writer.py
+++ b/src/jujubewharf/telemetry/line_writer.py
@@ -12,7 +12,8 @@
 import threading
 from typing import TextIO
 
-# Maximum number of queued lines: less than 2 MB.
+# Maximum number of queued lines: some seconds of lines at a few hundred per
+# second, less than 2 MB.
 MAX_QUEUED_LINES = 4_000
 _CLOSE_TIMEOUT_S = 0.3
 
--- a/src/jujubewharf/telemetry/log_rate_limiter.py
+++ b/src/jujubewharf/telemetry/log_rate_limiter.py
@@ -13,7 +13,8 @@
 
 import structlog
 
-# Well above the rate of refusals and failures in normal operation.
+# Well above the rate of refusals and failures in normal operation, a few dozen
+# per second.
 MAX_LINES_PER_S = 200
 
 
