Name durations of plain calls as durations

Cause: end_ms and expected_end_ms returned how long a call takes, and read like clock readings beside due_ms. The ticket said that a request is given up at due_ms, which isn't true of plain calls.

Change: they are expected durations; the ticket states both meanings; the retry-after time is computed apart from the rejection.

--- a/src/jujubewharf/admission/tickets.py
+++ b/src/jujubewharf/admission/tickets.py
@@ -40,7 +40,9 @@
         cost: Tokens of prompt and expected output; 1 for a plain call.
         is_late: Whether it has missed its latency target.
         is_resumed: Whether its caller already has a part of the answer.
-        due_ms: Clock reading at which it is given up, in milliseconds.
+        due_ms: Clock reading in milliseconds, the earliest first: for a model
+            request, when it is given up; for a plain call, when its answer
+            becomes late.
     """
 
     priority: int
--- a/src/jujubewharf/plain_calls/endpoint_group.py
+++ b/src/jujubewharf/plain_calls/endpoint_group.py
@@ -12,7 +12,8 @@
 from jujubewharf.plain_calls import local_choice
 from jujubewharf.plain_calls import service_times
 
-# Endpoints whose expected ends differ by less than this share count as equal.
+# Endpoints whose expected durations differ by less than this share count as
+# equal; the domain then decides.
 _EQUAL_SHARE = 0.1
 
 Endpoints = Sequence[endpoint_grants.EndpointGrants]
@@ -230,18 +231,19 @@
             must_be_in_time: Whether endpoints are left out where it would end
                 late.
         """
-        ends: list[tuple[float, endpoint_grants.EndpointGrants]] = []
+        usable: list[tuple[float, endpoint_grants.EndpointGrants]] = []
         for endpoint in accepting:
             if not self.has_room(endpoint, now_ms):
                 continue
             high_ms = self._times.high_ms(endpoint.name)
             if must_be_in_time and now_ms + high_ms > call.due_ms:
                 continue
-            ends.append((self.end_ms(endpoint, now_ms), endpoint))
-        if not ends:
+            duration_ms = self.expected_duration_ms(endpoint, now_ms)
+            usable.append((duration_ms, endpoint))
+        if not usable:
             return None
-        equal_ms = min(end for end, _ in ends) * (1.0 + _EQUAL_SHARE)
-        equal = [endpoint for end, endpoint in ends if end <= equal_ms]
+        equal_ms = min(took for took, _ in usable) * (1.0 + _EQUAL_SHARE)
+        equal = [endpoint for took, endpoint in usable if took <= equal_ms]
         return min(
             equal,
             key=lambda e: (
@@ -251,11 +253,11 @@
             ),
         )
 
-    def end_ms(
+    def expected_duration_ms(
         self, endpoint: endpoint_grants.EndpointGrants, now_ms: float
     ) -> float:
-        """Returns the expected time of one more call at an endpoint."""
-        return local_choice.expected_end_ms(
+        """Returns the expected duration of one more call at an endpoint."""
+        return local_choice.expected_duration_ms(
             endpoint.in_flight(now_ms),
             endpoint.capacity.slots,
             self._times.median_ms(endpoint.name),
--- a/src/jujubewharf/plain_calls/local_choice.py
+++ b/src/jujubewharf/plain_calls/local_choice.py
@@ -16,7 +16,7 @@
 
 from jujubewharf.configuration import resources
 
-_DRAWN = 2
+_SAMPLE_SIZE = 2
 
 
 class Loads(Protocol):
@@ -40,7 +40,7 @@
 
 
 class LocalChoice:
-    """Chooses by expected end, from reports and this instance's own calls.
+    """Chooses by expected duration, from reports and this instance's own calls.
 
     Args:
         domain: Failure domain of this instance.
@@ -75,7 +75,7 @@
         """
         near = [e for e in endpoints if e.domain == self._domain]
         chosen = self._draw(near, times)
-        if chosen is not None and self.expected_ms(chosen, times) <= due_in_ms:
+        if chosen is not None and self._duration_ms(chosen, times) <= due_in_ms:
             return chosen
         return self._draw(endpoints, times)
 
@@ -84,14 +84,14 @@
     ) -> resources.Endpoint | None:
         if not endpoints:
             return None
-        drawn = self._rng.sample(endpoints, min(_DRAWN, len(endpoints)))
-        return min(drawn, key=lambda e: self.expected_ms(e, times))
+        drawn = self._rng.sample(endpoints, min(_SAMPLE_SIZE, len(endpoints)))
+        return min(drawn, key=lambda e: self._duration_ms(e, times))
 
-    def expected_ms(self, endpoint: resources.Endpoint, times: Times) -> float:
-        """Returns the expected time of one more call at an endpoint."""
+    def _duration_ms(self, endpoint: resources.Endpoint, times: Times) -> float:
+        """Returns the expected duration of one more call at an endpoint."""
         own = self._own[endpoint.name]
         total = max(own, self._loads.total(endpoint.name) or 0)
-        return expected_end_ms(
+        return expected_duration_ms(
             total,
             self._loads.slots(endpoint),
             times.median_ms(endpoint.name),
@@ -109,7 +109,13 @@
                 del self._own[endpoint]
 
 
-def expected_end_ms(in_flight: float, slots: int, call_ms: float) -> float:
-    """Returns when one more call ends, beside the calls in flight."""
+def expected_duration_ms(in_flight: float, slots: int, call_ms: float) -> float:
+    """Returns how long one more call takes, its wait for a slot included.
+
+    Args:
+        in_flight: Calls that the endpoint has already.
+        slots: Number of calls that it processes concurrently.
+        call_ms: Median time of a call in a slot.
+    """
     waiting = max(0.0, in_flight + 1 - slots)
     return call_ms * (1.0 + waiting / slots)
--- a/src/jujubewharf/plain_calls/permit_queue.py
+++ b/src/jujubewharf/plain_calls/permit_queue.py
@@ -30,7 +30,7 @@
 # Smallest share of the capacity that late calls are expected to get, because a
 # burst may end at any time.
 _MIN_LATE_SHARE = 0.25
-# Stands for a call's number in the event of an endpoint's pause that ends.
+# Number in the event for the end of an endpoint's pause. Calls count from 1.
 _PAUSE_END = -1
 
 
@@ -143,16 +143,18 @@
             return self._reject(call, ticket, reason, now_ms)
         late_before_ms = now_ms + self._endpoints.min_high_ms(accepting)
         ahead = self._waiting.count_ahead(call, late_before_ms)
-        is_soon = self._is_in_time_after(ahead, call, accepting, now_ms)
+        can_be_in_time = self._is_in_time_after(ahead, call, accepting, now_ms)
         found = self._endpoints.best_with_room(
-            accepting, call, now_ms, must_be_in_time=is_soon
+            accepting, call, now_ms, must_be_in_time=can_be_in_time
         )
         if found is not None:
             return self._grant(call, ticket, found, now_ms)
         if len(self._waiting) >= MAX_WAITING:
             reason = decisions.RejectReason.TOO_MANY
             return self._reject(call, ticket, reason, now_ms)
-        if not is_soon and not self._has_time_if_late(call, accepting, now_ms):
+        if not can_be_in_time and not self._has_time_if_late(
+            call, accepting, now_ms
+        ):
             reason = decisions.RejectReason.NO_TIME
             return self._reject(
                 call, ticket, reason, now_ms, ahead=len(self._waiting)
@@ -250,7 +252,7 @@
         if not free:
             return decided
         late_before_ms = now_ms + self._endpoints.min_high_ms(accepting)
-        free.sort(key=lambda e: self._endpoints.end_ms(e, now_ms))
+        free.sort(key=lambda e: self._endpoints.expected_duration_ms(e, now_ms))
         for endpoint in free:
             high_ms = self.times.high_ms(endpoint.name)
             while len(self._waiting) and self._endpoints.has_room(
@@ -358,6 +360,19 @@
     ) -> decisions.Rejected:
         account_group = self._order.account_group(ticket)
         self._order.rejected(ticket)
+        return decisions.Rejected(
+            call.number,
+            self._retry_after_ms(call, now_ms),
+            reason,
+            waited_ms,
+            ahead,
+            account_group,
+        )
+
+    def _retry_after_ms(
+        self, call: decisions.WaitingCall, now_ms: float
+    ) -> float:
+        """Returns when a rejected call may come back, later for each call."""
         accepting = self._endpoints.accepting(call.excluded)
         interval_ms = free_in_ms = 0.0
         if accepting:
@@ -366,20 +381,12 @@
             late_before_ms = now_ms + self._endpoints.min_high_ms(accepting)
             late = self._waiting.count_late(late_before_ms)
             free_in_ms = (len(self._waiting) - late + 1) * interval_ms
-        retry_after_ms = self._retry_times.next_ms(
+        return self._retry_times.next_ms(
             now_ms,
             free_in_ms=free_in_ms,
             interval_ms=interval_ms,
             left_ms=call.deadline_ms - now_ms,
         )
-        return decisions.Rejected(
-            call.number,
-            retry_after_ms,
-            reason,
-            waited_ms,
-            ahead,
-            account_group,
-        )
 
     def _reject_waiting(
         self,
