--- a/src/jujubewharf/plain_calls/permit_queue.py
+++ b/src/jujubewharf/plain_calls/permit_queue.py
@@ -15,21 +15,18 @@
 from jujubewharf.admission import order as orders
 from jujubewharf.admission import tickets
 from jujubewharf.configuration import resources
-from jujubewharf.plain_calls import arrival_rate
 from jujubewharf.plain_calls import decisions
 from jujubewharf.plain_calls import endpoint_grants
 from jujubewharf.plain_calls import endpoint_group
 from jujubewharf.plain_calls import queue_events
 from jujubewharf.plain_calls import retry_times
 from jujubewharf.plain_calls import service_times
+from jujubewharf.plain_calls import wait_estimates
 from jujubewharf.plain_calls import waiting_calls
 
 # Calls that wait for one service. More can't be served within any deadline
 # that callers set; the memory of the leader stays bounded.
 MAX_WAITING = 4_096
-# Smallest share of the capacity that late calls are expected to get, because a
-# burst may end at any time.
-_MIN_LATE_SHARE = 0.25
 # Number in the event for the end of an endpoint's pause. Calls count from 1.
 _PAUSE_END = -1
 
@@ -57,7 +54,9 @@
         )
         self._retry_times = retry_times.RetryTimes()
         self._waiting = waiting_calls.WaitingCalls(order)
-        self._arrivals = arrival_rate.ArrivalRate()
+        self._estimates = wait_estimates.WaitEstimates(
+            self._endpoints, self._waiting
+        )
         self._events = queue_events.QueueEvents(self._is_needed)
 
     @property
@@ -134,7 +133,7 @@
         Returns:
             ``Waiting`` if a later ``release`` or ``expire`` decides.
         """
-        self._arrivals.add(now_ms)
+        self._estimates.record_arrival(now_ms)
         ticket = waiting_calls.new_ticket(call)
         self._order.queued(ticket, now_ms)
         accepting = self._endpoints.accepting(call.excluded)
@@ -143,7 +142,9 @@
             return self._reject(call, ticket, reason, now_ms)
         late_before_ms = now_ms + self._endpoints.min_high_ms(accepting)
         ahead = self._waiting.count_ahead(call, late_before_ms)
-        can_be_in_time = self._is_in_time_after(ahead, call, accepting, now_ms)
+        can_be_in_time = self._estimates.is_in_time_after(
+            ahead, call, accepting, now_ms
+        )
         found = self._endpoints.best_with_room(
             accepting, call, now_ms, must_be_in_time=can_be_in_time
         )
@@ -152,7 +153,7 @@
         if len(self._waiting) >= MAX_WAITING:
             reason = decisions.RejectReason.TOO_MANY
             return self._reject(call, ticket, reason, now_ms)
-        if not can_be_in_time and not self._has_time_if_late(
+        if not can_be_in_time and not self._estimates.has_time_if_late(
             call, accepting, now_ms
         ):
             reason = decisions.RejectReason.NO_TIME
@@ -234,7 +235,7 @@
         )
         if found is not None:
             return [self._grant_waiting(entry, found, now_ms)]
-        if not self._has_time_if_late(call, accepting, now_ms):
+        if not self._estimates.has_time_if_late(call, accepting, now_ms):
             reason = decisions.RejectReason.NO_TIME
             return [self._reject_waiting(entry, reason, now_ms)]
         self._events.schedule(
@@ -269,48 +270,6 @@
                 decided.append(self._grant_waiting(entry, endpoint, now_ms))
         return decided
 
-    def _is_in_time_after(
-        self,
-        ahead: int,
-        call: decisions.WaitingCall,
-        accepting: endpoint_group.Endpoints,
-        now_ms: float,
-    ) -> bool:
-        """Returns whether a call is expected to be in time if it waits."""
-        wait_ms = (ahead + 1) / self._endpoints.served_per_ms(accepting, now_ms)
-        high_ms = self._endpoints.min_high_ms(accepting)
-        return now_ms + wait_ms + high_ms <= call.due_ms
-
-    def _has_time_if_late(
-        self,
-        call: decisions.WaitingCall,
-        accepting: endpoint_group.Endpoints,
-        now_ms: float,
-    ) -> bool:
-        """Returns whether a late call may get capacity before its deadline."""
-        if not accepting:
-            return False
-        high_ms = self._endpoints.min_high_ms(accepting)
-        per_ms = self._endpoints.served_per_ms(accepting, now_ms)
-        late_before_ms = now_ms + high_ms
-        late = self._waiting.count_late(late_before_ms)
-        in_time = len(self._waiting) - late
-        late_ahead = self._waiting.count_late(min(late_before_ms, call.due_ms))
-        # Of the calls that precede this one while it is in time, those that
-        # can't all be served before it is late will be late as well.
-        in_time_ms = max(0.0, call.due_ms - late_before_ms)
-        ahead = self._waiting.count_ahead(call, late_before_ms)
-        will_be_late = max(0.0, ahead - in_time_ms * per_ms)
-        left_over = 1.0 - self._arrivals.per_ms(now_ms) / per_ms
-        share = max(_MIN_LATE_SHARE, left_over)
-        # It is served as a late call only after it has become late.
-        wait_ms = (
-            in_time_ms
-            + (in_time - will_be_late) / per_ms
-            + (late_ahead + will_be_late + 1) / share / per_ms
-        )
-        return now_ms + wait_ms <= call.latest_start_ms(high_ms)
-
     def _grant(
         self,
         call: decisions.WaitingCall,
@@ -374,13 +333,9 @@
     ) -> float:
         """Returns when a rejected call may come back, later for each call."""
         accepting = self._endpoints.accepting(call.excluded)
-        interval_ms = free_in_ms = 0.0
-        if accepting:
-            interval_ms = 1.0 / self._endpoints.served_per_ms(accepting, now_ms)
-            # A call that comes back precedes the late ones.
-            late_before_ms = now_ms + self._endpoints.min_high_ms(accepting)
-            late = self._waiting.count_late(late_before_ms)
-            free_in_ms = (len(self._waiting) - late + 1) * interval_ms
+        interval_ms, free_in_ms = self._estimates.next_free_ms(
+            accepting, now_ms
+        )
         return self._retry_times.next_ms(
             now_ms,
             free_in_ms=free_in_ms,
