Name engine speeds' reports and checks by what they are

Cause: engines whose report is contradicted were called incredible, reports that followers pass on were called told, and the first fit had a bare 16.

Change: name them contradicted and follower slowdowns, and use the smallest number of fitted observations; document the units of the work rate and the methods of the times of one kind of work; join the two weightings.

--- a/src/jujubewharf/engine_speeds/observations.py
+++ b/src/jujubewharf/engine_speeds/observations.py
@@ -19,6 +19,7 @@
 MIN_OBSERVATIONS = 4
 # Number of newest observations of an engine that count.
 _MAX_OBSERVATIONS = 24
+# Size, time and slowdown, which an observation is stored as.
 _VALUE_COUNT = 3
 # Time without work after which an engine's observations are dropped. An engine
 # that gets no work because it was slow is then unknown, and is tried again.
@@ -34,7 +35,8 @@
 _CREDIBLE_SHARE = 0.5
 # Number of observations of all engines to which the expected times are fitted.
 _MAX_FITTED = 128
-_MIN_FITTED = 16
+# Number below which they are not fitted.
+MIN_FITTED = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,7 +85,7 @@
 
     def fit(self) -> None:
         """Fits the expected times to the newest observations."""
-        if len(self._observed) < _MIN_FITTED:
+        if len(self._observed) < MIN_FITTED:
             return
         sizes = [size for size, _ in self._observed]
         times_ms = [took_ms for _, took_ms in self._observed]
--- a/src/jujubewharf/engine_speeds/speeds.py
+++ b/src/jujubewharf/engine_speeds/speeds.py
@@ -87,8 +87,9 @@
         self._stages: dict[tuple[str, Stage], _StageTimes] = {}
         # Relative times outside the range that counts as equal.
         self._unequal: dict[Stage, dict[str, float]] = {s: {} for s in Stage}
-        self._incredible: set[str] = set()
-        self._told_slowdowns: dict[str, tuple[float, float]] = {}
+        self._contradicted: set[str] = set()
+        # Slowdown and the clock reading at which a follower passed it on.
+        self._follower_slowdowns: dict[str, tuple[float, float]] = {}
         self._updated_ms = float("-inf")
         self._log = speed_log.SpeedLog(clock)
 
@@ -97,7 +98,7 @@
         """Whether any engine's lasting speed differs from the others'."""
         return any(self._unequal.values())
 
-    def differ(self, service: str) -> bool:
+    def speeds_differ(self, service: str) -> bool:
         """Whether the lasting speeds of a service's engines differ."""
         return any(
             self._engines[name].service == service
@@ -132,13 +133,13 @@
         gone = self._engines.keys() - present.keys()
         self._engines = present
         for name in gone:
-            self._told_slowdowns.pop(name, None)
+            self._follower_slowdowns.pop(name, None)
         for times in self._stages.values():
             times.remove(gone)
         for unequal in self._unequal.values():
             for name in gone & unequal.keys():
                 del unequal[name]
-        self._incredible -= gone
+        self._contradicted -= gone
         self._log.forget(gone)
 
     def record_prefill(
@@ -175,7 +176,7 @@
         """Records the slowdown that an engine reported to a follower."""
         if engine in self._engines and math.isfinite(slowdown):
             now_ms = self._clock.now_ms()
-            self._told_slowdowns[engine] = (slowdown, now_ms)
+            self._follower_slowdowns[engine] = (slowdown, now_ms)
 
     def lasting(self, engine: str, stage: Stage) -> float:
         """Returns an engine's relative time, apart from slowdowns.
@@ -192,7 +193,7 @@
         that the observed times contradict are ignored too.
         """
         reported = self._reported(engine)
-        if reported < observed.SLOWDOWN_STEP or engine in self._incredible:
+        if reported < observed.SLOWDOWN_STEP or engine in self._contradicted:
             return 1.0
         return reported
 
@@ -215,9 +216,9 @@
     def work_rate(
         self, engine: resources.Endpoint, role: resources.Role
     ) -> float:
-        """Returns how much work an engine does in a role.
+        """Returns how much work an engine does in a role in a given time.
 
-        Relative to the median engine of its service.
+        Relative to the median engine of its service: 0.5 does half as much.
         """
         is_prefill = role is resources.Role.PREFILL
         stage = Stage.PREFILL if is_prefill else Stage.DECODE
@@ -226,11 +227,11 @@
     def _reported(self, engine: str) -> float:
         """Returns what an engine reported here, else to a follower."""
         reported = self._reported_slowdown(engine)
-        if reported != 1.0 or not self._told_slowdowns:
+        if reported != 1.0 or not self._follower_slowdowns:
             return reported
-        told, at_ms = self._told_slowdowns.get(engine, (1.0, 0.0))
+        slowdown, at_ms = self._follower_slowdowns.get(engine, (1.0, 0.0))
         is_fresh = self._clock.now_ms() - at_ms <= table.SLOWDOWN_MAX_AGE_MS
-        return told if is_fresh else 1.0
+        return slowdown if is_fresh else 1.0
 
     def _record(
         self,
@@ -261,28 +262,25 @@
 
     def _update(self, now_ms: float) -> None:
         relative: dict[Stage, dict[str, float]] = {s: {} for s in Stage}
-        self._incredible.clear()
+        self._contradicted.clear()
         for (_, stage), times in self._stages.items():
             times.update(now_ms)
             relative[stage].update(times.relative)
-            self._incredible |= times.incredible
+            self._contradicted |= times.contradicted
         weights = {stage: self._weights_of(stage) for stage in relative}
         for stage, unequal in self._unequal.items():
             other = Stage.DECODE if stage is Stage.PREFILL else Stage.PREFILL
             unequal.clear()
             for name in relative[stage].keys() | relative[other].keys():
+                value = 1.0
                 # A machine that is slow at one kind of work most likely is at
                 # the other, which is all that is known after a role change.
-                prior = _weighted(
-                    relative[other].get(name, 1.0),
-                    weights[other].get(name, 0.0),
-                    1.0,
-                )
-                value = _weighted(
-                    relative[stage].get(name, 1.0),
-                    weights[stage].get(name, 0.0),
-                    prior,
-                )
+                for of_stage in (other, stage):
+                    value = _weighted(
+                        relative[of_stage].get(name, 1.0),
+                        weights[of_stage].get(name, 0.0),
+                        prior=value,
+                    )
                 if abs(value - 1.0) >= EQUAL_SHARE:
                     unequal[name] = value
             self._log.update(stage.value, unequal)
@@ -298,43 +296,51 @@
 class _StageTimes:
     """Observed times of one service's engines for one kind of work.
 
+    Args:
+        stage: The kind of work.
+
     Attributes:
         relative: Counted times relative to the median engine's.
         weights: Weights of these against the prior, 0 to 1.
-        incredible: Engines whose reported slowdown isn't credible.
+        contradicted: Engines whose observed times contradict the slowdown that
+            they reported.
     """
 
     def __init__(self, stage: Stage) -> None:
         self.relative: dict[str, float] = {}
         self.weights: dict[str, float] = {}
-        self.incredible: set[str] = set()
+        self.contradicted: set[str] = set()
         self._expected = observed.ExpectedTimes(
             is_proportional=stage is Stage.PREFILL
         )
         self._engines: dict[str, observed.EngineTimes] = {}
         self._changed: set[str] = set()
         self._count = 0
-        self._fit_at_count = 16
+        self._fit_at_count = observed.MIN_FITTED
         self._fitted_ms = float("-inf")
 
     def record_work(self, engine: str, now_ms: float) -> None:
+        """Records that an engine works, whether its time counts or not."""
         times = self._engines.get(engine)
         if times is None:
             times = self._engines[engine] = observed.EngineTimes()
         times.worked_ms = now_ms
 
     def add(self, engine: str, observation: observed.Observation) -> None:
+        """Adds an observation of an engine whose work was recorded."""
         self._engines[engine].add(observation)
         self._changed.add(engine)
         self._expected.add(observation)
         self._count += 1
 
     def remove(self, engines: Iterable[str]) -> None:
+        """Drops the observations of engines."""
         for name in engines:
             self._engines.pop(name, None)
             self._changed.discard(name)
 
     def update(self, now_ms: float) -> None:
+        """Updates the relative times from the observations."""
         self._fit_if_due(now_ms)
         oldest_ms = now_ms - observed.MAX_IDLE_MS
         idle = [n for n, t in self._engines.items() if t.worked_ms < oldest_ms]
@@ -359,7 +365,7 @@
     def _compare(self) -> None:
         self.relative.clear()
         self.weights.clear()
-        self.incredible.clear()
+        self.contradicted.clear()
         usual = [t.usual for t in self._engines.values()]
         slowed = [t.slowed for t in self._engines.values()]
         times = [t.time for t in usual if t is not None]
@@ -369,7 +375,7 @@
         reference = statistics.median(times)
         for name, engine in self._engines.items():
             if not engine.is_credible(reference):
-                self.incredible.add(name)
+                self.contradicted.add(name)
             lasting = engine.lasting(reference)
             if lasting is not None:
                 count = lasting.count
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -315,7 +315,7 @@
             self._settings,
             lambda: self.source.current,
             parts.Observed(
-                self.plain_permits.reports_load, engines.speeds.differ
+                self.plain_permits.reports_load, engines.speeds.speeds_differ
             ),
             clock,
         )
