Separate the outcome of a role order from its sending

Cause: one function sent an order, decided what is known of it and logged it; the rule by which an order is repeated was spread over a loop.

Change: _record_outcome and _is_repeatable have one job each, and a comment stands at the line that it explains.

--- a/src/jujubewharf/role_orders/sender.py
+++ b/src/jujubewharf/role_orders/sender.py
@@ -76,6 +76,8 @@
         self._leading_since_ms: float | None = None
         # Services whose engines were asked in this leadership.
         self._asked: set[str] = set()
+        # Clock reading when the engine of an order without an answer was last
+        # asked, by engine.
         self._checked_ms: dict[str, float] = {}
 
     def begin_check(self) -> None:
@@ -206,14 +208,9 @@
         for order in self._ledger.pending(service):
             is_unwanted = any(c.role is not order.role for c in changes)
             engine = self._registry.get(order.engine)
-            now_ms = self._clock.now_ms()
-            checked_ms = self._checked_ms.get(order.engine, order.sent_ms)
-            is_due = now_ms - max(checked_ms, order.sent_ms) >= _REPEAT_MS
-            if not order.is_uncertain or not is_due or engine is None:
-                continue
-            if is_unwanted or order.sends >= _MAX_SENDS:
+            if is_unwanted or engine is None or not self._is_repeatable(order):
                 continue
-            self._checked_ms[order.engine] = now_ms
+            self._checked_ms[order.engine] = self._clock.now_ms()
             match await states.is_changing(self._backends, engine):
                 case True:
                     self._record_changing(order, traits)
@@ -224,9 +221,20 @@
                     # The engine can't be reached; it is asked again.
                     continue
 
+    def _is_repeatable(self, order: ledgers.KnownOrder) -> bool:
+        """Returns whether an order without an answer may be sent again now."""
+        checked_ms = self._checked_ms.get(order.engine, order.sent_ms)
+        waited_ms = self._clock.now_ms() - max(checked_ms, order.sent_ms)
+        return (
+            order.is_uncertain
+            and order.sends < _MAX_SENDS
+            and waited_ms >= _REPEAT_MS
+        )
+
     def _record_changing(
         self, order: ledgers.KnownOrder, traits: routes.EngineTraits
     ) -> None:
+        """Records that an engine was found carrying out an order."""
         until_ms = self._clock.now_ms() + change_ms(traits)
         self._checked_ms.pop(order.engine, None)
         self._ledger.record(
@@ -286,9 +294,9 @@
         repeated: ledgers.KnownOrder | None = None,
     ) -> None:
         """Sends an order, or repeats one without an answer."""
+        # Read for each order: the previous one may have taken seconds.
         fence = self._lease.fence
         if fence is None:
-            # Read for each order: the previous one may have taken seconds.
             return
         engine = change.engine
         now_ms = self._clock.now_ms()
@@ -307,20 +315,7 @@
         # must count the order.
         self._ledger.record(sent)
         fault = await self._order(engine, change.role, fence)
-        state = ledgers.Outcome.ACCEPTED
-        timeout_ms = change_ms(traits)
-        if fault is client.EngineFault.LOST:
-            state, timeout_ms = ledgers.Outcome.LOST, UNACKNOWLEDGED_MS
-        elif fault is not None and repeated is not None:
-            # The earlier order may still be carried out.
-            state = ledgers.Outcome.LOST
-            timeout_ms = max(0.0, repeated.until_ms - self._clock.now_ms())
-        elif fault is not None:
-            state, timeout_ms = ledgers.Outcome.NOT_RUN, _REFUSED_RETRY_MS
-        until_ms = self._clock.now_ms() + timeout_ms
-        self._ledger.record(
-            dataclasses.replace(sent, outcome=state, until_ms=until_ms)
-        )
+        self._record_outcome(sent, fault, traits, repeated=repeated)
         estimates = self._cost_estimates()
         state_log.log_role_order(
             engine.name,
@@ -332,6 +327,40 @@
             registry_age_ms=self._registry.age_ms,
         )
 
+    def _record_outcome(
+        self,
+        sent: ledgers.KnownOrder,
+        fault: client.EngineFault | None,
+        traits: routes.EngineTraits,
+        *,
+        repeated: ledgers.KnownOrder | None,
+    ) -> None:
+        """Records what is known of an order after its call.
+
+        Args:
+            sent: The order as it was sent.
+            fault: Fault of the call; ``None`` if the engine accepted it.
+            traits: Traits of the service's engines.
+            repeated: The earlier order without an answer, if it repeats one.
+        """
+        now_ms = self._clock.now_ms()
+        if fault is None:
+            outcome = ledgers.Outcome.ACCEPTED
+            until_ms = now_ms + change_ms(traits)
+        elif fault is client.EngineFault.LOST:
+            outcome = ledgers.Outcome.LOST
+            until_ms = now_ms + UNACKNOWLEDGED_MS
+        elif repeated is not None:
+            # The earlier order may still be carried out.
+            outcome = ledgers.Outcome.LOST
+            until_ms = max(now_ms, repeated.until_ms)
+        else:
+            outcome = ledgers.Outcome.NOT_RUN
+            until_ms = now_ms + _REFUSED_RETRY_MS
+        self._ledger.record(
+            dataclasses.replace(sent, outcome=outcome, until_ms=until_ms)
+        )
+
     async def _order(
         self, engine: resources.Endpoint, role: resources.Role, fence: int
     ) -> client.EngineFault | None:
