Separate the detection of a new fleet from reading the total

Cause: RetryShares._total read like a query and changed the division's state; expiry_ms returned a duration and was documented as a time.

Change: _detect_new_fleet changes the state; durations and the arguments of a report are documented.

Result: tests of retry shares pass; behaviour is unchanged.

--- a/src/jujubewharf/leadership/retry_shares.py
+++ b/src/jujubewharf/leadership/retry_shares.py
@@ -40,7 +40,11 @@
 
 
 def expiry_ms(window_ms: float) -> float:
-    """Returns the time after which no share of a lost link is in a window."""
+    """Returns how long a share of a lost link may be used, in milliseconds.
+
+    Its holder may use it for one window more, and the retries of that window
+    count for another.
+    """
     return 2.0 * window_ms + _LINK_TIMEOUT_MS
 
 
@@ -186,7 +190,16 @@
         wanted: float,
         now_ms: float,
     ) -> None:
-        """Records the report of an instance; see ``RetryDemand``."""
+        """Records the report of an instance; see ``RetryDemand``.
+
+        Args:
+            holder: Shares of the instance.
+            number: Number of the last share that the instance uses.
+            held: Highest share that it used within the last window; ``None``
+                if it never had one.
+            wanted: Retries that it wanted within the window.
+            now_ms: Current time in ms.
+        """
         holder.wanted = max(0.0, wanted)
         if not holder.has_reported:
             holder.has_reported = True
@@ -196,6 +209,7 @@
     def _inherit(
         self, holder: Holder, held: float | None, now_ms: float
     ) -> None:
+        """Counts what an instance held when it reported first."""
         former = [lost for lost in self._lost if lost.name == holder.name]
         if held is None:
             # A new process: shares of its predecessor count until they expire,
@@ -219,16 +233,20 @@
         """Returns the part of the allowance that may be divided."""
         if now_ms >= self._settled_ms:
             return 1.0
+        return min(1.0, self._inherited)
+
+    def _detect_new_fleet(self, now_ms: float) -> None:
+        """Frees the whole allowance if no instance ever had a share."""
+        if now_ms >= self._settled_ms:
+            return
         leading_ms = now_ms - self._began_ms
         have_reported = len(self._present) > 1 and all(
             holder.has_reported for holder in self._present
         )
         is_first = self._is_first and have_reported
         if is_first and _REPORTED_MS <= leading_ms <= _FIRST_UNTIL_MS:
-            # No instance ever had a share: the whole fleet has just started.
             self._inherited = 1.0
             self._is_first = False
-        return min(1.0, self._inherited)
 
     def divide(self, now_ms: float) -> list[Holder]:
         """Divides the allowance anew.
@@ -239,6 +257,7 @@
         if self._own is not None:
             self._own.confirm(self._own.number, now_ms + self.window_ms)
         self._lost = [h for h in self._lost if h.counted(now_ms) > 0.0]
+        self._detect_new_fleet(now_ms)
         total = self._total(now_ms)
         sharing = [h for h in self._present if h.has_reported]
         older = len(self._present) - len(sharing)
