Name queues of plain calls as queues

Cause: in the leader's queues the word service meant both a service's name and its queue; the local choice had nearly the name of a choice that was made.

Change: queued is a service's queue, _local_choice chooses without a leader, and a comment says why some reports aren't recorded again.

--- a/src/jujubewharf/leadership/plain_permits.py
+++ b/src/jujubewharf/leadership/plain_permits.py
@@ -121,7 +121,9 @@
         self._source = source
         self._clock = clock
         self._times: dict[str, service_times.ServiceTimes] = {}
-        self._choice = local_choice.LocalChoice(domain, _Loads(loads), rng)
+        self._local_choice = local_choice.LocalChoice(
+            domain, _Loads(loads), rng
+        )
         self.queues = plain_queues.PlainQueues(
             registry, loads, self._times_of, clock
         )
@@ -133,7 +135,7 @@
     @property
     def in_flight(self) -> int:
         """Number of calls of this instance that hold a permit."""
-        return self._choice.in_flight
+        return self._local_choice.in_flight
 
     def applies_to(self, service: str) -> bool:
         """Whether calls of a service need a permit."""
@@ -180,7 +182,7 @@
         permit, choice = await self._acquire(run, excluded)
         granted_ms = self._clock.now_ms()
         try:
-            with self._choice.counted(choice.endpoint):
+            with self._local_choice.counted(choice.endpoint):
                 yield permit
         finally:
             took_ms = self._clock.now_ms() - granted_ms
@@ -262,6 +264,7 @@
 
                 def release(outcome: decisions.Outcome, took_ms: float) -> None:
                     newest = self._loads.get(name)
+                    # A report from before the grant has been counted already.
                     if newest is not None and newest.age_ms <= took_ms:
                         self.queues.record_report(name)
                     self.queues.release(call.number, outcome)
@@ -323,7 +326,7 @@
         self, run: runs.Run, endpoints: list[resources.Endpoint]
     ) -> _Choice:
         due_ms = run.call.arrived_ms + run.route.target_ms
-        chosen = self._choice.choose(
+        chosen = self._local_choice.choose(
             endpoints,
             self._times_of(run.service, run.route.target_ms),
             due_in_ms=due_ms - self._clock.now_ms(),
--- a/src/jujubewharf/leadership/plain_queues.py
+++ b/src/jujubewharf/leadership/plain_queues.py
@@ -65,7 +65,7 @@
         self._clock = clock
         self._policy = orders.AdmissionPolicy()
         self._by_service: dict[str, _ServiceQueue] = {}
-        self._service_of: dict[int, _ServiceQueue] = {}
+        self._queue_by_call: dict[int, _ServiceQueue] = {}
         self._numbers = itertools.count(1)
         registry.add_listener(lambda endpoints: self._update_endpoints())
 
@@ -99,18 +99,18 @@
     def apply_policy(self, policy: orders.AdmissionPolicy) -> None:
         """Applies changed settings; waiting calls are ranked again."""
         self._policy = policy
-        for service in self._by_service.values():
-            service.order.apply(policy)
+        for queued in self._by_service.values():
+            queued.order.apply(policy)
 
     def reset(self) -> None:
         """Drops all state when this instance begins or stops to lead."""
-        services = list(self._by_service.values())
+        queues = list(self._by_service.values())
         self._by_service = {}
-        self._service_of = {}
-        for service in services:
-            if service.timer is not None:
-                service.timer.cancel()
-            for waiter in service.waiters.values():
+        self._queue_by_call = {}
+        for queued in queues:
+            if queued.timer is not None:
+                queued.timer.cancel()
+            for waiter in queued.waiters.values():
                 if not waiter.done():
                     waiter.set_result(None)
 
@@ -124,8 +124,8 @@
         now_ms = self._clock.now_ms()
         return [
             load
-            for service in self._by_service.values()
-            for load in service.queue.endpoint_loads(now_ms)
+            for queued in self._by_service.values()
+            for load in queued.queue.endpoint_loads(now_ms)
         ]
 
     async def decide(
@@ -144,14 +144,14 @@
         self, service: str, call: decisions.WaitingCall, *, target_ms: float
     ) -> Verdict:
         queued = self._queue_of(service, target_ms)
-        self._service_of[call.number] = queued
+        self._queue_by_call[call.number] = queued
         decision = queued.queue.request(call, self._clock.now_ms())
         self._arm(queued)
         match decision:
             case decisions.Granted():
                 return decision
             case decisions.Rejected():
-                del self._service_of[call.number]
+                del self._queue_by_call[call.number]
                 return decision
         waiter: asyncio.Future[Verdict] = asyncio.Future()
         queued.waiters[call.number] = waiter
@@ -169,31 +169,31 @@
         outcome: decisions.Outcome,
     ) -> None:
         """Ends a granted call."""
-        service = self._service_of.pop(number, None)
-        if service is None:
+        queued = self._queue_by_call.pop(number, None)
+        if queued is None:
             return
-        decided = service.queue.release(
+        decided = queued.queue.release(
             number, self._clock.now_ms(), outcome=outcome
         )
-        self._deliver(service, decided)
+        self._deliver(queued, decided)
 
     def cancel(self, number: int) -> None:
         """Removes a call, whether it waits or was granted."""
-        service = self._service_of.pop(number, None)
-        if service is None:
+        queued = self._queue_by_call.pop(number, None)
+        if queued is None:
             return
-        waiter = service.waiters.pop(number, None)
+        waiter = queued.waiters.pop(number, None)
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
-        decided = service.queue.cancel(number, self._clock.now_ms())
-        self._deliver(service, decided)
+        decided = queued.queue.cancel(number, self._clock.now_ms())
+        self._deliver(queued, decided)
 
     def orphan(self, numbers: Iterable[int]) -> None:
         """Marks granted calls whose instance can't release them any more."""
         for number in numbers:
-            service = self._service_of.pop(number, None)
-            if service is not None:
-                service.queue.orphan([number])
+            queued = self._queue_by_call.pop(number, None)
+            if queued is not None:
+                queued.queue.orphan([number])
 
     def record_report(self, endpoint: str) -> None:
         """Uses the newest report of an endpoint, which has just arrived."""
@@ -201,14 +201,14 @@
         known = self._loads.get(endpoint)
         if registered is None or known is None:
             return
-        service = self._by_service.get(registered.service)
-        if service is not None:
-            self._deliver(service, self._report(service, endpoint, known))
+        queued = self._by_service.get(registered.service)
+        if queued is not None:
+            self._deliver(queued, self._report(queued, endpoint, known))
 
     def _report(
-        self, service: _ServiceQueue, endpoint: str, known: table.KnownLoad
+        self, queued: _ServiceQueue, endpoint: str, known: table.KnownLoad
     ) -> list[decisions.Decision]:
-        return service.queue.record_report(
+        return queued.queue.record_report(
             endpoint,
             total=known.report.running + known.report.waiting,
             slots=known.report.slots,
@@ -217,23 +217,23 @@
         )
 
     def _queue_of(self, name: str, target_ms: float) -> _ServiceQueue:
-        service = self._by_service.get(name)
-        if service is not None:
-            return service
+        queued = self._by_service.get(name)
+        if queued is not None:
+            return queued
         order = orders.AdmissionOrder.from_policy(self._policy)
         queue = permit_queue.PermitQueue(
             self._times(name, target_ms),
             order,
             report_max_age_ms=table.MAX_AGE_MS,
         )
-        service = self._by_service[name] = _ServiceQueue(queue, order)
+        queued = self._by_service[name] = _ServiceQueue(queue, order)
         endpoints = self._endpoints(name)
         queue.set_endpoints(endpoints, self._clock.now_ms())
         for endpoint in endpoints:
             known = self._loads.get(endpoint.name)
             if known is not None:
-                self._report(service, endpoint.name, known)
-        return service
+                self._report(queued, endpoint.name, known)
+        return queued
 
     def _endpoints(self, service: str) -> list[resources.Endpoint]:
         """Returns the endpoints that accept work, with reported slots."""
@@ -246,37 +246,37 @@
         ]
 
     def _update_endpoints(self) -> None:
-        for name, service in list(self._by_service.items()):
-            decided = service.queue.set_endpoints(
+        for name, queued in list(self._by_service.items()):
+            decided = queued.queue.set_endpoints(
                 self._endpoints(name), self._clock.now_ms()
             )
-            self._deliver(service, decided)
+            self._deliver(queued, decided)
 
     def _deliver(
-        self, service: _ServiceQueue, decided: Iterable[decisions.Decision]
+        self, queued: _ServiceQueue, decided: Iterable[decisions.Decision]
     ) -> None:
         for decision in decided:
             if isinstance(decision, decisions.Rejected):
-                self._service_of.pop(decision.number, None)
-            waiter = service.waiters.get(decision.number)
+                self._queue_by_call.pop(decision.number, None)
+            waiter = queued.waiters.get(decision.number)
             if waiter is not None and not waiter.done():
                 waiter.set_result(decision)
-        self._arm(service)
+        self._arm(queued)
 
-    def _arm(self, service: _ServiceQueue) -> None:
+    def _arm(self, queued: _ServiceQueue) -> None:
         """Sets the timer to the next event of the queue."""
-        next_ms = service.queue.next_event_ms
+        next_ms = queued.queue.next_event_ms
         if next_ms is None:
             return
-        if service.timer is not None:
-            if service.timer_ms <= next_ms:
+        if queued.timer is not None:
+            if queued.timer_ms <= next_ms:
                 return
-            service.timer.cancel()
-        service.timer_ms = next_ms
-        service.timer = self._clock.call_at_ms(
-            next_ms, lambda: self._expire(service)
+            queued.timer.cancel()
+        queued.timer_ms = next_ms
+        queued.timer = self._clock.call_at_ms(
+            next_ms, lambda: self._expire(queued)
         )
 
-    def _expire(self, service: _ServiceQueue) -> None:
-        service.timer = None
-        self._deliver(service, service.queue.expire(self._clock.now_ms()))
+    def _expire(self, queued: _ServiceQueue) -> None:
+        queued.timer = None
+        self._deliver(queued, queued.queue.expire(self._clock.now_ms()))
