--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -10,9 +10,9 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
-from jujubewharf.forwarding import registration
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import state_log
+from jujubewharf.leadership import endpoint_records
 from jujubewharf.leadership import packing
 from jujubewharf.leadership import placement_server as servers
 from jujubewharf.leadership import shared_state
@@ -111,7 +111,7 @@
         # Followers that have not been sent a configuration yet.
         self._unconfigured: set[links.Link] = set()
         self._configuration: leader_messages.ConfigurationUpdate | None = None
-        self._endpoints: dict[str, leader_messages.EndpointRecord] = {}
+        self._endpoints = endpoint_records.EndpointRecords()
         self._low_accounts = quota_messages.LowAccounts(())
         self._endpoints_read = _ReadProgress()
         self._configurations_read = _ReadProgress()
@@ -371,19 +371,11 @@
         Engines rewrite their records about every second; unchanged ones are not
         sent.
         """
-        current = [_endpoint_record(record) for record in records]
-        if is_full_read:
-            current.extend(
-                self._removals({record.key for record in current}, end)
-            )
-        changed: list[leader_messages.EndpointRecord] = []
-        for record in current:
-            # A page may have several records of a key.
-            if self._is_changed(record):
-                self._endpoints[record.key] = record
-                changed.append(record)
+        changed = self._endpoints.update(
+            records, end, is_full_read=is_full_read
+        )
         self._endpoints_read.read(end, self._clock.now_ms())
-        update = leader_messages.EndpointUpdate(tuple(changed), end)
+        update = leader_messages.EndpointUpdate(changed, end)
         recipients: list[links.Link] = []
         for link in self._links:
             if link in self._unsent_since:
@@ -392,30 +384,6 @@
                 recipients.append(link)
         self._send(update, recipients)
 
-    def _removals(
-        self, present: set[str], end: int
-    ) -> list[leader_messages.EndpointRecord]:
-        """Returns removals that show only in a read of the whole table."""
-        return [
-            leader_messages.EndpointRecord(key, end - 1, None)
-            for key, known in self._endpoints.items()
-            if key not in present and known.offset < end - 1
-        ]
-
-    def _is_changed(self, record: leader_messages.EndpointRecord) -> bool:
-        known = self._endpoints.get(record.key)
-        if known is None:
-            return True
-        if record.offset <= known.offset:
-            return False
-        if epochs.split(record.offset).epoch > epochs.split(known.offset).epoch:
-            # Followers may have read the restored table without it.
-            return True
-        return (record.endpoint, record.is_unreadable) != (
-            known.endpoint,
-            known.is_unreadable,
-        )
-
     def _add_follower(self, link: links.Link, endpoints_end: int) -> None:
         """Starts to send endpoint changes from an offset on to a follower."""
         if link not in self._links:
@@ -432,11 +400,7 @@
         """
         since = self._unsent_since.pop(link)
         self._updated_links.add(link)
-        records = tuple(
-            record
-            for record in self._endpoints.values()
-            if record.offset >= since
-        )
+        records = self._endpoints.changed_since(since)
         end = self._endpoints_read.end
         link.tell(leader_messages.EndpointUpdate(records, end))
 
@@ -462,16 +426,3 @@
 
 def _no_incarnation(instance: str) -> int:
     return 0
-
-
-def _endpoint_record(
-    record: tables.TableRecord[resources.Endpoint],
-) -> leader_messages.EndpointRecord:
-    endpoint = record.value
-    if endpoint is not None and not isinstance(
-        endpoint, registration.Registration
-    ):
-        endpoint = registration.Registration.from_endpoint(endpoint)
-    return leader_messages.EndpointRecord(
-        record.key, record.offset, endpoint, record.is_unreadable
-    )
