Move placements out of the link to the leader

Change: PlacementClient asks for placements, as PlainPermitClient does for permits; the link passes requests on.

--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -3,26 +3,23 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
 import dataclasses
-import itertools
 
 from jujubewharf import clock as clocks
-from jujubewharf import errors
 from jujubewharf.configuration import resources
 from jujubewharf.forwarding import costs
 from jujubewharf.forwarding import fingerprints
 from jujubewharf.forwarding import places as all_places
 from jujubewharf.forwarding import registry as registries
-from jujubewharf.forwarding import request_log
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import runs
 from jujubewharf.forwarding import state_log
 from jujubewharf.leadership import feeds as all_feeds
 from jujubewharf.leadership import low_accounts
 from jujubewharf.leadership import packing
+from jujubewharf.leadership import placement_client
 from jujubewharf.leadership import shared_state
 from jujubewharf.peers import crash_messages
 from jujubewharf.peers import demand_messages
@@ -40,11 +37,6 @@
 # closes the link and continues without a leader (three missed heartbeats).
 HEARTBEAT_INTERVAL_MS = 500.0
 LEADER_TIMEOUT_MS = 1_700.0
-# Interval and timeout of liveness checks while an answer is pending. They bound
-# what a waiting request loses to a frozen leader to half a second, which most
-# latency targets allow.
-_LIVENESS_INTERVAL_MS = 150.0
-_LIVENESS_TIMEOUT_MS = 350.0
 # Timeout for a permit or trial. Another endpoint may serve the request sooner,
 # and latency targets of plain requests are some tenths of a second.
 _GRANT_TIMEOUT_MS = 100.0
@@ -104,12 +96,13 @@
         self.on_retry_share: Callable[[demand_messages.RetryShare], None]
         self.on_retry_share = lambda message: None
         self._feeds = feeds
-        self._registry = registry
         self._work = work
         self._state = state
         self._clock = clock
         self._link: links.Link | None = None
-        self._sequence = itertools.count(1)
+        self._placements = placement_client.PlacementClient(
+            lambda: self._link, registry, state, clock
+        )
 
     @property
     def is_open(self) -> bool:
@@ -321,184 +314,11 @@
         if self._link is not None:
             self._link.tell(message)
 
-    @contextlib.asynccontextmanager
-    async def place(
+    def place(
         self, run: runs.Run
-    ) -> AsyncIterator[all_places.Reservation | None]:
-        """Reserves memory through the leader, and holds it for the block.
-
-        Yields:
-            ``None`` if the leader did not answer, or chose an engine that is
-            unknown here.
-
-        Raises:
-            WharfError: The leader refused the request.
-        """
-        number = next(self._sequence)
-        reservation: all_places.Reservation | None = None
-        is_complete = False
-        try:
-            reservation = await self._request_reservation(number, run)
-            yield reservation
-            is_complete = True
-        finally:
-            is_reservation_used = (
-                reservation is not None and reservation.take_id() is None
-            )
-            self.tell(
-                leader_messages.PlacementReleased(
-                    number, is_complete, is_reservation_used
-                )
-            )
-
-    async def _request_reservation(
-        self, number: int, run: runs.Run
-    ) -> all_places.Reservation | None:
-        started_ms = self._clock.now_ms()
-        link = self._link
-        if link is None:
-            return None
-        try:
-            answer = await self._await_answer(link, number, run)
-        except network.PeerError as error:
-            request_log.log_local_placement(
-                run, error.fault.value, leader=error.peer
-            )
-            return None
-        waited_ms = self._clock.now_ms() - started_ms
-        match answer:
-            case leader_messages.PlacementGranted():
-                # The leader counted the request against its quota.
-                run.is_counted = True
-                reservation = self._to_reservation(number, answer)
-                if reservation is None:
-                    request_log.log_local_placement(
-                        run, "unknown_engine", leader=link.peer
-                    )
-                    return None
-                request_log.log_placement(
-                    run,
-                    answer.engine,
-                    tokens=answer.tokens,
-                    free_tokens=0,
-                    waited_ms=waited_ms,
-                    decided_by="following",
-                    ahead=answer.ahead,
-                )
-                return reservation
-            case leader_messages.PlacementRejected():
-                raise self._refusal(run, answer, waited_ms, leader=link.peer)
-            case _:
-                request_log.log_local_placement(
-                    run, "not_understood", leader=link.peer
-                )
-                return None
-
-    async def _await_answer(
-        self, link: links.Link, number: int, run: runs.Run
-    ) -> messages.Message:
-        """Waits for the leader's answer, with liveness checks.
-
-        Requests stay in the leader's wait queue for as long as they can meet
-        their latency target. Without the checks, a frozen or unreachable leader
-        would cost them all of that time before they are placed locally.
-
-        Raises:
-            PeerError: The leader does not respond, or refuses the message.
-        """
-        left_ms = max(1.0, run.left_ms(self._clock))
-        request = self._place_request(number, run)
-        pending = asyncio.ensure_future(link.ask(request, timeout_ms=left_ms))
-        interval_s = _LIVENESS_INTERVAL_MS / clocks.MS_PER_S
-        try:
-            while not (await asyncio.wait([pending], timeout=interval_s))[0]:
-                liveness_check = leader_messages.LivenessRequest()
-                await link.ask(liveness_check, timeout_ms=_LIVENESS_TIMEOUT_MS)
-        except network.PeerError:
-            link.close()
-            raise
-        finally:
-            pending.cancel()
-            # Retrieve its exception, since it may have failed along with the
-            # link.
-            await asyncio.gather(pending, return_exceptions=True)
-        return pending.result()
-
-    def _place_request(
-        self, number: int, run: runs.Run
-    ) -> leader_messages.PlacementRequest:
-        work = run.call.work
-        backoffs_ms = self._state.backpressure.backoffs_ms()
-        return leader_messages.PlacementRequest(
-            number=number,
-            request_id=run.call.request_id,
-            domain=run.domain,
-            route=run.route.name,
-            service=run.service,
-            waited_ms=self._clock.now_ms() - run.call.arrived_ms,
-            left_ms=run.left_ms(self._clock),
-            caller_timeout_ms=run.call.caller_timeout_ms,
-            may_have_run=run.may_have_run,
-            lost_by=tuple(sorted(run.lost_by)),
-            prompt_tokens=None if work is None else work.prompt_tokens,
-            output_tokens=0 if work is None else work.output_tokens,
-            expected_tokens=None if work is None else work.expected_tokens,
-            account=run.call.account,
-            is_counted=run.is_counted,
-            backoffs=tuple(
-                leader_messages.EngineBackoff(engine, for_ms)
-                for engine, for_ms in backoffs_ms.items()
-            ),
-        )
-
-    def _to_reservation(
-        self, number: int, placed: leader_messages.PlacementGranted
-    ) -> all_places.Reservation | None:
-        engine = self._registry.get(placed.engine)
-        if engine is None:
-            # The engine was registered too recently to be known here, or it has
-            # left since.
-            return None
-        reservation = all_places.Reservation(
-            engine,
-            placed.reservation_id,
-            reserved_at_ms=self._clock.now_ms(),
-            tokens=placed.tokens,
-            memory_share=placed.memory_share,
-            has_permit=placed.has_permit,
-        )
-        engines = [self._registry.get(name) for name in placed.prefill_engines]
-        reservation.prefill_engines = [
-            prefill_engine
-            for prefill_engine in engines
-            if prefill_engine is not None
-        ]
-        reservation.on_prefill_done = lambda: self.tell(
-            leader_messages.PrefillEnded(number)
-        )
-        return reservation
-
-    def _refusal(
-        self,
-        run: runs.Run,
-        answer: leader_messages.PlacementRejected,
-        waited_ms: float,
-        *,
-        leader: str,
-    ) -> errors.WharfError:
-        request_log.log_leader_refusal(
-            run,
-            leader=leader,
-            waited_ms=waited_ms,
-            come_back_ms=answer.retry_after_ms,
-            is_over_quota=answer.is_over_quota,
-        )
-        if run.may_have_run:
-            return run.failure()
-        kind = errors.ErrorKind.QUEUE_FULL
-        if answer.is_over_quota:
-            kind = errors.ErrorKind.RATE_LIMITED
-        return errors.WharfError(kind, retry_after_ms=answer.retry_after_ms)
+    ) -> contextlib.AbstractAsyncContextManager[all_places.Reservation | None]:
+        """Reserves memory through the leader; see ``PlacementClient``."""
+        return self._placements.place(run)
 
 
 def _table_record(
