Move reservations at engines out of the placement

Change: EngineReservations asks engines for memory; Placement decides whose turn it is and when to give up.

--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -1,8 +1,7 @@
-"""Reserves memory for requests on decode engines.
+"""Places requests on decode engines, and queues them while memory is lacking.
 
-Several instances send requests to the same engines and load reports lag, so
-engines do their own memory accounting: an instance asks an engine to reserve
-memory, and the engine's response is authoritative.
+Handles bursts that fill the memory of all engines: a request asks a few engines
+a round, when it is its turn.
 """
 
 from __future__ import annotations
@@ -21,7 +20,6 @@
 from jujubewharf.configuration import resources
 from jujubewharf.engine_speeds import demands
 from jujubewharf.engine_speeds import urgency as urgencies
-from jujubewharf.engines import client
 from jujubewharf.forwarding import backpressure as all_backpressure
 from jujubewharf.forwarding import costs
 from jujubewharf.forwarding import limits as all_limits
@@ -33,7 +31,7 @@
 from jujubewharf.forwarding import quotas as all_quotas
 from jujubewharf.forwarding import registry as registries
 from jujubewharf.forwarding import request_log
-from jujubewharf.forwarding import routes
+from jujubewharf.forwarding import reservations
 from jujubewharf.forwarding import runs
 from jujubewharf.forwarding import state_log
 from jujubewharf.forwarding import wait_queue as wait_queues
@@ -43,9 +41,6 @@
 # every engine would not scale with the size of the fleet.
 _FIRST_ROUND_ENGINES = 4
 _LATER_ROUND_ENGINES = 2
-# Lifetime of the reservation that checks for free memory. It is dropped at
-# once.
-_CHECK_TTL_MS = 300.0
 
 
 class Placement:
@@ -82,18 +77,25 @@
         clock: clocks.Clock,
         rng: random.Random,
     ) -> None:
-        self._backends = backends
         self._registry = registry
         self._pool = pool
         self._cost_estimates = cost_estimates
         self._lengths = lengths
         self._quotas = quotas
-        self._limits = limits
         self._backpressure = backpressure
         self._knows_all_reservations = knows_all_reservations
         self._role = role
         self._clock = clock
         self._rng = rng
+        self._reservations = reservations.EngineReservations(
+            backends,
+            registry,
+            pool,
+            limits,
+            backpressure,
+            knows_all_reservations,
+            clock,
+        )
         self._wait_policy = patience.WaitPolicy(cost_estimates, clock)
         self._classes = urgencies.PriorityClasses(clock)
         self._queues: dict[str, wait_queues.WaitQueue] = {}
@@ -141,7 +143,9 @@
             queue.held_tokens -= demand.tokens
             reservation_id = reservation.take_id()
             if reservation_id is not None:
-                await self._release(reservation.engine, reservation_id)
+                await self._reservations.release(
+                    reservation.engine, reservation_id
+                )
             queue.wake_first()
 
     def record_hold_time(self, reservation: places.Reservation) -> None:
@@ -244,8 +248,11 @@
         while self._clock.now_ms() <= due_ms:
             has_turn = queue.begin_ask(waiter)
             if has_turn:
-                reservation = await self._try_engines(
-                    run, demand, max_engines=max_engines
+                reservation = await self._reservations.try_engines(
+                    run,
+                    demand,
+                    self._permitted_engines(run),
+                    max_engines=max_engines,
                 )
                 max_engines = _LATER_ROUND_ENGINES
                 queue.end_ask(waiter, is_served=reservation is not None)
@@ -263,8 +270,11 @@
         # It became due before its turn in this round; memory that none of the
         # requests before it has taken must not stay free.
         queue.begin_last_ask(waiter)
-        reservation = await self._try_engines(
-            run, demand, max_engines=max_engines
+        reservation = await self._reservations.try_engines(
+            run,
+            demand,
+            self._permitted_engines(run),
+            max_engines=max_engines,
         )
         queue.end_ask(waiter, is_served=reservation is not None)
         return reservation
@@ -307,99 +317,6 @@
         )
         await queue.pause(waiter, interval_ms * (0.5 + self._rng.random()))
 
-    async def _try_engines(
-        self, run: runs.Run, demand: demands.Demand, *, max_engines: int
-    ) -> places.Reservation | None:
-        """Asks at most ``max_engines`` engines that may have enough memory."""
-        assert run.traits is not None
-        candidates = self._pool.decode_candidates(
-            self._permitted_engines(run),
-            tokens=demand.total_tokens,
-            memory_tokens=run.traits.memory_tokens,
-            preferred_domain=run.domain,
-            failed_names=run.lost_by,
-            urgency=demand.urgency,
-        )
-        for engine in candidates[:max_engines]:
-            # One permit covers the reservation and the run that uses it.
-            # Without a permit the engine isn't asked at all.
-            is_limited = self._backpressure.is_limited(engine.name)
-            if is_limited and not await self._limits.take(engine.name):
-                continue
-            if not self._registry.takes_work(engine.name):
-                continue
-            try:
-                reservation_id = await self._reserve(run.traits, engine, demand)
-            except client.EngineError as error:
-                self._record_failure(run, error, demand)
-                continue
-            self._pool.clear_memory_refusals(engine.name)
-            if not self._registry.takes_work(engine.name):
-                # The response to the reservation said that the engine drains.
-                await self._release(engine, reservation_id)
-                continue
-            return places.Reservation(
-                engine,
-                reservation_id,
-                reserved_at_ms=self._clock.now_ms(),
-                tokens=demand.tokens,
-                memory_share=demand.tokens / run.traits.memory_tokens,
-                has_permit=is_limited,
-            )
-        return None
-
-    def _record_failure(
-        self, run: runs.Run, error: client.EngineError, demand: demands.Demand
-    ) -> None:
-        if error.fault is client.EngineFault.REFUSED_FULL:
-            self._pool.record_memory_refusal(error.engine, demand.total_tokens)
-            return
-        if error.fault is client.EngineFault.REFUSED_IDENTITY:
-            self._registry.remove_replaced(error.engine)
-        request_log.log_engine_failure(run, error, stage="reserve", took_ms=0.0)
-        if error.fault is client.EngineFault.LOST:
-            # Treated as unreachable, which opens the circuit breaker: each
-            # further call to a silent engine would stall the wait queue for a
-            # full timeout.
-            error = client.EngineError(
-                client.EngineFault.UNREACHABLE, error.engine, error.detail
-            )
-        self._pool.record_failure(error)
-
-    async def _reserve(
-        self,
-        traits: routes.EngineTraits,
-        engine: resources.Endpoint,
-        demand: demands.Demand,
-    ) -> str:
-        """Reserves memory if the required headroom is free as well.
-
-        Raises:
-            EngineError: There isn't enough memory, or the call failed.
-        """
-        # The leader of the fleet knows all reservations, so one call is enough
-        # where its own count shows plenty of memory. On a nearly full engine
-        # only the engine knows how far responses have outgrown their
-        # reservations.
-        has_ample_memory = (
-            self._knows_all_reservations()
-            and self._pool.has_ample_memory(
-                engine.name,
-                tokens=demand.total_tokens,
-                memory_tokens=traits.memory_tokens,
-            )
-        )
-        if demand.free_tokens and not has_ample_memory:
-            # Checks for the whole amount first, so that a full engine costs one
-            # call and not three.
-            check_id = await self._backends.reserve(
-                engine, tokens=demand.total_tokens, ttl_ms=_CHECK_TTL_MS
-            )
-            await self._release(engine, check_id)
-        return await self._backends.reserve(
-            engine, tokens=demand.tokens, ttl_ms=demand.ttl_ms
-        )
-
     def _refusal(
         self,
         run: runs.Run,
@@ -445,10 +362,3 @@
             queue = wait_queues.WaitQueue(order, self._clock)
             self._queues[service] = queue
         return queue
-
-    async def _release(
-        self, engine: resources.Endpoint, reservation_id: str
-    ) -> None:
-        with contextlib.suppress(client.EngineError):
-            # If the call fails, the reservation expires by itself.
-            await self._backends.drop_reservation(engine, reservation_id)
