Name the entry's shares by what they share

Cause: the share of account quotas was called the share of retries, the role controller was called orders beside the ledger of orders, and the retry window was converted to milliseconds at six places.

Change: rename them, state the window in milliseconds in the settings, and create the leadership in a method of its own.

--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -135,7 +135,7 @@
         self._availability = availabilities.StoreAvailability(clock)
         self._leadership: leadership.Leadership | None = None
         self._started_at_ms = clock.now_ms()
-        self._is_settled = False
+        self._has_finished_looking = False
         self._unknown_accounts: set[str] = set()
         self.admission = shutdown.AdmissionState()
         self.source = forwarder.ActiveConfiguration()
@@ -155,7 +155,7 @@
             clock,
             ratio=settings.retries.ratio,
             slack=settings.retries.slack,
-            window_ms=settings.retries.window_s * clocks.MS_PER_S,
+            window_ms=settings.retries.window_ms,
             share=self._slack_share,
         )
         self._costs = costs.FleetCostEstimator(self.work)
@@ -178,7 +178,7 @@
             clock,
             in_force_within_ms=settings.store.in_force_within_ms,
             leaving_within_ms=settings.store.leaving_within_ms,
-            count_within_ms=settings.retries.window_s * clocks.MS_PER_S,
+            count_within_ms=settings.retries.window_ms,
         )
         self.endpoint_limits = fleet_limits.FleetLimits(
             self.fleet, self.backpressure, self._limit_share, clock, rng
@@ -187,7 +187,7 @@
             self.fleet,
             self.budget,
             clock,
-            window_ms=settings.retries.window_s * clocks.MS_PER_S,
+            window_ms=settings.retries.window_ms,
             name=settings.instance,
         )
         self.fleet_crashes = fleet_crashes.FleetCrashes(
@@ -206,7 +206,7 @@
         self.quotas = fleet_quotas.FleetQuotas(
             self.fleet,
             self.source,
-            self._retry_share,
+            self._quota_share,
             settings.quotas,
             clock,
             rng,
@@ -266,7 +266,7 @@
         )
         lengths = margins.ResponseLengths()
         self.registry.add_listener(engines.update_engines)
-        self._orders = role_controller.RoleController(
+        self._role_controller = role_controller.RoleController(
             self._settings.instance,
             backends,
             self.registry,
@@ -325,31 +325,9 @@
             self.fleet.link, local, self.loads.slowdown
         )
         if adapters.peers is not None:
-            self._leadership = self.fleet.new_leadership(
-                self._settings.instance,
-                self._settings.domain,
-                adapters.peers,
-                self.lease,
-                fleets.placement_server_factory(
-                    places,
-                    local,
-                    self.source,
-                    self._costs,
-                    self.quotas,
-                    self.endpoint_limits,
-                    self.fleet_crashes,
-                    self.plain_permits.new_server,
-                    clock,
-                ),
-                rng,
-                cores=self._settings.processor.cores,
-                availability=self._availability,
-            )
-            assert self.fleet.followers is not None
-            self.fleet.followers.on_leading_changed = (
-                self.plain_permits.queues.reset
+            self._leadership = self._make_leadership(
+                adapters.peers, places, local, rng
             )
-            self.fleet_retries.attach(self.fleet.followers)
         request_quarantine = quarantine.Quarantine(
             self.crashes, self.fleet_crashes
         )
@@ -393,6 +371,41 @@
             domain=self._settings.domain,
         )
 
+    def _make_leadership(
+        self,
+        peers: ports.PeerAdapters,
+        places: placement.Placement,
+        local: observations.LocalObserver,
+        rng: random.Random,
+    ) -> leadership.Leadership:
+        """Creates the leadership, and connects the followers with its parts."""
+        new = self.fleet.new_leadership(
+            self._settings.instance,
+            self._settings.domain,
+            peers,
+            self.lease,
+            fleets.placement_server_factory(
+                places,
+                local,
+                self.source,
+                self._costs,
+                self.quotas,
+                self.endpoint_limits,
+                self.fleet_crashes,
+                self.plain_permits.new_server,
+                self._clock,
+            ),
+            rng,
+            cores=self._settings.processor.cores,
+            availability=self._availability,
+        )
+        assert self.fleet.followers is not None
+        self.fleet.followers.on_leading_changed = (
+            self.plain_permits.queues.reset
+        )
+        self.fleet_retries.attach(self.fleet.followers)
+        return new
+
     async def on_start(self) -> None:
         """Starts the services of the instance."""
         self._parts.log_settings()
@@ -403,7 +416,7 @@
             await self.add_runtime_dependency(service)
         if self._leadership is None:
             await self.add_runtime_dependency(self.share)
-        await self.add_runtime_dependency(self._orders)
+        await self.add_runtime_dependency(self._role_controller)
         if self._leadership is not None:
             await self.add_runtime_dependency(self.fleet_retries)
             await self.add_runtime_dependency(self._leadership)
@@ -414,11 +427,11 @@
             return self.share.fraction
         return self.fleet.equal_share() or _ISOLATED_SHARE
 
-    def _retry_share(self) -> float:
+    def _quota_share(self) -> float:
         """Returns this instance's share of account quotas without a leader."""
         if self._leadership is None:
             return self.share.fraction
-        window_ms = self._settings.retries.window_s * clocks.MS_PER_S
+        window_ms = self._settings.retries.window_ms
         return self.fleet.retry_share(window_ms)
 
     def _slack_share(self) -> float:
@@ -453,15 +466,15 @@
 
         A store that was restored shows older versions than are in force.
         """
-        if self._leadership is None or self._is_settled:
+        if self._leadership is None or self._has_finished_looking:
             return True
         waited_ms = self._clock.now_ms() - self._started_at_ms
-        self._is_settled = (
+        self._has_finished_looking = (
             self._leadership.has_looked
             or self.fleet.feeds.configurations.has_begun
             or waited_ms > _LOOK_TIMEOUT_MS
         )
-        return self._is_settled
+        return self._has_finished_looking
 
     @property
     def limits(self) -> routes.CallerLimits:
@@ -489,11 +502,9 @@
         self.budget.change(
             ratio=settings.retries.ratio,
             slack=settings.retries.slack,
-            window_ms=settings.retries.window_s * clocks.MS_PER_S,
-        )
-        self.fleet_retries.change_window(
-            settings.retries.window_s * clocks.MS_PER_S
+            window_ms=settings.retries.window_ms,
         )
+        self.fleet_retries.change_window(settings.retries.window_ms)
 
     def _apply_admission(self) -> None:
         policy = self._settings.admission.policy
--- a/src/jujubewharf/forwarding/settings.py
+++ b/src/jujubewharf/forwarding/settings.py
@@ -8,6 +8,7 @@
 
 import pydantic
 
+from jujubewharf import clock as clocks
 from jujubewharf.admission import classes
 from jujubewharf.admission import order
 from jujubewharf.settings import field_errors
@@ -72,6 +73,11 @@
     slack: Annotated[float, pydantic.Field(ge=0)]
     window_s: Positive
 
+    @property
+    def window_ms(self) -> float:
+        """Length of the window in milliseconds."""
+        return self.window_s * clocks.MS_PER_S
+
 
 class QuotaSettings(_Model):
     """Tolerated use beyond account quotas.
