Compute when a plain call is late in one place

Cause: the permits of plain calls computed it twice, and held an adapter that only the local choice uses; the check for changed parts had a vague comment.

Change: _due_ms computes it, local_choice has the adapter, and comments state the interval.

--- a/src/jujubewharf/leadership/plain_permits.py
+++ b/src/jujubewharf/leadership/plain_permits.py
@@ -59,24 +59,6 @@
     load_age_ms: float | None = None
 
 
-class _Loads:
-    """Load of endpoints, for the local choice."""
-
-    def __init__(self, loads: table.LoadTable) -> None:
-        self._loads = loads
-
-    def total(self, endpoint: str) -> int | None:
-        """See ``local_choice.Loads``."""
-        known = self._loads.get(endpoint)
-        if known is None:
-            return None
-        return known.report.running + known.report.waiting
-
-    def slots(self, endpoint: resources.Endpoint) -> int:
-        """See ``local_choice.Loads``."""
-        return self._loads.slots(endpoint.name) or endpoint.slots
-
-
 class FleetPlainPermits:
     """Implements ``permits.PlainPermits`` across all instances.
 
@@ -122,7 +104,7 @@
         self._clock = clock
         self._times: dict[str, service_times.ServiceTimes] = {}
         self._local_choice = local_choice.LocalChoice(
-            domain, _Loads(loads), rng
+            domain, local_choice.TableLoads(loads), rng
         )
         self.queues = plain_queues.PlainQueues(
             registry, loads, self._times_of, clock
@@ -212,6 +194,10 @@
             unusable.add(choice.endpoint)
 
     async def _may_use(self, choice: _Choice) -> bool:
+        """Returns whether the endpoint takes work and its rate limit allows it.
+
+        If it is cancelled or fails, the choice is released.
+        """
         try:
             if not self._chooser.accepts_work(choice.endpoint):
                 return False
@@ -249,7 +235,7 @@
         call = decisions.WaitingCall(
             self.queues.next_number(),
             run.domain,
-            run.call.arrived_ms + run.route.target_ms,
+            _due_ms(run),
             run.deadline_at_ms,
             run.priority,
             run.call.account,
@@ -325,11 +311,10 @@
     def _choose_alone(
         self, run: runs.Run, endpoints: list[resources.Endpoint]
     ) -> _Choice:
-        due_ms = run.call.arrived_ms + run.route.target_ms
         chosen = self._local_choice.choose(
             endpoints,
             self._times_of(run.service, run.route.target_ms),
-            due_in_ms=due_ms - self._clock.now_ms(),
+            due_in_ms=_due_ms(run) - self._clock.now_ms(),
         )
         assert chosen is not None
         name = chosen.name
@@ -352,6 +337,7 @@
         ahead: int,
         load_age_ms: float | None,
     ) -> Exception:
+        """Logs a rejection and returns the error that the caller gets."""
         plain_call_log.log_rejection(
             run,
             reason,
@@ -397,3 +383,8 @@
         for service, times in self._times.items():
             endpoints = self._registry.of_service(service)
             times.retain({e.name for e in endpoints})
+
+
+def _due_ms(run: runs.Run) -> float:
+    """Returns the clock reading from which an answer is late."""
+    return run.call.arrived_ms + run.route.target_ms
--- a/src/jujubewharf/overload/part_log.py
+++ b/src/jujubewharf/overload/part_log.py
@@ -1,4 +1,8 @@
-"""Logs the settings in force, and parts that become active or inactive."""
+"""Logs the settings in force, and parts that become active or inactive.
+
+Load: at most one check in two seconds, however many requests end; a check costs
+a few comparisons for each service.
+"""
 
 from __future__ import annotations
 
@@ -10,7 +14,7 @@
 from jujubewharf.forwarding import state_log
 from jujubewharf.overload import parts
 
-# Least interval of looking for changes; bounds the lines of one part.
+# Shortest interval between two checks; bounds the log lines of one part.
 CHECK_MS = 2_000.0
 _NOT_CONFIGURED = parts.PartState(False, "not_configured")
 
@@ -64,7 +68,7 @@
         )
 
     def check(self) -> None:
-        """Logs changes unless they were looked for a moment ago.
+        """Logs changes, unless the last check was less than ``CHECK_MS`` ago.
 
         Called when requests end and when the store was read, so that no timer
         is needed.
--- a/src/jujubewharf/plain_calls/local_choice.py
+++ b/src/jujubewharf/plain_calls/local_choice.py
@@ -15,6 +15,7 @@
 from typing import Protocol
 
 from jujubewharf.configuration import resources
+from jujubewharf.endpoint_load import table
 
 _SAMPLE_SIZE = 2
 
@@ -31,6 +32,28 @@
         ...
 
 
+class TableLoads:
+    """Implements ``Loads`` with the newest reports of endpoints.
+
+    Args:
+        loads: Load that endpoints have reported.
+    """
+
+    def __init__(self, loads: table.LoadTable) -> None:
+        self._loads = loads
+
+    def total(self, endpoint: str) -> int | None:
+        """See ``Loads``."""
+        known = self._loads.get(endpoint)
+        if known is None:
+            return None
+        return known.report.running + known.report.waiting
+
+    def slots(self, endpoint: resources.Endpoint) -> int:
+        """See ``Loads``."""
+        return self._loads.slots(endpoint.name) or endpoint.slots
+
+
 class Times(Protocol):
     """Observed time of calls at endpoints."""
 
