--- a/src/jujubewharf/forwarding/state_log.py
+++ b/src/jujubewharf/forwarding/state_log.py
@@ -15,9 +15,9 @@
 import structlog
 
 from jujubewharf.admission import tickets
+from jujubewharf.admission import wait_queue
 from jujubewharf.forwarding import costs
 from jujubewharf.forwarding import routes
-from jujubewharf.forwarding import wait_queue
 from jujubewharf.plain_calls import decisions as plain_decisions
 from jujubewharf.platform import epochs
 
--- a/src/jujubewharf/leadership/plain_permits.py
+++ b/src/jujubewharf/leadership/plain_permits.py
@@ -20,7 +20,6 @@
 from jujubewharf.forwarding import forwarder
 from jujubewharf.forwarding import limits as all_limits
 from jujubewharf.forwarding import registry as registries
-from jujubewharf.forwarding import request_log
 from jujubewharf.forwarding import runs
 from jujubewharf.leadership import fleet as fleets
 from jujubewharf.leadership import plain_permit_client
@@ -31,6 +30,7 @@
 from jujubewharf.plain_calls import decisions
 from jujubewharf.plain_calls import local_choice
 from jujubewharf.plain_calls import permits
+from jujubewharf.plain_calls import plain_call_log
 from jujubewharf.plain_calls import service_times
 from jujubewharf.requests import plain_endpoints
 
@@ -59,24 +59,6 @@
     load_age_ms: float | None = None
 
 
-class _Loads:
-    """Load of endpoints, for the local choice."""
-
-    def __init__(self, loads: table.LoadTable) -> None:
-        self._loads = loads
-
-    def total(self, endpoint: str) -> int | None:
-        """See ``local_choice.Loads``."""
-        known = self._loads.get(endpoint)
-        if known is None:
-            return None
-        return known.report.running + known.report.waiting
-
-    def slots(self, endpoint: resources.Endpoint) -> int:
-        """See ``local_choice.Loads``."""
-        return self._loads.slots(endpoint.name) or endpoint.slots
-
-
 class FleetPlainPermits:
     """Implements ``permits.PlainPermits`` across all instances.
 
@@ -121,7 +103,9 @@
         self._source = source
         self._clock = clock
         self._times: dict[str, service_times.ServiceTimes] = {}
-        self._choice = local_choice.LocalChoice(domain, _Loads(loads), rng)
+        self._local_choice = local_choice.LocalChoice(
+            domain, local_choice.TableLoads(loads), rng
+        )
         self.queues = plain_queues.PlainQueues(
             registry, loads, self._times_of, clock
         )
@@ -133,7 +117,7 @@
     @property
     def in_flight(self) -> int:
         """Number of calls of this instance that hold a permit."""
-        return self._choice.in_flight
+        return self._local_choice.in_flight
 
     def applies_to(self, service: str) -> bool:
         """Whether calls of a service need a permit."""
@@ -180,7 +164,7 @@
         permit, choice = await self._acquire(run, excluded)
         granted_ms = self._clock.now_ms()
         try:
-            with self._choice.counted(choice.endpoint):
+            with self._local_choice.counted(choice.endpoint):
                 yield permit
         finally:
             took_ms = self._clock.now_ms() - granted_ms
@@ -196,7 +180,7 @@
             choice = await self._choose(run, avoided, started_ms)
             endpoint = self._registry.get(choice.endpoint)
             if endpoint is not None and await self._may_use(choice):
-                request_log.log_plain_permit(
+                plain_call_log.log_permit(
                     run,
                     choice.endpoint,
                     decided_by=choice.decided_by,
@@ -210,6 +194,10 @@
             unusable.add(choice.endpoint)
 
     async def _may_use(self, choice: _Choice) -> bool:
+        """Returns whether the endpoint takes work and its rate limit allows it.
+
+        If it is cancelled or fails, the choice is released.
+        """
         try:
             if not self._chooser.accepts_work(choice.endpoint):
                 return False
@@ -247,7 +235,7 @@
         call = decisions.WaitingCall(
             self.queues.next_number(),
             run.domain,
-            run.call.arrived_ms + run.route.target_ms,
+            _due_ms(run),
             run.deadline_at_ms,
             run.priority,
             run.call.account,
@@ -262,6 +250,7 @@
 
                 def release(outcome: decisions.Outcome, took_ms: float) -> None:
                     newest = self._loads.get(name)
+                    # A report from before the grant has been counted already.
                     if newest is not None and newest.age_ms <= took_ms:
                         self.queues.record_report(name)
                     self.queues.release(call.number, outcome)
@@ -322,11 +311,10 @@
     def _choose_alone(
         self, run: runs.Run, endpoints: list[resources.Endpoint]
     ) -> _Choice:
-        due_ms = run.call.arrived_ms + run.route.target_ms
-        chosen = self._choice.choose(
+        chosen = self._local_choice.choose(
             endpoints,
             self._times_of(run.service, run.route.target_ms),
-            due_in_ms=due_ms - self._clock.now_ms(),
+            due_in_ms=_due_ms(run) - self._clock.now_ms(),
         )
         assert chosen is not None
         name = chosen.name
@@ -349,7 +337,8 @@
         ahead: int,
         load_age_ms: float | None,
     ) -> Exception:
-        request_log.log_plain_rejection(
+        """Logs a rejection and returns the error that the caller gets."""
+        plain_call_log.log_rejection(
             run,
             reason,
             decided_by=decided_by.value,
@@ -394,3 +383,8 @@
         for service, times in self._times.items():
             endpoints = self._registry.of_service(service)
             times.retain({e.name for e in endpoints})
+
+
+def _due_ms(run: runs.Run) -> float:
+    """Returns the clock reading from which an answer is late."""
+    return run.call.arrived_ms + run.route.target_ms
--- a/tests/forwarding/test_former_queue.py
+++ b/tests/forwarding/test_former_queue.py
@@ -11,7 +11,7 @@
 from jujubewharf import clock as clocks
 from jujubewharf.admission import order as orders
 from jujubewharf.admission import tickets
-from jujubewharf.forwarding import wait_queue as wait_queues
+from jujubewharf.admission import wait_queue as wait_queues
 from tests.forwarding import deployments
 
 
