Refuse keys that may have been claimed in records the log has lost

What callers saw: a request that may run once ran twice. Its claim was lost when the log came back from a copy, and an instance that started later, asked again with the same key, found no claim and ran it.

Cause: "read to its end, no claim of the key" was taken for "never claimed". Instances that had used the log refused it by its epoch; one that starts later sees the new epoch first, and the stream bore no trace of the gap. The same holds where the log drops records that nobody was there to append again, and where a log without an epoch goes back below a running owner's position.

Change: the stream states since when it is complete (a coverage record). Keys that may be older than that get the new error claim_unknown (409, unknown, no retry); dated keys made later are claimed as ever. Running owners go on with the restored log, keep what they know held and append it again; an owner that started meanwhile asks those before it.

--- a/src/jujubewharf/core.py
+++ b/src/jujubewharf/core.py
@@ -37,6 +37,7 @@
 from jujubewharf.platform import log
 from jujubewharf.platform import weights
 from jujubewharf.requests import answer_service
+from jujubewharf.requests import claim_shard
 from jujubewharf.requests import claims as request_claims
 from jujubewharf.requests import keys
 from jujubewharf.requests import limits
@@ -200,6 +201,9 @@
             self.membership,
             adapters.log,
             clock,
+            retention=claim_shard.Retention(
+                log_ms=settings.platform.log_retention_ms
+            ),
         )
         self.answers = answer_service.AnswerService(
             settings.instance,
--- a/src/jujubewharf/errors.py
+++ b/src/jujubewharf/errors.py
@@ -40,6 +40,7 @@
     KEY_EXPIRED = "key_expired"
     CLAIM_UNAVAILABLE = "claim_unavailable"
     CLAIM_LOST = "claim_lost"
+    CLAIM_UNKNOWN = "claim_unknown"
     OUTCOME_UNKNOWN = "outcome_unknown"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     ENGINE_FAILED = "engine_failed"
@@ -147,6 +148,13 @@
         False,
         "The key was claimed before and its answer can't be had here.",
     ),
+    ErrorKind.CLAIM_UNKNOWN: ErrorResponse(
+        409,
+        "FAILED_PRECONDITION",
+        _UNKNOWN,
+        False,
+        "Whether a request with this key has run is no longer known.",
+    ),
     ErrorKind.OUTCOME_UNKNOWN: ErrorResponse(
         504,
         "UNKNOWN",
--- a/src/jujubewharf/experiments/adapters.py
+++ b/src/jujubewharf/experiments/adapters.py
@@ -6,12 +6,14 @@
 from collections.abc import AsyncIterator
 from collections.abc import Sequence
 import contextlib
+import dataclasses
 
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
 from jujubewharf.engines import endpoint_client
 from jujubewharf.experiments import processes
+from jujubewharf.platform import epochs
 from jujubewharf.platform import live_list as platform_live_list
 from jujubewharf.platform import log as platform_log
 from jujubewharf.platform import weights as platform_weights
@@ -20,20 +22,45 @@
 from jujubewharf.standins import weights
 
 
+@dataclasses.dataclass(slots=True)
+class _LogConnection:
+    """Connection that all of an instance's log clients share."""
+
+    is_cut: bool = False
+
+
 class InstanceLog:
-    """One instance's connection to the log.
+    """One instance's client of the log.
 
-    Attributes:
-        is_cut: Whether the instance is disconnected from the log. An append
-            in flight at that moment takes effect but its answer is lost.
+    Args:
+        process: Process of the instance.
+        shared: The log.
+        connection: Connection of an earlier client of the instance.
     """
 
     def __init__(
-        self, process: processes.Process, shared: log.MemoryLog
+        self,
+        process: processes.Process,
+        shared: log.MemoryLog,
+        *,
+        connection: _LogConnection | None = None,
     ) -> None:
-        self.is_cut = False
         self._process = process
         self._shared = shared
+        self._connection = connection or _LogConnection()
+        self._first_epoch = epochs.FirstEpoch()
+
+    @property
+    def is_cut(self) -> bool:
+        """Whether the instance is disconnected from the log.
+
+        An append in flight at that moment takes effect but its answer is lost.
+        """
+        return self._connection.is_cut
+
+    @is_cut.setter
+    def is_cut(self, is_cut: bool) -> None:
+        self._connection.is_cut = is_cut
 
     async def append(self, stream: str, payloads: Sequence[bytes]) -> list[int]:
         """Appends records; see ``platform.log.Log``."""
@@ -43,6 +70,8 @@
         offsets = await self._process.call_remote(call)
         if self.is_cut:
             raise platform_log.AppendUnknownError("disconnected")
+        if not self._first_epoch.is_same(self._shared.epoch):
+            raise platform_log.AppendUnknownError("log was restored")
         return offsets
 
     async def read(
@@ -62,8 +91,16 @@
         page = await self._process.call_remote(call)
         if self.is_cut:
             raise platform_log.LogUnavailableError("disconnected")
+        if not self._first_epoch.is_same(page.epoch):
+            raise platform_log.LogRestoredError("log was restored")
         return page
 
+    def reopened(self) -> InstanceLog:
+        """Returns a client of the log as it is now; see ``platform.log``."""
+        return InstanceLog(
+            self._process, self._shared, connection=self._connection
+        )
+
 
 class InstanceLiveList:
     """One instance's connection to the live list.
--- a/src/jujubewharf/peers/key_messages.py
+++ b/src/jujubewharf/peers/key_messages.py
@@ -204,6 +204,8 @@
         is_expired: Whether the key is too old to be claimed.
         is_new: Whether the log was read to its end and has no claim of the
             key.
+        is_unknown: Whether the key may have been claimed in records that the
+            log has lost.
     """
 
     owner: str = ""
@@ -211,6 +213,7 @@
     body: bytes = b""
     is_expired: bool = False
     is_new: bool = False
+    is_unknown: bool = False
 
 
 @messages.message(31)
@@ -300,3 +303,11 @@
     status: int = 0
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
+
+
+@messages.message(37)
+@dataclasses.dataclass(frozen=True, slots=True)
+class HolderRequest(messages.Message):
+    """Asks who holds a key, from memory; answered by ``ClaimReply``."""
+
+    key: bytes
--- a/src/jujubewharf/platform/epochs.py
+++ b/src/jujubewharf/platform/epochs.py
@@ -60,6 +60,29 @@
     return int(text)
 
 
+class FirstEpoch:
+    """Epoch of a log as its client used it first.
+
+    A log of another epoch has lost records that the client has seen.
+
+    Attributes:
+        epoch: The epoch; ``None`` until an answer has stated one.
+    """
+
+    def __init__(self) -> None:
+        self.epoch: int | None = None
+
+    def is_same(self, epoch: int | None) -> bool:
+        """Returns whether an answer is of the log that was used first.
+
+        Args:
+            epoch: Epoch that the answer states; ``None`` if it states none.
+        """
+        if self.epoch is None:
+            self.epoch = epoch
+        return epoch is None or epoch == self.epoch
+
+
 class StoreEpoch:
     """Highest epoch of the store that this instance has seen.
 
--- a/src/jujubewharf/platform/http_log.py
+++ b/src/jujubewharf/platform/http_log.py
@@ -1,9 +1,10 @@
 """HTTP client for the platform's log, with msgpack bodies.
 
 A log that is restored from a copy has lost acknowledged records. What this
-process has read and promised may rest on them, so it uses the restored log no
-more: claims and changes are refused as with a log that is down, and what is in
-force stays so, until the process is started again.
+process has read and promised may rest on them, so a client uses the restored
+log no more: changes are refused as with a log that is down, and what is in
+force stays so, until the process is started again. Who knows what was lost,
+as the claims do, reopens the log.
 """
 
 from __future__ import annotations
@@ -43,7 +44,7 @@
         self._url = url
         self._session = session
         self._clock = clock
-        self._epoch: int | None = None
+        self._first_epoch = epochs.FirstEpoch()
         self._logger = structlog.get_logger()
 
     async def append(self, stream: str, payloads: Sequence[bytes]) -> list[int]:
@@ -87,20 +88,21 @@
                 ) as response:
                     if not self._is_same_log(response):
                         raise log.LogRestoredError("log was restored")
-                    return await _page(response)
+                    return await _page(response, self._first_epoch.epoch or 0)
         except (aiohttp.ClientError, TimeoutError) as error:
             raise log.LogUnavailableError(str(error)) from error
 
+    def reopened(self) -> HttpLog:
+        """Returns a client of the log as it is now; see ``log.Log``."""
+        return HttpLog(self._url, self._session, self._clock)
+
     def _is_same_log(self, response: aiohttp.ClientResponse) -> bool:
         """Returns whether an answer is of the log that was first read."""
         epoch = epochs.parse(response.headers.get(EPOCH_HEADER, ""))
-        if epoch is None:
-            return True
-        if self._epoch is None:
-            self._epoch = epoch
-        if epoch == self._epoch:
+        if self._first_epoch.is_same(epoch):
             return True
-        self._logger.error("log_restored", epoch=epoch, former=self._epoch)
+        former = self._first_epoch.epoch
+        self._logger.error("log_restored", epoch=epoch, former=former)
         return False
 
 
@@ -118,7 +120,7 @@
     raise log.AppendUnknownError(f"status {status}")
 
 
-async def _page(response: aiohttp.ClientResponse) -> log.LogPage:
+async def _page(response: aiohttp.ClientResponse, epoch: int) -> log.LogPage:
     body = msgpack.unpackb(await response.read())
     if response.status == _GONE:
         raise log.LogTruncatedError(body["first_offset"])
@@ -128,4 +130,5 @@
         records=tuple(log.LogRecord(o, p) for o, p in body["records"]),
         first_offset=body["first_offset"],
         next_offset=body["next_offset"],
+        epoch=epoch,
     )
--- a/src/jujubewharf/platform/log.py
+++ b/src/jujubewharf/platform/log.py
@@ -54,11 +54,14 @@
         records: Records in offset order, without gaps.
         first_offset: Oldest offset that the log retains.
         next_offset: Offset that the next append will get.
+        epoch: Number of times that the log was restored from a copy; 0 if it
+            doesn't state it.
     """
 
     records: tuple[LogRecord, ...]
     first_offset: int
     next_offset: int
+    epoch: int = 0
 
 
 class Log(Protocol):
@@ -95,5 +98,11 @@
         Raises:
             LogUnavailableError: The log could not be reached or refused.
             LogTruncatedError: ``from_offset`` is no longer retained.
+            LogRestoredError: The log was restored from a copy since this
+                client used it first.
         """
         ...
+
+    def reopened(self) -> Log:
+        """Returns a client that uses the log as it is now, restored or not."""
+        ...
--- a/src/jujubewharf/requests/claim_records.py
+++ b/src/jujubewharf/requests/claim_records.py
@@ -7,7 +7,10 @@
 
 import msgpack
 
+from jujubewharf.requests import claim_coverage
+
 _VERSION = 1
+_PARTS_WITHOUT_COVERAGE = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,24 +45,34 @@
         appended_wall_ms: Wall-clock time of the append at the appending
             instance, in ms.
         claims: Claims in the order in which they apply.
+        coverage: Completeness of the stream; ``None`` if not stated.
     """
 
     appended_wall_ms: float
     claims: tuple[ClaimRecord, ...]
+    coverage: claim_coverage.Coverage | None = None
 
 
 def encode(batch: Batch) -> bytes:
     """Encodes a batch for the log."""
     items = [list(dataclasses.astuple(claim)) for claim in batch.claims]
-    return msgpack.packb([_VERSION, batch.appended_wall_ms, items])
+    parts: list[object] = [_VERSION, batch.appended_wall_ms, items]
+    if batch.coverage is not None:
+        parts.append(list(dataclasses.astuple(batch.coverage)))
+    return msgpack.packb(parts)
 
 
 def decode(payload: bytes) -> Batch:
     """Decodes a batch from the log; unknown fields are ignored."""
-    _, wall_ms, items = msgpack.unpackb(payload)[:3]
+    parts = msgpack.unpackb(payload)
+    _, wall_ms, items = parts[:_PARTS_WITHOUT_COVERAGE]
     count = len(dataclasses.fields(ClaimRecord))
     claims = tuple(ClaimRecord(*item[:count]) for item in items)
-    return Batch(wall_ms, claims)
+    coverage = None
+    if len(parts) > _PARTS_WITHOUT_COVERAGE:
+        epoch, since_wall_ms = parts[_PARTS_WITHOUT_COVERAGE][:2]
+        coverage = claim_coverage.Coverage(epoch, since_wall_ms)
+    return Batch(wall_ms, claims, coverage)
 
 
 class Holders:
@@ -92,6 +105,10 @@
         """Returns the claim that holds a key."""
         return self._claims.get(key)
 
+    def claims(self) -> list[ClaimRecord]:
+        """Returns the claims of all held keys."""
+        return list(self._claims.values())
+
     def older_than(self, wall_ms: float) -> list[ClaimRecord]:
         """Returns claims with ``wall_ms`` before the given time."""
         return [c for c in self._claims.values() if c.wall_ms < wall_ms]
--- a/src/jujubewharf/requests/claims.py
+++ b/src/jujubewharf/requests/claims.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import uuid
 
@@ -22,12 +23,14 @@
 from jujubewharf.peers import key_messages
 from jujubewharf.peers import network
 from jujubewharf.platform import log
+from jujubewharf.requests import claim_coverage
 from jujubewharf.requests import claim_records
 from jujubewharf.requests import claim_shard
 from jujubewharf.requests import keys
 from jujubewharf.requests import retries
 
 _CLAIM_TIMEOUT_MS = 1_500.0
+_HOLDER_TIMEOUT_MS = 500.0
 _ABANDONED_TIMEOUT_MS = 1_000.0
 _DID_NOT_RUN_DETAIL = (
     "This sending did not run; an earlier one of its key may have."
@@ -35,7 +38,6 @@
 _FIRST_REAPPEND_DELAY_MS = 1_000.0
 _MAX_TRIES = 3
 _MAX_ABANDONED = 20_000
-_MAX_CLOCK_SKEW_MS = 60_000.0
 _UUID7_MS_SHIFT = 80
 _DEFAULT_RETENTION = claim_shard.Retention()
 
@@ -101,8 +103,10 @@
         self._abandoned: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
+        self._restored = asyncio.Event()
         self._logger = structlog.get_logger()
         peers.handle(key_messages.ClaimRequest, self._on_claim_wanted)
+        peers.handle(key_messages.HolderRequest, self._on_holder_wanted)
         peers.handle(key_messages.AbandonedRequest, self._on_ask_abandoned)
 
     @property
@@ -133,7 +137,7 @@
         age_ms = self._clock.wall_ms() - created_ms
         if age_ms > self._retention.dated_ms / 2:
             raise errors.WharfError(errors.ErrorKind.KEY_EXPIRED)
-        if age_ms < -_MAX_CLOCK_SKEW_MS:
+        if age_ms < -claim_coverage.MAX_KEY_AHEAD_MS:
             detail = "The key's time lies in the future."
             raise errors.WharfError(errors.ErrorKind.BAD_REQUEST, detail)
         return created_ms
@@ -161,7 +165,8 @@
             WharfError: ``CLAIM_UNAVAILABLE``: the run was not and must not be
                 dispatched, even if its claim is appended later.
                 ``KEY_EXPIRED``: the owner of the shard considers the key too
-                old.
+                old. ``CLAIM_UNKNOWN``: an earlier run of the key may have been
+                dispatched, and its claim was lost with records of the log.
         """
         wanted = key_messages.ClaimRequest(
             key,
@@ -214,6 +219,9 @@
                 return held
             if held.is_expired:
                 raise errors.WharfError(errors.ErrorKind.KEY_EXPIRED)
+            if held.is_unknown:
+                detail = _DID_NOT_RUN_DETAIL
+                raise errors.WharfError(errors.ErrorKind.CLAIM_UNKNOWN, detail)
             raise _unavailable(is_new=held.is_new)
         raise _unavailable(is_new=False)
 
@@ -259,12 +267,47 @@
         shard = self._shard(claim_shard.shard_of(message.key))
         try:
             held = await shard.claim(record)
+        except claim_shard.ClaimUnknownError:
+            return await self._ask_former_owners(message)
         except claim_shard.ClaimUnavailableError as error:
             return key_messages.ClaimReply(is_new=error.is_new)
         except claim_shard.KeyTooOldError:
             return key_messages.ClaimReply(is_expired=True)
         return key_messages.ClaimReply(held.owner, held.request_id, held.body)
 
+    async def _ask_former_owners(
+        self, wanted: key_messages.ClaimRequest
+    ) -> key_messages.ClaimReply:
+        """Asks those who owned the shard before for the holder of a key.
+
+        Until they have appended what the log has lost, they alone know it.
+        """
+        message = key_messages.HolderRequest(wanted.key)
+        owners = self._owners(claim_shard.shard_of(wanted.key))[:_MAX_TRIES]
+        for owner in owners:
+            if owner == self._instance:
+                continue
+            try:
+                held = await self._peers.ask(
+                    owner, message, timeout_ms=_HOLDER_TIMEOUT_MS
+                )
+            except network.PeerError:
+                continue
+            match held:
+                case key_messages.ClaimReply(request_id=request_id):
+                    if request_id not in ("", wanted.replaces):
+                        return held
+        return key_messages.ClaimReply(is_unknown=True)
+
+    async def _on_holder_wanted(
+        self, sender: str, message: key_messages.HolderRequest
+    ) -> key_messages.ClaimReply:
+        shard = self._shards.get(claim_shard.shard_of(message.key))
+        held = None if shard is None else shard.holders.get(message.key)
+        if held is None:
+            return key_messages.ClaimReply()
+        return key_messages.ClaimReply(held.owner, held.request_id, held.body)
+
     async def _on_ask_abandoned(
         self, sender: str, message: key_messages.AbandonedRequest
     ) -> key_messages.AbandonedReply:
@@ -276,7 +319,11 @@
         shard = self._shards.get(number)
         if shard is None:
             shard = claim_shard.ClaimShard(
-                number, self._log, self._clock, self._retention
+                number,
+                self._log,
+                self._clock,
+                self._retention,
+                on_restored=self._restored.set,
             )
             self._shards[number] = shard
         return shard
@@ -289,22 +336,32 @@
     async def _reappend(self) -> None:
         """Keeps owned shards in memory and their claims on the log.
 
-        Claims in memory can be looked up while the log is unavailable.
+        Claims in memory can be looked up while the log is unavailable. Once one
+        shard finds that the log was restored, all of them are read again.
         """
         await self._clock.sleep_ms(_FIRST_REAPPEND_DELAY_MS)
         while not self.should_stop:
+            self._restored.clear()
             try:
-                await self._reappend_owned()
+                await self._reappend_all()
             except (log.LogUnavailableError, log.AppendUnknownError) as error:
                 self._logger.warning("claims_not_carried", why=str(error))
-            await self._clock.sleep_ms(self._retention.reappend_interval_ms)
+            await self._wait_for_reappend()
+
+    async def _wait_for_reappend(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            interval_ms = self._retention.reappend_interval_ms
+            async with self._clock.timeout_ms(interval_ms):
+                await self._restored.wait()
 
-    async def _reappend_owned(self) -> None:
+    async def _reappend_all(self) -> None:
         for number in range(claim_shard.SHARDS):
             owners = self._owners(number)
             if owners and owners[0] == self._instance:
                 await self._shard(number).reappend()
-            else:
+            elif number in self._shards:
+                # Its new owner may lack what this instance alone remembers.
+                await self._shards[number].reappend()
                 self._shards.pop(number, None)
 
 
--- a/src/jujubewharf/standins/log.py
+++ b/src/jujubewharf/standins/log.py
@@ -115,7 +115,13 @@
             await self._wait(left_ms)
         start = from_offset - stored.first_offset
         records = tuple(stored.records[start : start + limit])
-        return log.LogPage(records, stored.first_offset, stored.next_offset)
+        return log.LogPage(
+            records, stored.first_offset, stored.next_offset, self.epoch
+        )
+
+    def reopened(self) -> MemoryLog:
+        """Returns this log, whose direct users see each restore."""
+        return self
 
     def truncate(self, stream: str, first_offset: int) -> None:
         """Drops a stream's records below an offset."""
--- a/tests/requests/test_safeguards.py
+++ b/tests/requests/test_safeguards.py
@@ -14,9 +14,11 @@
 import pytest
 
 from jujubewharf import errors
+from jujubewharf.peers import key_messages
 from jujubewharf.requests import active_answer
 from jujubewharf.requests import answer_cache
 from jujubewharf.requests import attempt
+from jujubewharf.requests import claim_coverage
 from jujubewharf.requests import claim_records
 from jujubewharf.requests import claim_shard
 from jujubewharf.requests import claims
@@ -31,6 +33,7 @@
 from tests.requests import test_answer_service
 from tests.requests import test_claims
 from tests.requests import test_request_runner
+from tests.requests import test_restored_log
 from tests.requests import test_sweep
 
 
@@ -95,6 +98,10 @@
     self._next_offset = offset + 1
 
 
+async def _answer_unknown(self, wanted):
+    return key_messages.ClaimReply(is_unknown=True)
+
+
 def _last_wins(self, claim):
     self._claims[claim.key] = claim
 
@@ -243,6 +250,20 @@
         _nothing,
         test_claims.test_an_undated_claim_outlives_the_logs_retention,
     ),
+    DisabledSafeguard(
+        "keys are vouched for after a restore",
+        claim_coverage.CoverageTracker,
+        "vouches_for",
+        lambda *args: True,
+        test_restored_log.test_lost_claim_is_unknown_at_an_instance_that_started_later,
+    ),
+    DisabledSafeguard(
+        "former owners are asked for lost claims",
+        claims.Claims,
+        "_ask_former_owners",
+        _answer_unknown,
+        test_restored_log.test_former_owner_answers_for_a_shard_that_a_started_instance_owns,
+    ),
     DisabledSafeguard(
         "a lost answer counts as a dispatch",
         retries,
