Send and draw in a fixed order, so that a seed fixes a history

What callers saw: nothing directly.

Cause: sets of links, followers, crash reports and (in mode) of task names were iterated to send, draw or start. A trace of all that is sent differed first at 800 ms, where the leader sends one update to its followers.

Change: an ordered set for what is sent or drawn item by item, and an ordered start of tasks for the four services that have two. No hash seed is pinned.

--- a/src/jujubewharf/configuration/follower.py
+++ b/src/jujubewharf/configuration/follower.py
@@ -10,6 +10,7 @@
 import structlog
 
 from jujubewharf import clock as clocks
+from jujubewharf import ordered_service
 from jujubewharf.configuration import checkpointer
 from jujubewharf.configuration import checkpoints
 from jujubewharf.configuration import peer_sync as peer_syncs
@@ -44,7 +45,7 @@
 )
 
 
-class ConfigurationFollower(mode.Service):
+class ConfigurationFollower(ordered_service.OrderedService):
     """Reads the configuration stream and applies its records.
 
     While the log does not answer, records are requested from peers. If the
--- a/src/jujubewharf/leadership/announcements.py
+++ b/src/jujubewharf/leadership/announcements.py
@@ -22,6 +22,7 @@
 import structlog
 
 from jujubewharf import clock as clocks
+from jujubewharf import ordered_set
 from jujubewharf.peers import counters
 from jujubewharf.peers import demand_messages
 from jujubewharf.peers import handshake
@@ -71,8 +72,8 @@
         self._addresses: tuple[str, ...] = ()
         self._address: str | None = None
         self._term = 0
-        self._given_to: set[links.Link] = set()
-        self._seen: set[links.Link] = set()
+        self._given_to = ordered_set.OrderedSet[links.Link]()
+        self._seen = ordered_set.OrderedSet[links.Link]()
         self._changed_ms = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
         self._logger = structlog.get_logger()
@@ -114,7 +115,7 @@
     def distribute(self, followers: Iterable[links.Link]) -> None:
         """Gives followers the addresses of others after a change of them."""
         now_ms = self._clock.now_ms()
-        present = set(followers)
+        present = ordered_set.OrderedSet(followers)
         if present != self._seen:
             self._seen = present
             self._changed_ms = now_ms
--- a/src/jujubewharf/leadership/fleet_crashes.py
+++ b/src/jujubewharf/leadership/fleet_crashes.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 
 from jujubewharf import clock as clocks
+from jujubewharf import ordered_set
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import crash_reports
 from jujubewharf.forwarding import crashes
@@ -49,7 +50,7 @@
         self._fleet = fleet
         self._history = history
         self._clock = clock
-        self._unsent: set[fingerprints.Fingerprint] = set()
+        self._unsent = ordered_set.OrderedSet[fingerprints.Fingerprint]()
         self.on_change: Callable[[fingerprints.Fingerprint], None]
         self.on_change = lambda fingerprint: None
         history.on_update = self._on_seen
--- a/src/jujubewharf/leadership/fleet_quotas.py
+++ b/src/jujubewharf/leadership/fleet_quotas.py
@@ -26,6 +26,7 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
+from jujubewharf import ordered_set
 from jujubewharf.forwarding import accounts
 from jujubewharf.forwarding import forwarder
 from jujubewharf.forwarding import quotas
@@ -113,7 +114,7 @@
         # This instance's share of each account's use.
         self._usage_shares: dict[str, float] = {}
         self._shares_sent_ms = 0.0
-        self._followers: set[account_pace.FollowerUsage] = set()
+        self._followers = ordered_set.OrderedSet[account_pace.FollowerUsage]()
         # Expiry in ms and reserved shares per lost follower.
         self._lost_followers: dict[str, tuple[float, dict[str, float]]] = {}
         fleet.link.on_usage_shares = self.set_usage_shares
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -9,6 +9,7 @@
 import dataclasses
 
 from jujubewharf import clock as clocks
+from jujubewharf import ordered_set
 from jujubewharf.configuration import resources
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import state_log
@@ -103,14 +104,14 @@
         self._epoch = epoch
         self._clock = clock
         self._state = state
-        self._links: set[links.Link] = set()
+        self._links = ordered_set.OrderedSet[links.Link]()
         # Offset up to which each follower has read the endpoints, for followers
         # that have not been sent the later changes yet.
         self._unsent_since: dict[links.Link, int] = {}
         # Followers that are sent each change of endpoints.
         self._updated_links: set[links.Link] = set()
         # Followers that have not been sent a configuration yet.
-        self._unconfigured: set[links.Link] = set()
+        self._unconfigured = ordered_set.OrderedSet[links.Link]()
         self._configuration: leader_messages.ConfigurationUpdate | None = None
         self._endpoints = endpoint_records.EndpointRecords()
         self._low_accounts = quota_messages.LowAccounts(())
@@ -305,9 +306,9 @@
         self._configurations_read.read(end, self._clock.now_ms())
         if known is None:
             return
-        recipients = {
+        recipients = [
             link for link in self._links if link not in self._unconfigured
-        }
+        ]
         self._send_configuration(known, self._unconfigured)
         self._unconfigured.clear()
         if update is not None:
--- a/src/jujubewharf/membership/facts.py
+++ b/src/jujubewharf/membership/facts.py
@@ -18,6 +18,7 @@
 import mode
 import structlog
 
+from jujubewharf import ordered_service
 from jujubewharf.membership import fact_messages
 from jujubewharf.membership import fact_store
 from jujubewharf.peers import network
@@ -54,7 +55,7 @@
         self.informed = {source}
 
 
-class Facts(mode.Service):
+class Facts(ordered_service.OrderedService):
     """Publishes facts to all instances and receives theirs.
 
     Args:
--- a/src/jujubewharf/membership/membership.py
+++ b/src/jujubewharf/membership/membership.py
@@ -11,6 +11,7 @@
 import mode
 import structlog
 
+from jujubewharf import ordered_service
 from jujubewharf.membership import facts as all_facts
 from jujubewharf.membership import failure_detector
 from jujubewharf.membership import member_facts
@@ -32,7 +33,7 @@
 _LEAVING_TTL_MS = 600_000.0
 
 
-class Membership(mode.Service):
+class Membership(ordered_service.OrderedService):
     """Implements ``view.MembershipView``.
 
     Merges three sources. The platform's live list names the expected
--- a/src/jujubewharf/routing/slot_coordinator.py
+++ b/src/jujubewharf/routing/slot_coordinator.py
@@ -9,6 +9,7 @@
 import mode
 
 from jujubewharf import clock as clocks
+from jujubewharf import ordered_service
 from jujubewharf.membership import view as membership
 from jujubewharf.peers import network
 from jujubewharf.peers import slot_messages
@@ -46,7 +47,7 @@
         self.reported_ms = -1.0
 
 
-class SlotCoordinator(mode.Service):
+class SlotCoordinator(ordered_service.OrderedService):
     """Grants the decode slots of the engines that this instance coordinates.
 
     Args:
