Use no endpoint that left before the leader began

What callers saw: requests went to an endpoint that had left, seconds after its entry was gone, from some instances and not from others.

Cause: one rule broken in two places: an absent endpoint counts as gone once a complete view of the store, taken after the grace, lacks it. A follower took its leader's changes as complete, but a leader knows removals only since its own first read. And the leader's confirmations kept followers from reading without counting as reads, so a grace that had ended was noticed up to a second later.

Change: the leader sends a digest of its keys to a follower whose last read is older than its knowledge of removals; a follower that differs reads the table within half a second. Confirmations count as reads once all that was sent is applied. The line table_differs_from_leader tells of it.

--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -241,6 +241,7 @@
             on_page=self._on_endpoints,
             on_lost=self.registry.mark_store_unavailable,
         )
+        self.fleet.feeds.endpoints.on_confirmed = self._on_endpoints_confirmed
 
     def _make_forwarder(
         self,
@@ -579,3 +580,8 @@
             self.fleet.followers.publish_endpoints(
                 page.records, page.end, is_full_read=is_full_read
             )
+
+    def _on_endpoints_confirmed(self, end: int, age_ms: float) -> None:
+        """Counts the leader's read as this instance's, once all is applied."""
+        if self._endpoints.offset >= end:
+            self.registry.mark_confirmed(age_ms=age_ms)
--- a/src/jujubewharf/forwarding/follower.py
+++ b/src/jujubewharf/forwarding/follower.py
@@ -32,6 +32,8 @@
 # Time within which instances that a leader informed read a restored table
 # themselves, so that hundreds of them don't read it at the same moment.
 _VERIFY_SPREAD_MS = 5_000.0
+# The same where the leader's records are known to differ.
+_REPAIR_SPREAD_MS = 500.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,6 +69,8 @@
             no change is missed, so that full reads are not needed.
         availability: Shared by all tables of the instance; ``None`` for a
             table that is read alone.
+        keys_digest: Returns the digest of the keys that were read, to compare
+            with the leader's; ``None`` if the table has none.
     """
 
     def __init__(
@@ -82,6 +86,7 @@
         on_lost: Callable[[], None] = lambda: None,
         is_watched: Callable[[], bool] = lambda: False,
         availability: availabilities.StoreAvailability | None = None,
+        keys_digest: Callable[[], int | None] = lambda: None,
     ) -> None:
         super().__init__()
         self._name = name
@@ -99,6 +104,7 @@
         self._on_page = on_page
         self._on_lost = on_lost
         self._is_watched = is_watched
+        self._keys_digest = keys_digest
         self._offset: int | None = None
         self._last_full_read_ms = 0.0
         # Time from which a full read is required, besides the periodic ones.
@@ -199,12 +205,16 @@
             self._logger.info(
                 "table_not_verified", table=self._name, detail=str(error)
             )
+            self._required_at_ms = None
             self._schedule_verification()
             return None
 
-    def _schedule_verification(self) -> None:
-        delay_ms = _VERIFY_SPREAD_MS * self._rng.random()
-        self._required_at_ms = self._clock.now_ms() + delay_ms
+    def _schedule_verification(
+        self, *, within_ms: float = _VERIFY_SPREAD_MS
+    ) -> None:
+        due_ms = self._clock.now_ms() + within_ms * self._rng.random()
+        if self._required_at_ms is None or due_ms < self._required_at_ms:
+            self._required_at_ms = due_ms
 
     def _handle_page(
         self, page: tables.TablePage[T], *, is_full_read: bool
@@ -220,6 +230,22 @@
         # A full read can be older than changes that were already read.
         self._offset = max(page.end, self._offset or 0)
         self._on_page(page, is_full_read)
+        if page.keys_digest is not None:
+            self._compare_keys(page.keys_digest)
+
+    def _compare_keys(self, leaders_digest: int) -> None:
+        """Schedules a read if the leader knows of other keys.
+
+        A leader that started later doesn't know what was removed before, and
+        so sends no change for it.
+        """
+        digest = self._keys_digest()
+        if digest is None or digest == leaders_digest:
+            return
+        self._logger.info(
+            "table_differs_from_leader", table=self._name, offset=self.offset
+        )
+        self._schedule_verification(within_ms=_REPAIR_SPREAD_MS)
 
     def _note_restore(
         self, former_end: int, page: tables.TablePage[T], *, is_full_read: bool
--- a/src/jujubewharf/forwarding/registry.py
+++ b/src/jujubewharf/forwarding/registry.py
@@ -197,13 +197,17 @@
         Args:
             age_ms: Time in ms since the answer, which the leader may have got.
         """
-        read_ms = self._clock.now_ms() - age_ms
-        self._last_read_ms = max(read_ms, self._last_read_ms or 0.0)
+        self.mark_confirmed(age_ms=age_ms)
         if self._is_unavailable:
             self._is_unavailable = False
             self._available_since_ms = self._clock.now_ms()
             self._extend_waits()
 
+    def mark_confirmed(self, *, age_ms: float) -> None:
+        """Records a later read of the store that found no more records."""
+        read_ms = self._clock.now_ms() - age_ms
+        self._last_read_ms = max(read_ms, self._last_read_ms or 0.0)
+
     def mark_read_up_to(self, end: int) -> None:
         """Records the end position of a read, before its records are applied.
 
--- a/src/jujubewharf/forwarding/store_followers.py
+++ b/src/jujubewharf/forwarding/store_followers.py
@@ -120,6 +120,11 @@
     """
     feed = fleet.feeds.endpoints
 
+    def keys_digest() -> int | None:
+        if fleet.followers is None:
+            return None
+        return fleet.followers.endpoint_keys_digest
+
     def pause_ms() -> float:
         share = (
             _LEADER_ENDPOINT_PAUSE_SHARE
@@ -144,4 +149,5 @@
         on_lost=on_lost,
         is_watched=lambda: feed.is_fresh,
         availability=availability,
+        keys_digest=keys_digest,
     )
--- a/src/jujubewharf/leadership/endpoint_records.py
+++ b/src/jujubewharf/leadership/endpoint_records.py
@@ -9,6 +9,8 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 
+import xxhash
+
 from jujubewharf.configuration import resources
 from jujubewharf.forwarding import registration
 from jujubewharf.peers import leader_messages
@@ -17,9 +19,18 @@
 
 
 class EndpointRecords:
-    """Newest record of each endpoint, as followers are sent it."""
+    """Newest record of each endpoint, as followers are sent it.
+
+    Attributes:
+        complete_from: Position from which on all removals are known: that of
+            the last read of the whole table; ``None`` before it.
+        keys_digest: Digest of the keys that the table has. Equal digests at two
+            instances show that both know of the same endpoints.
+    """
 
     def __init__(self) -> None:
+        self.complete_from: int | None = None
+        self.keys_digest = 0
         self._by_key: dict[str, leader_messages.EndpointRecord] = {}
 
     def update(
@@ -40,14 +51,22 @@
         if is_full_read:
             present = {record.key for record in current}
             current.extend(self._removals(present, end))
+            self.complete_from = max(end, self.complete_from or 0)
         changed: list[leader_messages.EndpointRecord] = []
         for record in current:
             # A page may have several records of a key.
             if self._is_changed(record):
-                self._by_key[record.key] = record
+                self._replace(record)
                 changed.append(record)
         return tuple(changed)
 
+    def _replace(self, record: leader_messages.EndpointRecord) -> None:
+        known = self._by_key.get(record.key)
+        was_there = known is not None and _is_present(known)
+        if was_there != _is_present(record):
+            self.keys_digest ^= xxhash.xxh3_64_intdigest(record.key.encode())
+        self._by_key[record.key] = record
+
     def changed_since(
         self, offset: int
     ) -> tuple[leader_messages.EndpointRecord, ...]:
@@ -83,6 +102,10 @@
         )
 
 
+def _is_present(record: leader_messages.EndpointRecord) -> bool:
+    return record.endpoint is not None or record.is_unreadable
+
+
 def _endpoint_record(
     record: tables.TableRecord[resources.Endpoint],
 ) -> leader_messages.EndpointRecord:
--- a/src/jujubewharf/leadership/feeds.py
+++ b/src/jujubewharf/leadership/feeds.py
@@ -32,12 +32,16 @@
     Attributes:
         fetch: Requests the records that the leader did not send; returns
             whether they arrived.
+        on_confirmed: Called with the end offset and the age in ms of a read in
+            which the leader has found no more than it had sent.
     """
 
     def __init__(
         self, epoch: epochs.StoreEpoch, clock: clocks.Clock, *, fresh_ms: float
     ) -> None:
         self.fetch: Callable[[], Awaitable[bool]] | None = None
+        self.on_confirmed: Callable[[int, float], None]
+        self.on_confirmed = lambda end, age_ms: None
         self._epoch = epoch
         self._clock = clock
         self._fresh_ms = fresh_ms
@@ -49,6 +53,8 @@
         # End offset and time in ms of the leader's last read, as it said before
         # it sent the first records.
         self._told_read: tuple[int, float] | None = None
+        # Digest that the next page has to be checked against.
+        self._keys_digest: int | None = None
         self._update_event = asyncio.Event()
 
     @property
@@ -74,6 +80,7 @@
         self._unsent_offset = None
         self._end_offset = None
         self._told_read = None
+        self._keys_digest = None
 
     def confirm(self, end: int, *, age_ms: float) -> None:
         """Extends freshness to a confirmed end offset.
@@ -93,9 +100,24 @@
         if end > self._end_offset:
             self._end_offset = end
             self._notify()
+        elif end == self._end_offset:
+            self.on_confirmed(end, age_ms)
 
-    def apply(self, records: Iterable[tables.TableRecord[T]], end: int) -> None:
-        """Applies changed records."""
+    def apply(
+        self,
+        records: Iterable[tables.TableRecord[T]],
+        end: int,
+        *,
+        keys_digest: int | None = None,
+    ) -> None:
+        """Applies changed records.
+
+        Args:
+            records: The records.
+            end: Offset up to which the leader has read the table.
+            keys_digest: Digest of the table's keys, if they need a check.
+        """
+        self._keys_digest = keys_digest
         self._epoch.learn(end)
         if self._end_offset is None:
             self._confirmed_ms = self._clock.now_ms()
@@ -141,7 +163,7 @@
         deadline_ms = self._clock.now_ms() + wait_ms
         while self.is_fresh:
             assert self._end_offset is not None
-            if self._end_offset > offset:
+            if self._end_offset > offset or self._keys_digest is not None:
                 return None if self._is_missing(offset) else self._page(offset)
             left_ms = min(
                 deadline_ms - self._clock.now_ms(), self._fresh_for_ms
@@ -165,8 +187,13 @@
         self, records: tuple[tables.TableRecord[T], ...], end: int
     ) -> tables.TablePage[T]:
         age_ms = self._clock.now_ms() - self._confirmed_ms
+        keys_digest, self._keys_digest = self._keys_digest, None
         return tables.TablePage(
-            records, end, is_from_leader=True, age_ms=age_ms
+            records,
+            end,
+            is_from_leader=True,
+            age_ms=age_ms,
+            keys_digest=keys_digest,
         )
 
     async def _wait_for_update(self, timeout_ms: float) -> None:
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -361,6 +361,11 @@
         for link in to:
             link.tell_encoded(data)
 
+    @property
+    def endpoint_keys_digest(self) -> int:
+        """Digest of the endpoints' keys that this instance has read."""
+        return self._endpoints.keys_digest
+
     def publish_endpoints(
         self,
         records: Iterable[tables.TableRecord[resources.Endpoint]],
@@ -406,7 +411,11 @@
         self._updated_links.add(link)
         records = self._endpoints.changed_since(since)
         end = self._endpoints_read.end
-        link.tell(leader_messages.EndpointUpdate(records, end))
+        complete_from = self._endpoints.complete_from
+        keys_digest = None
+        if complete_from is None or since < complete_from:
+            keys_digest = self._endpoints.keys_digest
+        link.tell(leader_messages.EndpointUpdate(records, end, keys_digest))
 
     def _heartbeat(self) -> leader_messages.LeaderHeartbeat:
         return leader_messages.LeaderHeartbeat(
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -193,7 +193,9 @@
                 self._state.apply(message)
             case leader_messages.EndpointUpdate():
                 records = [_table_record(r) for r in message.records]
-                self._feeds.endpoints.apply(records, message.end)
+                self._feeds.endpoints.apply(
+                    records, message.end, keys_digest=message.keys_digest
+                )
         return None
 
     def _on_configuration(
--- a/src/jujubewharf/peers/leader_messages.py
+++ b/src/jujubewharf/peers/leader_messages.py
@@ -67,10 +67,14 @@
         records: Changed records; in the first update on a link, those that
             have changed since the follower last read the table.
         end: End offset up to which the leader has read the table.
+        keys_digest: Digest of the keys that the table has, from a leader that
+            may not know all removals since the follower last read the table;
+            ``None`` from one that does, and from an older build.
     """
 
     records: tuple[EndpointRecord, ...]
     end: int
+    keys_digest: int | None = None
 
 
 @messages.message(87)
--- a/src/jujubewharf/platform/tables.py
+++ b/src/jujubewharf/platform/tables.py
@@ -39,12 +39,15 @@
         end: Position from which to read later changes.
         is_from_leader: Whether another instance has read the records.
         age_ms: Time in ms since that instance's last read of the table.
+        keys_digest: Digest of the table's keys after these records, if that
+            instance may not know all removals; see ``EndpointUpdate``.
     """
 
     records: tuple[TableRecord[T], ...]
     end: int
     is_from_leader: bool = False
     age_ms: float = 0.0
+    keys_digest: int | None = None
 
 
 class Table(Protocol[T]):
--- a/tests/leadership/test_feeds.py
+++ b/tests/leadership/test_feeds.py
@@ -168,3 +168,34 @@
         assert 3_100.0 <= clock.now_ms() <= 3_300.0
 
     _run(test)
+
+
+def test_confirmation_counts_only_if_nothing_is_missing():
+    """A read that found records not sent yet would count as one without them.
+
+    The endpoint that they register again would be dropped.
+    """
+
+    async def test(clock, table, feed, leader_table):
+        confirmed = []
+        feed.on_confirmed = lambda end, age_ms: confirmed.append((end, age_ms))
+        feed.confirm(1, age_ms=0.0)
+        feed.apply([_record(0)], 1)
+        feed.confirm(1, age_ms=20.0)
+        feed.confirm(2, age_ms=10.0)
+        assert confirmed == [(1, 20.0)]
+
+    _run(test)
+
+
+def test_digest_of_the_leaders_keys_is_passed_on_once():
+    """It would be compared with keys that have changed since."""
+
+    async def test(clock, table, feed, leader_table):
+        feed.apply([], 1, keys_digest=7)
+        page = await leader_table.changes(1, wait_ms=0.0)
+        assert (page.records, page.keys_digest) == ((), 7)
+        page = await leader_table.changes(1, wait_ms=0.0)
+        assert page.keys_digest is None
+
+    _run(test)
