Count a link's silence only while heartbeats are due

What callers saw: a request between instances failed as lost though its peer was well, and the request that waited for it was refused or took another way. First seen as "e2: lost" in the test that changes TLS keys.

Cause: an idle link that was dialled on demand has no heartbeats. With a request on it, the maintenance task counted the time since the last frame, idle time included, as silence, and closed the link as dead under the request. A change of keys wakes that task at once, so the request after it was hit; a slow reply on any link that was idle for 0.7 s was hit too, without any change of keys.

Evidence: a trace of the test with key files polled every 900 ms: keys replaced at both ends, request sent, link closed by _send_heartbeat with the request pending 4 ms later, 3 of 3 runs. The test as it is did not fail here in 72 runs beside load; it needs 0.7 s between its steps.

Change: silence counts from when heartbeats became due on the link.

The test stays listed until it has passed many times beside load.

--- a/src/jujubewharf/peers/link.py
+++ b/src/jujubewharf/peers/link.py
@@ -65,6 +65,8 @@
             close.
         stale_ms: Time at which the TLS keys of this link were replaced, in
             ms; ``None`` while they are current.
+        watched_since_ms: Time since which the peer is expected to send
+            heartbeats, in ms; ``None`` while it isn't.
     """
 
     def __init__(
@@ -88,6 +90,7 @@
         self.is_closed = False
         self.has_broken = False
         self.stale_ms: float | None = None
+        self.watched_since_ms: float | None = None
         self.farewell: link_messages.Farewell | None = None
         self.on_heartbeat: Callable[[Link, link_messages.Heartbeat], None]
         self.on_heartbeat = lambda link, heartbeat: None
--- a/src/jujubewharf/peers/peer.py
+++ b/src/jujubewharf/peers/peer.py
@@ -304,15 +304,23 @@
             is_best_standing = link is best and link.is_standing
             if is_best_standing and (self.is_wanted or not link.is_dialled):
                 link.last_used_ms = now_ms
+            is_watched = is_best_standing or link.is_busy
+            if not is_watched:
+                link.watched_since_ms = None
+            elif link.watched_since_ms is None:
+                link.watched_since_ms = now_ms
             if self._is_idle(link) or self._is_superseded(link, best):
                 link.close(_idle_farewell())
-            elif is_best_standing or link.is_busy:
+            elif is_watched:
                 self._send_heartbeat(link)
         self._maintained_ms = now_ms
 
     def _send_heartbeat(self, link: links.Link) -> None:
         now_ms = self._clock.now_ms()
-        silence_ms = now_ms - link.last_heard_ms
+        # An idle link has no heartbeats. Its silence from before a request says
+        # nothing, and would close the link under the request.
+        expected_ms = max(link.last_heard_ms, link.watched_since_ms or 0.0)
+        silence_ms = now_ms - expected_ms
         # After a pause of this process, received frames are still unread.
         # Silence only counts if this task has run recently.
         has_run_recently = (
