Let requests under way end before a link is given up

What callers saw: a request between instances failed as lost while its peer was well: one that crossed the end of an idle link, or of a link that was replaced after a change of TLS keys, and any on a link that still had old keys after 60 s.

Cause: the end that gives a link up closed it at once. Requests that the other end had just sent, and at the limit of old keys its own as well, were lost.

Change: a link is finished: its end says farewell, sends no more requests and handles those that crossed; the other end closes once its replies are there. After 10 s it is closed in any case, so that revoked keys don't stay in use.

--- a/src/jujubewharf/peers/link.py
+++ b/src/jujubewharf/peers/link.py
@@ -61,6 +61,8 @@
             according to its last heartbeat.
         on_heartbeat: Called with each heartbeat.
         farewell: Farewell sent by the peer, if any.
+        ending_since_ms: Time at which this side said farewell and began to wait
+            for the peer to close, in ms; ``None`` if it didn't.
         has_broken: Whether the stream ended without a farewell or a local
             close.
         stale_ms: Time at which the TLS keys of this link were replaced, in
@@ -92,6 +94,7 @@
         self.stale_ms: float | None = None
         self.watched_since_ms: float | None = None
         self.farewell: link_messages.Farewell | None = None
+        self.ending_since_ms: float | None = None
         self.on_heartbeat: Callable[[Link, link_messages.Heartbeat], None]
         self.on_heartbeat = lambda link, heartbeat: None
         self._reader = reader
@@ -118,6 +121,12 @@
         """Name of the peer."""
         return self.hello.instance
 
+    @property
+    def takes_messages(self) -> bool:
+        """Whether messages other than replies may be sent."""
+        has_ended = self.is_closed or self.ending_since_ms is not None
+        return not has_ended and self.farewell is None
+
     @property
     def pending_asks(self) -> int:
         """Number of requests that wait for a reply."""
@@ -143,7 +152,7 @@
         writer_task = asyncio.ensure_future(self._write_loop())
         try:
             await self._read_loop()
-            self.has_broken = not self.is_closed and self.farewell is None
+            self.has_broken = self.takes_messages
         finally:
             self.close()
             writer_task.cancel()
@@ -160,12 +169,14 @@
             too large.
         """
         self.last_used_ms = self._clock.now_ms()
+        if not self.takes_messages:
+            return False
         return self._send(codec.Frame(codec.FrameKind.TELL, 0, message))
 
     def tell_encoded(self, data: bytes) -> bool:
         """Queues an encoded one-way frame, which several links may share."""
         self.last_used_ms = self._clock.now_ms()
-        return self._enqueue(data)
+        return self.takes_messages and self._enqueue(data)
 
     def send_heartbeat(self, heartbeat: link_messages.Heartbeat) -> None:
         """Queues a heartbeat, which doesn't count as use of the link."""
@@ -182,7 +193,7 @@
         correlation = next(self._correlations) % _CORRELATION_MODULUS
         frame = codec.Frame(codec.FrameKind.ASK, correlation, message)
         self.last_used_ms = self._clock.now_ms()
-        if not self._send(frame):
+        if not self.takes_messages or not self._send(frame):
             raise network.PeerError(network.PeerFault.UNREACHABLE, self.peer)
         reply: asyncio.Future[messages.Message] = asyncio.Future()
         self._pending_replies[correlation] = reply
@@ -195,6 +206,18 @@
             ) from error
         finally:
             self._pending_replies.pop(correlation, None)
+            self._close_if_finished()
+
+    def finish(self, farewell: link_messages.Farewell) -> None:
+        """Says farewell, and leaves it to the peer to close the link.
+
+        The peer may have sent requests that cross the farewell. They are
+        handled, and the peer closes once it has their replies.
+        """
+        if not self.takes_messages:
+            return
+        self._send(codec.Frame(codec.FrameKind.TELL, 0, farewell))
+        self.ending_since_ms = self._clock.now_ms()
 
     def close(self, farewell: link_messages.Farewell | None = None) -> None:
         """Closes the link; pending requests fail as lost."""
@@ -245,13 +268,14 @@
                     self.close()
                     return
                 self._queued_bytes -= len(data)
+            self._close_if_finished()
 
     def _write(self, data: bytes) -> None:
         self._writer.write(data)
         self._counts.count_sent(len(data))
 
     async def _read_loop(self) -> None:
-        while not self.is_closed and self.farewell is None:
+        while not self.is_closed and not self._is_finished():
             try:
                 body = await codec.read_body(self._reader)
             except codec.BrokenStreamError as error:
@@ -269,6 +293,17 @@
                 self._counts.count_drop(counters.DropReason.UNKNOWN_FIELD)
             self._on_frame(frame)
 
+    def _is_finished(self) -> bool:
+        """Whether the peer has said farewell and nothing is under way."""
+        if self.farewell is None:
+            return False
+        is_idle = self.farewell.reason == link_messages.CloseReason.IDLE.value
+        return not is_idle or not self.is_busy
+
+    def _close_if_finished(self) -> None:
+        if self._is_finished():
+            self.close()
+
     def _on_dropped(self, error: codec.DroppedFrameError) -> None:
         """Refuses an unreadable request, which would time out otherwise."""
         self._counts.count_drop(error.reason)
@@ -329,6 +364,7 @@
     def _on_handler_done(self, task: asyncio.Task[None]) -> None:
         kind = self._handler_tasks.pop(task)
         self._handler_counts[kind] -= 1
+        self._close_if_finished()
 
     async def _handle(self, frame: codec.Frame) -> None:
         assert frame.message is not None
--- a/src/jujubewharf/peers/peer.py
+++ b/src/jujubewharf/peers/peer.py
@@ -25,6 +25,7 @@
 _DEFERRED_DIAL_MS = 300.0
 _MIN_WAIT_MS = 10.0
 _MAX_STALE_MS = 60_000.0
+_MAX_ENDING_MS = 10_000.0
 _JITTER = 0.1
 _STOPPING = link_messages.CloseReason.STOPPING.value
 
@@ -167,7 +168,7 @@
         Both sides choose the same link: a standing link is preferred, then
         the one dialled by the instance with the lower name.
         """
-        open_links = [link for link in self.links if not link.is_closed]
+        open_links = [link for link in self.links if link.takes_messages]
         if len(open_links) == 1:
             return open_links[0]
         return min(open_links, key=self._link_priority, default=None)
@@ -205,7 +206,8 @@
     def replace_links(self) -> None:
         """Replaces all links by new ones without losing pending requests."""
         for link in self.links:
-            link.stale_ms = self._clock.now_ms()
+            if link.stale_ms is None:
+                link.stale_ms = self._clock.now_ms()
         self._changed.set()
 
     def tell_when_linked(self, message: messages.Message) -> bool:
@@ -304,13 +306,16 @@
             is_best_standing = link is best and link.is_standing
             if is_best_standing and (self.is_wanted or not link.is_dialled):
                 link.last_used_ms = now_ms
-            is_watched = is_best_standing or link.is_busy
+            is_ending = link.ending_since_ms is not None
+            is_watched = is_best_standing or link.is_busy or is_ending
             if not is_watched:
                 link.watched_since_ms = None
             elif link.watched_since_ms is None:
                 link.watched_since_ms = now_ms
-            if self._is_idle(link) or self._is_superseded(link, best):
-                link.close(_idle_farewell())
+            if self._has_ended_in_vain(link):
+                link.close()
+            elif self._is_idle(link) or self._is_superseded(link, best):
+                link.finish(_idle_farewell())
             elif is_watched:
                 self._send_heartbeat(link)
         self._maintained_ms = now_ms
@@ -328,11 +333,22 @@
         )
         if silence_ms > self._timing.dead_after_ms and has_run_recently:
             link.close()
-            self._record_failure()
+            if link.ending_since_ms is None:
+                self._record_failure()
             return
         is_heard = silence_ms <= self._timing.suspect_after_ms
         link.send_heartbeat(self._make_heartbeat(is_heard))
 
+    def _has_ended_in_vain(self, link: links.Link) -> bool:
+        """Whether the peer leaves a link open that this side has finished.
+
+        A peer whose keys were revoked could otherwise keep it for ever.
+        """
+        since_ms = link.ending_since_ms
+        if since_ms is None:
+            return False
+        return self._clock.now_ms() - since_ms > _MAX_ENDING_MS
+
     def _is_idle(self, link: links.Link) -> bool:
         if not link.is_dialled or link.is_busy:
             return False
--- a/tests/peers/test_link_changes.py
+++ b/tests/peers/test_link_changes.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
+import random
 
 import pytest
 
 from jujubewharf import clock as clocks
 from jujubewharf.experiments import virtual_time
+from jujubewharf.peers import link as link_module
 from jujubewharf.peers import mesh as meshes
 from jujubewharf.peers import messages
 from jujubewharf.peers import network
@@ -16,6 +19,7 @@
 from jujubewharf.standins import network as networks
 
 TIMING = peer.Timing(heartbeat_ms=100.0, suspect_after_ms=350.0)
+IDLE_TIMEOUT_MS = 10_000.0
 
 
 @messages.message(9_301)
@@ -139,3 +143,80 @@
 
     pair = run(scenario, is_standing=is_standing)
     assert (pair.lost, pair.answered) == ([], 2)
+
+
+@pytest.mark.parametrize("seed", range(12))
+@pytest.mark.parametrize("is_standing", [False, True])
+@pytest.mark.parametrize("delay_ms", [0.5, 15.0])
+def test_no_request_is_lost_while_keys_change(seed, is_standing, delay_ms):
+    """A link that was replaced was closed as the other end sent a request."""
+    rng = random.Random(seed)
+
+    async def send_all(pair, name):
+        asked = []
+        for _ in range(400):
+            await pair.clock.sleep_ms(rng.choice((1.0, 3.0, 20.0, 120.0)))
+            for_ms = rng.choice((0.0, 0.0, 5.0, 300.0))
+            asked.append(asyncio.ensure_future(pair.ask(name, for_ms)))
+        await asyncio.gather(*asked)
+
+    async def change_keys(pair):
+        while True:
+            await pair.clock.sleep_ms(rng.choice((0.5, 30.0, 400.0, 2_500.0)))
+            pair.replace_links(rng.choice(("e1", "e2")))
+
+    async def scenario(pair):
+        changing = asyncio.ensure_future(change_keys(pair))
+        await asyncio.gather(send_all(pair, "e1"), send_all(pair, "e2"))
+        changing.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await changing
+
+    pair = run(scenario, is_standing=is_standing, delay_ms=delay_ms)
+    assert (pair.lost, pair.answered) == ([], 800)
+
+
+@pytest.mark.parametrize("name", ["e1", "e2"])
+def test_request_that_crosses_the_end_of_an_idle_link_is_answered(name):
+    """The end that dialled closed it just as the other one sent a request."""
+
+    async def scenario(pair):
+        for offset_ms in range(-50, 150, 4):
+            await pair.ask("e1", 0.0)
+            await pair.clock.sleep_ms(IDLE_TIMEOUT_MS + offset_ms)
+            await pair.ask(name, 50.0)
+
+    pair = run(scenario, delay_ms=15.0)
+    assert (pair.lost, pair.answered) == ([], 100)
+
+
+def test_replaced_keys_are_used_no_more_after_a_while():
+    """Revoked keys stayed in use on links that are busy all the time."""
+
+    async def scenario(pair):
+        await pair.ask("e1", 0.0)
+        (old,) = pair.meshes["e1"]._peers.get("e2").links
+        pair.replace_links("e1", "e2")
+        for _ in range(700):
+            asked = asyncio.ensure_future(pair.ask("e1", 250.0))
+            await pair.clock.sleep_ms(100.0)
+        await asked
+        assert old.is_closed
+
+    pair = run(scenario)
+    assert pair.lost == []
+
+
+def test_peer_can_not_keep_a_link_that_was_finished(monkeypatch):
+    """A peer whose keys were revoked went on with the old link for ever."""
+    is_accepted = property(lambda self: not self.is_dialled)
+    monkeypatch.setattr(link_module.Link, "is_busy", is_accepted)
+
+    async def scenario(pair):
+        await pair.ask("e1", 0.0)
+        (old,) = pair.meshes["e1"]._peers.get("e2").links
+        pair.replace_links("e1")
+        await pair.clock.sleep_ms(75_000.0)
+        assert old.is_closed
+
+    run(scenario)
