Send heartbeats on a link until it is closed

What callers saw: a request to an instance whose own keys alone had changed was lost 0.7 s after the limit of old keys, though its reply was on the way.

Cause: the end that had given a link up sent no more heartbeats on it, so the other end, with its request pending, closed it as dead. The test of a link that a peer keeps open passed for the same reason with its limit off: it guarded nothing, and now keeps both ends busy.

--- a/src/jujubewharf/peers/peer.py
+++ b/src/jujubewharf/peers/peer.py
@@ -314,7 +314,7 @@
                 link.watched_since_ms = now_ms
             if self._has_ended_in_vain(link):
                 link.close()
-            elif self._is_idle(link) or self._is_superseded(link, best):
+            elif link.takes_messages and self._is_given_up(link, best):
                 link.finish(_idle_farewell())
             elif is_watched:
                 self._send_heartbeat(link)
@@ -349,6 +349,9 @@
             return False
         return self._clock.now_ms() - since_ms > _MAX_ENDING_MS
 
+    def _is_given_up(self, link: links.Link, best: links.Link | None) -> bool:
+        return self._is_idle(link) or self._is_superseded(link, best)
+
     def _is_idle(self, link: links.Link) -> bool:
         if not link.is_dialled or link.is_busy:
             return False
--- a/tests/peers/test_link_changes.py
+++ b/tests/peers/test_link_changes.py
@@ -22,7 +22,7 @@
 IDLE_TIMEOUT_MS = 10_000.0
 
 
-@messages.message(9_301)
+@messages.message(9_311)
 @dataclasses.dataclass(frozen=True, slots=True)
 class Work(messages.Message):
     """Asks for a reply after a while."""
@@ -207,10 +207,26 @@
     assert pair.lost == []
 
 
+def test_reply_arrives_long_after_the_limit_of_old_keys():
+    """The end that gave the link up sent no heartbeats, and seemed dead."""
+
+    async def scenario(pair):
+        await pair.ask("e1", 0.0)
+        pair.replace_links("e1")
+        for _ in range(12):
+            await pair.clock.sleep_ms(4_900.0)
+            await pair.ask("e2", 0.0)
+        await pair.ask("e2", 4_000.0)
+        assert pair.clock.now_ms() > 62_000.0
+
+    pair = run(scenario)
+    assert (pair.lost, pair.answered) == ([], 14)
+
+
 def test_peer_can_not_keep_a_link_that_was_finished(monkeypatch):
     """A peer whose keys were revoked went on with the old link for ever."""
-    is_accepted = property(lambda self: not self.is_dialled)
-    monkeypatch.setattr(link_module.Link, "is_busy", is_accepted)
+    is_busy = property(lambda self: True)
+    monkeypatch.setattr(link_module.Link, "is_busy", is_busy)
 
     async def scenario(pair):
         await pair.ask("e1", 0.0)
