Let fencing tokens rise across a restore of the log

What callers saw: nothing yet; found while looking for lost claims elsewhere. After a restore engines would have refused orders, so roles and weights would have stayed as they were, and an order of before that came late would have been carried out.

Cause: the token was the offset of the lease's claim, and offsets go back.

Change: orders bear the epoch and the offset in one number; records on the log keep the offset.

--- a/src/jujubewharf/orders/leases.py
+++ b/src/jujubewharf/orders/leases.py
@@ -14,6 +14,7 @@
 from jujubewharf import clock as clocks
 from jujubewharf.orders import ledger
 from jujubewharf.orders import records
+from jujubewharf.platform import epochs
 from jujubewharf.platform import log
 
 _RETRY_MS = 500.0
@@ -45,9 +46,10 @@
 
     Attributes:
         engine: Name of the engine.
-        fence: Fencing number: offset of the claim.
+        fence: Offset of the claim, which orders leases on the log.
         purpose: Purpose of the orders.
         valid_until_ms: Clock reading at which the holder must stop.
+        epoch: Number of times that the log had been restored.
     """
 
     def __init__(
@@ -56,15 +58,27 @@
         fence: int,
         purpose: records.Purpose,
         valid_until_ms: float,
+        *,
+        epoch: int = 0,
     ) -> None:
         self.engine = engine
         self.fence = fence
         self.purpose = purpose
         self.valid_until_ms = valid_until_ms
+        self.epoch = epoch
 
     def __repr__(self) -> str:
         return f"Lease({self.engine!r}, fence={self.fence})"
 
+    @property
+    def fencing_token(self) -> int:
+        """Token of orders, which rises with each claim.
+
+        Offsets go back when the log is restored. Engines would refuse all
+        orders with tokens lower than before, and carry out late ones.
+        """
+        return epochs.combine(self.epoch, self.fence)
+
 
 class Leases(mode.Service):
     """Follows the stream of leases and writes this instance's own.
@@ -101,6 +115,7 @@
         self._wait_ms = wait_ms
         self._incarnation = uuid.uuid4().hex[:8]
         self._numbers = itertools.count(1)
+        self._epoch = 0
         self._pending: dict[str, asyncio.Future[_Decision]] = {}
         self._append_started = asyncio.Event()
         self._logger = structlog.get_logger()
@@ -122,7 +137,13 @@
         if decision is None or decision.verdict is not ledger.Verdict.ACCEPTED:
             return None
         valid_until_ms = self._valid_until_ms(sent_ms)
-        return Lease(engine, decision.offset, purpose, valid_until_ms)
+        return Lease(
+            engine,
+            decision.offset,
+            purpose,
+            valid_until_ms,
+            epoch=self._epoch,
+        )
 
     async def renew(self, lease: Lease) -> bool:
         """Extends a lease that is still valid.
@@ -234,6 +255,7 @@
             limit=_PAGE_SIZE,
             wait_ms=self._wait_ms,
         )
+        self._epoch = page.epoch
         now_ms = self._clock.now_ms()
         for record in page.records:
             self._apply(record, now_ms)
--- a/src/jujubewharf/orders/reconciliation.py
+++ b/src/jujubewharf/orders/reconciliation.py
@@ -247,11 +247,11 @@
             kind=step.kind.value,
             value=step.value,
             version=step.version,
-            fence=lease.fence,
+            fence=lease.fencing_token,
         )
         self._is_order_in_flight = True
         try:
-            await engine.order(step.order(lease.fence))
+            await engine.order(step.order(lease.fencing_token))
         except client.EngineError as error:
             counters.order_failed(step.kind, error.fault)
             self._is_order_in_flight = error.fault is client.EngineFault.LOST
