--- a/src/jujubewharf/core.py
+++ b/src/jujubewharf/core.py
@@ -43,6 +43,7 @@
 from jujubewharf.requests import limits
 from jujubewharf.requests import model_request
 from jujubewharf.requests import plain
+from jujubewharf.requests import plain_claims
 from jujubewharf.requests import plain_endpoints
 from jujubewharf.requests import plain_replies
 from jujubewharf.requests import request_runner
@@ -244,7 +245,7 @@
             adapters.endpoints,
             chooser,
             clock,
-            claims=request_claims.PlainClaims(self.claims),
+            claims=plain_claims.PlainClaims(self.claims),
         )
         self._plain_replies = plain_replies.PlainReplies(
             settings.instance, self.plain, self.peers, clock
--- a/src/jujubewharf/requests/claims.py
+++ b/src/jujubewharf/requests/claims.py
@@ -26,7 +26,6 @@
 from jujubewharf.requests import claim_coverage
 from jujubewharf.requests import claim_records
 from jujubewharf.requests import claim_shard
-from jujubewharf.requests import keys
 from jujubewharf.requests import retries
 
 _CLAIM_TIMEOUT_MS = 1_500.0
@@ -365,64 +364,6 @@
                 self._shards.pop(number, None)
 
 
-class ClaimLostError(errors.WharfError):
-    """Another call holds the key.
-
-    Args:
-        claim: The claim that holds the key.
-    """
-
-    def __init__(self, claim: Claim) -> None:
-        super().__init__(errors.ErrorKind.CLAIM_LOST)
-        self.owner = claim.owner
-        self.request_id = claim.request_id
-
-
-class PlainClaims:
-    """Claims for plain calls, whose answers can't be relayed while running.
-
-    Args:
-        claims: Claims of this instance.
-    """
-
-    def __init__(self, claims: Claims) -> None:
-        self._claims = claims
-
-    async def claim(
-        self,
-        key: str,
-        request_id: str,
-        body_digest: str,
-        *,
-        account: str = "",
-    ) -> None:
-        """Claims a key for one call.
-
-        Raises:
-            WharfError: The call must not be sent. ``ClaimLostError`` when
-                another call with the same body holds the key.
-        """
-        created_ms = self._claims.check_age(key)
-        body = keys.body_of(body_digest)
-        claim = await self._claims.claim(
-            keys.key_of(f"plain/{account}", key),
-            request_id,
-            body,
-            created_ms=created_ms,
-        )
-        if claim.is_won:
-            return
-        if claim.body != body:
-            raise errors.WharfError(
-                errors.ErrorKind.KEY_CONFLICT, ran=errors.Ran.NO
-            )
-        raise ClaimLostError(claim)
-
-    def abandon(self, request_id: str) -> None:
-        """Records that a call was not and will not be sent."""
-        self._claims.abandon(request_id)
-
-
 def _unavailable(*, is_new: bool) -> errors.WharfError:
     """Builds the error for a run that was not and will not be dispatched.
 
--- a/src/jujubewharf/requests/plain_replies.py
+++ b/src/jujubewharf/requests/plain_replies.py
@@ -20,8 +20,8 @@
 from jujubewharf.engines import endpoint_client
 from jujubewharf.peers import key_messages
 from jujubewharf.peers import network
-from jujubewharf.requests import claims
 from jujubewharf.requests import plain
+from jujubewharf.requests import plain_claims
 
 MAX_REPLY_BYTES = 256_000
 MAX_KEPT_BYTES = 8_000_000
@@ -149,7 +149,7 @@
         try:
             try:
                 await recording.wait_for_start()
-            except claims.ClaimLostError as lost:
+            except plain_claims.ClaimLostError as lost:
                 yield await self._find_reply(request, lost)
                 return
             yield recording.reply()
@@ -194,7 +194,7 @@
             recording.wake()
 
     async def _find_reply(
-        self, request: plain.PlainRequest, lost: claims.ClaimLostError
+        self, request: plain.PlainRequest, lost: plain_claims.ClaimLostError
     ) -> endpoint_client.PlainReply:
         """Returns the reply of the call that holds the key.
 
