Keep the leader's digest until a page has it

What callers saw: nothing yet; found by reading. A follower would have gone on using an endpoint that had left before its leader began.

Cause: an update that follows the first one at once dropped its digest before the follower had compared it.

--- a/src/jujubewharf/leadership/feeds.py
+++ b/src/jujubewharf/leadership/feeds.py
@@ -117,7 +117,10 @@
             end: Offset up to which the leader has read the table.
             keys_digest: Digest of the table's keys, if they need a check.
         """
-        self._keys_digest = keys_digest
+        if keys_digest is not None:
+            # Kept until a page has it. If the keys change before, the table is
+            # read once for nothing.
+            self._keys_digest = keys_digest
         self._epoch.learn(end)
         if self._end_offset is None:
             self._confirmed_ms = self._clock.now_ms()
--- a/tests/leadership/test_feeds.py
+++ b/tests/leadership/test_feeds.py
@@ -199,3 +199,15 @@
         assert page.keys_digest is None
 
     _run(test)
+
+
+def test_digest_is_not_lost_to_an_update_that_follows_at_once():
+    """The follower would not notice that it has missed a removal."""
+
+    async def test(clock, table, feed, leader_table):
+        feed.apply([], 1, keys_digest=7)
+        feed.apply([_record(1)], 2)
+        page = await leader_table.changes(1, wait_ms=0.0)
+        assert page.keys_digest == 7
+
+    _run(test)
