Log when an instance reaches no endpoint of a service by itself

Change: every call to an endpoint now tells endpoint_paths.reachability whether there was a connection; a line and a counter tell when a group of endpoints gets out of reach and back. No decision depends on it yet. Stand-ins can partition single instances from endpoints (silent, reset, new connections only).

Result: unit tests and one on a deployment of three instances pass; tests of leadership and forwarding pass.

--- /dev/null
+++ b/src/jujubewharf/endpoint_paths/__init__.py
@@ -0,0 +1,1 @@
+"""Paths from an instance to endpoints: its own, and those through peers."""
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -12,6 +12,8 @@
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
 from jujubewharf.endpoint_load import endpoint_state
+from jujubewharf.endpoint_paths import observed_backends
+from jujubewharf.endpoint_paths import reachability
 from jujubewharf.engine_speeds import speeds
 from jujubewharf.forwarding import attempts
 from jujubewharf.forwarding import budget
@@ -107,6 +109,7 @@
         admission: Counts requests in flight; closed on shutdown.
         source: Configuration in force.
         registry: Registered endpoints.
+        reachability: Endpoints that this instance reaches by itself.
         backpressure: Rate limits, backoffs and drain notices of endpoints.
         loads: Load that endpoints have reported.
         share: This instance's share of fleet-wide limits if there is no leader.
@@ -140,11 +143,16 @@
         self.admission = shutdown.AdmissionState()
         self.source = forwarder.ActiveConfiguration()
         self.source.on_applied = self._on_applied
+        self.reachability = reachability.Reachability(clock)
+        self._backends = observed_backends.ObservedBackends(
+            adapters.backends, self.reachability
+        )
         self._endpoint_state = endpoint_state.EndpointState(
-            clock, adapters.backends
+            clock, self._backends
         )
         self.backpressure = self._endpoint_state.backpressure
         self.registry = self._endpoint_state.registry
+        self.registry.add_listener(self.reachability.set_endpoints)
         self.loads = self._endpoint_state.loads
         self.share = fleet_share.FleetShare(
             adapters.group, clock, default_share=_ISOLATED_SHARE
@@ -250,7 +258,7 @@
         rng: random.Random,
     ) -> forwarder.Forwarder:
         clock = self._clock
-        backends = adapters.backends
+        backends = self._backends
         chooser = plain_endpoints.EndpointChooser(
             self._settings.domain,
             clock,
--- /dev/null
+++ b/tests/endpoint_paths/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the paths of an instance to endpoints."""
--- a/tests/forwarding/deployments.py
+++ b/tests/forwarding/deployments.py
@@ -21,6 +21,7 @@
 from jujubewharf.platform import epochs
 from jujubewharf.standins import backend_state
 from jujubewharf.standins import backends
+from jujubewharf.standins import endpoint_cuts
 from jujubewharf.standins import network
 from jujubewharf.standins import store as stores
 
@@ -162,6 +163,7 @@
         instances: Instances by name.
         older_builds: Instances whose build doesn't read the store's epoch.
         cores: Processor share by instance name; half a core by default.
+        cuts: Partitions between single instances and endpoints.
     """
 
     def __init__(self, *behind: backend_state.StandInBackend) -> None:
@@ -177,6 +179,7 @@
         self.instances: dict[str, entry.ForwardingEntry] = {}
         self.cores: dict[str, float] = {}
         self.older_builds: set[str] = set()
+        self.cuts = endpoint_cuts.EndpointCuts()
         self._ids = 0
         self._starts = 0
 
@@ -219,7 +222,12 @@
                 name, epoch, knows_epochs=name not in self.older_builds
             )
             adapters = entry.Adapters(
-                self.backends.for_instance(name),
+                endpoint_cuts.CutBackends(
+                    self.backends.for_instance(name),
+                    name,
+                    self.cuts,
+                    self.clock,
+                ),
                 view.table("configurations"),
                 view.table("endpoints"),
                 view.group("instances", name),
--- a/tests/forwarding/test_request_log.py
+++ b/tests/forwarding/test_request_log.py
@@ -82,7 +82,13 @@
 def test_every_event_is_documented():
     """Every log event must be documented for operators."""
     source = pathlib.Path(request_log.__file__).parent
-    others = ("plain_calls", "engine_speeds", "overload", "role_orders")
+    others = (
+        "plain_calls",
+        "endpoint_paths",
+        "engine_speeds",
+        "overload",
+        "role_orders",
+    )
     folders = [source, *(source.parent / name for name in others)]
     said = set()
     for path in [path for folder in folders for path in folder.glob("*.py")]:
