Wait until a cancelled call to a stand-in has ended

Cause: the stand-in for partitions ran each call in a task of its own and went on before the task had ended, so test_disconnect_of_caller_cancels_the_request found a request at the endpoint after its caller had left. It also began calls before their connection was known to be made.

--- a/src/jujubewharf/standins/endpoint_cuts.py
+++ b/src/jujubewharf/standins/endpoint_cuts.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Collection
 import contextlib
 import dataclasses
@@ -150,14 +151,16 @@
     ) -> calls.PrefillSource:
         """Prefills a prompt; see ``ports.Backends``."""
         return await self._call(
-            endpoint, self._backends.prefill(endpoint, outbound)
+            endpoint, lambda: self._backends.prefill(endpoint, outbound)
         )
 
     async def drop_source(
         self, endpoint: resources.Endpoint, source: calls.PrefillSource
     ) -> None:
         """Drops a prefill result; see ``ports.Backends``."""
-        await self._call(endpoint, self._backends.drop_source(endpoint, source))
+        await self._call(
+            endpoint, lambda: self._backends.drop_source(endpoint, source)
+        )
 
     async def reserve(
         self, endpoint: resources.Endpoint, *, tokens: int, ttl_ms: float
@@ -165,7 +168,9 @@
         """Reserves memory; see ``ports.Backends``."""
         return await self._call(
             endpoint,
-            self._backends.reserve(endpoint, tokens=tokens, ttl_ms=ttl_ms),
+            lambda: self._backends.reserve(
+                endpoint, tokens=tokens, ttl_ms=ttl_ms
+            ),
         )
 
     async def drop_reservation(
@@ -173,12 +178,14 @@
     ) -> None:
         """Releases a reservation; see ``ports.Backends``."""
         await self._call(
-            endpoint, self._backends.drop_reservation(endpoint, hold)
+            endpoint, lambda: self._backends.drop_reservation(endpoint, hold)
         )
 
     async def is_changing(self, endpoint: resources.Endpoint) -> bool:
         """Whether an order is being executed; see ``ports.Backends``."""
-        return await self._call(endpoint, self._backends.is_changing(endpoint))
+        return await self._call(
+            endpoint, lambda: self._backends.is_changing(endpoint)
+        )
 
     async def has_crashed(self, endpoint: resources.Endpoint) -> bool:
         """Whether connections are refused; see ``ports.Backends``."""
@@ -191,7 +198,9 @@
         self, endpoint: resources.Endpoint, order: ports.RoleOrder
     ) -> None:
         """Accepts an order; see ``ports.Backends``."""
-        await self._call(endpoint, self._backends.order_role(endpoint, order))
+        await self._call(
+            endpoint, lambda: self._backends.order_role(endpoint, order)
+        )
 
     async def _connect(self, endpoint: resources.Endpoint) -> None:
         cut = self._cuts.find(self._instance, endpoint.name)
@@ -202,15 +211,12 @@
         raise client.EngineError(client.EngineFault.UNREACHABLE, endpoint.name)
 
     async def _call(
-        self, endpoint: resources.Endpoint, call: Awaitable[_Result]
+        self,
+        endpoint: resources.Endpoint,
+        call: Callable[[], Awaitable[_Result]],
     ) -> _Result:
-        task = asyncio.ensure_future(call)
-        try:
-            await self._connect(endpoint)
-        except BaseException:
-            task.cancel()
-            raise
-        return await self._interruptible(endpoint, task)
+        await self._connect(endpoint)
+        return await self._interruptible(endpoint, call())
 
     async def _interruptible(
         self, endpoint: resources.Endpoint, call: Awaitable[_Result]
@@ -243,3 +249,5 @@
             task.cancel()
             if change is not None:
                 change.cancel()
+            # The call has ended at the endpoint when the caller goes on.
+            await asyncio.gather(task, return_exceptions=True)
