Let peers make the calls of an instance that reaches no endpoint

Cause: the only way from a request to an endpoint was the own connection of the instance that took it, or of the leader that reserves memory for it. The class: one instance's failure to reach is taken for the endpoint's failure, and there is no second way.

Change: a call whose connection fails is made by a peer (endpoint_paths). The peer uses its own connections only, so there is one such step at most; it looks the endpoint's address up itself, and refuses work for one that drains there. Each call has a stream of its own, whose handshake shows that the peer lives before the call is handed over; a stream that is lost later means that the call may have run, and only the peer's refusal means that it didn't. Decisions, permits, budgets, quotas and records stay with the instance that took the request, so they count once. Closing the stream cancels the call. Endpoints that only peers reach are probed, not tried by callers' requests. Without any path (fault no_path) callers are refused at once and nothing is placed again; a leader without paths leaves placement to its followers. Builds without this capability are not asked.

--- a/src/jujubewharf/endpoint_load/endpoint_state.py
+++ b/src/jujubewharf/endpoint_load/endpoint_state.py
@@ -35,7 +35,7 @@
         self.registry.on_drained_before_restore = self.backpressure.mark_leaving
         self.backpressure.on_drain_notice = self.registry.handle_drain_notice
         self.backpressure.is_registered = self.registry.is_registered
-        backends.listen(self._apply_notice)
+        backends.listen(self.apply_notice)
 
     def rejects_work(self, name: str) -> bool:
         """Returns whether an endpoint accepts no requests at the moment."""
@@ -63,9 +63,10 @@
         else:
             self.registry.apply(records)
 
-    def _apply_notice(
+    def apply_notice(
         self, endpoint: resources.Endpoint, notice: notices.Notice
     ) -> None:
+        """Applies what an endpoint said in an answer."""
         if notice.load is not None:
             self.loads.record(endpoint.name, notice.load)
         self.backpressure.apply_notice(endpoint, notice)
--- a/src/jujubewharf/endpoint_paths/observed_backends.py
+++ b/src/jujubewharf/endpoint_paths/observed_backends.py
@@ -1,10 +1,11 @@
-"""Records which endpoints calls reach."""
+"""The instance's own connections to endpoints, and what they show."""
 
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
 from collections.abc import Iterator
 import contextlib
+import contextvars
 
 from jujubewharf.configuration import resources
 from jujubewharf.endpoint_paths import reachability as reachabilities
@@ -16,6 +17,11 @@
 # Faults that don't show whether there was a connection.
 _UNCLEAR_FAULTS = frozenset({client.EngineFault.LOST})
 
+CapturedNotices = list[notices.Notice]
+
+_captured: contextvars.ContextVar[CapturedNotices | None]
+_captured = contextvars.ContextVar("captured_notices", default=None)
+
 
 class ObservedBackends:
     """Wraps a ``ports.Backends`` to record reachability.
@@ -35,7 +41,26 @@
 
     def listen(self, listener: notices.Listener) -> None:
         """Sets the listener for notices; see ``ports.Backends``."""
-        self._backends.listen(listener)
+
+        def on_notice(
+            endpoint: resources.Endpoint, notice: notices.Notice
+        ) -> None:
+            captured = _captured.get()
+            if captured is not None:
+                captured.append(notice)
+            listener(endpoint, notice)
+
+        self._backends.listen(on_notice)
+
+    @contextlib.contextmanager
+    def capturing_notices(self) -> Iterator[CapturedNotices]:
+        """Collects the notices in answers to the calls of the block."""
+        collected: CapturedNotices = []
+        token = _captured.set(collected)
+        try:
+            yield collected
+        finally:
+            _captured.reset(token)
 
     @contextlib.asynccontextmanager
     async def send(
@@ -84,6 +109,15 @@
         with self._observed(endpoint):
             return await self._backends.is_changing(endpoint)
 
+    async def is_reachable(self, endpoint: resources.Endpoint) -> bool:
+        """Whether connecting succeeds; see ``ports.Backends``."""
+        is_reached = await self._backends.is_reachable(endpoint)
+        if is_reached:
+            self._reachability.record_connection(endpoint)
+        else:
+            self._reachability.record_failure(endpoint)
+        return is_reached
+
     async def has_crashed(self, endpoint: resources.Endpoint) -> bool:
         """Whether an endpoint's process is gone; see ``ports.Backends``."""
         return await self._backends.has_crashed(endpoint)
--- /dev/null
+++ b/src/jujubewharf/endpoint_paths/path_probes.py
@@ -0,0 +1,66 @@
+"""Finds out when endpoints that are out of reach can be reached again.
+
+Without probes the end of a partition would have to be found by callers'
+requests, each of which waits for a connection that hangs.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import mode
+
+from jujubewharf import clock as clocks
+from jujubewharf.configuration import resources
+from jujubewharf.endpoint_paths import reachability as reachabilities
+from jujubewharf.endpoint_paths import relayed_backends
+from jujubewharf.engines import client
+from jujubewharf.peers import relay_messages
+
+# Every group out of reach costs one connection attempt per interval.
+_INTERVAL_MS = 500.0
+
+
+class PathProbes(mode.Service):
+    """Connects to one endpoint of each group that may be out of reach, in turn.
+
+    Args:
+        backends: Paths to endpoints.
+        reachability: Groups that are out of reach; records the outcome.
+        clock: Time source.
+    """
+
+    def __init__(
+        self,
+        backends: relayed_backends.RelayedBackends,
+        reachability: reachabilities.Reachability,
+        clock: clocks.Clock,
+    ) -> None:
+        super().__init__()
+        self._backends = backends
+        self._reachability = reachability
+        self._clock = clock
+        self._rounds = 0
+
+    @mode.Service.task
+    async def _run(self) -> None:
+        while not self.should_stop:
+            await self._clock.sleep_ms(_INTERVAL_MS)
+            self._rounds += 1
+            probed = [
+                endpoints[self._rounds % len(endpoints)]
+                for endpoints in self._reachability.to_probe()
+            ]
+            await asyncio.gather(*(self._probe(e) for e in probed))
+
+    async def _probe(self, endpoint: resources.Endpoint) -> None:
+        if await self._backends.is_reachable(endpoint):
+            return
+        relay = self._backends.relay
+        if relay is not None and relay.is_alone:
+            # Nobody sends requests to an instance that isn't ready, so nothing
+            # else finds out whether peers are back.
+            kind = relay_messages.CheckKind.REACHABLE
+            with contextlib.suppress(client.EngineError):
+                await relay.check(endpoint, kind)
--- a/src/jujubewharf/endpoint_paths/reachability.py
+++ b/src/jujubewharf/endpoint_paths/reachability.py
@@ -1,9 +1,9 @@
 """Which endpoints this instance reaches by itself, by its own connections.
 
-An endpoint is out of reach from a failed connection attempt until the next
-connection to it. A group, all endpoints of a service with one role, is out of
-reach once connections to several of its endpoints have failed in a row: single
-endpoints also fail because they have ended.
+A failed connection shows a fault of this instance's path if a peer reaches the
+endpoint meanwhile, or if connections to several endpoints of its group have
+failed in a row. A group are all endpoints of a service with one role; a single
+one may also fail because it has ended.
 """
 
 from __future__ import annotations
@@ -18,6 +18,12 @@
 # Endpoints of a group that failed in a row, after which the fault is more
 # likely this instance's.
 _FAILED_IN_A_ROW = 2
+# Time for which a failed connection to one endpoint is taken as evidence; then
+# it is tried again.
+_BELIEVED_MS = 2_000.0
+# Age up to which a connection shows that a group is in reach while others
+# aren't.
+_FRESH_MS = 1_000.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,31 +52,78 @@
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         self._groups: dict[str, _Group] = {}
-        self._sizes: dict[str, int] = {}
-        self._out_of_reach: set[str] = set()
+        self._endpoints: dict[str, list[resources.Endpoint]] = {}
+        # Time of the last failed connection, by endpoint.
+        self._failed_ms: dict[str, float] = {}
+        # Endpoints that peers have reached since this instance failed to.
+        self._reached_by_peers: set[str] = set()
 
     def set_endpoints(self, endpoints: Iterable[resources.Endpoint]) -> None:
         """Sets the endpoints that accept work, and forgets all others."""
         registered = list(endpoints)
         names = {endpoint.name for endpoint in registered}
-        self._out_of_reach &= names
-        self._sizes = {}
+        self._endpoints = {}
         for endpoint in registered:
-            name = group_of(endpoint)
-            self._sizes[name] = self._sizes.get(name, 0) + 1
+            of_group = self._endpoints.setdefault(group_of(endpoint), [])
+            of_group.append(endpoint)
+        for gone in [n for n in self._failed_ms if n not in names]:
+            del self._failed_ms[gone]
+        self._reached_by_peers &= names
         for group in self._groups.values():
             for gone in [n for n in group.failed if n not in names]:
                 del group.failed[gone]
-
-    def is_in_reach(self, endpoint: resources.Endpoint) -> bool:
-        """Whether the last connection attempt to an endpoint succeeded."""
-        return endpoint.name not in self._out_of_reach
+        for gone in [n for n in self._groups if n not in self._endpoints]:
+            del self._groups[gone]
+
+    def endpoints_of(self, group: str) -> list[resources.Endpoint]:
+        """Returns the endpoints of a group that accept work."""
+        return self._endpoints.get(group, [])
+
+    def has_failed_recently(self, endpoint: resources.Endpoint) -> bool:
+        """Whether the last connection attempt failed a moment ago."""
+        failed_ms = self._failed_ms.get(endpoint.name)
+        if failed_ms is None:
+            return False
+        return self._clock.now_ms() - failed_ms < _BELIEVED_MS
+
+    def is_avoided(self, endpoint: resources.Endpoint) -> bool:
+        """Whether a connection to an endpoint would most likely fail."""
+        return (
+            endpoint.name in self._reached_by_peers
+            or self.is_cut_off(endpoint)
+            or self.has_failed_recently(endpoint)
+        )
 
     def is_cut_off(self, endpoint: resources.Endpoint) -> bool:
         """Whether the group of an endpoint is out of reach."""
         group = self._groups.get(group_of(endpoint))
         return group is not None and group.out_of_reach_ms is not None
 
+    def to_probe(self) -> list[list[resources.Endpoint]]:
+        """Returns endpoints whose paths need to be probed, by group.
+
+        Of a group that is out of reach, and while one is, of each group without
+        a connection lately: all endpoints. Of others, those that only peers
+        reach.
+        """
+        is_any_cut_off = bool(self.cut_off_groups)
+        needed = []
+        for name, endpoints in self._endpoints.items():
+            group = self._groups.get(name, _Group())
+            is_unclear = is_any_cut_off and not self._is_fresh(group)
+            if group.out_of_reach_ms is None and not is_unclear:
+                endpoints = [
+                    e for e in endpoints if e.name in self._reached_by_peers
+                ]
+            if endpoints:
+                needed.append(endpoints)
+        return needed
+
+    def _is_fresh(self, group: _Group) -> bool:
+        if group.reached_ms is None:
+            return False
+        return self._clock.now_ms() - group.reached_ms < _FRESH_MS
+
     @property
     def cut_off_groups(self) -> list[str]:
         """Names of the groups that are out of reach."""
@@ -80,6 +133,13 @@
             if group.out_of_reach_ms is not None
         ]
 
+    @property
+    def is_fully_cut_off(self) -> bool:
+        """Whether all groups are out of reach."""
+        return bool(self._endpoints) and len(self.cut_off_groups) == len(
+            self._endpoints
+        )
+
     def record_connection(self, endpoint: resources.Endpoint) -> None:
         """Records that a connection to an endpoint was made."""
         name = group_of(endpoint)
@@ -87,21 +147,35 @@
         now_ms = self._clock.now_ms()
         group.reached_ms = now_ms
         group.failed.clear()
-        self._out_of_reach.discard(endpoint.name)
+        self._failed_ms.pop(endpoint.name, None)
+        self._reached_by_peers.discard(endpoint.name)
         if group.out_of_reach_ms is not None:
             after_ms = now_ms - group.out_of_reach_ms
             group.out_of_reach_ms = None
+            for other in self.endpoints_of(name):
+                self._failed_ms.pop(other.name, None)
+                self._reached_by_peers.discard(other.name)
             path_log.log_in_reach(
                 name, endpoint=endpoint.name, after_ms=after_ms
             )
 
+    def record_peer_connection(
+        self, endpoint: resources.Endpoint, peer: str
+    ) -> None:
+        """Records that a peer reached an endpoint that was avoided here."""
+        if endpoint.name in self._reached_by_peers:
+            return
+        self._reached_by_peers.add(endpoint.name)
+        path_log.log_reached_by_peer(endpoint.name, peer=peer)
+
     def record_failure(self, endpoint: resources.Endpoint) -> None:
         """Records that no connection to an endpoint could be made."""
         name = group_of(endpoint)
         group = self._groups.setdefault(name, _Group())
         group.failed[endpoint.name] = None
-        self._out_of_reach.add(endpoint.name)
-        needed = min(_FAILED_IN_A_ROW, self._sizes.get(name, 1))
+        self._failed_ms[endpoint.name] = self._clock.now_ms()
+        size = len(self.endpoints_of(name)) or 1
+        needed = min(_FAILED_IN_A_ROW, size)
         if group.out_of_reach_ms is None and len(group.failed) >= needed:
             now_ms = self._clock.now_ms()
             group.out_of_reach_ms = now_ms
--- /dev/null
+++ b/src/jujubewharf/endpoint_paths/relay_server.py
@@ -0,0 +1,266 @@
+"""Makes calls to endpoints for peers that don't reach them.
+
+Only this instance's own connections are used, so that a call takes one such
+step at most. An endpoint's address comes from this instance's own registry:
+a peer names an endpoint and nothing else.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf.configuration import resources
+from jujubewharf.endpoint_paths import observed_backends
+from jujubewharf.endpoint_paths import path_log
+from jujubewharf.endpoint_paths import reachability as reachabilities
+from jujubewharf.endpoint_paths import relay_streams
+from jujubewharf.engines import client
+from jujubewharf.forwarding import registry as registries
+from jujubewharf.leaving import shutdown
+from jujubewharf.peers import messages
+from jujubewharf.peers import relay_messages
+from jujubewharf.peers import streams
+
+# Time within which a peer's call must have arrived after the handshake.
+_CALL_TIMEOUT_MS = 2_000.0
+# Calls at the same time; each may hold a body in memory.
+_MAX_CALLS = 64
+
+_Reason = relay_messages.RefusalReason
+_Call = (
+    relay_messages.RelayedSend
+    | relay_messages.RelayedPrefill
+    | relay_messages.RelayedReservation
+    | relay_messages.RelayedRelease
+    | relay_messages.RelayedCheck
+)
+
+
+class RelayServer:
+    """Serves the relayed calls of all peers.
+
+    Args:
+        backends: Direct client for endpoints.
+        registry: Registered endpoints.
+        reachability: Endpoints that this instance reaches.
+        admission: Counts calls as in flight, so that a shutdown waits.
+        other_addresses: Returns addresses of further instances.
+        clock: Time source.
+    """
+
+    def __init__(
+        self,
+        backends: observed_backends.ObservedBackends,
+        registry: registries.Registry,
+        reachability: reachabilities.Reachability,
+        admission: shutdown.AdmissionState,
+        other_addresses: Callable[[], tuple[str, ...]],
+        clock: clocks.Clock,
+    ) -> None:
+        self._backends = backends
+        self._registry = registry
+        self._reachability = reachability
+        self._admission = admission
+        self._other_addresses = other_addresses
+        self._clock = clock
+        self._running = 0
+
+    async def serve(
+        self,
+        peer: str,
+        reader: asyncio.StreamReader,
+        writer: streams.StreamWriter,
+    ) -> None:
+        """Serves the call of one stream, and closes it."""
+        stream = relay_streams.RelayStream(reader, writer)
+        try:
+            async with self._clock.timeout_ms(_CALL_TIMEOUT_MS):
+                call = await stream.receive()
+        except (relay_streams.BrokenRelayError, TimeoutError):
+            stream.close()
+            return
+        answering = asyncio.ensure_future(self._answer(peer, call, stream))
+        # The peer closes the stream when its caller leaves.
+        closed = asyncio.ensure_future(stream.wait_until_closed())
+        try:
+            await asyncio.wait(
+                [answering, closed], return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            answering.cancel()
+            closed.cancel()
+            await asyncio.gather(answering, closed, return_exceptions=True)
+            stream.close()
+
+    async def _answer(
+        self,
+        peer: str,
+        call: messages.Message,
+        stream: relay_streams.RelayStream,
+    ) -> None:
+        if not isinstance(call, _Call):
+            return
+        endpoint = self._registry.get(call.endpoint)
+        reason = self._refusal_reason(call, endpoint)
+        if reason is None:
+            assert endpoint is not None
+            reason = await self._answer_admitted(call, endpoint, stream)
+        path_log.log_call_for_peer(
+            call.endpoint,
+            peer=peer,
+            request_id=_request_id(call),
+            refused=None if reason is None else reason.value,
+        )
+        if reason is not None:
+            await stream.send(
+                relay_messages.RelayRefused(
+                    reason.value, self._other_addresses()
+                )
+            )
+
+    def _refusal_reason(
+        self, call: _Call, endpoint: resources.Endpoint | None
+    ) -> _Reason | None:
+        """Returns why a call isn't made; ``None`` if it is."""
+        if not self._admission.is_ready:
+            return _Reason.LEAVING
+        if self._running >= _MAX_CALLS:
+            return _Reason.BUSY
+        if endpoint is None:
+            return _Reason.UNKNOWN_ENDPOINT
+        if self._reachability.is_cut_off(endpoint):
+            return _Reason.CUT_OFF
+        if isinstance(call, relay_messages.RelayedCheck):
+            return None
+        if self._reachability.has_failed_recently(endpoint):
+            return _Reason.OUT_OF_REACH
+        is_work = isinstance(
+            call, relay_messages.RelayedSend | relay_messages.RelayedPrefill
+        )
+        if is_work and not self._registry.takes_work(endpoint.name):
+            return _Reason.DRAINING
+        return None
+
+    async def _answer_admitted(
+        self,
+        call: _Call,
+        endpoint: resources.Endpoint,
+        stream: relay_streams.RelayStream,
+    ) -> _Reason | None:
+        """Makes a call and answers with its outcome.
+
+        Returns:
+            The reason if the call turned out not to be possible, so that
+            another peer may be asked.
+        """
+        self._running += 1
+        try:
+            async with self._admission.admitted():
+                with self._backends.capturing_notices() as notices:
+                    try:
+                        await self._make(call, endpoint, stream, notices)
+                    except client.EngineError as error:
+                        if self._is_own_fault(error, endpoint):
+                            return _Reason.CUT_OFF
+                        await stream.send(
+                            relay_messages.RelayedFault(
+                                error.fault.value, error.detail, tuple(notices)
+                            )
+                        )
+        except errors.WharfError:
+            return _Reason.LEAVING
+        finally:
+            self._running -= 1
+        return None
+
+    def _is_own_fault(
+        self, error: client.EngineError, endpoint: resources.Endpoint
+    ) -> bool:
+        """Whether a call failed since this instance reaches no endpoint."""
+        is_unreachable = error.fault is client.EngineFault.UNREACHABLE
+        return is_unreachable and self._reachability.is_cut_off(endpoint)
+
+    async def _make(
+        self,
+        call: _Call,
+        endpoint: resources.Endpoint,
+        stream: relay_streams.RelayStream,
+        notices: observed_backends.CapturedNotices,
+    ) -> None:
+        """Makes a call and sends its result.
+
+        Raises:
+            EngineError: The call failed.
+        """
+        result = relay_messages.RelayedResult()
+        match call:
+            case relay_messages.RelayedSend():
+                await self._send(call, endpoint, stream, notices)
+                return
+            case relay_messages.RelayedPrefill():
+                source = await self._backends.prefill(endpoint, call.outbound)
+                result = relay_messages.RelayedResult(
+                    source=source, notices=tuple(notices)
+                )
+            case relay_messages.RelayedReservation():
+                hold = await self._backends.reserve(
+                    endpoint, tokens=call.tokens, ttl_ms=call.ttl_ms
+                )
+                result = relay_messages.RelayedResult(
+                    hold=hold, notices=tuple(notices)
+                )
+            case relay_messages.RelayedRelease():
+                await self._release(call, endpoint)
+            case relay_messages.RelayedCheck():
+                is_true = await self._check(call, endpoint)
+                result = relay_messages.RelayedResult(is_true=is_true)
+        await stream.send(result)
+
+    async def _send(
+        self,
+        call: relay_messages.RelayedSend,
+        endpoint: resources.Endpoint,
+        stream: relay_streams.RelayStream,
+        notices: observed_backends.CapturedNotices,
+    ) -> None:
+        async with self._backends.send(endpoint, call.outbound) as reply:
+            await stream.send(
+                relay_messages.RelayedHead(
+                    reply.status, reply.headers, reply.length, tuple(notices)
+                )
+            )
+            async for part in reply.body:
+                await stream.send(relay_messages.RelayedPart(part))
+        await stream.send(relay_messages.RelayedEnd())
+
+    async def _release(
+        self,
+        call: relay_messages.RelayedRelease,
+        endpoint: resources.Endpoint,
+    ) -> None:
+        if call.source is not None:
+            await self._backends.drop_source(endpoint, call.source)
+        if call.hold is not None:
+            await self._backends.drop_reservation(endpoint, call.hold)
+
+    async def _check(
+        self, call: relay_messages.RelayedCheck, endpoint: resources.Endpoint
+    ) -> bool:
+        match call.kind:
+            case relay_messages.CheckKind.CHANGING:
+                return await self._backends.is_changing(endpoint)
+            case relay_messages.CheckKind.CRASHED:
+                return await self._backends.has_crashed(endpoint)
+            case relay_messages.CheckKind.REACHABLE:
+                return await self._backends.is_reachable(endpoint)
+
+
+def _request_id(call: _Call) -> str | None:
+    if isinstance(
+        call, relay_messages.RelayedSend | relay_messages.RelayedPrefill
+    ):
+        return call.outbound.call.request_id
+    return None
--- /dev/null
+++ b/src/jujubewharf/endpoint_paths/relay_streams.py
@@ -0,0 +1,74 @@
+"""Sends and receives the messages of one relayed call on its stream."""
+
+from __future__ import annotations
+
+import asyncio
+
+from jujubewharf.peers import codec
+from jujubewharf.peers import messages
+from jujubewharf.peers import streams
+
+
+class BrokenRelayError(Exception):
+    """The stream ended or carried something else than was due."""
+
+
+class TooLargeError(Exception):
+    """A message is larger than a peer accepts; nothing was sent."""
+
+
+class RelayStream:
+    """A stream that carries one relayed call.
+
+    Args:
+        reader: Reads from the other side.
+        writer: Writes to the other side.
+    """
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: streams.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    async def send(self, message: messages.Message) -> None:
+        """Sends a message, and waits while the other side reads too slowly.
+
+        Raises:
+            BrokenRelayError: The stream is lost.
+            TooLargeError: The message is too large.
+        """
+        frame = codec.Frame(codec.FrameKind.TELL, 0, message)
+        data = codec.encode(frame)
+        if len(codec.body_of(data)) > codec.MAX_FRAME_BYTES:
+            raise TooLargeError
+        self._writer.write(data)
+        try:
+            await self._writer.drain()
+        except OSError as error:
+            raise BrokenRelayError(str(error)) from error
+
+    async def receive(self) -> messages.Message:
+        """Returns the next message.
+
+        Raises:
+            BrokenRelayError: The stream ended, or the message is unknown.
+        """
+        try:
+            frame = codec.decode(await codec.read_body(self._reader))
+        except (codec.BrokenStreamError, codec.DroppedFrameError) as error:
+            raise BrokenRelayError(str(error)) from error
+        if frame.message is None:
+            raise BrokenRelayError("empty frame")
+        return frame.message
+
+    async def wait_until_closed(self) -> None:
+        """Waits until the other side closes, after its only message."""
+        try:
+            await self._reader.read(1)
+        except OSError:
+            return
+
+    def close(self) -> None:
+        """Closes the stream once everything written is sent."""
+        self._writer.close()
--- /dev/null
+++ b/src/jujubewharf/endpoint_paths/relayed_backends.py
@@ -0,0 +1,175 @@
+"""Reaches endpoints directly, or through a peer where that fails.
+
+An instance that can't open a connection to an endpoint knows nothing about the
+endpoint: it may be partitioned itself. So a failed connection is believed only
+if a peer's fails, too.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import dataclasses
+from typing import TypeVar
+
+from jujubewharf import clock as clocks
+from jujubewharf.configuration import resources
+from jujubewharf.endpoint_paths import observed_backends
+from jujubewharf.endpoint_paths import reachability as reachabilities
+from jujubewharf.endpoint_paths import relay_client
+from jujubewharf.engines import client
+from jujubewharf.engines import notices
+from jujubewharf.forwarding import calls
+from jujubewharf.forwarding import ports
+from jujubewharf.peers import relay_messages
+
+_Result = TypeVar("_Result")
+
+
+class RelayedBackends:
+    """Implements ``ports.Backends`` over the best path to each endpoint.
+
+    Orders go directly only: an engine counts those from two instances as those
+    of two holders.
+
+    Args:
+        direct: Client for the instance's own connections.
+        reachability: Endpoints that the instance reaches by itself.
+        clock: Time source.
+
+    Attributes:
+        relay: Has peers make calls; ``None`` without peers.
+    """
+
+    def __init__(
+        self,
+        direct: observed_backends.ObservedBackends,
+        reachability: reachabilities.Reachability,
+        clock: clocks.Clock,
+    ) -> None:
+        self.relay: relay_client.RelayClient | None = None
+        self._direct = direct
+        self._reachability = reachability
+        self._clock = clock
+
+    def listen(self, listener: notices.Listener) -> None:
+        """Sets the listener for notices; see ``ports.Backends``."""
+        self._direct.listen(listener)
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self, endpoint: resources.Endpoint, outbound: calls.OutboundRequest
+    ) -> AsyncIterator[calls.Reply]:
+        """Sends a request; see ``ports.Backends``."""
+        began_ms = self._clock.now_ms()
+        async with contextlib.AsyncExitStack() as stack:
+            reply = await self._call(
+                endpoint,
+                lambda: stack.enter_async_context(
+                    self._direct.send(endpoint, outbound)
+                ),
+                lambda relay: stack.enter_async_context(
+                    relay.send(endpoint, self._remaining(outbound, began_ms))
+                ),
+            )
+            yield reply
+
+    async def prefill(
+        self, endpoint: resources.Endpoint, outbound: calls.OutboundRequest
+    ) -> calls.PrefillSource:
+        """Runs prefill; see ``ports.Backends``."""
+        began_ms = self._clock.now_ms()
+        return await self._call(
+            endpoint,
+            lambda: self._direct.prefill(endpoint, outbound),
+            lambda relay: relay.prefill(
+                endpoint, self._remaining(outbound, began_ms)
+            ),
+        )
+
+    async def drop_source(
+        self, endpoint: resources.Endpoint, source: calls.PrefillSource
+    ) -> None:
+        """Frees a prefill result; see ``ports.Backends``."""
+        await self._call(
+            endpoint,
+            lambda: self._direct.drop_source(endpoint, source),
+            lambda relay: relay.release(endpoint, source=source),
+        )
+
+    async def reserve(
+        self, endpoint: resources.Endpoint, *, tokens: int, ttl_ms: float
+    ) -> str:
+        """Reserves memory; see ``ports.Backends``."""
+        return await self._call(
+            endpoint,
+            lambda: self._direct.reserve(
+                endpoint, tokens=tokens, ttl_ms=ttl_ms
+            ),
+            lambda relay: relay.reserve(endpoint, tokens=tokens, ttl_ms=ttl_ms),
+        )
+
+    async def drop_reservation(
+        self, endpoint: resources.Endpoint, hold: str
+    ) -> None:
+        """Releases a reservation; see ``ports.Backends``."""
+        await self._call(
+            endpoint,
+            lambda: self._direct.drop_reservation(endpoint, hold),
+            lambda relay: relay.release(endpoint, hold=hold),
+        )
+
+    async def is_changing(self, endpoint: resources.Endpoint) -> bool:
+        """Whether an engine changes roles; see ``ports.Backends``."""
+        kind = relay_messages.CheckKind.CHANGING
+        return await self._call(
+            endpoint,
+            lambda: self._direct.is_changing(endpoint),
+            lambda relay: relay.check(endpoint, kind),
+        )
+
+    async def is_reachable(self, endpoint: resources.Endpoint) -> bool:
+        """Whether connecting succeeds; see ``ports.Backends``."""
+        return await self._direct.is_reachable(endpoint)
+
+    async def has_crashed(self, endpoint: resources.Endpoint) -> bool:
+        """Whether an endpoint's process is gone; see ``ports.Backends``."""
+        return await self._direct.has_crashed(endpoint)
+
+    async def order_role(
+        self, endpoint: resources.Endpoint, order: ports.RoleOrder
+    ) -> None:
+        """Orders a role; see ``ports.Backends``."""
+        await self._direct.order_role(endpoint, order)
+
+    async def _call(
+        self,
+        endpoint: resources.Endpoint,
+        direct: Callable[[], Awaitable[_Result]],
+        relayed: Callable[[relay_client.RelayClient], Awaitable[_Result]],
+    ) -> _Result:
+        """Makes a call over the best path.
+
+        Raises:
+            EngineError: The call failed.
+        """
+        if self.relay is None:
+            return await direct()
+        if not self._reachability.is_avoided(endpoint):
+            try:
+                return await direct()
+            except client.EngineError as error:
+                if error.fault is not client.EngineFault.UNREACHABLE:
+                    raise
+        return await relayed(self.relay)
+
+    def _remaining(
+        self, outbound: calls.OutboundRequest, began_ms: float
+    ) -> calls.OutboundRequest:
+        """Returns a request with the time that is left now."""
+        passed_ms = self._clock.now_ms() - began_ms
+        return dataclasses.replace(
+            outbound, left_ms=outbound.left_ms - passed_ms
+        )
--- a/src/jujubewharf/engines/client.py
+++ b/src/jujubewharf/engines/client.py
@@ -19,11 +19,13 @@
     With ``REFUSED_*`` the engine itself states that it did nothing.
     ``REFUSED_IDENTITY`` means that another engine has this address now.
     ``DEFERRED`` means that no call was made, because the engine has requested
-    backoff.
+    backoff. ``NO_PATH`` means that neither this instance nor a peer could make
+    the call, which says nothing about the engine.
     """
 
     UNREACHABLE = "unreachable"
     LOST = "lost"
+    NO_PATH = "no_path"
     REFUSED_FULL = "refused_full"
     REFUSED_LEAVING = "refused_leaving"
     REFUSED_MODEL = "refused_model"
--- a/src/jujubewharf/engines/liveness.py
+++ b/src/jujubewharf/engines/liveness.py
@@ -1,4 +1,4 @@
-"""Distinguishes a crashed engine from a broken connection."""
+"""Checks by connecting whether an engine's process listens."""
 
 from __future__ import annotations
 
@@ -12,6 +12,23 @@
 _CONNECT_TIMEOUT_MS = 150.0
 
 
+async def accepts_connections(address: str, clock: clocks.Clock) -> bool:
+    """Whether an address accepts connections.
+
+    Args:
+        address: ``IP:PORT``.
+        clock: Time source.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        async with clock.timeout_ms(_CONNECT_TIMEOUT_MS):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
 async def refuses_connections(address: str, clock: clocks.Clock) -> bool:
     """Whether an address refuses connections, so that no process listens.
 
--- a/src/jujubewharf/forwarding/attempts.py
+++ b/src/jujubewharf/forwarding/attempts.py
@@ -270,6 +270,9 @@
         """
         if error.fault is client.EngineFault.UNREACHABLE:
             return True
+        if error.fault is client.EngineFault.NO_PATH:
+            # Another prefill engine is as far away.
+            return False
         if error.fault is client.EngineFault.REFUSED_FULL:
             self._observations.record_prefill_refusal(error.engine)
         left = self._budget.remaining(run.service)
--- a/src/jujubewharf/forwarding/crash_detection.py
+++ b/src/jujubewharf/forwarding/crash_detection.py
@@ -37,6 +37,7 @@
         self.reserve = backends.reserve
         self.drop_reservation = backends.drop_reservation
         self.is_changing = backends.is_changing
+        self.is_reachable = backends.is_reachable
         self.has_crashed = backends.has_crashed
         self.order_role = backends.order_role
 
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -12,8 +12,7 @@
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
 from jujubewharf.endpoint_load import endpoint_state
-from jujubewharf.endpoint_paths import observed_backends
-from jujubewharf.endpoint_paths import reachability
+from jujubewharf.endpoint_paths import endpoint_paths
 from jujubewharf.engine_speeds import speeds
 from jujubewharf.forwarding import attempts
 from jujubewharf.forwarding import budget
@@ -109,7 +108,7 @@
         admission: Counts requests in flight; closed on shutdown.
         source: Configuration in force.
         registry: Registered endpoints.
-        reachability: Endpoints that this instance reaches by itself.
+        paths: Paths to endpoints, by itself and through peers.
         backpressure: Rate limits, backoffs and drain notices of endpoints.
         loads: Load that endpoints have reported.
         share: This instance's share of fleet-wide limits if there is no leader.
@@ -143,16 +142,13 @@
         self.admission = shutdown.AdmissionState()
         self.source = forwarder.ActiveConfiguration()
         self.source.on_applied = self._on_applied
-        self.reachability = reachability.Reachability(clock)
-        self._backends = observed_backends.ObservedBackends(
-            adapters.backends, self.reachability
-        )
+        self.paths = endpoint_paths.EndpointPaths(adapters.backends, clock)
         self._endpoint_state = endpoint_state.EndpointState(
-            clock, self._backends
+            clock, self.paths.backends
         )
         self.backpressure = self._endpoint_state.backpressure
         self.registry = self._endpoint_state.registry
-        self.registry.add_listener(self.reachability.set_endpoints)
+        self.registry.add_listener(self.paths.reachability.set_endpoints)
         self.loads = self._endpoint_state.loads
         self.share = fleet_share.FleetShare(
             adapters.group, clock, default_share=_ISOLATED_SHARE
@@ -258,7 +254,7 @@
         rng: random.Random,
     ) -> forwarder.Forwarder:
         clock = self._clock
-        backends = self._backends
+        backends = self.paths.backends
         chooser = plain_endpoints.EndpointChooser(
             self._settings.domain,
             clock,
@@ -409,6 +405,15 @@
             availability=self._availability,
         )
         assert self.fleet.followers is not None
+        assert self.fleet.hello is not None
+        self.fleet.followers.on_relay = self.paths.connect_peers(
+            peers.transport,
+            self.fleet.hello,
+            self.fleet.known_peers,
+            self.registry,
+            self.admission,
+            self._endpoint_state.apply_notice,
+        ).serve
         self.fleet.followers.on_leading_changed = (
             self.plain_permits.queues.reset
         )
@@ -426,6 +431,7 @@
         if self._leadership is None:
             await self.add_runtime_dependency(self.share)
         await self.add_runtime_dependency(self._role_controller)
+        await self.add_runtime_dependency(self.paths.probes)
         if self._leadership is not None:
             await self.add_runtime_dependency(self.fleet_retries)
             await self.add_runtime_dependency(self._leadership)
@@ -468,6 +474,7 @@
             self.admission.is_ready
             and is_initialized
             and self._has_looked_for_leader()
+            and not self.paths.is_stranded
         )
 
     def _has_looked_for_leader(self) -> bool:
--- a/src/jujubewharf/forwarding/places.py
+++ b/src/jujubewharf/forwarding/places.py
@@ -7,6 +7,7 @@
 import contextlib
 from typing import Protocol
 
+from jujubewharf import errors
 from jujubewharf.configuration import resources
 from jujubewharf.forwarding import runs
 
@@ -15,6 +16,21 @@
     pass
 
 
+class NoPathError(errors.WharfError):
+    """Neither this instance nor a peer can ask an engine for memory.
+
+    Args:
+        engine: The engine that was to be asked.
+    """
+
+    def __init__(self, engine: str) -> None:
+        super().__init__(
+            errors.ErrorKind.NO_FITTING_ENGINE,
+            f"no path to {engine}",
+            retry_after_ms=runs.RETRY_AFTER_MS,
+        )
+
+
 class Reservation:
     """Memory reserved for a request on a decode engine.
 
--- a/src/jujubewharf/forwarding/plain.py
+++ b/src/jujubewharf/forwarding/plain.py
@@ -108,7 +108,8 @@
                 raise
             except client.EngineError as error:
                 reason = error.fault.value
-                if self._may_retry(run, reason):
+                has_path = error.fault is not client.EngineFault.NO_PATH
+                if has_path and self._may_retry(run, reason):
                     continue
                 if error_reply is not None:
                     return error_reply
--- a/src/jujubewharf/forwarding/pool.py
+++ b/src/jujubewharf/forwarding/pool.py
@@ -225,6 +225,8 @@
         state = self.state(error.engine)
         now_ms = self._clock.now_ms()
         match error.fault:
+            case client.EngineFault.NO_PATH:
+                return
             case client.EngineFault.REFUSED_ROLE:
                 state.unavailable_until_ms = now_ms + ROLE_REFUSAL_PAUSE_MS
             case client.EngineFault.KV_GONE:
--- a/src/jujubewharf/forwarding/ports.py
+++ b/src/jujubewharf/forwarding/ports.py
@@ -102,6 +102,13 @@
         """Returns whether an engine is changing roles and accepts no work."""
         ...
 
+    async def is_reachable(self, endpoint: resources.Endpoint) -> bool:
+        """Returns whether a connection can be opened; sends nothing on it.
+
+        Never raises.
+        """
+        ...
+
     async def has_crashed(self, endpoint: resources.Endpoint) -> bool:
         """Returns whether an endpoint's process no longer exists.
 
--- a/src/jujubewharf/forwarding/reservations.py
+++ b/src/jujubewharf/forwarding/reservations.py
@@ -80,6 +80,9 @@
 
         Returns:
             ``None`` if none of them reserved memory.
+
+        Raises:
+            NoPathError: This instance can't ask any engine.
         """
         assert run.traits is not None
         candidates = self._pool.decode_candidates(
@@ -121,6 +124,13 @@
     def _record_failure(
         self, run: runs.Run, error: client.EngineError, demand: demands.Demand
     ) -> None:
+        """Records a failed reservation.
+
+        Raises:
+            NoPathError: Other engines can't be asked either.
+        """
+        if error.fault is client.EngineFault.NO_PATH:
+            raise places.NoPathError(error.engine) from error
         if error.fault is client.EngineFault.REFUSED_FULL:
             self._pool.record_memory_refusal(error.engine, demand.total_tokens)
             return
--- a/src/jujubewharf/forwarding/runs.py
+++ b/src/jujubewharf/forwarding/runs.py
@@ -17,6 +17,10 @@
 # becomes free within a fraction of one.
 RETRY_AFTER_MS = 1_000.0
 
+_UNCONNECTED_FAULTS = frozenset(
+    {client.EngineFault.UNREACHABLE, client.EngineFault.NO_PATH}
+)
+
 
 @dataclasses.dataclass(slots=True)
 class Run:
@@ -144,7 +148,7 @@
         if error.fault in retries.NO_EFFECT_FAULTS:
             self.may_have_run = before
             self.refusals += 1
-        if error.fault is client.EngineFault.UNREACHABLE:
+        if error.fault in _UNCONNECTED_FAULTS:
             # There was no connection, so nothing was sent.
             self.tried.discard(error.engine)
 
--- a/src/jujubewharf/forwarding/stream.py
+++ b/src/jujubewharf/forwarding/stream.py
@@ -89,6 +89,9 @@
         Raises:
             WharfError: No retry is allowed.
         """
+        if error.fault is client.EngineFault.NO_PATH:
+            # Placed again, it would fail again within milliseconds.
+            raise run.failure(error.detail) from error
         left = self._budget.remaining(run.service)
         reason = error.fault.value
         if not run.may_run_again or not run.has_attempts_left:
--- a/src/jujubewharf/leadership/announcements.py
+++ b/src/jujubewharf/leadership/announcements.py
@@ -123,11 +123,16 @@
         if not is_settled or present == self._given_to:
             return
         self._given_to = present
-        addresses = sorted(link.hello.address for link in present)
+        domains = {link.hello.address: link.hello.domain for link in present}
+        addresses = sorted(domains)
         self._addresses = self._draw(addresses, self._hello.address)
         for link in present:
             drawn = self._draw(addresses, link.hello.address)
-            link.tell(demand_messages.FleetAddresses(drawn))
+            link.tell(
+                demand_messages.FleetAddresses(
+                    drawn, tuple(domains[address] for address in drawn)
+                )
+            )
 
     def _draw(self, addresses: list[str], receiver: str) -> tuple[str, ...]:
         others = [address for address in addresses if address != receiver]
--- a/src/jujubewharf/leadership/fleet.py
+++ b/src/jujubewharf/leadership/fleet.py
@@ -7,6 +7,7 @@
 import random
 
 from jujubewharf import clock as clocks
+from jujubewharf.endpoint_paths import relay_peers
 from jujubewharf.forwarding import costs
 from jujubewharf.forwarding import forwarder
 from jujubewharf.forwarding import lease as leases
@@ -25,6 +26,7 @@
 from jujubewharf.peers import counters
 from jujubewharf.peers import link_messages
 from jujubewharf.peers import messages
+from jujubewharf.peers import relay_messages
 from jujubewharf.platform import availability as availabilities
 from jujubewharf.platform import epochs
 
@@ -67,6 +69,7 @@
         feeds: Data received from the leader.
         link: The link to the leader.
         followers: Followers of this instance; ``None`` if it can't lead.
+        hello: Identity of this instance; ``None`` if it can't lead.
     """
 
     def __init__(
@@ -105,6 +108,7 @@
         )
         self.feeds.configurations.fetch = self.link.fetch_configuration
         self.followers: all_followers.Followers | None = None
+        self.hello: link_messages.Hello | None = None
         self._last_instances: int | None = None
         self._last_counted_ms = 0.0
 
@@ -189,6 +193,32 @@
             0.0 if self._last_instances is None else 1.0 / self._last_instances
         )
 
+    def known_peers(self) -> list[relay_peers.PeerAddress]:
+        """Returns where the instances that this one knows can be reached."""
+        if self.is_leading:
+            assert self.followers is not None
+            hellos = [link.hello for link in self.followers.follower_links]
+            return [
+                relay_peers.PeerAddress(hello.address, hello.domain)
+                for hello in hellos
+            ]
+        known = self.link.addresses
+        domains: list[str | None] = list(known.domains)
+        domains += [None] * (len(known.addresses) - len(domains))
+        peers = [
+            relay_peers.PeerAddress(address, domain)
+            for address, domain in zip(known.addresses, domains, strict=False)
+        ]
+        link = self.link.link
+        if link is not None:
+            leader = link.hello
+            peers.append(
+                relay_peers.PeerAddress(
+                    leader.address, leader.domain, is_leader=True
+                )
+            )
+        return peers
+
     def new_leadership(
         self,
         name: str,
@@ -213,8 +243,12 @@
             cores: Processor capacity of this instance, in reference cores.
             availability: Whether the store answers this instance.
         """
-        hello = link_messages.Hello(
-            name, domain, peers.address, rng.getrandbits(_INCARNATION_BITS)
+        hello = self.hello = link_messages.Hello(
+            name,
+            domain,
+            peers.address,
+            rng.getrandbits(_INCARNATION_BITS),
+            capabilities=(relay_messages.CAPABILITY,),
         )
         counts = counters.PeerCounters()
         self.followers = all_followers.Followers(
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
@@ -37,6 +38,18 @@
 _MAX_CONFIGURATION_BYTES = 6_000
 
 
+RelayHandler = Callable[
+    [str, asyncio.StreamReader, streams.StreamWriter], Awaitable[None]
+]
+
+
+async def _refuse_relay(
+    peer: str, reader: asyncio.StreamReader, writer: streams.StreamWriter
+) -> None:
+    """Closes the stream of a peer where no calls are made for peers."""
+    writer.close()
+
+
 class _ReadProgress:
     """End offset up to which a table was read, and the time of that read."""
 
@@ -68,6 +81,7 @@
         on_leading_changed: Called when this instance begins or stops to lead.
         on_announcement: Called with the hello of each instance that announces
             a new leader.
+        on_relay: Called with each stream that a peer opens to have a call made.
         on_link_begin: Called with the link of each new follower.
         on_link_end: Called with each link that ended.
         on_retry_demand: Called with a follower's demand for retries.
@@ -89,6 +103,7 @@
         self.on_leading_changed: Callable[[], None] = lambda: None
         self.on_announcement: Callable[[link_messages.Hello], None]
         self.on_announcement = lambda hello: None
+        self.on_relay: RelayHandler = _refuse_relay
         self.on_link_begin: Callable[[links.Link], None] = lambda link: None
         self.on_link_end: Callable[[links.Link], None] = lambda link: None
         self.on_retry_demand: Callable[
@@ -156,6 +171,9 @@
         except (handshake.RefusedHelloError, OSError, TimeoutError):
             writer.close()
             return
+        if hello.is_relay:
+            await self.on_relay(hello.instance, reader, writer)
+            return
         if hello.leader is not None:
             self.on_announcement(hello)
         if not self.is_leading or hello.leader is not None:
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -70,6 +70,7 @@
         instances: Number of instances under the leader, including itself;
             ``None`` before its first heartbeat.
         link_count: Number of links to leaders so far.
+        addresses: Addresses of some other instances, as last received.
         on_usage_shares: Called with this instance's share of each account's
             use.
         on_addresses: Called with the addresses of some other instances.
@@ -91,6 +92,7 @@
         self.link_count = 0
         self.on_usage_shares: Callable[[dict[str, float]], None]
         self.on_usage_shares = lambda shares: None
+        self.addresses = demand_messages.FleetAddresses(())
         self.on_addresses: Callable[[demand_messages.FleetAddresses], None]
         self.on_addresses = lambda message: None
         self.on_retry_share: Callable[[demand_messages.RetryShare], None]
@@ -181,6 +183,7 @@
             case quota_messages.UsageShares():
                 self.on_usage_shares(message.by_account)
             case demand_messages.FleetAddresses():
+                self.addresses = message
                 self.on_addresses(message)
             case demand_messages.RetryShare():
                 self.on_retry_share(message)
--- a/src/jujubewharf/leadership/placement_server.py
+++ b/src/jujubewharf/leadership/placement_server.py
@@ -244,6 +244,9 @@
                     reservation.take_id()
                 if not ending.is_complete:
                     raise _IncompleteAnswerError
+        except all_places.NoPathError:
+            # The follower may reach engines that its leader doesn't.
+            _resolve(answer, None)
         except errors.WharfError as error:
             retry_after_ms = error.retry_after_ms
             if retry_after_ms is None:
--- a/src/jujubewharf/peers/demand_messages.py
+++ b/src/jujubewharf/peers/demand_messages.py
@@ -12,10 +12,17 @@
 class FleetAddresses(messages.Message):
     """The leader gives a follower the addresses of some other instances.
 
-    The follower sends them the address of the next leader.
+    The follower sends them the address of the next leader, and has them make
+    calls to endpoints that it doesn't reach.
+
+    Attributes:
+        addresses: Addresses of the instances.
+        domains: Their failure domains, in the same order; empty from an older
+            build.
     """
 
     addresses: tuple[str, ...]
+    domains: tuple[str, ...] = ()
 
 
 @messages.message(141)
--- a/src/jujubewharf/peers/handshake.py
+++ b/src/jujubewharf/peers/handshake.py
@@ -78,12 +78,14 @@
         return await self.dial_any(expected=expected)
 
     async def dial_any(
-        self, *, expected: str | None = None
+        self, *, expected: str | None = None, capability: str | None = None
     ) -> link_messages.Hello:
         """Runs the dialling side, where the peer's name may be unknown.
 
         Args:
             expected: Required name of the other side; ``None`` accepts any.
+            capability: Required capability of the other side. Without it, the
+                other side never gets the confirmation and closes the stream.
 
         Raises:
             RefusedHelloError: Either side refused.
@@ -94,6 +96,8 @@
         if expected is not None and hello.instance != expected:
             raise RefusedHelloError(_CloseReason.OTHER_INSTANCE.value)
         self._check(hello)
+        if capability is not None and capability not in hello.capabilities:
+            raise RefusedHelloError(_CloseReason.VERSION.value)
         self._send(link_messages.Heartbeat())
         return hello
 
--- a/src/jujubewharf/peers/link_messages.py
+++ b/src/jujubewharf/peers/link_messages.py
@@ -40,6 +40,8 @@
         capabilities: Optional features supported by the sender.
         is_standing: Whether the dialling side keeps the link open while idle.
         is_leaving: Whether the sender is draining.
+        is_relay: Whether the dialling side opens the stream for one call to an
+            endpoint; see ``relay_messages``.
         leader: Address of a new leader that the dialling side announces; the
             link is closed after the handshake. ``None`` for other links.
         leader_term: Number of the election that the leader has won.
@@ -56,6 +58,7 @@
     is_leaving: bool = False
     leader: str | None = None
     leader_term: int = 0
+    is_relay: bool = False
 
 
 @messages.message(2)
--- a/src/jujubewharf/requests/retries.py
+++ b/src/jujubewharf/requests/retries.py
@@ -25,6 +25,7 @@
 NO_EFFECT_FAULTS = frozenset(
     {
         client.EngineFault.UNREACHABLE,
+        client.EngineFault.NO_PATH,
         client.EngineFault.REFUSED_FULL,
         client.EngineFault.REFUSED_LEAVING,
         client.EngineFault.REFUSED_MODEL,
--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -244,6 +244,11 @@
             raise backend.error(fault)
         backend.orders.append(order)
 
+    async def is_reachable(self, endpoint: resources.Endpoint) -> bool:
+        """Whether a connection can be opened; see ``ports.Backends``."""
+        backend = self.by_name[endpoint.name]
+        return not (backend.is_unreachable or backend.has_crashed.is_set())
+
     async def has_crashed(self, endpoint: resources.Endpoint) -> bool:
         """Whether the process has crashed; see ``ports.Backends``."""
         backend = self.by_name[endpoint.name]
--- a/src/jujubewharf/standins/endpoint_cuts.py
+++ b/src/jujubewharf/standins/endpoint_cuts.py
@@ -187,6 +187,14 @@
             endpoint, lambda: self._backends.is_changing(endpoint)
         )
 
+    async def is_reachable(self, endpoint: resources.Endpoint) -> bool:
+        """Whether a connection can be opened; see ``ports.Backends``."""
+        try:
+            await self._connect(endpoint)
+        except client.EngineError:
+            return False
+        return await self._backends.is_reachable(endpoint)
+
     async def has_crashed(self, endpoint: resources.Endpoint) -> bool:
         """Whether connections are refused; see ``ports.Backends``."""
         cut = self._cuts.find(self._instance, endpoint.name)
--- a/src/jujubewharf/telemetry/explanation.py
+++ b/src/jujubewharf/telemetry/explanation.py
@@ -23,6 +23,8 @@
         "endpoint_gone_after_outage",
         "endpoint_held",
         "endpoint_said",
+        "endpoints_in_reach",
+        "endpoints_out_of_reach",
         "engine_speed_changed",
         "engine_vanished",
         "following_began",
--- a/tests/endpoint_paths/test_reachability.py
+++ b/tests/endpoint_paths/test_reachability.py
@@ -28,7 +28,7 @@
         paths.record_failure(first)
         paths.record_failure(first)
         assert not paths.is_cut_off(second)
-        assert not paths.is_in_reach(first)
+        assert paths.has_failed_recently(first)
 
     deployments.run(main())
 
@@ -42,7 +42,7 @@
         assert paths.cut_off_groups == ["shop-api/plain"]
         paths.record_connection(third)
         assert not paths.is_cut_off(first)
-        assert not paths.is_in_reach(first)
+        assert not paths.is_avoided(first)
 
     deployments.run(main())
 
