Take no reset connection for a crash before a peer has checked

Cause: whether an endpoint had crashed was decided by whether it refuses this instance's connections. A partition that resets connections refuses them too, so innocent requests got crash reports, and three of them a quarantine.

Change: a refused connection counts as a crash only if a peer is refused as well; if none can tell, not while the endpoint's group is out of reach.

Result: test_resets_are_not_taken_for_crashes fails without the change (four reports) and passes with it; tests/endpoint_paths passes.

--- a/src/jujubewharf/endpoint_paths/relayed_backends.py
+++ b/src/jujubewharf/endpoint_paths/relayed_backends.py
@@ -135,8 +135,20 @@
         return await self._direct.is_reachable(endpoint)
 
     async def has_crashed(self, endpoint: resources.Endpoint) -> bool:
-        """Whether an endpoint's process is gone; see ``ports.Backends``."""
-        return await self._direct.has_crashed(endpoint)
+        """Whether an endpoint's process is gone; see ``ports.Backends``.
+
+        A partition that resets connections looks the same from here, and its
+        requests would be blocked as if they had crashed the endpoint.
+        """
+        if not await self._direct.has_crashed(endpoint):
+            return False
+        if self.relay is None:
+            return True
+        kind = relay_messages.CheckKind.CRASHED
+        try:
+            return await self.relay.check(endpoint, kind)
+        except client.EngineError:
+            return not self._reachability.is_cut_off(endpoint)
 
     async def order_role(
         self, endpoint: resources.Endpoint, order: ports.RoleOrder
--- a/tests/endpoint_paths/test_relay_failures.py
+++ b/tests/endpoint_paths/test_relay_failures.py
@@ -159,6 +159,29 @@
     deployments.run(main())
 
 
+# Requests under way as connections were reset counted as the cause of crashes,
+# and their likes were blocked at all instances.
+def test_resets_are_not_taken_for_crashes():
+    async def main():
+        async with cut_offs.deployed(*NAMES) as world:
+            for backend in world.backends.by_name.values():
+                backend.work_ms = 300.0
+            for _ in range(4):
+                asking = [
+                    asyncio.ensure_future(world.ask(path, instance="e1"))
+                    for path in cut_offs.PATHS
+                ]
+                await world.clock.sleep_ms(200.0)
+                world.cuts.begin("e1", CutKind.RESET)
+                await asyncio.gather(*asking)
+                world.cuts.end()
+                await world.clock.sleep_ms(2_500.0)
+            for instance in world.instances.values():
+                assert instance.crashes.reports() == ()
+
+    deployments.run(main())
+
+
 # A stream stopped when its instance lost the path to the engine.
 @pytest.mark.parametrize("kind", [CutKind.SILENT, CutKind.RESET])
 def test_stream_under_way_goes_on_through_a_peer(kind):
