Say nothing of not run to callers whose request ran before a path was lost

Change: a reservation without a path fails as the run's state says. The stand-in now ends a run whose answer the partition withheld.

--- a/src/jujubewharf/forwarding/reservations.py
+++ b/src/jujubewharf/forwarding/reservations.py
@@ -127,9 +127,12 @@
         """Records a failed reservation.
 
         Raises:
-            NoPathError: Other engines can't be asked either.
+            WharfError: Other engines can't be asked either; ``NoPathError`` if
+                the request hasn't run.
         """
         if error.fault is client.EngineFault.NO_PATH:
+            if run.may_have_run:
+                raise run.failure() from error
             raise places.NoPathError(error.engine) from error
         if error.fault is client.EngineFault.REFUSED_FULL:
             self._pool.record_memory_refusal(error.engine, demand.total_tokens)
--- a/src/jujubewharf/standins/endpoint_cuts.py
+++ b/src/jujubewharf/standins/endpoint_cuts.py
@@ -130,7 +130,14 @@
         """Sends a request; see ``ports.Backends``."""
         await self._connect(endpoint)
         context = self._backends.send(endpoint, outbound)
-        reply = await self._interruptible(endpoint, context.__aenter__())
+        entering = asyncio.ensure_future(context.__aenter__())
+        try:
+            reply = await self._interruptible(endpoint, entering)
+        except BaseException:
+            if not entering.cancelled() and entering.exception() is None:
+                # The endpoint had answered; its answer never arrived.
+                await context.__aexit__(None, None, None)
+            raise
         try:
             body = self._interruptible_body(endpoint, reply.body)
             yield dataclasses.replace(reply, body=body)
