Believe in a partition only once all endpoints of a group have failed

Cause, found by reading: two failed endpoints in a row made a group count as out of reach. With two endpoints of three crashed, all instances would have refused each other and their callers until a probe reached the third.

Change: two failures in a row have the rest of the group probed at once; it is out of reach when all have failed, and in reach again with a new endpoint. After a single failure the request goes to another endpoint as before, and a peer is asked the next time. Unreachable peers rest for two seconds.

--- a/src/jujubewharf/endpoint_paths/path_probes.py
+++ b/src/jujubewharf/endpoint_paths/path_probes.py
@@ -18,8 +18,9 @@
 from jujubewharf.engines import client
 from jujubewharf.peers import relay_messages
 
-# Every group out of reach costs one connection attempt per interval.
 _INTERVAL_MS = 500.0
+# Connection attempts per interval to a group that is out of reach.
+_ENDPOINTS_PER_ROUND = 3
 
 
 class PathProbes(mode.Service):
@@ -42,6 +43,7 @@
         self._reachability = reachability
         self._clock = clock
         self._rounds = 0
+        reachability.on_suspected = self._probe_at_once
 
     @mode.Service.task
     async def _run(self) -> None:
@@ -49,11 +51,24 @@
             await self._clock.sleep_ms(_INTERVAL_MS)
             self._rounds += 1
             probed = [
-                endpoints[self._rounds % len(endpoints)]
+                endpoint
                 for endpoints in self._reachability.to_probe()
+                for endpoint in self._next(endpoints)
             ]
             await asyncio.gather(*(self._probe(e) for e in probed))
 
+    def _next(
+        self, endpoints: list[resources.Endpoint]
+    ) -> list[resources.Endpoint]:
+        """Returns the endpoints of a group to probe in this round."""
+        count = min(_ENDPOINTS_PER_ROUND, len(endpoints))
+        first = self._rounds * count
+        return [endpoints[(first + i) % len(endpoints)] for i in range(count)]
+
+    def _probe_at_once(self, endpoints: list[resources.Endpoint]) -> None:
+        for endpoint in endpoints:
+            self.add_future(self._probe(endpoint))
+
     async def _probe(self, endpoint: resources.Endpoint) -> None:
         if await self._backends.is_reachable(endpoint):
             return
--- a/src/jujubewharf/endpoint_paths/reachability.py
+++ b/src/jujubewharf/endpoint_paths/reachability.py
@@ -1,13 +1,14 @@
 """Which endpoints this instance reaches by itself, by its own connections.
 
 A failed connection shows a fault of this instance's path if a peer reaches the
-endpoint meanwhile, or if connections to several endpoints of its group have
-failed in a row. A group are all endpoints of a service with one role; a single
-one may also fail because it has ended.
+endpoint meanwhile, or if connections to all endpoints of its group have failed
+since the last success. A group are all endpoints of a service with one role;
+some of them may also fail because they have ended.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 
@@ -15,8 +16,8 @@
 from jujubewharf.configuration import resources
 from jujubewharf.endpoint_paths import path_log
 
-# Endpoints of a group that failed in a row, after which the fault is more
-# likely this instance's.
+# Failed endpoints in a row after which the rest of the group is probed at once:
+# callers' requests would try them one after the other.
 _FAILED_IN_A_ROW = 2
 # Time for which a failed connection to one endpoint is taken as evidence; then
 # it is tried again.
@@ -47,9 +48,15 @@
 
     Args:
         clock: Time source.
+
+    Attributes:
+        on_suspected: Called with the endpoints to probe when a group may be out
+            of reach.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
+        self.on_suspected: Callable[[list[resources.Endpoint]], None]
+        self.on_suspected = lambda endpoints: None
         self._clock = clock
         self._groups: dict[str, _Group] = {}
         self._endpoints: dict[str, list[resources.Endpoint]] = {}
@@ -74,6 +81,10 @@
                 del group.failed[gone]
         for gone in [n for n in self._groups if n not in self._endpoints]:
             del self._groups[gone]
+        for name, group in self._groups.items():
+            if not self._have_all_failed(name, group):
+                # A new endpoint may be in reach.
+                group.out_of_reach_ms = None
 
     def endpoints_of(self, group: str) -> list[resources.Endpoint]:
         """Returns the endpoints of a group that accept work."""
@@ -174,9 +185,9 @@
         group = self._groups.setdefault(name, _Group())
         group.failed[endpoint.name] = None
         self._failed_ms[endpoint.name] = self._clock.now_ms()
-        size = len(self.endpoints_of(name)) or 1
-        needed = min(_FAILED_IN_A_ROW, size)
-        if group.out_of_reach_ms is None and len(group.failed) >= needed:
+        if group.out_of_reach_ms is not None:
+            return
+        if self._have_all_failed(name, group):
             now_ms = self._clock.now_ms()
             group.out_of_reach_ms = now_ms
             reached_ms = group.reached_ms
@@ -187,6 +198,17 @@
                     None if reached_ms is None else now_ms - reached_ms
                 ),
             )
+        elif len(group.failed) == _FAILED_IN_A_ROW:
+            self.on_suspected(
+                [
+                    other
+                    for other in self.endpoints_of(name)
+                    if other.name not in group.failed
+                ]
+            )
+
+    def _have_all_failed(self, name: str, group: _Group) -> bool:
+        return all(e.name in group.failed for e in self.endpoints_of(name))
 
 
 def group_of(endpoint: resources.Endpoint) -> str:
--- a/src/jujubewharf/endpoint_paths/relay_client.py
+++ b/src/jujubewharf/endpoint_paths/relay_client.py
@@ -28,15 +28,16 @@
 from jujubewharf.peers import relay_messages
 from jujubewharf.peers import streams
 
-# A peer that is reached answers the handshake within some milliseconds.
-_DIAL_TIMEOUT_MS = 150.0
+# A peer that is reached answers the handshake within some milliseconds, unless
+# it is busy.
+_DIAL_TIMEOUT_MS = 250.0
 # Time after which no further peer is asked.
-_SEARCH_TIMEOUT_MS = 400.0
+_SEARCH_TIMEOUT_MS = 500.0
 # Peers asked for one call if this instance reaches no endpoint of the group,
 # and if only this endpoint fails, which mostly has ended.
 _MAX_PEERS_IF_CUT_OFF = 8
 _MAX_PEERS = 2
-# Time for which other peers are asked first.
+# Time for which a peer isn't asked again, and for which others are asked first.
 _UNREACHABLE_PAUSE_MS = 2_000.0
 _REFUSED_PAUSE_MS = 500.0
 # Time after a search without success for which calls fail at once.
@@ -223,7 +224,10 @@
             if isinstance(fault, relay_messages.RelayedFault):
                 self._pass_on(endpoint, fault.notices)
                 raise _engine_error(endpoint, fault)
-            self._reachability.record_peer_connection(endpoint, exchange.peer)
+            if not isinstance(message, relay_messages.RelayedCheck):
+                self._reachability.record_peer_connection(
+                    endpoint, exchange.peer
+                )
             yield exchange
 
     def _check_may_search(self, endpoint: resources.Endpoint) -> None:
@@ -261,7 +265,7 @@
                     )
                     stack.push_async_exit(attempt.pop_all())
             except _PeerUnavailableError:
-                self._peers.avoid(address, _UNREACHABLE_PAUSE_MS)
+                self._peers.mark_unreachable(address, _UNREACHABLE_PAUSE_MS)
             except _RefusedError as error:
                 has_reached_any = True
                 self._on_refused(address, endpoint, error.refusal)
@@ -360,7 +364,7 @@
                 except BaseException:
                     writer.close()
                     raise
-        except (handshake.RefusedHelloError, OSError, TimeoutError) as error:
+        except (handshake.RefusedHelloError, OSError, ValueError) as error:
             raise _PeerUnavailableError from error
         return hello.instance, relay_streams.RelayStream(reader, writer)
 
--- a/src/jujubewharf/endpoint_paths/relay_peers.py
+++ b/src/jujubewharf/endpoint_paths/relay_peers.py
@@ -38,11 +38,13 @@
         in_flight: Calls that it makes for this instance now.
         used_ms: Time of the last call.
         avoided_until_ms: Time until which others are asked first.
+        unreachable_until_ms: Time until which it isn't asked at all.
     """
 
     in_flight: int = 0
     used_ms: float = 0.0
     avoided_until_ms: float = 0.0
+    unreachable_until_ms: float = 0.0
 
 
 class RelayPeers:
@@ -90,7 +92,13 @@
         for address in self._learnt:
             known.setdefault(address, PeerAddress(address))
         self._forget_others(known)
-        candidates = [p for a, p in known.items() if a not in tried]
+        now_ms = self._clock.now_ms()
+        candidates = [
+            peer
+            for address, peer in known.items()
+            if address not in tried
+            and self._usage_of(address).unreachable_until_ms <= now_ms
+        ]
         if not candidates:
             return None
         return min(candidates, key=self._rank).address
@@ -100,6 +108,11 @@
         until_ms = self._clock.now_ms() + for_ms
         self._usage_of(address).avoided_until_ms = until_ms
 
+    def mark_unreachable(self, address: str, for_ms: float) -> None:
+        """Asks a peer again only after a while."""
+        until_ms = self._clock.now_ms() + for_ms
+        self._usage_of(address).unreachable_until_ms = until_ms
+
     @contextlib.contextmanager
     def using(self, address: str) -> Iterator[None]:
         """Counts a call as made by a peer for the duration of the block."""
--- a/src/jujubewharf/endpoint_paths/relayed_backends.py
+++ b/src/jujubewharf/endpoint_paths/relayed_backends.py
@@ -1,8 +1,10 @@
 """Reaches endpoints directly, or through a peer where that fails.
 
 An instance that can't open a connection to an endpoint knows nothing about the
-endpoint: it may be partitioned itself. So a failed connection is believed only
-if a peer's fails, too.
+endpoint: it may be partitioned itself. After a single failure the caller's
+request goes to another endpoint. Once all of a group seem to fail, or if a call
+is for the failed endpoint again, a peer makes it, whose failure confirms that
+the endpoint has ended.
 """
 
 from __future__ import annotations
@@ -173,7 +175,10 @@
             try:
                 return await direct()
             except client.EngineError as error:
-                if error.fault is not client.EngineFault.UNREACHABLE:
+                is_unreachable = error.fault is client.EngineFault.UNREACHABLE
+                if not (
+                    is_unreachable and self._reachability.is_cut_off(endpoint)
+                ):
                     raise
         return await relayed(self.relay)
 
--- a/tests/endpoint_paths/test_relay_failures.py
+++ b/tests/endpoint_paths/test_relay_failures.py
@@ -252,6 +252,25 @@
     deployments.run(main())
 
 
+# As most endpoints of a service crashed, instances took themselves for
+# partitioned and refused what the last one could serve.
+def test_last_endpoint_serves_while_the_others_have_ended():
+    async def main():
+        async with cut_offs.deployed(*NAMES) as world:
+            for name in ("s-a", "s-b", "t-a"):
+                world.backends.by_name[name].is_unreachable = True
+            answers = await asyncio.gather(
+                *(
+                    world.ask(path, instance=name)
+                    for name in NAMES
+                    for path in ("/lookup/1", "/sale/1") * 3
+                )
+            )
+            assert all(answer.status == 200 for answer in answers)
+
+    deployments.run(main())
+
+
 # A request too large for a peer's frame broke the stream and may have run.
 def test_request_too_large_for_a_peer_is_refused_as_not_run():
     async def main():
