Give the hello of a newer version in a test the field that this one has

Cause: test_newer_protocol_version_is_accepted sends all fields of this build's hello and an unknown one after them. Hello has a new field, so the unknown one stood in its place, as a string where a bool is due, and the hello was refused.

Change: the test sends the new field, too; it still expects one unknown field and the same answers and drops.

--- a/tests/peers/test_hostile.py
+++ b/tests/peers/test_hostile.py
@@ -208,6 +208,7 @@
             False,
             None,
             0,
+            False,
             "new",
         ]
         parts = [
