--- a/src/jujubewharf/endpoint_paths/endpoint_paths.py
+++ b/src/jujubewharf/endpoint_paths/endpoint_paths.py
@@ -10,6 +10,7 @@
 from jujubewharf.endpoint_paths import path_probes
 from jujubewharf.endpoint_paths import reachability as reachabilities
 from jujubewharf.endpoint_paths import relay_client
+from jujubewharf.endpoint_paths import relay_exchanges
 from jujubewharf.endpoint_paths import relay_peers
 from jujubewharf.endpoint_paths import relay_server
 from jujubewharf.endpoint_paths import relayed_backends
@@ -78,9 +79,12 @@
             Makes calls for peers.
         """
         peers = relay_peers.RelayPeers(hello.domain, known_peers, self._clock)
-        client = relay_client.RelayClient(
+        exchanges = relay_exchanges.RelayExchanges(
             transport, hello, peers, self.reachability, self._clock
         )
+        client = relay_client.RelayClient(
+            exchanges, self.reachability, self._clock
+        )
         client.listener = listener
         self.backends.relay = client
         return relay_server.RelayServer(
--- a/tests/endpoint_paths/test_relay_failures.py
+++ b/tests/endpoint_paths/test_relay_failures.py
@@ -33,7 +33,7 @@
 def _peers_of(world, name):
     """Instances that make calls for an instance now."""
     relayed = world.instances[name].paths.backends.relay
-    usage = relayed._peers._usage
+    usage = relayed._exchanges._peers._usage
     return [a.partition(":")[0] for a, u in usage.items() if u.in_flight]
 
 
