--- a/tests/endpoint_paths/test_cut_off.py
+++ b/tests/endpoint_paths/test_cut_off.py
@@ -32,3 +32,47 @@
 
     for cut in CUTS:
         deployments.run(main(cut))
+
+
+# With its leader out of reach of endpoints, a fleet placed no model requests.
+@pytest.mark.parametrize("kind", list(CutKind))
+def test_leader_without_endpoints_places_for_all(kind):
+    async def main():
+        async with cut_offs.deployed(*NAMES) as world:
+            leader = world.leader
+            world.cuts.begin(leader, kind)
+            await cut_offs.ask(world, NAMES, for_ms=cut_offs.STABLE_MS)
+            answers = await cut_offs.ask(world, NAMES, for_ms=2_000.0)
+            assert cut_offs.tries(answers, NAMES).share == 1.0
+            assert world.leader == leader
+
+    deployments.run(main())
+
+
+# Its only way left was another domain's peer, which wasn't asked.
+def test_whole_domain_without_endpoints_is_served_by_another():
+    async def main():
+        async with cut_offs.deployed(*NAMES) as world:
+            domain = [n for n in NAMES if world.instances[n].domain == "b"]
+            for name in domain:
+                world.cuts.begin(name, CutKind.RESET)
+            await cut_offs.ask(world, domain, for_ms=cut_offs.STABLE_MS)
+            answers = await cut_offs.ask(world, domain, for_ms=2_000.0)
+            assert cut_offs.tries(answers, domain).share == 1.0
+
+    deployments.run(main())
+
+
+# An instance out of reach of one service refused it, though peers reached it.
+@pytest.mark.parametrize("service", list(deployments.SERVICES))
+def test_instance_without_one_service_serves_all(service):
+    async def main():
+        async with cut_offs.deployed(*NAMES) as world:
+            behind = world.backends.by_name.values()
+            names = [b.name for b in behind if b.endpoint.service == service]
+            world.cuts.begin("e1", CutKind.SILENT, endpoints=names)
+            await cut_offs.ask(world, ["e1"], for_ms=cut_offs.STABLE_MS)
+            answers = await cut_offs.ask(world, ["e1"], for_ms=2_000.0)
+            assert cut_offs.tries(answers, ["e1"]).share == 1.0
+
+    deployments.run(main())
