Connect to an endpoint in one place, for both checks of liveness

Two functions of liveness opened a connection in the same way and differed in what they made of its outcome. One does now. A timeout is told from a refusal as before (TimeoutError is an OSError); tests/engines/test_liveness.py passes, with a new test of accepted connections.

--- a/src/jujubewharf/engines/liveness.py
+++ b/src/jujubewharf/engines/liveness.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 
 from jujubewharf import clock as clocks
 
@@ -12,6 +13,12 @@
 _CONNECT_TIMEOUT_MS = 150.0
 
 
+class _ConnectOutcome(enum.Enum):
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNCLEAR = "unclear"
+
+
 async def accepts_connections(address: str, clock: clocks.Clock) -> bool:
     """Whether an address accepts connections.
 
@@ -19,14 +26,7 @@
         address: ``IP:PORT``.
         clock: Time source.
     """
-    host, _, port = address.rpartition(":")
-    try:
-        async with clock.timeout_ms(_CONNECT_TIMEOUT_MS):
-            _, writer = await asyncio.open_connection(host, int(port))
-    except OSError:
-        return False
-    writer.close()
-    return True
+    return await _connect(address, clock) is _ConnectOutcome.ACCEPTED
 
 
 async def refuses_connections(address: str, clock: clocks.Clock) -> bool:
@@ -39,17 +39,20 @@
         address: ``IP:PORT``.
         clock: Time source.
     """
+    return await _connect(address, clock) is _ConnectOutcome.REFUSED
+
+
+async def _connect(address: str, clock: clocks.Clock) -> _ConnectOutcome:
+    """Opens a connection, sends nothing on it, and closes it."""
     host, _, port = address.rpartition(":")
     try:
         async with clock.timeout_ms(_CONNECT_TIMEOUT_MS):
             _, writer = await asyncio.open_connection(host, int(port))
-    except TimeoutError:
-        return False
     except (ConnectionRefusedError, ConnectionResetError):
-        return True
+        return _ConnectOutcome.REFUSED
     except OSError:
-        # A missing route or a lack of local file descriptors says nothing about
-        # the engine.
-        return False
+        # A timeout, a missing route or a lack of local file descriptors says
+        # nothing about the engine.
+        return _ConnectOutcome.UNCLEAR
     writer.close()
-    return False
+    return _ConnectOutcome.ACCEPTED
--- a/tests/engines/test_liveness.py
+++ b/tests/engines/test_liveness.py
@@ -39,3 +39,13 @@
             assert not await liveness.refuses_connections(
                 "10.0.0.1:1", clocks.Clock()
             )
+
+
+# Only an accepted connection shows that an engine can be reached again.
+async def test_only_accepted_connections_count_as_accepted():
+    server = await asyncio.start_server(lambda r, w: w.close(), HOST, 0)
+    async with server:
+        port = server.sockets[0].getsockname()[1]
+        address = f"{HOST}:{port}"
+        assert await liveness.accepts_connections(address, clocks.Clock())
+    assert not await liveness.accepts_connections(address, clocks.Clock())
