Suspect a group of endpoints at most once a second, and not for failed probes

On the platform it would have been a storm of connections to endpoints while most of a service is gone.

Cause: two failures in a row have the rest of a group probed. With one endpoint of several left, its probe succeeds and clears the row, the next two fail and start the next round, each as fast as connections fail.

Change: a failed probe is no reason for more probes, and a group is suspected at most once a second.

--- a/src/jujubewharf/endpoint_paths/observed_backends.py
+++ b/src/jujubewharf/endpoint_paths/observed_backends.py
@@ -115,7 +115,7 @@
         if is_reached:
             self._reachability.record_connection(endpoint)
         else:
-            self._reachability.record_failure(endpoint)
+            self._reachability.record_failure(endpoint, is_probe=True)
         return is_reached
 
     async def has_crashed(self, endpoint: resources.Endpoint) -> bool:
--- a/src/jujubewharf/endpoint_paths/reachability.py
+++ b/src/jujubewharf/endpoint_paths/reachability.py
@@ -22,6 +22,9 @@
 # Time for which a failed connection to one endpoint is taken as evidence; then
 # it is tried again.
 _BELIEVED_MS = 2_000.0
+# Time between two suspicions of a group. As most of its endpoints have ended,
+# failures and connections alternate, and each would have the rest probed again.
+_SUSPICION_INTERVAL_MS = 1_000.0
 # Age up to which a connection shows that a group is in reach while others
 # aren't.
 _FRESH_MS = 1_000.0
@@ -36,11 +39,14 @@
         reached_ms: Time of that connection; ``None`` if there was none.
         out_of_reach_ms: Time at which the group got out of reach; ``None``
             while it is in reach.
+        suspected_ms: Time at which it was last suspected to be; ``None`` if it
+            never was.
     """
 
     failed: dict[str, None] = dataclasses.field(default_factory=dict)
     reached_ms: float | None = None
     out_of_reach_ms: float | None = None
+    suspected_ms: float | None = None
 
 
 class Reachability:
@@ -179,8 +185,16 @@
         self._reached_by_peers.add(endpoint.name)
         path_log.log_reached_by_peer(endpoint.name, peer=peer)
 
-    def record_failure(self, endpoint: resources.Endpoint) -> None:
-        """Records that no connection to an endpoint could be made."""
+    def record_failure(
+        self, endpoint: resources.Endpoint, *, is_probe: bool = False
+    ) -> None:
+        """Records that no connection to an endpoint could be made.
+
+        Args:
+            endpoint: The endpoint.
+            is_probe: Whether the connection was a probe, which is no reason for
+                more probes.
+        """
         name = group_of(endpoint)
         group = self._groups.setdefault(name, _Group())
         group.failed[endpoint.name] = None
@@ -198,14 +212,23 @@
                     None if reached_ms is None else now_ms - reached_ms
                 ),
             )
-        elif len(group.failed) == _FAILED_IN_A_ROW:
-            self.on_suspected(
-                [
-                    other
-                    for other in self.endpoints_of(name)
-                    if other.name not in group.failed
-                ]
-            )
+        elif len(group.failed) >= _FAILED_IN_A_ROW and not is_probe:
+            self._suspect(name, group)
+
+    def _suspect(self, name: str, group: _Group) -> None:
+        """Has the rest of a group probed, unless that was done lately."""
+        now_ms = self._clock.now_ms()
+        if group.suspected_ms is not None:
+            if now_ms - group.suspected_ms < _SUSPICION_INTERVAL_MS:
+                return
+        group.suspected_ms = now_ms
+        self.on_suspected(
+            [
+                other
+                for other in self.endpoints_of(name)
+                if other.name not in group.failed
+            ]
+        )
 
     def _have_all_failed(self, name: str, group: _Group) -> bool:
         return all(e.name in group.failed for e in self.endpoints_of(name))
--- a/tests/endpoint_paths/test_reachability.py
+++ b/tests/endpoint_paths/test_reachability.py
@@ -119,3 +119,19 @@
         assert paths.is_cut_off(third)
 
     deployments.run(main())
+
+
+# As most endpoints had ended, each failure between two connections had the rest
+# probed again, without end.
+def test_a_group_is_suspected_once_in_a_while():
+    async def main():
+        paths, (first, second, third) = _observed(3)
+        suspected = []
+        paths.on_suspected = suspected.append
+        for _ in range(5):
+            paths.record_failure(first)
+            paths.record_failure(second)
+            paths.record_connection(third)
+        assert len(suspected) == 1
+
+    deployments.run(main())
