--- a/tests/users_platform/test_program.py
+++ b/tests/users_platform/test_program.py
@@ -162,3 +162,20 @@
     monkeypatch.setenv("JUJUBEWHARF_NODE_FILE", str(path))
     assert program.main() == 2
     assert "domain" in capsys.readouterr().err
+
+
+# A process takes a while to end after its drain. Requests on connections that
+# were open until then got no answer.
+async def test_open_connections_are_closed_as_the_program_stops():
+    async with _running() as (settings, _, running):
+        async with aiohttp.ClientSession() as session:
+            await _until_ready(session, settings)
+        host, _, port = settings.callers.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /none HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\n\r\n")
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5.0)
+        assert b"404" in head
+        await running.stop()
+        await asyncio.wait_for(reader.read(), 5.0)
+        assert reader.at_eof()
+        writer.close()
