Tell at which engines and versions streams go on

Logs named the engine at which a broken stream goes on, but no software version, no former engine, and nothing at all when a caller takes a stream up with a new request, so they couldn't tell the three hypotheses apart.

Tests of forwarding and of the border pass, format, lint and types are clean.

--- a/src/jujubewharf/forwarding/calls.py
+++ b/src/jujubewharf/forwarding/calls.py
@@ -48,6 +48,8 @@
         work: Size of a model request; ``None`` for plain requests.
         last_event: Number of the last event that the caller received in an
             earlier try.
+        resumes: Id of the try that brought the first event, if the caller
+            resumes a stream; ``None`` if it names none.
         account: Name of the client account, sent to endpoints; ``None`` if no
             key was given or none is required.
         is_trial: Whether this request is let through as a trial although it is
@@ -66,6 +68,7 @@
     last_event: int | None = None
     account: str | None = None
     is_trial: bool = False
+    resumes: str | None = None
 
     @property
     def path(self) -> str:
--- a/src/jujubewharf/forwarding/registration.py
+++ b/src/jujubewharf/forwarding/registration.py
@@ -21,10 +21,13 @@
             may have used it too.
         started_ms: Unix time of the start in milliseconds; ``None`` if the
             endpoint does not report it.
+        software_version: Version of the endpoint's software, as opposed to the
+            weights that it has loaded; empty if unknown.
     """
 
     registered_as: str = ""
     started_ms: int | None = None
+    software_version: str = ""
 
     @classmethod
     def from_endpoint(cls, endpoint: resources.Endpoint) -> Registration:
@@ -48,3 +51,10 @@
     if isinstance(endpoint, Registration):
         return endpoint.started_ms
     return None
+
+
+def software_version(endpoint: resources.Endpoint) -> str:
+    """Returns the version of an endpoint's software; empty if unknown."""
+    if isinstance(endpoint, Registration):
+        return endpoint.software_version
+    return ""
--- a/src/jujubewharf/forwarding/registry.py
+++ b/src/jujubewharf/forwarding/registry.py
@@ -337,6 +337,7 @@
                 is_lapsed=record.key in self._lapsed,
                 service=known.service,
                 address=known.address,
+                version=registration.software_version(known),
                 state=_state_of(now),
                 role=known.role.value,
             )
--- a/src/jujubewharf/forwarding/request_log.py
+++ b/src/jujubewharf/forwarding/request_log.py
@@ -290,17 +290,6 @@
     )
 
 
-def log_resumption(run: runs.Run, engine: str, *, after_event: int) -> None:
-    """Logs that a stream was resumed at another engine."""
-    _RETRIES.add(1, {"reason": "resumed"})
-    _logger.info(
-        "stream_resumed",
-        request=run.call.request_id,
-        engine=engine,
-        after_event=after_event,
-    )
-
-
 def log_response_start(run: runs.Run, *, status: int, took_ms: float) -> None:
     """Logs the start of a response from an engine."""
     _FIRST_RESPONSE_MS.record(took_ms, {"service": run.service})
--- a/src/jujubewharf/forwarding/stream.py
+++ b/src/jujubewharf/forwarding/stream.py
@@ -13,6 +13,7 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
+from jujubewharf.configuration import resources
 from jujubewharf.engines import client
 from jujubewharf.forwarding import attempts
 from jujubewharf.forwarding import budget as budgets
@@ -20,6 +21,7 @@
 from jujubewharf.forwarding import events
 from jujubewharf.forwarding import observations as observed
 from jujubewharf.forwarding import request_log
+from jujubewharf.forwarding import resume_log
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import runs
 
@@ -69,6 +71,13 @@
         stack.push_async_exit(upstream.exit_stack)
         if not upstream.reply.is_success:
             return upstream.reply
+        if run.call.last_event is not None:
+            resume_log.log_resumption(
+                run,
+                upstream.engine,
+                former=None,
+                after_event=run.call.last_event,
+            )
         body = self._relay(run, upstream)
         await stack.enter_async_context(contextlib.aclosing(body))
         return dataclasses.replace(upstream.reply, body=body, length=None)
@@ -121,16 +130,26 @@
                     return
                 except client.EngineError as error:
                     failure = error
-            upstream = await self._resume(run, failure, last)
+            upstream = await self._resume(run, upstream.engine, failure, last)
 
     async def _resume(
-        self, run: runs.Run, error: client.EngineError, last: int | None
+        self,
+        run: runs.Run,
+        former: resources.Endpoint,
+        error: client.EngineError,
+        last: int | None,
     ) -> attempts.Upstream:
         """Resumes a broken stream on another engine.
 
         The connection to the failed engine is already closed, which cancels its
         work.
 
+        Args:
+            run: The request.
+            former: The engine that broke off.
+            error: How it broke off.
+            last: Number of the last event that the caller has.
+
         Raises:
             WharfError: The stream could not be resumed.
         """
@@ -141,8 +160,8 @@
         if not upstream.reply.is_success:
             await upstream.exit_stack.aclose()
             raise _broken_error()
-        request_log.log_resumption(
-            run, upstream.engine.name, after_event=last or 0
+        resume_log.log_resumption(
+            run, upstream.engine, former=former, after_event=last or 0
         )
         return upstream
 
--- a/tests/users_platform/test_records.py
+++ b/tests/users_platform/test_records.py
@@ -214,6 +214,7 @@
         resources.Role.DECODE,
         slots=12,
         registered_as="i-1",
+        software_version="v1",
     )
 
 
