Reproduce: streams that go on hold events of two software versions

All events are in order, so only their versions tell.

The stand-ins' engines state a version and write it into their events.

--- a/src/jujubewharf/standins/backend_state.py
+++ b/src/jujubewharf/standins/backend_state.py
@@ -10,6 +10,7 @@
 from jujubewharf.engines import client
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import ports
+from jujubewharf.forwarding import registration
 from jujubewharf.standins import plain_slots
 
 PROOF_HEADER = ("Proof", "engine")
@@ -89,6 +90,8 @@
         has_crashed: Set once its process has crashed.
         is_cut: Whether it is partitioned from all instances rather than
             crashed.
+        running_version: Software version of its process, if its registration
+            states another one.
     """
 
     endpoint: resources.Endpoint
@@ -131,12 +134,20 @@
     has_crashed: asyncio.Event = dataclasses.field(
         default_factory=asyncio.Event
     )
+    running_version: str | None = None
 
     @property
     def name(self) -> str:
         """Name of the endpoint."""
         return self.endpoint.name
 
+    @property
+    def software_version(self) -> str:
+        """Software version of its process; empty if it has none."""
+        if self.running_version is not None:
+            return self.running_version
+        return registration.software_version(self.endpoint)
+
     @property
     def reported_load(self) -> reports.LoadReport | None:
         """The load that an answer reports now."""
--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -165,7 +165,9 @@
                 await self._sleep_unless_crashed(backend, _ENDLESS_MS)
             if number == backend.skipped_event:
                 continue
-            yield event(sending.call.request_id, number)
+            yield event(
+                sending.call.request_id, number, backend.software_version
+            )
             if number == backend.breaks_after:
                 yield b"id: "
                 raise backend.error(client.EngineFault.LOST, "broke off")
@@ -384,9 +386,16 @@
         return f"{kind}{next(self._numbers)}"
 
 
-def event(request_id: str, number: int) -> bytes:
-    """Returns one server-sent event of a stand-in's answer."""
-    return f"id: {number}\ndata: {request_id}\n\n".encode()
+def event(request_id: str, number: int, version: str = "") -> bytes:
+    """Returns one server-sent event of a stand-in's answer.
+
+    Args:
+        request_id: Id of the request.
+        number: Number of the event.
+        version: Software version of the engine, if it has one.
+    """
+    data = " ".join(part for part in (request_id, version) if part)
+    return f"id: {number}\ndata: {data}\n\n".encode()
 
 
 async def _single_chunk(part: bytes) -> AsyncIterator[bytes]:
