Keep streams at engines of the version that began them

Cause: nothing knew versions. The version that an engine registers was checked and dropped, so whoever chose an engine for a stream that goes on, within one answer or for its caller's next request, took any of the service.

Why the fix works: a stream is bound to a version from its first event on (stream_versions.resumptions), and all places that choose engines ask it, the last one right before it sends. Where a stream began is known to the instance that forwards it, the leader and a standby in another failure domain; a new leader is told by its followers. A service that has had one version only for as long as streams last needs no memory; a version that is new begins streams only once all instances know it. Who doesn't know refuses at once (503, not run), as does one that has no engine of the version left. Leaders of older builds, which leave versions out, are not believed about endpoints.

--- a/src/jujubewharf/admission/wait_queue.py
+++ b/src/jujubewharf/admission/wait_queue.py
@@ -44,12 +44,14 @@
     ``DUE``: no memory came free in time. ``NO_TIME``: it could not complete
     before its deadline when it arrived. ``UNAVAILABLE``: no engine may be asked
     in time. ``ORDER``: the requests before it use all memory until it is due.
+    ``VERSION``: no engine of its stream's software version is left.
     """
 
     DUE = "due"
     NO_TIME = "no_time"
     UNAVAILABLE = "unavailable"
     ORDER = "order"
+    VERSION = "version"
 
 
 @dataclasses.dataclass(eq=False, slots=True)
--- a/src/jujubewharf/endpoint_load/endpoint_state.py
+++ b/src/jujubewharf/endpoint_load/endpoint_state.py
@@ -12,6 +12,7 @@
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import registry
 from jujubewharf.platform import tables
+from jujubewharf.stream_versions import version_history
 
 
 class EndpointState:
@@ -25,6 +26,7 @@
         registry: Registered endpoints.
         backpressure: Rate limits, backoffs and drain notices of endpoints.
         loads: Load that endpoints have reported.
+        versions: Software versions that services have had.
     """
 
     def __init__(self, clock: clocks.Clock, backends: ports.Backends) -> None:
@@ -32,6 +34,9 @@
         self.backpressure = backpressure.Backpressure(clock)
         self.registry = registry.Registry(clock, self.backpressure.is_leaving)
         self.registry.add_listener(self._drop_unregistered)
+        self.versions = version_history.VersionHistory(clock)
+        self.registry.add_listener(self._record_versions)
+        self.registry.on_record = self.versions.note_record
         self.registry.on_drained_before_restore = self.backpressure.mark_leaving
         self.backpressure.on_drain_notice = self.registry.handle_drain_notice
         self.backpressure.is_registered = self.registry.is_registered
@@ -52,6 +57,10 @@
             page: The page.
             is_full_read: Whether the whole table was read.
         """
+        max_age_ms = version_history.MAX_VIEW_AGE_MS
+        if is_full_read and self.registry.age_ms > max_age_ms:
+            # Entries that came and went since the last read don't show.
+            self.versions.mark_incomplete()
         self.registry.mark_store_available(age_ms=page.age_ms)
         self.registry.mark_read_up_to(page.end)
         records = [
@@ -71,6 +80,9 @@
             self.loads.record(endpoint.name, notice.load)
         self.backpressure.apply_notice(endpoint, notice)
 
+    def _record_versions(self, endpoints: Sequence[resources.Endpoint]) -> None:
+        self.versions.set_endpoints([*endpoints, *self.registry.registered()])
+
     def _drop_unregistered(
         self, endpoints: Sequence[resources.Endpoint]
     ) -> None:
--- a/src/jujubewharf/errors.py
+++ b/src/jujubewharf/errors.py
@@ -34,6 +34,8 @@
     QUEUE_FULL = "queue_full"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     NO_FITTING_ENGINE = "no_fitting_engine"
+    STREAM_ORIGIN_UNKNOWN = "stream_origin_unknown"
+    STREAM_VERSION_GONE = "stream_version_gone"
     NOT_READY = "not_ready"
     SHUTTING_DOWN = "shutting_down"
     KEY_CONFLICT = "key_conflict"
@@ -114,6 +116,20 @@
     ErrorKind.NO_FITTING_ENGINE: ErrorResponse(
         503, "UNAVAILABLE", _NO, True, "No engine fits the request now."
     ),
+    ErrorKind.STREAM_ORIGIN_UNKNOWN: ErrorResponse(
+        503,
+        "FAILED_PRECONDITION",
+        _NO,
+        True,
+        "Which software version began the stream is not known; begin anew.",
+    ),
+    ErrorKind.STREAM_VERSION_GONE: ErrorResponse(
+        503,
+        "FAILED_PRECONDITION",
+        _NO,
+        True,
+        "No engine of the stream's software version is left; begin anew.",
+    ),
     ErrorKind.NOT_READY: ErrorResponse(
         503, "UNAVAILABLE", _NO, True, "This instance is still starting."
     ),
--- a/src/jujubewharf/forwarding/attempts.py
+++ b/src/jujubewharf/forwarding/attempts.py
@@ -20,9 +20,11 @@
 from jujubewharf.forwarding import observations as observed
 from jujubewharf.forwarding import places as all_places
 from jujubewharf.forwarding import ports
+from jujubewharf.forwarding import registration
 from jujubewharf.forwarding import registry as registries
 from jujubewharf.forwarding import request_log
 from jujubewharf.forwarding import runs
+from jujubewharf.stream_versions import resumptions
 
 # Maximum number of prefill engines tried per request. If all fail, the decode
 # engine prefills the prompt itself, which stalls its other answers for up to
@@ -337,6 +339,36 @@
         if not has_permit or self._backpressure.is_backing_off(name):
             raise client.EngineError(client.EngineFault.DEFERRED, name)
 
+    async def _check_version(
+        self, run: runs.Run, engine: resources.Endpoint
+    ) -> None:
+        """Checks that a stream that goes on does so at its version.
+
+        An engine that keeps its id over restarts may have started again, with
+        another version, since it was last read from the store.
+
+        Raises:
+            EngineError: The engine has another version, or it is in doubt.
+        """
+        if run.origin is None:
+            return
+        fault = client.EngineFault.REFUSED_LEAVING
+        if not resumptions.of_version(run, [engine]):
+            raise client.EngineError(fault, engine.name, "other version")
+        if registration.started_ms(engine) is None:
+            return
+        if not await self.is_same_start(engine):
+            raise client.EngineError(fault, engine.name, "start in doubt")
+
+    async def is_same_start(self, engine: resources.Endpoint) -> bool:
+        """Returns whether an engine is still the start that is registered."""
+        try:
+            await self._backends.is_changing(engine)
+        except client.EngineError as error:
+            self._record_failure(error)
+            return False
+        return True
+
     async def _send(
         self,
         exit_stack: contextlib.AsyncExitStack,
@@ -348,6 +380,7 @@
             # The engine started to drain during prefill.
             fault = client.EngineFault.REFUSED_LEAVING
             raise client.EngineError(fault, engine.name)
+        await self._check_version(run, engine)
         began_ms = self._clock.now_ms()
         before = run.record_attempt(engine.name)
         request_log.log_attempt(
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -41,6 +41,7 @@
 from jujubewharf.leadership import fleet as fleets
 from jujubewharf.leadership import fleet_crashes
 from jujubewharf.leadership import fleet_limits
+from jujubewharf.leadership import fleet_origins
 from jujubewharf.leadership import fleet_quotas
 from jujubewharf.leadership import fleet_retries
 from jujubewharf.leadership import leadership
@@ -59,6 +60,8 @@
 from jujubewharf.platform import tables
 from jujubewharf.requests import plain_endpoints
 from jujubewharf.role_orders import ledger
+from jujubewharf.stream_versions import origins
+from jujubewharf.stream_versions import resumptions
 
 # Share of the retry budget while the group is unreachable. Small enough for two
 # dozen isolated instances to stay within the fleet's budget.
@@ -172,6 +175,8 @@
             self.source,
             digests,
             self._role_orders,
+            origins.StreamOrigins(clock),
+            self._endpoint_state.versions,
         )
         self.fleet = fleets.Fleet(
             self.registry,
@@ -207,6 +212,9 @@
             rng,
             self._availability,
         )
+        self._origins = fleet_origins.FleetOrigins(
+            self.fleet, shared, clock, domain=settings.domain
+        )
         self.quotas = fleet_quotas.FleetQuotas(
             self.fleet,
             self.source,
@@ -296,6 +304,7 @@
             self.quotas,
             self.endpoint_limits,
             self.backpressure,
+            self._endpoint_state.versions,
             lambda: self.fleet.has_placed_all,
             lambda: self.fleet.role.value,
             clock,
@@ -353,6 +362,13 @@
             self.backpressure,
             clock,
         )
+        resumed = resumptions.Resumptions(
+            self._origins,
+            self._endpoint_state.versions,
+            self.registry,
+            sender.is_same_start,
+            clock,
+        )
         return forwarder.Forwarder(
             self.source,
             plain.PlainForwarder(
@@ -360,13 +376,17 @@
                 self.registry,
                 chooser,
                 self.plain_permits,
+                resumed,
                 self.budget,
                 self.endpoint_limits,
                 self.backpressure,
                 clock,
                 rng,
             ),
-            stream.StreamForwarder(sender, self.budget, observed, clock),
+            stream.StreamForwarder(
+                sender, resumed, self.budget, observed, clock
+            ),
+            resumed,
             self.budget,
             self.quotas,
             self.crashes,
@@ -418,6 +438,9 @@
             self.plain_permits.queues.reset
         )
         self.fleet_retries.attach(self.fleet.followers)
+        self.fleet.followers.on_streams_began = (
+            self._origins.on_followers_streams
+        )
         return new
 
     async def on_start(self) -> None:
--- a/src/jujubewharf/forwarding/forwarder.py
+++ b/src/jujubewharf/forwarding/forwarder.py
@@ -23,6 +23,7 @@
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import runs
 from jujubewharf.forwarding import stream
+from jujubewharf.stream_versions import resumptions
 
 _NOT_READY_RETRY_AFTER_MS = 500.0
 
@@ -130,6 +131,7 @@
         source: Configuration in force.
         plain_forwarder: Forwards plain requests.
         stream_forwarder: Forwards streams from engines.
+        resumed: Binds requests that resume a stream to its version.
         budget: Retry budget of the fleet.
         quotas: Enforces account quotas.
         history: Records requests that completed.
@@ -144,6 +146,7 @@
         source: ActiveConfiguration,
         plain_forwarder: plain.PlainForwarder,
         stream_forwarder: stream.StreamForwarder,
+        resumed: resumptions.Resumptions,
         budget: budgets.FleetRetryBudget,
         quotas: all_quotas.Quotas,
         history: crashes.CrashHistory,
@@ -157,6 +160,7 @@
         self._source = source
         self._plain = plain_forwarder
         self._stream = stream_forwarder
+        self._resumptions = resumed
         self._budget = budget
         self._quotas = quotas
         self._history = history
@@ -272,6 +276,7 @@
     async def _begin(
         self, stack: contextlib.AsyncExitStack, run: runs.Run
     ) -> calls.Reply:
+        await self._resumptions.bind(run)
         current = self._source.current
         assert current is not None
         service = current.services.get(run.service)
--- a/src/jujubewharf/forwarding/patience.py
+++ b/src/jujubewharf/forwarding/patience.py
@@ -86,14 +86,15 @@
         """
         wait_ms = self.on_time_wait_ms(run)
         is_late = wait_ms <= 0.0
+        is_resumed = run.may_have_run or run.origin is not None
         if is_late:
             wait_ms = self.late_wait_ms(run, fastest=fastest)
         return tickets.Ticket(
             run.priority,
             run.call.account,
             cost,
-            is_late=is_late and not run.may_have_run,
-            is_resumed=run.may_have_run,
+            is_late=is_late and not is_resumed,
+            is_resumed=is_resumed,
             due_ms=self._clock.now_ms() + wait_ms,
         )
 
--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -33,8 +33,11 @@
 from jujubewharf.forwarding import registry as registries
 from jujubewharf.forwarding import request_log
 from jujubewharf.forwarding import reservations
+from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import runs
 from jujubewharf.forwarding import state_log
+from jujubewharf.stream_versions import resumptions
+from jujubewharf.stream_versions import version_history
 
 # Number of engines that a request asks in its first round and in each later
 # round. When this many are full the next one most likely is too, and asking
@@ -55,6 +58,7 @@
         quotas: Quotas of client accounts.
         limits: Permits of engines that announced a rate limit.
         backpressure: Rate limits, backoffs and drains that engines announced.
+        versions: Software versions that services have had.
         knows_all_reservations: Returns whether this instance made all
             reservations that engines hold at present.
         role: Returns the role of this instance, for logs.
@@ -72,6 +76,7 @@
         quotas: all_quotas.Quotas,
         limits: all_limits.Permits,
         backpressure: all_backpressure.Backpressure,
+        versions: version_history.VersionHistory,
         knows_all_reservations: Callable[[], bool],
         role: Callable[[], str],
         clock: clocks.Clock,
@@ -83,6 +88,7 @@
         self._lengths = lengths
         self._quotas = quotas
         self._backpressure = backpressure
+        self._versions = versions
         self._knows_all_reservations = knows_all_reservations
         self._role = role
         self._clock = clock
@@ -251,13 +257,16 @@
                 reservation = await self._reservations.try_engines(
                     run,
                     demand,
-                    self._permitted_engines(run),
+                    self._fitting_engines(run),
                     max_engines=max_engines,
                 )
                 max_engines = _LATER_ROUND_ENGINES
                 queue.end_ask(waiter, is_served=reservation is not None)
                 if reservation is not None:
                     return reservation
+                if run.origin is not None and self._has_lost_its_version(run):
+                    waiter.rejected_by = wait_queues.Rejection.VERSION
+                    return None
                 if self._is_unavailable_until(run, due_ms):
                     waiter.rejected_by = wait_queues.Rejection.UNAVAILABLE
                     return None
@@ -273,7 +282,7 @@
         reservation = await self._reservations.try_engines(
             run,
             demand,
-            self._permitted_engines(run),
+            self._fitting_engines(run),
             max_engines=max_engines,
         )
         queue.end_ask(waiter, is_served=reservation is not None)
@@ -297,6 +306,21 @@
             return engines
         return [e for e in engines if run.may_go_to(e.name, self._clock)]
 
+    def _fitting_engines(self, run: runs.Run) -> Sequence[resources.Endpoint]:
+        """Returns the permitted engines whose version fits the request."""
+        engines = self._permitted_engines(run)
+        if run.origin is not None:
+            return resumptions.of_version(run, engines)
+        if run.route.repeat is routes.Repeat.CONTINUE:
+            return self._versions.without_new_versions(engines)
+        return engines
+
+    def _has_lost_its_version(self, run: runs.Run) -> bool:
+        """Returns whether no engine is left at which a stream may go on."""
+        engines = self._registry.of_service(run.service)
+        fitting = resumptions.of_version(run, engines)
+        return not any(engine.can_decode for engine in fitting)
+
     def _is_unavailable_until(self, run: runs.Run, due_ms: float) -> bool:
         """Returns whether no engine can be asked before ``due_ms``."""
         wait_ms = self._available_in_ms(run)
@@ -342,6 +366,11 @@
         )
         if run.may_have_run:
             return run.failure()
+        if waiter.rejected_by is wait_queues.Rejection.VERSION:
+            return errors.WharfError(
+                errors.ErrorKind.STREAM_VERSION_GONE,
+                retry_after_ms=runs.RETRY_AFTER_MS,
+            )
         retry_after_ms = self._wait_policy.retry_after_ms(
             run.call,
             self._running,
--- a/src/jujubewharf/forwarding/plain.py
+++ b/src/jujubewharf/forwarding/plain.py
@@ -25,6 +25,7 @@
 from jujubewharf.plain_calls import decisions
 from jujubewharf.plain_calls import permits as all_permits
 from jujubewharf.requests import plain_endpoints
+from jujubewharf.stream_versions import resumptions
 
 # Answers up to this size are buffered before their first byte is forwarded, so
 # that an answer that breaks off can be retried or reported as an error.
@@ -45,6 +46,7 @@
         registry: Registered endpoints.
         chooser: Selects endpoints where calls need no permit.
         permits: Permits of calls where endpoints report their load.
+        resumed: Binds streams to the version that began them.
         budget: Retry budget of the fleet.
         limits: Rate limits set by endpoints.
         backpressure: Rate limits, backoffs and drain notices sent by endpoints.
@@ -58,6 +60,7 @@
         registry: registries.Registry,
         chooser: plain_endpoints.EndpointChooser,
         permits: all_permits.PlainPermits,
+        resumed: resumptions.Resumptions,
         budget: budgets.FleetRetryBudget,
         limits: all_limits.Permits,
         backpressure: all_backpressure.Backpressure,
@@ -69,6 +72,7 @@
         self._registry = registry
         self._chooser = chooser
         self._permits = permits
+        self._resumptions = resumed
         self._budget = budget
         self._limits = limits
         self._backpressure = backpressure
@@ -82,13 +86,16 @@
         Raises:
             WharfError: There is no answer.
         """
-        failed: set[str] = set()
+        failed = self._of_other_versions(run)
         error_reply: calls.Reply | None = None
         while True:
             try:
                 async with contextlib.AsyncExitStack() as held:
                     permit = await self._acquire(held, run, failed)
                     failed.add(permit.endpoint.name)
+                    if not resumptions.of_version(run, [permit.endpoint]):
+                        # It has registered since the others were left out.
+                        continue
                     reply = await self._attempt(
                         stack,
                         held,
@@ -120,6 +127,12 @@
             if not self._may_retry(run, "failed"):
                 return reply
 
+    def _of_other_versions(self, run: runs.Run) -> set[str]:
+        """Returns the endpoints at which a resumed stream can't go on."""
+        endpoints = self._registry.of_service(run.service)
+        fitting = resumptions.of_version(run, endpoints)
+        return {e.name for e in endpoints} - {e.name for e in fitting}
+
     async def _acquire(
         self,
         held: contextlib.AsyncExitStack,
@@ -255,6 +268,9 @@
                     )
                     if not run.route.is_stream:
                         reply, is_complete = await _buffered(reply)
+                    elif reply.is_success:
+                        body = self._stream_body(run, endpoint, reply)
+                        reply = dataclasses.replace(reply, body=body)
             except TimeoutError:
                 fault = client.EngineFault.LOST
                 raise client.EngineError(
@@ -270,6 +286,16 @@
             stack.push_async_exit(attempt.pop_all())
         return reply
 
+    async def _stream_body(
+        self, run: runs.Run, endpoint: resources.Endpoint, reply: calls.Reply
+    ) -> AsyncIterator[bytes]:
+        has_begun = False
+        async for part in reply.body:
+            if not has_begun:
+                self._resumptions.begin(run, endpoint)
+                has_begun = True
+            yield part
+
     def _attempt_timeout_ms(
         self, run: runs.Run, *, has_error_reply: bool
     ) -> float | None:
--- a/src/jujubewharf/forwarding/registry.py
+++ b/src/jujubewharf/forwarding/registry.py
@@ -75,6 +75,8 @@
     Attributes:
         on_drained_before_restore: Called with the name of each endpoint that
             drained when the store was restored.
+        on_record: Called with the endpoint of each record that is applied,
+            also if a later one of the same read replaces it.
     """
 
     def __init__(
@@ -82,6 +84,8 @@
         clock: clocks.Clock,
         sent_drain_notice: Callable[[str], bool] = lambda name: False,
     ) -> None:
+        self.on_record: Callable[[resources.Endpoint], None]
+        self.on_record = lambda endpoint: None
         self.on_drained_before_restore: Callable[[str], None]
         self.on_drained_before_restore = lambda name: None
         self._clock = clock
@@ -154,6 +158,20 @@
         """Returns whether an endpoint is registered or was until an outage."""
         return name in self._by_name
 
+    def is_latest_start(self, endpoint: resources.Endpoint) -> bool:
+        """Returns whether no later start of an endpoint can be unknown here.
+
+        Where endpoints keep their names over restarts, one may have started
+        again while the store is unavailable.
+        """
+        started_ms = registration.started_ms(endpoint)
+        if started_ms is None:
+            return True
+        if self._is_unavailable:
+            return False
+        key = registration.public_name(endpoint)
+        return self._started_ms.get(key, started_ms) <= started_ms
+
     def handle_drain_notice(self) -> None:
         """Updates the index after an endpoint has sent a drain notice."""
         self._rebuild_index()
@@ -235,6 +253,8 @@
                 continue
             self._held.pop(record.key, None)
             self._replace(known, record)
+            if record.endpoint is not None:
+                self.on_record(record.endpoint)
         self._rebuild_index()
 
     def apply_all(self, records: Sequence[Record], end: int) -> None:
--- a/src/jujubewharf/forwarding/runs.py
+++ b/src/jujubewharf/forwarding/runs.py
@@ -12,6 +12,7 @@
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import routes
 from jujubewharf.requests import retries
+from jujubewharf.stream_versions import origins
 
 # Default ``Retry-After`` of refusals. Requests run for seconds, so a slot
 # becomes free within a fraction of one.
@@ -50,6 +51,7 @@
             request.
         backoff_until_ms: Ends of backoffs by engine, of the instance that sends
             the request, if another instance places it.
+        origin: Where the stream began; ``None`` before its first event.
     """
 
     call: calls.Call
@@ -75,6 +77,7 @@
     backoff_until_ms: Mapping[str, float] = dataclasses.field(
         default_factory=dict
     )
+    origin: origins.StreamOrigin | None = None
 
     @property
     def priority(self) -> int:
--- a/src/jujubewharf/forwarding/stream.py
+++ b/src/jujubewharf/forwarding/stream.py
@@ -21,9 +21,10 @@
 from jujubewharf.forwarding import events
 from jujubewharf.forwarding import observations as observed
 from jujubewharf.forwarding import request_log
-from jujubewharf.forwarding import resume_log
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import runs
+from jujubewharf.stream_versions import resume_log
+from jujubewharf.stream_versions import resumptions
 
 # Time without an event after which a resumable stream is moved to another
 # engine. Events are about 50 ms apart, pauses in which an engine frees memory
@@ -42,6 +43,7 @@
 
     Args:
         sender: Sends requests to engines.
+        resumed: Binds streams to the version that began them.
         budget: Retry budget of the fleet.
         observations: Records the latency and length of answers.
         clock: Time source.
@@ -50,11 +52,13 @@
     def __init__(
         self,
         sender: attempts.StreamAttempts,
+        resumed: resumptions.Resumptions,
         budget: budgets.FleetRetryBudget,
         observations: observed.Observer,
         clock: clocks.Clock,
     ) -> None:
         self._attempts = sender
+        self._resumptions = resumed
         self._budget = budget
         self._observations = observations
         self._clock = clock
@@ -124,6 +128,8 @@
                         if event.number is not None:
                             _check_order(upstream.engine.name, last, event)
                             last = event.number
+                        if run.event_ms is None:
+                            self._resumptions.begin(run, upstream.engine)
                         run.record_event(self._clock.now_ms())
                         yield event.data
                     self._record_length(run, last)
@@ -174,6 +180,10 @@
             WharfError: No further attempt is allowed.
         """
         while True:
+            try:
+                self._resumptions.check_engines(run)
+            except errors.WharfError as gone:
+                raise _broken_error() from gone
             left = self._budget.remaining(run.service)
             is_allowed = run.route.repeat is routes.Repeat.CONTINUE
             may_run_again = is_allowed and run.has_attempts_left
--- a/src/jujubewharf/leadership/fleet.py
+++ b/src/jujubewharf/leadership/fleet.py
@@ -26,6 +26,7 @@
 from jujubewharf.peers import counters
 from jujubewharf.peers import link_messages
 from jujubewharf.peers import messages
+from jujubewharf.peers import origin_messages
 from jujubewharf.peers import relay_messages
 from jujubewharf.platform import availability as availabilities
 from jujubewharf.platform import epochs
@@ -248,7 +249,10 @@
             domain,
             peers.address,
             rng.getrandbits(_INCARNATION_BITS),
-            capabilities=(relay_messages.CAPABILITY,),
+            capabilities=(
+                relay_messages.CAPABILITY,
+                origin_messages.CAPABILITY,
+            ),
         )
         counts = counters.PeerCounters()
         self.followers = all_followers.Followers(
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -26,6 +26,7 @@
 from jujubewharf.peers import link as links
 from jujubewharf.peers import link_messages
 from jujubewharf.peers import messages
+from jujubewharf.peers import origin_messages
 from jujubewharf.peers import quota_messages
 from jujubewharf.peers import role_messages
 from jujubewharf.peers import streams
@@ -85,6 +86,7 @@
         on_link_begin: Called with the link of each new follower.
         on_link_end: Called with each link that ended.
         on_retry_demand: Called with a follower's demand for retries.
+        on_streams_began: Called with streams that a follower began.
     """
 
     def __init__(
@@ -110,6 +112,10 @@
             [links.Link, demand_messages.RetryDemand], None
         ]
         self.on_retry_demand = lambda link, message: None
+        self.on_streams_began: Callable[
+            [links.Link, origin_messages.StreamsBegan], None
+        ]
+        self.on_streams_began = lambda link, message: None
         self._leading_since_ms = 0.0
         self._count_within_ms = count_within_ms
         self._lost_at_ms: dict[str, float] = {}
@@ -209,9 +215,16 @@
                 case leader_messages.ConfigurationUpdate():
                     self._on_follower_configuration(message)
                     return None
-                case role_messages.RoleOrders():
+                case (
+                    role_messages.RoleOrders() | origin_messages.VersionsSeen()
+                ):
                     self._state.apply(message)
                     return None
+                case origin_messages.StreamsBegan():
+                    self.on_streams_began(link, message)
+                    return None
+                case origin_messages.OriginRequest(key=key):
+                    return self._state.origin_reply(key)
                 case _:
                     return await server.handle(peer, message)
 
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -29,9 +29,12 @@
 from jujubewharf.peers import load_messages
 from jujubewharf.peers import messages
 from jujubewharf.peers import network
+from jujubewharf.peers import origin_messages
 from jujubewharf.peers import quota_messages
 from jujubewharf.peers import role_messages
 from jujubewharf.platform import tables
+from jujubewharf.stream_versions import origins
+from jujubewharf.stream_versions import version_history
 
 # Interval of the leader's heartbeats, and the silence after which a follower
 # closes the link and continues without a leader (three missed heartbeats).
@@ -99,6 +102,7 @@
         self.on_retry_share = lambda message: None
         self._feeds = feeds
         self._work = work
+        self._registry = registry
         self._state = state
         self._clock = clock
         self._link: links.Link | None = None
@@ -128,6 +132,7 @@
         link.tell(leader_messages.FollowerHello(self._endpoints_end()))
         for message in self._state.initial_messages():
             link.tell(message)
+        self._tell_streams(link)
         report = self._work.report()
         if report.sample_size:
             link.tell(
@@ -158,6 +163,14 @@
             self.instances = None
         return has_led
 
+    def _tell_streams(self, link: links.Link) -> None:
+        """Tells a new leader where the streams that are known here began."""
+        if self._registry.age_ms > version_history.MAX_VIEW_AGE_MS:
+            # The leader sends the newest entries only, and what it has seen.
+            self._state.versions.mark_incomplete()
+        for message in self._state.stream_messages():
+            link.tell(message)
+
     def discard_received(self) -> None:
         """Discards all data received from a leader."""
         self._feeds.configurations.reset()
@@ -192,9 +205,11 @@
                 | crash_messages.CrashReports()
                 | load_messages.LoadDigest()
                 | role_messages.RoleOrders()
+                | origin_messages.StreamsBegan()
+                | origin_messages.VersionsSeen()
             ):
                 self._state.apply(message)
-            case leader_messages.EndpointUpdate():
+            case leader_messages.EndpointUpdate() if self._knows_versions:
                 records = [_table_record(r) for r in message.records]
                 self._feeds.endpoints.apply(
                     records, message.end, keys_digest=message.keys_digest
@@ -251,8 +266,36 @@
         self._feeds.configurations.confirm(
             heartbeat.configuration_end, age_ms=heartbeat.configuration_age_ms
         )
-        self._feeds.endpoints.confirm(
-            heartbeat.endpoints_end, age_ms=heartbeat.endpoints_age_ms
+        if self._knows_versions:
+            self._feeds.endpoints.confirm(
+                heartbeat.endpoints_end, age_ms=heartbeat.endpoints_age_ms
+            )
+
+    @property
+    def _knows_versions(self) -> bool:
+        """Whether the leader sends software versions of endpoints.
+
+        An older build leaves them out, so the store is read here instead.
+        """
+        link = self._link
+        return (
+            link is not None
+            and origin_messages.CAPABILITY in link.hello.capabilities
+        )
+
+    async def request_origin(self, key: bytes) -> origins.StreamOrigin | None:
+        """Asks the leader where a stream began; ``None`` if it doesn't know."""
+        answer = await self._ask_for_grant(origin_messages.OriginRequest(key))
+        if not isinstance(answer, origin_messages.OriginReply):
+            return None
+        stream = answer.stream
+        if stream is None:
+            return None
+        return origins.StreamOrigin(
+            stream.service,
+            stream.version,
+            origins.KnownBy.LEADER,
+            float(stream.age_ms),
         )
 
     async def fetch_configuration(self) -> bool:
--- a/src/jujubewharf/leadership/led.py
+++ b/src/jujubewharf/leadership/led.py
@@ -13,6 +13,7 @@
 from jujubewharf.forwarding import runs
 from jujubewharf.leadership import leader_link
 from jujubewharf.peers import leader_messages
+from jujubewharf.stream_versions import resumptions
 
 
 class FleetPlacer:
@@ -39,6 +40,11 @@
             if self._leader.is_open:
                 leader_context = self._leader.place(run)
                 reservation = await leader_context.__aenter__()
+                if reservation is not None and not resumptions.of_version(
+                    run, [reservation.engine]
+                ):
+                    # A leader of an older build doesn't know versions.
+                    reservation = None
                 # Release a placement that can't be used here.
                 if reservation is None:
                     await leader_context.__aexit__(None, None, None)
--- a/src/jujubewharf/leadership/placement_client.py
+++ b/src/jujubewharf/leadership/placement_client.py
@@ -182,6 +182,7 @@
                 leader_messages.EngineBackoff(engine, for_ms)
                 for engine, for_ms in backoffs_ms.items()
             ),
+            version=None if run.origin is None else run.origin.version,
         )
 
     def _to_reservation(
--- a/src/jujubewharf/leadership/placement_server.py
+++ b/src/jujubewharf/leadership/placement_server.py
@@ -28,6 +28,7 @@
 from jujubewharf.peers import messages
 from jujubewharf.peers import plain_messages
 from jujubewharf.peers import quota_messages
+from jujubewharf.stream_versions import origins
 
 
 class FollowerQuotas(Protocol):
@@ -353,6 +354,9 @@
                 backoff.engine: now_ms + backoff.for_ms
                 for backoff in request.backoffs
             },
+            origin=None
+            if request.version is None
+            else origins.StreamOrigin(request.service, request.version),
         )
 
 
--- a/src/jujubewharf/leadership/shared_state.py
+++ b/src/jujubewharf/leadership/shared_state.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 import dataclasses
+import itertools
 
 from jujubewharf.forwarding import backpressure
 from jujubewharf.forwarding import crashes
@@ -12,8 +14,14 @@
 from jujubewharf.peers import limit_messages
 from jujubewharf.peers import load_messages
 from jujubewharf.peers import messages
+from jujubewharf.peers import origin_messages
 from jujubewharf.peers import role_messages
 from jujubewharf.role_orders import ledger
+from jujubewharf.stream_versions import origins as all_origins
+from jujubewharf.stream_versions import version_history
+
+# Streams in one message, which stays well under the largest frame.
+_MESSAGE_STREAMS = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,6 +34,8 @@
         source: Configuration in force.
         loads: Load of plain endpoints.
         orders: Orders to change roles, of all leaders.
+        origins: Where streams began.
+        versions: Software versions that services have had.
     """
 
     backpressure: backpressure.Backpressure
@@ -33,13 +43,18 @@
     source: forwarder.ActiveConfiguration
     loads: load_digests.LoadDigests
     orders: ledger.OrderLedger
+    origins: all_origins.StreamOrigins
+    versions: version_history.VersionHistory
 
     def initial_messages(self) -> tuple[messages.Message, ...]:
         """Returns the messages that each side of a new link sends first."""
         terms = limit_messages.EndpointTerms(
             self.backpressure.terms, is_news=False
         )
-        initial: list[messages.Message] = [terms]
+        seen = origin_messages.VersionsSeen.from_history(
+            self.versions, self.orders.now_ms
+        )
+        initial: list[messages.Message] = [terms, seen]
         reports = self.history.reports()
         if reports:
             initial.append(crash_messages.CrashReports(reports))
@@ -50,6 +65,29 @@
             )
         return tuple(initial)
 
+    def stream_messages(self) -> Iterator[origin_messages.StreamsBegan]:
+        """Returns messages with all streams that this instance remembers."""
+        now_ms = self.orders.now_ms
+        records = iter(self.origins.records())
+        while part := list(itertools.islice(records, _MESSAGE_STREAMS)):
+            yield origin_messages.StreamsBegan.from_records(part, now_ms)
+
+    def origin_reply(self, key: bytes) -> origin_messages.OriginReply:
+        """Returns the reply to a follower that asks where a stream began."""
+        origin = self.origins.find(key)
+        if origin is None:
+            return origin_messages.OriginReply(None)
+        now_ms = self.orders.now_ms
+        record = all_origins.OriginRecord(
+            key,
+            origin.service,
+            origin.version,
+            now_ms - (origin.age_ms or 0.0),
+            now_ms,
+        )
+        message = origin_messages.StreamsBegan.from_records([record], now_ms)
+        return origin_messages.OriginReply(message.streams[0])
+
     def apply(self, message: messages.Message) -> None:
         """Applies a message from the leader, or of orders from a follower."""
         match message:
@@ -66,3 +104,11 @@
             case crash_messages.CrashReports():
                 for report in message.reports:
                     self.history.merge(report)
+            case origin_messages.StreamsBegan():
+                for record in message.records(self.orders.now_ms):
+                    self.origins.merge(record)
+            case origin_messages.VersionsSeen():
+                self.versions.merge(
+                    message.seen(self.orders.now_ms),
+                    complete_for_ms=message.complete_for_ms,
+                )
--- a/src/jujubewharf/peers/leader_messages.py
+++ b/src/jujubewharf/peers/leader_messages.py
@@ -138,6 +138,8 @@
         is_counted: Whether the request has already been charged to the
             account's quota.
         backoffs: Engines from which the requesting instance backs off.
+        version: Software version that the engine must have, if the request
+            resumes a stream; ``None`` otherwise, and from an older build.
     """
 
     number: int
@@ -156,6 +158,7 @@
     account: str | None = None
     is_counted: bool = False
     backoffs: tuple[EngineBackoff, ...] = ()
+    version: str | None = None
 
 
 @messages.message(73)
--- /dev/null
+++ b/src/jujubewharf/stream_versions/resume_log.py
@@ -0,0 +1,117 @@
+"""Log lines and counters of streams that resume, or can't.
+
+``docs/operating/logs.md`` lists the lines.
+"""
+
+from __future__ import annotations
+
+import enum
+
+from opentelemetry import metrics
+import structlog
+
+from jujubewharf.configuration import resources
+from jujubewharf.forwarding import registration
+from jujubewharf.forwarding import runs
+from jujubewharf.stream_versions import origins
+
+_METER = metrics.get_meter("jujubewharf")
+_RESUMPTIONS = _METER.create_counter(
+    "forwarding.resumptions",
+    description="Streams that resumed, by who resumed them and who knew how.",
+)
+_REFUSED = _METER.create_counter(
+    "forwarding.refused_resumptions",
+    description="Streams that could not resume, by who wanted it and reason.",
+)
+
+_logger = structlog.get_logger()
+
+
+class ResumedBy(enum.Enum):
+    """Who resumes a stream: this instance, or its caller with a new request."""
+
+    ROUTER = "router"
+    CALLER = "caller"
+
+
+class NotResumed(enum.Enum):
+    """Why a stream can't resume.
+
+    ``ORIGIN_UNKNOWN``: nobody knows which version began it.
+    ``ORIGIN_IN_DOUBT``: it may have begun at several versions.
+    ``VERSION_GONE``: no engine of its version accepts work.
+    ``SERVICE_CHANGED``: its route no longer leads to its service.
+    """
+
+    ORIGIN_UNKNOWN = "origin_unknown"
+    ORIGIN_IN_DOUBT = "origin_in_doubt"
+    VERSION_GONE = "version_gone"
+    SERVICE_CHANGED = "service_changed"
+
+
+def log_resumption(
+    run: runs.Run,
+    engine: resources.Endpoint,
+    *,
+    former: resources.Endpoint | None,
+    after_event: int,
+) -> None:
+    """Logs that a stream was resumed at another engine.
+
+    Args:
+        run: The request.
+        engine: Engine at which it resumes.
+        former: Engine that broke off; ``None`` if the caller resumes.
+        after_event: Number of the last event that the caller has.
+    """
+    resumed_by = ResumedBy.CALLER if former is None else ResumedBy.ROUTER
+    fields: dict[str, object] = {}
+    known_by = origins.KnownBy.ANSWER
+    if former is not None:
+        fields["former_engine"] = former.name
+        fields["former_version"] = registration.software_version(former)
+    elif run.origin is not None:
+        known_by = run.origin.known_by
+        if run.origin.age_ms is not None:
+            fields["began_ms_ago"] = round(run.origin.age_ms)
+    labels = {"resumed_by": resumed_by.value, "known_by": known_by.value}
+    _RESUMPTIONS.add(1, labels)
+    _logger.info(
+        "stream_resumed",
+        request=run.call.request_id,
+        resumed_by=resumed_by.value,
+        known_by=known_by.value,
+        resumes=run.call.resumes,
+        engine=engine.name,
+        version=registration.software_version(engine),
+        after_event=after_event,
+        **fields,
+    )
+
+
+def log_refused_resumption(
+    run: runs.Run,
+    reason: NotResumed,
+    origin: origins.StreamOrigin | None,
+) -> None:
+    """Logs that a stream can't be resumed.
+
+    Args:
+        run: The request.
+        reason: Why not.
+        origin: Where the stream began, as far as it is known.
+    """
+    is_within = run.call.last_event is None
+    resumed_by = ResumedBy.ROUTER if is_within else ResumedBy.CALLER
+    labels = {"resumed_by": resumed_by.value, "reason": reason.value}
+    _REFUSED.add(1, labels)
+    _logger.info(
+        "stream_not_resumed",
+        request=run.call.request_id,
+        resumed_by=resumed_by.value,
+        reason=reason.value,
+        resumes=run.call.resumes,
+        service=run.service,
+        version=None if origin is None else origin.version,
+    )
--- /dev/null
+++ b/src/jujubewharf/stream_versions/resumptions.py
@@ -0,0 +1,201 @@
+"""Decides at which engines a stream may go on.
+
+A stream has a version from the first event that was passed on. From then on it
+goes only to engines of that version, within one answer as well as with its
+caller's next request. An instance that doesn't know the version refuses.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+import dataclasses
+from typing import Protocol
+
+from jujubewharf import clock as clocks
+from jujubewharf import errors
+from jujubewharf.configuration import resources
+from jujubewharf.forwarding import registration
+from jujubewharf.forwarding import registry as registries
+from jujubewharf.forwarding import routes
+from jujubewharf.forwarding import runs
+from jujubewharf.stream_versions import origins as all_origins
+from jujubewharf.stream_versions import resume_log
+from jujubewharf.stream_versions import version_history
+
+# Time for which a stream may be resumed after it began or was resumed; at least
+# this, and a multiple of the route's timeout.
+_MIN_KEEP_MS = 60_000.0
+_KEEP_TIMEOUTS = 2.0
+# Engines of the version may be back, or the leader may know the stream by then.
+_RETRY_AFTER_MS = 1_000.0
+
+
+class SharedOrigins(Protocol):
+    """Where streams began, as far as all instances together know."""
+
+    def record(
+        self, key: bytes, origin: all_origins.StreamOrigin, *, keep_ms: float
+    ) -> None:
+        """Records where a stream began, and tells other instances."""
+        ...
+
+    async def find(self, key: bytes) -> all_origins.StreamOrigin | None:
+        """Returns where a stream began; ``None`` if nobody knows."""
+        ...
+
+
+class Resumptions:
+    """Binds streams to the version that began them.
+
+    Args:
+        shared: Where streams began.
+        history: Versions that services have had.
+        registry: Registered endpoints.
+        confirm: Returns whether an endpoint is still the start of its process
+            that is registered.
+        clock: Time source.
+    """
+
+    def __init__(
+        self,
+        shared: SharedOrigins,
+        history: version_history.VersionHistory,
+        registry: registries.Registry,
+        confirm: Callable[[resources.Endpoint], Awaitable[bool]],
+        clock: clocks.Clock,
+    ) -> None:
+        self._shared = shared
+        self._history = history
+        self._registry = registry
+        self._confirm = confirm
+        self._clock = clock
+        self._confirmations: set[asyncio.Task[None]] = set()
+
+    async def bind(self, run: runs.Run) -> None:
+        """Binds a request that resumes a stream to the stream's version.
+
+        Raises:
+            WharfError: The stream can't be resumed; nothing was sent.
+        """
+        if run.call.last_event is None or not run.route.is_stream:
+            return
+        origin = await self._find(run)
+        if origin is None or origin.version is None:
+            reason = resume_log.NotResumed.ORIGIN_UNKNOWN
+            if origin is not None:
+                reason = resume_log.NotResumed.ORIGIN_IN_DOUBT
+            resume_log.log_refused_resumption(run, reason, origin)
+            raise errors.WharfError(
+                errors.ErrorKind.STREAM_ORIGIN_UNKNOWN,
+                retry_after_ms=_RETRY_AFTER_MS,
+            )
+        if origin.service not in {share.service for share in run.route.shares}:
+            reason = resume_log.NotResumed.SERVICE_CHANGED
+            resume_log.log_refused_resumption(run, reason, origin)
+            raise _version_gone_error()
+        run.service = origin.service
+        run.origin = origin
+        self.check_engines(run)
+
+    def check_engines(self, run: runs.Run) -> None:
+        """Checks that an engine of the stream's version accepts work.
+
+        Without one the caller hears it at once, and can begin anew.
+
+        Raises:
+            WharfError: ``STREAM_VERSION_GONE``.
+        """
+        if run.origin is None or self._has_engine(run):
+            return
+        reason = resume_log.NotResumed.VERSION_GONE
+        resume_log.log_refused_resumption(run, reason, run.origin)
+        raise _version_gone_error()
+
+    def begin(self, run: runs.Run, engine: resources.Endpoint) -> None:
+        """Records that the first event of an answer is passed on."""
+        if run.route.repeat is not routes.Repeat.CONTINUE:
+            return
+        if run.origin is not None:
+            if run.call.resumes is not None:
+                self._record(run, run.call.resumes, run.origin)
+            return
+        version = registration.software_version(engine)
+        origin = all_origins.StreamOrigin(run.service, version)
+        if self._registry.is_latest_start(engine):
+            run.origin = origin
+            self._record(run, run.call.request_id, origin)
+            return
+        # Its id may belong to a later process by now, of another version.
+        run.origin = dataclasses.replace(origin, version=None)
+        task = asyncio.ensure_future(self._begin_confirmed(run, engine, origin))
+        self._confirmations.add(task)
+        task.add_done_callback(self._confirmations.discard)
+
+    async def _begin_confirmed(
+        self,
+        run: runs.Run,
+        engine: resources.Endpoint,
+        origin: all_origins.StreamOrigin,
+    ) -> None:
+        if await self._confirm(engine):
+            run.origin = origin
+            self._record(run, run.call.request_id, origin)
+
+    def _record(
+        self, run: runs.Run, request_id: str, origin: all_origins.StreamOrigin
+    ) -> None:
+        key = all_origins.stream_key(run.call, request_id)
+        self._shared.record(key, origin, keep_ms=_keep_ms(run.route))
+
+    async def _find(self, run: runs.Run) -> all_origins.StreamOrigin | None:
+        if run.call.resumes is not None:
+            key = all_origins.stream_key(run.call, run.call.resumes)
+            origin = await self._shared.find(key)
+            if origin is not None:
+                return origin
+        return self._only_origin(run)
+
+    def _only_origin(self, run: runs.Run) -> all_origins.StreamOrigin | None:
+        """Returns the origin of all streams of a service with one version."""
+        if len(run.route.shares) > 1:
+            return None
+        if self._registry.age_ms > version_history.MAX_VIEW_AGE_MS:
+            return None
+        version = self._history.only_version(
+            run.service, for_ms=_KEEP_TIMEOUTS * run.route.timeout_ms
+        )
+        if version is None:
+            return None
+        return all_origins.StreamOrigin(
+            run.service, version, all_origins.KnownBy.ONLY_VERSION
+        )
+
+    def _has_engine(self, run: runs.Run) -> bool:
+        engines = of_version(run, self._registry.of_service(run.service))
+        return any(e.can_decode or not run.route.is_model for e in engines)
+
+
+def of_version(
+    run: runs.Run, engines: Sequence[resources.Endpoint]
+) -> Sequence[resources.Endpoint]:
+    """Returns the engines at which a request may go on.
+
+    These are all of them unless the request resumes a stream.
+    """
+    if run.origin is None:
+        return engines
+    version = run.origin.version
+    return [e for e in engines if registration.software_version(e) == version]
+
+
+def _keep_ms(route: routes.Route) -> float:
+    return max(_MIN_KEEP_MS, _KEEP_TIMEOUTS * route.timeout_ms)
+
+
+def _version_gone_error() -> errors.WharfError:
+    return errors.WharfError(
+        errors.ErrorKind.STREAM_VERSION_GONE, retry_after_ms=_RETRY_AFTER_MS
+    )
--- /dev/null
+++ b/src/jujubewharf/stream_versions/version_history.py
@@ -0,0 +1,163 @@
+"""Software versions that the endpoints of each service have had of late.
+
+While a service has had one version only for as long as streams last, each of
+its streams began there, whoever forwarded it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+import dataclasses
+
+from jujubewharf import clock as clocks
+from jujubewharf.configuration import resources
+from jujubewharf.forwarding import registration
+
+# Time for which a new version of a service is known before resumable streams
+# begin there. By then all instances that read the store know the version.
+NEW_VERSION_MS = 2_000.0
+# Greatest age of this instance's view of the registrations at which it still
+# knows all versions at which streams may have begun.
+MAX_VIEW_AGE_MS = 1_500.0
+# Versions that have gone are forgotten after this time.
+_KEEP_MS = 600_000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SeenVersion:
+    """A version of a service.
+
+    Attributes:
+        service: The service.
+        version: The software version.
+        first_ms: Clock reading when it was first known.
+        last_ms: Clock reading when it was last registered.
+    """
+
+    service: str
+    version: str
+    first_ms: float
+    last_ms: float
+
+
+class VersionHistory:
+    """Records which versions the endpoints of services have registered.
+
+    Args:
+        clock: Time source.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        # Since when no version can have been missed.
+        self._complete_since_ms: float | None = None
+        self._seen: dict[tuple[str, str], SeenVersion] = {}
+        self._present: set[tuple[str, str]] = set()
+
+    @property
+    def complete_for_ms(self) -> float:
+        """Time for which no version can have been missed."""
+        if self._complete_since_ms is None:
+            return 0.0
+        return self._clock.now_ms() - self._complete_since_ms
+
+    def set_endpoints(self, endpoints: Iterable[resources.Endpoint]) -> None:
+        """Records the endpoints that are registered now."""
+        if self._complete_since_ms is None:
+            self._complete_since_ms = self._clock.now_ms()
+        self._touch_present()
+        self._present = {
+            (e.service, registration.software_version(e)) for e in endpoints
+        }
+        self._touch_present()
+        self._forget_old()
+
+    def note_record(self, endpoint: resources.Endpoint) -> None:
+        """Records a registration that may be replaced within the same read."""
+        version = registration.software_version(endpoint)
+        self._touch((endpoint.service, version))
+
+    def mark_incomplete(self) -> None:
+        """Records that registrations may have been missed until now."""
+        self._complete_since_ms = self._clock.now_ms()
+
+    def merge(
+        self, seen: Iterable[SeenVersion], *, complete_for_ms: float
+    ) -> None:
+        """Adds what another instance has seen."""
+        for other in seen:
+            key = (other.service, other.version)
+            known = self._seen.get(key, other)
+            self._seen[key] = SeenVersion(
+                *key,
+                min(known.first_ms, other.first_ms),
+                max(known.last_ms, other.last_ms),
+            )
+        if self._complete_since_ms is not None:
+            since_ms = self._clock.now_ms() - complete_for_ms
+            self._complete_since_ms = min(self._complete_since_ms, since_ms)
+
+    def seen(self) -> tuple[SeenVersion, ...]:
+        """Returns all versions that were seen of late."""
+        self._touch_present()
+        return tuple(self._seen.values())
+
+    def only_version(self, service: str, *, for_ms: float) -> str | None:
+        """Returns the version of a service if it had no other one of late.
+
+        Args:
+            service: The service.
+            for_ms: Time back from now, in ms.
+
+        Returns:
+            ``None`` if there were several or may have been.
+        """
+        if self.complete_for_ms < for_ms:
+            return None
+        self._touch_present()
+        oldest_ms = self._clock.now_ms() - for_ms
+        versions = [
+            seen.version
+            for seen in self._seen.values()
+            if seen.service == service and seen.last_ms >= oldest_ms
+        ]
+        return versions[0] if len(versions) == 1 else None
+
+    def without_new_versions(
+        self, engines: Sequence[resources.Endpoint]
+    ) -> Sequence[resources.Endpoint]:
+        """Returns the engines at which resumable streams may begin.
+
+        Engines of a new version are left out until all instances know it, as
+        long as others can decode.
+        """
+        known_ms = self._clock.now_ms() - NEW_VERSION_MS
+        versions = {registration.software_version(e) for e in engines}
+        if len(versions) < 2:
+            return engines
+        settled = [e for e in engines if self._first_ms(e) <= known_ms]
+        if any(engine.can_decode for engine in settled):
+            return settled
+        return engines
+
+    def _first_ms(self, engine: resources.Endpoint) -> float:
+        key = (engine.service, registration.software_version(engine))
+        seen = self._seen.get(key)
+        return self._clock.now_ms() if seen is None else seen.first_ms
+
+    def _touch_present(self) -> None:
+        for key in self._present:
+            self._touch(key)
+
+    def _touch(self, key: tuple[str, str]) -> None:
+        now_ms = self._clock.now_ms()
+        known = self._seen.get(key)
+        first_ms = now_ms if known is None else known.first_ms
+        self._seen[key] = SeenVersion(*key, first_ms, now_ms)
+
+    def _forget_old(self) -> None:
+        oldest_ms = self._clock.now_ms() - _KEEP_MS
+        for key, seen in list(self._seen.items()):
+            if seen.last_ms < oldest_ms:
+                del self._seen[key]
--- a/src/jujubewharf/telemetry/request_summary.py
+++ b/src/jujubewharf/telemetry/request_summary.py
@@ -19,6 +19,7 @@
     "order": "the requests before it use all memory until it is due",
     "too_many": "too many calls wait",
     "unavailable": "no engine may be asked in time",
+    "version": "no engine of the stream's software version is left",
 }
 _DECIDERS = {
     "alone": "this instance alone, without a leader",
@@ -109,6 +110,22 @@
                     f" ({line.fields.get('reason')}), so by itself"
                 )
                 continue
+            case "stream_resumed":
+                yield (
+                    f"{line.instance}: stream resumed by its "
+                    f"{line.fields.get('resumed_by')} at "
+                    f"{line.fields.get('engine')}, version "
+                    f"{line.fields.get('version')}, known by "
+                    f"{line.fields.get('known_by')}"
+                )
+                continue
+            case "stream_not_resumed":
+                yield (
+                    f"{line.instance}: stream not resumed "
+                    f"({line.fields.get('reason')}), version "
+                    f"{line.fields.get('version')}"
+                )
+                continue
             case "request_over_quota":
                 yield (
                     f"{line.instance}: account {line.fields.get('account')} "
--- a/tests/forwarding/test_request_log.py
+++ b/tests/forwarding/test_request_log.py
@@ -88,6 +88,7 @@
         "engine_speeds",
         "overload",
         "role_orders",
+        "stream_versions",
     )
     folders = [source, *(source.parent / name for name in others)]
     said = set()
