--- a/src/jujubewharf/leadership/fleet_origins.py
+++ b/src/jujubewharf/leadership/fleet_origins.py
@@ -3,8 +3,8 @@
 The instance that began a stream may be killed, which is why its caller resumes
 it elsewhere. Each stream is known to the instance that forwards it, to the
 leader, and to a third instance: streams of the leader to all followers, those
-of a follower to the standby, a follower of another failure domain. A new leader
-is told by its followers what they know.
+of a follower to a standby, a follower of another failure domain if there is
+one. A new leader is told by its followers what they know.
 """
 
 from __future__ import annotations
@@ -16,6 +16,9 @@
 from jujubewharf.peers import origin_messages
 from jujubewharf.stream_versions import origins as all_origins
 
+# One for the streams of all followers, and one for those of the first.
+_STANDBYS = 2
+
 
 class FleetOrigins:
     """Implements ``resumptions.SharedOrigins`` across all instances.
@@ -40,7 +43,7 @@
         self._memory = state.origins
         self._domain = domain
         self._clock = clock
-        self._standby: links.Link | None = None
+        self._standbys: tuple[links.Link, ...] = ()
 
     def record(
         self,
@@ -67,22 +70,29 @@
         now_ms = self._clock.now_ms()
         for record in message.records(now_ms):
             self._memory.merge(record)
-        standby = self._choose_standby()
-        if standby is not None and standby is not link:
-            standby.tell(message)
+        for standby in self._choose_standbys():
+            if standby is not link:
+                standby.tell(message)
+                return
 
-    def _choose_standby(self) -> links.Link | None:
-        """Returns the standby; a new one is told all that is remembered."""
+    def _choose_standbys(self) -> tuple[links.Link, ...]:
+        """Returns the standbys; a new one is told all that is remembered."""
         assert self._fleet.followers is not None
         followers = self._fleet.followers.follower_links
-        if self._standby in followers:
-            return self._standby
-        elsewhere = (f for f in followers if f.hello.domain != self._domain)
-        self._standby = next(elsewhere, next(iter(followers), None))
-        if self._standby is not None:
+        kept = [link for link in self._standbys if link in followers]
+        if len(kept) == _STANDBYS:
+            return self._standbys
+        # Those of other failure domains than the leader come first.
+        others = sorted(
+            (link for link in followers if link not in kept),
+            key=lambda link: link.hello.domain == self._domain,
+        )
+        added = others[: _STANDBYS - len(kept)]
+        self._standbys = (*kept, *added)
+        for link in added:
             for message in self._state.stream_messages():
-                self._standby.tell(message)
-        return self._standby
+                link.tell(message)
+        return self._standbys
 
     def _message(
         self, records: list[all_origins.OriginRecord]
--- /dev/null
+++ b/tests/stream_versions/test_resumptions.py
@@ -0,0 +1,266 @@
+"""Streams that callers resume: who knows their version, and refusals."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+from jujubewharf import errors
+from jujubewharf.configuration import resources
+from jujubewharf.engines import client
+from jujubewharf.forwarding import error_responses
+from jujubewharf.leadership import followers as all_followers
+from jujubewharf.peers import leader_messages
+from tests.forwarding import deployments
+from tests.leadership import stream_versions as versions
+
+UNKNOWN = errors.ErrorKind.STREAM_ORIGIN_UNKNOWN
+GONE = errors.ErrorKind.STREAM_VERSION_GONE
+# Time within which what can't be served is refused.
+AT_ONCE_MS = 50.0
+LONG_MS = 29_000.0
+
+
+def _behind(*names: str):
+    behind = [versions.prefill_engine(names[0])]
+    for name in names:
+        behind += versions.decode_engines(name, count=2)
+    return behind
+
+
+async def _resume(world, *, resumes, instance="e2", last=3, **more):
+    return await world.ask(
+        "/verdicts/1",
+        instance=instance,
+        last_event=last,
+        resumes=resumes,
+        **more,
+    )
+
+
+async def _begin(world, request_id: str, *, instance="e1", **more):
+    """Begins a stream that its caller leaves after some events."""
+    return await world.ask(
+        "/verdicts/1",
+        instance=instance,
+        request_id=request_id,
+        leave_after_ms=500.0,
+        **more,
+    )
+
+
+def _versions_of(answer) -> set[str]:
+    lines = answer.body.decode().split("\n")
+    return {line.split(" ")[-1] for line in lines if line.startswith("data")}
+
+
+def _check_refused(world, answer, kind) -> None:
+    assert answer.error is not None
+    assert answer.error.kind is kind
+    assert answer.error.ran is errors.Ran.NO
+    assert error_responses.status_of(answer.error) == 503
+    assert answer.took_ms < AT_ONCE_MS
+
+
+def test_every_instance_resumes_at_the_version_that_began():
+    async def main():
+        async with versions.deployed(*_behind("v1", "v2")) as world:
+            for number in range(6):
+                request_id = f"s{number}"
+                begun = await _begin(world, request_id)
+                for name in sorted(world.instances):
+                    answer = await _resume(
+                        world, resumes=request_id, instance=name
+                    )
+                    assert answer.numbers == list(range(4, 21))
+                    assert _versions_of(answer) == _versions_of(begun)
+
+    deployments.run(main())
+
+
+# The leader and the instance that began the stream are gone at once.
+def test_standby_knows_streams_after_two_kills():
+    async def main():
+        async with versions.deployed(*_behind("v1", "v2")) as world:
+            callers = versions.Callers(world)
+            names = sorted(world.instances)
+            leader = world.leader
+            began = next(n for n in names if n != leader)
+            begun = [
+                await _begin(world, f"s{n}", instance=began) for n in range(4)
+            ]
+            await asyncio.gather(callers.kill(leader), callers.kill(began))
+            await world.clock.sleep_ms(6_000.0)
+            left = sorted(world.instances)
+            for number, former in enumerate(begun):
+                answer = await _resume(
+                    world, resumes=f"s{number}", instance=left[number % 4]
+                )
+                assert answer.error is None
+                assert _versions_of(answer) == _versions_of(former)
+
+    deployments.run(main())
+
+
+# An instance that doesn't know the version would have guessed one.
+def test_stream_that_nobody_knows_is_refused_at_once():
+    async def main():
+        async with versions.deployed(*_behind("v1", "v2")) as world:
+            await world.clock.sleep_ms(LONG_MS)
+            for resumes in ("never-began", None):
+                answer = await _resume(world, resumes=resumes)
+                _check_refused(world, answer, UNKNOWN)
+
+    deployments.run(main())
+
+
+def test_stream_of_a_service_with_one_version_needs_no_memory():
+    async def main():
+        async with versions.deployed(*_behind("v1")) as world:
+            answer = await _resume(world, resumes=None)
+            _check_refused(world, answer, UNKNOWN)
+            await world.clock.sleep_ms(LONG_MS)
+            for resumes in ("never-began", None):
+                answer = await _resume(world, resumes=resumes)
+                assert answer.numbers == list(range(4, 21))
+
+    deployments.run(main())
+
+
+def test_other_account_does_not_resume_the_stream():
+    async def main():
+        async with versions.deployed(*_behind("v1", "v2")) as world:
+            token = (("Authorization", "Bearer a"),)
+            await _begin(world, "s1", headers=token)
+            answer = await _resume(world, resumes="s1")
+            _check_refused(world, answer, UNKNOWN)
+            answer = await _resume(world, resumes="s1", headers=token)
+            assert answer.error is None
+
+    deployments.run(main())
+
+
+# Such a request waited for its deadline, and its caller with it.
+def test_stream_without_an_engine_of_its_version_is_refused_at_once():
+    async def main():
+        async with versions.deployed(*_behind("v1", "v2")) as world:
+            begun = await _begin(world, "s1")
+            (version,) = _versions_of(begun)
+            for backend in world.backends.by_name.values():
+                if backend.software_version == version:
+                    world.register(backend, drained=True)
+            await world.clock.sleep_ms(1_000.0)
+            for name in sorted(world.instances):
+                answer = await _resume(world, resumes="s1", instance=name)
+                _check_refused(world, answer, GONE)
+
+    deployments.run(main())
+
+
+def test_answer_without_another_engine_of_its_version_breaks_off_at_once():
+    async def main():
+        dying = versions.engine("d1", "v1", resources.Role.DECODE)
+        dying.breaks_after = 4
+        other = versions.engine("d2", "v2", resources.Role.DECODE)
+        other.is_unreachable = True
+        async with versions.deployed(
+            versions.prefill_engine("v1"), dying, other
+        ) as world:
+            asked = asyncio.ensure_future(world.ask("/verdicts/1"))
+            await world.clock.sleep_ms(150.0)
+            other.is_unreachable = False
+            world.register(dying, drained=True)
+            answer = await asked
+            assert answer.numbers == [1, 2, 3, 4]
+            assert answer.error.kind is errors.ErrorKind.ANSWER_BROKEN
+            assert answer.took_ms < 1_000.0
+
+    deployments.run(main())
+
+
+# A process that is back under its id may be of another version.
+def test_restarted_engine_of_the_same_id_gets_no_resumed_stream():
+    async def main():
+        engines = versions.decode_engines("v1", count=2)
+        for backend in engines:
+            backend.endpoint = dataclasses.replace(
+                backend.endpoint, started_ms=1
+            )
+        async with versions.deployed(
+            versions.prefill_engine("v1"), *engines
+        ) as world:
+            await world.clock.sleep_ms(LONG_MS)
+
+            async def refuse(endpoint):
+                fault = client.EngineFault.REFUSED_IDENTITY
+                raise client.EngineError(fault, endpoint.name)
+
+            for instance in world.instances.values():
+                for found in _wrapped(instance):
+                    found.is_changing = refuse
+            before = len(world.backends.runs)
+            answer = await _resume(world, resumes=None)
+            assert answer.error is not None
+            assert answer.error.ran is errors.Ran.NO
+            assert len(world.backends.runs) == before
+
+    deployments.run(main())
+
+
+def _wrapped(instance):
+    """The client by which an instance's attempts check engines."""
+    attempts = instance._forwarder._stream._attempts
+    return [attempts._backends]
+
+
+# An older build sends endpoints without versions, and places at any version.
+def test_followers_of_an_older_leader_keep_versions_apart(monkeypatch):
+    send = all_followers.Followers._send
+
+    def send_without_versions(self, message, to):
+        if isinstance(message, leader_messages.EndpointUpdate):
+            message = _without_versions(message)
+        send(self, message, to)
+
+    monkeypatch.setattr(all_followers.Followers, "_send", send_without_versions)
+
+    async def main():
+        world = deployments.Deployment(*_behind("v1", "v2"))
+        await world.start("e1", is_led=True)
+        leader = world.instances["e1"]
+        _make_older(leader)
+        await world.start("e2", "e3", declare=False, is_led=True)
+        await world.clock.sleep_ms(4_000.0)
+        assert leader.fleet.is_leading
+        for backend in world.backends.by_name.values():
+            world.register(backend, slots=9)
+        await world.clock.sleep_ms(2_000.0)
+        for number in range(12):
+            begun = await _begin(world, f"s{number}", instance="e2")
+            answer = await _resume(world, resumes=f"s{number}", instance="e2")
+            assert answer.error is None
+            assert _versions_of(answer) == _versions_of(begun)
+        await world.stop()
+
+    deployments.run(main())
+
+
+def _make_older(leader) -> None:
+    """Has a leader neither know nor tell versions."""
+    followers = leader.fleet.followers
+    followers._hello = dataclasses.replace(followers._hello, capabilities=())
+    placement = leader._placement
+    placement._fitting_engines = placement._permitted_engines
+
+
+def _without_versions(message):
+    records = tuple(
+        dataclasses.replace(
+            record,
+            endpoint=dataclasses.replace(record.endpoint, software_version=""),
+        )
+        if record.endpoint is not None
+        else record
+        for record in message.records
+    )
+    return dataclasses.replace(message, records=records)
