--- a/src/jujubewharf/forwarding/calls.py
+++ b/src/jujubewharf/forwarding/calls.py
@@ -48,6 +48,8 @@
         work: Size of a model request; ``None`` for plain requests.
         last_event: Number of the last event that the caller received in an
             earlier try.
+        shared_parts: Names of the parts of the prompt that other requests may
+            share, in order; each names its model.
         resumes: Id of the try that brought the first event, if the caller
             resumes a stream; ``None`` if it names none.
         account: Name of the client account, sent to endpoints; ``None`` if no
@@ -69,6 +71,7 @@
     account: str | None = None
     is_trial: bool = False
     resumes: str | None = None
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
--- a/src/jujubewharf/forwarding/crash_detection.py
+++ b/src/jujubewharf/forwarding/crash_detection.py
@@ -7,6 +7,7 @@
 import contextlib
 import dataclasses
 
+from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
 from jujubewharf.forwarding import calls
@@ -23,13 +24,18 @@
     Args:
         backends: Client that makes the calls.
         history: Crash history of requests.
+        clock: Time source.
     """
 
     def __init__(
-        self, backends: ports.Backends, history: crashes.CrashHistory
+        self,
+        backends: ports.Backends,
+        history: crashes.CrashHistory,
+        clock: clocks.Clock,
     ) -> None:
         self._backends = backends
         self._history = history
+        self._clock = clock
         self._checks: set[asyncio.Task[None]] = set()
         # Calls without a caller's request are passed through.
         self.listen = backends.listen
@@ -70,11 +76,19 @@
         call: calls.Call,
         reply: calls.Reply,
     ) -> AsyncIterator[bytes]:
+        began_ms: float | None = None
         try:
             async for part in reply.body:
+                if began_ms is None:
+                    began_ms = self._clock.now_ms()
                 yield part
         except client.EngineError as error:
-            await self._handle_failure(endpoint, call, error, stage="run")
+            written_ms = (
+                None if began_ms is None else self._clock.now_ms() - began_ms
+            )
+            await self._handle_failure(
+                endpoint, call, error, stage="run", written_ms=written_ms
+            )
             raise
 
     async def prefill(
@@ -101,11 +115,23 @@
         error: client.EngineError,
         *,
         stage: str,
+        written_ms: float | None = None,
     ) -> None:
-        """Checks whether an engine that lost a request has crashed."""
+        """Checks whether an engine that lost a request has crashed.
+
+        Args:
+            endpoint: The engine.
+            call: The request.
+            error: How it was lost.
+            stage: Stage of processing: ``prefill`` or ``run``.
+            written_ms: Time since the engine's answer began; ``None`` if it had
+                not begun.
+        """
         if error.fault is not client.EngineFault.LOST:
             return
-        check = asyncio.ensure_future(self._check_crash(endpoint, call, stage))
+        check = asyncio.ensure_future(
+            self._check_crash(endpoint, call, stage, written_ms)
+        )
         self._checks.add(check)
         check.add_done_callback(self._checks.discard)
         # Continues if the caller disconnects, because the crash must still be
@@ -113,7 +139,13 @@
         await asyncio.shield(check)
 
     async def _check_crash(
-        self, endpoint: resources.Endpoint, call: calls.Call, stage: str
+        self,
+        endpoint: resources.Endpoint,
+        call: calls.Call,
+        stage: str,
+        written_ms: float | None,
     ) -> None:
         if await self._backends.has_crashed(endpoint):
-            self._history.record_crash(call, endpoint.name, stage=stage)
+            self._history.record_crash(
+                call, endpoint.name, stage=stage, written_ms=written_ms
+            )
--- a/src/jujubewharf/forwarding/crashes.py
+++ b/src/jujubewharf/forwarding/crashes.py
@@ -142,7 +142,12 @@
         return f"CrashHistory(requests={len(self)})"
 
     def record_crash(
-        self, call: calls.Call, engine: str, *, stage: str
+        self,
+        call: calls.Call,
+        engine: str,
+        *,
+        stage: str,
+        written_ms: float | None = None,
     ) -> None:
         """Records that an engine crashed while it processed a request.
 
@@ -150,6 +155,8 @@
             call: The request.
             engine: Name of the engine's registration.
             stage: Stage of processing: ``prefill`` or ``run``.
+            written_ms: Time since the engine's answer began; ``None`` if it had
+                not begun.
         """
         fingerprint = fingerprints.Fingerprint.from_call(call)
         record = self._get_or_create(fingerprint, label=call.request_id)
@@ -162,6 +169,8 @@
             stage=stage,
             crashes=len(record.crashes_ms),
             label=record.label,
+            parts=call.shared_parts,
+            written_ms=written_ms,
         )
         if is_new:
             self.on_update(fingerprint)
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -346,7 +346,7 @@
             self.crashes, self.fleet_crashes
         )
         crash_detecting_backends = crash_detection.CrashDetectingBackends(
-            backends, self.crashes
+            backends, self.crashes, clock
         )
         sender = attempts.StreamAttempts(
             crash_detecting_backends,
--- a/src/jujubewharf/forwarding/state_log.py
+++ b/src/jujubewharf/forwarding/state_log.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Collection
 from collections.abc import Mapping
+from collections.abc import Sequence
 import dataclasses
 
 from opentelemetry import metrics
@@ -50,6 +51,7 @@
 _MAX_LOGGED_ACCOUNTS = 10
 _MAX_LOGGED_ORDERS = 20
 _MAX_LOGGED_SERVICES = 20
+_MAX_LOGGED_PARTS = 8
 
 _logger = structlog.get_logger()
 
@@ -210,7 +212,14 @@
 
 
 def log_engine_crash(
-    request: str, engine: str, *, stage: str, crashes: int, label: str
+    request: str,
+    engine: str,
+    *,
+    stage: str,
+    crashes: int,
+    label: str,
+    parts: Sequence[str],
+    written_ms: float | None,
 ) -> None:
     """Logs an engine that crashed while it processed a request.
 
@@ -221,6 +230,9 @@
         crashes: Number of engines that crashed in all attempts of the
             request.
         label: Id of one of these attempts, which identifies the request.
+        parts: Names of the parts of its prompt that others may share.
+        written_ms: Time since the engine's answer began; ``None`` if it had not
+            begun.
     """
     _CRASHES.add(1, {"stage": stage})
     _logger.info(
@@ -230,6 +242,8 @@
         stage=stage,
         crashes=crashes,
         label=label,
+        parts=parts[:_MAX_LOGGED_PARTS],
+        written_ms=None if written_ms is None else round(written_ms),
     )
 
 
