--- a/src/jujubewharf/standins/backend_state.py
+++ b/src/jujubewharf/standins/backend_state.py
@@ -37,6 +37,7 @@
     at_ms: float
     body: bytes = b""
     request_id: str = ""
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,6 +47,7 @@
     body: bytes
     engine: str
     at_ms: float
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -38,6 +38,8 @@
         dropped: Handles of prefill results that were dropped.
         instance: Name of the calling instance.
         crashing_bodies: Request bodies that crash the backend that runs them.
+        crashing_parts: Parts of prompts that crash each engine that runs a
+            request with one of them.
         crash_after_ms: Time from the start of such a run to the crash.
         crashes: Crashes caused by such bodies, in order.
         crash_callbacks: Callbacks called with each crashed backend.
@@ -54,6 +56,7 @@
         self.dropped: list[str] = []
         self.instance = ""
         self.crashing_bodies: set[bytes] = set()
+        self.crashing_parts: set[str] = set()
         self.crash_after_ms = 60.0
         self.crashes: list[backend_state.BackendCrash] = []
         self.crash_callbacks: list[
@@ -105,8 +108,8 @@
         slot = self._new_id("run")
         backend.held[slot] = held
         backend.running_requests.add(request_id)
-        if sending.call.body in self.crashing_bodies:
-            self._schedule_crash(backend, sending.call.body)
+        if self._crashes_engines(sending.call):
+            self._schedule_crash(backend, sending.call)
         try:
             if backend.loses_answers:
                 raise backend.error(client.EngineFault.LOST, "lost")
@@ -158,10 +161,7 @@
         first = (sending.after_event or 0) + 1
         for number in range(first, backend.events + 1):
             await self._sleep_unless_crashed(backend, backend.event_ms)
-            if (
-                number == backend.events
-                and sending.call.body in self.crashing_bodies
-            ):
+            if number == backend.events and self._crashes_engines(sending.call):
                 await self._sleep_unless_crashed(backend, _ENDLESS_MS)
             if number == backend.skipped_event:
                 continue
@@ -268,11 +268,7 @@
         self, backend: backend_state.StandInBackend, call: calls.Call
     ) -> float:
         """Returns the response time, or an endless one for crashing bodies."""
-        return (
-            _ENDLESS_MS
-            if call.body in self.crashing_bodies
-            else backend.work_ms
-        )
+        return _ENDLESS_MS if self._crashes_engines(call) else backend.work_ms
 
     async def _process(
         self, backend: backend_state.StandInBackend, call: calls.Call
@@ -286,14 +282,22 @@
             work_ms *= backend.slots.slowdown
             await self._sleep_unless_crashed(backend, work_ms)
 
+    def _crashes_engines(self, call: calls.Call) -> bool:
+        is_bad_body = call.body in self.crashing_bodies
+        return is_bad_body or not self.crashing_parts.isdisjoint(
+            call.shared_parts
+        )
+
     def _schedule_crash(
-        self, backend: backend_state.StandInBackend, body: bytes
+        self, backend: backend_state.StandInBackend, call: calls.Call
     ) -> None:
         def crash() -> None:
             if not backend.has_crashed.is_set():
                 now_ms = self._clock.now_ms()
                 self.crashes.append(
-                    backend_state.BackendCrash(body, backend.name, now_ms)
+                    backend_state.BackendCrash(
+                        call.body, backend.name, now_ms, call.shared_parts
+                    )
                 )
                 self.crash(backend)
 
@@ -346,7 +350,11 @@
         call = sending.call
         backend.received_requests.append(
             backend_state.ReceivedRequest(
-                self.instance, now_ms, call.body, call.request_id
+                self.instance,
+                now_ms,
+                call.body,
+                call.request_id,
+                call.shared_parts,
             )
         )
         self._check_backoff(backend)
--- /dev/null
+++ b/tests/leadership/test_crashing_parts.py
@@ -0,0 +1,147 @@
+"""One part of prompts crashes each engine that begins to write on it.
+
+No two requests with that part are alike; sound ones share all their other
+parts.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+
+import pytest
+
+from jujubewharf import errors
+from jujubewharf.forwarding import calls
+from tests.forwarding import deployments
+
+NAMES = ("e1", "e2", "e3", "e4", "e5", "e6")
+FIRST_PART = "m/5c1e07a2:200"
+BAD_PART = "m/badbadba:1500"
+# Time from the fifth crash on from which the users' bounds hold, and half of
+# the time for the bound on sound requests.
+STABLE_MS = 3_000.0
+# Requests with the part that may reach engines later than that.
+MAX_LATER = 3
+# The users' bound for sound requests is half; there is to be no difference.
+SOUND_SHARE = 0.9
+
+
+@contextlib.asynccontextmanager
+async def _deployed(names=NAMES, *, crash_after_ms: float, engines: int = 8):
+    behind = [
+        deployments.prefill_engine("p1"),
+        deployments.prefill_engine("p2"),
+    ]
+    behind += [
+        deployments.decode_engine(f"d{n}", "abcd"[n % 4])
+        for n in range(engines)
+    ]
+    for backend in behind:
+        backend.memory_tokens = 400_000
+        backend.events = 30
+    world = deployments.Deployment(*behind)
+    world.revive_crashed()
+    world.backends.crash_after_ms = crash_after_ms
+    await world.start_in("abcd", *names)
+    await world.clock.sleep_ms(2_000.0)
+    try:
+        yield world
+    finally:
+        await world.stop()
+
+
+async def _ask(world, parts, number: int, rng) -> deployments.Answer:
+    body = b"request %d" % number
+    return await world.ask(
+        "/verdicts/1",
+        instance=rng.choice(sorted(world.instances)),
+        body=body,
+        shared_parts=parts,
+        work=calls.ModelWork(2_000, 30, 30),
+        caller_timeout_ms=10_000.0,
+    )
+
+
+async def _send(
+    world, parts, *, count: int, every_ms: float, rng, numbers_from: int
+) -> list[tuple[float, deployments.Answer]]:
+    """Sends requests; returns when each was sent, and its answer."""
+    asked, times = [], []
+    for number in range(count):
+        times.append(world.clock.now_ms())
+        ask = _ask(world, parts, numbers_from + number, rng)
+        asked.append(asyncio.ensure_future(ask))
+        await world.clock.sleep_ms(every_ms * rng.uniform(0.5, 1.5))
+    return list(zip(times, await asyncio.gather(*asked), strict=True))
+
+
+def _fifth_crash_ms(world, part=BAD_PART) -> float:
+    """Time of the fifth crash of a part, or of the last if there are fewer."""
+    times = [c.at_ms for c in world.backends.crashes if part in c.shared_parts]
+    return times[min(4, len(times) - 1)]
+
+
+def _reached(world, *, after_ms: float, part=BAD_PART) -> set[str]:
+    """Ids of requests with a part that reached engines after a time."""
+    return {
+        asked.request_id
+        for backend in world.backends.by_name.values()
+        for asked in backend.received_requests
+        if part in asked.shared_parts and asked.at_ms > after_ms
+    }
+
+
+def _begun_share(answers, *, after_ms: float) -> float:
+    found = [
+        a.status == 200 and a.body != b"" for t, a in answers if t >= after_ms
+    ]
+    return sum(found) / len(found)
+
+
+# Engines were lost as fast as they came back: each request counted as another
+# one with one crash, and sound ones broke off beside them.
+@pytest.mark.parametrize("crash_after_ms", [20.0, 60.0, 130.0])
+def test_part_that_crashes_engines_is_quarantined(crash_after_ms):
+    async def main():
+        rng = random.Random(1)
+        async with _deployed(crash_after_ms=crash_after_ms) as world:
+            await _send(
+                world,
+                (FIRST_PART,),
+                count=40,
+                every_ms=100.0,
+                rng=rng,
+                numbers_from=5_000,
+            )
+            world.backends.crashing_parts.add(BAD_PART)
+            bad, sound = await asyncio.gather(
+                _send(
+                    world,
+                    (FIRST_PART, BAD_PART),
+                    count=75,
+                    every_ms=400.0,
+                    rng=rng,
+                    numbers_from=0,
+                ),
+                _send(
+                    world,
+                    (FIRST_PART,),
+                    count=250,
+                    every_ms=120.0,
+                    rng=rng,
+                    numbers_from=1_000,
+                ),
+            )
+            fifth_ms = _fifth_crash_ms(world)
+            later = _reached(world, after_ms=fifth_ms + STABLE_MS)
+            assert len(later) <= MAX_LATER
+            share = _begun_share(sound, after_ms=fifth_ms + 2 * STABLE_MS)
+            assert share >= SOUND_SHARE
+            for _, answer in bad[-10:]:
+                assert answer.error is not None
+                assert answer.error.kind is errors.ErrorKind.QUARANTINED
+                assert answer.took_ms < 50.0
+
+    deployments.run(main())
