Quarantine parts of prompts that crash engines

What callers saw: engines ended as fast as they came back, and sound requests broke off beside them; 14 and 17 requests with the part reached engines later than the users allow three, 28 and 31 engines ended.

Cause: what is remembered of a crash was the whole request. Those with the part are not alike, so each counted as another request with one crash.

Why the fix works: shared parts are subjects beside requests, with the same records, reports, table, quarantine and trials. A crash counts against the parts of a request that had been written on for less than 250 ms; an engine that goes on writing clears its prompt's parts at each event, at all instances, so that only the guilty one keeps its crashes, and its quarantine explains those of the others.

--- a/src/jujubewharf/forwarding/crash_detection.py
+++ b/src/jujubewharf/forwarding/crash_detection.py
@@ -77,11 +77,19 @@
         reply: calls.Reply,
     ) -> AsyncIterator[bytes]:
         began_ms: float | None = None
+        has_written = False
         try:
             async for part in reply.body:
                 if began_ms is None:
                     began_ms = self._clock.now_ms()
+                elif has_written:
+                    self._history.record_writing(call)
+                elif self._clock.now_ms() - began_ms >= crashes.CRASH_WITHIN_MS:
+                    has_written = True
+                    self._history.record_written(call)
                 yield part
+            if not has_written:
+                self._history.record_written(call)
         except client.EngineError as error:
             written_ms = (
                 None if began_ms is None else self._clock.now_ms() - began_ms
--- a/src/jujubewharf/forwarding/crash_records.py
+++ b/src/jujubewharf/forwarding/crash_records.py
@@ -11,6 +11,7 @@
 class _Crash(pydantic.BaseModel):
     engine: str
     age_ms: float = pydantic.Field(ge=0)
+    request: int = pydantic.Field(default=0, ge=0)
 
 
 class _Record(pydantic.BaseModel):
@@ -29,6 +30,7 @@
     trials: int = pydantic.Field(default=0, ge=0)
     trial_age_ms: float | None = pydantic.Field(default=None, ge=0)
     completions: int = pydantic.Field(default=0, ge=0)
+    position: int = pydantic.Field(default=0, ge=0)
 
 
 def encode(report: crash_reports.CrashReport, *, wall_ms: float) -> bytes:
@@ -45,13 +47,18 @@
         digest=report.fingerprint.digest.hex(),
         label=report.label,
         crashes=[
-            _Crash(engine=crash.engine, age_ms=max(0.0, crash.age_ms))
+            _Crash(
+                engine=crash.engine,
+                age_ms=max(0.0, crash.age_ms),
+                request=crash.request,
+            )
             for crash in report.crashes
         ],
         cleared_age_ms=report.cleared_age_ms,
         trials=report.trials,
         trial_age_ms=report.trial_age_ms,
         completions=report.completions,
+        position=report.position,
     )
     return record.model_dump_json().encode()
 
@@ -74,13 +81,16 @@
         fingerprints.Fingerprint(outline, bytes.fromhex(record.digest)),
         record.label,
         tuple(
-            crash_reports.Crash(crash.engine, crash.age_ms + since_ms)
+            crash_reports.Crash(
+                crash.engine, crash.age_ms + since_ms, crash.request
+            )
             for crash in record.crashes
         ),
         _add_age(record.cleared_age_ms, since_ms),
         record.trials,
         _add_age(record.trial_age_ms, since_ms),
         record.completions,
+        record.position,
     )
 
 
--- a/src/jujubewharf/forwarding/crash_reports.py
+++ b/src/jujubewharf/forwarding/crash_reports.py
@@ -18,18 +18,21 @@
     Attributes:
         engine: Name of the engine's registration.
         age_ms: Time since the crash in milliseconds.
+        request: For a part of prompts, a number that tells requests apart; 0
+            for a request, and from an older build.
     """
 
     engine: str
     age_ms: float
+    request: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CrashReport:
-    """Everything that an instance knows about the crashes of one request.
+    """Everything that an instance knows about the crashes of one subject.
 
     Attributes:
-        fingerprint: Fingerprint of the request.
+        fingerprint: Fingerprint of the request, or of the part of prompts.
         label: Request id of one of its tries, for log lines.
         crashes: Engines that crashed.
         cleared_age_ms: Time since an engine last answered the request
@@ -38,6 +41,7 @@
         trial_age_ms: Time since the last trial; ``None`` if there was none.
         completions: Number of recent complete answers, within the bound that
             matters.
+        position: Position of a part in its prompts, from 1; 0 for a request.
     """
 
     fingerprint: fingerprints.Fingerprint
@@ -47,3 +51,4 @@
     trials: int = 0
     trial_age_ms: float | None = None
     completions: int = 0
+    position: int = 0
--- a/src/jujubewharf/forwarding/crashes.py
+++ b/src/jujubewharf/forwarding/crashes.py
@@ -1,34 +1,35 @@
 """Tracks which engines crashed while they processed a request.
 
 A crashed engine takes all its requests with it, so most requests that run
-during a crash did not cause it. A complete answer clears a request. A request
-under which three engines have crashed since its last complete answer is
-quarantined: it is sent to no engine, except for trials that find out whether it
-is the cause. One that has often come through may be beside more crashes than
-that, because it runs on most engines.
+during a crash did not cause it. The subject that did is a request, or a part of
+prompts that many requests share, no two of them alike.
+
+A complete answer clears a request, and an engine that goes on writing clears
+the parts of the prompt. A subject under which three engines have crashed since
+it was last cleared is quarantined: it is sent to no engine, except for trials
+that find out whether it is the cause. One that has often come through may be
+beside more crashes than that, because it runs on most engines. Crashes that a
+quarantined part explains don't count against the requests beside it, and not
+against the other parts of its prompts.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Iterator
-import dataclasses
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
+from jujubewharf import ordered_set
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import completions
+from jujubewharf.forwarding import crash_evidence
 from jujubewharf.forwarding import crash_reports
 from jujubewharf.forwarding import fingerprints
 from jujubewharf.forwarding import state_log
 
-# Number of crashes that quarantines a request. One or two can be coincidence,
-# three rarely are. Each crash costs an engine and all requests that it runs.
-QUARANTINE_CRASHES = 3
-# Complete answers that allow for one more crash, and bound of these.
-_ANSWERS_PER_CRASH = 4
-_MAX_EXTRA_CRASHES = 8
 # Time after which a trial is considered to have ended without a result: neither
 # a complete answer nor a crash was reported.
 TRIAL_TIMEOUT_MS = 15_000.0
@@ -38,83 +39,20 @@
 RETENTION_MS = 600_000.0
 # Bound the memory, because callers can send any number of distinct requests.
 MAX_RECORDS = 1_024
-_MAX_CRASHES = QUARANTINE_CRASHES + _MAX_EXTRA_CRASHES + 1
 _MAX_LABEL_CHARS = 64
 # Tolerance for timestamps of one event that two instances compute from ages.
 _TIMESTAMP_TOLERANCE_MS = 1_000.0
-_NEVER_MS = float("-inf")
+# Time for which an engine that a part crashes writes at most. One that has
+# written for longer shows that the parts of the prompt are innocent.
+CRASH_WITHIN_MS = 250.0
+_MARK_BYTES = 6
+_RUN = "run"
 
 
 def _ignore(fingerprint: fingerprints.Fingerprint) -> None:
     """Default callback that does nothing."""
 
 
-@dataclasses.dataclass(slots=True)
-class _Record:
-    """Crash history of one request.
-
-    Attributes:
-        label: Request id of one of its tries, for log lines.
-        crashes_ms: Time of each crash by engine name.
-        cleared_ms: Time of the last complete answer; earlier crashes do not
-            count.
-        trials: Number of trials allowed in quarantine.
-        trial_ms: Time of the last trial.
-        completions: Number of recent complete answers, within the bound that
-            matters.
-    """
-
-    label: str
-    crashes_ms: dict[str, float] = dataclasses.field(default_factory=dict)
-    cleared_ms: float = _NEVER_MS
-    trials: int = 0
-    trial_ms: float = _NEVER_MS
-    completions: int = 0
-
-    @property
-    def max_crashes(self) -> int:
-        """Number of crashes that quarantines the request."""
-        return QUARANTINE_CRASHES + self.completions // _ANSWERS_PER_CRASH
-
-    @property
-    def is_quarantined(self) -> bool:
-        """Whether the request may not be sent to any engine."""
-        return len(self.crashes_ms) >= self.max_crashes
-
-    def add_completions(self, count: int) -> None:
-        """Adds complete answers, up to the bound."""
-        most = _MAX_EXTRA_CRASHES * _ANSWERS_PER_CRASH
-        self.completions = min(most, self.completions + count)
-
-    @property
-    def changed_ms(self) -> float:
-        """Time of the last crash or complete answer."""
-        return max((self.cleared_ms, *self.crashes_ms.values()))
-
-    def snapshot(self) -> tuple[object, ...]:
-        """Returns a snapshot for detecting changes."""
-        crashed = frozenset(self.crashes_ms)
-        return (
-            crashed,
-            self.cleared_ms,
-            self.trials,
-            self.trial_ms,
-            self.completions,
-        )
-
-    def remove_expired(self, oldest_ms: float) -> None:
-        """Removes crashes and trials that no longer count."""
-        oldest_ms = max(oldest_ms, self.cleared_ms)
-        if self.trial_ms <= oldest_ms:
-            self.trials = 0
-        for engine, at_ms in list(self.crashes_ms.items()):
-            if at_ms <= oldest_ms:
-                del self.crashes_ms[engine]
-        oldest_first = sorted(self.crashes_ms, key=self.crashes_ms.__getitem__)
-        for engine in oldest_first[:-_MAX_CRASHES]:
-            del self.crashes_ms[engine]
-
-
 class CrashHistory:
     """Stores the crash history of requests.
 
@@ -131,7 +69,13 @@
         self.on_quarantine: Callable[[fingerprints.Fingerprint], None] = _ignore
         self._clock = clock
         self._completions = completions.Completions(clock)
-        self._records: dict[fingerprints.Fingerprint, _Record] = {}
+        self._records: dict[
+            fingerprints.Fingerprint, crash_evidence.Evidence
+        ] = {}
+        # Parts that were found in quarantine, in a fixed order.
+        self._suspected_parts = ordered_set.OrderedSet[
+            fingerprints.Fingerprint
+        ]()
         # Number of records by outline.
         self._outlines: dict[fingerprints.Outline, int] = {}
 
@@ -159,19 +103,43 @@
                 not begun.
         """
         fingerprint = fingerprints.Fingerprint.from_call(call)
+        if stage == _RUN and (written_ms or 0.0) < CRASH_WITHIN_MS:
+            # The later parts first, which fewer prompts share.
+            mark = int.from_bytes(fingerprint.digest[:_MARK_BYTES], "big") or 1
+            for position, part in reversed(
+                list(enumerate(call.shared_parts, start=1))
+            ):
+                subject = fingerprints.Fingerprint.from_part(call, part)
+                record = self._get_or_create(
+                    subject, label=call.request_id, position=position
+                )
+                self._add_crash(subject, record, engine, request=mark)
         record = self._get_or_create(fingerprint, label=call.request_id)
-        is_new = engine not in record.crashes_ms
-        record.crashes_ms.setdefault(engine, self._clock.now_ms())
-        record.remove_expired(self._clock.now_ms() - RETENTION_MS)
+        self._add_crash(fingerprint, record, engine)
         state_log.log_engine_crash(
             call.request_id,
             engine,
             stage=stage,
-            crashes=len(record.crashes_ms),
+            crashes=len(record.crashes),
             label=record.label,
             parts=call.shared_parts,
             written_ms=written_ms,
         )
+
+    def _add_crash(
+        self,
+        fingerprint: fingerprints.Fingerprint,
+        record: crash_evidence.Evidence,
+        engine: str,
+        *,
+        request: int = 0,
+    ) -> None:
+        is_new = engine not in record.crashes
+        now_ms = self._clock.now_ms()
+        record.crashes.setdefault(
+            engine, crash_evidence.EngineCrash(now_ms, request)
+        )
+        record.remove_expired(now_ms - RETENTION_MS)
         if is_new:
             self.on_update(fingerprint)
             self._notify_quarantine(fingerprint)
@@ -179,13 +147,31 @@
     def record_success(self, call: calls.Call) -> None:
         """Records that an engine answered a request completely."""
         self._completions.record(call)
-        record = self._find(call)
-        if record is None or not record.crashes_ms:
+        fingerprint = self._find_request(call)
+        if fingerprint is not None:
+            self._clear(fingerprint)
+
+    def record_written(self, call: calls.Call) -> None:
+        """Records that an engine has written an answer for long enough."""
+        self._completions.record_parts(call)
+        self.record_writing(call)
+
+    def record_writing(self, call: calls.Call) -> None:
+        """Records that such an engine goes on writing.
+
+        The parts of the prompt are innocent of all crashes up to now.
+        """
+        for fingerprint in self._find_parts(call):
+            self._clear(fingerprint)
+
+    def _clear(self, fingerprint: fingerprints.Fingerprint) -> None:
+        record = self._records[fingerprint]
+        if not record.crashes:
             return
         record.cleared_ms = self._clock.now_ms()
         record.add_completions(1)
         record.remove_expired(record.cleared_ms)
-        self.on_update(fingerprints.Fingerprint.from_call(call))
+        self.on_update(fingerprint)
 
     def merge(self, report: crash_reports.CrashReport) -> bool:
         """Merges a report from another instance.
@@ -193,7 +179,9 @@
         Returns:
             Whether the report changed the record.
         """
-        record = self._get_or_create(report.fingerprint, label=report.label)
+        record = self._get_or_create(
+            report.fingerprint, label=report.label, position=report.position
+        )
         before = record.snapshot()
         # All instances choose the same label, independent of the merge order.
         record.label = min(record.label, report.label)
@@ -207,7 +195,12 @@
         record.trials = max(record.trials, report.trials)
         record.add_completions(max(0, report.completions - record.completions))
         for crash in report.crashes:
-            record.crashes_ms.setdefault(crash.engine, now_ms - crash.age_ms)
+            record.crashes.setdefault(
+                crash.engine,
+                crash_evidence.EngineCrash(
+                    now_ms - crash.age_ms, crash.request
+                ),
+            )
         record.remove_expired(now_ms - RETENTION_MS)
         if record.snapshot() == before:
             return False
@@ -238,8 +231,8 @@
         record = self._records[fingerprint]
         now_ms = self._clock.now_ms()
         engine_crashes = tuple(
-            crash_reports.Crash(engine, now_ms - at_ms)
-            for engine, at_ms in record.crashes_ms.items()
+            crash_reports.Crash(engine, now_ms - crash.at_ms, crash.request)
+            for engine, crash in record.crashes.items()
         )
         return crash_reports.CrashReport(
             fingerprint,
@@ -249,23 +242,67 @@
             record.trials,
             _age_ms(record.trial_ms, now_ms),
             record.completions,
+            record.position,
         )
 
     def count(self, call: calls.Call) -> int:
         """Returns the number of crashes that count against a request."""
-        record = self._find(call)
-        if record is None:
+        fingerprint = self._find_request(call)
+        if fingerprint is None:
             return 0
-        record.remove_expired(self._clock.now_ms() - RETENTION_MS)
-        return len(record.crashes_ms)
+        return self._current(fingerprint).count(self._explained(fingerprint))
 
     def is_quarantined(self, call: calls.Call) -> bool:
         """Returns whether a request may not be sent to any engine."""
-        record = self._find(call)
-        if record is None:
-            return False
+        return bool(self.quarantined_subjects(call))
+
+    def quarantined_subjects(
+        self, call: calls.Call
+    ) -> list[fingerprints.Fingerprint]:
+        """Returns what of a request is in quarantine: itself, or its parts."""
+        if not self._outlines:
+            return []
+        found = self._find_parts(call)
+        request = self._find_request(call)
+        if request is not None:
+            found.append(request)
+        return [f for f in found if self._is_quarantined(f)]
+
+    def concerns(
+        self, fingerprint: fingerprints.Fingerprint, call: calls.Call
+    ) -> bool:
+        """Returns whether a request, or a part of it, is the subject."""
+        if fingerprint in self._find_parts(call):
+            return True
+        return fingerprint == self._find_request(call)
+
+    def _current(
+        self, fingerprint: fingerprints.Fingerprint
+    ) -> crash_evidence.Evidence:
+        """Returns a record without what no longer counts."""
+        record = self._records[fingerprint]
         record.remove_expired(self._clock.now_ms() - RETENTION_MS)
-        return record.is_quarantined
+        return record
+
+    def _is_quarantined(self, fingerprint: fingerprints.Fingerprint) -> bool:
+        record = self._current(fingerprint)
+        if not record.is_quarantined():
+            return False
+        return record.is_quarantined(self._explained(fingerprint))
+
+    def _explained(
+        self, fingerprint: fingerprints.Fingerprint
+    ) -> Collection[str]:
+        """Returns the engines whose crashes a part explains better."""
+        own = self._records[fingerprint]
+        engines: set[str] = set()
+        for other in list(self._suspected_parts):
+            record = self._records.get(other)
+            if record is None or not record.is_quarantined():
+                self._suspected_parts.discard(other)
+            elif not own.is_part or record.rank < own.rank:
+                engines |= record.crashes.keys()
+        return engines
 
     def begin_trial(self, fingerprint: fingerprints.Fingerprint) -> bool:
         """Starts a trial of a quarantined request if one is allowed.
@@ -275,13 +312,12 @@
         Returns:
             Whether the trial may run.
         """
-        record = self._records.get(fingerprint)
-        if record is None:
+        if fingerprint not in self._records:
             # The receiving instance has a record that has not arrived here.
             return False
         now_ms = self._clock.now_ms()
-        record.remove_expired(now_ms - RETENTION_MS)
-        if len(record.crashes_ms) > record.max_crashes:
+        record = self._current(fingerprint)
+        if record.count(self._explained(fingerprint)) > record.max_crashes:
             return False
         if record.trials and now_ms - record.trial_ms < TRIAL_TIMEOUT_MS:
             return False
@@ -302,21 +338,28 @@
         Raises:
             WharfError: ``QUARANTINED``.
         """
-        if not self.is_quarantined(call):
+        subjects = self.quarantined_subjects(call)
+        if not subjects:
             return
-        record = self._find(call)
-        assert record is not None
-        count = len(record.crashes_ms)
-        if count >= record.max_crashes + call.is_trial:
-            detail = f"{count} engines crashed, see {record.label}"
+        record = self._records[subjects[0]]
+        count = record.count(self._explained(subjects[0]))
+        is_tried = call.is_trial and len(subjects) == 1
+        if not is_tried or count > record.max_crashes:
+            what = "on a part of the prompt, " if record.is_part else ""
+            detail = f"{count} engines crashed, {what}see {record.label}"
             raise errors.WharfError(errors.ErrorKind.QUARANTINED, detail)
 
     def _notify_quarantine(self, fingerprint: fingerprints.Fingerprint) -> None:
-        if self._records[fingerprint].is_quarantined:
+        record = self._records[fingerprint]
+        if record.is_part and record.is_quarantined():
+            self._suspected_parts.add(fingerprint)
+        if self._is_quarantined(fingerprint):
             self.on_quarantine(fingerprint)
 
-    def _find(self, call: calls.Call) -> _Record | None:
-        """Returns the record of a request.
+    def _find_request(
+        self, call: calls.Call
+    ) -> fingerprints.Fingerprint | None:
+        """Returns the fingerprint of a request that has a record.
 
         The body is hashed only if the outline matches a record.
         """
@@ -324,16 +367,32 @@
             return None
         if fingerprints.Outline.from_call(call) not in self._outlines:
             return None
-        return self._records.get(fingerprints.Fingerprint.from_call(call))
+        fingerprint = fingerprints.Fingerprint.from_call(call)
+        return fingerprint if fingerprint in self._records else None
+
+    def _find_parts(self, call: calls.Call) -> list[fingerprints.Fingerprint]:
+        """Returns the parts of a request's prompt that have a record."""
+        if not self._outlines:
+            return []
+        found = (
+            fingerprints.Fingerprint.from_part(call, part)
+            for part in call.shared_parts
+            if fingerprints.Outline.from_part(call, part) in self._outlines
+        )
+        return [f for f in found if f in self._records]
 
     def _get_or_create(
-        self, fingerprint: fingerprints.Fingerprint, *, label: str
-    ) -> _Record:
-        """Returns the record of a request, creating it if needed."""
+        self,
+        fingerprint: fingerprints.Fingerprint,
+        *,
+        label: str,
+        position: int = 0,
+    ) -> crash_evidence.Evidence:
+        """Returns the record of a subject, creating it if needed."""
         record = self._records.get(fingerprint)
         if record is not None:
             return record
-        record = _Record(label[:_MAX_LABEL_CHARS])
+        record = crash_evidence.Evidence(label[:_MAX_LABEL_CHARS], position)
         record.add_completions(self._completions.count(fingerprint))
         self._evict()
         self._records[fingerprint] = record
@@ -378,7 +437,7 @@
         self, fingerprint: fingerprints.Fingerprint
     ) -> tuple[int, float]:
         record = self._records[fingerprint]
-        return len(record.crashes_ms), record.changed_ms
+        return len(record.crashes), record.changed_ms
 
     def _remove(self, fingerprint: fingerprints.Fingerprint) -> None:
         del self._records[fingerprint]
@@ -395,4 +454,4 @@
 
 
 def _age_ms(at_ms: float, now_ms: float) -> float | None:
-    return None if at_ms == _NEVER_MS else now_ms - at_ms
+    return None if at_ms == crash_evidence.NEVER_MS else now_ms - at_ms
--- a/src/jujubewharf/forwarding/quarantine_waits.py
+++ b/src/jujubewharf/forwarding/quarantine_waits.py
@@ -68,8 +68,6 @@
     def _cancel_waits(self, fingerprint: fingerprints.Fingerprint) -> None:
         """Ends the waits of a request that was quarantined."""
         for scope, call in list(self._waiting.items()):
-            if fingerprints.Outline.from_call(call) != fingerprint.outline:
-                continue
-            if fingerprints.Fingerprint.from_call(call) == fingerprint:
+            if self._history.concerns(fingerprint, call):
                 del self._waiting[scope]
                 scope.reschedule(asyncio.get_running_loop().time())
--- a/src/jujubewharf/leadership/fleet_crashes.py
+++ b/src/jujubewharf/leadership/fleet_crashes.py
@@ -57,7 +57,11 @@
 
     async def take(self, call: calls.Call) -> bool:
         """Returns whether a trial is granted; see ``crashes.Trials``."""
-        fingerprint = fingerprints.Fingerprint.from_call(call)
+        subjects = self._history.quarantined_subjects(call)
+        if len(subjects) != 1:
+            # Two subjects at once would tell nothing about either.
+            return False
+        (fingerprint,) = subjects
         if self._fleet.role is fleets.Role.FOLLOWING:
             return await self._fleet.link.request_trial(fingerprint)
         return self.grant(fingerprint)
