Don't take a crash that ends an unframed answer for its whole end

What callers saw: an answer with neither length nor chunks ends with its connection. Where the engine crashed, that looked like the end of a whole answer, so the crash counted against nothing, and the part of the prompt that had caused it was even cleared by it; a stream of a plain endpoint that ended inside an event was passed on as whole.

Cause: the end of such a body says nothing about why the connection ended, and nothing told framed from unframed answers.

Why the fix works: replies say whether they are framed, through peers too. At the end of one that isn't the engine's process is looked for; if it is gone the crash counts, and nothing is cleared. A stream that ends inside an event resumes (engines) or breaks off (plain endpoints).

--- a/src/jujubewharf/endpoint_paths/relay_client.py
+++ b/src/jujubewharf/endpoint_paths/relay_client.py
@@ -65,7 +65,9 @@
                 raise relay_exchanges.lost(endpoint, "no head from the peer")
             self._pass_on(endpoint, head.notices)
             body = _body(endpoint, exchange.stream)
-            yield calls.Reply(head.status, head.headers, body, head.length)
+            yield calls.Reply(
+                head.status, head.headers, body, head.length, head.is_framed
+            )
 
     async def prefill(
         self, endpoint: resources.Endpoint, outbound: calls.OutboundRequest
--- a/src/jujubewharf/endpoint_paths/relay_server.py
+++ b/src/jujubewharf/endpoint_paths/relay_server.py
@@ -229,7 +229,11 @@
         async with self._backends.send(endpoint, call.outbound) as reply:
             await stream.send(
                 relay_messages.RelayedHead(
-                    reply.status, reply.headers, reply.length, tuple(notices)
+                    reply.status,
+                    reply.headers,
+                    reply.length,
+                    tuple(notices),
+                    reply.is_framed,
                 )
             )
             async for part in reply.body:
--- a/src/jujubewharf/engines/http_calls.py
+++ b/src/jujubewharf/engines/http_calls.py
@@ -64,6 +64,13 @@
         raise lost(endpoint, type(error).__name__) from error
 
 
+def is_framed(response: aiohttp.ClientResponse) -> bool:
+    """Returns whether a response states where its body ends."""
+    return "Content-Length" in response.headers or (
+        "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+    )
+
+
 async def read_body(
     response: aiohttp.ClientResponse, endpoint: resources.Endpoint
 ) -> AsyncIterator[bytes]:
--- a/src/jujubewharf/forwarding/calls.py
+++ b/src/jujubewharf/forwarding/calls.py
@@ -88,12 +88,15 @@
         headers: End-to-end headers.
         body: Chunks of the body as they arrive.
         length: Size of the body in bytes, if known.
+        is_framed: Whether the end of the body shows that it is whole. If not,
+            it ends with the connection, whatever the reason.
     """
 
     status: int
     headers: Headers
     body: AsyncIterator[bytes]
     length: int | None = None
+    is_framed: bool = True
 
     @property
     def is_success(self) -> bool:
--- a/src/jujubewharf/forwarding/crash_detection.py
+++ b/src/jujubewharf/forwarding/crash_detection.py
@@ -76,28 +76,33 @@
         call: calls.Call,
         reply: calls.Reply,
     ) -> AsyncIterator[bytes]:
-        began_ms: float | None = None
-        has_written = False
+        progress = _Progress(self._history, call, self._clock)
         try:
             async for part in reply.body:
-                if began_ms is None:
-                    began_ms = self._clock.now_ms()
-                elif has_written:
-                    self._history.record_writing(call)
-                elif self._clock.now_ms() - began_ms >= crashes.CRASH_WITHIN_MS:
-                    has_written = True
-                    self._history.record_written(call)
+                progress.on_part()
                 yield part
-            if not has_written:
-                self._history.record_written(call)
         except client.EngineError as error:
-            written_ms = (
-                None if began_ms is None else self._clock.now_ms() - began_ms
-            )
             await self._handle_failure(
-                endpoint, call, error, stage="run", written_ms=written_ms
+                endpoint,
+                call,
+                error,
+                stage="run",
+                written_ms=progress.written_ms,
             )
             raise
+        if reply.is_framed:
+            progress.on_end()
+            return
+        # Such a body ends with the connection, also if the engine crashed.
+        if await self._backends.has_crashed(endpoint):
+            self._history.record_crash(
+                call,
+                endpoint.name,
+                stage="run",
+                written_ms=progress.written_ms,
+            )
+        else:
+            progress.on_end()
 
     async def prefill(
         self, endpoint: resources.Endpoint, outbound: calls.OutboundRequest
@@ -157,3 +162,47 @@
             self._history.record_crash(
                 call, endpoint.name, stage=stage, written_ms=written_ms
             )
+
+
+class _Progress:
+    """How long an engine has written an answer, and what that shows.
+
+    Args:
+        history: Crash history of requests.
+        call: The request.
+        clock: Time source.
+    """
+
+    def __init__(
+        self,
+        history: crashes.CrashHistory,
+        call: calls.Call,
+        clock: clocks.Clock,
+    ) -> None:
+        self._history = history
+        self._call = call
+        self._clock = clock
+        self._began_ms: float | None = None
+        self._has_written = False
+
+    @property
+    def written_ms(self) -> float | None:
+        """Time since the answer began; ``None`` if it has not."""
+        if self._began_ms is None:
+            return None
+        return self._clock.now_ms() - self._began_ms
+
+    def on_part(self) -> None:
+        """Records a part of the answer."""
+        if self._has_written:
+            self._history.record_writing(self._call)
+        elif self._began_ms is None:
+            self._began_ms = self._clock.now_ms()
+        elif (self.written_ms or 0.0) >= crashes.CRASH_WITHIN_MS:
+            self.on_end()
+
+    def on_end(self) -> None:
+        """Records that the engine has written for long enough, or all of it."""
+        if not self._has_written:
+            self._has_written = True
+            self._history.record_written(self._call)
--- a/src/jujubewharf/forwarding/events.py
+++ b/src/jujubewharf/forwarding/events.py
@@ -9,7 +9,7 @@
 
 import dataclasses
 
-_EVENT_END = b"\n\n"
+EVENT_END = b"\n\n"
 _ID_PREFIX = b"id:"
 
 
@@ -40,9 +40,9 @@
 
     def feed(self, data: bytes) -> list[Event]:
         """Adds bytes and returns the events that they complete."""
-        *complete, self._buffer = (self._buffer + data).split(_EVENT_END)
+        *complete, self._buffer = (self._buffer + data).split(EVENT_END)
         return [
-            Event(_parse_number(part), part + _EVENT_END) for part in complete
+            Event(_parse_number(part), part + EVENT_END) for part in complete
         ]
 
 
--- a/src/jujubewharf/forwarding/plain.py
+++ b/src/jujubewharf/forwarding/plain.py
@@ -16,6 +16,7 @@
 from jujubewharf.forwarding import budget as budgets
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import come_back
+from jujubewharf.forwarding import events
 from jujubewharf.forwarding import limits as all_limits
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import registry as registries
@@ -289,12 +290,17 @@
     async def _stream_body(
         self, run: runs.Run, endpoint: resources.Endpoint, reply: calls.Reply
     ) -> AsyncIterator[bytes]:
-        has_begun = False
+        tail = b""
         async for part in reply.body:
-            if not has_begun:
+            if not tail and part:
                 self._resumptions.begin(run, endpoint)
-                has_begun = True
+            tail = (tail + part)[-len(events.EVENT_END) :]
             yield part
+        if tail and tail != events.EVENT_END:
+            # It ended with its connection, inside an event.
+            raise errors.WharfError(
+                errors.ErrorKind.ANSWER_BROKEN, ran=errors.Ran.UNKNOWN
+            )
 
     def _attempt_timeout_ms(
         self, run: runs.Run, *, has_error_reply: bool
--- a/src/jujubewharf/peers/relay_messages.py
+++ b/src/jujubewharf/peers/relay_messages.py
@@ -146,12 +146,14 @@
         headers: End-to-end headers.
         length: Size of the body in bytes, if known.
         notices: What the endpoint said about its state.
+        is_framed: Whether the end of the body shows that it is whole.
     """
 
     status: int
     headers: calls.Headers
     length: int | None = None
     notices: tuple[all_notices.Notice, ...] = ()
+    is_framed: bool = True
 
 
 @messages.message(178)
--- a/src/jujubewharf/standins/backend_state.py
+++ b/src/jujubewharf/standins/backend_state.py
@@ -73,6 +73,9 @@
         skipped_event: Number of the event that its streams leave out.
         breaks_after: Number of the event after which its streams break.
         stalls_after: Number of the event after which its streams stall.
+        ends_after: Number of the event after which its streams end inside the
+            next one, without an error.
+        is_framed: Whether the end of its answers shows that they are whole.
         held: Reserved memory in tokens, by reservation or run.
         expires_ms: Expiry times of reservations, in clock milliseconds.
         running_requests: Ids of the running requests.
@@ -114,6 +117,8 @@
     skipped_event: int | None = None
     breaks_after: int | None = None
     stalls_after: int | None = None
+    ends_after: int | None = None
+    is_framed: bool = True
     held: dict[str, int] = dataclasses.field(default_factory=dict)
     expires_ms: dict[str, float] = dataclasses.field(default_factory=dict)
     running_requests: set[str] = dataclasses.field(default_factory=set)
--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -127,7 +127,10 @@
                 self._notify(backend, received_ms, ends_limit=True)
                 body = self._events(backend, sending)
                 yield calls.Reply(
-                    backend.status, (backend_state.PROOF_HEADER,), body
+                    backend.status,
+                    (backend_state.PROOF_HEADER,),
+                    body,
+                    is_framed=backend.is_framed,
                 )
         finally:
             backend.running_requests.discard(request_id)
@@ -160,7 +163,13 @@
     ) -> AsyncIterator[bytes]:
         first = (sending.after_event or 0) + 1
         for number in range(first, backend.events + 1):
-            await self._sleep_unless_crashed(backend, backend.event_ms)
+            try:
+                await self._sleep_unless_crashed(backend, backend.event_ms)
+            except client.EngineError:
+                if backend.is_framed:
+                    raise
+                # The end of the connection is the end of such a body.
+                return
             if number == backend.events and self._crashes_engines(sending.call):
                 await self._sleep_unless_crashed(backend, _ENDLESS_MS)
             if number == backend.skipped_event:
@@ -171,6 +180,9 @@
             if number == backend.breaks_after:
                 yield b"id: "
                 raise backend.error(client.EngineFault.LOST, "broke off")
+            if number == backend.ends_after:
+                yield b"id: "
+                return
             if number == backend.stalls_after:
                 await self._clock.sleep_ms(_ENDLESS_MS)
 
--- a/tests/forwarding/deployments.py
+++ b/tests/forwarding/deployments.py
@@ -291,6 +291,9 @@
             endpoint,
             memory_tokens=crashed.memory_tokens,
             work_ms=crashed.work_ms,
+            events=crashed.events,
+            event_ms=crashed.event_ms,
+            is_framed=crashed.is_framed,
         )
         self.backends.by_name[name] = started
         self.endpoints.put(crashed.name, None)
--- a/tests/forwarding/test_stream.py
+++ b/tests/forwarding/test_stream.py
@@ -32,6 +32,20 @@
     deployments.run(main())
 
 
+# Without length or chunks the end of the connection is the end of the answer.
+def test_stream_that_ends_inside_an_event_resumes():
+    async def main():
+        dying = decode_engine("d1", ends_after=2, is_framed=False)
+        async with deployments.deployed(
+            prefill_engine("p1"), dying, decode_engine("d2", "b")
+        ) as world:
+            answer = await world.ask("/verdicts/1")
+            assert answer.numbers == [1, 2, 3, 4, 5]
+            assert [r.engine for r in world.backends.runs] == ["d1", "d2"]
+
+    deployments.run(main())
+
+
 def test_silent_stream_resumes_elsewhere():
     """A stream without events resumes elsewhere after a second.
 
