--- a/src/jujubewharf/endpoint_load/endpoint_state.py
+++ b/src/jujubewharf/endpoint_load/endpoint_state.py
@@ -21,6 +21,7 @@
     Args:
         clock: Time source.
         backends: Client whose notices are applied.
+        is_first_start: Whether the deployment starts for the first time.
 
     Attributes:
         registry: Registered endpoints.
@@ -29,12 +30,20 @@
         versions: Software versions that services have had.
     """
 
-    def __init__(self, clock: clocks.Clock, backends: ports.Backends) -> None:
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        backends: ports.Backends,
+        *,
+        is_first_start: bool = False,
+    ) -> None:
         self.loads = table.LoadTable(clock)
         self.backpressure = backpressure.Backpressure(clock)
         self.registry = registry.Registry(clock, self.backpressure.is_leaving)
         self.registry.add_listener(self._drop_unregistered)
-        self.versions = version_history.VersionHistory(clock)
+        self.versions = version_history.VersionHistory(
+            clock, is_first_start=is_first_start
+        )
         self.registry.add_listener(self._record_versions)
         self.registry.on_record = self.versions.note_record
         self.registry.on_drained_before_restore = self.backpressure.mark_leaving
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -147,7 +147,9 @@
         self.source.on_applied = self._on_applied
         self.paths = endpoint_paths.EndpointPaths(adapters.backends, clock)
         self._endpoint_state = endpoint_state.EndpointState(
-            clock, self.paths.backends
+            clock,
+            self.paths.backends,
+            is_first_start=settings.is_first_start,
         )
         self.backpressure = self._endpoint_state.backpressure
         self.registry = self._endpoint_state.registry
--- a/src/jujubewharf/forwarding/settings.py
+++ b/src/jujubewharf/forwarding/settings.py
@@ -155,6 +155,8 @@
         metrics: Listening address for metrics.
         peers: Listening address for other instances; ``None`` for an instance
             that neither leads nor follows.
+        is_first_start: Whether the whole deployment starts for the first time,
+            so that no stream can have begun before.
         processor: Processor capacity of the instance.
         store: The platform's store.
         retries: Retry budget of the fleet.
@@ -171,6 +173,7 @@
     readiness: Address
     metrics: Address | None = None
     peers: Address | None = None
+    is_first_start: bool = False
     processor: ProcessorSettings = ProcessorSettings()
     store: StoreSettings
     retries: RetrySettings
--- a/src/jujubewharf/stream_versions/version_history.py
+++ b/src/jujubewharf/stream_versions/version_history.py
@@ -46,10 +46,15 @@
 
     Args:
         clock: Time source.
+        is_first_start: Whether the deployment starts for the first time, so
+            that no stream can have begun at a version that has gone.
     """
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(
+        self, clock: clocks.Clock, *, is_first_start: bool = False
+    ) -> None:
         self._clock = clock
+        self._is_first_start = is_first_start
         # Since when no version can have been missed.
         self._complete_since_ms: float | None = None
         self._seen: dict[tuple[str, str], SeenVersion] = {}
@@ -65,7 +70,9 @@
     def set_endpoints(self, endpoints: Iterable[resources.Endpoint]) -> None:
         """Records the endpoints that are registered now."""
         if self._complete_since_ms is None:
-            self._complete_since_ms = self._clock.now_ms()
+            self._complete_since_ms = (
+                float("-inf") if self._is_first_start else self._clock.now_ms()
+            )
         self._touch_present()
         self._present = {
             (e.service, registration.software_version(e)) for e in endpoints
@@ -80,7 +87,8 @@
 
     def mark_incomplete(self) -> None:
         """Records that registrations may have been missed until now."""
-        self._complete_since_ms = self._clock.now_ms()
+        if self._complete_since_ms is not None:
+            self._complete_since_ms = self._clock.now_ms()
 
     def merge(
         self, seen: Iterable[SeenVersion], *, complete_for_ms: float
--- a/tests/deploy/test_deploy.py
+++ b/tests/deploy/test_deploy.py
@@ -56,10 +56,10 @@
 
     def section(match: re.Match[str]) -> str:
         try:
-            _found(fields, match["path"])
+            found = _found(fields, match["path"])
         except KeyError:
             return ""
-        return match["inside"]
+        return "" if found is False else match["inside"]
 
     def value(match: re.Match[str]) -> str:
         found = _found(fields, match["path"])
@@ -89,6 +89,12 @@
     assert read.stop_within_s == 8.0
 
 
+def test_template_tells_the_first_start_of_a_deployment(tmp_path):
+    assert not _read(tmp_path, FIELDS).is_first_start
+    assert not _read(tmp_path, FIELDS | {"bootstrap": False}).is_first_start
+    assert _read(tmp_path, FIELDS | {"bootstrap": True}).is_first_start
+
+
 def test_metrics_port_matches_scrape_target():
     deploy = tomllib.loads((DEPLOY / "system.toml").read_text())
     port, _, path = deploy["roles"]["entry"]["metrics"].partition("/")
--- a/tests/stream_versions/test_version_history.py
+++ b/tests/stream_versions/test_version_history.py
@@ -41,6 +41,21 @@
     _run(test)
 
 
+def test_first_start_of_a_deployment_has_missed_nothing():
+    async def main():
+        clock = clocks.Clock(wall_origin_ms=0.0)
+        history = version_history.VersionHistory(clock, is_first_start=True)
+        # A link to a leader may begin before the first read.
+        history.mark_incomplete()
+        assert history.only_version(SERVICE, for_ms=LONG_MS) is None
+        history.set_endpoints(_engines("v1"))
+        assert history.only_version(SERVICE, for_ms=LONG_MS) == "v1"
+        history.mark_incomplete()
+        assert history.only_version(SERVICE, for_ms=LONG_MS) is None
+
+    virtual_time.run(main())
+
+
 # A version that came and went within one read may have begun streams.
 def test_version_that_has_gone_counts_for_as_long_as_streams_last():
     async def test(history, clock):
