Assemble the path of requests in a module of its own

What a request passes through (quarantine, attempts, resumptions, streams, plain calls) is put together in request_path now, from one list of parts; whether an engine is left for a stream is decided in one place.

--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -14,11 +14,9 @@
 from jujubewharf.endpoint_load import endpoint_state
 from jujubewharf.endpoint_paths import endpoint_paths
 from jujubewharf.engine_speeds import speeds
-from jujubewharf.forwarding import attempts
 from jujubewharf.forwarding import budget
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import costs
-from jujubewharf.forwarding import crash_detection
 from jujubewharf.forwarding import crashes
 from jujubewharf.forwarding import fleet_share
 from jujubewharf.forwarding import forwarder
@@ -26,17 +24,14 @@
 from jujubewharf.forwarding import margins
 from jujubewharf.forwarding import observations
 from jujubewharf.forwarding import placement
-from jujubewharf.forwarding import plain
 from jujubewharf.forwarding import pool
 from jujubewharf.forwarding import ports
-from jujubewharf.forwarding import quarantine
-from jujubewharf.forwarding import quarantine_waits
+from jujubewharf.forwarding import request_path
 from jujubewharf.forwarding import role_controller
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import settings as all_settings
 from jujubewharf.forwarding import state_log
 from jujubewharf.forwarding import store_followers
-from jujubewharf.forwarding import stream
 from jujubewharf.leadership import crash_services
 from jujubewharf.leadership import fleet as fleets
 from jujubewharf.leadership import fleet_crashes
@@ -61,7 +56,6 @@
 from jujubewharf.requests import plain_endpoints
 from jujubewharf.role_orders import ledger
 from jujubewharf.stream_versions import origins
-from jujubewharf.stream_versions import resumptions
 
 # Share of the retry budget while the group is unreachable. Small enough for two
 # dozen isolated instances to stay within the fleet's budget.
@@ -344,55 +338,24 @@
             self._leadership = self._make_leadership(
                 adapters.peers, places, local, rng
             )
-        request_quarantine = quarantine.Quarantine(
-            self.crashes, self.fleet_crashes
-        )
-        crash_detecting_backends = crash_detection.CrashDetectingBackends(
-            backends, self.crashes, clock
-        )
-        sender = attempts.StreamAttempts(
-            crash_detecting_backends,
-            self.registry,
-            quarantine_waits.QuarantineAwarePlaces(
-                led.FleetPlacer(self.fleet.link, places),
-                request_quarantine,
-                self.crashes,
-            ),
-            self.budget,
-            observed,
-            self.endpoint_limits,
-            self.backpressure,
-            clock,
-        )
-        resumed = resumptions.Resumptions(
-            self._origins,
-            self._endpoint_state.versions,
-            self.registry,
-            sender.is_same_start,
-            clock,
-        )
-        return forwarder.Forwarder(
-            self.source,
-            plain.PlainForwarder(
-                crash_detecting_backends,
+        return request_path.new_forwarder(
+            request_path.Parts(
+                backends,
+                self.source,
                 self.registry,
                 chooser,
                 self.plain_permits,
-                resumed,
+                led.FleetPlacer(self.fleet.link, places),
+                observed,
                 self.budget,
+                self.quotas,
                 self.endpoint_limits,
                 self.backpressure,
-                clock,
-                rng,
-            ),
-            stream.StreamForwarder(
-                sender, resumed, self.budget, observed, clock
+                self.crashes,
+                self.fleet_crashes,
+                self._origins,
+                self._endpoint_state.versions,
             ),
-            resumed,
-            self.budget,
-            self.quotas,
-            self.crashes,
-            request_quarantine,
             clock,
             rng,
             domain=self._settings.domain,
--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -264,7 +264,7 @@
                 queue.end_ask(waiter, is_served=reservation is not None)
                 if reservation is not None:
                     return reservation
-                if run.origin is not None and self._has_lost_its_version(run):
+                if self._has_lost_its_version(run):
                     waiter.rejected_by = wait_queues.Rejection.VERSION
                     return None
                 if self._is_unavailable_until(run, due_ms):
@@ -318,8 +318,9 @@
     def _has_lost_its_version(self, run: runs.Run) -> bool:
         """Returns whether no engine is left at which a stream may go on."""
         engines = self._registry.of_service(run.service)
-        fitting = resumptions.of_version(run, engines)
-        return not any(engine.can_decode for engine in fitting)
+        return run.origin is not None and not resumptions.has_engine(
+            run, engines
+        )
 
     def _is_unavailable_until(self, run: runs.Run, due_ms: float) -> bool:
         """Returns whether no engine can be asked before ``due_ms``."""
--- a/src/jujubewharf/stream_versions/resumptions.py
+++ b/src/jujubewharf/stream_versions/resumptions.py
@@ -108,7 +108,8 @@
         Raises:
             WharfError: ``STREAM_VERSION_GONE``.
         """
-        if run.origin is None or self._has_engine(run):
+        engines = self._registry.of_service(run.service)
+        if run.origin is None or has_engine(run, engines):
             return
         reason = resume_log.NotResumed.VERSION_GONE
         resume_log.log_refused_resumption(run, reason, run.origin)
@@ -173,10 +174,6 @@
             run.service, version, all_origins.KnownBy.ONLY_VERSION
         )
 
-    def _has_engine(self, run: runs.Run) -> bool:
-        engines = of_version(run, self._registry.of_service(run.service))
-        return any(e.can_decode or not run.route.is_model for e in engines)
-
 
 def of_version(
     run: runs.Run, engines: Sequence[resources.Endpoint]
@@ -191,6 +188,12 @@
     return [e for e in engines if registration.software_version(e) == version]
 
 
+def has_engine(run: runs.Run, engines: Sequence[resources.Endpoint]) -> bool:
+    """Returns whether a request may go on at any of the engines."""
+    fitting = of_version(run, engines)
+    return any(e.can_decode or not run.route.is_model for e in fitting)
+
+
 def _keep_ms(route: routes.Route) -> float:
     return max(_MIN_KEEP_MS, _KEEP_TIMEOUTS * route.timeout_ms)
 
