Count good names of parts apart from those of requests

Cause: both shared one table of 256 names, and most prompts have parts that few others share, so a body that all callers send lost its good name within moments and could be quarantined beside three crashes again. Found by reading.

Evidence: test_parts_do_not_displace_the_good_names_of_requests failed before (20 answers, 300 other parts, 4 crashes: quarantined) and passes now.

--- a/src/jujubewharf/forwarding/completions.py
+++ b/src/jujubewharf/forwarding/completions.py
@@ -35,7 +35,9 @@
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._outlines = _RecentCounts[fingerprints.Outline](clock)
-        self._subjects = _RecentCounts[fingerprints.Fingerprint](clock)
+        self._requests = _RecentCounts[fingerprints.Fingerprint](clock)
+        # Apart, as most prompts have parts that few others share.
+        self._parts = _RecentCounts[fingerprints.Fingerprint](clock)
 
     def record(self, call: calls.Call) -> None:
         """Counts a whole answer to a request."""
@@ -43,16 +45,17 @@
         if self._outlines.add(outline) < _RECURRING_ANSWERS:
             return
         if len(call.body) <= _MAX_BODY_BYTES:
-            self._subjects.add(fingerprints.Fingerprint.from_call(call))
+            self._requests.add(fingerprints.Fingerprint.from_call(call))
 
     def record_parts(self, call: calls.Call) -> None:
         """Counts an answer that an engine wrote on the parts of a prompt."""
         for part in call.shared_parts:
-            self._subjects.add(fingerprints.Fingerprint.from_part(call, part))
+            self._parts.add(fingerprints.Fingerprint.from_part(call, part))
 
     def count(self, fingerprint: fingerprints.Fingerprint) -> int:
         """Returns the number of recent answers to a request or on a part."""
-        return self._subjects.count(fingerprint)
+        found = self._requests.count(fingerprint)
+        return found or self._parts.count(fingerprint)
 
 
 class _RecentCounts(Generic[K]):
--- a/tests/forwarding/test_crashing_parts.py
+++ b/tests/forwarding/test_crashing_parts.py
@@ -121,6 +121,21 @@
     _run(test)
 
 
+# Parts of single conversations took the place of requests that often came.
+def test_parts_do_not_displace_the_good_names_of_requests():
+    def test(world):
+        for _ in range(20):
+            world.history.record_success(world.call(body=b"popular"))
+        for number in range(300):
+            world.history.record_written(world.call(f"m/{number}:1"))
+        popular = world.call(body=b"popular")
+        for engine in ("e1", "e2", "e3", "e4"):
+            world.history.record_crash(popular, engine, stage="run")
+        assert not world.history.is_quarantined(popular)
+
+    _run(test)
+
+
 def test_one_trial_tells_about_one_subject():
     def test(world):
         world.crash("e1", "e2", "e3")
