Own edge: resume answers only at the model version that wrote them

With a service that names no wanted version, or while a fleet is rolled to another one, any engine was taken.

Evidence: test_answer_is_resumed_by_the_same_model_version_only, before: engines of other and of unknown versions resume (2 of 3 cases fail).

Why the fix works: the answer keeps the version of the engine that wrote its last token; an engine that isn't known to have it starts again at the first token, and what was delivered is compared, as for engines that can't resume. After: passes; tests of requests, routing, scenarios and the whole path pass.

--- a/src/jujubewharf/requests/answer.py
+++ b/src/jujubewharf/requests/answer.py
@@ -29,12 +29,15 @@
         texts: Tokens added so far.
         end: How the answer ended; ``None`` while it is running.
         first_token_ms: Clock reading when the first token was added, in ms.
+        model_version: Model version of the engine that wrote the last token;
+            ``None`` if unknown.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
         self.texts: list[str] = []
         self.end: End | None = None
         self.first_token_ms: float | None = None
+        self.model_version: str | None = None
         self._clock = clock
         self._digest = xxhash.xxh3_128()
         self._changed = asyncio.Event()
--- a/src/jujubewharf/requests/attempt.py
+++ b/src/jujubewharf/requests/attempt.py
@@ -17,6 +17,7 @@
 from jujubewharf.requests import model_request
 from jujubewharf.requests import releases
 from jujubewharf.requests import retries
+from jujubewharf.routing import eligibility
 from jujubewharf.routing import fleet as fleets
 from jujubewharf.routing import jobs
 from jujubewharf.routing import placer as placers
@@ -310,8 +311,10 @@
 
     async def _decode(self, decode: resources.Endpoint) -> None:
         view = self._view(decode)
-        can_resume = decode.capabilities.resume
         answer = self._progress.answer
+        can_resume = decode.capabilities.resume and eligibility.has_version(
+            view, answer.model_version
+        )
         delivered = tuple(answer.texts) if can_resume else ()
         job = client.DecodeJob(
             model=self._request.service.model,
@@ -354,9 +357,9 @@
     ) -> int:
         """Adds new tokens to the answer and verifies replayed ones.
 
-        An engine without the resume capability starts again at the first token.
-        Tokens that the caller already has must be identical, or the caller
-        would get parts of two different answers.
+        An engine without the resume capability, or of another model version,
+        starts again at the first token. Tokens that the caller already has must
+        be identical, or the caller would get parts of two different answers.
         """
         if chunk.first_index != index:
             fault = client.EngineFault.LOST
@@ -370,6 +373,7 @@
             raise errors.WharfError(errors.ErrorKind.ANSWER_BROKEN)
         new_tokens = chunk.tokens[len(existing) :]
         if new_tokens:
+            answer.model_version = eligibility.version_of(view)
             answer.add(new_tokens)
         return index
 
--- a/src/jujubewharf/routing/eligibility.py
+++ b/src/jujubewharf/routing/eligibility.py
@@ -51,6 +51,16 @@
     return report.model_version == service.model_version
 
 
+def version_of(view: fleets.EngineView) -> str | None:
+    """Returns the model version that an engine reports; ``None`` if unknown."""
+    return None if view.report is None else view.report.model_version
+
+
+def has_version(view: fleets.EngineView, version: str | None) -> bool:
+    """Whether an engine is known to have a model version."""
+    return version is not None and version_of(view) == version
+
+
 def decode_engines(views: list[fleets.EngineView]) -> list[fleets.EngineView]:
     """Returns the engines that may decode."""
     return [view for view in views if view.endpoint.can_decode]
--- a/tests/requests/test_request_runner.py
+++ b/tests/requests/test_request_runner.py
@@ -150,6 +150,38 @@
     assert deployments.kind_of(events[-1]) is errors.ErrorKind.ANSWER_BROKEN
 
 
+# The rest of an answer came from an engine with another version of the model.
+@pytest.mark.parametrize(
+    ("versions", "is_resumed"),
+    [(("1", "1"), True), (("1", "2"), False), (("1", ""), False)],
+)
+def test_answer_is_resumed_by_the_same_model_version_only(versions, is_resumed):
+    async def scenario(d):
+        task = asyncio.ensure_future(d.ask(d.request()))
+        await d.clock.sleep_ms(400)
+        await d.engine("d1").die()
+        engine = d.engine("d2")
+        decode = engine.decode
+        jobs = []
+
+        async def recorded(attempt, job):
+            jobs.append(job)
+            async for chunk in decode(attempt, job):
+                yield chunk
+
+        engine.decode = recorded
+        return await task, jobs
+
+    first, second = versions
+    specs = {"d1": {"model_version": first}, "d2": {"model_version": second}}
+    policy = deployments.ScriptedPolicy(["d1", "d2"], ["p1"])
+    events, jobs = run(
+        lambda: deployments.Deployment(policy=policy, specs=specs), scenario
+    )
+    assert deployments.is_whole(events)
+    assert [job.first_index > 0 for job in jobs] == [is_resumed]
+
+
 @pytest.mark.parametrize("gone_after_ms", [0, 1, 30, 81, 100, 300, 700])
 def test_memory_is_free_at_once_when_the_caller_leaves(gone_after_ms):
     # A disconnect in any phase must release all resources without a timer.
