Name the request that began a stream in words of our own

The field and the log lines had the platform's header for a name. The stand-ins' processes can be a later start under their id.

--- a/src/jujubewharf/forwarding/calls.py
+++ b/src/jujubewharf/forwarding/calls.py
@@ -50,7 +50,7 @@
             earlier try.
         shared_parts: Names of the parts of the prompt that other requests may
             share, in order; each names its model.
-        resumes: Id of the try that brought the first event, if the caller
+        began_by: Id of the try that brought the first event, if the caller
             resumes a stream; ``None`` if it names none.
         account: Name of the client account, sent to endpoints; ``None`` if no
             key was given or none is required.
@@ -70,7 +70,7 @@
     last_event: int | None = None
     account: str | None = None
     is_trial: bool = False
-    resumes: str | None = None
+    began_by: str | None = None
     shared_parts: tuple[str, ...] = ()
 
     @property
--- a/src/jujubewharf/standins/backend_state.py
+++ b/src/jujubewharf/standins/backend_state.py
@@ -98,6 +98,8 @@
             crashed.
         running_version: Software version of its process, if its registration
             states another one.
+        is_restarted: Whether its process is a later start than the registered
+            one, under the same id.
     """
 
     endpoint: resources.Endpoint
@@ -144,6 +146,7 @@
         default_factory=asyncio.Event
     )
     running_version: str | None = None
+    is_restarted: bool = False
 
     @property
     def name(self) -> str:
--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -247,7 +247,11 @@
     async def is_changing(self, endpoint: resources.Endpoint) -> bool:
         """Whether an order is being executed; see ``ports.Backends``."""
         self._change_checks.append(endpoint.name)
-        return self._reachable_backend(endpoint).is_changing
+        backend = self._reachable_backend(endpoint)
+        if backend.is_restarted:
+            # Its report states another start than the caller expects.
+            raise backend.error(client.EngineFault.REFUSED_IDENTITY)
+        return backend.is_changing
 
     async def order_role(
         self, endpoint: resources.Endpoint, order: ports.RoleOrder
--- a/src/jujubewharf/stream_versions/resume_log.py
+++ b/src/jujubewharf/stream_versions/resume_log.py
@@ -61,8 +61,8 @@
 
     Args:
         run: The request.
-        engine: Engine at which it resumes.
-        former: Engine that broke off; ``None`` if the caller resumes.
+        engine: Engine at which it goes on.
+        former: Engine that broke off; ``None`` if the caller resumes it.
         after_event: Number of the last event that the caller has.
     """
     resumed_by = ResumedBy.CALLER if former is None else ResumedBy.ROUTER
@@ -82,7 +82,7 @@
         request=run.call.request_id,
         resumed_by=resumed_by.value,
         known_by=known_by.value,
-        resumes=run.call.resumes,
+        began_by=run.call.began_by,
         engine=engine.name,
         version=registration.software_version(engine),
         after_event=after_event,
@@ -111,7 +111,7 @@
         request=run.call.request_id,
         resumed_by=resumed_by.value,
         reason=reason.value,
-        resumes=run.call.resumes,
+        began_by=run.call.began_by,
         service=run.service,
         version=None if origin is None else origin.version,
     )
--- a/src/jujubewharf/stream_versions/resumptions.py
+++ b/src/jujubewharf/stream_versions/resumptions.py
@@ -120,8 +120,8 @@
         if run.route.repeat is not routes.Repeat.CONTINUE:
             return
         if run.origin is not None:
-            if run.call.resumes is not None:
-                self._record(run, run.call.resumes, run.origin)
+            if run.call.began_by is not None:
+                self._record(run, run.call.began_by, run.origin)
             return
         version = registration.software_version(engine)
         origin = all_origins.StreamOrigin(run.service, version)
@@ -152,8 +152,8 @@
         self._shared.record(key, origin, keep_ms=_keep_ms(run.route))
 
     async def _find(self, run: runs.Run) -> all_origins.StreamOrigin | None:
-        if run.call.resumes is not None:
-            key = all_origins.stream_key(run.call, run.call.resumes)
+        if run.call.began_by is not None:
+            key = all_origins.stream_key(run.call, run.call.began_by)
             origin = await self._shared.find(key)
             if origin is not None:
                 return origin
