Take a part that an older build reports for a part

What callers would see: while builds are mixed, an older leader passes reports on without position and requests, so newer followers took a part that all prompts share for one request and quarantined it after three crashes.

Cause: whether a subject is a part was told by the report only. Found by reading. Evidence: test_part_reported_through_an_older_build_is_not_quarantined failed before. The position is known from any request that has the part; without the numbers that tell requests apart such a report accuses no part, as before this work.

--- a/src/jujubewharf/forwarding/crash_table.py
+++ b/src/jujubewharf/forwarding/crash_table.py
@@ -78,12 +78,17 @@
         """Returns the parts of a request's prompt that have a record."""
         if not self._outlines:
             return []
-        found = (
-            fingerprints.Fingerprint.from_part(call, part)
-            for part in call.shared_parts
-            if fingerprints.Outline.from_part(call, part) in self._outlines
-        )
-        return [f for f in found if f in self._records]
+        found = []
+        for position, part in enumerate(call.shared_parts, start=1):
+            if fingerprints.Outline.from_part(call, part) not in self._outlines:
+                continue
+            fingerprint = fingerprints.Fingerprint.from_part(call, part)
+            record = self._records.get(fingerprint)
+            if record is not None:
+                # Reports that an older build passed on lack the position.
+                record.position = record.position or position
+                found.append(fingerprint)
+        return found
 
     def get_or_create(
         self,
--- a/tests/forwarding/test_crashing_parts.py
+++ b/tests/forwarding/test_crashing_parts.py
@@ -121,6 +121,21 @@
     _run(test)
 
 
+# Such a report took the part that all prompts share for a request.
+def test_part_reported_through_an_older_build_is_not_quarantined():
+    def test(world):
+        call = world.call(FIRST, BAD)
+        report = crash_reports.CrashReport(
+            fingerprints.Fingerprint.from_part(call, FIRST),
+            "r1",
+            tuple(crash_reports.Crash(f"e{n}", 1.0) for n in range(4)),
+        )
+        world.history.merge(report)
+        assert not world.blocks(FIRST)
+
+    _run(test)
+
+
 # Parts of single conversations took the place of requests that often came.
 def test_parts_do_not_displace_the_good_names_of_requests():
     def test(world):
