Review: a burst of large bodies ends every instance by its memory

Cause: request bodies are read whole before a request is admitted, and nothing bounds their number or sum. With 16 bodies of 4 MB at once, which the configuration allows, an instance passes the 150 MB of its machine.

The stand-in of the platform can limit memory and pace bodies; all cases name one site.

--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -50,11 +50,23 @@
         return sock.getsockname()[1]
 
 
+def resident_mb(pid: int) -> float:
+    """Returns the resident memory of a process in MB."""
+    try:
+        pages = pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1]
+    except (OSError, IndexError):
+        return 0.0
+    return int(pages) * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
 class Deployment:
     """A store, servers and instances of one small deployment."""
 
     def __init__(self, record: Record) -> None:
         self.record = record
+        # Memory of a machine, beyond which the platform kills a process.
+        self.memory_mb: float | None = None
+        self.peak_mb: dict[str, float] = {}
         self.store = stores.Store()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.processes: list[subprocess.Popen[bytes]] = []
@@ -84,6 +96,8 @@
         self.instances[name] = instance
         instance.start(is_first=True)
         self._tasks.append(asyncio.ensure_future(instance.keep_running()))
+        if self.memory_mb is not None:
+            self._tasks.append(asyncio.ensure_future(instance.limit_memory()))
         return instance
 
     async def until_ready(self, limit_s: float = 20.0) -> None:
@@ -257,7 +271,7 @@
                 "leaving_within_ms": 2000,
                 "in_force_within_ms": 2000,
             },
-            "retries": {"ratio": 0.2, "slack": 58, "window_s": 10},
+            "retries": {"ratio": 0.2, "slack": 52, "window_s": 10},
             "stop_within_s": GRACE_S,
         }
         if is_first:
@@ -289,6 +303,24 @@
             await asyncio.sleep(0.3)
             self.start(is_first=False)
 
+    async def limit_memory(self) -> None:
+        """Kills the process when it exceeds the memory of its machine."""
+        limit_mb = self._deployment.memory_mb
+        assert limit_mb is not None
+        peaks = self._deployment.peak_mb
+        while True:
+            await asyncio.sleep(0.01)
+            if self.process is None or self.process.poll() is not None:
+                continue
+            used_mb = resident_mb(self.process.pid)
+            peaks[self.name] = max(used_mb, peaks.get(self.name, 0.0))
+            if used_mb > limit_mb:
+                self._deployment.record.line(
+                    f"instance {self.name} uses {used_mb:.0f} of"
+                    f" {limit_mb:.0f} MB and is killed"
+                )
+                self.process.kill()
+
     async def is_ready(self) -> bool:
         """Whether the instance says that it is ready."""
         try:
--- a/review/standins/shop.py
+++ b/review/standins/shop.py
@@ -13,6 +13,8 @@
 TIMEOUT_MS = 3_000
 ONCE_PATH = "/till/1"
 REPEATABLE_PATH = "/stock/1"
+# Size of the pieces in which a paced body is sent.
+_PIECE_BYTES = 100_000
 ZONES = ("hall-a", "hall-b")
 
 
@@ -90,8 +92,22 @@
         self._answered = 0
         self.instance = ""
 
-    async def send(self, path: str, method: str) -> Exchange:
-        """Sends a request and returns what came of it."""
+    async def send(
+        self,
+        path: str,
+        method: str,
+        *,
+        body_bytes: int = 600,
+        bytes_per_s: float | None = None,
+    ) -> Exchange:
+        """Sends a request and returns what came of it.
+
+        Args:
+            path: Path of the request.
+            method: Its method; a POST has a body.
+            body_bytes: Size of the body.
+            bytes_per_s: Rate at which the body is sent; ``None`` for at once.
+        """
         request_id = f"{self._number:08x}{next(self._counts):08x}"
         exchange = Exchange(request_id, method)
         record = self._deployment.record
@@ -101,7 +117,7 @@
             return exchange
         exchange.instance = self.instance
         exchange.is_on_kept_channel = self._answered > 0
-        body = b"x" * 600 if method == "POST" else b""
+        body = b"x" * body_bytes if method == "POST" else b""
         headers = {
             "Host": HOST_NAME,
             "Request-Id": request_id,
@@ -111,7 +127,8 @@
         reader, writer = self._channel
         try:
             head = harness.head_of(method, path, headers, body)
-            writer.write(head + body)
+            writer.write(head)
+            await _send_body(writer, body, bytes_per_s)
             answer = await harness.read_answer(reader)
         except ConnectionError:
             answer = harness.Answer()
@@ -148,6 +165,19 @@
         self._has_channel = False
 
 
+async def _send_body(
+    writer: asyncio.StreamWriter, body: bytes, bytes_per_s: float | None
+) -> None:
+    if bytes_per_s is None:
+        writer.write(body)
+        return
+    for at in range(0, len(body), _PIECE_BYTES):
+        piece = body[at : at + _PIECE_BYTES]
+        writer.write(piece)
+        await writer.drain()
+        await asyncio.sleep(len(piece) / bytes_per_s)
+
+
 class Exchange:
     """One request and what its client received."""
 
