--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -22,6 +23,7 @@
 STANDINS = pathlib.Path(__file__).resolve().parent
 HOST = http_io.HOST
 HEARTBEAT_S = 1.2
+PORTS = (20_000, 32_000)
 GRACE_S = 8
 
 
@@ -44,10 +46,20 @@
 
 
 def free_port() -> int:
-    """Returns a free port of the loopback address."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """Returns a free port of the loopback address.
+
+    It lies below the ports that the system gives to outgoing channels, so that
+    none of these takes it before its process listens, or while it restarts.
+    """
+    for _ in range(200):
+        port = random.randrange(*PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        return port
+    raise CouldNotRunError("no free port")
 
 
 def resident_mb(pid: int) -> float:
