--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import contextlib
 import json
@@ -469,7 +470,9 @@
 def run(folder: str, case) -> None:
     """Runs a case; exits with 1 if it returns true, 0 if not, else with 2."""
     record = Record(pathlib.Path(folder))
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--trouble", choices=("yes", "no"), default="yes")
+    has_trouble = parser.parse_args().trouble == "yes"
     record.line(f"trouble: {'yes' if has_trouble else 'no'}")
 
     async def main() -> bool:
