Log how long an engine was silent, and who ended its answer and why

What callers saw: streams that end inside their answer. The log told that an engine was given up as silent and that a retry was denied, in two lines of other requests' kind; it didn't tell that the answer was ended by us though nothing but a silence was known of the engine, nor why nothing replaced it: the budget, the attempts of the route, or the engines.

--- a/src/jujubewharf/forwarding/stream.py
+++ b/src/jujubewharf/forwarding/stream.py
@@ -23,6 +23,7 @@
 from jujubewharf.forwarding import request_log
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import runs
+from jujubewharf.forwarding import silence_log
 from jujubewharf.stream_versions import resume_log
 from jujubewharf.stream_versions import resumptions
 
@@ -179,10 +180,13 @@
         Raises:
             WharfError: No further attempt is allowed.
         """
+        ended = silence_log.EarlyEnd
+        former = error
         while True:
             try:
                 self._resumptions.check_engines(run)
             except errors.WharfError as gone:
+                self._log_early_end(run, former, ended.NO_ENGINE, last)
                 raise _broken_error() from gone
             left = self._budget.remaining(run.service)
             is_allowed = run.route.repeat is routes.Repeat.CONTINUE
@@ -191,11 +195,32 @@
                 request_log.log_denied_retry(
                     run, "stream_broken", budget_left=left
                 )
+                reason = ended.NO_BUDGET if may_run_again else ended.NO_ATTEMPT
+                self._log_early_end(run, former, reason, last)
                 raise _broken_error() from error
             try:
                 return await self._attempts.attempt(run, after_event=last)
             except client.EngineError as again:
                 error = again
+            except errors.WharfError:
+                self._log_early_end(run, former, ended.NO_ENGINE, last)
+                raise
+
+    def _log_early_end(
+        self,
+        run: runs.Run,
+        former: client.EngineError,
+        reason: silence_log.EarlyEnd,
+        last: int | None,
+    ) -> None:
+        silence_log.log_early_end(
+            run,
+            former.engine,
+            reason,
+            detail=former.detail,
+            last_event=last,
+            budget_left=self._budget.remaining(run.service),
+        )
 
     async def _complete_events(
         self, run: runs.Run, upstream: attempts.Upstream
@@ -212,6 +237,13 @@
                 async with self._clock.timeout_ms(limit_ms):
                     part = await anext(body, None)
             except TimeoutError:
+                silence_log.log_silence(
+                    run,
+                    name,
+                    silent_ms=limit_ms or 0.0,
+                    has_begun=upstream.has_begun,
+                    budget_left=self._budget.remaining(run.service),
+                )
                 fault = client.EngineFault.LOST
                 raise client.EngineError(fault, name, "silent") from None
             if part is None:
--- a/src/jujubewharf/telemetry/explanation.py
+++ b/src/jujubewharf/telemetry/explanation.py
@@ -52,6 +52,7 @@
 # Events that decide that a request isn't served, or not sent again.
 _DECIDING_EVENTS = frozenset(
     {
+        "answer_ended_early",
         "plain_call_rejected",
         "request_not_placed",
         "request_over_quota",
