--- a/tests/forwarding/test_early_ends.py
+++ b/tests/forwarding/test_early_ends.py
@@ -282,6 +282,23 @@
     deployments.run(main())
 
 
+def test_stall_of_the_own_loop_ends_no_call():
+    """After a stall the answer is there, but the timer is due as well."""
+
+    async def main():
+        async with deployments.deployed(
+            plain_endpoint("s1"), plain_endpoint("s2", "b")
+        ) as world:
+            asked = asyncio.ensure_future(world.ask("/lookup/1"))
+            await world.clock.sleep_ms(10.0)
+            _stall(400.0)
+            answer = await asked
+            assert answer.status == 200
+            assert [run.engine for run in world.backends.runs] == ["s1"]
+
+    deployments.run(main())
+
+
 def test_answer_that_arrives_is_not_given_up():
     """An answer without a whole body by the limit is under way, not lost."""
 
--- a/tests/users_platform/test_edge.py
+++ b/tests/users_platform/test_edge.py
@@ -4,6 +4,9 @@
 
 import asyncio
 import contextlib
+import dataclasses
+import os
+import time
 
 import pytest
 from users_platform import edge
@@ -108,8 +111,8 @@
 
 
 @contextlib.asynccontextmanager
-async def _connected(script):
-    forwarding = Forwarding(script)
+async def _connected(script=None, *, forwarding=None):
+    forwarding = forwarding or Forwarding(script)
     server = edge.CallerEdge(forwarding, clocks.Clock()).new_server()
     loop = asyncio.get_running_loop()
     listener = await loop.create_server(server, HOST, 0)
@@ -410,6 +413,22 @@
         assert (await caller.read())[0] == 200
 
 
+async def test_stall_of_the_own_loop_closes_no_connection():
+    """After a stall the head is there, but its timer is due as well."""
+    async with _connected(_reply(b"ok", length=2)) as caller:
+        sent = _request("X-Own: 1")
+        await caller.send(sent[:30])
+        await asyncio.sleep(0.02)
+
+        def stall():
+            socket = caller.writer.get_extra_info("socket")
+            os.write(socket.fileno(), sent[30:])
+            time.sleep(0.3)
+
+        asyncio.get_running_loop().call_soon(stall)
+        assert (await caller.read())[0] == 200
+
+
 async def test_stalled_body_is_refused():
     async with _connected(_reply(b"ok", length=2)) as caller:
         await caller.send(_request("Content-Length: 50") + b"part")
@@ -435,3 +454,24 @@
         await caller.send(_request())
         status, _, body = await caller.read()
         assert (status, body) == (404, b"unknown_service")
+
+
+async def test_limits_of_later_configurations_hold_for_new_connections():
+    """The server is there before the first configuration.
+
+    Heads that the operator allows were refused, by the default limit.
+    """
+    forwarding = Forwarding(_reply(b"ok", length=2))
+    configured = forwarding.limits
+    forwarding.limits = routes.CallerLimits()
+    async with _connected(forwarding=forwarding) as caller:
+        forwarding.limits = dataclasses.replace(
+            configured, max_header_bytes=65_536
+        )
+        port = caller.writer.get_extra_info("peername")[1]
+        reader, writer = await asyncio.open_connection(HOST, port)
+        later = Caller(reader, writer, forwarding)
+        await later.send(_request(f"X-Own: {'x' * 20_000}"))
+        status, _, _ = await later.read()
+        writer.close()
+        assert status == 200
