--- a/tests/forwarding/test_early_ends.py
+++ b/tests/forwarding/test_early_ends.py
@@ -16,7 +16,7 @@
 decode_engine = deployments.decode_engine
 plain_endpoint = deployments.plain_endpoint
 
-# As long as the pauses in the incident, and less than any caller waits.
+# Longer than an event may take, and less than any caller waits for one.
 PAUSE_MS = 1_300.0
 EVENTS = 20
 ALL_EVENTS = list(range(1, EVENTS + 1))
