Tests: a deployment of real processes

A store, model engines, plain endpoints and instances as processes of their own on loopback, so that a signal stops exactly one of them. Callers keep their connections until the instance closes them; streams are numbered and made from the request's id, so that order and wholeness can be checked, and engines note what they ran and whose connection was closed.

--- /dev/null
+++ b/tests/real_processes/checks.py
@@ -0,0 +1,118 @@
+"""Which answers ended early though their engines went on."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from tests.real_processes import callers
+from tests.real_processes import configurations
+from tests.real_processes import deployment as deployments
+
+# An instance that was told to stop may cut what its engines still work on in
+# the last sixth of its time.
+_CUT_FROM_S = deployments.STOP_WITHIN_S * 5 / 6
+
+
+@dataclasses.dataclass(frozen=True)
+class Report:
+    """What a run brought.
+
+    Attributes:
+        violations: Broken bounds, one line each.
+        ends: Number of exchanges by end.
+        refused: Number of requests that were refused and didn't run.
+        left_engines: Runs of engines whose connection was closed before they
+            were whole.
+    """
+
+    violations: list[str]
+    ends: collections.Counter[str]
+    refused: int
+    left_engines: int
+
+    @property
+    def whole(self) -> int:
+        return self.ends["whole"]
+
+    def __str__(self) -> str:
+        ends = ", ".join(f"{n} {end}" for end, n in sorted(self.ends.items()))
+        return (
+            f"{sum(self.ends.values())} requests: {ends}; {self.left_engines}"
+            f" runs closed by us; {len(self.violations)} violations"
+        )
+
+
+def check(
+    exchanges: list[callers.Exchange], runs: dict[str, list[dict]]
+) -> Report:
+    """Checks all exchanges against what the engines noted.
+
+    Args:
+        exchanges: What callers saw.
+        runs: Notes of the engines by request id.
+    """
+    ends: collections.Counter[str] = collections.Counter()
+    violations: list[str] = []
+    refused = 0
+    for exchange in exchanges:
+        notes = runs.get(exchange.request_id, [])
+        has_run = any(note["what"] == "began" for note in notes)
+        ends[_label(exchange, has_run)] += 1
+        refused += not has_run and not exchange.is_whole
+        if exchange.wrong:
+            violations.append(_line(exchange, exchange.wrong, notes))
+        elif _ended_early(exchange, has_run):
+            violations.append(_line(exchange, "ended early", notes))
+        if exchange.route in configurations.RUN_ONCE and _count(notes) > 1:
+            violations.append(_line(exchange, "ran twice", notes))
+    left = sum(n["what"] == "closed" for notes in runs.values() for n in notes)
+    return Report(violations, ends, refused, left)
+
+
+def _ended_early(exchange: callers.Exchange, has_run: bool) -> bool:
+    """Whether an engine ran the request, and its answer was ended by us.
+
+    Engines are paused and never end, so that each would have answered.
+    """
+    if exchange.is_whole or not has_run:
+        return False
+    if exchange.took_ms >= min(configurations.TIMEOUTS_MS):
+        return False
+    instance = exchange.instance
+    if exchange.sent_s <= instance.killed_s <= exchange.ended_s:
+        return False
+    stopped_for_s = exchange.ended_s - instance.stopped_s
+    has_stopped = exchange.sent_s <= instance.stopped_s + _CUT_FROM_S
+    return not (
+        instance.stopped_s > 0 and has_stopped and stopped_for_s >= _CUT_FROM_S
+    )
+
+
+def _count(notes: list[dict]) -> int:
+    return sum(note["what"] == "began" for note in notes)
+
+
+def _label(exchange: callers.Exchange, has_run: bool) -> str:
+    if exchange.is_whole:
+        return "whole"
+    ran = "ran" if has_run else "not run"
+    if exchange.end:
+        began = "broken off" if exchange.status else "without answer"
+        return f"{began} ({exchange.end}, {ran})"
+    return f"status {exchange.status} ({ran})"
+
+
+def _line(exchange: callers.Exchange, what: str, notes: list[dict]) -> str:
+    seen = ", ".join(
+        f"{n['engine']} {n['what']} at {n['number']}"
+        f" {n['at_s'] - exchange.sent_s:.2f} s"
+        for n in notes
+    )
+    status = exchange.status or "no answer"
+    return (
+        f"{exchange.request_id} /{exchange.route}/ {exchange.instance.name}"
+        f" {what}: {status}, event {exchange.last_event},"
+        f" {exchange.end or 'answered'} after {exchange.took_ms:.0f} ms;"
+        f" engines: {seen or 'none'}"
+    )
--- /dev/null
+++ b/tests/real_processes/deployment.py
@@ -0,0 +1,253 @@
+"""A deployment of processes: store, engines, endpoints and instances."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import json
+import pathlib
+import shutil
+import signal
+import tempfile
+import time
+
+from tests.real_processes import children
+from tests.real_processes import configurations
+from tests.real_processes import http_io
+from tests.real_processes import store_process
+
+ZONES = ("hall-a", "hall-b")
+STOP_WITHIN_S = 8
+_READY = "/jujubewharf/readyz"
+_PROBE_S = 1.0
+# Probes in a row without success that take an instance out of rotation.
+_MISSES = 2
+_START_S = 60.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Size:
+    """Numbers of processes.
+
+    Attributes:
+        prefill: Prefill engines of each service with a model.
+        decode: Decode engines of each service with a model.
+        plain: Endpoints of each plain service.
+        instances: Instances.
+    """
+
+    prefill: int = 1
+    decode: int = 2
+    plain: int = 1
+    instances: int = 3
+
+
+class Instance:
+    """An instance, which is started again after its end.
+
+    Attributes:
+        name: Name of the instance.
+        child: Its process.
+        callers: Address for callers.
+        killed_s: When its process was last killed, on the monotonic clock.
+        stopped_s: When it last got SIGTERM.
+        is_in_rotation: Whether the balancer gives it new connections.
+    """
+
+    def __init__(self, deployment: Deployment, number: int) -> None:
+        self.name = f"instance-{number}"
+        self.callers = deployment.children.free_address()
+        self.peers = deployment.children.free_address()
+        self.killed_s = -1.0
+        self.stopped_s = -1.0
+        self.is_in_rotation = False
+        self._readiness = deployment.children.free_address()
+        self._deployment = deployment
+        self._settings = deployment.children.folder / f"{self.name}.json"
+        self._fields = {
+            "instance": self.name,
+            "domain": ZONES[number % len(ZONES)],
+            "callers": self.callers,
+            "readiness": self._readiness,
+            "peers": self.peers,
+            "processor": {"share": 1.0, "speed": 1},
+            "store": {
+                "address": deployment.store_address,
+                "part_count": store_process.PART_COUNT,
+                "group_ttl_ms": 3_000,
+                "leaving_within_ms": 2_000,
+                "in_force_within_ms": 2_000,
+            },
+            "retries": {"ratio": 0.2, "slack": 52, "window_s": 10},
+            "stop_within_s": STOP_WITHIN_S,
+        }
+        self.start(is_first_start=True)
+
+    def start(self, *, is_first_start: bool = False) -> None:
+        """Starts the process."""
+        fields = self._fields | {"is_first_start": is_first_start}
+        self._settings.write_text(json.dumps(fields))
+        self.child = self._deployment.children.instance(
+            self.name, self._settings
+        )
+
+    def change_settings(self) -> None:
+        """Changes a setting and sends SIGHUP."""
+        retries = self._fields["retries"]
+        retries["slack"] = 104 - retries["slack"] + 4
+        self._settings.write_text(json.dumps(self._fields))
+        self.child.send(signal.SIGHUP)
+
+    async def kill(self) -> None:
+        """Kills the process."""
+        self.killed_s = time.monotonic()
+        self.is_in_rotation = False
+        self.child.send(signal.SIGKILL)
+        await self.child.wait()
+
+    async def stop(self) -> None:
+        """Sends SIGTERM, and SIGKILL when the time for the drain is over."""
+        self.stopped_s = time.monotonic()
+        self.child.send(signal.SIGTERM)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.child.wait(), STOP_WITHIN_S)
+        if self.child.is_running:
+            await self.kill()
+
+    async def is_ready(self) -> bool:
+        """Whether the instance says that it is ready."""
+        call = http_io.call(self._readiness, "GET", _READY)
+        try:
+            status, _ = await asyncio.wait_for(call, _PROBE_S)
+        except (TimeoutError, OSError, http_io.ClosedError):
+            return False
+        return status == 200
+
+    async def keep_probed(self) -> None:
+        """Probes as the platform's balancer does."""
+        misses = 0
+        while True:
+            misses = 0 if await self.is_ready() else misses + 1
+            self.is_in_rotation = misses < _MISSES and self.child.is_running
+            await asyncio.sleep(_PROBE_S)
+
+
+class Deployment:
+    """All processes; create it with ``deployed``.
+
+    Attributes:
+        children: Starts and ends the processes.
+        engines: Engines and endpoints.
+        instances: Instances.
+        configuration: The configuration that was written last.
+        store_address: Address of the store.
+    """
+
+    def __init__(self, started: children.Children) -> None:
+        self.children = started
+        self.engines: list[children.Child] = []
+        self.instances: list[Instance] = []
+        self.configuration = configurations.first()
+        self.store_address = ""
+        self._runs = started.folder / "runs"
+        self._runs.mkdir()
+
+    async def start(self, size: Size) -> None:
+        """Starts the processes and waits until all instances are ready."""
+        store = self.children.standin("store", "store_process")
+        self.store_address = await store.read_line()
+        await self.configure(self.configuration)
+        self.instances = [
+            Instance(self, number) for number in range(size.instances)
+        ]
+        for service in configurations.CHATS:
+            self._start_engines(service, size.prefill, "prefill")
+            self._start_engines(service, size.decode, "decode")
+        for service in configurations.SHOPS:
+            self._start_engines(service, size.plain, None)
+        for engine in self.engines:
+            await engine.read_line()
+        await self.until_ready()
+
+    def _start_engines(
+        self, service: str, count: int, stage: str | None
+    ) -> None:
+        for number in range(count):
+            name = f"{service}-{stage or 'plain'}-{number}"
+            arguments = {
+                "--name": name,
+                "--service": service,
+                "--zone": ZONES[number % len(ZONES)],
+                "--store": self.store_address,
+                "--runs": str(self._runs / name),
+            }
+            if stage is not None:
+                arguments["--stage"] = stage
+            flat = [text for pair in arguments.items() for text in pair]
+            child = self.children.standin(name, "engine_process", *flat)
+            self.engines.append(child)
+
+    async def configure(self, configuration: dict) -> None:
+        """Writes a configuration to the store, as the operator."""
+        self.configuration = configuration
+        target = "/standin/put?topic=keyed.op&key=config"
+        body = configurations.encode(configuration)
+        await http_io.call(self.store_address, "POST", target, body)
+
+    async def until_ready(self) -> None:
+        """Waits until all instances are ready."""
+        async with asyncio.timeout(_START_S):
+            for instance in self.instances:
+                while not await instance.is_ready():
+                    await asyncio.sleep(0.05)
+
+    async def leader(self) -> Instance | None:
+        """Returns the instance that leads, if there is one."""
+        target = "/jujubewharf/log-owners?group=leaders"
+        _, body = await http_io.call(self.store_address, "GET", target)
+        holders = {part: who for _, part, who, _ in json.loads(body)["parts"]}
+        address = holders.get(0, "").rpartition("/")[0]
+        found = [i for i in self.instances if i.peers == address]
+        return found[0] if found else None
+
+    def runs(self) -> dict[str, list[dict]]:
+        """Returns what engines noted about each request, by its id."""
+        found: dict[str, list[dict]] = {}
+        for path in self._runs.iterdir():
+            for line in path.read_text().splitlines():
+                note = json.loads(line) | {"engine": path.name}
+                found.setdefault(note["id"], []).append(note)
+        return found
+
+
+@contextlib.asynccontextmanager
+async def deployed(
+    size: Size, *, keep: pathlib.Path | None = None
+) -> AsyncIterator[Deployment]:
+    """Runs a deployment, all of whose processes are ended with the block.
+
+    Args:
+        size: Numbers of processes.
+        keep: Folder to which logs and records are copied at the end.
+    """
+    with tempfile.TemporaryDirectory(prefix="real-processes-") as folder:
+        started = children.Children(pathlib.Path(folder))
+        deployment = Deployment(started)
+        try:
+            await deployment.start(size)
+            probes = [
+                asyncio.ensure_future(instance.keep_probed())
+                for instance in deployment.instances
+            ]
+            try:
+                yield deployment
+            finally:
+                for probe in probes:
+                    probe.cancel()
+                await asyncio.gather(*probes, return_exceptions=True)
+        finally:
+            started.end_all()
+            if keep is not None:
+                shutil.copytree(folder, keep, dirs_exist_ok=True)
