--- a/tests/real_processes/engine_memory.py
+++ b/tests/real_processes/engine_memory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import time
 
@@ -12,12 +13,18 @@
     Args:
         slots: Requests that run at once.
         tokens: Size of the memory.
+
+    Attributes:
+        running: Requests that run.
+        idle: Set while none runs.
     """
 
     def __init__(self, *, slots: int, tokens: int) -> None:
         self.slots = slots
         self.tokens = tokens
         self.running = 0
+        self.idle = asyncio.Event()
+        self.idle.set()
         self._running_tokens = 0
         # Tokens and expiry of each reservation.
         self._holds: dict[str, tuple[int, float]] = {}
@@ -46,6 +53,7 @@
         if not self.drop(hold) and not self._has_room(tokens):
             return False
         self.running += 1
+        self.idle.clear()
         self._running_tokens += tokens
         return True
 
@@ -53,6 +61,8 @@
         """Gives back the room of a run."""
         self.running -= 1
         self._running_tokens -= tokens
+        if not self.running:
+            self.idle.set()
 
     def _has_room(self, tokens: int) -> bool:
         return (
