Soak: requests that cross a close are shown

Requests that didn't run and whose connection closed without an answer are listed beside the violations, unless their instance was killed.

--- a/tests/real_processes/checks.py
+++ b/tests/real_processes/checks.py
@@ -20,6 +20,8 @@
 
     Attributes:
         violations: Broken bounds, one line each.
+        unanswered: Requests that didn't run and whose connection was closed
+            without an answer, one line each; those that crossed a close.
         ends: Number of exchanges by end.
         refused: Number of requests that were refused and didn't run.
         left_engines: Runs of engines whose connection was closed before they
@@ -27,6 +29,7 @@
     """
 
     violations: list[str]
+    unanswered: list[str]
     ends: collections.Counter[str]
     refused: int
     left_engines: int
@@ -54,6 +57,7 @@
     """
     ends: collections.Counter[str] = collections.Counter()
     violations: list[str] = []
+    unanswered: list[str] = []
     refused = 0
     for exchange in exchanges:
         notes = runs.get(exchange.request_id, [])
@@ -64,10 +68,12 @@
             violations.append(_line(exchange, exchange.wrong, notes))
         elif _ended_early(exchange, has_run):
             violations.append(_line(exchange, "ended early", notes))
+        elif not has_run and not exchange.status and not _was_cut(exchange):
+            unanswered.append(_line(exchange, "unanswered", notes))
         if exchange.route in configurations.RUN_ONCE and _count(notes) > 1:
             violations.append(_line(exchange, "ran twice", notes))
     left = sum(n["what"] == "closed" for notes in runs.values() for n in notes)
-    return Report(violations, ends, refused, left)
+    return Report(violations, unanswered, ends, refused, left)
 
 
 def _ended_early(exchange: callers.Exchange, has_run: bool) -> bool:
@@ -79,11 +85,14 @@
         return False
     if exchange.took_ms >= min(configurations.TIMEOUTS_MS):
         return False
+    return not _was_cut(exchange)
+
+
+def _was_cut(exchange: callers.Exchange) -> bool:
+    """Whether the instance was killed, or its time to stop was over."""
     instance = exchange.instance
     cuts_s = [*instance.kills_s, *(s + _CUT_FROM_S for s in instance.stops_s)]
-    return not any(
-        exchange.sent_s <= cut_s <= exchange.ended_s for cut_s in cuts_s
-    )
+    return any(exchange.sent_s <= cut_s <= exchange.ended_s for cut_s in cuts_s)
 
 
 def _count(notes: list[dict]) -> int:
