A silent engine keeps its stream until another one is heard

Cause: after a second without an event an instance closed the connection to the engine before anything was in its place. Class: a timeout taken for a failure, and the old thing given up before the new one is in hand.

Why it works: the silent engine keeps its connection. Another engine is looked for beside it and must have reserved memory, so isn't silent itself, before a retry is taken and the prompt is read; whoever has the next event has the stream, all others are closed. Without attempt, budget or engine the silent one keeps it. Only a process that is known to be gone ends it.

--- a/src/jujubewharf/forwarding/attempts.py
+++ b/src/jujubewharf/forwarding/attempts.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 import dataclasses
 
@@ -43,7 +44,6 @@
             close.
         placed_ms: Clock reading when the memory was reserved.
         memory_part: Reserved share of the engine's memory, 0 to 1.
-        has_begun: Whether any of the body has arrived.
     """
 
     engine: resources.Endpoint
@@ -51,7 +51,6 @@
     exit_stack: contextlib.AsyncExitStack
     placed_ms: float
     memory_part: float
-    has_begun: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -69,6 +68,10 @@
     is_fetched: bool = False
 
 
+def _admit_all(reservation: all_places.Reservation) -> None:
+    pass
+
+
 class StreamAttempts:
     """Sends streamed requests to engines.
 
@@ -104,13 +107,19 @@
         self._clock = clock
 
     async def attempt(
-        self, run: runs.Run, *, after_event: int | None
+        self,
+        run: runs.Run,
+        *,
+        after_event: int | None,
+        admit: Callable[[all_places.Reservation], None] = _admit_all,
     ) -> Upstream:
         """Reserves memory on an engine and sends the request to it.
 
         Args:
             run: The request.
             after_event: Number of the last event that the caller has received.
+            admit: Called once memory is reserved and before any prompt is read;
+                its ``EngineError`` ends the attempt.
 
         Raises:
             EngineError: The attempt failed; another engine may succeed.
@@ -121,6 +130,7 @@
             place = await exit_stack.enter_async_context(
                 self._places.place(run)
             )
+            admit(place)
             prefilled = await exit_stack.enter_async_context(
                 self._prefill_result(run, place)
             )
@@ -360,6 +370,10 @@
         if not await self.is_same_start(engine):
             raise client.EngineError(fault, engine.name, "start in doubt")
 
+    async def has_crashed(self, engine: resources.Endpoint) -> bool:
+        """Returns whether an engine's process is known to be gone."""
+        return await self._backends.has_crashed(engine)
+
     async def is_same_start(self, engine: resources.Endpoint) -> bool:
         """Returns whether an engine is still the start that is registered."""
         try:
--- a/src/jujubewharf/forwarding/request_path.py
+++ b/src/jujubewharf/forwarding/request_path.py
@@ -11,6 +11,8 @@
 from jujubewharf.forwarding import budget as budgets
 from jujubewharf.forwarding import crash_detection
 from jujubewharf.forwarding import crashes
+from jujubewharf.forwarding import failover
+from jujubewharf.forwarding import failover_search
 from jujubewharf.forwarding import forwarder
 from jujubewharf.forwarding import limits as all_limits
 from jujubewharf.forwarding import observations
@@ -114,7 +116,16 @@
         rng,
     )
     stream_forwarder = stream.StreamForwarder(
-        sender, resumed, parts.budget, parts.observer, clock
+        sender,
+        resumed,
+        failover.Failover(
+            failover_search.Tools(sender, parts.budget, parts.registry, clock),
+            parts.observer,
+            clock,
+        ),
+        parts.budget,
+        parts.observer,
+        clock,
     )
     return forwarder.Forwarder(
         parts.source,
--- a/src/jujubewharf/forwarding/silence_log.py
+++ b/src/jujubewharf/forwarding/silence_log.py
@@ -18,6 +18,15 @@
     "forwarding.silences",
     description="Engines that fell silent within an answer.",
 )
+_KEPT = _METER.create_counter(
+    "forwarding.kept_streams",
+    description="Streams that no other engine took over from a silent one.",
+)
+_HEARD_AGAIN_MS = _METER.create_histogram(
+    "forwarding.ended_silence",
+    unit="ms",
+    description="Silences of engines that went on with their stream.",
+)
 _EARLY_ENDS = _METER.create_counter(
     "forwarding.early_ends",
     description="Answers ended by this system before their engine, by reason.",
@@ -26,8 +35,8 @@
 _logger = structlog.get_logger()
 
 
-class EarlyEnd(enum.Enum):
-    """Why nothing replaced an engine whose answer was ended.
+class NotReplaced(enum.Enum):
+    """Why no other engine goes on with a stream.
 
     Attributes:
         NO_ATTEMPT: The route allows no further attempt.
@@ -69,10 +78,45 @@
     )
 
 
+def log_kept(run: runs.Run, engines: list[str], reason: NotReplaced) -> None:
+    """Logs that silent engines keep a stream that no other engine takes over.
+
+    Args:
+        run: The request.
+        engines: Names of the silent engines.
+        reason: Why nothing replaces them.
+    """
+    _KEPT.add(1, {"reason": reason.value})
+    _logger.info(
+        "stream_kept",
+        request=run.call.request_id,
+        engines=engines,
+        reason=reason.value,
+        attempts_left=run.route.max_attempts - len(run.tried),
+    )
+
+
+def log_heard_again(run: runs.Run, engine: str, *, silent_ms: float) -> None:
+    """Logs that a silent engine goes on with its stream.
+
+    Args:
+        run: The request.
+        engine: Name of the engine.
+        silent_ms: Time for which it was silent.
+    """
+    _HEARD_AGAIN_MS.record(silent_ms, {"service": run.service})
+    _logger.info(
+        "engine_heard_again",
+        request=run.call.request_id,
+        engine=engine,
+        silent_ms=round(silent_ms),
+    )
+
+
 def log_early_end(
     run: runs.Run,
     engine: str,
-    reason: EarlyEnd,
+    reason: NotReplaced,
     *,
     detail: str,
     last_event: int | None,
--- a/src/jujubewharf/forwarding/stream.py
+++ b/src/jujubewharf/forwarding/stream.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections.abc import AsyncGenerator
-from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
 
@@ -18,25 +17,25 @@
 from jujubewharf.forwarding import attempts
 from jujubewharf.forwarding import budget as budgets
 from jujubewharf.forwarding import calls
+from jujubewharf.forwarding import completion_estimate
 from jujubewharf.forwarding import events
+from jujubewharf.forwarding import failover
 from jujubewharf.forwarding import observations as observed
 from jujubewharf.forwarding import request_log
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import runs
 from jujubewharf.forwarding import silence_log
+from jujubewharf.forwarding import upstream_reader
 from jujubewharf.stream_versions import resume_log
 from jujubewharf.stream_versions import resumptions
 
-# Time without an event after which a resumable stream is moved to another
-# engine. Events are about 50 ms apart, pauses in which an engine frees memory
-# for other requests last less than a second, and callers cancel after 2 s or
-# more.
+# Time without an event after which another engine is looked for. Events are
+# about 50 ms apart, pauses in which an engine frees memory for other requests
+# last less than a second, and callers cancel after 2 s or more.
 IDLE_TIMEOUT_MS = 1_000.0
 # The same for the first event, which waits for the prefill result or for
 # prefill.
 FIRST_EVENT_TIMEOUT_MS = 1_500.0
-# Number of events from which the total time of an answer is extrapolated.
-_ESTIMATE_EVENTS = 8
 
 
 class StreamForwarder:
@@ -45,6 +44,7 @@
     Args:
         sender: Sends requests to engines.
         resumed: Binds streams to the version that began them.
+        over: Goes on with streams whose engine is silent.
         budget: Retry budget of the fleet.
         observations: Records the latency and length of answers.
         clock: Time source.
@@ -54,11 +54,13 @@
         self,
         sender: attempts.StreamAttempts,
         resumed: resumptions.Resumptions,
+        over: failover.Failover,
         budget: budgets.FleetRetryBudget,
         observations: observed.Observer,
         clock: clocks.Clock,
     ) -> None:
         self._attempts = sender
+        self._failover = over
         self._resumptions = resumed
         self._budget = budget
         self._observations = observations
@@ -121,23 +123,66 @@
     ) -> AsyncGenerator[bytes, None]:
         """Yields the whole stream, using further engines if it breaks."""
         last = run.call.last_event
-        while True:
-            failure: client.EngineError | None = None
-            async with upstream.exit_stack:
+        reader = upstream_reader.UpstreamReader(upstream, self._clock)
+        estimate = self._new_estimate(run, reader)
+        try:
+            while True:
                 try:
-                    async for event in self._complete_events(run, upstream):
+                    heard = await self._next_events(run, reader, last)
+                    if heard.reader is not reader:
+                        reader = heard.reader
+                        estimate = self._new_estimate(run, reader)
+                    if heard.arrived is None:
+                        self._record_length(run, last)
+                        return
+                    for event in heard.arrived:
+                        estimate.event()
                         if event.number is not None:
-                            _check_order(upstream.engine.name, last, event)
+                            _check_order(reader.engine.name, last, event)
                             last = event.number
                         if run.event_ms is None:
-                            self._resumptions.begin(run, upstream.engine)
+                            self._resumptions.begin(run, reader.engine)
                         run.record_event(self._clock.now_ms())
                         yield event.data
-                    self._record_length(run, last)
-                    return
                 except client.EngineError as error:
-                    failure = error
-            upstream = await self._resume(run, upstream.engine, failure, last)
+                    # Closing the connection cancels the engine's work.
+                    await reader.aclose()
+                    upstream = await self._resume(
+                        run, reader.engine, error, last
+                    )
+                    reader = upstream_reader.UpstreamReader(
+                        upstream, self._clock
+                    )
+                    estimate = self._new_estimate(run, reader)
+        finally:
+            await reader.aclose()
+
+    async def _next_events(
+        self,
+        run: runs.Run,
+        reader: upstream_reader.UpstreamReader,
+        last: int | None,
+    ) -> failover.Heard:
+        """Waits for the next events, from another engine if need be.
+
+        Raises:
+            EngineError: The answer broke off.
+        """
+        limit_ms = None
+        if run.route.repeat is routes.Repeat.CONTINUE:
+            limit_ms = (
+                IDLE_TIMEOUT_MS if reader.has_begun else FIRST_EVENT_TIMEOUT_MS
+            )
+        if await reader.is_heard_within(limit_ms):
+            return failover.Heard(reader, reader.take())
+        return await self._failover.next_events(run, reader, last)
+
+    def _new_estimate(
+        self, run: runs.Run, reader: upstream_reader.UpstreamReader
+    ) -> completion_estimate.CompletionEstimate:
+        return completion_estimate.CompletionEstimate(
+            self._observations, run, reader.upstream, self._clock
+        )
 
     async def _resume(
         self,
@@ -148,9 +193,6 @@
     ) -> attempts.Upstream:
         """Resumes a broken stream on another engine.
 
-        The connection to the failed engine is already closed, which cancels its
-        work.
-
         Args:
             run: The request.
             former: The engine that broke off.
@@ -180,13 +222,13 @@
         Raises:
             WharfError: No further attempt is allowed.
         """
-        ended = silence_log.EarlyEnd
+        reasons = silence_log.NotReplaced
         former = error
         while True:
             try:
                 self._resumptions.check_engines(run)
             except errors.WharfError as gone:
-                self._log_early_end(run, former, ended.NO_ENGINE, last)
+                self._log_early_end(run, former, reasons.NO_ENGINE, last)
                 raise _broken_error() from gone
             left = self._budget.remaining(run.service)
             is_allowed = run.route.repeat is routes.Repeat.CONTINUE
@@ -195,7 +237,9 @@
                 request_log.log_denied_retry(
                     run, "stream_broken", budget_left=left
                 )
-                reason = ended.NO_BUDGET if may_run_again else ended.NO_ATTEMPT
+                reason = (
+                    reasons.NO_BUDGET if may_run_again else reasons.NO_ATTEMPT
+                )
                 self._log_early_end(run, former, reason, last)
                 raise _broken_error() from error
             try:
@@ -203,14 +247,14 @@
             except client.EngineError as again:
                 error = again
             except errors.WharfError:
-                self._log_early_end(run, former, ended.NO_ENGINE, last)
+                self._log_early_end(run, former, reasons.NO_ENGINE, last)
                 raise
 
     def _log_early_end(
         self,
         run: runs.Run,
         former: client.EngineError,
-        reason: silence_log.EarlyEnd,
+        reason: silence_log.NotReplaced,
         last: int | None,
     ) -> None:
         silence_log.log_early_end(
@@ -222,104 +266,12 @@
             budget_left=self._budget.remaining(run.service),
         )
 
-    async def _complete_events(
-        self, run: runs.Run, upstream: attempts.Upstream
-    ) -> AsyncIterator[events.Event]:
-        splitter = events.EventSplitter()
-        name = upstream.engine.name
-        body = upstream.reply.body
-        estimate = _CompletionEstimate(
-            self._observations, run, upstream, self._clock
-        )
-        while True:
-            try:
-                limit_ms = self._idle_timeout_ms(run, upstream)
-                async with self._clock.timeout_ms(limit_ms):
-                    part = await anext(body, None)
-            except TimeoutError:
-                silence_log.log_silence(
-                    run,
-                    name,
-                    silent_ms=limit_ms or 0.0,
-                    has_begun=upstream.has_begun,
-                    budget_left=self._budget.remaining(run.service),
-                )
-                fault = client.EngineFault.LOST
-                raise client.EngineError(fault, name, "silent") from None
-            if part is None:
-                break
-            upstream.has_begun = True
-            for event in splitter.feed(part):
-                estimate.event()
-                yield event
-        if splitter.has_partial:
-            fault = client.EngineFault.LOST
-            raise client.EngineError(fault, name, "ended inside an event")
-
     def _record_length(self, run: runs.Run, last: int | None) -> None:
         if run.call.work is None or run.traits is None or last is None:
             return
         tokens = last * run.traits.event_tokens
         self._observations.record_length(run.call.work.answer_tokens, tokens)
 
-    def _idle_timeout_ms(
-        self, run: runs.Run, upstream: attempts.Upstream
-    ) -> float | None:
-        if run.route.repeat is not routes.Repeat.CONTINUE:
-            return None
-        return IDLE_TIMEOUT_MS if upstream.has_begun else FIRST_EVENT_TIMEOUT_MS
-
-
-class _CompletionEstimate:
-    """Estimates the total time of an answer from the rate of its events.
-
-    Args:
-        observations: Records the estimate.
-        run: The request.
-        upstream: The engine's answer.
-        clock: Time source.
-    """
-
-    def __init__(
-        self,
-        observations: observed.Observer,
-        run: runs.Run,
-        upstream: attempts.Upstream,
-        clock: clocks.Clock,
-    ) -> None:
-        self._observations = observations
-        self._run = run
-        self._upstream = upstream
-        self._clock = clock
-        self._first_ms = 0.0
-        self._count = 0
-
-    def event(self) -> None:
-        """Records the arrival of an event."""
-        self._count += 1
-        if self._count == 1:
-            self._first_ms = self._clock.now_ms()
-            self._observations.record_first_event(
-                self._first_ms - self._upstream.placed_ms
-            )
-        elif self._count == _ESTIMATE_EVENTS:
-            self._project()
-
-    def _project(self) -> None:
-        work, traits = self._run.call.work, self._run.traits
-        if work is None or traits is None:
-            return
-        since_ms = self._clock.now_ms() - self._first_ms
-        event_ms = since_ms / (_ESTIMATE_EVENTS - 1)
-        event_count = work.answer_tokens / traits.event_tokens
-        begun_ms = self._first_ms - self._upstream.placed_ms
-        self._observations.record_projection(
-            begun_ms + event_count * event_ms,
-            memory_share=self._upstream.memory_part,
-            engine=self._upstream.engine.name,
-            event_ms=event_ms,
-        )
-
 
 def _check_order(engine: str, last: int | None, event: events.Event) -> None:
     """Checks that event numbers are consecutive.
