A slow endpoint keeps its call until another one has answered

Cause, the same as of streams: at 0.75 of the target the call was cancelled, also halfway through its body, and only then a second endpoint was looked for. If none accepted it, the leader's queue rejected it or the budget was used up meanwhile, nothing was left. After a stop of our own process the timer was due in the turn in which the answer was read.

Why it works: the slow endpoint keeps the call (open_calls.OpenCalls) while a second one gets it, under the same budget, attempts and permits as before; the first answer is used and the other call is cancelled. Where nothing takes it, the first one keeps it until the deadline. The limit is confirmed 20 ms later, after what arrived has been read. A refusal by one endpoint no longer makes a request "not run" that another one still has.

A call whose endpoint hangs and that nobody else takes now waits for its deadline instead of a 502 at 0.75 of its target; nothing tells it from a paused one.

--- /dev/null
+++ b/src/jujubewharf/forwarding/open_calls.py
@@ -0,0 +1,179 @@
+"""Attempts of one request that are open at the same time.
+
+An endpoint that is slow may answer a moment later. Its attempt therefore stays
+open while another endpoint is tried, and the first answer is used.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import dataclasses
+
+from jujubewharf import clock as clocks
+from jujubewharf.forwarding import calls
+
+# Last part of each limit. If this process was stopped, the limit is noticed
+# before what arrived meanwhile is read; the last part begins after that.
+_CONFIRM_MS = 20.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """An attempt got an answer.
+
+    Attributes:
+        reply: The answer.
+        exit_stack: Releases what the attempt holds on close.
+    """
+
+    reply: calls.Reply
+    exit_stack: contextlib.AsyncExitStack
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """An attempt failed.
+
+    Attributes:
+        error: How it failed.
+    """
+
+    error: Exception
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Slow:
+    """The newest attempt has lasted longer than its limit, and is still open.
+
+    Attributes:
+        endpoint: Its endpoint.
+    """
+
+    endpoint: str
+
+
+@dataclasses.dataclass(slots=True)
+class OpenCall:
+    """One attempt.
+
+    Attributes:
+        endpoint: Name of its endpoint; empty until it is sent.
+        slow_at_ms: Clock reading at which it counts as slow; ``None`` if it
+            never does.
+        is_slow: Whether it has been found slow.
+    """
+
+    on_change: Callable[[], None]
+    endpoint: str = ""
+    slow_at_ms: float | None = None
+    is_slow: bool = False
+
+    def sent(self, endpoint: str, slow_at_ms: float | None) -> None:
+        """Records that the request is sent to an endpoint."""
+        self.endpoint = endpoint
+        self.slow_at_ms = slow_at_ms
+        self.on_change()
+
+
+class OpenCalls:
+    """The open attempts of one request.
+
+    Args:
+        clock: Time source.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._has_changed = asyncio.Event()
+        self._tasks: dict[asyncio.Task[Answered], OpenCall] = {}
+
+    def __bool__(self) -> bool:
+        """Whether any attempt is open."""
+        return bool(self._tasks)
+
+    @property
+    def has_sent(self) -> bool:
+        """Whether any open attempt was sent, so the request may run."""
+        return any(call.endpoint for call in self._tasks.values())
+
+    async def __aenter__(self) -> OpenCalls:
+        return self
+
+    async def __aexit__(self, *unused: object) -> None:
+        """Ends all attempts that are still open."""
+        for task in self._tasks:
+            task.cancel()
+        if not self._tasks:
+            return
+        await asyncio.wait(self._tasks)
+        for task in self._tasks:
+            if not task.cancelled() and task.exception() is None:
+                await task.result().exit_stack.aclose()
+
+    def begin(self, attempt: Callable[[OpenCall], Awaitable[Answered]]) -> None:
+        """Begins another attempt.
+
+        Args:
+            attempt: Makes the attempt.
+        """
+        call = OpenCall(self._has_changed.set)
+        task = asyncio.ensure_future(attempt(call))
+        task.add_done_callback(lambda _: self._has_changed.set())
+        self._tasks[task] = call
+
+    def set_limit(self, slow_at_ms: float | None) -> None:
+        """Sets when the newest open attempt counts as slow, also once more.
+
+        Args:
+            slow_at_ms: Clock reading; ``None`` for never.
+        """
+        newest = self._newest
+        if newest is not None:
+            newest.slow_at_ms = slow_at_ms
+
+    async def next_event(self) -> Answered | Failed | Slow:
+        """Waits until an attempt ends, or the newest one is slow."""
+        while True:
+            for task in self._tasks:
+                if task.done():
+                    return self._end(task)
+            newest = self._newest
+            if newest is not None and self._has_passed(newest.slow_at_ms):
+                newest.slow_at_ms = None
+                newest.is_slow = True
+                return Slow(newest.endpoint)
+            await self._wait(None if newest is None else newest.slow_at_ms)
+
+    def _end(self, task: asyncio.Task[Answered]) -> Answered | Failed:
+        del self._tasks[task]
+        error = task.exception()
+        if error is None:
+            return task.result()
+        if not isinstance(error, Exception):
+            raise error
+        return Failed(error)
+
+    @property
+    def _newest(self) -> OpenCall | None:
+        return next(reversed(self._tasks.values()), None)
+
+    def _has_passed(self, at_ms: float | None) -> bool:
+        return at_ms is not None and self._clock.now_ms() >= at_ms
+
+    async def _wait(self, slow_at_ms: float | None) -> None:
+        if slow_at_ms is None:
+            await self._has_changed.wait()
+        else:
+            await self._wait_until(slow_at_ms - _CONFIRM_MS)
+            if not self._has_changed.is_set():
+                await self._wait_until(self._clock.now_ms() + _CONFIRM_MS)
+        self._has_changed.clear()
+
+    async def _wait_until(self, at_ms: float) -> None:
+        wait_ms = at_ms - self._clock.now_ms()
+        with contextlib.suppress(TimeoutError):
+            async with self._clock.timeout_ms(wait_ms):
+                await self._has_changed.wait()
--- a/src/jujubewharf/forwarding/plain.py
+++ b/src/jujubewharf/forwarding/plain.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Collection
 import contextlib
 import dataclasses
+import functools
 import random
 
 from jujubewharf import clock as clocks
@@ -18,6 +20,7 @@
 from jujubewharf.forwarding import come_back
 from jujubewharf.forwarding import events
 from jujubewharf.forwarding import limits as all_limits
+from jujubewharf.forwarding import open_calls
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import registry as registries
 from jujubewharf.forwarding import request_log
@@ -32,9 +35,9 @@
 # Answers up to this size are buffered before their first byte is forwarded, so
 # that an answer that breaks off can be retried or reported as an error.
 MAX_BUFFERED_BYTES = 262_144
-# Share of a route's target time after which an unanswered request is retried if
-# it may be repeated. Leaves time for the second attempt.
-_TIMEOUT_SHARE_OF_TARGET = 0.75
+# Share of a route's target time after which an unanswered request that may be
+# repeated is sent to a second endpoint as well. Leaves time for that one.
+_SLOW_SHARE_OF_TARGET = 0.75
 _SERVER_ERROR = 500
 # Reserve before the deadline for forwarding an earlier endpoint's error.
 _DEADLINE_RESERVE_MS = 50.0
@@ -85,49 +88,80 @@
     ) -> calls.Reply:
         """Returns an answer, whose body is read while the stack is open.
 
+        Raises:
+            WharfError: There is no answer.
+        """
+        async with open_calls.OpenCalls(self._clock) as attempts:
+            return await self._first_reply(stack, run, attempts)
+
+    async def _first_reply(
+        self,
+        stack: contextlib.AsyncExitStack,
+        run: runs.Run,
+        attempts: open_calls.OpenCalls,
+    ) -> calls.Reply:
+        """Returns the first answer, or an endpoint's own error without one.
+
         Raises:
             WharfError: There is no answer.
         """
         failed = self._of_other_versions(run)
         error_reply: calls.Reply | None = None
+        may_try_again = True
         while True:
-            try:
-                async with contextlib.AsyncExitStack() as held:
-                    permit = await self._acquire(held, run, failed)
-                    failed.add(permit.endpoint.name)
-                    if not resumptions.of_version(run, [permit.endpoint]):
-                        # It has registered since the others were left out.
-                        continue
-                    reply = await self._attempt(
-                        stack,
-                        held,
-                        run,
-                        permit,
-                        has_error_reply=error_reply is not None,
+            if may_try_again:
+                attempts.begin(
+                    functools.partial(
+                        self._attempt, run, failed, has_error=bool(error_reply)
                     )
-            except all_permits.NoEndpointError:
+                )
+            event = await attempts.next_event()
+            match event:
+                case open_calls.Answered(reply, exit_stack):
+                    stack.push_async_exit(exit_stack)
+                    if reply.status < _SERVER_ERROR:
+                        return reply
+                    error_reply = reply
+                    attempts.set_limit(self._error_reply_at_ms(run))
+                    may_try_again = self._may_retry(run, "failed")
+                case open_calls.Slow(endpoint):
+                    if error_reply is not None:
+                        return error_reply
+                    may_try_again = self._may_retry_slow(run, endpoint)
+                    attempts.set_limit(self._slow_at_ms(run, has_error=False))
+                case open_calls.Failed(client.EngineError() as failure):
+                    has_path = failure.fault is not client.EngineFault.NO_PATH
+                    reason = failure.fault.value
+                    may_try_again = has_path and self._may_retry(run, reason)
+                case _:
+                    # No other endpoint takes it. Those that have it keep it.
+                    may_try_again = False
+                    attempts.set_limit(None)
+            if attempts.has_sent:
+                # A refusal by one endpoint doesn't concern the others.
+                run.may_have_run = True
+            if not may_try_again and not attempts:
                 if error_reply is not None:
                     return error_reply
-                raise self._no_endpoint_error(run) from None
-            except errors.WharfError:
-                # The retry was rejected. Its error says that the call may have
-                # run, so its kind isn't the one of a call that was not sent.
-                if error_reply is not None:
-                    return error_reply
-                raise
-            except client.EngineError as error:
-                reason = error.fault.value
-                has_path = error.fault is not client.EngineFault.NO_PATH
-                if has_path and self._may_retry(run, reason):
-                    continue
-                if error_reply is not None:
-                    return error_reply
-                raise run.failure() from error
-            if reply.status < _SERVER_ERROR:
-                return reply
-            error_reply = reply
-            if not self._may_retry(run, "failed"):
-                return reply
+                assert isinstance(event, open_calls.Failed)
+                raise self._final_error(run, event.error)
+
+    def _may_retry_slow(self, run: runs.Run, endpoint: str) -> bool:
+        """Returns whether a call whose endpoint is slow may go to another."""
+        self._chooser.failed(endpoint)
+        return self._may_retry(run, "slow")
+
+    def _final_error(self, run: runs.Run, failure: Exception) -> Exception:
+        """Returns the error for a request whose last attempt has failed."""
+        match failure:
+            case all_permits.NoEndpointError():
+                return self._no_endpoint_error(run)
+            case client.EngineError():
+                error = run.failure()
+                error.__cause__ = failure
+                return error
+            case _:
+                return failure
 
     def _of_other_versions(self, run: runs.Run) -> set[str]:
         """Returns the endpoints at which a resumed stream can't go on."""
@@ -139,14 +173,34 @@
         self,
         held: contextlib.AsyncExitStack,
         run: runs.Run,
-        failed: Collection[str],
+        failed: set[str],
     ) -> all_permits.Permit:
         """Returns a permit, which ``held`` returns.
 
+        Args:
+            held: Returns the permit on close.
+            run: The request.
+            failed: Endpoints that must not get it; its endpoint is added.
+
         Raises:
             NoEndpointError: No endpoint accepts the request now.
             WharfError: The request can't be served in time.
         """
+        while True:
+            async with contextlib.AsyncExitStack() as stack:
+                permit = await self._acquire_any(stack, run, failed)
+                failed.add(permit.endpoint.name)
+                if resumptions.of_version(run, [permit.endpoint]):
+                    held.push_async_exit(stack.pop_all())
+                    return permit
+                # It has registered since the others were left out.
+
+    async def _acquire_any(
+        self,
+        held: contextlib.AsyncExitStack,
+        run: runs.Run,
+        failed: Collection[str],
+    ) -> all_permits.Permit:
         if self._permits.applies_to(run.service):
             return await held.enter_async_context(
                 self._permits.acquire(run, excluded=frozenset(failed))
@@ -204,15 +258,43 @@
         return True
 
     async def _attempt(
+        self,
+        run: runs.Run,
+        failed: set[str],
+        attempt: open_calls.OpenCall,
+        *,
+        has_error: bool,
+    ) -> open_calls.Answered:
+        """Sends the request to one endpoint.
+
+        Args:
+            run: The request.
+            failed: Endpoints that must not get it; its endpoint is added.
+            attempt: The attempt.
+            has_error: Whether another endpoint has answered with an error.
+
+        Raises:
+            EngineError: The endpoint gave no answer.
+            NoEndpointError: No endpoint accepts the request.
+            WharfError: The request can't be served in time.
+        """
+        async with contextlib.AsyncExitStack() as stack:
+            async with contextlib.AsyncExitStack() as held:
+                permit = await self._acquire(held, run, failed)
+                slow_at_ms = self._slow_at_ms(run, has_error=has_error)
+                attempt.sent(permit.endpoint.name, slow_at_ms)
+                reply = await self._send(stack, held, run, permit, attempt)
+            return open_calls.Answered(reply, stack.pop_all())
+
+    async def _send(
         self,
         stack: contextlib.AsyncExitStack,
         held: contextlib.AsyncExitStack,
         run: runs.Run,
         permit: all_permits.Permit,
-        *,
-        has_error_reply: bool,
+        attempt: open_calls.OpenCall,
     ) -> calls.Reply:
-        """Sends the request once.
+        """Sends the request to the permit's endpoint.
 
         ``held`` is emptied into ``stack`` if the answer has not yet ended.
         """
@@ -226,12 +308,11 @@
             left_ms=run.left_ms(self._clock),
             age_ms=self._registry.age_ms,
         )
+        error: client.EngineError | None = None
         try:
-            timeout_ms = self._attempt_timeout_ms(
-                run, has_error_reply=has_error_reply
-            )
-            return await self._exchange(stack, held, run, permit, timeout_ms)
-        except client.EngineError as error:
+            return await self._exchange(stack, held, run, permit)
+        except client.EngineError as failure:
+            error = failure
             permit.outcome = decisions.Outcome.FAILED
             run.record_failure(error, before=before)
             if error.fault is client.EngineFault.REFUSED_IDENTITY:
@@ -240,11 +321,20 @@
                 permit.outcome = decisions.Outcome.FULL
             else:
                 self._chooser.failed(endpoint.name)
-            took_ms = self._clock.now_ms() - began_ms
-            request_log.log_engine_failure(
-                run, error, stage="plain", took_ms=took_ms
-            )
             raise
+        except asyncio.CancelledError:
+            if attempt.is_slow:
+                permit.outcome = decisions.Outcome.FAILED
+                error = client.EngineError(
+                    client.EngineFault.LOST, endpoint.name, "no answer in time"
+                )
+            raise
+        finally:
+            if error is not None:
+                took_ms = self._clock.now_ms() - began_ms
+                request_log.log_engine_failure(
+                    run, error, stage="plain", took_ms=took_ms
+                )
 
     async def _exchange(
         self,
@@ -252,7 +342,6 @@
         held: contextlib.AsyncExitStack,
         run: runs.Run,
         permit: all_permits.Permit,
-        timeout_ms: float | None,
     ) -> calls.Reply:
         endpoint = permit.endpoint
         outbound = calls.OutboundRequest(
@@ -263,21 +352,14 @@
         is_complete = False
         async with contextlib.AsyncExitStack() as attempt:
             attempt.enter_context(self._chooser.track_call(endpoint))
-            try:
-                async with self._clock.timeout_ms(timeout_ms):
-                    reply = await attempt.enter_async_context(
-                        self._backends.send(endpoint, outbound)
-                    )
-                    if not run.route.is_stream:
-                        reply, is_complete = await _buffered(reply)
-                    elif reply.is_success:
-                        body = self._stream_body(run, endpoint, reply)
-                        reply = dataclasses.replace(reply, body=body)
-            except TimeoutError:
-                fault = client.EngineFault.LOST
-                raise client.EngineError(
-                    fault, endpoint.name, "no answer in time"
-                ) from None
+            reply = await attempt.enter_async_context(
+                self._backends.send(endpoint, outbound)
+            )
+            if not run.route.is_stream:
+                reply, is_complete = await _buffered(reply)
+            elif reply.is_success:
+                body = self._stream_body(run, endpoint, reply)
+                reply = dataclasses.replace(reply, body=body)
             permit.outcome = decisions.Outcome.COMPLETED
             if reply.status >= _SERVER_ERROR:
                 permit.outcome = decisions.Outcome.ERROR
@@ -311,18 +393,23 @@
                 errors.ErrorKind.ANSWER_BROKEN, ran=errors.Ran.UNKNOWN
             )
 
-    def _attempt_timeout_ms(
-        self, run: runs.Run, *, has_error_reply: bool
-    ) -> float | None:
-        """Returns the timeout of an attempt; ``None`` to wait for the deadline.
+    def _error_reply_at_ms(self, run: runs.Run) -> float:
+        """Returns until when an answer is waited for that isn't an error."""
+        return run.deadline_at_ms - _DEADLINE_RESERVE_MS
+
+    def _slow_at_ms(self, run: runs.Run, *, has_error: bool) -> float | None:
+        """Returns when an attempt that begins now counts as slow.
 
         Args:
             run: The request.
-            has_error_reply: Whether another endpoint has already answered with
-                an error, which is forwarded if this attempt times out.
+            has_error: Whether another endpoint has already answered with an
+                error, which is forwarded at that time.
+
+        Returns:
+            Clock reading; ``None`` to wait for the deadline.
         """
-        if has_error_reply:
-            return max(0.0, run.left_ms(self._clock) - _DEADLINE_RESERVE_MS)
+        if has_error:
+            return self._error_reply_at_ms(run)
         if run.route.repeat is not routes.Repeat.AGAIN:
             return None
         if (
@@ -330,7 +417,8 @@
             or self._budget.remaining(run.service) < 1.0
         ):
             return None
-        return run.route.target_ms * _TIMEOUT_SHARE_OF_TARGET
+        slow_ms = run.route.target_ms * _SLOW_SHARE_OF_TARGET
+        return self._clock.now_ms() + slow_ms
 
 
 async def _buffered(reply: calls.Reply) -> tuple[calls.Reply, bool]:
