A silent prefill engine keeps its prompt until another one has read it

What callers saw: a stream whose prefill engine was paused for over 1.5 s was refused with 503, or cut if it went on elsewhere, where the retry budget was used up (endpoint_failed after 6,926 ms in the users' record fits it; not shown).

Cause, the same: the client of engines gave a prefill up after 1.5 s, before anything was in its place, and the retry was then denied.

Why it works: a prefill has the time that its request has. After 1.5 s another prefill engine gets the prompt as well, under the same budget; the first result is used and the other call is cancelled or its result freed. Without a retry the first engine keeps the prompt; with one and without another engine the decode engine reads it, as before. The same open_calls as for plain calls; the prefill stage moved from attempts.py (420 lines) into prefills.py.

test_pauses.py had asserted that the stand-in gives a prefill up after 1.5 s, like the client did; it now asserts that it ends with its request, to the millisecond as before.

--- a/src/jujubewharf/endpoint_paths/relay_client.py
+++ b/src/jujubewharf/endpoint_paths/relay_client.py
@@ -19,8 +19,6 @@
 from jujubewharf.peers import relay_messages
 
 _STATE_TIMEOUT_MS = 1_000.0
-# A peer's own prefill call ends before this.
-_PREFILL_TIMEOUT_MS = 2_000.0
 
 
 class RelayClient:
@@ -76,7 +74,7 @@
         result = await self._result(
             endpoint,
             relay_messages.RelayedPrefill(endpoint.name, outbound),
-            timeout_ms=_PREFILL_TIMEOUT_MS,
+            timeout_ms=outbound.left_ms,
             request_id=outbound.call.request_id,
         )
         if result.source is None:
--- a/src/jujubewharf/forwarding/open_calls.py
+++ b/src/jujubewharf/forwarding/open_calls.py
@@ -11,26 +11,28 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+from typing import Generic
+from typing import TypeVar
 
 from jujubewharf import clock as clocks
-from jujubewharf.forwarding import calls
 
 # Last part of each limit. If this process was stopped, the limit is noticed
 # before what arrived meanwhile is read; the last part begins after that.
 _CONFIRM_MS = 20.0
 
 
+_Result = TypeVar("_Result")
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
-class Answered:
+class Answered(Generic[_Result]):
     """An attempt got an answer.
 
     Attributes:
-        reply: The answer.
-        exit_stack: Releases what the attempt holds on close.
+        result: The answer.
     """
 
-    reply: calls.Reply
-    exit_stack: contextlib.AsyncExitStack
+    result: _Result
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,17 +80,23 @@
         self.on_change()
 
 
-class OpenCalls:
+class OpenCalls(Generic[_Result]):
     """The open attempts of one request.
 
     Args:
+        discard: Releases an answer that is not used.
         clock: Time source.
     """
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        discard: Callable[[_Result], Awaitable[None]],
+        clock: clocks.Clock,
+    ) -> None:
+        self._discard = discard
         self._clock = clock
         self._has_changed = asyncio.Event()
-        self._tasks: dict[asyncio.Task[Answered], OpenCall] = {}
+        self._tasks: dict[asyncio.Task[_Result], OpenCall] = {}
 
     def __bool__(self) -> bool:
         """Whether any attempt is open."""
@@ -99,7 +107,7 @@
         """Whether any open attempt was sent, so the request may run."""
         return any(call.endpoint for call in self._tasks.values())
 
-    async def __aenter__(self) -> OpenCalls:
+    async def __aenter__(self) -> OpenCalls[_Result]:
         return self
 
     async def __aexit__(self, *unused: object) -> None:
@@ -111,9 +119,9 @@
         await asyncio.wait(self._tasks)
         for task in self._tasks:
             if not task.cancelled() and task.exception() is None:
-                await task.result().exit_stack.aclose()
+                await self._discard(task.result())
 
-    def begin(self, attempt: Callable[[OpenCall], Awaitable[Answered]]) -> None:
+    def begin(self, attempt: Callable[[OpenCall], Awaitable[_Result]]) -> None:
         """Begins another attempt.
 
         Args:
@@ -134,7 +142,7 @@
         if newest is not None:
             newest.slow_at_ms = slow_at_ms
 
-    async def next_event(self) -> Answered | Failed | Slow:
+    async def next_event(self) -> Answered[_Result] | Failed | Slow:
         """Waits until an attempt ends, or the newest one is slow."""
         while True:
             for task in self._tasks:
@@ -147,11 +155,11 @@
                 return Slow(newest.endpoint)
             await self._wait(None if newest is None else newest.slow_at_ms)
 
-    def _end(self, task: asyncio.Task[Answered]) -> Answered | Failed:
+    def _end(self, task: asyncio.Task[_Result]) -> Answered[_Result] | Failed:
         del self._tasks[task]
         error = task.exception()
         if error is None:
-            return task.result()
+            return Answered(task.result())
         if not isinstance(error, Exception):
             raise error
         return Failed(error)
--- a/src/jujubewharf/forwarding/plain.py
+++ b/src/jujubewharf/forwarding/plain.py
@@ -43,6 +43,19 @@
 _DEADLINE_RESERVE_MS = 50.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _OpenReply:
+    """An endpoint's answer.
+
+    Attributes:
+        reply: The answer.
+        exit_stack: Releases what its attempt holds on close.
+    """
+
+    reply: calls.Reply
+    exit_stack: contextlib.AsyncExitStack
+
+
 class PlainForwarder:
     """Forwards plain requests.
 
@@ -91,14 +104,14 @@
         Raises:
             WharfError: There is no answer.
         """
-        async with open_calls.OpenCalls(self._clock) as attempts:
+        async with open_calls.OpenCalls(_close, self._clock) as attempts:
             return await self._first_reply(stack, run, attempts)
 
     async def _first_reply(
         self,
         stack: contextlib.AsyncExitStack,
         run: runs.Run,
-        attempts: open_calls.OpenCalls,
+        attempts: open_calls.OpenCalls[_OpenReply],
     ) -> calls.Reply:
         """Returns the first answer, or an endpoint's own error without one.
 
@@ -117,7 +130,7 @@
                 )
             event = await attempts.next_event()
             match event:
-                case open_calls.Answered(reply, exit_stack):
+                case open_calls.Answered(_OpenReply(reply, exit_stack)):
                     stack.push_async_exit(exit_stack)
                     if reply.status < _SERVER_ERROR:
                         return reply
@@ -264,7 +277,7 @@
         attempt: open_calls.OpenCall,
         *,
         has_error: bool,
-    ) -> open_calls.Answered:
+    ) -> _OpenReply:
         """Sends the request to one endpoint.
 
         Args:
@@ -284,7 +297,7 @@
                 slow_at_ms = self._slow_at_ms(run, has_error=has_error)
                 attempt.sent(permit.endpoint.name, slow_at_ms)
                 reply = await self._send(stack, held, run, permit, attempt)
-            return open_calls.Answered(reply, stack.pop_all())
+            return _OpenReply(reply, stack.pop_all())
 
     async def _send(
         self,
@@ -421,6 +434,10 @@
         return self._clock.now_ms() + slow_ms
 
 
+async def _close(unused: _OpenReply) -> None:
+    await unused.exit_stack.aclose()
+
+
 async def _buffered(reply: calls.Reply) -> tuple[calls.Reply, bool]:
     """Buffers a body up to ``MAX_BUFFERED_BYTES`` and streams the rest.
 
--- a/src/jujubewharf/forwarding/request_path.py
+++ b/src/jujubewharf/forwarding/request_path.py
@@ -19,6 +19,7 @@
 from jujubewharf.forwarding import places
 from jujubewharf.forwarding import plain
 from jujubewharf.forwarding import ports
+from jujubewharf.forwarding import prefills
 from jujubewharf.forwarding import quarantine
 from jujubewharf.forwarding import quarantine_waits
 from jujubewharf.forwarding import quotas as all_quotas
@@ -84,8 +85,18 @@
     backends = crash_detection.CrashDetectingBackends(
         parts.backends, parts.history, clock
     )
+    prompts = prefills.Prefills(
+        backends,
+        parts.registry,
+        parts.budget,
+        parts.observer,
+        parts.limits,
+        parts.backpressure,
+        clock,
+    )
     sender = attempts.StreamAttempts(
         backends,
+        prompts,
         parts.registry,
         quarantine_waits.QuarantineAwarePlaces(
             parts.placer, request_quarantine, parts.history
--- a/src/jujubewharf/standins/backend_processes.py
+++ b/src/jujubewharf/standins/backend_processes.py
@@ -12,10 +12,9 @@
 from jujubewharf.standins import backend_state
 from jujubewharf.standins import endpoint_cuts
 
-# Timeouts of the platform's client for calls that a paused engine leaves
-# without an answer: state calls and prefills. Runs have none.
+# Timeout of the platform's client for state calls that a paused engine leaves
+# without an answer. Prefills and runs end with their request.
 STATE_TIMEOUT_MS = 700.0
-PREFILL_TIMEOUT_MS = 1_500.0
 _ENDLESS_MS = 1e9
 
 
--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -218,7 +218,7 @@
         self, endpoint: resources.Endpoint, sending: calls.OutboundRequest
     ) -> calls.PrefillSource:
         """Prefills a prompt; see ``ports.Backends``."""
-        until_ms = self._clock.now_ms() + backend_processes.PREFILL_TIMEOUT_MS
+        until_ms = self._clock.now_ms() + sending.left_ms
         backend = await self._processes.connect(endpoint, until_ms=until_ms)
         if backend.endpoint.role is not resources.Role.PREFILL:
             raise backend.error(client.EngineFault.REFUSED_ROLE)
