A silence keeps an engine away no longer than the one before it

Cause: a reservation that got no answer in 0.7 s counted as a refused connection. The breaker's periods double with each and were reset only after 10 s without a failure, so the fifth pause of a sound engine kept it away for 8 s. The same for load polls at the own edge.

Why it works: a silence has its own count, which ends when the engine is heard, and a reservation that is granted counts as heard. While it lasts, the periods double as before, so that a hung engine stalls the queue no more often.

Two tests of the breaker are new.

--- a/src/jujubewharf/forwarding/pool.py
+++ b/src/jujubewharf/forwarding/pool.py
@@ -234,6 +234,10 @@
             case _:
                 state.breaker.record_failure(error.fault)
 
+    def record_silence(self, name: str) -> None:
+        """Records that an engine gave no answer in time about its state."""
+        self.state(name).breaker.record_silence()
+
     def record_memory_refusal(self, name: str, tokens: int) -> None:
         """Records that an engine had less than ``tokens`` memory free."""
         state = self.state(name)
--- a/src/jujubewharf/forwarding/reservations.py
+++ b/src/jujubewharf/forwarding/reservations.py
@@ -106,6 +106,7 @@
             except client.EngineError as error:
                 self._record_failure(run, error, demand)
                 continue
+            self._pool.record_success(engine.name)
             self._pool.clear_memory_refusals(engine.name)
             if not self._registry.takes_work(engine.name):
                 # The response to the reservation said that the engine drains.
@@ -141,13 +142,11 @@
             self._registry.remove_replaced(error.engine)
         request_log.log_engine_failure(run, error, stage="reserve", took_ms=0.0)
         if error.fault is client.EngineFault.LOST:
-            # Treated as unreachable, which opens the circuit breaker: each
-            # further call to a silent engine would stall the wait queue for a
-            # full timeout. With two silent engines there were 25 such calls of
-            # 0.7 s in five seconds.
-            error = client.EngineError(
-                client.EngineFault.UNREACHABLE, error.engine, error.detail
-            )
+            # Opens the circuit breaker: each further call to a silent engine
+            # would stall the wait queue for a full timeout. With two silent
+            # engines there were 25 such calls of 0.7 s in five seconds.
+            self._pool.record_silence(error.engine)
+            return
         self._pool.record_failure(error)
 
     async def _reserve(
--- a/src/jujubewharf/routing/breaker.py
+++ b/src/jujubewharf/routing/breaker.py
@@ -21,6 +21,9 @@
     when no other engine is available. When the open period ends, the next
     request acts as the probe.
 
+    A silent engine may only be paused. Its periods begin anew once it is heard,
+    so that the last of several pauses keeps it away no longer than the first.
+
     Args:
         clock: Time source.
     """
@@ -28,6 +31,7 @@
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         self._periods = 0
+        self._silences = 0
         self._losses = 0
         self._last_failure_ms = 0.0
         self._open_until_ms = 0.0
@@ -59,13 +63,26 @@
                     self._losses = 0
                     self._degraded_until_ms = self._next_period_end_ms()
 
+    def record_silence(self) -> None:
+        """Records a call that got no answer in time, which opens it."""
+        if not self.is_open:
+            period_ms = _period_ms(self._silences)
+            self._silences += 1
+            self._open_until_ms = self._clock.now_ms() + period_ms
+
     def record_success(self) -> None:
         """Records a successful call, which closes the breaker."""
         self._open_until_ms = 0.0
+        self._silences = 0
 
     def _next_period_end_ms(self) -> float:
         now_ms = self._clock.now_ms()
-        period_ms = min(_MAX_PERIOD_MS, _INITIAL_PERIOD_MS * 2**self._periods)
+        period_ms = _period_ms(self._periods)
         self._periods += 1
         self._last_failure_ms = now_ms
         return now_ms + period_ms
+
+
+def _period_ms(periods: int) -> float:
+    """Returns the period that follows a number of earlier ones."""
+    return min(_MAX_PERIOD_MS, _INITIAL_PERIOD_MS * 2**periods)
--- a/src/jujubewharf/routing/fleet.py
+++ b/src/jujubewharf/routing/fleet.py
@@ -280,7 +280,11 @@
         try:
             async with self._clock.timeout_ms(_POLL_TIMEOUT_MS):
                 report = await view.client.load()
-        except (engine_client.EngineError, TimeoutError):
+        except TimeoutError:
+            self.hints.remove_engine(view.endpoint.name)
+            view.breaker.record_silence()
+            return
+        except engine_client.EngineError:
             self.hints.remove_engine(view.endpoint.name)
             view.record_failure(engine_client.EngineFault.UNREACHABLE)
             return
--- a/tests/routing/test_breaker.py
+++ b/tests/routing/test_breaker.py
@@ -51,3 +51,37 @@
         return breaker.is_open or breaker.is_degraded
 
     assert not virtual_time.run(scenario())
+
+
+# The fifth pause of a sound engine kept it away for eight seconds.
+def test_silence_opens_no_longer_after_the_engine_was_heard():
+    async def scenario():
+        clock = clocks.Clock()
+        breaker = breakers.Breaker(clock)
+        open_for_ms = []
+        for _ in range(4):
+            breaker.record_silence()
+            start_ms = clock.now_ms()
+            while breaker.is_open:
+                await clock.sleep_ms(100)
+            open_for_ms.append(clock.now_ms() - start_ms)
+            breaker.record_success()
+        return open_for_ms
+
+    assert virtual_time.run(scenario()) == [500] * 4
+
+
+def test_open_period_doubles_while_an_engine_stays_silent():
+    async def scenario():
+        clock = clocks.Clock()
+        breaker = breakers.Breaker(clock)
+        open_for_ms = []
+        for _ in range(3):
+            breaker.record_silence()
+            start_ms = clock.now_ms()
+            while breaker.is_open:
+                await clock.sleep_ms(100)
+            open_for_ms.append(clock.now_ms() - start_ms)
+        return open_for_ms
+
+    assert virtual_time.run(scenario()) == [500, 1_000, 2_000]
