An engine that gives no answer is not taken for one that changes its role

What callers saw: an engine that was paused while it was asked whether it changes roles got no work for 10 s, at the leader from all instances.

Cause: any failure of that question counted as "changing". Silence was taken for a fact about the engine.

Why it works: only the engine's own word is a role change.

--- a/src/jujubewharf/forwarding/attempts.py
+++ b/src/jujubewharf/forwarding/attempts.py
@@ -196,11 +196,19 @@
         self._observations.record_failure(error)
 
     async def _is_changing(self, engine: resources.Endpoint) -> bool:
+        """Returns whether an engine says that it is changing roles.
+
+        Raises:
+            EngineError: It can't be reached.
+        """
         try:
             return await self._backends.is_changing(engine)
         except client.EngineError as error:
             self._observations.record_failure(error)
-            return True
+            if error.fault is not client.EngineFault.LOST:
+                raise
+            # No answer is no role change, which takes seconds.
+            return False
 
     async def _check_not_deferred(self, place: all_places.Reservation) -> None:
         """Checks that the engine still accepts the request it has memory for.
