A leader that answers late may still say where a stream began

What callers saw: a stream that its caller took up at another instance was refused with 503 (stream_origin_unknown) and had to begin anew, when the leader took over 100 ms to say where it had begun; a leader that pauses for a moment turns away all of them.

Cause: the question shared the time-out of grants, 100 ms, where another endpoint may be used instead. Here nothing else may be asked: silence was taken for "not known".

Why it works: it has a time-out of its own, a second. A leader that is gone ends the wait with its link.

--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -43,6 +43,9 @@
 # Timeout for a permit or trial. Another endpoint may serve the request sooner,
 # and latency targets of plain requests are some tenths of a second.
 _GRANT_TIMEOUT_MS = 100.0
+# Timeout for where a stream began. Without an answer its caller must begin anew,
+# and callers leave a stream after two seconds without an event.
+_ORIGIN_TIMEOUT_MS = 1_000.0
 # Timeout for a whole configuration: some tens of kilobytes over a link of some
 # Mbit/s.
 _FETCH_TIMEOUT_MS = 1_000.0
@@ -285,7 +288,9 @@
 
     async def request_origin(self, key: bytes) -> origins.StreamOrigin | None:
         """Asks the leader where a stream began; ``None`` if it doesn't know."""
-        answer = await self._ask_for_grant(origin_messages.OriginRequest(key))
+        answer = await self._ask_for_grant(
+            origin_messages.OriginRequest(key), timeout_ms=_ORIGIN_TIMEOUT_MS
+        )
         if not isinstance(answer, origin_messages.OriginReply):
             return None
         stream = answer.stream
@@ -347,13 +352,16 @@
         )
 
     async def _ask_for_grant(
-        self, request: messages.Message
+        self,
+        request: messages.Message,
+        *,
+        timeout_ms: float = _GRANT_TIMEOUT_MS,
     ) -> messages.Message | None:
         """Returns the leader's answer; ``None`` after the timeout."""
         if self._link is None:
             return None
         try:
-            return await self._link.ask(request, timeout_ms=_GRANT_TIMEOUT_MS)
+            return await self._link.ask(request, timeout_ms=timeout_ms)
         except network.PeerError:
             return None
 
