Stand-in engines can be paused, hang and go dark

The histories in virtual time knew engines that crash, stall for good and are cut off from single instances; an engine that is stopped for a second and goes on, as callers saw it on real processes, could not be played.

A paused stand-in accepts connections and answers nothing. Runs, prefills, reservations, state calls and releases wait, events that fall due come after the resume, none is lost. A call whose caller gave up is read when the process resumes, and a closed connection is noticed then, as sockets have it. State calls and prefills are given up after 700 and 1,500 ms like the platform's client gives them up; runs wait. A crash ends a pause at once. A dark engine hangs, and new connections to it time out.

--- a/src/jujubewharf/standins/backend_state.py
+++ b/src/jujubewharf/standins/backend_state.py
@@ -11,6 +11,7 @@
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import registration
+from jujubewharf.standins import pauses
 from jujubewharf.standins import plain_slots
 
 PROOF_HEADER = ("Proof", "engine")
@@ -100,6 +101,9 @@
             states another one.
         is_restarted: Whether its process is a later start than the registered
             one, under the same id.
+        pauses: Pauses of its process.
+        is_dark: Whether its machine is gone without a word: connections hang,
+            new ones time out.
     """
 
     endpoint: resources.Endpoint
@@ -147,6 +151,8 @@
     )
     running_version: str | None = None
     is_restarted: bool = False
+    pauses: pauses.Pauses = dataclasses.field(default_factory=pauses.Pauses)
+    is_dark: bool = False
 
     @property
     def name(self) -> str:
@@ -165,6 +171,25 @@
         """The load that an answer reports now."""
         return self.load if self.slots is None else self.slots.load
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether its process is paused."""
+        return self.pauses.is_paused
+
+    def pause(self) -> None:
+        """Pauses its process: it accepts connections and answers nothing."""
+        self.pauses.pause()
+
+    def resume(self) -> None:
+        """Resumes its process, unless its machine is gone."""
+        if not self.is_dark:
+            self.pauses.resume()
+
+    def go_dark(self) -> None:
+        """Loses its machine, without a FIN on any connection."""
+        self.is_dark = True
+        self.pauses.pause()
+
     def error(
         self, fault: client.EngineFault, detail: str = ""
     ) -> client.EngineError:
--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -19,7 +19,9 @@
 from jujubewharf.engines import notices
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import ports
+from jujubewharf.standins import backend_processes
 from jujubewharf.standins import backend_state
+from jujubewharf.standins import endpoint_cuts
 
 _ENDLESS_MS = 1e9
 
@@ -63,6 +65,7 @@
             Callable[[backend_state.StandInBackend], object]
         ] = []
         self._clock = clock
+        self._processes = backend_processes.Processes(clock, self.by_name)
         self._sources: set[str] = set()
         self._numbers = itertools.count(1)
         self._change_checks: list[str] = []
@@ -88,23 +91,12 @@
         self, endpoint: resources.Endpoint, sending: calls.OutboundRequest
     ) -> AsyncIterator[calls.Reply]:
         """Runs a request; see ``ports.Backends``."""
-        backend = self._reachable_backend(endpoint)
-        received_ms = self._record_request(backend, sending)
-        self._check_takes_run(backend, sending)
-        self.remove_expired_reservations()
-        held = backend.held.pop(sending.hold or "", 0)
-        request_id = sending.call.request_id
-        self.runs.append(
-            backend_state.StartedRun(
-                request_id,
-                backend.name,
-                sending.after_event,
-                sending.source is not None,
-                self._clock.now_ms(),
-                sending.call.account,
-                sending.call.headers,
-            )
+        backend = await self._processes.connect(
+            endpoint, unheard=lambda found: self._start_run(found, sending)
         )
+        received_ms = self._clock.now_ms()
+        held = self._start_run(backend, sending)
+        request_id = sending.call.request_id
         slot = self._new_id("run")
         backend.held[slot] = held
         backend.running_requests.add(request_id)
@@ -134,8 +126,41 @@
                     is_framed=backend.is_framed,
                 )
         finally:
-            backend.running_requests.discard(request_id)
-            backend.held.pop(slot, None)
+            backend.pauses.when_running(
+                lambda: self._end_run(backend, request_id, slot)
+            )
+
+    def _start_run(
+        self,
+        backend: backend_state.StandInBackend,
+        sending: calls.OutboundRequest,
+    ) -> int:
+        """Records that a backend starts a run; returns its memory in tokens.
+
+        Raises:
+            EngineError: It refuses the run.
+        """
+        self._record_request(backend, sending)
+        self._check_takes_run(backend, sending)
+        self.remove_expired_reservations()
+        self.runs.append(
+            backend_state.StartedRun(
+                sending.call.request_id,
+                backend.name,
+                sending.after_event,
+                sending.source is not None,
+                self._clock.now_ms(),
+                sending.call.account,
+                sending.call.headers,
+            )
+        )
+        return backend.held.pop(sending.hold or "", 0)
+
+    def _end_run(
+        self, backend: backend_state.StandInBackend, request_id: str, slot: str
+    ) -> None:
+        backend.running_requests.discard(request_id)
+        backend.held.pop(slot, None)
 
     def _check_takes_run(
         self,
@@ -165,14 +190,16 @@
         first = (sending.after_event or 0) + 1
         for number in range(first, backend.events + 1):
             try:
-                await self._sleep_unless_crashed(backend, backend.event_ms)
+                await self._processes.sleep_unless_crashed(
+                    backend, backend.event_ms
+                )
             except client.EngineError:
                 if backend.is_framed:
                     raise
                 # The end of the connection is the end of such a body.
                 return
             if number == backend.events and self._crashes_engines(sending.call):
-                await self._sleep_unless_crashed(backend, _ENDLESS_MS)
+                await self._processes.sleep_unless_crashed(backend, _ENDLESS_MS)
             if number == backend.skipped_event:
                 continue
             yield event(
@@ -191,7 +218,8 @@
         self, endpoint: resources.Endpoint, sending: calls.OutboundRequest
     ) -> calls.PrefillSource:
         """Prefills a prompt; see ``ports.Backends``."""
-        backend = self._reachable_backend(endpoint)
+        until_ms = self._clock.now_ms() + backend_processes.PREFILL_TIMEOUT_MS
+        backend = await self._processes.connect(endpoint, until_ms=until_ms)
         if backend.endpoint.role is not resources.Role.PREFILL:
             raise backend.error(client.EngineFault.REFUSED_ROLE)
         received_ms = self._record_request(backend, sending)
@@ -200,8 +228,8 @@
             raise backend.error(client.EngineFault.REFUSED_FULL)
         assert sending.call.work is not None
         tokens = sending.call.work.prompt_tokens
-        await self._sleep_unless_crashed(
-            backend, tokens * backend.prefill_token_ms
+        await self._processes.sleep_unless_crashed(
+            backend, tokens * backend.prefill_token_ms, until_ms=until_ms
         )
         self._notify(backend, received_ms)
         self.prefills.append((sending.call.request_id, backend.name))
@@ -215,7 +243,9 @@
         self, endpoint: resources.Endpoint, source: calls.PrefillSource
     ) -> None:
         """Drops a prefill result; see ``ports.Backends``."""
-        self._reachable_backend(endpoint)
+        await self._processes.connect(
+            endpoint, until_ms=self._processes.state_until_ms()
+        )
         self._sources.discard(source.handle)
         self.dropped.append(source.handle)
 
@@ -223,13 +253,26 @@
         self, endpoint: resources.Endpoint, *, tokens: int, ttl_ms: float
     ) -> str:
         """Reserves memory; see ``ports.Backends``."""
-        backend = self._reachable_backend(endpoint)
+
+        def hold_memory(backend: backend_state.StandInBackend) -> str:
+            return self._hold_memory(backend, tokens, ttl_ms)
+
+        backend = await self._processes.connect(
+            endpoint,
+            until_ms=self._processes.state_until_ms(),
+            unheard=hold_memory,
+        )
         now_ms = self._clock.now_ms()
         backend.received_reservations.append(
             backend_state.ReceivedRequest(self.instance, now_ms)
         )
         self._check_backoff(backend)
         self._notify(backend, now_ms)
+        return hold_memory(backend)
+
+    def _hold_memory(
+        self, backend: backend_state.StandInBackend, tokens: int, ttl_ms: float
+    ) -> str:
         self.remove_expired_reservations()
         if sum(backend.held.values()) + tokens > backend.memory_tokens:
             raise backend.error(client.EngineFault.REFUSED_FULL)
@@ -242,12 +285,19 @@
         self, endpoint: resources.Endpoint, hold: str
     ) -> None:
         """Releases a reservation; see ``ports.Backends``."""
-        self._reachable_backend(endpoint).held.pop(hold, None)
+        backend = await self._processes.connect(
+            endpoint,
+            until_ms=self._processes.state_until_ms(),
+            unheard=lambda found: found.held.pop(hold, None),
+        )
+        backend.held.pop(hold, None)
 
     async def is_changing(self, endpoint: resources.Endpoint) -> bool:
         """Whether an order is being executed; see ``ports.Backends``."""
         self._change_checks.append(endpoint.name)
-        backend = self._reachable_backend(endpoint)
+        backend = await self._processes.connect(
+            endpoint, until_ms=self._processes.state_until_ms()
+        )
         if backend.is_restarted:
             # Its report states another start than the caller expects.
             raise backend.error(client.EngineFault.REFUSED_IDENTITY)
@@ -257,7 +307,11 @@
         self, endpoint: resources.Endpoint, order: ports.RoleOrder
     ) -> None:
         """Accepts an order; see ``ports.Backends``."""
-        backend = self._reachable_backend(endpoint)
+        backend = await self._processes.connect(
+            endpoint,
+            until_ms=self._processes.state_until_ms(),
+            unheard=lambda found: found.orders.append(order),
+        )
         fault, backend.next_fault = backend.next_fault, None
         if fault is not None:
             raise backend.error(fault)
@@ -266,6 +320,9 @@
     async def is_reachable(self, endpoint: resources.Endpoint) -> bool:
         """Whether a connection can be opened; see ``ports.Backends``."""
         backend = self.by_name[endpoint.name]
+        if backend.is_dark:
+            await self._clock.sleep_ms(endpoint_cuts.CONNECT_TIMEOUT_MS)
+            return False
         return not (backend.is_unreachable or backend.has_crashed.is_set())
 
     async def has_crashed(self, endpoint: resources.Endpoint) -> bool:
@@ -278,6 +335,7 @@
         if backend.has_crashed.is_set():
             return
         backend.has_crashed.set()
+        backend.resume()
         for callback in self.crash_callbacks:
             callback(backend)
 
@@ -293,11 +351,11 @@
         """Takes the response time of a plain endpoint, in a slot if any."""
         work_ms = self._response_ms(backend, call)
         if backend.slots is None:
-            await self._sleep_unless_crashed(backend, work_ms)
+            await self._processes.sleep_unless_crashed(backend, work_ms)
             return
         async with backend.slots.occupied():
             work_ms *= backend.slots.slowdown
-            await self._sleep_unless_crashed(backend, work_ms)
+            await self._processes.sleep_unless_crashed(backend, work_ms)
 
     def _crashes_engines(self, call: calls.Call) -> bool:
         is_bad_body = call.body in self.crashing_bodies
@@ -321,19 +379,6 @@
         at_ms = self._clock.now_ms() + self.crash_after_ms
         self._clock.call_at_ms(at_ms, crash)
 
-    async def _sleep_unless_crashed(
-        self, backend: backend_state.StandInBackend, for_ms: float
-    ) -> None:
-        """Waits for a duration or until the backend crashes.
-
-        Raises:
-            EngineError: The backend has crashed.
-        """
-        with contextlib.suppress(TimeoutError):
-            async with self._clock.timeout_ms(for_ms):
-                await backend.has_crashed.wait()
-            raise backend.error(client.EngineFault.LOST, "crashed")
-
     def remove_expired_reservations(self) -> None:
         """Removes expired reservations."""
         now_ms = self._clock.now_ms()
@@ -343,16 +388,6 @@
                     del backend.expires_ms[hold]
                     backend.held.pop(hold, None)
 
-    def _reachable_backend(
-        self, endpoint: resources.Endpoint
-    ) -> backend_state.StandInBackend:
-        backend = self.by_name[endpoint.name]
-        if backend.is_unreachable or backend.has_crashed.is_set():
-            raise backend.error(client.EngineFault.UNREACHABLE)
-        if backend.is_replaced:
-            raise backend.error(client.EngineFault.REFUSED_IDENTITY)
-        return backend
-
     def _record_request(
         self,
         backend: backend_state.StandInBackend,
--- a/tests/forwarding/deployments.py
+++ b/tests/forwarding/deployments.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+from collections.abc import Iterable
 import contextlib
 import dataclasses
 import random
@@ -270,6 +271,20 @@
         backend.endpoint = dataclasses.replace(backend.endpoint, **changes)
         self.endpoints.put(backend.name, backend.endpoint)
 
+    def pause(self, names: Iterable[str], *, for_ms: float | None) -> None:
+        """Pauses engines or endpoints, as SIGSTOP and SIGCONT do.
+
+        Args:
+            names: Their names.
+            for_ms: Length of the pause; ``None`` for good.
+        """
+        for name in names:
+            backend = self.backends.by_name[name]
+            backend.pause()
+            if for_ms is not None:
+                at_ms = self.clock.now_ms() + for_ms
+                self.clock.call_at_ms(at_ms, backend.resume)
+
     def revive_crashed(self, *, after_ms: float = 3_000.0) -> None:
         """Restarts engines that crash, under other names.
 
