Stand-ins record their runs, and instances of a deployment can be paused

The histories of silent engines have to tell which engine brought an event and which side closed a connection when, and play a pause of one of our own instances. The stand-ins recorded only that a run began.

A started run now records when each event was written and when its connection closed. An instance that starts with `are_pausable` owns its tasks, and the virtual loop holds them for the time of a pause, as SIGSTOP does; the network between instances knew this already. A deployment's retry budget is an attribute, so that a history can empty it.

--- a/src/jujubewharf/standins/backend_state.py
+++ b/src/jujubewharf/standins/backend_state.py
@@ -17,6 +17,19 @@
 PROOF_HEADER = ("Proof", "engine")
 
 
+@dataclasses.dataclass(slots=True)
+class RunProgress:
+    """What became of a run.
+
+    Attributes:
+        events_ms: Clock times at which events were written, by their number.
+        closed_ms: Clock time at which its connection closed, from either side.
+    """
+
+    events_ms: dict[int, float] = dataclasses.field(default_factory=dict)
+    closed_ms: float = float("inf")
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartedRun:
     """A run that an engine started, with the request data it received."""
@@ -28,6 +41,9 @@
     at_ms: float = 0.0
     account: str | None = None
     headers: calls.Headers = ()
+    progress: RunProgress = dataclasses.field(
+        default_factory=RunProgress, compare=False, repr=False
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -92,10 +92,11 @@
     ) -> AsyncIterator[calls.Reply]:
         """Runs a request; see ``ports.Backends``."""
         backend = await self._processes.connect(
-            endpoint, unheard=lambda found: self._start_run(found, sending)
+            endpoint,
+            unheard=lambda found: self._start_closed_run(found, sending),
         )
         received_ms = self._clock.now_ms()
-        held = self._start_run(backend, sending)
+        run, held = self._start_run(backend, sending)
         request_id = sending.call.request_id
         slot = self._new_id("run")
         backend.held[slot] = held
@@ -118,7 +119,7 @@
                 )
             else:
                 self._notify(backend, received_ms, ends_limit=True)
-                body = self._events(backend, sending)
+                body = self._events(backend, sending, run)
                 yield calls.Reply(
                     backend.status,
                     (backend_state.PROOF_HEADER,),
@@ -126,6 +127,7 @@
                     is_framed=backend.is_framed,
                 )
         finally:
+            run.progress.closed_ms = self._clock.now_ms()
             backend.pauses.when_running(
                 lambda: self._end_run(backend, request_id, slot)
             )
@@ -134,8 +136,11 @@
         self,
         backend: backend_state.StandInBackend,
         sending: calls.OutboundRequest,
-    ) -> int:
-        """Records that a backend starts a run; returns its memory in tokens.
+    ) -> tuple[backend_state.StartedRun, int]:
+        """Records that a backend starts a run.
+
+        Returns:
+            The run, and the memory reserved for it in tokens.
 
         Raises:
             EngineError: It refuses the run.
@@ -143,18 +148,25 @@
         self._record_request(backend, sending)
         self._check_takes_run(backend, sending)
         self.remove_expired_reservations()
-        self.runs.append(
-            backend_state.StartedRun(
-                sending.call.request_id,
-                backend.name,
-                sending.after_event,
-                sending.source is not None,
-                self._clock.now_ms(),
-                sending.call.account,
-                sending.call.headers,
-            )
+        run = backend_state.StartedRun(
+            sending.call.request_id,
+            backend.name,
+            sending.after_event,
+            sending.source is not None,
+            self._clock.now_ms(),
+            sending.call.account,
+            sending.call.headers,
         )
-        return backend.held.pop(sending.hold or "", 0)
+        self.runs.append(run)
+        return run, backend.held.pop(sending.hold or "", 0)
+
+    def _start_closed_run(
+        self,
+        backend: backend_state.StandInBackend,
+        sending: calls.OutboundRequest,
+    ) -> None:
+        run, _ = self._start_run(backend, sending)
+        run.progress.closed_ms = self._clock.now_ms()
 
     def _end_run(
         self, backend: backend_state.StandInBackend, request_id: str, slot: str
@@ -186,6 +198,7 @@
         self,
         backend: backend_state.StandInBackend,
         sending: calls.OutboundRequest,
+        run: backend_state.StartedRun,
     ) -> AsyncIterator[bytes]:
         first = (sending.after_event or 0) + 1
         for number in range(first, backend.events + 1):
@@ -202,6 +215,7 @@
                 await self._processes.sleep_unless_crashed(backend, _ENDLESS_MS)
             if number == backend.skipped_event:
                 continue
+            run.progress.events_ms[number] = self._clock.now_ms()
             yield event(
                 sending.call.request_id, number, backend.software_version
             )
--- a/tests/forwarding/deployments.py
+++ b/tests/forwarding/deployments.py
@@ -6,6 +6,7 @@
 from collections.abc import Coroutine
 from collections.abc import Iterable
 import contextlib
+import contextvars
 import dataclasses
 import random
 from typing import Any
@@ -165,6 +166,8 @@
         older_builds: Instances whose build doesn't read the store's epoch.
         cores: Processor share by instance name; half a core by default.
         cuts: Partitions between single instances and endpoints.
+        retries: Retry budget of the fleet, as in the settings.
+        are_pausable: Whether instances that start can be paused.
     """
 
     def __init__(self, *behind: backend_state.StandInBackend) -> None:
@@ -181,6 +184,8 @@
         self.cores: dict[str, float] = {}
         self.older_builds: set[str] = set()
         self.cuts = endpoint_cuts.EndpointCuts()
+        self.retries = {"ratio": 0.2, "slack": 40, "window_s": 10}
+        self.are_pausable = False
         self._ids = 0
         self._starts = 0
 
@@ -214,7 +219,7 @@
                     "part_count": 24,
                     "group_ttl_ms": 3_000,
                 },
-                retries={"ratio": 0.2, "slack": 40, "window_s": 10},
+                retries=self.retries,
                 stop_within_s=8,
                 processor={"share": self.cores.get(name, 0.5)},
             )
@@ -240,7 +245,12 @@
                 settings, self.clock, adapters, random.Random(name)
             )
             self.instances[name] = instance
-            await instance.start()
+            if self.are_pausable:
+                await asyncio.get_running_loop().create_task(
+                    instance.start(), context=context_of(name)
+                )
+            else:
+                await instance.start()
         await self.clock.sleep_ms(1_100.0)
 
     def _peers(
@@ -285,6 +295,14 @@
                 at_ms = self.clock.now_ms() + for_ms
                 self.clock.call_at_ms(at_ms, backend.resume)
 
+    def pause_instance(self, name: str, *, for_ms: float) -> None:
+        """Pauses an instance that started as one that can be paused."""
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, virtual_time.VirtualLoop)
+        loop.hold(name)
+        at_ms = self.clock.now_ms() + for_ms
+        self.clock.call_at_ms(at_ms, lambda: loop.release(name))
+
     def revive_crashed(self, *, after_ms: float = 3_000.0) -> None:
         """Restarts engines that crash, under other names.
 
@@ -294,11 +312,12 @@
 
         def revive(backend: backend_state.StandInBackend) -> None:
             at_ms = self.clock.now_ms() + after_ms
-            self.clock.call_at_ms(at_ms, lambda: self._start_next(backend))
+            self.clock.call_at_ms(at_ms, lambda: self.start_next(backend))
 
         self.backends.crash_callbacks.append(revive)
 
-    def _start_next(self, crashed: backend_state.StandInBackend) -> None:
+    def start_next(self, crashed: backend_state.StandInBackend) -> None:
+        """Starts an engine in place of one that is gone."""
         self._starts += 1
         name = f"{crashed.name.partition('+')[0]}+{self._starts}"
         endpoint = dataclasses.replace(crashed.endpoint, name=name)
@@ -309,6 +328,7 @@
             events=crashed.events,
             event_ms=crashed.event_ms,
             is_framed=crashed.is_framed,
+            is_streaming=crashed.is_streaming,
         )
         self.backends.by_name[name] = started
         self.endpoints.put(crashed.name, None)
@@ -451,6 +471,13 @@
         await self.start(name, domain=domain, declare=False, is_led=True)
 
 
+def context_of(instance: str) -> contextvars.Context:
+    """Returns a context that stands still while an instance is paused."""
+    context = contextvars.copy_context()
+    context.run(virtual_time.OWNER.set, instance)
+    return context
+
+
 def run(test: Coroutine[Any, Any, Any]) -> Any:
     """Runs a test on a virtual clock."""
     return virtual_time.run(test)
