Histories of silence: more deaths, cuts of every path, retries to spare

The bound on streams of dead engines judged few cases: paths were cut where no stream ran, and half of the streams found no retry left.

A path that is cut is now one with an open stream, for one instance or all, or from all engines. Where deaths come one by one there are no pauses, and the fleet has 200 retries, so that streams must go on.

--- a/tests/leadership/silence_faults.py
+++ b/tests/leadership/silence_faults.py
@@ -102,7 +102,7 @@
     Args:
         world: The deployment.
         rng: Draws all that happens.
-        open_engines: Returns the engines that have open streams.
+        open_paths: Returns the instances and engines of open streams.
         kill_instance: Kills an instance and starts it again.
         change: Changes the configuration or the engines in some way.
         is_sparse: Whether deaths come one by one, for bounds that need quiet.
@@ -113,7 +113,7 @@
         world: deployments.Deployment,
         rng: random.Random,
         *,
-        open_engines: Callable[[], Sequence[str]],
+        open_paths: Callable[[], Sequence[tuple[str, str]]],
         kill_instance: Callable[[str], Awaitable[None]],
         change: Callable[[], Awaitable[None]],
         is_sparse: bool,
@@ -121,7 +121,7 @@
         self.record = Record()
         self._world = world
         self._rng = rng
-        self._open_engines = open_engines
+        self._open_paths = open_paths
         self._kill_instance = kill_instance
         self._change = change
         self._is_sparse = is_sparse
@@ -132,20 +132,16 @@
             self._pause_and_die,
             self._cut_path,
         )
-        self._scenes = (
-            (*deaths, self._pause)
-            if is_sparse
-            else (
-                self._pause,
-                self._pause,
-                self._pause,
-                self._pause_twice,
-                self._pause_twice,
-                self._pause_own,
-                self._kill_leader,
-                *deaths,
-            )
+        silences = (
+            self._pause,
+            self._pause,
+            self._pause,
+            self._pause_twice,
+            self._pause_twice,
+            self._pause_own,
+            self._kill_leader,
         )
+        self._scenes = deaths if is_sparse else (*silences, *deaths)
 
     async def play(self, until_ms: float) -> None:
         """Draws faults and changes until a time, and lets them end."""
@@ -221,7 +217,7 @@
     def _pick(self) -> str | None:
         """Returns an engine, rather one with open streams."""
         living = self._living(resources.Role.DECODE)
-        busy = sorted(set(self._open_engines()) & set(living))
+        busy = sorted({engine for _, engine in self._open_paths()} & {*living})
         return self._rng.choice(busy or living) if living else None
 
     async def _die(self, name: str, kind: Death) -> None:
@@ -282,26 +278,32 @@
         await self._die(name, self._rng.choice(kinds))
 
     async def _cut_path(self) -> None:
-        """Cuts an instance from one engine, or from all, for a while."""
-        instance = self._rng.choice(sorted(self._world.instances))
-        if any(key[0] == instance for key in self.record.cuts):
+        """Cuts one instance or all from an engine, or one from all engines."""
+        living = self._living(resources.Role.DECODE)
+        paths = sorted({p for p in self._open_paths() if p[1] in living})
+        spans = self.record.cuts.values()
+        if not paths or any(
+            s.until_ms > self._now_ms for f in spans for s in f
+        ):
             return
-        name = self._pick()
-        is_all = self._rng.random() < 0.3
-        names = None if is_all or name is None else [name]
+        instance, engine = self._rng.choice(paths)
+        instances, engines = self._rng.choice(
+            (
+                ([instance], [engine]),
+                (sorted(self._world.instances), [engine]),
+                ([instance], sorted(self._world.backends.by_name)),
+            )
+        )
         kind = self._rng.choice(list(endpoint_cuts.CutKind))
-        self._world.cuts.begin(instance, kind, endpoints=names)
-        spans = [
-            self.record.cuts.setdefault((instance, engine), [])
-            for engine in names or self._world.backends.by_name
-        ]
         span = Span(self._now_ms, kind=kind.value)
-        for found in spans:
-            found.append(span)
-        if instance == self._world.leader:
+        for name in instances:
+            self._world.cuts.begin(name, kind, endpoints=engines)
+            for found in engines:
+                self.record.cuts.setdefault((name, found), []).append(span)
+        if len(engines) > 1 and instance == self._world.leader:
             self.record.turmoil.append(span)
         await self._world.clock.sleep_ms(self._rng.uniform(500.0, 3_000.0))
-        self._world.cuts.end(instance)
+        self._world.cuts.end(*instances)
         span.until_ms = self._now_ms
 
     async def _pause_own(self) -> None:
--- a/tests/leadership/silence_histories.py
+++ b/tests/leadership/silence_histories.py
@@ -49,6 +49,8 @@
 PATIENCE_TARGETS = 4.0
 PATIENCE_GAPS = 8.0
 _WATCH_MS = 100.0
+# Retries of the fleet in ten seconds that suffice for all streams of an engine.
+_PLENTY = 200
 
 
 class History:
@@ -68,11 +70,12 @@
     async def play(self) -> dict[str, list[str]]:
         """Plays the history and returns what broke a bound, by bound."""
         rng = self._rng
-        is_sparse = rng.random() < 0.3
+        is_sparse = rng.random() < 0.4
         world = deployments.Deployment(*silence_world.backends())
         world.are_pausable = True
-        if not is_sparse:
-            world.retries["slack"] = rng.choice((40, 40, 0))
+        # Plenty where streams must go on, else little or none.
+        slack = _PLENTY if is_sparse else rng.choice((40, 40, 0))
+        world.retries = world.retries | {"slack": slack}
         if rng.random() < 0.4:
             world.older_builds.add(rng.choice(NAMES))
         self._world = world
@@ -92,7 +95,7 @@
         self._faults = faults.Faults(
             world,
             self._rng,
-            open_engines=self._open_engines,
+            open_paths=self._open_paths,
             kill_instance=self._kill,
             change=changes.change,
             is_sparse=is_sparse,
@@ -128,10 +131,17 @@
             if from_ms - _WATCH_MS <= at_ms <= until_ms + _WATCH_MS
         )
 
-    def _open_engines(self) -> Sequence[str]:
-        open_ids = {a.request_id for a in self._asked if a.ended_ms > 1e12}
-        runs = self._world.backends.runs
-        return [r.engine for r in runs if r.request_id in open_ids]
+    def _open_paths(self) -> Sequence[tuple[str, str]]:
+        instances = {
+            asked.request_id: asked.instance
+            for asked in self._asked
+            if asked.ended_ms > self._world.clock.now_ms()
+        }
+        return [
+            (instances[run.request_id], run.engine)
+            for run in self._world.backends.runs
+            if run.request_id in instances
+        ]
 
     async def _call(self, until_ms: float, *, is_sparse: bool) -> None:
         """Has callers ask all instances for all kinds of answers."""
@@ -212,8 +222,9 @@
 
     async def _kill(self, name: str) -> None:
         """Kills an instance and starts it again without any of its state."""
+        now_ms = self._world.clock.now_ms()
         for asked in self._asked:
-            if asked.instance == name and asked.ended_ms > 1e12:
+            if asked.instance == name and asked.ended_ms > now_ms:
                 asked.is_left = True
         for reading in self._reading.pop(name, set()):
             reading.cancel()
