Soak: streams on which two engines work at once are shown

A stream that goes on at another engine while the one before still works on it for over 0.4 s is listed, without the time for which the first was paused.

--- a/tests/real_processes/checks.py
+++ b/tests/real_processes/checks.py
@@ -8,10 +8,13 @@
 from tests.real_processes import callers
 from tests.real_processes import configurations
 from tests.real_processes import deployment as deployments
+from tests.real_processes import disturbances
 
 # An instance that was told to stop may cut what its engines still work on in
 # the last sixth of its time.
 _CUT_FROM_S = deployments.STOP_WITHIN_S * 5 / 6
+# Time for which two engines may work on a stream while it moves.
+_AT_ONCE_S = 0.4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -22,6 +25,8 @@
         violations: Broken bounds, one line each.
         unanswered: Requests that didn't run and whose connection was closed
             without an answer, one line each; those that crossed a close.
+        doubled: Streams on which two engines worked at once for long, one line
+            each.
         ends: Number of exchanges by end.
         refused: Number of requests that were refused and didn't run.
         left_engines: Runs of engines whose connection was closed before they
@@ -30,6 +35,7 @@
 
     violations: list[str]
     unanswered: list[str]
+    doubled: list[str]
     ends: collections.Counter[str]
     refused: int
     left_engines: int
@@ -38,6 +44,10 @@
     def whole(self) -> int:
         return self.ends["whole"]
 
+    def lines(self) -> list[str]:
+        """Returns all that is worth a look, violations first."""
+        return [*self.violations, *self.unanswered, *self.doubled]
+
     def __str__(self) -> str:
         ends = ", ".join(f"{n} {end}" for end, n in sorted(self.ends.items()))
         return (
@@ -47,17 +57,21 @@
 
 
 def check(
-    exchanges: list[callers.Exchange], runs: dict[str, list[dict]]
+    exchanges: list[callers.Exchange],
+    runs: dict[str, list[dict]],
+    pauses: list[disturbances.Pause],
 ) -> Report:
     """Checks all exchanges against what the engines noted.
 
     Args:
         exchanges: What callers saw.
         runs: Notes of the engines by request id.
+        pauses: Pauses of engines.
     """
     ends: collections.Counter[str] = collections.Counter()
     violations: list[str] = []
     unanswered: list[str] = []
+    doubled: list[str] = []
     refused = 0
     for exchange in exchanges:
         notes = runs.get(exchange.request_id, [])
@@ -70,10 +84,12 @@
             violations.append(_line(exchange, "ended early", notes))
         elif not has_run and not exchange.status and not _was_cut(exchange):
             unanswered.append(_line(exchange, "unanswered", notes))
+        if _worked_at_once_s(notes, pauses) > _AT_ONCE_S:
+            doubled.append(_line(exchange, "worked on twice", notes))
         if exchange.route in configurations.RUN_ONCE and _count(notes) > 1:
             violations.append(_line(exchange, "ran twice", notes))
     left = sum(n["what"] == "closed" for notes in runs.values() for n in notes)
-    return Report(violations, unanswered, ends, refused, left)
+    return Report(violations, unanswered, doubled, ends, refused, left)
 
 
 def _ended_early(exchange: callers.Exchange, has_run: bool) -> bool:
@@ -95,6 +111,39 @@
     return any(exchange.sent_s <= cut_s <= exchange.ended_s for cut_s in cuts_s)
 
 
+def _worked_at_once_s(
+    notes: list[dict], pauses: list[disturbances.Pause]
+) -> float:
+    """Returns for how long an engine worked on what another went on with."""
+    works = _works(notes)
+    longest_s = 0.0
+    for engine, from_s, until_s in works:
+        for other, other_from_s, other_until_s in works:
+            if engine == other or not from_s < other_from_s < until_s:
+                continue
+            end_s = min(until_s, other_until_s)
+            paused_s = sum(
+                max(0.0, min(end_s, p.until_s) - max(other_from_s, p.from_s))
+                for p in pauses
+                if p.name == engine
+            )
+            longest_s = max(longest_s, end_s - other_from_s - paused_s)
+    return longest_s
+
+
+def _works(notes: list[dict]) -> list[tuple[str, float, float]]:
+    """Returns engine, begin and end of each run of a request."""
+    begun: dict[str, float] = {}
+    works = []
+    for note in notes:
+        engine, at_s = note["engine"], note["at_s"]
+        if note["what"] == "began":
+            begun[engine] = at_s
+        else:
+            works.append((engine, begun.pop(engine, at_s), at_s))
+    return works
+
+
 def _count(notes: list[dict]) -> int:
     return sum(note["what"] == "began" for note in notes)
 
--- a/tests/real_processes/play.py
+++ b/tests/real_processes/play.py
@@ -84,7 +84,7 @@
             await asyncio.gather(*tasks, return_exceptions=True)
         runs = deployment.runs()
         return Outcome(
-            checks.check(exchanges, runs),
+            checks.check(exchanges, runs, disturbing.pauses),
             _met_pauses(runs, disturbing.pauses),
             disturbing.done,
         )
--- a/tests/soak_processes.py
+++ b/tests/soak_processes.py
@@ -147,7 +147,7 @@
             report = outcome.report
             print(f"seed {seed}: {size}, {len(outcome.done)} disturbances")
             print(f"  {report}; {outcome.met_pauses} runs met a pause")
-            for line in [*report.violations, *report.unanswered]:
+            for line in report.lines():
                 print(f"  {line}", flush=True)
             ends += report.ends
             broken += bool(report.violations)
