--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -43,8 +43,8 @@
 # Timeout for a permit or trial. Another endpoint may serve the request sooner,
 # and latency targets of plain requests are some tenths of a second.
 _GRANT_TIMEOUT_MS = 100.0
-# Timeout for where a stream began. Without an answer its caller must begin anew,
-# and callers leave a stream after two seconds without an event.
+# Timeout for where a stream began. Without an answer its caller must begin
+# anew, and callers leave a stream after two seconds without an event.
 _ORIGIN_TIMEOUT_MS = 1_000.0
 # Timeout for a whole configuration: some tens of kilobytes over a link of some
 # Mbit/s.
