Draw crashes inside answers without a length, and check that answers are whole

What callers saw: an engine that crashes inside an answer without a length ends its connection as if the answer were whole, and the part that had arrived was passed on as a success.

Why no generator drew it: the random faults never crashed an engine, all of their answers had a length, and a stream counted as right if its events were numbered from 1 on, however few; the bodies of plain answers weren't looked at. The histories of partitions looked at streams only, and crashed nothing.

Now answers without a length are drawn, plain ones of them are written in pieces, engines crash while they write, and come back. An answer that ends like a whole one has to be whole; that is stricter for each answer than before. The histories of partitions check it for calls through peers also.

--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -22,6 +23,8 @@
 from jujubewharf.standins import backend_state
 
 _ENDLESS_MS = 1e9
+# Pieces in which a plain answer without a length is written.
+_PIECES = 4
 
 
 class StandInBackends:
@@ -116,7 +119,7 @@
             if backend.is_silent:
                 await self._clock.sleep_ms(_ENDLESS_MS)
             is_plain = backend.endpoint.role is resources.Role.PLAIN
-            if is_plain and not backend.is_streaming:
+            if is_plain and not backend.is_streaming and backend.is_framed:
                 await self._process(backend, sending.call)
                 self._notify(backend, received_ms, ends_limit=True)
                 yield calls.Reply(
@@ -126,13 +129,19 @@
                 )
             else:
                 self._notify(backend, received_ms, ends_limit=True)
-                body = self._events(backend, sending)
-                yield calls.Reply(
-                    backend.status,
-                    (backend_state.PROOF_HEADER,),
-                    body,
-                    is_framed=backend.is_framed,
+                is_framed = backend.is_framed
+                body = (
+                    self._pieces(backend, sending.call)
+                    if is_plain and not backend.is_streaming
+                    else self._events(backend, sending, is_framed=is_framed)
                 )
+                async with contextlib.aclosing(body):
+                    yield calls.Reply(
+                        backend.status,
+                        (backend_state.PROOF_HEADER,),
+                        body,
+                        is_framed=is_framed,
+                    )
         finally:
             backend.running_requests.discard(request_id)
             backend.held.pop(slot, None)
@@ -161,13 +170,15 @@
         self,
         backend: backend_state.StandInBackend,
         sending: calls.OutboundRequest,
-    ) -> AsyncIterator[bytes]:
+        *,
+        is_framed: bool,
+    ) -> AsyncGenerator[bytes, None]:
         first = (sending.after_event or 0) + 1
         for number in range(first, backend.events + 1):
             try:
                 await self._sleep_unless_crashed(backend, backend.event_ms)
             except client.EngineError:
-                if backend.is_framed:
+                if is_framed:
                     raise
                 # The end of the connection is the end of such a body.
                 return
@@ -187,6 +198,23 @@
             if number == backend.stalls_after:
                 await self._clock.sleep_ms(_ENDLESS_MS)
 
+    async def _pieces(
+        self, backend: backend_state.StandInBackend, call: calls.Call
+    ) -> AsyncGenerator[bytes, None]:
+        """Yields the body of a plain answer without a length, as it is made.
+
+        If the backend crashes the body just ends, as its connection does.
+        """
+        whole = call.request_id.encode()
+        piece_ms = self._response_ms(backend, call) / _PIECES
+        size = max(1, -(-len(whole) // _PIECES))
+        for start in range(0, len(whole), size):
+            try:
+                await self._sleep_unless_crashed(backend, piece_ms)
+            except client.EngineError:
+                return
+            yield whole[start : start + size]
+
     async def prefill(
         self, endpoint: resources.Endpoint, sending: calls.OutboundRequest
     ) -> calls.PrefillSource:
--- a/tests/endpoint_paths/cut_histories.py
+++ b/tests/endpoint_paths/cut_histories.py
@@ -1,5 +1,8 @@
 """Seeded histories of partitions between instances and endpoints.
 
+Beside them endpoints crash, drain and stall, and the leader is restarted. The
+answers of some endpoints have no length and end with their connection.
+
     .venv/bin/python -m tests.endpoint_paths.cut_histories 200
 
 plays the seeds from 0 on and prints those that break a rule.
@@ -17,6 +20,7 @@
 
 from jujubewharf import errors
 from jujubewharf.configuration import resources
+from jujubewharf.standins import backend_state
 from jujubewharf.standins import endpoint_cuts
 from tests.endpoint_paths import cut_offs
 from tests.forwarding import deployments
@@ -32,6 +36,10 @@
 # Until calls, reservations and reported runs have ended.
 ENDED_MS = 9_000.0
 EVENTS = 5
+# Share of the endpoints whose answers have no length.
+UNFRAMED_SHARE = 0.5
+# Crashed endpoints come back after this.
+RESTART_MS = 1_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,6 +80,9 @@
         """Plays the history and returns the rules that were broken."""
         async with cut_offs.deployed(*NAMES) as world:
             self._world = world
+            world.revive_crashed(after_ms=RESTART_MS)
+            for backend in world.backends.by_name.values():
+                backend.is_framed = self._rng.random() >= UNFRAMED_SHARE
             until_ms = world.clock.now_ms() + LENGTH_MS
             trouble = asyncio.ensure_future(self._trouble(until_ms))
             calls = asyncio.ensure_future(self._call(until_ms))
@@ -122,6 +133,8 @@
                     self._restart_leader,
                     self._drain_endpoint,
                     self._stall_endpoint,
+                    self._crash_endpoint,
+                    self._crash_endpoint,
                 )
             )
             await event()
@@ -172,18 +185,19 @@
 
     async def _drain_endpoint(self) -> None:
         """Has a plain endpoint drain for some seconds."""
-        name = self._rng.choice(("s-a", "s-b"))
-        backend = self._world.backends.by_name[name]
+        backend = self._choose_running("s-")
         self._world.register(backend, drained=True)
         at_ms = self._world.clock.now_ms() + 3_000.0
-        self._world.clock.call_at_ms(
-            at_ms, lambda: self._world.register(backend, drained=False)
-        )
+
+        def go_on() -> None:
+            if not backend.has_crashed.is_set():
+                self._world.register(backend, drained=False)
+
+        self._world.clock.call_at_ms(at_ms, go_on)
 
     async def _stall_endpoint(self) -> None:
         """Has a plain endpoint take a second for each call for a while."""
-        name = self._rng.choice(("t-a", "t-b"))
-        backend = self._world.backends.by_name[name]
+        backend = self._choose_running("t-")
         backend.work_ms = 1_000.0
         at_ms = self._world.clock.now_ms() + 1_000.0
 
@@ -192,6 +206,21 @@
 
         self._world.clock.call_at_ms(at_ms, go_on)
 
+    async def _crash_endpoint(self) -> None:
+        """Crashes an endpoint while it writes an answer, if one does."""
+        writing = [b for b in self._running() if b.running_requests]
+        victim = self._rng.choice(writing or self._running())
+        self._world.backends.crash(victim)
+
+    def _choose_running(self, prefix: str) -> backend_state.StandInBackend:
+        """Chooses an endpoint that hasn't crashed, by the start of its name."""
+        fitting = [b for b in self._running() if b.name.startswith(prefix)]
+        return self._rng.choice(fitting or self._running())
+
+    def _running(self) -> list[backend_state.StandInBackend]:
+        behind = self._world.backends.by_name.values()
+        return [b for b in behind if not b.has_crashed.is_set()]
+
     def _check_served(self) -> list[str]:
         """Checks the users' bound on first tries at partitioned instances."""
         cut = [a for a in self.asked if a.is_cut]
@@ -219,11 +248,8 @@
             error = asked.answer.error
             if error is not None and error.ran is errors.Ran.NO and runs:
                 broken.append(f"{asked.request_id} not run, but ran")
-            is_stream = "verdicts" in asked.path or "once" in asked.path
-            if asked.answer.status == 200 and error is None and is_stream:
-                if asked.answer.numbers != list(range(1, EVENTS + 1)):
-                    if asked.answer.took_ms < 4_000.0:
-                        broken.append(f"{asked.request_id} isn't whole")
+            if asked.answer.is_ended and not _is_whole(asked):
+                broken.append(f"{asked.request_id} isn't whole")
         return broken
 
     def _left(self) -> list[str]:
@@ -243,6 +269,13 @@
         return left
 
 
+def _is_whole(asked: Asked) -> bool:
+    """Whether an answer that ended like a whole one is whole."""
+    if asked.path.startswith(("/verdicts/", "/once/")):
+        return asked.answer.numbers == list(range(1, EVENTS + 1))
+    return asked.answer.body == asked.request_id.encode()
+
+
 def play(seed: int) -> list[str]:
     """Plays one history and returns the rules that were broken."""
     return deployments.run(History(seed).play())
--- a/tests/forwarding/deployments.py
+++ b/tests/forwarding/deployments.py
@@ -130,6 +130,7 @@
         error: The error, if the request failed.
         first_ms: Time until the head arrived.
         took_ms: Time until the answer ended.
+        is_ended: Whether the body came to its end, as a whole one does.
     """
 
     status: int | None = None
@@ -137,6 +138,7 @@
     error: errors.WharfError | None = None
     first_ms: float = 0.0
     took_ms: float = 0.0
+    is_ended: bool = False
 
     @property
     def numbers(self) -> list[int]:
@@ -351,6 +353,7 @@
                 answer.first_ms = self.clock.now_ms() - call.arrived_ms
                 async for part in reply.body:
                     answer.body += part
+                answer.is_ended = True
         except errors.WharfError as error:
             answer.error = error
 
--- a/tests/forwarding/test_random_faults.py
+++ b/tests/forwarding/test_random_faults.py
@@ -1,8 +1,9 @@
 """Random faults and callers: checks invariants in every run.
 
 Engines crash, hang, refuse, lose answers, change roles and drain; the store and
-single instances are cut off. Each seed is one reproducible run on the virtual
-clock.
+single instances are cut off. Some answers have no length and end with their
+connection, as they also do if their engine crashes. Each seed is one
+reproducible run on the virtual clock.
 """
 
 from __future__ import annotations
@@ -21,8 +22,13 @@
 DOMAINS = "abc"
 PATHS = ("/verdicts/", "/once/", "/lookup/", "/sale/")
 ONCE = ("/once/", "/sale/")
+STREAMS = PATHS[:2]
 # Share of the faults that affect the leader.
 LEADER_PART = 0.35
+# Events of a whole stream.
+EVENTS = 5
+# Crashed engines come back after this.
+RESTART_MS = 1_000.0
 
 
 def _behind() -> list[backend_state.StandInBackend]:
@@ -31,6 +37,8 @@
         found.append(deployments.prefill_engine(f"p{number}", domain))
         found.append(deployments.decode_engine(f"d{number}", domain))
         found.append(deployments.plain_endpoint(f"s{number}", domain))
+    for backend in found:
+        backend.events = EVENTS
     return found
 
 
@@ -77,8 +85,9 @@
     def _strike(self) -> None:
         rng = self._rng
         behind = list(self._world.backends.by_name.values())
-        victim = rng.choice(behind)
-        match rng.randrange(10):
+        alive = [b for b in behind if not b.has_crashed.is_set()]
+        victim = rng.choice(alive)
+        match rng.randrange(14):
             case 0:
                 victim.is_unreachable = not victim.is_unreachable
             case 1:
@@ -101,6 +110,24 @@
                 self._world.configurations.is_down ^= True
             case 9:
                 self._world.groups.cut_off ^= {rng.choice(["e1", "e2"])}
+            case 10 | 11:
+                victim.is_framed = not victim.is_framed
+            case 12 | 13:
+                self._crash_inside_an_answer(victim)
+
+    def _crash_inside_an_answer(
+        self, victim: backend_state.StandInBackend
+    ) -> None:
+        """Crashes a backend, one that writes an answer if there is any."""
+        behind = self._world.backends.by_name.values()
+        writing = [
+            backend
+            for backend in behind
+            if backend.running_requests and not backend.has_crashed.is_set()
+        ]
+        if writing:
+            victim = self._rng.choice(writing)
+        self._world.backends.crash(victim)
 
 
 async def _callers(
@@ -132,6 +159,7 @@
 def test_invariants(seed):
     async def main():
         world = deployments.Deployment(*_behind())
+        world.revive_crashed(after_ms=RESTART_MS)
         await world.start("e1", "e2")
         chaos = asyncio.create_task(_Chaos(world, seed).run())
         asked = await _callers(world, seed)
@@ -149,6 +177,7 @@
 
     async def main():
         world = deployments.Deployment(*_behind())
+        world.revive_crashed(after_ms=RESTART_MS)
         await world.start("e1", "e2", is_led=True)
         await world.start("e3", domain="b", declare=False, is_led=True)
         chaos = asyncio.create_task(_Chaos(world, seed).run_led())
@@ -196,3 +225,10 @@
         return
     numbers = answer.numbers
     assert numbers == list(range(1, len(numbers) + 1))
+    if not answer.is_ended or answer.status != 200:
+        return
+    # A part of an answer doesn't end like a whole one.
+    if path in STREAMS:
+        assert len(numbers) == EVENTS, f"{request_id} isn't whole"
+    else:
+        assert answer.body == request_id.encode(), f"{request_id} isn't whole"
