Take an answer without a length for whole only if its process runs on

What callers saw: an engine or plain endpoint was killed inside an answer with neither length nor chunks. The part that had arrived was passed on as a whole success, with a Content-Length of its own; streams ended as complete. Calls through a peer and the own edge did the same.

Cause, as a class: the end of a connection counted as the end of an answer in four places, each for itself. Only one of them (crash detection) asked whether the process was gone, and used what it heard for the crash record alone. The own edge's session even took a reset for the end of such a body.

Now `engines.answer_ends` alone decides what an end, a reset, a crash and silence mean, for plain calls, streams, calls through a peer and the own edge. 20 ms after an end without framing the process is looked for by a connect: one that listens has ended its answer itself; if none does, or nobody can tell within three looks, the answer is lost. Where this instance can't tell, a peer is asked; a peer that makes a call sends its end only for a whole answer, and the end of a peer of an older build is checked here. A lost answer that was still buffered is tried again where the route allows it, else it is reported as of unknown outcome; one that was begun breaks off; a resumable stream goes on elsewhere. The own edge resets the connection then, as the platform's edge does, so that the end doesn't look like one to callers of HTTP/1.0 either.

The crash record stays: a lost answer is followed by the same look as before (`has_crashed`). A connect that is reset shows a process that listens, or whole answers of endpoints that accept no more connections were lost; for the crash record it counts as before. `read_body` and `is_framed` move from `http_calls`; a response without a body (HEAD, 204, 304) is framed by its head.

--- a/src/jujubewharf/callers/plain.py
+++ b/src/jujubewharf/callers/plain.py
@@ -119,12 +119,12 @@
         except errors.WharfError as error:
             if response is None:
                 return error_responses.response_from(error)
-            # The status has already been sent. The connection is closed
-            # without the end of the body, so that the truncated response is
-            # not taken for a complete one.
+            # The status has already been sent. The connection is reset, so
+            # that the truncated response isn't taken for a complete one, also
+            # if it ends with its connection.
             error_responses.count_error(error.kind)
             if request.transport is not None:
-                request.transport.close()
+                request.transport.abort()
         assert response is not None
         return response
 
--- a/src/jujubewharf/endpoint_paths/observed_backends.py
+++ b/src/jujubewharf/endpoint_paths/observed_backends.py
@@ -10,6 +10,7 @@
 from jujubewharf.configuration import resources
 from jujubewharf.endpoint_paths import reachability as reachabilities
 from jujubewharf.engines import client
+from jujubewharf.engines import liveness
 from jujubewharf.engines import notices
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import ports
@@ -122,6 +123,12 @@
         """Whether an endpoint's process is gone; see ``ports.Backends``."""
         return await self._backends.has_crashed(endpoint)
 
+    async def process_state(
+        self, endpoint: resources.Endpoint
+    ) -> liveness.ProcessState:
+        """Whether an endpoint's process exists; see ``ports.Backends``."""
+        return await self._backends.process_state(endpoint)
+
     async def order_role(
         self, endpoint: resources.Endpoint, order: ports.RoleOrder
     ) -> None:
--- a/src/jujubewharf/endpoint_paths/relay_server.py
+++ b/src/jujubewharf/endpoint_paths/relay_server.py
@@ -17,6 +17,7 @@
 from jujubewharf.endpoint_paths import path_log
 from jujubewharf.endpoint_paths import reachability as reachabilities
 from jujubewharf.endpoint_paths import relay_streams
+from jujubewharf.endpoint_paths import whole_replies
 from jujubewharf.engines import client
 from jujubewharf.forwarding import registry as registries
 from jujubewharf.leaving import shutdown
@@ -226,7 +227,10 @@
         stream: relay_streams.RelayStream,
         notices: observed_backends.CapturedNotices,
     ) -> None:
-        async with self._backends.send(endpoint, call.outbound) as reply:
+        async with self._backends.send(endpoint, call.outbound) as received:
+            reply = whole_replies.with_certain_end(
+                received, endpoint, self._backends.process_state, self._clock
+            )
             await stream.send(
                 relay_messages.RelayedHead(
                     reply.status,
--- a/src/jujubewharf/endpoint_paths/relayed_backends.py
+++ b/src/jujubewharf/endpoint_paths/relayed_backends.py
@@ -21,7 +21,9 @@
 from jujubewharf.endpoint_paths import observed_backends
 from jujubewharf.endpoint_paths import reachability as reachabilities
 from jujubewharf.endpoint_paths import relay_client
+from jujubewharf.endpoint_paths import whole_replies
 from jujubewharf.engines import client
+from jujubewharf.engines import liveness
 from jujubewharf.engines import notices
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import ports
@@ -76,7 +78,9 @@
                     relay.send(endpoint, self._remaining(outbound, began_ms))
                 ),
             )
-            yield reply
+            yield whole_replies.with_certain_end(
+                reply, endpoint, self.process_state, self._clock
+            )
 
     async def prefill(
         self, endpoint: resources.Endpoint, outbound: calls.OutboundRequest
@@ -152,6 +156,22 @@
         except client.EngineError:
             return not self._reachability.is_cut_off(endpoint)
 
+    async def process_state(
+        self, endpoint: resources.Endpoint
+    ) -> liveness.ProcessState:
+        """Whether an endpoint's process exists; see ``ports.Backends``.
+
+        A peer is asked where this instance can't tell.
+        """
+        state = await self._direct.process_state(endpoint)
+        if state is not liveness.ProcessState.UNKNOWN or self.relay is None:
+            return state
+        kind = relay_messages.CheckKind.REACHABLE
+        with contextlib.suppress(client.EngineError):
+            if await self.relay.check(endpoint, kind):
+                return liveness.ProcessState.RUNNING
+        return state
+
     async def order_role(
         self, endpoint: resources.Endpoint, order: ports.RoleOrder
     ) -> None:
--- a/src/jujubewharf/engines/http_calls.py
+++ b/src/jujubewharf/engines/http_calls.py
@@ -64,28 +64,6 @@
         raise lost(endpoint, type(error).__name__) from error
 
 
-def is_framed(response: aiohttp.ClientResponse) -> bool:
-    """Returns whether a response states where its body ends."""
-    return "Content-Length" in response.headers or (
-        "chunked" in response.headers.get("Transfer-Encoding", "").lower()
-    )
-
-
-async def read_body(
-    response: aiohttp.ClientResponse, endpoint: resources.Endpoint
-) -> AsyncIterator[bytes]:
-    """Yields the parts of a body as they arrive.
-
-    Raises:
-        client.EngineError: The connection broke.
-    """
-    try:
-        async for part in response.content.iter_any():
-            yield part
-    except (aiohttp.ClientError, OSError) as error:
-        raise lost(endpoint, type(error).__name__) from error
-
-
 @contextlib.asynccontextmanager
 async def time_limit(
     clock: clocks.Clock,
--- a/src/jujubewharf/engines/http_endpoint.py
+++ b/src/jujubewharf/engines/http_endpoint.py
@@ -8,13 +8,15 @@
 import aiohttp
 import yarl
 
+from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
+from jujubewharf.engines import answer_ends
 from jujubewharf.engines import client
 from jujubewharf.engines import endpoint_client
+from jujubewharf.engines import liveness
 
 REQUEST_HEADER = "X-Request-Id"
 CONNECT_TIMEOUT_S = 1.0
-_CHUNK_BYTES = 65_536
 # aiohttp adds these headers if the caller sent none. The endpoint might then
 # compress a response for a caller that cannot decode it.
 _SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
@@ -52,10 +54,15 @@
     Args:
         session: Not shared with engine calls, so that plain calls never wait
             for a connection behind model requests.
+        clock: Time source.
     """
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self, session: aiohttp.ClientSession, clock: clocks.Clock
+    ) -> None:
         self._session = session
+        self._clock = clock
+        self._checks = liveness.ProcessChecks(clock)
 
     @contextlib.asynccontextmanager
     async def call(
@@ -72,9 +79,19 @@
             yield endpoint_client.PlainReply(
                 status=upstream.status,
                 headers=tuple(upstream.headers.items()),
-                body=_body(upstream, endpoint.name),
+                body=self._body(upstream, endpoint),
             )
 
+    def _body(
+        self, upstream: aiohttp.ClientResponse, endpoint: resources.Endpoint
+    ) -> AsyncIterator[bytes]:
+        body = answer_ends.read_body(upstream, endpoint)
+        if answer_ends.is_framed(upstream):
+            return body
+        return answer_ends.whole_body(
+            body, endpoint, self._checks.process_state, self._clock
+        )
+
     async def _send(
         self,
         endpoint: resources.Endpoint,
@@ -98,13 +115,3 @@
         except aiohttp.ClientError as error:
             fault = client.EngineFault.LOST
             raise client.EngineError(fault, endpoint.name) from error
-
-
-async def _body(
-    upstream: aiohttp.ClientResponse, name: str
-) -> AsyncIterator[bytes]:
-    try:
-        async for chunk in upstream.content.iter_chunked(_CHUNK_BYTES):
-            yield chunk
-    except aiohttp.ClientError as error:
-        raise client.EngineError(client.EngineFault.LOST, name) from error
--- a/src/jujubewharf/engines/liveness.py
+++ b/src/jujubewharf/engines/liveness.py
@@ -6,6 +6,7 @@
 import enum
 
 from jujubewharf import clock as clocks
+from jujubewharf.configuration import resources
 
 # Connecting within a region takes a few milliseconds. Across a network
 # partition there is no reply, and the waiting request could continue on another
@@ -13,12 +14,35 @@
 _CONNECT_TIMEOUT_MS = 150.0
 
 
+class ProcessState(enum.Enum):
+    """Whether the process of an endpoint exists.
+
+    ``RUNNING``: a process listens. ``GONE``: none does. ``UNKNOWN``: the host
+    doesn't reply, or isn't reached from here.
+    """
+
+    RUNNING = "running"
+    GONE = "gone"
+    UNKNOWN = "unknown"
+
+
 class _ConnectOutcome(enum.Enum):
     ACCEPTED = "accepted"
     REFUSED = "refused"
+    RESET = "reset"
     UNCLEAR = "unclear"
 
 
+_STATES = {
+    _ConnectOutcome.ACCEPTED: ProcessState.RUNNING,
+    _ConnectOutcome.REFUSED: ProcessState.GONE,
+    # The connection was there before it was reset: a process listens, and has
+    # as many connections as it accepts.
+    _ConnectOutcome.RESET: ProcessState.RUNNING,
+    _ConnectOutcome.UNCLEAR: ProcessState.UNKNOWN,
+}
+
+
 async def accepts_connections(address: str, clock: clocks.Clock) -> bool:
     """Whether an address accepts connections.
 
@@ -39,7 +63,31 @@
         address: ``IP:PORT``.
         clock: Time source.
     """
-    return await _connect(address, clock) is _ConnectOutcome.REFUSED
+    outcome = await _connect(address, clock)
+    return outcome in (_ConnectOutcome.REFUSED, _ConnectOutcome.RESET)
+
+
+class ProcessChecks:
+    """Checks endpoints by connecting; see ``ports.Backends``.
+
+    Args:
+        clock: Time source.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+
+    async def is_reachable(self, endpoint: resources.Endpoint) -> bool:
+        """Whether the endpoint accepts connections."""
+        return await accepts_connections(endpoint.address, self._clock)
+
+    async def has_crashed(self, endpoint: resources.Endpoint) -> bool:
+        """Whether the endpoint's process is gone."""
+        return await refuses_connections(endpoint.address, self._clock)
+
+    async def process_state(self, endpoint: resources.Endpoint) -> ProcessState:
+        """Returns the state of the endpoint's process."""
+        return _STATES[await _connect(endpoint.address, self._clock)]
 
 
 async def _connect(address: str, clock: clocks.Clock) -> _ConnectOutcome:
@@ -48,8 +96,10 @@
     try:
         async with clock.timeout_ms(_CONNECT_TIMEOUT_MS):
             _, writer = await asyncio.open_connection(host, int(port))
-    except (ConnectionRefusedError, ConnectionResetError):
+    except ConnectionRefusedError:
         return _ConnectOutcome.REFUSED
+    except ConnectionResetError:
+        return _ConnectOutcome.RESET
     except OSError:
         # A timeout, a missing route or a lack of local file descriptors says
         # nothing about the engine.
--- a/src/jujubewharf/engines/sessions.py
+++ b/src/jujubewharf/engines/sessions.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import functools
+from typing import Any
 
 import aiohttp
 from aiohttp import client_proto
@@ -48,12 +49,9 @@
     connections.
     """
     connector = (
-        aiohttp.TCPConnector(limit=0, keepalive_timeout=_KEEPALIVE_S)
+        new_connector(keepalive_timeout=_KEEPALIVE_S)
         if keep_alive
-        else aiohttp.TCPConnector(limit=0, force_close=True)
-    )
-    connector._factory = functools.partial(  # type: ignore[assignment]
-        _CheckedProtocol, loop=connector._loop
+        else new_connector(force_close=True)
     )
     return aiohttp.ClientSession(
         connector=connector,
@@ -64,3 +62,16 @@
             total=None, sock_connect=_CONNECT_TIMEOUT_S
         ),
     )
+
+
+def new_connector(**options: Any) -> aiohttp.TCPConnector:
+    """Creates a connector without a limit that reports resets within bodies.
+
+    Args:
+        **options: Further options of ``aiohttp.TCPConnector``.
+    """
+    connector = aiohttp.TCPConnector(limit=0, **options)
+    connector._factory = functools.partial(  # type: ignore[assignment]
+        _CheckedProtocol, loop=connector._loop
+    )
+    return connector
--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -15,6 +15,7 @@
 from jujubewharf.engines import client
 from jujubewharf.engines import http as engine_http
 from jujubewharf.engines import http_endpoint
+from jujubewharf.engines import sessions
 from jujubewharf.leaving import shutdown
 from jujubewharf.operators import server as operator_server
 from jujubewharf.operators import service as operator_service
@@ -112,7 +113,7 @@
     def _new_session(self) -> aiohttp.ClientSession:
         """Creates a client session with a separate connection pool."""
         session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
+            connector=sessions.new_connector(),
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=http_endpoint.CONNECT_TIMEOUT_S
             ),
@@ -141,6 +142,8 @@
                 platform.weight_store_url, session, self._clock
             ),
             make_engine_client=make_engine_client,
-            endpoints=http_endpoint.HttpEndpointClient(self._new_session()),
+            endpoints=http_endpoint.HttpEndpointClient(
+                self._new_session(), self._clock
+            ),
             transport=transport,
         )
--- a/src/jujubewharf/forwarding/crash_detection.py
+++ b/src/jujubewharf/forwarding/crash_detection.py
@@ -45,6 +45,7 @@
         self.is_changing = backends.is_changing
         self.is_reachable = backends.is_reachable
         self.has_crashed = backends.has_crashed
+        self.process_state = backends.process_state
         self.order_role = backends.order_role
 
     @contextlib.asynccontextmanager
@@ -90,19 +91,7 @@
                 written_ms=progress.written_ms,
             )
             raise
-        if reply.is_framed:
-            progress.on_end()
-            return
-        # Such a body ends with the connection, also if the engine crashed.
-        if await self._backends.has_crashed(endpoint):
-            self._history.record_crash(
-                call,
-                endpoint.name,
-                stage="run",
-                written_ms=progress.written_ms,
-            )
-        else:
-            progress.on_end()
+        progress.on_end()
 
     async def prefill(
         self, endpoint: resources.Endpoint, outbound: calls.OutboundRequest
--- a/src/jujubewharf/forwarding/ports.py
+++ b/src/jujubewharf/forwarding/ports.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from jujubewharf.configuration import resources
+from jujubewharf.engines import liveness
 from jujubewharf.engines import notices
 from jujubewharf.forwarding import calls
 from jujubewharf.peers import streams
@@ -116,6 +117,12 @@
         """
         ...
 
+    async def process_state(
+        self, endpoint: resources.Endpoint
+    ) -> liveness.ProcessState:
+        """Returns whether an endpoint's process exists. Never raises."""
+        ...
+
     async def order_role(
         self, endpoint: resources.Endpoint, order: RoleOrder
     ) -> None:
--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -17,6 +17,7 @@
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
+from jujubewharf.engines import liveness
 from jujubewharf.engines import notices
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import ports
@@ -301,6 +302,17 @@
         backend = self.by_name[endpoint.name]
         return backend.has_crashed.is_set() and not backend.is_cut
 
+    async def process_state(
+        self, endpoint: resources.Endpoint
+    ) -> liveness.ProcessState:
+        """Whether the process exists; see ``ports.Backends``."""
+        backend = self.by_name[endpoint.name]
+        if backend.is_cut or backend.is_unreachable:
+            return liveness.ProcessState.UNKNOWN
+        if backend.has_crashed.is_set():
+            return liveness.ProcessState.GONE
+        return liveness.ProcessState.RUNNING
+
     def crash(self, backend: backend_state.StandInBackend) -> None:
         """Crashes a backend and all its runs."""
         if backend.has_crashed.is_set():
--- a/src/jujubewharf/standins/endpoint_cuts.py
+++ b/src/jujubewharf/standins/endpoint_cuts.py
@@ -19,6 +19,7 @@
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
+from jujubewharf.engines import liveness
 from jujubewharf.engines import notices
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import ports
@@ -209,6 +210,18 @@
             return cut.kind is CutKind.RESET
         return await self._backends.has_crashed(endpoint)
 
+    async def process_state(
+        self, endpoint: resources.Endpoint
+    ) -> liveness.ProcessState:
+        """Whether connections are accepted; see ``ports.Backends``."""
+        cut = self._cuts.find(self._instance, endpoint.name)
+        if cut is None:
+            return await self._backends.process_state(endpoint)
+        if cut.kind is CutKind.RESET:
+            return liveness.ProcessState.GONE
+        await self._clock.sleep_ms(CONNECT_TIMEOUT_MS)
+        return liveness.ProcessState.UNKNOWN
+
     async def order_role(
         self, endpoint: resources.Endpoint, order: ports.RoleOrder
     ) -> None:
--- a/tests/callers/test_plain.py
+++ b/tests/callers/test_plain.py
@@ -12,6 +12,7 @@
 
 from jujubewharf.configuration import resources
 from tests import loopback
+from tests.users_platform import raw_server
 
 BIG = bytes(range(256)) * 4_096
 
@@ -61,6 +62,12 @@
 async def _deploy(deployment: loopback.Loopback) -> _Shop:
     shop = _Shop()
     address = await deployment.listen(shop.app(), auto_decompress=False)
+    await _declare(deployment, address)
+    return shop
+
+
+async def _declare(deployment: loopback.Loopback, address: str) -> None:
+    """Declares an endpoint and waits until it is in force."""
     service = resources.Service(
         "photos", resources.ServiceKind.PLAIN, repeatable=False
     )
@@ -72,7 +79,7 @@
     for _ in range(200):
         kind = resources.Kind.ENDPOINT
         if core.configuration.current.get(kind, "photo-1"):
-            return shop
+            return
         await asyncio.sleep(0.01)
     raise AssertionError("the configuration never came")
 
@@ -156,6 +163,32 @@
                 await answer.read()
 
 
+# Such an answer ends with its connection; a part of it looked whole.
+@pytest.mark.parametrize("end", [raw_server.RESET, raw_server.CRASH])
+async def test_response_without_length_that_is_cut_is_not_completed(end):
+    part = raw_server.answer(body=b"half", length=False)
+    async with raw_server.serving(lambda r: [part, end]) as (_, address):
+        async with loopback.deployed() as deployment:
+            await _declare(deployment, address)
+            with pytest.raises(aiohttp.ClientError):
+                async with deployment.session.get(
+                    f"{deployment.base}/s/photos/any"
+                ) as answer:
+                    assert answer.status == 200
+                    await answer.read()
+
+
+async def test_response_without_length_arrives_whole():
+    whole = raw_server.answer(body=b"all of it", length=False)
+    async with raw_server.serving(lambda r: [whole]) as (_, address):
+        async with loopback.deployed() as deployment:
+            await _declare(deployment, address)
+            async with deployment.session.get(
+                f"{deployment.base}/s/photos/any"
+            ) as answer:
+                assert await answer.read() == b"all of it"
+
+
 async def test_stalled_request_body_is_refused_and_frees_the_endpoint():
     """A caller that stops in the middle of its body gets a 408.
 
--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import dataclasses
+from unittest import mock
 
 from jujubewharf import errors
+from jujubewharf.forwarding import plain
 from tests.forwarding import deployments
 
 plain_endpoint = deployments.plain_endpoint
@@ -52,6 +54,62 @@
     deployments.run(main())
 
 
+async def _ask_and_crash(world, path: str) -> deployments.Answer:
+    """Asks for an answer without a length; its endpoint crashes inside it."""
+    for backend in world.backends.by_name.values():
+        backend.is_framed = False
+        backend.work_ms = 100.0
+    asking = asyncio.ensure_future(world.ask(path, request_id="whole-body"))
+    await world.clock.sleep_ms(60.0)
+    world.backends.crash(world.backends.by_name["s1"])
+    return await asking
+
+
+# The part that had arrived was forwarded as a whole success.
+def test_answer_without_length_that_ends_with_its_endpoint_is_retried():
+    async def main():
+        async with deployments.deployed(
+            plain_endpoint("s1"), plain_endpoint("s2", "b")
+        ) as world:
+            answer = await _ask_and_crash(world, "/lookup/1")
+            assert answer.status == 200
+            assert answer.body == b"whole-body"
+            assert [r.engine for r in world.backends.runs] == ["s1", "s2"]
+
+    deployments.run(main())
+
+
+def test_answer_without_length_that_ends_with_its_endpoint_is_unknown():
+    """It may have run, so it isn't sent again, nor said to have failed."""
+
+    async def main():
+        async with deployments.deployed(
+            plain_endpoint("s1"), plain_endpoint("s2", "b")
+        ) as world:
+            answer = await _ask_and_crash(world, "/sale/1")
+            assert answer.status is None
+            assert answer.error is not None
+            assert answer.error.kind is errors.ErrorKind.OUTCOME_UNKNOWN
+            assert len(world.backends.runs) == 1
+
+    deployments.run(main())
+
+
+# What the caller has can't be taken back, but it must not look like the whole.
+def test_large_answer_without_length_breaks_off_with_its_endpoint():
+    async def main():
+        async with deployments.deployed(plain_endpoint("s1")) as world:
+            with mock.patch.object(plain, "MAX_BUFFERED_BYTES", 4):
+                answer = await _ask_and_crash(world, "/lookup/1")
+            assert answer.status == 200
+            assert answer.body == b"whole-"
+            assert not answer.is_ended
+            assert answer.error is not None
+            assert answer.error.ran is errors.Ran.UNKNOWN
+
+    deployments.run(main())
+
+
 def test_unreachable_endpoint_is_retried_without_repeat():
     async def main():
         async with deployments.deployed(
--- a/tests/forwarding/test_stream.py
+++ b/tests/forwarding/test_stream.py
@@ -46,6 +46,47 @@
     deployments.run(main())
 
 
+# Its events were whole, so the end of the connection was taken for its end.
+def test_stream_that_ends_behind_an_event_with_its_engine_resumes():
+    async def main():
+        async with deployments.deployed(
+            prefill_engine("p1"),
+            decode_engine("d1", is_framed=False),
+            decode_engine("d2", "b", is_framed=False),
+        ) as world:
+            asking = asyncio.ensure_future(world.ask("/verdicts/1"))
+            while not world.backends.runs:
+                await world.clock.sleep_ms(10.0)
+            await world.clock.sleep_ms(120.0)
+            first = world.backends.runs[0].engine
+            world.backends.crash(world.backends.by_name[first])
+            answer = await asking
+            assert answer.numbers == [1, 2, 3, 4, 5]
+            assert [r.after_event for r in world.backends.runs] == [None, 2]
+
+    deployments.run(main())
+
+
+# It can't be resumed, and an answer that ends early must not look complete.
+def test_stream_that_runs_once_breaks_off_with_its_engine():
+    async def main():
+        async with deployments.deployed(
+            prefill_engine("p1"), decode_engine("d1", is_framed=False)
+        ) as world:
+            asking = asyncio.ensure_future(world.ask("/once/1"))
+            while not world.backends.runs:
+                await world.clock.sleep_ms(10.0)
+            await world.clock.sleep_ms(120.0)
+            world.backends.crash(world.backends.by_name["d1"])
+            answer = await asking
+            assert answer.numbers == [1, 2]
+            assert not answer.is_ended
+            assert answer.error is not None
+            assert answer.error.kind is errors.ErrorKind.ANSWER_BROKEN
+
+    deployments.run(main())
+
+
 def test_silent_stream_resumes_elsewhere():
     """A stream without events resumes elsewhere after a second.
 
--- a/tests/users_platform/raw_server.py
+++ b/tests/users_platform/raw_server.py
@@ -12,6 +12,9 @@
 HOST = "127.0.0.1"
 RESET = object()
 SILENCE = object()
+CRASH = object()
+# Time from the end of a crashed process's connections to that of its listener.
+LISTENS_ON_S = 0.005
 
 
 @dataclasses.dataclass(frozen=True)
@@ -37,19 +40,30 @@
 class RawServer:
     """Serves one scripted response per connection.
 
-    A script returns the steps: bytes to send, ``RESET`` or ``SILENCE``.
+    A script returns the steps: bytes to send, ``RESET``, ``SILENCE``, or
+    ``CRASH``, which ends connections and listener as the kernel does when the
+    process is killed.
     """
 
     def __init__(self, script: Script) -> None:
         self.received: list[Received] = []
         self.connections = 0
         self.ended = asyncio.Event()
+        self.listener: asyncio.Server | None = None
+        self.has_reset = asyncio.Event()
+        # Further connections are reset.
+        self.most_connections: int | None = None
         self._script = script
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        most = self.most_connections
+        if most is not None and self.connections > most:
+            _reset(writer)
+            self.has_reset.set()
+            return
         try:
             await self._answer(reader, writer, self.connections)
         finally:
@@ -78,6 +92,10 @@
             if step is RESET:
                 _reset(writer)
                 return
+            if step is CRASH:
+                loop = asyncio.get_running_loop()
+                loop.call_later(LISTENS_ON_S, self._stop_listening)
+                return
             if step is SILENCE:
                 await reader.read()
                 return
@@ -86,6 +104,10 @@
             await writer.drain()
             await asyncio.sleep(0.01)
 
+    def _stop_listening(self) -> None:
+        if self.listener is not None:
+            self.listener.close()
+
 
 def _reset(writer: asyncio.StreamWriter) -> None:
     sock = writer.get_extra_info("socket")
@@ -99,6 +121,7 @@
     """Yields a running server and its address."""
     server = RawServer(script)
     listener = await asyncio.start_server(server.serve, HOST, 0)
+    server.listener = listener
     port = listener.sockets[0].getsockname()[1]
     try:
         yield server, f"{HOST}:{port}"
