--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -21,12 +20,9 @@
 from jujubewharf.engines import notices
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import ports
+from jujubewharf.standins import answer_bodies
 from jujubewharf.standins import backend_state
 
-_ENDLESS_MS = 1e9
-# Pieces in which a plain answer without a length is written.
-_PIECES = 4
-
 
 class StandInBackends:
     """Implements ``ports.Backends`` with stand-ins.
@@ -67,6 +63,7 @@
             Callable[[backend_state.StandInBackend], object]
         ] = []
         self._clock = clock
+        self._bodies = answer_bodies.AnswerBodies(clock, self._crashes_engines)
         self._sources: set[str] = set()
         self._numbers = itertools.count(1)
         self._change_checks: list[str] = []
@@ -118,7 +115,7 @@
             if backend.loses_answers:
                 raise backend.error(client.EngineFault.LOST, "lost")
             if backend.is_silent:
-                await self._clock.sleep_ms(_ENDLESS_MS)
+                await self._clock.sleep_ms(answer_bodies.ENDLESS_MS)
             is_plain = backend.endpoint.role is resources.Role.PLAIN
             if is_plain and not backend.is_streaming and backend.is_framed:
                 await self._process(backend, sending.call)
@@ -132,9 +129,11 @@
                 self._notify(backend, received_ms, ends_limit=True)
                 is_framed = backend.is_framed
                 body = (
-                    self._pieces(backend, sending.call)
+                    self._bodies.pieces(backend, sending.call)
                     if is_plain and not backend.is_streaming
-                    else self._events(backend, sending, is_framed=is_framed)
+                    else self._bodies.events(
+                        backend, sending, is_framed=is_framed
+                    )
                 )
                 async with contextlib.aclosing(body):
                     yield calls.Reply(
@@ -167,55 +166,6 @@
             raise backend.error(client.EngineFault.REFUSED_FULL)
         self._sources.discard(handle)
 
-    async def _events(
-        self,
-        backend: backend_state.StandInBackend,
-        sending: calls.OutboundRequest,
-        *,
-        is_framed: bool,
-    ) -> AsyncGenerator[bytes, None]:
-        first = (sending.after_event or 0) + 1
-        for number in range(first, backend.events + 1):
-            try:
-                await self._sleep_unless_crashed(backend, backend.event_ms)
-            except client.EngineError:
-                if is_framed:
-                    raise
-                # The end of the connection is the end of such a body.
-                return
-            if number == backend.events and self._crashes_engines(sending.call):
-                await self._sleep_unless_crashed(backend, _ENDLESS_MS)
-            if number == backend.skipped_event:
-                continue
-            yield event(
-                sending.call.request_id, number, backend.software_version
-            )
-            if number == backend.breaks_after:
-                yield b"id: "
-                raise backend.error(client.EngineFault.LOST, "broke off")
-            if number == backend.ends_after:
-                yield b"id: "
-                return
-            if number == backend.stalls_after:
-                await self._clock.sleep_ms(_ENDLESS_MS)
-
-    async def _pieces(
-        self, backend: backend_state.StandInBackend, call: calls.Call
-    ) -> AsyncGenerator[bytes, None]:
-        """Yields the body of a plain answer without a length, as it is made.
-
-        If the backend crashes the body just ends, as its connection does.
-        """
-        whole = call.request_id.encode()
-        piece_ms = self._response_ms(backend, call) / _PIECES
-        size = max(1, -(-len(whole) // _PIECES))
-        for start in range(0, len(whole), size):
-            try:
-                await self._sleep_unless_crashed(backend, piece_ms)
-            except client.EngineError:
-                return
-            yield whole[start : start + size]
-
     async def prefill(
         self, endpoint: resources.Endpoint, sending: calls.OutboundRequest
     ) -> calls.PrefillSource:
@@ -229,7 +179,7 @@
             raise backend.error(client.EngineFault.REFUSED_FULL)
         assert sending.call.work is not None
         tokens = sending.call.work.prompt_tokens
-        await self._sleep_unless_crashed(
+        await self._bodies.sleep_unless_crashed(
             backend, tokens * backend.prefill_token_ms
         )
         self._notify(backend, received_ms)
@@ -325,7 +275,11 @@
         self, backend: backend_state.StandInBackend, call: calls.Call
     ) -> float:
         """Returns the response time, or an endless one for crashing bodies."""
-        return _ENDLESS_MS if self._crashes_engines(call) else backend.work_ms
+        return (
+            answer_bodies.ENDLESS_MS
+            if self._crashes_engines(call)
+            else backend.work_ms
+        )
 
     async def _process(
         self, backend: backend_state.StandInBackend, call: calls.Call
@@ -333,11 +287,11 @@
         """Takes the response time of a plain endpoint, in a slot if any."""
         work_ms = self._response_ms(backend, call)
         if backend.slots is None:
-            await self._sleep_unless_crashed(backend, work_ms)
+            await self._bodies.sleep_unless_crashed(backend, work_ms)
             return
         async with backend.slots.occupied():
             work_ms *= backend.slots.slowdown
-            await self._sleep_unless_crashed(backend, work_ms)
+            await self._bodies.sleep_unless_crashed(backend, work_ms)
 
     def _crashes_engines(self, call: calls.Call) -> bool:
         is_bad_body = call.body in self.crashing_bodies
@@ -361,19 +315,6 @@
         at_ms = self._clock.now_ms() + self.crash_after_ms
         self._clock.call_at_ms(at_ms, crash)
 
-    async def _sleep_unless_crashed(
-        self, backend: backend_state.StandInBackend, for_ms: float
-    ) -> None:
-        """Waits for a duration or until the backend crashes.
-
-        Raises:
-            EngineError: The backend has crashed.
-        """
-        with contextlib.suppress(TimeoutError):
-            async with self._clock.timeout_ms(for_ms):
-                await backend.has_crashed.wait()
-            raise backend.error(client.EngineFault.LOST, "crashed")
-
     def remove_expired_reservations(self) -> None:
         """Removes expired reservations."""
         now_ms = self._clock.now_ms()
@@ -451,17 +392,5 @@
         return f"{kind}{next(self._numbers)}"
 
 
-def event(request_id: str, number: int, version: str = "") -> bytes:
-    """Returns one server-sent event of a stand-in's answer.
-
-    Args:
-        request_id: Id of the request.
-        number: Number of the event.
-        version: Software version of the engine, if it has one.
-    """
-    data = " ".join(part for part in (request_id, version) if part)
-    return f"id: {number}\ndata: {data}\n\n".encode()
-
-
 async def _single_chunk(part: bytes) -> AsyncIterator[bytes]:
     yield part
