--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -16,15 +16,15 @@
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
+from jujubewharf.engines import liveness
 from jujubewharf.engines import notices
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import ports
+from jujubewharf.standins import answer_bodies
 from jujubewharf.standins import backend_processes
 from jujubewharf.standins import backend_state
 from jujubewharf.standins import endpoint_cuts
 
-_ENDLESS_MS = 1e9
-
 
 class StandInBackends:
     """Implements ``ports.Backends`` with stand-ins.
@@ -66,6 +66,9 @@
         ] = []
         self._clock = clock
         self._processes = backend_processes.Processes(clock, self.by_name)
+        self._bodies = answer_bodies.AnswerBodies(
+            self._processes, clock, self._crashes_engines
+        )
         self._sources: set[str] = set()
         self._numbers = itertools.count(1)
         self._change_checks: list[str] = []
@@ -107,9 +110,9 @@
             if backend.loses_answers:
                 raise backend.error(client.EngineFault.LOST, "lost")
             if backend.is_silent:
-                await self._clock.sleep_ms(_ENDLESS_MS)
+                await self._clock.sleep_ms(answer_bodies.ENDLESS_MS)
             is_plain = backend.endpoint.role is resources.Role.PLAIN
-            if is_plain and not backend.is_streaming:
+            if is_plain and not backend.is_streaming and backend.is_framed:
                 await self._process(backend, sending.call)
                 self._notify(backend, received_ms, ends_limit=True)
                 yield calls.Reply(
@@ -119,13 +122,21 @@
                 )
             else:
                 self._notify(backend, received_ms, ends_limit=True)
-                body = self._events(backend, sending, run)
-                yield calls.Reply(
-                    backend.status,
-                    (backend_state.PROOF_HEADER,),
-                    body,
-                    is_framed=backend.is_framed,
+                is_framed = backend.is_framed
+                body = (
+                    self._bodies.pieces(backend, sending.call)
+                    if is_plain and not backend.is_streaming
+                    else self._bodies.events(
+                        backend, sending, run, is_framed=is_framed
+                    )
                 )
+                async with contextlib.aclosing(body):
+                    yield calls.Reply(
+                        backend.status,
+                        (backend_state.PROOF_HEADER,),
+                        body,
+                        is_framed=is_framed,
+                    )
         finally:
             run.progress.closed_ms = self._clock.now_ms()
             backend.pauses.when_running(
@@ -194,40 +205,6 @@
             raise backend.error(client.EngineFault.REFUSED_FULL)
         self._sources.discard(handle)
 
-    async def _events(
-        self,
-        backend: backend_state.StandInBackend,
-        sending: calls.OutboundRequest,
-        run: backend_state.StartedRun,
-    ) -> AsyncIterator[bytes]:
-        first = (sending.after_event or 0) + 1
-        for number in range(first, backend.events + 1):
-            try:
-                await self._processes.sleep_unless_crashed(
-                    backend, backend.event_ms
-                )
-            except client.EngineError:
-                if backend.is_framed:
-                    raise
-                # The end of the connection is the end of such a body.
-                return
-            if number == backend.events and self._crashes_engines(sending.call):
-                await self._processes.sleep_unless_crashed(backend, _ENDLESS_MS)
-            if number == backend.skipped_event:
-                continue
-            run.progress.events_ms[number] = self._clock.now_ms()
-            yield event(
-                sending.call.request_id, number, backend.software_version
-            )
-            if number == backend.breaks_after:
-                yield b"id: "
-                raise backend.error(client.EngineFault.LOST, "broke off")
-            if number == backend.ends_after:
-                yield b"id: "
-                return
-            if number == backend.stalls_after:
-                await self._clock.sleep_ms(_ENDLESS_MS)
-
     async def prefill(
         self, endpoint: resources.Endpoint, sending: calls.OutboundRequest
     ) -> calls.PrefillSource:
@@ -344,6 +321,17 @@
         backend = self.by_name[endpoint.name]
         return backend.has_crashed.is_set() and not backend.is_cut
 
+    async def process_state(
+        self, endpoint: resources.Endpoint
+    ) -> liveness.ProcessState:
+        """Whether the process exists; see ``ports.Backends``."""
+        backend = self.by_name[endpoint.name]
+        if backend.is_cut or backend.is_unreachable:
+            return liveness.ProcessState.UNKNOWN
+        if backend.has_crashed.is_set():
+            return liveness.ProcessState.GONE
+        return liveness.ProcessState.RUNNING
+
     def crash(self, backend: backend_state.StandInBackend) -> None:
         """Crashes a backend and all its runs."""
         if backend.has_crashed.is_set():
@@ -357,7 +345,11 @@
         self, backend: backend_state.StandInBackend, call: calls.Call
     ) -> float:
         """Returns the response time, or an endless one for crashing bodies."""
-        return _ENDLESS_MS if self._crashes_engines(call) else backend.work_ms
+        return (
+            answer_bodies.ENDLESS_MS
+            if self._crashes_engines(call)
+            else backend.work_ms
+        )
 
     async def _process(
         self, backend: backend_state.StandInBackend, call: calls.Call
@@ -460,17 +452,5 @@
         return f"{kind}{next(self._numbers)}"
 
 
-def event(request_id: str, number: int, version: str = "") -> bytes:
-    """Returns one server-sent event of a stand-in's answer.
-
-    Args:
-        request_id: Id of the request.
-        number: Number of the event.
-        version: Software version of the engine, if it has one.
-    """
-    data = " ".join(part for part in (request_id, version) if part)
-    return f"id: {number}\ndata: {data}\n\n".encode()
-
-
 async def _single_chunk(part: bytes) -> AsyncIterator[bytes]:
     yield part
