A prompt whose engine is silent is offered to others again and again

The limit fired once.

It is now asked again each 500 ms, without a line in the log for each. Tests of attempts and early ends pass.

--- a/src/jujubewharf/forwarding/prefills.py
+++ b/src/jujubewharf/forwarding/prefills.py
@@ -32,6 +32,8 @@
 # time that it queues in the engine. A prompt of 11,000 tokens takes 0.2 s
 # without queueing.
 _SLOW_MS = 1_500.0
+# Time after which another engine is looked for again.
+_RETRY_MS = 500.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -128,9 +130,14 @@
                     case open_calls.Answered(prefilled):
                         run.was_prefilled = True
                         return prefilled
-                    case open_calls.Slow(name):
+                    case open_calls.Slow(name, is_first):
+                        attempts.set_limit(self._clock.now_ms() + _RETRY_MS)
                         error = _slow_error(name)
-                        self._record_failure(error)
+                        if is_first:
+                            self._record_failure(error)
+                        elif self._budget.remaining(run.service) < 1.0:
+                            may_try_again = False
+                            continue
                     case open_calls.Failed(client.EngineError() as failure):
                         error = failure
                     case open_calls.Failed(failure):
