Plain calls: an attempt that isn't sent yet counts, a refusal undoes its own

Found by the reviewer, by scripts in virtual time: - While a second attempt waited for its permit the first one failed, and a third began: one call at three endpoints of a route that allows two. - The late refusal of one endpoint restored the state from before its own attempt, so that a request that another endpoint had run was told as not run. Each attempt is now undone by itself (Run.possible_runs). - An endpoint's own error, kept while another one is tried, was lost or sent too early, as the second attempt set its own limit. - A slow call without budget was never offered again; now at each limit.

--- a/src/jujubewharf/forwarding/attempts.py
+++ b/src/jujubewharf/forwarding/attempts.py
@@ -273,7 +273,7 @@
             raise client.EngineError(fault, engine.name)
         await self._check_version(run, engine)
         began_ms = self._clock.now_ms()
-        before = run.record_attempt(engine.name)
+        run.record_attempt(engine.name)
         request_log.log_attempt(
             run,
             engine.name,
@@ -286,7 +286,7 @@
                 self._backends.send(engine, outbound)
             )
         except client.EngineError as error:
-            run.record_failure(error, before=before)
+            run.record_failure(error)
             self._record_failure(error)
             took_ms = self._clock.now_ms() - began_ms
             request_log.log_engine_failure(
--- a/src/jujubewharf/forwarding/open_calls.py
+++ b/src/jujubewharf/forwarding/open_calls.py
@@ -52,9 +52,11 @@
 
     Attributes:
         endpoint: Its endpoint.
+        is_first: Whether it wasn't slow before.
     """
 
     endpoint: str
+    is_first: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -74,9 +76,15 @@
     is_slow: bool = False
 
     def sent(self, endpoint: str, slow_at_ms: float | None) -> None:
-        """Records that the request is sent to an endpoint."""
+        """Records that the request is sent to an endpoint.
+
+        Args:
+            endpoint: Name of the endpoint.
+            slow_at_ms: Limit, unless one was set before.
+        """
         self.endpoint = endpoint
-        self.slow_at_ms = slow_at_ms
+        if self.slow_at_ms is None:
+            self.slow_at_ms = slow_at_ms
         self.on_change()
 
 
@@ -103,9 +111,9 @@
         return bool(self._tasks)
 
     @property
-    def has_sent(self) -> bool:
-        """Whether any open attempt was sent, so the request may run."""
-        return any(call.endpoint for call in self._tasks.values())
+    def has_unsent(self) -> bool:
+        """Whether an open attempt is still to be sent."""
+        return any(not call.endpoint for call in self._tasks.values())
 
     async def __aenter__(self) -> OpenCalls[_Result]:
         return self
@@ -121,13 +129,20 @@
             if not task.cancelled() and task.exception() is None:
                 await self._discard(task.result())
 
-    def begin(self, attempt: Callable[[OpenCall], Awaitable[_Result]]) -> None:
+    def begin(
+        self,
+        attempt: Callable[[OpenCall], Awaitable[_Result]],
+        *,
+        slow_at_ms: float | None = None,
+    ) -> None:
         """Begins another attempt.
 
         Args:
             attempt: Makes the attempt.
+            slow_at_ms: Clock reading at which it counts as slow; ``None`` to
+                let the attempt say.
         """
-        call = OpenCall(self._has_changed.set)
+        call = OpenCall(self._has_changed.set, slow_at_ms=slow_at_ms)
         task = asyncio.ensure_future(attempt(call))
         task.add_done_callback(lambda _: self._has_changed.set())
         self._tasks[task] = call
@@ -142,6 +157,15 @@
         if newest is not None:
             newest.slow_at_ms = slow_at_ms
 
+    def set_limit_of_all(self, slow_at_ms: float) -> None:
+        """Sets when each open attempt counts as slow.
+
+        Args:
+            slow_at_ms: Clock reading.
+        """
+        for call in self._tasks.values():
+            call.slow_at_ms = slow_at_ms
+
     async def next_event(self) -> Answered[_Result] | Failed | Slow:
         """Waits until an attempt ends, or the newest one is slow."""
         while True:
@@ -151,8 +175,8 @@
             newest = self._newest
             if newest is not None and self._has_passed(newest.slow_at_ms):
                 newest.slow_at_ms = None
-                newest.is_slow = True
-                return Slow(newest.endpoint)
+                is_first, newest.is_slow = not newest.is_slow, True
+                return Slow(newest.endpoint, is_first)
             await self._wait(None if newest is None else newest.slow_at_ms)
 
     def _end(self, task: asyncio.Task[_Result]) -> Answered[_Result] | Failed:
--- a/src/jujubewharf/forwarding/plain.py
+++ b/src/jujubewharf/forwarding/plain.py
@@ -123,10 +123,12 @@
         may_try_again = True
         while True:
             if may_try_again:
+                has_error = error_reply is not None
                 attempts.begin(
-                    functools.partial(
-                        self._attempt, run, failed, has_error=bool(error_reply)
-                    )
+                    functools.partial(self._attempt, run, failed),
+                    slow_at_ms=self._error_reply_at_ms(run)
+                    if has_error
+                    else None,
                 )
             event = await attempts.next_event()
             match event:
@@ -135,34 +137,41 @@
                     if reply.status < _SERVER_ERROR:
                         return reply
                     error_reply = reply
-                    attempts.set_limit(self._error_reply_at_ms(run))
-                    may_try_again = self._may_retry(run, "failed")
-                case open_calls.Slow(endpoint):
+                    attempts.set_limit_of_all(self._error_reply_at_ms(run))
+                    may_try_again = self._may_retry(run, "failed", attempts)
+                case open_calls.Slow():
                     if error_reply is not None:
                         return error_reply
-                    may_try_again = self._may_retry_slow(run, endpoint)
-                    attempts.set_limit(self._slow_at_ms(run, has_error=False))
+                    may_try_again = self._may_retry_slow(run, event, attempts)
+                    attempts.set_limit(self._slow_at_ms(run))
                 case open_calls.Failed(client.EngineError() as failure):
                     has_path = failure.fault is not client.EngineFault.NO_PATH
                     reason = failure.fault.value
-                    may_try_again = has_path and self._may_retry(run, reason)
+                    may_try_again = has_path and self._may_retry(
+                        run, reason, attempts
+                    )
                 case _:
                     # No other endpoint takes it. Those that have it keep it.
                     may_try_again = False
                     attempts.set_limit(None)
-            if attempts.has_sent:
-                # A refusal by one endpoint doesn't concern the others.
-                run.may_have_run = True
             if not may_try_again and not attempts:
                 if error_reply is not None:
                     return error_reply
                 assert isinstance(event, open_calls.Failed)
                 raise self._final_error(run, event.error)
 
-    def _may_retry_slow(self, run: runs.Run, endpoint: str) -> bool:
+    def _may_retry_slow(
+        self,
+        run: runs.Run,
+        slow: open_calls.Slow,
+        attempts: open_calls.OpenCalls[_OpenReply],
+    ) -> bool:
         """Returns whether a call whose endpoint is slow may go to another."""
-        self._chooser.failed(endpoint)
-        return self._may_retry(run, "slow")
+        if slow.is_first:
+            self._chooser.failed(slow.endpoint)
+        elif self._budget.remaining(run.service) < 1.0:
+            return False
+        return self._may_retry(run, "slow", attempts)
 
     def _final_error(self, run: runs.Run, failure: Exception) -> Exception:
         """Returns the error for a request whose last attempt has failed."""
@@ -257,7 +266,15 @@
         )
         return run.failure("all endpoints deferred", retry_after_ms=after_ms)
 
-    def _may_retry(self, run: runs.Run, reason: str) -> bool:
+    def _may_retry(
+        self,
+        run: runs.Run,
+        reason: str,
+        attempts: open_calls.OpenCalls[_OpenReply],
+    ) -> bool:
+        if attempts.has_unsent:
+            # It will be sent, and counts as an attempt from then on.
+            return False
         left = self._budget.remaining(run.service)
         if not run.tried:
             # No endpoint has received any part of the request.
@@ -275,8 +292,6 @@
         run: runs.Run,
         failed: set[str],
         attempt: open_calls.OpenCall,
-        *,
-        has_error: bool,
     ) -> _OpenReply:
         """Sends the request to one endpoint.
 
@@ -284,7 +299,6 @@
             run: The request.
             failed: Endpoints that must not get it; its endpoint is added.
             attempt: The attempt.
-            has_error: Whether another endpoint has answered with an error.
 
         Raises:
             EngineError: The endpoint gave no answer.
@@ -294,8 +308,7 @@
         async with contextlib.AsyncExitStack() as stack:
             async with contextlib.AsyncExitStack() as held:
                 permit = await self._acquire(held, run, failed)
-                slow_at_ms = self._slow_at_ms(run, has_error=has_error)
-                attempt.sent(permit.endpoint.name, slow_at_ms)
+                attempt.sent(permit.endpoint.name, self._slow_at_ms(run))
                 reply = await self._send(stack, held, run, permit, attempt)
             return _OpenReply(reply, stack.pop_all())
 
@@ -313,7 +326,7 @@
         """
         endpoint = permit.endpoint
         began_ms = self._clock.now_ms()
-        before = run.record_attempt(endpoint.name)
+        run.record_attempt(endpoint.name)
         request_log.log_attempt(
             run,
             endpoint.name,
@@ -327,7 +340,7 @@
         except client.EngineError as failure:
             error = failure
             permit.outcome = decisions.Outcome.FAILED
-            run.record_failure(error, before=before)
+            run.record_failure(error)
             if error.fault is client.EngineFault.REFUSED_IDENTITY:
                 self._registry.remove_replaced(endpoint.name)
             if error.fault is client.EngineFault.REFUSED_FULL:
@@ -410,25 +423,15 @@
         """Returns until when an answer is waited for that isn't an error."""
         return run.deadline_at_ms - _DEADLINE_RESERVE_MS
 
-    def _slow_at_ms(self, run: runs.Run, *, has_error: bool) -> float | None:
+    def _slow_at_ms(self, run: runs.Run) -> float | None:
         """Returns when an attempt that begins now counts as slow.
 
-        Args:
-            run: The request.
-            has_error: Whether another endpoint has already answered with an
-                error, which is forwarded at that time.
-
         Returns:
             Clock reading; ``None`` to wait for the deadline.
         """
-        if has_error:
-            return self._error_reply_at_ms(run)
         if run.route.repeat is not routes.Repeat.AGAIN:
             return None
-        if (
-            not run.has_attempts_left
-            or self._budget.remaining(run.service) < 1.0
-        ):
+        if not run.has_attempts_left:
             return None
         slow_ms = run.route.target_ms * _SLOW_SHARE_OF_TARGET
         return self._clock.now_ms() + slow_ms
--- a/src/jujubewharf/forwarding/runs.py
+++ b/src/jujubewharf/forwarding/runs.py
@@ -35,6 +35,7 @@
         domain: Failure domain of the instance that received the request.
         tried: Engines that the request was sent to.
         may_have_run: Whether any engine may have started to process it.
+        possible_runs: Engines of the attempts that may have run.
         refusals: Number of attempts that an engine refused.
         was_prefilled: Whether a prefill engine may have processed the prompt.
         traits: Properties of the service's engines; ``None`` for plain
@@ -61,6 +62,7 @@
     domain: str = ""
     tried: set[str] = dataclasses.field(default_factory=set)
     may_have_run: bool = False
+    possible_runs: list[str] = dataclasses.field(default_factory=list)
     refusals: int = 0
     was_prefilled: bool = False
     traits: routes.EngineTraits | None = None
@@ -124,32 +126,26 @@
             self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
         self.event_ms = now_ms
 
-    def record_attempt(self, engine: str) -> bool:
-        """Records an attempt, before the request is sent.
-
-        Returns:
-            The former value of ``may_have_run``, for ``record_failure``.
-        """
-        before = self.may_have_run
+    def record_attempt(self, engine: str) -> None:
+        """Records an attempt, before the request is sent."""
         self.tried.add(engine)
+        self.possible_runs.append(engine)
         self.may_have_run = True
-        return before
 
-    def record_failure(
-        self, error: client.EngineError, *, before: bool
-    ) -> None:
+    def record_failure(self, error: client.EngineError) -> None:
         """Records a failed attempt.
 
-        Undoes ``record_attempt`` if the engine certainly did nothing.
+        Undoes ``record_attempt`` if the engine certainly did nothing. Attempts
+        at other engines, which may be open at the same time, still count.
 
         Args:
             error: Failure of the attempt.
-            before: Return value of ``record_attempt``.
         """
         if error.fault is client.EngineFault.LOST:
             self.lost_by.add(error.engine)
         if error.fault in retries.NO_EFFECT_FAULTS:
-            self.may_have_run = before
+            self.possible_runs.remove(error.engine)
+            self.may_have_run = bool(self.possible_runs)
             self.refusals += 1
         if error.fault in _UNCONNECTED_FAULTS:
             # There was no connection, so nothing was sent.
--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 from unittest import mock
 
 from jujubewharf import errors
+from jujubewharf.engines import client
 from jujubewharf.forwarding import plain
 from tests.forwarding import deployments
 
@@ -297,3 +299,60 @@
             assert answer.took_ms < deployments.LOOKUP.timeout_ms
 
     deployments.run(main())
+
+
+def _slow_permits(world, *, for_ms: float) -> None:
+    """Lets each permit after the first one take a while."""
+    forwarder = world.instances["e1"]._forwarder._plain
+    acquire = forwarder._acquire_any
+    asked: list[str] = []
+
+    async def acquire_slowly(held, run, failed):
+        asked.append(run.call.request_id)
+        if len(asked) > 1:
+            await world.clock.sleep_ms(for_ms)
+        return await acquire(held, run, failed)
+
+    forwarder._acquire_any = acquire_slowly
+
+
+# An attempt that waited for its permit wasn't counted, so a third began.
+def test_attempt_that_waits_for_a_permit_counts():
+    async def main():
+        async with deployments.deployed(
+            plain_endpoint("s1", status=500, work_ms=300.0),
+            plain_endpoint("s2", "b", work_ms=300.0),
+            plain_endpoint("s3", "b", work_ms=300.0),
+        ) as world:
+            _slow_permits(world, for_ms=200.0)
+            await world.ask("/lookup/1")
+            assert len(world.backends.runs) == 2
+
+    deployments.run(main())
+
+
+# The late refusal of one endpoint hid that another one had run the request.
+def test_refusal_beside_a_lost_answer_is_not_told_as_not_run():
+    async def main():
+        async with deployments.deployed(
+            plain_endpoint("s1", work_ms=400.0),
+            plain_endpoint("s2", "b", loses_answers=True),
+        ) as world:
+            send = world.backends.send
+
+            @contextlib.asynccontextmanager
+            async def refuse_late(endpoint, sending):
+                if endpoint.name == "s1":
+                    await world.clock.sleep_ms(500.0)
+                    fault = client.EngineFault.REFUSED_FULL
+                    raise client.EngineError(fault, "s1")
+                async with send(endpoint, sending) as reply:
+                    yield reply
+
+            forwarder = world.instances["e1"]._forwarder._plain
+            forwarder._backends.send = refuse_late
+            answer = await world.ask("/lookup/1")
+            assert answer.error is not None
+            assert answer.error.ran is errors.Ran.UNKNOWN
+
+    deployments.run(main())
