Histories of silence: engines with little memory

A silent stream may have attempts and retries left, but no engine with room for it; the histories gave all engines more memory than they could fill.

In three of ten histories with pauses an engine has memory for four requests. No bound on the time of a resumption holds there, the others do.

--- a/tests/leadership/silence_histories.py
+++ b/tests/leadership/silence_histories.py
@@ -30,6 +30,8 @@
 DOMAINS = "ab"
 LENGTH_MS = 9_000.0
 SPARSE_LENGTH_MS = 15_000.0
+# Memory of an engine for four of these requests.
+LITTLE_TOKENS = 10_000
 # Until all calls, reservations and reported runs have ended.
 ENDED_MS = 6_000.0
 WORK = calls.ModelWork(checks.PROMPT_TOKENS, 400, 400)
@@ -62,6 +64,7 @@
 
     def __init__(self, seed: int) -> None:
         self._rng = random.Random(seed)
+        self._has_little_memory = random.Random(f"memory {seed}").random() < 0.3
         self._asked: list[checks.Asked] = []
         self._reading: dict[str, set[asyncio.Task[None]]] = {}
         self._budgets: list[tuple[float, dict[tuple[str, str], float]]] = []
@@ -78,6 +81,9 @@
         world.retries = world.retries | {"slack": slack}
         if rng.random() < 0.4:
             world.older_builds.add(rng.choice(NAMES))
+        if self._has_little_memory and not is_sparse:
+            for backend in world.backends.by_name.values():
+                backend.memory_tokens = LITTLE_TOKENS
         self._world = world
         await world.start_in(DOMAINS, *NAMES)
         changes = silence_world.Changes(world, rng)
@@ -100,6 +106,9 @@
             change=changes.change,
             is_sparse=is_sparse,
         )
+        if self._has_little_memory and not is_sparse:
+            # No bound holds for what waits for memory.
+            self._faults.record.turmoil.append(faults.Span(0.0))
         length_ms = SPARSE_LENGTH_MS if is_sparse else LENGTH_MS
         until_ms = world.clock.now_ms() + length_ms
         watch = asyncio.ensure_future(self._watch())
