--- a/tests/real_processes/checks.py
+++ b/tests/real_processes/checks.py
@@ -31,6 +31,8 @@
         refused: Number of requests that were refused and didn't run.
         left_engines: Runs of engines whose connection was closed before they
             were whole.
+        cut: Requests that ended with a killed instance, or when an instance's
+            time to stop was over.
     """
 
     violations: list[str]
@@ -39,6 +41,7 @@
     ends: collections.Counter[str]
     refused: int
     left_engines: int
+    cut: int
 
     @property
     def whole(self) -> int:
@@ -52,7 +55,8 @@
         ends = ", ".join(f"{n} {end}" for end, n in sorted(self.ends.items()))
         return (
             f"{sum(self.ends.values())} requests: {ends}; {self.left_engines}"
-            f" runs closed by us; {len(self.violations)} violations"
+            f" runs closed by us; {self.cut} cut with their instance;"
+            f" {len(self.violations)} violations"
         )
 
 
@@ -72,12 +76,13 @@
     violations: list[str] = []
     unanswered: list[str] = []
     doubled: list[str] = []
-    refused = 0
+    refused = cut = 0
     for exchange in exchanges:
         notes = runs.get(exchange.request_id, [])
         has_run = any(note["what"] == "began" for note in notes)
         ends[_label(exchange, has_run)] += 1
         refused += not has_run and not exchange.is_whole
+        cut += not exchange.is_whole and _was_cut(exchange)
         if exchange.wrong:
             violations.append(_line(exchange, exchange.wrong, notes))
         elif _ended_early(exchange, has_run):
@@ -89,7 +94,7 @@
         if exchange.route in configurations.RUN_ONCE and _count(notes) > 1:
             violations.append(_line(exchange, "ran twice", notes))
     left = sum(n["what"] == "closed" for notes in runs.values() for n in notes)
-    return Report(violations, unanswered, doubled, ends, refused, left)
+    return Report(violations, unanswered, doubled, ends, refused, left, cut)
 
 
 def _ended_early(exchange: callers.Exchange, has_run: bool) -> bool:
--- a/tests/soak_processes.py
+++ b/tests/soak_processes.py
@@ -26,7 +26,8 @@
 
 _DISTURBED_S = 15.0
 _MAX_BETWEEN_S = 1.5
-# Share of the disturbances that the next one waits for.
+# Share of the pauses and changes that the next disturbance waits for; a signal
+# is never waited for, since an instance takes seconds to stop.
 _IN_SERIES = 0.4
 # Every so many seeds have the most processes; their memory is 2 GB.
 _LARGE_EVERY = 10
@@ -35,6 +36,8 @@
 )
 _LARGE_CALLERS = (90, 40)
 
+_SIGNALS = "signals"
+
 Action = Callable[[], Awaitable[None]]
 
 
@@ -49,7 +52,7 @@
         "pauses": [lambda: on_engines(("one", "most", "all"))],
         "stalls": [lambda: on_instances(("one", "all"))],
         "changes": [lambda: _choose(disturbing.change, rng, kinds)],
-        "signals": [
+        _SIGNALS: [
             disturbing.change_settings,
             disturbing.stop_instance,
             disturbing.kill_leader,
@@ -82,10 +85,10 @@
         begun: list[asyncio.Task[None]] = []
         until_s = time.monotonic() + _DISTURBED_S
         while time.monotonic() < until_s:
-            action = rng.choice(actions[rng.choice(self._kinds)])
-            task = asyncio.ensure_future(action())
+            kind = rng.choice(self._kinds)
+            task = asyncio.ensure_future(rng.choice(actions[kind])())
             begun.append(task)
-            if rng.random() < _IN_SERIES:
+            if rng.random() < _IN_SERIES and kind != _SIGNALS:
                 await task
             await asyncio.sleep(rng.random() * _MAX_BETWEEN_S)
         await asyncio.gather(*begun)
@@ -129,7 +132,7 @@
     parser.add_argument("--workers", type=int, default=1)
     parser.add_argument(
         "--kinds",
-        default="pauses,stalls,changes,signals",
+        default="pauses,pauses,stalls,changes,changes,signals",
         help="kinds of disturbances; those named twice come twice as often",
     )
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs")
