--- a/tests/soak_processes.py
+++ b/tests/soak_processes.py
@@ -150,6 +150,8 @@
             report = outcome.report
             print(f"seed {seed}: {size}, {len(outcome.done)} disturbances")
             print(f"  {report}; {outcome.met_pauses} runs met a pause")
+            if report.lines():
+                print(f"  {'; '.join(outcome.done)}")
             for line in report.lines():
                 print(f"  {line}", flush=True)
             ends += report.ends
