--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -265,12 +265,16 @@
 
     async def is_reachable(self, endpoint: resources.Endpoint) -> bool:
         """Whether a connection can be opened; see ``ports.Backends``."""
-        backend = self.by_name[endpoint.name]
+        backend = self.by_name.get(endpoint.name)
+        if backend is None:
+            return False
         return not (backend.is_unreachable or backend.has_crashed.is_set())
 
     async def has_crashed(self, endpoint: resources.Endpoint) -> bool:
         """Whether the process has crashed; see ``ports.Backends``."""
-        backend = self.by_name[endpoint.name]
+        backend = self.by_name.get(endpoint.name)
+        if backend is None:
+            return False
         return backend.has_crashed.is_set() and not backend.is_cut
 
     def crash(self, backend: backend_state.StandInBackend) -> None:
@@ -346,7 +350,11 @@
     def _reachable_backend(
         self, endpoint: resources.Endpoint
     ) -> backend_state.StandInBackend:
-        backend = self.by_name[endpoint.name]
+        backend = self.by_name.get(endpoint.name)
+        if backend is None:
+            # An entry of another writer: nobody listens at its address.
+            fault = client.EngineFault.UNREACHABLE
+            raise client.EngineError(fault, endpoint.name, "nobody listens")
         if backend.is_unreachable or backend.has_crashed.is_set():
             raise backend.error(client.EngineFault.UNREACHABLE)
         if backend.is_replaced:
--- a/tests/forwarding/deployments.py
+++ b/tests/forwarding/deployments.py
@@ -19,6 +19,7 @@
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import settings as all_settings
 from jujubewharf.platform import epochs
+from jujubewharf.platform import tables
 from jujubewharf.standins import backend_state
 from jujubewharf.standins import backends
 from jujubewharf.standins import endpoint_cuts
@@ -228,8 +229,8 @@
                     self.cuts,
                     self.clock,
                 ),
-                view.table("configurations"),
-                view.table("endpoints"),
+                self._table(view, epoch, "configurations"),
+                self._table(view, epoch, "endpoints"),
                 view.group("instances", name),
                 epoch,
                 self._peers(view, name, domain) if is_led else None,
@@ -242,6 +243,12 @@
             await instance.start()
         await self.clock.sleep_ms(1_100.0)
 
+    def _table(
+        self, view: stores.StoreView, epoch: epochs.StoreEpoch, name: str
+    ) -> tables.Table[Any]:
+        """Returns a table as one instance reads it."""
+        return view.table(name)
+
     def _peers(
         self, view: stores.StoreView, name: str, domain: str
     ) -> ports.PeerAdapters:
--- a/tests/users_platform/test_edge.py
+++ b/tests/users_platform/test_edge.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+import dataclasses
+import json
 
 import pytest
 from users_platform import edge
@@ -12,6 +14,7 @@
 from jujubewharf import errors
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import routes
+from tests import hostile_records
 
 HOST = "127.0.0.1"
 SEAL = ("Server-Seal", "s")
@@ -435,3 +438,56 @@
         await caller.send(_request())
         status, _, body = await caller.read()
         assert (status, body) == (404, b"unknown_service")
+
+
+_PARSED_HEADERS = (
+    "Request-Id",
+    "Deadline-Ms",
+    "Last-Event-Id",
+    "Resumes",
+    "Token-Counts",
+    "Prompt-Prefix",
+    "Model",
+    "Length-Hint",
+    "X-Own",
+)
+# Bound of the border; no caller waits longer.
+_MAX_TIMEOUT_MS = 1e12
+
+
+async def test_headers_at_their_edges_fail_no_request():
+    """A header that can't be used is left out; one that is needed is refused.
+
+    Bytes that aren't UTF-8 can't be sent on to engines, peers and the store.
+    """
+    for name in _PARSED_HEADERS:
+        for value in hostile_records.HEADERS:
+            if len(value) > 4_000:
+                continue
+            line = f"{name}: {value}\r\n\r\n".encode(errors="surrogateescape")
+            head = b"POST /a/1 HTTP/1.1\r\nHost: Shop.example\r\n"
+            if name != "Request-Id":
+                head += b"Request-Id: r1\r\n"
+            async with _connected(_reply(b"ok", length=2)) as caller:
+                await caller.send(head + line)
+                status, _, _ = await caller.read()
+                assert status in (200, 400), (name, value)
+                for call in caller.forwarding.calls:
+                    json.dumps(
+                        dataclasses.astuple(dataclasses.replace(call, body="")),
+                        ensure_ascii=False,
+                    ).encode()
+                    limit = call.caller_timeout_ms
+                    assert limit is None or 0.0 <= limit <= _MAX_TIMEOUT_MS
+
+
+async def test_path_that_isnt_utf8_is_refused():
+    """It can't be sent on, and failed the request as an internal error."""
+    async with _connected(_reply(b"ok", length=2)) as caller:
+        await caller.send(
+            b"POST /a/\xff HTTP/1.1\r\nHost: Shop.example\r\n"
+            b"Request-Id: r1\r\n\r\n"
+        )
+        status, _, _ = await caller.read()
+    assert status == 400
+    assert caller.forwarding.calls == []
