Records and answers of the store have both bounds for each value

Cause: the model of a registration bounded `born` from below only, and that of a configuration most numbers not at all. The value passed decoder and registry and failed where it was encoded for followers. The same holds for `version`, `priority`, `maxAttempts` and limits of a configuration, for `shape` of a stored crash report, and for offsets and generations in answers of the store, whose shape wasn't checked either: a page whose `end` was text raised TypeError in the task that reads it.

Now `platform.record_fields` has a type with both bounds for each kind of field, and all records use them: names and text by length, counts, whole numbers to 2^53, durations to 10^12 without NaN and infinity, Unix ms to the last of a four-digit year. Records are bounded in bytes before they are parsed, and a list fails at its first wrong item: half a million of them made an error of a multiple of their size. A key that no header can carry names no endpoint, and no two entries make the same name (`i@5`, and `i` born at 5, did). Answers of the store of another shape count as none (`platform.answers`); so does a page that says it goes on and names no key, which was read again without end. A decoder that fails in any way costs its record. Quotas stay lenient, as they were: a rate beyond 10^21 limits nobody.

`forwarding.skipped_records` counts what is skipped; the line of a record is bounded, and lines are remembered for 10,000 keys at most.

--- a/src/jujubewharf/forwarding/accounts.py
+++ b/src/jujubewharf/forwarding/accounts.py
@@ -13,6 +13,8 @@
 
 # Default burst, in seconds of the rate, for quotas without a declared burst.
 _DEFAULT_BURST_S = 0.5
+# Quotas beyond it limit nobody; sums of larger numbers may become infinite.
+_MAX_UNITS = 1e21
 
 
 class QuotaUnit(enum.Enum):
@@ -50,23 +52,25 @@
     ) -> Quota | None:
         """Builds a quota from operator settings.
 
-        A missing, non-positive or non-finite rate means no limit, so that one
-        bad value does not invalidate the whole configuration. A rate without a
-        burst gets a burst of half a second at that rate, because an account
-        without any burst could not even send requests at a steady rate.
+        A missing, non-positive, non-finite or enormous rate means no limit, so
+        that one bad value does not invalidate the whole configuration. A rate
+        without a burst gets a burst of half a second at that rate, because an
+        account without any burst could not even send requests at a steady rate.
 
         Returns:
             The quota, or ``None`` if there is no limit.
         """
-        if not math.isfinite(rate_per_s) or rate_per_s <= 0.0:
+        if not 0.0 < rate_per_s <= _MAX_UNITS:
             return None
         if not math.isfinite(burst) or burst <= 0.0:
             burst = rate_per_s * _DEFAULT_BURST_S
+        if not math.isfinite(unsized_tokens):
+            unsized_tokens = 1.0
         return cls(
             rate_per_s=rate_per_s,
-            burst=burst,
+            burst=min(burst, _MAX_UNITS),
             unit=QuotaUnit.TOKENS if counts_tokens else QuotaUnit.REQUESTS,
-            unsized_tokens=max(0.0, unsized_tokens),
+            unsized_tokens=min(max(0.0, unsized_tokens), _MAX_UNITS),
         )
 
     def units_of(self, work: calls.ModelWork | None) -> float:
--- a/src/jujubewharf/forwarding/crash_records.py
+++ b/src/jujubewharf/forwarding/crash_records.py
@@ -2,16 +2,23 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import pydantic
 
 from jujubewharf.forwarding import crash_reports
 from jujubewharf.forwarding import fingerprints
+from jujubewharf.platform import record_fields as fields
+
+_MAX_RECORD_BYTES = 65_536
+# Hashes, and numbers that writers draw, have 64 bits.
+_Hash = Annotated[int, pydantic.Field(ge=0, lt=2**64)]
 
 
 class _Crash(pydantic.BaseModel):
-    engine: str
-    age_ms: float = pydantic.Field(ge=0)
-    request: int = pydantic.Field(default=0, ge=0)
+    engine: fields.Text
+    age_ms: fields.Duration
+    request: _Hash = 0
 
 
 class _Record(pydantic.BaseModel):
@@ -20,17 +27,17 @@
     # Validation errors are logged and must not contain the body's digest.
     model_config = pydantic.ConfigDict(hide_input_in_errors=True)
 
-    written_unix_ms: float
-    account: str
-    shape: int
-    digest: str
-    label: str
-    crashes: list[_Crash]
-    cleared_age_ms: float | None = pydantic.Field(default=None, ge=0)
-    trials: int = pydantic.Field(default=0, ge=0)
-    trial_age_ms: float | None = pydantic.Field(default=None, ge=0)
-    completions: int = pydantic.Field(default=0, ge=0)
-    position: int = pydantic.Field(default=0, ge=0)
+    written_unix_ms: fields.UnixTime
+    account: fields.Text
+    shape: _Hash
+    digest: fields.Text
+    label: fields.Text
+    crashes: fields.List[_Crash]
+    cleared_age_ms: fields.Duration | None = None
+    trials: fields.Count = 0
+    trial_age_ms: fields.Duration | None = None
+    completions: fields.Count = 0
+    position: fields.Whole = 0
 
 
 def encode(report: crash_reports.CrashReport, *, wall_ms: float) -> bytes:
@@ -74,6 +81,7 @@
     Raises:
         ValueError: The data is not a valid report.
     """
+    fields.check_size(data, _MAX_RECORD_BYTES)
     record = _Record.model_validate_json(data)
     since_ms = max(0.0, wall_ms - record.written_unix_ms)
     outline = fingerprints.Outline(record.account, record.shape)
--- a/src/jujubewharf/forwarding/registration.py
+++ b/src/jujubewharf/forwarding/registration.py
@@ -39,6 +39,20 @@
         return cls(**fields, registered_as=endpoint.name)
 
 
+def name_of_start(registered_as: str, started_ms: int | None) -> str:
+    """Returns the name of one start of an endpoint.
+
+    No other name and time make the same one.
+
+    Args:
+        registered_as: Name under which the endpoint registered.
+        started_ms: Unix time of the start in milliseconds, if known.
+    """
+    if started_ms is not None:
+        return f"{registered_as}@{started_ms}"
+    return f"{registered_as}@" if "@" in registered_as else registered_as
+
+
 def public_name(endpoint: resources.Endpoint) -> str:
     """Returns the name under which an endpoint registered."""
     if isinstance(endpoint, Registration):
--- a/src/jujubewharf/platform/record_decoder.py
+++ b/src/jujubewharf/platform/record_decoder.py
@@ -18,7 +18,8 @@
     Args:
         table: Name of the table in log lines.
         decode: Converts key and bytes of a record to its value. Records for
-            which it raises ``ValueError`` are logged and marked unreadable.
+            which it raises are logged and marked unreadable: ``ValueError`` is
+            its own judgement, and any other failure costs this record only.
     """
 
     def __init__(self, table: str, decode: Callable[[str, bytes], T]) -> None:
@@ -30,10 +31,11 @@
     ) -> tables.TableRecord[T]:
         """Decodes a record; one without a value removes its key."""
         if not value:
+            self._errors.clear(key)
             return tables.TableRecord(key, offset, None)
         try:
             decoded = self._decode(key, value)
-        except ValueError as error:
+        except Exception as error:
             return self.reject(key, offset, error)
         self._errors.clear(key)
         return tables.TableRecord(key, offset, decoded)
--- a/src/jujubewharf/platform/record_errors.py
+++ b/src/jujubewharf/platform/record_errors.py
@@ -4,11 +4,20 @@
 
 import dataclasses
 
+from opentelemetry import metrics
 import structlog
 
 from jujubewharf.platform import epochs
 
+_SKIPPED = metrics.get_meter("jujubewharf").create_counter(
+    "forwarding.skipped_records",
+    description="Records of the store that could not be used, by table.",
+)
+
 _MOST_DETAIL_CHARS = 300
+_MOST_KEY_CHARS = 256
+# Keys whose logged offsets are remembered.
+_MOST_KEYS = 10_000
 
 
 class RecordErrors:
@@ -34,16 +43,19 @@
         """
         if self._logged.get(key, -1) >= offset:
             return
+        if len(self._logged) >= _MOST_KEYS and key not in self._logged:
+            del self._logged[next(iter(self._logged))]
         self._logged[key] = offset
+        _SKIPPED.add(1, {"table": self._table})
         self._logger.error(
             "record_not_understood",
             table=self._table,
-            key=key,
+            key=key[:_MOST_KEY_CHARS],
             **dataclasses.asdict(epochs.split(offset)),
             error=type(error).__name__,
             detail=str(error)[:_MOST_DETAIL_CHARS],
         )
 
     def clear(self, key: str) -> None:
-        """Forgets logged offsets of a key whose newest record was decoded."""
+        """Forgets the logged offset of a key that has a good or no record."""
         self._logged.pop(key, None)
--- a/tests/border_fuzz.py
+++ b/tests/border_fuzz.py
@@ -31,6 +31,8 @@
 from tests.forwarding import deployments
 
 _BATCH = 100
+# One record in so many is a crash report.
+_CRASH_SHARE = 10
 _PAGE_ITEMS = 500
 _POLL_MS = 20.0
 # Long enough for the leader's read and its message to the followers.
@@ -193,7 +195,10 @@
         self.d.wire.put(table, key, json.dumps(value).encode())
 
     def _write_batch(self, count: int) -> int:
-        for _ in range(count - 1):
+        crash_count = (count - 1) // _CRASH_SHARE
+        for _ in range(crash_count):
+            self.d.crashes.put(*self._hostile.crash())
+        for _ in range(count - 1 - crash_count):
             self.d.wire.put("endpoints", *self._hostile.endpoint())
         self._version += 1
         hostile = self._hostile.configuration(self._version)
--- a/tests/forwarding/test_crash_records.py
+++ b/tests/forwarding/test_crash_records.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+
 import pytest
 
 from jujubewharf.forwarding import crash_records
@@ -43,3 +45,28 @@
     data = crash_records.encode(REPORT, wall_ms=0.0)
     with pytest.raises(ValueError):
         crash_records.decode(data.replace(b"ff31", b"zz31"), wall_ms=0.0)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"shape": 2**64},
+        {"shape": -1},
+        {"written_unix_ms": float("nan")},
+        {"written_unix_ms": 1e300},
+        {"trials": 2**64},
+        {"position": 2**64},
+        {"trial_age_ms": float("inf")},
+        {"label": "x" * 10_000},
+        {"other": "x" * 100_000},
+        {"crashes": [{"engine": "d1", "age_ms": 1e300}]},
+        {"crashes": [{"engine": "d1", "age_ms": 1, "request": 2**64}]},
+        {"crashes": [1] * 20_000},
+    ],
+)
+def test_record_out_of_bounds_is_an_error(change):
+    """Leaders send reports on; one that can't be sent ended them."""
+    sound = json.loads(crash_records.encode(REPORT, wall_ms=5_000.0))
+    with pytest.raises(ValueError) as caught:
+        crash_records.decode(json.dumps(sound | change).encode(), wall_ms=0.0)
+    assert len(str(caught.value)) < 1_000
--- a/tests/hostile_records.py
+++ b/tests/hostile_records.py
@@ -70,6 +70,20 @@
     "burst": 50,
 }
 
+CRASH = {
+    "written_unix_ms": 1_000.0,
+    "account": "",
+    "shape": 7,
+    "digest": "00" * 16,
+    "label": "r1",
+    "crashes": [{"engine": "d1", "age_ms": 5.0, "request": 3}],
+    "cleared_age_ms": None,
+    "trials": 1,
+    "trial_age_ms": 3.0,
+    "completions": 0,
+    "position": 0,
+}
+
 # JSON texts, so that numbers come as they were written and not as Python reads
 # them: 1e400 is infinite, and a repeated key isn't lost.
 _NUMBERS = (
@@ -162,6 +176,12 @@
             key = b"i-%d" % self._rng.randrange(40)
         return key, self._spoilt(self._changed(ENDPOINT))
 
+    def crash(self) -> tuple[str, bytes]:
+        """Returns key and value of a crash report."""
+        key = f"w-{self._rng.randrange(40)}"
+        sound = CRASH | {"digest": f"{self._rng.randrange(99):032x}"}
+        return key, self._spoilt(self._changed(sound))
+
     def configuration(self, version: int) -> bytes:
         """Returns a configuration; its version is mostly the given one."""
         parts = {
--- a/tests/users_platform/test_records.py
+++ b/tests/users_platform/test_records.py
@@ -263,6 +263,17 @@
         {"born": "1700000000000"},
         {"born": 1.5},
         {"born": -1},
+        {"born": 2**53},
+        {"born": 2**64},
+        {"born": 10**20},
+        {"seq": -1},
+        {"seq": 2**64},
+        {"coldLeftMs": 1e300},
+        {"coldLeftMs": float("nan")},
+        {"coldLeftMs": float("inf")},
+        {"version": "v" * 10_000},
+        {"address": "10.0.0.1:" + "0" * 10_000 + "80"},
+        {"other": "x" * 70_000},
     ],
 )
 def test_invalid_entry_is_no_endpoint(more):
@@ -334,3 +345,91 @@
     except ValueError:
         return
     assert isinstance(found, routes.RoutingConfiguration)
+
+
+@pytest.mark.parametrize(
+    "route",
+    [
+        {"timeoutMs": float("nan")},
+        {"timeoutMs": float("inf")},
+        {"timeoutMs": 1e308},
+        {"timeoutMs": -1},
+        {"sloLatencyMs": 1e13},
+        {"priority": 2**64},
+        {"priority": -1},
+        {"maxAttempts": 10**20},
+        {"host": "h" * 10_000},
+        {"pathPrefix": "/" * 20_000},
+        {"trafficSplit": [{"service": "a", "weight": -1}]},
+        {"trafficSplit": [{"service": "a", "weight": float("nan")}]},
+        {"trafficSplit": [{"service": "a", "weight": 0}]},
+    ],
+)
+def test_route_out_of_bounds_is_no_configuration(route):
+    """The former configuration stays in force."""
+    with pytest.raises(ValueError, match="validation error"):
+        _configuration(**route)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"version": 2**64},
+        {"version": -1},
+        {"limits": CONFIGURATION["limits"] | {"maxBodyBytes": 2**64}},
+        {"limits": CONFIGURATION["limits"] | {"idleTimeoutMs": float("inf")}},
+        {"services": [{"name": "s", "engine": {"slots": 0, "kvTokens": 1}}]},
+        {"services": [{"name": "s", "engine": {"slots": 1, "kvTokens": 0}}]},
+        {"services": [{"name": "s" * 10_000}]},
+        {"tenants": [TENANT | {"priority": 2**64}]},
+        {"tenants": [TENANT | {"apiKeys": ["k" * 10_000]}]},
+    ],
+)
+def test_configuration_out_of_bounds_is_none(change):
+    value = json.dumps(CONFIGURATION | change).encode()
+    with pytest.raises(ValueError, match="validation error"):
+        records.decode_configuration("config", value)
+
+
+def test_configuration_beyond_its_size_is_not_parsed():
+    value = json.dumps(CONFIGURATION | {"other": "x" * 4_000_000}).encode()
+    with pytest.raises(ValueError, match="bytes"):
+        records.decode_configuration("config", value)
+
+
+def test_error_of_a_long_list_stays_short():
+    """Half a million wrong items made an error of many times their size."""
+    value = json.dumps(CONFIGURATION | {"routes": [1] * 500_000}).encode()
+    with pytest.raises(ValueError, match="validation error") as refused:
+        records.decode_configuration("config", value)
+    assert len(str(refused.value)) < 1_000
+
+
+@pytest.mark.parametrize("key", ["", "a\r\nb", "a\0", "\ufffd\n", "k" * 300])
+def test_key_that_no_header_can_carry_names_no_endpoint(key):
+    """The key is sent as the name of the engine that is meant."""
+    with pytest.raises(ValueError, match="not a name"):
+        records.decode_endpoint(key, json.dumps(SERVER).encode())
+
+
+def test_no_two_entries_make_the_same_name():
+    """An entry of another writer must not stand in for an engine's start."""
+    entries = [("i", 5), ("i@5", None), ("i", None), ("i@", None), ("i@5", 5)]
+    names = {
+        records.decode_endpoint(
+            key, json.dumps(SERVER | {"born": born}).encode()
+        ).name
+        for key, born in entries
+    }
+    assert len(names) == len(entries)
+    assert records.decode_endpoint("i", json.dumps(SERVER).encode()).name == "i"
+
+
+@pytest.mark.parametrize("number", [1e308, float("inf"), float("nan"), 10**300])
+def test_quota_beyond_any_use_limits_nobody(number):
+    """One account must not hold up a change of keys."""
+    (found,) = _accounts(TENANT | {"ratePerS": number})
+    assert found.quota is None
+    (found,) = _accounts(TENANT | {"burst": number, "uncachedTokens": number})
+    assert 0.0 < found.quota.burst <= 1e21
+    assert 0.0 <= found.quota.unsized_tokens <= 1e21
--- a/tests/users_platform/test_store.py
+++ b/tests/users_platform/test_store.py
@@ -262,3 +262,99 @@
     async with _table(lambda r: [absent]) as (table, _):
         with pytest.raises(log.LogUnavailableError):
             await table.newest()
+
+
+_SOUND_ITEM = _item("a", b"1", 3)
+
+
+@pytest.mark.parametrize(
+    "page",
+    [
+        {"items": [], "end": "7"},
+        {"items": [], "end": -1},
+        {"items": [], "end": 2**32},
+        {"items": [], "end": 10**30},
+        {"items": [], "end": 1.5},
+        {"items": {}, "end": 7},
+        {"items": [[]], "end": 7},
+        {"items": [_SOUND_ITEM | {"offset": 2**32}], "end": 7},
+        {"items": [_SOUND_ITEM | {"offset": None}], "end": 7},
+        {"items": [{"key": "a"}], "end": 7},
+        {"items": [], "hasMore": True, "end": 7},
+        {"items": [{"offset": 1}], "hasMore": True, "end": 7},
+        {"items": [_SOUND_ITEM], "hasMore": True, "end": 7},
+    ],
+)
+async def test_answer_of_another_shape_counts_as_none(page):
+    """It ended the process, or was read again without end."""
+    async with _table(lambda r: [_json(page)]) as (table, _):
+        with pytest.raises(log.LogUnavailableError):
+            await table.newest()
+
+
+@pytest.mark.parametrize("value", [7, [], {}, "a", "\u00e9", None, "x==="])
+async def test_value_that_is_no_base64_costs_this_record(value):
+    items = [_item("a", b"1", 3), {"key": "b", "value": value, "offset": 4}]
+    page = {"items": items, "end": 7}
+    async with _table(lambda r: [_json(page)]) as (table, _):
+        found = await table.newest()
+    assert found.records[0] == tables.TableRecord("a", 3, "1")
+    assert found.records[1].value is None
+
+
+async def test_record_at_which_the_decoder_fails_costs_this_record(monkeypatch):
+    """Whatever its failure is."""
+
+    def decode(key, value):
+        if value == b"bad":
+            raise OverflowError("bad")
+        return value.decode()
+
+    monkeypatch.setitem(globals(), "_decode", decode)
+    sent = _changes(9, 2, b"\x01abad", b"\x01b2")
+    async with _table(lambda r: [sent]) as (table, _):
+        page = await table.changes(5, wait_ms=0.0)
+    assert page.records == (
+        tables.TableRecord("a", 5, None, is_unreadable=True),
+        tables.TableRecord("b", 6, "2"),
+    )
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        {"generation": "7", "parts": []},
+        {"generation": -1, "parts": []},
+        {"generation": 2**40, "parts": []},
+        {"generation": 7, "parts": {}},
+        {"generation": 7, "parts": [["t"]]},
+        {"generation": 7, "parts": [["t", "x", 0]]},
+        {"generation": 7, "parts": [None]},
+    ],
+)
+async def test_group_answer_of_another_shape_counts_as_none(answer):
+    async with raw_server.serving(lambda r: [_json(answer)]) as (_, address):
+        async with store.new_session() as session:
+            calls = store.Store(
+                address, session, clocks.Clock(), epochs.StoreEpoch()
+            )
+            group = store.StoreGroup(
+                calls, "g", "m", part_count=24, ttl_ms=3_000.0
+            )
+            with pytest.raises(log.LogUnavailableError):
+                await group.join(6)
+
+
+@pytest.mark.parametrize("parts", [{}, [["t", 1]], [["t", "x", "m/1"]], [7]])
+async def test_owners_of_another_shape_count_as_none(parts):
+    answer = _json({"parts": parts})
+    async with raw_server.serving(lambda r: [answer]) as (_, address):
+        async with store.new_session() as session:
+            calls = store.Store(
+                address, session, clocks.Clock(), epochs.StoreEpoch()
+            )
+            group = store.StoreGroup(
+                calls, "g", "m", part_count=24, ttl_ms=3_000.0
+            )
+            with pytest.raises(log.LogUnavailableError):
+                await group.contacts()
