Peer messages have bounds, and one that can't be encoded costs itself

Cause as a class: `codec.encode` raised whatever its libraries raise (TypeError, OverflowError, UnicodeEncodeError), `Link.tell` and `ask` passed it on to their callers, and most of those are tasks of services. Received numbers could be NaN, infinite or 10^308, and then fail in sums of the receiver.

Now each value of each message has bounds (`peers.bounds`): they are put into the schema by which `pydantic` validates it, so a new message has them too, and the check runs where the type check runs. `encode` raises one error, `UnencodableError`. A link drops such a message, counts it (`peers.drops`, reason `unencodable`) and returns False, as for one that is too large; an ask counts as not sent, and a relayed call as too large for a peer. A handler of heartbeats that fails no longer ends the link.

--- a/src/jujubewharf/endpoint_paths/relay_streams.py
+++ b/src/jujubewharf/endpoint_paths/relay_streams.py
@@ -14,7 +14,7 @@
 
 
 class TooLargeError(Exception):
-    """A message is larger than a peer accepts; nothing was sent."""
+    """A message can't be encoded in a frame of a peer; nothing was sent."""
 
 
 class RelayStream:
@@ -36,10 +36,13 @@
 
         Raises:
             BrokenRelayError: The stream is lost.
-            TooLargeError: The message is too large.
+            TooLargeError: The message is too large, or can't be encoded.
         """
         frame = codec.Frame(codec.FrameKind.TELL, 0, message)
-        data = codec.encode(frame)
+        try:
+            data = codec.encode(frame)
+        except codec.UnencodableError as error:
+            raise TooLargeError from error
         if len(codec.body_of(data)) > codec.MAX_FRAME_BYTES:
             raise TooLargeError
         self._writer.write(data)
--- a/src/jujubewharf/peers/codec.py
+++ b/src/jujubewharf/peers/codec.py
@@ -6,7 +6,8 @@
 with defaults: older receivers ignore additional fields, and fields missing
 from an older sender take their defaults. Nested dataclasses are encoded as
 maps by field name. ``pydantic`` validates every value against its declared
-type, so handlers never receive a field of the wrong type.
+type and the bounds of ``peers.bounds``, so handlers never receive a field of
+the wrong type, or a number with which they can't compute.
 """
 
 from __future__ import annotations
@@ -20,9 +21,12 @@
 
 import msgpack
 import pydantic
+import pydantic_core
 
+from jujubewharf.peers import bounds
 from jujubewharf.peers import counters
 from jujubewharf.peers import messages
+from jujubewharf.telemetry import containment
 
 MAX_FRAME_BYTES = 4_000_000
 
@@ -62,6 +66,13 @@
         self.kind = kind
 
 
+class UnencodableError(Exception):
+    """A message has a value that the wire format can't express.
+
+    Only this message is lost: nothing of it was sent.
+    """
+
+
 class BrokenStreamError(Exception):
     """The stream ended or lost its framing and can't be read further.
 
@@ -94,21 +105,39 @@
 
 
 def encode(frame: Frame) -> bytes:
-    """Encodes a frame, including its length prefix."""
+    """Encodes a frame, including its length prefix.
+
+    Raises:
+        UnencodableError: The message has a value that can't be encoded.
+    """
     number = 0
     fields: list[Any] = []
-    if frame.message is not None:
-        message_type: Any = type(frame.message)
-        number = messages.NUMBER_OF_TYPE[message_type]
-        dumped = _adapter(message_type).dump_python(
-            frame.message, warnings=False
-        )
-        fields = list(dumped.values())
-    parts = [int(frame.kind), frame.correlation, number, fields]
-    body = msgpack.packb(parts, default=_encode_default)
+    try:
+        if frame.message is not None:
+            message_type: Any = type(frame.message)
+            number = messages.NUMBER_OF_TYPE[message_type]
+            dumped = _adapter(message_type).dump_python(
+                frame.message, warnings=False
+            )
+            fields = list(dumped.values())
+        parts = [int(frame.kind), frame.correlation, number, fields]
+        body = msgpack.packb(parts, default=_encode_default)
+    except (ValueError, TypeError, OverflowError, RecursionError) as error:
+        raise UnencodableError(type(frame.message).__name__) from error
     return _LENGTH.pack(len(body)) + body
 
 
+def encode_or_drop(frame: Frame, counts: counters.PeerCounters) -> bytes | None:
+    """Encodes a frame; counts one that can't be and returns ``None``."""
+    try:
+        return encode(frame)
+    except UnencodableError as error:
+        counts.count_drop(counters.DropReason.UNENCODABLE)
+        name = type(frame.message).__name__
+        containment.report_failure("peer_message", error, message=name)
+        return None
+
+
 def decode(body: bytes) -> Frame:
     """Decodes a frame from its body, without the length prefix.
 
@@ -128,7 +157,7 @@
     names = _field_names(message_type)
     named = dict(zip(names, fields, strict=False))
     try:
-        message = _adapter(message_type).validate_python(named)
+        message = _validator(message_type).validate_python(named)
     except (ValueError, TypeError, OverflowError, RecursionError) as error:
         raise DroppedFrameError(
             counters.DropReason.MALFORMED, correlation=correlation, kind=kind
@@ -209,6 +238,12 @@
     return pydantic.TypeAdapter(message_type)
 
 
+@functools.cache
+def _validator(message_type: Any) -> pydantic_core.SchemaValidator:
+    schema = bounds.bounded(_adapter(message_type).core_schema)
+    return pydantic_core.SchemaValidator(schema)
+
+
 @functools.cache
 def _field_names(message_type: Any) -> tuple[str, ...]:
     return tuple(field.name for field in dataclasses.fields(message_type))
--- a/src/jujubewharf/peers/counters.py
+++ b/src/jujubewharf/peers/counters.py
@@ -38,6 +38,7 @@
     QUEUE_FULL = "queue_full"
     LATE_ANSWER = "late_answer"
     TOO_LARGE_TO_SEND = "too_large_to_send"
+    UNENCODABLE = "unencodable"
 
 
 class AskOutcome(enum.Enum):
--- a/src/jujubewharf/peers/link.py
+++ b/src/jujubewharf/peers/link.py
@@ -21,6 +21,7 @@
 from jujubewharf.peers import link_messages
 from jujubewharf.peers import messages
 from jujubewharf.peers import network
+from jujubewharf.telemetry import containment
 
 if TYPE_CHECKING:
     from jujubewharf import clock as clocks
@@ -165,8 +166,8 @@
         """Queues a one-way message.
 
         Returns:
-            False if the link is closed, its queue is full or the message is
-            too large.
+            False if the link is closed, its queue is full, or the message is
+            too large or can't be encoded.
         """
         self.last_used_ms = self._clock.now_ms()
         if not self.takes_messages:
@@ -239,7 +240,8 @@
     def _send(self, frame: codec.Frame) -> bool:
         if self.is_closed:
             return False
-        return self._enqueue(codec.encode(frame))
+        data = codec.encode_or_drop(frame, self._counts)
+        return data is not None and self._enqueue(data)
 
     def _enqueue(self, data: bytes) -> bool:
         if self.is_closed:
@@ -324,7 +326,8 @@
         match frame.message:
             case link_messages.Heartbeat() as heartbeat:
                 self.is_peer_receiving = heartbeat.is_receiving
-                self.on_heartbeat(self, heartbeat)
+                with containment.contained("heartbeat", peer=self.peer):
+                    self.on_heartbeat(self, heartbeat)
             case link_messages.Farewell() as farewell:
                 self.farewell = farewell
             case None:
--- a/tests/peers/test_bounds.py
+++ b/tests/peers/test_bounds.py
@@ -4,10 +4,12 @@
 
 import dataclasses
 import math
+import struct
 
 import hypothesis
 from hypothesis import strategies as st
 import msgpack
+import pytest
 
 from jujubewharf.leadership import followers as _all_messages  # noqa: F401
 from jujubewharf.peers import codec
@@ -116,3 +118,36 @@
         return
     assert all(map(_is_bounded, _numbers_and_strings(frame.message)))
     assert codec.decode(codec.body_of(codec.encode(frame))) == frame
+
+
+@messages.message(9_399)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Anything(messages.Message):
+    number: int = 0
+    text: str = ""
+    share: float = 0.0
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        Anything(2**64),
+        Anything(-(2**63) - 1),
+        Anything(10**400),
+        Anything(text="\ud800"),
+        Anything(text=object()),
+    ],
+)
+def test_what_cant_be_encoded_is_one_kind_of_error(message):
+    """Senders tell it from other failures, and drop this message only."""
+    frame = codec.Frame(codec.FrameKind.TELL, 0, message)
+    with pytest.raises(codec.UnencodableError):
+        codec.encode(frame)
+
+
+def test_largest_numbers_are_encoded():
+    frame = codec.Frame(codec.FrameKind.TELL, 0, Anything(2**64 - 1))
+    data = codec.encode(frame)
+    (size,) = struct.unpack(">I", data[:4])
+    assert size == len(codec.body_of(data))
+    assert codec.decode(codec.body_of(data)) == frame
--- a/tests/peers/test_hostile.py
+++ b/tests/peers/test_hostile.py
@@ -18,6 +18,7 @@
 from jujubewharf.experiments import virtual_time
 from jujubewharf.peers import codec
 from jujubewharf.peers import counters
+from jujubewharf.peers import link as links
 from jujubewharf.peers import link_messages
 from jujubewharf.peers import mesh as meshes
 from jujubewharf.peers import messages
@@ -336,3 +337,76 @@
         frames.append(msgpack.unpackb(data[4 : 4 + size]))
         data = data[4 + size :]
     return frames
+
+
+def test_message_that_cant_be_encoded_costs_this_message():
+    """A number beyond 64 bits ended the task that sent it, and its process."""
+
+    async def run() -> None:
+        target = Target()
+        await target.mesh.start()
+        answer = await target.mesh.ask("e1", Sum((1, 2)), timeout_ms=100)
+        assert answer == Sum((3,))
+        link = _idle_link(target)
+        assert not link.tell(Sum((2**70,)))
+        with pytest.raises(network.PeerError):
+            await link.ask(Sum((2**70,)), timeout_ms=100)
+        assert link.tell(Sum((1,)))
+        drops = target.mesh.counts.drops
+        assert drops == {counters.DropReason.UNENCODABLE: 2}
+        await target.mesh.stop()
+
+    virtual_time.run(run())
+
+
+def test_heartbeat_whose_handler_fails_costs_this_heartbeat():
+    """The frames after it are read nevertheless."""
+
+    async def run() -> None:
+        target = Target()
+        handled: list[messages.Message] = []
+
+        async def dispatch(name: str, message: messages.Message) -> None:
+            handled.append(message)
+
+        reader = asyncio.StreamReader()
+        link = _idle_link(target, reader=reader, dispatch=dispatch)
+
+        def fail(link: links.Link, heartbeat: link_messages.Heartbeat) -> None:
+            raise OverflowError("bad")
+
+        link.on_heartbeat = fail
+        reader.feed_data(_tell(link_messages.Heartbeat()) + _tell(Sum((1,))))
+        reader.feed_eof()
+        await link.run()
+        await target.clock.sleep_ms(1)
+        assert handled == [Sum((1,))]
+
+    virtual_time.run(run())
+
+
+class _Writer:
+    """Takes what is written and never fails."""
+
+    def write(self, data: bytes) -> None:
+        pass
+
+    async def drain(self) -> None:
+        pass
+
+    def close(self) -> None:
+        pass
+
+
+def _idle_link(target: Target, *, reader=None, dispatch=None) -> links.Link:
+    """Returns a link whose frames go nowhere."""
+    return links.Link(
+        HELLO,
+        is_dialled=True,
+        is_standing=True,
+        reader=reader or asyncio.StreamReader(),
+        writer=_Writer(),
+        clock=target.clock,
+        counts=target.mesh.counts,
+        dispatch=dispatch or target.mesh.handle,
+    )
