Headers have bounds, and text that isn't UTF-8 stays out

What callers saw: a request with a header that isn't UTF-8 was passed on with other bytes than it had, or, where the header goes into a message to the leader or another instance (request id, resumed request, model, parts of the prompt, relayed headers), failed as an internal error: the HTTP parser makes lone surrogates of such bytes, and neither msgpack nor JSON can encode them. By reading, with the encoder alone; no run of the deployed program shows it. Numbers of headers had no upper bound: `Retry-After: 1e308` became an infinite backoff in ms.

Now `header_values.Fields` reads the headers of one message: decimals from 0 to 10^12, integers of 15 digits, text that is UTF-8. What lies outside is skipped, counted (`border.skipped_values`) and logged at the first, tenth, hundredth and so on. Other headers that aren't UTF-8 aren't passed on, in either direction.

--- a/src/jujubewharf/callers/hop_headers.py
+++ b/src/jujubewharf/callers/hop_headers.py
@@ -5,6 +5,9 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 
+from jujubewharf import header_values
+from jujubewharf.telemetry import containment
+
 # RFC 9110, section 7.6.1.
 HOP_HEADERS = frozenset(
     {
@@ -34,7 +37,8 @@
 
     Returns:
         The headers without hop-by-hop headers, headers named by the
-        Connection header, and ``dropped``; the order is kept.
+        Connection header, ``dropped``, and headers that are not UTF-8, which
+        can't be sent on; the order is kept.
     """
     items = tuple(pairs)
     connection_tokens = {
@@ -44,4 +48,15 @@
         for token in value.split(",")
     }
     removed = HOP_HEADERS | connection_tokens | set(dropped)
-    return tuple((n, v) for n, v in items if n.lower() not in removed)
+    return tuple(
+        (name, value)
+        for name, value in items
+        if name.lower() not in removed and _is_sendable(name, value)
+    )
+
+
+def _is_sendable(name: str, value: str) -> bool:
+    if header_values.is_text(name) and header_values.is_text(value):
+        return True
+    containment.report_skipped("other", value)
+    return False
--- a/tests/test_header_values.py
+++ b/tests/test_header_values.py
@@ -1,10 +1,11 @@
-"""Parsing of numbers in headers."""
+"""Reading of numbers and text in headers."""
 
 from __future__ import annotations
 
 import math
 
 import pytest
+import structlog
 
 from jujubewharf import header_values
 
@@ -20,6 +21,10 @@
         ("", None),
         (None, None),
         ("1,5", None),
+        ("1e12", 1e12),
+        ("1e13", None),
+        ("1e308", None),
+        ("9" * 400, None),
     ],
 )
 def test_parse_decimal(text, amount):
@@ -46,3 +51,19 @@
 )
 def test_parse_integer(text, whole):
     assert header_values.parse_integer(text) == whole
+
+
+@pytest.mark.parametrize("value", ["1e308", "-1", "nan", "x", "\udcff"])
+def test_value_out_of_its_bounds_is_skipped(value):
+    """A line tells of it, once for many."""
+    fields = header_values.Fields({"A-Number": value})
+    with structlog.testing.capture_logs() as lines:
+        for _ in range(5):
+            assert fields.decimal("A-Number") is None
+            assert fields.integer("A-Number") is None
+    assert len(lines) <= 2
+
+
+def test_text_that_isnt_utf8_is_skipped():
+    fields = header_values.Fields({"A": "a\udcff", "B": "\u00e9", "C": "c"})
+    assert [fields.text(name) for name in "ABCD"] == ["", "\u00e9", "c", ""]
