A failure at one record, message or round ends no process

Cause as a class: an exception in a task of a `mode` service crashes it and all its parents, and `leaving.process` then ends the process with code 1. Tasks expected the failures they knew (`LogUnavailableError` and the like), so any other at any record ended the process; the page was read again at the next start.

- Tasks of the deployed services start again after a second (`RestartingService`); a lease renewal and the check of one service's roles go on by themselves, and an instance whose leading fails stops leading.
- The registry rejects the record that can't be applied, or at whose change a listener fails, like an unreadable one: all changed records of the page are withdrawn and applied one after the other.
A listener that fails without them costs no record, and the other listeners are told (`registry_index`).
- An endpoint's record that can't be encoded goes to followers as unreadable.
A configuration that can't be is read by them from the store.
- A configuration that can't be put in force leaves the former one in force; its tables are built before anything is replaced.
- Publishing to followers, applying a page and reading a table fail each for itself; an answer that can't be read counts as an outage.

--- a/src/jujubewharf/endpoint_paths/path_probes.py
+++ b/src/jujubewharf/endpoint_paths/path_probes.py
@@ -12,18 +12,20 @@
 import mode
 
 from jujubewharf import clock as clocks
+from jujubewharf import restarting_service
 from jujubewharf.configuration import resources
 from jujubewharf.endpoint_paths import reachability as reachabilities
 from jujubewharf.endpoint_paths import relayed_backends
 from jujubewharf.engines import client
 from jujubewharf.peers import relay_messages
+from jujubewharf.telemetry import containment
 
 _INTERVAL_MS = 500.0
 # Connection attempts per interval to a group that is out of reach.
 _ENDPOINTS_PER_ROUND = 3
 
 
-class PathProbes(mode.Service):
+class PathProbes(restarting_service.RestartingService):
     """Connects to one endpoint of each group that may be out of reach, in turn.
 
     Args:
@@ -38,10 +40,9 @@
         reachability: reachabilities.Reachability,
         clock: clocks.Clock,
     ) -> None:
-        super().__init__()
+        super().__init__(clock)
         self._backends = backends
         self._reachability = reachability
-        self._clock = clock
         self._rounds = 0
         reachability.on_suspected = self._probe_at_once
 
@@ -70,6 +71,10 @@
             self.add_future(self._probe(endpoint))
 
     async def _probe(self, endpoint: resources.Endpoint) -> None:
+        with containment.contained("probe", endpoint=endpoint.name):
+            await self._try_probe(endpoint)
+
+    async def _try_probe(self, endpoint: resources.Endpoint) -> None:
         if await self._backends.is_reachable(endpoint):
             return
         relay = self._backends.relay
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -56,6 +56,7 @@
 from jujubewharf.requests import plain_endpoints
 from jujubewharf.role_orders import ledger
 from jujubewharf.stream_versions import origins
+from jujubewharf.telemetry import containment
 
 # Share of the retry budget while the group is unreachable. Small enough for two
 # dozen isolated instances to stay within the fleet's budget.
@@ -572,17 +573,22 @@
                     told_by="leader" if page.is_from_leader else "store",
                 )
         if self.fleet.followers is not None:
-            self.fleet.followers.publish_configurations(page.records, page.end)
+            with containment.contained("publish_configurations"):
+                self.fleet.followers.publish_configurations(
+                    page.records, page.end
+                )
 
     def _on_endpoints(
         self, page: tables.TablePage[resources.Endpoint], is_full_read: bool
     ) -> None:
-        self._endpoint_state.apply_page(page, is_full_read=is_full_read)
-        self._parts.check()
+        with containment.contained("apply_endpoints"):
+            self._endpoint_state.apply_page(page, is_full_read=is_full_read)
+            self._parts.check()
         if self.fleet.followers is not None:
-            self.fleet.followers.publish_endpoints(
-                page.records, page.end, is_full_read=is_full_read
-            )
+            with containment.contained("publish_endpoints"):
+                self.fleet.followers.publish_endpoints(
+                    page.records, page.end, is_full_read=is_full_read
+                )
 
     def _on_endpoints_confirmed(self, end: int, age_ms: float) -> None:
         """Counts the leader's read as this instance's, once all is applied."""
--- a/src/jujubewharf/forwarding/fleet_share.py
+++ b/src/jujubewharf/forwarding/fleet_share.py
@@ -10,12 +10,13 @@
 import structlog
 
 from jujubewharf import clock as clocks
+from jujubewharf import restarting_service
 from jujubewharf.forwarding import lease as leases
 from jujubewharf.platform import groups
 from jujubewharf.platform import log
 
 
-class FleetShare(mode.Service):
+class FleetShare(restarting_service.RestartingService):
     """Keeps this instance in the group and computes its share.
 
     Args:
@@ -34,9 +35,8 @@
         *,
         default_share: float,
     ) -> None:
-        super().__init__()
+        super().__init__(clock)
         self._group = group
-        self._clock = clock
         self._default_share = default_share
         self._has_left = False
         self._logger = structlog.get_logger()
--- a/src/jujubewharf/forwarding/follower.py
+++ b/src/jujubewharf/forwarding/follower.py
@@ -13,10 +13,12 @@
 import structlog
 
 from jujubewharf import clock as clocks
+from jujubewharf import restarting_service
 from jujubewharf.platform import availability as availabilities
 from jujubewharf.platform import epochs
 from jujubewharf.platform import log
 from jujubewharf.platform import tables
+from jujubewharf.telemetry import containment
 
 T = TypeVar("T")
 
@@ -53,7 +55,7 @@
     max_retry_ms: float = 1_000.0
 
 
-class TableFollower(mode.Service, Generic[T]):
+class TableFollower(restarting_service.RestartingService, Generic[T]):
     """Reads a whole table, then its changes, and starts over after a gap.
 
     Args:
@@ -88,12 +90,11 @@
         availability: availabilities.StoreAvailability | None = None,
         keys_digest: Callable[[], int | None] = lambda: None,
     ) -> None:
-        super().__init__()
+        super().__init__(clock)
         self._name = name
         self._table = table
         self._pace = pace
         self._epoch = epoch
-        self._clock = clock
         self._rng = rng
         self._backoff = availabilities.RetryBackoff(
             availability or availabilities.StoreAvailability(clock),
@@ -139,6 +140,11 @@
                 )
                 self._offset = None
                 self._required_at_ms = 0.0
+            except Exception as error:
+                # An answer that can't be read is none.
+                containment.report_failure("read", error, table=self._name)
+                self._handle_outage(type(error).__name__)
+                await self._backoff.pause(began_ms=began_ms)
 
     async def _read(self) -> None:
         began_ms = self._clock.now_ms()
@@ -229,7 +235,9 @@
             self._note_restore(self._offset, page, is_full_read=is_full_read)
         # A full read can be older than changes that were already read.
         self._offset = max(page.end, self._offset or 0)
-        self._on_page(page, is_full_read)
+        # A page that fails is not read again at once: it would fail again.
+        with containment.contained("table", table=self._name):
+            self._on_page(page, is_full_read)
         if page.keys_digest is not None:
             self._compare_keys(page.keys_digest)
 
--- a/src/jujubewharf/forwarding/forwarder.py
+++ b/src/jujubewharf/forwarding/forwarder.py
@@ -24,6 +24,7 @@
 from jujubewharf.forwarding import runs
 from jujubewharf.forwarding import stream
 from jujubewharf.stream_versions import resumptions
+from jujubewharf.telemetry import containment
 
 _NOT_READY_RETRY_AFTER_MS = 500.0
 
@@ -75,10 +76,19 @@
         if self.current is not None:
             if configuration.version <= self.current.version:
                 return False
+        try:
+            account_table = accounts.AccountTable(configuration.accounts)
+            route_table = routes.RouteTable(configuration.routes)
+        except Exception as error:
+            # The former one stays in force.
+            version = configuration.version
+            containment.report_failure("configuration", error, version=version)
+            return False
         self.current = configuration
-        self.accounts = accounts.AccountTable(configuration.accounts)
-        self._table = routes.RouteTable(configuration.routes)
-        self.on_applied(configuration, position, told_by)
+        self.accounts = account_table
+        self._table = route_table
+        with containment.contained("configuration_listener"):
+            self.on_applied(configuration, position, told_by)
         return True
 
     def match(self, host: str, path: str) -> routes.Route:
--- a/src/jujubewharf/forwarding/registry.py
+++ b/src/jujubewharf/forwarding/registry.py
@@ -7,14 +7,15 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
-import itertools
 
 import structlog
 
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
 from jujubewharf.forwarding import registration
+from jujubewharf.forwarding import registry_index
 from jujubewharf.platform import epochs
+from jujubewharf.telemetry import containment
 
 # Time after an outage of the store within which running endpoints register
 # again, excluding this instance's polling interval.
@@ -24,8 +25,6 @@
 # entries of endpoints that are gone within that time.
 RESTORE_HOLD_MS = 5_000.0
 
-Listener = Callable[[Sequence[resources.Endpoint]], None]
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Record:
@@ -97,12 +96,10 @@
         self._epoch: int | None = None
         self._held_until_ms = 0.0
         self._started_ms: dict[str, int] = {}
-        self._by_name: dict[str, resources.Endpoint] = {}
-        self._by_service: dict[str, list[resources.Endpoint]] = {}
+        self._index = registry_index.RegistryIndex()
         self._is_unavailable = False
         self._available_since_ms = -LAPSE_GRACE_MS
         self._last_read_ms: float | None = None
-        self._listeners: list[Listener] = []
         self._logger = structlog.get_logger()
 
     @property
@@ -133,16 +130,16 @@
     @property
     def names(self) -> Container[str]:
         """Names of the endpoints for which ``is_registered`` is true."""
-        return self._by_name.keys()
+        return self._index.by_name.keys()
 
-    def add_listener(self, listener: Listener) -> None:
+    def add_listener(self, listener: registry_index.Listener) -> None:
         """Registers a callback that gets all endpoints that accept work."""
-        self._listeners.append(listener)
+        self._index.add_listener(listener)
 
     def of_service(self, service: str) -> Sequence[resources.Endpoint]:
         """Returns the endpoints of a service that accept work."""
         self._settle()
-        return self._by_service.get(service, ())
+        return self._index.of_service(service)
 
     def takes_work(self, name: str) -> bool:
         """Returns whether an endpoint accepts work now.
@@ -151,12 +148,12 @@
         started to drain while the request waited.
         """
         self._settle()
-        endpoint = self._by_name.get(name)
+        endpoint = self._index.by_name.get(name)
         return endpoint is not None and not endpoint.drained
 
     def is_registered(self, name: str) -> bool:
         """Returns whether an endpoint is registered or was until an outage."""
-        return name in self._by_name
+        return name in self._index.by_name
 
     def is_latest_start(self, endpoint: resources.Endpoint) -> bool:
         """Returns whether no later start of an endpoint can be unknown here.
@@ -181,7 +178,7 @@
 
         Endpoints whose entry vanished during an outage are left out.
         """
-        endpoint = self._by_name.get(name)
+        endpoint = self._index.by_name.get(name)
         if (
             endpoint is None
             or registration.public_name(endpoint) in self._lapsed
@@ -195,7 +192,7 @@
         Otherwise an instance that is cut off from the store would keep sending
         requests to it. A newer record of the endpoint restores it.
         """
-        endpoint = self._by_name.get(name)
+        endpoint = self._index.by_name.get(name)
         if endpoint is None:
             return
         key = registration.public_name(endpoint)
@@ -235,28 +232,68 @@
         self._note_epoch(end)
 
     def apply(self, records: Iterable[Record]) -> None:
-        """Applies changed records."""
+        """Applies changed records.
+
+        A record that can't be applied, or at whose change a listener fails, is
+        treated like an unreadable one. The others are applied.
+        """
+        changed: list[Record] = []
         for record in records:
-            self._note_epoch(record.offset)
-            known = self._records.get(record.key)
-            is_later = known is None or record.offset > known.offset
-            latest_start_ms = self._started_ms.get(record.key)
-            if not is_later or self._is_of_earlier_start(record):
-                continue
-            is_new_start = self._started_ms.get(record.key) != latest_start_ms
-            if (
-                known is not None
-                and not is_new_start
-                and self._contradicts(known, record)
-            ):
-                self._hold(record)
-                continue
-            self._held.pop(record.key, None)
-            self._replace(known, record)
-            if record.endpoint is not None:
-                self.on_record(record.endpoint)
+            try:
+                if self._apply(record):
+                    changed.append(record)
+            except Exception as error:
+                self._reject(record, error)
+        if self._try_rebuild() is not None:
+            self._apply_singly(changed)
+
+    def _apply_singly(self, changed: Sequence[Record]) -> None:
+        """Rejects the records at whose change a listener fails."""
+        for record in changed:
+            self._withdraw(record)
+        is_due_to_others = self._try_rebuild() is not None
+        for record in changed:
+            self._records[record.key] = record
+            error = None if is_due_to_others else self._try_rebuild()
+            if error is not None:
+                self._reject(record, error)
         self._rebuild_index()
 
+    def _reject(self, record: Record, error: Exception) -> None:
+        containment.report_failure("registry", error, endpoint=record.key)
+        self._withdraw(record)
+
+    def _withdraw(self, record: Record) -> None:
+        """Replaces a record by an unreadable one."""
+        self._records[record.key] = Record(
+            record.key, record.offset, None, is_unreadable=True
+        )
+        self._lapsed.pop(record.key, None)
+        self._held.pop(record.key, None)
+
+    def _apply(self, record: Record) -> bool:
+        """Applies a record; returns whether its endpoint changed."""
+        self._note_epoch(record.offset)
+        known = self._records.get(record.key)
+        is_later = known is None or record.offset > known.offset
+        latest_start_ms = self._started_ms.get(record.key)
+        if not is_later or self._is_of_earlier_start(record):
+            return False
+        is_new_start = self._started_ms.get(record.key) != latest_start_ms
+        if (
+            known is not None
+            and not is_new_start
+            and self._contradicts(known, record)
+        ):
+            self._hold(record)
+            return False
+        self._held.pop(record.key, None)
+        self._replace(known, record)
+        if record.endpoint is not None:
+            self.on_record(record.endpoint)
+        is_known = known is not None and known.endpoint == record.endpoint
+        return record.endpoint is not None and not is_known
+
     def apply_all(self, records: Sequence[Record], end: int) -> None:
         """Applies a full read of the store.
 
@@ -408,16 +445,15 @@
         return dataclasses.replace(endpoint, drained=True)
 
     def _rebuild_index(self) -> None:
-        self._by_service = {}
-        present = self.registered()
+        """Rebuilds the index; what a listener fails at concerns it alone."""
+        failure = self._try_rebuild()
+        if failure is not None:
+            containment.report_failure("registry_listener", failure)
+
+    def _try_rebuild(self) -> Exception | None:
+        """Rebuilds the index; returns the failure of a listener."""
         lapsed = [self._with_drain_notice(e) for e, _ in self._lapsed.values()]
-        self._by_name = {e.name: e for e in (*present, *lapsed)}
-        for endpoint in (*present, *lapsed):
-            if not endpoint.drained:
-                of_service = self._by_service.setdefault(endpoint.service, [])
-                of_service.append(endpoint)
-        for listener in self._listeners:
-            listener(list(itertools.chain(*self._by_service.values())))
+        return self._index.rebuild([*self.registered(), *lapsed])
 
 
 def _state_of(endpoint: resources.Endpoint | None) -> str:
--- a/src/jujubewharf/forwarding/reloading.py
+++ b/src/jujubewharf/forwarding/reloading.py
@@ -10,6 +10,7 @@
 import structlog
 
 from jujubewharf import clock as clocks
+from jujubewharf import restarting_service
 from jujubewharf.forwarding import settings as all_settings
 
 # Polling interval for changes of the file that are not signalled. None of them
@@ -24,7 +25,7 @@
 _MAX_DETAIL = 500
 
 
-class SettingsReloader(mode.Service):
+class SettingsReloader(restarting_service.RestartingService):
     """Reads the settings file periodically and on request.
 
     An invalid file is ignored, because it may be read while it is being
@@ -48,12 +49,11 @@
         *,
         apply: Callable[[all_settings.ForwardingSettings], None],
     ) -> None:
-        super().__init__()
+        super().__init__(clock)
         self.settings = settings
         self._path = path
         # Includes changes that need a restart, so that each is logged once.
         self._last_read = settings
-        self._clock = clock
         self._apply = apply
         self._requested = asyncio.Event()
         self._logger = structlog.get_logger()
--- a/src/jujubewharf/forwarding/role_controller.py
+++ b/src/jujubewharf/forwarding/role_controller.py
@@ -8,6 +8,7 @@
 import mode
 
 from jujubewharf import clock as clocks
+from jujubewharf import restarting_service
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
 from jujubewharf.forwarding import costs
@@ -20,6 +21,7 @@
 from jujubewharf.role_orders import damping as dampings
 from jujubewharf.role_orders import ledger as ledgers
 from jujubewharf.role_orders import sender as senders
+from jujubewharf.telemetry import containment
 
 _CHECK_INTERVAL_MS = 500.0
 # Time for which the plan must keep asking for a change before it is ordered.
@@ -43,7 +45,7 @@
     was_probed: bool = False
 
 
-class RoleController(mode.Service):
+class RoleController(restarting_service.RestartingService):
     """Orders role changes while this instance holds the fleet's lease.
 
     Args:
@@ -78,13 +80,12 @@
         work_rate: role_plan.WorkRate = lambda engine, role: 1.0,
         ledger: ledgers.OrderLedger | None = None,
     ) -> None:
-        super().__init__()
+        super().__init__(clock)
         self._backends = backends
         self._registry = registry
         self._lease = lease
         self._cost_estimates = cost_estimates
         self._services = services
-        self._clock = clock
         self._is_backing_off = is_backing_off
         self._work_rate = work_rate
         ledger = ledger or ledgers.OrderLedger(clock)
@@ -109,7 +110,9 @@
         while not self.should_stop:
             await self._clock.sleep_ms(_CHECK_INTERVAL_MS)
             for service in list(self._services().values()):
-                if service.engine is not None:
+                if service.engine is None:
+                    continue
+                with containment.contained("roles", service=service.name):
                     await self._check(service.name, service.engine)
 
     async def _check(self, service: str, traits: routes.EngineTraits) -> None:
--- a/src/jujubewharf/leadership/crash_follower.py
+++ b/src/jujubewharf/leadership/crash_follower.py
@@ -131,8 +131,7 @@
                 continue
             try:
                 report = crash_records.decode(record.value, wall_ms=wall_ms)
-            except ValueError as error:
+                self._on_record(record.key, report.fingerprint)
+                self._shared_crashes.apply_stored(report)
+            except Exception as error:
                 self._errors.log_once(record.key, record.offset, error)
-                continue
-            self._on_record(record.key, report.fingerprint)
-            self._shared_crashes.apply_stored(report)
--- a/src/jujubewharf/leadership/crash_writer.py
+++ b/src/jujubewharf/leadership/crash_writer.py
@@ -18,6 +18,7 @@
 import structlog
 
 from jujubewharf import clock as clocks
+from jujubewharf import restarting_service
 from jujubewharf.forwarding import crash_records
 from jujubewharf.forwarding import crashes
 from jujubewharf.forwarding import fingerprints
@@ -26,6 +27,7 @@
 from jujubewharf.platform import epochs
 from jujubewharf.platform import log
 from jujubewharf.platform import tables
+from jujubewharf.telemetry import containment
 
 # Changes within this time are written in one batch.
 _BATCH_MS = 50.0
@@ -39,7 +41,7 @@
 _WRITER_ID_BYTES = 6
 
 
-class CrashWriter(mode.Service):
+class CrashWriter(restarting_service.RestartingService):
     """Writes the table of crash reports.
 
     Args:
@@ -60,12 +62,11 @@
         epoch: epochs.StoreEpoch,
         clock: clocks.Clock,
     ) -> None:
-        super().__init__()
+        super().__init__(clock)
         self._table = table
         self._fleet = fleet
         self._history = history
         self._shared_crashes = shared_crashes
-        self._clock = clock
         # Unique per process start, so that a restart doesn't overwrite earlier
         # records.
         self._writer_id = secrets.token_hex(_WRITER_ID_BYTES)
@@ -169,9 +170,11 @@
         wall_ms = self._clock.wall_ms()
         values: dict[str, bytes | None] = {}
         for report in self._history.reports(batch):
-            key = self._own_key(report.fingerprint)
-            values[key] = crash_records.encode(report, wall_ms=wall_ms)
-            self._record_keys[key] = report.fingerprint
+            with containment.contained("crash_report"):
+                value = crash_records.encode(report, wall_ms=wall_ms)
+                key = self._own_key(report.fingerprint)
+                values[key] = value
+                self._record_keys[key] = report.fingerprint
         if values:
             await self._table.write(values)
 
--- a/src/jujubewharf/leadership/endpoint_records.py
+++ b/src/jujubewharf/leadership/endpoint_records.py
@@ -13,9 +13,11 @@
 
 from jujubewharf.configuration import resources
 from jujubewharf.forwarding import registration
+from jujubewharf.peers import codec
 from jujubewharf.peers import leader_messages
 from jujubewharf.platform import epochs
 from jujubewharf.platform import tables
+from jujubewharf.telemetry import containment
 
 
 class EndpointRecords:
@@ -64,9 +66,29 @@
         known = self._by_key.get(record.key)
         was_there = known is not None and _is_present(known)
         if was_there != _is_present(record):
-            self.keys_digest ^= xxhash.xxh3_64_intdigest(record.key.encode())
+            key = record.key.encode(errors="surrogatepass")
+            self.keys_digest ^= xxhash.xxh3_64_intdigest(key)
         self._by_key[record.key] = record
 
+    def reject_unencodable(
+        self, records: Iterable[leader_messages.EndpointRecord]
+    ) -> tuple[leader_messages.EndpointRecord, ...]:
+        """Replaces the records that can't be sent by unreadable ones.
+
+        Returns:
+            The records that can be sent.
+        """
+        sent: list[leader_messages.EndpointRecord] = []
+        for record in records:
+            if not _is_encodable(record):
+                record = leader_messages.EndpointRecord(
+                    record.key, record.offset, None, is_unreadable=True
+                )
+                self._replace(record)
+            if _is_encodable(record):
+                sent.append(record)
+        return tuple(sent)
+
     def changed_since(
         self, offset: int
     ) -> tuple[leader_messages.EndpointRecord, ...]:
@@ -106,6 +128,16 @@
     return record.endpoint is not None or record.is_unreadable
 
 
+def _is_encodable(record: leader_messages.EndpointRecord) -> bool:
+    update = leader_messages.EndpointUpdate((record,), record.offset)
+    try:
+        codec.encode(codec.Frame(codec.FrameKind.TELL, 0, update))
+    except codec.UnencodableError as error:
+        containment.report_failure("endpoint_record", error, key=record.key)
+        return False
+    return True
+
+
 def _endpoint_record(
     record: tables.TableRecord[resources.Endpoint],
 ) -> leader_messages.EndpointRecord:
--- a/src/jujubewharf/leadership/fleet_quotas.py
+++ b/src/jujubewharf/leadership/fleet_quotas.py
@@ -27,6 +27,7 @@
 from jujubewharf import clock as clocks
 from jujubewharf import errors
 from jujubewharf import ordered_set
+from jujubewharf import restarting_service
 from jujubewharf.forwarding import accounts
 from jujubewharf.forwarding import forwarder
 from jujubewharf.forwarding import quotas
@@ -69,7 +70,7 @@
 _MIN_SHARE = 1 / 64
 
 
-class FleetQuotas(mode.Service):
+class FleetQuotas(restarting_service.RestartingService):
     """Implements ``quotas.Quotas`` across all instances.
 
     Args:
@@ -91,12 +92,11 @@
         clock: clocks.Clock,
         rng: random.Random,
     ) -> None:
-        super().__init__()
+        super().__init__(clock)
         self.quota_settings = quota_settings
         self._fleet = fleet
         self._source = source
         self._share = share
-        self._clock = clock
         self._rng = rng
         self._role = fleets.Role.ALONE
         self._leader_buckets = quotas.QuotaBuckets(clock.now_ms())
--- a/src/jujubewharf/leadership/fleet_retries.py
+++ b/src/jujubewharf/leadership/fleet_retries.py
@@ -10,6 +10,7 @@
 import mode
 
 from jujubewharf import clock as clocks
+from jujubewharf import restarting_service
 from jujubewharf.forwarding import budget as budgets
 from jujubewharf.leadership import fleet as fleets
 from jujubewharf.leadership import followers as all_followers
@@ -33,7 +34,7 @@
 _NOTICED_MS = 2_500.0
 
 
-class FleetRetries(mode.Service):
+class FleetRetries(restarting_service.RestartingService):
     """This instance's share of the retry allowance.
 
     Args:
@@ -53,10 +54,9 @@
         window_ms: float,
         name: str,
     ) -> None:
-        super().__init__()
+        super().__init__(clock)
         self._fleet = fleet
         self._budget = budget
-        self._clock = clock
         self._window_ms = window_ms
         self._name = name
         self._shares = retry_shares.RetryShares(window_ms)
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -376,7 +376,11 @@
                 end=update.end,
                 followers=len(recipients),
             )
-        if len(_encode(update)) > _MAX_CONFIGURATION_BYTES:
+        data = codec.encode_or_drop(_frame(update), self._counts)
+        if data is None:
+            # Followers read it from the store.
+            update = dataclasses.replace(update, configuration=None)
+        elif len(data) > _MAX_CONFIGURATION_BYTES:
             packed: bytes | None = packing.pack(update)
             if packed is not None and len(packed) > _MAX_CONFIGURATION_BYTES:
                 packed = None
@@ -388,7 +392,9 @@
     def _send(
         self, message: messages.Message, to: Iterable[links.Link]
     ) -> None:
-        data = _encode(message)
+        data = codec.encode_or_drop(_frame(message), self._counts)
+        if data is None:
+            return
         for link in to:
             link.tell_encoded(data)
 
@@ -414,13 +420,17 @@
         )
         self._endpoints_read.read(end, self._clock.now_ms())
         update = leader_messages.EndpointUpdate(changed, end)
+        if codec.encode_or_drop(_frame(update), self._counts) is None:
+            changed = self._endpoints.reject_unencodable(changed)
+            update = leader_messages.EndpointUpdate(changed, end)
         recipients: list[links.Link] = []
         for link in self._links:
             if link in self._unsent_since:
                 self._send_changes_since(link)
             elif changed and link in self._updated_links:
                 recipients.append(link)
-        self._send(update, recipients)
+        if recipients:
+            self._send(update, recipients)
 
     def _add_follower(self, link: links.Link, endpoints_end: int) -> None:
         """Starts to send endpoint changes from an offset on to a follower."""
@@ -464,8 +474,8 @@
         return int(self._clock.now_ms() - progress.confirmed_ms)
 
 
-def _encode(message: messages.Message) -> bytes:
-    return codec.encode(codec.Frame(codec.FrameKind.TELL, 0, message))
+def _frame(message: messages.Message) -> codec.Frame:
+    return codec.Frame(codec.FrameKind.TELL, 0, message)
 
 
 def _no_incarnation(instance: str) -> int:
--- a/src/jujubewharf/leadership/leadership.py
+++ b/src/jujubewharf/leadership/leadership.py
@@ -17,6 +17,7 @@
 import structlog
 
 from jujubewharf import clock as clocks
+from jujubewharf import restarting_service
 from jujubewharf.forwarding import lease as leases
 from jujubewharf.leadership import announcements
 from jujubewharf.leadership import followers as all_followers
@@ -30,6 +31,7 @@
 from jujubewharf.platform import epochs
 from jujubewharf.platform import groups
 from jujubewharf.platform import log
+from jujubewharf.telemetry import containment
 
 # Upper bound of the delay before the first read of the group. Without it,
 # instances that start at the same time would all join the group and leave it
@@ -49,7 +51,7 @@
 _RENEW_RETRY_MS = 100.0
 
 
-class Leadership(mode.Service):
+class Leadership(restarting_service.RestartingService):
     """Leads, follows a leader, or looks for one.
 
     Args:
@@ -85,7 +87,7 @@
         cores: float,
         availability: availabilities.StoreAvailability,
     ) -> None:
-        super().__init__()
+        super().__init__(clock)
         self._availability = availability
         self._announcements = announcements.LeaderAnnouncements(
             transport, hello, counts, clock, rng
@@ -106,7 +108,6 @@
         self._leader_link = leader
         self._lease = lease
         self._counts = counts
-        self._clock = clock
         self._rng = rng
         self._listener: streams.Listener | None = None
         self._is_resigning = False
@@ -228,8 +229,8 @@
         finally:
             renewing.cancel()
             await asyncio.gather(renewing, return_exceptions=True)
-        self._logger.info("leading_ended", followers=len(self._followers))
-        self._followers.stop_leading()
+            self._logger.info("leading_ended", followers=len(self._followers))
+            self._followers.stop_leading()
         if not self._is_resigning and self._lease.is_valid:
             # Another member was assigned the first part. Members that don't
             # lead leave, since each join or leave reassigns the parts.
@@ -246,6 +247,9 @@
             except log.LogUnavailableError as error:
                 self._logger.debug("lease_not_renewed", detail=str(error))
                 pause_ms = _RENEW_RETRY_MS
+            except Exception as error:
+                containment.report_failure("renew_lease", error)
+                pause_ms = _RENEW_RETRY_MS
 
     async def _follow(self, address: str) -> bool:
         try:
--- a/tests/forwarding/test_follower.py
+++ b/tests/forwarding/test_follower.py
@@ -92,3 +92,58 @@
         assert len(lost) < 10_000.0 / 125.0
 
     _run(test)
+
+
+class _OddTable(tables.StandInTable):
+    """A table one of whose answers fails in an unforeseen way."""
+
+    fails_next = False
+
+    async def changes(self, from_offset, *, wait_ms):
+        if self.fails_next:
+            self.fails_next = False
+            raise TypeError("odd answer")
+        return await super().changes(from_offset, wait_ms=wait_ms)
+
+
+def test_pages_and_answers_that_fail_end_no_following():
+    """One of them ended the service, and with it the process."""
+
+    async def main():
+        clock = clocks.Clock(wall_origin_ms=0.0)
+        table = _OddTable(clock)
+        known = {}
+        lost = []
+
+        def on_page(page, is_full_read):
+            known.update({r.key: r.value for r in page.records})
+            if "bad" in {r.key for r in page.records}:
+                raise OverflowError("bad")
+
+        service = follower.TableFollower(
+            "t",
+            table,
+            PACE,
+            epochs.StoreEpoch(),
+            clock,
+            random.Random(1),
+            on_page=on_page,
+            on_lost=lambda: lost.append(clock.now_ms()),
+        )
+        await service.start()
+        await clock.sleep_ms(100.0)
+        table.put("bad", 1)
+        await clock.sleep_ms(600.0)
+        table.put("a", 1)
+        await clock.sleep_ms(600.0)
+        assert known["a"] == 1
+        assert not lost
+        table.fails_next = True
+        table.put("b", 1)
+        await clock.sleep_ms(3_000.0)
+        assert known["b"] == 1
+        assert lost
+        assert not service.crashed
+        await service.stop()
+
+    virtual_time.run(main())
--- a/tests/forwarding/test_registry.py
+++ b/tests/forwarding/test_registry.py
@@ -368,3 +368,77 @@
         assert not registry.takes_work("s1")
 
     _run(test)
+
+
+def _shop(name: str, **changes) -> resources.Endpoint:
+    return dataclasses.replace(ENDPOINT, name=name, **changes)
+
+
+def _entry(offset: int, endpoint: resources.Endpoint):
+    return registries.Record(endpoint.name, offset, endpoint)
+
+
+def test_record_at_which_a_listener_fails_costs_this_record():
+    """Its page has others, and their changes must reach all listeners."""
+
+    async def test(registry, clock):
+        told = []
+
+        def fail(endpoints):
+            if any(e.name == "bad" for e in endpoints):
+                raise OverflowError("bad")
+
+        registry.add_listener(fail)
+        registry.add_listener(
+            lambda found: told.append({e.name for e in found})
+        )
+        registry.apply([_entry(1, _shop("s1"))])
+        registry.apply(
+            [
+                _entry(2, _shop("s2")),
+                _entry(3, _shop("bad")),
+                _entry(4, _shop("s1", drained=True)),
+                _entry(5, _shop("s3")),
+            ]
+        )
+        assert told[-1] == {"s2", "s3"}
+        assert not registry.is_registered("bad")
+        assert registry.is_registered("s1")
+        # A later record of the same key is no longer bad.
+        registry.apply([registries.Record("bad", 6, _shop("good"))])
+        assert told[-1] == {"s2", "s3", "good"}
+
+    _run(test)
+
+
+def test_record_whose_handler_fails_costs_this_record():
+    async def test(registry, clock):
+        def fail(endpoint):
+            if endpoint.name == "bad":
+                raise ValueError("bad")
+
+        registry.on_record = fail
+        entries = [_shop("s1"), _shop("bad"), _shop("s2")]
+        registry.apply([_entry(n, e) for n, e in enumerate(entries)])
+        assert {e.name for e in registry.registered()} == {"s1", "s2"}
+
+    _run(test)
+
+
+def test_listener_that_always_fails_costs_no_record():
+    """Its failure isn't due to a record, so the others keep all of them."""
+
+    async def test(registry, clock):
+        told = []
+
+        def fail(endpoints):
+            raise RuntimeError("always")
+
+        registry.add_listener(fail)
+        registry.add_listener(told.append)
+        registry.apply([_entry(1, _shop("s1")), _entry(2, _shop("s2"))])
+        assert [e.name for e in told[-1]] == ["s1", "s2"]
+        registry.apply([_entry(3, _shop("s1", drained=True))])
+        assert [e.name for e in told[-1]] == ["s2"]
+
+    _run(test)
