Any number of refusals for lack of memory is counted

What callers saw: nothing so far; checked by a call in a loop. At the 1,025th refusal in a row of one engine, `EnginePool.record_memory_refusal` raised OverflowError, and the request that asked the engine failed as an internal error.

Cause: the pause doubles with each refusal, as a power of the unbounded count, and was bounded only after the power was taken. Now the number of doublings is bounded; the longest pause, four times the first, is reached long before.

--- a/src/jujubewharf/forwarding/pool.py
+++ b/src/jujubewharf/forwarding/pool.py
@@ -36,6 +36,8 @@
 # memory: shorter pauses cause more refusals, longer ones leave memory unused.
 _FIRST_PAUSE_SHARE = 1 / 8
 _MAX_PAUSE_SHARE = 1 / 2
+# More than the longest pause takes; the power of any count overflows a float.
+_MAX_DOUBLINGS = 8
 # Time between releases of memory that is assumed before it was observed.
 _DEFAULT_RELEASE_INTERVAL_MS = 400.0
 
@@ -244,9 +246,8 @@
         release_interval_ms = (
             self._cost_estimates.decode_ms or _DEFAULT_RELEASE_INTERVAL_MS
         ) * self.decode_time(name)
-        pause_share = min(
-            _MAX_PAUSE_SHARE, _FIRST_PAUSE_SHARE * 2**state.refusals
-        )
+        doublings = min(state.refusals, _MAX_DOUBLINGS)
+        pause_share = min(_MAX_PAUSE_SHARE, _FIRST_PAUSE_SHARE * 2**doublings)
         state.full_until_ms = now_ms + release_interval_ms * pause_share
         state.refused_tokens = tokens
         state.refusals += 1
--- a/tests/forwarding/test_pool.py
+++ b/tests/forwarding/test_pool.py
@@ -64,3 +64,26 @@
         assert max(load.values()) - min(load.values()) <= 10_000
 
     _with_pool(test)
+
+
+def test_any_number_of_memory_refusals_is_counted():
+    """The 1,025th in a row overflowed the pause, and failed its request."""
+
+    async def main():
+        clock = clocks.Clock(wall_origin_ms=0.0)
+        pool = pools.EnginePool(
+            costs.CostEstimates(),
+            backpressure.Backpressure(clock),
+            clock,
+            random.Random(1),
+        )
+        pool.update_engines(NEAR)
+        state = pool.state("near0")
+        for _ in range(3_000):
+            pool.record_memory_refusal("near0", 100)
+            pause_ms = state.full_until_ms - clock.now_ms()
+            assert 0.0 < pause_ms < 10_000.0
+            await clock.sleep_ms(pause_ms + 1.0)
+        assert state.refusals == 3_000
+
+    virtual_time.run(main())
