The target of a request is passed on as it came

What callers saw: a request for `/path?` reached its endpoint as `/path`, and what follows a `#` was left out; checked with the URL class alone until now.

Cause: the target was parsed as part of a URL, and the parser keeps no empty query and takes a fragment out. Now the whole target is given as an encoded path, which is sent as it is.

--- a/src/jujubewharf/engines/http_calls.py
+++ b/src/jujubewharf/engines/http_calls.py
@@ -38,17 +38,24 @@
         session: Client session to send with.
         endpoint: Endpoint to call.
         method: HTTP method.
-        path_query: Path and query, already encoded.
+        path_query: Target of the request, which is sent as it is.
         pairs: Headers.
         body: Body; empty for none.
 
     Raises:
         client.EngineError: No connection was made, or it broke.
     """
+    # The target as a path: split into its parts, it would lose an empty query.
+    url = yarl.URL.build(
+        scheme="http",
+        authority=endpoint.address,
+        path=path_query,
+        encoded=True,
+    )
     try:
         return await session.request(
             method,
-            yarl.URL(f"http://{endpoint.address}{path_query}", encoded=True),
+            url,
             headers=pairs,
             data=body or None,
             allow_redirects=False,
--- a/tests/users_platform/test_engines.py
+++ b/tests/users_platform/test_engines.py
@@ -58,6 +58,19 @@
     }
 
 
+@pytest.mark.parametrize(
+    "target",
+    ["/a?", "/a", "/", "//a", "/a??", "/a?b=%2f&c", "/a;b?c#d", "/%41/../b"],
+)
+async def test_target_is_sent_unchanged(target):
+    """An empty query was left out."""
+    call = engine_calls.call(path_query=target)
+    sending = calls.OutboundRequest(call, 1_000.0)
+    server, _ = await _send(lambda r: [engine_calls.good()], sending)
+    (received,) = server.received
+    assert received.line == f"POST {target} HTTP/1.1"
+
+
 async def test_router_headers_are_set():
     sending = calls.OutboundRequest(
         engine_calls.call(),
