A log line's infinite age fails no request

What callers saw, by reading: a model request that got no memory before the instance had read the entries for the first time was answered 500 instead of 503, as its log line rounds the age of the entries, which is infinite then.

Cause: `round` raises OverflowError at infinity, and four lines (a request that wasn't placed, a request that is sent, an engine that vanished, an order) round that age. Now `log_numbers.whole_ms` gives `null` for it.

--- a/src/jujubewharf/forwarding/request_log.py
+++ b/src/jujubewharf/forwarding/request_log.py
@@ -19,6 +19,7 @@
 from jujubewharf.admission import tickets
 from jujubewharf.engines import client
 from jujubewharf.forwarding import runs
+from jujubewharf.telemetry import log_numbers
 from jujubewharf.telemetry import request_lines
 
 _METER = metrics.get_meter("jujubewharf")
@@ -110,7 +111,7 @@
         engine=engine,
         stage=stage,
         left_ms=round(left_ms),
-        registry_age_ms=round(age_ms),
+        registry_age_ms=log_numbers.whole_ms(age_ms),
         configuration=run.configuration_version,
         tried=len(run.tried),
     )
@@ -231,7 +232,7 @@
         free_tokens=free_tokens,
         engines=engines,
         waiting=waiting,
-        registry_age_ms=round(age_ms),
+        registry_age_ms=log_numbers.whole_ms(age_ms),
         rejected_by=rejected_by,
         decided_by=decided_by,
         waited_ms=round(waited_ms),
--- a/src/jujubewharf/forwarding/state_log.py
+++ b/src/jujubewharf/forwarding/state_log.py
@@ -21,6 +21,7 @@
 from jujubewharf.forwarding import routes
 from jujubewharf.plain_calls import decisions as plain_decisions
 from jujubewharf.platform import epochs
+from jujubewharf.telemetry import log_numbers
 
 _METER = metrics.get_meter("jujubewharf")
 _ROLE_ORDERS = _METER.create_counter(
@@ -127,7 +128,7 @@
         outcome=outcome,
         prefill_ms=_rounded(prefill_ms),
         decode_ms=_rounded(decode_ms),
-        registry_age_ms=round(registry_age_ms),
+        registry_age_ms=log_numbers.whole_ms(registry_age_ms),
     )
 
 
@@ -175,7 +176,7 @@
         "engine_vanished",
         engine=engine,
         answers=is_reachable,
-        registry_age_ms=round(registry_age_ms),
+        registry_age_ms=log_numbers.whole_ms(registry_age_ms),
     )
 
 
--- a/tests/forwarding/test_request_log.py
+++ b/tests/forwarding/test_request_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ast
+import math
 import pathlib
 import re
 
@@ -15,6 +16,7 @@
 from jujubewharf.experiments import virtual_time
 from jujubewharf.forwarding import request_log
 from jujubewharf.forwarding import runs
+from jujubewharf.forwarding import state_log
 from jujubewharf.telemetry import request_lines
 from tests.forwarding import deployments
 
@@ -124,3 +126,46 @@
         deployments.run(main())
     assert lines
     assert "the-secret" not in repr(lines)
+
+
+def test_lines_before_the_first_read_fail_no_request():
+    """The age of the entries is infinite then, and rounding it raised.
+
+    A request without memory was answered as an internal error instead of being
+    rejected.
+    """
+
+    async def main():
+        run = _run(_id(is_sampled=True))
+        request_log.log_failed_placement(
+            run,
+            tokens=7,
+            free_tokens=0,
+            engines={},
+            waiting=0,
+            age_ms=math.inf,
+            rejected_by="due",
+            decided_by="alone",
+            waited_ms=3.0,
+            preceded_by={},
+        )
+        request_log.log_attempt(
+            run, "d1", stage="decode", left_ms=9.0, age_ms=math.inf
+        )
+        state_log.log_missing_engine(
+            "d1", is_reachable=False, registry_age_ms=math.inf
+        )
+        state_log.log_role_order(
+            "d1",
+            role="decode",
+            fence=1,
+            outcome="accepted",
+            prefill_ms=None,
+            decode_ms=None,
+            registry_age_ms=math.inf,
+        )
+
+    with structlog.testing.capture_logs() as lines:
+        virtual_time.run(main())
+    assert len(lines) == 4
+    assert all(line["registry_age_ms"] is None for line in lines)
