Ids of events have a bound

What callers saw, by reading: a stream whose engine numbers an event with more than 4,300 digits failed as an internal error, as Python converts no longer text to a number; the answer was cut off.

Cause: the number in an event was the one number of an engine's answer without a bound. Now more than 15 digits count as no number, as they do where a caller resumes a stream.

Runs: two of the new cases of test_events (16 and 5,000 digits) fail on the former code, the second with ValueError. With the change test_events: 10 passed.

--- a/src/jujubewharf/forwarding/events.py
+++ b/src/jujubewharf/forwarding/events.py
@@ -11,6 +11,8 @@
 
 EVENT_END = b"\n\n"
 _ID_PREFIX = b"id:"
+# As for the number with which a caller resumes, see ``header_values``.
+_MAX_DIGITS = 15
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -19,7 +21,7 @@
 
     Attributes:
         number: Numeric event id; ``None`` for events without one, such as
-            comments.
+            comments, and for an id of more than 15 digits.
         data: Bytes of the event, including the terminating empty line.
     """
 
@@ -50,5 +52,6 @@
     for line in event.split(b"\n"):
         if line.startswith(_ID_PREFIX):
             text = line[len(_ID_PREFIX) :].strip()
-            return int(text) if text.isdigit() else None
+            is_number = text.isdigit() and len(text) <= _MAX_DIGITS
+            return int(text) if is_number else None
     return None
--- a/tests/forwarding/test_events.py
+++ b/tests/forwarding/test_events.py
@@ -6,6 +6,7 @@
 
 from hypothesis import given
 from hypothesis import strategies
+import pytest
 
 from jujubewharf.forwarding import events
 
@@ -31,3 +32,22 @@
     found = splitter.feed(b"id: 7\ndata: x\n\nid: 8\nda")
     assert [event.number for event in found] == [7]
     assert splitter.has_partial
+
+
+@pytest.mark.parametrize(
+    ("text", "number"),
+    [
+        (b"7", 7),
+        (b" 12 ", 12),
+        (b"9" * 15, 10**15 - 1),
+        (b"9" * 16, None),
+        (b"9" * 5_000, None),
+        (b"-1", None),
+        (b"", None),
+        (b"\xb2", None),
+    ],
+)
+def test_event_ids_of_any_size(text, number):
+    """One of more than 4,300 digits failed its stream as an internal error."""
+    (event,) = events.EventSplitter().feed(b"id:" + text + b"\n\n")
+    assert event.number == number
