Each new connection has the limits in force

What callers saw, by reading: connections kept the default limits for good, as the listener takes them once, before the first configuration. With an `idleTimeoutMs` above 15 s a kept connection was closed within the time for which its caller may reuse it; with a `maxHeaderBytes` above 16 KB a header within the limit was refused.

Cause: `CallerEdge.new_server` gave aiohttp the values of the moment. Now `GuardedServer` asks for them as each connection begins. A connection keeps those under which it began: aiohttp reads them once.

Runs: the new test of test_edge fails on the former code (400 for a header within the limit). With the change test_edge, test_program, test_boundary and tests/callers: 89 passed.

--- a/src/jujubewharf/callers/guarded_server.py
+++ b/src/jujubewharf/callers/guarded_server.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+import dataclasses
 
 from aiohttp import web
 from aiohttp import web_protocol
@@ -47,24 +49,47 @@
             self._head_timer = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectionLimits:
+    """Limits of one connection.
+
+    Attributes:
+        head_timeout_ms: Maximum time from the first to the last byte of a
+            request head.
+        idle_timeout_ms: Time after which an idle connection is closed.
+        max_header_bytes: Maximum size of a header.
+    """
+
+    head_timeout_ms: float
+    idle_timeout_ms: float
+    max_header_bytes: int
+
+
 class GuardedServer(web.Server):
     """A ``web.Server`` with a timeout for request heads.
 
     Args:
         handler: Handles requests.
-        head_timeout_ms: Maximum time from the first to the last byte of a
-            request head.
+        limits: Returns the limits of a connection that begins now.
         **options: Options of ``web.Server``.
     """
 
     def __init__(
-        self, handler: object, *, head_timeout_ms: float, **options: object
+        self,
+        handler: object,
+        limits: Callable[[], ConnectionLimits],
+        **options: object,
     ) -> None:
         super().__init__(handler, **options)  # type: ignore[arg-type]
-        self._head_within_ms = head_timeout_ms
+        self._limits = limits
 
     def __call__(self) -> web_protocol.RequestHandler:
         """Creates the protocol handler of a connection."""
-        protocol = _GuardedHandler(self, loop=self._loop, **self._kwargs)
-        protocol.head_timeout_ms = self._head_within_ms
+        limits = self._limits()
+        options = self._kwargs | {
+            "keepalive_timeout": limits.idle_timeout_ms / clocks.MS_PER_S,
+            "max_field_size": limits.max_header_bytes,
+        }
+        protocol = _GuardedHandler(self, loop=self._loop, **options)
+        protocol.head_timeout_ms = limits.head_timeout_ms
         return protocol
--- a/tests/users_platform/test_edge.py
+++ b/tests/users_platform/test_edge.py
@@ -491,3 +491,33 @@
         status, _, _ = await caller.read()
     assert status == 400
     assert caller.forwarding.calls == []
+
+
+async def test_each_connection_has_the_limits_in_force():
+    """The first configuration, and each change of it, comes after the listener.
+
+    Connections kept the defaults: one was closed before the time for which its
+    caller may reuse it, or a header within the limit was refused.
+    """
+    forwarding = Forwarding(_reply(b"ok", length=2))
+    server = edge.CallerEdge(forwarding, clocks.Clock()).new_server()
+    loop = asyncio.get_running_loop()
+    listener = await loop.create_server(server, HOST, 0)
+    port = listener.sockets[0].getsockname()[1]
+    long_header = _request(f"X-Own: {'x' * 20_000}")
+
+    async def status() -> int:
+        reader, writer = await asyncio.open_connection(HOST, port)
+        caller = Caller(reader, writer, forwarding)
+        await caller.send(long_header)
+        found, _, _ = await caller.read()
+        writer.close()
+        return found
+
+    assert await status() == 400
+    forwarding.limits = dataclasses.replace(
+        forwarding.limits, max_header_bytes=40_000, idle_timeout_ms=7_000.0
+    )
+    assert await status() == 200
+    assert server().keepalive_timeout == 7.0
+    listener.close()
