--- a/tests/users_platform/test_program.py
+++ b/tests/users_platform/test_program.py
@@ -15,6 +15,7 @@
 from users_platform import program
 
 from jujubewharf import clock as clocks
+from jujubewharf.forwarding import entry
 from jujubewharf.forwarding import settings as all_settings
 from tests.users_platform import raw_server
 from tests.users_platform import test_records
@@ -179,3 +180,20 @@
         await asyncio.wait_for(reader.read(), 5.0)
         assert reader.at_eof()
         writer.close()
+
+
+async def test_two_starts_draw_different_numbers(monkeypatch):
+    """Both drew the same incarnation, by which others tell them apart."""
+    drawn = []
+
+    class Seen(entry.ForwardingEntry):
+        def __init__(self, settings, clock, adapters, rng):
+            drawn.append(rng.getrandbits(64))
+            super().__init__(settings, clock, adapters, rng)
+
+    monkeypatch.setattr(entry, "ForwardingEntry", Seen)
+    for _ in range(2):
+        async with _running():
+            pass
+    first, second = drawn
+    assert first != second
