Handles of engines that can't be sent count as no answer

What callers saw: nothing so far; by reading. A handle of a prefill result or a reservation is text of any kind and length in an engine's answer, and goes into headers and paths of later calls. One with a line end, a space or other characters that have no place there fails those calls in other ways than the faults of engines that requests expect.

Now a handle is 1 to 256 printable ASCII characters without a space, or the answer counts as lost, as it did for other types.

--- a/src/jujubewharf/platform/record_fields.py
+++ b/src/jujubewharf/platform/record_fields.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from typing import Annotated
+from typing import TypeGuard
 from typing import TypeVar
 
 import pydantic
@@ -75,3 +76,14 @@
     """
     if not 0 < len(key) <= _MAX_NAME_CHARS or not key.isprintable():
         raise ValueError("the key is not a name")
+
+
+def is_token(value: object) -> TypeGuard[str]:
+    """Returns whether a value can be sent in a header and in a path."""
+    return (
+        isinstance(value, str)
+        and 0 < len(value) <= _MAX_NAME_CHARS
+        and value.isascii()
+        and value.isprintable()
+        and " " not in value
+    )
--- a/tests/users_platform/test_engines.py
+++ b/tests/users_platform/test_engines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import re
 import time
 
@@ -215,6 +216,27 @@
     assert received.headers["request-id"] == "r1"
 
 
+@pytest.mark.parametrize(
+    "value", ["", "a\r\nX: y", "a b", "\u00e9", "h" * 300, 7, None, ["h"], {}]
+)
+async def test_handle_that_cant_be_sent_is_lost(value):
+    """It goes into headers and paths of later calls.
+
+    These have no room for line ends and spaces.
+    """
+    body = json.dumps({"kvHandle": value, "hold": value}).encode()
+    answer = raw_server.answer(body=body)
+    sending = calls.OutboundRequest(engine_calls.call(), 1_000.0)
+    async with raw_server.serving(lambda r: [answer]) as (_, address):
+        async with engine_calls.connected() as backends:
+            engine = engine_calls.endpoint(address)
+            with pytest.raises(client.EngineError) as prefill:
+                await backends.prefill(engine, sending)
+            with pytest.raises(client.EngineError) as reserve:
+                await backends.reserve(engine, tokens=5, ttl_ms=9.0)
+    assert prefill.value.fault is reserve.value.fault is FAULT.LOST
+
+
 async def test_reservation_names_the_expected_engine():
     answer = raw_server.answer(body=b'{"hold":"x"}')
     found, received = await _ask(
