An address that is none can't be dialled, and fails no task

What callers saw: nothing so far; by reading. Whoever joins the group of leaders writes the address under which it is dialled.

Cause: `Transport.dial` promises OSError on failure, and the TCP transport raised whatever parsing and resolving raise. Now it raises OSError for these too, so the instance goes on as with any address that doesn't answer.

--- a/src/jujubewharf/peers/streams.py
+++ b/src/jujubewharf/peers/streams.py
@@ -138,19 +138,27 @@
         self, address: str
     ) -> tuple[asyncio.StreamReader, StreamWriter]:
         """Opens a stream; see ``Transport``."""
-        host, _, port = address.rpartition(":")
-        if self._contexts is None:
-            reader, writer = await asyncio.open_connection(host, int(port))
-        else:
-            reader, writer = await asyncio.open_connection(
-                host,
-                int(port),
-                ssl=self._contexts.client,
-                ssl_handshake_timeout=_TLS_TIMEOUT_S,
-            )
+        try:
+            reader, writer = await self._connect(address)
+        except (ValueError, OverflowError) as error:
+            # Addresses come from the store and other instances.
+            raise OSError("not an address") from error
         _set_user_timeout(writer)
         return reader, writer
 
+    async def _connect(
+        self, address: str
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, _, port = address.rpartition(":")
+        if self._contexts is None:
+            return await asyncio.open_connection(host, int(port))
+        return await asyncio.open_connection(
+            host,
+            int(port),
+            ssl=self._contexts.client,
+            ssl_handshake_timeout=_TLS_TIMEOUT_S,
+        )
+
     async def listen(self, on_stream: OnStream) -> Listener:
         """Listens; see ``Transport``."""
 
