A backoff that an endpoint asks for ends after ten minutes

What callers saw: nothing so far; by reading. Nothing ends a backoff before its time, and a later one never shortens it. One wrong `Retry-After`, such as 10^9 seconds, put the endpoint out of use at that instance for good.

Now ten minutes are the most. An endpoint that wants more says so again.

Runs: the new test of test_backpressure fails on the former code; with the change test_backpressure 8 passed, test_backoff and test_endpoint_limits 42 passed.

--- a/src/jujubewharf/forwarding/backpressure.py
+++ b/src/jujubewharf/forwarding/backpressure.py
@@ -20,6 +20,9 @@
 # Retention for endpoints that are not registered. Their entry may be missing
 # because of an outage of the store and return later.
 _RETENTION_MS = 600_000.0
+# Nothing ends a backoff before its time, so one that is out of all proportion
+# would put an endpoint out of use for as long as this instance runs.
+_MAX_BACKOFF_MS = 600_000.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -87,7 +90,7 @@
         now_ms = self._clock.now_ms()
         if notice.rate_limit_per_s is not None:
             state.limit_received_ms = now_ms
-        until_ms = now_ms + notice.backoff_ms
+        until_ms = now_ms + min(notice.backoff_ms, _MAX_BACKOFF_MS)
         state.backoff_until_ms = max(state.backoff_until_ms, until_ms)
         is_changed = terms != state.terms
         if is_changed or notice.backoff_ms > 0.0:
--- a/tests/forwarding/test_backpressure.py
+++ b/tests/forwarding/test_backpressure.py
@@ -9,6 +9,7 @@
 from tests.forwarding import deployments
 
 ENDPOINT = deployments.plain_endpoint("s1").endpoint
+MAX_BACKOFF_MS = 600_000.0
 
 
 def _run(test):
@@ -121,3 +122,16 @@
         assert told == [notices.Terms("s1", 1.5), notices.Terms("s1", 2.0)]
 
     _run(test)
+
+
+def test_backoff_out_of_all_proportion_ends():
+    """One wrong figure must not put an endpoint out of use for good."""
+
+    async def test(known, clock):
+        known.apply_notice(ENDPOINT, _notice(clock, backoff_ms=1e15))
+        await clock.sleep_ms(MAX_BACKOFF_MS - 1.0)
+        assert known.is_backing_off("s1")
+        await clock.sleep_ms(2.0)
+        assert not known.is_backing_off("s1")
+
+    _run(test)
