Fuzz of the border: notices of endpoints, and no failure to contain

The fuzz of records now also fails if a part behind the border had to contain a failure: a gap of the bounds would else not show, as no process ends by it any more. Notices of endpoints get the same edges in their headers, and must give bounded numbers that can be sent to the leader.

--- a/tests/border_fuzz.py
+++ b/tests/border_fuzz.py
@@ -1,11 +1,12 @@
 """Sends records of another writer through border, tables, followers and codec.
 
-``python -m tests.border_fuzz --records 100000 --seed 1`` draws more than the
-test suite does. A leader and two followers on virtual time read the bytes of a
-store's tables through the adapter, beside sound entries. After each batch all
-instances live and fail no request otherwise than by a refusal; they hold the
-sound endpoints, and serve requests once a sound configuration follows. So does
-an instance that starts then.
+``PYTHONPATH=platform python -m tests.border_fuzz --records 100000 --seed 1``
+draws more than the test suite does. A leader and two followers on virtual time
+read the bytes of a store's tables through the adapter, beside sound entries.
+After each batch all instances live and fail no request otherwise than by a
+refusal; they hold the sound endpoints, and serve requests once a sound
+configuration follows. So does an instance that starts then. No failure had to
+be contained behind the border.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 import struct
 import sys
 from typing import Any
+from unittest import mock
 
 import structlog
 from users_platform import records
@@ -27,6 +29,7 @@
 from jujubewharf.forwarding import calls
 from jujubewharf.platform import epochs
 from jujubewharf.standins import store as stores
+from jujubewharf.telemetry import containment
 from tests import hostile_records
 from tests.forwarding import deployments
 
@@ -248,7 +251,14 @@
 
 def run(seed: int, record_count: int) -> list[str]:
     """Runs a seed on virtual time; returns what went wrong."""
-    return virtual_time.run(BorderFuzz(seed).run(record_count))
+    contained: list[str] = []
+
+    def report_failure(part: str, error: Exception, **details: object) -> None:
+        contained.append(f"seed {seed}: contained in {part}: {error!r}")
+
+    with mock.patch.object(containment, "report_failure", report_failure):
+        wrong = virtual_time.run(BorderFuzz(seed).run(record_count))
+    return wrong + contained
 
 
 def main() -> int:
--- a/tests/users_platform/test_endpoint_notices.py
+++ b/tests/users_platform/test_endpoint_notices.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import contextlib
+import types
 
 import pytest
+from users_platform import endpoint_notices
 
 from jujubewharf.endpoint_load import reports
 from jujubewharf.engines import client
 from jujubewharf.engines import notices
 from jujubewharf.forwarding import calls
+from jujubewharf.peers import codec
+from jujubewharf.peers import limit_messages
+from tests import hostile_records
 from tests.users_platform import engine_calls
 from tests.users_platform import raw_server
 
@@ -141,3 +146,21 @@
         "Engine_Load": "6,24,6",
     } | more
     assert await _noticed(raw_server.answer(status, **given)) == []
+
+
+@pytest.mark.parametrize(
+    "name", ["Server-Limit", "Retry-After", "Engine-Load", "Server-Leaving"]
+)
+def test_notices_at_their_edges_can_be_sent_on(name):
+    """They fail no answer, and no message to the leader."""
+    for value in hostile_records.HEADERS:
+        response = types.SimpleNamespace(status=503, headers={name: value})
+        notice = endpoint_notices.parse_notice(response, sent_ms=5.0)
+        for number in (notice.rate_limit_per_s or 0.0, notice.backoff_ms):
+            assert 0.0 <= number <= 1e15, value
+        load = notice.load or reports.LoadReport(0, 0, 1)
+        terms = notices.Terms("s1", notice.rate_limit_per_s, notice.is_leaving)
+        message = limit_messages.EndpointTerms((terms,), is_news=True)
+        frame = codec.Frame(codec.FrameKind.TELL, 0, message)
+        assert codec.decode(codec.body_of(codec.encode(frame))) == frame
+        assert load.slots > 0
