A share that can't be released crashes no service

At a shutdown the share of a group is released in a future of the instance's service. A failure other than an outage of the store crashed all services, with their tasks, while requests that drain were still running.

Now it is contained and reported like a failure of a task.

--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -543,10 +543,14 @@
         )
 
     def _hand_over(self) -> None:
-        if self._leadership is None:
-            self.add_future(self.share.leave())
-        else:
-            self.add_future(self._leadership.leave())
+        self.add_future(self._leave())
+
+    async def _leave(self) -> None:
+        with containment.contained("leave"):
+            if self._leadership is None:
+                await self.share.leave()
+            else:
+                await self._leadership.leave()
 
     def _on_applied(
         self,
--- a/tests/forwarding/test_shutdown.py
+++ b/tests/forwarding/test_shutdown.py
@@ -63,3 +63,27 @@
             assert world.instances["e2"].share.fraction == 1.0
 
     deployments.run(main())
+
+
+def test_share_that_cant_be_released_cuts_nothing():
+    """Its failure crashed all services while requests were still running."""
+
+    async def main():
+        async with deployments.deployed(
+            deployments.prefill_engine("p1"),
+            deployments.decode_engine("d1", events=60),
+        ) as world:
+            instance = world.instances["e1"]
+
+            async def fail() -> None:
+                raise OverflowError("bad")
+
+            instance.share.leave = fail
+            stream = asyncio.create_task(world.ask("/verdicts/1"))
+            await world.clock.sleep_ms(200.0)
+            summary = await instance.new_shutdown().run()
+            assert not instance.crashed
+            assert len((await stream).numbers) == 60
+            assert summary.cut == 0
+
+    deployments.run(main())
