test_program's configuration states limits under which it can be called

`test_a_stream_from_a_caller_to_an_engine_and_back` failed once with ConnectionResetError, on a busy machine, since each connection has the limits in force: the configuration that the test hands out says 3 ms for a head and 4 ms for an idle connection, figures that no connection had before. Traced with the edge alone: a request that begins 50 ms after its connection, or whose head has a gap of 50 ms, is closed under these limits, as they say.

The test isn't about them, and now states 3 s and 15 s. Nothing that it checks has changed. Whether limits are in force is checked in test_edge.

--- a/tests/users_platform/test_program.py
+++ b/tests/users_platform/test_program.py
@@ -42,7 +42,12 @@
     def _newest(self, line: str) -> dict[str, object]:
         if "keyed.op" in line:
             limits = test_records.CONFIGURATION["limits"]
-            wide = {"maxBodyBytes": 9_999, "maxHeaderBytes": 9_999}
+            wide = {
+                "maxBodyBytes": 9_999,
+                "maxHeaderBytes": 9_999,
+                "headerTimeoutMs": 3_000,
+                "idleTimeoutMs": 15_000,
+            }
             key = "config"
             value = test_records.CONFIGURATION | {"limits": limits | wide}
         else:
