An item of a page without key or offset costs itself, not the page

Now the item is skipped and reported, and the others of its page hold. The shape of a page is checked in `platform.answers`, where the splitting of records moved too, and base64 is read by the decoder of records. The leader encodes changed endpoints once instead of twice.

--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -419,18 +419,25 @@
             records, end, is_full_read=is_full_read
         )
         self._endpoints_read.read(end, self._clock.now_ms())
-        update = leader_messages.EndpointUpdate(changed, end)
-        if codec.encode_or_drop(_frame(update), self._counts) is None:
-            changed = self._endpoints.reject_unencodable(changed)
-            update = leader_messages.EndpointUpdate(changed, end)
-        recipients: list[links.Link] = []
+        data = self._encode_changes(changed, end)
         for link in self._links:
             if link in self._unsent_since:
                 self._send_changes_since(link)
             elif changed and link in self._updated_links:
-                recipients.append(link)
-        if recipients:
-            self._send(update, recipients)
+                link.tell_encoded(data)
+
+    def _encode_changes(
+        self, changed: tuple[leader_messages.EndpointRecord, ...], end: int
+    ) -> bytes:
+        """Encodes changed endpoints, without those that can't be."""
+        update = _frame(leader_messages.EndpointUpdate(changed, end))
+        data = codec.encode_or_drop(update, self._counts)
+        if data is None:
+            changed = self._endpoints.reject_unencodable(changed)
+            data = codec.encode(
+                _frame(leader_messages.EndpointUpdate(changed, end))
+            )
+        return data
 
     def _add_follower(self, link: links.Link, endpoints_end: int) -> None:
         """Starts to send endpoint changes from an offset on to a follower."""
--- a/src/jujubewharf/platform/answers.py
+++ b/src/jujubewharf/platform/answers.py
@@ -1,4 +1,4 @@
-"""Reads the JSON answers of the platform's services and of engines.
+"""Reads the answers of the platform's services, and the JSON of engines.
 
 An answer of another shape than expected counts as none: the store may be
 restarting, or something on the way may have answered in its place.
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import struct
 from typing import Any
 
 import orjson
@@ -14,6 +15,7 @@
 
 # Offsets take the lower bits of a position, see ``epochs``.
 _MAX_OFFSET = 2**32 - 1
+_LENGTH = struct.Struct(">I")
 
 
 def json_object(body: bytes) -> dict[str, Any]:
@@ -36,21 +38,43 @@
     raise log.LogUnavailableError("answer not understood")
 
 
-def rows(
-    value: object, kind: type[dict[Any, Any] | list[Any]], *, min_size: int = 0
-) -> list[Any]:
-    """Returns a list whose items are of one kind.
+def key_and_offset(item: object) -> tuple[str, int]:
+    """Returns key and offset of a record in a list of the newest ones.
+
+    Raises:
+        LogUnavailableError: It has none.
+    """
+    if isinstance(item, dict) and isinstance(item.get("key"), str):
+        return item["key"], offset(item.get("offset"))
+    raise log.LogUnavailableError("answer not understood")
+
+
+def rows(value: object, *, min_size: int) -> list[list[Any]]:
+    """Returns a list of lists.
 
     Args:
         value: The list.
-        kind: Type of the items, ``dict`` or ``list``.
         min_size: Least number of values in an item.
 
     Raises:
         LogUnavailableError: It is none.
     """
     if isinstance(value, list) and all(
-        isinstance(item, kind) and len(item) >= min_size for item in value
+        isinstance(item, list) and len(item) >= min_size for item in value
     ):
         return value
     raise log.LogUnavailableError("answer not understood")
+
+
+def payloads(body: bytes) -> list[bytes]:
+    """Splits records with their lengths; drops a truncated last one."""
+    found: list[bytes] = []
+    position = 0
+    while position + _LENGTH.size <= len(body):
+        (size,) = _LENGTH.unpack_from(body, position)
+        position += _LENGTH.size
+        if position + size > len(body):
+            break
+        found.append(body[position : position + size])
+        position += size
+    return found
--- a/src/jujubewharf/platform/record_decoder.py
+++ b/src/jujubewharf/platform/record_decoder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 from collections.abc import Callable
 from typing import Generic
 from typing import TypeVar
@@ -40,6 +41,20 @@
         self._errors.clear(key)
         return tables.TableRecord(key, offset, decoded)
 
+    def decode_text(
+        self, key: str, offset: int, text: object
+    ) -> tables.TableRecord[T]:
+        """Decodes a record given in base64; ``None`` removes its key."""
+        if text is None:
+            return self.decode(key, offset, b"")
+        try:
+            if not isinstance(text, str):
+                raise TypeError("no base64")
+            value = base64.b64decode(text)
+        except (ValueError, TypeError) as error:
+            return self.reject(key, offset, error)
+        return self.decode(key, offset, value)
+
     def reject(
         self, key: str, offset: int, error: Exception
     ) -> tables.TableRecord[T]:
