--- a/src/jujubewharf/platform/record_decoder.py
+++ b/src/jujubewharf/platform/record_decoder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 from collections.abc import Callable
 from typing import Generic
 from typing import TypeVar
@@ -18,7 +19,8 @@
     Args:
         table: Name of the table in log lines.
         decode: Converts key and bytes of a record to its value. Records for
-            which it raises ``ValueError`` are logged and marked unreadable.
+            which it raises are logged and marked unreadable: ``ValueError`` is
+            its own judgement, and any other failure costs this record only.
     """
 
     def __init__(self, table: str, decode: Callable[[str, bytes], T]) -> None:
@@ -30,14 +32,29 @@
     ) -> tables.TableRecord[T]:
         """Decodes a record; one without a value removes its key."""
         if not value:
+            self._errors.clear(key)
             return tables.TableRecord(key, offset, None)
         try:
             decoded = self._decode(key, value)
-        except ValueError as error:
+        except Exception as error:
             return self.reject(key, offset, error)
         self._errors.clear(key)
         return tables.TableRecord(key, offset, decoded)
 
+    def decode_text(
+        self, key: str, offset: int, text: object
+    ) -> tables.TableRecord[T]:
+        """Decodes a record given in base64; ``None`` removes its key."""
+        if text is None:
+            return self.decode(key, offset, b"")
+        try:
+            if not isinstance(text, str):
+                raise TypeError("no base64")
+            value = base64.b64decode(text)
+        except (ValueError, TypeError) as error:
+            return self.reject(key, offset, error)
+        return self.decode(key, offset, value)
+
     def reject(
         self, key: str, offset: int, error: Exception
     ) -> tables.TableRecord[T]:
--- a/src/jujubewharf/standins/backend_processes.py
+++ b/src/jujubewharf/standins/backend_processes.py
@@ -52,7 +52,11 @@
         Raises:
             EngineError: It can't be reached, or gives no answer in time.
         """
-        backend = self._by_name[endpoint.name]
+        backend = self._by_name.get(endpoint.name)
+        if backend is None:
+            # An entry of another writer: nobody listens at its address.
+            fault = client.EngineFault.UNREACHABLE
+            raise client.EngineError(fault, endpoint.name, "nobody listens")
         if backend.is_dark:
             await self._clock.sleep_ms(endpoint_cuts.CONNECT_TIMEOUT_MS)
             raise backend.error(client.EngineFault.UNREACHABLE)
--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -310,7 +310,9 @@
 
     async def is_reachable(self, endpoint: resources.Endpoint) -> bool:
         """Whether a connection can be opened; see ``ports.Backends``."""
-        backend = self.by_name[endpoint.name]
+        backend = self.by_name.get(endpoint.name)
+        if backend is None:
+            return False
         if backend.is_dark:
             await self._clock.sleep_ms(endpoint_cuts.CONNECT_TIMEOUT_MS)
             return False
@@ -318,14 +320,18 @@
 
     async def has_crashed(self, endpoint: resources.Endpoint) -> bool:
         """Whether the process has crashed; see ``ports.Backends``."""
-        backend = self.by_name[endpoint.name]
+        backend = self.by_name.get(endpoint.name)
+        if backend is None:
+            return False
         return backend.has_crashed.is_set() and not backend.is_cut
 
     async def process_state(
         self, endpoint: resources.Endpoint
     ) -> liveness.ProcessState:
         """Whether the process exists; see ``ports.Backends``."""
-        backend = self.by_name[endpoint.name]
+        backend = self.by_name.get(endpoint.name)
+        if backend is None:
+            return liveness.ProcessState.UNKNOWN
         if backend.is_cut or backend.is_unreachable:
             return liveness.ProcessState.UNKNOWN
         if backend.has_crashed.is_set():
