Real processes: bursts of large bodies against a machine's memory

Callers of the plays sent bodies of four bytes, and nothing watched the instances' memory: no generator could draw a burst of bodies near the configuration's bound.

--- a/tests/real_processes/callers.py
+++ b/tests/real_processes/callers.py
@@ -23,6 +23,10 @@
 _OK = 200
 
 
+class LeftError(Exception):
+    """The caller leaves before its request is whole."""
+
+
 @dataclasses.dataclass
 class Exchange:
     """A request and what came back.
@@ -34,6 +38,7 @@
         sent_s: When it was sent, on the monotonic clock.
         ended_s: When the answer or its connection ended.
         status: Status of the answer; 0 without one.
+        retry_after: The answer's ``Retry-After``; empty without one.
         server: Proof of the engine that answers.
         last_event: Number of the last event that arrived.
         is_whole: Whether the whole answer of an engine arrived.
@@ -47,6 +52,7 @@
     sent_s: float
     ended_s: float = 0.0
     status: int = 0
+    retry_after: str = ""
     server: str = ""
     last_event: int = 0
     is_whole: bool = False
@@ -143,26 +149,22 @@
             exchange.end = "caller left after its deadline"
         except http_io.ClosedError:
             exchange.end = "connection closed"
+        except LeftError:
+            exchange.end = "caller left halfway"
         exchange.ended_s = time.monotonic()
         if exchange.end:
             await self._disconnect()
         return wait_s
 
     async def _send(self, exchange: Exchange, count: int) -> None:
-        fields: dict[str, object] = {
-            "Host": configurations.HOST,
-            "Request-Id": exchange.request_id,
-            "Authorization": f"Bearer {configurations.API_KEY}",
-            "Deadline-Ms": DEADLINE_MS,
-            "Content-Length": 4,
-        }
+        named = fields(exchange) | {"Content-Length": 4}
         if exchange.route in configurations.STREAMS:
             tokens = self._rng.randint(100, 2_000)
-            fields |= {"Model": "m", "Token-Counts": f"{tokens},{count}"}
-            fields |= {"Prompt-Prefix": f"{exchange.request_id}:{tokens}"}
+            named |= {"Model": "m", "Token-Counts": f"{tokens},{count}"}
+            named |= {"Prompt-Prefix": f"{exchange.request_id}:{tokens}"}
         line = f"POST /{exchange.route}/1 HTTP/1.1"
         assert self._connection is not None
-        await self._connection.send(http_io.head(line, fields) + b"body")
+        await self._connection.send(http_io.head(line, named) + b"body")
 
     async def _receive(self, exchange: Exchange, count: int) -> float:
         assert self._connection is not None
@@ -183,10 +185,21 @@
             exchange.wrong = "success without proof"
         if received.headers.get("connection") == "close":
             await self._disconnect()
-        wait_s = float(received.headers.get("retry-after", "0"))
+        exchange.retry_after = received.headers.get("retry-after", "")
+        wait_s = float(exchange.retry_after or 0)
         return min(wait_s, _MAX_RETRY_S)
 
 
+def fields(exchange: Exchange) -> dict[str, object]:
+    """Returns the headers of any request."""
+    return {
+        "Host": configurations.HOST,
+        "Request-Id": exchange.request_id,
+        "Authorization": f"Bearer {configurations.API_KEY}",
+        "Deadline-Ms": DEADLINE_MS,
+    }
+
+
 async def _read_stream(parts, exchange: Exchange, count: int) -> None:
     data = b""
     async for part in parts:
--- a/tests/real_processes/deployment.py
+++ b/tests/real_processes/deployment.py
@@ -146,10 +146,15 @@
         instances: Instances.
         configuration: The configuration that was written last.
         store_address: Address of the store.
+        memory_mb: Memory of the machine of an instance; ``None`` if nothing
+            bounds it.
     """
 
-    def __init__(self, started: children.Children) -> None:
+    def __init__(
+        self, started: children.Children, memory_mb: float | None = None
+    ) -> None:
         self.children = started
+        self.memory_mb = memory_mb
         self.engines: list[children.Child] = []
         self.instances: list[Instance] = []
         self.configuration = configurations.first()
@@ -241,17 +246,21 @@
 
 @contextlib.asynccontextmanager
 async def deployed(
-    size: Size, *, keep: pathlib.Path | None = None
+    size: Size,
+    *,
+    memory_mb: float | None = None,
+    keep: pathlib.Path | None = None,
 ) -> AsyncIterator[Deployment]:
     """Runs a deployment, all of whose processes are ended with the block.
 
     Args:
         size: Numbers of processes.
+        memory_mb: Memory of the machine of an instance, for its settings.
         keep: Folder to which logs and records are copied at the end.
     """
     with tempfile.TemporaryDirectory(prefix="real-processes-") as folder:
         started = children.Children(pathlib.Path(folder))
-        deployment = Deployment(started)
+        deployment = Deployment(started, memory_mb)
         try:
             await deployment.start(size)
             yield deployment
