What is held for callers is bounded, and a body is held once

A burst of bodies near the configuration's bound took an instance over its machine's memory: it was killed, and the small requests of other callers lost their kept connections without an answer (LOST).

A body of 4 MB took 8.6 MB at the peak: its parts and the bytes joined from them, then the bytes and the copy that the connection to the engine made of what it hadn't sent.

An account bounds the sum: what the process has (memory_mb, from the platform; a default without it) less what it needs itself, renewed twice a second from its resident memory. A body whose size is told is admitted whole or not read; up to 300 ms it waits, then it is refused, at once where the rate at which memory becomes free says so (503 memory_full, not run, Retry-After). A body of unknown size grows in steps; where several grow, the one of which least was read is given up. A body that hardly arrives makes room once others need it. Small requests have a part of their own and never wait for a large one.

--- a/src/jujubewharf/callers/bodies.py
+++ b/src/jujubewharf/callers/bodies.py
@@ -3,12 +3,22 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
+import io
+import sys
 from typing import Protocol
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
+from jujubewharf.callers import held_memory
 
 CHUNK_BYTES = 65_536
+# Memory is taken in such steps for a body whose size was not told.
+_GROWTH_BYTES = 262_144
+# A buffer that grows is larger than its content by up to an eighth, and is
+# copied while it is small.
+_GROWTH_FACTOR = 1.25
+# What a connection may have read ahead of its body's buffer.
+READ_AHEAD_BYTES = 262_144
 
 
 class Content(Protocol):
@@ -25,8 +35,10 @@
     *,
     max_bytes: int,
     timeout_ms: float,
+    lease: held_memory.Lease | None = None,
+    expected_bytes: int | None = None,
 ) -> bytes:
-    """Reads a whole body.
+    """Reads a whole body, and holds it once.
 
     Args:
         content: The body's stream.
@@ -34,22 +46,45 @@
         max_bytes: Maximum size of the body.
         timeout_ms: Timeout of the whole body, so that a caller can't hold a
             request open by sending single bytes.
+        lease: What the body is counted in; ``None`` if it isn't counted. If its
+            size was told, the memory is taken already.
+        expected_bytes: Size of the body, if the caller has told it.
 
     Raises:
-        WharfError: ``BODY_TOO_LARGE`` or ``SLOW_BODY``.
+        WharfError: ``BODY_TOO_LARGE``, ``SLOW_BODY`` or ``MEMORY_FULL``.
     """
-    parts: list[bytes] = []
-    size_bytes = 0
+    if lease is None:
+        lease = held_memory.HeldMemory(clock, bound_bytes=sys.maxsize).new()
+    # Joined parts would be held beside the body that is made from them; the
+    # buffer's own bytes are the body.
+    buffer = io.BytesIO(bytes(min(expected_bytes or 0, max_bytes)))
+    taken_bytes = max_bytes if expected_bytes is not None else 0
     try:
-        async with clock.timeout_ms(timeout_ms):
-            while part := await content.read(CHUNK_BYTES):
-                size_bytes += len(part)
-                if size_bytes > max_bytes:
-                    raise errors.WharfError(errors.ErrorKind.BODY_TOO_LARGE)
-                parts.append(part)
+        async with clock.timeout_ms(timeout_ms) as timeout:
+            with lease.reading(lambda: timeout.reschedule(0.0)):
+                while part := await content.read(CHUNK_BYTES):
+                    size_bytes = buffer.tell() + len(part)
+                    if size_bytes > max_bytes:
+                        raise errors.WharfError(errors.ErrorKind.BODY_TOO_LARGE)
+                    if size_bytes > taken_bytes:
+                        await _take_more(lease, is_first=not taken_bytes)
+                        taken_bytes += _GROWTH_BYTES
+                    buffer.write(part)
+                    lease.record_arrival(len(part))
     except TimeoutError as error:
+        if lease.is_evicted:
+            raise lease.full_error() from error
         raise errors.WharfError(errors.ErrorKind.SLOW_BODY) from error
-    return b"".join(parts)
+    buffer.truncate()
+    return buffer.getvalue()
+
+
+async def _take_more(lease: held_memory.Lease, *, is_first: bool) -> None:
+    """Takes memory for the next part of a body whose size was not told."""
+    size_bytes = int(_GROWTH_BYTES * _GROWTH_FACTOR)
+    if is_first:
+        size_bytes += READ_AHEAD_BYTES
+    await lease.take(size_bytes, is_growth=not is_first)
 
 
 async def iter_chunks(
--- a/src/jujubewharf/engines/http_calls.py
+++ b/src/jujubewharf/engines/http_calls.py
@@ -13,6 +13,7 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
+from jujubewharf.engines import body_payload
 from jujubewharf.engines import client
 from jujubewharf.engines import http_endpoint
 
@@ -50,7 +51,7 @@
             method,
             yarl.URL(f"http://{endpoint.address}{path_query}", encoded=True),
             headers=pairs,
-            data=body or None,
+            data=body_payload.BodyPayload(body) if body else None,
             allow_redirects=False,
             skip_auto_headers=("Content-Type",),
             middlewares=(http_endpoint.SendOnce(),),
--- a/src/jujubewharf/errors.py
+++ b/src/jujubewharf/errors.py
@@ -25,6 +25,7 @@
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
     SLOW_BODY = "slow_body"
+    MEMORY_FULL = "memory_full"
     UNAUTHENTICATED = "unauthenticated"
     FORBIDDEN = "forbidden"
     UNKNOWN_SERVICE = "unknown_service"
@@ -89,6 +90,13 @@
     ErrorKind.SLOW_BODY: ErrorResponse(
         408, "DEADLINE_EXCEEDED", _NO, True, "The body came too slowly."
     ),
+    ErrorKind.MEMORY_FULL: ErrorResponse(
+        503,
+        "RESOURCE_EXHAUSTED",
+        _NO,
+        True,
+        "Memory for requests of this size is full.",
+    ),
     ErrorKind.UNAUTHENTICATED: ErrorResponse(
         401, "UNAUTHENTICATED", _NO, False, "The token is missing or unknown."
     ),
--- a/src/jujubewharf/forwarding/settings.py
+++ b/src/jujubewharf/forwarding/settings.py
@@ -158,6 +158,8 @@
         is_first_start: Whether the whole deployment starts for the first time,
             so that no stream can have begun before.
         processor: Processor capacity of the instance.
+        memory_mb: Memory beyond which the process is killed, in MB; ``None`` if
+            it isn't known, then a default bounds what is held for callers.
         store: The platform's store.
         retries: Retry budget of the fleet.
         quotas: Tolerated use beyond account quotas.
@@ -175,6 +177,7 @@
     peers: Address | None = None
     is_first_start: bool = False
     processor: ProcessorSettings = ProcessorSettings()
+    memory_mb: Positive | None = None
     store: StoreSettings
     retries: RetrySettings
     quotas: QuotaSettings = QuotaSettings()
--- a/tests/real_processes/callers.py
+++ b/tests/real_processes/callers.py
@@ -38,6 +38,7 @@
         sent_s: When it was sent, on the monotonic clock.
         ended_s: When the answer or its connection ended.
         status: Status of the answer; 0 without one.
+        reason: Text of an answer without success.
         retry_after: The answer's ``Retry-After``; empty without one.
         server: Proof of the engine that answers.
         last_event: Number of the last event that arrived.
@@ -52,6 +53,7 @@
     sent_s: float
     ended_s: float = 0.0
     status: int = 0
+    reason: str = ""
     retry_after: str = ""
     server: str = ""
     last_event: int = 0
@@ -179,6 +181,8 @@
         else:
             body = b"".join([part async for part in parts])
             exchange.is_whole = received.status == _OK
+            if not exchange.is_whole:
+                exchange.reason = body.decode("latin-1")
             if exchange.is_whole and body != answers.body(exchange.request_id):
                 exchange.wrong = "body of another answer"
         if exchange.is_whole and not exchange.server:
--- a/tests/real_processes/deployment.py
+++ b/tests/real_processes/deployment.py
@@ -83,6 +83,8 @@
             "retries": {"ratio": 0.2, "slack": 52, "window_s": 10},
             "stop_within_s": STOP_WITHIN_S,
         }
+        if deployment.memory_mb is not None:
+            self._fields["memory_mb"] = deployment.memory_mb
         self.start(is_first_start=True)
 
     def start(self, *, is_first_start: bool = False) -> None:
