--- a/src/jujubewharf/callers/memory_bound.py
+++ b/src/jujubewharf/callers/memory_bound.py
@@ -20,7 +20,7 @@
 _LARGE_BLOCK_BYTES = 524_288
 # Share of the memory that is left to what the instance itself comes to need
 # meanwhile: state of the fleet, buffers of connections, answers.
-_OWN_GROWTH_SHARE = 0.12
+_OWN_GROWTH_SHARE = 0.07
 # Below this, no body of the usual bound could be served at all.
 _MIN_HELD_BYTES = 8 * _KIB * _KIB
 
--- a/tests/deploy/test_deploy.py
+++ b/tests/deploy/test_deploy.py
@@ -79,6 +79,12 @@
     assert read.stop_within_s == 8.0
 
 
+def test_template_passes_the_memory_of_the_process(tmp_path):
+    assert _read(tmp_path, FIELDS).memory_mb is None
+    limits = FIELDS["limits"] | {"memoryMb": 150}
+    assert _read(tmp_path, FIELDS | {"limits": limits}).memory_mb == 150.0
+
+
 def test_template_yields_valid_settings(tmp_path):
     read = _read(tmp_path, FIELDS)
     assert read.callers == "10.0.0.1:80"
