Held memory: leases in a module of their own

What one request holds (Kind, Lease) is moved to held_leases.py unchanged; the account keeps the bound, the order of waiting and who is given up.

--- a/src/jujubewharf/callers/bodies.py
+++ b/src/jujubewharf/callers/bodies.py
@@ -9,6 +9,7 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
+from jujubewharf.callers import held_leases
 from jujubewharf.callers import held_memory
 
 CHUNK_BYTES = 65_536
@@ -35,7 +36,7 @@
     *,
     max_bytes: int,
     timeout_ms: float,
-    lease: held_memory.Lease | None = None,
+    lease: held_leases.Lease | None = None,
     expected_bytes: int | None = None,
 ) -> bytes:
     """Reads a whole body, and holds it once.
@@ -79,7 +80,7 @@
     return buffer.getvalue()
 
 
-async def _take_more(lease: held_memory.Lease, *, is_first: bool) -> None:
+async def _take_more(lease: held_leases.Lease, *, is_first: bool) -> None:
     """Takes memory for the next part of a body whose size was not told."""
     size_bytes = int(_GROWTH_BYTES * _GROWTH_FACTOR)
     if is_first:
--- /dev/null
+++ b/src/jujubewharf/callers/held_leases.py
@@ -0,0 +1,122 @@
+"""Memory that is held for one request."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import enum
+from typing import TYPE_CHECKING
+
+from jujubewharf import errors
+from jujubewharf.callers import held_memory_log
+
+if TYPE_CHECKING:
+    from jujubewharf.callers import held_memory
+
+# A body that gets fewer bytes than this in the time is slow, and makes room
+# for others.
+_STEP_BYTES = 32_768
+_SLOW_MS = 500.0
+
+
+class Kind(enum.Enum):
+    """What is held for callers; the value is the ``kind`` of the gauge."""
+
+    BODY = "body"
+    SMALL_BODY = "small_body"
+    UNSENT = "unsent"
+
+
+class Lease:
+    """Memory that is held for one request.
+
+    Args:
+        account: The account that the memory is taken from.
+        caller_timeout_ms: Time that the caller waits; ``None`` if unknown.
+    """
+
+    def __init__(
+        self, account: held_memory.HeldMemory, caller_timeout_ms: float | None
+    ) -> None:
+        self.caller_timeout_ms = caller_timeout_ms
+        self.held: collections.Counter[Kind] = collections.Counter()
+        self.is_evicted = False
+        self._account = account
+        self._on_evicted: Callable[[], None] | None = None
+        self._has_grown = False
+        self.arrived_bytes = 0
+        self._step_bytes = 0
+        self._step_at_ms = 0.0
+
+    def __repr__(self) -> str:
+        return f"Lease({dict(self.held)})"
+
+    async def take(self, size_bytes: int, *, is_growth: bool = False) -> None:
+        """Takes memory for a body, or for more of it.
+
+        Args:
+            size_bytes: Size in bytes.
+            is_growth: Whether a part of the body has been read.
+
+        Raises:
+            WharfError: ``MEMORY_FULL``; nothing has run.
+        """
+        self._has_grown |= self._on_evicted is not None
+        await self._account.take(self, size_bytes, is_growth=is_growth)
+
+    @contextlib.contextmanager
+    def reading(self, on_evicted: Callable[[], None]) -> Iterator[None]:
+        """Marks the block in which the body arrives.
+
+        Args:
+            on_evicted: Called if the body is slow and others need its memory.
+        """
+        self._on_evicted = on_evicted
+        self._step_at_ms = self._account.now_ms()
+        try:
+            yield
+        finally:
+            self._on_evicted = None
+
+    def record_arrival(self, size_bytes: int) -> None:
+        """Records that a part of the body has arrived."""
+        self.arrived_bytes += size_bytes
+        self._account.arrived_bytes += size_bytes
+        if self.arrived_bytes - self._step_bytes >= _STEP_BYTES:
+            self._step_bytes = self.arrived_bytes
+            self._step_at_ms = self._account.now_ms()
+
+    @property
+    def is_slow(self) -> bool:
+        """Whether a body arrives, but hardly any of it."""
+        if self._on_evicted is None:
+            return False
+        return self._account.now_ms() - self._step_at_ms > _SLOW_MS
+
+    @property
+    def is_growing(self) -> bool:
+        """Whether a body arrives whose size is unknown."""
+        return self._on_evicted is not None and self._has_grown
+
+    def evict(self) -> None:
+        """Ends the reading of the body."""
+        assert self._on_evicted is not None
+        held_memory_log.log_eviction(self.held[Kind.BODY], is_slow=self.is_slow)
+        self.is_evicted = True
+        self._on_evicted()
+        self._on_evicted = None
+
+    def full_error(self) -> errors.WharfError:
+        """Returns the error of a request for which there is no memory."""
+        return self._account.full_error(self)
+
+    @contextlib.contextmanager
+    def unsent(self, size_bytes: int) -> Iterator[None]:
+        """Counts a part of an answer while the caller doesn't read it."""
+        self._account.add(self, Kind.UNSENT, size_bytes)
+        try:
+            yield
+        finally:
+            self._account.add(self, Kind.UNSENT, -size_bytes)
--- a/src/jujubewharf/callers/held_memory.py
+++ b/src/jujubewharf/callers/held_memory.py
@@ -12,10 +12,10 @@
 from collections.abc import Iterator
 import contextlib
 import dataclasses
-import enum
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
+from jujubewharf.callers import held_leases
 from jujubewharf.callers import held_memory_log
 
 # Most that is held where no figure of the memory is given.
@@ -28,10 +28,6 @@
 # a request give up on an instance that has not read it after a second.
 MAX_WAIT_MS = 300.0
 _MAX_WAIT_SHARE = 0.1
-# A body that gets fewer bytes than this in the time is slow, and makes room
-# for others.
-_STEP_BYTES = 32_768
-_SLOW_MS = 500.0
 # Time over which the rate at which memory becomes free is observed.
 _RATE_WINDOW_MS = 1_000.0
 # Time after which the bound is renewed.
@@ -43,19 +39,11 @@
 _MAX_RETRY_SHARE = 0.33
 
 
-class Kind(enum.Enum):
-    """What is held for callers; the value is the ``kind`` of the gauge."""
-
-    BODY = "body"
-    SMALL_BODY = "small_body"
-    UNSENT = "unsent"
-
-
 @dataclasses.dataclass(eq=False, slots=True)
 class _Waiter:
     """A request that waits for memory, of which nothing is read meanwhile."""
 
-    lease: Lease
+    lease: held_leases.Lease
     size_bytes: int
     is_growth: bool
     granted: asyncio.Future[None]
@@ -66,15 +54,17 @@
         size_bytes = self.size_bytes
         if self.is_growth:
             # What has been read of it is lost if it is refused.
-            size_bytes = -self.lease.held[Kind.BODY]
+            size_bytes = -self.lease.held[held_leases.Kind.BODY]
         is_large = self.size_bytes > SMALL_BYTES
         return is_large, not self.is_growth, size_bytes
 
     @property
-    def kind(self) -> Kind:
+    def kind(self) -> held_leases.Kind:
         """What the memory is counted as."""
         is_large = self.size_bytes > SMALL_BYTES
-        return Kind.BODY if is_large else Kind.SMALL_BODY
+        return (
+            held_leases.Kind.BODY if is_large else held_leases.Kind.SMALL_BODY
+        )
 
     @property
     def was_granted(self) -> bool:
@@ -82,99 +72,6 @@
         return self.granted.done() and not self.granted.cancelled()
 
 
-class Lease:
-    """Memory that is held for one request.
-
-    Args:
-        account: The account that the memory is taken from.
-        caller_timeout_ms: Time that the caller waits; ``None`` if unknown.
-    """
-
-    def __init__(
-        self, account: HeldMemory, caller_timeout_ms: float | None
-    ) -> None:
-        self.caller_timeout_ms = caller_timeout_ms
-        self.held: collections.Counter[Kind] = collections.Counter()
-        self.is_evicted = False
-        self._account = account
-        self._on_evicted: Callable[[], None] | None = None
-        self._has_grown = False
-        self.arrived_bytes = 0
-        self._step_bytes = 0
-        self._step_at_ms = 0.0
-
-    def __repr__(self) -> str:
-        return f"Lease({dict(self.held)})"
-
-    async def take(self, size_bytes: int, *, is_growth: bool = False) -> None:
-        """Takes memory for a body, or for more of it.
-
-        Args:
-            size_bytes: Size in bytes.
-            is_growth: Whether a part of the body has been read.
-
-        Raises:
-            WharfError: ``MEMORY_FULL``; nothing has run.
-        """
-        self._has_grown |= self._on_evicted is not None
-        await self._account.take(self, size_bytes, is_growth=is_growth)
-
-    @contextlib.contextmanager
-    def reading(self, on_evicted: Callable[[], None]) -> Iterator[None]:
-        """Marks the block in which the body arrives.
-
-        Args:
-            on_evicted: Called if the body is slow and others need its memory.
-        """
-        self._on_evicted = on_evicted
-        self._step_at_ms = self._account.now_ms()
-        try:
-            yield
-        finally:
-            self._on_evicted = None
-
-    def record_arrival(self, size_bytes: int) -> None:
-        """Records that a part of the body has arrived."""
-        self.arrived_bytes += size_bytes
-        self._account.arrived_bytes += size_bytes
-        if self.arrived_bytes - self._step_bytes >= _STEP_BYTES:
-            self._step_bytes = self.arrived_bytes
-            self._step_at_ms = self._account.now_ms()
-
-    @property
-    def is_slow(self) -> bool:
-        """Whether a body arrives, but hardly any of it."""
-        if self._on_evicted is None:
-            return False
-        return self._account.now_ms() - self._step_at_ms > _SLOW_MS
-
-    @property
-    def is_growing(self) -> bool:
-        """Whether a body arrives whose size is unknown."""
-        return self._on_evicted is not None and self._has_grown
-
-    def evict(self) -> None:
-        """Ends the reading of the body."""
-        assert self._on_evicted is not None
-        held_memory_log.log_eviction(self.held[Kind.BODY], is_slow=self.is_slow)
-        self.is_evicted = True
-        self._on_evicted()
-        self._on_evicted = None
-
-    def full_error(self) -> errors.WharfError:
-        """Returns the error of a request for which there is no memory."""
-        return self._account.full_error(self)
-
-    @contextlib.contextmanager
-    def unsent(self, size_bytes: int) -> Iterator[None]:
-        """Counts a part of an answer while the caller doesn't read it."""
-        self._account.add(self, Kind.UNSENT, size_bytes)
-        try:
-            yield
-        finally:
-            self._account.add(self, Kind.UNSENT, -size_bytes)
-
-
 class HeldMemory:
     """Bounds what is held for callers.
 
@@ -196,12 +93,12 @@
         bound_bytes: int = DEFAULT_BOUND_BYTES,
     ) -> None:
         self.bound_bytes = bound_bytes
-        self.held: collections.Counter[Kind] = collections.Counter()
+        self.held: collections.Counter[held_leases.Kind] = collections.Counter()
         self.arrived_bytes = 0
         self.on_check: Callable[[], None] = lambda: None
         self._checked_at_ms: float | None = None
         self._clock = clock
-        self._leases: set[Lease] = set()
+        self._leases: set[held_leases.Lease] = set()
         self._waiting: list[_Waiter] = []
         self._freed: collections.deque[tuple[float, int]] = collections.deque()
 
@@ -222,9 +119,9 @@
         """Returns the clock's reading."""
         return self._clock.now_ms()
 
-    def new(self, caller_timeout_ms: float | None = None) -> Lease:
+    def new(self, caller_timeout_ms: float | None = None) -> held_leases.Lease:
         """Returns a lease that is never released; see ``lease``."""
-        lease = Lease(self, caller_timeout_ms)
+        lease = held_leases.Lease(self, caller_timeout_ms)
         self._leases.add(lease)
         return lease
 
@@ -237,7 +134,9 @@
             self.on_check()
 
     @contextlib.contextmanager
-    def lease(self, caller_timeout_ms: float | None) -> Iterator[Lease]:
+    def lease(
+        self, caller_timeout_ms: float | None
+    ) -> Iterator[held_leases.Lease]:
         """Lends memory to a request for the block.
 
         Args:
@@ -251,7 +150,7 @@
             self._release(lease)
 
     async def take(
-        self, lease: Lease, size_bytes: int, *, is_growth: bool
+        self, lease: held_leases.Lease, size_bytes: int, *, is_growth: bool
     ) -> None:
         """Takes memory for a lease; see ``Lease.take``."""
         granted = asyncio.get_running_loop().create_future()
@@ -263,7 +162,9 @@
         else:
             await self._wait(waiter)
 
-    def add(self, lease: Lease, kind: Kind, size_bytes: int) -> None:
+    def add(
+        self, lease: held_leases.Lease, kind: held_leases.Kind, size_bytes: int
+    ) -> None:
         """Adds memory to a lease; takes it away if negative."""
         self.held[kind] += size_bytes
         lease.held[kind] += size_bytes
@@ -277,7 +178,7 @@
             return self.total_bytes + size_bytes <= most_bytes
         # Small requests keep their part also while the bound is falling.
         return (
-            self.held[Kind.SMALL_BODY] + size_bytes <= kept_bytes
+            self.held[held_leases.Kind.SMALL_BODY] + size_bytes <= kept_bytes
             or self.total_bytes + size_bytes <= self.bound_bytes
         )
 
@@ -334,15 +235,20 @@
         Returns:
             Whether there was one of which less was read than of this one.
         """
-        read_bytes = waiter.lease.held[Kind.BODY] if waiter.is_growth else 0
+        read_bytes = (
+            waiter.lease.held[held_leases.Kind.BODY] if waiter.is_growth else 0
+        )
         growing = [
             other
             for other in self._leases
-            if other.is_growing and other.held[Kind.BODY] < read_bytes
+            if other.is_growing
+            and other.held[held_leases.Kind.BODY] < read_bytes
         ]
         if not growing:
             return False
-        min(growing, key=lambda other: other.held[Kind.BODY]).evict()
+        min(
+            growing, key=lambda other: other.held[held_leases.Kind.BODY]
+        ).evict()
         return True
 
     def _evict_slow(self, waiter: _Waiter) -> None:
@@ -350,11 +256,11 @@
         missing_bytes = self.total_bytes + self.waiting_bytes
         missing_bytes += waiter.size_bytes - self.bound_bytes
         slow = [other for other in self._leases if other.is_slow]
-        slow.sort(key=lambda other: other.held[Kind.BODY])
+        slow.sort(key=lambda other: other.held[held_leases.Kind.BODY])
         while slow and missing_bytes > 0:
             chosen = slow.pop()
             if chosen is not waiter.lease:
-                missing_bytes -= chosen.held[Kind.BODY]
+                missing_bytes -= chosen.held[held_leases.Kind.BODY]
                 chosen.evict()
 
     def _free_in_ms(self, waiter: _Waiter) -> float:
@@ -366,7 +272,9 @@
             if other.rank <= waiter.rank
         )
         missing_bytes -= sum(
-            lease.held[Kind.BODY] for lease in self._leases if lease.is_evicted
+            lease.held[held_leases.Kind.BODY]
+            for lease in self._leases
+            if lease.is_evicted
         )
         if missing_bytes <= 0:
             return 0.0
@@ -395,7 +303,7 @@
         return self.full_error(waiter.lease, self._free_in_ms(waiter))
 
     def full_error(
-        self, lease: Lease, free_in_ms: float = 0.0
+        self, lease: held_leases.Lease, free_in_ms: float = 0.0
     ) -> errors.WharfError:
         """Returns the error of a request for which there is no memory."""
         after_ms = min(max(free_in_ms, _MIN_RETRY_MS), _MAX_RETRY_MS)
@@ -406,11 +314,11 @@
             errors.ErrorKind.MEMORY_FULL, retry_after_ms=after_ms
         )
 
-    def _release(self, lease: Lease) -> None:
+    def _release(self, lease: held_leases.Lease) -> None:
         self.held.subtract(lease.held)
         self.arrived_bytes -= lease.arrived_bytes
         lease.arrived_bytes = 0
-        if lease.held[Kind.BODY]:
-            self._record_freed(lease.held[Kind.BODY])
+        if lease.held[held_leases.Kind.BODY]:
+            self._record_freed(lease.held[held_leases.Kind.BODY])
         lease.held.clear()
         self._grant()
--- a/src/jujubewharf/callers/request_bodies.py
+++ b/src/jujubewharf/callers/request_bodies.py
@@ -7,7 +7,7 @@
 from jujubewharf import clock as clocks
 from jujubewharf import errors
 from jujubewharf.callers import bodies
-from jujubewharf.callers import held_memory
+from jujubewharf.callers import held_leases
 from jujubewharf.forwarding import routes
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -15,7 +15,7 @@
 
 async def read(
     request: web.BaseRequest,
-    lease: held_memory.Lease,
+    lease: held_leases.Lease,
     limits: routes.CallerLimits,
     clock: clocks.Clock,
 ) -> bytes:
