--- a/tests/real_processes/callers.py
+++ b/tests/real_processes/callers.py
@@ -23,6 +23,10 @@
 _OK = 200
 
 
+class LeftError(Exception):
+    """The caller leaves before its request is whole."""
+
+
 @dataclasses.dataclass
 class Exchange:
     """A request and what came back.
@@ -35,6 +39,8 @@
         sent_s: When it was sent.
         ended_s: When the answer or its connection ended.
         status: Status of the answer; 0 without one.
+        reason: Text of an answer without success.
+        retry_after: The answer's ``Retry-After``; empty without one.
         server: Proof of the engine that answers.
         last_event: Number of the last event that arrived.
         is_whole: Whether the whole answer of an engine arrived.
@@ -49,6 +55,8 @@
     sent_s: float
     ended_s: float = 0.0
     status: int = 0
+    reason: str = ""
+    retry_after: str = ""
     server: str = ""
     last_event: int = 0
     is_whole: bool = False
@@ -148,26 +156,22 @@
             exchange.end = "caller left after its deadline"
         except http_io.ClosedError:
             exchange.end = "connection closed"
+        except LeftError:
+            exchange.end = "caller left halfway"
         exchange.ended_s = time.monotonic()
         if exchange.end:
             await self._disconnect()
         return wait_s
 
     async def _send(self, exchange: Exchange, count: int) -> None:
-        fields: dict[str, object] = {
-            "Host": configurations.HOST,
-            "Request-Id": exchange.request_id,
-            "Authorization": f"Bearer {configurations.API_KEY}",
-            "Deadline-Ms": DEADLINE_MS,
-            "Content-Length": 4,
-        }
+        named = fields(exchange) | {"Content-Length": 4}
         if exchange.route in configurations.STREAMS:
             tokens = self._rng.randint(100, 2_000)
-            fields |= {"Model": "m", "Token-Counts": f"{tokens},{count}"}
-            fields |= {"Prompt-Prefix": f"{exchange.request_id}:{tokens}"}
+            named |= {"Model": "m", "Token-Counts": f"{tokens},{count}"}
+            named |= {"Prompt-Prefix": f"{exchange.request_id}:{tokens}"}
         line = f"POST /{exchange.route}/1 HTTP/1.1"
         assert self._connection is not None
-        await self._connection.send(http_io.head(line, fields) + b"body")
+        await self._connection.send(http_io.head(line, named) + b"body")
 
     async def _receive(self, exchange: Exchange, count: int) -> float:
         assert self._connection is not None
@@ -182,16 +186,29 @@
         else:
             body = b"".join([part async for part in parts])
             exchange.is_whole = received.status == _OK
+            if not exchange.is_whole:
+                exchange.reason = body.decode("latin-1")
             if exchange.is_whole and body != answers.body(exchange.request_id):
                 exchange.wrong = "body of another answer"
         if exchange.is_whole and not exchange.server:
             exchange.wrong = "success without proof"
         if received.headers.get("connection") == "close":
             await self._disconnect()
-        wait_s = float(received.headers.get("retry-after", "0"))
+        exchange.retry_after = received.headers.get("retry-after", "")
+        wait_s = float(exchange.retry_after or 0)
         return min(wait_s, _MAX_RETRY_S)
 
 
+def fields(exchange: Exchange) -> dict[str, object]:
+    """Returns the headers of any request."""
+    return {
+        "Host": configurations.HOST,
+        "Request-Id": exchange.request_id,
+        "Authorization": f"Bearer {configurations.API_KEY}",
+        "Deadline-Ms": DEADLINE_MS,
+    }
+
+
 async def _read_stream(parts, exchange: Exchange, count: int) -> None:
     data = b""
     async for part in parts:
