Plain calls: the buffering of answers is a module of its own

The test that patches its bound names the new module. SearchTools and `failovers` say what `Tools` and `over` didn't. No logic changes.

--- a/src/jujubewharf/forwarding/failover.py
+++ b/src/jujubewharf/forwarding/failover.py
@@ -60,7 +60,7 @@
 
     def __init__(
         self,
-        tools: failover_search.Tools,
+        tools: failover_search.SearchTools,
         observations: observed.Observer,
         clock: clocks.Clock,
     ) -> None:
--- a/src/jujubewharf/forwarding/failover_search.py
+++ b/src/jujubewharf/forwarding/failover_search.py
@@ -26,7 +26,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Tools:
+class SearchTools:
     """What searches use.
 
     Attributes:
@@ -61,7 +61,9 @@
         crashed: Names of the silent engines whose process is known to be gone.
     """
 
-    def __init__(self, tools: Tools, run: runs.Run, last: int | None) -> None:
+    def __init__(
+        self, tools: SearchTools, run: runs.Run, last: int | None
+    ) -> None:
         self.crashed: set[str] = set()
         self._tools = tools
         self._run = run
--- a/src/jujubewharf/forwarding/plain.py
+++ b/src/jujubewharf/forwarding/plain.py
@@ -16,6 +16,7 @@
 from jujubewharf.engines import client
 from jujubewharf.forwarding import backpressure as all_backpressure
 from jujubewharf.forwarding import budget as budgets
+from jujubewharf.forwarding import buffered_replies
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import come_back
 from jujubewharf.forwarding import events
@@ -32,9 +33,6 @@
 from jujubewharf.stream_versions import resume_log
 from jujubewharf.stream_versions import resumptions
 
-# Answers up to this size are buffered before their first byte is forwarded, so
-# that an answer that breaks off can be retried or reported as an error.
-MAX_BUFFERED_BYTES = 262_144
 # Share of a route's target time after which an unanswered request that may be
 # repeated is sent to a second endpoint as well. Leaves time for that one.
 _SLOW_SHARE_OF_TARGET = 0.75
@@ -382,7 +380,7 @@
                 self._backends.send(endpoint, outbound)
             )
             if not run.route.is_stream:
-                reply, is_complete = await _buffered(reply)
+                reply, is_complete = await buffered_replies.buffered(reply)
             elif reply.is_success:
                 body = self._stream_body(run, endpoint, reply)
                 reply = dataclasses.replace(reply, body=body)
@@ -439,34 +437,3 @@
 
 async def _close(unused: _OpenReply) -> None:
     await unused.exit_stack.aclose()
-
-
-async def _buffered(reply: calls.Reply) -> tuple[calls.Reply, bool]:
-    """Buffers a body up to ``MAX_BUFFERED_BYTES`` and streams the rest.
-
-    Returns:
-        The answer, and whether its whole body is buffered.
-    """
-    parts: list[bytes] = []
-    size = 0
-    async for part in reply.body:
-        parts.append(part)
-        size += len(part)
-        if size > MAX_BUFFERED_BYTES:
-            streamed = dataclasses.replace(
-                reply, body=_concatenated(parts, reply.body)
-            )
-            return streamed, False
-    buffered = dataclasses.replace(
-        reply, body=_concatenated(parts, None), length=size
-    )
-    return buffered, True
-
-
-async def _concatenated(
-    parts: list[bytes], rest: AsyncIterator[bytes] | None
-) -> AsyncIterator[bytes]:
-    yield b"".join(parts)
-    if rest is not None:
-        async for part in rest:
-            yield part
--- a/src/jujubewharf/forwarding/request_path.py
+++ b/src/jujubewharf/forwarding/request_path.py
@@ -130,7 +130,9 @@
         sender,
         resumed,
         failover.Failover(
-            failover_search.Tools(sender, parts.budget, parts.registry, clock),
+            failover_search.SearchTools(
+                sender, parts.budget, parts.registry, clock
+            ),
             parts.observer,
             clock,
         ),
--- a/src/jujubewharf/forwarding/stream.py
+++ b/src/jujubewharf/forwarding/stream.py
@@ -44,7 +44,7 @@
     Args:
         sender: Sends requests to engines.
         resumed: Binds streams to the version that began them.
-        over: Goes on with streams whose engine is silent.
+        failovers: Goes on with streams whose engine is silent.
         budget: Retry budget of the fleet.
         observations: Records the latency and length of answers.
         clock: Time source.
@@ -54,13 +54,13 @@
         self,
         sender: attempts.StreamAttempts,
         resumed: resumptions.Resumptions,
-        over: failover.Failover,
+        failovers: failover.Failover,
         budget: budgets.FleetRetryBudget,
         observations: observed.Observer,
         clock: clocks.Clock,
     ) -> None:
         self._attempts = sender
-        self._failover = over
+        self._failover = failovers
         self._resumptions = resumed
         self._budget = budget
         self._observations = observations
--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -9,7 +9,7 @@
 
 from jujubewharf import errors
 from jujubewharf.engines import client
-from jujubewharf.forwarding import plain
+from jujubewharf.forwarding import buffered_replies
 from tests.forwarding import deployments
 
 plain_endpoint = deployments.plain_endpoint
@@ -101,7 +101,7 @@
 def test_large_answer_without_length_breaks_off_with_its_endpoint():
     async def main():
         async with deployments.deployed(plain_endpoint("s1")) as world:
-            with mock.patch.object(plain, "MAX_BUFFERED_BYTES", 4):
+            with mock.patch.object(buffered_replies, "MAX_BUFFERED_BYTES", 4):
                 answer = await _ask_and_crash(world, "/lookup/1")
             assert answer.status == 200
             assert answer.body == b"whole-"
