Ends of answers: only a reply of the process shows that it runs on

What callers saw: the part of an answer that had arrived when its endpoint was killed, as a success with a length of its own.

Cause: an end without framing counted as whole if a bare connect 20 ms later was accepted or reset. Both are the kernel's doing. It accepts for as long as the listener is open, and 20 ms was the figure of one kind of machine. The class: a sign that a kernel gives is taken for the process's own.

Now a connection is kept on which the process has replied, the witness, and a request is sent over it once the answer has ended. A reply over it can only come from the same process, after the end. If the witness ends together with the answer, the process is gone, whoever replies next. Without a witness a reply must bear the endpoint's identity. Resets and connections that end without a reply show nothing and are looked at again while the request has time, so an endpoint at its limit of connections loses no answer.

Tests that asked for the former sign are replaced: that a look waits 20 ms (now none does, and looks go on until they are certain), that a connect's outcome alone is a state (now test_process_watch.py, per outcome), and that an endpoint which resets connections without end is sound (a dying kernel does the same; now it is sound once it replies, and never taken for sound without).

--- a/src/jujubewharf/clock.py
+++ b/src/jujubewharf/clock.py
@@ -77,3 +77,9 @@
         if duration_ms is None:
             return asyncio.timeout(None)
         return asyncio.timeout(max(0.0, duration_ms) / MS_PER_S)
+
+    def reschedule_ms(
+        self, timeout: asyncio.Timeout, duration_ms: float
+    ) -> None:
+        """Has a timeout that is waited in end after a duration from now."""
+        timeout.reschedule((self.now_ms() + duration_ms) / MS_PER_S)
--- a/src/jujubewharf/endpoint_paths/observed_backends.py
+++ b/src/jujubewharf/endpoint_paths/observed_backends.py
@@ -12,6 +12,7 @@
 from jujubewharf.engines import client
 from jujubewharf.engines import liveness
 from jujubewharf.engines import notices
+from jujubewharf.engines import process_watch
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import ports
 
@@ -129,6 +130,12 @@
         """Whether an endpoint's process exists; see ``ports.Backends``."""
         return await self._backends.process_state(endpoint)
 
+    def watch_process(
+        self, endpoint: resources.Endpoint
+    ) -> process_watch.ProcessWatch:
+        """Watches an endpoint's process; see ``ports.Backends``."""
+        return self._backends.watch_process(endpoint)
+
     async def order_role(
         self, endpoint: resources.Endpoint, order: ports.RoleOrder
     ) -> None:
--- a/src/jujubewharf/endpoint_paths/relay_server.py
+++ b/src/jujubewharf/endpoint_paths/relay_server.py
@@ -19,6 +19,7 @@
 from jujubewharf.endpoint_paths import relay_streams
 from jujubewharf.endpoint_paths import whole_replies
 from jujubewharf.engines import client
+from jujubewharf.engines import liveness
 from jujubewharf.forwarding import registry as registries
 from jujubewharf.leaving import shutdown
 from jujubewharf.peers import messages
@@ -229,7 +230,11 @@
     ) -> None:
         async with self._backends.send(endpoint, call.outbound) as received:
             reply = whole_replies.with_certain_end(
-                received, endpoint, self._backends.process_state, self._clock
+                received,
+                endpoint,
+                self._backends.watch_process,
+                self._clock,
+                limit_ms=call.outbound.left_ms,
             )
             await stream.send(
                 relay_messages.RelayedHead(
@@ -264,6 +269,9 @@
                 return await self._backends.has_crashed(endpoint)
             case relay_messages.CheckKind.REACHABLE:
                 return await self._backends.is_reachable(endpoint)
+            case relay_messages.CheckKind.RUNNING:
+                state = await self._backends.process_state(endpoint)
+                return state is liveness.ProcessState.RUNNING
 
 
 def _request_id(call: _Call) -> str | None:
--- a/src/jujubewharf/endpoint_paths/relayed_backends.py
+++ b/src/jujubewharf/endpoint_paths/relayed_backends.py
@@ -25,6 +25,7 @@
 from jujubewharf.engines import client
 from jujubewharf.engines import liveness
 from jujubewharf.engines import notices
+from jujubewharf.engines import process_watch
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import ports
 from jujubewharf.peers import relay_messages
@@ -79,7 +80,11 @@
                 ),
             )
             yield whole_replies.with_certain_end(
-                reply, endpoint, self.process_state, self._clock
+                reply,
+                endpoint,
+                self.watch_process,
+                self._clock,
+                limit_ms=self._remaining(outbound, began_ms).left_ms,
             )
 
     async def prefill(
@@ -164,13 +169,25 @@
         A peer is asked where this instance can't tell.
         """
         state = await self._direct.process_state(endpoint)
-        if state is not liveness.ProcessState.UNKNOWN or self.relay is None:
-            return state
-        kind = relay_messages.CheckKind.REACHABLE
+        if state is liveness.ProcessState.UNKNOWN:
+            return await self._state_by_peer(endpoint)
+        return state
+
+    def watch_process(
+        self, endpoint: resources.Endpoint
+    ) -> process_watch.ProcessWatch:
+        """Watches an endpoint's process; see ``ports.Backends``."""
+        direct = self._direct.watch_process(endpoint)
+        return _Watch(direct, lambda: self._state_by_peer(endpoint))
+
+    async def _state_by_peer(
+        self, endpoint: resources.Endpoint
+    ) -> liveness.ProcessState:
+        kind = relay_messages.CheckKind.RUNNING
         with contextlib.suppress(client.EngineError):
-            if await self.relay.check(endpoint, kind):
+            if self.relay and await self.relay.check(endpoint, kind):
                 return liveness.ProcessState.RUNNING
-        return state
+        return liveness.ProcessState.UNKNOWN
 
     async def order_role(
         self, endpoint: resources.Endpoint, order: ports.RoleOrder
@@ -210,3 +227,28 @@
         return dataclasses.replace(
             outbound, left_ms=outbound.left_ms - passed_ms
         )
+
+
+class _Watch:
+    """A watch that asks a peer where this instance can't tell.
+
+    Args:
+        direct: Watch over the instance's own connections.
+        state_by_peer: Asks a peer.
+    """
+
+    def __init__(
+        self,
+        direct: process_watch.ProcessWatch,
+        state_by_peer: Callable[[], Awaitable[liveness.ProcessState]],
+    ) -> None:
+        self.on_part = direct.on_part
+        self._direct = direct
+        self._state_by_peer = state_by_peer
+
+    async def state(self) -> liveness.ProcessState:
+        """Returns the state; see ``process_watch.ProcessWatch``."""
+        state = await self._direct.state()
+        if state is liveness.ProcessState.UNKNOWN:
+            return await self._state_by_peer()
+        return state
--- a/src/jujubewharf/engines/answer_ends.py
+++ b/src/jujubewharf/engines/answer_ends.py
@@ -4,7 +4,7 @@
     the end that the length or chunks state    whole
     an end before that, or a reset             lost
     the end of the connection, and no framing
-        the process of the endpoint runs on    whole: it closed the connection
+        the process replies after it           whole: it closed the connection
         the process is gone                    lost: its kernel closed it
         nobody can tell                        lost
     nothing                                    no end; time limits apply
@@ -16,8 +16,6 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
-from collections.abc import Awaitable
-from collections.abc import Callable
 
 import aiohttp
 from opentelemetry import metrics
@@ -26,14 +24,16 @@
 from jujubewharf.configuration import resources
 from jujubewharf.engines import client
 from jujubewharf.engines import liveness
-
-# A kernel that ends a killed process may close its connections some
-# milliseconds before its listener, which accepts connections until then.
-_EXIT_MS = 20.0
-# A lost SYN, or an instance that stood still itself, leaves a check unclear.
-_MAX_CHECKS = 3
-# Beyond this, the time that is left is better spent on another try.
-_CHECK_TIMEOUT_MS = 800.0
+from jujubewharf.engines import process_watch
+
+# Beyond this without a path, the time that is left is better spent on another
+# try.
+_NO_PATH_MS = 800.0
+# Pauses between two requests that find out whether a process runs.
+_FIRST_PAUSE_MS = 5.0
+_MAX_PAUSE_MS = 100.0
+# Answers about the state of an endpoint, which are parsed as a whole.
+_MAX_STATE_BYTES = 1_048_576
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 _UNFRAMED = metrics.get_meter("jujubewharf").create_counter(
@@ -41,8 +41,6 @@
     description="Ends of answers without a length, by the process's state.",
 )
 
-StateOf = Callable[[resources.Endpoint], Awaitable[liveness.ProcessState]]
-
 
 def is_framed(response: aiohttp.ClientResponse) -> bool:
     """Returns whether a response states where its body ends."""
@@ -69,42 +67,74 @@
         raise _lost(endpoint, type(error).__name__) from error
 
 
+async def read_whole(
+    response: aiohttp.ClientResponse, endpoint: resources.Endpoint
+) -> bytes:
+    """Returns the body of an answer about an endpoint's state.
+
+    Raises:
+        client.EngineError: ``LOST``; it broke off, or is far too large.
+    """
+    body = bytearray()
+    async for part in read_body(response, endpoint):
+        body += part
+        if len(body) > _MAX_STATE_BYTES:
+            response.close()
+            raise _lost(endpoint, f"answer beyond {_MAX_STATE_BYTES} bytes")
+    return bytes(body)
+
+
 async def whole_body(
     body: AsyncIterator[bytes],
     endpoint: resources.Endpoint,
-    state_of: StateOf,
+    watch: process_watch.ProcessWatch,
     clock: clocks.Clock,
+    *,
+    limit_ms: float | None = None,
 ) -> AsyncIterator[bytes]:
     """Yields a body without framing, and checks that its end is the whole's.
 
     Args:
         body: The body.
         endpoint: Where it comes from.
-        state_of: Returns the state of an endpoint's process.
+        watch: Watch of the endpoint's process.
         clock: Time source.
+        limit_ms: Time from now after which the answer is of no use any more;
+            ``None`` for no limit.
 
     Raises:
         client.EngineError: ``LOST``; it may have ended with its process.
     """
+    until_ms = None if limit_ms is None else clock.now_ms() + limit_ms
     async for part in body:
+        watch.on_part()
         yield part
-    state = await _state_after_end(endpoint, state_of, clock)
+    state = await _state_after_end(watch, until_ms, clock)
     _UNFRAMED.add(1, {"process": state.value})
     if state is not liveness.ProcessState.RUNNING:
         raise _lost(endpoint, f"ended without length, process {state.value}")
 
 
 async def _state_after_end(
-    endpoint: resources.Endpoint, state_of: StateOf, clock: clocks.Clock
+    watch: process_watch.ProcessWatch,
+    until_ms: float | None,
+    clock: clocks.Clock,
 ) -> liveness.ProcessState:
+    """Looks for a process until its state is certain, or time is over."""
+    pause_ms = _FIRST_PAUSE_MS
+    left_ms = None if until_ms is None else until_ms - clock.now_ms()
     state = liveness.ProcessState.UNKNOWN
     try:
-        async with clock.timeout_ms(_CHECK_TIMEOUT_MS):
-            for _ in range(_MAX_CHECKS):
-                await clock.sleep_ms(_EXIT_MS)
-                state = await state_of(endpoint)
-                if state is not liveness.ProcessState.UNKNOWN:
-                    break
+        async with (
+            clock.timeout_ms(left_ms),
+            clock.timeout_ms(_NO_PATH_MS) as no_path,
+        ):
+            while not (state := await watch.state()).is_certain:
+                if state is liveness.ProcessState.SILENT:
+                    # An endpoint with as many connections as it takes.
+                    clock.reschedule_ms(no_path, _NO_PATH_MS)
+                await clock.sleep_ms(pause_ms)
+                pause_ms = min(2.0 * pause_ms, _MAX_PAUSE_MS)
     except TimeoutError:
         return liveness.ProcessState.UNKNOWN
     return state
--- a/src/jujubewharf/engines/http_calls.py
+++ b/src/jujubewharf/engines/http_calls.py
@@ -16,6 +16,7 @@
 from jujubewharf.engines import body_payload
 from jujubewharf.engines import client
 from jujubewharf.engines import http_endpoint
+from jujubewharf.engines import send_once
 
 _Answer = TypeVar("_Answer")
 
@@ -61,7 +62,7 @@
             data=body_payload.BodyPayload(body) if body else None,
             allow_redirects=False,
             skip_auto_headers=("Content-Type",),
-            middlewares=(http_endpoint.SendOnce(),),
+            middlewares=(send_once.SendOnce(),),
         )
     except http_endpoint.CONNECT_ERRORS as error:
         fault = client.EngineFault.UNREACHABLE
--- a/src/jujubewharf/engines/http_endpoint.py
+++ b/src/jujubewharf/engines/http_endpoint.py
@@ -13,7 +13,9 @@
 from jujubewharf.engines import answer_ends
 from jujubewharf.engines import client
 from jujubewharf.engines import endpoint_client
-from jujubewharf.engines import liveness
+from jujubewharf.engines import probe_session
+from jujubewharf.engines import process_watch
+from jujubewharf.engines import send_once
 
 REQUEST_HEADER = "X-Request-Id"
 CONNECT_TIMEOUT_S = 1.0
@@ -21,48 +23,36 @@
 # compress a response for a caller that cannot decode it.
 _SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 
+# The no-op of HTTP, which any server answers; endpoints have no identity.
+_PROBE = process_watch.ProbeRequest(
+    "OPTIONS", "/", lambda endpoint: [], lambda endpoint, response, body: True
+)
+
 CONNECT_ERRORS = (
     aiohttp.ClientConnectorError,
     aiohttp.ConnectionTimeoutError,
 )
 
 
-class SendOnce:
-    """Client middleware that prevents a call from being sent twice.
-
-    aiohttp resends GET, PUT and DELETE if the connection breaks before the
-    response. A call that must not be repeated would then run twice unnoticed.
-    Retries are left to ``requests.plain``.
-    """
-
-    def __init__(self) -> None:
-        self._was_sent = False
-
-    async def __call__(
-        self, request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-    ) -> aiohttp.ClientResponse:
-        """Forwards the first send and fails any further one."""
-        if self._was_sent:
-            raise aiohttp.ServerDisconnectedError
-        self._was_sent = True
-        return await handler(request)
-
-
 class HttpEndpointClient:
     """Calls endpoints over one shared client session.
 
     Args:
         session: Not shared with engine calls, so that plain calls never wait
             for a connection behind model requests.
+        probes: Session that shows whether an endpoint's process runs.
         clock: Time source.
     """
 
     def __init__(
-        self, session: aiohttp.ClientSession, clock: clocks.Clock
+        self,
+        session: aiohttp.ClientSession,
+        probes: probe_session.ProbeSession,
+        clock: clocks.Clock,
     ) -> None:
         self._session = session
         self._clock = clock
-        self._checks = liveness.ProcessChecks(clock)
+        self._watches = process_watch.ProcessWatches(probes, _PROBE, clock)
 
     @contextlib.asynccontextmanager
     async def call(
@@ -89,7 +79,7 @@
         if answer_ends.is_framed(upstream):
             return body
         return answer_ends.whole_body(
-            body, endpoint, self._checks.process_state, self._clock
+            body, endpoint, self._watches.watch(endpoint), self._clock
         )
 
     async def _send(
@@ -107,7 +97,7 @@
                 data=call.body,
                 allow_redirects=False,
                 skip_auto_headers=_SKIPPED_HEADERS,
-                middlewares=(SendOnce(),),
+                middlewares=(send_once.SendOnce(),),
             )
         except CONNECT_ERRORS as error:
             fault = client.EngineFault.UNREACHABLE
--- a/src/jujubewharf/engines/liveness.py
+++ b/src/jujubewharf/engines/liveness.py
@@ -17,14 +17,21 @@
 class ProcessState(enum.Enum):
     """Whether the process of an endpoint exists.
 
-    ``RUNNING``: a process listens. ``GONE``: none does. ``UNKNOWN``: the host
-    doesn't reply, or isn't reached from here.
+    ``RUNNING``: it replied. ``GONE``: nothing listens, or another process does.
+    ``SILENT``: its host made or reset connections, but no process replied.
+    ``UNKNOWN``: the host isn't reached from here, or not yet known to be.
     """
 
     RUNNING = "running"
     GONE = "gone"
+    SILENT = "silent"
     UNKNOWN = "unknown"
 
+    @property
+    def is_certain(self) -> bool:
+        """Whether it tells that the process runs, or that it doesn't."""
+        return self in (ProcessState.RUNNING, ProcessState.GONE)
+
 
 class _ConnectOutcome(enum.Enum):
     ACCEPTED = "accepted"
@@ -33,16 +40,6 @@
     UNCLEAR = "unclear"
 
 
-_STATES = {
-    _ConnectOutcome.ACCEPTED: ProcessState.RUNNING,
-    _ConnectOutcome.REFUSED: ProcessState.GONE,
-    # The connection was there before it was reset: a process listens, and has
-    # as many connections as it accepts.
-    _ConnectOutcome.RESET: ProcessState.RUNNING,
-    _ConnectOutcome.UNCLEAR: ProcessState.UNKNOWN,
-}
-
-
 async def accepts_connections(address: str, clock: clocks.Clock) -> bool:
     """Whether an address accepts connections.
 
@@ -85,10 +82,6 @@
         """Whether the endpoint's process is gone."""
         return await refuses_connections(endpoint.address, self._clock)
 
-    async def process_state(self, endpoint: resources.Endpoint) -> ProcessState:
-        """Returns the state of the endpoint's process."""
-        return _STATES[await _connect(endpoint.address, self._clock)]
-
 
 async def _connect(address: str, clock: clocks.Clock) -> _ConnectOutcome:
     """Opens a connection, sends nothing on it, and closes it."""
--- a/src/jujubewharf/engines/sessions.py
+++ b/src/jujubewharf/engines/sessions.py
@@ -21,7 +21,7 @@
 _KEEPALIVE_S = 3.0
 
 
-class _CheckedProtocol(client_proto.ResponseHandler):
+class CheckedProtocol(client_proto.ResponseHandler):
     """Reports a body that was cut off by a connection reset.
 
     Without a length, aiohttp takes the end of the connection for the end of the
@@ -29,6 +29,7 @@
     """
 
     def connection_lost(self, exc: BaseException | None) -> None:
+        """Fails a body that a reset has cut off."""
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
             payload.set_exception(
@@ -72,6 +73,6 @@
     """
     connector = aiohttp.TCPConnector(limit=0, **options)
     connector._factory = functools.partial(  # type: ignore[assignment]
-        _CheckedProtocol, loop=connector._loop
+        CheckedProtocol, loop=connector._loop
     )
     return connector
--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -15,6 +15,7 @@
 from jujubewharf.engines import client
 from jujubewharf.engines import http as engine_http
 from jujubewharf.engines import http_endpoint
+from jujubewharf.engines import probe_session
 from jujubewharf.engines import sessions
 from jujubewharf.leaving import shutdown
 from jujubewharf.operators import server as operator_server
@@ -50,6 +51,7 @@
         self._settings = settings
         self._clock = clock
         self._sessions: list[aiohttp.ClientSession] = []
+        self._probes: probe_session.ProbeSession | None = None
         self.core: cores.EntryCore | None = None
         self.callers: edge.CallerEdge | None = None
         self.operators: operator_server.OperatorServer | None = None
@@ -109,6 +111,8 @@
         """Closes the client sessions once all services have stopped."""
         for session in self._sessions:
             await session.close()
+        if self._probes is not None:
+            await self._probes.close()
 
     def _new_session(self) -> aiohttp.ClientSession:
         """Creates a client session with a separate connection pool."""
@@ -124,6 +128,7 @@
 
     def _adapters(self, transport: streams.Transport) -> cores.Adapters:
         session = self._new_session()
+        self._probes = probes = probe_session.ProbeSession()
         platform = self._settings.platform
 
         def make_engine_client(
@@ -143,7 +148,7 @@
             ),
             make_engine_client=make_engine_client,
             endpoints=http_endpoint.HttpEndpointClient(
-                self._new_session(), self._clock
+                self._new_session(), probes, self._clock
             ),
             transport=transport,
         )
--- a/src/jujubewharf/forwarding/crash_detection.py
+++ b/src/jujubewharf/forwarding/crash_detection.py
@@ -46,6 +46,7 @@
         self.is_reachable = backends.is_reachable
         self.has_crashed = backends.has_crashed
         self.process_state = backends.process_state
+        self.watch_process = backends.watch_process
         self.order_role = backends.order_role
 
     @contextlib.asynccontextmanager
--- a/src/jujubewharf/forwarding/ports.py
+++ b/src/jujubewharf/forwarding/ports.py
@@ -9,6 +9,7 @@
 from jujubewharf.configuration import resources
 from jujubewharf.engines import liveness
 from jujubewharf.engines import notices
+from jujubewharf.engines import process_watch
 from jujubewharf.forwarding import calls
 from jujubewharf.peers import streams
 from jujubewharf.platform import groups
@@ -120,7 +121,16 @@
     async def process_state(
         self, endpoint: resources.Endpoint
     ) -> liveness.ProcessState:
-        """Returns whether an endpoint's process exists. Never raises."""
+        """Returns whether an endpoint's process exists now. Never raises.
+
+        It runs only if it replied; that a connection is accepted shows nothing.
+        """
+        ...
+
+    def watch_process(
+        self, endpoint: resources.Endpoint
+    ) -> process_watch.ProcessWatch:
+        """Watches the process of an endpoint that has begun an answer."""
         ...
 
     async def order_role(
--- a/src/jujubewharf/forwarding/registration.py
+++ b/src/jujubewharf/forwarding/registration.py
@@ -67,6 +67,19 @@
     return None
 
 
+def is_other_start(endpoint: resources.Endpoint, told_ms: object) -> bool:
+    """Whether a process isn't the registered start, by what it says itself.
+
+    Args:
+        endpoint: The endpoint.
+        told_ms: Unix time of its start in ms, as the process told; anything
+            else tells nothing.
+    """
+    if not isinstance(told_ms, int):
+        return False
+    return started_ms(endpoint) not in (None, told_ms)
+
+
 def software_version(endpoint: resources.Endpoint) -> str:
     """Returns the version of an endpoint's software; empty if unknown."""
     if isinstance(endpoint, Registration):
--- a/src/jujubewharf/peers/relay_messages.py
+++ b/src/jujubewharf/peers/relay_messages.py
@@ -40,6 +40,7 @@
     CHANGING = "changing"
     CRASHED = "crashed"
     REACHABLE = "reachable"
+    RUNNING = "running"
 
 
 @messages.message(170)
--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -18,12 +18,14 @@
 from jujubewharf.engines import client
 from jujubewharf.engines import liveness
 from jujubewharf.engines import notices
+from jujubewharf.engines import process_watch
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import ports
 from jujubewharf.standins import answer_bodies
 from jujubewharf.standins import backend_processes
 from jujubewharf.standins import backend_state
 from jujubewharf.standins import endpoint_cuts
+from jujubewharf.standins import process_watches
 
 
 class StandInBackends:
@@ -336,10 +338,27 @@
             return liveness.ProcessState.UNKNOWN
         if backend.is_cut or backend.is_unreachable:
             return liveness.ProcessState.UNKNOWN
-        if not self._accepts_connections(backend):
-            return liveness.ProcessState.GONE
+        if backend.has_crashed.is_set():
+            # Its kernel accepts connections, on which nobody replies.
+            return (
+                liveness.ProcessState.UNKNOWN
+                if self._accepts_connections(backend)
+                else liveness.ProcessState.GONE
+            )
+        if backend.is_paused:
+            await self._clock.sleep_ms(endpoint_cuts.CONNECT_TIMEOUT_MS)
+            return liveness.ProcessState.UNKNOWN
         return liveness.ProcessState.RUNNING
 
+    def watch_process(
+        self, endpoint: resources.Endpoint
+    ) -> process_watch.ProcessWatch:
+        """Watches a backend's process; see ``ports.Backends``."""
+        return process_watches.StandInWatch(
+            self.by_name.get(endpoint.name),
+            lambda: self.process_state(endpoint),
+        )
+
     def _accepts_connections(
         self, backend: backend_state.StandInBackend
     ) -> bool:
--- a/src/jujubewharf/standins/endpoint_cuts.py
+++ b/src/jujubewharf/standins/endpoint_cuts.py
@@ -21,6 +21,7 @@
 from jujubewharf.engines import client
 from jujubewharf.engines import liveness
 from jujubewharf.engines import notices
+from jujubewharf.engines import process_watch
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import ports
 
@@ -213,7 +214,7 @@
     async def process_state(
         self, endpoint: resources.Endpoint
     ) -> liveness.ProcessState:
-        """Whether connections are accepted; see ``ports.Backends``."""
+        """Whether the process replies; see ``ports.Backends``."""
         cut = self._cuts.find(self._instance, endpoint.name)
         if cut is None:
             return await self._backends.process_state(endpoint)
@@ -222,6 +223,15 @@
         await self._clock.sleep_ms(CONNECT_TIMEOUT_MS)
         return liveness.ProcessState.UNKNOWN
 
+    def watch_process(
+        self, endpoint: resources.Endpoint
+    ) -> process_watch.ProcessWatch:
+        """Watches a process over the cut path; see ``ports.Backends``."""
+        return _CutWatch(
+            self._backends.watch_process(endpoint),
+            lambda: self.process_state(endpoint),
+        )
+
     async def order_role(
         self, endpoint: resources.Endpoint, order: ports.RoleOrder
     ) -> None:
@@ -279,3 +289,28 @@
                 change.cancel()
             # The call has ended at the endpoint when the caller goes on.
             await asyncio.gather(task, return_exceptions=True)
+
+
+class _CutWatch:
+    """A watch over a path that may be cut.
+
+    Args:
+        direct: Watch of the process, without the cut.
+        state_now: Returns the state of the process over the path as it is now.
+    """
+
+    def __init__(
+        self,
+        direct: process_watch.ProcessWatch,
+        state_now: Callable[[], Awaitable[liveness.ProcessState]],
+    ) -> None:
+        self.on_part = direct.on_part
+        self._direct = direct
+        self._state_now = state_now
+
+    async def state(self) -> liveness.ProcessState:
+        """Returns the state; see ``process_watch.ProcessWatch``."""
+        state = await self._state_now()
+        if state is liveness.ProcessState.RUNNING:
+            return await self._direct.state()
+        return state
--- a/tests/engines/test_liveness.py
+++ b/tests/engines/test_liveness.py
@@ -6,10 +6,7 @@
 import socket
 from unittest import mock
 
-import pytest
-
 from jujubewharf import clock as clocks
-from jujubewharf.configuration import resources
 from jujubewharf.engines import liveness
 
 HOST = "127.0.0.1"
@@ -52,38 +49,3 @@
         address = f"{HOST}:{port}"
         assert await liveness.accepts_connections(address, clocks.Clock())
     assert not await liveness.accepts_connections(address, clocks.Clock())
-
-
-# An endpoint that has as many connections as it accepts resets further ones,
-# mostly before the connect is seen to succeed; its whole answers were lost.
-@pytest.mark.parametrize(
-    ("error", "state"),
-    [
-        (ConnectionRefusedError, liveness.ProcessState.GONE),
-        (ConnectionResetError, liveness.ProcessState.RUNNING),
-        (OSError, liveness.ProcessState.UNKNOWN),
-        (TimeoutError, liveness.ProcessState.UNKNOWN),
-    ],
-)
-async def test_state_of_a_process_by_its_listener(error, state):
-    async def fail(host, port):
-        raise error
-
-    checks = liveness.ProcessChecks(clocks.Clock())
-    endpoint = resources.Endpoint(
-        "s1", "shop", f"{HOST}:1", "a", resources.Role.PLAIN
-    )
-    with mock.patch.object(asyncio, "open_connection", fail):
-        assert await checks.process_state(endpoint) is state
-
-
-async def test_process_that_accepts_connections_runs():
-    server = await asyncio.start_server(lambda r, w: w.close(), HOST, 0)
-    async with server:
-        port = server.sockets[0].getsockname()[1]
-        endpoint = resources.Endpoint(
-            "s1", "shop", f"{HOST}:{port}", "a", resources.Role.PLAIN
-        )
-        checks = liveness.ProcessChecks(clocks.Clock())
-        state = await checks.process_state(endpoint)
-        assert state is liveness.ProcessState.RUNNING
--- a/tests/real_processes/test_ends_of_answers.py
+++ b/tests/real_processes/test_ends_of_answers.py
@@ -16,6 +16,7 @@
 from jujubewharf.engines import client
 from jujubewharf.engines import endpoint_client
 from jujubewharf.engines import http_endpoint
+from jujubewharf.engines import probe_session
 from jujubewharf.engines import sessions
 from jujubewharf.forwarding import calls
 from tests.real_processes import children
@@ -56,8 +57,16 @@
     @classmethod
     @contextlib.asynccontextmanager
     async def opened(cls):
-        async with sessions.new_session() as session:
-            yield cls(http_endpoint.HttpEndpointClient(session, clocks.Clock()))
+        probes = probe_session.ProbeSession()
+        try:
+            async with sessions.new_session() as session:
+                yield cls(
+                    http_endpoint.HttpEndpointClient(
+                        session, probes, clocks.Clock()
+                    )
+                )
+        finally:
+            await probes.close()
 
     async def read(self, address: str, path: str) -> bytes:
         role = resources.Role.PLAIN
--- a/tests/users_platform/engine_calls.py
+++ b/tests/users_platform/engine_calls.py
@@ -9,6 +9,7 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
+from jujubewharf.engines import probe_session
 from jujubewharf.engines import sessions
 from jujubewharf.forwarding import calls
 from tests.users_platform import raw_server
@@ -50,5 +51,9 @@
     with mock.patch.object(sessions, "_CONNECT_TIMEOUT_S", _CONNECT_S):
         kept = sessions.new_session(keep_alive=True)
         session = sessions.new_session()
-    async with session, kept:
-        yield engines.Engines(session, kept, clocks.Clock())
+    probes = probe_session.ProbeSession()
+    try:
+        async with session, kept:
+            yield engines.Engines(session, kept, probes, clocks.Clock())
+    finally:
+        await probes.close()
--- a/tests/users_platform/raw_server.py
+++ b/tests/users_platform/raw_server.py
@@ -54,10 +54,18 @@
         # Further connections are reset.
         self.most_connections: int | None = None
         self._script = script
+        self._has_crashed = False
+        self._stopped = asyncio.Event()
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self._has_crashed:
+            # A kernel has accepted it: nobody answers, and it ends with the
+            # listener.
+            await self._stopped.wait()
+            writer.close()
+            return
         self.connections += 1
         most = self.most_connections
         if most is not None and self.connections > most:
@@ -93,6 +101,7 @@
                 _reset(writer)
                 return
             if step is CRASH:
+                self._has_crashed = True
                 loop = asyncio.get_running_loop()
                 loop.call_later(LISTENS_ON_S, self._stop_listening)
                 return
@@ -107,6 +116,7 @@
     def _stop_listening(self) -> None:
         if self.listener is not None:
             self.listener.close()
+        self._stopped.set()
 
 
 def _reset(writer: asyncio.StreamWriter) -> None:
--- a/tests/users_platform/test_answer_ends.py
+++ b/tests/users_platform/test_answer_ends.py
@@ -12,6 +12,7 @@
 from jujubewharf.engines import client
 from jujubewharf.engines import endpoint_client
 from jujubewharf.engines import http_endpoint
+from jujubewharf.engines import probe_session
 from jujubewharf.engines import sessions
 from jujubewharf.forwarding import calls
 from tests.users_platform import engine_calls
@@ -39,13 +40,18 @@
     role = resources.Role.PLAIN
     endpoint = resources.Endpoint("s1", "shop", address, "a", role)
     call = endpoint_client.PlainCall("r1", "GET", "/x")
+    probes = probe_session.ProbeSession()
     async with sessions.new_session() as session:
-        endpoints = http_endpoint.HttpEndpointClient(session, clocks.Clock())
+        endpoints = http_endpoint.HttpEndpointClient(
+            session, probes, clocks.Clock()
+        )
         try:
             async with endpoints.call(endpoint, call) as reply:
                 return b"".join([part async for part in reply.body])
         except client.EngineError as error:
             return error.fault
+        finally:
+            await probes.close()
 
 
 @pytest.mark.parametrize("forward", [_forward, _forward_plain])
@@ -85,5 +91,21 @@
 
     async with raw_server.serving(script) as (server, address):
         server.most_connections = 1
-        assert await _forward(address) == b"part of it"
+        forwarding = asyncio.ensure_future(_forward(address))
         await asyncio.wait_for(server.has_reset.wait(), 5.0)
+        await asyncio.sleep(0.1)
+        assert not forwarding.done()
+        # The others that it serves have gone.
+        server.most_connections = None
+        assert await forwarding == b"part of it"
+
+
+# A kernel that ends a process resets connections, too, without an end in sight.
+async def test_endpoint_that_resets_all_connections_is_not_taken_for_sound():
+    def script(request):
+        return [PART]
+
+    async with raw_server.serving(script) as (server, address):
+        server.most_connections = 1
+        assert await _forward(address) is LOST
+        assert server.has_reset.is_set()
