Endless bytes: bounds for all that isn't body, and small turns of the loop

What callers saw: beside an endpoint that sends bytes without an end, callers of sound endpoints got a third of their answers, later; an instance read up to a gigabyte in seconds.

Cause: what keeps a response's parser in one state was bounded by nothing but the request's time (line ends before a head, interim responses, extensions and zeros of chunk sizes), a turn of the loop parsed 256 KB of it, bodies that are needed as a whole were read to any size, and an event without an end was joined and split again with each part.

Trailers that aren't understood left a body open until the request's time was over.

Why it works: all bytes of a response that aren't its body count together, so no state can be missed; beyond a bound the connection is reset and the attempt fails as lost. A turn handles 16 KB of one connection.

--- a/src/jujubewharf/engines/answer_ends.py
+++ b/src/jujubewharf/engines/answer_ends.py
@@ -25,6 +25,7 @@
 from jujubewharf.engines import client
 from jujubewharf.engines import liveness
 from jujubewharf.engines import process_watch
+from jujubewharf.engines import sessions
 
 # Beyond this without a path, the time that is left is better spent on another
 # try.
@@ -75,13 +76,10 @@
     Raises:
         client.EngineError: ``LOST``; it broke off, or is far too large.
     """
-    body = bytearray()
-    async for part in read_body(response, endpoint):
-        body += part
-        if len(body) > _MAX_STATE_BYTES:
-            response.close()
-            raise _lost(endpoint, f"answer beyond {_MAX_STATE_BYTES} bytes")
-    return bytes(body)
+    try:
+        return await sessions.read_bounded(response, _MAX_STATE_BYTES)
+    except (aiohttp.ClientError, OSError) as error:
+        raise _lost(endpoint, type(error).__name__) from error
 
 
 async def whole_body(
--- a/src/jujubewharf/engines/http.py
+++ b/src/jujubewharf/engines/http.py
@@ -13,11 +13,13 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf.engines import client
+from jujubewharf.engines import sessions
 
 _CALL_TIMEOUT_MS = 5_000.0
 _PREFILL_TIMEOUT_MS = 60_000.0
 _SILENCE_CHECK_MS = 5_000.0
 _OK = 200
+_MAX_LINE_BYTES = 65_536
 _JSON = {"Content-Type": "application/json"}
 
 _STREAM_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=1.0)
@@ -144,7 +146,7 @@
                     headers=_JSON,
                 ) as response:
                     await self._raise_for_fault(response)
-                    return orjson.loads(await response.read())
+                    return orjson.loads(await sessions.read_bounded(response))
         except _CONNECT_ERRORS as error:
             raise self._error(client.EngineFault.UNREACHABLE) from error
         except _STREAM_ERRORS as error:
@@ -153,7 +155,7 @@
     async def _raise_for_fault(self, response: aiohttp.ClientResponse) -> None:
         if response.status == _OK:
             return
-        body = orjson.loads(await response.read())
+        body = orjson.loads(await sessions.read_bounded(response))
         raise self._error(client.EngineFault(body["fault"]))
 
     def _error(self, fault: client.EngineFault) -> client.EngineError:
@@ -222,6 +224,8 @@
     incomplete = b""
     async for data in content.iter_any():
         *lines, incomplete = (incomplete + data).split(b"\n")
+        if len(incomplete) > _MAX_LINE_BYTES:
+            raise sessions.EndlessAnswerError("body")
         for chunk in _parsed(lines):
             yield chunk
 
--- a/src/jujubewharf/engines/process_watch.py
+++ b/src/jujubewharf/engines/process_watch.py
@@ -21,6 +21,7 @@
 from jujubewharf.engines import liveness
 from jujubewharf.engines import probe_session
 from jujubewharf.engines import send_once
+from jujubewharf.engines import sessions
 
 # A process that is paused replies later; until then, others may be asked.
 _WAIT_MS = 150.0
@@ -279,7 +280,7 @@
             middlewares=(send_once.SendOnce(),),
         ) as response:
             connection = self._session.connection(address)
-            body = await _read(response)
+            body = await sessions.read_bounded(response, _MAX_REPLY_BYTES)
         if not self._request.is_from(self._endpoint, response, body):
             return _Look(_Outcome.OTHER)
         if connection is not None:
@@ -287,17 +288,6 @@
         return _Look(_Outcome.REPLIED, connection)
 
 
-async def _read(response: aiohttp.ClientResponse) -> bytes:
-    """Reads a body; one that is too large is cut and its connection closed."""
-    body = b""
-    async for part in response.content.iter_any():
-        body += part
-        if len(body) > _MAX_REPLY_BYTES:
-            response.close()
-            break
-    return body
-
-
 async def _result(
     look: asyncio.Future[_Look], clock: clocks.Clock
 ) -> _Look | None:
--- a/src/jujubewharf/engines/sessions.py
+++ b/src/jujubewharf/engines/sessions.py
@@ -6,11 +6,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import functools
 from typing import Any
 
 import aiohttp
 from aiohttp import client_proto
+from opentelemetry import metrics
 
 # Connecting within a region takes a few milliseconds, but a lost SYN packet is
 # resent only after a second. Trying another endpoint is faster, and safe for
@@ -21,13 +23,96 @@
 _KEEPALIVE_S = 3.0
 
 
+# Bytes of a body that are read ahead of whoever takes them; twice as many fit.
+READ_BUFFER_BYTES = 65_536
+# Bytes handled in one turn of the event loop. Others wait for as long as
+# parsing these takes, whatever they are.
+_TURN_BYTES = 16_384
+# Bytes of heads, and of sizes and trailers of a body.
+_MAX_HEAD_BYTES = 32_768
+_MAX_FRAMING_BYTES = 8_192
+# Heads that wait to be read: that of the response, and interim ones before it.
+_MAX_QUEUED_HEADS = 16
+# Bodies that are needed as a whole, such as pages of the store.
+_MAX_BODY_BYTES = 4_194_304
+# What chunks of a few bytes each may have besides.
+_FRAMING_PER_BODY_BYTE = 2
+
+_ENDLESS = metrics.get_meter("jujubewharf").create_counter(
+    "endpoints.endless_answers",
+    description="Answers that were cut off as they had no end, by part.",
+)
+
+
+class EndlessAnswerError(aiohttp.ClientPayloadError):
+    """A part of a response is larger than any sound one.
+
+    Args:
+        part: The part: ``head``, ``interim``, ``framing`` or ``body``.
+    """
+
+    def __init__(self, part: str) -> None:
+        super().__init__(f"{part} without end")
+        _ENDLESS.add(1, {"part": part})
+
+
 class CheckedProtocol(client_proto.ResponseHandler):
-    """Reports a body that was cut off by a connection reset.
+    """Reports a body that was cut off by a reset, and bytes without an end.
 
     Without a length, aiohttp takes the end of the connection for the end of the
     body, even after a reset. A truncated response would then appear complete.
+
+    A peer may send bytes that keep the parser in one state for ever: line ends
+    before a head, interim responses, extensions of sizes, trailers. All of
+    them are bytes that aren't body, and are bounded as such.
     """
 
+    _received = 0
+    _head_bytes: int | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Has the transport read a little at a time."""
+        super().connection_made(transport)
+        # Of selector transports; others read as much as they like.
+        transport.max_size = _TURN_BYTES  # type: ignore[attr-defined]
+
+    def set_response_params(self, **params: Any) -> None:
+        """Begins a response."""
+        self._received = 0
+        self._head_bytes = None
+        super().set_response_params(**params)
+
+    def data_received(self, data: bytes) -> None:
+        """Parses bytes, and ends the connection if they have no end."""
+        self._received += len(data)
+        super().data_received(data)
+        payload = self._payload
+        part = self._part_without_end(payload)
+        if part is not None and self.transport is not None:
+            self.set_exception(EndlessAnswerError(part))
+            self.transport.abort()
+        error = self.exception()
+        if error is not None and payload is not None and not payload.is_eof():
+            # aiohttp leaves a body open whose trailers it can't parse.
+            failure = aiohttp.ClientPayloadError(type(error).__name__)
+            failure.__cause__ = error
+            payload.set_exception(failure)
+
+    def _part_without_end(
+        self, payload: aiohttp.StreamReader | None
+    ) -> str | None:
+        """Returns the part of a response that is beyond its bound, if any."""
+        if len(self._buffer) > _MAX_QUEUED_HEADS:
+            return "interim"
+        if payload is None:
+            return "head" if self._received > _MAX_HEAD_BYTES else None
+        if self._head_bytes is None:
+            # With what arrived of the body in the same turn.
+            self._head_bytes = self._received
+        body_bytes = payload.total_bytes * (1 + _FRAMING_PER_BODY_BYTE)
+        most = self._head_bytes + _MAX_FRAMING_BYTES + body_bytes
+        return "framing" if self._received > most else None
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fails a body that a reset has cut off."""
         payload = self._payload
@@ -59,6 +144,7 @@
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent"),
+        read_bufsize=READ_BUFFER_BYTES,
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=_CONNECT_TIMEOUT_S
         ),
@@ -76,3 +162,21 @@
         CheckedProtocol, loop=connector._loop
     )
     return connector
+
+
+async def read_bounded(
+    response: aiohttp.ClientResponse, max_bytes: int = _MAX_BODY_BYTES
+) -> bytes:
+    """Returns a body that is needed as a whole.
+
+    Raises:
+        EndlessAnswerError: It is larger than ``max_bytes``.
+        aiohttp.ClientError: It broke off.
+    """
+    body = bytearray()
+    async for part in response.content.iter_any():
+        body += part
+        if len(body) > max_bytes:
+            response.close()
+            raise EndlessAnswerError("body")
+    return bytes(body)
--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -122,6 +122,7 @@
                 total=None, sock_connect=http_endpoint.CONNECT_TIMEOUT_S
             ),
             auto_decompress=False,
+            read_bufsize=sessions.READ_BUFFER_BYTES,
         )
         self._sessions.append(session)
         return session
--- a/src/jujubewharf/forwarding/upstream_reader.py
+++ b/src/jujubewharf/forwarding/upstream_reader.py
@@ -99,7 +99,14 @@
             part, self._part = self._part, None
             self._arrived.clear()
             self._taken.set()
-            return self._splitter.feed(part)
+            try:
+                return self._splitter.feed(part)
+            except events.EventTooLargeError as error:
+                raise client.EngineError(
+                    client.EngineFault.LOST,
+                    self.engine.name,
+                    "event without end",
+                ) from error
         if self._error is not None:
             raise self._error
         if self._splitter.has_partial:
--- a/tests/forwarding/test_events.py
+++ b/tests/forwarding/test_events.py
@@ -34,6 +34,15 @@
     assert splitter.has_partial
 
 
+# What was left of an event was kept without a bound, and split again with each
+# part that arrived.
+def test_event_without_an_end_is_bounded():
+    splitter = events.EventSplitter(max_bytes=100)
+    assert splitter.feed(b"id: 1\n\n" + b"x" * 100)
+    with pytest.raises(events.EventTooLargeError):
+        splitter.feed(b"x")
+
+
 @pytest.mark.parametrize(
     ("text", "number"),
     [
