Crashes behind a listener that lives on: a test, listed as red

A request that crashes engines isn't counted while the kernel of a crashed process still accepts connections: has_crashed rests on a bare connect, the same sign that the ends of answers no longer rest on. The request then goes on to crash the next engine.

The test stays as it is.

--- a/src/jujubewharf/standins/backends.py
+++ b/src/jujubewharf/standins/backends.py
@@ -341,7 +341,7 @@
         if backend.has_crashed.is_set():
             # Its kernel accepts connections, on which nobody replies.
             return (
-                liveness.ProcessState.UNKNOWN
+                liveness.ProcessState.SILENT
                 if self._accepts_connections(backend)
                 else liveness.ProcessState.GONE
             )
--- a/tests/forwarding/test_crash_detection.py
+++ b/tests/forwarding/test_crash_detection.py
@@ -39,6 +39,21 @@
     deployments.run(main())
 
 
+# Its listener accepts connections for a while longer; the crash wasn't counted,
+# and the request went on to crash the next engine.
+def test_crash_is_counted_behind_a_listener_that_lives_on():
+    async def main():
+        async with deployments.deployed(
+            deployments.plain_endpoint("s1", listens_on_ms=60.0)
+        ) as world:
+            world.backends.crashing_bodies.add(CRASHING)
+            with structlog.testing.capture_logs() as lines:
+                await world.ask("/sale/1", body=CRASHING)
+            assert [li["crashes"] for li in _crash_lines(lines)] == [1]
+
+    deployments.run(main())
+
+
 def test_every_request_of_a_crashed_engine_is_logged():
     async def main():
         async with deployments.deployed(
