Ends of answers: witnesses that end for reasons of their own

Found by reading the change once more. A reply with Connection: close ends its connection, which then looked like a process that has ended, and each whole answer of an endpoint that leaves was lost. An endpoint may also drop an idle connection without notice; the request sent on it is reset.

Now a connection that ends with its reply is no witness, and the witness is asked again when the head of an answer arrives.

--- a/src/jujubewharf/engines/probe_session.py
+++ b/src/jujubewharf/engines/probe_session.py
@@ -29,15 +29,22 @@
         address: ``IP:PORT`` of the endpoint.
         has_replied: Whether the process replied on it. Before that, only a
             kernel has accepted it.
+        is_last_reply: Whether the process said that it ends it now.
         is_open: Whether neither side has ended it.
         was_closed_here: Whether this side ended it first.
     """
 
     address: str
     has_replied: bool = False
+    is_last_reply: bool = False
     is_open: bool = True
     was_closed_here: bool = False
 
+    @property
+    def is_witness(self) -> bool:
+        """Whether its end would show that the process has ended."""
+        return self.is_open and self.has_replied and not self.is_last_reply
+
     @property
     def was_ended_by_peer(self) -> bool:
         """Whether the other side, or the network, ended it."""
--- a/src/jujubewharf/engines/process_watch.py
+++ b/src/jujubewharf/engines/process_watch.py
@@ -166,25 +166,36 @@
         self._clock = clock
         self._look: asyncio.Future[_Look] | None = None
         self._has_ended = False
+        self._is_renewing = False
+        self._has_retried = False
         self._witness = process.witness
-        if self._witness is None:
-            process.look_in_background().add_done_callback(self._on_look)
+        # An endpoint may have dropped an idle witness without notice.
+        self._renew_witness()
 
     def on_part(self) -> None:
         """Records a part; see ``ProcessWatch``."""
-        if self._witness is None or self._witness.is_open:
-            return
-        # The process goes on although its witness has ended. The next one
-        # counts from the first part that arrives behind its first reply.
-        successor = self._process.witness
-        if successor is None:
-            self._process.look_in_background()
-        else:
-            self._witness = successor
+        if self._witness is not None and not self._witness.is_open:
+            # The process goes on although its witness has ended.
+            self._renew_witness()
+
+    def _renew_witness(self) -> None:
+        if not self._is_renewing:
+            self._is_renewing = True
+            look = self._process.look_in_background()
+            look.add_done_callback(self._on_look)
 
     def _on_look(self, look: asyncio.Future[_Look]) -> None:
-        if self._witness is None and not self._has_ended:
-            self._witness = look.result().connection
+        self._is_renewing = False
+        if self._has_ended:
+            # The next process may have replied.
+            return
+        found = look.result()
+        if found.connection is not None and found.connection.is_witness:
+            self._witness = found.connection
+        elif found.outcome is _Outcome.BROKEN and not self._has_retried:
+            # Mostly the former witness; a new connection tells more.
+            self._has_retried = True
+            self._renew_witness()
 
     async def state(self) -> liveness.ProcessState:
         """Returns the state; see ``ProcessWatch``."""
@@ -230,9 +241,8 @@
     def witness(self) -> probe_session.KeptConnection | None:
         """The open connection on which the process has replied, if any."""
         connection = self._session.connection(self._endpoint.address)
-        if connection is None or not connection.has_replied:
-            return None
-        return connection
+        is_witness = connection is not None and connection.is_witness
+        return connection if is_witness else None
 
     def look_in_background(self) -> asyncio.Future[_Look]:
         """Looks for the process, or joins a look that runs already."""
@@ -284,7 +294,9 @@
         if not self._request.is_from(self._endpoint, response, body):
             return _Look(_Outcome.OTHER)
         if connection is not None:
+            is_last = response.headers.get("Connection", "").lower() == "close"
             connection.has_replied = True
+            connection.is_last_reply = is_last
         return _Look(_Outcome.REPLIED, connection)
 
 
