Refused resumptions tell who was asked, and since when the instance has its role

A refused resumption's line had a reason only, so it could not tell an instance without a leader from a leader that doesn't know, nor an old view of the registrations from several versions. It has the role and its age, how many instances were asked and answered, and the age of the view; the counter has the role. Another counter has the streams of which no other instance was told.

--- a/src/jujubewharf/leadership/fleet.py
+++ b/src/jujubewharf/leadership/fleet.py
@@ -128,6 +128,14 @@
         is_led = self.link.is_open and self.link.instances is not None
         return Role.FOLLOWING if is_led else Role.ALONE
 
+    @property
+    def role_ms(self) -> float:
+        """Time for which this instance has had its role."""
+        if self.is_leading:
+            assert self.followers is not None
+            return self.followers.leading_for_ms
+        return self._clock.now_ms() - self.link.changed_ms
+
     def tell(self, message: messages.Message) -> None:
         """Sends a message to all followers, or to the leader.
 
--- a/src/jujubewharf/leadership/fleet_origins.py
+++ b/src/jujubewharf/leadership/fleet_origins.py
@@ -14,7 +14,9 @@
 from jujubewharf.leadership import shared_state
 from jujubewharf.peers import link as links
 from jujubewharf.peers import origin_messages
+from jujubewharf.stream_versions import origin_search
 from jujubewharf.stream_versions import origins as all_origins
+from jujubewharf.stream_versions import resume_log
 
 # One for the streams of all followers, and one for those of the first.
 _STANDBYS = 2
@@ -55,13 +57,22 @@
         """Records where a stream of this instance began, and tells others."""
         record = self._memory.record(key, origin, keep_ms=keep_ms)
         self._fleet.tell(self._message([record]))
+        if self._fleet.role is fleets.Role.ALONE:
+            resume_log.count_untold()
 
-    async def find(self, key: bytes) -> all_origins.StreamOrigin | None:
-        """Returns where a stream began; ``None`` if it isn't known."""
+    async def find(self, key: bytes) -> origin_search.OriginSearch:
+        """Searches for where a stream began."""
+        role, role_ms = self._fleet.role, self._fleet.role_ms
         origin = self._memory.find(key)
-        if origin is not None or self._fleet.role is not fleets.Role.FOLLOWING:
-            return origin
-        return await self._fleet.link.request_origin(key)
+        asked = answered = 0
+        if origin is None and role is fleets.Role.FOLLOWING:
+            asked = 1
+            reply = await self._fleet.link.request_origin(key)
+            answered = int(reply is not None)
+            origin = None if reply is None else reply.origin()
+        return origin_search.OriginSearch(
+            origin, role.value, role_ms, asked, answered
+        )
 
     def on_followers_streams(
         self, link: links.Link, message: origin_messages.StreamsBegan
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -33,7 +33,6 @@
 from jujubewharf.peers import quota_messages
 from jujubewharf.peers import role_messages
 from jujubewharf.platform import tables
-from jujubewharf.stream_versions import origins
 from jujubewharf.stream_versions import version_history
 
 # Interval of the leader's heartbeats, and the silence after which a follower
@@ -76,6 +75,7 @@
         instances: Number of instances under the leader, including itself;
             ``None`` before its first heartbeat.
         link_count: Number of links to leaders so far.
+        changed_ms: Clock reading when the last link began or ended.
         addresses: Addresses of some other instances, as last received.
         on_usage_shares: Called with this instance's share of each account's
             use.
@@ -96,6 +96,7 @@
         self._endpoints_end = endpoints_end
         self.instances: int | None = None
         self.link_count = 0
+        self.changed_ms = clock.now_ms()
         self.on_usage_shares: Callable[[dict[str, float]], None]
         self.on_usage_shares = lambda shares: None
         self.addresses = demand_messages.FleetAddresses(())
@@ -131,6 +132,7 @@
         """
         self._link = link
         self.link_count += 1
+        self.changed_ms = self._clock.now_ms()
         self.discard_received()
         link.tell(leader_messages.FollowerHello(self._endpoints_end()))
         for message in self._state.initial_messages():
@@ -162,6 +164,7 @@
             running.cancel()
             await asyncio.gather(running, return_exceptions=True)
             self._link = None
+            self.changed_ms = self._clock.now_ms()
             has_led = self.instances is not None
             self.instances = None
         return has_led
@@ -286,22 +289,16 @@
             and origin_messages.CAPABILITY in link.hello.capabilities
         )
 
-    async def request_origin(self, key: bytes) -> origins.StreamOrigin | None:
-        """Asks the leader where a stream began; ``None`` if it doesn't know."""
+    async def request_origin(
+        self, key: bytes
+    ) -> origin_messages.OriginReply | None:
+        """Asks the leader where a stream began; ``None`` without a reply."""
         answer = await self._ask_for_grant(
             origin_messages.OriginRequest(key), timeout_ms=_ORIGIN_TIMEOUT_MS
         )
         if not isinstance(answer, origin_messages.OriginReply):
             return None
-        stream = answer.stream
-        if stream is None:
-            return None
-        return origins.StreamOrigin(
-            stream.service,
-            stream.version,
-            origins.KnownBy.LEADER,
-            float(stream.age_ms),
-        )
+        return answer
 
     async def fetch_configuration(self) -> bool:
         """Fetches the newest configuration from the leader, whatever its size.
--- a/src/jujubewharf/peers/origin_messages.py
+++ b/src/jujubewharf/peers/origin_messages.py
@@ -96,6 +96,17 @@
 
     stream: BegunStream | None
 
+    def origin(self) -> origins.StreamOrigin | None:
+        """Returns where the stream began; ``None`` if it isn't known."""
+        if self.stream is None:
+            return None
+        return origins.StreamOrigin(
+            self.stream.service,
+            self.stream.version,
+            origins.KnownBy.LEADER,
+            float(self.stream.age_ms),
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KnownVersion:
--- a/src/jujubewharf/stream_versions/resume_log.py
+++ b/src/jujubewharf/stream_versions/resume_log.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import enum
+import math
 
 from opentelemetry import metrics
 import structlog
@@ -13,6 +14,7 @@
 from jujubewharf.configuration import resources
 from jujubewharf.forwarding import registration
 from jujubewharf.forwarding import runs
+from jujubewharf.stream_versions import origin_search
 from jujubewharf.stream_versions import origins
 
 _METER = metrics.get_meter("jujubewharf")
@@ -24,6 +26,10 @@
     "forwarding.refused_resumptions",
     description="Streams that could not resume, by who wanted it and reason.",
 )
+_UNTOLD = _METER.create_counter(
+    "forwarding.untold_streams",
+    description="Streams whose beginning no other instance was told.",
+)
 
 _logger = structlog.get_logger()
 
@@ -90,10 +96,18 @@
     )
 
 
+def count_untold() -> None:
+    """Counts a stream whose beginning no other instance was told."""
+    _UNTOLD.add(1)
+
+
 def log_refused_resumption(
     run: runs.Run,
     reason: NotResumed,
     origin: origins.StreamOrigin | None,
+    *,
+    search: origin_search.OriginSearch | None = None,
+    view_age_ms: float | None = None,
 ) -> None:
     """Logs that a stream can't be resumed.
 
@@ -101,10 +115,22 @@
         run: The request.
         reason: Why not.
         origin: Where the stream began, as far as it is known.
+        search: Who was asked; ``None`` if nobody was.
+        view_age_ms: Time since the last read of the registrations; ``None`` if
+            it didn't matter.
     """
     is_within = run.call.last_event is None
     resumed_by = ResumedBy.ROUTER if is_within else ResumedBy.CALLER
     labels = {"resumed_by": resumed_by.value, "reason": reason.value}
+    fields: dict[str, object] = {}
+    if search is not None:
+        labels["role"] = search.role
+        fields["role"] = search.role
+        fields["role_ms"] = round(search.role_ms)
+        fields["asked"] = search.asked
+        fields["answered"] = search.answered
+    if view_age_ms is not None and math.isfinite(view_age_ms):
+        fields["view_age_ms"] = round(view_age_ms)
     _REFUSED.add(1, labels)
     _logger.info(
         "stream_not_resumed",
@@ -114,4 +140,5 @@
         began_by=run.call.began_by,
         service=run.service,
         version=None if origin is None else origin.version,
+        **fields,
     )
--- a/src/jujubewharf/stream_versions/resumptions.py
+++ b/src/jujubewharf/stream_versions/resumptions.py
@@ -21,6 +21,7 @@
 from jujubewharf.forwarding import registry as registries
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import runs
+from jujubewharf.stream_versions import origin_search
 from jujubewharf.stream_versions import origins as all_origins
 from jujubewharf.stream_versions import resume_log
 from jujubewharf.stream_versions import version_history
@@ -42,8 +43,8 @@
         """Records where a stream began, and tells other instances."""
         ...
 
-    async def find(self, key: bytes) -> all_origins.StreamOrigin | None:
-        """Returns where a stream began; ``None`` if nobody knows."""
+    async def find(self, key: bytes) -> origin_search.OriginSearch:
+        """Searches for where a stream began."""
         ...
 
 
@@ -82,12 +83,21 @@
         """
         if run.call.last_event is None or not run.route.is_stream:
             return
-        origin = await self._find(run)
+        search = await self._search(run)
+        origin = None if search is None else search.origin
+        if origin is None:
+            origin = self._only_origin(run)
         if origin is None or origin.version is None:
             reason = resume_log.NotResumed.ORIGIN_UNKNOWN
             if origin is not None:
                 reason = resume_log.NotResumed.ORIGIN_IN_DOUBT
-            resume_log.log_refused_resumption(run, reason, origin)
+            resume_log.log_refused_resumption(
+                run,
+                reason,
+                origin,
+                search=search,
+                view_age_ms=self._registry.age_ms,
+            )
             raise errors.WharfError(
                 errors.ErrorKind.STREAM_ORIGIN_UNKNOWN,
                 retry_after_ms=_RETRY_AFTER_MS,
@@ -151,13 +161,12 @@
         key = all_origins.stream_key(run.call, request_id)
         self._shared.record(key, origin, keep_ms=_keep_ms(run.route))
 
-    async def _find(self, run: runs.Run) -> all_origins.StreamOrigin | None:
-        if run.call.began_by is not None:
-            key = all_origins.stream_key(run.call, run.call.began_by)
-            origin = await self._shared.find(key)
-            if origin is not None:
-                return origin
-        return self._only_origin(run)
+    async def _search(self, run: runs.Run) -> origin_search.OriginSearch | None:
+        """Searches for the request that the caller names, if it names one."""
+        if run.call.began_by is None:
+            return None
+        key = all_origins.stream_key(run.call, run.call.began_by)
+        return await self._shared.find(key)
 
     def _only_origin(self, run: runs.Run) -> all_origins.StreamOrigin | None:
         """Returns the origin of all streams of a service with one version."""
--- a/tests/stream_versions/test_resumptions.py
+++ b/tests/stream_versions/test_resumptions.py
@@ -5,6 +5,8 @@
 import asyncio
 import dataclasses
 
+import structlog
+
 from jujubewharf import errors
 from jujubewharf.configuration import resources
 from jujubewharf.forwarding import error_responses
@@ -104,6 +106,22 @@
     deployments.run(main())
 
 
+# The line of a refusal did not tell whether anybody could be asked.
+def test_refused_resumption_tells_who_was_asked():
+    async def main():
+        async with versions.deployed(*_behind("v1", "v2")) as world:
+            follower = next(n for n in world.instances if n != world.leader)
+            with structlog.testing.capture_logs() as lines:
+                await _resume(world, began_by="never-began", instance=follower)
+            line = next(e for e in lines if e["event"] == "stream_not_resumed")
+            assert line["role"] == "following"
+            assert line["role_ms"] > 1_000
+            assert line["asked"] == line["answered"] >= 1
+            assert line["view_age_ms"] < 1_500
+
+    deployments.run(main())
+
+
 # An instance that doesn't know the version would have guessed one.
 def test_stream_that_nobody_knows_is_refused_at_once():
     async def main():
