Resumed streams: replicas in each failure domain, told and asked without the leader

What callers saw: streams that they resumed were refused (503, stream_origin_unknown) at instances that had no leader within reach, while new streams began there: the leader stood still, was killed, was cut off with its domain (and kept its lease through the store), or the store was away.

Cause: where a stream began was told to the leader, which told standbys, and the leader alone was asked. Each of the troubles above takes away both ways at once, and streams that were told to a silent leader stay lost.

Why it works: the leader only chooses which instances keep where streams began, three in each failure domain, and the last choice remains without a leader. The instance that forwards a stream has two of its own domain and three of others keep it, and takes another one if a copy isn't acknowledged; whoever is to resume it asks those of its domain, then all others. A replica that starts asks the others; an instance that starts without a leader is told by a peer. Builds that know no replicas go on with the leader as before.

--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -404,9 +404,7 @@
             self.plain_permits.queues.reset
         )
         self.fleet_retries.attach(self.fleet.followers)
-        self.fleet.followers.on_streams_began = (
-            self._origins.on_followers_streams
-        )
+        self._origins.connect(peers.transport)
         return new
 
     async def on_start(self) -> None:
@@ -423,6 +421,7 @@
         await self.add_runtime_dependency(self.paths.probes)
         if self._leadership is not None:
             await self.add_runtime_dependency(self.fleet_retries)
+            await self.add_runtime_dependency(self._origins)
             await self.add_runtime_dependency(self._leadership)
 
     def _limit_share(self) -> float:
--- a/src/jujubewharf/leadership/fleet.py
+++ b/src/jujubewharf/leadership/fleet.py
@@ -260,6 +260,7 @@
             capabilities=(
                 relay_messages.CAPABILITY,
                 origin_messages.CAPABILITY,
+                origin_messages.REPLICA_CAPABILITY,
             ),
         )
         counts = counters.PeerCounters()
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -51,6 +51,26 @@
     writer.close()
 
 
+OriginLinkHandler = Callable[
+    [link_messages.Hello, asyncio.StreamReader, streams.StreamWriter],
+    Awaitable[None],
+]
+
+
+async def _refuse_origin_link(
+    hello: link_messages.Hello,
+    reader: asyncio.StreamReader,
+    writer: streams.StreamWriter,
+) -> None:
+    """Closes the stream where no streams are remembered for peers."""
+    writer.close()
+
+
+async def _reply_unknown(key: bytes) -> origin_messages.OriginReply:
+    """Replies that a stream isn't known."""
+    return origin_messages.OriginReply(None)
+
+
 class _ReadProgress:
     """End offset up to which a table was read, and the time of that read."""
 
@@ -83,10 +103,15 @@
         on_announcement: Called with the hello of each instance that announces
             a new leader.
         on_relay: Called with each stream that a peer opens to have a call made.
+        on_origin_link: Called with each stream that a peer opens to tell and
+            ask where streams began.
         on_link_begin: Called with the link of each new follower.
         on_link_end: Called with each link that ended.
         on_retry_demand: Called with a follower's demand for retries.
-        on_streams_began: Called with streams that a follower began.
+        on_streams_began: Called with streams that a follower of an older build
+            began.
+        on_origin_request: Called with the key of a stream for which such a
+            follower asks; returns the reply.
     """
 
     def __init__(
@@ -106,6 +131,7 @@
         self.on_announcement: Callable[[link_messages.Hello], None]
         self.on_announcement = lambda hello: None
         self.on_relay: RelayHandler = _refuse_relay
+        self.on_origin_link: OriginLinkHandler = _refuse_origin_link
         self.on_link_begin: Callable[[links.Link], None] = lambda link: None
         self.on_link_end: Callable[[links.Link], None] = lambda link: None
         self.on_retry_demand: Callable[
@@ -116,6 +142,10 @@
             [links.Link, origin_messages.StreamsBegan], None
         ]
         self.on_streams_began = lambda link, message: None
+        self.on_origin_request: Callable[
+            [bytes], Awaitable[origin_messages.OriginReply]
+        ]
+        self.on_origin_request = _reply_unknown
         self._leading_since_ms = 0.0
         self._count_within_ms = count_within_ms
         self._lost_at_ms: dict[str, float] = {}
@@ -180,6 +210,9 @@
         if hello.is_relay:
             await self.on_relay(hello.instance, reader, writer)
             return
+        if hello.is_origin_link:
+            await self.on_origin_link(hello, reader, writer)
+            return
         if hello.leader is not None:
             self.on_announcement(hello)
         if not self.is_leading or hello.leader is not None:
@@ -224,7 +257,7 @@
                     self.on_streams_began(link, message)
                     return None
                 case origin_messages.OriginRequest(key=key):
-                    return self._state.origin_reply(key)
+                    return await self.on_origin_request(key)
                 case _:
                     return await server.handle(peer, message)
 
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -80,6 +80,7 @@
         on_usage_shares: Called with this instance's share of each account's
             use.
         on_addresses: Called with the addresses of some other instances.
+        on_replicas: Called with the replicas that the leader chose.
         on_retry_share: Called with this instance's share of the retry
             allowance.
     """
@@ -102,6 +103,10 @@
         self.addresses = demand_messages.FleetAddresses(())
         self.on_addresses: Callable[[demand_messages.FleetAddresses], None]
         self.on_addresses = lambda message: None
+        self.on_replicas: Callable[
+            [tuple[origin_messages.ReplicaAddress, ...]], None
+        ]
+        self.on_replicas = lambda replicas: None
         self.on_retry_share: Callable[[demand_messages.RetryShare], None]
         self.on_retry_share = lambda message: None
         self._feeds = feeds
@@ -169,11 +174,25 @@
             self.instances = None
         return has_led
 
+    @property
+    def chooses_replicas(self) -> bool:
+        """Whether there is a leader that chooses replicas.
+
+        One of an older build doesn't, and remembers streams itself.
+        """
+        link = self._link
+        return (
+            link is not None
+            and origin_messages.REPLICA_CAPABILITY in link.hello.capabilities
+        )
+
     def _tell_streams(self, link: links.Link) -> None:
-        """Tells a new leader where the streams that are known here began."""
+        """Tells a leader that remembers streams itself those known here."""
         if self._registry.age_ms > version_history.MAX_VIEW_AGE_MS:
             # The leader sends the newest entries only, and what it has seen.
             self._state.versions.mark_incomplete()
+        if self.chooses_replicas:
+            return
         for message in self._state.stream_messages():
             link.tell(message)
 
@@ -215,6 +234,8 @@
                 | origin_messages.VersionsSeen()
             ):
                 self._state.apply(message)
+            case origin_messages.OriginReplicas(replicas=replicas):
+                self.on_replicas(replicas)
             case leader_messages.EndpointUpdate() if self._knows_versions:
                 records = [_table_record(r) for r in message.records]
                 self._feeds.endpoints.apply(
@@ -292,7 +313,7 @@
     async def request_origin(
         self, key: bytes
     ) -> origin_messages.OriginReply | None:
-        """Asks the leader where a stream began; ``None`` without a reply."""
+        """Asks a leader of an older build; ``None`` without a reply."""
         answer = await self._ask_for_grant(
             origin_messages.OriginRequest(key), timeout_ms=_ORIGIN_TIMEOUT_MS
         )
--- a/src/jujubewharf/peers/link_messages.py
+++ b/src/jujubewharf/peers/link_messages.py
@@ -42,6 +42,8 @@
         is_leaving: Whether the sender is draining.
         is_relay: Whether the dialling side opens the stream for one call to an
             endpoint; see ``relay_messages``.
+        is_origin_link: Whether the dialling side opens the link to tell and ask
+            where streams began; see ``origin_messages``.
         leader: Address of a new leader that the dialling side announces; the
             link is closed after the handshake. ``None`` for other links.
         leader_term: Number of the election that the leader has won.
@@ -59,6 +61,7 @@
     leader: str | None = None
     leader_term: int = 0
     is_relay: bool = False
+    is_origin_link: bool = False
 
 
 @messages.message(2)
--- a/src/jujubewharf/peers/origin_messages.py
+++ b/src/jujubewharf/peers/origin_messages.py
@@ -18,6 +18,8 @@
 # Capability of instances whose registrations state software versions, in their
 # hellos.
 CAPABILITY = "software_versions"
+# Capability of instances that keep where the streams of others began.
+REPLICA_CAPABILITY = "origin_replicas"
 
 # Bounds of what a message may state.
 _MAX_STREAMS = 1_000
@@ -43,6 +45,29 @@
     age_ms: int
     left_ms: int
 
+    @classmethod
+    def from_record(
+        cls, record: origins.OriginRecord, now_ms: float
+    ) -> BegunStream:
+        """Creates it from what is remembered."""
+        return cls(
+            record.key,
+            record.service,
+            record.version,
+            _bounded_ms(now_ms - record.began_ms),
+            _bounded_ms(record.keep_until_ms - now_ms),
+        )
+
+    def record(self, now_ms: float) -> origins.OriginRecord:
+        """Returns the stream with clock readings of the receiver."""
+        return origins.OriginRecord(
+            self.key,
+            self.service,
+            self.version,
+            now_ms - _bounded_ms(self.age_ms),
+            now_ms + _bounded_ms(self.left_ms),
+        )
+
 
 @messages.message(190)
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,35 +81,18 @@
         cls, records: Iterable[origins.OriginRecord], now_ms: float
     ) -> StreamsBegan:
         """Creates a message from what is remembered."""
-        return cls(
-            tuple(
-                BegunStream(
-                    record.key,
-                    record.service,
-                    record.version,
-                    _bounded_ms(now_ms - record.began_ms),
-                    _bounded_ms(record.keep_until_ms - now_ms),
-                )
-                for record in records
-            )
-        )
+        return cls(tuple(BegunStream.from_record(r, now_ms) for r in records))
 
     def records(self, now_ms: float) -> Iterator[origins.OriginRecord]:
         """Returns the streams with clock readings of the receiver."""
         for stream in itertools.islice(self.streams, _MAX_STREAMS):
-            yield origins.OriginRecord(
-                stream.key,
-                stream.service,
-                stream.version,
-                now_ms - _bounded_ms(stream.age_ms),
-                now_ms + _bounded_ms(stream.left_ms),
-            )
+            yield stream.record(now_ms)
 
 
 @messages.message(191)
 @dataclasses.dataclass(frozen=True, slots=True)
 class OriginRequest(messages.Message):
-    """Asks the leader where a stream began."""
+    """Asks a replica, or a leader of an older build, where a stream began."""
 
     key: bytes
 
@@ -92,7 +100,7 @@
 @messages.message(192)
 @dataclasses.dataclass(frozen=True, slots=True)
 class OriginReply(messages.Message):
-    """Reply to ``OriginRequest``; ``None`` if the leader doesn't know."""
+    """Reply to ``OriginRequest``; ``None`` if the receiver doesn't know."""
 
     stream: BegunStream | None
 
@@ -108,6 +116,77 @@
         )
 
 
+@messages.message(194)
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamCopy(messages.Message):
+    """Asks a replica to keep where one stream began.
+
+    Its fields are those of ``BegunStream``, which take fewer bytes here.
+    """
+
+    key: bytes
+    service: str
+    version: str | None
+    age_ms: int
+    left_ms: int
+
+    @classmethod
+    def from_record(
+        cls, record: origins.OriginRecord, now_ms: float
+    ) -> StreamCopy:
+        """Creates a message from what is remembered."""
+        stream = BegunStream.from_record(record, now_ms)
+        return cls(
+            stream.key,
+            stream.service,
+            stream.version,
+            stream.age_ms,
+            stream.left_ms,
+        )
+
+    def record(self, now_ms: float) -> origins.OriginRecord:
+        """Returns the stream with clock readings of the receiver."""
+        return BegunStream(
+            self.key, self.service, self.version, self.age_ms, self.left_ms
+        ).record(now_ms)
+
+
+@messages.message(195)
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamsRequest(messages.Message):
+    """Asks a replica for all streams that it remembers.
+
+    They are sent as ``StreamsBegan`` before the reply.
+    """
+
+
+@messages.message(196)
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamsKept(messages.Message):
+    """Reply to ``StreamCopy`` and ``StreamsRequest``."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplicaAddress:
+    """An instance that keeps where the streams of others began.
+
+    Attributes:
+        address: ``IP:PORT``.
+        domain: Its failure domain.
+    """
+
+    address: str
+    domain: str
+
+
+@messages.message(197)
+@dataclasses.dataclass(frozen=True, slots=True)
+class OriginReplicas(messages.Message):
+    """The replicas that the leader chose, or the last ones that it chose."""
+
+    replicas: tuple[ReplicaAddress, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class KnownVersion:
     """A software version that a service has or had.
--- a/src/jujubewharf/stream_versions/origins.py
+++ b/src/jujubewharf/stream_versions/origins.py
@@ -25,13 +25,15 @@
     """How an instance knows the version of a stream.
 
     ``ANSWER``: it forwards the stream itself. ``MEMORY``: it was told when the
-    stream began, or forwarded the beginning. ``LEADER``: the leader was asked.
+    stream began, or forwarded the beginning. ``REPLICA``: a replica was asked.
+    ``LEADER``: a leader of an older build was asked.
     ``ONLY_VERSION``: the service has had no other version for as long as
     streams last.
     """
 
     ANSWER = "answer"
     MEMORY = "memory"
+    REPLICA = "replica"
     LEADER = "leader"
     ONLY_VERSION = "only_version"
 
