Resumed streams: read the registrations now where the view is old

What callers saw: in a domain that was cut off from the leader, with the store within reach, new streams began, and most that were to go on without naming their first request were refused (stream_origin_unknown), though their service had had one version only. With drainMs of 10 s it happened in calm times, too.

Cause: one version answers only by a view of at most 1.5 s. An instance without a leader reads the registrations every 0.4 x drainMs, the leader every 0.2 x drainMs. Ages on virtual time, 8 instances, 4 domains, drainMs 10 s: alone median 2.0 s, at most 5.0 s, over 1.5 s in 1,500 of 2,400 samples; following in calm 700 of 2,800; leading 100 of 400. With drainMs 4 s: alone 144 of 2,400, others none. With 2 s: none.

Why it works: a longer bound would miss a new version. Now the endpoints' follower makes its next read at once, by ending its wait (or the wait for the leader's records), so there is no second reader. A store that is known to be away isn't asked, and a read that fails refuses as before. No read where one version can't be the answer anyway.

--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -32,6 +32,7 @@
 from jujubewharf.forwarding import settings as all_settings
 from jujubewharf.forwarding import state_log
 from jujubewharf.forwarding import store_followers
+from jujubewharf.forwarding import view_refresh
 from jujubewharf.leadership import crash_services
 from jujubewharf.leadership import fleet as fleets
 from jujubewharf.leadership import fleet_crashes
@@ -250,6 +251,9 @@
             on_page=self._on_endpoints,
             on_lost=self.registry.mark_store_unavailable,
         )
+        self._view_refresh = view_refresh.ViewRefresh(
+            self.registry, self._endpoints.read_now, clock
+        )
         self.fleet.feeds.endpoints.on_confirmed = self._on_endpoints_confirmed
 
     def _make_forwarder(
@@ -356,12 +360,16 @@
                 self.fleet_crashes,
                 self._origins,
                 self._endpoint_state.versions,
+                self._refresh_view,
             ),
             clock,
             rng,
             domain=self._settings.domain,
         )
 
+    async def _refresh_view(self) -> None:
+        await self._view_refresh.refresh()
+
     def _make_leadership(
         self,
         peers: ports.PeerAdapters,
--- a/src/jujubewharf/forwarding/follower.py
+++ b/src/jujubewharf/forwarding/follower.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 import dataclasses
 import random
@@ -73,6 +74,7 @@
             table that is read alone.
         keys_digest: Returns the digest of the keys that were read, to compare
             with the leader's; ``None`` if the table has none.
+        request_read: Ends the table's wait for the next read.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         is_watched: Callable[[], bool] = lambda: False,
         availability: availabilities.StoreAvailability | None = None,
         keys_digest: Callable[[], int | None] = lambda: None,
+        request_read: Callable[[], None] = lambda: None,
     ) -> None:
         super().__init__(clock)
         self._name = name
@@ -106,6 +109,8 @@
         self._on_lost = on_lost
         self._is_watched = is_watched
         self._keys_digest = keys_digest
+        self._request_read = request_read
+        self._read_ended = asyncio.Event()
         self._offset: int | None = None
         self._last_full_read_ms = 0.0
         # Time from which a full read is required, besides the periodic ones.
@@ -118,6 +123,14 @@
         """Position up to which the table was read; 0 before the first read."""
         return self._offset or 0
 
+    async def read_now(self) -> None:
+        """Has the store read now, and returns after the read or its failure.
+
+        The read is the follower's next one, made earlier.
+        """
+        self._request_read()
+        await self._read_ended.wait()
+
     @mode.Service.task
     async def _follow(self) -> None:
         while not self.should_stop:
@@ -146,6 +159,10 @@
                 self._handle_outage(type(error).__name__)
                 await self._backoff.pause(began_ms=began_ms)
 
+    def _notify_read_ended(self) -> None:
+        event, self._read_ended = self._read_ended, asyncio.Event()
+        event.set()
+
     async def _read(self) -> None:
         began_ms = self._clock.now_ms()
         outcome = "unavailable"
@@ -165,6 +182,8 @@
         if not page.is_from_leader:
             self._backoff.record_answer()
         self._handle_page(page, is_full_read=is_full_read)
+        if not page.is_from_leader:
+            self._notify_read_ended()
         if not is_full_read:
             await self._clock.sleep_ms(self._pace.pause_ms)
 
@@ -280,3 +299,4 @@
             self._unavailable_since_ms = self._clock.now_ms()
             self._logger.warning("store_lost", table=self._name, detail=detail)
         self._on_lost()
+        self._notify_read_ended()
--- a/src/jujubewharf/forwarding/request_path.py
+++ b/src/jujubewharf/forwarding/request_path.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
 import random
 
@@ -51,6 +53,7 @@
         trials: Grants trials of quarantined requests.
         origins: Where streams began.
         versions: Software versions that services have had.
+        refresh_view: Reads the registered endpoints now; see ``Resumptions``.
     """
 
     backends: ports.Backends
@@ -68,6 +71,7 @@
     trials: quarantine.Trials
     origins: resumptions.SharedOrigins
     versions: version_history.VersionHistory
+    refresh_view: Callable[[], Awaitable[None]]
 
 
 def new_forwarder(
@@ -113,6 +117,7 @@
         parts.registry,
         sender.is_same_start,
         clock,
+        parts.refresh_view,
     )
     plain_forwarder = plain.PlainForwarder(
         backends,
--- a/src/jujubewharf/forwarding/store_followers.py
+++ b/src/jujubewharf/forwarding/store_followers.py
@@ -150,4 +150,5 @@
         is_watched=lambda: feed.is_fresh,
         availability=availability,
         keys_digest=keys_digest,
+        request_read=feed.require_store_read,
     )
--- a/src/jujubewharf/leadership/feeds.py
+++ b/src/jujubewharf/leadership/feeds.py
@@ -56,6 +56,7 @@
         # Digest that the next page has to be checked against.
         self._keys_digest: int | None = None
         self._update_event = asyncio.Event()
+        self._is_store_read_due = False
 
     @property
     def has_begun(self) -> bool:
@@ -65,7 +66,7 @@
     @property
     def is_fresh(self) -> bool:
         """Whether the records are recent enough to skip the store."""
-        if self._end_offset is None:
+        if self._end_offset is None or self._is_store_read_due:
             return False
         is_current = epochs.split(self._end_offset).epoch >= self._epoch.current
         return is_current and self._fresh_for_ms > 0.0
@@ -74,6 +75,15 @@
     def _fresh_for_ms(self) -> float:
         return self._confirmed_ms + self._fresh_ms - self._clock.now_ms()
 
+    def require_store_read(self) -> None:
+        """Ends waits, so that the store is read now and not the records."""
+        self._is_store_read_due = True
+        self._notify()
+
+    def note_store_read(self) -> None:
+        """Notes that a read of the store has ended, or has failed."""
+        self._is_store_read_due = False
+
     def reset(self) -> None:
         """Discards what the previous leader sent."""
         self._records.clear()
@@ -147,9 +157,12 @@
         event.set()
 
     async def wait_until_fresh(self, timeout_ms: float) -> None:
-        """Waits up to ``timeout_ms`` until the records are fresh."""
+        """Waits up to ``timeout_ms`` until the records are fresh.
+
+        Returns at once if the store has to be read.
+        """
         deadline_ms = self._clock.now_ms() + timeout_ms
-        while not self.is_fresh:
+        while not self.is_fresh and not self._is_store_read_due:
             left_ms = deadline_ms - self._clock.now_ms()
             if left_ms <= 0.0:
                 return
@@ -236,7 +249,10 @@
     async def newest(self) -> tables.TablePage[T]:
         """Returns the newest record of each key; see ``tables.Table``."""
         self._last_read_ms = self._clock.now_ms()
-        return await self._table.newest()
+        try:
+            return await self._table.newest()
+        finally:
+            self._feed.note_store_read()
 
     async def changes(
         self, from_offset: int, *, wait_ms: float
@@ -279,3 +295,4 @@
             return await self._table.changes(from_offset, wait_ms=wait_ms)
         finally:
             self._last_read_ms = self._clock.now_ms()
+            self._feed.note_store_read()
--- a/src/jujubewharf/stream_versions/resumptions.py
+++ b/src/jujubewharf/stream_versions/resumptions.py
@@ -57,6 +57,8 @@
         confirm: Returns whether an endpoint is still the start of its process
             that is registered.
         clock: Time source.
+        refresh_view: Reads the registrations now; returns when they have been
+            read, or can't be within a short time.
     """
 
     def __init__(
@@ -66,12 +68,14 @@
         registry: registries.Registry,
         confirm: Callable[[resources.Endpoint], Awaitable[bool]],
         clock: clocks.Clock,
+        refresh_view: Callable[[], Awaitable[None]],
     ) -> None:
         self._shared = shared
         self._history = history
         self._registry = registry
         self._confirm = confirm
         self._clock = clock
+        self._refresh_view = refresh_view
         self._confirmations: set[asyncio.Task[None]] = set()
 
     async def bind(self, run: runs.Run) -> None:
@@ -157,23 +161,36 @@
             origin = await self._shared.find(key)
             if origin is not None:
                 return origin
-        return self._only_origin(run)
+        return await self._only_origin(run)
 
-    def _only_origin(self, run: runs.Run) -> all_origins.StreamOrigin | None:
+    async def _only_origin(
+        self, run: runs.Run
+    ) -> all_origins.StreamOrigin | None:
         """Returns the origin of all streams of a service with one version."""
         if len(run.route.shares) > 1:
             return None
-        if self._registry.age_ms > version_history.MAX_VIEW_AGE_MS:
+        if self._only_version(run) is None:
             return None
-        version = self._history.only_version(
-            run.service, for_ms=_KEEP_TIMEOUTS * run.route.timeout_ms
-        )
-        if version is None:
+        if self._is_view_old:
+            # Without a leader the registrations are read every few seconds.
+            await self._refresh_view()
+        version = self._only_version(run)
+        if version is None or self._is_view_old:
             return None
         return all_origins.StreamOrigin(
             run.service, version, all_origins.KnownBy.ONLY_VERSION
         )
 
+    def _only_version(self, run: runs.Run) -> str | None:
+        return self._history.only_version(
+            run.service, for_ms=_KEEP_TIMEOUTS * run.route.timeout_ms
+        )
+
+    @property
+    def _is_view_old(self) -> bool:
+        """Whether a version may have begun streams that isn't known here."""
+        return self._registry.age_ms > version_history.MAX_VIEW_AGE_MS
+
 
 def of_version(
     run: runs.Run, engines: Sequence[resources.Endpoint]
--- a/tests/forwarding/deployments.py
+++ b/tests/forwarding/deployments.py
@@ -171,6 +171,8 @@
         cuts: Partitions between single instances and endpoints.
         retries: Retry budget of the fleet, as in the settings.
         are_pausable: Whether instances that start can be paused.
+        leaving_within_ms: Time within which a draining endpoint must get no
+            more work, as in the settings.
     """
 
     def __init__(self, *behind: backend_state.StandInBackend) -> None:
@@ -189,6 +191,7 @@
         self.cuts = endpoint_cuts.EndpointCuts()
         self.retries = {"ratio": 0.2, "slack": 40, "window_s": 10}
         self.are_pausable = False
+        self.leaving_within_ms = 2_000.0
         self._ids = 0
         self._starts = 0
 
@@ -221,6 +224,7 @@
                     "address": "127.0.0.1:1",
                     "part_count": 24,
                     "group_ttl_ms": 3_000,
+                    "leaving_within_ms": self.leaving_within_ms,
                 },
                 retries=self.retries,
                 stop_within_s=8,
