Shares without a leader: the number of instances is kept from each heartbeat

What callers saw: in domains that were cut off from the leader, 416 of 500 requests at half of their account's quota got 429, 470 of 500 where the callers came back to other instances, and 86 of 100 to endpoints with rate limits got 503 at 10 a second where 18 are allowed.

Cause: Fleet.equal_share noted how many instances there are only when it was called, and nobody calls it while following. Alone, an instance had no share and granted the least one, 1/64 of a quota and 1/48 of a limit.

Why it works: the number comes with each heartbeat and is noted then, and once more as the link ends, from when on the share is kept for one window. The leader counts a lost follower for that window from the end of its own link, which it notices no earlier, so shares don't add up to more than before.

--- a/src/jujubewharf/leadership/fleet.py
+++ b/src/jujubewharf/leadership/fleet.py
@@ -107,6 +107,7 @@
         self.link = leader_link.LeaderLink(
             self.feeds, registry, work, state, endpoints_end, clock
         )
+        self.link.on_counted = self._note_instances
         self.feeds.configurations.fetch = self.link.fetch_configuration
         self.followers: all_followers.Followers | None = None
         self.hello: link_messages.Hello | None = None
@@ -196,12 +197,16 @@
         """
         instances = self.instances
         if instances is not None:
-            self._last_instances = instances
-            self._last_counted_ms = self._clock.now_ms()
+            self._note_instances(instances)
         return (
             0.0 if self._last_instances is None else 1.0 / self._last_instances
         )
 
+    def _note_instances(self, instances: int) -> None:
+        """Notes a count, which an instance divides by once it is alone."""
+        self._last_instances = instances
+        self._last_counted_ms = self._clock.now_ms()
+
     def known_peers(self) -> list[relay_peers.PeerAddress]:
         """Returns where the instances that this one knows can be reached."""
         if self.is_leading:
@@ -273,6 +278,7 @@
             self._state,
             count_within_ms=self._count_within_ms,
         )
+        self.followers.on_counted = self._note_instances
         return leadership.Leadership(
             peers.leaders,
             peers.transport,
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -99,6 +99,7 @@
     Attributes:
         is_leading: Whether followers are accepted.
         term: Generation of the lease by which this instance last led.
+        on_counted: Called with the number of instances at each heartbeat.
         on_leading_changed: Called when this instance begins or stops to lead.
         on_announcement: Called with the hello of each instance that announces
             a new leader.
@@ -127,6 +128,7 @@
     ) -> None:
         self.is_leading = False
         self.term = 0
+        self.on_counted: Callable[[int], None] = lambda instances: None
         self.on_leading_changed: Callable[[], None] = lambda: None
         self.on_announcement: Callable[[link_messages.Hello], None]
         self.on_announcement = lambda hello: None
@@ -334,6 +336,7 @@
 
         The heartbeat has the store's read offsets.
         """
+        self.on_counted(self.instances)
         self._send(self._heartbeat(), self._links)
         digest = self._state.loads.next_digest()
         if digest is not None:
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -77,6 +77,8 @@
         link_count: Number of links to leaders so far.
         changed_ms: Clock reading when the last link began or ended.
         addresses: Addresses of some other instances, as last received.
+        on_counted: Called with the number of instances in each heartbeat, and
+            once more as the link ends.
         on_usage_shares: Called with this instance's share of each account's
             use.
         on_addresses: Called with the addresses of some other instances.
@@ -98,6 +100,7 @@
         self.instances: int | None = None
         self.link_count = 0
         self.changed_ms = clock.now_ms()
+        self.on_counted: Callable[[int], None] = lambda instances: None
         self.on_usage_shares: Callable[[dict[str, float]], None]
         self.on_usage_shares = lambda shares: None
         self.addresses = demand_messages.FleetAddresses(())
@@ -171,6 +174,8 @@
             self._link = None
             self.changed_ms = self._clock.now_ms()
             has_led = self.instances is not None
+            if self.instances is not None:
+                self.on_counted(self.instances)
             self.instances = None
         return has_led
 
@@ -288,6 +293,7 @@
 
     def _on_heartbeat(self, heartbeat: leader_messages.LeaderHeartbeat) -> None:
         self.instances = heartbeat.instances
+        self.on_counted(heartbeat.instances)
         if heartbeat.epoch is None:
             return
         self._feeds.configurations.confirm(
