Version histories: each judges how many resumed streams go on

Now callers of one instance after the other are reset every 0.7 s, by draws of their own, so that a history counts dozens. So it is stricter than before: same bound, same least number, and always judged. The command line prints how many each history judged.

--- a/tests/leadership/stream_versions.py
+++ b/tests/leadership/stream_versions.py
@@ -68,6 +68,7 @@
         is_whole: Whether the answer ended by itself.
         error: How it failed, if the instance told.
         took_ms: Time until it ended.
+        was_reset: Whether its connection was reset.
     """
 
     instance: str
@@ -77,6 +78,12 @@
     is_whole: bool = False
     error: errors.WharfError | None = None
     took_ms: float = 0.0
+    was_reset: bool = False
+
+    def is_excused(self, *, silent_ms: float) -> bool:
+        """Whether it was reset before an answer was due."""
+        is_early = self.took_ms < silent_ms
+        return self.was_reset and not self.events and is_early
 
 
 @dataclasses.dataclass(slots=True)
@@ -150,9 +157,13 @@
     async def kill(self, name: str) -> None:
         """Kills an instance, and with it its callers' connections."""
         self._world.network.drop_instance(name)
+        self.reset(name)
+        await self._world.instances.pop(name).stop()
+
+    def reset(self, name: str) -> None:
+        """Resets the connections of all callers of an instance."""
         for task in self._reading.pop(name, set()):
             task.cancel()
-        await self._world.instances.pop(name).stop()
 
     async def restart(self, name: str) -> None:
         """Kills an instance and starts it again without any of its state."""
@@ -177,6 +188,7 @@
         reading.add(task)
         await asyncio.gather(task, return_exceptions=True)
         reading.discard(task)
+        found.was_reset = task.cancelled()
         found.took_ms = self._world.clock.now_ms() - now_ms
         return found
 
--- a/tests/leadership/test_version_histories.py
+++ b/tests/leadership/test_version_histories.py
@@ -11,5 +11,6 @@
 # leader were killed, and releases rolled on and back.
 @pytest.mark.parametrize("seed", range(4))
 def test_streams_keep_their_version_over_kills_and_releases(seed):
-    broken, _ = version_histories.play(seed)
+    broken, counts = version_histories.play(seed)
     assert broken == []
+    assert counts.resumed >= version_histories.LEAST_RESUMED
--- a/tests/leadership/version_histories.py
+++ b/tests/leadership/version_histories.py
@@ -25,9 +25,11 @@
 LENGTH_MS = 24_000.0
 # Time without disturbance after which an instance counts as calm.
 STABLE_MS = 3_000.0
-# The users' bound: of this many resumed streams, at least half as many go on
-# as new streams begin.
+# The users' bound: at least half as many resumed streams go on as new streams
+# begin. Fewer resumptions say nothing about it.
 LEAST_RESUMED = 12
+# Mean time between two instances whose callers' connections are reset.
+RESET_INTERVAL_MS = 700.0
 RESUMED_SHARE = 0.5
 # Time that a draining engine goes on serving.
 DRAIN_MS = 2_000.0
@@ -50,6 +52,21 @@
     went_on: int = 0
     resumed: int = 0
 
+    def add(self, other: Counts) -> None:
+        """Adds the counts of another history."""
+        for field in dataclasses.fields(Counts):
+            value = getattr(self, field.name) + getattr(other, field.name)
+            setattr(self, field.name, value)
+
+    def check(self) -> list[str]:
+        """Returns the rules about shares that are broken."""
+        if self.resumed < LEAST_RESUMED or not self.new:
+            return []
+        share = self.went_on / self.resumed
+        if share < RESUMED_SHARE * self.begun / self.new:
+            return [f"few went on: {self}"]
+        return []
+
 
 class History:
     """One history.
@@ -60,6 +77,7 @@
 
     def __init__(self, seed: int) -> None:
         self._rng = random.Random(seed)
+        self._resets = random.Random(f"resets {seed}")
         self._disturbed_ms: dict[str, float] = {}
         self._core_ms = -1e12
         self._newest = 2
@@ -78,10 +96,13 @@
             world.revive_crashed(after_ms=2_000.0)
             self._until_ms = world.clock.now_ms() + LENGTH_MS
             streams, *_ = await asyncio.gather(
-                self._streams(), self._trouble(), self._watch()
+                self._streams(),
+                self._trouble(),
+                self._watch(),
+                self._reset_callers(),
             )
             self._count(streams)
-            return [*_check_order(streams), *self._check_share()]
+            return [*_check_order(streams), *self.counts.check()]
 
     async def _streams(self) -> list[versions.Stream]:
         asked = []
@@ -91,6 +112,13 @@
             await self._world.clock.sleep_ms(self._rng.uniform(10.0, 60.0))
         return list(await asyncio.gather(*asked))
 
+    async def _reset_callers(self) -> None:
+        """Resets all callers of one instance after the other."""
+        while self._world.clock.now_ms() < self._until_ms:
+            drawn = self._resets.uniform(0.5, 1.5)
+            await self._world.clock.sleep_ms(RESET_INTERVAL_MS * drawn)
+            self._callers.reset(self._resets.choice(NAMES))
+
     async def _watch(self) -> None:
         """Records how many engines of each version serve."""
         while self._world.clock.now_ms() < self._until_ms + 5_000.0:
@@ -305,15 +333,6 @@
             default=0,
         )
 
-    def _check_share(self) -> list[str]:
-        counts = self.counts
-        if counts.resumed < LEAST_RESUMED or not counts.new:
-            return []
-        share = counts.went_on / counts.resumed
-        if share < RESUMED_SHARE * counts.begun / counts.new:
-            return [f"few went on: {counts}"]
-        return []
-
 
 def _check_order(streams: list[versions.Stream]) -> list[str]:
     mixed = [s for s in streams if s.is_mixed]
@@ -342,13 +361,15 @@
     first = int(sys.argv[2]) if len(sys.argv) > 2 else 0
     for seed in range(first, first + int(sys.argv[1])):
         broken, counts = play(seed)
-        for field in dataclasses.fields(Counts):
-            value = getattr(total, field.name) + getattr(counts, field.name)
-            setattr(total, field.name, value)
+        total.add(counts)
+        print(f"{seed}: judged {counts.resumed}, {counts}", flush=True)
         if broken:
             failed += 1
             print(seed, broken, flush=True)
-    print(f"{sys.argv[1]} histories, {failed} with a broken rule; {total}")
+    print(
+        f"{sys.argv[1]} histories, {failed} with a broken rule;"
+        f" judged {total.resumed} resumptions: {total}, {total.check()}"
+    )
 
 
 if __name__ == "__main__":
