Stand-in engines: software versions, and a drain at SIGTERM

Each event names the version that wrote it, and a resumed stream goes on with the events of the request that began it, so that callers can tell a mix. An engine that gets SIGTERM registers as draining, ends what runs and withdraws its registration. A deployment can start further engines.

--- a/tests/real_processes/deployment.py
+++ b/tests/real_processes/deployment.py
@@ -4,6 +4,8 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
 import contextlib
 import dataclasses
 import json
@@ -139,6 +141,9 @@
             await asyncio.sleep(_PROBE_S)
 
 
+Starter = Callable[["Deployment"], Awaitable[None]]
+
+
 class Deployment:
     """All processes; create it with ``deployed``.
 
@@ -147,6 +152,7 @@
         engines: Engines and endpoints.
         instances: Instances.
         configuration: The configuration that was written last.
+        store: The store's process.
         store_address: Address of the store.
         memory_mb: Memory of the machine of an instance; ``None`` if nothing
             bounds it.
@@ -165,10 +171,10 @@
         self._runs = started.folder / "runs"
         self._runs.mkdir()
 
-    async def start(self, size: Size) -> None:
+    async def start(self, size: Size, more: Starter | None) -> None:
         """Starts the processes and waits until all instances are ready."""
-        store = self.children.standin("store", "store_process")
-        self.store_address = await store.read_line()
+        self.store = self.children.standin("store", "store_process")
+        self.store_address = await self.store.read_line()
         await self.configure(self.configuration)
         self.instances = [
             Instance(self, number) for number in range(size.instances)
@@ -184,6 +190,8 @@
             self._start_engines(service, plain, None)
         for engine in self.engines:
             await engine.read_line()
+        if more is not None:
+            await more(self)
         self._probes = [
             asyncio.ensure_future(instance.keep_probed())
             for instance in self.instances
@@ -201,18 +209,41 @@
     ) -> None:
         for number in range(count):
             name = f"{service}-{stage or 'plain'}-{number}"
-            arguments = {
-                "--name": name,
-                "--service": service,
-                "--zone": ZONES[number % len(ZONES)],
-                "--store": self.store_address,
-                "--runs": str(self._runs / name),
-            }
-            if stage is not None:
-                arguments["--stage"] = stage
-            flat = [text for pair in arguments.items() for text in pair]
-            child = self.children.standin(name, "engine_process", *flat)
-            self.engines.append(child)
+            self.start_engine(name, service, number, stage)
+
+    def start_engine(
+        self,
+        name: str,
+        service: str,
+        number: int,
+        stage: str | None,
+        **options: str,
+    ) -> children.Child:
+        """Starts an engine, whose first line says that it is registered.
+
+        Args:
+            name: Its name, of which there is only one.
+            service: The service that it belongs to.
+            number: Chooses its zone.
+            stage: Its role; ``None`` for a plain endpoint.
+            **options: Further options of its command line.
+        """
+        arguments = {
+            "name": name,
+            "service": service,
+            "zone": ZONES[number % len(ZONES)],
+            "store": self.store_address,
+            "runs": str(self._runs / name),
+            **options,
+        }
+        if stage is not None:
+            arguments["stage"] = stage
+        flat = [
+            text for key, v in arguments.items() for text in (f"--{key}", v)
+        ]
+        child = self.children.standin(name, "engine_process", *flat)
+        self.engines.append(child)
+        return child
 
     async def configure(self, configuration: dict) -> None:
         """Writes a configuration to the store, as the operator."""
@@ -252,6 +283,7 @@
     *,
     memory_mb: float | None = None,
     keep: pathlib.Path | None = None,
+    more: Starter | None = None,
 ) -> AsyncIterator[Deployment]:
     """Runs a deployment, all of whose processes are ended with the block.
 
@@ -259,12 +291,13 @@
         size: Numbers of processes.
         memory_mb: Memory of the machine of an instance, for its settings.
         keep: Folder to which logs and records are copied at the end.
+        more: Starts further engines.
     """
     with tempfile.TemporaryDirectory(prefix="real-processes-") as folder:
         started = children.Children(pathlib.Path(folder))
         deployment = Deployment(started, memory_mb)
         try:
-            await deployment.start(size)
+            await deployment.start(size, more)
             yield deployment
         finally:
             await deployment.stop_probes()
--- a/tests/real_processes/engine_process.py
+++ b/tests/real_processes/engine_process.py
@@ -2,16 +2,19 @@
 
 It registers with the store and writes a JSON line for each run to a file: when
 it began, and when it ended whole or because its connection was closed. What it
-answers is made from the request's id, so that callers can check it.
+answers is made from the request's id, so that callers can check it. On SIGTERM
+it drains, withdraws its registration and ends.
 """
 
 from __future__ import annotations
 
 import argparse
 import asyncio
+import contextlib
 import itertools
 import json
 import pathlib
+import signal
 import sys
 import time
 
@@ -24,6 +27,10 @@
 # A prefill result that would arrive later is not fetched.
 _FETCH_S = 2.0
 _SWITCH_S = 0.5
+# Time after SIGTERM in which what runs may end.
+_DRAIN_S = 2.0
+# Further time for the store to take the end of the registration.
+_WITHDRAW_S = 1.0
 _PREFILL_S_PER_TOKEN = 20e-6
 # Time between looks at the connection while work is in progress.
 _LOOK_S = 0.02
@@ -49,6 +56,7 @@
         self._handles: dict[str, float] = {}
         self._orders = 0
         self._is_changing = False
+        self._is_leaving = asyncio.Event()
         self._runs = pathlib.Path(options.runs).open("a", buffering=1)
 
     async def handle(
@@ -204,6 +212,8 @@
         count: int,
     ) -> None:
         request_id = request.headers["request-id"]
+        stream = request.headers.get("resumes", request_id)
+        version = self._options.version
         self._note(request_id, "began", last)
         number = last
         try:
@@ -212,7 +222,7 @@
                 await asyncio.sleep(self._options.event_ms / 1_000)
                 if connection.is_closed_by_peer:
                     raise http_io.ClosedError
-                event = answers.event(request_id, number)
+                event = answers.event(stream, number, version)
                 await connection.send(http_io.chunk(event))
             await connection.send(http_io.chunk(b""))
         except http_io.ClosedError:
@@ -260,28 +270,48 @@
         }
         self._runs.write(json.dumps(line) + "\n")
 
+    def leave(self) -> None:
+        """Has the engine drain and end."""
+        self._is_leaving.set()
+
     async def keep_registered(self) -> None:
-        """Writes this engine's entry to the store."""
-        options = self._options
-        target = f"/standin/put?topic=keyed.servers&key={options.name}"
+        """Writes this engine's entry to the store until it has drained."""
         for seq in itertools.count():
-            entry = {
-                "service": options.service,
-                "address": self.address,
-                "zone": options.zone,
-                "version": "v1",
-                "slots": options.slots,
-                "state": "ready",
-                "coldLeftMs": 0,
-                "seq": self._orders + seq,
-            }
-            if self.stage is not None:
-                entry["stage"] = self.stage
-            body = json.dumps(entry).encode()
-            await http_io.call(options.store, "POST", target, body)
+            await self._register(self._entry(seq, "ready"))
             if not seq:
                 print(self.address, flush=True)
-            await asyncio.sleep(_HEARTBEAT_S)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._is_leaving.wait(), _HEARTBEAT_S)
+            if self._is_leaving.is_set():
+                break
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_DRAIN_S):
+                await self._register(self._entry(seq + 1, "draining"))
+                await self._memory.idle.wait()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._register(b""), _WITHDRAW_S)
+
+    def _entry(self, seq: int, state: str) -> bytes:
+        options = self._options
+        entry = {
+            "service": options.service,
+            "address": self.address,
+            "zone": options.zone,
+            "version": options.version,
+            "slots": options.slots,
+            "state": state,
+            "coldLeftMs": 0,
+            "seq": self._orders + seq,
+        }
+        if self.stage is not None:
+            entry["stage"] = self.stage
+        return json.dumps(entry).encode()
+
+    async def _register(self, entry: bytes) -> None:
+        """Writes an entry to the store; an empty one withdraws it."""
+        name = self._options.name
+        target = f"/standin/put?topic=keyed.servers&key={name}"
+        await http_io.call(self._options.store, "POST", target, entry)
 
 
 def _options() -> argparse.Namespace:
@@ -292,6 +322,7 @@
     parser.add_argument("--store", required=True)
     parser.add_argument("--runs", required=True)
     parser.add_argument("--stage", default=None)
+    parser.add_argument("--version", default=answers.FIRST_VERSION)
     parser.add_argument("--slots", type=int, default=24)
     parser.add_argument("--tokens", type=int, default=60_000)
     parser.add_argument("--event_ms", type=float, default=40.0)
@@ -302,6 +333,8 @@
 async def main() -> None:
     engine = Engine(_options())
     server, engine.address = await http_io.serve(engine.handle)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, engine.leave)
     async with server:
         await engine.keep_registered()
 
