Real processes: callers that resume their streams

Callers resume a broken stream once at another instance, with the event and the request that began it. Checked are versions, order, runs and ends; resumed streams at calm instances go on at least half as often as new ones begin, with the number judged printed and a least number.

--- /dev/null
+++ b/tests/real_processes/test_resumed_streams.py
@@ -0,0 +1,46 @@
+"""Streams that callers resume beside signals and releases of real processes."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.real_processes import answers
+from tests.real_processes import resumed_streams
+from tests.real_processes import resumption_checks as checks
+
+pytestmark = pytest.mark.timeout(300)
+SEED = 1
+_DISTURBED_S = {"all": 14.0, "leaders": 10.0}
+
+
+def _play(kind: resumed_streams.Kind) -> checks.Report:
+    playing = resumed_streams.play(
+        SEED, kind=kind, disturbed_s=_DISTURBED_S[kind]
+    )
+    outcome = asyncio.run(playing)
+    print("; ".join(outcome.done), *outcome.report.lines(), sep="\n")
+    return outcome.report
+
+
+def _check(report: checks.Report) -> None:
+    assert not report.violations, "\n".join(report.violations)
+    assert set(report.versions) == set(answers.VERSIONS)
+    assert report.judged.resumed >= resumed_streams.LEAST_JUDGED_A_SEED
+    assert not report.below(), "\n".join(report.below())
+
+
+# A stream that goes on at an engine of another version holds events that don't
+# fit together; one that is refused is lost to its caller.
+def test_streams_resume_beside_signals_and_releases():
+    _check(_play("all"))
+
+
+# While the leader stands still nobody else tells where a stream began, so that
+# instances refuse to resume streams while they begin new ones.
+def test_streams_resume_while_the_leader_stands_still():
+    report = _play("leaders")
+    _check(report)
+    judged = report.shares[checks.Group.LEADER].resumed
+    assert judged >= checks.LEAST_JUDGED
