Real processes: cuts between instances

An instance that is started through instance_process opens its streams to others through a transport that a test can cut.

--- a/tests/real_processes/children.py
+++ b/tests/real_processes/children.py
@@ -88,9 +88,20 @@
         command = [sys.executable, "-S", "-m", full, *arguments]
         return self._start(name, command, {}, subprocess.PIPE)
 
-    def instance(self, name: str, settings: pathlib.Path) -> Child:
-        """Starts an instance, whose lines go to a file."""
-        command = [sys.executable, "platform/start.py"]
+    def instance(
+        self, name: str, settings: pathlib.Path, *, can_be_cut: bool = False
+    ) -> Child:
+        """Starts an instance, whose lines go to a file.
+
+        Args:
+            name: Its name.
+            settings: Its settings file.
+            can_be_cut: Whether ``cut_streams`` can cut it from others.
+        """
+        program = ["platform/start.py"]
+        if can_be_cut:
+            program = ["-m", "tests.real_processes.instance_process"]
+        command = [sys.executable, *program]
         variables = {"JUJUBEWHARF_NODE_FILE": str(settings)}
         with (self.folder / f"{name}.log").open("ab") as lines:
             return self._start(name, command, variables, lines)
--- a/tests/real_processes/deployment.py
+++ b/tests/real_processes/deployment.py
@@ -51,6 +51,8 @@
 
     Attributes:
         name: Name of the instance.
+        zone: Its failure domain.
+        peers: Address for other instances.
         child: Its process.
         callers: Address for callers.
         kills_s: When its process was killed, on the monotonic clock.
@@ -60,6 +62,7 @@
 
     def __init__(self, deployment: Deployment, number: int) -> None:
         self.name = f"instance-{number}"
+        self.zone = ZONES[number % len(ZONES)]
         self.callers = deployment.children.free_address()
         self.peers = deployment.children.free_address()
         self.kills_s: list[float] = []
@@ -70,7 +73,7 @@
         self._settings = deployment.children.folder / f"{self.name}.json"
         self._fields = {
             "instance": self.name,
-            "domain": ZONES[number % len(ZONES)],
+            "domain": self.zone,
             "callers": self.callers,
             "readiness": self._readiness,
             "peers": self.peers,
@@ -94,7 +97,9 @@
         fields = self._fields | {"is_first_start": is_first_start}
         self._settings.write_text(json.dumps(fields))
         self.child = self._deployment.children.instance(
-            self.name, self._settings
+            self.name,
+            self._settings,
+            can_be_cut=self._deployment.has_cuts,
         )
 
     def change_settings(self) -> None:
@@ -156,13 +161,19 @@
         store_address: Address of the store.
         memory_mb: Memory of the machine of an instance; ``None`` if nothing
             bounds it.
+        has_cuts: Whether instances can be cut from each other.
     """
 
     def __init__(
-        self, started: children.Children, memory_mb: float | None = None
+        self,
+        started: children.Children,
+        memory_mb: float | None = None,
+        *,
+        has_cuts: bool = False,
     ) -> None:
         self.children = started
         self.memory_mb = memory_mb
+        self.has_cuts = has_cuts
         self.engines: list[children.Child] = []
         self.instances: list[Instance] = []
         self.configuration = configurations.first()
@@ -284,6 +295,7 @@
     memory_mb: float | None = None,
     keep: pathlib.Path | None = None,
     more: Starter | None = None,
+    has_cuts: bool = False,
 ) -> AsyncIterator[Deployment]:
     """Runs a deployment, all of whose processes are ended with the block.
 
@@ -292,10 +304,11 @@
         memory_mb: Memory of the machine of an instance, for its settings.
         keep: Folder to which logs and records are copied at the end.
         more: Starts further engines.
+        has_cuts: Whether instances can be cut from each other.
     """
     with tempfile.TemporaryDirectory(prefix="real-processes-") as folder:
         started = children.Children(pathlib.Path(folder))
-        deployment = Deployment(started, memory_mb)
+        deployment = Deployment(started, memory_mb, has_cuts=has_cuts)
         try:
             await deployment.start(size, more)
             yield deployment
