Resumed streams: cuts between zones, judged by themselves

The soak cuts zones from each other beside the signals. What is sent beside a cut, and beside a leader that stands still, is judged by the same bound as the whole, so that calm seconds don't hide it.

--- a/tests/real_processes/instance_trouble.py
+++ b/tests/real_processes/instance_trouble.py
@@ -1,4 +1,4 @@
-"""Signals to instances and to the store, and when these were disturbed."""
+"""Signals and cuts of instances, pauses of the store, and when these were."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 import random
 import signal
 
+from tests.real_processes import cut_streams
 from tests.real_processes import deployment as deployments
 from tests.real_processes import http_io
 from tests.real_processes import spans
@@ -19,6 +20,7 @@
 # A leader loses its lease after 3 s.
 _LEADER_PAUSES_S = (4.0, 7.0)
 _PAUSES_S = (1.0, 4.0)
+_CUTS_S = (5.0, 9.0)
 _STORE_PAUSES_S = (2.0, 5.0)
 _DOWN_S = (0.0, 1.0)
 _ASK_STORE_S = 0.5
@@ -38,6 +40,7 @@
     Attributes:
         done: What was done, in order.
         leader_pauses: When an instance stood still that led.
+        cuts: When the zones were cut from each other.
         store_pauses: When the store stood still.
     """
 
@@ -46,12 +49,14 @@
     ) -> None:
         self.done: list[str] = []
         self.leader_pauses: list[spans.Span] = []
+        self.cuts: list[spans.Span] = []
         self.store_pauses: list[spans.Span] = []
         self._deployment = deployment
         self._rng = rng
         self._disturbed: dict[str, list[spans.Span]] = collections.defaultdict(
             list
         )
+        self._has_cut = False
         self._busy: set[deployments.Instance] = set()
         self._last_leader: deployments.Instance | None = None
 
@@ -73,6 +78,10 @@
         """Whether an instance that led stood still in a span."""
         return spans.any_meets(self.leader_pauses, from_s, until_s)
 
+    def has_cut(self, from_s: float, until_s: float) -> bool:
+        """Whether the zones were cut from each other in a span."""
+        return spans.any_meets(self.cuts, from_s, until_s)
+
     async def pause_leader(self) -> None:
         """Stops the leader for longer than its lease lasts."""
         leader = await self._leader()
@@ -108,6 +117,30 @@
                 await instance.stop()
                 await self._restart(instance)
 
+    async def cut_zones(self) -> None:
+        """Cuts the zones from each other; all reach the store and engines."""
+        if self._has_cut:
+            return
+        lasts_s = self._rng.uniform(*_CUTS_S)
+        self.done.append(f"cut between zones for {lasts_s:.1f} s")
+        folder = self._deployment.children.folder
+        self._has_cut = True
+        with spans.recorded(self.cuts):
+            cut_streams.write_cuts(folder, self._others())
+            try:
+                await asyncio.sleep(lasts_s)
+            finally:
+                cut_streams.write_cuts(folder, {})
+                self._has_cut = False
+
+    def _others(self) -> dict[str, list[str]]:
+        """Returns the addresses in other zones by address of an instance."""
+        instances = self._deployment.instances
+        return {
+            one.peers: [i.peers for i in instances if i.zone != one.zone]
+            for one in instances
+        }
+
     async def pause_store(self) -> None:
         """Stops the store for a while."""
         if self.store_pauses and self.store_pauses[-1].until_s == float("inf"):
--- a/tests/real_processes/resumed_streams.py
+++ b/tests/real_processes/resumed_streams.py
@@ -3,9 +3,9 @@
     python -m tests.real_processes.resumed_streams --seeds 50
 
 plays 50 seeds of real processes: engines are released, killed and stopped, and
-instances and the store are signalled, in series that overlap. A seed determines
-what is done and asked, but not the timing of processes. Instances are not cut
-from each other; one that stands still takes the place of one that is cut off.
+instances and the store are signalled and instances cut from each other, in
+series that overlap. A seed determines what is done and asked, but not the
+timing of processes.
 """
 
 from __future__ import annotations
@@ -73,7 +73,8 @@
 
     Args:
         seed: Seed of all that is drawn.
-        kind: What is done to instances: all there is, or mostly to leaders.
+        kind: What is done to instances: all there is, or mostly
+            pauses of leaders and cuts from them.
         instances: Number of instances.
         disturbed_s: Time in which disturbances begin.
         keep: Folder to which logs and records are copied.
@@ -82,7 +83,7 @@
     size = deployments.Size(0, (0, 0), (0, 0), instances)
     releases = all_releases.Releases(rng, count=max(4, instances // 3))
     async with deployments.deployed(
-        size, keep=keep, more=releases.start
+        size, keep=keep, more=releases.start, has_cuts=True
     ) as deployment:
         trouble = instance_trouble.InstanceTrouble(deployment, rng)
         exchanges: list[resuming_callers.Exchange] = []
@@ -127,10 +128,12 @@
     trouble: instance_trouble.InstanceTrouble, kind: Kind
 ) -> list[Action]:
     if kind == "leaders":
-        return [trouble.pause_leader] * 3 + [trouble.kill_one]
+        losses = [trouble.pause_leader, trouble.cut_zones]
+        return [*losses, *losses, trouble.kill_one]
     return [
         trouble.pause_leader,
         trouble.pause_leader,
+        trouble.cut_zones,
         trouble.pause_one,
         trouble.kill_leader,
         trouble.kill_one,
--- a/tests/real_processes/resumption_checks.py
+++ b/tests/real_processes/resumption_checks.py
@@ -6,6 +6,7 @@
 import dataclasses
 import enum
 import functools
+import operator
 
 from tests.real_processes import instance_trouble
 from tests.real_processes import releases as all_releases
@@ -26,11 +27,13 @@
     """What was disturbed elsewhere when a request was sent.
 
     ``STORE``: the store stood still; not judged.
+    ``CUT``: the zones were cut from each other.
     ``LEADER``: an instance stood still that led.
     ``OTHER``: anything else, or nothing.
     """
 
     STORE = "store away (not judged)"
+    CUT = "beside a cut between zones"
     LEADER = "beside a leader that stands still"
     OTHER = "beside anything else"
 
@@ -104,15 +107,15 @@
     @property
     def judged(self) -> Share:
         """All that are judged."""
-        return self.shares[Group.LEADER] + self.shares[Group.OTHER]
+        judged = [s for g, s in self.shares.items() if g is not Group.STORE]
+        return functools.reduce(operator.add, judged)
 
     def below(self) -> list[str]:
         """Returns the shares that are below the users' bound."""
-        shares = {
-            "all": self.judged,
-            Group.LEADER.value: self.shares[Group.LEADER],
-            Group.OTHER.value: self.shares[Group.OTHER],
-        }
+        shares = {"all": self.judged}
+        for group, share in self.shares.items():
+            if group is not Group.STORE:
+                shares[group.value] = share
         return [f"{name}: {s}" for name, s in shares.items() if s.is_below]
 
     def lines(self) -> list[str]:
@@ -209,6 +212,8 @@
         from_s, until_s = exchange.sent_s, exchange.decided_s
         if not self._trouble.is_store_calm(from_s, until_s):
             return Group.STORE
+        if self._trouble.has_cut(from_s, until_s):
+            return Group.CUT
         if self._trouble.is_leader_paused(from_s, until_s):
             return Group.LEADER
         return Group.OTHER
--- a/tests/real_processes/test_resumed_streams.py
+++ b/tests/real_processes/test_resumed_streams.py
@@ -12,7 +12,7 @@
 
 pytestmark = pytest.mark.timeout(300)
 SEED = 1
-_DISTURBED_S = {"all": 14.0, "leaders": 10.0}
+_DISTURBED_S = {"all": 12.0, "leaders": 9.0}
 
 
 def _play(kind: resumed_streams.Kind) -> checks.Report:
@@ -37,10 +37,10 @@
     _check(_play("all"))
 
 
-# While the leader stands still nobody else tells where a stream began, so that
-# instances refuse to resume streams while they begin new ones.
-def test_streams_resume_while_the_leader_stands_still():
+# While the leader stands still or is cut off nobody else tells where a stream
+# began, so that instances refuse to resume streams while they begin new ones.
+def test_streams_resume_without_the_leader_in_reach():
     report = _play("leaders")
     _check(report)
-    judged = report.shares[checks.Group.LEADER].resumed
+    judged = report.shares[checks.Group.CUT].resumed
     assert judged >= checks.LEAST_JUDGED
