--- a/tests/real_processes/engine_process.py
+++ b/tests/real_processes/engine_process.py
@@ -35,6 +35,8 @@
 # Time between looks at the connection while work is in progress.
 _LOOK_S = 0.02
 _OWN = "/jujubewharf/"
+# Id under which changes of the role are noted.
+ROLE_NOTES = "role"
 
 
 class Engine:
@@ -153,6 +155,7 @@
             return 409
         self._is_changing = True
         self._orders += 1
+        self._note(ROLE_NOTES, "changing", 0)
         asyncio.ensure_future(self._change(order["stage"]))
         return 202
 
@@ -161,6 +164,7 @@
         await asyncio.sleep(_SWITCH_S)
         self.stage = stage
         self._is_changing = False
+        self._note(ROLE_NOTES, stage, 0)
 
     async def _prefill(
         self, request: http_io.Request, connection: http_io.Connection
