--- a/tests/real_processes/deployment.py
+++ b/tests/real_processes/deployment.py
@@ -127,9 +127,10 @@
 
     async def is_ready(self) -> bool:
         """Whether the instance says that it is ready."""
-        call = http_io.call(self._readiness, "GET", _READY)
         try:
-            status, _ = await asyncio.wait_for(call, _PROBE_S)
+            # wait_for may lose a cancellation, and the probes would not end.
+            async with asyncio.timeout(_PROBE_S):
+                status, _ = await http_io.call(self._readiness, "GET", _READY)
         except (TimeoutError, OSError, http_io.ClosedError):
             return False
         return status == 200
