Role plan: versions keep a decode engine

What callers saw: in a release, resumed streams were refused with stream_version_gone while engines of their version served, all of them prefill engines.

Cause: the plan of roles balances the capacity of the service and knows no versions. It took the last decode engine of a version as a prefill engine, and didn't replace one that drained, since the other version had enough.

Why it works: a version with several engines that has lost its decode engines gets one back before the balance is made, without gain, damping or a batch in progress to wait for; the last decode engine of such a version is the last candidate and is never ordered away; a replacement for an engine of uncertain state has its version; a lost order that a version needs is repeated though the plan wants other changes.

--- a/src/jujubewharf/forwarding/role_controller.py
+++ b/src/jujubewharf/forwarding/role_controller.py
@@ -18,6 +18,7 @@
 from jujubewharf.forwarding import role_plan
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import state_log
+from jujubewharf.forwarding import version_roles
 from jujubewharf.role_orders import damping as dampings
 from jujubewharf.role_orders import ledger as ledgers
 from jujubewharf.role_orders import sender as senders
@@ -88,7 +89,7 @@
         self._services = services
         self._is_backing_off = is_backing_off
         self._work_rate = work_rate
-        ledger = ledger or ledgers.OrderLedger(clock)
+        self._ledger = ledger = ledger or ledgers.OrderLedger(clock)
         self._damping = dampings.ReversalDamping(ledger, clock)
         self._sender = senders.OrderSender(
             instance,
@@ -134,6 +135,7 @@
             return
         estimates = self._cost_estimates()
         engines = self._sender.planned_engines(service)
+        draining = self._draining(service)
         changes = role_plan.plan_changes(
             engines,
             prefill_ms=estimates.prefill_ms,
@@ -142,12 +144,19 @@
             min_gain=lambda role: self._damping.min_gain(
                 service, role, change_ms=senders.change_ms(traits)
             ),
+            draining=draining,
         )
+        versions = version_roles.ServiceVersions(engines, draining)
         if self._lease.fence is not None:
-            await self._sender.repeat_lost(service, changes, traits)
+            await self._sender.repeat_lost(service, changes, versions, traits)
         # Evaluated before the fencing token may be used, so that the order can
         # be sent as soon as it is.
-        is_settled = self._is_settled(service, bool(changes))
+        restoring = role_plan.restoring_changes(
+            self._sender.ordered_engines(service),
+            draining=draining,
+            work_rate=self._work_rate,
+        )
+        is_settled = self._is_settled(service, bool(changes or restoring))
         if not is_settled or self._lease.fence is None:
             return
         if await self._sender.find_changing(service, traits):
@@ -155,13 +164,31 @@
         is_urgent = self._damping.is_urgent(
             service, change_ms=senders.change_ms(traits)
         )
+        max_changes = self._max_concurrent_changes(service)
         if self._sender.is_busy(service, is_urgent=is_urgent):
-            return
-        changes = changes[: self._max_concurrent_changes(service)]
+            # A version without a decode engine doesn't wait for the batch: its
+            # streams are refused meanwhile. It is one engine for each version.
+            changes = restoring
+            engines = self._sender.ordered_engines(service)
+            max_changes = max(1, max_changes - self._in_progress(service))
+        changes = changes[:max_changes]
         for change in self._sender.allowed_changes(changes, engines):
             if not self._is_backing_off(change.engine.name):
                 await self._sender.send(change, traits)
 
+    def _in_progress(self, service: str) -> int:
+        """Returns how many engines are changing roles, or may be."""
+        pending = self._ledger.pending(service)
+        return sum(order.is_in_effect for order in pending)
+
+    def _draining(self, service: str) -> list[resources.Endpoint]:
+        """Returns registered engines that accept no new requests."""
+        return [
+            engine
+            for engine in self._registry.registered()
+            if engine.service == service and engine.drained
+        ]
+
     def _max_concurrent_changes(self, service: str) -> int:
         """Returns how many engines may change roles at the same time.
 
--- a/src/jujubewharf/forwarding/role_plan.py
+++ b/src/jujubewharf/forwarding/role_plan.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
 import itertools
 
 from jujubewharf.configuration import resources
+from jujubewharf.forwarding import version_roles
 from jujubewharf.role_orders import damping
 
 # Cost of a prefill on a decode engine relative to one on a prefill engine. It
@@ -62,9 +64,13 @@
     decode_ms: float | None,
     work_rate: WorkRate = _equal_rate,
     min_gain: MinGain = _usual_min_gain,
+    draining: Sequence[resources.Endpoint] = (),
 ) -> list[RoleChange]:
     """Returns role changes that balance the load of both pools.
 
+    Each software version with several engines keeps a decode engine, whatever
+    the gain in capacity; one without a decode engine gets one first.
+
     Args:
         engines: All engines of one service that accept requests.
         prefill_ms: Time that a prompt keeps a prefill engine of median speed
@@ -75,51 +81,120 @@
             the median engine.
         min_gain: Returns the smallest relative gain in capacity that justifies
             changes to a role.
+        draining: Registered engines of the service that accept no new requests.
 
     Returns:
         The changes, the most important one first.
     """
-    prefill_engines = [e for e in engines if e.role is _PREFILL]
-    decode_engines = [e for e in engines if e.role is _DECODE]
-    rates = {
+    restoring = restoring_changes(
+        engines, draining=draining, work_rate=work_rate
+    )
+    engines = _changed(engines, restoring)
+    rates = _rates(engines, work_rate)
+    surplus = _surplus(engines, rates)
+    candidates = version_roles.ServiceVersions(engines, draining).candidates(
+        _candidates(engines, rates)
+    )
+    current = len(surplus)
+    most = len(rates) - candidates.kept_count
+    if prefill_ms is None or decode_ms is None:
+        target = min(most, _target_without_costs(len(rates), current))
+    else:
+        # In the order in which they become prefill engines.
+        order = [
+            rates[e.name] for e in (*reversed(surplus), *candidates.engines)
+        ]
+        target = _target_count(
+            order, current, prefill_ms, decode_ms, min_gain, most=most
+        )
+    return [
+        *restoring,
+        *(RoleChange(e, _DECODE) for e in surplus[: max(0, current - target)]),
+        *(
+            RoleChange(e, _PREFILL)
+            for e in candidates.engines[: max(0, target - current)]
+        ),
+    ]
+
+
+def restoring_changes(
+    engines: Sequence[resources.Endpoint],
+    *,
+    draining: Sequence[resources.Endpoint] = (),
+    work_rate: WorkRate = _equal_rate,
+) -> list[RoleChange]:
+    """Returns changes that give versions their missing decode engines.
+
+    Args:
+        engines: See ``plan_changes``.
+        draining: See ``plan_changes``.
+        work_rate: See ``plan_changes``.
+    """
+    versions = version_roles.ServiceVersions(engines, draining)
+    if not versions.is_mixed:
+        return []
+    surplus = _surplus(engines, _rates(engines, work_rate))
+    return [RoleChange(e, _DECODE) for e in versions.restored(surplus)]
+
+
+def _changed(
+    engines: Sequence[resources.Endpoint], changes: Sequence[RoleChange]
+) -> Sequence[resources.Endpoint]:
+    """Returns the engines with the roles that changes give them."""
+    roles = {change.engine.name: change.role for change in changes}
+    if not roles:
+        return engines
+    return [
+        dataclasses.replace(e, role=roles.get(e.name, e.role)) for e in engines
+    ]
+
+
+def _rates(
+    engines: Sequence[resources.Endpoint], work_rate: WorkRate
+) -> dict[str, _Rates]:
+    """Returns what prefill and decode engines do in each role, by name."""
+    return {
         e.name: _Rates(work_rate(e, _PREFILL), work_rate(e, _DECODE))
-        for e in (*prefill_engines, *decode_engines)
+        for e in engines
+        if e.role in (_PREFILL, _DECODE)
     }
 
-    def prefill_merit(engine: resources.Endpoint) -> tuple[float, ...]:
-        """Returns a key; engines with low ones are decode engines first.
 
-        The loss in the present role counts against the gain in the new one.
-        Where they are equal, the slowest engine changes, because the prompts
-        of its requests delay their first events.
-        """
-        rate = rates[engine.name]
-        return (rate.prefill / rate.decode, rate.prefill)
+def _prefill_merit(rate: _Rates) -> tuple[float, ...]:
+    """Returns a key; engines with low ones are decode engines first.
+
+    The loss in the present role counts against the gain in the new one. Where
+    they are equal, the slowest engine changes, because the prompts of its
+    requests delay their first events.
+    """
+    return (rate.prefill / rate.decode, rate.prefill)
 
+
+def _surplus(
+    engines: Sequence[resources.Endpoint], rates: Mapping[str, _Rates]
+) -> list[resources.Endpoint]:
+    """Returns the prefill engines; the first one is a decode engine first."""
+    prefill_engines = [e for e in engines if e.role is _PREFILL]
     surplus = sorted(
         prefill_engines,
         key=lambda e: _domain_count(e, prefill_engines),
         reverse=True,
     )
-    surplus.sort(key=prefill_merit)
+    surplus.sort(key=lambda e: _prefill_merit(rates[e.name]))
+    return surplus
+
+
+def _candidates(
+    engines: Sequence[resources.Endpoint], rates: Mapping[str, _Rates]
+) -> list[resources.Endpoint]:
+    """Returns the decode engines; the first one is a prefill engine first."""
+    prefill_engines = [e for e in engines if e.role is _PREFILL]
     candidates = sorted(
-        decode_engines, key=lambda e: _domain_count(e, prefill_engines)
+        (e for e in engines if e.role is _DECODE),
+        key=lambda e: _domain_count(e, prefill_engines),
     )
-    candidates.sort(key=prefill_merit, reverse=True)
-    current = len(prefill_engines)
-    if prefill_ms is None or decode_ms is None:
-        target = _target_without_costs(len(rates), current)
-    else:
-        # In the order in which they become prefill engines.
-        order = [rates[e.name] for e in (*reversed(surplus), *candidates)]
-        target = _target_count(order, current, prefill_ms, decode_ms, min_gain)
-    return [
-        *(RoleChange(e, _DECODE) for e in surplus[: max(0, current - target)]),
-        *(
-            RoleChange(e, _PREFILL)
-            for e in candidates[: max(0, target - current)]
-        ),
-    ]
+    candidates.sort(key=lambda e: _prefill_merit(rates[e.name]), reverse=True)
+    return candidates
 
 
 def _target_without_costs(total: int, current: int) -> int:
@@ -139,6 +214,8 @@
     prefill_ms: float,
     decode_ms: float,
     min_gain: MinGain,
+    *,
+    most: int,
 ) -> int:
     """Returns the number of prefill engines with the highest capacity.
 
@@ -148,6 +225,7 @@
         prefill_ms: See ``plan_changes``.
         decode_ms: See ``plan_changes``.
         min_gain: See ``plan_changes``.
+        most: Largest number of prefill engines.
     """
     prefill_rates = [0.0, *itertools.accumulate(r.prefill for r in order)]
     decode_rates = [0.0, *itertools.accumulate(r.decode for r in order)]
@@ -168,7 +246,7 @@
         )
         return full_rate * (1.0 - _LOSS_WEIGHT) + reduced_rate * _LOSS_WEIGHT
 
-    best = max(range(len(order) + 1), key=capacity)
+    best = max(range(most + 1), key=capacity)
     needed = min_gain(_PREFILL if best > current else _DECODE)
     if capacity(best) < capacity(current) * (1.0 + needed):
         return current
--- a/src/jujubewharf/role_orders/sender.py
+++ b/src/jujubewharf/role_orders/sender.py
@@ -21,6 +21,7 @@
 from jujubewharf.forwarding import role_plan
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import state_log
+from jujubewharf.forwarding import version_roles
 from jujubewharf.role_orders import ledger as ledgers
 from jujubewharf.role_orders import states
 
@@ -115,17 +116,21 @@
         may be carried out late. Own batches that were acknowledged are waited
         for instead.
         """
+        if not any(
+            order.is_uncertain or not order.is_own
+            for order in self._ledger.pending(service)
+        ):
+            return self._registry.of_service(service)
+        return self.ordered_engines(service)
+
+    def ordered_engines(self, service: str) -> Sequence[resources.Endpoint]:
+        """Returns the engines with the roles of all orders in progress."""
         engines = self._registry.of_service(service)
         pending = {
             order.engine: order.role
             for order in self._ledger.pending(service)
             if order.is_in_effect
         }
-        if not any(
-            order.is_uncertain or not order.is_own
-            for order in self._ledger.pending(service)
-        ):
-            return engines
         return [
             dataclasses.replace(e, role=pending.get(e.name, e.role))
             for e in engines
@@ -198,6 +203,7 @@
         self,
         service: str,
         changes: Sequence[role_plan.RoleChange],
+        versions: version_roles.ServiceVersions,
         traits: routes.EngineTraits,
     ) -> None:
         """Sends orders without an answer again, unless the plan has turned.
@@ -206,9 +212,11 @@
         before it is known whether it happened could undo nothing, or too much.
         """
         for order in self._ledger.pending(service):
-            is_unwanted = any(c.role is not order.role for c in changes)
             engine = self._registry.get(order.engine)
-            if is_unwanted or engine is None or not self._is_repeatable(order):
+            if engine is None or not self._is_repeatable(order):
+                continue
+            has_turned = any(c.role is not order.role for c in changes)
+            if has_turned and not versions.needs(engine, order.role):
                 continue
             self._checked_ms[order.engine] = self._clock.now_ms()
             match await states.is_changing(self._backends, engine):
@@ -250,6 +258,9 @@
     ) -> list[role_plan.RoleChange]:
         """Replaces engines whose state is too uncertain for an order.
 
+        Others of the same software version take their place, so that no
+        version loses its last decode engine.
+
         Args:
             changes: Planned changes.
             engines: The engines that the plan was made of.
@@ -267,6 +278,7 @@
                 if (
                     engine.name not in taken
                     and engine.role is change.engine.role
+                    and version_roles.is_same_version(engine, change.engine)
                     and self._is_allowed(engine, change.role)
                 ):
                     taken.add(engine.name)
