Placement: followers place streams whose version their leader lacks

What callers saw: a stream that goes on was refused with queue_full at an instance that knew engines of its version.

Cause: the leader's view may be late or cut off from the store. It answered stream_version_gone, which became a refusal of the placement and queue_full at the follower.

Evidence: in test_resumptions.py the leader's registry lacks the version's engines. Before: queue_full after 4 ms at the first follower asked. Now all followers go on, and the leader refuses with stream_version_gone.

Why it works: the leader answers as if it couldn't reach engines, so the follower places by its own view, which refuses the version if it lacks it, too (second test; it passed before as well).

Runs: tests/stream_versions/test_resumptions.py failed in the new test before, passes now.

--- a/src/jujubewharf/leadership/placement_server.py
+++ b/src/jujubewharf/leadership/placement_server.py
@@ -250,7 +250,10 @@
             _resolve(answer, None)
         except errors.WharfError as error:
             retry_after_ms = error.retry_after_ms
-            if retry_after_ms is None:
+            # The follower may know engines of the version that its leader
+            # doesn't; otherwise it refuses the stream itself.
+            is_gone = error.kind is errors.ErrorKind.STREAM_VERSION_GONE
+            if is_gone or retry_after_ms is None:
                 _resolve(answer, None)
             else:
                 is_over_quota = error.kind is errors.ErrorKind.RATE_LIMITED
--- a/tests/stream_versions/test_resumptions.py
+++ b/tests/stream_versions/test_resumptions.py
@@ -142,6 +142,50 @@
     deployments.run(main())
 
 
+# The leader's view may be late. Its refusal told the caller that the queue is
+# full, though the instance that was asked knew engines of the version.
+def test_follower_places_what_its_leader_knows_no_engine_for(monkeypatch):
+    async def main():
+        async with versions.deployed(*_behind("v1", "v2")) as world:
+            begun = await _begin(world, "s1")
+            (version,) = _versions_of(begun)
+            _hide_version(monkeypatch, world.instances[world.leader], version)
+            followers = sorted(set(world.instances) - {world.leader})
+            for name in followers:
+                answer = await _resume(world, began_by="s1", instance=name)
+                assert answer.error is None
+                assert answer.numbers == list(range(4, 21))
+                assert _versions_of(answer) == {version}
+            answer = await _resume(world, began_by="s1", instance=world.leader)
+            _check_refused(world, answer, GONE)
+
+    deployments.run(main())
+
+
+def test_version_that_nobody_knows_is_gone_at_followers_too(monkeypatch):
+    async def main():
+        async with versions.deployed(*_behind("v1", "v2")) as world:
+            begun = await _begin(world, "s1")
+            (version,) = _versions_of(begun)
+            for instance in world.instances.values():
+                _hide_version(monkeypatch, instance, version)
+            for name in sorted(world.instances):
+                answer = await _resume(world, began_by="s1", instance=name)
+                _check_refused(world, answer, GONE)
+
+    deployments.run(main())
+
+
+def _hide_version(monkeypatch, instance, version: str) -> None:
+    """Lets an instance know no engine of a version."""
+    known = instance.registry.of_service
+
+    def without_version(service: str):
+        return [e for e in known(service) if e.software_version != version]
+
+    monkeypatch.setattr(instance.registry, "of_service", without_version)
+
+
 # Such a request waited for its deadline, and its caller with it.
 def test_stream_without_an_engine_of_its_version_is_refused_at_once():
     async def main():
