Resumption histories: a caller without another instance stops

In a herd kill beside a cut of six instances no other one may be left; choosing one failed the history with an IndexError. Such a caller has nobody to resume at. What is judged doesn't change: its stream made no request.

--- a/tests/leadership/resumption_world.py
+++ b/tests/leadership/resumption_world.py
@@ -208,6 +208,8 @@
             if found.is_whole:
                 break
             await self.clock.sleep_ms(versions.CALLER_PAUSE_MS)
+            if not set(self.running) - {instance}:
+                break
             instance = self._choose_other(instance)
         return stream
 
