Replicas over slow links: a link is opened beside the request that needs it

The dial goes on beside the request, which waits no longer than before; the next one finds the link.

--- a/src/jujubewharf/leadership/origin_lookup.py
+++ b/src/jujubewharf/leadership/origin_lookup.py
@@ -76,8 +76,10 @@
         request = origin_messages.OriginRequest(key)
         for address in addresses:
             self.counts.asked += 1
-            task = asyncio.ensure_future(self._links.ask(address, request))
-            self._pending.add(task)
+            asking = self._links.ask(
+                address, request, timeout_ms=_SEARCH_TIMEOUT_MS
+            )
+            self._pending.add(asyncio.ensure_future(asking))
 
     async def _is_told(self, *, within_ms: float) -> bool:
         """Waits until a replica knows the stream, or all have replied."""
--- a/src/jujubewharf/leadership/replica_links.py
+++ b/src/jujubewharf/leadership/replica_links.py
@@ -22,8 +22,10 @@
 from jujubewharf.peers import streams
 
 # A replica that is reached answers within some milliseconds, unless it is busy.
-_DIAL_TIMEOUT_MS = 250.0
-_ASK_TIMEOUT_MS = 300.0
+ASK_TIMEOUT_MS = 300.0
+# Over a slow network a handshake takes longer than a request may wait. The link
+# is opened all the same, for the requests after it.
+_DIAL_TIMEOUT_MS = 3_000.0
 # Silence after which a link is closed once a request on it gets no reply.
 _SILENT_MS = 1_000.0
 # Time for which a replica without a reply is the last to be chosen.
@@ -71,16 +73,19 @@
         address: str,
         message: messages.Message,
         *,
-        timeout_ms: float = _ASK_TIMEOUT_MS,
+        timeout_ms: float = ASK_TIMEOUT_MS,
     ) -> messages.Message | None:
-        """Returns a replica's reply; ``None`` if there is none."""
+        """Returns a replica's reply; ``None`` without one in time."""
+        until_ms = self._clock.now_ms() + timeout_ms
         try:
-            link = await self._link_to(address)
+            async with self._clock.timeout_ms(timeout_ms):
+                link = await self._link_to(address)
         except (handshake.RefusedHelloError, OSError, TimeoutError):
             self._avoid(address)
             return None
+        left_ms = max(1.0, until_ms - self._clock.now_ms())
         try:
-            return await link.ask(message, timeout_ms=timeout_ms)
+            return await link.ask(message, timeout_ms=left_ms)
         except network.PeerError:
             self._avoid(address)
             if self._clock.now_ms() - link.last_heard_ms > _SILENT_MS:
