One version after an outage: only a leader's records leave versions out

What callers saw: 3 s after an outage of the store of 4, 8 or 20 s, 8 of 8 new streams began and 1, 0 and 0 of 8 resumed ones went on (origin_unknown), for 24 s more, though the service had one version all the time and nobody had missed any.

Cause: an instance with an old view counted its history of versions as incomplete at each link that it dialled, also to instances that don't lead and send nothing. All had dialled someone while they looked for a leader, so whoever led had no complete history to tell. A whole read after the outage did the same if it came before the changes.

Why it works: the history counts as incomplete when the first heartbeat shows that the other side leads, as its records leave out what came and went; what the leader has seen follows on the same link and completes it. After an outage the changes are read before the whole table. A leader tells its followers each new version at once, so that one which is gone by the next record is known as well.

--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -49,6 +49,7 @@
 from jujubewharf.overload import part_log
 from jujubewharf.overload import parts
 from jujubewharf.overload import view
+from jujubewharf.peers import origin_messages
 from jujubewharf.peers import role_messages
 from jujubewharf.platform import availability as availabilities
 from jujubewharf.platform import epochs
@@ -210,6 +211,7 @@
             rng,
             self._availability,
         )
+        self._endpoint_state.versions.on_new = self._tell_versions
         self._origins = fleet_origins.FleetOrigins(
             self.fleet, shared, clock, domain=settings.domain
         )
@@ -367,6 +369,14 @@
             domain=self._settings.domain,
         )
 
+    def _tell_versions(self) -> None:
+        """Tells followers of a version, which may be gone by the next read."""
+        if self.fleet.is_leading:
+            message = origin_messages.VersionsSeen.from_history(
+                self._endpoint_state.versions, self._clock.now_ms()
+            )
+            self.fleet.tell(message)
+
     async def _refresh_view(self) -> None:
         await self._view_refresh.refresh()
 
--- a/src/jujubewharf/forwarding/follower.py
+++ b/src/jujubewharf/forwarding/follower.py
@@ -199,15 +199,22 @@
                 page = await self._verify()
                 if page is not None:
                     return page, True
-        elif (
-            is_required
-            or now_ms - self._last_full_read_ms > _FULL_READ_INTERVAL_MS
-        ):
+        elif is_required or self._is_full_read_due(now_ms):
             return await self._read_all(), True
         assert self._offset is not None
         changes = self._table.changes(self._offset, wait_ms=self._pace.wait_ms)
         return await self._epoch.until_restored(changes), False
 
+    def _is_full_read_due(self, now_ms: float) -> bool:
+        """Whether the whole table should be read again.
+
+        After an outage its changes come first: a whole read doesn't show what
+        came and went meanwhile.
+        """
+        if self._unavailable_since_ms is not None and self._offset is not None:
+            return False
+        return now_ms - self._last_full_read_ms > _FULL_READ_INTERVAL_MS
+
     async def _read_all(self) -> tables.TablePage[T]:
         began_ms = self._clock.now_ms()
         page = await self._table.newest()
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -193,9 +193,6 @@
 
     def _tell_streams(self, link: links.Link) -> None:
         """Tells a leader that remembers streams itself those known here."""
-        if self._registry.age_ms > version_history.MAX_VIEW_AGE_MS:
-            # The leader sends the newest entries only, and what it has seen.
-            self._state.versions.mark_incomplete()
         if self.chooses_replicas:
             return
         for message in self._state.stream_messages():
@@ -292,6 +289,8 @@
             )
 
     def _on_heartbeat(self, heartbeat: leader_messages.LeaderHeartbeat) -> None:
+        if self.instances is None:
+            self._on_first_heartbeat()
         self.instances = heartbeat.instances
         self.on_counted(heartbeat.instances)
         if heartbeat.epoch is None:
@@ -304,6 +303,15 @@
                 heartbeat.endpoints_end, age_ms=heartbeat.endpoints_age_ms
             )
 
+    def _on_first_heartbeat(self) -> None:
+        """Handles that the other side leads.
+
+        It sends the newest entries only, so that versions which came and went
+        since the last read don't show here. What it has seen follows.
+        """
+        if self._registry.age_ms > version_history.MAX_VIEW_AGE_MS:
+            self._state.versions.mark_incomplete()
+
     @property
     def _knows_versions(self) -> bool:
         """Whether the leader sends software versions of endpoints.
--- a/src/jujubewharf/stream_versions/version_history.py
+++ b/src/jujubewharf/stream_versions/version_history.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
@@ -48,11 +49,16 @@
         clock: Time source.
         is_first_start: Whether the deployment starts for the first time, so
             that no stream can have begun at a version that has gone.
+
+    Attributes:
+        on_new: Called when a service has a version that it wasn't known to
+            have.
     """
 
     def __init__(
         self, clock: clocks.Clock, *, is_first_start: bool = False
     ) -> None:
+        self.on_new: Callable[[], None] = lambda: None
         self._clock = clock
         self._is_first_start = is_first_start
         # Since when no version can have been missed.
@@ -94,8 +100,10 @@
         self, seen: Iterable[SeenVersion], *, complete_for_ms: float
     ) -> None:
         """Adds what another instance has seen."""
+        is_new = False
         for other in seen:
             key = (other.service, other.version)
+            is_new |= key not in self._seen
             known = self._seen.get(key, other)
             self._seen[key] = SeenVersion(
                 *key,
@@ -105,6 +113,8 @@
         if self._complete_since_ms is not None:
             since_ms = self._clock.now_ms() - complete_for_ms
             self._complete_since_ms = min(self._complete_since_ms, since_ms)
+        if is_new:
+            self.on_new()
 
     def seen(self) -> tuple[SeenVersion, ...]:
         """Returns all versions that were seen of late."""
@@ -163,6 +173,8 @@
         known = self._seen.get(key)
         first_ms = now_ms if known is None else known.first_ms
         self._seen[key] = SeenVersion(*key, first_ms, now_ms)
+        if known is None:
+            self.on_new()
 
     def _forget_old(self) -> None:
         oldest_ms = self._clock.now_ms() - _KEEP_MS
