Replies of replicas: a stream keeps the time that it has left

What callers would have seen: at every instance without a copy of its own no reply of a replica was used, so resumptions there were refused as before (stream_origin_unknown).

Cause: a reply was made with no time left, and the stream was over by the next reading of the clock.

Why it works: the reply is made of the record itself.

--- a/src/jujubewharf/leadership/shared_state.py
+++ b/src/jujubewharf/leadership/shared_state.py
@@ -73,20 +73,13 @@
             yield origin_messages.StreamsBegan.from_records(part, now_ms)
 
     def origin_reply(self, key: bytes) -> origin_messages.OriginReply:
-        """Returns the reply to a follower that asks where a stream began."""
-        origin = self.origins.find(key)
-        if origin is None:
+        """Returns the reply to an instance that asks where a stream began."""
+        record = self.origins.record_of(key)
+        if record is None:
             return origin_messages.OriginReply(None)
-        now_ms = self.orders.now_ms
-        record = all_origins.OriginRecord(
-            key,
-            origin.service,
-            origin.version,
-            now_ms - (origin.age_ms or 0.0),
-            now_ms,
+        return origin_messages.OriginReply(
+            origin_messages.BegunStream.from_record(record, self.orders.now_ms)
         )
-        message = origin_messages.StreamsBegan.from_records([record], now_ms)
-        return origin_messages.OriginReply(message.streams[0])
 
     def apply(self, message: messages.Message) -> None:
         """Applies a message from the leader, or of orders from a follower."""
--- a/src/jujubewharf/stream_versions/origins.py
+++ b/src/jujubewharf/stream_versions/origins.py
@@ -124,17 +124,23 @@
 
     def find(self, key: bytes) -> StreamOrigin | None:
         """Returns where a stream began; ``None`` if it isn't remembered."""
-        now_ms = self._clock.now_ms()
-        record = self._records.get(key)
-        if record is None or record.keep_until_ms < now_ms:
+        record = self.record_of(key)
+        if record is None:
             return None
         return StreamOrigin(
             record.service,
             record.version,
             KnownBy.MEMORY,
-            now_ms - record.began_ms,
+            self._clock.now_ms() - record.began_ms,
         )
 
+    def record_of(self, key: bytes) -> OriginRecord | None:
+        """Returns what is remembered of a stream that may be resumed."""
+        record = self._records.get(key)
+        if record is None or record.keep_until_ms < self._clock.now_ms():
+            return None
+        return record
+
     def records(self) -> tuple[OriginRecord, ...]:
         """Returns all streams that may still be resumed, the oldest first."""
         now_ms = self._clock.now_ms()
