Replicas: copies are repeated, bursts take turns, links end, lists arrive

Copies were made once. Streams with too few copies are now copied again every 2.5 s until they have enough. An instance now has 100 on a link at a time. - a peer that was cut off left its link open for good (by reading); links that were idle for two minutes are closed. Messages have bounds on keys, texts and lists (by reading). Sending all streams yields between messages.

One finding stays red: an id that a caller uses for two streams, begun in two domains within moments, may go on at one of them.

Who the replicas are is a module of its own now (replica_set.py).

--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -44,6 +44,7 @@
 from jujubewharf.leadership import led
 from jujubewharf.leadership import load_digests
 from jujubewharf.leadership import plain_permits
+from jujubewharf.leadership import replica_set
 from jujubewharf.leadership import shared_state
 from jujubewharf.leaving import shutdown
 from jujubewharf.overload import part_log
@@ -136,6 +137,7 @@
         self._clock = clock
         self._availability = availabilities.StoreAvailability(clock)
         self._leadership: leadership.Leadership | None = None
+        self._replicas: replica_set.ReplicaSet | None = None
         self._started_at_ms = clock.now_ms()
         self._has_finished_looking = False
         self._unknown_accounts: set[str] = set()
@@ -422,7 +424,7 @@
             self.plain_permits.queues.reset
         )
         self.fleet_retries.attach(self.fleet.followers)
-        self._origins.connect(peers.transport)
+        self._replicas = self._origins.connect(peers.transport)
         return new
 
     async def on_start(self) -> None:
@@ -439,6 +441,8 @@
         await self.add_runtime_dependency(self.paths.probes)
         if self._leadership is not None:
             await self.add_runtime_dependency(self.fleet_retries)
+            assert self._replicas is not None
+            await self.add_runtime_dependency(self._replicas)
             await self.add_runtime_dependency(self._origins)
             await self.add_runtime_dependency(self._leadership)
 
--- a/src/jujubewharf/leadership/fleet_origins.py
+++ b/src/jujubewharf/leadership/fleet_origins.py
@@ -3,48 +3,32 @@
 The instance that began a stream may be killed, which is why its caller resumes
 it elsewhere; the leader may be out of reach at the same time. So the instance
 that forwards a stream has replicas keep it, some in its own failure domain and
-some in others, and whoever is to resume it asks them directly. The leader only
-chooses the replicas; without a leader the last ones that it chose remain.
+some in others, and whoever is to resume it asks them directly.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
-from typing import Any
 
 import mode
 
 from jujubewharf import clock as clocks
-from jujubewharf import ordered_set
 from jujubewharf import restarting_service
 from jujubewharf.leadership import fleet as fleets
 from jujubewharf.leadership import origin_copies
 from jujubewharf.leadership import origin_lookup
 from jujubewharf.leadership import origin_server
-from jujubewharf.leadership import replica_choice
-from jujubewharf.leadership import replica_links
+from jujubewharf.leadership import replica_set
 from jujubewharf.leadership import shared_state
 from jujubewharf.peers import link as links
-from jujubewharf.peers import messages
 from jujubewharf.peers import origin_messages
 from jujubewharf.peers import streams
 from jujubewharf.stream_versions import origin_search
 from jujubewharf.stream_versions import origins as all_origins
 from jujubewharf.stream_versions import resume_log
 
-# Interval at which the leader looks for changes among its followers.
-_CHOICE_INTERVAL_MS = 500.0
-# Time for a replica to send all that it remembers, some megabytes at most.
-_SYNC_TIMEOUT_MS = 2_000.0
-# Replicas from which a new one wants to have heard.
-_SYNC_REPLIES = 2
-# Attempts to tell an instance whose link ended who the replicas are, and the
-# pause before each. It has mostly started again by then.
-_WELCOME_ATTEMPTS = 6
-_WELCOME_PAUSE_MS = 1_000.0
-
-_Replicas = tuple[origin_messages.ReplicaAddress, ...]
+# Interval at which missing copies are made, longer than replicas are avoided.
+_RETRY_INTERVAL_MS = 2_500.0
 
 
 class FleetOrigins(restarting_service.RestartingService):
@@ -55,9 +39,6 @@
         state: State that all instances share.
         clock: Time source.
         domain: Failure domain of this instance.
-
-    Attributes:
-        server: Serves the links of other instances.
     """
 
     def __init__(
@@ -69,38 +50,41 @@
         domain: str,
     ) -> None:
         super().__init__(clock)
-        self.server = origin_server.OriginServer(state, clock)
-        self.server.on_replicas = self._learn
-        self.server.on_link_end = self._on_link_end
         self._fleet = fleet
         self._state = state
         self._memory = state.origins
         self._domain = domain
-        self._links: replica_links.ReplicaLinks | None = None
-        self._replicas: _Replicas = ()
-        self._order = replica_choice.ReplicaOrder()
-        # Followers that have been told the replicas.
-        self._told = ordered_set.OrderedSet[links.Link]()
-        self._beside: set[asyncio.Task[None]] = set()
+        self._replicas: replica_set.ReplicaSet | None = None
+        self._copies: origin_copies.OriginCopies | None = None
+        self._copying: set[asyncio.Task[None]] = set()
 
-    def connect(self, transport: streams.Transport) -> None:
-        """Has this instance tell and ask others."""
-        assert self._fleet.hello is not None
-        assert self._fleet.followers is not None
-        self._links = replica_links.ReplicaLinks(
-            transport, self._fleet.hello, self._on_message, self._clock
+    def connect(self, transport: streams.Transport) -> replica_set.ReplicaSet:
+        """Has this instance tell and ask others.
+
+        Returns:
+            The service that knows whom.
+        """
+        replicas = self._replicas = replica_set.ReplicaSet(
+            self._fleet,
+            self._memory,
+            transport,
+            self._clock,
+            domain=self._domain,
         )
-        self._fleet.link.on_replicas = self._set_replicas
-        self._fleet.followers.on_origin_link = self.server.serve
-        self._fleet.followers.on_streams_began = self._on_followers_streams
-        self._fleet.followers.on_origin_request = self._reply_to_follower
+        self._copies = origin_copies.OriginCopies(replicas.links, self._clock)
+        server = origin_server.OriginServer(self._state, self._clock)
+        server.on_replicas = replicas.learn
+        followers = self._fleet.followers
+        assert followers is not None
+        followers.on_origin_link = server.serve
+        followers.on_streams_began = self._on_followers_streams
+        followers.on_origin_request = self._reply_to_follower
+        return replicas
 
     async def on_stop(self) -> None:
-        """Ends all links and tasks."""
-        for task in self._beside:
+        """Ends copies that are being made."""
+        for task in self._copying:
             task.cancel()
-        if self._links is not None:
-            self._links.stop()
 
     def record(
         self,
@@ -111,7 +95,7 @@
     ) -> None:
         """Records where a stream of this instance began, and tells others."""
         record = self._memory.record(key, origin, keep_ms=keep_ms)
-        self._run_beside(self._copy(record))
+        self._begin_copying(record)
         if not self._fleet.link.chooses_replicas:
             self._tell_older_leader(record)
 
@@ -120,26 +104,38 @@
         role, role_ms = self._fleet.role, self._fleet.role_ms
         counts = origin_lookup.LookupCounts()
         origin = self._memory.find(key)
-        if origin is None and self._links is not None:
+        if origin is None and self._replicas is not None:
             lookup = origin_lookup.OriginLookup(
-                self._links, self._memory, self._clock
+                self._replicas.links, self._memory, self._clock
             )
             counts = lookup.counts
-            origin = await lookup.find(key, self._order)
+            origin = await lookup.find(key, self._replicas.order)
         if origin is None:
             origin = await self._ask_older_leader(key, counts)
         return origin_search.OriginSearch(
             origin, role.value, role_ms, counts.asked, counts.answered
         )
 
+    def _begin_copying(self, record: all_origins.OriginRecord) -> None:
+        """Has replicas keep a stream, for which it doesn't wait."""
+        task = asyncio.ensure_future(self._copy(record))
+        self._copying.add(task)
+        task.add_done_callback(self._copying.discard)
+
     async def _copy(self, record: all_origins.OriginRecord) -> None:
-        copies = 0
-        if self._links is not None:
-            maker = origin_copies.OriginCopies(self._links, self._clock)
-            copies = await maker.make(record, self._order)
-        if not copies:
+        count = 0
+        if self._copies is not None and self._replicas is not None:
+            count = await self._copies.make(record, self._replicas.order)
+        if not count:
             resume_log.count_untold()
 
+    @mode.Service.task
+    async def _make_missing_copies(self) -> None:
+        while not self.should_stop:
+            await self._clock.sleep_ms(_RETRY_INTERVAL_MS)
+            if self._copies is not None and self._replicas is not None:
+                await self._copies.make_missing(self._replicas.order)
+
     def _tell_older_leader(self, record: all_origins.OriginRecord) -> None:
         message = origin_messages.StreamsBegan.from_records(
             [record], self._clock.now_ms()
@@ -165,116 +161,11 @@
     ) -> None:
         """Has the streams of a follower of an older build kept."""
         for record in message.records(self._clock.now_ms()):
-            merged = self._memory.merge(record)
-            self._run_beside(self._copy(merged))
+            self._begin_copying(self._memory.merge(record))
 
     async def _reply_to_follower(
         self, key: bytes
     ) -> origin_messages.OriginReply:
+        """Replies to a follower of an older build, which asks its leader."""
         await self.find(key)
         return self._state.origin_reply(key)
-
-    @mode.Service.task
-    async def _choose(self) -> None:
-        """Chooses the replicas while this instance leads."""
-        while not self.should_stop:
-            await self._clock.sleep_ms(_CHOICE_INTERVAL_MS)
-            if self._fleet.is_leading:
-                self._tell_replicas()
-            else:
-                self._told.clear()
-
-    def _tell_replicas(self) -> None:
-        followers, hello = self._fleet.followers, self._fleet.hello
-        assert followers is not None and hello is not None
-        capable = [
-            link
-            for link in followers.follower_links
-            if origin_messages.REPLICA_CAPABILITY in link.hello.capabilities
-        ]
-        hellos = [hello, *(link.hello for link in capable)]
-        chosen = replica_choice.choose_replicas(
-            [
-                origin_messages.ReplicaAddress(member.address, member.domain)
-                for member in hellos
-            ]
-        )
-        if chosen != self._replicas:
-            self._told.clear()
-            self._set_replicas(chosen)
-        for link in capable:
-            if link not in self._told:
-                link.tell(origin_messages.OriginReplicas(chosen))
-        self._told = ordered_set.OrderedSet(capable)
-
-    def _set_replicas(self, replicas: _Replicas) -> None:
-        hello = self._fleet.hello
-        assert hello is not None and self._links is not None
-        former, self._replicas = self._replicas, replicas
-        self._order = replica_choice.ReplicaOrder.for_instance(
-            replicas, address=hello.address, domain=self._domain
-        )
-        self._links.first_message = origin_messages.OriginReplicas(replicas)
-        self._links.retain({replica.address for replica in replicas})
-        was_replica = hello.address in {r.address for r in former}
-        is_replica = hello.address in {r.address for r in replicas}
-        if is_replica and not was_replica:
-            self._run_beside(self._synchronize())
-
-    def _learn(self, replicas: _Replicas) -> None:
-        """Uses the replicas that a peer knows until a leader tells them.
-
-        An instance that starts while no leader is within reach would know
-        nobody to ask.
-        """
-        if not self._replicas and self._links is not None:
-            self._set_replicas(replicas)
-
-    async def _synchronize(self) -> None:
-        """Asks other replicas for what they remember, the near ones first."""
-        replies = await self._request_all(self._order.near)
-        if replies < _SYNC_REPLIES:
-            await self._request_all(self._order.far)
-
-    async def _request_all(self, addresses: tuple[str, ...]) -> int:
-        assert self._links is not None
-        request = origin_messages.StreamsRequest()
-        replies = await asyncio.gather(
-            *(
-                self._links.ask(address, request, timeout_ms=_SYNC_TIMEOUT_MS)
-                for address in addresses
-            )
-        )
-        return sum(reply is not None for reply in replies)
-
-    async def _on_message(
-        self, peer: str, message: messages.Message
-    ) -> messages.Message | None:
-        """Handles what a replica sends on a link of this instance."""
-        if isinstance(message, origin_messages.StreamsBegan):
-            for record in message.records(self._clock.now_ms()):
-                self._memory.merge(record)
-        return None
-
-    def _on_link_end(self, address: str) -> None:
-        if self._fleet.role is fleets.Role.ALONE and self._replicas:
-            self._run_beside(self._welcome(address))
-
-    async def _welcome(self, address: str) -> None:
-        """Tells an instance that may have started again who the replicas are.
-
-        Without a leader nobody else does.
-        """
-        assert self._links is not None
-        for _ in range(_WELCOME_ATTEMPTS):
-            await self._clock.sleep_ms(_WELCOME_PAUSE_MS)
-            if self._fleet.role is not fleets.Role.ALONE:
-                return
-            if await self._links.reach(address):
-                return
-
-    def _run_beside(self, work: Coroutine[Any, Any, None]) -> None:
-        """Runs what a stream must not wait for."""
-        task = asyncio.ensure_future(work)
-        self._beside.add(task)
-        task.add_done_callback(self._beside.discard)
--- a/src/jujubewharf/leadership/leader_link.py
+++ b/src/jujubewharf/leadership/leader_link.py
@@ -236,8 +236,8 @@
                 | origin_messages.VersionsSeen()
             ):
                 self._state.apply(message)
-            case origin_messages.OriginReplicas(replicas=replicas):
-                self.on_replicas(replicas)
+            case origin_messages.OriginReplicas():
+                self.on_replicas(message.bounded())
             case leader_messages.EndpointUpdate() if self._knows_versions:
                 records = [_table_record(r) for r in message.records]
                 self._feeds.endpoints.apply(
--- a/src/jujubewharf/leadership/origin_lookup.py
+++ b/src/jujubewharf/leadership/origin_lookup.py
@@ -18,7 +18,7 @@
 _NEAR_TIMEOUT_MS = 50.0
 # Time after which the stream counts as unknown. Callers leave a stream after
 # two seconds without an event.
-_SEARCH_TIMEOUT_MS = 500.0
+_SEARCH_TIMEOUT_MS = 900.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/jujubewharf/leadership/origin_server.py
+++ b/src/jujubewharf/leadership/origin_server.py
@@ -14,6 +14,10 @@
 from jujubewharf.peers import origin_messages
 from jujubewharf.peers import streams
 
+# Silence after which a link is closed; it is dialled again when it is needed.
+_IDLE_MS = 120_000.0
+_CHECK_INTERVAL_MS = 10_000.0
+
 
 class OriginServer:
     """Serves the links that other instances open to tell and ask.
@@ -24,7 +28,6 @@
 
     Attributes:
         on_replicas: Called with the replicas that a peer knows.
-        on_link_end: Called with the address of a peer whose link ended.
     """
 
     def __init__(
@@ -34,7 +37,6 @@
             [tuple[origin_messages.ReplicaAddress, ...]], None
         ]
         self.on_replicas = lambda replicas: None
-        self.on_link_end: Callable[[str], None] = lambda address: None
         self._state = state
         self._clock = clock
         self._counts = counters.PeerCounters()
@@ -50,7 +52,7 @@
         async def dispatch(
             peer: str, message: messages.Message
         ) -> messages.Message | None:
-            return self.handle(link, message)
+            return await self._handle(link, message)
 
         link = links.Link(
             hello,
@@ -62,26 +64,45 @@
             counts=self._counts,
             dispatch=dispatch,
         )
+        await self._run(link)
+
+    async def _run(self, link: links.Link) -> None:
+        """Runs a link until it ends, or has been idle for long.
+
+        The end of a peer that is cut off never arrives.
+        """
+        running = asyncio.ensure_future(link.run())
         try:
-            await link.run()
+            while not running.done():
+                await asyncio.wait(
+                    [running], timeout=_CHECK_INTERVAL_MS / clocks.MS_PER_S
+                )
+                if self._clock.now_ms() - link.last_heard_ms > _IDLE_MS:
+                    break
         finally:
-            self.on_link_end(hello.address)
+            link.close()
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
 
-    def handle(
+    async def _handle(
         self, link: links.Link, message: messages.Message
     ) -> messages.Message | None:
         """Returns the reply to a message; ``None`` for those without one."""
         match message:
             case origin_messages.StreamCopy():
-                now_ms = self._clock.now_ms()
-                self._state.origins.merge(message.record(now_ms))
+                stream = message.stream()
+                if not stream.is_bounded:
+                    return None
+                self._state.origins.merge(stream.record(self._clock.now_ms()))
                 return origin_messages.StreamsKept()
             case origin_messages.OriginRequest(key=key):
                 return self._state.origin_reply(key)
             case origin_messages.StreamsRequest():
                 for remembered in self._state.stream_messages():
                     link.tell(remembered)
+                    # Thousands of streams take tenths of a second to encode.
+                    await asyncio.sleep(0)
                 return origin_messages.StreamsKept()
-            case origin_messages.OriginReplicas(replicas=replicas):
-                self.on_replicas(replicas)
+            case origin_messages.OriginReplicas():
+                self.on_replicas(message.bounded())
         return None
--- a/src/jujubewharf/leadership/replica_links.py
+++ b/src/jujubewharf/leadership/replica_links.py
@@ -22,12 +22,14 @@
 from jujubewharf.peers import streams
 
 # A replica that is reached answers within some milliseconds, unless it is busy.
-ASK_TIMEOUT_MS = 300.0
+_ASK_TIMEOUT_MS = 300.0
 # Over a slow network a handshake takes longer than a request may wait. The link
 # is opened all the same, for the requests after it.
 _DIAL_TIMEOUT_MS = 3_000.0
 # Silence after which a link is closed once a request on it gets no reply.
 _SILENT_MS = 1_000.0
+# Requests on a link at a time. The other side refuses more than it handles.
+_MAX_PENDING = 100
 # Time for which a replica without a reply is the last to be chosen.
 _AVOID_MS = 2_000.0
 
@@ -62,6 +64,7 @@
         self._dialling: dict[str, asyncio.Task[links.Link]] = {}
         self._running: set[asyncio.Task[None]] = set()
         self._avoided_until_ms: dict[str, float] = {}
+        self._turns: dict[str, asyncio.Semaphore] = {}
 
     def is_avoided(self, address: str) -> bool:
         """Whether a replica has failed to reply of late."""
@@ -73,7 +76,7 @@
         address: str,
         message: messages.Message,
         *,
-        timeout_ms: float = ASK_TIMEOUT_MS,
+        timeout_ms: float = _ASK_TIMEOUT_MS,
     ) -> messages.Message | None:
         """Returns a replica's reply; ``None`` without one in time."""
         until_ms = self._clock.now_ms() + timeout_ms
@@ -83,9 +86,11 @@
         except (handshake.RefusedHelloError, OSError, TimeoutError):
             self._avoid(address)
             return None
-        left_ms = max(1.0, until_ms - self._clock.now_ms())
+        turns = self._turns.setdefault(address, asyncio.Semaphore(_MAX_PENDING))
         try:
-            return await link.ask(message, timeout_ms=left_ms)
+            async with turns:
+                left_ms = max(1.0, until_ms - self._clock.now_ms())
+                return await link.ask(message, timeout_ms=left_ms)
         except network.PeerError:
             self._avoid(address)
             if self._clock.now_ms() - link.last_heard_ms > _SILENT_MS:
@@ -109,6 +114,11 @@
         for address, link in list(self._links.items()):
             if address not in addresses:
                 link.close()
+        self._turns = {
+            address: turns
+            for address, turns in self._turns.items()
+            if address in addresses
+        }
         self._avoided_until_ms = {
             address: until_ms
             for address, until_ms in self._avoided_until_ms.items()
--- a/src/jujubewharf/peers/origin_messages.py
+++ b/src/jujubewharf/peers/origin_messages.py
@@ -23,6 +23,9 @@
 
 # Bounds of what a message may state.
 _MAX_STREAMS = 1_000
+_MAX_KEY_BYTES = 64
+_MAX_TEXT = 256
+_MAX_REPLICAS = 1_000
 _MAX_VERSIONS = 10_000
 _MAX_MS = 3_600_000
 
@@ -45,6 +48,14 @@
     age_ms: int
     left_ms: int
 
+    @property
+    def is_bounded(self) -> bool:
+        """Whether it takes no more memory than a stream should."""
+        texts = (self.service, self.version or "")
+        return len(self.key) <= _MAX_KEY_BYTES and all(
+            len(text) <= _MAX_TEXT for text in texts
+        )
+
     @classmethod
     def from_record(
         cls, record: origins.OriginRecord, now_ms: float
@@ -86,7 +97,8 @@
     def records(self, now_ms: float) -> Iterator[origins.OriginRecord]:
         """Returns the streams with clock readings of the receiver."""
         for stream in itertools.islice(self.streams, _MAX_STREAMS):
-            yield stream.record(now_ms)
+            if stream.is_bounded:
+                yield stream.record(now_ms)
 
 
 @messages.message(191)
@@ -144,11 +156,11 @@
             stream.left_ms,
         )
 
-    def record(self, now_ms: float) -> origins.OriginRecord:
-        """Returns the stream with clock readings of the receiver."""
+    def stream(self) -> BegunStream:
+        """Returns the stream."""
         return BegunStream(
             self.key, self.service, self.version, self.age_ms, self.left_ms
-        ).record(now_ms)
+        )
 
 
 @messages.message(195)
@@ -186,6 +198,10 @@
 
     replicas: tuple[ReplicaAddress, ...]
 
+    def bounded(self) -> tuple[ReplicaAddress, ...]:
+        """Returns the replicas, up to the largest number that is accepted."""
+        return self.replicas[:_MAX_REPLICAS]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KnownVersion:
--- a/tests/leadership/test_older_origins.py
+++ b/tests/leadership/test_older_origins.py
@@ -38,7 +38,7 @@
     # The parts of an instance share its hello.
     object.__setattr__(hello, "capabilities", tuple(sorted(kept)))
     instance.fleet.link.__class__ = _OlderLink
-    instance._origins._tell_replicas = lambda: None
+    instance._replicas._tell_followers = lambda: None
     # Links that were opened before have the newer hello.
     for link in list(instance.fleet.followers.follower_links):
         link.close()
