Followers: endpoints are published by a module of its own

What sends the endpoints' changes is endpoint_publisher.py now; no behaviour changes. One test names the moved private set.

--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -14,7 +14,7 @@
 from jujubewharf.configuration import resources
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import state_log
-from jujubewharf.leadership import endpoint_records
+from jujubewharf.leadership import endpoint_publisher
 from jujubewharf.leadership import packing
 from jujubewharf.leadership import placement_server as servers
 from jujubewharf.leadership import shared_state
@@ -71,18 +71,6 @@
     return origin_messages.OriginReply(None)
 
 
-class _ReadProgress:
-    """End offset up to which a table was read, and the time of that read."""
-
-    def __init__(self) -> None:
-        self.end = 0
-        self.confirmed_ms: float | None = None
-
-    def read(self, end: int, now_ms: float) -> None:
-        self.end = max(self.end, end)
-        self.confirmed_ms = now_ms
-
-
 class Followers:
     """Accepts the links of followers while this instance leads.
 
@@ -158,18 +146,14 @@
         self._clock = clock
         self._state = state
         self._links = ordered_set.OrderedSet[links.Link]()
-        # Offset up to which each follower has read the endpoints, for followers
-        # that have not been sent the later changes yet.
-        self._unsent_since: dict[links.Link, int] = {}
-        # Followers that are sent each change of endpoints.
-        self._updated_links: set[links.Link] = set()
+        self._endpoints = endpoint_publisher.EndpointPublisher(
+            self._links, counts, clock
+        )
         # Followers that have not been sent a configuration yet.
         self._unconfigured = ordered_set.OrderedSet[links.Link]()
         self._configuration: leader_messages.ConfigurationUpdate | None = None
-        self._endpoints = endpoint_records.EndpointRecords()
         self._low_accounts = quota_messages.LowAccounts(())
-        self._endpoints_read = _ReadProgress()
-        self._configurations_read = _ReadProgress()
+        self._configurations_read = endpoint_publisher.ReadProgress()
 
     def __len__(self) -> int:
         return len(self._links)
@@ -240,7 +224,7 @@
             match message:
                 case leader_messages.FollowerHello(endpoints_end=end):
                     self._epoch.learn(end)
-                    self._add_follower(link, end)
+                    self._endpoints.add(link, end)
                     return None
                 case demand_messages.RetryDemand():
                     self.on_retry_demand(link, message)
@@ -290,8 +274,7 @@
             await link.run()
         finally:
             self._links.discard(link)
-            self._updated_links.discard(link)
-            self._unsent_since.pop(link, None)
+            self._endpoints.remove(link)
             self._unconfigured.discard(link)
             self._lost_at_ms[link.peer] = self._clock.now_ms()
             self.on_link_end(link)
@@ -304,7 +287,7 @@
             term: Generation of the lease.
         """
         self.term = term
-        self._endpoints_read.confirmed_ms = None
+        self._endpoints.progress.confirmed_ms = None
         self._configurations_read.confirmed_ms = None
         self._low_accounts = quota_messages.LowAccounts(())
         self.is_leading = True
@@ -446,76 +429,24 @@
         *,
         is_full_read: bool,
     ) -> None:
-        """Records endpoints read from the store, and broadcasts changed ones.
-
-        Engines rewrite their records about every second; unchanged ones are not
-        sent.
-        """
-        changed = self._endpoints.update(
-            records, end, is_full_read=is_full_read
-        )
-        self._endpoints_read.read(end, self._clock.now_ms())
-        data = self._encode_changes(changed, end)
-        for link in self._links:
-            if link in self._unsent_since:
-                self._send_changes_since(link)
-            elif changed and link in self._updated_links:
-                link.tell_encoded(data)
-
-    def _encode_changes(
-        self, changed: tuple[leader_messages.EndpointRecord, ...], end: int
-    ) -> bytes:
-        """Encodes changed endpoints, without those that can't be."""
-        update = _frame(leader_messages.EndpointUpdate(changed, end))
-        data = codec.encode_or_drop(update, self._counts)
-        if data is None:
-            changed = self._endpoints.reject_unencodable(changed)
-            data = codec.encode(
-                _frame(leader_messages.EndpointUpdate(changed, end))
-            )
-        return data
-
-    def _add_follower(self, link: links.Link, endpoints_end: int) -> None:
-        """Starts to send endpoint changes from an offset on to a follower."""
-        if link not in self._links:
-            return
-        self._unsent_since[link] = endpoints_end
-        if self._endpoints_read.confirmed_ms is not None:
-            self._send_changes_since(link)
-
-    def _send_changes_since(self, link: links.Link) -> None:
-        """Sends a follower the endpoint changes since it read the table.
-
-        Sending the whole table would saturate the leader's link when hundreds
-        of followers connect at the same time. With 100 followers and 1,000
-        endpoints the leader held 103 MB, and served requests only 6.5 s after
-        a restart of all instances.
-        """
-        since = self._unsent_since.pop(link)
-        self._updated_links.add(link)
-        records = self._endpoints.changed_since(since)
-        end = self._endpoints_read.end
-        complete_from = self._endpoints.complete_from
-        keys_digest = None
-        if complete_from is None or since < complete_from:
-            keys_digest = self._endpoints.keys_digest
-        link.tell(leader_messages.EndpointUpdate(records, end, keys_digest))
+        """Records endpoints read from the store, and broadcasts changes."""
+        self._endpoints.publish(records, end, is_full_read=is_full_read)
 
     def _heartbeat(self) -> leader_messages.LeaderHeartbeat:
+        now_ms = self._clock.now_ms()
+        endpoints, configurations = (
+            self._endpoints.progress,
+            self._configurations_read,
+        )
         return leader_messages.LeaderHeartbeat(
-            configuration_end=self._configurations_read.end,
-            configuration_age_ms=self._age_ms(self._configurations_read),
-            endpoints_end=self._endpoints_read.end,
-            endpoints_age_ms=self._age_ms(self._endpoints_read),
+            configuration_end=configurations.end,
+            configuration_age_ms=configurations.age_ms(now_ms),
+            endpoints_end=endpoints.end,
+            endpoints_age_ms=endpoints.age_ms(now_ms),
             instances=self.instances,
             epoch=self._epoch.current,
         )
 
-    def _age_ms(self, progress: _ReadProgress) -> int:
-        if progress.confirmed_ms is None:
-            return leader_messages.NEVER_READ_AGE_MS
-        return int(self._clock.now_ms() - progress.confirmed_ms)
-
 
 def _frame(message: messages.Message) -> codec.Frame:
     return codec.Frame(codec.FrameKind.TELL, 0, message)
--- a/tests/leadership/test_followers.py
+++ b/tests/leadership/test_followers.py
@@ -62,7 +62,7 @@
 
     async def main():
         followers._links.add(link)
-        followers._updated_links.add(link)
+        followers._endpoints._updated_links.add(link)
         assert publish(0, 5) == 1
         assert publish(0, 9) == 0
         assert publish(1, 7) == 1
