--- a/src/jujubewharf/restarting_service.py
+++ b/src/jujubewharf/restarting_service.py
@@ -33,10 +33,10 @@
         self._clock = clock
 
     def _get_tasks(self) -> Iterable[ServiceTask]:
-        return [
-            ServiceTask(self._restarting(task.fun))
-            for task in super()._get_tasks()
-        ]
+        # The library keeps their names in a set, whose order differs between
+        # processes.
+        tasks = sorted(super()._get_tasks(), key=_task_name)
+        return [ServiceTask(self._restarting(task.fun)) for task in tasks]
 
     def _restarting(
         self, run_task: Callable[..., Awaitable[object]]
@@ -52,3 +52,7 @@
                 await self._clock.sleep_ms(RESTART_PAUSE_MS)
 
         return run
+
+
+def _task_name(task: ServiceTask) -> str:
+    return task.fun.__name__
--- a/tests/test_restarting_service.py
+++ b/tests/test_restarting_service.py
@@ -54,3 +54,35 @@
         assert child.rounds == rounds
 
     virtual_time.run(main())
+
+
+class _Ordered(restarting_service.RestartingService):
+    def __init__(self, clock: clocks.Clock) -> None:
+        super().__init__(clock)
+        self.begun: list[str] = []
+
+    @mode.Service.task
+    async def _one(self) -> None:
+        self.begun.append("one")
+
+    @mode.Service.task
+    async def _two(self) -> None:
+        self.begun.append("two")
+
+    @mode.Service.task
+    async def _four(self) -> None:
+        self.begun.append("four")
+
+
+# The order of a set of names decided, so that runs of one seed differed between
+# processes.
+def test_tasks_begin_in_the_order_of_their_names():
+    async def main():
+        clock = clocks.Clock(wall_origin_ms=0.0)
+        service = _Ordered(clock)
+        await service.start()
+        await clock.sleep_ms(10.0)
+        await service.stop()
+        assert service.begun == ["four", "one", "two"]
+
+    virtual_time.run(main())
