--- a/tests/peers/test_hostile.py
+++ b/tests/peers/test_hostile.py
@@ -210,6 +210,7 @@
             None,
             0,
             False,
+            False,
             "new",
         ]
         parts = [
