--- a/review/second/system.py
+++ b/review/second/system.py
@@ -197,13 +197,10 @@
 
     async def start(self, start_engine: EngineStarter) -> None:
         """Starts all processes and waits until the instances are ready."""
-        await self.start_store(_configuration())
+        await self.start_store(stream_configuration(SLOTS))
         for number, stage in enumerate(STAGES):
             name = f"{stage}-{number}"
-            options = ["--name", name, "--service", SERVICE, "--stage", stage]
-            options += ["--zone", "hall-a", "--store", self.store]
-            options += ["--slots", str(SLOTS), "--event_ms", str(EVENT_MS)]
-            options += ["--runs", str(self.processes.folder / f"{name}.runs")]
+            options = engine_options(self, name, stage)
             await start_engine(name, options)
         await self.start_instances()
 
@@ -326,17 +323,12 @@
     }
 
 
-def first_line(process: subprocess.Popen) -> str:
-    """Returns the first line that a process prints."""
-    assert process.stdout is not None
-    return process.stdout.readline().decode().strip()
-
-
-def _answer(request_id: str, count: int) -> bytes:
-    return b"".join(answers.event(request_id, n + 1) for n in range(count))
-
+def stream_configuration(slots: int) -> dict:
+    """Returns a configuration with one route of streams.
 
-def _configuration() -> dict:
+    Args:
+        slots: Requests that an engine runs at once.
+    """
     route = {
         "name": "summary",
         "host": HOST,
@@ -352,7 +344,7 @@
         "gapSloMs": 300,
     }
     engine = {
-        "slots": SLOTS,
+        "slots": slots,
         "kvTokens": 60_000,
         "handleTtlS": 3.0,
         "switchS": 6.0,
@@ -361,3 +353,24 @@
     }
     service = {"name": SERVICE, "healthPath": "/healthz", "engine": engine}
     return configuration([route], [service])
+
+
+def engine_options(
+    system: System, name: str, stage: str, *, slots: int = SLOTS
+) -> list[str]:
+    """Returns the options of a stand-in engine's command line."""
+    options = ["--name", name, "--service", SERVICE, "--stage", stage]
+    options += ["--zone", "hall-a", "--store", system.store]
+    options += ["--slots", str(slots), "--event_ms", str(EVENT_MS)]
+    runs = system.processes.folder / f"{name}.runs"
+    return [*options, "--runs", str(runs)]
+
+
+def first_line(process: subprocess.Popen) -> str:
+    """Returns the first line that a process prints."""
+    assert process.stdout is not None
+    return process.stdout.readline().decode().strip()
+
+
+def _answer(request_id: str, count: int) -> bytes:
+    return b"".join(answers.event(request_id, n + 1) for n in range(count))
