Held memory: a package of its own, below all that hold bytes

The account of memory stood in the callers' package and its modules imported each other in a circle, so nothing but the callers' edge could use it. A lease now states by a protocol what it needs of its account. No behaviour changes.

--- a/src/jujubewharf/callers/completions.py
+++ b/src/jujubewharf/callers/completions.py
@@ -15,7 +15,6 @@
 from jujubewharf import errors
 from jujubewharf import hashing
 from jujubewharf.callers import accounts
-from jujubewharf.callers import bodies
 from jujubewharf.callers import error_responses
 from jujubewharf.callers import event_stream
 from jujubewharf.callers import openai_bodies
@@ -23,6 +22,7 @@
 from jujubewharf.callers import services
 from jujubewharf.configuration import resources
 from jujubewharf.engines import prefixes
+from jujubewharf.held_memory import bodies
 from jujubewharf.requests import model_request
 from jujubewharf.settings import models
 
--- a/src/jujubewharf/callers/plain.py
+++ b/src/jujubewharf/callers/plain.py
@@ -11,7 +11,6 @@
 from jujubewharf import clock as clocks
 from jujubewharf import errors
 from jujubewharf.callers import accounts
-from jujubewharf.callers import bodies
 from jujubewharf.callers import error_responses
 from jujubewharf.callers import hop_headers
 from jujubewharf.callers import openai_bodies
@@ -19,6 +18,7 @@
 from jujubewharf.callers import services
 from jujubewharf.configuration import resources
 from jujubewharf.engines import endpoint_client
+from jujubewharf.held_memory import bodies
 from jujubewharf.requests import plain
 from jujubewharf.settings import models
 
--- a/src/jujubewharf/callers/request_bodies.py
+++ b/src/jujubewharf/callers/request_bodies.py
@@ -6,16 +6,16 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
-from jujubewharf.callers import bodies
-from jujubewharf.callers import held_leases
 from jujubewharf.forwarding import routes
+from jujubewharf.held_memory import bodies
+from jujubewharf.held_memory import leases
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 async def read(
     request: web.BaseRequest,
-    lease: held_leases.Lease,
+    lease: leases.Lease,
     limits: routes.CallerLimits,
     clock: clocks.Clock,
 ) -> bytes:
--- a/src/jujubewharf/callers/held_memory_log.py
+++ b/src/jujubewharf/held_memory/account_log.py
@@ -2,21 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from typing import TYPE_CHECKING
-
 from opentelemetry import metrics
 import structlog
 
-if TYPE_CHECKING:
-    from jujubewharf.callers import held_memory
-
 _METER = metrics.get_meter("jujubewharf")
 _REFUSALS = _METER.create_counter(
     "callers.memory_refusals",
     description="Requests refused because memory for them was full.",
 )
-_Observation = metrics.Observation
 
 
 def log_refusal(
@@ -48,36 +41,3 @@
         bound_bytes=bound_bytes,
         resident_bytes=resident_bytes,
     )
-
-
-def register_gauges(account: held_memory.HeldMemory) -> None:
-    """Registers the gauges of an account; call it once per process."""
-
-    def held(options: metrics.CallbackOptions) -> Iterable[_Observation]:
-        for kind, size_bytes in account.held.items():
-            yield _Observation(size_bytes, {"kind": kind.value})
-
-    def bound(options: metrics.CallbackOptions) -> Iterable[_Observation]:
-        yield _Observation(account.bound_bytes)
-
-    def waiting(options: metrics.CallbackOptions) -> Iterable[_Observation]:
-        yield _Observation(account.waiting_bytes)
-
-    _METER.create_observable_gauge(
-        "callers.held_memory",
-        [held],
-        unit="By",
-        description="Memory held for callers, by kind.",
-    )
-    _METER.create_observable_gauge(
-        "callers.held_memory_bound",
-        [bound],
-        unit="By",
-        description="Most memory that is held for callers.",
-    )
-    _METER.create_observable_gauge(
-        "callers.memory_waiting",
-        [waiting],
-        unit="By",
-        description="Memory that unread requests wait for.",
-    )
--- a/src/jujubewharf/callers/bodies.py
+++ b/src/jujubewharf/held_memory/bodies.py
@@ -9,8 +9,8 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
-from jujubewharf.callers import held_leases
-from jujubewharf.callers import held_memory
+from jujubewharf.held_memory import leases
+from jujubewharf.held_memory import memory_account
 
 CHUNK_BYTES = 65_536
 # Memory is taken in such steps for a body whose size was not told.
@@ -36,7 +36,7 @@
     *,
     max_bytes: int,
     timeout_ms: float,
-    lease: held_leases.Lease | None = None,
+    lease: leases.Lease | None = None,
     expected_bytes: int | None = None,
 ) -> bytes:
     """Reads a whole body, and holds it once.
@@ -55,7 +55,7 @@
         WharfError: ``BODY_TOO_LARGE``, ``SLOW_BODY`` or ``MEMORY_FULL``.
     """
     if lease is None:
-        lease = held_memory.HeldMemory(clock, bound_bytes=sys.maxsize).new()
+        lease = memory_account.HeldMemory(clock, bound_bytes=sys.maxsize).new()
     # Joined parts would be held beside the body that is made from them; the
     # buffer's own bytes are the body.
     buffer = io.BytesIO(bytes(min(expected_bytes or 0, max_bytes)))
@@ -80,7 +80,7 @@
     return buffer.getvalue()
 
 
-async def _take_more(lease: held_leases.Lease, *, is_first: bool) -> None:
+async def _take_more(lease: leases.Lease, *, is_first: bool) -> None:
     """Takes memory for the next part of a body whose size was not told."""
     size_bytes = int(_GROWTH_BYTES * _GROWTH_FACTOR)
     if is_first:
--- a/src/jujubewharf/callers/held_leases.py
+++ b/src/jujubewharf/held_memory/leases.py
@@ -7,13 +7,10 @@
 from collections.abc import Iterator
 import contextlib
 import enum
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from jujubewharf import errors
-from jujubewharf.callers import held_memory_log
-
-if TYPE_CHECKING:
-    from jujubewharf.callers import held_memory
+from jujubewharf.held_memory import account_log
 
 # A body that gets fewer bytes than this in the time is slow, and makes room
 # for others.
@@ -29,6 +26,30 @@
     UNSENT = "unsent"
 
 
+class Account(Protocol):
+    """What a lease needs of the account that its memory is taken from."""
+
+    arrived_bytes: int
+
+    def now_ms(self) -> float:
+        """Returns the clock's reading."""
+        ...
+
+    async def take(
+        self, lease: Lease, size_bytes: int, *, is_growth: bool
+    ) -> None:
+        """Takes memory for a lease."""
+        ...
+
+    def add(self, lease: Lease, kind: Kind, size_bytes: int) -> None:
+        """Adds memory to a lease; takes it away if negative."""
+        ...
+
+    def full_error(self, lease: Lease) -> errors.WharfError:
+        """Returns the error of a request for which there is no memory."""
+        ...
+
+
 class Lease:
     """Memory that is held for one request.
 
@@ -38,7 +59,9 @@
     """
 
     def __init__(
-        self, account: held_memory.HeldMemory, caller_timeout_ms: float | None
+        self,
+        account: Account,
+        caller_timeout_ms: float | None,
     ) -> None:
         self.caller_timeout_ms = caller_timeout_ms
         self.held: collections.Counter[Kind] = collections.Counter()
@@ -103,7 +126,7 @@
     def evict(self) -> None:
         """Ends the reading of the body."""
         assert self._on_evicted is not None
-        held_memory_log.log_eviction(self.held[Kind.BODY], is_slow=self.is_slow)
+        account_log.log_eviction(self.held[Kind.BODY], is_slow=self.is_slow)
         self.is_evicted = True
         self._on_evicted()
         self._on_evicted = None
--- a/src/jujubewharf/callers/held_memory.py
+++ b/src/jujubewharf/held_memory/memory_account.py
@@ -15,8 +15,8 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
-from jujubewharf.callers import held_leases
-from jujubewharf.callers import held_memory_log
+from jujubewharf.held_memory import account_log
+from jujubewharf.held_memory import leases
 
 # Most that is held where no figure of the memory is given.
 DEFAULT_BOUND_BYTES = 83_886_080
@@ -43,7 +43,7 @@
 class _Waiter:
     """A request that waits for memory, of which nothing is read meanwhile."""
 
-    lease: held_leases.Lease
+    lease: leases.Lease
     size_bytes: int
     is_growth: bool
     granted: asyncio.Future[None]
@@ -54,17 +54,15 @@
         size_bytes = self.size_bytes
         if self.is_growth:
             # What has been read of it is lost if it is refused.
-            size_bytes = -self.lease.held[held_leases.Kind.BODY]
+            size_bytes = -self.lease.held[leases.Kind.BODY]
         is_large = self.size_bytes > SMALL_BYTES
         return is_large, not self.is_growth, size_bytes
 
     @property
-    def kind(self) -> held_leases.Kind:
+    def kind(self) -> leases.Kind:
         """What the memory is counted as."""
         is_large = self.size_bytes > SMALL_BYTES
-        return (
-            held_leases.Kind.BODY if is_large else held_leases.Kind.SMALL_BODY
-        )
+        return leases.Kind.BODY if is_large else leases.Kind.SMALL_BODY
 
     @property
     def was_granted(self) -> bool:
@@ -93,12 +91,12 @@
         bound_bytes: int = DEFAULT_BOUND_BYTES,
     ) -> None:
         self.bound_bytes = bound_bytes
-        self.held: collections.Counter[held_leases.Kind] = collections.Counter()
+        self.held: collections.Counter[leases.Kind] = collections.Counter()
         self.arrived_bytes = 0
         self.on_check: Callable[[], None] = lambda: None
         self._checked_at_ms: float | None = None
         self._clock = clock
-        self._leases: set[held_leases.Lease] = set()
+        self._leases: set[leases.Lease] = set()
         self._waiting: list[_Waiter] = []
         self._freed: collections.deque[tuple[float, int]] = collections.deque()
 
@@ -119,9 +117,9 @@
         """Returns the clock's reading."""
         return self._clock.now_ms()
 
-    def new(self, caller_timeout_ms: float | None = None) -> held_leases.Lease:
+    def new(self, caller_timeout_ms: float | None = None) -> leases.Lease:
         """Returns a lease that is never released; see ``lease``."""
-        lease = held_leases.Lease(self, caller_timeout_ms)
+        lease = leases.Lease(self, caller_timeout_ms)
         self._leases.add(lease)
         return lease
 
@@ -134,9 +132,7 @@
             self.on_check()
 
     @contextlib.contextmanager
-    def lease(
-        self, caller_timeout_ms: float | None
-    ) -> Iterator[held_leases.Lease]:
+    def lease(self, caller_timeout_ms: float | None) -> Iterator[leases.Lease]:
         """Lends memory to a request for the block.
 
         Args:
@@ -150,7 +146,7 @@
             self._release(lease)
 
     async def take(
-        self, lease: held_leases.Lease, size_bytes: int, *, is_growth: bool
+        self, lease: leases.Lease, size_bytes: int, *, is_growth: bool
     ) -> None:
         """Takes memory for a lease; see ``Lease.take``."""
         granted = asyncio.get_running_loop().create_future()
@@ -163,7 +159,7 @@
             await self._wait(waiter)
 
     def add(
-        self, lease: held_leases.Lease, kind: held_leases.Kind, size_bytes: int
+        self, lease: leases.Lease, kind: leases.Kind, size_bytes: int
     ) -> None:
         """Adds memory to a lease; takes it away if negative."""
         self.held[kind] += size_bytes
@@ -178,7 +174,7 @@
             return self.total_bytes + size_bytes <= most_bytes
         # Small requests keep their part also while the bound is falling.
         return (
-            self.held[held_leases.Kind.SMALL_BODY] + size_bytes <= kept_bytes
+            self.held[leases.Kind.SMALL_BODY] + size_bytes <= kept_bytes
             or self.total_bytes + size_bytes <= self.bound_bytes
         )
 
@@ -236,19 +232,16 @@
             Whether there was one of which less was read than of this one.
         """
         read_bytes = (
-            waiter.lease.held[held_leases.Kind.BODY] if waiter.is_growth else 0
+            waiter.lease.held[leases.Kind.BODY] if waiter.is_growth else 0
         )
         growing = [
             other
             for other in self._leases
-            if other.is_growing
-            and other.held[held_leases.Kind.BODY] < read_bytes
+            if other.is_growing and other.held[leases.Kind.BODY] < read_bytes
         ]
         if not growing:
             return False
-        min(
-            growing, key=lambda other: other.held[held_leases.Kind.BODY]
-        ).evict()
+        min(growing, key=lambda other: other.held[leases.Kind.BODY]).evict()
         return True
 
     def _evict_slow(self, waiter: _Waiter) -> None:
@@ -256,11 +249,11 @@
         missing_bytes = self.total_bytes + self.waiting_bytes
         missing_bytes += waiter.size_bytes - self.bound_bytes
         slow = [other for other in self._leases if other.is_slow]
-        slow.sort(key=lambda other: other.held[held_leases.Kind.BODY])
+        slow.sort(key=lambda other: other.held[leases.Kind.BODY])
         while slow and missing_bytes > 0:
             chosen = slow.pop()
             if chosen is not waiter.lease:
-                missing_bytes -= chosen.held[held_leases.Kind.BODY]
+                missing_bytes -= chosen.held[leases.Kind.BODY]
                 chosen.evict()
 
     def _free_in_ms(self, waiter: _Waiter) -> float:
@@ -272,7 +265,7 @@
             if other.rank <= waiter.rank
         )
         missing_bytes -= sum(
-            lease.held[held_leases.Kind.BODY]
+            lease.held[leases.Kind.BODY]
             for lease in self._leases
             if lease.is_evicted
         )
@@ -294,7 +287,7 @@
         return sum(size_bytes for _, size_bytes in self._freed)
 
     def _full_error(self, waiter: _Waiter) -> errors.WharfError:
-        held_memory_log.log_refusal(
+        account_log.log_refusal(
             waiter.size_bytes,
             held_bytes=self.total_bytes,
             bound_bytes=self.bound_bytes,
@@ -303,7 +296,7 @@
         return self.full_error(waiter.lease, self._free_in_ms(waiter))
 
     def full_error(
-        self, lease: held_leases.Lease, free_in_ms: float = 0.0
+        self, lease: leases.Lease, free_in_ms: float = 0.0
     ) -> errors.WharfError:
         """Returns the error of a request for which there is no memory."""
         after_ms = min(max(free_in_ms, _MIN_RETRY_MS), _MAX_RETRY_MS)
@@ -314,11 +307,11 @@
             errors.ErrorKind.MEMORY_FULL, retry_after_ms=after_ms
         )
 
-    def _release(self, lease: held_leases.Lease) -> None:
+    def _release(self, lease: leases.Lease) -> None:
         self.held.subtract(lease.held)
         self.arrived_bytes -= lease.arrived_bytes
         lease.arrived_bytes = 0
-        if lease.held[held_leases.Kind.BODY]:
-            self._record_freed(lease.held[held_leases.Kind.BODY])
+        if lease.held[leases.Kind.BODY]:
+            self._record_freed(lease.held[leases.Kind.BODY])
         lease.held.clear()
         self._grant()
--- a/src/jujubewharf/callers/memory_bound.py
+++ b/src/jujubewharf/held_memory/memory_bound.py
@@ -7,8 +7,9 @@
 import pathlib
 
 from jujubewharf import clock as clocks
-from jujubewharf.callers import held_memory
-from jujubewharf.callers import held_memory_log
+from jujubewharf.held_memory import account_log
+from jujubewharf.held_memory import gauges
+from jujubewharf.held_memory import memory_account
 
 _MEMORY_INFO = pathlib.Path("/proc/meminfo")
 _OWN_PAGES = pathlib.Path("/proc/self/statm")
@@ -27,7 +28,7 @@
 
 def new_account(
     clock: clocks.Clock, memory_mb: float | None
-) -> held_memory.HeldMemory:
+) -> memory_account.HeldMemory:
     """Creates the account of an instance; call it once per process.
 
     Args:
@@ -36,18 +37,16 @@
             none.
     """
     return_large_blocks()
-    account = held_memory.HeldMemory(clock)
+    account = memory_account.HeldMemory(clock)
     account.on_check = lambda: _update_bound(account, memory_mb)
     account.check_bound()
-    held_memory_log.log_bound(
-        account.bound_bytes, resident_bytes=resident_bytes()
-    )
-    held_memory_log.register_gauges(account)
+    account_log.log_bound(account.bound_bytes, resident_bytes=resident_bytes())
+    gauges.register_gauges(account)
     return account
 
 
 def _update_bound(
-    account: held_memory.HeldMemory, memory_mb: float | None
+    account: memory_account.HeldMemory, memory_mb: float | None
 ) -> None:
     """Bounds what is held by what the instance doesn't need itself now."""
     account.bound_bytes = bound_bytes(
@@ -78,7 +77,7 @@
     """
     if memory_mb is None:
         # The machine may be a host that many processes share.
-        memory, most = _machine_bytes(), held_memory.DEFAULT_BOUND_BYTES
+        memory, most = _machine_bytes(), memory_account.DEFAULT_BOUND_BYTES
     else:
         memory = most = int(memory_mb * _BYTES_PER_MB)
     left = int(memory * (1 - _OWN_GROWTH_SHARE)) - own_bytes
@@ -103,4 +102,4 @@
                 return int(value.split()[0]) * _KIB
     except (OSError, ValueError, IndexError):
         pass
-    return 4 * held_memory.DEFAULT_BOUND_BYTES
+    return 4 * memory_account.DEFAULT_BOUND_BYTES
--- a/tests/callers/test_bodies.py
+++ b/tests/held_memory/test_bodies.py
@@ -6,8 +6,8 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
-from jujubewharf.callers import bodies
 from jujubewharf.experiments import virtual_time
+from jujubewharf.held_memory import bodies
 
 
 class _Trickle:
--- a/tests/callers/test_held_memory.py
+++ b/tests/held_memory/test_memory_account.py
@@ -8,9 +8,9 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
-from jujubewharf.callers import bodies
-from jujubewharf.callers import held_memory
 from jujubewharf.experiments import virtual_time
+from jujubewharf.held_memory import bodies
+from jujubewharf.held_memory import memory_account
 
 MB = 1_000_000
 BOUND_BYTES = 16 * MB
@@ -37,7 +37,9 @@
 
     def __init__(self) -> None:
         self.clock = clocks.Clock()
-        self.held = held_memory.HeldMemory(self.clock, bound_bytes=BOUND_BYTES)
+        self.held = memory_account.HeldMemory(
+            self.clock, bound_bytes=BOUND_BYTES
+        )
         self.refusals: list[errors.WharfError] = []
         self.peak_bytes = 0
 
@@ -109,7 +111,7 @@
         return waited, refused_after_ms
 
     (first, second), refused_after_ms = virtual_time.run(main())
-    assert first is not None and 0 < first <= held_memory.MAX_WAIT_MS
+    assert first is not None and 0 < first <= memory_account.MAX_WAIT_MS
     assert second is None
     assert refused_after_ms == 0
 
@@ -204,7 +206,7 @@
 
 
 def test_cancelled_requests_give_their_memory_back():
-    async def main() -> held_memory.HeldMemory:
+    async def main() -> memory_account.HeldMemory:
         play = _Play()
         tasks = [
             asyncio.ensure_future(play.request(4 * MB, 10_000))
--- a/tests/callers/test_memory_bound.py
+++ b/tests/held_memory/test_memory_bound.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from jujubewharf.callers import held_memory
-from jujubewharf.callers import memory_bound
+from jujubewharf.held_memory import memory_account
+from jujubewharf.held_memory import memory_bound
 
 MB = 1_000_000
 
@@ -18,7 +18,7 @@
 # Without a figure, that of the machine may be a host's that processes share.
 def test_bound_without_a_figure_is_the_default_at_most():
     bound = memory_bound.bound_bytes(None, own_bytes=50 * MB)
-    assert 0 < bound <= held_memory.DEFAULT_BOUND_BYTES
+    assert 0 < bound <= memory_account.DEFAULT_BOUND_BYTES
 
 
 def test_resident_memory_is_known():
--- a/tests/users_platform/test_edge_memory.py
+++ b/tests/users_platform/test_edge_memory.py
@@ -8,9 +8,9 @@
 from users_platform import edge
 
 from jujubewharf import clock as clocks
-from jujubewharf.callers import held_memory
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import routes
+from jujubewharf.held_memory import memory_account
 
 HOST = "127.0.0.1"
 LARGE_BYTES = 400_000
@@ -79,7 +79,7 @@
 @contextlib.asynccontextmanager
 async def _served():
     clock = clocks.Clock()
-    held = held_memory.HeldMemory(clock, bound_bytes=BOUND_BYTES)
+    held = memory_account.HeldMemory(clock, bound_bytes=BOUND_BYTES)
     forwarding = _Forwarding()
     server = edge.CallerEdge(forwarding, clock, held).new_server()
     loop = asyncio.get_running_loop()
