Calls for peers: bodies are counted, and asked for before they are sent

Cause: a call for a peer was received whole before anything was asked, outside of the account of memory, and the asking side held each body 2.5 times beside the admitted one while it was sent (4.5 while it was encoded; measured).

Now a call states the size of a large body. The peer takes memory for it from the account of its own callers, where peers' bodies have a quarter and give way first, and asks for the body, which follows in parts. Nothing is sent that nobody has room for; a refusal is true, as a call is made only with its whole body.

--- a/src/jujubewharf/endpoint_paths/endpoint_paths.py
+++ b/src/jujubewharf/endpoint_paths/endpoint_paths.py
@@ -17,6 +17,7 @@
 from jujubewharf.engines import notices
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import registry as registries
+from jujubewharf.held_memory import memory_account
 from jujubewharf.leaving import shutdown
 from jujubewharf.peers import link_messages
 from jujubewharf.peers import streams
@@ -64,6 +65,7 @@
         registry: registries.Registry,
         admission: shutdown.AdmissionState,
         listener: notices.Listener,
+        held: memory_account.HeldMemory,
     ) -> relay_server.RelayServer:
         """Has peers make calls that this instance can't make itself.
 
@@ -74,6 +76,7 @@
             registry: Registered endpoints.
             admission: Counts calls for peers as in flight.
             listener: Called with notices in endpoints' answers to peers.
+            held: Account of the memory that peers' calls are held in.
 
         Returns:
             Makes calls for peers.
@@ -93,5 +96,6 @@
             self.reachability,
             admission,
             peers.addresses,
+            held,
             self._clock,
         )
--- a/src/jujubewharf/endpoint_paths/relay_exchanges.py
+++ b/src/jujubewharf/endpoint_paths/relay_exchanges.py
@@ -16,6 +16,7 @@
 from jujubewharf.endpoint_paths import reachability as reachabilities
 from jujubewharf.endpoint_paths import relay_peers
 from jujubewharf.endpoint_paths import relay_streams
+from jujubewharf.endpoint_paths import relayed_bodies
 from jujubewharf.engines import client
 from jujubewharf.peers import counters
 from jujubewharf.peers import handshake
@@ -57,6 +58,11 @@
         super().__init__(refusal.reason)
         self.refusal = refusal
 
+    @property
+    def is_for_memory(self) -> bool:
+        """Whether the peer makes calls with smaller bodies."""
+        return self.refusal.reason == _Reason.MEMORY_FULL.value
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Exchange:
@@ -158,6 +164,7 @@
         most = _MAX_PEERS_IF_CUT_OFF if is_cut_off else _MAX_PEERS
         until_ms = self._clock.now_ms() + _SEARCH_TIMEOUT_MS
         has_reached_any = False
+        was_too_large = False
         while len(tried) < most and self._clock.now_ms() < until_ms:
             address = self._peers.best(tried)
             if address is None:
@@ -174,12 +181,14 @@
                 self._peers.mark_unreachable(address, _UNREACHABLE_PAUSE_MS)
             except _RefusedError as error:
                 has_reached_any = True
+                was_too_large |= error.is_for_memory
                 self._on_refused(address, endpoint, error.refusal)
             else:
                 self.is_alone = False
                 return exchange
         self.is_alone = bool(tried) and not has_reached_any
-        if is_cut_off:
+        # Smaller calls may fit where a large one doesn't.
+        if is_cut_off and not was_too_large:
             group = reachabilities.group_of(endpoint)
             pause_ms = self._clock.now_ms() + _NO_PEER_PAUSE_MS
             self._no_peer_until_ms[group] = pause_ms
@@ -207,6 +216,8 @@
             case _Reason.DRAINING.value:
                 fault = client.EngineFault.REFUSED_LEAVING
                 raise client.EngineError(fault, endpoint.name, "peer")
+            case _Reason.MEMORY_FULL.value:
+                return
         self._peers.avoid(address, _REFUSED_PAUSE_MS)
 
     def _no_path_error(
@@ -232,11 +243,18 @@
         Raises:
             EngineError: ``LOST`` if the stream broke after the hand-over.
         """
-        peer, stream = await self._open(address)
+        hello, stream = await self._open(address)
         stack.callback(stream.close)
+        if relayed_bodies.needs_parts(message) and (
+            relay_messages.BODY_CAPABILITY not in hello.capabilities
+        ):
+            # Older builds hold bodies outside of their account of memory.
+            raise _RefusedError(relayed_bodies.MEMORY_FULL)
         try:
-            await stream.send(message)
+            await relayed_bodies.hand_over(stream, message, self._clock)
             first = await stream.receive()
+        except relayed_bodies.NotHandedOverError as error:
+            raise _RefusedError(error.refusal) from error
         except relay_streams.TooLargeError:
             fault = client.EngineFault.UNREACHABLE
             raise client.EngineError(
@@ -246,11 +264,11 @@
             raise lost(endpoint, f"peer: {error}") from error
         if isinstance(first, relay_messages.RelayRefused):
             raise _RefusedError(first)
-        return Exchange(stream, first, peer)
+        return Exchange(stream, first, hello.instance)
 
     async def _open(
         self, address: str
-    ) -> tuple[str, relay_streams.RelayStream]:
+    ) -> tuple[link_messages.Hello, relay_streams.RelayStream]:
         """Opens a stream to a peer.
 
         Raises:
@@ -272,7 +290,7 @@
                     raise
         except (handshake.RefusedHelloError, OSError, ValueError) as error:
             raise _PeerUnavailableError from error
-        return hello.instance, relay_streams.RelayStream(reader, writer)
+        return hello, relay_streams.RelayStream(reader, writer)
 
 
 def lost(endpoint: resources.Endpoint, detail: str) -> client.EngineError:
--- a/src/jujubewharf/endpoint_paths/relay_server.py
+++ b/src/jujubewharf/endpoint_paths/relay_server.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
@@ -17,19 +18,21 @@
 from jujubewharf.endpoint_paths import path_log
 from jujubewharf.endpoint_paths import reachability as reachabilities
 from jujubewharf.endpoint_paths import relay_streams
+from jujubewharf.endpoint_paths import relayed_bodies
 from jujubewharf.endpoint_paths import whole_replies
 from jujubewharf.engines import client
 from jujubewharf.engines import liveness
 from jujubewharf.forwarding import registry as registries
+from jujubewharf.held_memory import leases
+from jujubewharf.held_memory import memory_account
 from jujubewharf.leaving import shutdown
-from jujubewharf.peers import messages
 from jujubewharf.peers import relay_messages
 from jujubewharf.peers import streams
 
-# Time within which a peer's call must have arrived after the handshake.
-_CALL_TIMEOUT_MS = 2_000.0
-# Calls at the same time; each may hold a body in memory.
+# Calls at the same time.
 _MAX_CALLS = 64
+# Time for which the rest of a refused call is read.
+_DISCARD_MS = 1_000.0
 
 _Reason = relay_messages.RefusalReason
 _Call = (
@@ -50,6 +53,7 @@
         reachability: Endpoints that this instance reaches.
         admission: Counts calls as in flight, so that a shutdown waits.
         other_addresses: Returns addresses of further instances.
+        held: Account of the memory that calls are held in.
         clock: Time source.
     """
 
@@ -60,6 +64,7 @@
         reachability: reachabilities.Reachability,
         admission: shutdown.AdmissionState,
         other_addresses: Callable[[], tuple[str, ...]],
+        held: memory_account.HeldMemory,
         clock: clocks.Clock,
     ) -> None:
         self._backends = backends
@@ -67,6 +72,7 @@
         self._reachability = reachability
         self._admission = admission
         self._other_addresses = other_addresses
+        self._held = held
         self._clock = clock
         self._running = 0
 
@@ -79,49 +85,96 @@
         """Serves the call of one stream, and closes it."""
         stream = relay_streams.RelayStream(reader, writer)
         try:
-            async with self._clock.timeout_ms(_CALL_TIMEOUT_MS):
-                call = await stream.receive()
-        except (relay_streams.BrokenRelayError, TimeoutError):
-            stream.close()
+            with self._held.lease(None, is_for_peer=True) as lease:
+                reason = await self._serve_call(peer, stream, lease)
+            if reason is not None:
+                await self._refuse(stream, reason)
+        except (
+            relay_streams.BrokenRelayError,
+            relay_streams.TooLargeError,
+            TimeoutError,
+        ):
             return
-        answering = asyncio.ensure_future(self._answer(peer, call, stream))
-        # The peer closes the stream when its caller leaves.
-        closed = asyncio.ensure_future(stream.wait_until_closed())
-        try:
-            await asyncio.wait(
-                [answering, closed], return_when=asyncio.FIRST_COMPLETED
-            )
         finally:
-            answering.cancel()
-            closed.cancel()
-            await asyncio.gather(answering, closed, return_exceptions=True)
             stream.close()
 
-    async def _answer(
+    async def _serve_call(
         self,
         peer: str,
-        call: messages.Message,
         stream: relay_streams.RelayStream,
-    ) -> None:
+        lease: leases.Lease,
+    ) -> _Reason | None:
+        """Receives a call and answers it.
+
+        Returns:
+            The reason if the call isn't made.
+
+        Raises:
+            BrokenRelayError: The stream is lost.
+            TimeoutError: The call didn't arrive in time.
+        """
+        try:
+            call = await relayed_bodies.receive_call(stream, lease, self._clock)
+        except errors.WharfError:
+            # Which call it is isn't known without reading it.
+            return _Reason.BUSY
         if not isinstance(call, _Call):
-            return
+            return None
         endpoint = self._registry.get(call.endpoint)
         reason = self._refusal_reason(call, endpoint)
+        if reason is None and isinstance(call, relayed_bodies.CallWithBody):
+            try:
+                call = await relayed_bodies.receive_body(
+                    stream, call, lease, self._clock
+                )
+            except errors.WharfError:
+                reason = _Reason.MEMORY_FULL
         if reason is None:
             assert endpoint is not None
-            reason = await self._answer_admitted(call, endpoint, stream)
+            reason = await self._answer(call, endpoint, stream, lease)
         path_log.log_call_for_peer(
             call.endpoint,
             peer=peer,
             request_id=_request_id(call),
             refused=None if reason is None else reason.value,
         )
-        if reason is not None:
-            await stream.send(
-                relay_messages.RelayRefused(
-                    reason.value, self._other_addresses()
-                )
+        return reason
+
+    async def _answer(
+        self,
+        call: _Call,
+        endpoint: resources.Endpoint,
+        stream: relay_streams.RelayStream,
+        lease: leases.Lease,
+    ) -> _Reason | None:
+        """Answers a call until the peer closes, as its caller has left.
+
+        Returns:
+            The reason if the call turned out not to be possible.
+        """
+        answering = asyncio.ensure_future(
+            self._answer_admitted(call, endpoint, stream, lease)
+        )
+        closed = asyncio.ensure_future(stream.wait_until_closed())
+        try:
+            await asyncio.wait(
+                [answering, closed], return_when=asyncio.FIRST_COMPLETED
             )
+            return answering.result() if answering.done() else None
+        finally:
+            answering.cancel()
+            closed.cancel()
+            await asyncio.gather(answering, closed, return_exceptions=True)
+
+    async def _refuse(
+        self, stream: relay_streams.RelayStream, reason: _Reason
+    ) -> None:
+        await stream.send(
+            relay_messages.RelayRefused(reason.value, self._other_addresses())
+        )
+        with contextlib.suppress(TimeoutError):
+            async with self._clock.timeout_ms(_DISCARD_MS):
+                await stream.discard()
 
     def _refusal_reason(
         self, call: _Call, endpoint: resources.Endpoint | None
@@ -151,6 +204,7 @@
         call: _Call,
         endpoint: resources.Endpoint,
         stream: relay_streams.RelayStream,
+        lease: leases.Lease,
     ) -> _Reason | None:
         """Makes a call and answers with its outcome.
 
@@ -163,7 +217,7 @@
             async with self._admission.admitted():
                 with self._backends.capturing_notices() as notices:
                     try:
-                        await self._make(call, endpoint, stream, notices)
+                        await self._make(call, endpoint, stream, notices, lease)
                     except client.EngineError as error:
                         if self._is_own_fault(error, endpoint):
                             return _Reason.CUT_OFF
@@ -191,6 +245,7 @@
         endpoint: resources.Endpoint,
         stream: relay_streams.RelayStream,
         notices: observed_backends.CapturedNotices,
+        lease: leases.Lease,
     ) -> None:
         """Makes a call and sends its result.
 
@@ -200,7 +255,7 @@
         result = relay_messages.RelayedResult()
         match call:
             case relay_messages.RelayedSend():
-                await self._send(call, endpoint, stream, notices)
+                await self._send(call, endpoint, stream, notices, lease)
                 return
             case relay_messages.RelayedPrefill():
                 source = await self._backends.prefill(endpoint, call.outbound)
@@ -227,6 +282,7 @@
         endpoint: resources.Endpoint,
         stream: relay_streams.RelayStream,
         notices: observed_backends.CapturedNotices,
+        lease: leases.Lease,
     ) -> None:
         async with self._backends.send(endpoint, call.outbound) as received:
             reply = whole_replies.with_certain_end(
@@ -246,7 +302,8 @@
                 )
             )
             async for part in reply.body:
-                await stream.send(relay_messages.RelayedPart(part))
+                with lease.unsent(len(part)):
+                    await stream.send(relay_messages.RelayedPart(part))
         await stream.send(relay_messages.RelayedEnd())
 
     async def _release(
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -33,6 +33,7 @@
 from jujubewharf.forwarding import state_log
 from jujubewharf.forwarding import store_followers
 from jujubewharf.forwarding import view_refresh
+from jujubewharf.held_memory import memory_account
 from jujubewharf.leadership import crash_services
 from jujubewharf.leadership import fleet as fleets
 from jujubewharf.leadership import fleet_crashes
@@ -85,6 +86,8 @@
         epoch: Epoch of the store that holds tables and groups.
         peers: Connections between instances; ``None`` without a leader.
         crashes: Table of crash reports; ``None`` if they are not stored.
+        held: Account of the memory that is held for callers and peers;
+            ``None`` for one with the default bound.
     """
 
     backends: ports.Backends
@@ -94,6 +97,7 @@
     epoch: epochs.StoreEpoch
     peers: ports.PeerAdapters | None = None
     crashes: tables.WritableTable | None = None
+    held: memory_account.HeldMemory | None = None
 
 
 class ForwardingEntry(mode.Service):
@@ -106,6 +110,7 @@
         rng: Random numbers, seeded in tests.
 
     Attributes:
+        held: Account of the memory that is held for callers and peers.
         admission: Counts requests in flight; closed on shutdown.
         source: Configuration in force.
         registry: Registered endpoints.
@@ -141,6 +146,7 @@
         self._started_at_ms = clock.now_ms()
         self._has_finished_looking = False
         self._unknown_accounts: set[str] = set()
+        self.held = adapters.held or memory_account.HeldMemory(clock)
         self.admission = shutdown.AdmissionState()
         self.source = forwarder.ActiveConfiguration()
         self.source.on_applied = self._on_applied
@@ -419,6 +425,7 @@
             self.registry,
             self.admission,
             self._endpoint_state.apply_notice,
+            self.held,
         ).serve
         self.fleet.followers.on_leading_changed = (
             self.plain_permits.queues.reset
--- a/src/jujubewharf/held_memory/account_log.py
+++ b/src/jujubewharf/held_memory/account_log.py
@@ -26,11 +26,15 @@
     )
 
 
-def log_eviction(held_bytes: int, *, is_slow: bool) -> None:
+def log_eviction(held_bytes: int, *, is_slow: bool, is_for_peer: bool) -> None:
     """Logs a body that was given up, partly read, to make room for others."""
-    _REFUSALS.add(1, {"reason": "slow" if is_slow else "grown"})
+    reason = "slow" if is_slow else "peer" if is_for_peer else "grown"
+    _REFUSALS.add(1, {"reason": reason})
     structlog.get_logger().warning(
-        "caller_body_evicted", held_bytes=held_bytes, is_slow=is_slow
+        "caller_body_evicted",
+        held_bytes=held_bytes,
+        is_slow=is_slow,
+        is_for_peer=is_for_peer,
     )
 
 
--- a/src/jujubewharf/held_memory/leases.py
+++ b/src/jujubewharf/held_memory/leases.py
@@ -19,10 +19,14 @@
 
 
 class Kind(enum.Enum):
-    """What is held for callers; the value is the ``kind`` of the gauge."""
+    """What is held; the value is the ``kind`` of the gauge.
+
+    ``PEER_BODY``: a large body of a call that is made for a peer.
+    """
 
     BODY = "body"
     SMALL_BODY = "small_body"
+    PEER_BODY = "peer_body"
     UNSENT = "unsent"
 
 
@@ -56,14 +60,19 @@
     Args:
         account: The account that the memory is taken from.
         caller_timeout_ms: Time that the caller waits; ``None`` if unknown.
+        is_for_peer: Whether the request is a call that is made for a peer,
+            which gives way to those of this instance's own callers.
     """
 
     def __init__(
         self,
         account: Account,
         caller_timeout_ms: float | None,
+        *,
+        is_for_peer: bool = False,
     ) -> None:
         self.caller_timeout_ms = caller_timeout_ms
+        self.is_for_peer = is_for_peer
         self.held: collections.Counter[Kind] = collections.Counter()
         self.is_evicted = False
         self._account = account
@@ -103,6 +112,11 @@
         finally:
             self._on_evicted = None
 
+    @property
+    def body_bytes(self) -> int:
+        """Bytes held for a large body."""
+        return self.held[Kind.BODY] + self.held[Kind.PEER_BODY]
+
     def record_arrival(self, size_bytes: int) -> None:
         """Records that a part of the body has arrived."""
         self.arrived_bytes += size_bytes
@@ -118,6 +132,11 @@
             return False
         return self._account.now_ms() - self._step_at_ms > _SLOW_MS
 
+    @property
+    def gives_way(self) -> bool:
+        """Whether a peer's body arrives, of which nothing was sent on yet."""
+        return self.is_for_peer and self._on_evicted is not None
+
     @property
     def is_growing(self) -> bool:
         """Whether a body arrives whose size is unknown."""
@@ -126,7 +145,9 @@
     def evict(self) -> None:
         """Ends the reading of the body."""
         assert self._on_evicted is not None
-        account_log.log_eviction(self.held[Kind.BODY], is_slow=self.is_slow)
+        account_log.log_eviction(
+            self.body_bytes, is_slow=self.is_slow, is_for_peer=self.is_for_peer
+        )
         self.is_evicted = True
         self._on_evicted()
         self._on_evicted = None
--- a/src/jujubewharf/held_memory/memory_account.py
+++ b/src/jujubewharf/held_memory/memory_account.py
@@ -1,7 +1,8 @@
-"""Account of the memory that an instance holds for its callers.
+"""Account of the memory that an instance holds for its callers and for peers.
 
 What is held is bounded. Near the bound large bodies are not read for a while,
-then the callers that don't fit soon are refused before anything has run.
+then those that don't fit soon are refused before anything has run. Peers' large
+bodies give way first, then those of own callers, and small requests last.
 """
 
 from __future__ import annotations
@@ -24,6 +25,10 @@
 SMALL_BYTES = 65_536
 # Share of the memory that larger requests leave to small ones.
 _SMALL_SHARE = 1 / 16
+# Share of the memory that peers' large bodies may have, and its least size, so
+# that one of the usual bound fits.
+_PEER_SHARE = 1 / 4
+_MIN_PEER_BYTES = 4_718_592
 # Longest time that a request waits for memory, unread. Callers that may repeat
 # a request give up on an instance that has not read it after a second.
 MAX_WAIT_MS = 300.0
@@ -49,20 +54,24 @@
     granted: asyncio.Future[None]
 
     @property
-    def rank(self) -> tuple[bool, bool, int]:
-        """Order of the waiters: small requests, begun bodies, then by size."""
+    def rank(self) -> tuple[bool, bool, bool, int]:
+        """Order of the waiters: small ones, own ones, begun ones, by size."""
         size_bytes = self.size_bytes
         if self.is_growth:
             # What has been read of it is lost if it is refused.
-            size_bytes = -self.lease.held[leases.Kind.BODY]
+            size_bytes = -self.lease.body_bytes
         is_large = self.size_bytes > SMALL_BYTES
-        return is_large, not self.is_growth, size_bytes
+        is_peers = is_large and self.lease.is_for_peer
+        return is_large, is_peers, not self.is_growth, size_bytes
 
     @property
     def kind(self) -> leases.Kind:
         """What the memory is counted as."""
-        is_large = self.size_bytes > SMALL_BYTES
-        return leases.Kind.BODY if is_large else leases.Kind.SMALL_BODY
+        if self.size_bytes <= SMALL_BYTES:
+            return leases.Kind.SMALL_BODY
+        if self.lease.is_for_peer:
+            return leases.Kind.PEER_BODY
+        return leases.Kind.BODY
 
     @property
     def was_granted(self) -> bool:
@@ -117,9 +126,14 @@
         """Returns the clock's reading."""
         return self._clock.now_ms()
 
-    def new(self, caller_timeout_ms: float | None = None) -> leases.Lease:
+    def new(
+        self,
+        caller_timeout_ms: float | None = None,
+        *,
+        is_for_peer: bool = False,
+    ) -> leases.Lease:
         """Returns a lease that is never released; see ``lease``."""
-        lease = leases.Lease(self, caller_timeout_ms)
+        lease = leases.Lease(self, caller_timeout_ms, is_for_peer=is_for_peer)
         self._leases.add(lease)
         return lease
 
@@ -132,13 +146,16 @@
             self.on_check()
 
     @contextlib.contextmanager
-    def lease(self, caller_timeout_ms: float | None) -> Iterator[leases.Lease]:
+    def lease(
+        self, caller_timeout_ms: float | None, *, is_for_peer: bool = False
+    ) -> Iterator[leases.Lease]:
         """Lends memory to a request for the block.
 
         Args:
             caller_timeout_ms: Time that the caller waits; ``None`` if unknown.
+            is_for_peer: Whether the request is a call for a peer.
         """
-        lease = self.new(caller_timeout_ms)
+        lease = self.new(caller_timeout_ms, is_for_peer=is_for_peer)
         try:
             yield lease
         finally:
@@ -153,7 +170,7 @@
         waiter = _Waiter(lease, size_bytes, is_growth, granted)
         if size_bytes > SMALL_BYTES:
             self.check_bound()
-        if self._fits(size_bytes) and not self._has_rival(waiter):
+        if self._fits(waiter) and not self._has_rival(waiter):
             self.add(lease, waiter.kind, size_bytes)
         else:
             await self._wait(waiter)
@@ -167,16 +184,25 @@
         if size_bytes < 0:
             self._grant()
 
-    def _fits(self, size_bytes: int) -> bool:
+    def _fits(self, waiter: _Waiter) -> bool:
+        size_bytes = waiter.size_bytes
         kept_bytes = self.bound_bytes * _SMALL_SHARE
-        if size_bytes > SMALL_BYTES:
-            most_bytes = self.bound_bytes - kept_bytes
-            return self.total_bytes + size_bytes <= most_bytes
-        # Small requests keep their part also while the bound is falling.
-        return (
-            self.held[leases.Kind.SMALL_BODY] + size_bytes <= kept_bytes
-            or self.total_bytes + size_bytes <= self.bound_bytes
-        )
+        match waiter.kind:
+            case leases.Kind.SMALL_BODY:
+                # They keep their part also while the bound is falling.
+                return (
+                    self.held[leases.Kind.SMALL_BODY] + size_bytes <= kept_bytes
+                    or self.total_bytes + size_bytes <= self.bound_bytes
+                )
+            case leases.Kind.PEER_BODY if not self._is_in_peers_share(waiter):
+                return False
+        most_bytes = self.bound_bytes - kept_bytes
+        return self.total_bytes + size_bytes <= most_bytes
+
+    def _is_in_peers_share(self, waiter: _Waiter) -> bool:
+        most_bytes = max(self.bound_bytes * _PEER_SHARE, _MIN_PEER_BYTES)
+        held_bytes = self.held[leases.Kind.PEER_BODY]
+        return held_bytes + waiter.size_bytes <= most_bytes
 
     def _has_rival(self, waiter: _Waiter) -> bool:
         """Returns whether another request waits whose turn is earlier."""
@@ -189,6 +215,7 @@
             WharfError: ``MEMORY_FULL``; it can't be had soon.
         """
         self._evict_slow(waiter)
+        self._evict_peers(waiter)
         max_wait_ms = MAX_WAIT_MS
         if waiter.lease.caller_timeout_ms is not None:
             share_ms = waiter.lease.caller_timeout_ms * _MAX_WAIT_SHARE
@@ -219,7 +246,7 @@
 
     def _grant(self) -> None:
         """Lets the waiters go on for which there is room now, in order."""
-        while self._waiting and self._fits(self._waiting[0].size_bytes):
+        while self._waiting and self._fits(self._waiting[0]):
             waiter = self._waiting.pop(0)
             if not waiter.granted.done():
                 self.add(waiter.lease, waiter.kind, waiter.size_bytes)
@@ -231,30 +258,44 @@
         Returns:
             Whether there was one of which less was read than of this one.
         """
-        read_bytes = (
-            waiter.lease.held[leases.Kind.BODY] if waiter.is_growth else 0
-        )
+        read_bytes = waiter.lease.body_bytes if waiter.is_growth else 0
         growing = [
             other
             for other in self._leases
-            if other.is_growing and other.held[leases.Kind.BODY] < read_bytes
+            if other.is_growing and other.body_bytes < read_bytes
         ]
         if not growing:
             return False
-        min(growing, key=lambda other: other.held[leases.Kind.BODY]).evict()
+        min(growing, key=lambda other: other.body_bytes).evict()
         return True
 
     def _evict_slow(self, waiter: _Waiter) -> None:
         """Ends bodies that hardly arrive, the largest first."""
+        self._evict([other for other in self._leases if other.is_slow], waiter)
+
+    def _evict_peers(self, waiter: _Waiter) -> None:
+        """Ends peers' bodies that arrive, for an own caller's request."""
+        if not waiter.lease.is_for_peer:
+            chosen = [other for other in self._leases if other.gives_way]
+            self._evict(chosen, waiter)
+
+    def _evict(self, chosen: list[leases.Lease], waiter: _Waiter) -> None:
+        """Ends bodies until a request fits, the largest first."""
         missing_bytes = self.total_bytes + self.waiting_bytes
         missing_bytes += waiter.size_bytes - self.bound_bytes
-        slow = [other for other in self._leases if other.is_slow]
-        slow.sort(key=lambda other: other.held[leases.Kind.BODY])
-        while slow and missing_bytes > 0:
-            chosen = slow.pop()
-            if chosen is not waiter.lease:
-                missing_bytes -= chosen.held[leases.Kind.BODY]
-                chosen.evict()
+        missing_bytes -= self._evicted_bytes()
+        chosen.sort(key=lambda other: other.body_bytes)
+        while chosen and missing_bytes > 0:
+            lease = chosen.pop()
+            if lease is not waiter.lease:
+                missing_bytes -= lease.body_bytes
+                lease.evict()
+
+    def _evicted_bytes(self) -> int:
+        """Bytes of bodies that were given up and are about to be released."""
+        return sum(
+            lease.body_bytes for lease in self._leases if lease.is_evicted
+        )
 
     def _free_in_ms(self, waiter: _Waiter) -> float:
         """Estimates when the memory will be free, at the present rate."""
@@ -264,11 +305,7 @@
             for other in self._waiting
             if other.rank <= waiter.rank
         )
-        missing_bytes -= sum(
-            lease.held[leases.Kind.BODY]
-            for lease in self._leases
-            if lease.is_evicted
-        )
+        missing_bytes -= self._evicted_bytes()
         if missing_bytes <= 0:
             return 0.0
         freed_bytes = self._recently_freed()
@@ -311,7 +348,7 @@
         self.held.subtract(lease.held)
         self.arrived_bytes -= lease.arrived_bytes
         lease.arrived_bytes = 0
-        if lease.held[leases.Kind.BODY]:
-            self._record_freed(lease.held[leases.Kind.BODY])
+        if lease.body_bytes:
+            self._record_freed(lease.body_bytes)
         lease.held.clear()
         self._grant()
--- a/src/jujubewharf/leadership/fleet.py
+++ b/src/jujubewharf/leadership/fleet.py
@@ -264,6 +264,7 @@
             rng.getrandbits(_INCARNATION_BITS),
             capabilities=(
                 relay_messages.CAPABILITY,
+                relay_messages.BODY_CAPABILITY,
                 origin_messages.CAPABILITY,
                 origin_messages.REPLICA_CAPABILITY,
             ),
--- a/src/jujubewharf/peers/codec.py
+++ b/src/jujubewharf/peers/codec.py
@@ -177,11 +177,31 @@
     Raises:
         BrokenStreamError: The stream ended, or the frame is too large.
     """
+    size = await read_size(reader, max_bytes=max_bytes)
+    return await read_sized(reader, size)
+
+
+async def read_size(
+    reader: asyncio.StreamReader, *, max_bytes: int = MAX_FRAME_BYTES
+) -> int:
+    """Reads the length prefix of a frame; returns the size of its body.
+
+    Raises:
+        BrokenStreamError: The stream ended, or the frame is too large.
+    """
+    (size,) = _LENGTH.unpack(await read_sized(reader, _LENGTH.size))
+    if size > max_bytes:
+        raise BrokenStreamError(counters.DropReason.OVERSIZED)
+    return int(size)
+
+
+async def read_sized(reader: asyncio.StreamReader, size: int) -> bytes:
+    """Reads as many bytes.
+
+    Raises:
+        BrokenStreamError: The stream ended.
+    """
     try:
-        head = await reader.readexactly(_LENGTH.size)
-        (size,) = _LENGTH.unpack(head)
-        if size > max_bytes:
-            raise BrokenStreamError(counters.DropReason.OVERSIZED)
         return await reader.readexactly(size)
     except asyncio.IncompleteReadError as error:
         is_orderly = not error.partial and error.expected == _LENGTH.size
@@ -196,6 +216,11 @@
     return data[_LENGTH.size :]
 
 
+def body_bytes(data: bytes) -> int:
+    """Returns the size of the body of one encoded frame."""
+    return len(data) - _LENGTH.size
+
+
 def frame_bytes(body: bytes) -> int:
     """Returns the size of a frame on the stream, in bytes."""
     return _LENGTH.size + len(body)
--- a/src/jujubewharf/peers/relay_messages.py
+++ b/src/jujubewharf/peers/relay_messages.py
@@ -1,9 +1,12 @@
-"""Calls to endpoints that a peer makes for another instance; 170 to 180.
+"""Calls to endpoints that a peer makes for another instance; 170 to 181.
 
 Each stream carries one call. The calling instance sends one of the ``Relayed``
 calls, and the peer answers with ``RelayRefused`` if it doesn't make it, else
 with ``RelayedFault``, ``RelayedResult``, or ``RelayedHead`` and the parts of
 the body up to ``RelayedEnd``. Closing the stream cancels the call.
+
+A call states the size of a large body only. The peer answers with
+``RelayedBodyWanted`` once it has memory for it, and the body follows in parts.
 """
 
 from __future__ import annotations
@@ -17,6 +20,10 @@
 
 # Capability of instances that make calls for peers, in their hellos.
 CAPABILITY = "relay"
+# Capability of instances that accept large bodies in parts.
+BODY_CAPABILITY = "relay_bodies"
+# Larger bodies follow in parts, once the peer has memory for them.
+MAX_INLINE_BODY_BYTES = 65_536
 
 
 class RefusalReason(enum.Enum):
@@ -24,6 +31,7 @@
 
     ``CUT_OFF``: the peer reaches no endpoint of that kind itself.
     ``OUT_OF_REACH``: it reaches others, but not this one.
+    ``MEMORY_FULL``: it has no memory for the body.
     """
 
     CUT_OFF = "cut_off"
@@ -32,6 +40,7 @@
     DRAINING = "draining"
     BUSY = "busy"
     LEAVING = "leaving"
+    MEMORY_FULL = "memory_full"
 
 
 class CheckKind(enum.Enum):
@@ -51,10 +60,12 @@
     Attributes:
         endpoint: Name of the endpoint; the peer looks up its address.
         outbound: The request. Clock readings in it have no meaning.
+        body_bytes: Size of a body that follows; 0 if the request has its body.
     """
 
     endpoint: str
     outbound: calls.OutboundRequest
+    body_bytes: int = 0
 
 
 @messages.message(171)
@@ -64,6 +75,7 @@
 
     endpoint: str
     outbound: calls.OutboundRequest
+    body_bytes: int = 0
 
 
 @messages.message(172)
@@ -160,7 +172,7 @@
 @messages.message(178)
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelayedPart(messages.Message):
-    """Part of the body, as it arrived."""
+    """Part of a body, of an answer as it arrived."""
 
     data: bytes
 
@@ -187,3 +199,9 @@
     source: calls.PrefillSource | None = None
     is_true: bool = False
     notices: tuple[all_notices.Notice, ...] = ()
+
+
+@messages.message(181)
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayedBodyWanted(messages.Message):
+    """The peer has memory for the body of the call, which may follow."""
--- a/tests/endpoint_paths/test_relay_streams.py
+++ b/tests/endpoint_paths/test_relay_streams.py
@@ -9,6 +9,7 @@
 from jujubewharf.endpoint_paths import endpoint_paths
 from jujubewharf.endpoint_paths import relay_peers
 from jujubewharf.forwarding import calls
+from jujubewharf.held_memory import memory_account
 from jujubewharf.leadership import followers
 from jujubewharf.leaving import shutdown
 from jujubewharf.peers import counters
@@ -69,6 +70,7 @@
         _Registry(),
         shutdown.AdmissionState(),
         lambda endpoint, notice: None,
+        memory_account.HeldMemory(clock),
     )
 
     async def on_stream(reader, writer):
--- a/tests/real_processes/deployment.py
+++ b/tests/real_processes/deployment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -264,6 +265,14 @@
         body = configurations.encode(configuration)
         await http_io.call(self.store_address, "POST", target, body)
 
+    async def address_of(self, engine: str) -> str:
+        """Returns the address that an engine has registered."""
+        target = "/jujubewharf/log-newest?topic=keyed.servers&part=0"
+        _, body = await http_io.call(self.store_address, "GET", target)
+        items = {item["key"]: item for item in json.loads(body)["items"]}
+        entry = json.loads(base64.b64decode(items[engine]["value"]))
+        return str(entry["address"])
+
     async def _until_ready(self) -> None:
         """Waits until all instances are ready."""
         async with asyncio.timeout(_START_S):
--- a/tests/users_platform/test_edge.py
+++ b/tests/users_platform/test_edge.py
@@ -16,6 +16,7 @@
 from jujubewharf import errors
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import routes
+from jujubewharf.held_memory import memory_account
 from tests import hostile_records
 
 HOST = "127.0.0.1"
@@ -28,6 +29,7 @@
     def __init__(self, script) -> None:
         self.calls: list[calls.Call] = []
         self.is_ready = True
+        self.held = memory_account.HeldMemory(clocks.Clock())
         self.limits = routes.CallerLimits(
             max_body_bytes=100, header_timeout_ms=100.0, idle_timeout_ms=600.0
         )
