--- /dev/null
+++ b/tests/leadership/rejoined_histories.py
@@ -0,0 +1,458 @@
+"""Seeded histories of streams around kills of all instances, beside releases.
+
+    .venv/bin/python -m tests.leadership.rejoined_histories 10 [FIRST] \
+        [--case NAME]
+
+plays the seeds from ``FIRST`` on. Callers wait until instances are back, as the
+users' do, and print how many of their resumptions were judged.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import dataclasses
+import logging
+import random
+
+import structlog
+
+from jujubewharf import errors
+from jujubewharf.configuration import resources
+from jujubewharf.forwarding import calls
+from jujubewharf.standins import store as stores
+from tests.forwarding import deployments
+from tests.leadership import stream_versions as versions
+
+NAMES = ("e1", "e2", "e3", "e4", "e5", "e6")
+LENGTH_MS = 42_000.0
+EVENTS = 16
+EVENT_MS = 110.0
+_TIMEOUT_MS = 14_000.0
+_WORK = calls.ModelWork(500, 500, 500)
+_MAX_TRIES = 20
+_DECODE = 6
+_PREFILL = 2
+# Time for which an engine that drains, or whose entry was removed, serves.
+_SERVES_ON_MS = 2_500.0
+# Time after which an instance that is back has to serve as any other.
+STABLE_MS = 3_000.0
+# The users' bound and the least number of resumptions that it is about.
+LEAST_SHARE = 0.5
+LEAST_JUDGED = 12
+_KILLS_MS = (6_500.0, 17_000.0, 27_500.0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Case:
+    """What a history is about.
+
+    Attributes:
+        timeout_ms: Timeout of the route.
+        shortened_ms: Timeout from a kill on; ``None`` for the same.
+        has_releases: Whether an engine after the other is replaced by one of
+            the next version; otherwise two versions stay.
+        lead_ms: Time from a release to the kill after it.
+        is_named: Whether callers name the request that began their stream.
+        is_killed_again: Whether all are killed again as they are back.
+        store: What happens to the store beside a kill.
+        is_one_version: Whether all engines have one version for good.
+    """
+
+    timeout_ms: float = _TIMEOUT_MS
+    shortened_ms: float | None = None
+    has_releases: bool = True
+    lead_ms: float = 1_700.0
+    is_named: bool = True
+    is_killed_again: bool = False
+    store: str = ""
+    is_one_version: bool = False
+
+
+CASES = {
+    "released_before": Case(),
+    "released_long_before": Case(lead_ms=5_000.0),
+    "released_beside": Case(lead_ms=500.0),
+    "released_after": Case(lead_ms=-1_500.0),
+    "two_versions_stay": Case(has_releases=False),
+    "timeout_shortened": Case(shortened_ms=2_600.0),
+    "timeout_shortened_unnamed": Case(shortened_ms=2_600.0, is_named=False),
+    "short_timeout": Case(timeout_ms=3_000.0),
+    "short_timeout_unnamed": Case(timeout_ms=3_000.0, is_named=False),
+    "unnamed": Case(is_named=False),
+    "killed_again": Case(is_killed_again=True),
+    "killed_again_unnamed": Case(is_killed_again=True, is_named=False),
+    "store_away": Case(store="away"),
+    "store_restored": Case(store="restored"),
+    "store_restored_unnamed": Case(store="restored", is_named=False),
+    "one_version": Case(has_releases=False, is_one_version=True),
+}
+
+
+@dataclasses.dataclass(slots=True)
+class Verdict:
+    """What a history showed.
+
+    Attributes:
+        mixed: Streams that hold events of two versions.
+        gaps: Streams with missing or doubled events.
+        resumed: Requests to resume a stream that began before a kill of all.
+        went_on: Those that brought events.
+        judged: Streams that callers took up at instances in touch, while two
+            engines of the version served.
+        judged_on: Those that went on.
+        new: New streams at instances in touch, from the kills on.
+        begun: Those that began.
+    """
+
+    mixed: int = 0
+    gaps: int = 0
+    resumed: int = 0
+    went_on: int = 0
+    judged: int = 0
+    judged_on: int = 0
+    new: int = 0
+    begun: int = 0
+
+    def add(self, other: Verdict) -> None:
+        """Adds the verdict on another history."""
+        for field in dataclasses.fields(Verdict):
+            value = getattr(self, field.name) + getattr(other, field.name)
+            setattr(self, field.name, value)
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether fewer streams go on than the users' bound asks."""
+        if self.judged < LEAST_JUDGED or not self.new:
+            return False
+        return self.judged_on / self.judged < LEAST_SHARE * (
+            self.begun / self.new
+        )
+
+
+class History:
+    """One history.
+
+    Args:
+        case: What it is about.
+        seed: Fixes all that happens.
+    """
+
+    def __init__(self, case: Case, seed: int) -> None:
+        self._case = case
+        self._rng = random.Random(f"{case}/{seed}")
+        self._release = 0
+        self._reading: set[asyncio.Task[None]] = set()
+        # Time since which all instances run, of each kill.
+        self._back_ms: list[float] = []
+        self._killed_ms: list[float] = []
+        self._serving: list[tuple[float, dict[str, int]]] = []
+        self._is_down = False
+
+    async def play(self) -> Verdict:
+        """Plays the history and judges its streams."""
+        first = ("v0",) if self._case.is_one_version else ("v0", "v1")
+        if self._case.has_releases:
+            first = ("v0",)
+        behind = [
+            versions.engine(
+                f"p{n}", first[n % len(first)], resources.Role.PREFILL
+            )
+            for n in range(_PREFILL)
+        ]
+        behind += [
+            self._engine(f"d{n}", first[n % len(first)]) for n in range(_DECODE)
+        ]
+        async with versions.deployed(*behind, names=NAMES) as world:
+            self._world = world
+            await self._configure(self._case.timeout_ms)
+            self._began_ms = world.clock.now_ms()
+            streams, *_ = await asyncio.gather(
+                self._streams(), self._trouble(), self._watch()
+            )
+        return self._judge(streams)
+
+    def _engine(self, name: str, version: str):
+        domain = versions.DOMAINS[self._rng.randrange(4)]
+        backend = versions.engine(name, version, resources.Role.DECODE, domain)
+        backend.events = EVENTS
+        backend.event_ms = EVENT_MS
+        return backend
+
+    async def _configure(self, timeout_ms: float) -> None:
+        self._version = getattr(self, "_version", 1) + 1
+        route = dataclasses.replace(
+            deployments.STREAM, timeout_ms=timeout_ms, max_attempts=2
+        )
+        self._world.configurations.put(
+            "config", deployments.configuration(self._version, route)
+        )
+        await self._world.clock.sleep_ms(1_000.0)
+
+    # What happens.
+
+    async def _trouble(self) -> None:
+        beside = []
+        for at_ms in _KILLS_MS:
+            if self._case.has_releases:
+                release_ms = at_ms - self._case.lead_ms
+                beside.append(asyncio.ensure_future(self._roll(release_ms)))
+            beside.append(asyncio.ensure_future(self._kill_all(at_ms)))
+        await asyncio.gather(*beside)
+
+    async def _until(self, at_ms: float) -> None:
+        left_ms = self._began_ms + at_ms - self._world.clock.now_ms()
+        await self._world.clock.sleep_ms(max(0.0, left_ms))
+
+    async def _roll(self, at_ms: float) -> None:
+        """Replaces all engines by those of the next version."""
+        await self._until(at_ms)
+        self._release += 1
+        version = f"v{self._release}"
+        leaving = [
+            backend
+            for backend in self._world.backends.by_name.values()
+            if not backend.endpoint.drained
+        ]
+        for number in range(_DECODE + _PREFILL):
+            name = f"r{self._release}-{number}"
+            backend = (
+                self._engine(name, version)
+                if number < _DECODE
+                else versions.engine(name, version, resources.Role.PREFILL)
+            )
+            self._world.backends.by_name[name] = backend
+            self._world.endpoints.put(name, backend.endpoint)
+            if not number:
+                # The first one before the others, as in a release.
+                await self._world.clock.sleep_ms(700.0)
+        for number, backend in enumerate(leaving):
+            if number % 3:
+                self._world.register(backend, drained=True)
+            else:
+                self._world.endpoints.put(backend.name, None)
+            self._leave_later(backend)
+
+    def _leave_later(self, backend) -> None:
+        def leave() -> None:
+            self._world.endpoints.put(backend.name, None)
+            self._world.backends.by_name.pop(backend.name, None)
+
+        at_ms = self._world.clock.now_ms() + _SERVES_ON_MS
+        self._world.clock.call_at_ms(at_ms, leave)
+
+    async def _kill_all(self, at_ms: float) -> None:
+        await self._until(at_ms)
+        copy = self._world.store.copy()
+        if self._case.store == "restored":
+            await self._world.clock.sleep_ms(self._rng.uniform(500.0, 2_000.0))
+        self._killed_ms.append(self._world.clock.now_ms())
+        self._is_down = True
+        if self._case.store == "away":
+            self._world.store.outage = stores.Outage.RESET
+        await self._kill()
+        await self._world.clock.sleep_ms(self._rng.uniform(800.0, 2_500.0))
+        if self._case.store == "restored":
+            self._restore(copy)
+        if self._case.shortened_ms is not None:
+            await self._configure(self._case.shortened_ms)
+        starting = asyncio.ensure_future(self._start_all())
+        if self._case.store == "away":
+            await self._world.clock.sleep_ms(1_500.0)
+            self._world.store.outage = None
+        await starting
+        if self._case.is_killed_again:
+            await self._world.clock.sleep_ms(self._rng.uniform(0.0, 1_500.0))
+            await self._kill()
+            await self._start_all()
+        self._is_down = False
+        self._back_ms.append(self._world.clock.now_ms())
+        if self._case.shortened_ms is not None:
+            await self._until(at_ms + 8_000.0)
+            await self._configure(self._case.timeout_ms)
+
+    def _restore(self, copy: stores.StoreCopy) -> None:
+        present = {b.name: b.endpoint for b in self._decode_engines()}
+        self._world.store.restore(copy)
+        for name in copy.tables["endpoints"].records:
+            if name not in self._world.backends.by_name:
+                self._world.endpoints.put(name, None)
+        for name, endpoint in present.items():
+            self._world.endpoints.put(name, endpoint)
+
+    async def _kill(self) -> None:
+        self._domains = {
+            name: instance.domain
+            for name, instance in self._world.instances.items()
+        }
+        for task in list(self._reading):
+            task.cancel()
+        for name in list(self._world.instances):
+            self._world.network.drop_instance(name)
+            await self._world.instances.pop(name).stop()
+
+    async def _start_all(self) -> None:
+        await asyncio.gather(
+            *(
+                self._world.start(
+                    name,
+                    domain=self._domains[name],
+                    declare=False,
+                    is_led=True,
+                )
+                for name in NAMES
+            )
+        )
+
+    def _decode_engines(self):
+        return [
+            backend
+            for backend in self._world.backends.by_name.values()
+            if backend.endpoint.role is resources.Role.DECODE
+            and not backend.endpoint.drained
+        ]
+
+    async def _watch(self) -> None:
+        while self._world.clock.now_ms() < self._began_ms + LENGTH_MS:
+            serving: dict[str, int] = {}
+            for backend in self._decode_engines():
+                version = backend.software_version
+                serving[version] = serving.get(version, 0) + 1
+            self._serving.append((self._world.clock.now_ms(), serving))
+            await self._world.clock.sleep_ms(100.0)
+
+    # Callers.
+
+    async def _streams(self) -> list[versions.Stream]:
+        reading = []
+        until_ms = self._began_ms + LENGTH_MS - 6_000.0
+        while self._world.clock.now_ms() < until_ms:
+            reading.append(asyncio.ensure_future(self._stream()))
+            await self._world.clock.sleep_ms(self._rng.uniform(40.0, 120.0))
+        return list(await asyncio.gather(*reading))
+
+    async def _stream(self) -> versions.Stream:
+        """Reads a stream; its caller waits until instances are back."""
+        stream = versions.Stream()
+        budget_ms = self._world.clock.now_ms() + _TIMEOUT_MS
+        for _ in range(_MAX_TRIES):
+            found = await self._try(stream, budget_ms)
+            if found is not None and found.is_whole:
+                break
+            pause_ms = self._rng.uniform(200.0, 1_200.0)
+            if self._world.clock.now_ms() + pause_ms > budget_ms:
+                break
+            await self._world.clock.sleep_ms(pause_ms)
+        return stream
+
+    async def _try(
+        self, stream: versions.Stream, budget_ms: float
+    ) -> versions.Try | None:
+        now_ms = self._world.clock.now_ms()
+        running = sorted(self._world.instances)
+        if not running:
+            return None
+        found = versions.Try(self._rng.choice(running), now_ms)
+        stream.tries.append(found)
+        call = self._world.call(
+            "/verdicts/1", work=_WORK, caller_timeout_ms=budget_ms - now_ms
+        )
+        if stream.numbers:
+            found.resumed_version = stream.versions[0]
+            named = stream.began_by if self._case.is_named else None
+            call = dataclasses.replace(
+                call, last_event=stream.numbers[-1], began_by=named
+            )
+        task = asyncio.ensure_future(self._read(stream, found, call))
+        self._reading.add(task)
+        await asyncio.gather(task, return_exceptions=True)
+        self._reading.discard(task)
+        found.was_reset = task.cancelled()
+        return found
+
+    async def _read(
+        self, stream: versions.Stream, found: versions.Try, call: calls.Call
+    ) -> None:
+        asked = self._world.instances[found.instance]
+        with contextlib.suppress(errors.WharfError):
+            async with asked.run(call) as reply:
+                async for part in reply.body:
+                    found.events += stream.add(part, call.request_id)
+            found.is_whole = reply.is_success
+
+    # The verdict.
+
+    def _judge(self, streams: list[versions.Stream]) -> Verdict:
+        verdict = Verdict()
+        for stream in streams:
+            verdict.mixed += stream.is_mixed
+            verdict.gaps += not stream.is_in_order
+            first_ms = stream.tries[0].at_ms if stream.tries else 0.0
+            taken_up = []
+            for found in stream.tries:
+                in_touch = self._is_in_touch(found)
+                if found.resumed_version is None:
+                    verdict.new += in_touch
+                    verdict.begun += in_touch and found.events > 0
+                elif self._is_over_a_kill(first_ms, found):
+                    verdict.resumed += 1
+                    verdict.went_on += found.events > 0
+                    if in_touch and self._least_serving(found) >= 2:
+                        taken_up.append(found)
+            if taken_up:
+                verdict.judged += 1
+                verdict.judged_on += any(f.events for f in taken_up)
+        return verdict
+
+    def _is_over_a_kill(self, first_ms: float, found: versions.Try) -> bool:
+        return any(first_ms < at < found.at_ms for at in self._killed_ms)
+
+    def _is_in_touch(self, found: versions.Try) -> bool:
+        """Whether instances have run for a while after a kill, undisturbed."""
+        earlier = [at for at in self._back_ms if at + STABLE_MS <= found.at_ms]
+        until_ms = found.at_ms + 1_000.0
+        killed = [
+            at
+            for at in self._killed_ms
+            if found.at_ms - STABLE_MS < at < until_ms
+        ]
+        return len(earlier) > 0 and not killed and not found.was_reset
+
+    def _least_serving(self, found: versions.Try) -> int:
+        version = found.resumed_version
+        assert version is not None
+        return min(
+            (
+                serving.get(version, 0)
+                for at_ms, serving in self._serving
+                if found.at_ms - 100.0 <= at_ms <= found.at_ms + 1_000.0
+            ),
+            default=0,
+        )
+
+
+def play(case: str, seed: int) -> Verdict:
+    """Plays one history and judges its streams."""
+    return deployments.run(History(CASES[case], seed).play())
+
+
+def main() -> None:
+    """Plays the histories that the arguments name."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("seeds", type=int)
+    parser.add_argument("first", type=int, nargs="?", default=0)
+    parser.add_argument("--case", choices=list(CASES))
+    given = parser.parse_args()
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
+    )
+    for case in [given.case] if given.case else list(CASES):
+        total = Verdict()
+        for seed in range(given.first, given.first + given.seeds):
+            total.add(play(case, seed))
+        print(case, total, "LOST" if total.is_lost else "", flush=True)
+
+
+if __name__ == "__main__":
+    main()
