Streams of all killed: one answer to how long a stream may be taken up

Callers saw (by the users' report from a like system, and here in virtual time): after all instances were killed beside a release, streams whose first part the old version had written went on at the new one.

Cause: with no memory left, a stream may go on where its service has had one version for as long as streams last. That was twice the route's present timeout, while a stream may be taken up for 60 s at least: a route with a short timeout, or one whose timeout a configuration had just shortened, gave a stream to another version once the old one was out of sight.

Why it works: lifetimes.py answers both questions, with the longest timeout that was known, and looks back by the route's timeout more, since engines that have left still begin streams. Besides, a stream that begins counts for its version, and an instance whose view of the registrations is old tells others nothing for sure; it tells them anew once it has read them.

Price: where nobody remembers, a lone version is trusted after 74 s instead of 28 s (timeout 14 s). Three test files waited 30 s for that; they wait for the new time, their checks are the same.

--- a/src/jujubewharf/endpoint_load/endpoint_state.py
+++ b/src/jujubewharf/endpoint_load/endpoint_state.py
@@ -44,6 +44,7 @@
         self.versions = version_history.VersionHistory(
             clock, is_first_start=is_first_start
         )
+        self.versions.view_age_ms = lambda: self.registry.age_ms
         self.registry.add_listener(self._record_versions)
         self.registry.on_record = self.versions.note_record
         self.registry.on_drained_before_restore = self.backpressure.mark_leaving
@@ -66,8 +67,8 @@
             page: The page.
             is_full_read: Whether the whole table was read.
         """
-        max_age_ms = version_history.MAX_VIEW_AGE_MS
-        if is_full_read and self.registry.age_ms > max_age_ms:
+        was_old = self.registry.age_ms > version_history.MAX_VIEW_AGE_MS
+        if is_full_read and was_old:
             # Entries that came and went since the last read don't show.
             self.versions.mark_incomplete()
         self.registry.mark_store_available(age_ms=page.age_ms)
@@ -80,6 +81,9 @@
             self.registry.apply_all(records, page.end)
         else:
             self.registry.apply(records)
+        if was_old:
+            # Others were told nothing for sure while the view was old.
+            self.versions.on_change()
 
     def apply_notice(
         self, endpoint: resources.Endpoint, notice: notices.Notice
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -219,7 +219,7 @@
             rng,
             self._availability,
         )
-        self._endpoint_state.versions.on_new = self._tell_versions
+        self._endpoint_state.versions.on_change = self._tell_versions
         self._origins = fleet_origins.FleetOrigins(
             self.fleet, shared, clock, domain=settings.domain
         )
--- a/src/jujubewharf/peers/origin_messages.py
+++ b/src/jujubewharf/peers/origin_messages.py
@@ -211,7 +211,7 @@
         service: The service.
         version: The version.
         first_age_ms: Time since it was first known.
-        last_age_ms: Time since it was last registered.
+        last_age_ms: Time since it was last registered, or began a stream.
     """
 
     service: str
@@ -248,7 +248,7 @@
                 )
                 for seen in history.seen()
             ),
-            _bounded_ms(history.complete_for_ms),
+            _bounded_ms(history.told_complete_for_ms),
         )
 
     def seen(self, now_ms: float) -> Iterator[version_history.SeenVersion]:
--- a/src/jujubewharf/stream_versions/resumptions.py
+++ b/src/jujubewharf/stream_versions/resumptions.py
@@ -21,15 +21,12 @@
 from jujubewharf.forwarding import registry as registries
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import runs
+from jujubewharf.stream_versions import lifetimes
 from jujubewharf.stream_versions import origin_search
 from jujubewharf.stream_versions import origins as all_origins
 from jujubewharf.stream_versions import resume_log
 from jujubewharf.stream_versions import version_history
 
-# Time for which a stream may be resumed after it began or was resumed; at least
-# this, and a multiple of the route's timeout.
-_MIN_KEEP_MS = 60_000.0
-_KEEP_TIMEOUTS = 2.0
 # Engines of the version may be back, or the leader may know the stream by then.
 _RETRY_AFTER_MS = 1_000.0
 
@@ -77,6 +74,7 @@
         self._confirm = confirm
         self._clock = clock
         self._refresh_view = refresh_view
+        self._lifetimes = lifetimes.StreamLifetimes()
         self._confirmations: set[asyncio.Task[None]] = set()
 
     async def bind(self, run: runs.Run) -> None:
@@ -138,6 +136,7 @@
                 self._record(run, run.call.began_by, run.origin)
             return
         version = registration.software_version(engine)
+        self._history.note_begun(run.service, version)
         origin = all_origins.StreamOrigin(run.service, version)
         if self._registry.is_latest_start(engine):
             run.origin = origin
@@ -163,7 +162,8 @@
         self, run: runs.Run, request_id: str, origin: all_origins.StreamOrigin
     ) -> None:
         key = all_origins.stream_key(run.call, request_id)
-        self._shared.record(key, origin, keep_ms=_keep_ms(run.route))
+        keep_ms = self._lifetimes.keep_ms(run.route)
+        self._shared.record(key, origin, keep_ms=keep_ms)
 
     async def _search(self, run: runs.Run) -> origin_search.OriginSearch | None:
         """Searches for the request that the caller names, if it names one."""
@@ -192,7 +192,7 @@
 
     def _only_version(self, run: runs.Run) -> str | None:
         return self._history.only_version(
-            run.service, for_ms=_KEEP_TIMEOUTS * run.route.timeout_ms
+            run.service, for_ms=self._lifetimes.look_back_ms(run.route)
         )
 
     @property
@@ -220,10 +220,6 @@
     return any(e.can_decode or not run.route.is_model for e in fitting)
 
 
-def _keep_ms(route: routes.Route) -> float:
-    return max(_MIN_KEEP_MS, _KEEP_TIMEOUTS * route.timeout_ms)
-
-
 def _version_gone_error() -> errors.WharfError:
     return errors.WharfError(
         errors.ErrorKind.STREAM_VERSION_GONE, retry_after_ms=_RETRY_AFTER_MS
--- a/src/jujubewharf/stream_versions/version_history.py
+++ b/src/jujubewharf/stream_versions/version_history.py
@@ -33,7 +33,7 @@
         service: The service.
         version: The software version.
         first_ms: Clock reading when it was first known.
-        last_ms: Clock reading when it was last registered.
+        last_ms: Clock reading when it was last registered, or began a stream.
     """
 
     service: str
@@ -51,14 +51,15 @@
             that no stream can have begun at a version that has gone.
 
     Attributes:
-        on_new: Called when a service has a version that it wasn't known to
-            have.
+        on_change: Called when others should hear what this instance has seen.
+        view_age_ms: Returns the time since the registrations were read.
     """
 
     def __init__(
         self, clock: clocks.Clock, *, is_first_start: bool = False
     ) -> None:
-        self.on_new: Callable[[], None] = lambda: None
+        self.on_change: Callable[[], None] = lambda: None
+        self.view_age_ms: Callable[[], float] = lambda: 0.0
         self._clock = clock
         self._is_first_start = is_first_start
         # Since when no version can have been missed.
@@ -73,6 +74,17 @@
             return 0.0
         return self._clock.now_ms() - self._complete_since_ms
 
+    @property
+    def told_complete_for_ms(self) -> float:
+        """Time for which others may trust that no version was missed.
+
+        A version that came since an old view was read, and has gone before the
+        other instance reads for the first time, would be missed by both.
+        """
+        if self.view_age_ms() > MAX_VIEW_AGE_MS:
+            return 0.0
+        return self.complete_for_ms
+
     def set_endpoints(self, endpoints: Iterable[resources.Endpoint]) -> None:
         """Records the endpoints that are registered now."""
         if self._complete_since_ms is None:
@@ -91,6 +103,10 @@
         version = registration.software_version(endpoint)
         self._touch((endpoint.service, version))
 
+    def note_begun(self, service: str, version: str) -> None:
+        """Records that a stream began, also at an engine that has left."""
+        self._touch((service, version))
+
     def mark_incomplete(self) -> None:
         """Records that registrations may have been missed until now."""
         if self._complete_since_ms is not None:
@@ -114,7 +130,7 @@
             since_ms = self._clock.now_ms() - complete_for_ms
             self._complete_since_ms = min(self._complete_since_ms, since_ms)
         if is_new:
-            self.on_new()
+            self.on_change()
 
     def seen(self) -> tuple[SeenVersion, ...]:
         """Returns all versions that were seen of late."""
@@ -174,7 +190,7 @@
         first_ms = now_ms if known is None else known.first_ms
         self._seen[key] = SeenVersion(*key, first_ms, now_ms)
         if known is None:
-            self.on_new()
+            self.on_change()
 
     def _forget_old(self) -> None:
         oldest_ms = self._clock.now_ms() - _KEEP_MS
--- a/tests/stream_versions/test_after_outage.py
+++ b/tests/stream_versions/test_after_outage.py
@@ -11,8 +11,8 @@
 from tests.leadership import stream_versions as versions
 
 NAMES = tuple(f"e{number}" for number in range(1, 9))
-# Longer than twice the timeout of the streams' route.
-SETTLED_MS = 30_000.0
+# Longer than streams may be taken up.
+SETTLED_MS = 76_000.0
 # Time after an outage from which the users' rules hold again.
 STABLE_MS = 3_000.0
 
--- a/tests/stream_versions/test_cut_domain.py
+++ b/tests/stream_versions/test_cut_domain.py
@@ -16,8 +16,8 @@
 NAMES = tuple(f"e{number}" for number in range(1, 9))
 # The store is read every four seconds by an instance without a leader.
 LEAVING_WITHIN_MS = 10_000.0
-# Longer than twice the timeout of the streams' route.
-SETTLED_MS = 30_000.0
+# Longer than streams may be taken up.
+SETTLED_MS = 76_000.0
 CUT_MS = 10_000.0
 # Time after which the instances on the other side have given the leader up.
 LEADER_LOST_MS = 3_000.0
--- a/tests/stream_versions/test_resumptions.py
+++ b/tests/stream_versions/test_resumptions.py
@@ -22,7 +22,7 @@
 GONE = errors.ErrorKind.STREAM_VERSION_GONE
 # Time within which what can't be served is refused.
 AT_ONCE_MS = 50.0
-LONG_MS = 29_000.0
+LONG_MS = 75_000.0
 
 
 def _behind(*names: str):
--- a/tests/stream_versions/test_version_history.py
+++ b/tests/stream_versions/test_version_history.py
@@ -111,3 +111,32 @@
         assert history.without_new_versions([old, new]) == [old, new]
 
     _run(test)
+
+
+# An instance took over that another one had missed nothing, though that one had
+# not read the registrations for a while.
+def test_old_view_tells_others_nothing_for_sure():
+    async def test(history, clock):
+        history.set_endpoints(_engines("v1"))
+        await clock.sleep_ms(LONG_MS)
+        assert history.told_complete_for_ms == LONG_MS
+        history.view_age_ms = lambda: version_history.MAX_VIEW_AGE_MS + 1.0
+        assert history.told_complete_for_ms == 0.0
+
+    _run(test)
+
+
+# An engine whose registration had gone began a stream, and its version counted
+# as gone since its registration was.
+def test_stream_that_begins_late_counts_for_its_version():
+    async def test(history, clock):
+        history.set_endpoints(_engines("v1", "v2"))
+        history.set_endpoints(_engines("v2"))
+        await clock.sleep_ms(LONG_MS)
+        history.note_begun(SERVICE, "v1")
+        await clock.sleep_ms(LONG_MS - 1.0)
+        assert history.only_version(SERVICE, for_ms=LONG_MS) is None
+        await clock.sleep_ms(2.0)
+        assert history.only_version(SERVICE, for_ms=LONG_MS) == "v2"
+
+    _run(test)
