Streams of all killed go on: the store keeps where they began

Cause: where a stream began was kept by instances only. The platform's store outlives them and leads across a cut, and wasn't told.

Why it works: the leader, or who has none, writes where streams began as the first event is passed on, without having it wait; what nobody in reach remembers is read from there. Records are never changed and stay true, so that late writes and restored copies can leave a stream out, but not give it to another version. For callers that name no request the store names the versions at which streams may have begun, before they begin there, and a record that is complete in the store's epoch makes a lone version known at once.

--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -44,6 +44,8 @@
 from jujubewharf.leadership import leadership
 from jujubewharf.leadership import led
 from jujubewharf.leadership import load_digests
+from jujubewharf.leadership import origin_store
+from jujubewharf.leadership import origin_writer
 from jujubewharf.leadership import plain_permits
 from jujubewharf.leadership import replica_set
 from jujubewharf.leadership import shared_state
@@ -59,6 +61,7 @@
 from jujubewharf.platform import tables
 from jujubewharf.requests import plain_endpoints
 from jujubewharf.role_orders import ledger
+from jujubewharf.stream_versions import lifetimes
 from jujubewharf.stream_versions import origins
 from jujubewharf.telemetry import containment
 
@@ -86,6 +89,7 @@
         epoch: Epoch of the store that holds tables and groups.
         peers: Connections between instances; ``None`` without a leader.
         crashes: Table of crash reports; ``None`` if they are not stored.
+        origins: Table of where streams began; ``None`` if it isn't stored.
         held: Account of the memory that is held for callers and peers;
             ``None`` for one with the default bound.
     """
@@ -97,6 +101,7 @@
     epoch: epochs.StoreEpoch
     peers: ports.PeerAdapters | None = None
     crashes: tables.WritableTable | None = None
+    origins: tables.WritableTable | None = None
     held: memory_account.HeldMemory | None = None
 
 
@@ -220,8 +225,14 @@
             self._availability,
         )
         self._endpoint_state.versions.on_change = self._tell_versions
+        self._lifetimes = lifetimes.StreamLifetimes()
+        self._stored_origins = self._new_stored_origins(adapters)
         self._origins = fleet_origins.FleetOrigins(
-            self.fleet, shared, clock, domain=settings.domain
+            self.fleet,
+            shared,
+            clock,
+            domain=settings.domain,
+            stored=self._stored_origins,
         )
         self.quotas = fleet_quotas.FleetQuotas(
             self.fleet,
@@ -266,6 +277,30 @@
         )
         self.fleet.feeds.endpoints.on_confirmed = self._on_endpoints_confirmed
 
+    def _new_stored_origins(
+        self, adapters: Adapters
+    ) -> fleet_origins.StoredOrigins | None:
+        """Creates what reads and writes the table of where streams began."""
+        if adapters.origins is None:
+            return None
+        store = origin_store.OriginStore(
+            adapters.origins,
+            self._endpoint_state.versions,
+            self._lifetimes,
+            adapters.epoch,
+            self._clock,
+        )
+        writer = origin_writer.OriginWriter(
+            adapters.origins,
+            store,
+            self.fleet,
+            self._endpoint_state.versions,
+            self._lifetimes,
+            adapters.epoch,
+            self._clock,
+        )
+        return fleet_origins.StoredOrigins(store, writer)
+
     def _make_forwarder(
         self,
         adapters: Adapters,
@@ -371,6 +406,7 @@
                 self._origins,
                 self._endpoint_state.versions,
                 self._refresh_view,
+                self._lifetimes,
             ),
             clock,
             rng,
@@ -442,6 +478,8 @@
         await self.add_runtime_dependency(self._endpoints)
         for service in self._crash_services:
             await self.add_runtime_dependency(service)
+        if self._stored_origins is not None:
+            await self.add_runtime_dependency(self._stored_origins.writer)
         if self._leadership is None:
             await self.add_runtime_dependency(self.share)
         await self.add_runtime_dependency(self._role_controller)
@@ -587,6 +625,7 @@
         told_by: str,
     ) -> None:
         self.quotas.remove_unconfigured()
+        self._lifetimes.learn(configuration.routes)
         self._log_unknown_accounts()
         state_log.log_active_configuration(
             configuration, offset=position, told_by=told_by
--- a/src/jujubewharf/forwarding/request_path.py
+++ b/src/jujubewharf/forwarding/request_path.py
@@ -29,6 +29,7 @@
 from jujubewharf.forwarding import stream
 from jujubewharf.plain_calls import permits
 from jujubewharf.requests import plain_endpoints
+from jujubewharf.stream_versions import lifetimes
 from jujubewharf.stream_versions import resumptions
 from jujubewharf.stream_versions import version_history
 
@@ -72,6 +73,7 @@
     origins: resumptions.SharedOrigins
     versions: version_history.VersionHistory
     refresh_view: Callable[[], Awaitable[None]]
+    lifetimes: lifetimes.StreamLifetimes
 
 
 def new_forwarder(
@@ -118,6 +120,7 @@
         sender.is_same_start,
         clock,
         parts.refresh_view,
+        parts.lifetimes,
     )
     plain_forwarder = plain.PlainForwarder(
         backends,
--- a/src/jujubewharf/leadership/fleet.py
+++ b/src/jujubewharf/leadership/fleet.py
@@ -267,6 +267,7 @@
                 relay_messages.BODY_CAPABILITY,
                 origin_messages.CAPABILITY,
                 origin_messages.REPLICA_CAPABILITY,
+                origin_messages.STORE_CAPABILITY,
             ),
         )
         counts = counters.PeerCounters()
--- a/src/jujubewharf/leadership/fleet_origins.py
+++ b/src/jujubewharf/leadership/fleet_origins.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 
 import mode
 
@@ -18,6 +19,8 @@
 from jujubewharf.leadership import origin_copies
 from jujubewharf.leadership import origin_lookup
 from jujubewharf.leadership import origin_server
+from jujubewharf.leadership import origin_store
+from jujubewharf.leadership import origin_writer
 from jujubewharf.leadership import replica_set
 from jujubewharf.leadership import shared_state
 from jujubewharf.peers import link as links
@@ -31,6 +34,19 @@
 _RETRY_INTERVAL_MS = 2_500.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredOrigins:
+    """What the platform's store keeps of streams.
+
+    Attributes:
+        store: Reads it.
+        writer: Writes it.
+    """
+
+    store: origin_store.OriginStore
+    writer: origin_writer.OriginWriter
+
+
 class FleetOrigins(restarting_service.RestartingService):
     """Implements ``resumptions.SharedOrigins`` across all instances.
 
@@ -39,6 +55,7 @@
         state: State that all instances share.
         clock: Time source.
         domain: Failure domain of this instance.
+        stored: Reads and writes what the store keeps; ``None`` without one.
     """
 
     def __init__(
@@ -48,12 +65,14 @@
         clock: clocks.Clock,
         *,
         domain: str,
+        stored: StoredOrigins | None = None,
     ) -> None:
         super().__init__(clock)
         self._fleet = fleet
         self._state = state
         self._memory = state.origins
         self._domain = domain
+        self._stored = stored
         self._replicas: replica_set.ReplicaSet | None = None
         self._copies: origin_copies.OriginCopies | None = None
         self._copying: set[asyncio.Task[None]] = set()
@@ -79,6 +98,8 @@
         followers.on_origin_link = server.serve
         followers.on_streams_began = self._on_followers_streams
         followers.on_origin_request = self._reply_to_follower
+        if self._stored is not None:
+            followers.on_streams_to_store = self._stored.writer.add_for_follower
         return replicas
 
     async def on_stop(self) -> None:
@@ -96,6 +117,11 @@
         """Records where a stream of this instance began, and tells others."""
         record = self._memory.record(key, origin, keep_ms=keep_ms)
         self._begin_copying(record)
+        if (
+            self._stored is not None
+            and origin.known_by is all_origins.KnownBy.ANSWER
+        ):
+            self._stored.writer.add(record)
         if not self._fleet.link.chooses_replicas:
             self._tell_older_leader(record)
 
@@ -112,10 +138,17 @@
             origin = await lookup.find(key, self._replicas.order)
         if origin is None:
             origin = await self._ask_older_leader(key, counts)
+        if origin is None and self._stored is not None:
+            origin = await self._stored.store.find(key)
         return origin_search.OriginSearch(
             origin, role.value, role_ms, counts.asked, counts.answered
         )
 
+    async def read_versions(self) -> None:
+        """Reads the versions at which the store knows streams to begin."""
+        if self._stored is not None:
+            await self._stored.store.read()
+
     def _begin_copying(self, record: all_origins.OriginRecord) -> None:
         """Has replicas keep a stream, for which it doesn't wait."""
         task = asyncio.ensure_future(self._copy(record))
--- a/src/jujubewharf/leadership/followers.py
+++ b/src/jujubewharf/leadership/followers.py
@@ -99,6 +99,8 @@
         on_retry_demand: Called with a follower's demand for retries.
         on_streams_began: Called with streams that a follower of an older build
             began.
+        on_streams_to_store: Called with streams of a follower that the store
+            has to keep.
         on_origin_request: Called with the key of a stream for which such a
             follower asks; returns the reply.
     """
@@ -132,6 +134,10 @@
             [links.Link, origin_messages.StreamsBegan], None
         ]
         self.on_streams_began = lambda link, message: None
+        self.on_streams_to_store: Callable[
+            [origin_messages.StreamsToStore], None
+        ]
+        self.on_streams_to_store = lambda message: None
         self.on_origin_request: Callable[
             [bytes], Awaitable[origin_messages.OriginReply]
         ]
@@ -242,6 +248,9 @@
                 case origin_messages.StreamsBegan():
                     self.on_streams_began(link, message)
                     return None
+                case origin_messages.StreamsToStore():
+                    self.on_streams_to_store(message)
+                    return None
                 case origin_messages.OriginRequest(key=key):
                     return await self.on_origin_request(key)
                 case _:
--- a/src/jujubewharf/peers/origin_messages.py
+++ b/src/jujubewharf/peers/origin_messages.py
@@ -20,6 +20,8 @@
 CAPABILITY = "software_versions"
 # Capability of instances that keep where the streams of others began.
 REPLICA_CAPABILITY = "origin_replicas"
+# Capability of leaders that have the store keep the streams of followers.
+STORE_CAPABILITY = "stored_origins"
 
 # Bounds of what a message may state.
 _MAX_STREAMS = 1_000
@@ -101,6 +103,25 @@
                 yield stream.record(now_ms)
 
 
+@messages.message(198)
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamsToStore(messages.Message):
+    """Streams that began at a follower, for the leader to have stored."""
+
+    streams: tuple[BegunStream, ...]
+
+    @classmethod
+    def from_records(
+        cls, records: Iterable[origins.OriginRecord], now_ms: float
+    ) -> StreamsToStore:
+        """Creates a message from what is remembered."""
+        return cls(tuple(BegunStream.from_record(r, now_ms) for r in records))
+
+    def records(self, now_ms: float) -> Iterator[origins.OriginRecord]:
+        """Returns the streams with clock readings of the receiver."""
+        yield from StreamsBegan(self.streams).records(now_ms)
+
+
 @messages.message(191)
 @dataclasses.dataclass(frozen=True, slots=True)
 class OriginRequest(messages.Message):
--- a/src/jujubewharf/stream_versions/lifetimes.py
+++ b/src/jujubewharf/stream_versions/lifetimes.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from jujubewharf.forwarding import routes
 
 # Callers take a stream up within their own time, which the route's timeout
@@ -24,6 +26,19 @@
 
     def __init__(self) -> None:
         self._longest_ms: dict[str, float] = {}
+        self._look_back_ms = _MIN_KEEP_MS
+
+    @property
+    def longest_look_back_ms(self) -> float:
+        """Age of the oldest stream of any service that may be taken up."""
+        return self._look_back_ms
+
+    def learn(self, known: Iterable[routes.Route]) -> None:
+        """Notes the timeouts of a configuration that comes into force."""
+        for route in known:
+            if route.is_stream:
+                look_back_ms = self.look_back_ms(route)
+                self._look_back_ms = max(self._look_back_ms, look_back_ms)
 
     def keep_ms(self, route: routes.Route) -> float:
         """Returns for how long a stream may be taken up from now on, in ms."""
--- a/src/jujubewharf/stream_versions/origins.py
+++ b/src/jujubewharf/stream_versions/origins.py
@@ -26,7 +26,8 @@
 
     ``ANSWER``: it forwards the stream itself. ``MEMORY``: it was told when the
     stream began, or forwarded the beginning. ``REPLICA``: a replica was asked.
-    ``LEADER``: a leader of an older build was asked.
+    ``LEADER``: a leader of an older build was asked. ``STORE``: the platform's
+    store was read, as nobody in reach remembers.
     ``ONLY_VERSION``: the service has had no other version for as long as
     streams last.
     """
@@ -35,6 +36,7 @@
     MEMORY = "memory"
     REPLICA = "replica"
     LEADER = "leader"
+    STORE = "store"
     ONLY_VERSION = "only_version"
 
 
@@ -81,12 +83,18 @@
     Args:
         clock: Time source.
         max_streams: Number of streams that are remembered.
+        known_by: How those that are found are known.
     """
 
     def __init__(
-        self, clock: clocks.Clock, *, max_streams: int = _MAX_STREAMS
+        self,
+        clock: clocks.Clock,
+        *,
+        max_streams: int = _MAX_STREAMS,
+        known_by: KnownBy = KnownBy.MEMORY,
     ) -> None:
         self._clock = clock
+        self._known_by = known_by
         self._max_streams = max_streams
         # In order of the last change, so that the oldest come first.
         self._records: dict[bytes, OriginRecord] = {}
@@ -130,7 +138,7 @@
         return StreamOrigin(
             record.service,
             record.version,
-            KnownBy.MEMORY,
+            self._known_by,
             self._clock.now_ms() - record.began_ms,
         )
 
--- a/src/jujubewharf/stream_versions/resume_log.py
+++ b/src/jujubewharf/stream_versions/resume_log.py
@@ -30,6 +30,10 @@
     "forwarding.untold_streams",
     description="Streams whose beginning no other instance was told.",
 )
+_STORE_CALLS = _METER.create_counter(
+    "forwarding.origin_store_calls",
+    description="Calls about where streams began, by kind and outcome.",
+)
 
 _logger = structlog.get_logger()
 
@@ -101,6 +105,22 @@
     _UNTOLD.add(1)
 
 
+def count_store_call(kind: str, outcome: str) -> None:
+    """Counts a call to the store about where streams began."""
+    _STORE_CALLS.add(1, {"kind": kind, "outcome": outcome})
+
+
+def log_not_written(*, streams: int, detail: str) -> None:
+    """Logs that the store didn't take where streams began.
+
+    Args:
+        streams: Number of streams that are written later.
+        detail: What went wrong.
+    """
+    count_store_call("write", "unavailable")
+    _logger.info("origins_not_written", streams=streams, detail=detail)
+
+
 def log_refused_resumption(
     run: runs.Run,
     reason: NotResumed,
--- a/src/jujubewharf/stream_versions/resumptions.py
+++ b/src/jujubewharf/stream_versions/resumptions.py
@@ -44,6 +44,10 @@
         """Searches for where a stream began."""
         ...
 
+    async def read_versions(self) -> None:
+        """Reads the versions at which the store knows streams to begin."""
+        ...
+
 
 class Resumptions:
     """Binds streams to the version that began them.
@@ -57,6 +61,7 @@
         clock: Time source.
         refresh_view: Reads the registrations now; returns when they have been
             read, or can't be within a short time.
+        known_lifetimes: For how long streams may be taken up.
     """
 
     def __init__(
@@ -67,6 +72,7 @@
         confirm: Callable[[resources.Endpoint], Awaitable[bool]],
         clock: clocks.Clock,
         refresh_view: Callable[[], Awaitable[None]],
+        known_lifetimes: lifetimes.StreamLifetimes,
     ) -> None:
         self._shared = shared
         self._history = history
@@ -74,7 +80,7 @@
         self._confirm = confirm
         self._clock = clock
         self._refresh_view = refresh_view
-        self._lifetimes = lifetimes.StreamLifetimes()
+        self._lifetimes = known_lifetimes
         self._confirmations: set[asyncio.Task[None]] = set()
 
     async def bind(self, run: runs.Run) -> None:
@@ -178,6 +184,10 @@
         """Returns the origin of all streams of a service with one version."""
         if len(run.route.shares) > 1:
             return None
+        look_back_ms = self._lifetimes.look_back_ms(run.route)
+        if self._history.complete_for_ms < look_back_ms:
+            # Nobody in reach has seen all versions of that time.
+            await self._shared.read_versions()
         if self._only_version(run) is None:
             return None
         if self._is_view_old:
--- a/tests/forwarding/deployments.py
+++ b/tests/forwarding/deployments.py
@@ -162,6 +162,7 @@
         configurations: Table of routing configurations.
         endpoints: Table of endpoint registrations.
         crashes: Table of crash reports.
+        origins: Table of where streams began.
         groups: Group of all instances.
         leaders: Group of the instances that can lead.
         network: Connections between instances.
@@ -171,6 +172,8 @@
         cuts: Partitions between single instances and endpoints.
         retries: Retry budget of the fleet, as in the settings.
         are_pausable: Whether instances that start can be paused.
+        is_first_start: Whether instances that start are told that the whole
+            deployment starts for the first time.
         leaving_within_ms: Time within which a draining endpoint must get no
             more work, as in the settings.
     """
@@ -182,6 +185,7 @@
         self.configurations = self.store.table("configurations")
         self.endpoints = self.store.table("endpoints")
         self.crashes = self.store.table("crashes")
+        self.origins = self.store.table("origins")
         self.leaders = self.store.group("leaders")
         self.network = network.MemoryNetwork(self.clock)
         self.groups = self.store.group("instances")
@@ -191,6 +195,7 @@
         self.cuts = endpoint_cuts.EndpointCuts()
         self.retries = {"ratio": 0.2, "slack": 40, "window_s": 10}
         self.are_pausable = False
+        self.is_first_start = False
         self.leaving_within_ms = 2_000.0
         self._ids = 0
         self._starts = 0
@@ -228,6 +233,7 @@
                 },
                 retries=self.retries,
                 stop_within_s=8,
+                is_first_start=self.is_first_start,
                 processor={"share": self.cores.get(name, 0.5)},
             )
             epoch = epochs.StoreEpoch()
@@ -247,6 +253,7 @@
                 epoch,
                 self._peers(view, name, domain) if is_led else None,
                 view.table("crashes"),
+                view.table("origins"),
             )
             instance = entry.ForwardingEntry(
                 settings, self.clock, adapters, random.Random(name)
--- a/tests/leadership/resumption_world.py
+++ b/tests/leadership/resumption_world.py
@@ -202,6 +202,8 @@
         self._streams += 1
         # Bodies differ, so that no request is blamed for others' crashes.
         body = b"body %d" % self._streams
+        while not self.running:
+            await self.clock.sleep_ms(versions.CALLER_PAUSE_MS)
         instance = self.rng.choice(self.running)
         for _ in range(1 + max_resumptions):
             found = await self._request(stream, instance, body)
--- a/tests/leadership/stream_versions.py
+++ b/tests/leadership/stream_versions.py
@@ -95,12 +95,14 @@
         versions: Versions of the engines that wrote them.
         began_by: Id of the request that brought the first event.
         tries: The caller's requests.
+        began_ms: When the first event arrived.
     """
 
     numbers: list[int] = dataclasses.field(default_factory=list)
     versions: list[str] = dataclasses.field(default_factory=list)
     began_by: str | None = None
     tries: list[Try] = dataclasses.field(default_factory=list)
+    began_ms: float = 0.0
 
     @property
     def is_mixed(self) -> bool:
@@ -211,10 +213,13 @@
 async def deployed(
     *behind: backend_state.StandInBackend,
     names: Sequence[str] = ("e1", "e2", "e3", "e4", "e5", "e6"),
+    is_first_start: bool = False,
 ):
     """A deployment with a leader for the block, ready and known to all."""
     world = deployments.Deployment(*behind)
+    world.is_first_start = is_first_start
     await world.start_in(DOMAINS, *names)
+    world.is_first_start = False
     await world.clock.sleep_ms(4_000.0)
     try:
         yield world
--- a/tests/real_processes/instance_trouble.py
+++ b/tests/real_processes/instance_trouble.py
@@ -9,6 +9,7 @@
 import contextlib
 import random
 import signal
+import time
 
 from tests.real_processes import cut_streams
 from tests.real_processes import deployment as deployments
@@ -42,6 +43,7 @@
         leader_pauses: When an instance stood still that led.
         cuts: When the zones were cut from each other.
         store_pauses: When the store stood still.
+        kills_of_all: When all instances were killed.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         self.leader_pauses: list[spans.Span] = []
         self.cuts: list[spans.Span] = []
         self.store_pauses: list[spans.Span] = []
+        self.kills_of_all: list[float] = []
         self._deployment = deployment
         self._rng = rng
         self._disturbed: dict[str, list[spans.Span]] = collections.defaultdict(
@@ -82,6 +85,10 @@
         """Whether the zones were cut from each other in a span."""
         return spans.any_meets(self.cuts, from_s, until_s)
 
+    def were_all_killed(self, from_s: float, until_s: float) -> bool:
+        """Whether all instances were killed within a span."""
+        return any(from_s < at_s < until_s for at_s in self.kills_of_all)
+
     async def pause_leader(self) -> None:
         """Stops the leader for longer than its lease lasts."""
         leader = await self._leader()
@@ -109,6 +116,12 @@
         count = len(self._deployment.instances) // 3
         await self._kill(self._draw(max(2, count)))
 
+    async def kill_all(self) -> None:
+        """Kills all instances at once, unless some are disturbed already."""
+        if not self._busy:
+            self.kills_of_all.append(time.monotonic())
+            await self._kill(list(self._deployment.instances))
+
     async def stop_one(self) -> None:
         """Has an instance drain, and starts it again."""
         for instance in self._draw(1):
