Relayed calls, stored origins: arguments that belong together, one refusal

As a newcomer reads it: the answer of a relayed call takes one argument instead of five, a peer's refusal is one exception on both sides, the table of where streams began is put together in a module of its own, and two tests share a registry. No behaviour changes.

--- a/src/jujubewharf/endpoint_paths/relay_exchanges.py
+++ b/src/jujubewharf/endpoint_paths/relay_exchanges.py
@@ -47,23 +47,6 @@
     """A peer could not be asked, so nothing was handed over."""
 
 
-class _RefusedError(Exception):
-    """A peer refused a call, so nothing was sent to the endpoint.
-
-    Args:
-        refusal: The peer's answer.
-    """
-
-    def __init__(self, refusal: relay_messages.RelayRefused) -> None:
-        super().__init__(refusal.reason)
-        self.refusal = refusal
-
-    @property
-    def is_for_memory(self) -> bool:
-        """Whether the peer makes calls with smaller bodies."""
-        return self.refusal.reason == _Reason.MEMORY_FULL.value
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Exchange:
     """A call that a peer makes.
@@ -179,7 +162,7 @@
                     stack.push_async_exit(attempt.pop_all())
             except _PeerUnavailableError:
                 self._peers.mark_unreachable(address, _UNREACHABLE_PAUSE_MS)
-            except _RefusedError as error:
+            except relayed_bodies.RefusedError as error:
                 has_reached_any = True
                 was_too_large |= error.is_for_memory
                 self._on_refused(address, endpoint, error.refusal)
@@ -249,12 +232,10 @@
             relay_messages.BODY_CAPABILITY not in hello.capabilities
         ):
             # Older builds hold bodies outside of their account of memory.
-            raise _RefusedError(relayed_bodies.MEMORY_FULL)
+            raise relayed_bodies.RefusedError(relayed_bodies.MEMORY_FULL)
         try:
             await relayed_bodies.hand_over(stream, message, self._clock)
             first = await stream.receive()
-        except relayed_bodies.NotHandedOverError as error:
-            raise _RefusedError(error.refusal) from error
         except relay_streams.TooLargeError:
             fault = client.EngineFault.UNREACHABLE
             raise client.EngineError(
@@ -263,7 +244,7 @@
         except relay_streams.BrokenRelayError as error:
             raise lost(endpoint, f"peer: {error}") from error
         if isinstance(first, relay_messages.RelayRefused):
-            raise _RefusedError(first)
+            raise relayed_bodies.RefusedError(first)
         return Exchange(stream, first, hello.instance)
 
     async def _open(
--- a/src/jujubewharf/endpoint_paths/relay_server.py
+++ b/src/jujubewharf/endpoint_paths/relay_server.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import dataclasses
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
@@ -44,6 +45,23 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Admitted:
+    """A call that is made.
+
+    Attributes:
+        call: The call, with its body.
+        endpoint: The endpoint.
+        stream: Stream to the peer.
+        lease: What the call is counted in.
+    """
+
+    call: _Call
+    endpoint: resources.Endpoint
+    stream: relay_streams.RelayStream
+    lease: leases.Lease
+
+
 class RelayServer:
     """Serves the relayed calls of all peers.
 
@@ -131,7 +149,8 @@
                 reason = _Reason.MEMORY_FULL
         if reason is None:
             assert endpoint is not None
-            reason = await self._answer(call, endpoint, stream, lease)
+            admitted = _Admitted(call, endpoint, stream, lease)
+            reason = await self._answer(admitted)
         path_log.log_call_for_peer(
             call.endpoint,
             peer=peer,
@@ -140,22 +159,14 @@
         )
         return reason
 
-    async def _answer(
-        self,
-        call: _Call,
-        endpoint: resources.Endpoint,
-        stream: relay_streams.RelayStream,
-        lease: leases.Lease,
-    ) -> _Reason | None:
+    async def _answer(self, admitted: _Admitted) -> _Reason | None:
         """Answers a call until the peer closes, as its caller has left.
 
         Returns:
             The reason if the call turned out not to be possible.
         """
-        answering = asyncio.ensure_future(
-            self._answer_admitted(call, endpoint, stream, lease)
-        )
-        closed = asyncio.ensure_future(stream.wait_until_closed())
+        answering = asyncio.ensure_future(self._answer_admitted(admitted))
+        closed = asyncio.ensure_future(admitted.stream.wait_until_closed())
         try:
             await asyncio.wait(
                 [answering, closed], return_when=asyncio.FIRST_COMPLETED
@@ -199,13 +210,7 @@
             return _Reason.DRAINING
         return None
 
-    async def _answer_admitted(
-        self,
-        call: _Call,
-        endpoint: resources.Endpoint,
-        stream: relay_streams.RelayStream,
-        lease: leases.Lease,
-    ) -> _Reason | None:
+    async def _answer_admitted(self, admitted: _Admitted) -> _Reason | None:
         """Makes a call and answers with its outcome.
 
         Returns:
@@ -217,11 +222,11 @@
             async with self._admission.admitted():
                 with self._backends.capturing_notices() as notices:
                     try:
-                        await self._make(call, endpoint, stream, notices, lease)
+                        await self._make(admitted, notices)
                     except client.EngineError as error:
-                        if self._is_own_fault(error, endpoint):
+                        if self._is_own_fault(error, admitted.endpoint):
                             return _Reason.CUT_OFF
-                        await stream.send(
+                        await admitted.stream.send(
                             relay_messages.RelayedFault(
                                 error.fault.value, error.detail, tuple(notices)
                             )
@@ -240,12 +245,7 @@
         return is_unreachable and self._reachability.is_cut_off(endpoint)
 
     async def _make(
-        self,
-        call: _Call,
-        endpoint: resources.Endpoint,
-        stream: relay_streams.RelayStream,
-        notices: observed_backends.CapturedNotices,
-        lease: leases.Lease,
+        self, admitted: _Admitted, notices: observed_backends.CapturedNotices
     ) -> None:
         """Makes a call and sends its result.
 
@@ -253,37 +253,37 @@
             EngineError: The call failed.
         """
         result = relay_messages.RelayedResult()
-        match call:
-            case relay_messages.RelayedSend():
-                await self._send(call, endpoint, stream, notices, lease)
+        endpoint = admitted.endpoint
+        match admitted.call:
+            case relay_messages.RelayedSend() as call:
+                await self._send(call, admitted, notices)
                 return
-            case relay_messages.RelayedPrefill():
+            case relay_messages.RelayedPrefill() as call:
                 source = await self._backends.prefill(endpoint, call.outbound)
                 result = relay_messages.RelayedResult(
                     source=source, notices=tuple(notices)
                 )
-            case relay_messages.RelayedReservation():
+            case relay_messages.RelayedReservation() as call:
                 hold = await self._backends.reserve(
                     endpoint, tokens=call.tokens, ttl_ms=call.ttl_ms
                 )
                 result = relay_messages.RelayedResult(
                     hold=hold, notices=tuple(notices)
                 )
-            case relay_messages.RelayedRelease():
+            case relay_messages.RelayedRelease() as call:
                 await self._release(call, endpoint)
-            case relay_messages.RelayedCheck():
+            case relay_messages.RelayedCheck() as call:
                 is_true = await self._check(call, endpoint)
                 result = relay_messages.RelayedResult(is_true=is_true)
-        await stream.send(result)
+        await admitted.stream.send(result)
 
     async def _send(
         self,
         call: relay_messages.RelayedSend,
-        endpoint: resources.Endpoint,
-        stream: relay_streams.RelayStream,
+        admitted: _Admitted,
         notices: observed_backends.CapturedNotices,
-        lease: leases.Lease,
     ) -> None:
+        endpoint, stream = admitted.endpoint, admitted.stream
         async with self._backends.send(endpoint, call.outbound) as received:
             reply = whole_replies.with_certain_end(
                 received,
@@ -302,7 +302,7 @@
                 )
             )
             async for part in reply.body:
-                with lease.unsent(len(part)):
+                with admitted.lease.unsent(len(part)):
                     await stream.send(relay_messages.RelayedPart(part))
         await stream.send(relay_messages.RelayedEnd())
 
--- a/src/jujubewharf/endpoint_paths/relayed_bodies.py
+++ b/src/jujubewharf/endpoint_paths/relayed_bodies.py
@@ -34,8 +34,8 @@
 CallWithBody = relay_messages.RelayedSend | relay_messages.RelayedPrefill
 
 
-class NotHandedOverError(Exception):
-    """The call hasn't been handed over as a whole, so the peer won't make it.
+class RefusedError(Exception):
+    """A peer doesn't make a call, so nothing was sent to the endpoint.
 
     Args:
         refusal: The peer's answer.
@@ -45,6 +45,11 @@
         super().__init__(refusal.reason)
         self.refusal = refusal
 
+    @property
+    def is_for_memory(self) -> bool:
+        """Whether the peer makes calls with smaller bodies."""
+        return self.refusal.reason == MEMORY_FULL.reason
+
 
 def needs_parts(message: messages.Message) -> bool:
     """Returns whether a call has a body that is sent in parts."""
@@ -62,7 +67,7 @@
     """Sends a call, and its body once the peer wants it.
 
     Raises:
-        NotHandedOverError: The peer doesn't make the call.
+        RefusedError: The peer doesn't make the call.
         BrokenRelayError: The stream is lost; the peer may make the call.
         TooLargeError: The call without its body is too large.
     """
@@ -73,7 +78,7 @@
         await _hand_over_body(stream, message, clock)
     except (relay_streams.BrokenRelayError, TimeoutError):
         # The peer makes no call whose body it doesn't have as a whole.
-        raise NotHandedOverError(MEMORY_FULL) from None
+        raise RefusedError(MEMORY_FULL) from None
 
 
 async def _hand_over_body(
@@ -93,7 +98,7 @@
         answer = await stream.receive()
     match answer:
         case relay_messages.RelayRefused():
-            raise NotHandedOverError(answer)
+            raise RefusedError(answer)
         case relay_messages.RelayedBodyWanted():
             for at in range(0, len(body), _PART_BYTES):
                 part = body[at : at + _PART_BYTES]
--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -44,11 +44,10 @@
 from jujubewharf.leadership import leadership
 from jujubewharf.leadership import led
 from jujubewharf.leadership import load_digests
-from jujubewharf.leadership import origin_store
-from jujubewharf.leadership import origin_writer
 from jujubewharf.leadership import plain_permits
 from jujubewharf.leadership import replica_set
 from jujubewharf.leadership import shared_state
+from jujubewharf.leadership import stored_origins
 from jujubewharf.leaving import shutdown
 from jujubewharf.overload import part_log
 from jujubewharf.overload import parts
@@ -226,7 +225,14 @@
         )
         self._endpoint_state.versions.on_change = self._tell_versions
         self._lifetimes = lifetimes.StreamLifetimes()
-        self._stored_origins = self._new_stored_origins(adapters)
+        self._stored_origins = stored_origins.new_stored_origins(
+            adapters.origins,
+            self.fleet,
+            self._endpoint_state.versions,
+            self._lifetimes,
+            adapters.epoch,
+            clock,
+        )
         self._origins = fleet_origins.FleetOrigins(
             self.fleet,
             shared,
@@ -277,30 +283,6 @@
         )
         self.fleet.feeds.endpoints.on_confirmed = self._on_endpoints_confirmed
 
-    def _new_stored_origins(
-        self, adapters: Adapters
-    ) -> fleet_origins.StoredOrigins | None:
-        """Creates what reads and writes the table of where streams began."""
-        if adapters.origins is None:
-            return None
-        store = origin_store.OriginStore(
-            adapters.origins,
-            self._endpoint_state.versions,
-            self._lifetimes,
-            adapters.epoch,
-            self._clock,
-        )
-        writer = origin_writer.OriginWriter(
-            adapters.origins,
-            store,
-            self.fleet,
-            self._endpoint_state.versions,
-            self._lifetimes,
-            adapters.epoch,
-            self._clock,
-        )
-        return fleet_origins.StoredOrigins(store, writer)
-
     def _make_forwarder(
         self,
         adapters: Adapters,
--- a/src/jujubewharf/leadership/fleet_origins.py
+++ b/src/jujubewharf/leadership/fleet_origins.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 
 import mode
 
@@ -19,10 +18,9 @@
 from jujubewharf.leadership import origin_copies
 from jujubewharf.leadership import origin_lookup
 from jujubewharf.leadership import origin_server
-from jujubewharf.leadership import origin_store
-from jujubewharf.leadership import origin_writer
 from jujubewharf.leadership import replica_set
 from jujubewharf.leadership import shared_state
+from jujubewharf.leadership import stored_origins
 from jujubewharf.peers import link as links
 from jujubewharf.peers import origin_messages
 from jujubewharf.peers import streams
@@ -34,19 +32,6 @@
 _RETRY_INTERVAL_MS = 2_500.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoredOrigins:
-    """What the platform's store keeps of streams.
-
-    Attributes:
-        store: Reads it.
-        writer: Writes it.
-    """
-
-    store: origin_store.OriginStore
-    writer: origin_writer.OriginWriter
-
-
 class FleetOrigins(restarting_service.RestartingService):
     """Implements ``resumptions.SharedOrigins`` across all instances.
 
@@ -65,7 +50,7 @@
         clock: clocks.Clock,
         *,
         domain: str,
-        stored: StoredOrigins | None = None,
+        stored: stored_origins.StoredOrigins | None = None,
     ) -> None:
         super().__init__(clock)
         self._fleet = fleet
--- a/tests/endpoint_paths/test_relay_streams.py
+++ b/tests/endpoint_paths/test_relay_streams.py
@@ -18,22 +18,14 @@
 from jujubewharf.peers import relay_messages
 from jujubewharf.peers import streams
 from tests import loopback
-from tests.forwarding import deployments
+from tests.endpoint_paths import relay_standins
 
-ENDPOINT = deployments.plain_endpoint("s1").endpoint
+ENDPOINT = relay_standins.ENDPOINT
 PART = b"x" * 65_536
 # Far more than the buffers of two sockets hold.
 PART_COUNT = 400
 
 
-class _Registry:
-    def get(self, name):
-        return ENDPOINT if name == ENDPOINT.name else None
-
-    def takes_work(self, name):
-        return True
-
-
 class _Backends:
     """Sends parts as fast as they are read."""
 
@@ -67,7 +59,7 @@
         transport,
         hello,
         lambda: [relay_peers.PeerAddress(a) for a in known],
-        _Registry(),
+        relay_standins.OneEndpoint(),
         shutdown.AdmissionState(),
         lambda endpoint, notice: None,
         memory_account.HeldMemory(clock),
--- a/tests/endpoint_paths/test_relayed_bodies.py
+++ b/tests/endpoint_paths/test_relayed_bodies.py
@@ -23,9 +23,9 @@
 from jujubewharf.peers import relay_messages
 from jujubewharf.peers import streams
 from tests import loopback
-from tests.forwarding import deployments
+from tests.endpoint_paths import relay_standins
 
-ENDPOINT = deployments.plain_endpoint("s1").endpoint
+ENDPOINT = relay_standins.ENDPOINT
 MB = 1_000_000
 BODY_BYTES = 2 * MB
 BOUND_BYTES = 20 * MB
@@ -37,14 +37,6 @@
 Kind = leases.Kind
 
 
-class _Registry:
-    def get(self, name):
-        return ENDPOINT if name == ENDPOINT.name else None
-
-    def takes_work(self, name):
-        return True
-
-
 class _Backends:
     """Holds each call until it is let go."""
 
@@ -105,7 +97,7 @@
             self.transport,
             hello,
             lambda: [relay_peers.PeerAddress(a) for a in known],
-            _Registry(),
+            relay_standins.OneEndpoint(),
             shutdown.AdmissionState(),
             lambda endpoint, notice: None,
             self.held,
