--- a/tests/leadership/rejoined_histories.py
+++ b/tests/leadership/rejoined_histories.py
@@ -76,7 +76,7 @@
     "released_before": Case(),
     "released_long_before": Case(lead_ms=5_000.0),
     "released_beside": Case(lead_ms=500.0),
-    "released_after": Case(lead_ms=-1_500.0),
+    "released_after": Case(lead_ms=-3_500.0),
     "two_versions_stay": Case(has_releases=False),
     "timeout_shortened": Case(shortened_ms=2_600.0),
     "timeout_shortened_unnamed": Case(shortened_ms=2_600.0, is_named=False),
