Stored origins: an idle instance looks for changes twice a second

Streams wake the writer at once, as before; only versions, removals and roles are looked at less often, well within the 2 s that a new version waits.

--- a/src/jujubewharf/leadership/origin_writer.py
+++ b/src/jujubewharf/leadership/origin_writer.py
@@ -36,7 +36,7 @@
 _WRITE_INTERVAL_MS = 100.0
 _FAILED_PAUSE_MS = 400.0
 # Interval of checks while no stream begins.
-_CHECK_INTERVAL_MS = 100.0
+_CHECK_INTERVAL_MS = 500.0
 # Time after which a follower drops what it told. A leader that could not write
 # it has been detected as lost before.
 _LEADER_WRITE_MS = 4_000.0
