--- a/tests/leadership/rejoined_histories.py
+++ b/tests/leadership/rejoined_histories.py
@@ -23,6 +23,7 @@
 from jujubewharf.forwarding import calls
 from jujubewharf.standins import store as stores
 from tests.forwarding import deployments
+from tests.leadership import rejoined_judging as judging
 from tests.leadership import stream_versions as versions
 
 NAMES = ("e1", "e2", "e3", "e4", "e5", "e6")
@@ -36,13 +37,8 @@
 _PREFILL = 2
 # Time for which an engine that drains, or whose entry was removed, serves.
 _SERVES_ON_MS = 2_500.0
-# Time after which an instance that is back has to serve as any other.
-STABLE_MS = 3_000.0
-# The users' bound and the least number of resumptions that it is about.
-LEAST_SHARE = 0.5
-LEAST_JUDGED = 12
-# Time within which the store has what began.
-_WRITTEN_WITHIN_MS = 150.0
+# Delay of the store's answers while it is slow.
+_SLOW_MS = 300.0
 _KILLS_MS = (6_500.0, 17_000.0, 27_500.0)
 
 
@@ -86,6 +82,7 @@
     "killed_again": Case(is_killed_again=True),
     "killed_again_unnamed": Case(is_killed_again=True, is_named=False),
     "store_away": Case(store="away"),
+    "store_slow": Case(store="slow"),
     "store_restored": Case(store="restored"),
     "store_restored_unnamed": Case(store="restored", is_named=False),
     "one_version": Case(has_releases=False, is_one_version=True),
@@ -95,58 +92,6 @@
 }
 
 
-@dataclasses.dataclass(slots=True)
-class Verdict:
-    """What a history showed.
-
-    Attributes:
-        mixed: Streams that hold events of two versions.
-        gaps: Streams with missing or doubled events.
-        streams: Streams that were taken up after a kill of all.
-        resumed: Requests to take them up.
-        went_on: Those that brought events.
-        taken: Streams that callers took up over a kill of all, while two
-            engines of the version served.
-        taken_on: Those that went on.
-        judged: Streams that callers took up at instances in touch, while two
-            engines of the version served.
-        judged_on: Those that went on.
-        new: New streams at instances in touch, from the kills on.
-        begun: Those that began.
-    """
-
-    mixed: int = 0
-    gaps: int = 0
-    streams: int = 0
-    resumed: int = 0
-    went_on: int = 0
-    taken: int = 0
-    taken_on: int = 0
-    judged: int = 0
-    judged_on: int = 0
-    new: int = 0
-    begun: int = 0
-
-    def add(self, other: Verdict) -> None:
-        """Adds the verdict on another history."""
-        for field in dataclasses.fields(Verdict):
-            value = getattr(self, field.name) + getattr(other, field.name)
-            setattr(self, field.name, value)
-
-    @property
-    def is_lost(self) -> bool:
-        """Whether fewer streams go on than the users' bound asks."""
-        if not self.new:
-            return False
-        least = LEAST_SHARE * self.begun / self.new
-        shares = ((self.judged_on, self.judged), (self.taken_on, self.taken))
-        return any(
-            went_on < least * count
-            for went_on, count in shares
-            if count >= LEAST_JUDGED
-        )
-
-
 class History:
     """One history.
 
@@ -160,16 +105,11 @@
         self._rng = random.Random(f"{case}/{seed}")
         self._release = 0
         self._reading: set[asyncio.Task[None]] = set()
-        # Time since which all instances run, of each kill.
-        self._back_ms: list[float] = []
-        self._killed_ms: list[float] = []
+        self._record = judging.Record()
         # Engines that drain, or whose registration was removed.
         self._leaving: set[str] = set()
-        self._serving: list[tuple[float, dict[str, int]]] = []
-        # Times whose records neither an instance nor the restored store has.
-        self._lost: list[tuple[float, float]] = []
 
-    async def play(self) -> Verdict:
+    async def play(self) -> judging.Verdict:
         """Plays the history and judges its streams."""
         first = ("v0",) if self._case.is_one_version else ("v0", "v1")
         if self._case.has_releases:
@@ -192,7 +132,7 @@
             streams, *_ = await asyncio.gather(
                 self._streams(), self._trouble(), self._watch()
             )
-        return self._judge(streams)
+        return self._record.judge(streams)
 
     def _engine(self, name: str, version: str):
         domain = versions.DOMAINS[self._rng.randrange(4)]
@@ -270,10 +210,12 @@
         if self._case.store == "restored":
             began_ms = self._world.clock.now_ms()
             await self._world.clock.sleep_ms(self._rng.uniform(300.0, 1_000.0))
-            self._lost.append((began_ms, self._world.clock.now_ms()))
-        self._killed_ms.append(self._world.clock.now_ms())
+            self._record.lost_ms.append((began_ms, self._world.clock.now_ms()))
+        self._record.killed_ms.append(self._world.clock.now_ms())
         if self._case.store == "away":
             self._world.store.outage = stores.Outage.RESET
+        if self._case.store == "slow":
+            self._world.store.delays_ms |= dict.fromkeys(NAMES, _SLOW_MS)
         await self._kill()
         await self._world.clock.sleep_ms(self._rng.uniform(800.0, 2_500.0))
         if self._case.store == "restored":
@@ -289,7 +231,8 @@
             await self._world.clock.sleep_ms(self._rng.uniform(0.0, 1_500.0))
             await self._kill()
             await self._start_all()
-        self._back_ms.append(self._world.clock.now_ms())
+        self._world.store.delays_ms.clear()
+        self._record.back_ms.append(self._world.clock.now_ms())
         if self._case.shortened_ms is not None:
             await self._until(at_ms + 8_000.0)
             await self._configure(self._case.timeout_ms)
@@ -345,8 +288,8 @@
             for backend in self._decode_engines():
                 version = backend.software_version
                 serving[version] = serving.get(version, 0) + 1
-            self._serving.append((self._world.clock.now_ms(), serving))
-            await self._world.clock.sleep_ms(100.0)
+            self._record.serving.append((self._world.clock.now_ms(), serving))
+            await self._world.clock.sleep_ms(judging.WATCH_INTERVAL_MS)
 
     # Callers.
 
@@ -410,79 +353,8 @@
                     found.events += stream.add(part, call.request_id)
             found.is_whole = reply.is_success
 
-    # The verdict.
-
-    def _judge(self, streams: list[versions.Stream]) -> Verdict:
-        verdict = Verdict()
-        for stream in streams:
-            verdict.mixed += stream.is_mixed
-            verdict.gaps += not stream.is_in_order
-            first_ms = stream.tries[0].at_ms if stream.tries else 0.0
-            taken_up = []
-            over_kill = []
-            resumed = verdict.resumed
-            for found in stream.tries:
-                in_touch = self._is_in_touch(found)
-                if found.resumed_version is None:
-                    verdict.new += in_touch
-                    verdict.begun += in_touch and found.events > 0
-                elif self._is_over_a_kill(first_ms, found):
-                    verdict.resumed += 1
-                    verdict.went_on += found.events > 0
-                    if not self._is_known(stream) or (
-                        self._least_serving(found) < 2
-                    ):
-                        continue
-                    over_kill.append(found)
-                    if in_touch:
-                        taken_up.append(found)
-            verdict.streams += verdict.resumed > resumed
-            if over_kill:
-                verdict.taken += 1
-                verdict.taken_on += any(f.events for f in over_kill)
-            if taken_up:
-                verdict.judged += 1
-                verdict.judged_on += any(f.events for f in taken_up)
-        return verdict
-
-    def _is_known(self, stream: versions.Stream) -> bool:
-        """Whether anybody can know where a stream began.
-
-        What began between the copy of a store and the kill is in neither.
-        """
-        return not any(
-            begin - _WRITTEN_WITHIN_MS <= stream.began_ms <= end
-            for begin, end in self._lost
-        )
-
-    def _is_over_a_kill(self, first_ms: float, found: versions.Try) -> bool:
-        return any(first_ms < at < found.at_ms for at in self._killed_ms)
-
-    def _is_in_touch(self, found: versions.Try) -> bool:
-        """Whether instances have run for a while after a kill, undisturbed."""
-        earlier = [at for at in self._back_ms if at + STABLE_MS <= found.at_ms]
-        until_ms = found.at_ms + 1_000.0
-        killed = [
-            at
-            for at in self._killed_ms
-            if found.at_ms - STABLE_MS < at < until_ms
-        ]
-        return len(earlier) > 0 and not killed and not found.was_reset
-
-    def _least_serving(self, found: versions.Try) -> int:
-        version = found.resumed_version
-        assert version is not None
-        return min(
-            (
-                serving.get(version, 0)
-                for at_ms, serving in self._serving
-                if found.at_ms - 100.0 <= at_ms <= found.at_ms + 1_000.0
-            ),
-            default=0,
-        )
-
 
-def play(case: str, seed: int) -> Verdict:
+def play(case: str, seed: int) -> judging.Verdict:
     """Plays one history and judges its streams."""
     return deployments.run(History(CASES[case], seed).play())
 
@@ -498,7 +370,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
     )
     for case in [given.case] if given.case else list(CASES):
-        total = Verdict()
+        total = judging.Verdict()
         for seed in range(given.first, given.first + given.seeds):
             total.add(play(case, seed))
         print(case, total, "LOST" if total.is_lost else "", flush=True)
--- a/tests/leadership/test_rejoined_histories.py
+++ b/tests/leadership/test_rejoined_histories.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tests.leadership import rejoined_histories as histories
+from tests.leadership import rejoined_judging as judging
 
 _SEED = 1
 _EACH_CASE = pytest.mark.parametrize("case", histories.CASES, scope="module")
@@ -20,7 +21,7 @@
 
 
 @functools.cache
-def _verdict(case: str) -> histories.Verdict:
+def _verdict(case: str) -> judging.Verdict:
     """The verdict on one history, which is played once for all tests."""
     return histories.play(case, _SEED)
 
@@ -44,5 +45,5 @@
 @pytest.mark.parametrize("case", _JUDGED, scope="module")
 def test_streams_of_all_killed_go_on(case):
     verdict = _verdict(case)
-    assert verdict.taken >= histories.LEAST_JUDGED, str(verdict)
+    assert verdict.taken >= judging.LEAST_JUDGED, str(verdict)
     assert not verdict.is_lost, str(verdict)
