Calls for peers: a call whose last part was written may have run

A stream that broke while the last part of a body was sent was taken for one whose peer doesn't have the body: the caller would hear that nothing has run, and a call that may run once could be made again, though the peer makes it as soon as it has that part. Only parts before the last one say that it hasn't run now; beyond, the outcome is unknown, as for calls without parts. The test fails on the commit before (RefusedError: memory_full).

--- a/src/jujubewharf/endpoint_paths/relayed_bodies.py
+++ b/src/jujubewharf/endpoint_paths/relayed_bodies.py
@@ -74,39 +74,49 @@
     if not isinstance(message, CallWithBody) or not needs_parts(message):
         await stream.send(message)
         return
+    body = message.outbound.call.body
+    # The peer makes the call once it has the last part.
+    last_at = len(body) - 1 - (len(body) - 1) % _PART_BYTES
     try:
-        await _hand_over_body(stream, message, clock)
+        await _ask_for_body(stream, message, clock)
+        for at in range(0, last_at, _PART_BYTES):
+            await _send_part(stream, body, at)
     except (relay_streams.BrokenRelayError, TimeoutError):
-        # The peer makes no call whose body it doesn't have as a whole.
         raise RefusedError(MEMORY_FULL) from None
+    await _send_part(stream, body, last_at)
 
 
-async def _hand_over_body(
+async def _ask_for_body(
     stream: relay_streams.RelayStream,
     message: CallWithBody,
     clock: clocks.Clock,
 ) -> None:
-    body = message.outbound.call.body
+    """Sends a call without its body; returns once the peer wants that."""
     await stream.send(
         dataclasses.replace(
             message,
             outbound=_with_body(message.outbound, b""),
-            body_bytes=len(body),
+            body_bytes=len(message.outbound.call.body),
         )
     )
     async with clock.timeout_ms(_ANSWER_TIMEOUT_MS):
         answer = await stream.receive()
     match answer:
+        case relay_messages.RelayedBodyWanted():
+            return
         case relay_messages.RelayRefused():
             raise RefusedError(answer)
-        case relay_messages.RelayedBodyWanted():
-            for at in range(0, len(body), _PART_BYTES):
-                part = body[at : at + _PART_BYTES]
-                await stream.send(relay_messages.RelayedPart(part))
         case _:
             raise relay_streams.BrokenRelayError("unexpected answer")
 
 
+async def _send_part(
+    stream: relay_streams.RelayStream, body: bytes, at: int
+) -> None:
+    part = body[at : at + _PART_BYTES]
+    await stream.send(relay_messages.RelayedPart(part))
+
+
 async def receive_call(
     stream: relay_streams.RelayStream,
     lease: leases.Lease,
--- a/tests/endpoint_paths/test_relayed_bodies.py
+++ b/tests/endpoint_paths/test_relayed_bodies.py
@@ -12,6 +12,7 @@
 from jujubewharf.endpoint_paths import endpoint_paths
 from jujubewharf.endpoint_paths import relay_peers
 from jujubewharf.endpoint_paths import relay_streams
+from jujubewharf.endpoint_paths import relayed_bodies
 from jujubewharf.engines import client
 from jujubewharf.forwarding import calls
 from jujubewharf.held_memory import leases
@@ -264,3 +265,39 @@
         assert not pair.backends.bodies
 
     _run(play)
+
+
+class _BreakingStream:
+    """A stream to a peer that wants the body, and breaks as a part is sent."""
+
+    def __init__(self, breaks_at: int) -> None:
+        self._left = breaks_at
+
+    async def receive(self):
+        return relay_messages.RelayedBodyWanted()
+
+    async def send(self, message) -> None:
+        if isinstance(message, relay_messages.RelayedPart):
+            self._left -= 1
+            if not self._left:
+                raise relay_streams.BrokenRelayError("lost")
+
+
+# A stream broke while its last part was on its way, with which the peer had the
+# whole body and made the call; its caller heard that it had not run.
+@pytest.mark.parametrize("is_last", [False, True])
+def test_call_whose_last_part_was_written_may_have_run(is_last):
+    async def main():
+        outbound = _outbound(BODY_BYTES)
+        parts = -(-len(outbound.call.body) // 65_536)
+        stream = _BreakingStream(parts if is_last else parts - 1)
+        message = relay_messages.RelayedSend(ENDPOINT.name, outbound)
+        expected = (
+            relay_streams.BrokenRelayError
+            if is_last
+            else relayed_bodies.RefusedError
+        )
+        with pytest.raises(expected):
+            await relayed_bodies.hand_over(stream, message, clocks.Clock())
+
+    asyncio.run(main())
