Releases: log lines and counters tell at whose address they arrive

Nothing told whether the release of a reservation reached its engine: a call that another service ran counted as freed. Now each release has an outcome and an age, one at an engine that isn't registered any more has a line, and a state call that goes again on a new connection has one too. A release that is refused for its name also removes the engine, as other refused calls do.

--- a/src/jujubewharf/engines/http_calls.py
+++ b/src/jujubewharf/engines/http_calls.py
@@ -9,6 +9,8 @@
 from typing import TypeVar
 
 import aiohttp
+from opentelemetry import metrics
+import structlog
 import yarl
 
 from jujubewharf import clock as clocks
@@ -20,6 +22,11 @@
 
 _Answer = TypeVar("_Answer")
 
+_REPEATED = metrics.get_meter("jujubewharf").create_counter(
+    "endpoints.repeated_state_calls",
+    description="Calls about state that were sent again on a new connection.",
+)
+
 
 def lost(endpoint: resources.Endpoint, detail: str) -> client.EngineError:
     """Returns the error of a call that may have run; the answer is lost."""
@@ -110,4 +117,8 @@
         # The cause is the error of the connection; a time-out has none.
         if error.fault is not client.EngineFault.LOST or not error.__cause__:
             raise
+        _REPEATED.add(1)
+        structlog.get_logger().info(
+            "state_call_repeated", engine=error.engine, detail=error.detail
+        )
     return await call(fresh)
--- a/src/jujubewharf/forwarding/placement.py
+++ b/src/jujubewharf/forwarding/placement.py
@@ -150,7 +150,9 @@
             reservation_id = reservation.take_id()
             if reservation_id is not None:
                 await self._reservations.release(
-                    reservation.engine, reservation_id
+                    reservation.engine,
+                    reservation_id,
+                    since_ms=reservation.reserved_at_ms,
                 )
             queue.wake_first()
 
--- a/src/jujubewharf/forwarding/prefills.py
+++ b/src/jujubewharf/forwarding/prefills.py
@@ -21,6 +21,7 @@
 from jujubewharf.forwarding import places as all_places
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import registry as registries
+from jujubewharf.forwarding import release_log
 from jujubewharf.forwarding import request_log
 from jujubewharf.forwarding import runs
 
@@ -43,11 +44,13 @@
     Attributes:
         source: Handle of the prefill result; ``None`` if there is none.
         engine: Engine that holds the result.
+        since_ms: Clock reading when the result arrived.
         is_fetched: Whether a decode engine has fetched the result.
     """
 
     source: calls.PrefillSource | None = None
     engine: resources.Endpoint | None = None
+    since_ms: float = 0.0
     is_fetched: bool = False
 
 
@@ -229,9 +232,11 @@
             if attempt.is_slow:
                 self._log_failure(run, _slow_error(engine.name), began_ms)
             raise
-        took_ms = self._clock.now_ms() - began_ms
-        self._observations.record_prefill(engine.name, took_ms, tokens=tokens)
-        return Prefilled(source, engine)
+        now_ms = self._clock.now_ms()
+        self._observations.record_prefill(
+            engine.name, now_ms - began_ms, tokens=tokens
+        )
+        return Prefilled(source, engine, since_ms=now_ms)
 
     def _record_failure(self, error: client.EngineError) -> None:
         if error.fault is client.EngineFault.REFUSED_IDENTITY:
@@ -249,9 +254,13 @@
     async def _drop_result(self, prefilled: Prefilled) -> None:
         if prefilled.source is None or prefilled.engine is None:
             return
-        with contextlib.suppress(client.EngineError):
-            # The result expires by itself within a second; dropping it only
-            # frees the memory sooner, so failures are not retried.
+        with release_log.logged_release(
+            release_log.Held.PREFILL_RESULT,
+            prefilled.engine,
+            self._registry,
+            self._clock,
+            since_ms=prefilled.since_ms,
+        ):
             await self._backends.drop_source(prefilled.engine, prefilled.source)
 
 
--- a/src/jujubewharf/forwarding/reservations.py
+++ b/src/jujubewharf/forwarding/reservations.py
@@ -9,7 +9,6 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
-import contextlib
 
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
@@ -21,6 +20,7 @@
 from jujubewharf.forwarding import pool as pools
 from jujubewharf.forwarding import ports
 from jujubewharf.forwarding import registry as registries
+from jujubewharf.forwarding import release_log
 from jujubewharf.forwarding import request_log
 from jujubewharf.forwarding import routes
 from jujubewharf.forwarding import runs
@@ -106,16 +106,17 @@
             except client.EngineError as error:
                 self._record_failure(run, error, demand)
                 continue
+            now_ms = self._clock.now_ms()
             self._pool.record_success(engine.name)
             self._pool.clear_memory_refusals(engine.name)
             if not self._registry.takes_work(engine.name):
                 # The response to the reservation said that the engine drains.
-                await self.release(engine, reservation_id)
+                await self.release(engine, reservation_id, since_ms=now_ms)
                 continue
             return places.Reservation(
                 engine,
                 reservation_id,
-                reserved_at_ms=self._clock.now_ms(),
+                reserved_at_ms=now_ms,
                 tokens=demand.tokens,
                 memory_share=demand.tokens / run.traits.memory_tokens,
                 has_permit=is_limited,
@@ -180,15 +181,31 @@
             check_id = await self._backends.reserve(
                 engine, tokens=demand.total_tokens, ttl_ms=_CHECK_TTL_MS
             )
-            await self.release(engine, check_id)
+            now_ms = self._clock.now_ms()
+            await self.release(engine, check_id, since_ms=now_ms)
         return await self._backends.reserve(
             engine, tokens=demand.tokens, ttl_ms=demand.ttl_ms
         )
 
     async def release(
-        self, engine: resources.Endpoint, reservation_id: str
+        self,
+        engine: resources.Endpoint,
+        reservation_id: str,
+        *,
+        since_ms: float,
     ) -> None:
-        """Releases a reservation."""
-        with contextlib.suppress(client.EngineError):
-            # If the call fails, the reservation expires by itself.
+        """Releases a reservation.
+
+        Args:
+            engine: The engine that made it.
+            reservation_id: Its id.
+            since_ms: Clock reading at which it was made.
+        """
+        with release_log.logged_release(
+            release_log.Held.RESERVATION,
+            engine,
+            self._registry,
+            self._clock,
+            since_ms=since_ms,
+        ):
             await self._backends.drop_reservation(engine, reservation_id)
