--- a/src/jujubewharf/engines/http_calls.py
+++ b/src/jujubewharf/engines/http_calls.py
@@ -5,7 +5,10 @@
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterator
 import contextlib
+import itertools
+import secrets
 from typing import TypeVar
 
 import aiohttp
@@ -22,12 +25,31 @@
 
 _Answer = TypeVar("_Answer")
 
+# Tells the calls of instances apart, which all count from 1.
+_RANDOM_BYTES = 4
+
 _REPEATED = metrics.get_meter("jujubewharf").create_counter(
     "endpoints.repeated_state_calls",
     description="Calls about state that were sent again on a new connection.",
 )
 
 
+class CallIds(Iterator[str]):
+    """Ids of calls, which no other instance gives to its own.
+
+    Args:
+        prefix: First part of each id.
+    """
+
+    def __init__(self, prefix: str) -> None:
+        self._prefix = f"{prefix}-{secrets.token_hex(_RANDOM_BYTES)}"
+        self._numbers = itertools.count(1)
+
+    def __next__(self) -> str:
+        """Returns the next id."""
+        return f"{self._prefix}-{next(self._numbers)}"
+
+
 def lost(endpoint: resources.Endpoint, detail: str) -> client.EngineError:
     """Returns the error of a call that may have run; the answer is lost."""
     return client.EngineError(client.EngineFault.LOST, endpoint.name, detail)
