Own protocols: calls name the engine or endpoint that they are meant for

They carry X-Expected-Endpoint now; the stand-ins refuse what is meant for another one with 421 and their own name, which counts as not run. A service's own 421 passes on unchanged. Callers can't set the header.

--- a/src/jujubewharf/callers/plain.py
+++ b/src/jujubewharf/callers/plain.py
@@ -18,6 +18,7 @@
 from jujubewharf.callers import services
 from jujubewharf.configuration import resources
 from jujubewharf.engines import endpoint_client
+from jujubewharf.engines import receivers
 from jujubewharf.held_memory import bodies
 from jujubewharf.requests import plain
 from jujubewharf.settings import models
@@ -32,6 +33,7 @@
         "authorization",
         "expect",
         "host",
+        receivers.EXPECTED.lower(),
         request_options.ATTEMPT_HEADER.lower(),
         request_options.REQUEST_HEADER.lower(),
     }
--- a/src/jujubewharf/engines/http.py
+++ b/src/jujubewharf/engines/http.py
@@ -13,6 +13,7 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf.engines import client
+from jujubewharf.engines import receivers
 from jujubewharf.engines import sessions
 
 _CALL_TIMEOUT_MS = 5_000.0
@@ -49,6 +50,7 @@
     ) -> None:
         self._name = name
         self._url = f"http://{address}"
+        self._headers = {**_JSON, receivers.EXPECTED: name}
         self._session = session
         self._clock = clock
 
@@ -84,7 +86,7 @@
             async with self._session.post(
                 f"{self._url}/decode",
                 data=orjson.dumps(body),
-                headers=_JSON,
+                headers=self._headers,
                 timeout=_STREAM_TIMEOUT,
             ) as response:
                 await self._raise_for_fault(response)
@@ -143,7 +145,7 @@
                 async with self._session.post(
                     f"{self._url}/{operation}",
                     data=orjson.dumps(body),
-                    headers=_JSON,
+                    headers=self._headers,
                 ) as response:
                     await self._raise_for_fault(response)
                     return orjson.loads(await sessions.read_bounded(response))
@@ -155,6 +157,8 @@
     async def _raise_for_fault(self, response: aiohttp.ClientResponse) -> None:
         if response.status == _OK:
             return
+        if receivers.is_refusal(response.status, response.headers):
+            raise self._error(client.EngineFault.REFUSED_IDENTITY)
         body = orjson.loads(await sessions.read_bounded(response))
         raise self._error(client.EngineFault(body["fault"]))
 
--- a/src/jujubewharf/engines/http_endpoint.py
+++ b/src/jujubewharf/engines/http_endpoint.py
@@ -15,6 +15,7 @@
 from jujubewharf.engines import endpoint_client
 from jujubewharf.engines import probe_session
 from jujubewharf.engines import process_watch
+from jujubewharf.engines import receivers
 from jujubewharf.engines import send_once
 
 REQUEST_HEADER = "X-Request-Id"
@@ -23,10 +24,19 @@
 # compress a response for a caller that cannot decode it.
 _SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 
-# The no-op of HTTP, which any server answers; endpoints have no identity.
-_PROBE = process_watch.ProbeRequest(
-    "OPTIONS", "/", lambda endpoint: [], lambda endpoint, response, body: True
-)
+
+def _expected(endpoint: resources.Endpoint) -> list[tuple[str, str]]:
+    return [(receivers.EXPECTED, endpoint.name)]
+
+
+def _is_from(
+    endpoint: resources.Endpoint, response: aiohttp.ClientResponse, body: bytes
+) -> bool:
+    return not receivers.is_refusal(response.status, response.headers)
+
+
+# The no-op of HTTP, which any server answers.
+_PROBE = process_watch.ProbeRequest("OPTIONS", "/", _expected, _is_from)
 
 CONNECT_ERRORS = (
     aiohttp.ClientConnectorError,
@@ -61,11 +71,15 @@
         """Sends a call; see ``endpoint_client.EndpointClient``."""
         url = f"http://{endpoint.address}/{call.path_query.lstrip('/')}"
         headers = [*call.headers, (REQUEST_HEADER, call.request_id)]
+        headers += _expected(endpoint)
         upstream = await self._send(endpoint, call, url, headers)
         # Only errors of sending are translated. An error raised at the yield
         # comes from the caller's block, for example a broken connection to the
         # caller, and does not concern the endpoint.
         async with upstream:
+            if receivers.is_refusal(upstream.status, upstream.headers):
+                fault = client.EngineFault.REFUSED_IDENTITY
+                raise client.EngineError(fault, endpoint.name)
             yield endpoint_client.PlainReply(
                 status=upstream.status,
                 headers=tuple(upstream.headers.items()),
--- a/src/jujubewharf/requests/plain.py
+++ b/src/jujubewharf/requests/plain.py
@@ -29,6 +29,9 @@
 ATTEMPT_HEADER = "X-Attempt"
 _MAX_ATTEMPTS = 3
 _RETRY_AFTER_MS = 1_000.0
+_NOT_RUN_FAULTS = frozenset(
+    {client.EngineFault.UNREACHABLE, client.EngineFault.REFUSED_IDENTITY}
+)
 
 _retries = metrics.get_meter("jujubewharf").create_counter(
     "plain.retries",
@@ -260,7 +263,7 @@
                     self._endpoints.call(endpoint, call)
                 )
             except client.EngineError as error:
-                if error.fault is client.EngineFault.UNREACHABLE:
+                if error.fault in _NOT_RUN_FAULTS:
                     progress.may_have_run = was_sent
                 raise
             stack.push_async_exit(attempt.pop_all())
--- a/src/jujubewharf/standins/endpoint.py
+++ b/src/jujubewharf/standins/endpoint.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from jujubewharf import clock as clocks
+from jujubewharf.engines import receivers
 
 _RUN_HEADER = "X-Request-Id"
 
@@ -42,6 +43,11 @@
         return web.json_response(self.runs)
 
     async def _echo(self, request: web.Request) -> web.Response:
+        if receivers.is_meant_for_other(self.name, request.headers):
+            return web.Response(
+                status=receivers.MISDIRECTED_STATUS,
+                headers={receivers.REFUSED_BY: self.name},
+            )
         body = await request.text()
         self.runs[request.headers.get(_RUN_HEADER, "")] += 1
         await self._clock.sleep_ms(self._answer_ms)
--- a/src/jujubewharf/standins/engine_http.py
+++ b/src/jujubewharf/standins/engine_http.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
 import json
 from typing import Any
@@ -10,6 +12,7 @@
 from aiohttp import web
 
 from jujubewharf.engines import client
+from jujubewharf.engines import receivers
 from jujubewharf.standins import engine as engines
 
 _STATUS_OF_FAULT = 409
@@ -58,11 +61,27 @@
 
     def app(self) -> web.Application:
         """Returns the aiohttp application."""
-        app = web.Application(client_max_size=64_000_000)
+        app = web.Application(
+            client_max_size=64_000_000, middlewares=[self._refuse_misdirected]
+        )
         app.router.add_post("/decode", self._decode)
         app.router.add_post("/{verb}", self._call)
         return app
 
+    @web.middleware
+    async def _refuse_misdirected(
+        self,
+        request: web.Request,
+        handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
+        name = self._engine.name
+        if receivers.is_meant_for_other(name, request.headers):
+            return web.Response(
+                status=receivers.MISDIRECTED_STATUS,
+                headers={receivers.REFUSED_BY: name},
+            )
+        return await handler(request)
+
     async def _call(self, request: web.Request) -> web.Response:
         body = await request.json()
         try:
