--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,8 @@
 	$(BIN)/mypy
 
 test: check
-	$(BIN)/pytest -n $(WORKERS)
+	$(BIN)/pytest -n $(WORKERS) -m "not alone"
+	$(BIN)/pytest -m alone
 
 format: setup
 	$(BIN)/ruff format .
--- a/tests/real_processes/children.py
+++ b/tests/real_processes/children.py
@@ -5,8 +5,10 @@
 import asyncio
 import contextlib
 import ctypes
+import functools
 import os
 import pathlib
+import resource
 import signal
 import socket
 import subprocess
@@ -89,7 +91,12 @@
         return self._start(name, command, {}, subprocess.PIPE)
 
     def instance(
-        self, name: str, settings: pathlib.Path, *, can_be_cut: bool = False
+        self,
+        name: str,
+        settings: pathlib.Path,
+        *,
+        can_be_cut: bool = False,
+        descriptors: int | None = None,
     ) -> Child:
         """Starts an instance, whose lines go to a file.
 
@@ -97,6 +104,8 @@
             name: Its name.
             settings: Its settings file.
             can_be_cut: Whether ``cut_streams`` can cut it from others.
+            descriptors: Descriptors that it may open; ``None`` for those that
+                this process may open.
         """
         program = ["platform/start.py"]
         if can_be_cut:
@@ -104,10 +113,15 @@
         command = [sys.executable, *program]
         variables = {"JUJUBEWHARF_NODE_FILE": str(settings)}
         with (self.folder / f"{name}.log").open("ab") as lines:
-            return self._start(name, command, variables, lines)
+            return self._start(name, command, variables, lines, descriptors)
 
     def _start(
-        self, name: str, command: list[str], variables: dict[str, str], output
+        self,
+        name: str,
+        command: list[str],
+        variables: dict[str, str],
+        output,
+        descriptors: int | None = None,
     ) -> Child:
         kept = {n: os.environ[n] for n in _KEPT if n in os.environ}
         with (self.folder / f"{name}.errors").open("ab") as errors:
@@ -118,7 +132,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=errors,
-                preexec_fn=_end_with_parent,
+                preexec_fn=functools.partial(_prepare, descriptors),
             )
         child = Child(name, process)
         self._children.append(child)
@@ -142,6 +156,9 @@
         self._ports.close()
 
 
-def _end_with_parent() -> None:
-    """Has the kernel end this process when the test's process is killed."""
+def _prepare(descriptors: int | None) -> None:
+    """Limits a new process, and has it end when the test's is killed."""
     _LIBC.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+    if descriptors is not None:
+        limits = (descriptors, descriptors)
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
--- a/tests/real_processes/deployment.py
+++ b/tests/real_processes/deployment.py
@@ -70,6 +70,7 @@
         self.stops_s: list[float] = []
         self.in_rotation = asyncio.Event()
         self._readiness = deployment.children.free_address()
+        self._metrics = deployment.children.free_address()
         self._deployment = deployment
         self._settings = deployment.children.folder / f"{self.name}.json"
         self._fields = {
@@ -77,6 +78,7 @@
             "domain": self.zone,
             "callers": self.callers,
             "readiness": self._readiness,
+            "metrics": self._metrics,
             "peers": self.peers,
             "processor": {"share": 1.0, "speed": 1},
             "store": {
@@ -101,8 +103,19 @@
             self.name,
             self._settings,
             can_be_cut=self._deployment.has_cuts,
+            descriptors=self._deployment.descriptors,
         )
 
+    @property
+    def addresses(self) -> dict[str, str]:
+        """Addresses of all listeners."""
+        return {
+            "callers": self.callers,
+            "readiness": self._readiness,
+            "metrics": self._metrics,
+            "peers": self.peers,
+        }
+
     def change_settings(self) -> None:
         """Changes a setting and sends SIGHUP."""
         retries = self._fields["retries"]
@@ -163,6 +176,8 @@
         store_address: Address of the store.
         memory_mb: Memory of the machine of an instance; ``None`` if nothing
             bounds it.
+        descriptors: Descriptors that an instance may open; ``None`` for those
+            of the test.
         has_cuts: Whether instances can be cut from each other.
     """
 
@@ -171,9 +186,11 @@
         started: children.Children,
         memory_mb: float | None = None,
         *,
+        descriptors: int | None = None,
         has_cuts: bool = False,
     ) -> None:
         self.children = started
+        self.descriptors = descriptors
         self.memory_mb = memory_mb
         self.has_cuts = has_cuts
         self.engines: list[children.Child] = []
@@ -303,6 +320,7 @@
     size: Size,
     *,
     memory_mb: float | None = None,
+    descriptors: int | None = None,
     keep: pathlib.Path | None = None,
     more: Starter | None = None,
     has_cuts: bool = False,
@@ -312,13 +330,16 @@
     Args:
         size: Numbers of processes.
         memory_mb: Memory of the machine of an instance, for its settings.
+        descriptors: Descriptors that an instance may open.
         keep: Folder to which logs and records are copied at the end.
         more: Starts further engines.
         has_cuts: Whether instances can be cut from each other.
     """
     with tempfile.TemporaryDirectory(prefix="real-processes-") as folder:
         started = children.Children(pathlib.Path(folder))
-        deployment = Deployment(started, memory_mb, has_cuts=has_cuts)
+        deployment = Deployment(
+            started, memory_mb, descriptors=descriptors, has_cuts=has_cuts
+        )
         try:
             await deployment.start(size, more)
             yield deployment
