Connections: bounds of each and of all, costly ones take turns

What others saw: a process ran out of memory under clients that send what no client inside the limits sends, and the requests of all its callers ended with it. Causes, with 32 clients on 100 MB: an error of the parser holds and logs the bytes, and the answer contains them, for each part that is parsed after the first error, too; a head may have 128 fields of the largest size; chunks of a byte wait as one object each, 16,000 of them a body, and a turn of the loop parses 256 KB of each connection; nothing bounds how many connections there are, at any listener.

One package owns the connections now, of callers on both edges, of probes, of metrics and of peers. Bounded are the head as a whole, what frames a body, and the requests that wait behind one; over all, the number by descriptors and the memory of connections and unfinished heads. At a bound those make room that have no whole head, then idle ones, never one with a request. A connection whose bytes bring hardly anything is read one a turn of the loop, so a crowd makes no turn longer.

--- a/src/jujubewharf/callers/edge.py
+++ b/src/jujubewharf/callers/edge.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -15,6 +16,9 @@
 from jujubewharf.callers import error_responses
 from jujubewharf.callers import plain
 from jujubewharf.callers import server
+from jujubewharf.connections import bounded_server
+from jujubewharf.connections import listening
+from jujubewharf.connections import table
 from jujubewharf.settings import models
 
 if TYPE_CHECKING:
@@ -25,6 +29,10 @@
 # Requests have been drained before; any that are left are aborted.
 _SHUTDOWN_TIMEOUT_S = 0.1
 _READY_STATUS = {True: 200, False: 503}
+# A line of a head has aiohttp's own limit; the rest are the defaults.
+_LIMITS = bounded_server.ConnectionLimits(
+    idle_timeout_ms=3_630_000.0, max_header_bytes=8_190
+)
 _PROBE_PATHS = frozenset({"/healthz", "/readyz"})
 
 
@@ -36,6 +44,7 @@
         model_paths: Handlers of model requests.
         plain_paths: Handler of plain requests.
         readiness: Whether requests are accepted.
+        connections: All connections that clients have open.
 
     Attributes:
         port: The port it listens on, once started.
@@ -48,8 +57,10 @@
         model_paths: completions.Completions,
         plain_paths: plain.PlainServices,
         readiness: readinesses.Readiness,
+        connections: table.Connections,
     ) -> None:
         super().__init__()
+        self._listener: asyncio.Server | None = None
         self.port = settings.port
         self.readiness = readiness
         self._settings = settings
@@ -60,8 +71,11 @@
         self._app.router.add_get("/readyz", self._readyz)
         model_paths.add_to(self._app)
         plain_paths.add_to(self._app)
-        self._runner = server.JsonErrorRunner(
+        self._runner = bounded_server.BoundedRunner(
             self._app,
+            bounded_server.Room.of(connections, table.Kind.CALLERS),
+            _LIMITS,
+            new_handler=server.JsonErrorHandler,
             handler_cancellation=True,
             shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
             auto_decompress=False,
@@ -71,15 +85,17 @@
     async def on_start(self) -> None:
         """Starts listening."""
         await self._runner.setup()
-        site = web.TCPSite(
-            self._runner, self._settings.host, self._settings.port
+        assert self._runner.server is not None
+        self._listener = await listening.listen(
+            self._runner.server, self._settings.host, self._settings.port
         )
-        await site.start()
-        self.port = self._runner.addresses[0][1]
+        self.port = self._listener.sockets[0].getsockname()[1]
         structlog.get_logger().info("callers_listening", port=self.port)
 
     async def on_stop(self) -> None:
         """Stops listening and aborts open requests."""
+        if self._listener is not None:
+            self._listener.close()
         await self._runner.cleanup()
 
     async def _readyz(self, request: web.Request) -> web.Response:
--- a/src/jujubewharf/commands/main.py
+++ b/src/jujubewharf/commands/main.py
@@ -57,7 +57,9 @@
     identity = metrics.Identity(
         settings.instance, settings.region, settings.domain
     )
-    return await process.run_daemon(daemon, settings.telemetry, identity)
+    return await process.run_daemon(
+        daemon, settings.telemetry, identity, daemon.connections
+    )
 
 
 @app.command("errors")
--- a/src/jujubewharf/entry.py
+++ b/src/jujubewharf/entry.py
@@ -12,6 +12,7 @@
 from jujubewharf.callers import plain as plain_paths
 from jujubewharf.callers import readiness
 from jujubewharf.configuration import resources
+from jujubewharf.connections import table
 from jujubewharf.engines import client
 from jujubewharf.engines import http as engine_http
 from jujubewharf.engines import http_endpoint
@@ -39,6 +40,7 @@
         clock: Clock for all timers.
 
     Attributes:
+        connections: All connections that clients have open.
         core: The instance's core, once started.
         callers: The caller edge, once started.
         operators: The operator RPC, once started.
@@ -51,6 +53,7 @@
         self._settings = settings
         self._clock = clock
         self._sessions: list[aiohttp.ClientSession] = []
+        self.connections = table.Connections()
         self._probes: probe_session.ProbeSession | None = None
         self.core: cores.EntryCore | None = None
         self.callers: edge.CallerEdge | None = None
@@ -59,7 +62,7 @@
     async def on_start(self) -> None:
         """Creates the adapters, then starts the core and the servers."""
         peers = self._settings.peers
-        transport = peer_keys.make_transport(peers)
+        transport = peer_keys.make_transport(peers, self.connections)
         self.core = cores.EntryCore(
             self._settings, self._clock, self._adapters(transport)
         )
@@ -82,6 +85,7 @@
                 ),
                 self.core.admission,
             ),
+            self.connections,
         )
         self.operators = operator_server.OperatorServer(
             self._settings.operators,
--- a/src/jujubewharf/forwarding/settings.py
+++ b/src/jujubewharf/forwarding/settings.py
@@ -160,6 +160,8 @@
         processor: Processor capacity of the instance.
         memory_mb: Memory beyond which the process is killed, in MB; ``None`` if
             it isn't known, then a default bounds what is held for callers.
+        max_descriptors: Descriptors that the process may open, if that is fewer
+            than the system lets it.
         store: The platform's store.
         retries: Retry budget of the fleet.
         quotas: Tolerated use beyond account quotas.
@@ -178,6 +180,7 @@
     is_first_start: bool = False
     processor: ProcessorSettings = ProcessorSettings()
     memory_mb: Positive | None = None
+    max_descriptors: Annotated[int, pydantic.Field(gt=0)] | None = None
     store: StoreSettings
     retries: RetrySettings
     quotas: QuotaSettings = QuotaSettings()
--- a/src/jujubewharf/held_memory/bodies.py
+++ b/src/jujubewharf/held_memory/bodies.py
@@ -70,6 +70,7 @@
                     if size_bytes > taken_bytes:
                         await _take_more(lease, is_first=not taken_bytes)
                         taken_bytes += _GROWTH_BYTES
+                        _extend(buffer, min(taken_bytes, max_bytes))
                     buffer.write(part)
                     lease.record_arrival(len(part))
     except TimeoutError as error:
@@ -80,6 +81,18 @@
     return buffer.getvalue()
 
 
+def _extend(buffer: io.BytesIO, size_bytes: int) -> None:
+    """Grows a buffer at once.
+
+    Grown with each part it would be copied each time, and leave gaps in the
+    memory of the process that nothing fits into.
+    """
+    at_bytes = buffer.tell()
+    buffer.seek(size_bytes - 1)
+    buffer.write(b"\0")
+    buffer.seek(at_bytes)
+
+
 async def _take_more(lease: leases.Lease, *, is_first: bool) -> None:
     """Takes memory for the next part of a body whose size was not told."""
     size_bytes = int(_GROWTH_BYTES * _GROWTH_FACTOR)
--- a/src/jujubewharf/leaving/process.py
+++ b/src/jujubewharf/leaving/process.py
@@ -12,6 +12,7 @@
 import mode
 import structlog
 
+from jujubewharf.connections import table
 from jujubewharf.leaving import shutdown
 from jujubewharf.settings import models
 from jujubewharf.telemetry import logs
@@ -43,6 +44,7 @@
     daemon: Daemon,
     telemetry: models.TelemetrySettings,
     identity: metrics.Identity,
+    connections: table.Connections,
 ) -> ExitCode:
     """Runs a daemon and its metrics until the daemon has drained.
 
@@ -50,10 +52,11 @@
         daemon: Service that handles callers' requests.
         telemetry: Settings of the metrics export.
         identity: Identity of the instance in metrics.
+        connections: All connections that clients have open.
     """
     logs.handle_loop_errors(asyncio.get_running_loop())
     services: list[mode.Service] = [cast(mode.Service, daemon)]
-    metrics_exporter = metrics.configure(telemetry, identity)
+    metrics_exporter = metrics.configure(telemetry, identity, connections)
     if metrics_exporter is not None:
         services.append(metrics_exporter)
     return await Runner(daemon, services).run()
--- a/src/jujubewharf/peers/streams.py
+++ b/src/jujubewharf/peers/streams.py
@@ -15,6 +15,9 @@
 from typing import Any
 from typing import Protocol
 
+from jujubewharf.connections import counts
+from jujubewharf.connections import listening
+from jujubewharf.connections import table
 from jujubewharf.peers import counters
 
 if TYPE_CHECKING:
@@ -106,6 +109,54 @@
         self._server.close()
 
 
+class _AcceptedProtocol(asyncio.StreamReaderProtocol):
+    """Protocol of an accepted stream, which is counted while it is open.
+
+    A stream is never replaced: strangers, who send no hello, are closed within
+    the time of a handshake and give their places back.
+
+    Args:
+        reader: The stream's reader.
+        on_connection: Serves the stream.
+        listener: The listener's connections; ``None`` if not bounded.
+    """
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        on_connection: Callable[
+            [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
+        ],
+        listener: table.Listener | None,
+    ) -> None:
+        super().__init__(reader, on_connection)
+        self._listener = listener
+        self._accepted: asyncio.BaseTransport | None = None
+
+    is_replaceable = False
+
+    def end(self, reason: counts.Reason) -> None:
+        """Ends the stream; see ``table.Connection``."""
+        assert self._listener is not None
+        counts.count(self._listener.name, reason)
+        if isinstance(self._accepted, asyncio.Transport):
+            self._accepted.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Counts the stream, and ends it if there are too many."""
+        self._accepted = transport
+        if self._listener is not None and not self._listener.admit(self):
+            self.end(counts.Reason.NO_ROOM)
+            return
+        super().connection_made(transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Gives the stream's place back."""
+        if self._listener is not None:
+            self._listener.remove(self)
+        super().connection_lost(exc)
+
+
 class TcpTransport:
     """TCP transport, with mutual TLS if contexts are given.
 
@@ -113,6 +164,8 @@
         host: IP address to listen on.
         port: Port to listen on; 0 selects a free one.
         contexts: TLS contexts; ``None`` for plain TCP.
+        connections: All connections that others have open; ``None`` where they
+            aren't bounded.
 
     Attributes:
         refused: Number of accepted streams that failed the TLS handshake.
@@ -124,7 +177,9 @@
         port: int,
         *,
         contexts: tls.TlsContexts | None = None,
+        connections: table.Connections | None = None,
     ) -> None:
+        self._connections = connections
         self.refused = 0
         self._host = host
         self._port = port
@@ -169,9 +224,14 @@
             if await self._start_tls(writer):
                 await on_stream(reader, writer)
 
-        server = await asyncio.start_server(
-            on_connection, self._host, self._port
-        )
+        def new_protocol() -> asyncio.StreamReaderProtocol:
+            reader = asyncio.StreamReader()
+            return _AcceptedProtocol(reader, on_connection, listener)
+
+        listener = None
+        if self._connections is not None:
+            listener = self._connections.listener(table.Kind.PEERS)
+        server = await listening.listen(new_protocol, self._host, self._port)
         return _TcpListener(server)
 
     async def _start_tls(self, writer: asyncio.StreamWriter) -> bool:
--- a/src/jujubewharf/peers/tls_keys.py
+++ b/src/jujubewharf/peers/tls_keys.py
@@ -7,6 +7,7 @@
 import mode
 import structlog
 
+from jujubewharf.connections import table
 from jujubewharf.peers import streams
 from jujubewharf.peers import tls
 
@@ -26,15 +27,27 @@
     return tls.TlsFiles(certificate, key, authority)
 
 
-def make_transport(settings: models.PeerSettings) -> streams.TcpTransport:
+def make_transport(
+    settings: models.PeerSettings, connections: table.Connections | None = None
+) -> streams.TcpTransport:
     """Creates the TCP transport of the daemon.
 
+    Args:
+        settings: Address and keys.
+        connections: All connections that others have open; ``None`` where they
+            aren't bounded.
+
     Raises:
         TlsFilesError: The keys can't be loaded.
     """
     files = configured_files(settings)
     contexts = None if files is None else tls.load(files)
-    return streams.TcpTransport(settings.host, settings.port, contexts=contexts)
+    return streams.TcpTransport(
+        settings.host,
+        settings.port,
+        contexts=contexts,
+        connections=connections,
+    )
 
 
 class KeyReloader(mode.Service):
--- a/src/jujubewharf/telemetry/metrics.py
+++ b/src/jujubewharf/telemetry/metrics.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 
 from aiohttp import web
@@ -19,6 +20,9 @@
 import prometheus_client
 from prometheus_client import exposition
 
+from jujubewharf.connections import bounded_server
+from jujubewharf.connections import listening
+from jujubewharf.connections import table
 from jujubewharf.settings import models
 from jujubewharf.telemetry import counter_totals
 
@@ -34,6 +38,7 @@
     Args:
         settings: Address to listen on.
         registry: Registry of the exposed metrics.
+        connections: All connections that clients have open.
 
     Attributes:
         port: The port it listens on, once started.
@@ -43,23 +48,36 @@
         self,
         settings: models.TelemetrySettings,
         registry: prometheus_client.CollectorRegistry,
+        connections: table.Connections,
     ) -> None:
         super().__init__()
+        self._listener: asyncio.Server | None = None
         self.port = settings.metrics_port or 0
         self._host = settings.metrics_host
         self._registry = registry
         app = web.Application()
         app.router.add_get("/metrics", self._metrics)
-        self._runner = web.AppRunner(app, access_log=None)
+        self._runner = bounded_server.BoundedRunner(
+            app,
+            bounded_server.Room.of(connections, table.Kind.METRICS),
+            bounded_server.ConnectionLimits(),
+            access_log=None,
+            lingering_time=0.0,
+        )
 
     async def on_start(self) -> None:
         """Starts listening."""
         await self._runner.setup()
-        await web.TCPSite(self._runner, self._host, self.port).start()
-        self.port = self._runner.addresses[0][1]
+        assert self._runner.server is not None
+        self._listener = await listening.listen(
+            self._runner.server, self._host, self.port
+        )
+        self.port = self._listener.sockets[0].getsockname()[1]
 
     async def on_stop(self) -> None:
         """Stops listening."""
+        if self._listener is not None:
+            self._listener.close()
         await self._runner.cleanup()
 
     async def _metrics(self, request: web.Request) -> web.Response:
@@ -84,10 +102,18 @@
 
 
 def configure(
-    telemetry: models.TelemetrySettings, identity: Identity
+    telemetry: models.TelemetrySettings,
+    identity: Identity,
+    connections: table.Connections | None = None,
 ) -> MetricsEdge | None:
     """Sets the process's meter provider; called once, before the start.
 
+    Args:
+        telemetry: Settings of the export.
+        identity: Identity of the instance.
+        connections: All connections that clients have open; ``None`` where
+            there are no others.
+
     Returns:
         The Prometheus endpoint, if the settings enable it.
     """
@@ -96,7 +122,9 @@
     if telemetry.metrics_port is not None:
         registry = prometheus_client.CollectorRegistry()
         readers.append(_prometheus_reader(registry))
-        edge = MetricsEdge(telemetry, registry)
+        edge = MetricsEdge(
+            telemetry, registry, connections or table.Connections()
+        )
     if telemetry.otlp_url is not None:
         readers.append(_otlp_reader(telemetry))
     if readers:
--- a/tests/telemetry/test_metrics.py
+++ b/tests/telemetry/test_metrics.py
@@ -13,6 +13,7 @@
 import prometheus_client
 
 import jujubewharf
+from jujubewharf.connections import table
 from jujubewharf.settings import models
 from jujubewharf.telemetry import metrics
 
@@ -54,7 +55,7 @@
     counter = provider.get_meter("jujubewharf").create_counter("callers.x")
     counter.add(3, {"reason": "rate_limited"})
     settings = models.TelemetrySettings(metrics_port=0)
-    edge = metrics.MetricsEdge(settings, registry)
+    edge = metrics.MetricsEdge(settings, registry, table.Connections())
     await edge.start()
     try:
         url = f"http://127.0.0.1:{edge.port}/metrics"
--- a/tests/users_platform/test_edge.py
+++ b/tests/users_platform/test_edge.py
@@ -14,6 +14,7 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf import errors
+from jujubewharf.connections import table
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import routes
 from jujubewharf.held_memory import memory_account
@@ -117,7 +118,9 @@
 @contextlib.asynccontextmanager
 async def _connected(script=None, *, forwarding=None):
     forwarding = forwarding or Forwarding(script)
-    server = edge.CallerEdge(forwarding, clocks.Clock()).new_server()
+    server = edge.CallerEdge(forwarding, clocks.Clock()).new_server(
+        table.Connections()
+    )
     loop = asyncio.get_running_loop()
     listener = await loop.create_server(server, HOST, 0)
     port = listener.sockets[0].getsockname()[1]
@@ -541,7 +544,9 @@
     caller may reuse it, or a header within the limit was refused.
     """
     forwarding = Forwarding(_reply(b"ok", length=2))
-    server = edge.CallerEdge(forwarding, clocks.Clock()).new_server()
+    server = edge.CallerEdge(forwarding, clocks.Clock()).new_server(
+        table.Connections()
+    )
     loop = asyncio.get_running_loop()
     listener = await loop.create_server(server, HOST, 0)
     port = listener.sockets[0].getsockname()[1]
--- a/tests/users_platform/test_edge_memory.py
+++ b/tests/users_platform/test_edge_memory.py
@@ -8,6 +8,7 @@
 from users_platform import edge
 
 from jujubewharf import clock as clocks
+from jujubewharf.connections import table
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import routes
 from jujubewharf.held_memory import memory_account
@@ -82,7 +83,7 @@
     clock = clocks.Clock()
     held = memory_account.HeldMemory(clock, bound_bytes=BOUND_BYTES)
     forwarding = _Forwarding(held)
-    server = edge.CallerEdge(forwarding, clock).new_server()
+    server = edge.CallerEdge(forwarding, clock).new_server(table.Connections())
     loop = asyncio.get_running_loop()
     listener = await loop.create_server(server, HOST, 0)
     try:
