Answers: a head that is none in the protocol makes its answer lost

What clients got: an engine's answer with status 000 as an answer, and so 099, 600, 999, and 101 as a final one. Cause: the parsers of the library take any three digits, and nothing here looked at them.

The check stands in the protocol that all sessions use, of endpoints, probes, state calls and the store, so each reader has it; a status that a peer of an older build passes on is checked where it arrives.

--- a/src/jujubewharf/endpoint_paths/relay_client.py
+++ b/src/jujubewharf/endpoint_paths/relay_client.py
@@ -12,6 +12,7 @@
 from jujubewharf.endpoint_paths import reachability as reachabilities
 from jujubewharf.endpoint_paths import relay_exchanges
 from jujubewharf.endpoint_paths import relay_streams
+from jujubewharf.engines import answer_heads
 from jujubewharf.engines import client
 from jujubewharf.engines import notices as all_notices
 from jujubewharf.forwarding import calls
@@ -61,6 +62,9 @@
             head = exchange.first
             if not isinstance(head, relay_messages.RelayedHead):
                 raise relay_exchanges.lost(endpoint, "no head from the peer")
+            if not answer_heads.is_final_status(head.status):
+                # One of an older build passes on any status.
+                raise relay_exchanges.lost(endpoint, "malformed status")
             self._pass_on(endpoint, head.notices)
             body = _body(endpoint, exchange.stream)
             yield calls.Reply(
--- a/src/jujubewharf/engines/sessions.py
+++ b/src/jujubewharf/engines/sessions.py
@@ -12,8 +12,11 @@
 
 import aiohttp
 from aiohttp import client_proto
+from aiohttp import http
 from opentelemetry import metrics
 
+from jujubewharf.engines import answer_heads
+
 # Connecting within a region takes a few milliseconds, but a lost SYN packet is
 # resent only after a second. Trying another endpoint is faster, and safe for
 # any request because nothing was sent yet.
@@ -113,6 +116,23 @@
         most = self._head_bytes + _MAX_FRAMING_BYTES + body_bytes
         return "framing" if self._received > most else None
 
+    def feed_data(
+        self,
+        data: tuple[http.RawResponseMessage, aiohttp.StreamReader],
+        size: int = 0,
+    ) -> None:
+        """Hands over a head and its body, if the head is sound."""
+        if self.exception() is not None:
+            return
+        message, _ = data
+        fault = answer_heads.find_fault(message)
+        if fault is None:
+            super().feed_data(data, size)
+            return
+        self.set_exception(answer_heads.MalformedAnswerError(fault))
+        if self.transport is not None:
+            self.transport.abort()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fails a body that a reset has cut off."""
         payload = self._payload
--- a/tests/endpoint_paths/test_relay_streams.py
+++ b/tests/endpoint_paths/test_relay_streams.py
@@ -5,9 +5,12 @@
 import asyncio
 import contextlib
 
+import pytest
+
 from jujubewharf import clock as clocks
 from jujubewharf.endpoint_paths import endpoint_paths
 from jujubewharf.endpoint_paths import relay_peers
+from jujubewharf.engines import client
 from jujubewharf.forwarding import calls
 from jujubewharf.held_memory import memory_account
 from jujubewharf.leadership import followers
@@ -30,6 +33,7 @@
     """Sends parts as fast as they are read."""
 
     def __init__(self):
+        self.status = 200
         self.sent = 0
         self.is_ended = asyncio.Event()
 
@@ -39,7 +43,7 @@
     @contextlib.asynccontextmanager
     async def send(self, endpoint, outbound):
         try:
-            yield calls.Reply(200, (("A", "b"),), self._body())
+            yield calls.Reply(self.status, (("A", "b"),), self._body())
         finally:
             self.is_ended.set()
 
@@ -112,6 +116,21 @@
     asyncio.run(main())
 
 
+# A peer of an older build passed on an answer whose status was 000.
+@pytest.mark.parametrize("status", [0, 99, 101, 600, 999])
+def test_status_that_is_none_makes_a_peers_answer_lost(status):
+    async def main():
+        async with contextlib.AsyncExitStack() as stack:
+            relay, backends = await _connected(stack)
+            backends.status = status
+            with pytest.raises(client.EngineError) as caught:
+                async with relay.send(ENDPOINT, _outbound()):
+                    pass
+            assert caught.value.fault is client.EngineFault.LOST
+
+    asyncio.run(main())
+
+
 # The endpoint worked on after the caller had left in the middle of a body.
 def test_closed_stream_ends_the_call_at_the_peer():
     async def main():
