Answers: one that ends within its request's upload is lost

What clients got: an engine answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written; the part passed for the whole. Cause: with its FIN first, the end of the connection looks like the end of the answer, and the process does run afterwards, which is all that was asked.

A request that isn't written whole hasn't been read, so the kernel resets the connection whatever the process meant. Bodies mark their connection while they are written, and bytes that the kernel hasn't taken count, too. An end without framing is then lost; an answer with a length or chunks is whole as before, and so is one without that ends after the upload.

--- a/src/jujubewharf/engines/body_payload.py
+++ b/src/jujubewharf/engines/body_payload.py
@@ -1,10 +1,12 @@
-"""Payload of a request to an engine, sent without copying its body."""
+"""Payloads of requests to engines and endpoints."""
 
 from __future__ import annotations
 
 from aiohttp import abc
 from aiohttp import payload
 
+from jujubewharf.engines import sessions
+
 # Beyond this, bytes that are written wait in a buffer of the connection.
 _PIECE_BYTES = 65_536
 
@@ -32,5 +34,17 @@
     async def write(self, writer: abc.AbstractStreamWriter) -> None:
         """Writes the whole body."""
         view = memoryview(self._value)
-        for at in range(0, len(view), _PIECE_BYTES):
-            await writer.write(view[at : at + _PIECE_BYTES])
+        with sessions.uploading(writer):
+            for at in range(0, len(view), _PIECE_BYTES):
+                await writer.write(view[at : at + _PIECE_BYTES])
+
+
+class StreamPayload(payload.AsyncIterablePayload):
+    """Writes a body as its caller sends it."""
+
+    async def write_with_length(
+        self, writer: abc.AbstractStreamWriter, content_length: int | None
+    ) -> None:
+        """Writes the whole body."""
+        with sessions.uploading(writer):
+            await super().write_with_length(writer, content_length)
--- a/src/jujubewharf/engines/http_endpoint.py
+++ b/src/jujubewharf/engines/http_endpoint.py
@@ -11,6 +11,7 @@
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
 from jujubewharf.engines import answer_ends
+from jujubewharf.engines import body_payload
 from jujubewharf.engines import client
 from jujubewharf.engines import endpoint_client
 from jujubewharf.engines import probe_session
@@ -103,12 +104,13 @@
         url: str,
         headers: list[tuple[str, str]],
     ) -> aiohttp.ClientResponse:
+        body = call.body and body_payload.StreamPayload(call.body)
         try:
             return await self._session.request(
                 call.method,
                 yarl.URL(url, encoded=True),
                 headers=headers,
-                data=call.body,
+                data=body,
                 allow_redirects=False,
                 skip_auto_headers=_SKIPPED_HEADERS,
                 middlewares=(send_once.SendOnce(),),
--- a/src/jujubewharf/engines/sessions.py
+++ b/src/jujubewharf/engines/sessions.py
@@ -7,10 +7,13 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterator
+import contextlib
 import functools
 from typing import Any
 
 import aiohttp
+from aiohttp import abc
 from aiohttp import client_proto
 from aiohttp import http
 from opentelemetry import metrics
@@ -68,10 +71,15 @@
     A peer may send bytes that keep the parser in one state for ever: line ends
     before a head, interim responses, extensions of sizes, trailers. All of
     them are bytes that aren't body, and are bounded as such.
+
+    Attributes:
+        is_uploading: Whether a part of the request's body isn't written yet.
     """
 
+    is_uploading = False
     _received = 0
     _head_bytes: int | None = None
+    _has_unsent_bytes = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Has the transport read a little at a time."""
@@ -133,16 +141,46 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def eof_received(self) -> None:
+        """Notes whether the request was sent when the other side ended."""
+        transport = self.transport
+        if transport is not None:
+            self._has_unsent_bytes = transport.get_write_buffer_size() > 0
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Fails a body that a reset has cut off."""
+        """Fails a body that was cut off.
+
+        A body without a length ends with its connection. Who ends it while a
+        request is still being sent has not read that, and its kernel resets
+        the connection right after what looks like an end.
+        """
+        detail = None
+        if exc is not None:
+            detail = "connection reset within body"
+        elif self.is_uploading or self._has_unsent_bytes:
+            detail = "connection ended within the request"
         payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(
-                aiohttp.ClientPayloadError("connection reset within body")
-            )
+        if detail and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(detail))
         super().connection_lost(exc)
 
 
+@contextlib.contextmanager
+def uploading(writer: abc.AbstractStreamWriter) -> Iterator[None]:
+    """Marks the block in which the body of a request is written.
+
+    Args:
+        writer: Writes to the connection. After a failure the mark stays.
+    """
+    protocol = getattr(writer, "protocol", None)
+    if isinstance(protocol, CheckedProtocol):
+        protocol.is_uploading = True
+    yield
+    if isinstance(protocol, CheckedProtocol):
+        protocol.is_uploading = False
+
+
 def new_session(*, keep_alive: bool = False) -> aiohttp.ClientSession:
     """Creates a session for requests, or for calls about an engine's state.
 
