Shutdown: late requests end before the process, and are answered

What callers saw: in a planned stop requests that came late in the grace were taken and passed on, and cut at its end with no answer, among them requests that may not be repeated. Causes: new requests were served for 2.6 s whatever the whole shutdown was, up to its last moment if that was short; and a request taken then had its caller's time, which may be longer than the process runs.

Failing before: four requests of a shutdown of 3 s are cut, and one of 8 s whose endpoint works for 6 s (test_shutdown.py, cut=4 and cut=1).

New requests are served for 0.35 of the shutdown at most (2.6 s of 8 as before). What is taken meanwhile must end a twentieth before the end: queues refuse what can't, endpoints hear the shorter time, and what still hasn't ended gets an answer.

--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -540,11 +540,24 @@
         """Answers a request; see ``forwarder.Forwarder.run``."""
         async with (
             self.admission.admitted(),
-            self._forwarder.run(call) as reply,
+            self._forwarder.run(self._within_shutdown(call)) as reply,
         ):
             yield reply
         self._parts.check()
 
+    def _within_shutdown(self, call: calls.Call) -> calls.Call:
+        """Limits a request to the time that the process still runs.
+
+        It would be passed on later than it can be answered, and cut.
+        """
+        ends_at_ms = self.admission.ends_at_ms
+        if ends_at_ms is None:
+            return call
+        limits_ms = [ends_at_ms - call.arrived_ms]
+        if call.caller_timeout_ms is not None:
+            limits_ms.append(call.caller_timeout_ms)
+        return dataclasses.replace(call, caller_timeout_ms=min(limits_ms))
+
     def apply_settings(self, settings: all_settings.ForwardingSettings) -> None:
         """Applies settings that can change while the process runs."""
         self._settings = settings
--- a/src/jujubewharf/leaving/shutdown.py
+++ b/src/jujubewharf/leaving/shutdown.py
@@ -23,6 +23,11 @@
 _POLL_MS = 100.0
 # Another instance can take the request at once.
 _RETRY_AFTER_MS = 50.0
+# Share of the whole shutdown in which new requests are served at most; the rest
+# is for them to end.
+_GRACE_SHARE = 0.35
+# Share at its end that is left for answers to what hasn't ended.
+_ANSWER_SHARE = 0.05
 
 
 class AdmissionState:
@@ -32,12 +37,15 @@
         is_ready: Readiness for the balancer; false asks it to send no more.
         is_accepting: Whether new requests are admitted.
         in_flight: Admitted requests that have not ended.
+        ends_at_ms: Clock reading at which admitted requests must have ended;
+            ``None`` while the instance isn't shutting down.
     """
 
     def __init__(self) -> None:
         self.is_ready = True
         self.is_accepting = True
         self.in_flight = 0
+        self.ends_at_ms: float | None = None
 
     def check(self) -> None:
         """Refuses new requests while the instance shuts down.
@@ -87,7 +95,8 @@
             for other instances.
         hand_over: Hands roles and records over to other instances.
         clock: Clock.
-        grace_ms: Time in ms for which new requests are still served.
+        grace_ms: Time in ms for which new requests are still served; less if
+            the whole shutdown leaves too little time for them to end.
         drain_ms: Upper bound in ms of the whole shutdown.
     """
 
@@ -105,7 +114,7 @@
         self._running = running
         self._hand_over = hand_over
         self._clock = clock
-        self._grace_ms = grace_ms
+        self._grace_ms = min(grace_ms, _GRACE_SHARE * drain_ms)
         self._drain_ms = drain_ms
         self._forced = asyncio.Event()
         self._logger = structlog.get_logger()
@@ -120,8 +129,11 @@
         deadline_ms = started_ms + self._drain_ms
         self._logger.info("shutdown_began", in_flight=self._in_flight())
         self._admission.is_ready = False
+        self._admission.ends_at_ms = (
+            deadline_ms - _ANSWER_SHARE * self._drain_ms
+        )
         self._hand_over()
-        await self._wait_until_ms(min(started_ms + self._grace_ms, deadline_ms))
+        await self._wait_until_ms(started_ms + self._grace_ms)
         self._admission.is_accepting = False
         while self._in_flight() and self._clock.now_ms() < deadline_ms:
             if self._forced.is_set():
--- a/tests/forwarding/test_shutdown.py
+++ b/tests/forwarding/test_shutdown.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 
 from jujubewharf import errors
 from tests.forwarding import deployments
@@ -87,3 +88,53 @@
             assert summary.cut == 0
 
     deployments.run(main())
+
+
+def test_short_shutdown_takes_no_request_that_it_has_to_cut():
+    """Requests were taken until the end of a short grace, and cut there."""
+
+    async def main():
+        slow = deployments.plain_endpoint("s1", work_ms=1_000.0)
+        async with deployments.deployed(slow) as world:
+            instance = world.instances["e1"]
+            settings = instance._settings
+            instance.apply_settings(
+                settings.model_copy(update={"stop_within_s": 3.0})
+            )
+            shutdown = asyncio.create_task(instance.new_shutdown().run())
+            asked = []
+            for number in range(12):
+                asked.append(asyncio.create_task(world.ask(f"/sale/{number}")))
+                await world.clock.sleep_ms(200.0)
+            assert (await shutdown).cut == 0
+            answers = await asyncio.gather(*asked)
+        assert answers[0].status == 200
+        for answer in answers:
+            if answer.error is not None:
+                assert answer.error.ran is errors.Ran.NO
+
+    deployments.run(main())
+
+
+def test_request_that_comes_late_in_a_shutdown_is_answered_and_not_cut():
+    """It was passed on for longer than the process ran, and cut."""
+
+    async def main():
+        slow = deployments.plain_endpoint("s1", work_ms=6_000.0)
+        long = dataclasses.replace(deployments.SALE, timeout_ms=14_000.0)
+        async with deployments.deployed(slow) as world:
+            configuration = deployments.configuration(2, long)
+            world.configurations.put("config", configuration)
+            await world.clock.sleep_ms(1_000.0)
+            instance = world.instances["e1"]
+            shutdown = asyncio.create_task(instance.new_shutdown().run())
+            await world.clock.sleep_ms(2_400.0)
+            late = asyncio.create_task(
+                world.ask("/sale/1", caller_timeout_ms=14_000.0)
+            )
+            assert (await shutdown).cut == 0
+            answer = await late
+            assert answer.error.kind is errors.ErrorKind.OUTCOME_UNKNOWN
+            assert answer.error.ran is errors.Ran.UNKNOWN
+
+    deployments.run(main())
