--- a/tests/real_processes/cut_streams.py
+++ b/tests/real_processes/cut_streams.py
@@ -153,10 +153,13 @@
         host: IP address to listen on.
         port: Port to listen on.
         folder: Folder of the settings.
+        **options: Options of ``TcpTransport``.
     """
 
-    def __init__(self, host: str, port: int, *, folder: pathlib.Path) -> None:
-        super().__init__(host, port)
+    def __init__(
+        self, host: str, port: int, *, folder: pathlib.Path, **options: Any
+    ) -> None:
+        super().__init__(host, port, **options)
         self._cuts = Cuts(folder, f"{host}:{port}")
 
     async def dial(
--- a/tests/real_processes/disturbances.py
+++ b/tests/real_processes/disturbances.py
@@ -14,6 +14,7 @@
 
 from tests.real_processes import children
 from tests.real_processes import configurations
+from tests.real_processes import crowds
 from tests.real_processes import deployment as deployments
 
 # Shortest and longest pause of an engine or an instance.
@@ -22,6 +23,7 @@
 _MOST = 0.7
 # Time within which a change may begin before or after a pause.
 _BESIDE_S = 0.5
+_CROWD = 12
 # Time after which a restarted instance isn't waited for any longer.
 _READY_S = 30.0
 
@@ -125,6 +127,17 @@
             await instance.kill()
             await self._restart(instance)
 
+    async def crowd(self, kind: str) -> None:
+        """Has a crowd that doesn't behave come to one instance, and leave."""
+        instance = self._rng.choice(self._deployment.instances)
+        self._note(f"crowd of {kind} at {instance.name}")
+        crowd = crowds.Crowd(instance.callers, crowds.KINDS[kind])
+        try:
+            await crowd.send_all(_CROWD)
+            await asyncio.sleep(self._rng.uniform(*PAUSES_S))
+        finally:
+            crowd.close()
+
     async def _restart(self, instance: deployments.Instance) -> None:
         """Starts an instance, and waits until the others aren't alone."""
         instance.start()
--- a/tests/soak_processes.py
+++ b/tests/soak_processes.py
@@ -20,6 +20,7 @@
 import time
 
 from tests.real_processes import configurations
+from tests.real_processes import crowds
 from tests.real_processes import deployment as deployments
 from tests.real_processes import disturbances as all_disturbances
 from tests.real_processes import play
@@ -37,6 +38,8 @@
 _LARGE_CALLERS = (90, 40)
 
 _SIGNALS = "signals"
+# Kinds of clients whose requests never run.
+_CROWDS = tuple(kind for kind in crowds.KINDS if kind != "unread answers")
 
 Action = Callable[[], Awaitable[None]]
 
@@ -51,6 +54,7 @@
     return {
         "pauses": [lambda: on_engines(("one", "most", "all"))],
         "stalls": [lambda: on_instances(("one", "all"))],
+        "crowds": [lambda: _choose(disturbing.crowd, rng, _CROWDS)],
         "changes": [lambda: _choose(disturbing.change, rng, kinds)],
         _SIGNALS: [
             disturbing.change_settings,
@@ -132,7 +136,7 @@
     parser.add_argument("--workers", type=int, default=1)
     parser.add_argument(
         "--kinds",
-        default="pauses,pauses,stalls,changes,changes,signals",
+        default="pauses,pauses,stalls,changes,changes,signals,crowds",
         help="kinds of disturbances; those named twice come twice as often",
     )
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs")
