Entry: shares without a leader and the first look in modules of their own

The module that assembles an instance also computed its shares of fleet-wide limits and whether a leader had told what it knows. Both are concerns of their own (instance_shares, first_look); no behaviour changes. Tests make the client of plain endpoints in one place.

--- a/src/jujubewharf/forwarding/entry.py
+++ b/src/jujubewharf/forwarding/entry.py
@@ -18,8 +18,10 @@
 from jujubewharf.forwarding import calls
 from jujubewharf.forwarding import costs
 from jujubewharf.forwarding import crashes
+from jujubewharf.forwarding import first_look
 from jujubewharf.forwarding import fleet_share
 from jujubewharf.forwarding import forwarder
+from jujubewharf.forwarding import instance_shares
 from jujubewharf.forwarding import lease as leases
 from jujubewharf.forwarding import margins
 from jujubewharf.forwarding import observations
@@ -64,16 +66,11 @@
 from jujubewharf.stream_versions import origins
 from jujubewharf.telemetry import containment
 
-# Share of the retry budget while the group is unreachable. Small enough for two
-# dozen isolated instances to stay within the fleet's budget.
-_ISOLATED_SHARE = 1 / 24
 # Time for the load balancer, which probes every second, to remove an instance
 # after two failed probes.
 _BALANCER_GRACE_MS = 2_600.0
 # Reserve for closing connections before SIGKILL.
 _CLOSE_RESERVE_MS = 500.0
-# Time after the start within which a leader must have told what it knows.
-_LOOK_TIMEOUT_MS = 1_500.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -123,6 +120,7 @@
         loads: Load that endpoints have reported.
         share: This instance's share of fleet-wide limits if there is no leader.
         fleet: Link to the leader, or to the followers if this instance leads.
+        shares: Shares of fleet-wide limits that it has without a leader.
         lease: Lease that is required to send orders to engines.
         budget: Retry budget of this instance.
         quotas: Enforces account quotas.
@@ -147,8 +145,6 @@
         self._availability = availabilities.StoreAvailability(clock)
         self._leadership: leadership.Leadership | None = None
         self._replicas: replica_set.ReplicaSet | None = None
-        self._started_at_ms = clock.now_ms()
-        self._has_finished_looking = False
         self._unknown_accounts: set[str] = set()
         self.held = adapters.held or memory_account.HeldMemory(clock)
         self.admission = shutdown.AdmissionState()
@@ -165,7 +161,9 @@
         self.registry.add_listener(self.paths.reachability.set_endpoints)
         self.loads = self._endpoint_state.loads
         self.share = fleet_share.FleetShare(
-            adapters.group, clock, default_share=_ISOLATED_SHARE
+            adapters.group,
+            clock,
+            default_share=instance_shares.ISOLATED_SHARE,
         )
         self.work = costs.CostEstimates()
         self.crashes = crashes.CrashHistory(clock)
@@ -200,8 +198,19 @@
             leaving_within_ms=settings.store.leaving_within_ms,
             count_within_ms=settings.retries.window_ms,
         )
+        self._first_look = first_look.FirstLook(self.fleet, clock)
+        self.shares = instance_shares.InstanceShares(
+            self.share,
+            self.fleet,
+            lambda: self._leadership is not None,
+            lambda: self._settings.retries.window_ms,
+        )
         self.endpoint_limits = fleet_limits.FleetLimits(
-            self.fleet, self.backpressure, self._limit_share, clock, rng
+            self.fleet,
+            self.backpressure,
+            self.shares.of_rate_limits,
+            clock,
+            rng,
         )
         self.fleet_retries = fleet_retries.FleetRetries(
             self.fleet,
@@ -243,7 +252,7 @@
         self.quotas = fleet_quotas.FleetQuotas(
             self.fleet,
             self.source,
-            self._quota_share,
+            self.shares.of_quotas,
             settings.quotas,
             clock,
             rng,
@@ -473,19 +482,6 @@
             await self.add_runtime_dependency(self._origins)
             await self.add_runtime_dependency(self._leadership)
 
-    def _limit_share(self) -> float:
-        """Returns this instance's share of rate limits without a leader."""
-        if self._leadership is None:
-            return self.share.fraction
-        return self.fleet.equal_share() or _ISOLATED_SHARE
-
-    def _quota_share(self) -> float:
-        """Returns this instance's share of account quotas without a leader."""
-        if self._leadership is None:
-            return self.share.fraction
-        window_ms = self._settings.retries.window_ms
-        return self.fleet.retry_share(window_ms)
-
     def _slack_share(self) -> float:
         """Returns this instance's share of the retry budget's allowance."""
         if self._leadership is None:
@@ -510,25 +506,10 @@
         return (
             self.admission.is_ready
             and is_initialized
-            and self._has_looked_for_leader()
+            and self._first_look.is_over(self._leadership)
             and not self.paths.is_stranded
         )
 
-    def _has_looked_for_leader(self) -> bool:
-        """Returns whether a leader has told what it knows, if there is one.
-
-        A store that was restored shows older versions than are in force.
-        """
-        if self._leadership is None or self._has_finished_looking:
-            return True
-        waited_ms = self._clock.now_ms() - self._started_at_ms
-        self._has_finished_looking = (
-            self._leadership.has_looked
-            or self.fleet.feeds.configurations.has_begun
-            or waited_ms > _LOOK_TIMEOUT_MS
-        )
-        return self._has_finished_looking
-
     @property
     def limits(self) -> routes.CallerLimits:
         """Limits on callers; defaults before the first configuration."""
--- a/tests/leadership/test_leadership.py
+++ b/tests/leadership/test_leadership.py
@@ -305,7 +305,7 @@
             prefill_engine("p1"), decode_engine("d1"), names=names
         ) as world:
             await world.clock.sleep_ms(6_000.0)
-            shares = [i._quota_share() for i in world.instances.values()]
+            shares = [i.shares.of_quotas() for i in world.instances.values()]
             assert sum(shares) == pytest.approx(1.0)
             assert min(shares) > 0.0
 
--- a/tests/users_platform/engine_calls.py
+++ b/tests/users_platform/engine_calls.py
@@ -9,6 +9,7 @@
 
 from jujubewharf import clock as clocks
 from jujubewharf.configuration import resources
+from jujubewharf.engines import http_endpoint
 from jujubewharf.engines import probe_session
 from jujubewharf.engines import sessions
 from jujubewharf.forwarding import calls
@@ -57,3 +58,22 @@
             yield engines.Engines(session, kept, probes, clocks.Clock())
     finally:
         await probes.close()
+
+
+@contextlib.asynccontextmanager
+async def plain_client():
+    """Yields a client of plain endpoints, as the own edge has it."""
+    probes = probe_session.ProbeSession()
+    try:
+        async with sessions.new_session() as session:
+            yield http_endpoint.HttpEndpointClient(
+                session, probes, clocks.Clock()
+            )
+    finally:
+        await probes.close()
+
+
+def plain_endpoint(address: str) -> resources.Endpoint:
+    """Returns a plain endpoint at an address."""
+    role = resources.Role.PLAIN
+    return resources.Endpoint("s1", "shop", address, "a", role)
--- a/tests/users_platform/test_answer_heads.py
+++ b/tests/users_platform/test_answer_heads.py
@@ -8,13 +8,10 @@
 from users_platform import store
 
 from jujubewharf import clock as clocks
-from jujubewharf.configuration import resources
 from jujubewharf.engines import client
 from jujubewharf.engines import endpoint_client
 from jujubewharf.engines import http
-from jujubewharf.engines import http_endpoint
 from jujubewharf.engines import liveness
-from jujubewharf.engines import probe_session
 from jujubewharf.engines import sessions
 from jujubewharf.forwarding import calls
 from jujubewharf.platform import epochs
@@ -85,17 +82,11 @@
 
 
 async def _own_plain_call(address: str) -> None:
-    role = resources.Role.PLAIN
-    endpoint = resources.Endpoint("s1", "shop", address, "a", role)
-    probes = probe_session.ProbeSession()
-    async with sessions.new_session() as session:
-        caller = http_endpoint.HttpEndpointClient(
-            session, probes, clocks.Clock()
-        )
+    async with engine_calls.plain_client() as caller:
+        endpoint = engine_calls.plain_endpoint(address)
         call = endpoint_client.PlainCall("r1", "GET", "/")
         async with caller.call(endpoint, call) as reply:
             assert not [part async for part in reply.body]
-    await probes.close()
 
 
 async def _own_engine(address: str) -> None:
--- a/tests/users_platform/test_early_answers.py
+++ b/tests/users_platform/test_early_answers.py
@@ -6,13 +6,8 @@
 
 import pytest
 
-from jujubewharf import clock as clocks
-from jujubewharf.configuration import resources
 from jujubewharf.engines import client
 from jujubewharf.engines import endpoint_client
-from jujubewharf.engines import http_endpoint
-from jujubewharf.engines import probe_session
-from jujubewharf.engines import sessions
 from jujubewharf.forwarding import calls
 from tests.users_platform import engine_calls
 from tests.users_platform import raw_server
@@ -61,20 +56,13 @@
 
 
 async def _own_upload(address: str) -> bytes:
-    role = resources.Role.PLAIN
-    endpoint = resources.Endpoint("s1", "shop", address, "a", role)
-    probes = probe_session.ProbeSession()
-    async with sessions.new_session() as session:
-        caller = http_endpoint.HttpEndpointClient(
-            session, probes, clocks.Clock()
-        )
+    async with engine_calls.plain_client() as caller:
+        endpoint = engine_calls.plain_endpoint(address)
         call = endpoint_client.PlainCall(
             "r1", "POST", "/", body=_body_of_chunks()
         )
         async with caller.call(endpoint, call) as reply:
-            found = b"".join([part async for part in reply.body])
-    await probes.close()
-    return found
+            return b"".join([part async for part in reply.body])
 
 
 # The part that an engine had sent before it reset the connection was passed on
