--- a/tests/connections/test_bounded_server.py
+++ b/tests/connections/test_bounded_server.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import socket
 
 from aiohttp import web
 import pytest
@@ -205,3 +206,32 @@
         await asyncio.sleep(0.05)
         assert edge.connections.held_bytes == 0
         assert not len(edge.connections.turns)
+
+
+async def test_body_that_comes_as_its_request_begins_times_no_head():
+    """An idle connection was closed after the time of a head."""
+    limits = dataclasses.replace(LIMITS, head_timeout_ms=100.0)
+
+    async def handle(request: web.BaseRequest) -> web.Response:
+        return web.Response(body=await request.read())
+
+    connections = table.Connections(table.Bounds(100, 10_000_000))
+    room = bounded_server.Room.of(connections, table.Kind.CALLERS)
+    server = bounded_server.BoundedServer(
+        handle, room, lambda: limits, access_log=None
+    )
+    ours, theirs = socket.socketpair()
+    ours.setblocking(False)
+    loop = asyncio.get_running_loop()
+    _, protocol = await loop.connect_accepted_socket(server, theirs)
+    protocol.data_received(_POST + b"Content-Length: 2\r\n\r\n")
+    await asyncio.sleep(0)
+    # The request has been taken, and its handler hasn't begun.
+    assert not protocol._messages
+    assert protocol._current_request is None
+    protocol.data_received(b"ok")
+    await asyncio.sleep(0.3)
+    assert b"200 OK" in await loop.sock_recv(ours, 65_536)
+    assert protocol.transport is not None
+    protocol.force_close()
+    ours.close()
