--- a/src/jujubewharf/connections/turns.py
+++ b/src/jujubewharf/connections/turns.py
@@ -1,7 +1,7 @@
 """Turns in which connections are read whose bytes cost much and bring little.
 
-Chunks of a byte, or a head that comes bit by bit, take a hundred times the
-processor time of the same bytes in one piece. With a crowd of such clients each
+Chunks of a byte, or a head that comes bit by bit, take far more processor time
+than the same bytes in one piece. With a crowd of such clients each
 turn of the event loop would be as long as the crowd is large. So each turn
 reads one of them; alone, a client is read as fast as it sends.
 """
